--- /dev/null
+++ b/io/jwrest/server_test.go
@@ -0,0 +1,150 @@
+package jwrest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/zeromicro/go-zero/rest"
+	"gotest.tools/v3/assert"
+)
+
+// running is a server under test; stop ends it and waits.
+type running struct {
+	*Server
+	stop func()
+}
+
+func (r running) url() string { return fmt.Sprintf("http://%s", r.Addr()) }
+
+func start(t *testing.T, routes []rest.Route) running {
+	t.Helper()
+	h, err := Handler(logr.Discard(), routes)
+	assert.NilError(t, err)
+	s := &Server{Name: "test", Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: h, Log: logr.Discard()}
+	assert.NilError(t, s.Listen())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	return running{s, func() {
+		cancel()
+		assert.NilError(t, <-done)
+	}}
+}
+
+func TestRoutes(t *testing.T) {
+	s := start(t, []rest.Route{{
+		Method: http.MethodGet, Path: "/v1/things/:name",
+		Handler: func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, Var(r, "name")) },
+	}})
+	defer s.stop()
+	tests := map[string]struct {
+		method, path string
+		status       int
+		body         string
+	}{
+		"known":         {http.MethodGet, "/v1/things/menu", 200, "menu"},
+		"unknown path":  {http.MethodGet, "/v1/other", 404, "404 page not found\n"},
+		"wrong method":  {http.MethodPost, "/v1/things/menu", 405, ""},
+		"missing value": {http.MethodGet, "/v1/things", 404, "404 page not found\n"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			req, err := http.NewRequestWithContext(t.Context(), tc.method, s.url()+tc.path, nil)
+			assert.NilError(t, err)
+			resp, err := http.DefaultClient.Do(req)
+			assert.NilError(t, err)
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, tc.status)
+			assert.Equal(t, string(body), tc.body)
+		})
+	}
+}
+
+func TestPanicCutsStream(t *testing.T) {
+	// A handler fails in the middle of a stream. Were the stream ended in the
+	// usual way, the caller would take half an answer for the whole.
+	s := start(t, []rest.Route{{
+		Method: http.MethodGet, Path: "/stream",
+		Handler: func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, "first")
+			_ = http.NewResponseController(w).Flush()
+			panic("broken")
+		},
+	}})
+	defer s.stop()
+	resp, err := http.Get(s.url() + "/stream")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.Equal(t, string(body), "first")
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+func TestStopLetsRequestsFinish(t *testing.T) {
+	// A node is stopped while a request runs. The caller must get its whole
+	// answer, and the request's context must not end under it.
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := start(t, []rest.Route{{
+		Method: http.MethodGet, Path: "/slow",
+		Handler: func(w http.ResponseWriter, r *http.Request) {
+			close(entered)
+			<-release
+			fmt.Fprintf(w, "whole %v", r.Context().Err())
+		},
+	}})
+	type answer struct {
+		body string
+		err  error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		resp, err := http.Get(s.url() + "/slow")
+		if err != nil {
+			answers <- answer{err: err}
+			return
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		answers <- answer{string(body), err}
+	}()
+	<-entered
+	go func() {
+		for !s.draining.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		close(release)
+	}()
+	s.stop()
+	got := <-answers
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, "whole <nil>")
+}
+
+func TestDrainClosesConnections(t *testing.T) {
+	// A node is about to stop while callers hold connections to it open. Each
+	// must move on after an answer, or its next request would meet a reset.
+	s := start(t, []rest.Route{{
+		Method: http.MethodGet, Path: "/",
+		Handler: func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "ok") },
+	}})
+	defer s.stop()
+	for _, draining := range []bool{false, true} {
+		if draining {
+			s.Drain()
+		}
+		resp, err := http.Get(s.url() + "/")
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.Close, draining)
+	}
+}
