jwsettings: settings of a node, checked key by key

A node learns its place, ports and prices from one file. A decoder that stops at the first fault makes an operator mend a file line by line, so the file is walked as a tree and every fault is reported with its line and key.

--- /dev/null
+++ b/io/jwsettings/fault.go
@@ -0,0 +1,33 @@
+package jwsettings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing wrong with a file.
+type Fault struct {
+	Line    int    `json:"line"` // 1 is the first
+	Key     string `json:"key"`  // path of the key, such as "listen.callers"
+	Problem string `json:"problem"`
+}
+
+// String returns the fault as one line of text.
+func (f Fault) String() string {
+	if f.Key == "" {
+		return fmt.Sprintf("line %d: %s", f.Line, f.Problem)
+	}
+	return fmt.Sprintf("line %d: %s: %s", f.Line, f.Key, f.Problem)
+}
+
+// Faults are all that is wrong with a file, in the order of its lines.
+type Faults []Fault
+
+// Error lists the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/io/jwsettings/parse.go
@@ -0,0 +1,292 @@
+package jwsettings
+
+import (
+	"net/netip"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+const (
+	minToken = 16 // bytes; shorter ones are guessed
+	maxName  = 63
+)
+
+// Parse reads and checks settings; it opens no other file. Settings with
+// faults give a Faults.
+func Parse(data []byte) (*Settings, error) {
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse")
+	}
+	r := &reader{src: data}
+	s := defaults()
+	o := r.object("", root)
+	s.readIdentity(o)
+	s.readAddresses(o)
+	s.readPlatform(o)
+	s.readAccess(o)
+	s.readNetwork(o)
+	s.readTuning(o)
+	o.end()
+	if len(r.faults) > 0 {
+		sort.SliceStable(r.faults, func(i, j int) bool {
+			a, b := r.faults[i], r.faults[j]
+			return a.Line < b.Line || a.Line == b.Line && a.Key < b.Key
+		})
+		return nil, r.faults
+	}
+	return s, nil
+}
+
+func defaults() *Settings {
+	return &Settings{
+		Platform: Platform{HostsPath: DefaultHostsPath},
+		Periods: Periods{
+			Exchange:      DefaultExchange,
+			LoadPoll:      DefaultLoadPoll,
+			HostsPoll:     DefaultHostsPoll,
+			DirectoryPoll: DefaultDirectoryPoll,
+			HostsLag:      DefaultHostsLag,
+		},
+		Limits:     Limits{MaxBody: DefaultMaxBody, MaxHeader: DefaultMaxHeader},
+		Claims:     Claims{KeyMemory: DefaultKeyMemory, GroupWindow: DefaultGroupWindow},
+		DrainLimit: DefaultDrainLimit,
+		Workers:    DefaultWorkers,
+	}
+}
+
+func (s *Settings) readIdentity(o *object) {
+	o.name("node", &s.Node)
+	o.name("region", &s.Region)
+	o.name("dataCentre", &s.DataCentre)
+}
+
+func (s *Settings) readAddresses(o *object) {
+	o.child("listen", func(c *object) {
+		c.readAddresses(&s.Listen)
+		for _, name := range []string{"callers", "operators", "nodes"} {
+			if _, ok := c.members[name]; !ok {
+				c.fault(name, "is missing")
+			}
+		}
+		c.checkDistinct(s.Listen)
+	})
+	s.Advertise = s.Listen
+	o.child("advertise", func(c *object) {
+		c.readAddresses(&s.Advertise)
+		c.checkReachable("callers", s.Advertise.Callers)
+		c.checkReachable("operators", s.Advertise.Operators)
+		c.checkReachable("nodes", s.Advertise.Nodes)
+	})
+}
+
+func (o *object) readAddresses(a *Addresses) {
+	o.address("callers", &a.Callers)
+	o.address("operators", &a.Operators)
+	o.address("nodes", &a.Nodes)
+}
+
+// checkDistinct finds two ports that cannot be opened side by side.
+func (o *object) checkDistinct(a Addresses) {
+	pairs := []struct {
+		name string
+		x, y netip.AddrPort
+	}{
+		{"operators", a.Callers, a.Operators},
+		{"nodes", a.Callers, a.Nodes},
+		{"nodes", a.Operators, a.Nodes},
+	}
+	for _, p := range pairs {
+		if p.x.Port() != 0 && p.x == p.y {
+			o.fault(p.name, "%s is used twice", p.x)
+		}
+	}
+}
+
+// checkReachable finds an address that others would be told but cannot use.
+func (o *object) checkReachable(name string, a netip.AddrPort) {
+	if a.IsValid() && a.Addr().IsUnspecified() {
+		o.fault(name, "others cannot reach %s; give the address they use", a)
+	}
+}
+
+func (s *Settings) readPlatform(o *object) {
+	o.child("platform", func(c *object) {
+		c.service("keyValue", &s.Platform.KeyValue)
+		c.service("hosts", &s.Platform.Hosts)
+		c.service("directory", &s.Platform.Directory)
+		c.text("hostsPath", &s.Platform.HostsPath)
+		if !strings.HasPrefix(s.Platform.HostsPath, "/") {
+			c.fault("hostsPath", "must begin with /")
+		}
+	})
+}
+
+// service reads the required address of a service.
+func (o *object) service(name string, into *netip.AddrPort) {
+	before := len(o.r.faults)
+	o.address(name, into)
+	switch {
+	case len(o.r.faults) > before:
+	case !into.IsValid():
+		o.fault(name, "is missing")
+	case into.Port() == 0 || into.Addr().IsUnspecified():
+		o.fault(name, "nothing can be reached at %s", *into)
+	}
+}
+
+func (s *Settings) readAccess(o *object) {
+	o.child("operators", func(c *object) {
+		c.text("token", &s.Operators.Token)
+		c.text("tokenFile", &s.Operators.TokenFile)
+		token, file := s.Operators.Token != "", s.Operators.TokenFile != ""
+		switch {
+		case token == file:
+			c.fault("token", "give either token or tokenFile")
+		case token && len(s.Operators.Token) < minToken:
+			c.fault("token", "shorter than %d bytes", minToken)
+		}
+	})
+	o.child("tls", func(c *object) {
+		c.readKeys("callers", &s.TLS.Callers, false)
+		c.readKeys("operators", &s.TLS.Operators, false)
+		c.readKeys("nodes", &s.TLS.Nodes, true)
+	})
+}
+
+func (o *object) readKeys(name string, k *KeyFiles, mutual bool) {
+	if _, ok := o.value(name); !ok {
+		return
+	}
+	o.child(name, func(c *object) {
+		c.fileName("certificate", &k.Certificate)
+		c.fileName("key", &k.Key)
+		if mutual {
+			c.fileName("authority", &k.Authority)
+		}
+	})
+}
+
+// fileName reads the required name of one file.
+func (o *object) fileName(name string, into *string) {
+	o.text(name, into)
+	if *into == "" {
+		o.fault(name, "is missing")
+	}
+}
+
+func (s *Settings) readNetwork(o *object) {
+	s.readRegions(o)
+	known := map[string]bool{}
+	for _, r := range s.Regions {
+		known[r.Name] = true
+	}
+	switch {
+	case s.Region == "" || s.DataCentre == "":
+	case !known[s.Region]:
+		o.fault("region", "%q is not among regions", s.Region)
+	case s.RegionOf(s.DataCentre) != s.Region:
+		o.fault("dataCentre", "%q is not a data centre of region %q", s.DataCentre, s.Region)
+	}
+	s.readLinks(o, known)
+}
+
+func (s *Settings) readRegions(o *object) {
+	if _, ok := o.value("regions"); !ok {
+		o.fault("regions", "is missing")
+	}
+	regions, centres := map[string]bool{}, map[string]string{}
+	o.list("regions", func(c *object) {
+		var r Region
+		c.name("name", &r.Name)
+		r.DataCentres = c.texts("dataCentres")
+		if regions[r.Name] {
+			c.fault("name", "region %q is given twice", r.Name)
+		}
+		regions[r.Name] = true
+		if len(r.DataCentres) == 0 {
+			c.fault("dataCentres", "names no data centre")
+		}
+		for _, d := range r.DataCentres {
+			if problem := nameProblem(d); problem != "" {
+				c.fault("dataCentres", "%q: %s", d, problem)
+			}
+			if other, ok := centres[d]; ok {
+				c.fault("dataCentres", "%q already belongs to region %q", d, other)
+			}
+			centres[d] = r.Name
+		}
+		s.Regions = append(s.Regions, r)
+	})
+}
+
+func (s *Settings) readLinks(o *object, known map[string]bool) {
+	seen := map[[2]string]bool{}
+	o.list("links", func(c *object) {
+		l := Link{Delay: DefaultLinkDelay, CostPerGB: DefaultLinkCost}
+		c.text("from", &l.From)
+		c.text("to", &l.To)
+		c.duration("delay", &l.Delay, 0, 10*time.Second)
+		c.number("costPerGB", &l.CostPerGB, 0, 1e6)
+		for name, region := range map[string]string{"from": l.From, "to": l.To} {
+			if !known[region] {
+				c.fault(name, "%q is not among regions", region)
+			}
+		}
+		if l.From == l.To {
+			c.fault("to", "a link joins two regions")
+		}
+		pair := [2]string{l.From, l.To}
+		if seen[pair] {
+			c.fault("from", "the link from %q to %q is given twice", l.From, l.To)
+		}
+		seen[pair] = true
+		s.Links = append(s.Links, l)
+	})
+}
+
+func (s *Settings) readTuning(o *object) {
+	o.child("periods", func(c *object) {
+		c.duration("exchange", &s.Periods.Exchange, 50*time.Millisecond, time.Minute)
+		c.duration("loadPoll", &s.Periods.LoadPoll, 50*time.Millisecond, time.Minute)
+		c.duration("hostsPoll", &s.Periods.HostsPoll, 100*time.Millisecond, 10*time.Minute)
+		c.duration("directoryPoll", &s.Periods.DirectoryPoll, 100*time.Millisecond, time.Hour)
+		c.duration("hostsLag", &s.Periods.HostsLag, 0, time.Hour)
+	})
+	o.child("limits", func(c *object) {
+		header := int64(s.Limits.MaxHeader)
+		c.integer("maxBody", &s.Limits.MaxBody, 1, 1<<30)
+		c.integer("maxHeader", &header, 1<<10, 1<<20)
+		s.Limits.MaxHeader = int(header)
+	})
+	o.child("claims", func(c *object) {
+		c.duration("keyMemory", &s.Claims.KeyMemory, time.Minute, 30*24*time.Hour)
+		c.duration("groupWindow", &s.Claims.GroupWindow, 0, time.Second)
+	})
+	o.duration("drainLimit", &s.DrainLimit, time.Second, 24*time.Hour)
+	workers := int64(s.Workers)
+	o.integer("workers", &workers, 1, 1024)
+	s.Workers = int(workers)
+}
+
+// nameProblem tells what is wrong with a name, or nothing.
+func nameProblem(name string) string {
+	if name == "" {
+		return "is missing"
+	}
+	if len(name) > maxName {
+		return "longer than " + strconv.Itoa(maxName) + " characters"
+	}
+	for _, c := range name {
+		ok := c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-' || c == '.'
+		if !ok {
+			return "may hold only a-z, 0-9, - and ."
+		}
+	}
+	return ""
+}
