jwlog: JSON lines by logr, the lines of grpc-go among them

grpc-go writes plain lines to stderr, which would break whoever parses the log; they go in at verbosity 1.

--- /dev/null
+++ b/io/jwlog/log.go
@@ -0,0 +1,58 @@
+package jwlog
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zapr"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"google.golang.org/grpc/grpclog"
+)
+
+// New returns a log that writes JSON lines to w. Verbosity 0 gives changes of
+// state and errors, 1 adds what libraries say, 2 adds single requests.
+func New(w io.Writer, verbosity int) logr.Logger {
+	cfg := zapcore.EncoderConfig{
+		TimeKey:        "time",
+		LevelKey:       "level",
+		NameKey:        "logger",
+		MessageKey:     "message",
+		EncodeTime:     zapcore.RFC3339NanoTimeEncoder,
+		EncodeLevel:    zapcore.LowercaseLevelEncoder,
+		EncodeDuration: zapcore.StringDurationEncoder,
+	}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), zapcore.Level(-verbosity))
+	return zapr.NewLogger(zap.New(core))
+}
+
+// CaptureGRPC sends what grpc-go logs to log at verbosity 1. It is called once,
+// before the first connection; unlike it, grpc-go would write plain lines
+// among the JSON ones and break whoever parses them.
+func CaptureGRPC(log logr.Logger) {
+	grpclog.SetLoggerV2(grpcLog{log.WithName("grpc").V(1)})
+}
+
+// grpcLog is grpclog.LoggerV2 over logr.
+type grpcLog struct{ log logr.Logger }
+
+func (g grpcLog) line(text string) { g.log.Info(strings.TrimSpace(text)) }
+
+func (g grpcLog) Info(args ...any)                    { g.line(fmt.Sprint(args...)) }
+func (g grpcLog) Infoln(args ...any)                  { g.line(fmt.Sprintln(args...)) }
+func (g grpcLog) Infof(format string, args ...any)    { g.line(fmt.Sprintf(format, args...)) }
+func (g grpcLog) Warning(args ...any)                 { g.line(fmt.Sprint(args...)) }
+func (g grpcLog) Warningln(args ...any)               { g.line(fmt.Sprintln(args...)) }
+func (g grpcLog) Warningf(format string, args ...any) { g.line(fmt.Sprintf(format, args...)) }
+func (g grpcLog) Error(args ...any)                   { g.line(fmt.Sprint(args...)) }
+func (g grpcLog) Errorln(args ...any)                 { g.line(fmt.Sprintln(args...)) }
+func (g grpcLog) Errorf(format string, args ...any)   { g.line(fmt.Sprintf(format, args...)) }
+func (g grpcLog) Fatal(args ...any)                   { panic(fmt.Sprint(args...)) }
+func (g grpcLog) Fatalln(args ...any)                 { panic(fmt.Sprintln(args...)) }
+func (g grpcLog) Fatalf(format string, args ...any)   { panic(fmt.Sprintf(format, args...)) }
+
+// V tells that no verbose line of grpc-go is wanted; building them costs time
+// even where they are dropped.
+func (g grpcLog) V(int) bool { return false }
