jwmeter: counters by tally on a registry of their own

Several nodes run in one process in tests and in the demo, so the default registry would mix them. A name used with two sets of tags is logged and dropped where tally's reporter would panic and end requests in flight.

--- /dev/null
+++ b/io/jwmeter/meter.go
@@ -0,0 +1,145 @@
+package jwmeter
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	tally "github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	prefix = "jujubewheel"
+	// DefaultInterval is how far readings may be behind the handles.
+	DefaultInterval = time.Second
+)
+
+// Tags are the labels of one series. All series of a name have the same keys;
+// their values come from small fixed sets, never from callers.
+type Tags map[string]string
+
+// Meter hands out the counters of a node. The zero value works; a nil Meter
+// hands out handles that do nothing.
+type Meter struct {
+	Interval time.Duration // between two reports to the registry, DefaultInterval if 0
+	Log      logr.Logger   // for names used in two ways
+
+	once     sync.Once
+	registry *prometheus.Registry
+	scope    tally.Scope
+	stop     func() error
+}
+
+// latencies are the buckets of durations: close together around the times to
+// the first token and between tokens, so that p95 can be read off them.
+var latencies = tally.DurationBuckets{
+	0,
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond,
+	15 * time.Millisecond, 20 * time.Millisecond, 25 * time.Millisecond, 30 * time.Millisecond,
+	40 * time.Millisecond, 60 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+	400 * time.Millisecond, 700 * time.Millisecond, time.Second, 1300 * time.Millisecond,
+	2 * time.Second, 4 * time.Second, 8 * time.Second, 15 * time.Second, 30 * time.Second,
+	time.Minute, 2 * time.Minute, 5 * time.Minute,
+}
+
+// Counter returns the counter of a name and tags.
+func (m *Meter) Counter(name string, tags Tags) tally.Counter {
+	return m.tagged(tags).Counter(name)
+}
+
+// Gauge returns the gauge of a name and tags.
+func (m *Meter) Gauge(name string, tags Tags) tally.Gauge {
+	return m.tagged(tags).Gauge(name)
+}
+
+// Durations returns the histogram of durations of a name and tags. Its sum is
+// of bucket bounds, not of the durations: read quantiles off it, no means.
+func (m *Meter) Durations(name string, tags Tags) tally.Histogram {
+	return m.tagged(tags).Histogram(name, latencies)
+}
+
+// Values returns a histogram of plain numbers with the given bucket bounds.
+func (m *Meter) Values(name string, tags Tags, bounds []float64) tally.Histogram {
+	return m.tagged(tags).Histogram(name, tally.ValueBuckets(bounds))
+}
+
+func (m *Meter) tagged(tags Tags) tally.Scope {
+	if m == nil {
+		return tally.NoopScope
+	}
+	m.once.Do(m.open)
+	if len(tags) == 0 {
+		return m.scope
+	}
+	return m.scope.Tagged(tags)
+}
+
+func (m *Meter) open() {
+	m.registry = prometheus.NewRegistry()
+	m.registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer: m.registry,
+		// A name with two sets of tags is a mistake of ours; the default
+		// would end the process, and with it the requests in flight.
+		OnRegisterError: func(err error) { m.Log.Error(err, "metric not registered") },
+	})
+	interval := m.Interval
+	if interval == 0 {
+		interval = DefaultInterval
+	}
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, interval)
+	m.scope, m.stop = scope, closer.Close
+}
+
+// Handler answers with all metrics in Prometheus text.
+func (m *Meter) Handler() http.Handler {
+	if m == nil {
+		return http.NotFoundHandler()
+	}
+	m.once.Do(m.open)
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Total returns the sum of a counter's or gauge's series that have the given
+// tags, as of the last report; it reads everything and is slow.
+func (m *Meter) Total(name string, tags Tags) float64 {
+	if m == nil {
+		return 0
+	}
+	m.once.Do(m.open)
+	families, err := m.registry.Gather()
+	if err != nil {
+		return 0
+	}
+	total := 0.0
+	for _, f := range families {
+		if f.GetName() == prefix+"_"+name {
+			total += sumFamily(f, tags)
+		}
+	}
+	return total
+}
+
+// Close sends a last report and ends the reporting; handles stay usable but
+// are no longer read.
+func (m *Meter) Close() error {
+	if m == nil {
+		return nil
+	}
+	m.once.Do(m.open)
+	return m.stop()
+}
