--- /dev/null
+++ b/io/jwaudit/trail.go
@@ -0,0 +1,111 @@
+package jwaudit
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Kind tells what a record is about.
+type Kind string
+
+// The kinds of records.
+const (
+	NodeState      Kind = "nodeState"      // this node started, serves, drains, ended
+	PeerState      Kind = "peerState"      // another node came, left or was given up
+	TargetState    Kind = "targetState"    // a target came, leaves, failed or recovered
+	RegionState    Kind = "regionState"    // a region was lost or came back
+	PlatformState  Kind = "platformState"  // a platform service failed or answers again
+	Edit           Kind = "edit"           // an operator's catalogue edit on this node
+	Applied        Kind = "applied"        // a catalogue change came into force here
+	Accepted       Kind = "accepted"       // a revision is in force everywhere
+	Suspect        Kind = "suspect"        // a request was quarantined or freed
+	Handover       Kind = "handover"       // tickets and answers were given or taken over
+	CertificateSet Kind = "certificateSet" // a certificate was loaded or refused
+)
+
+// Record is one change.
+type Record struct {
+	Sequence uint64    `json:"sequence"` // 1 for the first of this process
+	Time     time.Time `json:"time"`
+	Node     string    `json:"node"` // the node that saw it
+	Kind     Kind      `json:"kind"`
+	Subject  string    `json:"subject"` // whose state changed
+	From     string    `json:"from,omitempty"`
+	To       string    `json:"to,omitempty"`
+	Revision uint64    `json:"revision,omitempty"` // for catalogue changes
+	Author   string    `json:"author,omitempty"`   // for edits
+	Detail   string    `json:"detail,omitempty"`   // the reason, for people
+}
+
+// DefaultSize is how many records a Trail keeps where Size is 0.
+const DefaultSize = 4096
+
+// Trail holds the latest records; the zero value works, a nil Trail drops all.
+type Trail struct {
+	Node string
+	Size int
+	Log  logr.Logger
+	Now  func() time.Time // time.Now if nil
+
+	mu   sync.Mutex
+	ring []Record
+	next uint64 // sequence of the next record, less 1
+}
+
+// Add takes one record, sets its Sequence, Time and Node, and logs it. The
+// oldest record makes room when the trail is full.
+func (t *Trail) Add(r Record) {
+	if t == nil {
+		return
+	}
+	r = t.keep(r)
+	t.Log.Info(string(r.Kind), "sequence", r.Sequence, "subject", r.Subject, "from", r.From, "to", r.To,
+		"revision", r.Revision, "author", r.Author, "detail", r.Detail)
+}
+
+func (t *Trail) keep(r Record) Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ring == nil {
+		t.ring = make([]Record, t.size())
+	}
+	now := t.Now
+	if now == nil {
+		now = time.Now
+	}
+	r.Time = now().UTC()
+	r.Node = t.Node
+	r.Sequence = t.next + 1
+	t.ring[t.next%uint64(len(t.ring))] = r
+	t.next++
+	return r
+}
+
+func (t *Trail) size() int {
+	if t.Size > 0 {
+		return t.Size
+	}
+	return DefaultSize
+}
+
+// After returns at most limit records that follow a sequence, oldest first. A
+// gap between after and the first one's Sequence means that records were
+// dropped.
+func (t *Trail) After(after uint64, limit int) []Record {
+	if t == nil {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	oldest := uint64(0)
+	if size := uint64(len(t.ring)); t.next > size {
+		oldest = t.next - size
+	}
+	var out []Record
+	for i := max(after, oldest); i < t.next && len(out) < limit; i++ {
+		out = append(out, t.ring[i%uint64(len(t.ring))])
+	}
+	return out
+}
--- /dev/null
+++ b/io/jwaudit/trail_test.go
@@ -0,0 +1,48 @@
+package jwaudit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestTrail(t *testing.T) {
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	trail := &Trail{Node: "n1", Size: 3, Now: func() time.Time { return now }}
+	assert.Equal(t, len(trail.After(0, 10)), 0)
+	for i := 1; i <= 5; i++ {
+		trail.Add(Record{Kind: PeerState, Subject: fmt.Sprint("n", i), From: "serving", To: "gone"})
+	}
+	tests := map[string]struct {
+		after uint64
+		limit int
+		want  []uint64
+	}{
+		"all that is kept": {0, 10, []uint64{3, 4, 5}},
+		"limited":          {0, 2, []uint64{3, 4}},
+		"after one":        {3, 10, []uint64{4, 5}},
+		"after the last":   {5, 10, nil},
+		"from the future":  {9, 10, nil},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got []uint64
+			for _, r := range trail.After(tc.after, tc.limit) {
+				got = append(got, r.Sequence)
+			}
+			assert.DeepEqual(t, got, tc.want)
+		})
+	}
+	last := trail.After(4, 1)[0]
+	assert.DeepEqual(t, last, Record{
+		Sequence: 5, Time: now, Node: "n1", Kind: PeerState, Subject: "n5", From: "serving", To: "gone",
+	})
+}
+
+func TestNilTrail(t *testing.T) {
+	var trail *Trail
+	trail.Add(Record{})
+	assert.Equal(t, len(trail.After(0, 1)), 0)
+}
