--- /dev/null
+++ b/io/jwforward/forward.go
@@ -0,0 +1,198 @@
+package jwforward
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/io/jwwire"
+)
+
+// Forward sends a request to another node and returns once its answer has
+// begun. Errors are of type *jwdispatch.CallError.
+func (p *Pool) Forward(ctx context.Context, to jwpeer.Peer, r *jwrequest.Request, reason string) (*jwdispatch.Answer, error) {
+	client, conn, err := p.client(to.Nodes)
+	if err != nil {
+		return nil, forwardError(to.Nodes, jwdispatch.Unsent, err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	stream, err := client.Forward(ctx)
+	if err != nil {
+		cancel()
+		return nil, forwardError(to.Nodes, jwdispatch.Unsent, err)
+	}
+	if err := sendRequest(stream, r, reason); err != nil {
+		cancel()
+		return nil, err.at(to.Nodes)
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		cancel()
+		p.judge(to.Nodes, conn, err)
+		return nil, forwardError(to.Nodes, fate(err), err)
+	}
+	if first.GetHead() == nil {
+		cancel()
+		return nil, forwardError(to.Nodes, jwdispatch.Broken, errors.New("answer without a head"))
+	}
+	b := &answerBody{stream: stream, cancel: cancel, peer: to.Nodes}
+	return &jwdispatch.Answer{Head: headFromWire(first.GetHead()), Body: b}, nil
+}
+
+// judge replaces a connection whose pings went unanswered.
+func (p *Pool) judge(addr netip.AddrPort, conn *grpc.ClientConn, err error) {
+	if status.Code(err) == codes.Unavailable {
+		p.replace(addr, conn)
+	}
+}
+
+// fate tells what a failed wait for an answer means. A node that stops says
+// Unavailable before it takes a request; after it took one, it always answers.
+func fate(err error) jwdispatch.Fate {
+	if status.Code(err) == codes.FailedPrecondition {
+		return jwdispatch.Refused
+	}
+	return jwdispatch.Broken
+}
+
+func forwardError(peer netip.AddrPort, f jwdispatch.Fate, err error) *jwdispatch.CallError {
+	return &jwdispatch.CallError{Step: "forward to node", Peer: peer, Fate: f, Err: err}
+}
+
+// sendError is a failed sending of a request. The other node starts nothing
+// before the last frame, so a failure before that is Unsent.
+type sendError struct {
+	last bool
+	err  error
+}
+
+func (e *sendError) at(peer netip.AddrPort) *jwdispatch.CallError {
+	if e.last {
+		return forwardError(peer, jwdispatch.Broken, e.err)
+	}
+	return forwardError(peer, jwdispatch.Unsent, e.err)
+}
+
+func sendRequest(stream grpc.BidiStreamingClient[jwwire.ForwardFrame, jwwire.AnswerFrame], r *jwrequest.Request, reason string) *sendError {
+	head := headToWire(r, reason)
+	body := r.Body
+	for first := true; first || len(body) > 0; first = false {
+		n := min(len(body), frameSize)
+		f := &jwwire.ForwardFrame{Body: body[:n]}
+		body = body[n:]
+		if first {
+			f.Head = head
+		}
+		if err := stream.Send(f); err != nil {
+			return &sendError{last: len(body) == 0, err: cause(stream, err)}
+		}
+	}
+	if err := stream.CloseSend(); err != nil {
+		return &sendError{last: true, err: err}
+	}
+	return nil
+}
+
+// cause finds why a stream ended, which a failed Send doesn't tell.
+func cause(stream grpc.BidiStreamingClient[jwwire.ForwardFrame, jwwire.AnswerFrame], err error) error {
+	if err != io.EOF {
+		return err
+	}
+	if _, got := stream.Recv(); got != nil {
+		return got
+	}
+	return err
+}
+
+func headToWire(r *jwrequest.Request, reason string) *jwwire.RequestHead {
+	head := &jwwire.RequestHead{
+		RequestId:      r.ID,
+		Workspace:      r.Workspace,
+		Entry:          r.Entry,
+		IdempotencyKey: r.Key,
+		TimeoutMicros:  time.Until(r.Deadline).Microseconds(),
+		Reason:         reason,
+		ContentType:    r.ContentType,
+		Accept:         r.Accept,
+		BodyLength:     uint64(len(r.Body)),
+	}
+	for _, h := range r.Hops {
+		head.Hops = append(head.Hops, &jwwire.Hop{Node: h.Node, Region: h.Region, DataCentre: h.DataCentre})
+	}
+	return head
+}
+
+func headFromWire(h *jwwire.AnswerHead) jwdispatch.Head {
+	return jwdispatch.Head{
+		Status:      int(h.GetStatus()),
+		ContentType: h.GetContentType(),
+		Outcome:     jwrequest.Outcome(h.GetOutcome()),
+		Length:      h.GetLength() - 1,
+		RetryAfter:  time.Duration(h.GetRetryAfterMicros()) * time.Microsecond,
+		Reason:      jwdispatch.Reason(h.GetReason()),
+		Detail:      h.GetDetail(),
+		ServedBy:    h.GetServedBy(),
+	}
+}
+
+// answerBody reads the answer of another node; it says io.EOF only when the
+// other node said that the answer is whole.
+type answerBody struct {
+	stream grpc.BidiStreamingClient[jwwire.ForwardFrame, jwwire.AnswerFrame]
+	cancel func()
+	peer   netip.AddrPort
+	rest   []byte
+	length uint64
+	err    error
+}
+
+// Read reads the answer; errors other than io.EOF are *jwdispatch.CallError.
+func (b *answerBody) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.err != nil {
+			return 0, b.err
+		}
+		b.next()
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *answerBody) next() {
+	f, err := b.stream.Recv()
+	if err != nil {
+		// io.EOF here is a stream that ended without its end frame.
+		b.err = forwardError(b.peer, jwdispatch.Broken, errors.Wrap(err, "answer without an end"))
+		return
+	}
+	b.rest = f.GetBody()
+	b.length += uint64(len(b.rest))
+	end := f.GetEnd()
+	if end == nil {
+		return
+	}
+	switch {
+	case end.GetOutcome() != string(jwrequest.Served):
+		b.err = forwardError(b.peer, jwdispatch.Broken, errors.Errorf("answer ended as %s: %s", end.GetOutcome(), end.GetDetail()))
+	case end.GetLength() != b.length:
+		b.err = forwardError(b.peer, jwdispatch.Broken, errors.Errorf("answer of %d bytes where %d were sent", b.length, end.GetLength()))
+	default:
+		b.err = io.EOF
+	}
+}
+
+// Close gives up the rest of the answer; the other node stops working for it.
+func (b *answerBody) Close() error {
+	b.cancel()
+	return nil
+}
