--- a/core/jwdispatch/answer.go
+++ b/core/jwdispatch/answer.go
@@ -33,6 +33,7 @@
 	ReasonQuarantine  Reason = "quarantined"
 	ReasonLeaving     Reason = "leaving"
 	ReasonBody        Reason = "body"
+	ReasonHeader      Reason = "header"
 )
 
 // UnknownLength marks an answer whose length is known only at its end.
--- /dev/null
+++ b/core/jwdispatch/dispatcher.go
@@ -0,0 +1,181 @@
+package jwdispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"jujubewheel/core/jwboard"
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwdirectory"
+	"jujubewheel/core/jwlimit"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/core/jwrouter"
+)
+
+// MaxHops bounds the nodes that one request passes: where its caller came, one
+// change of region, and the holder of its key.
+const MaxHops = 3
+
+// Dispatcher serves the requests of one node; its fields are set before use,
+// and it may be used by many goroutines at once.
+type Dispatcher struct {
+	Self    jwrequest.Hop
+	Board   *jwboard.Board
+	Router  *jwrouter.Router
+	Targets Targets
+	Peers   Peers
+	Claims  Claims
+	Now     func() time.Time
+	Tracer  Tracer // may be nil
+	Counter Counter
+}
+
+// Counter counts what happened to requests.
+type Counter interface {
+	// Ended counts one request that ended at this node.
+	Ended(entry string, outcome jwrequest.Outcome, reason Reason)
+	// Tried counts one call of a target or node.
+	Tried(entry, kind string, ok bool)
+}
+
+// Tracer keeps why a request went where it went; it never sees a body.
+type Tracer interface {
+	Step(r *jwrequest.Request, step, detail string)
+	End(r *jwrequest.Request, outcome jwrequest.Outcome, reason Reason, served string)
+}
+
+// job is one request while this node works on it.
+type job struct {
+	*Dispatcher
+	request   *jwrequest.Request
+	entry     *jwcatalogue.Entry
+	workspace jwdirectory.Workspace
+	forwarded bool
+	sink      *ending
+	prefix    uint64
+	tries     int
+	mayRun    bool // some try may have run it
+	query     jwrouter.Query
+}
+
+// Serve runs a request and gives its answer to the sink. When ctx ends, nobody
+// wants the answer any more.
+func (d *Dispatcher) Serve(ctx context.Context, r *jwrequest.Request, sink Sink) {
+	j := &job{Dispatcher: d, request: r, forwarded: len(r.Hops) > 0}
+	j.sink = &ending{Sink: sink, job: j}
+	if refusal, refused := j.prepare(); refused {
+		j.sink.refuse(refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	if !j.entry.Idempotent {
+		j.serveOnce(ctx)
+		return
+	}
+	j.serveIdempotent(ctx)
+}
+
+// Check judges a request by its headers alone, before its body is read; refused
+// is false when it may go on.
+func (d *Dispatcher) Check(r *jwrequest.Request) (refusal Head, refused bool) {
+	j := &job{Dispatcher: d, request: r, forwarded: len(r.Hops) > 0}
+	return j.look()
+}
+
+// MaxBody returns how many bytes the body of a request for an entry may have,
+// 0 for an unknown entry.
+func (d *Dispatcher) MaxBody(entry string) int64 {
+	e, _, known := d.Board.Catalogue.Current().Entry(entry)
+	if !known {
+		return 0
+	}
+	return e.MaxBodySize
+}
+
+// prepare checks the request and fills in what the node knows of it.
+func (j *job) prepare() (Head, bool) {
+	if refusal, refused := j.look(); refused {
+		return refusal, true
+	}
+	r := j.request
+	latest := j.Now().Add(j.entry.Deadline)
+	if r.Deadline.IsZero() || r.Deadline.After(latest) {
+		r.Deadline = latest
+	}
+	if size := int64(len(r.Body)); j.entry.MaxBodySize > 0 && size > j.entry.MaxBodySize {
+		return Refusal(http.StatusRequestEntityTooLarge, jwrequest.NotRun, ReasonBody, "body longer than the entry allows"), true
+	}
+	r.Hops = r.Hops.With(j.Self)
+	j.prefix = jwrouter.PrefixOf(r.Workspace, r.Entry, r.Body)
+	return Head{}, false
+}
+
+// look checks everything that needs no body.
+func (j *job) look() (Head, bool) {
+	r := j.request
+	e, _, known := j.Board.Catalogue.Current().Entry(r.Entry)
+	if !known {
+		return Refusal(http.StatusNotFound, jwrequest.NotRun, ReasonEntry, "no such entry in the catalogue"), true
+	}
+	j.entry = &e
+	if j.Board.Directory.Current() == nil {
+		return overloaded(ReasonDirectory, "this node has no client directory yet", time.Second), true
+	}
+	w, known := j.Board.Directory.Lookup(r.Workspace)
+	if !known {
+		return Refusal(http.StatusForbidden, jwrequest.NotRun, ReasonWorkspace, "no such workspace in the client directory"), true
+	}
+	j.workspace = w
+	r.Region = w.Region
+	r.Bound = w.Bound || e.Bound
+	if r.Bound && w.Region != j.Self.Region {
+		h := Refusal(http.StatusMisdirectedRequest, jwrequest.NotRun, ReasonRegion, "data is bound to region "+w.Region)
+		h.Hosts = j.Hosts(r.Workspace)
+		return h, true
+	}
+	if !e.Idempotent && r.Key == "" {
+		return Refusal(http.StatusBadRequest, jwrequest.NotRun, ReasonKey, "the entry needs an Idempotency-Key"), true
+	}
+	return j.loops()
+}
+
+// loops refuses a request that was here before or has changed region twice,
+// whatever else its hop record says: nodes that hold different revisions or
+// directories could each think the other's region right and send it to and fro.
+func (j *job) loops() (Head, bool) {
+	hops := j.request.Hops
+	if len(hops) == 0 {
+		return Head{}, false
+	}
+	if len(hops) >= MaxHops || hops.Visited(j.Self.Node) {
+		return Refusal(http.StatusLoopDetected, jwrequest.NotRun, ReasonLoop, "the request has passed too many nodes"), true
+	}
+	return Head{}, false
+}
+
+// admit asks the limiter; the release must be called when the request ended.
+func (j *job) admit() (release func(), refusal Head, admitted bool) {
+	now := j.Now()
+	room := j.Board.Targets.Room(j.entry.Service, now)
+	q := &jwlimit.Query{
+		Entry:   j.entry,
+		Owner:   j.workspace.Owner,
+		Caller:  callerHash(j.request),
+		Foreign: j.forwarded,
+		Left:    j.request.Deadline.Sub(now),
+		Work:    room.Work,
+		Room: jwlimit.Room{
+			Targets: room.Targets, Slots: room.Slots, Outstanding: room.Outstanding, Wait: room.Wait, Work: room.Work,
+		},
+		Now:    now,
+		Random: rand.Float64(),
+	}
+	token, refused, ok := j.Board.Limiter.Admit(q)
+	if !ok {
+		return nil, overloaded(ReasonLimit, string(refused.Reason), refused.RetryAfter), false
+	}
+	return func() { j.Board.Limiter.Release(token, j.Now()) }, Head{}, true
+}
--- /dev/null
+++ b/core/jwdispatch/idempotent.go
@@ -0,0 +1,238 @@
+package jwdispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/core/jwrouter"
+	"jujubewheel/core/jwtarget"
+)
+
+// maxTries bounds the calls made for one request, the first included.
+const maxTries = 4
+
+// The reasons told to a node that a request is forwarded to.
+const (
+	forwardRegion = "region"
+	forwardHolder = "claimHolder"
+)
+
+// comeBack is when a caller may try again after a failure that has no better
+// estimate.
+const comeBack = time.Second
+
+// serveIdempotent runs a request that may be run again after a failure.
+func (j *job) serveIdempotent(ctx context.Context) {
+	if j.quarantined() {
+		return
+	}
+	release, refusal, admitted := j.admit()
+	if !admitted && !j.mayGoAway() {
+		j.sink.refuse(refusal)
+		return
+	}
+	if admitted {
+		defer release()
+	}
+	j.newQuery()
+	if !admitted {
+		j.query.Exclude = nil
+	}
+	j.Board.Budget.Began(j.entry.Name, j.Now())
+	rl := &relay{sink: j.sink}
+	for {
+		j.tries++
+		err := j.try(ctx, rl, admitted, refusal)
+		if err == nil {
+			return
+		}
+		if !j.again(ctx, err) {
+			j.giveUp(ctx, err)
+			return
+		}
+	}
+}
+
+// mayGoAway tells whether another region might take what this one refuses.
+func (j *job) mayGoAway() bool {
+	return !j.request.Bound && !j.forwarded && len(j.entry.Regions) > 0
+}
+
+func (j *job) newQuery() {
+	now := j.Now()
+	j.query = jwrouter.Query{
+		Entry:     j.entry,
+		Home:      j.workspace.Region,
+		Bound:     j.request.Bound,
+		Forwarded: j.forwarded,
+		Hops:      j.request.Hops[:len(j.request.Hops)-1],
+		Prefix:    j.prefix,
+		Work:      j.Board.Targets.Room(j.entry.Service, now).Work,
+		Deadline:  j.request.Deadline,
+		Now:       now,
+		Random:    rand.Uint64(),
+	}
+}
+
+// try makes one call and copies its answer; nil means that the request ended.
+func (j *job) try(ctx context.Context, rl *relay, admitted bool, refusal Head) error {
+	j.query.Now = j.Now()
+	j.query.Random = rand.Uint64()
+	place := j.Router.Place(&j.query)
+	j.step("place", string(place.Reason)+" "+place.Region)
+	switch {
+	case place.Region == j.Self.Region && admitted:
+		return j.tryTarget(ctx, rl)
+	case place.Region == j.Self.Region:
+		j.sink.refuse(refusal)
+		return nil
+	case place.Region != "":
+		return j.tryRegion(ctx, rl, place.Region)
+	}
+	return &noPlace{reason: place.Reason}
+}
+
+// noPlace says that no region this node can reach may run the request.
+type noPlace struct{ reason jwrouter.PlaceReason }
+
+// Error names the reason.
+func (e *noPlace) Error() string { return "no place: " + string(e.reason) }
+
+// tryTarget calls a target of this region.
+func (j *job) tryTarget(ctx context.Context, rl *relay) error {
+	choice, found := j.Router.Pick(&j.query)
+	if !found {
+		return &noPlace{reason: jwrouter.Nowhere}
+	}
+	j.step("target", string(choice.Reason)+" "+choice.Address.String())
+	mark := j.fingerprint()
+	call := j.Board.Targets.Begin(choice.Address, j.query.Work, j.Now())
+	j.Board.Suspects.Begin(mark, choice.Address, j.Now())
+	a, err := j.Targets.Call(ctx, choice.Address, TargetCall{
+		Request: j.request, Path: j.entry.Path, Idempotent: true,
+		Progress: j.entry.Progress, Urgency: urgency(j.entry.Class),
+	})
+	if err == nil {
+		a.Head.ServedBy = j.Self.Region
+		err = rl.copy(a)
+	}
+	j.Board.Suspects.End(mark, choice.Address)
+	j.Board.Targets.End(call, result(ctx, err), j.Now())
+	j.Counter.Tried(j.entry.Name, "target", err == nil)
+	if err != nil {
+		j.query.Exclude = append(j.query.Exclude, choice.Address)
+		j.noteCrash(err)
+	}
+	return err
+}
+
+// result tells the target table how a call ended.
+func result(ctx context.Context, err error) jwtarget.Result {
+	var failed *CallError
+	switch {
+	case err == nil:
+		return jwtarget.Done
+	case ctx.Err() != nil, errors.Is(err, errCallerGone), errors.Is(err, errDiverged):
+		return jwtarget.Canceled
+	case errors.As(err, &failed) && failed.Fate == Refused:
+		return jwtarget.Refused
+	}
+	return jwtarget.Broken
+}
+
+// tryRegion sends the request to a node of another region.
+func (j *job) tryRegion(ctx context.Context, rl *relay, region string) error {
+	peers := j.peersIn(region)
+	if len(peers) == 0 {
+		return &noPlace{reason: jwrouter.Nowhere}
+	}
+	j.step("forward", peers[0].Name)
+	j.Board.Regions.Sent(region, j.entry.Service)
+	a, err := j.Peers.Forward(ctx, peers[0], j.request, forwardRegion)
+	if err == nil {
+		if a.Head.Outcome == jwrequest.NotRun {
+			_ = a.Body.Close()
+			err = &CallError{
+				Step: "forward to region " + region, Peer: peers[0].Nodes, Fate: Refused,
+				RetryAfter: a.Head.RetryAfter, Err: errors.New(a.Head.Detail),
+			}
+		} else {
+			err = rl.copy(a)
+		}
+	}
+	j.Counter.Tried(j.entry.Name, "region", err == nil)
+	if err != nil {
+		// The next try stays here, or goes nowhere: one change of region is
+		// all a request may make, and this one may have begun to run there.
+		j.query.Forwarded = true
+	}
+	return err
+}
+
+// again tells whether the request may be tried once more.
+func (j *job) again(ctx context.Context, err error) bool {
+	var failed *CallError
+	if ctx.Err() != nil || !errors.As(err, &failed) {
+		return false
+	}
+	if !failed.NotRun() {
+		j.mayRun = true
+	}
+	if failed.Crashed && j.Board.Suspects.Suspected(j.fingerprint(), j.Now()) {
+		return false
+	}
+	if j.tries >= maxTries {
+		return false
+	}
+	return j.Board.Budget.Retry(j.entry.Name, j.Now())
+}
+
+// giveUp ends the request with what is known of it.
+func (j *job) giveUp(ctx context.Context, err error) {
+	if errors.Is(err, errCallerGone) || errors.Is(ctx.Err(), context.Canceled) {
+		_ = j.sink.End(End{Outcome: jwrequest.Unknown, Length: j.sink.sent, Reason: ReasonTarget, Detail: "caller gone"})
+		return
+	}
+	j.sink.refuse(j.failure(ctx, err))
+}
+
+// failure words the last error for the caller.
+func (j *job) failure(ctx context.Context, err error) Head {
+	var place *noPlace
+	var failed *CallError
+	outcome := jwrequest.NotRun
+	if j.mayRun {
+		outcome = jwrequest.Unknown
+	}
+	switch {
+	case errors.As(err, &place):
+		h := overloaded(ReasonNoTarget, place.Error(), comeBack)
+		h.Outcome = outcome
+		return h
+	case errors.As(err, &failed):
+		if !failed.NotRun() {
+			outcome = jwrequest.Unknown
+		}
+		if ctx.Err() != nil {
+			return Refusal(http.StatusGatewayTimeout, outcome, ReasonDeadline, "no whole answer in time")
+		}
+		h := Refusal(http.StatusBadGateway, outcome, ReasonTarget, string(failed.Fate))
+		if outcome == jwrequest.NotRun {
+			h.Status = http.StatusServiceUnavailable
+		}
+		h.RetryAfter = max(failed.RetryAfter, comeBack)
+		return h
+	}
+	return Refusal(http.StatusBadGateway, jwrequest.Unknown, ReasonTarget, err.Error())
+}
+
+func (j *job) step(step, detail string) {
+	if j.Tracer != nil {
+		j.Tracer.Step(j.request, step, detail)
+	}
+}
--- /dev/null
+++ b/core/jwdispatch/relay.go
@@ -0,0 +1,157 @@
+package jwdispatch
+
+import (
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwrequest"
+)
+
+// bufferLimit is how much of an answer that is no stream is held back until it
+// is whole; a longer one goes out as it comes.
+const bufferLimit = 4 << 20
+
+// chunkSize is how much is read from a target at once.
+const chunkSize = 32 << 10
+
+var (
+	// errCallerGone says that nobody wants the answer any more.
+	errCallerGone = errors.New("caller gone")
+	// errDiverged says that a repeated answer differs from the part already
+	// sent, so that the two can't be joined.
+	errDiverged = errors.New("repeated answer differs from what was sent")
+)
+
+// relay copies one answer to the caller, over several tries if need be.
+//
+// When a stream breaks, the next try starts it again from its first byte. The
+// bytes that the caller has are not sent twice: they are compared with what
+// was sent, and the stream goes on only if they are the same. Without the
+// comparison a model that answers differently each time would give the caller
+// two halves of two answers, passed off as one.
+type relay struct {
+	sink  *ending
+	sent  int64
+	sum   xxhash.Digest
+	ready bool
+}
+
+// copy sends the answer; nil means that it is whole and its end was sent.
+func (rl *relay) copy(a *Answer) error {
+	defer func() { _ = a.Body.Close() }()
+	if a.Head.Outcome != "" && a.Head.Outcome != jwrequest.Served {
+		rl.sink.refuse(a.Head)
+		return nil
+	}
+	if rl.sent == 0 && a.Head.Length >= 0 && a.Head.Length <= bufferLimit || !stream(a.Head) && rl.sent == 0 && a.Head.Length < 0 {
+		return rl.whole(a)
+	}
+	return rl.flow(a)
+}
+
+func stream(h Head) bool { return len(h.ContentType) >= 17 && h.ContentType[:17] == "text/event-stream" }
+
+// whole reads the answer to its end before the first byte goes out, so that a
+// broken one can be tried again unseen.
+func (rl *relay) whole(a *Answer) error {
+	body, err := io.ReadAll(io.LimitReader(a.Body, bufferLimit+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > bufferLimit {
+		a.Body = &prefixed{head: body, ReadCloser: a.Body}
+		return rl.flow(a)
+	}
+	rl.sink.whole(a.Head, body)
+	return nil
+}
+
+// prefixed is a body with some bytes already read.
+type prefixed struct {
+	io.ReadCloser
+	head []byte
+}
+
+// Read gives the bytes already read first.
+func (p *prefixed) Read(b []byte) (int, error) {
+	if len(p.head) > 0 {
+		n := copy(b, p.head)
+		p.head = p.head[n:]
+		return n, nil
+	}
+	return p.ReadCloser.Read(b)
+}
+
+// flow sends the answer as it comes.
+func (rl *relay) flow(a *Answer) error {
+	if !rl.ready {
+		rl.sum.Reset()
+		rl.ready = true
+	}
+	if !rl.sink.begun {
+		h := a.Head
+		h.Outcome = ""
+		if rl.sink.Head(h) != nil {
+			return errCallerGone
+		}
+	}
+	skip := newSkipper(rl.sent, rl.sum.Sum64())
+	buf := make([]byte, chunkSize)
+	for {
+		n, err := a.Body.Read(buf)
+		fresh, same := skip.take(buf[:n])
+		if !same {
+			return errDiverged
+		}
+		if len(fresh) > 0 {
+			_, _ = rl.sum.Write(fresh)
+			rl.sent += int64(len(fresh))
+			if rl.sink.Body(fresh) != nil {
+				return errCallerGone
+			}
+		}
+		if err == io.EOF {
+			if skip.left > 0 {
+				return errDiverged
+			}
+			if rl.sink.End(End{Outcome: jwrequest.Served, Length: rl.sent}) != nil {
+				return errCallerGone
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// skipper drops the part of a repeated answer that was sent before, if it is
+// the same.
+type skipper struct {
+	left int64
+	want uint64
+	sum  xxhash.Digest
+}
+
+func newSkipper(sent int64, want uint64) *skipper {
+	s := &skipper{left: sent, want: want}
+	s.sum.Reset()
+	return s
+}
+
+// take returns what of p is new; same is false when the part sent before
+// differs.
+func (s *skipper) take(p []byte) (fresh []byte, same bool) {
+	if s.left == 0 {
+		return p, true
+	}
+	n := min(int64(len(p)), s.left)
+	_, _ = s.sum.Write(p[:n])
+	s.left -= n
+	if s.left > 0 {
+		return nil, true
+	}
+	return p[n:], s.sum.Sum64() == s.want
+}
--- /dev/null
+++ b/core/jwdispatch/suspicion.go
@@ -0,0 +1,41 @@
+package jwdispatch
+
+import (
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/core/jwsuspect"
+)
+
+// quarantined ends the request if requests like it crashed targets.
+func (j *job) quarantined() bool {
+	until, held := j.Board.Suspects.Quarantined(j.fingerprint(), j.Now())
+	if !held {
+		return false
+	}
+	h := Refusal(http.StatusUnprocessableEntity, jwrequest.NotRun, ReasonQuarantine, "requests with this body crashed targets")
+	h.RetryAfter = until.Sub(j.Now())
+	j.sink.refuse(h)
+	return true
+}
+
+// fingerprint is the same for each try of one request, whoever sends it again.
+func (j *job) fingerprint() jwsuspect.Fingerprint {
+	return jwsuspect.FingerprintOf(j.request.Workspace, j.request.Entry, j.request.Body)
+}
+
+// noteCrash raises suspicion against all that ran on a target that crashed.
+func (j *job) noteCrash(err error) {
+	var failed *CallError
+	if errors.As(err, &failed) && failed.Crashed {
+		j.Board.Suspects.Crashed(failed.Peer, j.Now())
+	}
+}
+
+// callerHash is the same for each try of one request by one caller.
+func callerHash(r *jwrequest.Request) uint64 {
+	return xxhash.Sum64String(r.Workspace + "\x00" + r.Entry + "\x00" + r.ID)
+}
--- /dev/null
+++ b/io/jwlisten/callers.go
@@ -0,0 +1,163 @@
+package jwlisten
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/zeromicro/go-zero/rest"
+
+	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/io/jwrest"
+)
+
+// hostsTrust is how long a caller may use a list of hosts before it asks again.
+const hostsTrust = 5 * time.Second
+
+// slowBody bounds the time to send a request's body, so that slow senders don't
+// hold memory for ever.
+const slowBody = 15 * time.Second
+
+// Dispatcher serves requests.
+type Dispatcher interface {
+	Check(r *jwrequest.Request) (refusal jwdispatch.Head, refused bool)
+	MaxBody(entry string) int64
+	Serve(ctx context.Context, r *jwrequest.Request, sink jwdispatch.Sink)
+	Hosts(workspace string) []netip.AddrPort
+}
+
+// Gate counts the requests in flight and is closed when the node stops.
+type Gate interface {
+	// Enter takes a request in; ok is false once the node takes no more.
+	Enter() (done func(), ok bool)
+}
+
+// Tickets mints idempotency keys.
+type Tickets interface {
+	Mint() (string, error)
+}
+
+// Callers answers callers; its fields are set before Handler.
+type Callers struct {
+	Dispatcher Dispatcher
+	Gate       Gate
+	Tickets    Tickets
+	Ready      func() bool // whether the node serves
+	Log        logr.Logger
+}
+
+// Handler returns the handler of the callers' listener.
+func (c *Callers) Handler() (http.Handler, error) {
+	return jwrest.Handler(c.Log, []rest.Route{
+		{Method: http.MethodGet, Path: "/v1/hosts", Handler: c.hosts},
+		{Method: http.MethodPost, Path: "/v1/tickets", Handler: c.ticket},
+		{Method: http.MethodPost, Path: "/v1/requests/:entry", Handler: c.request},
+	})
+}
+
+// hostList is the answer to a caller that asks which hosts to use.
+type hostList struct {
+	Hosts       []netip.AddrPort `json:"hosts"`
+	TrustMillis int64            `json:"trustMillis"`
+}
+
+func (c *Callers) hosts(w http.ResponseWriter, r *http.Request) {
+	workspace := r.URL.Query().Get("workspace")
+	list := hostList{Hosts: c.Dispatcher.Hosts(workspace), TrustMillis: hostsTrust.Milliseconds()}
+	writeJSON(w, http.StatusOK, list)
+}
+
+type ticketAnswer struct {
+	Key string `json:"key"`
+}
+
+func (c *Callers) ticket(w http.ResponseWriter, _ *http.Request) {
+	key, err := c.Tickets.Mint()
+	if err != nil || !c.Ready() {
+		h := jwdispatch.Refusal(http.StatusServiceUnavailable, jwrequest.NotRun, jwdispatch.ReasonLeaving, "this node mints no tickets now")
+		h.Hosts = c.Dispatcher.Hosts("")
+		h.RetryAfter = time.Second
+		writeRefusal(w, h)
+		return
+	}
+	writeJSON(w, http.StatusOK, ticketAnswer{Key: key})
+}
+
+func (c *Callers) request(w http.ResponseWriter, r *http.Request) {
+	in, refusal, refused := parse(r)
+	if refused {
+		writeRefusal(w, refusal)
+		return
+	}
+	w.Header().Set(headerRequestID, in.ID)
+	done, ok := c.Gate.Enter()
+	if !ok || !c.Ready() {
+		if ok {
+			done()
+		}
+		writeRefusal(w, c.leaving(in))
+		return
+	}
+	defer done()
+	if refusal, refused := c.Dispatcher.Check(in); refused {
+		writeRefusal(w, refusal)
+		return
+	}
+	if refusal, refused := c.read(w, r, in); refused {
+		writeRefusal(w, refusal)
+		return
+	}
+	sink := &httpSink{w: w, control: http.NewResponseController(w)}
+	c.Dispatcher.Serve(r.Context(), in, sink)
+	if sink.broken {
+		// The answer broke off after it began. A normal end of the HTTP
+		// message would make it look whole, so the connection is cut.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// leaving sends callers to other nodes while this one stops or starts.
+func (c *Callers) leaving(in *jwrequest.Request) jwdispatch.Head {
+	outcome := jwrequest.NotRun
+	detail := "this node takes no requests now"
+	if in.Key != "" {
+		// This try ran nothing, but an earlier one with the same key may have.
+		outcome = jwrequest.Unknown
+		detail += "; send the same key to another host"
+	}
+	h := jwdispatch.Refusal(http.StatusServiceUnavailable, outcome, jwdispatch.ReasonLeaving, detail)
+	h.Hosts = c.Dispatcher.Hosts(in.Workspace)
+	h.RetryAfter = time.Second
+	return h
+}
+
+// read takes in the body.
+func (c *Callers) read(w http.ResponseWriter, r *http.Request, in *jwrequest.Request) (jwdispatch.Head, bool) {
+	most := c.Dispatcher.MaxBody(in.Entry)
+	if r.ContentLength > most {
+		return jwdispatch.Refusal(http.StatusRequestEntityTooLarge, jwrequest.NotRun, jwdispatch.ReasonBody, "body longer than the entry allows"), true
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(slowBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if err != nil {
+		return jwdispatch.Refusal(http.StatusBadRequest, jwrequest.NotRun, jwdispatch.ReasonBody, "body too long, too slow or broken off"), true
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	in.Body = body
+	return jwdispatch.Head{}, false
+}
+
+func newRequestID() string { return uuid.NewString() }
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/io/jwlisten/header.go
@@ -0,0 +1,75 @@
+package jwlisten
+
+import (
+	"net/http"
+	"time"
+
+	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/io/jwrest"
+)
+
+// The headers of the callers' interface.
+const (
+	headerWorkspace = "Jujube-Workspace"
+	headerRequestID = "Jujube-Request-Id"
+	headerTimeout   = "Jujube-Timeout"
+	headerOutcome   = "Jujube-Outcome"
+	headerServedBy  = "Jujube-Served-By"
+	headerKey       = "Idempotency-Key"
+)
+
+const (
+	maxNameLength = 128
+	maxKeyLength  = 512
+)
+
+// parse reads a request's path and headers.
+func parse(r *http.Request) (*jwrequest.Request, jwdispatch.Head, bool) {
+	in := &jwrequest.Request{
+		ID:          r.Header.Get(headerRequestID),
+		Workspace:   r.Header.Get(headerWorkspace),
+		Entry:       jwrest.Var(r, "entry"),
+		Key:         r.Header.Get(headerKey),
+		ContentType: r.Header.Get("Content-Type"),
+		Accept:      r.Header.Get("Accept"),
+	}
+	if in.ID == "" {
+		in.ID = newRequestID()
+	}
+	switch {
+	case !plain(in.ID, maxNameLength):
+		return in, badHeader(headerRequestID), true
+	case in.Workspace == "" || !plain(in.Workspace, maxNameLength):
+		return in, badHeader(headerWorkspace), true
+	case !plain(in.Key, maxKeyLength):
+		return in, badHeader(headerKey), true
+	case !plain(in.ContentType, maxNameLength) || !plain(in.Accept, maxKeyLength):
+		return in, badHeader("Content-Type or Accept"), true
+	}
+	if s := r.Header.Get(headerTimeout); s != "" {
+		timeout, err := time.ParseDuration(s)
+		if err != nil || timeout <= 0 {
+			return in, badHeader(headerTimeout), true
+		}
+		in.Deadline = time.Now().Add(timeout)
+	}
+	return in, jwdispatch.Head{}, false
+}
+
+func badHeader(name string) jwdispatch.Head {
+	return jwdispatch.Refusal(http.StatusBadRequest, jwrequest.NotRun, jwdispatch.ReasonHeader, "missing or malformed header: "+name)
+}
+
+// plain tells whether s is short and of visible ASCII and spaces only.
+func plain(s string, most int) bool {
+	if len(s) > most {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] < ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
