--- /dev/null
+++ b/io/jwplatform/client.go
@@ -0,0 +1,66 @@
+package jwplatform
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	idleTimeout    = 30 * time.Second
+	// maxAnswer bounds what one answer of the platform may make a node hold.
+	maxAnswer = 64 << 20
+)
+
+// client calls one service of the platform.
+type client struct {
+	once    sync.Once
+	service httpc.Service
+}
+
+// do sends one call; the breaker of httpc is off, because a call that it
+// refuses would look like an outage of the platform and hide the end of one.
+func (c *client) do(name string, address netip.AddrPort, r *http.Request) (*http.Response, error) {
+	c.once.Do(func() {
+		full := "jwplatform " + name + " " + address.String()
+		breaker.NoBreakerFor(full)
+		dialer := &net.Dialer{Timeout: defaultTimeout, KeepAlive: defaultTimeout}
+		transport := &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     idleTimeout,
+		}
+		c.service = httpc.NewServiceWithClient(full, &http.Client{Transport: transport})
+	})
+	return c.service.DoRequest(r)
+}
+
+// readAnswer reads the whole body and closes it.
+func readAnswer(res *http.Response) ([]byte, error) {
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxAnswer {
+		return nil, errors.Errorf("answer longer than %d bytes", maxAnswer)
+	}
+	return body, nil
+}
+
+// withTimeout bounds a call by the timeout, or by the default for 0.
+func withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return context.WithTimeout(ctx, timeout)
+}
--- /dev/null
+++ b/io/jwplatform/directory.go
@@ -0,0 +1,161 @@
+package jwplatform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwdirectory"
+)
+
+const (
+	// WorkspaceSchema is the SCIM schema extension of a workspace.
+	WorkspaceSchema = "urn:jujubewheel:scim:Workspace"
+
+	directoryPage = 1000
+	directoryPath = "/scim/v2/Users"
+	// directoryTries is how often a fetch starts again because the directory
+	// changed between two pages.
+	directoryTries = 3
+)
+
+// Directory reads the platform's client directory over SCIM 2.0.
+type Directory struct {
+	Address netip.AddrPort
+	Timeout time.Duration // of one page; 0 means 2s
+
+	client client
+	calls  atomic.Uint64
+}
+
+// Calls returns the number of calls sent so far; each page counts as one.
+func (d *Directory) Calls() uint64 { return d.calls.Load() }
+
+// Fetch returns the whole directory, or nil when it is still at version.
+func (d *Directory) Fetch(ctx context.Context, version string) (*jwdirectory.Snapshot, error) {
+	for range directoryTries {
+		snapshot, moved, err := d.fetchOnce(ctx, version)
+		if err != nil {
+			return nil, errors.Wrapf(err, "directory: %s", d.Address)
+		}
+		if !moved {
+			return snapshot, nil
+		}
+	}
+	return nil, errors.Errorf("directory: %s: changed during each of %d fetches", d.Address, directoryTries)
+}
+
+// fetchOnce reads all pages; moved says that they are not of one version, so
+// that a workspace could be missing or stand twice.
+func (d *Directory) fetchOnce(ctx context.Context, version string) (snapshot *jwdirectory.Snapshot, moved bool, err error) {
+	for start := 1; ; {
+		page, tag, err := d.page(ctx, version, start)
+		if err != nil {
+			return nil, false, err
+		}
+		if page == nil {
+			return nil, false, nil
+		}
+		version = ""
+		if snapshot == nil {
+			snapshot = &jwdirectory.Snapshot{Version: tag, Workspaces: make(map[string]jwdirectory.Workspace)}
+		}
+		if tag != snapshot.Version {
+			return nil, true, nil
+		}
+		for _, w := range page.workspaces {
+			snapshot.Workspaces[w.Name] = w
+		}
+		start += len(page.workspaces)
+		if start > page.total {
+			return snapshot, len(snapshot.Workspaces) != page.total, nil
+		}
+		if len(page.workspaces) == 0 {
+			return nil, true, nil
+		}
+	}
+}
+
+// page reads one page, nil when the directory is still at version.
+func (d *Directory) page(ctx context.Context, version string, start int) (*directoryList, string, error) {
+	d.calls.Add(1)
+	ctx, cancel := withTimeout(ctx, d.Timeout)
+	defer cancel()
+	target := fmt.Sprintf("http://%s%s?startIndex=%d&count=%d", d.Address, directoryPath, start, directoryPage)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, "", err
+	}
+	if version != "" {
+		r.Header.Set("If-None-Match", version)
+	}
+	res, err := d.client.do("directory", d.Address, r)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := readAnswer(res)
+	if err != nil {
+		return nil, "", err
+	}
+	if res.StatusCode == http.StatusNotModified && version != "" {
+		return nil, version, nil
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, "", errors.New(res.Status)
+	}
+	list, err := decodeDirectory(body)
+	return list, res.Header.Get("ETag"), err
+}
+
+// directoryList is one page of workspaces.
+type directoryList struct {
+	total      int
+	workspaces []jwdirectory.Workspace
+}
+
+type scimList struct {
+	TotalResults int        `json:"totalResults"`
+	Resources    []scimUser `json:"Resources"`
+}
+
+type scimUser struct {
+	UserName  string               `json:"userName"`
+	Workspace *scimWorkspaceSchema `json:"urn:jujubewheel:scim:Workspace"`
+}
+
+type scimWorkspaceSchema struct {
+	Region string `json:"region"`
+	Bound  bool   `json:"bound"`
+	Owner  string `json:"owner"`
+}
+
+// decodeDirectory reads one SCIM list response. A user without the workspace
+// extension or its region is an error: a guess could send bound data away.
+func decodeDirectory(body []byte) (*directoryList, error) {
+	var list scimList
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	if list.TotalResults < len(list.Resources) {
+		return nil, errors.Errorf("decode: %d users of %d", len(list.Resources), list.TotalResults)
+	}
+	page := &directoryList{total: list.TotalResults}
+	for i, user := range list.Resources {
+		if user.UserName == "" || user.Workspace == nil || user.Workspace.Region == "" {
+			return nil, errors.Errorf("decode: user %d (%q) has no name or no region", i, user.UserName)
+		}
+		page.workspaces = append(page.workspaces, jwdirectory.Workspace{
+			Name:   user.UserName,
+			Region: user.Workspace.Region,
+			Bound:  user.Workspace.Bound,
+			Owner:  user.Workspace.Owner,
+		})
+	}
+	return page, nil
+}
