jwstand, jujubestand: stand-ins for the platform and the targets

Tests, demonstrations and measurements need the key-value service, the host list, the client directory, model engines and plain services with faults that can be set while they run. Each is one process with a control port; the same types run in one process too (Stand).

net/http instead of go-zero's rest: keys hold slashes, and a port must close and open again while the process lives.

--- a/core/jwstore/memory.go
+++ b/core/jwstore/memory.go
@@ -26,7 +26,7 @@
 	mu      sync.Mutex
 	items   map[string]Item
 	changed map[string]chan struct{} // closed at the next write of the key
-	index   uint64                   // version of the newest write
+	index   uint64                   // writes so far; the version of the newest is one more
 	down    bool
 	downed  chan struct{} // closed when the store goes down, so that waits end
 	delay   time.Duration
@@ -71,13 +71,17 @@
 	return m.calls
 }
 
-// Index returns the version of the newest write of any key.
+// Index returns the version of the newest write of any key, 1 before the first.
 func (m *Memory) Index() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.index
+	return m.version()
 }
 
+// version leaves 1 to the empty store, so that an index of its state is above
+// zero and below that of every write.
+func (m *Memory) version() uint64 { return m.index + 1 }
+
 // Get implements Reader.
 func (m *Memory) Get(ctx context.Context, key string) (Item, bool, error) {
 	if err := m.begin(ctx, "get "+key, &m.calls.Reads); err != nil {
@@ -147,7 +151,7 @@
 		if m.items == nil {
 			m.items = make(map[string]Item)
 		}
-		m.items[key] = Item{Key: key, Value: bytes.Clone(value), Version: m.index}
+		m.items[key] = Item{Key: key, Value: bytes.Clone(value), Version: m.version()}
 		m.wake(key)
 	}
 	if m.loseReply() {
@@ -156,7 +160,7 @@
 	if !swapped {
 		return 0, false, nil
 	}
-	return m.index, true, nil
+	return m.version(), true, nil
 }
 
 // Delete implements Writer.
--- /dev/null
+++ b/io/jwstand/hosts.go
@@ -0,0 +1,125 @@
+package jwstand
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// HostGroup is one group of a Prometheus HTTP service discovery document.
+type HostGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// Hosts stands in for the platform's list of live and leaving hosts, which
+// shows each change only after a lag.
+type Hosts struct {
+	Lag time.Duration
+
+	mu    sync.Mutex
+	lists []hostList // oldest first; the newest may not be shown yet
+}
+
+type hostList struct {
+	shown  time.Time
+	groups []HostGroup
+}
+
+// Set replaces the list; it is shown after the lag.
+func (h *Hosts) Set(groups []HostGroup) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	shown := time.Now()
+	if len(h.lists) > 0 {
+		shown = shown.Add(h.Lag)
+	}
+	h.lists = append(h.lists, hostList{shown: shown, groups: groups})
+}
+
+// Shown returns the list as a call sees it now.
+func (h *Hosts) Shown() []HostGroup {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	for len(h.lists) > 1 && !h.lists[1].shown.After(now) {
+		h.lists = h.lists[1:]
+	}
+	if len(h.lists) == 0 {
+		return []HostGroup{}
+	}
+	return h.lists[0].groups
+}
+
+// newest returns the last list that was set, shown or not.
+func (h *Hosts) newest() []HostGroup {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.lists) == 0 {
+		return []HostGroup{}
+	}
+	return h.lists[len(h.lists)-1].groups
+}
+
+// Handler implements Program.
+func (h *Hosts) Handler(func() Faults) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, _ *http.Request) {
+		answerJSON(w, http.StatusOK, h.Shown())
+	})
+	return mux
+}
+
+// Register implements Program. PATCH /hosts/{address} merges labels, such as
+// {"state":"leaving"}, into the host's own; DELETE takes the host off the list.
+func (h *Hosts) Register(control *http.ServeMux) {
+	control.HandleFunc("GET /hosts", func(w http.ResponseWriter, _ *http.Request) {
+		answerJSON(w, http.StatusOK, h.newest())
+	})
+	control.HandleFunc("PUT /hosts", func(w http.ResponseWriter, r *http.Request) {
+		var groups []HostGroup
+		if acceptJSON(w, r, &groups) {
+			h.Set(groups)
+		}
+	})
+	control.HandleFunc("PATCH /hosts/{address}", func(w http.ResponseWriter, r *http.Request) {
+		var labels map[string]string
+		if acceptJSON(w, r, &labels) {
+			h.Set(relabelled(h.newest(), r.PathValue("address"), labels))
+		}
+	})
+	control.HandleFunc("DELETE /hosts/{address}", func(_ http.ResponseWriter, r *http.Request) {
+		h.Set(without(h.newest(), r.PathValue("address")))
+	})
+}
+
+// relabelled returns the groups with labels merged into those of one host.
+func relabelled(groups []HostGroup, address string, labels map[string]string) []HostGroup {
+	var out []HostGroup
+	for _, g := range groups {
+		for _, target := range g.Targets {
+			host := HostGroup{Targets: []string{target}, Labels: make(map[string]string)}
+			for k, v := range g.Labels {
+				host.Labels[k] = v
+			}
+			if target == address {
+				for k, v := range labels {
+					host.Labels[k] = v
+				}
+			}
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
+// without returns the groups but for one host.
+func without(groups []HostGroup, address string) []HostGroup {
+	out := []HostGroup{}
+	for _, g := range relabelled(groups, "", nil) {
+		if g.Targets[0] != address {
+			out = append(out, g)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/jwstand/keyvalue.go
@@ -0,0 +1,236 @@
+package jwstand
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"jujubewheel/core/jwstore"
+)
+
+const (
+	maxValue    = 1 << 20
+	defaultWait = 5 * time.Minute
+	maxWait     = 10 * time.Minute
+)
+
+// KeyValue stands in for the key-value service: the part of the Consul HTTP
+// API that reads keys, waits for them and swaps them, over a store in memory.
+type KeyValue struct {
+	Store jwstore.Memory
+
+	reads, writes, waits atomic.Uint64
+}
+
+// Calls returns the number of calls that came; a waiting one counts once.
+func (kv *KeyValue) Calls() jwstore.Calls {
+	return jwstore.Calls{Reads: kv.reads.Load(), Writes: kv.writes.Load(), Waits: kv.waits.Load()}
+}
+
+// Handler implements Program.
+func (kv *KeyValue) Handler(func() Faults) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv/{key...}", kv.get)
+	mux.HandleFunc("PUT /v1/kv/{key...}", kv.put)
+	mux.HandleFunc("DELETE /v1/kv/{key...}", kv.delete)
+	mux.HandleFunc("PUT /v1/txn", kv.transaction)
+	return mux
+}
+
+// Register implements Program.
+func (kv *KeyValue) Register(control *http.ServeMux) {
+	control.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
+		answerJSON(w, http.StatusOK, kv.Calls())
+	})
+}
+
+// keyRecord is one key in an answer.
+type keyRecord struct {
+	Key         string
+	Value       []byte
+	Flags       uint64
+	LockIndex   uint64
+	CreateIndex uint64
+	ModifyIndex uint64
+}
+
+func (kv *KeyValue) get(w http.ResponseWriter, r *http.Request) {
+	key, query := r.PathValue("key"), r.URL.Query()
+	if query.Has("recurse") {
+		kv.list(w, r, key)
+		return
+	}
+	after, err := strconv.ParseUint(query.Get("index"), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	if after > 0 {
+		kv.waits.Add(1)
+	} else {
+		kv.reads.Add(1)
+	}
+	item, found, index, err := kv.read(r.Context(), key, after, waitOf(query.Get("wait")))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if !found {
+		answerKeys(w, index, nil)
+		return
+	}
+	answerKeys(w, item.Version, []jwstore.Item{item})
+}
+
+// read answers once the key has changed after an index. A key that does not
+// exist stands at the index of the newest write; that index is taken before
+// the key is read, or a write between the two would never be told.
+func (kv *KeyValue) read(ctx context.Context, key string, after uint64, most time.Duration) (jwstore.Item, bool, uint64, error) {
+	index := kv.Store.Index()
+	item, found, err := kv.Store.Get(ctx, key)
+	if err != nil || after == 0 || item.Version > after || !found && index > after {
+		return item, found, index, err
+	}
+	if _, _, err := kv.Store.Wait(ctx, key, item.Version, most); err != nil {
+		return item, found, index, err
+	}
+	index = kv.Store.Index()
+	item, found, err = kv.Store.Get(ctx, key)
+	return item, found, index, err
+}
+
+func waitOf(text string) time.Duration {
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait <= 0 {
+		return defaultWait
+	}
+	return min(wait, maxWait)
+}
+
+func (kv *KeyValue) list(w http.ResponseWriter, r *http.Request, prefix string) {
+	kv.reads.Add(1)
+	index := kv.Store.Index()
+	items, err := kv.Store.List(r.Context(), prefix)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	answerKeys(w, index, items)
+}
+
+func answerKeys(w http.ResponseWriter, index uint64, items []jwstore.Item) {
+	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
+	if len(items) == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	records := make([]keyRecord, 0, len(items))
+	for _, item := range items {
+		records = append(records, keyRecord{Key: item.Key, Value: item.Value, ModifyIndex: item.Version})
+	}
+	answerJSON(w, http.StatusOK, records)
+}
+
+func (kv *KeyValue) put(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.URL.Query().Get("cas"), 10, 64)
+	if err != nil {
+		http.Error(w, "only writes with cas are known here", http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, maxValue+1))
+	if err != nil {
+		return
+	}
+	if len(value) > maxValue {
+		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	kv.writes.Add(1)
+	_, swapped, err := kv.Store.Swap(r.Context(), r.PathValue("key"), value, version)
+	answerWrite(w, swapped, err)
+}
+
+func (kv *KeyValue) delete(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.URL.Query().Get("cas"), 10, 64)
+	if err != nil {
+		http.Error(w, "only deletes with cas are known here", http.StatusBadRequest)
+		return
+	}
+	kv.writes.Add(1)
+	deleted, err := kv.Store.Delete(r.Context(), r.PathValue("key"), version)
+	answerWrite(w, deleted, err)
+}
+
+func answerWrite(w http.ResponseWriter, done bool, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	answerJSON(w, http.StatusOK, done)
+}
+
+type transactionStep struct {
+	KV struct {
+		Verb  string
+		Key   string
+		Value []byte
+		Index uint64
+	}
+}
+
+type transactionResult struct {
+	KV keyRecord
+}
+
+type transactionError struct {
+	OpIndex int
+	What    string
+}
+
+type transactionAnswer struct {
+	Results []transactionResult
+	Errors  []transactionError
+}
+
+// transaction takes one step, a swap or a delete with a version.
+func (kv *KeyValue) transaction(w http.ResponseWriter, r *http.Request) {
+	var steps []transactionStep
+	body := http.MaxBytesReader(w, r.Body, 2*maxValue)
+	if err := json.NewDecoder(body).Decode(&steps); err != nil || len(steps) != 1 {
+		http.Error(w, "one step is taken here", http.StatusBadRequest)
+		return
+	}
+	step := steps[0].KV
+	if len(step.Value) > maxValue {
+		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	kv.writes.Add(1)
+	answer := transactionAnswer{Results: []transactionResult{}}
+	var done bool
+	var err error
+	switch strings.ToLower(step.Verb) {
+	case "cas":
+		var version uint64
+		version, done, err = kv.Store.Swap(r.Context(), step.Key, step.Value, step.Index)
+		answer.Results = append(answer.Results, transactionResult{KV: keyRecord{Key: step.Key, ModifyIndex: version}})
+	case "delete-cas":
+		done, err = kv.Store.Delete(r.Context(), step.Key, step.Index)
+	default:
+		http.Error(w, "unknown verb", http.StatusBadRequest)
+		return
+	}
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	case !done:
+		conflict := transactionAnswer{Errors: []transactionError{{What: "failed to set key: index is stale"}}}
+		answerJSON(w, http.StatusConflict, conflict)
+	default:
+		answerJSON(w, http.StatusOK, answer)
+	}
+}
--- /dev/null
+++ b/io/jwstand/stand.go
@@ -0,0 +1,278 @@
+package jwstand
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	pkgerrors "github.com/pkg/errors"
+)
+
+const (
+	crashCode     = 3
+	reopenPause   = 10 * time.Millisecond
+	maxBody       = 64 << 20
+	headerTimeout = 10 * time.Second
+)
+
+// Program is what one kind of stand-in does.
+type Program interface {
+	// Handler answers calls on the service port.
+	Handler(faults func() Faults) http.Handler
+	// Register adds the program's own calls to the control port.
+	Register(control *http.ServeMux)
+}
+
+// Stand serves one Program on a port of its own and takes faults on another.
+type Stand struct {
+	Kind    string
+	Address netip.AddrPort // port 0 picks a free one at Listen
+	Control netip.AddrPort // port 0 picks a free one at Listen
+	Program Program
+	Exit    func(code int) // ends the process on a crash; nil means os.Exit
+
+	mu       sync.Mutex
+	faults   Faults
+	changed  chan struct{} // closed at the next change of faults
+	gate     gate
+	listener net.Listener
+	control  net.Listener
+}
+
+// Ready is the line that a stand-in's process prints once it listens.
+type Ready struct {
+	Kind    string           `json:"kind"`
+	Address netip.AddrPort   `json:"address,omitzero"`
+	Control netip.AddrPort   `json:"control"`
+	Links   []netip.AddrPort `json:"links,omitempty"`
+}
+
+// Listen opens both ports; Address and Control then hold the real ones.
+func (s *Stand) Listen() error {
+	listener, err := net.Listen("tcp", s.Address.String())
+	if err != nil {
+		return pkgerrors.Wrapf(err, "listen: %s", s.Address)
+	}
+	control, err := net.Listen("tcp", s.Control.String())
+	if err != nil {
+		_ = listener.Close()
+		return pkgerrors.Wrapf(err, "listen for control: %s", s.Control)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener, s.control = listener, control
+	s.Address, s.Control = addressOf(listener), addressOf(control)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+func addressOf(l net.Listener) netip.AddrPort {
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Ready tells where the stand-in listens.
+func (s *Stand) Ready() Ready {
+	return Ready{Kind: s.Kind, Address: s.Address, Control: s.Control}
+}
+
+// Run serves until the context ends; it listens first if Listen was not called.
+func (s *Stand) Run(ctx context.Context) error {
+	if s.control == nil {
+		if err := s.Listen(); err != nil {
+			return err
+		}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /faults", s.getFaults)
+	mux.HandleFunc("PUT /faults", s.putFaults)
+	s.Program.Register(mux)
+	control := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	service := &http.Server{Handler: s.withFaults(s.Program.Handler(s.Faults)), ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		_ = control.Close()
+		_ = service.Close()
+		s.gate.reset()
+	})
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { s.serve(ctx, service) })
+	err := control.Serve(s.control)
+	wg.Wait()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return pkgerrors.Wrapf(err, "serve control: %s", s.Control)
+}
+
+// serve answers calls, through as many outages as are set.
+func (s *Stand) serve(ctx context.Context, service *http.Server) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		listener, changed := s.listener, s.changed
+		down := s.faults.Down
+		s.mu.Unlock()
+		if listener != nil {
+			_ = service.Serve(&gateListener{Listener: listener, gate: &s.gate}) // ends by an outage or the stop
+			s.mu.Lock()
+			s.listener = nil
+			s.mu.Unlock()
+			continue
+		}
+		if down {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		s.reopen(ctx)
+	}
+}
+
+// reopen listens again after an outage; the port may still be busy for a moment.
+func (s *Stand) reopen(ctx context.Context) {
+	listener, err := net.Listen("tcp", s.Address.String())
+	if err != nil {
+		_ = sleep(ctx, reopenPause)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		_ = listener.Close()
+		return
+	}
+	s.listener = listener
+}
+
+// Faults returns the faults that are set.
+func (s *Stand) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces the faults from now on.
+func (s *Stand) SetFaults(f Faults) {
+	s.mu.Lock()
+	s.faults = f
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+	listener := s.listener
+	s.mu.Unlock()
+	s.gate.pause(f.Pause)
+	if f.Silent {
+		s.gate.silence()
+	}
+	if f.Down {
+		if listener != nil {
+			_ = listener.Close()
+		}
+		s.gate.reset()
+	}
+}
+
+func (s *Stand) getFaults(w http.ResponseWriter, _ *http.Request) {
+	answerJSON(w, http.StatusOK, s.Faults())
+}
+
+func (s *Stand) putFaults(w http.ResponseWriter, r *http.Request) {
+	f := s.Faults()
+	f.Silent = false
+	if !acceptJSON(w, r, &f) {
+		return
+	}
+	s.SetFaults(f)
+	answerJSON(w, http.StatusOK, f)
+}
+
+// withFaults carries out the faults that concern whole calls.
+func (s *Stand) withFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f := s.Faults()
+		if err := sleep(r.Context(), time.Duration(f.Slow)); err != nil {
+			return
+		}
+		if r.Method == http.MethodGet {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if f.CrashOn != "" && s.poisoned(r, f.CrashOn) {
+			s.exit()
+			panic(http.ErrAbortHandler)
+		}
+		if !s.loseReply() {
+			next.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(&lostReply{header: make(http.Header)}, r)
+		panic(http.ErrAbortHandler) // the server closes the connection without an answer
+	})
+}
+
+func (s *Stand) poisoned(r *http.Request, marker string) bool {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return false
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return bytes.Contains(body, []byte(marker))
+}
+
+func (s *Stand) exit() {
+	if s.Exit != nil {
+		s.Exit(crashCode)
+		return
+	}
+	os.Exit(crashCode)
+}
+
+func (s *Stand) loseReply() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseReply == 0 {
+		return false
+	}
+	s.faults.LoseReply--
+	return true
+}
+
+// lostReply takes an answer that nobody will read.
+type lostReply struct {
+	header http.Header
+}
+
+// Header implements http.ResponseWriter.
+func (l *lostReply) Header() http.Header { return l.header }
+
+// Write implements http.ResponseWriter.
+func (l *lostReply) Write(b []byte) (int, error) { return len(b), nil }
+
+// WriteHeader implements http.ResponseWriter.
+func (l *lostReply) WriteHeader(int) {}
+
+// Flush implements http.Flusher.
+func (l *lostReply) Flush() {}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
