core: first surface of the decisions on targets, places, admission and suspects

Tables of targets and suspects, the router, the limiter with its shares and turns, and the retry budget. Untested so far; tests and measurements follow.

--- /dev/null
+++ b/core/jwlimit/admission.go
@@ -0,0 +1,218 @@
+package jwlimit
+
+import (
+	"time"
+
+	"jujubewheel/core/jwcatalogue"
+)
+
+// admission is one request while it is decided on.
+type admission struct {
+	*Query
+	limiter *Limiter
+	entry   *meter
+	owner   *pool
+	service *pool
+}
+
+// ceiling says how far a class may fill what it shares with others: more
+// urgent classes reach further, so drafts never leave them without a place.
+type ceiling struct {
+	node  float64 // share of the node's own limit
+	queue float64 // requests outstanding for each slot of the service
+}
+
+var ceilings = map[jwcatalogue.Class]ceiling{
+	jwcatalogue.Draft:        {node: 0.8, queue: 2},
+	jwcatalogue.Lookup:       {node: 0.9, queue: 3},
+	jwcatalogue.Confirmation: {node: 1, queue: 5},
+}
+
+// foreignFill is the share of slots up to which a region takes requests of
+// other regions, so that its own callers find the rest.
+const foreignFill = 0.9
+
+// refuse goes through the tests in turn, the cheapest for the caller last: a
+// limit of the entry is told as such even when the service is full as well.
+func (a *admission) refuse() (Refusal, bool) {
+	if a.Room.Targets == 0 && !a.Away {
+		return Refusal{Reason: NoTarget, RetryAfter: a.spread(noTargetPause)}, true
+	}
+	if a.nodeFull() {
+		return a.later(NodeFull, &a.service.book, a.gap()), true
+	}
+	if refusal, refused := a.overLimits(); refused {
+		return refusal, true
+	}
+	if a.Away {
+		return Refusal{}, false
+	}
+	if a.Foreign && float64(a.Room.Outstanding) >= foreignFill*float64(a.Room.Slots) {
+		return Refusal{Reason: Crowded, RetryAfter: a.spread(a.gap())}, true
+	}
+	return a.overRoom()
+}
+
+// noTargetPause is when to come back while no target may get the request.
+const noTargetPause = 2 * time.Second
+
+func (a *admission) nodeFull() bool {
+	most := a.limiter.Running
+	return most > 0 && float64(a.limiter.running) >= a.ceiling().node*float64(most)
+}
+
+// overLimits tests the entry's own limits, of which this node has a share.
+// A request sent here by another region was counted there.
+func (a *admission) overLimits() (Refusal, bool) {
+	limits := a.Query.Entry.Limits
+	share := a.limiter.share(a.Query.Entry.Name, a.entry, limits.Concurrent, a.Now)
+	a.entry.refill(limits, share, a.Now)
+	if a.Foreign {
+		return Refusal{}, false
+	}
+	if limits.Concurrent > 0 && a.entry.running >= share.concurrent {
+		return Refusal{Reason: EntryConcurrent, RetryAfter: a.spread(a.gap())}, true
+	}
+	if limits.Rate <= 0 {
+		return Refusal{}, false
+	}
+	if a.turn(&a.entry.book, a.entry.tokens, a.limiter.Policy.NoBooking) {
+		return Refusal{}, false
+	}
+	gap := time.Duration(float64(time.Second) / (limits.Rate * share.fraction))
+	return a.later(EntryRate, &a.entry.book, gap), true
+}
+
+// turn tells whether a request may take one of the free places: a caller that
+// comes back at the time it was told does if there is one, others only what is
+// not kept for such callers. Without this, new callers take the places first,
+// and one who did as it was told is refused time and again.
+func (a *admission) turn(b *book, free float64, noBooking bool) bool {
+	if noBooking {
+		return free >= 1
+	}
+	if free >= 1 && b.take(a.Caller, a.Now) {
+		return true
+	}
+	return free-float64(b.due(a.Now)) >= 1
+}
+
+// overRoom tests what the service can still take.
+func (a *admission) overRoom() (Refusal, bool) {
+	if a.Room.Wait == 0 {
+		return Refusal{}, false
+	}
+	if a.overOwner() {
+		return a.later(OwnerShare, &a.owner.book, a.gap()), true
+	}
+	back := a.service.book.take(a.Caller, a.Now)
+	slots := float64(a.Room.Slots)
+	if !back && float64(a.Room.Outstanding) >= a.ceiling().queue*slots {
+		return a.later(Crowded, &a.service.book, a.gap()), true
+	}
+	late := a.late(back)
+	if late > 0 && !a.limiter.Policy.NoDeadline {
+		refusal := a.later(TooLate, &a.service.book, a.gap())
+		refusal.RetryAfter = max(refusal.RetryAfter, a.spread(late))
+		return refusal, true
+	}
+	return Refusal{}, false
+}
+
+// late returns how far past its deadline the request would end, or past the
+// time for the first token that its entry asks for it would begin.
+func (a *admission) late(back bool) time.Duration {
+	wait := a.wait()
+	if !back && !a.limiter.Policy.NoBooking {
+		wait += time.Duration(a.service.book.due(a.Now)) * a.gap()
+	}
+	late := time.Duration(0)
+	if a.Left > 0 {
+		late = wait + a.Work - a.Left
+	}
+	if first := a.Query.Entry.FirstToken; first > 0 {
+		late = max(late, wait-first)
+	}
+	return min(late, wait)
+}
+
+// wait is the expected wait of the request's class. The targets honour
+// priorities, so an urgent request waits for the urgent ones alone.
+func (a *admission) wait() time.Duration {
+	if a.Query.Entry.Class == jwcatalogue.Draft || a.limiter.Policy.NoClasses {
+		return a.Room.Wait
+	}
+	if a.service.running == 0 {
+		return 0
+	}
+	return time.Duration(float64(a.Room.Wait) * float64(a.service.urgent) / float64(a.service.running))
+}
+
+// overOwner tells whether an owner holds more than its share of a service with
+// no free slot. Its share is what this node may hope to run, divided by the
+// owners that ask; what others leave unused, it may use.
+func (a *admission) overOwner() bool {
+	if a.limiter.Policy.NoOwners || a.Query.Entry.Class == jwcatalogue.Confirmation {
+		return false
+	}
+	nodes := max(len(a.limiter.members), 1)
+	capacity := float64(a.Room.Slots) / float64(nodes)
+	if float64(a.service.running) < capacity {
+		return false
+	}
+	fair := capacity / float64(a.limiter.owners(a.Query.Entry.Service, a.Now))
+	return float64(a.owner.running) >= max(fair, 1)
+}
+
+// askedFor is how long after its last request an owner counts for the shares.
+const askedFor = 5 * time.Second
+
+// owners counts the owners that run or ask for something of a service.
+func (l *Limiter) owners(service string, now time.Time) int {
+	n := 0
+	for key, p := range l.pools {
+		if key.service == service && (p.running > 0 || now.Sub(p.asked) < askedFor) {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+func (a *admission) ceiling() ceiling {
+	if c, known := ceilings[a.Query.Entry.Class]; known && !a.limiter.Policy.NoClasses {
+		return c
+	}
+	return ceilings[jwcatalogue.Draft]
+}
+
+// gap is the time in which the service frees one slot for this node.
+func (a *admission) gap() time.Duration {
+	slots := max(a.Room.Slots, 1)
+	nodes := max(len(a.limiter.members), 1)
+	return a.Room.Work * time.Duration(nodes) / time.Duration(slots)
+}
+
+// later refuses with the next free turn of a book.
+func (a *admission) later(reason Reason, b *book, gap time.Duration) Refusal {
+	if a.limiter.Policy.NoBooking {
+		return Refusal{Reason: reason, RetryAfter: a.spread(gap)}
+	}
+	at, kept := b.add(a.Caller, a.Now, gap)
+	if !kept {
+		return Refusal{Reason: reason, RetryAfter: a.spread(maxRetryAfter / 2)}
+	}
+	return Refusal{Reason: reason, RetryAfter: at.Sub(a.Now)}
+}
+
+// Bounds of what a caller is told to wait.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+// spread returns a time between d and twice that, so that callers refused
+// together do not come back together.
+func (a *admission) spread(d time.Duration) time.Duration {
+	d = min(max(d, minRetryAfter), maxRetryAfter/2)
+	return d + time.Duration(a.Random*float64(d))
+}
--- /dev/null
+++ b/core/jwlimit/budget.go
@@ -0,0 +1,68 @@
+package jwlimit
+
+import "sync"
+
+// The values that a Budget takes where its own fields are zero.
+const (
+	DefaultRetryShare = 0.1
+	DefaultRetrySaved = 10
+)
+
+// Budget bounds the retries of each entry to a share of its first tries. In an
+// outage every try fails, and retries without a bound would multiply the load
+// just when the least can be served. The zero value uses the defaults; one
+// mutex guards it.
+type Budget struct {
+	Share float64 // retries for each first try
+	Saved float64 // retries that may be saved up, also the number free at first
+
+	mu    sync.Mutex
+	saved map[string]float64
+}
+
+// Try notes a first try of an entry.
+func (b *Budget) Try(entry string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.set(entry, min(b.get(entry)+b.share(), b.most()))
+}
+
+// Retry tells whether an entry may retry once more, and counts it if so.
+func (b *Budget) Retry(entry string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.get(entry)
+	if n < 1 {
+		return false
+	}
+	b.set(entry, n-1)
+	return true
+}
+
+func (b *Budget) get(entry string) float64 {
+	if n, known := b.saved[entry]; known {
+		return n
+	}
+	return b.most()
+}
+
+func (b *Budget) set(entry string, n float64) {
+	if b.saved == nil {
+		b.saved = make(map[string]float64)
+	}
+	b.saved[entry] = n
+}
+
+func (b *Budget) share() float64 {
+	if b.Share <= 0 {
+		return DefaultRetryShare
+	}
+	return b.Share
+}
+
+func (b *Budget) most() float64 {
+	if b.Saved <= 0 {
+		return DefaultRetrySaved
+	}
+	return b.Saved
+}
--- /dev/null
+++ b/core/jwlimit/limiter.go
@@ -0,0 +1,177 @@
+package jwlimit
+
+import (
+	"sync"
+	"time"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwtarget"
+)
+
+// Reason tells why a request was refused.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	EntryRate       Reason = "entryRate"       // the entry's requests a second
+	EntryConcurrent Reason = "entryConcurrent" // the entry's requests running
+	OwnerShare      Reason = "ownerShare"      // the owner runs more than its share while others wait
+	TooLate         Reason = "tooLate"         // it cannot end before its deadline
+	Crowded         Reason = "crowded"         // the class gives way to more urgent ones
+	NodeFull        Reason = "nodeFull"        // this node runs all that it can
+	NoTarget        Reason = "noTarget"        // no target may get it
+)
+
+// Refusal says that a request was not taken on and when to come back.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Query is one request as far as its admission matters.
+type Query struct {
+	Entry   *jwcatalogue.Entry
+	Owner   string        // of the workspace
+	Caller  uint64        // the same for each try of one request, 0 for unknown
+	Foreign bool          // sent here by another region
+	Away    bool          // about to be sent to another region: Room is not of this one
+	Left    time.Duration // time to the deadline, 0 for none
+	Work    time.Duration // expected time of the call
+	Room    jwtarget.Room // of the service in the region that is to run it
+	Now     time.Time
+	Random  float64 // in [0, 1)
+}
+
+// Token is one request taken on; Release takes it back.
+type Token struct {
+	entry string
+	pool  poolKey
+	class jwcatalogue.Class
+}
+
+// Limiter admits requests on one node. Its fields are set before use. One
+// mutex guards it, and no other lock is taken under it.
+type Limiter struct {
+	Node    string // name of this node
+	Running int    // requests that this node runs at once, 0 for no limit
+	Policy  Policy
+
+	mu      sync.Mutex
+	running int
+	members []string // live nodes of the region, this one included
+	entries map[string]*meter
+	pools   map[poolKey]*pool
+	load    map[string]*pool // by service, over all owners
+}
+
+// Policy switches parts of the admission off, for measuring what each earns.
+type Policy struct {
+	NoDeadline bool // what cannot be in time is taken on all the same
+	NoClasses  bool // all classes are treated alike
+	NoOwners   bool // owners may crowd each other out
+	NoBooking  bool // refused callers get no turn kept
+}
+
+// poolKey names what one owner runs on one service.
+type poolKey struct{ service, owner string }
+
+// pool counts requests of one service on this node.
+type pool struct {
+	running int
+	urgent  int       // those of the classes confirmation and lookup
+	asked   time.Time // when a request last came
+	book    book
+}
+
+// Admit takes a request on or refuses it. A request taken on must be released.
+func (l *Limiter) Admit(q *Query) (t Token, refusal Refusal, admitted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := poolKey{service: q.Entry.Service, owner: q.Owner}
+	a := admission{
+		Query:   q,
+		limiter: l,
+		entry:   l.entry(q.Entry.Name),
+		owner:   l.pool(key),
+		service: l.service(q.Entry.Service),
+	}
+	a.owner.asked = q.Now
+	a.entry.asked(q.Now)
+	if refusal, refused := a.refuse(); refused {
+		return Token{}, refusal, false
+	}
+	l.count(key, q.Entry.Name, q.Entry.Class, 1)
+	a.entry.tokens--
+	return Token{entry: q.Entry.Name, pool: key, class: q.Entry.Class}, Refusal{}, true
+}
+
+// Release takes back a request that has ended.
+func (l *Limiter) Release(t Token) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.count(t.pool, t.entry, t.class, -1)
+}
+
+// count adds n requests to all the counts they belong to.
+func (l *Limiter) count(key poolKey, entry string, class jwcatalogue.Class, n int) {
+	l.running += n
+	l.entry(entry).running += n
+	for _, p := range [...]*pool{l.pool(key), l.service(key.service)} {
+		p.running += n
+		if class != jwcatalogue.Draft {
+			p.urgent += n
+		}
+	}
+}
+
+func (l *Limiter) entry(name string) *meter {
+	m := l.entries[name]
+	if m == nil {
+		if l.entries == nil {
+			l.entries = make(map[string]*meter)
+		}
+		m = &meter{}
+		l.entries[name] = m
+	}
+	return m
+}
+
+func (l *Limiter) pool(key poolKey) *pool {
+	p := l.pools[key]
+	if p == nil {
+		if l.pools == nil {
+			l.pools = make(map[poolKey]*pool)
+		}
+		p = &pool{}
+		l.pools[key] = p
+	}
+	return p
+}
+
+func (l *Limiter) service(name string) *pool {
+	p := l.load[name]
+	if p == nil {
+		if l.load == nil {
+			l.load = make(map[string]*pool)
+		}
+		p = &pool{}
+		l.load[name] = p
+	}
+	return p
+}
+
+// idleFor is how long an owner that asks nothing is kept in memory.
+const idleFor = time.Minute
+
+// Forget drops owners that run nothing and have not asked for a while; without
+// it the table would grow with every owner ever seen. It is called now and
+// then, about once a minute.
+func (l *Limiter) Forget(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, p := range l.pools {
+		if p.running == 0 && now.Sub(p.asked) > idleFor {
+			delete(l.pools, key)
+		}
+	}
+}
--- /dev/null
+++ b/core/jwlimit/share.go
@@ -0,0 +1,228 @@
+package jwlimit
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwtarget"
+)
+
+// How the nodes of a region share an entry's limits.
+const (
+	evenPart  = 0.5                    // part of a limit split evenly; the rest goes by demand
+	toldFor   = 5 * time.Second        // how long a node's word about its demand counts
+	shareFor  = 200 * time.Millisecond // how long a computed share stands
+	rateAfter = time.Second            // time over which demand is averaged
+)
+
+// Usage is what a node tells the others of one entry.
+type Usage struct {
+	Name    string  // of the entry
+	Rate    float64 // requests that asked, a second
+	Running int
+}
+
+// told is another node's word about an entry.
+type told struct {
+	rate    float64
+	running int
+	at      time.Time
+}
+
+// meter counts the requests of one entry on this node.
+type meter struct {
+	running  int
+	rate     float64 // requests that asked, a second, averaged
+	counted  time.Time
+	tokens   float64
+	refilled time.Time
+	book     book
+	told     map[string]told // by node
+	share    share
+	shared   time.Time // when share was computed
+}
+
+// share is this node's part of an entry's limits.
+type share struct {
+	fraction   float64 // of the rate
+	concurrent int
+}
+
+// asked takes one request into the average rate.
+func (m *meter) asked(now time.Time) {
+	m.rate = m.rateAt(now) + 1/rateAfter.Seconds()
+	m.counted = now
+}
+
+// rateAt returns the average rate as it has sunk until now.
+func (m *meter) rateAt(now time.Time) float64 {
+	passed := now.Sub(m.counted)
+	if passed <= 0 {
+		return m.rate
+	}
+	if passed > 10*rateAfter {
+		return 0
+	}
+	left := 1 / (1 + passed.Seconds()/rateAfter.Seconds())
+	return m.rate * left
+}
+
+// refill adds the tokens of the time passed to the bucket.
+func (m *meter) refill(limits jwcatalogue.Limits, s share, now time.Time) {
+	most := max(float64(limits.Burst)*s.fraction, 1)
+	if m.refilled.IsZero() {
+		m.tokens = most
+	}
+	passed := max(now.Sub(m.refilled), 0)
+	m.tokens = min(m.tokens+limits.Rate*s.fraction*passed.Seconds(), most)
+	m.tokens = max(m.tokens, 0)
+	m.refilled = now
+}
+
+// SetMembers takes over the live nodes of the region, this one included.
+func (l *Limiter) SetMembers(nodes []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members = slices.Clone(nodes)
+	slices.Sort(l.members)
+	for _, m := range l.entries {
+		m.shared = time.Time{}
+	}
+}
+
+// Tell takes over what another node of the region uses.
+func (l *Limiter) Tell(node string, usages []Usage, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, u := range usages {
+		m := l.entry(u.Name)
+		if m.told == nil {
+			m.told = make(map[string]told)
+		}
+		m.told[node] = told{rate: u.Rate, running: u.Running, at: now}
+	}
+}
+
+// Usages returns what this node uses, for telling the other nodes of the region.
+func (l *Limiter) Usages(now time.Time) []Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []Usage
+	for name, m := range l.entries {
+		rate := m.rateAt(now)
+		if rate > 0 || m.running > 0 {
+			out = append(out, Usage{Name: name, Rate: rate, Running: m.running})
+		}
+	}
+	slices.SortFunc(out, func(a, b Usage) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// share returns this node's part of an entry's limits. Every node computes the
+// parts of all from the same words, so where they have heard the same, the
+// parts add up to the limit and no request needs a word or a write of its own.
+// Where they have not, the even part bounds what a node can take too much.
+func (l *Limiter) share(name string, m *meter, concurrent int, now time.Time) share {
+	if !m.shared.IsZero() && now.Sub(m.shared) < shareFor {
+		return m.share
+	}
+	m.shared = now
+	if len(l.members) < 2 {
+		m.share = share{fraction: 1, concurrent: concurrent}
+		return m.share
+	}
+	parts := make([]part, len(l.members))
+	total := 0.0
+	for i, node := range l.members {
+		parts[i] = part{node: node, demand: l.demand(node, m, now)}
+		total += parts[i].demand
+	}
+	split(parts, total, name, concurrent)
+	m.share = share{fraction: 1 / float64(len(l.members)), concurrent: concurrent / len(l.members)}
+	for _, p := range parts {
+		if p.node == l.Node {
+			m.share = share{fraction: p.fraction, concurrent: p.concurrent}
+		}
+	}
+	m.share.concurrent = min(m.share.concurrent, max(concurrent-l.elsewhere(m, now), 0))
+	return m.share
+}
+
+// elsewhere counts the requests of an entry that other nodes run, as far as
+// they told. A part that has just grown is thus not filled before the node
+// whose part shrank has finished what it had above.
+func (l *Limiter) elsewhere(m *meter, now time.Time) int {
+	n := 0
+	for node, w := range m.told {
+		if node != l.Node && now.Sub(w.at) <= toldFor {
+			n += w.running
+		}
+	}
+	return n
+}
+
+// demand returns what a node asks of an entry, as far as this one knows.
+func (l *Limiter) demand(node string, m *meter, now time.Time) float64 {
+	if node == l.Node {
+		return m.rateAt(now)
+	}
+	w, known := m.told[node]
+	if !known || now.Sub(w.at) > toldFor {
+		return 0
+	}
+	return w.rate
+}
+
+// part is one node's part of a limit.
+type part struct {
+	node       string
+	demand     float64
+	fraction   float64
+	concurrent int
+	rest       float64 // what whole numbers left of the part
+	order      uint64  // breaks ties, other for each entry
+}
+
+// split divides a limit over the nodes; the whole numbers add up to it.
+func split(parts []part, total float64, name string, concurrent int) {
+	even := 1 / float64(len(parts))
+	left := concurrent
+	entry := xxhash.Sum64String(name)
+	for i := range parts {
+		p := &parts[i]
+		p.fraction = even
+		if total > 0 {
+			p.fraction = evenPart*even + (1-evenPart)*p.demand/total
+		}
+		exact := p.fraction * float64(concurrent)
+		p.concurrent = int(exact)
+		p.rest = exact - float64(p.concurrent)
+		p.order = jwtarget.Mix(entry, xxhash.Sum64String(p.node))
+		left -= p.concurrent
+	}
+	slices.SortFunc(parts, byRest)
+	for i := 0; i < left; i++ {
+		parts[i%len(parts)].concurrent++
+	}
+}
+
+// byRest sorts the parts with the largest rest first.
+func byRest(a, b part) int {
+	switch {
+	case a.rest > b.rest:
+		return -1
+	case a.rest < b.rest:
+		return 1
+	case a.order < b.order:
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/core/jwrouter/pick.go
@@ -0,0 +1,162 @@
+package jwrouter
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jujubewheel/core/jwtarget"
+)
+
+// PickReason tells why a target was chosen.
+type PickReason string
+
+// The reasons for a target.
+const (
+	Cached   PickReason = "cached"   // the prefix is kept there and its load allows it
+	Lightest PickReason = "lightest" // least expected time
+	Probe    PickReason = "probe"    // tried again after failures
+)
+
+// Choice is the target for one call.
+type Choice struct {
+	Address netip.AddrPort
+	Reason  PickReason
+	Expect  time.Duration // expected time to the end of the call, with its wait
+}
+
+// prefixBytes is how much of a body decides which requests share a prefix.
+const prefixBytes = 256
+
+// PrefixOf returns the key under which requests of one workspace and entry
+// with the same beginning of the body are kept together.
+func PrefixOf(workspace, entry string, body []byte) uint64 {
+	h := xxhash.Sum64String(workspace)
+	h = jwtarget.Mix(h, xxhash.Sum64String(entry))
+	return jwtarget.Mix(h, xxhash.Sum64(body[:min(len(body), prefixBytes)]))
+}
+
+// Pick chooses the target of this region for a request; found is false when no
+// target may get it.
+func (r *Router) Pick(q *Query) (choice Choice, found bool) {
+	buf, _ := r.scratch.Get().(*[]jwtarget.Candidate)
+	if buf == nil {
+		buf = new([]jwtarget.Candidate)
+	}
+	defer r.scratch.Put(buf)
+	*buf = r.Targets.Candidates(q.Entry.Service, q.Now, (*buf)[:0])
+	usable := exclude(*buf, q)
+	if len(usable) == 0 {
+		return Choice{}, false
+	}
+	best := r.lightest(q, usable)
+	choice = Choice{Address: best.Address, Reason: Lightest, Expect: r.expect(q, best)}
+	if best.Probe {
+		choice.Reason = Probe
+		return choice, true
+	}
+	if q.Prefix == 0 || r.Policy.NoAffinity {
+		return choice, true
+	}
+	if kept := r.keeper(q, usable); kept != nil {
+		expect := r.expect(q, kept) - q.Prefill
+		if expect <= choice.Expect {
+			return Choice{Address: kept.Address, Reason: Cached, Expect: max(expect, 0)}, true
+		}
+	}
+	return choice, true
+}
+
+// exclude drops the targets that must not get the request. A target that is
+// tried again after failures gets only calls that may be repeated, unless
+// there is no other.
+func exclude(list []jwtarget.Candidate, q *Query) []jwtarget.Candidate {
+	kept := list[:0]
+	for _, c := range list {
+		if !slices.Contains(q.Exclude, c.Address) {
+			kept = append(kept, c)
+		}
+	}
+	if q.Entry.Idempotent {
+		return kept
+	}
+	proven := 0
+	for i := range kept {
+		if !kept[i].Probe {
+			kept[proven], kept[i] = kept[i], kept[proven]
+			proven++
+		}
+	}
+	if proven == 0 {
+		return kept
+	}
+	return kept[:proven]
+}
+
+// lightest returns the target with the least expected time. It starts at a
+// random place so that nodes with the same reports do not all prefer the same
+// one of several equal targets.
+func (r *Router) lightest(q *Query, list []jwtarget.Candidate) *jwtarget.Candidate {
+	n := len(list)
+	start := int(q.Random % uint64(n))
+	step, looks := 1, n
+	if s := r.Policy.Sample; s > 0 && s < n {
+		step, looks = 1+int((q.Random>>32)%uint64(n-1)), s
+	}
+	best := &list[start]
+	least := r.expect(q, best)
+	for i := 1; i < looks; i++ {
+		c := &list[(start+i*step)%n]
+		if e := r.expect(q, c); e < least {
+			best, least = c, e
+		}
+	}
+	return best
+}
+
+// keeper returns the target that keeps the request's prefix: the first by
+// rendezvous hashing whose load stays within Spread of the mean, so that a
+// busy prefix spreads to further targets and does not overload the first. It
+// returns nil when all are above, as a whole region is when its queues are long.
+func (r *Router) keeper(q *Query, list []jwtarget.Candidate) *jwtarget.Candidate {
+	outstanding, slots := 0, 0
+	for i := range list {
+		outstanding += list[i].Outstanding
+		slots += list[i].Slots
+	}
+	mean := float64(outstanding+1) / float64(slots)
+	var kept *jwtarget.Candidate
+	highest := uint64(0)
+	for i := range list {
+		c := &list[i]
+		if c.Probe || float64(c.Outstanding) > r.Policy.spread()*mean*float64(c.Slots) {
+			continue
+		}
+		if key := jwtarget.Mix(q.Prefix, c.Key); kept == nil || key > highest {
+			kept, highest = c, key
+		}
+	}
+	return kept
+}
+
+// fullBatch is how much longer a call takes in a full batch than alone.
+const fullBatch = 0.5
+
+// expect estimates the time to the end of a call on a target: the wait for a
+// slot, then the call itself, which a fuller batch makes longer.
+func (r *Router) expect(q *Query, c *jwtarget.Candidate) time.Duration {
+	slots := float64(c.Slots)
+	queued := float64(max(c.Outstanding+1-c.Slots, 0))
+	filled := min(float64(c.Outstanding)/slots, 1)
+	times := queued/slots + 1 + fullBatch*filled
+	if !r.Policy.NoPace {
+		times *= c.Pace
+	}
+	expect := time.Duration(times * float64(q.Work))
+	if c.DataCentre != r.DataCentre {
+		expect += 2 * r.Policy.crossing()
+	}
+	return expect
+}
--- /dev/null
+++ b/core/jwsuspect/table.go
@@ -0,0 +1,259 @@
+package jwsuspect
+
+import (
+	"bytes"
+	"math"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+// State tells how far a fingerprint is suspected.
+type State string
+
+// The states of a fingerprint.
+const (
+	Clear       State = "clear"
+	Suspected   State = "suspected"   // in flight on one target that crashed: never retried by the system
+	Quarantined State = "quarantined" // in flight on two targets that crashed: not run at all
+)
+
+// The values that a Table takes where its own fields are zero.
+const (
+	DefaultRemember   = 10 * time.Minute
+	DefaultQuarantine = 2 * time.Minute
+	DefaultMost       = 4096
+)
+
+// longer is by how much each further quarantine of a fingerprint outlasts the
+// one before, up to maxBars of them.
+const (
+	longer  = 4
+	maxBars = 4
+)
+
+// crashesToQuarantine is how many different targets must have crashed with a
+// fingerprint in flight before it is barred.
+const crashesToQuarantine = 2
+
+// crashWindow is the time within which broken calls to one target are taken
+// for the same crash.
+const crashWindow = 5 * time.Second
+
+// Table knows which fingerprints are in flight on which target, and which were
+// when a target crashed. One mutex guards it, and no other lock is taken under
+// it. Fields are set before use; the zero value uses the defaults.
+type Table struct {
+	Region     string        // told to peers with what is bound to it
+	Remember   time.Duration // how long one crash counts
+	Quarantine time.Duration // how long the first quarantine of a fingerprint lasts
+	Most       int           // fingerprints remembered at most
+
+	mu       sync.Mutex
+	flights  map[netip.AddrPort]map[Fingerprint]flight
+	suspects map[Fingerprint]*suspect
+}
+
+// flight counts the calls of one fingerprint on one target.
+type flight struct {
+	calls int
+	bound bool
+}
+
+// suspect is what is held against one fingerprint.
+type suspect struct {
+	crashes []crash
+	bound   bool
+	cleared time.Time // crashes up to then do not count: it has been served
+	bars    int       // quarantines so far
+	until   time.Time // end of the last quarantine, zero before one
+}
+
+// crash is one target that went down with the fingerprint in flight.
+type crash struct {
+	target netip.AddrPort
+	at     time.Time
+}
+
+// Begin notes a call in flight; bound tells that its data must not leave the
+// region. Every Begin needs its End.
+func (t *Table) Begin(f Fingerprint, target netip.AddrPort, bound bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.flights == nil {
+		t.flights = make(map[netip.AddrPort]map[Fingerprint]flight)
+	}
+	calls := t.flights[target]
+	if calls == nil {
+		calls = make(map[Fingerprint]flight)
+		t.flights[target] = calls
+	}
+	calls[f] = flight{calls: calls[f].calls + 1, bound: bound || calls[f].bound}
+}
+
+// End takes a call out. A call that was served clears its fingerprint of a
+// first suspicion: the target has run it and lives.
+func (t *Table) End(f Fingerprint, target netip.AddrPort, served bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	calls := t.flights[target]
+	fl, known := calls[f]
+	if known && fl.calls > 1 {
+		fl.calls--
+		calls[f] = fl
+	} else {
+		delete(calls, f)
+	}
+	if len(calls) == 0 {
+		delete(t.flights, target)
+	}
+	if s := t.suspects[f]; served && s != nil && s.bars == 0 {
+		s.crashes = nil
+		s.cleared = now
+	}
+}
+
+// Crashed notes that a target went down: all that is in flight there is
+// suspected. It is called before the calls that broke are ended, and returns
+// the fingerprints that this crash has put in quarantine.
+func (t *Table) Crashed(target netip.AddrPort, now time.Time) []Fingerprint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var barred []Fingerprint
+	for f, fl := range t.flights[target] {
+		if t.accuse(f, crash{target: target, at: now}, fl.bound, now) {
+			barred = append(barred, f)
+		}
+	}
+	slices.SortFunc(barred, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	return barred
+}
+
+// accuse holds one crash against a fingerprint and tells whether that put it
+// in quarantine.
+func (t *Table) accuse(f Fingerprint, c crash, bound bool, now time.Time) bool {
+	s := t.suspects[f]
+	if s == nil {
+		if len(t.suspects) >= t.most() {
+			t.prune(now)
+		}
+		if len(t.suspects) >= t.most() {
+			return false
+		}
+		s = &suspect{}
+		if t.suspects == nil {
+			t.suspects = make(map[Fingerprint]*suspect)
+		}
+		t.suspects[f] = s
+	}
+	s.bound = s.bound || bound
+	s.crashes = slices.DeleteFunc(s.crashes, func(old crash) bool {
+		return now.Sub(old.at) > t.remember()
+	})
+	if !c.at.After(s.cleared) || slices.ContainsFunc(s.crashes, c.same) {
+		return false
+	}
+	s.crashes = append(s.crashes, c)
+	if s.barred(now) || (len(s.crashes) < crashesToQuarantine && !s.probation(now, t.remember())) {
+		return false
+	}
+	s.until = now.Add(t.quarantine() * time.Duration(math.Pow(longer, float64(min(s.bars, maxBars)))))
+	s.bars++
+	return true
+}
+
+// same tells whether two words are about the same crash. Nodes notice a crash
+// at slightly different times; a target that has come back and goes down again
+// is another crash, or a service with one target would never be safe.
+func (c crash) same(other crash) bool {
+	return c.target == other.target && c.at.Sub(other.at).Abs() <= crashWindow
+}
+
+func (s *suspect) barred(now time.Time) bool { return now.Before(s.until) }
+
+// probation tells whether a quarantine has ended not long ago, so that one
+// more crash renews it.
+func (s *suspect) probation(now time.Time, remember time.Duration) bool {
+	return s.bars > 0 && now.Sub(s.until) <= remember
+}
+
+// Check tells how far a fingerprint is suspected; for a quarantined one it
+// returns how long that still lasts.
+func (t *Table) Check(f Fingerprint, now time.Time) (State, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.check(f, now)
+}
+
+func (t *Table) check(f Fingerprint, now time.Time) (State, time.Duration) {
+	s := t.suspects[f]
+	switch {
+	case s == nil:
+		return Clear, 0
+	case s.barred(now):
+		return Quarantined, s.until.Sub(now)
+	case s.current(now, t.remember()):
+		return Suspected, 0
+	}
+	return Clear, 0
+}
+
+// current tells whether anything held against the fingerprint still counts.
+func (s *suspect) current(now time.Time, remember time.Duration) bool {
+	if s.probation(now, remember) {
+		return true
+	}
+	return slices.ContainsFunc(s.crashes, func(c crash) bool { return now.Sub(c.at) <= remember })
+}
+
+// Occupied returns the targets on which a suspect may not run now: those that
+// crashed with it, and those where another suspect is in flight. Were two
+// suspects together when a target crashes, the innocent one would be barred
+// with the other.
+func (t *Table) Occupied(f Fingerprint, now time.Time) []netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []netip.AddrPort
+	if s := t.suspects[f]; s != nil {
+		for _, c := range s.crashes {
+			out = append(out, c.target)
+		}
+	}
+	for target, calls := range t.flights {
+		for other := range calls {
+			if state, _ := t.check(other, now); other != f && state != Clear {
+				out = append(out, target)
+				break
+			}
+		}
+	}
+	return out
+}
+
+// prune forgets what no longer counts.
+func (t *Table) prune(now time.Time) {
+	for f, s := range t.suspects {
+		cleared := now.Sub(s.cleared) <= t.remember()
+		if !cleared && !s.barred(now) && !s.current(now, t.remember()) {
+			delete(t.suspects, f)
+		}
+	}
+}
+
+func (t *Table) remember() time.Duration   { return orDefault(t.Remember, DefaultRemember) }
+func (t *Table) quarantine() time.Duration { return orDefault(t.Quarantine, DefaultQuarantine) }
+
+func (t *Table) most() int {
+	if t.Most <= 0 {
+		return DefaultMost
+	}
+	return t.Most
+}
+
+func orDefault(d, standard time.Duration) time.Duration {
+	if d <= 0 {
+		return standard
+	}
+	return d
+}
--- /dev/null
+++ b/core/jwtarget/candidate.go
@@ -0,0 +1,142 @@
+package jwtarget
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Candidate is a target that may get new work, with what is outstanding there.
+type Candidate struct {
+	Address     netip.AddrPort
+	DataCentre  string
+	Key         uint64  // hash of the address, for Mix
+	Outstanding int     // calls running or waiting, by the last report and this node's calls since
+	Slots       int     // calls it runs at once, at least 1
+	Pace        float64 // time its calls take over the usual time, 1 for usual
+	Probe       bool    // rested after failures: this is the single call that tries it again
+}
+
+// Candidates appends the targets of this node's subset that may get a new call
+// to out, in the order of their addresses. When all of the subset rest, the
+// other targets of the region stand in, whose load this node does not know.
+func (t *Table) Candidates(serviceName string, now time.Time, out []Candidate) []Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[serviceName]
+	if s == nil {
+		return out
+	}
+	out = t.append(s, s.used, now, out)
+	if len(out) > 0 {
+		return out
+	}
+	return t.append(s, s.all, now, out)
+}
+
+// append adds those of the entries that may get a new call.
+func (t *Table) append(s *service, entries []*entry, now time.Time, out []Candidate) []Candidate {
+	for _, e := range entries {
+		if now.Before(e.rests) || e.probing || t.leaves(e.target.Address) {
+			continue
+		}
+		out = append(out, Candidate{
+			Address:     e.target.Address,
+			DataCentre:  e.target.DataCentre,
+			Key:         e.key,
+			Outstanding: e.outstanding(),
+			Slots:       e.slots(),
+			Pace:        s.paceOf(e),
+			Probe:       e.failures > 0,
+		})
+	}
+	return out
+}
+
+// outstanding adds what this node did since the last report to the report,
+// which would otherwise draw every call of the time between two reports to the
+// one target that looked idle.
+func (e *entry) outstanding() int {
+	reported := max(e.load.Running+e.load.Waiting-e.ended, 0)
+	return max(reported+e.ownSince, e.own)
+}
+
+// Bounds of a pace, so that one odd call or report neither draws all work to a
+// target nor bars it for ever.
+const (
+	minPace = 0.5
+	maxPace = 20
+)
+
+// paceOf returns how slow a target is against the others of its service: by
+// its own word on the time between tokens or by this node's calls, whichever
+// is worse. A target that is slow but well reports no failure, so this alone
+// keeps work from piling up there.
+func (s *service) paceOf(e *entry) float64 {
+	pace := e.pace
+	if s.tick > 0 && e.load.Token > 0 {
+		pace = max(pace, float64(e.load.Token)/float64(s.tick))
+	}
+	if pace == 0 {
+		return 1
+	}
+	return min(max(pace, minPace), maxPace)
+}
+
+// Room sums up what a service of the region can still take, as seen from the
+// subset of one node.
+type Room struct {
+	Targets     int           // targets of the region that may get work, by the list
+	Slots       int           // calls that the whole region runs at once, scaled up from the subset
+	Outstanding int           // calls running or waiting in the region, scaled up likewise
+	Wait        time.Duration // expected wait of a new call for a slot
+	Work        time.Duration // usual time of a call
+}
+
+// Free returns the share of slots that are free, between 0 and 1.
+func (r Room) Free() float64 {
+	if r.Slots == 0 {
+		return 0
+	}
+	return max(1-float64(r.Outstanding)/float64(r.Slots), 0)
+}
+
+// Room returns the room of a service; it is zero when no target may get work.
+func (t *Table) Room(serviceName string, now time.Time) Room {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[serviceName]
+	if s == nil {
+		return Room{}
+	}
+	slots, outstanding, usable := 0, 0, 0
+	for _, e := range s.used {
+		if now.Before(e.rests) {
+			continue
+		}
+		usable++
+		slots += e.slots()
+		outstanding += e.outstanding()
+	}
+	if usable == 0 {
+		return Room{}
+	}
+	r := Room{
+		Targets:     s.live * usable / len(s.used),
+		Slots:       slots * s.live / len(s.used),
+		Outstanding: outstanding * s.live / len(s.used),
+		Work:        orDefault(s.work, DefaultWork),
+	}
+	queued := max(outstanding+1-slots, 0)
+	r.Wait = time.Duration(float64(r.Work) * float64(queued) / float64(slots))
+	return r
+}
+
+// unknownSlots stands for the slots of a target that has not reported yet.
+const unknownSlots = 8
+
+func (e *entry) slots() int {
+	if e.load.Slots <= 0 {
+		return unknownSlots
+	}
+	return e.load.Slots
+}
--- /dev/null
+++ b/core/jwtarget/table.go
@@ -0,0 +1,395 @@
+package jwtarget
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+// The values that a Table takes where its own fields are zero.
+const (
+	DefaultSubset     = 16
+	DefaultLeavingFor = 10 * time.Minute
+	DefaultPause      = time.Second
+	DefaultMaxPause   = time.Minute
+	DefaultWork       = time.Second
+)
+
+// paceWeight is the weight of one finished call in the running averages.
+const paceWeight = 0.2
+
+// Table holds the targets of one region as one node knows them.
+//
+// One mutex guards all of it and is held only for short loops over the targets
+// of one service; no other lock is taken under it. Fields are set before use;
+// all methods may be called at the same time.
+type Table struct {
+	Node       string        // name of this node, which decides its subset
+	Region     string        // targets of other regions are not kept
+	Subset     int           // targets used for each service, negative for all
+	LeavingFor time.Duration // how long a word of leaving outlives a list that disagrees
+	Pause      time.Duration // rest of a target after one failed call; doubles with each further one
+	MaxPause   time.Duration // longest rest
+
+	mu       sync.Mutex
+	targets  map[netip.AddrPort]*entry
+	services map[string]*service
+	leaving  map[netip.AddrPort]departure
+}
+
+// service is the part of a table that belongs to one service.
+type service struct {
+	all  []*entry      // sorted by address
+	used []*entry      // this node's subset that may get work, sorted by address
+	live int           // those of all that do not leave
+	work time.Duration // usual time of a call
+	tick time.Duration // usual time between tokens over the targets
+}
+
+// entry is what the table knows of one target.
+type entry struct {
+	target   Target
+	key      uint64
+	load     Load
+	own      int     // calls of this node in flight
+	ownSince int     // those of them that began after the last report
+	ended    int     // calls in the last report that have ended since
+	pace     float64 // time taken by calls here over the time expected, 0 before the first
+	failures int
+	rests    time.Time // gets no work until then
+	probing  bool
+}
+
+// departure is a word that a target leaves.
+type departure struct {
+	since  time.Time
+	listed bool      // the list has shown the target since
+	gone   time.Time // when the list no longer showed it, zero before
+}
+
+// Set takes over the platform's list, which lags. Targets that stay keep their
+// load and calls in flight; a target known to leave is not taken back because
+// the list still calls it live.
+func (t *Table) Set(list []Target, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := make(map[netip.AddrPort]*entry, len(list))
+	for _, target := range list {
+		if target.Region != t.Region {
+			continue
+		}
+		e := t.targets[target.Address]
+		if e == nil {
+			e = &entry{key: addressKey(target.Address)}
+		}
+		e.target = target
+		known[target.Address] = e
+	}
+	t.targets = known
+	t.updateDepartures(now)
+	t.rebuild()
+}
+
+// updateDepartures compares the words of leaving with the newest list.
+func (t *Table) updateDepartures(now time.Time) {
+	for addr, e := range t.targets {
+		if e.target.State == Leaving && !t.leaves(addr) {
+			t.depart(addr, departure{since: now, listed: true})
+		}
+	}
+	for addr, d := range t.leaving {
+		e, listed := t.targets[addr]
+		if now.Sub(d.since) > t.leavingFor() && (!listed || e.target.State != Leaving) {
+			delete(t.leaving, addr)
+			continue
+		}
+		if listed {
+			d.listed = true
+		} else if d.listed && d.gone.IsZero() {
+			d.gone = now
+		}
+		t.leaving[addr] = d
+	}
+}
+
+// rebuild makes the lists by service anew.
+func (t *Table) rebuild() {
+	old := t.services
+	t.services = make(map[string]*service)
+	for _, e := range t.targets {
+		s := t.services[e.target.Service]
+		if s == nil {
+			s = &service{}
+			if before := old[e.target.Service]; before != nil {
+				s.work, s.tick = before.work, before.tick
+			}
+			t.services[e.target.Service] = s
+		}
+		s.all = append(s.all, e)
+	}
+	for _, s := range t.services {
+		slices.SortFunc(s.all, byAddress)
+		t.choose(s)
+	}
+}
+
+// choose fills the subset of a service with targets that do not leave.
+func (t *Table) choose(s *service) {
+	s.used = s.used[:0]
+	for _, e := range s.all {
+		if !t.leaves(e.target.Address) {
+			s.used = append(s.used, e)
+		}
+	}
+	s.live = len(s.used)
+	if n := t.subset(); n >= 0 && n < len(s.used) {
+		node := nameKey(t.Node)
+		slices.SortFunc(s.used, func(a, b *entry) int {
+			return compareKeys(Mix(node, b.key), Mix(node, a.key))
+		})
+		s.used = s.used[:n]
+		slices.SortFunc(s.used, byAddress)
+	}
+}
+
+// leaves tells whether a target is known to leave and has not come back.
+func (t *Table) leaves(addr netip.AddrPort) bool {
+	d, told := t.leaving[addr]
+	return told && d.gone.IsZero()
+}
+
+// Report takes over what a target said of its load.
+func (t *Table) Report(addr netip.AddrPort, load Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.targets[addr]
+	if e == nil {
+		return
+	}
+	e.load = load
+	e.ownSince = 0
+	e.ended = 0
+	s := t.services[e.target.Service]
+	if load.Token > 0 {
+		s.tick = average(s.tick, load.Token)
+	}
+}
+
+// Call is one call in flight; Begin makes it and End takes it back.
+type Call struct {
+	Address netip.AddrPort
+	Work    time.Duration // expected time of the call
+	Began   time.Time
+}
+
+// Result tells how a call ended as far as the target's health goes.
+type Result string
+
+// The results of a call.
+const (
+	Done     Result = "done"     // the whole answer came
+	Refused  Result = "refused"  // the target is well but did not take the call
+	Canceled Result = "canceled" // given up by the caller or the node
+	Broken   Result = "broken"   // no connection, or it broke, or fell silent
+)
+
+// Begin counts a call as outstanding; every Begin needs its End.
+func (t *Table) Begin(addr netip.AddrPort, work time.Duration, now time.Time) Call {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.targets[addr]; e != nil {
+		e.own++
+		e.ownSince++
+		e.probing = e.failures > 0
+	}
+	return Call{Address: addr, Work: work, Began: now}
+}
+
+// End takes a call out of the outstanding ones and learns from how it ended.
+func (t *Table) End(c Call, result Result, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.targets[c.Address]
+	if e == nil {
+		return
+	}
+	e.forget(c)
+	e.probing = false
+	switch result {
+	case Done:
+		t.learn(e, c, now)
+	case Refused:
+		e.failures = 0
+	case Broken:
+		t.fail(e, now)
+	}
+}
+
+// forget takes a call out of the counts. A call of an earlier target at the
+// same address may end after the counts began anew, hence the floors.
+func (e *entry) forget(c Call) {
+	e.own = max(e.own-1, 0)
+	if c.Began.After(e.load.Taken) {
+		e.ownSince = max(e.ownSince-1, 0)
+	} else {
+		e.ended++
+	}
+}
+
+// learn takes the time of a finished call into the averages.
+func (t *Table) learn(e *entry, c Call, now time.Time) {
+	e.failures = 0
+	took := now.Sub(c.Began)
+	s := t.services[e.target.Service]
+	s.work = average(s.work, took)
+	if c.Work <= 0 {
+		return
+	}
+	ratio := float64(took) / float64(c.Work)
+	if e.pace == 0 {
+		e.pace = ratio
+	}
+	e.pace += paceWeight * (ratio - e.pace)
+}
+
+// Failed notes a failure outside a call, such as a load report that could not
+// be had; the target rests, longer with each failure in a row.
+func (t *Table) Failed(addr netip.AddrPort, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.targets[addr]; e != nil {
+		t.fail(e, now)
+	}
+}
+
+// fail makes a target rest. Calls that break together count as one failure:
+// else one crash with many calls in flight would rest its target for the
+// longest pause at once.
+func (t *Table) fail(e *entry, now time.Time) {
+	if now.Before(e.rests) {
+		return
+	}
+	pause := t.pause() << min(e.failures, 16)
+	e.failures++
+	e.rests = now.Add(min(pause, t.maxPause()))
+}
+
+// MarkLeaving notes that a target leaves since a time, by its own word or a
+// peer's. A word older than the time at which the list showed the target gone
+// is about an earlier target at the same address and is ignored: without this,
+// peers would go on telling each other of it and lock out its successor.
+func (t *Table) MarkLeaving(addr netip.AddrPort, since, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(since) > t.leavingFor() {
+		return
+	}
+	d, told := t.leaving[addr]
+	if told && (d.gone.IsZero() || !since.After(d.gone)) {
+		return
+	}
+	e, listed := t.targets[addr]
+	t.depart(addr, departure{since: since, listed: listed})
+	if listed {
+		t.choose(t.services[e.target.Service])
+	}
+}
+
+// depart keeps one word of leaving.
+func (t *Table) depart(addr netip.AddrPort, d departure) {
+	if t.leaving == nil {
+		t.leaving = make(map[netip.AddrPort]departure)
+	}
+	t.leaving[addr] = d
+}
+
+// Departure is a target that leaves, as told to peers.
+type Departure struct {
+	Address netip.AddrPort
+	Since   time.Time
+}
+
+// Leaving returns the targets known to leave, for telling peers of the region.
+func (t *Table) Leaving() []Departure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Departure
+	for addr, d := range t.leaving {
+		if d.gone.IsZero() {
+			out = append(out, Departure{Address: addr, Since: d.since})
+		}
+	}
+	slices.SortFunc(out, func(a, b Departure) int { return a.Address.Compare(b.Address) })
+	return out
+}
+
+// Used returns the targets whose load this node asks for: its subset of every
+// service, resting ones included.
+func (t *Table) Used() []Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Target
+	for _, s := range t.services {
+		for _, e := range s.used {
+			out = append(out, e.target)
+		}
+	}
+	slices.SortFunc(out, func(a, b Target) int { return a.Address.Compare(b.Address) })
+	return out
+}
+
+// State returns what the table holds of a target; known is false for a target
+// that the list does not show.
+func (t *Table) State(addr netip.AddrPort, now time.Time) (state State, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.targets[addr]
+	switch {
+	case e == nil:
+		return "", false
+	case t.leaves(addr):
+		return Leaving, true
+	case e.failures > 0 || now.Before(e.rests):
+		return Failed, true
+	}
+	return Live, true
+}
+
+func (t *Table) subset() int {
+	if t.Subset == 0 {
+		return DefaultSubset
+	}
+	return t.Subset
+}
+
+func (t *Table) leavingFor() time.Duration { return orDefault(t.LeavingFor, DefaultLeavingFor) }
+func (t *Table) pause() time.Duration      { return orDefault(t.Pause, DefaultPause) }
+func (t *Table) maxPause() time.Duration   { return orDefault(t.MaxPause, DefaultMaxPause) }
+
+func orDefault(d, standard time.Duration) time.Duration {
+	if d <= 0 {
+		return standard
+	}
+	return d
+}
+
+// average moves a running average towards a new value.
+func average(old, value time.Duration) time.Duration {
+	if old == 0 {
+		return value
+	}
+	return old + time.Duration(paceWeight*float64(value-old))
+}
+
+func byAddress(a, b *entry) int { return a.target.Address.Compare(b.target.Address) }
+
+func compareKeys(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
