--- a/io/jwsettings/parse.go
+++ b/io/jwsettings/parse.go
@@ -265,7 +265,7 @@
 		s.Limits.MaxHeader = int(header)
 	})
 	o.child("claims", func(c *object) {
-		c.duration("keyMemory", &s.Claims.KeyMemory, time.Minute, 30*24*time.Hour)
+		c.duration("keyMemory", &s.Claims.KeyMemory, time.Minute, 7*24*time.Hour)
 		c.duration("groupWindow", &s.Claims.GroupWindow, 0, time.Second)
 	})
 	o.duration("drainLimit", &s.DrainLimit, time.Second, 24*time.Hour)
