--- /dev/null
+++ b/core/jwstore/memory_test.go
@@ -0,0 +1,201 @@
+package jwstore
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the random tests, so that a failure can be
+// repeated.
+func TestMain(m *testing.M) {
+	seed := os.Getenv("JUJUBE_SEED")
+	if seed == "" {
+		seed = "1"
+	}
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func TestWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		m := &Memory{}
+		began := time.Now()
+		_, found, err := m.Wait(ctx, "k", 0, time.Minute)
+		assert.NilError(t, err)
+		assert.Check(t, !found && time.Since(began) == time.Minute)
+
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() {
+				item, found, err := m.Wait(ctx, "k", 0, time.Minute)
+				assert.Check(t, err == nil && found && string(item.Value) == "one")
+			})
+		}
+		synctest.Wait()
+		_, _, err = m.Swap(ctx, "other", nil, 0)
+		assert.NilError(t, err)
+		_, _, err = m.Swap(ctx, "k", []byte("one"), 0)
+		assert.NilError(t, err)
+		wg.Wait()
+		assert.DeepEqual(t, m.Calls(), Calls{Writes: 2, Waits: 4})
+	})
+}
+
+func TestWaitGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, _, err := (&Memory{}).Wait(ctx, "k", 0, time.Minute)
+		assert.Check(t, errors.Is(err, ErrUnavailable), "%v", err)
+	})
+}
+
+// The service goes down while nodes wait on it. Each of them must learn of it
+// at once, or a change would reach them only when their wait ends.
+func TestDownEndsWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		m := &Memory{}
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := m.Wait(ctx, "k", 0, time.Hour)
+			done <- err
+		}()
+		synctest.Wait()
+		m.SetDown(true)
+		assert.Check(t, errors.Is(<-done, ErrUnavailable))
+		_, _, err := m.Swap(ctx, "k", nil, 0)
+		assert.Check(t, errors.Is(err, ErrUnavailable))
+		m.SetDown(false)
+		_, found, err := m.Get(ctx, "k")
+		assert.NilError(t, err)
+		assert.Check(t, !found, "a refused write had no effect")
+	})
+}
+
+// A slow service makes a caller give up. The write must not happen later, when
+// its caller has already told someone that it did not.
+func TestSlowGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &Memory{}
+		m.SetDelay(time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_, _, err := m.Swap(ctx, "k", nil, 0)
+		assert.Check(t, errors.Is(err, ErrUnavailable))
+		began := time.Now()
+		_, found, err := m.Get(context.Background(), "k")
+		assert.NilError(t, err)
+		assert.Check(t, !found && time.Since(began) == time.Second)
+	})
+}
+
+// TestOracle runs random calls and faults against a plain map.
+func TestOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &oracle{items: make(map[string]Item)}
+		t.Repeat(map[string]func(*rapid.T){
+			"get":    o.get,
+			"swap":   o.swap,
+			"delete": o.delete,
+			"lose":   o.loseReply,
+			"":       o.check,
+		})
+	})
+}
+
+// oracle is a Memory beside the map that says what it must hold.
+type oracle struct {
+	memory Memory
+	items  map[string]Item
+	newest uint64
+	lose   bool
+}
+
+func (o *oracle) get(t *rapid.T) {
+	key := drawKey(t)
+	item, found, err := o.memory.Get(context.Background(), key)
+	assert.NilError(t, err)
+	want, exists := o.items[key]
+	assert.Equal(t, found, exists)
+	assert.Equal(t, item.Version, want.Version)
+	assert.Equal(t, string(item.Value), string(want.Value))
+}
+
+func (o *oracle) swap(t *rapid.T) {
+	key, version := drawKey(t), o.drawVersion(t)
+	value := []byte(rapid.String().Draw(t, "value"))
+	next, swapped, err := o.memory.Swap(context.Background(), key, value, version)
+	matches := o.items[key].Version == version
+	if o.lose {
+		o.lose = false
+		assert.Check(t, errors.Is(err, ErrUnknown))
+		next = o.memory.Index()
+	} else {
+		assert.NilError(t, err)
+		assert.Equal(t, swapped, matches)
+	}
+	if matches {
+		assert.Check(t, next > o.newest, "versions rise")
+		o.newest = next
+		o.items[key] = Item{Key: key, Value: value, Version: next}
+	}
+}
+
+func (o *oracle) delete(t *rapid.T) {
+	key, version := drawKey(t), o.drawVersion(t)
+	deleted, err := o.memory.Delete(context.Background(), key, version)
+	item, exists := o.items[key]
+	matches := exists && item.Version == version
+	if o.lose {
+		o.lose = false
+		assert.Check(t, errors.Is(err, ErrUnknown))
+	} else {
+		assert.NilError(t, err)
+		assert.Equal(t, deleted, matches)
+	}
+	if matches {
+		delete(o.items, key)
+		o.newest = o.memory.Index()
+	}
+}
+
+func (o *oracle) loseReply(*rapid.T) {
+	o.memory.LoseReplies(1)
+	o.lose = true
+}
+
+func (o *oracle) check(t *rapid.T) {
+	items, err := o.memory.List(context.Background(), "")
+	assert.NilError(t, err)
+	assert.Equal(t, len(items), len(o.items))
+	for i, item := range items {
+		assert.Equal(t, item.Version, o.items[item.Key].Version)
+		assert.Check(t, i == 0 || items[i-1].Key < item.Key, "sorted")
+	}
+}
+
+// drawVersion draws 0, the version of a key that exists or one of none.
+func (o *oracle) drawVersion(t *rapid.T) uint64 {
+	versions := []uint64{0, o.newest + 1}
+	for _, key := range []string{"a", "b", "a/b"} {
+		versions = append(versions, o.items[key].Version)
+	}
+	return rapid.SampledFrom(versions).Draw(t, "version")
+}
+
+func drawKey(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"a", "b", "a/b"}).Draw(t, "key")
+}
