jwclaim: claims of own keys, tickets and their handover

A call that may not run twice needs one place that decides. Tickets are run by the process that minted them, whose memory is the record.

Segments are numbered and sealed in place of periods cut by the clock: a boundary is then a compare-and-swap too, and clocks matter for expiry only.

--- /dev/null
+++ b/core/jwclaim/document.go
@@ -0,0 +1,162 @@
+package jwclaim
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	documentFormat = 1
+	documentMax    = 1 << 20 // bytes, the largest value the store takes
+	keyHashSize    = 16      // bytes
+	bodyMarkSize   = 12      // bytes
+	claimIDSize    = 12      // bytes
+	segmentDigits  = 12
+	slotsPrefix    = "claims/"
+)
+
+// ErrDocument says that a slot document can't be read.
+var ErrDocument = errors.New("unreadable slot document")
+
+type (
+	keyHash  [keyHashSize]byte  // salted hash of workspace and key
+	bodyMark [bodyMarkSize]byte // salted hash of the body
+	claimID  [claimIDSize]byte  // random, names one claim of one node
+)
+
+// Holder names the process that holds a key.
+type Holder struct {
+	Node        string `json:"node"`
+	Region      string `json:"region"`
+	Incarnation string `json:"incarnation"`
+}
+
+// document is one segment of a slot's log as the store keeps it. A sealed
+// segment never changes again; the next one may then be created.
+type document struct {
+	Format  int      `json:"format"`
+	Holders []Holder `json:"holders,omitempty"`
+	Rows    []row    `json:"rows,omitempty"`
+	Until   int64    `json:"until"` // Unix seconds after which no row matters
+	Sealed  bool     `json:"sealed,omitempty"`
+}
+
+// row is a claim, or the release of one when Release is set.
+type row struct {
+	ID      claimID  `json:"id"`
+	Release bool     `json:"release,omitempty"`
+	Key     keyHash  `json:"key,omitzero"`
+	Body    bodyMark `json:"body,omitzero"`
+	Holder  int      `json:"holder,omitempty"` // index in Holders
+	Until   int64    `json:"until,omitempty"`  // Unix seconds, end of the key's memory
+}
+
+// MarshalText writes the hash in base64.
+func (h keyHash) MarshalText() ([]byte, error) { return encodeFixed(h[:]), nil }
+
+// UnmarshalText reads the hash from base64.
+func (h *keyHash) UnmarshalText(b []byte) error { return decodeFixed(h[:], b) }
+
+// MarshalText writes the mark in base64.
+func (m bodyMark) MarshalText() ([]byte, error) { return encodeFixed(m[:]), nil }
+
+// UnmarshalText reads the mark from base64.
+func (m *bodyMark) UnmarshalText(b []byte) error { return decodeFixed(m[:], b) }
+
+// MarshalText writes the id in base64.
+func (id claimID) MarshalText() ([]byte, error) { return encodeFixed(id[:]), nil }
+
+// UnmarshalText reads the id from base64.
+func (id *claimID) UnmarshalText(b []byte) error { return decodeFixed(id[:], b) }
+
+func encodeFixed(b []byte) []byte {
+	return base64.RawURLEncoding.AppendEncode(nil, b)
+}
+
+func decodeFixed(dst, text []byte) error {
+	if len(text) != base64.RawURLEncoding.EncodedLen(len(dst)) {
+		return errors.Wrapf(ErrDocument, "%d characters in place of %d bytes", len(text), len(dst))
+	}
+	_, err := base64.RawURLEncoding.Strict().Decode(dst, text)
+	return errors.Wrap(err, "decode hash")
+}
+
+func encodeDocument(d document) ([]byte, error) {
+	d.Format = documentFormat
+	return json.Marshal(d)
+}
+
+// decodeDocument refuses what it can't read in full: a claim that is skipped
+// would let its key run a second time.
+func decodeDocument(b []byte) (document, error) {
+	var d document
+	if err := json.Unmarshal(b, &d); err != nil {
+		return document{}, errors.Wrapf(ErrDocument, "%v", err)
+	}
+	if d.Format != documentFormat {
+		return document{}, errors.Wrapf(ErrDocument, "format %d", d.Format)
+	}
+	for i, r := range d.Rows {
+		if !r.Release && (r.Holder < 0 || r.Holder >= len(d.Holders)) {
+			return document{}, errors.Wrapf(ErrDocument, "row %d names no holder", i)
+		}
+		if r.ID == (claimID{}) {
+			return document{}, errors.Wrapf(ErrDocument, "row %d has no id", i)
+		}
+	}
+	return d, nil
+}
+
+// holder returns the index of h in the document, which it extends if need be.
+func (d *document) holder(h Holder) int {
+	for i := range d.Holders {
+		if d.Holders[i] == h {
+			return i
+		}
+	}
+	d.Holders = append(d.Holders, h)
+	return len(d.Holders) - 1
+}
+
+// clone returns a copy that can be extended without a change to d.
+func (d document) clone() document {
+	d.Holders = append([]Holder(nil), d.Holders...)
+	d.Rows = append(make([]row, 0, len(d.Rows)+16), d.Rows...)
+	return d
+}
+
+// slotPrefix is the key prefix of all segments of a slot.
+func slotPrefix(region string, slot int) string {
+	return fmt.Sprintf("%s%s/%03d/", slotsPrefix, region, slot)
+}
+
+func segmentKey(prefix string, n uint64) string {
+	return fmt.Sprintf("%s%0*d", prefix, segmentDigits, n)
+}
+
+func segmentNumber(prefix, key string) (uint64, error) {
+	text, ok := strings.CutPrefix(key, prefix)
+	if !ok || len(text) != segmentDigits {
+		return 0, errors.Wrapf(ErrDocument, "key %q", key)
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || n == 0 {
+		return 0, errors.Wrapf(ErrDocument, "key %q", key)
+	}
+	return n, nil
+}
+
+// claimed is a live claim as a view holds it.
+type claimed struct {
+	id     claimID
+	key    keyHash
+	body   bodyMark
+	holder Holder
+	until  time.Time
+}
--- /dev/null
+++ b/core/jwclaim/ticket.go
@@ -0,0 +1,124 @@
+package jwclaim
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	ticketPrefix  = "jt1."
+	ticketMacSize = 16 // bytes
+	ticketMax     = 512
+)
+
+// ErrTicket says that a ticket was not minted by a node of this system.
+var ErrTicket = errors.New("not a ticket of this system")
+
+// Ticket is what a minted key names: the process that alone may run it.
+type Ticket struct {
+	Holder
+	Serial uint64
+}
+
+// IsTicket tells whether a key claims to be a ticket; it may still be forged.
+func IsTicket(key string) bool {
+	return strings.HasPrefix(key, ticketPrefix)
+}
+
+// Mint returns a new ticket that this process alone may run. It fails once the
+// keeper is closed.
+func (k *Keeper) Mint() (string, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed || !k.running {
+		return "", errors.Errorf("mint ticket: %s does not take new calls", k.Node)
+	}
+	k.tickets.minted++
+	return sealTicket(k.ticketSecret, Ticket{Holder: k.self(), Serial: k.tickets.minted}), nil
+}
+
+// ParseTicket returns what a ticket names, or ErrTicket when it is forged.
+func (k *Keeper) ParseTicket(key string) (Ticket, error) {
+	return openTicket(k.ticketSecret, key)
+}
+
+func sealTicket(secret []byte, t Ticket) string {
+	b := make([]byte, 0, 3+len(t.Node)+len(t.Region)+len(t.Incarnation)+binary.MaxVarintLen64+ticketMacSize)
+	for _, s := range []string{t.Node, t.Region, t.Incarnation} {
+		b = binary.AppendUvarint(b, uint64(len(s)))
+		b = append(b, s...)
+	}
+	b = binary.AppendUvarint(b, t.Serial)
+	b = append(b, ticketMac(secret, b)...)
+	return ticketPrefix + base64.RawURLEncoding.EncodeToString(b)
+}
+
+func openTicket(secret []byte, key string) (Ticket, error) {
+	text, ok := strings.CutPrefix(key, ticketPrefix)
+	if !ok || len(key) > ticketMax {
+		return Ticket{}, ErrTicket
+	}
+	b, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil || len(b) < ticketMacSize {
+		return Ticket{}, ErrTicket
+	}
+	body, mac := b[:len(b)-ticketMacSize], b[len(b)-ticketMacSize:]
+	// Without this check a caller could name another process or a serial that
+	// was never handed out, and have its call run under someone's ticket.
+	if !hmac.Equal(mac, ticketMac(secret, body)) {
+		return Ticket{}, ErrTicket
+	}
+	var t Ticket
+	for _, s := range []*string{&t.Node, &t.Region, &t.Incarnation} {
+		n, w := binary.Uvarint(body)
+		if w <= 0 || n > uint64(len(body)-w) {
+			return Ticket{}, ErrTicket
+		}
+		*s = string(body[w : w+int(n)])
+		body = body[w+int(n):]
+	}
+	serial, w := binary.Uvarint(body)
+	if w <= 0 || w != len(body) || serial == 0 {
+		return Ticket{}, ErrTicket
+	}
+	t.Serial = serial
+	return t, nil
+}
+
+func ticketMac(secret, body []byte) []byte {
+	h := hmac.New(sha256.New, secret)
+	h.Write(body)
+	return h.Sum(nil)[:ticketMacSize]
+}
+
+// serials is what one process remembers of its tickets: one bit each, so that
+// a ticket that was used stays used after its answer is forgotten.
+type serials struct {
+	minted uint64
+	used   []uint64
+	// runnable tells whether tickets that were not used yet may run here.
+	runnable bool
+}
+
+func (s *serials) isUsed(n uint64) bool {
+	word := n / 64
+	return word < uint64(len(s.used)) && s.used[word]&(1<<(n%64)) != 0
+}
+
+func (s *serials) set(n uint64) {
+	for n/64 >= uint64(len(s.used)) {
+		s.used = append(s.used, 0)
+	}
+	s.used[n/64] |= 1 << (n % 64)
+}
+
+func (s *serials) clear(n uint64) {
+	if n/64 < uint64(len(s.used)) {
+		s.used[n/64] &^= 1 << (n % 64)
+	}
+}
--- /dev/null
+++ b/core/jwclaim/view.go
@@ -0,0 +1,208 @@
+package jwclaim
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwstore"
+)
+
+const (
+	// viewAge is how long a view may be used without a read of the store.
+	viewAge = 2 * time.Minute
+	// retention is the least time for which a segment stays, whatever it
+	// holds; it has to be well above viewAge.
+	retention = 10 * time.Minute
+)
+
+// view is what this node has read of one slot's log. Sealed segments never
+// change, so only the last one has to be read again. It belongs to the
+// goroutine that writes the slot.
+type view struct {
+	prefix   string
+	segments []segment
+	head     document // content of the last segment
+	version  uint64   // of the last segment, 0 when it is not created yet
+	live     map[keyHash]claimed
+	ids      map[claimID]rowState
+	read     time.Time // start of the last read or write that confirmed the view
+	loaded   bool
+}
+
+// segment is one document of the log, oldest first.
+type segment struct {
+	number  uint64
+	version uint64
+	until   time.Time
+	rows    []row
+	holders []Holder
+}
+
+// rowState tells which rows of a claim the log holds.
+type rowState struct {
+	claim   bool
+	release bool
+	key     keyHash
+}
+
+// confirm makes the view as new as the store at some moment of the call.
+func (v *view) confirm(ctx context.Context, s jwstore.Reader, now func() time.Time, skew time.Duration) error {
+	start := now()
+	// The numbers after a segment that others deleted long ago can be created
+	// again, where nobody would look. A view this old is read afresh.
+	if !v.loaded || age(start, v.read) > viewAge {
+		return v.load(ctx, s, start, skew)
+	}
+	for {
+		last := v.segments[len(v.segments)-1]
+		item, ok, err := s.Get(ctx, segmentKey(v.prefix, last.number))
+		if err != nil {
+			return errors.Wrapf(err, "read claims: %s", v.prefix)
+		}
+		if !ok && v.version != 0 {
+			return v.load(ctx, s, start, skew)
+		}
+		if ok && item.Version != v.version {
+			d, err := decodeDocument(item.Value)
+			if err != nil {
+				return errors.Wrapf(err, "read claims: %s", item.Key)
+			}
+			v.replaceHead(d, item.Version)
+		}
+		if !v.head.Sealed {
+			v.read = start
+			return nil
+		}
+		v.addSegment(last.number+1, document{}, 0)
+	}
+}
+
+// load reads the whole log.
+func (v *view) load(ctx context.Context, s jwstore.Reader, start time.Time, skew time.Duration) error {
+	items, err := s.List(ctx, v.prefix)
+	if err != nil {
+		return errors.Wrapf(err, "read claims: %s", v.prefix)
+	}
+	fresh := view{prefix: v.prefix, live: map[keyHash]claimed{}, ids: map[claimID]rowState{}}
+	for _, item := range items {
+		n, err := segmentNumber(v.prefix, item.Key)
+		if err != nil {
+			return err
+		}
+		// A hole means that a segment is missing whose claims would be
+		// forgotten, and their keys run again.
+		if fresh.holeBefore(n) {
+			if !fresh.allExpired(start, skew) {
+				return errors.Wrapf(ErrDocument, "hole before %s", item.Key)
+			}
+			fresh = view{prefix: v.prefix, live: map[keyHash]claimed{}, ids: map[claimID]rowState{}}
+		}
+		d, err := decodeDocument(item.Value)
+		if err != nil {
+			return errors.Wrapf(err, "read claims: %s", item.Key)
+		}
+		fresh.addSegment(n, d, item.Version)
+	}
+	switch {
+	case len(fresh.segments) == 0:
+		fresh.addSegment(1, document{}, 0)
+	case fresh.head.Sealed:
+		fresh.addSegment(fresh.segments[len(fresh.segments)-1].number+1, document{}, 0)
+	}
+	fresh.read, fresh.loaded = start, true
+	*v = fresh
+	return nil
+}
+
+func (v *view) holeBefore(n uint64) bool {
+	last := len(v.segments)
+	return last > 0 && v.segments[last-1].number+1 != n
+}
+
+func (v *view) allExpired(now time.Time, skew time.Duration) bool {
+	for _, s := range v.segments {
+		if !now.After(s.until.Add(2 * skew)) {
+			return false
+		}
+	}
+	return true
+}
+
+// addSegment puts a new last segment behind the others.
+func (v *view) addSegment(n uint64, d document, version uint64) {
+	v.segments = append(v.segments, segment{number: n})
+	v.head = document{}
+	v.replaceHead(d, version)
+}
+
+// replaceHead takes a later state of the last segment, which only grows.
+func (v *view) replaceHead(d document, version uint64) {
+	known := len(v.head.Rows)
+	if known > len(d.Rows) {
+		known = 0
+	}
+	for _, r := range d.Rows[known:] {
+		v.apply(r, d.Holders)
+	}
+	v.head, v.version = d, version
+	last := &v.segments[len(v.segments)-1]
+	last.version, last.rows, last.holders = version, d.Rows, d.Holders
+	last.until = time.Unix(d.Until, 0)
+}
+
+func (v *view) apply(r row, holders []Holder) {
+	st := v.ids[r.ID]
+	if r.Release {
+		st.release = true
+		v.ids[r.ID] = st
+		if c, ok := v.live[st.key]; ok && c.id == r.ID {
+			delete(v.live, st.key)
+		}
+		return
+	}
+	st.claim, st.key = true, r.Key
+	v.ids[r.ID] = st
+	if st.release {
+		return
+	}
+	v.live[r.Key] = claimed{id: r.ID, key: r.Key, body: r.Body, holder: holders[r.Holder], until: time.Unix(r.Until, 0)}
+}
+
+// find returns the live claim of a key; one that every clock within skew of
+// this one takes for expired is left out.
+func (v *view) find(key keyHash, now time.Time, skew time.Duration) (claimed, bool) {
+	c, ok := v.live[key]
+	if !ok || now.After(c.until.Add(skew)) {
+		return claimed{}, false
+	}
+	return c, true
+}
+
+// expired returns the oldest segment if nothing in it matters to any node; the
+// last two are never given up, so that the log never starts again at 1.
+func (v *view) expired(now time.Time, skew time.Duration) (segment, bool) {
+	if len(v.segments) < 3 || !now.After(v.segments[0].until.Add(2*skew)) {
+		return segment{}, false
+	}
+	return v.segments[0], true
+}
+
+// dropOldest forgets the oldest segment.
+func (v *view) dropOldest() {
+	for _, r := range v.segments[0].rows {
+		delete(v.ids, r.ID)
+		if c, ok := v.live[r.Key]; ok && c.id == r.ID {
+			delete(v.live, r.Key)
+		}
+	}
+	v.segments = append([]segment(nil), v.segments[1:]...)
+}
+
+// age is the time between two moments by the clock that shows more: the
+// monotonic one stands still while a machine is suspended, and the other can
+// be set back.
+func age(now, then time.Time) time.Duration {
+	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
+}
