--- /dev/null
+++ b/core/jwboard/reporter.go
@@ -0,0 +1,152 @@
+package jwboard
+
+import (
+	"time"
+
+	"jujubewheel/core/jwlimit"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwrouter"
+	"jujubewheel/core/jwsuspect"
+)
+
+// Reporter tells other nodes what the board knows and writes what they tell to
+// it.
+type Reporter struct {
+	Board *Board
+	Now   func() time.Time
+	Nudge func() // called when something was heard that others should hear at once
+}
+
+// Tell returns what to tell a partner. Within the region that is what all its
+// nodes need; to another region go the load here and the suspects whose data
+// isn't bound.
+func (r *Reporter) Tell(to jwpeer.Peer) jwpeer.News {
+	now := r.Now()
+	self := r.Board.Peers.Self()
+	n := jwpeer.News{Suspects: r.suspects(to.Region, now)}
+	if to.Region != self.Region {
+		n.Loads = r.own(self.Region, now)
+		return n
+	}
+	for _, d := range r.Board.Targets.Leaving() {
+		n.Leaving = append(n.Leaving, jwpeer.LeavingTarget{Target: d.Address, Age: now.Sub(d.Since)})
+	}
+	for _, u := range r.Board.Limiter.Usages(now) {
+		n.Usages = append(n.Usages, jwpeer.Usage{Node: self.Name, Name: u.Name, Rate: u.Rate, Running: u.Running})
+	}
+	n.Loads = r.others(self.Region, now)
+	return n
+}
+
+func (r *Reporter) suspects(region string, now time.Time) []jwpeer.Suspect {
+	var out []jwpeer.Suspect
+	for _, s := range r.Board.Suspects.Notices(region, now) {
+		out = append(out, jwpeer.Suspect{
+			Fingerprint: s.Fingerprint[:], Target: s.Target, Age: s.Age, Region: s.Region,
+		})
+	}
+	return out
+}
+
+// own is the load of this region's services as this node sees it.
+func (r *Reporter) own(region string, now time.Time) []jwpeer.RegionLoad {
+	var out []jwpeer.RegionLoad
+	for _, service := range r.services() {
+		room := r.Board.Targets.Room(service, now)
+		out = append(out, jwpeer.RegionLoad{
+			Region: region, Service: service, Wait: room.Wait, Work: room.Work,
+			Free: room.Free(), Slots: room.Slots, Targets: room.Targets,
+		})
+	}
+	return out
+}
+
+// others are the loads of other regions, for the nodes of this one that don't
+// talk to them.
+func (r *Reporter) others(region string, now time.Time) []jwpeer.RegionLoad {
+	var out []jwpeer.RegionLoad
+	for _, service := range r.services() {
+		for _, l := range r.Board.Regions.Loads(service, now) {
+			if l.Region == region {
+				continue
+			}
+			out = append(out, jwpeer.RegionLoad{
+				Region: l.Region, Service: l.Service, Wait: l.Wait, Work: l.Work,
+				Free: l.Free, Slots: l.Slots, Targets: l.Targets, Age: now.Sub(l.Taken),
+			})
+		}
+	}
+	return out
+}
+
+// services are those that entries of the catalogue name.
+func (r *Reporter) services() []string {
+	seen := make(map[string]bool)
+	var out []string
+	for _, e := range r.Board.Catalogue.Current().Entries {
+		if !seen[e.Service] {
+			seen[e.Service] = true
+			out = append(out, e.Service)
+		}
+	}
+	return out
+}
+
+// Hear writes what a partner told to the board.
+func (r *Reporter) Hear(from jwpeer.Peer, n jwpeer.News) {
+	now := r.Now()
+	self := r.Board.Peers.Self()
+	if from.Region == self.Region {
+		r.hearLeaving(n.Leaving, now)
+		r.hearUsages(n.Usages, now)
+	}
+	for _, l := range n.Loads {
+		if l.Region == self.Region {
+			continue
+		}
+		r.Board.Regions.Tell(jwrouter.Load{
+			Region: l.Region, Service: l.Service, Wait: l.Wait, Work: l.Work,
+			Free: l.Free, Slots: l.Slots, Targets: l.Targets, Taken: now.Add(-l.Age),
+		})
+	}
+	r.hearSuspects(self.Region, n.Suspects, now)
+}
+
+// hearLeaving passes a departure on at once: a target that leaves may get no
+// new work from any node after a few seconds.
+func (r *Reporter) hearLeaving(leaving []jwpeer.LeavingTarget, now time.Time) {
+	before := len(r.Board.Targets.Leaving())
+	for _, l := range leaving {
+		r.Board.Targets.MarkLeaving(l.Target, now.Add(-l.Age), now)
+	}
+	if len(r.Board.Targets.Leaving()) > before && r.Nudge != nil {
+		r.Nudge()
+	}
+}
+
+func (r *Reporter) hearUsages(usages []jwpeer.Usage, now time.Time) {
+	byNode := make(map[string][]jwlimit.Usage)
+	for _, u := range usages {
+		byNode[u.Node] = append(byNode[u.Node], jwlimit.Usage{Name: u.Name, Rate: u.Rate, Running: u.Running})
+	}
+	for node, list := range byNode {
+		r.Board.Limiter.Tell(node, list, now)
+	}
+}
+
+func (r *Reporter) hearSuspects(region string, suspects []jwpeer.Suspect, now time.Time) {
+	var notices []jwsuspect.Notice
+	for _, s := range suspects {
+		if s.Region != "" && s.Region != region {
+			continue
+		}
+		n := jwsuspect.Notice{Target: s.Target, Age: s.Age, Region: s.Region}
+		if copy(n.Fingerprint[:], s.Fingerprint) != len(n.Fingerprint) {
+			continue
+		}
+		notices = append(notices, n)
+	}
+	if len(r.Board.Suspects.Merge(notices, now)) > 0 && r.Nudge != nil {
+		r.Nudge()
+	}
+}
--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -113,8 +113,19 @@
 	return Head{}, false
 }
 
-// look checks everything that needs no body.
+// look checks everything that needs no body. A refusal of a request with a key
+// comes before the key is looked up: this try ran nothing, but an earlier one
+// may have, and a caller that is told otherwise would order anew.
 func (j *job) look() (Head, bool) {
+	refusal, refused := j.examine()
+	if refused && j.request.Key != "" && (j.entry == nil || !j.entry.Idempotent) {
+		refusal.Outcome = jwrequest.Unknown
+		refusal.Detail += "; an earlier try with this key may have run"
+	}
+	return refusal, refused
+}
+
+func (j *job) examine() (Head, bool) {
 	r := j.request
 	e, _, known := j.Board.Catalogue.Current().Entry(r.Entry)
 	if !known {
--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -10,6 +10,7 @@
 
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/core/jwrouter"
+	"jujubewheel/core/jwsuspect"
 	"jujubewheel/core/jwtarget"
 )
 
@@ -40,10 +41,7 @@
 		defer release()
 	}
 	j.newQuery()
-	if !admitted {
-		j.query.Exclude = nil
-	}
-	j.Board.Budget.Began(j.entry.Name, j.Now())
+	j.Board.Budget.Try(j.entry.Name)
 	rl := &relay{sink: j.sink}
 	for {
 		j.tries++
@@ -103,32 +101,54 @@
 // Error names the reason.
 func (e *noPlace) Error() string { return "no place: " + string(e.reason) }
 
-// tryTarget calls a target of this region.
+// tryTarget calls a target of this region and copies its answer.
 func (j *job) tryTarget(ctx context.Context, rl *relay) error {
+	a, end, err := j.callTarget(ctx, true)
+	if err != nil {
+		return err
+	}
+	err = rl.copy(a)
+	end(err)
+	return err
+}
+
+// callTarget picks a target of this region and calls it. After an answer has
+// begun, end must be called once with how it ended.
+func (j *job) callTarget(ctx context.Context, idempotent bool) (a *Answer, end func(error), err error) {
+	mark := j.fingerprint()
+	state, _ := j.Board.Suspects.Check(mark, j.Now())
+	tried := j.query.Exclude
+	if state == jwsuspect.Suspected {
+		j.query.Exclude = append(tried[:len(tried):len(tried)], j.Board.Suspects.Occupied(mark, j.Now())...)
+	}
 	choice, found := j.Router.Pick(&j.query)
+	j.query.Exclude = tried
 	if !found {
-		return &noPlace{reason: jwrouter.Nowhere}
+		return nil, nil, &noPlace{reason: jwrouter.Nowhere}
 	}
 	j.step("target", string(choice.Reason)+" "+choice.Address.String())
-	mark := j.fingerprint()
 	call := j.Board.Targets.Begin(choice.Address, j.query.Work, j.Now())
-	j.Board.Suspects.Begin(mark, choice.Address, j.Now())
-	a, err := j.Targets.Call(ctx, choice.Address, TargetCall{
-		Request: j.request, Path: j.entry.Path, Idempotent: true,
+	j.Board.Suspects.Begin(mark, choice.Address, j.request.Bound)
+	end = func(err error) {
+		now := j.Now()
+		j.noteCrash(err)
+		j.Board.Suspects.End(mark, choice.Address, err == nil, now)
+		j.Board.Targets.End(call, result(ctx, err), now)
+		j.Counter.Tried(j.entry.Name, "target", err == nil)
+		if err != nil {
+			j.query.Exclude = append(j.query.Exclude, choice.Address)
+		}
+	}
+	a, err = j.Targets.Call(ctx, choice.Address, TargetCall{
+		Request: j.request, Path: j.entry.Path, Idempotent: idempotent,
 		Progress: j.entry.Progress, Urgency: urgency(j.entry.Class),
 	})
-	if err == nil {
-		a.Head.ServedBy = j.Self.Region
-		err = rl.copy(a)
-	}
-	j.Board.Suspects.End(mark, choice.Address)
-	j.Board.Targets.End(call, result(ctx, err), j.Now())
-	j.Counter.Tried(j.entry.Name, "target", err == nil)
 	if err != nil {
-		j.query.Exclude = append(j.query.Exclude, choice.Address)
-		j.noteCrash(err)
+		end(err)
+		return nil, nil, err
 	}
-	return err
+	a.Head.ServedBy = j.Self.Region
+	return a, end, nil
 }
 
 // result tells the target table how a call ended.
@@ -183,13 +203,12 @@
 	if !failed.NotRun() {
 		j.mayRun = true
 	}
-	if failed.Crashed && j.Board.Suspects.Suspected(j.fingerprint(), j.Now()) {
-		return false
-	}
-	if j.tries >= maxTries {
+	// What ran on a target that crashed may have crashed it. Sending it on by
+	// itself would take the system from target to target.
+	if state, _ := j.Board.Suspects.Check(j.fingerprint(), j.Now()); state != jwsuspect.Clear {
 		return false
 	}
-	return j.Board.Budget.Retry(j.entry.Name, j.Now())
+	return j.tries < maxTries && j.Board.Budget.Retry(j.entry.Name)
 }
 
 // giveUp ends the request with what is known of it.
--- /dev/null
+++ b/core/jwdispatch/once.go
@@ -0,0 +1,228 @@
+package jwdispatch
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+
+	"jujubewheel/core/jwclaim"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/core/jwsuspect"
+)
+
+// Claims decides which calls with a key may run.
+type Claims interface {
+	Begin(ctx context.Context, a jwclaim.Ask) (jwclaim.Decision, error)
+}
+
+// homeTries bounds the nodes of the home region that are tried in turn.
+const homeTries = 3
+
+// serveOnce runs a request at most once for its key. It goes on when its caller
+// goes away: the answer is kept for the caller's next try.
+func (j *job) serveOnce(ctx context.Context) {
+	if j.workspace.Region != j.Self.Region {
+		j.sendHome(ctx)
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.request.Deadline)
+	defer cancel()
+	decision, err := j.Claims.Begin(ctx, jwclaim.Ask{
+		Workspace: j.request.Workspace,
+		Region:    j.workspace.Region,
+		Key:       j.request.Key,
+		Body:      sha256.Sum256(j.request.Body),
+		Memory:    j.entry.KeyMemory,
+	})
+	if err != nil {
+		j.sink.refuse(Refusal(http.StatusBadRequest, jwrequest.NotRun, ReasonKey, err.Error()))
+		return
+	}
+	j.step("claim", string(decision.Verdict))
+	j.follow(ctx, decision)
+}
+
+// follow does what the claim says.
+func (j *job) follow(ctx context.Context, d jwclaim.Decision) {
+	switch d.Verdict {
+	case jwclaim.Run:
+		j.runOnce(ctx, d.Call)
+	case jwclaim.Join:
+		a, err := d.Call.Wait(ctx)
+		if err != nil {
+			j.sink.refuse(Refusal(http.StatusGatewayTimeout, jwrequest.Unknown, ReasonDeadline, "an earlier try with this key still runs"))
+			return
+		}
+		j.replay(a)
+	case jwclaim.Replay:
+		j.replay(d.Answer)
+	case jwclaim.Elsewhere:
+		j.askHolder(ctx, d.Holder)
+	case jwclaim.Mismatch:
+		// Nothing ran for this body, but the key names another request that did.
+		j.sink.refuse(Refusal(http.StatusConflict, jwrequest.NotRun, ReasonKeyMismatch, "the key came with another body before"))
+	case jwclaim.Refused:
+		j.sink.refuse(Refusal(http.StatusBadRequest, jwrequest.NotRun, ReasonTicket, "no node of this system minted this ticket"))
+	case jwclaim.NotRun:
+		j.sink.refuse(overloaded(ReasonClaim, "the key could not be claimed; it was not run", d.RetryAfter))
+	case jwclaim.Unread:
+		h := overloaded(ReasonClaim, "this try ran nothing, but whether an earlier one with this key did can't be read now; send the same key again, or use a ticket for a new order", d.RetryAfter)
+		h.Outcome = jwrequest.Unknown
+		j.sink.refuse(h)
+	default:
+		j.sink.refuse(Refusal(http.StatusGatewayTimeout, jwrequest.Unknown, ReasonClaim, "an earlier try with this key may have run; it never runs again"))
+	}
+}
+
+// replay gives the answer of the one run of a key.
+func (j *job) replay(a jwclaim.Answer) {
+	switch a.Outcome {
+	case jwrequest.Served:
+		j.sink.whole(Head{Status: a.Status, ContentType: a.ContentType, Outcome: a.Outcome, ServedBy: a.Region}, a.Body)
+	case jwrequest.NotRun:
+		j.sink.refuse(overloaded(ReasonTarget, "the try that this one waited for was not run", comeBack))
+	default:
+		j.sink.refuse(Refusal(http.StatusGatewayTimeout, jwrequest.Unknown, ReasonTarget, "the one run of this key broke off"))
+	}
+}
+
+// runOnce dispatches a claimed call. Every way out settles the claim: finished
+// with the answer, released when it certainly did not run, else lost.
+func (j *job) runOnce(ctx context.Context, call *jwclaim.Call) {
+	if state, left := j.Board.Suspects.Check(j.fingerprint(), j.Now()); state == jwsuspect.Quarantined {
+		call.Release()
+		h := Refusal(http.StatusUnprocessableEntity, jwrequest.NotRun, ReasonQuarantine, "requests with this body crashed targets")
+		h.RetryAfter = left
+		j.sink.refuse(h)
+		return
+	}
+	release, refusal, admitted := j.admit()
+	if !admitted {
+		call.Release()
+		j.sink.refuse(refusal)
+		return
+	}
+	defer release()
+	if err := call.Dispatched(); err != nil {
+		j.sink.refuse(Refusal(http.StatusGatewayTimeout, jwrequest.Unknown, ReasonClaim, err.Error()))
+		return
+	}
+	j.newQuery()
+	j.Board.Budget.Try(j.entry.Name)
+	for {
+		j.tries++
+		head, body, err := j.callOnce(ctx)
+		if err == nil {
+			call.Finish(jwclaim.Answer{
+				Status: head.Status, ContentType: head.ContentType, Body: body,
+				Outcome: jwrequest.Served, Region: j.Self.Region,
+			})
+			j.sink.whole(head, body)
+			return
+		}
+		if !notRun(err) {
+			call.Lost()
+			j.mayRun = true
+			j.sink.refuse(j.failure(ctx, err))
+			return
+		}
+		if ctx.Err() != nil || isNoPlace(err) || j.tries >= maxTries || !j.Board.Budget.Retry(j.entry.Name) {
+			call.Release()
+			j.sink.refuse(j.failure(ctx, err))
+			return
+		}
+	}
+}
+
+// callOnce makes one call of a target of this region and reads its whole
+// answer.
+func (j *job) callOnce(ctx context.Context) (Head, []byte, error) {
+	j.query.Now = j.Now()
+	a, end, err := j.callTarget(ctx, false)
+	if err != nil {
+		return Head{}, nil, err
+	}
+	defer func() { _ = a.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(a.Body, bufferLimit+1))
+	if err == nil && len(body) > bufferLimit {
+		err = &CallError{Step: "read answer", Fate: Broken, Err: errors.New("answer too long to keep")}
+	}
+	end(err)
+	return a.Head, body, err
+}
+
+// notRun tells whether an error says that nothing ran.
+func notRun(err error) bool {
+	var failed *CallError
+	if errors.As(err, &failed) {
+		return failed.NotRun()
+	}
+	return isNoPlace(err)
+}
+
+func isNoPlace(err error) bool {
+	var place *noPlace
+	return errors.As(err, &place)
+}
+
+// sendHome sends a request to the home region of its workspace, where its keys
+// are claimed.
+func (j *job) sendHome(ctx context.Context) {
+	if j.forwarded {
+		j.sink.refuse(j.unchecked("the home region has changed on the way"))
+		return
+	}
+	peers := j.peersIn(j.workspace.Region)
+	for _, p := range peers[:min(len(peers), homeTries)] {
+		j.step("forward", p.Name)
+		a, err := j.Peers.Forward(ctx, p, j.request, forwardRegion)
+		if j.passOn(a, err) {
+			return
+		}
+	}
+	j.sink.refuse(j.unchecked("no node of the home region can be reached"))
+}
+
+// unchecked refuses a request whose key was not looked up: this try ran
+// nothing, but an earlier one with the key may have, and a caller that is told
+// otherwise would order anew under another key.
+func (j *job) unchecked(detail string) Head {
+	h := overloaded(ReasonPeer, detail+"; an earlier try with this key may have run", comeBack)
+	h.Outcome = jwrequest.Unknown
+	h.Hosts = j.Hosts(j.request.Workspace)
+	return h
+}
+
+// askHolder asks the node that holds the claim of a key.
+func (j *job) askHolder(ctx context.Context, holder jwclaim.Holder) {
+	p, known := j.Board.Peers.Get(holder.Node)
+	if !known || p.Incarnation != holder.Incarnation || p.State == jwpeer.Gone || len(j.request.Hops) >= MaxHops || holder.Region != j.Self.Region {
+		j.sink.refuse(Refusal(http.StatusGatewayTimeout, jwrequest.Unknown, ReasonClaim, "the node that took this key is gone; it may have run"))
+		return
+	}
+	j.step("forward", p.Name)
+	a, err := j.Peers.Forward(ctx, p, j.request, forwardHolder)
+	if !j.passOn(a, err) {
+		j.sink.refuse(Refusal(http.StatusBadGateway, jwrequest.Unknown, ReasonPeer, "the node that took this key can't be reached; it may have run"))
+	}
+}
+
+// passOn copies another node's answer to the caller; false means that the node
+// did not take the request, so that another may be asked.
+func (j *job) passOn(a *Answer, err error) bool {
+	if err != nil {
+		if notRun(err) {
+			return false
+		}
+		j.sink.refuse(Refusal(http.StatusBadGateway, jwrequest.Unknown, ReasonPeer, err.Error()))
+		return true
+	}
+	rl := &relay{sink: j.sink}
+	if err := rl.copy(a); err != nil && !errors.Is(err, errCallerGone) {
+		j.sink.refuse(Refusal(http.StatusBadGateway, jwrequest.Unknown, ReasonPeer, err.Error()))
+	}
+	return true
+}
--- a/core/jwdispatch/suspicion.go
+++ b/core/jwdispatch/suspicion.go
@@ -12,19 +12,19 @@
 
 // quarantined ends the request if requests like it crashed targets.
 func (j *job) quarantined() bool {
-	until, held := j.Board.Suspects.Quarantined(j.fingerprint(), j.Now())
-	if !held {
+	state, left := j.Board.Suspects.Check(j.fingerprint(), j.Now())
+	if state != jwsuspect.Quarantined {
 		return false
 	}
 	h := Refusal(http.StatusUnprocessableEntity, jwrequest.NotRun, ReasonQuarantine, "requests with this body crashed targets")
-	h.RetryAfter = until.Sub(j.Now())
+	h.RetryAfter = left
 	j.sink.refuse(h)
 	return true
 }
 
 // fingerprint is the same for each try of one request, whoever sends it again.
 func (j *job) fingerprint() jwsuspect.Fingerprint {
-	return jwsuspect.FingerprintOf(j.request.Workspace, j.request.Entry, j.request.Body)
+	return jwsuspect.FingerprintOf(j.request.Entry, j.request.Body)
 }
 
 // noteCrash raises suspicion against all that ran on a target that crashed.
--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -16,6 +16,7 @@
 type Told struct {
 	From  string
 	Peers []Peer
+	News  News
 }
 
 // Partner carries an exchange to another node and brings back its answer.
@@ -39,10 +40,13 @@
 	Silence time.Duration // after which a peer isn't chosen as a relay
 	Now     func() time.Time
 	Rand    *rand.Rand
+	News    Reporter                 // may be nil
 	Failed  func(to Peer, err error) // may be nil
 
-	mu   sync.Mutex
-	told map[string]map[string]word // by partner, then by peer
+	once  sync.Once
+	nudge chan struct{}
+	mu    sync.Mutex
+	told  map[string]map[string]word // by partner, then by peer
 }
 
 // word identifies what a partner was told of a peer.
@@ -51,8 +55,21 @@
 	sequence    uint64
 }
 
+// Nudge makes the node tell its partners at once, for news that can't wait for
+// the next period.
+func (x *Exchange) Nudge() {
+	x.once.Do(x.start)
+	select {
+	case x.nudge <- struct{}{}:
+	default:
+	}
+}
+
+func (x *Exchange) start() { x.nudge = make(chan struct{}, 1) }
+
 // Run exchanges until ctx ends; it returns the error of ctx.
 func (x *Exchange) Run(ctx context.Context) error {
+	x.once.Do(x.start)
 	period := time.NewTimer(0)
 	defer period.Stop()
 	beat := x.Now()
@@ -63,6 +80,8 @@
 			return ctx.Err()
 		case <-changed:
 			x.round(ctx, x.partners())
+		case <-x.nudge:
+			x.round(ctx, x.partners())
 		case <-period.C:
 			if now := x.Now(); now.Sub(beat) >= x.Beat {
 				beat = now
@@ -158,6 +177,7 @@
 	ctx, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
 	told := x.tell(p.Name)
+	told.News = x.news(p)
 	answer, err := x.Partner.Exchange(ctx, p, told)
 	if err != nil {
 		if x.Failed != nil && ctx.Err() != context.Canceled {
@@ -168,6 +188,20 @@
 	x.note(p.Name, told.Peers)
 	x.note(p.Name, answer.Peers)
 	x.Table.Merge(answer.Peers, x.Now())
+	x.hear(p, answer.News)
+}
+
+func (x *Exchange) news(to Peer) News {
+	if x.News == nil {
+		return News{}
+	}
+	return x.News.Tell(to)
+}
+
+func (x *Exchange) hear(from Peer, n News) {
+	if x.News != nil {
+		x.News.Hear(from, n)
+	}
 }
 
 // Answer takes what another node told and returns what it lacks.
@@ -176,6 +210,10 @@
 	x.Table.Merge(told.Peers, x.Now())
 	answer := x.tell(told.From)
 	x.note(told.From, answer.Peers)
+	if from, known := x.Table.Get(told.From); known {
+		x.hear(from, told.News)
+		answer.News = x.news(from)
+	}
 	return answer
 }
 
--- /dev/null
+++ b/core/jwpeer/news.go
@@ -0,0 +1,57 @@
+package jwpeer
+
+import (
+	"net/netip"
+	"time"
+)
+
+// News is what nodes tell each other besides their own states. Times travel as
+// ages, so that clocks need not agree.
+type News struct {
+	Leaving  []LeavingTarget
+	Suspects []Suspect
+	Loads    []RegionLoad
+	Usages   []Usage
+}
+
+// LeavingTarget is a target that leaves.
+type LeavingTarget struct {
+	Target netip.AddrPort
+	Age    time.Duration // since it was first known
+}
+
+// Suspect is one crash held against a request's fingerprint.
+type Suspect struct {
+	Fingerprint []byte
+	Target      netip.AddrPort
+	Age         time.Duration
+	Region      string // set for bound data, told only within this region
+}
+
+// RegionLoad is what a region says of one of its services.
+type RegionLoad struct {
+	Region  string
+	Service string
+	Wait    time.Duration // expected wait of a new call for a slot
+	Work    time.Duration // usual time of a call
+	Free    float64       // share of slots free
+	Slots   int
+	Targets int
+	Age     time.Duration
+}
+
+// Usage is what a node admitted of one limited name.
+type Usage struct {
+	Node    string
+	Name    string
+	Rate    float64 // requests that asked, a second
+	Running int
+}
+
+// Reporter gives and takes news.
+type Reporter interface {
+	// Tell returns what to tell a partner.
+	Tell(to Peer) News
+	// Hear takes what a partner told.
+	Hear(from Peer, n News)
+}
--- a/core/jwrouter/regions.go
+++ b/core/jwrouter/regions.go
@@ -46,10 +46,17 @@
 type Regions struct {
 	Links   map[string]Link
 	LoadFor time.Duration
-	Nodes   int // nodes of this region that send away as this one does, 0 for one
 
-	mu   sync.Mutex
-	told map[string][]Load // by service
+	mu    sync.Mutex
+	nodes int // nodes of this region that send away as this one does
+	told  map[string][]Load // by service
+}
+
+// SetNodes notes how many nodes of this region send away as this one does.
+func (t *Regions) SetNodes(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nodes = n
 }
 
 // Tell takes over a region's word unless a newer one is known.
@@ -80,7 +87,7 @@
 	list := t.told[service]
 	for i := range list {
 		if list[i].Region == region {
-			list[i].sent += max(t.Nodes, 1)
+			list[i].sent += max(t.nodes, 1)
 		}
 	}
 }
--- /dev/null
+++ b/core/jwtarget/poller.go
@@ -0,0 +1,80 @@
+package jwtarget
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// LoadSource asks a target for its load; leaving is the target's own word that
+// it wants no new work.
+type LoadSource interface {
+	Load(ctx context.Context, addr netip.AddrPort) (load Load, leaving bool, err error)
+}
+
+// Poller asks the targets that this node uses for their load, with a few
+// workers.
+type Poller struct {
+	Table   *Table
+	Source  LoadSource
+	Period  time.Duration // between two questions to one target
+	Timeout time.Duration // for one answer
+	Workers int
+	Now     func() time.Time
+	Leaving func(addr netip.AddrPort) // called when a target says that it leaves; may be nil
+}
+
+// Run asks until ctx ends; it returns the error of ctx.
+func (p *Poller) Run(ctx context.Context) error {
+	work := make(chan Target)
+	var wg sync.WaitGroup
+	for range max(p.Workers, 1) {
+		wg.Go(func() {
+			for t := range work {
+				p.ask(ctx, t)
+			}
+		})
+	}
+	defer wg.Wait()
+	defer close(work)
+	for {
+		targets := p.Table.Used()
+		rand.Shuffle(len(targets), func(i, k int) { targets[i], targets[k] = targets[k], targets[i] })
+		next := time.After(p.Period/2 + time.Duration(rand.Int64N(int64(p.Period))))
+		for _, t := range targets {
+			select {
+			case work <- t:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (p *Poller) ask(ctx context.Context, t Target) {
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	load, leaving, err := p.Source.Load(ctx, t.Address)
+	now := p.Now()
+	if err != nil {
+		if ctx.Err() != context.Canceled {
+			p.Table.Failed(t.Address, now)
+		}
+		return
+	}
+	load.Taken = now
+	p.Table.Report(t.Address, load)
+	if leaving {
+		p.Table.MarkLeaving(t.Address, now, now)
+		if p.Leaving != nil {
+			p.Leaving(t.Address)
+		}
+	}
+}
--- a/io/jwforward/exchange.go
+++ b/io/jwforward/exchange.go
@@ -40,6 +40,7 @@
 
 func digestToWire(t jwpeer.Told) *jwwire.Digest {
 	out := &jwwire.Digest{Node: t.From}
+	newsToWire(t.News, out)
 	for _, p := range t.Peers {
 		out.Peers = append(out.Peers, &jwwire.PeerState{
 			Node: p.Name, Region: p.Region, DataCentre: p.DataCentre,
@@ -54,7 +55,7 @@
 // digestFromWire leaves out peers whose addresses can't be read, as those of a
 // later version might be.
 func digestFromWire(d *jwwire.Digest) jwpeer.Told {
-	out := jwpeer.Told{From: d.GetNode()}
+	out := jwpeer.Told{From: d.GetNode(), News: newsFromWire(d)}
 	for _, p := range d.GetPeers() {
 		callers, err := netip.ParseAddrPort(p.GetCallerAddress())
 		if err != nil {
--- /dev/null
+++ b/io/jwforward/news.go
@@ -0,0 +1,66 @@
+package jwforward
+
+import (
+	"net/netip"
+	"time"
+
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/io/jwwire"
+)
+
+func newsToWire(n jwpeer.News, out *jwwire.Digest) {
+	for _, l := range n.Leaving {
+		out.Leaving = append(out.Leaving, &jwwire.LeavingTarget{
+			Address: l.Target.String(), AgeMicros: l.Age.Microseconds(),
+		})
+	}
+	for _, s := range n.Suspects {
+		out.Suspects = append(out.Suspects, &jwwire.Suspect{
+			Fingerprint: s.Fingerprint, Region: s.Region, AgeMicros: s.Age.Microseconds(), Target: s.Target.String(),
+		})
+	}
+	for _, l := range n.Loads {
+		out.Loads = append(out.Loads, &jwwire.RegionLoad{
+			Region: l.Region, Service: l.Service,
+			WaitMicros: l.Wait.Microseconds(), WorkMicros: l.Work.Microseconds(),
+			FreeShare: l.Free, Slots: uint64(l.Slots), Targets: uint64(l.Targets), AgeMicros: l.Age.Microseconds(),
+		})
+	}
+	for _, u := range n.Usages {
+		out.Usages = append(out.Usages, &jwwire.Usage{
+			Node: u.Node, Name: u.Name, Rate: u.Rate, Running: uint32(u.Running),
+		})
+	}
+}
+
+// newsFromWire leaves out what names an address that can't be read.
+func newsFromWire(d *jwwire.Digest) jwpeer.News {
+	var n jwpeer.News
+	for _, l := range d.GetLeaving() {
+		if target, err := netip.ParseAddrPort(l.GetAddress()); err == nil {
+			n.Leaving = append(n.Leaving, jwpeer.LeavingTarget{Target: target, Age: micros(l.GetAgeMicros())})
+		}
+	}
+	for _, s := range d.GetSuspects() {
+		if target, err := netip.ParseAddrPort(s.GetTarget()); err == nil {
+			n.Suspects = append(n.Suspects, jwpeer.Suspect{
+				Fingerprint: s.GetFingerprint(), Target: target, Age: micros(s.GetAgeMicros()), Region: s.GetRegion(),
+			})
+		}
+	}
+	for _, l := range d.GetLoads() {
+		n.Loads = append(n.Loads, jwpeer.RegionLoad{
+			Region: l.GetRegion(), Service: l.GetService(),
+			Wait: micros(l.GetWaitMicros()), Work: micros(l.GetWorkMicros()), Free: l.GetFreeShare(),
+			Slots: int(l.GetSlots()), Targets: int(l.GetTargets()), Age: micros(l.GetAgeMicros()),
+		})
+	}
+	for _, u := range d.GetUsages() {
+		n.Usages = append(n.Usages, jwpeer.Usage{
+			Node: u.GetNode(), Name: u.GetName(), Rate: u.GetRate(), Running: int(u.GetRunning()),
+		})
+	}
+	return n
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -22,11 +22,18 @@
 	Serve(ctx context.Context, r *jwrequest.Request, sink jwdispatch.Sink)
 }
 
+// Gate counts the requests in flight and is closed when the node stops.
+type Gate interface {
+	// Enter takes a request in; ok is false once the node takes no more.
+	Enter() (done func(), ok bool)
+}
+
 // Server answers other nodes.
 type Server struct {
 	jwwire.UnimplementedNodeServer
 
 	Dispatcher  Dispatcher
+	Gate        Gate
 	Exchanger   Exchanger
 	Catalogue   ChangeSource
 	Workspaces  DirectorySource
@@ -52,6 +59,11 @@
 
 // Forward serves one request of another node.
 func (s *Server) Forward(stream grpc.BidiStreamingServer[jwwire.ForwardFrame, jwwire.AnswerFrame]) error {
+	done, ok := s.Gate.Enter()
+	if !ok {
+		return status.Error(codes.FailedPrecondition, "node takes no requests now")
+	}
+	defer done()
 	r, err := s.receive(stream)
 	if err != nil {
 		return err
--- /dev/null
+++ b/io/jwnode/hosts.go
@@ -0,0 +1,58 @@
+package jwnode
+
+import (
+	"time"
+
+	"jujubewheel/core/jwhost"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwtarget"
+)
+
+// applyHosts writes the platform's list to the tables of targets and peers.
+func (n *Node) applyHosts(hosts []jwhost.Host, now time.Time) {
+	var targets []jwtarget.Target
+	var peers []jwpeer.Peer
+	for _, h := range hosts {
+		switch h.Role {
+		case jwhost.Target:
+			if h.Region == n.Settings.Region {
+				targets = append(targets, targetOf(h))
+			}
+		case jwhost.Entry:
+			if h.Name != n.Settings.Node && !h.Leaving {
+				peers = append(peers, peerOf(h))
+			}
+		}
+	}
+	n.board.Targets.Set(targets, now)
+	n.meetPeers(peers, now)
+}
+
+// meetPeers makes listed nodes known, so that exchanges with them can begin.
+// What a node says of itself always counts for more than the list.
+func (n *Node) meetPeers(peers []jwpeer.Peer, now time.Time) {
+	var unknown []jwpeer.Peer
+	for _, p := range peers {
+		if known, ok := n.board.Peers.Get(p.Name); !ok || known.Nodes != p.Nodes && known.Incarnation == "" {
+			unknown = append(unknown, p)
+		}
+	}
+	n.board.Peers.Merge(unknown, now)
+}
+
+func targetOf(h jwhost.Host) jwtarget.Target {
+	t := jwtarget.Target{
+		Address: h.Address, Service: h.Service, Region: h.Region, DataCentre: h.DataCentre, State: jwtarget.Live,
+	}
+	if h.Leaving {
+		t.State = jwtarget.Leaving
+	}
+	return t
+}
+
+func peerOf(h jwhost.Host) jwpeer.Peer {
+	return jwpeer.Peer{
+		Name: h.Name, Region: h.Region, DataCentre: h.DataCentre,
+		Callers: h.Address, Nodes: h.Nodes, State: jwpeer.Joining,
+	}
+}
--- /dev/null
+++ b/io/jwnode/node.go
@@ -0,0 +1,297 @@
+package jwnode
+
+import (
+	"context"
+	"crypto/sha256"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"jujubewheel/core/jwboard"
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwclaim"
+	"jujubewheel/core/jwdirectory"
+	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwhost"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/core/jwrouter"
+	"jujubewheel/core/jwtarget"
+	"jujubewheel/io/jwaudit"
+	"jujubewheel/io/jwforward"
+	"jujubewheel/io/jwlisten"
+	"jujubewheel/io/jwmeter"
+	"jujubewheel/io/jwplatform"
+	"jujubewheel/io/jwrest"
+	"jujubewheel/io/jwsettings"
+	"jujubewheel/io/jwtargetclient"
+)
+
+// The paces that are no settings, since nobody had to change them so far.
+const (
+	beat            = 5 * time.Second // a node's word about itself when nothing changes
+	exchangeTimeout = time.Second
+	silence         = 15 * time.Second // after which a peer is no relay
+	forgetPeers     = time.Hour
+	loadTimeout     = time.Second
+	platformTimeout = 2 * time.Second
+)
+
+// Node is one node of the system; set its exported fields before Run.
+type Node struct {
+	Settings *jwsettings.Settings
+	Log      logr.Logger
+	Meter    *jwmeter.Meter
+	Audit    *jwaudit.Trail
+
+	board      jwboard.Board
+	self       jwrequest.Hop
+	store      *jwplatform.KeyValue
+	pool       *jwforward.Pool
+	targets    *jwtargetclient.Client
+	keeper     *jwclaim.Keeper
+	drain      gate
+	follower   *jwcatalogue.Follower
+	editor     *jwcatalogue.Editor
+	exchange   *jwpeer.Exchange
+	dispatcher *jwdispatch.Dispatcher
+	callers    *jwrest.Server
+	nodes      net.Listener
+	grpc       *grpc.Server
+	serving    atomic.Bool
+}
+
+// Run serves until ctx ends, then stops gracefully: it takes no new requests,
+// finishes those in flight and hands over what others must know.
+func (n *Node) Run(ctx context.Context) error {
+	if err := n.Listen(); err != nil {
+		return err
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	n.control(work, g)
+	g.Go(func() error { return errors.Wrap(n.grpc.Serve(n.nodes), "serve nodes") })
+	g.Go(func() error { return n.callers.Run(work) })
+	g.Go(func() error { return n.join(work) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-work.Done():
+			return nil
+		}
+		n.leave(work)
+		stop()
+		n.grpc.GracefulStop()
+		return nil
+	})
+	err := g.Wait()
+	if ctx.Err() != nil && (err == nil || errors.Is(err, context.Canceled)) {
+		return nil
+	}
+	return err
+}
+
+// Listen opens the node's ports and sets everything up; Run calls it if it was
+// not called.
+func (n *Node) Listen() error {
+	if n.callers != nil {
+		return nil
+	}
+	s := n.Settings
+	n.self = jwrequest.Hop{Node: s.Node, Region: s.Region, DataCentre: s.DataCentre}
+	nodes, err := net.Listen("tcp", s.Listen.Nodes.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen for nodes: %s", s.Listen.Nodes)
+	}
+	n.nodes = nodes
+	n.assemble()
+	callers := &jwlisten.Callers{
+		Dispatcher: n.dispatcher, Gate: &n.drain, Tickets: n.keeper, Ready: n.serving.Load, Log: n.Log,
+	}
+	handler, err := callers.Handler()
+	if err != nil {
+		return err
+	}
+	n.callers = &jwrest.Server{
+		Name: "callers", Address: s.Listen.Callers, Handler: handler, MaxHeader: s.Limits.MaxHeader, Log: n.Log,
+	}
+	if err := n.callers.Listen(); err != nil {
+		return err
+	}
+	n.announce()
+	return nil
+}
+
+// assemble makes the parts of the node and ties them to the board.
+func (n *Node) assemble() {
+	s := n.Settings
+	n.store = &jwplatform.KeyValue{Address: s.Platform.KeyValue, Timeout: platformTimeout}
+	n.pool = &jwforward.Pool{}
+	n.targets = &jwtargetclient.Client{}
+	incarnation := uuid.Must(uuid.NewV7()).String()
+	n.board.Limiter.Node = s.Node
+	n.board.Suspects.Region = s.Region
+	n.board.Regions.Links = links(s)
+	n.keeper = &jwclaim.Keeper{
+		Store: n.store, Node: s.Node, Region: s.Region, Incarnation: incarnation,
+		Salt: salt(s), Peers: servingPeers{&n.board.Peers},
+		Memory: s.Claims.KeyMemory, GroupWindow: s.Claims.GroupWindow,
+	}
+	router := &jwrouter.Router{
+		Region: s.Region, DataCentre: s.DataCentre, Targets: &n.board.Targets, Regions: &n.board.Regions,
+	}
+	n.dispatcher = &jwdispatch.Dispatcher{
+		Self: n.self, Board: &n.board, Router: router, Targets: n.targets, Peers: n.pool,
+		Claims: n.keeper, Now: time.Now, Counter: &counter{meter: n.Meter},
+	}
+	n.editor = &jwcatalogue.Editor{Store: n.store, Table: &n.board.Catalogue}
+	n.follower = &jwcatalogue.Follower{
+		Store: n.store, Table: &n.board.Catalogue, Watcher: n.watches,
+		Source: &changeSource{peers: &n.board.Peers, pool: n.pool, self: s.Node},
+	}
+	reporter := &jwboard.Reporter{Board: &n.board, Now: time.Now}
+	n.exchange = &jwpeer.Exchange{
+		Table: &n.board.Peers, Partner: n.pool, News: reporter,
+		Period: s.Periods.Exchange, Beat: beat, Timeout: exchangeTimeout, Silence: silence,
+		Now: time.Now, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	reporter.Nudge = n.exchange.Nudge
+	server := &jwforward.Server{
+		Dispatcher: n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
+		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
+	}
+	n.grpc = server.GRPC()
+	n.board.Peers.SetSelf(jwpeer.Peer{
+		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
+		Incarnation: incarnation, State: jwpeer.Joining, Sequence: 1,
+	}, time.Now())
+}
+
+// salt hides keys in the platform's service. All nodes must have the same; it
+// is made from the operators' token until the settings name one of its own.
+func salt(s *jwsettings.Settings) []byte {
+	sum := sha256.Sum256([]byte("claims\x00" + s.Operators.Token))
+	return sum[:]
+}
+
+func links(s *jwsettings.Settings) map[string]jwrouter.Link {
+	out := make(map[string]jwrouter.Link)
+	for _, r := range s.Regions {
+		l := s.Link(s.Region, r.Name)
+		out[r.Name] = jwrouter.Link{Delay: l.Delay, Price: l.CostPerGB}
+	}
+	return out
+}
+
+// announce fills in the addresses once the ports are open.
+func (n *Node) announce() {
+	s := n.Settings
+	n.board.Peers.Update(time.Now(), func(p *jwpeer.Peer) {
+		p.Callers = advertised(s.Advertise.Callers, n.callers.Addr())
+		p.Nodes = advertised(s.Advertise.Nodes, n.NodesAddr())
+	})
+}
+
+func advertised(set, bound netip.AddrPort) netip.AddrPort {
+	if set.IsValid() && set.Port() != 0 {
+		return set
+	}
+	return bound
+}
+
+// CallersAddr returns the address that callers use, once Listen has returned.
+func (n *Node) CallersAddr() netip.AddrPort { return n.callers.Addr() }
+
+// NodesAddr returns the address that other nodes use, once Listen has returned.
+func (n *Node) NodesAddr() netip.AddrPort {
+	bound, ok := n.nodes.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	a := bound.AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// control starts the controllers.
+func (n *Node) control(ctx context.Context, g *errgroup.Group) {
+	s := n.Settings
+	hosts := &jwhost.Watcher{
+		List:  &jwplatform.HostList{Address: s.Platform.Hosts, Path: s.Platform.HostsPath, Timeout: platformTimeout},
+		Table: &n.board.Hosts, Period: s.Periods.HostsPoll, Now: time.Now, Apply: n.applyHosts,
+	}
+	directory := &jwdirectory.Watcher{
+		Source: &jwplatform.Directory{Address: s.Platform.Directory, Timeout: platformTimeout},
+		Peer:   &directorySource{peers: &n.board.Peers, pool: n.pool, self: n.self},
+		Table:  &n.board.Directory, Period: s.Periods.DirectoryPoll,
+	}
+	poller := &jwtarget.Poller{
+		Table: &n.board.Targets, Source: n.targets, Period: s.Periods.LoadPoll, Timeout: loadTimeout,
+		Workers: s.Workers, Now: time.Now, Leaving: func(netip.AddrPort) { n.exchange.Nudge() },
+	}
+	for _, run := range []func(context.Context) error{
+		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.keeper.Run, n.tellRevision, n.tend,
+	} {
+		g.Go(func() error { return run(ctx) })
+	}
+}
+
+// tellRevision tells the others which catalogue revision is in force here.
+func (n *Node) tellRevision(ctx context.Context) error {
+	for {
+		changed := n.board.Catalogue.Changed()
+		revision := n.board.Catalogue.Revision()
+		if n.board.Peers.Self().Revision != revision {
+			n.board.Peers.Update(time.Now(), func(p *jwpeer.Peer) {
+				p.Revision = revision
+				p.Base = n.board.Catalogue.Base()
+			})
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// tend does what is due now and then: it forgets peers long silent and tells
+// the limiter which nodes share the region's limits.
+func (n *Node) tend(ctx context.Context) error {
+	for {
+		now := time.Now()
+		n.board.Peers.Forget(now.Add(-forgetPeers))
+		var members []string
+		for _, p := range n.board.Peers.Fresh(now.Add(-silence)) {
+			if p.Region == n.self.Region && p.State == jwpeer.Serving {
+				members = append(members, p.Name)
+			}
+		}
+		n.board.Limiter.SetMembers(members)
+		n.board.Regions.SetNodes(len(members))
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// watches tells whether this node waits on the platform for catalogue changes.
+func (n *Node) watches() bool {
+	return jwpeer.IsRelay(n.board.Peers.Fresh(time.Now().Add(-silence)), n.board.Peers.Self())
+}
+
+// setState tells the others how far this node is.
+func (n *Node) setState(state jwpeer.State) {
+	n.board.Peers.Update(time.Now(), func(p *jwpeer.Peer) { p.State = state })
+	n.Audit.Add(jwaudit.Record{Kind: jwaudit.NodeState, Subject: n.self.Node, To: string(state)})
+}
--- /dev/null
+++ b/io/jwnode/sources.go
@@ -0,0 +1,119 @@
+package jwnode
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwdirectory"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/io/jwforward"
+)
+
+// mostChanges bounds one answer of a peer.
+const mostChanges = 256
+
+// servingPeers tells the claims which nodes of a region serve.
+type servingPeers struct{ table *jwpeer.Table }
+
+// Serving returns the names of the serving nodes of a region.
+func (s servingPeers) Serving(region string) []string {
+	var out []string
+	for _, p := range s.table.Select(func(p jwpeer.Peer) bool {
+		return p.Region == region && p.State == jwpeer.Serving
+	}) {
+		out = append(out, p.Name)
+	}
+	return out
+}
+
+// changeSource gets catalogue changes from a peer that has more.
+type changeSource struct {
+	peers *jwpeer.Table
+	pool  *jwforward.Pool
+	self  string
+}
+
+// Changes returns what a peer has after a revision; nothing when no peer is
+// known to have more.
+func (s *changeSource) Changes(ctx context.Context, after uint64) ([]jwcatalogue.Change, *jwcatalogue.Checkpoint, error) {
+	ahead := s.peers.Select(func(p jwpeer.Peer) bool {
+		return p.Name != s.self && p.Revision > after && p.State != jwpeer.Gone
+	})
+	if len(ahead) == 0 {
+		return nil, nil, nil
+	}
+	from := ahead[rand.IntN(len(ahead))]
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	records, checkpoint, err := s.pool.ChangeRecords(ctx, from, after, mostChanges)
+	if err != nil {
+		return nil, nil, err
+	}
+	return decodeChanges(from.Name, records, checkpoint)
+}
+
+func decodeChanges(from string, records [][]byte, checkpoint []byte) ([]jwcatalogue.Change, *jwcatalogue.Checkpoint, error) {
+	var changes []jwcatalogue.Change
+	for _, r := range records {
+		c, err := jwcatalogue.ParseChange(r)
+		if err != nil {
+			return nil, nil, errors.Wrapf(err, "read change of %s", from)
+		}
+		changes = append(changes, c)
+	}
+	if len(checkpoint) == 0 {
+		return changes, nil, nil
+	}
+	cp, err := jwcatalogue.ParseCheckpoint(checkpoint)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "read checkpoint of %s", from)
+	}
+	return changes, &cp, nil
+}
+
+// changeRecords gives catalogue changes to other nodes.
+type changeRecords struct{ table *jwcatalogue.Table }
+
+// ChangeRecords returns changes after a revision as JSON records, or a
+// checkpoint when they are no longer kept.
+func (c *changeRecords) ChangeRecords(after uint64, most int) (records [][]byte, checkpoint []byte, revision uint64) {
+	if most <= 0 || most > mostChanges {
+		most = mostChanges
+	}
+	changes, cp := c.table.Changes(after, most)
+	for _, change := range changes {
+		data, err := change.Encode()
+		if err != nil {
+			break
+		}
+		records = append(records, data)
+	}
+	if cp != nil {
+		checkpoint, _ = cp.Encode()
+	}
+	return records, checkpoint, c.table.Revision()
+}
+
+// directorySource gets the client directory from a node of this region.
+type directorySource struct {
+	peers *jwpeer.Table
+	pool  *jwforward.Pool
+	self  jwrequest.Hop
+}
+
+// Fetch returns the directory of a peer that serves.
+func (s *directorySource) Fetch(ctx context.Context, version string) (*jwdirectory.Snapshot, error) {
+	peers := s.peers.Select(func(p jwpeer.Peer) bool {
+		return p.Region == s.self.Region && p.Name != s.self.Node && p.State == jwpeer.Serving
+	})
+	if len(peers) == 0 {
+		return nil, errors.New("get directory: no peer of the region serves")
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	return s.pool.FetchDirectory(ctx, peers[rand.IntN(len(peers))], version)
+}
--- /dev/null
+++ b/io/jwtargetclient/load.go
@@ -0,0 +1,75 @@
+package jwtargetclient
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"jujubewheel/core/jwtarget"
+)
+
+// The gauges of a target's load report, by the names that model engines use.
+const (
+	gaugeRunning = "vllm:num_requests_running"
+	gaugeWaiting = "vllm:num_requests_waiting"
+	gaugeSlots   = "vllm:max_num_seqs"
+	gaugeCache   = "vllm:kv_cache_usage_perc"
+	gaugeToken   = "vllm:seconds_per_output_token"
+	gaugeLeaving = "vllm:leaving"
+)
+
+// maxReport bounds a load report in bytes.
+const maxReport = 256 << 10
+
+// Load asks a target for its load in the Prometheus text format; leaving is
+// its own word that it wants no new work.
+func (c *Client) Load(ctx context.Context, addr netip.AddrPort) (load jwtarget.Load, leaving bool, err error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+"/metrics", nil)
+	if err != nil {
+		return load, false, errors.Wrapf(err, "make load request: %s", addr)
+	}
+	service := httpc.NewServiceWithClient(serviceName, &http.Client{Transport: c.to(addr).reused})
+	resp, err := service.DoRequest(r)
+	if err != nil {
+		if ctx.Err() != nil {
+			c.Forget(addr)
+		}
+		return load, false, errors.Wrapf(err, "read load: %s", addr)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return load, false, errors.Errorf("read load: %s: target answered %s", addr, resp.Status)
+	}
+	load, leaving, err = parseLoad(io.LimitReader(resp.Body, maxReport))
+	return load, leaving, errors.Wrapf(err, "read load: %s", addr)
+}
+
+func parseLoad(r io.Reader) (load jwtarget.Load, leaving bool, err error) {
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(r)
+	if err != nil {
+		return load, false, err
+	}
+	load.Running = int(gauge(families, gaugeRunning))
+	load.Waiting = int(gauge(families, gaugeWaiting))
+	load.Slots = int(gauge(families, gaugeSlots))
+	load.CacheUse = gauge(families, gaugeCache)
+	load.Token = time.Duration(gauge(families, gaugeToken) * float64(time.Second))
+	return load, gauge(families, gaugeLeaving) > 0, nil
+}
+
+func gauge(families map[string]*dto.MetricFamily, name string) float64 {
+	f := families[name]
+	if f == nil || len(f.GetMetric()) == 0 {
+		return 0
+	}
+	return f.GetMetric()[0].GetGauge().GetValue()
+}
