jwdrain: the planned stop

A node that goes away has to end its calls, write what is left and hand its keys on, in this order. What a limit cuts is ended in the keeper before the handover, since the successor could otherwise run it again; leaving the handover out in that case was the other way, and would have made every key of the node unknown for one slow call.

The order is fixed by the tests of this package, under the race detector.

--- a/core/jwclaim/call.go
+++ b/core/jwclaim/call.go
@@ -71,8 +71,7 @@
 	// again. It would show as a second run long after the first. The claim is
 	// given up before the first of them can forget it.
 	if c.slot != nil && !c.k.now().Before(c.until) {
-		c.settle(lost)
-		c.k.forget(c)
+		c.lose()
 		return errors.Wrapf(ErrStale, "dispatch: %s", c.k.Node)
 	}
 	c.state = dispatched
@@ -124,6 +123,11 @@
 	if c.settled() {
 		return
 	}
+	c.lose()
+}
+
+// lose makes the call one that may have run; k.mu is held.
+func (c *Call) lose() {
 	c.settle(lost)
 	c.k.counts.Unknowns++
 	c.k.forget(c)
--- a/core/jwclaim/handover.go
+++ b/core/jwclaim/handover.go
@@ -125,6 +125,27 @@
 	k.closed = true
 }
 
+// Cut ends all calls in flight, for a stop that may wait no longer: those that
+// may have run become unknown, the others are released. It returns how many
+// became unknown.
+func (k *Keeper) Cut() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	lostCalls := 0
+	for _, c := range k.calls {
+		switch c.state {
+		case dispatched:
+			lostCalls++
+			c.lose()
+		case held:
+			c.answer = notRunAnswer()
+			c.settle(released)
+			k.giveBack(c)
+		}
+	}
+	return lostCalls
+}
+
 // Flush returns once no call is in flight and no claim or release waits to be
 // written, or with an error when ctx ends before.
 func (k *Keeper) Flush(ctx context.Context) error {
@@ -181,7 +202,7 @@
 func (k *Keeper) offer(s Successor) ([]Record, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.closed || k.handing.offer != nil || k.inFlight() > 0 {
+	if !k.closed || k.handing.offer != nil || k.mayRun() {
 		return nil, errors.Wrapf(ErrBusy, "handover: %s", k.Node)
 	}
 	if h := s.Holder(); h.Region != k.Region || h.Incarnation == k.Incarnation {
@@ -191,6 +212,18 @@
 	return k.records(), nil
 }
 
+// mayRun tells whether a call is running here or may still start; k.mu is
+// held. A claim in doubt does not count: once the keeper is closed it is never
+// run, and the successor is given its release.
+func (k *Keeper) mayRun() bool {
+	for _, c := range k.calls {
+		if c.state == held || c.state == dispatched {
+			return true
+		}
+	}
+	return false
+}
+
 func (k *Keeper) endOffer(s Successor, r Receipt, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -234,7 +267,7 @@
 	}
 	for _, s := range k.slots {
 		for _, it := range s.queue {
-			if it.kind == releaseItem {
+			if it.kind != lookItem {
 				rs = append(rs, Record{Kind: ReleaseRecord, Key: &it.key, Claim: &it.id, Slot: s.prefix})
 			}
 		}
--- a/core/jwclaim/keeper.go
+++ b/core/jwclaim/keeper.go
@@ -317,7 +317,7 @@
 func (k *Keeper) outcome(it *item, mark bodyMark) Decision {
 	switch it.result {
 	case won:
-		if it.taken {
+		if it.taken || it.call.state != held {
 			return k.known(it.call, mark)
 		}
 		it.taken = true
--- a/core/jwclaim/slot.go
+++ b/core/jwclaim/slot.go
@@ -353,11 +353,12 @@
 	s.resolve(it, occupied)
 }
 
-// win hands the right to run to a waiter; a claim without one is given back.
+// win hands the right to run to a waiter. A claim without one is given back,
+// and so is one that comes through after the keeper was closed; k.mu is held.
 func (s *slot) win(it *item, until time.Time) {
 	c := it.call
 	c.until = until
-	if it.waiters > 0 {
+	if it.waiters > 0 && !s.k.closed {
 		c.state = held
 		s.k.counts.Claims++
 		s.resolve(it, won)
@@ -365,7 +366,7 @@
 	}
 	c.answer = notRunAnswer()
 	c.settle(released)
-	s.resolve(it, unread)
+	s.resolve(it, free)
 	s.k.giveBack(c)
 }
 
--- /dev/null
+++ b/core/jwdrain/drain_test.go
@@ -0,0 +1,154 @@
+package jwdrain
+
+import (
+	"context"
+	"iter"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwclaim"
+)
+
+// keys records the steps of a stop in order.
+type keys struct {
+	steps   []string
+	flush   error
+	results map[string]error // of Handover by successor
+}
+
+func (k *keys) Close()   { k.steps = append(k.steps, "close") }
+func (k *keys) Cut() int { k.steps = append(k.steps, "cut"); return 1 }
+
+func (k *keys) Flush(context.Context) error {
+	k.steps = append(k.steps, "flush")
+	return k.flush
+}
+
+func (k *keys) Handover(_ context.Context, s jwclaim.Successor) error {
+	k.steps = append(k.steps, "hand to "+s.Holder().Node)
+	return k.results[s.Holder().Node]
+}
+
+type successor string
+
+func (s successor) Holder() jwclaim.Holder { return jwclaim.Holder{Node: string(s)} }
+
+func (s successor) Handover(context.Context, iter.Seq[jwclaim.Record]) (jwclaim.Receipt, error) {
+	return jwclaim.Receipt{}, nil
+}
+
+// A stop that hands its keys on while a call still runs, or lets the process
+// end before the handover, leaves callers with an unknown deposit or, worse,
+// one that is charged twice. Each case fixes the order of the steps.
+func TestStop(t *testing.T) {
+	refuse := errors.New("refused")
+	for name, tc := range map[string]struct {
+		limit   time.Duration
+		call    time.Duration // how long the call in flight goes on, 0 for none
+		flush   error
+		results map[string]error
+		steps   []string
+		states  []State
+		cut     int
+		failed  bool
+	}{
+		"nothing in flight": {
+			steps:  []string{"close", "flush", "hand to a"},
+			states: []State{Leaving, HandedOver, Gone},
+		},
+		"waits for the last call": {
+			call:   time.Hour,
+			steps:  []string{"close", "flush", "hand to a"},
+			states: []State{Leaving, HandedOver, Gone},
+		},
+		"limit cuts the call before the handover": {
+			call:   time.Hour,
+			limit:  time.Minute,
+			steps:  []string{"close", "cut", "flush", "hand to a"},
+			states: []State{Leaving, HandedOver, Gone},
+			cut:    1,
+			failed: true,
+		},
+		"next successor": {
+			results: map[string]error{"a": refuse},
+			steps:   []string{"close", "flush", "hand to a", "hand to b"},
+			states:  []State{Leaving, HandedOver, Gone},
+		},
+		"no successor": {
+			results: map[string]error{"a": refuse, "b": refuse},
+			steps:   []string{"close", "flush", "hand to a", "hand to b"},
+			states:  []State{Leaving, Gone},
+			failed:  true,
+		},
+		"store down": {
+			flush:  refuse,
+			steps:  []string{"close", "flush", "hand to a"},
+			states: []State{Leaving, HandedOver, Gone},
+			failed: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := &keys{flush: tc.flush, results: tc.results}
+				var states []State
+				d := &Drain{
+					Keys:       k,
+					Limit:      tc.limit,
+					Successors: func() []jwclaim.Successor { return []jwclaim.Successor{successor("a"), successor("b")} },
+					Changed:    func(s State) { states = append(states, s) },
+				}
+				if tc.call > 0 {
+					done, ok := d.Enter()
+					assert.Assert(t, ok)
+					time.AfterFunc(tc.call, done)
+				}
+				err := d.Run(t.Context())
+				assert.Equal(t, err != nil, tc.failed, "%v", err)
+				assert.DeepEqual(t, k.steps, tc.steps)
+				assert.DeepEqual(t, states, tc.states)
+				assert.Equal(t, d.Counts().Cut, tc.cut)
+			})
+		})
+	}
+}
+
+// A call that is let in just as the stop begins would be cut off by the end of
+// the process: its caller sees the connection close without an answer.
+func TestEnterAgainstStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &keys{}
+		d := &Drain{Keys: k}
+		first, ok := d.Enter()
+		assert.Assert(t, ok)
+		go func() { _ = d.Run(t.Context()) }()
+		synctest.Wait()
+		assert.Equal(t, d.State(), Leaving)
+		_, ok = d.Enter()
+		assert.Assert(t, !ok)
+		assert.DeepEqual(t, k.steps, []string{"close"})
+		first()
+		first()
+		time.Sleep(time.Minute)
+		assert.Equal(t, d.State(), Gone)
+		assert.DeepEqual(t, d.Counts(), Counts{Turned: 1})
+	})
+}
+
+// An end of the stop's own ctx, as on a second signal, must not skip the
+// handover: every restart would leave unknown tickets behind.
+func TestEndedStopStillHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &keys{}
+		d := &Drain{Keys: k, Successors: func() []jwclaim.Successor { return []jwclaim.Successor{successor("a")} }}
+		_, ok := d.Enter()
+		assert.Assert(t, ok)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, d.Run(ctx), context.DeadlineExceeded)
+		assert.DeepEqual(t, k.steps, []string{"close", "cut", "flush", "hand to a"})
+	})
+}
