jwstand: links with delay, loss, cuts and silence, and tests of the stand-ins

A link relays TCP with one weather for all its connections, set on the control port: delay, jitter, late segments, a shared rate, a cut, one way held back, and silence for the connections that are open.

--- a/cmd/jujubestand/main.go
+++ b/cmd/jujubestand/main.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	Clients clientsCommand `cmd:"" help:"Client directory (SCIM 2.0)."`
 	Runner  runnerCommand  `cmd:"" help:"Model engine."`
 	Service serviceCommand `cmd:"" help:"Plain service that echoes each POST."`
+	Link    linkCommand    `cmd:"" help:"TCP relays with delay, loss, cuts and silence."`
 }
 
 func main() {
@@ -129,6 +131,58 @@
 	return c.run(ctx, "service", &jwstand.Service{Work: c.Work})
 }
 
+type linkCommand struct {
+	Links   []string       `arg:"" name:"link" help:"NAME=LISTEN,DIAL, such as ab=127.0.0.1:0,127.0.0.1:8080."`
+	Control netip.AddrPort `default:"127.0.0.1:0" help:"Address of the control port; port 0 picks one."`
+	Delay   time.Duration  `help:"One-way delay."`
+	Jitter  time.Duration  `help:"Most that is added to the delay."`
+	Loss    float64        `help:"Share of chunks that come late as after a lost segment."`
+	Rate    int64          `help:"Bytes a second each way; 0 for no limit."`
+	Seed    uint64         `default:"1" help:"Seed of jitter and loss."`
+}
+
+// Run relays between the given addresses.
+func (c *linkCommand) Run(ctx context.Context) error {
+	weather := jwstand.Weather{
+		Delay:  jwstand.Duration(c.Delay),
+		Jitter: jwstand.Duration(c.Jitter),
+		Loss:   c.Loss,
+		Rate:   c.Rate,
+	}
+	links := &jwstand.Links{Control: c.Control}
+	for i, text := range c.Links {
+		link, err := parseLink(text)
+		if err != nil {
+			return err
+		}
+		link.Seed = c.Seed + uint64(i)
+		link.SetWeather(weather)
+		links.Links = append(links.Links, link)
+	}
+	if err := links.Open(); err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(links.Ready()); err != nil {
+		return errors.Wrap(err, "print addresses")
+	}
+	return links.Run(ctx)
+}
+
+// parseLink reads NAME=LISTEN,DIAL.
+func parseLink(text string) (*jwstand.Link, error) {
+	name, ends, named := strings.Cut(text, "=")
+	near, far, paired := strings.Cut(ends, ",")
+	if !named || !paired {
+		return nil, errors.Errorf("link %q is not NAME=LISTEN,DIAL", text)
+	}
+	listen, err := netip.ParseAddrPort(near)
+	if err != nil {
+		return nil, errors.Wrapf(err, "link %s", name)
+	}
+	dial, err := netip.ParseAddrPort(far)
+	return &jwstand.Link{Name: name, Listen: listen, Dial: dial}, errors.Wrapf(err, "link %s", name)
+}
+
 // readFile reads a JSON file into value; an empty name leaves it as it is.
 func readFile(name string, value any) error {
 	if name == "" {
--- a/io/jwstand/doc.go
+++ b/io/jwstand/doc.go
@@ -15,7 +15,12 @@
 //	clients  GET, PUT /clients
 //	runner   GET, DELETE /journal
 //	service  GET, DELETE /journal
-//	link     GET, PUT /links/{name}
+//
+// Links relays TCP connections; its control port takes
+//
+//	GET /links         the links with their weather and the bytes passed
+//	PUT /links         merges the JSON body into the weather of all, see Weather
+//	PUT /links/{name}  the same for one link
 //
 // The HTTP here is net/http: keys of the key-value service hold slashes, which
 // the router of go-zero's rest does not take, and a port must be able to close
--- a/io/jwstand/faults.go
+++ b/io/jwstand/faults.go
@@ -1,7 +1,9 @@
 package jwstand
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 )
@@ -46,7 +48,15 @@
 
 // acceptJSON reads the body into value and answers 400 when it can't.
 func acceptJSON(w http.ResponseWriter, r *http.Request, value any) bool {
-	decoder := json.NewDecoder(r.Body)
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return false
+	}
+	return decodeJSON(w, body, value)
+}
+
+func decodeJSON(w http.ResponseWriter, body []byte, value any) bool {
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(value); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- /dev/null
+++ b/io/jwstand/link.go
@@ -0,0 +1,517 @@
+package jwstand
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	chunkSize        = 16 << 10
+	chunksInFlight   = 256 // in each direction of a connection, so 4 MB
+	defaultLossDelay = 200 * time.Millisecond
+	dialTimeout      = 5 * time.Second
+)
+
+// OneWay names the direction of a link.
+type OneWay string
+
+// The directions of a link.
+const (
+	Forward OneWay = "forward" // from the caller to the dialled end
+	Back    OneWay = "back"
+)
+
+// Weather is what a link does to what passes; the zero value is a perfect
+// link. Lost segments of TCP come later, not never, so loss is a delay here.
+type Weather struct {
+	Delay     Duration `json:"delay"`     // one way
+	Jitter    Duration `json:"jitter"`    // the most that is added to Delay, evenly drawn
+	Loss      float64  `json:"loss"`      // share of chunks that LossDelay is added to
+	LossDelay Duration `json:"lossDelay"` // 0 means 200ms
+	Rate      int64    `json:"rate"`      // bytes a second each way, shared by all connections; 0 for no limit
+	Cut       bool     `json:"cut"`       // refuses connections and has reset those that were open
+	Hold      OneWay   `json:"hold"`      // bytes of this direction wait until it is lifted
+	Silent    bool     `json:"silent"`    // setting it silences the connections open now, for good
+	SilentNew bool     `json:"silentNew"` // new connections are silent too while it is set
+}
+
+// Link relays TCP connections from one address to another.
+type Link struct {
+	Name   string
+	Listen netip.AddrPort // port 0 picks a free one
+	Dial   netip.AddrPort
+	Seed   uint64
+
+	mu       sync.Mutex
+	weather  Weather
+	changed  chan struct{} // closed at the next change of weather
+	random   *rand.Rand
+	listener net.Listener
+	conns    map[*relay]struct{}
+	busy     map[OneWay]time.Time // when the last chunk under Rate has left
+	passed   map[OneWay]uint64
+}
+
+// open listens for the first time.
+func (l *Link) open() error {
+	listener, err := net.Listen("tcp", l.Listen.String())
+	if err != nil {
+		return errors.Wrapf(err, "link %s: listen: %s", l.Name, l.Listen)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Listen = addressOf(listener)
+	l.listener = listener
+	l.changed = make(chan struct{})
+	l.random = rand.New(rand.NewPCG(l.Seed, l.Seed))
+	l.conns = make(map[*relay]struct{})
+	l.busy = make(map[OneWay]time.Time)
+	l.passed = make(map[OneWay]uint64)
+	return nil
+}
+
+// Weather returns what the link does now.
+func (l *Link) Weather() Weather {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.weather
+}
+
+// Passed returns the bytes that were delivered in a direction.
+func (l *Link) Passed(way OneWay) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.passed[way]
+}
+
+// SetWeather changes what the link does from now on.
+func (l *Link) SetWeather(weather Weather) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.weather = weather
+	if l.changed == nil {
+		return // not open yet
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	if weather.Silent {
+		for r := range l.conns {
+			r.silence()
+		}
+	}
+	if !weather.Cut {
+		return
+	}
+	if l.listener != nil {
+		_ = l.listener.Close()
+	}
+	for r := range l.conns {
+		r.reset()
+	}
+}
+
+// run relays until the context ends.
+func (l *Link) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	stop := context.AfterFunc(ctx, l.close)
+	defer stop()
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		listener, changed, cut := l.listener, l.changed, l.weather.Cut
+		l.mu.Unlock()
+		if listener != nil {
+			l.accept(ctx, listener, &wg)
+			continue
+		}
+		if !cut {
+			l.reopen(ctx)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (l *Link) accept(ctx context.Context, listener net.Listener, wg *sync.WaitGroup) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			break // closed by a cut or the stop
+		}
+		wg.Go(func() { l.relay(ctx, conn) })
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listener = nil
+}
+
+func (l *Link) reopen(ctx context.Context) {
+	listener, err := net.Listen("tcp", l.Listen.String())
+	if err != nil {
+		_ = sleep(ctx, reopenPause)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.weather.Cut || ctx.Err() != nil {
+		_ = listener.Close()
+		return
+	}
+	l.listener = listener
+}
+
+func (l *Link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener != nil {
+		_ = l.listener.Close()
+	}
+	for r := range l.conns {
+		r.reset()
+	}
+}
+
+// relay carries one connection until both directions have ended.
+func (l *Link) relay(ctx context.Context, near net.Conn) {
+	r := &relay{link: l, near: near, silenced: make(chan struct{}), ended: make(chan struct{})}
+	if !l.add(ctx, r) {
+		r.reset()
+		return
+	}
+	defer l.remove(r)
+	// The kernel here has answered the caller at once; a real handshake takes
+	// one way there and one back before the first byte can leave.
+	w := l.Weather()
+	if sleep(ctx, 2*time.Duration(w.Delay)) != nil {
+		r.reset()
+		return
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	far, err := dialer.DialContext(ctx, "tcp", l.Dial.String())
+	if err != nil {
+		r.reset()
+		return
+	}
+	if !r.join(far) {
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { r.carry(Forward, near, far) })
+	wg.Go(func() { r.carry(Back, far, near) })
+	wg.Wait()
+	r.end(false)
+}
+
+func (l *Link) add(ctx context.Context, r *relay) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.weather.Cut || ctx.Err() != nil {
+		return false
+	}
+	l.conns[r] = struct{}{}
+	if l.weather.SilentNew {
+		r.silence()
+	}
+	return true
+}
+
+func (l *Link) remove(r *relay) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, r)
+}
+
+// due returns when a chunk that comes now is delivered; before is when the
+// chunk ahead of it is, since TCP keeps the order.
+func (l *Link) due(way OneWay, size int, before time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w := l.weather
+	at := time.Now()
+	if w.Rate > 0 {
+		at = latest(at, l.busy[way]).Add(time.Duration(float64(size) / float64(w.Rate) * float64(time.Second)))
+		l.busy[way] = at
+	}
+	at = at.Add(time.Duration(w.Delay))
+	if w.Jitter > 0 {
+		at = at.Add(time.Duration(l.random.Int64N(int64(w.Jitter))))
+	}
+	if w.Loss > 0 && l.random.Float64() < w.Loss {
+		late := time.Duration(w.LossDelay)
+		if late == 0 {
+			late = defaultLossDelay
+		}
+		at = at.Add(late)
+	}
+	return latest(at, before)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (l *Link) count(way OneWay, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.passed[way] += uint64(n)
+}
+
+// relay is one connection through a link.
+type relay struct {
+	link     *Link
+	near     net.Conn
+	mu       sync.Mutex
+	far      net.Conn
+	done     bool
+	once     sync.Once
+	silenced chan struct{}
+	ended    chan struct{}
+}
+
+// join adds the dialled end; it returns false when the connection was reset
+// in the meantime.
+func (r *relay) join(far net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.done {
+		_ = far.Close()
+		return false
+	}
+	r.far = far
+	return true
+}
+
+func (r *relay) silence() {
+	r.once.Do(func() { close(r.silenced) })
+}
+
+// reset ends both halves without a proper close; what is still under way is lost.
+func (r *relay) reset() { r.end(true) }
+
+// end closes both halves once; a reset at a proper end would throw away bytes
+// that the receiver has not read yet.
+func (r *relay) end(reset bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.done {
+		return
+	}
+	r.done = true
+	close(r.ended)
+	for _, conn := range []net.Conn{r.near, r.far} {
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			continue // not dialled yet
+		}
+		if reset {
+			_ = tcp.SetLinger(0) // fails only on a connection that is closed
+		}
+		_ = tcp.Close()
+	}
+}
+
+// chunk is what was read at once; an empty one is the proper end.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// carry takes bytes from one end to the other until the first ends.
+func (r *relay) carry(way OneWay, from, to net.Conn) {
+	chunks := make(chan chunk, chunksInFlight)
+	var wg sync.WaitGroup
+	wg.Go(func() { r.deliver(way, to, chunks) })
+	var before time.Time
+	for {
+		buf := make([]byte, chunkSize)
+		n, err := from.Read(buf)
+		if n > 0 {
+			before = r.link.due(way, n, before)
+			chunks <- chunk{data: buf[:n], due: before}
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			chunks <- chunk{due: r.link.due(way, 0, before)}
+		} else if !r.isSilenced() {
+			r.reset()
+		}
+		break
+	}
+	close(chunks)
+	wg.Wait()
+}
+
+// deliver writes chunks when they are due. After an error it drops what comes,
+// so that carry never waits for it.
+func (r *relay) deliver(way OneWay, to net.Conn, chunks <-chan chunk) {
+	for c := range chunks {
+		if !r.pass(way, c.due) {
+			continue
+		}
+		if len(c.data) == 0 {
+			if tcp, ok := to.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite() // an end that is gone already has closed
+			}
+			continue
+		}
+		if _, err := to.Write(c.data); err != nil {
+			r.reset()
+			continue
+		}
+		r.link.count(way, len(c.data))
+	}
+}
+
+// pass waits until a chunk may be delivered; false means never.
+func (r *relay) pass(way OneWay, due time.Time) bool {
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.ended:
+		return false
+	}
+	for {
+		if r.isSilenced() {
+			return false
+		}
+		r.link.mu.Lock()
+		held, changed := r.link.weather.Hold == way, r.link.changed
+		r.link.mu.Unlock()
+		if !held {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-r.silenced:
+		case <-r.ended:
+			return false
+		}
+	}
+}
+
+func (r *relay) isSilenced() bool {
+	select {
+	case <-r.silenced:
+		return true
+	default:
+		return false
+	}
+}
+
+// Links runs several links in one process, with one control port.
+type Links struct {
+	Control netip.AddrPort // port 0 picks a free one at Open
+	Links   []*Link
+
+	control net.Listener
+}
+
+// Open listens on all links and on the control port.
+func (ls *Links) Open() error {
+	for _, l := range ls.Links {
+		if err := l.open(); err != nil {
+			return err
+		}
+	}
+	control, err := net.Listen("tcp", ls.Control.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen for control: %s", ls.Control)
+	}
+	ls.control = control
+	ls.Control = addressOf(control)
+	return nil
+}
+
+// Ready tells where the links listen, in the order of Links.
+func (ls *Links) Ready() Ready {
+	ready := Ready{Kind: "link", Control: ls.Control}
+	for _, l := range ls.Links {
+		ready.Links = append(ready.Links, l.Listen)
+	}
+	return ready
+}
+
+// Run relays until the context ends; it opens first if Open was not called.
+func (ls *Links) Run(ctx context.Context) error {
+	if ls.control == nil {
+		if err := ls.Open(); err != nil {
+			return err
+		}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /links", ls.getLinks)
+	mux.HandleFunc("PUT /links", ls.putLinks)
+	mux.HandleFunc("PUT /links/{name}", ls.putLinks)
+	control := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = control.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	for _, l := range ls.Links {
+		wg.Go(func() { l.run(ctx) })
+	}
+	err := control.Serve(ls.control)
+	wg.Wait()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve control: %s", ls.Control)
+}
+
+// linkState is one link in an answer of the control port.
+type linkState struct {
+	Name    string            `json:"name"`
+	Listen  netip.AddrPort    `json:"listen"`
+	Dial    netip.AddrPort    `json:"dial"`
+	Weather Weather           `json:"weather"`
+	Passed  map[OneWay]uint64 `json:"passed"`
+}
+
+func (ls *Links) getLinks(w http.ResponseWriter, _ *http.Request) {
+	states := make([]linkState, 0, len(ls.Links))
+	for _, l := range ls.Links {
+		passed := map[OneWay]uint64{Forward: l.Passed(Forward), Back: l.Passed(Back)}
+		states = append(states, linkState{Name: l.Name, Listen: l.Listen, Dial: l.Dial, Weather: l.Weather(), Passed: passed})
+	}
+	answerJSON(w, http.StatusOK, states)
+}
+
+// putLinks merges the body into the weather of the named link, or of all.
+func (ls *Links) putLinks(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, chunkSize))
+	if err != nil {
+		return
+	}
+	name, known := r.PathValue("name"), false
+	for _, l := range ls.Links {
+		if name != "" && name != l.Name {
+			continue
+		}
+		known = true
+		weather := l.Weather()
+		weather.Silent = false
+		if !decodeJSON(w, body, &weather) {
+			return
+		}
+		l.SetWeather(weather)
+	}
+	if !known {
+		http.Error(w, "no such link", http.StatusNotFound)
+	}
+}
--- /dev/null
+++ b/io/jwstand/link_test.go
@@ -0,0 +1,177 @@
+package jwstand
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// startEcho answers each byte with itself.
+func startEcho(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", anyPort.String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return addressOf(listener)
+}
+
+func startLink(t *testing.T, weather Weather) *Link {
+	t.Helper()
+	link := &Link{Name: "l", Listen: anyPort, Dial: startEcho(t), Seed: 1}
+	link.SetWeather(weather)
+	links := &Links{Control: anyPort, Links: []*Link{link}}
+	assert.NilError(t, links.Open())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- links.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return link
+}
+
+func dial(t *testing.T, address netip.AddrPort) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address.String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// exchange sends text and reads as much back.
+func exchange(conn net.Conn, text string, most time.Duration) error {
+	if err := conn.SetDeadline(time.Now().Add(most)); err != nil {
+		return err
+	}
+	if _, err := conn.Write([]byte(text)); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, make([]byte, len(text)))
+	return err
+}
+
+const (
+	enough = 10 * time.Second       // for what must come
+	soon   = 100 * time.Millisecond // for what must not come
+)
+
+func TestLinkCarries(t *testing.T) {
+	link := startLink(t, Weather{
+		Delay:  Duration(2 * time.Millisecond),
+		Jitter: Duration(time.Millisecond),
+		Loss:   0.5, LossDelay: Duration(3 * time.Millisecond),
+		Rate: 100 << 20,
+	})
+	conn := dial(t, link.Listen)
+	sent := make([]byte, 1<<20)
+	for i := range sent {
+		sent[i] = byte(i * 7 >> 3)
+	}
+	go func() {
+		_, _ = conn.Write(sent)
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(enough)))
+	got, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Check(t, string(got) == string(sent), "whole and in order")
+	assert.Equal(t, link.Passed(Forward), uint64(len(sent)))
+}
+
+func TestDue(t *testing.T) {
+	link := &Link{Listen: anyPort, Dial: anyPort}
+	assert.NilError(t, link.open())
+	defer link.close()
+	link.SetWeather(Weather{Rate: 1000, Delay: Duration(time.Hour)})
+	first := link.due(Forward, 1000, time.Time{})
+	second := link.due(Forward, 1000, first)
+	assert.Equal(t, second.Sub(first), time.Second, "the rate is shared")
+	back := link.due(Back, 1, time.Time{})
+	assert.Check(t, back.Before(first), "each way has its own rate")
+	link.SetWeather(Weather{})
+	assert.Equal(t, link.due(Forward, 1, second), second, "never before the chunk ahead")
+}
+
+// Two regions lose each other. What was open breaks with an error and new
+// connections are refused, so both sides learn of it; after the cut all is well.
+func TestLinkCut(t *testing.T) {
+	link := startLink(t, Weather{})
+	conn := dial(t, link.Listen)
+	assert.NilError(t, exchange(conn, "one", enough))
+	link.SetWeather(Weather{Cut: true})
+	err := exchange(conn, "two", enough)
+	assert.Check(t, err != nil && !os.IsTimeout(err), "%v", err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		conn, err := net.Dial("tcp", link.Listen.String())
+		if err != nil {
+			return poll.Success()
+		}
+		_ = conn.Close()
+		return poll.Continue("still accepts")
+	})
+	link.SetWeather(Weather{})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		conn, err := net.Dial("tcp", link.Listen.String())
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		defer conn.Close()
+		if err := exchange(conn, "three", enough); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	})
+}
+
+// Something between two hosts forgets an open connection. Neither end gets an
+// error: what is sent is never answered, while a new connection works.
+func TestLinkSilent(t *testing.T) {
+	link := startLink(t, Weather{})
+	old := dial(t, link.Listen)
+	assert.NilError(t, exchange(old, "one", enough))
+	link.SetWeather(Weather{Silent: true})
+	assert.Check(t, os.IsTimeout(exchange(old, "two", soon)))
+	assert.NilError(t, exchange(dial(t, link.Listen), "three", enough))
+	link.SetWeather(Weather{})
+	assert.Check(t, os.IsTimeout(exchange(old, "four", soon)), "for good")
+	link.SetWeather(Weather{SilentNew: true})
+	assert.Check(t, os.IsTimeout(exchange(dial(t, link.Listen), "five", soon)))
+}
+
+// Bytes get through one way only. A caller's request arrives and is worked on,
+// and the caller sees nothing until the way back is mended.
+func TestLinkOneWay(t *testing.T) {
+	link := startLink(t, Weather{Hold: Back})
+	conn := dial(t, link.Listen)
+	assert.Check(t, os.IsTimeout(exchange(conn, "one", soon)))
+	assert.Equal(t, link.Passed(Forward), uint64(3))
+	assert.Equal(t, link.Passed(Back), uint64(0))
+	link.SetWeather(Weather{})
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(enough)))
+	got := make([]byte, 3)
+	_, err := io.ReadFull(conn, got)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "one")
+}
--- a/io/jwstand/stand.go
+++ b/io/jwstand/stand.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,7 +11,7 @@
 	"sync"
 	"time"
 
-	pkgerrors "github.com/pkg/errors"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -58,12 +57,12 @@
 func (s *Stand) Listen() error {
 	listener, err := net.Listen("tcp", s.Address.String())
 	if err != nil {
-		return pkgerrors.Wrapf(err, "listen: %s", s.Address)
+		return errors.Wrapf(err, "listen: %s", s.Address)
 	}
 	control, err := net.Listen("tcp", s.Control.String())
 	if err != nil {
 		_ = listener.Close()
-		return pkgerrors.Wrapf(err, "listen for control: %s", s.Control)
+		return errors.Wrapf(err, "listen for control: %s", s.Control)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,7 +107,7 @@
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
-	return pkgerrors.Wrapf(err, "serve control: %s", s.Control)
+	return errors.Wrapf(err, "serve control: %s", s.Control)
 }
 
 // serve answers calls, through as many outages as are set.
--- /dev/null
+++ b/io/jwstand/stand_test.go
@@ -0,0 +1,324 @@
+package jwstand
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+func startStand(t *testing.T, program Program) *Stand {
+	t.Helper()
+	stand := &Stand{Address: anyPort, Control: anyPort, Program: program}
+	assert.NilError(t, stand.Listen())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- stand.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return stand
+}
+
+func newCall(ctx context.Context, stand *Stand, path, body string) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+stand.Address.String()+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+func completion(prompt string, tokens int, stream bool) string {
+	body, err := json.Marshal(Completion{Prompt: prompt, MaxTokens: tokens, Stream: stream})
+	if err != nil {
+		panic(err)
+	}
+	return string(body)
+}
+
+// read returns the text of a stream and whether its end came.
+func read(r io.Reader) (text string, last string, whole bool) {
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			last = id
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, last, true
+		}
+		var answer CompletionAnswer
+		if json.Unmarshal([]byte(data), &answer) == nil && len(answer.Choices) == 1 {
+			text += answer.Choices[0].Text
+		}
+	}
+	return text, last, false
+}
+
+func TestRunner(t *testing.T) {
+	runner := &Runner{}
+	stand := startStand(t, runner)
+	tests := map[string]struct {
+		stream bool
+		after  string
+		want   string
+	}{
+		"plain":          {want: TextOf("p", 5)},
+		"streamed":       {stream: true, want: TextOf("p", 5)},
+		"resumed":        {stream: true, after: "3", want: TokenOf("p", 4) + TokenOf("p", 5)},
+		"resumed at end": {stream: true, after: "5", want: ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newCall(t.Context(), stand, "/v1/completions", completion("p", 5, test.stream))
+			r.Header.Set("Jujube-Request-Id", name)
+			r.Header.Set("Last-Event-ID", test.after)
+			res, err := http.DefaultClient.Do(r)
+			assert.NilError(t, err)
+			defer res.Body.Close()
+			assert.Equal(t, res.StatusCode, http.StatusOK)
+			if test.stream {
+				text, last, whole := read(res.Body)
+				assert.Check(t, whole && last != "3")
+				assert.Equal(t, text, test.want)
+				return
+			}
+			var answer CompletionAnswer
+			assert.NilError(t, json.NewDecoder(res.Body).Decode(&answer))
+			assert.Equal(t, answer.Choices[0].Text, test.want)
+		})
+	}
+	assert.Equal(t, len(runner.Journal.Runs()), len(tests))
+}
+
+// A caller goes away in the middle of an answer. The engine must stop, or it
+// would spend its slots on answers that nobody reads.
+func TestRunnerCancel(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stream %t", stream), func(t *testing.T) {
+			runner := &Runner{Engine: Engine{Token: time.Hour}}
+			stand := startStand(t, runner)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				res, err := http.DefaultClient.Do(newCall(ctx, stand, "/v1/completions", completion("p", 5, stream)))
+				if err == nil {
+					_, _ = io.Copy(io.Discard, res.Body)
+					_ = res.Body.Close()
+				}
+			}()
+			waitState(t, runner, Running)
+			cancel()
+			<-done
+			waitState(t, runner, Cancelled)
+		})
+	}
+}
+
+func waitState(t *testing.T, runner *Runner, want RunState) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		runs := runner.Journal.Runs()
+		if len(runs) == 1 && runs[0].State == want {
+			return poll.Success()
+		}
+		return poll.Continue("%v", runs)
+	})
+}
+
+func TestEngineCache(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Prefill: time.Millisecond, CacheTokens: 64}
+		prefix := strings.Repeat("a", 32*bytesPerToken)
+		ask := func(prompt string) (cached int, took time.Duration) {
+			began := time.Now()
+			_, cached, err := e.Prompt(t.Context(), prompt)
+			assert.NilError(t, err)
+			return cached, time.Since(began)
+		}
+		cached, cold := ask(prefix + "x")
+		assert.Check(t, cached == 0 && cold == 33*time.Millisecond, "cold: %d %v", cached, cold)
+		cached, warm := ask(prefix + "y")
+		assert.Check(t, cached == 32 && warm == time.Millisecond, "warm: %d %v", cached, warm)
+		ask(strings.Repeat("b", 64*bytesPerToken))
+		cached, _ = ask(prefix)
+		assert.Equal(t, cached, 0, "dropped for newer prompts")
+	})
+}
+
+func TestEnginePriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Slots: 1, MaxWaiting: 3}
+		assert.Check(t, e.Enter(t.Context(), defaultUrgency))
+		order := make(chan int, 3)
+		for _, urgency := range []int{5, 1, 3} {
+			go func() {
+				assert.Check(t, e.Enter(t.Context(), urgency))
+				order <- urgency
+				e.Leave()
+			}()
+			synctest.Wait()
+		}
+		assert.Check(t, !e.Enter(t.Context(), 0), "the queue is full")
+		e.Leave()
+		assert.DeepEqual(t, []int{<-order, <-order, <-order}, []int{1, 3, 5})
+	})
+}
+
+func TestEngineGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Slots: 1}
+		assert.Check(t, e.Enter(t.Context(), 0))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.Check(t, !e.Enter(ctx, 0))
+		e.Leave()
+		assert.Check(t, e.Enter(t.Context(), 0), "the slot is free again")
+	})
+}
+
+func TestEngineReportLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Slots: 4, Lag: time.Second, Token: 10 * time.Millisecond, Growth: 0.5}
+		r, _ := e.Report()
+		assert.Equal(t, r.Running, 0)
+		for range 3 {
+			assert.Check(t, e.Enter(t.Context(), 0))
+		}
+		r, _ = e.Report()
+		assert.Equal(t, r.Running, 0, "not shown yet")
+		time.Sleep(time.Second)
+		r, _ = e.Report()
+		assert.Equal(t, r.Running, 3)
+		assert.Equal(t, r.Token, 20*time.Millisecond)
+	})
+}
+
+func TestUrgencyOf(t *testing.T) {
+	tests := map[string]int{"": 3, "u=0": 0, "u=7, i": 7, "i, u=1": 1, "u=9": 3, "u=x": 3}
+	for header, want := range tests {
+		assert.Check(t, urgencyOf(header) == want, "%q", header)
+	}
+}
+
+func TestService(t *testing.T) {
+	service := &Service{}
+	stand := startStand(t, service)
+	for range 2 {
+		r := newCall(t.Context(), stand, "/orders", "deposit")
+		r.Header.Set("Idempotency-Key", "k")
+		res, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		var echo Echo
+		assert.NilError(t, json.NewDecoder(res.Body).Decode(&echo))
+		_ = res.Body.Close()
+		assert.Equal(t, echo, Echo{Path: "/orders", Key: "k", Body: "deposit"})
+		assert.Check(t, res.ContentLength > 0)
+	}
+	assert.Equal(t, len(service.Journal.Runs()), 2)
+}
+
+// A body that crashes its target takes the whole process with it; the caller
+// sees a connection that breaks before any answer.
+func TestCrash(t *testing.T) {
+	service := &Service{}
+	crashed := make(chan int, 1)
+	stand := startStand(t, service)
+	stand.Exit = func(code int) { crashed <- code }
+	stand.SetFaults(Faults{CrashOn: "poison"})
+	res, err := http.DefaultClient.Do(newCall(t.Context(), stand, "/orders", "fine"))
+	assert.NilError(t, err)
+	_ = res.Body.Close()
+	_, err = http.DefaultClient.Do(newCall(t.Context(), stand, "/orders", "a poison b"))
+	assert.Check(t, err != nil)
+	assert.Equal(t, <-crashed, crashCode)
+	assert.Equal(t, len(service.Journal.Runs()), 1)
+}
+
+// A target that leaves or loses its replies: the first kind of call was not
+// run and may go elsewhere, the second was run and may not.
+func TestLeaveAndLostReply(t *testing.T) {
+	service := &Service{}
+	stand := startStand(t, service)
+	stand.SetFaults(Faults{Leave: true})
+	res, err := http.DefaultClient.Do(newCall(t.Context(), stand, "/orders", "x"))
+	assert.NilError(t, err)
+	_ = res.Body.Close()
+	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, len(service.Journal.Runs()), 0)
+	stand.SetFaults(Faults{LoseReply: 1})
+	_, err = http.DefaultClient.Do(newCall(t.Context(), stand, "/orders", "x"))
+	assert.Check(t, err != nil)
+	assert.Equal(t, len(service.Journal.Runs()), 1)
+}
+
+// A stopped process keeps its connections and answers when it goes on.
+func TestPause(t *testing.T) {
+	stand := startStand(t, &Service{})
+	stand.SetFaults(Faults{Pause: true})
+	ctx, cancel := context.WithTimeout(t.Context(), soon)
+	defer cancel()
+	_, err := http.DefaultClient.Do(newCall(ctx, stand, "/orders", "x"))
+	assert.Check(t, err != nil)
+	answered := make(chan error, 1)
+	go func() {
+		res, err := http.DefaultClient.Do(newCall(t.Context(), stand, "/orders", "y"))
+		if err == nil {
+			err = res.Body.Close()
+		}
+		answered <- err
+	}()
+	stand.SetFaults(Faults{})
+	assert.NilError(t, <-answered)
+}
+
+func TestControl(t *testing.T) {
+	hosts := &Hosts{}
+	mux := http.NewServeMux()
+	hosts.Register(mux)
+	stand := &Stand{Program: hosts}
+	mux.HandleFunc("PUT /faults", stand.putFaults)
+	put := func(method, path, body string) int {
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, httptest.NewRequest(method, path, bytes.NewReader([]byte(body))))
+		return w.Code
+	}
+	assert.Equal(t, put("PUT", "/faults", `{"slow":"10ms","silent":true}`), http.StatusOK)
+	assert.Equal(t, put("PUT", "/faults", `{"loseReply":2}`), http.StatusOK)
+	assert.Equal(t, stand.Faults(), Faults{Slow: Duration(10 * time.Millisecond), LoseReply: 2})
+	assert.Equal(t, put("PUT", "/faults", `{"slwo":"10ms"}`), http.StatusBadRequest)
+
+	assert.Equal(t, put("PUT", "/hosts", `[{"targets":["127.0.0.1:1","127.0.0.1:2"],"labels":{"region":"r"}}]`), http.StatusOK)
+	assert.Equal(t, put("PATCH", "/hosts/127.0.0.1:2", `{"state":"leaving"}`), http.StatusOK)
+	assert.Equal(t, put("DELETE", "/hosts/127.0.0.1:1", ``), http.StatusOK)
+	want := []HostGroup{{Targets: []string{"127.0.0.1:2"}, Labels: map[string]string{"region": "r", "state": "leaving"}}}
+	assert.DeepEqual(t, hosts.Shown(), want)
+}
+
+func TestHostsLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := &Hosts{Lag: time.Second}
+		hosts.Set([]HostGroup{{Targets: []string{"a"}}})
+		hosts.Set([]HostGroup{{Targets: []string{"b"}}})
+		assert.Equal(t, hosts.Shown()[0].Targets[0], "a")
+		time.Sleep(time.Second)
+		assert.Equal(t, hosts.Shown()[0].Targets[0], "b")
+	})
+}
