--- /dev/null
+++ b/io/jwkeys/credentials.go
@@ -0,0 +1,50 @@
+package jwkeys
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc/credentials"
+)
+
+// Credentials secures gRPC connections between nodes, both ends.
+type Credentials struct {
+	Keeper *Keeper
+	// Identify tells which node should answer at an address; ok is false for
+	// an address that no node is known to have, which is refused.
+	Identify func(address netip.AddrPort) (want Identity, ok bool)
+}
+
+var _ credentials.TransportCredentials = (*Credentials)(nil)
+
+// ClientHandshake implements credentials.TransportCredentials.
+func (c *Credentials) ClientHandshake(ctx context.Context, authority string, conn net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	address, err := netip.ParseAddrPort(authority)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "verify node")
+	}
+	want, ok := c.Identify(address)
+	if !ok {
+		return nil, nil, errors.Errorf("verify node: nobody is known at %s", address)
+	}
+	return credentials.NewTLS(c.Keeper.NodeClient(want)).ClientHandshake(ctx, authority, conn)
+}
+
+// ServerHandshake implements credentials.TransportCredentials.
+func (c *Credentials) ServerHandshake(conn net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	return credentials.NewTLS(c.Keeper.NodeServer()).ServerHandshake(conn)
+}
+
+// Info implements credentials.TransportCredentials.
+func (c *Credentials) Info() credentials.ProtocolInfo {
+	return credentials.NewTLS(c.Keeper.NodeServer()).Info()
+}
+
+// Clone implements credentials.TransportCredentials; nothing in it changes.
+func (c *Credentials) Clone() credentials.TransportCredentials { return c }
+
+// OverrideServerName implements credentials.TransportCredentials; nodes have
+// no server names.
+func (c *Credentials) OverrideServerName(string) error { return nil }
--- /dev/null
+++ b/io/jwkeys/identity.go
@@ -0,0 +1,53 @@
+package jwkeys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/url"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	scheme      = "spiffe"
+	trustDomain = "jujubewheel"
+)
+
+// Identity is the node that a certificate was made for.
+type Identity struct {
+	Node   string
+	Region string
+}
+
+// URI returns the identity as it stands in a certificate.
+func (i Identity) URI() *url.URL {
+	return &url.URL{Scheme: scheme, Host: trustDomain, Path: "/region/" + i.Region + "/node/" + i.Node}
+}
+
+// IdentityOf returns the node at the other end of a verified connection.
+func IdentityOf(state tls.ConnectionState) (Identity, error) {
+	if len(state.PeerCertificates) == 0 {
+		return Identity{}, errors.New("read identity: no certificate")
+	}
+	return identityOf(state.PeerCertificates[0])
+}
+
+// identityOf reads the one identity of a certificate; with two of them a node
+// could speak for another.
+func identityOf(c *x509.Certificate) (Identity, error) {
+	var found []Identity
+	for _, u := range c.URIs {
+		if u.Scheme != scheme || u.Host != trustDomain {
+			continue
+		}
+		parts := strings.Split(u.Path, "/")
+		if len(parts) == 5 && parts[1] == "region" && parts[3] == "node" && parts[2] != "" && parts[4] != "" {
+			found = append(found, Identity{Region: parts[2], Node: parts[4]})
+		}
+	}
+	if len(found) != 1 {
+		return Identity{}, errors.Errorf("read identity: the certificate names %d nodes", len(found))
+	}
+	return found[0], nil
+}
