--- a/core/jwboard/reporter.go
+++ b/core/jwboard/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jujubewheel/core/jwclaim"
 	"jujubewheel/core/jwlimit"
 	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwrouter"
@@ -13,10 +14,17 @@
 // it.
 type Reporter struct {
 	Board *Board
+	Moves Moves // may be nil
 	Now   func() time.Time
 	Nudge func() // called when something was heard that others should hear at once
 }
 
+// Moves knows which processes answer for the tickets of stopped ones.
+type Moves interface {
+	Moves() []jwclaim.Move
+	Learn(jwclaim.Move)
+}
+
 // Tell returns what to tell a partner. Within the region that is what all its
 // nodes need; to another region go the load here and the suspects whose data
 // isn't bound.
@@ -35,6 +43,7 @@
 		n.Usages = append(n.Usages, jwpeer.Usage{Node: self.Name, Name: u.Name, Rate: u.Rate, Running: u.Running})
 	}
 	n.Loads = r.others(self.Region, now)
+	n.Moves = r.moves()
 	return n
 }
 
@@ -92,6 +101,30 @@
 	return out
 }
 
+// moves are told within the region, where tickets are run.
+func (r *Reporter) moves() []jwpeer.Move {
+	if r.Moves == nil {
+		return nil
+	}
+	var out []jwpeer.Move
+	for _, m := range r.Moves.Moves() {
+		out = append(out, jwpeer.Move{
+			Incarnation: m.Incarnation, ToNode: m.To.Node, ToRegion: m.To.Region, ToIncarnation: m.To.Incarnation,
+		})
+	}
+	return out
+}
+
+func (r *Reporter) hearMoves(moves []jwpeer.Move) {
+	if r.Moves == nil {
+		return
+	}
+	for _, m := range moves {
+		to := jwclaim.Holder{Node: m.ToNode, Region: m.ToRegion, Incarnation: m.ToIncarnation}
+		r.Moves.Learn(jwclaim.Move{Incarnation: m.Incarnation, To: to})
+	}
+}
+
 // Hear writes what a partner told to the board.
 func (r *Reporter) Hear(from jwpeer.Peer, n jwpeer.News) {
 	now := r.Now()
@@ -99,6 +132,7 @@
 	if from.Region == self.Region {
 		r.hearLeaving(n.Leaving, now)
 		r.hearUsages(n.Usages, now)
+		r.hearMoves(n.Moves)
 	}
 	for _, l := range n.Loads {
 		if l.Region == self.Region {
--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -167,8 +167,9 @@
 	return Head{}, false
 }
 
-// admit asks the limiter; the release must be called when the request ended.
-func (j *job) admit() (release func(), refusal Head, admitted bool) {
+// admit asks the limiter; away tells that another region is to run the request.
+// The release must be called when the request ended.
+func (j *job) admit(away bool) (release func(), refusal Head, admitted bool) {
 	now := j.Now()
 	room := j.Board.Targets.Room(j.entry.Service, now)
 	q := &jwlimit.Query{
@@ -178,9 +179,8 @@
 		Foreign: j.forwarded,
 		Left:    j.request.Deadline.Sub(now),
 		Work:    room.Work,
-		Room: jwlimit.Room{
-			Targets: room.Targets, Slots: room.Slots, Outstanding: room.Outstanding, Wait: room.Wait, Work: room.Work,
-		},
+		Away:    away,
+		Room:    room,
 		Now:    now,
 		Random: rand.Float64(),
 	}
@@ -188,5 +188,5 @@
 	if !ok {
 		return nil, overloaded(ReasonLimit, string(refused.Reason), refused.RetryAfter), false
 	}
-	return func() { j.Board.Limiter.Release(token, j.Now()) }, Head{}, true
+	return func() { j.Board.Limiter.Release(token) }, Head{}, true
 }
--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -19,8 +19,8 @@
 
 // The reasons told to a node that a request is forwarded to.
 const (
-	forwardRegion = "region"
-	forwardHolder = "claimHolder"
+	ForwardRegion = "region"
+	ForwardHolder = "claimHolder"
 )
 
 // comeBack is when a caller may try again after a failure that has no better
@@ -32,20 +32,19 @@
 	if j.quarantined() {
 		return
 	}
-	release, refusal, admitted := j.admit()
-	if !admitted && !j.mayGoAway() {
+	j.newQuery()
+	place := j.Router.Place(&j.query)
+	release, refusal, admitted := j.admit(place.Region != "" && place.Region != j.Self.Region)
+	if !admitted {
 		j.sink.refuse(refusal)
 		return
 	}
-	if admitted {
-		defer release()
-	}
-	j.newQuery()
+	defer release()
 	j.Board.Budget.Try(j.entry.Name)
 	rl := &relay{sink: j.sink}
 	for {
 		j.tries++
-		err := j.try(ctx, rl, admitted, refusal)
+		err := j.try(ctx, rl, place)
 		if err == nil {
 			return
 		}
@@ -53,14 +52,13 @@
 			j.giveUp(ctx, err)
 			return
 		}
+		j.query.Now = j.Now()
+		j.query.Random = rand.Uint64()
+		place = j.Router.Place(&j.query)
 	}
 }
 
-// mayGoAway tells whether another region might take what this one refuses.
-func (j *job) mayGoAway() bool {
-	return !j.request.Bound && !j.forwarded && len(j.entry.Regions) > 0
-}
-
+// newQuery words the request for the router.
 func (j *job) newQuery() {
 	now := j.Now()
 	j.query = jwrouter.Query{
@@ -78,21 +76,15 @@
 }
 
 // try makes one call and copies its answer; nil means that the request ended.
-func (j *job) try(ctx context.Context, rl *relay, admitted bool, refusal Head) error {
-	j.query.Now = j.Now()
-	j.query.Random = rand.Uint64()
-	place := j.Router.Place(&j.query)
+func (j *job) try(ctx context.Context, rl *relay, place jwrouter.Placement) error {
 	j.step("place", string(place.Reason)+" "+place.Region)
-	switch {
-	case place.Region == j.Self.Region && admitted:
+	switch place.Region {
+	case "":
+		return &noPlace{reason: place.Reason}
+	case j.Self.Region:
 		return j.tryTarget(ctx, rl)
-	case place.Region == j.Self.Region:
-		j.sink.refuse(refusal)
-		return nil
-	case place.Region != "":
-		return j.tryRegion(ctx, rl, place.Region)
 	}
-	return &noPlace{reason: place.Reason}
+	return j.tryRegion(ctx, rl, place.Region)
 }
 
 // noPlace says that no region this node can reach may run the request.
@@ -173,7 +165,7 @@
 	}
 	j.step("forward", peers[0].Name)
 	j.Board.Regions.Sent(region, j.entry.Service)
-	a, err := j.Peers.Forward(ctx, peers[0], j.request, forwardRegion)
+	a, err := j.Peers.Forward(ctx, peers[0], j.request, ForwardRegion)
 	if err == nil {
 		if a.Head.Outcome == jwrequest.NotRun {
 			_ = a.Body.Close()
--- a/core/jwdispatch/once.go
+++ b/core/jwdispatch/once.go
@@ -99,7 +99,7 @@
 		j.sink.refuse(h)
 		return
 	}
-	release, refusal, admitted := j.admit()
+	release, refusal, admitted := j.admit(false)
 	if !admitted {
 		call.Release()
 		j.sink.refuse(refusal)
@@ -178,7 +178,7 @@
 	peers := j.peersIn(j.workspace.Region)
 	for _, p := range peers[:min(len(peers), homeTries)] {
 		j.step("forward", p.Name)
-		a, err := j.Peers.Forward(ctx, p, j.request, forwardRegion)
+		a, err := j.Peers.Forward(ctx, p, j.request, ForwardRegion)
 		if j.passOn(a, err) {
 			return
 		}
@@ -204,7 +204,7 @@
 		return
 	}
 	j.step("forward", p.Name)
-	a, err := j.Peers.Forward(ctx, p, j.request, forwardHolder)
+	a, err := j.Peers.Forward(ctx, p, j.request, ForwardHolder)
 	if !j.passOn(a, err) {
 		j.sink.refuse(Refusal(http.StatusBadGateway, jwrequest.Unknown, ReasonPeer, "the node that took this key can't be reached; it may have run"))
 	}
--- a/core/jwpeer/news.go
+++ b/core/jwpeer/news.go
@@ -12,6 +12,7 @@
 	Suspects []Suspect
 	Loads    []RegionLoad
 	Usages   []Usage
+	Moves    []Move
 }
 
 // LeavingTarget is a target that leaves.
@@ -48,6 +49,14 @@
 	Running int
 }
 
+// Move says which process answers for the tickets of one that stopped.
+type Move struct {
+	Incarnation   string
+	ToNode        string
+	ToRegion      string
+	ToIncarnation string
+}
+
 // Reporter gives and takes news.
 type Reporter interface {
 	// Tell returns what to tell a partner.
--- a/io/jwforward/news.go
+++ b/io/jwforward/news.go
@@ -31,6 +31,11 @@
 			Node: u.Node, Name: u.Name, Rate: u.Rate, Running: uint32(u.Running),
 		})
 	}
+	for _, m := range n.Moves {
+		out.Moves = append(out.Moves, &jwwire.Move{
+			Incarnation: m.Incarnation, ToNode: m.ToNode, ToRegion: m.ToRegion, ToIncarnation: m.ToIncarnation,
+		})
+	}
 }
 
 // newsFromWire leaves out what names an address that can't be read.
@@ -60,6 +65,11 @@
 			Node: u.GetNode(), Name: u.GetName(), Rate: u.GetRate(), Running: int(u.GetRunning()),
 		})
 	}
+	for _, m := range d.GetMoves() {
+		n.Moves = append(n.Moves, jwpeer.Move{
+			Incarnation: m.GetIncarnation(), ToNode: m.GetToNode(), ToRegion: m.GetToRegion(), ToIncarnation: m.GetToIncarnation(),
+		})
+	}
 	return n
 }
 
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -37,7 +37,7 @@
 	Exchanger   Exchanger
 	Catalogue   ChangeSource
 	Workspaces  DirectorySource
-	Successor   Successor
+	Adopter     Adopter
 	MaxBody     int64                            // bytes of a request body
 	Credentials credentials.TransportCredentials // nil for none
 }
@@ -59,34 +59,37 @@
 
 // Forward serves one request of another node.
 func (s *Server) Forward(stream grpc.BidiStreamingServer[jwwire.ForwardFrame, jwwire.AnswerFrame]) error {
-	done, ok := s.Gate.Enter()
-	if !ok {
-		return status.Error(codes.FailedPrecondition, "node takes no requests now")
-	}
-	defer done()
-	r, err := s.receive(stream)
+	r, reason, err := s.receive(stream)
 	if err != nil {
 		return err
 	}
+	// A node that stops still answers for the keys it holds; nobody else can.
+	if reason != jwdispatch.ForwardHolder {
+		done, ok := s.Gate.Enter()
+		if !ok {
+			return status.Error(codes.FailedPrecondition, "node takes no requests now")
+		}
+		defer done()
+	}
 	sink := &wireSink{stream: stream}
 	s.Dispatcher.Serve(stream.Context(), r, sink)
 	return sink.err
 }
 
 // receive takes the whole request; nothing is started before its last byte.
-func (s *Server) receive(stream grpc.BidiStreamingServer[jwwire.ForwardFrame, jwwire.AnswerFrame]) (*jwrequest.Request, error) {
+func (s *Server) receive(stream grpc.BidiStreamingServer[jwwire.ForwardFrame, jwwire.AnswerFrame]) (r *jwrequest.Request, reason string, err error) {
 	f, err := stream.Recv()
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	head := f.GetHead()
 	if head == nil {
-		return nil, status.Error(codes.InvalidArgument, "first frame without a head")
+		return nil, "", status.Error(codes.InvalidArgument, "first frame without a head")
 	}
 	if s.MaxBody > 0 && head.GetBodyLength() > uint64(s.MaxBody) {
-		return nil, status.Error(codes.FailedPrecondition, "body too long")
+		return nil, "", status.Error(codes.FailedPrecondition, "body too long")
 	}
-	r := requestFromWire(head, time.Now())
+	r = requestFromWire(head, time.Now())
 	r.Body = append(r.Body, f.GetBody()...)
 	for {
 		f, err := stream.Recv()
@@ -94,17 +97,17 @@
 			break
 		}
 		if err != nil {
-			return nil, err
+			return nil, "", err
 		}
 		r.Body = append(r.Body, f.GetBody()...)
 		if uint64(len(r.Body)) > head.GetBodyLength() {
-			return nil, status.Error(codes.FailedPrecondition, "body longer than announced")
+			return nil, "", status.Error(codes.FailedPrecondition, "body longer than announced")
 		}
 	}
 	if uint64(len(r.Body)) != head.GetBodyLength() {
-		return nil, status.Error(codes.FailedPrecondition, "body shorter than announced")
+		return nil, "", status.Error(codes.FailedPrecondition, "body shorter than announced")
 	}
-	return r, nil
+	return r, head.GetReason(), nil
 }
 
 func requestFromWire(h *jwwire.RequestHead, now time.Time) *jwrequest.Request {
--- a/io/jwforward/sources.go
+++ b/io/jwforward/sources.go
@@ -25,11 +25,6 @@
 	Current() *jwdirectory.Snapshot
 }
 
-// Successor takes over the tickets and answers of a node that stops.
-type Successor interface {
-	Adopt(ctx context.Context, from jwpeer.Peer, next func() ([]byte, error)) (kept uint64, err error)
-}
-
 // ChangeRecords asks a node for catalogue changes after a revision; a
 // checkpoint comes when the node no longer has the changes themselves.
 func (p *Pool) ChangeRecords(ctx context.Context, from jwpeer.Peer, after uint64, most int) (changes [][]byte, checkpoint []byte, err error) {
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -20,6 +20,7 @@
 	"jujubewheel/core/jwclaim"
 	"jujubewheel/core/jwdirectory"
 	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwdrain"
 	"jujubewheel/core/jwhost"
 	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwrequest"
@@ -43,6 +44,7 @@
 	forgetPeers     = time.Hour
 	loadTimeout     = time.Second
 	platformTimeout = 2 * time.Second
+	linger          = 2 * time.Second // answering after the handover, so that others learn of it
 )
 
 // Node is one node of the system; set its exported fields before Run.
@@ -58,7 +60,7 @@
 	pool       *jwforward.Pool
 	targets    *jwtargetclient.Client
 	keeper     *jwclaim.Keeper
-	drain      gate
+	drain      jwdrain.Drain
 	follower   *jwcatalogue.Follower
 	editor     *jwcatalogue.Editor
 	exchange   *jwpeer.Exchange
@@ -138,6 +140,8 @@
 	n.pool = &jwforward.Pool{}
 	n.targets = &jwtargetclient.Client{}
 	incarnation := uuid.Must(uuid.NewV7()).String()
+	n.board.Targets.Node = s.Node
+	n.board.Targets.Region = s.Region
 	n.board.Limiter.Node = s.Node
 	n.board.Suspects.Region = s.Region
 	n.board.Regions.Links = links(s)
@@ -146,6 +150,11 @@
 		Salt: salt(s), Peers: servingPeers{&n.board.Peers},
 		Memory: s.Claims.KeyMemory, GroupWindow: s.Claims.GroupWindow,
 	}
+	n.drain.Keys = n.keeper
+	n.drain.Successors = n.successors
+	n.drain.Limit = s.DrainLimit
+	n.drain.Linger = linger
+	n.drain.Changed = n.drainChanged
 	router := &jwrouter.Router{
 		Region: s.Region, DataCentre: s.DataCentre, Targets: &n.board.Targets, Regions: &n.board.Regions,
 	}
@@ -158,7 +167,7 @@
 		Store: n.store, Table: &n.board.Catalogue, Watcher: n.watches,
 		Source: &changeSource{peers: &n.board.Peers, pool: n.pool, self: s.Node},
 	}
-	reporter := &jwboard.Reporter{Board: &n.board, Now: time.Now}
+	reporter := &jwboard.Reporter{Board: &n.board, Moves: n.keeper, Now: time.Now}
 	n.exchange = &jwpeer.Exchange{
 		Table: &n.board.Peers, Partner: n.pool, News: reporter,
 		Period: s.Periods.Exchange, Beat: beat, Timeout: exchangeTimeout, Silence: silence,
@@ -167,7 +176,7 @@
 	reporter.Nudge = n.exchange.Nudge
 	server := &jwforward.Server{
 		Dispatcher: n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
-		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
+		Adopter: n.keeper, Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
 	}
 	n.grpc = server.GRPC()
 	n.board.Peers.SetSelf(jwpeer.Peer{
--- /dev/null
+++ b/io/jwnode/node_test.go
@@ -0,0 +1,76 @@
+package jwnode
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/io/jwstand"
+)
+
+// A caller asks a node which host to use, sends a draft there, plain and
+// streamed, and gets the whole answer; what its own region has no target for
+// is served by another.
+func TestWholePath(t *testing.T) {
+	s := newSystem(t, "east", "west")
+	s.runner("east")
+	a := s.node("e1", "east")
+	b := s.node("w1", "west")
+	s.edit(a, draft())
+	s.settle(1)
+
+	resp, err := http.Get("http://" + b.CallersAddr().String() + "/v1/hosts?workspace=bound-east")
+	assert.NilError(t, err)
+	var list struct{ Hosts []string }
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&list))
+	assert.NilError(t, resp.Body.Close())
+	assert.DeepEqual(t, list.Hosts, []string{a.CallersAddr().String()})
+
+	s.await("targets", func() bool { return len(a.board.Targets.Used()) == 1 })
+	plain := s.send(a.CallersAddr(), "draft", "free-east", prompt("menu", 5, false), nil)
+	assert.NilError(t, plain.err)
+	assert.Equal(t, plain.status, http.StatusOK, plain.body)
+	assert.Equal(t, plain.outcome, "served")
+	assert.Assert(t, strings.Contains(plain.body, jwstand.TextOf("menu", 5)))
+
+	streamed := s.send(a.CallersAddr(), "draft", "free-east", prompt("menu", 50, true), nil)
+	assert.NilError(t, streamed.err)
+	assert.Equal(t, streamed.outcome, "served")
+	assert.Assert(t, strings.Contains(streamed.body, "data: [DONE]"))
+	assert.Assert(t, strings.Contains(streamed.body, "event: done\ndata: {\"outcome\":\"served\""))
+
+	s.await("load of east at west", func() bool {
+		return s.send(b.CallersAddr(), "draft", "free-west", prompt("menu", 5, true), nil).status == http.StatusOK
+	})
+	away := s.send(b.CallersAddr(), "draft", "free-west", prompt("menu", 50, true), nil)
+	assert.NilError(t, away.err)
+	assert.Equal(t, away.server, "east")
+	assert.Assert(t, strings.Contains(away.body, "event: done"))
+}
+
+// A family presses the deposit button twice, at two hosts. The deposit must be
+// taken once, and both presses get the same answer.
+func TestConfirmationPressedTwice(t *testing.T) {
+	s := newSystem(t, "east")
+	desk, _ := s.service("east")
+	a := s.node("e1", "east")
+	b := s.node("e2", "east")
+	s.edit(a, confirmation())
+	s.settle(1)
+	s.await("targets", func() bool { return len(a.board.Targets.Used())+len(b.board.Targets.Used()) == 2 })
+
+	key := header{"Idempotency-Key": "deposit-17"}
+	first := s.send(a.CallersAddr(), "confirm", "bound-east", `{"deposit":1}`, key)
+	assert.Equal(t, first.status, http.StatusOK, first.body)
+	second := s.send(b.CallersAddr(), "confirm", "bound-east", `{"deposit":1}`, key)
+	assert.Equal(t, second.status, http.StatusOK, second.body)
+	assert.Equal(t, first.body, second.body)
+	assert.Equal(t, len(desk.Journal.Runs()), 1)
+
+	other := s.send(b.CallersAddr(), "confirm", "bound-east", `{"deposit":2}`, key)
+	assert.Equal(t, other.status, http.StatusConflict, other.body)
+	assert.Equal(t, len(desk.Journal.Runs()), 1)
+}
--- /dev/null
+++ b/io/jwnode/system_test.go
@@ -0,0 +1,237 @@
+package jwnode
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/io/jwsettings"
+	"jujubewheel/io/jwstand"
+)
+
+// system is a small whole system on loopback: stand-ins of the platform and of
+// targets, and nodes of several regions, all in this process.
+type system struct {
+	t        *testing.T
+	kv       *jwstand.KeyValue
+	kvStand  *jwstand.Stand
+	hosts    *jwstand.Hosts
+	clients  *jwstand.Clients
+	hostsAt  netip.AddrPort
+	clientAt netip.AddrPort
+	nodes    map[string]*running
+	groups   []jwstand.HostGroup
+	regions  []string
+}
+
+// running is a node with what stops it.
+type running struct {
+	*Node
+	stop func()
+	done chan error
+}
+
+// testPatience bounds how long a test waits for a state to come about.
+const testPatience = 20 * time.Second
+
+func newSystem(t *testing.T, regions ...string) *system {
+	t.Helper()
+	s := &system{t: t, kv: &jwstand.KeyValue{}, hosts: &jwstand.Hosts{}, clients: &jwstand.Clients{}, nodes: map[string]*running{}, regions: regions}
+	s.kvStand = s.stand("kv", s.kv)
+	s.hostsAt = s.stand("hosts", s.hosts).Address
+	s.clientAt = s.stand("clients", s.clients).Address
+	var list []jwstand.Client
+	for _, r := range regions {
+		list = append(list,
+			jwstand.Client{Name: "free-" + r, Region: r, Owner: "o"},
+			jwstand.Client{Name: "bound-" + r, Region: r, Bound: true, Owner: "o"})
+	}
+	s.clients.Set(list)
+	return s
+}
+
+func (s *system) stand(kind string, p jwstand.Program) *jwstand.Stand {
+	s.t.Helper()
+	stand := &jwstand.Stand{
+		Kind: kind, Program: p, Exit: func(int) {},
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Control: netip.MustParseAddrPort("127.0.0.1:0"),
+	}
+	assert.NilError(s.t, stand.Listen())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = stand.Run(ctx)
+	}()
+	s.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return stand
+}
+
+// runner starts a model engine and lists it.
+func (s *system) runner(region string) (*jwstand.Runner, *jwstand.Stand) {
+	r := &jwstand.Runner{Engine: jwstand.Engine{Slots: 8, Token: time.Millisecond, Prefill: 10 * time.Microsecond}}
+	stand := s.stand("runner", r)
+	s.list(stand.Address, map[string]string{"role": "target", "service": "writer", "region": region, "dataCentre": region + "-1"})
+	return r, stand
+}
+
+// service starts a plain service and lists it.
+func (s *system) service(region string) (*jwstand.Service, *jwstand.Stand) {
+	p := &jwstand.Service{}
+	stand := s.stand("service", p)
+	s.list(stand.Address, map[string]string{"role": "target", "service": "desk", "region": region, "dataCentre": region + "-1"})
+	return p, stand
+}
+
+func (s *system) list(addr netip.AddrPort, labels map[string]string) {
+	labels["state"] = "live"
+	s.groups = append(s.groups, jwstand.HostGroup{Targets: []string{addr.String()}, Labels: labels})
+	s.hosts.Set(s.groups)
+}
+
+// node starts a node and lists it.
+func (s *system) node(name, region string) *running {
+	s.t.Helper()
+	text := fmt.Sprintf(`{"node": %q, "region": %q, "dataCentre": %q,
+		"listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "nodes": "127.0.0.1:0"},
+		"platform": {"keyValue": %q, "hosts": %q, "directory": %q},
+		"operators": {"token": "a token for tests only"},
+		"periods": {"exchange": "100ms", "hostsPoll": "100ms", "loadPoll": "100ms"},
+		"regions": [%s]}`,
+		name, region, region+"-1", s.kvStand.Address, s.hostsAt, s.clientAt, s.regionList())
+	settings, err := jwsettings.Parse([]byte(text))
+	assert.NilError(s.t, err)
+	n := &running{Node: &Node{Settings: settings, Log: logr.Discard()}, done: make(chan error, 1)}
+	assert.NilError(s.t, n.Listen())
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	go func() { n.done <- n.Run(ctx) }()
+	s.nodes[name] = n
+	s.list(n.CallersAddr(), map[string]string{
+		"role": "entry", "name": name, "region": region, "dataCentre": region + "-1", "nodes": n.NodesAddr().String(),
+	})
+	s.t.Cleanup(func() {
+		cancel()
+		err := <-n.done
+		n.done <- err
+		assert.Check(s.t, err)
+	})
+	return n
+}
+
+func (s *system) regionList() string {
+	var b bytes.Buffer
+	for i, r := range s.regions {
+		if i > 0 {
+			b.WriteString(", ")
+		}
+		fmt.Fprintf(&b, `{"name": %q, "dataCentres": [%q]}`, r, r+"-1")
+	}
+	return b.String()
+}
+
+// edit puts an entry into the catalogue.
+func (s *system) edit(n *running, e jwcatalogue.Entry) {
+	s.t.Helper()
+	_, err := n.editor.Put(s.t.Context(), jwcatalogue.Edit{
+		EditID: "edit-" + e.Name, Author: "test", Reason: "test", Entry: e.Name, After: &e,
+	})
+	assert.NilError(s.t, err)
+}
+
+func draft() jwcatalogue.Entry {
+	return jwcatalogue.Entry{
+		Name: "draft", Owner: "o", Class: jwcatalogue.Draft, Service: "writer", Path: "/v1/completions",
+		Idempotent: true, Deadline: 20 * time.Second, Progress: 5 * time.Second, Regions: []string{"*"},
+		Weights: jwcatalogue.Weights{Cost: 1, Tail: 1, SentAway: 1}, MaxBodySize: 1 << 20,
+	}
+}
+
+func confirmation() jwcatalogue.Entry {
+	return jwcatalogue.Entry{
+		Name: "confirm", Owner: "o", Class: jwcatalogue.Confirmation, Service: "desk", Path: "/confirm",
+		Deadline: 10 * time.Second, Progress: 5 * time.Second, KeyMemory: time.Hour, MaxBodySize: 1 << 16,
+	}
+}
+
+// settle waits until all nodes serve with the newest catalogue and know each
+// other.
+func (s *system) settle(revision uint64) {
+	s.t.Helper()
+	s.await("all nodes level", func() bool {
+		for _, n := range s.nodes {
+			if !n.serving.Load() || n.board.Catalogue.Revision() < revision {
+				return false
+			}
+			serving := n.board.Peers.Select(func(p jwpeer.Peer) bool { return p.State == jwpeer.Serving })
+			if len(serving) < len(s.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (s *system) await(what string, holds func() bool) {
+	s.t.Helper()
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting for: %s", what)
+	}, poll.WithTimeout(testPatience), poll.WithDelay(20*time.Millisecond))
+}
+
+// reply is a caller's view of an answer.
+type reply struct {
+	status  int
+	outcome string
+	server  string
+	body    string
+	err     error // the answer broke off
+}
+
+type header map[string]string
+
+// send sends a request as a caller does.
+func (s *system) send(to netip.AddrPort, entry, workspace, body string, h header) reply {
+	s.t.Helper()
+	r, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://"+to.String()+"/v1/requests/"+entry, bytes.NewReader([]byte(body)))
+	assert.NilError(s.t, err)
+	r.Header.Set("Jujube-Workspace", workspace)
+	r.Header.Set("Content-Type", "application/json")
+	for k, v := range h {
+		r.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	out := reply{status: resp.StatusCode, outcome: resp.Header.Get("Jujube-Outcome"), server: resp.Header.Get("Jujube-Served-By"), body: string(data), err: err}
+	if out.outcome == "" {
+		out.outcome = resp.Trailer.Get("Jujube-Outcome")
+	}
+	return out
+}
+
+func prompt(text string, tokens int, stream bool) string {
+	data, _ := json.Marshal(jwstand.Completion{Model: "m", Prompt: text, MaxTokens: tokens, Stream: stream})
+	return string(data)
+}
--- a/io/jwtargetclient/client.go
+++ b/io/jwtargetclient/client.go
@@ -20,6 +20,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"jujubewheel/core/jwdispatch"
+	"jujubewheel/io/jwrest"
 )
 
 // serviceName is what httpc calls the targets; its breaker is off for it,
@@ -171,6 +172,7 @@
 }
 
 func (c *Client) connections() *connections {
+	jwrest.Quiet()
 	timeout := c.DialTimeout
 	if timeout == 0 {
 		timeout = time.Second
--- /dev/null
+++ b/io/jwtargetclient/client_test.go
@@ -0,0 +1,208 @@
+package jwtargetclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwrequest"
+)
+
+func address(t *testing.T, s *httptest.Server) netip.AddrPort {
+	t.Helper()
+	addr, err := netip.ParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	assert.NilError(t, err)
+	return addr
+}
+
+func call(body string) jwdispatch.TargetCall {
+	return jwdispatch.TargetCall{
+		Request:    &jwrequest.Request{ID: "r", Workspace: "w", Body: []byte(body)},
+		Path:       "/v1/x",
+		Idempotent: true,
+	}
+}
+
+// Each way in which a target can fail tells the node how far the request got.
+// A wrong word here becomes a doubled order, or an order reported as lost that
+// was never placed.
+func TestFates(t *testing.T) {
+	tests := map[string]struct {
+		handler  http.HandlerFunc
+		progress time.Duration
+		atCall   jwdispatch.Fate // empty when the answer begins
+		atEnd    jwdispatch.Fate // empty when it is whole
+	}{
+		"whole plain answer": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "fine")
+		}},
+		"whole stream": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "data: a\n\ndata: [DONE]\n\n")
+		}},
+		"refused as overloaded": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, atCall: jwdispatch.Refused},
+		"connection cut before the answer": {handler: func(http.ResponseWriter, *http.Request) {
+			panic(http.ErrAbortHandler)
+		}, atCall: jwdispatch.Broken},
+		"plain answer cut short": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, atEnd: jwdispatch.Broken},
+		"stream that ends cleanly without its end mark": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "data: a\n\n")
+		}, atEnd: jwdispatch.Broken},
+		"answer without any length": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.0 200 OK\r\n\r\nhalf")
+				_ = conn.Close()
+			}
+		}, atEnd: jwdispatch.Broken},
+		"silence": {progress: 50 * time.Millisecond, handler: func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+		}, atCall: jwdispatch.Silent},
+		"silence in the midst of a stream": {progress: 50 * time.Millisecond, handler: func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "data: a\n\n")
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}, atEnd: jwdispatch.Silent},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				test.handler(w, r)
+			}))
+			defer s.Close()
+			c := &Client{}
+			in := call("hello")
+			in.Progress = test.progress
+			a, err := c.Call(t.Context(), address(t, s), in)
+			if test.atCall != "" {
+				assertFate(t, err, test.atCall)
+				return
+			}
+			assert.NilError(t, err)
+			_, err = io.ReadAll(a.Body)
+			assert.NilError(t, a.Body.Close())
+			if test.atEnd == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assertFate(t, err, test.atEnd)
+		})
+	}
+}
+
+func assertFate(t *testing.T, err error, want jwdispatch.Fate) {
+	t.Helper()
+	var failed *jwdispatch.CallError
+	assert.Assert(t, errors.As(err, &failed), "%v", err)
+	assert.Equal(t, failed.Fate, want)
+}
+
+// Nothing listens at the target's address any more. The node must say that the
+// request was not run, so that its caller can order again at once.
+func TestNoListener(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	assert.NilError(t, l.Close())
+	_, err = (&Client{}).Call(t.Context(), addr, call("hello"))
+	assertFate(t, err, jwdispatch.Unsent)
+}
+
+// The target takes a confirmation and its process dies before the answer, on a
+// connection that was used before. The HTTP library would by itself send the
+// request once more, since it carries an Idempotency-Key, and the restaurant
+// would get its langoustine twice.
+func TestNotSentAgainByTheTransport(t *testing.T) {
+	tests := map[string]string{"with a body": "order", "without a body": ""}
+	for name, body := range tests {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int32
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if r.Header.Get("Idempotency-Key") == "" {
+					return
+				}
+				runs.Add(1)
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err == nil {
+					_ = conn.Close()
+				}
+			}))
+			defer s.Close()
+			c := &Client{}
+			a, err := c.Call(t.Context(), address(t, s), call("warm up the connection"))
+			assert.NilError(t, err)
+			_, err = io.ReadAll(a.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, a.Body.Close())
+
+			order := call(body)
+			order.Request.Key = "k"
+			for _, idempotent := range []bool{true, false} {
+				runs.Store(0)
+				order.Idempotent = idempotent
+				_, err = c.Call(t.Context(), address(t, s), order)
+				assertFate(t, err, jwdispatch.Broken)
+				assert.Equal(t, runs.Load(), int32(1))
+			}
+		})
+	}
+}
+
+// A caller goes away in the midst of a long draft. The target must notice, or
+// it goes on generating tokens that nobody reads.
+func TestCloseCancelsTheTarget(t *testing.T) {
+	gone := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = fmt.Fprint(w, "data: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		close(gone)
+	}))
+	defer s.Close()
+	a, err := (&Client{}).Call(context.Background(), address(t, s), call("draft"))
+	assert.NilError(t, err)
+	assert.NilError(t, a.Body.Close())
+	<-gone
+}
+
+func TestParseLoad(t *testing.T) {
+	load, leaving, err := parseLoad(strings.NewReader("# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running 3\n" +
+		"# TYPE vllm:seconds_per_output_token gauge\nvllm:seconds_per_output_token 0.02\n# TYPE vllm:leaving gauge\nvllm:leaving 1\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, load.Running, 3)
+	assert.Equal(t, load.Token, 20*time.Millisecond)
+	assert.Assert(t, leaving)
+}
+
+func FuzzParseLoad(f *testing.F) {
+	f.Add("# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running 3\n")
+	f.Add("vllm:num_requests_running NaN\n")
+	f.Fuzz(func(_ *testing.T, s string) {
+		_, _, _ = parseLoad(strings.NewReader(s))
+	})
+}
