jwcatalogue: the log of changes, its table, editor and follower

Operators drive the system by editing entries only, so an accepted change must keep its place and nobody's catalogue may go back.

Change n is the key catalogue/changes/<n>, created if absent; that creation is the one point of order. A table takes changes by number only. A lost reply is resolved by reading n back and comparing the edit id. An edit names the revision of the entry that its operator saw, and the loser of a race gets the winner's change.

How far the log is trimmed stands in a small key of its own (catalogue/log), which is written before anything is deleted: an editor paused for longer than the log is kept can create a trimmed number anew, and the mark tells it and every reader that this is no change. Ruled out: keeping the mark in the checkpoint.

--- /dev/null
+++ b/core/jwcatalogue/change.go
@@ -0,0 +1,144 @@
+package jwcatalogue
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// The keys of the catalogue in the platform's service.
+const (
+	ChangesPrefix = "catalogue/changes/"
+	CheckpointKey = "catalogue/checkpoint"
+	LogKey        = "catalogue/log"
+)
+
+// The bounds of what is written, well below the service's megabyte a value.
+const (
+	MaxChangeSize    = 64 << 10  // bytes of one change
+	MaxCatalogueSize = 512 << 10 // bytes of a checkpoint
+)
+
+// Change is one record of the log: change N makes revision N of the catalogue
+// from revision N-1.
+type Change struct {
+	N      uint64    `json:"n"`
+	EditID string    `json:"editId"` // chosen by whoever sends the edit
+	Author string    `json:"author"`
+	Time   time.Time `json:"time"`
+	Reason string    `json:"reason"`
+	Entry  string    `json:"entry"`
+	Before *Entry    `json:"before,omitempty"` // nil when the entry is new
+	After  *Entry    `json:"after,omitempty"`  // nil when the entry is removed
+}
+
+// ParseChange reads a record of the log and refuses one that is not whole.
+func ParseChange(data []byte) (Change, error) {
+	var c Change
+	if err := decodeStrict(data, &c); err != nil {
+		return Change{}, errors.Wrap(err, "catalogue change")
+	}
+	if err := c.check(); err != nil {
+		return Change{}, err
+	}
+	return c, nil
+}
+
+// Encode returns the record as it is kept by the platform.
+func (c Change) Encode() ([]byte, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(c)
+	return data, errors.Wrapf(err, "change %d", c.N)
+}
+
+func (c Change) check() error {
+	switch {
+	case c.N == 0:
+		return errors.New("change without a number")
+	case c.EditID == "":
+		return errors.Errorf("change %d has no edit id", c.N)
+	case !validName(c.Entry):
+		return errors.Errorf("change %d is of entry %q", c.N, c.Entry)
+	case c.Before == nil && c.After == nil:
+		return errors.Errorf("change %d neither adds nor removes", c.N)
+	case c.Before != nil && c.Before.Name != c.Entry:
+		return errors.Errorf("change %d of %q comes from %q", c.N, c.Entry, c.Before.Name)
+	case c.After != nil && c.After.Name != c.Entry:
+		return errors.Errorf("change %d of %q makes %q", c.N, c.Entry, c.After.Name)
+	}
+	return nil
+}
+
+// Checkpoint is the whole catalogue at one revision.
+type Checkpoint struct {
+	Revision  uint64            `json:"revision"`
+	Entries   map[string]Entry  `json:"entries"`   // by name
+	Revisions map[string]uint64 `json:"revisions"` // the last change of each entry
+}
+
+// ParseCheckpoint reads a checkpoint and refuses one that is not whole.
+func ParseCheckpoint(data []byte) (Checkpoint, error) {
+	var c Checkpoint
+	if err := decodeStrict(data, &c); err != nil {
+		return Checkpoint{}, errors.Wrap(err, "catalogue checkpoint")
+	}
+	if err := c.check(); err != nil {
+		return Checkpoint{}, err
+	}
+	return c, nil
+}
+
+// Encode returns the record as it is kept by the platform.
+func (c Checkpoint) Encode() ([]byte, error) {
+	if err := c.check(); err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(c)
+	return data, errors.Wrapf(err, "checkpoint %d", c.Revision)
+}
+
+func (c Checkpoint) check() error {
+	if len(c.Entries) != len(c.Revisions) {
+		return errors.Errorf("checkpoint %d has %d entries and %d revisions", c.Revision, len(c.Entries), len(c.Revisions))
+	}
+	for name, e := range c.Entries {
+		if !validName(name) || e.Name != name {
+			return errors.Errorf("checkpoint %d has entry %q under %q", c.Revision, e.Name, name)
+		}
+		if n := c.Revisions[name]; n == 0 || n > c.Revision {
+			return errors.Errorf("checkpoint %d has entry %q of revision %d", c.Revision, name, n)
+		}
+	}
+	return nil
+}
+
+// numberWidth keeps the keys of changes sorted by number.
+const numberWidth = 12
+
+// ChangeKey returns the key of change n.
+func ChangeKey(n uint64) string {
+	return fmt.Sprintf("%s%0*d", ChangesPrefix, numberWidth, n)
+}
+
+// blockPrefix returns the common prefix of the keys of change n and its
+// neighbours, so that one list brings no more than blockSize changes.
+func blockPrefix(n uint64) string {
+	key := ChangeKey(n)
+	return key[:len(key)-blockDigits]
+}
+
+const (
+	blockDigits = 2
+	blockSize   = 100
+)
+
+func changeNumber(key string) (uint64, error) {
+	n, err := strconv.ParseUint(strings.TrimPrefix(key, ChangesPrefix), 10, 64)
+	return n, errors.Wrapf(err, "key %q", key)
+}
--- /dev/null
+++ b/core/jwcatalogue/editor_test.go
@@ -0,0 +1,178 @@
+package jwcatalogue_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwstore"
+)
+
+func editor(s *fakeStore) *jwcatalogue.Editor {
+	return &jwcatalogue.Editor{Store: s, Table: new(jwcatalogue.Table), Retry: time.Microsecond}
+}
+
+func edit(id, name string, ifRevision uint64) jwcatalogue.Edit {
+	e := entry(name)
+	e.Owner = id
+	return jwcatalogue.Edit{EditID: id, Author: "amal", Entry: name, After: &e, IfRevision: ifRevision}
+}
+
+func TestPutConflict(t *testing.T) {
+	// Two operators look at the same entry and both change it. Without the
+	// check of what they saw, the second edit would undo the first unseen.
+	s := new(fakeStore)
+	a, b := editor(s), editor(s)
+	first, err := a.Put(t.Context(), edit("e1", "status", 0))
+	assert.NilError(t, err)
+	_, err = a.Put(t.Context(), edit("e2", "status", first.Revision))
+	assert.NilError(t, err)
+	_, err = b.Put(t.Context(), edit("e3", "status", first.Revision))
+	var conflict *jwcatalogue.ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, conflict.Winner.EditID, "e2")
+	assert.Equal(t, conflict.Revision, uint64(2))
+
+	other, err := b.Put(t.Context(), edit("e4", "menu", 0))
+	assert.NilError(t, err)
+	assert.Equal(t, other.Revision, uint64(3))
+}
+
+func TestPutLostReply(t *testing.T) {
+	// The service takes the write and its reply is lost. An operator who was
+	// told of a failure would send the edit again and find it there twice.
+	tests := map[string]struct{ lose, drop int }{
+		"took effect":            {lose: 1},
+		"took no effect":         {drop: 1},
+		"both":                   {lose: 1, drop: 1},
+		"first lost, then again": {lose: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &fakeStore{loseReplies: tt.lose, dropWrites: tt.drop}
+			d := editor(s)
+			got, err := d.Put(t.Context(), edit("e1", "status", 0))
+			assert.NilError(t, err)
+			assert.Equal(t, got.Revision, uint64(1))
+			again, err := editor(s).Put(t.Context(), edit("e1", "status", 0))
+			assert.NilError(t, err)
+			assert.Equal(t, again, got)
+			assert.DeepEqual(t, s.keys(jwcatalogue.ChangesPrefix), []string{jwcatalogue.ChangeKey(1)})
+		})
+	}
+}
+
+func TestPutUnknown(t *testing.T) {
+	// Every reply is lost, and so are the reads that would tell. The operator
+	// hears that the outcome is unknown, never that it failed.
+	s := &fakeStore{dropWrites: 100}
+	_, err := editor(s).Put(t.Context(), edit("e1", "status", 0))
+	assert.ErrorIs(t, err, jwstore.ErrUnknown)
+	s = &fakeStore{down: true}
+	_, err = editor(s).Put(t.Context(), edit("e1", "status", 0))
+	assert.ErrorIs(t, err, jwstore.ErrUnavailable)
+}
+
+func TestPutRefuses(t *testing.T) {
+	s := new(fakeStore)
+	d := editor(s)
+	_, err := d.Put(t.Context(), edit("e1", "status", 0))
+	assert.NilError(t, err)
+	big := edit("e2", "menu", 0)
+	for i := range jwcatalogue.MaxRegions {
+		big.After.Regions = append(big.After.Regions, fmt.Sprintf("region-%060d", i))
+	}
+	tests := map[string]struct {
+		edit jwcatalogue.Edit
+		want string
+	}{
+		"edit id of another":  {edit("e1", "menu", 0), "belongs to change 1"},
+		"no edit id":          {edit("", "menu", 0), "edit id is empty"},
+		"other name":          {jwcatalogue.Edit{EditID: "e3", Author: "a", Entry: "x", After: big.After}, "not that of the entry"},
+		"invalid":             {big, "longer than"},
+		"removal of none":     {jwcatalogue.Edit{EditID: "e4", Author: "a", Entry: "x"}, "no such entry"},
+		"new one that exists": {edit("e5", "status", 0), "changed by amal"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := d.Put(t.Context(), tt.edit)
+			assert.ErrorContains(t, err, tt.want)
+		})
+	}
+	assert.Equal(t, len(s.keys(jwcatalogue.ChangesPrefix)), 1)
+}
+
+func TestPutSizeLimit(t *testing.T) {
+	s := new(fakeStore)
+	d := editor(s)
+	var refused error
+	for i := range 400 {
+		e := edit(fmt.Sprintf("e%d", i), fmt.Sprintf("entry-%d", i), 0)
+		for r := range 30 {
+			e.After.Regions = append(e.After.Regions, fmt.Sprintf("region-%050d", r))
+		}
+		if _, refused = d.Put(t.Context(), e); refused != nil {
+			break
+		}
+	}
+	assert.ErrorContains(t, refused, "the catalogue would have")
+}
+
+func TestCheckpointAndTrim(t *testing.T) {
+	s := new(fakeStore)
+	d := editor(s)
+	d.Keep = 100
+	for i := range 700 {
+		_, err := d.Put(t.Context(), edit(fmt.Sprintf("e%d", i), fmt.Sprintf("entry-%d", i), 0))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, len(s.keys(jwcatalogue.ChangesPrefix)) < 100+3*jwcatalogue.CheckpointEvery)
+
+	late := editor(s)
+	res, err := late.Put(t.Context(), edit("late", "entry-late", 0))
+	assert.NilError(t, err)
+	assert.Equal(t, res.Revision, uint64(701))
+	assert.Equal(t, len(late.Table.Current().Entries), 701)
+	assert.DeepEqual(t, late.Table.Current().Revisions, func() map[string]uint64 {
+		all := map[string]uint64{"entry-late": 701}
+		for i := range 700 {
+			all[fmt.Sprintf("entry-%d", i)] = uint64(i + 1)
+		}
+		return all
+	}())
+}
+
+func TestPutAfterPauseBeyondTrim(t *testing.T) {
+	// An editor is paused between reading the head and writing. Meanwhile the
+	// others write on, and its number is trimmed away, so that the service
+	// lets it create the key anew. Believed, its edit would be reported as
+	// done and be in force nowhere.
+	s := new(fakeStore)
+	paused, other := editor(s), editor(s)
+	other.Keep = 10
+	hold, held := make(chan struct{}), make(chan struct{})
+	s.hold, s.held = hold, held
+	result := make(chan error)
+	go func() {
+		_, err := paused.Put(context.Background(), edit("paused", "status", 0))
+		result <- err
+	}()
+	<-held
+	for i := range 300 {
+		_, err := other.Put(t.Context(), edit(fmt.Sprintf("e%d", i), fmt.Sprintf("entry-%d", i), 0))
+		assert.NilError(t, err)
+	}
+	close(hold)
+	assert.ErrorIs(t, <-result, jwstore.ErrUnknown)
+
+	reader := editor(s)
+	_, err := reader.Put(t.Context(), edit("next", "other", 0))
+	assert.NilError(t, err)
+	_, _, ok := reader.Table.Current().Entry("status")
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/core/jwcatalogue/entry_test.go
@@ -0,0 +1,82 @@
+package jwcatalogue_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwcatalogue"
+)
+
+func entry(name string) jwcatalogue.Entry {
+	return jwcatalogue.Entry{
+		Name: name, Owner: "kitchen", Class: jwcatalogue.Lookup, Service: "order-desk", Path: "/status",
+		Idempotent: true, Deadline: 8 * time.Second, MaxBodySize: 1 << 20,
+	}
+}
+
+func TestEntryJSON(t *testing.T) {
+	e := entry("status")
+	e.Regions = []string{"north", "south"}
+	e.Limits = jwcatalogue.Limits{Rate: 2.5, Burst: 3, Concurrent: 4}
+	data, err := json.Marshal(e)
+	assert.NilError(t, err)
+	got, err := jwcatalogue.ParseEntry(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, e)
+}
+
+func TestParseEntryRefuses(t *testing.T) {
+	tests := map[string]struct{ in, want string }{
+		"unknown key":        {`{"name":"a","retries":3}`, "unknown field"},
+		"unknown nested key": {`{"limits":{"rps":3}}`, "unknown field"},
+		"duration as number": {`{"deadline":8}`, "not a string"},
+		"duration":           {`{"deadline":"8 s"}`, "unknown unit"},
+		"two values":         {`{"name":"a"} {}`, "more than one"},
+		"not an object":      {`[]`, "cannot unmarshal"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := jwcatalogue.ParseEntry([]byte(tt.in))
+			assert.ErrorContains(t, err, tt.want)
+		})
+	}
+}
+
+func TestValidate(t *testing.T) {
+	tests := map[string]struct {
+		edit func(e *jwcatalogue.Entry)
+		want []string
+	}{
+		"good":           {func(*jwcatalogue.Entry) {}, nil},
+		"empty":          {func(e *jwcatalogue.Entry) { *e = jwcatalogue.Entry{} }, []string{"name is empty", "owner is empty", "service is empty", "path", "class", "deadline"}},
+		"long name":      {func(e *jwcatalogue.Entry) { e.Name = string(make([]byte, 64)) }, []string{"name is longer"}},
+		"slash in name":  {func(e *jwcatalogue.Entry) { e.Name = "a/b" }, []string{"other characters"}},
+		"deadline":       {func(e *jwcatalogue.Entry) { e.Deadline = time.Hour + 1 }, []string{"deadline"}},
+		"first token":    {func(e *jwcatalogue.Entry) { e.FirstToken = time.Minute }, []string{"firstToken"}},
+		"progress":       {func(e *jwcatalogue.Entry) { e.Progress = -1 }, []string{"progress"}},
+		"key memory":     {func(e *jwcatalogue.Entry) { e.Idempotent, e.KeyMemory = false, 7*time.Second }, []string{"keyMemory"}},
+		"negative":       {func(e *jwcatalogue.Entry) { e.Limits.Rate, e.Weights.Tail = -1, -1 }, []string{"limits.rate", "weights.tail"}},
+		"no burst":       {func(e *jwcatalogue.Entry) { e.Limits.Rate = 1 }, []string{"limits.burst"}},
+		"body":           {func(e *jwcatalogue.Entry) { e.MaxBodySize = 1 << 40 }, []string{"maxBodySize"}},
+		"bound away":     {func(e *jwcatalogue.Entry) { e.Bound, e.Regions = true, []string{"north"} }, []string{"bound"}},
+		"any and others": {func(e *jwcatalogue.Entry) { e.Regions = []string{"*", "north"} }, []string{"beside others"}},
+		"region twice":   {func(e *jwcatalogue.Entry) { e.Regions = []string{"north", "north"} }, []string{"twice"}},
+		"path":           {func(e *jwcatalogue.Entry) { e.Path = "/a b" }, []string{"path"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := entry("status")
+			tt.edit(&e)
+			err := e.Validate()
+			if tt.want == nil {
+				assert.NilError(t, err)
+			}
+			for _, want := range tt.want {
+				assert.ErrorContains(t, err, want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/jwcatalogue/follower_test.go
@@ -0,0 +1,104 @@
+package jwcatalogue_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwstore"
+)
+
+// peerTable is a peer whose catalogue is read over a link.
+type peerTable struct {
+	*jwcatalogue.Table
+	delay time.Duration
+}
+
+func (p peerTable) Changes(ctx context.Context, after uint64) ([]jwcatalogue.Change, *jwcatalogue.Checkpoint, error) {
+	select {
+	case <-ctx.Done():
+		return nil, nil, ctx.Err()
+	case <-time.After(p.delay):
+	}
+	changes, cp := p.Table.Changes(after, 100)
+	return changes, cp, nil
+}
+
+func TestFollower(t *testing.T) {
+	// The service goes down while one node waits on it and another takes
+	// changes from it. Both must be at the head soon after it is back, and
+	// neither may fall behind while only the service is gone.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &fakeStore{Delay: 10 * time.Millisecond}
+		d := editor(s)
+		watcher := &jwcatalogue.Follower{Store: s, Table: new(jwcatalogue.Table), Watcher: func() bool { return true }}
+		other := &jwcatalogue.Follower{Store: s, Table: new(jwcatalogue.Table), Source: peerTable{watcher.Table, 5 * time.Millisecond}}
+		done := make(chan error, 2)
+		go func() { done <- watcher.Run(ctx) }()
+		go func() { done <- other.Run(ctx) }()
+		put := func(i int) {
+			_, err := d.Put(ctx, edit(fmt.Sprintf("e%d", i), fmt.Sprintf("entry-%d", i), 0))
+			assert.NilError(t, err)
+		}
+		put(1)
+		time.Sleep(time.Second)
+		assert.Equal(t, watcher.Table.Revision(), uint64(1))
+		assert.Equal(t, other.Table.Revision(), uint64(1))
+
+		s.setDown(true)
+		_, err := d.Put(ctx, edit("e2", "entry-2", 0))
+		assert.ErrorIs(t, err, jwstore.ErrUnavailable)
+		time.Sleep(time.Minute)
+		s.setDown(false)
+		put(2)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, watcher.Table.Revision(), uint64(2))
+		assert.Equal(t, other.Table.Revision(), uint64(2))
+		assert.Equal(t, other.Counts().FromPeers, uint64(2))
+		cancel()
+		<-done
+		<-done
+	})
+}
+
+func TestFollowerWithoutPeers(t *testing.T) {
+	// Both watchers of a data centre freeze. The others must still learn of
+	// a change by their own slow reads.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := new(fakeStore)
+		f := &jwcatalogue.Follower{Store: s, Table: new(jwcatalogue.Table)}
+		done := make(chan error)
+		go func() { done <- f.Run(ctx) }()
+		_, err := editor(s).Put(ctx, edit("e1", "status", 0))
+		assert.NilError(t, err)
+		time.Sleep(2 * jwcatalogue.DefaultStoreEvery)
+		assert.Equal(t, f.Table.Revision(), uint64(1))
+		cancel()
+		<-done
+	})
+}
+
+func TestWatchers(t *testing.T) {
+	var live []jwpeer.Peer
+	for i := range 20 {
+		live = append(live, jwpeer.Peer{Name: fmt.Sprintf("n%d", i), Region: "north", DataCentre: fmt.Sprintf("north-%d", i%2), State: jwpeer.Serving})
+	}
+	names := jwcatalogue.Watchers(live, "north", "north-0")
+	assert.Equal(t, len(names), 2)
+	gatherer := jwcatalogue.GathererOf(live, "north")
+	for i, p := range live {
+		if p.Name == gatherer {
+			live[i].State = jwpeer.Leaving
+		}
+	}
+	assert.Assert(t, jwcatalogue.GathererOf(live, "north") != gatherer)
+	assert.Equal(t, jwcatalogue.GathererOf(live, "south"), "")
+}
--- /dev/null
+++ b/core/jwcatalogue/table.go
@@ -0,0 +1,224 @@
+package jwcatalogue
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// Snapshot is the catalogue at one revision; nobody changes it.
+type Snapshot struct {
+	Revision  uint64
+	Entries   map[string]Entry  // by name
+	Revisions map[string]uint64 // the last change of each entry
+
+	size int // bytes of its checkpoint, no fewer than there will be
+}
+
+// Entry returns an entry with the number of its last change.
+func (s *Snapshot) Entry(name string) (Entry, uint64, bool) {
+	e, ok := s.Entries[name]
+	return e, s.Revisions[name], ok
+}
+
+// with returns the snapshot that a change makes of this one.
+func (s *Snapshot) with(c Change) *Snapshot {
+	next := &Snapshot{Revision: c.N, Entries: maps.Clone(s.Entries), Revisions: maps.Clone(s.Revisions), size: s.size}
+	if next.Entries == nil {
+		next.Entries = make(map[string]Entry)
+		next.Revisions = make(map[string]uint64)
+	}
+	if before, ok := next.Entries[c.Entry]; ok {
+		next.size -= before.size()
+	}
+	if c.After == nil {
+		delete(next.Entries, c.Entry)
+		delete(next.Revisions, c.Entry)
+		return next
+	}
+	next.size += c.After.size()
+	next.Entries[c.Entry] = *c.After
+	next.Revisions[c.Entry] = c.N
+	return next
+}
+
+// checkpoint returns the snapshot as a record to give away.
+func (s *Snapshot) checkpoint() *Checkpoint {
+	return &Checkpoint{Revision: s.Revision, Entries: s.Entries, Revisions: s.Revisions}
+}
+
+// The errors of a table; compare with errors.Is.
+var (
+	// ErrGap says that a change came before the one it follows.
+	ErrGap = errors.New("change out of order")
+	// ErrFork says that two different changes have the same number.
+	ErrFork = errors.New("two changes with one number")
+)
+
+// DefaultKeep is how many changes a table keeps to give to peers.
+const DefaultKeep = 256
+
+// Table is the catalogue that is in force at this node; its zero value is the
+// empty catalogue of revision 0. Changes go in by number only, so that the
+// revision never falls, wherever the changes come from.
+type Table struct {
+	Keep int // changes kept to give to peers, 0 for DefaultKeep
+
+	current atomic.Pointer[Snapshot]
+
+	mu      sync.Mutex
+	changes []Change // the last ones, without a gap, up to the current revision
+	changed chan struct{}
+}
+
+var empty = &Snapshot{}
+
+// Current returns the catalogue in force, without waiting for a lock.
+func (t *Table) Current() *Snapshot {
+	if s := t.current.Load(); s != nil {
+		return s
+	}
+	return empty
+}
+
+// Revision returns the number of the last change in force.
+func (t *Table) Revision() uint64 { return t.Current().Revision }
+
+// Base returns the oldest change that Changes can still give.
+func (t *Table) Base() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.base()
+}
+
+func (t *Table) base() uint64 {
+	return t.Current().Revision + 1 - uint64(len(t.changes))
+}
+
+// Apply brings the next change into force. An older one is ignored; one that
+// leaves a gap is ErrGap, another one of a known number ErrFork.
+func (t *Table) Apply(c Change) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Current()
+	if c.N > now.Revision+1 {
+		return errors.Wrapf(ErrGap, "change %d at revision %d", c.N, now.Revision)
+	}
+	if c.N <= now.Revision {
+		return t.compare(c)
+	}
+	t.changes = append(t.changes, c)
+	if over := len(t.changes) - t.keep(); over > 0 {
+		t.changes = append([]Change(nil), t.changes[over:]...)
+	}
+	t.put(now.with(c))
+	return nil
+}
+
+// compare finds out that the log was split: two nodes would then have
+// different catalogues under one revision, which nobody would notice.
+func (t *Table) compare(c Change) error {
+	base := t.base()
+	if c.N < base {
+		return nil
+	}
+	if have := t.changes[c.N-base]; have.EditID != c.EditID {
+		return errors.Wrapf(ErrFork, "change %d: edit %q is in force, edit %q came", c.N, have.EditID, c.EditID)
+	}
+	return nil
+}
+
+func (t *Table) keep() int {
+	if t.Keep > 0 {
+		return t.Keep
+	}
+	return DefaultKeep
+}
+
+// Restore brings a whole catalogue into force if it is newer than the present
+// one, and does nothing otherwise.
+func (t *Table) Restore(c Checkpoint) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.Revision <= t.Current().Revision {
+		return nil
+	}
+	t.changes = nil
+	next := &Snapshot{Revision: c.Revision, Entries: c.Entries, Revisions: c.Revisions}
+	for _, e := range c.Entries {
+		next.size += e.size()
+	}
+	t.put(next)
+	return nil
+}
+
+func (t *Table) put(s *Snapshot) {
+	t.current.Store(s)
+	if t.changed != nil {
+		close(t.changed)
+		t.changed = nil
+	}
+}
+
+// Changes returns at most most changes after a revision, oldest first. When
+// the table no longer has them it returns the whole catalogue instead.
+func (t *Table) Changes(after uint64, most int) ([]Change, *Checkpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.Current()
+	if after >= now.Revision {
+		return nil, nil
+	}
+	base := t.base()
+	if after+1 < base {
+		return nil, now.checkpoint()
+	}
+	rest := t.changes[after+1-base:]
+	if most > 0 && len(rest) > most {
+		rest = rest[:most]
+	}
+	return append([]Change(nil), rest...), nil
+}
+
+// Changed returns a channel that is closed at the next rise of the revision;
+// take it before reading the revision, so that no rise is missed.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.changed == nil {
+		t.changed = make(chan struct{})
+	}
+	return t.changed
+}
+
+// edit returns the change with an edit id, if the table still has it.
+func (t *Table) edit(id string) (Change, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := len(t.changes) - 1; i >= 0; i-- {
+		if t.changes[i].EditID == id {
+			return t.changes[i], true
+		}
+	}
+	return Change{}, false
+}
+
+// lastOf returns the last change of an entry, if the table still has it.
+func (t *Table) lastOf(entry string) (Change, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := len(t.changes) - 1; i >= 0; i-- {
+		if t.changes[i].Entry == entry {
+			return t.changes[i], true
+		}
+	}
+	return Change{}, false
+}
--- /dev/null
+++ b/core/jwcatalogue/validate.go
@@ -0,0 +1,159 @@
+package jwcatalogue
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// The bounds of an entry.
+const (
+	MaxNameLength = 63
+	MaxPathLength = 256
+	MaxRegions    = 64
+	MaxDeadline   = time.Hour
+	MaxKeyMemory  = 7 * 24 * time.Hour
+	MaxBodyLimit  = 64 << 20 // bytes
+)
+
+// AnyRegion among the regions of an entry lets it be sent to every region.
+const AnyRegion = "*"
+
+// InvalidError names every fault of an edit at once.
+type InvalidError struct {
+	Entry  string
+	Faults []string
+}
+
+// Error joins the faults into one line.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("entry %q: %s", e.Entry, strings.Join(e.Faults, "; "))
+}
+
+// Validate returns an InvalidError that names every fault of the entry, or nil.
+func (e Entry) Validate() error {
+	var f faults
+	f.name("name", e.Name)
+	f.name("owner", e.Owner)
+	f.name("service", e.Service)
+	f.path(e.Path)
+	switch e.Class {
+	case Confirmation, Lookup, Draft:
+	default:
+		f.add("class %q is not %s, %s or %s", e.Class, Confirmation, Lookup, Draft)
+	}
+	f.times(e)
+	f.amounts(e)
+	f.regions(e)
+	if len(f) == 0 {
+		return nil
+	}
+	return &InvalidError{Entry: e.Name, Faults: f}
+}
+
+type faults []string
+
+func (f *faults) add(format string, args ...any) {
+	*f = append(*f, fmt.Sprintf(format, args...))
+}
+
+func (f *faults) name(key, s string) {
+	switch {
+	case s == "":
+		f.add("%s is empty", key)
+	case len(s) > MaxNameLength:
+		f.add("%s is longer than %d bytes", key, MaxNameLength)
+	case !validName(s):
+		f.add("%s %q has other characters than a-z, 0-9, '-', '_' and '.', or does not begin with a letter or digit", key, s)
+	}
+}
+
+// validName holds names that stand unescaped in a URL path and in a key.
+func validName(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		switch {
+		case c >= 'a' && c <= 'z', c >= '0' && c <= '9':
+		case i > 0 && (c == '-' || c == '_' || c == '.'):
+		default:
+			return false
+		}
+	}
+	return s != ""
+}
+
+func (f *faults) path(s string) {
+	switch {
+	case !strings.HasPrefix(s, "/"):
+		f.add("path %q does not begin with /", s)
+	case len(s) > MaxPathLength:
+		f.add("path is longer than %d bytes", MaxPathLength)
+	case strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r >= 0x7f || r == '#' }):
+		f.add("path %q has spaces, '#' or characters outside ASCII", s)
+	}
+}
+
+func (f *faults) times(e Entry) {
+	if e.Deadline <= 0 || e.Deadline > MaxDeadline {
+		f.add("deadline %s is not above 0 and up to %s", e.Deadline, MaxDeadline)
+	}
+	if e.FirstToken < 0 || e.FirstToken > e.Deadline {
+		f.add("firstToken %s is not between 0 and the deadline", e.FirstToken)
+	}
+	if e.Progress < 0 || e.Progress > e.Deadline {
+		f.add("progress %s is not between 0 and the deadline", e.Progress)
+	}
+	if e.KeyMemory < 0 || e.KeyMemory > MaxKeyMemory {
+		f.add("keyMemory %s is not between 0 and %s", e.KeyMemory, MaxKeyMemory)
+	}
+	// A key forgotten while its call may still run would let a second send
+	// run the request again.
+	if !e.Idempotent && e.KeyMemory < e.Deadline {
+		f.add("keyMemory %s is shorter than the deadline %s of an entry that is not idempotent", e.KeyMemory, e.Deadline)
+	}
+}
+
+func (f *faults) amounts(e Entry) {
+	f.amount("limits.rate", e.Limits.Rate)
+	f.amount("limits.burst", float64(e.Limits.Burst))
+	f.amount("limits.concurrent", float64(e.Limits.Concurrent))
+	f.amount("weights.cost", e.Weights.Cost)
+	f.amount("weights.tail", e.Weights.Tail)
+	f.amount("weights.sentAway", e.Weights.SentAway)
+	if e.Limits.Rate > 0 && e.Limits.Burst == 0 {
+		f.add("limits.burst is 0 beside a rate, which admits nothing")
+	}
+	if e.MaxBodySize < 0 || e.MaxBodySize > MaxBodyLimit {
+		f.add("maxBodySize %d is not between 0 and %d", e.MaxBodySize, MaxBodyLimit)
+	}
+}
+
+func (f *faults) amount(key string, x float64) {
+	if x < 0 || math.IsNaN(x) || math.IsInf(x, 0) {
+		f.add("%s %v is not a number from 0 up", key, x)
+	}
+}
+
+func (f *faults) regions(e Entry) {
+	if e.Bound && len(e.Regions) > 0 {
+		f.add("a bound entry has regions outside its home: %s", strings.Join(e.Regions, ", "))
+	}
+	if len(e.Regions) > MaxRegions {
+		f.add("more than %d regions", MaxRegions)
+		return
+	}
+	for i, region := range e.Regions {
+		if region == AnyRegion {
+			if len(e.Regions) > 1 {
+				f.add("regions name %q beside others", AnyRegion)
+			}
+			continue
+		}
+		f.name("region", region)
+		if slices.Contains(e.Regions[:i], region) {
+			f.add("region %q is named twice", region)
+		}
+	}
+}
