--- a/io/jwsettings/parse.go
+++ b/io/jwsettings/parse.go
@@ -54,7 +54,7 @@
 			HostsLag:      DefaultHostsLag,
 		},
 		Limits:     Limits{MaxBody: DefaultMaxBody, MaxHeader: DefaultMaxHeader},
-		Claims:     Claims{KeyMemory: DefaultKeyMemory, GroupWindow: DefaultGroupWindow},
+		Claims:     Claims{KeyMemory: DefaultKeyMemory, GroupWindow: DefaultGroupWindow, Salt: DefaultSalt},
 		DrainLimit: DefaultDrainLimit,
 		Workers:    DefaultWorkers,
 	}
@@ -267,6 +267,10 @@
 	o.child("claims", func(c *object) {
 		c.duration("keyMemory", &s.Claims.KeyMemory, time.Minute, 7*24*time.Hour)
 		c.duration("groupWindow", &s.Claims.GroupWindow, 0, time.Second)
+		c.text("salt", &s.Claims.Salt)
+		if s.Claims.Salt == "" {
+			c.fault("salt", "is empty")
+		}
 	})
 	o.duration("drainLimit", &s.DrainLimit, time.Second, 24*time.Hour)
 	workers := int64(s.Workers)
--- a/io/jwsettings/settings.go
+++ b/io/jwsettings/settings.go
@@ -100,6 +100,10 @@
 type Claims struct {
 	KeyMemory   time.Duration // how long a key is remembered
 	GroupWindow time.Duration // how long a claim waits for others to share its write
+	// Salt is hashed with each key before it is written. It is the same at all
+	// nodes and stays the same while keys are remembered: a node with another
+	// one would not know a key again and run its request twice.
+	Salt string
 }
 
 // The values of keys that a file leaves out.
@@ -114,6 +118,7 @@
 	DefaultMaxHeader     = 32 << 10
 	DefaultKeyMemory     = 24 * time.Hour
 	DefaultGroupWindow   = 5 * time.Millisecond
+	DefaultSalt          = "jujubewheel"
 	DefaultDrainLimit    = 10 * time.Minute
 	DefaultWorkers       = 4
 	DefaultLinkDelay     = 100 * time.Millisecond
--- a/io/jwsettings/settings_test.go
+++ b/io/jwsettings/settings_test.go
@@ -105,6 +105,7 @@
 		"half a byte":         {with(`"limits": {"maxBody": 1.5}`), "limits.maxBody: must be a whole number"},
 		"text for a number":   {with(`"workers": "4"`), "workers: must be a number"},
 		"no workers":          {with(`"workers": 0`), "workers: must be from 1"},
+		"empty salt":          {with(`"claims": {"salt": ""}`), "claims.salt: is empty"},
 		"key without file":    {with(`"tls": {"callers": {"certificate": "c.pem"}}`), "tls.callers.key: is missing"},
 		"nodes not mutual":    {with(`"tls": {"nodes": {"certificate": "c", "key": "k"}}`), "tls.nodes.authority: is missing"},
 		"authority elsewhere": {with(`"tls": {"callers": {"certificate":"c","key":"k","authority":"a"}}`), "tls.callers.authority: unknown key"},
