--- /dev/null
+++ b/io/jwoperate/operators.go
@@ -0,0 +1,213 @@
+package jwoperate
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/zeromicro/go-zero/rest"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwexplain"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwtarget"
+	"jujubewheel/io/jwaudit"
+	"jujubewheel/io/jwrest"
+)
+
+// Table is the catalogue in force at this node.
+type Table interface {
+	Current() *jwcatalogue.Snapshot
+	Base() uint64
+	Changes(after uint64, most int) ([]jwcatalogue.Change, *jwcatalogue.Checkpoint)
+}
+
+// Editor writes edits into the log of changes.
+type Editor interface {
+	Put(ctx context.Context, e jwcatalogue.Edit) (jwcatalogue.EditResult, error)
+}
+
+// Acceptance knows which nodes have a revision in force.
+type Acceptance interface {
+	Status(ctx context.Context, revision uint64) (accepted bool, missing []string, err error)
+}
+
+// Explainer finds the traces of a request.
+type Explainer interface {
+	Find(id string) []jwexplain.Trace
+}
+
+// Peers lists the nodes that this node knows.
+type Peers interface {
+	Peers() []jwpeer.Peer
+	Heard(name string) time.Time
+}
+
+// Targets lists the targets that this node uses.
+type Targets interface {
+	Used() []jwtarget.Target
+	State(address netip.AddrPort, now time.Time) (state jwtarget.State, known bool)
+}
+
+// Audit reads the audit trail.
+type Audit interface {
+	After(after uint64, limit int) []jwaudit.Record
+}
+
+// Operators answers operators; its fields are set before Handler.
+type Operators struct {
+	Token      string // bearer token; an empty one lets nobody in
+	Table      Table
+	Editor     Editor
+	Acceptance Acceptance
+	Explainer  Explainer
+	Peers      Peers
+	Targets    Targets
+	Audit      Audit
+	Metrics    http.Handler
+	Ready      func() bool // whether the node serves callers
+	Log        logr.Logger
+}
+
+// The numbers of records in one answer.
+const (
+	defaultLimit = 100
+	maxLimit     = 1000
+)
+
+// Handler returns the handler of the operators' listener.
+func (o *Operators) Handler() (http.Handler, error) {
+	get := func(path string, h http.HandlerFunc) rest.Route {
+		return rest.Route{Method: http.MethodGet, Path: path, Handler: o.authorized(h)}
+	}
+	return jwrest.Handler(o.Log, []rest.Route{
+		get("/v1/catalogue", o.catalogue),
+		get("/v1/catalogue/entries/:name", o.entry),
+		{Method: http.MethodPut, Path: "/v1/catalogue/entries/:name", Handler: o.authorized(o.put)},
+		{Method: http.MethodDelete, Path: "/v1/catalogue/entries/:name", Handler: o.authorized(o.remove)},
+		get("/v1/catalogue/history", o.history),
+		get("/v1/catalogue/status", o.status),
+		get("/v1/audit", o.audit),
+		get("/v1/explain/requests/:id", o.explain),
+		get("/v1/peers", o.peers),
+		get("/v1/targets", o.targets),
+		get("/metrics", o.Metrics.ServeHTTP),
+		{Method: http.MethodGet, Path: "/healthz", Handler: healthy},
+		{Method: http.MethodGet, Path: "/readyz", Handler: o.ready},
+	})
+}
+
+// authorized lets in whoever shows the token. Digests are compared, so that
+// neither the token's bytes nor its length show in the time taken.
+func (o *Operators) authorized(next http.HandlerFunc) http.HandlerFunc {
+	want := sha256.Sum256([]byte(o.Token))
+	return func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(token))
+		if !ok || o.Token == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			refuse(w, http.StatusUnauthorized, Refusal{Error: "the operators' token is needed"})
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (o *Operators) audit(w http.ResponseWriter, r *http.Request) {
+	after, limit, ok := page(w, r)
+	if !ok {
+		return
+	}
+	answer(w, http.StatusOK, AuditRecords{Records: orEmpty(o.Audit.After(after, limit))})
+}
+
+func (o *Operators) explain(w http.ResponseWriter, r *http.Request) {
+	found := o.Explainer.Find(jwrest.Var(r, "id"))
+	if len(found) == 0 {
+		refuse(w, http.StatusNotFound, Refusal{Error: "this node has no trace of the request"})
+		return
+	}
+	answer(w, http.StatusOK, Traces{Traces: found})
+}
+
+func (o *Operators) peers(w http.ResponseWriter, _ *http.Request) {
+	list := PeerList{Peers: []Peer{}}
+	for _, p := range o.Peers.Peers() {
+		list.Peers = append(list.Peers, Peer{
+			Name: p.Name, Region: p.Region, DataCentre: p.DataCentre, Callers: p.Callers, Nodes: p.Nodes,
+			Incarnation: p.Incarnation, State: p.State, Revision: p.Revision, Heard: o.Peers.Heard(p.Name),
+		})
+	}
+	answer(w, http.StatusOK, list)
+}
+
+func (o *Operators) targets(w http.ResponseWriter, _ *http.Request) {
+	list := TargetList{Targets: []Target{}}
+	for _, t := range o.Targets.Used() {
+		state, known := o.Targets.State(t.Address, time.Now())
+		if !known {
+			state = t.State
+		}
+		list.Targets = append(list.Targets, Target{
+			Address: t.Address, Service: t.Service, Region: t.Region, DataCentre: t.DataCentre, State: state,
+		})
+	}
+	answer(w, http.StatusOK, list)
+}
+
+func healthy(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+func (o *Operators) ready(w http.ResponseWriter, _ *http.Request) {
+	if o.Ready != nil && !o.Ready() {
+		refuse(w, http.StatusServiceUnavailable, Refusal{Error: "this node does not serve callers now"})
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// page reads the query of a list.
+func page(w http.ResponseWriter, r *http.Request) (after uint64, limit int, ok bool) {
+	after, ok = number(w, r, "after", 0)
+	if !ok {
+		return 0, 0, false
+	}
+	n, ok := number(w, r, "limit", defaultLimit)
+	return after, int(min(n, maxLimit)), ok
+}
+
+// number reads one number of the query and answers a malformed one.
+func number(w http.ResponseWriter, r *http.Request, name string, otherwise uint64) (uint64, bool) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return otherwise, true
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, Refusal{Error: name + " must be a whole number"})
+		return 0, false
+	}
+	return n, true
+}
+
+func refuse(w http.ResponseWriter, status int, r Refusal) { answer(w, status, r) }
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// orEmpty makes an empty list of none, so that it is [] in JSON.
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
