--- /dev/null
+++ b/io/jwcommand/catalogue.go
@@ -0,0 +1,302 @@
+package jwcommand
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/io/jwoperate"
+)
+
+// catalogueCommand holds the commands on the catalogue.
+type catalogueCommand struct {
+	Get     getCommand     `cmd:"" help:"Print the catalogue, or one entry as JSON to edit and put back."`
+	Put     putCommand     `cmd:"" help:"Write entries from a file."`
+	Remove  removeCommand  `cmd:"" help:"Remove an entry."`
+	History historyCommand `cmd:"" help:"Print the latest changes."`
+	Status  statusCommand  `cmd:"" help:"Tell whether a revision is in force everywhere."`
+}
+
+// getCommand prints the catalogue.
+type getCommand struct {
+	connection
+	Name string `arg:"" optional:"" help:"Entry; all if left out."`
+	JSON bool   `help:"Print JSON."`
+}
+
+// Run prints one entry as JSON, or all as a table.
+func (c *getCommand) Run(ctx context.Context, p *Program) error {
+	at, err := c.client()
+	if err != nil {
+		return err
+	}
+	if c.Name != "" {
+		var e jwoperate.Entry
+		if err := at.get(ctx, entryPath(c.Name), &e); err != nil {
+			return err
+		}
+		return printJSON(p.Stdout, e)
+	}
+	var list jwoperate.Catalogue
+	if err := at.get(ctx, "/v1/catalogue", &list); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(p.Stdout, list)
+	}
+	t := newTable(p.Stdout, "NAME", "CHANGE", "CLASS", "OWNER", "SERVICE", "IDEMPOTENT", "BOUND", "DEADLINE")
+	for _, e := range list.Entries {
+		t.row(e.Entry.Name, number(e.Revision), string(e.Entry.Class), e.Entry.Owner, e.Entry.Service,
+			yesNo(e.Entry.Idempotent), yesNo(e.Entry.Bound), e.Entry.Deadline.String())
+	}
+	return t.end()
+}
+
+// edit holds the flags of commands that write.
+type edit struct {
+	Author string        `required:"" env:"JUJUBE_AUTHOR" help:"Who edits; kept in the history."`
+	Reason string        `required:"" help:"Why; kept in the history."`
+	EditID string        `name:"edit-id" help:"Id of the edit, to send it again after an unknown outcome; a new one if left out."`
+	Wait   time.Duration `default:"3s" help:"How long to wait until the change is in force everywhere."`
+}
+
+// putCommand writes entries.
+type putCommand struct {
+	connection
+	edit
+	File      string `arg:"" type:"path" help:"One entry as printed by get, a bare entry, or an object with the list \"entries\" of these; comments are allowed."`
+	Overwrite bool   `help:"Replace entries of which the file does not say which change it was made from."`
+	JSON      bool   `help:"Print JSON."`
+}
+
+// putResult is what put prints of one entry.
+type putResult struct {
+	Entry  string `json:"entry"`
+	EditID string `json:"editId,omitempty"`
+	Same   bool   `json:"unchanged,omitempty"`
+	jwoperate.Standing
+}
+
+// Run writes the entries in their order and stops at the first that fails.
+func (c *putCommand) Run(ctx context.Context, p *Program) error {
+	items, err := readEntries(c.File)
+	if err != nil {
+		return &exitError{Invalid, err}
+	}
+	at, err := c.client()
+	if err != nil {
+		return err
+	}
+	for i, item := range items {
+		e := c.edit
+		if e.EditID != "" && len(items) > 1 {
+			e.EditID += "." + number(uint64(i)) // the same again when the file is sent again
+		}
+		r, err := e.put(ctx, at, item, c.Overwrite)
+		if err == nil {
+			err = r.print(p, c.JSON)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// put writes one entry.
+func (e edit) put(ctx context.Context, at *client, item jwoperate.Entry, overwrite bool) (putResult, error) {
+	if item.Revision == 0 {
+		now, exists, err := at.entry(ctx, item.Entry.Name)
+		if err != nil {
+			return putResult{}, err
+		}
+		if exists && sameEntry(now.Entry, item.Entry) {
+			return putResult{Entry: item.Entry.Name, Same: true, Standing: jwoperate.Standing{Revision: now.Revision}}, nil
+		}
+		if overwrite {
+			item.Revision = now.Revision
+		}
+	}
+	return e.send(ctx, at, http.MethodPut, item.Entry.Name, &item.Entry, item.Revision)
+}
+
+// send makes one edit; seen is the change of the entry that it was made from,
+// 0 for a new entry.
+func (e edit) send(ctx context.Context, at *client, method, name string, entry *jwcatalogue.Entry, seen uint64) (putResult, error) {
+	if e.EditID == "" {
+		e.EditID = uuid.NewString()
+	}
+	header := http.Header{}
+	if seen == 0 {
+		header.Set("If-None-Match", "*")
+	} else {
+		header.Set("If-Match", `"`+number(seen)+`"`)
+	}
+	r := putResult{Entry: name, EditID: e.EditID}
+	_, err := at.do(ctx, call{
+		method: method,
+		path:   entryPath(name) + "?wait=" + e.Wait.String(),
+		header: header,
+		body:   jwoperate.EditBody{Entry: entry, Author: e.Author, Reason: e.Reason, EditID: e.EditID},
+	}, &r.Standing)
+	return r, e.explain(err)
+}
+
+// explain adds the edit id to an unknown outcome, as well as to a call whose
+// answer never came: the edit may have been written.
+func (e edit) explain(err error) error {
+	code := exitOf(err)
+	var refused *refusedError
+	if code != Unknown && (err == nil || asRefused(err, &refused)) {
+		return err
+	}
+	return &exitError{Unknown, fmt.Errorf("%w\nsend again with --edit-id %s", err, e.EditID)}
+}
+
+func (r putResult) print(p *Program, asJSON bool) error {
+	if asJSON {
+		if err := printJSON(p.Stdout, r); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintln(p.Stdout, r.text())
+	}
+	if !r.Same && !r.Accepted {
+		return &exitError{Pending, errTold}
+	}
+	return nil
+}
+
+func (r putResult) text() string {
+	switch {
+	case r.Same:
+		return r.Entry + ": unchanged"
+	case r.Accepted:
+		return r.Entry + ": change " + number(r.Revision) + " is in force everywhere"
+	}
+	text := r.Entry + ": change " + number(r.Revision) + " is written, not yet in force everywhere"
+	if len(r.Missing) > 0 {
+		text += "; missing: " + strings.Join(r.Missing, ", ")
+	}
+	return text
+}
+
+// removeCommand removes an entry.
+type removeCommand struct {
+	connection
+	edit
+	Name     string `arg:"" help:"Entry."`
+	Revision uint64 `required:"" help:"The entry's last change, as printed by get."`
+	JSON     bool   `help:"Print JSON."`
+}
+
+// Run removes the entry.
+func (c *removeCommand) Run(ctx context.Context, p *Program) error {
+	at, err := c.client()
+	if err != nil {
+		return err
+	}
+	r, err := c.send(ctx, at, http.MethodDelete, c.Name, nil, c.Revision)
+	if err != nil {
+		return err
+	}
+	return r.print(p, c.JSON)
+}
+
+// historyCommand prints changes.
+type historyCommand struct {
+	connection
+	Entry string `help:"Only changes of this entry."`
+	After uint64 `help:"Only changes after this one."`
+	Limit int    `default:"100" help:"At most so many."`
+	JSON  bool   `help:"Print JSON."`
+}
+
+// Run prints the changes, oldest first.
+func (c *historyCommand) Run(ctx context.Context, p *Program) error {
+	at, err := c.client()
+	if err != nil {
+		return err
+	}
+	var list jwoperate.History
+	path := fmt.Sprintf("/v1/catalogue/history?after=%d&limit=%d&entry=%s", c.After, c.Limit, url.QueryEscape(c.Entry))
+	if err := at.get(ctx, path, &list); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(p.Stdout, list)
+	}
+	return printChanges(p, list.Changes)
+}
+
+func printChanges(p *Program, changes []jwcatalogue.Change) error {
+	t := newTable(p.Stdout, "CHANGE", "TIME", "AUTHOR", "ENTRY", "KIND", "REASON")
+	for _, c := range changes {
+		t.row(number(c.N), c.Time.UTC().Format(time.RFC3339), c.Author, c.Entry, changeKind(c), c.Reason)
+	}
+	return t.end()
+}
+
+func changeKind(c jwcatalogue.Change) string {
+	switch {
+	case c.Before == nil:
+		return "added"
+	case c.After == nil:
+		return "removed"
+	}
+	return "changed"
+}
+
+// statusCommand tells how far a revision is in force.
+type statusCommand struct {
+	connection
+	Revision uint64 `help:"Revision; the newest if left out."`
+	JSON     bool   `help:"Print JSON."`
+}
+
+// Run prints the standing; a revision not yet in force everywhere is Pending.
+func (c *statusCommand) Run(ctx context.Context, p *Program) error {
+	at, err := c.client()
+	if err != nil {
+		return err
+	}
+	path := "/v1/catalogue/status"
+	if c.Revision > 0 {
+		path += "?revision=" + number(c.Revision)
+	}
+	var s jwoperate.Standing
+	if err := at.get(ctx, path, &s); err != nil {
+		return err
+	}
+	if c.JSON {
+		err = printJSON(p.Stdout, s)
+	} else {
+		fmt.Fprintln(p.Stdout, standingText(s))
+	}
+	if err == nil && !s.Accepted {
+		return &exitError{Pending, errTold}
+	}
+	return err
+}
+
+func standingText(s jwoperate.Standing) string {
+	if s.Accepted {
+		return "revision " + number(s.Revision) + " is in force everywhere"
+	}
+	return "revision " + number(s.Revision) + " is not yet in force at: " + strings.Join(s.Missing, ", ")
+}
+
+func entryPath(name string) string { return "/v1/catalogue/entries/" + url.PathEscape(name) }
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- /dev/null
+++ b/io/jwcommand/explain.go
@@ -0,0 +1,176 @@
+package jwcommand
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwexplain"
+	"jujubewheel/io/jwaudit"
+	"jujubewheel/io/jwoperate"
+)
+
+// explainCommand holds the commands that tell why.
+type explainCommand struct {
+	Request  explainRequest  `cmd:"" help:"Show the decisions on a request at each of the nodes asked."`
+	Revision explainRevision `cmd:"" help:"Show who made a catalogue revision and how far it is in force."`
+}
+
+// explainRequest shows traces.
+type explainRequest struct {
+	connection
+	ID   string           `arg:"" help:"The request's id, as in the header Jujube-Request-Id."`
+	Also []netip.AddrPort `help:"Operators' addresses of further nodes that the request may have passed."`
+	JSON bool             `help:"Print JSON."`
+}
+
+// Run asks each node; one that knows nothing of the request or cannot be
+// reached does not keep the others from being shown.
+func (c *explainRequest) Run(ctx context.Context, p *Program) error {
+	var found []jwexplain.Trace
+	var last error
+	for _, at := range append([]netip.AddrPort{c.At}, c.Also...) {
+		traces, err := c.ask(ctx, at)
+		found = append(found, traces...)
+		if err != nil {
+			last = err
+		}
+	}
+	if len(found) == 0 {
+		return errors.Wrap(last, "explain request: "+c.ID)
+	}
+	if c.JSON {
+		return printJSON(p.Stdout, jwoperate.Traces{Traces: found})
+	}
+	for _, t := range found {
+		printTrace(p, t)
+	}
+	return nil
+}
+
+func (c *explainRequest) ask(ctx context.Context, node netip.AddrPort) ([]jwexplain.Trace, error) {
+	conn := c.connection
+	conn.At = node
+	at, err := conn.client()
+	if err != nil {
+		return nil, err
+	}
+	var traces jwoperate.Traces
+	err = at.get(ctx, "/v1/explain/requests/"+url.PathEscape(c.ID), &traces)
+	return traces.Traces, err
+}
+
+func printTrace(p *Program, t jwexplain.Trace) {
+	fmt.Fprintf(p.Stdout, "%s at %s: %s", t.RequestID, t.Node, t.Outcome)
+	if t.Reason != "" {
+		fmt.Fprintf(p.Stdout, " (%s)", t.Reason)
+	}
+	fmt.Fprintf(p.Stdout, " after %s\n", t.Ended.Sub(t.Started).Round(time.Microsecond))
+	fmt.Fprintf(p.Stdout, "  entry %s, workspace %s, home %s, bound %s, served by %s\n",
+		t.Entry, t.Workspace, orDash(t.Region), yesNo(t.Bound), orDash(t.ServedBy))
+	var hops []string
+	for _, h := range t.Hops {
+		hops = append(hops, h.Node+" ("+h.DataCentre+")")
+	}
+	fmt.Fprintf(p.Stdout, "  way: %s\n", orDash(strings.Join(hops, ", ")))
+	for _, s := range t.Steps {
+		at := time.Duration(s.AfterMicros) * time.Microsecond
+		fmt.Fprintf(p.Stdout, "  %10s  %s: %s\n", at, s.Step, s.Detail)
+	}
+}
+
+// explainRevision shows one revision.
+type explainRevision struct {
+	connection
+	Revision uint64 `arg:"" help:"Number of the change."`
+	JSON     bool   `help:"Print JSON."`
+}
+
+// revisionStory is what explain revision prints.
+type revisionStory struct {
+	Change   *jwcatalogue.Change `json:"change,omitempty"` // nil when the node no longer has it
+	Standing jwoperate.Standing  `json:"standing"`
+	Records  []jwaudit.Record    `json:"records"`
+}
+
+// Run gathers the change, its standing and the audit records about it.
+func (c *explainRevision) Run(ctx context.Context, p *Program) error {
+	at, err := c.client()
+	if err != nil {
+		return err
+	}
+	var story revisionStory
+	if err := at.get(ctx, "/v1/catalogue/status?revision="+number(c.Revision), &story.Standing); err != nil {
+		return err
+	}
+	if story.Change, err = c.change(ctx, at); err != nil {
+		return err
+	}
+	if story.Records, err = c.records(ctx, at); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(p.Stdout, story)
+	}
+	return story.print(p)
+}
+
+func (c *explainRevision) change(ctx context.Context, at *client) (*jwcatalogue.Change, error) {
+	if c.Revision == 0 {
+		return nil, nil
+	}
+	var list jwoperate.History
+	if err := at.get(ctx, "/v1/catalogue/history?limit=1&after="+number(c.Revision-1), &list); err != nil {
+		return nil, err
+	}
+	if len(list.Changes) == 0 || list.Changes[0].N != c.Revision {
+		return nil, nil
+	}
+	return &list.Changes[0], nil
+}
+
+// records reads the whole trail of the node and keeps what is of the revision.
+func (c *explainRevision) records(ctx context.Context, at *client) ([]jwaudit.Record, error) {
+	kept := []jwaudit.Record{}
+	for after := uint64(0); ; {
+		var page jwoperate.AuditRecords
+		if err := at.get(ctx, "/v1/audit?limit=1000&after="+number(after), &page); err != nil {
+			return nil, err
+		}
+		if len(page.Records) == 0 {
+			return kept, nil
+		}
+		for _, r := range page.Records {
+			if r.Revision == c.Revision {
+				kept = append(kept, r)
+			}
+		}
+		after = page.Records[len(page.Records)-1].Sequence
+	}
+}
+
+func (s revisionStory) print(p *Program) error {
+	if s.Change == nil {
+		fmt.Fprintln(p.Stdout, "the node no longer has the change itself")
+	} else if err := printChanges(p, []jwcatalogue.Change{*s.Change}); err != nil {
+		return err
+	}
+	fmt.Fprintln(p.Stdout, standingText(s.Standing))
+	for _, r := range s.Records {
+		fmt.Fprintf(p.Stdout, "%s  %s %s at %s: %s\n", r.Time.Format(time.RFC3339Nano), r.Kind, r.Subject, r.Node, r.Detail)
+	}
+	return nil
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/io/jwcommand/serve.go
@@ -0,0 +1,49 @@
+package jwcommand
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+
+	"jujubewheel/io/jwaudit"
+	"jujubewheel/io/jwlog"
+	"jujubewheel/io/jwmeter"
+	"jujubewheel/io/jwsettings"
+)
+
+// Runner runs a node until ctx ends and its requests have finished.
+type Runner interface {
+	Run(ctx context.Context, n Node) error
+}
+
+// Node is what a node is started with.
+type Node struct {
+	Settings *jwsettings.Settings
+	Log      logr.Logger
+	Meter    *jwmeter.Meter
+	Audit    *jwaudit.Trail
+}
+
+// serveCommand runs a node.
+type serveCommand struct {
+	File    string `arg:"" type:"path" help:"Settings file: JSON with comments."`
+	Verbose int    `short:"v" type:"counter" help:"More log lines: once for those of libraries, twice for single requests."`
+}
+
+// Run runs the node.
+func (c *serveCommand) Run(ctx context.Context, p *Program) error {
+	s, err := loadSettings(c.File)
+	if err != nil {
+		return err
+	}
+	log := jwlog.New(p.Stderr, c.Verbose).WithValues("node", s.Node)
+	jwlog.CaptureGRPC(log)
+	meter := &jwmeter.Meter{Log: log.WithName("meter")}
+	defer meter.Close()
+	return p.Node.Run(ctx, Node{
+		Settings: s,
+		Log:      log,
+		Meter:    meter,
+		Audit:    &jwaudit.Trail{Node: s.Node, Log: log.WithName("audit")},
+	})
+}
