jwload, jujubebench: an open load with latencies from the intended time

Mixes of both deployments, workspaces with shared prompt prefixes, Poisson times from a fixed seed. A generator that waits for answers hides stalls; here each latency counts from the time the request was due, and a test with a stalled node holds it to that. Direct calls take half of the load when both nodes and targets are given, so that a node's added latency is read off one run. Answers of the stand-ins are compared word by word.

--- /dev/null
+++ b/cmd/jujubebench/main.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net/netip"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"jujubewheel/io/jwload"
+	"jujubewheel/io/jwstand"
+)
+
+type commands struct {
+	Load    loadCommand    `cmd:"" help:"Sends a load and reports latencies and outcomes."`
+	Clients clientsCommand `cmd:"" help:"Prints the workspaces of a load for the client directory stand-in."`
+}
+
+func main() {
+	logx.Disable()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var cmd commands
+	k := kong.Parse(&cmd, kong.Description("Load and measurements."), kong.BindTo(ctx, (*context.Context)(nil)))
+	k.FatalIfErrorf(k.Run())
+}
+
+type loadCommand struct {
+	Mix        string             `default:"zaitoun" help:"Built-in mix (zaitoun, cladagh) or a JSON file."`
+	Rate       float64            `default:"20" help:"Requests a second, however fast answers come."`
+	Duration   time.Duration      `default:"30s" help:"How long to send."`
+	Seed       uint64             `default:"1" help:"Seed of times, kinds, workspaces and bodies."`
+	Host       []string           `help:"Node to send to, as IP:PORT or REGION=IP:PORT; may be repeated."`
+	Region     map[string]float64 `help:"Share of a region's callers, as REGION=SHARE."`
+	Workspaces int                `default:"100" help:"Workspaces in each region."`
+	Direct     []netip.AddrPort   `help:"Model engine for direct calls, which take half of the load; all of it without --host."`
+	DirectTo   []netip.AddrPort   `name:"direct-service" help:"Plain service for direct calls."`
+	Follow     bool               `default:"true" negatable:"" help:"Come back after Retry-After and go to the hosts named by an answer."`
+	JSON       bool               `name:"json" help:"Print the report as JSON."`
+}
+
+// Run sends the load and prints the report.
+func (c *loadCommand) Run(ctx context.Context) error {
+	mix, err := readMix(c.Mix)
+	if err != nil {
+		return err
+	}
+	hosts, err := parseHosts(c.Host)
+	if err != nil {
+		return err
+	}
+	load := &jwload.Load{
+		Schedule: jwload.Schedule{
+			Mix:        mix,
+			Regions:    regionsOf(c.Region, hosts),
+			Workspaces: c.Workspaces,
+			Rate:       c.Rate,
+			Direct:     directShare(len(c.Direct)+len(c.DirectTo) > 0, len(hosts) > 0),
+			Seed:       c.Seed,
+		},
+		Duration: c.Duration,
+		Hosts:    hosts,
+		Targets:  map[jwload.Target][]netip.AddrPort{jwload.Runner: c.Direct, jwload.Service: c.DirectTo},
+		Follow:   c.Follow,
+	}
+	if err := load.Run(ctx); err != nil {
+		return err
+	}
+	report := load.Report()
+	if !c.JSON {
+		return report.WriteTable(os.Stdout)
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(report)
+}
+
+func directShare(targets, nodes bool) float64 {
+	switch {
+	case !targets:
+		return 0
+	case !nodes:
+		return 1
+	default:
+		return 0.5
+	}
+}
+
+func readMix(name string) (jwload.Mix, error) {
+	if mix, found := jwload.Mixes[name]; found {
+		return mix, nil
+	}
+	body, err := os.ReadFile(name)
+	if err != nil {
+		return jwload.Mix{}, errors.Wrap(err, "read mix")
+	}
+	return jwload.ParseMix(body)
+}
+
+// parseHosts reads IP:PORT or REGION=IP:PORT.
+func parseHosts(texts []string) (map[string][]netip.AddrPort, error) {
+	hosts := make(map[string][]netip.AddrPort)
+	for _, text := range texts {
+		region, address, named := strings.Cut(text, "=")
+		if !named {
+			region, address = "", text
+		}
+		host, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "host %q", text)
+		}
+		hosts[region] = append(hosts[region], host)
+	}
+	return hosts, nil
+}
+
+// regionsOf gives each region its share; without shares all are equal.
+func regionsOf(shares map[string]float64, hosts map[string][]netip.AddrPort) []jwload.Region {
+	var regions []jwload.Region
+	for name, share := range shares {
+		regions = append(regions, jwload.Region{Name: name, Share: share})
+	}
+	if len(shares) == 0 {
+		for name := range hosts {
+			regions = append(regions, jwload.Region{Name: name, Share: 1})
+		}
+	}
+	slices.SortFunc(regions, func(a, b jwload.Region) int { return strings.Compare(a.Name, b.Name) })
+	return regions
+}
+
+type clientsCommand struct {
+	Region     []string `required:"" help:"Region; may be repeated."`
+	Workspaces int      `default:"100" help:"Workspaces in each region."`
+	Bound      float64  `default:"0.12" help:"Share of workspaces whose data is bound to their region."`
+	Owner      string   `default:"load" help:"Owner of the workspaces."`
+}
+
+// Run prints the workspaces; the bound ones are spread evenly.
+func (c *clientsCommand) Run() error {
+	var clients []jwstand.Client
+	for _, region := range c.Region {
+		for n := range c.Workspaces {
+			bound := math.Floor(float64(n+1)*c.Bound) > math.Floor(float64(n)*c.Bound)
+			clients = append(clients, jwstand.Client{
+				Name: jwload.WorkspaceName(region, n), Region: region, Bound: bound, Owner: c.Owner,
+			})
+		}
+	}
+	return json.NewEncoder(os.Stdout).Encode(clients)
+}
--- /dev/null
+++ b/io/jwload/load.go
@@ -0,0 +1,212 @@
+package jwload
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"jujubewheel/core/jwrequest"
+)
+
+const (
+	serviceName = "jwload"
+	idleConns   = 4096
+	idleTimeout = time.Minute
+	maxTries    = 5
+	// grace is how long past its deadline a call is still waited for, so that
+	// a late answer is told apart from none.
+	grace = 2 * time.Second
+)
+
+// caller sends one HTTP request.
+type caller interface {
+	DoRequest(r *http.Request) (*http.Response, error)
+}
+
+// Load sends one schedule and keeps what came of it.
+type Load struct {
+	Schedule Schedule
+	Duration time.Duration
+	Hosts    map[string][]netip.AddrPort // nodes by region; "" for callers without one
+	Targets  map[Target][]netip.AddrPort // for direct calls
+	Follow   bool                        // comes back after Retry-After and goes to the hosts that an answer names
+
+	service caller
+	results results
+	turn    atomic.Uint64
+	open    atomic.Int64
+	most    atomic.Int64
+}
+
+// Run sends the load and returns once every request has ended.
+func (l *Load) Run(ctx context.Context) error {
+	if err := l.check(); err != nil {
+		return err
+	}
+	if l.service == nil {
+		transport := newTransport()
+		defer transport.CloseIdleConnections()
+		breaker.NoBreakerFor(serviceName) // it would refuse calls that were never sent
+		l.service = httpc.NewServiceWithClient(serviceName, &http.Client{Transport: transport})
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	began := time.Now()
+	for {
+		a := l.Schedule.Next()
+		if a.At > l.Duration {
+			return nil
+		}
+		due := began.Add(a.At)
+		if sleep(ctx, time.Until(due)) != nil {
+			return errors.Wrap(ctx.Err(), "send load")
+		}
+		wg.Go(func() { l.send(ctx, a, due) })
+	}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: grace}).DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+func (l *Load) check() error {
+	if err := l.Schedule.Mix.check(); err != nil {
+		return err
+	}
+	if l.Schedule.Rate <= 0 || l.Duration <= 0 {
+		return errors.New("load: rate and duration must be above 0")
+	}
+	regions := l.Schedule.Regions
+	if len(regions) == 0 {
+		regions = []Region{{}}
+	}
+	for _, r := range regions {
+		if l.Schedule.Direct < 1 && len(l.Hosts[r.Name]) == 0 {
+			return errors.Errorf("load: no hosts for region %q", r.Name)
+		}
+	}
+	for _, k := range l.Schedule.Mix.Kinds {
+		if l.Schedule.Direct > 0 && len(l.Targets[k.Target]) == 0 {
+			return errors.Errorf("load: no target of kind %s for direct calls", k.Target)
+		}
+	}
+	return nil
+}
+
+// Report returns what came of the load.
+func (l *Load) Report() Report {
+	return l.results.report(l.Duration, l.most.Load())
+}
+
+// send carries one request through all its tries.
+func (l *Load) send(ctx context.Context, a Arrival, due time.Time) {
+	open := l.open.Add(1)
+	defer l.open.Add(-1)
+	for most := l.most.Load(); open > most && !l.most.CompareAndSwap(most, open); {
+		most = l.most.Load()
+	}
+	deadline := due.Add(time.Duration(a.Kind.Deadline))
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(grace))
+	defer cancel()
+	o := outcome{arrival: a}
+	hosts := l.hostsOf(a)
+	turn := int(l.turn.Add(1))
+	for try := range maxTries {
+		host := hosts[(turn+try)%len(hosts)]
+		o.answer = l.call(ctx, a, host, deadline)
+		o.end = time.Now()
+		if !l.Follow || o.answer.outcome != jwrequest.NotRun || a.Direct {
+			break
+		}
+		if len(o.answer.hosts) > 0 {
+			hosts, turn = o.answer.hosts, -try-1 // the first named one is next
+		}
+		again := time.Now().Add(o.answer.retry)
+		if try == maxTries-1 || again.After(deadline) {
+			break
+		}
+		o.retries++
+		if sleep(ctx, time.Until(again)) != nil {
+			break
+		}
+	}
+	l.results.add(o, due)
+}
+
+func (l *Load) hostsOf(a Arrival) []netip.AddrPort {
+	if a.Direct {
+		return l.Targets[a.Kind.Target]
+	}
+	return l.Hosts[a.Region]
+}
+
+// call sends the request once.
+func (l *Load) call(ctx context.Context, a Arrival, host netip.AddrPort, deadline time.Time) answer {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	r, err := newRequest(httptrace.WithClientTrace(ctx, trace), a, host, time.Until(deadline))
+	if err != nil {
+		return answer{outcome: jwrequest.NotRun}
+	}
+	res, err := l.service.DoRequest(r)
+	if err != nil {
+		if connected.Load() {
+			return answer{outcome: jwrequest.Unknown}
+		}
+		return answer{outcome: jwrequest.NotRun}
+	}
+	defer res.Body.Close()
+	return readAnswer(res, a, time.Now)
+}
+
+func newRequest(ctx context.Context, a Arrival, host netip.AddrPort, left time.Duration) (*http.Request, error) {
+	path := "/v1/requests/" + a.Kind.Entry
+	if a.Direct {
+		path = a.Kind.Path
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host.String()+path, bytes.NewReader(a.Body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Jujube-Workspace", a.Workspace)
+	r.Header.Set("Jujube-Request-Id", a.ID)
+	r.Header.Set("Jujube-Timeout", strconv.FormatInt(max(left.Milliseconds(), 1), 10)+"ms")
+	if a.Kind.Stream {
+		r.Header.Set("Accept", "text/event-stream")
+	}
+	if a.Key != "" {
+		r.Header.Set("Idempotency-Key", a.Key)
+	}
+	return r, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/io/jwload/mix.go
@@ -0,0 +1,125 @@
+package jwload
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Target names the kind of target that runs a request.
+type Target string
+
+// The kinds of target.
+const (
+	Runner  Target = "runner"  // model engine
+	Service Target = "service" // plain service
+)
+
+// Duration is a time.Duration that JSON writes as text, such as "250ms".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
+
+// Kind is one kind of request in a mix.
+type Kind struct {
+	Entry      string   `json:"entry"` // of the catalogue
+	Owner      string   `json:"owner"`
+	Share      float64  `json:"share"` // weight against the other kinds
+	Target     Target   `json:"target"`
+	Path       string   `json:"path"`       // at the target, for direct calls
+	Stream     bool     `json:"stream"`     // runners only
+	Prefix     int      `json:"prefix"`     // bytes of prompt that a workspace's requests share
+	Body       int      `json:"body"`       // bytes of the request's own
+	Tokens     int      `json:"tokens"`     // runners only: tokens of the answer
+	Key        bool     `json:"key"`        // sends an idempotency key
+	FirstToken Duration `json:"firstToken"` // later is not in time; 0 for any
+	Deadline   Duration `json:"deadline"`   // later is not in time; sent as the timeout
+}
+
+// Mix is the load of one deployment.
+type Mix struct {
+	Name  string `json:"name"`
+	Kinds []Kind `json:"kinds"`
+}
+
+const completionsPath = "/v1/completions"
+
+// Mixes are the loads of the two deployments that the project is built for.
+var Mixes = map[string]Mix{
+	"zaitoun": {Name: "zaitoun", Kinds: []Kind{
+		{
+			Entry: "menu-draft", Owner: "menus", Share: 2, Target: Runner, Path: completionsPath, Stream: true,
+			Prefix: 8 << 10, Body: 400, Tokens: 160,
+			FirstToken: Duration(1300 * time.Millisecond), Deadline: Duration(15 * time.Second),
+		},
+		{
+			Entry: "status-check", Owner: "orders", Share: 6, Target: Service, Path: "/status",
+			Body: 80, Deadline: Duration(500 * time.Millisecond),
+		},
+		{
+			Entry: "deposit-confirmation", Owner: "orders", Share: 2, Target: Service, Path: "/confirm", Key: true,
+			Body: 200, Deadline: Duration(2 * time.Second),
+		},
+	}},
+	"cladagh": {Name: "cladagh", Kinds: []Kind{
+		{
+			Entry: "price-sheet", Owner: "sheets", Share: 1, Target: Runner, Path: completionsPath, Stream: true,
+			Prefix: 16 << 10, Body: 800, Tokens: 240,
+			FirstToken: Duration(1300 * time.Millisecond), Deadline: Duration(20 * time.Second),
+		},
+		{
+			Entry: "lot-question", Owner: "buyers", Share: 6, Target: Runner, Path: completionsPath, Stream: true,
+			Prefix: 2 << 10, Body: 120, Tokens: 24,
+			FirstToken: Duration(800 * time.Millisecond), Deadline: Duration(2 * time.Second),
+		},
+		{
+			Entry: "order-confirmation", Owner: "buyers", Share: 2, Target: Service, Path: "/confirm", Key: true,
+			Body: 200, Deadline: Duration(2 * time.Second),
+		},
+	}},
+}
+
+// ParseMix reads a mix from JSON.
+func ParseMix(body []byte) (Mix, error) {
+	var m Mix
+	if err := json.Unmarshal(body, &m); err != nil {
+		return m, errors.Wrap(err, "mix")
+	}
+	return m, m.check()
+}
+
+func (m Mix) check() error {
+	total := 0.0
+	for _, k := range m.Kinds {
+		switch {
+		case k.Entry == "":
+			return errors.New("mix: a kind has no entry")
+		case k.Share < 0:
+			return errors.Errorf("mix: %s: share below 0", k.Entry)
+		case k.Target != Runner && k.Target != Service:
+			return errors.Errorf("mix: %s: unknown target %q", k.Entry, k.Target)
+		case k.Target == Runner && k.Tokens <= 0:
+			return errors.Errorf("mix: %s: no tokens", k.Entry)
+		case k.Stream && k.Target != Runner:
+			return errors.Errorf("mix: %s: only runners stream", k.Entry)
+		case k.Deadline <= 0:
+			return errors.Errorf("mix: %s: no deadline", k.Entry)
+		}
+		total += k.Share
+	}
+	if total <= 0 {
+		return errors.New("mix: no kind has a share")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/jwload/report.go
@@ -0,0 +1,227 @@
+package jwload
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"jujubewheel/core/jwrequest"
+)
+
+const (
+	longest = int64(10 * time.Minute / time.Microsecond)
+	digits  = 3
+)
+
+// Way tells how requests reached a target.
+type Way string
+
+// The ways of a request.
+const (
+	ByNode Way = "node"
+	Direct Way = "direct"
+)
+
+// outcome is one request after its last try.
+type outcome struct {
+	arrival Arrival
+	answer  answer
+	end     time.Time
+	retries int
+}
+
+// group is what one line of a report counts.
+type group struct {
+	way   Way
+	owner string
+	entry string // empty for all entries of the owner
+}
+
+type tally struct {
+	line               Line
+	first, gaps, whole *hdrhistogram.Histogram
+}
+
+// results gathers outcomes; the zero value is empty.
+type results struct {
+	mu     sync.Mutex
+	groups map[group]*tally
+}
+
+// add counts a request for its entry and for its owner.
+func (rs *results) add(o outcome, due time.Time) {
+	way := ByNode
+	if o.arrival.Direct {
+		way = Direct
+	}
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	for _, entry := range []string{o.arrival.Kind.Entry, ""} {
+		rs.tallyOf(group{way: way, owner: o.arrival.Kind.Owner, entry: entry}).add(o, due)
+	}
+}
+
+func (rs *results) tallyOf(g group) *tally {
+	if rs.groups == nil {
+		rs.groups = make(map[group]*tally)
+	}
+	t, found := rs.groups[g]
+	if !found {
+		t = &tally{
+			line:  Line{Way: g.way, Owner: g.owner, Entry: g.entry},
+			first: hdrhistogram.New(1, longest, digits),
+			gaps:  hdrhistogram.New(1, longest, digits),
+			whole: hdrhistogram.New(1, longest, digits),
+		}
+		rs.groups[g] = t
+	}
+	return t
+}
+
+func (t *tally) add(o outcome, due time.Time) {
+	t.line.Sent++
+	t.line.Retries += int64(o.retries)
+	switch o.answer.outcome {
+	case jwrequest.NotRun:
+		t.line.NotRun++
+		return
+	case jwrequest.Served:
+		t.line.Served++
+	default:
+		t.line.Unknown++
+		return
+	}
+	if !o.answer.right {
+		t.line.Wrong++
+		return
+	}
+	kind := o.arrival.Kind
+	whole, first := o.end.Sub(due), o.answer.first.Sub(due)
+	record(t.whole, whole)
+	if kind.Stream {
+		record(t.first, first)
+	}
+	for _, gap := range o.answer.gaps {
+		record(t.gaps, gap)
+	}
+	late := whole > time.Duration(kind.Deadline)
+	late = late || kind.Stream && kind.FirstToken > 0 && first > time.Duration(kind.FirstToken)
+	if !late {
+		t.line.InTime++
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	us := min(max(d.Microseconds(), 1), longest)
+	_ = h.RecordValue(us) // within the bounds of the histogram
+}
+
+// Line counts the requests of one entry, or of all entries of an owner.
+type Line struct {
+	Way        Way         `json:"way"`
+	Owner      string      `json:"owner"`
+	Entry      string      `json:"entry,omitempty"`
+	Sent       int64       `json:"sent"`
+	Served     int64       `json:"served"`
+	InTime     int64       `json:"inTime"` // right, whole and within the deadlines
+	NotRun     int64       `json:"notRun"`
+	Unknown    int64       `json:"unknown"`
+	Wrong      int64       `json:"wrong"` // served, but not the answer to this request
+	Retries    int64       `json:"retries"`
+	Goodput    float64     `json:"goodput"` // InTime a second
+	FirstToken Percentiles `json:"firstToken"`
+	Between    Percentiles `json:"betweenTokens"`
+	Whole      Percentiles `json:"whole"`
+}
+
+// Percentiles are latencies in milliseconds, from the intended time on.
+type Percentiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P95   float64 `json:"p95"`
+	P99   float64 `json:"p99"`
+	P999  float64 `json:"p999"`
+	Max   float64 `json:"max"`
+}
+
+// Report is what came of a load.
+type Report struct {
+	Seconds  float64 `json:"seconds"`
+	MostOpen int64   `json:"mostOpen"` // requests open at once
+	Lines    []Line  `json:"lines"`
+}
+
+func (rs *results) report(d time.Duration, most int64) Report {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	r := Report{Seconds: d.Seconds(), MostOpen: most, Lines: []Line{}}
+	for _, t := range rs.groups {
+		line := t.line
+		line.Goodput = float64(line.InTime) / d.Seconds()
+		line.FirstToken = percentiles(t.first)
+		line.Between = percentiles(t.gaps)
+		line.Whole = percentiles(t.whole)
+		r.Lines = append(r.Lines, line)
+	}
+	slices.SortFunc(r.Lines, func(a, b Line) int {
+		return cmp.Or(cmp.Compare(a.Owner, b.Owner), cmp.Compare(a.Entry, b.Entry), cmp.Compare(b.Way, a.Way))
+	})
+	return r
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	if h.TotalCount() == 0 {
+		return Percentiles{}
+	}
+	return Percentiles{
+		Count: h.TotalCount(),
+		P50:   at(50),
+		P95:   at(95),
+		P99:   at(99),
+		P999:  at(99.9),
+		Max:   float64(h.Max()) / 1000,
+	}
+}
+
+// WriteTable writes the report for people; latencies are in milliseconds.
+func (r Report) WriteTable(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "%.0f s, at most %d requests open at once\n", r.Seconds, r.MostOpen); err != nil {
+		return err
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "owner\tentry\tway\tsent\tserved\tin time\tnot run\tunknown\twrong\tretries\tgoodput/s\t")
+	for _, l := range r.Lines {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t\n", l.Owner, l.name(), l.Way,
+			l.Sent, l.Served, l.InTime, l.NotRun, l.Unknown, l.Wrong, l.Retries, l.Goodput)
+	}
+	fmt.Fprintln(tw, "\t\t\t\t\t\t\t\t\t\t\t")
+	fmt.Fprintln(tw, "owner\tentry\tway\tms of\tcount\tp50\tp95\tp99\tp99.9\tmax\t\t")
+	for _, l := range r.Lines {
+		writeLatency(tw, l, "first token", l.FirstToken)
+		writeLatency(tw, l, "between tokens", l.Between)
+		writeLatency(tw, l, "whole answer", l.Whole)
+	}
+	return tw.Flush()
+}
+
+func writeLatency(w io.Writer, l Line, of string, p Percentiles) {
+	if p.Count == 0 {
+		return
+	}
+	fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\t\n", l.Owner, l.name(), l.Way, of,
+		p.Count, p.P50, p.P95, p.P99, p.P999, p.Max)
+}
+
+func (l Line) name() string {
+	if l.Entry == "" {
+		return "(all)"
+	}
+	return l.Entry
+}
