jwtarget: tests of the table, and a word of leaving in the moment of the list counts

A stateful test against the plain rule found that a target which leaves in the same instant in which the list showed its predecessor gone was taken back. Only words older than the list are ignored now.

--- a/core/jwtarget/table.go
+++ b/core/jwtarget/table.go
@@ -286,7 +286,7 @@
 		return
 	}
 	d, told := t.leaving[addr]
-	if told && (d.gone.IsZero() || !since.After(d.gone)) {
+	if told && (d.gone.IsZero() || since.Before(d.gone)) {
 		return
 	}
 	e, listed := t.targets[addr]
--- /dev/null
+++ b/core/jwtarget/table_test.go
@@ -0,0 +1,195 @@
+package jwtarget
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 8000)
+}
+
+func list(n int) []Target {
+	var out []Target
+	for i := range n {
+		out = append(out, Target{Address: address(i), Service: "s", Region: "r", DataCentre: fmt.Sprintf("r%d", i%2), State: Live})
+	}
+	return out
+}
+
+func usable(t *Table, now time.Time) map[netip.AddrPort]Candidate {
+	out := make(map[netip.AddrPort]Candidate)
+	for _, c := range t.Candidates("s", now, nil) {
+		out[c.Address] = c
+	}
+	return out
+}
+
+// A target says that it leaves, but the platform's list lags and goes on
+// calling it live. Were the list believed, the target would get new work until
+// it stops, and callers would see those requests fail.
+func TestLeavingOutlivesLaggingList(t *testing.T) {
+	tests := map[string]struct {
+		steps func(*Table)
+		now   time.Duration
+		want  bool // usable at the end
+	}{
+		"list still shows it live": {func(t *Table) {
+			t.MarkLeaving(address(0), at(0), at(0))
+			t.Set(list(3), at(time.Second))
+		}, time.Second, false},
+		"list says leaving": {func(t *Table) {
+			l := list(3)
+			l[0].State = Leaving
+			t.Set(l, at(time.Second))
+			t.Set(list(3), at(2*time.Second))
+		}, 2 * time.Second, false},
+		"gone and back at the same address": {func(t *Table) {
+			t.MarkLeaving(address(0), at(0), at(0))
+			t.Set(list(3)[1:], at(time.Second))
+			t.Set(list(3), at(2*time.Second))
+		}, 2 * time.Second, true},
+		"old word of a peer after it came back": {func(t *Table) {
+			t.MarkLeaving(address(0), at(0), at(0))
+			t.Set(list(3)[1:], at(time.Second))
+			t.Set(list(3), at(2*time.Second))
+			t.MarkLeaving(address(0), at(0), at(3*time.Second))
+		}, 3 * time.Second, true},
+		"leaves once more after it came back": {func(t *Table) {
+			t.MarkLeaving(address(0), at(0), at(0))
+			t.Set(list(3)[1:], at(time.Second))
+			t.Set(list(3), at(2*time.Second))
+			t.MarkLeaving(address(0), at(3*time.Second), at(3*time.Second))
+		}, 3 * time.Second, false},
+		"word came before the list": {func(t *Table) {
+			t.Set(nil, at(0))
+			t.MarkLeaving(address(0), at(0), at(0))
+			t.Set(list(3), at(time.Second))
+		}, time.Second, false},
+		"the stated time has passed": {func(t *Table) {
+			t.MarkLeaving(address(0), at(0), at(0))
+			t.Set(list(3), at(11*time.Minute))
+		}, 11 * time.Minute, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Region: "r"}
+			table.Set(list(3), start)
+			test.steps(table)
+			_, ok := usable(table, at(test.now))[address(0)]
+			assert.Equal(t, ok, test.want)
+		})
+	}
+}
+
+// A target refuses connections. Were it tried by every call it would fail many
+// of them; were it never tried it would stay out of use after it came back.
+func TestFailedTargetRestsThenGetsOneProbe(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Set(list(2), start)
+	pause := DefaultPause
+	now := start
+	for range 3 {
+		table.Failed(address(0), now)
+		table.Failed(address(0), now) // of the same moment: counted once
+		_, ok := usable(table, now.Add(pause-1))[address(0)]
+		assert.Assert(t, !ok, "rests for %v", pause)
+		now = now.Add(pause)
+		c, ok := usable(table, now)[address(0)]
+		assert.Assert(t, ok && c.Probe)
+		pause *= 2
+	}
+	call := table.Begin(address(0), time.Second, now)
+	_, ok := usable(table, now)[address(0)]
+	assert.Assert(t, !ok, "one probe at a time")
+	table.End(call, Done, now.Add(time.Second))
+	c, ok := usable(table, now.Add(time.Second))[address(0)]
+	assert.Assert(t, ok && !c.Probe)
+}
+
+// Every target of a node's subset fails at once, as when a rack goes. Were
+// the rest of the region not tried, callers would be refused beside idle targets.
+func TestWholeSubsetRestsOthersStandIn(t *testing.T) {
+	table := &Table{Node: "n", Region: "r", Subset: 4}
+	table.Set(list(20), start)
+	for _, target := range table.Used() {
+		table.Failed(target.Address, start)
+	}
+	assert.Equal(t, len(usable(table, start)), 16)
+}
+
+// Load reports come late. Calls sent since the last one must count, or all
+// calls between two reports go to the target that happened to look idle.
+func TestOutstandingCountsCallsSinceReport(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Set(list(1), start)
+	before := table.Begin(address(0), time.Second, at(0))
+	table.Report(address(0), Load{Running: 5, Waiting: 1, Slots: 8, Taken: at(time.Second)})
+	after := table.Begin(address(0), time.Second, at(2*time.Second))
+	assert.Equal(t, usable(table, start)[address(0)].Outstanding, 7)
+	table.End(before, Done, at(3*time.Second))
+	assert.Equal(t, usable(table, start)[address(0)].Outstanding, 6)
+	table.End(after, Done, at(3*time.Second))
+	assert.Equal(t, usable(table, start)[address(0)].Outstanding, 5)
+	table.Report(address(0), Load{Slots: 8, Taken: at(4 * time.Second)})
+	assert.Equal(t, usable(table, start)[address(0)].Outstanding, 0)
+}
+
+// Nodes that watched the same few targets would leave the others idle and
+// unwatched; a target that goes must not reshuffle everyone's choice.
+func TestSubsetsSpreadAndHold(t *testing.T) {
+	const nodes, targets, size = 75, 250, 16
+	count := make(map[netip.AddrPort]int)
+	moved := 0
+	for i := range nodes {
+		table := &Table{Node: fmt.Sprintf("node-%d", i), Region: "r", Subset: size}
+		table.Set(list(targets), start)
+		before := table.Used()
+		assert.Equal(t, len(before), size)
+		for _, target := range before {
+			count[target.Address]++
+		}
+		table.Set(list(targets-1), start)
+		after := make(map[netip.AddrPort]bool)
+		for _, target := range table.Used() {
+			after[target.Address] = true
+		}
+		for _, target := range before {
+			if !after[target.Address] && target.Address != address(targets-1) {
+				moved++
+			}
+		}
+	}
+	assert.Equal(t, moved, 0)
+	most := 0
+	for _, n := range count {
+		most = max(most, n)
+	}
+	assert.Assert(t, len(count) >= targets*97/100, "%d of %d targets watched", len(count), targets)
+	assert.Assert(t, most <= 15, "a target is watched by %d nodes", most)
+}
+
+func TestRoom(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Set(list(2), start)
+	table.Report(address(0), Load{Running: 8, Waiting: 5, Slots: 8, Taken: start})
+	table.Report(address(1), Load{Running: 8, Waiting: 2, Slots: 8, Taken: start})
+	assert.DeepEqual(t, table.Room("s", start), Room{Targets: 2, Slots: 16, Outstanding: 23, Wait: DefaultWork / 2, Work: DefaultWork})
+	assert.DeepEqual(t, table.Room("none", start), Room{})
+	table.Failed(address(0), start)
+	table.Failed(address(1), start)
+	assert.DeepEqual(t, table.Room("s", start), Room{})
+}
+
+func TestSubsetFor(t *testing.T) {
+	assert.Equal(t, SubsetFor(8000, 1000, 6*time.Second, 3), 16)
+	assert.Equal(t, SubsetFor(100, 1000, time.Second, 3), minSubset)
+}
