--- /dev/null
+++ b/core/jwrouter/rapid_test.go
@@ -0,0 +1,96 @@
+package jwrouter
+
+import (
+	"cmp"
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/core/jwtarget"
+)
+
+func init() { _ = flag.Set("rapid.seed", cmp.Or(os.Getenv("JUJUBE_SEED"), "1")) }
+
+// Nodes have old views of each other's load, and a hop record may be lost or
+// forged on the way. Were it trusted, two regions that each believe the other
+// idle would pass a request back and forth until its deadline. And a request
+// bound to its home must never be passed on, nor run elsewhere.
+func TestPlaceNeverLoopsNorMovesBoundData(t *testing.T) {
+	regions := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		routers := make(map[string]*Router)
+		for _, name := range regions {
+			routers[name] = drawRouter(t, name, regions)
+		}
+		entry := &jwcatalogue.Entry{
+			Service: "s",
+			Bound:   rapid.Bool().Draw(t, "entryBound"),
+			Regions: rapid.SliceOf(rapid.SampledFrom([]string{"a", "b", "c", "*"})).Draw(t, "allowed"),
+			Weights: jwcatalogue.Weights{
+				Cost:     rapid.Float64Range(0, 10).Draw(t, "cost"),
+				Tail:     rapid.Float64Range(0, 10).Draw(t, "tail"),
+				SentAway: rapid.Float64Range(0, 10).Draw(t, "sentAway"),
+			},
+		}
+		q := &Query{
+			Entry: entry,
+			Home:  rapid.SampledFrom(regions).Draw(t, "home"),
+			Bound: rapid.Bool().Draw(t, "bound"),
+			Work:  time.Second,
+			Now:   start,
+		}
+		at := rapid.SampledFrom(regions).Draw(t, "entryRegion")
+		way := []string{at}
+		for range 4 {
+			p := routers[at].Place(q)
+			if p.Region != "" && (q.Bound || entry.Bound) && p.Region != q.Home {
+				t.Fatalf("bound to %s but placed in %s", q.Home, p.Region)
+			}
+			if p.Region == "" || p.Region == at {
+				break
+			}
+			if p.Region != q.Home && !slices.Contains(entry.Regions, p.Region) && !slices.Contains(entry.Regions, "*") {
+				t.Fatalf("%s is not allowed", p.Region)
+			}
+			at = p.Region
+			way = append(way, at)
+			q.Forwarded = true // set by the receiver, not taken from the message
+			q.Hops = drawHops(t, regions)
+		}
+		if len(way) > 2 {
+			t.Fatalf("went %v", way)
+		}
+	})
+}
+
+// drawRouter makes a router with any load and any belief about the others.
+func drawRouter(t *rapid.T, name string, regions []string) *Router {
+	n := rapid.IntRange(0, 2).Draw(t, "targets")
+	r := router(n, -1, func(int) jwtarget.Load {
+		return jwtarget.Load{Running: rapid.IntRange(0, 50).Draw(t, "running"), Slots: 8}
+	})
+	r.Region = name
+	r.Regions = &Regions{}
+	for _, other := range regions {
+		r.Regions.Tell(Load{
+			Region: other, Service: "s", Taken: start, Slots: 16, Targets: rapid.IntRange(0, 2).Draw(t, "told"),
+			Wait: time.Duration(rapid.IntRange(0, 5000).Draw(t, "wait")) * time.Millisecond,
+		})
+	}
+	return r
+}
+
+// drawHops makes a record that may have nothing to do with the way taken.
+func drawHops(t *rapid.T, regions []string) jwrequest.Hops {
+	var hops jwrequest.Hops
+	for range rapid.IntRange(0, 3).Draw(t, "hops") {
+		hops = append(hops, jwrequest.Hop{Node: "n", Region: rapid.SampledFrom(regions).Draw(t, "hopRegion")})
+	}
+	return hops
+}
--- /dev/null
+++ b/core/jwrouter/router_test.go
@@ -0,0 +1,205 @@
+package jwrouter
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/core/jwtarget"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 8000)
+}
+
+// router returns a router of region r in data centre r0 with n targets, of
+// which each has the load that the function gives.
+func router(n, subset int, load func(i int) jwtarget.Load) *Router {
+	table := &jwtarget.Table{Node: "n", Region: "r", Subset: subset}
+	var list []jwtarget.Target
+	for i := range n {
+		list = append(list, jwtarget.Target{
+			Address: address(i), Service: "s", Region: "r", DataCentre: fmt.Sprintf("r%d", i%2), State: jwtarget.Live,
+		})
+	}
+	table.Set(list, start)
+	for i := range n {
+		l := load(i)
+		l.Taken = start
+		table.Report(address(i), l)
+	}
+	return &Router{Region: "r", DataCentre: "r0", Targets: table, Regions: &Regions{}}
+}
+
+func idle(int) jwtarget.Load { return jwtarget.Load{Slots: 8} }
+
+func busy(int) jwtarget.Load { return jwtarget.Load{Running: 8, Waiting: 24, Slots: 8} }
+
+func draft() *jwcatalogue.Entry {
+	return &jwcatalogue.Entry{
+		Name: "draft", Class: jwcatalogue.Draft, Service: "s", Idempotent: true, Regions: []string{"*"},
+		Weights: jwcatalogue.Weights{Cost: 0.1, Tail: 1, SentAway: 0.1},
+	}
+}
+
+func query() *Query {
+	return &Query{Entry: draft(), Home: "r", Work: time.Second, Now: start, Random: 7}
+}
+
+func TestPick(t *testing.T) {
+	tests := map[string]struct {
+		router *Router
+		change func(*Query, *Router)
+		want   int // index of the target, -1 for none
+		reason PickReason
+	}{
+		"least outstanding": {
+			router(4, -1, func(i int) jwtarget.Load { return jwtarget.Load{Running: 8 - i, Slots: 8} }),
+			nil, 3, Lightest,
+		},
+		"same data centre first": {router(2, -1, idle), nil, 0, Lightest},
+		"excluded": {
+			router(2, -1, idle),
+			func(q *Query, _ *Router) { q.Exclude = []netip.AddrPort{address(0)} }, 1, Lightest,
+		},
+		"all excluded": {
+			router(1, -1, idle),
+			func(q *Query, _ *Router) { q.Exclude = []netip.AddrPort{address(0)} }, -1, "",
+		},
+		"a slow one is avoided": {
+			router(3, -1, func(i int) jwtarget.Load {
+				return jwtarget.Load{Slots: 8, Token: time.Duration(100-30*i) * time.Millisecond}
+			}),
+			nil, 2, Lightest,
+		},
+		"what may not be repeated never goes to a probe": {
+			router(2, -1, busy),
+			func(q *Query, r *Router) {
+				q.Entry.Idempotent = false
+				r.Targets.Failed(address(0), start.Add(-time.Hour))
+			}, 1, Lightest,
+		},
+		"unless there is no other": {
+			router(1, -1, idle),
+			func(q *Query, r *Router) {
+				q.Entry.Idempotent = false
+				r.Targets.Failed(address(0), start.Add(-time.Hour))
+			}, 0, Probe,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := query()
+			if test.change != nil {
+				test.change(q, test.router)
+			}
+			got, found := test.router.Pick(q)
+			assert.Equal(t, found, test.want >= 0)
+			if found {
+				assert.Equal(t, got.Address, address(test.want))
+				assert.Equal(t, got.Reason, test.reason)
+			}
+		})
+	}
+}
+
+// A prefix that everybody asks for would pile up on the one target that keeps
+// it, and its callers would wait beside idle targets.
+func TestBusyPrefixSpreads(t *testing.T) {
+	r := router(8, -1, idle)
+	q := query()
+	q.Prefix, q.Prefill = 42, 10*time.Second
+	count := make(map[netip.AddrPort]int)
+	const calls = 64
+	for range calls {
+		c, _ := r.Pick(q)
+		r.Targets.Begin(c.Address, q.Work, start)
+		count[c.Address]++
+	}
+	assert.Assert(t, len(count) >= 6, "spread over %d", len(count)) // 64 calls, at most 11 on each
+	for addr, n := range count {
+		assert.Assert(t, float64(n) <= 1.25*calls/8+1, "%v has %d", addr, n)
+	}
+}
+
+// Requests with the same beginning should meet the cache that the first one
+// filled, or every one of them computes its whole prompt anew.
+func TestQuietPrefixStays(t *testing.T) {
+	r := router(8, -1, idle)
+	q := query()
+	q.Prefix, q.Prefill = PrefixOf("w", "e", []byte("long prompt")), 300*time.Millisecond
+	first, _ := r.Pick(q)
+	assert.Equal(t, first.Reason, Cached)
+	for i := range 20 {
+		q.Random = uint64(i * 977)
+		c, _ := r.Pick(q)
+		assert.Equal(t, c, first)
+	}
+}
+
+func TestPlace(t *testing.T) {
+	other := Load{Region: "o", Service: "s", Free: 0.5, Slots: 64, Targets: 8, Work: time.Second, Taken: start}
+	tests := map[string]struct {
+		router *Router
+		change func(*Query, *Router)
+		region string
+		reason PlaceReason
+	}{
+		"home with room":    {router(2, -1, idle), nil, "r", AtHome},
+		"home is busy":      {router(2, -1, busy), nil, "o", Away},
+		"home has none":     {router(0, -1, idle), nil, "o", NoRoom},
+		"nobody has any":    {router(0, -1, idle), func(_ *Query, r *Router) { r.Regions = &Regions{} }, "", Nowhere},
+		"bound workspace":   {router(2, -1, busy), func(q *Query, _ *Router) { q.Bound = true }, "r", Bound},
+		"bound entry":       {router(2, -1, busy), func(q *Query, _ *Router) { q.Entry.Bound = true }, "r", Bound},
+		"bound, no target":  {router(0, -1, busy), func(q *Query, _ *Router) { q.Bound = true }, "", Nowhere},
+		"bound elsewhere":   {router(2, -1, idle), func(q *Query, _ *Router) { q.Bound, q.Home = true, "o" }, "", WrongRegion},
+		"forwarded":         {router(2, -1, busy), func(q *Query, _ *Router) { q.Forwarded = true }, "r", AlreadyMoved},
+		"forwarded, none":   {router(0, -1, busy), func(q *Query, _ *Router) { q.Forwarded = true }, "", Nowhere},
+		"hop":               {router(2, -1, busy), func(q *Query, _ *Router) { q.Hops = jwrequest.Hops{{Node: "x", Region: "r"}} }, "r", AlreadyMoved},
+		"entry stays home":  {router(2, -1, busy), func(q *Query, _ *Router) { q.Entry.Regions = nil }, "r", NotAllowed},
+		"entry names other": {router(2, -1, busy), func(q *Query, _ *Router) { q.Entry.Regions = []string{"x"} }, "r", CheaperHere},
+		"word is too old":   {router(2, -1, busy), func(q *Query, _ *Router) { q.Now = start.Add(DefaultLoadFor + 1) }, "r", CheaperHere},
+		"link is too dear":  {router(2, -1, busy), func(q *Query, _ *Router) { q.Entry.Weights.Cost = 100 }, "r", CheaperHere},
+		"guest goes home": {router(2, -1, idle), func(q *Query, _ *Router) {
+			q.Home, q.Entry.Weights.SentAway = "o", 10
+		}, "o", Away},
+		"guest of an entry that stays home": {router(2, -1, idle), func(q *Query, _ *Router) {
+			q.Home, q.Entry.Weights.SentAway, q.Entry.Regions = "o", 10, nil
+		}, "o", Away},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := query()
+			test.router.Regions.Tell(other)
+			if test.change != nil {
+				test.change(q, test.router)
+			}
+			got := test.router.Place(q)
+			assert.Equal(t, got.Region, test.region)
+			assert.Equal(t, got.Reason, test.reason)
+		})
+	}
+}
+
+// Reports of other regions come late. If the requests sent there since did not
+// count, a whole peak would go to the region that last looked idle, and its
+// own callers would queue behind it.
+func TestSentAwayCountsUntilNextReport(t *testing.T) {
+	r := router(2, -1, busy)
+	r.Regions.Tell(Load{Region: "o", Service: "s", Free: 0.5, Slots: 16, Targets: 2, Work: time.Second, Taken: start})
+	sent := 0
+	for range 1000 {
+		if r.Place(query()).Reason == Away {
+			r.Regions.Sent("o", "s")
+			sent++
+		}
+	}
+	assert.Assert(t, sent > 8 && sent < 60, "sent %d", sent)
+}
