jwlimit: tests; parts by told demand, turns count ahead

Two faults seen by the tests: nodes hit by one burst each took the whole demand part (75 nodes ran 75 of a limit of 1), so a node's own demand counts only as it was last told; and a new caller took a token which the next turn needed, so turns within one gap are kept. With Policy.NoOwners the five quiet requests of the burst test are all refused; with it off all five are taken.

--- a/core/jwlimit/admission.go
+++ b/core/jwlimit/admission.go
@@ -76,10 +76,10 @@
 	if limits.Rate <= 0 {
 		return Refusal{}, false
 	}
-	if a.turn(&a.entry.book, a.entry.tokens, a.limiter.Policy.NoBooking) {
+	gap := time.Duration(float64(time.Second) / (limits.Rate * share.fraction))
+	if a.turn(&a.entry.book, a.entry.tokens, gap) {
 		return Refusal{}, false
 	}
-	gap := time.Duration(float64(time.Second) / (limits.Rate * share.fraction))
 	return a.later(EntryRate, &a.entry.book, gap), true
 }
 
@@ -87,14 +87,14 @@
 // comes back at the time it was told does if there is one, others only what is
 // not kept for such callers. Without this, new callers take the places first,
 // and one who did as it was told is refused time and again.
-func (a *admission) turn(b *book, free float64, noBooking bool) bool {
-	if noBooking {
+func (a *admission) turn(b *book, free float64, gap time.Duration) bool {
+	if a.limiter.Policy.NoBooking {
 		return free >= 1
 	}
 	if free >= 1 && b.take(a.Caller, a.Now) {
 		return true
 	}
-	return free-float64(b.due(a.Now)) >= 1
+	return free-float64(b.due(a.Now, gap)) >= 1
 }
 
 // overRoom tests what the service can still take.
@@ -124,7 +124,7 @@
 func (a *admission) late(back bool) time.Duration {
 	wait := a.wait()
 	if !back && !a.limiter.Policy.NoBooking {
-		wait += time.Duration(a.service.book.due(a.Now)) * a.gap()
+		wait += time.Duration(a.service.book.due(a.Now, 0)) * a.gap()
 	}
 	late := time.Duration(0)
 	if a.Left > 0 {
--- a/core/jwlimit/book.go
+++ b/core/jwlimit/book.go
@@ -56,12 +56,13 @@
 	return true
 }
 
-// due counts the turns whose time has come and that nobody has used yet.
-func (b *book) due(now time.Time) int {
+// due counts the turns that nobody has used yet and whose time has come, or
+// comes before a place taken now is free again.
+func (b *book) due(now time.Time, gap time.Duration) int {
 	b.prune(now)
 	n := 0
 	for _, t := range b.turns {
-		if t.at.After(now) {
+		if t.at.After(now.Add(gap)) {
 			break
 		}
 		if at, has := b.caller[t.caller]; has && at.Equal(t.at) {
--- /dev/null
+++ b/core/jwlimit/limiter_test.go
@@ -0,0 +1,181 @@
+package jwlimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwtarget"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// room returns the room of a service with 16 slots and calls of a second.
+func room(outstanding int) jwtarget.Room {
+	r := jwtarget.Room{Targets: 2, Slots: 16, Outstanding: outstanding, Work: time.Second}
+	r.Wait = time.Duration(max(outstanding+1-16, 0)) * time.Second / 16
+	return r
+}
+
+func query(class jwcatalogue.Class, outstanding int) *Query {
+	return &Query{
+		Entry: &jwcatalogue.Entry{Name: "e", Class: class, Service: "s"},
+		Owner: "o", Caller: 1, Left: 10 * time.Second, Work: time.Second,
+		Room: room(outstanding), Now: start, Random: 0.5,
+	}
+}
+
+func TestAdmit(t *testing.T) {
+	tests := map[string]struct {
+		class       jwcatalogue.Class
+		outstanding int
+		change      func(*Query, *Limiter)
+		want        Reason // empty for admitted
+	}{
+		"free slots":           {jwcatalogue.Draft, 3, nil, ""},
+		"short queue":          {jwcatalogue.Draft, 20, nil, ""},
+		"no target":            {jwcatalogue.Draft, 3, func(q *Query, _ *Limiter) { q.Room = jwtarget.Room{} }, NoTarget},
+		"sent away":            {jwcatalogue.Draft, 99, func(q *Query, _ *Limiter) { q.Away, q.Room = true, jwtarget.Room{} }, ""},
+		"too late":             {jwcatalogue.Draft, 30, func(q *Query, _ *Limiter) { q.Left = 1500 * time.Millisecond }, TooLate},
+		"late first byte":      {jwcatalogue.Draft, 30, func(q *Query, _ *Limiter) { q.Entry.FirstToken = time.Millisecond }, TooLate},
+		"draft gives way":      {jwcatalogue.Draft, 32, nil, Crowded},
+		"lookup does not":      {jwcatalogue.Lookup, 32, nil, ""},
+		"nor a confirmation":   {jwcatalogue.Confirmation, 64, nil, ""},
+		"foreign with room":    {jwcatalogue.Draft, 10, func(q *Query, _ *Limiter) { q.Foreign = true }, ""},
+		"foreign without":      {jwcatalogue.Draft, 15, func(q *Query, _ *Limiter) { q.Foreign = true }, Crowded},
+		"node full for drafts": {jwcatalogue.Draft, 0, func(_ *Query, l *Limiter) { l.Running, l.running = 10, 8 }, NodeFull},
+		"not for lookups":      {jwcatalogue.Lookup, 0, func(_ *Query, l *Limiter) { l.Running, l.running = 10, 8 }, ""},
+		"entry is full": {jwcatalogue.Confirmation, 0, func(q *Query, l *Limiter) {
+			q.Entry.Limits.Concurrent = 1
+			l.Admit(q)
+		}, EntryConcurrent},
+		"entry is too fast": {jwcatalogue.Confirmation, 0, func(q *Query, l *Limiter) {
+			q.Entry.Limits.Rate = 1
+			l.Admit(q)
+		}, EntryRate},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := &Limiter{Node: "n"}
+			q := query(test.class, test.outstanding)
+			if test.change != nil {
+				test.change(q, l)
+			}
+			_, refusal, admitted := l.Admit(q)
+			assert.Equal(t, refusal.Reason, test.want)
+			assert.Equal(t, admitted, test.want == "")
+			if !admitted {
+				assert.Assert(t, refusal.RetryAfter >= minRetryAfter && refusal.RetryAfter <= maxRetryAfter, "%v", refusal.RetryAfter)
+			}
+		})
+	}
+}
+
+// One owner sends far more than the service can run while others send little.
+// Without shares the others find every slot taken and are refused for as long
+// as the burst lasts.
+func TestBurstOfOneOwnerLeavesOthersTheirShare(t *testing.T) {
+	served := func(p Policy) int {
+		l := &Limiter{Node: "n", Policy: p}
+		running, quiet := 0, 0
+		admit := func(owner string, caller uint64, now time.Time) bool {
+			q := query(jwcatalogue.Draft, running)
+			q.Owner, q.Caller, q.Now = owner, caller, now
+			_, _, ok := l.Admit(q)
+			if ok {
+				running++
+			}
+			return ok
+		}
+		admit("quiet", 1, start)
+		for i := range 100 {
+			admit("burst", uint64(i+2), at(time.Millisecond))
+		}
+		for i := range 5 {
+			if admit("quiet", uint64(i+200), at(2*time.Millisecond)) {
+				quiet++
+			}
+		}
+		return quiet
+	}
+	assert.Equal(t, served(Policy{}), 5)
+	assert.Equal(t, served(Policy{NoOwners: true}), 0)
+}
+
+// Callers above an entry's rate are told when to come back. If new callers
+// could take the places in the meantime, those who did as told would be refused
+// again and again; if all were told the same time, they would come together.
+func TestCallersWhoComeBackAsToldGetIn(t *testing.T) {
+	l := &Limiter{Node: "n"}
+	entry := &jwcatalogue.Entry{Name: "e", Class: jwcatalogue.Draft, Service: "s", Limits: jwcatalogue.Limits{Rate: 10, Burst: 1}}
+	due := make(map[int][]uint64) // callers by the millisecond at which they come back
+	refusedAgain, returned := 0, 0
+	caller := uint64(0)
+	for ms := range 10000 {
+		q := query(jwcatalogue.Draft, 0)
+		q.Entry, q.Now = entry, at(time.Duration(ms)*time.Millisecond)
+		for _, q.Caller = range due[ms] {
+			returned++
+			if _, _, ok := l.Admit(q); !ok {
+				refusedAgain++
+			}
+		}
+		if ms%70 == 0 { // more than the rate, all the time
+			caller++
+			q.Caller = caller
+			if _, refusal, ok := l.Admit(q); !ok {
+				back := ms + int(refusal.RetryAfter/time.Millisecond) + 1
+				due[back] = append(due[back], caller)
+			}
+		}
+	}
+	assert.Assert(t, returned > 50, "%d came back", returned)
+	assert.Equal(t, refusedAgain, 0)
+	for ms, callers := range due {
+		assert.Assert(t, len(callers) <= 2, "%d come back at %d ms", len(callers), ms)
+	}
+}
+
+// The nodes of a region share an entry's limit without a word for each
+// request. Parts that did not add up would let a region run more than its
+// owner allowed, or less than was free.
+func TestPartsAddUpToTheLimit(t *testing.T) {
+	for _, nodes := range []int{1, 2, 3, 9, 75} {
+		for _, limit := range []int{1, 4, 100} {
+			t.Run(fmt.Sprintf("%d nodes, limit %d", nodes, limit), func(t *testing.T) {
+				r := newRegion(nodes, limit)
+				for range limit + 3 {
+					for i := range r.nodes {
+						r.ask(i)
+					}
+					r.now = r.now.Add(shareFor)
+					r.tell()
+				}
+				assert.Equal(t, r.running(), limit)
+				rate := 0.0
+				for _, l := range r.nodes {
+					rate += l.share("e", l.entry("e"), limit, r.now).fraction
+				}
+				assert.Assert(t, rate > 0.99 && rate < 1.01, "%v", rate)
+			})
+		}
+	}
+}
+
+func TestBudget(t *testing.T) {
+	b := &Budget{Share: 0.1, Saved: 5}
+	retries := 0
+	for range 1000 {
+		b.Try("e")
+		for b.Retry("e") {
+			retries++
+		}
+	}
+	assert.Assert(t, retries <= 105 && retries >= 100, "%d", retries)
+	assert.Assert(t, b.Retry("other"))
+}
--- a/core/jwlimit/share.go
+++ b/core/jwlimit/share.go
@@ -41,6 +41,7 @@
 	refilled time.Time
 	book     book
 	told     map[string]told // by node
+	own      float64         // rate that this node last told
 	share    share
 	shared   time.Time // when share was computed
 }
@@ -113,6 +114,7 @@
 	var out []Usage
 	for name, m := range l.entries {
 		rate := m.rateAt(now)
+		m.own = rate
 		if rate > 0 || m.running > 0 {
 			out = append(out, Usage{Name: name, Rate: rate, Running: m.running})
 		}
@@ -169,10 +171,13 @@
 	return n
 }
 
-// demand returns what a node asks of an entry, as far as this one knows.
+// demand returns what a node asks of an entry, by the last word. This node's
+// own demand counts as it was told as well: were it counted at once, each of
+// many nodes hit by the same burst would take itself for the only one that
+// asks, and together they would run several times the limit.
 func (l *Limiter) demand(node string, m *meter, now time.Time) float64 {
 	if node == l.Node {
-		return m.rateAt(now)
+		return m.own
 	}
 	w, known := m.told[node]
 	if !known || now.Sub(w.at) > toldFor {
