jwsuspect: suspects kept apart, clearing told to peers, tests

In a model of 6 nodes, 12 targets and notices each second, a caller that comes back as told takes down 2 targets in each of 40 runs.

--- a/core/jwsuspect/notice.go
+++ b/core/jwsuspect/notice.go
@@ -7,10 +7,12 @@
 	"time"
 )
 
-// Notice is one crash held against a fingerprint, as told to peers.
+// Notice is one word about a fingerprint, as told to peers: a crash held
+// against it, or that it has been served and is clear.
 type Notice struct {
 	Fingerprint Fingerprint
-	Target      netip.AddrPort
+	State       State          // Suspected for a crash, Clear
+	Target      netip.AddrPort // that crashed
 	Age         time.Duration
 	Region      string // set for bound data: told only within this region
 }
@@ -26,12 +28,15 @@
 		if s.bound && region != t.Region {
 			continue
 		}
+		first := len(out)
 		for _, c := range s.crashes {
-			n := Notice{Fingerprint: f, Target: c.target, Age: now.Sub(c.at)}
-			if s.bound {
-				n.Region = t.Region
-			}
-			out = append(out, n)
+			out = append(out, Notice{Fingerprint: f, State: Suspected, Target: c.target, Age: now.Sub(c.at)})
+		}
+		if !s.cleared.IsZero() {
+			out = append(out, Notice{Fingerprint: f, State: Clear, Age: now.Sub(s.cleared)})
+		}
+		for i := first; s.bound && i < len(out); i++ {
+			out[i].Region = t.Region
 		}
 	}
 	slices.SortFunc(out, compareNotices)
@@ -46,14 +51,22 @@
 }
 
 // Merge takes over what a peer told. A notice bound to another region is
-// dropped, and one too old to count is as well. It returns the fingerprints
-// that this has put in quarantine here.
+// dropped. So is one that is nearly too old to count: this node may have
+// forgotten the same crash a moment ago, and would take it for a new one. It
+// returns the fingerprints that this has put in quarantine here.
 func (t *Table) Merge(notices []Notice, now time.Time) []Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var barred []Fingerprint
 	for _, n := range notices {
-		if n.Age < 0 || n.Age > t.remember() || (n.Region != "" && n.Region != t.Region) {
+		if n.Age < 0 || n.Age > t.remember()-2*crashWindow || (n.Region != "" && n.Region != t.Region) {
+			continue
+		}
+		if n.State == Clear {
+			if s := t.suspect(n.Fingerprint, now); s != nil {
+				s.bound = s.bound || n.Region != ""
+				s.clear(now.Add(-n.Age))
+			}
 			continue
 		}
 		c := crash{target: n.Target, at: now.Add(-n.Age)}
--- a/core/jwsuspect/table.go
+++ b/core/jwsuspect/table.go
@@ -45,12 +45,14 @@
 // when a target crashed. One mutex guards it, and no other lock is taken under
 // it. Fields are set before use; the zero value uses the defaults.
 type Table struct {
+	Node       string        // name of this node
 	Region     string        // told to peers with what is bound to it
 	Remember   time.Duration // how long one crash counts
 	Quarantine time.Duration // how long the first quarantine of a fingerprint lasts
 	Most       int           // fingerprints remembered at most
 
 	mu       sync.Mutex
+	members  []string // live nodes of the region
 	flights  map[netip.AddrPort]map[Fingerprint]flight
 	suspects map[Fingerprint]*suspect
 }
@@ -92,8 +94,8 @@
 	calls[f] = flight{calls: calls[f].calls + 1, bound: bound || calls[f].bound}
 }
 
-// End takes a call out. A call that was served clears its fingerprint of a
-// first suspicion: the target has run it and lives.
+// End takes a call out. A call that was served clears its fingerprint: the
+// target has run it and lives, so an earlier crash had another cause.
 func (t *Table) End(f Fingerprint, target netip.AddrPort, served bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -108,9 +110,21 @@
 	if len(calls) == 0 {
 		delete(t.flights, target)
 	}
-	if s := t.suspects[f]; served && s != nil && s.bars == 0 {
-		s.crashes = nil
-		s.cleared = now
+	if s := t.suspects[f]; served && s != nil {
+		s.clear(now)
+	}
+}
+
+// clear drops what is held against a fingerprint up to a time.
+func (s *suspect) clear(at time.Time) {
+	if !at.After(s.cleared) {
+		return
+	}
+	s.cleared = at
+	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return !c.at.After(at) })
+	if len(s.crashes) == 0 {
+		s.bars = 0
+		s.until = time.Time{}
 	}
 }
 
@@ -133,19 +147,9 @@
 // accuse holds one crash against a fingerprint and tells whether that put it
 // in quarantine.
 func (t *Table) accuse(f Fingerprint, c crash, bound bool, now time.Time) bool {
-	s := t.suspects[f]
+	s := t.suspect(f, now)
 	if s == nil {
-		if len(t.suspects) >= t.most() {
-			t.prune(now)
-		}
-		if len(t.suspects) >= t.most() {
-			return false
-		}
-		s = &suspect{}
-		if t.suspects == nil {
-			t.suspects = make(map[Fingerprint]*suspect)
-		}
-		t.suspects[f] = s
+		return false
 	}
 	s.bound = s.bound || bound
 	s.crashes = slices.DeleteFunc(s.crashes, func(old crash) bool {
@@ -163,6 +167,27 @@
 	return true
 }
 
+// suspect returns what is held against a fingerprint, or nil when the table is
+// full of others that still count.
+func (t *Table) suspect(f Fingerprint, now time.Time) *suspect {
+	s := t.suspects[f]
+	if s != nil {
+		return s
+	}
+	if len(t.suspects) >= t.most() {
+		t.prune(now)
+	}
+	if len(t.suspects) >= t.most() {
+		return nil
+	}
+	s = &suspect{}
+	if t.suspects == nil {
+		t.suspects = make(map[Fingerprint]*suspect)
+	}
+	t.suspects[f] = s
+	return s
+}
+
 // same tells whether two words are about the same crash. Nodes notice a crash
 // at slightly different times; a target that has come back and goes down again
 // is another crash, or a service with one target would never be safe.
@@ -207,30 +232,6 @@
 	return slices.ContainsFunc(s.crashes, func(c crash) bool { return now.Sub(c.at) <= remember })
 }
 
-// Occupied returns the targets on which a suspect may not run now: those that
-// crashed with it, and those where another suspect is in flight. Were two
-// suspects together when a target crashes, the innocent one would be barred
-// with the other.
-func (t *Table) Occupied(f Fingerprint, now time.Time) []netip.AddrPort {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []netip.AddrPort
-	if s := t.suspects[f]; s != nil {
-		for _, c := range s.crashes {
-			out = append(out, c.target)
-		}
-	}
-	for target, calls := range t.flights {
-		for other := range calls {
-			if state, _ := t.check(other, now); other != f && state != Clear {
-				out = append(out, target)
-				break
-			}
-		}
-	}
-	return out
-}
-
 // prune forgets what no longer counts.
 func (t *Table) prune(now time.Time) {
 	for f, s := range t.suspects {
--- /dev/null
+++ b/core/jwsuspect/table_test.go
@@ -0,0 +1,299 @@
+package jwsuspect
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func target(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 8000)
+}
+
+func print(n int) Fingerprint { return FingerprintOf("e", []byte(fmt.Sprint(n))) }
+
+// crashAt runs a fingerprint on a target, which crashes.
+func crashAt(t *Table, f Fingerprint, n int, now time.Time) []Fingerprint {
+	t.Begin(f, target(n), false)
+	barred := t.Crashed(target(n), now)
+	t.End(f, target(n), false, now)
+	return barred
+}
+
+func TestCheck(t *testing.T) {
+	poison := print(1)
+	tests := map[string]struct {
+		steps func(*Table)
+		now   time.Duration
+		want  State
+	}{
+		"never seen": {func(*Table) {}, 0, Clear},
+		"one crash":  {func(t *Table) { crashAt(t, poison, 1, at(0)) }, time.Second, Suspected},
+		"one crash long ago": {func(t *Table) {
+			crashAt(t, poison, 1, at(0))
+		}, DefaultRemember + 1, Clear},
+		"two targets": {func(t *Table) {
+			crashAt(t, poison, 1, at(0))
+			crashAt(t, poison, 2, at(time.Second))
+		}, time.Second, Quarantined},
+		"one crash noticed twice": {func(t *Table) {
+			crashAt(t, poison, 1, at(0))
+			crashAt(t, poison, 1, at(time.Second))
+		}, time.Second, Suspected},
+		"the only target, twice": {func(t *Table) {
+			crashAt(t, poison, 1, at(0))
+			crashAt(t, poison, 1, at(time.Minute))
+		}, time.Minute, Quarantined},
+		"served in between": {func(t *Table) {
+			crashAt(t, poison, 1, at(0))
+			t.Begin(poison, target(2), false)
+			t.End(poison, target(2), true, at(time.Second))
+			crashAt(t, poison, 3, at(2*time.Second))
+		}, 2 * time.Second, Suspected},
+		"quarantine over": {func(t *Table) {
+			crashAt(t, poison, 1, at(0))
+			crashAt(t, poison, 2, at(0))
+		}, DefaultQuarantine, Suspected},
+		"crashes once more after it": {func(t *Table) {
+			crashAt(t, poison, 1, at(0))
+			crashAt(t, poison, 2, at(0))
+			crashAt(t, poison, 3, at(DefaultQuarantine))
+		}, DefaultQuarantine + 3*DefaultQuarantine, Quarantined},
+		"served at another node": {func(t *Table) {
+			other := &Table{}
+			crashAt(t, poison, 1, at(0))
+			crashAt(t, poison, 2, at(0))
+			other.Merge(t.Notices("", at(0)), at(0))
+			other.Begin(poison, target(3), false)
+			other.End(poison, target(3), true, at(time.Second))
+			t.Merge(other.Notices("", at(time.Second)), at(time.Second))
+		}, time.Second, Clear},
+		"all forgotten": {func(t *Table) {
+			crashAt(t, poison, 1, at(0))
+			crashAt(t, poison, 2, at(0))
+		}, DefaultQuarantine + DefaultRemember + 1, Clear},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{}
+			test.steps(table)
+			got, left := table.Check(poison, at(test.now))
+			assert.Equal(t, got, test.want)
+			assert.Equal(t, left > 0, test.want == Quarantined)
+		})
+	}
+}
+
+// A node tells another what it suspects. What is bound to a region must not
+// be told outside it, nor taken over there if a peer does tell.
+func TestNoticesKeepBoundDataHome(t *testing.T) {
+	a := &Table{Region: "a"}
+	a.Begin(print(1), target(1), true)
+	a.Begin(print(2), target(1), false)
+	a.Crashed(target(1), start)
+	assert.Equal(t, len(a.Notices("a", start)), 2)
+	away := a.Notices("b", start)
+	assert.Equal(t, len(away), 1)
+	assert.Equal(t, away[0].Fingerprint, print(2))
+	b := &Table{Region: "b"}
+	b.Merge(a.Notices("a", start), start)
+	state, _ := b.Check(print(1), start)
+	assert.Equal(t, state, Clear)
+}
+
+// Peers repeat what they know. Heard twice, or back from where it came, a
+// crash must not count as another one, or innocents end in quarantine.
+func TestMergeRepeats(t *testing.T) {
+	a, b := &Table{}, &Table{}
+	crashAt(a, print(1), 1, start)
+	for i := range 20 {
+		now := at(time.Duration(i) * time.Minute)
+		b.Merge(a.Notices("", now), now)
+		a.Merge(b.Notices("", now), now.Add(time.Second))
+		for _, table := range []*Table{a, b} {
+			state, _ := table.Check(print(1), now)
+			assert.Assert(t, state != Quarantined, "after %d minutes", i)
+		}
+	}
+}
+
+// model is a few nodes before targets that batch; one caller sends a request
+// that crashes each target, again and again, each time to another node.
+type model struct {
+	seed     uint64
+	together bool          // suspects may run on the same target
+	delay    time.Duration // of notices between nodes
+	again    time.Duration // pause of the caller
+}
+
+const (
+	modelNodes   = 6
+	modelTargets = 12
+	modelBatch   = 8
+	modelStep    = 100 * time.Millisecond
+	modelRetry   = 2 * time.Second // when callers are told to come back, at least
+)
+
+// call is one innocent request in flight.
+type call struct {
+	id, node, target int
+	ends             time.Time
+}
+
+// run returns how many targets went down and the innocents that were barred.
+func (m model) run() (crashed, barred int) {
+	rnd := rand.New(rand.NewPCG(m.seed, 1))
+	var nodes []*Table
+	var names []string
+	for i := range modelNodes {
+		names = append(names, fmt.Sprint(i))
+		nodes = append(nodes, &Table{Node: names[i]})
+	}
+	for _, table := range nodes {
+		table.SetMembers(names)
+	}
+	up := make([]time.Time, modelTargets)
+	load := make([]int, modelTargets)
+	var all []netip.AddrPort
+	for i := range modelTargets {
+		all = append(all, target(i))
+	}
+	var flying []call
+	var retry []int
+	later := make(map[time.Time][]int) // innocents that come back as they were told
+	id, attempt := 1, 0
+	suspects := make(map[Fingerprint]bool)
+	note := func(list []Fingerprint) {
+		for _, f := range list {
+			suspects[f] = true
+		}
+	}
+	next := at(time.Second)
+	pause := func(most time.Duration) time.Duration {
+		return time.Duration(rnd.IntN(int(most/modelStep)+1)) * modelStep
+	}
+	poison := print(0)
+	place := func(node int, f Fingerprint, now time.Time) int {
+		state, _ := nodes[node].Check(f, now)
+		if state == Quarantined {
+			return -1
+		}
+		var not []netip.AddrPort
+		if state == Suspected && !m.together {
+			not = nodes[node].Apart(f, all, now)
+		}
+		for _, i := range rnd.Perm(modelTargets) {
+			if up[i].After(now) || load[i] >= modelBatch || slices.Contains(not, target(i)) {
+				continue
+			}
+			return i
+		}
+		return -1
+	}
+	for now := start; now.Before(at(time.Minute)); now = now.Add(modelStep) {
+		if now.Sub(start)%m.delay == 0 {
+			for _, a := range nodes {
+				for _, b := range nodes {
+					note(b.Merge(a.Notices("", now), now))
+				}
+			}
+		}
+		flying = slices.DeleteFunc(flying, func(c call) bool {
+			if c.ends.After(now) {
+				return false
+			}
+			nodes[c.node].End(print(c.id), target(c.target), true, now)
+			load[c.target]--
+			return true
+		})
+		for range 2 {
+			retry = append(retry, id)
+			id++
+		}
+		retry = append(retry, later[now]...)
+		var waiting []int
+		for _, innocent := range retry {
+			node := rnd.IntN(modelNodes)
+			i := place(node, print(innocent), now)
+			if i < 0 {
+				waiting = append(waiting, innocent)
+				continue
+			}
+			nodes[node].Begin(print(innocent), target(i), false)
+			load[i]++
+			flying = append(flying, call{innocent, node, i, now.Add(3 * time.Second)})
+		}
+		retry = waiting
+		if now.Before(next) {
+			continue
+		}
+		next = now.Add(m.again + pause(m.again))
+		node := attempt % modelNodes
+		attempt++
+		i := place(node, poison, now)
+		if i < 0 {
+			continue
+		}
+		crashed++
+		up[i] = now.Add(5 * time.Second)
+		load[i] = 0
+		nodes[node].Begin(poison, target(i), false)
+		for _, table := range nodes {
+			note(table.Crashed(target(i), now))
+		}
+		nodes[node].End(poison, target(i), false, now)
+		flying = slices.DeleteFunc(flying, func(c call) bool {
+			if c.target == i {
+				nodes[c.node].End(print(c.id), target(i), false, now)
+				back := now.Add(modelRetry + pause(modelRetry))
+				later[back] = append(later[back], c.id)
+				return true
+			}
+			return false
+		})
+	}
+	delete(suspects, poison)
+	return crashed, len(suspects)
+}
+
+// A caller sends a request that crashes every target it reaches, and sends it
+// again after each failure, to another node each time. Unstopped it takes the
+// whole service down; the innocent requests beside it must not be barred with it.
+func TestPoisonTakesDownTwoTargets(t *testing.T) {
+	locked, lockedTogether := 0, 0
+	for seed := range uint64(40) {
+		crashed, barred := model{seed: seed, delay: time.Second, again: 2 * time.Second}.run()
+		assert.Equal(t, crashed, 2, "seed %d", seed)
+		locked += barred
+		_, barred = model{seed: seed, delay: time.Second, again: 2 * time.Second, together: true}.run()
+		lockedTogether += barred
+	}
+	t.Logf("innocents barred over 40 runs: %d, with suspects together %d", locked, lockedTogether)
+	assert.Equal(t, locked, 0)
+	assert.Assert(t, lockedTogether > 0)
+}
+
+// A caller that does not wait as told comes back before the nodes have told
+// each other. What it can take down more is bounded by the pace of its tries
+// against the delay of the notices.
+func TestPoisonFasterThanNotices(t *testing.T) {
+	for _, again := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second} {
+		most, barred := 0, 0
+		for seed := range uint64(40) {
+			crashed, locked := model{seed: seed, delay: time.Second, again: again}.run()
+			most = max(most, crashed)
+			barred += locked
+		}
+		t.Logf("sent again after %v: at most %d targets, %d innocents barred in 40 runs", again, most, barred)
+		assert.Assert(t, most <= 2+int(time.Second/again), "%d targets", most)
+	}
+}
