--- a/core/jwsuspect/table_test.go
+++ b/core/jwsuspect/table_test.go
@@ -19,7 +19,7 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 8000)
 }
 
-func print(n int) Fingerprint { return FingerprintOf("e", []byte(fmt.Sprint(n))) }
+func printOf(n int) Fingerprint { return FingerprintOf("e", []byte(fmt.Sprint(n))) }
 
 // crashAt runs a fingerprint on a target, which crashes.
 func crashAt(t *Table, f Fingerprint, n int, now time.Time) []Fingerprint {
@@ -30,7 +30,7 @@
 }
 
 func TestCheck(t *testing.T) {
-	poison := print(1)
+	poison := printOf(1)
 	tests := map[string]struct {
 		steps func(*Table)
 		now   time.Duration
@@ -97,16 +97,16 @@
 // be told outside it, nor taken over there if a peer does tell.
 func TestNoticesKeepBoundDataHome(t *testing.T) {
 	a := &Table{Region: "a"}
-	a.Begin(print(1), target(1), true)
-	a.Begin(print(2), target(1), false)
+	a.Begin(printOf(1), target(1), true)
+	a.Begin(printOf(2), target(1), false)
 	a.Crashed(target(1), start)
 	assert.Equal(t, len(a.Notices("a", start)), 2)
 	away := a.Notices("b", start)
 	assert.Equal(t, len(away), 1)
-	assert.Equal(t, away[0].Fingerprint, print(2))
+	assert.Equal(t, away[0].Fingerprint, printOf(2))
 	b := &Table{Region: "b"}
 	b.Merge(a.Notices("a", start), start)
-	state, _ := b.Check(print(1), start)
+	state, _ := b.Check(printOf(1), start)
 	assert.Equal(t, state, Clear)
 }
 
@@ -114,13 +114,13 @@
 // crash must not count as another one, or innocents end in quarantine.
 func TestMergeRepeats(t *testing.T) {
 	a, b := &Table{}, &Table{}
-	crashAt(a, print(1), 1, start)
+	crashAt(a, printOf(1), 1, start)
 	for i := range 20 {
 		now := at(time.Duration(i) * time.Minute)
 		b.Merge(a.Notices("", now), now)
 		a.Merge(b.Notices("", now), now.Add(time.Second))
 		for _, table := range []*Table{a, b} {
-			state, _ := table.Check(print(1), now)
+			state, _ := table.Check(printOf(1), now)
 			assert.Assert(t, state != Quarantined, "after %d minutes", i)
 		}
 	}
@@ -181,7 +181,7 @@
 	pause := func(most time.Duration) time.Duration {
 		return time.Duration(rnd.IntN(int(most/modelStep)+1)) * modelStep
 	}
-	poison := print(0)
+	poison := printOf(0)
 	place := func(node int, f Fingerprint, now time.Time) int {
 		state, _ := nodes[node].Check(f, now)
 		if state == Quarantined {
@@ -211,7 +211,7 @@
 			if c.ends.After(now) {
 				return false
 			}
-			nodes[c.node].End(print(c.id), target(c.target), true, now)
+			nodes[c.node].End(printOf(c.id), target(c.target), true, now)
 			load[c.target]--
 			return true
 		})
@@ -223,12 +223,12 @@
 		var waiting []int
 		for _, innocent := range retry {
 			node := rnd.IntN(modelNodes)
-			i := place(node, print(innocent), now)
+			i := place(node, printOf(innocent), now)
 			if i < 0 {
 				waiting = append(waiting, innocent)
 				continue
 			}
-			nodes[node].Begin(print(innocent), target(i), false)
+			nodes[node].Begin(printOf(innocent), target(i), false)
 			load[i]++
 			flying = append(flying, call{innocent, node, i, now.Add(3 * time.Second)})
 		}
@@ -253,7 +253,7 @@
 		nodes[node].End(poison, target(i), false, now)
 		flying = slices.DeleteFunc(flying, func(c call) bool {
 			if c.target == i {
-				nodes[c.node].End(print(c.id), target(i), false, now)
+				nodes[c.node].End(printOf(c.id), target(i), false, now)
 				back := now.Add(modelRetry + pause(modelRetry))
 				later[back] = append(later[back], c.id)
 				return true
