jwtarget: calls that begin or end while a report is under way count

Report dropped the calls begun between the asking for a report and its coming, so a slow report hid them. Taken is now when it was asked for.

--- a/core/jwtarget/candidate.go
+++ b/core/jwtarget/candidate.go
@@ -56,8 +56,8 @@
 // which would otherwise draw every call of the time between two reports to the
 // one target that looked idle.
 func (e *entry) outstanding() int {
-	reported := max(e.load.Running+e.load.Waiting-e.ended, 0)
-	return max(reported+e.ownSince, e.own)
+	reported := max(e.load.Running+e.load.Waiting-len(e.ended), 0)
+	return max(reported+len(e.begun), e.own)
 }
 
 // Bounds of a pace, so that one odd call or report neither draws all work to a
--- a/core/jwtarget/table.go
+++ b/core/jwtarget/table.go
@@ -52,10 +52,10 @@
 	target   Target
 	key      uint64
 	load     Load
-	own      int     // calls of this node in flight
-	ownSince int     // those of them that began after the last report
-	ended    int     // calls in the last report that have ended since
-	pace     float64 // time taken by calls here over the time expected, 0 before the first
+	own      int         // calls of this node in flight
+	begun    []time.Time // when those of them began that the last report has not seen
+	ended    []time.Time // when calls ended that the last report still counts
+	pace     float64     // time taken by calls here over the time expected, 0 before the first
 	failures int
 	rests    time.Time // gets no work until then
 	probing  bool
@@ -159,7 +159,8 @@
 	return told && d.gone.IsZero()
 }
 
-// Report takes over what a target said of its load.
+// Report takes over what a target said of its load. What began or ended while
+// the report was under way is still counted apart from it.
 func (t *Table) Report(addr netip.AddrPort, load Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -168,8 +169,9 @@
 		return
 	}
 	e.load = load
-	e.ownSince = 0
-	e.ended = 0
+	seen := func(at time.Time) bool { return !at.After(load.Taken) }
+	e.begun = slices.DeleteFunc(e.begun, seen)
+	e.ended = slices.DeleteFunc(e.ended, seen)
 	s := t.services[e.target.Service]
 	if load.Token > 0 {
 		s.tick = average(s.tick, load.Token)
@@ -200,7 +202,7 @@
 	defer t.mu.Unlock()
 	if e := t.targets[addr]; e != nil {
 		e.own++
-		e.ownSince++
+		e.begun = append(e.begun, now)
 		e.probing = e.failures > 0
 	}
 	return Call{Address: addr, Work: work, Began: now}
@@ -214,7 +216,7 @@
 	if e == nil {
 		return
 	}
-	e.forget(c)
+	e.forget(c, now)
 	e.probing = false
 	switch result {
 	case Done:
@@ -227,16 +229,21 @@
 }
 
 // forget takes a call out of the counts. A call of an earlier target at the
-// same address may end after the counts began anew, hence the floors.
-func (e *entry) forget(c Call) {
+// same address may end after the counts began anew, hence the floor.
+func (e *entry) forget(c Call, now time.Time) {
 	e.own = max(e.own-1, 0)
-	if c.Began.After(e.load.Taken) {
-		e.ownSince = max(e.ownSince-1, 0)
-	} else {
-		e.ended++
+	if i := slices.Index(e.begun, c.Began); i >= 0 {
+		e.begun = slices.Delete(e.begun, i, i+1)
+		return
+	}
+	if len(e.ended) < maxEnded {
+		e.ended = append(e.ended, now)
 	}
 }
 
+// maxEnded bounds what is kept of a target whose reports stay away.
+const maxEnded = 1024
+
 // learn takes the time of a finished call into the averages.
 func (t *Table) learn(e *entry, c Call, now time.Time) {
 	e.failures = 0
--- a/core/jwtarget/target.go
+++ b/core/jwtarget/target.go
@@ -31,5 +31,5 @@
 	Slots    int           // requests it can batch at once
 	CacheUse float64       // share of its prefix cache in use
 	Token    time.Duration // time between tokens of one stream
-	Taken    time.Time     // when the report reached this node
+	Taken    time.Time     // when the report was asked for
 }
