--- a/core/jwboard/reporter.go
+++ b/core/jwboard/reporter.go
@@ -52,6 +52,7 @@
 	for _, s := range r.Board.Suspects.Notices(region, now) {
 		out = append(out, jwpeer.Suspect{
 			Fingerprint: s.Fingerprint[:], Target: s.Target, Age: s.Age, Region: s.Region,
+			State: string(s.State),
 		})
 	}
 	return out
@@ -174,7 +175,7 @@
 		if s.Region != "" && s.Region != region {
 			continue
 		}
-		n := jwsuspect.Notice{Target: s.Target, Age: s.Age, Region: s.Region}
+		n := jwsuspect.Notice{Target: s.Target, Age: s.Age, Region: s.Region, State: jwsuspect.State(s.State)}
 		if copy(n.Fingerprint[:], s.Fingerprint) != len(n.Fingerprint) {
 			continue
 		}
--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -111,7 +112,8 @@
 	state, _ := j.Board.Suspects.Check(mark, j.Now())
 	tried := j.query.Exclude
 	if state == jwsuspect.Suspected {
-		j.query.Exclude = append(tried[:len(tried):len(tried)], j.Board.Suspects.Occupied(mark, j.Now())...)
+		apart := j.Board.Suspects.Apart(mark, j.usable(), j.Now())
+		j.query.Exclude = append(tried[:len(tried):len(tried)], apart...)
 	}
 	choice, found := j.Router.Pick(&j.query)
 	j.query.Exclude = tried
@@ -143,6 +145,17 @@
 	return a, end, nil
 }
 
+// usable are the targets of the entry's service that this node uses.
+func (j *job) usable() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, t := range j.Board.Targets.Used() {
+		if t.Service == j.entry.Service {
+			out = append(out, t.Address)
+		}
+	}
+	return out
+}
+
 // result tells the target table how a call ended.
 func result(ctx context.Context, err error) jwtarget.Result {
 	var failed *CallError
--- a/core/jwpeer/news.go
+++ b/core/jwpeer/news.go
@@ -27,6 +27,7 @@
 	Target      netip.AddrPort
 	Age         time.Duration
 	Region      string // set for bound data, told only within this region
+	State       string // of the fingerprint, as the table of suspects words it
 }
 
 // RegionLoad is what a region says of one of its services.
--- a/io/jwforward/news.go
+++ b/io/jwforward/news.go
@@ -17,6 +17,7 @@
 	for _, s := range n.Suspects {
 		out.Suspects = append(out.Suspects, &jwwire.Suspect{
 			Fingerprint: s.Fingerprint, Region: s.Region, AgeMicros: s.Age.Microseconds(), Target: s.Target.String(),
+			State: s.State,
 		})
 	}
 	for _, l := range n.Loads {
@@ -50,6 +51,7 @@
 		if target, err := netip.ParseAddrPort(s.GetTarget()); err == nil {
 			n.Suspects = append(n.Suspects, jwpeer.Suspect{
 				Fingerprint: s.GetFingerprint(), Target: target, Age: micros(s.GetAgeMicros()), Region: s.GetRegion(),
+				State: s.GetState(),
 			})
 		}
 	}
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -38,6 +38,7 @@
 	Catalogue   ChangeSource
 	Workspaces  DirectorySource
 	Adopter     Adopter
+	Sponsor     Sponsor
 	MaxBody     int64                            // bytes of a request body
 	Credentials credentials.TransportCredentials // nil for none
 }
--- a/io/jwnode/life.go
+++ b/io/jwnode/life.go
@@ -14,22 +14,51 @@
 // joinRetry is the pause between attempts to get the catalogue.
 const joinRetry = 200 * time.Millisecond
 
-// join gets the catalogue and the directory, then begins to serve.
+// live joins, serves until stop ends or the node may serve no longer, and
+// leaves. The parts of the node run until work ends.
+func (n *Node) live(stop, work context.Context) error {
+	member, cancel := context.WithCancel(work)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- n.join(member) }()
+	var err error
+	select {
+	case <-stop.Done():
+		cancel()
+		<-ended
+	case err = <-ended:
+	case <-work.Done():
+		return nil
+	}
+	n.leave(work)
+	return err
+}
+
+// join gets the directory and the catalogue, begins to serve, and keeps the
+// membership until ctx ends. An error says that another process has this
+// node's name, so that its word would count for this one's.
 func (n *Node) join(ctx context.Context) error {
-	for {
-		err := n.follower.CatchUp(ctx)
-		if err == nil && n.board.Directory.Current() != nil {
-			break
-		}
+	for n.board.Directory.Current() == nil {
 		select {
 		case <-time.After(joinRetry):
 		case <-ctx.Done():
 			return nil
 		}
 	}
+	if err := n.membership.Join(ctx); err != nil {
+		return ignoreEnd(ctx, err)
+	}
 	n.serving.Store(true)
 	n.setState(jwpeer.Serving)
-	return nil
+	return ignoreEnd(ctx, n.membership.Run(ctx))
+}
+
+// ignoreEnd drops an error that is only the end of ctx.
+func ignoreEnd(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
 }
 
 // leave is the planned stop: callers are sent elsewhere, requests in flight are
@@ -39,8 +68,17 @@
 	if err := n.drain.Run(ctx); err != nil {
 		n.Log.Error(err, "stop left something undone")
 	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := n.membership.Leave(ctx); err != nil {
+		// The gatherer of the region counts this node out by its last word.
+		n.Log.Error(err, "member record left behind")
+	}
 }
 
+// leaveTimeout bounds the wait for the platform at the very end of a stop.
+const leaveTimeout = 3 * time.Second
+
 // drainChanged tells the others how far the stop is.
 func (n *Node) drainChanged(s jwdrain.State) {
 	switch s {
--- /dev/null
+++ b/io/jwnode/membership.go
@@ -0,0 +1,88 @@
+package jwnode
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/io/jwforward"
+)
+
+// sponsors are the nodes of the region that may answer for this one while the
+// platform can't be reached.
+type sponsors struct {
+	peers *jwpeer.Table
+	pool  *jwforward.Pool
+}
+
+// Adopt asks one serving peer to answer for this node.
+func (s *sponsors) Adopt(ctx context.Context, m jwcatalogue.Member, after uint64) (string, []jwcatalogue.Change, *jwcatalogue.Checkpoint, error) {
+	serving := s.peers.Select(func(p jwpeer.Peer) bool {
+		return p.Region == m.Region && p.Name != m.Name && p.State == jwpeer.Serving
+	})
+	if len(serving) == 0 {
+		return "", nil, nil, errors.New("no peer of the region serves")
+	}
+	of := serving[rand.IntN(len(serving))]
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	records, checkpoint, err := s.pool.AskAdopt(ctx, of, peerOfMember(m), after)
+	if err != nil {
+		return "", nil, nil, err
+	}
+	changes, cp, err := decodeChanges(of.Name, records, checkpoint)
+	return of.Name, changes, cp, err
+}
+
+// Release tells a peer that it need not answer for this node any more. A peer
+// that is gone answers for nobody.
+func (s *sponsors) Release(ctx context.Context, sponsor string, m jwcatalogue.Member) error {
+	of, known := s.peers.Get(sponsor)
+	if !known || of.State == jwpeer.Gone {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	return s.pool.AskRelease(ctx, of, peerOfMember(m))
+}
+
+func peerOfMember(m jwcatalogue.Member) jwpeer.Peer {
+	return jwpeer.Peer{Name: m.Name, Region: m.Region, Incarnation: m.Incarnation}
+}
+
+// sponsor answers for other nodes.
+type sponsor struct {
+	adoptions *jwcatalogue.Adoptions
+	region    string
+	serving   func() bool
+}
+
+// AdoptRecords answers for a node of the region from now on.
+func (s *sponsor) AdoptRecords(node, region, incarnation string, after uint64) (records [][]byte, checkpoint []byte, err error) {
+	if region != s.region || !s.serving() {
+		return nil, nil, errors.Errorf("answer for %s: this node does not serve region %s", node, region)
+	}
+	changes, cp := s.adoptions.Adopt(jwcatalogue.Member{Name: node, Region: region, Incarnation: incarnation}, after)
+	return encodeChanges(changes, cp)
+}
+
+// ReleaseNode ends what AdoptRecords began.
+func (s *sponsor) ReleaseNode(node, region, incarnation string) {
+	s.adoptions.Release(jwcatalogue.Member{Name: node, Region: region, Incarnation: incarnation})
+}
+
+// accepted words acceptance for the operators' port.
+type accepted struct{ *jwcatalogue.Acceptance }
+
+// Status tells whether a revision is in force everywhere, or which nodes are
+// missing.
+func (a *accepted) Status(ctx context.Context, revision uint64) (done bool, missing []string, err error) {
+	s, err := a.Check(ctx, revision)
+	for _, m := range s.Missing {
+		missing = append(missing, m.Names...)
+	}
+	return s.Accepted, missing, err
+}
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -21,6 +21,7 @@
 	"jujubewheel/core/jwdirectory"
 	"jujubewheel/core/jwdispatch"
 	"jujubewheel/core/jwdrain"
+	"jujubewheel/core/jwexplain"
 	"jujubewheel/core/jwhost"
 	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwrequest"
@@ -44,6 +45,7 @@
 	forgetPeers     = time.Hour
 	loadTimeout     = time.Second
 	platformTimeout = 2 * time.Second
+	confirmEvery    = 200 * time.Millisecond // between looks at the nodes answered for
 	linger          = 2 * time.Second // answering after the handover, so that others learn of it
 )
 
@@ -63,11 +65,18 @@
 	drain      jwdrain.Drain
 	follower   *jwcatalogue.Follower
 	editor     *jwcatalogue.Editor
+	departures *jwcatalogue.Departures
+	adoptions  *jwcatalogue.Adoptions
+	membership *jwcatalogue.Membership
+	gatherer   *jwcatalogue.Gatherer
+	acceptance *jwcatalogue.Acceptance
 	exchange   *jwpeer.Exchange
 	dispatcher *jwdispatch.Dispatcher
 	callers    *jwrest.Server
 	nodes      net.Listener
 	grpc       *grpc.Server
+	operators  *jwrest.Server
+	tracer     *jwexplain.Tracer
 	serving    atomic.Bool
 }
 
@@ -83,17 +92,12 @@
 	n.control(work, g)
 	g.Go(func() error { return errors.Wrap(n.grpc.Serve(n.nodes), "serve nodes") })
 	g.Go(func() error { return n.callers.Run(work) })
-	g.Go(func() error { return n.join(work) })
+	g.Go(func() error { return n.operators.Run(work) })
 	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-work.Done():
-			return nil
-		}
-		n.leave(work)
+		err := n.live(ctx, work)
 		stop()
 		n.grpc.GracefulStop()
-		return nil
+		return err
 	})
 	err := g.Wait()
 	if ctx.Err() != nil && (err == nil || errors.Is(err, context.Canceled)) {
@@ -129,6 +133,9 @@
 	if err := n.callers.Listen(); err != nil {
 		return err
 	}
+	if err := n.listenOperators(); err != nil {
+		return err
+	}
 	n.announce()
 	return nil
 }
@@ -143,6 +150,7 @@
 	n.board.Targets.Node = s.Node
 	n.board.Targets.Region = s.Region
 	n.board.Limiter.Node = s.Node
+	n.board.Suspects.Node = s.Node
 	n.board.Suspects.Region = s.Region
 	n.board.Regions.Links = links(s)
 	n.keeper = &jwclaim.Keeper{
@@ -150,6 +158,7 @@
 		Salt: salt(s), Peers: servingPeers{&n.board.Peers},
 		Memory: s.Claims.KeyMemory, GroupWindow: s.Claims.GroupWindow,
 	}
+	n.tracer = &jwexplain.Tracer{Node: s.Node, Region: s.Region, Now: time.Now}
 	n.drain.Keys = n.keeper
 	n.drain.Successors = n.successors
 	n.drain.Limit = s.DrainLimit
@@ -160,13 +169,14 @@
 	}
 	n.dispatcher = &jwdispatch.Dispatcher{
 		Self: n.self, Board: &n.board, Router: router, Targets: n.targets, Peers: n.pool,
-		Claims: n.keeper, Now: time.Now, Counter: &counter{meter: n.Meter},
+		Claims: n.keeper, Now: time.Now, Counter: &counter{meter: n.Meter}, Tracer: n.tracer,
 	}
 	n.editor = &jwcatalogue.Editor{Store: n.store, Table: &n.board.Catalogue}
 	n.follower = &jwcatalogue.Follower{
 		Store: n.store, Table: &n.board.Catalogue, Watcher: n.watches,
 		Source: &changeSource{peers: &n.board.Peers, pool: n.pool, self: s.Node},
 	}
+	n.assembleMembership(incarnation)
 	reporter := &jwboard.Reporter{Board: &n.board, Moves: n.keeper, Now: time.Now}
 	n.exchange = &jwpeer.Exchange{
 		Table: &n.board.Peers, Partner: n.pool, News: reporter,
@@ -176,7 +186,9 @@
 	reporter.Nudge = n.exchange.Nudge
 	server := &jwforward.Server{
 		Dispatcher: n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
-		Adopter: n.keeper, Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
+		Adopter: n.keeper,
+		Sponsor: &sponsor{adoptions: n.adoptions, region: s.Region, serving: n.serving.Load},
+		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
 	}
 	n.grpc = server.GRPC()
 	n.board.Peers.SetSelf(jwpeer.Peer{
@@ -185,6 +197,24 @@
 	}, time.Now())
 }
 
+// assembleMembership makes the parts by which a change is known to be in force
+// everywhere.
+func (n *Node) assembleMembership(incarnation string) {
+	s := n.Settings
+	n.departures = &jwcatalogue.Departures{Hosts: &n.board.Hosts, Lag: s.Periods.HostsLag}
+	n.adoptions = &jwcatalogue.Adoptions{Table: &n.board.Catalogue, Peers: &n.board.Peers, Departures: n.departures}
+	n.membership = &jwcatalogue.Membership{
+		Member: jwcatalogue.Member{Name: s.Node, Region: s.Region, Incarnation: incarnation},
+		Store:  n.store, Follower: n.follower,
+		Sponsors: &sponsors{peers: &n.board.Peers, pool: n.pool}, Adoptions: n.adoptions,
+	}
+	n.gatherer = &jwcatalogue.Gatherer{
+		Name: s.Node, Region: s.Region, Store: n.store, Table: &n.board.Catalogue, Peers: &n.board.Peers,
+		Departures: n.departures, Registered: n.membership.Registered,
+	}
+	n.acceptance = &jwcatalogue.Acceptance{Store: n.store}
+}
+
 // salt hides keys in the platform's service. All nodes must have the same; it
 // is made from the operators' token until the settings name one of its own.
 func salt(s *jwsettings.Settings) []byte {
@@ -247,17 +277,18 @@
 		Workers: s.Workers, Now: time.Now, Leaving: func(netip.AddrPort) { n.exchange.Nudge() },
 	}
 	for _, run := range []func(context.Context) error{
-		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.keeper.Run, n.tellRevision, n.tend,
+		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.gatherer.Run, n.keeper.Run, n.tellRevision, n.tend,
 	} {
 		g.Go(func() error { return run(ctx) })
 	}
 }
 
-// tellRevision tells the others which catalogue revision is in force here.
+// tellRevision tells the others which catalogue revision is in force here and
+// at the nodes that this one answers for.
 func (n *Node) tellRevision(ctx context.Context) error {
 	for {
 		changed := n.board.Catalogue.Changed()
-		revision := n.board.Catalogue.Revision()
+		revision := n.adoptions.Confirmed()
 		if n.board.Peers.Self().Revision != revision {
 			n.board.Peers.Update(time.Now(), func(p *jwpeer.Peer) {
 				p.Revision = revision
@@ -266,6 +297,7 @@
 		}
 		select {
 		case <-changed:
+		case <-time.After(confirmEvery):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -285,6 +317,7 @@
 			}
 		}
 		n.board.Limiter.SetMembers(members)
+		n.board.Suspects.SetMembers(members)
 		n.board.Regions.SetNodes(len(members))
 		select {
 		case <-time.After(time.Second):
--- /dev/null
+++ b/io/jwnode/operators.go
@@ -0,0 +1,30 @@
+package jwnode
+
+import (
+	"net/netip"
+
+	"jujubewheel/io/jwoperate"
+	"jujubewheel/io/jwrest"
+)
+
+// listenOperators opens the operators' port.
+func (n *Node) listenOperators() error {
+	s := n.Settings
+	operators := &jwoperate.Operators{
+		Token: s.Operators.Token, Table: &n.board.Catalogue, Editor: n.editor, Acceptance: &accepted{n.acceptance},
+		Explainer: n.tracer, Peers: &n.board.Peers, Targets: &n.board.Targets, Audit: n.Audit,
+		Metrics: n.Meter.Handler(), Ready: n.serving.Load, Log: n.Log,
+	}
+	handler, err := operators.Handler()
+	if err != nil {
+		return err
+	}
+	n.operators = &jwrest.Server{
+		Name: "operators", Address: s.Listen.Operators, Handler: handler, MaxHeader: s.Limits.MaxHeader, Log: n.Log,
+	}
+	return n.operators.Listen()
+}
+
+// OperatorsAddr returns the address that operators use, once Listen has
+// returned.
+func (n *Node) OperatorsAddr() netip.AddrPort { return n.operators.Addr() }
--- a/io/jwnode/sources.go
+++ b/io/jwnode/sources.go
@@ -84,18 +84,25 @@
 	if most <= 0 || most > mostChanges {
 		most = mostChanges
 	}
-	changes, cp := c.table.Changes(after, most)
+	records, checkpoint, err := encodeChanges(c.table.Changes(after, most))
+	if err != nil {
+		return nil, nil, c.table.Revision()
+	}
+	return records, checkpoint, c.table.Revision()
+}
+
+func encodeChanges(changes []jwcatalogue.Change, cp *jwcatalogue.Checkpoint) (records [][]byte, checkpoint []byte, err error) {
 	for _, change := range changes {
 		data, err := change.Encode()
 		if err != nil {
-			break
+			return nil, nil, err
 		}
 		records = append(records, data)
 	}
 	if cp != nil {
-		checkpoint, _ = cp.Encode()
+		checkpoint, err = cp.Encode()
 	}
-	return records, checkpoint, c.table.Revision()
+	return records, checkpoint, err
 }
 
 // directorySource gets the client directory from a node of this region.
