jujubewheel: the whole path as separate processes, under stops and kills

The first run of the test that kills a node failed: its address was still named to callers 30 s later. Change: a peer's word travels with its age, so that a dead peer isn't kept alive by nodes telling each other; hosts that the platform's list has dropped are not named, silent ones come last. Ruled out: dropping hosts for silence alone, since an isolated region looks the same.

--- /dev/null
+++ b/cmd/jujubewheel/process_test.go
@@ -0,0 +1,393 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"jujubewheel/io/jwstand"
+)
+
+// patience bounds how long a test waits for a state to come about.
+const patience = 30 * time.Second
+
+const testToken = "a token for tests only"
+
+// programs builds the two programs once.
+var programs = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "jujubewheel")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir, "jujubewheel/cmd/jujubewheel", "jujubewheel/cmd/jujubestand").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := programs(); err == nil {
+		_ = os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// process is one program of the system as a process of its own.
+type process struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	mu      sync.Mutex
+	lines   [][]byte
+	arrived chan struct{}
+}
+
+func start(t *testing.T, program string, args ...string) *process {
+	t.Helper()
+	dir, err := programs()
+	assert.NilError(t, err)
+	p := &process{t: t, cmd: exec.Command(filepath.Join(dir, program), args...), ended: make(chan struct{}), arrived: make(chan struct{}, 1)}
+	r, w := io.Pipe()
+	p.cmd.Stdout, p.cmd.Stderr = w, w
+	assert.NilError(t, p.cmd.Start())
+	go p.read(r)
+	go func() {
+		_ = p.cmd.Wait()
+		_ = w.Close()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.ended
+		if t.Failed() {
+			t.Logf("%s %v:\n%s", program, args, p.tail(40))
+		}
+	})
+	return p
+}
+
+func (p *process) read(r io.Reader) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, 1<<20)
+	for s.Scan() {
+		p.mu.Lock()
+		p.lines = append(p.lines, bytes.Clone(s.Bytes()))
+		p.mu.Unlock()
+		select {
+		case p.arrived <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (p *process) tail(n int) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return bytes.Join(p.lines[max(len(p.lines)-n, 0):], []byte("\n"))
+}
+
+// line waits for a line that holds the text and decodes its JSON.
+func (p *process) line(text string, v any) {
+	p.t.Helper()
+	deadline := time.After(patience)
+	for seen := 0; ; {
+		p.mu.Lock()
+		lines := p.lines[seen:]
+		seen = len(p.lines)
+		p.mu.Unlock()
+		for _, l := range lines {
+			if bytes.Contains(l, []byte(text)) {
+				assert.NilError(p.t, json.Unmarshal(l, v), "%s", l)
+				return
+			}
+		}
+		select {
+		case <-p.arrived:
+		case <-p.ended:
+			p.t.Fatalf("%v ended before %q:\n%s", p.cmd.Args, text, p.tail(20))
+		case <-deadline:
+			p.t.Fatalf("%v: no line with %q:\n%s", p.cmd.Args, text, p.tail(20))
+		}
+	}
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// ports are where a node listens.
+type ports struct {
+	Callers   netip.AddrPort `json:"callers"`
+	Operators netip.AddrPort `json:"operators"`
+	Nodes     netip.AddrPort `json:"nodes"`
+}
+
+// nodeProcess is a node as a process.
+type nodeProcess struct {
+	*process
+	ports
+	name, region string
+}
+
+// fleet is the whole system as processes.
+type fleet struct {
+	t                  *testing.T
+	dir                string
+	kv, hosts, clients jwstand.Ready
+	regions            []string
+	groups             []jwstand.HostGroup
+	nodes              []*nodeProcess
+}
+
+func newFleet(t *testing.T, regions ...string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), regions: regions}
+	var list []jwstand.Client
+	for _, r := range regions {
+		list = append(list,
+			jwstand.Client{Name: "free-" + r, Region: r, Owner: "o"},
+			jwstand.Client{Name: "bound-" + r, Region: r, Owner: "o", Bound: true})
+	}
+	f.kv = f.stand("kv")
+	f.hosts = f.stand("hosts")
+	f.clients = f.stand("clients", "--file", f.write("clients.json", list))
+	return f
+}
+
+func (f *fleet) write(name string, v any) string {
+	f.t.Helper()
+	data, err := json.Marshal(v)
+	assert.NilError(f.t, err)
+	path := filepath.Join(f.dir, name)
+	assert.NilError(f.t, os.WriteFile(path, data, 0o600))
+	return path
+}
+
+func (f *fleet) stand(kind string, args ...string) jwstand.Ready {
+	f.t.Helper()
+	p := start(f.t, "jujubestand", append([]string{kind}, args...)...)
+	var ready jwstand.Ready
+	p.line(`"control"`, &ready)
+	return ready
+}
+
+// target starts a target and lists it.
+func (f *fleet) target(kind, service, region string, args ...string) jwstand.Ready {
+	ready := f.stand(kind, args...)
+	f.list(ready.Address, map[string]string{"role": "target", "service": service, "region": region, "dataCentre": region + "-1"})
+	return ready
+}
+
+func (f *fleet) list(addr netip.AddrPort, labels map[string]string) {
+	f.t.Helper()
+	labels["state"] = "live"
+	f.groups = append(f.groups, jwstand.HostGroup{Targets: []string{addr.String()}, Labels: labels})
+	f.put(f.hosts.Control, "/hosts", f.groups)
+}
+
+func (f *fleet) put(control netip.AddrPort, path string, v any) {
+	f.t.Helper()
+	data, err := json.Marshal(v)
+	assert.NilError(f.t, err)
+	r, err := http.NewRequest(http.MethodPut, "http://"+control.String()+path, bytes.NewReader(data))
+	assert.NilError(f.t, err)
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Assert(f.t, resp.StatusCode < 300, "%s %s: %s", control, path, resp.Status)
+}
+
+// node starts a node and lists it; nodes go to its port for other nodes by way
+// of through, if that is valid.
+func (f *fleet) node(name, region string, through ...netip.AddrPort) *nodeProcess {
+	f.t.Helper()
+	var regions []string
+	for _, r := range f.regions {
+		regions = append(regions, fmt.Sprintf(`{"name": %q, "dataCentres": [%q]}`, r, r+"-1"))
+	}
+	advertise := ""
+	if len(through) > 0 {
+		advertise = fmt.Sprintf(`"advertise": {"nodes": %q},`, through[0])
+	}
+	text := fmt.Sprintf(`{
+		"node": %q, "region": %q, "dataCentre": %q, %s
+		"listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "nodes": "127.0.0.1:0"},
+		"platform": {"keyValue": %q, "hosts": %q, "directory": %q},
+		"operators": {"token": %q},
+		"periods": {"exchange": "100ms", "hostsPoll": "100ms", "loadPoll": "100ms", "hostsLag": "1s"},
+		"regions": [%s]
+	}`, name, region, region+"-1", advertise, f.kv.Address, f.hosts.Address, f.clients.Address, testToken, strings.Join(regions, ", "))
+	path := filepath.Join(f.dir, name+".jsonc")
+	assert.NilError(f.t, os.WriteFile(path, []byte(text), 0o600))
+	n := &nodeProcess{process: start(f.t, "jujubewheel", "serve", path), name: name, region: region}
+	n.line(`"listening"`, &n.ports)
+	nodes := n.Nodes
+	if len(through) > 0 {
+		nodes = through[0]
+	}
+	f.list(n.Callers, map[string]string{"role": "entry", "name": name, "region": region, "dataCentre": region + "-1", "nodes": nodes.String()})
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// command runs the command line against a node and returns its output.
+func (f *fleet) command(n *nodeProcess, args ...string) (string, error) {
+	f.t.Helper()
+	dir, err := programs()
+	assert.NilError(f.t, err)
+	cmd := exec.Command(filepath.Join(dir, "jujubewheel"), append(args, "--at", n.Operators.String())...)
+	cmd.Env = append(os.Environ(), "JUJUBE_TOKEN="+testToken, "JUJUBE_AUTHOR=test")
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+// ready waits until the nodes serve and are level with the catalogue.
+func (f *fleet) ready(revision uint64) {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		f.await(n.name+" ready", func() bool {
+			select {
+			case <-n.ended:
+				return true
+			default:
+			}
+			resp, err := http.Get("http://" + n.Operators.String() + "/readyz")
+			if err != nil {
+				return false
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				return false
+			}
+			out, err := f.command(n, "catalogue", "get", "--json")
+			var c struct {
+				Revision uint64 `json:"revision"`
+			}
+			return err == nil && json.Unmarshal([]byte(out), &c) == nil && c.Revision >= revision
+		})
+	}
+}
+
+func (f *fleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting for: %s", what)
+	}, poll.WithTimeout(patience), poll.WithDelay(50*time.Millisecond))
+}
+
+// reply is a caller's view of an answer.
+type reply struct {
+	status  int
+	outcome string
+	server  string
+	body    string
+	hosts   []netip.AddrPort
+	err     error // no answer, or it broke off
+}
+
+// whole tells whether the answer came whole.
+func (r reply) whole() bool {
+	if r.err != nil || r.status != http.StatusOK || r.outcome != "served" {
+		return false
+	}
+	return !strings.HasPrefix(r.body, "id:") && !strings.HasPrefix(r.body, "data:") || strings.Contains(r.body, "event: done")
+}
+
+func send(to netip.AddrPort, entry, workspace, body string, header ...string) reply {
+	r, err := http.NewRequest(http.MethodPost, "http://"+to.String()+"/v1/requests/"+entry, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	r.Header.Set("Jujube-Workspace", workspace)
+	r.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	out := reply{status: resp.StatusCode, outcome: resp.Header.Get("Jujube-Outcome"), server: resp.Header.Get("Jujube-Served-By"), body: string(data), err: err}
+	if out.outcome == "" {
+		out.outcome = resp.Trailer.Get("Jujube-Outcome")
+	}
+	var refusal struct {
+		Hosts []netip.AddrPort `json:"hosts"`
+	}
+	if json.Unmarshal(data, &refusal) == nil {
+		out.hosts = refusal.Hosts
+	}
+	return out
+}
+
+// hostsOf asks a node which hosts to use.
+func hostsOf(to netip.AddrPort, workspace string) ([]netip.AddrPort, error) {
+	resp, err := http.Get("http://" + to.String() + "/v1/hosts?workspace=" + workspace)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var list struct {
+		Hosts []netip.AddrPort `json:"hosts"`
+	}
+	return list.Hosts, json.NewDecoder(resp.Body).Decode(&list)
+}
+
+// runs reads a target's journal.
+func (f *fleet) runs(target jwstand.Ready) []jwstand.Run {
+	f.t.Helper()
+	resp, err := http.Get("http://" + target.Control.String() + "/journal")
+	assert.NilError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var runs []jwstand.Run
+	assert.NilError(f.t, json.NewDecoder(resp.Body).Decode(&runs))
+	return runs
+}
+
+func prompt(text string, tokens int, stream bool) string {
+	data, _ := json.Marshal(jwstand.Completion{Model: "m", Prompt: text, MaxTokens: tokens, Stream: stream})
+	return string(data)
+}
+
+// testCatalogue has a draft and a confirmation.
+var testCatalogue = json.RawMessage(`{"entries": [
+	{"name": "draft", "owner": "o", "class": "draft", "service": "writer", "path": "/v1/completions",
+	 "idempotent": true, "bound": false, "deadline": "30s", "firstToken": "5s", "progress": "5s",
+	 "limits": {"rate": 0, "burst": 0, "concurrent": 0}, "weights": {"cost": 1, "tail": 1, "sentAway": 1},
+	 "regions": ["*"], "keyMemory": "0s", "maxBodySize": 1048576},
+	{"name": "confirm", "owner": "o", "class": "confirmation", "service": "desk", "path": "/confirm",
+	 "idempotent": false, "bound": false, "deadline": "10s", "firstToken": "0s", "progress": "5s",
+	 "limits": {"rate": 0, "burst": 0, "concurrent": 0}, "weights": {"cost": 1, "tail": 1, "sentAway": 1},
+	 "keyMemory": "1h", "maxBodySize": 65536}
+]}`)
+
+// fill puts the test's catalogue in force.
+func (f *fleet) fill() {
+	f.t.Helper()
+	f.ready(0)
+	path := f.write("catalogue.json", testCatalogue)
+	out, err := f.command(f.nodes[0], "catalogue", "put", "--reason", "test", "--wait", "20s", path)
+	assert.NilError(f.t, err, "%s", out)
+	f.ready(2)
+}
--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"jujubewheel/core/jwcatalogue"
 	"jujubewheel/core/jwdirectory"
 	"jujubewheel/core/jwlimit"
+	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/core/jwrouter"
 )
@@ -27,9 +28,11 @@
 	Targets Targets
 	Peers   Peers
 	Claims  Claims
-	Now     func() time.Time
-	Tracer  Tracer // may be nil
-	Counter Counter
+	// Departed tells whether the platform has given a host up; may be nil.
+	Departed func(jwpeer.Peer) bool
+	Now      func() time.Time
+	Tracer   Tracer // may be nil
+	Counter  Counter
 }
 
 // Counter counts what happened to requests.
--- a/core/jwdispatch/hosts.go
+++ b/core/jwdispatch/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"time"
 
 	"jujubewheel/core/jwcatalogue"
 	"jujubewheel/core/jwpeer"
@@ -26,27 +27,48 @@
 			func(p jwpeer.Peer) bool { return p.Region != home && p.Region == d.Self.Region },
 			func(p jwpeer.Peer) bool { return p.Region != home && p.Region != d.Self.Region })
 	}
-	var out []netip.AddrPort
+	var out, silent []netip.AddrPort
 	for _, in := range groups {
-		peers := d.Board.Peers.Select(func(p jwpeer.Peer) bool { return p.State == jwpeer.Serving && in(p) })
-		// Shuffled, so that callers spread over the hosts.
-		rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
-		for _, p := range peers {
-			if len(out) < mostHosts {
-				out = append(out, p.Callers)
-			}
+		fresh, rest := d.serving(in)
+		for _, p := range fresh {
+			out = append(out, p.Callers)
+		}
+		for _, p := range rest {
+			silent = append(silent, p.Callers)
 		}
 	}
-	return out
+	out = append(out, silent...)
+	return out[:min(len(out), mostHosts)]
 }
 
-// peersIn returns serving nodes of a region in random order.
+// peersIn returns other serving nodes of a region, those that are silent last.
 func (d *Dispatcher) peersIn(region string) []jwpeer.Peer {
-	peers := d.Board.Peers.Select(func(p jwpeer.Peer) bool {
-		return p.Region == region && p.State == jwpeer.Serving && p.Name != d.Self.Node
-	})
+	fresh, silent := d.serving(func(p jwpeer.Peer) bool { return p.Region == region && p.Name != d.Self.Node })
+	return append(fresh, silent...)
+}
+
+// quiet is how long a node may say nothing before others are preferred.
+const quiet = 12 * time.Second
+
+// serving returns the serving nodes that in accepts, in random order so that
+// load spreads, and apart those that are silent: they may be dead, or behind a
+// cut that callers don't see.
+func (d *Dispatcher) serving(in func(jwpeer.Peer) bool) (fresh, silent []jwpeer.Peer) {
+	now := d.Now()
+	peers := d.Board.Peers.Select(func(p jwpeer.Peer) bool { return p.State == jwpeer.Serving && in(p) })
 	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
-	return peers
+	for _, p := range peers {
+		switch {
+		case p.Name == d.Self.Node:
+			fresh = append(fresh, p)
+		case d.Departed != nil && d.Departed(p):
+		case now.Sub(d.Board.Peers.Heard(p.Name)) > quiet:
+			silent = append(silent, p)
+		default:
+			fresh = append(fresh, p)
+		}
+	}
+	return fresh, silent
 }
 
 // urgency is the RFC 9218 urgency of a class, 0 being most urgent.
--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -219,7 +219,7 @@
 
 // tell returns the words that the partner has not had from this node.
 func (x *Exchange) tell(partner string) Told {
-	peers := x.Table.Peers()
+	peers := x.Table.Told(x.Now())
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.Rand.IntN(fullTells) == 0 {
--- a/core/jwpeer/peer.go
+++ b/core/jwpeer/peer.go
@@ -1,6 +1,9 @@
 package jwpeer
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // State tells how far a node is in its life.
 type State string
@@ -25,4 +28,8 @@
 	Revision    uint64 // catalogue revision in force there
 	Base        uint64 // oldest change it can still give to others
 	Sequence    uint64 // rises with every word of the peer about itself
+	// Age is the time since the peer said this, where one node tells another.
+	// Without it a dead peer would look fresh to whoever hears of it late, and
+	// nodes would keep it alive by telling each other.
+	Age time.Duration
 }
--- a/core/jwpeer/table.go
+++ b/core/jwpeer/table.go
@@ -17,6 +17,9 @@
 	changed chan struct{}
 }
 
+// MostAge is how old the word of a silent peer may be before it is forgotten.
+const MostAge = time.Hour
+
 // known is one peer with the moment its newest word came.
 type known struct {
 	Peer
@@ -69,7 +72,7 @@
 			continue
 		}
 		k := t.peers[p.Name]
-		if k != nil && !newer(p, k.Peer) {
+		if k != nil && !newer(p, k.Peer) || p.Age > MostAge {
 			continue
 		}
 		t.put(p, now)
@@ -103,8 +106,9 @@
 			t.changed = nil
 		}
 	}
+	k.heard = now.Add(-max(p.Age, 0))
 	k.Peer = p
-	k.heard = now
+	k.Age = 0
 }
 
 // Forget drops peers that said nothing since the given time, but never this
@@ -174,6 +178,19 @@
 	return out
 }
 
+// Told returns all known nodes with the age of their words.
+func (t *Table) Told(now time.Time) []Peer {
+	peers := t.Peers()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range peers {
+		if k := t.peers[peers[i].Name]; k != nil {
+			peers[i].Age = max(now.Sub(k.heard), 0)
+		}
+	}
+	return peers
+}
+
 // Fresh returns the nodes heard of since the given time, sorted by name; this
 // node itself is always fresh.
 func (t *Table) Fresh(since time.Time) []Peer {
--- a/io/jwforward/exchange.go
+++ b/io/jwforward/exchange.go
@@ -47,6 +47,7 @@
 			CallerAddress: p.Callers.String(), NodeAddress: p.Nodes.String(),
 			Incarnation: p.Incarnation, State: string(p.State),
 			Revision: p.Revision, Sequence: p.Sequence, BaseRevision: p.Base,
+			AgeMicros: p.Age.Microseconds(),
 		})
 	}
 	return out
@@ -70,6 +71,7 @@
 			Callers: callers, Nodes: nodes,
 			Incarnation: p.GetIncarnation(), State: jwpeer.State(p.GetState()),
 			Revision: p.GetRevision(), Base: p.GetBaseRevision(), Sequence: p.GetSequence(),
+			Age: micros(p.GetAgeMicros()),
 		})
 	}
 	return out
--- a/io/jwnode/membership.go
+++ b/io/jwnode/membership.go
@@ -86,3 +86,7 @@
 	}
 	return s.Accepted, missing, err
 }
+
+func memberOf(p jwpeer.Peer) jwcatalogue.Member {
+	return jwcatalogue.Member{Name: p.Name, Region: p.Region, Incarnation: p.Incarnation}
+}
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -42,11 +42,10 @@
 	beat            = 5 * time.Second // a node's word about itself when nothing changes
 	exchangeTimeout = time.Second
 	silence         = 15 * time.Second // after which a peer is no relay
-	forgetPeers     = time.Hour
 	loadTimeout     = time.Second
 	platformTimeout = 2 * time.Second
 	confirmEvery    = 200 * time.Millisecond // between looks at the nodes answered for
-	linger          = 2 * time.Second // answering after the handover, so that others learn of it
+	linger          = 2 * time.Second        // answering after the handover, so that others learn of it
 )
 
 // Node is one node of the system; set its exported fields before Run.
@@ -137,6 +136,7 @@
 		return err
 	}
 	n.announce()
+	n.Log.Info("listening", "callers", n.CallersAddr(), "operators", n.OperatorsAddr(), "nodes", n.NodesAddr())
 	return nil
 }
 
@@ -169,7 +169,8 @@
 	}
 	n.dispatcher = &jwdispatch.Dispatcher{
 		Self: n.self, Board: &n.board, Router: router, Targets: n.targets, Peers: n.pool,
-		Claims: n.keeper, Now: time.Now, Counter: &counter{meter: n.Meter}, Tracer: n.tracer,
+		Departed: func(p jwpeer.Peer) bool { return n.departures.Gone(memberOf(p)) },
+		Claims:   n.keeper, Now: time.Now, Counter: &counter{meter: n.Meter}, Tracer: n.tracer,
 	}
 	n.editor = &jwcatalogue.Editor{Store: n.store, Table: &n.board.Catalogue}
 	n.follower = &jwcatalogue.Follower{
@@ -186,8 +187,8 @@
 	reporter.Nudge = n.exchange.Nudge
 	server := &jwforward.Server{
 		Dispatcher: n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
-		Adopter: n.keeper,
-		Sponsor: &sponsor{adoptions: n.adoptions, region: s.Region, serving: n.serving.Load},
+		Adopter:   n.keeper,
+		Sponsor:   &sponsor{adoptions: n.adoptions, region: s.Region, serving: n.serving.Load},
 		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
 	}
 	n.grpc = server.GRPC()
@@ -309,7 +310,7 @@
 func (n *Node) tend(ctx context.Context) error {
 	for {
 		now := time.Now()
-		n.board.Peers.Forget(now.Add(-forgetPeers))
+		n.board.Peers.Forget(now.Add(-jwpeer.MostAge))
 		var members []string
 		for _, p := range n.board.Peers.Fresh(now.Add(-silence)) {
 			if p.Region == n.self.Region && p.State == jwpeer.Serving {
