jwload: an audit of what targets ran against what callers were told

The journals of the target stand-ins are read after a load and compared: keys that ran twice, requests that ran though their callers were told notRun, served ones that no target ran, bound data run abroad. Keyed requests can be sent twice, as by a caller whose page hangs, and the regions' peaks can be offset.

--- a/cmd/jujubebench/main.go
+++ b/cmd/jujubebench/main.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -42,6 +41,11 @@
 	Host       []string           `help:"Node to send to, as IP:PORT or REGION=IP:PORT; may be repeated."`
 	Region     map[string]float64 `help:"Share of a region's callers, as REGION=SHARE."`
 	Workspaces int                `default:"100" help:"Workspaces in each region."`
+	Bound      float64            `default:"0.12" help:"Share of workspaces whose data is bound to their region."`
+	Swing      float64            `help:"How far a region's rate swings about its average, 0 to 1."`
+	Day        time.Duration      `default:"1m" help:"Length of one swing; the regions' peaks are spread over it."`
+	Again      float64            `help:"Share of requests with a key that are sent twice."`
+	Journal    []string           `help:"Control port of a target whose runs are audited, as IP:PORT or REGION=IP:PORT."`
 	Direct     []netip.AddrPort   `help:"Model engine for direct calls, which take half of the load; all of it without --host."`
 	DirectTo   []netip.AddrPort   `name:"direct-service" help:"Plain service for direct calls."`
 	Follow     bool               `default:"true" negatable:"" help:"Come back after Retry-After and go to the hosts named by an answer."`
@@ -63,7 +67,11 @@
 			Mix:        mix,
 			Regions:    regionsOf(c.Region, hosts),
 			Workspaces: c.Workspaces,
+			Bound:      c.Bound,
 			Rate:       c.Rate,
+			Swing:      c.Swing,
+			Day:        c.Day,
+			Again:      c.Again,
 			Direct:     directShare(len(c.Direct)+len(c.DirectTo) > 0, len(hosts) > 0),
 			Seed:       c.Seed,
 		},
@@ -72,10 +80,19 @@
 		Targets:  map[jwload.Target][]netip.AddrPort{jwload.Runner: c.Direct, jwload.Service: c.DirectTo},
 		Follow:   c.Follow,
 	}
+	journals, err := parseHosts(c.Journal)
+	if err != nil {
+		return err
+	}
 	if err := load.Run(ctx); err != nil {
 		return err
 	}
 	report := load.Report()
+	if len(journals) > 0 {
+		if report.Audit, err = load.Audit(ctx, journals); err != nil {
+			return err
+		}
+	}
 	if !c.JSON {
 		return report.WriteTable(os.Stdout)
 	}
@@ -145,14 +162,16 @@
 	Owner      string   `default:"load" help:"Owner of the workspaces."`
 }
 
-// Run prints the workspaces; the bound ones are spread evenly.
+// Run prints the workspaces.
 func (c *clientsCommand) Run() error {
 	var clients []jwstand.Client
 	for _, region := range c.Region {
 		for n := range c.Workspaces {
-			bound := math.Floor(float64(n+1)*c.Bound) > math.Floor(float64(n)*c.Bound)
 			clients = append(clients, jwstand.Client{
-				Name: jwload.WorkspaceName(region, n), Region: region, Bound: bound, Owner: c.Owner,
+				Name:   jwload.WorkspaceName(region, n),
+				Region: region,
+				Bound:  jwload.Bound(n, c.Bound),
+				Owner:  c.Owner,
 			})
 		}
 	}
--- /dev/null
+++ b/io/jwload/audit.go
@@ -0,0 +1,136 @@
+package jwload
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/io/jwstand"
+)
+
+// Audit holds what callers were told against what targets ran.
+type Audit struct {
+	Runs        int `json:"runs"`        // of this load, resumed streams left out
+	RanTwice    int `json:"ranTwice"`    // keys that ran more than once
+	FalseNotRun int `json:"falseNotRun"` // told notRun each time, and run
+	FalseServed int `json:"falseServed"` // told served, and run by no target that was read
+	Abroad      int `json:"abroad"`      // runs of bound data outside its region
+}
+
+// asked is what is known of one request, with all its sends.
+type asked struct {
+	region string
+	bound  bool
+	key    bool
+	served bool
+	notRun bool // each send so far was told so
+	runs   int
+}
+
+// audit keeps what callers were told; the zero value is empty.
+type audit struct {
+	mu    sync.Mutex
+	asked map[string]*asked // by idempotency key, or by request id without one
+}
+
+// note keeps the outcome of one send.
+func (au *audit) note(a Arrival, outcome jwrequest.Outcome) {
+	au.mu.Lock()
+	defer au.mu.Unlock()
+	if au.asked == nil {
+		au.asked = make(map[string]*asked)
+	}
+	name := nameOf(a.Key, a.ID)
+	r, found := au.asked[name]
+	if !found {
+		r = &asked{region: a.Region, bound: a.Bound && !a.Direct, key: a.Key != "", notRun: true}
+		au.asked[name] = r
+	}
+	r.served = r.served || outcome == jwrequest.Served
+	r.notRun = r.notRun && outcome == jwrequest.NotRun
+}
+
+func nameOf(key, id string) string {
+	if key != "" {
+		return key
+	}
+	return id
+}
+
+// compare counts what breaks a promise; runs are listed by the region of the
+// target, "" where it is not known.
+func (au *audit) compare(runs map[string][]jwstand.Run) *Audit {
+	au.mu.Lock()
+	defer au.mu.Unlock()
+	result := &Audit{}
+	for _, r := range au.asked {
+		r.runs = 0
+	}
+	for region, list := range runs {
+		for _, run := range list {
+			r, found := au.asked[nameOf(run.Key, run.RequestID)]
+			if !found {
+				continue // of another load
+			}
+			if r.bound && region != "" && region != r.region {
+				result.Abroad++
+			}
+			if !run.Resumed {
+				r.runs++
+				result.Runs++
+			}
+		}
+	}
+	for _, r := range au.asked {
+		switch {
+		case r.key && r.runs > 1:
+			result.RanTwice++
+		case r.notRun && r.runs > 0:
+			result.FalseNotRun++
+		case r.served && r.runs == 0:
+			result.FalseServed++
+		}
+	}
+	return result
+}
+
+// Audit reads the journals of targets at their control ports, by region, and
+// compares them with the answers. The journal of a target that crashed is
+// lost: its runs are missing here.
+func (l *Load) Audit(ctx context.Context, journals map[string][]netip.AddrPort) (*Audit, error) {
+	runs := make(map[string][]jwstand.Run)
+	for region, addresses := range journals {
+		for _, address := range addresses {
+			list, err := l.readJournal(ctx, address)
+			if err != nil {
+				return nil, errors.Wrapf(err, "read journal: %s", address)
+			}
+			runs[region] = append(runs[region], list...)
+		}
+	}
+	return l.audit.compare(runs), nil
+}
+
+func (l *Load) readJournal(ctx context.Context, address netip.AddrPort) ([]jwstand.Run, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/journal", nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := l.service.DoRequest(r)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, errors.New(strings.TrimSpace(res.Status))
+	}
+	var list []jwstand.Run
+	err = json.NewDecoder(res.Body).Decode(&list)
+	return list, err
+}
--- a/io/jwload/load.go
+++ b/io/jwload/load.go
@@ -27,6 +27,8 @@
 	// grace is how long past its deadline a call is still waited for, so that
 	// a late answer is told apart from none.
 	grace = 2 * time.Second
+	// patience is how soon a caller sends a second time.
+	patience = 20 * time.Millisecond
 )
 
 // caller sends one HTTP request.
@@ -44,6 +46,7 @@
 
 	service caller
 	results results
+	audit   audit
 	turn    atomic.Uint64
 	open    atomic.Int64
 	most    atomic.Int64
@@ -121,6 +124,9 @@
 	for most := l.most.Load(); open > most && !l.most.CompareAndSwap(most, open); {
 		most = l.most.Load()
 	}
+	if a.Again {
+		defer l.sendAgain(ctx, a, due)()
+	}
 	deadline := due.Add(time.Duration(a.Kind.Deadline))
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(grace))
 	defer cancel()
@@ -147,6 +153,29 @@
 		}
 	}
 	l.results.add(o, due)
+	l.audit.note(a, o.answer.outcome)
+}
+
+// sendAgain sends the request a second time while the first is under way, as
+// a caller does whose page hangs; the function that it returns waits for it.
+// The second one is no part of the report but for the audit.
+func (l *Load) sendAgain(ctx context.Context, a Arrival, due time.Time) (wait func()) {
+	deadline := due.Add(time.Duration(a.Kind.Deadline))
+	hosts := l.hostsOf(a)
+	host := hosts[a.Number%len(hosts)]
+	a.ID += "-again"
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithDeadline(ctx, deadline.Add(grace))
+		defer cancel()
+		if sleep(ctx, time.Until(due.Add(patience))) != nil {
+			return
+		}
+		ans := l.call(ctx, a, host, deadline)
+		l.audit.note(a, ans.outcome)
+	}()
+	return func() { <-done }
 }
 
 func (l *Load) hostsOf(a Arrival) []netip.AddrPort {
--- a/io/jwload/report.go
+++ b/io/jwload/report.go
@@ -155,6 +155,7 @@
 	Seconds  float64 `json:"seconds"`
 	MostOpen int64   `json:"mostOpen"` // requests open at once
 	Lines    []Line  `json:"lines"`
+	Audit    *Audit  `json:"audit,omitempty"` // nil when no journal was read
 }
 
 func (rs *results) report(d time.Duration, most int64) Report {
@@ -208,7 +209,12 @@
 		writeLatency(tw, l, "between tokens", l.Between)
 		writeLatency(tw, l, "whole answer", l.Whole)
 	}
-	return tw.Flush()
+	if err := tw.Flush(); err != nil || r.Audit == nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "audit of %d runs: %d keys run twice, %d run though not run, %d served but not run, %d bound run abroad\n",
+		r.Audit.Runs, r.Audit.RanTwice, r.Audit.FalseNotRun, r.Audit.FalseServed, r.Audit.Abroad)
+	return err
 }
 
 func writeLatency(w io.Writer, l Line, of string, p Percentiles) {
--- a/io/jwload/schedule.go
+++ b/io/jwload/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -17,6 +18,12 @@
 	Share float64 // weight of its load against other regions
 }
 
+// Bound tells whether the n-th workspace (from 0) of a region is one of the
+// share whose data is bound to it; they are spread evenly.
+func Bound(n int, share float64) bool {
+	return math.Floor(float64(n+1)*share) > math.Floor(float64(n)*share)
+}
+
 // Arrival is one request and the time at which it is due.
 type Arrival struct {
 	Number    int
@@ -24,7 +31,9 @@
 	Kind      Kind
 	Workspace string
 	Region    string // home of the workspace
+	Bound     bool   // its data is bound to Region
 	Direct    bool   // goes to a target and not through a node
+	Again     bool   // its caller loses patience and sends it a second time
 	ID        string
 	Key       string // empty for kinds without
 	Prompt    string // of runners
@@ -35,10 +44,14 @@
 // Schedule draws arrivals: Poisson in time, by share in kind and region.
 type Schedule struct {
 	Mix        Mix
-	Regions    []Region // empty means one without a name
-	Workspaces int      // in each region; 0 means 1
-	Rate       float64  // arrivals a second
-	Direct     float64  // share of arrivals that go directly to a target
+	Regions    []Region      // empty means one without a name
+	Workspaces int           // in each region; 0 means 1
+	Bound      float64       // share of workspaces whose data is bound to their region
+	Rate       float64       // arrivals a second, on average
+	Swing      float64       // how far a region's rate swings about its average: 0 to 1
+	Day        time.Duration // one swing; the regions' peaks are spread over it
+	Direct     float64       // share of arrivals that go directly to a target
+	Again      float64       // share of requests with a key that are sent twice
 	Seed       uint64
 
 	random *rand.Rand
@@ -61,29 +74,55 @@
 		s.random = rand.New(rand.NewPCG(s.Seed, s.Seed))
 		s.zipf = rand.NewZipf(s.random, workspaceSkew, 1, uint64(max(s.Workspaces, 1)-1))
 	}
-	s.at += time.Duration(s.random.ExpFloat64() / s.Rate * float64(time.Second))
+	region := s.nextRegion()
 	s.number++
 	kind := s.Mix.Kinds[pick(s.random, s.Mix.Kinds, func(k Kind) float64 { return k.Share })]
-	region := ""
-	if len(s.Regions) > 0 {
-		region = s.Regions[pick(s.random, s.Regions, func(r Region) float64 { return r.Share })].Name
-	}
+	workspace := int(s.zipf.Uint64())
 	a := Arrival{
 		Number:    s.number,
 		At:        s.at,
 		Kind:      kind,
-		Workspace: WorkspaceName(region, int(s.zipf.Uint64())),
+		Workspace: WorkspaceName(region, workspace),
 		Region:    region,
+		Bound:     Bound(workspace, s.Bound),
 		Direct:    s.random.Float64() < s.Direct,
 		ID:        fmt.Sprintf("load-%d-%d", s.Seed, s.number),
 	}
+	again := s.random.Float64() < s.Again
 	if kind.Key {
 		a.Key = fmt.Sprintf("key-%d-%d", s.Seed, s.number)
+		a.Again = again && !a.Direct
 	}
 	a.fill()
 	return a
 }
 
+// nextRegion moves on to the next arrival and returns its region. Arrivals
+// are drawn at the highest rate and thinned to that of their moment.
+func (s *Schedule) nextRegion() string {
+	for {
+		s.at += time.Duration(s.random.ExpFloat64() / (s.Rate * (1 + s.Swing)) * float64(time.Second))
+		if len(s.Regions) == 0 {
+			if s.keep(0, 1) {
+				return ""
+			}
+			continue
+		}
+		i := pick(s.random, s.Regions, func(r Region) float64 { return r.Share })
+		if s.keep(i, len(s.Regions)) {
+			return s.Regions[i].Name
+		}
+	}
+}
+
+func (s *Schedule) keep(region, regions int) bool {
+	if s.Swing == 0 || s.Day == 0 {
+		return true
+	}
+	turn := float64(s.at)/float64(s.Day) - float64(region)/float64(regions)
+	return s.random.Float64()*(1+s.Swing) < 1+s.Swing*math.Cos(2*math.Pi*turn)
+}
+
 // pick draws an index by weight.
 func pick[T any](random *rand.Rand, from []T, weight func(T) float64) int {
 	total := 0.0
