--- /dev/null
+++ b/cmd/jujubestand/main_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"jujubestand": main})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			for _, name := range []string{"PORT1", "PORT2", "PORT3", "PORT4"} {
+				address, err := freeAddress()
+				if err != nil {
+					return err
+				}
+				env.Setenv(name, address)
+			}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"http": call},
+	})
+}
+
+// freeAddress returns a loopback address that nothing listens on now.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// call is the script command "http METHOD ADDRESS/PATH BODY TEXT": it repeats
+// the call until the answer holds the text, or, with "!", until it fails.
+func call(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 4 {
+		ts.Fatalf("usage: http METHOD ADDRESS/PATH BODY TEXT")
+	}
+	const tries, pause = 500, 20 * time.Millisecond
+	last := ""
+	for range tries {
+		body, err := callOnce(args[0], "http://"+args[1], args[2])
+		if neg && err != nil || !neg && err == nil && strings.Contains(body, args[3]) {
+			return
+		}
+		last = fmt.Sprint(body, err)
+		time.Sleep(pause)
+	}
+	ts.Fatalf("http %v: %s", args, last)
+}
+
+func callOnce(method, target, body string) (string, error) {
+	r, err := http.NewRequest(method, target, strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	r.Close = true
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	answer, err := io.ReadAll(res.Body)
+	return string(answer), err
+}
