jwplatform: exact deletes, stretched waits and hosts of other roles

A lone delete-cas of a key that is gone counts as done in the Consul API, so two callers could both hear that they deleted; a check of the version in the same transaction makes the second a conflict. The service may stretch a wait by a sixteenth, which a wait of a minute would have taken for a silent service. The host list may hold machines of other roles, which are left out now; an unknown state counts as leaving instead of making the list an error.

--- a/io/jwplatform/hostlist.go
+++ b/io/jwplatform/hostlist.go
@@ -16,6 +16,9 @@
 // DefaultHostsPath is where the list of hosts is asked for by default.
 const DefaultHostsPath = "/hosts"
 
+// liveState is the state of a host that takes work; without one it is live.
+const liveState = "live"
+
 // HostList reads the platform's list of live and leaving hosts, which is a
 // Prometheus HTTP service discovery document.
 type HostList struct {
@@ -30,9 +33,10 @@
 // Calls returns the number of calls sent so far.
 func (l *HostList) Calls() uint64 { return l.calls.Load() }
 
-// Hosts returns the list as it is now; lines that lack an address, a role or a
-// region make the whole list an error, since a list that is taken in half
-// would look like hosts that are gone.
+// Hosts returns the list as it is now, without hosts of other roles than
+// nodes and targets; a state that is not known counts as leaving. A host that
+// lacks an address or a region makes the whole list an error, since a list
+// that is taken in half would look like hosts that are gone.
 func (l *HostList) Hosts(ctx context.Context) ([]jwhost.Host, error) {
 	l.calls.Add(1)
 	ctx, cancel := withTimeout(ctx, l.Timeout)
@@ -84,6 +88,9 @@
 	}
 	var hosts []jwhost.Host
 	for i, group := range groups {
+		if !known(jwhost.Role(group.Labels.Role)) {
+			continue
+		}
 		for _, target := range group.Targets {
 			host, err := decodeHost(target, group.Labels)
 			if err != nil {
@@ -95,6 +102,10 @@
 	return hosts, nil
 }
 
+func known(role jwhost.Role) bool {
+	return role == jwhost.Entry || role == jwhost.Target
+}
+
 func decodeHost(target string, labels hostLabels) (jwhost.Host, error) {
 	address, err := netip.ParseAddrPort(target)
 	if err != nil {
@@ -107,22 +118,11 @@
 		DataCentre: labels.DataCentre,
 		Service:    labels.Service,
 		Address:    address,
-	}
-	switch host.Role {
-	case jwhost.Entry, jwhost.Target:
-	default:
-		return jwhost.Host{}, errors.Errorf("%s: unknown role %q", target, labels.Role)
+		Leaving:    labels.State != "" && labels.State != liveState,
 	}
 	if host.Region == "" {
 		return jwhost.Host{}, errors.Errorf("%s: no region", target)
 	}
-	switch labels.State {
-	case "", "live":
-	case "leaving":
-		host.Leaving = true
-	default:
-		return jwhost.Host{}, errors.Errorf("%s: unknown state %q", target, labels.State)
-	}
 	if labels.Nodes == "" {
 		return host, nil
 	}
--- a/io/jwplatform/keyvalue.go
+++ b/io/jwplatform/keyvalue.go
@@ -23,11 +23,16 @@
 // MaxValueSize is the most bytes that the key-value service keeps in one key.
 const MaxValueSize = 1 << 20
 
+// waitStagger is the part of a wait by which the service may stretch it, so
+// that not all waits end at one moment.
+const waitStagger = 16
+
 // rememberedIndexes bounds the keys whose absence is remembered.
 const rememberedIndexes = 64
 
-// KeyValue is the platform's key-value service as a Store. Writes go as
-// one-step transactions, since only their answer tells the new version.
+// KeyValue is the platform's key-value service as a Store, over the Consul
+// HTTP API. Writes go as transactions, since only their answer tells the new
+// version: after PUT ?cas= a read could already see the write of another.
 type KeyValue struct {
 	Address netip.AddrPort
 	Timeout time.Duration // of one call, without the time a wait may take; 0 means 2s
@@ -115,7 +120,7 @@
 	if len(value) > MaxValueSize {
 		return 0, false, errors.Errorf("swap %s: value of %d bytes exceeds %d", key, len(value), MaxValueSize)
 	}
-	return kv.write(ctx, operation{Verb: "cas", Key: key, Value: value, Index: version})
+	return kv.write(ctx, operation{Verb: swapVerb, Key: key, Value: value, Index: version})
 }
 
 // Delete implements jwstore.Writer.
@@ -123,7 +128,10 @@
 	if version == 0 {
 		return false, nil
 	}
-	_, deleted, err := kv.write(ctx, operation{Verb: "delete-cas", Key: key, Index: version})
+	// A lone delete of a key that is gone counts as done; the check makes it
+	// a conflict, so that of two callers only one hears that it deleted.
+	check := operation{Verb: checkVerb, Key: key, Index: version}
+	_, deleted, err := kv.write(ctx, check, operation{Verb: deleteVerb, Key: key, Index: version})
 	return deleted, err
 }
 
@@ -134,7 +142,7 @@
 		timeout = defaultTimeout
 	}
 	if wait, err := time.ParseDuration(query.Get("wait")); err == nil {
-		timeout += wait
+		timeout += wait + wait/waitStagger
 	}
 	answer, err := kv.call(ctx, http.MethodGet, key, query, timeout)
 	if err != nil {
@@ -203,13 +211,18 @@
 	return answer{status: res.StatusCode, index: index, body: body}, nil
 }
 
-// write sends one step of a transaction. A call that got no connection, or a
+// write sends one transaction, whose last step is the write. A call that got no connection, or a
 // refusal by a status of the 400s, had no effect; after any other failure the
 // write may have been done.
-func (kv *KeyValue) write(ctx context.Context, op operation) (uint64, bool, error) {
+func (kv *KeyValue) write(ctx context.Context, ops ...operation) (uint64, bool, error) {
 	kv.writes.Add(1)
+	op := ops[len(ops)-1]
 	step := op.Verb + " " + op.Key
-	body, err := json.Marshal([]transactionStep{{KV: op}})
+	steps := make([]transactionStep, 0, len(ops))
+	for _, op := range ops {
+		steps = append(steps, transactionStep{KV: op})
+	}
+	body, err := json.Marshal(steps)
 	if err != nil {
 		return 0, false, kv.fail(errors.Wrap(err, step))
 	}
@@ -259,6 +272,13 @@
 	return errors.Wrapf(kind, "%s: %s", step, kv.Address)
 }
 
+// The verbs of a transaction's steps.
+const (
+	swapVerb   = "cas"
+	deleteVerb = "delete-cas"
+	checkVerb  = "check-index"
+)
+
 // record is one key as the service writes it.
 type record struct {
 	Key         string
@@ -302,7 +322,7 @@
 // decodeTransaction reads the answer to a write that took effect and returns
 // the new version of the key, 0 after a delete.
 func decodeTransaction(body []byte, op operation) (uint64, error) {
-	if op.Verb == "delete-cas" {
+	if op.Verb == deleteVerb {
 		return 0, nil
 	}
 	var result transactionResult
--- a/io/jwstand/keyvalue.go
+++ b/io/jwstand/keyvalue.go
@@ -161,10 +161,21 @@
 		return
 	}
 	kv.writes.Add(1)
-	deleted, err := kv.Store.Delete(r.Context(), r.PathValue("key"), version)
+	deleted, err := kv.remove(r.Context(), r.PathValue("key"), version, false)
 	answerWrite(w, deleted, err)
 }
 
+// remove deletes a key; as in the Consul API, a key that is gone counts as
+// deleted unless its version was checked too.
+func (kv *KeyValue) remove(ctx context.Context, key string, version uint64, checked bool) (bool, error) {
+	deleted, err := kv.Store.Delete(ctx, key, version)
+	if err != nil || deleted || checked {
+		return deleted, err
+	}
+	_, found, err := kv.Store.Get(ctx, key)
+	return !found, err
+}
+
 func answerWrite(w http.ResponseWriter, done bool, err error) {
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -196,15 +207,22 @@
 	Errors  []transactionError
 }
 
-// transaction takes one step, a swap or a delete with a version.
+// transaction takes one step, a swap or a delete with a version, which a check
+// of the same key and version may precede.
 func (kv *KeyValue) transaction(w http.ResponseWriter, r *http.Request) {
 	var steps []transactionStep
 	body := http.MaxBytesReader(w, r.Body, 2*maxValue)
-	if err := json.NewDecoder(body).Decode(&steps); err != nil || len(steps) != 1 {
-		http.Error(w, "one step is taken here", http.StatusBadRequest)
+	if err := json.NewDecoder(body).Decode(&steps); err != nil || len(steps) == 0 {
+		http.Error(w, "no steps", http.StatusBadRequest)
+		return
+	}
+	step := steps[len(steps)-1].KV
+	checked := len(steps) == 2 && steps[0].KV.Verb == "check-index" &&
+		steps[0].KV.Key == step.Key && steps[0].KV.Index == step.Index
+	if len(steps) > 1 && !checked {
+		http.Error(w, "one step, or its check and the step, is taken here", http.StatusBadRequest)
 		return
 	}
-	step := steps[0].KV
 	if len(step.Value) > maxValue {
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
 		return
@@ -219,7 +237,7 @@
 		version, done, err = kv.Store.Swap(r.Context(), step.Key, step.Value, step.Index)
 		answer.Results = append(answer.Results, transactionResult{KV: keyRecord{Key: step.Key, ModifyIndex: version}})
 	case "delete-cas":
-		done, err = kv.Store.Delete(r.Context(), step.Key, step.Index)
+		done, err = kv.remove(r.Context(), step.Key, step.Index, checked)
 	default:
 		http.Error(w, "unknown verb", http.StatusBadRequest)
 		return
