--- a/core/jwlimit/admission.go
+++ b/core/jwlimit/admission.go
@@ -39,7 +39,7 @@
 		return Refusal{Reason: NoTarget, RetryAfter: a.spread(noTargetPause)}, true
 	}
 	if a.nodeFull() {
-		return a.later(NodeFull, &a.service.book, a.gap()), true
+		return Refusal{Reason: NodeFull, RetryAfter: a.spread(a.gap())}, true
 	}
 	if refusal, refused := a.overLimits(); refused {
 		return refusal, true
@@ -103,29 +103,26 @@
 		return Refusal{}, false
 	}
 	if a.overOwner() {
-		return a.later(OwnerShare, &a.owner.book, a.gap()), true
+		return Refusal{Reason: OwnerShare, RetryAfter: a.spread(a.Room.Wait)}, true
 	}
-	back := a.service.book.take(a.Caller, a.Now)
-	slots := float64(a.Room.Slots)
-	if !back && float64(a.Room.Outstanding) >= a.ceiling().queue*slots {
-		return a.later(Crowded, &a.service.book, a.gap()), true
+	if a.queue() >= a.ceiling().queue {
+		return Refusal{Reason: Crowded, RetryAfter: a.spread(a.Room.Wait)}, true
 	}
-	late := a.late(back)
-	if late > 0 && !a.limiter.Policy.NoDeadline {
-		refusal := a.later(TooLate, &a.service.book, a.gap())
-		refusal.RetryAfter = max(refusal.RetryAfter, a.spread(late))
-		return refusal, true
+	if late := a.late(); late > 0 && !a.limiter.Policy.NoDeadline {
+		return Refusal{Reason: TooLate, RetryAfter: a.spread(late)}, true
 	}
 	return Refusal{}, false
 }
 
+// queue returns the requests outstanding for each slot of the service.
+func (a *admission) queue() float64 {
+	return float64(a.Room.Outstanding) / float64(max(a.Room.Slots, 1))
+}
+
 // late returns how far past its deadline the request would end, or past the
 // time for the first token that its entry asks for it would begin.
-func (a *admission) late(back bool) time.Duration {
+func (a *admission) late() time.Duration {
 	wait := a.wait()
-	if !back && !a.limiter.Policy.NoBooking {
-		wait += time.Duration(a.service.book.due(a.Now, 0)) * a.gap()
-	}
 	late := time.Duration(0)
 	if a.Left > 0 {
 		late = wait + a.Work - a.Left
@@ -148,15 +145,20 @@
 	return time.Duration(float64(a.Room.Wait) * float64(a.service.urgent) / float64(a.service.running))
 }
 
+// fairQueue is the queue of a service from which owners are held to their
+// shares, in requests outstanding for each slot. Below it a short queue is left
+// to drain or to go to another region, which serves everybody better.
+const fairQueue = 1.25
+
 // overOwner tells whether an owner holds more than its share of a service with
-// no free slot. Its share is what this node may hope to run, divided by the
-// owners that ask; what others leave unused, it may use.
+// a queue. Its share is what this node may hope to run, divided by the owners
+// that ask; what others leave unused, it may use.
 func (a *admission) overOwner() bool {
-	if a.limiter.Policy.NoOwners || a.Query.Entry.Class == jwcatalogue.Confirmation {
+	if a.limiter.Policy.NoOwners || a.Query.Entry.Class == jwcatalogue.Confirmation || a.queue() < fairQueue {
 		return false
 	}
 	nodes := max(len(a.limiter.members), 1)
-	capacity := float64(a.Room.Slots) / float64(nodes)
+	capacity := fairQueue * float64(a.Room.Slots) / float64(nodes)
 	if float64(a.service.running) < capacity {
 		return false
 	}
--- a/core/jwlimit/limiter.go
+++ b/core/jwlimit/limiter.go
@@ -80,7 +80,6 @@
 	running int
 	urgent  int       // those of the classes confirmation and lookup
 	asked   time.Time // when a request last came
-	book    book
 }
 
 // Admit takes a request on or refuses it. A request taken on must be released.
--- a/core/jwrouter/place.go
+++ b/core/jwrouter/place.go
@@ -125,5 +125,12 @@
 	if region != q.Home {
 		cost += w.SentAway
 	}
+	if q.late(wait) {
+		cost += missedCost
+	}
 	return cost
 }
+
+// missedCost is what an answer that misses its deadline costs, against which
+// the price of a link and a share sent away hardly count.
+const missedCost = 10
--- a/core/jwtarget/candidate.go
+++ b/core/jwtarget/candidate.go
@@ -60,11 +60,12 @@
 	return max(reported+len(e.begun), e.own)
 }
 
-// Bounds of a pace, so that one odd call or report neither draws all work to a
-// target nor bars it for ever.
+// Bounds of a pace. Calls differ in length and batches in size, so small
+// differences say nothing of the target and steering by them does harm; above
+// slowPace the target itself is slow.
 const (
-	minPace = 0.5
-	maxPace = 20
+	slowPace = 2
+	maxPace  = 20
 )
 
 // paceOf returns how slow a target is against the others of its service: by
@@ -72,14 +73,17 @@
 // is worse. A target that is slow but well reports no failure, so this alone
 // keeps work from piling up there.
 func (s *service) paceOf(e *entry) float64 {
-	pace := e.pace
+	pace := 0.0
+	if s.pace > 0 {
+		pace = e.pace / s.pace
+	}
 	if s.tick > 0 && e.load.Token > 0 {
 		pace = max(pace, float64(e.load.Token)/float64(s.tick))
 	}
-	if pace == 0 {
+	if pace < slowPace {
 		return 1
 	}
-	return min(max(pace, minPace), maxPace)
+	return min(pace, maxPace)
 }
 
 // Room sums up what a service of the region can still take, as seen from the
--- a/core/jwtarget/table.go
+++ b/core/jwtarget/table.go
@@ -45,6 +45,7 @@
 	live int           // those of all that do not leave
 	work time.Duration // usual time of a call
 	tick time.Duration // usual time between tokens over the targets
+	pace float64       // usual pace of the targets
 }
 
 // entry is what the table knows of one target.
@@ -122,7 +123,7 @@
 		if s == nil {
 			s = &service{}
 			if before := old[e.target.Service]; before != nil {
-				s.work, s.tick = before.work, before.tick
+				s.work, s.tick, s.pace = before.work, before.tick, before.pace
 			}
 			t.services[e.target.Service] = s
 		}
@@ -254,10 +255,15 @@
 		return
 	}
 	ratio := float64(took) / float64(c.Work)
-	if e.pace == 0 {
-		e.pace = ratio
+	e.pace = averagePace(e.pace, ratio)
+	s.pace = averagePace(s.pace, ratio)
+}
+
+func averagePace(old, value float64) float64 {
+	if old == 0 {
+		return value
 	}
-	e.pace += paceWeight * (ratio - e.pace)
+	return old + paceWeight*(value-old)
 }
 
 // Failed notes a failure outside a call, such as a load report that could not
--- /dev/null
+++ b/io/jwbench/policy.go
@@ -0,0 +1,120 @@
+package jwbench
+
+import (
+	"net/netip"
+	"slices"
+
+	"jujubewheel/core/jwlimit"
+	"jujubewheel/core/jwrouter"
+	"jujubewheel/core/jwtarget"
+)
+
+// policy is one way to decide: the project's with its switches, or a simple
+// one when choose is set.
+type policy struct {
+	name       string
+	router     jwrouter.Policy
+	limiter    jwlimit.Policy
+	noSuspects bool
+	// choose returns the target of a request by a simple rule.
+	choose func(n *node, q *request) (netip.AddrPort, bool)
+}
+
+// ours is the project's own policy.
+var ours = policy{name: "jujubewheel"}
+
+// baselines are the simple rules. They know which targets fail as ours does,
+// but admit everything and suspect nothing.
+var baselines = []policy{
+	{name: "random", choose: chooseRandom},
+	{name: "roundRobin", choose: chooseNext},
+	{name: "leastReported", choose: chooseLeast},
+	{name: "homeOnly", router: jwrouter.Policy{HomeOnly: true}},
+	{name: "nearestWithRoom", choose: chooseNearest},
+}
+
+// ablations are ours without one part each.
+var ablations = []policy{
+	{name: "noAffinity", router: jwrouter.Policy{NoAffinity: true}},
+	{name: "noPace", router: jwrouter.Policy{NoPace: true}},
+	{name: "sample2", router: jwrouter.Policy{Sample: 2}},
+	{name: "noDeadline", limiter: jwlimit.Policy{NoDeadline: true}},
+	{name: "noClasses", limiter: jwlimit.Policy{NoClasses: true}},
+	{name: "noOwners", limiter: jwlimit.Policy{NoOwners: true}},
+	{name: "noBooking", limiter: jwlimit.Policy{NoBooking: true}},
+	{name: "noSuspects", noSuspects: true},
+}
+
+// live returns the addresses of a region's targets that do not rest.
+func live(n *node, region string, q *request) []netip.AddrPort {
+	var out []netip.AddrPort
+	peer := n.w.nodes[region][0]
+	if region == n.region {
+		peer = n
+	}
+	for _, c := range peer.targets.Candidates(q.entry.Service, n.w.now, nil) {
+		if !slices.Contains(q.exclude, c.Address) {
+			out = append(out, c.Address)
+		}
+	}
+	return out
+}
+
+func chooseRandom(n *node, q *request) (netip.AddrPort, bool) {
+	list := live(n, n.region, q)
+	if len(list) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return list[n.w.rnd.IntN(len(list))], true
+}
+
+func chooseNext(n *node, q *request) (netip.AddrPort, bool) {
+	list := live(n, n.region, q)
+	if len(list) == 0 {
+		return netip.AddrPort{}, false
+	}
+	n.next++
+	return list[n.next%len(list)], true
+}
+
+func chooseLeast(n *node, q *request) (netip.AddrPort, bool) {
+	addr, _, found := least(n, n.region, q)
+	return addr, found
+}
+
+// least returns the target of a region with the least outstanding by the last
+// report, and that report.
+func least(n *node, region string, q *request) (addr netip.AddrPort, load jwtarget.Load, found bool) {
+	reports := n.w.nodes[region][0].reports
+	if region == n.region {
+		reports = n.reports
+	}
+	for _, a := range live(n, region, q) {
+		l := reports[a]
+		if !found || l.Running+l.Waiting < load.Running+load.Waiting {
+			addr, load, found = a, l, true
+		}
+	}
+	return addr, load, found
+}
+
+// chooseNearest takes the home region while a target there has a free slot by
+// the last report, then the next region with one, then home all the same. The
+// other regions' reports are as fresh as their own nodes have them, which
+// favours this rule.
+func chooseNearest(n *node, q *request) (netip.AddrPort, bool) {
+	home, load, found := least(n, n.region, q)
+	if (found && load.Running+load.Waiting < load.Slots) || q.bound {
+		return home, found
+	}
+	for _, region := range n.w.deploy.Regions {
+		if region.Name == n.region {
+			continue
+		}
+		addr, load, free := least(n, region.Name, q)
+		if free && load.Running+load.Waiting < load.Slots {
+			return addr, true
+		}
+	}
+	return home, found
+}
