--- a/core/jwlimit/admission.go
+++ b/core/jwlimit/admission.go
@@ -102,11 +102,12 @@
 	if a.Room.Wait == 0 {
 		return Refusal{}, false
 	}
-	if a.overOwner() {
-		return Refusal{Reason: OwnerShare, RetryAfter: a.spread(a.Room.Wait)}, true
-	}
-	if a.queue() >= a.ceiling().queue {
+	most := a.ceiling().queue
+	switch queue := a.queue(); {
+	case queue >= most:
 		return Refusal{Reason: Crowded, RetryAfter: a.spread(a.Room.Wait)}, true
+	case queue >= ownerPart*most && a.overOwner():
+		return Refusal{Reason: OwnerShare, RetryAfter: a.spread(a.Room.Wait)}, true
 	}
 	if late := a.late(); late > 0 && !a.limiter.Policy.NoDeadline {
 		return Refusal{Reason: TooLate, RetryAfter: a.spread(late)}, true
@@ -145,23 +146,20 @@
 	return time.Duration(float64(a.Room.Wait) * float64(a.service.urgent) / float64(a.service.running))
 }
 
-// fairQueue is the queue of a service from which owners are held to their
-// shares, in requests outstanding for each slot. Below it a short queue is left
-// to drain or to go to another region, which serves everybody better.
-const fairQueue = 1.25
+// ownerPart is the part of a class's queue that an owner above its share may
+// fill. The rest is for the other owners of the class, so that a burst takes
+// nothing from them, nor from a more urgent class.
+const ownerPart = 0.7
 
-// overOwner tells whether an owner holds more than its share of a service with
-// a queue. Its share is what this node may hope to run, divided by the owners
-// that ask; what others leave unused, it may use.
+// overOwner tells whether an owner holds more than its share of a service. Its
+// share is what this node may hope to run and queue, divided by the owners
+// that ask.
 func (a *admission) overOwner() bool {
-	if a.limiter.Policy.NoOwners || a.Query.Entry.Class == jwcatalogue.Confirmation || a.queue() < fairQueue {
+	if a.limiter.Policy.NoOwners || a.Query.Entry.Class == jwcatalogue.Confirmation {
 		return false
 	}
 	nodes := max(len(a.limiter.members), 1)
-	capacity := fairQueue * float64(a.Room.Slots) / float64(nodes)
-	if float64(a.service.running) < capacity {
-		return false
-	}
+	capacity := ownerPart * a.ceiling().queue * float64(a.Room.Slots) / float64(nodes)
 	fair := capacity / float64(a.limiter.owners(a.Query.Entry.Service, a.Now))
 	return float64(a.owner.running) >= max(fair, 1)
 }
--- a/core/jwlimit/limiter.go
+++ b/core/jwlimit/limiter.go
@@ -22,6 +22,12 @@
 	NoTarget        Reason = "noTarget"        // no target may get it
 )
 
+// Room tells whether a refusal is for want of room in this region, so that
+// another region may yet take the request.
+func (r Reason) Room() bool {
+	return r == OwnerShare || r == TooLate || r == Crowded || r == NoTarget
+}
+
 // Refusal says that a request was not taken on and when to come back.
 type Refusal struct {
 	Reason     Reason
--- a/core/jwrouter/pick.go
+++ b/core/jwrouter/pick.go
@@ -101,14 +101,10 @@
 func (r *Router) lightest(q *Query, list []jwtarget.Candidate) *jwtarget.Candidate {
 	n := len(list)
 	start := int(q.Random % uint64(n))
-	step, looks := 1, n
-	if s := r.Policy.Sample; s > 0 && s < n {
-		step, looks = 1+int((q.Random>>32)%uint64(n-1)), s
-	}
 	best := &list[start]
 	least := r.expect(q, best)
-	for i := 1; i < looks; i++ {
-		c := &list[(start+i*step)%n]
+	for i := 1; i < n; i++ {
+		c := &list[(start+i)%n]
 		if e := r.expect(q, c); e < least {
 			best, least = c, e
 		}
--- a/core/jwrouter/place.go
+++ b/core/jwrouter/place.go
@@ -15,7 +15,7 @@
 	Bound        PlaceReason = "bound"        // its data must not leave this region
 	NotAllowed   PlaceReason = "notAllowed"   // the entry names no other region
 	Away         PlaceReason = "away"         // another region costs less
-	NoRoom       PlaceReason = "noRoom"       // no target here may get it, but another region has some
+	NoRoom       PlaceReason = "noRoom"       // this region cannot take it, but another can
 	WrongRegion  PlaceReason = "wrongRegion"  // bound to another region: not run here and not passed on
 	Nowhere      PlaceReason = "nowhere"      // no region known to have a target
 )
@@ -37,16 +37,16 @@
 	}
 	room := r.Targets.Room(q.Entry.Service, q.Now)
 	here := Placement{Region: r.Region, Reason: AtHome, Wait: room.Wait}
-	if room.Targets == 0 {
+	if room.Targets == 0 || q.Full {
 		here = Placement{Reason: Nowhere}
 	}
 	if reason, fixed := r.stays(q); fixed {
-		if room.Targets > 0 {
+		if here.Region != "" {
 			here.Reason = reason
 		}
 		return here
 	}
-	if room.Targets > 0 && room.Wait == 0 && q.Home == r.Region {
+	if here.Region != "" && room.Wait == 0 && q.Home == r.Region {
 		return here
 	}
 	return r.cheapest(q, here)
@@ -81,6 +81,9 @@
 			continue
 		}
 		wait := l.wait()
+		if q.Full && wait > 0 {
+			continue
+		}
 		cost := r.cost(q, l.Region, wait)
 		if best.Region == "" || cost < least {
 			best = Placement{Region: l.Region, Reason: Away, Wait: wait}
--- a/core/jwrouter/router.go
+++ b/core/jwrouter/router.go
@@ -28,6 +28,7 @@
 	Home      string           // home region of the workspace
 	Bound     bool             // the workspace's data never leaves Home
 	Forwarded bool             // came from another node, whatever its hops say
+	Full      bool             // this region has refused it for want of room
 	Hops      jwrequest.Hops   // the nodes it passed before this one
 	Prefix    uint64           // from PrefixOf, 0 when prompts share nothing
 	Prefill   time.Duration    // time that a cached prefix saves
@@ -51,7 +52,6 @@
 type Policy struct {
 	Spread     float64       // how far above the mean load a target keeps its prefixes, e.g. 1.25
 	Crossing   time.Duration // delay of a call to another data centre of the region
-	Sample     int           // targets compared for each call, 0 for all
 	Margin     time.Duration // waiting that must be saved before a request goes away
 	NoAffinity bool          // prefixes are not kept together
 	NoPace     bool          // slow targets are not avoided
--- a/io/jwbench/path.go
+++ b/io/jwbench/path.go
@@ -87,6 +87,13 @@
 	}
 	away := p.Region != n.region
 	token, refusal, ok := n.limiter.Admit(n.admission(q, false, away))
+	if !ok && !away && refusal.Reason.Room() {
+		rq.Full = true
+		if p = n.router.Place(rq); p.Region != "" {
+			away = true
+			token, refusal, ok = n.limiter.Admit(n.admission(q, false, away))
+		}
+	}
 	n.w.result.cameBack(q, ok)
 	if !ok {
 		n.w.again(q, refusal.RetryAfter)
--- a/io/jwbench/policy.go
+++ b/io/jwbench/policy.go
@@ -37,7 +37,6 @@
 var ablations = []policy{
 	{name: "noAffinity", router: jwrouter.Policy{NoAffinity: true}},
 	{name: "noPace", router: jwrouter.Policy{NoPace: true}},
-	{name: "sample2", router: jwrouter.Policy{Sample: 2}},
 	{name: "noDeadline", limiter: jwlimit.Policy{NoDeadline: true}},
 	{name: "noClasses", limiter: jwlimit.Policy{NoClasses: true}},
 	{name: "noOwners", limiter: jwlimit.Policy{NoOwners: true}},
