--- a/cmd/jujubebench/main_test.go
+++ b/cmd/jujubebench/main_test.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"net/netip"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -33,15 +31,9 @@
 // startStand serves a program until the test ends.
 func startStand(t *testing.T, program jwstand.Program) *jwstand.Stand {
 	t.Helper()
-	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
-	stand := &jwstand.Stand{Address: anyPort, Control: anyPort, Program: program}
-	assert.NilError(t, stand.Listen())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- stand.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, <-done)
-	})
+	stand := &jwstand.Stand{Program: program}
+	stop, err := stand.Start()
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, stop()) })
 	return stand
 }
--- a/core/jwstore/memory.go
+++ b/core/jwstore/memory.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwclock"
 )
 
 // Calls counts what a store was asked for; a waiting read counts once.
@@ -191,7 +193,7 @@
 	delay := m.delay
 	if delay > 0 {
 		m.mu.Unlock()
-		if err := sleep(ctx, delay); err != nil {
+		if err := jwclock.Sleep(ctx, delay); err != nil {
 			return m.fail(m.gaveUp(err, step))
 		}
 		m.mu.Lock()
@@ -263,14 +265,3 @@
 		delete(m.changed, key)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/io/jwload/load.go
+++ b/io/jwload/load.go
@@ -16,6 +16,7 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwrequest"
 )
 
@@ -72,7 +73,7 @@
 			return nil
 		}
 		due := began.Add(a.At)
-		if sleep(ctx, time.Until(due)) != nil {
+		if jwclock.Sleep(ctx, time.Until(due)) != nil {
 			return errors.Wrap(ctx.Err(), "send load")
 		}
 		wg.Go(func() { l.send(ctx, a, due) })
@@ -148,7 +149,7 @@
 			break
 		}
 		o.retries++
-		if sleep(ctx, time.Until(again)) != nil {
+		if jwclock.Sleep(ctx, time.Until(again)) != nil {
 			break
 		}
 	}
@@ -169,7 +170,7 @@
 		defer close(done)
 		ctx, cancel := context.WithDeadline(ctx, deadline.Add(grace))
 		defer cancel()
-		if sleep(ctx, time.Until(due.Add(patience))) != nil {
+		if jwclock.Sleep(ctx, time.Until(due.Add(patience))) != nil {
 			return
 		}
 		ans := l.call(ctx, a, host, deadline)
@@ -225,17 +226,3 @@
 	}
 	return r, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/io/jwload/load_test.go
+++ b/io/jwload/load_test.go
@@ -23,7 +23,7 @@
 
 func lookups() Mix {
 	return Mix{Kinds: []Kind{{
-		Entry: "lookup", Owner: "o", Share: 1, Target: Service, Path: "/l", Body: 10, Deadline: Duration(time.Second),
+		Entry: "lookup", Owner: "o", Share: 1, Target: Service, Path: "/l", Body: 10, Deadline: jwstand.Duration(time.Second),
 	}}}
 }
 
--- a/io/jwload/mix.go
+++ b/io/jwload/mix.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jujubewheel/io/jwstand"
 )
 
 // Target names the kind of target that runs a request.
@@ -16,35 +18,20 @@
 	Service Target = "service" // plain service
 )
 
-// Duration is a time.Duration that JSON writes as text, such as "250ms".
-type Duration time.Duration
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	*d = Duration(v)
-	return err
-}
-
 // Kind is one kind of request in a mix.
 type Kind struct {
-	Entry      string   `json:"entry"` // of the catalogue
-	Owner      string   `json:"owner"`
-	Share      float64  `json:"share"` // weight against the other kinds
-	Target     Target   `json:"target"`
-	Path       string   `json:"path"`       // at the target, for direct calls
-	Stream     bool     `json:"stream"`     // runners only
-	Prefix     int      `json:"prefix"`     // bytes of prompt that a workspace's requests share
-	Body       int      `json:"body"`       // bytes of the request's own
-	Tokens     int      `json:"tokens"`     // runners only: tokens of the answer
-	Key        bool     `json:"key"`        // sends an idempotency key
-	FirstToken Duration `json:"firstToken"` // later is not in time; 0 for any
-	Deadline   Duration `json:"deadline"`   // later is not in time; sent as the timeout
+	Entry      string           `json:"entry"` // of the catalogue
+	Owner      string           `json:"owner"`
+	Share      float64          `json:"share"` // weight against the other kinds
+	Target     Target           `json:"target"`
+	Path       string           `json:"path"`       // at the target, for direct calls
+	Stream     bool             `json:"stream"`     // runners only
+	Prefix     int              `json:"prefix"`     // bytes of prompt that a workspace's requests share
+	Body       int              `json:"body"`       // bytes of the request's own
+	Tokens     int              `json:"tokens"`     // runners only: tokens of the answer
+	Key        bool             `json:"key"`        // sends an idempotency key
+	FirstToken jwstand.Duration `json:"firstToken"` // later is not in time; 0 for any
+	Deadline   jwstand.Duration `json:"deadline"`   // later is not in time; sent as the timeout
 }
 
 // Mix is the load of one deployment.
@@ -61,31 +48,31 @@
 		{
 			Entry: "menu-draft", Owner: "menus", Share: 2, Target: Runner, Path: completionsPath, Stream: true,
 			Prefix: 8 << 10, Body: 400, Tokens: 160,
-			FirstToken: Duration(1300 * time.Millisecond), Deadline: Duration(15 * time.Second),
+			FirstToken: jwstand.Duration(1300 * time.Millisecond), Deadline: jwstand.Duration(15 * time.Second),
 		},
 		{
 			Entry: "status-check", Owner: "orders", Share: 6, Target: Service, Path: "/status",
-			Body: 80, Deadline: Duration(500 * time.Millisecond),
+			Body: 80, Deadline: jwstand.Duration(500 * time.Millisecond),
 		},
 		{
 			Entry: "deposit-confirmation", Owner: "orders", Share: 2, Target: Service, Path: "/confirm", Key: true,
-			Body: 200, Deadline: Duration(2 * time.Second),
+			Body: 200, Deadline: jwstand.Duration(2 * time.Second),
 		},
 	}},
 	"cladagh": {Name: "cladagh", Kinds: []Kind{
 		{
 			Entry: "price-sheet", Owner: "sheets", Share: 1, Target: Runner, Path: completionsPath, Stream: true,
 			Prefix: 16 << 10, Body: 800, Tokens: 240,
-			FirstToken: Duration(1300 * time.Millisecond), Deadline: Duration(20 * time.Second),
+			FirstToken: jwstand.Duration(1300 * time.Millisecond), Deadline: jwstand.Duration(20 * time.Second),
 		},
 		{
 			Entry: "lot-question", Owner: "buyers", Share: 6, Target: Runner, Path: completionsPath, Stream: true,
 			Prefix: 2 << 10, Body: 120, Tokens: 24,
-			FirstToken: Duration(800 * time.Millisecond), Deadline: Duration(2 * time.Second),
+			FirstToken: jwstand.Duration(800 * time.Millisecond), Deadline: jwstand.Duration(2 * time.Second),
 		},
 		{
 			Entry: "order-confirmation", Owner: "buyers", Share: 2, Target: Service, Path: "/confirm", Key: true,
-			Body: 200, Deadline: Duration(2 * time.Second),
+			Body: 200, Deadline: jwstand.Duration(2 * time.Second),
 		},
 	}},
 }
--- a/io/jwplatform/keyvalue_test.go
+++ b/io/jwplatform/keyvalue_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -20,8 +19,6 @@
 	"jujubewheel/io/jwstand"
 )
 
-const loopback = "127.0.0.1:0"
-
 func TestMain(m *testing.M) {
 	logx.Disable()
 	os.Exit(m.Run())
@@ -30,19 +27,10 @@
 // startStand serves a program until the test ends.
 func startStand(t *testing.T, program jwstand.Program) *jwstand.Stand {
 	t.Helper()
-	stand := &jwstand.Stand{
-		Address: netip.MustParseAddrPort(loopback),
-		Control: netip.MustParseAddrPort(loopback),
-		Program: program,
-	}
-	assert.NilError(t, stand.Listen())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- stand.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, <-done)
-	})
+	stand := &jwstand.Stand{Program: program}
+	stop, err := stand.Start()
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, stop()) })
 	return stand
 }
 
--- a/io/jwstand/engine.go
+++ b/io/jwstand/engine.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"jujubewheel/core/jwclock"
 )
 
 const (
@@ -124,7 +126,7 @@
 	e.total.CachedTokens += uint64(cached)
 	e.note()
 	e.mu.Unlock()
-	return tokens, cached, sleep(ctx, time.Duration(tokens-cached)*e.Prefill)
+	return tokens, cached, jwclock.Sleep(ctx, time.Duration(tokens-cached)*e.Prefill)
 }
 
 // Next spends the time of one token.
@@ -133,7 +135,7 @@
 	d := e.tokenTime()
 	e.total.Generated++
 	e.mu.Unlock()
-	return sleep(ctx, d)
+	return jwclock.Sleep(ctx, d)
 }
 
 // Report returns the load as it was before the lag.
--- a/io/jwstand/link.go
+++ b/io/jwstand/link.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwclock"
 )
 
 const (
@@ -46,7 +48,7 @@
 // Link relays TCP connections from one address to another.
 type Link struct {
 	Name   string
-	Listen netip.AddrPort // port 0 picks a free one
+	Listen netip.AddrPort // zero, or a port of 0, picks a free one of loopback
 	Dial   netip.AddrPort
 	Seed   uint64
 
@@ -62,7 +64,7 @@
 
 // open listens for the first time.
 func (l *Link) open() error {
-	listener, err := net.Listen("tcp", l.Listen.String())
+	listener, err := listen(l.Listen)
 	if err != nil {
 		return errors.Wrapf(err, "link %s: listen: %s", l.Name, l.Listen)
 	}
@@ -157,9 +159,9 @@
 }
 
 func (l *Link) reopen(ctx context.Context) {
-	listener, err := net.Listen("tcp", l.Listen.String())
+	listener, err := listen(l.Listen)
 	if err != nil {
-		_ = sleep(ctx, reopenPause)
+		_ = jwclock.Sleep(ctx, reopenPause)
 		return
 	}
 	l.mu.Lock()
@@ -193,7 +195,7 @@
 	// The kernel here has answered the caller at once; a real handshake takes
 	// one way there and one back before the first byte can leave.
 	w := l.Weather()
-	if sleep(ctx, 2*time.Duration(w.Delay)) != nil {
+	if jwclock.Sleep(ctx, 2*time.Duration(w.Delay)) != nil {
 		r.reset()
 		return
 	}
@@ -417,7 +419,7 @@
 
 // Links runs several links in one process, with one control port.
 type Links struct {
-	Control netip.AddrPort // port 0 picks a free one at Open
+	Control netip.AddrPort // likewise
 	Links   []*Link
 
 	control net.Listener
@@ -430,7 +432,7 @@
 			return err
 		}
 	}
-	control, err := net.Listen("tcp", ls.Control.String())
+	control, err := listen(ls.Control)
 	if err != nil {
 		return errors.Wrapf(err, "listen for control: %s", ls.Control)
 	}
--- a/io/jwstand/service.go
+++ b/io/jwstand/service.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"jujubewheel/core/jwclock"
 )
 
 // Service stands in for a plain service: each POST answers with what came.
@@ -37,7 +39,7 @@
 			return
 		}
 		run := s.Journal.begin(r)
-		if sleep(r.Context(), s.Work) != nil {
+		if jwclock.Sleep(r.Context(), s.Work) != nil {
 			s.Journal.end(run, Cancelled)
 			return
 		}
--- a/io/jwstand/stand.go
+++ b/io/jwstand/stand.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwclock"
 )
 
 const (
@@ -32,8 +34,8 @@
 // Stand serves one Program on a port of its own and takes faults on another.
 type Stand struct {
 	Kind    string
-	Address netip.AddrPort // port 0 picks a free one at Listen
-	Control netip.AddrPort // port 0 picks a free one at Listen
+	Address netip.AddrPort // zero, or a port of 0, picks a free one of loopback at Listen
+	Control netip.AddrPort // likewise
 	Program Program
 	Exit    func(code int) // ends the process on a crash; nil means os.Exit
 
@@ -55,11 +57,11 @@
 
 // Listen opens both ports; Address and Control then hold the real ones.
 func (s *Stand) Listen() error {
-	listener, err := net.Listen("tcp", s.Address.String())
+	listener, err := listen(s.Address)
 	if err != nil {
 		return errors.Wrapf(err, "listen: %s", s.Address)
 	}
-	control, err := net.Listen("tcp", s.Control.String())
+	control, err := listen(s.Control)
 	if err != nil {
 		_ = listener.Close()
 		return errors.Wrapf(err, "listen for control: %s", s.Control)
@@ -72,6 +74,14 @@
 	return nil
 }
 
+// listen opens an address, a free port of loopback for the zero one.
+func listen(address netip.AddrPort) (net.Listener, error) {
+	if !address.IsValid() {
+		address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+	}
+	return net.Listen("tcp", address.String())
+}
+
 func addressOf(l net.Listener) netip.AddrPort {
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
@@ -81,6 +91,21 @@
 	return Ready{Kind: s.Kind, Address: s.Address, Control: s.Control}
 }
 
+// Start listens and runs in the background; stop ends it and returns what Run
+// returned.
+func (s *Stand) Start() (stop func() error, err error) {
+	if err := s.Listen(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	return func() error {
+		cancel()
+		return <-done
+	}, nil
+}
+
 // Run serves until the context ends; it listens first if Listen was not called.
 func (s *Stand) Run(ctx context.Context) error {
 	if s.control == nil {
@@ -137,9 +162,9 @@
 
 // reopen listens again after an outage; the port may still be busy for a moment.
 func (s *Stand) reopen(ctx context.Context) {
-	listener, err := net.Listen("tcp", s.Address.String())
+	listener, err := listen(s.Address)
 	if err != nil {
-		_ = sleep(ctx, reopenPause)
+		_ = jwclock.Sleep(ctx, reopenPause)
 		return
 	}
 	s.mu.Lock()
@@ -198,7 +223,7 @@
 func (s *Stand) withFaults(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f := s.Faults()
-		if err := sleep(r.Context(), time.Duration(f.Slow)); err != nil {
+		if err := jwclock.Sleep(r.Context(), time.Duration(f.Slow)); err != nil {
 			return
 		}
 		if r.Method == http.MethodGet {
@@ -261,17 +286,3 @@
 
 // Flush implements http.Flusher.
 func (l *lostReply) Flush() {}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/io/jwstand/stand_test.go
+++ b/io/jwstand/stand_test.go
@@ -20,15 +20,10 @@
 
 func startStand(t *testing.T, program Program) *Stand {
 	t.Helper()
-	stand := &Stand{Address: anyPort, Control: anyPort, Program: program}
-	assert.NilError(t, stand.Listen())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- stand.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, <-done)
-	})
+	stand := &Stand{Program: program}
+	stop, err := stand.Start()
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, stop()) })
 	return stand
 }
 
