jwplatform: unchanged host lists are not sent again; bytes are counted

At 970 nodes and 3200 runners the host list is the largest thing a node reads again and again. It is now asked for with its ETag, and answers may be compressed.

Each client tells its calls and bytes (Traffic), which the control budget of a node needs.

--- a/io/jwplatform/client.go
+++ b/io/jwplatform/client.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,10 +22,51 @@
 	maxAnswer = 64 << 20
 )
 
+// Traffic counts what a client of the platform has moved, headers included.
+type Traffic struct {
+	Sent     uint64 // bytes
+	Received uint64 // bytes, as compressed on the way
+}
+
 // client calls one service of the platform.
 type client struct {
-	once    sync.Once
-	service httpc.Service
+	once           sync.Once
+	service        httpc.Service
+	sent, received atomic.Uint64
+}
+
+func (c *client) traffic() Traffic {
+	return Traffic{Sent: c.sent.Load(), Received: c.received.Load()}
+}
+
+// dial opens a connection whose bytes are counted.
+func (c *client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: defaultTimeout, KeepAlive: defaultTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, client: c}, nil
+}
+
+// countedConn adds its bytes to the traffic of its client.
+type countedConn struct {
+	net.Conn
+	client *client
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.client.received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.client.sent.Add(uint64(n))
+	return n, err
 }
 
 // do sends one call; the breaker of httpc is off, because a call that it
@@ -33,9 +75,8 @@
 	c.once.Do(func() {
 		full := "jwplatform " + name + " " + address.String()
 		breaker.NoBreakerFor(full)
-		dialer := &net.Dialer{Timeout: defaultTimeout, KeepAlive: defaultTimeout}
 		transport := &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         c.dial,
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     idleTimeout,
 		}
--- a/io/jwplatform/directory.go
+++ b/io/jwplatform/directory.go
@@ -37,6 +37,9 @@
 // Calls returns the number of calls sent so far; each page counts as one.
 func (d *Directory) Calls() uint64 { return d.calls.Load() }
 
+// Traffic returns the bytes moved so far.
+func (d *Directory) Traffic() Traffic { return d.client.traffic() }
+
 // Fetch returns the whole directory, or nil when it is still at version.
 func (d *Directory) Fetch(ctx context.Context, version string) (*jwdirectory.Snapshot, error) {
 	for range directoryTries {
--- a/io/jwplatform/directory_test.go
+++ b/io/jwplatform/directory_test.go
@@ -64,5 +64,10 @@
 	got, err = list.Hosts(context.Background())
 	assert.NilError(t, err)
 	assert.Equal(t, len(got), 2)
-	assert.Equal(t, list.Calls(), uint64(2))
+	before := list.Traffic()
+	same, err := list.Hosts(context.Background())
+	assert.NilError(t, err)
+	assert.Check(t, &same[0] == &got[0], "an unchanged list is not sent again")
+	assert.Check(t, list.Traffic().Received > before.Received)
+	assert.Equal(t, list.Calls(), uint64(3))
 }
--- a/io/jwplatform/hostlist.go
+++ b/io/jwplatform/hostlist.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,15 +29,23 @@
 
 	client client
 	calls  atomic.Uint64
+	mu     sync.Mutex
+	tag    string // ETag of the last list
+	last   []jwhost.Host
 }
 
 // Calls returns the number of calls sent so far.
 func (l *HostList) Calls() uint64 { return l.calls.Load() }
 
+// Traffic returns the bytes moved so far.
+func (l *HostList) Traffic() Traffic { return l.client.traffic() }
+
 // Hosts returns the list as it is now, without hosts of other roles than
 // nodes and targets; a state that is not known counts as leaving. A host that
 // lacks an address or a region makes the whole list an error, since a list
-// that is taken in half would look like hosts that are gone.
+// that is taken in half would look like hosts that are gone. An unchanged list
+// is not sent again where the platform knows ETags; callers share the slice
+// and must not change it.
 func (l *HostList) Hosts(ctx context.Context) ([]jwhost.Host, error) {
 	l.calls.Add(1)
 	ctx, cancel := withTimeout(ctx, l.Timeout)
@@ -49,19 +58,41 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "host list: %s", l.Address)
 	}
+	tag, last := l.known()
+	if tag != "" {
+		r.Header.Set("If-None-Match", tag)
+	}
 	res, err := l.client.do("hostList", l.Address, r)
 	if err != nil {
 		return nil, errors.Wrapf(err, "host list: %s", l.Address)
 	}
 	body, err := readAnswer(res)
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, errors.Wrapf(err, "host list: %s", l.Address)
-	}
-	if res.StatusCode != http.StatusOK {
+	case res.StatusCode == http.StatusNotModified && tag != "":
+		return last, nil
+	case res.StatusCode != http.StatusOK:
 		return nil, errors.Errorf("host list: %s: %s", l.Address, res.Status)
 	}
 	hosts, err := decodeHosts(body)
-	return hosts, errors.Wrapf(err, "host list: %s", l.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "host list: %s", l.Address)
+	}
+	l.remember(res.Header.Get("ETag"), hosts)
+	return hosts, nil
+}
+
+func (l *HostList) known() (tag string, last []jwhost.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tag, l.last
+}
+
+func (l *HostList) remember(tag string, hosts []jwhost.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tag, l.last = tag, hosts
 }
 
 // targetGroup is one group of a service discovery document.
@@ -88,7 +119,7 @@
 	}
 	var hosts []jwhost.Host
 	for i, group := range groups {
-		if !known(jwhost.Role(group.Labels.Role)) {
+		if !takesPart(jwhost.Role(group.Labels.Role)) {
 			continue
 		}
 		for _, target := range group.Targets {
@@ -102,7 +133,7 @@
 	return hosts, nil
 }
 
-func known(role jwhost.Role) bool {
+func takesPart(role jwhost.Role) bool {
 	return role == jwhost.Entry || role == jwhost.Target
 }
 
--- a/io/jwplatform/keyvalue.go
+++ b/io/jwplatform/keyvalue.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// Traffic returns the bytes moved so far.
+func (kv *KeyValue) Traffic() Traffic { return kv.client.traffic() }
+
 // Get implements jwstore.Reader.
 func (kv *KeyValue) Get(ctx context.Context, key string) (jwstore.Item, bool, error) {
 	kv.reads.Add(1)
--- /dev/null
+++ b/io/jwstand/answer.go
@@ -0,0 +1,90 @@
+package jwstand
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// answerJSON writes a value as the whole answer.
+func answerJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(append(body, '\n')) // a caller that has gone needs no answer
+}
+
+// acceptJSON reads the body into value and answers 400 when it can't.
+func acceptJSON(w http.ResponseWriter, r *http.Request, value any) bool {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return false
+	}
+	return decodeJSON(w, body, value)
+}
+
+func decodeJSON(w http.ResponseWriter, body []byte, value any) bool {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// answerTagged writes a value with an ETag, or 304 to a caller that has it.
+func answerTagged(w http.ResponseWriter, r *http.Request, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("\"%016x\"", xxhash.Sum64(body))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	answerJSON(withGzip(w, r), http.StatusOK, json.RawMessage(body))
+}
+
+// withGzip compresses a whole answer for a caller that takes it.
+func withGzip(w http.ResponseWriter, r *http.Request) http.ResponseWriter {
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		return w
+	}
+	return &gzipAnswer{ResponseWriter: w}
+}
+
+// gzipAnswer compresses each Write as a gzip member of its own; a sequence of
+// members is one gzip file.
+type gzipAnswer struct {
+	http.ResponseWriter
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (g *gzipAnswer) WriteHeader(status int) {
+	g.Header().Set("Content-Encoding", "gzip")
+	g.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (g *gzipAnswer) Write(b []byte) (int, error) {
+	zw := gzip.NewWriter(g.ResponseWriter)
+	n, err := zw.Write(b)
+	if err != nil {
+		return n, err
+	}
+	return n, zw.Close()
+}
--- a/io/jwstand/clients.go
+++ b/io/jwstand/clients.go
@@ -114,7 +114,7 @@
 			Workspace: workspace{Region: client.Region, Bound: client.Bound, Owner: client.Owner},
 		})
 	}
-	answerJSON(w, http.StatusOK, list)
+	answerJSON(withGzip(w, r), http.StatusOK, list)
 }
 
 func numberOr(text string, otherwise int) int {
--- a/io/jwstand/faults.go
+++ b/io/jwstand/faults.go
@@ -1,12 +1,6 @@
 package jwstand
 
-import (
-	"bytes"
-	"encoding/json"
-	"io"
-	"net/http"
-	"time"
-)
+import "time"
 
 // Faults are what a stand-in does wrong; the zero value is none.
 type Faults struct {
@@ -33,34 +27,3 @@
 	*d = Duration(v)
 	return err
 }
-
-// answerJSON writes a value as the whole answer.
-func answerJSON(w http.ResponseWriter, status int, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	body, err := json.Marshal(value)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.WriteHeader(status)
-	_, _ = w.Write(append(body, '\n')) // a caller that has gone needs no answer
-}
-
-// acceptJSON reads the body into value and answers 400 when it can't.
-func acceptJSON(w http.ResponseWriter, r *http.Request, value any) bool {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
-	if err != nil {
-		return false
-	}
-	return decodeJSON(w, body, value)
-}
-
-func decodeJSON(w http.ResponseWriter, body []byte, value any) bool {
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(value); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
--- a/io/jwstand/hosts.go
+++ b/io/jwstand/hosts.go
@@ -64,8 +64,8 @@
 // Handler implements Program.
 func (h *Hosts) Handler(func() Faults) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, _ *http.Request) {
-		answerJSON(w, http.StatusOK, h.Shown())
+	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, r *http.Request) {
+		answerTagged(w, r, h.Shown())
 	})
 	return mux
 }
