--- /dev/null
+++ b/io/jwstand/relay.go
@@ -0,0 +1,160 @@
+package jwstand
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	chunkSize      = 16 << 10
+	chunksInFlight = 256 // in each direction of a connection, so 4 MB
+)
+
+// relay is one connection through a link.
+type relay struct {
+	link     *Link
+	near     net.Conn
+	mu       sync.Mutex
+	far      net.Conn
+	done     bool
+	once     sync.Once
+	silenced chan struct{}
+	ended    chan struct{}
+}
+
+// join adds the dialled end; it returns false when the connection was reset
+// in the meantime.
+func (r *relay) join(far net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.done {
+		_ = far.Close()
+		return false
+	}
+	r.far = far
+	return true
+}
+
+func (r *relay) silence() {
+	r.once.Do(func() { close(r.silenced) })
+}
+
+// reset ends both halves without a proper close; what is still under way is lost.
+func (r *relay) reset() { r.end(true) }
+
+// end closes both halves once; a reset at a proper end would throw away bytes
+// that the receiver has not read yet.
+func (r *relay) end(reset bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.done {
+		return
+	}
+	r.done = true
+	close(r.ended)
+	for _, conn := range []net.Conn{r.near, r.far} {
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			continue // not dialled yet
+		}
+		if reset {
+			_ = tcp.SetLinger(0) // fails only on a connection that is closed
+		}
+		_ = tcp.Close()
+	}
+}
+
+// chunk is what was read at once; an empty one is the proper end.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// carry takes bytes from one end to the other until the first ends.
+func (r *relay) carry(way OneWay, from, to net.Conn) {
+	chunks := make(chan chunk, chunksInFlight)
+	var wg sync.WaitGroup
+	wg.Go(func() { r.deliver(way, to, chunks) })
+	var before time.Time
+	for {
+		buf := make([]byte, chunkSize)
+		n, err := from.Read(buf)
+		if n > 0 {
+			before = r.link.due(way, n, before)
+			chunks <- chunk{data: buf[:n], due: before}
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			chunks <- chunk{due: r.link.due(way, 0, before)}
+		} else if !r.isSilenced() {
+			r.reset()
+		}
+		break
+	}
+	close(chunks)
+	wg.Wait()
+}
+
+// deliver writes chunks when they are due. After an error it drops what comes,
+// so that carry never waits for it.
+func (r *relay) deliver(way OneWay, to net.Conn, chunks <-chan chunk) {
+	for c := range chunks {
+		if !r.pass(way, c.due) {
+			continue
+		}
+		if len(c.data) == 0 {
+			if tcp, ok := to.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite() // an end that is gone already has closed
+			}
+			continue
+		}
+		if _, err := to.Write(c.data); err != nil {
+			r.reset()
+			continue
+		}
+		r.link.count(way, len(c.data))
+	}
+}
+
+// pass waits until a chunk may be delivered; false means never.
+func (r *relay) pass(way OneWay, due time.Time) bool {
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.ended:
+		return false
+	}
+	for {
+		if r.isSilenced() {
+			return false
+		}
+		r.link.mu.Lock()
+		held, changed := r.link.weather.Hold == way, r.link.changed
+		r.link.mu.Unlock()
+		if !held {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-r.silenced:
+		case <-r.ended:
+			return false
+		}
+	}
+}
+
+func (r *relay) isSilenced() bool {
+	select {
+	case <-r.silenced:
+		return true
+	default:
+		return false
+	}
+}
--- a/io/jwstand/stand_test.go
+++ b/io/jwstand/stand_test.go
@@ -7,9 +7,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -189,6 +192,42 @@
 	})
 }
 
+// Callers come and go at random moments, also just as their slot comes. A slot
+// that is lost on the way makes the engine slower for good.
+func TestEngineLosesNoSlot(t *testing.T) {
+	const slots, callers, calls = 3, 20, 50
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{Slots: slots, MaxWaiting: callers}
+		var held, most, admitted atomic.Int32
+		var wg sync.WaitGroup
+		for caller := range callers {
+			random := rand.New(rand.NewPCG(1, uint64(caller)))
+			moment := func() time.Duration { return time.Duration(random.IntN(4)) * time.Millisecond }
+			wg.Go(func() {
+				for range calls {
+					ctx, cancel := context.WithTimeout(t.Context(), moment())
+					if e.Enter(ctx, random.IntN(8)) {
+						admitted.Add(1)
+						most.Store(max(most.Load(), held.Add(1)))
+						time.Sleep(moment())
+						held.Add(-1)
+						e.Leave()
+					}
+					cancel()
+				}
+			})
+		}
+		wg.Wait()
+		assert.Check(t, most.Load() == slots && admitted.Load() > callers, "%d held, %d admitted", most.Load(), admitted.Load())
+		for range slots {
+			assert.Check(t, e.Enter(t.Context(), 0), "a slot is lost")
+		}
+		r, _ := e.Report()
+		assert.Equal(t, r.Running, slots)
+		assert.Equal(t, r.Waiting, 0)
+	})
+}
+
 func TestEngineReportLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &Engine{Slots: 4, Lag: time.Second, Token: 10 * time.Millisecond, Growth: 0.5}
