jwplatform: waits that end early are asked again after a pause

A service that tells no index, or ends each wait early, would have been asked in a tight loop; from its third call on a wait pauses 50 ms. Nothing is missed: the next call asks for what came after the index of the last.

--- a/io/jwplatform/keyvalue.go
+++ b/io/jwplatform/keyvalue.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 
+	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwstore"
 )
 
@@ -27,6 +28,10 @@
 // that not all waits end at one moment.
 const waitStagger = 16
 
+// waitPause lies between the calls of one wait from the third on. A service
+// that ends waits early, or tells no index, would else be asked without pause.
+const waitPause = 50 * time.Millisecond
+
 // rememberedIndexes bounds the keys whose absence is remembered.
 const rememberedIndexes = 64
 
@@ -92,7 +97,10 @@
 	if after == 0 {
 		index = kv.absentAt(key)
 	}
-	for {
+	for calls := 0; ; calls++ {
+		if calls > 1 && jwclock.Sleep(ctx, waitPause) != nil {
+			return jwstore.Item{}, false, kv.fail(kv.wrap(jwstore.ErrUnavailable, "wait "+key+": "+ctx.Err().Error()))
+		}
 		left := max(time.Until(end), 0)
 		query := url.Values{}
 		if index == 0 || left < time.Millisecond {
--- a/io/jwplatform/keyvalue_test.go
+++ b/io/jwplatform/keyvalue_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -299,3 +302,18 @@
 	assert.NilError(t, <-done)
 	assert.DeepEqual(t, program.Calls(), jwstore.Calls{Reads: 1, Writes: 4, Waits: 1})
 }
+
+// A service that tells no index makes each wait end at once. Without a pause
+// one node would spend the reads of the whole system on it.
+func TestWaitWithoutIndex(t *testing.T) {
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.WriteHeader(http.StatusNotFound)
+	}))
+	defer server.Close()
+	kv := &jwplatform.KeyValue{Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	_, found, err := kv.Wait(context.Background(), "k", 0, 200*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Check(t, !found && calls.Load() <= 8, "%d calls", calls.Load())
+}
