--- a/io/jwplatform/keyvalue_test.go
+++ b/io/jwplatform/keyvalue_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"sync"
@@ -20,8 +22,6 @@
 	"jujubewheel/io/jwstand"
 )
 
-const loopback = "127.0.0.1:0"
-
 func TestMain(m *testing.M) {
 	logx.Disable()
 	os.Exit(m.Run())
@@ -30,19 +30,10 @@
 // startStand serves a program until the test ends.
 func startStand(t *testing.T, program jwstand.Program) *jwstand.Stand {
 	t.Helper()
-	stand := &jwstand.Stand{
-		Address: netip.MustParseAddrPort(loopback),
-		Control: netip.MustParseAddrPort(loopback),
-		Program: program,
-	}
-	assert.NilError(t, stand.Listen())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- stand.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, <-done)
-	})
+	stand := &jwstand.Stand{Program: program}
+	stop, err := stand.Start()
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, stop()) })
 	return stand
 }
 
@@ -311,3 +302,18 @@
 	assert.NilError(t, <-done)
 	assert.DeepEqual(t, program.Calls(), jwstore.Calls{Reads: 1, Writes: 4, Waits: 1})
 }
+
+// A service that tells no index makes each wait end at once. Without a pause
+// one node would spend the reads of the whole system on it.
+func TestWaitWithoutIndex(t *testing.T) {
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.WriteHeader(http.StatusNotFound)
+	}))
+	defer server.Close()
+	kv := &jwplatform.KeyValue{Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	_, found, err := kv.Wait(context.Background(), "k", 0, 200*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Check(t, !found && calls.Load() <= 8, "%d calls", calls.Load())
+}
--- a/io/jwstand/service.go
+++ b/io/jwstand/service.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"jujubewheel/core/jwclock"
 )
 
 // Service stands in for a plain service: each POST answers with what came.
@@ -47,7 +49,7 @@
 		run := s.Journal.begin(r)
 		s.running.Add(1)
 		defer s.running.Add(-1)
-		if sleep(r.Context(), s.Work) != nil {
+		if jwclock.Sleep(r.Context(), s.Work) != nil {
 			s.Journal.end(run, Cancelled)
 			return
 		}
