--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -95,21 +95,29 @@
 
 // jittered spreads the periods of nodes that started together.
 func (x *Exchange) jittered() time.Duration {
-	return x.Period/2 + time.Duration(x.Rand.Int64N(int64(x.Period)))
+	return x.Period/2 + time.Duration(x.draw(int64(x.Period)))
+}
+
+// draw returns a random number below n. Rand is not safe for use by Run and
+// Answer at once, as when the period ends while another node exchanges.
+func (x *Exchange) draw(n int64) int64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.Rand.Int64N(n)
 }
 
 // one picks the partner of this period. Now and then it is a node that fell
 // silent: after a cut nobody else would try it, and two halves that each work
 // would never hear of each other again.
 func (x *Exchange) one(partners []Peer) []Peer {
-	if len(partners) == 0 || x.Rand.IntN(silentTries) == 0 {
+	if len(partners) == 0 || x.draw(silentTries) == 0 {
 		self := x.Table.Self().Name
 		partners = x.Table.Select(func(p Peer) bool { return p.Name != self && takesPart(p) })
 	}
 	if len(partners) == 0 {
 		return nil
 	}
-	i := x.Rand.IntN(len(partners))
+	i := int(x.draw(int64(len(partners))))
 	return partners[i : i+1]
 }
 
