jwdemo: a whole small system in one process

It sends drafts, lookups and confirmations, takes a region's runners away, parts the regions and sends a request that crashes runners; each promise it looks at is printed, and a broken one is its error.

--- a/cmd/jujubewheel/main.go
+++ b/cmd/jujubewheel/main.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/pkg/errors"
-
 	"jujubewheel/io/jwcommand"
+	"jujubewheel/io/jwdemo"
 	"jujubewheel/io/jwnode"
 )
 
@@ -20,7 +18,7 @@
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 		Node:   node{},
-		Demo:   demo{},
+		Demo:   jwdemo.Demo{},
 	}
 	code := p.Run(ctx)
 	stop()
@@ -35,11 +33,3 @@
 	whole := &jwnode.Node{Settings: n.Settings, Log: n.Log, Meter: n.Meter, Audit: n.Audit}
 	return whole.Run(ctx)
 }
-
-// demo runs the demo.
-type demo struct{}
-
-// Run implements jwcommand.Demo.
-func (demo) Run(context.Context, io.Writer) error {
-	return errors.New("the demo is not built in yet")
-}
--- /dev/null
+++ b/io/jwdemo/caller.go
@@ -0,0 +1,188 @@
+package jwdemo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"jujubewheel/io/jwoperate"
+	"jujubewheel/io/jwstand"
+)
+
+const (
+	serviceName = "jwdemo"
+	callTimeout = 10 * time.Second
+)
+
+// caller sends requests and edits as callers and operators do.
+type caller struct {
+	service httpc.Service
+	answers []answer // all that came, for the summary
+}
+
+// request is one request of a caller.
+type request struct {
+	to        netip.AddrPort
+	entry     string
+	workspace string
+	key       string
+	body      []byte
+}
+
+// answer is a caller's view of one answer.
+type answer struct {
+	entry   string
+	home    string
+	status  int
+	outcome string
+	region  string // that served it
+	body    string
+	events  int
+	first   time.Duration // to the first byte of the body
+	whole   time.Duration
+	err     error
+}
+
+func newCaller() *caller {
+	breaker.NoBreakerFor(serviceName)
+	client := &http.Client{Transport: &http.Transport{}, Timeout: callTimeout}
+	return &caller{service: httpc.NewServiceWithClient(serviceName, client)}
+}
+
+// keep notes answers for the summary; the calls themselves may run side by side.
+func (c *caller) keep(answers ...answer) { c.answers = append(c.answers, answers...) }
+
+// send sends a request and reads its whole answer.
+func (c *caller) send(ctx context.Context, in request) answer {
+	out := answer{entry: in.entry, home: strings.TrimPrefix(strings.TrimPrefix(in.workspace, "hall-"), "family-")}
+	began := time.Now()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+in.to.String()+"/v1/requests/"+in.entry, bytes.NewReader(in.body))
+	if err != nil {
+		out.err = err
+		return out
+	}
+	r.Header.Set("Jujube-Workspace", in.workspace)
+	r.Header.Set("Content-Type", "application/json")
+	if in.key != "" {
+		r.Header.Set("Idempotency-Key", in.key)
+	}
+	resp, err := c.service.DoRequest(r)
+	if err != nil {
+		out.err = err
+		return out
+	}
+	defer resp.Body.Close()
+	out.status = resp.StatusCode
+	out.region = resp.Header.Get("Jujube-Served-By")
+	out.read(resp, began)
+	return out
+}
+
+// read takes in the body and the outcome, which a stream has in its trailer.
+func (a *answer) read(resp *http.Response, began time.Time) {
+	var text strings.Builder
+	lines := bufio.NewReader(resp.Body)
+	for {
+		line, err := lines.ReadString('\n')
+		if line != "" && a.first == 0 {
+			a.first = time.Since(began)
+		}
+		if strings.HasPrefix(line, "data: {\"id\"") {
+			a.events++
+		}
+		text.WriteString(line)
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			a.err = err
+			break
+		}
+	}
+	a.whole = time.Since(began)
+	a.body = text.String()
+	a.outcome = resp.Header.Get("Jujube-Outcome")
+	if a.outcome == "" {
+		a.outcome = resp.Trailer.Get("Jujube-Outcome")
+	}
+}
+
+// served tells whether the whole answer came.
+func (a answer) served() bool {
+	return a.err == nil && a.status == http.StatusOK && a.outcome == "served"
+}
+
+// ticket mints an idempotency key at a node.
+func (c *caller) ticket(ctx context.Context, at netip.AddrPort) (string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.String()+"/v1/tickets", nil)
+	if err != nil {
+		return "", err
+	}
+	var minted struct {
+		Key string `json:"key"`
+	}
+	_, err = c.read(r, &minted)
+	return minted.Key, err
+}
+
+// put writes a new entry and returns how far it is in force.
+func (c *caller) put(ctx context.Context, at netip.AddrPort, body jwoperate.EditBody, wait time.Duration) (jwoperate.Standing, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return jwoperate.Standing{}, err
+	}
+	path := "/v1/catalogue/entries/" + body.Entry.Name + "?wait=" + wait.String()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+at.String()+path, bytes.NewReader(data))
+	if err != nil {
+		return jwoperate.Standing{}, err
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	r.Header.Set("If-None-Match", "*")
+	var standing jwoperate.Standing
+	_, err = c.read(r, &standing)
+	return standing, err
+}
+
+// standing asks how far a revision is in force.
+func (c *caller) standing(ctx context.Context, at netip.AddrPort) (jwoperate.Standing, error) {
+	var standing jwoperate.Standing
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+"/v1/catalogue/status", nil)
+	if err != nil {
+		return standing, err
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	_, err = c.read(r, &standing)
+	return standing, err
+}
+
+func (c *caller) read(r *http.Request, value any) (status int, err error) {
+	resp, err := c.service.DoRequest(r)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, err
+	}
+	if resp.StatusCode/100 != 2 {
+		return resp.StatusCode, errors.Errorf("%s %s: %s: %s", r.Method, r.URL.Path, resp.Status, data)
+	}
+	return resp.StatusCode, json.Unmarshal(data, value)
+}
+
+// prompt is the body of a draft.
+func prompt(text string, tokens int) []byte {
+	data, _ := json.Marshal(jwstand.Completion{Model: "menus", Prompt: text, MaxTokens: tokens, Stream: true})
+	return data
+}
--- /dev/null
+++ b/io/jwdemo/catalogue.go
@@ -0,0 +1,42 @@
+package jwdemo
+
+import (
+	"time"
+
+	"jujubewheel/core/jwcatalogue"
+)
+
+// The entries of the demo.
+const (
+	draft        = "menu-draft"
+	lookup       = "order-status"
+	confirmation = "order-confirmation"
+	newEntry     = "menu-question"
+)
+
+func entries() []jwcatalogue.Entry {
+	weights := jwcatalogue.Weights{Cost: 1, Tail: 0.3, SentAway: 1}
+	return []jwcatalogue.Entry{
+		{
+			Name: draft, Owner: "kitchen", Class: jwcatalogue.Draft, Service: modelService, Path: "/v1/completions",
+			Idempotent: true, Deadline: 20 * time.Second, FirstToken: 5 * time.Second, Progress: 5 * time.Second,
+			Weights: weights, Regions: []string{jwcatalogue.AnyRegion}, MaxBodySize: 1 << 20,
+		},
+		{
+			Name: lookup, Owner: "front-desk", Class: jwcatalogue.Lookup, Service: plainService, Path: "/status",
+			Idempotent: true, Deadline: 3 * time.Second, Progress: 2 * time.Second, Weights: weights, MaxBodySize: 1 << 14,
+		},
+		{
+			Name: confirmation, Owner: "front-desk", Class: jwcatalogue.Confirmation, Service: plainService, Path: "/confirm",
+			Bound: true, Deadline: 5 * time.Second, Progress: 3 * time.Second, Weights: weights,
+			KeyMemory: time.Hour, MaxBodySize: 1 << 16,
+		},
+	}
+}
+
+// question is the entry that is added while the regions are parted.
+func question() jwcatalogue.Entry {
+	e := entries()[0]
+	e.Name, e.Class, e.Deadline = newEntry, jwcatalogue.Lookup, 8*time.Second
+	return e
+}
--- /dev/null
+++ b/io/jwdemo/demo_test.go
@@ -0,0 +1,54 @@
+package jwdemo
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestDemo(t *testing.T) {
+	// The demo breaks links, runners and the platform on purpose and looks at
+	// what callers are told; a broken promise is its error.
+	var out strings.Builder
+	err := Demo{}.Run(t.Context(), &out)
+	t.Log(out.String())
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(out.String(), "promises that were looked at held"))
+}
+
+func TestFigures(t *testing.T) {
+	served := func(home, region string, whole time.Duration) answer {
+		return answer{home: home, region: region, status: 200, outcome: "served", whole: whole}
+	}
+	tests := map[string]struct {
+		answers []answer
+		want    string
+	}{
+		"none": {nil, "0\t0\t0\t0\t0\t-\t-"},
+		"served at home and away": {
+			[]answer{served("a", "a", time.Second), served("a", "b", time.Minute), served("a", "a", time.Millisecond)},
+			"3\t3\t0\t0\t1\t1s\t1m0s",
+		},
+		"refused and broken off": {
+			[]answer{{status: 503, outcome: "notRun"}, {status: 200}, {status: 504, outcome: "unknown"}},
+			"3\t0\t1\t2\t0\t-\t-",
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, figuresOf(tc.answers).row(), tc.want)
+		})
+	}
+}
+
+func TestVerdict(t *testing.T) {
+	var out strings.Builder
+	t1 := &teller{w: &out}
+	t1.check(true, "one")
+	assert.NilError(t, t1.verdict())
+	t1.check(false, "two of %s", "them")
+	assert.ErrorContains(t, t1.verdict(), "1 of 2 promises broken: two of them")
+	assert.Assert(t, strings.Contains(out.String(), "NOT AS PROMISED: two of them"))
+}
--- /dev/null
+++ b/io/jwdemo/system.go
@@ -0,0 +1,333 @@
+package jwdemo
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"jujubewheel/io/jwaudit"
+	"jujubewheel/io/jwmeter"
+	"jujubewheel/io/jwnode"
+	"jujubewheel/io/jwsettings"
+	"jujubewheel/io/jwstand"
+)
+
+const (
+	modelService   = "menu-writer"
+	plainService   = "order-desk"
+	runnersPerHome = 4
+	linkDelay      = 15 * time.Millisecond // one way between regions and to the platform
+	token          = "a token of the demo only"
+	// poison is the text that crashes a model runner whose prompt holds it.
+	poison = "divide the menu by zero"
+)
+
+var (
+	regions  = []string{"amman-a", "irbid-a", "aqaba-a"}
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+)
+
+// system is the whole of the demo: one node and a few targets a region.
+type system struct {
+	hosts   *jwstand.Hosts
+	desks   map[string]*jwstand.Service // by region
+	runners map[string][]*jwstand.Stand // by region
+	between []*jwstand.Link             // the ways to nodes
+	outward map[string][]*jwstand.Link  // by region, the ways to the platform
+	nodes   map[string]*node            // by region
+
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+	mu   sync.Mutex
+	errs []error
+}
+
+// node is a node with its counters.
+type node struct {
+	*jwnode.Node
+	region string
+}
+
+// start brings everything up; the system runs until close.
+func start(ctx context.Context) (*system, error) {
+	s := &system{
+		hosts:   &jwstand.Hosts{},
+		desks:   map[string]*jwstand.Service{},
+		runners: map[string][]*jwstand.Stand{},
+		outward: map[string][]*jwstand.Link{},
+		nodes:   map[string]*node{},
+	}
+	s.ctx, s.stop = context.WithCancel(ctx)
+	err := s.open()
+	if err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *system) open() error {
+	kv, err := s.stand("kv", &jwstand.KeyValue{})
+	if err != nil {
+		return err
+	}
+	hosts, err := s.stand("hosts", s.hosts)
+	if err != nil {
+		return err
+	}
+	clients, err := s.stand("clients", directory())
+	if err != nil {
+		return err
+	}
+	var groups []jwstand.HostGroup
+	for _, region := range regions {
+		targets, err := s.openTargets(region)
+		if err != nil {
+			return err
+		}
+		self, err := s.openNode(region, kv.Address, hosts.Address, clients.Address)
+		if err != nil {
+			return err
+		}
+		groups = append(append(groups, targets...), self)
+	}
+	s.hosts.Set(groups)
+	for _, n := range s.nodes {
+		s.run(n.Run)
+	}
+	return nil
+}
+
+// directory has a workspace of each kind in each region.
+func directory() *jwstand.Clients {
+	clients := &jwstand.Clients{}
+	var list []jwstand.Client
+	for _, region := range regions {
+		list = append(list,
+			jwstand.Client{Name: "hall-" + region, Region: region, Owner: "kitchen"},
+			jwstand.Client{Name: "family-" + region, Region: region, Bound: true, Owner: "front-desk"})
+	}
+	clients.Set(list)
+	return clients
+}
+
+// openTargets starts the targets of a region and returns their lines of the
+// host list.
+func (s *system) openTargets(region string) ([]jwstand.HostGroup, error) {
+	var groups []jwstand.HostGroup
+	for range runnersPerHome {
+		runner := &jwstand.Runner{Engine: jwstand.Engine{
+			Slots: 8, Token: 5 * time.Millisecond, Prefill: 50 * time.Microsecond,
+		}}
+		stand, err := s.stand("runner", runner)
+		if err != nil {
+			return nil, err
+		}
+		stand.SetFaults(jwstand.Faults{CrashOn: poison})
+		s.runners[region] = append(s.runners[region], stand)
+		groups = append(groups, target(stand.Address, modelService, region))
+	}
+	desk := &jwstand.Service{Work: 20 * time.Millisecond}
+	stand, err := s.stand("service", desk)
+	if err != nil {
+		return nil, err
+	}
+	s.desks[region] = desk
+	return append(groups, target(stand.Address, plainService, region)), nil
+}
+
+func target(address netip.AddrPort, service, region string) jwstand.HostGroup {
+	return jwstand.HostGroup{Targets: []string{address.String()}, Labels: map[string]string{
+		"role": "target", "service": service, "region": region, "dataCentre": region + "-1", "state": "live",
+	}}
+}
+
+// openNode opens the ports of a region's node. Others reach it, and it reaches
+// the platform, through links that can be cut.
+func (s *system) openNode(region string, platform ...netip.AddrPort) (jwstand.HostGroup, error) {
+	way := &jwstand.Link{Name: region, Listen: loopback}
+	links := &jwstand.Links{Control: loopback, Links: []*jwstand.Link{way}}
+	for _, address := range platform {
+		links.Links = append(links.Links, &jwstand.Link{Name: region + "-platform", Listen: loopback, Dial: address})
+	}
+	if err := links.Open(); err != nil {
+		return jwstand.HostGroup{}, err
+	}
+	settings, err := settingsOf(region, way.Listen, links.Links[1:])
+	if err != nil {
+		return jwstand.HostGroup{}, err
+	}
+	n := &node{region: region, Node: &jwnode.Node{
+		Settings: settings,
+		Log:      logr.Discard(),
+		Meter:    &jwmeter.Meter{Interval: 100 * time.Millisecond},
+		Audit:    &jwaudit.Trail{Node: settings.Node},
+	}}
+	if err := n.Listen(); err != nil {
+		return jwstand.HostGroup{}, err
+	}
+	way.Dial = n.NodesAddr()
+	for _, l := range links.Links {
+		l.SetWeather(jwstand.Weather{Delay: jwstand.Duration(linkDelay)})
+	}
+	s.run(links.Run)
+	s.nodes[region] = n
+	s.between = append(s.between, way)
+	s.outward[region] = links.Links[1:]
+	return jwstand.HostGroup{Targets: []string{n.CallersAddr().String()}, Labels: map[string]string{
+		"role": "entry", "name": settings.Node, "region": region, "dataCentre": region + "-1",
+		"state": "live", "nodes": way.Listen.String(),
+	}}, nil
+}
+
+// settingsOf writes the settings of a node as an operator would.
+func settingsOf(region string, nodes netip.AddrPort, platform []*jwstand.Link) (*jwsettings.Settings, error) {
+	type object map[string]any
+	var places []object
+	for _, r := range regions {
+		places = append(places, object{"name": r, "dataCentres": []string{r + "-1"}})
+	}
+	text, err := json.Marshal(object{
+		"node": region + "-n1", "region": region, "dataCentre": region + "-1",
+		"listen":    object{"callers": loopback, "operators": loopback, "nodes": loopback},
+		"advertise": object{"nodes": nodes},
+		"platform":  object{"keyValue": platform[0].Listen, "hosts": platform[1].Listen, "directory": platform[2].Listen},
+		"operators": object{"token": token},
+		"periods": object{
+			"exchange": "100ms", "loadPoll": "100ms", "hostsPoll": "200ms", "directoryPoll": "1s", "hostsLag": "5s",
+		},
+		"regions": places,
+		"links": []object{
+			{"from": regions[0], "to": regions[1], "delay": "12ms", "costPerGB": 0.02},
+			{"from": regions[0], "to": regions[2], "delay": "35ms", "costPerGB": 0.03},
+			{"from": regions[1], "to": regions[2], "delay": "45ms", "costPerGB": 0.04},
+		},
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "write settings")
+	}
+	return jwsettings.Parse(text)
+}
+
+// stand starts a stand-in on a free port.
+func (s *system) stand(kind string, p jwstand.Program) (*jwstand.Stand, error) {
+	stand := &jwstand.Stand{Kind: kind, Program: p, Address: loopback, Control: loopback}
+	// A crash ends no process here; the stand-in goes down until it is revived.
+	stand.Exit = func(int) { stand.SetFaults(jwstand.Faults{Down: true}) }
+	if err := stand.Listen(); err != nil {
+		return nil, err
+	}
+	s.run(stand.Run)
+	return stand, nil
+}
+
+// run keeps a part running until close and notes what ended it.
+func (s *system) run(part func(context.Context) error) {
+	s.wg.Go(func() {
+		err := part(s.ctx)
+		if err == nil || s.ctx.Err() != nil && errors.Is(err, context.Canceled) {
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.errs = append(s.errs, err)
+	})
+}
+
+// close stops everything and returns what went wrong with any part.
+func (s *system) close() error {
+	s.stop()
+	s.wg.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.errs) > 0 {
+		return errors.Wrap(s.errs[0], "a part of the system failed")
+	}
+	return nil
+}
+
+// cut parts the regions from each other, and one of them from the platform too.
+func (s *system) cut(region string) { s.setCut(region, true) }
+
+// mend joins what cut has parted.
+func (s *system) mend(region string) { s.setCut(region, false) }
+
+func (s *system) setCut(region string, cut bool) {
+	for _, l := range slices.Concat(s.between, s.outward[region]) {
+		weather := l.Weather()
+		weather.Cut = cut
+		l.SetWeather(weather)
+	}
+}
+
+// toPlatform returns the links of all regions to the platform.
+func (s *system) toPlatform() []*jwstand.Link {
+	var all []*jwstand.Link
+	for _, links := range s.outward {
+		all = append(all, links...)
+	}
+	return all
+}
+
+// passed returns the bytes that links have carried, both ways.
+func (s *system) passed(links []*jwstand.Link) uint64 {
+	var n uint64
+	for _, l := range links {
+		n += l.Passed(jwstand.Forward) + l.Passed(jwstand.Back)
+	}
+	return n
+}
+
+// takeDown stops all model runners of a region.
+func (s *system) takeDown(region string) {
+	for _, stand := range s.runners[region] {
+		stand.SetFaults(jwstand.Faults{Down: true})
+	}
+}
+
+// revive restarts the runners that a request has crashed.
+func (s *system) revive(region string) (crashed int) {
+	for _, stand := range s.runners[region] {
+		if stand.Faults().Down {
+			crashed++
+			stand.SetFaults(jwstand.Faults{CrashOn: poison})
+		}
+	}
+	return crashed
+}
+
+// runs counts how often the plain services of all regions ran a key.
+func (s *system) runs(key string) int {
+	n := 0
+	for _, desk := range s.desks {
+		for _, run := range desk.Journal.Runs() {
+			if run.Key == key {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// await polls until a condition holds; what names it in the error.
+func (s *system) await(limit time.Duration, what string, holds func() bool) error {
+	end := time.Now().Add(limit)
+	for !holds() {
+		if time.Now().After(end) {
+			return errors.Errorf("not within %s: %s", limit, what)
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-s.ctx.Done():
+			return s.ctx.Err()
+		}
+	}
+	return nil
+}
