jwoperate, jwcommand: forget a node that will not serve again

The last node of a region that is gone keeps every change from being accepted; only an operator can know that it is not serving behind a cut.

--- a/io/jwaudit/trail.go
+++ b/io/jwaudit/trail.go
@@ -20,6 +20,7 @@
 	Edit           Kind = "edit"           // an operator's catalogue edit on this node
 	Applied        Kind = "applied"        // a catalogue change came into force here
 	Accepted       Kind = "accepted"       // a revision is in force everywhere
+	Forgotten      Kind = "forgotten"      // a node was taken off those that confirm changes
 	Suspect        Kind = "suspect"        // a request was quarantined or freed
 	Handover       Kind = "handover"       // tickets and answers were given or taken over
 	CertificateSet Kind = "certificateSet" // a certificate was loaded or refused
--- a/io/jwcommand/catalogue.go
+++ b/io/jwcommand/catalogue.go
@@ -21,6 +21,7 @@
 	Remove  removeCommand  `cmd:"" help:"Remove an entry."`
 	History historyCommand `cmd:"" help:"Print the latest changes."`
 	Status  statusCommand  `cmd:"" help:"Tell whether a revision is in force everywhere."`
+	Forget  forgetCommand  `cmd:"" help:"Stop waiting for a node that will never serve again."`
 }
 
 // getCommand prints the catalogue.
@@ -285,6 +286,34 @@
 	return err
 }
 
+// forgetCommand takes a node off those that confirm changes.
+type forgetCommand struct {
+	connection
+	Region string `arg:"" help:"Region of the node."`
+	Node   string `arg:"" help:"Name of the node, as status prints it. If it still serves somewhere, behind a cut perhaps, accepted changes will not hold there: be sure that its host is gone."`
+	Author string `required:"" env:"JUJUBE_AUTHOR" help:"Who says so; kept in the audit trail."`
+	Reason string `required:"" help:"How you know; kept in the audit trail."`
+}
+
+// Run tells the node.
+func (c *forgetCommand) Run(ctx context.Context, p *Program) error {
+	at, err := c.client()
+	if err != nil {
+		return err
+	}
+	var out jwoperate.Forgotten
+	_, err = at.do(ctx, call{
+		method: http.MethodDelete,
+		path:   "/v1/members/" + url.PathEscape(c.Region) + "/" + url.PathEscape(c.Node),
+		body:   jwoperate.ForgetBody{Author: c.Author, Reason: c.Reason},
+	}, &out)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(p.Stdout, "%s in %s is no longer waited for\n", out.Node, out.Region)
+	return nil
+}
+
 func standingText(s jwoperate.Standing) string {
 	if s.Accepted {
 		return "revision " + number(s.Revision) + " is in force everywhere"
--- a/io/jwcommand/program_test.go
+++ b/io/jwcommand/program_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -68,6 +69,13 @@
 	return len(f.missing) == 0, f.missing, nil
 }
 
+func (f *fleet) Forget(_ context.Context, _, name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.missing = slices.DeleteFunc(f.missing, func(n string) bool { return n == name })
+	return nil
+}
+
 const token = "0123456789abcdef"
 
 // serve starts the interface for one script.
@@ -79,7 +87,7 @@
 	tracer.End(r, jwrequest.Unknown, "targetFailed", "")
 	trail.Add(jwaudit.Record{Kind: jwaudit.Applied, Subject: "menu", Revision: 1, Detail: "came from the store"})
 	o := &jwoperate.Operators{
-		Token: token, Table: table, Acceptance: f, Explainer: tracer, Audit: trail,
+		Token: token, Table: table, Acceptance: f, Members: f, Explainer: tracer, Audit: trail,
 		Editor:  &jwcatalogue.Editor{Store: &f.store, Table: table, Retry: time.Millisecond},
 		Peers:   &jwpeer.Table{},
 		Targets: &jwtarget.Table{},
--- a/io/jwoperate/catalogue.go
+++ b/io/jwoperate/catalogue.go
@@ -1,6 +1,7 @@
 package jwoperate
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -14,6 +15,7 @@
 
 	"jujubewheel/core/jwcatalogue"
 	"jujubewheel/core/jwstore"
+	"jujubewheel/io/jwaudit"
 	"jujubewheel/io/jwrest"
 )
 
@@ -49,8 +51,8 @@
 }
 
 func (o *Operators) put(w http.ResponseWriter, r *http.Request) {
-	body, ok := readEdit(w, r)
-	if !ok {
+	var body EditBody
+	if !readBody(w, r, &body) {
 		return
 	}
 	if body.Entry == nil {
@@ -61,29 +63,28 @@
 }
 
 func (o *Operators) remove(w http.ResponseWriter, r *http.Request) {
-	body, ok := readEdit(w, r)
-	if !ok {
+	var body EditBody
+	if !readBody(w, r, &body) {
 		return
 	}
 	body.Entry = nil
 	o.edit(w, r, body)
 }
 
-// readEdit reads the body of an edit and answers a malformed one.
-func readEdit(w http.ResponseWriter, r *http.Request) (EditBody, bool) {
-	var body EditBody
+// readBody reads the body of an edit and answers a malformed one.
+func readBody(w http.ResponseWriter, r *http.Request, into any) bool {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxEdit))
 	if err != nil {
 		refuse(w, http.StatusRequestEntityTooLarge, Refusal{Error: "body longer than an edit may be, or broken off"})
-		return body, false
+		return false
 	}
-	dec := json.NewDecoder(strings.NewReader(string(data)))
+	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&body); err != nil {
+	if err := dec.Decode(into); err != nil {
 		refuse(w, http.StatusUnprocessableEntity, Refusal{Error: "the edit cannot be read", Faults: []string{err.Error()}})
-		return body, false
+		return false
 	}
-	return body, true
+	return true
 }
 
 // edit writes one edit and answers how far it is in force.
@@ -107,6 +108,10 @@
 		refuseEdit(w, err)
 		return
 	}
+	o.Audit.Add(jwaudit.Record{
+		Kind: jwaudit.Edit, Subject: jwrest.Var(r, "name"), Revision: result.Revision,
+		Author: body.Author, Detail: body.Reason,
+	})
 	w.Header().Set("ETag", etag(result.Revision))
 	standing := o.await(r.Context(), result.Revision, wait)
 	if !standing.Accepted {
--- /dev/null
+++ b/io/jwoperate/members.go
@@ -0,0 +1,41 @@
+package jwoperate
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwstore"
+	"jujubewheel/io/jwaudit"
+	"jujubewheel/io/jwrest"
+)
+
+// forget takes a node off the list of those that confirm changes, on the word
+// of an operator who knows that it will not serve again. Were it serving behind
+// a cut after all, an accepted change would not be in force there.
+func (o *Operators) forget(w http.ResponseWriter, r *http.Request) {
+	var body ForgetBody
+	if !readBody(w, r, &body) {
+		return
+	}
+	if body.Author == "" || body.Reason == "" {
+		refuse(w, http.StatusUnprocessableEntity, Refusal{
+			Error: "the edit has faults", Faults: []string{"author and reason are needed"},
+		})
+		return
+	}
+	out := Forgotten{Region: jwrest.Var(r, "region"), Node: jwrest.Var(r, "node")}
+	if err := o.Members.Forget(r.Context(), out.Region, out.Node); err != nil {
+		status := http.StatusGatewayTimeout
+		if errors.Is(err, jwstore.ErrUnavailable) {
+			status = http.StatusServiceUnavailable
+		}
+		w.Header().Set("Retry-After", retryAfter)
+		refuse(w, status, Refusal{Error: err.Error()})
+		return
+	}
+	o.Audit.Add(jwaudit.Record{
+		Kind: jwaudit.Forgotten, Subject: out.Node, From: out.Region, Author: body.Author, Detail: body.Reason,
+	})
+	answer(w, http.StatusOK, out)
+}
--- a/io/jwoperate/message.go
+++ b/io/jwoperate/message.go
@@ -32,6 +32,18 @@
 	EditID string             `json:"editId"` // the same for every send of this edit
 }
 
+// ForgetBody is the body of DELETE /v1/members/{region}/{node}.
+type ForgetBody struct {
+	Author string `json:"author"`
+	Reason string `json:"reason"`
+}
+
+// Forgotten is the answer to it.
+type Forgotten struct {
+	Region string `json:"region"`
+	Node   string `json:"node"`
+}
+
 // Standing tells how far a revision is in force.
 type Standing struct {
 	Revision uint64   `json:"revision"`
--- a/io/jwoperate/operators.go
+++ b/io/jwoperate/operators.go
@@ -56,8 +56,15 @@
 	State(address netip.AddrPort, now time.Time) (state jwtarget.State, known bool)
 }
 
-// Audit reads the audit trail.
+// Members takes nodes that will not come back out of those whose confirmation
+// changes wait for.
+type Members interface {
+	Forget(ctx context.Context, region, name string) error
+}
+
+// Audit is the audit trail.
 type Audit interface {
+	Add(r jwaudit.Record)
 	After(after uint64, limit int) []jwaudit.Record
 }
 
@@ -67,6 +74,7 @@
 	Table      Table
 	Editor     Editor
 	Acceptance Acceptance
+	Members    Members
 	Explainer  Explainer
 	Peers      Peers
 	Targets    Targets
@@ -94,6 +102,7 @@
 		{Method: http.MethodDelete, Path: "/v1/catalogue/entries/:name", Handler: o.authorized(o.remove)},
 		get("/v1/catalogue/history", o.history),
 		get("/v1/catalogue/status", o.status),
+		{Method: http.MethodDelete, Path: "/v1/members/:region/:node", Handler: o.authorized(o.forget)},
 		get("/v1/audit", o.audit),
 		get("/v1/explain/requests/:id", o.explain),
 		get("/v1/peers", o.peers),
--- a/io/jwoperate/operators_test.go
+++ b/io/jwoperate/operators_test.go
@@ -28,14 +28,20 @@
 
 // acceptance is a fleet of which some nodes have not confirmed.
 type acceptance struct {
-	missing []string
-	err     error
+	missing   []string
+	err       error
+	forgotten string
 }
 
 func (a *acceptance) Status(context.Context, uint64) (bool, []string, error) {
 	return len(a.missing) == 0, a.missing, a.err
 }
 
+func (a *acceptance) Forget(_ context.Context, region, name string) error {
+	a.forgotten = region + "/" + name
+	return a.err
+}
+
 // node is the operators' interface over an empty catalogue in memory.
 type node struct {
 	*Operators
@@ -54,6 +60,7 @@
 		Table:      table,
 		Editor:     &jwcatalogue.Editor{Store: store, Table: table, Retry: time.Millisecond},
 		Acceptance: n.acceptance,
+		Members:    n.acceptance,
 		Explainer:  &jwexplain.Tracer{Region: "irbid-a"},
 		Peers:      &jwpeer.Table{},
 		Targets:    &jwtarget.Table{Node: "n1", Region: "irbid-a"},
@@ -137,6 +144,7 @@
 	w = n.call("GET", path, "")
 	assert.Equal(t, w.Header().Get("ETag"), `"1"`)
 	assert.Equal(t, read[Entry](t, w).Entry.Owner, "desk")
+	assert.Equal(t, n.Audit.After(0, 1)[0].Author, "amal")
 	assert.Equal(t, len(read[Catalogue](t, n.call("GET", "/v1/catalogue", "")).Entries), 1)
 
 	w = n.call("DELETE", path, `{"author": "amal", "reason": "closing", "editId": "e2"}`, "If-Match", `"1"`)
@@ -228,6 +236,24 @@
 	assert.Equal(t, n.call("GET", "/v1/catalogue/status", "").Code, 503)
 }
 
+func TestForget(t *testing.T) {
+	// A region's last node is gone for good, and every change waits for it. An
+	// operator who knows says so, and the trail shows who did.
+	n := newNode(t)
+	const member = "/v1/members/aqaba-a/aqaba-a-n1"
+	assert.Equal(t, n.call("DELETE", member, `{"author": "amal"}`).Code, 422)
+	assert.Equal(t, n.acceptance.forgotten, "")
+	assert.Equal(t, n.call("DELETE", member, `{"author": "amal", "reason": "burnt"}`).Code, 200)
+	assert.Equal(t, n.acceptance.forgotten, "aqaba-a/aqaba-a-n1")
+	record := n.Audit.After(0, 1)[0]
+	assert.Equal(t, record.Kind, jwaudit.Forgotten)
+	assert.Equal(t, record.Author, "amal")
+	for status, err := range map[int]error{503: jwstore.ErrUnavailable, 504: jwstore.ErrUnknown} {
+		n.acceptance.err = err
+		assert.Equal(t, n.call("DELETE", member, `{"author": "amal", "reason": "burnt"}`).Code, status)
+	}
+}
+
 func TestViews(t *testing.T) {
 	n := newNode(t)
 	peers := n.Peers.(*jwpeer.Table)
