jwlog, jwaudit, jwmeter: lines and labels as a reader expects them

Seen in a trial of serve: stacks of pkg/errors in the log, empty fields in audit lines, and entry="order_status" for the entry order-status, which would have merged with one named order_status.

--- a/io/jwaudit/trail.go
+++ b/io/jwaudit/trail.go
@@ -62,8 +62,23 @@
 		return
 	}
 	r = t.keep(r)
-	t.Log.Info(string(r.Kind), "sequence", r.Sequence, "subject", r.Subject, "from", r.From, "to", r.To,
-		"revision", r.Revision, "author", r.Author, "detail", r.Detail)
+	t.Log.Info(string(r.Kind), r.pairs()...)
+}
+
+// pairs returns the record as keys and values of a log line.
+func (r Record) pairs() []any {
+	pairs := []any{"sequence", r.Sequence, "subject", r.Subject}
+	for _, p := range []struct{ key, value string }{
+		{"from", r.From}, {"to", r.To}, {"author", r.Author}, {"detail", r.Detail},
+	} {
+		if p.value != "" {
+			pairs = append(pairs, p.key, p.value)
+		}
+	}
+	if r.Revision > 0 {
+		pairs = append(pairs, "revision", r.Revision)
+	}
+	return pairs
 }
 
 func (t *Trail) keep(r Record) Record {
--- a/io/jwaudit/trail_test.go
+++ b/io/jwaudit/trail_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 )
 
@@ -41,6 +42,14 @@
 	})
 }
 
+func TestLogLine(t *testing.T) {
+	var line string
+	log := funcr.New(func(_, args string) { line = args }, funcr.Options{})
+	trail := &Trail{Node: "n1", Log: log}
+	trail.Add(Record{Kind: Edit, Subject: "menu", Revision: 7, Author: "amal"})
+	assert.Equal(t, line, `"level"=0 "msg"="edit" "sequence"=1 "subject"="menu" "author"="amal" "revision"=7`)
+}
+
 func TestNilTrail(t *testing.T) {
 	var trail *Trail
 	trail.Add(Record{})
--- a/io/jwlog/log.go
+++ b/io/jwlog/log.go
@@ -25,9 +25,37 @@
 		EncodeDuration: zapcore.StringDurationEncoder,
 	}
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), zapcore.Level(-verbosity))
-	return zapr.NewLogger(zap.New(core))
+	log := zapr.NewLogger(zap.New(core))
+	return log.WithSink(plainErrors{log.GetSink()})
 }
 
+// plainErrors logs errors as one line of text. zap adds to an error of
+// pkg/errors the stack of each place it passed, which buries the line.
+type plainErrors struct{ logr.LogSink }
+
+// Error implements logr.LogSink.
+func (p plainErrors) Error(err error, message string, pairs ...any) {
+	if err != nil {
+		err = plainError(err.Error())
+	}
+	p.LogSink.Error(err, message, pairs...)
+}
+
+// WithValues implements logr.LogSink.
+func (p plainErrors) WithValues(pairs ...any) logr.LogSink {
+	return plainErrors{p.LogSink.WithValues(pairs...)}
+}
+
+// WithName implements logr.LogSink.
+func (p plainErrors) WithName(name string) logr.LogSink {
+	return plainErrors{p.LogSink.WithName(name)}
+}
+
+// plainError is the text of an error.
+type plainError string
+
+func (e plainError) Error() string { return string(e) }
+
 // CaptureGRPC sends what grpc-go logs to log at verbosity 1. It is called once,
 // before the first connection; unlike it, grpc-go would write plain lines
 // among the JSON ones and break whoever parses them.
--- a/io/jwlog/log_test.go
+++ b/io/jwlog/log_test.go
@@ -26,6 +26,9 @@
 	assert.Equal(t, first["logger"], "peers")
 	assert.Equal(t, second["level"], "error")
 	assert.Equal(t, second["error"], "refused")
+	assert.Equal(t, second["logger"], "peers")
+	_, stack := second["errorVerbose"]
+	assert.Assert(t, !stack, "%s", lines[1])
 }
 
 func TestVerbosity(t *testing.T) {
--- a/io/jwmeter/meter.go
+++ b/io/jwmeter/meter.go
@@ -35,6 +35,15 @@
 	stop     func() error
 }
 
+// sanitizer keeps label values as they are. Tally's own would make one series
+// of the entries "order-status" and "order_status".
+var sanitizer = tally.SanitizeOptions{
+	NameCharacters:       tallyprom.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:        tallyprom.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters:      tally.ValidCharacters{Ranges: []tally.SanitizeRange{{' ', '~'}}},
+	ReplacementCharacter: tallyprom.DefaultSanitizerOpts.ReplacementCharacter,
+}
+
 // latencies are the buckets of durations: close together around the times to
 // the first token and between tokens, so that p95 can be read off them.
 var latencies = tally.DurationBuckets{
@@ -99,7 +108,7 @@
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
 		Separator:              tallyprom.DefaultSeparator,
-		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		SanitizeOptions:        &sanitizer,
 		OmitCardinalityMetrics: true,
 	}, interval)
 	m.scope, m.stop = scope, closer.Close
--- a/io/jwmeter/meter_test.go
+++ b/io/jwmeter/meter_test.go
@@ -14,6 +14,7 @@
 	m := &Meter{Interval: time.Hour}
 	m.Counter("requests_total", Tags{"outcome": "served"}).Inc(2)
 	m.Counter("requests_total", Tags{"outcome": "notRun"}).Inc(1)
+	m.Counter("edits_total", Tags{"entry": "order-status"}).Inc(1)
 	m.Gauge("peers", nil).Update(8)
 	m.Durations("first_byte_seconds", Tags{"entry": "menu"}).RecordDuration(28 * time.Millisecond)
 	m.Values("group_size", nil, []float64{1, 2, 4}).RecordValue(3)
@@ -32,6 +33,7 @@
 		`jujubewheel_first_byte_seconds_bucket{entry="menu",le="0.025"} 0`,
 		`jujubewheel_first_byte_seconds_bucket{entry="menu",le="0.03"} 1`,
 		`jujubewheel_group_size_bucket{le="4"} 1`,
+		`jujubewheel_edits_total{entry="order-status"} 1`,
 		`go_goroutines`,
 	} {
 		assert.Check(t, cmp.Contains(text, line))
