jwdispatch, jwnode: measure what callers see and what is sent away

The three measures of the product had no metric. Served requests are timed at the node that the caller sent them to, to the first byte and to the end, and those served in another region are counted with their bytes and the price of the link. Refusals from the headers alone were neither counted nor traced, and traces named the node's own region as the server of every request; both mended.

--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -41,6 +41,17 @@
 	Ended(entry string, outcome jwrequest.Outcome, reason Reason)
 	// Tried counts one call of a target or node.
 	Tried(entry, kind string, ok bool)
+	// Seen measures one served request that a caller sent to this node;
+	// requests that came from another node are measured there.
+	Seen(entry string, s Seen)
+}
+
+// Seen is what a caller saw of a served request.
+type Seen struct {
+	First    time.Duration // from the request's arrival to the first byte of the answer's body
+	Whole    time.Duration // to its end
+	ServedBy string        // region of the target
+	Bytes    int64         // of both bodies
 }
 
 // Tracer keeps why a request went where it went; it never sees a body.
@@ -67,7 +78,7 @@
 // wants the answer any more.
 func (d *Dispatcher) Serve(ctx context.Context, r *jwrequest.Request, sink Sink) {
 	j := &job{Dispatcher: d, request: r, forwarded: len(r.Hops) > 0}
-	j.sink = &ending{Sink: sink, job: j}
+	j.sink = &ending{Sink: sink, job: j, began: d.Now()}
 	if refusal, refused := j.prepare(); refused {
 		j.sink.refuse(refusal)
 		return
@@ -85,7 +96,23 @@
 // is false when it may go on.
 func (d *Dispatcher) Check(r *jwrequest.Request) (refusal Head, refused bool) {
 	j := &job{Dispatcher: d, request: r, forwarded: len(r.Hops) > 0}
-	return j.look()
+	refusal, refused = j.look()
+	if refused {
+		j.note(refusal.Outcome, refusal.Reason, "")
+	}
+	return refusal, refused
+}
+
+// note counts and traces the end of a request.
+func (j *job) note(outcome jwrequest.Outcome, reason Reason, servedBy string) {
+	entry := j.request.Entry
+	if j.entry == nil {
+		entry = "" // a name that isn't in the catalogue would make a counter of its own
+	}
+	j.Counter.Ended(entry, outcome, reason)
+	if j.Tracer != nil {
+		j.Tracer.End(j.request, outcome, reason, servedBy)
+	}
 }
 
 // MaxBody returns how many bytes the body of a request for an entry may have,
--- a/core/jwdispatch/ending.go
+++ b/core/jwdispatch/ending.go
@@ -1,6 +1,8 @@
 package jwdispatch
 
 import (
+	"time"
+
 	"jujubewheel/core/jwrequest"
 )
 
@@ -11,16 +13,24 @@
 	begun bool
 	ended bool
 	sent  int64
+
+	began    time.Time
+	first    time.Time // of the first byte of the body, zero before it
+	servedBy string
 }
 
 // Head passes the beginning on.
 func (e *ending) Head(h Head) error {
 	e.begun = true
+	e.servedBy = h.ServedBy
 	return e.Sink.Head(h)
 }
 
 // Body passes a part on.
 func (e *ending) Body(p []byte) error {
+	if e.first.IsZero() {
+		e.first = e.job.Now()
+	}
 	e.sent += int64(len(p))
 	return e.Sink.Body(p)
 }
@@ -31,18 +41,24 @@
 		return nil
 	}
 	e.ended = true
-	j := e.job
-	entry := j.request.Entry
-	if j.entry == nil {
-		entry = "" // a name that isn't in the catalogue would make a counter of its own
-	}
-	j.Counter.Ended(entry, end.Outcome, end.Reason)
-	if j.Tracer != nil {
-		j.Tracer.End(j.request, end.Outcome, end.Reason, j.Self.Region)
+	e.job.note(end.Outcome, end.Reason, e.servedBy)
+	if end.Outcome == jwrequest.Served && !e.job.forwarded {
+		e.measure()
 	}
 	return e.Sink.End(end)
 }
 
+func (e *ending) measure() {
+	now := e.job.Now()
+	if e.first.IsZero() {
+		e.first = now // an answer without a body
+	}
+	e.job.Counter.Seen(e.job.entry.Name, Seen{
+		First: e.first.Sub(e.began), Whole: now.Sub(e.began), ServedBy: e.servedBy,
+		Bytes: e.sent + int64(len(e.job.request.Body)),
+	})
+}
+
 // refuse ends the request with a refusal, also in the midst of a stream.
 func (e *ending) refuse(h Head) {
 	if !e.begun {
--- a/io/jwdemo/demo.go
+++ b/io/jwdemo/demo.go
@@ -74,6 +74,7 @@
 		}
 	}
 	p.summary(p.answers)
+	p.say("   sent away by the nodes' own counters: %.0f request(s), %.0f bytes", p.total("sent_away_total"), p.total("sent_away_bytes_total"))
 	p.say("   over the links: %d kB between nodes, %d kB to the platform", p.passed(p.between)/1000, p.passed(p.toPlatform())/1000)
 	return nil
 }
--- a/io/jwdemo/system.go
+++ b/io/jwdemo/system.go
@@ -285,6 +285,15 @@
 	return n
 }
 
+// total adds up one counter of all nodes, as of their last reports.
+func (s *system) total(counter string) float64 {
+	sum := 0.0
+	for _, n := range s.nodes {
+		sum += n.Meter.Total(counter, nil)
+	}
+	return sum
+}
+
 // takeDown stops all model runners of a region.
 func (s *system) takeDown(region string) {
 	for _, stand := range s.runners[region] {
--- a/io/jwnode/counter.go
+++ b/io/jwnode/counter.go
@@ -9,13 +9,16 @@
 	"jujubewheel/core/jwdispatch"
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/io/jwmeter"
+	"jujubewheel/io/jwsettings"
 )
 
 // counter counts requests; its handles are made once for each set of tags.
 type counter struct {
-	meter *jwmeter.Meter
-	ended sync.Map // endedTags to tally.Counter
-	tried sync.Map // triedTags to tally.Counter
+	meter    *jwmeter.Meter
+	settings *jwsettings.Settings
+	ended    sync.Map // endedTags to tally.Counter
+	tried    sync.Map // triedTags to tally.Counter
+	seen     sync.Map // seenTags to *seenHandles
 }
 
 type endedTags struct {
@@ -52,3 +55,48 @@
 	}
 	h.(tally.Counter).Inc(1)
 }
+
+type seenTags struct {
+	entry, servedBy string
+}
+
+// seenHandles are what is measured of served requests: how long callers waited,
+// and, of those served in another region, what went over the link.
+type seenHandles struct {
+	first, whole      tally.Histogram
+	away, bytes, cost tally.Counter // nil at home
+	price             float64       // of a byte, in units of 1e-9
+}
+
+// Seen measures one served request of a caller.
+func (c *counter) Seen(entry string, s jwdispatch.Seen) {
+	h := c.handles(seenTags{entry, s.ServedBy})
+	h.first.RecordDuration(s.First)
+	h.whole.RecordDuration(s.Whole)
+	if h.away == nil {
+		return
+	}
+	h.away.Inc(1)
+	h.bytes.Inc(s.Bytes)
+	h.cost.Inc(int64(float64(s.Bytes) * h.price))
+}
+
+func (c *counter) handles(tags seenTags) *seenHandles {
+	if h, found := c.seen.Load(tags); found {
+		return h.(*seenHandles)
+	}
+	entry := jwmeter.Tags{"entry": tags.entry}
+	made := &seenHandles{
+		first: c.meter.Durations("first_byte_seconds", entry),
+		whole: c.meter.Durations("answer_seconds", entry),
+	}
+	if tags.servedBy != "" && tags.servedBy != c.settings.Region {
+		to := jwmeter.Tags{"entry": tags.entry, "region": tags.servedBy}
+		made.away = c.meter.Counter("sent_away_total", to)
+		made.bytes = c.meter.Counter("sent_away_bytes_total", to)
+		made.cost = c.meter.Counter("sent_away_cost_nanos_total", to)
+		made.price = c.settings.Link(c.settings.Region, tags.servedBy).CostPerGB
+	}
+	h, _ := c.seen.LoadOrStore(tags, made)
+	return h.(*seenHandles)
+}
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -170,7 +170,7 @@
 	n.dispatcher = &jwdispatch.Dispatcher{
 		Self: n.self, Board: &n.board, Router: router, Targets: n.targets, Peers: n.pool,
 		Departed: func(p jwpeer.Peer) bool { return n.departures.Gone(memberOf(p)) },
-		Claims:   n.keeper, Now: time.Now, Counter: &counter{meter: n.Meter}, Tracer: n.tracer,
+		Claims:   n.keeper, Now: time.Now, Counter: &counter{meter: n.Meter, settings: s}, Tracer: n.tracer,
 	}
 	n.editor = &jwcatalogue.Editor{Store: n.store, Table: &n.board.Catalogue}
 	n.follower = &jwcatalogue.Follower{
