jwnode: certificates on the ports, claims salted by the settings

The ports of settings with certificates use them, and a node dials another only as the node that should be there. The salt of claims comes from claims.salt; one made from the operators' token would have changed with it. Tests send a request to another region over TLS and keep out a node of a foreign authority. jwkeystest holds the throw-away authority that both packages' tests use.

--- a/io/jwkeys/keeper_test.go
+++ b/io/jwkeys/keeper_test.go
@@ -1,20 +1,13 @@
-package jwkeys
+package jwkeys_test
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"net/netip"
 	"net/url"
 	"os"
-	"path/filepath"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,101 +15,42 @@
 	"gotest.tools/v3/assert"
 
 	"jujubewheel/io/jwaudit"
-	"jujubewheel/io/jwsettings"
+	"jujubewheel/io/jwkeys"
+	"jujubewheel/io/jwkeystest"
 )
 
-// authority signs throw-away certificates.
-type authority struct {
-	t    *testing.T
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	next int64
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	assert.NilError(t, err)
-	cert, err := x509.ParseCertificate(der)
-	assert.NilError(t, err)
-	return &authority{t: t, cert: cert, key: key, next: 2}
-}
-
-// issue writes a certificate for the identities into dir and returns its files.
-func (a *authority) issue(dir string, ids ...Identity) jwsettings.KeyFiles {
-	a.t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(a.t, err)
-	var uris []*url.URL
-	for _, id := range ids {
-		uris = append(uris, id.URI())
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(a.next), URIs: uris,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-	}
-	a.next++
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	assert.NilError(a.t, err)
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	assert.NilError(a.t, err)
-	files := jwsettings.KeyFiles{
-		Certificate: filepath.Join(dir, "certificate.pem"),
-		Key:         filepath.Join(dir, "key.pem"),
-		Authority:   filepath.Join(dir, "authority.pem"),
-	}
-	writePEM(a.t, files.Certificate, "CERTIFICATE", der)
-	writePEM(a.t, files.Key, "PRIVATE KEY", keyDER)
-	writePEM(a.t, files.Authority, "CERTIFICATE", a.cert.Raw)
-	return files
-}
-
-func writePEM(t *testing.T, path, kind string, der []byte) {
+// keeper returns a keeper that has loaded a certificate for the identities.
+func keeper(t *testing.T, a *jwkeystest.Authority, ids ...jwkeys.Identity) *jwkeys.Keeper {
 	t.Helper()
-	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
-	assert.NilError(t, os.WriteFile(path, data, 0o600))
-}
-
-func (a *authority) keeper(ids ...Identity) *Keeper {
-	a.t.Helper()
-	k := &Keeper{Port: "nodes", Files: a.issue(a.t.TempDir(), ids...)}
-	assert.NilError(a.t, k.Load())
+	k := &jwkeys.Keeper{Port: "nodes", Files: a.Issue(t.TempDir(), ids...)}
+	assert.NilError(t, k.Load())
 	return k
 }
 
 var (
-	n1 = Identity{Node: "n1", Region: "north"}
-	n2 = Identity{Node: "n2", Region: "south"}
+	n1 = jwkeys.Identity{Node: "n1", Region: "north"}
+	n2 = jwkeys.Identity{Node: "n2", Region: "south"}
 )
 
 func TestBetweenNodes(t *testing.T) {
 	// A node reaches an address that has been given to another host, or a host
 	// that is no node at all comes to a node's port. Neither may get a request:
 	// bound data would leave its region, and nobody would see it.
-	ours, theirs := newAuthority(t), newAuthority(t)
+	ours, theirs := jwkeystest.New(t), jwkeystest.New(t)
 	tests := map[string]struct {
-		server, client *Keeper
-		want           Identity
+		server, client *jwkeys.Keeper
+		want           jwkeys.Identity
 		fault          string
 	}{
-		"right node":         {ours.keeper(n1), ours.keeper(n2), n1, ""},
-		"another node":       {ours.keeper(n1), ours.keeper(n2), n2, "certificate is of n1 in north"},
-		"another region":     {ours.keeper(n1), ours.keeper(n2), Identity{"n1", "south"}, "certificate is of n1 in north"},
-		"foreign server":     {theirs.keeper(n1), ours.keeper(n2), n1, "unknown authority"},
-		"foreign client":     {ours.keeper(n1), theirs.keeper(n2), n1, "unknown"},
-		"server names none":  {ours.keeper(), ours.keeper(n2), n1, "names 0 nodes"},
-		"client names none":  {ours.keeper(n1), ours.keeper(), n1, "bad certificate"},
-		"server names two":   {ours.keeper(n1, n2), ours.keeper(n2), n1, "names 2 nodes"},
-		"nobody known there": {ours.keeper(n1), ours.keeper(n2), Identity{}, "nobody is known"},
+		"right node":         {keeper(t, ours, n1), keeper(t, ours, n2), n1, ""},
+		"another node":       {keeper(t, ours, n1), keeper(t, ours, n2), n2, "certificate is of n1 in north"},
+		"another region":     {keeper(t, ours, n1), keeper(t, ours, n2), jwkeys.Identity{"n1", "south"}, "certificate is of n1 in north"},
+		"foreign server":     {keeper(t, theirs, n1), keeper(t, ours, n2), n1, "unknown authority"},
+		"foreign client":     {keeper(t, ours, n1), keeper(t, theirs, n2), n1, "unknown"},
+		"server names none":  {keeper(t, ours), keeper(t, ours, n2), n1, "names 0 nodes"},
+		"client names none":  {keeper(t, ours, n1), keeper(t, ours), n1, "bad certificate"},
+		"server names two":   {keeper(t, ours, n1, n2), keeper(t, ours, n2), n1, "names 2 nodes"},
+		"nobody known there": {keeper(t, ours, n1), keeper(t, ours, n2), jwkeys.Identity{}, "nobody is known"},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -132,7 +66,7 @@
 
 // handshake connects two keepers and returns the first error of the client,
 // whichever end found it.
-func handshake(t *testing.T, server, client *Keeper, want Identity) error {
+func handshake(t *testing.T, server, client *jwkeys.Keeper, want jwkeys.Identity) error {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -143,7 +77,7 @@
 			return
 		}
 		defer conn.Close()
-		secure, _, err := (&Credentials{Keeper: server}).ServerHandshake(conn)
+		secure, _, err := (&jwkeys.Credentials{Keeper: server}).ServerHandshake(conn)
 		if err == nil {
 			_, _ = secure.Write([]byte("!"))
 		}
@@ -151,8 +85,8 @@
 	conn, err := net.Dial("tcp", l.Addr().String())
 	assert.NilError(t, err)
 	defer conn.Close()
-	c := &Credentials{Keeper: client, Identify: func(a netip.AddrPort) (Identity, bool) {
-		return want, want != Identity{} && a.String() == l.Addr().String()
+	c := &jwkeys.Credentials{Keeper: client, Identify: func(a netip.AddrPort) (jwkeys.Identity, bool) {
+		return want, want != jwkeys.Identity{} && a.String() == l.Addr().String()
 	}}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
@@ -165,7 +99,7 @@
 }
 
 func TestIdentityOf(t *testing.T) {
-	_, err := IdentityOf(tls.ConnectionState{})
+	_, err := jwkeys.IdentityOf(tls.ConnectionState{})
 	assert.ErrorContains(t, err, "no certificate")
 	for name, uri := range map[string]string{
 		"other scheme": "https://jujubewheel/region/r/node/n",
@@ -177,7 +111,7 @@
 		t.Run(name, func(t *testing.T) {
 			u, err := url.Parse(uri)
 			assert.NilError(t, err)
-			_, err = identityOf(&x509.Certificate{URIs: []*url.URL{u}})
+			_, err = jwkeys.IdentityOf(tls.ConnectionState{PeerCertificates: []*x509.Certificate{{URIs: []*url.URL{u}}}})
 			assert.ErrorContains(t, err, "names 0 nodes")
 		})
 	}
@@ -187,28 +121,28 @@
 	// A certificate is replaced in two steps, so that for a while its key does
 	// not fit. The old one must serve on until the new one is whole.
 	synctest.Test(t, func(t *testing.T) {
-		a := newAuthority(t)
+		a := jwkeystest.New(t)
 		dir := t.TempDir()
 		trail := &jwaudit.Trail{}
-		k := &Keeper{Port: "nodes", Files: a.issue(dir, n1), Audit: trail}
+		k := &jwkeys.Keeper{Port: "nodes", Files: a.Issue(dir, n1), Audit: trail}
 		assert.NilError(t, k.Load())
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error)
 		go func() { done <- k.Run(ctx) }()
 		serial := func() int64 {
-			time.Sleep(3 * DefaultEvery)
-			c, err := k.certificate()
+			time.Sleep(3 * jwkeys.DefaultEvery)
+			c, err := k.Server().GetCertificate(nil)
 			assert.NilError(t, err)
 			return c.Leaf.SerialNumber.Int64()
 		}
 		// From here on between two ticks: at one, the keeper would read while
 		// this writes.
-		time.Sleep(DefaultEvery / 2)
+		time.Sleep(jwkeys.DefaultEvery / 2)
 		assert.Equal(t, serial(), int64(2))
 
 		key, err := os.ReadFile(k.Files.Key)
 		assert.NilError(t, err)
-		a.issue(dir, n1)
+		a.Issue(dir, n1)
 		newKey, err := os.ReadFile(k.Files.Key)
 		assert.NilError(t, err)
 		assert.NilError(t, os.WriteFile(k.Files.Key, key, 0o600))
@@ -227,7 +161,8 @@
 }
 
 func TestServer(t *testing.T) {
-	k := newAuthority(t).keeper(n1)
+	a := jwkeystest.New(t)
+	k := keeper(t, a, n1)
 	l, err := tls.Listen("tcp", "127.0.0.1:0", k.Server())
 	assert.NilError(t, err)
 	defer l.Close()
@@ -237,9 +172,8 @@
 			conn.Close()
 		}
 	}()
-	roots := k.current.Load().authority
-	conn, err := tls.Dial("tcp", l.Addr().String(), &tls.Config{RootCAs: roots, ServerName: "127.0.0.1"})
+	conn, err := tls.Dial("tcp", l.Addr().String(), &tls.Config{RootCAs: a.Pool(), ServerName: "127.0.0.1"})
 	assert.NilError(t, err)
 	assert.NilError(t, conn.Close())
-	assert.ErrorContains(t, (&Keeper{Port: "callers"}).Load(), "load certificate: callers")
+	assert.ErrorContains(t, (&jwkeys.Keeper{Port: "callers"}).Load(), "load certificate: callers")
 }
--- /dev/null
+++ b/io/jwkeystest/doc.go
@@ -0,0 +1,2 @@
+// Package jwkeystest makes throw-away certificates for tests.
+package jwkeystest
--- /dev/null
+++ b/io/jwnode/keys_test.go
@@ -0,0 +1,70 @@
+package jwnode
+
+import (
+	"crypto/tls"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/io/jwkeys"
+	"jujubewheel/io/jwkeystest"
+	"jujubewheel/io/jwsettings"
+)
+
+// With certificates on all ports a request still finds its way to another
+// region, and the operators' port answers over TLS.
+func TestWholePathOverTLS(t *testing.T) {
+	authority := jwkeystest.New(t)
+	s := newSystem(t, "east", "west")
+	s.tls = func(name, region string) jwsettings.TLS {
+		nodes := authority.Issue(t.TempDir(), jwkeys.Identity{Node: name, Region: region})
+		operators := nodes
+		operators.Authority = ""
+		return jwsettings.TLS{Nodes: nodes, Operators: operators}
+	}
+	s.runner("east")
+	a := s.node("e1", "east")
+	b := s.node("w1", "west")
+	s.edit(a, draft())
+	s.settle(1)
+	s.await("a draft of west served by east", func() bool {
+		return s.send(b.CallersAddr(), "draft", "free-west", prompt("menu", 5, true), nil).server == "east"
+	})
+
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: authority.Pool()}}}
+	resp, err := client.Get("https://" + a.OperatorsAddr().String() + "/readyz")
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
+
+// A host that no authority of ours knows is given a node's name. The nodes must
+// not take it for one of them, or it would be sent callers' data.
+func TestForeignNode(t *testing.T) {
+	ours, theirs := jwkeystest.New(t), jwkeystest.New(t)
+	s := newSystem(t, "east")
+	s.tls = func(name, region string) jwsettings.TLS {
+		authority := ours
+		if name == "e9" {
+			authority = theirs
+		}
+		return jwsettings.TLS{Nodes: authority.Issue(t.TempDir(), jwkeys.Identity{Node: name, Region: region})}
+	}
+	a := s.node("e1", "east")
+	b := s.node("e2", "east")
+	foreign := s.node("e9", "east")
+	s.await("the two know each other", func() bool {
+		return len(a.board.Peers.Select(serves)) == 2 && len(b.board.Peers.Select(serves)) == 2
+	})
+	s.await("the foreign node serves by its own word", func() bool { return foreign.serving.Load() })
+	time.Sleep(5 * foreign.Settings.Periods.Exchange)
+	for _, n := range []*running{a, b} {
+		p, _ := n.board.Peers.Get("e9")
+		assert.Equal(t, p.Incarnation, "", "%s has heard e9", n.Settings.Node)
+	}
+}
+
+func serves(p jwpeer.Peer) bool { return p.State == jwpeer.Serving }
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -76,6 +75,7 @@
 	grpc       *grpc.Server
 	operators  *jwrest.Server
 	tracer     *jwexplain.Tracer
+	keys       keys
 	serving    atomic.Bool
 }
 
@@ -118,6 +118,9 @@
 		return errors.Wrapf(err, "listen for nodes: %s", s.Listen.Nodes)
 	}
 	n.nodes = nodes
+	if err := n.loadKeys(); err != nil {
+		return err
+	}
 	n.assemble()
 	callers := &jwlisten.Callers{
 		Dispatcher: n.dispatcher, Gate: &n.drain, Tickets: n.keeper, Ready: n.serving.Load, Log: n.Log,
@@ -128,6 +131,7 @@
 	}
 	n.callers = &jwrest.Server{
 		Name: "callers", Address: s.Listen.Callers, Handler: handler, MaxHeader: s.Limits.MaxHeader, Log: n.Log,
+		TLS: serverTLS(n.keys.callers),
 	}
 	if err := n.callers.Listen(); err != nil {
 		return err
@@ -144,7 +148,7 @@
 func (n *Node) assemble() {
 	s := n.Settings
 	n.store = &jwplatform.KeyValue{Address: s.Platform.KeyValue, Timeout: platformTimeout}
-	n.pool = &jwforward.Pool{}
+	n.pool = &jwforward.Pool{Credentials: n.nodeCredentials()}
 	n.targets = &jwtargetclient.Client{}
 	incarnation := uuid.Must(uuid.NewV7()).String()
 	n.board.Targets.Node = s.Node
@@ -155,7 +159,7 @@
 	n.board.Regions.Links = links(s)
 	n.keeper = &jwclaim.Keeper{
 		Store: n.store, Node: s.Node, Region: s.Region, Incarnation: incarnation,
-		Salt: salt(s), Peers: servingPeers{&n.board.Peers},
+		Salt: []byte(s.Claims.Salt), Peers: servingPeers{&n.board.Peers},
 		Memory: s.Claims.KeyMemory, GroupWindow: s.Claims.GroupWindow,
 	}
 	n.tracer = &jwexplain.Tracer{Node: s.Node, Region: s.Region, Now: time.Now}
@@ -186,7 +190,8 @@
 	}
 	reporter.Nudge = n.exchange.Nudge
 	server := &jwforward.Server{
-		Dispatcher: n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
+		Credentials: n.nodeCredentials(),
+		Dispatcher:  n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
 		Adopter:   n.keeper,
 		Sponsor:   &sponsor{adoptions: n.adoptions, region: s.Region, serving: n.serving.Load},
 		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
@@ -216,13 +221,6 @@
 	n.acceptance = &jwcatalogue.Acceptance{Store: n.store}
 }
 
-// salt hides keys in the platform's service. All nodes must have the same; it
-// is made from the operators' token until the settings name one of its own.
-func salt(s *jwsettings.Settings) []byte {
-	sum := sha256.Sum256([]byte("claims\x00" + s.Operators.Token))
-	return sum[:]
-}
-
 func links(s *jwsettings.Settings) map[string]jwrouter.Link {
 	out := make(map[string]jwrouter.Link)
 	for _, r := range s.Regions {
@@ -279,7 +277,7 @@
 	}
 	for _, run := range []func(context.Context) error{
 		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.gatherer.Run, n.keeper.Run, n.tellRevision, n.tend,
-		n.observer().Run,
+		n.observer().Run, n.keys.run,
 	} {
 		g.Go(func() error { return run(ctx) })
 	}
--- a/io/jwnode/operators.go
+++ b/io/jwnode/operators.go
@@ -22,6 +22,7 @@
 	}
 	n.operators = &jwrest.Server{
 		Name: "operators", Address: s.Listen.Operators, Handler: handler, MaxHeader: s.Limits.MaxHeader, Log: n.Log,
+		TLS: serverTLS(n.keys.operators),
 	}
 	return n.operators.Listen()
 }
--- a/io/jwnode/system_test.go
+++ b/io/jwnode/system_test.go
@@ -34,6 +34,7 @@
 	nodes    map[string]*running
 	groups   []jwstand.HostGroup
 	regions  []string
+	tls      func(name, region string) jwsettings.TLS // nil for plain ports
 }
 
 // running is a node with what stops it.
@@ -116,6 +117,9 @@
 		name, region, region+"-1", s.kvStand.Address, s.hostsAt, s.clientAt, s.regionList())
 	settings, err := jwsettings.Parse([]byte(text))
 	assert.NilError(s.t, err)
+	if s.tls != nil {
+		settings.TLS = s.tls(name, region)
+	}
 	n := &running{Node: &Node{Settings: settings, Log: logr.Discard()}, done: make(chan error, 1)}
 	assert.NilError(s.t, n.Listen())
 	ctx, cancel := context.WithCancel(context.Background())
