--- /dev/null
+++ b/cmd/jujubewheel/stop_test.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/io/jwstand"
+)
+
+// A node is stopped, twice even, while a draft of many seconds is written.
+// go-zero ends a process 5.5 s after SIGTERM by itself; the caller would lose
+// the rest of the draft. The whole draft must come, and only then may the node
+// end, with success.
+func TestLongStop(t *testing.T) {
+	f := newFleet(t, "east")
+	runner := f.target("runner", "writer", "east", "--token", "100ms")
+	n := f.node("e1", "east")
+	f.fill()
+	f.await("a draft is served", func() bool {
+		return send(n.Callers, "draft", "free-east", prompt("ready?", 1, true)).whole()
+	})
+	before := len(f.runs(runner))
+	answer := make(chan reply, 1)
+	go func() { answer <- send(n.Callers, "draft", "free-east", prompt("menu", 90, true)) }()
+	f.await("the draft runs", func() bool {
+		runs := f.runs(runner)
+		return len(runs) > before && runs[len(runs)-1].State == jwstand.Running
+	})
+	n.signal(syscall.SIGTERM)
+	n.signal(syscall.SIGTERM)
+	r := <-answer
+	assert.Assert(t, r.whole(), "%+v", r)
+	<-n.ended
+	assert.Equal(t, n.cmd.ProcessState.ExitCode(), 0)
+}
