jwrest, jujubewheel: what go-zero's forced stop really does

With the setting of go-zero's wait taken out the test passes too, since go-zero only sends SIGTERM again and the program still catches it. So the setting guards programs that have let go of the signal, and the test shows that neither this nor a second signal cuts a draft of 9 s; the comments now say so.

--- a/cmd/jujubewheel/stop_test.go
+++ b/cmd/jujubewheel/stop_test.go
@@ -9,9 +9,9 @@
 	"jujubewheel/io/jwstand"
 )
 
-// A node is stopped, twice even, while a draft of many seconds is written.
-// go-zero ends a process 5.5 s after SIGTERM by itself; the caller would lose
-// the rest of the draft. The whole draft must come, and only then may the node
+// A node is stopped, twice even, while a draft of many seconds is written. A
+// second signal, or the one that go-zero sends after 5.5 s by default, must not
+// cost the caller the rest: the whole draft comes, and only then does the node
 // end, with success.
 func TestLongStop(t *testing.T) {
 	f := newFleet(t, "east")
--- a/io/jwrest/handler.go
+++ b/io/jwrest/handler.go
@@ -16,9 +16,9 @@
 	"github.com/zeromicro/go-zero/rest/router"
 )
 
-// forceQuit is how long go-zero waits after SIGTERM before it kills the
-// process. Its own 5.5 s would cut streams that a planned stop lets finish;
-// the node's drain limit ends the process long before this.
+// forceQuit is how long go-zero waits after SIGTERM before it signals the
+// process once more. Its own 5.5 s would end a program that no longer catches
+// the signal then, and with it the streams that a planned stop lets finish.
 const forceQuit = 30 * 24 * time.Hour
 
 var quietOnce sync.Once
