jwdispatch: count requests whose callers went away

When a caller closed its connection while a whole answer was written, the request ended without being counted, and its trace, holding the request with its body, stayed among the running ones; after 4,096 of these a node would have kept no trace any more. Serve now counts it as callerGone.

--- a/core/jwdispatch/answer.go
+++ b/core/jwdispatch/answer.go
@@ -34,6 +34,7 @@
 	ReasonLeaving     Reason = "leaving"
 	ReasonBody        Reason = "body"
 	ReasonHeader      Reason = "header"
+	ReasonCaller      Reason = "callerGone" // only for counters and traces
 )
 
 // UnknownLength marks an answer whose length is known only at its end.
--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -79,6 +79,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, r *jwrequest.Request, sink Sink) {
 	j := &job{Dispatcher: d, request: r, forwarded: len(r.Hops) > 0}
 	j.sink = &ending{Sink: sink, job: j, began: d.Now()}
+	defer j.sink.abandon()
 	if refusal, refused := j.prepare(); refused {
 		j.sink.refuse(refusal)
 		return
--- a/core/jwdispatch/ending.go
+++ b/core/jwdispatch/ending.go
@@ -48,6 +48,17 @@
 	return e.Sink.End(end)
 }
 
+// abandon counts a request whose caller went away before the end of its answer.
+// Uncounted, it would be missing from the totals, and its trace, body and all,
+// would be held for ever.
+func (e *ending) abandon() {
+	if e.ended {
+		return
+	}
+	e.ended = true
+	e.job.note(jwrequest.Unknown, ReasonCaller, e.servedBy)
+}
+
 func (e *ending) measure() {
 	now := e.job.Now()
 	if e.first.IsZero() {
