--- /dev/null
+++ b/core/jwcatalogue/acceptance_test.go
@@ -0,0 +1,235 @@
+package jwcatalogue
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwpeer"
+)
+
+// north returns the two nodes of a region, the gatherer first.
+func (s *system) north() (gatherer, other *node) {
+	s.round()
+	gatherer, other = s.nodes["n0"], s.nodes["n1"]
+	if GathererOf(gatherer.Peers(), "north") == "n1" {
+		gatherer, other = other, gatherer
+	}
+	return gatherer, other
+}
+
+func (s *system) edit(t *testing.T, n *node) uint64 {
+	t.Helper()
+	s.edits++
+	d := &Editor{Store: link{s.store, n}, Table: n.table, Retry: 1}
+	res, err := d.Put(t.Context(), edit(fmt.Sprintf("e%d", s.edits), "status", n.table.Current().Revisions["status"]))
+	assert.NilError(t, err)
+	return res.Revision
+}
+
+func (s *system) accepted(t *testing.T, n *node, revision uint64) Status {
+	t.Helper()
+	status, err := n.accept.Check(t.Context(), revision)
+	assert.NilError(t, err)
+	return status
+}
+
+func (s *system) gather(t *testing.T, n *node) {
+	t.Helper()
+	s.now = s.now.Add(time.Second)
+	assert.NilError(t, n.gatherer.Step(t.Context(), s.now))
+}
+
+func TestAcceptedWhenAllHaveIt(t *testing.T) {
+	s := newSystem(nil, t)
+	g, other := s.north()
+	n := s.edit(t, g)
+	other.frozen = true
+	s.round()
+	assert.DeepEqual(t, s.accepted(t, g, n), Status{Revision: n, Missing: []Missing{{Region: "north", Names: []string{other.peer.Name}}}})
+	other.frozen = false
+	s.round()
+	assert.Assert(t, s.accepted(t, g, n).Accepted)
+}
+
+func TestNodeJoinsWhileMembersAreRead(t *testing.T) {
+	// A node registers, reads the head and serves just after the gatherer has
+	// read the members. A change is made then. Were the gatherer to speak for
+	// that change, it would be accepted and not hold at the new node.
+	s := newSystem(nil, t)
+	g, other := s.north()
+	n := s.edit(t, other)
+	s.store.listed = func() {
+		s.store.listed = nil
+		s.start("n2")
+		n = s.edit(t, other)
+		assert.NilError(t, g.members.Follower.CatchUp(t.Context()))
+	}
+	assert.NilError(t, g.members.Follower.CatchUp(t.Context()))
+	s.gather(t, g)
+	assert.Equal(t, g.table.Revision(), n)
+	assert.Equal(t, s.nodes["n2"].table.Revision(), n-1)
+	g.learn([]jwpeer.Peer{other.self()})
+	s.gather(t, g)
+	for _, name := range []string{"s0", "s1"} {
+		assert.NilError(t, s.nodes[name].members.Follower.CatchUp(t.Context()))
+	}
+	s.nodes["s0"].learn([]jwpeer.Peer{s.nodes["s1"].self()})
+	s.nodes["s1"].learn([]jwpeer.Peer{s.nodes["s0"].self()})
+	s.gather(t, s.nodes["s0"])
+	s.gather(t, s.nodes["s1"])
+	status := s.accepted(t, g, n)
+	assert.DeepEqual(t, status.Missing, []Missing{{Region: "north", Names: []string{"n2"}}})
+	s.round()
+	assert.Assert(t, s.accepted(t, g, n).Accepted)
+}
+
+func TestRestartedNodeIsAnother(t *testing.T) {
+	// A node had confirmed more than it has after its restart: it came up
+	// behind a cut of the service, from a peer that was behind.
+	s := newSystem(nil, t)
+	g, other := s.north()
+	n := s.edit(t, g)
+	stale := other.self()
+	stale.Revision, stale.Incarnation = n, "#000"
+	stale.Sequence += 10
+	g.peers[other.peer.Name] = stale
+	s.gather(t, g)
+	status := s.accepted(t, g, n)
+	assert.Equal(t, status.Missing[0].Names[0], other.peer.Name)
+}
+
+func TestRestartDuringCountOut(t *testing.T) {
+	// A node has left by itself and its record is about to be deleted when it
+	// starts anew under the same name. Without its record the node would
+	// serve and no change would wait for it.
+	s := newSystem(nil, t)
+	g, other := s.north()
+	left := other.self()
+	left.State = jwpeer.Gone
+	g.learn([]jwpeer.Peer{left})
+	g.gatherer.members = nil
+	s.store.listed = func() {
+		s.store.listed = nil
+		s.start(other.peer.Name)
+	}
+	s.gather(t, g)
+	assert.Equal(t, len(s.store.keys(membersOf("north"))), 2)
+}
+
+func TestNoResidueOfRestarts(t *testing.T) {
+	s := newSystem(nil, t)
+	s.edit(t, s.nodes["n0"])
+	s.round()
+	before := s.store.keys("")
+	for range 50 {
+		s.start("n1")
+		s.round()
+	}
+	left := s.nodes["s1"]
+	assert.NilError(t, left.members.Leave(t.Context()))
+	delete(s.nodes, "s1")
+	s.round()
+	assert.Equal(t, len(s.store.keys(MembersPrefix)), 3)
+	assert.Equal(t, len(s.store.keys("")), len(before)-1)
+	for _, n := range s.nodes {
+		n.adoptions.Tidy()
+		assert.Assert(t, !n.adoptions.Open())
+	}
+}
+
+func TestJoinThroughPeer(t *testing.T) {
+	// The service is away and a new node starts: it takes the log from a peer
+	// and serves. When the service is back for the others only, a change must
+	// not be accepted before the new node has it, also if only its sponsor
+	// knows of it.
+	s := newSystem(nil, t)
+	g, other := s.north()
+	s.store.setDown(true)
+	s.start("n2")
+	n2 := s.nodes["n2"]
+	assert.Equal(t, n2.peer.State, jwpeer.Serving)
+	assert.Assert(t, !n2.members.Registered())
+	sponsor := s.nodes["n0"]
+	assert.Assert(t, sponsor.adoptions.Open())
+
+	s.store.setDown(false)
+	n := s.edit(t, other)
+	n2.frozen = true
+	s.round()
+	s.round()
+	assert.DeepEqual(t, s.accepted(t, g, n).Missing, []Missing{{Region: "north", Names: []string{"n0"}}})
+
+	// The sponsor does not leave either while it is depended on.
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorContains(t, sponsor.members.Leave(ctx), "depend on this one")
+
+	// When the new node told others of itself, they wait for it too.
+	other.learn([]jwpeer.Peer{n2.self()})
+	g.learn([]jwpeer.Peer{n2.self()})
+	sponsor.adoptions.Release(n2.members.Member)
+	s.round()
+	assert.DeepEqual(t, s.accepted(t, g, n).Missing, []Missing{{Region: "north", Names: []string{"n2"}}})
+
+	n2.frozen = false
+	assert.NilError(t, n2.members.keep(t.Context()))
+	assert.Assert(t, n2.members.Registered())
+	assert.Equal(t, n2.table.Revision(), n)
+	s.round()
+	assert.Assert(t, s.accepted(t, g, n).Accepted)
+}
+
+func TestSponsorIsReleasedAfterTheHeadIsRead(t *testing.T) {
+	// A node that joined through a peer registers. Its sponsor must answer
+	// for it until it has read the head: the gatherer may have read the
+	// members before.
+	s := newSystem(nil, t)
+	g, other := s.north()
+	s.store.setDown(true)
+	s.start("n2")
+	s.store.setDown(false)
+	n2, sponsor := s.nodes["n2"], s.nodes["n0"]
+	n := s.edit(t, other)
+	s.store.before = func() {
+		if n2.table.Revision() < n {
+			assert.Equal(t, sponsor.adoptions.Confirmed(), uint64(0))
+		}
+	}
+	assert.NilError(t, sponsor.members.Follower.CatchUp(t.Context()))
+	assert.NilError(t, g.members.Follower.CatchUp(t.Context()))
+	assert.NilError(t, n2.members.keep(t.Context()))
+	assert.Equal(t, sponsor.adoptions.Confirmed(), n)
+}
+
+func TestAdoptionEnds(t *testing.T) {
+	// An adopted node dies before it has its record. Its sponsor must not
+	// keep every later change waiting.
+	tests := map[string]struct {
+		state       jwpeer.State
+		incarnation string
+		open        bool
+	}{
+		"serving":                {jwpeer.Serving, "b", true},
+		"gone":                   {jwpeer.Gone, "b", false},
+		"started anew":           {jwpeer.Joining, "c", false},
+		"news of an earlier one": {jwpeer.Gone, "a", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &fixedPeers{{Name: "n1", Incarnation: "a"}}
+			a := &Adoptions{Table: new(Table), Peers: p}
+			a.Adopt(Member{Name: "n1", Region: "north", Incarnation: "b"}, 0)
+			(*p)[0].State, (*p)[0].Incarnation = tt.state, tt.incarnation
+			a.Tidy()
+			assert.Equal(t, a.Open(), tt.open)
+		})
+	}
+}
+
+type fixedPeers []jwpeer.Peer
+
+func (p *fixedPeers) Peers() []jwpeer.Peer { return *p }
--- /dev/null
+++ b/core/jwcatalogue/departure_test.go
@@ -0,0 +1,60 @@
+package jwcatalogue
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwhost"
+)
+
+// hostLists gives one list after the other.
+type hostLists struct {
+	names []string
+	taken time.Time
+}
+
+func (h *hostLists) Hosts() ([]jwhost.Host, time.Time) {
+	var hosts []jwhost.Host
+	for _, name := range h.names {
+		hosts = append(hosts, jwhost.Host{Name: name, Role: jwhost.Entry, Region: regionOfName(name)})
+	}
+	return hosts, h.taken
+}
+
+func TestDepartures(t *testing.T) {
+	// The list is read every 40 s, its lag is a minute. Whoever is counted
+	// out too early goes on serving an old catalogue after a change was
+	// accepted; whoever is never counted out keeps every change waiting.
+	tests := map[string]struct {
+		lists []string // names listed, one list after the other
+		ask   string   // incarnation of n1 asked about after each list
+		want  bool     // whether n1 is gone after the last
+	}{
+		"listed":                       {[]string{"n0 n1", "n0 n1", "n0 n1"}, "aaa", false},
+		"dropped for long":             {[]string{"n0 n1", "n0", "n0", "n0"}, "aaaa", true},
+		"dropped for less":             {[]string{"n0 n1", "n0", "n0"}, "aaa", false},
+		"back in between":              {[]string{"n0", "n0", "n0 n1", "n0", "n0"}, "aaaaa", false},
+		"whole region":                 {[]string{"n0 n1 s0", "s0", "s0", "s0", "s0"}, "aaaaa", false},
+		"region comes back one by one": {[]string{"n0", "s0", "s0", "s0", "n0"}, "aaaaa", false},
+		"later still without it":       {[]string{"n0", "s0", "s0", "n0", "n0", "n0"}, "aaaaaa", true},
+		"started anew, list is behind": {[]string{"n0", "n0", "n0", "n0"}, "aaab", false},
+		"list is not read":             {[]string{"n0", "", "", ""}, "aaaa", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &hostLists{taken: time.Unix(1000, 0)}
+			d := &Departures{Hosts: h, Lag: time.Minute}
+			var got bool
+			for i, list := range tt.lists {
+				if list != "" {
+					h.names, h.taken = strings.Fields(list), h.taken.Add(40*time.Second)
+				}
+				got = d.Gone(Member{Name: "n1", Region: "north", Incarnation: tt.ask[i : i+1]})
+			}
+			assert.Equal(t, got, tt.want)
+		})
+	}
+}
--- a/core/jwcatalogue/editor_test.go
+++ b/core/jwcatalogue/editor_test.go
@@ -150,10 +150,18 @@
 	// An editor is paused between reading the head and writing. Meanwhile the
 	// others write on, and its number is trimmed away, so that the service
 	// lets it create the key anew. Believed, its edit would be reported as
-	// done and be in force nowhere.
+	// done; a node that was frozen as long would even apply it.
 	s := new(fakeStore)
-	paused, other := editor(s), editor(s)
+	paused, other, frozen := editor(s), editor(s), editor(s)
 	other.Keep = 10
+	put := func(d *Editor, i int) {
+		_, err := d.Put(t.Context(), edit(fmt.Sprintf("e%d", i), fmt.Sprintf("entry-%d", i), 0))
+		assert.NilError(t, err)
+	}
+	for i := range 40 {
+		put(other, i)
+	}
+	put(frozen, 40)
 	hold, held := make(chan struct{}), make(chan struct{})
 	s.hold, s.held = hold, held
 	result := make(chan error)
@@ -162,16 +170,47 @@
 		result <- err
 	}()
 	<-held
-	for i := range 300 {
-		_, err := other.Put(t.Context(), edit(fmt.Sprintf("e%d", i), fmt.Sprintf("entry-%d", i), 0))
-		assert.NilError(t, err)
+	for i := range 89 {
+		put(other, 41+i)
 	}
+	assert.Equal(t, other.Table.Revision(), uint64(130))
 	close(hold)
 	assert.ErrorIs(t, <-result, jwstore.ErrUnknown)
+	assert.Equal(t, s.keys(ChangesPrefix)[0], ChangeKey(42))
 
-	reader := editor(s)
-	_, err := reader.Put(t.Context(), edit("next", "other", 0))
-	assert.NilError(t, err)
-	_, _, ok := reader.Table.Current().Entry("status")
+	f := &Follower{Store: s, Table: frozen.Table}
+	assert.NilError(t, f.CatchUp(t.Context()))
+	_, _, ok := f.Table.Current().Entry("status")
 	assert.Assert(t, !ok)
+	assert.Equal(t, f.Table.Revision(), uint64(130))
+}
+
+func TestTrimIsAnnounced(t *testing.T) {
+	// A change that is gone from the service while no mark says so could be
+	// created anew by an editor that was paused, unseen by its check.
+	s := new(fakeStore)
+	d := editor(s)
+	d.Keep = 10
+	gone := 0
+	s.before = func() {
+		item := s.items[LogKey]
+		var m logMark
+		if item.Value != nil {
+			assert.NilError(t, decodeStrict(item.Value, &m))
+		}
+		for n := m.Trimmed + 1; n <= d.Table.Revision(); n++ {
+			_, ok := s.items[ChangeKey(n)]
+			assert.Assert(t, ok, "change %d is gone, the mark says %d", n, m.Trimmed)
+		}
+		for n := uint64(1); n <= m.Swept; n++ {
+			_, ok := s.items[ChangeKey(n)]
+			assert.Assert(t, !ok, "change %d is left, the mark says %d", n, m.Swept)
+			gone++
+		}
+	}
+	for i := range 300 {
+		_, err := d.Put(t.Context(), edit(fmt.Sprintf("e%d", i), "status", uint64(i)))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, gone > 0)
 }
--- a/core/jwcatalogue/store_test.go
+++ b/core/jwcatalogue/store_test.go
@@ -17,6 +17,8 @@
 	// before is called ahead of each call takes effect, for other things to
 	// happen in between.
 	before func()
+	// listed is called after a list was taken, before its caller has it.
+	listed func()
 	// created is told of every key that is created.
 	created func(key string, value []byte)
 
@@ -91,6 +93,11 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b jwstore.Item) int { return strings.Compare(a.Key, b.Key) })
+	if s.listed != nil {
+		s.mu.Unlock()
+		s.listed()
+		s.mu.Lock()
+	}
 	return items, nil
 }
 
--- a/core/jwcatalogue/system_test.go
+++ b/core/jwcatalogue/system_test.go
@@ -19,7 +19,8 @@
 
 // system is a whole of nodes in two regions, driven step by step.
 type system struct {
-	t        *rapid.T
+	t        *rapid.T // nil where nothing is drawn
+	tb       failer
 	store    *fakeStore
 	oracle   oracle
 	now      time.Time
@@ -34,6 +35,10 @@
 	busy     map[string]bool // nodes within a call
 }
 
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
 // node is one process.
 type node struct {
 	sys       *system
@@ -56,13 +61,13 @@
 	accepted uint64
 }
 
-func (o *oracle) created(t *rapid.T, key string, value []byte) {
+func (o *oracle) created(t failer, key string, value []byte) {
 	if !strings.HasPrefix(key, ChangesPrefix) {
 		return
 	}
 	c, err := ParseChange(value)
 	if err != nil {
-		t.Fatal(err)
+		t.Fatalf("created %s: %v", key, err)
 	}
 	if c.N <= uint64(len(o.log)) {
 		return // created anew after it was trimmed; nobody may apply it
@@ -73,7 +78,7 @@
 	o.log = append(o.log, c)
 }
 
-func (o *oracle) check(t *rapid.T, n *node) {
+func (o *oracle) check(t failer, n *node) {
 	id, now := n.peer.Name+n.peer.Incarnation, n.table.Current()
 	if now.Revision < o.had[id] {
 		t.Fatalf("%s went back from %d to %d", id, o.had[id], now.Revision)
@@ -98,13 +103,13 @@
 	}
 }
 
-func newSystem(t *rapid.T) *system {
+func newSystem(t *rapid.T, tb failer) *system {
 	s := &system{
-		t: t, store: new(fakeStore), now: time.Unix(1000, 0), nodes: make(map[string]*node),
+		t: t, tb: tb, store: new(fakeStore), now: time.Unix(1000, 0), nodes: make(map[string]*node),
 		cut: make(map[string]bool), busy: make(map[string]bool), oracle: oracle{had: make(map[string]uint64)},
 	}
 	s.sawEntry[0], s.sawEntry[1] = make(map[string]uint64), make(map[string]uint64)
-	s.store.created = func(key string, value []byte) { s.oracle.created(s.t, key, value) }
+	s.store.created = func(key string, value []byte) { s.oracle.created(s.tb, key, value) }
 	for _, name := range []string{"n0", "n1", "s0", "s1"} {
 		s.start(name)
 	}
@@ -247,6 +252,17 @@
 	return nil
 }
 
+// pick draws evenly from 0 to n-1; rapid's own ranges prefer the low end, and
+// most of the sequences would then be of a system that is down.
+func pick(t *rapid.T, label string, n int) int {
+	x := rapid.Uint64().Draw(t, label) * 0x9e3779b97f4a7c15
+	return int((x >> 32) % uint64(n))
+}
+
+func sample[T any](t *rapid.T, label string, from ...T) T {
+	return from[pick(t, label, len(from))]
+}
+
 // any draws a running node that is not within a call.
 func (s *system) any(label string, fits func(n *node) bool) *node {
 	var names []string
@@ -258,7 +274,7 @@
 	if len(names) == 0 {
 		return nil
 	}
-	return s.nodes[rapid.SampledFrom(names).Draw(s.t, label)]
+	return s.nodes[sample(s.t, label, names...)]
 }
 
 func awake(n *node) bool { return !n.frozen }
@@ -295,15 +311,15 @@
 	if n == nil {
 		return
 	}
-	who := rapid.IntRange(0, 1).Draw(s.t, "operator")
-	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(s.t, "entry")
+	who := pick(s.t, "operator", 2)
+	name := sample(s.t, "entry", "a", "b", "c")
 	s.edits++
 	e := edit(fmt.Sprintf("e%d", s.edits), name, s.sawEntry[who][name])
-	if rapid.IntRange(0, 5).Draw(s.t, "remove") == 0 {
+	if pick(s.t, "remove", 6) == 0 {
 		e.After = nil
 	}
-	s.store.loseReplies = rapid.SampledFrom([]int{0, 0, 1, 2}).Draw(s.t, "lost")
-	s.store.dropWrites = rapid.SampledFrom([]int{0, 0, 1, 9}).Draw(s.t, "dropped")
+	s.store.loseReplies = sample(s.t, "lost", 0, 0, 1, 2)
+	s.store.dropWrites = sample(s.t, "dropped", 0, 0, 1, 9)
 	d := &Editor{Store: link{s.store, n}, Table: n.table, Retry: 1, Keep: 6}
 	res, err := d.Put(context.Background(), e)
 	s.store.loseReplies, s.store.dropWrites = 0, 0
@@ -311,7 +327,7 @@
 	switch {
 	case err == nil:
 		if c := s.oracle.log[res.Revision-1]; c.EditID != e.EditID {
-			s.t.Fatalf("edit %s is told change %d, which is of %s", e.EditID, res.Revision, c.EditID)
+			s.tb.Fatalf("edit %s is told change %d, which is of %s", e.EditID, res.Revision, c.EditID)
 		}
 		s.sawEntry[who][name] = 0
 		if e.After != nil {
@@ -325,7 +341,7 @@
 	}
 	for _, c := range s.oracle.log {
 		if c.EditID == e.EditID {
-			s.t.Fatalf("edit %s failed with %v and is change %d", e.EditID, err, c.N)
+			s.tb.Fatalf("edit %s failed with %v and is change %d", e.EditID, err, c.N)
 		}
 	}
 }
@@ -335,16 +351,32 @@
 	if n == nil || len(s.oracle.log) == 0 {
 		return
 	}
-	revision := uint64(rapid.IntRange(1, len(s.oracle.log)).Draw(s.t, "revision"))
+	revision := uint64(len(s.oracle.log) - pick(s.t, "back", min(3, len(s.oracle.log))))
+	before := s.oracle.accepted
 	status, err := n.accept.Check(context.Background(), revision)
-	if err == nil && !status.Accepted && revision <= s.oracle.accepted {
-		s.t.Fatalf("%d was accepted and is no more: %v", revision, status.Missing)
+	if err == nil && !status.Accepted && revision <= before {
+		s.tb.Fatalf("%d was accepted and is no more: %v", revision, status.Missing)
 	}
 	if status.Accepted {
 		s.oracle.accepted = max(s.oracle.accepted, revision)
 	}
 }
 
+// round is what the healthy part of the system does within a second or two.
+func (s *system) round() {
+	ctx := context.Background()
+	s.now = s.now.Add(time.Second)
+	s.each(func(n *node) { s.within(n, func() { _ = n.members.Follower.CatchUp(ctx) }) })
+	s.each(func(a *node) {
+		s.each(func(b *node) {
+			if a != b && s.linked(a, b) {
+				a.learn(b.Peers())
+			}
+		})
+	})
+	s.each(func(n *node) { s.within(n, func() { _ = n.gatherer.Step(ctx, s.now) }) })
+}
+
 // within runs a node's own call, in which others may act.
 func (s *system) within(n *node, call func()) {
 	if n == nil {
@@ -379,7 +411,7 @@
 			// What a peer gave a while ago arrives late.
 			from, to := s.any("from", awake), s.any("to", awake)
 			if from != nil && to != nil && len(s.oracle.log) > 0 {
-				old := s.oracle.log[rapid.IntRange(0, int(from.table.Revision())).Draw(s.t, "old"):from.table.Revision()]
+				old := s.oracle.log[pick(s.t, "old", int(from.table.Revision())+1):from.table.Revision()]
 				_ = to.table.take(old[:min(len(old), 2)], nil)
 			}
 		},
@@ -395,10 +427,19 @@
 			n := s.any("gatherer", awake)
 			s.within(n, func() { _ = n.gatherer.Step(ctx, s.now) })
 		},
+		"round": s.round,
+		"heal": func() {
+			clear(s.cut)
+			s.store.setDown(false)
+			for _, n := range s.nodes {
+				n.frozen = false
+			}
+		},
 		"keep":   func() { n := s.any("member", serving); s.within(n, func() { _ = n.members.keep(ctx) }) },
 		"tidy":   func() { s.each(func(n *node) { n.adoptions.Tidy() }) },
 		"list":   s.refreshList,
-		"freeze": func() { s.any("frozen", func(*node) bool { return true }).toggle() },
+		"freeze": func() { s.any("frozen", awake).freeze(true) },
+		"thaw":   func() { s.any("thawed", func(n *node) bool { return n.frozen }).freeze(false) },
 		"kill":   func() { s.stop(s.any("killed", func(*node) bool { return true })) },
 		"leave": func() {
 			n := s.any("leaving", serving)
@@ -415,7 +456,7 @@
 			delete(s.nodes, n.peer.Name)
 		},
 		"start": func() {
-			name := rapid.SampledFrom([]string{"n0", "n1", "n2", "s0", "s1"}).Draw(s.t, "name")
+			name := sample(s.t, "name", "n0", "n1", "n2", "s0", "s1")
 			if s.nodes[name] == nil && !s.busy[name] {
 				s.busy[name] = true
 				s.start(name)
@@ -427,16 +468,23 @@
 			s.within(n, func() { s.join(n) })
 		},
 		"cut": func() {
-			region := rapid.SampledFrom([]string{"north", "south"}).Draw(s.t, "region")
-			s.cut[region] = !s.cut[region]
+			region := sample(s.t, "region", "north", "south")
+			s.cut[region] = true
 		},
-		"down": func() { s.store.setDown(!s.store.down) },
+		"mend": func() { clear(s.cut) },
+		"down": func() { s.store.setDown(true) },
+		"up":   func() { s.store.setDown(false) },
 	}
 }
 
-func (n *node) toggle() {
+// often holds the names of the actions, each as often as its weight.
+var often = strings.Fields(strings.Repeat("put accept gather round ", 5) +
+	strings.Repeat("accept gather exchange heal read keep retryJoin start up mend ", 3) +
+	"copy copyStale tidy list list freeze thaw thaw kill kill leave cut down")
+
+func (n *node) freeze(frozen bool) {
 	if n != nil {
-		n.frozen = !n.frozen
+		n.frozen = frozen
 	}
 }
 
@@ -450,7 +498,7 @@
 
 func (s *system) check() {
 	for _, name := range slices.Sorted(maps.Keys(s.nodes)) {
-		s.oracle.check(s.t, s.nodes[name])
+		s.oracle.check(s.tb, s.nodes[name])
 	}
 }
 
@@ -460,23 +508,21 @@
 	// of each other's calls. A user would notice a fault as a change that was
 	// accepted and does not hold at some node.
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSystem(t)
+		s := newSystem(t, t)
 		actions := s.actions()
-		names := slices.Sorted(maps.Keys(actions))
-		weighted := append(names, "put", "put", "accept", "accept", "gather", "gather", "gather", "exchange", "exchange", "exchange", "start", "read", "keep")
 		run := func() {
-			actions[rapid.SampledFrom(weighted).Draw(t, "action")]()
+			actions[sample(t, "action", often...)]()
 			s.check()
 		}
 		s.store.before = func() {
-			if s.depth >= 2 || rapid.IntRange(0, 3).Draw(t, "between") != 0 {
+			if s.depth >= 2 || pick(t, "between", 8) != 0 {
 				return
 			}
 			s.depth++
 			run()
 			s.depth--
 		}
-		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+		for range sample(t, "steps", 50, 100, 200) {
 			run()
 			s.settle()
 			s.check()
