--- a/core/jwlimit/admission.go
+++ b/core/jwlimit/admission.go
@@ -23,8 +23,8 @@
 }
 
 var ceilings = map[jwcatalogue.Class]ceiling{
-	jwcatalogue.Draft:        {node: 0.8, queue: 2},
-	jwcatalogue.Lookup:       {node: 0.9, queue: 3},
+	jwcatalogue.Draft:        {node: 0.8, queue: 1.6},
+	jwcatalogue.Lookup:       {node: 0.9, queue: 2.6},
 	jwcatalogue.Confirmation: {node: 1, queue: 5},
 }
 
--- a/core/jwrouter/regions.go
+++ b/core/jwrouter/regions.go
@@ -46,10 +46,10 @@
 type Regions struct {
 	Links   map[string]Link
 	LoadFor time.Duration
-	Nodes   int // nodes of this region that send away as this one does, 0 for one
 
-	mu   sync.Mutex
-	told map[string][]Load // by service
+	mu    sync.Mutex
+	nodes int               // of this region, which send away as this one does
+	told  map[string][]Load // by service
 }
 
 // Tell takes over a region's word unless a newer one is known.
@@ -72,6 +72,14 @@
 	t.told[load.Service] = append(list, load)
 }
 
+// SetNodes takes over how many nodes of this region send requests away; each
+// takes the others to send as many as it does itself.
+func (t *Regions) SetNodes(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nodes = n
+}
+
 // Sent notes a request sent away. Without it, every request of the time
 // between two reports would go to the region that last said it was idle.
 func (t *Regions) Sent(region, service string) {
@@ -80,7 +88,7 @@
 	list := t.told[service]
 	for i := range list {
 		if list[i].Region == region {
-			list[i].sent += max(t.Nodes, 1)
+			list[i].sent += max(t.nodes, 1)
 		}
 	}
 }
--- a/io/jwbench/path.go
+++ b/io/jwbench/path.go
@@ -35,6 +35,9 @@
 	if q.poison {
 		step = q.tries
 	}
+	if w.policy.anyNode {
+		step = w.rnd.IntN(len(nodes))
+	}
 	n := nodes[(q.space+step)%len(nodes)]
 	q.tries++
 	q.away = false
--- a/io/jwbench/policies.go
+++ b/io/jwbench/policies.go
@@ -98,6 +98,7 @@
 			policies = append(policies, policy{name: fmt.Sprintf("subset%d/%v", n, report), subset: n, report: report})
 		}
 	}
+	policies = append(policies, policy{name: "subset16/anyNode", subset: 16, anyNode: true})
 	policies = append(policies, policy{name: "random", choose: chooseRandom, subset: -1})
 	return errors.Wrap(table(w, d, s, policies, seeds), "table: subsets")
 }
--- a/io/jwbench/policy.go
+++ b/io/jwbench/policy.go
@@ -18,6 +18,7 @@
 	limiter    jwlimit.Policy
 	subset     int           // targets of a service that a node uses, 0 for the usual number
 	report     time.Duration // between load reports, 0 for reportEvery
+	anyNode    bool          // callers come to any node, not to the one of their workspace
 	noSuspects bool
 	noSecond   bool // what this region has no room for is refused, not placed once more
 	// choose returns the target of a request by a simple rule.
--- a/io/jwbench/world.go
+++ b/io/jwbench/world.go
@@ -167,8 +167,9 @@
 		n.targets.Set(list, w.now)
 		n.router = &jwrouter.Router{
 			Region: region.Name, DataCentre: region.Name, Targets: n.targets,
-			Regions: &jwrouter.Regions{Links: links, Nodes: region.Nodes}, Policy: w.policy.router,
+			Regions: &jwrouter.Regions{Links: links}, Policy: w.policy.router,
 		}
+		n.router.Regions.SetNodes(region.Nodes)
 		n.limiter = &jwlimit.Limiter{Node: name, Policy: w.policy.limiter}
 		n.limiter.SetMembers(names)
 		n.suspects = &jwsuspect.Table{Node: name, Region: region.Name}
