--- a/core/jwlimit/share.go
+++ b/core/jwlimit/share.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"jujubewheel/core/jwcatalogue"
 	"jujubewheel/core/jwtarget"
 )
@@ -200,7 +198,7 @@
 func split(parts []part, total float64, name string, concurrent int) {
 	even := 1 / float64(len(parts))
 	left := concurrent
-	entry := xxhash.Sum64String(name)
+	entry := jwtarget.NameKey(name)
 	for i := range parts {
 		p := &parts[i]
 		p.fraction = even
@@ -210,7 +208,7 @@
 		exact := p.fraction * float64(concurrent)
 		p.concurrent = int(exact)
 		p.rest = exact - float64(p.concurrent)
-		p.order = jwtarget.Mix(entry, xxhash.Sum64String(p.node))
+		p.order = jwtarget.Mix(entry, jwtarget.NameKey(p.node))
 		left -= p.concurrent
 	}
 	slices.SortFunc(parts, byRest)
--- a/core/jwsuspect/apart.go
+++ b/core/jwsuspect/apart.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"jujubewheel/core/jwtarget"
 )
 
@@ -69,10 +67,9 @@
 // owner returns the node that uses a target for its suspects.
 func (t *Table) owner(target netip.AddrPort) string {
 	owner, highest := t.Node, uint64(0)
-	ip := target.Addr().As16()
-	key := jwtarget.Mix(xxhash.Sum64(ip[:]), uint64(target.Port()))
+	key := jwtarget.AddressKey(target)
 	for _, node := range t.members {
-		if weight := jwtarget.Mix(xxhash.Sum64String(node), key); weight > highest {
+		if weight := jwtarget.Mix(jwtarget.NameKey(node), key); weight > highest {
 			owner, highest = node, weight
 		}
 	}
--- a/core/jwsuspect/table_test.go
+++ b/core/jwsuspect/table_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
@@ -126,155 +124,16 @@
 	}
 }
 
-// model is a few nodes before targets that batch; one caller sends a request
-// that crashes each target, again and again, each time to another node.
-type model struct {
-	seed     uint64
-	together bool          // suspects may run on the same target
-	delay    time.Duration // of notices between nodes
-	again    time.Duration // pause of the caller
-}
-
-const (
-	modelNodes   = 6
-	modelTargets = 12
-	modelBatch   = 8
-	modelStep    = 100 * time.Millisecond
-	modelRetry   = 2 * time.Second // when callers are told to come back, at least
-)
-
-// call is one innocent request in flight.
-type call struct {
-	id, node, target int
-	ends             time.Time
-}
-
-// run returns how many targets went down and the innocents that were barred.
-func (m model) run() (crashed, barred int) {
-	rnd := rand.New(rand.NewPCG(m.seed, 1))
-	var nodes []*Table
-	var names []string
-	for i := range modelNodes {
-		names = append(names, fmt.Sprint(i))
-		nodes = append(nodes, &Table{Node: names[i]})
-	}
-	for _, table := range nodes {
-		table.SetMembers(names)
-	}
-	up := make([]time.Time, modelTargets)
-	load := make([]int, modelTargets)
-	var all []netip.AddrPort
-	for i := range modelTargets {
-		all = append(all, target(i))
-	}
-	var flying []call
-	var retry []int
-	later := make(map[time.Time][]int) // innocents that come back as they were told
-	id, attempt := 1, 0
-	suspects := make(map[Fingerprint]bool)
-	note := func(list []Fingerprint) {
-		for _, f := range list {
-			suspects[f] = true
-		}
-	}
-	next := at(time.Second)
-	pause := func(most time.Duration) time.Duration {
-		return time.Duration(rnd.IntN(int(most/modelStep)+1)) * modelStep
-	}
-	poison := printOf(0)
-	place := func(node int, f Fingerprint, now time.Time) int {
-		state, _ := nodes[node].Check(f, now)
-		if state == Quarantined {
-			return -1
-		}
-		var not []netip.AddrPort
-		if state == Suspected && !m.together {
-			not = nodes[node].Apart(f, all, now)
-		}
-		for _, i := range rnd.Perm(modelTargets) {
-			if up[i].After(now) || load[i] >= modelBatch || slices.Contains(not, target(i)) {
-				continue
-			}
-			return i
-		}
-		return -1
-	}
-	for now := start; now.Before(at(time.Minute)); now = now.Add(modelStep) {
-		if now.Sub(start)%m.delay == 0 {
-			for _, a := range nodes {
-				for _, b := range nodes {
-					note(b.Merge(a.Notices("", now), now))
-				}
-			}
-		}
-		flying = slices.DeleteFunc(flying, func(c call) bool {
-			if c.ends.After(now) {
-				return false
-			}
-			nodes[c.node].End(printOf(c.id), target(c.target), true, now)
-			load[c.target]--
-			return true
-		})
-		for range 2 {
-			retry = append(retry, id)
-			id++
-		}
-		retry = append(retry, later[now]...)
-		var waiting []int
-		for _, innocent := range retry {
-			node := rnd.IntN(modelNodes)
-			i := place(node, printOf(innocent), now)
-			if i < 0 {
-				waiting = append(waiting, innocent)
-				continue
-			}
-			nodes[node].Begin(printOf(innocent), target(i), false)
-			load[i]++
-			flying = append(flying, call{innocent, node, i, now.Add(3 * time.Second)})
-		}
-		retry = waiting
-		if now.Before(next) {
-			continue
-		}
-		next = now.Add(m.again + pause(m.again))
-		node := attempt % modelNodes
-		attempt++
-		i := place(node, poison, now)
-		if i < 0 {
-			continue
-		}
-		crashed++
-		up[i] = now.Add(5 * time.Second)
-		load[i] = 0
-		nodes[node].Begin(poison, target(i), false)
-		for _, table := range nodes {
-			note(table.Crashed(target(i), now))
-		}
-		nodes[node].End(poison, target(i), false, now)
-		flying = slices.DeleteFunc(flying, func(c call) bool {
-			if c.target == i {
-				nodes[c.node].End(printOf(c.id), target(i), false, now)
-				back := now.Add(modelRetry + pause(modelRetry))
-				later[back] = append(later[back], c.id)
-				return true
-			}
-			return false
-		})
-	}
-	delete(suspects, poison)
-	return crashed, len(suspects)
-}
-
 // A caller sends a request that crashes every target it reaches, and sends it
 // again after each failure, to another node each time. Unstopped it takes the
 // whole service down; the innocent requests beside it must not be barred with it.
 func TestPoisonTakesDownTwoTargets(t *testing.T) {
 	locked, lockedTogether := 0, 0
 	for seed := range uint64(40) {
-		crashed, barred := model{seed: seed, delay: time.Second, again: 2 * time.Second}.run()
+		crashed, barred := (&model{seed: seed, delay: time.Second, again: 2 * time.Second}).run()
 		assert.Equal(t, crashed, 2, "seed %d", seed)
 		locked += barred
-		_, barred = model{seed: seed, delay: time.Second, again: 2 * time.Second, together: true}.run()
+		_, barred = (&model{seed: seed, delay: time.Second, again: 2 * time.Second, together: true}).run()
 		lockedTogether += barred
 	}
 	t.Logf("innocents barred over 40 runs: %d, with suspects together %d", locked, lockedTogether)
@@ -290,7 +149,7 @@
 		for _, again := range []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second} {
 			most, barred := 0, 0
 			for seed := range uint64(10) {
-				crashed, locked := model{seed: seed, delay: delay, again: again}.run()
+				crashed, locked := (&model{seed: seed, delay: delay, again: again}).run()
 				most = max(most, crashed)
 				barred += locked
 			}
--- a/core/jwtarget/hash.go
+++ b/core/jwtarget/hash.go
@@ -18,10 +18,11 @@
 	return x ^ x>>31
 }
 
-func nameKey(name string) uint64 { return xxhash.Sum64String(name) }
+// NameKey returns the hash of a name, for Mix.
+func NameKey(name string) uint64 { return xxhash.Sum64String(name) }
 
-func addressKey(addr netip.AddrPort) uint64 {
+// AddressKey returns the hash of an address, for Mix.
+func AddressKey(addr netip.AddrPort) uint64 {
 	ip := addr.Addr().As16()
-	h := xxhash.Sum64(ip[:])
-	return Mix(h, uint64(addr.Port()))
+	return Mix(xxhash.Sum64(ip[:]), uint64(addr.Port()))
 }
--- a/core/jwtarget/table.go
+++ b/core/jwtarget/table.go
@@ -62,13 +62,6 @@
 	probing  bool
 }
 
-// departure is a word that a target leaves.
-type departure struct {
-	since  time.Time
-	listed bool      // the list has shown the target since
-	gone   time.Time // when the list no longer showed it, zero before
-}
-
 // Set takes over the platform's list, which lags. Targets that stay keep their
 // load and calls in flight; a target known to leave is not taken back because
 // the list still calls it live.
@@ -82,7 +75,7 @@
 		}
 		e := t.targets[target.Address]
 		if e == nil {
-			e = &entry{key: addressKey(target.Address)}
+			e = &entry{key: AddressKey(target.Address)}
 		}
 		e.target = target
 		known[target.Address] = e
@@ -92,28 +85,6 @@
 	t.rebuild()
 }
 
-// updateDepartures compares the words of leaving with the newest list.
-func (t *Table) updateDepartures(now time.Time) {
-	for addr, e := range t.targets {
-		if e.target.State == Leaving && !t.leaves(addr) {
-			t.depart(addr, departure{since: now, listed: true})
-		}
-	}
-	for addr, d := range t.leaving {
-		e, listed := t.targets[addr]
-		if now.Sub(d.since) > t.leavingFor() && (!listed || e.target.State != Leaving) {
-			delete(t.leaving, addr)
-			continue
-		}
-		if listed {
-			d.listed = true
-		} else if d.listed && d.gone.IsZero() {
-			d.gone = now
-		}
-		t.leaving[addr] = d
-	}
-}
-
 // rebuild makes the lists by service anew.
 func (t *Table) rebuild() {
 	old := t.services
@@ -145,7 +116,7 @@
 	}
 	s.live = len(s.used)
 	if n := t.subset(); n >= 0 && n < len(s.used) {
-		node := nameKey(t.Node)
+		node := NameKey(t.Node)
 		slices.SortFunc(s.used, func(a, b *entry) int {
 			return compareKeys(Mix(node, b.key), Mix(node, a.key))
 		})
@@ -154,12 +125,6 @@
 	}
 }
 
-// leaves tells whether a target is known to leave and has not come back.
-func (t *Table) leaves(addr netip.AddrPort) bool {
-	d, told := t.leaving[addr]
-	return told && d.gone.IsZero()
-}
-
 // Report takes over what a target said of its load. What began or ended while
 // the report was under way is still counted apart from it.
 func (t *Table) Report(addr netip.AddrPort, load Load) {
@@ -288,55 +253,6 @@
 	e.rests = now.Add(min(pause, t.maxPause()))
 }
 
-// MarkLeaving notes that a target leaves since a time, by its own word or a
-// peer's. A word older than the time at which the list showed the target gone
-// is about an earlier target at the same address and is ignored: without this,
-// peers would go on telling each other of it and lock out its successor.
-func (t *Table) MarkLeaving(addr netip.AddrPort, since, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if now.Sub(since) > t.leavingFor() {
-		return
-	}
-	d, told := t.leaving[addr]
-	if told && (d.gone.IsZero() || since.Before(d.gone)) {
-		return
-	}
-	e, listed := t.targets[addr]
-	t.depart(addr, departure{since: since, listed: listed})
-	if listed {
-		t.choose(t.services[e.target.Service])
-	}
-}
-
-// depart keeps one word of leaving.
-func (t *Table) depart(addr netip.AddrPort, d departure) {
-	if t.leaving == nil {
-		t.leaving = make(map[netip.AddrPort]departure)
-	}
-	t.leaving[addr] = d
-}
-
-// Departure is a target that leaves, as told to peers.
-type Departure struct {
-	Address netip.AddrPort
-	Since   time.Time
-}
-
-// Leaving returns the targets known to leave, for telling peers of the region.
-func (t *Table) Leaving() []Departure {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Departure
-	for addr, d := range t.leaving {
-		if d.gone.IsZero() {
-			out = append(out, Departure{Address: addr, Since: d.since})
-		}
-	}
-	slices.SortFunc(out, func(a, b Departure) int { return a.Address.Compare(b.Address) })
-	return out
-}
-
 // Used returns the targets whose load this node asks for: its subset of every
 // service, resting ones included.
 func (t *Table) Used() []Target {
