--- a/cmd/jujubebench/main.go
+++ b/cmd/jujubebench/main.go
@@ -20,8 +20,9 @@
 )
 
 type commands struct {
-	Load    loadCommand    `cmd:"" help:"Sends a load and reports latencies and outcomes."`
-	Clients clientsCommand `cmd:"" help:"Prints the workspaces of a load for the client directory stand-in."`
+	Load     loadCommand     `cmd:"" help:"Sends a load and reports latencies and outcomes."`
+	Clients  clientsCommand  `cmd:"" help:"Prints the workspaces of a load for the client directory stand-in."`
+	Policies policiesCommand `cmd:"" help:"Compares the decisions of a node with simple rules, in virtual time."`
 }
 
 func main() {
