jwdispatch: a stream whose connection was lost goes on where it stopped

Cause: a broken stream was begun anew elsewhere and could be joined only if the model said the same again; a crash suspicion forbade even that. Change: only whole events go out; the target that had the stream is asked first to go on after the last of them. A target that goes on has not crashed. Ruled out: asking another target to go on, which has no such stream. Found by fuzzing: after the last numbered event the rest is the end mark alone, which has no number (kept as a seed).

--- a/core/jwdispatch/call.go
+++ b/core/jwdispatch/call.go
@@ -16,6 +16,7 @@
 	Idempotent bool
 	Progress   time.Duration // longest silence before the call is given up, 0 for none
 	Urgency    int           // RFC 9218 urgency, 0 is most urgent
+	After      string        // last event that the caller has of a stream, empty for none
 }
 
 // Targets calls targets.
--- a/core/jwdispatch/once.go
+++ b/core/jwdispatch/once.go
@@ -141,7 +141,7 @@
 // answer.
 func (j *job) callOnce(ctx context.Context) (Head, []byte, error) {
 	j.query.Now = j.Now()
-	a, end, err := j.callTarget(ctx, false)
+	t, a, err := j.callTarget(ctx, false)
 	if err != nil {
 		return Head{}, nil, err
 	}
@@ -150,7 +150,7 @@
 	if err == nil && len(body) > bufferLimit {
 		err = &CallError{Step: "read answer", Fate: Broken, Err: errors.New("answer too long to keep")}
 	}
-	end(err)
+	t.end(ctx, err)
 	return a.Head, body, err
 }
 
--- a/core/jwdispatch/relay.go
+++ b/core/jwdispatch/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -26,16 +27,18 @@
 
 // relay copies one answer to the caller, over several tries if need be.
 //
-// When a stream breaks, the next try starts it again from its first byte. The
-// bytes that the caller has are not sent twice: they are compared with what
-// was sent, and the stream goes on only if they are the same. Without the
-// comparison a model that answers differently each time would give the caller
-// two halves of two answers, passed off as one.
+// Of a stream only whole events go out. When it breaks, a target that still
+// has it goes on after the last of them. Any other try starts it again from its
+// first byte. The bytes that the caller has are not sent twice: they are
+// compared with what was sent, and the stream goes on only if they are the
+// same. Without the comparison a model that answers differently each time would
+// give the caller two halves of two answers, passed off as one.
 type relay struct {
-	sink  *ending
-	sent  int64
-	sum   xxhash.Digest
-	ready bool
+	sink   *ending
+	sent   int64
+	sum    xxhash.Digest
+	ready  bool
+	events events
 }
 
 // copy sends the answer; nil means that it is whole and its end was sent.
@@ -45,15 +48,13 @@
 		rl.sink.refuse(a.Head)
 		return nil
 	}
-	if rl.sent == 0 && a.Head.Length >= 0 && a.Head.Length <= bufferLimit || !stream(a.Head) && rl.sent == 0 && a.Head.Length < 0 {
+	if rl.sent == 0 && !stream(a.Head) && a.Head.Length <= bufferLimit {
 		return rl.whole(a)
 	}
 	return rl.flow(a)
 }
 
-func stream(h Head) bool {
-	return len(h.ContentType) >= 17 && h.ContentType[:17] == "text/event-stream"
-}
+func stream(h Head) bool { return strings.HasPrefix(h.ContentType, "text/event-stream") }
 
 // whole reads the answer to its end before the first byte goes out, so that a
 // broken one can be tried again unseen.
@@ -100,16 +101,28 @@
 		}
 	}
 	skip := newSkipper(rl.sent, rl.sum.Sum64())
+	streams := stream(a.Head)
+	rl.events.restart()
 	buf := make([]byte, chunkSize)
 	for {
 		n, err := a.Body.Read(buf)
-		fresh, same := skip.take(buf[:n])
+		part := buf[:n]
+		if streams {
+			part = rl.events.whole(part, err == io.EOF)
+			if skip.left > 0 && rl.events.resumed() {
+				skip.left = 0
+			}
+		}
+		fresh, same := skip.take(part)
 		if !same {
 			return errDiverged
 		}
 		if len(fresh) > 0 {
 			_, _ = rl.sum.Write(fresh)
 			rl.sent += int64(len(fresh))
+			if streams {
+				rl.events.sent(fresh)
+			}
 			if rl.sink.Body(fresh) != nil {
 				return errCallerGone
 			}
--- /dev/null
+++ b/core/jwdispatch/relay_test.go
@@ -0,0 +1,176 @@
+package jwdispatch
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwrequest"
+)
+
+// recorder is a caller that keeps what it gets.
+type recorder struct {
+	body strings.Builder
+	end  *End
+}
+
+func (r *recorder) Head(Head) error { return nil }
+func (r *recorder) Body(p []byte) error {
+	r.body.Write(p)
+	return nil
+}
+
+func (r *recorder) End(e End) error {
+	r.end = &e
+	return nil
+}
+
+type noCounter struct{}
+
+func (noCounter) Ended(string, jwrequest.Outcome, Reason) {}
+func (noCounter) Seen(string, Seen)                       {}
+func (noCounter) Tried(string, string, bool)              {}
+
+func newRelay() (*relay, *recorder) {
+	r := &recorder{}
+	d := &Dispatcher{Counter: noCounter{}, Now: time.Now}
+	j := &job{Dispatcher: d, request: &jwrequest.Request{}, entry: &jwcatalogue.Entry{}}
+	j.sink = &ending{Sink: r, job: j}
+	return &relay{sink: j.sink}, r
+}
+
+// events from, to as a model engine streams them.
+func sse(from, to int, text string) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", i, text, i)
+	}
+	return b.String()
+}
+
+func streamed(body string, end error) *Answer {
+	parts := []io.Reader{iotest.OneByteReader(strings.NewReader(body))}
+	if end != nil {
+		parts = append(parts, iotest.ErrReader(end))
+	}
+	return &Answer{
+		Head: Head{Status: 200, ContentType: "text/event-stream", Length: UnknownLength},
+		Body: io.NopCloser(io.MultiReader(parts...)),
+	}
+}
+
+// A stream breaks in the midst of an event and is tried again. The caller must
+// see each byte once and in order, or be told that the answer is not whole;
+// half of one draft joined to half of another would go out as a price sheet.
+func TestRelayOverTries(t *testing.T) {
+	broken := &CallError{Fate: Broken, Err: errors.New("cut")}
+	done := "data: [DONE]\n\n"
+	tests := map[string]struct {
+		tries []*Answer
+		want  string
+		err   error // of the last try
+	}{
+		"whole at once": {
+			tries: []*Answer{streamed(sse(1, 5, "a")+done, nil)},
+			want:  sse(1, 5, "a") + done,
+		},
+		"goes on where it stopped": {
+			tries: []*Answer{streamed(sse(1, 3, "a")+"id: 4\nda", broken), streamed(sse(4, 5, "a")+done, nil)},
+			want:  sse(1, 5, "a") + done,
+		},
+		"begun again with the same text": {
+			tries: []*Answer{streamed(sse(1, 3, "a")+"id: 4\nda", broken), streamed(sse(1, 5, "a")+done, nil)},
+			want:  sse(1, 5, "a") + done,
+		},
+		"begun again with another text": {
+			tries: []*Answer{streamed(sse(1, 3, "a"), broken), streamed(sse(1, 5, "b")+done, nil)},
+			want:  sse(1, 3, "a"),
+			err:   errDiverged,
+		},
+		"begun again and shorter": {
+			tries: []*Answer{streamed(sse(1, 3, "a"), broken), streamed(sse(1, 2, "a"), nil)},
+			want:  sse(1, 3, "a"),
+			err:   errDiverged,
+		},
+		"goes on after a gap": {
+			tries: []*Answer{streamed(sse(1, 3, "a"), broken), streamed(sse(5, 6, "a")+done, nil)},
+			want:  sse(1, 3, "a"),
+			err:   errDiverged,
+		},
+		"broken before the first event": {
+			tries: []*Answer{streamed("id: 1\nda", broken), streamed(sse(1, 2, "a")+done, nil)},
+			want:  sse(1, 2, "a") + done,
+		},
+		"events that end in CRLF": {
+			tries: []*Answer{streamed("id: 1\r\ndata: a\r\n\r\nid: 2\r\nda", broken), streamed("id: 2\r\ndata: b\r\n\r\n"+done, nil)},
+			want:  "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n" + done,
+		},
+		"broken three times": {
+			tries: []*Answer{
+				streamed(sse(1, 1, "a"), broken), streamed(sse(2, 2, "a")+"id", broken),
+				streamed(sse(1, 3, "a")+"id: 4", broken), streamed(sse(4, 5, "a")+done, nil),
+			},
+			want: sse(1, 5, "a") + done,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			rl, caller := newRelay()
+			for i, a := range test.tries {
+				err := rl.copy(a)
+				switch {
+				case i < len(test.tries)-1:
+					assert.ErrorIs(t, err, broken)
+				case test.err != nil:
+					assert.ErrorIs(t, err, test.err)
+				default:
+					assert.NilError(t, err)
+				}
+			}
+			assert.Equal(t, caller.body.String(), test.want)
+			assert.Equal(t, caller.end != nil, test.err == nil, "an end without the whole answer")
+			if caller.end != nil {
+				assert.Equal(t, caller.end.Length, int64(len(test.want)))
+			}
+		})
+	}
+}
+
+// FuzzRelay cuts a stream in two places and tries it again each time, by going
+// on or from the beginning.
+func FuzzRelay(f *testing.F) {
+	f.Add(uint16(0), uint16(9), true, false)
+	f.Add(uint16(30), uint16(31), false, true)
+	whole := sse(1, 8, "text") + "data: [DONE]\n\n"
+	broken := &CallError{Fate: Broken, Err: errors.New("cut")}
+	f.Fuzz(func(t *testing.T, first, second uint16, resumeFirst, resumeSecond bool) {
+		rl, caller := newRelay()
+		next := func(resume bool) string {
+			if resume && rl.events.after() != "" {
+				return whole[rl.sent:]
+			}
+			return whole
+		}
+		rest := whole
+		for _, cut := range []struct {
+			at     uint16
+			resume bool
+		}{{first, resumeFirst}, {second, resumeSecond}} {
+			at := int(cut.at) % len(whole)
+			if at >= len(rest) {
+				continue
+			}
+			assert.ErrorIs(t, rl.copy(streamed(rest[:at], broken)), broken)
+			rest = next(cut.resume)
+		}
+		assert.NilError(t, rl.copy(streamed(rest, nil)))
+		assert.Equal(t, caller.body.String(), whole)
+	})
+}
--- a/io/jwtargetclient/client.go
+++ b/io/jwtargetclient/client.go
@@ -123,6 +123,7 @@
 	setHeader(r.Header, "Jujube-Workspace", in.Workspace)
 	setHeader(r.Header, "Jujube-Request-Id", in.ID)
 	setHeader(r.Header, "Idempotency-Key", in.Key)
+	setHeader(r.Header, "Last-Event-ID", call.After)
 	r.Header.Set("Priority", "u="+strconv.Itoa(call.Urgency))
 	return r, nil
 }
