--- /dev/null
+++ b/core/jwcatalogue/history_test.go
@@ -0,0 +1,132 @@
+package jwcatalogue
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+)
+
+type historyInput struct {
+	id         string
+	ifRevision uint64
+}
+
+type historyOutput struct {
+	revision uint64 // of the entry after the edit
+	id       string // the edit that made it
+	done     bool
+	unknown  bool
+}
+
+type historyState struct {
+	revision uint64
+	id       string
+}
+
+// historyModel is a register that is written only by whoever saw its value;
+// others are told what it is.
+var historyModel = porcupine.Model{
+	Init: func() any { return historyState{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(historyState), input.(historyInput), output.(historyOutput)
+		told := historyState{out.revision, out.id}
+		if s.revision != in.ifRevision {
+			return !out.done && s == told, s
+		}
+		return out.done && out.id == in.id && out.revision > s.revision, told
+	},
+}
+
+const historyEdits = 40
+
+func TestEditHistory(t *testing.T) {
+	// Four operators edit one entry by four nodes at once while replies are
+	// lost. Each edit that is told done must have followed what its operator
+	// saw, and each that lost must be told who came first.
+	for seed := range uint64(20) {
+		s := new(fakeStore)
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		var mu sync.Mutex
+		s.before = func() {
+			mu.Lock()
+			defer mu.Unlock()
+			lose, drop := rnd.IntN(6) == 0, rnd.IntN(8) == 0
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if lose && s.loseReplies == 0 {
+				s.loseReplies = 1
+			}
+			if drop && s.dropWrites == 0 {
+				s.dropWrites = rnd.IntN(7)
+			}
+		}
+		var events []porcupine.Operation
+		var wg sync.WaitGroup
+		begin := time.Now()
+		for who := range 4 {
+			wg.Go(func() {
+				d := editor(s)
+				seen := uint64(0)
+				for i := range historyEdits / 4 {
+					in := historyInput{id: fmt.Sprintf("e%d-%d", who, i), ifRevision: seen}
+					call := time.Since(begin)
+					out := outcome(d, in)
+					if !out.unknown {
+						seen = out.revision
+					}
+					end := int64(time.Since(begin))
+					mu.Lock()
+					events = append(events, porcupine.Operation{ClientId: who, Input: in, Call: int64(call), Output: out, Return: end})
+					mu.Unlock()
+				}
+			})
+		}
+		wg.Wait()
+		s.before = nil
+		events = resolved(t, s, events)
+		result := porcupine.CheckOperationsTimeout(historyModel, events, 20*time.Second)
+		assert.Equal(t, result, porcupine.Ok, "seed %d", seed)
+	}
+}
+
+// resolved looks up in the log what became of the edits of unknown outcome:
+// those that are in it took effect at some time after they were sent.
+func resolved(t *testing.T, s *fakeStore, events []porcupine.Operation) []porcupine.Operation {
+	t.Helper()
+	table := new(Table)
+	assert.NilError(t, changeLog{store: s}.catchUp(t.Context(), table))
+	var known []porcupine.Operation
+	for _, e := range events {
+		if !e.Output.(historyOutput).unknown {
+			known = append(known, e)
+			continue
+		}
+		if c, ok := table.edit(e.Input.(historyInput).id); ok {
+			e.Output = historyOutput{revision: c.N, id: c.EditID, done: true}
+			e.Return = int64(time.Hour)
+			known = append(known, e)
+		}
+	}
+	return known
+}
+
+func outcome(d *Editor, in historyInput) historyOutput {
+	res, err := d.Put(context.Background(), edit(in.id, "status", in.ifRevision))
+	var conflict *ConflictError
+	switch {
+	case err == nil:
+		return historyOutput{revision: res.Revision, id: in.id, done: true}
+	case errors.As(err, &conflict) && conflict.Winner != nil:
+		return historyOutput{revision: conflict.Revision, id: conflict.Winner.EditID}
+	case errors.As(err, &conflict):
+		return historyOutput{revision: conflict.Revision}
+	}
+	return historyOutput{unknown: true}
+}
