--- a/core/jwclaim/keeper.go
+++ b/core/jwclaim/keeper.go
@@ -36,12 +36,12 @@
 // Defaults and limits of a Keeper.
 const (
 	DefaultMemory       = time.Hour
-	DefaultGroupWindow  = 200 * time.Millisecond
+	DefaultGroupWindow  = 100 * time.Millisecond
 	DefaultClaimWait    = 2 * time.Second
 	DefaultStoreTimeout = 2 * time.Second
 	DefaultSkew         = 30 * time.Second
 	DefaultSlots        = 4
-	DefaultSegmentRows  = 256
+	DefaultSegmentRows  = 64
 	DefaultAnswerBytes  = 32 << 20
 	DefaultSweep        = 5 * time.Minute
 	DefaultRetryAfter   = time.Second
