jwlimit: what is bound to a region may queue further there

With tenfold different regions bound requests were refused at home while others waited in the places they needed. The separate owner part for bound requests goes, one rule does for both.

--- a/core/jwlimit/admission.go
+++ b/core/jwlimit/admission.go
@@ -102,11 +102,11 @@
 	if a.Room.Wait == 0 {
 		return Refusal{}, false
 	}
-	most := a.ceiling().queue
+	most := a.mostQueue()
 	switch queue := a.queue(); {
 	case queue >= most:
 		return Refusal{Reason: Crowded, RetryAfter: a.spread(a.Room.Wait)}, true
-	case queue >= a.ownerPart()*most && a.overOwner():
+	case queue >= ownerPart*most && a.overOwner():
 		return Refusal{Reason: OwnerShare, RetryAfter: a.spread(a.Room.Wait)}, true
 	}
 	if late := a.late(); late > 0 && !a.limiter.Policy.NoDeadline {
@@ -146,20 +146,23 @@
 	return time.Duration(float64(a.Room.Wait) * float64(a.service.urgent) / float64(a.service.running))
 }
 
-// Parts of a class's queue that an owner above its share may fill. The rest is
-// for the other owners of the class, so that a burst takes nothing from them,
-// nor from a more urgent class. What is bound to this region may fill more of
-// it, since the rest has other regions to go to.
-const (
-	freeOwnerPart  = 0.7
-	boundOwnerPart = 0.85
-)
+// ownerPart is the part of a class's queue that an owner above its share may
+// fill. The rest is for the other owners of the class, so that a burst takes
+// nothing from them, nor from a more urgent class.
+const ownerPart = 0.7
+
+// boundMore is how much further requests may queue that are bound to this
+// region. The others have other regions to go to; were all treated alike, the
+// bound ones would be refused while the others wait in the places they need.
+const boundMore = 1.4
 
-func (a *admission) ownerPart() float64 {
+// mostQueue returns the requests outstanding for each slot of the service from
+// which the request is refused.
+func (a *admission) mostQueue() float64 {
 	if a.Bound {
-		return boundOwnerPart
+		return boundMore * a.ceiling().queue
 	}
-	return freeOwnerPart
+	return a.ceiling().queue
 }
 
 // overOwner tells whether an owner holds more than its share of a service. Its
@@ -170,7 +173,7 @@
 		return false
 	}
 	nodes := max(len(a.limiter.members), 1)
-	capacity := a.ownerPart() * a.ceiling().queue * float64(a.Room.Slots) / float64(nodes)
+	capacity := ownerPart * a.mostQueue() * float64(a.Room.Slots) / float64(nodes)
 	fair := capacity / float64(a.limiter.owners(a.Query.Entry.Service, a.service, a.Now))
 	return float64(a.owner.running) >= max(fair, 1)
 }
