jwforward: nodes are who their certificates say, and refusals are told as such

Cause: a node with any valid certificate could speak for another, a forward without a hop record passed for one straight from a caller, and a refusal that came while the request was being sent was told as broken: the caller would have heard unknown for an order that certainly was not placed. Change: names are compared with the certificate; a forward without a hop is refused; the code of a refusal counts also when sending fails. Ruled out: mutual TLS alone, which shows that a node is one of ours, not which.

--- a/io/jwforward/adopt.go
+++ b/io/jwforward/adopt.go
@@ -44,7 +44,10 @@
 }
 
 // Adopt answers for another node of the region from now on.
-func (s *Server) Adopt(_ context.Context, in *jwwire.AdoptRequest) (*jwwire.ChangesResponse, error) {
+func (s *Server) Adopt(ctx context.Context, in *jwwire.AdoptRequest) (*jwwire.ChangesResponse, error) {
+	if err := checkIdentity(ctx, in.GetNode(), in.GetRegion()); err != nil {
+		return nil, err
+	}
 	changes, checkpoint, err := s.Sponsor.AdoptRecords(in.GetNode(), in.GetRegion(), in.GetIncarnation(), in.GetAfter())
 	if err != nil {
 		return nil, err
@@ -53,7 +56,10 @@
 }
 
 // Release ends what Adopt began.
-func (s *Server) Release(_ context.Context, in *jwwire.AdoptRequest) (*jwwire.ReleaseResponse, error) {
+func (s *Server) Release(ctx context.Context, in *jwwire.AdoptRequest) (*jwwire.ReleaseResponse, error) {
+	if err := checkIdentity(ctx, in.GetNode(), in.GetRegion()); err != nil {
+		return nil, err
+	}
 	s.Sponsor.ReleaseNode(in.GetNode(), in.GetRegion(), in.GetIncarnation())
 	return &jwwire.ReleaseResponse{}, nil
 }
--- a/io/jwforward/exchange.go
+++ b/io/jwforward/exchange.go
@@ -34,7 +34,10 @@
 }
 
 // Exchange answers the exchange of another node.
-func (s *Server) Exchange(_ context.Context, d *jwwire.Digest) (*jwwire.Digest, error) {
+func (s *Server) Exchange(ctx context.Context, d *jwwire.Digest) (*jwwire.Digest, error) {
+	if err := checkIdentity(ctx, d.GetNode(), ""); err != nil {
+		return nil, err
+	}
 	return digestToWire(s.Exchanger.Answer(digestFromWire(d))), nil
 }
 
--- a/io/jwforward/forward.go
+++ b/io/jwforward/forward.go
@@ -55,10 +55,12 @@
 	}
 }
 
-// fate tells what a failed wait for an answer means. A node that stops says
-// Unavailable before it takes a request; after it took one, it always answers.
+// fate tells what a failed wait for an answer means. These codes are what a
+// node says before it takes a request; of one that it took, it tells the outcome
+// in an answer.
 func fate(err error) jwdispatch.Fate {
-	if status.Code(err) == codes.FailedPrecondition {
+	switch status.Code(err) {
+	case codes.FailedPrecondition, codes.InvalidArgument, codes.PermissionDenied, codes.Unimplemented:
 		return jwdispatch.Refused
 	}
 	return jwdispatch.Broken
@@ -76,10 +78,11 @@
 }
 
 func (e *sendError) at(peer netip.AddrPort) *jwdispatch.CallError {
-	if e.last {
-		return forwardError(peer, jwdispatch.Broken, e.err)
+	f := fate(e.err)
+	if f == jwdispatch.Broken && !e.last {
+		f = jwdispatch.Unsent
 	}
-	return forwardError(peer, jwdispatch.Unsent, e.err)
+	return forwardError(peer, f, e.err)
 }
 
 func sendRequest(stream grpc.BidiStreamingClient[jwwire.ForwardFrame, jwwire.AnswerFrame], r *jwrequest.Request, reason string) *sendError {
--- /dev/null
+++ b/io/jwforward/forward_test.go
@@ -0,0 +1,168 @@
+package jwforward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/io/jwwire"
+)
+
+// dispatcher serves requests as its function says.
+type dispatcher func(ctx context.Context, r *jwrequest.Request, sink jwdispatch.Sink)
+
+func (d dispatcher) Serve(ctx context.Context, r *jwrequest.Request, sink jwdispatch.Sink) {
+	d(ctx, r, sink)
+}
+
+// gate is open or not.
+type gate bool
+
+func (g gate) Enter() (func(), bool) { return func() {}, bool(g) }
+
+// serve starts a node's server and returns it as a peer, with what stops it.
+func serve(t *testing.T, s *Server) (jwpeer.Peer, *grpc.Server) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	g := s.GRPC()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = g.Serve(l)
+	}()
+	t.Cleanup(func() {
+		g.Stop()
+		<-done
+	})
+	return jwpeer.Peer{Name: "there", Nodes: l.Addr().(*net.TCPAddr).AddrPort()}, g
+}
+
+func fromHere() *jwrequest.Request {
+	return &jwrequest.Request{
+		ID: "r", Workspace: "w", Entry: "e", Body: []byte(strings.Repeat("body ", 20_000)),
+		Deadline: time.Now().Add(time.Minute),
+		Hops:     jwrequest.Hops{{Node: "here", Region: "east", DataCentre: "east-1"}},
+	}
+}
+
+// A request goes to another node and the way back is disturbed at each place
+// where it can be. The caller may be told that nothing ran only where the other
+// node did not start, and an answer is whole only if the other node said so.
+func TestForwardFates(t *testing.T) {
+	type result struct {
+		atCall, atEnd jwdispatch.Fate // empty for none
+		body          string
+	}
+	var stop func()
+	var begun chan struct{} // closed when the answer's head has arrived
+	tests := map[string]struct {
+		open    gate
+		request func(*jwrequest.Request)
+		serve   dispatcher
+		want    result
+	}{
+		"whole": {open: true, serve: func(_ context.Context, r *jwrequest.Request, sink jwdispatch.Sink) {
+			_ = sink.Head(jwdispatch.Head{Status: 200, Length: jwdispatch.UnknownLength})
+			_ = sink.Body(r.Body)
+			_ = sink.End(jwdispatch.End{Outcome: jwrequest.Served, Length: int64(len(r.Body))})
+		}, want: result{body: strings.Repeat("body ", 20_000)}},
+		"the other node stops": {open: false, want: result{atCall: jwdispatch.Refused}},
+		"no hop in the record": {open: true, request: func(r *jwrequest.Request) { r.Hops = nil }, want: result{atCall: jwdispatch.Refused}},
+		"body too long":        {open: true, request: func(r *jwrequest.Request) { r.Body = make([]byte, 2<<20) }, want: result{atCall: jwdispatch.Refused}},
+		"ends without a word": {open: true, serve: func(_ context.Context, _ *jwrequest.Request, sink jwdispatch.Sink) {
+			_ = sink.Head(jwdispatch.Head{Status: 200, Length: jwdispatch.UnknownLength})
+			_ = sink.Body([]byte("half"))
+		}, want: result{atEnd: jwdispatch.Broken, body: "half"}},
+		"says that it broke": {open: true, serve: func(_ context.Context, _ *jwrequest.Request, sink jwdispatch.Sink) {
+			_ = sink.Head(jwdispatch.Head{Status: 200, Length: jwdispatch.UnknownLength})
+			_ = sink.Body([]byte("half"))
+			_ = sink.End(jwdispatch.End{Outcome: jwrequest.Unknown, Length: 4})
+		}, want: result{atEnd: jwdispatch.Broken, body: "half"}},
+		"length that does not fit": {open: true, serve: func(_ context.Context, _ *jwrequest.Request, sink jwdispatch.Sink) {
+			_ = sink.Head(jwdispatch.Head{Status: 200, Length: jwdispatch.UnknownLength})
+			_ = sink.Body([]byte("half"))
+			_ = sink.End(jwdispatch.End{Outcome: jwrequest.Served, Length: 8})
+		}, want: result{atEnd: jwdispatch.Broken, body: "half"}},
+		"killed before the answer": {open: true, serve: func(ctx context.Context, _ *jwrequest.Request, _ jwdispatch.Sink) {
+			stop()
+			<-ctx.Done()
+		}, want: result{atCall: jwdispatch.Broken}},
+		"killed in the midst": {open: true, serve: func(ctx context.Context, _ *jwrequest.Request, sink jwdispatch.Sink) {
+			_ = sink.Head(jwdispatch.Head{Status: 200, Length: jwdispatch.UnknownLength})
+			<-begun
+			stop()
+			<-ctx.Done()
+		}, want: result{atEnd: jwdispatch.Broken}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			to, g := serve(t, &Server{Dispatcher: test.serve, Gate: test.open, MaxBody: 1 << 20})
+			stop = func() { go g.Stop() }
+			begun = make(chan struct{})
+			pool := &Pool{}
+			defer pool.Close()
+			r := fromHere()
+			if test.request != nil {
+				test.request(r)
+			}
+			a, err := pool.Forward(t.Context(), to, r, jwdispatch.ForwardRegion)
+			if test.want.atCall != "" {
+				assertFate(t, err, test.want.atCall)
+				return
+			}
+			assert.NilError(t, err)
+			close(begun)
+			body, err := io.ReadAll(a.Body)
+			assert.NilError(t, a.Body.Close())
+			assert.Equal(t, string(body), test.want.body)
+			if test.want.atEnd == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assertFate(t, err, test.want.atEnd)
+		})
+	}
+}
+
+func assertFate(t *testing.T, err error, want jwdispatch.Fate) {
+	t.Helper()
+	var failed *jwdispatch.CallError
+	assert.Assert(t, errors.As(err, &failed), "%v", err)
+	assert.Equal(t, failed.Fate, want, "%v", err)
+}
+
+// The other node is not there at all. Nothing was sent, and the caller must not
+// be told that its order may have been placed.
+func TestForwardToNobody(t *testing.T) {
+	to, g := serve(t, &Server{Gate: gate(true)})
+	g.Stop()
+	pool := &Pool{}
+	defer pool.Close()
+	_, err := pool.Forward(t.Context(), to, fromHere(), jwdispatch.ForwardRegion)
+	assertFate(t, err, jwdispatch.Unsent)
+}
+
+func FuzzDigest(f *testing.F) {
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d := &jwwire.Digest{}
+		if proto.Unmarshal(data, d) != nil {
+			return
+		}
+		told := digestFromWire(d)
+		again := digestFromWire(digestToWire(told))
+		assert.Equal(t, len(told.Peers), len(again.Peers))
+	})
+}
--- /dev/null
+++ b/io/jwforward/identity_test.go
@@ -0,0 +1,44 @@
+package jwforward
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/url"
+	"testing"
+
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/peer"
+	"gotest.tools/v3/assert"
+)
+
+// A node that was taken over has a certificate of its own and speaks in the
+// name of another: it confirms a change for it, or says that a request came
+// from another region. It must not be believed.
+func TestCheckIdentity(t *testing.T) {
+	uri, err := url.Parse("spiffe://jujubewheel/region/east/node/e1")
+	assert.NilError(t, err)
+	of := func(certificates ...*x509.Certificate) credentials.AuthInfo {
+		return credentials.TLSInfo{State: tls.ConnectionState{PeerCertificates: certificates}}
+	}
+	named := of(&x509.Certificate{URIs: []*url.URL{uri}})
+	tests := map[string]struct {
+		auth         credentials.AuthInfo
+		node, region string
+		refused      bool
+	}{
+		"itself":                     {auth: named, node: "e1", region: "east"},
+		"itself, region not said":    {auth: named, node: "e1"},
+		"another node":               {auth: named, node: "e2", region: "east", refused: true},
+		"another region":             {auth: named, node: "e1", region: "west", refused: true},
+		"no certificate":             {auth: of(), node: "e1", refused: true},
+		"a certificate of no node":   {auth: of(&x509.Certificate{}), node: "e1", refused: true},
+		"without TLS, any is let in": {node: "e2", region: "west"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx := peer.NewContext(t.Context(), &peer.Peer{AuthInfo: test.auth})
+			err := checkIdentity(ctx, test.node, test.region)
+			assert.Equal(t, err != nil, test.refused, "%v", err)
+		})
+	}
+}
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -87,6 +87,9 @@
 	if head == nil {
 		return nil, "", status.Error(codes.InvalidArgument, "first frame without a head")
 	}
+	if err := checkWay(stream.Context(), head.GetHops()); err != nil {
+		return nil, "", err
+	}
 	if s.MaxBody > 0 && head.GetBodyLength() > uint64(s.MaxBody) {
 		return nil, "", status.Error(codes.FailedPrecondition, "body too long")
 	}
@@ -111,6 +114,17 @@
 	return r, head.GetReason(), nil
 }
 
+// checkWay refuses a request that doesn't say where it has been. Taken for one
+// that came straight from a caller, it could be sent on to another region, and
+// from there again.
+func checkWay(ctx context.Context, hops []*jwwire.Hop) error {
+	if len(hops) == 0 {
+		return status.Error(codes.InvalidArgument, "request without a hop")
+	}
+	last := hops[len(hops)-1]
+	return checkIdentity(ctx, last.GetNode(), last.GetRegion())
+}
+
 func requestFromWire(h *jwwire.RequestHead, now time.Time) *jwrequest.Request {
 	r := &jwrequest.Request{
 		ID:          h.GetRequestId(),
