jwclaim: less memory for a remembered key

A node that tends a slot holds every claim of it for the whole memory of its keys. The view kept each row three times over: in its segment, by key and by id. A release now carries its key, so the table by id is gone, and segments keep references only.

--- a/core/jwclaim/document.go
+++ b/core/jwclaim/document.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -47,11 +46,12 @@
 	Sealed  bool     `json:"sealed,omitempty"`
 }
 
-// row is a claim, or the release of one when Release is set.
+// row is a claim, or the release of one when Release is set, with ID and Key
+// alone.
 type row struct {
 	ID      claimID  `json:"id"`
 	Release bool     `json:"release,omitempty"`
-	Key     keyHash  `json:"key,omitzero"`
+	Key     keyHash  `json:"key"`
 	Body    bodyMark `json:"body,omitzero"`
 	Holder  int      `json:"holder,omitempty"` // index in Holders
 	Until   int64    `json:"until,omitempty"`  // Unix seconds, end of the key's memory
@@ -158,8 +158,7 @@
 // claimed is a live claim as a view holds it.
 type claimed struct {
 	id     claimID
-	key    keyHash
 	body   bodyMark
-	holder Holder
-	until  time.Time
+	holder *Holder // shared by all claims of a segment
+	until  int64   // Unix seconds
 }
--- a/core/jwclaim/keeper.go
+++ b/core/jwclaim/keeper.go
@@ -344,7 +344,7 @@
 	if other.holder.Incarnation == k.Incarnation || k.adopted[other.holder.Incarnation] != nil {
 		return k.unknown()
 	}
-	return k.elsewhere(other.holder)
+	return k.elsewhere(*other.holder)
 }
 
 // known is the verdict on a call that is in memory; k.mu is held.
--- a/core/jwclaim/slot.go
+++ b/core/jwclaim/slot.go
@@ -303,13 +303,13 @@
 // judge decides one item by the view and the releases written before it in the
 // same group, and resolves it where it can; k.mu is held.
 func (s *slot) judge(it *item, now time.Time, releases map[claimID]bool) judgement {
-	st := s.view.ids[it.id]
-	if it.doubt && !st.claim && it.at != s.position() {
+	live := s.view.holds(it.key, it.id)
+	if it.doubt && !live && it.at != s.position() {
 		it.doubt = false // the state it was to extend is gone, so it can't land
 	}
 	switch it.kind {
 	case releaseItem:
-		if st.release || (!st.claim && !it.doubt && !it.force) {
+		if !live && !it.doubt && !it.force {
 			s.resolve(it, free)
 			return judgeDone
 		}
@@ -325,7 +325,7 @@
 	found = found && !releases[other.id]
 	switch {
 	case found && other.id == it.id:
-		s.win(it, other.until)
+		s.win(it, time.Unix(other.until, 0))
 		return judgeDone
 	case found && s.reads <= it.reads:
 		return judgeRead // it may have been released since
@@ -399,7 +399,7 @@
 // row is what the item adds to the log; k.mu is held.
 func (it *item) row(now time.Time) row {
 	if it.kind == releaseItem {
-		return row{ID: it.id, Release: true}
+		return row{ID: it.id, Key: it.key, Release: true}
 	}
 	// Rounded up: a key is never remembered for less than was asked.
 	until := now.Add(it.memory + time.Second).Unix()
--- a/core/jwclaim/view.go
+++ b/core/jwclaim/view.go
@@ -26,7 +26,6 @@
 	head     document // content of the last segment
 	version  uint64   // of the last segment, 0 when it is not created yet
 	live     map[keyHash]claimed
-	ids      map[claimID]rowState
 	read     time.Time // start of the last read or write that confirmed the view
 	loaded   bool
 }
@@ -36,15 +35,13 @@
 	number  uint64
 	version uint64
 	until   time.Time
-	rows    []row
-	holders []Holder
+	claims  []claimRef
 }
 
-// rowState tells which rows of a claim the log holds.
-type rowState struct {
-	claim   bool
-	release bool
-	key     keyHash
+// claimRef finds a claim of a segment among the live ones.
+type claimRef struct {
+	key keyHash
+	id  claimID
 }
 
 // confirm makes the view as new as the store at some moment of the call.
@@ -85,7 +82,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "read claims: %s", v.prefix)
 	}
-	fresh := view{prefix: v.prefix, live: map[keyHash]claimed{}, ids: map[claimID]rowState{}}
+	fresh := view{prefix: v.prefix, live: map[keyHash]claimed{}}
 	for _, item := range items {
 		n, err := segmentNumber(v.prefix, item.Key)
 		if err != nil {
@@ -97,7 +94,7 @@
 			if !fresh.allExpired(start, skew) {
 				return errors.Wrapf(ErrDocument, "hole before %s", item.Key)
 			}
-			fresh = view{prefix: v.prefix, live: map[keyHash]claimed{}, ids: map[claimID]rowState{}}
+			fresh = view{prefix: v.prefix, live: map[keyHash]claimed{}}
 		}
 		d, err := decodeDocument(item.Value)
 		if err != nil {
@@ -143,38 +140,41 @@
 	if known > len(d.Rows) {
 		known = 0
 	}
+	last := &v.segments[len(v.segments)-1]
 	for _, r := range d.Rows[known:] {
 		v.apply(r, d.Holders)
+		if !r.Release {
+			last.claims = append(last.claims, claimRef{key: r.Key, id: r.ID})
+		}
 	}
 	v.head, v.version = d, version
-	last := &v.segments[len(v.segments)-1]
-	last.version, last.rows, last.holders = version, d.Rows, d.Holders
+	last.version = version
 	last.until = time.Unix(d.Until, 0)
 }
 
 func (v *view) apply(r row, holders []Holder) {
-	st := v.ids[r.ID]
-	if r.Release {
-		st.release = true
-		v.ids[r.ID] = st
-		if c, ok := v.live[st.key]; ok && c.id == r.ID {
-			delete(v.live, st.key)
-		}
+	if !r.Release {
+		v.live[r.Key] = claimed{id: r.ID, body: r.Body, holder: &holders[r.Holder], until: r.Until}
 		return
 	}
-	st.claim, st.key = true, r.Key
-	v.ids[r.ID] = st
-	if st.release {
-		return
+	// A late release frees its own claim only: the key may have been claimed
+	// again since.
+	if c, ok := v.live[r.Key]; ok && c.id == r.ID {
+		delete(v.live, r.Key)
 	}
-	v.live[r.Key] = claimed{id: r.ID, key: r.Key, body: r.Body, holder: holders[r.Holder], until: time.Unix(r.Until, 0)}
+}
+
+// holds tells whether a claim is live.
+func (v *view) holds(key keyHash, id claimID) bool {
+	c, ok := v.live[key]
+	return ok && c.id == id
 }
 
 // find returns the live claim of a key; one that every clock within skew of
 // this one takes for expired is left out.
 func (v *view) find(key keyHash, now time.Time, skew time.Duration) (claimed, bool) {
 	c, ok := v.live[key]
-	if !ok || now.After(c.until.Add(skew)) {
+	if !ok || now.After(time.Unix(c.until, 0).Add(skew)) {
 		return claimed{}, false
 	}
 	return c, true
@@ -191,10 +191,9 @@
 
 // dropOldest forgets the oldest segment.
 func (v *view) dropOldest() {
-	for _, r := range v.segments[0].rows {
-		delete(v.ids, r.ID)
-		if c, ok := v.live[r.Key]; ok && c.id == r.ID {
-			delete(v.live, r.Key)
+	for _, r := range v.segments[0].claims {
+		if v.holds(r.key, r.id) {
+			delete(v.live, r.key)
 		}
 	}
 	v.segments = append([]segment(nil), v.segments[1:]...)
