jwclaim: settings stand before Run, late releases of a successor tested

Begin read settings that Run was just filling in; a listener that is up first would have raced with it. They are set once, by whoever comes first.

The test of late releases did not fail without the check that a release frees its own claim only, as the claimer never writes such a release; a successor does, and the test covers that now and fails without the check.

jwdrain: a planned stop with real keepers while the store is down leaves the ticket's answer with the successor.

--- a/core/jwclaim/handover.go
+++ b/core/jwclaim/handover.go
@@ -397,9 +397,10 @@
 
 // Learn takes another node's word that it answers for a process that stopped.
 func (k *Keeper) Learn(m Move) {
+	k.once.Do(k.prepare)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.moved == nil || m.Incarnation == k.Incarnation || m.To.Incarnation == k.Incarnation {
+	if m.Incarnation == k.Incarnation || m.To.Incarnation == k.Incarnation {
 		return
 	}
 	k.moved[m.Incarnation] = move{to: m.To, until: k.now().Add(k.Memory)}
--- a/core/jwclaim/keeper.go
+++ b/core/jwclaim/keeper.go
@@ -121,6 +121,7 @@
 	AnswerBytes  int           // most bytes of kept answers
 	Now          func() time.Time
 
+	once         sync.Once // prepare
 	mu           sync.Mutex
 	running      bool
 	closed       bool
@@ -169,11 +170,22 @@
 }
 
 func (k *Keeper) start(ctx context.Context) error {
+	k.once.Do(k.prepare)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.Store == nil || k.Node == "" || k.Region == "" || k.Incarnation == "" || len(k.Salt) == 0 {
 		return errors.New("run claims: store, node, region, incarnation and salt must be set")
 	}
+	k.ctx = ctx
+	k.running = true
+	return nil
+}
+
+// prepare sets what is not set. Callers may ask before Run has begun, and must
+// find the same settings then.
+func (k *Keeper) prepare() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	setDefault(&k.Memory, DefaultMemory)
 	setDefault(&k.GroupWindow, DefaultGroupWindow)
 	setDefault(&k.ClaimWait, DefaultClaimWait)
@@ -191,9 +203,6 @@
 	k.adopted = map[string]*adoption{}
 	k.moved = map[string]move{}
 	k.tickets.runnable = true
-	k.ctx = ctx
-	k.running = true
-	return nil
 }
 
 func setDefault[T int | time.Duration](field *T, value T) {
@@ -228,6 +237,7 @@
 // Begin decides on one call. It waits for the store only for an own key that
 // is not known here, and no longer than ClaimWait.
 func (k *Keeper) Begin(ctx context.Context, a Ask) (Decision, error) {
+	k.once.Do(k.prepare)
 	if a.Key == "" || (len(a.Key) > keyMax && !IsTicket(a.Key)) {
 		return Decision{}, errors.Wrapf(ErrKey, "begin: %s", k.Node)
 	}
@@ -430,6 +440,7 @@
 // sent, so that its slot has one writer; empty when none is known. Any other
 // node decides as rightly, at the cost of lost swaps.
 func (k *Keeper) Preferred(a Ask) string {
+	k.once.Do(k.prepare)
 	if k.Peers == nil {
 		return ""
 	}
@@ -451,7 +462,7 @@
 }
 
 func (k *Keeper) slotNumber(h keyHash) int {
-	return int(binary.BigEndian.Uint64(h[:]) % uint64(max(k.Slots, 1)))
+	return int(binary.BigEndian.Uint64(h[:]) % uint64(k.Slots))
 }
 
 func (k *Keeper) slotOf(region string, h keyHash) *slot {
--- a/core/jwclaim/keeper_test.go
+++ b/core/jwclaim/keeper_test.go
@@ -184,3 +184,18 @@
 	assert.Equal(t, moved, 0)
 	assert.Equal(t, preferred("x", nil), "")
 }
+
+// The listener may be up a moment before the keeper. A caller of that moment
+// must be told nothing that is not known, and nothing may run.
+func TestBeforeRun(t *testing.T) {
+	k := &Keeper{Store: &link{s: newFakeStore()}, Node: "a", Region: "irbid-a", Incarnation: "a-1", Salt: []byte("salt")}
+	d, err := k.Begin(t.Context(), own("k", "deposit"))
+	assert.NilError(t, err)
+	assert.Equal(t, d.Verdict, Unread)
+	d, err = k.Begin(t.Context(), own(sealTicket(k.ticketSecret, Ticket{Holder: k.self(), Serial: 1}), "deposit"))
+	assert.NilError(t, err)
+	assert.Equal(t, d.Verdict, Unknown)
+	_, err = k.Mint()
+	assert.ErrorContains(t, err, "does not take new calls")
+	assert.ErrorContains(t, (&Keeper{}).Run(t.Context()), "must be set")
+}
--- a/core/jwclaim/slot_test.go
+++ b/core/jwclaim/slot_test.go
@@ -219,5 +219,16 @@
 		c.Release()
 		time.Sleep(time.Second)
 		assert.Equal(t, press(t, a, own("k", "deposit")).Verdict, Elsewhere)
+
+		// So must one that a successor writes for a node that is gone.
+		heir := start(s, "c", short)
+		defer heir.end()
+		_, err := heir.Adopt(func(yield func(Record, error) bool) {
+			_ = yield(Record{Kind: ReleaseRecord, Key: &c.ref.key, Claim: &c.claim, Slot: c.slot.prefix}, nil) &&
+				yield(Record{Kind: EndRecord, Count: 1}, nil)
+		})
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		assert.Equal(t, press(t, heir, own("k", "deposit")).Verdict, Elsewhere)
 	})
 }
--- a/core/jwclaim/ticket.go
+++ b/core/jwclaim/ticket.go
@@ -44,6 +44,7 @@
 
 // ParseTicket returns what a ticket names, or ErrTicket when it is forged.
 func (k *Keeper) ParseTicket(key string) (Ticket, error) {
+	k.once.Do(k.prepare)
 	return openTicket(k.ticketSecret, key)
 }
 
--- /dev/null
+++ b/core/jwdrain/keeper_test.go
@@ -0,0 +1,93 @@
+package jwdrain
+
+import (
+	"context"
+	"crypto/sha256"
+	"iter"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwclaim"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/core/jwstore"
+)
+
+// down is a store in the middle of an outage.
+type down struct{}
+
+func (down) Get(context.Context, string) (jwstore.Item, bool, error) {
+	return jwstore.Item{}, false, jwstore.ErrUnavailable
+}
+
+func (down) List(context.Context, string) ([]jwstore.Item, error) {
+	return nil, jwstore.ErrUnavailable
+}
+
+func (down) Wait(context.Context, string, uint64, time.Duration) (jwstore.Item, bool, error) {
+	return jwstore.Item{}, false, jwstore.ErrUnavailable
+}
+
+func (down) Swap(context.Context, string, []byte, uint64) (uint64, bool, error) {
+	return 0, false, jwstore.ErrUnavailable
+}
+
+func (down) Delete(context.Context, string, uint64) (bool, error) {
+	return false, jwstore.ErrUnavailable
+}
+
+// beside hands records to a keeper in the same process.
+type beside struct{ k *jwclaim.Keeper }
+
+func (b beside) Holder() jwclaim.Holder {
+	return jwclaim.Holder{Node: b.k.Node, Region: b.k.Region, Incarnation: b.k.Incarnation}
+}
+
+func (b beside) Handover(_ context.Context, records iter.Seq[jwclaim.Record]) (jwclaim.Receipt, error) {
+	return b.k.Adopt(func(yield func(jwclaim.Record, error) bool) {
+		for r := range records {
+			if !yield(r, nil) {
+				return
+			}
+		}
+	})
+}
+
+// A node is replaced while the store is down and a confirmation still runs.
+// The caller whose page hung presses again, at the successor: it has to see
+// the one answer, and neither unknown nor a second charge.
+func TestStopWithStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var ks [2]*jwclaim.Keeper
+		for i, name := range []string{"a", "b"} {
+			k := &jwclaim.Keeper{Store: down{}, Node: name, Region: "irbid-a", Incarnation: name + "-1", Salt: []byte("salt")}
+			go func() { _ = k.Run(ctx) }()
+			ks[i] = k
+		}
+		synctest.Wait()
+		ticket, err := ks[0].Mint()
+		assert.NilError(t, err)
+		ask := jwclaim.Ask{Workspace: "hall", Region: "irbid-a", Key: ticket, Body: sha256.Sum256([]byte("deposit"))}
+		d := &Drain{Keys: ks[0], Successors: func() []jwclaim.Successor { return []jwclaim.Successor{beside{ks[1]}} }}
+
+		done, ok := d.Enter()
+		assert.Assert(t, ok)
+		first, err := ks[0].Begin(ctx, ask)
+		assert.NilError(t, err)
+		assert.NilError(t, first.Call.Dispatched())
+		time.AfterFunc(time.Minute, func() {
+			first.Call.Finish(jwclaim.Answer{Status: 200, Body: []byte("paid"), Outcome: jwrequest.Served})
+			done()
+		})
+		assert.NilError(t, d.Run(ctx))
+		again, err := ks[1].Begin(ctx, ask)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Verdict, jwclaim.Replay)
+		assert.Equal(t, string(again.Answer.Body), "paid")
+		cancel()
+		synctest.Wait()
+	})
+}
