jwdispatch: the head of a repeated answer must be the same

Cause: when a stream broke after its head and before its first byte, the next try was taken for a fresh answer. If that try gave an error page, the caller got the page under the head of the stream (status 200), ended as served. Change: once a head is out, a later try goes on with it only if status and content type are the same; else the answer ends as one that broke off. TestRelayOverTries failed before in two cases ("error page before text", "plain after a bare head") and passes with the change.

--- a/core/jwdispatch/relay.go
+++ b/core/jwdispatch/relay.go
@@ -32,10 +32,10 @@
 // comparison a model that answers differently each time would give the caller
 // two halves of two answers, passed off as one.
 type relay struct {
-	sink  *ending
-	sent  int64
-	sum   xxhash.Digest
-	ready bool
+	sink *ending
+	head Head // as sent, once a part was
+	sent int64
+	sum  xxhash.Digest
 }
 
 // copy sends the answer; nil means that it is whole and its end was sent.
@@ -45,10 +45,10 @@
 		rl.sink.refuse(a.Head)
 		return nil
 	}
-	if rl.sent == 0 && a.Head.Length >= 0 && a.Head.Length <= bufferLimit || !stream(a.Head) && rl.sent == 0 && a.Head.Length < 0 {
-		return rl.whole(a)
+	if rl.sink.begun || a.Head.Length > bufferLimit || a.Head.Length < 0 && stream(a.Head) {
+		return rl.flow(a)
 	}
-	return rl.flow(a)
+	return rl.whole(a)
 }
 
 func stream(h Head) bool {
@@ -88,16 +88,8 @@
 
 // flow sends the answer as it comes.
 func (rl *relay) flow(a *Answer) error {
-	if !rl.ready {
-		rl.sum.Reset()
-		rl.ready = true
-	}
-	if !rl.sink.begun {
-		h := a.Head
-		h.Outcome = ""
-		if rl.sink.Head(h) != nil {
-			return errCallerGone
-		}
+	if err := rl.begin(a.Head); err != nil {
+		return err
 	}
 	skip := newSkipper(rl.sent, rl.sum.Sum64())
 	buf := make([]byte, chunkSize)
@@ -129,6 +121,25 @@
 	}
 }
 
+// begin sends the head of the first try. The head of a later one must be the
+// same: an error page in place of a stream whose head is out would reach the
+// caller as the stream itself, ended well.
+func (rl *relay) begin(h Head) error {
+	h.Outcome = ""
+	if rl.sink.begun {
+		if h.Status != rl.head.Status || h.ContentType != rl.head.ContentType {
+			return errDiverged
+		}
+		return nil
+	}
+	rl.sum.Reset()
+	rl.head = h
+	if rl.sink.Head(h) != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
 // skipper drops the part of a repeated answer that was sent before, if it is
 // the same.
 type skipper struct {
