--- a/cmd/jujubebench/main.go
+++ b/cmd/jujubebench/main.go
@@ -22,6 +22,7 @@
 type commands struct {
 	Load    loadCommand    `cmd:"" help:"Sends a load and reports latencies and outcomes."`
 	Clients clientsCommand `cmd:"" help:"Prints the workspaces of a load for the client directory stand-in."`
+	Slopes  slopesCommand  `cmd:"" help:"Measures how the control work of a node grows with the system."`
 }
 
 func main() {
--- a/io/jwforward/exchange.go
+++ b/io/jwforward/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"jujubewheel/core/jwpeer"
 	"jujubewheel/io/jwwire"
@@ -76,3 +77,16 @@
 	}
 	return out
 }
+
+// EncodeTold returns what goes over the wire in one exchange, for measuring
+// what exchanges cost.
+func EncodeTold(t jwpeer.Told) ([]byte, error) { return proto.Marshal(digestToWire(t)) }
+
+// DecodeTold reads what EncodeTold returned.
+func DecodeTold(data []byte) (jwpeer.Told, error) {
+	var d jwwire.Digest
+	if err := proto.Unmarshal(data, &d); err != nil {
+		return jwpeer.Told{}, errors.Wrap(err, "decode exchange")
+	}
+	return digestFromWire(&d), nil
+}
