--- a/cmd/jujubebench/main.go
+++ b/cmd/jujubebench/main.go
@@ -20,9 +20,10 @@
 )
 
 type commands struct {
-	Load    loadCommand    `cmd:"" help:"Sends a load and reports latencies and outcomes."`
-	Clients clientsCommand `cmd:"" help:"Prints the workspaces of a load for the client directory stand-in."`
-	Slopes  slopesCommand  `cmd:"" help:"Measures how the control work of a node grows with the system."`
+	Load     loadCommand     `cmd:"" help:"Sends a load and reports latencies and outcomes."`
+	Clients  clientsCommand  `cmd:"" help:"Prints the workspaces of a load for the client directory stand-in."`
+	Policies policiesCommand `cmd:"" help:"Compares the decisions of a node with simple rules, in virtual time."`
+	Slopes   slopesCommand   `cmd:"" help:"Measures how the control work of a node grows with the system."`
 }
 
 func main() {
--- a/core/jwclaim/keeper.go
+++ b/core/jwclaim/keeper.go
@@ -36,12 +36,12 @@
 // Defaults and limits of a Keeper.
 const (
 	DefaultMemory       = time.Hour
-	DefaultGroupWindow  = 200 * time.Millisecond
+	DefaultGroupWindow  = 100 * time.Millisecond
 	DefaultClaimWait    = 2 * time.Second
 	DefaultStoreTimeout = 2 * time.Second
 	DefaultSkew         = 30 * time.Second
 	DefaultSlots        = 4
-	DefaultSegmentRows  = 256
+	DefaultSegmentRows  = 64
 	DefaultAnswerBytes  = 32 << 20
 	DefaultSweep        = 5 * time.Minute
 	DefaultRetryAfter   = time.Second
@@ -344,7 +344,7 @@
 	if other.holder.Incarnation == k.Incarnation || k.adopted[other.holder.Incarnation] != nil {
 		return k.unknown()
 	}
-	return k.elsewhere(other.holder)
+	return k.elsewhere(*other.holder)
 }
 
 // known is the verdict on a call that is in memory; k.mu is held.
--- a/core/jwclaim/slot.go
+++ b/core/jwclaim/slot.go
@@ -147,7 +147,7 @@
 	s.k.mu.Lock()
 	defer s.k.mu.Unlock()
 	if err != nil {
-		s.fail()
+		s.fail(err)
 	} else {
 		s.fails = 0
 	}
@@ -159,15 +159,17 @@
 }
 
 // fail turns away what is certainly not written and keeps the rest for the
-// next cycle; k.mu is held.
-func (s *slot) fail() {
+// next cycle. A single lost reply turns nobody away: those who came since may
+// well be served by the next write. k.mu is held.
+func (s *slot) fail(err error) {
 	s.k.counts.StoreFailures++
+	once := s.fails == 0 && !errors.Is(err, jwstore.ErrUnavailable)
 	s.sweep = false
 	s.retryAt = s.k.now().Add(min(backoffFirst<<min(s.fails, 10), backoffMost))
 	s.fails++
 	kept := s.queue[:0]
 	for _, it := range s.queue {
-		if it.kind == releaseItem || it.doubt {
+		if once || it.kind == releaseItem || it.doubt {
 			kept = append(kept, it)
 			continue
 		}
@@ -301,13 +303,13 @@
 // judge decides one item by the view and the releases written before it in the
 // same group, and resolves it where it can; k.mu is held.
 func (s *slot) judge(it *item, now time.Time, releases map[claimID]bool) judgement {
-	st := s.view.ids[it.id]
-	if it.doubt && !st.claim && it.at != s.position() {
+	live := s.view.holds(it.key, it.id)
+	if it.doubt && !live && it.at != s.position() {
 		it.doubt = false // the state it was to extend is gone, so it can't land
 	}
 	switch it.kind {
 	case releaseItem:
-		if st.release || (!st.claim && !it.doubt && !it.force) {
+		if !live && !it.doubt && !it.force {
 			s.resolve(it, free)
 			return judgeDone
 		}
@@ -323,7 +325,7 @@
 	found = found && !releases[other.id]
 	switch {
 	case found && other.id == it.id:
-		s.win(it, other.until)
+		s.win(it, time.Unix(other.until, 0))
 		return judgeDone
 	case found && s.reads <= it.reads:
 		return judgeRead // it may have been released since
@@ -397,7 +399,7 @@
 // row is what the item adds to the log; k.mu is held.
 func (it *item) row(now time.Time) row {
 	if it.kind == releaseItem {
-		return row{ID: it.id, Release: true}
+		return row{ID: it.id, Key: it.key, Release: true}
 	}
 	// Rounded up: a key is never remembered for less than was asked.
 	until := now.Add(it.memory + time.Second).Unix()
