--- a/cmd/jujubewheel/process_test.go
+++ b/cmd/jujubewheel/process_test.go
@@ -51,7 +51,7 @@
 
 // process is one program of the system as a process of its own.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	cmd     *exec.Cmd
 	ended   chan struct{}
 	mu      sync.Mutex
@@ -59,7 +59,7 @@
 	arrived chan struct{}
 }
 
-func start(t *testing.T, program string, args ...string) *process {
+func start(t testing.TB, program string, args ...string) *process {
 	t.Helper()
 	dir, err := programs()
 	assert.NilError(t, err)
@@ -74,9 +74,7 @@
 		close(p.ended)
 	}()
 	t.Cleanup(func() {
-		p.signal(syscall.SIGCONT)
-		p.signal(syscall.SIGKILL)
-		<-p.ended
+		p.end()
 		if t.Failed() {
 			t.Logf("%s %v:\n%s", program, args, p.tail(40))
 		}
@@ -104,6 +102,13 @@
 	return bytes.Join(p.lines[max(len(p.lines)-n, 0):], []byte("\n"))
 }
 
+// end kills the process and waits for its end.
+func (p *process) end() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
 // line waits for a line that holds the text and decodes its JSON.
 func (p *process) line(text string, v any) {
 	p.t.Helper()
@@ -145,9 +150,16 @@
 	name, region string
 }
 
+// stop ends all nodes at once, before the test is over.
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.end()
+	}
+}
+
 // fleet is the whole system as processes.
 type fleet struct {
-	t                  *testing.T
+	t                  testing.TB
 	dir                string
 	kv, hosts, clients jwstand.Ready
 	regions            []string
@@ -155,7 +167,7 @@
 	nodes              []*nodeProcess
 }
 
-func newFleet(t *testing.T, regions ...string) *fleet {
+func newFleet(t testing.TB, regions ...string) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir(), regions: regions}
 	var list []jwstand.Client
--- /dev/null
+++ b/cmd/jujubewheel/recovery_test.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/io/jwstand"
+)
+
+// The benchmarks of this file measure how long the system takes to get over a
+// failure, with each part a process of its own. They run with
+//
+//	go test -run - -bench Recovery -benchtime 3x ./cmd/jujubewheel
+//
+// and are no part of CI, which asserts no times.
+
+// served sends a lookup-sized draft and tells whether it came whole.
+func served(at netip.AddrPort) bool {
+	return send(at, "draft", "free-east", prompt("menu", 1, false)).whole()
+}
+
+// until polls quickly and returns how long it took.
+func until(b *testing.B, holds func() bool) time.Duration {
+	b.Helper()
+	start := time.Now()
+	for !holds() {
+		if time.Since(start) > patience {
+			b.Fatal("not within the patience of the test")
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func report(b *testing.B, name string, times []time.Duration) {
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Milliseconds()), name+"-ms")
+}
+
+// BenchmarkRecoveryNodeKill measures from the kill of a node until its caller is
+// served by another, and until no node names the dead one to callers.
+func BenchmarkRecoveryNodeKill(b *testing.B) {
+	var elsewhere, unnamed []time.Duration
+	for range b.N {
+		f := newFleet(b, "east")
+		f.target("runner", "writer", "east", "--token", "1ms")
+		for i := range 3 {
+			f.node(fmt.Sprintf("e%d", i+1), "east")
+		}
+		f.fill()
+		a, c := f.nodes[0], f.nodes[1]
+		until(b, func() bool { return served(a.Callers) && served(c.Callers) })
+		known, err := hostsOf(a.Callers, "free-east")
+		assert.NilError(b, err)
+		a.signal(syscall.SIGKILL)
+		<-a.ended
+		groups := f.groups
+		f.groups = slices.DeleteFunc(slices.Clone(groups), func(g jwstand.HostGroup) bool { return g.Labels["name"] == a.name })
+		f.put(f.hosts.Control, "/hosts", f.groups)
+		elsewhere = append(elsewhere, until(b, func() bool {
+			return slices.ContainsFunc(known, func(h netip.AddrPort) bool { return served(h) })
+		}))
+		unnamed = append(unnamed, until(b, func() bool {
+			for _, n := range f.nodes[1:] {
+				list, err := hostsOf(n.Callers, "free-east")
+				if err != nil || slices.Contains(list, a.Callers) {
+					return false
+				}
+			}
+			return true
+		}))
+		f.stop()
+	}
+	report(b, "servedElsewhere", elsewhere)
+	report(b, "noLongerNamed", unnamed)
+}
+
+// BenchmarkRecoveryTargetLeaving measures from the moment at which the
+// platform's list shows a target as leaving until the last new call that it got
+// from any of three nodes. The target itself goes on taking calls.
+func BenchmarkRecoveryTargetLeaving(b *testing.B) {
+	var last []time.Duration
+	for range b.N {
+		f := newFleet(b, "east")
+		leaving := f.target("runner", "writer", "east", "--token", "1ms")
+		f.target("runner", "writer", "east", "--token", "1ms")
+		for i := range 3 {
+			f.node(fmt.Sprintf("e%d", i+1), "east")
+		}
+		f.fill()
+		for _, n := range f.nodes {
+			until(b, func() bool { return served(n.Callers) })
+		}
+		start := time.Now()
+		f.groups[0].Labels["state"] = "leaving"
+		f.put(f.hosts.Control, "/hosts", f.groups)
+		for i := 0; time.Since(start) < 4*time.Second; i++ {
+			served(f.nodes[i%3].Callers)
+		}
+		var latest time.Duration
+		for _, r := range f.runs(leaving) {
+			latest = max(latest, r.Began.Sub(start))
+		}
+		last = append(last, latest)
+		f.stop()
+	}
+	report(b, "lastNewCall", last)
+}
+
+// BenchmarkRecoveryEdit measures from the command of an operator until the
+// change is accepted: in force at every node of three regions.
+func BenchmarkRecoveryEdit(b *testing.B) {
+	for _, perRegion := range []int{1, 3} {
+		b.Run(fmt.Sprintf("%dNodes", 3*perRegion), func(b *testing.B) {
+			f := newFleet(b, "east", "north", "west")
+			for _, r := range f.regions {
+				for i := range perRegion {
+					f.node(fmt.Sprintf("%s%d", r[:1], i+1), r)
+				}
+			}
+			f.fill()
+			var accepted []time.Duration
+			for i := range b.N {
+				changed := strings.ReplaceAll(string(testCatalogue), `"deadline": "30s"`, fmt.Sprintf(`"deadline": "%ds"`, 31+i))
+				path := f.write("again.json", json.RawMessage(changed))
+				start := time.Now()
+				out, err := f.command(f.nodes[0], "catalogue", "put", "--overwrite", "--reason", "again", "--wait", "20s", path)
+				assert.NilError(b, err, "%s", out)
+				accepted = append(accepted, time.Since(start))
+			}
+			report(b, "accepted", accepted)
+			f.stop()
+		})
+	}
+}
