jwcatalogue: the pace of an edit measured, and two faults of it mended

A test runs real controllers in virtual time over simulated links (160 ms there and back to the service from 12 of 13 regions, 6 ms between peers, exchange of revisions every 500 ms). Without -pace it runs 3 and 9 nodes.

Waiting for acceptance reads the members once and then the confirmations only, and a gatherer looks five times a period but writes once.

--- a/core/jwcatalogue/acceptance.go
+++ b/core/jwcatalogue/acceptance.go
@@ -33,6 +33,9 @@
 // DefaultPollEvery is the pace at which Wait looks at the confirmations.
 const DefaultPollEvery = 250 * time.Millisecond
 
+// membersAgain is the pace at which Wait reads the members again.
+const membersAgain = 2 * time.Second
+
 // Acceptance finds out which revisions are accepted. Once it has said so of a
 // revision, it never says otherwise, at no node.
 type Acceptance struct {
@@ -44,26 +47,45 @@
 
 // Check looks at the confirmations of a revision that is in the log.
 func (a *Acceptance) Check(ctx context.Context, n uint64) (Status, error) {
-	accepted, version, err := a.accepted(ctx, n)
-	if err != nil || accepted >= n {
-		return Status{Revision: n, Accepted: err == nil}, err
-	}
-	members, err := a.members(ctx)
-	if err != nil {
-		return Status{Revision: n}, err
+	return a.check(ctx, &question{n: n})
+}
+
+// question is a revision that is asked about again and again.
+type question struct {
+	n       uint64
+	members map[string][]string // by region, read after the change was made
+	readAt  time.Time
+	version uint64 // of the accepted revision in the service
+}
+
+func (a *Acceptance) check(ctx context.Context, q *question) (Status, error) {
+	s := Status{Revision: q.n}
+	// The members of any moment after the change will do: whoever registers
+	// later reads a head that has it. They are read again for those that left.
+	if q.members == nil || time.Since(q.readAt) > membersAgain {
+		accepted, version, err := a.accepted(ctx, q.n)
+		if err != nil || accepted >= q.n {
+			s.Accepted = err == nil
+			return s, err
+		}
+		members, err := a.members(ctx)
+		if err != nil {
+			return s, err
+		}
+		q.members, q.readAt, q.version = members, time.Now(), version
 	}
 	confirmed, err := a.confirmations(ctx)
 	if err != nil {
-		return Status{Revision: n}, err
+		return s, err
 	}
-	s := judge(n, members, confirmed)
+	s = judge(q.n, q.members, confirmed)
 	if !s.Accepted {
 		return s, nil
 	}
 	// The word is given only after it is kept: a node that registers later,
 	// in a region without a confirmation, would make it untrue otherwise.
-	if err := a.keep(ctx, n, version); err != nil {
-		return Status{Revision: n}, err
+	if err := a.keep(ctx, q.n, q.version); err != nil {
+		return Status{Revision: q.n}, err
 	}
 	return s, nil
 }
@@ -72,8 +94,9 @@
 // names that were then missing.
 func (a *Acceptance) Wait(ctx context.Context, n uint64) (Status, error) {
 	last := Status{Revision: n}
+	q := &question{n: n}
 	for {
-		s, err := a.Check(ctx, n)
+		s, err := a.check(ctx, q)
 		if err == nil {
 			last = s
 		}
--- a/core/jwcatalogue/editor.go
+++ b/core/jwcatalogue/editor.go
@@ -67,32 +67,29 @@
 	if err := e.Validate(); err != nil {
 		return EditResult{}, err
 	}
-	for {
-		if err := d.log().catchUp(ctx, d.Table); err != nil {
-			return EditResult{}, noEffect(err)
+	for fresh := !d.trusted(); ; fresh = true {
+		if fresh {
+			if err := d.log().catchUp(ctx, d.Table); err != nil {
+				return EditResult{}, noEffect(err)
+			}
 		}
-		if c, ok := d.Table.edit(e.EditID); ok {
-			return d.known(c, e)
+		c, known, err := d.next(ctx, e)
+		if err != nil && !fresh {
+			continue // perhaps only because this node is behind
 		}
-		now := d.Table.Current()
-		c, err := d.change(ctx, now, e)
 		if err != nil {
 			return EditResult{}, err
 		}
-		if c.N <= now.Revision {
-			return d.known(c, e)
-		}
-		if err := fits(now, c); err != nil {
-			return EditResult{}, err
+		if known {
+			return EditResult{Revision: c.N}, nil
 		}
 		won, err := d.create(ctx, c)
 		if err != nil {
 			return EditResult{}, err
 		}
-		if !won {
-			continue
+		if won {
+			return d.won(ctx, c)
 		}
-		return d.won(ctx, c)
 	}
 }
 
@@ -139,15 +136,43 @@
 	return d.Now()
 }
 
-// known answers an edit that was sent before. An edit id used for another
+// trustFor is how long a table counts as near the head after the log was read.
+const trustFor = 2 * time.Minute
+
+// trusted tells whether the first try may be made from what this node has,
+// which saves two calls over a slow link. It is right whenever the number is
+// free; a node that is far behind would only create a trimmed one anew.
+func (d *Editor) trusted() bool {
+	at := d.Table.caughtUp.Load()
+	return at != nil && time.Since(*at) < trustFor
+}
+
+// next returns the change to write for an edit, or the one that the edit
+// became when it was sent before.
+func (d *Editor) next(ctx context.Context, e Edit) (c Change, known bool, err error) {
+	if c, ok := d.Table.edit(e.EditID); ok {
+		return c, true, same(c, e)
+	}
+	now := d.Table.Current()
+	c, err = d.change(ctx, now, e)
+	if err != nil {
+		return c, false, err
+	}
+	if c.N <= now.Revision {
+		return c, true, same(c, e)
+	}
+	return c, false, fits(now, c)
+}
+
+// same tells whether a change is of this edit. An edit id used for another
 // edit is a fault of the sender, not a success.
-func (d *Editor) known(c Change, e Edit) (EditResult, error) {
-	if c.Entry != e.Entry || !sameEntry(c.After, e.After) {
-		return EditResult{}, &InvalidError{Entry: e.Entry, Faults: []string{
-			fmt.Sprintf("edit id %q belongs to change %d", e.EditID, c.N),
-		}}
+func same(c Change, e Edit) error {
+	if c.Entry == e.Entry && sameEntry(c.After, e.After) {
+		return nil
 	}
-	return EditResult{Revision: c.N}, nil
+	return &InvalidError{Entry: e.Entry, Faults: []string{
+		fmt.Sprintf("edit id %q belongs to change %d", e.EditID, c.N),
+	}}
 }
 
 // change makes the next change of an edit, or returns the one that the edit
--- a/core/jwcatalogue/gatherer.go
+++ b/core/jwcatalogue/gatherer.go
@@ -38,6 +38,7 @@
 	DefaultGatherPeriod = 500 * time.Millisecond // between two writes of a region
 	DefaultMembersEvery = 30 * time.Second       // between reads of the members
 	laggardsEvery       = time.Second            // between reads of the members while some are missing
+	looksAPeriod        = 5                      // looks at the peers between two writes
 )
 
 // Gatherer writes the confirmations of a region. One node of the region does
@@ -51,7 +52,7 @@
 	Peers      Peers
 	Departures *Departures   // nil to count nobody out by the host list
 	Registered func() bool   // whether this node has its own record, nil for always
-	Period     time.Duration // 0 for DefaultGatherPeriod
+	Period     time.Duration // between two writes, 0 for DefaultGatherPeriod
 
 	members   []memberItem
 	seen      uint64    // revision known before the members were read
@@ -59,6 +60,7 @@
 	written   RegionConfirmed
 	writtenAt time.Time
 	version   uint64 // of the record in the service
+	loaded    bool   // whether written and version are those of the service
 }
 
 type memberItem struct {
@@ -68,7 +70,7 @@
 
 // Run gathers until the context ends.
 func (g *Gatherer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(or(g.Period, DefaultGatherPeriod))
+	ticker := time.NewTicker(g.period() / looksAPeriod)
 	defer ticker.Stop()
 	for {
 		select {
@@ -86,7 +88,7 @@
 func (g *Gatherer) Step(ctx context.Context, now time.Time) error {
 	peers := g.Peers.Peers()
 	if GathererOf(peers, g.Region) != g.Name || g.Registered != nil && !g.Registered() {
-		g.members, g.version = nil, 0
+		g.members, g.loaded = nil, false
 		return nil
 	}
 	if g.due(now) {
@@ -201,7 +203,7 @@
 // write keeps the record in step: at once when more is in force everywhere,
 // at a slow pace when only the names of those missing have changed.
 func (g *Gatherer) write(ctx context.Context, c RegionConfirmed, now time.Time) error {
-	if g.version == 0 {
+	if !g.loaded {
 		if err := g.readWritten(ctx); err != nil {
 			return err
 		}
@@ -211,7 +213,8 @@
 	c.Seen = max(c.Seen, g.written.Seen)
 	rises := c.Revision > g.written.Revision
 	differs := c.Seen != g.written.Seen || !slices.Equal(c.Laggards, g.written.Laggards)
-	if !rises && (!differs || now.Sub(g.writtenAt) < laggardsEvery) {
+	since := now.Sub(g.writtenAt)
+	if since < g.period() || !rises && (!differs || since < laggardsEvery) {
 		return nil
 	}
 	data, err := json.Marshal(c)
@@ -220,27 +223,27 @@
 	}
 	version, swapped, err := g.Store.Swap(ctx, ConfirmedPrefix+g.Region, data, g.version)
 	if err != nil || !swapped {
-		g.version = 0
+		g.loaded = false
 		return errors.Wrap(err, "write confirmation: store")
 	}
 	g.written, g.version, g.writtenAt = c, version, now
 	return nil
 }
 
+func (g *Gatherer) period() time.Duration { return or(g.Period, DefaultGatherPeriod) }
+
 func (g *Gatherer) readWritten(ctx context.Context) error {
 	item, ok, err := g.Store.Get(ctx, ConfirmedPrefix+g.Region)
 	if err != nil {
 		return errors.Wrap(err, "read confirmation: store")
 	}
-	g.written, g.version = RegionConfirmed{}, 0
-	if !ok {
-		return nil
-	}
-	c, err := ParseRegionConfirmed(item.Value)
-	if err != nil {
-		return err
+	var c RegionConfirmed
+	if ok {
+		if c, err = ParseRegionConfirmed(item.Value); err != nil {
+			return err
+		}
 	}
-	g.written, g.version = c, item.Version
+	g.written, g.version, g.loaded = c, item.Version, true
 	return nil
 }
 
--- a/core/jwcatalogue/log.go
+++ b/core/jwcatalogue/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -26,6 +27,7 @@
 // created anew after it was trimmed away is never applied, since the mark then
 // says that it was trimmed.
 func (l changeLog) catchUp(ctx context.Context, t *Table) error {
+	begin := time.Now()
 	for {
 		before := t.Revision()
 		prefix := blockPrefix(before + 1)
@@ -47,6 +49,7 @@
 			return err
 		}
 		if blockPrefix(t.Revision()+1) == prefix {
+			t.caughtUp.Store(&begin)
 			return nil
 		}
 	}
--- /dev/null
+++ b/core/jwcatalogue/pace_test.go
@@ -0,0 +1,230 @@
+package jwcatalogue
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwstore"
+)
+
+// The simulated links, there and back.
+const (
+	linkToStore  = 160 * time.Millisecond // from another region
+	linkToPeer   = 6 * time.Millisecond
+	paceIdle     = 2 * time.Minute
+	paceExchange = 500 * time.Millisecond // between two exchanges of peers
+)
+
+// farStore is the service as a node of another region sees it.
+type farStore struct {
+	*fakeStore
+	delay time.Duration
+}
+
+func (s farStore) Get(ctx context.Context, key string) (jwstore.Item, bool, error) {
+	time.Sleep(s.delay)
+	return s.fakeStore.Get(ctx, key)
+}
+
+func (s farStore) List(ctx context.Context, prefix string) ([]jwstore.Item, error) {
+	time.Sleep(s.delay)
+	return s.fakeStore.List(ctx, prefix)
+}
+
+func (s farStore) Wait(ctx context.Context, key string, after uint64, most time.Duration) (jwstore.Item, bool, error) {
+	time.Sleep(s.delay / 2)
+	item, ok, err := s.fakeStore.Wait(ctx, key, after, most)
+	time.Sleep(s.delay / 2)
+	return item, ok, err
+}
+
+func (s farStore) Swap(ctx context.Context, key string, value []byte, version uint64) (uint64, bool, error) {
+	time.Sleep(s.delay)
+	return s.fakeStore.Swap(ctx, key, value, version)
+}
+
+// fleet is a system of many nodes whose peers tell each other their revision
+// at a steady pace.
+type fleet struct {
+	store *fakeStore
+	nodes []*fleetNode
+
+	mu       sync.Mutex
+	told     []jwpeer.Peer
+	watchers map[string][]string // by data centre
+}
+
+type fleetNode struct {
+	fleet *fleet
+	peer  jwpeer.Peer
+	table Table
+}
+
+func (f *fleet) Peers() []jwpeer.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.told
+}
+
+func (f *fleet) tell() {
+	var told []jwpeer.Peer
+	for _, n := range f.nodes {
+		p := n.peer
+		p.Revision = n.table.Revision()
+		told = append(told, p)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told, f.watchers = told, make(map[string][]string)
+}
+
+func (f *fleet) watchersOf(p jwpeer.Peer) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names, ok := f.watchers[p.DataCentre]
+	if !ok {
+		names = Watchers(f.told, p.Region, p.DataCentre)
+		f.watchers[p.DataCentre] = names
+	}
+	return names
+}
+
+// Changes asks a watcher of the own data centre.
+func (n *fleetNode) Changes(_ context.Context, after uint64) ([]Change, *Checkpoint, error) {
+	names := n.fleet.watchersOf(n.peer)
+	i := slices.IndexFunc(n.fleet.nodes, func(p *fleetNode) bool { return p.peer.Name == names[after%uint64(len(names))] })
+	time.Sleep(linkToPeer)
+	changes, cp := n.fleet.nodes[i].table.Changes(after, 64)
+	return changes, cp, nil
+}
+
+func (n *fleetNode) delay() time.Duration {
+	if n.peer.Region == "r0" {
+		return linkToPeer
+	}
+	return linkToStore
+}
+
+func (n *fleetNode) run(ctx context.Context, wg *sync.WaitGroup) {
+	store := farStore{n.fleet.store, n.delay()}
+	watcher := func() bool {
+		return slices.Contains(n.fleet.watchersOf(n.peer), n.peer.Name)
+	}
+	f := &Follower{Store: store, Table: &n.table, Watcher: watcher, Source: n}
+	m := &Membership{
+		Member: Member{Name: n.peer.Name, Region: n.peer.Region, Incarnation: n.peer.Incarnation},
+		Store:  store, Follower: f,
+	}
+	g := &Gatherer{Name: n.peer.Name, Region: n.peer.Region, Store: store, Table: &n.table, Peers: n.fleet}
+	_ = m.Join(ctx)
+	for _, run := range []func(context.Context) error{f.Run, m.Run, g.Run} {
+		wg.Go(func() { _ = run(ctx) })
+	}
+}
+
+var paceLarge = flag.Bool("pace", false, "measure the pace of 100 and 970 nodes too")
+
+type fleetSize struct{ nodes, regions, dataCentres int }
+
+// TestPace prints how long an edit takes to be in force and accepted, and
+// what it costs the service, with simulated links and real controllers.
+func TestPace(t *testing.T) {
+	sizes := map[string]fleetSize{"3 nodes": {3, 3, 3}, "9 nodes": {9, 3, 6}}
+	if *paceLarge {
+		sizes["100 nodes"] = fleetSize{100, 13, 27}
+		sizes["970 nodes"] = fleetSize{970, 13, 27}
+	}
+	for name, size := range sizes {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				measurePace(t, size.nodes, size.regions, size.dataCentres)
+			})
+		})
+	}
+}
+
+func measurePace(t *testing.T, nodes, regions, dataCentres int) {
+	f := &fleet{store: new(fakeStore)}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for i := range nodes {
+		dc := i % dataCentres
+		f.nodes = append(f.nodes, &fleetNode{fleet: f, peer: jwpeer.Peer{
+			Name: fmt.Sprintf("n%d", i), Incarnation: "a", State: jwpeer.Serving,
+			Region: fmt.Sprintf("r%d", dc%regions), DataCentre: fmt.Sprintf("dc%d", dc),
+		}})
+	}
+	f.tell()
+	wg.Go(func() {
+		for sleep(ctx, paceExchange) == nil {
+			f.tell()
+		}
+	})
+	for _, n := range f.nodes {
+		wg.Go(func() { n.run(ctx, &wg) })
+	}
+	time.Sleep(time.Minute)
+	reads0, writes0 := f.store.calls()
+	time.Sleep(paceIdle)
+	idleReads, idleWrites := f.store.calls()
+	waits := f.store.waiting()
+	idle := paceIdle.Seconds()
+	t.Logf("idle: %.2f reads and %.2f writes a second, %d waits stand", float64(idleReads-reads0)/idle, float64(idleWrites-writes0)/idle, waits)
+
+	const edits = 20
+	editor := f.nodes[1]
+	store := farStore{f.store, editor.delay()}
+	d := &Editor{Store: store, Table: &editor.table}
+	var written, inForce, accepted []time.Duration
+	var callsRead, callsWritten float64
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for i := range edits {
+		time.Sleep(5*time.Second + time.Duration(rnd.IntN(2000))*time.Millisecond)
+		reads, writes := f.store.calls()
+		begin := time.Now()
+		res, err := d.Put(ctx, edit(fmt.Sprintf("e%d", i), "status", editor.table.Current().Revisions["status"]))
+		assert.NilError(t, err)
+		written = append(written, time.Since(begin))
+		done := make(chan time.Duration)
+		go func() {
+			for _, n := range f.nodes {
+				changed := n.table.Changed()
+				for n.table.Revision() < res.Revision {
+					<-changed
+					changed = n.table.Changed()
+				}
+			}
+			done <- time.Since(begin)
+		}()
+		status, err := (&Acceptance{Store: store}).Wait(ctx, res.Revision)
+		assert.NilError(t, err)
+		assert.Assert(t, status.Accepted)
+		accepted = append(accepted, time.Since(begin))
+		inForce = append(inForce, <-done)
+		assert.Assert(t, inForce[i] <= accepted[i], "accepted before it was in force everywhere")
+		took := time.Since(begin).Seconds()
+		readsAfter, writesAfter := f.store.calls()
+		callsRead += float64(readsAfter-reads) - took*float64(idleReads-reads0)/idle
+		callsWritten += float64(writesAfter - writes)
+	}
+	t.Logf("an edit: %.0f reads and %.1f writes beside the idle ones", callsRead/edits, callsWritten/edits)
+	for _, part := range []struct {
+		name string
+		of   []time.Duration
+	}{{"written", written}, {"in force everywhere", inForce}, {"accepted", accepted}} {
+		slices.Sort(part.of)
+		t.Logf("%s: median %v, longest %v", part.name, part.of[edits/2], part.of[edits-1])
+	}
+	cancel()
+	wg.Wait()
+}
--- a/core/jwcatalogue/rank.go
+++ b/core/jwcatalogue/rank.go
@@ -16,8 +16,14 @@
 // service for the next change, by rendezvous hash over the live peers given.
 // No lock is needed: with other views of who lives a few more or fewer wait.
 func Watchers(live []jwpeer.Peer, region, dataCentre string) []string {
-	names := rank(live, "watcher", func(p jwpeer.Peer) bool {
-		return p.Region == region && p.DataCentre == dataCentre
+	var names []string
+	for _, p := range live {
+		if p.State == jwpeer.Serving && p.Region == region && p.DataCentre == dataCentre {
+			names = append(names, p.Name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight("watcher", b), weight("watcher", a)), cmp.Compare(a, b))
 	})
 	return names[:min(len(names), WatchersPerDataCentre)]
 }
@@ -25,23 +31,16 @@
 // GathererOf returns the name of the node that gathers the confirmations of a
 // region, or "" when none is live.
 func GathererOf(live []jwpeer.Peer, region string) string {
-	names := rank(live, "gatherer", func(p jwpeer.Peer) bool { return p.Region == region })
-	if len(names) == 0 {
-		return ""
-	}
-	return names[0]
-}
-
-func rank(live []jwpeer.Peer, job string, fits func(jwpeer.Peer) bool) []string {
-	var names []string
+	first, most := "", uint64(0)
 	for _, p := range live {
-		if p.State == jwpeer.Serving && fits(p) {
-			names = append(names, p.Name)
+		if p.State != jwpeer.Serving || p.Region != region {
+			continue
+		}
+		if w := weight("gatherer", p.Name); first == "" || w > most || w == most && p.Name < first {
+			first, most = p.Name, w
 		}
 	}
-	weight := func(name string) uint64 { return xxhash.Sum64String(job + "/" + name) }
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
-	})
-	return names
+	return first
 }
+
+func weight(job, name string) uint64 { return xxhash.Sum64String(job + "/" + name) }
--- a/core/jwcatalogue/store_test.go
+++ b/core/jwcatalogue/store_test.go
@@ -211,3 +211,15 @@
 	slices.Sort(keys)
 	return keys
 }
+
+func (s *fakeStore) calls() (reads, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.writes
+}
+
+func (s *fakeStore) waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waits
+}
--- a/core/jwcatalogue/table.go
+++ b/core/jwcatalogue/table.go
@@ -4,6 +4,7 @@
 	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -66,7 +67,8 @@
 type Table struct {
 	Keep int // changes kept to give to peers, 0 for DefaultKeep
 
-	current atomic.Pointer[Snapshot]
+	current  atomic.Pointer[Snapshot]
+	caughtUp atomic.Pointer[time.Time] // when the log was last read to its head
 
 	mu      sync.Mutex
 	changes []Change // the last ones, without a gap, up to the current revision
