--- a/core/jwclaim/slot.go
+++ b/core/jwclaim/slot.go
@@ -201,8 +201,9 @@
 			return err
 		}
 	}
+	begun := s.begun()
 	for range attemptsMax {
-		p := s.plan()
+		p := s.plan(begun)
 		if p.read {
 			if err := s.confirm(ctx); err != nil {
 				return err
@@ -254,6 +255,12 @@
 	return s.started
 }
 
+func (s *slot) begun() uint64 {
+	s.k.mu.Lock()
+	defer s.k.mu.Unlock()
+	return s.started
+}
+
 // plan is one write: the items it settles and the rows they add.
 type plan struct {
 	read     bool // the store has to be read before anything can be decided
@@ -262,8 +269,10 @@
 	releases map[claimID]bool // claims that these rows release
 }
 
-// plan resolves the items that need no write and gathers those that do.
-func (s *slot) plan() plan {
+// plan resolves the items that need no write and gathers those that do. Only
+// items that came before the cycle, when begun operations had begun, may ask for
+// a read: presses of one claimed key could otherwise keep all others waiting.
+func (s *slot) plan(begun uint64) plan {
 	s.k.mu.Lock()
 	defer s.k.mu.Unlock()
 	now := s.k.now()
@@ -276,7 +285,7 @@
 		}
 		switch s.judge(it, now, p.releases) {
 		case judgeRead:
-			p.read = true
+			p.read = p.read || it.reads <= begun
 			kept = append(kept, it)
 		case judgeWrite:
 			p.items = append(p.items, it)
@@ -407,7 +416,7 @@
 }
 
 func (s *slot) position() position {
-	return position{segment: s.view.segments[len(s.view.segments)-1].number, version: s.view.version}
+	return position{segment: s.view.last(), version: s.view.version}
 }
 
 // write appends the plan to the log. It returns false when another node wrote
@@ -481,8 +490,7 @@
 	defer s.k.mu.Unlock()
 	s.view.replaceHead(d, version)
 	if d.Sealed {
-		last := s.view.segments[len(s.view.segments)-1].number
-		s.view.addSegment(last+1, document{}, 0)
+		s.view.addSegment(s.view.last()+1, document{}, 0)
 	}
 	s.view.read = start
 	s.reads = begun
--- a/core/jwclaim/slot_test.go
+++ b/core/jwclaim/slot_test.go
@@ -232,3 +232,54 @@
 		assert.Equal(t, press(t, heir, own("k", "deposit")).Verdict, Elsewhere)
 	})
 }
+
+// Nodes that tend a quiet slot look at it every few minutes. If each look read
+// the whole log, a night's idling would cost more than the day's work.
+func TestIdleSlotIsNotReadWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		a := start(s, "a", func(n *node) { n.Slots, n.SegmentRows = 1, 2 })
+		defer a.end()
+		for i := range 5 {
+			run(t, a, own(fmt.Sprint("k", i), "x")).Finish(served("paid"))
+			time.Sleep(20 * time.Minute)
+		}
+		assert.Equal(t, s.lists, 1)
+		assert.Equal(t, press(t, a, own("k4", "x")).Verdict, Replay)
+	})
+}
+
+// A node that has not looked at a slot for hours finds something in the place
+// of the segment it knew last, or before it: the leftover of a node that was
+// paused. If it went on from there, it would miss all claims made since, and
+// run one of their keys again.
+func TestOldViewMeetsStray(t *testing.T) {
+	for name, rows := range map[string]int{
+		"last segment was open":      2,
+		"last segment was not there": 1,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newFakeStore()
+				few := func(n *node) { n.Slots, n.SegmentRows, n.Memory = 1, rows, time.Minute }
+				a, b := start(s, "a", func(n *node) { few(n); n.Sweep = 100 * time.Hour }), start(s, "b", few)
+				defer a.end()
+				defer b.end()
+				run(t, a, own("warm", "up"))
+				at := a.slots[slotPrefix("irbid-a", 0)].view.last()
+				for i := range 30 {
+					run(t, b, own(fmt.Sprint("k", i), "x"))
+					time.Sleep(time.Minute)
+				}
+				run(t, b, own("k", "deposit"))
+				stray := document{Until: time.Now().Unix() - 1000}
+				stray.Rows = []row{{ID: claimID{9}, Key: keyHash{9}, Holder: stray.holder(Holder{Node: "z"}), Until: stray.Until}}
+				value, err := encodeDocument(stray)
+				assert.NilError(t, err)
+				_, swapped := s.swap(segmentKey(slotPrefix("irbid-a", 0), at), value, 0)
+				assert.Assert(t, swapped)
+				assert.Equal(t, press(t, a, own("k", "deposit")).Verdict, Elsewhere)
+			})
+		})
+	}
+}
--- a/core/jwclaim/store_test.go
+++ b/core/jwclaim/store_test.go
@@ -19,6 +19,7 @@
 	bytes   int // written
 	largest int
 	reads   int
+	lists   int // of these, whole logs
 }
 
 func newFakeStore() *fakeStore {
@@ -51,6 +52,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	s.lists++
 	var items []jwstore.Item
 	for key, item := range s.items {
 		if strings.HasPrefix(key, prefix) {
--- a/core/jwclaim/view.go
+++ b/core/jwclaim/view.go
@@ -47,33 +47,63 @@
 // confirm makes the view as new as the store at some moment of the call.
 func (v *view) confirm(ctx context.Context, s jwstore.Reader, now func() time.Time, skew time.Duration) error {
 	start := now()
-	// The numbers after a segment that others deleted long ago can be created
-	// again, where nobody would look. A view this old is read afresh.
-	if !v.loaded || age(start, v.read) > viewAge {
+	if !v.loaded {
 		return v.load(ctx, s, start, skew)
 	}
+	old := age(start, v.read) > viewAge
 	for {
-		last := v.segments[len(v.segments)-1]
-		item, ok, err := s.Get(ctx, segmentKey(v.prefix, last.number))
+		item, ok, err := s.Get(ctx, segmentKey(v.prefix, v.last()))
 		if err != nil {
 			return errors.Wrapf(err, "read claims: %s", v.prefix)
 		}
-		if !ok && v.version != 0 {
-			return v.load(ctx, s, start, skew)
-		}
-		if ok && item.Version != v.version {
-			d, err := decodeDocument(item.Value)
-			if err != nil {
+		d := document{}
+		if ok {
+			if d, err = decodeDocument(item.Value); err != nil {
 				return errors.Wrapf(err, "read claims: %s", item.Key)
 			}
+		}
+		joined := ok || v.version == 0
+		if joined && old {
+			joined, err = v.joins(ctx, s, d)
+		}
+		if err != nil {
+			return err
+		}
+		if !joined {
+			return v.load(ctx, s, start, skew)
+		}
+		old = false
+		if item.Version != v.version {
 			v.replaceHead(d, item.Version)
 		}
 		if !v.head.Sealed {
 			v.read = start
 			return nil
 		}
-		v.addSegment(last.number+1, document{}, 0)
+		v.addSegment(v.last()+1, document{}, 0)
+	}
+}
+
+// joins tells whether d, which was just read in the place of the last segment
+// or found missing there, is what follows the view. After a long time the
+// number may have been used up and deleted by others, and what stands there, if
+// anything, be a stray; a view that took it up would miss every claim between.
+// Segments are deleted oldest first, so one that is known and still there
+// proves that none after it is gone.
+func (v *view) joins(ctx context.Context, s jwstore.Reader, d document) (bool, error) {
+	if v.version != 0 {
+		return len(d.Rows) > 0 && d.Rows[0].ID == v.head.Rows[0].ID, nil
 	}
+	if len(v.segments) < 2 {
+		return false, nil
+	}
+	_, ok, err := s.Get(ctx, segmentKey(v.prefix, v.last()-1))
+	return ok, errors.Wrapf(err, "read claims: %s", v.prefix)
+}
+
+// last is the number of the last segment.
+func (v *view) last() uint64 {
+	return v.segments[len(v.segments)-1].number
 }
 
 // load reads the whole log.
@@ -106,7 +136,7 @@
 	case len(fresh.segments) == 0:
 		fresh.addSegment(1, document{}, 0)
 	case fresh.head.Sealed:
-		fresh.addSegment(fresh.segments[len(fresh.segments)-1].number+1, document{}, 0)
+		fresh.addSegment(fresh.last()+1, document{}, 0)
 	}
 	fresh.read, fresh.loaded = start, true
 	*v = fresh
@@ -114,8 +144,7 @@
 }
 
 func (v *view) holeBefore(n uint64) bool {
-	last := len(v.segments)
-	return last > 0 && v.segments[last-1].number+1 != n
+	return len(v.segments) > 0 && v.last()+1 != n
 }
 
 func (v *view) allExpired(now time.Time, skew time.Duration) bool {
