--- a/core/jwclaim/keeper.go
+++ b/core/jwclaim/keeper.go
@@ -10,29 +10,12 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/core/jwstore"
 )
 
-// Verdict tells what to do with a call that has a key.
-type Verdict string
-
-// The verdicts on a call.
-const (
-	Run       Verdict = "run"       // this node alone may dispatch Decision.Call
-	Join      Verdict = "join"      // the key is in flight here: wait for Decision.Call
-	Replay    Verdict = "replay"    // Decision.Answer is the answer to the first call
-	Elsewhere Verdict = "elsewhere" // ask Decision.Holder; if it is gone, unknown
-	Mismatch  Verdict = "mismatch"  // the key came with another body before
-	Unknown   Verdict = "unknown"   // the key may have run and never runs again
-	NotRun    Verdict = "notRun"    // neither this call nor an earlier one of the key ran
-	Unread    Verdict = "unread"    // this call was not run; an earlier one of the key may have
-	Refused   Verdict = "refused"   // a ticket that no node minted
-)
-
 // Defaults and limits of a Keeper.
 const (
 	DefaultMemory       = time.Hour
@@ -56,29 +39,6 @@
 	ErrRegion = errors.New("no home region")
 )
 
-// Peers tells which nodes of a region serve.
-type Peers interface {
-	Serving(region string) []string
-}
-
-// Ask is one call with a key.
-type Ask struct {
-	Workspace string
-	Region    string // home region of the workspace, where its keys are claimed
-	Key       string // idempotency key or ticket
-	Body      [sha256.Size]byte
-	Memory    time.Duration // how long the key is remembered, 0 for Keeper.Memory
-}
-
-// Decision is the answer to an Ask.
-type Decision struct {
-	Verdict    Verdict
-	Call       *Call  // for Run and Join
-	Answer     Answer // for Replay
-	Holder     Holder // for Elsewhere
-	RetryAfter time.Duration
-}
-
 // Counts are running totals of a keeper since its start.
 type Counts struct {
 	Claims            uint64 // own keys claimed for a call
@@ -110,7 +70,7 @@
 	Peers Peers // for Preferred; may be nil
 
 	Memory       time.Duration // of keys whose Ask names none, and of adopted tickets
-	GroupWindow  time.Duration // least time between two writes of a slot
+	GroupWindow  time.Duration // least time between two groups of a slot
 	ClaimWait    time.Duration // longest wait of a call for its claim
 	StoreTimeout time.Duration // longest wait for one call of the store
 	Skew         time.Duration // most by which the clocks of two nodes differ
@@ -323,144 +283,6 @@
 	return it, Decision{}
 }
 
-// outcome is the verdict of an item, resolved or given up; k.mu is held.
-func (k *Keeper) outcome(it *item, mark bodyMark) Decision {
-	switch it.result {
-	case won:
-		if it.taken || it.call.state != held {
-			return k.known(it.call, mark)
-		}
-		it.taken = true
-		return Decision{Verdict: Run, Call: it.call}
-	case occupied:
-		return k.byClaim(it.other, mark)
-	case free:
-		return k.notRun()
-	case unread:
-		return k.unread()
-	}
-	it.waiters--
-	return k.unread()
-}
-
-// byClaim is the verdict on a key that another claim holds; k.mu is held.
-func (k *Keeper) byClaim(other claimed, mark bodyMark) Decision {
-	if other.body != mark {
-		return Decision{Verdict: Mismatch}
-	}
-	if c := k.claims[other.id]; c != nil {
-		return k.known(c, mark)
-	}
-	if other.holder.Incarnation == k.Incarnation || k.adopted[other.holder.Incarnation] != nil {
-		return k.unknown()
-	}
-	return k.elsewhere(*other.holder)
-}
-
-// known is the verdict on a call that is in memory; k.mu is held.
-func (k *Keeper) known(c *Call, mark bodyMark) Decision {
-	if c.body != mark {
-		return Decision{Verdict: Mismatch}
-	}
-	switch c.state {
-	case finished:
-		return Decision{Verdict: Replay, Answer: c.answer}
-	case claiming, held, dispatched:
-		return Decision{Verdict: Join, Call: c}
-	case released:
-		return k.notRun()
-	}
-	return k.unknown()
-}
-
-func (k *Keeper) beginTicket(ctx context.Context, a Ask) Decision {
-	t, err := k.ParseTicket(a.Key)
-	if err != nil {
-		return Decision{Verdict: Refused}
-	}
-	mark := k.bodyMark(a)
-	for {
-		d, wait := k.tryTicket(t, mark, a.Memory)
-		if wait == nil {
-			return d
-		}
-		select {
-		case <-wait:
-		case <-ctx.Done():
-			return k.unknownTicket()
-		}
-	}
-}
-
-// tryTicket decides on a ticket, or returns what has to end first.
-func (k *Keeper) tryTicket(t Ticket, mark bodyMark, memory time.Duration) (Decision, <-chan struct{}) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.running {
-		return k.unknown(), nil
-	}
-	s := k.serialsOf(t.Incarnation)
-	if s == nil {
-		return k.elsewhere(t.Holder), nil
-	}
-	if t.Serial > s.minted {
-		return Decision{Verdict: Refused}, nil
-	}
-	ref := callRef{incarnation: t.Incarnation, serial: t.Serial}
-	if c := k.calls[ref]; c != nil {
-		return k.known(c, mark), nil
-	}
-	if s.isUsed(t.Serial) {
-		return k.unknown(), nil
-	}
-	if k.closed {
-		return k.closedTicket(s)
-	}
-	if !s.runnable {
-		return k.unknown(), nil
-	}
-	s.set(t.Serial)
-	c := &Call{k: k, ref: ref, body: mark, until: k.now().Add(memory), done: make(chan struct{}), state: held}
-	k.calls[ref] = c
-	k.counts.Tickets++
-	return Decision{Verdict: Run, Call: c}, nil
-}
-
-func (k *Keeper) serialsOf(incarnation string) *serials {
-	if incarnation == k.Incarnation {
-		return &k.tickets
-	}
-	if a := k.adopted[incarnation]; a != nil {
-		return &a.serials
-	}
-	return nil
-}
-
-// Preferred names the node of a region to which the calls of a key are best
-// sent, so that its slot has one writer; empty when none is known. Any other
-// node decides as rightly, at the cost of lost swaps.
-func (k *Keeper) Preferred(a Ask) string {
-	k.once.Do(k.prepare)
-	if k.Peers == nil {
-		return ""
-	}
-	return preferred(slotPrefix(a.Region, k.slotNumber(k.keyHash(a))), k.Peers.Serving(a.Region))
-}
-
-// preferred is the node with the highest hash for the slot, so that few slots
-// move when nodes come and go.
-func preferred(prefix string, nodes []string) string {
-	var best string
-	var most uint64
-	for _, n := range nodes {
-		h := xxhash.Sum64String(prefix + "\x00" + n)
-		if best == "" || h > most || (h == most && n < best) {
-			best, most = n, h
-		}
-	}
-	return best
-}
-
 func (k *Keeper) slotNumber(h keyHash) int {
 	return int(binary.BigEndian.Uint64(h[:]) % uint64(k.Slots))
 }
@@ -478,86 +300,6 @@
 	return s
 }
 
-// keep holds a finished call for those who ask again, and evicts the oldest
-// answers past AnswerBytes; k.mu is held.
-func (k *Keeper) keep(c *Call) {
-	c.size = callOverhead + len(c.answer.Body) + len(c.answer.ContentType)
-	k.counts.AnswerBytes += uint64(c.size)
-	c.element = k.kept.PushBack(c)
-	for k.counts.AnswerBytes > uint64(k.AnswerBytes) {
-		k.counts.Evicted++
-		k.forget(k.kept.Front().Value.(*Call))
-	}
-}
-
-// forget takes a call out of memory. Its ticket stays used and its claim stays
-// in the log, so that the key is unknown from now on; k.mu is held.
-func (k *Keeper) forget(c *Call) {
-	if c.element != nil {
-		k.kept.Remove(c.element)
-		k.counts.AnswerBytes -= uint64(c.size)
-		c.element = nil
-	}
-	k.drop(c)
-}
-
-// drop takes a call out of the tables; k.mu is held.
-func (k *Keeper) drop(c *Call) {
-	if k.calls[c.ref] == c {
-		delete(k.calls, c.ref)
-	}
-	if k.claims[c.claim] == c {
-		delete(k.claims, c.claim)
-	}
-}
-
-// giveBack frees the key of a call that was certainly not run; k.mu is held.
-func (k *Keeper) giveBack(c *Call) {
-	k.counts.Releases++
-	k.drop(c)
-	if c.slot != nil {
-		c.slot.add(&item{kind: releaseItem, id: c.claim, key: c.ref.key})
-		return
-	}
-	if s := k.serialsOf(c.ref.incarnation); s != nil {
-		s.clear(c.ref.serial)
-	}
-}
-
-// expire forgets what is past its memory and has the slots that are this
-// node's to tend look for segments to delete.
-func (k *Keeper) expire() {
-	var nodes []string
-	if k.Peers != nil {
-		nodes = k.Peers.Serving(k.Region)
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.now()
-	for e := k.kept.Front(); e != nil; {
-		c := e.Value.(*Call)
-		e = e.Next()
-		if !now.Before(c.until) {
-			k.forget(c)
-		}
-	}
-	k.expireMoves(now)
-	for n := range k.Slots {
-		prefix := slotPrefix(k.Region, n)
-		if len(nodes) == 0 || preferred(prefix, nodes) == k.Node {
-			s := k.slotAt(prefix)
-			s.sweep = true
-			s.used = now
-			s.kick()
-		}
-	}
-	for prefix, s := range k.slots {
-		if !s.busy && now.Sub(s.used) > 2*k.Sweep {
-			delete(k.slots, prefix)
-		}
-	}
-}
-
 // Counts returns the totals so far.
 func (k *Keeper) Counts() Counts {
 	k.mu.Lock()
@@ -571,20 +313,6 @@
 	return len(k.calls) - k.kept.Len()
 }
 
-func (k *Keeper) notRun() Decision {
-	return Decision{Verdict: NotRun, RetryAfter: k.RetryAfter}
-}
-
-func (k *Keeper) unread() Decision {
-	k.counts.Unreads++
-	return Decision{Verdict: Unread, RetryAfter: k.RetryAfter}
-}
-
-func (k *Keeper) unknown() Decision {
-	k.counts.Unknowns++
-	return Decision{Verdict: Unknown}
-}
-
 func notRunAnswer() Answer {
 	return Answer{Outcome: jwrequest.NotRun}
 }
--- a/core/jwclaim/ticket.go
+++ b/core/jwclaim/ticket.go
@@ -1,11 +1,13 @@
 package jwclaim
 
 import (
+	"context"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -48,6 +50,69 @@
 	return openTicket(k.ticketSecret, key)
 }
 
+func (k *Keeper) beginTicket(ctx context.Context, a Ask) Decision {
+	t, err := k.ParseTicket(a.Key)
+	if err != nil {
+		return Decision{Verdict: Refused}
+	}
+	mark := k.bodyMark(a)
+	for {
+		d, wait := k.tryTicket(t, mark, a.Memory)
+		if wait == nil {
+			return d
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return k.unknownTicket()
+		}
+	}
+}
+
+// tryTicket decides on a ticket, or returns what has to end first.
+func (k *Keeper) tryTicket(t Ticket, mark bodyMark, memory time.Duration) (Decision, <-chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.running {
+		return k.unknown(), nil
+	}
+	s := k.serialsOf(t.Incarnation)
+	if s == nil {
+		return k.elsewhere(t.Holder), nil
+	}
+	if t.Serial > s.minted {
+		return Decision{Verdict: Refused}, nil
+	}
+	ref := callRef{incarnation: t.Incarnation, serial: t.Serial}
+	if c := k.calls[ref]; c != nil {
+		return k.known(c, mark), nil
+	}
+	if s.isUsed(t.Serial) {
+		return k.unknown(), nil
+	}
+	if k.closed {
+		return k.closedTicket(s)
+	}
+	if !s.runnable {
+		return k.unknown(), nil
+	}
+	s.set(t.Serial)
+	c := &Call{k: k, ref: ref, body: mark, until: k.now().Add(memory), done: make(chan struct{}), state: held}
+	k.calls[ref] = c
+	k.counts.Tickets++
+	return Decision{Verdict: Run, Call: c}, nil
+}
+
+func (k *Keeper) serialsOf(incarnation string) *serials {
+	if incarnation == k.Incarnation {
+		return &k.tickets
+	}
+	if a := k.adopted[incarnation]; a != nil {
+		return &a.serials
+	}
+	return nil
+}
+
 func sealTicket(secret []byte, t Ticket) string {
 	b := make([]byte, 0, 3+len(t.Node)+len(t.Region)+len(t.Incarnation)+binary.MaxVarintLen64+ticketMacSize)
 	for _, s := range []string{t.Node, t.Region, t.Incarnation} {
