jwforward: words without a target, odd times and requests without hops

A notice that a request is clear names no target and was dropped by the reader, so that the other nodes never heard it and went on barring an innocent request. Ages below zero or that overflow came out as times to come. A request without its hop record passed for one that came straight from a caller, and could be sent on again. A head of status 0 made the HTTP writer panic. A refusal that came while the last frame was being sent was taken for a broken call: unknown instead of notRun. Change: read as told above; a request without hops is refused before it is read. Fuzz targets for the digest, the heads and the hop record. Without the change TestNewsOnTheWire/clear, TestOddTimes (future, overflow) and the seeds of FuzzDigest and FuzzHead fail.

--- a/io/jwforward/forward.go
+++ b/io/jwforward/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -40,14 +41,17 @@
 		p.judge(to.Nodes, conn, err)
 		return nil, forwardError(to.Nodes, fate(err), err)
 	}
-	if first.GetHead() == nil {
+	if code := first.GetHead().GetStatus(); code < http.StatusOK || code > maxStatus {
 		cancel()
-		return nil, forwardError(to.Nodes, jwdispatch.Broken, errors.New("answer without a head"))
+		return nil, forwardError(to.Nodes, jwdispatch.Broken, errors.Errorf("answer without a head, or of status %d", code))
 	}
 	b := &answerBody{stream: stream, cancel: cancel, peer: to.Nodes}
 	return &jwdispatch.Answer{Head: headFromWire(first.GetHead()), Body: b}, nil
 }
 
+// maxStatus is the highest status that HTTP has a class for.
+const maxStatus = 599
+
 // judge replaces a connection whose pings went unanswered.
 func (p *Pool) judge(addr netip.AddrPort, conn *grpc.ClientConn, err error) {
 	if status.Code(err) == codes.Unavailable {
@@ -77,7 +81,7 @@
 
 func (e *sendError) at(peer netip.AddrPort) *jwdispatch.CallError {
 	if e.last {
-		return forwardError(peer, jwdispatch.Broken, e.err)
+		return forwardError(peer, fate(e.err), e.err)
 	}
 	return forwardError(peer, jwdispatch.Unsent, e.err)
 }
@@ -137,7 +141,7 @@
 		ContentType: h.GetContentType(),
 		Outcome:     jwrequest.Outcome(h.GetOutcome()),
 		Length:      h.GetLength() - 1,
-		RetryAfter:  time.Duration(h.GetRetryAfterMicros()) * time.Microsecond,
+		RetryAfter:  micros(h.GetRetryAfterMicros()),
 		Reason:      jwdispatch.Reason(h.GetReason()),
 		Detail:      h.GetDetail(),
 		ServedBy:    h.GetServedBy(),
--- a/io/jwforward/news.go
+++ b/io/jwforward/news.go
@@ -1,6 +1,7 @@
 package jwforward
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -15,10 +16,7 @@
 		})
 	}
 	for _, s := range n.Suspects {
-		out.Suspects = append(out.Suspects, &jwwire.Suspect{
-			Fingerprint: s.Fingerprint, Region: s.Region, AgeMicros: s.Age.Microseconds(), Target: s.Target.String(),
-			State: s.State,
-		})
+		out.Suspects = append(out.Suspects, suspectToWire(s))
 	}
 	for _, l := range n.Loads {
 		out.Loads = append(out.Loads, &jwwire.RegionLoad{
@@ -48,11 +46,8 @@
 		}
 	}
 	for _, s := range d.GetSuspects() {
-		if target, err := netip.ParseAddrPort(s.GetTarget()); err == nil {
-			n.Suspects = append(n.Suspects, jwpeer.Suspect{
-				Fingerprint: s.GetFingerprint(), Target: target, Age: micros(s.GetAgeMicros()), Region: s.GetRegion(),
-				State: s.GetState(),
-			})
+		if suspect, ok := suspectFromWire(s); ok {
+			n.Suspects = append(n.Suspects, suspect)
 		}
 	}
 	for _, l := range d.GetLoads() {
@@ -75,4 +70,36 @@
 	return n
 }
 
-func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+func suspectToWire(s jwpeer.Suspect) *jwwire.Suspect {
+	out := &jwwire.Suspect{
+		Fingerprint: s.Fingerprint, Region: s.Region, AgeMicros: s.Age.Microseconds(), State: s.State,
+	}
+	if s.Target.IsValid() {
+		out.Target = s.Target.String()
+	}
+	return out
+}
+
+// suspectFromWire takes a notice without a target too: that a request was
+// served names none, and without that word the other nodes would go on barring
+// an innocent request.
+func suspectFromWire(s *jwwire.Suspect) (jwpeer.Suspect, bool) {
+	out := jwpeer.Suspect{
+		Fingerprint: s.GetFingerprint(), Age: micros(s.GetAgeMicros()), Region: s.GetRegion(), State: s.GetState(),
+	}
+	if s.GetTarget() == "" {
+		return out, true
+	}
+	target, err := netip.ParseAddrPort(s.GetTarget())
+	out.Target = target
+	return out, err == nil
+}
+
+// mostMicros is the longest time that a node is believed; a longer one would
+// overflow and come out as one before now.
+const mostMicros = int64(math.MaxInt64 / time.Microsecond)
+
+// micros reads an age or a wait; none is below zero.
+func micros(n int64) time.Duration {
+	return time.Duration(min(max(n, 0), mostMicros)) * time.Microsecond
+}
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -87,6 +87,11 @@
 	if head == nil {
 		return nil, "", status.Error(codes.InvalidArgument, "first frame without a head")
 	}
+	if len(head.GetHops()) == 0 {
+		// It would pass for one that came straight from a caller and could be
+		// sent on again, by each node in turn.
+		return nil, "", status.Error(codes.FailedPrecondition, "request without its hops")
+	}
 	if s.MaxBody > 0 && head.GetBodyLength() > uint64(s.MaxBody) {
 		return nil, "", status.Error(codes.FailedPrecondition, "body too long")
 	}
@@ -117,7 +122,7 @@
 		Workspace:   h.GetWorkspace(),
 		Entry:       h.GetEntry(),
 		Key:         h.GetIdempotencyKey(),
-		Deadline:    now.Add(time.Duration(h.GetTimeoutMicros()) * time.Microsecond),
+		Deadline:    now.Add(micros(h.GetTimeoutMicros())),
 		ContentType: h.GetContentType(),
 		Accept:      h.GetAccept(),
 	}
--- /dev/null
+++ b/io/jwforward/wire_test.go
@@ -0,0 +1,116 @@
+package jwforward
+
+import (
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/io/jwwire"
+)
+
+// A request ran on a target that then crashed for another reason, and was
+// served elsewhere. If the word that it is harmless does not reach the other
+// nodes, they go on turning away every caller who sends it.
+func TestNewsOnTheWire(t *testing.T) {
+	target := netip.MustParseAddrPort("10.0.0.1:80")
+	mark := []byte("0123456789abcdef")
+	tests := map[string]jwpeer.Suspect{
+		"crash": {Fingerprint: mark, Target: target, Age: time.Second, State: "suspected"},
+		"clear": {Fingerprint: mark, Age: time.Second, State: "clear"},
+		"bound": {Fingerprint: mark, Target: target, Region: "east", State: "suspected"},
+	}
+	for name, s := range tests {
+		t.Run(name, func(t *testing.T) {
+			told := jwpeer.Told{From: "n1", News: jwpeer.News{Suspects: []jwpeer.Suspect{s}}}
+			got := digestFromWire(digestToWire(told))
+			assert.Assert(t, reflect.DeepEqual(got.News.Suspects, told.News.Suspects), "%+v", got.News.Suspects)
+		})
+	}
+}
+
+// A node with a broken clock or a fault of its own tells ages from the future,
+// or so large that they overflow. Believed, its word about a load would count
+// as the newest for ever, and all would be sent there.
+func TestOddTimes(t *testing.T) {
+	tests := map[string]struct {
+		micros int64
+		want   time.Duration
+	}{
+		"none":         {0, 0},
+		"one second":   {1_000_000, time.Second},
+		"future":       {-5, 0},
+		"overflow":     {1 << 62, time.Duration(mostMicros) * time.Microsecond},
+		"far overflow": {-1 << 63, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, micros(tc.micros), tc.want) })
+	}
+}
+
+func FuzzDigest(f *testing.F) {
+	full := &jwwire.Digest{
+		Node:     "n1",
+		Peers:    []*jwwire.PeerState{{Node: "n2", CallerAddress: "10.0.0.1:1", NodeAddress: "10.0.0.1:2", AgeMicros: -1}},
+		Leaving:  []*jwwire.LeavingTarget{{Address: "10.0.0.1:3", AgeMicros: 1 << 62}},
+		Suspects: []*jwwire.Suspect{{Target: "x"}, {State: "clear"}},
+		Loads:    []*jwwire.RegionLoad{{Region: "east", Slots: 1 << 63, AgeMicros: -7}},
+	}
+	seed, err := proto.Marshal(full)
+	assert.NilError(f, err)
+	f.Add(seed)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d := &jwwire.Digest{}
+		if proto.Unmarshal(data, d) != nil {
+			return
+		}
+		told := digestFromWire(d)
+		for _, p := range told.Peers {
+			assert.Assert(t, p.Age >= 0 && p.Nodes.IsValid() && p.Callers.IsValid(), "%+v", p)
+		}
+		for _, l := range told.News.Loads {
+			assert.Assert(t, l.Age >= 0 && l.Wait >= 0 && l.Work >= 0, "%+v", l)
+		}
+		for _, l := range told.News.Leaving {
+			assert.Assert(t, l.Age >= 0, "%+v", l)
+		}
+		wire := digestToWire(told)
+		assert.Assert(t, proto.Equal(digestToWire(digestFromWire(wire)), wire), "%+v", told)
+	})
+}
+
+// FuzzHead covers the hop record as well: whatever another node says of the
+// way of a request, the receiver can judge it.
+func FuzzHead(f *testing.F) {
+	seed, err := proto.Marshal(&jwwire.RequestHead{
+		RequestId: "r", TimeoutMicros: -1, Hops: []*jwwire.Hop{{Node: "a", Region: "east"}, {}, {Node: "b", Region: "west"}},
+	})
+	assert.NilError(f, err)
+	f.Add(seed)
+	f.Add([]byte{})
+	now := time.Unix(1000, 0)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h := &jwwire.RequestHead{}
+		if proto.Unmarshal(data, h) == nil {
+			r := requestFromWire(h, now)
+			assert.Assert(t, !r.Deadline.Before(now), "%v", r.Deadline)
+			assert.Equal(t, len(r.Hops), len(h.GetHops()))
+			for _, hop := range r.Hops {
+				assert.Assert(t, r.Hops.Visited(hop.Node))
+			}
+			more := r.Hops.With(jwrequest.Hop{Node: "self", Region: "self"})
+			assert.Equal(t, len(more), len(r.Hops)+1)
+			_, _ = more.CrossedRegion(), more.CrossedDataCentre()
+		}
+		a := &jwwire.AnswerHead{}
+		if proto.Unmarshal(data, a) == nil {
+			assert.Assert(t, headFromWire(a).RetryAfter >= 0)
+		}
+	})
+}
