jwnode: a test that reads all that leaves a region for bound data

TestBoundDataStays reads every byte between two regions and to the platform, log lines, audit records and keys in the service for the body, the answer and hashes of them, while targets break, crash and are gone, callers come to the wrong region and a node sends bound requests on by mistake.

--- /dev/null
+++ b/io/jwnode/bound_test.go
@@ -0,0 +1,191 @@
+package jwnode
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/core/jwsuspect"
+	"jujubewheel/io/jwforward"
+	"jujubewheel/io/jwstand"
+)
+
+const secret = "langoustine-7c1f"
+
+// lines keeps log lines of several nodes.
+type lines struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (l *lines) add(prefix, args string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all.WriteString(prefix + args + "\n")
+}
+
+// tracesOf returns in which forms a body, its answers or a hash of it could be
+// told.
+func tracesOf(entry, body, answer string) [][]byte {
+	mark := jwsuspect.FingerprintOf(entry, []byte(body))
+	sum := sha256.Sum256([]byte(body))
+	out := [][]byte{[]byte(secret), []byte(answer), mark[:], sum[:]}
+	return append(out, []byte(hex.EncodeToString(mark[:])), []byte(hex.EncodeToString(sum[:])))
+}
+
+// A caterer's data must not leave its region, by law. While its targets break,
+// crash and run out, and while callers come to the wrong region or a node
+// sends their requests on by mistake, the data could leave by a retry, a
+// failover, a warning about a crash, a log line or a record in the platform's
+// service, and nobody would notice until an audit found it abroad. Every byte
+// between the regions and to the platform is read for it.
+func TestBoundDataStays(t *testing.T) {
+	s := newSystem(t, "east", "west")
+	var log lines
+	s.log = funcr.New(log.add, funcr.Options{Verbosity: 9})
+	s.taps = &taps{}
+	abroad, _ := s.runner("west")
+	deskAbroad, _ := s.service("west")
+	_, one := s.runner("east")
+	_, two := s.runner("east")
+	desk, _ := s.service("east")
+	home := s.node("e1", "east")
+	away := s.node("w1", "west")
+	s.node("w2", "west")
+	s.edit(home, draft())
+	s.edit(home, confirmation())
+	local := draft()
+	local.Name, local.Regions = "local", nil
+	s.edit(home, local)
+	s.settle(3)
+	s.await("targets", func() bool { return len(home.board.Targets.Used()) == 3 && len(away.board.Targets.Used()) == 2 })
+	s.await("load of west at east", func() bool { return len(home.board.Regions.Loads("writer", time.Now())) > 0 })
+
+	text := secret + strings.Repeat(" menu", 20)
+	body := prompt(text, 40, true)
+	at := home.CallersAddr()
+	ask := func() reply { return s.send(at, "draft", "bound-east", body, nil) }
+	assert.Equal(t, ask().outcome, "served")
+	assert.Equal(t, s.send(at, "draft", "bound-east", prompt(text, 3, false), nil).outcome, "served")
+	order := `{"order": "` + secret + `"}`
+	assert.Equal(t, s.send(at, "confirm", "bound-east", order, header{"Idempotency-Key": "k"}).outcome, "served")
+	assert.Equal(t, len(desk.Journal.Runs()), 1)
+
+	// The first target breaks in the midst of a stream, then there is none.
+	go func() {
+		time.Sleep(15 * time.Millisecond)
+		one.SetFaults(jwstand.Faults{Down: true})
+	}()
+	ask()
+	two.SetFaults(jwstand.Faults{Down: true})
+	s.await("no target at home", func() bool {
+		r := ask()
+		t.Logf("%+v", r)
+		return r.status == http.StatusServiceUnavailable && r.outcome == "notRun"
+	})
+	one.SetFaults(jwstand.Faults{})
+	two.SetFaults(jwstand.Faults{})
+	s.await("targets back", func() bool { return ask().outcome == "served" })
+
+	// It crashes both targets and is put in quarantine.
+	one.SetFaults(jwstand.Faults{CrashOn: "poison"})
+	two.SetFaults(jwstand.Faults{CrashOn: "poison"})
+	poison := prompt(text+"poison", 40, true)
+	s.await("quarantine", func() bool {
+		return s.send(at, "draft", "bound-east", poison, nil).status == http.StatusUnprocessableEntity
+	})
+	// A region hears of what isn't bound, so that this shows that it would hear.
+	free := prompt("free poison", 40, true)
+	s.await("quarantine of what is free", func() bool {
+		return s.send(at, "local", "free-east", free, nil).status == http.StatusUnprocessableEntity
+	})
+	mark := jwsuspect.FingerprintOf("local", []byte(free))
+	s.await("west hears", func() bool {
+		state, _ := away.board.Suspects.Check(mark, time.Now())
+		return state == jwsuspect.Quarantined
+	})
+
+	// What comes to the wrong region is turned away by its headers alone.
+	turnedAwayUnread(t, away, home)
+
+	for name, passed := range s.taps.passed() {
+		for _, form := range append(tracesOf("draft", body, jwstand.TokenOf(text, 1)), tracesOf("draft", poison, order)...) {
+			assert.Assert(t, !bytes.Contains(passed, form), "%q passed %s", form, name)
+		}
+		assert.Assert(t, len(passed) > 0, name)
+	}
+	assert.Assert(t, bytes.Contains(s.taps.passed()["west/w1"], mark[:]) || bytes.Contains(s.taps.passed()["west/w2"], mark[:]) ||
+		bytes.Contains(s.taps.passed()["east/e1"], mark[:]), "the relays do not see what passes")
+
+	// A node that takes the other for the home of bound data sends it there.
+	for entry, key := range map[string]string{"draft": "", "confirm": "k2"} {
+		forged := &jwrequest.Request{
+			ID: "forged", Workspace: "bound-east", Entry: entry, Key: key, Body: []byte(body),
+			Deadline: time.Now().Add(10 * time.Second), ContentType: "application/json",
+			Hops: jwrequest.Hops{{Node: "x1", Region: "north", DataCentre: "north-1"}},
+		}
+		a, err := (&jwforward.Pool{}).Forward(t.Context(), away.board.Peers.Self(), forged, jwdispatch.ForwardRegion)
+		assert.NilError(t, err)
+		_, _ = io.ReadAll(a.Body)
+		assert.Equal(t, a.Head.Status, http.StatusMisdirectedRequest)
+	}
+	assert.Equal(t, len(abroad.Journal.Runs())+len(deskAbroad.Journal.Runs()), 0)
+	s.checkKept(&log, append(tracesOf("draft", body, jwstand.TokenOf(text, 1)), tracesOf("draft", poison, order)...))
+}
+
+// turnedAwayUnread sends the headers of a bound request and no byte of its
+// body.
+func turnedAwayUnread(t *testing.T, away, home *running) {
+	t.Helper()
+	conn, err := net.Dial("tcp", away.CallersAddr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(testPatience)))
+	_, err = io.WriteString(conn, "POST /v1/requests/draft HTTP/1.1\r\nHost: a\r\nJujube-Workspace: bound-east\r\nContent-Length: 5000\r\nExpect: 100-continue\r\n\r\n")
+	assert.NilError(t, err)
+	answer := make([]byte, 4096)
+	n, err := conn.Read(answer)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(answer[:n]), "HTTP/1.1 421"), "%s", answer[:n])
+	assert.Assert(t, bytes.Contains(answer[:n], []byte(home.CallersAddr().String())), "%s", answer[:n])
+	assert.Assert(t, !bytes.Contains(answer[:n], []byte(away.CallersAddr().String())), "%s", answer[:n])
+}
+
+// checkKept looks for the data in what nodes and the platform's service keep.
+func (s *system) checkKept(log *lines, forms [][]byte) {
+	s.t.Helper()
+	kept := map[string][]byte{}
+	log.mu.Lock()
+	kept["log"] = bytes.Clone(log.all.Bytes())
+	log.mu.Unlock()
+	for name, n := range s.nodes {
+		var err error
+		kept["audit of "+name], err = json.Marshal(n.Audit.After(0, 1<<20))
+		assert.NilError(s.t, err)
+	}
+	items, err := s.kv.Store.List(context.Background(), "")
+	assert.NilError(s.t, err)
+	for _, item := range items {
+		kept["key "+item.Key] = item.Value
+	}
+	assert.Assert(s.t, len(items) > 3)
+	for where, data := range kept {
+		for _, form := range forms {
+			assert.Assert(s.t, !bytes.Contains(data, form), "%q in %s", form, where)
+		}
+	}
+}
--- a/io/jwnode/system_test.go
+++ b/io/jwnode/system_test.go
@@ -17,6 +17,7 @@
 
 	"jujubewheel/core/jwcatalogue"
 	"jujubewheel/core/jwpeer"
+	"jujubewheel/io/jwaudit"
 	"jujubewheel/io/jwsettings"
 	"jujubewheel/io/jwstand"
 )
@@ -35,6 +36,8 @@
 	groups   []jwstand.HostGroup
 	regions  []string
 	tls      func(name, region string) jwsettings.TLS // nil for plain ports
+	taps     *taps                                    // nil for none
+	log      logr.Logger
 }
 
 // running is a node with what stops it.
@@ -49,7 +52,7 @@
 
 func newSystem(t *testing.T, regions ...string) *system {
 	t.Helper()
-	s := &system{t: t, kv: &jwstand.KeyValue{}, hosts: &jwstand.Hosts{}, clients: &jwstand.Clients{}, nodes: map[string]*running{}, regions: regions}
+	s := &system{t: t, kv: &jwstand.KeyValue{}, hosts: &jwstand.Hosts{}, clients: &jwstand.Clients{}, nodes: map[string]*running{}, regions: regions, log: logr.Discard()}
 	s.kvStand = s.stand("kv", s.kv)
 	s.hostsAt = s.stand("hosts", s.hosts).Address
 	s.clientAt = s.stand("clients", s.clients).Address
@@ -108,26 +111,29 @@
 // node starts a node and lists it.
 func (s *system) node(name, region string) *running {
 	s.t.Helper()
-	text := fmt.Sprintf(`{"node": %q, "region": %q, "dataCentre": %q,
+	through := s.taps.node(s.t, name, region)
+	text := fmt.Sprintf(`{"node": %q, "region": %q, "dataCentre": %q, %s
 		"listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "nodes": "127.0.0.1:0"},
 		"platform": {"keyValue": %q, "hosts": %q, "directory": %q},
 		"operators": {"token": "a token for tests only"},
 		"periods": {"exchange": "100ms", "hostsPoll": "100ms", "loadPoll": "100ms"},
 		"regions": [%s]}`,
-		name, region, region+"-1", s.kvStand.Address, s.hostsAt, s.clientAt, s.regionList())
+		name, region, region+"-1", through.advertise(),
+		through.platform(s.kvStand.Address), through.platform(s.hostsAt), through.platform(s.clientAt), s.regionList())
 	settings, err := jwsettings.Parse([]byte(text))
 	assert.NilError(s.t, err)
 	if s.tls != nil {
 		settings.TLS = s.tls(name, region)
 	}
-	n := &running{Node: &Node{Settings: settings, Log: logr.Discard()}, done: make(chan error, 1)}
+	n := &running{Node: &Node{Settings: settings, Log: s.log, Audit: &jwaudit.Trail{Node: name, Log: s.log}}, done: make(chan error, 1)}
 	assert.NilError(s.t, n.Listen())
+	nodes := through.open(n.NodesAddr())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go func() { n.done <- n.Run(ctx) }()
 	s.nodes[name] = n
 	s.list(n.CallersAddr(), map[string]string{
-		"role": "entry", "name": name, "region": region, "dataCentre": region + "-1", "nodes": n.NodesAddr().String(),
+		"role": "entry", "name": name, "region": region, "dataCentre": region + "-1", "nodes": nodes.String(),
 	})
 	s.t.Cleanup(func() {
 		cancel()
--- /dev/null
+++ b/io/jwnode/tap_test.go
@@ -0,0 +1,142 @@
+package jwnode
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// taps relay what leaves and enters the nodes of a region, and keep every
+// byte.
+type taps struct {
+	mu    sync.Mutex
+	bytes map[string]*bytes.Buffer // by name of the node and direction
+}
+
+// tap is one relay.
+type tap struct {
+	taps *taps
+	name string
+	to   netip.AddrPort
+	l    net.Listener
+	t    *testing.T
+}
+
+// through are the relays of one node; nil for none.
+type through struct {
+	taps *taps
+	name string
+	t    *testing.T
+	in   *tap
+}
+
+// node makes the relays of a node; nil taps make none.
+func (ts *taps) node(t *testing.T, name, region string) *through {
+	if ts == nil {
+		return &through{}
+	}
+	th := &through{taps: ts, name: region + "/" + name, t: t}
+	th.in = ts.listen(t, th.name)
+	return th
+}
+
+func (ts *taps) listen(t *testing.T, name string) *tap {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return &tap{taps: ts, name: name, l: l, t: t}
+}
+
+func (p *tap) address() netip.AddrPort { return p.l.Addr().(*net.TCPAddr).AddrPort() }
+
+// advertise is the setting that has other nodes come through the relay.
+func (th *through) advertise() string {
+	if th.taps == nil {
+		return ""
+	}
+	return fmt.Sprintf(`"advertise": {"nodes": %q},`, th.in.address())
+}
+
+// open lets other nodes through to the node; it returns the address for them.
+func (th *through) open(nodes netip.AddrPort) netip.AddrPort {
+	if th.taps == nil {
+		return nodes
+	}
+	th.in.to = nodes
+	go th.in.run()
+	return th.in.address()
+}
+
+// platform returns where the node reaches a service of the platform.
+func (th *through) platform(to netip.AddrPort) netip.AddrPort {
+	if th.taps == nil {
+		return to
+	}
+	p := th.taps.listen(th.t, th.name)
+	p.to = to
+	go p.run()
+	return p.address()
+}
+
+func (p *tap) run() {
+	for {
+		near, err := p.l.Accept()
+		if err != nil {
+			return
+		}
+		go p.relay(near)
+	}
+}
+
+func (p *tap) relay(near net.Conn) {
+	far, err := net.Dial("tcp", p.to.String())
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { p.copy(far, near) })
+	wg.Go(func() { p.copy(near, far) })
+	wg.Wait()
+}
+
+func (p *tap) copy(to, from net.Conn) {
+	_, _ = io.Copy(to, io.TeeReader(from, &record{p}))
+	_ = to.Close()
+	_ = from.Close()
+}
+
+// record keeps what passes.
+type record struct{ *tap }
+
+// Write implements io.Writer.
+func (r *record) Write(b []byte) (int, error) {
+	r.taps.mu.Lock()
+	defer r.taps.mu.Unlock()
+	if r.taps.bytes == nil {
+		r.taps.bytes = make(map[string]*bytes.Buffer)
+	}
+	buf := r.taps.bytes[r.name]
+	if buf == nil {
+		buf = &bytes.Buffer{}
+		r.taps.bytes[r.name] = buf
+	}
+	return buf.Write(b)
+}
+
+// passed returns all that went through the relays of nodes.
+func (ts *taps) passed() map[string][]byte {
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	out := make(map[string][]byte)
+	for name, b := range ts.bytes {
+		out[name] = bytes.Clone(b.Bytes())
+	}
+	return out
+}
