jwdispatch, jwlisten: what is told of a key that was not looked up, and of others

Cause: a second press of a key whose body came too late, broke off or is longer than the entry allows by now, or that has a malformed header, was told notRun although the first press had run; such a caller orders anew and pays twice. For an entry that is bound, the refusal in the wrong region named hosts of other regions. A call that the server cancelled ended without a head, which reads as an empty answer of status 200. Change: one rule, Head.ForKey, for each refusal that comes before the key is looked up; hosts of the home region only for bound entries; a head always. TestSecondPressTurnedAway fails without the rule (three cases), and TestOutcomesWhileTargetsBreak when a broken call counts as not run (a key ran twice).

--- a/core/jwdispatch/answer.go
+++ b/core/jwdispatch/answer.go
@@ -82,6 +82,18 @@
 	return Head{Status: status, Outcome: outcome, Reason: reason, Detail: detail}
 }
 
+// ForKey is the refusal as it must be told for a key that was not looked up:
+// this try ran nothing, but an earlier one with the key may have, and a caller
+// that is told otherwise would order anew under another key.
+func (h Head) ForKey(key string) Head {
+	if key == "" || h.Outcome != jwrequest.NotRun {
+		return h
+	}
+	h.Outcome = jwrequest.Unknown
+	h.Detail += "; an earlier try with this key may have run"
+	return h
+}
+
 // overloaded is the refusal of a request that may come back later.
 func overloaded(reason Reason, detail string, after time.Duration) Head {
 	h := Refusal(http.StatusServiceUnavailable, jwrequest.NotRun, reason, detail)
--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -137,23 +137,26 @@
 		r.Deadline = latest
 	}
 	if size := int64(len(r.Body)); j.entry.MaxBodySize > 0 && size > j.entry.MaxBodySize {
-		return Refusal(http.StatusRequestEntityTooLarge, jwrequest.NotRun, ReasonBody, "body longer than the entry allows"), true
+		h := Refusal(http.StatusRequestEntityTooLarge, jwrequest.NotRun, ReasonBody, "body longer than the entry allows")
+		return j.unlooked(h), true
 	}
 	r.Hops = r.Hops.With(j.Self)
 	j.prefix = jwrouter.PrefixOf(r.Workspace, r.Entry, r.Body)
 	return Head{}, false
 }
 
-// look checks everything that needs no body. A refusal of a request with a key
-// comes before the key is looked up: this try ran nothing, but an earlier one
-// may have, and a caller that is told otherwise would order anew.
+// look checks everything that needs no body.
 func (j *job) look() (Head, bool) {
 	refusal, refused := j.examine()
-	if refused && j.request.Key != "" && (j.entry == nil || !j.entry.Idempotent) {
-		refusal.Outcome = jwrequest.Unknown
-		refusal.Detail += "; an earlier try with this key may have run"
+	return j.unlooked(refusal), refused
+}
+
+// unlooked words a refusal that comes before the key is looked up.
+func (j *job) unlooked(refusal Head) Head {
+	if j.entry != nil && j.entry.Idempotent {
+		return refusal
 	}
-	return refusal, refused
+	return refusal.ForKey(j.request.Key)
 }
 
 func (j *job) examine() (Head, bool) {
@@ -175,7 +178,7 @@
 	r.Bound = w.Bound || e.Bound
 	if r.Bound && w.Region != j.Self.Region {
 		h := Refusal(http.StatusMisdirectedRequest, jwrequest.NotRun, ReasonRegion, "data is bound to region "+w.Region)
-		h.Hosts = j.Hosts(r.Workspace)
+		h.Hosts = j.hosts(w.Region, true)
 		return h, true
 	}
 	if !e.Idempotent && r.Key == "" {
--- a/core/jwdispatch/hosts.go
+++ b/core/jwdispatch/hosts.go
@@ -21,8 +21,14 @@
 	if known {
 		home = w.Region
 	}
+	return d.hosts(home, w.Bound)
+}
+
+// hosts returns those of the home region, and the others as well if the data
+// isn't bound to it.
+func (d *Dispatcher) hosts(home string, bound bool) []netip.AddrPort {
 	groups := []func(jwpeer.Peer) bool{func(p jwpeer.Peer) bool { return p.Region == home }}
-	if !w.Bound {
+	if !bound {
 		groups = append(groups,
 			func(p jwpeer.Peer) bool { return p.Region != home && p.Region == d.Self.Region },
 			func(p jwpeer.Peer) bool { return p.Region != home && p.Region != d.Self.Region })
--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -219,7 +219,9 @@
 // giveUp ends the request with what is known of it.
 func (j *job) giveUp(ctx context.Context, err error) {
 	if errors.Is(err, errCallerGone) || errors.Is(ctx.Err(), context.Canceled) {
-		_ = j.sink.End(End{Outcome: jwrequest.Unknown, Length: j.sink.sent, Reason: ReasonTarget, Detail: "caller gone"})
+		// An end without a head would be an empty answer of status 200 to one
+		// who is still there, as when the server cancels its calls.
+		j.sink.refuse(Refusal(http.StatusGatewayTimeout, jwrequest.Unknown, ReasonCaller, "caller gone"))
 		return
 	}
 	j.sink.refuse(j.failure(ctx, err))
--- a/core/jwdispatch/once.go
+++ b/core/jwdispatch/once.go
@@ -186,12 +186,9 @@
 	j.sink.refuse(j.unchecked("no node of the home region can be reached"))
 }
 
-// unchecked refuses a request whose key was not looked up: this try ran
-// nothing, but an earlier one with the key may have, and a caller that is told
-// otherwise would order anew under another key.
+// unchecked refuses a request whose key could not be looked up.
 func (j *job) unchecked(detail string) Head {
-	h := overloaded(ReasonPeer, detail+"; an earlier try with this key may have run", comeBack)
-	h.Outcome = jwrequest.Unknown
+	h := overloaded(ReasonPeer, detail, comeBack).ForKey(j.request.Key)
 	h.Hosts = j.Hosts(j.request.Workspace)
 	return h
 }
--- a/io/jwlisten/callers.go
+++ b/io/jwlisten/callers.go
@@ -92,7 +92,7 @@
 func (c *Callers) request(w http.ResponseWriter, r *http.Request) {
 	in, refusal, refused := parse(r)
 	if refused {
-		writeRefusal(w, refusal)
+		writeRefusal(w, refusal.ForKey(in.Key))
 		return
 	}
 	w.Header().Set(headerRequestID, in.ID)
@@ -110,7 +110,7 @@
 		return
 	}
 	if refusal, refused := c.read(w, r, in); refused {
-		writeRefusal(w, refusal)
+		writeRefusal(w, refusal.ForKey(in.Key))
 		return
 	}
 	sink := &httpSink{w: w, control: http.NewResponseController(w)}
@@ -124,14 +124,7 @@
 
 // leaving sends callers to other nodes while this one stops or starts.
 func (c *Callers) leaving(in *jwrequest.Request) jwdispatch.Head {
-	outcome := jwrequest.NotRun
-	detail := "this node takes no requests now"
-	if in.Key != "" {
-		// This try ran nothing, but an earlier one with the same key may have.
-		outcome = jwrequest.Unknown
-		detail += "; send the same key to another host"
-	}
-	h := jwdispatch.Refusal(http.StatusServiceUnavailable, outcome, jwdispatch.ReasonLeaving, detail)
+	h := jwdispatch.Refusal(http.StatusServiceUnavailable, jwrequest.NotRun, jwdispatch.ReasonLeaving, "this node takes no requests now").ForKey(in.Key)
 	h.Hosts = c.Dispatcher.Hosts(in.Workspace)
 	h.RetryAfter = time.Second
 	return h
--- /dev/null
+++ b/io/jwnode/outcome_test.go
@@ -0,0 +1,328 @@
+package jwnode
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwdirectory"
+	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/core/jwsuspect"
+	"jujubewheel/io/jwforward"
+	"jujubewheel/io/jwstand"
+)
+
+// refusalSystem is a system for refusals of every kind.
+type refusalSystem struct {
+	*system
+	home, away, leaving *running
+	runner              *jwstand.Runner
+	desk                *jwstand.Service
+	runnerAt, deskAt    *jwstand.Stand
+	directory           *jwdirectory.Snapshot
+}
+
+func newRefusalSystem(t *testing.T) *refusalSystem {
+	s := &refusalSystem{system: newSystem(t, "east", "west")}
+	s.runner, s.runnerAt = s.system.runner("east")
+	s.desk, s.deskAt = s.service("east")
+	s.home = s.node("e1", "east")
+	s.leaving = s.node("e2", "east")
+	s.away = s.node("w1", "west")
+	tight := draft()
+	tight.Name, tight.Limits = "tight", jwcatalogue.Limits{Rate: 0.0001, Burst: 1}
+	nobody := draft()
+	nobody.Name, nobody.Service = "nobody", "nobody"
+	bound := draft()
+	bound.Name, bound.Bound, bound.Regions = "kept", true, nil
+	for _, e := range []jwcatalogue.Entry{draft(), confirmation(), tight, nobody, bound} {
+		s.edit(s.home, e)
+	}
+	s.settle(5)
+	s.await("targets", func() bool { return len(s.home.board.Targets.Used()) == 2 && len(s.leaving.board.Targets.Used()) == 2 })
+	s.directory = s.home.board.Directory.Current()
+	return s
+}
+
+// quarantine has a body in flight on two targets that crash.
+func (s *refusalSystem) quarantine(entry, body string) {
+	mark := jwsuspect.FingerprintOf(entry, []byte(body))
+	for _, addr := range []string{"10.0.0.1:1", "10.0.0.2:1"} {
+		target := netip.MustParseAddrPort(addr)
+		s.home.board.Suspects.Begin(mark, target, false)
+		s.home.board.Suspects.Crashed(target, time.Now())
+		s.home.board.Suspects.End(mark, target, false, time.Now())
+	}
+}
+
+// forward sends a request to the home node as another node does.
+func (s *refusalSystem) forward(id string, hops jwrequest.Hops) reply {
+	a, err := (&jwforward.Pool{}).Forward(s.t.Context(), s.home.board.Peers.Self(), &jwrequest.Request{
+		ID: id, Workspace: "free-east", Entry: "draft", Body: []byte(prompt("menu", 3, false)), ContentType: "application/json",
+		Deadline: time.Now().Add(testPatience), Hops: hops,
+	}, jwdispatch.ForwardRegion)
+	if err != nil {
+		return reply{err: err}
+	}
+	_, _ = io.ReadAll(a.Body)
+	body, _ := json.Marshal(map[string]any{"reason": a.Head.Reason})
+	return reply{status: a.Head.Status, outcome: string(a.Head.Outcome), body: string(body)}
+}
+
+// A caller that is told that its order was not run orders anew. If the first
+// one ran after all, the kitchen cooks twice and the family pays twice. Each
+// way in which a request can be refused is tried, and the targets' journals
+// must show no trace of it.
+func TestNotRunIsTrue(t *testing.T) {
+	s := newRefusalSystem(t)
+	at := s.home.CallersAddr()
+	body := prompt("menu", 3, false)
+	deposit := `{"deposit":1}`
+	assert.Equal(t, s.send(at, "confirm", "free-east", deposit, header{"Idempotency-Key": "taken"}).outcome, "served")
+	tests := map[string]struct {
+		prepare func()
+		send    func(id string) reply
+		restore func()
+		status  int
+		reason  jwdispatch.Reason
+	}{
+		"unknown entry":     {nil, s.asks(at, "nothing", "free-east", body), nil, 404, jwdispatch.ReasonEntry},
+		"unknown workspace": {nil, s.asks(at, "draft", "nobody", body), nil, 403, jwdispatch.ReasonWorkspace},
+		"no directory": {
+			func() { s.home.board.Directory.Set(nil) }, s.asks(at, "draft", "free-east", body),
+			func() { s.home.board.Directory.Set(s.directory) }, 503, jwdispatch.ReasonDirectory,
+		},
+		"no key":           {nil, s.asks(at, "confirm", "free-east", deposit), nil, 400, jwdispatch.ReasonKey},
+		"bound elsewhere":  {nil, s.asks(s.away.CallersAddr(), "draft", "bound-east", body), nil, 421, jwdispatch.ReasonRegion},
+		"entry bound":      {nil, s.asks(s.away.CallersAddr(), "kept", "free-east", body), nil, 421, jwdispatch.ReasonRegion},
+		"been here":        {nil, func(id string) reply { return s.forward(id, jwrequest.Hops{{Node: "e1"}}) }, nil, 508, jwdispatch.ReasonLoop},
+		"too many hops":    {nil, func(id string) reply { return s.forward(id, make(jwrequest.Hops, 3)) }, nil, 508, jwdispatch.ReasonLoop},
+		"over the limit":   {func() { s.send(at, "tight", "free-east", body, nil) }, s.asks(at, "tight", "free-east", body), nil, 503, jwdispatch.ReasonLimit},
+		"no such target":   {nil, s.asks(at, "nobody", "free-east", body), nil, 503, jwdispatch.ReasonLimit},
+		"body too long":    {nil, s.asks(at, "draft", "free-east", strings.Repeat("x", 2<<20)), nil, 413, jwdispatch.ReasonBody},
+		"malformed header": {nil, s.asks(at, "draft", "free-east", body, "Jujube-Timeout", "soon"), nil, 400, jwdispatch.ReasonHeader},
+		"not serving": {
+			func() { s.home.serving.Store(false) }, s.asks(at, "draft", "free-east", body),
+			func() { s.home.serving.Store(true) }, 503, jwdispatch.ReasonLeaving,
+		},
+		"key too long":  {nil, s.asks(at, "confirm", "free-east", deposit, "Idempotency-Key", strings.Repeat("k", 300)), nil, 400, jwdispatch.ReasonKey},
+		"forged ticket": {nil, s.asks(at, "confirm", "free-east", deposit, "Idempotency-Key", s.forgedTicket()), nil, 400, jwdispatch.ReasonTicket},
+		"another body": {
+			nil,
+			s.asks(at, "confirm", "free-east", `{"deposit":2}`, "Idempotency-Key", "taken"), nil, 409, jwdispatch.ReasonKeyMismatch,
+		},
+		"quarantined draft": {
+			func() { s.quarantine("draft", prompt("poison", 3, false)) },
+			s.asks(at, "draft", "free-east", prompt("poison", 3, false)), nil, 422, jwdispatch.ReasonQuarantine,
+		},
+		"quarantined order": {
+			func() { s.quarantine("confirm", "poison") },
+			s.asks(at, "confirm", "free-east", "poison", "Idempotency-Key", "poison"), nil, 422, jwdispatch.ReasonQuarantine,
+		},
+		"draft refused by the target": {
+			func() { s.runnerAt.SetFaults(jwstand.Faults{Leave: true}) }, s.asks(at, "draft", "free-east", body),
+			func() { s.runnerAt.SetFaults(jwstand.Faults{}) }, 503, "",
+		},
+		"order refused by the target": {
+			func() { s.deskAt.SetFaults(jwstand.Faults{Leave: true}) },
+			s.asks(at, "confirm", "free-east", deposit, "Idempotency-Key", "refused"),
+			func() { s.deskAt.SetFaults(jwstand.Faults{}) }, 503, "",
+		},
+		"order with the target down": {
+			func() { s.deskAt.SetFaults(jwstand.Faults{Down: true}) },
+			s.asks(at, "confirm", "free-east", deposit, "Idempotency-Key", "down"),
+			func() { s.deskAt.SetFaults(jwstand.Faults{}) }, 503, "",
+		},
+		"new key at a node that stops": {
+			s.leaving.keeper.Close, s.asks(s.leaving.CallersAddr(), "confirm", "free-east", deposit, "Idempotency-Key", "late"),
+			nil, 503, jwdispatch.ReasonClaim,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if tc.prepare != nil {
+				tc.prepare()
+			}
+			id := strings.ReplaceAll(name, " ", "-")
+			r := tc.send(id)
+			if tc.restore != nil {
+				tc.restore()
+			}
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.outcome, "notRun", "%+v", r)
+			assert.Equal(t, r.status, tc.status, "%+v", r)
+			var told struct {
+				Reason jwdispatch.Reason `json:"reason"`
+				Hosts  []netip.AddrPort  `json:"hosts"`
+			}
+			assert.NilError(t, json.Unmarshal([]byte(r.body), &told), r.body)
+			assert.Assert(t, tc.reason == "" || told.Reason == tc.reason, "%+v", r)
+			for _, host := range told.Hosts {
+				assert.Assert(t, r.status != http.StatusMisdirectedRequest || host != s.away.CallersAddr(), "%+v", told)
+			}
+			for _, run := range append(s.runner.Journal.Runs(), s.desk.Journal.Runs()...) {
+				assert.Assert(t, run.RequestID != id, "%+v", run)
+			}
+		})
+	}
+}
+
+// asks is a request with the header pairs given.
+func (s *refusalSystem) asks(to netip.AddrPort, entry, workspace, body string, pairs ...string) func(id string) reply {
+	return func(id string) reply {
+		h := header{"Jujube-Request-Id": id}
+		for i := 0; i < len(pairs); i += 2 {
+			h[pairs[i]] = pairs[i+1]
+		}
+		return s.send(to, entry, workspace, body, h)
+	}
+}
+
+// forgedTicket is one that looks right but for its last sign.
+func (s *refusalSystem) forgedTicket() string {
+	s.t.Helper()
+	key, err := s.home.keeper.Mint()
+	assert.NilError(s.t, err)
+	last := "A"
+	if strings.HasSuffix(key, last) {
+		last = "B"
+	}
+	return key[:len(key)-1] + last
+}
+
+// A family's deposit ran, but the page hung, and they press again. This press
+// is turned away before anyone looks its key up. Told that nothing ran, they
+// would order under another key and pay twice.
+func TestSecondPressTurnedAway(t *testing.T) {
+	s := newRefusalSystem(t)
+	at := s.home.CallersAddr()
+	key := header{"Idempotency-Key": "deposit"}
+	deposit := strings.Repeat("d", 1000)
+	assert.Equal(t, s.send(at, "confirm", "free-east", deposit, key).outcome, "served")
+	tests := map[string]struct{ prepare, restore func() }{
+		"node stops": {func() { s.home.serving.Store(false) }, func() { s.home.serving.Store(true) }},
+		"no directory": {
+			func() { s.home.board.Directory.Set(nil) },
+			func() { s.home.board.Directory.Set(s.directory) },
+		},
+		"malformed timeout": {func() { key["Jujube-Timeout"] = "soon" }, func() { delete(key, "Jujube-Timeout") }},
+		"limit of the body lowered": {
+			func() { s.limitBody(999, 6) },
+			func() { s.limitBody(1<<16, 7) },
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			tc.prepare()
+			again := s.send(at, "confirm", "free-east", deposit, key)
+			tc.restore()
+			assert.Equal(t, again.outcome, "unknown", "%+v", again)
+		})
+	}
+	assert.Equal(t, s.send(at, "confirm", "free-east", deposit, key).outcome, "served")
+	assert.Equal(t, len(s.desk.Journal.Runs()), 1)
+}
+
+func (s *refusalSystem) limitBody(size int64, revision uint64) {
+	e := confirmation()
+	e.MaxBodySize = size
+	s.t.Helper()
+	_, before, _ := s.home.board.Catalogue.Current().Entry("confirm")
+	_, err := s.home.editor.Put(s.t.Context(), jwcatalogue.Edit{
+		EditID: fmt.Sprintf("limit-%d", revision), Author: "test", Reason: "test", Entry: e.Name, After: &e, IfRevision: before,
+	})
+	assert.NilError(s.t, err)
+	s.settle(revision)
+}
+
+// One target of each service goes down and comes back all the while, and callers press on. Each
+// answer must be whole, each refusal true, and few callers may be left not
+// knowing.
+func TestOutcomesWhileTargetsBreak(t *testing.T) {
+	s := newSystem(t, "east")
+	var journals []*jwstand.Journal
+	var stands []*jwstand.Stand
+	for range 3 {
+		r, at := s.runner("east")
+		journals, stands = append(journals, &r.Journal), append(stands, at)
+	}
+	for range 3 {
+		p, at := s.service("east")
+		p.Work = 2 * time.Millisecond
+		journals, stands = append(journals, &p.Journal), append(stands, at)
+	}
+	a := s.node("e1", "east")
+	s.edit(a, draft())
+	s.edit(a, confirmation())
+	s.settle(2)
+	s.await("targets", func() bool { return len(a.board.Targets.Used()) == 6 })
+
+	stop := make(chan struct{})
+	var faults sync.WaitGroup
+	faults.Go(func() {
+		for i := 0; ; i++ {
+			stand := stands[3*(i%2)] // one runner and one service; the others go on
+			stand.SetFaults(jwstand.Faults{Down: true})
+			time.Sleep(20 * time.Millisecond)
+			stand.SetFaults(jwstand.Faults{})
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+	})
+	var mu sync.Mutex
+	outcomes := map[string]map[string]int{"draft": {}, "confirm": {}}
+	told := map[string]string{}
+	var callers sync.WaitGroup
+	for c := range 4 {
+		callers.Go(func() {
+			for i := range 60 {
+				id := fmt.Sprintf("c%d-%d", c, i)
+				entry, body, h := "draft", prompt(id, 10, i%4 == 0), header{"Jujube-Request-Id": id}
+				if i%2 == 1 {
+					entry, body, h["Idempotency-Key"] = "confirm", id, id
+				}
+				r := s.send(a.CallersAddr(), entry, "free-east", body, h)
+				whole := r.err == nil && (entry == "confirm" || strings.Contains(strings.ReplaceAll(r.body, `"},{`, ""), jwstand.TokenOf(id, 10)))
+				mu.Lock()
+				if r.outcome == "" {
+					r.outcome = "unknown" // cut off
+				}
+				outcomes[entry][r.outcome]++
+				told[id] = r.outcome
+				if r.outcome == "served" {
+					assert.Check(t, whole, "%+v", r)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	callers.Wait()
+	close(stop)
+	faults.Wait()
+	ran := map[string]int{}
+	for _, j := range journals {
+		for _, run := range j.Runs() {
+			ran[run.RequestID]++
+			assert.Check(t, run.Key == "" || ran[run.RequestID] == 1, "%+v ran twice", run)
+		}
+	}
+	for id, outcome := range told {
+		assert.Check(t, outcome != "notRun" || ran[id] == 0, "%s was told notRun and ran", id)
+		assert.Check(t, outcome != "served" || ran[id] > 0, "%s was told served and did not run", id)
+	}
+	assert.Check(t, outcomes["draft"]["served"] > outcomes["draft"]["unknown"], "%v", outcomes)
+	t.Logf("outcomes: %v", outcomes)
+}
