--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -131,7 +131,7 @@
 		Workspace:   h.GetWorkspace(),
 		Entry:       h.GetEntry(),
 		Key:         h.GetIdempotencyKey(),
-		Deadline:    now.Add(time.Duration(h.GetTimeoutMicros()) * time.Microsecond),
+		Deadline:    now.Add(micros(h.GetTimeoutMicros())),
 		ContentType: h.GetContentType(),
 		Accept:      h.GetAccept(),
 	}
