jwnode: accepted revisions, handovers and quarantines are on the audit trail

Cause: the trail had kinds for them and no records; a crash was told to the other nodes only at the next period. Change: records, and a crash is told at once. The test that reads everything that leaves a region failed on the first form, which named the fingerprint of bound data in the log; the record now names the target only.

--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"jujubewheel/core/jwboard"
@@ -13,6 +14,7 @@
 	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/core/jwrouter"
+	"jujubewheel/core/jwsuspect"
 )
 
 // MaxHops bounds the nodes that one request passes: where its caller came, one
@@ -30,9 +32,12 @@
 	Claims  Claims
 	// Departed tells whether the platform has given a host up; may be nil.
 	Departed func(jwpeer.Peer) bool
-	Now      func() time.Time
-	Tracer   Tracer // may be nil
-	Counter  Counter
+	// Crashed is told of a target that crashed and of the fingerprints that this
+	// put in quarantine; may be nil.
+	Crashed func(target netip.AddrPort, barred []jwsuspect.Fingerprint)
+	Now     func() time.Time
+	Tracer  Tracer // may be nil
+	Counter Counter
 }
 
 // Counter counts what happened to requests.
@@ -69,6 +74,7 @@
 	forwarded bool
 	sink      *ending
 	prefix    uint64
+	mark      jwsuspect.Fingerprint // by way of fingerprint
 	tries     int
 	mayRun    bool // some try may have run it
 	query     jwrouter.Query
--- a/core/jwdispatch/suspicion.go
+++ b/core/jwdispatch/suspicion.go
@@ -24,14 +24,21 @@
 
 // fingerprint is the same for each try of one request, whoever sends it again.
 func (j *job) fingerprint() jwsuspect.Fingerprint {
-	return jwsuspect.FingerprintOf(j.request.Entry, j.request.Body)
+	if j.mark == (jwsuspect.Fingerprint{}) {
+		j.mark = jwsuspect.FingerprintOf(j.request.Entry, j.request.Body)
+	}
+	return j.mark
 }
 
 // noteCrash raises suspicion against all that ran on a target that crashed.
 func (j *job) noteCrash(err error) {
 	var failed *CallError
-	if errors.As(err, &failed) && failed.Crashed {
-		j.Board.Suspects.Crashed(failed.Peer, j.Now())
+	if !errors.As(err, &failed) || !failed.Crashed {
+		return
+	}
+	barred := j.Board.Suspects.Crashed(failed.Peer, j.Now())
+	if j.Crashed != nil {
+		j.Crashed(failed.Peer, barred)
 	}
 }
 
--- /dev/null
+++ b/io/jwnode/audit.go
@@ -0,0 +1,78 @@
+package jwnode
+
+import (
+	"context"
+	"fmt"
+	"iter"
+	"net/netip"
+	"sync/atomic"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwclaim"
+	"jujubewheel/core/jwsuspect"
+	"jujubewheel/io/jwaudit"
+)
+
+// accepted words acceptance for the operators' port and records each revision
+// that is found accepted for the first time.
+type accepted struct {
+	*jwcatalogue.Acceptance
+
+	audit *jwaudit.Trail
+	told  atomic.Uint64
+}
+
+// Status tells whether a revision is in force everywhere, or which nodes are
+// missing.
+func (a *accepted) Status(ctx context.Context, revision uint64) (done bool, missing []string, err error) {
+	s, err := a.Check(ctx, revision)
+	for _, m := range s.Missing {
+		missing = append(missing, m.Names...)
+	}
+	if before := a.told.Load(); s.Accepted && revision > before && a.told.CompareAndSwap(before, revision) {
+		a.audit.Add(jwaudit.Record{Kind: jwaudit.Accepted, Subject: "catalogue", Revision: revision})
+	}
+	return s.Accepted, missing, err
+}
+
+// crashed tells the other nodes of a crash at once, since the next try of the
+// same request may come to any of them. The record names no fingerprint: logs
+// may be collected outside the region, and a hash of a short body bound to it
+// could be guessed.
+func (n *Node) crashed(target netip.AddrPort, barred []jwsuspect.Fingerprint) {
+	n.exchange.Nudge()
+	if len(barred) == 0 {
+		return
+	}
+	n.Audit.Add(jwaudit.Record{
+		Kind: jwaudit.Suspect, Subject: target.String(), To: string(jwsuspect.Quarantined),
+		Detail: fmt.Sprintf("crashed; %d requests on it had crashed another target before", len(barred)),
+	})
+}
+
+// adopter takes over from stopping nodes and records it.
+type adopter struct {
+	keeper *jwclaim.Keeper
+	audit  *jwaudit.Trail
+}
+
+// Adopt takes over the tickets and answers of a node that stops.
+func (a *adopter) Adopt(records iter.Seq2[jwclaim.Record, error]) (jwclaim.Receipt, error) {
+	from := ""
+	receipt, err := a.keeper.Adopt(func(yield func(jwclaim.Record, error) bool) {
+		for r, err := range records {
+			if from == "" {
+				from = r.Holder.Node
+			}
+			if !yield(r, err) {
+				return
+			}
+		}
+	})
+	if err == nil {
+		a.audit.Add(jwaudit.Record{
+			Kind: jwaudit.Handover, Subject: from, To: "takenOver", Detail: fmt.Sprintf("%d records", receipt.Kept),
+		})
+	}
+	return receipt, err
+}
--- a/io/jwnode/life.go
+++ b/io/jwnode/life.go
@@ -8,6 +8,7 @@
 	"jujubewheel/core/jwclaim"
 	"jujubewheel/core/jwdrain"
 	"jujubewheel/core/jwpeer"
+	"jujubewheel/io/jwaudit"
 	"jujubewheel/io/jwforward"
 )
 
@@ -85,6 +86,8 @@
 	case jwdrain.Leaving:
 		n.setState(jwpeer.Leaving)
 		n.callers.Drain()
+	case jwdrain.HandedOver:
+		n.Audit.Add(jwaudit.Record{Kind: jwaudit.Handover, Subject: n.self.Node, To: "handedOver"})
 	case jwdrain.Gone:
 		n.setState(jwpeer.Gone)
 		// The exchanges need a moment to carry the last word.
--- a/io/jwnode/membership.go
+++ b/io/jwnode/membership.go
@@ -74,19 +74,6 @@
 	s.adoptions.Release(jwcatalogue.Member{Name: node, Region: region, Incarnation: incarnation})
 }
 
-// accepted words acceptance for the operators' port.
-type accepted struct{ *jwcatalogue.Acceptance }
-
-// Status tells whether a revision is in force everywhere, or which nodes are
-// missing.
-func (a *accepted) Status(ctx context.Context, revision uint64) (done bool, missing []string, err error) {
-	s, err := a.Check(ctx, revision)
-	for _, m := range s.Missing {
-		missing = append(missing, m.Names...)
-	}
-	return s.Accepted, missing, err
-}
-
 func memberOf(p jwpeer.Peer) jwcatalogue.Member {
 	return jwcatalogue.Member{Name: p.Name, Region: p.Region, Incarnation: p.Incarnation}
 }
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -173,6 +173,7 @@
 	}
 	n.dispatcher = &jwdispatch.Dispatcher{
 		Self: n.self, Board: &n.board, Router: router, Targets: n.targets, Peers: n.pool,
+		Crashed:  n.crashed,
 		Departed: func(p jwpeer.Peer) bool { return n.departures.Gone(memberOf(p)) },
 		Claims:   n.keeper, Now: time.Now, Counter: &counter{meter: n.Meter, settings: s}, Tracer: n.tracer,
 	}
@@ -192,7 +193,7 @@
 	server := &jwforward.Server{
 		Credentials: n.nodeCredentials(),
 		Dispatcher:  n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
-		Adopter:   n.keeper,
+		Adopter:   &adopter{keeper: n.keeper, audit: n.Audit},
 		Sponsor:   &sponsor{adoptions: n.adoptions, region: s.Region, serving: n.serving.Load},
 		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
 	}
