--- a/cmd/jujubebench/policies.go
+++ b/cmd/jujubebench/policies.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 
+	"github.com/pkg/errors"
+
 	"jujubewheel/io/jwbench"
 )
 
@@ -13,11 +15,25 @@
 	Deployment []string `help:"Deployments by name; all if left out."`
 	Policy     []string `help:"Policies by name; all if left out."`
 	Ablations  bool     `help:"Also the node's decisions without one part each."`
+	Plot       string   `type:"path" help:"Draw the measures to this SVG file instead of printing tables."`
 }
 
-// Run runs the scenarios in virtual time and prints a table for each.
+// Run runs the scenarios in virtual time and prints a table for each, or draws
+// them.
 func (c *policiesCommand) Run() error {
-	return jwbench.Policies(os.Stdout, jwbench.Config{
+	cfg := jwbench.Config{
 		Seeds: c.Seed, Scenarios: c.Scenario, Deployments: c.Deployment, Policies: c.Policy, Ablations: c.Ablations,
-	})
+	}
+	if c.Plot == "" {
+		return jwbench.Policies(os.Stdout, cfg)
+	}
+	f, err := os.Create(c.Plot)
+	if err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	if err := jwbench.Plot(f, cfg); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return errors.Wrap(f.Close(), "plot")
 }
--- /dev/null
+++ b/io/jwbench/plot.go
@@ -0,0 +1,148 @@
+package jwbench
+
+import (
+	"image/color"
+	"io"
+	"math"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/text"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// measure is one panel of a plot.
+type measure struct {
+	title string
+	of    func(*Result) float64
+}
+
+// measures are what the users of the system look at.
+var measures = []measure{
+	{"answers in time, %", func(r *Result) float64 { return r.share(r.InTime) }},
+	{"first token, p99, s", func(r *Result) float64 { return float64(r.First.ValueAtQuantile(99)) / 1e6 }},
+	{"sent away, %", func(r *Result) float64 { return r.share(r.Away) }},
+	{"cost of an answer in time", (*Result).CostEach},
+}
+
+const (
+	panelWidth  = 22 * vg.Centimeter
+	panelHeight = 6.5 * vg.Centimeter
+)
+
+// Plot runs the scenarios as Policies does and draws them as one SVG: a column
+// for each deployment, a row for each measure, a group of bars for each
+// scenario.
+func Plot(w io.Writer, cfg Config) error {
+	seeds := cfg.Seeds
+	if len(seeds) == 0 {
+		seeds = defaultSeeds
+	}
+	var columns [][]*plot.Plot
+	for _, d := range deployments() {
+		if !named(cfg.Deployments, d.Name) {
+			continue
+		}
+		column, err := cfg.column(d, seeds)
+		if err != nil {
+			return err
+		}
+		columns = append(columns, column)
+	}
+	if len(columns) == 0 {
+		return errors.New("plot: no deployment is named so")
+	}
+	return drawAll(w, columns)
+}
+
+// column draws the measures of one deployment, from the top down.
+func (c Config) column(d Deployment, seeds []uint64) ([]*plot.Plot, error) {
+	var names []string
+	results := make(map[string][]*Result) // by policy, in the order of names
+	for _, s := range scenarios() {
+		if !named(c.Scenarios, s.Name) {
+			continue
+		}
+		names = append(names, s.Name)
+		for _, p := range c.policies() {
+			sum := newResult()
+			for _, seed := range seeds {
+				sum.add(run(d, s, p, seed))
+			}
+			results[p.name] = append(results[p.name], sum)
+		}
+	}
+	var out []*plot.Plot
+	for _, m := range measures {
+		p, err := panel(d.Name+": "+m.title, names, c.policies(), results, m.of)
+		if err != nil {
+			return nil, errors.Wrapf(err, "plot: %s", m.title)
+		}
+		out = append(out, p)
+	}
+	return out, nil
+}
+
+func panel(title string, names []string, policies []policy, results map[string][]*Result, of func(*Result) float64) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.Y.Min = 0
+	p.NominalX(names...)
+	p.Legend.Top = true
+	p.Legend.TextStyle.Font.Size = vg.Points(7)
+	p.X.Tick.Label.Font.Size = vg.Points(7)
+	p.X.Tick.Label.Rotation = math.Pi / 10 // long names don't run into each other
+	p.X.Tick.Label.XAlign = text.XRight
+	groups := float64(max(len(names)*(len(policies)+1), 1))
+	width := (panelWidth - 3*vg.Centimeter) / vg.Length(groups)
+	for i, pol := range policies {
+		var values plotter.Values
+		for _, r := range results[pol.name] {
+			values = append(values, of(r))
+		}
+		bars, err := plotter.NewBarChart(values, width)
+		if err != nil {
+			return nil, err
+		}
+		bars.LineStyle.Width = 0
+		bars.Color = shade(i)
+		bars.Offset = width * vg.Length(float64(i)-float64(len(policies)-1)/2)
+		p.Add(bars)
+		p.Legend.Add(pol.name, bars)
+	}
+	p.X.Max = max(p.X.Max, float64(len(names))+legendRoom)
+	return p, nil
+}
+
+// legendRoom is left free to the right of the bars, in groups of bars.
+const legendRoom = 1.2
+
+// shade gives the project's own policy, the first one, the strongest colour.
+func shade(i int) color.Color {
+	if i == 0 {
+		return color.RGBA{R: 0x1f, G: 0x3b, B: 0x73, A: 0xff}
+	}
+	return plotutil.SoftColors[(i-1)%len(plotutil.SoftColors)]
+}
+
+func drawAll(w io.Writer, columns [][]*plot.Plot) error {
+	rows := len(measures)
+	canvas := vgsvg.New(panelWidth*vg.Length(len(columns)), panelHeight*vg.Length(rows))
+	tiles := draw.Tiles{
+		Rows: rows, Cols: len(columns),
+		PadX: vg.Centimeter, PadY: vg.Centimeter / 2,
+		PadTop: vg.Millimeter, PadBottom: vg.Millimeter, PadLeft: vg.Millimeter, PadRight: vg.Millimeter,
+	}
+	area := draw.New(canvas)
+	for c, column := range columns {
+		for r, p := range column {
+			p.Draw(tiles.At(area, c, r))
+		}
+	}
+	_, err := canvas.WriteTo(w)
+	return errors.Wrap(err, "write plot")
+}
--- a/io/jwbench/policies_test.go
+++ b/io/jwbench/policies_test.go
@@ -79,3 +79,12 @@
 func TestPoliciesUnknownScenario(t *testing.T) {
 	assert.ErrorContains(t, Policies(&strings.Builder{}, Config{Scenarios: []string{"none"}}), "no scenario")
 }
+
+func TestPlot(t *testing.T) {
+	var b strings.Builder
+	err := Plot(&b, Config{Seeds: []uint64{1}, Deployments: []string{"zaitoun"}, Scenarios: []string{"offsetPeak0.5"}, Policies: []string{"jujubewheel", "random"}})
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(b.String(), "zaitoun: answers in time, %"))
+	assert.Assert(t, strings.HasSuffix(strings.TrimSpace(b.String()), "</svg>"))
+	assert.ErrorContains(t, Plot(&b, Config{Deployments: []string{"nowhere"}}), "no deployment")
+}
