jwcatalogue: sponsors that do not serve refuse; records of other versions are read

A node that was not serving yet could have answered for another, and one that is leaving would have kept itself from leaving. Member, confirmation, accepted and mark records ignore unknown keys now, so that neighbouring versions can run together; entries, changes and checkpoints stay strict, since a node that dropped a setting would write a checkpoint without it.

Tests of a membership in its run: counted out by mistake, replaced by another process, no service and no peer at the start.

--- a/core/jwcatalogue/acceptance.go
+++ b/core/jwcatalogue/acceptance.go
@@ -91,20 +91,25 @@
 }
 
 // Wait returns when a revision is accepted or the context ends, with the
-// names that were then missing.
+// names that were then missing. The error is that of the last look at the
+// service, if it failed for another reason than the end of the context.
 func (a *Acceptance) Wait(ctx context.Context, n uint64) (Status, error) {
 	last := Status{Revision: n}
+	failed := errors.Errorf("acceptance of %d: the context ended before the first look", n)
 	q := &question{n: n}
 	for {
 		s, err := a.check(ctx, q)
-		if err == nil {
-			last = s
+		switch {
+		case err == nil:
+			last, failed = s, nil
+		case ctx.Err() == nil:
+			failed = err
 		}
-		if s.Accepted {
-			return s, nil
+		if last.Accepted {
+			return last, nil
 		}
 		if sleep(ctx, or(a.PollEvery, DefaultPollEvery)) != nil {
-			return last, err
+			return last, failed
 		}
 	}
 }
@@ -186,7 +191,7 @@
 		return 0, 0, nil
 	}
 	var j acceptedJSON
-	if err := decodeStrict(item.Value, &j); err != nil {
+	if err := decodeRecord(item.Value, &j); err != nil {
 		return 0, 0, errors.Wrap(err, "read accepted: store")
 	}
 	a.learn(j.Revision)
--- a/core/jwcatalogue/acceptance_test.go
+++ b/core/jwcatalogue/acceptance_test.go
@@ -273,7 +273,8 @@
 		t.Run(name, func(t *testing.T) {
 			p := &fixedPeers{{Name: "n1", Incarnation: "a"}}
 			a := &Adoptions{Table: new(Table), Peers: p}
-			a.Adopt(Member{Name: "n1", Region: "north", Incarnation: "b"}, 0)
+			_, _, err := a.Adopt(Member{Name: "n1", Region: "north", Incarnation: "b"}, 0)
+			assert.NilError(t, err)
 			(*p)[0].State, (*p)[0].Incarnation = tt.state, tt.incarnation
 			a.Tidy()
 			assert.Equal(t, a.Open(), tt.open)
--- a/core/jwcatalogue/adoption.go
+++ b/core/jwcatalogue/adoption.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 
+	"github.com/pkg/errors"
+
 	"jujubewheel/core/jwpeer"
 )
 
@@ -17,6 +19,7 @@
 	Table      *Table
 	Peers      Peers       // nil for none
 	Departures *Departures // nil for none
+	Serving    func() bool // whether this node may answer for others, nil for always
 
 	mu      sync.Mutex
 	adopted map[string]adoption // by node name
@@ -28,10 +31,17 @@
 	earlier  string // incarnation that the peers told of before
 }
 
+// ErrNotServing says that a node cannot answer for another.
+var ErrNotServing = errors.New("this node does not serve")
+
 // Adopt records that this node answers for another and returns what the other
 // has to bring into force before it serves. A second call of the same process
-// tells which revision it has by now.
-func (a *Adoptions) Adopt(m Member, after uint64) ([]Change, *Checkpoint) {
+// tells which revision it has by now. A node that does not serve yet, or is
+// leaving, refuses: what it has may be old, and it may be gone the next moment.
+func (a *Adoptions) Adopt(m Member, after uint64) ([]Change, *Checkpoint, error) {
+	if a.Serving != nil && !a.Serving() {
+		return nil, nil, ErrNotServing
+	}
 	earlier := incarnationOf(a.peers(), m.Name)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -47,7 +57,8 @@
 		a.adopted = make(map[string]adoption)
 	}
 	a.adopted[m.Name] = ad
-	return a.Table.Changes(after, 0)
+	changes, cp := a.Table.Changes(after, 0)
+	return changes, cp, nil
 }
 
 // Release ends the answering for a node that has its record in the service.
--- a/core/jwcatalogue/codec.go
+++ b/core/jwcatalogue/codec.go
@@ -100,6 +100,10 @@
 	return nil
 }
 
+// decodeRecord reads a record that nodes write for each other. It ignores
+// keys that it does not know, so that neighbouring versions can run together.
+func decodeRecord(data []byte, v any) error { return json.Unmarshal(data, v) }
+
 // equal compares entries by what they say.
 func (e Entry) equal(other Entry) bool {
 	a, errA := json.Marshal(e)
--- a/core/jwcatalogue/follower.go
+++ b/core/jwcatalogue/follower.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"jujubewheel/core/jwstore"
@@ -37,6 +38,7 @@
 	Watcher func() bool // whether this node waits on the service, nil for never
 	Source  Source      // nil for none
 	Rand    func() float64
+	Failed  func(err error) // told of each failure, for the log; nil for nobody
 
 	WaitMost, PeerEvery, StoreEvery, Retry time.Duration // 0 for the defaults
 
@@ -87,9 +89,7 @@
 func (f *Follower) CatchUp(ctx context.Context) error {
 	before := f.Table.Revision()
 	err := changeLog{store: f.Store}.catchUp(ctx, f.Table)
-	if err != nil {
-		f.counts.storeErrors.Add(1)
-	}
+	f.count(&f.counts.storeErrors, err)
 	if f.Table.Revision() > before {
 		f.counts.fromStore.Add(1)
 	}
@@ -116,9 +116,7 @@
 	}
 	next := ChangeKey(f.Table.Revision() + 1)
 	_, _, err := f.Store.Wait(ctx, next, 0, or(f.WaitMost, DefaultWaitMost))
-	if err != nil {
-		f.counts.storeErrors.Add(1)
-	}
+	f.count(&f.counts.storeErrors, err)
 	return err
 }
 
@@ -148,9 +146,7 @@
 		case <-timer.C:
 		}
 		before := f.Table.Revision()
-		if err := f.ask(ctx); err != nil {
-			f.counts.peerErrors.Add(1)
-		}
+		f.count(&f.counts.peerErrors, f.ask(ctx))
 		if f.Table.Revision() > before {
 			f.counts.fromPeers.Add(1)
 		}
@@ -180,6 +176,16 @@
 	return nil
 }
 
+func (f *Follower) count(counter *atomic.Uint64, err error) {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return
+	}
+	counter.Add(1)
+	if f.Failed != nil {
+		f.Failed(err)
+	}
+}
+
 func (f *Follower) watching() bool {
 	return f.Watcher != nil && f.Watcher()
 }
--- a/core/jwcatalogue/gatherer.go
+++ b/core/jwcatalogue/gatherer.go
@@ -29,7 +29,7 @@
 // ParseRegionConfirmed reads a confirmation.
 func ParseRegionConfirmed(data []byte) (RegionConfirmed, error) {
 	var c RegionConfirmed
-	err := decodeStrict(data, &c)
+	err := decodeRecord(data, &c)
 	return c, errors.Wrap(err, "confirmation record")
 }
 
--- a/core/jwcatalogue/log.go
+++ b/core/jwcatalogue/log.go
@@ -115,7 +115,7 @@
 	if !ok {
 		return m, 0, nil
 	}
-	if err := decodeStrict(item.Value, &m); err != nil {
+	if err := decodeRecord(item.Value, &m); err != nil {
 		return m, 0, errors.Wrap(err, "read mark: store")
 	}
 	if m.Swept > m.Trimmed || m.Trimmed > m.Checkpoint {
--- a/core/jwcatalogue/member.go
+++ b/core/jwcatalogue/member.go
@@ -33,7 +33,7 @@
 // ParseMember reads a member record.
 func ParseMember(data []byte) (Member, error) {
 	var m Member
-	if err := decodeStrict(data, &m); err != nil {
+	if err := decodeRecord(data, &m); err != nil {
 		return Member{}, errors.Wrap(err, "member record")
 	}
 	return m, m.check()
--- /dev/null
+++ b/core/jwcatalogue/member_test.go
@@ -0,0 +1,100 @@
+package jwcatalogue
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwstore"
+)
+
+func member(s jwstore.Store, name, incarnation string) *Membership {
+	return &Membership{
+		Member: Member{Name: name, Region: "north", Incarnation: incarnation}, Store: s,
+		Follower: &Follower{Store: s, Table: new(Table)},
+	}
+}
+
+func TestCountedOutByMistake(t *testing.T) {
+	// The host list dropped a node that serves, and its record was deleted.
+	// It must come back by itself, with the changes that were accepted
+	// meanwhile.
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := new(fakeStore)
+		m := member(s, "n0", "a")
+		assert.NilError(t, m.Join(ctx))
+		done := make(chan error)
+		go func() { done <- m.Run(ctx) }()
+		assert.NilError(t, (&Acceptance{Store: s}).Forget(ctx, "north", "n0"))
+		_, err := editor(s).Put(ctx, edit("e1", "status", 0))
+		assert.NilError(t, err)
+		assert.Equal(t, len(s.keys(MembersPrefix)), 0)
+		time.Sleep(2 * DefaultMemberCheck)
+		assert.Equal(t, len(s.keys(MembersPrefix)), 1)
+		assert.Equal(t, m.Follower.Table.Revision(), uint64(1))
+		cancel()
+		assert.ErrorIs(t, <-done, context.Canceled)
+		assert.NilError(t, m.Leave(t.Context()))
+		assert.Equal(t, len(s.keys(MembersPrefix)), 0)
+	})
+}
+
+func TestReplaced(t *testing.T) {
+	// A process was paused, its host replaced and the name started anew. When
+	// it wakes up it must stop, and must not take the new one's record along.
+	synctest.Test(t, func(t *testing.T) {
+		s := new(fakeStore)
+		old, anew := member(s, "n0", "a"), member(s, "n0", "b")
+		assert.NilError(t, old.Join(t.Context()))
+		assert.NilError(t, anew.Join(t.Context()))
+		assert.ErrorIs(t, old.Run(t.Context()), ErrReplaced)
+		assert.NilError(t, old.Leave(t.Context()))
+		assert.Equal(t, len(s.keys(MembersPrefix)), 1)
+	})
+}
+
+func TestJoinWaitsForTheService(t *testing.T) {
+	// A node starts while the service is down and no peer can be reached. To
+	// serve with an empty catalogue would refuse every caller.
+	synctest.Test(t, func(t *testing.T) {
+		s := new(fakeStore)
+		s.setDown(true)
+		m := member(s, "n0", "a")
+		done := make(chan error)
+		go func() { done <- m.Join(t.Context()) }()
+		time.Sleep(time.Minute)
+		select {
+		case <-done:
+			t.Fatal("joined without the log")
+		default:
+		}
+		s.setDown(false)
+		assert.NilError(t, <-done)
+		assert.Assert(t, m.Registered())
+	})
+}
+
+func TestAdoptRefused(t *testing.T) {
+	a := &Adoptions{Table: new(Table), Serving: func() bool { return false }}
+	_, _, err := a.Adopt(Member{Name: "n1", Region: "north", Incarnation: "b"}, 0)
+	assert.ErrorIs(t, err, ErrNotServing)
+	assert.Assert(t, !a.Open())
+}
+
+func TestWaitNamesTheMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := new(fakeStore)
+		assert.NilError(t, member(s, "n0", "a").Join(t.Context()))
+		res, err := editor(s).Put(t.Context(), edit("e1", "status", 0))
+		assert.NilError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		status, err := (&Acceptance{Store: s}).Wait(ctx, res.Revision)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, status, Status{Revision: 1, Missing: []Missing{{Region: "north", Names: []string{"n0"}}}})
+	})
+}
--- a/core/jwcatalogue/system_test.go
+++ b/core/jwcatalogue/system_test.go
@@ -177,7 +177,7 @@
 	n.peer = jwpeer.Peer{Name: name, Region: regionOfName(name), Incarnation: fmt.Sprintf("#%03d", s.starts), State: jwpeer.Joining}
 	store := link{s.store, n}
 	departures := &Departures{Hosts: s, Lag: time.Minute}
-	n.adoptions = &Adoptions{Table: n.table, Peers: n, Departures: departures}
+	n.adoptions = &Adoptions{Table: n.table, Peers: n, Departures: departures, Serving: func() bool { return n.peer.State == jwpeer.Serving }}
 	member := Member{Name: name, Region: n.peer.Region, Incarnation: n.peer.Incarnation}
 	n.members = &Membership{
 		Member: member, Store: store, Follower: &Follower{Store: store, Table: n.table},
@@ -235,8 +235,8 @@
 	for _, name := range slices.Sorted(maps.Keys(n.sys.nodes)) {
 		p := n.sys.nodes[name]
 		if p != n && p.peer.Region == n.peer.Region && p.peer.State == jwpeer.Serving && !p.frozen && !n.sys.busy[name] {
-			changes, cp := p.adoptions.Adopt(m, after)
-			return p.peer.Name + p.peer.Incarnation, changes, cp, nil
+			changes, cp, err := p.adoptions.Adopt(m, after)
+			return p.peer.Name + p.peer.Incarnation, changes, cp, err
 		}
 	}
 	return "", nil, nil, errors.New("no peer")
