--- a/core/jwcatalogue/table.go
+++ b/core/jwcatalogue/table.go
@@ -116,7 +116,7 @@
 	}
 	t.changes = append(t.changes, c)
 	if over := len(t.changes) - t.keep(); over > 0 {
-		t.changes = append([]Change(nil), t.changes[over:]...)
+		t.changes = t.changes[over:] // append moves them to a new array in time
 	}
 	t.put(now.with(c))
 	return nil
