jwnode: tests of nodes that disagree and of forged hop records

TestNodesDisagree gives three nodes directories that send a workspace round and one a catalogue of its own; no request is forwarded more than once and each ends with an outcome. TestForgedHops sends made-up hop records to a node, which sends none of them on.

--- /dev/null
+++ b/io/jwnode/loops_test.go
@@ -0,0 +1,152 @@
+package jwnode
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwdirectory"
+	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwrequest"
+	"jujubewheel/io/jwforward"
+)
+
+// misdirect has a node believe that a workspace lives elsewhere.
+func (n *running) misdirect(workspace, region string) {
+	have := n.board.Directory.Current()
+	next := &jwdirectory.Snapshot{Version: have.Version + "+", Workspaces: maps.Clone(have.Workspaces)}
+	w := next.Workspaces[workspace]
+	w.Name, w.Region, w.Owner = workspace, region, "o"
+	next.Workspaces[workspace] = w
+	n.board.Directory.Set(next)
+}
+
+// forwards counts how often a request was sent from node to node.
+func (s *system) forwards(id string) int {
+	n := 0
+	for _, node := range s.nodes {
+		for _, trace := range node.tracer.Find(id) {
+			for _, step := range trace.Steps {
+				if step.Step == "forward" {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+// A workspace moves from one region to another while the client directory
+// reaches the nodes at different times, or a change of the catalogue does.
+// Each node then takes another region for the home of a request. Sent on each
+// time, it would go round until its deadline, the links would fill with it,
+// and its caller would wait for nothing.
+func TestNodesDisagree(t *testing.T) {
+	s := newSystem(t, "east", "north", "west")
+	runner, _ := s.runner("east")
+	ring := map[string]string{"east": "north", "north": "west", "west": "east"}
+	nodes := map[string]*running{}
+	for _, r := range s.regions {
+		nodes[r] = s.node(r[:1]+"1", r)
+	}
+	s.edit(nodes["east"], draft())
+	s.edit(nodes["east"], confirmation())
+	s.settle(2)
+	s.await("load of east", func() bool {
+		for _, n := range nodes {
+			if n != nodes["east"] && len(n.board.Regions.Loads("writer", time.Now())) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for region, n := range nodes {
+		n.misdirect("lost", ring[region])
+		n.misdirect("pair", map[string]string{"east": "west", "west": "east", "north": "north"}[region])
+	}
+	// At one node the confirmation may be repeated, at the others not.
+	repeated := confirmation()
+	repeated.Idempotent, repeated.KeyMemory, repeated.Regions = true, 0, []string{"*"}
+	assert.NilError(t, nodes["north"].board.Catalogue.Apply(jwcatalogue.Change{
+		N: 3, EditID: "only-north", Author: "test", Reason: "test", Time: time.Now(), Entry: "confirm", Before: ptr(confirmation()), After: &repeated,
+	}))
+	for _, workspace := range []string{"lost", "pair"} {
+		for _, entry := range []string{"draft", "confirm"} {
+			for region, n := range nodes {
+				t.Run(workspace+" "+entry+" at "+region, func(t *testing.T) {
+					id := strings.Join([]string{workspace, entry, region}, "-")
+					r := s.send(n.CallersAddr(), entry, workspace, prompt("menu", 3, false), header{"Jujube-Request-Id": id, "Idempotency-Key": id})
+					assert.NilError(t, r.err)
+					assert.Assert(t, r.outcome != "", "%+v", r)
+					assert.Assert(t, s.forwards(id) <= 1, "forwarded %d times", s.forwards(id))
+				})
+			}
+		}
+	}
+	assert.Assert(t, len(runner.Journal.Runs()) > 0) // the drafts found a way all the same
+}
+
+func ptr[T any](v T) *T { return &v }
+
+// A node of another version, or one with a fault, sends a request on with a
+// hop record that is empty, too long or made up. Taken at its word, the request
+// could be sent round without end; each node must serve it, or refuse it, and
+// send it nowhere.
+func TestForgedHops(t *testing.T) {
+	s := newSystem(t, "east", "west")
+	s.runner("west")
+	e1 := s.node("e1", "east")
+	s.node("w1", "west")
+	s.edit(e1, draft())
+	s.edit(e1, confirmation())
+	s.settle(2)
+	s.await("load of west at east", func() bool { return len(e1.board.Regions.Loads("writer", time.Now())) > 0 })
+	one := jwrequest.Hop{Node: "x", Region: "east", DataCentre: "east-1"}
+	tests := map[string]struct {
+		hops    jwrequest.Hops
+		status  int // 0 for no answer at all
+		outcome jwrequest.Outcome
+	}{
+		"none":                   {nil, 0, ""},
+		"empty hop":              {jwrequest.Hops{{}}, http.StatusServiceUnavailable, jwrequest.NotRun},
+		"of its own region":      {jwrequest.Hops{one}, http.StatusServiceUnavailable, jwrequest.NotRun},
+		"the receiver":           {jwrequest.Hops{{Node: "e1", Region: "east"}}, http.StatusLoopDetected, jwrequest.NotRun},
+		"as long as may be":      {jwrequest.Hops{one, one, one}, http.StatusLoopDetected, jwrequest.NotRun},
+		"longer than any can be": {make(jwrequest.Hops, 1000), http.StatusLoopDetected, jwrequest.NotRun},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, entry := range []string{"draft", "confirm"} {
+				id := fmt.Sprintf("%s %s", name, entry)
+				key := ""
+				if entry == "confirm" {
+					key = id
+				}
+				a, err := (&jwforward.Pool{}).Forward(t.Context(), e1.board.Peers.Self(), &jwrequest.Request{
+					ID: id, Workspace: "free-west", Entry: entry, Key: key, Body: []byte(prompt("menu", 3, false)),
+					Deadline: time.Now().Add(testPatience), Hops: tc.hops,
+				}, jwdispatch.ForwardRegion)
+				if tc.status == 0 {
+					assert.Equal(t, status.Code(err), codes.FailedPrecondition, "%v", err)
+					continue
+				}
+				assert.NilError(t, err)
+				want := tc.outcome
+				if entry == "confirm" {
+					want = jwrequest.Unknown // its key was not looked up
+				}
+				assert.Equal(t, a.Head.Status, tc.status, "%+v", a.Head)
+				assert.Equal(t, a.Head.Outcome, want, "%+v", a.Head)
+				assert.Equal(t, s.forwards(id), 0)
+			}
+		})
+	}
+}
