jujubewheel: a test of an isolated region, each part a process

TestIsolatedRegion cuts a region off from the other and from the key-value service and the directory; drafts and tickets go on, a new node of the region joins through its peer and serves, a change made elsewhere is not accepted during the cut and is so by itself afterwards; no revision falls. A node has one address for all others, so the relay between nodes finds out which process dials. Failed as it must on scratch copies: without the cut between nodes, without the directory from a peer, without adoption.

--- /dev/null
+++ b/cmd/jujubewheel/isolated_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/io/jwstand"
+)
+
+// ticketOf mints a key at a node.
+func ticketOf(at netip.AddrPort) (string, error) {
+	resp, err := http.Post("http://"+at.String()+"/v1/tickets", "", nil)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var ticket struct {
+		Key string `json:"key"`
+	}
+	return ticket.Key, json.NewDecoder(resp.Body).Decode(&ticket)
+}
+
+// newEntry is a catalogue of one entry, like the draft of the test's one.
+func newEntry(name string) string {
+	const last = `"maxBodySize": 1048576}`
+	first, _, _ := strings.Cut(string(testCatalogue), last)
+	return strings.Replace(first, `"draft"`, `"`+name+`"`, 1) + last + "]}"
+}
+
+// revision asks a node which catalogue is in force there.
+func (f *fleet) revision(n *nodeProcess) uint64 {
+	out, err := f.command(n, "catalogue", "get", "--json")
+	var c struct {
+		Revision uint64 `json:"revision"`
+	}
+	if err != nil || json.Unmarshal([]byte(out), &c) != nil {
+		return 0
+	}
+	return c.Revision
+}
+
+// through starts a node that others reach by way of the border.
+func (f *fleet) through(b *border, name, region string) *nodeProcess {
+	at, join := b.gate(region)
+	n := f.node(name, region, at)
+	join(n)
+	return n
+}
+
+// The wide-area network parts one region from the others and from the
+// platform's key-value service and directory. Its own callers must notice
+// nothing: drafts, lookups and confirmations by ticket go on, and a node that
+// is started there meanwhile serves as well. An operator elsewhere edits the
+// catalogue; told that the change is in force everywhere, the operator would
+// trust a limit that the region does not keep. After the cut the change comes
+// into force there by itself, and no node ever goes back.
+func TestIsolatedRegion(t *testing.T) {
+	f := newFleet(t, "east", "west")
+	f.target("runner", "writer", "east", "--token", "1ms")
+	f.target("runner", "writer", "west", "--token", "1ms")
+	desk := f.target("service", "desk", "west")
+	links := f.stand("link", "kv=127.0.0.1:0,"+f.kv.Address.String(), "clients=127.0.0.1:0,"+f.clients.Address.String())
+	f.platform = map[string][]netip.AddrPort{"west": links.Links}
+	b := &border{t: t}
+	e1 := f.through(b, "e1", "east")
+	w1 := f.through(b, "w1", "west")
+	f.fill()
+	serves := func(n *nodeProcess) bool {
+		return send(n.Callers, "draft", "free-west", prompt("menu", 5, true)).whole() &&
+			send(n.Callers, "draft", "bound-west", prompt("menu", 5, false)).whole()
+	}
+	f.await("drafts", func() bool { return serves(w1) })
+	f.await("confirmations", func() bool {
+		key, err := ticketOf(w1.Callers)
+		return err == nil && send(w1.Callers, "confirm", "bound-west", "{}", "Idempotency-Key", key).whole()
+	})
+
+	back := f.watchRevisions(w1, e1)
+	b.setCut("west")
+	f.put(links.Control, "/links", jwstand.Weather{Cut: true})
+	path := f.write("edit.json", json.RawMessage(newEntry("sheet")))
+	out, err := f.command(e1, "catalogue", "put", "--reason", "test", "--wait", "2s", path)
+	assert.Assert(t, err != nil && strings.Contains(out, "not yet in force"), "%v %s", err, out)
+	assert.Equal(t, f.revision(e1), uint64(3))
+
+	for i := range 20 {
+		assert.Assert(t, serves(w1), "draft %d", i)
+	}
+	w2 := f.through(b, "w2", "west")
+	f.await("a new node of the region serves", func() bool { return serves(w2) })
+	before := len(f.runs(desk))
+	for i, n := range []*nodeProcess{w1, w2} {
+		key, err := ticketOf(n.Callers)
+		assert.NilError(t, err)
+		body := fmt.Sprintf(`{"order":%d}`, i)
+		first := send(n.Callers, "confirm", "bound-west", body, "Idempotency-Key", key)
+		assert.Assert(t, first.whole(), "%+v", first)
+		for _, at := range []*nodeProcess{w1, w2} {
+			again := send(at.Callers, "confirm", "bound-west", body, "Idempotency-Key", key)
+			assert.Equal(t, again.body, first.body, "%+v", again)
+		}
+	}
+	assert.Equal(t, len(f.runs(desk)), before+2)
+	own := send(w1.Callers, "confirm", "bound-west", "{}", "Idempotency-Key", "own")
+	assert.Assert(t, own.outcome == "notRun" || own.outcome == "unknown", "%+v", own)
+	assert.Equal(t, len(f.runs(desk)), before+2)
+
+	out, err = f.command(e1, "catalogue", "status", "--revision", "3")
+	assert.Assert(t, err != nil && strings.Contains(out, "w1"), "accepted during the cut: %v %s", err, out)
+	assert.Equal(t, f.revision(w1), uint64(2))
+	assert.Equal(t, f.revision(w2), uint64(2))
+
+	f.put(links.Control, "/links", map[string]bool{"cut": false})
+	b.setCut("")
+	f.await("the change is accepted", func() bool {
+		_, err := f.command(e1, "catalogue", "status", "--revision", "3")
+		return err == nil
+	})
+	for _, n := range f.nodes {
+		assert.Equal(t, f.revision(n), uint64(3), n.name)
+	}
+	f.await("own keys are claimed again", func() bool {
+		return send(w2.Callers, "confirm", "bound-west", "{}", "Idempotency-Key", "own").whole()
+	})
+	assert.Equal(t, len(f.runs(desk)), before+3)
+	back()
+}
+
+// watchRevisions notes the revisions of nodes until the returned function is
+// called, which fails the test if one ever fell.
+func (f *fleet) watchRevisions(nodes ...*nodeProcess) func() {
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		last := make(map[string]uint64)
+		for {
+			for _, n := range nodes {
+				if r := f.revision(n); r > 0 {
+					assert.Check(f.t, r >= last[n.name], "%s went back from %d to %d", n.name, last[n.name], r)
+					last[n.name] = r
+				}
+			}
+			select {
+			case <-stop:
+				return
+			default:
+			}
+		}
+	})
+	return func() {
+		close(stop)
+		wg.Wait()
+	}
+}
--- a/cmd/jujubewheel/process_test.go
+++ b/cmd/jujubewheel/process_test.go
@@ -153,6 +153,8 @@
 	regions            []string
 	groups             []jwstand.HostGroup
 	nodes              []*nodeProcess
+	// platform changes what the nodes of a region reach the platform by.
+	platform map[string][]netip.AddrPort // key-value service, client directory
 }
 
 func newFleet(t *testing.T, regions ...string) *fleet {
@@ -233,6 +235,10 @@
 		"periods": {"exchange": "100ms", "hostsPoll": "100ms", "loadPoll": "100ms", "hostsLag": "1s"},
 		"regions": [%s]
 	}`, name, region, region+"-1", advertise, f.kv.Address, f.hosts.Address, f.clients.Address, testToken, strings.Join(regions, ", "))
+	if by := f.platform[region]; by != nil {
+		text = strings.Replace(text, f.kv.Address.String(), by[0].String(), 1)
+		text = strings.Replace(text, f.clients.Address.String(), by[1].String(), 1)
+	}
 	path := filepath.Join(f.dir, name+".jsonc")
 	assert.NilError(f.t, os.WriteFile(path, []byte(text), 0o600))
 	n := &nodeProcess{process: start(f.t, "jujubewheel", "serve", path), name: name, region: region}
