--- a/io/jwnode/membership.go
+++ b/io/jwnode/membership.go
@@ -57,15 +57,17 @@
 type sponsor struct {
 	adoptions *jwcatalogue.Adoptions
 	region    string
-	serving   func() bool
 }
 
 // AdoptRecords answers for a node of the region from now on.
 func (s *sponsor) AdoptRecords(node, region, incarnation string, after uint64) (records [][]byte, checkpoint []byte, err error) {
-	if region != s.region || !s.serving() {
-		return nil, nil, errors.Errorf("answer for %s: this node does not serve region %s", node, region)
+	if region != s.region {
+		return nil, nil, errors.Errorf("answer for %s: this node is not of region %s", node, region)
+	}
+	changes, cp, err := s.adoptions.Adopt(jwcatalogue.Member{Name: node, Region: region, Incarnation: incarnation}, after)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "answer for %s", node)
 	}
-	changes, cp := s.adoptions.Adopt(jwcatalogue.Member{Name: node, Region: region, Incarnation: incarnation}, after)
 	return encodeChanges(changes, cp)
 }
 
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -188,13 +188,14 @@
 		Table: &n.board.Peers, Partner: n.pool, News: reporter,
 		Period: s.Periods.Exchange, Beat: beat, Timeout: exchangeTimeout, Silence: silence,
 		Now: time.Now, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Gatherer: jwcatalogue.GathererOf,
 	}
 	reporter.Nudge = n.exchange.Nudge
 	server := &jwforward.Server{
 		Credentials: n.nodeCredentials(),
 		Dispatcher:  n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
 		Adopter:   &adopter{keeper: n.keeper, audit: n.Audit},
-		Sponsor:   &sponsor{adoptions: n.adoptions, region: s.Region, serving: n.serving.Load},
+		Sponsor:   &sponsor{adoptions: n.adoptions, region: s.Region},
 		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
 	}
 	n.grpc = server.GRPC()
@@ -209,7 +210,7 @@
 func (n *Node) assembleMembership(incarnation string) {
 	s := n.Settings
 	n.departures = &jwcatalogue.Departures{Hosts: &n.board.Hosts, Lag: s.Periods.HostsLag}
-	n.adoptions = &jwcatalogue.Adoptions{Table: &n.board.Catalogue, Peers: &n.board.Peers, Departures: n.departures}
+	n.adoptions = &jwcatalogue.Adoptions{Table: &n.board.Catalogue, Peers: &n.board.Peers, Departures: n.departures, Serving: n.serving.Load}
 	n.membership = &jwcatalogue.Membership{
 		Member: jwcatalogue.Member{Name: s.Node, Region: s.Region, Incarnation: incarnation},
 		Store:  n.store, Follower: n.follower,
@@ -330,7 +331,7 @@
 
 // watches tells whether this node waits on the platform for catalogue changes.
 func (n *Node) watches() bool {
-	return jwpeer.IsRelay(n.board.Peers.Fresh(time.Now().Add(-silence)), n.board.Peers.Self())
+	return n.exchange.IsRelay()
 }
 
 // setState tells the others how far this node is.
