jwnode: a dead node does not stay the gatherer of its region

Cause: the gatherer was chosen among all known nodes, so after a kill no change was accepted until the dead one was forgotten. The test that kills the gatherer timed out after 30 s. Change: it is chosen among the nodes heard of lately, by all alike; peers are asked for changes as soon as one is heard to have more; messages may be as large as a checkpoint.

--- a/cmd/jujubewheel/system_test.go
+++ b/cmd/jujubewheel/system_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -9,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwpeer"
 	"jujubewheel/io/jwstand"
 )
 
@@ -131,21 +135,30 @@
 	t.Logf("%d streams served", served)
 }
 
-// A node is killed without a word. Its callers lose what was in flight, but
-// the other nodes go on serving, and callers are no longer sent to it once the
-// platform's list has dropped it.
+// A node is killed without a word, the very one that gathers the confirmations
+// of its region. Its callers lose what was in flight, but the other nodes go on
+// serving, and callers are no longer sent to it once the platform's list has
+// dropped it. An edit must then be accepted without the dead node's word.
 func TestNodeKilled(t *testing.T) {
 	f := newFleet(t, "east")
 	f.target("runner", "writer", "east", "--token", "1ms")
 	a, b := f.node("e1", "east"), f.node("e2", "east")
 	f.fill()
-	a.signal(syscall.SIGKILL)
-	<-a.ended
-	f.groups = f.groups[:1]
-	f.list(b.Callers, map[string]string{"role": "entry", "name": "e2", "region": "east", "dataCentre": "east-1", "nodes": b.Nodes.String()})
+	gatherer := jwcatalogue.GathererOf([]jwpeer.Peer{
+		{Name: a.name, Region: "east", State: jwpeer.Serving}, {Name: b.name, Region: "east", State: jwpeer.Serving},
+	}, "east")
+	if b.name == gatherer {
+		a, b = b, a
+	}
+	a.end()
+	f.groups = slices.DeleteFunc(f.groups, func(g jwstand.HostGroup) bool { return g.Labels["name"] == a.name })
+	f.put(f.hosts.Control, "/hosts", f.groups)
 	f.await("only the living host is named", func() bool {
 		list, err := hostsOf(b.Callers, "free-east")
 		return err == nil && len(list) == 1 && list[0] == b.Callers
 	})
 	f.await("a draft is served", func() bool { return send(b.Callers, "draft", "free-east", prompt("menu", 5, true)).whole() })
+	path := f.write("again.json", json.RawMessage(strings.ReplaceAll(string(testCatalogue), `"30s"`, `"31s"`)))
+	out, err := f.command(b, "catalogue", "put", "--overwrite", "--reason", "after the kill", "--wait", "30s", path)
+	assert.NilError(t, err, "%s", out)
 }
--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -268,7 +268,7 @@
 	}
 	v.partners = Partners(fresh, self)
 	if x.Gatherer != nil {
-		v.gatherer = x.Gatherer(x.Table.Peers(), self.Region)
+		v.gatherer = x.Gatherer(x.Table.Fresh(now.Add(-x.Silence)), self.Region)
 		v.partners = x.withGatherer(v, self)
 	}
 	v.periodic = v.partners
--- a/io/jwforward/pool.go
+++ b/io/jwforward/pool.go
@@ -23,6 +23,8 @@
 	maxBackoff  = 2 * time.Second
 	dialTimeout = 2 * time.Second
 	frameSize   = 32 << 10
+	// maxMessage is above the largest catalogue checkpoint that a node may need.
+	maxMessage = 64 << 20
 )
 
 // Pool holds the connections to other nodes; the zero value talks without TLS.
@@ -64,6 +66,7 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithIdleTimeout(0),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: b, MinConnectTimeout: dialTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -119,7 +119,7 @@
 // from there again.
 func checkWay(ctx context.Context, hops []*jwwire.Hop) error {
 	if len(hops) == 0 {
-		return status.Error(codes.InvalidArgument, "request without a hop")
+		return status.Error(codes.FailedPrecondition, "request without a hop")
 	}
 	last := hops[len(hops)-1]
 	return checkIdentity(ctx, last.GetNode(), last.GetRegion())
--- a/io/jwnode/membership.go
+++ b/io/jwnode/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -11,6 +12,13 @@
 	"jujubewheel/io/jwforward"
 )
 
+// heardPeers are the nodes that were heard of lately. A dead node must not stay
+// the gatherer of its region: no change would be accepted until it is forgotten.
+type heardPeers struct{ table *jwpeer.Table }
+
+// Peers returns the nodes heard of lately, this one among them.
+func (h heardPeers) Peers() []jwpeer.Peer { return h.table.Fresh(time.Now().Add(-silence)) }
+
 // sponsors are the nodes of the region that may answer for this one while the
 // platform can't be reached.
 type sponsors struct {
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -217,7 +217,7 @@
 		Sponsors: &sponsors{peers: &n.board.Peers, pool: n.pool}, Adoptions: n.adoptions,
 	}
 	n.gatherer = &jwcatalogue.Gatherer{
-		Name: s.Node, Region: s.Region, Store: n.store, Table: &n.board.Catalogue, Peers: &n.board.Peers,
+		Name: s.Node, Region: s.Region, Store: n.store, Table: &n.board.Catalogue, Peers: heardPeers{&n.board.Peers},
 		Departures: n.departures, Registered: n.membership.Registered,
 	}
 	n.acceptance = &jwcatalogue.Acceptance{Store: n.store}
@@ -278,7 +278,7 @@
 		Workers: s.Workers, Now: time.Now, Leaving: func(netip.AddrPort) { n.exchange.Nudge() },
 	}
 	for _, run := range []func(context.Context) error{
-		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.gatherer.Run, n.keeper.Run, n.tellRevision, n.tend,
+		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.wakeFollower, n.gatherer.Run, n.keeper.Run, n.tellRevision, n.tend,
 		n.observer().Run, n.keys.run,
 	} {
 		g.Go(func() error { return run(ctx) })
@@ -306,6 +306,24 @@
 	}
 }
 
+// wakeFollower has peers asked for changes as soon as one is heard to have more
+// than this node.
+func (n *Node) wakeFollower(ctx context.Context) error {
+	for {
+		changed := n.board.Peers.Changed()
+		revision := n.board.Catalogue.Revision()
+		ahead := n.board.Peers.Select(func(p jwpeer.Peer) bool { return p.Revision > revision })
+		if len(ahead) > 0 {
+			n.follower.Wake()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // tend does what is due now and then: it forgets peers long silent and tells
 // the limiter which nodes share the region's limits.
 func (n *Node) tend(ctx context.Context) error {
