jwclaim: a claim that hung is not used, and its release is not lost

A write that hung for most of a key's memory and then took effect still gave its caller the right to run, with the memory of its own time: a press that came just before it landed had its key forgotten a minute after the call. Such a claim is given back now, and a claim is kept for ClaimWait more than was asked, so that every caller who waits for it gets the whole memory.

A claim given back while a group was being planned queued its release into a queue that the plan then replaced: the release was lost and the key unknown until its memory ended. It shows after a planned stop, where a claim that comes through late is given back.

--- a/core/jwclaim/group.go
+++ b/core/jwclaim/group.go
@@ -58,8 +58,9 @@
 	defer s.k.mu.Unlock()
 	now := s.k.now()
 	p := plan{releases: map[claimID]bool{}}
-	kept := s.queue[:0:0]
-	for _, it := range s.queue {
+	var kept []*item
+	queue := s.queue
+	for _, it := range queue {
 		if len(p.items) == rowsMax {
 			kept = append(kept, it)
 			continue
@@ -78,7 +79,8 @@
 		case judgeDone:
 		}
 	}
-	s.queue = kept
+	// A claim that is given back in this loop has added its release at the end.
+	s.queue = append(kept, s.queue[len(queue):]...)
 	return p
 }
 
@@ -150,7 +152,11 @@
 func (s *slot) win(it *item, until time.Time) {
 	c := it.call
 	c.until = until
-	if it.waiters > 0 && !s.k.closed {
+	// A write that hung for long lands with the memory of its own time. A caller
+	// who came since would have its key forgotten too soon, and a later press
+	// would run it again.
+	short := until.Before(s.k.now().Add(it.memory))
+	if it.waiters > 0 && !s.k.closed && !short {
 		c.state = held
 		s.k.counts.Claims++
 		s.resolve(it, won)
@@ -191,8 +197,9 @@
 	if it.kind == releaseItem {
 		return row{ID: it.id, Key: it.key, Release: true}
 	}
-	// Rounded up: a key is never remembered for less than was asked.
-	until := now.Add(it.memory + time.Second).Unix()
+	// Rounded up, and with room for the write: a key is never remembered for less
+	// than was asked by the last caller who waits for this claim.
+	until := now.Add(it.memory + it.call.k.ClaimWait + time.Second).Unix()
 	return row{ID: it.id, Key: it.key, Body: it.call.body, Until: until}
 }
 
--- a/core/jwclaim/slot_test.go
+++ b/core/jwclaim/slot_test.go
@@ -283,3 +283,30 @@
 		})
 	}
 }
+
+// A write hangs for most of a key's memory and then takes effect. A caller who
+// presses just then would have its key forgotten within moments of the call, and
+// the next press would run it again.
+func TestClaimThatHungIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		one := func(n *node) { n.Slots = 1 }
+		a, b := start(s, "a", one), start(s, "b", one)
+		defer a.end()
+		defer b.end()
+		run(t, a, own("warm", "up")).Finish(served("paid"))
+		gate := a.link.freeze()
+		assert.Equal(t, press(t, a, own("k", "deposit")).Verdict, Unread)
+		time.Sleep(59 * time.Minute)
+		got := make(chan Decision, 1)
+		go func() { got <- press(t, a, own("k", "deposit")) }()
+		synctest.Wait()
+		a.link.set(func(l *link) { l.gates = nil })
+		close(gate)
+		assert.Equal(t, (<-got).Verdict, NotRun)
+		time.Sleep(time.Second)
+		run(t, a, own("k", "deposit")).Finish(served("paid"))
+		time.Sleep(59 * time.Minute)
+		assert.Equal(t, press(t, b, own("k", "deposit")).Verdict, Elsewhere)
+	})
+}
