--- a/cmd/jujubebench/policies.go
+++ b/cmd/jujubebench/policies.go
@@ -37,3 +37,13 @@
 	}
 	return errors.Wrap(f.Close(), "plot")
 }
+
+// subsetsCommand compares sizes of the subset of targets that a node uses.
+type subsetsCommand struct {
+	Seed []uint64 `help:"Seeds; one if left out."`
+}
+
+// Run prints a table.
+func (c *subsetsCommand) Run() error {
+	return jwbench.Subsets(os.Stdout, jwbench.Config{Seeds: c.Seed})
+}
--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -184,7 +184,7 @@
 	r.Bound = w.Bound || e.Bound
 	if r.Bound && w.Region != j.Self.Region {
 		h := Refusal(http.StatusMisdirectedRequest, jwrequest.NotRun, ReasonRegion, "data is bound to region "+w.Region)
-		h.Hosts = j.hosts(w.Region, true)
+		h.Hosts = j.hosts(r.Workspace, w.Region, true)
 		return h, true
 	}
 	if !e.Idempotent && r.Key == "" {
@@ -209,14 +209,15 @@
 
 // admit asks the limiter; away tells that another region is to run the request.
 // The release must be called when the request ended.
-func (j *job) admit(away bool) (release func(), refusal Head, admitted bool) {
+func (j *job) admit(away bool) (release func(), refused jwlimit.Refusal, admitted bool) {
 	now := j.Now()
 	room := j.Board.Targets.Room(j.entry.Service, now)
 	q := &jwlimit.Query{
 		Entry:   j.entry,
 		Owner:   j.workspace.Owner,
-		Caller:  callerHash(j.request),
+		Caller:  j.callerHash(),
 		Foreign: j.forwarded,
+		Bound:   j.request.Bound,
 		Left:    j.request.Deadline.Sub(now),
 		Work:    room.Work,
 		Away:    away,
@@ -226,7 +227,7 @@
 	}
 	token, refused, ok := j.Board.Limiter.Admit(q)
 	if !ok {
-		return nil, overloaded(ReasonLimit, string(refused.Reason), refused.RetryAfter), false
+		return nil, refused, false
 	}
-	return func() { j.Board.Limiter.Release(token) }, Head{}, true
+	return func() { j.Board.Limiter.Release(token) }, jwlimit.Refusal{}, true
 }
--- a/core/jwdispatch/hosts.go
+++ b/core/jwdispatch/hosts.go
@@ -1,12 +1,17 @@
 package jwdispatch
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jujubewheel/core/jwcatalogue"
 	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwtarget"
 )
 
 // mostHosts bounds the list that a caller is given.
@@ -21,12 +26,12 @@
 	if known {
 		home = w.Region
 	}
-	return d.hosts(home, w.Bound)
+	return d.hosts(workspace, home, w.Bound)
 }
 
 // hosts returns those of the home region, and the others as well if the data
 // isn't bound to it.
-func (d *Dispatcher) hosts(home string, bound bool) []netip.AddrPort {
+func (d *Dispatcher) hosts(workspace, home string, bound bool) []netip.AddrPort {
 	groups := []func(jwpeer.Peer) bool{func(p jwpeer.Peer) bool { return p.Region == home }}
 	if !bound {
 		groups = append(groups,
@@ -35,7 +40,7 @@
 	}
 	var out, silent []netip.AddrPort
 	for _, in := range groups {
-		fresh, rest := d.serving(in)
+		fresh, rest := d.serving(workspace, in)
 		for _, p := range fresh {
 			out = append(out, p.Callers)
 		}
@@ -48,21 +53,30 @@
 }
 
 // peersIn returns other serving nodes of a region, those that are silent last.
-func (d *Dispatcher) peersIn(region string) []jwpeer.Peer {
-	fresh, silent := d.serving(func(p jwpeer.Peer) bool { return p.Region == region && p.Name != d.Self.Node })
+func (d *Dispatcher) peersIn(region, workspace string) []jwpeer.Peer {
+	fresh, silent := d.serving(workspace, func(p jwpeer.Peer) bool { return p.Region == region && p.Name != d.Self.Node })
 	return append(fresh, silent...)
 }
 
 // quiet is how long a node may say nothing before others are preferred.
 const quiet = 12 * time.Second
 
-// serving returns the serving nodes that in accepts, in random order so that
-// load spreads, and apart those that are silent: they may be dead, or behind a
-// cut that callers don't see.
-func (d *Dispatcher) serving(in func(jwpeer.Peer) bool) (fresh, silent []jwpeer.Peer) {
+// serving returns the serving nodes that in accepts, and apart those that are
+// silent: they may be dead, or behind a cut that callers don't see.
+//
+// Each workspace has an order of its own, by rendezvous hashing. Its requests
+// then come to the same few nodes, which use the same few targets, where its
+// prompts are cached; without a workspace the order is random.
+func (d *Dispatcher) serving(workspace string, in func(jwpeer.Peer) bool) (fresh, silent []jwpeer.Peer) {
 	now := d.Now()
 	peers := d.Board.Peers.Select(func(p jwpeer.Peer) bool { return p.State == jwpeer.Serving && in(p) })
-	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
+	if workspace == "" {
+		rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
+	} else {
+		slices.SortFunc(peers, func(a, b jwpeer.Peer) int {
+			return cmp.Compare(rank(workspace, b.Name), rank(workspace, a.Name))
+		})
+	}
 	for _, p := range peers {
 		switch {
 		case p.Name == d.Self.Node:
@@ -77,6 +91,10 @@
 	return fresh, silent
 }
 
+func rank(workspace, node string) uint64 {
+	return jwtarget.Mix(xxhash.Sum64String(workspace), xxhash.Sum64String(node))
+}
+
 // urgency is the RFC 9218 urgency of a class, 0 being most urgent.
 func urgency(c jwcatalogue.Class) int {
 	switch c {
--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -28,14 +28,17 @@
 // estimate.
 const comeBack = time.Second
 
+// crashBack is when the callers of what was on a crashed target may try again,
+// spread over as long again.
+const crashBack = 2 * time.Second
+
 // serveIdempotent runs a request that may be run again after a failure.
 func (j *job) serveIdempotent(ctx context.Context) {
 	if j.quarantined() {
 		return
 	}
 	j.newQuery()
-	place := j.Router.Place(&j.query)
-	release, refusal, admitted := j.admit(place.Region != "" && place.Region != j.Self.Region)
+	place, release, refusal, admitted := j.takeOn()
 	if !admitted {
 		j.sink.refuse(refusal)
 		return
@@ -59,6 +62,28 @@
 	}
 }
 
+// takeOn finds a region that takes the request: the one that weighs least, and
+// where that is this one and it has no room, another that may have some.
+func (j *job) takeOn() (place jwrouter.Placement, release func(), refusal Head, admitted bool) {
+	place = j.Router.Place(&j.query)
+	away := place.Region != "" && place.Region != j.Self.Region
+	release, refused, admitted := j.admit(away)
+	if admitted {
+		return place, release, Head{}, true
+	}
+	if !away && refused.Reason.Room() {
+		j.query.Full = true
+		other := j.Router.Place(&j.query)
+		if other.Region != "" && other.Region != j.Self.Region {
+			release, _, admitted = j.admit(true)
+			if admitted {
+				return other, release, Head{}, true
+			}
+		}
+	}
+	return place, nil, overloaded(ReasonLimit, string(refused.Reason), refused.RetryAfter), false
+}
+
 // newQuery words the request for the router.
 func (j *job) newQuery() {
 	now := j.Now()
@@ -221,7 +246,7 @@
 
 // tryRegion sends the request to a node of another region.
 func (j *job) tryRegion(ctx context.Context, rl *relay, region string) error {
-	peers := j.peersIn(region)
+	peers := j.peersIn(region, j.workspace.Name)
 	if len(peers) == 0 {
 		return &noPlace{reason: jwrouter.Nowhere}
 	}
@@ -301,6 +326,11 @@
 			h.Status = http.StatusServiceUnavailable
 		}
 		h.RetryAfter = max(failed.RetryAfter, comeBack)
+		if failed.Crashed {
+			// All that was on the target hears this at once. Apart in time, they
+			// come to different targets, and the one that crashes them is found.
+			h.RetryAfter = crashBack + rand.N(crashBack)
+		}
 		return h
 	}
 	return Refusal(http.StatusBadGateway, jwrequest.Unknown, ReasonTarget, err.Error())
--- a/core/jwdispatch/once.go
+++ b/core/jwdispatch/once.go
@@ -99,10 +99,10 @@
 		j.sink.refuse(h)
 		return
 	}
-	release, refusal, admitted := j.admit(false)
+	release, refused, admitted := j.admit(false)
 	if !admitted {
 		call.Release()
-		j.sink.refuse(refusal)
+		j.sink.refuse(overloaded(ReasonLimit, string(refused.Reason), refused.RetryAfter))
 		return
 	}
 	defer release()
@@ -175,7 +175,7 @@
 		j.sink.refuse(j.unchecked("the home region has changed on the way"))
 		return
 	}
-	peers := j.peersIn(j.workspace.Region)
+	peers := j.peersIn(j.workspace.Region, j.workspace.Name)
 	for _, p := range peers[:min(len(peers), homeTries)] {
 		j.step("forward", p.Name)
 		a, err := j.Peers.Forward(ctx, p, j.request, ForwardRegion)
--- a/core/jwdispatch/suspicion.go
+++ b/core/jwdispatch/suspicion.go
@@ -8,6 +8,7 @@
 
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/core/jwsuspect"
+	"jujubewheel/core/jwtarget"
 )
 
 // quarantined ends the request if requests like it crashed targets.
@@ -42,7 +43,9 @@
 	}
 }
 
-// callerHash is the same for each try of one request by one caller.
-func callerHash(r *jwrequest.Request) uint64 {
-	return xxhash.Sum64String(r.Workspace + "\x00" + r.Entry + "\x00" + r.ID)
+// callerHash is the same for each try of one request by one caller, also when
+// each has a request id of its own.
+func (j *job) callerHash() uint64 {
+	mark := j.fingerprint()
+	return jwtarget.Mix(xxhash.Sum64String(j.request.Workspace), xxhash.Sum64(mark[:]))
 }
--- a/core/jwtarget/poller.go
+++ b/core/jwtarget/poller.go
@@ -72,6 +72,7 @@
 func (p *Poller) ask(ctx context.Context, t Target) {
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
+	asked := p.Now()
 	load, leaving, err := p.Source.Load(ctx, t.Address)
 	now := p.Now()
 	if err != nil {
@@ -80,7 +81,7 @@
 		}
 		return
 	}
-	load.Taken = now
+	load.Taken = asked
 	p.Table.Report(t.Address, load)
 	if leaving {
 		p.Table.MarkLeaving(t.Address, now, now)
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -330,6 +330,7 @@
 	for {
 		now := time.Now()
 		n.board.Peers.Forget(now.Add(-jwpeer.MostAge))
+		n.board.Limiter.Forget(now)
 		var members []string
 		for _, p := range n.board.Peers.Fresh(now.Add(-silence)) {
 			if p.Region == n.self.Region && p.State == jwpeer.Serving {
