jwlisten, jwdispatch: tickets are minted at the workspace's home

Cause: read as a newcomer, a ticket from a host abroad was refused by the home region for good, since only its minter runs it. Also a panic between claim and answer would have left the key in flight for ever. Change: with the workspace named, a host abroad answers 421 with the hosts at home; a call is lost, not stuck, when its code panics.

--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -110,6 +110,19 @@
 	return refusal, refused
 }
 
+// CheckTicket refuses a ticket for a workspace at home in another region: it is
+// run by the node that mints it, and confirmations run at home. An empty
+// workspace is taken for one of this region.
+func (d *Dispatcher) CheckTicket(workspace string) (refusal Head, refused bool) {
+	w, known := d.Board.Directory.Lookup(workspace)
+	if !known || w.Region == d.Self.Region {
+		return Head{}, false
+	}
+	h := Refusal(http.StatusMisdirectedRequest, jwrequest.NotRun, ReasonRegion, "tickets of this workspace are minted in region "+w.Region)
+	h.Hosts = d.hosts(workspace, w.Region, true)
+	return h, true
+}
+
 // note counts and traces the end of a request.
 func (j *job) note(outcome jwrequest.Outcome, reason Reason, servedBy string) {
 	entry := j.request.Entry
--- a/core/jwdispatch/once.go
+++ b/core/jwdispatch/once.go
@@ -92,6 +92,9 @@
 // runOnce dispatches a claimed call. Every way out settles the claim: finished
 // with the answer, released when it certainly did not run, else lost.
 func (j *job) runOnce(ctx context.Context, call *jwclaim.Call) {
+	// Without this a panic would leave the key in flight for ever, and all who
+	// press again would wait for it. It does nothing to a settled call.
+	defer call.Lost()
 	if state, left := j.Board.Suspects.Check(j.fingerprint(), j.Now()); state == jwsuspect.Quarantined {
 		call.Release()
 		h := Refusal(http.StatusUnprocessableEntity, jwrequest.NotRun, ReasonQuarantine, "requests with this body crashed targets")
--- a/io/jwlisten/callers.go
+++ b/io/jwlisten/callers.go
@@ -29,6 +29,7 @@
 	Check(r *jwrequest.Request) (refusal jwdispatch.Head, refused bool)
 	MaxBody(entry string) int64
 	Serve(ctx context.Context, r *jwrequest.Request, sink jwdispatch.Sink)
+	CheckTicket(workspace string) (refusal jwdispatch.Head, refused bool)
 	Hosts(workspace string) []netip.AddrPort
 }
 
@@ -77,7 +78,11 @@
 	Key string `json:"key"`
 }
 
-func (c *Callers) ticket(w http.ResponseWriter, _ *http.Request) {
+func (c *Callers) ticket(w http.ResponseWriter, r *http.Request) {
+	if refusal, refused := c.Dispatcher.CheckTicket(r.Header.Get(headerWorkspace)); refused {
+		writeRefusal(w, refusal)
+		return
+	}
 	key, err := c.Tickets.Mint()
 	if err != nil || !c.Ready() {
 		h := jwdispatch.Refusal(http.StatusServiceUnavailable, jwrequest.NotRun, jwdispatch.ReasonLeaving, "this node mints no tickets now")
--- a/io/jwnode/node_test.go
+++ b/io/jwnode/node_test.go
@@ -74,3 +74,41 @@
 	assert.Equal(t, other.status, http.StatusConflict, other.body)
 	assert.Equal(t, len(desk.Journal.Runs()), 1)
 }
+
+// A caller asks a host abroad for a ticket. It would be run by that host alone,
+// while the confirmations of its workspace run at home, so the family would
+// press with a key that nobody ever runs.
+func TestTicketIsMintedAtHome(t *testing.T) {
+	s := newSystem(t, "east", "west")
+	desk, _ := s.service("east")
+	home, away := s.node("e1", "east"), s.node("w1", "west")
+	s.edit(home, confirmation())
+	s.settle(1)
+	s.await("targets", func() bool { return len(home.board.Targets.Used()) == 1 })
+
+	mint := func(n *running) (status int, key string, hosts []string) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+n.CallersAddr().String()+"/v1/tickets", nil)
+		assert.NilError(t, err)
+		r.Header.Set("Jujube-Workspace", "free-east")
+		resp, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		var got struct {
+			Key   string
+			Hosts []string
+		}
+		assert.NilError(t, json.NewDecoder(resp.Body).Decode(&got))
+		return resp.StatusCode, got.Key, got.Hosts
+	}
+	status, _, hosts := mint(away)
+	assert.Equal(t, status, http.StatusMisdirectedRequest)
+	assert.DeepEqual(t, hosts, []string{home.CallersAddr().String()})
+
+	status, key, _ := mint(home)
+	assert.Equal(t, status, http.StatusOK)
+	for _, n := range []*running{home, away, home} {
+		r := s.send(n.CallersAddr(), "confirm", "free-east", "{}", header{"Idempotency-Key": key})
+		assert.Equal(t, r.outcome, "served", r.body)
+	}
+	assert.Equal(t, len(desk.Journal.Runs()), 1)
+}
