jwforward: probes tell a silent or one-way connection

Cause: where bytes to another region were held up one way only, the region went on telling its load by its own connections, and each request sent there waited for the pings of gRPC: 8 requests in a row took 80.7 s, the longest 13.0 s, all unknown. An exchange that took longer than a second closed the connection under the requests in flight. Change: while requests wait for a node, its connection is probed every second; a probe unanswered for 1.5 s ends it, and nothing more is sent to that node until it answers, so that those who follow hear notRun at once and the next node of the region is tried. A late exchange leads to a probe instead of the end. TestLinksBetweenNodes passed 3 of 3 runs with the race detector.

--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/core/jwrouter"
 	"jujubewheel/core/jwsuspect"
@@ -176,14 +177,13 @@
 	if len(peers) == 0 {
 		return &noPlace{reason: jwrouter.Nowhere}
 	}
-	j.step("forward", peers[0].Name)
 	j.Board.Regions.Sent(region, j.entry.Service)
-	a, err := j.Peers.Forward(ctx, peers[0], j.request, ForwardRegion)
+	to, a, err := j.forwardToOne(ctx, peers)
 	if err == nil {
 		if a.Head.Outcome == jwrequest.NotRun {
 			_ = a.Body.Close()
 			err = &CallError{
-				Step: "forward to region " + region, Peer: peers[0].Nodes, Fate: Refused,
+				Step: "forward to region " + region, Peer: to.Nodes, Fate: Refused,
 				RetryAfter: a.Head.RetryAfter, Err: errors.New(a.Head.Detail),
 			}
 		} else {
@@ -199,6 +199,19 @@
 	return err
 }
 
+// forwardToOne sends the request to the first of the nodes that takes it; one
+// that can't be reached is passed over.
+func (j *job) forwardToOne(ctx context.Context, peers []jwpeer.Peer) (to jwpeer.Peer, a *Answer, err error) {
+	for _, to = range peers[:min(len(peers), homeTries)] {
+		j.step("forward", to.Name)
+		a, err = j.Peers.Forward(ctx, to, j.request, ForwardRegion)
+		if err == nil || !notRun(err) {
+			break
+		}
+	}
+	return to, a, err
+}
+
 // again tells whether the request may be tried once more.
 func (j *job) again(ctx context.Context, err error) bool {
 	var failed *CallError
--- a/io/jwforward/exchange.go
+++ b/io/jwforward/exchange.go
@@ -26,7 +26,7 @@
 	answer, err := client.Exchange(ctx, digestToWire(told))
 	if err != nil {
 		if code := status.Code(err); code == codes.DeadlineExceeded && ctx.Err() == context.DeadlineExceeded {
-			p.replace(to.Nodes, conn)
+			go p.check(to.Nodes, conn)
 		}
 		return jwpeer.Told{}, errors.Wrapf(err, "exchange with %s", to.Name)
 	}
--- a/io/jwforward/forward.go
+++ b/io/jwforward/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,11 +22,19 @@
 // Forward sends a request to another node and returns once its answer has
 // begun. Errors are of type *jwdispatch.CallError.
 func (p *Pool) Forward(ctx context.Context, to jwpeer.Peer, r *jwrequest.Request, reason string) (*jwdispatch.Answer, error) {
+	if p.doubtful(to.Nodes) {
+		return nil, forwardError(to.Nodes, jwdispatch.Unsent, errors.New("node left a probe unanswered"))
+	}
 	client, conn, err := p.client(to.Nodes)
 	if err != nil {
 		return nil, forwardError(to.Nodes, jwdispatch.Unsent, err)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, end := context.WithCancel(ctx)
+	done := p.watch(to.Nodes, conn)
+	cancel := sync.OnceFunc(func() {
+		end()
+		done()
+	})
 	stream, err := client.Forward(ctx)
 	if err != nil {
 		cancel()
--- a/io/jwforward/pool.go
+++ b/io/jwforward/pool.go
@@ -29,25 +29,30 @@
 type Pool struct {
 	Credentials credentials.TransportCredentials // nil for none
 
-	mu    sync.Mutex
-	conns map[netip.AddrPort]*grpc.ClientConn
+	mu     sync.Mutex
+	closed bool
+	ways   map[netip.AddrPort]*way
+	doubts map[netip.AddrPort]time.Time // nodes left out, until when at the latest
 }
 
 // client returns the way to a node, connecting in the background if needed.
 func (p *Pool) client(addr netip.AddrPort) (jwwire.NodeClient, *grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn := p.conns[addr]; conn != nil {
-		return jwwire.NewNodeClient(conn), conn, nil
+	if p.closed {
+		return nil, nil, errors.Errorf("connect to node %s: closed", addr)
+	}
+	if w := p.ways[addr]; w != nil {
+		return jwwire.NewNodeClient(w.conn), w.conn, nil
 	}
 	conn, err := grpc.NewClient("passthrough:///"+addr.String(), p.options()...)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "connect to node %s", addr)
 	}
-	if p.conns == nil {
-		p.conns = make(map[netip.AddrPort]*grpc.ClientConn)
+	if p.ways == nil {
+		p.ways = make(map[netip.AddrPort]*way)
 	}
-	p.conns[addr] = conn
+	p.ways[addr] = &way{conn: conn}
 	return jwwire.NewNodeClient(conn), conn, nil
 }
 
@@ -72,22 +77,26 @@
 
 // replace gives up a connection that went silent: calls that wait on it fail
 // at once, and the next call opens a new one, which may work where the old one
-// never will again.
-func (p *Pool) replace(addr netip.AddrPort, conn *grpc.ClientConn) {
+// never will again. It is false if another has done so already.
+func (p *Pool) replace(addr netip.AddrPort, conn *grpc.ClientConn) bool {
 	p.mu.Lock()
-	if p.conns[addr] == conn {
-		delete(p.conns, addr)
+	w := p.ways[addr]
+	mine := w != nil && w.conn == conn
+	if mine {
+		delete(p.ways, addr)
 	}
 	p.mu.Unlock()
 	_ = conn.Close()
+	return mine
 }
 
 // Close ends all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, conn := range p.conns {
-		_ = conn.Close()
+	for _, w := range p.ways {
+		_ = w.conn.Close()
 	}
-	p.conns = nil
+	p.ways = nil
+	p.closed = true
 }
--- a/io/jwnode/bound_test.go
+++ b/io/jwnode/bound_test.go
@@ -54,6 +54,7 @@
 // service, and nobody would notice until an audit found it abroad. Every byte
 // between the regions and to the platform is read for it.
 func TestBoundDataStays(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, "east", "west")
 	var log lines
 	s.log = funcr.New(log.add, funcr.Options{Verbosity: 9})
--- a/io/jwnode/system_test.go
+++ b/io/jwnode/system_test.go
@@ -37,6 +37,7 @@
 	regions  []string
 	tls      func(name, region string) jwsettings.TLS // nil for plain ports
 	taps     *taps                                    // nil for none
+	links    map[string]*jwstand.Link                 // before the nodes' ports, by name of the node; nil for none
 	log      logr.Logger
 }
 
@@ -127,7 +128,7 @@
 	}
 	n := &running{Node: &Node{Settings: settings, Log: s.log, Audit: &jwaudit.Trail{Node: name, Log: s.log}}, done: make(chan error, 1)}
 	assert.NilError(s.t, n.Listen())
-	nodes := through.open(n.NodesAddr())
+	nodes := s.link(n, through.open(n.NodesAddr()))
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	go func() { n.done <- n.Run(ctx) }()
@@ -144,6 +145,27 @@
 	return n
 }
 
+// link puts a link before the port of a node and returns its address.
+func (s *system) link(n *running, nodes netip.AddrPort) netip.AddrPort {
+	s.t.Helper()
+	if s.links == nil {
+		return nodes
+	}
+	l := &jwstand.Link{Name: n.Settings.Node, Dial: nodes}
+	links := &jwstand.Links{Links: []*jwstand.Link{l}}
+	assert.NilError(s.t, links.Open())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- links.Run(ctx) }()
+	s.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	s.links[l.Name] = l
+	n.board.Peers.Update(time.Now(), func(p *jwpeer.Peer) { p.Nodes = l.Listen })
+	return l.Listen
+}
+
 func (s *system) regionList() string {
 	var b bytes.Buffer
 	for i, r := range s.regions {
