jwnode: a node that was paused joins anew before it serves

Cause: a frozen host can be dropped by the platform's list and counted out; an edit is then accepted without it, and on waking its node served requests by the old catalogue. Ruled out: a lease in the key-value service, which costs 97 writes a second at 970 nodes and fails an isolated region.

--- /dev/null
+++ b/cmd/jujubewheel/pause_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/io/jwstand"
+)
+
+// lastChange returns the number of an entry's last change.
+func (f *fleet) lastChange(n *nodeProcess, entry string) string {
+	f.t.Helper()
+	out, err := f.command(n, "catalogue", "get", entry)
+	assert.NilError(f.t, err, "%s", out)
+	var e struct {
+		Revision json.Number `json:"revision"`
+	}
+	assert.NilError(f.t, json.Unmarshal([]byte(out), &e), "%s", out)
+	return e.Revision.String()
+}
+
+// A host is frozen for so long that the platform's list drops it. An edit made
+// meanwhile is accepted without it. When the host wakes, its node has the old
+// catalogue and doesn't know that time has passed; a caller that comes in that
+// moment must not be served by an entry that was removed for good.
+func TestFrozenNodeWakes(t *testing.T) {
+	f := newFleet(t, "east")
+	f.target("runner", "writer", "east", "--token", "1ms")
+	frozen, other := f.node("e1", "east"), f.node("e2", "east")
+	f.fill()
+	for _, n := range f.nodes {
+		f.await("a draft is served", func() bool { return send(n.Callers, "draft", "free-east", prompt("menu", 1, false)).whole() })
+	}
+	frozen.signal(syscall.SIGSTOP)
+	listed := f.groups
+	f.groups = slices.DeleteFunc(slices.Clone(listed), func(g jwstand.HostGroup) bool { return g.Labels["name"] == frozen.name })
+	f.put(f.hosts.Control, "/hosts", f.groups)
+	out, err := f.command(other, "catalogue", "remove", "--reason", "no longer offered", "--wait", "30s", "--revision", f.lastChange(other, "draft"), "draft")
+	assert.NilError(t, err, "%s", out)
+
+	// The first requests wait in the frozen host's queue.
+	replies := make(chan reply, 8)
+	for range cap(replies) {
+		go func() { replies <- send(frozen.Callers, "draft", "free-east", prompt("menu", 1, false)) }()
+	}
+	f.await("the edit is still accepted", func() bool {
+		out, err := f.command(other, "catalogue", "status", "--json")
+		var s struct {
+			Accepted bool `json:"accepted"`
+		}
+		return err == nil && json.Unmarshal([]byte(out), &s) == nil && s.Accepted
+	})
+	frozen.signal(syscall.SIGCONT)
+	for range cap(replies) {
+		r := <-replies
+		assert.Assert(t, r.status != 200, "served by a removed entry: %+v", r)
+	}
+
+	f.groups = listed
+	f.put(f.hosts.Control, "/hosts", f.groups)
+	f.await("it serves again, by the new catalogue", func() bool {
+		r := send(frozen.Callers, "draft", "free-east", prompt("menu", 1, false))
+		return r.status == 404 && strings.Contains(r.body, "unknownEntry")
+	})
+}
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -34,6 +34,7 @@
 
 	Dispatcher  Dispatcher
 	Gate        Gate
+	Ready       func() bool // whether the node serves, nil for always
 	Exchanger   Exchanger
 	Catalogue   ChangeSource
 	Workspaces  DirectorySource
@@ -67,6 +68,10 @@
 	// A node that stops still answers for the keys it holds; nobody else can.
 	if reason != jwdispatch.ForwardHolder {
 		done, ok := s.Gate.Enter()
+		if ok && s.Ready != nil && !s.Ready() {
+			done()
+			ok = false
+		}
 		if !ok {
 			return status.Error(codes.FailedPrecondition, "node takes no requests now")
 		}
--- a/io/jwnode/life.go
+++ b/io/jwnode/life.go
@@ -5,6 +5,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
 	"jujubewheel/core/jwclaim"
 	"jujubewheel/core/jwdrain"
 	"jujubewheel/core/jwpeer"
@@ -46,14 +49,34 @@
 			return nil
 		}
 	}
-	if err := n.membership.Join(ctx); err != nil {
-		return ignoreEnd(ctx, err)
+	for {
+		if err := n.membership.Join(ctx); err != nil {
+			return ignoreEnd(ctx, err)
+		}
+		n.pulse.begin()
+		n.serving.Store(true)
+		n.setState(jwpeer.Serving)
+		err := n.keepMembership(ctx)
+		if ctx.Err() != nil || !errors.Is(err, errPaused) {
+			return ignoreEnd(ctx, err)
+		}
+		n.serving.Store(false)
+		n.setState(jwpeer.Joining)
 	}
-	n.serving.Store(true)
-	n.setState(jwpeer.Serving)
-	return ignoreEnd(ctx, n.membership.Run(ctx))
 }
 
+// keepMembership returns when ctx ends, when another process has this node's
+// name, or when this one was paused for too long.
+func (n *Node) keepMembership(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return n.membership.Run(ctx) })
+	g.Go(func() error { return n.pulse.run(ctx) })
+	return g.Wait()
+}
+
+// ready tells whether the node may serve.
+func (n *Node) ready() bool { return n.serving.Load() && n.pulse.alive() }
+
 // ignoreEnd drops an error that is only the end of ctx.
 func ignoreEnd(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -44,6 +44,7 @@
 	loadTimeout     = time.Second
 	platformTimeout = 2 * time.Second
 	confirmEvery    = 200 * time.Millisecond // between looks at the nodes answered for
+	shortestPause   = 500 * time.Millisecond // that a pulse takes for one
 	linger          = 2 * time.Second        // answering after the handover, so that others learn of it
 )
 
@@ -77,6 +78,7 @@
 	tracer     *jwexplain.Tracer
 	keys       keys
 	serving    atomic.Bool
+	pulse      pulse
 }
 
 // Run serves until ctx ends, then stops gracefully: it takes no new requests,
@@ -112,6 +114,7 @@
 		return nil
 	}
 	s := n.Settings
+	n.pulse.limit = max(s.Periods.HostsLag/2, shortestPause)
 	n.self = jwrequest.Hop{Node: s.Node, Region: s.Region, DataCentre: s.DataCentre}
 	nodes, err := net.Listen("tcp", s.Listen.Nodes.String())
 	if err != nil {
@@ -123,7 +126,7 @@
 	}
 	n.assemble()
 	callers := &jwlisten.Callers{
-		Dispatcher: n.dispatcher, Gate: &n.drain, Tickets: n.keeper, Ready: n.serving.Load, Log: n.Log,
+		Dispatcher: n.dispatcher, Gate: &n.drain, Tickets: n.keeper, Ready: n.ready, Log: n.Log,
 	}
 	handler, err := callers.Handler()
 	if err != nil {
@@ -210,7 +213,7 @@
 func (n *Node) assembleMembership(incarnation string) {
 	s := n.Settings
 	n.departures = &jwcatalogue.Departures{Hosts: &n.board.Hosts, Lag: s.Periods.HostsLag}
-	n.adoptions = &jwcatalogue.Adoptions{Table: &n.board.Catalogue, Peers: &n.board.Peers, Departures: n.departures, Serving: n.serving.Load}
+	n.adoptions = &jwcatalogue.Adoptions{Table: &n.board.Catalogue, Peers: &n.board.Peers, Departures: n.departures, Serving: n.ready}
 	n.membership = &jwcatalogue.Membership{
 		Member: jwcatalogue.Member{Name: s.Node, Region: s.Region, Incarnation: incarnation},
 		Store:  n.store, Follower: n.follower,
--- a/io/jwnode/operators.go
+++ b/io/jwnode/operators.go
@@ -14,7 +14,7 @@
 		Token: s.Operators.Token, Table: &n.board.Catalogue, Editor: n.editor, Acceptance: &accepted{Acceptance: n.acceptance, audit: n.Audit},
 		Members:   n.acceptance,
 		Explainer: n.tracer, Peers: &n.board.Peers, Targets: &n.board.Targets, Audit: n.Audit,
-		Metrics: n.Meter.Handler(), Ready: n.serving.Load, Log: n.Log,
+		Metrics: n.Meter.Handler(), Ready: n.ready, Log: n.Log,
 	}
 	handler, err := operators.Handler()
 	if err != nil {
