jwnode, jwhost, jwsettings: a node starts without the platform

Cause: a node that started while the host list could not be had knew no peer and no target, so a region behind a cut could not replace a host. Change: settings may name a few seeds; a node of the region gives the host list, as it gives the directory and the catalogue. A list at second hand is applied, but nobody is counted out by it.

--- a/core/jwhost/watcher.go
+++ b/core/jwhost/watcher.go
@@ -14,6 +14,7 @@
 // Watcher reads the host list again and again and writes it to the board.
 type Watcher struct {
 	List   Lister
+	Peer   Lister // asked while List has never answered; may be nil
 	Table  *Table
 	Period time.Duration
 	Now    func() time.Time
@@ -41,6 +42,7 @@
 			if w.Failed != nil {
 				w.Failed(err)
 			}
+			w.askPeer(ctx)
 		default:
 			now := w.Now()
 			w.Table.Set(hosts, now)
@@ -59,6 +61,20 @@
 	}
 }
 
+// askPeer takes the list of another node of the region, for a node that starts
+// while the platform can't be reached. It is applied but not put in the table:
+// nobody is counted out by a list at second hand.
+func (w *Watcher) askPeer(ctx context.Context) {
+	if w.Peer == nil || w.last != nil {
+		return
+	}
+	hosts, err := w.Peer.Hosts(ctx)
+	if err != nil || len(hosts) == 0 {
+		return
+	}
+	w.Apply(hosts, w.Now())
+}
+
 // same tells whether two lists are one, as the lister gives again when the
 // platform says that nothing has changed. To apply thousands of hosts anew each
 // period would cost a node more than all its other control work.
--- /dev/null
+++ b/io/jwforward/hosts.go
@@ -0,0 +1,69 @@
+package jwforward
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwhost"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/io/jwwire"
+)
+
+// HostSource gives the newest host list to other nodes.
+type HostSource interface {
+	Hosts() (hosts []jwhost.Host, taken time.Time)
+}
+
+// FetchHosts asks a node for the hosts of its region.
+func (p *Pool) FetchHosts(ctx context.Context, from jwpeer.Peer, region string) ([]jwhost.Host, error) {
+	client, _, err := p.client(from.Nodes)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := client.Hosts(ctx, &jwwire.HostsRequest{Region: region})
+	if err != nil {
+		return nil, errors.Wrapf(err, "get hosts from %s", from.Name)
+	}
+	var out []jwhost.Host
+	for _, h := range answer.GetHosts() {
+		if host, ok := hostFromWire(h); ok {
+			out = append(out, host)
+		}
+	}
+	return out, nil
+}
+
+// hostFromWire leaves out a host whose addresses can't be read.
+func hostFromWire(h *jwwire.Host) (jwhost.Host, bool) {
+	out := jwhost.Host{
+		Name: h.GetName(), Role: jwhost.Role(h.GetRole()), Region: h.GetRegion(), DataCentre: h.GetDataCentre(),
+		Service: h.GetService(), Leaving: h.GetLeaving(),
+	}
+	var err error
+	if out.Address, err = netip.ParseAddrPort(h.GetAddress()); err != nil {
+		return out, false
+	}
+	if out.Role == jwhost.Entry {
+		out.Nodes, err = netip.ParseAddrPort(h.GetNodeAddress())
+	}
+	return out, err == nil
+}
+
+// Hosts answers another node that can't reach the platform's list.
+func (s *Server) Hosts(_ context.Context, in *jwwire.HostsRequest) (*jwwire.HostsResponse, error) {
+	hosts, _ := s.HostList.Hosts()
+	out := &jwwire.HostsResponse{}
+	for _, h := range hosts {
+		if h.Region != in.GetRegion() {
+			continue
+		}
+		out.Hosts = append(out.Hosts, &jwwire.Host{
+			Name: h.Name, Role: string(h.Role), Region: h.Region, DataCentre: h.DataCentre, Service: h.Service,
+			Address: h.Address.String(), NodeAddress: h.Nodes.String(), Leaving: h.Leaving,
+		})
+	}
+	return out, nil
+}
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -38,6 +38,7 @@
 	Exchanger   Exchanger
 	Catalogue   ChangeSource
 	Workspaces  DirectorySource
+	HostList    HostSource
 	Adopter     Adopter
 	Sponsor     Sponsor
 	MaxBody     int64                            // bytes of a request body
--- a/io/jwnode/hosts.go
+++ b/io/jwnode/hosts.go
@@ -28,6 +28,20 @@
 	n.meetPeers(peers, now)
 }
 
+// meetSeeds makes the nodes known that the settings name.
+func (n *Node) meetSeeds(now time.Time) {
+	var peers []jwpeer.Peer
+	for _, s := range n.Settings.Seeds {
+		if s.Node == n.Settings.Node {
+			continue
+		}
+		peers = append(peers, jwpeer.Peer{
+			Name: s.Node, Region: n.Settings.Region, DataCentre: n.Settings.DataCentre, Nodes: s.Address, State: jwpeer.Joining,
+		})
+	}
+	n.meetPeers(peers, now)
+}
+
 // meetPeers makes listed nodes known, so that exchanges with them can begin.
 // What a node says of itself always counts for more than the list.
 func (n *Node) meetPeers(peers []jwpeer.Peer, now time.Time) {
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -199,13 +199,14 @@
 		Dispatcher:  n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
 		Adopter:   &adopter{keeper: n.keeper, audit: n.Audit},
 		Sponsor:   &sponsor{adoptions: n.adoptions, region: s.Region},
-		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
+		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, HostList: &n.board.Hosts, MaxBody: s.Limits.MaxBody,
 	}
 	n.grpc = server.GRPC()
 	n.board.Peers.SetSelf(jwpeer.Peer{
 		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
 		Incarnation: incarnation, State: jwpeer.Joining, Sequence: 1,
 	}, time.Now())
+	n.meetSeeds(time.Now())
 }
 
 // assembleMembership makes the parts by which a change is known to be in force
@@ -269,6 +270,7 @@
 	s := n.Settings
 	hosts := &jwhost.Watcher{
 		List:  &jwplatform.HostList{Address: s.Platform.Hosts, Path: s.Platform.HostsPath, Timeout: platformTimeout},
+		Peer:  &hostSource{peers: &n.board.Peers, pool: n.pool, self: n.self},
 		Table: &n.board.Hosts, Period: s.Periods.HostsPoll, Now: time.Now, Apply: n.applyHosts,
 	}
 	directory := &jwdirectory.Watcher{
--- a/io/jwnode/sources.go
+++ b/io/jwnode/sources.go
@@ -8,6 +8,7 @@
 
 	"jujubewheel/core/jwcatalogue"
 	"jujubewheel/core/jwdirectory"
+	"jujubewheel/core/jwhost"
 	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/io/jwforward"
@@ -105,6 +106,26 @@
 	return records, checkpoint, err
 }
 
+// hostSource gets the hosts of the region from another node of it.
+type hostSource struct {
+	peers *jwpeer.Table
+	pool  *jwforward.Pool
+	self  jwrequest.Hop
+}
+
+// Hosts returns the hosts of the region as a peer knows them.
+func (s *hostSource) Hosts(ctx context.Context) ([]jwhost.Host, error) {
+	peers := s.peers.Select(func(p jwpeer.Peer) bool {
+		return p.Region == s.self.Region && p.Name != s.self.Node && p.State != jwpeer.Gone
+	})
+	if len(peers) == 0 {
+		return nil, errors.New("get hosts: no peer of the region is known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	return s.pool.FetchHosts(ctx, peers[rand.IntN(len(peers))], s.self.Region)
+}
+
 // directorySource gets the client directory from a node of this region.
 type directorySource struct {
 	peers *jwpeer.Table
--- a/io/jwnode/system_test.go
+++ b/io/jwnode/system_test.go
@@ -39,6 +39,8 @@
 	taps     *taps                                    // nil for none
 	links    map[string]*jwstand.Link                 // before the nodes' ports, by name of the node; nil for none
 	log      logr.Logger
+	platform []*jwstand.Stand  // the key-value service, the host list, the directory
+	seeds    []jwsettings.Seed // for the settings of the nodes that start from now on
 }
 
 // running is a node with what stops it.
@@ -55,8 +57,9 @@
 	t.Helper()
 	s := &system{t: t, kv: &jwstand.KeyValue{}, hosts: &jwstand.Hosts{}, clients: &jwstand.Clients{}, nodes: map[string]*running{}, regions: regions, log: logr.Discard()}
 	s.kvStand = s.stand("kv", s.kv)
-	s.hostsAt = s.stand("hosts", s.hosts).Address
-	s.clientAt = s.stand("clients", s.clients).Address
+	hosts, clients := s.stand("hosts", s.hosts), s.stand("clients", s.clients)
+	s.hostsAt, s.clientAt = hosts.Address, clients.Address
+	s.platform = []*jwstand.Stand{s.kvStand, hosts, clients}
 	var list []jwstand.Client
 	for _, r := range regions {
 		list = append(list,
@@ -123,6 +126,7 @@
 		through.platform(s.kvStand.Address), through.platform(s.hostsAt), through.platform(s.clientAt), s.regionList())
 	settings, err := jwsettings.Parse([]byte(text))
 	assert.NilError(s.t, err)
+	settings.Seeds = s.seeds
 	if s.tls != nil {
 		settings.TLS = s.tls(name, region)
 	}
--- a/io/jwsettings/parse.go
+++ b/io/jwsettings/parse.go
@@ -194,6 +194,19 @@
 		o.fault("dataCentre", "%q is not a data centre of region %q", s.DataCentre, s.Region)
 	}
 	s.readLinks(o, known)
+	s.readSeeds(o)
+}
+
+func (s *Settings) readSeeds(o *object) {
+	o.list("seeds", func(c *object) {
+		var seed Seed
+		c.name("node", &seed.Node)
+		c.address("address", &seed.Address)
+		if !seed.Address.IsValid() || seed.Address.Port() == 0 {
+			c.fault("address", "must name the port for nodes of a node")
+		}
+		s.Seeds = append(s.Seeds, seed)
+	})
 }
 
 func (s *Settings) readRegions(o *object) {
--- a/io/jwsettings/settings.go
+++ b/io/jwsettings/settings.go
@@ -22,6 +22,7 @@
 	TLS        TLS
 	Regions    []Region
 	Links      []Link
+	Seeds      []Seed // nodes of the region to ask while the host list can't be had
 	Periods    Periods
 	Limits     Limits
 	Claims     Claims
@@ -73,6 +74,13 @@
 	DataCentres []string
 }
 
+// Seed is a node of the own region that a starting node may ask when the
+// platform can't be reached.
+type Seed struct {
+	Node    string
+	Address netip.AddrPort // of its port for nodes
+}
+
 // Link describes the network from one region to another.
 type Link struct {
 	From      string
--- a/io/jwsettings/settings_test.go
+++ b/io/jwsettings/settings_test.go
@@ -97,6 +97,8 @@
 		"link to itself":      {with(`"links": [{"from": "north", "to": "north"}]`), "a link joins two regions"},
 		"link twice":          {with(`"links": [{"from":"north","to":"south"},{"from":"north","to":"south"}]`), "links[1].from: "},
 		"negative price":      {with(`"links": [{"from":"north","to":"south","costPerGB":-1}]`), "costPerGB: must be from 0"},
+		"seed without port":   {with(`"seeds": [{"node": "n2", "address": "127.0.0.1:0"}]`), "seeds[0].address: must name the port"},
+		"seed without name":   {with(`"seeds": [{"address": "127.0.0.1:8082"}]`), "seeds[0].node"},
 		"links no list":       {with(`"links": {}`), "links: must be a list"},
 		"duration as number":  {with(`"drainLimit": 5`), "drainLimit: must be a string"},
 		"bad duration":        {with(`"drainLimit": "soon"`), "drainLimit: must be a duration"},
