jwclaim: a release just before a handover is seen by the successor

Longer fuzzing of planned stops found an unknown without any fault: a caller waited at the successor, whose view still showed a claim that the stopping node released and flushed before it handed over. Judged after the handover, the claim seemed one of those taken over, yet had no record. Adoption now makes all who wait for a slot wait for a read that begins after it.

--- a/core/jwclaim/handover.go
+++ b/core/jwclaim/handover.go
@@ -341,9 +341,22 @@
 	for _, r := range rs {
 		k.installRecord(r)
 	}
+	k.readAgain()
 	return Receipt{Kept: uint64(len(rs)), Incarnation: k.Incarnation}, nil
 }
 
+// readAgain makes all who wait for a slot wait for a read that begins now. A
+// claim that the stopping node released just before its handover may still be
+// in a view of this node; taken for one of those handed over, it would have no
+// record, and its key be told unknown. k.mu is held.
+func (k *Keeper) readAgain() {
+	for _, s := range k.slots {
+		for _, it := range s.queue {
+			it.reads = s.started
+		}
+	}
+}
+
 func (k *Keeper) installRecord(r Record) {
 	switch r.Kind {
 	case IncarnationRecord:
--- a/core/jwclaim/handover_test.go
+++ b/core/jwclaim/handover_test.go
@@ -229,3 +229,38 @@
 		assert.DeepEqual(t, e.from.Moves(), []Move{{Incarnation: "a-1", To: e.b.self()}})
 	})
 }
+
+// The stopping node releases a claim and hands over within moments. A caller
+// waits at the successor, whose view still shows the claim. It must not be told
+// unknown of a call that never ran.
+func TestReleaseJustBeforeHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		one := func(n *node) { n.Slots = 1 }
+		a, b := start(s, "a", one), start(s, "b", func(n *node) { n.Slots, n.GroupWindow = 1, time.Second })
+		defer a.end()
+		defer b.end()
+		c := run(t, a, own("k", "deposit"))
+		time.Sleep(time.Second)
+		// The view that b reads here holds the claim, and b's next group comes
+		// after the handover.
+		run(t, b, own("other", "x"))
+		verdict := make(chan Verdict, 1)
+		go func() { verdict <- press(t, b, own("k", "deposit")).Verdict }()
+		synctest.Wait()
+		b.mu.Lock()
+		waits := b.slots[slotPrefix("irbid-a", 0)]
+		waits.started++ // as by a write that began since
+		waits.reads = waits.started
+		b.mu.Unlock()
+		c.Release()
+		a.Close()
+		assert.NilError(t, a.Flush(context.Background()))
+		b.mu.Lock()
+		waiting := len(waits.queue)
+		b.mu.Unlock()
+		assert.Equal(t, waiting, 1)
+		assert.NilError(t, a.Handover(context.Background(), &heir{to: b}))
+		assert.Assert(t, <-verdict != Unknown)
+	})
+}
