jwfleet, jujubebench: the real system under load and faults, measured

Cause: what a node decides was measured in the model alone; nodes over sockets were only ever shown to work, not how well. For it jwload counts what was served abroad and takes a part before the counted one, engines of jwstand count held slots and tokens asked for, can be slowed and forget their cache, and a retry budget counts what went through it (tries_total).

--- a/cmd/jujubebench/main.go
+++ b/cmd/jujubebench/main.go
@@ -23,6 +23,7 @@
 	Load     loadCommand     `cmd:"" help:"Sends a load and reports latencies and outcomes."`
 	Clients  clientsCommand  `cmd:"" help:"Prints the workspaces of a load for the client directory stand-in."`
 	Policies policiesCommand `cmd:"" help:"Compares the decisions of a node with simple rules, in virtual time."`
+	System   systemCommand   `cmd:"" help:"Measures nodes over sockets under load and faults."`
 	Subsets  subsetsCommand  `cmd:"" help:"Compares how many targets each node uses and how often it asks for their load."`
 	Slopes   slopesCommand   `cmd:"" help:"Measures how the control work of a node grows with the system."`
 }
--- a/core/jwlimit/budget.go
+++ b/core/jwlimit/budget.go
@@ -18,12 +18,28 @@
 
 	mu    sync.Mutex
 	saved map[string]float64
+	count BudgetCounts
+}
+
+// BudgetCounts counts what went through a Budget.
+type BudgetCounts struct {
+	Tries   uint64 // first tries
+	Retries uint64
+	Refused uint64 // retries that the budget did not allow
+}
+
+// Counts returns the counts so far.
+func (b *Budget) Counts() BudgetCounts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.count
 }
 
 // Try notes a first try of an entry.
 func (b *Budget) Try(entry string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.count.Tries++
 	b.set(entry, min(b.get(entry)+b.share(), b.most()))
 }
 
@@ -33,8 +49,10 @@
 	defer b.mu.Unlock()
 	n := b.get(entry)
 	if n < 1 {
+		b.count.Refused++
 		return false
 	}
+	b.count.Retries++
 	b.set(entry, n-1)
 	return true
 }
--- /dev/null
+++ b/io/jwfleet/fleet.go
@@ -0,0 +1,316 @@
+package jwfleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwclock"
+	"jujubewheel/io/jwload"
+	"jujubewheel/io/jwmeter"
+	"jujubewheel/io/jwnode"
+	"jujubewheel/io/jwsettings"
+	"jujubewheel/io/jwstand"
+)
+
+const (
+	token     = "a token of the measurements only"
+	meterPace = 200 * time.Millisecond
+	// poison is the text that crashes a model runner whose prompt holds it.
+	poison = "a prompt that crashes the engine"
+	// restart is how long a crashed runner is away.
+	restart = 2 * time.Second
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// runner is a model runner with its stand-in.
+type runner struct {
+	*jwstand.Runner
+	stand *jwstand.Stand
+}
+
+// down takes the runner away.
+func (r *runner) down() { r.stand.SetFaults(jwstand.Faults{Down: true}) }
+
+// up brings it back with an empty cache.
+func (r *runner) up() {
+	r.Engine.Forget()
+	r.stand.SetFaults(jwstand.Faults{CrashOn: poison})
+}
+
+// fleet is the whole system of a deployment.
+type fleet struct {
+	Deployment
+	nodes    map[string][]*jwnode.Node // by region
+	runners  map[string][]*runner      // by region
+	journals map[string][]netip.AddrPort
+	keyValue *jwstand.Stand
+	between  []*jwstand.Link
+
+	ctx  context.Context
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+	mu   sync.Mutex
+	errs []error
+}
+
+// start brings everything up; the fleet runs until close.
+func start(ctx context.Context, d Deployment) (*fleet, error) {
+	f := &fleet{
+		Deployment: d,
+		nodes:      make(map[string][]*jwnode.Node),
+		runners:    make(map[string][]*runner),
+		journals:   make(map[string][]netip.AddrPort),
+	}
+	f.ctx, f.stop = context.WithCancel(ctx)
+	if err := f.open(); err != nil {
+		_ = f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) open() error {
+	var err error
+	if f.keyValue, err = f.stand("kv", &jwstand.KeyValue{}); err != nil {
+		return err
+	}
+	list := &jwstand.Hosts{}
+	hosts, err := f.stand("hosts", list)
+	if err != nil {
+		return err
+	}
+	clients, err := f.stand("clients", f.directory())
+	if err != nil {
+		return err
+	}
+	var groups []jwstand.HostGroup
+	for _, region := range f.Regions {
+		targets, err := f.openTargets(region)
+		if err != nil {
+			return err
+		}
+		groups = append(groups, targets...)
+		for i := range nodesPerRegion {
+			group, err := f.openNode(region, i, f.keyValue.Address, hosts.Address, clients.Address)
+			if err != nil {
+				return err
+			}
+			groups = append(groups, group)
+		}
+	}
+	list.Set(groups)
+	for _, nodes := range f.nodes {
+		for _, n := range nodes {
+			f.run(n.Run)
+		}
+	}
+	return nil
+}
+
+// directory has the workspaces of the load, and those of a burst.
+func (f *fleet) directory() *jwstand.Clients {
+	var list []jwstand.Client
+	for _, region := range f.Regions {
+		for n := range workspaces {
+			list = append(list, jwstand.Client{
+				Name: jwload.WorkspaceName(region, n), Region: region, Bound: jwload.Bound(n, boundShare),
+				Owner: fmt.Sprintf("%s-owner-%d", region, n%owners),
+			})
+		}
+		list = append(list, jwstand.Client{
+			Name: jwload.WorkspaceName(burstOf(region), 0), Region: region, Owner: region + "-burster",
+		})
+	}
+	clients := &jwstand.Clients{}
+	clients.Set(list)
+	return clients
+}
+
+// openTargets starts the targets of a region and returns their lines of the
+// host list.
+func (f *fleet) openTargets(region string) ([]jwstand.HostGroup, error) {
+	var groups []jwstand.HostGroup
+	for range runnersPerRegion {
+		r := &runner{Runner: &jwstand.Runner{Engine: jwstand.Engine{
+			Slots: slots, Token: tokenTime, Growth: growth, Prefill: prefill, CacheTokens: cacheTokens, Lag: reportLag,
+		}}}
+		stand, err := f.stand("runner", r.Runner)
+		if err != nil {
+			return nil, err
+		}
+		r.stand = stand
+		// A crash ends no process here: the runner is away for a while.
+		stand.Exit = func(int) {
+			r.down()
+			f.run(func(ctx context.Context) error {
+				err := jwclock.Sleep(ctx, restart)
+				r.up()
+				return err
+			})
+		}
+		r.up()
+		f.runners[region] = append(f.runners[region], r)
+		f.journals[region] = append(f.journals[region], stand.Control)
+		groups = append(groups, targetGroup(stand.Address, f.Model, region))
+	}
+	stand, err := f.stand("service", &jwstand.Service{Work: plainWork})
+	if err != nil {
+		return nil, err
+	}
+	f.journals[region] = append(f.journals[region], stand.Control)
+	return append(groups, targetGroup(stand.Address, f.Plain, region)), nil
+}
+
+func targetGroup(address netip.AddrPort, service, region string) jwstand.HostGroup {
+	return jwstand.HostGroup{Targets: []string{address.String()}, Labels: map[string]string{
+		"role": "target", "service": service, "region": region, "dataCentre": region + "-1", "state": "live",
+	}}
+}
+
+// openNode opens the ports of a node. Other nodes reach it over a link, and so
+// does it the platform unless that is in its region.
+func (f *fleet) openNode(region string, i int, platform ...netip.AddrPort) (jwstand.HostGroup, error) {
+	name := fmt.Sprintf("%s-n%d", region, i+1)
+	way := &jwstand.Link{Name: name, Listen: loopback}
+	links := &jwstand.Links{Control: loopback, Links: []*jwstand.Link{way}}
+	for _, address := range platform {
+		links.Links = append(links.Links, &jwstand.Link{Name: name + "-platform", Listen: loopback, Dial: address})
+	}
+	if err := links.Open(); err != nil {
+		return jwstand.HostGroup{}, err
+	}
+	for k, l := range links.Links {
+		if k == 0 || region != f.Regions[0] {
+			l.SetWeather(jwstand.Weather{Delay: jwstand.Duration(f.Delay)})
+			f.between = append(f.between, l)
+		}
+	}
+	centre := region + "-1"
+	if i == nodesPerRegion-1 {
+		centre = region + "-2"
+	}
+	settings, err := f.settings(name, region, centre, way.Listen, links.Links[1:])
+	if err != nil {
+		return jwstand.HostGroup{}, err
+	}
+	n := &jwnode.Node{Settings: settings, Log: logr.Discard(), Meter: &jwmeter.Meter{Interval: meterPace}}
+	if err := n.Listen(); err != nil {
+		return jwstand.HostGroup{}, err
+	}
+	way.Dial = n.NodesAddr()
+	f.run(links.Run)
+	f.nodes[region] = append(f.nodes[region], n)
+	return jwstand.HostGroup{Targets: []string{n.CallersAddr().String()}, Labels: map[string]string{
+		"role": "entry", "name": name, "region": region, "dataCentre": centre,
+		"state": "live", "nodes": way.Listen.String(),
+	}}, nil
+}
+
+type object map[string]any
+
+// settings writes the settings of a node as an operator would; what is read at
+// a pace is read faster, since a trial is short.
+func (f *fleet) settings(name, region, centre string, nodes netip.AddrPort, platform []*jwstand.Link) (*jwsettings.Settings, error) {
+	var regions, links []object
+	for i, r := range f.Regions {
+		regions = append(regions, object{"name": r, "dataCentres": []string{r + "-1", r + "-2"}})
+		for _, other := range f.Regions[i+1:] {
+			links = append(links, object{"from": r, "to": other, "delay": f.Delay.String(), "costPerGB": f.PerGB})
+		}
+	}
+	text, err := json.Marshal(object{
+		"node": name, "region": region, "dataCentre": centre,
+		"listen":    object{"callers": loopback, "operators": loopback, "nodes": loopback},
+		"advertise": object{"nodes": nodes},
+		"platform":  object{"keyValue": platform[0].Listen, "hosts": platform[1].Listen, "directory": platform[2].Listen},
+		"operators": object{"token": token},
+		"periods":   object{"hostsPoll": "1s", "directoryPoll": "5s", "hostsLag": "5s"},
+		"regions":   regions,
+		"links":     links,
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "write settings")
+	}
+	return jwsettings.Parse(text)
+}
+
+func (f *fleet) stand(kind string, p jwstand.Program) (*jwstand.Stand, error) {
+	stand := &jwstand.Stand{Kind: kind, Program: p, Address: loopback, Control: loopback}
+	if err := stand.Listen(); err != nil {
+		return nil, err
+	}
+	f.run(stand.Run)
+	return stand, nil
+}
+
+// run keeps a part running until close and notes what ended it.
+func (f *fleet) run(part func(context.Context) error) {
+	f.wg.Go(func() {
+		err := part(f.ctx)
+		if err == nil || f.ctx.Err() != nil && errors.Is(err, context.Canceled) {
+			return
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.errs = append(f.errs, err)
+	})
+}
+
+// close stops everything and returns what went wrong with any part.
+func (f *fleet) close() error {
+	f.stop()
+	f.wg.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.errs) > 0 {
+		return errors.Wrap(f.errs[0], "a part of the fleet failed")
+	}
+	return nil
+}
+
+// total adds up one counter of all nodes, as of their last reports.
+func (f *fleet) total(counter string, tags jwmeter.Tags) float64 {
+	sum := 0.0
+	for _, nodes := range f.nodes {
+		for _, n := range nodes {
+			sum += n.Meter.Total(counter, tags)
+		}
+	}
+	return sum
+}
+
+// engines adds up the work of all model runners.
+func (f *fleet) engines() jwstand.Totals {
+	var sum jwstand.Totals
+	for _, list := range f.runners {
+		for _, r := range list {
+			t := r.Engine.Totals()
+			sum.Requests += t.Requests
+			sum.PromptTokens += t.PromptTokens
+			sum.CachedTokens += t.CachedTokens
+			sum.Generated += t.Generated
+			sum.Asked += t.Asked
+			sum.Held += t.Held
+		}
+	}
+	return sum
+}
+
+// entrances are the nodes by region, where callers go.
+func (f *fleet) entrances() map[string][]netip.AddrPort {
+	hosts := make(map[string][]netip.AddrPort)
+	for region, nodes := range f.nodes {
+		for _, n := range nodes {
+			hosts[region] = append(hosts[region], n.CallersAddr())
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/io/jwfleet/operator.go
@@ -0,0 +1,137 @@
+package jwfleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwclock"
+	"jujubewheel/io/jwload"
+	"jujubewheel/io/jwoperate"
+	"jujubewheel/io/jwstand"
+)
+
+const (
+	serviceName = "jwfleet"
+	callTimeout = 15 * time.Second
+	readyLimit  = 20 * time.Second
+	retryPause  = 50 * time.Millisecond
+)
+
+// operator edits the catalogue and sends the few requests that are not part of
+// the load.
+type operator struct {
+	service   httpc.Service
+	transport *http.Transport
+}
+
+func newOperator() *operator {
+	breaker.NoBreakerFor(serviceName)
+	transport := &http.Transport{}
+	client := &http.Client{Transport: transport, Timeout: callTimeout}
+	return &operator{service: httpc.NewServiceWithClient(serviceName, client), transport: transport}
+}
+
+func (o *operator) close() { o.transport.CloseIdleConnections() }
+
+// prepare puts the catalogue in and waits until every node serves.
+func (o *operator) prepare(ctx context.Context, f *fleet) error {
+	at := f.nodes[f.Regions[0]][0].OperatorsAddr()
+	for _, e := range f.entries() {
+		if err := await(ctx, "edit "+e.Name, func() error { return o.put(ctx, at, e) }); err != nil {
+			return err
+		}
+	}
+	for region, nodes := range f.nodes {
+		for _, n := range nodes {
+			for _, k := range f.Mix.Kinds {
+				if k.Key {
+					continue
+				}
+				err := await(ctx, region+" serves "+k.Entry, func() error { return o.probe(ctx, n.CallersAddr(), region, k) })
+				if err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (o *operator) put(ctx context.Context, at netip.AddrPort, e jwcatalogue.Entry) error {
+	data, err := json.Marshal(jwoperate.EditBody{Entry: &e, Author: "measurement", Reason: "trial", EditID: "trial-" + e.Name})
+	if err != nil {
+		return err
+	}
+	url := fmt.Sprintf("http://%s/v1/catalogue/entries/%s?wait=5s", at, e.Name)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+token)
+	r.Header.Set("If-None-Match", "*")
+	status, err := o.do(r)
+	if err == nil && status/100 != 2 && status != http.StatusPreconditionFailed {
+		err = errors.Errorf("status %d", status)
+	}
+	return err
+}
+
+func (o *operator) probe(ctx context.Context, at netip.AddrPort, region string, k jwload.Kind) error {
+	status, err := o.prompt(ctx, at, k.Entry, jwload.WorkspaceName(region, 0), "ready?")
+	if err == nil && status != http.StatusOK {
+		err = errors.Errorf("status %d", status)
+	}
+	return err
+}
+
+// prompt asks for one token; plain services take the body as it is.
+func (o *operator) prompt(ctx context.Context, at netip.AddrPort, entry, workspace, text string) (int, error) {
+	body, err := json.Marshal(jwstand.Completion{Model: entry, Prompt: text, MaxTokens: 1})
+	if err != nil {
+		return 0, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at.String()+"/v1/requests/"+entry, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	r.Header.Set("Jujube-Workspace", workspace)
+	return o.do(r)
+}
+
+func (o *operator) do(r *http.Request) (status int, err error) {
+	res, err := o.service.DoRequest(r)
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return res.StatusCode, err
+}
+
+// await repeats a step until it works.
+func await(ctx context.Context, what string, step func() error) error {
+	end := time.Now().Add(readyLimit)
+	for {
+		err := step()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(end) {
+			return errors.Wrapf(err, "not within %s: %s", readyLimit, what)
+		}
+		if err := jwclock.Sleep(ctx, retryPause); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/io/jwfleet/trial.go
@@ -0,0 +1,123 @@
+package jwfleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"jujubewheel/io/jwload"
+	"jujubewheel/io/jwmeter"
+	"jujubewheel/io/jwrest"
+	"jujubewheel/io/jwstand"
+)
+
+// Trial is one run of a deployment under a load and a fault.
+type Trial struct {
+	Deployment Deployment
+	Load       float64       // share of the capacity
+	Fault      Fault         // empty means None
+	Length     time.Duration // of the counted part
+	Seed       uint64
+
+	bursts   []jwload.Line
+	poisoned int
+}
+
+// maxWarm bounds the part of the load before the counted one.
+const maxWarm = 5 * time.Second
+
+func (t *Trial) warm() time.Duration { return min(maxWarm, t.Length/3) }
+
+// settle is how long the nodes' counters may lag behind.
+const settle = 2*time.Second + 2*meterPace
+
+// Run brings the system up, loads it and returns what came of it.
+func (t *Trial) Run(ctx context.Context) (Result, error) {
+	jwrest.Quiet()
+	f, err := start(ctx, t.Deployment)
+	if err != nil {
+		return Result{}, errors.Wrap(err, "start")
+	}
+	result, err := t.measure(ctx, f)
+	if closeErr := f.close(); err == nil {
+		err = closeErr
+	}
+	return result, err
+}
+
+func (t *Trial) measure(ctx context.Context, f *fleet) (Result, error) {
+	operator := newOperator()
+	defer operator.close()
+	if err := operator.prepare(ctx, f); err != nil {
+		return Result{}, err
+	}
+	before := f.engines()
+	load := t.load(f)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return load.Run(ctx) })
+	group.Go(func() error { return errors.Wrapf(t.inject(ctx, f), "fault %s", t.Fault) })
+	if err := group.Wait(); err != nil {
+		return Result{}, err
+	}
+	time.Sleep(settle)
+	report := load.Report()
+	var err error
+	if report.Audit, err = load.Audit(context.WithoutCancel(ctx), f.journals); err != nil {
+		return Result{}, err
+	}
+	return t.result(f, report, before), nil
+}
+
+func (t *Trial) load(f *fleet) *jwload.Load {
+	var regions []jwload.Region
+	for _, name := range f.Regions {
+		regions = append(regions, jwload.Region{Name: name, Share: 1})
+	}
+	return &jwload.Load{
+		Schedule: jwload.Schedule{
+			Mix: f.Mix, Regions: regions, Workspaces: workspaces, Bound: boundShare,
+			Rate: t.Load * f.Capacity(), Again: againShare, Seed: t.Seed,
+		},
+		Duration: t.warm() + t.Length,
+		Warm:     t.warm(),
+		Hosts:    f.entrances(),
+		Follow:   true,
+	}
+}
+
+// againShare of the requests with a key is sent twice, as by a caller whose
+// page hangs.
+const againShare = 0.1
+
+// result adds up what callers, targets and nodes saw.
+func (t *Trial) result(f *fleet, report jwload.Report, before jwstand.Totals) Result {
+	r := Result{
+		Deployment: f.Name, Load: t.Load, Fault: t.Fault, Seed: t.Seed, Rate: t.Load * f.Capacity(),
+		Report: report, Bursts: t.bursts, Poisoned: t.poisoned,
+		Tries:       f.total("tries_total", jwmeter.Tags{"kind": "first"}),
+		Retries:     f.total("tries_total", jwmeter.Tags{"kind": "retry"}),
+		OverBudget:  f.total("tries_total", jwmeter.Tags{"kind": "overBudget"}),
+		LinkBytes:   f.total("sent_away_bytes_total", nil),
+		LinkPrice:   f.total("sent_away_cost_nanos_total", nil) / 1e9,
+		Nodes:       len(f.Regions) * nodesPerRegion,
+		ReasonsSeen: f.countReasons(),
+	}
+	after := f.engines()
+	r.Generated = after.Generated - before.Generated
+	r.Saved = int64(after.Asked-before.Asked) - int64(r.Generated)
+	r.RunnerSeconds = (after.Held - before.Held).Seconds() / slots
+	r.Cached = float64(after.CachedTokens-before.CachedTokens) / max(float64(after.PromptTokens-before.PromptTokens), 1)
+	sentAway := f.total("sent_away_total", nil)
+	inTime := 0.0
+	for _, l := range report.Lines {
+		if l.Entry != "" {
+			inTime += float64(l.InTime)
+		}
+	}
+	// The work includes the warm part, the answers in time do not.
+	whole := (t.warm() + t.Length).Seconds() / t.Length.Seconds()
+	r.Cost = (r.RunnerSeconds + f.Price*sentAway) / max(inTime*whole, 1)
+	return r
+}
--- a/io/jwload/answer.go
+++ b/io/jwload/answer.go
@@ -31,6 +31,7 @@
 	gaps    []time.Duration // between tokens
 	retry   time.Duration   // when to come back; 0 when not told
 	hosts   []netip.AddrPort
+	region  string // that served it, "" when not told
 }
 
 // readAnswer takes a response to its end.
@@ -39,6 +40,7 @@
 		status:  res.StatusCode,
 		outcome: jwrequest.Outcome(res.Header.Get("Jujube-Outcome")),
 		retry:   retryAfter(res.Header),
+		region:  res.Header.Get("Jujube-Served-By"),
 	}
 	if strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
 		ans.readStream(res.Body, a, now)
--- a/io/jwload/load.go
+++ b/io/jwload/load.go
@@ -41,6 +41,7 @@
 type Load struct {
 	Schedule Schedule
 	Duration time.Duration
+	Warm     time.Duration               // requests due in this first part are audited and not reported
 	Hosts    map[string][]netip.AddrPort // nodes by region; "" for callers without one
 	Targets  map[Target][]netip.AddrPort // for direct calls
 	Follow   bool                        // comes back after Retry-After and goes to the hosts that an answer names
@@ -96,6 +97,9 @@
 	if l.Schedule.Rate <= 0 || l.Duration <= 0 {
 		return errors.New("load: rate and duration must be above 0")
 	}
+	if l.Warm < 0 || l.Warm >= l.Duration {
+		return errors.New("load: the first part must be shorter than the whole")
+	}
 	regions := l.Schedule.Regions
 	if len(regions) == 0 {
 		regions = []Region{{}}
@@ -115,7 +119,7 @@
 
 // Report returns what came of the load.
 func (l *Load) Report() Report {
-	return l.results.report(l.Duration, l.most.Load())
+	return l.results.report(l.Duration-l.Warm, l.most.Load())
 }
 
 // send carries one request through all its tries.
@@ -153,7 +157,9 @@
 			break
 		}
 	}
-	l.results.add(o, due)
+	if a.At >= l.Warm {
+		l.results.add(o, due)
+	}
 	l.audit.note(a, o.answer.outcome)
 }
 
--- a/io/jwload/report.go
+++ b/io/jwload/report.go
@@ -93,6 +93,9 @@
 		return
 	case jwrequest.Served:
 		t.line.Served++
+		if region := o.answer.region; region != "" && region != o.arrival.Region {
+			t.line.Away++
+		}
 	default:
 		t.line.Unknown++
 		return
@@ -134,6 +137,7 @@
 	Unknown    int64       `json:"unknown"`
 	Wrong      int64       `json:"wrong"` // served, but not the answer to this request
 	Retries    int64       `json:"retries"`
+	Away       int64       `json:"away"`    // of the served ones, in another region than that of their workspace
 	Goodput    float64     `json:"goodput"` // InTime a second
 	FirstToken Percentiles `json:"firstToken"`
 	Between    Percentiles `json:"betweenTokens"`
--- a/io/jwobserver/gauges.go
+++ b/io/jwobserver/gauges.go
@@ -43,6 +43,10 @@
 
 // measureSources shows what the controllers count of themselves.
 func (o *Observer) measureSources(values map[series]float64) {
+	budget := o.Board.Budget.Counts()
+	o.rise("tries_total", "first", budget.Tries)
+	o.rise("tries_total", "retry", budget.Retries)
+	o.rise("tries_total", "overBudget", budget.Refused)
 	if o.Drain != nil {
 		c := o.Drain.Counts()
 		values[series{name: "requests_in_flight"}] = float64(c.InFlight)
--- a/io/jwstand/engine.go
+++ b/io/jwstand/engine.go
@@ -38,6 +38,9 @@
 	cache   prefixCache
 	reports []Report
 	total   Totals
+	pace    float64 // factor on all times, 0 means 1
+	held    int     // slots held since changed
+	changed time.Time
 }
 
 // Report is the load of an engine at one moment.
@@ -56,6 +59,8 @@
 	PromptTokens uint64
 	CachedTokens uint64 // prompt tokens that were found in the cache
 	Generated    uint64
+	Asked        uint64        // tokens that the requests which got a slot asked for
+	Held         time.Duration // time of all slots together that was held by requests
 }
 
 // Enter waits for a slot, most urgent first (0 to 7) and oldest first among
@@ -124,15 +129,51 @@
 	e.total.Requests++
 	e.total.PromptTokens += uint64(tokens)
 	e.total.CachedTokens += uint64(cached)
+	prefill := time.Duration(tokens-cached) * e.Prefill
+	if e.pace > 0 {
+		prefill = time.Duration(float64(prefill) * e.pace)
+	}
 	e.note()
 	e.mu.Unlock()
-	return tokens, cached, jwclock.Sleep(ctx, time.Duration(tokens-cached)*e.Prefill)
+	return tokens, cached, jwclock.Sleep(ctx, prefill)
+}
+
+// Slow multiplies all times from now on; reports do not show it. 0 means 1.
+func (e *Engine) Slow(factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pace = factor
+}
+
+// Forget empties the prefix cache, as a restart does.
+func (e *Engine) Forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache = prefixCache{}
+}
+
+// Totals returns the work up to now, without the lag of reports.
+func (e *Engine) Totals() Totals {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.note()
+	return e.total
+}
+
+// ask counts the tokens that a request asks for.
+func (e *Engine) ask(tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.total.Asked += uint64(max(tokens, 0))
 }
 
 // Next spends the time of one token.
 func (e *Engine) Next(ctx context.Context) error {
 	e.mu.Lock()
 	d := e.tokenTime()
+	if e.pace > 0 {
+		d = time.Duration(float64(d) * e.pace)
+	}
 	e.total.Generated++
 	e.mu.Unlock()
 	return jwclock.Sleep(ctx, d)
@@ -163,6 +204,8 @@
 // note keeps the load of this moment for reports to come.
 func (e *Engine) note() {
 	now := time.Now()
+	e.total.Held += time.Duration(e.held) * now.Sub(e.changed)
+	e.held, e.changed = e.running, now
 	e.prune(now)
 	r := Report{Taken: now, Running: e.running, Waiting: len(e.waiting), Slots: e.slots(), Token: e.tokenTime()}
 	if e.CacheTokens > 0 {
--- a/io/jwstand/runner.go
+++ b/io/jwstand/runner.go
@@ -115,8 +115,10 @@
 	var err error
 	if c.Stream {
 		from := numberOr(r.Header.Get("Last-Event-ID"), 0)
+		rn.Engine.ask(c.MaxTokens - max(from, 0))
 		err = rn.stream(ctx, w, c, answer, max(from, 0))
 	} else {
+		rn.Engine.ask(c.MaxTokens)
 		err = rn.whole(ctx, w, c, answer)
 	}
 	if err != nil {
