jwtargetclient, jwdispatch, jwlisten: fewer copies on the request path; benchmarks of it

BenchmarkRequest and BenchmarkStreams put the way through one node beside the target itself. Bodies of a known length are read into one buffer, a stream's buffer is 4 KB instead of 32, HTTP services are made once for each target.

--- a/core/jwdispatch/relay.go
+++ b/core/jwdispatch/relay.go
@@ -1,6 +1,7 @@
 package jwdispatch
 
 import (
+	"bytes"
 	"io"
 	"strings"
 
@@ -14,8 +15,12 @@
 // is whole; a longer one goes out as it comes.
 const bufferLimit = 4 << 20
 
-// chunkSize is how much is read from a target at once.
-const chunkSize = 32 << 10
+// How much is read from a target at once. A token is about a hundred bytes, and
+// a node holds the buffers of all its streams for as long as they run.
+const (
+	chunkSize  = 32 << 10
+	streamSize = 4 << 10
+)
 
 var (
 	// errCallerGone says that nobody wants the answer any more.
@@ -59,7 +64,7 @@
 // whole reads the answer to its end before the first byte goes out, so that a
 // broken one can be tried again unseen.
 func (rl *relay) whole(a *Answer) error {
-	body, err := io.ReadAll(io.LimitReader(a.Body, bufferLimit+1))
+	body, err := readWhole(io.LimitReader(a.Body, bufferLimit+1), a.Head.Length)
 	if err != nil {
 		return err
 	}
@@ -71,6 +76,19 @@
 	return nil
 }
 
+// readWhole reads to the end, into a buffer of the length that was announced,
+// if one was; growing a buffer step by step costs several times the memory. The
+// length is not trusted further than that.
+func readWhole(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > bufferLimit {
+		return io.ReadAll(r)
+	}
+	// ReadFrom grows the buffer unless there is room for one more read.
+	buf := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+	_, err := buf.ReadFrom(r)
+	return buf.Bytes(), err
+}
+
 // prefixed is a body with some bytes already read.
 type prefixed struct {
 	io.ReadCloser
@@ -103,7 +121,7 @@
 	skip := newSkipper(rl.sent, rl.sum.Sum64())
 	streams := stream(a.Head)
 	rl.events.restart()
-	buf := make([]byte, chunkSize)
+	buf := make([]byte, bufferSize(streams))
 	for {
 		n, err := a.Body.Read(buf)
 		part := buf[:n]
@@ -142,6 +160,13 @@
 	}
 }
 
+func bufferSize(streams bool) int {
+	if streams {
+		return streamSize
+	}
+	return chunkSize
+}
+
 // skipper drops the part of a repeated answer that was sent before, if it is
 // the same.
 type skipper struct {
--- a/io/jwlisten/callers.go
+++ b/io/jwlisten/callers.go
@@ -1,6 +1,7 @@
 package jwlisten
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -145,7 +146,7 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(slowBody))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	body, err := readBody(http.MaxBytesReader(w, r.Body, most), r.ContentLength)
 	if err != nil {
 		return jwdispatch.Refusal(http.StatusBadRequest, jwrequest.NotRun, jwdispatch.ReasonBody, "body too long, too slow or broken off"), true
 	}
@@ -154,6 +155,19 @@
 	return jwdispatch.Head{}, false
 }
 
+// trustedLength is up to which length a buffer is made before the bytes come; a
+// caller that announces more than it sends can't make a node hold much.
+const trustedLength = 64 << 10
+
+func readBody(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > trustedLength {
+		return io.ReadAll(r)
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+	_, err := buf.ReadFrom(r)
+	return buf.Bytes(), err
+}
+
 func newRequestID() string { return uuid.NewString() }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- /dev/null
+++ b/io/jwnode/bench_test.go
@@ -0,0 +1,145 @@
+package jwnode
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/io/jwstand"
+)
+
+// quick answers at once, so that what is measured is the way there.
+type quick struct{}
+
+const (
+	quickAnswer = `{"choices":[{"text":"a lot of hake, landed this morning"}],"usage":{"completion_tokens":8}}`
+	quickLoad   = "# TYPE vllm:max_num_seqs gauge\nvllm:max_num_seqs 4096\n"
+	quickToken  = "data: {\"choices\":[{\"text\":\" hake\"}]}\n\n"
+)
+
+// Handler answers whole, or with as many tokens as the body is long, each after
+// the pause that the query names.
+func (quick) Handler(func() jwstand.Faults) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_, _ = io.WriteString(w, quickLoad)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		if r.Header.Get("Accept") != "text/event-stream" {
+			w.Header().Set("Content-Length", strconv.Itoa(len(quickAnswer)))
+			_, _ = io.WriteString(w, quickAnswer)
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		control := http.NewResponseController(w)
+		for range body {
+			time.Sleep(quickPause)
+			_, _ = io.WriteString(w, quickToken)
+			_ = control.Flush()
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+}
+
+// Register does nothing.
+func (quick) Register(*http.ServeMux) {}
+
+const quickPause = 5 * time.Millisecond
+
+// quickPath starts one node before one quick target and returns where to send
+// requests directly and by way of the node.
+func quickPath(b *testing.B) (direct, node string) {
+	s := newSystem(b, "east")
+	target := s.stand("runner", quick{})
+	s.list(target.Address, map[string]string{"role": "target", "service": "writer", "region": "east", "dataCentre": "east-1"})
+	n := s.node("e1", "east")
+	s.edit(n, draft())
+	s.settle(1)
+	s.await("a request is served", func() bool {
+		return s.send(n.CallersAddr(), "draft", "free-east", "x", nil).status == http.StatusOK
+	})
+	s.await("the target's load is known", func() bool {
+		return n.board.Targets.Room("writer", time.Now()).Slots > 1
+	})
+	return quickURL(target.Address, "/v1/completions"), quickURL(n.CallersAddr(), "/v1/requests/draft")
+}
+
+func quickURL(a netip.AddrPort, path string) string { return "http://" + a.String() + path }
+
+// post sends one request and returns the bytes of its answer.
+func post(client *http.Client, url, body, accept string) (int64, error) {
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	r.Header.Set("Jujube-Workspace", "free-east")
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Accept", accept)
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return io.Copy(io.Discard, resp.Body)
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+}
+
+// BenchmarkRequest sends whole requests, at a target and by way of a node; the
+// difference is what a node adds. Allocations are those of all parts together.
+func BenchmarkRequest(b *testing.B) {
+	direct, node := quickPath(b)
+	body := string(bytes.Repeat([]byte("x"), 1024))
+	for name, url := range map[string]string{"direct": direct, "node": node} {
+		b.Run(name, func(b *testing.B) {
+			client := newClient()
+			b.ReportAllocs()
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					if _, err := post(client, url, body, ""); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkStreams holds 500 streams open at once; one operation is a token of
+// one of them.
+func BenchmarkStreams(b *testing.B) {
+	const streams = 500
+	direct, node := quickPath(b)
+	for name, url := range map[string]string{"direct": direct, "node": node} {
+		b.Run(name, func(b *testing.B) {
+			client := newClient()
+			tokens := max(b.N/streams, 1)
+			body := strings.Repeat("x", tokens)
+			b.ReportAllocs()
+			b.ResetTimer()
+			began := time.Now()
+			var wg sync.WaitGroup
+			for range streams {
+				wg.Go(func() {
+					n, err := post(client, url, body, "text/event-stream")
+					assert.Check(b, err)
+					assert.Check(b, n >= int64(tokens*len(quickToken)))
+				})
+			}
+			wg.Wait()
+			b.ReportMetric(float64(tokens*streams)/time.Since(began).Seconds(), "tokens/s")
+		})
+	}
+}
--- a/io/jwnode/system_test.go
+++ b/io/jwnode/system_test.go
@@ -24,7 +24,7 @@
 // system is a small whole system on loopback: stand-ins of the platform and of
 // targets, and nodes of several regions, all in this process.
 type system struct {
-	t        *testing.T
+	t        testing.TB
 	kv       *jwstand.KeyValue
 	kvStand  *jwstand.Stand
 	hosts    *jwstand.Hosts
@@ -47,7 +47,7 @@
 // testPatience bounds how long a test waits for a state to come about.
 const testPatience = 20 * time.Second
 
-func newSystem(t *testing.T, regions ...string) *system {
+func newSystem(t testing.TB, regions ...string) *system {
 	t.Helper()
 	s := &system{t: t, kv: &jwstand.KeyValue{}, hosts: &jwstand.Hosts{}, clients: &jwstand.Clients{}, nodes: map[string]*running{}, regions: regions}
 	s.kvStand = s.stand("kv", s.kv)
--- a/io/jwtargetclient/client.go
+++ b/io/jwtargetclient/client.go
@@ -46,7 +46,10 @@
 // connections are the ways to one target.
 type connections struct {
 	reused *http.Transport // for calls that may be sent again
-	single *http.Transport // one connection a call
+	// The services are made once: each call would else make a client and a
+	// service anew.
+	again httpc.Service // over reused
+	once  httpc.Service // one connection a call
 }
 
 // Call sends one request to a target and returns once its answer has begun.
@@ -69,11 +72,10 @@
 		return nil, fail(err)
 	}
 	conns := c.to(addr)
-	transport := conns.reused
+	service := conns.again
 	if !call.Idempotent {
-		transport = conns.single
+		service = conns.once
 	}
-	service := httpc.NewServiceWithClient(serviceName, &http.Client{Transport: transport, CheckRedirect: noRedirect})
 	resp, err := service.DoRequest(r)
 	if err != nil {
 		return nil, fail(err)
@@ -181,16 +183,19 @@
 	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3,
 	}}
-	return &connections{
-		reused: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: idleTimeout,
-			DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
-		},
-		single: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true,
-			DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
-		},
+	reused := &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: idleTimeout,
+		DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
 	}
+	single := &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: true,
+		DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
+	}
+	return &connections{reused: reused, again: service(reused), once: service(single)}
+}
+
+func service(t *http.Transport) httpc.Service {
+	return httpc.NewServiceWithClient(serviceName, &http.Client{Transport: t, CheckRedirect: noRedirect})
 }
 
 // Forget closes the idle connections to a target and opens new ones for the
--- a/io/jwtargetclient/load.go
+++ b/io/jwtargetclient/load.go
@@ -11,7 +11,6 @@
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
-	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"jujubewheel/core/jwtarget"
 )
@@ -36,8 +35,7 @@
 	if err != nil {
 		return load, false, errors.Wrapf(err, "make load request: %s", addr)
 	}
-	service := httpc.NewServiceWithClient(serviceName, &http.Client{Transport: c.to(addr).reused})
-	resp, err := service.DoRequest(r)
+	resp, err := c.to(addr).again.DoRequest(r)
 	if err != nil {
 		if ctx.Err() != nil {
 			c.Forget(addr)
