--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -228,10 +228,15 @@
 	self := x.Table.Self()
 	since := x.Now().Add(-x.Silence)
 	alone := len(v.periodic) == 0
-	known := x.Table.Select(func(p Peer) bool {
-		return p.Name != self.Name && takesPart(p) && (alone || v.relay || p.Region == self.Region)
+	heard := make(map[string]bool)
+	if !alone {
+		for _, p := range x.Table.Fresh(since) {
+			heard[p.Name] = true
+		}
+	}
+	return x.Table.Select(func(p Peer) bool {
+		return p.Name != self.Name && takesPart(p) && !heard[p.Name] && (alone || v.relay || p.Region == self.Region)
 	})
-	return slices.DeleteFunc(known, func(p Peer) bool { return !alone && !x.Table.Silent(p.Name, since) })
 }
 
 // viewFor is the part of a period for which a view is kept.
--- a/io/jwforward/pool.go
+++ b/io/jwforward/pool.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -23,6 +24,10 @@
 	maxBackoff  = 2 * time.Second
 	dialTimeout = 2 * time.Second
 	frameSize   = 32 << 10
+	// A connection without calls is closed. To a node that is gone it would be
+	// tried again every other second for as long as this process lives, and
+	// hosts are replaced by the hundred each day.
+	idleTimeout = 30 * time.Second
 )
 
 // Pool holds the connections to other nodes; the zero value talks without TLS.
@@ -47,6 +52,7 @@
 	if p.conns == nil {
 		p.conns = make(map[netip.AddrPort]*grpc.ClientConn)
 	}
+	p.sweep()
 	p.conns[addr] = conn
 	return jwwire.NewNodeClient(conn), conn, nil
 }
@@ -64,12 +70,23 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
-		grpc.WithIdleTimeout(0),
+		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: b, MinConnectTimeout: dialTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
 	}
 }
 
+// sweep forgets connections that were closed for want of calls; p.mu is held.
+// The next call to such a node makes a new one.
+func (p *Pool) sweep() {
+	for addr, conn := range p.conns {
+		if conn.GetState() == connectivity.Idle {
+			delete(p.conns, addr)
+			_ = conn.Close()
+		}
+	}
+}
+
 // replace gives up a connection that went silent: calls that wait on it fail
 // at once, and the next call opens a new one, which may work where the old one
 // never will again.
--- a/io/jwnode/bench_test.go
+++ b/io/jwnode/bench_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -143,3 +144,44 @@
 		})
 	}
 }
+
+// The size that a node's control work is measured at.
+const (
+	manyNodes   = 970
+	manyRunners = 3200
+	manyRegions = 13
+)
+
+// BenchmarkControl lets a node that knows the hosts of a large system run
+// without requests; one operation is a second. No other node answers, so what
+// exchanges carry is not in it.
+func BenchmarkControl(b *testing.B) {
+	s := newSystem(b, "east")
+	for i := range manyNodes + manyRunners {
+		region := "region-" + strconv.Itoa(i%manyRegions)
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 9)
+		labels := map[string]string{"role": "target", "region": region, "dataCentre": region + "-1", "service": "writer", "state": "live"}
+		if i < manyNodes {
+			labels["role"], labels["name"], labels["nodes"] = "entry", "n"+strconv.Itoa(i), a.String()
+			delete(labels, "service")
+		}
+		s.groups = append(s.groups, jwstand.HostGroup{Targets: []string{a.String()}, Labels: labels})
+	}
+	s.hosts.Set(s.groups)
+	s.exchange, s.hostsPoll = "500ms", "1s"
+	n := s.node("e1", "east")
+	s.await("the hosts are known", func() bool { return n.board.Peers.Len() >= manyNodes })
+	b.ResetTimer()
+	before := cpuTime(b)
+	for range b.N {
+		time.Sleep(time.Second)
+	}
+	b.ReportMetric((cpuTime(b)-before).Seconds()/float64(b.N), "core")
+}
+
+// cpuTime is the processor time that this process has used.
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	assert.NilError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/io/jwnode/system_test.go
+++ b/io/jwnode/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,17 +25,18 @@
 // system is a small whole system on loopback: stand-ins of the platform and of
 // targets, and nodes of several regions, all in this process.
 type system struct {
-	t        testing.TB
-	kv       *jwstand.KeyValue
-	kvStand  *jwstand.Stand
-	hosts    *jwstand.Hosts
-	clients  *jwstand.Clients
-	hostsAt  netip.AddrPort
-	clientAt netip.AddrPort
-	nodes    map[string]*running
-	groups   []jwstand.HostGroup
-	regions  []string
-	tls      func(name, region string) jwsettings.TLS // nil for plain ports
+	t                   testing.TB
+	kv                  *jwstand.KeyValue
+	kvStand             *jwstand.Stand
+	hosts               *jwstand.Hosts
+	clients             *jwstand.Clients
+	hostsAt             netip.AddrPort
+	clientAt            netip.AddrPort
+	nodes               map[string]*running
+	groups              []jwstand.HostGroup
+	regions             []string
+	exchange, hostsPoll string                                   // periods, empty for short ones
+	tls                 func(name, region string) jwsettings.TLS // nil for plain ports
 }
 
 // running is a node with what stops it.
@@ -112,9 +114,9 @@
 		"listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "nodes": "127.0.0.1:0"},
 		"platform": {"keyValue": %q, "hosts": %q, "directory": %q},
 		"operators": {"token": "a token for tests only"},
-		"periods": {"exchange": "100ms", "hostsPoll": "100ms", "loadPoll": "100ms"},
+		"periods": {"exchange": %q, "hostsPoll": %q, "loadPoll": "100ms"},
 		"regions": [%s]}`,
-		name, region, region+"-1", s.kvStand.Address, s.hostsAt, s.clientAt, s.regionList())
+		name, region, region+"-1", s.kvStand.Address, s.hostsAt, s.clientAt, cmp.Or(s.exchange, "100ms"), cmp.Or(s.hostsPoll, "100ms"), s.regionList())
 	settings, err := jwsettings.Parse([]byte(text))
 	assert.NilError(s.t, err)
 	if s.tls != nil {
