--- a/io/jwforward/pool.go
+++ b/io/jwforward/pool.go
@@ -28,6 +28,8 @@
 	// tried again every other second for as long as this process lives, and
 	// hosts are replaced by the hundred each day.
 	idleTimeout = 30 * time.Second
+	// maxMessage is above the largest catalogue checkpoint that a node may need.
+	maxMessage = 64 << 20
 )
 
 // Pool holds the connections to other nodes; the zero value talks without TLS.
@@ -35,25 +37,33 @@
 	Credentials credentials.TransportCredentials // nil for none
 
 	mu    sync.Mutex
-	conns map[netip.AddrPort]*grpc.ClientConn
+	conns map[netip.AddrPort]*pooled
+}
+
+// pooled is a connection with the time when it was last asked for.
+type pooled struct {
+	*grpc.ClientConn
+	used time.Time
 }
 
 // client returns the way to a node, connecting in the background if needed.
 func (p *Pool) client(addr netip.AddrPort) (jwwire.NodeClient, *grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	if conn := p.conns[addr]; conn != nil {
-		return jwwire.NewNodeClient(conn), conn, nil
+		conn.used = now
+		return jwwire.NewNodeClient(conn), conn.ClientConn, nil
 	}
 	conn, err := grpc.NewClient("passthrough:///"+addr.String(), p.options()...)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "connect to node %s", addr)
 	}
 	if p.conns == nil {
-		p.conns = make(map[netip.AddrPort]*grpc.ClientConn)
+		p.conns = make(map[netip.AddrPort]*pooled)
 	}
-	p.sweep()
-	p.conns[addr] = conn
+	p.sweep(now)
+	p.conns[addr] = &pooled{ClientConn: conn, used: now}
 	return jwwire.NewNodeClient(conn), conn, nil
 }
 
@@ -71,16 +81,18 @@
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
 		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: b, MinConnectTimeout: dialTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
 	}
 }
 
 // sweep forgets connections that were closed for want of calls; p.mu is held.
-// The next call to such a node makes a new one.
-func (p *Pool) sweep() {
+// The next call to such a node makes a new one. One that was asked for just now
+// is idle too, until its call begins, and must not be closed under it.
+func (p *Pool) sweep(now time.Time) {
 	for addr, conn := range p.conns {
-		if conn.GetState() == connectivity.Idle {
+		if now.Sub(conn.used) > 2*idleTimeout && conn.GetState() == connectivity.Idle {
 			delete(p.conns, addr)
 			_ = conn.Close()
 		}
@@ -92,7 +104,7 @@
 // never will again.
 func (p *Pool) replace(addr netip.AddrPort, conn *grpc.ClientConn) {
 	p.mu.Lock()
-	if p.conns[addr] == conn {
+	if have := p.conns[addr]; have != nil && have.ClientConn == conn {
 		delete(p.conns, addr)
 	}
 	p.mu.Unlock()
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -119,7 +119,7 @@
 // from there again.
 func checkWay(ctx context.Context, hops []*jwwire.Hop) error {
 	if len(hops) == 0 {
-		return status.Error(codes.InvalidArgument, "request without a hop")
+		return status.Error(codes.FailedPrecondition, "request without a hop")
 	}
 	last := hops[len(hops)-1]
 	return checkIdentity(ctx, last.GetNode(), last.GetRegion())
@@ -131,7 +131,7 @@
 		Workspace:   h.GetWorkspace(),
 		Entry:       h.GetEntry(),
 		Key:         h.GetIdempotencyKey(),
-		Deadline:    now.Add(time.Duration(h.GetTimeoutMicros()) * time.Microsecond),
+		Deadline:    now.Add(micros(h.GetTimeoutMicros())),
 		ContentType: h.GetContentType(),
 		Accept:      h.GetAccept(),
 	}
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -173,6 +173,7 @@
 	}
 	n.dispatcher = &jwdispatch.Dispatcher{
 		Self: n.self, Board: &n.board, Router: router, Targets: n.targets, Peers: n.pool,
+		Crashed:  n.crashed,
 		Departed: func(p jwpeer.Peer) bool { return n.departures.Gone(memberOf(p)) },
 		Claims:   n.keeper, Now: time.Now, Counter: &counter{meter: n.Meter, settings: s}, Tracer: n.tracer,
 	}
@@ -193,8 +194,8 @@
 	server := &jwforward.Server{
 		Credentials: n.nodeCredentials(),
 		Dispatcher:  n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
-		Adopter:   n.keeper,
-		Sponsor:   &sponsor{adoptions: n.adoptions, region: s.Region, serving: n.serving.Load},
+		Adopter:   &adopter{keeper: n.keeper, audit: n.Audit},
+		Sponsor:   &sponsor{adoptions: n.adoptions, region: s.Region},
 		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
 	}
 	n.grpc = server.GRPC()
@@ -209,14 +210,14 @@
 func (n *Node) assembleMembership(incarnation string) {
 	s := n.Settings
 	n.departures = &jwcatalogue.Departures{Hosts: &n.board.Hosts, Lag: s.Periods.HostsLag}
-	n.adoptions = &jwcatalogue.Adoptions{Table: &n.board.Catalogue, Peers: &n.board.Peers, Departures: n.departures}
+	n.adoptions = &jwcatalogue.Adoptions{Table: &n.board.Catalogue, Peers: &n.board.Peers, Departures: n.departures, Serving: n.serving.Load}
 	n.membership = &jwcatalogue.Membership{
 		Member: jwcatalogue.Member{Name: s.Node, Region: s.Region, Incarnation: incarnation},
 		Store:  n.store, Follower: n.follower,
 		Sponsors: &sponsors{peers: &n.board.Peers, pool: n.pool}, Adoptions: n.adoptions,
 	}
 	n.gatherer = &jwcatalogue.Gatherer{
-		Name: s.Node, Region: s.Region, Store: n.store, Table: &n.board.Catalogue, Peers: &n.board.Peers,
+		Name: s.Node, Region: s.Region, Store: n.store, Table: &n.board.Catalogue, Peers: heardPeers{&n.board.Peers},
 		Departures: n.departures, Registered: n.membership.Registered,
 	}
 	n.acceptance = &jwcatalogue.Acceptance{Store: n.store}
@@ -277,7 +278,7 @@
 		Workers: s.Workers, Now: time.Now, Leaving: func(netip.AddrPort) { n.exchange.Nudge() },
 	}
 	for _, run := range []func(context.Context) error{
-		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.gatherer.Run, n.keeper.Run, n.tellRevision, n.tend,
+		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.wakeFollower, n.gatherer.Run, n.keeper.Run, n.tellRevision, n.tend,
 		n.observer().Run, n.keys.run,
 	} {
 		g.Go(func() error { return run(ctx) })
@@ -305,6 +306,24 @@
 	}
 }
 
+// wakeFollower has peers asked for changes as soon as one is heard to have more
+// than this node.
+func (n *Node) wakeFollower(ctx context.Context) error {
+	for {
+		changed := n.board.Peers.Changed()
+		revision := n.board.Catalogue.Revision()
+		ahead := n.board.Peers.Select(func(p jwpeer.Peer) bool { return p.Revision > revision })
+		if len(ahead) > 0 {
+			n.follower.Wake()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // tend does what is due now and then: it forgets peers long silent and tells
 // the limiter which nodes share the region's limits.
 func (n *Node) tend(ctx context.Context) error {
