--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -239,8 +239,13 @@
 	})
 }
 
-// viewFor is the part of a period for which a view is kept.
-const viewFor = 2
+// A view is kept for a part of the period, and longer where many nodes make it
+// dear: to sort a thousand nodes four times a second would cost a node as much
+// as all its other control work may.
+const (
+	viewPart  = 2
+	viewOfOne = 2 * time.Millisecond
+)
 
 // current returns what the known nodes mean for this one now.
 func (x *Exchange) current() view {
@@ -248,7 +253,7 @@
 	x.mu.Lock()
 	v := x.view
 	x.mu.Unlock()
-	if !v.taken.IsZero() && now.Sub(v.taken) < x.Period/viewFor {
+	if !v.taken.IsZero() && now.Sub(v.taken) < max(x.Period/viewPart, viewOfOne*time.Duration(v.fleet)) {
 		return v
 	}
 	v = x.look(now)
@@ -448,7 +453,9 @@
 	w.level = false
 	w.failed = x.Now()
 	w.finished = w.failed
-	x.view.taken = time.Time{}
+	if slices.ContainsFunc(x.view.partners, func(q Peer) bool { return q.Name == p.Name }) {
+		x.view.taken = time.Time{} // others take its place at once
+	}
 	x.mu.Unlock()
 	if x.News != nil {
 		x.News.Forget(p.Name)
