--- a/core/jwtarget/poller.go
+++ b/core/jwtarget/poller.go
@@ -24,6 +24,9 @@
 	Workers int
 	Now     func() time.Time
 	Leaving func(addr netip.AddrPort) // called when a target says that it leaves; may be nil
+	// Busy tells that this node has much else to carry, and so asks less often;
+	// may be nil.
+	Busy func() bool
 }
 
 // askPace is how much longer each target makes the time between two questions
@@ -31,6 +34,17 @@
 // a node about 7 KB/s and a thousandth of a core, however many targets it uses.
 const askPace = 150 * time.Millisecond
 
+// busyPace is how much less often a busy node asks where the number of targets
+// decides.
+const busyPace = 3
+
+func (p *Poller) period(n int) time.Duration {
+	if p.Busy != nil && p.Busy() {
+		n *= busyPace
+	}
+	return PollPeriod(p.Period, n)
+}
+
 // PollPeriod returns the time between two questions to one of n targets.
 func PollPeriod(least time.Duration, n int) time.Duration {
 	return max(least, askPace*time.Duration(n))
@@ -52,7 +66,7 @@
 	for {
 		targets := p.Table.Used()
 		rand.Shuffle(len(targets), func(i, k int) { targets[i], targets[k] = targets[k], targets[i] })
-		period := PollPeriod(p.Period, len(targets))
+		period := p.period(len(targets))
 		next := time.After(period/2 + time.Duration(rand.Int64N(int64(period))))
 		for _, t := range targets {
 			select {
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -276,6 +276,7 @@
 	poller := &jwtarget.Poller{
 		Table: &n.board.Targets, Source: n.targets, Period: s.Periods.LoadPoll, Timeout: loadTimeout,
 		Workers: s.Workers, Now: time.Now, Leaving: func(netip.AddrPort) { n.exchange.Nudge() },
+		Busy: n.carriesMuch,
 	}
 	for _, run := range []func(context.Context) error{
 		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.wakeFollower, n.gatherer.Run, n.keeper.Run, n.tellRevision, n.tend,
@@ -347,6 +348,15 @@
 	}
 }
 
+// carriesMuch tells that this node is a relay of many others. With two nodes a
+// data centre each is a relay, and none has much to carry.
+func (n *Node) carriesMuch() bool {
+	return n.exchange.IsRelay() && n.board.Peers.Len() > manyPeers
+}
+
+// manyPeers is the number of nodes from which a relay's messages count.
+const manyPeers = 100
+
 // watches tells whether this node waits on the platform for catalogue changes.
 func (n *Node) watches() bool {
 	return n.exchange.IsRelay()
--- a/io/jwslope/fleet.go
+++ b/io/jwslope/fleet.go
@@ -235,3 +235,28 @@
 		m.board.Peers.Update(time.Now(), func(p *jwpeer.Peer) { p.Revision = revision })
 	}
 }
+
+// answer measures one exchange that a node of a fleet answers, without the
+// transport: what came is decoded, taken, and what is lacking is encoded.
+func (f *fleet) answer() (time.Duration, error) {
+	self, from := f.members[0], f.members[len(f.members)-1]
+	message, err := jwforward.EncodeTold(jwpeer.Told{From: from.board.Peers.Self().Name})
+	if err != nil {
+		return 0, err
+	}
+	const times = 500
+	var cpu time.Duration
+	for i := range times + 1 {
+		if i == 1 {
+			cpu = cpuTime() // the first exchange tells everything
+		}
+		told, err := jwforward.DecodeTold(message)
+		if err != nil {
+			return 0, err
+		}
+		if _, err := jwforward.EncodeTold(self.exchange.Answer(told)); err != nil {
+			return 0, err
+		}
+	}
+	return (cpuTime() - cpu) / times, nil
+}
--- a/io/jwslope/run.go
+++ b/io/jwslope/run.go
@@ -160,8 +160,17 @@
 	})
 }
 
-// transport measures what gRPC adds to an exchange.
+// transport measures what one exchange costs, and what gRPC adds to it.
 func (r *Run) transport(ctx context.Context) error {
+	err := sweep(r, nodeSizes, []shape{
+		{Relay, "one exchange answered, no transport", "s", "nodes", Nodes},
+	}, func(n int) ([]float64, error) {
+		cpu, err := newFleet(n).answer()
+		return []float64{cpu.Seconds()}, err
+	})
+	if err != nil {
+		return err
+	}
 	return sweep(r, []int{0, 10, 30, 100, 300, Nodes}, []shape{
 		{Node, "one exchange over gRPC, both sides", "s", "peers told each way", 0},
 		{Node, "one exchange over gRPC, both ways", "B", "peers told each way", 0},
