--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -228,14 +228,24 @@
 	self := x.Table.Self()
 	since := x.Now().Add(-x.Silence)
 	alone := len(v.periodic) == 0
-	known := x.Table.Select(func(p Peer) bool {
-		return p.Name != self.Name && takesPart(p) && (alone || v.relay || p.Region == self.Region)
+	heard := make(map[string]bool)
+	if !alone {
+		for _, p := range x.Table.Fresh(since) {
+			heard[p.Name] = true
+		}
+	}
+	return x.Table.Select(func(p Peer) bool {
+		return p.Name != self.Name && takesPart(p) && !heard[p.Name] && (alone || v.relay || p.Region == self.Region)
 	})
-	return slices.DeleteFunc(known, func(p Peer) bool { return !alone && !x.Table.Silent(p.Name, since) })
 }
 
-// viewFor is the part of a period for which a view is kept.
-const viewFor = 2
+// A view is kept for a part of the period, and longer where many nodes make it
+// dear: to sort a thousand nodes four times a second would cost a node as much
+// as all its other control work may.
+const (
+	viewPart  = 2
+	viewOfOne = 2 * time.Millisecond
+)
 
 // current returns what the known nodes mean for this one now.
 func (x *Exchange) current() view {
@@ -243,7 +253,7 @@
 	x.mu.Lock()
 	v := x.view
 	x.mu.Unlock()
-	if !v.taken.IsZero() && now.Sub(v.taken) < x.Period/viewFor {
+	if !v.taken.IsZero() && now.Sub(v.taken) < max(x.Period/viewPart, viewOfOne*time.Duration(v.fleet)) {
 		return v
 	}
 	v = x.look(now)
@@ -443,7 +453,9 @@
 	w.level = false
 	w.failed = x.Now()
 	w.finished = w.failed
-	x.view.taken = time.Time{}
+	if slices.ContainsFunc(x.view.partners, func(q Peer) bool { return q.Name == p.Name }) {
+		x.view.taken = time.Time{} // others take its place at once
+	}
 	x.mu.Unlock()
 	if x.News != nil {
 		x.News.Forget(p.Name)
--- a/io/jwforward/probe.go
+++ b/io/jwforward/probe.go
@@ -28,6 +28,7 @@
 // second, made while others wait, tells sooner; and nothing more is sent to a
 // node that left one unanswered until it answers again.
 type way struct {
+	used  time.Time // when it was last asked for
 	conn  *grpc.ClientConn
 	calls int // that wait for the node
 }
--- a/io/jwnode/tap_test.go
+++ b/io/jwnode/tap_test.go
@@ -25,19 +25,19 @@
 	name string
 	to   netip.AddrPort
 	l    net.Listener
-	t    *testing.T
+	t    testing.TB
 }
 
 // through are the relays of one node; nil for none.
 type through struct {
 	taps *taps
 	name string
-	t    *testing.T
+	t    testing.TB
 	in   *tap
 }
 
 // node makes the relays of a node; nil taps make none.
-func (ts *taps) node(t *testing.T, name, region string) *through {
+func (ts *taps) node(t testing.TB, name, region string) *through {
 	if ts == nil {
 		return &through{}
 	}
@@ -46,7 +46,7 @@
 	return th
 }
 
-func (ts *taps) listen(t *testing.T, name string) *tap {
+func (ts *taps) listen(t testing.TB, name string) *tap {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
