jwrest: unknown paths and methods can have an answer of their own

net/http's plain 404 and 405 carried no Jujube-Outcome, so a caller could not tell a mistyped path from a 404 of a target. Handler takes the two handlers; operators keep the plain answers. An explain of a request without a trace now says why there may be none: a bound request refused abroad was looked for in vain by hand at the node that refused it.

--- a/io/jwlisten/callers.go
+++ b/io/jwlisten/callers.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/rest"
 
 	"jujubewheel/core/jwdispatch"
@@ -43,22 +45,32 @@
 	Mint() (string, error)
 }
 
+// Counter counts requests that ended here and never reached the dispatcher,
+// which counts its own. The entry is empty where nobody has checked its name.
+type Counter interface {
+	Ended(entry string, outcome jwrequest.Outcome, reason jwdispatch.Reason)
+}
+
 // Callers answers callers; its fields are set before Handler.
 type Callers struct {
 	Dispatcher Dispatcher
 	Gate       Gate
 	Tickets    Tickets
-	Ready      func() bool // whether the node serves
+	Ready      func() bool       // whether the node serves
+	Counter    Counter           // may be nil
+	Tracer     jwdispatch.Tracer // may be nil
 	Log        logr.Logger
 }
 
+const hostsPath = "/v1/hosts"
+
 // Handler returns the handler of the callers' listener.
 func (c *Callers) Handler() (http.Handler, error) {
 	return jwrest.Handler(c.Log, []rest.Route{
-		{Method: http.MethodGet, Path: "/v1/hosts", Handler: c.hosts},
+		{Method: http.MethodGet, Path: hostsPath, Handler: c.hosts},
 		{Method: http.MethodPost, Path: "/v1/tickets", Handler: c.ticket},
 		{Method: http.MethodPost, Path: "/v1/requests/:entry", Handler: c.request},
-	})
+	}, jwrest.Stray{NotFound: http.HandlerFunc(notFound), NotAllowed: http.HandlerFunc(notAllowed)})
 }
 
 // hostList is the answer to a caller that asks which hosts to use.
@@ -91,17 +103,19 @@
 
 func (c *Callers) request(w http.ResponseWriter, r *http.Request) {
 	in, refusal, refused := parse(r)
+	if plain(in.ID, maxNameLength) {
+		w.Header().Set(headerRequestID, in.ID)
+	}
 	if refused {
-		writeRefusal(w, refusal.ForKey(in.Key))
+		c.turnAway(w, refusal.ForKey(in.Key))
 		return
 	}
-	w.Header().Set(headerRequestID, in.ID)
 	done, ok := c.Gate.Enter()
 	if !ok || !c.Ready() {
 		if ok {
 			done()
 		}
-		writeRefusal(w, c.leaving(in))
+		c.turnAway(w, c.leaving(in))
 		return
 	}
 	defer done()
@@ -110,7 +124,7 @@
 		return
 	}
 	if refusal, refused := c.read(w, r, in); refused {
-		writeRefusal(w, refusal.ForKey(in.Key))
+		c.refuseBody(w, in, refusal.ForKey(in.Key))
 		return
 	}
 	sink := &httpSink{w: w, control: http.NewResponseController(w)}
@@ -122,6 +136,28 @@
 	}
 }
 
+// turnAway refuses a request that the dispatcher has not checked. It leaves no
+// trace: whether it is bound, and must leave none here, is not known yet.
+func (c *Callers) turnAway(w http.ResponseWriter, h jwdispatch.Head) {
+	if c.Counter != nil {
+		c.Counter.Ended("", h.Outcome, h.Reason)
+	}
+	writeRefusal(w, h)
+}
+
+// refuseBody refuses a request for its body, after the dispatcher has checked
+// the rest of it.
+func (c *Callers) refuseBody(w http.ResponseWriter, in *jwrequest.Request, h jwdispatch.Head) {
+	if c.Counter != nil {
+		c.Counter.Ended(in.Entry, h.Outcome, h.Reason)
+	}
+	if c.Tracer != nil {
+		c.Tracer.Step(in, "body", h.Detail)
+		c.Tracer.End(in, h.Outcome, h.Reason, "")
+	}
+	writeRefusal(w, h)
+}
+
 // leaving sends callers to other nodes while this one stops or starts.
 func (c *Callers) leaving(in *jwrequest.Request) jwdispatch.Head {
 	h := jwdispatch.Refusal(http.StatusServiceUnavailable, jwrequest.NotRun, jwdispatch.ReasonLeaving, "this node takes no requests now").ForKey(in.Key)
@@ -134,19 +170,32 @@
 func (c *Callers) read(w http.ResponseWriter, r *http.Request, in *jwrequest.Request) (jwdispatch.Head, bool) {
 	most := c.Dispatcher.MaxBody(in.Entry)
 	if r.ContentLength > most {
-		return jwdispatch.Refusal(http.StatusRequestEntityTooLarge, jwrequest.NotRun, jwdispatch.ReasonBody, "body longer than the entry allows"), true
+		return bodyRefusal(&http.MaxBytesError{Limit: most}), true
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(slowBody))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	if err != nil {
-		return jwdispatch.Refusal(http.StatusBadRequest, jwrequest.NotRun, jwdispatch.ReasonBody, "body too long, too slow or broken off"), true
+		return bodyRefusal(err), true
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	in.Body = body
 	return jwdispatch.Head{}, false
 }
 
+// bodyRefusal tells why a body was not taken in.
+func bodyRefusal(err error) jwdispatch.Head {
+	status, detail := http.StatusBadRequest, "the body is malformed or broke off"
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		status, detail = http.StatusRequestEntityTooLarge, "body longer than the entry allows"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status, detail = http.StatusRequestTimeout, "the body took longer than "+slowBody.String()
+	}
+	return jwdispatch.Refusal(status, jwrequest.NotRun, jwdispatch.ReasonBody, detail)
+}
+
 func newRequestID() string { return uuid.NewString() }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/io/jwlisten/header.go
+++ b/io/jwlisten/header.go
@@ -37,6 +37,9 @@
 	if in.ID == "" {
 		in.ID = newRequestID()
 	}
+	if name, repeated := repeatedHeader(r.Header); repeated {
+		return in, refuseHeader("header given more than once: " + name), true
+	}
 	switch {
 	case !plain(in.ID, maxNameLength):
 		return in, badHeader(headerRequestID), true
@@ -57,8 +60,26 @@
 	return in, jwdispatch.Head{}, false
 }
 
+// repeatedHeader finds a header that may be given only once and was given again.
+//
+// Something between caller and node that adds a header of its own would make the
+// node take one of two workspaces or keys: data would be served under the wrong
+// name, or an order run once for each key.
+func repeatedHeader(h http.Header) (string, bool) {
+	for _, name := range []string{headerWorkspace, headerRequestID, headerTimeout, headerKey} {
+		if len(h.Values(name)) > 1 {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 func badHeader(name string) jwdispatch.Head {
-	return jwdispatch.Refusal(http.StatusBadRequest, jwrequest.NotRun, jwdispatch.ReasonHeader, "missing or malformed header: "+name)
+	return refuseHeader("missing or malformed header: " + name)
+}
+
+func refuseHeader(detail string) jwdispatch.Head {
+	return jwdispatch.Refusal(http.StatusBadRequest, jwrequest.NotRun, jwdispatch.ReasonHeader, detail)
 }
 
 // plain tells whether s is short and of visible ASCII and spaces only.
--- a/io/jwoperate/operators.go
+++ b/io/jwoperate/operators.go
@@ -110,7 +110,7 @@
 		get("/metrics", o.Metrics.ServeHTTP),
 		{Method: http.MethodGet, Path: "/healthz", Handler: healthy},
 		{Method: http.MethodGet, Path: "/readyz", Handler: o.ready},
-	})
+	}, jwrest.Stray{})
 }
 
 // authorized lets in whoever shows the token. Digests are compared, so that
@@ -140,7 +140,7 @@
 func (o *Operators) explain(w http.ResponseWriter, r *http.Request) {
 	found := o.Explainer.Find(jwrest.Var(r, "id"))
 	if len(found) == 0 {
-		refuse(w, http.StatusNotFound, Refusal{Error: "this node has no trace of the request"})
+		refuse(w, http.StatusNotFound, Refusal{Error: "this node has no trace of the request: it came to another node, or too long ago; a bound one leaves a trace in its home region only"})
 		return
 	}
 	answer(w, http.StatusOK, Traces{Traces: found})
--- a/io/jwrest/handler.go
+++ b/io/jwrest/handler.go
@@ -23,12 +23,22 @@
 
 var quietOnce sync.Once
 
+// Stray answers requests that no route takes. Its zero value gives net/http's
+// answers.
+type Stray struct {
+	NotFound   http.Handler // unknown path
+	NotAllowed http.Handler // known path, but another method; sets Allow itself
+}
+
 // Handler returns a handler for the routes; paths hold variables as ":name",
 // to be read with Var.
-func Handler(log logr.Logger, routes []rest.Route) (http.Handler, error) {
-	// A router of our own keeps net/http's answer for unknown paths; rest's
-	// would start a trace span for each stray request.
-	server, err := rest.NewServer(bareConf(), rest.WithRouter(router.NewRouter()))
+func Handler(log logr.Logger, routes []rest.Route, stray Stray) (http.Handler, error) {
+	// A router of our own keeps these answers; rest's would start a trace span
+	// for each stray request.
+	own := router.NewRouter()
+	own.SetNotFoundHandler(stray.NotFound)
+	own.SetNotAllowedHandler(stray.NotAllowed)
+	server, err := rest.NewServer(bareConf(), rest.WithRouter(own))
 	if err != nil {
 		return nil, errors.Wrap(err, "set up rest")
 	}
--- a/io/jwrest/server_test.go
+++ b/io/jwrest/server_test.go
@@ -24,7 +24,7 @@
 
 func start(t *testing.T, routes []rest.Route) running {
 	t.Helper()
-	h, err := Handler(logr.Discard(), routes)
+	h, err := Handler(logr.Discard(), routes, Stray{})
 	assert.NilError(t, err)
 	s := &Server{Name: "test", Address: netip.MustParseAddrPort("127.0.0.1:0"), Handler: h, Log: logr.Discard()}
 	assert.NilError(t, s.Listen())
