--- /dev/null
+++ b/io/jwlisten/callers_test.go
@@ -0,0 +1,271 @@
+package jwlisten
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwrequest"
+)
+
+const (
+	testMaxBody   = 16
+	testWorkspace = "hall"
+)
+
+var otherHost = netip.MustParseAddrPort("10.0.0.2:8080")
+
+// desk stands for the dispatcher: it knows the entry "menu" and the workspace
+// "hall", and counts what it was given to run.
+type desk struct {
+	mu    sync.Mutex
+	ran   []string
+	ended []jwdispatch.Reason
+}
+
+func (d *desk) Check(r *jwrequest.Request) (jwdispatch.Head, bool) {
+	switch {
+	case r.Entry != "menu":
+		return jwdispatch.Refusal(http.StatusNotFound, jwrequest.NotRun, jwdispatch.ReasonEntry, ""), true
+	case r.Workspace != testWorkspace:
+		return jwdispatch.Refusal(http.StatusForbidden, jwrequest.NotRun, jwdispatch.ReasonWorkspace, ""), true
+	}
+	return jwdispatch.Head{}, false
+}
+
+func (d *desk) MaxBody(string) int64 { return testMaxBody }
+
+func (d *desk) Serve(_ context.Context, r *jwrequest.Request, sink jwdispatch.Sink) {
+	d.mu.Lock()
+	d.ran = append(d.ran, string(r.Body))
+	d.mu.Unlock()
+	_ = sink.Head(jwdispatch.Head{Status: http.StatusOK, Outcome: jwrequest.Served, Length: int64(len(r.Body))})
+	_ = sink.Body(r.Body)
+	_ = sink.End(jwdispatch.End{Outcome: jwrequest.Served, Length: int64(len(r.Body))})
+}
+
+func (d *desk) Hosts(string) []netip.AddrPort { return []netip.AddrPort{otherHost} }
+
+func (d *desk) Ended(_ string, _ jwrequest.Outcome, reason jwdispatch.Reason) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = append(d.ended, reason)
+}
+
+type gate struct{ closed bool }
+
+func (g gate) Enter() (func(), bool) { return func() {}, !g.closed }
+
+type tickets struct{ err error }
+
+func (t tickets) Mint() (string, error) { return "jt1.x", t.err }
+
+func callers(d *desk) *Callers {
+	return &Callers{
+		Dispatcher: d, Gate: gate{}, Tickets: tickets{}, Counter: d, Log: logr.Discard(),
+		Ready: func() bool { return true },
+	}
+}
+
+func handler(t testing.TB, c *Callers) http.Handler {
+	t.Helper()
+	h, err := c.Handler()
+	assert.NilError(t, err)
+	return h
+}
+
+// refusalOf reads an answer that must be a refusal of the node's own.
+func refusalOf(t *testing.T, resp *http.Response) refusalBody {
+	t.Helper()
+	assert.Equal(t, resp.Header.Get("Content-Type"), "application/json")
+	var body refusalBody
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&body))
+	assert.Equal(t, resp.Header.Get(headerOutcome), string(body.Outcome))
+	assert.Assert(t, body.Detail != "" || body.Reason == jwdispatch.ReasonEntry || body.Reason == jwdispatch.ReasonWorkspace)
+	return body
+}
+
+func TestBadRequests(t *testing.T) {
+	// A caller sends something that is wrong or hostile. It must be told what,
+	// and nothing of it may reach a target.
+	long := strings.Repeat("a", maxKeyLength+1)
+	tests := map[string]struct {
+		method, path string // POST /v1/requests/menu if empty
+		header       http.Header
+		body         io.Reader
+		status       int
+		outcome      jwrequest.Outcome
+		reason       jwdispatch.Reason
+		counted      bool // here, not by the dispatcher
+	}{
+		"unknown path":         {path: "/v1/other", status: 404, outcome: jwrequest.NotRun, reason: reasonPath},
+		"no entry":             {path: "/v1/requests/", status: 404, outcome: jwrequest.NotRun, reason: reasonPath},
+		"slash in entry":       {path: "/v1/requests/me%2Fnu", status: 404, outcome: jwrequest.NotRun, reason: reasonPath},
+		"request by GET":       {method: "GET", status: 405, outcome: jwrequest.NotRun, reason: reasonPath},
+		"hosts by POST":        {path: "/v1/hosts", status: 405, outcome: jwrequest.NotRun, reason: reasonPath},
+		"odd method":           {method: "BREW", status: 405, outcome: jwrequest.NotRun, reason: reasonPath},
+		"unknown entry":        {path: "/v1/requests/nothing", status: 404, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonEntry},
+		"unknown workspace":    {header: http.Header{headerWorkspace: {"nobody"}}, status: 403, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonWorkspace},
+		"no workspace":         {header: http.Header{headerWorkspace: nil}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"two workspaces":       {header: http.Header{headerWorkspace: {testWorkspace, "nobody"}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"long workspace":       {header: http.Header{headerWorkspace: {long}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"workspace of bytes":   {header: http.Header{headerWorkspace: {"h\xc3\xa4ll"}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"long request id":      {header: http.Header{headerRequestID: {long}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"long key":             {header: http.Header{headerKey: {long}}, status: 400, outcome: jwrequest.Unknown, reason: jwdispatch.ReasonHeader, counted: true},
+		"two keys":             {header: http.Header{headerKey: {"k1", "k2"}}, status: 400, outcome: jwrequest.Unknown, reason: jwdispatch.ReasonHeader, counted: true},
+		"timeout without unit": {header: http.Header{headerTimeout: {"30"}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"timeout of zero":      {header: http.Header{headerTimeout: {"0s"}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"timeout below zero":   {header: http.Header{headerTimeout: {"-1s"}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"timeout too large":    {header: http.Header{headerTimeout: {"99999999999h"}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"long content type":    {header: http.Header{"Content-Type": {long}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"long body":            {body: strings.NewReader(long), status: 413, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonBody, counted: true},
+		"long body in chunks":  {body: io.MultiReader(strings.NewReader(long)), status: 413, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonBody, counted: true},
+		"long body with key":   {body: strings.NewReader(long), header: http.Header{headerKey: {"k"}}, status: 413, outcome: jwrequest.Unknown, reason: jwdispatch.ReasonBody, counted: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &desk{}
+			s := httptest.NewServer(handler(t, callers(d)))
+			defer s.Close()
+			if tc.method == "" {
+				tc.method = http.MethodPost
+			}
+			if tc.path == "" {
+				tc.path = "/v1/requests/menu"
+			}
+			r, err := http.NewRequestWithContext(t.Context(), tc.method, s.URL+tc.path, tc.body)
+			assert.NilError(t, err)
+			r.Header.Set(headerWorkspace, testWorkspace)
+			for name, values := range tc.header {
+				r.Header[name] = values
+			}
+			resp, err := http.DefaultClient.Do(r)
+			assert.NilError(t, err)
+			defer resp.Body.Close()
+			body := refusalOf(t, resp)
+			assert.Equal(t, resp.StatusCode, tc.status)
+			assert.Equal(t, body.Outcome, tc.outcome)
+			assert.Equal(t, body.Reason, tc.reason)
+			assert.Equal(t, len(d.ran), 0)
+			assert.Equal(t, len(d.ended) == 1, tc.counted)
+		})
+	}
+}
+
+// pipes is a listener whose connections need no sockets, so that their
+// deadlines pass in the time of a synctest bubble.
+type pipes struct {
+	conns chan net.Conn
+	ended chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error   { close(p.ended); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func TestBrokenBodies(t *testing.T) {
+	// A body comes too slowly, stops in the middle or is not what its headers
+	// say. Run as far as it came, it would be somebody's half order; kept
+	// waiting for, it would hold memory for ever.
+	const head = "POST /v1/requests/menu HTTP/1.1\r\nHost: h\r\nJujube-Workspace: hall\r\nJujube-Request-Id: r1\r\n"
+	tests := map[string]struct {
+		text   string
+		status int
+	}{
+		"slow":       {text: head + "Content-Length: 10\r\n\r\nhalf", status: http.StatusRequestTimeout},
+		"bad chunks": {text: head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", status: http.StatusBadRequest},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &desk{}
+			h := handler(t, callers(d)) // out of the bubble: go-zero keeps a list of servers
+			synctest.Test(t, func(t *testing.T) {
+				p := &pipes{conns: make(chan net.Conn), ended: make(chan struct{})}
+				server := &http.Server{Handler: h}
+				go func() { _ = server.Serve(p) }()
+				defer server.Close()
+				near, far := net.Pipe()
+				defer near.Close()
+				p.conns <- far
+				go func() { _, _ = io.WriteString(near, tc.text) }()
+				began := time.Now()
+				resp, err := http.ReadResponse(bufio.NewReader(near), nil)
+				assert.NilError(t, err)
+				body := refusalOf(t, resp)
+				assert.Assert(t, time.Since(began) <= slowBody)
+				assert.Equal(t, resp.StatusCode, tc.status)
+				assert.Equal(t, body.Outcome, jwrequest.NotRun)
+				assert.Equal(t, body.Reason, jwdispatch.ReasonBody)
+				assert.Equal(t, resp.Header.Get(headerRequestID), "r1")
+				assert.Equal(t, len(d.ran), 0)
+			})
+		})
+	}
+}
+
+func TestLeavingNode(t *testing.T) {
+	// A node stops or has not started yet. Its callers must be sent elsewhere,
+	// and told that this try ran nothing.
+	tests := map[string]func(c *Callers){
+		"stopping":  func(c *Callers) { c.Gate = gate{closed: true} },
+		"not ready": func(c *Callers) { c.Ready = func() bool { return false } },
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := &desk{}
+			c := callers(d)
+			change(c)
+			c.Tickets = tickets{err: errors.New("closed")}
+			for _, path := range []string{"/v1/requests/menu", "/v1/tickets"} {
+				w := httptest.NewRecorder()
+				r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("x"))
+				r.Header.Set(headerWorkspace, testWorkspace)
+				handler(t, c).ServeHTTP(w, r)
+				body := refusalOf(t, w.Result())
+				assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+				assert.Equal(t, body.Outcome, jwrequest.NotRun)
+				assert.Assert(t, slices.Equal(body.Hosts, []netip.AddrPort{otherHost}))
+				assert.Equal(t, w.Header().Get("Retry-After"), "1")
+			}
+			assert.Equal(t, len(d.ran), 0)
+		})
+	}
+}
+
+func TestServedRequest(t *testing.T) {
+	d := &desk{}
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "/v1/requests/menu", strings.NewReader("sixteen bytes ok"))
+	r.Header.Set(headerWorkspace, testWorkspace)
+	handler(t, callers(d)).ServeHTTP(w, r)
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Equal(t, w.Body.String(), "sixteen bytes ok")
+	assert.Equal(t, w.Header().Get(headerOutcome), "served")
+	assert.Assert(t, w.Header().Get(headerRequestID) != "")
+	assert.DeepEqual(t, d.ran, []string{"sixteen bytes ok"})
+	assert.Equal(t, len(d.ended), 0)
+}
--- /dev/null
+++ b/io/jwlisten/header_test.go
@@ -0,0 +1,53 @@
+package jwlisten
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"jujubewheel/core/jwrequest"
+)
+
+// FuzzParse checks that whatever headers come, a request that is taken in holds
+// only short plain values and a deadline ahead, and a refused one says why.
+func FuzzParse(f *testing.F) {
+	f.Add("hall", "r1", "k1", "2500ms", "application/json", "")
+	f.Add("", "", "", "", "", "")
+	f.Add("h\xc3\xa4ll", "r\n1", "k\x00", "-1s", "text/plain; charset=utf-8", "\x7f")
+	f.Add("hall", "r1", "", "9223372036s", "", "second")
+	f.Add("hall", "r1", "k1", "1e9h", "", "")
+	f.Add(" ", "~", " ", "1ns", "*/*", "")
+	f.Fuzz(func(t *testing.T, workspace, id, key, timeout, contentType, again string) {
+		r := httptest.NewRequest(http.MethodPost, "/v1/requests/menu", nil)
+		r.Header = http.Header{
+			headerWorkspace: {workspace}, headerRequestID: {id}, headerKey: {key},
+			headerTimeout: {timeout}, "Content-Type": {contentType},
+		}
+		if again != "" {
+			r.Header.Add(headerKey, again)
+		}
+		began := time.Now()
+		in, refusal, refused := parse(r)
+		if refused {
+			if refusal.Status != http.StatusBadRequest || refusal.Outcome != jwrequest.NotRun || refusal.Detail == "" {
+				t.Fatalf("refused without a clear answer: %+v", refusal)
+			}
+			return
+		}
+		if again != "" {
+			t.Fatalf("took one of the keys %q and %q", key, again)
+		}
+		if in.Workspace != workspace || in.Key != key || in.ID == "" || (id != "" && in.ID != id) {
+			t.Fatalf("changed on the way: %+v", in)
+		}
+		for _, s := range []string{in.Workspace, in.ID, in.Key, in.ContentType} {
+			if !plain(s, maxKeyLength) {
+				t.Fatalf("took in %q", s)
+			}
+		}
+		if in.Workspace == "" || (timeout != "" && !in.Deadline.After(began)) {
+			t.Fatalf("workspace %q, timeout %q, deadline %v", in.Workspace, timeout, in.Deadline)
+		}
+	})
+}
