--- a/io/jwlisten/callers_test.go
+++ b/io/jwlisten/callers_test.go
@@ -60,6 +60,8 @@
 	_ = sink.End(jwdispatch.End{Outcome: jwrequest.Served, Length: int64(len(r.Body))})
 }
 
+func (d *desk) CheckTicket(string) (jwdispatch.Head, bool) { return jwdispatch.Head{}, false }
+
 func (d *desk) Hosts(string) []netip.AddrPort { return []netip.AddrPort{otherHost} }
 
 func (d *desk) Ended(_ string, _ jwrequest.Outcome, reason jwdispatch.Reason) {
