jwdispatch: own keys are claimed by the node that writes their slot

Change: a request with an own key is passed on, once, to the node that writes its slot; a write waits 100 ms for others, but the first after a quiet time doesn't wait. A request never comes back to a data centre that it left: then the caller is told which host to ask. The hash of a key's body covers the entry. Handover records may be as large as an answer. Ruled out: an address of the writer in the list of hosts, since keys, not workspaces, decide the slot.

--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -214,7 +214,8 @@
 	if len(hops) == 0 {
 		return Head{}, false
 	}
-	if len(hops) >= MaxHops || hops.Visited(j.Self.Node) {
+	way := hops.With(j.Self)
+	if len(hops) >= MaxHops || hops.Visited(j.Self.Node) || way.RegionChanges() > 1 || way.Returns() {
 		return Refusal(http.StatusLoopDetected, jwrequest.NotRun, ReasonLoop, "the request has passed too many nodes"), true
 	}
 	return Head{}, false
--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -23,6 +23,7 @@
 const (
 	ForwardRegion = "region"
 	ForwardHolder = "claimHolder"
+	ForwardWriter = "claimWriter"
 )
 
 // comeBack is when a caller may try again after a failure that has no better
--- a/core/jwdispatch/once.go
+++ b/core/jwdispatch/once.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
+	"slices"
 
 	"jujubewheel/core/jwclaim"
 	"jujubewheel/core/jwpeer"
@@ -16,6 +18,9 @@
 // Claims decides which calls with a key may run.
 type Claims interface {
 	Begin(ctx context.Context, a jwclaim.Ask) (jwclaim.Decision, error)
+	// Preferred names the node of the home region that writes the claims of a
+	// key's slot, empty for none.
+	Preferred(a jwclaim.Ask) string
 }
 
 // homeTries bounds the nodes of the home region that are tried in turn.
@@ -24,19 +29,23 @@
 // serveOnce runs a request at most once for its key. It goes on when its caller
 // goes away: the answer is kept for the caller's next try.
 func (j *job) serveOnce(ctx context.Context) {
+	ask := jwclaim.Ask{
+		Workspace: j.request.Workspace,
+		Region:    j.workspace.Region,
+		Key:       j.request.Key,
+		Body:      j.bodyHash(),
+		Memory:    j.entry.KeyMemory,
+	}
 	if j.workspace.Region != j.Self.Region {
-		j.sendHome(ctx)
+		j.sendHome(ctx, ask)
+		return
+	}
+	if j.sendToWriter(ctx, ask) {
 		return
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.request.Deadline)
 	defer cancel()
-	decision, err := j.Claims.Begin(ctx, jwclaim.Ask{
-		Workspace: j.request.Workspace,
-		Region:    j.workspace.Region,
-		Key:       j.request.Key,
-		Body:      sha256.Sum256(j.request.Body),
-		Memory:    j.entry.KeyMemory,
-	})
+	decision, err := j.Claims.Begin(ctx, ask)
 	if err != nil {
 		j.sink.refuse(Refusal(http.StatusBadRequest, jwrequest.NotRun, ReasonKey, err.Error()))
 		return
@@ -45,6 +54,16 @@
 	j.follow(ctx, decision)
 }
 
+// bodyHash covers the entry too: the same key and body sent to another entry
+// are another request, and must not get the first one's answer.
+func (j *job) bodyHash() [sha256.Size]byte {
+	h := sha256.New()
+	h.Write([]byte(j.request.Entry))
+	h.Write([]byte{0})
+	h.Write(j.request.Body)
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
 // follow does what the claim says.
 func (j *job) follow(ctx context.Context, d jwclaim.Decision) {
 	switch d.Verdict {
@@ -173,12 +192,13 @@
 
 // sendHome sends a request to the home region of its workspace, where its keys
 // are claimed.
-func (j *job) sendHome(ctx context.Context) {
+func (j *job) sendHome(ctx context.Context, ask jwclaim.Ask) {
 	if j.forwarded {
 		j.sink.refuse(j.unchecked("the home region has changed on the way"))
 		return
 	}
 	peers := j.peersIn(j.workspace.Region, j.workspace.Name)
+	j.putFirst(peers, ask)
 	for _, p := range peers[:min(len(peers), homeTries)] {
 		j.step("forward", p.Name)
 		a, err := j.Peers.Forward(ctx, p, j.request, ForwardRegion)
@@ -189,6 +209,46 @@
 	j.sink.refuse(j.unchecked("no node of the home region can be reached"))
 }
 
+// putFirst moves the node that writes the claims of the key to the front.
+func (j *job) putFirst(peers []jwpeer.Peer, ask jwclaim.Ask) {
+	name := j.writer(ask)
+	i := slices.IndexFunc(peers, func(p jwpeer.Peer) bool { return p.Name == name })
+	if i > 0 {
+		writer := peers[i]
+		copy(peers[1:i+1], peers[:i])
+		peers[0] = writer
+	}
+}
+
+// sendToWriter passes a request with a key of its caller's own to the node of
+// this region that writes the claims of the key's slot. Without it all nodes
+// of a region write the same few documents: they lose each other's swaps, and
+// in a large region most calls get no claim in time. It is false if the request
+// is to be claimed here: it is here already, it has been passed on before, or
+// the other node certainly did not take it.
+func (j *job) sendToWriter(ctx context.Context, ask jwclaim.Ask) bool {
+	if j.forwarded {
+		return false
+	}
+	name := j.writer(ask)
+	p, known := j.Board.Peers.Get(name)
+	if !known || name == j.Self.Node || p.State != jwpeer.Serving {
+		return false
+	}
+	j.step("forward", p.Name)
+	a, err := j.Peers.Forward(ctx, p, j.request, ForwardWriter)
+	j.Counter.Tried(j.entry.Name, ForwardWriter, err == nil)
+	return j.passOn(a, err)
+}
+
+// writer names the node that writes the claims of an own key; a ticket has none.
+func (j *job) writer(ask jwclaim.Ask) string {
+	if jwclaim.IsTicket(ask.Key) {
+		return ""
+	}
+	return j.Claims.Preferred(ask)
+}
+
 // unchecked refuses a request whose key could not be looked up.
 func (j *job) unchecked(detail string) Head {
 	h := overloaded(ReasonPeer, detail, comeBack).ForKey(j.request.Key)
@@ -203,6 +263,15 @@
 		j.sink.refuse(Refusal(http.StatusGatewayTimeout, jwrequest.Unknown, ReasonClaim, "the node that took this key is gone; it may have run"))
 		return
 	}
+	there := jwrequest.Hop{Node: p.Name, Region: p.Region, DataCentre: p.DataCentre}
+	if j.request.Hops.With(there).Returns() {
+		// The request would go back to a data centre that it came from. The
+		// caller can ask that node itself.
+		h := Refusal(http.StatusServiceUnavailable, jwrequest.Unknown, ReasonClaim, "another host took this key; send it there")
+		h.RetryAfter, h.Hosts = comeBack, []netip.AddrPort{p.Callers}
+		j.sink.refuse(h)
+		return
+	}
 	j.step("forward", p.Name)
 	a, err := j.Peers.Forward(ctx, p, j.request, ForwardHolder)
 	if !j.passOn(a, err) {
--- a/core/jwrequest/hops.go
+++ b/core/jwrequest/hops.go
@@ -10,21 +10,27 @@
 // Hops is the way of a request so far, oldest first.
 type Hops []Hop
 
-// CrossedRegion tells whether the request has already changed region.
-func (h Hops) CrossedRegion() bool {
+// RegionChanges counts how often the request has changed region.
+func (h Hops) RegionChanges() int {
+	n := 0
 	for i := 1; i < len(h); i++ {
 		if h[i].Region != h[i-1].Region {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
-// CrossedDataCentre tells whether the request has already changed data
-// centre within one region.
-func (h Hops) CrossedDataCentre() bool {
+// Returns tells whether the request has come back to a data centre that it had
+// left.
+func (h Hops) Returns() bool {
+	left := make(map[string]bool)
 	for i := 1; i < len(h); i++ {
-		if h[i].Region == h[i-1].Region && h[i].DataCentre != h[i-1].DataCentre {
+		if h[i].DataCentre == h[i-1].DataCentre {
+			continue
+		}
+		left[h[i-1].DataCentre] = true
+		if left[h[i].DataCentre] {
 			return true
 		}
 	}
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -53,6 +53,7 @@
 	}
 	g := grpc.NewServer(
 		grpc.Creds(creds),
+		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAfter / 2, PermitWithoutStream: true}),
 	)
--- a/io/jwforward/wire_test.go
+++ b/io/jwforward/wire_test.go
@@ -106,7 +106,7 @@
 			}
 			more := r.Hops.With(jwrequest.Hop{Node: "self", Region: "self"})
 			assert.Equal(t, len(more), len(r.Hops)+1)
-			_, _ = more.CrossedRegion(), more.CrossedDataCentre()
+			_, _ = more.RegionChanges(), more.Returns()
 		}
 		a := &jwwire.AnswerHead{}
 		if proto.Unmarshal(data, a) == nil {
--- a/io/jwnode/outcome_test.go
+++ b/io/jwnode/outcome_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwclaim"
 	"jujubewheel/core/jwdirectory"
 	"jujubewheel/core/jwdispatch"
 	"jujubewheel/core/jwrequest"
@@ -88,7 +89,8 @@
 	at := s.home.CallersAddr()
 	body := prompt("menu", 3, false)
 	deposit := `{"deposit":1}`
-	assert.Equal(t, s.send(at, "confirm", "free-east", deposit, header{"Idempotency-Key": "taken"}).outcome, "served")
+	key := func(name string) string { return s.keyOf(s.home, name) }
+	assert.Equal(t, s.send(at, "confirm", "free-east", deposit, header{"Idempotency-Key": key("taken")}).outcome, "served")
 	tests := map[string]struct {
 		prepare func()
 		send    func(id string) reply
@@ -119,7 +121,7 @@
 		"forged ticket": {nil, s.asks(at, "confirm", "free-east", deposit, "Idempotency-Key", s.forgedTicket()), nil, 400, jwdispatch.ReasonTicket},
 		"another body": {
 			nil,
-			s.asks(at, "confirm", "free-east", `{"deposit":2}`, "Idempotency-Key", "taken"), nil, 409, jwdispatch.ReasonKeyMismatch,
+			s.asks(at, "confirm", "free-east", `{"deposit":2}`, "Idempotency-Key", key("taken")), nil, 409, jwdispatch.ReasonKeyMismatch,
 		},
 		"quarantined draft": {
 			func() { s.quarantine("draft", prompt("poison", 3, false)) },
@@ -127,7 +129,7 @@
 		},
 		"quarantined order": {
 			func() { s.quarantine("confirm", "poison") },
-			s.asks(at, "confirm", "free-east", "poison", "Idempotency-Key", "poison"), nil, 422, jwdispatch.ReasonQuarantine,
+			s.asks(at, "confirm", "free-east", "poison", "Idempotency-Key", key("poison")), nil, 422, jwdispatch.ReasonQuarantine,
 		},
 		"draft refused by the target": {
 			func() { s.runnerAt.SetFaults(jwstand.Faults{Leave: true}) }, s.asks(at, "draft", "free-east", body),
@@ -135,16 +137,16 @@
 		},
 		"order refused by the target": {
 			func() { s.deskAt.SetFaults(jwstand.Faults{Leave: true}) },
-			s.asks(at, "confirm", "free-east", deposit, "Idempotency-Key", "refused"),
+			s.asks(at, "confirm", "free-east", deposit, "Idempotency-Key", key("refused")),
 			func() { s.deskAt.SetFaults(jwstand.Faults{}) }, 503, "",
 		},
 		"order with the target down": {
 			func() { s.deskAt.SetFaults(jwstand.Faults{Down: true}) },
-			s.asks(at, "confirm", "free-east", deposit, "Idempotency-Key", "down"),
+			s.asks(at, "confirm", "free-east", deposit, "Idempotency-Key", key("down")),
 			func() { s.deskAt.SetFaults(jwstand.Faults{}) }, 503, "",
 		},
 		"new key at a node that stops": {
-			s.leaving.keeper.Close, s.asks(s.leaving.CallersAddr(), "confirm", "free-east", deposit, "Idempotency-Key", "late"),
+			s.leaving.keeper.Close, s.asks(s.leaving.CallersAddr(), "confirm", "free-east", deposit, "Idempotency-Key", s.keyOf(s.leaving, "late")),
 			nil, 503, jwdispatch.ReasonClaim,
 		},
 	}
@@ -177,6 +179,19 @@
 	}
 }
 
+// keyOf returns a key whose claims a node writes, so that the request stays
+// there.
+func (s *refusalSystem) keyOf(n *running, name string) string {
+	for i := range 1000 {
+		key := fmt.Sprintf("%s-%d", name, i)
+		if n.keeper.Preferred(jwclaim.Ask{Workspace: "free-east", Region: "east", Key: key}) == n.self.Node {
+			return key
+		}
+	}
+	s.t.Fatalf("no key for %s", n.self.Node)
+	return ""
+}
+
 // asks is a request with the header pairs given.
 func (s *refusalSystem) asks(to netip.AddrPort, entry, workspace, body string, pairs ...string) func(id string) reply {
 	return func(id string) reply {
--- a/io/jwnode/sources.go
+++ b/io/jwnode/sources.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -17,16 +18,17 @@
 // mostChanges bounds one answer of a peer.
 const mostChanges = 256
 
-// servingPeers tells the claims which nodes of a region serve.
+// servingPeers tells the claims which nodes of a region serve and were heard of
+// lately.
 type servingPeers struct{ table *jwpeer.Table }
 
 // Serving returns the names of the serving nodes of a region.
 func (s servingPeers) Serving(region string) []string {
 	var out []string
-	for _, p := range s.table.Select(func(p jwpeer.Peer) bool {
-		return p.Region == region && p.State == jwpeer.Serving
-	}) {
-		out = append(out, p.Name)
+	for _, p := range s.table.Fresh(time.Now().Add(-silence)) {
+		if p.Region == region && p.State == jwpeer.Serving {
+			out = append(out, p.Name)
+		}
 	}
 	return out
 }
--- a/io/jwsettings/settings.go
+++ b/io/jwsettings/settings.go
@@ -125,7 +125,7 @@
 	DefaultMaxBody       = 8 << 20
 	DefaultMaxHeader     = 32 << 10
 	DefaultKeyMemory     = 24 * time.Hour
-	DefaultGroupWindow   = 5 * time.Millisecond
+	DefaultGroupWindow   = 100 * time.Millisecond // the first claim after a quiet one doesn't wait
 	DefaultSalt          = "jujubewheel"
 	DefaultDrainLimit    = 10 * time.Minute
 	DefaultWorkers       = 4
