--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -45,7 +45,7 @@
 	platformTimeout = 2 * time.Second
 	confirmEvery    = 200 * time.Millisecond // between looks at the nodes answered for
 	shortestPause   = 500 * time.Millisecond // that a pulse takes for one
-	linger          = 2 * time.Second        // answering after the handover, so that others learn of it
+	linger          = 3 * time.Second        // answering after the handover; longer than a call waits for its claim
 )
 
 // Node is one node of the system; set its exported fields before Run.
