jwdispatch: a crash is told to the other nodes at once

Change: a node that sees a target crash nudges its exchange. Sent through all nodes at the same instant it can still take down more, before any word arrives.

--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -32,6 +32,7 @@
 	Departed func(jwpeer.Peer) bool
 	Now      func() time.Time
 	Tracer   Tracer // may be nil
+	Nudge    func() // called when other nodes should hear at once; may be nil
 	Counter  Counter
 }
 
--- a/core/jwdispatch/suspicion.go
+++ b/core/jwdispatch/suspicion.go
@@ -28,10 +28,16 @@
 }
 
 // noteCrash raises suspicion against all that ran on a target that crashed.
+// The other nodes hear at once: the caller of the request that did it may send
+// it again through each of them, and each would give it another target.
 func (j *job) noteCrash(err error) {
 	var failed *CallError
-	if errors.As(err, &failed) && failed.Crashed {
-		j.Board.Suspects.Crashed(failed.Peer, j.Now())
+	if !errors.As(err, &failed) || !failed.Crashed {
+		return
+	}
+	j.Board.Suspects.Crashed(failed.Peer, j.Now())
+	if j.Nudge != nil {
+		j.Nudge()
 	}
 }
 
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -189,6 +189,7 @@
 		Now: time.Now, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	reporter.Nudge = n.exchange.Nudge
+	n.dispatcher.Nudge = n.exchange.Nudge
 	server := &jwforward.Server{
 		Credentials: n.nodeCredentials(),
 		Dispatcher:  n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
--- /dev/null
+++ b/io/jwnode/policy_test.go
@@ -0,0 +1,208 @@
+package jwnode
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwlimit"
+	"jujubewheel/core/jwtarget"
+	"jujubewheel/io/jwstand"
+)
+
+// A target is about to be replaced: the platform's list says so, or the target
+// itself does in its load report. Work that still goes there is cut off with
+// it, and its caller waits for a draft that nobody writes. Every node must stop
+// sending, and what already runs must be finished.
+func TestLeavingTarget(t *testing.T) {
+	tests := map[string]func(s *system, at *jwstand.Stand){
+		"by the list": func(s *system, at *jwstand.Stand) {
+			for _, g := range s.groups {
+				if g.Targets[0] == at.Address.String() {
+					g.Labels["state"] = "leaving"
+				}
+			}
+			s.hosts.Set(s.groups)
+		},
+		"by its own word": func(_ *system, at *jwstand.Stand) { at.SetFaults(jwstand.Faults{Leave: true}) },
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSystem(t, "east")
+			old, at := s.runner("east")
+			old.Engine.Token = 5 * time.Millisecond
+			nodes := []*running{s.node("e1", "east"), s.node("e2", "east"), s.node("e3", "east")}
+			s.edit(nodes[0], draft())
+			s.settle(1)
+			used := func(want int) {
+				s.await("targets", func() bool {
+					for _, n := range nodes {
+						if len(n.board.Targets.Used()) != want {
+							return false
+						}
+					}
+					return true
+				})
+			}
+			used(1)
+			ask := func(i, tokens int) reply {
+				return s.send(nodes[i%3].CallersAddr(), "draft", "free-east", prompt(fmt.Sprintf("%d menu", i), tokens, true), nil)
+			}
+			const running = 6
+			long := make(chan reply, running)
+			for i := range running {
+				go func() { long <- ask(i, 400) }()
+			}
+			s.await("they run on it", func() bool { return len(old.Journal.Runs()) == running })
+			fresh, _ := s.runner("east")
+			used(2)
+			began := time.Now()
+			leave(s, at)
+			s.await("every node knows", func() bool {
+				for _, n := range nodes {
+					if state, _ := n.board.Targets.State(at.Address, time.Now()); state != jwtarget.Leaving {
+						return false
+					}
+				}
+				return true
+			})
+			t.Logf("every node knew after %v", time.Since(began))
+			before := len(old.Journal.Runs())
+			for i := range 30 {
+				assert.Equal(t, ask(i, 2).outcome, "served")
+			}
+			assert.Equal(t, len(old.Journal.Runs()), before)
+			assert.Assert(t, len(fresh.Journal.Runs()) >= 30)
+			for range running {
+				r := <-long
+				assert.Assert(t, strings.Contains(r.body, "event: done"), "%+v", r)
+			}
+			for _, run := range old.Journal.Runs() {
+				assert.Equal(t, run.State, jwstand.Finished)
+			}
+		})
+	}
+}
+
+// A request crashes each target that runs it, and its caller sends it again
+// through one node after the other. Left alone it takes the fleet down target
+// by target, and all the others' drafts with it. It may take down two, and
+// innocent requests that ran beside it must not be locked out for it.
+func TestPoisonThroughManyNodes(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, "east")
+	var mu sync.Mutex
+	crashes := map[netip.AddrPort]int{}
+	for range 5 {
+		_, at := s.runner("east")
+		at.Exit = func(int) {
+			mu.Lock()
+			defer mu.Unlock()
+			crashes[at.Address]++
+		}
+		at.SetFaults(jwstand.Faults{CrashOn: "poison"})
+	}
+	var nodes []*running
+	for i := range 3 {
+		nodes = append(nodes, s.node(fmt.Sprintf("e%d", i), "east"))
+	}
+	s.edit(nodes[0], draft())
+	s.settle(1)
+	s.await("targets", func() bool { return len(nodes[0].board.Targets.Used())+len(nodes[1].board.Targets.Used()) == 10 })
+	poison := prompt("poison", 5, false)
+	barred := map[*running]bool{}
+	sent, innocent, lockedOut := 0, 0, 0
+	s.await("barred at every node", func() bool {
+		var beside sync.WaitGroup
+		for i := range 6 {
+			beside.Go(func() {
+				r := s.send(nodes[i%3].CallersAddr(), "draft", "free-east", prompt(fmt.Sprintf("good %d", i), 20, false), nil)
+				mu.Lock()
+				defer mu.Unlock()
+				innocent++
+				if r.status == http.StatusUnprocessableEntity {
+					lockedOut++
+				}
+			})
+		}
+		n := nodes[sent%len(nodes)]
+		sent++
+		r := s.send(n.CallersAddr(), "draft", "free-east", poison, nil)
+		beside.Wait()
+		if r.status == http.StatusUnprocessableEntity {
+			assert.Check(t, r.outcome == "notRun", "%+v", r)
+			barred[n] = true
+		}
+		return len(barred) == len(nodes)
+	})
+	assert.Assert(t, len(crashes) <= 2, "crashes by target: %v", crashes)
+	assert.Equal(t, lockedOut, 0)
+	t.Logf("sent %d times, %d targets crashed, %d of %d innocent requests locked out", sent, len(crashes), lockedOut, innocent)
+}
+
+// refuser is a target that says it is idle and takes nothing on.
+type refuser struct{ calls atomic.Int64 }
+
+// Handler implements jwstand.Program.
+func (p *refuser) Handler(func() jwstand.Faults) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			_, _ = fmt.Fprint(w, "# TYPE vllm:max_num_seqs gauge\nvllm:max_num_seqs 64\n")
+			return
+		}
+		p.calls.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+}
+
+// Register implements jwstand.Program.
+func (p *refuser) Register(*http.ServeMux) {}
+
+// After an outage every caller presses at once, and the targets, whose load
+// reports lag, refuse what they can't queue. If each refused call were tried
+// again as often as it may be, the rush would be several times as large and
+// hold the targets down.
+func TestRushAfterOutage(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, "east")
+	program := &refuser{}
+	for range 4 {
+		at := s.stand("refuser", program).Address
+		s.list(at, map[string]string{"role": "target", "service": "writer", "region": "east", "dataCentre": "east-1"})
+	}
+	n := s.node("e1", "east")
+	s.edit(n, draft())
+	s.settle(1)
+	s.await("targets", func() bool { return n.board.Targets.Room("writer", time.Now()).Slots > 4*8 })
+	const callers = 200
+	var tried atomic.Int64
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			id := fmt.Sprintf("rush-%d", i)
+			r := s.send(n.CallersAddr(), "draft", "free-east", prompt("menu", 10, true), header{"Jujube-Request-Id": id})
+			assert.Check(t, r.outcome == "notRun", "%+v", r)
+			for _, trace := range n.tracer.Find(id) {
+				for _, step := range trace.Steps {
+					if step.Step == "target" {
+						tried.Add(1)
+						return
+					}
+				}
+			}
+		})
+	}
+	wg.Wait()
+	retries := program.calls.Load() - tried.Load()
+	t.Logf("%d calls of targets for %d requests: %d retries", program.calls.Load(), tried.Load(), retries)
+	assert.Assert(t, tried.Load() >= callers/4, "only %d came to a target", tried.Load())
+	assert.Assert(t, float64(retries) <= jwlimit.DefaultRetryShare*callers+jwlimit.DefaultRetrySaved, "%d retries", retries)
+}
