--- a/core/jwcatalogue/acceptance.go
+++ b/core/jwcatalogue/acceptance.go
@@ -33,6 +33,9 @@
 // DefaultPollEvery is the pace at which Wait looks at the confirmations.
 const DefaultPollEvery = 250 * time.Millisecond
 
+// membersAgain is the pace at which Wait reads the members again.
+const membersAgain = 2 * time.Second
+
 // Acceptance finds out which revisions are accepted. Once it has said so of a
 // revision, it never says otherwise, at no node.
 type Acceptance struct {
@@ -44,44 +47,69 @@
 
 // Check looks at the confirmations of a revision that is in the log.
 func (a *Acceptance) Check(ctx context.Context, n uint64) (Status, error) {
-	accepted, version, err := a.accepted(ctx, n)
-	if err != nil || accepted >= n {
-		return Status{Revision: n, Accepted: err == nil}, err
-	}
-	members, err := a.members(ctx)
-	if err != nil {
-		return Status{Revision: n}, err
+	return a.check(ctx, &question{n: n})
+}
+
+// question is a revision that is asked about again and again.
+type question struct {
+	n       uint64
+	members map[string][]string // by region, read after the change was made
+	readAt  time.Time
+	version uint64 // of the accepted revision in the service
+}
+
+func (a *Acceptance) check(ctx context.Context, q *question) (Status, error) {
+	s := Status{Revision: q.n}
+	// The members of any moment after the change will do: whoever registers
+	// later reads a head that has it. They are read again for those that left.
+	if q.members == nil || time.Since(q.readAt) > membersAgain {
+		accepted, version, err := a.accepted(ctx, q.n)
+		if err != nil || accepted >= q.n {
+			s.Accepted = err == nil
+			return s, err
+		}
+		members, err := a.members(ctx)
+		if err != nil {
+			return s, err
+		}
+		q.members, q.readAt, q.version = members, time.Now(), version
 	}
 	confirmed, err := a.confirmations(ctx)
 	if err != nil {
-		return Status{Revision: n}, err
+		return s, err
 	}
-	s := judge(n, members, confirmed)
+	s = judge(q.n, q.members, confirmed)
 	if !s.Accepted {
 		return s, nil
 	}
 	// The word is given only after it is kept: a node that registers later,
 	// in a region without a confirmation, would make it untrue otherwise.
-	if err := a.keep(ctx, n, version); err != nil {
-		return Status{Revision: n}, err
+	if err := a.keep(ctx, q.n, q.version); err != nil {
+		return Status{Revision: q.n}, err
 	}
 	return s, nil
 }
 
 // Wait returns when a revision is accepted or the context ends, with the
-// names that were then missing.
+// names that were then missing. The error is that of the last look at the
+// service, if it failed for another reason than the end of the context.
 func (a *Acceptance) Wait(ctx context.Context, n uint64) (Status, error) {
 	last := Status{Revision: n}
+	failed := errors.Errorf("acceptance of %d: the context ended before the first look", n)
+	q := &question{n: n}
 	for {
-		s, err := a.Check(ctx, n)
-		if err == nil {
-			last = s
+		s, err := a.check(ctx, q)
+		switch {
+		case err == nil:
+			last, failed = s, nil
+		case ctx.Err() == nil:
+			failed = err
 		}
-		if s.Accepted {
-			return s, nil
+		if last.Accepted {
+			return last, nil
 		}
 		if sleep(ctx, or(a.PollEvery, DefaultPollEvery)) != nil {
-			return last, err
+			return last, failed
 		}
 	}
 }
@@ -163,7 +191,7 @@
 		return 0, 0, nil
 	}
 	var j acceptedJSON
-	if err := decodeStrict(item.Value, &j); err != nil {
+	if err := decodeRecord(item.Value, &j); err != nil {
 		return 0, 0, errors.Wrap(err, "read accepted: store")
 	}
 	a.learn(j.Revision)
--- a/core/jwclaim/handover.go
+++ b/core/jwclaim/handover.go
@@ -341,9 +341,22 @@
 	for _, r := range rs {
 		k.installRecord(r)
 	}
+	k.readAgain()
 	return Receipt{Kept: uint64(len(rs)), Incarnation: k.Incarnation}, nil
 }
 
+// readAgain makes all who wait for a slot wait for a read that begins now. A
+// claim that the stopping node released just before its handover may still be
+// in a view of this node; taken for one of those handed over, it would have no
+// record, and its key be told unknown. k.mu is held.
+func (k *Keeper) readAgain() {
+	for _, s := range k.slots {
+		for _, it := range s.queue {
+			it.reads = s.started
+		}
+	}
+}
+
 func (k *Keeper) installRecord(r Record) {
 	switch r.Kind {
 	case IncarnationRecord:
@@ -381,14 +394,18 @@
 		c.ref = callRef{key: *r.Key}
 		c.claim = *r.Claim
 	}
-	if k.calls[c.ref] != nil {
+	// A press of the same own key may be under way here. Its claim will fail and
+	// lead to the one that is taken over, so the answer must be found by that.
+	if k.calls[c.ref] == nil {
+		k.calls[c.ref] = c
+	} else if r.Key == nil || k.claims[c.claim] != nil {
 		return
 	}
-	c.settle(finished)
-	k.calls[c.ref] = c
 	if r.Key != nil {
 		k.claims[c.claim] = c
 	}
+	c.state = finished
+	close(c.done)
 	if a := k.adopted[r.Holder.Incarnation]; a != nil && a.until.Before(c.until) {
 		a.until = c.until
 	}
@@ -397,22 +414,28 @@
 
 // Learn takes another node's word that it answers for a process that stopped.
 func (k *Keeper) Learn(m Move) {
+	k.once.Do(k.prepare)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.moved == nil || m.Incarnation == k.Incarnation || m.To.Incarnation == k.Incarnation {
+	if m.Incarnation == k.Incarnation || m.To.Incarnation == k.Incarnation {
 		return
 	}
 	k.moved[m.Incarnation] = move{to: m.To, until: k.now().Add(k.Memory)}
 }
 
-// Moves returns the processes for which this node answers, to be told to all
-// others.
+// Moves returns who answers for the processes that this node took over, and,
+// once it has handed its keys on, for itself; to be told to all others.
 func (k *Keeper) Moves() []Move {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	ms := make([]Move, 0, len(k.adopted))
+	to := k.self()
+	ms := make([]Move, 0, len(k.adopted)+1)
+	if k.handing.handed {
+		to = k.handing.to
+		ms = append(ms, Move{Incarnation: k.Incarnation, To: to})
+	}
 	for incarnation := range k.adopted {
-		ms = append(ms, Move{Incarnation: incarnation, To: k.self()})
+		ms = append(ms, Move{Incarnation: incarnation, To: to})
 	}
 	return ms
 }
--- a/core/jwclaim/view.go
+++ b/core/jwclaim/view.go
@@ -26,7 +26,6 @@
 	head     document // content of the last segment
 	version  uint64   // of the last segment, 0 when it is not created yet
 	live     map[keyHash]claimed
-	ids      map[claimID]rowState
 	read     time.Time // start of the last read or write that confirmed the view
 	loaded   bool
 }
@@ -36,56 +35,84 @@
 	number  uint64
 	version uint64
 	until   time.Time
-	rows    []row
-	holders []Holder
+	claims  []claimRef
 }
 
-// rowState tells which rows of a claim the log holds.
-type rowState struct {
-	claim   bool
-	release bool
-	key     keyHash
+// claimRef finds a claim of a segment among the live ones.
+type claimRef struct {
+	key keyHash
+	id  claimID
 }
 
 // confirm makes the view as new as the store at some moment of the call.
 func (v *view) confirm(ctx context.Context, s jwstore.Reader, now func() time.Time, skew time.Duration) error {
 	start := now()
-	// The numbers after a segment that others deleted long ago can be created
-	// again, where nobody would look. A view this old is read afresh.
-	if !v.loaded || age(start, v.read) > viewAge {
+	if !v.loaded {
 		return v.load(ctx, s, start, skew)
 	}
+	old := age(start, v.read) > viewAge
 	for {
-		last := v.segments[len(v.segments)-1]
-		item, ok, err := s.Get(ctx, segmentKey(v.prefix, last.number))
+		item, ok, err := s.Get(ctx, segmentKey(v.prefix, v.last()))
 		if err != nil {
 			return errors.Wrapf(err, "read claims: %s", v.prefix)
 		}
-		if !ok && v.version != 0 {
-			return v.load(ctx, s, start, skew)
-		}
-		if ok && item.Version != v.version {
-			d, err := decodeDocument(item.Value)
-			if err != nil {
+		d := document{}
+		if ok {
+			if d, err = decodeDocument(item.Value); err != nil {
 				return errors.Wrapf(err, "read claims: %s", item.Key)
 			}
+		}
+		joined := ok || v.version == 0
+		if joined && old {
+			joined, err = v.joins(ctx, s, d)
+		}
+		if err != nil {
+			return err
+		}
+		if !joined {
+			return v.load(ctx, s, start, skew)
+		}
+		old = false
+		if item.Version != v.version {
 			v.replaceHead(d, item.Version)
 		}
 		if !v.head.Sealed {
 			v.read = start
 			return nil
 		}
-		v.addSegment(last.number+1, document{}, 0)
+		v.addSegment(v.last()+1, document{}, 0)
 	}
 }
 
+// joins tells whether d, which was just read in the place of the last segment
+// or found missing there, is what follows the view. After a long time the
+// number may have been used up and deleted by others, and what stands there, if
+// anything, be a stray; a view that took it up would miss every claim between.
+// Segments are deleted oldest first, so one that is known and still there
+// proves that none after it is gone.
+func (v *view) joins(ctx context.Context, s jwstore.Reader, d document) (bool, error) {
+	if v.version != 0 {
+		return len(d.Rows) > 0 && d.Rows[0].ID == v.head.Rows[0].ID, nil
+	}
+	if len(v.segments) < 2 {
+		return false, nil
+	}
+	_, ok, err := s.Get(ctx, segmentKey(v.prefix, v.last()-1))
+	return ok, errors.Wrapf(err, "read claims: %s", v.prefix)
+}
+
+// last is the number of the last segment.
+func (v *view) last() uint64 {
+	return v.segments[len(v.segments)-1].number
+}
+
 // load reads the whole log.
 func (v *view) load(ctx context.Context, s jwstore.Reader, start time.Time, skew time.Duration) error {
 	items, err := s.List(ctx, v.prefix)
 	if err != nil {
 		return errors.Wrapf(err, "read claims: %s", v.prefix)
 	}
-	fresh := view{prefix: v.prefix, live: map[keyHash]claimed{}, ids: map[claimID]rowState{}}
+	fresh := view{prefix: v.prefix, live: map[keyHash]claimed{}}
 	for _, item := range items {
 		n, err := segmentNumber(v.prefix, item.Key)
 		if err != nil {
@@ -97,7 +124,7 @@
 			if !fresh.allExpired(start, skew) {
 				return errors.Wrapf(ErrDocument, "hole before %s", item.Key)
 			}
-			fresh = view{prefix: v.prefix, live: map[keyHash]claimed{}, ids: map[claimID]rowState{}}
+			fresh = view{prefix: v.prefix, live: map[keyHash]claimed{}}
 		}
 		d, err := decodeDocument(item.Value)
 		if err != nil {
@@ -109,7 +136,7 @@
 	case len(fresh.segments) == 0:
 		fresh.addSegment(1, document{}, 0)
 	case fresh.head.Sealed:
-		fresh.addSegment(fresh.segments[len(fresh.segments)-1].number+1, document{}, 0)
+		fresh.addSegment(fresh.last()+1, document{}, 0)
 	}
 	fresh.read, fresh.loaded = start, true
 	*v = fresh
@@ -117,8 +144,7 @@
 }
 
 func (v *view) holeBefore(n uint64) bool {
-	last := len(v.segments)
-	return last > 0 && v.segments[last-1].number+1 != n
+	return len(v.segments) > 0 && v.last()+1 != n
 }
 
 func (v *view) allExpired(now time.Time, skew time.Duration) bool {
@@ -143,38 +169,41 @@
 	if known > len(d.Rows) {
 		known = 0
 	}
+	last := &v.segments[len(v.segments)-1]
 	for _, r := range d.Rows[known:] {
 		v.apply(r, d.Holders)
+		if !r.Release {
+			last.claims = append(last.claims, claimRef{key: r.Key, id: r.ID})
+		}
 	}
 	v.head, v.version = d, version
-	last := &v.segments[len(v.segments)-1]
-	last.version, last.rows, last.holders = version, d.Rows, d.Holders
+	last.version = version
 	last.until = time.Unix(d.Until, 0)
 }
 
 func (v *view) apply(r row, holders []Holder) {
-	st := v.ids[r.ID]
-	if r.Release {
-		st.release = true
-		v.ids[r.ID] = st
-		if c, ok := v.live[st.key]; ok && c.id == r.ID {
-			delete(v.live, st.key)
-		}
+	if !r.Release {
+		v.live[r.Key] = claimed{id: r.ID, body: r.Body, holder: &holders[r.Holder], until: r.Until}
 		return
 	}
-	st.claim, st.key = true, r.Key
-	v.ids[r.ID] = st
-	if st.release {
-		return
+	// A late release frees its own claim only: the key may have been claimed
+	// again since.
+	if c, ok := v.live[r.Key]; ok && c.id == r.ID {
+		delete(v.live, r.Key)
 	}
-	v.live[r.Key] = claimed{id: r.ID, key: r.Key, body: r.Body, holder: holders[r.Holder], until: time.Unix(r.Until, 0)}
+}
+
+// holds tells whether a claim is live.
+func (v *view) holds(key keyHash, id claimID) bool {
+	c, ok := v.live[key]
+	return ok && c.id == id
 }
 
 // find returns the live claim of a key; one that every clock within skew of
 // this one takes for expired is left out.
 func (v *view) find(key keyHash, now time.Time, skew time.Duration) (claimed, bool) {
 	c, ok := v.live[key]
-	if !ok || now.After(c.until.Add(skew)) {
+	if !ok || now.After(time.Unix(c.until, 0).Add(skew)) {
 		return claimed{}, false
 	}
 	return c, true
@@ -191,10 +220,9 @@
 
 // dropOldest forgets the oldest segment.
 func (v *view) dropOldest() {
-	for _, r := range v.segments[0].rows {
-		delete(v.ids, r.ID)
-		if c, ok := v.live[r.Key]; ok && c.id == r.ID {
-			delete(v.live, r.Key)
+	for _, r := range v.segments[0].claims {
+		if v.holds(r.key, r.id) {
+			delete(v.live, r.key)
 		}
 	}
 	v.segments = append([]segment(nil), v.segments[1:]...)
--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"jujubewheel/core/jwboard"
@@ -13,6 +14,7 @@
 	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/core/jwrouter"
+	"jujubewheel/core/jwsuspect"
 )
 
 // MaxHops bounds the nodes that one request passes: where its caller came, one
@@ -30,10 +32,12 @@
 	Claims  Claims
 	// Departed tells whether the platform has given a host up; may be nil.
 	Departed func(jwpeer.Peer) bool
-	Now      func() time.Time
-	Tracer   Tracer // may be nil
-	Nudge    func() // called when other nodes should hear at once; may be nil
-	Counter  Counter
+	// Crashed is told of a target that crashed and of the fingerprints that this
+	// put in quarantine; may be nil.
+	Crashed func(target netip.AddrPort, barred []jwsuspect.Fingerprint)
+	Now     func() time.Time
+	Tracer  Tracer // may be nil
+	Counter Counter
 }
 
 // Counter counts what happened to requests.
@@ -70,6 +74,7 @@
 	forwarded bool
 	sink      *ending
 	prefix    uint64
+	mark      jwsuspect.Fingerprint // by way of fingerprint
 	tries     int
 	mayRun    bool // some try may have run it
 	query     jwrouter.Query
@@ -105,6 +110,19 @@
 	return refusal, refused
 }
 
+// CheckTicket refuses a ticket for a workspace at home in another region: it is
+// run by the node that mints it, and confirmations run at home. An empty
+// workspace is taken for one of this region.
+func (d *Dispatcher) CheckTicket(workspace string) (refusal Head, refused bool) {
+	w, known := d.Board.Directory.Lookup(workspace)
+	if !known || w.Region == d.Self.Region {
+		return Head{}, false
+	}
+	h := Refusal(http.StatusMisdirectedRequest, jwrequest.NotRun, ReasonRegion, "tickets of this workspace are minted in region "+w.Region)
+	h.Hosts = d.hosts(workspace, w.Region, true)
+	return h, true
+}
+
 // note counts and traces the end of a request.
 func (j *job) note(outcome jwrequest.Outcome, reason Reason, servedBy string) {
 	entry := j.request.Entry
@@ -179,7 +197,7 @@
 	r.Bound = w.Bound || e.Bound
 	if r.Bound && w.Region != j.Self.Region {
 		h := Refusal(http.StatusMisdirectedRequest, jwrequest.NotRun, ReasonRegion, "data is bound to region "+w.Region)
-		h.Hosts = j.hosts(w.Region, true)
+		h.Hosts = j.hosts(r.Workspace, w.Region, true)
 		return h, true
 	}
 	if !e.Idempotent && r.Key == "" {
@@ -204,14 +222,15 @@
 
 // admit asks the limiter; away tells that another region is to run the request.
 // The release must be called when the request ended.
-func (j *job) admit(away bool) (release func(), refusal Head, admitted bool) {
+func (j *job) admit(away bool) (release func(), refused jwlimit.Refusal, admitted bool) {
 	now := j.Now()
 	room := j.Board.Targets.Room(j.entry.Service, now)
 	q := &jwlimit.Query{
 		Entry:   j.entry,
 		Owner:   j.workspace.Owner,
-		Caller:  callerHash(j.request),
+		Caller:  j.callerHash(),
 		Foreign: j.forwarded,
+		Bound:   j.request.Bound,
 		Left:    j.request.Deadline.Sub(now),
 		Work:    room.Work,
 		Away:    away,
@@ -221,7 +240,7 @@
 	}
 	token, refused, ok := j.Board.Limiter.Admit(q)
 	if !ok {
-		return nil, overloaded(ReasonLimit, string(refused.Reason), refused.RetryAfter), false
+		return nil, refused, false
 	}
-	return func() { j.Board.Limiter.Release(token) }, Head{}, true
+	return func() { j.Board.Limiter.Release(token) }, jwlimit.Refusal{}, true
 }
--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -29,14 +29,17 @@
 // estimate.
 const comeBack = time.Second
 
+// crashBack is when the callers of what was on a crashed target may try again,
+// spread over as long again.
+const crashBack = 2 * time.Second
+
 // serveIdempotent runs a request that may be run again after a failure.
 func (j *job) serveIdempotent(ctx context.Context) {
 	if j.quarantined() {
 		return
 	}
 	j.newQuery()
-	place := j.Router.Place(&j.query)
-	release, refusal, admitted := j.admit(place.Region != "" && place.Region != j.Self.Region)
+	place, release, refusal, admitted := j.takeOn()
 	if !admitted {
 		j.sink.refuse(refusal)
 		return
@@ -60,6 +63,28 @@
 	}
 }
 
+// takeOn finds a region that takes the request: the one that weighs least, and
+// where that is this one and it has no room, another that may have some.
+func (j *job) takeOn() (place jwrouter.Placement, release func(), refusal Head, admitted bool) {
+	place = j.Router.Place(&j.query)
+	away := place.Region != "" && place.Region != j.Self.Region
+	release, refused, admitted := j.admit(away)
+	if admitted {
+		return place, release, Head{}, true
+	}
+	if !away && refused.Reason.Room() {
+		j.query.Full = true
+		other := j.Router.Place(&j.query)
+		if other.Region != "" && other.Region != j.Self.Region {
+			release, _, admitted = j.admit(true)
+			if admitted {
+				return other, release, Head{}, true
+			}
+		}
+	}
+	return place, nil, overloaded(ReasonLimit, string(refused.Reason), refused.RetryAfter), false
+}
+
 // newQuery words the request for the router.
 func (j *job) newQuery() {
 	now := j.Now()
@@ -97,53 +122,102 @@
 
 // tryTarget calls a target of this region and copies its answer.
 func (j *job) tryTarget(ctx context.Context, rl *relay) error {
-	a, end, err := j.callTarget(ctx, true)
+	t, a, err := j.callTarget(ctx, true)
 	if err != nil {
 		return err
 	}
 	err = rl.copy(a)
-	end(err)
+	if err != nil && j.resume(ctx, rl, t, err) {
+		err = nil
+	}
+	t.end(ctx, err)
 	return err
 }
 
+// resume asks the target of a stream that broke in its midst to go on where it
+// stopped, over a new connection. It works where only the connection was lost:
+// a target whose process died refuses, and the break counts as a crash.
+func (j *job) resume(ctx context.Context, rl *relay, t *targetTry, broken error) bool {
+	var failed *CallError
+	for range maxResumes {
+		if ctx.Err() != nil || rl.events.after() == "" || !errors.As(broken, &failed) || failed.NotRun() {
+			return false
+		}
+		if !j.Board.Budget.Retry(j.entry.Name) {
+			return false
+		}
+		j.step("resume", t.address.String())
+		call := t.call
+		call.After = rl.events.after()
+		a, err := j.Targets.Call(ctx, t.address, call)
+		if err != nil {
+			return false
+		}
+		if broken = rl.copy(a); broken == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// maxResumes bounds how often one target is asked to go on with a stream.
+const maxResumes = 3
+
+// targetTry is one call of a target.
+type targetTry struct {
+	job     *job
+	address netip.AddrPort
+	mark    jwsuspect.Fingerprint
+	begun   jwtarget.Call
+	call    TargetCall
+}
+
 // callTarget picks a target of this region and calls it. After an answer has
 // begun, end must be called once with how it ended.
-func (j *job) callTarget(ctx context.Context, idempotent bool) (a *Answer, end func(error), err error) {
+func (j *job) callTarget(ctx context.Context, idempotent bool) (*targetTry, *Answer, error) {
 	mark := j.fingerprint()
-	state, _ := j.Board.Suspects.Check(mark, j.Now())
-	tried := j.query.Exclude
-	if state == jwsuspect.Suspected {
-		apart := j.Board.Suspects.Apart(mark, j.usable(), j.Now())
-		j.query.Exclude = append(tried[:len(tried):len(tried)], apart...)
-	}
-	choice, found := j.Router.Pick(&j.query)
-	j.query.Exclude = tried
+	choice, found := j.pick(mark)
 	if !found {
 		return nil, nil, &noPlace{reason: jwrouter.Nowhere}
 	}
 	j.step("target", string(choice.Reason)+" "+choice.Address.String())
-	call := j.Board.Targets.Begin(choice.Address, j.query.Work, j.Now())
-	j.Board.Suspects.Begin(mark, choice.Address, j.request.Bound)
-	end = func(err error) {
-		now := j.Now()
-		j.noteCrash(err)
-		j.Board.Suspects.End(mark, choice.Address, err == nil, now)
-		j.Board.Targets.End(call, result(ctx, err), now)
-		j.Counter.Tried(j.entry.Name, "target", err == nil)
-		if err != nil {
-			j.query.Exclude = append(j.query.Exclude, choice.Address)
-		}
-	}
-	a, err = j.Targets.Call(ctx, choice.Address, TargetCall{
+	t := &targetTry{job: j, address: choice.Address, mark: mark, call: TargetCall{
 		Request: j.request, Path: j.entry.Path, Idempotent: idempotent,
 		Progress: j.entry.Progress, Urgency: urgency(j.entry.Class),
-	})
+	}}
+	t.begun = j.Board.Targets.Begin(choice.Address, j.query.Work, j.Now())
+	j.Board.Suspects.Begin(mark, choice.Address, j.request.Bound)
+	a, err := j.Targets.Call(ctx, choice.Address, t.call)
 	if err != nil {
-		end(err)
+		t.end(ctx, err)
 		return nil, nil, err
 	}
 	a.Head.ServedBy = j.Self.Region
-	return a, end, nil
+	return t, a, nil
+}
+
+// pick chooses a target; a suspect keeps away from some.
+func (j *job) pick(mark jwsuspect.Fingerprint) (jwrouter.Choice, bool) {
+	tried := j.query.Exclude
+	defer func() { j.query.Exclude = tried }()
+	if state, _ := j.Board.Suspects.Check(mark, j.Now()); state == jwsuspect.Suspected {
+		apart := j.Board.Suspects.Apart(mark, j.usable(), j.Now())
+		j.query.Exclude = append(tried[:len(tried):len(tried)], apart...)
+	}
+	return j.Router.Pick(&j.query)
+}
+
+// end takes the call out of the tables.
+func (t *targetTry) end(ctx context.Context, err error) {
+	j := t.job
+	now := j.Now()
+	j.noteCrash(err)
+	j.Board.Suspects.End(t.mark, t.address, err == nil, now)
+	j.Board.Targets.End(t.begun, result(ctx, err), now)
+	j.Counter.Tried(j.entry.Name, "target", err == nil)
+	if err != nil {
+		j.query.Exclude = append(j.query.Exclude, t.address)
+	}
 }
 
 // usable are the targets of the entry's service that this node uses.
@@ -173,7 +247,7 @@
 
 // tryRegion sends the request to a node of another region.
 func (j *job) tryRegion(ctx context.Context, rl *relay, region string) error {
-	peers := j.peersIn(region)
+	peers := j.peersIn(region, j.workspace.Name)
 	if len(peers) == 0 {
 		return &noPlace{reason: jwrouter.Nowhere}
 	}
@@ -265,6 +339,11 @@
 			h.Status = http.StatusServiceUnavailable
 		}
 		h.RetryAfter = max(failed.RetryAfter, comeBack)
+		if failed.Crashed {
+			// All that was on the target hears this at once. Apart in time, they
+			// come to different targets, and the one that crashes them is found.
+			h.RetryAfter = crashBack + rand.N(crashBack)
+		}
 		return h
 	}
 	return Refusal(http.StatusBadGateway, jwrequest.Unknown, ReasonTarget, err.Error())
--- a/core/jwdispatch/relay.go
+++ b/core/jwdispatch/relay.go
@@ -1,7 +1,9 @@
 package jwdispatch
 
 import (
+	"bytes"
 	"io"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -13,8 +15,12 @@
 // is whole; a longer one goes out as it comes.
 const bufferLimit = 4 << 20
 
-// chunkSize is how much is read from a target at once.
-const chunkSize = 32 << 10
+// How much is read from a target at once. A token is about a hundred bytes, and
+// a node holds the buffers of all its streams for as long as they run.
+const (
+	chunkSize  = 32 << 10
+	streamSize = 4 << 10
+)
 
 var (
 	// errCallerGone says that nobody wants the answer any more.
@@ -26,16 +32,18 @@
 
 // relay copies one answer to the caller, over several tries if need be.
 //
-// When a stream breaks, the next try starts it again from its first byte. The
-// bytes that the caller has are not sent twice: they are compared with what
-// was sent, and the stream goes on only if they are the same. Without the
-// comparison a model that answers differently each time would give the caller
-// two halves of two answers, passed off as one.
+// Of a stream only whole events go out. When it breaks, a target that still
+// has it goes on after the last of them. Any other try starts it again from its
+// first byte. The bytes that the caller has are not sent twice: they are
+// compared with what was sent, and the stream goes on only if they are the
+// same. Without the comparison a model that answers differently each time would
+// give the caller two halves of two answers, passed off as one.
 type relay struct {
-	sink *ending
-	head Head // as sent, once a part was
-	sent int64
-	sum  xxhash.Digest
+	sink   *ending
+	head   Head // as sent, once a part was
+	sent   int64
+	sum    xxhash.Digest
+	events events
 }
 
 // copy sends the answer; nil means that it is whole and its end was sent.
@@ -51,14 +59,12 @@
 	return rl.whole(a)
 }
 
-func stream(h Head) bool {
-	return len(h.ContentType) >= 17 && h.ContentType[:17] == "text/event-stream"
-}
+func stream(h Head) bool { return strings.HasPrefix(h.ContentType, "text/event-stream") }
 
 // whole reads the answer to its end before the first byte goes out, so that a
 // broken one can be tried again unseen.
 func (rl *relay) whole(a *Answer) error {
-	body, err := io.ReadAll(io.LimitReader(a.Body, bufferLimit+1))
+	body, err := readWhole(io.LimitReader(a.Body, bufferLimit+1), a.Head.Length)
 	if err != nil {
 		return err
 	}
@@ -70,6 +76,19 @@
 	return nil
 }
 
+// readWhole reads to the end, into a buffer of the length that was announced,
+// if one was; growing a buffer step by step costs several times the memory. The
+// length is not trusted further than that.
+func readWhole(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > bufferLimit {
+		return io.ReadAll(r)
+	}
+	// ReadFrom grows the buffer unless there is room for one more read.
+	buf := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+	_, err := buf.ReadFrom(r)
+	return buf.Bytes(), err
+}
+
 // prefixed is a body with some bytes already read.
 type prefixed struct {
 	io.ReadCloser
@@ -92,16 +111,28 @@
 		return err
 	}
 	skip := newSkipper(rl.sent, rl.sum.Sum64())
-	buf := make([]byte, chunkSize)
+	streams := stream(a.Head)
+	rl.events.restart()
+	buf := make([]byte, bufferSize(streams))
 	for {
 		n, err := a.Body.Read(buf)
-		fresh, same := skip.take(buf[:n])
+		part := buf[:n]
+		if streams {
+			part = rl.events.whole(part, err == io.EOF)
+			if skip.left > 0 && rl.events.resumed() {
+				skip.left = 0
+			}
+		}
+		fresh, same := skip.take(part)
 		if !same {
 			return errDiverged
 		}
 		if len(fresh) > 0 {
 			_, _ = rl.sum.Write(fresh)
 			rl.sent += int64(len(fresh))
+			if streams {
+				rl.events.sent(fresh)
+			}
 			if rl.sink.Body(fresh) != nil {
 				return errCallerGone
 			}
@@ -121,6 +152,13 @@
 	}
 }
 
+func bufferSize(streams bool) int {
+	if streams {
+		return streamSize
+	}
+	return chunkSize
+}
+
 // begin sends the head of the first try. The head of a later one must be the
 // same: an error page in place of a stream whose head is out would reach the
 // caller as the stream itself, ended well.
--- a/core/jwdispatch/relay_test.go
+++ b/core/jwdispatch/relay_test.go
@@ -1,104 +1,176 @@
 package jwdispatch
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
 	"testing/iotest"
 	"time"
 
-	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"jujubewheel/core/jwcatalogue"
 	"jujubewheel/core/jwrequest"
 )
 
-// taken is a caller that keeps what it is given.
-type taken struct {
-	heads []Head
-	body  strings.Builder
-	ends  []End
+// recorder is a caller that keeps what it gets.
+type recorder struct {
+	body strings.Builder
+	end  *End
 }
 
-func (s *taken) Head(h Head) error {
-	s.heads = append(s.heads, h)
+func (r *recorder) Head(Head) error { return nil }
+func (r *recorder) Body(p []byte) error {
+	r.body.Write(p)
 	return nil
 }
 
-func (s *taken) Body(p []byte) error {
-	_, err := s.body.Write(p)
-	return err
-}
-
-func (s *taken) End(e End) error {
-	s.ends = append(s.ends, e)
+func (r *recorder) End(e End) error {
+	r.end = &e
 	return nil
 }
 
-var errCut = &CallError{Step: "read answer", Fate: Broken, Err: errors.New("cut")}
+type noCounter struct{}
 
-// cut is a body that breaks off after the text.
-func cut(text string) io.Reader {
-	return io.MultiReader(strings.NewReader(text), iotest.ErrReader(errCut))
+func (noCounter) Ended(string, jwrequest.Outcome, Reason) {}
+func (noCounter) Seen(string, Seen)                       {}
+func (noCounter) Tried(string, string, bool)              {}
+
+func newRelay() (*relay, *recorder) {
+	r := &recorder{}
+	d := &Dispatcher{Counter: noCounter{}, Now: time.Now}
+	j := &job{Dispatcher: d, request: &jwrequest.Request{}, entry: &jwcatalogue.Entry{}}
+	j.sink = &ending{Sink: r, job: j}
+	return &relay{sink: j.sink}, r
 }
 
-func streamOf(status int, r io.Reader) *Answer {
-	return answerOf(Head{Status: status, ContentType: "text/event-stream", Length: UnknownLength}, r)
+// events from, to as a model engine streams them.
+func sse(from, to int, text string) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", i, text, i)
+	}
+	return b.String()
 }
 
-func answerOf(h Head, r io.Reader) *Answer { return &Answer{Head: h, Body: io.NopCloser(r)} }
+func streamed(body string, end error) *Answer {
+	parts := []io.Reader{iotest.OneByteReader(strings.NewReader(body))}
+	if end != nil {
+		parts = append(parts, iotest.ErrReader(end))
+	}
+	return &Answer{
+		Head: Head{Status: 200, ContentType: "text/event-stream", Length: UnknownLength},
+		Body: io.NopCloser(io.MultiReader(parts...)),
+	}
+}
 
-// A target goes down while its answer is on the way, and the request is tried
-// again. The caller must get each byte once and the end of the same answer, or
-// be told that the answer broke off; two halves of two answers, or an error
-// page in place of the rest, would pass for the draft that was asked for.
+// A stream breaks in the midst of an event and is tried again. The caller must
+// see each byte once and in order, or be told that the answer is not whole;
+// half of one draft joined to half of another would go out as a price sheet.
 func TestRelayOverTries(t *testing.T) {
-	page := Head{Status: 500, ContentType: "text/plain", Length: 5}
+	broken := &CallError{Fate: Broken, Err: errors.New("cut")}
+	done := "data: [DONE]\n\n"
 	tests := map[string]struct {
-		tries  []*Answer
-		body   string
-		served bool // else the last try ends in an error
+		tries []*Answer
+		want  string
+		err   error // of the last try
 	}{
-		"first try whole":              {[]*Answer{streamOf(200, strings.NewReader("abc"))}, "abc", true},
-		"same again":                   {[]*Answer{streamOf(200, cut("abc")), streamOf(200, strings.NewReader("abcdef"))}, "abcdef", true},
-		"cut three times":              {[]*Answer{streamOf(200, cut("ab")), streamOf(200, cut("a")), streamOf(200, cut("abcd")), streamOf(200, strings.NewReader("abcdef"))}, "abcdef", true},
-		"byte by byte":                 {[]*Answer{streamOf(200, cut("abc")), streamOf(200, iotest.OneByteReader(strings.NewReader("abcdef")))}, "abcdef", true},
-		"cut at the end":               {[]*Answer{streamOf(200, cut("abc")), streamOf(200, strings.NewReader("abc"))}, "abc", true},
-		"another text":                 {[]*Answer{streamOf(200, cut("abc")), streamOf(200, strings.NewReader("abxdef"))}, "abc", false},
-		"shorter":                      {[]*Answer{streamOf(200, cut("abc")), streamOf(200, strings.NewReader("ab"))}, "abc", false},
-		"error page after text":        {[]*Answer{streamOf(200, cut("abc")), answerOf(page, strings.NewReader("sorry"))}, "abc", false},
-		"error page before text":       {[]*Answer{streamOf(200, cut("")), answerOf(page, strings.NewReader("sorry"))}, "", false},
-		"plain after a bare head":      {[]*Answer{streamOf(200, cut("")), answerOf(Head{Status: 200, ContentType: "text/plain", Length: 3}, strings.NewReader("abc"))}, "", false},
-		"plain, cut, then whole":       {[]*Answer{answerOf(Head{Status: 200, Length: 6}, cut("abc")), answerOf(Head{Status: 200, Length: 6}, strings.NewReader("uvwxyz"))}, "uvwxyz", true},
-		"plain of no length, cut":      {[]*Answer{answerOf(Head{Status: 200, Length: UnknownLength}, cut("abc")), answerOf(Head{Status: 200, Length: 2}, strings.NewReader("uv"))}, "uv", true},
-		"refused by another in midway": {[]*Answer{streamOf(200, cut("abc")), answerOf(Refusal(504, jwrequest.Unknown, ReasonTarget, ""), strings.NewReader(""))}, "abc", false},
+		"whole at once": {
+			tries: []*Answer{streamed(sse(1, 5, "a")+done, nil)},
+			want:  sse(1, 5, "a") + done,
+		},
+		"goes on where it stopped": {
+			tries: []*Answer{streamed(sse(1, 3, "a")+"id: 4\nda", broken), streamed(sse(4, 5, "a")+done, nil)},
+			want:  sse(1, 5, "a") + done,
+		},
+		"begun again with the same text": {
+			tries: []*Answer{streamed(sse(1, 3, "a")+"id: 4\nda", broken), streamed(sse(1, 5, "a")+done, nil)},
+			want:  sse(1, 5, "a") + done,
+		},
+		"begun again with another text": {
+			tries: []*Answer{streamed(sse(1, 3, "a"), broken), streamed(sse(1, 5, "b")+done, nil)},
+			want:  sse(1, 3, "a"),
+			err:   errDiverged,
+		},
+		"begun again and shorter": {
+			tries: []*Answer{streamed(sse(1, 3, "a"), broken), streamed(sse(1, 2, "a"), nil)},
+			want:  sse(1, 3, "a"),
+			err:   errDiverged,
+		},
+		"goes on after a gap": {
+			tries: []*Answer{streamed(sse(1, 3, "a"), broken), streamed(sse(5, 6, "a")+done, nil)},
+			want:  sse(1, 3, "a"),
+			err:   errDiverged,
+		},
+		"broken before the first event": {
+			tries: []*Answer{streamed("id: 1\nda", broken), streamed(sse(1, 2, "a")+done, nil)},
+			want:  sse(1, 2, "a") + done,
+		},
+		"events that end in CRLF": {
+			tries: []*Answer{streamed("id: 1\r\ndata: a\r\n\r\nid: 2\r\nda", broken), streamed("id: 2\r\ndata: b\r\n\r\n"+done, nil)},
+			want:  "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n" + done,
+		},
+		"broken three times": {
+			tries: []*Answer{
+				streamed(sse(1, 1, "a"), broken), streamed(sse(2, 2, "a")+"id", broken),
+				streamed(sse(1, 3, "a")+"id: 4", broken), streamed(sse(4, 5, "a")+done, nil),
+			},
+			want: sse(1, 5, "a") + done,
+		},
 	}
-	for name, tc := range tests {
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			caller := &taken{}
-			j := &job{
-				Dispatcher: &Dispatcher{Counter: &counted{}, Now: func() time.Time { return time.Unix(1, 0) }},
-				request:    &jwrequest.Request{}, entry: &jwcatalogue.Entry{Name: "menu"},
-			}
-			j.sink = &ending{Sink: caller, job: j}
-			rl := &relay{sink: j.sink}
-			var err error
-			for _, a := range tc.tries {
-				if err = rl.copy(a); err == nil {
-					break
+			rl, caller := newRelay()
+			for i, a := range test.tries {
+				err := rl.copy(a)
+				switch {
+				case i < len(test.tries)-1:
+					assert.ErrorIs(t, err, broken)
+				case test.err != nil:
+					assert.ErrorIs(t, err, test.err)
+				default:
+					assert.NilError(t, err)
 				}
 			}
-			if err != nil {
-				j.giveUp(t.Context(), err)
-			}
-			assert.Equal(t, caller.body.String(), tc.body)
-			assert.Equal(t, len(caller.heads), 1)
-			assert.Equal(t, len(caller.ends), 1)
-			assert.Equal(t, caller.ends[0].Outcome == jwrequest.Served, tc.served, "%+v", caller.ends[0])
-			if tc.served {
-				assert.Equal(t, caller.ends[0].Length, int64(len(tc.body)))
+			assert.Equal(t, caller.body.String(), test.want)
+			assert.Equal(t, caller.end != nil, test.err == nil, "an end without the whole answer")
+			if caller.end != nil {
+				assert.Equal(t, caller.end.Length, int64(len(test.want)))
 			}
 		})
 	}
 }
+
+// FuzzRelay cuts a stream in two places and tries it again each time, by going
+// on or from the beginning.
+func FuzzRelay(f *testing.F) {
+	f.Add(uint16(0), uint16(9), true, false)
+	f.Add(uint16(30), uint16(31), false, true)
+	whole := sse(1, 8, "text") + "data: [DONE]\n\n"
+	broken := &CallError{Fate: Broken, Err: errors.New("cut")}
+	f.Fuzz(func(t *testing.T, first, second uint16, resumeFirst, resumeSecond bool) {
+		rl, caller := newRelay()
+		next := func(resume bool) string {
+			if resume && rl.events.after() != "" {
+				return whole[rl.sent:]
+			}
+			return whole
+		}
+		rest := whole
+		for _, cut := range []struct {
+			at     uint16
+			resume bool
+		}{{first, resumeFirst}, {second, resumeSecond}} {
+			at := int(cut.at) % len(whole)
+			if at >= len(rest) {
+				continue
+			}
+			assert.ErrorIs(t, rl.copy(streamed(rest[:at], broken)), broken)
+			rest = next(cut.resume)
+		}
+		assert.NilError(t, rl.copy(streamed(rest, nil)))
+		assert.Equal(t, caller.body.String(), whole)
+	})
+}
--- a/core/jwdispatch/suspicion.go
+++ b/core/jwdispatch/suspicion.go
@@ -8,6 +8,7 @@
 
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/core/jwsuspect"
+	"jujubewheel/core/jwtarget"
 )
 
 // quarantined ends the request if requests like it crashed targets.
@@ -24,24 +25,27 @@
 
 // fingerprint is the same for each try of one request, whoever sends it again.
 func (j *job) fingerprint() jwsuspect.Fingerprint {
-	return jwsuspect.FingerprintOf(j.request.Entry, j.request.Body)
+	if j.mark == (jwsuspect.Fingerprint{}) {
+		j.mark = jwsuspect.FingerprintOf(j.request.Entry, j.request.Body)
+	}
+	return j.mark
 }
 
 // noteCrash raises suspicion against all that ran on a target that crashed.
-// The other nodes hear at once: the caller of the request that did it may send
-// it again through each of them, and each would give it another target.
 func (j *job) noteCrash(err error) {
 	var failed *CallError
 	if !errors.As(err, &failed) || !failed.Crashed {
 		return
 	}
-	j.Board.Suspects.Crashed(failed.Peer, j.Now())
-	if j.Nudge != nil {
-		j.Nudge()
+	barred := j.Board.Suspects.Crashed(failed.Peer, j.Now())
+	if j.Crashed != nil {
+		j.Crashed(failed.Peer, barred)
 	}
 }
 
-// callerHash is the same for each try of one request by one caller.
-func callerHash(r *jwrequest.Request) uint64 {
-	return xxhash.Sum64String(r.Workspace + "\x00" + r.Entry + "\x00" + r.ID)
+// callerHash is the same for each try of one request by one caller, also when
+// each has a request id of its own.
+func (j *job) callerHash() uint64 {
+	mark := j.fingerprint()
+	return jwtarget.Mix(xxhash.Sum64String(j.request.Workspace), xxhash.Sum64(mark[:]))
 }
--- a/core/jwtarget/poller.go
+++ b/core/jwtarget/poller.go
@@ -19,11 +19,35 @@
 type Poller struct {
 	Table   *Table
 	Source  LoadSource
-	Period  time.Duration // between two questions to one target
+	Period  time.Duration // least time between two questions to one target
 	Timeout time.Duration // for one answer
 	Workers int
 	Now     func() time.Time
 	Leaving func(addr netip.AddrPort) // called when a target says that it leaves; may be nil
+	// Busy tells that this node has much else to carry, and so asks less often;
+	// may be nil.
+	Busy func() bool
+}
+
+// askPace is how much longer each target makes the time between two questions
+// to one. A report of a kilobyte that takes a tenth of a millisecond then costs
+// a node about 7 KB/s and a thousandth of a core, however many targets it uses.
+const askPace = 150 * time.Millisecond
+
+// busyPace is how much less often a busy node asks where the number of targets
+// decides.
+const busyPace = 3
+
+func (p *Poller) period(n int) time.Duration {
+	if p.Busy != nil && p.Busy() {
+		n *= busyPace
+	}
+	return PollPeriod(p.Period, n)
+}
+
+// PollPeriod returns the time between two questions to one of n targets.
+func PollPeriod(least time.Duration, n int) time.Duration {
+	return max(least, askPace*time.Duration(n))
 }
 
 // Run asks until ctx ends; it returns the error of ctx.
@@ -42,7 +66,8 @@
 	for {
 		targets := p.Table.Used()
 		rand.Shuffle(len(targets), func(i, k int) { targets[i], targets[k] = targets[k], targets[i] })
-		next := time.After(p.Period/2 + time.Duration(rand.Int64N(int64(p.Period))))
+		period := p.period(len(targets))
+		next := time.After(period/2 + time.Duration(rand.Int64N(int64(period))))
 		for _, t := range targets {
 			select {
 			case work <- t:
@@ -61,6 +86,7 @@
 func (p *Poller) ask(ctx context.Context, t Target) {
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
+	asked := p.Now()
 	load, leaving, err := p.Source.Load(ctx, t.Address)
 	now := p.Now()
 	if err != nil {
@@ -69,7 +95,7 @@
 		}
 		return
 	}
-	load.Taken = now
+	load.Taken = asked
 	p.Table.Report(t.Address, load)
 	if leaving {
 		p.Table.MarkLeaving(t.Address, now, now)
--- a/io/jwforward/exchange.go
+++ b/io/jwforward/exchange.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"jujubewheel/core/jwpeer"
 	"jujubewheel/io/jwwire"
@@ -34,12 +36,15 @@
 }
 
 // Exchange answers the exchange of another node.
-func (s *Server) Exchange(_ context.Context, d *jwwire.Digest) (*jwwire.Digest, error) {
+func (s *Server) Exchange(ctx context.Context, d *jwwire.Digest) (*jwwire.Digest, error) {
+	if err := checkIdentity(ctx, d.GetNode(), ""); err != nil {
+		return nil, err
+	}
 	return digestToWire(s.Exchanger.Answer(digestFromWire(d))), nil
 }
 
 func digestToWire(t jwpeer.Told) *jwwire.Digest {
-	out := &jwwire.Digest{Node: t.From}
+	out := &jwwire.Digest{Node: t.From, Again: t.Again, Whole: t.Whole}
 	newsToWire(t.News, out)
 	for _, p := range t.Peers {
 		out.Peers = append(out.Peers, &jwwire.PeerState{
@@ -50,13 +55,25 @@
 			AgeMicros: p.Age.Microseconds(),
 		})
 	}
+	for _, m := range t.Marks {
+		out.Marks = append(out.Marks, &jwwire.PeerMark{
+			Id: m.ID, Sequence: m.Sequence, Revision: m.Revision, BaseRevision: m.Base,
+			AgeMillis: uint64(m.Age.Milliseconds()),
+		})
+	}
 	return out
 }
 
 // digestFromWire leaves out peers whose addresses can't be read, as those of a
 // later version might be.
 func digestFromWire(d *jwwire.Digest) jwpeer.Told {
-	out := jwpeer.Told{From: d.GetNode(), News: newsFromWire(d)}
+	out := jwpeer.Told{From: d.GetNode(), News: newsFromWire(d), Again: d.GetAgain(), Whole: d.GetWhole()}
+	for _, m := range d.GetMarks() {
+		out.Marks = append(out.Marks, jwpeer.Mark{
+			ID: m.GetId(), Sequence: m.GetSequence(), Revision: m.GetRevision(), Base: m.GetBaseRevision(),
+			Age: time.Duration(m.GetAgeMillis()) * time.Millisecond,
+		})
+	}
 	for _, p := range d.GetPeers() {
 		callers, err := netip.ParseAddrPort(p.GetCallerAddress())
 		if err != nil {
@@ -76,3 +93,16 @@
 	}
 	return out
 }
+
+// EncodeTold returns what goes over the wire in one exchange, for measuring
+// what exchanges cost.
+func EncodeTold(t jwpeer.Told) ([]byte, error) { return proto.Marshal(digestToWire(t)) }
+
+// DecodeTold reads what EncodeTold returned.
+func DecodeTold(data []byte) (jwpeer.Told, error) {
+	var d jwwire.Digest
+	if err := proto.Unmarshal(data, &d); err != nil {
+		return jwpeer.Told{}, errors.Wrap(err, "decode exchange")
+	}
+	return digestFromWire(&d), nil
+}
--- a/io/jwforward/pool.go
+++ b/io/jwforward/pool.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -23,6 +24,12 @@
 	maxBackoff  = 2 * time.Second
 	dialTimeout = 2 * time.Second
 	frameSize   = 32 << 10
+	// A connection without calls is closed. To a node that is gone it would be
+	// tried again every other second for as long as this process lives, and
+	// hosts are replaced by the hundred each day.
+	idleTimeout = 30 * time.Second
+	// maxMessage is above the largest catalogue checkpoint that a node may need.
+	maxMessage = 64 << 20
 )
 
 // Pool holds the connections to other nodes; the zero value talks without TLS.
@@ -42,7 +49,9 @@
 	if p.closed {
 		return nil, nil, errors.Errorf("connect to node %s: closed", addr)
 	}
+	now := time.Now()
 	if w := p.ways[addr]; w != nil {
+		w.used = now
 		return jwwire.NewNodeClient(w.conn), w.conn, nil
 	}
 	conn, err := grpc.NewClient("passthrough:///"+addr.String(), p.options()...)
@@ -52,7 +61,8 @@
 	if p.ways == nil {
 		p.ways = make(map[netip.AddrPort]*way)
 	}
-	p.ways[addr] = &way{conn: conn}
+	p.sweep(now)
+	p.ways[addr] = &way{conn: conn, used: now}
 	return jwwire.NewNodeClient(conn), conn, nil
 }
 
@@ -69,12 +79,25 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
-		grpc.WithIdleTimeout(0),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: b, MinConnectTimeout: dialTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
 	}
 }
 
+// sweep forgets connections that were closed for want of calls; p.mu is held.
+// The next call to such a node makes a new one. One that was asked for just now
+// is idle too, until its call begins, and must not be closed under it.
+func (p *Pool) sweep(now time.Time) {
+	for addr, w := range p.ways {
+		if now.Sub(w.used) > 2*idleTimeout && w.conn.GetState() == connectivity.Idle {
+			delete(p.ways, addr)
+			_ = w.conn.Close()
+		}
+	}
+}
+
 // replace gives up a connection that went silent: calls that wait on it fail
 // at once, and the next call opens a new one, which may work where the old one
 // never will again. It is false if another has done so already.
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -34,9 +34,11 @@
 
 	Dispatcher  Dispatcher
 	Gate        Gate
+	Ready       func() bool // whether the node serves, nil for always
 	Exchanger   Exchanger
 	Catalogue   ChangeSource
 	Workspaces  DirectorySource
+	HostList    HostSource
 	Adopter     Adopter
 	Sponsor     Sponsor
 	MaxBody     int64                            // bytes of a request body
@@ -67,6 +69,10 @@
 	// A node that stops still answers for the keys it holds; nobody else can.
 	if reason != jwdispatch.ForwardHolder {
 		done, ok := s.Gate.Enter()
+		if ok && s.Ready != nil && !s.Ready() {
+			done()
+			ok = false
+		}
 		if !ok {
 			return status.Error(codes.FailedPrecondition, "node takes no requests now")
 		}
@@ -87,10 +93,8 @@
 	if head == nil {
 		return nil, "", status.Error(codes.InvalidArgument, "first frame without a head")
 	}
-	if len(head.GetHops()) == 0 {
-		// It would pass for one that came straight from a caller and could be
-		// sent on again, by each node in turn.
-		return nil, "", status.Error(codes.FailedPrecondition, "request without its hops")
+	if err := checkWay(stream.Context(), head.GetHops()); err != nil {
+		return nil, "", err
 	}
 	if s.MaxBody > 0 && head.GetBodyLength() > uint64(s.MaxBody) {
 		return nil, "", status.Error(codes.FailedPrecondition, "body too long")
@@ -116,6 +120,17 @@
 	return r, head.GetReason(), nil
 }
 
+// checkWay refuses a request that doesn't say where it has been. Taken for one
+// that came straight from a caller, it could be sent on to another region, and
+// from there again.
+func checkWay(ctx context.Context, hops []*jwwire.Hop) error {
+	if len(hops) == 0 {
+		return status.Error(codes.FailedPrecondition, "request without a hop")
+	}
+	last := hops[len(hops)-1]
+	return checkIdentity(ctx, last.GetNode(), last.GetRegion())
+}
+
 func requestFromWire(h *jwwire.RequestHead, now time.Time) *jwrequest.Request {
 	r := &jwrequest.Request{
 		ID:          h.GetRequestId(),
--- a/io/jwnode/membership.go
+++ b/io/jwnode/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -11,6 +12,13 @@
 	"jujubewheel/io/jwforward"
 )
 
+// heardPeers are the nodes that were heard of lately. A dead node must not stay
+// the gatherer of its region: no change would be accepted until it is forgotten.
+type heardPeers struct{ table *jwpeer.Table }
+
+// Peers returns the nodes heard of lately, this one among them.
+func (h heardPeers) Peers() []jwpeer.Peer { return h.table.Fresh(time.Now().Add(-silence)) }
+
 // sponsors are the nodes of the region that may answer for this one while the
 // platform can't be reached.
 type sponsors struct {
@@ -57,15 +65,17 @@
 type sponsor struct {
 	adoptions *jwcatalogue.Adoptions
 	region    string
-	serving   func() bool
 }
 
 // AdoptRecords answers for a node of the region from now on.
 func (s *sponsor) AdoptRecords(node, region, incarnation string, after uint64) (records [][]byte, checkpoint []byte, err error) {
-	if region != s.region || !s.serving() {
-		return nil, nil, errors.Errorf("answer for %s: this node does not serve region %s", node, region)
+	if region != s.region {
+		return nil, nil, errors.Errorf("answer for %s: this node is not of region %s", node, region)
+	}
+	changes, cp, err := s.adoptions.Adopt(jwcatalogue.Member{Name: node, Region: region, Incarnation: incarnation}, after)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "answer for %s", node)
 	}
-	changes, cp := s.adoptions.Adopt(jwcatalogue.Member{Name: node, Region: region, Incarnation: incarnation}, after)
 	return encodeChanges(changes, cp)
 }
 
@@ -74,19 +84,6 @@
 	s.adoptions.Release(jwcatalogue.Member{Name: node, Region: region, Incarnation: incarnation})
 }
 
-// accepted words acceptance for the operators' port.
-type accepted struct{ *jwcatalogue.Acceptance }
-
-// Status tells whether a revision is in force everywhere, or which nodes are
-// missing.
-func (a *accepted) Status(ctx context.Context, revision uint64) (done bool, missing []string, err error) {
-	s, err := a.Check(ctx, revision)
-	for _, m := range s.Missing {
-		missing = append(missing, m.Names...)
-	}
-	return s.Accepted, missing, err
-}
-
 func memberOf(p jwpeer.Peer) jwcatalogue.Member {
 	return jwcatalogue.Member{Name: p.Name, Region: p.Region, Incarnation: p.Incarnation}
 }
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -44,6 +44,7 @@
 	loadTimeout     = time.Second
 	platformTimeout = 2 * time.Second
 	confirmEvery    = 200 * time.Millisecond // between looks at the nodes answered for
+	shortestPause   = 500 * time.Millisecond // that a pulse takes for one
 	linger          = 2 * time.Second        // answering after the handover, so that others learn of it
 )
 
@@ -77,6 +78,7 @@
 	tracer     *jwexplain.Tracer
 	keys       keys
 	serving    atomic.Bool
+	pulse      pulse
 }
 
 // Run serves until ctx ends, then stops gracefully: it takes no new requests,
@@ -112,6 +114,7 @@
 		return nil
 	}
 	s := n.Settings
+	n.pulse.limit = max(s.Periods.HostsLag/2, shortestPause)
 	n.self = jwrequest.Hop{Node: s.Node, Region: s.Region, DataCentre: s.DataCentre}
 	nodes, err := net.Listen("tcp", s.Listen.Nodes.String())
 	if err != nil {
@@ -123,7 +126,7 @@
 	}
 	n.assemble()
 	callers := &jwlisten.Callers{
-		Dispatcher: n.dispatcher, Gate: &n.drain, Tickets: n.keeper, Ready: n.serving.Load, Log: n.Log,
+		Dispatcher: n.dispatcher, Gate: &n.drain, Tickets: n.keeper, Ready: n.ready, Log: n.Log,
 	}
 	handler, err := callers.Handler()
 	if err != nil {
@@ -173,6 +176,7 @@
 	}
 	n.dispatcher = &jwdispatch.Dispatcher{
 		Self: n.self, Board: &n.board, Router: router, Targets: n.targets, Peers: n.pool,
+		Crashed:  n.crashed,
 		Departed: func(p jwpeer.Peer) bool { return n.departures.Gone(memberOf(p)) },
 		Claims:   n.keeper, Now: time.Now, Counter: &counter{meter: n.Meter, settings: s}, Tracer: n.tracer,
 	}
@@ -187,21 +191,22 @@
 		Table: &n.board.Peers, Partner: n.pool, News: reporter,
 		Period: s.Periods.Exchange, Beat: beat, Timeout: exchangeTimeout, Silence: silence,
 		Now: time.Now, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Gatherer: jwcatalogue.GathererOf,
 	}
 	reporter.Nudge = n.exchange.Nudge
-	n.dispatcher.Nudge = n.exchange.Nudge
 	server := &jwforward.Server{
 		Credentials: n.nodeCredentials(),
 		Dispatcher:  n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
-		Adopter:   n.keeper,
-		Sponsor:   &sponsor{adoptions: n.adoptions, region: s.Region, serving: n.serving.Load},
-		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, MaxBody: s.Limits.MaxBody,
+		Adopter:   &adopter{keeper: n.keeper, audit: n.Audit},
+		Sponsor:   &sponsor{adoptions: n.adoptions, region: s.Region},
+		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, HostList: &n.board.Hosts, MaxBody: s.Limits.MaxBody,
 	}
 	n.grpc = server.GRPC()
 	n.board.Peers.SetSelf(jwpeer.Peer{
 		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
 		Incarnation: incarnation, State: jwpeer.Joining, Sequence: 1,
 	}, time.Now())
+	n.meetSeeds(time.Now())
 }
 
 // assembleMembership makes the parts by which a change is known to be in force
@@ -209,14 +214,14 @@
 func (n *Node) assembleMembership(incarnation string) {
 	s := n.Settings
 	n.departures = &jwcatalogue.Departures{Hosts: &n.board.Hosts, Lag: s.Periods.HostsLag}
-	n.adoptions = &jwcatalogue.Adoptions{Table: &n.board.Catalogue, Peers: &n.board.Peers, Departures: n.departures}
+	n.adoptions = &jwcatalogue.Adoptions{Table: &n.board.Catalogue, Peers: &n.board.Peers, Departures: n.departures, Serving: n.ready}
 	n.membership = &jwcatalogue.Membership{
 		Member: jwcatalogue.Member{Name: s.Node, Region: s.Region, Incarnation: incarnation},
 		Store:  n.store, Follower: n.follower,
 		Sponsors: &sponsors{peers: &n.board.Peers, pool: n.pool}, Adoptions: n.adoptions,
 	}
 	n.gatherer = &jwcatalogue.Gatherer{
-		Name: s.Node, Region: s.Region, Store: n.store, Table: &n.board.Catalogue, Peers: &n.board.Peers,
+		Name: s.Node, Region: s.Region, Store: n.store, Table: &n.board.Catalogue, Peers: heardPeers{&n.board.Peers},
 		Departures: n.departures, Registered: n.membership.Registered,
 	}
 	n.acceptance = &jwcatalogue.Acceptance{Store: n.store}
@@ -265,6 +270,7 @@
 	s := n.Settings
 	hosts := &jwhost.Watcher{
 		List:  &jwplatform.HostList{Address: s.Platform.Hosts, Path: s.Platform.HostsPath, Timeout: platformTimeout},
+		Peer:  &hostSource{peers: &n.board.Peers, pool: n.pool, self: n.self},
 		Table: &n.board.Hosts, Period: s.Periods.HostsPoll, Now: time.Now, Apply: n.applyHosts,
 	}
 	directory := &jwdirectory.Watcher{
@@ -275,9 +281,10 @@
 	poller := &jwtarget.Poller{
 		Table: &n.board.Targets, Source: n.targets, Period: s.Periods.LoadPoll, Timeout: loadTimeout,
 		Workers: s.Workers, Now: time.Now, Leaving: func(netip.AddrPort) { n.exchange.Nudge() },
+		Busy: n.carriesMuch,
 	}
 	for _, run := range []func(context.Context) error{
-		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.gatherer.Run, n.keeper.Run, n.tellRevision, n.tend,
+		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.wakeFollower, n.gatherer.Run, n.keeper.Run, n.tellRevision, n.tend,
 		n.observer().Run, n.keys.run,
 	} {
 		g.Go(func() error { return run(ctx) })
@@ -305,12 +312,31 @@
 	}
 }
 
+// wakeFollower has peers asked for changes as soon as one is heard to have more
+// than this node.
+func (n *Node) wakeFollower(ctx context.Context) error {
+	for {
+		changed := n.board.Peers.Changed()
+		revision := n.board.Catalogue.Revision()
+		ahead := n.board.Peers.Select(func(p jwpeer.Peer) bool { return p.Revision > revision })
+		if len(ahead) > 0 {
+			n.follower.Wake()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // tend does what is due now and then: it forgets peers long silent and tells
 // the limiter which nodes share the region's limits.
 func (n *Node) tend(ctx context.Context) error {
 	for {
 		now := time.Now()
 		n.board.Peers.Forget(now.Add(-jwpeer.MostAge))
+		n.board.Limiter.Forget(now)
 		var members []string
 		for _, p := range n.board.Peers.Fresh(now.Add(-silence)) {
 			if p.Region == n.self.Region && p.State == jwpeer.Serving {
@@ -328,9 +354,18 @@
 	}
 }
 
+// carriesMuch tells that this node is a relay of many others. With two nodes a
+// data centre each is a relay, and none has much to carry.
+func (n *Node) carriesMuch() bool {
+	return n.exchange.IsRelay() && n.board.Peers.Len() > manyPeers
+}
+
+// manyPeers is the number of nodes from which a relay's messages count.
+const manyPeers = 100
+
 // watches tells whether this node waits on the platform for catalogue changes.
 func (n *Node) watches() bool {
-	return jwpeer.IsRelay(n.board.Peers.Fresh(time.Now().Add(-silence)), n.board.Peers.Self())
+	return n.exchange.IsRelay()
 }
 
 // setState tells the others how far this node is.
--- a/io/jwnode/system_test.go
+++ b/io/jwnode/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -25,20 +26,23 @@
 // system is a small whole system on loopback: stand-ins of the platform and of
 // targets, and nodes of several regions, all in this process.
 type system struct {
-	t        *testing.T
-	kv       *jwstand.KeyValue
-	kvStand  *jwstand.Stand
-	hosts    *jwstand.Hosts
-	clients  *jwstand.Clients
-	hostsAt  netip.AddrPort
-	clientAt netip.AddrPort
-	nodes    map[string]*running
-	groups   []jwstand.HostGroup
-	regions  []string
-	tls      func(name, region string) jwsettings.TLS // nil for plain ports
-	taps     *taps                                    // nil for none
-	links    map[string]*jwstand.Link                 // before the nodes' ports, by name of the node; nil for none
-	log      logr.Logger
+	t                   testing.TB
+	kv                  *jwstand.KeyValue
+	kvStand             *jwstand.Stand
+	hosts               *jwstand.Hosts
+	clients             *jwstand.Clients
+	hostsAt             netip.AddrPort
+	clientAt            netip.AddrPort
+	nodes               map[string]*running
+	groups              []jwstand.HostGroup
+	regions             []string
+	tls                 func(name, region string) jwsettings.TLS // nil for plain ports
+	taps                *taps                                    // nil for none
+	links               map[string]*jwstand.Link                 // before the nodes' ports, by name of the node; nil for none
+	log                 logr.Logger
+	platform            []*jwstand.Stand  // the key-value service, the host list, the directory
+	seeds               []jwsettings.Seed // for the settings of the nodes that start from now on
+	exchange, hostsPoll string            // periods, empty for short ones
 }
 
 // running is a node with what stops it.
@@ -51,12 +55,13 @@
 // testPatience bounds how long a test waits for a state to come about.
 const testPatience = 20 * time.Second
 
-func newSystem(t *testing.T, regions ...string) *system {
+func newSystem(t testing.TB, regions ...string) *system {
 	t.Helper()
 	s := &system{t: t, kv: &jwstand.KeyValue{}, hosts: &jwstand.Hosts{}, clients: &jwstand.Clients{}, nodes: map[string]*running{}, regions: regions, log: logr.Discard()}
 	s.kvStand = s.stand("kv", s.kv)
-	s.hostsAt = s.stand("hosts", s.hosts).Address
-	s.clientAt = s.stand("clients", s.clients).Address
+	hosts, clients := s.stand("hosts", s.hosts), s.stand("clients", s.clients)
+	s.hostsAt, s.clientAt = hosts.Address, clients.Address
+	s.platform = []*jwstand.Stand{s.kvStand, hosts, clients}
 	var list []jwstand.Client
 	for _, r := range regions {
 		list = append(list,
@@ -117,12 +122,14 @@
 		"listen": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "nodes": "127.0.0.1:0"},
 		"platform": {"keyValue": %q, "hosts": %q, "directory": %q},
 		"operators": {"token": "a token for tests only"},
-		"periods": {"exchange": "100ms", "hostsPoll": "100ms", "loadPoll": "100ms"},
+		"periods": {"exchange": %q, "hostsPoll": %q, "loadPoll": "100ms"},
 		"regions": [%s]}`,
 		name, region, region+"-1", through.advertise(),
-		through.platform(s.kvStand.Address), through.platform(s.hostsAt), through.platform(s.clientAt), s.regionList())
+		through.platform(s.kvStand.Address), through.platform(s.hostsAt), through.platform(s.clientAt),
+		cmp.Or(s.exchange, "100ms"), cmp.Or(s.hostsPoll, "100ms"), s.regionList())
 	settings, err := jwsettings.Parse([]byte(text))
 	assert.NilError(s.t, err)
+	settings.Seeds = s.seeds
 	if s.tls != nil {
 		settings.TLS = s.tls(name, region)
 	}
