jwnode: tests of a silent target, a broken body and a shared request id

TestBrokenBody: a press whose body breaks off is unknown. TestSameRequestID: sixteen callers with one request id each get their own answer.

--- /dev/null
+++ b/io/jwnode/silent_test.go
@@ -0,0 +1,121 @@
+package jwnode
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/io/jwstand"
+)
+
+// Something between a node and a target loses track of the open connections:
+// they swallow every byte, while new ones work. A caller whose stream was on
+// one must still get its draft, the part it has followed by the rest, and those
+// who come later must not be given to a silent connection one after the other.
+func TestSilentTarget(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, "east")
+	r, at := s.runner("east")
+	r.Engine.Token = 5 * time.Millisecond
+	n := s.node("e1", "east")
+	e := draft()
+	e.Progress = time.Second
+	s.edit(n, e)
+	s.settle(1)
+	s.await("targets", func() bool { return len(n.board.Targets.Used()) == 1 })
+	const running = 6
+	answers := make(chan reply, running)
+	for i := range running {
+		go func() {
+			answers <- s.send(n.CallersAddr(), "draft", "free-east", prompt(strings.Repeat("x", i+1)+" menu", 300, true), nil)
+		}()
+	}
+	s.await("streams on it", func() bool { return len(r.Journal.Runs()) == running })
+	second, _ := s.runner("east")
+	second.Engine.Token = 5 * time.Millisecond
+	s.await("another target", func() bool { return len(n.board.Targets.Used()) == 2 })
+	began := time.Now()
+	at.SetFaults(jwstand.Faults{Silent: true})
+	for range running {
+		a := <-answers
+		assert.Check(t, strings.Contains(a.body, "event: done") && strings.Count(a.body, "id: ") == 300, "%s %v", tail(a.body), a.err)
+	}
+	t.Logf("all streams whole %v after the connections went silent", time.Since(began))
+	for range 10 {
+		assert.Check(t, s.send(n.CallersAddr(), "draft", "free-east", prompt("menu", 2, true), nil).outcome == "served")
+	}
+}
+
+func tail(s string) string { return s[max(0, len(s)-200):] }
+
+// The first press of a key is running when the second comes with a body that
+// breaks off, as when the network fails. The second one was not run, but the
+// first was.
+func TestBrokenBody(t *testing.T) {
+	s := newSystem(t, "east")
+	desk, _ := s.service("east")
+	n := s.node("e1", "east")
+	s.edit(n, confirmation())
+	s.settle(1)
+	s.await("targets", func() bool { return len(n.board.Targets.Used()) == 1 })
+	assert.Equal(t, s.send(n.CallersAddr(), "confirm", "free-east", "deposit", header{"Idempotency-Key": "k"}).outcome, "served")
+	tests := map[string]struct{ key, outcome string }{
+		"second press": {"Idempotency-Key: k\r\n", "unknown"},
+		"another key":  {"Idempotency-Key: other\r\n", "unknown"}, // not looked up
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", n.CallersAddr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, "POST /v1/requests/confirm HTTP/1.1\r\nHost: a\r\nJujube-Workspace: free-east\r\n"+tc.key+"Content-Length: 7\r\n\r\ndepo")
+			assert.NilError(t, err)
+			assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(testPatience)))
+			answer, err := io.ReadAll(conn)
+			assert.NilError(t, err)
+			assert.Assert(t, strings.Contains(string(answer), "Jujube-Outcome: "+tc.outcome), "%s", answer)
+			assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 400"), "%s", answer)
+		})
+	}
+	assert.Equal(t, len(desk.Journal.Runs()), 1)
+}
+
+// Two callers happen to choose the same request id, and send at the same time,
+// near and far. Whoever kept answers by that id would give one caller the menu
+// of another.
+func TestSameRequestID(t *testing.T) {
+	s := newSystem(t, "east", "west")
+	s.runner("east")
+	near, far := s.node("e1", "east"), s.node("w1", "west")
+	s.edit(near, draft())
+	s.settle(1)
+	s.await("drafts everywhere", func() bool {
+		return s.send(near.CallersAddr(), "draft", "free-east", prompt("menu", 2, true), nil).outcome == "served" &&
+			s.send(far.CallersAddr(), "draft", "free-west", prompt("menu", 2, true), nil).outcome == "served"
+	})
+	var callers sync.WaitGroup
+	for i := range 16 {
+		callers.Go(func() {
+			n, workspace := near, "free-east"
+			if i%2 == 1 {
+				n, workspace = far, "free-west"
+			}
+			text := fmt.Sprintf("menu of %d", i)
+			r := s.send(n.CallersAddr(), "draft", workspace, prompt(text, 20, i%4 < 2), header{"Jujube-Request-Id": "same"})
+			if r.outcome == "notRun" {
+				return // no room for all at once
+			}
+			for k := range 20 {
+				assert.Check(t, strings.Contains(r.body, jwstand.TokenOf(text, k+1)), "%d: %+v", i, r)
+			}
+		})
+	}
+	callers.Wait()
+}
