--- /dev/null
+++ b/core/jwboard/reporter_test.go
@@ -0,0 +1,59 @@
+package jwboard
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwrouter"
+	"jujubewheel/core/jwtarget"
+)
+
+func newReporter(t *testing.T, now *time.Time) *Reporter {
+	t.Helper()
+	b := &Board{}
+	b.Targets.Region = "north"
+	b.Peers.SetSelf(jwpeer.Peer{Name: "n0", Region: "north", State: jwpeer.Serving}, *now)
+	e := jwcatalogue.Entry{
+		Name: "draft", Owner: "o", Class: jwcatalogue.Draft, Service: "writer", Path: "/v1/completions",
+		Idempotent: true, Deadline: time.Second, Progress: time.Second, MaxBodySize: 1,
+	}
+	assert.NilError(t, b.Catalogue.Apply(jwcatalogue.Change{N: 1, EditID: "1", Author: "o", Time: *now, Entry: "draft", After: &e}))
+	return &Reporter{Board: b, Now: func() time.Time { return *now }}
+}
+
+// A partner was told that a target leaves, and the answer was lost on the way.
+// Unless it is told again it goes on sending work there.
+func TestTellOnceAndAgain(t *testing.T) {
+	now := time.Now()
+	r := newReporter(t, &now)
+	leaving := netip.MustParseAddrPort("10.0.0.1:80")
+	r.Board.Targets.Set([]jwtarget.Target{{Address: leaving, Service: "writer", Region: "north", State: jwtarget.Live}}, now)
+	r.Board.Targets.MarkLeaving(leaving, now, now)
+	to := jwpeer.Peer{Name: "n1", Region: "north"}
+	assert.Equal(t, len(r.Tell(to).Leaving), 1)
+	assert.Equal(t, len(r.Tell(to).Leaving), 0)
+	r.Forget("n1")
+	assert.Equal(t, len(r.Tell(to).Leaving), 1)
+	now = now.Add(tellAgain)
+	assert.Equal(t, len(r.Tell(to).Leaving), 1)
+}
+
+func TestTellNearestRegions(t *testing.T) {
+	now := time.Now()
+	r := newReporter(t, &now)
+	for i := range 12 {
+		r.Board.Regions.Tell(jwrouter.Load{
+			Region: fmt.Sprintf("region-%02d", i), Service: "writer", Wait: time.Duration(12-i) * time.Second, Taken: now,
+		})
+	}
+	loads := r.Tell(jwpeer.Peer{Name: "n1", Region: "north"}).Loads
+	assert.Equal(t, len(loads), toldRegions)
+	assert.Equal(t, loads[0].Region, "region-11")
+	assert.Equal(t, len(r.Tell(jwpeer.Peer{Name: "n1", Region: "north"}).Loads), 0, "told a moment ago")
+}
--- /dev/null
+++ b/core/jwhost/watcher_test.go
@@ -0,0 +1,46 @@
+package jwhost
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+type lists struct {
+	now atomic.Pointer[[]Host]
+}
+
+func (l *lists) Hosts(context.Context) ([]Host, error) { return *l.now.Load(), nil }
+
+func TestUnchangedListIsNotApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &lists{}
+		l.now.Store(&[]Host{{Name: "a"}})
+		var applied atomic.Int64
+		w := &Watcher{
+			List: l, Table: &Table{}, Period: time.Second, Now: time.Now,
+			Apply: func([]Host, time.Time) { applied.Add(1) },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- w.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, applied.Load(), int64(1))
+		_, taken := w.Table.Hosts()
+		assert.Assert(t, time.Since(taken) <= 2*time.Second) // an unchanged list is still a fresh one
+		l.now.Store(&[]Host{{Name: "b"}})
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, applied.Load(), int64(2))
+		time.Sleep(applyAgain + 3*time.Second)
+		synctest.Wait()
+		assert.Equal(t, applied.Load(), int64(3))
+		cancel()
+		<-done
+	})
+}
--- a/io/jwslope/fleet.go
+++ b/io/jwslope/fleet.go
@@ -240,7 +240,7 @@
 // transport: what came is decoded, taken, and what is lacking is encoded.
 func (f *fleet) answer() (time.Duration, error) {
 	self, from := f.members[0], f.members[len(f.members)-1]
-	message, err := jwforward.EncodeTold(jwpeer.Told{From: from.board.Peers.Self().Name})
+	message, err := jwforward.EncodeTold(toldBy(from))
 	if err != nil {
 		return 0, err
 	}
@@ -260,3 +260,6 @@
 	}
 	return (cpuTime() - cpu) / times, nil
 }
+
+// toldBy is an empty message of a node.
+func toldBy(m *member) jwpeer.Told { return jwpeer.Told{From: m.board.Peers.Self().Name} }
