--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -519,6 +519,11 @@
 	return answer
 }
 
+// fewNodes is the size of a fleet up to which marks of other regions go out in
+// each exchange. The two hops of a slower pace would make a few nodes look silent
+// to each other now and then.
+const fewNodes = 30
+
 // tell returns what the partner has not had from this node, and the version of
 // the table that it then has.
 func (x *Exchange) tell(p Peer) (Told, uint64) {
@@ -532,7 +537,7 @@
 	}
 	a := audience{
 		name: p.Name, region: p.Region, gatherer: x.Gatherer == nil || v.gatherer == p.Name,
-		since: w.since, wide: w.wide, widely: now.Sub(w.widely) >= Pace(x.Beat, v.fleet),
+		since: w.since, wide: w.wide, widely: v.fleet <= fewNodes || now.Sub(w.widely) >= Pace(x.Beat, v.fleet),
 	}
 	out := Told{From: x.Table.Self().Name, Again: !w.level, Whole: w.since == 0}
 	x.mu.Unlock()
--- a/core/jwpeer/exchange_test.go
+++ b/core/jwpeer/exchange_test.go
@@ -221,3 +221,37 @@
 		t.Run(name, func(t *testing.T) { assert.Equal(t, Pace(5*time.Second, tc.n), tc.want) })
 	}
 }
+
+// Words about a living node take too long on their way. Others take it for
+// silent, name it last to callers and hand its work to others, though it lives.
+func TestLivingNodesAreHeard(t *testing.T) {
+	for name, tc := range map[string]struct{ regions, nodes int }{
+		"nine":  {3, 9},
+		"forty": {3, 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNet()
+				var list []Peer
+				for i := range tc.nodes {
+					region := fmt.Sprintf("r%d", i%tc.regions)
+					list = append(list, listed(fmt.Sprintf("n%d", i), region, region+"-a"))
+				}
+				for _, p := range list {
+					n.add(p.Name, p.Region, p.DataCentre, "1", list...)
+				}
+				stop := n.run(t)
+				defer stop()
+				time.Sleep(time.Minute)
+				for range 120 {
+					time.Sleep(time.Second)
+					for name, x := range n.nodes {
+						for _, p := range list {
+							assert.Assert(t, !x.Table.Silent(p.Name, time.Now().Add(-12*time.Second)), "%s at %s", p.Name, name)
+						}
+					}
+				}
+			})
+		})
+	}
+}
