--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/core/jwrouter"
 	"jujubewheel/core/jwsuspect"
@@ -28,14 +29,17 @@
 // estimate.
 const comeBack = time.Second
 
+// crashBack is when the callers of what was on a crashed target may try again,
+// spread over as long again.
+const crashBack = 2 * time.Second
+
 // serveIdempotent runs a request that may be run again after a failure.
 func (j *job) serveIdempotent(ctx context.Context) {
 	if j.quarantined() {
 		return
 	}
 	j.newQuery()
-	place := j.Router.Place(&j.query)
-	release, refusal, admitted := j.admit(place.Region != "" && place.Region != j.Self.Region)
+	place, release, refusal, admitted := j.takeOn()
 	if !admitted {
 		j.sink.refuse(refusal)
 		return
@@ -59,6 +63,28 @@
 	}
 }
 
+// takeOn finds a region that takes the request: the one that weighs least, and
+// where that is this one and it has no room, another that may have some.
+func (j *job) takeOn() (place jwrouter.Placement, release func(), refusal Head, admitted bool) {
+	place = j.Router.Place(&j.query)
+	away := place.Region != "" && place.Region != j.Self.Region
+	release, refused, admitted := j.admit(away)
+	if admitted {
+		return place, release, Head{}, true
+	}
+	if !away && refused.Reason.Room() {
+		j.query.Full = true
+		other := j.Router.Place(&j.query)
+		if other.Region != "" && other.Region != j.Self.Region {
+			release, _, admitted = j.admit(true)
+			if admitted {
+				return other, release, Head{}, true
+			}
+		}
+	}
+	return place, nil, overloaded(ReasonLimit, string(refused.Reason), refused.RetryAfter), false
+}
+
 // newQuery words the request for the router.
 func (j *job) newQuery() {
 	now := j.Now()
@@ -221,18 +247,17 @@
 
 // tryRegion sends the request to a node of another region.
 func (j *job) tryRegion(ctx context.Context, rl *relay, region string) error {
-	peers := j.peersIn(region)
+	peers := j.peersIn(region, j.workspace.Name)
 	if len(peers) == 0 {
 		return &noPlace{reason: jwrouter.Nowhere}
 	}
-	j.step("forward", peers[0].Name)
 	j.Board.Regions.Sent(region, j.entry.Service)
-	a, err := j.Peers.Forward(ctx, peers[0], j.request, ForwardRegion)
+	to, a, err := j.forwardToOne(ctx, peers)
 	if err == nil {
 		if a.Head.Outcome == jwrequest.NotRun {
 			_ = a.Body.Close()
 			err = &CallError{
-				Step: "forward to region " + region, Peer: peers[0].Nodes, Fate: Refused,
+				Step: "forward to region " + region, Peer: to.Nodes, Fate: Refused,
 				RetryAfter: a.Head.RetryAfter, Err: errors.New(a.Head.Detail),
 			}
 		} else {
@@ -248,6 +273,19 @@
 	return err
 }
 
+// forwardToOne sends the request to the first of the nodes that takes it; one
+// that can't be reached is passed over.
+func (j *job) forwardToOne(ctx context.Context, peers []jwpeer.Peer) (to jwpeer.Peer, a *Answer, err error) {
+	for _, to = range peers[:min(len(peers), homeTries)] {
+		j.step("forward", to.Name)
+		a, err = j.Peers.Forward(ctx, to, j.request, ForwardRegion)
+		if err == nil || !notRun(err) {
+			break
+		}
+	}
+	return to, a, err
+}
+
 // again tells whether the request may be tried once more.
 func (j *job) again(ctx context.Context, err error) bool {
 	var failed *CallError
@@ -301,6 +339,11 @@
 			h.Status = http.StatusServiceUnavailable
 		}
 		h.RetryAfter = max(failed.RetryAfter, comeBack)
+		if failed.Crashed {
+			// All that was on the target hears this at once. Apart in time, they
+			// come to different targets, and the one that crashes them is found.
+			h.RetryAfter = crashBack + rand.N(crashBack)
+		}
 		return h
 	}
 	return Refusal(http.StatusBadGateway, jwrequest.Unknown, ReasonTarget, err.Error())
--- a/core/jwdispatch/once.go
+++ b/core/jwdispatch/once.go
@@ -92,6 +92,9 @@
 // runOnce dispatches a claimed call. Every way out settles the claim: finished
 // with the answer, released when it certainly did not run, else lost.
 func (j *job) runOnce(ctx context.Context, call *jwclaim.Call) {
+	// Without this a panic would leave the key in flight for ever, and all who
+	// press again would wait for it. It does nothing to a settled call.
+	defer call.Lost()
 	if state, left := j.Board.Suspects.Check(j.fingerprint(), j.Now()); state == jwsuspect.Quarantined {
 		call.Release()
 		h := Refusal(http.StatusUnprocessableEntity, jwrequest.NotRun, ReasonQuarantine, "requests with this body crashed targets")
@@ -99,10 +102,10 @@
 		j.sink.refuse(h)
 		return
 	}
-	release, refusal, admitted := j.admit(false)
+	release, refused, admitted := j.admit(false)
 	if !admitted {
 		call.Release()
-		j.sink.refuse(refusal)
+		j.sink.refuse(overloaded(ReasonLimit, string(refused.Reason), refused.RetryAfter))
 		return
 	}
 	defer release()
@@ -175,7 +178,7 @@
 		j.sink.refuse(j.unchecked("the home region has changed on the way"))
 		return
 	}
-	peers := j.peersIn(j.workspace.Region)
+	peers := j.peersIn(j.workspace.Region, j.workspace.Name)
 	for _, p := range peers[:min(len(peers), homeTries)] {
 		j.step("forward", p.Name)
 		a, err := j.Peers.Forward(ctx, p, j.request, ForwardRegion)
--- a/io/jwforward/pool.go
+++ b/io/jwforward/pool.go
@@ -36,34 +36,33 @@
 type Pool struct {
 	Credentials credentials.TransportCredentials // nil for none
 
-	mu    sync.Mutex
-	conns map[netip.AddrPort]*pooled
-}
-
-// pooled is a connection with the time when it was last asked for.
-type pooled struct {
-	*grpc.ClientConn
-	used time.Time
+	mu     sync.Mutex
+	closed bool
+	ways   map[netip.AddrPort]*way
+	doubts map[netip.AddrPort]time.Time // nodes left out, until when at the latest
 }
 
 // client returns the way to a node, connecting in the background if needed.
 func (p *Pool) client(addr netip.AddrPort) (jwwire.NodeClient, *grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return nil, nil, errors.Errorf("connect to node %s: closed", addr)
+	}
 	now := time.Now()
-	if conn := p.conns[addr]; conn != nil {
-		conn.used = now
-		return jwwire.NewNodeClient(conn), conn.ClientConn, nil
+	if w := p.ways[addr]; w != nil {
+		w.used = now
+		return jwwire.NewNodeClient(w.conn), w.conn, nil
 	}
 	conn, err := grpc.NewClient("passthrough:///"+addr.String(), p.options()...)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "connect to node %s", addr)
 	}
-	if p.conns == nil {
-		p.conns = make(map[netip.AddrPort]*pooled)
+	if p.ways == nil {
+		p.ways = make(map[netip.AddrPort]*way)
 	}
 	p.sweep(now)
-	p.conns[addr] = &pooled{ClientConn: conn, used: now}
+	p.ways[addr] = &way{conn: conn, used: now}
 	return jwwire.NewNodeClient(conn), conn, nil
 }
 
@@ -91,32 +90,36 @@
 // The next call to such a node makes a new one. One that was asked for just now
 // is idle too, until its call begins, and must not be closed under it.
 func (p *Pool) sweep(now time.Time) {
-	for addr, conn := range p.conns {
-		if now.Sub(conn.used) > 2*idleTimeout && conn.GetState() == connectivity.Idle {
-			delete(p.conns, addr)
-			_ = conn.Close()
+	for addr, w := range p.ways {
+		if now.Sub(w.used) > 2*idleTimeout && w.conn.GetState() == connectivity.Idle {
+			delete(p.ways, addr)
+			_ = w.conn.Close()
 		}
 	}
 }
 
 // replace gives up a connection that went silent: calls that wait on it fail
 // at once, and the next call opens a new one, which may work where the old one
-// never will again.
-func (p *Pool) replace(addr netip.AddrPort, conn *grpc.ClientConn) {
+// never will again. It is false if another has done so already.
+func (p *Pool) replace(addr netip.AddrPort, conn *grpc.ClientConn) bool {
 	p.mu.Lock()
-	if have := p.conns[addr]; have != nil && have.ClientConn == conn {
-		delete(p.conns, addr)
+	w := p.ways[addr]
+	mine := w != nil && w.conn == conn
+	if mine {
+		delete(p.ways, addr)
 	}
 	p.mu.Unlock()
 	_ = conn.Close()
+	return mine
 }
 
 // Close ends all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, conn := range p.conns {
-		_ = conn.Close()
+	for _, w := range p.ways {
+		_ = w.conn.Close()
 	}
-	p.conns = nil
+	p.ways = nil
+	p.closed = true
 }
--- a/io/jwforward/server.go
+++ b/io/jwforward/server.go
@@ -34,9 +34,11 @@
 
 	Dispatcher  Dispatcher
 	Gate        Gate
+	Ready       func() bool // whether the node serves, nil for always
 	Exchanger   Exchanger
 	Catalogue   ChangeSource
 	Workspaces  DirectorySource
+	HostList    HostSource
 	Adopter     Adopter
 	Sponsor     Sponsor
 	MaxBody     int64                            // bytes of a request body
@@ -67,6 +69,10 @@
 	// A node that stops still answers for the keys it holds; nobody else can.
 	if reason != jwdispatch.ForwardHolder {
 		done, ok := s.Gate.Enter()
+		if ok && s.Ready != nil && !s.Ready() {
+			done()
+			ok = false
+		}
 		if !ok {
 			return status.Error(codes.FailedPrecondition, "node takes no requests now")
 		}
