jwcommand: explain says in words why

Read as a newcomer, 'place: cheaperHere a' and 'unknown (targetFailed)' did not tell why a request went where it went or was refused. Records of a revision without a detail no longer end in a bare colon.

--- a/io/jwcommand/explain.go
+++ b/io/jwcommand/explain.go
@@ -74,6 +74,9 @@
 	fmt.Fprintf(p.Stdout, " after %s\n", t.Ended.Sub(t.Started).Round(time.Microsecond))
 	fmt.Fprintf(p.Stdout, "  entry %s, workspace %s, home %s, bound %s, served by %s\n",
 		t.Entry, t.Workspace, orDash(t.Region), yesNo(t.Bound), orDash(t.ServedBy))
+	if words := reasonWords[t.Reason]; words != "" {
+		fmt.Fprintf(p.Stdout, "  why: %s\n", words)
+	}
 	var hops []string
 	for _, h := range t.Hops {
 		hops = append(hops, h.Node+" ("+h.DataCentre+")")
@@ -81,7 +84,11 @@
 	fmt.Fprintf(p.Stdout, "  way: %s\n", orDash(strings.Join(hops, ", ")))
 	for _, s := range t.Steps {
 		at := time.Duration(s.AfterMicros) * time.Microsecond
-		fmt.Fprintf(p.Stdout, "  %10s  %s: %s\n", at, s.Step, s.Detail)
+		fmt.Fprintf(p.Stdout, "  %10s  %s: %s", at, s.Step, s.Detail)
+		if words := meaning(s.Step, s.Detail); words != "" {
+			fmt.Fprintf(p.Stdout, " (%s)", words)
+		}
+		fmt.Fprintln(p.Stdout)
 	}
 }
 
@@ -163,7 +170,11 @@
 	}
 	fmt.Fprintln(p.Stdout, standingText(s.Standing))
 	for _, r := range s.Records {
-		fmt.Fprintf(p.Stdout, "%s  %s %s at %s: %s\n", r.Time.Format(time.RFC3339Nano), r.Kind, r.Subject, r.Node, r.Detail)
+		fmt.Fprintf(p.Stdout, "%s  %s %s at %s", r.Time.Format(time.RFC3339Nano), r.Kind, r.Subject, r.Node)
+		if r.Detail != "" {
+			fmt.Fprintf(p.Stdout, ": %s", r.Detail)
+		}
+		fmt.Fprintln(p.Stdout)
 	}
 	return nil
 }
--- a/io/jwcommand/program_test.go
+++ b/io/jwcommand/program_test.go
@@ -83,7 +83,8 @@
 	table, trail := &jwcatalogue.Table{}, &jwaudit.Trail{Node: "n1"}
 	tracer := &jwexplain.Tracer{Node: "n1", Region: "north"}
 	r := &jwrequest.Request{ID: "r1", Workspace: "hall", Entry: "menu", Region: "north"}
-	tracer.Step(r, "target", "least outstanding work")
+	tracer.Step(r, "place", "away south")
+	tracer.Step(r, "target", "lightest 10.0.0.9:80")
 	tracer.End(r, jwrequest.Unknown, "targetFailed", "")
 	trail.Add(jwaudit.Record{Kind: jwaudit.Applied, Subject: "menu", Revision: 1, Detail: "came from the store"})
 	o := &jwoperate.Operators{
