--- a/io/jwforward/pool.go
+++ b/io/jwforward/pool.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
@@ -23,6 +24,10 @@
 	maxBackoff  = 2 * time.Second
 	dialTimeout = 2 * time.Second
 	frameSize   = 32 << 10
+	// A connection without calls is closed. To a node that is gone it would be
+	// tried again every other second for as long as this process lives, and
+	// hosts are replaced by the hundred each day.
+	idleTimeout = 30 * time.Second
 	// maxMessage is above the largest catalogue checkpoint that a node may need.
 	maxMessage = 64 << 20
 )
@@ -31,25 +36,33 @@
 type Pool struct {
 	Credentials credentials.TransportCredentials // nil for none
 
-	mu    sync.Mutex
-	conns map[netip.AddrPort]*grpc.ClientConn
+	mu     sync.Mutex
+	closed bool
+	ways   map[netip.AddrPort]*way
+	doubts map[netip.AddrPort]time.Time // nodes left out, until when at the latest
 }
 
 // client returns the way to a node, connecting in the background if needed.
 func (p *Pool) client(addr netip.AddrPort) (jwwire.NodeClient, *grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if conn := p.conns[addr]; conn != nil {
-		return jwwire.NewNodeClient(conn), conn, nil
+	if p.closed {
+		return nil, nil, errors.Errorf("connect to node %s: closed", addr)
+	}
+	now := time.Now()
+	if w := p.ways[addr]; w != nil {
+		w.used = now
+		return jwwire.NewNodeClient(w.conn), w.conn, nil
 	}
 	conn, err := grpc.NewClient("passthrough:///"+addr.String(), p.options()...)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "connect to node %s", addr)
 	}
-	if p.conns == nil {
-		p.conns = make(map[netip.AddrPort]*grpc.ClientConn)
+	if p.ways == nil {
+		p.ways = make(map[netip.AddrPort]*way)
 	}
-	p.conns[addr] = conn
+	p.sweep(now)
+	p.ways[addr] = &way{conn: conn, used: now}
 	return jwwire.NewNodeClient(conn), conn, nil
 }
 
@@ -66,31 +79,47 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
+		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
-		grpc.WithIdleTimeout(0),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: b, MinConnectTimeout: dialTimeout}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
 	}
 }
 
+// sweep forgets connections that were closed for want of calls; p.mu is held.
+// The next call to such a node makes a new one. One that was asked for just now
+// is idle too, until its call begins, and must not be closed under it.
+func (p *Pool) sweep(now time.Time) {
+	for addr, w := range p.ways {
+		if now.Sub(w.used) > 2*idleTimeout && w.conn.GetState() == connectivity.Idle {
+			delete(p.ways, addr)
+			_ = w.conn.Close()
+		}
+	}
+}
+
 // replace gives up a connection that went silent: calls that wait on it fail
 // at once, and the next call opens a new one, which may work where the old one
-// never will again.
-func (p *Pool) replace(addr netip.AddrPort, conn *grpc.ClientConn) {
+// never will again. It is false if another has done so already.
+func (p *Pool) replace(addr netip.AddrPort, conn *grpc.ClientConn) bool {
 	p.mu.Lock()
-	if p.conns[addr] == conn {
-		delete(p.conns, addr)
+	w := p.ways[addr]
+	mine := w != nil && w.conn == conn
+	if mine {
+		delete(p.ways, addr)
 	}
 	p.mu.Unlock()
 	_ = conn.Close()
+	return mine
 }
 
 // Close ends all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, conn := range p.conns {
-		_ = conn.Close()
+	for _, w := range p.ways {
+		_ = w.conn.Close()
 	}
-	p.conns = nil
+	p.ways = nil
+	p.closed = true
 }
--- a/io/jwlisten/callers.go
+++ b/io/jwlisten/callers.go
@@ -1,6 +1,7 @@
 package jwlisten
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -31,6 +32,7 @@
 	Check(r *jwrequest.Request) (refusal jwdispatch.Head, refused bool)
 	MaxBody(entry string) int64
 	Serve(ctx context.Context, r *jwrequest.Request, sink jwdispatch.Sink)
+	CheckTicket(workspace string) (refusal jwdispatch.Head, refused bool)
 	Hosts(workspace string) []netip.AddrPort
 }
 
@@ -89,7 +91,11 @@
 	Key string `json:"key"`
 }
 
-func (c *Callers) ticket(w http.ResponseWriter, _ *http.Request) {
+func (c *Callers) ticket(w http.ResponseWriter, r *http.Request) {
+	if refusal, refused := c.Dispatcher.CheckTicket(r.Header.Get(headerWorkspace)); refused {
+		writeRefusal(w, refusal)
+		return
+	}
 	key, err := c.Tickets.Mint()
 	if err != nil || !c.Ready() {
 		h := jwdispatch.Refusal(http.StatusServiceUnavailable, jwrequest.NotRun, jwdispatch.ReasonLeaving, "this node mints no tickets now")
@@ -174,7 +180,7 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(slowBody))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	body, err := readBody(http.MaxBytesReader(w, r.Body, most), r.ContentLength)
 	if err != nil {
 		return bodyRefusal(err), true
 	}
@@ -183,6 +189,19 @@
 	return jwdispatch.Head{}, false
 }
 
+// trustedLength is up to which length a buffer is made before the bytes come; a
+// caller that announces more than it sends can't make a node hold much.
+const trustedLength = 64 << 10
+
+func readBody(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > trustedLength {
+		return io.ReadAll(r)
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+	_, err := buf.ReadFrom(r)
+	return buf.Bytes(), err
+}
+
 // bodyRefusal tells why a body was not taken in.
 func bodyRefusal(err error) jwdispatch.Head {
 	status, detail := http.StatusBadRequest, "the body is malformed or broke off"
--- a/io/jwlisten/header_test.go
+++ b/io/jwlisten/header_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,19 +11,22 @@
 )
 
 // FuzzParse checks that whatever headers come, a request that is taken in holds
-// only short plain values and a deadline ahead, and a refused one says why.
+// only short plain values and a deadline ahead, and a refused one says why. What
+// is taken in goes on to targets, logs and other nodes: with a line break in it a
+// caller could write headers of its own into another's request.
 func FuzzParse(f *testing.F) {
-	f.Add("hall", "r1", "k1", "2500ms", "application/json", "")
-	f.Add("", "", "", "", "", "")
-	f.Add("h\xc3\xa4ll", "r\n1", "k\x00", "-1s", "text/plain; charset=utf-8", "\x7f")
-	f.Add("hall", "r1", "", "9223372036s", "", "second")
-	f.Add("hall", "r1", "k1", "1e9h", "", "")
-	f.Add(" ", "~", " ", "1ns", "*/*", "")
-	f.Fuzz(func(t *testing.T, workspace, id, key, timeout, contentType, again string) {
+	f.Add("hall", "r1", "k1", "2500ms", "application/json", "*/*", "")
+	f.Add("", "", "", "", "", "", "")
+	f.Add("h\xc3\xa4ll", "r\n1", "k\x00", "-1s", "text/plain; charset=utf-8", "\t", "\x7f")
+	f.Add("a\r\nb", "\x00", strings.Repeat("k", 1000), "9223372036854775807ns", "", "\xc3\xa9", "")
+	f.Add("hall", "r1", "", "9223372036s", "", "", "second")
+	f.Add("hall", "r1", "k1", "1e9h", "", "", "")
+	f.Add(" ", "~", " ", "1ns", "*/*", "", "")
+	f.Fuzz(func(t *testing.T, workspace, id, key, timeout, contentType, accept, again string) {
 		r := httptest.NewRequest(http.MethodPost, "/v1/requests/menu", nil)
 		r.Header = http.Header{
 			headerWorkspace: {workspace}, headerRequestID: {id}, headerKey: {key},
-			headerTimeout: {timeout}, "Content-Type": {contentType},
+			headerTimeout: {timeout}, "Content-Type": {contentType}, "Accept": {accept},
 		}
 		if again != "" {
 			r.Header.Add(headerKey, again)
@@ -41,7 +45,7 @@
 		if in.Workspace != workspace || in.Key != key || in.ID == "" || (id != "" && in.ID != id) {
 			t.Fatalf("changed on the way: %+v", in)
 		}
-		for _, s := range []string{in.Workspace, in.ID, in.Key, in.ContentType} {
+		for _, s := range []string{in.Workspace, in.ID, in.Key, in.ContentType, in.Accept} {
 			if !plain(s, maxKeyLength) {
 				t.Fatalf("took in %q", s)
 			}
