--- a/io/jwsettings/examples_test.go
+++ b/io/jwsettings/examples_test.go
@@ -31,3 +31,12 @@
 		})
 	}
 }
+
+func TestLoopbackExample(t *testing.T) {
+	for _, region := range []string{"a", "b", "c"} {
+		s, err := Load(filepath.Join("..", "..", "examples", "loopback", region+"-1.jsonc"))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Node, region+"-1")
+		assert.Equal(t, s.Region, region)
+	}
+}
