jwtarget, jwdispatch: a target's pace is learnt by entry and forgotten; refused forwards come home by admission

Cause: targets stood idle while others of the region had sixteen in the queue. A target's pace was the time of its calls over the service's usual time when they began: long entries against short ones, queueing taken for slowness, and all calls in flight too long when calls become longer. A pace above 1.5 kept calls away, and without calls it never changed again. Change: usual times are learnt by entry, without the wait for a slot, and a call is held against them as they are at its end, one call counting five times at most; a pace is forgotten after 10 s without calls. Deadlines are judged by the time of the entry. A forward that another region refused for want of room went home unasked or, where home had no room, was refused as noTarget with a fixed Retry-After after using up a retry; now home is asked again and its word is passed on.

--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -219,7 +219,7 @@
 		Foreign: j.forwarded,
 		Bound:   j.request.Bound,
 		Left:    j.request.Deadline.Sub(now),
-		Work:    room.Work,
+		Work:    j.work(now),
 		Away:    away,
 		Room:    room,
 		Now:     now,
--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -43,7 +43,7 @@
 		j.sink.refuse(refusal)
 		return
 	}
-	defer release()
+	defer func() { release() }()
 	j.Board.Budget.Try(j.entry.Name)
 	rl := &relay{sink: j.sink}
 	for {
@@ -56,12 +56,35 @@
 			j.giveUp(ctx, err)
 			return
 		}
+		if place.Region != j.Self.Region {
+			release()
+			if release, refusal, admitted = j.takeBack(); !admitted {
+				j.sink.refuse(refusal)
+				return
+			}
+		}
 		j.query.Now = j.Now()
 		j.query.Random = rand.Uint64()
 		place = j.Router.Place(&j.query)
 	}
 }
 
+// takeBack admits a request at home that another region did not serve. Only
+// the other region's room was asked for before; run here unasked, such requests
+// would lengthen the queue of a region that has refused others.
+func (j *job) takeBack() (release func(), refusal Head, admitted bool) {
+	j.query.Full = false
+	release, refused, admitted := j.admit(false)
+	if admitted {
+		return release, Head{}, true
+	}
+	refusal = overloaded(ReasonLimit, string(refused.Reason), refused.RetryAfter)
+	if j.mayRun {
+		refusal.Outcome = jwrequest.Unknown
+	}
+	return func() {}, refusal, false
+}
+
 // takeOn finds a region that takes the request: the one that weighs least, and
 // where that is this one and it has no room, another that may have some.
 func (j *job) takeOn() (place jwrouter.Placement, release func(), refusal Head, admitted bool) {
@@ -94,13 +117,21 @@
 		Forwarded: j.forwarded,
 		Hops:      j.request.Hops[:len(j.request.Hops)-1],
 		Prefix:    j.prefix,
-		Work:      j.Board.Targets.Room(j.entry.Service, now).Work,
+		Work:      j.work(now),
 		Deadline:  j.request.Deadline,
 		Now:       now,
 		Random:    rand.Uint64(),
 	}
 }
 
+// work is the usual time of a call of this entry.
+func (j *job) work(now time.Time) time.Duration {
+	if known := j.Board.Targets.WorkOf(j.entry.Service, j.entry.Name); known > 0 {
+		return known
+	}
+	return j.Board.Targets.Room(j.entry.Service, now).Work
+}
+
 // try makes one call and copies its answer; nil means that the request ended.
 func (j *job) try(ctx context.Context, rl *relay, place jwrouter.Placement) error {
 	j.step("place", string(place.Reason)+" "+place.Region)
@@ -185,6 +216,7 @@
 		Progress: j.entry.Progress, Urgency: urgency(j.entry.Class),
 	}}
 	t.begun = j.Board.Targets.Begin(choice.Address, j.query.Work, j.Now())
+	t.begun.Kind = j.entry.Name
 	j.Board.Suspects.Begin(mark, choice.Address, j.request.Bound)
 	a, err := j.Targets.Call(ctx, choice.Address, t.call)
 	if err != nil {
--- a/core/jwtarget/candidate.go
+++ b/core/jwtarget/candidate.go
@@ -45,7 +45,7 @@
 			Key:         e.key,
 			Outstanding: e.outstanding(),
 			Slots:       e.slots(),
-			Pace:        s.paceOf(e),
+			Pace:        s.paceOf(e, now),
 			Probe:       e.failures > 0,
 		})
 	}
@@ -60,21 +60,31 @@
 	return max(reported+len(e.begun), e.own)
 }
 
+// wait returns the expected wait of a new call for a slot, in times of a call.
+func (e *entry) wait() float64 {
+	return float64(max(e.outstanding()+1-e.slots(), 0)) / float64(e.slots())
+}
+
 // Bounds of a pace. Calls differ in length and batches in size, so small
 // differences say nothing of the target and steering by them does harm; above
 // slowPace the target itself is slow.
 const (
 	slowPace = 1.5
 	maxPace  = 20
+	maxRatio = 5 // of one call
+	// paceFor is how long a pace is believed of a target that gets no calls.
+	// The pace is learnt from calls alone: believed for ever, it would keep all
+	// work from a target that was slow once, which stood idle while others queued.
+	paceFor = 10 * time.Second
 )
 
 // paceOf returns how slow a target is against the others of its service: by
 // its own word on the time between tokens or by this node's calls, whichever
 // is worse. A target that is slow but well reports no failure, so this alone
 // keeps work from piling up there.
-func (s *service) paceOf(e *entry) float64 {
+func (s *service) paceOf(e *entry, now time.Time) float64 {
 	pace := 0.0
-	if s.pace > 0 {
+	if s.pace > 0 && now.Sub(e.paced) < paceFor {
 		pace = e.pace / s.pace
 	}
 	if s.tick > 0 && e.load.Token > 0 {
--- a/core/jwtarget/table.go
+++ b/core/jwtarget/table.go
@@ -40,12 +40,13 @@
 
 // service is the part of a table that belongs to one service.
 type service struct {
-	all  []*entry      // sorted by address
-	used []*entry      // this node's subset that may get work, sorted by address
-	live int           // those of all that do not leave
-	work time.Duration // usual time of a call
-	tick time.Duration // usual time between tokens over the targets
-	pace float64       // usual pace of the targets
+	all   []*entry                 // sorted by address
+	used  []*entry                 // this node's subset that may get work, sorted by address
+	live  int                      // those of all that do not leave
+	work  time.Duration            // usual time of a call, without its wait for a slot
+	kinds map[string]time.Duration // the same by kind of call
+	tick  time.Duration            // usual time between tokens over the targets
+	pace  float64                  // usual pace of the targets
 }
 
 // entry is what the table knows of one target.
@@ -57,6 +58,7 @@
 	begun    []time.Time // when those of them began that the last report has not seen
 	ended    []time.Time // when calls ended that the last report still counts
 	pace     float64     // time taken by calls here over the time expected, 0 before the first
+	paced    time.Time   // when the pace was last learnt
 	failures int
 	rests    time.Time // gets no work until then
 	probing  bool
@@ -94,7 +96,7 @@
 		if s == nil {
 			s = &service{}
 			if before := old[e.target.Service]; before != nil {
-				s.work, s.tick, s.pace = before.work, before.tick, before.pace
+				s.work, s.kinds, s.tick, s.pace = before.work, before.kinds, before.tick, before.pace
 			}
 			t.services[e.target.Service] = s
 		}
@@ -147,8 +149,11 @@
 // Call is one call in flight; Begin makes it and End takes it back.
 type Call struct {
 	Address netip.AddrPort
-	Work    time.Duration // expected time of the call
+	Kind    string        // calls of one kind take about as long, "" for any
+	Work    time.Duration // expected time of the call once it has a slot
 	Began   time.Time
+
+	wait float64 // expected wait for a slot, in times of a call
 }
 
 // Result tells how a call ended as far as the target's health goes.
@@ -162,16 +167,30 @@
 	Broken   Result = "broken"   // no connection, or it broke, or fell silent
 )
 
+// WorkOf returns the usual time of one kind of call once it has a slot, or 0
+// before the first of that kind has ended.
+func (t *Table) WorkOf(serviceName, kind string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[serviceName]
+	if s == nil {
+		return 0
+	}
+	return s.kinds[kind]
+}
+
 // Begin counts a call as outstanding; every Begin needs its End.
 func (t *Table) Begin(addr netip.AddrPort, work time.Duration, now time.Time) Call {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	c := Call{Address: addr, Work: work, Began: now}
 	if e := t.targets[addr]; e != nil {
+		c.wait = e.wait()
 		e.own++
 		e.begun = append(e.begun, now)
 		e.probing = e.failures > 0
 	}
-	return Call{Address: addr, Work: work, Began: now}
+	return c
 }
 
 // End takes a call out of the outstanding ones and learns from how it ended.
@@ -210,17 +229,31 @@
 // maxEnded bounds what is kept of a target whose reports stay away.
 const maxEnded = 1024
 
-// learn takes the time of a finished call into the averages.
+// learn takes the time of a finished call into the averages. The wait for a
+// slot is taken out first: counted as work it would be counted twice by all
+// who add the wait, and a target with a queue would pass for a slow one.
 func (t *Table) learn(e *entry, c Call, now time.Time) {
 	e.failures = 0
-	took := now.Sub(c.Began)
+	took := time.Duration(float64(now.Sub(c.Began)) / (1 + c.wait))
 	s := t.services[e.target.Service]
 	s.work = average(s.work, took)
-	if c.Work <= 0 {
-		return
+	if s.kinds == nil {
+		s.kinds = make(map[string]time.Duration)
+	}
+	usual := s.kinds[c.Kind]
+	s.kinds[c.Kind] = average(usual, took)
+	if usual == 0 {
+		return // nothing to compare with but calls of other kinds
+	}
+	// What was expected when the call began is no measure: when calls become
+	// longer, all that are in flight exceed it, and what is left of that in the
+	// averages differs from target to target for a minute.
+	ratio := min(float64(took)/float64(usual), maxRatio)
+	if now.Sub(e.paced) >= paceFor {
+		e.pace = 0
 	}
-	ratio := float64(took) / float64(c.Work)
 	e.pace = averagePace(e.pace, ratio)
+	e.paced = now
 	s.pace = averagePace(s.pace, ratio)
 }
 
--- a/core/jwtarget/table_test.go
+++ b/core/jwtarget/table_test.go
@@ -207,3 +207,45 @@
 		})
 	}
 }
+
+// A target is slow for a while, or got the longest calls, and from then on
+// gets none: the others have queues while it stands idle, and callers wait
+// beside it.
+func TestSlowTargetIsTriedAgain(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Set(list(2), start)
+	for i := range 10 {
+		for n, took := range []time.Duration{4 * time.Second, time.Second} {
+			c := table.Begin(address(n), time.Second, at(0))
+			c.Kind = "draft"
+			table.End(c, Done, at(time.Duration(i)*time.Millisecond+took))
+		}
+	}
+	now := at(5 * time.Second)
+	assert.Assert(t, usable(table, now)[address(0)].Pace > slowPace)
+	assert.Equal(t, usable(table, now)[address(1)].Pace, 1.0)
+	assert.Equal(t, usable(table, now.Add(paceFor))[address(0)].Pace, 1.0)
+}
+
+// One service runs long drafts and short questions. Were a draft held against
+// the usual time of all calls, the target that gets the drafts would pass for a
+// slow one; were the wait for a slot taken for work, so would a busy one.
+func TestWorkIsLearntByKindAndWithoutTheWait(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Set(list(2), start)
+	table.Report(address(1), Load{Running: 8, Waiting: 7, Slots: 8, Taken: start})
+	for range 20 {
+		long := table.Begin(address(0), table.WorkOf("s", "draft"), at(0))
+		long.Kind = "draft"
+		table.End(long, Done, at(8*time.Second))
+		short := table.Begin(address(1), table.WorkOf("s", "question"), at(0))
+		short.Kind = "question"
+		table.End(short, Done, at(2*time.Second)) // the half of it in the queue
+		table.Report(address(1), Load{Running: 8, Waiting: 7, Slots: 8, Taken: at(2 * time.Second)})
+	}
+	assert.Equal(t, table.WorkOf("s", "draft"), 8*time.Second)
+	assert.Equal(t, table.WorkOf("s", "question"), time.Second)
+	for n, c := range usable(table, at(8*time.Second)) {
+		assert.Equal(t, c.Pace, 1.0, "%s", n)
+	}
+}
--- a/io/jwbench/path.go
+++ b/io/jwbench/path.go
@@ -164,6 +164,7 @@
 		return
 	}
 	call := n.targets.Begin(choice.Address, rq.Work, n.w.now)
+	call.Kind = q.entry.Name
 	n.suspects.Begin(q.print, choice.Address, q.bound)
 	n.run(q, n.w.runners[choice.Address], delay, func(end ending) {
 		now := n.w.now
