jwclaim: the test of a long pause bites again

Since claims are kept for ClaimWait more than asked, the test's own long ClaimWait kept the first segment alive, nothing was deleted, and the test passed without the protections it is for.

--- a/core/jwclaim/slot_test.go
+++ b/core/jwclaim/slot_test.go
@@ -97,7 +97,8 @@
 		a.ClaimWait = 2 * time.Hour
 		defer a.end()
 		defer b.end()
-		run(t, a, own("warm", "up"))
+		run(t, b, own("warm", "up"))
+		assert.Equal(t, press(t, a, own("warm", "up")).Verdict, Elsewhere)
 		gate := a.link.freeze()
 		got := make(chan Decision, 1)
 		go func() {
