jujubewheel: the test of repeated presses follows the writer of a key

Cause: a key now runs at the node that writes its slot, so the test paused and killed a node that had not taken it, and saw served where it expected unknown.

--- a/cmd/jujubewheel/once_test.go
+++ b/cmd/jujubewheel/once_test.go
@@ -1,15 +1,42 @@
 package main
 
 import (
+	"fmt"
 	"sync"
 	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"jujubewheel/core/jwclaim"
+	"jujubewheel/io/jwsettings"
 	"jujubewheel/io/jwstand"
 )
 
+// eastern are the nodes of the region east.
+type eastern struct{}
+
+func (eastern) Serving(string) []string { return []string{"e1", "e2", "e3"} }
+
+// writerOf names the node of the east that writes the claims of a key, and so
+// runs it wherever it is pressed.
+func writerOf(key string) string {
+	k := &jwclaim.Keeper{Salt: []byte(jwsettings.DefaultSalt), Peers: eastern{}}
+	return k.Preferred(jwclaim.Ask{Workspace: "free-east", Region: "east", Key: key})
+}
+
+// keyOfAnother returns a key that another node runs.
+func keyOfAnother(t *testing.T, node, name string) string {
+	t.Helper()
+	for i := range 1000 {
+		if key := fmt.Sprintf("%s-%d", name, i); writerOf(key) != node {
+			return key
+		}
+	}
+	t.Fatalf("all keys belong to %s", node)
+	return ""
+}
+
 // A family presses the deposit button, the page hangs, and they press again:
 // at the same host, at another, in another region; while the first press still
 // runs, after the node that took it was killed, while it was paused and after
@@ -60,44 +87,60 @@
 	assert.Equal(t, runs("lost-reply"), 1)
 
 	// The node that runs it is paused, then wakes.
+	byName := map[string]*nodeProcess{"e1": e1, "e2": e2, "e3": e3}
+	without := func(gone *nodeProcess) (left []*nodeProcess) {
+		for _, n := range []*nodeProcess{e1, e2, e3, w1} {
+			if n != gone {
+				left = append(left, n)
+			}
+		}
+		return left
+	}
+	const pausedKey = "paused"
+	frozen := byName[writerOf(pausedKey)]
 	paused := make(chan reply, 1)
-	go func() { paused <- press(e2, "paused") }()
-	running("paused")
-	e2.signal(syscall.SIGSTOP)
-	for _, n := range []*nodeProcess{e3, w1} {
-		r := press(n, "paused", "Jujube-Timeout", "700ms")
+	go func() { paused <- press(frozen, pausedKey) }()
+	running(pausedKey)
+	frozen.signal(syscall.SIGSTOP)
+	for _, n := range without(frozen) {
+		r := press(n, pausedKey, "Jujube-Timeout", "700ms")
 		assert.Equal(t, r.outcome, "unknown", "%+v", r)
 	}
-	e2.signal(syscall.SIGCONT)
+	frozen.signal(syscall.SIGCONT)
 	first := <-paused
 	assert.Assert(t, first.whole(), "%+v", first)
-	f.await("others get the answer", func() bool { return press(e3, "paused").body == first.body })
-	assert.Equal(t, runs("paused"), 1)
+	for _, n := range without(frozen) {
+		f.await("others get the answer", func() bool { return press(n, pausedKey).body == first.body })
+	}
+	assert.Equal(t, runs(pausedKey), 1)
 
 	// The node that runs it is killed.
-	go press(e1, "killed")
-	running("killed")
-	e1.signal(syscall.SIGKILL)
-	<-e1.ended
-	for _, n := range []*nodeProcess{e2, e3, w1, e2} {
-		r := press(n, "killed")
+	killedKey := keyOfAnother(t, frozen.name, "killed")
+	killed := byName[writerOf(killedKey)]
+	go press(killed, killedKey)
+	running(killedKey)
+	killed.end()
+	left := without(killed)
+	for _, n := range append(left, left...) {
+		r := press(n, killedKey)
 		assert.Equal(t, r.outcome, "unknown", "%+v", r)
 	}
-	assert.Equal(t, runs("killed"), 1)
+	assert.Equal(t, runs(killedKey), 1)
 
 	// The service is down: own keys wait, tickets go on.
 	f.put(f.kv.Control, "/faults", jwstand.Faults{Down: true})
-	r := press(e2, "down")
+	one, two := left[0], left[1]
+	r := press(one, "down")
 	assert.Assert(t, r.outcome == "unknown" || r.outcome == "notRun", "%+v", r)
 	assert.Equal(t, runs("down"), 0)
-	ticket, err := ticketOf(e3.Callers)
+	ticket, err := ticketOf(two.Callers)
 	assert.NilError(t, err)
-	began := press(e3, ticket)
+	began := press(two, ticket)
 	assert.Assert(t, began.whole(), "%+v", began)
-	assert.Equal(t, press(e2, ticket).body, began.body)
+	assert.Equal(t, press(one, ticket).body, began.body)
 	assert.Equal(t, runs(ticket), 1)
 	f.put(f.kv.Control, "/faults", map[string]bool{"down": false})
-	f.await("own keys again", func() bool { return press(e3, "down").whole() })
+	f.await("own keys again", func() bool { return press(two, "down").whole() })
 	assert.Equal(t, runs("down"), 1)
 	for _, run := range f.runs(desk) {
 		assert.Equal(t, runs(run.Key), 1, run.Key)
