jwnode: tests of a stream cut between nodes and of a press that joins another

TestStreamCutBetweenNodes cuts the link between two regions under four streams; each ends with an error event and a broken connection. TestJoinedPressRefused: a press that waits for another one, which the target refuses, is told notRun as well, and a third one runs.

--- a/io/jwnode/links_test.go
+++ b/io/jwnode/links_test.go
@@ -1,6 +1,7 @@
 package jwnode
 
 import (
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -28,6 +29,16 @@
 	return s, near, r
 }
 
+// passed counts the bytes that came from the other region's nodes.
+func (s *system) passed() (n uint64) {
+	for name, l := range s.links {
+		if strings.HasPrefix(name, "w") {
+			n += l.Passed(jwstand.Back)
+		}
+	}
+	return n
+}
+
 func (s *system) weather(w jwstand.Weather) {
 	for name, l := range s.links {
 		if strings.HasPrefix(name, "w") {
@@ -80,3 +91,33 @@
 		})
 	}
 }
+
+// The link between two regions is cut while a draft passes it. The caller has
+// the first half by then; an end that looks regular would pass it off as the
+// whole draft.
+func TestStreamCutBetweenNodes(t *testing.T) {
+	t.Parallel()
+	s, near, r := linked(t)
+	r.Engine.Token = 5 * time.Millisecond
+	answers := make(chan reply, 4)
+	before := len(r.Journal.Runs())
+	for i := range cap(answers) {
+		go func() {
+			answers <- s.send(near.CallersAddr(), "draft", "free-east", prompt(strings.Repeat("x", i+1), 200, true), nil)
+		}()
+	}
+	s.await("streams pass", func() bool { return len(r.Journal.Runs()) >= before+cap(answers) })
+	passed := s.passed()
+	s.await("some of each has passed", func() bool { return s.passed() > passed+8<<10 })
+	s.weather(jwstand.Weather{Cut: true})
+	for range cap(answers) {
+		a := <-answers
+		assert.Check(t, !strings.Contains(a.body, "event: done"), "%+v", a)
+		assert.Check(t, a.outcome != "served", "%+v", a)
+		if a.status != http.StatusOK {
+			continue // it had not begun
+		}
+		assert.Check(t, strings.Contains(a.body, `event: error`) && strings.Contains(a.body, `"outcome":"unknown"`), "%+v", a)
+		assert.Check(t, a.err != nil, "the answer ended as if it were whole")
+	}
+}
--- a/io/jwnode/outcome_test.go
+++ b/io/jwnode/outcome_test.go
@@ -326,3 +326,53 @@
 	assert.Check(t, outcomes["draft"]["served"] > outcomes["draft"]["unknown"], "%v", outcomes)
 	t.Logf("outcomes: %v", outcomes)
 }
+
+// slowRefuser is a target that thinks for a while and then takes nothing on.
+type slowRefuser struct {
+	refuser
+	decide chan struct{}
+}
+
+// Handler implements jwstand.Program.
+func (p *slowRefuser) Handler(faults func() jwstand.Faults) http.Handler {
+	refuse := p.refuser.Handler(faults)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			p.calls.Add(1)
+			<-p.decide
+		}
+		refuse.ServeHTTP(w, r)
+	})
+}
+
+// A family presses twice, the second press waits for the first, and the target
+// then refuses. Both were not run, both are told so, and a third press may run.
+func TestJoinedPressRefused(t *testing.T) {
+	s := newSystem(t, "east")
+	program := &slowRefuser{decide: make(chan struct{})}
+	at := s.stand("refuser", program)
+	s.list(at.Address, map[string]string{"role": "target", "service": "desk", "region": "east", "dataCentre": "east-1"})
+	n := s.node("e1", "east")
+	s.edit(n, confirmation())
+	s.settle(1)
+	s.await("target", func() bool { return len(n.board.Targets.Used()) == 1 })
+	answers := make(chan reply, 2)
+	press := func() {
+		answers <- s.send(n.CallersAddr(), "confirm", "free-east", "{}", header{"Idempotency-Key": "k", "Jujube-Request-Id": "press"})
+	}
+	go press()
+	s.await("the first press is at the target", func() bool { return program.calls.Load() == 1 })
+	go press()
+	s.await("the second press waits", func() bool { return n.drain.Counts().InFlight == 2 })
+	close(program.decide)
+	for range 2 {
+		r := <-answers
+		assert.Check(t, r.outcome == "notRun", "%+v", r)
+	}
+	desk, _ := s.service("east")
+	at.SetFaults(jwstand.Faults{Down: true})
+	s.await("the third press runs", func() bool {
+		return s.send(n.CallersAddr(), "confirm", "free-east", "{}", header{"Idempotency-Key": "k"}).outcome == "served"
+	})
+	assert.Equal(t, len(desk.Journal.Runs()), 1)
+}
