jwforward: one prober a connection

Cause: each call that found no other on a connection started a prober; short calls in a row gathered them without bound (100 goroutines after 100 calls in TestOneProberAConnection). Change: the connection knows whether it is probed.

--- a/io/jwforward/probe.go
+++ b/io/jwforward/probe.go
@@ -31,6 +31,10 @@
 	used  time.Time // when it was last asked for
 	conn  *grpc.ClientConn
 	calls int // that wait for the node
+	// tended tells that a goroutine probes the connection. Without it, each
+	// call that finds no other would start one, and a busy connection would
+	// gather more and more of them.
+	tended bool
 }
 
 // doubtful tells whether a node left a probe unanswered.
@@ -49,7 +53,8 @@
 		return func() {}
 	}
 	w.calls++
-	if w.calls == 1 {
+	if !w.tended {
+		w.tended = true
 		go p.tend(addr, w)
 	}
 	return func() {
@@ -64,9 +69,10 @@
 	for {
 		time.Sleep(probeEvery)
 		p.mu.Lock()
-		idle := w.calls == 0 || p.ways[addr] != w
+		w.tended = w.calls > 0 && p.ways[addr] == w
+		tended := w.tended
 		p.mu.Unlock()
-		if idle || !p.check(addr, w.conn) {
+		if !tended || !p.check(addr, w.conn) {
 			return
 		}
 	}
