jwnode: the test of leaving targets does not change what the stand-in reads

Cause: the test set a label in a map that the list of hosts was being written from; the race detector saw it in one run of five.

--- a/io/jwnode/policy_test.go
+++ b/io/jwnode/policy_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,12 +26,15 @@
 func TestLeavingTarget(t *testing.T) {
 	tests := map[string]func(s *system, at *jwstand.Stand){
 		"by the list": func(s *system, at *jwstand.Stand) {
-			for _, g := range s.groups {
+			groups := slices.Clone(s.groups) // the stand-in reads the old one
+			for i, g := range groups {
 				if g.Targets[0] == at.Address.String() {
-					g.Labels["state"] = "leaving"
+					groups[i].Labels = maps.Clone(g.Labels)
+					groups[i].Labels["state"] = "leaving"
 				}
 			}
-			s.hosts.Set(s.groups)
+			s.groups = groups
+			s.hosts.Set(groups)
 		},
 		"by its own word": func(_ *system, at *jwstand.Stand) { at.SetFaults(jwstand.Faults{Leave: true}) },
 	}
