--- a/core/jwcatalogue/acceptance.go
+++ b/core/jwcatalogue/acceptance.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwstore"
 )
 
@@ -108,7 +109,7 @@
 		if last.Accepted {
 			return last, nil
 		}
-		if sleep(ctx, or(a.PollEvery, DefaultPollEvery)) != nil {
+		if jwclock.Sleep(ctx, or(a.PollEvery, DefaultPollEvery)) != nil {
 			return last, failed
 		}
 	}
--- a/core/jwcatalogue/editor.go
+++ b/core/jwcatalogue/editor.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwstore"
 )
 
@@ -270,7 +271,7 @@
 			return false, errors.Wrapf(err, "write change %d: store", c.N)
 		}
 		doubt = true
-		if err := sleep(ctx, d.retry()); err != nil {
+		if err := jwclock.Sleep(ctx, d.retry()); err != nil {
 			break
 		}
 	}
@@ -297,7 +298,7 @@
 func (d *Editor) won(ctx context.Context, c Change) (EditResult, error) {
 	mark, _, err := d.log().mark(ctx)
 	for range writeAttempts {
-		if err == nil || sleep(ctx, d.retry()) != nil {
+		if err == nil || jwclock.Sleep(ctx, d.retry()) != nil {
 			break
 		}
 		mark, _, err = d.log().mark(ctx)
@@ -346,14 +347,3 @@
 	}
 	return a.equal(*b)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/core/jwcatalogue/follower.go
+++ b/core/jwcatalogue/follower.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwstore"
 )
 
@@ -103,7 +104,7 @@
 			err = f.CatchUp(ctx)
 		}
 		if err != nil {
-			_ = sleep(ctx, f.jitter(or(f.Retry, DefaultRetry)))
+			_ = jwclock.Sleep(ctx, f.jitter(or(f.Retry, DefaultRetry)))
 		}
 	}
 	return ctx.Err()
@@ -126,7 +127,7 @@
 	rest := f.jitter(or(f.StoreEvery, DefaultStoreEvery))
 	for rest > 0 && !f.watching() {
 		step := min(rest, or(f.Retry, DefaultRetry))
-		if err := sleep(ctx, step); err != nil {
+		if err := jwclock.Sleep(ctx, step); err != nil {
 			return err
 		}
 		rest -= step
--- a/core/jwcatalogue/member.go
+++ b/core/jwcatalogue/member.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwstore"
 )
 
@@ -105,7 +106,7 @@
 		if err := m.adopted(ctx); err == nil {
 			return nil
 		}
-		if err := sleep(ctx, m.Follower.jitter(m.adoptEvery())); err != nil {
+		if err := jwclock.Sleep(ctx, m.Follower.jitter(m.adoptEvery())); err != nil {
 			return errors.Wrap(err, "join")
 		}
 	}
@@ -181,7 +182,7 @@
 		if !m.Registered() || len(m.sponsors) > 0 || m.answers() {
 			pause = m.adoptEvery()
 		}
-		if err := sleep(ctx, m.Follower.jitter(pause)); err != nil {
+		if err := jwclock.Sleep(ctx, m.Follower.jitter(pause)); err != nil {
 			return err
 		}
 		if m.answers() {
@@ -244,7 +245,7 @@
 func (m *Membership) Leave(ctx context.Context) error {
 	for m.answers() {
 		m.Adoptions.Tidy()
-		if err := sleep(ctx, m.adoptEvery()); err != nil {
+		if err := jwclock.Sleep(ctx, m.adoptEvery()); err != nil {
 			return errors.Wrap(err, "leave: nodes without a record depend on this one")
 		}
 	}
--- a/core/jwcatalogue/pace_test.go
+++ b/core/jwcatalogue/pace_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwstore"
 )
@@ -166,7 +167,7 @@
 	}
 	f.tell()
 	wg.Go(func() {
-		for sleep(ctx, paceExchange) == nil {
+		for jwclock.Sleep(ctx, paceExchange) == nil {
 			f.tell()
 		}
 	})
