--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -214,7 +214,8 @@
 	if len(hops) == 0 {
 		return Head{}, false
 	}
-	if len(hops) >= MaxHops || hops.Visited(j.Self.Node) {
+	way := hops.With(j.Self)
+	if len(hops) >= MaxHops || hops.Visited(j.Self.Node) || way.RegionChanges() > 1 || way.Returns() {
 		return Refusal(http.StatusLoopDetected, jwrequest.NotRun, ReasonLoop, "the request has passed too many nodes"), true
 	}
 	return Head{}, false
@@ -232,7 +233,7 @@
 		Foreign: j.forwarded,
 		Bound:   j.request.Bound,
 		Left:    j.request.Deadline.Sub(now),
-		Work:    room.Work,
+		Work:    j.work(now),
 		Away:    away,
 		Room:    room,
 		Now:     now,
