jwlisten: no ticket for a malformed workspace

By hand, a workspace of 300 characters or two of them got a ticket, minted for a name that no request can bring.

--- a/io/jwlisten/callers.go
+++ b/io/jwlisten/callers.go
@@ -92,7 +92,12 @@
 }
 
 func (c *Callers) ticket(w http.ResponseWriter, r *http.Request) {
-	if refusal, refused := c.Dispatcher.CheckTicket(r.Header.Get(headerWorkspace)); refused {
+	workspace := r.Header.Get(headerWorkspace)
+	if len(r.Header.Values(headerWorkspace)) > 1 || !plain(workspace, maxNameLength) {
+		c.turnAway(w, badHeader(headerWorkspace))
+		return
+	}
+	if refusal, refused := c.Dispatcher.CheckTicket(workspace); refused {
 		writeRefusal(w, refusal)
 		return
 	}
