jwfleet: a part that fails is named

Cause: a trial with the key-value service down ended once with 'context canceled' and nothing told of which part. Change: errors of parts carry their name.

--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -68,16 +68,17 @@
 // job is one request while this node works on it.
 type job struct {
 	*Dispatcher
-	request   *jwrequest.Request
-	entry     *jwcatalogue.Entry
-	workspace jwdirectory.Workspace
-	forwarded bool
-	sink      *ending
-	prefix    uint64
-	mark      jwsuspect.Fingerprint // by way of fingerprint
-	tries     int
-	mayRun    bool // some try may have run it
-	query     jwrouter.Query
+	request    *jwrequest.Request
+	entry      *jwcatalogue.Entry
+	workspace  jwdirectory.Workspace
+	forwarded  bool
+	sink       *ending
+	prefix     uint64
+	mark       jwsuspect.Fingerprint // by way of fingerprint
+	tries      int
+	mayRun     bool // some try may have run it
+	turnedBack bool // another region has just refused it
+	query      jwrouter.Query
 }
 
 // Serve runs a request and gives its answer to the sink. When ctx ends, nobody
--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -288,6 +288,7 @@
 	if err == nil {
 		if a.Head.Outcome == jwrequest.NotRun {
 			_ = a.Body.Close()
+			j.turnedBack = true
 			err = &CallError{
 				Step: "forward to region " + region, Peer: peers[0].Nodes, Fate: Refused,
 				RetryAfter: a.Head.RetryAfter, Err: errors.New(a.Head.Detail),
@@ -319,6 +320,12 @@
 	if state, _ := j.Board.Suspects.Check(j.fingerprint(), j.Now()); state != jwsuspect.Clear {
 		return false
 	}
+	// A region without room ran nothing. Home is asked for room once more, which
+	// needs no place in the budget of retries: that is for failures.
+	if j.turnedBack {
+		j.turnedBack = false
+		return true
+	}
 	return j.tries < maxTries && j.Board.Budget.Retry(j.entry.Name)
 }
 
--- a/core/jwlimit/admission.go
+++ b/core/jwlimit/admission.go
@@ -105,12 +105,12 @@
 	most := a.mostQueue()
 	switch queue := a.queue(); {
 	case queue >= most:
-		return Refusal{Reason: Crowded, RetryAfter: a.spread(a.Room.Wait)}, true
+		return Refusal{Reason: Crowded, RetryAfter: a.inTurn(a.service, a.Room.Wait)}, true
 	case queue >= ownerPart*most && a.overOwner():
-		return Refusal{Reason: OwnerShare, RetryAfter: a.spread(a.Room.Wait)}, true
+		return Refusal{Reason: OwnerShare, RetryAfter: a.inTurn(a.owner, a.Room.Wait)}, true
 	}
 	if late := a.late(); late > 0 && !a.limiter.Policy.NoDeadline {
-		return Refusal{Reason: TooLate, RetryAfter: a.spread(late)}, true
+		return Refusal{Reason: TooLate, RetryAfter: a.inTurn(a.service, late)}, true
 	}
 	return Refusal{}, false
 }
@@ -120,10 +120,16 @@
 	return float64(a.Room.Outstanding) / float64(max(a.Room.Slots, 1))
 }
 
+// waitMargin is how much longer than expected a request may wait. The expected
+// wait is that of the mean: under overload the queue stands at the longest that
+// is let in, half of all wait longer than that, and without a margin what is
+// served is served too late.
+const waitMargin = 1
+
 // late returns how far past its deadline the request would end, or past the
 // time for the first token that its entry asks for it would begin.
 func (a *admission) late() time.Duration {
-	wait := a.wait()
+	wait := time.Duration(waitMargin * float64(a.wait()))
 	late := time.Duration(0)
 	if a.Left > 0 {
 		late = wait + a.Work - a.Left
@@ -230,6 +236,27 @@
 	maxRetryAfter = 30 * time.Second
 )
 
+// backShare is the part of what a service finishes that is left to callers who
+// come back.
+const backShare = 0.25
+
+// inTurn tells a caller who is refused for want of room when to come back: after
+// the others who were told so, at a pace that leaves most of the room to those
+// who come for the first time. Were all told to come back soon, they would come
+// in the midst of an overload again and again, new callers would be refused in
+// their favour, and everyone would be served only after several tries: late.
+func (a *admission) inTurn(p *pool, least time.Duration) time.Duration {
+	pace := time.Duration(float64(a.gap()) / backShare)
+	p.back = p.back.Add(pace)
+	if soonest := a.Now.Add(least); p.back.Before(soonest) {
+		p.back = soonest
+	}
+	if latest := a.Now.Add(maxRetryAfter / 2); p.back.After(latest) {
+		p.back = latest
+	}
+	return a.spread(p.back.Sub(a.Now))
+}
+
 // spread returns a time between d and twice that, so that callers refused
 // together do not come back together.
 func (a *admission) spread(d time.Duration) time.Duration {
--- a/core/jwlimit/limiter.go
+++ b/core/jwlimit/limiter.go
@@ -90,6 +90,7 @@
 	asked   time.Time // when a request last came
 	owners  int       // that run or asked, counted at the time below; of a whole service only
 	counted time.Time
+	back    time.Time // when the last of those refused for want of room is to come back
 }
 
 // Admit takes a request on or refuses it. A request taken on must be released.
--- a/io/jwfleet/fleet.go
+++ b/io/jwfleet/fleet.go
@@ -109,7 +109,7 @@
 	list.Set(groups)
 	for _, nodes := range f.nodes {
 		for _, n := range nodes {
-			f.run(n.Run)
+			f.run("a node", n.Run)
 		}
 	}
 	return nil
@@ -150,7 +150,7 @@
 		// A crash ends no process here: the runner is away for a while.
 		stand.Exit = func(int) {
 			r.down()
-			f.run(func(ctx context.Context) error {
+			f.run("restart", func(ctx context.Context) error {
 				err := jwclock.Sleep(ctx, restart)
 				r.up()
 				return err
@@ -206,7 +206,7 @@
 		return jwstand.HostGroup{}, err
 	}
 	way.Dial = n.NodesAddr()
-	f.run(links.Run)
+	f.run("links", links.Run)
 	f.nodes[region] = append(f.nodes[region], n)
 	return jwstand.HostGroup{Targets: []string{n.CallersAddr().String()}, Labels: map[string]string{
 		"role": "entry", "name": name, "region": region, "dataCentre": centre,
@@ -247,12 +247,12 @@
 	if err := stand.Listen(); err != nil {
 		return nil, err
 	}
-	f.run(stand.Run)
+	f.run(kind, stand.Run)
 	return stand, nil
 }
 
 // run keeps a part running until close and notes what ended it.
-func (f *fleet) run(part func(context.Context) error) {
+func (f *fleet) run(what string, part func(context.Context) error) {
 	f.wg.Go(func() {
 		err := part(f.ctx)
 		if err == nil || f.ctx.Err() != nil && errors.Is(err, context.Canceled) {
@@ -260,7 +260,7 @@
 		}
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.errs = append(f.errs, err)
+		f.errs = append(f.errs, errors.Wrap(err, what))
 	})
 }
 
