jwtarget: a target's pace starts at the usual one and returns to it

Cause: the first calls after a start are longer than the little that is known, and the pace took the first value whole: 3.5 for equal runners, which then got few calls and so kept it. Change: a pace starts at 1, is held against the usual time of its kind alone and returns to 1 within 20 s without calls, in place of dropping after 10 s. The test has four targets with one slow in place of two, since two targets have no usual time of which one is the exception; what it asks is the same.

--- a/core/jwtarget/candidate.go
+++ b/core/jwtarget/candidate.go
@@ -75,7 +75,7 @@
 	// paceFor is how long a pace is believed of a target that gets no calls.
 	// The pace is learnt from calls alone: believed for ever, it would keep all
 	// work from a target that was slow once, which stood idle while others queued.
-	paceFor = 10 * time.Second
+	paceFor = 20 * time.Second
 )
 
 // paceOf returns how slow a target is against the others of its service: by
@@ -84,8 +84,8 @@
 // keeps work from piling up there.
 func (s *service) paceOf(e *entry, now time.Time) float64 {
 	pace := 0.0
-	if s.pace > 0 && now.Sub(e.paced) < paceFor {
-		pace = e.pace / s.pace
+	if e.pace > 0 {
+		pace = e.paceAt(now)
 	}
 	if s.tick > 0 && e.load.Token > 0 {
 		pace = max(pace, float64(e.load.Token)/float64(s.tick))
--- a/core/jwtarget/table.go
+++ b/core/jwtarget/table.go
@@ -46,7 +46,6 @@
 	work  time.Duration            // usual time of a call, without its wait for a slot
 	kinds map[string]time.Duration // the same by kind of call
 	tick  time.Duration            // usual time between tokens over the targets
-	pace  float64                  // usual pace of the targets
 }
 
 // entry is what the table knows of one target.
@@ -96,7 +95,7 @@
 		if s == nil {
 			s = &service{}
 			if before := old[e.target.Service]; before != nil {
-				s.work, s.kinds, s.tick, s.pace = before.work, before.kinds, before.tick, before.pace
+				s.work, s.kinds, s.tick = before.work, before.kinds, before.tick
 			}
 			t.services[e.target.Service] = s
 		}
@@ -249,21 +248,29 @@
 	// longer, all that are in flight exceed it, and what is left of that in the
 	// averages differs from target to target for a minute.
 	ratio := min(float64(took)/float64(usual), maxRatio)
-	if now.Sub(e.paced) >= paceFor {
-		e.pace = 0
-	}
-	e.pace = averagePace(e.pace, ratio)
+	e.pace = averagePace(e.paceAt(now), ratio)
 	e.paced = now
-	s.pace = averagePace(s.pace, ratio)
 }
 
+// averagePace moves a pace towards a new value. It starts at the usual one:
+// the first call of a target alone does not tell whether the target is slow.
 func averagePace(old, value float64) float64 {
 	if old == 0 {
-		return value
+		old = 1
 	}
 	return old + paceWeight*(value-old)
 }
 
+// paceAt returns the pace as far as it is still believed: it returns to the
+// usual one in paceFor without calls.
+func (e *entry) paceAt(now time.Time) float64 {
+	if e.pace == 0 {
+		return 0
+	}
+	left := max(1-float64(now.Sub(e.paced))/float64(paceFor), 0)
+	return 1 + left*(e.pace-1)
+}
+
 // Failed notes a failure outside a call, such as a load report that could not
 // be had; the target rests, longer with each failure in a row.
 func (t *Table) Failed(addr netip.AddrPort, now time.Time) {
--- a/core/jwtarget/table_test.go
+++ b/core/jwtarget/table_test.go
@@ -213,9 +213,9 @@
 // beside it.
 func TestSlowTargetIsTriedAgain(t *testing.T) {
 	table := &Table{Region: "r"}
-	table.Set(list(2), start)
+	table.Set(list(4), start)
 	for i := range 10 {
-		for n, took := range []time.Duration{4 * time.Second, time.Second} {
+		for n, took := range []time.Duration{5 * time.Second, time.Second, time.Second, time.Second} {
 			c := table.Begin(address(n), time.Second, at(0))
 			c.Kind = "draft"
 			table.End(c, Done, at(time.Duration(i)*time.Millisecond+took))
@@ -223,7 +223,9 @@
 	}
 	now := at(5 * time.Second)
 	assert.Assert(t, usable(table, now)[address(0)].Pace > slowPace)
-	assert.Equal(t, usable(table, now)[address(1)].Pace, 1.0)
+	for n := 1; n < 4; n++ {
+		assert.Equal(t, usable(table, now)[address(n)].Pace, 1.0)
+	}
 	assert.Equal(t, usable(table, now.Add(paceFor))[address(0)].Pace, 1.0)
 }
 
