--- a/core/jwlimit/admission.go
+++ b/core/jwlimit/admission.go
@@ -120,16 +120,10 @@
 	return float64(a.Room.Outstanding) / float64(max(a.Room.Slots, 1))
 }
 
-// waitMargin is how much longer than expected a request may wait. The expected
-// wait is that of the mean: under overload the queue stands at the longest that
-// is let in, half of all wait longer than that, and without a margin what is
-// served is served too late.
-const waitMargin = 1
-
 // late returns how far past its deadline the request would end, or past the
 // time for the first token that its entry asks for it would begin.
 func (a *admission) late() time.Duration {
-	wait := time.Duration(waitMargin * float64(a.wait()))
+	wait := a.wait()
 	late := time.Duration(0)
 	if a.Left > 0 {
 		late = wait + a.Work - a.Left
--- a/core/jwlimit/limiter_test.go
+++ b/core/jwlimit/limiter_test.go
@@ -282,3 +282,31 @@
 		}
 	}
 }
+
+// In an overload that lasts, more callers are refused than there is room for
+// later. Told to come back at once, they would all be back within a second, take
+// the places of new callers and be refused again, and every answer would be late.
+func TestRefusedForWantOfRoomComeBackInTurn(t *testing.T) {
+	l := &Limiter{}
+	var told []time.Duration
+	for range 40 {
+		_, refusal, admitted := l.Admit(query(jwcatalogue.Draft, 32))
+		assert.Assert(t, !admitted && refusal.Reason == Crowded)
+		told = append(told, refusal.RetryAfter)
+	}
+	// Sixteen calls of a second finish in one second: a quarter of them, four,
+	// is left to those who come back.
+	early := 0
+	for _, d := range told {
+		assert.Assert(t, d <= maxRetryAfter)
+		if d <= 5*time.Second {
+			early++
+		}
+	}
+	assert.Assert(t, early <= 20, "%d of 40 are back within five seconds", early)
+
+	q := query(jwcatalogue.Draft, 32)
+	q.Now = at(time.Minute)
+	_, refusal, _ := l.Admit(q)
+	assert.Assert(t, refusal.RetryAfter < 2*time.Second+q.Room.Wait, "the turns of long ago are over")
+}
