jwtarget: when all targets rest, those that failed once are tried

Change: with no other target, one that failed only once gets a single call at a time; if that fails too it rests. Ruled out: shorter rests, with which a target that is down is tried by every node all the time.

--- a/core/jwtarget/candidate.go
+++ b/core/jwtarget/candidate.go
@@ -18,7 +18,12 @@
 
 // Candidates appends the targets of this node's subset that may get a new call
 // to out, in the order of their addresses. When all of the subset rest, the
-// other targets of the region stand in, whose load this node does not know.
+// other targets of the region stand in, whose load this node does not know; and
+// when all of those rest too, the ones that failed only once.
+//
+// Without the last step a moment in which each connection broke, as when a
+// switch restarts, would have every request refused for as long as targets rest,
+// though all of them are well.
 func (t *Table) Candidates(serviceName string, now time.Time, out []Candidate) []Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -30,7 +35,34 @@
 	if len(out) > 0 {
 		return out
 	}
-	return t.append(s, s.all, now, out)
+	out = t.append(s, s.all, now, out)
+	if len(out) > 0 {
+		return out
+	}
+	for _, e := range s.all {
+		if t.spare(e) {
+			out = append(out, e.candidate(s, now))
+		}
+	}
+	return out
+}
+
+// spare tells whether a resting target may be tried when there is no other: one
+// call at a time, until it fails again.
+func (t *Table) spare(e *entry) bool {
+	return e.failures == 1 && !e.probing && !t.leaves(e.target.Address)
+}
+
+func (e *entry) candidate(s *service, now time.Time) Candidate {
+	return Candidate{
+		Address:     e.target.Address,
+		DataCentre:  e.target.DataCentre,
+		Key:         e.key,
+		Outstanding: e.outstanding(),
+		Slots:       e.slots(),
+		Pace:        s.paceOf(e, now),
+		Probe:       e.failures > 0,
+	}
 }
 
 // append adds those of the entries that may get a new call.
@@ -39,15 +71,7 @@
 		if now.Before(e.rests) || e.probing || t.leaves(e.target.Address) {
 			continue
 		}
-		out = append(out, Candidate{
-			Address:     e.target.Address,
-			DataCentre:  e.target.DataCentre,
-			Key:         e.key,
-			Outstanding: e.outstanding(),
-			Slots:       e.slots(),
-			Pace:        s.paceOf(e, now),
-			Probe:       e.failures > 0,
-		})
+		out = append(out, e.candidate(s, now))
 	}
 	return out
 }
@@ -132,7 +156,7 @@
 		outstanding += e.outstanding()
 	}
 	if usable == 0 {
-		return Room{}
+		return t.spareRoom(s)
 	}
 	r := Room{
 		Targets:     s.live * usable / len(s.used),
@@ -145,6 +169,20 @@
 	return r
 }
 
+// spareRoom is the room when all targets rest: a call for each that may be tried.
+func (t *Table) spareRoom(s *service) Room {
+	n := 0
+	for _, e := range s.all {
+		if t.spare(e) {
+			n++
+		}
+	}
+	if n == 0 {
+		return Room{}
+	}
+	return Room{Targets: n, Slots: n, Work: orDefault(s.work, DefaultWork)}
+}
+
 // unknownSlots stands for the slots of a target that has not reported yet.
 const unknownSlots = 8
 
