--- a/core/jwdispatch/ending.go
+++ b/core/jwdispatch/ending.go
@@ -72,6 +72,9 @@
 
 // refuse ends the request with a refusal, also in the midst of a stream.
 func (e *ending) refuse(h Head) {
+	if h.Outcome != jwrequest.Served {
+		e.job.step("refused", h.Detail)
+	}
 	if !e.begun {
 		h.Length = 0
 		if e.Head(h) != nil {
