jwnode: a node that doesn't serve takes no forwards; assembly in a file of its own

Cause: read as a newcomer, the function that puts a node together was 59 lines, and in it a merge had lost the line by which forwards to a frozen or starting node are refused.

--- /dev/null
+++ b/io/jwnode/assemble.go
@@ -0,0 +1,142 @@
+package jwnode
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"jujubewheel/core/jwboard"
+	"jujubewheel/core/jwcatalogue"
+	"jujubewheel/core/jwclaim"
+	"jujubewheel/core/jwdispatch"
+	"jujubewheel/core/jwexplain"
+	"jujubewheel/core/jwpeer"
+	"jujubewheel/core/jwrouter"
+	"jujubewheel/io/jwforward"
+	"jujubewheel/io/jwplatform"
+	"jujubewheel/io/jwsettings"
+	"jujubewheel/io/jwtargetclient"
+)
+
+// assemble makes the parts of the node and ties them to the board.
+func (n *Node) assemble() {
+	s := n.Settings
+	incarnation := uuid.Must(uuid.NewV7()).String()
+	n.store = &jwplatform.KeyValue{Address: s.Platform.KeyValue, Timeout: platformTimeout}
+	n.pool = &jwforward.Pool{Credentials: n.nodeCredentials()}
+	n.targets = &jwtargetclient.Client{}
+	n.tracer = &jwexplain.Tracer{Node: s.Node, Region: s.Region, Now: time.Now}
+	n.assembleBoard()
+	n.assembleKeeper(incarnation)
+	n.assembleDispatcher()
+	n.assembleCatalogue(incarnation)
+	n.assembleExchange()
+	n.assembleServer()
+	n.board.Peers.SetSelf(jwpeer.Peer{
+		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
+		Incarnation: incarnation, State: jwpeer.Joining, Sequence: 1,
+	}, time.Now())
+	n.meetSeeds(time.Now())
+}
+
+// assembleBoard tells the tables which node they belong to.
+func (n *Node) assembleBoard() {
+	s := n.Settings
+	n.board.Targets.Node = s.Node
+	n.board.Targets.Region = s.Region
+	n.board.Limiter.Node = s.Node
+	n.board.Suspects.Node = s.Node
+	n.board.Suspects.Region = s.Region
+	n.board.Regions.Links = links(s)
+}
+
+func links(s *jwsettings.Settings) map[string]jwrouter.Link {
+	out := make(map[string]jwrouter.Link)
+	for _, r := range s.Regions {
+		l := s.Link(s.Region, r.Name)
+		out[r.Name] = jwrouter.Link{Delay: l.Delay, Price: l.CostPerGB}
+	}
+	return out
+}
+
+// assembleKeeper makes the parts that run a key at most once, also over a
+// planned stop.
+func (n *Node) assembleKeeper(incarnation string) {
+	s := n.Settings
+	n.keeper = &jwclaim.Keeper{
+		Store: n.store, Node: s.Node, Region: s.Region, Incarnation: incarnation,
+		Salt: []byte(s.Claims.Salt), Peers: servingPeers{&n.board.Peers},
+		Memory: s.Claims.KeyMemory, GroupWindow: s.Claims.GroupWindow,
+	}
+	n.drain.Keys = n.keeper
+	n.drain.Successors = n.successors
+	n.drain.Limit = s.DrainLimit
+	n.drain.Linger = linger
+	n.drain.Changed = n.drainChanged
+}
+
+// assembleDispatcher makes the request path.
+func (n *Node) assembleDispatcher() {
+	s := n.Settings
+	router := &jwrouter.Router{
+		Region: s.Region, DataCentre: s.DataCentre, Targets: &n.board.Targets, Regions: &n.board.Regions,
+	}
+	n.dispatcher = &jwdispatch.Dispatcher{
+		Self: n.self, Board: &n.board, Router: router, Targets: n.targets, Peers: n.pool, Claims: n.keeper,
+		Crashed:  n.crashed,
+		Departed: func(p jwpeer.Peer) bool { return n.departures.Gone(memberOf(p)) },
+		Now:      time.Now, Counter: &counter{meter: n.Meter, settings: s}, Tracer: n.tracer,
+	}
+}
+
+// assembleCatalogue makes the parts that bring changes into force and by which
+// a change is known to be in force everywhere.
+func (n *Node) assembleCatalogue(incarnation string) {
+	s := n.Settings
+	n.editor = &jwcatalogue.Editor{Store: n.store, Table: &n.board.Catalogue}
+	n.follower = &jwcatalogue.Follower{
+		Store: n.store, Table: &n.board.Catalogue, Watcher: n.watches,
+		Source: &changeSource{peers: &n.board.Peers, pool: n.pool, self: s.Node},
+	}
+	n.departures = &jwcatalogue.Departures{Hosts: &n.board.Hosts, Lag: s.Periods.HostsLag}
+	n.adoptions = &jwcatalogue.Adoptions{
+		Table: &n.board.Catalogue, Peers: &n.board.Peers, Departures: n.departures, Serving: n.ready,
+	}
+	n.membership = &jwcatalogue.Membership{
+		Member: jwcatalogue.Member{Name: s.Node, Region: s.Region, Incarnation: incarnation},
+		Store:  n.store, Follower: n.follower,
+		Sponsors: &sponsors{peers: &n.board.Peers, pool: n.pool}, Adoptions: n.adoptions,
+	}
+	n.gatherer = &jwcatalogue.Gatherer{
+		Name: s.Node, Region: s.Region, Store: n.store, Table: &n.board.Catalogue, Peers: heardPeers{&n.board.Peers},
+		Departures: n.departures, Registered: n.membership.Registered,
+	}
+	n.acceptance = &jwcatalogue.Acceptance{Store: n.store}
+}
+
+// assembleExchange makes what tells other nodes and hears from them.
+func (n *Node) assembleExchange() {
+	s := n.Settings
+	reporter := &jwboard.Reporter{Board: &n.board, Moves: n.keeper, Now: time.Now}
+	n.exchange = &jwpeer.Exchange{
+		Table: &n.board.Peers, Partner: n.pool, News: reporter,
+		Period: s.Periods.Exchange, Beat: beat, Timeout: exchangeTimeout, Silence: silence,
+		Now: time.Now, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Gatherer: jwcatalogue.GathererOf,
+	}
+	reporter.Nudge = n.exchange.Nudge
+}
+
+// assembleServer makes what answers other nodes.
+func (n *Node) assembleServer() {
+	server := &jwforward.Server{
+		Credentials: n.nodeCredentials(),
+		Dispatcher:  n.dispatcher, Gate: &n.drain, Ready: n.ready, Exchanger: n.exchange,
+		Adopter:   &adopter{keeper: n.keeper, audit: n.Audit},
+		Sponsor:   &sponsor{adoptions: n.adoptions, region: n.Settings.Region},
+		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, HostList: &n.board.Hosts,
+		MaxBody: n.Settings.Limits.MaxBody,
+	}
+	n.grpc = server.GRPC()
+}
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
@@ -24,7 +22,6 @@
 	"jujubewheel/core/jwhost"
 	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwrequest"
-	"jujubewheel/core/jwrouter"
 	"jujubewheel/core/jwtarget"
 	"jujubewheel/io/jwaudit"
 	"jujubewheel/io/jwforward"
@@ -148,95 +145,6 @@
 	return nil
 }
 
-// assemble makes the parts of the node and ties them to the board.
-func (n *Node) assemble() {
-	s := n.Settings
-	n.store = &jwplatform.KeyValue{Address: s.Platform.KeyValue, Timeout: platformTimeout}
-	n.pool = &jwforward.Pool{Credentials: n.nodeCredentials()}
-	n.targets = &jwtargetclient.Client{}
-	incarnation := uuid.Must(uuid.NewV7()).String()
-	n.board.Targets.Node = s.Node
-	n.board.Targets.Region = s.Region
-	n.board.Limiter.Node = s.Node
-	n.board.Suspects.Node = s.Node
-	n.board.Suspects.Region = s.Region
-	n.board.Regions.Links = links(s)
-	n.keeper = &jwclaim.Keeper{
-		Store: n.store, Node: s.Node, Region: s.Region, Incarnation: incarnation,
-		Salt: []byte(s.Claims.Salt), Peers: servingPeers{&n.board.Peers},
-		Memory: s.Claims.KeyMemory, GroupWindow: s.Claims.GroupWindow,
-	}
-	n.tracer = &jwexplain.Tracer{Node: s.Node, Region: s.Region, Now: time.Now}
-	n.drain.Keys = n.keeper
-	n.drain.Successors = n.successors
-	n.drain.Limit = s.DrainLimit
-	n.drain.Linger = linger
-	n.drain.Changed = n.drainChanged
-	router := &jwrouter.Router{
-		Region: s.Region, DataCentre: s.DataCentre, Targets: &n.board.Targets, Regions: &n.board.Regions,
-	}
-	n.dispatcher = &jwdispatch.Dispatcher{
-		Self: n.self, Board: &n.board, Router: router, Targets: n.targets, Peers: n.pool,
-		Crashed:  n.crashed,
-		Departed: func(p jwpeer.Peer) bool { return n.departures.Gone(memberOf(p)) },
-		Claims:   n.keeper, Now: time.Now, Counter: &counter{meter: n.Meter, settings: s}, Tracer: n.tracer,
-	}
-	n.editor = &jwcatalogue.Editor{Store: n.store, Table: &n.board.Catalogue}
-	n.follower = &jwcatalogue.Follower{
-		Store: n.store, Table: &n.board.Catalogue, Watcher: n.watches,
-		Source: &changeSource{peers: &n.board.Peers, pool: n.pool, self: s.Node},
-	}
-	n.assembleMembership(incarnation)
-	reporter := &jwboard.Reporter{Board: &n.board, Moves: n.keeper, Now: time.Now}
-	n.exchange = &jwpeer.Exchange{
-		Table: &n.board.Peers, Partner: n.pool, News: reporter,
-		Period: s.Periods.Exchange, Beat: beat, Timeout: exchangeTimeout, Silence: silence,
-		Now: time.Now, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Gatherer: jwcatalogue.GathererOf,
-	}
-	reporter.Nudge = n.exchange.Nudge
-	server := &jwforward.Server{
-		Credentials: n.nodeCredentials(),
-		Dispatcher:  n.dispatcher, Gate: &n.drain, Exchanger: n.exchange,
-		Adopter:   &adopter{keeper: n.keeper, audit: n.Audit},
-		Sponsor:   &sponsor{adoptions: n.adoptions, region: s.Region},
-		Catalogue: &changeRecords{&n.board.Catalogue}, Workspaces: &n.board.Directory, HostList: &n.board.Hosts, MaxBody: s.Limits.MaxBody,
-	}
-	n.grpc = server.GRPC()
-	n.board.Peers.SetSelf(jwpeer.Peer{
-		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
-		Incarnation: incarnation, State: jwpeer.Joining, Sequence: 1,
-	}, time.Now())
-	n.meetSeeds(time.Now())
-}
-
-// assembleMembership makes the parts by which a change is known to be in force
-// everywhere.
-func (n *Node) assembleMembership(incarnation string) {
-	s := n.Settings
-	n.departures = &jwcatalogue.Departures{Hosts: &n.board.Hosts, Lag: s.Periods.HostsLag}
-	n.adoptions = &jwcatalogue.Adoptions{Table: &n.board.Catalogue, Peers: &n.board.Peers, Departures: n.departures, Serving: n.ready}
-	n.membership = &jwcatalogue.Membership{
-		Member: jwcatalogue.Member{Name: s.Node, Region: s.Region, Incarnation: incarnation},
-		Store:  n.store, Follower: n.follower,
-		Sponsors: &sponsors{peers: &n.board.Peers, pool: n.pool}, Adoptions: n.adoptions,
-	}
-	n.gatherer = &jwcatalogue.Gatherer{
-		Name: s.Node, Region: s.Region, Store: n.store, Table: &n.board.Catalogue, Peers: heardPeers{&n.board.Peers},
-		Departures: n.departures, Registered: n.membership.Registered,
-	}
-	n.acceptance = &jwcatalogue.Acceptance{Store: n.store}
-}
-
-func links(s *jwsettings.Settings) map[string]jwrouter.Link {
-	out := make(map[string]jwrouter.Link)
-	for _, r := range s.Regions {
-		l := s.Link(s.Region, r.Name)
-		out[r.Name] = jwrouter.Link{Delay: l.Delay, Price: l.CostPerGB}
-	}
-	return out
-}
-
 // announce fills in the addresses once the ports are open.
 func (n *Node) announce() {
 	s := n.Settings
