jwpeer, jwdispatch: the two largest files split by concern

The view of the known nodes, the call of one target and the wording of failures stand in files of their own; no behaviour is changed. A stop without a successor is told as a change of state, not as an error: the last node of a region has nobody to hand over to.

--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,7 +11,6 @@
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/core/jwrouter"
 	"jujubewheel/core/jwsuspect"
-	"jujubewheel/core/jwtarget"
 )
 
 // maxTries bounds the calls made for one request, the first included.
@@ -152,132 +149,6 @@
 // Error names the reason.
 func (e *noPlace) Error() string { return "no place: " + string(e.reason) }
 
-// tryTarget calls a target of this region and copies its answer.
-func (j *job) tryTarget(ctx context.Context, rl *relay) error {
-	t, a, err := j.callTarget(ctx, true)
-	if err != nil {
-		return err
-	}
-	err = rl.copy(a)
-	if err != nil && j.resume(ctx, rl, t, err) {
-		err = nil
-	}
-	t.end(ctx, err)
-	return err
-}
-
-// resume asks the target of a stream that broke in its midst to go on where it
-// stopped, over a new connection. It works where only the connection was lost:
-// a target whose process died refuses, and the break counts as a crash.
-func (j *job) resume(ctx context.Context, rl *relay, t *targetTry, broken error) bool {
-	var failed *CallError
-	for range maxResumes {
-		if ctx.Err() != nil || rl.events.after() == "" || !errors.As(broken, &failed) || failed.NotRun() {
-			return false
-		}
-		if !j.Board.Budget.Retry(j.entry.Name) {
-			return false
-		}
-		j.step("resume", t.address.String())
-		call := t.call
-		call.After = rl.events.after()
-		a, err := j.Targets.Call(ctx, t.address, call)
-		if err != nil {
-			return false
-		}
-		if broken = rl.copy(a); broken == nil {
-			return true
-		}
-	}
-	return false
-}
-
-// maxResumes bounds how often one target is asked to go on with a stream.
-const maxResumes = 3
-
-// targetTry is one call of a target.
-type targetTry struct {
-	job     *job
-	address netip.AddrPort
-	mark    jwsuspect.Fingerprint
-	begun   jwtarget.Call
-	call    TargetCall
-}
-
-// callTarget picks a target of this region and calls it. After an answer has
-// begun, end must be called once with how it ended.
-func (j *job) callTarget(ctx context.Context, idempotent bool) (*targetTry, *Answer, error) {
-	mark := j.fingerprint()
-	choice, found := j.pick(mark)
-	if !found {
-		return nil, nil, &noPlace{reason: jwrouter.Nowhere}
-	}
-	j.step("target", string(choice.Reason)+" "+choice.Address.String())
-	t := &targetTry{job: j, address: choice.Address, mark: mark, call: TargetCall{
-		Request: j.request, Path: j.entry.Path, Idempotent: idempotent,
-		Progress: j.entry.Progress, Urgency: urgency(j.entry.Class),
-	}}
-	t.begun = j.Board.Targets.Begin(choice.Address, j.query.Work, j.Now())
-	t.begun.Kind = j.entry.Name
-	j.Board.Suspects.Begin(mark, choice.Address, j.request.Bound)
-	a, err := j.Targets.Call(ctx, choice.Address, t.call)
-	if err != nil {
-		t.end(ctx, err)
-		return nil, nil, err
-	}
-	a.Head.ServedBy = j.Self.Region
-	return t, a, nil
-}
-
-// pick chooses a target; a suspect keeps away from some.
-func (j *job) pick(mark jwsuspect.Fingerprint) (jwrouter.Choice, bool) {
-	tried := j.query.Exclude
-	defer func() { j.query.Exclude = tried }()
-	if state, _ := j.Board.Suspects.Check(mark, j.Now()); state == jwsuspect.Suspected {
-		apart := j.Board.Suspects.Apart(mark, j.usable(), j.Now())
-		j.query.Exclude = append(tried[:len(tried):len(tried)], apart...)
-	}
-	return j.Router.Pick(&j.query)
-}
-
-// end takes the call out of the tables.
-func (t *targetTry) end(ctx context.Context, err error) {
-	j := t.job
-	now := j.Now()
-	j.noteCrash(err)
-	j.Board.Suspects.End(t.mark, t.address, err == nil, now)
-	j.Board.Targets.End(t.begun, result(ctx, err), now)
-	j.Counter.Tried(j.entry.Name, "target", err == nil)
-	if err != nil {
-		j.query.Exclude = append(j.query.Exclude, t.address)
-	}
-}
-
-// usable are the targets of the entry's service that this node uses.
-func (j *job) usable() []netip.AddrPort {
-	var out []netip.AddrPort
-	for _, t := range j.Board.Targets.Used() {
-		if t.Service == j.entry.Service {
-			out = append(out, t.Address)
-		}
-	}
-	return out
-}
-
-// result tells the target table how a call ended.
-func result(ctx context.Context, err error) jwtarget.Result {
-	var failed *CallError
-	switch {
-	case err == nil:
-		return jwtarget.Done
-	case ctx.Err() != nil, errors.Is(err, errCallerGone), errors.Is(err, errDiverged):
-		return jwtarget.Canceled
-	case errors.As(err, &failed) && failed.Fate == Refused:
-		return jwtarget.Refused
-	}
-	return jwtarget.Broken
-}
-
 // tryRegion sends the request to a node of another region.
 func (j *job) tryRegion(ctx context.Context, rl *relay, region string) error {
 	peers := j.peersIn(region, j.workspace.Name)
@@ -343,52 +214,6 @@
 	return j.tries < maxTries && j.Board.Budget.Retry(j.entry.Name)
 }
 
-// giveUp ends the request with what is known of it.
-func (j *job) giveUp(ctx context.Context, err error) {
-	if errors.Is(err, errCallerGone) || errors.Is(ctx.Err(), context.Canceled) {
-		// An end without a head would be an empty answer of status 200 to one
-		// who is still there, as when the server cancels its calls.
-		j.sink.refuse(Refusal(http.StatusGatewayTimeout, jwrequest.Unknown, ReasonCaller, "caller gone"))
-		return
-	}
-	j.sink.refuse(j.failure(ctx, err))
-}
-
-// failure words the last error for the caller.
-func (j *job) failure(ctx context.Context, err error) Head {
-	var place *noPlace
-	var failed *CallError
-	outcome := jwrequest.NotRun
-	if j.mayRun {
-		outcome = jwrequest.Unknown
-	}
-	switch {
-	case errors.As(err, &place):
-		h := overloaded(ReasonNoTarget, place.Error(), comeBack)
-		h.Outcome = outcome
-		return h
-	case errors.As(err, &failed):
-		if !failed.NotRun() {
-			outcome = jwrequest.Unknown
-		}
-		if ctx.Err() != nil {
-			return Refusal(http.StatusGatewayTimeout, outcome, ReasonDeadline, "no whole answer in time")
-		}
-		h := Refusal(http.StatusBadGateway, outcome, ReasonTarget, string(failed.Fate))
-		if outcome == jwrequest.NotRun {
-			h.Status = http.StatusServiceUnavailable
-		}
-		h.RetryAfter = max(failed.RetryAfter, comeBack)
-		if failed.Crashed {
-			// All that was on the target hears this at once. Apart in time, they
-			// come to different targets, and the one that crashes them is found.
-			h.RetryAfter = crashBack + rand.N(crashBack)
-		}
-		return h
-	}
-	return Refusal(http.StatusBadGateway, jwrequest.Unknown, ReasonTarget, err.Error())
-}
-
 func (j *job) step(step, detail string) {
 	if j.Tracer != nil {
 		j.Tracer.Step(j.request, step, detail)
--- /dev/null
+++ b/core/jwdispatch/target.go
@@ -0,0 +1,138 @@
+package jwdispatch
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"jujubewheel/core/jwrouter"
+	"jujubewheel/core/jwsuspect"
+	"jujubewheel/core/jwtarget"
+)
+
+// tryTarget calls a target of this region and copies its answer.
+func (j *job) tryTarget(ctx context.Context, rl *relay) error {
+	t, a, err := j.callTarget(ctx, true)
+	if err != nil {
+		return err
+	}
+	err = rl.copy(a)
+	if err != nil && j.resume(ctx, rl, t, err) {
+		err = nil
+	}
+	t.end(ctx, err)
+	return err
+}
+
+// resume asks the target of a stream that broke in its midst to go on where it
+// stopped, over a new connection. It works where only the connection was lost:
+// a target whose process died refuses, and the break counts as a crash.
+func (j *job) resume(ctx context.Context, rl *relay, t *targetTry, broken error) bool {
+	var failed *CallError
+	for range maxResumes {
+		if ctx.Err() != nil || rl.events.after() == "" || !errors.As(broken, &failed) || failed.NotRun() {
+			return false
+		}
+		if !j.Board.Budget.Retry(j.entry.Name) {
+			return false
+		}
+		j.step("resume", t.address.String())
+		call := t.call
+		call.After = rl.events.after()
+		a, err := j.Targets.Call(ctx, t.address, call)
+		if err != nil {
+			return false
+		}
+		if broken = rl.copy(a); broken == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// maxResumes bounds how often one target is asked to go on with a stream.
+const maxResumes = 3
+
+// targetTry is one call of a target.
+type targetTry struct {
+	job     *job
+	address netip.AddrPort
+	mark    jwsuspect.Fingerprint
+	begun   jwtarget.Call
+	call    TargetCall
+}
+
+// callTarget picks a target of this region and calls it. After an answer has
+// begun, end must be called once with how it ended.
+func (j *job) callTarget(ctx context.Context, idempotent bool) (*targetTry, *Answer, error) {
+	mark := j.fingerprint()
+	choice, found := j.pick(mark)
+	if !found {
+		return nil, nil, &noPlace{reason: jwrouter.Nowhere}
+	}
+	j.step("target", string(choice.Reason)+" "+choice.Address.String())
+	t := &targetTry{job: j, address: choice.Address, mark: mark, call: TargetCall{
+		Request: j.request, Path: j.entry.Path, Idempotent: idempotent,
+		Progress: j.entry.Progress, Urgency: urgency(j.entry.Class),
+	}}
+	t.begun = j.Board.Targets.Begin(choice.Address, j.query.Work, j.Now())
+	t.begun.Kind = j.entry.Name
+	j.Board.Suspects.Begin(mark, choice.Address, j.request.Bound)
+	a, err := j.Targets.Call(ctx, choice.Address, t.call)
+	if err != nil {
+		t.end(ctx, err)
+		return nil, nil, err
+	}
+	a.Head.ServedBy = j.Self.Region
+	return t, a, nil
+}
+
+// pick chooses a target; a suspect keeps away from some.
+func (j *job) pick(mark jwsuspect.Fingerprint) (jwrouter.Choice, bool) {
+	tried := j.query.Exclude
+	defer func() { j.query.Exclude = tried }()
+	if state, _ := j.Board.Suspects.Check(mark, j.Now()); state == jwsuspect.Suspected {
+		apart := j.Board.Suspects.Apart(mark, j.usable(), j.Now())
+		j.query.Exclude = append(tried[:len(tried):len(tried)], apart...)
+	}
+	return j.Router.Pick(&j.query)
+}
+
+// end takes the call out of the tables.
+func (t *targetTry) end(ctx context.Context, err error) {
+	j := t.job
+	now := j.Now()
+	j.noteCrash(err)
+	j.Board.Suspects.End(t.mark, t.address, err == nil, now)
+	j.Board.Targets.End(t.begun, result(ctx, err), now)
+	j.Counter.Tried(j.entry.Name, "target", err == nil)
+	if err != nil {
+		j.query.Exclude = append(j.query.Exclude, t.address)
+	}
+}
+
+// usable are the targets of the entry's service that this node uses.
+func (j *job) usable() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, t := range j.Board.Targets.Used() {
+		if t.Service == j.entry.Service {
+			out = append(out, t.Address)
+		}
+	}
+	return out
+}
+
+// result tells the target table how a call ended.
+func result(ctx context.Context, err error) jwtarget.Result {
+	var failed *CallError
+	switch {
+	case err == nil:
+		return jwtarget.Done
+	case ctx.Err() != nil, errors.Is(err, errCallerGone), errors.Is(err, errDiverged):
+		return jwtarget.Canceled
+	case errors.As(err, &failed) && failed.Fate == Refused:
+		return jwtarget.Refused
+	}
+	return jwtarget.Broken
+}
--- a/io/jwnode/life.go
+++ b/io/jwnode/life.go
@@ -89,7 +89,11 @@
 // finished, a successor takes the tickets over, and the node says that it goes.
 func (n *Node) leave(ctx context.Context) {
 	n.serving.Store(false)
-	if err := n.drain.Run(ctx); err != nil {
+	switch err := n.drain.Run(ctx); {
+	case errors.Is(err, jwdrain.ErrNoSuccessor):
+		// The last node of a region has nobody to hand over to.
+		n.Log.Info("stopped without a successor: its tickets are unknown from now on", "reason", err.Error())
+	case err != nil:
 		n.Log.Error(err, "stop left something undone")
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
