jwlisten: a header that is too large is refused with an outcome

Cause: the HTTP library answered 431 by itself, without Jujube-Outcome. Change: the listener measures the header and refuses as elsewhere; the library's bound is four times as high and the last resort.

--- a/io/jwlisten/callers.go
+++ b/io/jwlisten/callers.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -58,6 +59,7 @@
 	Dispatcher Dispatcher
 	Gate       Gate
 	Tickets    Tickets
+	MaxHeader  int               // bytes of a request's header, 0 for no bound of its own
 	Ready      func() bool       // whether the node serves
 	Counter    Counter           // may be nil
 	Tracer     jwdispatch.Tracer // may be nil
@@ -114,6 +116,11 @@
 
 func (c *Callers) request(w http.ResponseWriter, r *http.Request) {
 	in, refusal, refused := parse(r)
+	if size := headerSize(r.Header); c.MaxHeader > 0 && size > c.MaxHeader {
+		refused = true
+		refusal = jwdispatch.Refusal(http.StatusRequestHeaderFieldsTooLarge, jwrequest.NotRun, jwdispatch.ReasonHeader,
+			"header longer than "+strconv.Itoa(c.MaxHeader)+" bytes")
+	}
 	if plain(in.ID, maxNameLength) {
 		w.Header().Set(headerRequestID, in.ID)
 	}
--- a/io/jwlisten/callers_test.go
+++ b/io/jwlisten/callers_test.go
@@ -78,9 +78,11 @@
 
 func (t tickets) Mint() (string, error) { return "jt1.x", t.err }
 
+const testMaxHeader = 16 << 10
+
 func callers(d *desk) *Callers {
 	return &Callers{
-		Dispatcher: d, Gate: gate{}, Tickets: tickets{}, Counter: d, Log: logr.Discard(),
+		Dispatcher: d, MaxHeader: testMaxHeader, Gate: gate{}, Tickets: tickets{}, Counter: d, Log: logr.Discard(),
 		Ready: func() bool { return true },
 	}
 }
@@ -137,6 +139,8 @@
 		"timeout too large":      {header: http.Header{headerTimeout: {"99999999999h"}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
 		"ticket, long workspace": {path: "/v1/tickets", header: http.Header{headerWorkspace: {long}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
 		"ticket, two workspaces": {path: "/v1/tickets", header: http.Header{headerWorkspace: {testWorkspace, "nobody"}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"large header":           {header: http.Header{"X-Other": {strings.Repeat("x", testMaxHeader)}}, status: 431, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
+		"large header with key":  {header: http.Header{headerKey: {"k"}, "X-Other": {strings.Repeat("x", testMaxHeader)}}, status: 431, outcome: jwrequest.Unknown, reason: jwdispatch.ReasonHeader, counted: true},
 		"long content type":      {header: http.Header{"Content-Type": {long}}, status: 400, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonHeader, counted: true},
 		"long body":              {body: strings.NewReader(long), status: 413, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonBody, counted: true},
 		"long body in chunks":    {body: io.MultiReader(strings.NewReader(long)), status: 413, outcome: jwrequest.NotRun, reason: jwdispatch.ReasonBody, counted: true},
--- a/io/jwlisten/header.go
+++ b/io/jwlisten/header.go
@@ -74,6 +74,17 @@
 	return "", false
 }
 
+// headerSize returns the bytes of a header as it stands in a request.
+func headerSize(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 func badHeader(name string) jwdispatch.Head {
 	return refuseHeader("missing or malformed header: " + name)
 }
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -124,7 +124,8 @@
 	n.assemble()
 	callers := &jwlisten.Callers{
 		Dispatcher: n.dispatcher, Gate: &n.drain, Tickets: n.keeper, Ready: n.ready, Log: n.Log,
-		Counter: n.dispatcher.Counter, Tracer: n.tracer,
+		MaxHeader: s.Limits.MaxHeader,
+		Counter:   n.dispatcher.Counter, Tracer: n.tracer,
 	}
 	handler, err := callers.Handler()
 	if err != nil {
--- a/io/jwrest/server.go
+++ b/io/jwrest/server.go
@@ -19,6 +19,7 @@
 // The limits a Server uses where its own fields are zero.
 const (
 	DefaultMaxHeader     = 32 << 10
+	headerSlack          = 4
 	DefaultHeaderTimeout = 10 * time.Second
 	DefaultIdleTimeout   = 2 * time.Minute
 )
@@ -128,9 +129,11 @@
 
 func (s *Server) httpServer() *http.Server {
 	return &http.Server{
-		Handler:           s.closing(s.Handler),
-		TLSConfig:         s.TLS,
-		MaxHeaderBytes:    orInt(s.MaxHeader, DefaultMaxHeader),
+		Handler:   s.closing(s.Handler),
+		TLSConfig: s.TLS,
+		// The library's own refusal has no outcome, so it is the last resort:
+		// handlers refuse what is above MaxHeader.
+		MaxHeaderBytes:    headerSlack * orInt(s.MaxHeader, DefaultMaxHeader),
 		ReadHeaderTimeout: orDuration(s.HeaderTimeout, DefaultHeaderTimeout),
 		IdleTimeout:       orDuration(s.IdleTimeout, DefaultIdleTimeout),
 		ErrorLog:          log.New(logWriter{s.Log.WithValues("server", s.Name)}, "", 0),
