jwdispatch, jwnode: one loop over a region's nodes, one choice of serving peers

Read through the whole change: the loop that tries a region's nodes in turn stood for keyed requests and for others, and the choice of the nodes that serve beside this one stood three times.

--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -178,10 +178,13 @@
 	return err
 }
 
+// regionTries bounds the nodes of another region that are tried in turn.
+const regionTries = 3
+
 // forwardToOne sends the request to the first of the nodes that takes it; one
 // that can't be reached is passed over.
 func (j *job) forwardToOne(ctx context.Context, peers []jwpeer.Peer) (to jwpeer.Peer, a *Answer, err error) {
-	for _, to = range peers[:min(len(peers), homeTries)] {
+	for _, to = range peers[:min(len(peers), regionTries)] {
 		j.step("forward", to.Name)
 		a, err = j.Peers.Forward(ctx, to, j.request, ForwardRegion)
 		if err == nil || !notRun(err) {
--- a/core/jwdispatch/once.go
+++ b/core/jwdispatch/once.go
@@ -23,9 +23,6 @@
 	Preferred(a jwclaim.Ask) string
 }
 
-// homeTries bounds the nodes of the home region that are tried in turn.
-const homeTries = 3
-
 // serveOnce runs a request at most once for its key. It goes on when its caller
 // goes away: the answer is kept for the caller's next try.
 func (j *job) serveOnce(ctx context.Context) {
@@ -199,9 +196,8 @@
 	}
 	peers := j.peersIn(j.workspace.Region, j.workspace.Name)
 	j.putFirst(peers, ask)
-	for _, p := range peers[:min(len(peers), homeTries)] {
-		j.step("forward", p.Name)
-		a, err := j.Peers.Forward(ctx, p, j.request, ForwardRegion)
+	if len(peers) > 0 {
+		_, a, err := j.forwardToOne(ctx, peers)
 		if j.passOn(a, err) {
 			return
 		}
--- a/io/jwnode/life.go
+++ b/io/jwnode/life.go
@@ -128,9 +128,7 @@
 
 // successors are the serving nodes of the region, in random order.
 func (n *Node) successors() []jwclaim.Successor {
-	peers := n.board.Peers.Select(func(p jwpeer.Peer) bool {
-		return p.Region == n.self.Region && p.Name != n.self.Node && p.State == jwpeer.Serving
-	})
+	peers := servingBeside(&n.board.Peers, n.self.Region, n.self.Node)
 	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
 	var out []jwclaim.Successor
 	for _, p := range peers {
--- a/io/jwnode/membership.go
+++ b/io/jwnode/membership.go
@@ -19,6 +19,13 @@
 // Peers returns the nodes heard of lately, this one among them.
 func (h heardPeers) Peers() []jwpeer.Peer { return h.table.Fresh(time.Now().Add(-silence)) }
 
+// servingBeside returns the nodes of a region that serve, but for one.
+func servingBeside(table *jwpeer.Table, region, name string) []jwpeer.Peer {
+	return table.Select(func(p jwpeer.Peer) bool {
+		return p.Region == region && p.Name != name && p.State == jwpeer.Serving
+	})
+}
+
 // sponsors are the nodes of the region that may answer for this one while the
 // platform can't be reached.
 type sponsors struct {
@@ -28,9 +35,7 @@
 
 // Adopt asks one serving peer to answer for this node.
 func (s *sponsors) Adopt(ctx context.Context, m jwcatalogue.Member, after uint64) (string, []jwcatalogue.Change, *jwcatalogue.Checkpoint, error) {
-	serving := s.peers.Select(func(p jwpeer.Peer) bool {
-		return p.Region == m.Region && p.Name != m.Name && p.State == jwpeer.Serving
-	})
+	serving := servingBeside(s.peers, m.Region, m.Name)
 	if len(serving) == 0 {
 		return "", nil, nil, errors.New("no peer of the region serves")
 	}
--- a/io/jwnode/sources.go
+++ b/io/jwnode/sources.go
@@ -137,9 +137,7 @@
 
 // Fetch returns the directory of a peer that serves.
 func (s *directorySource) Fetch(ctx context.Context, version string) (*jwdirectory.Snapshot, error) {
-	peers := s.peers.Select(func(p jwpeer.Peer) bool {
-		return p.Region == s.self.Region && p.Name != s.self.Node && p.State == jwpeer.Serving
-	})
+	peers := servingBeside(s.peers, s.self.Region, s.self.Node)
 	if len(peers) == 0 {
 		return nil, errors.New("get directory: no peer of the region serves")
 	}
