--- /dev/null
+++ b/core/jwbudget/retry.go
@@ -0,0 +1,72 @@
+package jwbudget
+
+import (
+	"sync"
+	"time"
+)
+
+// safety is the part of the shared budget that is used at most: windows slide
+// and a request may be counted at another node than its repeat.
+const safety = 0.6
+
+// Retry is the budget of sends beyond the first of each request, by service.
+// Set its fields before use.
+type Retry struct {
+	Ratio  float64       // repeats allowed for each request
+	Slack  float64       // repeats allowed in a window besides, over all nodes
+	Window time.Duration // the span that the bound holds for
+	Nodes  func() int    // nodes there may be, this one included
+
+	mu       sync.Mutex
+	services map[string]*window
+}
+
+// window keeps what happened in the last span.
+type window struct {
+	requests []time.Time
+	repeats  []time.Time
+}
+
+func (r *Retry) window(service string) *window {
+	if r.services == nil {
+		r.services = make(map[string]*window)
+	}
+	w := r.services[service]
+	if w == nil {
+		w = &window{}
+		r.services[service] = w
+	}
+	return w
+}
+
+// Request notes the first send of a request.
+func (r *Retry) Request(now time.Time, service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(service)
+	w.requests = append(since(w.requests, now.Add(-r.Window)), now)
+}
+
+// Take tells whether a request may be sent once more, and counts it.
+func (r *Retry) Take(now time.Time, service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(service)
+	w.requests = since(w.requests, now.Add(-r.Window))
+	w.repeats = since(w.repeats, now.Add(-r.Window))
+	most := safety * (r.Ratio*float64(len(w.requests)) + r.Slack/float64(max(r.Nodes(), 1)))
+	if float64(len(w.repeats)+1) > most {
+		return false
+	}
+	w.repeats = append(w.repeats, now)
+	return true
+}
+
+// since drops the times before a bound; times rise.
+func since(times []time.Time, bound time.Time) []time.Time {
+	i := 0
+	for i < len(times) && times[i].Before(bound) {
+		i++
+	}
+	return append(times[:0], times[i:]...)
+}
--- /dev/null
+++ b/core/jwinstance/instance.go
@@ -0,0 +1,43 @@
+package jwinstance
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Instance is one incarnation of a target as it registered itself.
+type Instance struct {
+	ID         string
+	Service    string
+	Address    netip.AddrPort
+	DataCentre string
+	Region     string
+	Slots      int
+	Draining   bool
+	Cold       time.Duration // how long it stays cold, as of the registration
+	Left       time.Duration // until it is taken away, 0 if not known
+	Born       int64         // Unix milliseconds of its start, 0 if not said
+	Beat       int64         // rises with each registration of an incarnation
+}
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Prompt is what a model engine has to read and write for a request; the zero
+// value is a request to a plain service.
+type Prompt struct {
+	Parts  []Part
+	Tokens int // of the prompt
+	Output int // tokens written at most
+}
+
+// Load is what a target said of itself in an answer.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	At      time.Time // when it was read
+}
--- /dev/null
+++ b/core/jwinstance/table.go
@@ -0,0 +1,181 @@
+package jwinstance
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	// goneUse is how long a target whose registration vanished without a
+	// notice may still be used where no other is left: registrations lapse by
+	// mistake while the store is away and are back about two seconds later.
+	goneUse = 2 * time.Second
+	// forget is how long a record outlives its registration, so that its
+	// failures are still known when it comes back.
+	forget = 30 * time.Second
+)
+
+// Table holds the targets; set its fields before use.
+type Table struct {
+	Region string                                        // targets of other regions can't be reached and are only counted
+	Warmup func(service string) (time.Duration, float64) // how long and how slowly a target starts
+	Share  func(service, target string) float64          // requests a second that this node may send to a cold target
+
+	mu        sync.Mutex
+	targets   map[string]*Target
+	evacuated map[string]bool  // data centres
+	rates     map[string]*pace // by service
+}
+
+// Target is one incarnation with all that is believed of it. Its fields
+// belong to the Table; callers keep it only to give it back.
+type Target struct {
+	Instance
+	heard     time.Time // last change of its registration
+	gone      time.Time // when its registration vanished, zero if it stands
+	drained   time.Time // when it was first known to leave
+	coldUntil time.Time
+	coldSends []time.Time // of the last second
+	rest      time.Time   // not used before
+	restBeat  int64       // Beat when it fell silent; a later one ends the rest
+	failures  int         // in a row
+	calls     int         // in flight from this node
+	work      int         // prompt tokens of this node's calls without a first event
+	tokens    int         // memory held by this node's calls
+	load      Load
+	loadCalls int     // calls in flight when load was read
+	slow      float64 // its pace against the service's, 1 is usual
+	cache     cache
+}
+
+// Put takes a registration as it stands in the store.
+func (t *Table) Put(now time.Time, in Instance) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.targets == nil {
+		t.targets = make(map[string]*Target)
+	}
+	old := t.targets[in.ID]
+	if old == nil || old.Born != in.Born || old.Address != in.Address || old.Service != in.Service {
+		fresh := &Target{Instance: in, heard: now, slow: 1}
+		if old != nil || in.Cold > 0 {
+			fresh.coldUntil = now.Add(max(in.Cold, t.coldAfterReturn(old, in)))
+		}
+		if in.Draining {
+			fresh.drained = now
+		}
+		t.targets[in.ID] = fresh
+		return
+	}
+	old.Instance, old.heard, old.gone = in, now, time.Time{}
+	if in.Cold > 0 {
+		old.coldUntil = now.Add(in.Cold)
+	}
+	if in.Draining && old.drained.IsZero() {
+		old.drained = now
+	}
+	if !old.rest.IsZero() && in.Beat > old.restBeat+1 {
+		// It has registered twice since it fell silent, so it lives.
+		old.rest, old.failures = time.Time{}, 0
+	}
+}
+
+// coldAfterReturn is how long a target that began anew under its own name is
+// taken for cold: it may not have said so yet.
+func (t *Table) coldAfterReturn(old *Target, in Instance) time.Duration {
+	if old == nil || t.Warmup == nil {
+		return 0
+	}
+	d, _ := t.Warmup(in.Service)
+	return d
+}
+
+// Remove notes that a registration is gone from the store.
+func (t *Table) Remove(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x := t.targets[id]; x != nil && x.gone.IsZero() {
+		x.gone = now
+	}
+}
+
+// Keep removes all targets but those named: the store was read anew, and what
+// vanished meanwhile is gone too.
+func (t *Table) Keep(now time.Time, ids map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, x := range t.targets {
+		switch {
+		case ids[id]:
+		case x.gone.IsZero():
+			x.gone = now
+		case now.Sub(x.gone) > forget && x.calls == 0:
+			delete(t.targets, id)
+		}
+	}
+}
+
+// Evacuate sets whether a data centre is to get nothing. Its targets may come
+// back cold without saying so at once, so they are taken for cold when the
+// evacuation ends.
+func (t *Table) Evacuate(now time.Time, dataCentre string, on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.evacuated == nil {
+		t.evacuated = make(map[string]bool)
+	}
+	if t.evacuated[dataCentre] == on {
+		return
+	}
+	t.evacuated[dataCentre] = on
+	for _, x := range t.targets {
+		if x.DataCentre != dataCentre || t.Warmup == nil {
+			continue
+		}
+		if d, _ := t.Warmup(x.Service); d > 0 {
+			x.coldUntil = later(x.coldUntil, now.Add(d))
+		}
+	}
+}
+
+// Evacuated returns the data centres that get nothing, sorted.
+func (t *Table) Evacuated() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for name, on := range t.evacuated {
+		if on {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Cold notes that a target said how long it stays cold.
+func (t *Table) Cold(now time.Time, x *Target, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x.coldUntil = later(x.coldUntil, now.Add(d))
+}
+
+// Regions returns how many usable slots a service has in each region.
+func (t *Table) Regions(service string) map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	slots := make(map[string]int)
+	for _, x := range t.targets {
+		if x.Service == service && x.gone.IsZero() && !x.Draining && !t.evacuated[x.DataCentre] {
+			slots[x.Region] += max(x.Slots, 1)
+		}
+	}
+	return slots
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/core/jwmember/table.go
@@ -0,0 +1,215 @@
+package jwmember
+
+import (
+	"hash/fnv"
+	"net/netip"
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	// silentAfter is how long a registered node may stay unheard before it is
+	// taken for dead. Nodes of a region speak every second.
+	silentAfter = 3 * time.Second
+	// trust is how long a new registration is believed before the node is heard.
+	trust = 2 * time.Second
+	// forget is how long an unregistered, silent node is remembered; it still
+	// counts where shares have to be cautious.
+	forget = time.Minute
+)
+
+// Member is a node as it describes itself.
+type Member struct {
+	Name       string         `json:"name"`
+	Region     string         `json:"region"`
+	DataCentre string         `json:"dataCentre"`
+	Callers    netip.AddrPort `json:"callers"`
+	Nodes      netip.AddrPort `json:"nodes"`
+	Start      int64          `json:"start"`   // Unix nanoseconds; a later one is a new process
+	Serving    bool           `json:"serving"` // false from the start of a planned stop on
+}
+
+// Table holds the other nodes; set its fields before use.
+type Table struct {
+	Self Member
+
+	mu      sync.Mutex
+	members map[string]*record
+}
+
+type record struct {
+	Member
+	registered bool
+	since      time.Time // of the registration
+	heard      time.Time
+	failed     time.Time // last attempt to reach it that failed
+}
+
+// Put takes the registration of a node.
+func (t *Table) Put(now time.Time, m Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(m)
+	if r == nil {
+		return
+	}
+	if !r.registered || r.Start < m.Start {
+		r.since = now
+	}
+	r.registered = true
+	r.take(m)
+}
+
+// Heard notes that a node spoke itself.
+func (t *Table) Heard(now time.Time, m Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(m)
+	if r == nil {
+		return
+	}
+	r.heard = now
+	r.take(m)
+}
+
+// Failed notes that a node could not be reached.
+func (t *Table) Failed(now time.Time, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.members[name]; r != nil {
+		r.failed = now
+	}
+}
+
+// Remove notes that the registration of a node is gone.
+func (t *Table) Remove(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.members[name]; r != nil {
+		r.registered = false
+	}
+}
+
+// Keep removes all registrations but those named.
+func (t *Table) Keep(now time.Time, names map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, r := range t.members {
+		if !names[name] {
+			r.registered = false
+		}
+		if !r.registered && now.Sub(r.heard) > forget {
+			delete(t.members, name)
+		}
+	}
+}
+
+func (t *Table) record(m Member) *record {
+	if m.Name == "" || m.Name == t.Self.Name {
+		return nil
+	}
+	if t.members == nil {
+		t.members = make(map[string]*record)
+	}
+	r := t.members[m.Name]
+	if r == nil {
+		r = &record{}
+		t.members[m.Name] = r
+	}
+	return r
+}
+
+func (r *record) take(m Member) {
+	if m.Start >= r.Start {
+		r.Member = m
+	}
+}
+
+// live tells whether a node is believed to run.
+func (r *record) live(now time.Time) bool {
+	if now.Sub(r.heard) < silentAfter && !r.failed.After(r.heard) {
+		return true
+	}
+	return r.registered && now.Sub(r.since) < trust && !r.failed.After(r.since)
+}
+
+// Live returns the nodes believed to run and to serve, by name; region "" is
+// all regions. It includes the node itself if it serves.
+func (t *Table) Live(now time.Time, region string) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Member
+	if t.Self.Serving && (region == "" || t.Self.Region == region) {
+		list = append(list, t.Self)
+	}
+	for _, r := range t.members {
+		if r.Serving && (region == "" || r.Region == region) && r.live(now) {
+			list = append(list, r.Member)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// Peers returns the nodes to talk to: all that are registered or were heard
+// lately, serving or not.
+func (t *Table) Peers(now time.Time) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Member
+	for _, r := range t.members {
+		if r.registered || now.Sub(r.heard) < forget {
+			list = append(list, r.Member)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// Serve sets whether the node itself serves.
+func (t *Table) Serve(on bool) Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Self.Serving = on
+	return t.Self
+}
+
+// Me returns the node itself.
+func (t *Table) Me() Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.Self
+}
+
+// Count returns how many nodes of a region there may be, the node itself
+// included: the live, the registered and those heard within the last minute.
+// Shares of a sum that must not be exceeded are made from it.
+func (t *Table) Count(now time.Time, region string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	if region == "" || t.Self.Region == region {
+		n++
+	}
+	for _, r := range t.members {
+		if (region == "" || r.Region == region) && (r.registered || now.Sub(r.heard) < forget) {
+			n++
+		}
+	}
+	return n
+}
+
+// Owns tells whether the node itself is the one of its region that a name
+// falls to, by rendezvous hashing over the live nodes.
+func (t *Table) Owns(now time.Time, name string) bool {
+	best, most := "", uint64(0)
+	for _, m := range t.Live(now, t.Self.Region) {
+		h := fnv.New64a()
+		h.Write([]byte(m.Name + "\x00" + name))
+		if s := h.Sum64(); best == "" || s > most {
+			best, most = m.Name, s
+		}
+	}
+	return best == "" || best == t.Self.Name
+}
--- /dev/null
+++ b/core/jwstore/watch.go
@@ -0,0 +1,45 @@
+package jwstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// The errors of a Feed beside those of a Store.
+var (
+	// ErrCompacted says that the history asked for is no longer kept: the keys
+	// have to be read anew.
+	ErrCompacted = errors.New("store history compacted")
+	// ErrNoLease says that a lease has ended.
+	ErrNoLease = errors.New("store lease ended")
+)
+
+// Event is a change of one key.
+type Event struct {
+	Key     string
+	Value   []byte
+	Deleted bool
+}
+
+// Lease is a lease of the store; keys written under it vanish with it.
+type Lease uint64
+
+// Feed is a store that tells changes by prefix and keeps keys under leases.
+type Feed interface {
+	// Range returns all items whose keys begin with prefix, and a revision
+	// from which Watch misses nothing that came after the items were read.
+	Range(ctx context.Context, prefix string) ([]Item, uint64, error)
+	// Watch returns the changes after a revision as soon as there are any, or
+	// none when most has passed, and the revision to go on from.
+	Watch(ctx context.Context, prefix string, after uint64, most time.Duration) ([]Event, uint64, error)
+	// Grant makes a lease and returns how long it lasts without Renew.
+	Grant(ctx context.Context, ttl time.Duration) (Lease, time.Duration, error)
+	// Renew makes a lease last from now on anew.
+	Renew(ctx context.Context, lease Lease) error
+	// End ends a lease and removes its keys.
+	End(ctx context.Context, lease Lease) error
+	// Set writes a key under a lease, whatever is there.
+	Set(ctx context.Context, key string, value []byte, lease Lease) error
+}
--- a/io/jwcommand/program.go
+++ b/io/jwcommand/program.go
@@ -13,11 +13,12 @@
 
 // Program is one run of the command line; set its fields, then call Run.
 type Program struct {
-	Args   []string // without the program's name
-	Stdout io.Writer
-	Stderr io.Writer
-	Node   Runner // of serve
-	Demo   Demo
+	Args    []string // without the program's name
+	Stdout  io.Writer
+	Stderr  io.Writer
+	Node    Runner // of serve
+	Gateway Runner // of serve, where the settings are those of a gateway
+	Demo    Demo
 }
 
 // Demo runs a whole small system and writes what happened.
--- a/io/jwcommand/serve.go
+++ b/io/jwcommand/serve.go
@@ -26,7 +26,7 @@
 
 // serveCommand runs a node.
 type serveCommand struct {
-	File    string `arg:"" type:"path" help:"Settings file: JSON with comments."`
+	File    string `arg:"" type:"path" env:"JUJUBEWHEEL_SETTINGS" help:"Settings file: JSON with comments."`
 	Verbose int    `short:"v" type:"counter" help:"More log lines: once for those of libraries, twice for single requests."`
 }
 
@@ -38,6 +38,9 @@
 	}
 	log := jwlog.New(p.Stderr, c.Verbose).WithValues("node", s.Node)
 	jwlog.CaptureGRPC(log)
+	if s.Gateway != nil {
+		return p.Gateway.Run(ctx, Node{Settings: s, Log: jwlog.New(p.Stdout, c.Verbose).WithValues("node", s.Node)})
+	}
 	meter := &jwmeter.Meter{Log: log.WithName("meter")}
 	defer meter.Close()
 	return p.Node.Run(ctx, Node{
--- /dev/null
+++ b/io/jwconn/pool.go
@@ -0,0 +1,394 @@
+package jwconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// The values of a Pool whose own fields are zero.
+const (
+	DefaultDialTimeout = 700 * time.Millisecond
+	DefaultIdle        = 8 * time.Second
+	DefaultMaxIdle     = 32
+)
+
+const (
+	// userTimeout ends a connection whose bytes nobody acknowledges.
+	userTimeout = 3 * time.Second
+	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+	tcpUserTimeout = 18
+	readBuffer     = 4 << 10
+	// bigBody is the size from which a body is written beside the reading of
+	// the answer: a target may answer before it has read it.
+	bigBody = 8 << 10
+)
+
+// Stage tells how far a call got.
+type Stage string
+
+// The stages at which a call can fail.
+const (
+	Dial Stage = "dial" // not connected: nothing was sent
+	Sent Stage = "sent" // the request was sent, at least in part, and no answer was read
+	Read Stage = "read" // the answer broke off
+)
+
+// CallError is a call that failed; the peer may have acted on it unless Stage
+// is Dial.
+type CallError struct {
+	Stage Stage
+	Peer  netip.AddrPort
+	Err   error
+}
+
+func (e *CallError) Error() string {
+	return string(e.Stage) + " " + e.Peer.String() + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// errForeign is the cause when answers on a connection belong to other requests.
+var errForeign = errors.New("the answer is to another request")
+
+// Pool keeps connections by address; set its fields before use.
+type Pool struct {
+	DialTimeout time.Duration
+	Idle        time.Duration // longest time a connection is kept unused
+	MaxIdle     int           // kept connections to one address
+	Opened      func()        // called for each new connection, if set
+
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*conn
+}
+
+// conn is one connection.
+type conn struct {
+	net.Conn
+	r     *bufio.Reader
+	since time.Time     // when it was put back
+	keep  time.Duration // what the peer said of keeping it, 0 if nothing
+}
+
+// Call is one request to a peer.
+type Call struct {
+	Peer   netip.AddrPort
+	Method string
+	Target string // path and query as they stand in the request line
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Match tells whether a header is of the answer to this call, and not of
+	// an earlier one on the connection; nil takes any.
+	Match func(http.Header) bool
+	// Fresh is how long a connection may have been unused for this call; 0 is
+	// the pool's Idle. A short time serves calls that must not be sent twice:
+	// a connection that the peer closes at this moment leaves their fate open.
+	Fresh time.Duration
+}
+
+// Answer is the head of an answer with its body to be read; Close must be
+// called.
+type Answer struct {
+	Status int
+	Header http.Header
+	Length int64 // -1 if not known
+	Body   io.Reader
+
+	pool    *Pool
+	conn    *conn
+	peer    netip.AddrPort
+	whole   bool
+	closing bool
+	written chan error // nil if the body was written before
+	stop    func() bool
+}
+
+// Do sends the call and reads the head of its answer. When ctx ends the
+// connection is closed, also while the body is read.
+func (p *Pool) Do(ctx context.Context, c *Call) (*Answer, error) {
+	cn, err := p.take(ctx, c)
+	if err != nil {
+		return nil, &CallError{Dial, c.Peer, err}
+	}
+	stop := context.AfterFunc(ctx, func() { cn.Close() })
+	a, err := p.exchange(cn, c)
+	if err != nil {
+		stop()
+		cn.Close()
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
+		return nil, &CallError{Sent, c.Peer, err}
+	}
+	a.stop = stop
+	return a, nil
+}
+
+func (p *Pool) exchange(cn *conn, c *Call) (*Answer, error) {
+	a := &Answer{pool: p, conn: cn, peer: c.Peer}
+	head := appendHead(make([]byte, 0, 1024), c)
+	if len(c.Body) <= bigBody {
+		if _, err := cn.Write(append(head, c.Body...)); err != nil {
+			return nil, err
+		}
+	} else {
+		if _, err := cn.Write(head); err != nil {
+			return nil, err
+		}
+		a.written = make(chan error, 1)
+		go func() {
+			_, err := cn.Write(c.Body)
+			a.written <- err
+		}()
+	}
+	res, err := readHead(cn.r, c)
+	if err != nil {
+		return nil, err
+	}
+	a.Status, a.Header, a.Length = res.StatusCode, res.Header, res.ContentLength
+	a.closing = res.Close
+	cn.keep = keepAlive(res.Header)
+	a.Body = &bodyReader{a: a, r: res.Body}
+	if res.ContentLength == 0 {
+		a.whole = true
+	}
+	return a, nil
+}
+
+// readHead reads the head of the answer to a call and passes over interim
+// answers and answers to earlier requests.
+func readHead(r *bufio.Reader, c *Call) (*http.Response, error) {
+	const most = 3
+	for range most {
+		res, err := http.ReadResponse(r, &http.Request{Method: c.Method})
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode < http.StatusOK {
+			continue
+		}
+		if c.Match == nil || c.Match(res.Header) {
+			return res, nil
+		}
+		if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+			break
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, 1<<20)); err != nil {
+			return nil, err
+		}
+	}
+	return nil, errForeign
+}
+
+func appendHead(b []byte, c *Call) []byte {
+	b = append(b, c.Method...)
+	b = append(b, ' ')
+	b = append(b, c.Target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, c.Host...)
+	b = append(b, "\r\n"...)
+	for name, values := range c.Header {
+		for _, v := range values {
+			b = append(b, name...)
+			b = append(b, ": "...)
+			b = append(b, v...)
+			b = append(b, "\r\n"...)
+		}
+	}
+	if len(c.Body) > 0 || c.Method == http.MethodPost || c.Method == http.MethodPut {
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(c.Body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// keepAlive returns how long the peer keeps an unused connection.
+func keepAlive(h http.Header) time.Duration {
+	for _, word := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(word), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.Atoi(value); err == nil && n > 0 {
+			return time.Duration(n) * time.Second
+		}
+	}
+	return 0
+}
+
+// take returns a kept connection that is still sound, or a new one.
+func (p *Pool) take(ctx context.Context, c *Call) (*conn, error) {
+	idle := or(p.Idle, DefaultIdle)
+	if c.Fresh > 0 {
+		idle = c.Fresh
+	}
+	for {
+		cn := p.pop(c.Peer)
+		if cn == nil {
+			return p.dial(ctx, c.Peer)
+		}
+		unused := time.Since(cn.since)
+		if unused < idle && (cn.keep == 0 || unused < cn.keep/2) && cn.quiet() {
+			return cn, nil
+		}
+		cn.Close()
+	}
+}
+
+func (p *Pool) pop(peer netip.AddrPort) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[peer]
+	if len(list) == 0 {
+		return nil
+	}
+	cn := list[len(list)-1]
+	p.idle[peer] = list[:len(list)-1]
+	return cn
+}
+
+func (p *Pool) dial(ctx context.Context, peer netip.AddrPort) (*conn, error) {
+	d := net.Dialer{Timeout: or(p.DialTimeout, DefaultDialTimeout), KeepAlive: -1, Control: setUserTimeout}
+	if p.Opened != nil {
+		p.Opened()
+	}
+	c, err := d.DialContext(ctx, "tcp", peer.String())
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer)}, nil
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// A kernel without the option only makes dead connections end later.
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+}
+
+// put keeps a connection for later calls.
+func (p *Pool) put(peer netip.AddrPort, cn *conn) {
+	now := time.Now()
+	cn.since = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = make(map[netip.AddrPort][]*conn)
+	}
+	list := p.idle[peer]
+	for len(list) > 0 && (len(list) >= orInt(p.MaxIdle, DefaultMaxIdle) || now.Sub(list[0].since) > or(p.Idle, DefaultIdle)) {
+		list[0].Close()
+		list = list[1:]
+	}
+	p.idle[peer] = append(list, cn)
+}
+
+// Drop closes the kept connections to an address: one that fell silent tells
+// that the others may have too.
+func (p *Pool) Drop(peer netip.AddrPort) {
+	p.mu.Lock()
+	list := p.idle[peer]
+	delete(p.idle, peer)
+	p.mu.Unlock()
+	for _, cn := range list {
+		cn.Close()
+	}
+}
+
+// quiet tells whether a kept connection is open and holds no bytes that nobody
+// asked for.
+func (c *conn) quiet() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	sound := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		sound = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && sound
+}
+
+// Whole tells whether the body was read to its end.
+func (a *Answer) Whole() bool { return a.whole }
+
+// Peer returns who answered.
+func (a *Answer) Peer() netip.AddrPort { return a.peer }
+
+// Close keeps the connection if the exchange is complete, and closes it
+// otherwise.
+func (a *Answer) Close() {
+	alive := a.stop == nil || a.stop()
+	if alive && a.whole && !a.closing && a.bodyWritten() {
+		a.pool.put(a.peer, a.conn)
+		return
+	}
+	a.conn.Close()
+}
+
+// bodyWritten tells whether the whole request has been sent. After an early
+// answer it may not be; the peer would then take the next request for the rest.
+func (a *Answer) bodyWritten() bool {
+	if a.written == nil {
+		return true
+	}
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// bodyReader reads the body and notes its end.
+type bodyReader struct {
+	a *Answer
+	r io.Reader
+}
+
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	if err == io.EOF {
+		b.a.whole = true
+	} else if err != nil {
+		err = &CallError{Read, b.a.peer, err}
+	}
+	return n, err
+}
+
+func or(d, otherwise time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return otherwise
+}
+
+func orInt(n, otherwise int) int {
+	if n > 0 {
+		return n
+	}
+	return otherwise
+}
--- /dev/null
+++ b/io/jwgateway/dialect.go
@@ -0,0 +1,67 @@
+package jwgateway
+
+import (
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"jujubewheel/core/jwentry"
+	"jujubewheel/core/jwinstance"
+)
+
+// Call is what a caller says of its request in the headers.
+type Call struct {
+	ID        string
+	Deadline  time.Duration // 0 if not said
+	LastEvent string        // the event after which a stream goes on
+	Prompt    jwinstance.Prompt
+}
+
+// Send is what a target is told with a request.
+type Send struct {
+	Target    string // the incarnation that may run it
+	Left      time.Duration
+	Engine    bool
+	Priority  int
+	LastEvent string
+}
+
+// Told is what an answer says in its headers.
+type Told struct {
+	ID     string // of the request that it answers
+	NotRun bool   // the target has not run the request and will not
+	Sealed bool   // a target made it
+	Load   jwinstance.Load
+	Cold   time.Duration // how long the target stays cold
+}
+
+// Dialect translates the headers of callers and targets.
+type Dialect interface {
+	Call(h http.Header) Call
+	// Strip removes what only the gateway may tell a target.
+	Strip(h http.Header)
+	// Send adds what the target is told.
+	Send(h http.Header, s Send)
+	// Left replaces the time left.
+	Left(h http.Header, left time.Duration)
+	Answer(h http.Header) Told
+	// ID returns the identifier of the request that an answer belongs to.
+	ID(h http.Header) string
+	// Refuse adds to a refusal which request it answers.
+	Refuse(h http.Header, id string)
+	// CallerRegion returns the region that a question to the directory names.
+	CallerRegion(q url.Values) string
+	// Directory returns the answer of the directory, to be encoded as JSON.
+	Directory(nodes []netip.AddrPort, ttl time.Duration) any
+}
+
+// Records decodes what operators and targets write to the store.
+type Records interface {
+	Prefixes() (operators, targets string)
+	IsConfig(key string) bool
+	Config(value []byte) (*jwentry.Config, error)
+	Evacuation(key string) (dataCentre string, ok bool)
+	TargetID(key string) (string, bool)
+	Target(id string, value []byte) (jwinstance.Instance, error)
+}
--- /dev/null
+++ b/io/jwgateway/follow.go
@@ -0,0 +1,190 @@
+package jwgateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"jujubewheel/core/jwclock"
+	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwstore"
+)
+
+const (
+	// nodePrefix is where nodes register themselves.
+	nodePrefix = "jujubewheel/nodes/"
+	// followPause is the wait between two readings of changes. Targets register
+	// about once a second each; without it every one would cost a call.
+	followPause = 700 * time.Millisecond
+	// followWait is how long a reading waits for a change. A connection that
+	// fell silent is noticed after it.
+	followWait = 4 * time.Second
+	// followRetry is the wait after a reading that failed.
+	followRetry = 300 * time.Millisecond
+	// settle is how long after an outage a target may be missing from the
+	// store by mistake.
+	settle = 2 * time.Second
+)
+
+// follower keeps the tables as the store has them.
+type follower struct {
+	g        *Gateway
+	revision uint64
+	lost     time.Time // when the store stopped answering, zero while it answers
+}
+
+// follow reads all keys once and then their changes, until ctx ends.
+func (g *Gateway) follow(ctx context.Context) {
+	f := &follower{g: g}
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		now := time.Now()
+		if err == nil {
+			if !f.lost.IsZero() {
+				g.Log.Info("store regained", "after", now.Sub(f.lost).String())
+				f.lost = time.Time{}
+			}
+			jwclock.Sleep(ctx, followPause)
+			continue
+		}
+		if errors.Is(err, jwstore.ErrCompacted) {
+			g.Log.Info("store history gone, reading anew", "revision", f.revision)
+			f.revision = 0
+			continue
+		}
+		if f.lost.IsZero() {
+			f.lost = now
+			g.Log.Info("store lost", "error", err.Error())
+		}
+		jwclock.Sleep(ctx, followRetry+rand.N(followRetry))
+	}
+}
+
+func (f *follower) step(ctx context.Context) error {
+	if f.revision == 0 {
+		return f.readAll(ctx)
+	}
+	events, revision, err := f.g.Feed.Watch(ctx, "", f.revision, followWait)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	for _, e := range events {
+		f.apply(now, e)
+	}
+	f.revision = revision
+	return nil
+}
+
+// readAll reads everything; what is not there any more is gone.
+func (f *follower) readAll(ctx context.Context) error {
+	items, revision, err := f.g.Feed.Range(ctx, "")
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	targets, nodes, evacuated := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	for _, i := range items {
+		f.apply(now, jwstore.Event{Key: i.Key, Value: i.Value})
+		if id, ok := f.g.Records.TargetID(i.Key); ok {
+			targets[id] = true
+		}
+		if name, ok := strings.CutPrefix(i.Key, nodePrefix); ok {
+			nodes[name] = true
+		}
+		if dc, ok := f.g.Records.Evacuation(i.Key); ok {
+			evacuated[dc] = true
+		}
+	}
+	f.g.targets.Keep(now, targets)
+	f.g.members.Keep(now, nodes)
+	for _, dc := range f.g.targets.Evacuated() {
+		if !evacuated[dc] {
+			f.g.evacuate(now, dc, false)
+		}
+	}
+	f.revision = revision
+	return nil
+}
+
+// apply brings one change into the tables.
+func (f *follower) apply(now time.Time, e jwstore.Event) {
+	g := f.g
+	if g.Records.IsConfig(e.Key) {
+		if !e.Deleted {
+			g.takeConfig(e.Value, "store")
+		}
+		return
+	}
+	if dc, ok := g.Records.Evacuation(e.Key); ok {
+		g.evacuate(now, dc, !e.Deleted)
+		return
+	}
+	if id, ok := g.Records.TargetID(e.Key); ok {
+		g.takeTarget(now, id, e)
+		return
+	}
+	if name, ok := strings.CutPrefix(e.Key, nodePrefix); ok {
+		g.takeNode(now, name, e)
+	}
+}
+
+func (g *Gateway) takeTarget(now time.Time, id string, e jwstore.Event) {
+	if e.Deleted {
+		g.targets.Remove(now, id)
+		return
+	}
+	in, err := g.Records.Target(id, e.Value)
+	if err != nil {
+		// Another writer may have left it; it names no target to use.
+		g.Log.V(1).Info("target not readable", "target", id, "error", err.Error())
+		g.targets.Remove(now, id)
+		return
+	}
+	g.targets.Put(now, in)
+}
+
+func (g *Gateway) takeNode(now time.Time, name string, e jwstore.Event) {
+	if e.Deleted {
+		g.members.Remove(name)
+		if name == g.Settings.Node {
+			g.again()
+		}
+		return
+	}
+	var m jwmember.Member
+	if err := json.Unmarshal(e.Value, &m); err != nil || m.Name != name {
+		g.Log.Info("node registration not readable", "peer", name)
+		return
+	}
+	g.members.Put(now, m)
+}
+
+func (g *Gateway) evacuate(now time.Time, dataCentre string, on bool) {
+	g.Log.Info("evacuation", "dataCentre", dataCentre, "on", on)
+	g.targets.Evacuate(now, dataCentre, on)
+}
+
+// takeConfig brings a configuration into force if it is newer.
+func (g *Gateway) takeConfig(raw []byte, from string) {
+	c, err := g.Records.Config(raw)
+	if err != nil {
+		g.Log.Error(err, "configuration not readable", "from", from)
+		return
+	}
+	old := g.entries.Version()
+	if !g.entries.Put(c) {
+		return
+	}
+	g.Log.Info("configuration in force", "version", c.Version, "before", old, "entries", len(c.Entries), "from", from)
+	if old == 0 {
+		g.members.Serve(!g.stopping.Load())
+		g.again()
+	}
+}
--- /dev/null
+++ b/io/jwgateway/forward.go
@@ -0,0 +1,242 @@
+package jwgateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"jujubewheel/core/jwentry"
+	"jujubewheel/core/jwmember"
+	"jujubewheel/io/jwconn"
+)
+
+// The headers of a request on its way between two nodes.
+const (
+	headService  = "Jujube-Service"
+	headKind     = "Jujube-Kind" // kind, resumable, attempts, priority
+	headOutcome  = "Jujube-Outcome"
+	headCallerID = "Jujube-Caller" // set on forwards only
+)
+
+// farther is by how much another region must answer sooner than this one
+// before a request is sent there: its bytes are dear and estimates are rough.
+const farther = 150 * time.Millisecond
+
+// staysHere decides whether this region serves a request.
+func (g *Gateway) staysHere(now time.Time, q *request) bool {
+	if q.forward {
+		return true
+	}
+	if !q.entry.Allows(g.Settings.Region) {
+		return false
+	}
+	here, ok := g.targets.Expect(now, q.need())
+	if !ok {
+		return false
+	}
+	for _, region := range g.otherRegions(q) {
+		there, ok := g.regions.expect(now, region, q.service)
+		if ok && here > there+farther+g.regions.trip(region) {
+			return false
+		}
+	}
+	return true
+}
+
+// otherRegions returns the regions that may serve the request and have nodes.
+func (g *Gateway) otherRegions(q *request) []string {
+	var list []string
+	for region, slots := range g.targets.Regions(q.service) {
+		if region != g.Settings.Region && slots > 0 && q.entry.Allows(region) {
+			list = append(list, region)
+		}
+	}
+	return list
+}
+
+// sendNode sends the request to a node of the region that will probably answer
+// soonest.
+func (g *Gateway) sendNode(ctx context.Context, q *request) Verdict {
+	now := time.Now()
+	var best jwmember.Member
+	var soonest time.Duration
+	for _, region := range g.otherRegions(q) {
+		nodes := g.members.Live(now, region)
+		nodes = g.untried(q, nodes)
+		if len(nodes) == 0 {
+			continue
+		}
+		wait, _ := g.regions.expect(now, region, q.service)
+		wait += g.regions.trip(region)
+		if best.Name == "" || wait < soonest {
+			best, soonest = nodes[int(point(q.ID)*float64(len(nodes)))], wait
+		}
+	}
+	if best.Name == "" {
+		q.refused = noTarget
+		return notRun
+	}
+	return g.forward(ctx, q, best)
+}
+
+func (g *Gateway) untried(q *request, nodes []jwmember.Member) []jwmember.Member {
+	var list []jwmember.Member
+	for _, m := range nodes {
+		if !q.tried[m.Name] {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (g *Gateway) forward(ctx context.Context, q *request, m jwmember.Member) Verdict {
+	q.tried[m.Name] = true
+	h := q.header.Clone()
+	e := q.entry
+	h[headService] = []string{q.service}
+	h[headKind] = []string{strings.Join([]string{
+		string(e.Kind), strconv.FormatBool(e.Resumable), strconv.Itoa(max(e.Attempts()-q.attempts, 1)),
+		strconv.Itoa(e.Priority), strconv.FormatInt(e.Goal.Milliseconds(), 10),
+	}, ",")}
+	h[headCallerID] = []string{g.Settings.Node}
+	g.Dialect.Left(h, time.Until(q.deadline))
+	if id := q.lastEvent(); id != "" {
+		h["Last-Event-Id"] = []string{id}
+	}
+	call := &jwconn.Call{
+		Peer: m.Nodes, Method: q.method, Target: q.target, Host: q.host, Header: h, Body: q.body,
+		Match: func(h http.Header) bool { return g.Dialect.ID(h) == q.ID },
+	}
+	if !e.Repeatable() {
+		call.Fresh = freshOnce
+	}
+	a, err := g.Pool.Do(ctx, call)
+	if err != nil {
+		return g.forwardFailed(ctx, q, m, err)
+	}
+	defer a.Close()
+	outcome := a.Header.Get(headOutcome)
+	delete(a.Header, headOutcome)
+	switch outcome {
+	case outcomeNotRun:
+		q.refused = "refused by " + m.Name
+		drain(a)
+		return notRun
+	case outcomeServed:
+	default:
+		q.refused = "unknown at " + m.Name
+		q.attempts++
+		drain(a)
+		return failed
+	}
+	q.attempts++
+	return g.relay(q, a, func() {})
+}
+
+func (g *Gateway) forwardFailed(ctx context.Context, q *request, m jwmember.Member, err error) Verdict {
+	q.refused = err.Error()
+	if ctx.Err() == nil {
+		g.members.Failed(time.Now(), m.Name)
+		g.Pool.Drop(m.Nodes)
+	}
+	var ce *jwconn.CallError
+	if errors.As(err, &ce) && ce.Stage == jwconn.Dial {
+		return notRun
+	}
+	q.attempts++
+	return failed
+}
+
+// The outcomes that a node tells another one.
+const (
+	outcomeServed = "served" // the answer is a target's
+	outcomeNotRun = "notRun" // no target ran the request or will
+)
+
+// serveForward answers a request that another node passes on.
+func (g *Gateway) serveForward(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	q := &request{
+		Call: g.Dialect.Call(r.Header), method: r.Method, target: r.RequestURI, host: r.Host,
+		header: r.Header, arrived: time.Now(), forward: true, service: r.Header.Get(headService),
+	}
+	q.w = &outcomeWriter{ResponseWriter: w, sealed: func(h http.Header) bool { return g.Dialect.Answer(h).Sealed }}
+	q.entry = readKind(r.Header.Get(headKind))
+	for _, name := range []string{headService, headKind, headCallerID} {
+		delete(q.header, name)
+	}
+	q.deadline = q.arrived.Add(max(q.Deadline, time.Millisecond))
+	if !g.readBody(q, r, 0) {
+		return
+	}
+	stripHop(q.header)
+	g.serve(r.Context(), q)
+}
+
+// readKind reads what the first node says of the entry. The entry itself may
+// not be known here yet, or no longer.
+func readKind(s string) *jwentry.Entry {
+	f := strings.Split(s, ",")
+	e := &jwentry.Entry{Kind: jwentry.NonIdempotent, MaxAttempts: 1}
+	const fields = 5
+	if len(f) != fields {
+		return e
+	}
+	e.Kind = jwentry.Kind(f[0])
+	e.Resumable = f[1] == "true"
+	e.MaxAttempts = count(f[2])
+	e.Priority = count(f[3])
+	e.Goal = time.Duration(count(f[4])) * time.Millisecond
+	return e
+}
+
+func count(s string) int {
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// outcomeWriter adds to an answer what became of the request.
+type outcomeWriter struct {
+	http.ResponseWriter
+	sealed func(http.Header) bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (o *outcomeWriter) WriteHeader(status int) {
+	h := o.Header()
+	switch {
+	case o.sealed(h):
+		h[headOutcome] = []string{outcomeServed}
+	case status == http.StatusServiceUnavailable:
+		h[headOutcome] = []string{outcomeNotRun}
+	}
+	o.ResponseWriter.WriteHeader(status)
+}
+
+// Flush implements http.Flusher.
+func (o *outcomeWriter) Flush() {
+	if f, ok := o.ResponseWriter.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// serveNode answers other nodes.
+func (g *Gateway) serveNode(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.Header.Get(headService) != "":
+		g.serveForward(w, r)
+	case r.URL.Path == statePath:
+		g.serveState(w, r)
+	case r.URL.Path == configPath:
+		g.serveConfig(w)
+	default:
+		http.NotFound(w, r)
+	}
+}
--- /dev/null
+++ b/io/jwgateway/gateway.go
@@ -0,0 +1,137 @@
+package jwgateway
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+
+	"jujubewheel/core/jwbudget"
+	"jujubewheel/core/jwentry"
+	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwstore"
+	"jujubewheel/io/jwconn"
+	"jujubewheel/io/jwrest"
+	"jujubewheel/io/jwsettings"
+)
+
+// Gateway is one node; set its fields, then call Run.
+type Gateway struct {
+	Settings *jwsettings.Settings
+	Feed     jwstore.Feed
+	Records  Records
+	Dialect  Dialect
+	Pool     *jwconn.Pool // connections to targets and nodes
+	Metrics  http.Handler // answers at the metrics address, if set
+	Log      logr.Logger
+
+	entries  jwentry.Table
+	targets  jwinstance.Table
+	members  jwmember.Table
+	retries  jwbudget.Retry
+	regions  regionTable
+	stopping atomic.Bool
+	changed  chan struct{} // the registration has to be written anew
+	inFlight atomic.Int64
+}
+
+// Run serves until ctx ends and the requests in flight are done or the grace
+// period is nearly over.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.prepare()
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, work := errgroup.WithContext(work)
+	servers := g.servers()
+	for _, s := range servers {
+		if err := s.Listen(); err != nil {
+			return err
+		}
+	}
+	for _, s := range servers {
+		group.Go(func() error { return s.Run(work) })
+	}
+	group.Go(func() error { g.follow(work); return nil })
+	group.Go(func() error { g.register(work); return nil })
+	group.Go(func() error { g.exchange(work); return nil })
+	g.Log.Info("started", "region", g.Settings.Region, "dataCentre", g.Settings.DataCentre)
+	select {
+	case <-ctx.Done():
+		g.stop(servers)
+	case <-work.Done():
+	}
+	cancel()
+	err := group.Wait()
+	g.Log.Info("stopped")
+	return err
+}
+
+func (g *Gateway) prepare() {
+	s, o := g.Settings, g.Settings.Gateway
+	g.changed = make(chan struct{}, 1)
+	g.members.Self = jwmember.Member{
+		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
+		Callers: o.Listen.Callers, Nodes: o.Listen.Nodes,
+		Start: time.Now().UnixNano(), Serving: false,
+	}
+	g.targets.Region = s.Region
+	g.targets.Warmup = g.warmup
+	g.targets.Share = g.coldShare
+	g.retries.Ratio, g.retries.Slack, g.retries.Window = o.Bounds.RetryRatio, o.Bounds.RetrySlack, o.Bounds.RetryWindow
+	g.retries.Nodes = func() int { return g.members.Count(time.Now(), "") }
+}
+
+func (g *Gateway) servers() []*jwrest.Server {
+	l := g.Settings.Gateway.Listen
+	list := []*jwrest.Server{
+		g.server("callers", l.Callers, http.HandlerFunc(g.serveCaller)),
+		g.server("ready", l.Ready, http.HandlerFunc(g.serveReady)),
+		g.server("directory", l.Directory, http.HandlerFunc(g.serveDirectory)),
+		g.server("nodes", l.Nodes, http.HandlerFunc(g.serveNode)),
+	}
+	if l.Metrics.IsValid() && g.Metrics != nil {
+		list = append(list, g.server("metrics", l.Metrics, g.Metrics))
+	}
+	return list
+}
+
+func (g *Gateway) server(name string, a netip.AddrPort, h http.Handler) *jwrest.Server {
+	return &jwrest.Server{Name: name, Address: a, Handler: h, Log: g.Log, DrainLimit: 50 * time.Millisecond}
+}
+
+// warmup tells how long a target of a service is cold and what all nodes
+// together may send to it in a second meanwhile.
+func (g *Gateway) warmup(service string) (time.Duration, float64) {
+	c := g.entries.Current()
+	if c == nil {
+		return 0, 0
+	}
+	s := c.Services[service]
+	if s == nil {
+		return 0, 0
+	}
+	return s.Warmup, s.WarmupRate
+}
+
+// coldShare is how many requests this node may send to a cold target within a
+// second. One node of the region owns each target; since two may believe that
+// they do, each takes only its even part of the bound.
+func (g *Gateway) coldShare(service, target string) float64 {
+	now := time.Now()
+	if !g.members.Owns(now, target) {
+		return 0
+	}
+	_, rate := g.warmup(service)
+	b := g.Settings.Gateway.Bounds
+	bound := rate*b.ColdRatio + b.ColdSlack
+	n := float64(g.members.Count(now, g.Settings.Region))
+	return min(rate, bound/n)
+}
+
+// ready tells whether the node serves callers.
+func (g *Gateway) ready() bool { return g.entries.Current() != nil && !g.stopping.Load() }
--- /dev/null
+++ b/io/jwgateway/region.go
@@ -0,0 +1,81 @@
+package jwgateway
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// waitAge is how long a region's wait is believed.
+	waitAge = 3 * time.Second
+	// firstTrip is the time to another region and back until it was measured.
+	firstTrip = 200 * time.Millisecond
+)
+
+// regionTable holds how long requests wait in other regions and how far those
+// are.
+type regionTable struct {
+	mu    sync.Mutex
+	waits map[string]map[string]regionWait // by region and service
+	trips map[string]time.Duration
+}
+
+type regionWait struct {
+	wait time.Duration
+	at   time.Time
+	node string
+}
+
+// heard takes the waits that a node of a region sees; the nodes of a region
+// see nearly the same, so the last one counts.
+func (t *regionTable) heard(now time.Time, s state) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.waits == nil {
+		t.waits = make(map[string]map[string]regionWait)
+	}
+	services := t.waits[s.Member.Region]
+	if services == nil {
+		services = make(map[string]regionWait)
+		t.waits[s.Member.Region] = services
+	}
+	for name, ms := range s.Waits {
+		services[name] = regionWait{time.Duration(ms) * time.Millisecond, now, s.Member.Name}
+	}
+}
+
+// expect returns the wait for a service in a region; false if it isn't known.
+func (t *regionTable) expect(now time.Time, region, service string) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w, ok := t.waits[region][service]
+	if !ok || now.Sub(w.at) > waitAge {
+		return 0, false
+	}
+	return w.wait, true
+}
+
+// tripped notes how long an exchange with a region took.
+func (t *regionTable) tripped(region string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.trips == nil {
+		t.trips = make(map[string]time.Duration)
+	}
+	old, ok := t.trips[region]
+	if !ok || d < old {
+		t.trips[region] = d
+		return
+	}
+	t.trips[region] = old + (d-old)/10
+}
+
+// trip returns the time to a region and back.
+func (t *regionTable) trip(region string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if d, ok := t.trips[region]; ok {
+		return d
+	}
+	return firstTrip
+}
--- /dev/null
+++ b/io/jwgateway/request.go
@@ -0,0 +1,165 @@
+package jwgateway
+
+import (
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"jujubewheel/core/jwentry"
+	"jujubewheel/core/jwinstance"
+)
+
+const (
+	// firstWait is the Retry-After of a node that knows no configuration yet.
+	firstWait = 500 * time.Millisecond
+	// bodyLimit bounds a body until a configuration says otherwise.
+	bodyLimit = 1 << 20
+	// defaultDeadline bounds a request that names none.
+	defaultDeadline = 30 * time.Second
+)
+
+// request is one request on its way through the node.
+type request struct {
+	Call
+	entry    *jwentry.Entry
+	version  uint64 // of the configuration that it is judged by
+	service  string
+	method   string
+	target   string // path and query as the caller wrote them
+	host     string
+	header   http.Header
+	body     []byte
+	arrived  time.Time
+	deadline time.Time
+	forward  bool // came from another node, and is not passed on again
+
+	w        http.ResponseWriter
+	started  bool // the head of an answer went to the caller
+	tried    map[string]bool
+	attempts int // sends that a target may have run
+	sends    int // sends that reached a target
+	lastID   string
+	refused  string // why the last send or choice did not run
+}
+
+func (q *request) need() jwinstance.Need {
+	return jwinstance.Need{Service: q.service, Prompt: q.Prompt, Exclude: q.tried}
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+func stripHop(h http.Header) {
+	for _, field := range h["Connection"] {
+		for _, name := range strings.Split(field, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+}
+
+// serveCaller answers callers.
+func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	call := g.Dialect.Call(r.Header)
+	cfg := g.entries.Current()
+	if cfg == nil {
+		g.refuse(w, call.ID, http.StatusServiceUnavailable, firstWait, "no configuration yet")
+		return
+	}
+	target, path := r.RequestURI, r.RequestURI
+	if i := strings.IndexByte(path, '?'); i >= 0 {
+		path = path[:i]
+	}
+	host := r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	e := cfg.Match(host, path)
+	if e == nil {
+		g.refuse(w, call.ID, http.StatusNotFound, 0, "no such entry")
+		return
+	}
+	q := &request{
+		Call: call, entry: e, version: cfg.Version, method: r.Method, target: target, host: r.Host,
+		header: r.Header, arrived: time.Now(), w: w,
+	}
+	q.service = e.Choose(point(call.ID))
+	limit := defaultDeadline
+	if call.Deadline > 0 {
+		limit = call.Deadline
+	}
+	if e.Timeout > 0 {
+		limit = min(limit, e.Timeout)
+	}
+	q.deadline = q.arrived.Add(limit)
+	if !g.readBody(q, r, cfg.Limits.MaxBody) {
+		return
+	}
+	stripHop(q.header)
+	g.Dialect.Strip(q.header)
+	g.serve(r.Context(), q)
+}
+
+// readBody reads the whole body, so that the request can be sent again.
+func (g *Gateway) readBody(q *request, r *http.Request, most int64) bool {
+	if most <= 0 {
+		most = bodyLimit
+	}
+	if r.ContentLength > most {
+		g.refuse(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, "body too large")
+		return false
+	}
+	if r.ContentLength == 0 {
+		return true
+	}
+	var err error
+	if r.ContentLength > 0 {
+		q.body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, q.body)
+	} else {
+		q.body, err = io.ReadAll(io.LimitReader(r.Body, most+1))
+		if err == nil && int64(len(q.body)) > most {
+			g.refuse(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, "body too large")
+			return false
+		}
+	}
+	if err != nil {
+		g.refuse(q.w, q.ID, http.StatusBadRequest, 0, "body broke off")
+		return false
+	}
+	return true
+}
+
+// point spreads identifiers over [0, 1).
+func point(id string) float64 {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return float64(h.Sum32()) / (1 << 32)
+}
+
+// refuse answers a request that has not run and never will, or that can't be
+// answered; again is when to come back, 0 if that would not help.
+func (g *Gateway) refuse(w http.ResponseWriter, id string, status int, again time.Duration, why string) {
+	h := w.Header()
+	g.Dialect.Refuse(h, id)
+	h["Content-Type"] = []string{"application/json"}
+	if again > 0 {
+		h["Retry-After"] = []string{strconv.FormatFloat(again.Seconds(), 'f', 3, 64)}
+	}
+	if g.stopping.Load() {
+		h["Connection"] = []string{"close"}
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, `{"error":`+strconv.Quote(why)+"}\n")
+}
--- /dev/null
+++ b/io/jwgateway/stop.go
@@ -0,0 +1,44 @@
+package jwgateway
+
+import (
+	"context"
+	"time"
+
+	"jujubewheel/io/jwrest"
+)
+
+const (
+	// lingerTTLs is for how many lives of a directory answer a stopping node
+	// still takes requests: some callers keep answers longer than told.
+	lingerTTLs = 3
+	// stopShare is the part of the grace period after which what still runs is
+	// cut off; the rest is for ending.
+	stopShare = 0.93
+)
+
+// stop carries out the planned stop: the node is named to nobody any more,
+// serves what still comes, and waits for what it runs.
+func (g *Gateway) stop(servers []*jwrest.Server) {
+	begun := time.Now()
+	g.stopping.Store(true)
+	g.members.Serve(false)
+	g.again()
+	g.Log.Info("stopping", "inFlight", g.inFlight.Load())
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	go func() {
+		defer cancel()
+		g.exchangeAll(ctx)
+	}()
+	for _, s := range servers {
+		s.Drain()
+	}
+	grace := time.Duration(float64(g.Settings.Gateway.Bounds.Grace) * stopShare)
+	const step = 20 * time.Millisecond
+	for time.Since(begun) < grace {
+		if time.Since(begun) > lingerTTLs*directoryTTL && g.inFlight.Load() == 0 {
+			break
+		}
+		time.Sleep(step)
+	}
+	g.Log.Info("stop complete", "inFlight", g.inFlight.Load(), "after", time.Since(begun).String())
+}
--- a/io/jwsettings/parse.go
+++ b/io/jwsettings/parse.go
@@ -26,12 +26,11 @@
 	r := &reader{src: data}
 	s := defaults()
 	o := r.object("", root)
-	s.readIdentity(o)
-	s.readAddresses(o)
-	s.readPlatform(o)
-	s.readAccess(o)
-	s.readNetwork(o)
-	s.readTuning(o)
+	if _, ok := o.members["gateway"]; ok {
+		s.readGateway(o)
+	} else {
+		s.readNode(o)
+	}
 	o.end()
 	if len(r.faults) > 0 {
 		sort.SliceStable(r.faults, func(i, j int) bool {
@@ -43,6 +42,16 @@
 	return s, nil
 }
 
+// readNode reads the settings of a node with the interfaces of its own.
+func (s *Settings) readNode(o *object) {
+	s.readIdentity(o)
+	s.readAddresses(o)
+	s.readPlatform(o)
+	s.readAccess(o)
+	s.readNetwork(o)
+	s.readTuning(o)
+}
+
 func defaults() *Settings {
 	return &Settings{
 		Platform: Platform{HostsPath: DefaultHostsPath},
--- a/io/jwsettings/settings.go
+++ b/io/jwsettings/settings.go
@@ -27,6 +27,7 @@
 	Limits     Limits
 	Claims     Claims
 	DrainLimit time.Duration // longest wait for requests in flight at a planned stop
+	Gateway    *Gateway      // set where the node serves by the feed of a store
 	Workers    int           // goroutines of the pool that serves control work
 }
 
