jwinstance, jwgateway: prompt parts are fetched from whoever holds them, loads told within a region

A target is now told who holds more of a prompt, and the nodes of a region tell each other what they sent where. Settings are read again at SIGHUP, which ended the process before. One line a decision in the log.

--- /dev/null
+++ b/cmd/jujubewheel/gateway.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"jujubewheel/io/jwcommand"
+	"jujubewheel/io/jwconn"
+	"jujubewheel/io/jwgateway"
+	"jujubewheel/io/jwlog"
+	"jujubewheel/io/jwsettings"
+	"jujubewheel/platform"
+)
+
+// memoryShare is the part of the memory that the runtime keeps to: half, as
+// bytes that wait in the kernel count too.
+const memoryShare = 2
+
+// settingsPoll is how often the settings file is looked at: it may change
+// without a signal.
+const settingsPoll = 2 * time.Second
+
+// gateway runs a node that serves by the feed of the platform's store.
+type gateway struct{}
+
+// Run implements jwcommand.Runner.
+func (gateway) Run(ctx context.Context, n jwcommand.Node) error {
+	o := n.Settings.Gateway
+	if o.Memory > 0 {
+		debug.SetMemoryLimit(o.Memory / memoryShare)
+	}
+	queue := &jwlog.Queue{W: os.Stdout}
+	ended, written := make(chan struct{}), make(chan struct{})
+	go func() {
+		queue.Run(ended)
+		close(written)
+	}()
+	defer func() {
+		close(ended)
+		<-written
+	}()
+	log := jwlog.New(queue, n.Verbose).WithValues("node", n.Settings.Node)
+	whole := &jwgateway.Gateway{
+		Settings:  n.Settings,
+		Feed:      &platform.Store{Address: o.Store.Address, Pool: &jwconn.Pool{}},
+		Records:   platform.Records{Regions: o.DataCentres},
+		Dialect:   platform.Headers{},
+		Pool:      &jwconn.Pool{},
+		Log:       log,
+		Decisions: jwlog.NewDecisions(queue, queue.Minor(), n.Settings.Node),
+		Reload:    reloads(ctx, n.File, log),
+	}
+	return whole.Run(ctx)
+}
+
+// reloads reads the settings file anew at each SIGHUP and when it has changed.
+// A file with faults is refused and the settings before it stay.
+func reloads(ctx context.Context, file string, log logr.Logger) <-chan *jwsettings.Settings {
+	out := make(chan *jwsettings.Settings)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		last := modified(file)
+		tick := time.NewTicker(settingsPoll)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+			case <-tick.C:
+				if at := modified(file); at.Equal(last) {
+					continue
+				}
+			}
+			last = modified(file)
+			s, err := jwsettings.Load(file)
+			if err != nil || s.Gateway == nil {
+				log.Info("settings refused, the old ones stay", "file", file, "error", errorText(err))
+				continue
+			}
+			select {
+			case out <- s:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "no gateway in it"
+	}
+	return err.Error()
+}
+
+// modified returns when a file changed last, zero if it can't be told.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/core/jwbudget/retry.go
+++ b/core/jwbudget/retry.go
@@ -12,15 +12,20 @@
 // Retry is the budget of sends beyond the first of each request, by service.
 // Set its fields before use.
 type Retry struct {
-	Ratio  float64       // repeats allowed for each request
-	Slack  float64       // repeats allowed in a window besides, over all nodes
-	Window time.Duration // the span that the bound holds for
-	Nodes  func() int    // nodes there may be, this one included
+	Limits func() Limits
+	Nodes  func() int // nodes there may be, this one included
 
 	mu       sync.Mutex
 	services map[string]*window
 }
 
+// Limits bound the repeats of a service over all nodes.
+type Limits struct {
+	Ratio  float64       // repeats allowed for each request
+	Slack  float64       // repeats allowed in a window besides
+	Window time.Duration // the span that the bound holds for
+}
+
 // window keeps what happened in the last span.
 type window struct {
 	requests []time.Time
@@ -44,7 +49,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service)
-	w.requests = append(since(w.requests, now.Add(-r.Window)), now)
+	w.requests = append(since(w.requests, now.Add(-r.Limits().Window)), now)
 }
 
 // Take tells whether a request may be sent once more, and counts it.
@@ -52,9 +57,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service)
-	w.requests = since(w.requests, now.Add(-r.Window))
-	w.repeats = since(w.repeats, now.Add(-r.Window))
-	most := safety * (r.Ratio*float64(len(w.requests)) + r.Slack/float64(max(r.Nodes(), 1)))
+	l := r.Limits()
+	w.requests = since(w.requests, now.Add(-l.Window))
+	w.repeats = since(w.repeats, now.Add(-l.Window))
+	most := safety * (l.Ratio*float64(len(w.requests)) + l.Slack/float64(max(r.Nodes(), 1)))
 	if float64(len(w.repeats)+1) > most {
 		return false
 	}
--- a/core/jwinstance/cache.go
+++ b/core/jwinstance/cache.go
@@ -1,5 +1,7 @@
 package jwinstance
 
+import "slices"
+
 // cacheParts bounds the parts remembered of one target; a part takes about 40
 // bytes, so a target takes some 40 KB at most.
 const cacheParts = 1024
@@ -31,23 +33,43 @@
 
 // use notes that a prompt was sent there.
 func (c *cache) use(p Prompt) {
-	if len(p.Parts) == 0 {
-		return
+	c.tick++
+	for _, part := range p.Parts {
+		c.set(part.ID)
+	}
+	c.bound()
+}
+
+// hold notes that parts were sent there by another node.
+func (c *cache) hold(parts []uint64) {
+	c.tick++
+	for _, id := range parts {
+		c.set(id)
 	}
+	c.bound()
+}
+
+func (c *cache) set(id uint64) {
 	if c.parts == nil {
 		c.parts = make(map[uint64]int64)
 	}
-	c.tick++
-	for _, part := range p.Parts {
-		c.parts[part.ID] = c.tick
-	}
+	c.parts[id] = c.tick
+}
+
+// bound drops the older half of the parts at once, which keeps the cost of a
+// use constant on average.
+func (c *cache) bound() {
 	if len(c.parts) <= cacheParts {
 		return
 	}
-	// Dropping the older half at once keeps the cost of a use constant on average.
-	bound := c.tick - cacheParts/8
+	ticks := make([]int64, 0, len(c.parts))
+	for _, tick := range c.parts {
+		ticks = append(ticks, tick)
+	}
+	slices.Sort(ticks)
+	middle := ticks[len(ticks)/2]
 	for id, tick := range c.parts {
-		if tick < bound {
+		if tick < middle {
 			delete(c.parts, id)
 		}
 	}
--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -1,6 +1,7 @@
 package jwinstance
 
 import (
+	"net/netip"
 	"time"
 )
 
@@ -8,21 +9,24 @@
 	// firstRate is the prompt tokens a target reads in a millisecond until
 	// calls have shown it.
 	firstRate = 30.0
+	// firstPlain is the time of a call to a plain service until calls have
+	// shown it.
+	firstPlain = 20 * time.Millisecond
+	// overhead is what a call to an idle engine takes besides reading its
+	// prompt: the way there and back and one step of the batch.
+	overhead = 15 * time.Millisecond
 	// slotDelay is what one more running request adds to the wait for the
 	// first event, as prompts are read between the steps of the others.
-	slotDelay = time.Millisecond
+	slotDelay = 500 * time.Microsecond
 	// queueDelay is the wait for a slot for each request ahead in the queue.
 	queueDelay = 40 * time.Millisecond
-	// rateShare is the weight of a new sample in learned rates.
-	rateShare = 0.1
+	// fetchShare is what a token that is fetched from another target costs
+	// against one that is read.
+	fetchShare = 0.25
+	// leastFetch is the number of tokens from which a fetch pays its set-up.
+	leastFetch = 256
 )
 
-// pace is what calls showed of a service.
-type pace struct {
-	tokensPerMS float64
-	plain       time.Duration // whole time of a call to a plain service
-}
-
 // Need is a request that looks for a target.
 type Need struct {
 	Service string
@@ -33,9 +37,13 @@
 // Choice is the target that was found.
 type Choice struct {
 	Target   *Target
-	Expected time.Duration // until the first event
-	Miss     int           // prompt tokens that it has to read
+	Expected time.Duration  // until the first event
+	Miss     int            // prompt tokens that it has to read
+	Ahead    int            // prompt tokens to be read there before
+	Fetch    netip.AddrPort // a target that has parts which this one lacks, if valid
 	Cold     bool
+	Calls    int           // of this node at the target before this one
+	Age      time.Duration // of the registration that the choice rests on
 }
 
 // Best returns the target of the region that will probably answer soonest and
@@ -52,10 +60,11 @@
 		return c, false
 	}
 	x := c.Target
+	c.Calls, c.Age = x.calls, now.Sub(x.heard)
 	x.calls++
 	x.work += c.Miss
 	x.tokens += n.Prompt.Tokens + n.Prompt.Output
-	x.cache.use(n.Prompt)
+	t.place(now, x, n.Prompt)
 	if c.Cold {
 		x.coldSends = append(x.coldSends, now)
 	}
@@ -77,16 +86,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c, ok := t.best(now, Need{Service: service}, false)
-	if !ok {
-		return 0, false
-	}
-	ahead := time.Duration(float64(c.Target.work) / t.rate(service) * float64(time.Millisecond))
-	return c.Expected + ahead, true
+	return c.Expected, ok
 }
 
 // best finds the choice; last admits targets that vanished a moment ago.
 func (t *Table) best(now time.Time, n Need, last bool) (Choice, bool) {
 	var found Choice
+	holder, most := t.holder(now, n)
 	for _, x := range t.targets {
 		if x.Service != n.Service || x.Region != t.Region || n.Exclude[x.ID] || !t.usable(now, x, last) {
 			continue
@@ -96,7 +102,11 @@
 			continue
 		}
 		c := Choice{Target: x, Cold: cold, Miss: x.cache.missing(n.Prompt)}
-		c.Expected = t.expected(x, n, c.Miss)
+		if held := n.Prompt.Tokens - c.Miss; most-held >= leastFetch && holder != x {
+			c.Fetch = holder.Address
+			c.Miss -= int(float64(most-held) * (1 - fetchShare))
+		}
+		c.Expected, c.Ahead = t.expected(now, x, n, c.Miss)
 		if found.Target == nil || c.Expected < found.Expected ||
 			c.Expected == found.Expected && x.ID < found.Target.ID {
 			found = c
@@ -105,6 +115,24 @@
 	return found, found.Target != nil
 }
 
+// holder returns the target that holds most of a prompt, and how many tokens.
+func (t *Table) holder(now time.Time, n Need) (*Target, int) {
+	var holder *Target
+	most := 0
+	if len(n.Prompt.Parts) == 0 {
+		return nil, 0
+	}
+	for _, x := range t.targets {
+		if x.Service != n.Service || x.Region != t.Region || !x.gone.IsZero() || now.Before(x.rest) {
+			continue
+		}
+		if held := n.Prompt.Tokens - x.cache.missing(n.Prompt); held > most {
+			holder, most = x, held
+		}
+	}
+	return holder, most
+}
+
 func (t *Table) usable(now time.Time, x *Target, last bool) bool {
 	if x.Draining || t.evacuated[x.DataCentre] || now.Before(x.rest) {
 		return false
@@ -135,27 +163,36 @@
 	return float64(len(kept)+1) <= t.Share(x.Service, x.ID)
 }
 
-func (t *Table) expected(x *Target, n Need, miss int) time.Duration {
-	ahead := x.calls
-	waiting := 0
-	if x.load.Slots > 0 {
-		// What the others have there, as of its last answer.
-		others := max(x.load.Running+x.load.Waiting-x.loadCalls, 0)
-		ahead += others
-		waiting = max(ahead-x.load.Slots+1, 0)
-	} else if x.Slots > 0 {
-		waiting = max(ahead-x.Slots+1, 0)
+// expected returns the wait for the first event of an engine or the answer of
+// a plain service, and the prompt tokens to be read before.
+func (t *Table) expected(now time.Time, x *Target, n Need, miss int) (time.Duration, int) {
+	calls, work := x.calls, x.work
+	for _, o := range x.others {
+		if now.Sub(o.at) < othersAge {
+			calls += o.Calls
+			work += o.Work
+		}
 	}
-	d := time.Duration(ahead)*slotDelay + time.Duration(waiting)*queueDelay
-	if n.Prompt.Tokens > 0 {
-		d += time.Duration(float64(x.work+miss) / t.rate(n.Service) * float64(time.Millisecond))
+	slots := max(x.Slots, 1)
+	p := t.pace(n.Service)
+	if n.Prompt.Tokens == 0 && !p.engine {
+		d := time.Duration(float64(p.plain) * max(1, float64(calls+1)/float64(slots)))
+		return time.Duration(float64(d) * x.slow), 0
 	}
-	return time.Duration(float64(d) * x.slow)
+	d := overhead + time.Duration(calls)*slotDelay + time.Duration(max(calls-slots+1, 0))*queueDelay
+	d += time.Duration(float64(work+miss) / p.tokensPerMS * float64(time.Millisecond))
+	return time.Duration(float64(d) * x.slow), work
 }
 
-func (t *Table) rate(service string) float64 {
-	if p := t.rates[service]; p != nil && p.tokensPerMS > 0 {
-		return p.tokensPerMS
+// pace returns what calls showed of a service.
+func (t *Table) pace(service string) *pace {
+	if t.paces == nil {
+		t.paces = make(map[string]*pace)
+	}
+	p := t.paces[service]
+	if p == nil {
+		p = &pace{tokensPerMS: firstRate, plain: firstPlain}
+		t.paces[service] = p
 	}
-	return firstRate
+	return p
 }
--- a/core/jwinstance/instance.go
+++ b/core/jwinstance/instance.go
@@ -39,5 +39,4 @@
 	Running int
 	Waiting int
 	Slots   int
-	At      time.Time // when it was read
 }
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -11,12 +11,46 @@
 	failRest = 100 * time.Millisecond
 )
 
+// pace is what calls showed of a service.
+type pace struct {
+	engine      bool    // its requests have prompts
+	tokensPerMS float64 // prompt tokens that a target reads in a millisecond
+	plain       time.Duration
+}
+
+const (
+	// paceShare is the weight of a new sample in what calls showed.
+	paceShare = 0.05
+	// leastSample is the number of prompt tokens from which a first event
+	// tells the rate at which they are read.
+	leastSample = 1500
+	// slowShare is the weight of a call in a target's own pace, and slowMost
+	// bounds a single sample, as one stall is not a slow target.
+	slowShare = 0.15
+	slowMost  = 6
+)
+
 // Started notes the first event of a call after the wait d.
-func (t *Table) Started(x *Target, c Choice, d time.Duration) {
+func (t *Table) Started(x *Target, c Choice, p Prompt, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	x.work = max(x.work-c.Miss, 0)
-	_ = d
+	s := t.pace(x.Service)
+	if p.Tokens == 0 {
+		if c.Cold {
+			return
+		}
+		s.plain += time.Duration(paceShare * float64(min(d, slowMost*s.plain)-s.plain))
+	} else {
+		s.engine = true
+		if n := c.Ahead + c.Miss; n >= leastSample && d > overhead && !c.Cold {
+			rate := float64(n) / (float64(d-overhead) / float64(time.Millisecond))
+			rate = min(max(rate, s.tokensPerMS/slowMost), s.tokensPerMS*slowMost)
+			s.tokensPerMS += paceShare * (rate - s.tokensPerMS)
+		}
+	}
+	ratio := min(float64(d)*x.slow/float64(max(c.Expected, time.Millisecond)), slowMost)
+	x.slow = max(x.slow+slowShare*(ratio-x.slow), 0.5)
 }
 
 // Done notes the end of a call; started tells whether Started was called.
@@ -30,13 +64,6 @@
 	}
 }
 
-// Said notes the load that a target reported.
-func (t *Table) Said(x *Target, l Load) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	x.load, x.loadCalls = l, x.calls
-}
-
 // Served notes an answer that a target gave as it should.
 func (t *Table) Served(x *Target) {
 	t.mu.Lock()
--- /dev/null
+++ b/core/jwinstance/share.go
@@ -0,0 +1,93 @@
+package jwinstance
+
+import "time"
+
+const (
+	// othersAge is how long the load that another node told counts.
+	othersAge = time.Second
+	// placedAge is how long a placement is told to the others: several
+	// exchanges, as one may be lost.
+	placedAge = 400 * time.Millisecond
+)
+
+// NodeLoad is what a node has in flight at one target.
+type NodeLoad struct {
+	Target string `json:"target"`
+	Calls  int    `json:"calls"`
+	Work   int    `json:"work,omitempty"` // prompt tokens without a first event
+}
+
+type otherLoad struct {
+	NodeLoad
+	at time.Time
+}
+
+// Placement tells which parts of a prompt were sent to a target, without the
+// last one, which belongs to one caller.
+type Placement struct {
+	Target string   `json:"target"`
+	Parts  []uint64 `json:"parts"`
+	at     time.Time
+}
+
+// place notes that a prompt was sent to a target.
+func (t *Table) place(now time.Time, x *Target, p Prompt) {
+	x.cache.use(p)
+	if len(p.Parts) < 2 {
+		return
+	}
+	shared := make([]uint64, 0, len(p.Parts)-1)
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		shared = append(shared, part.ID)
+	}
+	t.placed = append(t.placed, Placement{Target: x.ID, Parts: shared, at: now})
+	old := 0
+	for old < len(t.placed) && now.Sub(t.placed[old].at) > placedAge {
+		old++
+	}
+	t.placed = append(t.placed[:0], t.placed[old:]...)
+}
+
+// Tell returns what the other nodes of the region should know: this node's
+// load at each target, and where it sent which prompts a moment ago.
+func (t *Table) Tell(now time.Time) ([]NodeLoad, []Placement) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var loads []NodeLoad
+	for _, x := range t.targets {
+		if x.calls > 0 || x.work > 0 {
+			loads = append(loads, NodeLoad{Target: x.ID, Calls: x.calls, Work: x.work})
+		}
+	}
+	var placed []Placement
+	for _, p := range t.placed {
+		if now.Sub(p.at) <= placedAge {
+			placed = append(placed, p)
+		}
+	}
+	return loads, placed
+}
+
+// Hear takes what another node of the region told.
+func (t *Table) Hear(now time.Time, node string, loads []NodeLoad, placed []Placement) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range t.targets {
+		delete(x.others, node)
+	}
+	for _, l := range loads {
+		x := t.targets[l.Target]
+		if x == nil {
+			continue
+		}
+		if x.others == nil {
+			x.others = make(map[string]otherLoad)
+		}
+		x.others[node] = otherLoad{l, now}
+	}
+	for _, p := range placed {
+		if x := t.targets[p.Target]; x != nil {
+			x.cache.hold(p.Parts)
+		}
+	}
+}
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -25,7 +25,8 @@
 	mu        sync.Mutex
 	targets   map[string]*Target
 	evacuated map[string]bool  // data centres
-	rates     map[string]*pace // by service
+	paces     map[string]*pace // by service
+	placed    []Placement      // of this node, the latest last
 }
 
 // Target is one incarnation with all that is believed of it. Its fields
@@ -36,16 +37,15 @@
 	gone      time.Time // when its registration vanished, zero if it stands
 	drained   time.Time // when it was first known to leave
 	coldUntil time.Time
-	coldSends []time.Time // of the last second
-	rest      time.Time   // not used before
-	restBeat  int64       // Beat when it fell silent; a later one ends the rest
-	failures  int         // in a row
-	calls     int         // in flight from this node
-	work      int         // prompt tokens of this node's calls without a first event
-	tokens    int         // memory held by this node's calls
-	load      Load
-	loadCalls int     // calls in flight when load was read
-	slow      float64 // its pace against the service's, 1 is usual
+	coldSends []time.Time          // of the last second
+	rest      time.Time            // not used before
+	restBeat  int64                // Beat when it fell silent; a later one ends the rest
+	failures  int                  // in a row
+	calls     int                  // in flight from this node
+	work      int                  // prompt tokens of this node's calls without a first event
+	tokens    int                  // memory held by this node's calls
+	others    map[string]otherLoad // of the other nodes of the region, by name
+	slow      float64              // its pace against the service's, 1 is usual
 	cache     cache
 }
 
--- a/io/jwcommand/serve.go
+++ b/io/jwcommand/serve.go
@@ -19,6 +19,8 @@
 // Node is what a node is started with.
 type Node struct {
 	Settings *jwsettings.Settings
+	File     string // that the settings were read from
+	Verbose  int
 	Log      logr.Logger
 	Meter    *jwmeter.Meter
 	Audit    *jwaudit.Trail
@@ -39,7 +41,7 @@
 	log := jwlog.New(p.Stderr, c.Verbose).WithValues("node", s.Node)
 	jwlog.CaptureGRPC(log)
 	if s.Gateway != nil {
-		return p.Gateway.Run(ctx, Node{Settings: s, Log: jwlog.New(p.Stdout, c.Verbose).WithValues("node", s.Node)})
+		return p.Gateway.Run(ctx, Node{Settings: s, File: c.File, Verbose: c.Verbose})
 	}
 	meter := &jwmeter.Meter{Log: log.WithName("meter")}
 	defer meter.Close()
--- /dev/null
+++ b/io/jwgateway/decide.go
@@ -0,0 +1,55 @@
+package jwgateway
+
+import (
+	"time"
+
+	"jujubewheel/core/jwinstance"
+	"jujubewheel/io/jwlog"
+)
+
+// The steps of a request that the log tells.
+const (
+	stepSend    = "send"    // to a target
+	stepForward = "forward" // to a node of another region
+	stepAnswer  = "answer"  // what the caller was told
+)
+
+// decision begins a line about a request.
+func (q *request) decision(step string) jwlog.Decision {
+	now := time.Now()
+	d := jwlog.Decision{
+		Step: step, Request: q.ID, Entry: q.entry.Name, Version: q.version, Service: q.service,
+		Attempt: q.attempts, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
+	}
+	return d
+}
+
+// toldSend logs a send to a target.
+func (g *Gateway) toldSend(q *request, c jwinstance.Choice, v Verdict, status int) {
+	d := q.decision(stepSend)
+	d.Target, d.Expected, d.Cold, d.Calls = c.Target.ID, c.Expected, c.Cold, c.Calls
+	d.BeliefAge, d.Outcome, d.Status = c.Age, string(v), status
+	d.Minor = v == finished && status < 500
+	if !d.Minor {
+		d.Reason = q.refused
+	}
+	g.Decisions.Write(&d)
+}
+
+// toldForward logs a request passed on to another node.
+func (g *Gateway) toldForward(q *request, peer string, v Verdict, status int) {
+	d := q.decision(stepForward)
+	d.Peer, d.Outcome, d.Status = peer, string(v), status
+	d.Minor = v == finished && status < 500
+	if !d.Minor {
+		d.Reason = q.refused
+	}
+	g.Decisions.Write(&d)
+}
+
+// toldAnswer logs an answer of the gateway's own, or that there is none.
+func (g *Gateway) toldAnswer(q *request, outcome, reason string, status int) {
+	d := q.decision(stepAnswer)
+	d.Outcome, d.Reason, d.Status = outcome, reason, status
+	g.Decisions.Write(&d)
+}
--- a/io/jwgateway/dialect.go
+++ b/io/jwgateway/dialect.go
@@ -25,6 +25,7 @@
 	Engine    bool
 	Priority  int
 	LastEvent string
+	Fetch     netip.AddrPort // a target that holds parts of the prompt, if valid
 }
 
 // Told is what an answer says in its headers.
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"jujubewheel/core/jwclock"
+	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/io/jwconn"
 )
@@ -20,7 +20,15 @@
 )
 
 const (
-	exchangePeriod  = time.Second
+	// exchangePeriod is the time between two exchanges with the nodes of other
+	// regions.
+	exchangePeriod = time.Second
+	// nearPeriod is the time between two exchanges with a node of the region;
+	// targets are chosen by what these have in flight.
+	nearPeriod = 100 * time.Millisecond
+	// nearNodes is the number of nodes in a region up to which nearPeriod
+	// holds; it grows with more, so that the work of each stays the same.
+	nearNodes       = 4
 	exchangeTimeout = time.Second
 	maxState        = 64 << 10
 )
@@ -30,9 +38,13 @@
 	Member  jwmember.Member  `json:"member"`
 	Version uint64           `json:"version"` // of the configuration in force
 	Waits   map[string]int64 `json:"waits"`   // milliseconds until a first event, by service
+	// Only told within the region.
+	Loads  []jwinstance.NodeLoad  `json:"loads,omitempty"`
+	Placed []jwinstance.Placement `json:"placed,omitempty"`
 }
 
-func (g *Gateway) state(now time.Time) state {
+// state returns what a node of a region is told.
+func (g *Gateway) state(now time.Time, region string) state {
 	s := state{Member: g.members.Me(), Version: g.entries.Version(), Waits: map[string]int64{}}
 	if c := g.entries.Current(); c != nil {
 		for name := range c.Services {
@@ -41,38 +53,56 @@
 			}
 		}
 	}
+	if region == g.Settings.Region {
+		s.Loads, s.Placed = g.targets.Tell(now)
+	}
 	return s
 }
 
-// exchange tells all peers how the node fares and hears how they do.
+// exchange tells the peers how the node fares and hears how they do, those of
+// the region more often.
 func (g *Gateway) exchange(ctx context.Context) {
+	var far time.Time
 	for ctx.Err() == nil {
-		g.exchangeAll(ctx)
-		jwclock.Sleep(ctx, exchangePeriod)
+		now := time.Now()
+		peers := g.members.Peers(now)
+		near := 0
+		for _, m := range peers {
+			if m.Region == g.Settings.Region {
+				near++
+			}
+		}
+		g.exchangeWith(ctx, peers, func(m jwmember.Member) bool { return m.Region == g.Settings.Region })
+		if now.Sub(far) >= exchangePeriod {
+			far = now
+			g.exchangeWith(ctx, peers, func(m jwmember.Member) bool { return m.Region != g.Settings.Region })
+		}
+		jwclock.Sleep(ctx, min(nearPeriod*time.Duration(max(near, nearNodes))/nearNodes, exchangePeriod))
 	}
 }
 
-// exchangeAll speaks once to each peer; of two peers one begins.
-func (g *Gateway) exchangeAll(ctx context.Context) {
+// exchangeWith speaks once to each of the peers that fit; of two peers one
+// begins.
+func (g *Gateway) exchangeWith(ctx context.Context, peers []jwmember.Member, fits func(jwmember.Member) bool) {
 	now := time.Now()
 	me := g.members.Me()
-	body, err := json.Marshal(g.state(now))
-	if err != nil {
-		g.Log.Error(err, "state not encoded")
-		return
-	}
-	var wg sync.WaitGroup
-	for _, m := range g.members.Peers(now) {
-		if m.Name < me.Name && me.Serving {
+	for _, m := range peers {
+		if m.Name < me.Name && me.Serving || !fits(m) {
 			continue
 		}
-		wg.Add(1)
+		body, err := json.Marshal(g.state(now, m.Region))
+		if err != nil {
+			g.Log.Error(err, "state not encoded")
+			return
+		}
+		if _, busy := g.speaking.LoadOrStore(m.Name, true); busy {
+			continue // it has not answered the last time yet
+		}
 		go func() {
-			defer wg.Done()
+			defer g.speaking.Delete(m.Name)
 			g.exchangeOne(ctx, m, body)
 		}()
 	}
-	wg.Wait()
 }
 
 func (g *Gateway) exchangeOne(ctx context.Context, m jwmember.Member, body []byte) {
@@ -109,6 +139,9 @@
 	now := time.Now()
 	g.members.Heard(now, s.Member)
 	g.regions.heard(now, s)
+	if s.Member.Region == g.Settings.Region {
+		g.targets.Hear(now, s.Member.Name, s.Loads, s.Placed)
+	}
 	if s.Version > g.entries.Version() {
 		if from.Name == "" {
 			from = s.Member
@@ -138,7 +171,7 @@
 	}
 	g.heardState(s, jwmember.Member{})
 	w.Header()["Content-Type"] = []string{"application/json"}
-	if err := json.NewEncoder(w).Encode(g.state(time.Now())); err != nil {
+	if err := json.NewEncoder(w).Encode(g.state(time.Now(), s.Member.Region)); err != nil {
 		g.Log.V(1).Info("state not told", "peer", s.Member.Name, "error", err.Error())
 	}
 }
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -113,11 +113,22 @@
 	if !e.Repeatable() {
 		call.Fresh = freshOnce
 	}
-	a, err := g.Pool.Do(ctx, call)
-	if err != nil {
-		return g.forwardFailed(ctx, q, m, err)
-	}
-	defer a.Close()
+	status := 0
+	verdict := func() Verdict {
+		a, err := g.Pool.Do(ctx, call)
+		if err != nil {
+			return g.forwardFailed(ctx, q, m, err)
+		}
+		defer a.Close()
+		status = a.Status
+		return g.judgeForward(q, m, a)
+	}()
+	g.toldForward(q, m.Name, verdict, status)
+	return verdict
+}
+
+// judgeForward passes the answer of another node on, if it is a target's.
+func (g *Gateway) judgeForward(q *request, m jwmember.Member, a *jwconn.Answer) Verdict {
 	outcome := a.Header.Get(headOutcome)
 	delete(a.Header, headOutcome)
 	switch outcome {
@@ -126,14 +137,13 @@
 		drain(a)
 		return notRun
 	case outcomeServed:
-	default:
-		q.refused = "unknown at " + m.Name
 		q.attempts++
-		drain(a)
-		return failed
+		return g.relay(q, a, func() {})
 	}
+	q.refused = "unknown at " + m.Name
 	q.attempts++
-	return g.relay(q, a, func() {})
+	drain(a)
+	return failed
 }
 
 func (g *Gateway) forwardFailed(ctx context.Context, q *request, m jwmember.Member, err error) Verdict {
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,25 +17,30 @@
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/io/jwconn"
+	"jujubewheel/io/jwlog"
 	"jujubewheel/io/jwrest"
 	"jujubewheel/io/jwsettings"
 )
 
 // Gateway is one node; set its fields, then call Run.
 type Gateway struct {
-	Settings *jwsettings.Settings
-	Feed     jwstore.Feed
-	Records  Records
-	Dialect  Dialect
-	Pool     *jwconn.Pool // connections to targets and nodes
-	Metrics  http.Handler // answers at the metrics address, if set
-	Log      logr.Logger
+	Settings  *jwsettings.Settings
+	Feed      jwstore.Feed
+	Records   Records
+	Dialect   Dialect
+	Pool      *jwconn.Pool // connections to targets and nodes
+	Metrics   http.Handler // answers at the metrics address, if set
+	Log       logr.Logger
+	Decisions *jwlog.Decisions            // a line for each decision about a request; nil for none
+	Reload    <-chan *jwsettings.Settings // settings that changed while the node runs
 
+	bounds   atomic.Pointer[jwsettings.Bounds]
 	entries  jwentry.Table
 	targets  jwinstance.Table
 	members  jwmember.Table
 	retries  jwbudget.Retry
 	regions  regionTable
+	speaking sync.Map // names of the peers that an exchange waits for
 	stopping atomic.Bool
 	changed  chan struct{} // the registration has to be written anew
 	inFlight atomic.Int64
@@ -59,6 +65,7 @@
 	group.Go(func() error { g.follow(work); return nil })
 	group.Go(func() error { g.register(work); return nil })
 	group.Go(func() error { g.exchange(work); return nil })
+	group.Go(func() error { g.reload(work); return nil })
 	g.Log.Info("started", "region", g.Settings.Region, "dataCentre", g.Settings.DataCentre)
 	select {
 	case <-ctx.Done():
@@ -82,7 +89,11 @@
 	g.targets.Region = s.Region
 	g.targets.Warmup = g.warmup
 	g.targets.Share = g.coldShare
-	g.retries.Ratio, g.retries.Slack, g.retries.Window = o.Bounds.RetryRatio, o.Bounds.RetrySlack, o.Bounds.RetryWindow
+	g.bounds.Store(&o.Bounds)
+	g.retries.Limits = func() jwbudget.Limits {
+		b := g.bounds.Load()
+		return jwbudget.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
+	}
 	g.retries.Nodes = func() int { return g.members.Count(time.Now(), "") }
 }
 
@@ -127,7 +138,7 @@
 		return 0
 	}
 	_, rate := g.warmup(service)
-	b := g.Settings.Gateway.Bounds
+	b := g.bounds.Load()
 	bound := rate*b.ColdRatio + b.ColdSlack
 	n := float64(g.members.Count(now, g.Settings.Region))
 	return min(rate, bound/n)
@@ -135,3 +146,21 @@
 
 // ready tells whether the node serves callers.
 func (g *Gateway) ready() bool { return g.entries.Current() != nil && !g.stopping.Load() }
+
+// reload takes settings that changed; what can change while the node runs are
+// its bounds, and an address that differs is only told.
+func (g *Gateway) reload(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-g.Reload:
+			o := s.Gateway
+			if o.Listen != g.Settings.Gateway.Listen || o.Store != g.Settings.Gateway.Store {
+				g.Log.Info("settings changed that need a restart")
+			}
+			g.bounds.Store(&o.Bounds)
+			g.Log.Info("settings in force")
+		}
+	}
+}
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -40,8 +40,9 @@
 	w        http.ResponseWriter
 	started  bool // the head of an answer went to the caller
 	tried    map[string]bool
-	attempts int // sends that a target may have run
-	sends    int // sends that reached a target
+	attempts int  // sends that a target may have run
+	sends    int  // sends that reached a target
+	paid     bool // the next send was taken from the retry budget already
 	lastID   string
 	refused  string // why the last send or choice did not run
 }
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -49,17 +49,27 @@
 			break
 		}
 	}
-	if parent.Err() != nil {
-		panic(http.ErrAbortHandler) // the caller is gone
-	}
+	g.giveUp(ctx, parent, q, ran)
+}
+
+// giveUp tells the caller that its request was not served.
+func (g *Gateway) giveUp(ctx, parent context.Context, q *request, ran bool) {
 	switch {
+	case parent.Err() != nil:
+		g.toldAnswer(q, "callerGone", q.refused, 0)
+		panic(http.ErrAbortHandler)
 	case q.started:
-		panic(http.ErrAbortHandler) // an answer that ends early must not look whole
+		// An answer that ends early must not look whole.
+		g.toldAnswer(q, "cut", q.refused, 0)
+		panic(http.ErrAbortHandler)
 	case !ran:
+		g.toldAnswer(q, "notRun", q.refused, http.StatusServiceUnavailable)
 		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, refusedWait, q.refused)
 	case ctx.Err() != nil:
+		g.toldAnswer(q, "unknown", q.refused, http.StatusGatewayTimeout)
 		g.refuse(q.w, q.ID, http.StatusGatewayTimeout, 0, "not answered in time")
 	default:
+		g.toldAnswer(q, "unknown", q.refused, http.StatusBadGateway)
 		g.refuse(q.w, q.ID, http.StatusBadGateway, 0, q.refused)
 	}
 }
@@ -74,6 +84,10 @@
 			return false
 		}
 	}
+	if q.paid {
+		q.paid = false
+		return true
+	}
 	return q.sends == 0 || g.retries.Take(time.Now(), q.service)
 }
 
@@ -100,72 +114,90 @@
 func (g *Gateway) sendTarget(ctx context.Context, q *request, c jwinstance.Choice) Verdict {
 	x := c.Target
 	q.tried[x.ID] = true
-	first := true
-	defer func() { g.targets.Done(x, c, q.Prompt, !first) }()
+	started := false
 	if q.sends == 0 {
 		g.retries.Request(time.Now(), q.service)
 	}
 	begun := time.Now()
-	a, err := g.Pool.Do(ctx, g.targetCall(q, x))
-	if err != nil {
-		return g.sendFailed(ctx, q, x, err)
+	status := 0
+	verdict := func() Verdict {
+		a, err := g.Pool.Do(ctx, g.targetCall(q, c))
+		if err != nil {
+			return g.sendFailed(ctx, q, x, err)
+		}
+		defer a.Close()
+		q.sends++
+		status = a.Status
+		if v, ok := g.judge(q, x, a); !ok {
+			return v
+		}
+		return g.relay(q, a, func() {
+			started = true
+			g.targets.Started(x, c, q.Prompt, time.Since(begun))
+		})
+	}()
+	g.targets.Done(x, c, q.Prompt, started)
+	if verdict == finished && status < http.StatusInternalServerError {
+		g.targets.Served(x)
 	}
-	defer a.Close()
-	q.sends++
+	if verdict == broken && ctx.Err() == nil {
+		g.targets.Failed(time.Now(), x)
+	}
+	g.toldSend(q, c, verdict, status)
+	return verdict
+}
+
+// judge looks at the head of an answer; ok tells whether it goes to the
+// caller, and otherwise the verdict on the send is returned.
+func (g *Gateway) judge(q *request, x *jwinstance.Target, a *jwconn.Answer) (v Verdict, ok bool) {
 	told := g.Dialect.Answer(a.Header)
 	g.heard(x, told)
+	now := time.Now()
 	switch {
 	case told.NotRun || a.Status == http.StatusMisdirectedRequest:
 		q.refused = "refused by the target"
 		if a.Status == http.StatusMisdirectedRequest {
-			g.targets.Replaced(time.Now(), x)
+			g.targets.Replaced(now, x)
 		} else {
-			g.targets.Refused(time.Now(), x)
+			g.targets.Refused(now, x)
 		}
 		drain(a)
-		return notRun
+		return notRun, false
 	case !told.Sealed || a.Header.Get("Content-Encoding") != "":
 		q.attempts++
 		q.refused = "the answer is not the target's"
-		g.targets.Failed(time.Now(), x)
-		return failed
+		g.targets.Failed(now, x)
+		return failed, false
 	}
 	q.attempts++
-	if a.Status >= http.StatusInternalServerError {
-		g.targets.Failed(time.Now(), x)
-		if q.entry.Repeatable() && q.attempts < q.entry.Attempts() && !q.started && g.retries.Take(time.Now(), q.service) {
-			drain(a)
-			q.refused = "the target failed"
-			return g.send(ctx, q)
-		}
-	}
-	v := g.relay(q, a, func() {
-		first = false
-		g.targets.Started(x, c, time.Since(begun))
-	})
-	if v == finished && a.Status < http.StatusInternalServerError {
-		g.targets.Served(x)
+	if a.Status < http.StatusInternalServerError {
+		return finished, true
 	}
-	if v != finished && ctx.Err() == nil {
-		g.targets.Failed(time.Now(), x)
+	g.targets.Failed(now, x)
+	if q.started || !g.mayRepeat(q, failed) {
+		return finished, true // the caller gets the target's own failure
 	}
-	return v
+	drain(a)
+	q.refused = "the target failed"
+	q.paid = true
+	return failed, false
 }
 
-func (g *Gateway) targetCall(q *request, x *jwinstance.Target) *jwconn.Call {
+func (g *Gateway) targetCall(q *request, c jwinstance.Choice) *jwconn.Call {
+	x := c.Target
 	h := q.header.Clone()
 	g.Dialect.Send(h, Send{
 		Target: x.ID, Left: time.Until(q.deadline), Engine: q.Prompt.Tokens > 0,
-		Priority: q.entry.Priority, LastEvent: q.lastEvent(),
+		Priority: q.entry.Priority, LastEvent: q.lastEvent(), Fetch: c.Fetch,
 	})
-	c := &jwconn.Call{
+	call := &jwconn.Call{
 		Peer: x.Address, Method: q.method, Target: q.target, Host: q.host, Header: h, Body: q.body,
 		Match: func(h http.Header) bool { return g.Dialect.ID(h) == q.ID },
 	}
 	if !q.entry.Repeatable() {
-		c.Fresh = freshOnce
+		call.Fresh = freshOnce
 	}
-	return c
+	return call
 }
 
 // lastEvent is the event after which the next target goes on.
@@ -194,12 +226,7 @@
 
 // heard keeps what a target said of itself in an answer.
 func (g *Gateway) heard(x *jwinstance.Target, told Told) {
-	now := time.Now()
-	if told.Load.Slots > 0 {
-		told.Load.At = now
-		g.targets.Said(x, told.Load)
-	}
 	if told.Cold > 0 {
-		g.targets.Cold(now, x, told.Cold)
+		g.targets.Cold(time.Now(), x, told.Cold)
 	}
 }
--- a/io/jwgateway/stop.go
+++ b/io/jwgateway/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"jujubewheel/core/jwmember"
 	"jujubewheel/io/jwrest"
 )
 
@@ -25,14 +26,12 @@
 	g.again()
 	g.Log.Info("stopping", "inFlight", g.inFlight.Load())
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
-	go func() {
-		defer cancel()
-		g.exchangeAll(ctx)
-	}()
+	defer cancel()
+	g.exchangeWith(ctx, g.members.Peers(begun), func(jwmember.Member) bool { return true })
 	for _, s := range servers {
 		s.Drain()
 	}
-	grace := time.Duration(float64(g.Settings.Gateway.Bounds.Grace) * stopShare)
+	grace := time.Duration(float64(g.bounds.Load().Grace) * stopShare)
 	const step = 20 * time.Millisecond
 	for time.Since(begun) < grace {
 		if time.Since(begun) > lingerTTLs*directoryTTL && g.inFlight.Load() == 0 {
--- /dev/null
+++ b/io/jwlog/decision.go
@@ -0,0 +1,97 @@
+package jwlog
+
+import (
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Decision is one line of the log about a request: what was decided, from
+// which inputs, and what came of it. Fields that are empty are left out.
+type Decision struct {
+	Step      string        // what was decided, such as "send" or "answer"
+	Request   string        // the caller's identifier of the request
+	Entry     string        // name of the catalogue entry
+	Version   uint64        // of the configuration that the request is judged by
+	Service   string        // that runs it
+	Target    string        // incarnation of the target
+	Peer      string        // the other node
+	Outcome   string        // what came of it
+	Reason    string        // why
+	Status    int           // of the answer
+	Attempt   int           // counted from 1
+	Left      time.Duration // until the deadline
+	Took      time.Duration // since the request arrived
+	Expected  time.Duration // wait for the first event as it was estimated
+	Calls     int           // of this node at the target
+	BeliefAge time.Duration // of the target's registration
+	LoadAge   time.Duration // of the target's last report of its load
+	Cold      bool
+	Minor     bool // of a request that was served
+}
+
+// Decisions writes Decisions as JSON lines; the zero value drops them.
+type Decisions struct {
+	major, minor *zap.Logger
+}
+
+// NewDecisions returns a log of decisions of a node. Lines about requests that
+// were served go to minor.
+func NewDecisions(major, minor io.Writer, node string) *Decisions {
+	return &Decisions{major: decisionLog(major, node), minor: decisionLog(minor, node)}
+}
+
+func decisionLog(w io.Writer, node string) *zap.Logger {
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), zapcore.AddSync(w), zapcore.InfoLevel)
+	return zap.New(core).With(zap.String("node", node))
+}
+
+// Write writes one line.
+func (d *Decisions) Write(x *Decision) {
+	if d == nil || d.major == nil {
+		return
+	}
+	log := d.major
+	if x.Minor {
+		log = d.minor
+	}
+	const most = 18
+	var buf [most]zap.Field
+	f := buf[:0]
+	f = appendText(f, "request", x.Request)
+	f = appendText(f, "entry", x.Entry)
+	f = appendText(f, "service", x.Service)
+	f = appendText(f, "target", x.Target)
+	f = appendText(f, "peer", x.Peer)
+	f = appendText(f, "outcome", x.Outcome)
+	f = appendText(f, "reason", x.Reason)
+	f = appendNumber(f, "version", int64(x.Version))
+	f = appendNumber(f, "status", int64(x.Status))
+	f = appendNumber(f, "attempt", int64(x.Attempt))
+	f = appendNumber(f, "leftMs", x.Left.Milliseconds())
+	f = appendNumber(f, "tookMs", x.Took.Milliseconds())
+	f = appendNumber(f, "expectedMs", x.Expected.Milliseconds())
+	f = appendNumber(f, "calls", int64(x.Calls))
+	f = appendNumber(f, "beliefAgeMs", x.BeliefAge.Milliseconds())
+	f = appendNumber(f, "loadAgeMs", x.LoadAge.Milliseconds())
+	if x.Cold {
+		f = append(f, zap.Bool("cold", true))
+	}
+	log.Info(x.Step, f...)
+}
+
+func appendText(f []zap.Field, key, value string) []zap.Field {
+	if value == "" {
+		return f
+	}
+	return append(f, zap.String(key, value))
+}
+
+func appendNumber(f []zap.Field, key string, value int64) []zap.Field {
+	if value == 0 {
+		return f
+	}
+	return append(f, zap.Int64(key, value))
+}
--- a/io/jwlog/log.go
+++ b/io/jwlog/log.go
@@ -12,19 +12,21 @@
 	"google.golang.org/grpc/grpclog"
 )
 
+// encoding is how all lines are written.
+var encoding = zapcore.EncoderConfig{
+	TimeKey:        "time",
+	LevelKey:       "level",
+	NameKey:        "logger",
+	MessageKey:     "message",
+	EncodeTime:     zapcore.RFC3339NanoTimeEncoder,
+	EncodeLevel:    zapcore.LowercaseLevelEncoder,
+	EncodeDuration: zapcore.StringDurationEncoder,
+}
+
 // New returns a log that writes JSON lines to w. Verbosity 0 gives changes of
 // state and errors, 1 adds what libraries say, 2 adds single requests.
 func New(w io.Writer, verbosity int) logr.Logger {
-	cfg := zapcore.EncoderConfig{
-		TimeKey:        "time",
-		LevelKey:       "level",
-		NameKey:        "logger",
-		MessageKey:     "message",
-		EncodeTime:     zapcore.RFC3339NanoTimeEncoder,
-		EncodeLevel:    zapcore.LowercaseLevelEncoder,
-		EncodeDuration: zapcore.StringDurationEncoder,
-	}
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), zapcore.Level(-verbosity))
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), zapcore.Lock(zapcore.AddSync(w)), zapcore.Level(-verbosity))
 	log := zapr.NewLogger(zap.New(core))
 	return log.WithSink(plainErrors{log.GetSink()})
 }
