--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -66,7 +66,7 @@
 	group.Go(func() error { g.register(work); return nil })
 	group.Go(func() error { g.exchange(work); return nil })
 	group.Go(func() error { g.reload(work); return nil })
-	g.Log.Info("started", "region", g.Settings.Region, "dataCentre", g.Settings.DataCentre)
+	g.Log.Info("started", "bounds", *g.bounds.Load(), "region", g.Settings.Region, "dataCentre", g.Settings.DataCentre)
 	select {
 	case <-ctx.Done():
 		g.stop(servers)
