--- a/core/jwentry/entry.go
+++ b/core/jwentry/entry.go
@@ -87,6 +87,7 @@
 type Engine struct {
 	Slots    int // requests in one batch
 	Capacity int // tokens of memory
+	Stride   int // tokens of one event
 }
 
 // Limits bound what a caller may send.
--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -1,6 +1,7 @@
 package jwinstance
 
 import (
+	"math"
 	"net/netip"
 	"time"
 )
@@ -18,6 +19,22 @@
 	// slotDelay is what one more running request adds to the wait for the
 	// first event, as prompts are read between the steps of the others.
 	slotDelay = 500 * time.Microsecond
+	// PaceWeight is what a millisecond of later events counts against one until
+	// the first event: a caller who reads along does not wait for the last one,
+	// but an answer that outlasts its deadline is lost whole.
+	PaceWeight = 0.05
+	// HarmWeight is what a millisecond that a running request is delayed by
+	// counts.
+	HarmWeight = 0.05
+	// firstGap is the time between two events until calls have shown it, and
+	// what the belief in an older one fades to.
+	firstGap = 40 * time.Millisecond
+	// gapFade is how long a measured gap is believed.
+	gapFade = 1500 * time.Millisecond
+	// fullShare is the part of an engine's memory above which it preempts.
+	fullShare = 0.85
+	// fullDelay is what a preempted request waits.
+	fullDelay = 500 * time.Millisecond
 	// queueDelay is the wait for a slot for each request ahead in the queue.
 	queueDelay = 40 * time.Millisecond
 	// fetchShare is what a token that is fetched from another target costs
@@ -29,19 +46,23 @@
 
 // Need is a request that looks for a target.
 type Need struct {
-	Service string
-	Prompt  Prompt
-	Exclude map[string]bool // targets that it was sent to already
+	Service  string
+	Prompt   Prompt
+	Events   int             // events of the answer at most
+	Capacity int             // tokens of memory of a target, 0 if not known
+	Exclude  map[string]bool // targets that it was sent to already
 }
 
 // Choice is the target that was found.
 type Choice struct {
 	Target   *Target
 	Expected time.Duration  // until the first event
+	Cost     time.Duration  // Expected and what later events, its own and those of others, are delayed
 	Miss     int            // prompt tokens that it has to read
 	Ahead    int            // prompt tokens to be read there before
 	Fetch    netip.AddrPort // a target that has parts which this one lacks, if valid
 	Cold     bool
+	Held     int           // tokens of memory that the request takes
 	Calls    int           // of this node at the target before this one
 	Age      time.Duration // of the registration that the choice rests on
 }
@@ -63,7 +84,8 @@
 	c.Calls, c.Age = x.calls, now.Sub(x.heard)
 	x.calls++
 	x.work += c.Miss
-	x.tokens += n.Prompt.Tokens + n.Prompt.Output
+	c.Held = c.Miss + n.Prompt.Output
+	x.tokens += c.Held
 	t.place(now, x, n.Prompt)
 	if c.Cold {
 		x.coldSends = append(x.coldSends, now)
@@ -71,13 +93,13 @@
 	return c, true
 }
 
-// Expect returns the wait until the first event at the best target of the
-// region, without sending anything.
+// Expect returns the Cost at the best target of the region, without sending
+// anything.
 func (t *Table) Expect(now time.Time, n Need) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c, ok := t.best(now, n, false)
-	return c.Expected, ok
+	return c.Cost, ok
 }
 
 // Wait returns how long a request without a prompt would wait at the best
@@ -89,6 +111,30 @@
 	return c.Expected, ok
 }
 
+// Gap returns the time between two events at the target of the region that is
+// quickest at them.
+func (t *Table) Gap(now time.Time, service string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	least := time.Duration(0)
+	for _, x := range t.targets {
+		if x.Service != service || x.Region != t.Region || !t.usable(now, x, false) {
+			continue
+		}
+		if d := x.gapNow(now); least == 0 || d < least {
+			least = d
+		}
+	}
+	return least
+}
+
+// Read returns how long a target of a service takes to read a prompt's tokens.
+func (t *Table) Read(service string, tokens int) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(float64(tokens) / t.pace(service).tokensPerMS * float64(time.Millisecond))
+}
+
 // best finds the choice; last admits targets that vanished a moment ago.
 func (t *Table) best(now time.Time, n Need, last bool) (Choice, bool) {
 	var found Choice
@@ -107,8 +153,9 @@
 			c.Miss -= int(float64(most-held) * (1 - fetchShare))
 		}
 		c.Expected, c.Ahead = t.expected(now, x, n, c.Miss)
-		if found.Target == nil || c.Expected < found.Expected ||
-			c.Expected == found.Expected && x.ID < found.Target.ID {
+		c.Cost = c.Expected + t.later(now, x, n, c.Miss)
+		if found.Target == nil || c.Cost < found.Cost ||
+			c.Cost == found.Cost && x.ID < found.Target.ID {
 			found = c
 		}
 	}
@@ -184,6 +231,42 @@
 	return time.Duration(float64(d) * x.slow), work
 }
 
+// later returns what counts beside the first event: the pace of the request's
+// own events, and the delay of all that run there while its prompt is read.
+func (t *Table) later(now time.Time, x *Target, n Need, miss int) time.Duration {
+	if n.Prompt.Tokens == 0 {
+		return 0
+	}
+	calls, held := x.calls, x.tokens
+	for _, o := range x.others {
+		if now.Sub(o.at) < othersAge {
+			calls += o.Calls
+			held += o.Held
+		}
+	}
+	d := PaceWeight * float64(n.Events) * float64(x.gapNow(now))
+	d += HarmWeight * float64(calls) * float64(miss) / t.pace(n.Service).tokensPerMS * float64(time.Millisecond)
+	if n.Capacity > 0 && float64(held+miss+n.Prompt.Output) > fullShare*float64(n.Capacity) {
+		d += float64(fullDelay)
+	}
+	return time.Duration(d)
+}
+
+// gapNow returns the believed time between two events.
+func (x *Target) gapNow(now time.Time) time.Duration {
+	gap, at := x.gap, x.gapAt
+	for _, o := range x.others {
+		if o.at.After(at) && o.Gap > 0 {
+			gap, at = time.Duration(o.Gap)*time.Millisecond, o.at
+		}
+	}
+	if at.IsZero() {
+		return firstGap
+	}
+	fade := math.Exp(-float64(now.Sub(at)) / float64(gapFade))
+	return firstGap + time.Duration(fade*float64(gap-firstGap))
+}
+
 // pace returns what calls showed of a service.
 func (t *Table) pace(service string) *pace {
 	if t.paces == nil {
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -53,12 +53,27 @@
 	x.slow = max(x.slow+slowShare*(ratio-x.slow), 0.5)
 }
 
+// gapShare is the weight of one more event in a target's gap.
+const gapShare = 0.1
+
+// Passed notes that events of a stream came after the pause d.
+func (t *Table) Passed(now time.Time, x *Target, events int, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d /= time.Duration(max(events, 1))
+	if x.gapAt.IsZero() || now.Sub(x.gapAt) > gapFade {
+		x.gap = d
+	}
+	x.gap += time.Duration(gapShare * float64(d-x.gap))
+	x.gapAt = now
+}
+
 // Done notes the end of a call; started tells whether Started was called.
-func (t *Table) Done(x *Target, c Choice, p Prompt, started bool) {
+func (t *Table) Done(x *Target, c Choice, started bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	x.calls--
-	x.tokens -= p.Tokens + p.Output
+	x.tokens -= c.Held
 	if !started {
 		x.work = max(x.work-c.Miss, 0)
 	}
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -15,6 +15,8 @@
 	Target string `json:"target"`
 	Calls  int    `json:"calls"`
 	Work   int    `json:"work,omitempty"` // prompt tokens without a first event
+	Held   int    `json:"held,omitempty"` // tokens of memory
+	Gap    int64  `json:"gap,omitempty"`  // milliseconds between two events
 }
 
 type otherLoad struct {
@@ -56,7 +58,11 @@
 	var loads []NodeLoad
 	for _, x := range t.targets {
 		if x.calls > 0 || x.work > 0 {
-			loads = append(loads, NodeLoad{Target: x.ID, Calls: x.calls, Work: x.work})
+			l := NodeLoad{Target: x.ID, Calls: x.calls, Work: x.work, Held: x.tokens}
+			if now.Sub(x.gapAt) < placedAge {
+				l.Gap = x.gap.Milliseconds()
+			}
+			loads = append(loads, l)
 		}
 	}
 	var placed []Placement
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -37,13 +37,15 @@
 	gone      time.Time // when its registration vanished, zero if it stands
 	drained   time.Time // when it was first known to leave
 	coldUntil time.Time
-	coldSends []time.Time          // of the last second
-	rest      time.Time            // not used before
-	restBeat  int64                // Beat when it fell silent; a later one ends the rest
-	failures  int                  // in a row
-	calls     int                  // in flight from this node
-	work      int                  // prompt tokens of this node's calls without a first event
-	tokens    int                  // memory held by this node's calls
+	coldSends []time.Time   // of the last second
+	rest      time.Time     // not used before
+	restBeat  int64         // Beat when it fell silent; a later one ends the rest
+	failures  int           // in a row
+	calls     int           // in flight from this node
+	work      int           // prompt tokens of this node's calls without a first event
+	tokens    int           // memory held by this node's calls
+	gap       time.Duration // between two events, as this node saw it last
+	gapAt     time.Time
 	others    map[string]otherLoad // of the other nodes of the region, by name
 	slow      float64              // its pace against the service's, 1 is usual
 	cache     cache
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -38,6 +38,7 @@
 	Member  jwmember.Member  `json:"member"`
 	Version uint64           `json:"version"` // of the configuration in force
 	Waits   map[string]int64 `json:"waits"`   // milliseconds until a first event, by service
+	Gaps    map[string]int64 `json:"gaps"`    // milliseconds between two events, by service
 	// Only told within the region.
 	Loads  []jwinstance.NodeLoad  `json:"loads,omitempty"`
 	Placed []jwinstance.Placement `json:"placed,omitempty"`
@@ -45,11 +46,12 @@
 
 // state returns what a node of a region is told.
 func (g *Gateway) state(now time.Time, region string) state {
-	s := state{Member: g.members.Me(), Version: g.entries.Version(), Waits: map[string]int64{}}
+	s := state{Member: g.members.Me(), Version: g.entries.Version(), Waits: map[string]int64{}, Gaps: map[string]int64{}}
 	if c := g.entries.Current(); c != nil {
 		for name := range c.Services {
 			if d, ok := g.targets.Wait(now, name); ok {
 				s.Waits[name] = d.Milliseconds()
+				s.Gaps[name] = g.targets.Gap(now, name).Milliseconds()
 			}
 		}
 	}
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"jujubewheel/core/jwentry"
+	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/io/jwconn"
 )
@@ -21,9 +22,9 @@
 	headCallerID = "Jujube-Caller" // set on forwards only
 )
 
-// farther is by how much another region must answer sooner than this one
-// before a request is sent there: its bytes are dear and estimates are rough.
-const farther = 150 * time.Millisecond
+// farther is by how much cheaper another region must be than this one before
+// a request is sent there: its bytes are dear and estimates are rough.
+const farther = 100 * time.Millisecond
 
 // staysHere decides whether this region serves a request.
 func (g *Gateway) staysHere(now time.Time, q *request) bool {
@@ -33,19 +34,32 @@
 	if !q.entry.Allows(g.Settings.Region) {
 		return false
 	}
-	here, ok := g.targets.Expect(now, q.need())
+	n := g.need(q)
+	here, ok := g.targets.Expect(now, n)
 	if !ok {
 		return false
 	}
 	for _, region := range g.otherRegions(q) {
-		there, ok := g.regions.expect(now, region, q.service)
-		if ok && here > there+farther+g.regions.trip(region) {
+		there, ok := g.cost(now, region, n)
+		if ok && here > there+farther {
 			return false
 		}
 	}
 	return true
 }
 
+// cost estimates what Expect of a node of another region would say, with the
+// way there and back; false if nothing is known of it.
+func (g *Gateway) cost(now time.Time, region string, n jwinstance.Need) (time.Duration, bool) {
+	w, ok := g.regions.expect(now, region, n.Service)
+	d := g.regions.trip(region) + w.wait
+	if n.Prompt.Tokens > 0 {
+		d += g.targets.Read(n.Service, n.Prompt.Tokens/2) // it holds some of it, as a rule
+		d += time.Duration(jwinstance.PaceWeight * float64(n.Events) * float64(w.gap))
+	}
+	return d, ok
+}
+
 // otherRegions returns the regions that may serve the request and have nodes.
 func (g *Gateway) otherRegions(q *request) []string {
 	var list []string
@@ -69,8 +83,7 @@
 		if len(nodes) == 0 {
 			continue
 		}
-		wait, _ := g.regions.expect(now, region, q.service)
-		wait += g.regions.trip(region)
+		wait, _ := g.cost(now, region, g.need(q))
 		if best.Name == "" || wait < soonest {
 			best, soonest = nodes[int(point(q.ID)*float64(len(nodes)))], wait
 		}
@@ -138,7 +151,7 @@
 		return notRun
 	case outcomeServed:
 		q.attempts++
-		return g.relay(q, a, func() {})
+		return g.relay(q, a, func(int) {})
 	}
 	q.refused = "unknown at " + m.Name
 	q.attempts++
--- a/io/jwgateway/region.go
+++ b/io/jwgateway/region.go
@@ -21,9 +21,9 @@
 }
 
 type regionWait struct {
-	wait time.Duration
+	wait time.Duration // until a first event without a prompt
+	gap  time.Duration // between two events
 	at   time.Time
-	node string
 }
 
 // heard takes the waits that a node of a region sees; the nodes of a region
@@ -40,19 +40,21 @@
 		t.waits[s.Member.Region] = services
 	}
 	for name, ms := range s.Waits {
-		services[name] = regionWait{time.Duration(ms) * time.Millisecond, now, s.Member.Name}
+		services[name] = regionWait{
+			time.Duration(ms) * time.Millisecond, time.Duration(s.Gaps[name]) * time.Millisecond, now,
+		}
 	}
 }
 
 // expect returns the wait for a service in a region; false if it isn't known.
-func (t *regionTable) expect(now time.Time, region, service string) (time.Duration, bool) {
+func (t *regionTable) expect(now time.Time, region, service string) (regionWait, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w, ok := t.waits[region][service]
 	if !ok || now.Sub(w.at) > waitAge {
-		return 0, false
+		return regionWait{}, false
 	}
-	return w.wait, true
+	return w, true
 }
 
 // tripped notes how long an exchange with a region took.
--- a/io/jwgateway/relay.go
+++ b/io/jwgateway/relay.go
@@ -26,13 +26,14 @@
 	_, _ = io.CopyN(io.Discard, a.Body, maxDrain)
 }
 
-// relay passes an answer on; began is called when its first part is there.
-func (g *Gateway) relay(q *request, a *jwconn.Answer, began func()) Verdict {
+// relay passes an answer on; came is called with the number of events that are
+// there, for an answer without events once.
+func (g *Gateway) relay(q *request, a *jwconn.Answer, came func(events int)) Verdict {
 	if strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") && a.Status == http.StatusOK {
-		return g.relayStream(q, a, began)
+		return g.relayStream(q, a, came)
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, heldBody))
-	began()
+	came(1)
 	if err != nil {
 		q.refused = err.Error()
 		return failed
@@ -74,7 +75,7 @@
 // relayStream passes whole events on as they come. What stands before the end
 // of an event when the stream breaks off is not passed on, so that another
 // target can go on after the last whole one.
-func (g *Gateway) relayStream(q *request, a *jwconn.Answer, began func()) Verdict {
+func (g *Gateway) relayStream(q *request, a *jwconn.Answer, came func(events int)) Verdict {
 	var held []byte
 	resumed := q.started
 	wanted := ""
@@ -88,9 +89,9 @@
 		held = append(held, buf[:n]...)
 		if end := bytes.LastIndex(held, []byte("\n\n")); end >= 0 {
 			events := held[:end+2]
+			came(bytes.Count(events, []byte("\n\n")))
 			if first {
 				first = false
-				began()
 				if wanted != "" && firstID(events) != wanted {
 					q.refused = "the stream was resumed at another event"
 					return failed
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -47,8 +47,18 @@
 	refused  string // why the last send or choice did not run
 }
 
-func (q *request) need() jwinstance.Need {
-	return jwinstance.Need{Service: q.service, Prompt: q.Prompt, Exclude: q.tried}
+// need describes the request to those who look for a target.
+func (g *Gateway) need(q *request) jwinstance.Need {
+	n := jwinstance.Need{Service: q.service, Prompt: q.Prompt, Exclude: q.tried}
+	c := g.entries.Current()
+	if c == nil {
+		return n
+	}
+	if s := c.Services[q.service]; s != nil && s.Engine != nil {
+		n.Capacity = s.Engine.Capacity
+		n.Events = q.Prompt.Output / max(s.Engine.Stride, 1)
+	}
+	return n
 }
 
 // hopHeaders concern one connection only.
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -98,7 +98,7 @@
 func (g *Gateway) send(ctx context.Context, q *request) Verdict {
 	now := time.Now()
 	if g.staysHere(now, q) {
-		c, ok := g.targets.Best(now, q.need())
+		c, ok := g.targets.Best(now, g.need(q))
 		if ok {
 			return g.sendTarget(ctx, q, c)
 		}
@@ -131,12 +131,19 @@
 		if v, ok := g.judge(q, x, a); !ok {
 			return v
 		}
-		return g.relay(q, a, func() {
-			started = true
-			g.targets.Started(x, c, q.Prompt, time.Since(begun))
+		var last time.Time
+		return g.relay(q, a, func(events int) {
+			now := time.Now()
+			if !started {
+				started = true
+				g.targets.Started(x, c, q.Prompt, now.Sub(begun))
+			} else {
+				g.targets.Passed(now, x, events, now.Sub(last))
+			}
+			last = now
 		})
 	}()
-	g.targets.Done(x, c, q.Prompt, started)
+	g.targets.Done(x, c, started)
 	if verdict == finished && status < http.StatusInternalServerError {
 		g.targets.Served(x)
 	}
