jwgateway: targets that fail are put behind, not out; silent ones are given up where another may help

A node that stopped was named again from an old registration, so streams were cut at its end; Change makes what a node says of itself rise. Streams and idempotent requests whose target falls silent go on elsewhere within their tries.

--- a/cmd/jujubewheel/gateway.go
+++ b/cmd/jujubewheel/gateway.go
@@ -22,6 +22,10 @@
 // bytes that wait in the kernel count too.
 const memoryShare = 2
 
+// targetDial is how long a target of the own region may take to accept a
+// connection: some twenty ways there and back.
+const targetDial = 300 * time.Millisecond
+
 // settingsPoll is how often the settings file is looked at: it may change
 // without a signal.
 const settingsPoll = 2 * time.Second
@@ -51,7 +55,8 @@
 		Feed:      &platform.Store{Address: o.Store.Address, Pool: &jwconn.Pool{}},
 		Records:   platform.Records{Regions: o.DataCentres},
 		Dialect:   platform.Headers{},
-		Pool:      &jwconn.Pool{},
+		Targets:   &jwconn.Pool{DialTimeout: targetDial},
+		Nodes:     &jwconn.Pool{},
 		Log:       log,
 		Decisions: jwlog.NewDecisions(queue, queue.Minor(), n.Settings.Node),
 		Reload:    reloads(ctx, n.File, log),
--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -153,7 +153,7 @@
 			c.Miss -= int(float64(most-held) * (1 - fetchShare))
 		}
 		c.Expected, c.Ahead = t.expected(now, x, n, c.Miss)
-		c.Cost = c.Expected + t.later(now, x, n, c.Miss)
+		c.Cost = c.Expected + time.Duration(x.failures)*failurePenalty + t.later(now, x, n, c.Miss)
 		if found.Target == nil || c.Cost < found.Cost ||
 			c.Cost == found.Cost && x.ID < found.Target.ID {
 			found = c
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -3,12 +3,17 @@
 import "time"
 
 const (
-	// silentRest is how long a target that could not be reached is left alone;
-	// a registration made since ends the rest sooner.
-	silentRest = 4 * time.Second
-	// failRest is the first rest of a target that answers with failures; it
-	// doubles with each further one up to silentRest.
-	failRest = 100 * time.Millisecond
+	// unreachedRest is the first rest of a target that took no connection; it
+	// doubles with each further one up to mostRest. One that crashed refuses at
+	// once, and a silent one costs a request the dial's time-out.
+	unreachedRest = 300 * time.Millisecond
+	mostRest      = 2 * time.Second
+	// refusedRest is the rest of a target that had no room.
+	refusedRest = 100 * time.Millisecond
+	// failurePenalty is what each failure in a row adds to the expected wait:
+	// others go first, but where all fail one is still tried.
+	failurePenalty = 60 * time.Millisecond
+	mostPenalty    = 8
 )
 
 // pace is what calls showed of a service.
@@ -83,38 +88,31 @@
 func (t *Table) Served(x *Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.failures, x.rest = 0, time.Time{}
+	x.failures, x.unreached, x.rest = 0, 0, time.Time{}
 }
 
-// Silent notes that a target could not be reached or broke off: it has
-// probably crashed, and comes back cold.
-func (t *Table) Silent(now time.Time, x *Target) {
+// Unreached notes that a target took no connection: it has crashed or its
+// host is cut off.
+func (t *Table) Unreached(now time.Time, x *Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.failures++
-	x.rest = now.Add(silentRest)
-	x.restBeat = x.Beat
+	d := unreachedRest << min(x.unreached, 3)
+	x.unreached++
+	x.rest = later(x.rest, now.Add(min(d, mostRest)))
 }
 
-// Failed notes an answer that was an error of the target's own.
-func (t *Table) Failed(now time.Time, x *Target) {
+// Failed notes a failure of the target's own, or an answer that was lost.
+func (t *Table) Failed(x *Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.failures++
-	if x.failures < 3 {
-		return
-	}
-	d := failRest << min(x.failures-3, 5)
-	x.rest = later(x.rest, now.Add(min(d, silentRest)))
-	x.restBeat = 1 << 62
+	x.failures = min(x.failures+1, mostPenalty)
 }
 
 // Refused notes that a target had no room.
 func (t *Table) Refused(now time.Time, x *Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.rest = later(x.rest, now.Add(failRest))
-	x.restBeat = 1 << 62
+	x.rest = later(x.rest, now.Add(refusedRest))
 }
 
 // Replaced notes that another incarnation answered at a target's address.
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -39,8 +39,8 @@
 	coldUntil time.Time
 	coldSends []time.Time   // of the last second
 	rest      time.Time     // not used before
-	restBeat  int64         // Beat when it fell silent; a later one ends the rest
 	failures  int           // in a row
+	unreached int           // connections not taken, in a row
 	calls     int           // in flight from this node
 	work      int           // prompt tokens of this node's calls without a first event
 	tokens    int           // memory held by this node's calls
@@ -77,10 +77,6 @@
 	if in.Draining && old.drained.IsZero() {
 		old.drained = now
 	}
-	if !old.rest.IsZero() && in.Beat > old.restBeat+1 {
-		// It has registered twice since it fell silent, so it lives.
-		old.rest, old.failures = time.Time{}, 0
-	}
 }
 
 // coldAfterReturn is how long a target that began anew under its own name is
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -27,7 +27,8 @@
 	Callers    netip.AddrPort `json:"callers"`
 	Nodes      netip.AddrPort `json:"nodes"`
 	Start      int64          `json:"start"`   // Unix nanoseconds; a later one is a new process
-	Serving    bool           `json:"serving"` // false from the start of a planned stop on
+	Change     int            `json:"change"`  // rises when Serving changes
+	Serving    bool           `json:"serving"` // false before a configuration is known and from a planned stop on
 }
 
 // Table holds the other nodes; set its fields before use.
@@ -120,8 +121,10 @@
 	return r
 }
 
+// take keeps what is newer: the store may still tell what a process that is
+// stopping wrote before, and callers must not be sent there again.
 func (r *record) take(m Member) {
-	if m.Start >= r.Start {
+	if m.Start > r.Start || m.Start == r.Start && m.Change >= r.Change {
 		r.Member = m
 	}
 }
@@ -171,7 +174,10 @@
 func (t *Table) Serve(on bool) Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.Self.Serving = on
+	if t.Self.Serving != on {
+		t.Self.Serving = on
+		t.Self.Change++
+	}
 	return t.Self
 }
 
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -114,7 +114,7 @@
 	answer, err := g.nodeCall(ctx, m, http.MethodPost, statePath, body)
 	if err != nil {
 		g.members.Failed(time.Now(), m.Name)
-		g.Pool.Drop(m.Nodes)
+		g.Nodes.Drop(m.Nodes)
 		return
 	}
 	var s state
@@ -128,7 +128,7 @@
 
 // nodeCall makes a call to another node and returns the body of the answer.
 func (g *Gateway) nodeCall(ctx context.Context, m jwmember.Member, method, path string, body []byte) ([]byte, error) {
-	a, err := g.Pool.Do(ctx, &jwconn.Call{Peer: m.Nodes, Method: method, Target: path, Host: m.Nodes.String(), Body: body})
+	a, err := g.Nodes.Do(ctx, &jwconn.Call{Peer: m.Nodes, Method: method, Target: path, Host: m.Nodes.String(), Body: body})
 	if err != nil {
 		return nil, err
 	}
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -128,7 +128,7 @@
 	}
 	status := 0
 	verdict := func() Verdict {
-		a, err := g.Pool.Do(ctx, call)
+		a, err := g.Nodes.Do(ctx, call)
 		if err != nil {
 			return g.forwardFailed(ctx, q, m, err)
 		}
@@ -163,7 +163,7 @@
 	q.refused = err.Error()
 	if ctx.Err() == nil {
 		g.members.Failed(time.Now(), m.Name)
-		g.Pool.Drop(m.Nodes)
+		g.Nodes.Drop(m.Nodes)
 	}
 	var ce *jwconn.CallError
 	if errors.As(err, &ce) && ce.Stage == jwconn.Dial {
@@ -193,6 +193,10 @@
 		delete(q.header, name)
 	}
 	q.deadline = q.arrived.Add(max(q.Deadline, time.Millisecond))
+	if g.leaving() {
+		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, stopWait, "the node is stopping")
+		return
+	}
 	if !g.readBody(q, r, 0) {
 		return
 	}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -28,7 +28,8 @@
 	Feed      jwstore.Feed
 	Records   Records
 	Dialect   Dialect
-	Pool      *jwconn.Pool // connections to targets and nodes
+	Targets   *jwconn.Pool // connections to targets
+	Nodes     *jwconn.Pool // connections to other nodes
 	Metrics   http.Handler // answers at the metrics address, if set
 	Log       logr.Logger
 	Decisions *jwlog.Decisions            // a line for each decision about a request; nil for none
@@ -42,6 +43,8 @@
 	regions  regionTable
 	speaking sync.Map // names of the peers that an exchange waits for
 	stopping atomic.Bool
+	begun    time.Time
+	stopFrom atomic.Int64  // when the planned stop began, nanoseconds since begun
 	changed  chan struct{} // the registration has to be written anew
 	inFlight atomic.Int64
 }
@@ -80,6 +83,7 @@
 
 func (g *Gateway) prepare() {
 	s, o := g.Settings, g.Settings.Gateway
+	g.begun = time.Now()
 	g.changed = make(chan struct{}, 1)
 	g.members.Self = jwmember.Member{
 		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
@@ -144,6 +148,12 @@
 	return min(rate, bound/n)
 }
 
+// leaving tells whether the node has been stopping for so long that a new
+// request might outlast it.
+func (g *Gateway) leaving() bool {
+	return g.stopping.Load() && time.Since(g.begun) > time.Duration(g.stopFrom.Load())+lingerTTLs*directoryTTL
+}
+
 // ready tells whether the node serves callers.
 func (g *Gateway) ready() bool { return g.entries.Current() != nil && !g.stopping.Load() }
 
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -16,6 +16,10 @@
 const (
 	// firstWait is the Retry-After of a node that knows no configuration yet.
 	firstWait = 500 * time.Millisecond
+	// mostWait bounds it.
+	mostWait = 2 * time.Second
+	// stopWait is the Retry-After of a node that is stopping: others serve.
+	stopWait = 20 * time.Millisecond
 	// bodyLimit bounds a body until a configuration says otherwise.
 	bodyLimit = 1 << 20
 	// defaultDeadline bounds a request that names none.
@@ -85,7 +89,13 @@
 	call := g.Dialect.Call(r.Header)
 	cfg := g.entries.Current()
 	if cfg == nil {
-		g.refuse(w, call.ID, http.StatusServiceUnavailable, firstWait, "no configuration yet")
+		// The longer it lasts, the longer it will: the store is away then.
+		again := min(max(time.Since(g.begun), firstWait), mostWait)
+		g.refuse(w, call.ID, http.StatusServiceUnavailable, again, "no configuration yet")
+		return
+	}
+	if g.leaving() {
+		g.refuse(w, call.ID, http.StatusServiceUnavailable, stopWait, "the node is stopping")
 		return
 	}
 	target, path := r.RequestURI, r.RequestURI
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -120,8 +120,10 @@
 	}
 	begun := time.Now()
 	status := 0
+	sendCtx, patience := g.patience(ctx, q, c)
+	defer patience.Stop()
 	verdict := func() Verdict {
-		a, err := g.Pool.Do(ctx, g.targetCall(q, c))
+		a, err := g.Targets.Do(sendCtx, g.targetCall(q, c))
 		if err != nil {
 			return g.sendFailed(ctx, q, x, err)
 		}
@@ -141,6 +143,7 @@
 				g.targets.Passed(now, x, events, now.Sub(last))
 			}
 			last = now
+			patience.Reset(mostPause)
 		})
 	}()
 	g.targets.Done(x, c, started)
@@ -148,12 +151,61 @@
 		g.targets.Served(x)
 	}
 	if verdict == broken && ctx.Err() == nil {
-		g.targets.Failed(time.Now(), x)
+		g.targets.Failed(x)
 	}
 	g.toldSend(q, c, verdict, status)
 	return verdict
 }
 
+const (
+	// leastPatience is the shortest wait for a target before another is tried.
+	leastPatience = 250 * time.Millisecond
+	// goalPatience is the part of the goal that a target may use up before
+	// another is tried: the rest has to do for that one.
+	goalPatience = 0.6
+	// expectedPatience is how many times the expected wait a target may take.
+	expectedPatience = 4
+	// mostPause is the longest pause between events before a stream is taken
+	// for dead and resumed elsewhere; callers leave after two seconds.
+	mostPause = 1500 * time.Millisecond
+)
+
+// errImpatient ends a send that took too long where another may help.
+var errImpatient = errors.New("the target took too long")
+
+// patience returns the context of one send, which ends early where the request
+// may be sent to another target: one that has fallen silent must not use up
+// the caller's time.
+func (g *Gateway) patience(ctx context.Context, q *request, c jwinstance.Choice) (context.Context, stopper) {
+	if !q.entry.Repeatable() || q.attempts+1 >= q.entry.Attempts() {
+		return ctx, stopper{}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	d := max(leastPatience, time.Duration(goalPatience*float64(q.entry.Goal)), expectedPatience*c.Expected)
+	return ctx, stopper{time.AfterFunc(d, func() { cancel(errImpatient) }), cancel}
+}
+
+// stopper is the timer of a send; the zero value does nothing.
+type stopper struct {
+	timer  *time.Timer
+	cancel context.CancelCauseFunc
+}
+
+// Reset starts the timer anew.
+func (s stopper) Reset(d time.Duration) {
+	if s.timer != nil {
+		s.timer.Reset(d)
+	}
+}
+
+// Stop ends the timer and frees the context.
+func (s stopper) Stop() {
+	if s.timer != nil {
+		s.timer.Stop()
+		s.cancel(nil)
+	}
+}
+
 // judge looks at the head of an answer; ok tells whether it goes to the
 // caller, and otherwise the verdict on the send is returned.
 func (g *Gateway) judge(q *request, x *jwinstance.Target, a *jwconn.Answer) (v Verdict, ok bool) {
@@ -173,14 +225,14 @@
 	case !told.Sealed || a.Header.Get("Content-Encoding") != "":
 		q.attempts++
 		q.refused = "the answer is not the target's"
-		g.targets.Failed(now, x)
+		g.targets.Failed(x)
 		return failed, false
 	}
 	q.attempts++
 	if a.Status < http.StatusInternalServerError {
 		return finished, true
 	}
-	g.targets.Failed(now, x)
+	g.targets.Failed(x)
 	if q.started || !g.mayRepeat(q, failed) {
 		return finished, true // the caller gets the target's own failure
 	}
@@ -218,14 +270,17 @@
 // sendFailed judges a send without an answer.
 func (g *Gateway) sendFailed(ctx context.Context, q *request, x *jwinstance.Target, err error) Verdict {
 	q.refused = err.Error()
-	if ctx.Err() == nil {
-		g.targets.Silent(time.Now(), x)
-		g.Pool.Drop(x.Address)
-	}
 	var ce *jwconn.CallError
 	if errors.As(err, &ce) && ce.Stage == jwconn.Dial {
+		if ctx.Err() == nil {
+			g.targets.Unreached(time.Now(), x)
+		}
 		return notRun
 	}
+	if ctx.Err() == nil {
+		g.targets.Failed(x)
+		g.Targets.Drop(x.Address)
+	}
 	q.sends++
 	q.attempts++
 	return failed
--- a/io/jwgateway/stop.go
+++ b/io/jwgateway/stop.go
@@ -21,6 +21,7 @@
 // serves what still comes, and waits for what it runs.
 func (g *Gateway) stop(servers []*jwrest.Server) {
 	begun := time.Now()
+	g.stopFrom.Store(int64(begun.Sub(g.begun)))
 	g.stopping.Store(true)
 	g.members.Serve(false)
 	g.again()
