jwinstance: kept parts are believed by the target's memory, and fetched across regions

The belief forgot parts by their number, while the targets drop them by tokens: long prompts of single callers push shared parts out within some 20 s. And each region read every shared part anew, as it knew of its own targets only.

--- a/core/jwinstance/cache.go
+++ b/core/jwinstance/cache.go
@@ -1,76 +1,68 @@
 package jwinstance
 
-import "slices"
+import "container/list"
 
-// cacheParts bounds the parts remembered of one target; a part takes about 40
-// bytes, so a target takes some 40 KB at most.
-const cacheParts = 1024
+// freeShare is the part of an engine's memory that is believed to keep prompts;
+// the rest is taken by the answers of what runs.
+const freeShare = 0.9
+
+// firstCapacity is the memory of an engine, in tokens, until it is known.
+const firstCapacity = 100_000
 
 // cache is the belief which parts of prompts a target keeps in memory: those
-// sent there last. The target itself drops the least recently used parts.
+// sent there last, as far as its memory goes. The zero value keeps nothing.
 type cache struct {
-	parts map[uint64]int64 // part to the tick of its last use
-	tick  int64
+	parts  map[uint64]*list.Element // of held
+	order  list.List                // the latest use first
+	tokens int
+}
+
+// held is one part that a target keeps.
+type held struct {
+	id     uint64
+	tokens int
 }
 
 // missing returns the tokens of a prompt that have to be read: a part is kept
 // only together with all parts before it.
 func (c *cache) missing(p Prompt) int {
-	miss, held := 0, true
+	if len(p.Parts) == 0 {
+		return p.Tokens
+	}
+	miss, kept := 0, true
 	for _, part := range p.Parts {
-		if held {
-			_, held = c.parts[part.ID]
+		if kept {
+			_, kept = c.parts[part.ID]
 		}
-		if !held {
+		if !kept {
 			miss += part.Tokens
 		}
 	}
-	if len(p.Parts) == 0 {
-		return p.Tokens
-	}
 	return miss
 }
 
-// use notes that a prompt was sent there.
-func (c *cache) use(p Prompt) {
-	c.tick++
-	for _, part := range p.Parts {
-		c.set(part.ID)
-	}
-	c.bound()
-}
-
-// hold notes that parts were sent there by another node.
-func (c *cache) hold(parts []uint64) {
-	c.tick++
-	for _, id := range parts {
-		c.set(id)
-	}
-	c.bound()
-}
-
-func (c *cache) set(id uint64) {
+// use notes that parts were sent there; capacity is the target's memory.
+func (c *cache) use(parts []Part, capacity int) {
 	if c.parts == nil {
-		c.parts = make(map[uint64]int64)
+		c.parts = make(map[uint64]*list.Element)
 	}
-	c.parts[id] = c.tick
-}
-
-// bound drops the older half of the parts at once, which keeps the cost of a
-// use constant on average.
-func (c *cache) bound() {
-	if len(c.parts) <= cacheParts {
-		return
+	// The first part is used last, so that a part goes before those it needs.
+	for i := len(parts) - 1; i >= 0; i-- {
+		part := parts[i]
+		if e := c.parts[part.ID]; e != nil {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.parts[part.ID] = c.order.PushFront(held{part.ID, part.Tokens})
+		c.tokens += part.Tokens
 	}
-	ticks := make([]int64, 0, len(c.parts))
-	for _, tick := range c.parts {
-		ticks = append(ticks, tick)
+	if capacity <= 0 {
+		capacity = firstCapacity
 	}
-	slices.Sort(ticks)
-	middle := ticks[len(ticks)/2]
-	for id, tick := range c.parts {
-		if tick < middle {
-			delete(c.parts, id)
-		}
+	for c.tokens > int(freeShare*float64(capacity)) && c.order.Len() > 0 {
+		e := c.order.Back()
+		h, _ := c.order.Remove(e).(held)
+		delete(c.parts, h.id)
+		c.tokens -= h.tokens
 	}
 }
--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -40,6 +41,9 @@
 	// fetchShare is what a token that is fetched from another target costs
 	// against one that is read.
 	fetchShare = 0.25
+	// farFetchShare is the same from another region: it saves the reading but
+	// takes the way there and back.
+	farFetchShare = 0.5
 	// leastFetch is the number of tokens from which a fetch pays its set-up.
 	leastFetch = 256
 )
@@ -50,6 +54,7 @@
 	Prompt   Prompt
 	Events   int             // events of the answer at most
 	Capacity int             // tokens of memory of a target, 0 if not known
+	Homes    []string        // regions that may hold its prompt, all where empty
 	Exclude  map[string]bool // targets that it was sent to already
 }
 
@@ -86,6 +91,7 @@
 	x.work += c.Miss
 	c.Held = c.Miss + n.Prompt.Output
 	x.tokens += c.Held
+	x.capacity = n.Capacity
 	t.place(now, x, n.Prompt)
 	if c.Cold {
 		x.coldSends = append(x.coldSends, now)
@@ -150,7 +156,11 @@
 		c := Choice{Target: x, Cold: cold, Miss: x.cache.missing(n.Prompt)}
 		if held := n.Prompt.Tokens - c.Miss; most-held >= leastFetch && holder != x {
 			c.Fetch = holder.Address
-			c.Miss -= int(float64(most-held) * (1 - fetchShare))
+			share := fetchShare
+			if holder.Region != t.Region {
+				share = farFetchShare
+			}
+			c.Miss -= int(float64(most-held) * (1 - share))
 		}
 		c.Expected, c.Ahead = t.expected(now, x, n, c.Miss)
 		c.Cost = c.Expected + time.Duration(x.failures)*failurePenalty + t.later(now, x, n, c.Miss)
@@ -162,7 +172,8 @@
 	return found, found.Target != nil
 }
 
-// holder returns the target that holds most of a prompt, and how many tokens.
+// holder returns the target that holds most of a prompt, and how many tokens;
+// one of another region only where it holds clearly more.
 func (t *Table) holder(now time.Time, n Need) (*Target, int) {
 	var holder *Target
 	most := 0
@@ -170,10 +181,17 @@
 		return nil, 0
 	}
 	for _, x := range t.targets {
-		if x.Service != n.Service || x.Region != t.Region || !x.gone.IsZero() || now.Before(x.rest) {
+		if x.Service != n.Service || !x.gone.IsZero() || now.Before(x.rest) {
 			continue
 		}
-		if held := n.Prompt.Tokens - x.cache.missing(n.Prompt); held > most {
+		held := n.Prompt.Tokens - x.cache.missing(n.Prompt)
+		if x.Region != t.Region {
+			held -= leastFetch
+			if len(n.Homes) > 0 && !slices.Contains(n.Homes, x.Region) {
+				continue
+			}
+		}
+		if held > most {
 			holder, most = x, held
 		}
 	}
--- a/core/jwinstance/instance.go
+++ b/core/jwinstance/instance.go
@@ -22,8 +22,8 @@
 
 // Part is one part of a prompt.
 type Part struct {
-	ID     uint64
-	Tokens int
+	ID     uint64 `json:"id"`
+	Tokens int    `json:"tokens"`
 }
 
 // Prompt is what a model engine has to read and write for a request; the zero
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -8,6 +8,8 @@
 	// placedAge is how long a placement is told to the others: several
 	// exchanges, as one may be lost.
 	placedAge = 400 * time.Millisecond
+	// farAge is the same for nodes of other regions, which speak once a second.
+	farAge = 1300 * time.Millisecond
 )
 
 // NodeLoad is what a node has in flight at one target.
@@ -24,27 +26,22 @@
 	at time.Time
 }
 
-// Placement tells which parts of a prompt were sent to a target, without the
-// last one, which belongs to one caller.
+// Placement tells which parts of a prompt were sent to a target.
 type Placement struct {
-	Target string   `json:"target"`
-	Parts  []uint64 `json:"parts"`
+	Target string `json:"target"`
+	Parts  []Part `json:"parts"`
 	at     time.Time
 }
 
 // place notes that a prompt was sent to a target.
 func (t *Table) place(now time.Time, x *Target, p Prompt) {
-	x.cache.use(p)
-	if len(p.Parts) < 2 {
+	if len(p.Parts) == 0 {
 		return
 	}
-	shared := make([]uint64, 0, len(p.Parts)-1)
-	for _, part := range p.Parts[:len(p.Parts)-1] {
-		shared = append(shared, part.ID)
-	}
-	t.placed = append(t.placed, Placement{Target: x.ID, Parts: shared, at: now})
+	x.cache.use(p.Parts, x.capacity)
+	t.placed = append(t.placed, Placement{Target: x.ID, Parts: p.Parts, at: now})
 	old := 0
-	for old < len(t.placed) && now.Sub(t.placed[old].at) > placedAge {
+	for old < len(t.placed) && now.Sub(t.placed[old].at) > farAge {
 		old++
 	}
 	t.placed = append(t.placed[:0], t.placed[old:]...)
@@ -74,6 +71,30 @@
 	return loads, placed
 }
 
+// TellFar returns what nodes of other regions should know: where the large
+// parts that many prompts share were sent a moment ago. A target there can
+// fetch them instead of reading them.
+func (t *Table) TellFar(now time.Time) []Placement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var placed []Placement
+	told := make(map[uint64]bool)
+	for i := len(t.placed) - 1; i >= 0; i-- {
+		p := t.placed[i]
+		if now.Sub(p.at) > farAge || len(p.Parts) < 2 {
+			continue
+		}
+		shared := p.Parts[:len(p.Parts)-1] // the last one belongs to one caller
+		last := shared[len(shared)-1]
+		if told[last.ID] || last.Tokens < leastFetch {
+			continue
+		}
+		told[last.ID] = true
+		placed = append(placed, Placement{Target: p.Target, Parts: shared})
+	}
+	return placed
+}
+
 // Hear takes what another node of the region told.
 func (t *Table) Hear(now time.Time, node string, loads []NodeLoad, placed []Placement) {
 	t.mu.Lock()
@@ -93,7 +114,7 @@
 	}
 	for _, p := range placed {
 		if x := t.targets[p.Target]; x != nil {
-			x.cache.hold(p.Parts)
+			x.cache.use(p.Parts, x.capacity)
 		}
 	}
 }
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -49,6 +49,7 @@
 	others    map[string]otherLoad // of the other nodes of the region, by name
 	slow      float64              // its pace against the service's, 1 is usual
 	cache     cache
+	capacity  int // tokens of its memory, 0 if not known
 }
 
 // Put takes a registration as it stands in the store.
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -35,13 +35,12 @@
 
 // state is what a node tells another one of itself.
 type state struct {
-	Member  jwmember.Member  `json:"member"`
-	Version uint64           `json:"version"` // of the configuration in force
-	Waits   map[string]int64 `json:"waits"`   // milliseconds until a first event, by service
-	Gaps    map[string]int64 `json:"gaps"`    // milliseconds between two events, by service
-	// Only told within the region.
-	Loads  []jwinstance.NodeLoad  `json:"loads,omitempty"`
-	Placed []jwinstance.Placement `json:"placed,omitempty"`
+	Member  jwmember.Member        `json:"member"`
+	Version uint64                 `json:"version"` // of the configuration in force
+	Waits   map[string]int64       `json:"waits"`   // milliseconds until a first event, by service
+	Gaps    map[string]int64       `json:"gaps"`    // milliseconds between two events, by service
+	Placed  []jwinstance.Placement `json:"placed,omitempty"`
+	Loads   []jwinstance.NodeLoad  `json:"loads,omitempty"` // told within the region only
 }
 
 // state returns what a node of a region is told.
@@ -57,6 +56,8 @@
 	}
 	if region == g.Settings.Region {
 		s.Loads, s.Placed = g.targets.Tell(now)
+	} else {
+		s.Placed = g.targets.TellFar(now)
 	}
 	return s
 }
@@ -141,9 +142,7 @@
 	now := time.Now()
 	g.members.Heard(now, s.Member)
 	g.regions.heard(now, s)
-	if s.Member.Region == g.Settings.Region {
-		g.targets.Hear(now, s.Member.Name, s.Loads, s.Placed)
-	}
+	g.targets.Hear(now, s.Member.Name, s.Loads, s.Placed)
 	if s.Version > g.entries.Version() {
 		if from.Name == "" {
 			from = s.Member
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -17,7 +17,7 @@
 // The headers of a request on its way between two nodes.
 const (
 	headService  = "Jujube-Service"
-	headKind     = "Jujube-Kind" // kind, resumable, attempts, priority
+	headKind     = "Jujube-Kind" // kind, resumable, attempts, priority, goal, homes
 	headOutcome  = "Jujube-Outcome"
 	headCallerID = "Jujube-Caller" // set on forwards only
 )
@@ -112,7 +112,7 @@
 	h[headService] = []string{q.service}
 	h[headKind] = []string{strings.Join([]string{
 		string(e.Kind), strconv.FormatBool(e.Resumable), strconv.Itoa(max(e.Attempts()-q.attempts, 1)),
-		strconv.Itoa(e.Priority), strconv.FormatInt(e.Goal.Milliseconds(), 10),
+		strconv.Itoa(e.Priority), strconv.FormatInt(e.Goal.Milliseconds(), 10), strings.Join(e.Homes, "|"),
 	}, ",")}
 	h[headCallerID] = []string{g.Settings.Node}
 	g.Dialect.Left(h, time.Until(q.deadline))
@@ -209,7 +209,7 @@
 func readKind(s string) *jwentry.Entry {
 	f := strings.Split(s, ",")
 	e := &jwentry.Entry{Kind: jwentry.NonIdempotent, MaxAttempts: 1}
-	const fields = 5
+	const fields = 6
 	if len(f) != fields {
 		return e
 	}
@@ -218,6 +218,9 @@
 	e.MaxAttempts = count(f[2])
 	e.Priority = count(f[3])
 	e.Goal = time.Duration(count(f[4])) * time.Millisecond
+	if f[5] != "" {
+		e.Homes = strings.Split(f[5], "|")
+	}
 	return e
 }
 
