--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -25,9 +25,10 @@
 }
 
 // toldSend logs a send to a target.
-func (g *Gateway) toldSend(q *request, c jwinstance.Choice, v Verdict, status int) {
+func (g *Gateway) toldSend(q *request, c jwinstance.Choice, v Verdict, status int, first time.Duration) {
 	d := q.decision(stepSend)
 	d.Target, d.Expected, d.Cold, d.Calls = c.Target.ID, c.Expected, c.Cold, c.Calls
+	d.First = first
 	d.BeliefAge, d.Outcome, d.Status = c.Age, string(v), status
 	d.Minor = v == finished && status < 500
 	if !d.Minor {
--- a/io/jwgateway/dialect.go
+++ b/io/jwgateway/dialect.go
@@ -51,8 +51,9 @@
 	ID(h http.Header) string
 	// Refuse adds to a refusal which request it answers.
 	Refuse(h http.Header, id string)
-	// CallerRegion returns the region that a question to the directory names.
-	CallerRegion(q url.Values) string
+	// Question returns the host that a caller asks the directory about, and
+	// the caller's region.
+	Question(q url.Values) (host, region string)
 	// Directory returns the answer of the directory, to be encoded as JSON.
 	Directory(nodes []netip.AddrPort, ttl time.Duration) any
 }
--- a/io/jwgateway/directory.go
+++ b/io/jwgateway/directory.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"jujubewheel/core/jwmember"
@@ -13,6 +14,9 @@
 	// directoryTTL is how long callers may use an answer of the directory. It
 	// bounds how long a node that stops is still asked.
 	directoryTTL = time.Second
+	// firstRead is how long a node waits for its first reading of the store
+	// before it answers by what it has.
+	firstRead = 3 * time.Second
 	// mostNamed is how many nodes an answer names.
 	mostNamed = 64
 )
@@ -30,10 +34,10 @@
 // region, and others only where none of these lives.
 func (g *Gateway) serveDirectory(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	region := g.Dialect.CallerRegion(r.URL.Query())
+	host, region := g.Dialect.Question(r.URL.Query())
 	nodes := g.members.Live(now, region)
 	if len(nodes) == 0 {
-		nodes = g.members.Live(now, "")
+		nodes = g.standIns(now, host)
 	}
 	if len(nodes) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -45,6 +49,26 @@
 	}
 }
 
+// standIns returns nodes for callers whose region has none: in regions where
+// bound data may be served. A node that has just started knows no others and
+// would name itself to everybody, so it names none until it has read the store
+// or had the time to hear of them.
+func (g *Gateway) standIns(now time.Time, host string) []jwmember.Member {
+	c := g.entries.Current()
+	if c == nil || !g.synced.Load() && now.Sub(g.begun) < firstRead {
+		return nil
+	}
+	nodes := g.members.Live(now, "")
+	var regions []string
+	for _, m := range nodes {
+		if !slices.Contains(regions, m.Region) {
+			regions = append(regions, m.Region)
+		}
+	}
+	regions = g.demand.Stand(c, host, regions)
+	return slices.DeleteFunc(nodes, func(m jwmember.Member) bool { return !slices.Contains(regions, m.Region) })
+}
+
 func named(nodes []jwmember.Member) []netip.AddrPort {
 	if len(nodes) > mostNamed {
 		nodes = nodes[:mostNamed]
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -110,6 +110,7 @@
 		}
 	}
 	f.revision = revision
+	f.g.synced.Store(true)
 	return nil
 }
 
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -42,6 +42,8 @@
 	retries  jwbudget.Retry
 	regions  regionTable
 	speaking sync.Map // names of the peers that an exchange waits for
+	demand   jwentry.Demand
+	synced   atomic.Bool // the store was read once
 	stopping atomic.Bool
 	begun    time.Time
 	stopFrom atomic.Int64  // when the planned stop began, nanoseconds since begun
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -115,6 +115,7 @@
 		Call: call, entry: e, version: cfg.Version, method: r.Method, target: target, host: r.Host,
 		header: r.Header, arrived: time.Now(), w: w,
 	}
+	g.demand.Count(e)
 	q.service = e.Choose(point(call.ID))
 	limit := defaultDeadline
 	if call.Deadline > 0 {
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -115,6 +115,7 @@
 	x := c.Target
 	q.tried[x.ID] = true
 	started := false
+	var first time.Duration
 	if q.sends == 0 {
 		g.retries.Request(time.Now(), q.service)
 	}
@@ -138,7 +139,8 @@
 			now := time.Now()
 			if !started {
 				started = true
-				g.targets.Started(x, c, q.Prompt, now.Sub(begun))
+				first = now.Sub(begun)
+				g.targets.Started(x, c, q.Prompt, first)
 			} else {
 				g.targets.Passed(now, x, events, now.Sub(last))
 			}
@@ -153,7 +155,7 @@
 	if verdict == broken && ctx.Err() == nil {
 		g.targets.Failed(x)
 	}
-	g.toldSend(q, c, verdict, status)
+	g.toldSend(q, c, verdict, status, first)
 	return verdict
 }
 
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -25,6 +25,7 @@
 	Left      time.Duration // until the deadline
 	Took      time.Duration // since the request arrived
 	Expected  time.Duration // wait for the first event as it was estimated
+	First     time.Duration // wait for the first event as it was
 	Calls     int           // of this node at the target
 	BeliefAge time.Duration // of the target's registration
 	LoadAge   time.Duration // of the target's last report of its load
@@ -57,7 +58,7 @@
 	if x.Minor {
 		log = d.minor
 	}
-	const most = 18
+	const most = 20
 	var buf [most]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
@@ -73,6 +74,7 @@
 	f = appendNumber(f, "leftMs", x.Left.Milliseconds())
 	f = appendNumber(f, "tookMs", x.Took.Milliseconds())
 	f = appendNumber(f, "expectedMs", x.Expected.Milliseconds())
+	f = appendNumber(f, "firstMs", x.First.Milliseconds())
 	f = appendNumber(f, "calls", int64(x.Calls))
 	f = appendNumber(f, "beliefAgeMs", x.BeliefAge.Milliseconds())
 	f = appendNumber(f, "loadAgeMs", x.LoadAge.Milliseconds())
