--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -52,6 +52,7 @@
 type Need struct {
 	Service  string
 	Prompt   Prompt
+	Priority int             // 0 is the most urgent
 	Events   int             // events of the answer at most
 	Capacity int             // tokens of memory of a target, 0 if not known
 	Homes    []string        // regions that may hold its prompt, all where empty
@@ -67,6 +68,7 @@
 	Ahead    int            // prompt tokens to be read there before
 	Fetch    netip.AddrPort // a target that has parts which this one lacks, if valid
 	Cold     bool
+	Rank     int           // of its urgency
 	Held     int           // tokens of memory that the request takes
 	Calls    int           // of this node at the target before this one
 	Age      time.Duration // of the registration that the choice rests on
@@ -88,7 +90,8 @@
 	x := c.Target
 	c.Calls, c.Age = x.calls, now.Sub(x.heard)
 	x.calls++
-	x.work += c.Miss
+	c.Rank = rank(n.Priority)
+	x.work[c.Rank] += c.Miss
 	c.Held = c.Miss + n.Prompt.Output
 	x.tokens += c.Held
 	x.capacity = n.Capacity
@@ -99,13 +102,11 @@
 	return c, true
 }
 
-// Expect returns the Cost at the best target of the region, without sending
-// anything.
-func (t *Table) Expect(now time.Time, n Need) (time.Duration, bool) {
+// Look returns what Best would, without sending anything.
+func (t *Table) Look(now time.Time, n Need) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c, ok := t.best(now, n, false)
-	return c.Cost, ok
+	return t.best(now, n, false)
 }
 
 // Wait returns how long a request without a prompt would wait at the best
@@ -113,7 +114,7 @@
 func (t *Table) Wait(now time.Time, service string) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c, ok := t.best(now, Need{Service: service}, false)
+	c, ok := t.best(now, Need{Service: service, Priority: ranks}, false)
 	return c.Expected, ok
 }
 
@@ -231,11 +232,11 @@
 // expected returns the wait for the first event of an engine or the answer of
 // a plain service, and the prompt tokens to be read before.
 func (t *Table) expected(now time.Time, x *Target, n Need, miss int) (time.Duration, int) {
-	calls, work := x.calls, x.work
+	calls, work := x.calls, x.work.before(n.Priority)
 	for _, o := range x.others {
 		if now.Sub(o.at) < othersAge {
 			calls += o.Calls
-			work += o.Work
+			work += o.Work.before(n.Priority)
 		}
 	}
 	slots := max(x.Slots, 1)
--- a/core/jwinstance/instance.go
+++ b/core/jwinstance/instance.go
@@ -7,17 +7,17 @@
 
 // Instance is one incarnation of a target as it registered itself.
 type Instance struct {
-	ID         string
-	Service    string
-	Address    netip.AddrPort
-	DataCentre string
-	Region     string
-	Slots      int
-	Draining   bool
-	Cold       time.Duration // how long it stays cold, as of the registration
-	Left       time.Duration // until it is taken away, 0 if not known
-	Born       int64         // Unix milliseconds of its start, 0 if not said
-	Beat       int64         // rises with each registration of an incarnation
+	ID         string         `json:"id"`
+	Service    string         `json:"service"`
+	Address    netip.AddrPort `json:"address"`
+	DataCentre string         `json:"dataCentre"`
+	Region     string         `json:"region"`
+	Slots      int            `json:"slots"`
+	Draining   bool           `json:"draining"`
+	Cold       time.Duration  `json:"cold"` // how long it stays cold, as of the registration
+	Left       time.Duration  `json:"left"` // until it is taken away, 0 if not known
+	Born       int64          `json:"born"` // Unix milliseconds of its start, 0 if not said
+	Beat       int64          `json:"beat"` // rises with each registration of an incarnation
 }
 
 // Part is one part of a prompt.
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -39,7 +39,7 @@
 func (t *Table) Started(x *Target, c Choice, p Prompt, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.work = max(x.work-c.Miss, 0)
+	x.work[c.Rank] -= c.Miss
 	s := t.pace(x.Service)
 	if p.Tokens == 0 {
 		if c.Cold {
@@ -80,7 +80,7 @@
 	x.calls--
 	x.tokens -= c.Held
 	if !started {
-		x.work = max(x.work-c.Miss, 0)
+		x.work[c.Rank] -= c.Miss
 	}
 }
 
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -12,11 +12,29 @@
 	farAge = 1300 * time.Millisecond
 )
 
+// ranks is how many ranks of urgency are told apart; all beyond are the last.
+const ranks = 3
+
+// work is prompt tokens by the rank of their requests.
+type work [ranks]int
+
+func rank(priority int) int { return min(max(priority, 0), ranks-1) }
+
+// before returns the tokens that are read before a request of a priority: an
+// engine takes the more urgent ones first.
+func (w work) before(priority int) int {
+	n := 0
+	for _, tokens := range w[:rank(priority)+1] {
+		n += tokens
+	}
+	return n
+}
+
 // NodeLoad is what a node has in flight at one target.
 type NodeLoad struct {
 	Target string `json:"target"`
 	Calls  int    `json:"calls"`
-	Work   int    `json:"work,omitempty"` // prompt tokens without a first event
+	Work   work   `json:"work"`           // prompt tokens without a first event
 	Held   int    `json:"held,omitempty"` // tokens of memory
 	Gap    int64  `json:"gap,omitempty"`  // milliseconds between two events
 }
@@ -54,7 +72,7 @@
 	defer t.mu.Unlock()
 	var loads []NodeLoad
 	for _, x := range t.targets {
-		if x.calls > 0 || x.work > 0 {
+		if x.calls > 0 {
 			l := NodeLoad{Target: x.ID, Calls: x.calls, Work: x.work, Held: x.tokens}
 			if now.Sub(x.gapAt) < placedAge {
 				l.Gap = x.gap.Milliseconds()
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -42,7 +42,7 @@
 	failures  int           // in a row
 	unreached int           // connections not taken, in a row
 	calls     int           // in flight from this node
-	work      int           // prompt tokens of this node's calls without a first event
+	work      work          // prompt tokens of this node's calls without a first event
 	tokens    int           // memory held by this node's calls
 	gap       time.Duration // between two events, as this node saw it last
 	gapAt     time.Time
@@ -159,6 +159,20 @@
 	x.coldUntil = later(x.coldUntil, now.Add(d))
 }
 
+// Instances returns the registrations that stand, for a node that can't read
+// the store itself.
+func (t *Table) Instances() []Instance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Instance, 0, len(t.targets))
+	for _, x := range t.targets {
+		if x.gone.IsZero() {
+			list = append(list, x.Instance)
+		}
+	}
+	return list
+}
+
 // Regions returns how many usable slots a service has in each region.
 func (t *Table) Regions(service string) map[string]int {
 	t.mu.Lock()
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -137,6 +137,14 @@
 	return r.registered && now.Sub(r.since) < trust && !r.failed.After(r.since)
 }
 
+// Speaks tells whether a node was heard lately.
+func (t *Table) Speaks(now time.Time, name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.members[name]
+	return r != nil && now.Sub(r.heard) < silentAfter/2
+}
+
 // Live returns the nodes believed to run and to serve, by name; region "" is
 // all regions. It includes the node itself if it serves.
 func (t *Table) Live(now time.Time, region string) []Member {
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -90,7 +90,8 @@
 	now := time.Now()
 	me := g.members.Me()
 	for _, m := range peers {
-		if m.Name < me.Name && me.Serving || !fits(m) {
+		// One that is not heard may have started anew and know nobody.
+		if m.Name < me.Name && me.Serving && g.members.Speaks(now, m.Name) || !fits(m) {
 			continue
 		}
 		body, err := json.Marshal(g.state(now, m.Region))
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -26,38 +26,53 @@
 // a request is sent there: its bytes are dear and estimates are rough.
 const farther = 100 * time.Millisecond
 
-// staysHere decides whether this region serves a request.
-func (g *Gateway) staysHere(now time.Time, q *request) bool {
-	if q.forward {
-		return true
-	}
-	if !q.entry.Allows(g.Settings.Region) {
-		return false
-	}
+// place is where a request is to be served.
+type place struct {
+	region   string        // empty for none
+	expected time.Duration // until the first event
+	cost     time.Duration
+}
+
+// place chooses the region that serves a request: this one, unless another is
+// clearly cheaper.
+func (g *Gateway) place(now time.Time, q *request) place {
 	n := g.need(q)
-	here, ok := g.targets.Expect(now, n)
-	if !ok {
-		return false
+	best := place{}
+	if q.forward || q.entry.Allows(g.Settings.Region) {
+		if c, ok := g.targets.Look(now, n); ok {
+			best = place{g.Settings.Region, c.Expected, c.Cost}
+		}
+	}
+	if q.forward {
+		return best
 	}
 	for _, region := range g.otherRegions(q) {
-		there, ok := g.cost(now, region, n)
-		if ok && here > there+farther {
-			return false
+		if len(g.untried(q, g.members.Live(now, region))) == 0 {
+			continue
+		}
+		p, known := g.cost(now, region, n)
+		switch {
+		case best.region == "":
+			best = p
+		case !known:
+		case best.region == g.Settings.Region && best.cost > p.cost+farther,
+			best.region != g.Settings.Region && best.cost > p.cost:
+			best = p
 		}
 	}
-	return true
+	return best
 }
 
-// cost estimates what Expect of a node of another region would say, with the
-// way there and back; false if nothing is known of it.
-func (g *Gateway) cost(now time.Time, region string, n jwinstance.Need) (time.Duration, bool) {
-	w, ok := g.regions.expect(now, region, n.Service)
+// cost estimates what Look of a node of another region would say, with the
+// way there and back; known is false if that region has told nothing lately.
+func (g *Gateway) cost(now time.Time, region string, n jwinstance.Need) (p place, known bool) {
+	w, known := g.regions.expect(now, region, n.Service)
 	d := g.regions.trip(region) + w.wait
 	if n.Prompt.Tokens > 0 {
 		d += g.targets.Read(n.Service, n.Prompt.Tokens/2) // it holds some of it, as a rule
-		d += time.Duration(jwinstance.PaceWeight * float64(n.Events) * float64(w.gap))
 	}
-	return d, ok
+	later := time.Duration(jwinstance.PaceWeight * float64(n.Events) * float64(w.gap))
+	return place{region, d, d + later}, known
 }
 
 // otherRegions returns the regions that may serve the request and have nodes.
@@ -71,28 +86,14 @@
 	return list
 }
 
-// sendNode sends the request to a node of the region that will probably answer
-// soonest.
-func (g *Gateway) sendNode(ctx context.Context, q *request) Verdict {
-	now := time.Now()
-	var best jwmember.Member
-	var soonest time.Duration
-	for _, region := range g.otherRegions(q) {
-		nodes := g.members.Live(now, region)
-		nodes = g.untried(q, nodes)
-		if len(nodes) == 0 {
-			continue
-		}
-		wait, _ := g.cost(now, region, g.need(q))
-		if best.Name == "" || wait < soonest {
-			best, soonest = nodes[int(point(q.ID)*float64(len(nodes)))], wait
-		}
-	}
-	if best.Name == "" {
+// sendNode sends the request to a node of another region.
+func (g *Gateway) sendNode(ctx context.Context, q *request, region string) Verdict {
+	nodes := g.untried(q, g.members.Live(time.Now(), region))
+	if len(nodes) == 0 {
 		q.refused = noTarget
 		return notRun
 	}
-	return g.forward(ctx, q, best)
+	return g.forward(ctx, q, nodes[int(point(q.ID)*float64(len(nodes)))])
 }
 
 func (g *Gateway) untried(q *request, nodes []jwmember.Member) []jwmember.Member {
@@ -264,6 +265,8 @@
 		g.serveForward(w, r)
 	case r.URL.Path == statePath:
 		g.serveState(w, r)
+	case r.URL.Path == beliefPath:
+		g.serveBelief(w)
 	case r.URL.Path == configPath:
 		g.serveConfig(w)
 	default:
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -68,6 +68,7 @@
 		group.Go(func() error { return s.Run(work) })
 	}
 	group.Go(func() error { g.follow(work); return nil })
+	group.Go(func() error { g.start(work); return nil })
 	group.Go(func() error { g.register(work); return nil })
 	group.Go(func() error { g.exchange(work); return nil })
 	group.Go(func() error { g.reload(work); return nil })
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -48,12 +48,13 @@
 	sends    int  // sends that reached a target
 	paid     bool // the next send was taken from the retry budget already
 	lastID   string
-	refused  string // why the last send or choice did not run
+	again    time.Duration // when to come back after a refusal
+	refused  string        // why the last send or choice did not run
 }
 
 // need describes the request to those who look for a target.
 func (g *Gateway) need(q *request) jwinstance.Need {
-	n := jwinstance.Need{Service: q.service, Prompt: q.Prompt, Homes: q.entry.Homes, Exclude: q.tried}
+	n := jwinstance.Need{Service: q.service, Prompt: q.Prompt, Homes: q.entry.Homes, Priority: q.entry.Priority, Exclude: q.tried}
 	c := g.entries.Current()
 	if c == nil {
 		return n
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -64,7 +64,7 @@
 		panic(http.ErrAbortHandler)
 	case !ran:
 		g.toldAnswer(q, "notRun", q.refused, http.StatusServiceUnavailable)
-		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, refusedWait, q.refused)
+		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, max(q.again, refusedWait), q.refused)
 	case ctx.Err() != nil:
 		g.toldAnswer(q, "unknown", q.refused, http.StatusGatewayTimeout)
 		g.refuse(q.w, q.ID, http.StatusGatewayTimeout, 0, "not answered in time")
@@ -76,7 +76,7 @@
 
 // mayRepeat tells whether a request may be sent once more after a verdict.
 func (g *Gateway) mayRepeat(q *request, v Verdict) bool {
-	if q.refused == noTarget {
+	if q.refused == noTarget || q.refused == tooLate {
 		return false
 	}
 	if v != notRun {
@@ -97,17 +97,41 @@
 // send makes one try: here or at a node of another region.
 func (g *Gateway) send(ctx context.Context, q *request) Verdict {
 	now := time.Now()
-	if g.staysHere(now, q) {
-		c, ok := g.targets.Best(now, g.need(q))
-		if ok {
-			return g.sendTarget(ctx, q, c)
-		}
+	p := g.place(now, q)
+	if p.region == "" {
 		q.refused = noTarget
+		return notRun
+	}
+	if g.late(q, p) {
+		q.refused = tooLate
+		q.again = min(max(p.expected-q.entry.Goal/2, refusedWait), mostWait)
+		return notRun
+	}
+	if p.region != g.Settings.Region {
+		return g.sendNode(ctx, q, p.region)
 	}
-	if q.forward {
+	c, ok := g.targets.Best(now, g.need(q))
+	if !ok {
+		q.refused = noTarget
 		return notRun
 	}
-	return g.sendNode(ctx, q)
+	return g.sendTarget(ctx, q, c)
+}
+
+// tooLate is why a request was refused that would come too late.
+const tooLate = "would be answered too late"
+
+// lateShare is the part of the goal that may be waited for the first event. A
+// queue longer than that makes every answer late; turning some away keeps the
+// others in time.
+const lateShare = 1.2
+
+// late tells whether a request that was not sent yet is to be turned away.
+func (g *Gateway) late(q *request, p place) bool {
+	if q.forward || q.started || q.sends > 0 || q.entry.Goal == 0 || q.Prompt.Tokens == 0 {
+		return false
+	}
+	return p.expected > time.Duration(lateShare*float64(q.entry.Goal))
 }
 
 // sendTarget sends the request to one target.
--- a/io/jwsettings/gateway.go
+++ b/io/jwsettings/gateway.go
@@ -12,6 +12,7 @@
 	Listen      GatewayAddresses
 	Store       GatewayStore
 	DataCentres map[string]string // region by data centre
+	Seeds       []netip.AddrPort  // ports for nodes of some nodes; they may be stale
 	Bounds      Bounds
 	Memory      int64 // bytes that the process may use, 0 if not bounded
 }
@@ -91,6 +92,14 @@
 		c.required("region", &region)
 		g.DataCentres[name] = region
 	})
+	for _, text := range o.texts("seeds") {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			o.fault("seeds", "must be IP addresses with ports, not %q", text)
+			continue
+		}
+		g.Seeds = append(g.Seeds, a)
+	}
 	megabytes := int64(0)
 	o.integer("memoryMB", &megabytes, 0, 1<<30)
 	g.Memory = megabytes << 20
