--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -189,6 +189,13 @@
 	return t.Self
 }
 
+// Locate sets where the node itself is reached.
+func (t *Table) Locate(callers, nodes netip.AddrPort) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Self.Callers, t.Self.Nodes = callers, nodes
+}
+
 // Me returns the node itself.
 func (t *Table) Me() Member {
 	t.mu.Lock()
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -28,9 +28,10 @@
 	Feed      jwstore.Feed
 	Records   Records
 	Dialect   Dialect
-	Targets   *jwconn.Pool // connections to targets
-	Nodes     *jwconn.Pool // connections to other nodes
-	Metrics   http.Handler // answers at the metrics address, if set
+	Targets   *jwconn.Pool                                   // connections to targets
+	Nodes     *jwconn.Pool                                   // connections to other nodes
+	Metrics   http.Handler                                   // answers at the metrics address, if set
+	Listening func(callers, directory, nodes netip.AddrPort) // called once the ports are open, if set
 	Log       logr.Logger
 	Decisions *jwlog.Decisions            // a line for each decision about a request; nil for none
 	Reload    <-chan *jwsettings.Settings // settings that changed while the node runs
@@ -64,6 +65,10 @@
 			return err
 		}
 	}
+	g.members.Locate(servers[callersServer].Addr(), servers[nodesServer].Addr())
+	if g.Listening != nil {
+		g.Listening(servers[callersServer].Addr(), servers[directoryServer].Addr(), servers[nodesServer].Addr())
+	}
 	for _, s := range servers {
 		group.Go(func() error { return s.Run(work) })
 	}
@@ -104,6 +109,14 @@
 	g.retries.Nodes = func() int { return g.members.Count(time.Now(), "") }
 }
 
+// The places of some listeners in what servers returns.
+const (
+	callersServer = iota
+	_             // that tells whether the node serves
+	directoryServer
+	nodesServer
+)
+
 func (g *Gateway) servers() []*jwrest.Server {
 	l := g.Settings.Gateway.Listen
 	list := []*jwrest.Server{
--- /dev/null
+++ b/io/jwgateway/system_test.go
@@ -0,0 +1,544 @@
+package jwgateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwstore"
+	"jujubewheel/io/jwconn"
+	"jujubewheel/io/jwgateway"
+	"jujubewheel/io/jwsettings"
+	"jujubewheel/platform"
+)
+
+var regions = map[string]string{"north-a": "north", "south-a": "south"}
+
+// node is a running gateway.
+type node struct {
+	callers, directory, nodes netip.AddrPort
+	stop                      func() // as SIGTERM, and waits for the end
+}
+
+func start(t *testing.T, feed jwstore.Feed, name, region string, seeds ...netip.AddrPort) node {
+	t.Helper()
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	listening := make(chan struct{})
+	var n node
+	g := &jwgateway.Gateway{
+		Settings: &jwsettings.Settings{
+			Node: name, Region: region, DataCentre: region + "-a",
+			Gateway: &jwsettings.Gateway{
+				Listen:      jwsettings.GatewayAddresses{Callers: any, Ready: any, Directory: any, Nodes: any},
+				DataCentres: regions, Seeds: seeds,
+				Bounds: jwsettings.Bounds{
+					Grace: 400 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+					ColdRatio: 1.5, ColdSlack: 3,
+				},
+			},
+		},
+		Feed: feed, Records: platform.Records{Regions: regions}, Dialect: platform.Headers{},
+		Targets: &jwconn.Pool{}, Nodes: &jwconn.Pool{}, Log: logr.Discard(),
+		Listening: func(callers, directory, nodes netip.AddrPort) {
+			n.callers, n.directory, n.nodes = callers, directory, nodes
+			close(listening)
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := g.Run(ctx); err != nil {
+			t.Logf("%s: %v", name, err)
+		}
+	}()
+	<-listening
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		<-ended
+	})
+	t.Cleanup(n.stop)
+	return n
+}
+
+// seen is what a target got.
+type seen struct {
+	header http.Header
+	path   string
+	body   string
+}
+
+// target is a stand-in of a target that answers by a function.
+type target struct {
+	id   string
+	addr string
+	mu   sync.Mutex
+	got  []seen
+}
+
+func (x *target) requests() []seen {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return append([]seen(nil), x.got...)
+}
+
+// startTarget starts a target and registers it. Its answers carry the
+// request's identifier and a seal unless serve sets them otherwise.
+func startTarget(t *testing.T, feed *jwstore.MemoryFeed, id, service, dataCentre string, serve http.HandlerFunc) *target {
+	t.Helper()
+	x := &target{id: id}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		x.mu.Lock()
+		x.got = append(x.got, seen{r.Header.Clone(), r.RequestURI, string(body)})
+		x.mu.Unlock()
+		w.Header().Set("Jujubewheel-Request-Id", r.Header.Get("Jujubewheel-Request-Id"))
+		w.Header().Set("Jujubewheel-Server-Seal", "seal-"+id)
+		serve(w, r)
+	}))
+	t.Cleanup(s.Close)
+	x.addr = s.Listener.Addr().String()
+	register(feed, id, service, x.addr, dataCentre, "ready")
+	return x
+}
+
+func register(feed *jwstore.MemoryFeed, id, service, addr, dataCentre, state string) {
+	feed.Write("servers/"+id, fmt.Appendf(nil,
+		`{"Service":%q,"Addr":%q,"Zone":%q,"Slots":8,"State":%q,"WarmupLeftMs":0,"Seq":1,"born":1}`, service, addr, dataCentre, state))
+}
+
+func configure(feed *jwstore.MemoryFeed, version int, routes ...string) {
+	feed.Write("op/config", fmt.Appendf(nil, `{"Version":%d,"Routes":[%s],"Services":[{"Name":"s","WarmupS":0,"WarmupPerS":0}],
+		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, version, strings.Join(routes, ",")))
+}
+
+// route writes a route to service s.
+func route(prefix, kind string, more string) string {
+	return fmt.Sprintf(`{"Name":"r%s","Host":"h.example","Prefix":%q,"Kind":%q,"TimeoutMs":2000,"GoalMs":1000,"Service":"s","MaxAttempts":2%s}`,
+		strings.ReplaceAll(prefix, "/", "-"), prefix, kind, more)
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of the body
+}
+
+func send(t *testing.T, n node, method, path, id string, header http.Header, body string) (reply, error) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+n.callers.String()+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Host = "h.example"
+	req.Header.Set("Jujubewheel-Request-Id", id)
+	req.Header.Set("Jujubewheel-Deadline-Ms", "2000")
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	tr := &http.Transport{DisableKeepAlives: true}
+	defer tr.CloseIdleConnections()
+	res, err := tr.RoundTrip(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	return reply{res.StatusCode, res.Header, string(text), err}, nil
+}
+
+// until tries a request until ok says that the nodes have caught up.
+func until(t *testing.T, n node, path string, ok func(reply) bool) reply {
+	t.Helper()
+	for i := range 1000 {
+		r, err := send(t, n, http.MethodGet, path, fmt.Sprintf("w%d", i), nil, "")
+		if err == nil && ok(r) {
+			return r
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the node did not catch up")
+	return reply{}
+}
+
+func served(r reply) bool { return r.status == http.StatusOK }
+
+func text(s string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, s) }
+}
+
+// The store is away when the first node starts. Told 404, callers would take
+// their entry for gone.
+func TestWithoutConfiguration(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	feed.Down(jwstore.ErrUnavailable)
+	n := start(t, &feed, "n1", "north")
+	r, err := send(t, n, http.MethodGet, "/a/x", "one", nil, "")
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusServiceUnavailable)
+	assert.Assert(t, r.header.Get("Retry-After") != "")
+	assert.Equal(t, r.header.Get("Jujubewheel-Server-Seal"), "")
+}
+
+func TestPassedOnUnchanged(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	x := startTarget(t, &feed, "t1", "s", "north-a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Own", "yes")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "done")
+	})
+	configure(&feed, 1, route("/a/", "non_idempotent", ""), route("/w/", "idempotent", ""))
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/w/x", func(r reply) bool { return r.status == http.StatusCreated })
+	r, err := send(t, n, http.MethodPost, "/a/x%2Fy?q=1&q=2", "one", http.Header{
+		"X-Caller":                     {"kept"},
+		"Jujubewheel-Token-Count":      {"10,20"},
+		"Jujubewheel-Hold":             {"x"},
+		"Jujubewheel-Pin-Ms":           {"1"},
+		"Jujubewheel-Kv-Backup":        {"x"},
+		"Kv-From":                      {"x"},
+		"Kv-Fetch":                     {"x"},
+		"Jujubewheel-Request-Priority": {"0"},
+		"Jujubewheel-Expect-Version":   {"9"},
+		"Connection":                   {"X-Hop"},
+		"X-Hop":                        {"dropped"},
+	}, "the body")
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusCreated)
+	assert.Equal(t, r.body, "done")
+	assert.Equal(t, r.header.Get("X-Own"), "yes")
+	assert.Equal(t, r.header.Get("Jujubewheel-Server-Seal"), "seal-t1")
+	assert.Equal(t, r.header.Get("Jujubewheel-Request-Id"), "one")
+	all := x.requests()
+	got := all[len(all)-1]
+	assert.Equal(t, got.path, "/a/x%2Fy?q=1&q=2")
+	assert.Equal(t, got.body, "the body")
+	assert.Equal(t, got.header.Get("X-Caller"), "kept")
+	assert.Equal(t, got.header.Get("Jujubewheel-Token-Count"), "10,20")
+	assert.Equal(t, got.header.Get("Jujubewheel-Expect-Instance"), "t1")
+	for _, name := range []string{"Jujubewheel-Hold", "Jujubewheel-Pin-Ms", "Jujubewheel-Kv-Backup", "Kv-From", "Kv-Fetch", "Jujubewheel-Expect-Version", "X-Hop"} {
+		assert.Equal(t, got.header.Get(name), "", name)
+	}
+}
+
+// What a caller is told when its target fails, by what may be repeated. The
+// first target fails in some way, the second one serves.
+func TestFailures(t *testing.T) {
+	t.Parallel()
+	abort := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Del("Jujubewheel-Server-Seal")
+		w.Header().Set("Jujubewheel-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	unsealed := func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("Jujubewheel-Server-Seal") }
+	foreign := func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Jujubewheel-Request-Id", "other") }
+	short := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(w, "abc")
+	}
+	encoded := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Encoding", "gzip")
+		_, _ = io.WriteString(w, "abc")
+	}
+	cases := map[string]struct {
+		kind  string
+		first http.HandlerFunc // nil for a target that takes no connection
+		want  int
+		runs  int // requests that reached the second target
+	}{
+		"not connected, may run once":      {"non_idempotent", nil, 200, 1},
+		"not connected, may be repeated":   {"idempotent", nil, 200, 1},
+		"refused, may run once":            {"non_idempotent", refuse, 200, 1},
+		"refused, may be repeated":         {"idempotent", refuse, 200, 1},
+		"reset, may run once":              {"non_idempotent", abort, 502, 0},
+		"reset, may be repeated":           {"idempotent", abort, 200, 1},
+		"its own failure, may run once":    {"non_idempotent", fail, 500, 0},
+		"its own failure, may be repeated": {"idempotent", fail, 200, 1},
+		"no seal, may run once":            {"non_idempotent", unsealed, 502, 0},
+		"no seal, may be repeated":         {"idempotent", unsealed, 200, 1},
+		// Its own answer may still come behind the other one, until the time is over.
+		"another's answer, may run once":    {"non_idempotent", foreign, 504, 0},
+		"another's answer, may be repeated": {"idempotent", foreign, 200, 1},
+		"broken off, may run once":          {"non_idempotent", short, 502, 0},
+		"broken off, may be repeated":       {"idempotent", short, 200, 1},
+		"encoded, may run once":             {"non_idempotent", encoded, 502, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var feed jwstore.MemoryFeed
+			// Of two equal targets the first by name is chosen.
+			if c.first != nil {
+				startTarget(t, &feed, "t1", "s", "north-a", c.first)
+			} else {
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				assert.NilError(t, err)
+				register(&feed, "t1", "s", l.Addr().String(), "north-a", "ready")
+				l.Close()
+			}
+			x := startTarget(t, &feed, "t2", "s", "north-a", text("fine"))
+			configure(&feed, 1, route("/a/", c.kind, ""))
+			n := start(t, &feed, "n1", "north")
+			until(t, n, "/none", func(r reply) bool { return r.status == http.StatusNotFound })
+			r, err := send(t, n, http.MethodPost, "/a/x", "one", nil, "")
+			assert.NilError(t, err)
+			assert.Equal(t, r.status, c.want, "%s", r.body)
+			assert.Equal(t, len(x.requests()), c.runs)
+		})
+	}
+}
+
+// events writes a stream from one event on and breaks off before another.
+func events(from, until int, whole bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := from; i < until; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i)
+		}
+		if !whole {
+			_, _ = io.WriteString(w, "id: 9")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+const threeEvents = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\n"
+
+func TestStreams(t *testing.T) {
+	t.Parallel()
+	cases := map[string]struct {
+		more   string
+		first  http.HandlerFunc
+		second http.HandlerFunc
+		body   string
+		cut    bool   // the caller sees that the stream is not whole
+		after  string // Last-Event-Id that the second target got
+	}{
+		"whole":                {"", events(1, 4, true), nil, threeEvents, false, ""},
+		"broken, may run once": {"", events(1, 3, false), events(3, 4, true), "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n", true, ""},
+		"broken, goes on":      {`,"Resumable":true`, events(1, 3, false), events(3, 4, true), threeEvents, false, "2"},
+		// Joined there, a caller would read one event twice.
+		"resumed at another event": {`,"Resumable":true`, events(1, 3, false), events(2, 4, true), "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\n", true, "2"},
+		"broken twice":             {`,"Resumable":true`, events(1, 3, false), events(3, 4, false), threeEvents, true, "2"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var feed jwstore.MemoryFeed
+			startTarget(t, &feed, "t1", "s", "north-a", c.first)
+			var x *target
+			if c.second != nil {
+				x = startTarget(t, &feed, "t2", "s", "north-a", c.second)
+			}
+			configure(&feed, 1, route("/a/", "stream", c.more))
+			n := start(t, &feed, "n1", "north")
+			until(t, n, "/none", func(r reply) bool { return r.status == http.StatusNotFound })
+			r, err := send(t, n, http.MethodPost, "/a/x", "one", nil, "")
+			assert.NilError(t, err)
+			assert.Equal(t, r.status, http.StatusOK)
+			assert.Equal(t, r.header.Get("Jujubewheel-Server-Seal"), "seal-t1", "that of the first target")
+			assert.Equal(t, r.body, c.body)
+			assert.Equal(t, r.err != nil, c.cut)
+			if c.after != "" {
+				assert.Equal(t, x.requests()[0].header.Get("Last-Event-Id"), c.after)
+			}
+		})
+	}
+}
+
+// Targets take connections from their own region only, so what is served in
+// another one goes by a node there.
+func TestOtherRegion(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	here := startTarget(t, &feed, "t1", "s", "north-a", text("north"))
+	there := startTarget(t, &feed, "t2", "s", "south-a", text("south"))
+	configure(&feed, 1, route("/w/", "idempotent", ""), route("/bound/", "non_idempotent", `,"HomeRegions":["south"]`),
+		route("/far/", "stream", `,"HomeRegions":["east"]`))
+	north := start(t, &feed, "n1", "north")
+	start(t, &feed, "n2", "south")
+	until(t, north, "/w/x", served)
+	before := len(here.requests())
+	var r reply
+	for range 1000 { // until the nodes know of each other
+		var err error
+		r, err = send(t, north, http.MethodPost, "/bound/x", "one", http.Header{"Jujubewheel-Hold": {"x"}}, "the body")
+		assert.NilError(t, err)
+		if served(r) {
+			break
+		}
+		assert.Equal(t, r.status, http.StatusServiceUnavailable)
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, r.body, "south")
+	assert.Equal(t, r.header.Get("Jujube-Outcome"), "", "not for callers")
+	got := there.requests()[0]
+	assert.Equal(t, got.body, "the body")
+	assert.Equal(t, got.header.Get("Jujubewheel-Expect-Instance"), "t2")
+	for name := range got.header {
+		assert.Assert(t, !strings.HasPrefix(name, "Jujube-"), name)
+	}
+	assert.Equal(t, len(here.requests()), before, "never here")
+
+	r, err := send(t, north, http.MethodPost, "/far/x", "two", nil, "")
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusServiceUnavailable, "no home has a node")
+}
+
+func directory(t *testing.T, n node, region string) []string {
+	t.Helper()
+	res, err := http.Get("http://" + n.directory.String() + "/v1/resolve?Name=h.example&Region=" + region)
+	assert.NilError(t, err)
+	defer res.Body.Close()
+	var doc struct{ Addrs []string }
+	if res.StatusCode == http.StatusOK {
+		assert.NilError(t, json.NewDecoder(res.Body).Decode(&doc))
+	}
+	return doc.Addrs
+}
+
+func TestDirectory(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	north := start(t, &feed, "n1", "north")
+	south := start(t, &feed, "n2", "south")
+	for len(directory(t, north, "south")) == 0 || directory(t, north, "south")[0] != south.callers.String() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.DeepEqual(t, directory(t, north, "north"), []string{north.callers.String()})
+	south.stop()
+	assert.DeepEqual(t, directory(t, north, "south"), []string{north.callers.String()}) // nobody is left there
+	assert.Assert(t, !feed.Has("jujubewheel/nodes/n2"))
+}
+
+// The store is away while a node starts; another one still knows all.
+func TestStartByAnotherNode(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
+	configure(&feed, 7, route("/a/", "idempotent", ""))
+	first := start(t, &feed, "n1", "north")
+	until(t, first, "/a/x", served)
+	feed.Down(jwstore.ErrUnavailable)
+	second := start(t, &feed, "n2", "north", first.nodes)
+	until(t, second, "/a/x", served)
+}
+
+// A stream that runs when the node is told to stop goes on to its end, and the
+// node says so to nobody new.
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	startTarget(t, &feed, "t1", "s", "north-a", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/a/x" {
+			return
+		}
+		events(1, 2, true)(w, r)
+		w.(http.Flusher).Flush()
+		close(begun)
+		<-goOn
+		events(2, 4, true)(w, r)
+	})
+	configure(&feed, 1, route("/a/", "stream", ""), route("/w/", "idempotent", ""))
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/w/x", served)
+	got := make(chan reply)
+	go func() {
+		r, _ := send(t, n, http.MethodPost, "/a/x", "one", nil, "")
+		got <- r
+	}()
+	<-begun
+	ended := make(chan struct{})
+	go func() {
+		n.stop()
+		close(ended)
+	}()
+	for len(directory(t, n, "north")) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	close(goOn)
+	r := <-got
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.body, threeEvents)
+	<-ended
+}
+
+// A caller leaves; its target must not work on for nobody.
+func TestCallerGone(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	begun, ended := make(chan struct{}), make(chan struct{})
+	startTarget(t, &feed, "t1", "s", "north-a", func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/a/x" {
+			return
+		}
+		close(begun)
+		<-r.Context().Done()
+		close(ended)
+	})
+	configure(&feed, 1, route("/a/", "non_idempotent", ""), route("/w/", "idempotent", ""))
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/w/x", served)
+	c, err := net.Dial("tcp", n.callers.String())
+	assert.NilError(t, err)
+	fmt.Fprintf(c, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nJujubewheel-Request-Id: one\r\nContent-Length: 0\r\n\r\n")
+	<-begun
+	c.Close()
+	<-ended
+}
+
+// A target falls silent with a request that may be repeated. The caller must
+// not wait until its own time is over.
+func TestSilentTarget(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-a", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	startTarget(t, &feed, "t2", "s", "north-a", text("fine"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/none", func(r reply) bool { return r.status == http.StatusNotFound })
+	r, err := send(t, n, http.MethodGet, "/a/x", "one", nil, "")
+	assert.NilError(t, err)
+	assert.Equal(t, r.body, "fine")
+}
+
+// The store forgets its history while a target leaves: its removal is never
+// told, only missing.
+func TestHistoryGone(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-a", text("first"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/a/x", served)
+	feed.Remove("servers/t1")
+	startTarget(t, &feed, "t2", "s", "north-a", text("second"))
+	feed.Compact()
+	until(t, n, "/a/x", func(r reply) bool { return r.body == "second" })
+	for i := range 20 {
+		r, err := send(t, n, http.MethodGet, "/a/x", fmt.Sprint(i), nil, "")
+		assert.NilError(t, err)
+		assert.Equal(t, r.body, "second")
+	}
+}
--- /dev/null
+++ b/io/jwsettings/gateway_test.go
@@ -0,0 +1,58 @@
+package jwsettings
+
+import (
+	"errors"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+)
+
+const gatewayFile = `// of one node
+{
+  "node": "n1", "region": "north", "dataCentre": "north-a",
+  "gateway": {
+    "listen": {"callers": "10.0.0.1:80", "ready": "10.0.0.1:81", "directory": "10.0.0.1:82", "nodes": "10.0.0.1:83"},
+    "store": {"address": "10.9.0.1:90", "leaseMin": "1000ms"},
+    "dataCentres": [{"name": "north-a", "region": "north"}],
+    "seeds": ["10.0.0.2:83"],
+    "memoryMB": 284,
+    "bounds": {"grace": "8s", "retryRatio": 0.2, "retrySlack": 58, "retryWindow": "10s", "coldRatio": 1.5, "coldSlack": 3},
+  },
+}`
+
+func TestGateway(t *testing.T) {
+	s, err := Parse([]byte(gatewayFile))
+	assert.NilError(t, err)
+	at := netip.MustParseAddrPort
+	assert.DeepEqual(t, *s.Gateway, Gateway{
+		Listen: GatewayAddresses{Callers: at("10.0.0.1:80"), Ready: at("10.0.0.1:81"), Directory: at("10.0.0.1:82"), Nodes: at("10.0.0.1:83")},
+		Store:  GatewayStore{Address: at("10.9.0.1:90"), LeaseMin: time.Second}, DataCentres: map[string]string{"north-a": "north"},
+		Seeds: []netip.AddrPort{at("10.0.0.2:83")}, Memory: 284 << 20,
+		Bounds: Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, ColdRatio: 1.5, ColdSlack: 3},
+	}, cmpopts.EquateComparable(netip.AddrPort{}))
+}
+
+func TestGatewayFaults(t *testing.T) {
+	cases := map[string]struct{ old, with, key string }{
+		"no node":             {`"node": "n1", `, ``, "node"},
+		"an unknown place":    {`"dataCentre": "north-a"`, `"dataCentre": "south-a"`, "dataCentre"},
+		"no store":            {`"address": "10.9.0.1:90", `, ``, "gateway.store.address"},
+		"an address by name":  {`"10.0.0.1:83"}`, `"host:83"}`, "gateway.listen.nodes"},
+		"a seed by name":      {`["10.0.0.2:83"]`, `["host"]`, "gateway.seeds"},
+		"a period of no unit": {`"grace": "8s"`, `"grace": "8"`, "gateway.bounds.grace"},
+		"a number as text":    {`"retrySlack": 58`, `"retrySlack": "58"`, "gateway.bounds.retrySlack"},
+		"a key that is none":  {`"memoryMB"`, `"memory"`, "gateway.memory"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(gatewayFile, c.old, c.with, 1)))
+			var faults Faults
+			assert.Assert(t, errors.As(err, &faults), "%v", err)
+			assert.Equal(t, faults[0].Key, c.key)
+		})
+	}
+}
