--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -34,14 +34,14 @@
 
 func start(t *testing.T, feed jwstore.Feed, name, region string, seeds ...netip.AddrPort) node {
 	t.Helper()
-	any := netip.MustParseAddrPort("127.0.0.1:0")
+	free := netip.MustParseAddrPort("127.0.0.1:0")
 	listening := make(chan struct{})
 	var n node
 	g := &jwgateway.Gateway{
 		Settings: &jwsettings.Settings{
 			Node: name, Region: region, DataCentre: region + "-a",
 			Gateway: &jwsettings.Gateway{
-				Listen:      jwsettings.GatewayAddresses{Callers: any, Ready: any, Directory: any, Nodes: any},
+				Listen:      jwsettings.GatewayAddresses{Callers: free, Ready: free, Directory: free, Nodes: free},
 				DataCentres: regions, Seeds: seeds,
 				Bounds: jwsettings.Bounds{
 					Grace: 400 * time.Millisecond, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
