--- a/io/jwplatform/client.go
+++ b/io/jwconsul/client.go
@@ -1,4 +1,4 @@
-package jwplatform
+package jwconsul
 
 import (
 	"context"
@@ -73,7 +73,7 @@
 // refuses would look like an outage of the platform and hide the end of one.
 func (c *client) do(name string, address netip.AddrPort, r *http.Request) (*http.Response, error) {
 	c.once.Do(func() {
-		full := "jwplatform " + name + " " + address.String()
+		full := "jwconsul " + name + " " + address.String()
 		breaker.NoBreakerFor(full)
 		transport := &http.Transport{
 			DialContext:         c.dial,
--- a/io/jwplatform/directory_test.go
+++ b/io/jwconsul/directory_test.go
@@ -1,4 +1,4 @@
-package jwplatform_test
+package jwconsul_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"jujubewheel/core/jwdirectory"
-	"jujubewheel/io/jwplatform"
+	"jujubewheel/io/jwconsul"
 	"jujubewheel/io/jwstand"
 )
 
@@ -16,7 +16,7 @@
 	ctx := context.Background()
 	clients := &jwstand.Clients{}
 	stand := startStand(t, clients)
-	directory := &jwplatform.Directory{Address: stand.Address}
+	directory := &jwconsul.Directory{Address: stand.Address}
 
 	empty, err := directory.Fetch(ctx, "")
 	assert.NilError(t, err)
@@ -45,7 +45,7 @@
 	clients := &jwstand.Clients{}
 	clients.Set([]jwstand.Client{{Name: "w", Region: "r1"}, {Name: "w", Region: "r2"}})
 	stand := startStand(t, clients)
-	directory := &jwplatform.Directory{Address: stand.Address}
+	directory := &jwconsul.Directory{Address: stand.Address}
 	_, err := directory.Fetch(context.Background(), "")
 	assert.ErrorContains(t, err, "changed during")
 }
@@ -53,7 +53,7 @@
 func TestHostList(t *testing.T) {
 	hosts := &jwstand.Hosts{}
 	stand := startStand(t, hosts)
-	list := &jwplatform.HostList{Address: stand.Address}
+	list := &jwconsul.HostList{Address: stand.Address}
 	got, err := list.Hosts(context.Background())
 	assert.NilError(t, err)
 	assert.Equal(t, len(got), 0)
--- a/io/jwplatform/hostlist_test.go
+++ b/io/jwconsul/hostlist_test.go
@@ -1,4 +1,4 @@
-package jwplatform
+package jwconsul
 
 import (
 	"net/netip"
--- a/io/jwplatform/keyvalue_test.go
+++ b/io/jwconsul/keyvalue_test.go
@@ -1,4 +1,4 @@
-package jwplatform_test
+package jwconsul_test
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 	"gotest.tools/v3/poll"
 
 	"jujubewheel/core/jwstore"
-	"jujubewheel/io/jwplatform"
+	"jujubewheel/io/jwconsul"
 	"jujubewheel/io/jwstand"
 )
 
@@ -42,7 +42,7 @@
 	stand := startStand(t, &jwstand.KeyValue{})
 	return map[string]jwstore.Store{
 		"memory":   &jwstore.Memory{},
-		"keyValue": &jwplatform.KeyValue{Address: stand.Address},
+		"keyValue": &jwconsul.KeyValue{Address: stand.Address},
 	}
 }
 
@@ -199,7 +199,7 @@
 	stand.SetFaults(jwstand.Faults{LoseReply: 1})
 	tests := map[string]jwstore.Store{
 		"memory":   memory,
-		"keyValue": &jwplatform.KeyValue{Address: stand.Address},
+		"keyValue": &jwconsul.KeyValue{Address: stand.Address},
 	}
 	for name, s := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -219,7 +219,7 @@
 func TestOutage(t *testing.T) {
 	ctx := context.Background()
 	stand := startStand(t, &jwstand.KeyValue{})
-	kv := &jwplatform.KeyValue{Address: stand.Address}
+	kv := &jwconsul.KeyValue{Address: stand.Address}
 	first := mustSwap(t, kv, "k", "one", 0)
 	stand.SetFaults(jwstand.Faults{Down: true})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -258,7 +258,7 @@
 func TestSilentConnection(t *testing.T) {
 	ctx := context.Background()
 	stand := startStand(t, &jwstand.KeyValue{})
-	kv := &jwplatform.KeyValue{Address: stand.Address, Timeout: 100 * time.Millisecond}
+	kv := &jwconsul.KeyValue{Address: stand.Address, Timeout: 100 * time.Millisecond}
 	first := mustSwap(t, kv, "k", "one", 0)
 	stand.SetFaults(jwstand.Faults{Silent: true})
 	_, _, err := kv.Swap(ctx, "k", []byte("two"), first)
@@ -272,10 +272,10 @@
 // service refuses in the middle of a change.
 func TestValueTooLarge(t *testing.T) {
 	stand := startStand(t, &jwstand.KeyValue{})
-	kv := &jwplatform.KeyValue{Address: stand.Address}
-	_, _, err := kv.Swap(context.Background(), "k", make([]byte, jwplatform.MaxValueSize+1), 0)
+	kv := &jwconsul.KeyValue{Address: stand.Address}
+	_, _, err := kv.Swap(context.Background(), "k", make([]byte, jwconsul.MaxValueSize+1), 0)
 	assert.ErrorContains(t, err, "exceeds")
-	mustSwap(t, kv, "k", string(make([]byte, jwplatform.MaxValueSize)), 0)
+	mustSwap(t, kv, "k", string(make([]byte, jwconsul.MaxValueSize)), 0)
 }
 
 // A wait for a key that does not exist yet is what most nodes do all day; it
@@ -283,7 +283,7 @@
 func TestWaitCost(t *testing.T) {
 	program := &jwstand.KeyValue{}
 	stand := startStand(t, program)
-	kv := &jwplatform.KeyValue{Address: stand.Address}
+	kv := &jwconsul.KeyValue{Address: stand.Address}
 	done := make(chan error, 1)
 	go func() {
 		_, _, err := kv.Wait(context.Background(), "changes/1", 0, time.Minute)
@@ -312,7 +312,7 @@
 		w.WriteHeader(http.StatusNotFound)
 	}))
 	defer server.Close()
-	kv := &jwplatform.KeyValue{Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	kv := &jwconsul.KeyValue{Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
 	_, found, err := kv.Wait(context.Background(), "k", 0, 200*time.Millisecond)
 	assert.NilError(t, err)
 	assert.Check(t, !found && calls.Load() <= 8, "%d calls", calls.Load())
--- a/io/jwplatform/linear_test.go
+++ b/io/jwconsul/linear_test.go
@@ -1,4 +1,4 @@
-package jwplatform_test
+package jwconsul_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"jujubewheel/core/jwstore"
-	"jujubewheel/io/jwplatform"
+	"jujubewheel/io/jwconsul"
 	"jujubewheel/io/jwstand"
 )
 
@@ -25,7 +25,7 @@
 func TestLinearUnderFaults(t *testing.T) {
 	const callers, enough = 6, 8
 	stand := startStand(t, &jwstand.KeyValue{})
-	kv := &jwplatform.KeyValue{Address: stand.Address, Timeout: 40 * time.Millisecond}
+	kv := &jwconsul.KeyValue{Address: stand.Address, Timeout: 40 * time.Millisecond}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	var faults sync.WaitGroup
@@ -95,7 +95,7 @@
 }
 
 // replace reads the key and swaps in a new value.
-func (h *history) replace(kv *jwplatform.KeyValue, caller int, value string) {
+func (h *history) replace(kv *jwconsul.KeyValue, caller int, value string) {
 	ctx := context.Background()
 	call := time.Since(h.began).Nanoseconds()
 	item, _, err := kv.Get(ctx, "k")
--- a/io/jwplatform/scale_test.go
+++ b/io/jwconsul/scale_test.go
@@ -1,4 +1,4 @@
-package jwplatform_test
+package jwconsul_test
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/zeromicro/go-zero/core/logx"
 	"gotest.tools/v3/assert"
 
-	"jujubewheel/io/jwplatform"
+	"jujubewheel/io/jwconsul"
 	"jujubewheel/io/jwstand"
 )
 
@@ -53,7 +53,7 @@
 	return groups
 }
 
-func reportTraffic(b *testing.B, before, after jwplatform.Traffic) {
+func reportTraffic(b *testing.B, before, after jwconsul.Traffic) {
 	b.ReportMetric(float64(after.Sent-before.Sent)/float64(b.N), "sentB/op")
 	b.ReportMetric(float64(after.Received-before.Received)/float64(b.N), "recvB/op")
 }
@@ -64,7 +64,7 @@
 		b.Run(name, func(b *testing.B) {
 			hosts := &jwstand.Hosts{}
 			hosts.Set(allHosts())
-			list := &jwplatform.HostList{Address: serve(b, hosts).Address}
+			list := &jwconsul.HostList{Address: serve(b, hosts).Address}
 			_, err := list.Hosts(ctx)
 			assert.NilError(b, err)
 			versions := [][]jwstand.HostGroup{allHosts("leaving"), allHosts()}
@@ -93,7 +93,7 @@
 		all = append(all, jwstand.Client{Name: fmt.Sprintf("workspace-%05d", i), Region: region, Bound: i%8 == 0, Owner: "owner-17"})
 	}
 	clients.Set(all)
-	directory := &jwplatform.Directory{Address: serve(b, clients).Address}
+	directory := &jwconsul.Directory{Address: serve(b, clients).Address}
 	full, err := directory.Fetch(ctx, "")
 	assert.NilError(b, err)
 	for name, version := range map[string]string{"unchanged": full.Version, "whole": ""} {
@@ -112,7 +112,7 @@
 
 func BenchmarkKeyValue(b *testing.B) {
 	ctx := context.Background()
-	kv := &jwplatform.KeyValue{Address: serve(b, &jwstand.KeyValue{}).Address}
+	kv := &jwconsul.KeyValue{Address: serve(b, &jwstand.KeyValue{}).Address}
 	version, _, err := kv.Swap(ctx, "k", make([]byte, 2048), 0)
 	assert.NilError(b, err)
 	calls := map[string]func() error{
--- a/io/jwnode/assemble.go
+++ b/io/jwnode/assemble.go
@@ -13,8 +13,8 @@
 	"jujubewheel/core/jwexplain"
 	"jujubewheel/core/jwpeer"
 	"jujubewheel/core/jwrouter"
+	"jujubewheel/io/jwconsul"
 	"jujubewheel/io/jwforward"
-	"jujubewheel/io/jwplatform"
 	"jujubewheel/io/jwsettings"
 	"jujubewheel/io/jwtargetclient"
 )
@@ -23,7 +23,7 @@
 func (n *Node) assemble() {
 	s := n.Settings
 	incarnation := uuid.Must(uuid.NewV7()).String()
-	n.store = &jwplatform.KeyValue{Address: s.Platform.KeyValue, Timeout: platformTimeout}
+	n.store = &jwconsul.KeyValue{Address: s.Platform.KeyValue, Timeout: platformTimeout}
 	n.pool = &jwforward.Pool{Credentials: n.nodeCredentials()}
 	n.targets = &jwtargetclient.Client{}
 	n.tracer = &jwexplain.Tracer{Node: s.Node, Region: s.Region, Now: time.Now}
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -24,10 +24,10 @@
 	"jujubewheel/core/jwrequest"
 	"jujubewheel/core/jwtarget"
 	"jujubewheel/io/jwaudit"
+	"jujubewheel/io/jwconsul"
 	"jujubewheel/io/jwforward"
 	"jujubewheel/io/jwlisten"
 	"jujubewheel/io/jwmeter"
-	"jujubewheel/io/jwplatform"
 	"jujubewheel/io/jwrest"
 	"jujubewheel/io/jwsettings"
 	"jujubewheel/io/jwtargetclient"
@@ -54,7 +54,7 @@
 
 	board      jwboard.Board
 	self       jwrequest.Hop
-	store      *jwplatform.KeyValue
+	store      *jwconsul.KeyValue
 	pool       *jwforward.Pool
 	targets    *jwtargetclient.Client
 	keeper     *jwclaim.Keeper
@@ -179,12 +179,12 @@
 func (n *Node) control(ctx context.Context, g *errgroup.Group) {
 	s := n.Settings
 	hosts := &jwhost.Watcher{
-		List:  &jwplatform.HostList{Address: s.Platform.Hosts, Path: s.Platform.HostsPath, Timeout: platformTimeout},
+		List:  &jwconsul.HostList{Address: s.Platform.Hosts, Path: s.Platform.HostsPath, Timeout: platformTimeout},
 		Peer:  &hostSource{peers: &n.board.Peers, pool: n.pool, self: n.self},
 		Table: &n.board.Hosts, Period: s.Periods.HostsPoll, Now: time.Now, Apply: n.applyHosts,
 	}
 	directory := &jwdirectory.Watcher{
-		Source: &jwplatform.Directory{Address: s.Platform.Directory, Timeout: platformTimeout},
+		Source: &jwconsul.Directory{Address: s.Platform.Directory, Timeout: platformTimeout},
 		Peer:   &directorySource{peers: &n.board.Peers, pool: n.pool, self: n.self},
 		Table:  &n.board.Directory, Period: s.Periods.DirectoryPoll,
 	}
--- a/io/jwslope/lists.go
+++ b/io/jwslope/lists.go
@@ -8,7 +8,7 @@
 	"jujubewheel/core/jwdirectory"
 	"jujubewheel/core/jwhost"
 	"jujubewheel/core/jwtarget"
-	"jujubewheel/io/jwplatform"
+	"jujubewheel/io/jwconsul"
 	"jujubewheel/io/jwstand"
 )
 
@@ -54,7 +54,7 @@
 	versions := [][]jwstand.HostGroup{hostGroups(runners, "live"), hostGroups(runners, "leaving")}
 	hosts.Set(versions[0])
 	before := heap()
-	list := &jwplatform.HostList{Address: stand.Address}
+	list := &jwconsul.HostList{Address: stand.Address}
 	table := &jwtarget.Table{Node: "node-0000", Region: "region-00"}
 	read := func() error {
 		got, err := list.Hosts(ctx)
@@ -111,7 +111,7 @@
 		return whole, unchanged, err
 	}
 	defer func() { _ = stop() }()
-	directory := &jwplatform.Directory{Address: stand.Address}
+	directory := &jwconsul.Directory{Address: stand.Address}
 	ask := func(version string) (asked, *jwdirectory.Snapshot, error) {
 		before, cpu := directory.Traffic(), cpuTime()
 		s, err := directory.Fetch(ctx, version)
