--- a/cmd/jujubewheel/gateway.go
+++ b/cmd/jujubewheel/gateway.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -14,6 +15,7 @@
 	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwgateway"
 	"jujubewheel/io/jwlog"
+	"jujubewheel/io/jwmeter"
 	"jujubewheel/io/jwsettings"
 	"jujubewheel/platform"
 )
@@ -55,14 +57,18 @@
 		<-written
 	}()
 	log := jwlog.New(queue, n.Verbose).WithValues("node", n.Settings.Node)
+	meter := &jwmeter.Meter{Log: log}
+	defer meter.Close()
 	whole := &jwgateway.Gateway{
 		Settings:  n.Settings,
-		Feed:      &platform.Store{Address: o.Store.Address, Pool: &jwconn.Pool{}},
+		Feed:      &platform.Store{Address: o.Store.Address, Pool: &jwconn.Pool{}, Called: countCalls(meter)},
 		Records:   platform.Records{Regions: o.DataCentres},
 		Dialect:   platform.Headers{},
 		Targets:   &jwconn.Pool{DialTimeout: targetDial},
 		Nodes:     &jwconn.Pool{},
 		Log:       log,
+		Meter:     meter,
+		LostLines: queue.Lost,
 		Decisions: jwlog.NewDecisions(queue, queue.Minor(), n.Settings.Node),
 		Reload:    reloads(ctx, n.File, log),
 	}
@@ -120,3 +126,10 @@
 	}
 	return info.ModTime()
 }
+
+// countCalls counts the calls of the store by kind and status; 0 is no answer.
+func countCalls(m *jwmeter.Meter) func(call string, status int) {
+	return func(call string, status int) {
+		m.Counter("store_calls_total", jwmeter.Tags{"call": call, "status": strconv.Itoa(status)}).Inc(1)
+	}
+}
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -24,8 +24,23 @@
 	return d
 }
 
+// outcomeOf tells how a request ended that a target answered.
+func outcomeOf(status int) string {
+	if status >= 500 {
+		return "failedByTarget"
+	}
+	return outcomeServed
+}
+
 // toldSend logs a send to a target.
 func (g *Gateway) toldSend(q *request, c jwinstance.Choice, v Verdict, status int, first time.Duration) {
+	g.meters.sent(stepSend, string(q.entry.Kind), v)
+	if first > 0 {
+		g.meters.begun(placeHere, first)
+	}
+	if v == finished && !q.forward {
+		g.meters.ended(string(q.entry.Kind), outcomeOf(status))
+	}
 	d := q.decision(stepSend)
 	d.Target, d.Expected, d.Cold, d.Calls = c.Target.ID, c.Expected, c.Cold, c.Calls
 	d.First = first
@@ -39,6 +54,10 @@
 
 // toldForward logs a request passed on to another node.
 func (g *Gateway) toldForward(q *request, peer string, v Verdict, status int) {
+	g.meters.sent(stepForward, string(q.entry.Kind), v)
+	if v == finished {
+		g.meters.ended(string(q.entry.Kind), outcomeOf(status))
+	}
 	d := q.decision(stepForward)
 	d.Peer, d.Outcome, d.Status = peer, string(v), status
 	d.Minor = v == finished && status < 500
@@ -50,6 +69,9 @@
 
 // toldAnswer logs an answer of the gateway's own, or that there is none.
 func (g *Gateway) toldAnswer(q *request, outcome, reason string, status int) {
+	if !q.forward {
+		g.meters.ended(string(q.entry.Kind), outcome)
+	}
 	d := q.decision(stepAnswer)
 	d.Outcome, d.Reason, d.Status = outcome, reason, status
 	g.Decisions.Write(&d)
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -46,6 +46,7 @@
 		}
 		now := time.Now()
 		if err == nil {
+			g.viewed.Store(int64(now.Sub(g.begun)))
 			if !f.lost.IsZero() {
 				g.Log.Info("store regained", "after", now.Sub(f.lost).String())
 				f.lost = time.Time{}
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -152,7 +152,13 @@
 		return notRun
 	case outcomeServed:
 		q.attempts++
-		return g.relay(q, a, func(int) {})
+		first := true
+		return g.relay(q, a, func(int) {
+			if first {
+				first = false
+				g.meters.begun(placeAway, time.Since(q.arrived))
+			}
+		})
 	}
 	q.refused = "unknown at " + m.Name
 	q.attempts++
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -12,12 +12,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"jujubewheel/core/jwbudget"
+	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwlog"
+	"jujubewheel/io/jwmeter"
 	"jujubewheel/io/jwrest"
 	"jujubewheel/io/jwsettings"
 )
@@ -30,12 +32,15 @@
 	Dialect   Dialect
 	Targets   *jwconn.Pool                                   // connections to targets
 	Nodes     *jwconn.Pool                                   // connections to other nodes
-	Metrics   http.Handler                                   // answers at the metrics address, if set
+	Meter     *jwmeter.Meter                                 // counters and histograms; nil for none
+	LostLines func() int64                                   // lines of the log that were dropped so far, if set
 	Listening func(callers, directory, nodes netip.AddrPort) // called once the ports are open, if set
 	Log       logr.Logger
 	Decisions *jwlog.Decisions            // a line for each decision about a request; nil for none
 	Reload    <-chan *jwsettings.Settings // settings that changed while the node runs
 
+	meters   *meters
+	viewed   atomic.Int64 // when the store was read last, nanoseconds since begun
 	bounds   atomic.Pointer[jwsettings.Bounds]
 	entries  jwentry.Table
 	targets  jwinstance.Table
@@ -77,6 +82,7 @@
 	group.Go(func() error { g.register(work); return nil })
 	group.Go(func() error { g.exchange(work); return nil })
 	group.Go(func() error { g.reload(work); return nil })
+	group.Go(func() error { g.observe(work); return nil })
 	g.Log.Info("started", "bounds", *g.bounds.Load(), "region", g.Settings.Region, "dataCentre", g.Settings.DataCentre)
 	select {
 	case <-ctx.Done():
@@ -92,6 +98,8 @@
 func (g *Gateway) prepare() {
 	s, o := g.Settings, g.Settings.Gateway
 	g.begun = time.Now()
+	g.meters = newMeters(g.Meter)
+	g.Targets.Opened = func() { g.meters.opened.Inc(1) }
 	g.changed = make(chan struct{}, 1)
 	g.members.Self = jwmember.Member{
 		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
@@ -125,8 +133,8 @@
 		g.server("directory", l.Directory, http.HandlerFunc(g.serveDirectory)),
 		g.server("nodes", l.Nodes, http.HandlerFunc(g.serveNode)),
 	}
-	if l.Metrics.IsValid() && g.Metrics != nil {
-		list = append(list, g.server("metrics", l.Metrics, g.Metrics))
+	if l.Metrics.IsValid() && g.Meter != nil {
+		list = append(list, g.server("metrics", l.Metrics, g.Meter.Handler()))
 	}
 	return list
 }
@@ -184,3 +192,21 @@
 		}
 	}
 }
+
+// observePeriod is the time between two settings of the gauges.
+const observePeriod = time.Second
+
+// observe sets the gauges now and then.
+func (g *Gateway) observe(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		g.meters.version.Update(float64(g.entries.Version()))
+		g.meters.nodes.Update(float64(len(g.members.Live(now, ""))))
+		g.meters.inFlight.Update(float64(g.inFlight.Load()))
+		g.meters.storeAge.Update((now.Sub(g.begun) - time.Duration(g.viewed.Load())).Seconds())
+		if g.LostLines != nil {
+			g.meters.lost.Update(float64(g.LostLines()))
+		}
+		jwclock.Sleep(ctx, observePeriod)
+	}
+}
--- /dev/null
+++ b/io/jwgateway/meters.go
@@ -0,0 +1,86 @@
+package jwgateway
+
+import (
+	"sync"
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+
+	"jujubewheel/io/jwmeter"
+)
+
+// The places that a request was served in, as labels.
+const (
+	placeHere = "here"
+	placeAway = "away"
+)
+
+// meters are the counters and histograms of a node. Names of entries come and
+// go with configurations, so series are by kind and not by entry.
+type meters struct {
+	meter *jwmeter.Meter
+
+	mu    sync.Mutex
+	sends map[[3]string]tally.Counter // by step, kind and verdict
+	ends  map[[2]string]tally.Counter // by kind and outcome
+
+	first    map[string]tally.Histogram // by place
+	pauses   tally.Histogram
+	repeats  tally.Counter
+	noBudget tally.Counter
+	opened   tally.Counter
+	version  tally.Gauge
+	nodes    tally.Gauge
+	inFlight tally.Gauge
+	lost     tally.Gauge
+	storeAge tally.Gauge
+}
+
+func newMeters(m *jwmeter.Meter) *meters {
+	return &meters{
+		meter: m,
+		sends: make(map[[3]string]tally.Counter), ends: make(map[[2]string]tally.Counter),
+		first: map[string]tally.Histogram{
+			placeHere: m.Durations("first_event_seconds", jwmeter.Tags{"place": placeHere}),
+			placeAway: m.Durations("first_event_seconds", jwmeter.Tags{"place": placeAway}),
+		},
+		pauses:   m.Durations("event_pause_seconds", nil),
+		repeats:  m.Counter("repeats_total", nil),
+		noBudget: m.Counter("repeats_refused_total", nil),
+		opened:   m.Counter("target_connections_total", nil),
+		version:  m.Gauge("configuration_version", nil),
+		nodes:    m.Gauge("live_nodes", nil),
+		inFlight: m.Gauge("requests_in_flight", nil),
+		lost:     m.Gauge("log_lines_lost", nil),
+		storeAge: m.Gauge("store_view_age_seconds", nil),
+	}
+}
+
+// sent counts a send to a target or a node.
+func (m *meters) sent(step, kind string, v Verdict) {
+	key := [3]string{step, kind, string(v)}
+	m.mu.Lock()
+	c := m.sends[key]
+	if c == nil {
+		c = m.meter.Counter("sends_total", jwmeter.Tags{"step": step, "kind": kind, "verdict": string(v)})
+		m.sends[key] = c
+	}
+	m.mu.Unlock()
+	c.Inc(1)
+}
+
+// ended counts how a request ended for its caller.
+func (m *meters) ended(kind, outcome string) {
+	key := [2]string{kind, outcome}
+	m.mu.Lock()
+	c := m.ends[key]
+	if c == nil {
+		c = m.meter.Counter("requests_total", jwmeter.Tags{"kind": kind, "outcome": outcome})
+		m.ends[key] = c
+	}
+	m.mu.Unlock()
+	c.Inc(1)
+}
+
+// begun records the wait for a first event.
+func (m *meters) begun(place string, d time.Duration) { m.first[place].RecordDuration(d) }
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -88,7 +88,15 @@
 		q.paid = false
 		return true
 	}
-	return q.sends == 0 || g.retries.Take(time.Now(), q.service)
+	if q.sends == 0 {
+		return true
+	}
+	if !g.retries.Take(time.Now(), q.service) {
+		g.meters.noBudget.Inc(1)
+		return false
+	}
+	g.meters.repeats.Inc(1)
+	return true
 }
 
 // noTarget is why a request was refused that found no target.
@@ -167,6 +175,7 @@
 				g.targets.Started(x, c, q.Prompt, first)
 			} else {
 				g.targets.Passed(now, x, events, now.Sub(last))
+				g.meters.pauses.RecordDuration(now.Sub(last))
 			}
 			last = now
 			patience.Reset(mostPause)
