--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -36,7 +36,6 @@
 	Instance
 	heard     time.Time // last change of its registration
 	gone      time.Time // when its registration vanished, zero if it stands
-	drained   time.Time // when it was first known to leave
 	coldUntil time.Time
 	coldSends []time.Time   // of the last second
 	rest      time.Time     // not used before
@@ -53,8 +52,20 @@
 	capacity  int // tokens of its memory, 0 if not known
 }
 
-// Put takes a registration as it stands in the store.
-func (t *Table) Put(now time.Time, in Instance) {
+// Change is what a registration changed in the belief about a target.
+type Change string
+
+// The changes by a registration.
+const (
+	Same     Change = ""
+	Appeared Change = "appeared"
+	Began    Change = "beganAnew" // under the same name
+	Returned Change = "returned"  // its registration had vanished
+	Leaving  Change = "draining"
+)
+
+// Put takes a registration as it stands in the store and tells what it changed.
+func (t *Table) Put(now time.Time, in Instance) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.targets == nil {
@@ -66,19 +77,24 @@
 		if old != nil || in.Cold > 0 {
 			fresh.coldUntil = now.Add(max(in.Cold, t.coldAfterReturn(old, in)))
 		}
-		if in.Draining {
-			fresh.drained = now
-		}
 		t.targets[in.ID] = fresh
-		return
+		if old != nil {
+			return Began
+		}
+		return Appeared
+	}
+	change := Same
+	switch {
+	case in.Draining && !old.Draining:
+		change = Leaving
+	case !old.gone.IsZero():
+		change = Returned
 	}
 	old.Instance, old.heard, old.gone = in, now, time.Time{}
 	if in.Cold > 0 {
 		old.coldUntil = now.Add(in.Cold)
 	}
-	if in.Draining && old.drained.IsZero() {
-		old.drained = now
-	}
+	return change
 }
 
 // coldAfterReturn is how long a target that began anew under its own name is
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"jujubewheel/core/jwclock"
+	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
 )
@@ -139,17 +140,21 @@
 
 func (g *Gateway) takeTarget(now time.Time, id string, e jwstore.Event) {
 	if e.Deleted {
+		g.Log.Info("target registration gone", "target", id)
 		g.targets.Remove(now, id)
 		return
 	}
 	in, err := g.Records.Target(id, e.Value)
 	if err != nil {
 		// Another writer may have left it; it names no target to use.
-		g.Log.V(1).Info("target not readable", "target", id, "error", err.Error())
+		g.Log.Info("target not readable", "target", id, "error", err.Error())
 		g.targets.Remove(now, id)
 		return
 	}
-	g.targets.Put(now, in)
+	if change := g.targets.Put(now, in); change != jwinstance.Same {
+		g.Log.Info("target", "target", id, "change", change, "service", in.Service, "dataCentre", in.DataCentre,
+			"draining", in.Draining, "cold", in.Cold.String(), "left", in.Left.String())
+	}
 }
 
 func (g *Gateway) takeNode(now time.Time, name string, e jwstore.Event) {
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -108,6 +108,9 @@
 	p := g.place(now, q)
 	if p.region == "" {
 		q.refused = noTarget
+		if len(g.targets.Regions(q.service)) == 0 {
+			q.again = mostWait // not one is left; coming back at once is in vain
+		}
 		return notRun
 	}
 	if g.late(q, p) {
@@ -197,7 +200,7 @@
 	leastPatience = 250 * time.Millisecond
 	// goalPatience is the part of the goal that a target may use up before
 	// another is tried: the rest has to do for that one.
-	goalPatience = 0.6
+	goalPatience = 1.0
 	// expectedPatience is how many times the expected wait a target may take.
 	expectedPatience = 4
 	// mostPause is the longest pause between events before a stream is taken
