jwinstance, jwgateway: cold targets offer nothing to other regions; a region that had no room is not asked again

After a region's return the others passed it 150 requests within two seconds that its cold targets could not take; each lost a trip.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -56,6 +56,7 @@
 	Events   int             // events of the answer at most
 	Capacity int             // tokens of memory of a target, 0 if not known
 	Homes    []string        // regions that may hold its prompt, all where empty
+	WarmOnly bool            // cold targets are no use
 	Exclude  map[string]bool // targets that it was sent to already
 }
 
@@ -110,11 +111,12 @@
 }
 
 // Wait returns how long a request without a prompt would wait at the best
-// target of the region.
+// target of the region. Cold ones don't count: they look idle, and other
+// regions would send far more than they bear.
 func (t *Table) Wait(now time.Time, service string) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c, ok := t.best(now, Need{Service: service, Priority: ranks}, false)
+	c, ok := t.best(now, Need{Service: service, Priority: ranks, WarmOnly: true}, false)
 	return c.Expected, ok
 }
 
@@ -151,7 +153,7 @@
 			continue
 		}
 		cold := now.Before(x.coldUntil)
-		if cold && !t.coldRoom(now, x) {
+		if cold && (n.WarmOnly || !t.coldRoom(now, x)) {
 			continue
 		}
 		c := Choice{Target: x, Cold: cold, Miss: x.cache.missing(n.Prompt)}
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -325,3 +325,16 @@
 		table.placed = table.placed[:0]
 	}
 }
+
+// A region came back from an outage with all its targets cold. They look idle,
+// and the other regions sent there what had to be refused.
+func TestColdTargetsOfferNothingToOtherRegions(t *testing.T) {
+	table := &Table{Region: "r"}
+	in := instance("a")
+	in.Cold = time.Second
+	table.Put(t0, in)
+	_, ok := table.Wait(t0, "s")
+	assert.Assert(t, !ok)
+	_, ok = table.Wait(after(1100), "s")
+	assert.Assert(t, ok)
+}
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -47,7 +47,7 @@
 		return best
 	}
 	for _, region := range g.otherRegions(q) {
-		if len(g.untried(q, g.members.Live(now, region))) == 0 {
+		if q.full[region] || len(g.untried(q, g.members.Live(now, region))) == 0 {
 			continue
 		}
 		p, known := g.cost(now, region, n)
@@ -148,6 +148,10 @@
 	switch outcome {
 	case outcomeNotRun:
 		q.refused = "refused by " + m.Name
+		if q.full == nil {
+			q.full = make(map[string]bool)
+		}
+		q.full[m.Region] = true
 		drain(a)
 		return notRun
 	case outcomeServed:
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -49,8 +49,9 @@
 	sends    int         // sends that reached a target
 	paid     atomic.Bool // the next send was taken from the retry budget already
 	lastID   string
-	again    time.Duration // when to come back after a refusal
-	refused  string        // why the last send or choice did not run
+	again    time.Duration   // when to come back after a refusal
+	full     map[string]bool // regions that had no room for it
+	refused  string          // why the last send or choice did not run
 }
 
 // need describes the request to those who look for a target.
