--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -147,9 +148,10 @@
 // best finds the choice; last admits targets that vanished a moment ago.
 func (t *Table) best(now time.Time, n Need, last bool) (Choice, bool) {
 	var found Choice
+	p := t.pace(n.Service)
 	holder, most := t.holder(now, n)
-	for _, x := range t.targets {
-		if x.Service != n.Service || x.Region != t.Region || n.Exclude[x.ID] || !t.usable(now, x, last) {
+	for _, x := range t.of(n.Service) {
+		if x.Region != t.Region || !t.usable(now, x, last) || n.Exclude[x.ID] {
 			continue
 		}
 		cold := now.Before(x.coldUntil)
@@ -165,16 +167,31 @@
 			}
 			c.Miss -= int(float64(most-held) * (1 - share))
 		}
-		c.Expected, c.Ahead = t.expected(now, x, n, c.Miss)
-		c.Cost = c.Expected + time.Duration(x.failures)*failurePenalty + t.later(now, x, n, c.Miss)
-		if found.Target == nil || c.Cost < found.Cost ||
-			c.Cost == found.Cost && x.ID < found.Target.ID {
+		b := x.busy(now, n.Priority)
+		c.Ahead = b.work
+		c.Expected = p.expected(x, n, c.Miss, b)
+		c.Cost = c.Expected + time.Duration(x.failures)*failurePenalty + p.later(now, x, n, c.Miss, b)
+		if found.Target == nil || c.Cost < found.Cost {
 			found = c
 		}
 	}
 	return found, found.Target != nil
 }
 
+// of returns the targets of a service, by name.
+func (t *Table) of(service string) []*Target {
+	if t.services == nil {
+		t.services = make(map[string][]*Target)
+		for _, x := range t.targets {
+			t.services[x.Service] = append(t.services[x.Service], x)
+		}
+		for _, list := range t.services {
+			slices.SortFunc(list, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
+		}
+	}
+	return t.services[service]
+}
+
 // holder returns the target that holds most of a prompt, and how many tokens;
 // one of another region only where it holds clearly more.
 func (t *Table) holder(now time.Time, n Need) (*Target, int) {
@@ -183,10 +200,7 @@
 	if len(n.Prompt.Parts) == 0 {
 		return nil, 0
 	}
-	for _, x := range t.targets {
-		if x.Service != n.Service || !x.gone.IsZero() || now.Before(x.rest) {
-			continue
-		}
+	for _, x := range t.of(n.Service) {
 		held := n.Prompt.Tokens - x.cache.missing(n.Prompt)
 		if x.Region != t.Region {
 			held -= leastFetch
@@ -194,13 +208,33 @@
 				continue
 			}
 		}
-		if held > most {
+		if held > most && x.gone.IsZero() && !now.Before(x.rest) {
 			holder, most = x, held
 		}
 	}
 	return holder, most
 }
 
+// load is what a target has to do, by the word of all nodes of the region.
+type load struct {
+	calls int // in flight
+	work  int // prompt tokens to be read before a request
+	held  int // tokens of memory
+}
+
+// busy returns the load of a target as a request of a priority meets it.
+func (x *Target) busy(now time.Time, priority int) load {
+	b := load{x.calls, x.work.before(priority), x.tokens}
+	for _, o := range x.others {
+		if now.Sub(o.at) < othersAge {
+			b.calls += o.Calls
+			b.work += o.Work.before(priority)
+			b.held += o.Held
+		}
+	}
+	return b
+}
+
 func (t *Table) usable(now time.Time, x *Target, last bool) bool {
 	if x.Draining || t.evacuated[x.DataCentre] || now.Before(x.rest) {
 		return false
@@ -232,42 +266,27 @@
 }
 
 // expected returns the wait for the first event of an engine or the answer of
-// a plain service, and the prompt tokens to be read before.
-func (t *Table) expected(now time.Time, x *Target, n Need, miss int) (time.Duration, int) {
-	calls, work := x.calls, x.work.before(n.Priority)
-	for _, o := range x.others {
-		if now.Sub(o.at) < othersAge {
-			calls += o.Calls
-			work += o.Work.before(n.Priority)
-		}
-	}
+// a plain service.
+func (p *pace) expected(x *Target, n Need, miss int, b load) time.Duration {
 	slots := max(x.Slots, 1)
-	p := t.pace(n.Service)
 	if n.Prompt.Tokens == 0 && !p.engine {
-		d := time.Duration(float64(p.plain) * max(1, float64(calls+1)/float64(slots)))
-		return time.Duration(float64(d) * x.slow), 0
+		d := float64(p.plain) * max(1, float64(b.calls+1)/float64(slots))
+		return time.Duration(d * x.slow)
 	}
-	d := overhead + time.Duration(calls)*slotDelay + time.Duration(max(calls-slots+1, 0))*queueDelay
-	d += time.Duration(float64(work+miss) / p.tokensPerMS * float64(time.Millisecond))
-	return time.Duration(float64(d) * x.slow), work
+	d := overhead + time.Duration(b.calls)*slotDelay + time.Duration(max(b.calls-slots+1, 0))*queueDelay
+	d += time.Duration(float64(b.work+miss) / p.tokensPerMS * float64(time.Millisecond))
+	return time.Duration(float64(d) * x.slow)
 }
 
 // later returns what counts beside the first event: the pace of the request's
 // own events, and the delay of all that run there while its prompt is read.
-func (t *Table) later(now time.Time, x *Target, n Need, miss int) time.Duration {
+func (p *pace) later(now time.Time, x *Target, n Need, miss int, b load) time.Duration {
 	if n.Prompt.Tokens == 0 {
 		return 0
 	}
-	calls, held := x.calls, x.tokens
-	for _, o := range x.others {
-		if now.Sub(o.at) < othersAge {
-			calls += o.Calls
-			held += o.Held
-		}
-	}
 	d := PaceWeight * float64(n.Events) * float64(x.gapNow(now))
-	d += HarmWeight * float64(calls) * float64(miss) / t.pace(n.Service).tokensPerMS * float64(time.Millisecond)
-	if n.Capacity > 0 && float64(held+miss+n.Prompt.Output) > fullShare*float64(n.Capacity) {
+	d += HarmWeight * float64(b.calls) * float64(miss) / p.tokensPerMS * float64(time.Millisecond)
+	if n.Capacity > 0 && float64(b.held+miss+n.Prompt.Output) > fullShare*float64(n.Capacity) {
 		d += float64(fullDelay)
 	}
 	return time.Duration(d)
@@ -284,6 +303,9 @@
 	if at.IsZero() {
 		return firstGap
 	}
+	if now.Sub(at) > 8*gapFade {
+		return firstGap
+	}
 	fade := math.Exp(-float64(now.Sub(at)) / float64(gapFade))
 	return firstGap + time.Duration(fade*float64(gap-firstGap))
 }
--- a/core/jwinstance/doc.go
+++ b/core/jwinstance/doc.go
@@ -3,5 +3,6 @@
 // itself and what calls to it showed. It chooses the target that will probably
 // send its first event soonest.
 //
-// A Table has one mutex and calls nothing while it holds it.
+// A Table has one mutex. While it holds it, it calls Warmup and Share, which
+// may take locks of their own and must not call the Table.
 package jwinstance
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -70,6 +70,7 @@
 func (t *Table) Tell(now time.Time) ([]NodeLoad, []Placement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.sweep(now)
 	var loads []NodeLoad
 	for _, x := range t.targets {
 		if x.calls > 0 {
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -25,9 +25,10 @@
 
 	mu        sync.Mutex
 	targets   map[string]*Target
-	evacuated map[string]bool  // data centres
-	paces     map[string]*pace // by service
-	placed    []Placement      // of this node, the latest last
+	services  map[string][]*Target // targets by service, nil after a change
+	evacuated map[string]bool      // data centres
+	paces     map[string]*pace     // by service
+	placed    []Placement          // of this node, the latest last
 }
 
 // Target is one incarnation with all that is believed of it. Its fields
@@ -77,7 +78,7 @@
 		if old != nil || in.Cold > 0 {
 			fresh.coldUntil = now.Add(max(in.Cold, t.coldAfterReturn(old, in)))
 		}
-		t.targets[in.ID] = fresh
+		t.targets[in.ID], t.services = fresh, nil
 		if old != nil {
 			return Began
 		}
@@ -122,12 +123,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, x := range t.targets {
-		switch {
-		case ids[id]:
-		case x.gone.IsZero():
+		if !ids[id] && x.gone.IsZero() {
 			x.gone = now
-		case now.Sub(x.gone) > forget && x.calls == 0:
+		}
+	}
+}
+
+// sweep drops records of targets that are gone for long.
+func (t *Table) sweep(now time.Time) {
+	for id, x := range t.targets {
+		if !x.gone.IsZero() && now.Sub(x.gone) > forget && x.calls == 0 {
 			delete(t.targets, id)
+			t.services = nil
 		}
 	}
 }
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -338,3 +338,15 @@
 	_, ok = table.Wait(after(1100), "s")
 	assert.Assert(t, ok)
 }
+
+// Targets come and go all day under new names. Their records must not pile up.
+func TestGoneTargetsAreForgotten(t *testing.T) {
+	table := &Table{Region: "r"}
+	for i := range 1000 {
+		id := fmt.Sprintf("t%d", i)
+		table.Put(after(i*1000), instance(id))
+		table.Remove(after(i*1000+500), id)
+		table.Tell(after(i*1000 + 600))
+	}
+	assert.Assert(t, len(table.targets) < 40, "%d records", len(table.targets))
+}
