--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -49,6 +49,7 @@
 	Target string `json:"target"`
 	Parts  []Part `json:"parts"`
 	at     time.Time
+	heard  bool // from another node of the region
 }
 
 // place notes that a prompt was sent to a target.
@@ -57,7 +58,12 @@
 		return
 	}
 	x.cache.use(p.Parts, x.capacity)
-	t.placed = append(t.placed, Placement{Target: x.ID, Parts: p.Parts, at: now})
+	t.keep(now, Placement{Target: x.ID, Parts: p.Parts, at: now})
+}
+
+// keep holds a placement as long as it is told to others.
+func (t *Table) keep(now time.Time, p Placement) {
+	t.placed = append(t.placed, p)
 	old := 0
 	for old < len(t.placed) && now.Sub(t.placed[old].at) > farAge {
 		old++
@@ -83,7 +89,7 @@
 	}
 	var placed []Placement
 	for _, p := range t.placed {
-		if now.Sub(p.at) <= placedAge {
+		if !p.heard && now.Sub(p.at) <= placedAge {
 			placed = append(placed, p)
 		}
 	}
@@ -132,8 +138,14 @@
 		x.others[node] = otherLoad{l, now}
 	}
 	for _, p := range placed {
-		if x := t.targets[p.Target]; x != nil {
-			x.cache.use(p.Parts, x.capacity)
+		x := t.targets[p.Target]
+		if x == nil {
+			continue
+		}
+		x.cache.use(p.Parts, x.capacity)
+		if x.Region == t.Region {
+			p.at, p.heard = now, true
+			t.keep(now, p)
 		}
 	}
 }
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"net/netip"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -14,6 +15,8 @@
 	silentAfter = 3 * time.Second
 	// trust is how long a new registration is believed before the node is heard.
 	trust = 2 * time.Second
+	// saidAge is how old the news may be that another node was heard.
+	saidAge = time.Second
 	// forget is how long an unregistered, silent node is remembered; it still
 	// counts where shares have to be cautious.
 	forget = time.Minute
@@ -74,6 +77,63 @@
 	r.take(m)
 }
 
+// HeardOf notes that another node says that it heard these lately. Nodes of
+// other regions are too many to speak to each.
+func (t *Table) HeardOf(now time.Time, names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, name := range names {
+		r := t.members[name]
+		if at := now.Add(-saidAge); r != nil && at.After(r.heard) {
+			r.heard = at
+		}
+	}
+}
+
+// Near returns the names of the serving nodes of the own region that were
+// heard lately, for HeardOf elsewhere.
+func (t *Table) Near(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for name, r := range t.members {
+		if r.Serving && r.Region == t.Self.Region && now.Sub(r.heard) < saidAge && !r.failed.After(r.heard) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Speaker returns the node of another region that this one speaks to: by
+// rendezvous among the live, so that each has about as many, or among all that
+// are known where none is believed to live.
+func (t *Table) Speaker(now time.Time, region string) (Member, bool) {
+	list := t.Live(now, region)
+	if len(list) == 0 {
+		for _, m := range t.Peers(now) {
+			if m.Region == region {
+				list = append(list, m)
+			}
+		}
+	}
+	var best Member
+	most := uint64(0)
+	for _, m := range list {
+		if s := rank(t.Self.Name, m.Name); best.Name == "" || s > most {
+			best, most = m, s
+		}
+	}
+	return best, best.Name != ""
+}
+
+// rank orders names for rendezvous hashing.
+func rank(name, key string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name + "\x00" + key))
+	return h.Sum64()
+}
+
 // Failed notes that a node could not be reached.
 func (t *Table) Failed(now time.Time, name string) {
 	t.mu.Lock()
@@ -226,9 +286,7 @@
 func (t *Table) Owns(now time.Time, name string) bool {
 	best, most := "", uint64(0)
 	for _, m := range t.Live(now, t.Self.Region) {
-		h := fnv.New64a()
-		h.Write([]byte(m.Name + "\x00" + name))
-		if s := h.Sum64(); best == "" || s > most {
+		if s := rank(m.Name, name); best == "" || s > most {
 			best, most = m.Name, s
 		}
 	}
--- a/core/jwmember/table_test.go
+++ b/core/jwmember/table_test.go
@@ -40,6 +40,13 @@
 		"its key is gone and it is silent":   {func(t *Table) { t.Put(at(0), b); t.Remove("b") }, 1000, []string{"a"}},
 		"it says that it stops":              {func(t *Table) { t.Heard(at(0), b); t.Heard(at(10), member("b", "r", 2)) }, 20, []string{"a"}},
 		"of another region":                  {func(t *Table) { t.Heard(at(0), member("c", "q", 1)) }, 20, []string{"a"}},
+		"another node heard it":              {func(t *Table) { t.Put(at(0), b); t.HeardOf(at(2900), []string{"b"}) }, 4000, []string{"a", "b"}},
+		"another node heard it, long ago":    {func(t *Table) { t.Put(at(0), b); t.HeardOf(at(2900), []string{"b"}) }, 5000, []string{"a"}},
+		"another node heard it, this one can't reach it": {func(t *Table) {
+			t.Heard(at(0), b)
+			t.Failed(at(2500), "b")
+			t.HeardOf(at(2900), []string{"b"})
+		}, 3000, []string{"a"}},
 		// The store still has what a stopping node wrote before; it was read
 		// anew and callers were sent to a node that was about to end.
 		"the store tells an older word of it": {func(t *Table) { t.Heard(at(10), member("b", "r", 2)); t.Put(at(20), b) }, 30, []string{"a"}},
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -40,6 +40,7 @@
 	Waits   map[string]int64       `json:"waits"`   // milliseconds until a first event, by service
 	Gaps    map[string]int64       `json:"gaps"`    // milliseconds between two events, by service
 	Placed  []jwinstance.Placement `json:"placed,omitempty"`
+	Near    []string               `json:"near,omitempty"`  // nodes of the region heard lately, told to other regions
 	Loads   []jwinstance.NodeLoad  `json:"loads,omitempty"` // told within the region only
 }
 
@@ -58,6 +59,7 @@
 		s.Loads, s.Placed = g.targets.Tell(now)
 	} else {
 		s.Placed = g.targets.TellFar(now)
+		s.Near = g.members.Near(now)
 	}
 	return s
 }
@@ -78,12 +80,27 @@
 		g.exchangeWith(ctx, peers, func(m jwmember.Member) bool { return m.Region == g.Settings.Region })
 		if now.Sub(far) >= exchangePeriod {
 			far = now
-			g.exchangeWith(ctx, peers, func(m jwmember.Member) bool { return m.Region != g.Settings.Region })
+			g.exchangeFar(ctx, now)
 		}
 		jwclock.Sleep(ctx, min(nearPeriod*time.Duration(max(near, nearNodes))/nearNodes, exchangePeriod))
 	}
 }
 
+// exchangeFar speaks to one node of each other region, which tells what all of
+// that region know.
+func (g *Gateway) exchangeFar(ctx context.Context, now time.Time) {
+	asked := make(map[string]bool)
+	for _, region := range g.Settings.Gateway.DataCentres {
+		if region == g.Settings.Region || asked[region] {
+			continue
+		}
+		asked[region] = true
+		if m, ok := g.members.Speaker(now, region); ok {
+			g.speak(ctx, now, m)
+		}
+	}
+}
+
 // exchangeWith speaks once to each of the peers that fit; of two peers one
 // begins.
 func (g *Gateway) exchangeWith(ctx context.Context, peers []jwmember.Member, fits func(jwmember.Member) bool) {
@@ -94,19 +111,25 @@
 		if m.Name < me.Name && me.Serving && g.members.Speaks(now, m.Name) || !fits(m) {
 			continue
 		}
-		body, err := json.Marshal(g.state(now, m.Region))
-		if err != nil {
-			g.Log.Error(err, "state not encoded")
-			return
-		}
-		if _, busy := g.speaking.LoadOrStore(m.Name, true); busy {
-			continue // it has not answered the last time yet
-		}
-		go func() {
-			defer g.speaking.Delete(m.Name)
-			g.exchangeOne(ctx, m, body)
-		}()
+		g.speak(ctx, now, m)
+	}
+}
+
+// speak tells a peer how the node fares, unless it has not answered yet.
+func (g *Gateway) speak(ctx context.Context, now time.Time, m jwmember.Member) {
+	if _, busy := g.speaking.LoadOrStore(m.Name, true); busy {
+		return
+	}
+	body, err := json.Marshal(g.state(now, m.Region))
+	if err != nil {
+		g.speaking.Delete(m.Name)
+		g.Log.Error(err, "state not encoded")
+		return
 	}
+	go func() {
+		defer g.speaking.Delete(m.Name)
+		g.exchangeOne(ctx, m, body)
+	}()
 }
 
 func (g *Gateway) exchangeOne(ctx context.Context, m jwmember.Member, body []byte) {
@@ -143,6 +166,7 @@
 	now := time.Now()
 	g.members.Heard(now, s.Member)
 	g.regions.heard(now, s)
+	g.members.HeardOf(now, s.Near)
 	g.targets.Hear(now, s.Member.Name, s.Loads, s.Placed)
 	if s.Version > g.entries.Version() {
 		if from.Name == "" {
--- a/io/jwgateway/stop.go
+++ b/io/jwgateway/stop.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
+	"sync"
 	"time"
 
-	"jujubewheel/core/jwmember"
 	"jujubewheel/io/jwrest"
 )
 
@@ -26,9 +27,7 @@
 	g.members.Serve(false)
 	g.again()
 	g.Log.Info("stopping", "inFlight", g.inFlight.Load())
-	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
-	defer cancel()
-	g.exchangeWith(ctx, g.members.Peers(begun), func(jwmember.Member) bool { return true })
+	g.tellAll(begun)
 	for _, s := range servers {
 		s.Drain()
 	}
@@ -42,3 +41,22 @@
 	}
 	g.Log.Info("stop complete", "inFlight", g.inFlight.Load(), "after", time.Since(begun).String())
 }
+
+// tellAll tells every node at once that this one stops. An exchange that waits
+// for an answer already has told the old word, so nobody is left out for it.
+func (g *Gateway) tellAll(now time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+	var all sync.WaitGroup
+	for _, m := range g.members.Peers(now) {
+		body, err := json.Marshal(g.state(now, m.Region))
+		if err != nil {
+			g.Log.Error(err, "state not encoded")
+			continue
+		}
+		all.Go(func() { g.exchangeOne(ctx, m, body) })
+	}
+	go func() {
+		all.Wait()
+		cancel()
+	}()
+}
