--- /dev/null
+++ b/io/jwgateway/send.go
@@ -0,0 +1,208 @@
+package jwgateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"jujubewheel/core/jwinstance"
+	"jujubewheel/io/jwconn"
+)
+
+// freshOnce is how long a connection may have been unused for a request that
+// must not be sent twice.
+const freshOnce = time.Second
+
+// sendTarget sends the request to one target.
+func (g *Gateway) sendTarget(ctx context.Context, q *request, c jwinstance.Choice) Verdict {
+	x := c.Target
+	q.tried[x.ID] = true
+	started := false
+	var first time.Duration
+	if q.sends == 0 {
+		g.retries.Request(time.Now(), q.service)
+	}
+	begun := time.Now()
+	status := 0
+	sendCtx, patience := g.patience(ctx, q, c)
+	defer patience.Stop()
+	verdict := func() Verdict {
+		a, err := g.Targets.Do(sendCtx, g.targetCall(q, c))
+		if err != nil {
+			return g.sendFailed(ctx, q, x, err)
+		}
+		defer a.Close()
+		q.sends++
+		status = a.Status
+		if v, ok := g.judge(q, x, a); !ok {
+			return v
+		}
+		var last time.Time
+		return g.relay(q, a, func(events int) {
+			now := time.Now()
+			if !started {
+				started = true
+				first = now.Sub(begun)
+				g.targets.Started(x, c, q.Prompt, first)
+			} else {
+				g.targets.Passed(now, x, events, now.Sub(last))
+				g.meters.pauses.RecordDuration(now.Sub(last))
+			}
+			last = now
+			patience.Reset(mostPause)
+		})
+	}()
+	g.targets.Done(x, c, started)
+	if verdict == finished && status < http.StatusInternalServerError {
+		g.targets.Served(x)
+	}
+	if verdict == broken && ctx.Err() == nil {
+		g.targets.Failed(x)
+	}
+	g.toldSend(q, c, verdict, status, first)
+	return verdict
+}
+
+const (
+	// leastPatience is the shortest wait for a target before another is tried.
+	leastPatience = 250 * time.Millisecond
+	// goalPatience is the part of the goal that a target may use up before
+	// another is tried: the rest has to do for that one.
+	goalPatience = 1.0
+	// expectedPatience is how many times the expected wait a target may take.
+	expectedPatience = 4
+	// mostPause is the longest pause between events before a stream is taken
+	// for dead and resumed elsewhere; callers leave after two seconds.
+	mostPause = 1500 * time.Millisecond
+)
+
+// errImpatient ends a send that took too long where another may help.
+var errImpatient = errors.New("the target took too long")
+
+// patience returns the context of one send, which ends early where the request
+// may be sent to another target: one that has fallen silent must not use up
+// the caller's time.
+func (g *Gateway) patience(ctx context.Context, q *request, c jwinstance.Choice) (context.Context, stopper) {
+	if !q.entry.Repeatable() || q.attempts+1 >= q.entry.Attempts() {
+		return ctx, stopper{}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	d := max(leastPatience, time.Duration(goalPatience*float64(q.entry.Goal)), expectedPatience*c.Expected)
+	give := func() {
+		// Without a repeat in hand waiting on is the better chance.
+		if g.retries.Take(time.Now(), q.service) {
+			q.paid.Store(true)
+			cancel(errImpatient)
+		}
+	}
+	return ctx, stopper{time.AfterFunc(d, give), cancel}
+}
+
+// stopper is the timer of a send; the zero value does nothing.
+type stopper struct {
+	timer  *time.Timer
+	cancel context.CancelCauseFunc
+}
+
+// Reset starts the timer anew.
+func (s stopper) Reset(d time.Duration) {
+	if s.timer != nil {
+		s.timer.Reset(d)
+	}
+}
+
+// Stop ends the timer and frees the context.
+func (s stopper) Stop() {
+	if s.timer != nil {
+		s.timer.Stop()
+		s.cancel(nil)
+	}
+}
+
+// judge looks at the head of an answer; ok tells whether it goes to the
+// caller, and otherwise the verdict on the send is returned.
+func (g *Gateway) judge(q *request, x *jwinstance.Target, a *jwconn.Answer) (v Verdict, ok bool) {
+	told := g.Dialect.Answer(a.Header)
+	g.heard(x, told)
+	now := time.Now()
+	switch {
+	case told.NotRun || a.Status == http.StatusMisdirectedRequest:
+		q.refused = "refused by the target"
+		if a.Status == http.StatusMisdirectedRequest {
+			g.targets.Replaced(now, x)
+		} else {
+			g.targets.Refused(now, x)
+		}
+		drain(a)
+		return notRun, false
+	case !told.Sealed || a.Header.Get("Content-Encoding") != "":
+		q.attempts++
+		q.refused = "the answer is not the target's"
+		g.targets.Failed(x)
+		return failed, false
+	}
+	q.attempts++
+	if a.Status < http.StatusInternalServerError {
+		return finished, true
+	}
+	g.targets.Failed(x)
+	if q.started || !g.mayRepeat(q, failed) {
+		return finished, true // the caller gets the target's own failure
+	}
+	drain(a)
+	q.refused = "the target failed"
+	q.paid.Store(true)
+	return failed, false
+}
+
+func (g *Gateway) targetCall(q *request, c jwinstance.Choice) *jwconn.Call {
+	x := c.Target
+	h := q.header.Clone()
+	g.Dialect.Send(h, Send{
+		Target: x.ID, Left: time.Until(q.deadline), Engine: q.Prompt.Tokens > 0,
+		Priority: q.entry.Priority, LastEvent: q.lastEvent(), Fetch: c.Fetch,
+	})
+	call := &jwconn.Call{
+		Peer: x.Address, Method: q.method, Target: q.target, Host: q.host, Header: h, Body: q.body,
+		Match: func(h http.Header) bool { return g.Dialect.ID(h) == q.ID },
+	}
+	if !q.entry.Repeatable() {
+		call.Fresh = freshOnce
+	}
+	return call
+}
+
+// lastEvent is the event after which the next target goes on.
+func (q *request) lastEvent() string {
+	if q.lastID != "" {
+		return q.lastID
+	}
+	return q.LastEvent
+}
+
+// sendFailed judges a send without an answer.
+func (g *Gateway) sendFailed(ctx context.Context, q *request, x *jwinstance.Target, err error) Verdict {
+	q.refused = err.Error()
+	var ce *jwconn.CallError
+	if errors.As(err, &ce) && ce.Stage == jwconn.Dial {
+		if ctx.Err() == nil {
+			g.targets.Unreached(time.Now(), x)
+		}
+		return notRun
+	}
+	if ctx.Err() == nil {
+		g.targets.Failed(x)
+		g.Targets.Drop(x.Address)
+	}
+	q.sends++
+	q.attempts++
+	return failed
+}
+
+// heard keeps what a target said of itself in an answer.
+func (g *Gateway) heard(x *jwinstance.Target, told Told) {
+	if told.Cold > 0 {
+		g.targets.Cold(time.Now(), x, told.Cold)
+	}
+}
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -24,7 +24,7 @@
 	"jujubewheel/platform"
 )
 
-var regions = map[string]string{"north-a": "north", "south-a": "south"}
+var regions = map[string]string{"north-a": "north", "south-a": "south", "east-a": "east"}
 
 // node is a running gateway.
 type node struct {
@@ -419,13 +419,16 @@
 func TestDirectory(t *testing.T) {
 	t.Parallel()
 	var feed jwstore.MemoryFeed
-	configure(&feed, 1, route("/a/", "idempotent", ""))
+	configure(&feed, 1, route("/a/", "idempotent", ""), route("/bound/", "idempotent", `,"HomeRegions":["south"]`))
 	north := start(t, &feed, "n1", "north")
 	south := start(t, &feed, "n2", "south")
 	for len(directory(t, north, "south")) == 0 || directory(t, north, "south")[0] != south.callers.String() {
 		time.Sleep(10 * time.Millisecond)
 	}
 	assert.DeepEqual(t, directory(t, north, "north"), []string{north.callers.String()})
+	// No node of the east lives. Sent north, its callers' bound data would be
+	// in a region where it must not be.
+	assert.DeepEqual(t, directory(t, north, "east"), []string{south.callers.String()})
 	south.stop()
 	assert.DeepEqual(t, directory(t, north, "south"), []string{north.callers.String()}) // nobody is left there
 	assert.Assert(t, !feed.Has("jujubewheel/nodes/n2"))
