--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -77,13 +78,22 @@
 		return err
 	}
 	now := time.Now()
-	for _, e := range events {
+	for i, e := range events {
+		// Each configuration is whole, so that only the last one counts; in quick
+		// succession, decoding all of them would hold up requests.
+		if f.g.Records.IsConfig(e.Key) && changedAgain(events[i+1:], e.Key) {
+			continue
+		}
 		f.apply(now, e)
 	}
 	f.revision = revision
 	return nil
 }
 
+func changedAgain(later []jwstore.Event, key string) bool {
+	return slices.ContainsFunc(later, func(e jwstore.Event) bool { return e.Key == key && !e.Deleted })
+}
+
 // readAll reads everything; what is not there any more is gone.
 func (f *follower) readAll(ctx context.Context) error {
 	items, revision, err := f.g.Feed.Range(ctx, "")
--- /dev/null
+++ b/io/jwgateway/follow_test.go
@@ -0,0 +1,50 @@
+package jwgateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwentry"
+	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwstore"
+)
+
+// countedRecords decodes configurations that hold nothing but their version.
+type countedRecords struct{ decoded int }
+
+func (*countedRecords) Prefixes() (operators, targets string) { return "op/", "t/" }
+func (*countedRecords) IsConfig(key string) bool              { return key == "op/config" }
+func (*countedRecords) Evacuation(string) (string, bool)      { return "", false }
+func (*countedRecords) TargetID(string) (string, bool)        { return "", false }
+
+func (r *countedRecords) Config(value []byte) (*jwentry.Config, error) {
+	r.decoded++
+	c := &jwentry.Config{}
+	_, err := fmt.Sscan(string(value), &c.Version)
+	return c.Index(), err
+}
+
+func (*countedRecords) Target(string, []byte) (jwinstance.Instance, error) {
+	return jwinstance.Instance{}, nil
+}
+
+// Operators change the configuration many times within a second, each time
+// with hundreds of entries. A node that decodes all of them holds up requests.
+func TestQuickSuccessionOfConfigurations(t *testing.T) {
+	var feed jwstore.MemoryFeed
+	r := &countedRecords{}
+	g := &Gateway{Feed: &feed, Records: r, Log: logr.Discard(), changed: make(chan struct{}, 1)}
+	f := &follower{g: g}
+	feed.Write("op/config", []byte("1"))
+	assert.NilError(t, f.step(context.Background()))
+	for v := 2; v <= 25; v++ {
+		feed.Write("op/config", fmt.Append(nil, v))
+	}
+	assert.NilError(t, f.step(context.Background()))
+	assert.Equal(t, g.entries.Version(), uint64(25))
+	assert.Equal(t, r.decoded, 2)
+}
