--- a/io/jwgateway/dialect.go
+++ b/io/jwgateway/dialect.go
@@ -32,7 +32,7 @@
 type Told struct {
 	ID     string // of the request that it answers
 	NotRun bool   // the target has not run the request and will not
-	Sealed bool   // a target made it
+	Signed bool   // a target made it
 	Load   jwinstance.Load
 	Cold   time.Duration // how long the target stays cold
 }
@@ -60,7 +60,6 @@
 
 // Records decodes what operators and targets write to the store.
 type Records interface {
-	Prefixes() (operators, targets string)
 	IsConfig(key string) bool
 	Config(value []byte) (*jwentry.Config, error)
 	Evacuation(key string) (dataCentre string, ok bool)
--- a/io/jwgateway/follow_test.go
+++ b/io/jwgateway/follow_test.go
@@ -16,10 +16,9 @@
 // countedRecords decodes configurations that hold nothing but their version.
 type countedRecords struct{ decoded int }
 
-func (*countedRecords) Prefixes() (operators, targets string) { return "op/", "t/" }
-func (*countedRecords) IsConfig(key string) bool              { return key == "op/config" }
-func (*countedRecords) Evacuation(string) (string, bool)      { return "", false }
-func (*countedRecords) TargetID(string) (string, bool)        { return "", false }
+func (*countedRecords) IsConfig(key string) bool         { return key == "op/config" }
+func (*countedRecords) Evacuation(string) (string, bool) { return "", false }
+func (*countedRecords) TargetID(string) (string, bool)   { return "", false }
 
 func (r *countedRecords) Config(value []byte) (*jwentry.Config, error) {
 	r.decoded++
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -198,7 +198,7 @@
 		Call: g.Dialect.Call(r.Header), method: r.Method, target: r.RequestURI, host: r.Host,
 		header: r.Header, arrived: time.Now(), forward: true, service: r.Header.Get(headService),
 	}
-	q.w = &outcomeWriter{ResponseWriter: w, sealed: func(h http.Header) bool { return g.Dialect.Answer(h).Sealed }}
+	q.w = &outcomeWriter{ResponseWriter: w, signed: func(h http.Header) bool { return g.Dialect.Answer(h).Signed }}
 	q.entry = readKind(r.Header.Get(headKind))
 	for _, name := range []string{headService, headKind, headCallerID} {
 		delete(q.header, name)
@@ -246,14 +246,14 @@
 // outcomeWriter adds to an answer what became of the request.
 type outcomeWriter struct {
 	http.ResponseWriter
-	sealed func(http.Header) bool
+	signed func(http.Header) bool
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (o *outcomeWriter) WriteHeader(status int) {
 	h := o.Header()
 	switch {
-	case o.sealed(h):
+	case o.signed(h):
 		h[headOutcome] = []string{outcomeServed}
 	case status == http.StatusServiceUnavailable:
 		h[headOutcome] = []string{outcomeNotRun}
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -136,7 +136,7 @@
 		}
 		drain(a)
 		return notRun, false
-	case !told.Sealed || a.Header.Get("Content-Encoding") != "":
+	case !told.Signed || a.Header.Get("Content-Encoding") != "":
 		q.attempts++
 		q.refused = "the answer is not the target's"
 		g.targets.Failed(x)
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -95,7 +95,7 @@
 }
 
 // startTarget starts a target and registers it. Its answers carry the
-// request's identifier and a seal unless serve sets them otherwise.
+// request's identifier and a signature unless serve sets them otherwise.
 func startTarget(t *testing.T, feed *jwstore.MemoryFeed, id, service, dataCentre string, serve http.HandlerFunc) *target {
 	t.Helper()
 	x := &target{id: id}
@@ -272,8 +272,8 @@
 		"reset, may be repeated":           {"idempotent", abort, 200, 1},
 		"its own failure, may run once":    {"non_idempotent", fail, 500, 0},
 		"its own failure, may be repeated": {"idempotent", fail, 200, 1},
-		"no seal, may run once":            {"non_idempotent", unsealed, 502, 0},
-		"no seal, may be repeated":         {"idempotent", unsealed, 200, 1},
+		"no signature, may run once":       {"non_idempotent", unsealed, 502, 0},
+		"no signature, may be repeated":    {"idempotent", unsealed, 200, 1},
 		// Its own answer may still come behind the other one, until the time is over.
 		"another's answer, may run once":    {"non_idempotent", foreign, 504, 0},
 		"another's answer, may be repeated": {"idempotent", foreign, 200, 1},
