jwgateway, jwconn: large bodies are passed on as they come

A body was read whole before its request was sent: a slow or large one held memory up to the configured bound, and its target began late. One that the caller breaks off or that grows too long ends the connection to the target, which is not blamed. Tests first: with a body held whole TestLargeBodies hangs.

--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -30,6 +31,7 @@
 	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
 	tcpUserTimeout = 18
 	readBuffer     = 4 << 10
+	restBuffer     = 16 << 10
 	// bigBody is the size from which a body is written beside the reading of
 	// the answer: a target may answer before it has read it.
 	bigBody = 8 << 10
@@ -93,6 +95,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Rest follows Body, if set, and is read as the peer takes it; such a call
+	// can't be made again once some of it was read. Length is that of Body and
+	// Rest together, -1 if it isn't known.
+	Rest   io.Reader
+	Length int64
 	// Match tells whether a header is of the answer to this call, and not of
 	// an earlier one on the connection; nil takes any.
 	Match func(http.Header) bool
@@ -143,7 +150,7 @@
 func (p *Pool) exchange(cn *conn, c *Call) (*Answer, error) {
 	a := &Answer{pool: p, conn: cn, peer: c.Peer}
 	head := appendHead(make([]byte, 0, 1024), c)
-	if len(c.Body) <= bigBody {
+	if len(c.Body) <= bigBody && c.Rest == nil {
 		if _, err := cn.Write(append(head, c.Body...)); err != nil {
 			return nil, err
 		}
@@ -152,14 +159,11 @@
 			return nil, err
 		}
 		a.written = make(chan error, 1)
-		go func() {
-			_, err := cn.Write(c.Body)
-			a.written <- err
-		}()
+		go func() { a.written <- writeBody(cn, c) }()
 	}
 	res, err := readHead(cn.r, c)
 	if err != nil {
-		return nil, err
+		return nil, a.cause(err)
 	}
 	a.Status, a.Header, a.Length = res.StatusCode, res.Header, res.ContentLength
 	a.closing = res.Close
@@ -171,6 +175,73 @@
 	return a, nil
 }
 
+// RestError tells that the body of a call ended early: its sender broke off.
+type RestError struct{ Err error }
+
+func (e *RestError) Error() string { return "body: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *RestError) Unwrap() error { return e.Err }
+
+// writeBody writes the body of a call. One that breaks off ends the connection,
+// so that the peer doesn't take what it has for all.
+func writeBody(cn *conn, c *Call) error {
+	if c.Rest == nil {
+		_, err := cn.Write(c.Body)
+		return err
+	}
+	var w io.Writer = cn
+	var chunks io.WriteCloser
+	if c.Length < 0 {
+		chunks = httputil.NewChunkedWriter(cn)
+		w = chunks
+	}
+	rest := &restReader{r: c.Rest}
+	_, err := w.Write(c.Body)
+	if err == nil {
+		_, err = io.CopyBuffer(w, rest, make([]byte, restBuffer))
+	}
+	if err != nil {
+		cn.Close()
+		return err
+	}
+	if chunks == nil {
+		return nil
+	}
+	if err := chunks.Close(); err != nil {
+		return err
+	}
+	_, err = io.WriteString(cn, "\r\n") // no trailers
+	return err
+}
+
+// restReader marks errors of the body's sender.
+type restReader struct{ r io.Reader }
+
+func (r *restReader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if err != nil && err != io.EOF {
+		err = &RestError{err}
+	}
+	return n, err
+}
+
+// cause returns why no answer came: a body that broke off ended the connection.
+func (a *Answer) cause(err error) error {
+	if a.written == nil {
+		return err
+	}
+	var rest *RestError
+	select {
+	case written := <-a.written:
+		if errors.As(written, &rest) {
+			return rest
+		}
+	default:
+	}
+	return err
+}
+
 // readHead reads the head of the answer to a call and passes over interim
 // answers and answers to earlier requests.
 func readHead(r *bufio.Reader, c *Call) (*http.Response, error) {
@@ -211,9 +282,16 @@
 			b = append(b, "\r\n"...)
 		}
 	}
-	if len(c.Body) > 0 || c.Method == http.MethodPost || c.Method == http.MethodPut {
+	length := int64(len(c.Body))
+	if c.Rest != nil {
+		length = c.Length
+	}
+	switch {
+	case length < 0:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	case length > 0 || c.Method == http.MethodPost || c.Method == http.MethodPut:
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(c.Body)), 10)
+		b = strconv.AppendInt(b, length, 10)
 		b = append(b, "\r\n"...)
 	}
 	return append(b, "\r\n"...)
@@ -343,9 +421,6 @@
 // Whole tells whether the body was read to its end.
 func (a *Answer) Whole() bool { return a.whole }
 
-// Peer returns who answered.
-func (a *Answer) Peer() netip.AddrPort { return a.peer }
-
 // Close keeps the connection if the exchange is complete, and closes it
 // otherwise.
 func (a *Answer) Close() {
--- /dev/null
+++ b/io/jwgateway/body_test.go
@@ -0,0 +1,182 @@
+package jwgateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwstore"
+)
+
+// reading starts a target that reads bodies by itself and tells each begin
+// and end of one.
+func reading(t *testing.T, feed *jwstore.MemoryFeed, id, dataCentre string, status int) (begun chan string, ended chan error) {
+	t.Helper()
+	begun, ended = make(chan string, 8), make(chan error, 8)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Jujubewheel-Request-Id", r.Header.Get("Jujubewheel-Request-Id"))
+		w.Header().Set("Jujubewheel-Server-Seal", "seal-"+id)
+		if r.Method == http.MethodGet {
+			return
+		}
+		first := make([]byte, 1)
+		_, _ = io.ReadFull(r.Body, first)
+		begun <- fmt.Sprintf("%s %d %v", first, r.ContentLength, r.TransferEncoding)
+		n, err := io.Copy(io.Discard, r.Body)
+		ended <- err
+		w.WriteHeader(status)
+		fmt.Fprint(w, n+1)
+	}))
+	t.Cleanup(s.Close)
+	register(feed, id, "s", s.Listener.Addr().String(), dataCentre, "ready")
+	return begun, ended
+}
+
+// post begins a request whose body of so many bytes, -1 for chunks, is
+// written by the test.
+func post(t *testing.T, n node, id string, length int) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", n.callers.String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	framing := fmt.Sprintf("Content-Length: %d", length)
+	if length < 0 {
+		framing = "Transfer-Encoding: chunked"
+	}
+	_, err = fmt.Fprintf(c, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nJujubewheel-Request-Id: %s\r\nJujubewheel-Deadline-Ms: 5000\r\n%s\r\n\r\n", id, framing)
+	assert.NilError(t, err)
+	return c, bufio.NewReader(c)
+}
+
+func largeBodies(feed *jwstore.MemoryFeed, limit int, homes string) {
+	feed.Write("op/config", fmt.Appendf(nil, `{"Version":1,"Routes":[%s,%s],"Services":[{"Name":"s","WarmupS":0,"WarmupPerS":0}],
+		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":%d,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`,
+		route("/a/", "idempotent", homes), route("/w/", "idempotent", ""), limit))
+}
+
+const (
+	bodyPart = 80 << 10 // more than a node holds of a body
+	maxBody  = 1 << 20
+)
+
+// A caller sends a large body slowly. Held whole, some of them would take a
+// node's memory, and the target would begin late.
+func TestLargeBodies(t *testing.T) {
+	t.Parallel()
+	part := strings.Repeat("a", bodyPart)
+	cases := map[string]struct {
+		length int
+		homes  string // of the entry
+		write  [2]string
+		begun  string
+		body   string
+	}{
+		"sized":               {2 * bodyPart, "", [2]string{part, part}, "a 163840 []", "163840"},
+		"in chunks":           {-1, "", [2]string{fmt.Sprintf("%x\r\n%s\r\n", bodyPart, part), fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", bodyPart, part)}, "a -1 [chunked]", "163840"},
+		"sized, other region": {2 * bodyPart, `,"HomeRegions":["south"]`, [2]string{part, part}, "a 163840 []", "163840"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var feed jwstore.MemoryFeed
+			dataCentre := "north-a"
+			if c.homes != "" {
+				dataCentre = "south-a"
+			}
+			begun, ended := reading(t, &feed, "t1", dataCentre, http.StatusOK)
+			largeBodies(&feed, maxBody, c.homes)
+			n := start(t, &feed, "n1", "north")
+			if c.homes != "" {
+				start(t, &feed, "n2", "south")
+			}
+			until(t, n, "/a/x", served)
+			cn, r := post(t, n, "one", c.length)
+			_, err := io.WriteString(cn, c.write[0])
+			assert.NilError(t, err)
+			assert.Equal(t, <-begun, c.begun) // with half of the body still to come
+			_, err = io.WriteString(cn, c.write[1])
+			assert.NilError(t, err)
+			assert.NilError(t, <-ended)
+			res, err := http.ReadResponse(r, nil)
+			assert.NilError(t, err)
+			text, err := io.ReadAll(res.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, res.StatusCode, http.StatusOK)
+			assert.Equal(t, string(text), c.body)
+			assert.NilError(t, res.Body.Close())
+		})
+	}
+}
+
+// The caller breaks off within a large body. A target that took what came for
+// all of it would run a request that nobody sent.
+func TestLargeBodyBrokenOff(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	begun, ended := reading(t, &feed, "t1", "north-a", http.StatusOK)
+	largeBodies(&feed, maxBody, "")
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/w/x", served)
+	for name, length := range map[string]int{"sized": 2 * bodyPart, "in chunks": -1} {
+		cn, _ := post(t, n, name, length)
+		body := strings.Repeat("a", bodyPart)
+		if length < 0 {
+			body = fmt.Sprintf("%x\r\n%s\r\n", bodyPart, body)
+		}
+		_, err := io.WriteString(cn, body)
+		assert.NilError(t, err)
+		<-begun
+		assert.NilError(t, cn.Close())
+		assert.Assert(t, <-ended != nil, name)
+	}
+}
+
+// A body in chunks is longer than callers may send, which shows only once a
+// part of it was passed on.
+func TestLargeBodyTooLarge(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	begun, ended := reading(t, &feed, "t1", "north-a", http.StatusOK)
+	largeBodies(&feed, bodyPart+1, "")
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/w/x", served)
+	cn, r := post(t, n, "one", -1)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", bodyPart, strings.Repeat("a", bodyPart))
+	_, err := io.WriteString(cn, chunk)
+	assert.NilError(t, err)
+	<-begun
+	_, err = io.WriteString(cn, chunk)
+	assert.NilError(t, err)
+	res, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusRequestEntityTooLarge)
+	assert.NilError(t, res.Body.Close())
+	assert.Assert(t, <-ended != nil)
+}
+
+// A target fails after a large body was passed on. There is nothing left to
+// send to another one.
+func TestLargeBodyIsSentOnce(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	begun, _ := reading(t, &feed, "t1", "north-a", http.StatusInternalServerError)
+	others, _ := reading(t, &feed, "t2", "north-a", http.StatusInternalServerError)
+	largeBodies(&feed, maxBody, "")
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/w/x", served)
+	cn, r := post(t, n, "one", 2*bodyPart)
+	_, err := io.WriteString(cn, strings.Repeat("a", 2*bodyPart))
+	assert.NilError(t, err)
+	res, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusInternalServerError)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, len(begun)+len(others), 1)
+}
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -121,7 +121,8 @@
 		h["Last-Event-Id"] = []string{id}
 	}
 	call := &jwconn.Call{
-		Peer: m.Nodes, Method: q.method, Target: q.target, Host: q.host, Header: h, Body: q.body,
+		Peer: m.Nodes, Method: q.method, Target: q.target, Host: q.host, Header: h,
+		Body: q.body.held, Rest: q.body.reader(), Length: q.body.length,
 		Match: func(h http.Header) bool { return g.Dialect.ID(h) == q.ID },
 	}
 	if !e.Repeatable() {
@@ -172,7 +173,8 @@
 
 func (g *Gateway) forwardFailed(ctx context.Context, q *request, m jwmember.Member, err error) Verdict {
 	q.refused = err.Error()
-	if ctx.Err() == nil {
+	var rest *jwconn.RestError
+	if ctx.Err() == nil && !errors.As(err, &rest) {
 		g.members.Failed(time.Now(), m.Name)
 		g.Nodes.Drop(m.Nodes)
 	}
@@ -208,9 +210,10 @@
 		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, stopWait, "the node is stopping")
 		return
 	}
-	if !g.readBody(q, r, 0) {
+	if !g.takeBody(q, r) {
 		return
 	}
+	defer q.body.close()
 	stripHop(q.header)
 	g.serve(r.Context(), q)
 }
@@ -261,6 +264,9 @@
 	o.ResponseWriter.WriteHeader(status)
 }
 
+// Unwrap serves http.ResponseController.
+func (o *outcomeWriter) Unwrap() http.ResponseWriter { return o.ResponseWriter }
+
 // Flush implements http.Flusher.
 func (o *outcomeWriter) Flush() {
 	if f, ok := o.ResponseWriter.(http.Flusher); ok {
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
 )
@@ -21,8 +23,6 @@
 	mostWait = 2 * time.Second
 	// stopWait is the Retry-After of a node that is stopping: others serve.
 	stopWait = 20 * time.Millisecond
-	// bodyLimit bounds a body until a configuration says otherwise.
-	bodyLimit = 1 << 20
 	// defaultDeadline bounds a request that names none.
 	defaultDeadline = 30 * time.Second
 )
@@ -37,7 +37,7 @@
 	target   string // path and query as the caller wrote them
 	host     string
 	header   http.Header
-	body     []byte
+	body     body
 	arrived  time.Time
 	deadline time.Time
 	forward  bool // came from another node, and is not passed on again
@@ -128,42 +128,32 @@
 		limit = min(limit, e.Timeout)
 	}
 	q.deadline = q.arrived.Add(limit)
-	if !g.readBody(q, r, cfg.Limits.MaxBody) {
+	if !g.takeBody(q, r) {
 		return
 	}
+	defer q.body.close()
 	stripHop(q.header)
 	g.Dialect.Strip(q.header)
 	g.serve(r.Context(), q)
 }
 
-// readBody reads the whole body, so that the request can be sent again.
-func (g *Gateway) readBody(q *request, r *http.Request, most int64) bool {
-	if most <= 0 {
-		most = bodyLimit
-	}
-	if r.ContentLength > most {
-		g.refuse(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, "body too large")
-		return false
-	}
-	if r.ContentLength == 0 {
-		return true
+// takeBody reads what is held of the body, or tells the caller why not.
+func (g *Gateway) takeBody(q *request, r *http.Request) bool {
+	most := int64(bodyLimit)
+	if c := g.entries.Current(); c != nil && c.Limits.MaxBody > 0 {
+		most = c.Limits.MaxBody
 	}
 	var err error
-	if r.ContentLength > 0 {
-		q.body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, q.body)
-	} else {
-		q.body, err = io.ReadAll(io.LimitReader(r.Body, most+1))
-		if err == nil && int64(len(q.body)) > most {
-			g.refuse(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, "body too large")
-			return false
-		}
-	}
-	if err != nil {
+	q.body, err = readBody(q.w, r, most)
+	switch {
+	case err == nil:
+		return true
+	case errors.Is(err, errBodyTooLarge):
+		g.refuse(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, err.Error())
+	default:
 		g.refuse(q.w, q.ID, http.StatusBadRequest, 0, "body broke off")
-		return false
 	}
-	return true
+	return false
 }
 
 // point spreads identifiers over [0, 1).
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -84,7 +84,7 @@
 // may be sent to another target: one that has fallen silent must not use up
 // the caller's time.
 func (g *Gateway) patience(ctx context.Context, q *request, c jwinstance.Choice) (context.Context, stopper) {
-	if !q.entry.Repeatable() || q.attempts+1 >= q.entry.Attempts() {
+	if !q.entry.Repeatable() || q.body.rest != nil || q.attempts+1 >= q.entry.Attempts() {
 		return ctx, stopper{}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -164,7 +164,8 @@
 		Priority: q.entry.Priority, LastEvent: q.lastEvent(), Fetch: c.Fetch,
 	})
 	call := &jwconn.Call{
-		Peer: x.Address, Method: q.method, Target: q.target, Host: q.host, Header: h, Body: q.body,
+		Peer: x.Address, Method: q.method, Target: q.target, Host: q.host, Header: h,
+		Body: q.body.held, Rest: q.body.reader(), Length: q.body.length,
 		Match: func(h http.Header) bool { return g.Dialect.ID(h) == q.ID },
 	}
 	if !q.entry.Repeatable() {
@@ -191,7 +192,8 @@
 		}
 		return notRun
 	}
-	if ctx.Err() == nil {
+	var rest *jwconn.RestError
+	if ctx.Err() == nil && !errors.As(err, &rest) {
 		g.targets.Failed(x)
 		g.Targets.Drop(x.Address)
 	}
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -55,6 +55,9 @@
 		// An answer that ends early must not look whole.
 		g.toldAnswer(q, "cut", q.refused, 0)
 		panic(http.ErrAbortHandler)
+	case q.body.tooLarge():
+		g.toldAnswer(q, "refused", errBodyTooLarge.Error(), http.StatusRequestEntityTooLarge)
+		g.refuse(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, errBodyTooLarge.Error())
 	case !ran:
 		g.toldAnswer(q, "notRun", q.refused, http.StatusServiceUnavailable)
 		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, max(q.again, refusedWait), q.refused)
@@ -69,7 +72,7 @@
 
 // mayRepeat tells whether a request may be sent once more after a verdict.
 func (g *Gateway) mayRepeat(q *request, v Verdict) bool {
-	if q.refused == noTarget || q.refused == tooLate {
+	if q.refused == noTarget || q.refused == tooLate || q.body.once() {
 		return false
 	}
 	if v != notRun {
