jujubewheel: SIGHUP is taken from the first moment; a test of reloading

The signal was registered once the node ran; one that came while the program started ended it. Now main registers it first. TestReload changes the settings with the signal, to a broken file, and without the signal; the bounds in force are logged.

--- a/cmd/jujubewheel/gateway.go
+++ b/cmd/jujubewheel/gateway.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -37,10 +35,12 @@
 const settingsPoll = 2 * time.Second
 
 // gateway runs a node that serves by the feed of the platform's store.
-type gateway struct{}
+type gateway struct {
+	hup <-chan os.Signal // the settings are to be read anew
+}
 
 // Run implements jwcommand.Runner.
-func (gateway) Run(ctx context.Context, n jwcommand.Node) error {
+func (g gateway) Run(ctx context.Context, n jwcommand.Node) error {
 	o := n.Settings.Gateway
 	debug.SetGCPercent(gcPercent)
 	if o.Memory > 0 {
@@ -70,17 +70,15 @@
 		Meter:     meter,
 		LostLines: queue.Lost,
 		Decisions: jwlog.NewDecisions(queue, queue.Minor(), n.Settings.Node),
-		Reload:    reloads(ctx, n.File, log),
+		Reload:    reloads(ctx, g.hup, n.File, log),
 	}
 	return whole.Run(ctx)
 }
 
 // reloads reads the settings file anew at each SIGHUP and when it has changed.
 // A file with faults is refused and the settings before it stay.
-func reloads(ctx context.Context, file string, log logr.Logger) <-chan *jwsettings.Settings {
+func reloads(ctx context.Context, hup <-chan os.Signal, file string, log logr.Logger) <-chan *jwsettings.Settings {
 	out := make(chan *jwsettings.Settings)
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
 		last := modified(file)
 		tick := time.NewTicker(settingsPoll)
--- a/cmd/jujubewheel/main.go
+++ b/cmd/jujubewheel/main.go
@@ -12,13 +12,16 @@
 )
 
 func main() {
+	// From the first moment on: by default this signal ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	p := &jwcommand.Program{
 		Args:    os.Args[1:],
 		Stdout:  os.Stdout,
 		Stderr:  os.Stderr,
 		Node:    node{},
-		Gateway: gateway{},
+		Gateway: gateway{hup: hup},
 		Demo:    jwdemo.Demo{},
 	}
 	code := p.Run(ctx)
--- /dev/null
+++ b/cmd/jujubewheel/reload_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const gatewaySettings = `{
+  "node": "n1", "region": "north", "dataCentre": "north-a",
+  "gateway": {
+    "listen": {"callers": %q, "ready": %q, "directory": %q, "nodes": %q},
+    "store": {"address": %q},
+    "dataCentres": [{"name": "north-a", "region": "north"}],
+    "bounds": {"grace": "1s", "retryRatio": %s},
+  },
+}`
+
+// inForce are the bounds that a node tells at its start and after a reload.
+type inForce struct {
+	Bounds struct{ RetryRatio float64 }
+}
+
+// Settings change while a node runs, with a signal or without one, and once
+// they can't be read. A node that ended at the signal would cut its requests;
+// one that took a broken file would run without bounds.
+func TestReload(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "node.jsonc")
+	var addrs []any // the last one is the store's, where nobody listens
+	var open []net.Listener
+	for range 5 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		addrs = append(addrs, l.Addr().String())
+		open = append(open, l)
+	}
+	for _, l := range open {
+		_ = l.Close()
+	}
+	write := func(ratio string) {
+		assert.NilError(t, os.WriteFile(file, fmt.Appendf(nil, gatewaySettings, append(addrs[:5:5], ratio)...), 0o600))
+	}
+	write("0.1")
+	p := start(t, "jujubewheel", "serve", file)
+	var got inForce
+	p.line(`"started"`, &got)
+	assert.Equal(t, got.Bounds.RetryRatio, 0.1)
+
+	write("0.2")
+	p.signal(syscall.SIGHUP)
+	p.line(`"RetryRatio":0.2`, &got)
+
+	write("-1")
+	p.signal(syscall.SIGHUP)
+	var refused struct{ Error string }
+	p.line("settings refused", &refused)
+	assert.Assert(t, strings.Contains(refused.Error, "retryRatio"), refused.Error)
+
+	write("0.3") // without a signal
+	p.line(`"RetryRatio":0.3`, &got)
+	assert.Equal(t, got.Bounds.RetryRatio, 0.3)
+
+	p.signal(syscall.SIGTERM)
+	p.line(`"stopped"`, &struct{}{})
+}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -206,7 +206,7 @@
 				g.Log.Info("settings changed that need a restart")
 			}
 			g.bounds.Store(&o.Bounds)
-			g.Log.Info("settings in force")
+			g.Log.Info("settings in force", "bounds", o.Bounds)
 		}
 	}
 }
