jwgateway, jwinstance: targets are asked whether they are cold while no node reaches the store

The log shows that no node saw the evacuation, as the store went down with its acknowledgement; its targets went cold, which only their health answers tell, and got 7 and 8 requests within a second where 6.6 and 6.8 are borne. Ruled out: shares (all nodes took the targets for warm), word between nodes (none had any).

While no node of a region reaches the store, the owner of each target asks it every 250 ms, and the word goes round with the exchange. What a target got while warm counts against its share. A node that alone is cut off learns targets, evacuations and nodes from a peer that has read more; registrations carry the store's revision, so that a peer that lags undoes nothing. The two questions between nodes, for a configuration and for the belief, are one.

Tests first: TestColdWhileTheStoreIsAway, TestColdWithoutRegistration, TestNodeOutOfReachOfTheStore.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -98,9 +98,7 @@
 	x.tokens += c.Held
 	x.capacity = n.Capacity
 	t.place(now, x, n.Prompt)
-	if c.Cold {
-		x.coldSends = append(x.coldSends, now)
-	}
+	x.sent(now)
 	return c, true
 }
 
@@ -255,14 +253,29 @@
 	if d == 0 || rate == 0 {
 		return true
 	}
-	kept := x.coldSends[:0]
-	for _, at := range x.coldSends {
-		if now.Sub(at) < time.Second+50*time.Millisecond {
-			kept = append(kept, at)
-		}
+	x.forgetSends(now)
+	return float64(len(x.sends)+1) <= t.Share(x.Service, x.ID)
+}
+
+// mostSends bounds how many sends are remembered; no share of a cold target is
+// as large.
+const mostSends = 64
+
+// sent remembers a send, also to a warm target: one that turns out to have
+// gone cold has taken what it got within the last second.
+func (x *Target) sent(now time.Time) {
+	if len(x.sends) == mostSends {
+		x.sends = append(x.sends[:0], x.sends[1:]...)
+	}
+	x.sends = append(x.sends, now)
+}
+
+func (x *Target) forgetSends(now time.Time) {
+	old := 0
+	for old < len(x.sends) && now.Sub(x.sends[old]) >= time.Second+50*time.Millisecond {
+		old++
 	}
-	x.coldSends = kept
-	return float64(len(kept)+1) <= t.Share(x.Service, x.ID)
+	x.sends = append(x.sends[:0], x.sends[old:]...)
 }
 
 // expected returns the wait for the first event of an engine or the answer of
--- a/core/jwinstance/instance.go
+++ b/core/jwinstance/instance.go
@@ -14,10 +14,10 @@
 	Region     string         `json:"region"`
 	Slots      int            `json:"slots"`
 	Draining   bool           `json:"draining"`
-	Cold       time.Duration  `json:"cold"` // how long it stays cold, as of the registration
-	Left       time.Duration  `json:"left"` // until it is taken away, 0 if not known
-	Born       int64          `json:"born"` // Unix milliseconds of its start, 0 if not said
-	Beat       int64          `json:"beat"` // rises with each registration of an incarnation
+	Cold       time.Duration  `json:"cold"`     // how long it stays cold, as of the registration
+	Left       time.Duration  `json:"left"`     // until it is taken away, 0 if not known
+	Born       int64          `json:"born"`     // Unix milliseconds of its start, 0 if not said
+	Revision   uint64         `json:"revision"` // of the store at this registration
 }
 
 // Part is one part of a prompt.
@@ -33,10 +33,3 @@
 	Tokens int // of the prompt
 	Output int // tokens written at most
 }
-
-// Load is what a target said of itself in an answer.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-}
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -150,6 +150,54 @@
 	}
 }
 
+// coldDrift is by how much a target must be colder by the word of another node
+// than by this one's: less is the way between them, and nodes that took each
+// other's word would keep it cold for ever.
+const coldDrift = 50 * time.Millisecond
+
+// TellCold returns how many milliseconds each cold target of the region stays
+// so: one that goes cold without a registration is noticed by one node only.
+func (t *Table) TellCold(now time.Time) map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var cold map[string]int64
+	for _, x := range t.targets {
+		if left := x.coldUntil.Sub(now); left > 0 && x.Region == t.Region && x.gone.IsZero() {
+			if cold == nil {
+				cold = make(map[string]int64)
+			}
+			cold[x.ID] = left.Milliseconds()
+		}
+	}
+	return cold
+}
+
+// HearCold takes what another node of the region tells of cold targets.
+func (t *Table) HearCold(now time.Time, cold map[string]int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, ms := range cold {
+		left := time.Duration(ms) * time.Millisecond
+		if x := t.targets[id]; x != nil && x.coldUntil.Sub(now) < left-coldDrift {
+			x.coldUntil = now.Add(left)
+		}
+	}
+}
+
+// Warm returns the targets of the region that may be used and are not known to
+// be cold.
+func (t *Table) Warm(now time.Time) []*Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*Target
+	for _, x := range t.targets {
+		if x.Region == t.Region && t.usable(now, x, false) && !now.Before(x.coldUntil) {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
 // Woke forgets the loads that other nodes told: the node itself stood still.
 func (t *Table) Woke() {
 	t.mu.Lock()
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -38,7 +38,7 @@
 	heard     time.Time // last change of its registration
 	gone      time.Time // when its registration vanished, zero if it stands
 	coldUntil time.Time
-	coldSends []time.Time   // of the last second
+	sends     []time.Time   // of the last second
 	rest      time.Time     // not used before
 	failures  int           // in a row
 	unreached int           // connections not taken, in a row
@@ -73,6 +73,9 @@
 		t.targets = make(map[string]*Target)
 	}
 	old := t.targets[in.ID]
+	if old != nil && in.Revision < old.Revision {
+		return Same // by another node that lags behind
+	}
 	if old == nil || old.Born != in.Born || old.Address != in.Address || old.Service != in.Service {
 		fresh := &Target{Instance: in, heard: now, slow: 1}
 		if old != nil || in.Cold > 0 {
@@ -108,27 +111,33 @@
 	return d
 }
 
-// Remove notes that a registration is gone from the store.
-func (t *Table) Remove(now time.Time, id string) {
+// Remove notes that a registration is gone from the store at a revision.
+func (t *Table) Remove(now time.Time, id string, revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if x := t.targets[id]; x != nil && x.gone.IsZero() {
-		x.gone = now
+	if x := t.targets[id]; x != nil {
+		x.remove(now, revision)
 	}
 }
 
-// Keep removes all targets but those named: the store was read anew, and what
-// vanished meanwhile is gone too.
-func (t *Table) Keep(now time.Time, ids map[string]bool) {
+// Keep removes all targets but those named: this is the whole store at a
+// revision, and what vanished before is gone too.
+func (t *Table) Keep(now time.Time, ids map[string]bool, revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, x := range t.targets {
-		if !ids[id] && x.gone.IsZero() {
-			x.gone = now
+		if !ids[id] {
+			x.remove(now, revision)
 		}
 	}
 }
 
+func (x *Target) remove(now time.Time, revision uint64) {
+	if x.gone.IsZero() && revision >= x.Revision {
+		x.gone, x.Revision = now, revision
+	}
+}
+
 // sweep drops records of targets that are gone for long.
 func (t *Table) sweep(now time.Time) {
 	for id, x := range t.targets {
@@ -196,14 +205,16 @@
 }
 
 // Instances returns the registrations that stand, for a node that can't read
-// the store itself.
-func (t *Table) Instances() []Instance {
+// the store itself, with how long each stays cold from now on.
+func (t *Table) Instances(now time.Time) []Instance {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := make([]Instance, 0, len(t.targets))
 	for _, x := range t.targets {
 		if x.gone.IsZero() {
-			list = append(list, x.Instance)
+			in := x.Instance
+			in.Cold = max(x.coldUntil.Sub(now), 0)
+			list = append(list, in)
 		}
 	}
 	return list
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -56,14 +56,30 @@
 			t.Put(after(0), b)
 			t.Evacuate(after(0), "r-a", true)
 		}, 0, "b"},
-		"its registration vanished":        {func(t *Table) { t.Remove(after(0), "a") }, 100, "b"},
-		"it vanished while nobody watched": {func(t *Table) { t.Keep(after(0), map[string]bool{"b": true}) }, 100, "b"},
+		"its registration vanished":        {func(t *Table) { t.Remove(after(0), "a", 1) }, 100, "b"},
+		"it vanished while nobody watched": {func(t *Table) { t.Keep(after(0), map[string]bool{"b": true}, 1) }, 100, "b"},
 		"it took no connection":            {func(t *Table) { t.Unreached(after(0), t.targets["a"]) }, 100, "b"},
 		"it took none a while ago":         {func(t *Table) { t.Unreached(after(0), t.targets["a"]) }, 400, "a"},
 		"it had no room":                   {func(t *Table) { t.Refused(after(0), t.targets["a"]) }, 50, "b"},
 		"another one has its address":      {func(t *Table) { t.Replaced(after(0), t.targets["a"]) }, 100, "b"},
 		"it fails":                         {func(t *Table) { t.Failed(t.targets["a"]) }, 0, "b"},
 		"it failed and then served":        {func(t *Table) { t.Failed(t.targets["a"]); t.Served(t.targets["a"]) }, 0, "a"},
+		"it drains, and a node that lags behind says otherwise": {func(t *Table) {
+			a := instance("a")
+			a.Draining, a.Revision = true, 2
+			t.Put(after(0), a)
+			t.Put(after(1), instance("a"))
+		}, 10, "b"},
+		"it left, and a node that lags behind says otherwise": {func(t *Table) {
+			t.Remove(after(0), "a", 2)
+			t.Put(after(1), instance("a"))
+		}, 10, "b"},
+		"it came after another node looked": {func(t *Table) {
+			a := instance("a")
+			a.Revision = 3
+			t.Put(after(0), a)
+			t.Keep(after(1), map[string]bool{"b": true}, 2)
+		}, 10, "a"},
 		"the other is of another region": {func(t *Table) {
 			b := instance("b")
 			b.Region = "q"
@@ -86,10 +102,12 @@
 func TestVanishedTargetsAreTheLastResort(t *testing.T) {
 	table := &Table{Region: "r"}
 	table.Put(after(0), instance("a"))
-	table.Remove(after(0), "a")
+	table.Remove(after(0), "a", 1)
 	assert.Equal(t, chosen(table, after(1500), Need{}), "a")
 	assert.Equal(t, chosen(table, after(2500), Need{}), "", "it is gone by then")
-	table.Put(after(2600), instance("a"))
+	again := instance("a")
+	again.Revision = 2
+	table.Put(after(2600), again)
 	assert.Equal(t, chosen(table, after(2600), Need{}), "a")
 }
 
@@ -345,8 +363,46 @@
 	for i := range 1000 {
 		id := fmt.Sprintf("t%d", i)
 		table.Put(after(i*1000), instance(id))
-		table.Remove(after(i*1000+500), id)
+		table.Remove(after(i*1000+500), id, 1)
 		table.Tell(after(i*1000 + 600))
 	}
 	assert.Assert(t, len(table.targets) < 40, "%d records", len(table.targets))
 }
+
+// While the store is away a warm target goes cold, and one node hears so. Until
+// all know, and after, it must not get more than a cold one bears.
+func TestColdWithoutRegistration(t *testing.T) {
+	warmup := func(string) (time.Duration, float64) { return 3 * time.Second, 2 }
+	tables := []*Table{
+		{Region: "r", Warmup: warmup, Share: func(string, string) float64 { return 3 }},
+		{Region: "r", Warmup: warmup, Share: func(string, string) float64 { return 0 }},
+	}
+	for _, table := range tables {
+		table.Put(t0, instance("a"))
+		assert.Equal(t, chosen(table, after(0), Need{}), "a")
+	}
+	tables[0].Cold(after(100), tables[0].targets["a"], 2*time.Second)
+	assert.Equal(t, len(tables[0].Warm(after(100))), 0)
+	tables[1].HearCold(after(150), tables[0].TellCold(after(150)))
+	assert.Equal(t, chosen(tables[1], after(160), Need{}), "")
+	assert.Equal(t, chosen(tables[0], after(160), Need{}), "a")
+	assert.Equal(t, chosen(tables[0], after(170), Need{}), "a")
+	assert.Equal(t, chosen(tables[0], after(180), Need{}), "", "what it got while warm counts too")
+	assert.Equal(t, chosen(tables[0], after(1100), Need{}), "a")
+}
+
+// Two nodes tell each other again and again how long a target stays cold; the
+// way between them must not add up.
+func TestColdEndsThoughItIsTold(t *testing.T) {
+	a, b := &Table{Region: "r"}, &Table{Region: "r"}
+	a.Put(t0, instance("a"))
+	b.Put(t0, instance("a"))
+	a.Cold(t0, a.targets["a"], time.Second)
+	const way = 10
+	for ms := 0; ms < 1200; ms += 2 * way {
+		b.HearCold(after(ms+way), a.TellCold(after(ms)))
+		a.HearCold(after(ms+2*way), b.TellCold(after(ms+way)))
+	}
+	assert.Equal(t, len(a.TellCold(after(1001))), 0)
+	assert.Equal(t, len(b.TellCold(after(1011))), 0)
+}
--- a/core/jwstore/memoryfeed.go
+++ b/core/jwstore/memoryfeed.go
@@ -13,7 +13,7 @@
 	mu       sync.Mutex
 	revision uint64
 	items    map[string]memoryItem
-	events   []memoryEvent
+	events   []Event
 	dropped  uint64 // history up to this revision is gone
 	leases   Lease
 	live     map[Lease]bool
@@ -26,11 +26,6 @@
 	lease Lease
 }
 
-type memoryEvent struct {
-	Event
-	revision uint64
-}
-
 var _ Feed = (*MemoryFeed)(nil)
 
 // Down makes every call fail with err until it is called with nil.
@@ -77,7 +72,7 @@
 	}
 	m.revision++
 	m.items[key] = memoryItem{Item{key, value, m.revision}, lease}
-	m.events = append(m.events, memoryEvent{Event{Key: key, Value: value}, m.revision})
+	m.events = append(m.events, Event{Key: key, Value: value, Revision: m.revision})
 	m.wake()
 }
 
@@ -87,7 +82,7 @@
 	}
 	delete(m.items, key)
 	m.revision++
-	m.events = append(m.events, memoryEvent{Event{Key: key, Deleted: true}, m.revision})
+	m.events = append(m.events, Event{Key: key, Deleted: true, Revision: m.revision})
 	m.wake()
 }
 
@@ -127,8 +122,8 @@
 		}
 		var events []Event
 		for _, e := range m.events {
-			if e.revision > after && strings.HasPrefix(e.Key, prefix) {
-				events = append(events, e.Event)
+			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+				events = append(events, e)
 			}
 		}
 		revision := max(m.revision, after)
--- a/core/jwstore/watch.go
+++ b/core/jwstore/watch.go
@@ -21,6 +21,8 @@
 	Key     string
 	Value   []byte
 	Deleted bool
+	// Revision is the store's at this change.
+	Revision uint64
 }
 
 // Lease is a lease of the store; keys written under it vanish with it.
--- a/io/jwgateway/belief.go
+++ b/io/jwgateway/belief.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net/http"
 	"net/netip"
+	"net/url"
+	"strconv"
 	"time"
 
 	"jujubewheel/core/jwclock"
@@ -12,73 +15,122 @@
 	"jujubewheel/core/jwmember"
 )
 
-const (
-	// beliefPath is where a node tells all that it believes.
-	beliefPath = "/belief"
-	// beliefRetry is the wait between two rounds of questions.
-	beliefRetry = 400 * time.Millisecond
-)
+// beliefRetry is the wait between two rounds of questions.
+const beliefRetry = 400 * time.Millisecond
 
-// belief is what a node that starts needs to serve while the store can't be
-// reached.
+// belief is what a node needs to serve while it can't reach the store: what
+// another one has that it lacks.
 type belief struct {
-	Config    []byte                `json:"config"` // as the store holds it
-	Targets   []jwinstance.Instance `json:"targets"`
-	Evacuated []string              `json:"evacuated"`
-	Members   []jwmember.Member     `json:"members"`
+	Config    []byte                `json:"config,omitempty"` // as the store holds it
+	Revision  uint64                `json:"revision"`         // of the store, 0 if the rest is left out
+	Targets   []jwinstance.Instance `json:"targets,omitempty"`
+	Evacuated []string              `json:"evacuated,omitempty"`
+	Members   []jwmember.Member     `json:"members,omitempty"`
 }
 
-func (g *Gateway) serveBelief(w http.ResponseWriter) {
+// serveBelief tells what is newer than the version and the revision that the
+// asking node has.
+func (g *Gateway) serveBelief(w http.ResponseWriter, r *http.Request) {
 	c := g.entries.Current()
 	if c == nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	b := belief{
-		Config: c.Raw, Targets: g.targets.Instances(), Evacuated: g.targets.Evacuated(),
-		Members: g.members.Live(time.Now(), ""),
+	now := time.Now()
+	var b belief
+	if c.Version > numberOf(r, "version") {
+		b.Config = c.Raw
+	}
+	if revision := g.store.revision.Load(); revision > numberOf(r, "revision") {
+		b.Revision = revision
+		b.Targets, b.Evacuated = g.targets.Instances(now), g.targets.Evacuated()
+		b.Members = g.members.Live(now, "")
 	}
 	if err := json.NewEncoder(w).Encode(b); err != nil {
 		g.Log.V(1).Info("belief not told", "error", err.Error())
 	}
 }
 
+// numberOf reads a number of the query, 0 if there is none.
+func numberOf(r *http.Request, name string) uint64 {
+	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // start asks other nodes for what they believe until the store was read: the
 // store may be away when a node starts, and callers wait.
 func (g *Gateway) start(ctx context.Context) {
-	for !g.synced.Load() && ctx.Err() == nil {
+	for !g.synced.Load() && g.entries.Current() == nil && ctx.Err() == nil {
 		for _, a := range g.Settings.Gateway.Seeds {
-			if a != g.Settings.Gateway.Listen.Nodes && g.ask(ctx, a) {
-				return
+			if a != g.Settings.Gateway.Listen.Nodes {
+				g.learn(a)
 			}
 		}
 		jwclock.Sleep(ctx, beliefRetry)
 	}
 }
 
-// ask takes what another node believes; it tells whether that serves.
-func (g *Gateway) ask(ctx context.Context, a netip.AddrPort) bool {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+// behind tells whether a peer has read more of the store while it is out of
+// this node's reach.
+func (g *Gateway) behind(now time.Time, revision uint64) bool {
+	return revision > max(g.store.revision.Load(), g.learned.Load()) && g.store.doubt(now)
+}
+
+// learn takes what another node has read that this one has not: the store may
+// be out of this node's reach. One question is asked at a time.
+func (g *Gateway) learn(a netip.AddrPort) {
+	if !g.learning.CompareAndSwap(false, true) {
+		return
+	}
+	defer g.learning.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
-	raw, err := g.nodeCall(ctx, jwmember.Member{Nodes: a}, http.MethodGet, beliefPath, nil)
+	revision := max(g.store.revision.Load(), g.learned.Load())
+	if !g.store.doubt(time.Now()) {
+		revision = math.MaxUint64 // the store tells it
+	}
+	q := url.Values{
+		"version":  {strconv.FormatUint(g.entries.Version(), 10)},
+		"revision": {strconv.FormatUint(revision, 10)},
+	}
+	raw, err := g.nodeCall(ctx, jwmember.Member{Nodes: a}, http.MethodGet, beliefPath+"?"+q.Encode(), nil)
 	if err != nil {
-		return false
+		g.Log.V(1).Info("belief not heard", "peer", a.String(), "error", err.Error())
+		return
 	}
 	var b belief
-	if err := json.Unmarshal(raw, &b); err != nil || len(b.Config) == 0 || g.synced.Load() {
-		return false
+	if err := json.Unmarshal(raw, &b); err != nil {
+		g.Log.V(1).Info("belief not readable", "peer", a.String(), "error", err.Error())
+		return
 	}
-	now := time.Now()
+	if now := time.Now(); g.behind(now, b.Revision) {
+		g.take(now, b, a)
+	}
+	if len(b.Config) > 0 {
+		g.takeConfig(b.Config, a.String())
+	}
+}
+
+// take takes targets, evacuations and nodes. What the store tells this node
+// itself meanwhile is newer and stays, by its revisions.
+func (g *Gateway) take(now time.Time, b belief, from netip.AddrPort) {
+	targets, evacuated := map[string]bool{}, map[string]bool{}
 	for _, in := range b.Targets {
 		g.targets.Put(now, in)
+		targets[in.ID] = true
 	}
+	g.targets.Keep(now, targets, b.Revision)
 	for _, dc := range b.Evacuated {
 		g.evacuate(now, dc, true)
+		evacuated[dc] = true
 	}
+	g.keepEvacuated(now, evacuated)
 	for _, m := range b.Members {
 		g.members.Put(now, m)
 	}
-	g.Log.Info("started by another node", "peer", a.String(), "targets", len(b.Targets))
-	g.takeConfig(b.Config, a.String())
-	return true
+	g.learned.Store(b.Revision)
+	g.Log.Info("learned from another node", "peer", from.String(), "revision", b.Revision, "targets", len(b.Targets))
 }
--- a/io/jwgateway/dialect.go
+++ b/io/jwgateway/dialect.go
@@ -30,10 +30,10 @@
 
 // Told is what an answer says in its headers.
 type Told struct {
-	ID     string // of the request that it answers
-	NotRun bool   // the target has not run the request and will not
-	Signed bool   // a target made it
-	Load   jwinstance.Load
+	ID     string        // of the request that it answers
+	NotRun bool          // the target has not run the request and will not
+	Signed bool          // a target made it
+	Target string        // that answered, if it says so
 	Cold   time.Duration // how long the target stays cold
 }
 
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -16,7 +16,7 @@
 // The paths of the calls between nodes that are no forwards.
 const (
 	statePath  = "/state"
-	configPath = "/configuration"
+	beliefPath = "/belief"
 )
 
 const (
@@ -35,18 +35,24 @@
 
 // state is what a node tells another one of itself.
 type state struct {
-	Member  jwmember.Member        `json:"member"`
-	Version uint64                 `json:"version"` // of the configuration in force
-	Waits   map[string]int64       `json:"waits"`   // milliseconds until a first event, by service
-	Gaps    map[string]int64       `json:"gaps"`    // milliseconds between two events, by service
-	Placed  []jwinstance.Placement `json:"placed,omitempty"`
-	Near    []string               `json:"near,omitempty"`  // nodes of the region heard lately, told to other regions
-	Loads   []jwinstance.NodeLoad  `json:"loads,omitempty"` // told within the region only
+	Member   jwmember.Member        `json:"member"`
+	Version  uint64                 `json:"version"`        // of the configuration in force
+	Waits    map[string]int64       `json:"waits"`          // milliseconds until a first event, by service
+	Gaps     map[string]int64       `json:"gaps"`           // milliseconds between two events, by service
+	Sure     bool                   `json:"sure"`           // it reaches the store
+	Revision uint64                 `json:"revision"`       // of the store, up to which it was read
+	Cold     map[string]int64       `json:"cold,omitempty"` // milliseconds for which targets stay cold, told within the region only
+	Placed   []jwinstance.Placement `json:"placed,omitempty"`
+	Near     []string               `json:"near,omitempty"`  // nodes of the region heard lately, told to other regions
+	Loads    []jwinstance.NodeLoad  `json:"loads,omitempty"` // told within the region only
 }
 
 // state returns what a node of a region is told.
 func (g *Gateway) state(now time.Time, region string) state {
-	s := state{Member: g.members.Me(), Version: g.entries.Version(), Waits: map[string]int64{}, Gaps: map[string]int64{}}
+	s := state{
+		Member: g.members.Me(), Version: g.entries.Version(), Waits: map[string]int64{}, Gaps: map[string]int64{},
+		Sure: !g.store.doubt(now), Revision: g.store.revision.Load(),
+	}
 	if c := g.entries.Current(); c != nil {
 		for name := range c.Services {
 			if d, ok := g.targets.Wait(now, name); ok {
@@ -57,6 +63,7 @@
 	}
 	if region == g.Settings.Region {
 		s.Loads, s.Placed = g.targets.Tell(now)
+		s.Cold = g.targets.TellCold(now)
 	} else {
 		s.Placed = g.targets.TellFar(now)
 		s.Near = g.members.Near(now)
@@ -168,25 +175,16 @@
 	g.regions.heard(now, s)
 	g.members.HeardOf(now, s.Near)
 	g.targets.Hear(now, s.Member.Name, s.Loads, s.Placed)
-	if s.Version > g.entries.Version() {
+	g.targets.HearCold(now, s.Cold)
+	if s.Sure && s.Member.Region == g.Settings.Region {
+		g.store.sure.Store(now.UnixNano())
+	}
+	if s.Version > g.entries.Version() || g.behind(now, s.Revision) {
 		if from.Name == "" {
 			from = s.Member
 		}
-		go g.fetchConfig(from)
-	}
-}
-
-// fetchConfig takes the configuration of a peer that has a newer one: the
-// store may be out of this node's reach.
-func (g *Gateway) fetchConfig(m jwmember.Member) {
-	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
-	defer cancel()
-	raw, err := g.nodeCall(ctx, m, http.MethodGet, configPath, nil)
-	if err != nil {
-		g.Log.Info("configuration not fetched", "peer", m.Name, "error", err.Error())
-		return
+		go g.learn(from.Nodes)
 	}
-	g.takeConfig(raw, m.Name)
 }
 
 func (g *Gateway) serveState(w http.ResponseWriter, r *http.Request) {
@@ -201,12 +199,3 @@
 		g.Log.V(1).Info("state not told", "peer", s.Member.Name, "error", err.Error())
 	}
 }
-
-func (g *Gateway) serveConfig(w http.ResponseWriter) {
-	c := g.entries.Current()
-	if c == nil {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	_, _ = w.Write(c.Raw)
-}
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -31,7 +31,7 @@
 // follower keeps the tables as the store has them.
 type follower struct {
 	g        *Gateway
-	revision uint64
+	revision uint64    // the changes after it are to be read
 	lost     time.Time // when the store stopped answering, zero while it answers
 }
 
@@ -49,6 +49,8 @@
 			continue
 		}
 		now := time.Now()
+		g.store.called(now, err)
+		g.store.revision.Store(f.revision)
 		if err == nil {
 			g.viewed.Store(int64(now.Sub(g.begun)))
 			if !f.lost.IsZero() {
@@ -105,7 +107,7 @@
 	now := time.Now()
 	targets, nodes, evacuated := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, i := range items {
-		f.apply(now, jwstore.Event{Key: i.Key, Value: i.Value})
+		f.apply(now, jwstore.Event{Key: i.Key, Value: i.Value, Revision: i.Version})
 		if id, ok := f.g.Records.TargetID(i.Key); ok {
 			targets[id] = true
 		}
@@ -116,13 +118,9 @@
 			evacuated[dc] = true
 		}
 	}
-	f.g.targets.Keep(now, targets)
+	f.g.targets.Keep(now, targets, revision)
 	f.g.members.Keep(now, nodes)
-	for _, dc := range f.g.targets.Evacuated() {
-		if !evacuated[dc] {
-			f.g.evacuate(now, dc, false)
-		}
-	}
+	f.g.keepEvacuated(now, evacuated)
 	f.revision = revision
 	f.g.synced.Store(true)
 	f.g.pulse.Begin()
@@ -154,16 +152,17 @@
 func (g *Gateway) takeTarget(now time.Time, id string, e jwstore.Event) {
 	if e.Deleted {
 		g.Log.Info("target registration gone", "target", id)
-		g.targets.Remove(now, id)
+		g.targets.Remove(now, id, e.Revision)
 		return
 	}
 	in, err := g.Records.Target(id, e.Value)
 	if err != nil {
 		// Another writer may have left it; it names no target to use.
 		g.Log.Info("target not readable", "target", id, "error", err.Error())
-		g.targets.Remove(now, id)
+		g.targets.Remove(now, id, e.Revision)
 		return
 	}
+	in.Revision = e.Revision
 	if change := g.targets.Put(now, in); change != jwinstance.Same {
 		g.Log.Info("target", "target", id, "change", change, "service", in.Service, "dataCentre", in.DataCentre,
 			"draining", in.Draining, "cold", in.Cold.String(), "left", in.Left.String())
@@ -186,6 +185,15 @@
 	g.members.Put(now, m)
 }
 
+// keepEvacuated ends all evacuations but those named.
+func (g *Gateway) keepEvacuated(now time.Time, dataCentres map[string]bool) {
+	for _, dc := range g.targets.Evacuated() {
+		if !dataCentres[dc] {
+			g.evacuate(now, dc, false)
+		}
+	}
+}
+
 func (g *Gateway) evacuate(now time.Time, dataCentre string, on bool) {
 	g.Log.Info("evacuation", "dataCentre", dataCentre, "on", on)
 	g.targets.Evacuate(now, dataCentre, on)
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -286,9 +286,7 @@
 	case r.URL.Path == statePath:
 		g.serveState(w, r)
 	case r.URL.Path == beliefPath:
-		g.serveBelief(w)
-	case r.URL.Path == configPath:
-		g.serveConfig(w)
+		g.serveBelief(w, r)
 	default:
 		http.NotFound(w, r)
 	}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -43,7 +43,10 @@
 	pulse    jwclock.Pulse
 	epoch    atomic.Pointer[epoch]
 	meters   *meters
-	viewed   atomic.Int64 // when the store was read last, nanoseconds since begun
+	store    storeState
+	learned  atomic.Uint64 // revision of the store up to which another node told
+	learning atomic.Bool   // another node is asked
+	viewed   atomic.Int64  // when the store was read last, nanoseconds since begun
 	bounds   atomic.Pointer[jwsettings.Bounds]
 	entries  jwentry.Table
 	targets  jwinstance.Table
@@ -87,6 +90,7 @@
 	group.Go(func() error { g.start(work); return nil })
 	group.Go(func() error { g.register(work); return nil })
 	group.Go(func() error { g.exchange(work); return nil })
+	group.Go(func() error { g.probe(work); return nil })
 	group.Go(func() error { g.reload(work); return nil })
 	group.Go(func() error { g.observe(work); return nil })
 	g.Log.Info("started", "bounds", *g.bounds.Load(), "region", g.Settings.Region, "dataCentre", g.Settings.DataCentre)
--- a/io/jwgateway/meters.go
+++ b/io/jwgateway/meters.go
@@ -29,6 +29,7 @@
 	repeats  tally.Counter
 	noBudget tally.Counter
 	opened   tally.Counter
+	probes   tally.Counter
 	version  tally.Gauge
 	nodes    tally.Gauge
 	inFlight tally.Gauge
@@ -48,6 +49,7 @@
 		repeats:  m.Counter("repeats_total", nil),
 		noBudget: m.Counter("repeats_refused_total", nil),
 		opened:   m.Counter("target_connections_total", nil),
+		probes:   m.Counter("target_probes_total", nil),
 		version:  m.Gauge("configuration_version", nil),
 		nodes:    m.Gauge("live_nodes", nil),
 		inFlight: m.Gauge("requests_in_flight", nil),
--- a/io/jwgateway/register.go
+++ b/io/jwgateway/register.go
@@ -55,6 +55,7 @@
 		default:
 			err = g.Feed.Renew(ctx, lease)
 		}
+		g.store.called(time.Now(), err)
 		switch {
 		case errors.Is(err, jwstore.ErrNoLease):
 			lease = 0
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -133,8 +133,12 @@
 }
 
 func configure(feed *jwstore.MemoryFeed, version int, routes ...string) {
-	feed.Write("op/config", fmt.Appendf(nil, `{"Version":%d,"Routes":[%s],"Services":[{"Name":"s","WarmupS":0,"WarmupPerS":0}],
-		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, version, strings.Join(routes, ",")))
+	configureService(feed, version, `{"Name":"s","WarmupS":0,"WarmupPerS":0}`, routes...)
+}
+
+func configureService(feed *jwstore.MemoryFeed, version int, service string, routes ...string) {
+	feed.Write("op/config", fmt.Appendf(nil, `{"Version":%d,"Routes":[%s],"Services":[%s],
+		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, version, strings.Join(routes, ","), service))
 }
 
 // route writes a route to service s.
@@ -605,3 +609,84 @@
 	r := until(t, n, "/a/x", func(r reply) bool { return r.status != http.StatusServiceUnavailable })
 	assert.Equal(t, r.status, http.StatusNotFound)
 }
+
+// A data centre was evacuated as the store went down, so that no node knows,
+// and its targets have gone cold. Sent what a warm one bears, they would crash.
+func TestColdWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-a", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/healthz" {
+			w.Header().Set("Jujubewheel-Instance-Id", "t1")
+			w.Header().Set("Jujubewheel-Cold-Ms", "60000")
+		}
+	})
+	configureService(&feed, 1, `{"Name":"s","HealthPath":"/healthz","WarmupS":60,"WarmupPerS":1}`, route("/a/", "idempotent", ""))
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/a/x", served)
+	for i := range 20 { // it is taken for warm while the store answers
+		r, err := send(t, n, http.MethodGet, "/a/x", fmt.Sprint("warm", i), nil, "")
+		assert.NilError(t, err)
+		assert.Equal(t, r.status, http.StatusOK)
+	}
+	feed.Down(jwstore.ErrUnavailable)
+	until(t, n, "/a/x", func(r reply) bool { return r.status == http.StatusServiceUnavailable })
+}
+
+// One node can't reach the store, another can. The first must hear of a target
+// that leaves, although the configuration has not changed.
+func TestNodeOutOfReachOfTheStore(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	x := startTarget(t, &feed, "t1", "s", "north-a", text("first"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	start(t, &feed, "n1", "north")
+	cut := &cutFeed{Feed: &feed}
+	n := start(t, cut, "n2", "north")
+	until(t, n, "/a/x", served)
+	names := 0
+	for names < 2 {
+		names = len(directory(t, n, "north"))
+		time.Sleep(10 * time.Millisecond)
+	}
+	cut.off.Store(true)
+	startTarget(t, &feed, "t2", "s", "north-a", text("second"))
+	register(&feed, "t1", "s", x.addr, "north-a", "draining")
+	until(t, n, "/a/x", func(r reply) bool { return r.body == "second" })
+	for i := range 20 {
+		r, err := send(t, n, http.MethodGet, "/a/x", fmt.Sprint("after", i), nil, "")
+		assert.NilError(t, err)
+		assert.Equal(t, r.body, "second")
+	}
+}
+
+// cutFeed is a store that a node can't reach while off is set.
+type cutFeed struct {
+	jwstore.Feed
+	off atomic.Bool
+}
+
+func (c *cutFeed) Range(ctx context.Context, prefix string) ([]jwstore.Item, uint64, error) {
+	if c.off.Load() {
+		return nil, 0, jwstore.ErrUnavailable
+	}
+	return c.Feed.Range(ctx, prefix)
+}
+
+func (c *cutFeed) Watch(ctx context.Context, prefix string, after uint64, most time.Duration) ([]jwstore.Event, uint64, error) {
+	if c.off.Load() {
+		return nil, 0, jwstore.ErrUnavailable
+	}
+	events, revision, err := c.Feed.Watch(ctx, prefix, after, most)
+	if c.off.Load() {
+		return nil, 0, jwstore.ErrUnavailable // cut while it waited
+	}
+	return events, revision, err
+}
+
+func (c *cutFeed) Renew(ctx context.Context, lease jwstore.Lease) error {
+	if c.off.Load() {
+		return jwstore.ErrUnavailable
+	}
+	return c.Feed.Renew(ctx, lease)
+}
