--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -33,17 +33,17 @@
 }
 
 // toldSend logs a send to a target.
-func (g *Gateway) toldSend(q *request, c jwinstance.Choice, v Verdict, status int, first time.Duration) {
+func (g *Gateway) toldSend(q *request, c jwinstance.Choice, v Verdict, status int, p progress) {
 	g.meters.sent(stepSend, string(q.entry.Kind), v)
-	if first > 0 {
-		g.meters.begun(placeHere, first)
+	if p.first > 0 {
+		g.meters.begun(placeHere, p.first)
 	}
 	if v == finished && !q.forward {
 		g.meters.ended(string(q.entry.Kind), outcomeOf(status))
 	}
 	d := q.decision(stepSend)
 	d.Target, d.Expected, d.Cold, d.Calls = c.Target.ID, c.Expected, c.Cold, c.Calls
-	d.First = first
+	d.First, d.Pause = p.first, p.pause
 	d.BeliefAge, d.Outcome, d.Status = c.Age, string(v), status
 	d.Minor = v == finished && status < 500
 	if !d.Minor {
@@ -53,13 +53,14 @@
 }
 
 // toldForward logs a request passed on to another node.
-func (g *Gateway) toldForward(q *request, peer string, v Verdict, status int) {
+func (g *Gateway) toldForward(q *request, peer string, v Verdict, status int, p progress) {
 	g.meters.sent(stepForward, string(q.entry.Kind), v)
 	if v == finished {
 		g.meters.ended(string(q.entry.Kind), outcomeOf(status))
 	}
 	d := q.decision(stepForward)
 	d.Peer, d.Outcome, d.Status = peer, string(v), status
+	d.First, d.Pause = p.first, p.pause
 	d.Minor = v == finished && status < 500
 	if !d.Minor {
 		d.Reason = q.refused
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -129,6 +129,8 @@
 		call.Fresh = freshOnce
 	}
 	status := 0
+	begun := time.Now()
+	var p progress
 	verdict := func() Verdict {
 		a, err := g.Nodes.Do(ctx, call)
 		if err != nil {
@@ -136,14 +138,18 @@
 		}
 		defer a.Close()
 		status = a.Status
-		return g.judgeForward(q, m, a)
+		return g.judgeForward(q, m, a, func(int) {
+			if p.came(begun, time.Now()) == 0 {
+				g.meters.begun(placeAway, time.Since(q.arrived))
+			}
+		})
 	}()
-	g.toldForward(q, m.Name, verdict, status)
+	g.toldForward(q, m.Name, verdict, status, p)
 	return verdict
 }
 
 // judgeForward passes the answer of another node on, if it is a target's.
-func (g *Gateway) judgeForward(q *request, m jwmember.Member, a *jwconn.Answer) Verdict {
+func (g *Gateway) judgeForward(q *request, m jwmember.Member, a *jwconn.Answer, came func(int)) Verdict {
 	outcome := a.Header.Get(headOutcome)
 	delete(a.Header, headOutcome)
 	switch outcome {
@@ -157,13 +163,7 @@
 		return notRun
 	case outcomeServed:
 		q.attempts++
-		first := true
-		return g.relay(q, a, func(int) {
-			if first {
-				first = false
-				g.meters.begun(placeAway, time.Since(q.arrived))
-			}
-		})
+		return g.relay(q, a, came)
 	}
 	q.refused = "unknown at " + m.Name
 	q.attempts++
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -18,8 +18,7 @@
 func (g *Gateway) sendTarget(ctx context.Context, q *request, c jwinstance.Choice) Verdict {
 	x := c.Target
 	q.tried[x.ID] = true
-	started := false
-	var first time.Duration
+	var p progress
 	if q.sends == 0 {
 		g.retries.Request(time.Now(), q.service)
 	}
@@ -38,32 +37,48 @@
 		if v, ok := g.judge(q, x, a); !ok {
 			return v
 		}
-		var last time.Time
 		return g.relay(q, a, func(events int) {
 			now := time.Now()
-			if !started {
-				started = true
-				first = now.Sub(begun)
-				g.targets.Started(x, c, q.Prompt, first)
+			pause := p.came(begun, now)
+			if pause == 0 {
+				g.targets.Started(x, c, q.Prompt, p.first)
 			} else {
-				g.targets.Passed(now, x, events, now.Sub(last))
-				g.meters.pauses.RecordDuration(now.Sub(last))
+				g.targets.Passed(now, x, events, pause)
+				g.meters.pauses.RecordDuration(pause)
 			}
-			last = now
 			patience.Reset(mostPause)
 		})
 	}()
-	g.targets.Done(x, c, started)
+	g.targets.Done(x, c, p.first > 0)
 	if verdict == finished && status < http.StatusInternalServerError {
 		g.targets.Served(x)
 	}
 	if verdict == broken && ctx.Err() == nil {
 		g.targets.Failed(x)
 	}
-	g.toldSend(q, c, verdict, status, first)
+	g.toldSend(q, c, verdict, status, p)
 	return verdict
 }
 
+// progress is how the events of an answer came.
+type progress struct {
+	first time.Duration // from the send on, 0 before it came
+	pause time.Duration // the longest
+	last  time.Time
+}
+
+// came notes events and returns the pause before them, 0 for the first.
+func (p *progress) came(begun, now time.Time) time.Duration {
+	defer func() { p.last = now }()
+	if p.first == 0 {
+		p.first = max(now.Sub(begun), 1)
+		return 0
+	}
+	pause := max(now.Sub(p.last), 1)
+	p.pause = max(p.pause, pause)
+	return pause
+}
+
 const (
 	// leastPatience is the shortest wait for a target before another is tried.
 	leastPatience = 250 * time.Millisecond
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -26,6 +26,7 @@
 	Took      time.Duration // since the request arrived
 	Expected  time.Duration // wait for the first event as it was estimated
 	First     time.Duration // wait for the first event as it was
+	Pause     time.Duration // longest between two events
 	Calls     int           // of this node at the target
 	BeliefAge time.Duration // of the target's registration
 	LoadAge   time.Duration // of the target's last report of its load
@@ -58,7 +59,7 @@
 	if x.Minor {
 		log = d.minor
 	}
-	const most = 20
+	const most = 21
 	var buf [most]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
@@ -75,6 +76,7 @@
 	f = appendNumber(f, "tookMs", x.Took.Milliseconds())
 	f = appendNumber(f, "expectedMs", x.Expected.Milliseconds())
 	f = appendNumber(f, "firstMs", x.First.Milliseconds())
+	f = appendNumber(f, "pauseMs", x.Pause.Milliseconds())
 	f = appendNumber(f, "calls", int64(x.Calls))
 	f = appendNumber(f, "beliefAgeMs", x.BeliefAge.Milliseconds())
 	f = appendNumber(f, "loadAgeMs", x.LoadAge.Milliseconds())
