jwgateway: a region is chosen by what it holds of the prompt and what was just sent there

The estimate took half of each prompt as held, and all nodes sent to the region whose last word, up to a second old, was best; prompts crossed in both directions at once. Ruled out: the way (160 of some 1,000 ms) and the other region's own estimate, which was near.

Now the parts that its targets are believed to hold count, and the tokens passed on since its word, once for each node here.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -143,6 +143,23 @@
 	return time.Duration(float64(tokens) / t.pace(service).tokensPerMS * float64(time.Millisecond))
 }
 
+// MissIn returns the prompt tokens that a region's targets probably have to
+// read for a request, and how many of them there are. What another target of the
+// region holds is fetched from it.
+func (t *Table) MissIn(now time.Time, region string, n Need) (miss, targets int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	miss = n.Prompt.Tokens
+	for _, x := range t.of(n.Service) {
+		if x.Region != region || !t.usable(now, x, false) {
+			continue
+		}
+		targets++
+		miss = min(miss, x.cache.missing(n.Prompt))
+	}
+	return miss + int(fetchShare*float64(n.Prompt.Tokens-miss)), targets
+}
+
 // best finds the choice; last admits targets that vanished a moment ago.
 func (t *Table) best(now time.Time, n Need, last bool) (Choice, bool) {
 	var found Choice
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -406,3 +406,20 @@
 	assert.Equal(t, len(a.TellCold(after(1001))), 0)
 	assert.Equal(t, len(b.TellCold(after(1011))), 0)
 }
+
+// A prompt costs a region what its best holder lacks, and a part of what others
+// fetch from that one; what it costs there was taken for half of the prompt.
+func TestMissIn(t *testing.T) {
+	table := &Table{Region: "r"}
+	for _, id := range []string{"far1", "far2", "gone"} {
+		in := instance(id)
+		in.Region = "q"
+		table.Put(t0, in)
+	}
+	table.targets["gone"].cache.use(prompt(1, 2, 3).Parts, 0)
+	table.Remove(t0, "gone", 1)
+	table.targets["far2"].cache.use(prompt(1, 2).Parts, 0)
+	miss, targets := table.MissIn(t0, "q", Need{Service: "s", Prompt: prompt(1, 2, 3)})
+	assert.Equal(t, miss, 1000+int(fetchShare*2000))
+	assert.Equal(t, targets, 2)
+}
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -31,6 +31,7 @@
 	region   string        // empty for none
 	expected time.Duration // until the first event
 	cost     time.Duration
+	miss     int // prompt tokens that have to be read there
 }
 
 // place chooses the region that serves a request: this one, unless another is
@@ -40,7 +41,7 @@
 	best := place{}
 	if q.forward || q.entry.Allows(g.Settings.Region) {
 		if c, ok := g.targets.Look(now, n); ok {
-			best = place{g.Settings.Region, c.Expected, c.Cost}
+			best = place{region: g.Settings.Region, expected: c.Expected, cost: c.Cost}
 		}
 	}
 	if q.forward {
@@ -69,10 +70,15 @@
 	w, known := g.regions.expect(now, region, n.Service)
 	d := g.regions.trip(region) + w.wait
 	if n.Prompt.Tokens > 0 {
-		d += g.targets.Read(n.Service, n.Prompt.Tokens/2) // it holds some of it, as a rule
+		miss, targets := g.targets.MissIn(now, region, n)
+		p.miss = miss
+		// The other nodes of this region see the same and send there too.
+		unseen := g.regions.unseen(region, n.Service) * max(len(g.members.Live(now, g.Settings.Region)), 1)
+		d += g.targets.Read(n.Service, miss+unseen/max(targets, 1))
 	}
 	later := time.Duration(jwinstance.PaceWeight * float64(n.Events) * float64(w.gap))
-	return place{region, d, d + later}, known
+	p.region, p.expected, p.cost = region, d, d+later
+	return p, known
 }
 
 // otherRegions returns the regions that may serve the request and have nodes.
@@ -87,12 +93,14 @@
 }
 
 // sendNode sends the request to a node of another region.
-func (g *Gateway) sendNode(ctx context.Context, q *request, region string) Verdict {
-	nodes := g.untried(q, g.members.Live(time.Now(), region))
+func (g *Gateway) sendNode(ctx context.Context, q *request, region string, miss int) Verdict {
+	now := time.Now()
+	nodes := g.untried(q, g.members.Live(now, region))
 	if len(nodes) == 0 {
 		q.refused = noTarget
 		return notRun
 	}
+	g.regions.send(now, region, q.service, miss)
 	return g.forward(ctx, q, nodes[int(point(q.ID)*float64(len(nodes)))])
 }
 
--- a/io/jwgateway/region.go
+++ b/io/jwgateway/region.go
@@ -1,6 +1,7 @@
 package jwgateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -18,6 +19,14 @@
 	mu    sync.Mutex
 	waits map[string]map[string]regionWait // by region and service
 	trips map[string]time.Duration
+	sent  map[string][]sentWork // by region, what the waits don't tell yet
+}
+
+// sentWork is a request passed on to another region.
+type sentWork struct {
+	service string
+	tokens  int // of its prompt that are read there
+	at      time.Time
 }
 
 type regionWait struct {
@@ -33,7 +42,11 @@
 	defer t.mu.Unlock()
 	if t.waits == nil {
 		t.waits = make(map[string]map[string]regionWait)
+		t.sent = make(map[string][]sentWork)
 	}
+	// What was on its way when the node spoke is not in its word.
+	seen := now.Add(-t.tripTo(s.Member.Region))
+	t.sent[s.Member.Region] = slices.DeleteFunc(t.sent[s.Member.Region], func(w sentWork) bool { return w.at.Before(seen) })
 	services := t.waits[s.Member.Region]
 	if services == nil {
 		services = make(map[string]regionWait)
@@ -76,8 +89,36 @@
 func (t *regionTable) trip(region string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.tripTo(region)
+}
+
+func (t *regionTable) tripTo(region string) time.Duration {
 	if d, ok := t.trips[region]; ok {
 		return d
 	}
 	return firstTrip
 }
+
+// send notes a request passed on to a region.
+func (t *regionTable) send(now time.Time, region, service string, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sent != nil && tokens > 0 {
+		t.sent[region] = append(t.sent[region], sentWork{service, tokens, now})
+	}
+}
+
+// unseen returns the prompt tokens passed on to a region that its wait does
+// not tell yet. Without them all requests of a second go to the region that
+// was free at its beginning, and wait there.
+func (t *regionTable) unseen(region, service string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tokens := 0
+	for _, w := range t.sent[region] {
+		if w.service == service {
+			tokens += w.tokens
+		}
+	}
+	return tokens
+}
--- /dev/null
+++ b/io/jwgateway/region_test.go
@@ -0,0 +1,67 @@
+package jwgateway
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwmember"
+	"jujubewheel/io/jwconn"
+	"jujubewheel/io/jwsettings"
+)
+
+// The load: in a region at its peak each node passes on a third of its prompts.
+// Another region tells its wait once a second. Going by that alone, all prompts
+// of a second went to the region that was free at its beginning, and every third
+// of them was late.
+func TestRegionFillsBetweenItsWords(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+	word := func(region string) state {
+		return state{Member: jwmember.Member{Region: region}, Waits: map[string]int64{"s": 10}}
+	}
+	var table regionTable
+	table.tripped("q", 200*time.Millisecond)
+	table.heard(t0, word("q"))
+	assert.Equal(t, table.unseen("q", "s"), 0)
+	table.send(at(100), "q", "s", 1000)
+	table.send(at(900), "q", "s", 2000)
+	table.send(at(900), "q", "other", 4000)
+	assert.Equal(t, table.unseen("q", "s"), 3000)
+	assert.Equal(t, table.unseen("p", "s"), 0)
+	table.heard(at(1000), word("p"))
+	assert.Equal(t, table.unseen("q", "s"), 3000, "another region spoke")
+	table.heard(at(1000), word("q"))
+	assert.Equal(t, table.unseen("q", "s"), 2000, "sent while the word was on its way")
+	table.heard(at(2000), word("q"))
+	assert.Equal(t, table.unseen("q", "s"), 0)
+}
+
+// The same load as the nodes choose: two regions are as near and as free.
+func TestPromptsSpreadOverRegions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := &Gateway{Settings: &jwsettings.Settings{Region: "r"}, Nodes: &jwconn.Pool{}}
+	for i, region := range []string{"q", "p"} {
+		in := jwinstance.Instance{
+			ID: region, Service: "s", Region: region, Slots: 8,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80),
+		}
+		g.targets.Put(now, in)
+		g.regions.heard(now, state{Member: jwmember.Member{Region: region}, Waits: map[string]int64{"s": 10}})
+	}
+	n := jwinstance.Need{Service: "s", Prompt: jwinstance.Prompt{Tokens: 5000}}
+	sent := map[string]int{}
+	for range 20 {
+		q, _ := g.cost(now, "q", n)
+		p, _ := g.cost(now, "p", n)
+		if p.cost < q.cost {
+			q = p
+		}
+		sent[q.region]++
+		g.regions.send(now, q.region, "s", q.miss)
+	}
+	assert.DeepEqual(t, sent, map[string]int{"q": 10, "p": 10})
+}
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -115,7 +115,7 @@
 		return notRun
 	}
 	if p.region != g.Settings.Region {
-		return g.sendNode(ctx, q, p.region)
+		return g.sendNode(ctx, q, p.region, p.miss)
 	}
 	c, ok := g.targets.Best(now, g.need(q))
 	if !ok {
