jwgateway, jwconn: connections to other nodes are kept for a minute and preferred

The other node keeps its end for two minutes. A process that began anew is noticed by its start, and connections to the one before are dropped, as a host without power closes none.

--- a/cmd/jujubewheel/gateway.go
+++ b/cmd/jujubewheel/gateway.go
@@ -14,6 +14,7 @@
 	"jujubewheel/io/jwgateway"
 	"jujubewheel/io/jwlog"
 	"jujubewheel/io/jwmeter"
+	"jujubewheel/io/jwrest"
 	"jujubewheel/io/jwsettings"
 	"jujubewheel/platform"
 )
@@ -30,6 +31,10 @@
 // connection: some twenty ways there and back.
 const targetDial = 300 * time.Millisecond
 
+// nodeIdle is how long an unused connection to another node is kept: half as
+// long as that one does. To open one across regions takes a way there and back.
+const nodeIdle = jwrest.DefaultIdleTimeout / 2
+
 // settingsPoll is how often the settings file is looked at: it may change
 // without a signal.
 const settingsPoll = 2 * time.Second
@@ -65,7 +70,7 @@
 		Records:   platform.Records{Regions: o.DataCentres},
 		Dialect:   platform.Headers{},
 		Targets:   &jwconn.Pool{DialTimeout: targetDial},
-		Nodes:     &jwconn.Pool{},
+		Nodes:     &jwconn.Pool{Idle: nodeIdle},
 		Log:       log,
 		Meter:     meter,
 		LostLines: queue.Lost,
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -51,31 +51,33 @@
 	failed     time.Time // last attempt to reach it that failed
 }
 
-// Put takes the registration of a node.
-func (t *Table) Put(now time.Time, m Member) {
+// Put takes the registration of a node; it tells whether it is of a process
+// that began anew.
+func (t *Table) Put(now time.Time, m Member) (anew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(m)
 	if r == nil {
-		return
+		return false
 	}
 	if !r.registered || r.Start < m.Start {
 		r.since = now
 	}
 	r.registered = true
-	r.take(m)
+	return r.take(m)
 }
 
-// Heard notes that a node spoke itself.
-func (t *Table) Heard(now time.Time, m Member) {
+// Heard notes that a node spoke itself; it tells whether that is a process that
+// began anew.
+func (t *Table) Heard(now time.Time, m Member) (anew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(m)
 	if r == nil {
-		return
+		return false
 	}
 	r.heard = now
-	r.take(m)
+	return r.take(m)
 }
 
 // HeardOf notes that another node says that it heard these lately. Nodes of
@@ -192,11 +194,14 @@
 }
 
 // take keeps what is newer: the store may still tell what a process that is
-// stopping wrote before, and callers must not be sent there again.
-func (r *record) take(m Member) {
+// stopping wrote before, and callers must not be sent there again. It tells
+// whether the process is a later one.
+func (r *record) take(m Member) (anew bool) {
+	anew = r.Start != 0 && m.Start > r.Start
 	if m.Start > r.Start || m.Start == r.Start && m.Change >= r.Change {
 		r.Member = m
 	}
+	return anew
 }
 
 // live tells whether a node is believed to run.
--- a/core/jwmember/table_test.go
+++ b/core/jwmember/table_test.go
@@ -103,3 +103,18 @@
 		assert.Equal(t, owners, 1, name)
 	}
 }
+
+// A host lost power and its node runs again. Connections to the process before
+// are dead, though nothing closed them.
+func TestProcessThatBeganAnew(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := &Table{Self: member("a", "r", 1)}
+	first := member("b", "r", 1)
+	again := first
+	again.Start = 2
+	assert.Assert(t, !table.Put(now, first), "it is new")
+	assert.Assert(t, !table.Heard(now, first))
+	assert.Assert(t, table.Heard(now, again))
+	assert.Assert(t, !table.Heard(now, again))
+	assert.Assert(t, !table.Put(now, first), "the store lags behind")
+}
--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -382,6 +382,13 @@
 	p.idle[peer] = append(list, cn)
 }
 
+// Kept returns how many unused connections to an address there are.
+func (p *Pool) Kept(peer netip.AddrPort) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[peer])
+}
+
 // Drop closes the kept connections to an address: one that fell silent tells
 // that the others may have too.
 func (p *Pool) Drop(peer netip.AddrPort) {
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -171,7 +171,9 @@
 // heardState takes what a peer tells of itself.
 func (g *Gateway) heardState(s state, from jwmember.Member) {
 	now := time.Now()
-	g.members.Heard(now, s.Member)
+	if g.members.Heard(now, s.Member) {
+		g.beganAnew(s.Member)
+	}
 	g.regions.heard(now, s)
 	g.members.HeardOf(now, s.Near)
 	g.targets.Hear(now, s.Member.Name, s.Loads, s.Placed)
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -182,7 +182,16 @@
 		g.Log.Info("node registration not readable", "peer", name)
 		return
 	}
-	g.members.Put(now, m)
+	if g.members.Put(now, m) {
+		g.beganAnew(m)
+	}
+}
+
+// beganAnew drops the connections to the process before: where its host lost
+// power, nothing has closed them, and the next request on one would be lost.
+func (g *Gateway) beganAnew(m jwmember.Member) {
+	g.Log.Info("node began anew", "peer", m.Name)
+	g.Nodes.Drop(m.Nodes)
 }
 
 // keepEvacuated ends all evacuations but those named.
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -101,7 +101,23 @@
 		return notRun
 	}
 	g.regions.send(now, region, q.service, miss)
-	return g.forward(ctx, q, nodes[int(point(q.ID)*float64(len(nodes)))])
+	return g.forward(ctx, q, g.near(nodes, point(q.ID)))
+}
+
+// near returns one of the nodes by a point in [0, 1), of those to which a
+// connection is open if there are any: to open one takes as long as the answer
+// of a quick target, which made two of three such requests late.
+func (g *Gateway) near(nodes []jwmember.Member, point float64) jwmember.Member {
+	var open []jwmember.Member
+	for _, m := range nodes {
+		if g.Nodes.Kept(m.Nodes) > 0 {
+			open = append(open, m)
+		}
+	}
+	if len(open) > 0 {
+		nodes = open
+	}
+	return nodes[int(point*float64(len(nodes)))]
 }
 
 func (g *Gateway) untried(q *request, nodes []jwmember.Member) []jwmember.Member {
@@ -133,9 +149,6 @@
 		Body: q.body.held, Rest: q.body.reader(), Length: q.body.length,
 		Match: func(h http.Header) bool { return g.Dialect.ID(h) == q.ID },
 	}
-	if !e.Repeatable() {
-		call.Fresh = freshOnce
-	}
 	status := 0
 	begun := time.Now()
 	var p progress
--- a/io/jwgateway/region_test.go
+++ b/io/jwgateway/region_test.go
@@ -1,6 +1,9 @@
 package jwgateway
 
 import (
+	"io"
+	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -65,3 +68,26 @@
 	}
 	assert.DeepEqual(t, sent, map[string]int{"q": 10, "p": 10})
 }
+
+// The load: a few bound requests a second to each node of the home region. Each
+// went to another node, over a new connection, and took twice as long.
+func TestNodeWithAnOpenConnectionIsNear(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &http.Server{Handler: http.NotFoundHandler()}
+	go func() { _ = s.Serve(l) }()
+	defer s.Close()
+	open := netip.MustParseAddrPort(l.Addr().String())
+	closed := netip.MustParseAddrPort("127.0.0.1:1")
+	nodes := []jwmember.Member{{Name: "a", Nodes: closed}, {Name: "b", Nodes: open}, {Name: "c", Nodes: closed}}
+	g := &Gateway{Nodes: &jwconn.Pool{}}
+	assert.Equal(t, g.near(nodes, 0.1).Name, "a")
+	a, err := g.Nodes.Do(t.Context(), &jwconn.Call{Peer: open, Method: http.MethodGet, Target: "/", Host: "h"})
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, a.Body)
+	assert.NilError(t, err)
+	a.Close()
+	for _, point := range []float64{0, 0.1, 0.9} {
+		assert.Equal(t, g.near(nodes, point).Name, "b")
+	}
+}
