--- /dev/null
+++ b/cmd/jujubebench/day.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"jujubewheel/io/jwchart"
+	"jujubewheel/io/jwtell"
+)
+
+// dayCommand draws a day.
+type dayCommand struct {
+	Files []string `arg:"" type:"existingfile" help:"Logs of nodes; - for standard input."`
+}
+
+// Run writes the plot to standard output.
+func (c *dayCommand) Run() error {
+	log := &jwtell.Log{}
+	for _, file := range c.Files {
+		if err := readFile(log, file); err != nil {
+			return err
+		}
+	}
+	return jwchart.Day(os.Stdout, jwtell.DayOf(log))
+}
+
+func readFile(into *jwtell.Log, file string) error {
+	var r io.Reader = os.Stdin
+	if file != "-" {
+		f, err := os.Open(file)
+		if err != nil {
+			return errors.Wrap(err, "day")
+		}
+		defer f.Close()
+		r = f
+	}
+	return errors.Wrap(into.Read(r), file)
+}
--- a/cmd/jujubebench/main.go
+++ b/cmd/jujubebench/main.go
@@ -25,6 +25,7 @@
 	Policies policiesCommand `cmd:"" help:"Compares the decisions of a node with simple rules, in virtual time."`
 	System   systemCommand   `cmd:"" help:"Measures nodes over sockets under load and faults."`
 	Subsets  subsetsCommand  `cmd:"" help:"Compares how many targets each node uses and how often it asks for their load."`
+	Day      dayCommand      `cmd:"" help:"Draws what the logs of nodes tell of a day, as SVG."`
 	Slopes   slopesCommand   `cmd:"" help:"Measures how the control work of a node grows with the system."`
 }
 
--- /dev/null
+++ b/io/jwchart/day.go
@@ -0,0 +1,88 @@
+package jwchart
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"jujubewheel/io/jwtell"
+)
+
+const (
+	width       = 26 * vg.Centimeter
+	panelHeight = 6 * vg.Centimeter
+)
+
+// Day writes a day as SVG, one panel below the other: requests by how they
+// ended, what was turned away by reason, how old the oldest view of the store
+// was, and which nodes were away. The x axis is in seconds from the first line.
+func Day(w io.Writer, d *jwtell.Day) error {
+	panels := []struct {
+		title string
+		list  []jwtell.Series
+	}{
+		{"requests a second, by how they ended", d.Outcomes},
+		{"turned away a second, by reason", d.Refusals},
+		{"seconds without an answer of the store, the longest of all nodes", []jwtell.Series{d.StoreAge}},
+		{"nodes without the store (up) and away (down), each on its line", states(d)},
+	}
+	canvas := vgsvg.New(width, panelHeight*vg.Length(len(panels)))
+	tiles := draw.Tiles{
+		Rows: len(panels), Cols: 1, PadY: vg.Centimeter / 2,
+		PadTop: vg.Millimeter, PadBottom: vg.Millimeter, PadLeft: vg.Millimeter, PadRight: vg.Millimeter,
+	}
+	area := draw.New(canvas)
+	for i, panel := range panels {
+		p, err := lines(panel.title, panel.list)
+		if err != nil {
+			return errors.Wrapf(err, "plot: %s", panel.title)
+		}
+		p.Draw(tiles.At(area, 0, i))
+	}
+	_, err := canvas.WriteTo(w)
+	return errors.Wrap(err, "write plot")
+}
+
+// states puts each node on a line of its own that goes up while it has no
+// store and down while it is away.
+func states(d *jwtell.Day) []jwtell.Series {
+	const step = 0.4
+	var list []jwtell.Series
+	for i, lost := range d.StoreLost {
+		away := d.Away[i].Counts
+		s := jwtell.Series{Name: lost.Name, Counts: make([]float64, len(away))}
+		for second := range away {
+			s.Counts[second] = float64(i) + step*(lost.Counts[second]-away[second])
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+func lines(title string, list []jwtell.Series) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.Legend.Top = true
+	p.Legend.TextStyle.Font.Size = vg.Points(7)
+	for i, s := range list {
+		points := make(plotter.XYs, len(s.Counts))
+		for second, n := range s.Counts {
+			points[second].X, points[second].Y = float64(second), n
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, err
+		}
+		line.Color = plotutil.Color(i)
+		line.StepStyle = plotter.PostStep
+		p.Add(line)
+		p.Legend.Add(s.Name, line)
+	}
+	return p, nil
+}
--- a/io/jwcommand/explain.go
+++ b/io/jwcommand/explain.go
@@ -20,6 +20,8 @@
 type explainCommand struct {
 	Request  explainRequest  `cmd:"" help:"Show the decisions on a request at each of the nodes asked."`
 	Log      explainLog      `cmd:"" help:"Tell the way of a request from the logs of several nodes."`
+	Belief   explainBelief   `cmd:"" help:"Tell from its log what a node believed at a moment."`
+	Target   explainTarget   `cmd:"" help:"Tell from logs why a target got nothing between two moments."`
 	Revision explainRevision `cmd:"" help:"Show who made a catalogue revision and how far it is in force."`
 }
 
--- a/io/jwcommand/explainlog.go
+++ b/io/jwcommand/explainlog.go
@@ -1,7 +1,10 @@
 package jwcommand
 
 import (
+	"fmt"
+	"io"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -17,10 +20,8 @@
 // Run reads all files before it tells anything.
 func (c *explainLog) Run(p *Program) error {
 	story := &jwtell.Story{Request: c.ID}
-	for _, file := range c.Files {
-		if err := readLog(story, file); err != nil {
-			return err
-		}
+	if err := readLogs(story, c.Files); err != nil {
+		return err
 	}
 	story.Tell(p.Stdout)
 	if len(story.Lines) == 0 {
@@ -29,14 +30,75 @@
 	return nil
 }
 
-func readLog(story *jwtell.Story, file string) error {
+// explainBelief tells what a node believed at a moment.
+type explainBelief struct {
+	Node  string    `arg:"" help:"The node's name."`
+	At    time.Time `arg:"" help:"The moment by the node's clock, as 2026-01-02T15:04:05Z."`
+	Files []string  `arg:"" type:"existingfile" help:"Logs of the node; - for standard input."`
+}
+
+// Run implements the command.
+func (c *explainBelief) Run(p *Program) error {
+	log := &jwtell.Log{}
+	if err := readLogs(log, c.Files); err != nil {
+		return err
+	}
+	b := log.Believed(c.Node, c.At)
+	b.Tell(p.Stdout, c.At)
+	tellDamaged(p, log)
+	if b.Last.IsZero() {
+		return &exitError{Failed, errTold}
+	}
+	return nil
+}
+
+// explainTarget tells why a target got nothing between two moments.
+type explainTarget struct {
+	ID    string    `arg:"" help:"The target's name."`
+	From  time.Time `arg:"" help:"As 2026-01-02T15:04:05Z."`
+	To    time.Time `arg:"" help:"As 2026-01-02T15:04:05Z."`
+	Files []string  `arg:"" type:"existingfile" help:"Logs of the nodes of its region; - for standard input."`
+}
+
+// Run implements the command.
+func (c *explainTarget) Run(p *Program) error {
+	log := &jwtell.Log{}
+	if err := readLogs(log, c.Files); err != nil {
+		return err
+	}
+	log.Idle(p.Stdout, c.ID, c.From, c.To)
+	tellDamaged(p, log)
+	return nil
+}
+
+func tellDamaged(p *Program, log *jwtell.Log) {
+	if log.Damaged > 0 {
+		fmt.Fprintf(p.Stdout, "(%d damaged lines passed over)\n", log.Damaged)
+	}
+}
+
+// logReader is what logs are read into.
+type logReader interface {
+	Read(r io.Reader) error
+}
+
+func readLogs(into logReader, files []string) error {
+	for _, file := range files {
+		if err := readLog(into, file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(into logReader, file string) error {
 	if file == "-" {
-		return story.Read(os.Stdin)
+		return into.Read(os.Stdin)
 	}
 	f, err := os.Open(file)
 	if err != nil {
-		return errors.Wrap(err, "explain log")
+		return errors.Wrap(err, "explain")
 	}
 	defer f.Close()
-	return errors.Wrap(story.Read(f), file)
+	return errors.Wrap(into.Read(f), file)
 }
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -165,7 +165,7 @@
 	in.Revision = e.Revision
 	if change := g.targets.Put(now, in); change != jwinstance.Same {
 		g.Log.Info("target", "target", id, "change", change, "service", in.Service, "dataCentre", in.DataCentre,
-			"draining", in.Draining, "cold", in.Cold.String(), "left", in.Left.String())
+			"draining", in.Draining, "coldMs", in.Cold.Milliseconds(), "goneInMs", in.Left.Milliseconds())
 	}
 }
 
--- a/io/jwgateway/probe.go
+++ b/io/jwgateway/probe.go
@@ -86,7 +86,7 @@
 	defer a.Close()
 	drain(a)
 	if told := g.Dialect.Answer(a.Header); told.Target == x.ID && told.Cold > 0 {
-		g.Log.Info("target cold by its own word", "target", x.ID, "left", told.Cold.String())
+		g.Log.Info("target cold by its own word", "target", x.ID, "coldMs", told.Cold.Milliseconds())
 		g.targets.Cold(time.Now(), x, told.Cold)
 	}
 }
--- a/io/jwlog/queue.go
+++ b/io/jwlog/queue.go
@@ -1,6 +1,7 @@
 package jwlog
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -56,6 +57,11 @@
 	return len(line), nil
 }
 
+// lostLine tells how many lines were dropped since the start.
+func lostLine(now time.Time, lost int64) []byte {
+	return fmt.Appendf(nil, `{"level":"info","time":%q,"message":"log lines lost","lines":%d}`+"\n", now.UTC().Format(time.RFC3339Nano), lost)
+}
+
 // gather is how long lines are collected before they are written together.
 const gather = 20 * time.Millisecond
 
@@ -63,6 +69,7 @@
 func (q *Queue) Run(done <-chan struct{}) {
 	q.init()
 	var spare []byte
+	told := int64(0) // lost lines that a line told of
 	for {
 		ended := false
 		select {
@@ -83,6 +90,10 @@
 			_, _ = q.W.Write(lines)
 		}
 		spare = lines
+		if lost := q.Lost(); lost > told {
+			_, _ = q.W.Write(lostLine(time.Now(), lost))
+			told = lost
+		}
 		if ended {
 			return
 		}
--- a/io/jwlog/queue_test.go
+++ b/io/jwlog/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -38,7 +39,9 @@
 	close(done)
 	<-ended
 	w.Close()
-	assert.Assert(t, strings.Contains(<-read, `"request":"failed"`))
+	all := <-read
+	assert.Assert(t, strings.Contains(all, `"request":"failed"`))
+	assert.Assert(t, strings.Contains(all, fmt.Sprintf(`"message":"log lines lost","lines":%d}`, minorLost)))
 }
 
 func TestDecisionLine(t *testing.T) {
--- /dev/null
+++ b/io/jwtell/belief.go
@@ -0,0 +1,219 @@
+package jwtell
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Event is one line of a log that tells a change of what a node believes, or a
+// decision about a request.
+type Event struct {
+	Line
+	Time       time.Time `json:"time"`
+	Change     string    `json:"change"`
+	DataCentre string    `json:"dataCentre"`
+	On         bool      `json:"on"`
+	Draining   bool      `json:"draining"`
+}
+
+// Log is what logs of nodes hold, in the order of each. The clocks of nodes may
+// differ, so that times are compared within one node only, and where a clock was
+// set back a line has the time of the one above it.
+type Log struct {
+	Nodes   map[string][]Event
+	Damaged int // lines that could not be read
+	Jumps   int // lines whose time is before that of the line above them
+}
+
+// Read adds one log. What stands before a line's first brace is passed over, as
+// collectors put the time or the host there; lines of several nodes may be mixed.
+func (l *Log) Read(r io.Reader) error {
+	if l.Nodes == nil {
+		l.Nodes = make(map[string][]Event)
+	}
+	in := bufio.NewScanner(r)
+	in.Buffer(make([]byte, 0, 64<<10), longLine)
+	for in.Scan() {
+		begin := strings.IndexByte(in.Text(), '{')
+		if begin < 0 {
+			continue
+		}
+		var e Event
+		if json.Unmarshal(in.Bytes()[begin:], &e) != nil || e.Node == "" {
+			l.Damaged++
+			continue
+		}
+		before := l.Nodes[e.Node]
+		if len(before) > 0 && e.Time.Before(before[len(before)-1].Time) {
+			// The clock was set back; the order of lines is right.
+			l.Jumps++
+			e.Time = before[len(before)-1].Time
+		}
+		l.Nodes[e.Node] = append(before, e)
+	}
+	return errors.Wrap(in.Err(), "read log")
+}
+
+// Belief is what a node believed at a moment.
+type Belief struct {
+	Node      string
+	Running   bool
+	Version   uint64            // of the configuration, 0 before the first
+	Evacuated []string          // data centres
+	StoreLost time.Time         // since when the store did not answer, zero while it does
+	Targets   map[string]Target // by name
+	Last      time.Time         // of the last line before the moment
+}
+
+// Target is what a node believed of a target.
+type Target struct {
+	State      string // appeared, beganAnew, returned, draining or gone
+	DataCentre string
+	Service    string
+	Since      time.Time
+}
+
+// Believed returns what a node believed at a moment of its own clock.
+func (l *Log) Believed(node string, at time.Time) Belief {
+	b := Belief{Node: node, Targets: make(map[string]Target)}
+	for i := range l.Nodes[node] {
+		e := &l.Nodes[node][i]
+		if e.Time.After(at) {
+			break
+		}
+		b.Last = e.Time
+		b.take(e)
+	}
+	return b
+}
+
+func (b *Belief) take(e *Event) {
+	switch e.Message {
+	case "started":
+		*b = Belief{Node: b.Node, Running: true, Targets: make(map[string]Target), Last: e.Time}
+	case "stopped":
+		b.Running = false
+	case "configuration in force":
+		b.Version = e.Version
+	case "store lost":
+		b.StoreLost = e.Time
+	case "store regained":
+		b.StoreLost = time.Time{}
+	case "evacuation":
+		b.Evacuated = slices.DeleteFunc(b.Evacuated, func(dc string) bool { return dc == e.DataCentre })
+		if e.On {
+			b.Evacuated = append(b.Evacuated, e.DataCentre)
+		}
+	case "target":
+		state := e.Change
+		if e.Draining {
+			state = "draining"
+		}
+		b.Targets[e.Target] = Target{State: state, DataCentre: e.DataCentre, Service: e.Service, Since: e.Time}
+	case "target registration gone":
+		t := b.Targets[e.Target]
+		t.State, t.Since = "gone", e.Time
+		b.Targets[e.Target] = t
+	}
+}
+
+// Tell writes a belief in plain words; it rests on the lines that could be read.
+func (b *Belief) Tell(w io.Writer, at time.Time) {
+	if b.Last.IsZero() {
+		fmt.Fprintf(w, "%s: no line before then\n", b.Node)
+		return
+	}
+	state := "running"
+	if !b.Running {
+		state = "not running"
+	}
+	fmt.Fprintf(w, "%s: %s, configuration %d, last line %s before\n", b.Node, state, b.Version, at.Sub(b.Last).Round(time.Millisecond))
+	if !b.StoreLost.IsZero() {
+		fmt.Fprintf(w, "  the store had not answered for %s; what follows is of before\n", at.Sub(b.StoreLost).Round(time.Millisecond))
+	}
+	for _, dc := range b.Evacuated {
+		fmt.Fprintf(w, "  data centre %s evacuated\n", dc)
+	}
+	names := make([]string, 0, len(b.Targets))
+	for name := range b.Targets {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		t := b.Targets[name]
+		fmt.Fprintf(w, "  target %s of %s in %s: %s for %s\n", name, t.Service, t.DataCentre, t.State, at.Sub(t.Since).Round(time.Millisecond))
+	}
+}
+
+// Idle tells why a target got nothing, or little, between two moments: for each
+// node what it sent there, and what it believed that speaks against the target.
+func (l *Log) Idle(w io.Writer, target string, from, to time.Time) {
+	nodes := make([]string, 0, len(l.Nodes))
+	for name := range l.Nodes {
+		nodes = append(nodes, name)
+	}
+	slices.Sort(nodes)
+	for _, node := range nodes {
+		l.idleAt(w, node, target, from, to)
+	}
+	if l.Jumps > 0 {
+		fmt.Fprintf(w, "(clocks were set back %d times; moments are of each node's own clock)\n", l.Jumps)
+	}
+}
+
+func (l *Log) idleAt(w io.Writer, node, target string, from, to time.Time) {
+	b := l.Believed(node, from)
+	t, known := b.Targets[target]
+	sends := map[string]int{}
+	var reasons []string
+	for i := range l.Nodes[node] {
+		e := &l.Nodes[node][i]
+		if e.Time.Before(from) || e.Time.After(to) {
+			continue
+		}
+		b.take(e)
+		switch {
+		case e.Message == "send" && e.Target == target:
+			sends[e.outcome()]++
+		case e.Target == target:
+			reasons = append(reasons, fmt.Sprintf("after %s: %s %s", e.Time.Sub(from).Round(time.Millisecond), e.Message, e.Change))
+		case e.Message == "evacuation" && e.DataCentre == t.DataCentre:
+			reasons = append(reasons, fmt.Sprintf("after %s: evacuation of its data centre, on: %t", e.Time.Sub(from).Round(time.Millisecond), e.On))
+		}
+	}
+	fmt.Fprintf(w, "%s: ", node)
+	switch {
+	case !known && len(reasons) == 0 && len(sends) == 0:
+		fmt.Fprintln(w, "never heard of it")
+		return
+	case known:
+		fmt.Fprintf(w, "%s for %s at the beginning", t.State, from.Sub(t.Since).Round(time.Millisecond))
+	default:
+		fmt.Fprint(w, "not known at the beginning")
+	}
+	if slices.Contains(b.Evacuated, t.DataCentre) {
+		fmt.Fprint(w, ", its data centre evacuated at the end")
+	}
+	fmt.Fprintln(w)
+	for _, r := range reasons {
+		fmt.Fprintf(w, "  %s\n", r)
+	}
+	outcomes := make([]string, 0, len(sends))
+	for name := range sends {
+		outcomes = append(outcomes, name)
+	}
+	slices.Sort(outcomes)
+	for _, name := range outcomes {
+		fmt.Fprintf(w, "  %d sends: %s\n", sends[name], name)
+	}
+	if len(sends) == 0 {
+		fmt.Fprintln(w, "  no send ended there")
+	}
+}
--- /dev/null
+++ b/io/jwtell/day.go
@@ -0,0 +1,159 @@
+package jwtell
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Series is a count for each second of a day.
+type Series struct {
+	Name   string
+	Counts []float64
+}
+
+// Day is what logs tell second by second, by the nodes' own clocks.
+type Day struct {
+	Start     time.Time
+	Outcomes  []Series // requests by how they ended, at the node that the caller spoke to
+	Refusals  []Series // of these, what was turned away by reason
+	StoreLost []Series // 1 by node while the store does not answer
+	Away      []Series // 1 by node while it does not run
+	StoreAge  Series   // longest time, in seconds, for which a running node has had no answer
+}
+
+// days bound what one plot shows, so that a clock that is years ahead does not
+// make it endless.
+const longestDay = 24 * time.Hour
+
+// DayOf counts what a log holds.
+func DayOf(l *Log) *Day {
+	first, last := l.span()
+	d := &Day{Start: first.Truncate(time.Second)}
+	n := int(min(last.Sub(d.Start), longestDay)/time.Second) + 1
+	outcomes, refusals := map[string][]float64{}, map[string][]float64{}
+	d.StoreAge = Series{"longest", make([]float64, n)}
+	names := make([]string, 0, len(l.Nodes))
+	for name := range l.Nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		events := l.Nodes[name]
+		for i := range events {
+			e := &events[i]
+			if outcome, reason := e.ending(); outcome != "" {
+				d.count(outcomes, outcome, e.Time, n)
+				if reason != "" {
+					d.count(refusals, reason, e.Time, n)
+				}
+			}
+		}
+		lost, away := states(events, d.Start, n)
+		d.StoreLost = append(d.StoreLost, Series{name, lost})
+		d.Away = append(d.Away, Series{name, away})
+		age := 0.0
+		for i := range n {
+			age = (age + 1) * lost[i]
+			d.StoreAge.Counts[i] = max(d.StoreAge.Counts[i], age)
+		}
+	}
+	d.Outcomes, d.Refusals = seriesOf(outcomes), seriesOf(refusals)
+	return d
+}
+
+func (l *Log) span() (first, last time.Time) {
+	for _, events := range l.Nodes {
+		if len(events) == 0 {
+			continue
+		}
+		if a := events[0].Time; first.IsZero() || a.Before(first) {
+			first = a
+		}
+		if b := events[len(events)-1].Time; b.After(last) {
+			last = b
+		}
+	}
+	return first, last
+}
+
+// ending returns how the request of a line ended for its caller, "" if it did
+// not end there, and why it was turned away.
+func (e *Event) ending() (outcome, reason string) {
+	switch {
+	case e.Entry == "":
+		return "", ""
+	case e.Message == "answer" && e.Outcome == "notRun":
+		return "turned away", e.Reason
+	case e.Message == "answer":
+		return e.outcomeOnly(), ""
+	case e.Outcome != "finished" || e.Message != "send" && e.Message != "forward":
+		return "", ""
+	case e.Status >= 500:
+		return "target's failure", ""
+	}
+	return "served", ""
+}
+
+func (l *Line) outcomeOnly() string {
+	text, _, _ := strings.Cut(l.outcome(), " with ")
+	return text
+}
+
+func (d *Day) count(into map[string][]float64, name string, at time.Time, n int) {
+	if into[name] == nil {
+		into[name] = make([]float64, n)
+	}
+	if i := int(at.Sub(d.Start) / time.Second); i < n {
+		into[name][i]++
+	}
+}
+
+// states returns for each second whether the store was lost to a node and
+// whether it was away.
+func states(events []Event, start time.Time, n int) (lost, away []float64) {
+	lost, away = make([]float64, n), make([]float64, n)
+	i, isLost, isAway := 0, 0.0, 1.0
+	for second := range n {
+		end := start.Add(time.Duration(second+1) * time.Second)
+		for ; i < len(events) && events[i].Time.Before(end); i++ {
+			switch events[i].Message {
+			case "store lost":
+				isLost = 1
+			case "store regained":
+				isLost = 0
+			case "started":
+				isLost, isAway = 0, 0
+			case "stopped":
+				isLost, isAway = 0, 1
+			}
+		}
+		lost[second], away[second] = isLost, isAway
+	}
+	killed(events, start, away)
+	return lost, away
+}
+
+// killed marks the seconds between a start and the line before it, which is
+// all that a process leaves that was killed.
+func killed(events []Event, start time.Time, away []float64) {
+	for i := 1; i < len(events); i++ {
+		if events[i].Message != "started" {
+			continue
+		}
+		from := int(events[i-1].Time.Sub(start)/time.Second) + 1
+		to := int(events[i].Time.Sub(start) / time.Second)
+		for second := from; second < min(to, len(away)); second++ {
+			away[second] = 1
+		}
+	}
+}
+
+func seriesOf(counts map[string][]float64) []Series {
+	var list []Series
+	for name, c := range counts {
+		list = append(list, Series{name, c})
+	}
+	slices.SortFunc(list, func(a, b Series) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
