jwmember, spec: a node uses no share of cold targets before all others count it

Found by a Promela model of the shares: two nodes use a half each, a third one joins behind a cut and uses a third of what it sees, and the sum exceeds the bound; so it does if the third one joins properly within the same second. A node now waits until every registered node of its region has spoken with it, 1.1 s ago or earlier.

--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -20,6 +20,11 @@
 	// forget is how long an unregistered, silent node is remembered; it still
 	// counts where shares have to be cautious.
 	forget = time.Minute
+	// knownFor is how long a node relies on being counted by another that it
+	// heard: less than that one remembers it, by more than any way between them.
+	knownFor = 50 * time.Second
+	// window is what sums are kept within, with some room.
+	window = 1100 * time.Millisecond
 )
 
 // Member is a node as it describes itself.
@@ -48,6 +53,7 @@
 	registered bool
 	since      time.Time // of the registration
 	heard      time.Time
+	met        time.Time // first heard by this process
 	failed     time.Time // last attempt to reach it that failed
 }
 
@@ -77,6 +83,9 @@
 		return false
 	}
 	r.heard = now
+	if r.met.IsZero() {
+		r.met = now
+	}
 	return r.take(m)
 }
 
@@ -299,6 +308,24 @@
 	return n
 }
 
+// KnownToAll tells whether every registered node of the own region counts this
+// one: it has spoken with it, lately, and so long ago that what it used before,
+// when it shared a sum among fewer, has left the window. Otherwise the others may
+// use the whole sum without this node; see spec/share.
+func (t *Table) KnownToAll(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.members {
+		if !r.registered || r.Region != t.Self.Region {
+			continue
+		}
+		if now.Sub(r.heard) > knownFor || now.Sub(r.met) < window {
+			return false
+		}
+	}
+	return true
+}
+
 // Owns tells whether the node itself is the one of its region that a name
 // falls to, by rendezvous hashing over the live nodes.
 func (t *Table) Owns(now time.Time, name string) bool {
--- a/core/jwmember/table_test.go
+++ b/core/jwmember/table_test.go
@@ -118,3 +118,30 @@
 	assert.Assert(t, !table.Heard(now, again))
 	assert.Assert(t, !table.Put(now, first), "the store lags behind")
 }
+
+// A node joins behind a cut and another one of the region never hears of it.
+// Each of the old ones uses its half of a sum; with a third more from the new
+// one the sum would be exceeded.
+func TestKnownToAll(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	cases := map[string]struct {
+		do   func(*Table)
+		want bool
+	}{
+		"alone":                         {func(*Table) {}, true},
+		"one registered, never heard":   {func(t *Table) { t.Put(t0, member("b", "r", 1)) }, false},
+		"all heard":                     {func(t *Table) { t.Put(t0, member("b", "r", 1)); t.Heard(t0.Add(-2*time.Second), member("b", "r", 1)) }, true},
+		"heard a moment ago":            {func(t *Table) { t.Put(t0, member("b", "r", 1)); t.Heard(t0, member("b", "r", 1)) }, false},
+		"of another region":             {func(t *Table) { t.Put(t0, member("b", "q", 1)) }, true},
+		"its registration is gone":      {func(t *Table) { t.Put(t0, member("b", "r", 1)); t.Remove("b") }, true},
+		"heard, but nearly forgotten":   {func(t *Table) { t.Put(t0, member("b", "r", 1)); t.Heard(t0.Add(-55*time.Second), member("b", "r", 1)) }, false},
+		"heard before its key was read": {func(t *Table) { t.Heard(t0.Add(-2*time.Second), member("b", "r", 1)); t.Put(t0, member("b", "r", 1)) }, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Self: member("a", "r", 1)}
+			c.do(table)
+			assert.Equal(t, table.KnownToAll(t0), c.want)
+		})
+	}
+}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -195,6 +195,9 @@
 // coldShare is how many requests a second this node may send to a cold target.
 func (g *Gateway) coldShare(service, target string) float64 {
 	now := time.Now()
+	if !g.members.KnownToAll(now) {
+		return 0
+	}
 	_, rate := g.warmup(service)
 	b := g.bounds.Load()
 	l := jwbudget.ColdLimits{Rate: rate, Ratio: b.ColdRatio, Slack: b.ColdSlack}
--- a/io/jwtell/belief_test.go
+++ b/io/jwtell/belief_test.go
@@ -87,7 +87,7 @@
 func FuzzReadAll(f *testing.F) {
 	f.Add(beliefLog)
 	f.Add("{}\n{\"node\":1}\n{{{")
-	f.Fuzz(func(t *testing.T, text string) {
+	f.Fuzz(func(_ *testing.T, text string) {
 		l := &Log{}
 		if err := l.Read(strings.NewReader(text)); err != nil {
 			return
