--- a/core/jwbudget/retry.go
+++ b/core/jwbudget/retry.go
@@ -57,17 +57,32 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.window(service)
-	l := r.Limits()
-	w.requests = since(w.requests, now.Add(-l.Window))
-	w.repeats = since(w.repeats, now.Add(-l.Window))
-	most := safety * (l.Ratio*float64(len(w.requests)) + l.Slack/float64(max(r.Nodes(), 1)))
-	if float64(len(w.repeats)+1) > most {
+	if r.left(now, w) < 1 {
 		return false
 	}
 	w.repeats = append(w.repeats, now)
 	return true
 }
 
+// Left returns how many repeats this node may make now, by service.
+func (r *Retry) Left(now time.Time) map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := make(map[string]float64, len(r.services))
+	for service, w := range r.services {
+		left[service] = r.left(now, w)
+	}
+	return left
+}
+
+func (r *Retry) left(now time.Time, w *window) float64 {
+	l := r.Limits()
+	w.requests = since(w.requests, now.Add(-l.Window))
+	w.repeats = since(w.repeats, now.Add(-l.Window))
+	most := safety * (l.Ratio*float64(len(w.requests)) + l.Slack/float64(max(r.Nodes(), 1)))
+	return most - float64(len(w.repeats))
+}
+
 // since drops the times before a bound; times rise.
 func since(times []time.Time, bound time.Time) []time.Time {
 	i := 0
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -43,7 +43,7 @@
 		g.meters.begun(placeHere, p.first)
 	}
 	if v == finished && !q.forward {
-		g.meters.ended(string(q.entry.Kind), outcomeOf(status))
+		g.meters.ended(string(q.entry.Kind), outcomeOf(status), placeHere, time.Since(q.arrived))
 	}
 	d := q.decision(stepSend)
 	d.Target, d.Expected, d.Cold, d.Calls = c.Target.ID, c.Expected, c.Cold, c.Calls
@@ -69,7 +69,7 @@
 func (g *Gateway) toldForward(q *request, peer string, v Verdict, status int, p progress) {
 	g.meters.sent(stepForward, string(q.entry.Kind), v)
 	if v == finished {
-		g.meters.ended(string(q.entry.Kind), outcomeOf(status))
+		g.meters.ended(string(q.entry.Kind), outcomeOf(status), placeAway, time.Since(q.arrived))
 	}
 	d := q.decision(stepForward)
 	d.Peer, d.Outcome, d.Status = peer, string(v), status
@@ -84,7 +84,7 @@
 // toldAnswer logs an answer of the gateway's own, or that there is none.
 func (g *Gateway) toldAnswer(q *request, outcome, reason string, status int) {
 	if !q.forward {
-		g.meters.ended(string(q.entry.Kind), outcome)
+		g.meters.ended(string(q.entry.Kind), outcome, placeNone, time.Since(q.arrived))
 	}
 	d := q.decision(stepAnswer)
 	d.Outcome, d.Reason, d.Status = outcome, reason, status
--- a/io/jwgateway/meters.go
+++ b/io/jwgateway/meters.go
@@ -13,6 +13,7 @@
 const (
 	placeHere = "here"
 	placeAway = "away"
+	placeNone = "none" // the gateway's own answer
 )
 
 // meters are the counters and histograms of a node. Names of entries come and
@@ -21,8 +22,10 @@
 	meter *jwmeter.Meter
 
 	mu    sync.Mutex
-	sends map[[3]string]tally.Counter // by step, kind and verdict
-	ends  map[[2]string]tally.Counter // by kind and outcome
+	sends map[[3]string]tally.Counter   // by step, kind and verdict
+	ends  map[[2]string]tally.Counter   // by kind and outcome
+	whole map[[3]string]tally.Histogram // by kind, outcome and place
+	left  map[string]tally.Gauge        // by service
 
 	first    map[string]tally.Histogram // by place
 	pauses   tally.Histogram
@@ -41,6 +44,7 @@
 	return &meters{
 		meter: m,
 		sends: make(map[[3]string]tally.Counter), ends: make(map[[2]string]tally.Counter),
+		whole: make(map[[3]string]tally.Histogram), left: make(map[string]tally.Gauge),
 		first: map[string]tally.Histogram{
 			placeHere: m.Durations("first_event_seconds", jwmeter.Tags{"place": placeHere}),
 			placeAway: m.Durations("first_event_seconds", jwmeter.Tags{"place": placeAway}),
@@ -71,17 +75,37 @@
 	c.Inc(1)
 }
 
-// ended counts how a request ended for its caller.
-func (m *meters) ended(kind, outcome string) {
-	key := [2]string{kind, outcome}
+// ended counts how a request ended for its caller, and where it was served.
+func (m *meters) ended(kind, outcome, place string, took time.Duration) {
+	tags := jwmeter.Tags{"kind": kind, "outcome": outcome}
 	m.mu.Lock()
-	c := m.ends[key]
+	c := m.ends[[2]string{kind, outcome}]
 	if c == nil {
-		c = m.meter.Counter("requests_total", jwmeter.Tags{"kind": kind, "outcome": outcome})
-		m.ends[key] = c
+		c = m.meter.Counter("requests_total", tags)
+		m.ends[[2]string{kind, outcome}] = c
+	}
+	h := m.whole[[3]string{kind, outcome, place}]
+	if h == nil {
+		h = m.meter.Durations("answer_seconds", jwmeter.Tags{"kind": kind, "outcome": outcome, "place": place})
+		m.whole[[3]string{kind, outcome, place}] = h
 	}
 	m.mu.Unlock()
 	c.Inc(1)
+	h.RecordDuration(took)
+}
+
+// budget sets how many repeats are left by service.
+func (m *meters) budget(left map[string]float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for service, n := range left {
+		g := m.left[service]
+		if g == nil {
+			g = m.meter.Gauge("repeats_left", jwmeter.Tags{"service": service})
+			m.left[service] = g
+		}
+		g.Update(n)
+	}
 }
 
 // begun records the wait for a first event.
