--- a/core/jwentry/config.go
+++ b/core/jwentry/config.go
@@ -11,7 +11,7 @@
 	Version  uint64
 	Entries  []*Entry
 	Services map[string]*Service
-	Limits   Limits
+	MaxBody  int64  // bytes of a request's body, 0 if not said
 	Raw      []byte // as the store holds it, to be passed on to other nodes
 
 	byHost map[string][]*Entry // longest prefix first
--- a/core/jwentry/entry.go
+++ b/core/jwentry/entry.go
@@ -89,11 +89,3 @@
 	Capacity int // tokens of memory
 	Stride   int // tokens of one event
 }
-
-// Limits bound what a caller may send.
-type Limits struct {
-	MaxHeader     int   // bytes
-	MaxBody       int64 // bytes
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -148,8 +148,8 @@
 // takeBody reads what is held of the body, or tells the caller why not.
 func (g *Gateway) takeBody(q *request, r *http.Request) bool {
 	most := int64(bodyLimit)
-	if c := g.entries.Current(); c != nil && c.Limits.MaxBody > 0 {
-		most = c.Limits.MaxBody
+	if c := g.entries.Current(); c != nil && c.MaxBody > 0 {
+		most = c.MaxBody
 	}
 	var err error
 	q.body, err = readBody(q.w, r, most)
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -109,6 +109,11 @@
 		return notRun
 	}
 	p := g.place(now, q)
+	if p.region == "" && len(q.tried) > 0 && q.entry.Repeatable() {
+		// All that are left were tried: over a new connection one may answer.
+		clear(q.tried)
+		p = g.place(now, q)
+	}
 	if p.region == "" {
 		q.refused = noTarget
 		if len(g.targets.Regions(q.service)) == 0 {
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -695,3 +695,92 @@
 	}
 	return c.Feed.Renew(ctx, lease)
 }
+
+// Something between a node and a target has lost track of their connections:
+// bytes on them go nowhere, and neither end is told. New ones work. Callers whose
+// request may be repeated wait for the goal of their entry, one second here, and
+// not until their own time is over.
+func TestSilentConnections(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	x := startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
+	link := &forgetful{to: x.addr}
+	register(&feed, "t1", "s", link.listen(t), "north-a", "ready")
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/a/x", served)
+	link.forget()
+	begun := time.Now()
+	r, err := send(t, n, http.MethodGet, "/a/x", "silent", nil, "")
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusOK)
+	assert.Equal(t, r.body, "fine")
+	t.Logf("answered after %v", time.Since(begun))
+	for i := range 10 { // the other connections of before are not used
+		r, err := send(t, n, http.MethodGet, "/a/x", fmt.Sprint("after", i), nil, "")
+		assert.NilError(t, err)
+		assert.Equal(t, r.status, http.StatusOK)
+	}
+}
+
+// forgetful passes connections on until it forgets those that are open.
+type forgetful struct {
+	to   string
+	mu   sync.Mutex
+	lost atomic.Int64 // connections up to this number
+	made int64
+}
+
+func (f *forgetful) listen(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			f.made++
+			number := f.made
+			f.mu.Unlock()
+			go f.pass(c, number)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (f *forgetful) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost.Store(f.made)
+}
+
+func (f *forgetful) pass(c net.Conn, number int64) {
+	out, err := net.Dial("tcp", f.to)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	forward := func(to, from net.Conn) {
+		buf := make([]byte, 4<<10)
+		for {
+			n, err := from.Read(buf)
+			lost := number <= f.lost.Load()
+			if lost && err != nil {
+				return // the other side is not told
+			}
+			if n > 0 && !lost {
+				_, _ = to.Write(buf[:n])
+			}
+			if err != nil {
+				_ = to.Close()
+				return
+			}
+		}
+	}
+	go forward(out, c)
+	forward(c, out)
+}
--- a/io/jwtell/belief.go
+++ b/io/jwtell/belief.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -141,12 +142,7 @@
 	for _, dc := range b.Evacuated {
 		fmt.Fprintf(w, "  data centre %s evacuated\n", dc)
 	}
-	names := make([]string, 0, len(b.Targets))
-	for name := range b.Targets {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(b.Targets)) {
 		t := b.Targets[name]
 		fmt.Fprintf(w, "  target %s of %s in %s: %s for %s\n", name, t.Service, t.DataCentre, t.State, at.Sub(t.Since).Round(time.Millisecond))
 	}
@@ -155,12 +151,7 @@
 // Idle tells why a target got nothing, or little, between two moments: for each
 // node what it sent there, and what it believed that speaks against the target.
 func (l *Log) Idle(w io.Writer, target string, from, to time.Time) {
-	nodes := make([]string, 0, len(l.Nodes))
-	for name := range l.Nodes {
-		nodes = append(nodes, name)
-	}
-	slices.Sort(nodes)
-	for _, node := range nodes {
+	for _, node := range slices.Sorted(maps.Keys(l.Nodes)) {
 		l.idleAt(w, node, target, from, to)
 	}
 	if l.Jumps > 0 {
@@ -205,12 +196,7 @@
 	for _, r := range reasons {
 		fmt.Fprintf(w, "  %s\n", r)
 	}
-	outcomes := make([]string, 0, len(sends))
-	for name := range sends {
-		outcomes = append(outcomes, name)
-	}
-	slices.Sort(outcomes)
-	for _, name := range outcomes {
+	for _, name := range slices.Sorted(maps.Keys(sends)) {
 		fmt.Fprintf(w, "  %d sends: %s\n", sends[name], name)
 	}
 	if len(sends) == 0 {
--- a/io/jwtell/day.go
+++ b/io/jwtell/day.go
@@ -1,6 +1,7 @@
 package jwtell
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -22,7 +23,7 @@
 	StoreAge  Series   // longest time, in seconds, for which a running node has had no answer
 }
 
-// days bound what one plot shows, so that a clock that is years ahead does not
+// longestDay bounds what one plot shows, so that a clock that is years ahead does not
 // make it endless.
 const longestDay = 24 * time.Hour
 
@@ -33,12 +34,7 @@
 	n := int(min(last.Sub(d.Start), longestDay)/time.Second) + 1
 	outcomes, refusals := map[string][]float64{}, map[string][]float64{}
 	d.StoreAge = Series{"longest", make([]float64, n)}
-	names := make([]string, 0, len(l.Nodes))
-	for name := range l.Nodes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(l.Nodes)) {
 		events := l.Nodes[name]
 		for i := range events {
 			e := &events[i]
@@ -151,9 +147,8 @@
 
 func seriesOf(counts map[string][]float64) []Series {
 	var list []Series
-	for name, c := range counts {
-		list = append(list, Series{name, c})
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		list = append(list, Series{name, counts[name]})
 	}
-	slices.SortFunc(list, func(a, b Series) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
