jwinstance: a second holder of a prompt is named in case the first has dropped it

A target that is believed to hold the shared parts of a prompt, and has pushed them out, reads them again, which is priced six times what a fetch is. Now another holder is named always; what the target still has isn't fetched.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -90,6 +90,13 @@
 	if !ok {
 		return c, false
 	}
+	if !c.Fetch.IsValid() {
+		// It may have dropped what it is believed to hold, and would read that
+		// again; what it still has isn't fetched.
+		if other, held := t.holder(now, n, c.Target); held >= leastFetch {
+			c.Fetch = other.Address
+		}
+	}
 	x := c.Target
 	c.Calls, c.Age = x.calls, now.Sub(x.heard)
 	x.calls++
@@ -165,7 +172,7 @@
 func (t *Table) best(now time.Time, n Need, last bool) (Choice, bool) {
 	var found Choice
 	p := t.pace(n.Service)
-	holder, most := t.holder(now, n)
+	holder, most := t.holder(now, n, nil)
 	for _, x := range t.of(n.Service) {
 		if x.Region != t.Region || !t.usable(now, x, last) || n.Exclude[x.ID] || slices.Contains(n.Apart, x.Address) {
 			continue
@@ -208,15 +215,18 @@
 	return t.services[service]
 }
 
-// holder returns the target that holds most of a prompt, and how many tokens;
-// one of another region only where it holds clearly more.
-func (t *Table) holder(now time.Time, n Need) (*Target, int) {
+// holder returns the target that holds most of a prompt, but for one, and how
+// many tokens; one of another region only where it holds clearly more.
+func (t *Table) holder(now time.Time, n Need, but *Target) (*Target, int) {
 	var holder *Target
 	most := 0
 	if len(n.Prompt.Parts) == 0 {
 		return nil, 0
 	}
 	for _, x := range t.of(n.Service) {
+		if x == but {
+			continue
+		}
 		held := n.Prompt.Tokens - x.cache.missing(n.Prompt)
 		if x.Region != t.Region {
 			held -= leastFetch
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -233,6 +233,11 @@
 		"another node sent it there": {func(t *Table) {
 			t.Hear(t0, "n2", nil, []Placement{{Target: "b", Parts: prompt(1, 2).Parts}})
 		}, Need{Prompt: prompt(1, 2, 3)}, "b", ""},
+		// The engine pushes parts out when its answers need the memory.
+		"the holder may have dropped it: another holder is named too": {func(t *Table) {
+			t.targets["a"].cache.use(prompt(1, 2).Parts, 0)
+			t.targets["b"].cache.use(prompt(1, 2).Parts, 0)
+		}, Need{Prompt: prompt(1, 2, 3)}, "a", "b"},
 		"parts of another region are fetched": {func(t *Table) {
 			t.targets["far"].cache.use(prompt(1, 2).Parts, 0)
 		}, Need{Prompt: prompt(1, 2, 3)}, "a", "far"},
