--- a/core/jwinstance/cache.go
+++ b/core/jwinstance/cache.go
@@ -29,6 +29,9 @@
 	if len(p.Parts) == 0 {
 		return p.Tokens
 	}
+	if _, kept := c.parts[p.Parts[0].ID]; !kept {
+		return p.Tokens // without its beginning none of the rest counts
+	}
 	miss, kept := 0, true
 	for _, part := range p.Parts {
 		if kept {
--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -172,8 +172,12 @@
 func (t *Table) best(now time.Time, n Need, last bool) (Choice, bool) {
 	var found Choice
 	p := t.pace(n.Service)
-	holder, most := t.holder(now, n, nil)
+	t.missing = t.missing[:0]
 	for _, x := range t.of(n.Service) {
+		t.missing = append(t.missing, x.cache.missing(n.Prompt))
+	}
+	holder, most := t.holder(now, n, nil)
+	for i, x := range t.of(n.Service) {
 		if x.Region != t.Region || !t.usable(now, x, last) || n.Exclude[x.ID] || slices.Contains(n.Apart, x.Address) {
 			continue
 		}
@@ -181,7 +185,7 @@
 		if cold && (n.WarmOnly || !t.coldRoom(now, x)) {
 			continue
 		}
-		c := Choice{Target: x, Cold: cold, Miss: x.cache.missing(n.Prompt)}
+		c := Choice{Target: x, Cold: cold, Miss: t.missing[i]}
 		if held := n.Prompt.Tokens - c.Miss; most-held >= leastFetch && holder != x {
 			c.Fetch = holder.Address
 			share := fetchShare
@@ -190,7 +194,7 @@
 			}
 			c.Miss -= int(float64(most-held) * (1 - share))
 		}
-		b := x.busy(now, n.Priority)
+		b := x.busy(n.Priority)
 		c.Ahead = b.work
 		c.Expected = p.expected(x, n, c.Miss, b)
 		c.Cost = c.Expected + time.Duration(x.failures)*failurePenalty + p.later(now, x, n, c.Miss, b)
@@ -215,19 +219,19 @@
 	return t.services[service]
 }
 
-// holder returns the target that holds most of a prompt, but for one, and how
-// many tokens; one of another region only where it holds clearly more.
+// holder returns the target that holds most of the prompt that best was asked
+// for, but for one, and how many tokens; one of another region only where it holds clearly more.
 func (t *Table) holder(now time.Time, n Need, but *Target) (*Target, int) {
 	var holder *Target
 	most := 0
 	if len(n.Prompt.Parts) == 0 {
 		return nil, 0
 	}
-	for _, x := range t.of(n.Service) {
-		if x == but {
+	for i, x := range t.of(n.Service) {
+		held := n.Prompt.Tokens - t.missing[i]
+		if x == but || held <= most {
 			continue
 		}
-		held := n.Prompt.Tokens - x.cache.missing(n.Prompt)
 		if x.Region != t.Region {
 			held -= leastFetch
 			if len(n.Homes) > 0 && !slices.Contains(n.Homes, x.Region) {
@@ -249,16 +253,12 @@
 }
 
 // busy returns the load of a target as a request of a priority meets it.
-func (x *Target) busy(now time.Time, priority int) load {
-	b := load{x.calls, x.work.before(priority), x.tokens}
-	for _, o := range x.others {
-		if now.Sub(o.at) < othersAge {
-			b.calls += o.Calls
-			b.work += o.Work.before(priority)
-			b.held += o.Held
-		}
+func (x *Target) busy(priority int) load {
+	return load{
+		x.calls + x.others.calls,
+		x.work.before(priority) + x.others.work.before(priority),
+		x.tokens + x.others.held,
 	}
-	return b
 }
 
 func (t *Table) usable(now time.Time, x *Target, last bool) bool {
@@ -336,10 +336,8 @@
 // gapNow returns the believed time between two events.
 func (x *Target) gapNow(now time.Time) time.Duration {
 	gap, at := x.gap, x.gapAt
-	for _, o := range x.others {
-		if o.at.After(at) && o.Gap > 0 {
-			gap, at = time.Duration(o.Gap)*time.Millisecond, o.at
-		}
+	if x.toldGapAt.After(at) {
+		gap, at = x.toldGap, x.toldGapAt
 	}
 	if at.IsZero() {
 		return firstGap
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -39,9 +39,15 @@
 	Gap    int64  `json:"gap,omitempty"`  // milliseconds between two events
 }
 
-type otherLoad struct {
+// nodeWord is what another node of the region told last.
+type nodeWord struct {
+	at    time.Time
+	loads []targetLoad
+}
+
+type targetLoad struct {
+	*Target
 	NodeLoad
-	at time.Time
 }
 
 // Placement tells which parts of a prompt were sent to a target.
@@ -77,6 +83,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
+	t.expireWords(now)
 	var loads []NodeLoad
 	for _, x := range t.targets {
 		if x.calls > 0 {
@@ -124,19 +131,24 @@
 func (t *Table) Hear(now time.Time, node string, loads []NodeLoad, placed []Placement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, x := range t.targets {
-		delete(x.others, node)
-	}
+	t.forgetWord(node)
+	t.expireWords(now)
+	word := nodeWord{at: now}
 	for _, l := range loads {
 		x := t.targets[l.Target]
 		if x == nil {
 			continue
 		}
-		if x.others == nil {
-			x.others = make(map[string]otherLoad)
+		x.others.add(l, 1)
+		if l.Gap > 0 {
+			x.toldGap, x.toldGapAt = time.Duration(l.Gap)*time.Millisecond, now
 		}
-		x.others[node] = otherLoad{l, now}
+		word.loads = append(word.loads, targetLoad{x, l})
+	}
+	if t.words == nil {
+		t.words = make(map[string]nodeWord)
 	}
+	t.words[node] = word
 	for _, p := range placed {
 		x := t.targets[p.Target]
 		if x == nil {
@@ -202,7 +214,40 @@
 func (t *Table) Woke() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, x := range t.targets {
-		x.others = nil
+	for node := range t.words {
+		t.forgetWord(node)
+	}
+}
+
+// forgetWord takes a node's loads out of the sums.
+func (t *Table) forgetWord(node string) {
+	for _, l := range t.words[node].loads {
+		l.Target.others.add(l.NodeLoad, -1)
+	}
+	delete(t.words, node)
+}
+
+// expireWords forgets the nodes that have told nothing for othersAge.
+func (t *Table) expireWords(now time.Time) {
+	for node, word := range t.words {
+		if now.Sub(word.at) >= othersAge {
+			t.forgetWord(node)
+		}
+	}
+}
+
+// sum is what the other nodes of the region have at a target. It is kept, and
+// not added up for each decision: a region of full size has some 75 nodes.
+type sum struct {
+	calls int
+	work  work
+	held  int
+}
+
+func (s *sum) add(l NodeLoad, sign int) {
+	s.calls += sign * l.Calls
+	s.held += sign * l.Held
+	for i, tokens := range l.Work {
+		s.work[i] += sign * tokens
 	}
 }
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -29,6 +29,8 @@
 	evacuated map[string]bool      // data centres
 	paces     map[string]*pace     // by service
 	placed    []Placement          // of this node, the latest last
+	words     map[string]nodeWord  // of the other nodes of the region, by name
+	missing   []int                // scratch of best: tokens that each target lacks
 }
 
 // Target is one incarnation with all that is believed of it. Its fields
@@ -47,8 +49,10 @@
 	tokens    int           // memory held by this node's calls
 	gap       time.Duration // between two events, as this node saw it last
 	gapAt     time.Time
-	others    map[string]otherLoad // of the other nodes of the region, by name
-	slow      float64              // its pace against the service's, 1 is usual
+	others    sum           // of the other nodes of the region
+	toldGap   time.Duration // between two events, as another node told last
+	toldGapAt time.Time
+	slow      float64 // its pace against the service's, 1 is usual
 	cache     cache
 	capacity  int // tokens of its memory, 0 if not known
 }
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -334,18 +334,30 @@
 	assert.Assert(t, share["a"] < 60, "%v", share)
 }
 
-// A decision is made for each request; at 3,200 targets a region has some 250.
+// A decision is made for each request; at 3,200 targets a region has some 250,
+// and some 75 nodes that each tell what they have in flight.
 func BenchmarkBest(b *testing.B) {
-	table := &Table{Region: "r"}
-	for i := range 250 {
-		table.Put(t0, instance(fmt.Sprintf("t%03d", i)))
-	}
-	n := Need{Service: "s", Prompt: prompt(1, 2, 3), Events: 10, Capacity: 250_000}
-	b.ReportAllocs()
-	for b.Loop() {
-		c, _ := table.Best(t0, n)
-		table.Done(c.Target, c, false)
-		table.placed = table.placed[:0]
+	for name, nodes := range map[string]int{"alone": 0, "75 nodes": 75} {
+		b.Run(name, func(b *testing.B) {
+			table := &Table{Region: "r"}
+			for i := range 250 {
+				table.Put(t0, instance(fmt.Sprintf("t%03d", i)))
+			}
+			for node := range nodes {
+				var loads []NodeLoad
+				for i := range 250 {
+					loads = append(loads, NodeLoad{Target: fmt.Sprintf("t%03d", i), Calls: 1, Held: 100})
+				}
+				table.Hear(t0, fmt.Sprint(node), loads, nil)
+			}
+			n := Need{Service: "s", Prompt: prompt(1, 2, 3), Events: 10, Capacity: 250_000}
+			b.ReportAllocs()
+			for b.Loop() {
+				c, _ := table.Best(t0, n)
+				table.Done(c.Target, c, false)
+				table.placed = table.placed[:0]
+			}
+		})
 	}
 }
 
@@ -428,3 +440,25 @@
 	assert.Equal(t, miss, 1000+int(fetchShare*2000))
 	assert.Equal(t, targets, 2)
 }
+
+// A node of the region dies without a word. What it had in flight must not count
+// for ever, and not be taken away twice when it speaks again.
+func TestLoadsOfOthers(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Put(t0, instance("a"))
+	x := table.targets["a"]
+	told := []NodeLoad{{Target: "a", Calls: 3, Work: work{10, 20}, Held: 7}}
+	table.Hear(after(0), "n2", told, nil)
+	table.Hear(after(100), "n3", told, nil)
+	assert.Equal(t, x.busy(1), load{6, 60, 14})
+	assert.Equal(t, x.busy(0), load{6, 20, 14})
+	table.Hear(after(200), "n2", nil, nil)
+	assert.Equal(t, x.busy(1), load{3, 30, 7})
+	table.Tell(after(1050))
+	assert.Equal(t, x.busy(1), load{3, 30, 7})
+	table.Tell(after(1100))
+	assert.Equal(t, x.busy(1), load{})
+	table.Hear(after(1200), "n3", told, nil)
+	table.Woke()
+	assert.Equal(t, x.busy(1), load{})
+}
