jwinstance: a registration changes only what it may

Both had the same value, but a string half written may name nobody. Now only what may change is written; name, service and address of an incarnation stay. TestPutWhileInUse failed under the race detector before.

--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -33,8 +33,9 @@
 	missing   []int                // scratch of best: tokens that each target lacks
 }
 
-// Target is one incarnation with all that is believed of it. Its fields
-// belong to the Table; callers keep it only to give it back.
+// Target is one incarnation with all that is believed of it. Its fields belong
+// to the Table, but for its name, service and address, which never change;
+// callers keep it to give it back.
 type Target struct {
 	Instance
 	heard     time.Time // last change of its registration
@@ -98,13 +99,21 @@
 	case !old.gone.IsZero():
 		change = Returned
 	}
-	old.Instance, old.heard, old.gone = in, now, time.Time{}
+	old.renew(in)
+	old.heard, old.gone = now, time.Time{}
 	if in.Cold > 0 {
 		old.coldUntil = now.Add(in.Cold)
 	}
 	return change
 }
 
+// renew takes what another registration of the same incarnation may change. Its
+// name, service and address stay: who sends to it reads them without the lock.
+func (x *Target) renew(in Instance) {
+	x.DataCentre, x.Region, x.Slots = in.DataCentre, in.Region, in.Slots
+	x.Draining, x.Cold, x.Left, x.Revision = in.Draining, in.Cold, in.Left, in.Revision
+}
+
 // coldAfterReturn is how long a target that began anew under its own name is
 // taken for cold: it may not have said so yet.
 func (t *Table) coldAfterReturn(old *Target, in Instance) time.Duration {
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -472,3 +472,26 @@
 	table.Woke()
 	assert.Equal(t, x.busy(1), load{})
 }
+
+// A request is on its way to a target as the target registers anew. Who sends it
+// reads the target's name and address without the table's lock.
+func TestPutWhileInUse(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Put(t0, instance("a"))
+	c, ok := table.Best(t0, Need{Service: "s"})
+	assert.Assert(t, ok)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 100 {
+			in := instance("a")
+			in.Revision, in.Draining = uint64(i), true
+			table.Put(after(i), in)
+		}
+	}()
+	for range 100 {
+		assert.Equal(t, c.Target.ID+c.Target.Service+c.Target.Address.String(), "as"+instance("a").Address.String())
+	}
+	<-done
+	assert.Equal(t, chosen(table, after(200), Need{}), "")
+}
