--- a/io/jwgateway/wake.go
+++ b/io/jwgateway/wake.go
@@ -20,8 +20,8 @@
 	wakeWait = 100 * time.Millisecond
 )
 
-// epoch is the time between two pauses; what waits for an answer of before a
-// pause ends with it.
+// epoch is the time between two pauses. Its context ends with the next one, so
+// that nothing goes on waiting for an answer to a call made before.
 type epoch struct {
 	context.Context
 	end context.CancelFunc
