jwgateway: a store that has answered isn't away while its answer is taken

TestColdWhileTheStoreIsAway failed once, beside the tests of all packages: 503 where 200 was due. While a node took its first reading, it still counted the store as away until it had taken all of it, so it asked the targets that were there already whether they are cold, and believed them. Ruled out: the wait of 2.5 s without an answer (the test had run for less than one). The answer is noted before it is taken now. TestStoreThatAnsweredIsNotAway makes the reading last; without the change it fails the same way. The store of the tests gives its items in the order of their keys, as the platform's does; without that the test would hit the moment only now and then.

--- a/core/jwstore/memoryfeed.go
+++ b/core/jwstore/memoryfeed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -103,6 +104,7 @@
 			items = append(items, i.Item)
 		}
 	}
+	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 	return items, max(m.revision, 1), m.down
 }
 
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -49,7 +49,6 @@
 			continue
 		}
 		now := time.Now()
-		g.store.called(now, err)
 		g.store.revision.Store(f.revision)
 		if err == nil {
 			g.viewed.Store(int64(now.Sub(g.begun)))
@@ -78,10 +77,10 @@
 		return f.readAll(ctx)
 	}
 	events, revision, err := f.g.Feed.Watch(ctx, "", f.revision, followWait)
+	now := f.answered(ctx, err)
 	if err != nil {
 		return err
 	}
-	now := time.Now()
 	for i, e := range events {
 		// Each configuration is whole, so that only the last one counts; in quick
 		// succession, decoding all of them would hold up requests.
@@ -94,6 +93,16 @@
 	return nil
 }
 
+// answered notes how a call of the store ended, before what it brought is taken:
+// that lasts, and a target would be asked meanwhile as if the store were away.
+func (f *follower) answered(ctx context.Context, err error) time.Time {
+	now := time.Now()
+	if ctx.Err() == nil {
+		f.g.store.called(now, err)
+	}
+	return now
+}
+
 func changedAgain(later []jwstore.Event, key string) bool {
 	return slices.ContainsFunc(later, func(e jwstore.Event) bool { return e.Key == key && !e.Deleted })
 }
@@ -101,10 +110,10 @@
 // readAll reads everything; what is not there any more is gone.
 func (f *follower) readAll(ctx context.Context) error {
 	items, revision, err := f.g.Feed.Range(ctx, "")
+	now := f.answered(ctx, err)
 	if err != nil {
 		return err
 	}
-	now := time.Now()
 	targets, nodes, evacuated := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, i := range items {
 		f.apply(now, jwstore.Event{Key: i.Key, Value: i.Value, Revision: i.Version})
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -19,6 +19,8 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"jujubewheel/core/jwclock"
+	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwgateway"
@@ -642,6 +644,62 @@
 	until(t, n, "/a/x", func(r reply) bool { return r.status == http.StatusServiceUnavailable })
 }
 
+// A node that starts takes long over what the store told. While it does, the store
+// isn't away, and no target is to be asked whether it is cold: one that says so
+// by mistake would be refused requests for as long.
+func TestStoreThatAnsweredIsNotAway(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	configureService(&feed, 1, `{"Name":"s","HealthPath":"/healthz","WarmupS":60,"WarmupPerS":1}`, route("/a/", "idempotent", ""))
+	x := startTarget(t, &feed, "t1", "s", "north-a", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/healthz" {
+			w.Header().Set("Jujubewheel-Instance-Id", "t1")
+			w.Header().Set("Jujubewheel-Cold-Ms", "60000")
+		}
+	})
+	register(&feed, "t2", "s", "127.0.0.1:1", "north-a", "draining")
+	taken := make(chan struct{})
+	n := startWith(t, lateLeases{&feed}, "n1", "north", func(g *jwgateway.Gateway) {
+		g.Records = slowRecords{g.Records, "t2", sync.OnceFunc(func() { close(taken) })}
+	})
+	<-taken
+	until(t, n, "/a/x", served)
+	for i := range 20 {
+		r, err := send(t, n, http.MethodGet, "/a/x", fmt.Sprint("warm", i), nil, "")
+		assert.NilError(t, err)
+		assert.Equal(t, r.status, http.StatusOK)
+	}
+	for _, r := range x.requests() {
+		assert.Assert(t, r.path != "/healthz", "the target was asked although the store answers")
+	}
+}
+
+// lateLeases is a store that is slow to grant leases.
+type lateLeases struct {
+	jwstore.Feed
+}
+
+func (l lateLeases) Grant(ctx context.Context, ttl time.Duration) (jwstore.Lease, time.Duration, error) {
+	jwclock.Sleep(ctx, time.Second)
+	return l.Feed.Grant(ctx, ttl)
+}
+
+// slowRecords takes longer over the registration of one target than a node
+// waits between two questions to targets.
+type slowRecords struct {
+	jwgateway.Records
+	slow  string
+	taken func()
+}
+
+func (s slowRecords) Target(id string, value []byte) (jwinstance.Instance, error) {
+	if id == s.slow {
+		time.Sleep(600 * time.Millisecond)
+		s.taken()
+	}
+	return s.Records.Target(id, value)
+}
+
 // One node can't reach the store, another can. The first must hear of a target
 // that leaves, although the configuration has not changed.
 func TestNodeOutOfReachOfTheStore(t *testing.T) {
