jwmember, spec: a node uses a share of cold targets once it has read its own registration

All four hosts of the region start at once and read the store before any other has registered, so each took itself to be alone, owned every target and sent what one node may: 11 or 12 requests in a second at two cold targets, 9.1 allowed. Ruled out by the log: old registrations (all were read 0.2 to 0.4 s before the sends, with the right time left), probes.

Of two that register and then read, the later one sees the other. So a node waits until it has read its own registration, and the length of the window besides, for what a process before it may have sent. TestColdSumWhileAllStartAndTheStoreIsSlow fails without it (12 within a second); the model starts all nodes at once now, and NOT_LISTED is caught. The row "alone" of TestKnownToAll asked for a share without a registration; that was the fault, and it asks for both now.

--- /dev/null
+++ b/core/jwmember/start_test.go
@@ -0,0 +1,94 @@
+package jwmember
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jujubewheel/core/jwbudget"
+)
+
+// A region that was lost comes back: all its nodes start at once and its targets
+// are cold. The store is slow, so that each node reads it before any other has
+// registered, and believes to be alone. If each sent what one node may send, the
+// targets would crash again under it; users would wait for a second warm-up.
+func TestColdSumWhileAllStartAndTheStoreIsSlow(t *testing.T) {
+	const rate, bound = 4.1, 9.1
+	rapid.Check(t, func(t *rapid.T) {
+		ms := func(most int, name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+		}
+		begin := time.Unix(1000, 0)
+		var nodes []*starter
+		for i := range rapid.IntRange(1, 5).Draw(t, "nodes") {
+			n := &starter{table: &Table{Self: member(fmt.Sprint("n", i), "r", 1)}}
+			n.writes = begin.Add(ms(3000, "write"))
+			n.reads = []time.Time{begin.Add(ms(500, "read")), begin.Add(ms(6000, "again")), begin.Add(ms(6000, "more"))}
+			nodes = append(nodes, n)
+		}
+		speak := ms(2000, "speak") + time.Millisecond
+		var sent []time.Time
+		for now := begin; now.Before(begin.Add(9 * time.Second)); now = now.Add(10 * time.Millisecond) {
+			for i, n := range nodes {
+				n.follow(now, nodes)
+				for _, m := range nodes[:i] {
+					// Two nodes speak once one of them knows the other.
+					if now.Sub(begin)%speak < 10*time.Millisecond && (n.knows(m) || m.knows(n)) {
+						n.table.Heard(now, m.table.Self)
+						m.table.Heard(now, n.table.Self)
+					}
+				}
+			}
+			sent = after(sent, now.Add(-time.Second))
+			for _, n := range nodes {
+				n.sent = after(n.sent, now.Add(-time.Second))
+				if !n.table.KnownToAll(now) {
+					continue
+				}
+				l := jwbudget.ColdLimits{Rate: rate, Ratio: 1.5, Slack: bound - 1.5*rate}
+				share := jwbudget.ColdShare(l, n.table.Owns(now, "x"), n.table.Count(now, "r"))
+				for float64(len(n.sent)+1) <= share {
+					n.sent, sent = append(n.sent, now), append(sent, now)
+				}
+			}
+			if float64(len(sent)) > bound {
+				t.Fatalf("%d requests within a second at %s, allowed are %.1f", len(sent), now.Sub(begin), bound)
+			}
+		}
+	})
+}
+
+// starter is a node that reads the store, registers, and reads again.
+type starter struct {
+	table  *Table
+	writes time.Time
+	reads  []time.Time
+	sent   []time.Time
+}
+
+func (n *starter) knows(m *starter) bool { return n.table.members[m.table.Self.Name] != nil }
+
+// follow makes the readings of the store that are due.
+func (n *starter) follow(now time.Time, all []*starter) {
+	for len(n.reads) > 0 && !now.Before(n.reads[0]) {
+		n.reads = n.reads[1:]
+		for _, m := range all {
+			switch {
+			case now.Before(m.writes):
+			case m == n:
+				n.table.Listed(now, m.table.Self)
+			default:
+				n.table.Put(now, m.table.Self)
+			}
+		}
+	}
+}
+
+func after(times []time.Time, bound time.Time) []time.Time {
+	for len(times) > 0 && !times[0].After(bound) {
+		times = times[1:]
+	}
+	return times
+}
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -46,6 +46,7 @@
 	mu      sync.Mutex
 	members map[string]*record
 	woke    time.Time // from the last pause of the process, zero before one
+	listed  time.Time // when this process read its own registration in the store, zero while it has not
 }
 
 type record struct {
@@ -164,10 +165,23 @@
 	t.woke = now
 }
 
+// Listed notes that the node read a registration of its own name in the store;
+// one of an earlier process says nothing about this one.
+func (t *Table) Listed(now time.Time, m Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m.Start == t.Self.Start && t.listed.IsZero() {
+		t.listed = now
+	}
+}
+
 // Remove notes that the registration of a node is gone.
 func (t *Table) Remove(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if name == t.Self.Name {
+		t.listed = time.Time{}
+	}
 	if r := t.members[name]; r != nil {
 		r.registered = false
 	}
@@ -177,6 +191,9 @@
 func (t *Table) Keep(now time.Time, names map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !names[t.Self.Name] {
+		t.listed = time.Time{}
+	}
 	for name, r := range t.members {
 		if !names[name] {
 			r.registered = false
@@ -308,13 +325,19 @@
 	return n
 }
 
-// KnownToAll tells whether every registered node of the own region counts this
-// one: it has spoken with it, lately, and so long ago that what it used before,
-// when it shared a sum among fewer, has left the window. Otherwise the others may
-// use the whole sum without this node; see spec/share.
+// KnownToAll tells whether every node that may share a sum with this one counts
+// it. Otherwise the others may use the whole sum without it; see spec/share. It
+// takes two things. The node has read its own registration in the store: of two
+// that start at once, the one that registered last then knows of the other,
+// however slow the store is. And it has spoken with every registered node of its
+// region, lately, and so long ago that what was used among fewer, also by a
+// process before this one, has left the window.
 func (t *Table) KnownToAll(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.listed.IsZero() || now.Sub(t.listed) < window {
+		return false
+	}
 	for _, r := range t.members {
 		if !r.registered || r.Region != t.Self.Region {
 			continue
--- a/core/jwmember/table_test.go
+++ b/core/jwmember/table_test.go
@@ -121,27 +121,51 @@
 
 // A node joins behind a cut and another one of the region never hears of it.
 // Each of the old ones uses its half of a sum; with a third more from the new
-// one the sum would be exceeded.
+// one the sum would be exceeded. Users would see targets that come back cold
+// crash again under what all send to them.
 func TestKnownToAll(t *testing.T) {
 	t0 := time.Unix(1000, 0)
+	self := member("a", "r", 1)
+	earlier := self
+	earlier.Start--
 	cases := map[string]struct {
 		do   func(*Table)
 		want bool
 	}{
-		"alone":                         {func(*Table) {}, true},
-		"one registered, never heard":   {func(t *Table) { t.Put(t0, member("b", "r", 1)) }, false},
-		"all heard":                     {func(t *Table) { t.Put(t0, member("b", "r", 1)); t.Heard(t0.Add(-2*time.Second), member("b", "r", 1)) }, true},
-		"heard a moment ago":            {func(t *Table) { t.Put(t0, member("b", "r", 1)); t.Heard(t0, member("b", "r", 1)) }, false},
-		"of another region":             {func(t *Table) { t.Put(t0, member("b", "q", 1)) }, true},
-		"its registration is gone":      {func(t *Table) { t.Put(t0, member("b", "r", 1)); t.Remove("b") }, true},
-		"heard, but nearly forgotten":   {func(t *Table) { t.Put(t0, member("b", "r", 1)); t.Heard(t0.Add(-55*time.Second), member("b", "r", 1)) }, false},
-		"heard before its key was read": {func(t *Table) { t.Heard(t0.Add(-2*time.Second), member("b", "r", 1)); t.Put(t0, member("b", "r", 1)) }, true},
+		"alone and not listed":        {func(*Table) {}, false},
+		"alone":                       {func(t *Table) { t.Listed(t0.Add(-2*time.Second), self) }, true},
+		"listed a moment ago":         {func(t *Table) { t.Listed(t0, self) }, false},
+		"a process before it listed":  {func(t *Table) { t.Listed(t0.Add(-2*time.Second), earlier) }, false},
+		"no longer listed":            {func(t *Table) { t.Listed(t0.Add(-2*time.Second), self); t.Remove("a") }, false},
+		"not in the whole store":      {func(t *Table) { t.Listed(t0.Add(-2*time.Second), self); t.Keep(t0, map[string]bool{"b": true}) }, false},
+		"one registered, never heard": {func(t *Table) { list(t, t0); t.Put(t0, member("b", "r", 1)) }, false},
+		"all heard": {func(t *Table) {
+			list(t, t0)
+			t.Put(t0, member("b", "r", 1))
+			t.Heard(t0.Add(-2*time.Second), member("b", "r", 1))
+		}, true},
+		"heard a moment ago":       {func(t *Table) { list(t, t0); t.Put(t0, member("b", "r", 1)); t.Heard(t0, member("b", "r", 1)) }, false},
+		"of another region":        {func(t *Table) { list(t, t0); t.Put(t0, member("b", "q", 1)) }, true},
+		"its registration is gone": {func(t *Table) { list(t, t0); t.Put(t0, member("b", "r", 1)); t.Remove("b") }, true},
+		"heard, but nearly forgotten": {func(t *Table) {
+			list(t, t0)
+			t.Put(t0, member("b", "r", 1))
+			t.Heard(t0.Add(-55*time.Second), member("b", "r", 1))
+		}, false},
+		"heard before its key was read": {func(t *Table) {
+			list(t, t0)
+			t.Heard(t0.Add(-2*time.Second), member("b", "r", 1))
+			t.Put(t0, member("b", "r", 1))
+		}, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			table := &Table{Self: member("a", "r", 1)}
+			table := &Table{Self: self}
 			c.do(table)
 			assert.Equal(t, table.KnownToAll(t0), c.want)
 		})
 	}
 }
+
+// list notes that a table's node has long read its own registration.
+func list(t *Table, now time.Time) { t.Listed(now.Add(-2*time.Second), t.Self) }
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -191,6 +191,10 @@
 		g.Log.Info("node registration not readable", "peer", name)
 		return
 	}
+	if name == g.Settings.Node {
+		g.members.Listed(now, m)
+		return
+	}
 	if g.members.Put(now, m) {
 		g.beganAnew(m)
 	}
--- a/spec/share/cold.pml
+++ b/spec/share/cold.pml
@@ -1,12 +1,15 @@
-/* Shares of what a cold target bears, while a node joins and any two nodes may
- * be cut from each other.
+/* Shares of what a cold target bears, while nodes start, the store answers late,
+ * and any two nodes may be cut from each other.
  *
- * Nodes 0 and 1 run and have heard each other. Node 2 starts: it reads the
- * store, where all are registered, and the others read of it at any later
- * time or never. Two nodes may speak at any time unless the link between them
- * is cut, and links may be cut or mended at any time. Who believes itself the owner is
- * left open, as views differ: each may use its share, once, and all fall into one
- * window, but for what node 2 waits for.
+ * Either nodes 0 and 1 run, are registered and have heard each other, and node 2
+ * starts; or all three start at once, as after the loss of a region. A node that
+ * starts knows itself only. It registers in the store at any time, and reads the
+ * store at any time and as often as it likes, or never. Two nodes may speak at
+ * any time unless the link between them is cut, and links may be cut or mended at
+ * any time. Who believes itself the owner is left open, as views differ: each may
+ * use its share, once, and all fall into one window, but for what a node that
+ * starts has waited for. Registrations don't lapse here; docs/PLATFORM.md bounds
+ * what two cuts in a row do.
  *
  * The bound is 6, so that halves and thirds are whole.
  */
@@ -16,9 +19,12 @@
 
 byte known[N];  /* bit i: this node counts node i */
 byte heard[N];  /* bit i: this node has spoken with node i */
+byte stored;    /* bit i: node i is registered in the store */
+byte listed;    /* bit i: node i has read its own registration */
+byte started;   /* bit i: node i starts during the run */
 bool cut[9];    /* link i * N + j, i < j */
-bool used[N];
-byte sum;
+byte used[N];   /* what each used within the window */
+byte spent;     /* bit i: node i has used its share, in or out of the window */
 
 #define bit(i) (1 << (i))
 #define has(set, i) ((set & bit(i)) != 0)
@@ -31,38 +37,63 @@
 }
 
 /* Whether each node that n counts has spoken with it. */
-#define knownToAll(n) ((known[n] & ~bit(n) & ~heard[n]) == 0)
+#define spoken(n) ((known[n] & ~bit(n) & ~heard[n]) == 0)
+
+#ifdef NOT_LISTED
+#define knownToAll(n) spoken(n)
+#else
+#define knownToAll(n) (has(listed, n) && spoken(n))
+#endif
 
 proctype node(byte me) {
 	byte c;
 	byte old;
-	if
+	byte met;
+	do
+	:: true -> goto done /* it is not the owner */
 #ifdef JOIN_AT_ONCE
-	:: !used[me] ->
+	:: has(listed, me) -> goto use
 #else
 	:: knownToAll(me) ->
-#ifndef NO_WAIT
-		/* What was used before then leaves the window while it waits. */
+#ifdef NO_WAIT
+		goto use
+#else
 		if
-		:: me == 2 -> old = sum; skip; sum = sum - old
+		:: !has(started, me) -> goto use
 		:: else
 		fi;
-#endif
-#endif
+		/* What was used before then leaves the window while it waits, anew for
+		 * each node that it meets. */
+		atomic { old = spent; met = heard[me] };
+		skip;
 		atomic {
-			used[me] = true;
-			count(me, c);
-			sum = sum + BOUND / c;
-			assert(sum <= BOUND)
+			if
+			:: heard[me] == met && knownToAll(me) ->
+				if :: has(old, 0) -> used[0] = 0 :: else fi;
+				if :: has(old, 1) -> used[1] = 0 :: else fi;
+				if :: has(old, 2) -> used[2] = 0 :: else fi;
+				goto use
+			:: else
+			fi
 		}
-	:: true -> skip /* it is not the owner */
-	fi
+#endif
+#endif
+	od;
+use:
+	atomic {
+		count(me, c);
+		used[me] = BOUND / c;
+		spent = spent | bit(me);
+		assert(used[0] + used[1] + used[2] <= BOUND)
+	}
+done:
+	skip
 }
 
-/* Two nodes speak: from then on each counts the other. */
+/* Two nodes speak, once one knows the other: from then on each counts the other. */
 inline speak(i, j) {
 	atomic {
-		!cut[i * N + j] ->
+		!cut[i * N + j] && (has(known[i], j) || has(known[j], i)) ->
 		known[i] = known[i] | bit(j); heard[i] = heard[i] | bit(j);
 		known[j] = known[j] | bit(i); heard[j] = heard[j] | bit(i)
 	}
@@ -80,20 +111,38 @@
 	od
 }
 
-/* The others read in the store that node 2 is there, sooner or later or never. */
-proctype readers() {
+/* A node reads the store: all registrations that stand, its own too. */
+inline read(i) {
+	atomic {
+		known[i] = known[i] | stored;
+		listed = listed | (stored & bit(i))
+	}
+}
+
+/* The store answers sooner or later or never. */
+proctype store() {
 	do
-	:: known[0] = known[0] | bit(2)
-	:: known[1] = known[1] | bit(2)
+	:: stored = stored | bit(0)
+	:: stored = stored | bit(1)
+	:: stored = stored | bit(2)
+	:: read(0)
+	:: read(1)
+	:: read(2)
 	:: break
 	od
 }
 
 init {
-	known[0] = 3; known[1] = 3; known[2] = 7;
-	heard[0] = 3; heard[1] = 3; heard[2] = 4;
+	known[0] = 1; known[1] = 2; known[2] = 4;
+	if
+	:: started = 4;
+		known[0] = 3; known[1] = 3;
+		heard[0] = 3; heard[1] = 3;
+		stored = 3; listed = 3
+	:: started = 7
+	fi;
 	atomic {
-		run links(); run readers();
+		run links(); run store();
 		run node(0); run node(1); run node(2)
 	}
 }
