jwresolver: whom the directory names, and stopping nodes of a region before other regions'

For that time no node of the region served, and its callers were led to the region in which most bound requests are at home; 177 of 2,842 requests with homes went to one that is neither theirs nor the caller's, where one in twenty is allowed.

A node that stops takes requests for 3 s. While no other of its region serves, it is named, for a third of what is left of that; after it, nodes of other regions are named for 0.3 s instead of 1 s. The decision is a function in core/jwresolver, tested over rolls, losses and starts, and counted by whom it names.

--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -46,6 +46,7 @@
 	mu      sync.Mutex
 	members map[string]*record
 	woke    time.Time // from the last pause of the process, zero before one
+	stopped time.Time // when the node itself ceased to serve
 	listed  time.Time // when this process read its own registration in the store, zero while it has not
 }
 
@@ -56,6 +57,13 @@
 	heard      time.Time
 	met        time.Time // first heard by this process
 	failed     time.Time // last attempt to reach it that failed
+	stopped    time.Time // when it was first heard that this process stops by plan, zero before
+}
+
+// Leaver is a node that stops by plan.
+type Leaver struct {
+	Member
+	Since time.Duration // since its stop was heard of
 }
 
 // Put takes the registration of a node; it tells whether it is of a process
@@ -71,7 +79,7 @@
 		r.since = now
 	}
 	r.registered = true
-	return r.take(m)
+	return r.take(now, m)
 }
 
 // Heard notes that a node spoke itself; it tells whether that is a process that
@@ -87,7 +95,7 @@
 	if r.met.IsZero() {
 		r.met = now
 	}
-	return r.take(m)
+	return r.take(now, m)
 }
 
 // HeardOf notes that another node says that it heard these lately. Nodes of
@@ -222,14 +230,23 @@
 // take keeps what is newer: the store may still tell what a process that is
 // stopping wrote before, and callers must not be sent there again. It tells
 // whether the process is a later one.
-func (r *record) take(m Member) (anew bool) {
+func (r *record) take(now time.Time, m Member) (anew bool) {
 	anew = r.Start != 0 && m.Start > r.Start
+	if m.Start > r.Start {
+		r.stopped = time.Time{}
+	}
 	if m.Start > r.Start || m.Start == r.Start && m.Change >= r.Change {
 		r.Member = m
 	}
+	if r.stopped.IsZero() && r.stops() {
+		r.stopped = now
+	}
 	return anew
 }
 
+// stops tells whether a node has served and does not any more.
+func (m *Member) stops() bool { return !m.Serving && m.Change > 0 }
+
 // live tells whether a node is believed to run.
 func (t *Table) live(now time.Time, r *record) bool {
 	if !r.heard.After(t.woke) && !t.woke.IsZero() {
@@ -267,6 +284,24 @@
 	return list
 }
 
+// Leaving returns the nodes of a region that stop by plan and were heard, or heard
+// of, since their stop, by name, the node itself among them.
+func (t *Table) Leaving(now time.Time, region string) []Leaver {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Leaver
+	if t.Self.stops() && t.Self.Region == region {
+		list = append(list, Leaver{t.Self, now.Sub(t.stopped)})
+	}
+	for _, r := range t.members {
+		if r.Region == region && r.stops() && !r.stopped.IsZero() && now.Sub(r.stopped) < forget && !r.failed.After(r.heard) {
+			list = append(list, Leaver{r.Member, now.Sub(r.stopped)})
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
 // Peers returns the nodes to talk to: all that are registered or were heard
 // lately, serving or not.
 func (t *Table) Peers(now time.Time) []Member {
@@ -283,12 +318,15 @@
 }
 
 // Serve sets whether the node itself serves.
-func (t *Table) Serve(on bool) Member {
+func (t *Table) Serve(now time.Time, on bool) Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.Self.Serving != on {
 		t.Self.Serving = on
 		t.Self.Change++
+		if !on {
+			t.stopped = now
+		}
 	}
 	return t.Self
 }
--- a/core/jwmember/table_test.go
+++ b/core/jwmember/table_test.go
@@ -1,9 +1,11 @@
 package jwmember
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 )
 
@@ -169,3 +171,41 @@
 
 // list notes that a table's node has long read its own registration.
 func list(t *Table, now time.Time) { t.Listed(now.Add(-2*time.Second), t.Self) }
+
+// Callers of a region whose nodes all stop are told of those that still take
+// requests, which take some for a known time from their stop on.
+func TestLeaving(t *testing.T) {
+	at := func(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+	serving := member("b", "r", 1)
+	serving.Change = 1
+	stopped := serving
+	stopped.Serving, stopped.Change = false, 2
+	starting := member("b", "r", 2)
+	starting.Serving, starting.Change, starting.Start = false, 0, 2
+	cases := map[string]struct {
+		do   func(*Table)
+		want []Leaver
+	}{
+		"serves":                 {func(t *Table) { t.Heard(at(0), serving) }, nil},
+		"starts":                 {func(t *Table) { t.Heard(at(0), starting) }, nil},
+		"stops":                  {func(t *Table) { t.Heard(at(0), serving); t.Heard(at(time.Second), stopped) }, []Leaver{{stopped, 2 * time.Second}}},
+		"is heard again":         {func(t *Table) { t.Heard(at(time.Second), stopped); t.Heard(at(2*time.Second), stopped) }, []Leaver{{stopped, 2 * time.Second}}},
+		"can't be reached since": {func(t *Table) { t.Heard(at(time.Second), stopped); t.Failed(at(2*time.Second), "b") }, nil},
+		"starts anew":            {func(t *Table) { t.Heard(at(time.Second), stopped); t.Heard(at(2*time.Second), starting) }, nil},
+		"the store lags behind":  {func(t *Table) { t.Heard(at(time.Second), stopped); t.Put(at(2*time.Second), serving) }, []Leaver{{stopped, 2 * time.Second}}},
+		"is of another region":   {func(t *Table) { m := stopped; m.Region = "q"; t.Heard(at(0), m) }, nil},
+		"the node itself":        {func(t *Table) { t.Serve(at(0), true); t.Serve(at(2*time.Second), false) }, []Leaver{{Member{Name: "a", Region: "r", Start: 1, Change: 2}, time.Second}}},
+		"the node itself, once more": {func(t *Table) {
+			t.Serve(at(0), true)
+			t.Serve(at(time.Second), false)
+			t.Serve(at(2*time.Second), false)
+		}, []Leaver{{Member{Name: "a", Region: "r", Start: 1, Change: 2}, 2 * time.Second}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Self: Member{Name: "a", Region: "r", Start: 1}}
+			c.do(table)
+			assert.DeepEqual(t, table.Leaving(at(3*time.Second), "r"), c.want, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b }))
+		})
+	}
+}
--- /dev/null
+++ b/core/jwresolver/resolver_test.go
@@ -0,0 +1,123 @@
+package jwresolver
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"jujubewheel/core/jwmember"
+)
+
+func member(name, region string) jwmember.Member { return jwmember.Member{Name: name, Region: region} }
+
+func stopping(name string, since time.Duration) jwmember.Leaver {
+	return jwmember.Leaver{Member: member(name, "small"), Since: since}
+}
+
+// The two nodes of a small region are restarted in turn, and for a moment neither
+// serves. Users of that region would be sent across the ocean for seconds, and
+// those whose data is bound to some regions to one that may not hold it.
+func TestResolve(t *testing.T) {
+	big := []jwmember.Member{member("b1", "big"), member("b2", "big")}
+	other := []jwmember.Member{member("o1", "other")}
+	elsewhere := append(append([]jwmember.Member{}, big...), other...)
+	toBig := func([]string) []string { return []string{"big"} }
+	nowhere := func([]string) []string { return nil }
+	cases := map[string]struct {
+		view View
+		kind Kind
+		want []string
+		ttl  time.Duration
+	}{
+		"one serves":                     {View{Own: []jwmember.Member{member("s1", "small")}, All: elsewhere, Ready: true, Stand: toBig}, Own, []string{"s1"}, TTL},
+		"one serves, one stops":          {View{Own: []jwmember.Member{member("s1", "small")}, Leaving: []jwmember.Leaver{stopping("s2", 0)}, All: elsewhere, Ready: true, Stand: toBig}, Own, []string{"s1"}, TTL},
+		"both stop, one a moment ago":    {View{Leaving: []jwmember.Leaver{stopping("s1", 2800*time.Millisecond), stopping("s2", 0)}, All: elsewhere, Ready: true, Stand: toBig}, Stopping, []string{"s2"}, TTL},
+		"both stop, both take requests":  {View{Leaving: []jwmember.Leaver{stopping("s1", 1500*time.Millisecond), stopping("s2", 0)}, All: elsewhere, Ready: true, Stand: toBig}, Stopping, []string{"s1", "s2"}, 500 * time.Millisecond},
+		"the last stops, nearly done":    {View{Leaving: []jwmember.Leaver{stopping("s2", 2200*time.Millisecond)}, All: elsewhere, Ready: true, Stand: toBig}, StandIns, []string{"b1", "b2"}, standInTTL},
+		"all lost":                       {View{All: elsewhere, Ready: true, Stand: toBig}, StandIns, []string{"b1", "b2"}, standInTTL},
+		"all lost, the asked one starts": {View{All: elsewhere, Stand: toBig}, Nobody, nil, 0},
+		"cut from all others":            {View{Ready: true, Stand: nowhere}, Nobody, nil, 0},
+		"starts while the last stops":    {View{Leaving: []jwmember.Leaver{stopping("s2", time.Second)}}, Stopping, []string{"s2"}, 2 * time.Second / Keep},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			c.view.Linger = Linger
+			a := Resolve(c.view)
+			var names []string
+			for _, m := range a.Nodes {
+				names = append(names, m.Name)
+			}
+			assert.Equal(t, a.Kind, c.kind)
+			assert.DeepEqual(t, names, c.want)
+			assert.Equal(t, a.TTL, c.ttl)
+		})
+	}
+}
+
+// A caller that keeps an answer as long as any does must not meet a node that has
+// stopped taking requests: it would see a refusal, or a connection that nobody
+// answers.
+func TestNobodyIsLedToANodeThatHasStopped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := View{Linger: min(Linger, time.Duration(rapid.IntRange(0, 4000).Draw(t, "linger"))*time.Millisecond)}
+		for i := range rapid.IntRange(0, 6).Draw(t, "nodes") {
+			since := time.Duration(rapid.IntRange(0, 9000).Draw(t, "since")) * time.Millisecond
+			v.Leaving = append(v.Leaving, stopping(fmt.Sprint("s", i), since))
+		}
+		a := Resolve(v)
+		if (a.Kind == Nobody) != (len(a.Nodes) == 0) || (a.TTL == 0) != (len(a.Nodes) == 0) {
+			t.Fatalf("%+v", a)
+		}
+		for _, m := range a.Nodes {
+			for _, l := range v.Leaving {
+				if l.Name == m.Name && l.Since+Keep*a.TTL > v.Linger {
+					t.Fatalf("%s stops since %s and is named for %s", l.Name, l.Since, a.TTL)
+				}
+			}
+		}
+	})
+}
+
+// A small region is rolled: each of its nodes stops, takes requests for Linger,
+// ends and is back a moment later, and the next one stops some time after the one
+// before. However many nodes there are, callers are sent elsewhere only while
+// the last one that takes requests can't be named any more.
+func TestRoll(t *testing.T) {
+	const away = time.Second // from the end of Linger until it serves again
+	cases := map[string]struct {
+		nodes int
+		gap   time.Duration
+		most  time.Duration // callers may be led elsewhere
+	}{
+		"two, seconds apart":       {2, 6 * time.Second, 0},
+		"two, one after the other": {2, 2 * time.Second, 0},
+		"two at once":              {2, 0, Linger + away - (Linger - Keep*leastTTL)},
+		"four, a second apart":     {4, time.Second, 0},
+		"one alone":                {1, 0, Linger + away - (Linger - Keep*leastTTL)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			const step = 10 * time.Millisecond
+			elsewhere := time.Duration(0)
+			for now := time.Duration(0); now < 30*time.Second; now += step {
+				v := View{Linger: Linger, Ready: true, All: []jwmember.Member{member("b1", "big")}, Stand: func(r []string) []string { return r }}
+				for i := range c.nodes {
+					since := now - time.Second - time.Duration(i)*c.gap
+					switch {
+					case since < 0 || since > Linger+away:
+						v.Own = append(v.Own, member(fmt.Sprint("s", i), "small"))
+					case since < Linger:
+						v.Leaving = append(v.Leaving, stopping(fmt.Sprint("s", i), since))
+					}
+				}
+				if Resolve(v).Kind == StandIns {
+					elsewhere += step
+				}
+			}
+			assert.Assert(t, elsewhere <= c.most+2*step, "led elsewhere for %s, at most %s", elsewhere, c.most)
+		})
+	}
+}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -207,7 +207,7 @@
 // leaving tells whether the node has been stopping for so long that a new
 // request might outlast it.
 func (g *Gateway) leaving() bool {
-	return g.stopping.Load() && time.Since(g.begun) > time.Duration(g.stopFrom.Load())+lingerTTLs*directoryTTL
+	return g.stopping.Load() && time.Since(g.begun) > time.Duration(g.stopFrom.Load())+g.linger()
 }
 
 // ready tells whether the node serves callers.
--- a/io/jwgateway/meters.go
+++ b/io/jwgateway/meters.go
@@ -6,6 +6,7 @@
 
 	tally "github.com/uber-go/tally/v4"
 
+	"jujubewheel/core/jwresolver"
 	"jujubewheel/io/jwmeter"
 )
 
@@ -29,6 +30,7 @@
 
 	first    map[string]tally.Histogram // by place
 	pauses   tally.Histogram
+	names    map[jwresolver.Kind]tally.Counter
 	repeats  tally.Counter
 	noBudget tally.Counter
 	opened   tally.Counter
@@ -49,7 +51,13 @@
 			placeHere: m.Durations("first_event_seconds", jwmeter.Tags{"place": placeHere}),
 			placeAway: m.Durations("first_event_seconds", jwmeter.Tags{"place": placeAway}),
 		},
-		pauses:   m.Durations("event_pause_seconds", nil),
+		pauses: m.Durations("event_pause_seconds", nil),
+		names: map[jwresolver.Kind]tally.Counter{
+			jwresolver.Own:      m.Counter("directory_answers_total", jwmeter.Tags{"names": string(jwresolver.Own)}),
+			jwresolver.Stopping: m.Counter("directory_answers_total", jwmeter.Tags{"names": string(jwresolver.Stopping)}),
+			jwresolver.StandIns: m.Counter("directory_answers_total", jwmeter.Tags{"names": string(jwresolver.StandIns)}),
+			jwresolver.Nobody:   m.Counter("directory_answers_total", jwmeter.Tags{"names": string(jwresolver.Nobody)}),
+		},
 		repeats:  m.Counter("repeats_total", nil),
 		noBudget: m.Counter("repeats_refused_total", nil),
 		opened:   m.Counter("target_connections_total", nil),
@@ -75,6 +83,9 @@
 	c.Inc(1)
 }
 
+// named counts an answer of the directory.
+func (m *meters) named(k jwresolver.Kind) { m.names[k].Inc(1) }
+
 // ended counts how a request ended for its caller, and where it was served.
 func (m *meters) ended(kind, outcome, place string, took time.Duration) {
 	tags := jwmeter.Tags{"kind": kind, "outcome": outcome}
--- a/io/jwgateway/stop.go
+++ b/io/jwgateway/stop.go
@@ -6,17 +6,21 @@
 	"sync"
 	"time"
 
+	"jujubewheel/core/jwresolver"
 	"jujubewheel/io/jwrest"
 )
 
-const (
-	// lingerTTLs is for how many lives of a directory answer a stopping node
-	// still takes requests: some callers keep answers longer than told.
-	lingerTTLs = 3
-	// stopShare is the part of the grace period after which what still runs is
-	// cut off; the rest is for ending.
-	stopShare = 0.93
-)
+// stopShare is the part of the grace period after which what still runs is
+// cut off; the rest is for ending.
+const stopShare = 0.93
+
+// grace is how long a node that stops serves what it has.
+func (g *Gateway) grace() time.Duration {
+	return time.Duration(float64(g.bounds.Load().Grace) * stopShare)
+}
+
+// linger is how long a node that stops takes requests.
+func (g *Gateway) linger() time.Duration { return min(jwresolver.Linger, g.grace()) }
 
 // stop carries out the planned stop: the node is named to nobody any more,
 // serves what still comes, and waits for what it runs.
@@ -24,17 +28,17 @@
 	begun := time.Now()
 	g.stopFrom.Store(int64(begun.Sub(g.begun)))
 	g.stopping.Store(true)
-	g.members.Serve(false)
+	g.members.Serve(begun, false)
 	g.again()
 	g.Log.Info("stopping", "inFlight", g.inFlight.Load())
 	g.tellAll(begun)
 	for _, s := range servers {
 		s.Drain()
 	}
-	grace := time.Duration(float64(g.bounds.Load().Grace) * stopShare)
+	grace := g.grace()
 	const step = 20 * time.Millisecond
 	for time.Since(begun) < grace {
-		if time.Since(begun) > lingerTTLs*directoryTTL && g.inFlight.Load() == 0 {
+		if time.Since(begun) > g.linger() && g.inFlight.Load() == 0 {
 			break
 		}
 		time.Sleep(step)
