jwadmission, jwplacement, jwrepeat, jwinstance: decisions apart from sockets, lengths learned

Cause: requests were refused though there was room and time. And whatever came later than 1.2 goals was turned away, though the deadline is 5 to 12 goals away.

Each node now fits the wait by least squares: a base, tokens to be read before, and the square of the prompt's own. A request is turned away if it can't meet its deadline, or if what waits before it, without its own length, takes more than 1.2 goals: a queue of that length makes every answer late, a long prompt only its own. Turning away, the choice of the region and whether to send again are functions in core/ now, tested over tables and drawn cases; the fields Admission and Placement of the gateway switch them off for measuring.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -9,15 +9,9 @@
 )
 
 const (
-	// firstRate is the prompt tokens a target reads in a millisecond until
-	// calls have shown it.
-	firstRate = 30.0
 	// firstPlain is the time of a call to a plain service until calls have
 	// shown it.
 	firstPlain = 20 * time.Millisecond
-	// overhead is what a call to an idle engine takes besides reading its
-	// prompt: the way there and back and one step of the batch.
-	overhead = 15 * time.Millisecond
 	// slotDelay is what one more running request adds to the wait for the
 	// first event, as prompts are read between the steps of the others.
 	slotDelay = 500 * time.Microsecond
@@ -70,6 +64,7 @@
 type Choice struct {
 	Target   *Target
 	Expected time.Duration  // until the first event
+	Own      time.Duration  // of that, what reading the request's own prompt takes
 	Cost     time.Duration  // Expected and what later events, its own and those of others, are delayed
 	Miss     int            // prompt tokens that it has to read
 	Ahead    int            // prompt tokens to be read there before
@@ -78,6 +73,7 @@
 	Rank     int           // of its urgency
 	Held     int           // tokens of memory that the request takes
 	Calls    int           // of this node at the target before this one
+	Busy     int           // of all nodes
 	Age      time.Duration // of the registration that the choice rests on
 }
 
@@ -148,11 +144,12 @@
 	return least
 }
 
-// Read returns how long a target of a service takes to read a prompt's tokens.
-func (t *Table) Read(service string, tokens int) time.Duration {
+// Read returns how long a target of a service takes to read a prompt's own tokens
+// and those ahead of them.
+func (t *Table) Read(service string, ahead, own int) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return time.Duration(float64(tokens) / t.pace(service).tokensPerMS * float64(time.Millisecond))
+	return t.pace(service).curve.read(ahead, own)
 }
 
 // MissIn returns the prompt tokens that a region's targets probably have to
@@ -199,8 +196,9 @@
 			c.Miss -= int(float64(most-held) * (1 - share))
 		}
 		b := x.busy(n.Priority)
-		c.Ahead = b.work
+		c.Ahead, c.Busy = b.work, b.calls
 		c.Expected = p.expected(x, n, c.Miss, b)
+		c.Own = time.Duration(float64(p.curve.read(0, c.Miss)) * x.slow)
 		c.Cost = fetchCost(n, c) + c.Expected + time.Duration(x.failures)*failurePenalty + p.later(now, x, n, c.Miss, b)
 		if found.Target == nil || c.Cost < found.Cost {
 			found = c
@@ -330,8 +328,7 @@
 		d := float64(p.plain) * max(1, float64(b.calls+1)/float64(slots))
 		return time.Duration(d * x.slow)
 	}
-	d := overhead + time.Duration(b.calls)*slotDelay + time.Duration(max(b.calls-slots+1, 0))*queueDelay
-	d += time.Duration(float64(b.work+miss) / p.tokensPerMS * float64(time.Millisecond))
+	d := p.curve.expect(b.work, miss) + time.Duration(b.calls)*slotDelay + time.Duration(max(b.calls-slots+1, 0))*queueDelay
 	return time.Duration(float64(d) * x.slow)
 }
 
@@ -342,7 +339,7 @@
 		return 0
 	}
 	d := PaceWeight * float64(n.Events) * float64(x.gapNow(now))
-	d += HarmWeight * float64(b.calls) * float64(miss) / p.tokensPerMS * float64(time.Millisecond)
+	d += HarmWeight * float64(b.calls) * float64(p.curve.read(0, miss))
 	if n.Capacity > 0 && float64(b.held+miss+n.Prompt.Output) > fullShare*float64(n.Capacity) {
 		d += float64(fullDelay)
 	}
@@ -372,7 +369,7 @@
 	}
 	p := t.paces[service]
 	if p == nil {
-		p = &pace{tokensPerMS: firstRate, plain: firstPlain}
+		p = &pace{plain: firstPlain}
 		t.paces[service] = p
 	}
 	return p
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -18,17 +18,14 @@
 
 // pace is what calls showed of a service.
 type pace struct {
-	engine      bool    // its requests have prompts
-	tokensPerMS float64 // prompt tokens that a target reads in a millisecond
-	plain       time.Duration
+	engine bool // its requests have prompts
+	curve  curve
+	plain  time.Duration
 }
 
 const (
-	// paceShare is the weight of a new sample in what calls showed.
+	// paceShare is the weight of a new sample in the time of plain calls.
 	paceShare = 0.05
-	// leastSample is the number of prompt tokens from which a first event
-	// tells the rate at which they are read.
-	leastSample = 1500
 	// slowShare is the weight of a call in a target's own pace, and slowMost
 	// bounds a single sample, as one stall is not a slow target.
 	slowShare = 0.15
@@ -48,10 +45,8 @@
 		s.plain += time.Duration(paceShare * float64(min(d, slowMost*s.plain)-s.plain))
 	} else {
 		s.engine = true
-		if n := c.Ahead + c.Miss; n >= leastSample && d > overhead && !c.Cold {
-			rate := float64(n) / (float64(d-overhead) / float64(time.Millisecond))
-			rate = min(max(rate, s.tokensPerMS/slowMost), s.tokensPerMS*slowMost)
-			s.tokensPerMS += paceShare * (rate - s.tokensPerMS)
+		if !c.Cold {
+			s.curve.learn(c.Ahead, c.Miss, d-time.Duration(c.Busy)*slotDelay)
 		}
 	}
 	ratio := min(float64(d)*x.slow/float64(max(c.Expected, time.Millisecond)), slowMost)
--- /dev/null
+++ b/core/jwplacement/placement_test.go
@@ -0,0 +1,64 @@
+package jwplacement
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwmember"
+)
+
+const ms = time.Millisecond
+
+func option(region string, expected time.Duration) Option {
+	return Option{Region: region, Known: true, Expected: expected}
+}
+
+// The peak of a small region is borne by the others, and what is no peak stays.
+func TestChoose(t *testing.T) {
+	here := option("here", 400*ms)
+	silent := option("silent", 0)
+	silent.Known = false
+	slow := option("slow", 100*ms)
+	slow.Later = 500 * ms
+	cases := map[string]struct {
+		here   *Option
+		others []Option
+		policy Policy
+		want   string
+		reason Reason
+	}{
+		"nobody":                          {nil, nil, Policy{}, "", Nowhere},
+		"nobody else":                     {&here, nil, Policy{}, "here", Here},
+		"another a little cheaper":        {&here, []Option{option("a", 300*ms)}, Policy{}, "here", Here},
+		"another clearly cheaper":         {&here, []Option{option("a", 250*ms)}, Policy{}, "a", Cheaper},
+		"the cheaper of two":              {&here, []Option{option("a", 250*ms), option("b", 220*ms)}, Policy{}, "b", Cheaper},
+		"the first of equals":             {&here, []Option{option("a", 220*ms), option("b", 220*ms)}, Policy{}, "a", Cheaper},
+		"its events come slowly":          {&here, []Option{slow}, Policy{}, "here", Here},
+		"it has told nothing":             {&here, []Option{silent}, Policy{}, "here", Here},
+		"none here":                       {nil, []Option{option("a", 9000*ms)}, Policy{}, "a", Only},
+		"none here, the cheaper":          {nil, []Option{option("a", 900*ms), option("b", 300*ms)}, Policy{}, "b", Only},
+		"none here, one has told nothing": {nil, []Option{silent, option("b", 300*ms)}, Policy{}, "b", Only},
+		"none here, all silent":           {nil, []Option{silent}, Policy{}, "silent", Only},
+		"nothing is sent away":            {&here, []Option{option("a", 10*ms)}, Policy{Stay: true}, "here", Here},
+		"nothing here, none stays":        {nil, []Option{option("a", 10*ms)}, Policy{Stay: true}, "a", Only},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := c.policy.Choose(c.here, c.others)
+			assert.Equal(t, got.Region, c.want)
+			assert.Equal(t, got.Reason, c.reason)
+		})
+	}
+}
+
+// To open a connection to another region takes a way there and back more.
+func TestNode(t *testing.T) {
+	nodes := []jwmember.Member{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	none := func(jwmember.Member) bool { return false }
+	b := func(m jwmember.Member) bool { return m.Name == "b" }
+	assert.Equal(t, Node(nodes, none, 0).Name, "a")
+	assert.Equal(t, Node(nodes, none, 0.999).Name, "c")
+	assert.Equal(t, Node(nodes, b, 0.999).Name, "b")
+}
--- /dev/null
+++ b/core/jwrepeat/repeat_test.go
@@ -0,0 +1,61 @@
+package jwrepeat
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// A confirmation that may have run must never run again, whatever is left of the
+// budget; a lookup may, as often as its entry says.
+func TestDecide(t *testing.T) {
+	lookup := Request{Repeatable: true, Most: 2}
+	with := func(change func(*Request)) Request {
+		r := lookup
+		change(&r)
+		return r
+	}
+	cases := map[string]struct {
+		request Request
+		budget  bool
+		want    Reason
+	}{
+		"failed once":                 {with(func(r *Request) { r.Attempts, r.Sends = 1, 1 }), true, Again},
+		"failed once, nothing left":   {with(func(r *Request) { r.Attempts, r.Sends = 1, 1 }), false, NoBudget},
+		"failed twice":                {with(func(r *Request) { r.Attempts, r.Sends = 2, 2 }), true, Tried},
+		"not run":                     {with(func(r *Request) { r.NotRun, r.Sends = true, 1 }), true, Again},
+		"not run, and nobody reached": {with(func(r *Request) { r.NotRun = true }), false, First},
+		"not run, runs once":          {Request{NotRun: true, Sends: 1}, true, Again},
+		"may have run, runs once":     {Request{Attempts: 1, Sends: 1, Most: 1}, true, RunsOnce},
+		"paid before":                 {with(func(r *Request) { r.Attempts, r.Sends, r.Paid = 1, 1, true }), false, Paid},
+		"its body is gone":            {with(func(r *Request) { r.NotRun, r.Streamed = true, true }), true, OneBody},
+		"refused everywhere":          {with(func(r *Request) { r.NotRun, r.Final = true, true }), true, InVain},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, Decide(c.request, func() bool { return c.budget }), c.want)
+		})
+	}
+}
+
+// Whatever happened before: what must run once isn't sent after it may have run,
+// and the budget is asked only for a send that is made then.
+func TestNeverTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := Request{
+			Final: rapid.Bool().Draw(t, "final"), Streamed: rapid.Bool().Draw(t, "streamed"),
+			NotRun: rapid.Bool().Draw(t, "notRun"), Repeatable: rapid.Bool().Draw(t, "repeatable"),
+			Attempts: rapid.IntRange(0, 3).Draw(t, "attempts"), Most: rapid.IntRange(0, 3).Draw(t, "most"),
+			Sends: rapid.IntRange(0, 3).Draw(t, "sends"), Paid: rapid.Bool().Draw(t, "paid"),
+		}
+		taken := 0
+		got := Decide(r, func() bool { taken++; return true })
+		if !r.NotRun && !r.Repeatable && got.May() {
+			t.Fatalf("%+v is sent again: %s", r, got)
+		}
+		if (taken == 1) != (got == Again) || taken > 1 {
+			t.Fatalf("%+v took %d from the budget: %s", r, taken, got)
+		}
+	})
+}
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -47,6 +47,7 @@
 	}
 	d := q.decision(stepSend)
 	d.Target, d.Expected, d.Cold, d.Calls = c.Target.ID, c.Expected, c.Cold, c.Calls
+	d.Prompt, d.Miss, d.Ahead = q.Prompt.Tokens, c.Miss, c.Ahead
 	d.First, d.Pause = p.first, p.pause
 	d.Silent = p.silent(v, time.Now())
 	d.BeliefAge, d.Outcome, d.Status = c.Age, string(v), status
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +12,7 @@
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwplacement"
 	"jujubewheel/core/jwsuspect"
 	"jujubewheel/io/jwconn"
 )
@@ -24,63 +26,43 @@
 	headMark     = "Jujube-Mark"   // fingerprint of the request
 )
 
-// farther is by how much cheaper another region must be than this one before
-// a request is sent there: its bytes are dear and estimates are rough.
-const farther = 100 * time.Millisecond
-
-// place is where a request is to be served.
-type place struct {
-	region   string        // empty for none
-	expected time.Duration // until the first event
-	cost     time.Duration
-	miss     int // prompt tokens that have to be read there
-}
-
-// place chooses the region that serves a request: this one, unless another is
-// clearly cheaper.
-func (g *Gateway) place(now time.Time, q *request) place {
+// place chooses the region that serves a request.
+func (g *Gateway) place(now time.Time, q *request) jwplacement.Choice {
 	n := g.need(q)
-	best := place{}
+	var here *jwplacement.Option
 	if q.forward || q.entry.Allows(g.Settings.Region) {
 		if c, ok := g.targets.Look(now, n); ok {
-			best = place{region: g.Settings.Region, expected: c.Expected, cost: c.Cost}
+			here = &jwplacement.Option{
+				Region: g.Settings.Region, Known: true, Expected: c.Expected, Own: c.Own, Later: c.Cost - c.Expected, Miss: c.Miss,
+			}
 		}
 	}
-	if q.forward {
-		return best
-	}
-	for _, region := range g.otherRegions(q) {
-		if q.full[region] || len(g.untried(q, g.members.Live(now, region))) == 0 {
-			continue
-		}
-		p, known := g.cost(now, region, n)
-		switch {
-		case best.region == "":
-			best = p
-		case !known:
-		case best.region == g.Settings.Region && best.cost > p.cost+farther,
-			best.region != g.Settings.Region && best.cost > p.cost:
-			best = p
+	var others []jwplacement.Option
+	if !q.forward {
+		for _, region := range g.otherRegions(q) {
+			if !q.full[region] && len(g.untried(q, g.members.Live(now, region))) > 0 {
+				others = append(others, g.option(now, region, n))
+			}
 		}
 	}
-	return best
+	return g.Placement.Choose(here, others)
 }
 
-// cost estimates what Look of a node of another region would say, with the
-// way there and back; known is false if that region has told nothing lately.
-func (g *Gateway) cost(now time.Time, region string, n jwinstance.Need) (p place, known bool) {
+// option estimates what Look of a node of another region would say, with the
+// way there and back.
+func (g *Gateway) option(now time.Time, region string, n jwinstance.Need) jwplacement.Option {
 	w, known := g.regions.expect(now, region, n.Service)
-	d := g.regions.trip(region) + w.wait
+	o := jwplacement.Option{Region: region, Known: known, Expected: g.regions.trip(region) + w.wait}
 	if n.Prompt.Tokens > 0 {
 		miss, targets := g.targets.MissIn(now, region, n)
-		p.miss = miss
+		o.Miss = miss
 		// The other nodes of this region see the same and send there too.
 		unseen := g.regions.unseen(region, n.Service) * max(len(g.members.Live(now, g.Settings.Region)), 1)
-		d += g.targets.Read(n.Service, miss+unseen/max(targets, 1))
+		o.Own = g.targets.Read(n.Service, 0, miss)
+		o.Expected += g.targets.Read(n.Service, unseen/max(targets, 1), miss)
 	}
-	later := time.Duration(jwinstance.PaceWeight * float64(n.Events) * float64(w.gap))
-	p.region, p.expected, p.cost = region, d, d+later
-	return p, known
+	o.Later = time.Duration(jwinstance.PaceWeight * float64(n.Events) * float64(w.gap))
+	return o
 }
 
 // otherRegions returns the regions that may serve the request and have nodes.
@@ -91,6 +73,7 @@
 			list = append(list, region)
 		}
 	}
+	slices.Sort(list)
 	return list
 }
 
@@ -99,27 +82,15 @@
 	now := time.Now()
 	nodes := g.untried(q, g.members.Live(now, region))
 	if len(nodes) == 0 {
-		q.refused = noTarget
-		return notRun
+		return q.refuse(noTarget, refusedWait)
 	}
 	g.regions.send(now, region, q.service, miss)
 	return g.forward(ctx, q, g.near(nodes, point(q.ID)))
 }
 
-// near returns one of the nodes by a point in [0, 1), of those to which a
-// connection is open if there are any: to open one takes as long as the answer
-// of a quick target, which made two of three such requests late.
+// near returns the node of another region that a request is passed on to.
 func (g *Gateway) near(nodes []jwmember.Member, point float64) jwmember.Member {
-	var open []jwmember.Member
-	for _, m := range nodes {
-		if g.Nodes.Kept(m.Nodes) > 0 {
-			open = append(open, m)
-		}
-	}
-	if len(open) > 0 {
-		nodes = open
-	}
-	return nodes[int(point*float64(len(nodes)))]
+	return jwplacement.Node(nodes, func(m jwmember.Member) bool { return g.Nodes.Kept(m.Nodes) > 0 }, point)
 }
 
 func (g *Gateway) untried(q *request, nodes []jwmember.Member) []jwmember.Member {
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -12,11 +12,13 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 
+	"jujubewheel/core/jwadmission"
 	"jujubewheel/core/jwbudget"
 	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwplacement"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/core/jwsuspect"
 	"jujubewheel/io/jwconn"
@@ -40,6 +42,8 @@
 	Log       logr.Logger
 	Decisions *jwlog.Decisions            // a line for each decision about a request; nil for none
 	Reload    <-chan *jwsettings.Settings // settings that changed while the node runs
+	Admission jwadmission.Policy          // which requests are turned away
+	Placement jwplacement.Policy          // which region serves a request
 	Boot      func() time.Duration        // time since the host started, suspended or not; nil for the host's own
 
 	pulse    jwclock.Pulse
--- a/io/jwgateway/region_test.go
+++ b/io/jwgateway/region_test.go
@@ -12,6 +12,7 @@
 
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwplacement"
 	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwsettings"
 )
@@ -58,13 +59,9 @@
 	n := jwinstance.Need{Service: "s", Prompt: jwinstance.Prompt{Tokens: 5000}}
 	sent := map[string]int{}
 	for range 20 {
-		q, _ := g.cost(now, "q", n)
-		p, _ := g.cost(now, "p", n)
-		if p.cost < q.cost {
-			q = p
-		}
-		sent[q.region]++
-		g.regions.send(now, q.region, "s", q.miss)
+		c := g.Placement.Choose(nil, []jwplacement.Option{g.option(now, "p", n), g.option(now, "q", n)})
+		sent[c.Region]++
+		g.regions.send(now, c.Region, "s", c.Miss)
 	}
 	assert.DeepEqual(t, sent, map[string]int{"q": 10, "p": 10})
 }
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -55,6 +55,7 @@
 	again    time.Duration   // when to come back after a refusal
 	full     map[string]bool // regions that had no room for it
 	refused  string          // why the last send or choice did not run
+	final    bool            // the next send would be refused as the last choice was
 }
 
 // need describes the request to those who look for a target.
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -4,6 +4,10 @@
 	"context"
 	"net/http"
 	"time"
+
+	"jujubewheel/core/jwadmission"
+	"jujubewheel/core/jwplacement"
+	"jujubewheel/core/jwrepeat"
 )
 
 // Verdict is how one send of a request ended.
@@ -75,27 +79,20 @@
 
 // mayRepeat tells whether a request may be sent once more after a verdict.
 func (g *Gateway) mayRepeat(q *request, v Verdict) bool {
-	if q.refused == noTarget || q.refused == tooLate || q.refused == barred || q.body.once() {
-		return false
-	}
-	if v != notRun {
-		if !q.entry.Repeatable() || q.attempts >= q.entry.Attempts() {
-			return false
-		}
-	}
-	if q.paid.Swap(false) {
-		g.meters.repeats.Inc(1)
-		return true
-	}
-	if q.sends == 0 {
-		return true
-	}
-	if !g.retries.Take(time.Now(), q.service) {
+	reason := jwrepeat.Decide(jwrepeat.Request{
+		Final: q.final, Streamed: q.body.once(), NotRun: v == notRun, Repeatable: q.entry.Repeatable(),
+		Attempts: q.attempts, Most: q.entry.Attempts(), Sends: q.sends, Paid: q.paid.Load(),
+	}, func() bool { return g.retries.Take(time.Now(), q.service) })
+	switch reason {
+	case jwrepeat.NoBudget:
 		g.meters.noBudget.Inc(1)
-		return false
+	case jwrepeat.Paid:
+		q.paid.Store(false)
+		g.meters.repeats.Inc(1)
+	case jwrepeat.Again:
+		g.meters.repeats.Inc(1)
 	}
-	g.meters.repeats.Inc(1)
-	return true
+	return reason.May()
 }
 
 // noTarget is why a request was refused that found no target.
@@ -105,52 +102,41 @@
 func (g *Gateway) send(ctx context.Context, q *request) Verdict {
 	now := time.Now()
 	if !g.mayRun(now, q) {
-		q.refused, q.again = barred, barredWait
-		return notRun
+		return q.refuse(barred, barredWait)
 	}
 	p := g.place(now, q)
-	if p.region == "" && len(q.tried) > 0 && q.entry.Repeatable() {
+	if p.Reason == jwplacement.Nowhere && len(q.tried) > 0 && q.entry.Repeatable() {
 		// All that are left were tried: over a new connection one may answer.
 		clear(q.tried)
 		p = g.place(now, q)
 	}
-	if p.region == "" {
-		q.refused = noTarget
+	if p.Reason == jwplacement.Nowhere {
 		if len(g.targets.Regions(q.service)) == 0 {
-			q.again = mostWait // not one is left; coming back at once is in vain
+			return q.refuse(noTarget, mostWait) // not one is left; coming back at once is in vain
 		}
-		return notRun
+		return q.refuse(noTarget, refusedWait)
 	}
-	if g.late(q, p) {
-		q.refused = tooLate
-		q.again = min(max(p.expected-q.entry.Goal/2, refusedWait), mostWait)
-		return notRun
+	d := g.Admission.Decide(jwadmission.Request{
+		Goal: q.entry.Goal, Left: q.deadline.Sub(now), Expected: p.Expected, Own: p.Own,
+		Engine: q.Prompt.Tokens > 0, Begun: q.forward || q.started || q.sends > 0,
+	})
+	if !d.Taken() {
+		return q.refuse(string(d.Reason), d.Again)
 	}
-	if p.region != g.Settings.Region {
-		return g.sendNode(ctx, q, p.region, p.miss)
+	if p.Region != g.Settings.Region {
+		return g.sendNode(ctx, q, p.Region, p.Miss)
 	}
 	need := g.need(q)
 	g.keepApart(now, q, &need)
 	c, ok := g.targets.Best(now, need)
 	if !ok {
-		q.refused = noTarget
-		return notRun
+		return q.refuse(noTarget, refusedWait)
 	}
 	return g.sendTarget(ctx, q, c)
 }
 
-// tooLate is why a request was refused that would come too late.
-const tooLate = "would be answered too late"
-
-// lateShare is the part of the goal that may be waited for the first event. A
-// queue longer than that makes every answer late; turning some away keeps the
-// others in time.
-const lateShare = 1.2
-
-// late tells whether a request that was not sent yet is to be turned away.
-func (g *Gateway) late(q *request, p place) bool {
-	if q.forward || q.started || q.sends > 0 || q.entry.Goal == 0 || q.Prompt.Tokens == 0 {
-		return false
-	}
-	return p.expected > time.Duration(lateShare*float64(q.entry.Goal))
+// refuse notes why no target will run the request, and when to come back.
+func (q *request) refuse(why string, again time.Duration) Verdict {
+	q.refused, q.again, q.final = why, again, true
+	return notRun
 }
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -29,6 +29,9 @@
 	Pause     time.Duration // longest between two events
 	Silent    time.Duration // since the last event, of a send that broke off
 	Calls     int           // of this node at the target
+	Prompt    int           // tokens of the prompt
+	Miss      int           // of these, what the target is believed to lack
+	Ahead     int           // tokens to be read there before
 	BeliefAge time.Duration // of the target's registration
 	LoadAge   time.Duration // of the target's last report of its load
 	Cold      bool
@@ -60,7 +63,7 @@
 	if x.Minor {
 		log = d.minor
 	}
-	const most = 22
+	const most = 25
 	var buf [most]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
@@ -80,6 +83,9 @@
 	f = appendNumber(f, "pauseMs", x.Pause.Milliseconds())
 	f = appendNumber(f, "silentMs", x.Silent.Milliseconds())
 	f = appendNumber(f, "calls", int64(x.Calls))
+	f = appendNumber(f, "promptTokens", int64(x.Prompt))
+	f = appendNumber(f, "missTokens", int64(x.Miss))
+	f = appendNumber(f, "aheadTokens", int64(x.Ahead))
 	f = appendNumber(f, "beliefAgeMs", x.BeliefAge.Milliseconds())
 	f = appendNumber(f, "loadAgeMs", x.LoadAge.Milliseconds())
 	if x.Cold {
