jwgateway: a node that starts lets requests wait a moment for its first configuration

Most callers come back once. One whose connection broke as its node was killed comes back to a node that has started and not read the store yet; told to come again it is refused for good. In a region an ocean away from the store the first reading takes three ways there and back. Requests wait for it, up to 0.6 s after the start of the process and a quarter of their own time; then they are refused as before.

--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -1,6 +1,7 @@
 package jwgateway
 
 import (
+	"context"
 	"hash/fnv"
 	"io"
 	"net"
@@ -18,6 +19,12 @@
 )
 
 const (
+	// startHold is how long after its start a node lets a request wait for the first
+	// configuration: three ways to the store and back over an ocean. Most callers
+	// come back once, and one that is sent away in that moment has used that up.
+	startHold = 600 * time.Millisecond
+	// holdShare is the part of its time that a request may wait so.
+	holdShare = 0.25
 	// firstWait is the Retry-After of a node that knows no configuration yet.
 	firstWait = 500 * time.Millisecond
 	// mostWait bounds it.
@@ -94,7 +101,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	call := g.Dialect.Call(r.Header)
-	cfg := g.entries.Current()
+	cfg := g.startConfig(r.Context(), call.Deadline)
 	if cfg == nil {
 		// The longer it lasts, the longer it will: the store is away then.
 		again := min(max(time.Since(g.begun), firstWait), mostWait)
@@ -146,6 +153,29 @@
 	g.serve(r.Context(), q)
 }
 
+// startConfig returns the configuration in force. A node that has just started
+// waits for it a moment; nil is returned if there is none then.
+func (g *Gateway) startConfig(ctx context.Context, deadline time.Duration) *jwentry.Config {
+	if c := g.entries.Current(); c != nil {
+		return c
+	}
+	if deadline == 0 {
+		deadline = defaultDeadline
+	}
+	wait := min(startHold-time.Since(g.begun), time.Duration(holdShare*float64(deadline)))
+	if wait <= 0 {
+		return nil
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-g.configured.opened():
+	}
+	return g.entries.Current()
+}
+
 // takeBody reads what is held of the body, or tells the caller why not.
 func (g *Gateway) takeBody(q *request, r *http.Request) bool {
 	most := int64(bodyLimit)
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -484,6 +484,30 @@
 	until(t, second, "/a/x", served)
 }
 
+// All nodes of a region come back at once, an ocean away from the store, and their
+// callers are there before the first configuration. Each may come back once; told to,
+// it would be late, and refused if it had come back before.
+func TestRequestThatIsThereBeforeTheConfiguration(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	n := start(t, lateReading{&feed}, "n1", "north")
+	r, err := send(t, n, http.MethodGet, "/a/x", "first", nil, "")
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusOK)
+}
+
+// lateReading is a store that is slow to be read.
+type lateReading struct {
+	jwstore.Feed
+}
+
+func (l lateReading) Range(ctx context.Context, prefix string) ([]jwstore.Item, uint64, error) {
+	jwclock.Sleep(ctx, 100*time.Millisecond)
+	return l.Feed.Range(ctx, prefix)
+}
+
 // A stream that runs when the node is told to stop goes on to its end, and the
 // node says so to nobody new.
 func TestPlannedStop(t *testing.T) {
