jwgateway: a large fleet asks the store as often as one of forty

From forty nodes on the pause grows with the fleet, to 1.4 s at most, as changes must be in force in 3 to 4 s. Nodes of the own region aren't told waits any more, which only others need.

--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -42,8 +42,8 @@
 type state struct {
 	Member   jwmember.Member        `json:"member"`
 	Version  uint64                 `json:"version"`            // of the configuration in force
-	Waits    map[string]int64       `json:"waits"`              // milliseconds until a first event, by service
-	Gaps     map[string]int64       `json:"gaps"`               // milliseconds between two events, by service
+	Waits    map[string]int64       `json:"waits,omitempty"`    // milliseconds until a first event, by service, told to other regions
+	Gaps     map[string]int64       `json:"gaps,omitempty"`     // milliseconds between two events, by service, told to other regions
 	Sure     bool                   `json:"sure"`               // it reaches the store
 	Revision uint64                 `json:"revision"`           // of the store, up to which it was read
 	Cold     map[string]int64       `json:"cold,omitempty"`     // milliseconds for which targets stay cold, told within the region only
@@ -59,7 +59,7 @@
 		Member: g.members.Me(), Version: g.entries.Version(), Waits: map[string]int64{}, Gaps: map[string]int64{},
 		Sure: !g.store.doubt(now), Revision: g.store.revision.Load(),
 	}
-	if c := g.entries.Current(); c != nil {
+	if c := g.entries.Current(); c != nil && region != g.Settings.Region {
 		for name := range c.Services {
 			if d, ok := g.targets.Wait(now, name); ok {
 				s.Waits[name] = d.Milliseconds()
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -21,6 +21,11 @@
 	// followPause is the wait between two readings of changes. Targets register
 	// about once a second each; without it every one would cost a call.
 	followPause = 700 * time.Millisecond
+	// mostFollowPause and followNodes bound what a large fleet asks of the store, which
+	// prices each call: from followNodes on the pause grows with the fleet, so that all
+	// together make as many calls. Changes have three seconds to be in force.
+	mostFollowPause = 1400 * time.Millisecond
+	followNodes     = 40
 	// followWait is how long a reading waits for a change. A connection that
 	// fell silent is noticed after it.
 	followWait = 4 * time.Second
@@ -56,7 +61,7 @@
 				g.Log.Info("store regained", "after", now.Sub(f.lost).String())
 				f.lost = time.Time{}
 			}
-			jwclock.Sleep(epoch, followPause)
+			jwclock.Sleep(epoch, pauseOf(g.members.Count(now, "")))
 			continue
 		}
 		if errors.Is(err, jwstore.ErrCompacted) {
@@ -72,6 +77,11 @@
 	}
 }
 
+// pauseOf returns the wait between two readings of changes in a fleet.
+func pauseOf(nodes int) time.Duration {
+	return min(followPause*time.Duration(max(nodes, followNodes))/followNodes, mostFollowPause)
+}
+
 func (f *follower) step(ctx context.Context) error {
 	if f.revision == 0 {
 		return f.readAll(ctx)
--- a/io/jwgateway/follow_test.go
+++ b/io/jwgateway/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
@@ -47,3 +48,22 @@
 	assert.Equal(t, g.entries.Version(), uint64(25))
 	assert.Equal(t, r.decoded, 2)
 }
+
+// A fleet of eighty nodes asks the store as often as one of forty: the calls of a
+// day are priced, and were the dearest thing of it.
+func TestPauseGrowsWithTheFleet(t *testing.T) {
+	cases := map[string]struct {
+		nodes int
+		want  time.Duration
+	}{
+		"alone":   {1, followPause},
+		"small":   {40, followPause},
+		"eighty":  {80, 2 * followPause},
+		"hundred": {300, mostFollowPause},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, pauseOf(c.nodes), c.want)
+		})
+	}
+}
