jwinstance: the wait for a slot is learned, and few targets are compared by many nodes

Engines there have 32 slots, and an answer holds one for seconds. How long is learned now from calls, without their own wait. - All nodes saw the same idle target and sent to it at once. Each node compares a few drawn targets now, twice its even part, and always the one that keeps most of the prompt.

Tried and not kept: a node of the region that hears all loads and tells the sums every 0.25 s, and new placements of prompts.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -31,8 +31,9 @@
 	fullShare = 0.85
 	// fullDelay is what a preempted request waits.
 	fullDelay = 500 * time.Millisecond
-	// queueDelay is the wait for a slot for each request ahead in the queue.
-	queueDelay = 40 * time.Millisecond
+	// firstHold is how long a call takes a slot until calls have shown it: a second
+	// at 32 slots is 30 ms for each that waits ahead.
+	firstHold = time.Second
 	// fetchShare is what a token that is fetched from another target costs
 	// against one that is read.
 	fetchShare = 0.25
@@ -75,6 +76,7 @@
 	Calls    int           // of this node at the target before this one
 	Busy     int           // of all nodes
 	Age      time.Duration // of the registration that the choice rests on
+	sent     time.Time
 }
 
 // Best returns the target of the region that will probably answer soonest and
@@ -100,6 +102,7 @@
 	x := c.Target
 	c.Calls, c.Age = x.calls, now.Sub(x.heard)
 	x.calls++
+	c.sent = now
 	c.Rank = rank(n.Priority)
 	x.work[c.Rank] += c.Miss
 	c.Held = c.Miss + n.Prompt.Output
@@ -178,14 +181,10 @@
 		t.missing = append(t.missing, x.cache.missing(n.Prompt))
 	}
 	holder, most := t.holder(now, n, nil)
-	for i, x := range t.of(n.Service) {
-		if x.Region != t.Region || !t.usable(now, x, last) || n.Exclude[x.ID] || slices.Contains(n.Apart, x.Address) {
-			continue
-		}
+	list := t.of(n.Service)
+	for _, i := range t.draw(now, n, list, last) {
+		x := list[i]
 		cold := now.Before(x.coldUntil)
-		if cold && (n.WarmOnly || !t.coldRoom(now, x)) {
-			continue
-		}
 		c := Choice{Target: x, Cold: cold, Miss: t.missing[i]}
 		if held := n.Prompt.Tokens - c.Miss; most-held >= leastFetch && holder != x {
 			c.Fetch = holder.Address
@@ -207,6 +206,55 @@
 	return found, found.Target != nil
 }
 
+// sampleSize is how many of the targets are compared, where so many nodes choose
+// among them. All nodes see the same idle target, and were all compared, each would
+// send there before it hears of the others: the more is told of loads, and the sooner,
+// the worse it gets. With this an idle target is among those of two nodes in the mean.
+// Two at least are compared, as two are far better than one.
+func sampleSize(targets, nodes int) int {
+	const least, seenBy = 2, 2
+	return max(seenBy*targets/max(nodes, 1), least)
+}
+
+// draw returns the places in a list of the targets that are compared: of those that
+// may take the request sampleSize at random, and the one that keeps most of the
+// prompt.
+func (t *Table) draw(now time.Time, n Need, list []*Target, last bool) []int {
+	t.drawn = t.drawn[:0]
+	for i, x := range list {
+		if x.Region != t.Region || !t.usable(now, x, last) || n.Exclude[x.ID] || slices.Contains(n.Apart, x.Address) {
+			continue
+		}
+		if now.Before(x.coldUntil) && (n.WarmOnly || !t.coldRoom(now, x)) {
+			continue
+		}
+		t.drawn = append(t.drawn, i)
+	}
+	if t.Nodes == nil || n.WarmOnly || len(t.drawn) == 0 {
+		return t.drawn
+	}
+	most := sampleSize(len(t.drawn), t.Nodes())
+	if most >= len(t.drawn) {
+		return t.drawn
+	}
+	keeps := 0
+	for k, i := range t.drawn {
+		if t.missing[i] < t.missing[t.drawn[keeps]] {
+			keeps = k
+		}
+	}
+	t.drawn[0], t.drawn[keeps] = t.drawn[keeps], t.drawn[0]
+	first := 1
+	if t.missing[t.drawn[0]] == n.Prompt.Tokens {
+		first = 0 // nobody keeps anything
+	}
+	for k := first; k < first+most && k < len(t.drawn); k++ {
+		j := k + t.Rand(len(t.drawn)-k)
+		t.drawn[k], t.drawn[j] = t.drawn[j], t.drawn[k]
+	}
+	return t.drawn[:min(first+most, len(t.drawn))]
+}
+
 // fetchCost is what a fetch counts beside its time: the price of the memory
 // moved, which is a twentieth of the worth of a prompt of some thousand tokens. It
 // is saved while there is time to wait for the holder, and not near the goal,
@@ -328,10 +376,18 @@
 		d := float64(p.plain) * max(1, float64(b.calls+1)/float64(slots))
 		return time.Duration(d * x.slow)
 	}
-	d := p.curve.expect(b.work, miss) + time.Duration(b.calls)*slotDelay + time.Duration(max(b.calls-slots+1, 0))*queueDelay
+	d := p.curve.expect(b.work, miss) + p.crowd(slots, b.calls)
 	return time.Duration(float64(d) * x.slow)
 }
 
+// crowd returns what the calls at an engine add to the wait for a first event: each
+// that runs slows the steps of the batch, and of those beyond its slots each waits
+// until one ends.
+func (p *pace) crowd(slots, calls int) time.Duration {
+	waiting := max(calls-slots+1, 0)
+	return time.Duration(calls)*slotDelay + time.Duration(waiting)*p.hold/time.Duration(slots)
+}
+
 // later returns what counts beside the first event: the pace of the request's
 // own events, and the delay of all that run there while its prompt is read.
 func (p *pace) later(now time.Time, x *Target, n Need, miss int, b load) time.Duration {
@@ -369,7 +425,7 @@
 	}
 	p := t.paces[service]
 	if p == nil {
-		p = &pace{plain: firstPlain}
+		p = &pace{plain: firstPlain, hold: firstHold}
 		t.paces[service] = p
 	}
 	return p
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -21,6 +21,7 @@
 	engine bool // its requests have prompts
 	curve  curve
 	plain  time.Duration
+	hold   time.Duration // of a slot of an engine, by one call
 }
 
 const (
@@ -46,7 +47,7 @@
 	} else {
 		s.engine = true
 		if !c.Cold {
-			s.curve.learn(c.Ahead, c.Miss, d-time.Duration(c.Busy)*slotDelay)
+			s.curve.learn(c.Ahead, c.Miss, max(d-s.crowd(max(x.Slots, 1), c.Busy), 0))
 		}
 	}
 	ratio := min(float64(d)*x.slow/float64(max(c.Expected, time.Millisecond)), slowMost)
@@ -68,13 +69,18 @@
 	x.gapAt = now
 }
 
-// Done notes the end of a call; started tells whether Started was called.
-func (t *Table) Done(x *Target, c Choice, started bool) {
+// Done notes the end of a call; first is the wait that Started was called with, 0
+// if it was not.
+func (t *Table) Done(now time.Time, x *Target, c Choice, first time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if p := t.pace(x.Service); first > 0 && p.engine {
+		held := now.Sub(c.sent) - first + c.Own // without the wait for the slot
+		p.hold += time.Duration(paceShare * float64(held-p.hold))
+	}
 	x.calls--
 	x.tokens -= c.Held
-	if !started {
+	if first == 0 {
 		x.work[c.Rank] -= c.Miss
 	}
 }
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -21,7 +21,11 @@
 type Table struct {
 	Region string                                        // targets of other regions can't be reached and are only counted
 	Warmup func(service string) (time.Duration, float64) // how long and how slowly a target starts
-	Share  func(service, target string) float64          // requests a second that this node may send to a cold target
+	// Nodes tells how many nodes of the region choose among its targets, and Rand draws
+	// a number below n. Where they are set not all targets are compared; see draw.
+	Nodes func() int
+	Rand  func(n int) int
+	Share func(service, target string) float64 // requests a second that this node may send to a cold target
 
 	mu        sync.Mutex
 	targets   map[string]*Target
@@ -30,6 +34,7 @@
 	paces     map[string]*pace     // by service
 	placed    []Placement          // of this node, the latest last
 	words     map[string]nodeWord  // of the other nodes of the region, by name
+	drawn     []int                // scratch of draw
 	missing   []int                // scratch of best: tokens that each target lacks
 }
 
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -34,7 +35,7 @@
 	if !ok {
 		return ""
 	}
-	t.Done(c.Target, c, false)
+	t.Done(now, c.Target, c, 0)
 	return c.Target.ID
 }
 
@@ -310,14 +311,14 @@
 	table := &Table{Region: "r"}
 	table.Put(t0, instance("a"))
 	x := table.targets["a"]
-	for _, started := range []bool{false, true} {
+	for _, first := range []time.Duration{0, time.Millisecond} {
 		c, ok := table.Best(t0, Need{Service: "s", Prompt: prompt(1, 2), Priority: 1})
 		assert.Assert(t, ok)
 		assert.Assert(t, x.calls == 1 && x.tokens > 0)
-		if started {
-			table.Started(x, c, prompt(1, 2), time.Millisecond)
+		if first > 0 {
+			table.Started(x, c, prompt(1, 2), first)
 		}
-		table.Done(x, c, started)
+		table.Done(t0, x, c, first)
 		assert.Equal(t, x.work, work{})
 		assert.Equal(t, x.calls, 0)
 		assert.Equal(t, x.tokens, 0)
@@ -338,7 +339,7 @@
 			d *= 6
 		}
 		table.Started(c.Target, c, prompt(uint64(i)), d)
-		table.Done(c.Target, c, true)
+		table.Done(after(i*20), c.Target, c, d)
 		share[c.Target.ID]++
 	}
 	assert.Assert(t, share["a"] < 60, "%v", share)
@@ -364,7 +365,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				c, _ := table.Best(t0, n)
-				table.Done(c.Target, c, false)
+				table.Done(t0, c.Target, c, 0)
 				table.placed = table.placed[:0]
 			}
 		})
@@ -495,3 +496,82 @@
 	<-done
 	assert.Equal(t, chosen(table, after(200), Need{}), "")
 }
+
+func TestSampleSize(t *testing.T) {
+	cases := map[string]struct{ targets, nodes, want int }{
+		"one node compares all":  {9, 1, 18},
+		"a small region":         {9, 4, 4},
+		"as many nodes":          {40, 40, 2},
+		"more nodes":             {5, 40, 2},
+		"many targets":           {246, 75, 6},
+		"nobody is counted":      {9, 0, 18},
+		"two targets, two nodes": {2, 2, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, sampleSize(c.targets, c.nodes), c.want)
+		})
+	}
+}
+
+// Engines with few slots and long answers: all slots of a small region are taken,
+// and each that waits there waits for an answer to end. Taken for a fixed 40 ms, the
+// queue looked short, and callers waited for seconds beside idle regions.
+func TestWaitForASlotIsLearned(t *testing.T) {
+	table := &Table{Region: "r"}
+	in := instance("a")
+	in.Slots = 2
+	table.Put(t0, in)
+	need := Need{Service: "s", Prompt: Prompt{Tokens: 100}}
+	at := t0
+	for range 200 {
+		c, ok := table.Best(at, need)
+		assert.Assert(t, ok)
+		table.Started(c.Target, c, need.Prompt, 50*time.Millisecond)
+		at = at.Add(4 * time.Second)
+		table.Done(at, c.Target, c, 50*time.Millisecond)
+	}
+	for range 2 {
+		_, ok := table.Best(at, need)
+		assert.Assert(t, ok)
+	}
+	c, ok := table.Look(at, need)
+	assert.Assert(t, ok)
+	assert.Assert(t, c.Expected > 1800*time.Millisecond && c.Expected < 2300*time.Millisecond, "%s", c.Expected)
+}
+
+// Forty nodes see the same idle target and all send to it, before any hears of the
+// others. Comparing a few drawn ones spreads them, and the one that keeps the prompt
+// is always among these.
+func TestSample(t *testing.T) {
+	busiest := func(nodes int) int {
+		calls := map[string]int{}
+		for node := range 40 {
+			r := rand.New(rand.NewPCG(uint64(node), 1))
+			table := &Table{Region: "r", Rand: r.IntN}
+			if nodes > 0 {
+				table.Nodes = func() int { return nodes }
+			}
+			for i := range 40 {
+				table.Put(t0, instance(fmt.Sprint("t", i)))
+			}
+			c, ok := table.Best(t0, Need{Service: "s", Prompt: Prompt{Tokens: 100}})
+			assert.Assert(t, ok)
+			calls[c.Target.ID]++
+		}
+		most := 0
+		for _, n := range calls {
+			most = max(most, n)
+		}
+		return most
+	}
+	assert.Equal(t, busiest(0), 40)
+	assert.Assert(t, busiest(40) <= 6, "%d of 40 nodes sent to one target", busiest(40))
+	table := &Table{Region: "r", Rand: rand.New(rand.NewPCG(1, 1)).IntN, Nodes: func() int { return 40 }}
+	for i := range 40 {
+		table.Put(t0, instance(fmt.Sprint("t", i)))
+	}
+	p := prompt(1, 2)
+	table.targets["t7"].cache.use(p.Parts, 0)
+	assert.Equal(t, chosen(table, t0, Need{Prompt: p}), "t7")
+}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -132,6 +133,8 @@
 	g.suspects.Node, g.suspects.Region = s.Node, s.Region
 	g.targets.Warmup = g.warmup
 	g.targets.Share = g.coldShare
+	g.targets.Rand = rand.IntN
+	g.targets.Nodes = func() int { return g.members.Count(time.Now(), s.Region) }
 	g.bounds.Store(&o.Bounds)
 	g.retries.Limits = func() jwbudget.Limits {
 		b := g.bounds.Load()
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -51,7 +51,7 @@
 			patience.Reset(mostPause)
 		})
 	}()
-	g.targets.Done(x, c, p.first > 0)
+	g.targets.Done(time.Now(), x, c, p.first)
 	if (verdict == failed || verdict == broken) && status != http.StatusInternalServerError && sendCtx.Err() == nil {
 		g.brokeOff(ctx, x)
 	}
