jwgateway, jwentry: one wait for the first configuration, one pair of Retry-After bounds

Read as a newcomer would; behaviour stays. - The latch of the gateway repeated what the table of entries knows: whether a configuration is in force.

--- a/core/jwentry/config.go
+++ b/core/jwentry/config.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 )
 
@@ -43,6 +44,8 @@
 // Table keeps the newest configuration; the zero value has none.
 type Table struct {
 	current atomic.Pointer[Config]
+	made    sync.Once
+	first   chan struct{}
 }
 
 // Current returns the configuration in force, nil before the first.
@@ -56,6 +59,12 @@
 	return 0
 }
 
+// First returns a channel that is closed once a configuration is in force.
+func (t *Table) First() <-chan struct{} {
+	t.made.Do(func() { t.first = make(chan struct{}) })
+	return t.first
+}
+
 // Put brings a configuration into force and tells whether it was newer than
 // the one before. An older one is ignored: a source that lags behind, such as
 // a peer or a stale read, must not undo a change.
@@ -66,6 +75,10 @@
 			return false
 		}
 		if t.current.CompareAndSwap(old, c) {
+			if old == nil {
+				t.First()
+				close(t.first)
+			}
 			return true
 		}
 	}
--- a/core/jwentry/entry_test.go
+++ b/core/jwentry/entry_test.go
@@ -1,6 +1,7 @@
 package jwentry
 
 import (
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -132,3 +133,22 @@
 		c.Match("a.example", "/zz/x")
 	}
 }
+
+// Two sources may tell the first configuration at the same moment; who waits for it
+// must be let go once, and the table must bear that.
+func TestFirst(t *testing.T) {
+	var table Table
+	select {
+	case <-table.First():
+		t.Fatal("nothing is in force")
+	default:
+	}
+	var all sync.WaitGroup
+	for version := range 8 {
+		all.Go(func() { table.Put(&Config{Version: uint64(version + 1)}) })
+	}
+	<-table.First()
+	all.Wait()
+	<-table.First()
+	assert.Equal(t, table.Version(), uint64(8))
+}
--- a/core/jwinstance/curve.go
+++ b/core/jwinstance/curve.go
@@ -86,8 +86,9 @@
 	}
 }
 
-// hold is how firmly each term stays where it was while the samples don't tell it,
-// as when all prompts are of one length.
+// hold is how firmly each term stays where it was while the samples don't tell it, as
+// when all prompts are of one length: as many samples in which only that term is one,
+// few against the two hundred that count.
 var hold = [terms]float64{0.1, 1, 20}
 
 // solve fits the terms one after the other, each for what the others leave, which
--- a/core/jwresolver/resolver_test.go
+++ b/core/jwresolver/resolver_test.go
@@ -18,7 +18,7 @@
 }
 
 // The two nodes of a small region are restarted in turn, and for a moment neither
-// serves. Users of that region would be sent across the ocean for seconds, and
+// serves. Users of that region would be sent to other regions for seconds, and
 // those whose data is bound to some regions to one that may not hold it.
 func TestResolve(t *testing.T) {
 	big := []jwmember.Member{member("b1", "big"), member("b2", "big")}
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -244,7 +244,6 @@
 	}
 	g.Log.Info("configuration in force", "version", c.Version, "before", old, "entries", len(c.Entries), "from", from)
 	if old == 0 {
-		g.configured.open()
 		g.members.Serve(time.Now(), !g.stopping.Load())
 		g.again()
 	}
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"jujubewheel/core/jwadmission"
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
@@ -82,7 +83,7 @@
 	now := time.Now()
 	nodes := g.untried(q, g.members.Live(now, region))
 	if len(nodes) == 0 {
-		return q.refuse(noTarget, refusedWait)
+		return q.turnAway(noTarget, jwadmission.LeastAgain)
 	}
 	g.regions.send(now, region, q.service, miss)
 	return g.forward(ctx, q, g.near(nodes, point(q.ID)))
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -47,31 +47,30 @@
 	Placement jwplacement.Policy          // which region serves a request
 	Boot      func() time.Duration        // time since the host started, suspended or not; nil for the host's own
 
-	pulse      jwclock.Pulse
-	epoch      atomic.Pointer[epoch]
-	meters     *meters
-	store      storeState
-	learned    atomic.Uint64 // revision of the store up to which another node told
-	learning   atomic.Bool   // another node is asked
-	viewed     atomic.Int64  // when the store was read last, nanoseconds since begun
-	bounds     atomic.Pointer[jwsettings.Bounds]
-	entries    jwentry.Table
-	targets    jwinstance.Table
-	members    jwmember.Table
-	retries    jwbudget.Retry
-	regions    regionTable
-	speaking   sync.Map // names of the peers that an exchange waits for
-	demand     jwentry.Demand
-	suspects   jwsuspect.Table
-	crashes    singleflight.Group // questions whether targets have crashed
-	synced     atomic.Bool        // the store was read once
-	stopping   atomic.Bool
-	ending     atomic.Bool // the grace period is over: what still runs is cut off
-	begun      time.Time
-	stopFrom   atomic.Int64  // when the planned stop began, nanoseconds since begun
-	changed    chan struct{} // the registration has to be written anew
-	configured latch         // open once a configuration is known
-	inFlight   atomic.Int64
+	pulse    jwclock.Pulse
+	epoch    atomic.Pointer[epoch]
+	meters   *meters
+	store    storeState
+	learned  atomic.Uint64 // revision of the store up to which another node told
+	learning atomic.Bool   // another node is asked
+	viewed   atomic.Int64  // when the store was read last, nanoseconds since begun
+	bounds   atomic.Pointer[jwsettings.Bounds]
+	entries  jwentry.Table
+	targets  jwinstance.Table
+	members  jwmember.Table
+	retries  jwbudget.Retry
+	regions  regionTable
+	speaking sync.Map // names of the peers that an exchange waits for
+	demand   jwentry.Demand
+	suspects jwsuspect.Table
+	crashes  singleflight.Group // questions whether targets have crashed
+	synced   atomic.Bool        // the store was read once
+	stopping atomic.Bool
+	ending   atomic.Bool // the grace period is over: what still runs is cut off
+	begun    time.Time
+	stopFrom atomic.Int64  // when the planned stop began, nanoseconds since begun
+	changed  chan struct{} // the registration has to be written anew
+	inFlight atomic.Int64
 }
 
 // Run serves until ctx ends and the requests in flight are done or the grace
--- a/io/jwgateway/meters.go
+++ b/io/jwgateway/meters.go
@@ -43,7 +43,7 @@
 }
 
 func newMeters(m *jwmeter.Meter) *meters {
-	return &meters{
+	x := &meters{
 		meter: m,
 		sends: make(map[[3]string]tally.Counter), ends: make(map[[2]string]tally.Counter),
 		whole: make(map[[3]string]tally.Histogram), left: make(map[string]tally.Gauge),
@@ -51,13 +51,8 @@
 			placeHere: m.Durations("first_event_seconds", jwmeter.Tags{"place": placeHere}),
 			placeAway: m.Durations("first_event_seconds", jwmeter.Tags{"place": placeAway}),
 		},
-		pauses: m.Durations("event_pause_seconds", nil),
-		names: map[jwresolver.Kind]tally.Counter{
-			jwresolver.Own:      m.Counter("directory_answers_total", jwmeter.Tags{"names": string(jwresolver.Own)}),
-			jwresolver.Stopping: m.Counter("directory_answers_total", jwmeter.Tags{"names": string(jwresolver.Stopping)}),
-			jwresolver.StandIns: m.Counter("directory_answers_total", jwmeter.Tags{"names": string(jwresolver.StandIns)}),
-			jwresolver.Nobody:   m.Counter("directory_answers_total", jwmeter.Tags{"names": string(jwresolver.Nobody)}),
-		},
+		pauses:   m.Durations("event_pause_seconds", nil),
+		names:    make(map[jwresolver.Kind]tally.Counter),
 		repeats:  m.Counter("repeats_total", nil),
 		noBudget: m.Counter("repeats_refused_total", nil),
 		opened:   m.Counter("target_connections_total", nil),
@@ -68,6 +63,10 @@
 		lost:     m.Gauge("log_lines_lost", nil),
 		storeAge: m.Gauge("store_view_age_seconds", nil),
 	}
+	for _, k := range []jwresolver.Kind{jwresolver.Own, jwresolver.Stopping, jwresolver.StandIns, jwresolver.Nobody} {
+		x.names[k] = m.Counter("directory_answers_total", jwmeter.Tags{"names": string(k)})
+	}
+	return x
 }
 
 // sent counts a send to a target or a node.
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"jujubewheel/core/jwadmission"
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwsuspect"
@@ -20,15 +21,13 @@
 
 const (
 	// startHold is how long after its start a node lets a request wait for the first
-	// configuration: three ways to the store and back over an ocean. Most callers
+	// configuration: three trips to a store in another region and back. Most callers
 	// come back once, and one that is sent away in that moment has used that up.
 	startHold = 600 * time.Millisecond
 	// holdShare is the part of its time that a request may wait so.
 	holdShare = 0.25
 	// firstWait is the Retry-After of a node that knows no configuration yet.
 	firstWait = 500 * time.Millisecond
-	// mostWait bounds it.
-	mostWait = 2 * time.Second
 	// stopWait is the Retry-After of a node that is stopping: others serve.
 	stopWait = 20 * time.Millisecond
 	// defaultDeadline bounds a request that names none.
@@ -62,7 +61,6 @@
 	again    time.Duration   // when to come back after a refusal
 	full     map[string]bool // regions that had no room for it
 	refused  string          // why the last send or choice did not run
-	final    bool            // the next send would be refused as the last choice was
 }
 
 // need describes the request to those who look for a target.
@@ -104,7 +102,7 @@
 	cfg := g.startConfig(r.Context(), call.Deadline)
 	if cfg == nil {
 		// The longer it lasts, the longer it will: the store is away then.
-		again := min(max(time.Since(g.begun), firstWait), mostWait)
+		again := min(max(time.Since(g.begun), firstWait), jwadmission.MostAgain)
 		g.refuse(w, call.ID, http.StatusServiceUnavailable, again, "no configuration yet")
 		return
 	}
@@ -171,7 +169,7 @@
 	select {
 	case <-ctx.Done():
 	case <-t.C:
-	case <-g.configured.opened():
+	case <-g.entries.First():
 	}
 	return g.entries.Current()
 }
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -15,17 +15,16 @@
 
 // The verdicts on a send.
 const (
-	finished Verdict = "finished" // the caller has its final answer
-	notRun   Verdict = "notRun"   // no target ran it or will
-	failed   Verdict = "failed"   // a target ran it and told a failure, or may have run it
-	broken   Verdict = "broken"   // a stream broke off; what came of it went to the caller
+	finished   Verdict = "finished"   // the caller has its final answer
+	notRun     Verdict = "notRun"     // no target ran it or will
+	turnedAway Verdict = "turnedAway" // the same, and no target was asked
+	failed     Verdict = "failed"     // a target ran it and told a failure, or may have run it
+	broken     Verdict = "broken"     // a stream broke off; what came of it went to the caller
 )
 
 const (
 	// mostSends bounds how often one request is sent, whatever became of it.
 	mostSends = 4
-	// refusedWait is the Retry-After of a refusal for want of room.
-	refusedWait = 300 * time.Millisecond
 )
 
 // serve sends a request until it is answered, may not be sent again, or its
@@ -41,7 +40,7 @@
 		if verdict == finished {
 			return
 		}
-		ran = ran || verdict != notRun
+		ran = ran || verdict == failed || verdict == broken
 		if ctx.Err() != nil || !g.mayRepeat(q, verdict) {
 			break
 		}
@@ -67,7 +66,7 @@
 		g.refuse(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, errBodyTooLarge.Error())
 	case !ran:
 		g.toldAnswer(q, "notRun", q.refused, http.StatusServiceUnavailable)
-		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, max(q.again, refusedWait), q.refused)
+		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, max(q.again, jwadmission.LeastAgain), q.refused)
 	case ctx.Err() != nil:
 		g.toldAnswer(q, "unknown", q.refused, http.StatusGatewayTimeout)
 		g.refuse(q.w, q.ID, http.StatusGatewayTimeout, 0, "not answered in time")
@@ -80,7 +79,7 @@
 // mayRepeat tells whether a request may be sent once more after a verdict.
 func (g *Gateway) mayRepeat(q *request, v Verdict) bool {
 	reason := jwrepeat.Decide(jwrepeat.Request{
-		Final: q.final, Streamed: q.body.once(), NotRun: v == notRun, Repeatable: q.entry.Repeatable(),
+		Final: v == turnedAway, Streamed: q.body.once(), NotRun: v == notRun || v == turnedAway, Repeatable: q.entry.Repeatable(),
 		Attempts: q.attempts, Most: q.entry.Attempts(), Sends: q.sends, Paid: q.paid.Load(),
 	}, func() bool { return g.retries.Take(time.Now(), q.service) })
 	switch reason {
@@ -102,7 +101,7 @@
 func (g *Gateway) send(ctx context.Context, q *request) Verdict {
 	now := time.Now()
 	if !g.mayRun(now, q) {
-		return q.refuse(barred, barredWait)
+		return q.turnAway(barred, barredWait)
 	}
 	p := g.place(now, q)
 	if p.Reason == jwplacement.Nowhere && len(q.tried) > 0 && q.entry.Repeatable() {
@@ -112,16 +111,16 @@
 	}
 	if p.Reason == jwplacement.Nowhere {
 		if len(g.targets.Regions(q.service)) == 0 {
-			return q.refuse(noTarget, mostWait) // not one is left; coming back at once is in vain
+			return q.turnAway(noTarget, jwadmission.MostAgain) // not one is left; coming back at once is in vain
 		}
-		return q.refuse(noTarget, refusedWait)
+		return q.turnAway(noTarget, jwadmission.LeastAgain)
 	}
 	d := g.Admission.Decide(jwadmission.Request{
 		Goal: q.entry.Goal, Left: q.deadline.Sub(now), Expected: p.Expected, Own: p.Own,
 		Engine: q.Prompt.Tokens > 0, Begun: q.forward || q.started || q.sends > 0,
 	})
 	if !d.Taken() {
-		return q.refuse(string(d.Reason), d.Again)
+		return q.turnAway(string(d.Reason), d.Again)
 	}
 	if p.Region != g.Settings.Region {
 		return g.sendNode(ctx, q, p.Region, p.Miss)
@@ -130,13 +129,13 @@
 	g.keepApart(now, q, &need)
 	c, ok := g.targets.Best(now, need)
 	if !ok {
-		return q.refuse(noTarget, refusedWait)
+		return q.turnAway(noTarget, jwadmission.LeastAgain)
 	}
 	return g.sendTarget(ctx, q, c)
 }
 
-// refuse notes why no target will run the request, and when to come back.
-func (q *request) refuse(why string, again time.Duration) Verdict {
-	q.refused, q.again, q.final = why, again, true
-	return notRun
+// turnAway notes why no target is asked to run the request, and when to come back.
+func (q *request) turnAway(why string, again time.Duration) Verdict {
+	q.refused, q.again = why, again
+	return turnedAway
 }
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -484,7 +484,7 @@
 	until(t, second, "/a/x", served)
 }
 
-// All nodes of a region come back at once, an ocean away from the store, and their
+// All nodes of a region come back at once, in another region than the store, and their
 // callers are there before the first configuration. Each may come back once; told to,
 // it would be late, and refused if it had come back before.
 func TestRequestThatIsThereBeforeTheConfiguration(t *testing.T) {
