jwgateway, jwmember, jwinstance: nodes of a large region speak through relays

From twelve nodes in a region on each speaks twice a second to the relay of its data centre, the one that bears most by its host's processor and link. Relays tell the sums of loads, where prompts were placed, who is silent, who stops, what they heard of other regions, and the changes of the store, which they read for the others.

Fewer than twelve nodes in a region speak as before.

--- /dev/null
+++ b/core/jwinstance/relay.go
@@ -0,0 +1,190 @@
+package jwinstance
+
+import "time"
+
+// mostRetold bounds how many placements a relay retells in one word.
+const mostRetold = 512
+
+// TellRelay returns what the relay of another data centre should know: the loads of
+// this node and of those that speak through it.
+func (t *Table) TellRelay(now time.Time) []NodeLoad {
+	return t.retell(now, func(node string, w nodeWord) bool { return !w.relay })
+}
+
+// TellBut returns what a node that speaks through this one should know: the loads of
+// all others.
+func (t *Table) TellBut(now time.Time, node string) []NodeLoad {
+	return t.retell(now, func(name string, _ nodeWord) bool { return name != node })
+}
+
+// retell sums this node's loads and those of the words that count, by target.
+func (t *Table) retell(now time.Time, counts func(node string, w nodeWord) bool) []NodeLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	t.expireWords(now)
+	sums := make(map[*Target]sum, len(t.targets))
+	for name, w := range t.words {
+		if !counts(name, w) {
+			continue
+		}
+		for _, l := range w.loads {
+			s := sums[l.Target]
+			s.add(l.NodeLoad, 1)
+			sums[l.Target] = s
+		}
+	}
+	for _, x := range t.targets {
+		if x.calls > 0 {
+			s := sums[x]
+			s.add(NodeLoad{Calls: x.calls, Work: x.work, Held: x.tokens}, 1)
+			sums[x] = s
+		}
+	}
+	loads := make([]NodeLoad, 0, len(sums))
+	for x, s := range sums {
+		l := NodeLoad{Target: x.ID, Calls: s.calls, Work: s.work, Held: s.held}
+		if gap, at := x.lastGap(); now.Sub(at) < othersAge {
+			l.Gap = gap.Milliseconds()
+		}
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+// lastGap returns the time between two events that was seen or told last.
+func (x *Target) lastGap() (time.Duration, time.Time) {
+	if x.toldGapAt.After(x.gapAt) {
+		return x.toldGap, x.toldGapAt
+	}
+	return x.gap, x.gapAt
+}
+
+// Retell returns the placements of shared parts within an age, this node's and those
+// it heard of, the latest first: a part that belongs to one caller is of use to few.
+// Another relay isn't told what relays told, or it would go round between them.
+func (t *Table) Retell(now time.Time, age time.Duration, toRelay bool) []Placement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	type place struct {
+		target string
+		part   uint64
+	}
+	told := make(map[place]bool)
+	var placed []Placement
+	for i := len(t.placed) - 1; i >= 0 && len(placed) < mostRetold; i-- {
+		p := t.placed[i]
+		if now.Sub(p.at) > age {
+			break
+		}
+		if len(p.Parts) == 0 || toRelay && (p.retold || p.away) {
+			continue
+		}
+		shared := p.Parts
+		if !p.away { // of another region only the shared parts are told
+			shared = p.Parts[:len(p.Parts)-1]
+		}
+		if len(shared) == 0 {
+			continue
+		}
+		at := place{p.Target, shared[len(shared)-1].ID}
+		if told[at] {
+			continue
+		}
+		told[at] = true
+		placed = append(placed, Placement{Target: p.Target, Parts: shared})
+	}
+	return placed
+}
+
+// Loads is a list of NodeLoad by columns, as nodes tell each other: a name of a column
+// is written once and not for each target.
+type Loads struct {
+	Targets []string `json:"targets"`
+	Calls   []int    `json:"calls"`
+	Work    []work   `json:"work"`
+	Held    []int    `json:"held"`
+	Gaps    []int64  `json:"gaps"`
+}
+
+// Columns returns a list by columns, nil for an empty one.
+func Columns(list []NodeLoad) *Loads {
+	if len(list) == 0 {
+		return nil
+	}
+	c := &Loads{
+		Targets: make([]string, len(list)), Calls: make([]int, len(list)), Work: make([]work, len(list)),
+		Held: make([]int, len(list)), Gaps: make([]int64, len(list)),
+	}
+	for i, l := range list {
+		c.Targets[i], c.Calls[i], c.Work[i], c.Held[i], c.Gaps[i] = l.Target, l.Calls, l.Work, l.Held, l.Gap
+	}
+	return c
+}
+
+// List returns the loads one by one; columns that are too short end the list.
+func (c *Loads) List() []NodeLoad {
+	if c == nil {
+		return nil
+	}
+	n := min(len(c.Targets), len(c.Calls), len(c.Work), len(c.Held), len(c.Gaps))
+	list := make([]NodeLoad, n)
+	for i := range n {
+		list[i] = NodeLoad{Target: c.Targets[i], Calls: c.Calls[i], Work: c.Work[i], Held: c.Held[i], Gap: c.Gaps[i]}
+	}
+	return list
+}
+
+// Places is a list of Placement by columns: At is the place of a target in Targets, and
+// Counts is how many of IDs and Tokens belong to each placement.
+type Places struct {
+	Targets []string `json:"targets"`
+	At      []int    `json:"at"`
+	Counts  []int    `json:"counts"`
+	IDs     []uint64 `json:"ids"`
+	Tokens  []int    `json:"tokens"`
+}
+
+// PlaceColumns returns a list by columns, nil for an empty one.
+func PlaceColumns(list []Placement) *Places {
+	if len(list) == 0 {
+		return nil
+	}
+	c := &Places{At: make([]int, len(list)), Counts: make([]int, len(list))}
+	at := make(map[string]int)
+	for i, p := range list {
+		n, ok := at[p.Target]
+		if !ok {
+			n = len(c.Targets)
+			at[p.Target] = n
+			c.Targets = append(c.Targets, p.Target)
+		}
+		c.At[i], c.Counts[i] = n, len(p.Parts)
+		for _, part := range p.Parts {
+			c.IDs, c.Tokens = append(c.IDs, part.ID), append(c.Tokens, part.Tokens)
+		}
+	}
+	return c
+}
+
+// List returns the placements one by one; what doesn't fit together ends the list.
+func (c *Places) List() []Placement {
+	if c == nil {
+		return nil
+	}
+	var list []Placement
+	next := 0
+	for i := range min(len(c.At), len(c.Counts)) {
+		n := c.Counts[i]
+		if c.At[i] < 0 || c.At[i] >= len(c.Targets) || n < 0 || n > min(len(c.IDs), len(c.Tokens))-next {
+			break
+		}
+		parts := make([]Part, n)
+		for k := range n {
+			parts[k] = Part{c.IDs[next+k], c.Tokens[next+k]}
+		}
+		next += n
+		list = append(list, Placement{Target: c.Targets[c.At[i]], Parts: parts})
+	}
+	return list
+}
--- /dev/null
+++ b/core/jwinstance/relay_test.go
@@ -0,0 +1,130 @@
+package jwinstance
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Nodes of a region learn of each other's load through relays of two data centres. Each
+// must count every call of the others once: counted twice, a target looks full and
+// stands idle; left out, all send to the same one.
+func TestLoadsThroughRelays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		const centres, nodes = 2, 3
+		tables := make([][]*Table, centres)
+		total := 0
+		own := make(map[*Table]int)
+		for d := range centres {
+			for n := range nodes {
+				x := &Table{Region: "r"}
+				x.Put(now, Instance{ID: "t", Service: "s", Region: "r", Slots: 4})
+				calls := rapid.IntRange(0, 5).Draw(t, fmt.Sprintf("calls %d %d", d, n))
+				for range calls {
+					_, ok := x.Best(now, Need{Service: "s"})
+					assert.Assert(t, ok)
+				}
+				own[x], total = calls, total+calls
+				tables[d] = append(tables[d], x)
+			}
+		}
+		name := func(d, n int) string { return fmt.Sprintf("%d-%d", d, n) }
+		for range rapid.IntRange(2, 6).Draw(t, "rounds") {
+			for d := range centres {
+				relay := tables[d][0]
+				for n := 1; n < nodes; n++ {
+					loads, _ := tables[d][n].Tell(now)
+					relay.Hear(now, name(d, n), loads, nil)
+					tables[d][n].HearRelay(now, name(d, 0), relay.TellBut(now, name(d, n)), nil)
+				}
+			}
+			tables[0][0].HearRelay(now, name(1, 0), tables[1][0].TellRelay(now), nil)
+			tables[1][0].HearRelay(now, name(0, 0), tables[0][0].TellRelay(now), nil)
+		}
+		for d := range centres {
+			for n := range nodes {
+				x := tables[d][n]
+				if got := x.targets["t"].others.calls; got != total-own[x] && n == 0 {
+					t.Fatalf("relay %d counts %d calls of others, there are %d", d, got, total-own[x])
+				}
+			}
+		}
+		for d := range centres { // the next exchange brings the rest to the others
+			for n := 1; n < nodes; n++ {
+				x := tables[d][n]
+				x.HearRelay(now, name(d, 0), tables[d][0].TellBut(now, name(d, n)), nil)
+				if got := x.targets["t"].others.calls; got != total-own[x] {
+					t.Fatalf("node %s counts %d calls of others, there are %d", name(d, n), got, total-own[x])
+				}
+			}
+		}
+	})
+}
+
+// What relays tell each other of prompts must not go round between them.
+func TestPlacementsEndAtRelays(t *testing.T) {
+	now := time.Unix(1000, 0)
+	one := &Table{Region: "r"}
+	for _, region := range []string{"r", "far"} {
+		one.Put(now, Instance{ID: "t-" + region, Service: "s", Region: region})
+	}
+	shared := []Part{{1, 500}, {2, 900}, {3, 10}}
+	placement := func(target string, first uint64) Placement {
+		parts := slices.Clone(shared)
+		parts[0].ID = first
+		return Placement{Target: target, Parts: parts}
+	}
+	one.Hear(now, "node", nil, []Placement{placement("t-r", 10)})
+	one.HearRelay(now, "relay", nil, []Placement{placement("t-r", 20), placement("t-far", 30)})
+	firsts := func(list []Placement) string {
+		var ids []string
+		for _, p := range list {
+			ids = append(ids, fmt.Sprint(p.Parts[0].ID))
+		}
+		slices.Sort(ids)
+		return strings.Join(ids, " ")
+	}
+	one.placed[1].Parts[1].ID = 4 // not the same part as the first
+	assert.Equal(t, firsts(one.Retell(now, time.Second, true)), "10")
+	assert.Equal(t, firsts(one.Retell(now, time.Second, false)), "10 20 30")
+	assert.Equal(t, len(one.Retell(now.Add(2*time.Second), time.Second, false)), 0)
+}
+
+// Columns must bring back what they were made of, and never fail on what a node of
+// another version or a fault sends.
+func TestColumns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var loads []NodeLoad
+		var places []Placement
+		for i := range rapid.IntRange(0, 5).Draw(t, "n") {
+			n := rapid.IntRange(0, 9).Draw(t, "figure")
+			loads = append(loads, NodeLoad{Target: fmt.Sprint(i), Calls: n, Work: work{n, 0, 1}, Held: n, Gap: int64(n)})
+			p := Placement{Target: fmt.Sprint(n)}
+			for k := range n {
+				p.Parts = append(p.Parts, Part{uint64(k), k})
+			}
+			places = append(places, p)
+		}
+		assert.Assert(t, slices.Equal(Columns(loads).List(), loads))
+		got := PlaceColumns(places).List()
+		assert.Equal(t, len(got), len(places))
+		for i, p := range places {
+			assert.Equal(t, got[i].Target, p.Target)
+			assert.Assert(t, slices.Equal(got[i].Parts, p.Parts))
+		}
+		c := PlaceColumns(places)
+		if c == nil {
+			return
+		}
+		c.Counts[0] = rapid.IntRange(-3, 99).Draw(t, "count")
+		c.At[len(c.At)-1] = rapid.IntRange(-3, 99).Draw(t, "at")
+		c.Tokens = c.Tokens[:rapid.IntRange(0, len(c.Tokens)).Draw(t, "tokens")]
+		_ = c.List()
+	})
+}
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -42,6 +42,7 @@
 // nodeWord is what another node of the region told last.
 type nodeWord struct {
 	at    time.Time
+	relay bool // it is the word of a relay, with what it heard of others
 	loads []targetLoad
 }
 
@@ -56,6 +57,8 @@
 	Parts  []Part `json:"parts"`
 	at     time.Time
 	heard  bool // from another node of the region
+	retold bool // from a relay, which has told others of it
+	away   bool // at a target of another region
 }
 
 // place notes that a prompt was sent to a target.
@@ -79,7 +82,10 @@
 
 // Tell returns what the other nodes of the region should know: this node's
 // load at each target, and where it sent which prompts a moment ago.
-func (t *Table) Tell(now time.Time) ([]NodeLoad, []Placement) {
+func (t *Table) Tell(now time.Time) ([]NodeLoad, []Placement) { return t.TellNews(now, placedAge) }
+
+// TellNews returns the same with the placements of an age.
+func (t *Table) TellNews(now time.Time, age time.Duration) ([]NodeLoad, []Placement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
@@ -96,7 +102,7 @@
 	}
 	var placed []Placement
 	for _, p := range t.placed {
-		if !p.heard && now.Sub(p.at) <= placedAge {
+		if !p.heard && now.Sub(p.at) <= age {
 			placed = append(placed, p)
 		}
 	}
@@ -113,7 +119,7 @@
 	told := make(map[uint64]bool)
 	for i := len(t.placed) - 1; i >= 0; i-- {
 		p := t.placed[i]
-		if now.Sub(p.at) > farAge || len(p.Parts) < 2 {
+		if now.Sub(p.at) > farAge || len(p.Parts) < 2 || p.away {
 			continue
 		}
 		shared := p.Parts[:len(p.Parts)-1] // the last one belongs to one caller
@@ -129,11 +135,21 @@
 
 // Hear takes what another node of the region told.
 func (t *Table) Hear(now time.Time, node string, loads []NodeLoad, placed []Placement) {
+	t.hear(now, node, false, loads, placed)
+}
+
+// HearRelay takes what a relay of the region told: its own loads and those of the
+// nodes that speak through it.
+func (t *Table) HearRelay(now time.Time, node string, loads []NodeLoad, placed []Placement) {
+	t.hear(now, node, true, loads, placed)
+}
+
+func (t *Table) hear(now time.Time, node string, relay bool, loads []NodeLoad, placed []Placement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forgetWord(node)
 	t.expireWords(now)
-	word := nodeWord{at: now}
+	word := nodeWord{at: now, relay: relay}
 	for _, l := range loads {
 		x := t.targets[l.Target]
 		if x == nil {
@@ -155,10 +171,8 @@
 			continue
 		}
 		x.cache.use(p.Parts, x.capacity)
-		if x.Region == t.Region {
-			p.at, p.heard = now, true
-			t.keep(now, p)
-		}
+		p.at, p.heard, p.retold, p.away = now, true, relay, x.Region != t.Region
+		t.keep(now, p)
 	}
 }
 
--- /dev/null
+++ b/core/jwmember/relay.go
@@ -0,0 +1,157 @@
+package jwmember
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// DefaultCrowd is the number of nodes in a region from which on they speak through
+	// relays: each to each, their words grow with the square of it, and a node of
+	// a hundred does little else.
+	DefaultCrowd = 12
+	// silentTo is how long a node of the own data centre may stay unheard before its
+	// relay tells others that it is silent: it speaks twice a second there.
+	silentTo = 2 * time.Second
+)
+
+// Crowded tells whether the nodes of a region are so many that they speak through
+// relays.
+func (t *Table) Crowded(now time.Time, region string) bool {
+	crowd := t.Crowd
+	if crowd == 0 {
+		crowd = DefaultCrowd
+	}
+	return t.Count(now, region) >= crowd
+}
+
+// Relay returns the node that the others of its data centre speak through: of the
+// live the one that bears most, and by name where several bear as much; false if
+// none is believed to live. It may be the node itself.
+func (t *Table) Relay(now time.Time, dataCentre string) (Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best, ok := Member{}, false
+	take := func(m Member) {
+		if !ok || before(m, best) {
+			best, ok = m, true
+		}
+	}
+	if t.Self.Serving && t.Self.DataCentre == dataCentre {
+		take(t.Self)
+	}
+	for _, r := range t.members {
+		if r.Serving && r.DataCentre == dataCentre && t.live(now, r) {
+			take(r.Member)
+		}
+	}
+	return best, ok
+}
+
+// before tells whether a relays rather than b.
+func before(a, b Member) bool {
+	if a.Bears != b.Bears {
+		return a.Bears > b.Bears
+	}
+	return a.Name < b.Name
+}
+
+// IsRelay tells whether the node itself is the relay of its data centre.
+func (t *Table) IsRelay(now time.Time) bool {
+	m, ok := t.Relay(now, t.Self.DataCentre)
+	return ok && m.Name == t.Self.Name
+}
+
+// Relays returns the relays of the other data centres of a region, by data centre.
+func (t *Table) Relays(now time.Time, region string) []Member {
+	var list []Member
+	for _, dc := range t.dataCentres(region) {
+		if m, ok := t.Relay(now, dc); ok && dc != t.Self.DataCentre {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (t *Table) dataCentres(region string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []string
+	for _, r := range t.members {
+		if r.Region == region && !slices.Contains(list, r.DataCentre) {
+			list = append(list, r.DataCentre)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Hearing is what a relay tells of who is heard: all registered nodes but the silent,
+// and those that aren't registered but heard all the same, as while the store is away.
+type Hearing struct {
+	Silent   []string `json:"silent,omitempty"`
+	Unlisted []string `json:"unlisted,omitempty"`
+}
+
+// Hearing returns who is heard and who isn't, for Told elsewhere.
+func (t *Table) Hearing(now time.Time) Hearing {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var h Hearing
+	for name, r := range t.members {
+		quiet := r.DataCentre == t.Self.DataCentre && now.Sub(r.heard) > silentTo
+		lives := t.live(now, r) && !quiet
+		switch {
+		case r.registered && !lives && now.Sub(r.since) >= trust:
+			h.Silent = append(h.Silent, name)
+		case !r.registered && lives:
+			h.Unlisted = append(h.Unlisted, name)
+		}
+	}
+	slices.Sort(h.Silent)
+	slices.Sort(h.Unlisted)
+	return h
+}
+
+// Told takes the word of a relay of who is heard. Where all speak to each other
+// HeardOf does this, by names; the silent are fewer.
+func (t *Table) Told(now time.Time, h Hearing) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := now.Add(-saidAge)
+	for name, r := range t.members {
+		_, silent := slices.BinarySearch(h.Silent, name)
+		_, unlisted := slices.BinarySearch(h.Unlisted, name)
+		switch {
+		case silent && at.After(r.heard):
+			r.failed = now
+		case !silent && (r.registered || unlisted) && at.After(r.heard):
+			r.heard = at
+		}
+	}
+}
+
+// Stopping returns the nodes that stop by plan and began so within an age, by name, for
+// Learn elsewhere.
+func (t *Table) Stopping(now time.Time, age time.Duration) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Member
+	for _, r := range t.members {
+		if r.stops() && now.Sub(r.stopped) < age {
+			list = append(list, r.Member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Learn takes what another node says of a third; it doesn't count as heard.
+func (t *Table) Learn(now time.Time, m Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.members[m.Name]; r != nil {
+		r.take(now, m)
+	}
+}
--- /dev/null
+++ b/core/jwmember/relay_test.go
@@ -0,0 +1,136 @@
+package jwmember
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func centre(name, dc string, bears int) Member {
+	return Member{Name: name, Region: "r", DataCentre: dc, Serving: true, Change: 1, Start: 1, Bears: bears}
+}
+
+// All nodes of a data centre must take the same one for their relay, and another as soon
+// as that one dies: without a relay they hear of nobody.
+func TestRelay(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := Table{Self: centre("b", "d1", 2)}
+	for _, m := range []Member{centre("a", "d1", 1), centre("c", "d1", 8), centre("d", "d1", 8), centre("z", "d2", 9)} {
+		table.Put(now, m)
+		table.Heard(now, m)
+	}
+	relay := func(dc string) string {
+		m, _ := table.Relay(now, dc)
+		return m.Name
+	}
+	assert.Equal(t, relay("d1"), "c", "it bears most, and comes first by name")
+	assert.Equal(t, relay("d2"), "z")
+	assert.Equal(t, relay("d3"), "")
+	table.Failed(now.Add(1), "c")
+	now = now.Add(time.Millisecond)
+	assert.Equal(t, relay("d1"), "d")
+	stops := centre("d", "d1", 8)
+	stops.Serving, stops.Change = false, 2
+	table.Heard(now, stops)
+	assert.Equal(t, relay("d1"), "b")
+	assert.Assert(t, table.IsRelay(now))
+	assert.DeepEqual(t, namesOf(table.Relays(now, "r")), []string{"z"})
+}
+
+func namesOf(list []Member) []string {
+	var names []string
+	for _, m := range list {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+func TestCrowded(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := Table{Self: centre("a", "d1", 1)}
+	for i := range DefaultCrowd - 1 {
+		assert.Assert(t, !table.Crowded(now, "r"))
+		table.Put(now, centre(fmt.Sprint(i), "d1", 1))
+	}
+	assert.Assert(t, table.Crowded(now, "r"))
+	assert.Assert(t, !table.Crowded(now, "other"))
+	table.Crowd = 100
+	assert.Assert(t, !table.Crowded(now, "r"))
+}
+
+// Nodes hear of each other through their relay only. One that dies must not be named to
+// callers for long, and one that lives must not be forgotten, also while the store is
+// away and no registration stands.
+func TestHearingThroughRelay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		relay := Table{Self: centre("relay", "d", 9)}
+		node := Table{Self: centre("node", "d", 1)}
+		names := []string{"a", "b", "c", "e"}
+		dead := make(map[string]time.Time)
+		for _, name := range names {
+			for _, x := range []*Table{&relay, &node} {
+				x.Put(now, centre(name, "d", 1))
+			}
+		}
+		const period = 500 * time.Millisecond
+		for range rapid.IntRange(10, 40).Draw(t, "periods") {
+			now = now.Add(period)
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 0:
+				if dead[name].IsZero() {
+					dead[name] = now
+				}
+			case 1: // its lease ran out
+				relay.Remove(name)
+				node.Remove(name)
+			case 2: // it is registered again
+				if dead[name].IsZero() {
+					relay.Put(now, centre(name, "d", 1))
+					node.Put(now, centre(name, "d", 1))
+				}
+			}
+			for _, other := range names {
+				if dead[other].IsZero() {
+					relay.Heard(now, centre(other, "d", 1))
+				}
+			}
+			node.Told(now, relay.Hearing(now))
+			live := namesOf(node.Live(now, "r"))
+			for _, other := range names {
+				named := slices.Contains(live, other)
+				if at := dead[other]; !at.IsZero() && named && now.Sub(at) > silentTo+saidAge+2*period {
+					t.Fatalf("%s is named %s after its death", other, now.Sub(at))
+				}
+				if dead[other].IsZero() && !named {
+					t.Fatalf("%s lives and is forgotten", other)
+				}
+			}
+		}
+	})
+}
+
+// A node that stops by plan must not be named to callers until its relay finds it silent.
+func TestStoppingIsTold(t *testing.T) {
+	now := time.Unix(100, 0)
+	relay, node := Table{Self: centre("relay", "d", 9)}, Table{Self: centre("node", "d", 1)}
+	for _, x := range []*Table{&relay, &node} {
+		x.Put(now, centre("a", "d", 1))
+	}
+	relay.Heard(now, centre("a", "d", 1))
+	stops := centre("a", "d", 1)
+	stops.Serving, stops.Change = false, 2
+	relay.Heard(now, stops)
+	told := relay.Stopping(now.Add(time.Second), 5*time.Second)
+	assert.DeepEqual(t, namesOf(told), []string{"a"})
+	for _, m := range told {
+		node.Learn(now, m)
+	}
+	assert.DeepEqual(t, namesOf(node.Live(now, "r")), []string{"node"})
+	assert.Equal(t, len(relay.Stopping(now.Add(time.Minute), 5*time.Second)), 0)
+}
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -34,14 +34,16 @@
 	DataCentre string         `json:"dataCentre"`
 	Callers    netip.AddrPort `json:"callers"`
 	Nodes      netip.AddrPort `json:"nodes"`
-	Start      int64          `json:"start"`   // Unix nanoseconds; a later one is a new process
-	Change     int            `json:"change"`  // rises when Serving changes
-	Serving    bool           `json:"serving"` // false before a configuration is known and from a planned stop on
+	Start      int64          `json:"start"`           // Unix nanoseconds; a later one is a new process
+	Change     int            `json:"change"`          // rises when Serving changes
+	Serving    bool           `json:"serving"`         // false before a configuration is known and from a planned stop on
+	Bears      int            `json:"bears,omitempty"` // what its host bears, in hundredths of a core or as its link allows, for the choice of relays
 }
 
 // Table holds the other nodes; set its fields before use.
 type Table struct {
-	Self Member
+	Self  Member
+	Crowd int // nodes of a region from which on they speak through relays, 0 for DefaultCrowd
 
 	mu      sync.Mutex
 	members map[string]*record
--- /dev/null
+++ b/core/jwstore/recent.go
@@ -0,0 +1,77 @@
+package jwstore
+
+import (
+	"slices"
+	"sync"
+)
+
+const (
+	// mostRecent is how many changes a Recent keeps: some ten seconds of a fleet whose
+	// nodes and targets all start anew.
+	mostRecent = 2000
+	// mostRecentBytes is how many bytes of values it keeps.
+	mostRecentBytes = 512 << 10
+	// largeValue is the size from which a value is told only if it is the last of its key.
+	largeValue = 4 << 10
+)
+
+// Recent keeps the last changes of a store that one node has read, for those that read
+// them from it. The zero value is empty; it may be used by several goroutines.
+type Recent struct {
+	mu     sync.Mutex
+	from   uint64 // it has all changes after this revision
+	to     uint64 // up to this one
+	events []Event
+	bytes  int
+}
+
+// Add keeps the changes that a reading from one revision up to another brought. Where
+// it doesn't follow the last one, what was kept is forgotten.
+func (r *Recent) Add(events []Event, from, to uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if from != r.to || r.to == 0 {
+		r.from, r.events, r.bytes = from, nil, 0
+	}
+	r.to = to
+	for _, e := range events {
+		r.events = append(r.events, e)
+		r.bytes += len(e.Value)
+	}
+	old := 0
+	for old < len(r.events) && (len(r.events)-old > mostRecent || r.bytes > mostRecentBytes) {
+		r.bytes -= len(r.events[old].Value)
+		r.from = r.events[old].Revision
+		old++
+	}
+	r.events = slices.Delete(r.events, 0, old)
+}
+
+// After returns the changes after a revision and the revision that they lead up to; ok
+// is false if some of them are not kept, or if nothing was read so far as that. Of large
+// values only the last of each key is returned.
+func (r *Recent) After(revision uint64) (events []Event, to uint64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.to == 0 || revision < r.from || revision > r.to {
+		return nil, 0, false
+	}
+	seen := make(map[string]bool)
+	for i := len(r.events) - 1; i >= 0 && r.events[i].Revision > revision; i-- {
+		e := r.events[i]
+		if seen[e.Key] && len(e.Value) > largeValue {
+			continue
+		}
+		seen[e.Key] = true
+		events = append(events, e)
+	}
+	slices.Reverse(events)
+	return events, r.to, true
+}
+
+// Forget drops all that is kept.
+func (r *Recent) Forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.from, r.to, r.events, r.bytes = 0, 0, nil, 0
+}
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -31,7 +31,7 @@
 	// holds; it grows with more, so that the work of each stays the same.
 	nearNodes       = 4
 	exchangeTimeout = time.Second
-	maxState        = 64 << 10
+	maxState        = 256 << 10
 	// nearNews and farNews are how long news is told within the region and to
 	// others: several exchanges, as one may be lost.
 	nearNews = 4 * nearPeriod
@@ -40,17 +40,18 @@
 
 // state is what a node tells another one of itself.
 type state struct {
-	Member   jwmember.Member        `json:"member"`
-	Version  uint64                 `json:"version"`            // of the configuration in force
-	Waits    map[string]int64       `json:"waits,omitempty"`    // milliseconds until a first event, by service, told to other regions
-	Gaps     map[string]int64       `json:"gaps,omitempty"`     // milliseconds between two events, by service, told to other regions
-	Sure     bool                   `json:"sure"`               // it reaches the store
-	Revision uint64                 `json:"revision"`           // of the store, up to which it was read
-	Cold     map[string]int64       `json:"cold,omitempty"`     // milliseconds for which targets stay cold, told within the region only
-	Suspects []jwsuspect.Notice     `json:"suspects,omitempty"` // requests that were in flight as targets crashed
-	Placed   []jwinstance.Placement `json:"placed,omitempty"`
-	Near     []string               `json:"near,omitempty"`  // nodes of the region heard lately, told to other regions
-	Loads    []jwinstance.NodeLoad  `json:"loads,omitempty"` // told within the region only
+	Member   jwmember.Member    `json:"member"`
+	Version  uint64             `json:"version"`            // of the configuration in force
+	Waits    map[string]int64   `json:"waits,omitempty"`    // milliseconds until a first event, by service, told to other regions
+	Gaps     map[string]int64   `json:"gaps,omitempty"`     // milliseconds between two events, by service, told to other regions
+	Sure     bool               `json:"sure"`               // it reaches the store
+	Revision uint64             `json:"revision"`           // of the store, up to which it was read
+	Cold     map[string]int64   `json:"cold,omitempty"`     // milliseconds for which targets stay cold, told within the region only
+	Suspects []jwsuspect.Notice `json:"suspects,omitempty"` // requests that were in flight as targets crashed
+	Placed   *jwinstance.Places `json:"placed,omitempty"`
+	Near     []string           `json:"near,omitempty"`    // nodes of the region heard lately, told to other regions
+	Loads    *jwinstance.Loads  `json:"loads,omitempty"`   // told within the region only
+	Through  *through           `json:"through,omitempty"` // told where nodes speak through relays
 }
 
 // state returns what a node of a region is told.
@@ -68,11 +69,12 @@
 		}
 	}
 	if region == g.Settings.Region {
-		s.Loads, s.Placed = g.targets.Tell(now)
+		loads, placed := g.targets.Tell(now)
+		s.Loads, s.Placed = jwinstance.Columns(loads), jwinstance.PlaceColumns(placed)
 		s.Cold = g.targets.TellCold(now)
 		s.Suspects = g.notices(now, region, nearNews)
 	} else {
-		s.Placed = g.targets.TellFar(now)
+		s.Placed = jwinstance.PlaceColumns(g.targets.TellFar(now))
 		s.Near = g.members.Near(now)
 		s.Suspects = g.notices(now, region, farNews)
 	}
@@ -85,6 +87,15 @@
 	var far time.Time
 	for ctx.Err() == nil {
 		now := time.Now()
+		if g.members.Crowded(now, g.Settings.Region) {
+			if now.Sub(far) >= exchangePeriod && g.members.IsRelay(now) {
+				far = now
+				g.exchangeFar(ctx, now)
+			}
+			g.exchangeThrough(ctx, now)
+			jwclock.Sleep(ctx, relayPeriod)
+			continue
+		}
 		peers := g.members.Peers(now)
 		near := 0
 		for _, m := range peers {
@@ -102,7 +113,7 @@
 }
 
 // exchangeFar speaks to one node of each other region, which tells what all of
-// that region know.
+// that region know, or to its relays.
 func (g *Gateway) exchangeFar(ctx context.Context, now time.Time) {
 	asked := make(map[string]bool)
 	for _, region := range g.Settings.Gateway.DataCentres {
@@ -110,7 +121,7 @@
 			continue
 		}
 		asked[region] = true
-		if m, ok := g.members.Speaker(now, region); ok {
+		for _, m := range g.farNodes(now, region) {
 			g.speak(ctx, now, m)
 		}
 	}
@@ -135,7 +146,12 @@
 	if _, busy := g.speaking.LoadOrStore(m.Name, true); busy {
 		return
 	}
-	body, err := json.Marshal(g.state(now, m.Region))
+	g.speakOf(ctx, m, g.state(now, m.Region))
+}
+
+// speakOf tells a peer a state; g.speaking holds its name.
+func (g *Gateway) speakOf(ctx context.Context, m jwmember.Member, s state) {
+	body, err := json.Marshal(s)
 	if err != nil {
 		g.speaking.Delete(m.Name)
 		g.Log.Error(err, "state not encoded")
@@ -184,7 +200,12 @@
 	}
 	g.regions.heard(now, s)
 	g.members.HeardOf(now, s.Near)
-	g.targets.Hear(now, s.Member.Name, s.Loads, s.Placed)
+	if s.Through != nil && s.Through.Relay {
+		g.targets.HearRelay(now, s.Member.Name, s.Loads.List(), s.Placed.List())
+	} else {
+		g.targets.Hear(now, s.Member.Name, s.Loads.List(), s.Placed.List())
+	}
+	g.heardThrough(now, s)
 	g.targets.HearCold(now, s.Cold)
 	g.suspects.Merge(s.Suspects, now)
 	if s.Sure && s.Member.Region == g.Settings.Region {
@@ -206,7 +227,7 @@
 	}
 	g.heardState(s, jwmember.Member{})
 	w.Header()["Content-Type"] = []string{"application/json"}
-	if err := json.NewEncoder(w).Encode(g.state(time.Now(), s.Member.Region)); err != nil {
+	if err := json.NewEncoder(w).Encode(g.answer(time.Now(), s)); err != nil {
 		g.Log.V(1).Info("state not told", "peer", s.Member.Name, "error", err.Error())
 	}
 }
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"jujubewheel/core/jwclock"
@@ -29,44 +30,52 @@
 	// followWait is how long a reading waits for a change. A connection that
 	// fell silent is noticed after it.
 	followWait = 4 * time.Second
+	// relayCheck is how often a node looks whether its relay still reads the store.
+	relayCheck = 100 * time.Millisecond
 	// followRetry is the wait after a reading that failed.
 	followRetry = 300 * time.Millisecond
 )
 
 // follower keeps the tables as the store has them.
 type follower struct {
-	g        *Gateway
-	revision uint64    // the changes after it are to be read
-	lost     time.Time // when the store stopped answering, zero while it answers
+	g    *Gateway
+	lost time.Time // when the store stopped answering, zero while it answers
+
+	mu       sync.Mutex // held while changes are applied
+	revision uint64     // the changes after it are to be read
+	heard    time.Time  // when a relay told changes last, zero if it can't be relied on
 }
 
 // follow reads all keys once and then their changes, until ctx ends.
 func (g *Gateway) follow(ctx context.Context) {
-	f := &follower{g: g}
+	f := g.follower
 	for ctx.Err() == nil {
 		epoch := g.epoch.Load()
+		if f.relies(time.Now()) && !g.reads(time.Now()) && epoch.Err() == nil {
+			jwclock.Sleep(epoch, relayCheck)
+			continue
+		}
 		err := f.step(epoch)
 		if ctx.Err() != nil {
 			return
 		}
 		if epoch.Err() != nil {
-			f.revision = 0 // the node was paused, and its history may be gone
+			f.restart() // the node was paused, and its history may be gone
 			continue
 		}
 		now := time.Now()
-		g.store.revision.Store(f.revision)
 		if err == nil {
 			g.viewed.Store(int64(now.Sub(g.begun)))
 			if !f.lost.IsZero() {
 				g.Log.Info("store regained", "after", now.Sub(f.lost).String())
 				f.lost = time.Time{}
 			}
-			jwclock.Sleep(epoch, pauseOf(g.members.Count(now, "")))
+			jwclock.Sleep(epoch, g.followPause(now))
 			continue
 		}
 		if errors.Is(err, jwstore.ErrCompacted) {
-			g.Log.Info("store history gone, reading anew", "revision", f.revision)
-			f.revision = 0
+			g.Log.Info("store history gone, reading anew", "revision", f.at())
+			f.restart()
 			continue
 		}
 		if f.lost.IsZero() {
@@ -77,30 +86,71 @@
 	}
 }
 
+// reads tells whether the node reads the store for others.
+func (g *Gateway) reads(now time.Time) bool {
+	return g.members.Crowded(now, g.Settings.Region) && g.members.IsRelay(now)
+}
+
+// followPause returns the wait between two readings of changes.
+func (g *Gateway) followPause(now time.Time) time.Duration {
+	if g.reads(now) {
+		return relayPause
+	}
+	return pauseOf(g.members.Count(now, ""))
+}
+
 // pauseOf returns the wait between two readings of changes in a fleet.
 func pauseOf(nodes int) time.Duration {
 	return min(followPause*time.Duration(max(nodes, followNodes))/followNodes, mostFollowPause)
 }
 
+// restart makes the next reading one of everything.
+func (f *follower) restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision, f.heard = 0, time.Time{}
+	f.g.recent.Forget()
+}
+
 func (f *follower) step(ctx context.Context) error {
-	if f.revision == 0 {
+	from := f.at()
+	if from == 0 {
 		return f.readAll(ctx)
 	}
-	events, revision, err := f.g.Feed.Watch(ctx, "", f.revision, followWait)
+	reads := f.g.reads(time.Now())
+	wait := followWait
+	if reads {
+		wait = relayWait
+	}
+	events, revision, err := f.g.Feed.Watch(ctx, "", from, wait)
 	now := f.answered(ctx, err)
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.take(now, events, revision)
+	if reads {
+		f.g.recent.Add(events, from, revision)
+	} else {
+		f.g.recent.Forget()
+	}
+	return nil
+}
+
+// take brings changes into the tables that follow what was read before, up to a
+// revision; f.mu is held.
+func (f *follower) take(now time.Time, events []jwstore.Event, revision uint64) {
 	for i, e := range events {
 		// Each configuration is whole, so that only the last one counts; in quick
 		// succession, decoding all of them would hold up requests.
-		if f.g.Records.IsConfig(e.Key) && changedAgain(events[i+1:], e.Key) {
+		if e.Revision <= f.revision || f.g.Records.IsConfig(e.Key) && changedAgain(events[i+1:], e.Key) {
 			continue
 		}
 		f.apply(now, e)
 	}
-	f.revision = revision
-	return nil
+	f.revision = max(f.revision, revision)
+	f.g.store.revision.Store(f.revision)
 }
 
 // answered notes how a call of the store ended, before what it brought is taken:
@@ -124,6 +174,8 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	targets, nodes, evacuated := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, i := range items {
 		f.apply(now, jwstore.Event{Key: i.Key, Value: i.Value, Revision: i.Version})
@@ -141,6 +193,7 @@
 	f.g.members.Keep(now, nodes)
 	f.g.keepEvacuated(now, evacuated)
 	f.revision = revision
+	f.g.store.revision.Store(revision)
 	f.g.synced.Store(true)
 	f.g.pulse.Begin()
 	return nil
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -45,15 +45,18 @@
 	Reload    <-chan *jwsettings.Settings // settings that changed while the node runs
 	Admission jwadmission.Policy          // which requests are turned away
 	Placement jwplacement.Policy          // which region serves a request
+	Crowd     int                         // nodes of a region from which on they speak through relays, 0 for the usual number
 	Boot      func() time.Duration        // time since the host started, suspended or not; nil for the host's own
 
 	pulse    jwclock.Pulse
 	epoch    atomic.Pointer[epoch]
 	meters   *meters
 	store    storeState
-	learned  atomic.Uint64 // revision of the store up to which another node told
-	learning atomic.Bool   // another node is asked
-	viewed   atomic.Int64  // when the store was read last, nanoseconds since begun
+	follower *follower
+	recent   jwstore.Recent // changes of the store, kept by a relay for others
+	learned  atomic.Uint64  // revision of the store up to which another node told
+	learning atomic.Bool    // another node is asked
+	viewed   atomic.Int64   // when the store was read last, nanoseconds since begun
 	bounds   atomic.Pointer[jwsettings.Bounds]
 	entries  jwentry.Table
 	targets  jwinstance.Table
@@ -120,14 +123,16 @@
 	g.begun = time.Now()
 	g.pulse.Limit, g.pulse.Boot = pauseLimit, g.Boot
 	g.meters = newMeters(g.Meter)
+	g.follower = &follower{g: g}
 	g.Targets.Share = g.connShare
 	g.Targets.Opened = func() { g.meters.opened.Inc(1) }
 	g.changed = make(chan struct{}, 1)
 	g.members.Self = jwmember.Member{
 		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
 		Callers: o.Listen.Callers, Nodes: o.Listen.Nodes,
-		Start: time.Now().UnixNano(), Serving: false,
+		Start: time.Now().UnixNano(), Serving: false, Bears: o.Bears(),
 	}
+	g.members.Crowd = g.Crowd
 	g.targets.Region = s.Region
 	g.suspects.Node, g.suspects.Region = s.Node, s.Region
 	g.targets.Warmup = g.warmup
--- a/io/jwgateway/region.go
+++ b/io/jwgateway/region.go
@@ -38,23 +38,31 @@
 // heard takes the waits that a node of a region sees; the nodes of a region
 // see nearly the same, so the last one counts.
 func (t *regionTable) heard(now time.Time, s state) {
+	if len(s.Waits) == 0 {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.take(s.Member.Region, now, s.Waits, s.Gaps)
+}
+
+// take keeps what a region told at a time.
+func (t *regionTable) take(region string, at time.Time, waits, gaps map[string]int64) {
 	if t.waits == nil {
 		t.waits = make(map[string]map[string]regionWait)
 		t.sent = make(map[string][]sentWork)
 	}
 	// What was on its way when the node spoke is not in its word.
-	seen := now.Add(-t.tripTo(s.Member.Region))
-	t.sent[s.Member.Region] = slices.DeleteFunc(t.sent[s.Member.Region], func(w sentWork) bool { return w.at.Before(seen) })
-	services := t.waits[s.Member.Region]
+	seen := at.Add(-t.tripTo(region))
+	t.sent[region] = slices.DeleteFunc(t.sent[region], func(w sentWork) bool { return w.at.Before(seen) })
+	services := t.waits[region]
 	if services == nil {
 		services = make(map[string]regionWait)
-		t.waits[s.Member.Region] = services
+		t.waits[region] = services
 	}
-	for name, ms := range s.Waits {
+	for name, ms := range waits {
 		services[name] = regionWait{
-			time.Duration(ms) * time.Millisecond, time.Duration(s.Gaps[name]) * time.Millisecond, now,
+			time.Duration(ms) * time.Millisecond, time.Duration(gaps[name]) * time.Millisecond, at,
 		}
 	}
 }
@@ -122,3 +130,37 @@
 	}
 	return tokens
 }
+
+// tell returns what was heard of the other regions, for nodes that speak through this
+// one.
+func (t *regionTable) tell(now time.Time) []farWord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []farWord
+	for region, services := range t.waits {
+		f := farWord{Region: region, Trip: t.tripTo(region).Milliseconds(), Waits: map[string]int64{}, Gaps: map[string]int64{}}
+		for name, w := range services {
+			if age := now.Sub(w.at); age <= waitAge {
+				f.Age = max(f.Age, age.Milliseconds())
+				f.Waits[name], f.Gaps[name] = w.wait.Milliseconds(), w.gap.Milliseconds()
+			}
+		}
+		if len(f.Waits) > 0 {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+// told takes what a relay heard of the other regions.
+func (t *regionTable) told(now time.Time, list []farWord) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range list {
+		if t.trips == nil {
+			t.trips = make(map[string]time.Duration)
+		}
+		t.trips[f.Region] = time.Duration(f.Trip) * time.Millisecond
+		t.take(f.Region, now.Add(-time.Duration(f.Age)*time.Millisecond), f.Waits, f.Gaps)
+	}
+}
--- a/io/jwgateway/stop.go
+++ b/io/jwgateway/stop.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwresolver"
 	"jujubewheel/io/jwrest"
 )
@@ -47,12 +48,25 @@
 	g.Log.Info("stop complete", "inFlight", g.inFlight.Load(), "after", time.Since(begun).String())
 }
 
+// toTell returns the nodes that are told at once that this one stops: all, or the relays,
+// which tell the rest.
+func (g *Gateway) toTell(now time.Time) []jwmember.Member {
+	if !g.members.Crowded(now, g.Settings.Region) {
+		return g.members.Peers(now)
+	}
+	list := g.members.Relays(now, g.Settings.Region)
+	if m, ok := g.members.Relay(now, g.Settings.DataCentre); ok {
+		list = append(list, m)
+	}
+	return list
+}
+
 // tellAll tells every node at once that this one stops. An exchange that waits
 // for an answer already has told the old word, so nobody is left out for it.
 func (g *Gateway) tellAll(now time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	var all sync.WaitGroup
-	for _, m := range g.members.Peers(now) {
+	for _, m := range g.toTell(now) {
 		body, err := json.Marshal(g.state(now, m.Region))
 		if err != nil {
 			g.Log.Error(err, "state not encoded")
--- /dev/null
+++ b/io/jwgateway/through_test.go
@@ -0,0 +1,137 @@
+package jwgateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwstore"
+	"jujubewheel/io/jwgateway"
+)
+
+// hangingFeed is a store whose watches tell nothing while hang is set: the connection
+// has fallen silent.
+type hangingFeed struct {
+	jwstore.Feed
+	hang atomic.Bool
+}
+
+func (h *hangingFeed) Watch(ctx context.Context, prefix string, after uint64, most time.Duration) ([]jwstore.Event, uint64, error) {
+	for h.hang.Load() {
+		select {
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	events, revision, err := h.Feed.Watch(ctx, prefix, after, min(most, 100*time.Millisecond))
+	if h.hang.Load() {
+		return nil, after, nil
+	}
+	return events, revision, err
+}
+
+func (h *hangingFeed) Range(ctx context.Context, prefix string) ([]jwstore.Item, uint64, error) {
+	return h.Feed.Range(ctx, prefix)
+}
+
+// crowd starts nodes of one data centre that speak through a relay, the first by name.
+func crowd(t *testing.T, feeds ...jwstore.Feed) []node {
+	t.Helper()
+	nodes := make([]node, 0, len(feeds))
+	for i, feed := range feeds {
+		nodes = append(nodes, startWith(t, feed, fmt.Sprintf("n%d", i+1), "north", func(g *jwgateway.Gateway) { g.Crowd = 2 }))
+	}
+	for _, n := range nodes {
+		until(t, n, "/a/x", served)
+		names(t, n, "north", nodes...)
+	}
+	return nodes
+}
+
+// In a region of many nodes one of a data centre reads the store for the others. They
+// must hear of a target that leaves, and of one that comes, though they read nothing.
+func TestRelayReadsTheStore(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	x := startTarget(t, &feed, "t1", "s", "north-a", text("first"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	second, third := &hangingFeed{Feed: &feed}, &hangingFeed{Feed: &feed}
+	nodes := crowd(t, &feed, second, third)
+	second.hang.Store(true)
+	third.hang.Store(true)
+	startTarget(t, &feed, "t2", "s", "north-a", text("second"))
+	register(&feed, "t1", "s", x.addr, "north-a", "draining")
+	for _, n := range nodes {
+		until(t, n, "/a/x", func(r reply) bool { return r.body == "second" })
+	}
+}
+
+// The relay dies, and another node takes its place: the third one still hears of what
+// changes in the store.
+func TestRelayDies(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	x := startTarget(t, &feed, "t1", "s", "north-a", text("first"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	third := &hangingFeed{Feed: &feed}
+	nodes := crowd(t, &feed, &feed, third)
+	third.hang.Store(true)
+	nodes[0].stop()
+	startTarget(t, &feed, "t2", "s", "north-a", text("second"))
+	register(&feed, "t1", "s", x.addr, "north-a", "draining")
+	for _, n := range nodes[1:] {
+		until(t, n, "/a/x", func(r reply) bool { return r.body == "second" })
+	}
+}
+
+// The relay lives, but its connection to the store has fallen silent, or it is cut off.
+// The others must not go on by what it knows: they read the store themselves.
+func TestRelayTellsOldThings(t *testing.T) {
+	t.Parallel()
+	cases := map[string]func(first *hangingFeed, cut *cutFeed){
+		"silent":  func(first *hangingFeed, _ *cutFeed) { first.hang.Store(true) },
+		"cut off": func(_ *hangingFeed, cut *cutFeed) { cut.off.Store(true) },
+	}
+	for name, fail := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var feed jwstore.MemoryFeed
+			x := startTarget(t, &feed, "t1", "s", "north-a", text("first"))
+			configure(&feed, 1, route("/a/", "idempotent", ""))
+			cut := &cutFeed{Feed: &feed}
+			first := &hangingFeed{Feed: cut}
+			nodes := crowd(t, first, &feed, &feed)
+			fail(first, cut)
+			startTarget(t, &feed, "t2", "s", "north-a", text("second"))
+			register(&feed, "t1", "s", x.addr, "north-a", "draining")
+			for _, n := range nodes[1:] {
+				until(t, n, "/a/x", func(r reply) bool { return r.body == "second" })
+			}
+		})
+	}
+}
+
+// A configuration is in force at all nodes of a data centre, and stays so, though most
+// hear of it through a relay.
+func TestConfigurationThroughRelay(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	nodes := crowd(t, &feed, &feed, &feed)
+	for version := 2; version < 8; version++ {
+		configure(&feed, version, route("/a/", "idempotent", ""), route(fmt.Sprintf("/v%d/", version), "idempotent", ""))
+	}
+	for _, n := range nodes {
+		until(t, n, "/v7/x", served)
+		r, err := send(t, n, http.MethodGet, "/v6/x", "old", nil, "")
+		assert.NilError(t, err)
+		assert.Equal(t, r.status, http.StatusNotFound)
+	}
+}
--- a/io/jwsettings/gateway.go
+++ b/io/jwsettings/gateway.go
@@ -14,7 +14,17 @@
 	DataCentres map[string]string // region by data centre
 	Seeds       []netip.AddrPort  // ports for nodes of some nodes; they may be stale
 	Bounds      Bounds
-	Memory      int64 // bytes that the process may use, 0 if not bounded
+	Memory      int64   // bytes that the process may use, 0 if not bounded
+	Cores       float64 // of the processor that the host has, 0 if not known
+	LinkMbps    float64 // of the host's link, 0 if not known
+}
+
+// Bears returns what the host bears of the work that a node does for others, in
+// hundredths of a core: what it needs of its link goes along with that. It is 0 where
+// neither is known.
+func (g *Gateway) Bears() int {
+	const coreShare, linkShare = 100, 0.5
+	return int(min(coreShare*g.Cores, linkShare*g.LinkMbps))
 }
 
 // GatewayAddresses are the ports of such a node.
@@ -103,6 +113,8 @@
 	megabytes := int64(0)
 	o.integer("memoryMB", &megabytes, 0, 1<<30)
 	g.Memory = megabytes << 20
+	o.number("cores", &g.Cores, 0, 1e6)
+	o.number("linkMbps", &g.LinkMbps, 0, 1e9)
 	o.child("bounds", g.Bounds.read)
 }
 
