jwinstance: what runs takes the memory of its whole prompt

Cause: the memory that a target's running requests take was counted by the tokens they have to read; parts that the target kept before can't yield either while they run, so that targets seemed to have room that they lacked.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -105,7 +105,7 @@
 	c.sent = now
 	c.Rank = rank(n.Priority)
 	x.work[c.Rank] += c.Miss
-	c.Held = c.Miss + n.Prompt.Output
+	c.Held = n.Prompt.held()
 	x.tokens += c.Held
 	x.capacity = n.Capacity
 	t.place(now, x, n.Prompt)
@@ -396,7 +396,7 @@
 	}
 	d := PaceWeight * float64(n.Events) * float64(x.gapNow(now))
 	d += HarmWeight * float64(b.calls) * float64(p.curve.read(0, miss))
-	if n.Capacity > 0 && float64(b.held+miss+n.Prompt.Output) > fullShare*float64(n.Capacity) {
+	if n.Capacity > 0 && float64(b.held+n.Prompt.held()) > fullShare*float64(n.Capacity) {
 		d += float64(fullDelay)
 	}
 	return time.Duration(d)
--- a/core/jwinstance/instance.go
+++ b/core/jwinstance/instance.go
@@ -33,3 +33,7 @@
 	Tokens int // of the prompt
 	Output int // tokens written at most
 }
+
+// held is the memory that a request takes while it runs, in tokens: parts that the
+// target kept before can't yield meanwhile, so they count too.
+func (p Prompt) held() int { return p.Tokens + p.Output }
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -575,3 +575,28 @@
 	table.targets["t7"].cache.use(p.Parts, 0)
 	assert.Equal(t, chosen(table, t0, Need{Prompt: p}), "t7")
 }
+
+// Long prompts whose first parts a target keeps run there beside each other. What they
+// keep can't yield while they run; counted by what they have to read, they seemed to
+// take half of what they do, and more of them went there than its memory holds. The
+// newest was preempted and read anew from its beginning.
+func TestKeptPartsOfWhatRunsTakeMemory(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := &Table{Region: "r"}
+	for _, id := range []string{"a", "b"} {
+		table.Put(now, Instance{ID: id, Service: "s", Region: "r", Slots: 32})
+	}
+	prompt := func(i uint64) Prompt {
+		return Prompt{Parts: []Part{{1, 10_000}, {100 + i, 100}}, Tokens: 10_100, Output: 100}
+	}
+	const fit = 8 // in 0.85 of the memory
+	chosen := make(map[string]int)
+	for i := range uint64(2 * fit) {
+		c, ok := table.Best(now, Need{Service: "s", Prompt: prompt(i), Capacity: 100_000})
+		assert.Assert(t, ok)
+		assert.Equal(t, c.Held, 10_200)
+		chosen[c.Target.ID]++
+	}
+	assert.Equal(t, chosen["a"], fit)
+	assert.Equal(t, chosen["b"], fit)
+}
