jwgateway: a paused node doesn't rely on its relay, and retries grow with the fleet

Two things of one reading of the follower. A node that was suspended while it waited between two readings went on by its relay's word, which looked young by the steady clock, refused callers for two seconds and then served by what it knew before: any pause makes the next reading one of everything now (the test fails without it).

--- a/core/jwinstance/relay_test.go
+++ b/core/jwinstance/relay_test.go
@@ -1,6 +1,7 @@
 package jwinstance
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -128,3 +129,41 @@
 		_ = c.List()
 	})
 }
+
+// What a relay tells one node at full size: 75 nodes of a region, half of them in its
+// data centre, 250 targets, three hundred placements since the last word.
+func BenchmarkRelayWord(b *testing.B) {
+	now := time.Unix(1000, 0)
+	x := &Table{Region: "r"}
+	var loads []NodeLoad
+	for i := range 250 {
+		id := fmt.Sprintf("i-%010x", i)
+		x.Put(now, Instance{ID: id, Service: "s", Region: "r", Slots: 12})
+		if i%4 == 0 {
+			loads = append(loads, NodeLoad{Target: id, Calls: 1, Work: work{0, 0, 2890}, Held: 3000, Gap: 40})
+		}
+	}
+	for n := range 37 {
+		var placed []Placement
+		for i := range 8 {
+			placed = append(placed, Placement{
+				Target: loads[(n+i)%len(loads)].Target,
+				Parts:  []Part{{uint64(i), 500}, {uint64(n*100 + i), 5000}, {uint64(n*1000 + i), 2000}},
+			})
+		}
+		x.Hear(now, fmt.Sprint(n), loads, placed)
+	}
+	b.ReportAllocs()
+	bytes := 0
+	for range b.N {
+		raw, err := json.Marshal(struct {
+			Loads  *Loads
+			Placed *Places
+		}{Columns(x.TellBut(now, "1")), PlaceColumns(x.Retell(now, time.Second, false))})
+		if err != nil {
+			b.Fatal(err)
+		}
+		bytes = len(raw)
+	}
+	b.ReportMetric(float64(bytes), "B/word")
+}
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -32,6 +32,8 @@
 	followWait = 4 * time.Second
 	// followRetry is the wait after a reading that failed.
 	followRetry = 300 * time.Millisecond
+	// mostRetry bounds what it grows to in a large fleet.
+	mostRetry = time.Second
 )
 
 // follower keeps the tables as the store has them.
@@ -52,8 +54,13 @@
 // follow reads all keys once and then their changes, until ctx ends.
 func (g *Gateway) follow(ctx context.Context) {
 	f := g.follower
+	known := g.epoch.Load()
 	for ctx.Err() == nil {
 		epoch := g.epoch.Load()
+		if epoch != known {
+			f.restart() // the node was paused, and its history may be gone
+			known = epoch
+		}
 		if d := f.relies(time.Now()); d > 0 && !g.reads(time.Now()) && epoch.Err() == nil {
 			f.rest(epoch, d)
 			continue
@@ -63,7 +70,6 @@
 			return
 		}
 		if epoch.Err() != nil {
-			f.restart() // the node was paused, and its history may be gone
 			continue
 		}
 		now := time.Now()
@@ -85,7 +91,7 @@
 			f.lost = now
 			g.Log.Info("store lost", "error", err.Error())
 		}
-		jwclock.Sleep(epoch, followRetry+rand.N(followRetry))
+		jwclock.Sleep(epoch, g.retryWait(followRetry)+rand.N(followRetry))
 	}
 }
 
@@ -103,8 +109,18 @@
 }
 
 // pauseOf returns the wait between two readings of changes in a fleet.
-func pauseOf(nodes int) time.Duration {
-	return min(followPause*time.Duration(max(nodes, followNodes))/followNodes, mostFollowPause)
+func pauseOf(nodes int) time.Duration { return spread(followPause, nodes, mostFollowPause) }
+
+// spread returns a wait between two calls of the store, which from followNodes on grows
+// with the fleet up to a bound.
+func spread(wait time.Duration, nodes int, most time.Duration) time.Duration {
+	return min(wait*time.Duration(max(nodes, followNodes))/followNodes, most)
+}
+
+// retryWait returns the wait after a call of the store that failed. The store turns
+// whole parts of a fleet away at times, and each call counts, refused ones too.
+func (g *Gateway) retryWait(wait time.Duration) time.Duration {
+	return spread(wait, g.members.Count(time.Now(), ""), mostRetry)
 }
 
 // restart makes the next reading one of everything.
--- a/io/jwgateway/follow_test.go
+++ b/io/jwgateway/follow_test.go
@@ -67,3 +67,22 @@
 		})
 	}
 }
+
+// The store turns a third of a large fleet away for ten seconds. Each call counts, and
+// the more nodes there are the more seldom each asks, up to a second.
+func TestRetriesGrowWithTheFleet(t *testing.T) {
+	cases := map[string]struct {
+		nodes int
+		want  time.Duration
+	}{
+		"one":    {1, followRetry},
+		"forty":  {followNodes, followRetry},
+		"eighty": {2 * followNodes, 2 * followRetry},
+		"many":   {1000, mostRetry},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, spread(followRetry, c.nodes, mostRetry), c.want)
+		})
+	}
+}
--- a/io/jwgateway/register.go
+++ b/io/jwgateway/register.go
@@ -61,7 +61,7 @@
 			lease = 0
 			continue
 		case err != nil:
-			jwclock.Sleep(ctx, registerRetry)
+			jwclock.Sleep(ctx, g.retryWait(registerRetry))
 			continue
 		}
 		if g.pause(ctx, ttl/renewals) {
--- a/io/jwgateway/through_test.go
+++ b/io/jwgateway/through_test.go
@@ -135,3 +135,39 @@
 		assert.Equal(t, r.status, http.StatusNotFound)
 	}
 }
+
+// countingFeed counts how often everything is read.
+type countingFeed struct {
+	jwstore.Feed
+	ranges atomic.Int64
+}
+
+func (c *countingFeed) Range(ctx context.Context, prefix string) ([]jwstore.Item, uint64, error) {
+	c.ranges.Add(1)
+	return c.Feed.Range(ctx, prefix)
+}
+
+// A node that hears of the store through its relay was suspended, and by its steady
+// clock the relay's word is young. It must read everything anew at once; going on by the
+// word, it would refuse callers for two seconds and then serve by what it knew before.
+func TestPausedNodeDoesNotRelyOnItsRelay(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	counting := &countingFeed{Feed: &feed}
+	var boot atomic.Int64
+	crowded := func(g *jwgateway.Gateway) { g.Crowd = 2 }
+	first := startWith(t, &feed, "n1", "north", crowded)
+	second := startWith(t, counting, "n2", "north", func(g *jwgateway.Gateway) {
+		crowded(g)
+		g.Boot = func() time.Duration { return time.Duration(boot.Load()) }
+	})
+	for _, n := range []node{first, second} {
+		until(t, n, "/a/x", served)
+		names(t, n, "north", first, second)
+	}
+	before := counting.ranges.Load()
+	boot.Add(int64(time.Hour))
+	until(t, second, "/a/x", func(r reply) bool { return served(r) && counting.ranges.Load() > before })
+}
