jwgateway: a request that waits for the first configuration finds targets

Cause: all keys of the first reading were applied in their order, the configuration before the targets, and requests that waited for it went on at once: refused with 503, "no target has room". The test now says what the caller was told.

--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -196,6 +196,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	targets, nodes, evacuated := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	// The configuration comes last: requests that wait for the first one find targets then.
+	slices.SortStableFunc(items, func(a, b jwstore.Item) int { return f.order(a.Key) - f.order(b.Key) })
 	for _, i := range items {
 		f.apply(now, jwstore.Event{Key: i.Key, Value: i.Value, Revision: i.Version})
 		if id, ok := f.g.Records.TargetID(i.Key); ok {
@@ -218,6 +220,14 @@
 	return nil
 }
 
+// order returns the place of a key among those that are read together.
+func (f *follower) order(key string) int {
+	if f.g.Records.IsConfig(key) {
+		return 1
+	}
+	return 0
+}
+
 // apply brings one change into the tables.
 func (f *follower) apply(now time.Time, e jwstore.Event) {
 	g := f.g
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -495,7 +495,7 @@
 	n := start(t, lateReading{&feed}, "n1", "north")
 	r, err := send(t, n, http.MethodGet, "/a/x", "first", nil, "")
 	assert.NilError(t, err)
-	assert.Equal(t, r.status, http.StatusOK)
+	assert.Equal(t, r.status, http.StatusOK, "%s", r.body)
 }
 
 // lateReading is a store that is slow to be read.
