--- a/core/jwinstance/relay.go
+++ b/core/jwinstance/relay.go
@@ -8,7 +8,7 @@
 // TellRelay returns what the relay of another data centre should know: the loads of
 // this node and of those that speak through it.
 func (t *Table) TellRelay(now time.Time) []NodeLoad {
-	return t.retell(now, func(node string, w nodeWord) bool { return !w.relay })
+	return t.retell(now, func(_ string, w nodeWord) bool { return !w.relay })
 }
 
 // TellBut returns what a node that speaks through this one should know: the loads of
