--- /dev/null
+++ b/core/jwworkspace/workspace_test.go
@@ -0,0 +1,101 @@
+package jwworkspace
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestCost(t *testing.T) {
+	cases := map[string]struct {
+		quota  Quota
+		tokens int
+		want   float64
+	}{
+		"requests":         {Quota{Unit: Requests, Rate: 5}, 4000, 1},
+		"no unit":          {Quota{Rate: 5}, 4000, 1},
+		"tokens":           {Quota{Unit: Tokens, Rate: 5, Plain: 200}, 4000, 4000},
+		"tokens, a call":   {Quota{Unit: Tokens, Rate: 5, Plain: 200}, 0, 200},
+		"nothing for call": {Quota{Unit: Tokens, Rate: 5}, 0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, c.quota.Cost(c.tokens), c.want) })
+	}
+}
+
+// A workspace and an entry that share no home must be served nowhere, not everywhere.
+func TestBoth(t *testing.T) {
+	cases := map[string]struct {
+		a, b    Regions
+		allowed []string
+	}{
+		"none bound":      {nil, nil, []string{"north", "south", "east"}},
+		"one bound":       {nil, Regions{"north"}, []string{"north"}},
+		"the other bound": {Regions{"south"}, nil, []string{"south"}},
+		"some shared":     {Regions{"north", "south"}, Regions{"south", "east"}, []string{"south"}},
+		"none shared":     {Regions{"north"}, Regions{"south"}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			both := c.a.Both(c.b)
+			var allowed []string
+			for _, region := range []string{"north", "south", "east"} {
+				if both.Allows(region) {
+					allowed = append(allowed, region)
+				}
+			}
+			assert.DeepEqual(t, allowed, c.allowed)
+		})
+	}
+}
+
+func TestHolder(t *testing.T) {
+	var d Directory
+	a, b := &Workspace{Name: "a"}, &Workspace{Name: "b"}
+	long := string(make([]byte, 500))
+	d.Add(a, "key-1", "key-2", long)
+	d.Add(b, "key-3", "key-1")
+	cases := map[string]struct {
+		key  string
+		want *Workspace
+	}{
+		"first":                {"key-1", a},
+		"second":               {"key-2", a},
+		"of another":           {"key-3", b},
+		"longer than usual":    {long, a},
+		"unknown":              {"key-4", nil},
+		"the begin of a key":   {"key-", nil},
+		"none":                 {"", nil},
+		"a name is not a key":  {"a", nil},
+		"other upper and case": {"KEY-1", nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, d.Holder(c.key), c.want) })
+	}
+	assert.Equal(t, d.Named("b"), b)
+	assert.Assert(t, d.Named("key-1") == nil)
+	assert.Equal(t, d.Len(), 2)
+}
+
+func TestNoDirectory(t *testing.T) {
+	var d *Directory
+	assert.Assert(t, d.Holder("key") == nil)
+	assert.Assert(t, d.Named("a") == nil)
+	assert.Equal(t, d.Len(), 0)
+}
+
+// BenchmarkHolder looks up one of the 100,000 keys of a fleet of full size.
+func BenchmarkHolder(b *testing.B) {
+	var d Directory
+	for i := range 38_000 {
+		w := &Workspace{Name: fmt.Sprint("w", i)}
+		d.Add(w, fmt.Sprint("key-a-", i), fmt.Sprint("key-b-", i), fmt.Sprint("key-c-", i))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if d.Holder("key-b-20000") == nil {
+			b.Fatal("not found")
+		}
+	}
+}
