jwquota: quotas over all nodes by units that go up and down a tree

Each node mints its even part, gives what it doesn't need to the relay of its data centre and that to the workspace's root, and claims what it lacks the same way. A unit is taken off on one side before it is added on the other, so cuts, kills and differing views lose units and never make any.

--- /dev/null
+++ b/core/jwquota/ledger_test.go
@@ -0,0 +1,144 @@
+package jwquota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"jujubewheel/core/jwworkspace"
+)
+
+var tokenBounds = Bounds{Window: 8 * time.Second, Ratio: 0.1, Slack: 110_000}
+
+func tokenQuota(perSecond float64) jwworkspace.Quota {
+	return jwworkspace.Quota{Unit: jwworkspace.Tokens, Rate: perSecond, Burst: perSecond, Plain: 200}
+}
+
+// mix is what workspaces send: plain calls, short prompts and long ones.
+func (f *fleet) mix() float64 {
+	switch x := f.rand.Float64(); {
+	case x < 0.23:
+		return 200
+	case x < 0.8:
+		return 500 + 1000*f.rand.Float64()
+	}
+	return 2000 + 14_000*f.rand.Float64()
+}
+
+const mixMean = 0.23*200 + 0.57*1000 + 0.2*9000
+
+// traffic sends units a second of a workspace, most of it in one region.
+func (f *fleet) traffic(workspace string, units float64, peak int) {
+	for range f.poisson(units / mixMean) {
+		i := f.rand.IntN(len(f.nodes))
+		for f.nodes[i].region != peak && f.rand.Float64() < 0.8 {
+			i = f.rand.IntN(len(f.nodes))
+		}
+		f.ask(i, workspace, f.mix(), 300*time.Millisecond)
+	}
+}
+
+// Workspaces that stay within their quotas, small ones too, are refused next to
+// nothing while the peak moves from region to region.
+func TestWithinTheQuota(t *testing.T) {
+	for name, perSecond := range map[string]float64{"large": 800_000, "middle": 100_000, "small": 29_000} {
+		t.Run(name, func(t *testing.T) {
+			quotas := map[string]jwworkspace.Quota{"w": tokenQuota(perSecond)}
+			f := newFleet(7, 58, 6, 3, tokenBounds, quotas)
+			f.run(10*time.Second, nil)
+			start := f.now
+			f.run(36*time.Second, func() {
+				f.traffic("w", perSecond/1.8, int(f.now.Sub(start)/(12*time.Second)))
+			})
+			assert.Assert(t, f.refuse["w"] < f.ideal["w"].refused+0.02*f.asked["w"],
+				"%.0f of %.0f refused, one counter refuses %.0f", f.refuse["w"], f.asked["w"], f.ideal["w"].refused)
+			assert.Assert(t, f.most("w") <= tokenBounds.Most(quotas["w"]))
+		})
+	}
+}
+
+// A workspace that sends seven times its usual gets its quota and no more, and takes
+// nothing from another one.
+func TestFloodOfOneWorkspace(t *testing.T) {
+	quotas := map[string]jwworkspace.Quota{"hot1": tokenQuota(200_000), "calm2": tokenQuota(60_000)}
+	f := newFleet(9, 58, 6, 3, tokenBounds, quotas)
+	f.run(10*time.Second, nil)
+	f.run(20*time.Second, func() {
+		f.traffic("hot1", 7.5/1.8*200_000, 0)
+		f.traffic("calm2", 60_000/1.8, 1)
+	})
+	spent := 0.0
+	for _, s := range f.spent {
+		if s.workspace == "hot1" {
+			spent += s.cost
+		}
+	}
+	assert.Assert(t, f.most("hot1") <= tokenBounds.Most(quotas["hot1"]))
+	assert.Assert(t, spent > 0.9*20*200_000, "only %.0f were spent", spent)
+	assert.Assert(t, f.refuse["calm2"] < 0.02*f.asked["calm2"], "%.0f of %.0f refused", f.refuse["calm2"], f.asked["calm2"])
+}
+
+// No history of starts, cuts and changed quotas lets all nodes together exceed the bound.
+func TestNeverBeyondTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 24).Draw(t, "nodes")
+		dcs := rapid.IntRange(1, min(nodes, 6)).Draw(t, "dataCentres")
+		b := Bounds{
+			Window: time.Duration(rapid.IntRange(2, 8).Draw(t, "window")) * time.Second,
+			Ratio:  rapid.SampledFrom([]float64{0.05, 0.1, 0.3}).Draw(t, "ratio"),
+			Slack:  rapid.SampledFrom([]float64{0, 20_000, 110_000}).Draw(t, "slack"),
+		}
+		q := jwworkspace.Quota{Unit: jwworkspace.Tokens, Rate: rapid.SampledFrom([]float64{500, 29_000, 400_000}).Draw(t, "rate")}
+		q.Burst = q.Rate * rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "burst")
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), nodes, dcs, min(dcs, 3), b, map[string]jwworkspace.Quota{"w": q})
+		f.run(time.Duration(rapid.IntRange(0, 20).Draw(t, "idle"))*time.Second, nil)
+		for range rapid.IntRange(1, 6).Draw(t, "phases") {
+			load := rapid.SampledFrom([]float64{0, 0.5, 1, 4, 12}).Draw(t, "load")
+			peak := rapid.IntRange(0, 2).Draw(t, "peak")
+			switch rapid.SampledFrom([]string{"calm", "cut", "heal", "restart", "restartAll"}).Draw(t, "event") {
+			case "cut":
+				for _, n := range f.nodes {
+					n.side = f.rand.IntN(3)
+				}
+			case "heal":
+				for _, n := range f.nodes {
+					n.side = 0
+				}
+			case "restart":
+				f.restart(f.nodes[f.rand.IntN(nodes)])
+			case "restartAll":
+				for _, n := range f.nodes {
+					f.restart(n)
+				}
+			}
+			f.run(time.Duration(rapid.IntRange(100, 3000).Draw(t, "ms"))*time.Millisecond, func() { f.traffic("w", load*q.Rate, peak) })
+		}
+		if most := b.Most(q); f.most("w") > most {
+			t.Fatalf("%.0f units in a window, allowed are %.0f", f.most("w"), most)
+		}
+	})
+}
+
+// BenchmarkTake admits requests of one of 2,000 active workspaces.
+func BenchmarkTake(b *testing.B) {
+	q := tokenQuota(1e9)
+	l := &Ledger{Quota: func(string) jwworkspace.Quota { return q }, Bounds: func() Bounds { return tokenBounds }}
+	now := time.Unix(1000, 0)
+	l.SetPlace(now, Place{Fleet: 1, Counted: true})
+	names := make([]string, 2000)
+	for i := range names {
+		names[i] = fmt.Sprint("w", i)
+		l.Take(now, names[i], 0)
+	}
+	now = now.Add(time.Second)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		if d := l.Take(now, names[i%len(names)], 1000); d.Outcome != Taken {
+			b.Fatal(d.Outcome)
+		}
+	}
+}
