--- /dev/null
+++ b/core/jwmember/fleet.go
@@ -0,0 +1,46 @@
+package jwmember
+
+import "time"
+
+// settle is how long after the fleet's size rose a new node takes it that all others
+// count it: they read the store at least every three seconds.
+const settle = 4 * time.Second
+
+// SetFleet takes the size of the fleet as the store keeps it, which outlives all nodes:
+// after a start of all at once the registrations of most are missing. known tells that
+// the size was there before this process.
+func (t *Table) SetFleet(now time.Time, nodes int, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fleet = nodes
+	if !t.counted.IsZero() || nodes < t.countAll(now, "") {
+		return
+	}
+	t.counted = now
+	if !known {
+		t.counted = now.Add(settle)
+	}
+}
+
+// FleetSize returns the size of the fleet as the store keeps it, 0 if it isn't known.
+func (t *Table) FleetSize() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fleet
+}
+
+// Fleet returns how many nodes there may be in all regions, and whether the others
+// count this one among them. Even parts of what all share are made from it.
+func (t *Table) Fleet(now time.Time) (nodes int, counted bool) {
+	n := t.Count(now, "")
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(n, t.fleet), !t.counted.IsZero() && !now.Before(t.counted)
+}
+
+// KeepsFleet tells whether the node itself writes the size of the fleet: the first of
+// the live by name does.
+func (t *Table) KeepsFleet(now time.Time) bool {
+	live := t.Live(now, "")
+	return len(live) > 0 && live[0].Name == t.Me().Name
+}
--- /dev/null
+++ b/core/jwmember/fleet_test.go
@@ -0,0 +1,71 @@
+package jwmember
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// After a start of all at once the registrations of most are missing, and each node would
+// take the whole of what they share; a node that nobody counted before waits until the
+// others do.
+func TestFleet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := func(others int) *Table {
+		x := &Table{Self: Member{Name: "n0", Region: "north"}}
+		for i := range others {
+			x.Put(now, Member{Name: string(rune('a' + i)), Region: "north"})
+		}
+		return x
+	}
+	cases := map[string]struct {
+		others int
+		size   int // as the store keeps it, 0 for none
+		known  bool
+		after  time.Duration
+		nodes  int
+		counts bool
+	}{
+		"nothing is kept":            {5, 0, false, time.Hour, 6, false},
+		"all started anew":           {0, 58, true, 0, 58, true},
+		"one started anew":           {57, 58, true, 0, 58, true},
+		"a new one":                  {58, 58, true, time.Hour, 59, false},
+		"the first start":            {57, 58, false, 0, 58, false},
+		"the first start, later":     {57, 58, false, settle, 58, true},
+		"more than were kept so far": {20, 6, false, time.Hour, 21, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x := table(c.others)
+			if c.size > 0 {
+				x.SetFleet(now, c.size, c.known)
+			}
+			nodes, counted := x.Fleet(now.Add(c.after))
+			if c.after < forget {
+				assert.Equal(t, nodes, c.nodes)
+			}
+			assert.Equal(t, counted, c.counts)
+		})
+	}
+}
+
+// What belongs to a name stays in its data centre while another relay takes over there.
+func TestRoot(t *testing.T) {
+	relays := []Member{{Name: "a1", DataCentre: "a"}, {Name: "b1", DataCentre: "b"}, {Name: "c1", DataCentre: "c"}}
+	others := []Member{{Name: "a2", DataCentre: "a"}, {Name: "b2", DataCentre: "b"}, {Name: "c2", DataCentre: "c"}}
+	held := make(map[string]int)
+	for i := range 300 {
+		name := "w" + string(rune(i))
+		x, ok := Root(relays, name)
+		y, _ := Root(others, name)
+		assert.Assert(t, ok)
+		assert.Equal(t, x.DataCentre, y.DataCentre)
+		held[x.DataCentre]++
+	}
+	for dc, n := range held {
+		assert.Assert(t, n > 50, "%s holds %d of 300", dc, n)
+	}
+	_, ok := Root(nil, "w")
+	assert.Assert(t, !ok)
+}
--- a/core/jwmember/relay.go
+++ b/core/jwmember/relay.go
@@ -1,6 +1,7 @@
 package jwmember
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -57,6 +58,35 @@
 	return a.Name < b.Name
 }
 
+// AllRelays returns the relays of all data centres, by data centre, the node itself if
+// it is one.
+func (t *Table) AllRelays(now time.Time) []Member {
+	best := make(map[string]Member)
+	for _, m := range t.Live(now, "") {
+		if old, ok := best[m.DataCentre]; !ok || before(m, old) {
+			best[m.DataCentre] = m
+		}
+	}
+	list := make([]Member, 0, len(best))
+	for _, dc := range slices.Sorted(maps.Keys(best)) {
+		list = append(list, best[dc])
+	}
+	return list
+}
+
+// Root returns the one of some relays at which what belongs to a name is gathered, by
+// rendezvous hashing of their data centres.
+func Root(relays []Member, name string) (Member, bool) {
+	var root Member
+	most := uint64(0)
+	for _, m := range relays {
+		if s := rank(m.DataCentre, name); root.Name == "" || s > most {
+			root, most = m, s
+		}
+	}
+	return root, root.Name != ""
+}
+
 // IsRelay tells whether the node itself is the relay of its data centre.
 func (t *Table) IsRelay(now time.Time) bool {
 	m, ok := t.Relay(now, t.Self.DataCentre)
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -51,6 +51,8 @@
 	stopped time.Time // when the node itself ceased to serve
 	listed  time.Time // when this process read its own registration in the store, zero while it has not
 	views   map[string]view
+	fleet   int       // nodes of all regions as the store keeps it, 0 if that isn't known
+	counted time.Time // from when on all others count this node, zero if that isn't known
 }
 
 // viewAge is how long a view of a region serves while no news comes: many requests ask
