jwgateway, jwquotaexchange, platform: keys, workspaces and quotas on the platform

Callers are who their keys say: 401 for an unknown one (503 at a node that can't know the newest configuration), 429 over the quota, both before the body is read; targets are told the workspace's name and never the key. Homes of entry and workspace bind together, the workspace's priority goes first.

--- a/core/jwentry/config.go
+++ b/core/jwentry/config.go
@@ -5,15 +5,18 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+
+	"jujubewheel/core/jwworkspace"
 )
 
 // Config is one whole configuration; it is not changed after Index.
 type Config struct {
-	Version  uint64
-	Entries  []*Entry
-	Services map[string]*Service
-	MaxBody  int64  // bytes of a request's body, 0 if not said
-	Raw      []byte // as the store holds it, to be passed on to other nodes
+	Version    uint64
+	Entries    []*Entry
+	Services   map[string]*Service
+	Workspaces *jwworkspace.Directory // nil where callers need no keys
+	MaxBody    int64                  // bytes of a request's body, 0 if not said
+	Raw        []byte                 // as the store holds it, to be passed on to other nodes
 
 	byHost map[string][]*Entry // longest prefix first
 }
@@ -41,6 +44,16 @@
 	return nil
 }
 
+// Caller returns the workspace that holds a key, nil for a caller without one; ok is
+// false if the entry needs a key and nobody holds this one.
+func (c *Config) Caller(e *Entry, key string) (w *jwworkspace.Workspace, ok bool) {
+	if c.Workspaces == nil {
+		return nil, true
+	}
+	w = c.Workspaces.Holder(key)
+	return w, w != nil || e.Public
+}
+
 // Table keeps the newest configuration; the zero value has none.
 type Table struct {
 	current atomic.Pointer[Config]
--- a/core/jwentry/demand.go
+++ b/core/jwentry/demand.go
@@ -1,6 +1,10 @@
 package jwentry
 
-import "sync"
+import (
+	"sync"
+
+	"jujubewheel/core/jwworkspace"
+)
 
 // Demand counts the requests to entries with homes by the regions that may
 // serve them; the zero value is empty.
@@ -9,9 +13,9 @@
 	requests map[string]int
 }
 
-// Count notes a request to an entry.
-func (d *Demand) Count(e *Entry) {
-	if len(e.Homes) == 0 {
+// Count notes a request that some regions may serve.
+func (d *Demand) Count(homes jwworkspace.Regions) {
+	if len(homes) == 0 {
 		return
 	}
 	d.mu.Lock()
@@ -19,7 +23,7 @@
 	if d.requests == nil {
 		d.requests = make(map[string]int)
 	}
-	for _, region := range e.Homes {
+	for _, region := range homes {
 		d.requests[region]++
 	}
 }
--- a/core/jwentry/entry.go
+++ b/core/jwentry/entry.go
@@ -1,6 +1,10 @@
 package jwentry
 
-import "time"
+import (
+	"time"
+
+	"jujubewheel/core/jwworkspace"
+)
 
 // Kind tells what may be repeated of a request.
 type Kind string
@@ -23,9 +27,10 @@
 	GapGoal      time.Duration // longest pause between events that is on time
 	Priority     int           // 0 is the most urgent
 	Destinations []Destination
-	MaxAttempts  int      // targets that one request may be sent to
-	Resumable    bool     // a broken stream may go on at another target
-	Homes        []string // regions that may serve it, all where empty
+	MaxAttempts  int                 // targets that one request may be sent to
+	Resumable    bool                // a broken stream may go on at another target
+	Public       bool                // callers need no key
+	Homes        jwworkspace.Regions // that may serve it
 }
 
 // Destination is a service with its share of an entry's requests.
@@ -39,19 +44,6 @@
 	return e.Kind == Idempotent || e.Kind == Stream && e.Resumable
 }
 
-// Allows tells whether a region may serve the entry.
-func (e *Entry) Allows(region string) bool {
-	if len(e.Homes) == 0 {
-		return true
-	}
-	for _, home := range e.Homes {
-		if home == region {
-			return true
-		}
-	}
-	return false
-}
-
 // Attempts returns how many targets a request may be sent to, at least one.
 func (e *Entry) Attempts() int { return max(e.MaxAttempts, 1) }
 
--- a/core/jwentry/entry_test.go
+++ b/core/jwentry/entry_test.go
@@ -114,7 +114,7 @@
 		t.Run(name, func(t *testing.T) {
 			var d Demand
 			for _, e := range x.requests {
-				d.Count(e)
+				d.Count(e.Homes)
 			}
 			assert.DeepEqual(t, d.Stand(c, "a.example", x.choice), x.want)
 		})
--- a/io/jwgateway/belief.go
+++ b/io/jwgateway/belief.go
@@ -26,6 +26,7 @@
 	Targets   []jwinstance.Instance `json:"targets,omitempty"`
 	Evacuated []string              `json:"evacuated,omitempty"`
 	Members   []jwmember.Member     `json:"members,omitempty"`
+	Fleet     int                   `json:"fleet,omitempty"` // nodes of all regions as the store keeps it
 }
 
 // serveBelief tells what is newer than the version and the revision that the
@@ -44,7 +45,7 @@
 	if revision := g.store.revision.Load(); revision > numberOf(r, "revision") {
 		b.Revision = revision
 		b.Targets, b.Evacuated = g.targets.Instances(now), g.targets.Evacuated()
-		b.Members = g.members.Live(now, "")
+		b.Members, b.Fleet = g.members.Live(now, ""), g.members.FleetSize()
 	}
 	if err := json.NewEncoder(w).Encode(b); err != nil {
 		g.Log.V(1).Info("belief not told", "error", err.Error())
@@ -131,6 +132,9 @@
 	for _, m := range b.Members {
 		g.members.Put(now, m)
 	}
+	if b.Fleet > 0 {
+		g.members.SetFleet(now, b.Fleet, !g.synced.Load())
+	}
 	g.learned.Store(b.Revision)
 	g.Log.Info("learned from another node", "peer", from.String(), "revision", b.Revision, "targets", len(b.Targets))
 }
--- /dev/null
+++ b/io/jwgateway/callers_test.go
@@ -0,0 +1,215 @@
+package jwgateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwstore"
+	"jujubewheel/io/jwgateway"
+)
+
+// configureKeys writes a configuration in which callers need keys.
+func configureKeys(feed *jwstore.MemoryFeed, version int, tenants string, routes ...string) {
+	feed.Write("op/config", fmt.Appendf(nil, `{"Version":%d,"Routes":[%s],"Services":[{"Name":"s"}],"Tenants":[%s],
+		"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`, version, strings.Join(routes, ","), tenants))
+}
+
+func key(k string) http.Header { return http.Header{"Authorization": {"Token " + k}} }
+
+// A caller is who its key says: no name that it gives itself is believed, and no target
+// sees the key.
+func TestKeys(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	x := startTarget(t, &feed, "t1", "s", "north-a", text("done"))
+	configureKeys(&feed, 1, `{"Name":"w1","ApiKeys":["k1","k2"],"Priority":3},{"Name":"w2","ApiKeys":["k3"]}`,
+		route("/a/", "non_idempotent", `,"Priority":1`), route("/open/", "non_idempotent", `,"Public":true`))
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/open/x", served)
+	cases := map[string]struct {
+		path      string
+		header    http.Header
+		status    int
+		workspace string // that the target is told
+		priority  string
+	}{
+		"first key":               {"/a/x", key("k1"), 200, "w1", "3"},
+		"second key":              {"/a/x", key("k2"), 200, "w1", "3"},
+		"priority of the entry":   {"/a/x", key("k3"), 200, "w2", "1"},
+		"no key":                  {"/a/x", nil, 401, "", ""},
+		"unknown key":             {"/a/x", key("k4"), 401, "", ""},
+		"another scheme":          {"/a/x", http.Header{"Authorization": {"Basic k1"}}, 401, "", ""},
+		"an invented name":        {"/a/x", http.Header{"Authorization": {"Token k1"}, "Jujubewheel-Tenant": {"w2"}}, 200, "w1", "3"},
+		"a name without a key":    {"/a/x", http.Header{"Jujubewheel-Tenant": {"w2"}}, 401, "", ""},
+		"public, no key":          {"/open/x", nil, 200, "", "0"},
+		"public, unknown key":     {"/open/x", key("k4"), 200, "", "0"},
+		"public, key":             {"/open/x", key("k3"), 200, "w2", "0"},
+		"public, an invented one": {"/open/x", http.Header{"Jujubewheel-Tenant": {"w2"}}, 200, "", "0"},
+		"no such entry":           {"/none/x", nil, 404, "", ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			before := len(x.requests())
+			h := c.header.Clone()
+			if h == nil {
+				h = http.Header{}
+			}
+			h["Jujubewheel-Token-Count"] = []string{"10,20"}
+			r, err := send(t, n, http.MethodPost, c.path, name, h, "body")
+			assert.NilError(t, err)
+			assert.Equal(t, r.status, c.status, r.body)
+			got := x.requests()[before:]
+			if c.status != http.StatusOK {
+				assert.Equal(t, len(got), 0)
+				return
+			}
+			assert.Equal(t, got[0].header.Get("Jujubewheel-Tenant"), c.workspace)
+			assert.Equal(t, got[0].header.Get("Jujubewheel-Request-Priority"), c.priority)
+			assert.Equal(t, got[0].header.Get("Authorization"), "")
+		})
+	}
+}
+
+// Where callers need no keys, what they send in that header is theirs.
+func TestNoKeys(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	x := startTarget(t, &feed, "t1", "s", "north-a", text("done"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/a/x", served)
+	_, err := send(t, n, http.MethodGet, "/a/x", "one", http.Header{"Authorization": {"Token k"}, "Jujubewheel-Tenant": {"w"}}, "")
+	assert.NilError(t, err)
+	all := x.requests()
+	assert.Equal(t, all[len(all)-1].header.Get("Authorization"), "Token k")
+	assert.Equal(t, all[len(all)-1].header.Get("Jujubewheel-Tenant"), "")
+}
+
+// status returns what a caller with a key is answered, 0 for nothing.
+func statusOf(t *testing.T, n node, k string) int {
+	t.Helper()
+	r, err := send(t, n, http.MethodGet, "/a/x", "one", key(k), "")
+	if err != nil {
+		return 0
+	}
+	return r.status
+}
+
+// becomes waits until callers with a key get a status.
+func becomes(t *testing.T, n node, k string, status int) {
+	t.Helper()
+	for range 1000 {
+		if statusOf(t, n, k) == status {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("key %s: still %d, want %d", k, statusOf(t, n, k), status)
+}
+
+// A key that is taken away stops working, and one that comes back works, also on a node
+// that has lost the store but reaches another one.
+func TestKeyTakenAway(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-a", text("done"))
+	with, without := `{"Name":"w","ApiKeys":["k1","k2"]}`, `{"Name":"w","ApiKeys":["k2"]}`
+	configureKeys(&feed, 1, with, route("/a/", "idempotent", ""))
+	sees := start(t, &feed, "n1", "north")
+	link := &cutFeed{Feed: &feed}
+	blind := start(t, link, "n2", "north", sees.nodes)
+	for _, n := range []node{sees, blind} {
+		becomes(t, n, "k1", http.StatusOK)
+	}
+	link.off.Store(true)
+	for version, step := range []struct {
+		tenants string
+		status  int
+	}{{without, http.StatusUnauthorized}, {with, http.StatusOK}} {
+		configureKeys(&feed, version+2, step.tenants, route("/a/", "idempotent", ""))
+		for _, n := range []node{sees, blind} {
+			becomes(t, n, "k1", step.status)
+			assert.Equal(t, statusOf(t, n, "k2"), http.StatusOK)
+		}
+	}
+}
+
+// A node that nobody tells of the store's changes doesn't call a key wrong that may have
+// been added meanwhile.
+func TestUnknownKeyWhileCutOff(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-a", text("done"))
+	configureKeys(&feed, 1, `{"Name":"w","ApiKeys":["k1"]}`, route("/a/", "idempotent", ""))
+	link := &cutFeed{Feed: &feed}
+	n := start(t, link, "n1", "north")
+	becomes(t, n, "k1", http.StatusOK)
+	assert.Equal(t, statusOf(t, n, "k2"), http.StatusUnauthorized)
+	link.off.Store(true)
+	becomes(t, n, "k2", http.StatusServiceUnavailable)
+	assert.Equal(t, statusOf(t, n, "k1"), http.StatusOK)
+	configureKeys(&feed, 2, `{"Name":"w","ApiKeys":["k1","k2"]}`, route("/a/", "idempotent", ""))
+	link.off.Store(false)
+	becomes(t, n, "k2", http.StatusOK)
+	becomes(t, n, "k3", http.StatusUnauthorized)
+}
+
+// The homes of a workspace bind beside those of the entry, and its name travels along.
+func TestHomesOfWorkspace(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	here := startTarget(t, &feed, "t1", "s", "north-a", text("north"))
+	there := startTarget(t, &feed, "t2", "s", "south-a", text("south"))
+	configureKeys(&feed, 1, `{"Name":"w1","ApiKeys":["k1"],"HomeRegions":["south"],"Priority":2},{"Name":"w2","ApiKeys":["k2"],"HomeRegions":["east"]},{"Name":"w3","ApiKeys":["k3"]}`,
+		route("/b/", "non_idempotent", `,"HomeRegions":["south","north"]`), route("/a/", "idempotent", ""))
+	n := start(t, &feed, "n1", "north")
+	start(t, &feed, "n2", "south", n.nodes)
+	becomes(t, n, "k1", http.StatusOK)
+	before := len(here.requests())
+	r, err := send(t, n, http.MethodPost, "/b/x", "two", key("k1"), "body")
+	assert.NilError(t, err)
+	assert.Equal(t, r.body, "south")
+	all := there.requests()
+	got := all[len(all)-1].header
+	assert.Equal(t, got.Get("Jujubewheel-Tenant"), "w1")
+	assert.Equal(t, got.Get("Authorization"), "")
+	r, err = send(t, n, http.MethodPost, "/b/x", "three", key("k2"), "body")
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusServiceUnavailable, "no region is a home of both")
+	assert.Equal(t, len(here.requests()), before)
+}
+
+// A workspace that sends more than its quota is told so at once; another one isn't.
+func TestOverQuota(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	feed.Write("jujubewheel/fleet", []byte(`{"nodes":1}`))
+	startTarget(t, &feed, "t1", "s", "north-a", text("done"))
+	configureKeys(&feed, 1, `{"Name":"hot","ApiKeys":["k1"],"Unit":"tokens","PlainTokens":5,"RatePerS":20,"Burst":20},{"Name":"calm","ApiKeys":["k2"]}`,
+		route("/a/", "non_idempotent", ""), route("/w/", "idempotent", `,"Public":true`))
+	n := startWith(t, &feed, "n1", "north", func(g *jwgateway.Gateway) {
+		g.Settings.Gateway.Bounds.QuotaWindow = 8 * time.Second
+		g.Settings.Gateway.Bounds.QuotaRatio = 0.1
+	})
+	until(t, n, "/w/x", served)
+	refused := 0
+	for i := range 40 {
+		r, err := send(t, n, http.MethodPost, "/a/x", fmt.Sprint("hot", i), key("k1"), "body")
+		assert.NilError(t, err)
+		if r.status == http.StatusTooManyRequests {
+			refused++
+			assert.Assert(t, r.header.Get("Retry-After") != "")
+			continue
+		}
+		assert.Equal(t, r.status, http.StatusOK, r.body)
+	}
+	assert.Assert(t, refused > 0)
+	r, err := send(t, n, http.MethodPost, "/a/x", "calm", key("k2"), "body")
+	assert.NilError(t, err)
+	assert.Equal(t, r.status, http.StatusOK)
+}
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -19,12 +19,15 @@
 func (q *request) decision(step string) jwlog.Decision {
 	now := time.Now()
 	d := jwlog.Decision{
-		Step: step, Request: q.ID, Entry: q.entry.Name, Version: q.version, Service: q.service,
-		Attempt: q.attempts, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
+		Step: step, Request: q.ID, Entry: q.entry.Name, Version: q.version, Workspace: q.workspace, Service: q.service,
+		Units: q.units, Attempt: q.attempts, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
 	}
 	return d
 }
 
+// outcomeRefused is the outcome of a request that the node refused at once.
+const outcomeRefused = "refused"
+
 // outcomeBegun is the outcome of stepBegun.
 const outcomeBegun = "begun"
 
--- a/io/jwgateway/dialect.go
+++ b/io/jwgateway/dialect.go
@@ -15,6 +15,7 @@
 	ID        string
 	Deadline  time.Duration // 0 if not said
 	LastEvent string        // the event after which a stream goes on
+	Key       string        // of the caller's workspace, "" if there is none
 	Prompt    jwinstance.Prompt
 }
 
@@ -25,6 +26,7 @@
 	Engine    bool
 	Priority  int
 	LastEvent string
+	Workspace string         // of the caller, "" if that has none
 	Fetch     netip.AddrPort // a target that holds parts of the prompt, if valid
 }
 
@@ -42,6 +44,8 @@
 	Call(h http.Header) Call
 	// Strip removes what only the gateway may tell a target.
 	Strip(h http.Header)
+	// StripKey removes the key of a caller.
+	StripKey(h http.Header)
 	// Send adds what the target is told.
 	Send(h http.Header, s Send)
 	// Left replaces the time left.
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -19,6 +19,8 @@
 const (
 	// nodePrefix is where nodes register themselves.
 	nodePrefix = "jujubewheel/nodes/"
+	// fleetKey is where the size of the fleet stands.
+	fleetKey = "jujubewheel/fleet"
 	// followPause is the wait between two readings of changes. Targets register
 	// about once a second each; without it every one would cost a call.
 	followPause = 700 * time.Millisecond
@@ -222,8 +224,11 @@
 
 // order returns the place of a key among those that are read together.
 func (f *follower) order(key string) int {
-	if f.g.Records.IsConfig(key) {
-		return 1
+	switch {
+	case f.g.Records.IsConfig(key):
+		return 2
+	case key == fleetKey:
+		return 1 // after the nodes, which it is compared with
 	}
 	return 0
 }
@@ -245,6 +250,10 @@
 		g.takeTarget(now, id, e)
 		return
 	}
+	if e.Key == fleetKey && !e.Deleted {
+		g.takeFleet(now, e.Value)
+		return
+	}
 	if name, ok := strings.CutPrefix(e.Key, nodePrefix); ok {
 		g.takeNode(now, name, e)
 	}
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -16,6 +16,7 @@
 	"jujubewheel/core/jwplacement"
 	"jujubewheel/core/jwsuspect"
 	"jujubewheel/io/jwconn"
+	"jujubewheel/io/jwquotaexchange"
 )
 
 // The headers of a request on its way between two nodes.
@@ -25,13 +26,14 @@
 	headOutcome  = "Jujube-Outcome"
 	headCallerID = "Jujube-Caller" // set on forwards only
 	headMark     = "Jujube-Mark"   // fingerprint of the request
+	headOwner    = "Jujube-Workspace"
 )
 
 // place chooses the region that serves a request.
 func (g *Gateway) place(now time.Time, q *request) jwplacement.Choice {
 	n := g.need(q)
 	var here *jwplacement.Option
-	if q.forward || q.entry.Allows(g.Settings.Region) {
+	if q.forward || q.homes.Allows(g.Settings.Region) {
 		if c, ok := g.targets.Look(now, n); ok {
 			here = &jwplacement.Option{
 				Region: g.Settings.Region, Known: true, Expected: c.Expected, Own: c.Own, Later: c.Cost - c.Expected, Miss: c.Miss,
@@ -70,7 +72,7 @@
 func (g *Gateway) otherRegions(q *request) []string {
 	var list []string
 	for region, slots := range g.targets.Regions(q.service) {
-		if region != g.Settings.Region && slots > 0 && q.entry.Allows(region) {
+		if region != g.Settings.Region && slots > 0 && q.homes.Allows(region) {
 			list = append(list, region)
 		}
 	}
@@ -116,10 +118,14 @@
 	h[headService] = []string{q.service}
 	h[headKind] = []string{strings.Join([]string{
 		string(e.Kind), strconv.FormatBool(e.Resumable), strconv.Itoa(max(e.Attempts()-q.attempts, 1)),
-		strconv.Itoa(e.Priority), strconv.FormatInt(e.Goal.Milliseconds(), 10), strings.Join(e.Homes, "|"),
+		strconv.Itoa(q.priority), strconv.FormatInt(e.Goal.Milliseconds(), 10), strings.Join(q.homes, "|"),
 	}, ",")}
 	h[headCallerID] = []string{g.Settings.Node}
 	h[headMark] = []string{q.mark.String()}
+	delete(h, headOwner)
+	if q.workspace != "" {
+		h[headOwner] = []string{q.workspace}
+	}
 	g.Dialect.Left(h, time.Until(q.deadline))
 	if id := q.lastEvent(); id != "" {
 		h["Last-Event-Id"] = []string{id}
@@ -203,10 +209,11 @@
 	}
 	q.w = &outcomeWriter{ResponseWriter: w, signed: func(h http.Header) bool { return g.Dialect.Answer(h).Signed }}
 	q.entry = readKind(r.Header.Get(headKind))
+	q.homes, q.priority, q.workspace = q.entry.Homes, q.entry.Priority, r.Header.Get(headOwner)
 	if mark, err := jwsuspect.ParseFingerprint(r.Header.Get(headMark)); err == nil {
 		q.mark = mark
 	}
-	for _, name := range []string{headService, headKind, headCallerID, headMark} {
+	for _, name := range []string{headService, headKind, headCallerID, headMark, headOwner} {
 		delete(q.header, name)
 	}
 	q.deadline = q.arrived.Add(max(q.Deadline, time.Millisecond))
@@ -287,6 +294,8 @@
 	switch {
 	case r.Header.Get(headService) != "":
 		g.serveForward(w, r)
+	case r.URL.Path == jwquotaexchange.Path:
+		g.sharing.ServeHTTP(w, r)
 	case r.URL.Path == statePath:
 		g.serveState(w, r)
 	case r.URL.Path == beliefPath:
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -20,11 +20,13 @@
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwplacement"
+	"jujubewheel/core/jwquota"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/core/jwsuspect"
 	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwlog"
 	"jujubewheel/io/jwmeter"
+	"jujubewheel/io/jwquotaexchange"
 	"jujubewheel/io/jwrest"
 	"jujubewheel/io/jwsettings"
 )
@@ -62,6 +64,8 @@
 	targets  jwinstance.Table
 	members  jwmember.Table
 	retries  jwbudget.Retry
+	quotas   jwquota.Ledger
+	sharing  jwquotaexchange.Exchange // of the quotas' units with other nodes
 	regions  regionTable
 	speaking sync.Map // names of the peers that an exchange waits for
 	demand   jwentry.Demand
@@ -103,6 +107,7 @@
 	group.Go(func() error { g.start(work); return nil })
 	group.Go(func() error { g.register(work); return nil })
 	group.Go(func() error { g.exchange(work); return nil })
+	group.Go(func() error { g.sharing.Run(work); return nil })
 	group.Go(func() error { g.probe(work); return nil })
 	group.Go(func() error { g.reload(work); return nil })
 	group.Go(func() error { g.observe(work); return nil })
@@ -144,6 +149,14 @@
 		b := g.bounds.Load()
 		return jwbudget.Limits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow}
 	}
+	g.quotas.Quota = g.quotaOf
+	g.quotas.Bounds = func() jwquota.Bounds {
+		b := g.bounds.Load()
+		return jwquota.Bounds{Window: b.QuotaWindow, Ratio: b.QuotaRatio, Slack: b.QuotaSlack}
+	}
+	g.quotas.Lacks = g.sharing.Kick
+	g.sharing.Ledger, g.sharing.Members, g.sharing.Limited = &g.quotas, &g.members, g.limited
+	g.sharing.Call, g.sharing.Log = g.nodeCall, g.Log
 	g.retries.Nodes = func() int { return g.members.Count(time.Now(), "") }
 }
 
--- a/io/jwgateway/register.go
+++ b/io/jwgateway/register.go
@@ -64,6 +64,7 @@
 			jwclock.Sleep(ctx, g.retryWait(registerRetry))
 			continue
 		}
+		g.keepFleet(ctx)
 		if g.pause(ctx, ttl/renewals) {
 			written = false
 		}
@@ -86,6 +87,41 @@
 	return g.Feed.Set(ctx, nodePrefix+me.Name, value, lease)
 }
 
+// fleet is what the store keeps of the size of the fleet, under fleetKey.
+type fleet struct {
+	Nodes int `json:"nodes"`
+}
+
+// keepFleet writes the size of the fleet, if that changed and the node is the one to
+// do so. Only quotas need it.
+func (g *Gateway) keepFleet(ctx context.Context) {
+	now := time.Now()
+	if !g.limited() || !g.members.KeepsFleet(now) {
+		return
+	}
+	nodes := g.members.Count(now, "") // which forgets a node after a minute
+	if nodes == g.members.FleetSize() {
+		return
+	}
+	value, err := json.Marshal(fleet{nodes})
+	if err == nil {
+		err = g.Feed.Set(ctx, fleetKey, value, 0)
+	}
+	if err != nil {
+		g.Log.Info("size of the fleet not written", "nodes", nodes, "error", err.Error())
+	}
+}
+
+// takeFleet takes the size of the fleet from the store.
+func (g *Gateway) takeFleet(now time.Time, value []byte) {
+	var f fleet
+	if err := json.Unmarshal(value, &f); err != nil || f.Nodes <= 0 {
+		g.Log.Info("size of the fleet not readable")
+		return
+	}
+	g.members.SetFleet(now, f.Nodes, !g.synced.Load())
+}
+
 // pause waits and tells whether the registration is to be written anew.
 func (g *Gateway) pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -17,6 +17,7 @@
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwsuspect"
+	"jujubewheel/core/jwworkspace"
 )
 
 const (
@@ -37,9 +38,15 @@
 // request is one request on its way through the node.
 type request struct {
 	Call
-	entry    *jwentry.Entry
-	version  uint64 // of the configuration that it is judged by
-	service  string
+	entry   *jwentry.Entry
+	version uint64 // of the configuration that it is judged by
+	service string
+
+	workspace string              // name of the caller's, "" if it has none
+	homes     jwworkspace.Regions // that may serve it
+	priority  int                 // 0 is the most urgent
+	units     float64             // of the workspace's quota that it took
+
 	method   string
 	target   string // path and query as the caller wrote them
 	host     string
@@ -65,7 +72,7 @@
 
 // need describes the request to those who look for a target.
 func (g *Gateway) need(q *request) jwinstance.Need {
-	n := jwinstance.Need{Service: q.service, Prompt: q.Prompt, Homes: q.entry.Homes, Priority: q.entry.Priority, Goal: q.entry.Goal, Exclude: q.tried}
+	n := jwinstance.Need{Service: q.service, Prompt: q.Prompt, Homes: q.homes, Priority: q.priority, Goal: q.entry.Goal, Exclude: q.tried}
 	c := g.entries.Current()
 	if c == nil {
 		return n
@@ -131,7 +138,6 @@
 		Call: call, entry: e, version: cfg.Version, method: r.Method, target: target, host: r.Host,
 		header: r.Header, arrived: time.Now(), w: w,
 	}
-	g.demand.Count(e)
 	q.service = e.Choose(point(call.ID))
 	limit := defaultDeadline
 	if call.Deadline > 0 {
@@ -141,12 +147,24 @@
 		limit = min(limit, e.Timeout)
 	}
 	q.deadline = q.arrived.Add(limit)
+	space, known := cfg.Caller(e, call.Key)
+	if !g.identify(q, space, known) {
+		return
+	}
+	g.demand.Count(q.homes)
+	if space != nil && !g.charge(r.Context(), q, space.Quota) {
+		return
+	}
 	if !g.takeBody(q, r) {
+		g.refund(q)
 		return
 	}
 	defer q.body.close()
 	stripHop(q.header)
 	g.Dialect.Strip(q.header)
+	if cfg.Workspaces != nil {
+		g.Dialect.StripKey(q.header)
+	}
 	q.mark = g.markOf(q, callerOf(r.RemoteAddr))
 	g.serve(r.Context(), q)
 }
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -22,7 +22,7 @@
 	if q.sends == 0 {
 		g.retries.Request(time.Now(), q.service)
 	}
-	bound := len(q.entry.Homes) > 0
+	bound := len(q.homes) > 0
 	g.suspects.Begin(q.mark, x.Address, bound)
 	begun := time.Now()
 	status := 0
@@ -191,7 +191,7 @@
 	h := q.header.Clone()
 	g.Dialect.Send(h, Send{
 		Target: x.ID, Left: time.Until(q.deadline), Engine: q.Prompt.Tokens > 0,
-		Priority: q.entry.Priority, LastEvent: q.lastEvent(), Fetch: c.Fetch,
+		Priority: q.priority, LastEvent: q.lastEvent(), Workspace: q.workspace, Fetch: c.Fetch,
 	})
 	call := &jwconn.Call{
 		Peer: x.Address, Method: q.method, Target: q.target, Host: q.host, Header: h,
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -45,6 +45,9 @@
 			break
 		}
 	}
+	if !ran {
+		g.refund(q)
+	}
 	g.giveUp(ctx, parent, q, ran)
 }
 
@@ -62,7 +65,7 @@
 		g.toldAnswer(q, "cut", q.refused, 0)
 		panic(http.ErrAbortHandler)
 	case q.body.tooLarge():
-		g.toldAnswer(q, "refused", errBodyTooLarge.Error(), http.StatusRequestEntityTooLarge)
+		g.toldAnswer(q, outcomeRefused, errBodyTooLarge.Error(), http.StatusRequestEntityTooLarge)
 		g.refuse(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, errBodyTooLarge.Error())
 	case !ran:
 		g.toldAnswer(q, "notRun", q.refused, http.StatusServiceUnavailable)
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -15,6 +15,7 @@
 	Request   string        // the caller's identifier of the request
 	Entry     string        // name of the catalogue entry
 	Version   uint64        // of the configuration that the request is judged by
+	Workspace string        // of the caller
 	Service   string        // that runs it
 	Target    string        // incarnation of the target
 	Peer      string        // the other node
@@ -34,6 +35,8 @@
 	Ahead     int           // tokens to be read there before
 	BeliefAge time.Duration // of the target's registration
 	LoadAge   time.Duration // of the target's last report of its load
+	Units     float64       // of its workspace's quota that it takes
+	Level     float64       // units that the node had
 	Cold      bool
 	Minor     bool // of a request that was served
 }
@@ -63,11 +66,12 @@
 	if x.Minor {
 		log = d.minor
 	}
-	const most = 25
+	const most = 28
 	var buf [most]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
 	f = appendText(f, "entry", x.Entry)
+	f = appendText(f, "workspace", x.Workspace)
 	f = appendText(f, "service", x.Service)
 	f = appendText(f, "target", x.Target)
 	f = appendText(f, "peer", x.Peer)
@@ -86,6 +90,8 @@
 	f = appendNumber(f, "promptTokens", int64(x.Prompt))
 	f = appendNumber(f, "missTokens", int64(x.Miss))
 	f = appendNumber(f, "aheadTokens", int64(x.Ahead))
+	f = appendNumber(f, "units", int64(x.Units))
+	f = appendNumber(f, "levelUnits", int64(x.Level))
 	f = appendNumber(f, "beliefAgeMs", x.BeliefAge.Milliseconds())
 	f = appendNumber(f, "loadAgeMs", x.LoadAge.Milliseconds())
 	if x.Cold {
--- a/io/jwsettings/gateway.go
+++ b/io/jwsettings/gateway.go
@@ -48,8 +48,11 @@
 	RetryRatio  float64       // repeated sends for each request of a service
 	RetrySlack  float64       // repeated sends in a window besides, over all nodes
 	RetryWindow time.Duration
-	ColdRatio   float64 // requests a second to a cold target, for each that it takes
-	ColdSlack   float64 // and besides, over all nodes
+	ColdRatio   float64       // requests a second to a cold target, for each that it takes
+	ColdSlack   float64       // and besides, over all nodes
+	QuotaWindow time.Duration // the span that quotas of workspaces hold for
+	QuotaRatio  float64       // part of a quota that may be exceeded in it, over all nodes
+	QuotaSlack  float64       // units besides
 }
 
 // The values of bounds that a file leaves out.
@@ -58,6 +61,7 @@
 	DefaultRetryRatio  = 0.1
 	DefaultRetryWindow = 10 * time.Second
 	DefaultColdRatio   = 1.0
+	DefaultQuotaWindow = 10 * time.Second
 )
 
 // readGateway reads the whole of a file that has the key gateway.
@@ -66,6 +70,7 @@
 		DataCentres: map[string]string{},
 		Bounds: Bounds{
 			Grace: DefaultGrace, RetryRatio: DefaultRetryRatio, RetryWindow: DefaultRetryWindow, ColdRatio: DefaultColdRatio,
+			QuotaWindow: DefaultQuotaWindow,
 		},
 	}
 	for key, into := range map[string]*string{"node": &s.Node, "region": &s.Region, "dataCentre": &s.DataCentre} {
@@ -125,4 +130,7 @@
 	o.duration("retryWindow", &b.RetryWindow, time.Millisecond, time.Hour)
 	o.number("coldRatio", &b.ColdRatio, 0, 1000)
 	o.number("coldSlack", &b.ColdSlack, 0, 1e9)
+	o.duration("quotaWindow", &b.QuotaWindow, time.Millisecond, time.Hour)
+	o.number("quotaRatio", &b.QuotaRatio, 0, 100)
+	o.number("quotaSlack", &b.QuotaSlack, 0, 1e12)
 }
--- a/io/jwsettings/gateway_test.go
+++ b/io/jwsettings/gateway_test.go
@@ -20,7 +20,8 @@
     "dataCentres": [{"name": "north-a", "region": "north"}],
     "seeds": ["10.0.0.2:83"],
     "memoryMB": 284,
-    "bounds": {"grace": "8s", "retryRatio": 0.2, "retrySlack": 58, "retryWindow": "10s", "coldRatio": 1.5, "coldSlack": 3},
+    "bounds": {"grace": "8s", "retryRatio": 0.2, "retrySlack": 58, "retryWindow": "10s", "coldRatio": 1.5, "coldSlack": 3,
+      "quotaWindow": "8s", "quotaRatio": 0.1, "quotaSlack": 110000},
   },
 }`
 
@@ -32,7 +33,7 @@
 		Listen: GatewayAddresses{Callers: at("10.0.0.1:80"), Ready: at("10.0.0.1:81"), Directory: at("10.0.0.1:82"), Nodes: at("10.0.0.1:83")},
 		Store:  GatewayStore{Address: at("10.9.0.1:90"), LeaseMin: time.Second}, DataCentres: map[string]string{"north-a": "north"},
 		Seeds: []netip.AddrPort{at("10.0.0.2:83")}, Memory: 284 << 20,
-		Bounds: Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, ColdRatio: 1.5, ColdSlack: 3},
+		Bounds: Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, ColdRatio: 1.5, ColdSlack: 3, QuotaWindow: 8 * time.Second, QuotaRatio: 0.1, QuotaSlack: 110_000},
 	}, cmpopts.EquateComparable(netip.AddrPort{}))
 }
 
@@ -45,6 +46,8 @@
 		"a seed by name":      {`["10.0.0.2:83"]`, `["host"]`, "gateway.seeds"},
 		"a period of no unit": {`"grace": "8s"`, `"grace": "8"`, "gateway.bounds.grace"},
 		"a number as text":    {`"retrySlack": 58`, `"retrySlack": "58"`, "gateway.bounds.retrySlack"},
+		"a negative quota":    {`"quotaRatio": 0.1`, `"quotaRatio": -1`, "gateway.bounds.quotaRatio"},
+		"a window of no unit": {`"quotaWindow": "8s"`, `"quotaWindow": 8`, "gateway.bounds.quotaWindow"},
 		"a key that is none":  {`"memoryMB"`, `"memory"`, "gateway.memory"},
 	}
 	for name, c := range cases {
