jwgateway, jwinstance, jwstore: what relays carry at 300 nodes and 3,000 targets

Targets register once a second, and each relay passed all of it on, as base64, to every node of its data centre, and told each the loads of all targets; each relay and each node that starts read everything from the store. Now relays pass on registrations that change something; two relays read the store, and those of other regions take its changes from them by a question that waits; a node that starts in a large region reads one page and takes the targets from its relay; where a region has more than 64 targets of a service a node chooses among, and is told of, 64 by rendezvous.

One commit, since each part alone leaves the links full.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -4,7 +4,6 @@
 	"math"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -162,13 +161,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	miss = n.Prompt.Tokens
-	for _, x := range t.of(n.Service) {
-		if x.Region != region || !t.usable(now, x, false) {
+	list := t.subset(subsetKey{n.Service, region, t.Node})
+	for _, x := range list {
+		if !t.usable(now, x, false) {
 			continue
 		}
 		targets++
 		miss = min(miss, x.cache.missing(n.Prompt))
 	}
+	targets = targets * len(t.places[n.Service][region]) / max(len(list), 1)
 	return miss + int(fetchShare*float64(n.Prompt.Tokens-miss)), targets
 }
 
@@ -233,7 +234,7 @@
 	if t.Nodes == nil || n.WarmOnly || len(t.drawn) == 0 {
 		return t.drawn
 	}
-	most := sampleSize(len(t.drawn), t.Nodes())
+	most := sampleSize(len(t.places[n.Service][t.Region]), t.Nodes())
 	if most >= len(t.drawn) {
 		return t.drawn
 	}
@@ -267,20 +268,6 @@
 	return time.Duration(float64(mostFetchCost) * float64(spare) / float64(n.Goal/2))
 }
 
-// of returns the targets of a service, by name.
-func (t *Table) of(service string) []*Target {
-	if t.services == nil {
-		t.services = make(map[string][]*Target)
-		for _, x := range t.targets {
-			t.services[x.Service] = append(t.services[x.Service], x)
-		}
-		for _, list := range t.services {
-			slices.SortFunc(list, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
-		}
-	}
-	return t.services[service]
-}
-
 // holder returns the target that holds most of the prompt that best was asked
 // for, but for one, and how many tokens; one of another region only where it holds clearly more.
 func (t *Table) holder(now time.Time, n Need, but *Target) (*Target, int) {
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -122,5 +122,6 @@
 	defer t.mu.Unlock()
 	if x.gone.IsZero() {
 		x.gone = now.Add(-goneUse)
+		t.slots = nil
 	}
 }
--- a/core/jwinstance/relay.go
+++ b/core/jwinstance/relay.go
@@ -8,24 +8,13 @@
 // TellRelay returns what the relay of another data centre should know: the loads of
 // this node and of those that speak through it.
 func (t *Table) TellRelay(now time.Time) []NodeLoad {
-	return t.retell(now, func(_ string, w nodeWord) bool { return !w.relay })
-}
-
-// TellBut returns what a node that speaks through this one should know: the loads of
-// all others.
-func (t *Table) TellBut(now time.Time, node string) []NodeLoad {
-	return t.retell(now, func(name string, _ nodeWord) bool { return name != node })
-}
-
-// retell sums this node's loads and those of the words that count, by target.
-func (t *Table) retell(now time.Time, counts func(node string, w nodeWord) bool) []NodeLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
 	t.expireWords(now)
 	sums := make(map[*Target]sum, len(t.targets))
-	for name, w := range t.words {
-		if !counts(name, w) {
+	for _, w := range t.words {
+		if w.relay {
 			continue
 		}
 		for _, l := range w.loads {
@@ -43,15 +32,46 @@
 	}
 	loads := make([]NodeLoad, 0, len(sums))
 	for x, s := range sums {
-		l := NodeLoad{Target: x.ID, Calls: s.calls, Work: s.work, Held: s.held}
-		if gap, at := x.lastGap(); now.Sub(at) < othersAge {
-			l.Gap = gap.Milliseconds()
+		loads = append(loads, x.load(now, s))
+	}
+	return loads
+}
+
+// TellBut returns what a node that speaks through this one should know: the loads of
+// all others at the targets that it chooses among.
+func (t *Table) TellBut(now time.Time, node string) []NodeLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	t.expireWords(now)
+	t.index()
+	own := make(map[*Target]NodeLoad)
+	for _, l := range t.words[node].loads {
+		own[l.Target] = l.NodeLoad
+	}
+	var loads []NodeLoad
+	for service := range t.places {
+		for _, x := range t.subset(subsetKey{service, t.Region, node}) {
+			s := x.others
+			s.add(own[x], -1)
+			s.add(NodeLoad{Calls: x.calls, Work: x.work, Held: x.tokens}, 1)
+			if s.calls > 0 {
+				loads = append(loads, x.load(now, s))
+			}
 		}
-		loads = append(loads, l)
 	}
 	return loads
 }
 
+// load returns a sum of loads at a target as it is reported.
+func (x *Target) load(now time.Time, s sum) NodeLoad {
+	l := NodeLoad{Target: x.ID, Calls: s.calls, Work: s.work, Held: s.held}
+	if gap, at := x.lastGap(); now.Sub(at) < othersAge {
+		l.Gap = gap.Milliseconds()
+	}
+	return l
+}
+
 // lastGap returns the time between two events that was seen or told last.
 func (x *Target) lastGap() (time.Duration, time.Time) {
 	if x.toldGapAt.After(x.gapAt) {
@@ -62,10 +82,12 @@
 
 // Retell returns the placements of shared parts within an age, this node's and those
 // it heard of, the latest first: a part that belongs to one caller is of use to few.
-// Another relay isn't told what relays told, or it would go round between them.
-func (t *Table) Retell(now time.Time, age time.Duration, toRelay bool) []Placement {
+// A node that is no relay is told of the targets that it knows. Another relay isn't told
+// what relays told, or it would go round between them.
+func (t *Table) Retell(now time.Time, age time.Duration, node string, toRelay bool) []Placement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	knows := t.knownTo(node, toRelay)
 	type place struct {
 		target string
 		part   uint64
@@ -77,7 +99,7 @@
 		if now.Sub(p.at) > age {
 			break
 		}
-		if len(p.Parts) == 0 || toRelay && (p.retold || p.away) {
+		if len(p.Parts) == 0 || toRelay && (p.retold || p.away) || knows != nil && !p.away && !knows[p.Target] {
 			continue
 		}
 		shared := p.Parts
@@ -97,6 +119,25 @@
 	return placed
 }
 
+// knownTo returns the targets of the own region that a node knows, nil for all.
+func (t *Table) knownTo(node string, relay bool) map[string]bool {
+	t.index()
+	most := 0
+	for _, regions := range t.places {
+		most = max(most, len(regions[t.Region]))
+	}
+	if relay || most <= localSubset {
+		return nil
+	}
+	known := make(map[string]bool)
+	for service := range t.places {
+		for _, x := range t.subset(subsetKey{service, t.Region, node}) {
+			known[x.ID] = true
+		}
+	}
+	return known
+}
+
 // Loads is a list of NodeLoad by columns, as nodes tell each other: a name of a column
 // is written once and not for each target.
 type Loads struct {
--- a/core/jwinstance/relay_test.go
+++ b/core/jwinstance/relay_test.go
@@ -92,9 +92,9 @@
 		return strings.Join(ids, " ")
 	}
 	one.placed[1].Parts[1].ID = 4 // not the same part as the first
-	assert.Equal(t, firsts(one.Retell(now, time.Second, true)), "10")
-	assert.Equal(t, firsts(one.Retell(now, time.Second, false)), "10 20 30")
-	assert.Equal(t, len(one.Retell(now.Add(2*time.Second), time.Second, false)), 0)
+	assert.Equal(t, firsts(one.Retell(now, time.Second, "2", true)), "10")
+	assert.Equal(t, firsts(one.Retell(now, time.Second, "2", false)), "10 20 30")
+	assert.Equal(t, len(one.Retell(now.Add(2*time.Second), time.Second, "2", false)), 0)
 }
 
 // Columns must bring back what they were made of, and never fail on what a node of
@@ -159,7 +159,7 @@
 		raw, err := json.Marshal(struct {
 			Loads  *Loads
 			Placed *Places
-		}{Columns(x.TellBut(now, "1")), PlaceColumns(x.Retell(now, time.Second, false))})
+		}{Columns(x.TellBut(now, "1")), PlaceColumns(x.Retell(now, time.Second, "2", false))})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -170,7 +170,9 @@
 		if x == nil {
 			continue
 		}
-		x.cache.use(p.Parts, x.capacity)
+		if t.knows(x) {
+			x.cache.use(p.Parts, x.capacity)
+		}
 		p.at, p.heard, p.retold, p.away = now, true, relay, x.Region != t.Region
 		t.keep(now, p)
 	}
--- /dev/null
+++ b/core/jwinstance/subset_test.go
@@ -0,0 +1,114 @@
+package jwinstance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A region of a thousand targets and a hundred nodes: what a relay reports to each node
+// grew with both, and filled the relay's link.
+func TestSubsetsOfManyTargets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := func(node string, targets int) *Table {
+		x := &Table{Node: node, Region: "r"}
+		for i := range targets {
+			x.Put(now, Instance{ID: fmt.Sprint("t", i), Service: "s", Region: "r", Slots: 4})
+		}
+		return x
+	}
+	const nodes, targets = 100, 1000
+	known := make(map[string]int)
+	for i := range nodes {
+		list := table(fmt.Sprint("n", i), targets).of("s")
+		assert.Equal(t, len(list), localSubset)
+		for _, x := range list {
+			known[x.ID]++
+		}
+	}
+	most := 0
+	for _, n := range known {
+		most = max(most, n)
+	}
+	assert.Assert(t, most <= 20, "a target is known to %d nodes", most)
+	assert.Assert(t, len(known) > targets*99/100, "%d targets are used", len(known))
+
+	relay := table("relay", targets)
+	for _, x := range relay.targets {
+		relay.words = map[string]nodeWord{"other": {at: now}}
+		x.others.add(NodeLoad{Calls: 1}, 1)
+	}
+	assert.Equal(t, len(relay.TellBut(now, "n7")), localSubset)
+	seven := make(map[string]bool)
+	for _, x := range table("n7", targets).of("s") {
+		seven[x.ID] = true
+	}
+	for _, l := range relay.TellBut(now, "n7") {
+		assert.Assert(t, seven[l.Target], "the node doesn't know %s", l.Target)
+	}
+}
+
+// All targets of a small region are known to all.
+func TestNoSubsetsOfFewTargets(t *testing.T) {
+	x := &Table{Node: "n", Region: "r"}
+	for i := range localSubset {
+		x.Put(time.Unix(1000, 0), Instance{ID: fmt.Sprint("t", i), Service: "s", Region: "r"})
+	}
+	assert.Equal(t, len(x.of("s")), localSubset)
+}
+
+// When a target comes or goes, next to nothing else changes for a node.
+func TestSubsetsStay(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x := &Table{Node: "n", Region: "r"}
+	for i := range 500 {
+		x.Put(now, Instance{ID: fmt.Sprint("t", i), Service: "s", Region: "r", Slots: 1})
+	}
+	before := make(map[*Target]bool)
+	for _, y := range x.of("s") {
+		before[y] = true
+	}
+	x.Put(now, Instance{ID: "new", Service: "s", Region: "r", Slots: 1})
+	changed := 0
+	for _, y := range x.of("s") {
+		if !before[y] {
+			changed++
+		}
+	}
+	assert.Assert(t, changed <= 1, "%d targets are new", changed)
+}
+
+// A registration that says what the one before said is no change: relays pass on the
+// others only.
+func TestRegistrationsThatChangeNothing(t *testing.T) {
+	at := time.Unix(1000, 0)
+	first := Instance{ID: "t", Service: "s", Region: "r", Slots: 4, Cold: 3 * time.Second, Revision: 1}
+	with := func(change func(*Instance)) Instance {
+		in := first
+		in.Revision, in.Cold = 2, 2*time.Second
+		change(&in)
+		return in
+	}
+	cases := map[string]struct {
+		in   Instance
+		want Change
+	}{
+		"the same":              {with(func(*Instance) {}), Same},
+		"a little later":        {with(func(in *Instance) { in.Cold -= 100 * time.Millisecond }), Same},
+		"cold anew":             {with(func(in *Instance) { in.Cold = 3 * time.Second }), Renewed},
+		"warm at once":          {with(func(in *Instance) { in.Cold = 0 }), Renewed},
+		"other slots":           {with(func(in *Instance) { in.Slots = 8 }), Renewed},
+		"draining":              {with(func(in *Instance) { in.Draining = true }), Leaving},
+		"taken away soon":       {with(func(in *Instance) { in.Left = 2 * time.Second }), Renewed},
+		"an older registration": {with(func(in *Instance) { in.Revision, in.Draining = 0, true }), Same},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var x Table
+			x.Put(at, first)
+			assert.Equal(t, x.Put(at.Add(time.Second), c.in), c.want)
+		})
+	}
+}
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -5,6 +5,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"jujubewheel/core/jwtarget"
 )
 
 const (
@@ -19,6 +21,7 @@
 
 // Table holds the targets; set its fields before use.
 type Table struct {
+	Node   string                                        // name of the node itself, by which its subsets of many targets differ from others'
 	Region string                                        // targets of other regions can't be reached and are only counted
 	Warmup func(service string) (time.Duration, float64) // how long and how slowly a target starts
 	// Nodes tells how many nodes of the region choose among its targets, and Rand draws
@@ -29,13 +32,16 @@
 
 	mu        sync.Mutex
 	targets   map[string]*Target
-	services  map[string][]*Target // targets by service, nil after a change
-	evacuated map[string]bool      // data centres
-	paces     map[string]*pace     // by service
-	placed    []Placement          // of this node, the latest last
-	words     map[string]nodeWord  // of the other nodes of the region, by name
-	drawn     []int                // scratch of draw
-	missing   []int                // scratch of best: tokens that each target lacks
+	places    map[string]map[string][]*Target // targets by service and region, nil after a change
+	known     map[string][]*Target            // those that this node knows, by service
+	subsets   map[subsetKey][]*Target
+	slots     map[string]map[string]int // usable slots by service and region, nil after a change
+	evacuated map[string]bool           // data centres
+	paces     map[string]*pace          // by service
+	placed    []Placement               // of this node, the latest last
+	words     map[string]nodeWord       // of the other nodes of the region, by name
+	drawn     []int                     // scratch of draw
+	missing   []int                     // scratch of best: tokens that each target lacks
 }
 
 // Target is one incarnation with all that is believed of it. Its fields belong
@@ -43,7 +49,9 @@
 // callers keep it to give it back.
 type Target struct {
 	Instance
-	heard     time.Time // last change of its registration
+	key       uint64    // hash of its name
+	heard     time.Time // last registration
+	said      time.Time // when its registration last changed
 	gone      time.Time // when its registration vanished, zero if it stands
 	coldUntil time.Time
 	sends     []time.Time   // of the last second
@@ -73,8 +81,13 @@
 	Began    Change = "beganAnew" // under the same name
 	Returned Change = "returned"  // its registration had vanished
 	Leaving  Change = "draining"
+	Renewed  Change = "renewed" // its slots, its place, or how long it is cold or stays
 )
 
+// drift is by how much the end of a time that targets count down in each registration
+// may differ between two before that is a change.
+const drift = 200 * time.Millisecond
+
 // Put takes a registration as it stands in the store and tells what it changed.
 func (t *Table) Put(now time.Time, in Instance) Change {
 	t.mu.Lock()
@@ -87,24 +100,24 @@
 		return Same // by another node that lags behind
 	}
 	if old == nil || old.Born != in.Born || old.Address != in.Address || old.Service != in.Service {
-		fresh := &Target{Instance: in, heard: now, slow: 1}
+		fresh := &Target{Instance: in, key: jwtarget.NameKey(in.ID), heard: now, said: now, slow: 1}
 		if old != nil || in.Cold > 0 {
 			fresh.coldUntil = now.Add(max(in.Cold, t.coldAfterReturn(old, in)))
 		}
-		t.targets[in.ID], t.services = fresh, nil
+		t.targets[in.ID] = fresh
+		t.reindex()
 		if old != nil {
 			return Began
 		}
 		return Appeared
 	}
-	change := Same
-	switch {
-	case in.Draining && !old.Draining:
-		change = Leaving
-	case !old.gone.IsZero():
-		change = Returned
+	change := old.compare(now, in)
+	if change != Same {
+		old.renew(in)
+		old.said = now
+		t.reindex()
 	}
-	old.renew(in)
+	old.Revision = in.Revision
 	old.heard, old.gone = now, time.Time{}
 	if in.Cold > 0 {
 		old.coldUntil = now.Add(in.Cold)
@@ -112,11 +125,31 @@
 	return change
 }
 
+// compare tells what another registration of the same incarnation changes.
+func (x *Target) compare(now time.Time, in Instance) Change {
+	passed := now.Sub(x.said)
+	switch {
+	case in.Draining && !x.Draining:
+		return Leaving
+	case !x.gone.IsZero():
+		return Returned
+	case in.Draining != x.Draining, in.Slots != x.Slots, in.DataCentre != x.DataCentre, in.Region != x.Region,
+		counted(x.Cold, in.Cold, passed), counted(x.Left, in.Left, passed):
+		return Renewed
+	}
+	return Same
+}
+
+// counted tells whether a time that was counted down differs from what is left of it.
+func counted(before, now, passed time.Duration) bool {
+	return (max(before-passed, 0) - now).Abs() > drift
+}
+
 // renew takes what another registration of the same incarnation may change. Its
 // name, service and address stay: who sends to it reads them without the lock.
 func (x *Target) renew(in Instance) {
 	x.DataCentre, x.Region, x.Slots = in.DataCentre, in.Region, in.Slots
-	x.Draining, x.Cold, x.Left, x.Revision = in.Draining, in.Cold, in.Left, in.Revision
+	x.Draining, x.Cold, x.Left = in.Draining, in.Cold, in.Left
 }
 
 // coldAfterReturn is how long a target that began anew under its own name is
@@ -135,6 +168,7 @@
 	defer t.mu.Unlock()
 	if x := t.targets[id]; x != nil {
 		x.remove(now, revision)
+		t.slots = nil
 	}
 }
 
@@ -143,6 +177,7 @@
 func (t *Table) Keep(now time.Time, ids map[string]bool, revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.slots = nil
 	for id, x := range t.targets {
 		if !ids[id] {
 			x.remove(now, revision)
@@ -161,7 +196,7 @@
 	for id, x := range t.targets {
 		if !x.gone.IsZero() && now.Sub(x.gone) > forget && x.calls == 0 {
 			delete(t.targets, id)
-			t.services = nil
+			t.reindex()
 		}
 	}
 }
@@ -179,6 +214,7 @@
 		return
 	}
 	t.evacuated[dataCentre] = on
+	t.slots = nil
 	for _, x := range t.targets {
 		if x.DataCentre != dataCentre || t.Warmup == nil {
 			continue
@@ -227,8 +263,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []netip.AddrPort
-	for _, x := range t.of(service) {
-		if x.Region == t.Region && x.gone.IsZero() {
+	t.index()
+	for _, x := range t.places[service][t.Region] {
+		if x.gone.IsZero() {
 			list = append(list, x.Address)
 		}
 	}
@@ -251,19 +288,6 @@
 	return list
 }
 
-// Regions returns how many usable slots a service has in each region.
-func (t *Table) Regions(service string) map[string]int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	slots := make(map[string]int)
-	for _, x := range t.targets {
-		if x.Service == service && x.gone.IsZero() && !x.Draining && !t.evacuated[x.DataCentre] {
-			slots[x.Region] += max(x.Slots, 1)
-		}
-	}
-	return slots
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/core/jwmember/relay.go
+++ b/core/jwmember/relay.go
@@ -1,7 +1,9 @@
 package jwmember
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -74,6 +76,48 @@
 	return list
 }
 
+// tripStep is how finely the ways of nodes to the store are told apart.
+const tripStep = 25 * time.Millisecond
+
+// Reached notes how long a call of the store took.
+func (t *Table) Reached(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	trip := (d.Truncate(tripStep) + tripStep).Milliseconds()
+	if t.Self.Trip == 0 || trip < t.Self.Trip {
+		t.changed()
+		t.Self.Trip = trip
+	}
+}
+
+// Nearest returns the relays that are nearest to the store, so many at most.
+func (t *Table) Nearest(now time.Time, most int) []Member {
+	list := t.AllRelays(now)
+	slices.SortStableFunc(list, func(a, b Member) int { return cmp.Compare(a.trip(), b.trip()) })
+	return list[:min(len(list), most)]
+}
+
+// trip orders members by their way to the store, those that don't know it last.
+func (m *Member) trip() int64 {
+	if m.Trip == 0 {
+		return math.MaxInt64
+	}
+	return m.Trip
+}
+
+// Leads tells whether the node itself is the relay of its data centre, or will be as soon
+// as it serves.
+func (t *Table) Leads(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.members {
+		if r.Serving && r.DataCentre == t.Self.DataCentre && t.live(now, r) && before(r.Member, t.Self) {
+			return false
+		}
+	}
+	return true
+}
+
 // Root returns the one of some relays at which what belongs to a name is gathered, by
 // rendezvous hashing of their data centres.
 func Root(relays []Member, name string) (Member, bool) {
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -37,6 +37,7 @@
 	Start      int64          `json:"start"`           // Unix nanoseconds; a later one is a new process
 	Change     int            `json:"change"`          // rises when Serving changes
 	Serving    bool           `json:"serving"`         // false before a configuration is known and from a planned stop on
+	Trip       int64          `json:"trip,omitempty"`  // milliseconds to the store and back, in steps of tripStep, 0 if not known
 	Bears      int            `json:"bears,omitempty"` // what its host bears, in hundredths of a core or as its link allows, for the choice of relays
 }
 
--- a/core/jwstore/memoryfeed.go
+++ b/core/jwstore/memoryfeed.go
@@ -11,6 +11,8 @@
 // MemoryFeed is a Feed in memory, for tests and stand-ins. The zero value is
 // empty. Leases end when End is called or Lapse takes them.
 type MemoryFeed struct {
+	PageSize int // items of a page, 0 for all
+
 	mu       sync.Mutex
 	revision uint64
 	items    map[string]memoryItem
@@ -95,17 +97,20 @@
 }
 
 // Range implements Feed.
-func (m *MemoryFeed) Range(_ context.Context, prefix string) ([]Item, uint64, error) {
+func (m *MemoryFeed) Range(_ context.Context, prefix, after string) (Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var items []Item
+	p := Page{Revision: max(m.revision, 1)}
 	for key, i := range m.items {
-		if strings.HasPrefix(key, prefix) {
-			items = append(items, i.Item)
+		if strings.HasPrefix(key, prefix) && (after == "" || key > after) {
+			p.Items = append(p.Items, i.Item)
 		}
 	}
-	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
-	return items, max(m.revision, 1), m.down
+	slices.SortFunc(p.Items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	if m.PageSize > 0 && len(p.Items) > m.PageSize {
+		p.Items, p.More = p.Items[:m.PageSize], true
+	}
+	return p, m.down
 }
 
 // Watch implements Feed.
@@ -208,7 +213,7 @@
 	if m.down != nil {
 		return m.down
 	}
-	if !m.live[lease] {
+	if lease != 0 && !m.live[lease] {
 		return ErrNoLease
 	}
 	m.set(key, value, lease)
--- a/core/jwstore/recent.go
+++ b/core/jwstore/recent.go
@@ -1,8 +1,10 @@
 package jwstore
 
 import (
+	"context"
 	"slices"
 	"sync"
+	"time"
 )
 
 const (
@@ -23,6 +25,7 @@
 	to     uint64 // up to this one
 	events []Event
 	bytes  int
+	added  chan struct{} // closed at the next change, nil while nobody waits
 }
 
 // Add keeps the changes that a reading from one revision up to another brought. Where
@@ -34,6 +37,10 @@
 		r.from, r.events, r.bytes = from, nil, 0
 	}
 	r.to = to
+	if len(events) > 0 && r.added != nil {
+		close(r.added)
+		r.added = nil
+	}
 	for _, e := range events {
 		r.events = append(r.events, e)
 		r.bytes += len(e.Value)
@@ -69,6 +76,27 @@
 	return events, r.to, true
 }
 
+// Wait waits until a change after a revision is kept, at most for some time.
+func (r *Recent) Wait(ctx context.Context, after uint64, most time.Duration) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	r.mu.Lock()
+	if n := len(r.events); n > 0 && r.events[n-1].Revision > after {
+		r.mu.Unlock()
+		return
+	}
+	if r.added == nil {
+		r.added = make(chan struct{})
+	}
+	added := r.added
+	r.mu.Unlock()
+	select {
+	case <-added:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // Forget drops all that is kept.
 func (r *Recent) Forget() {
 	r.mu.Lock()
--- a/core/jwstore/watch.go
+++ b/core/jwstore/watch.go
@@ -25,14 +25,22 @@
 	Revision uint64
 }
 
+// Page is a part of the items of a Feed.
+type Page struct {
+	Items    []Item
+	Revision uint64 // of the store
+	More     bool   // other items follow
+}
+
 // Lease is a lease of the store; keys written under it vanish with it.
 type Lease uint64
 
 // Feed is a store that tells changes by prefix and keeps keys under leases.
 type Feed interface {
-	// Range returns all items whose keys begin with prefix, and a revision
-	// from which Watch misses nothing that came after the items were read.
-	Range(ctx context.Context, prefix string) ([]Item, uint64, error)
+	// Range returns a page of the items whose keys begin with prefix, in the order of
+	// their keys, from the one behind a key on. Watch from the revision of the first
+	// page misses nothing that came after the items were read.
+	Range(ctx context.Context, prefix, after string) (Page, error)
 	// Watch returns the changes after a revision as soon as there are any, or
 	// none when most has passed, and the revision to go on from.
 	Watch(ctx context.Context, prefix string, after uint64, most time.Duration) ([]Event, uint64, error)
@@ -42,6 +50,6 @@
 	Renew(ctx context.Context, lease Lease) error
 	// End ends a lease and removes its keys.
 	End(ctx context.Context, lease Lease) error
-	// Set writes a key under a lease, whatever is there.
+	// Set writes a key under a lease, 0 for none, whatever is there.
 	Set(ctx context.Context, key string, value []byte, lease Lease) error
 }
--- a/io/jwgateway/belief.go
+++ b/io/jwgateway/belief.go
@@ -1,6 +1,8 @@
 package jwgateway
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"math"
@@ -10,6 +12,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
@@ -47,7 +51,13 @@
 		b.Targets, b.Evacuated = g.targets.Instances(now), g.targets.Evacuated()
 		b.Members, b.Fleet = g.members.Live(now, ""), g.members.FleetSize()
 	}
-	if err := json.NewEncoder(w).Encode(b); err != nil {
+	// Thousands of targets are told to all nodes of a data centre that start at once.
+	out := gzip.NewWriter(w)
+	err := json.NewEncoder(out).Encode(b)
+	if err == nil {
+		err = out.Close()
+	}
+	if err != nil {
 		g.Log.V(1).Info("belief not told", "error", err.Error())
 	}
 }
@@ -87,26 +97,15 @@
 		return
 	}
 	defer g.learning.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
-	defer cancel()
 	revision := max(g.store.revision.Load(), g.learned.Load())
 	if !g.store.doubt(time.Now()) {
 		revision = math.MaxUint64 // the store tells it
 	}
-	q := url.Values{
-		"version":  {strconv.FormatUint(g.entries.Version(), 10)},
-		"revision": {strconv.FormatUint(revision, 10)},
-	}
-	raw, err := g.nodeCall(ctx, jwmember.Member{Nodes: a}, http.MethodGet, beliefPath+"?"+q.Encode(), nil)
+	b, err := g.askBelief(context.Background(), a, g.entries.Version(), revision)
 	if err != nil {
 		g.Log.V(1).Info("belief not heard", "peer", a.String(), "error", err.Error())
 		return
 	}
-	var b belief
-	if err := json.Unmarshal(raw, &b); err != nil {
-		g.Log.V(1).Info("belief not readable", "peer", a.String(), "error", err.Error())
-		return
-	}
 	if now := time.Now(); g.behind(now, b.Revision) {
 		g.take(now, b, a)
 	}
@@ -115,6 +114,26 @@
 	}
 }
 
+// askBelief asks a node for what it believes beyond a version of the configuration and
+// a revision of the store.
+func (g *Gateway) askBelief(ctx context.Context, a netip.AddrPort, version, revision uint64) (b belief, err error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	q := url.Values{
+		"version":  {strconv.FormatUint(version, 10)},
+		"revision": {strconv.FormatUint(revision, 10)},
+	}
+	raw, err := g.nodeCall(ctx, jwmember.Member{Nodes: a}, http.MethodGet, beliefPath+"?"+q.Encode(), nil)
+	if err != nil {
+		return b, err
+	}
+	in, err := gzip.NewReader(bytes.NewReader(raw))
+	if err != nil {
+		return b, errors.Wrap(err, "belief")
+	}
+	return b, errors.Wrap(json.NewDecoder(in).Decode(&b), "belief")
+}
+
 // take takes targets, evacuations and nodes. What the store tells this node
 // itself meanwhile is newer and stays, by its revisions.
 func (g *Gateway) take(now time.Time, b belief, from netip.AddrPort) {
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -31,7 +31,7 @@
 	// holds; it grows with more, so that the work of each stays the same.
 	nearNodes       = 4
 	exchangeTimeout = time.Second
-	maxState        = 256 << 10
+	maxState        = 4 << 20
 	// nearNews and farNews are how long news is told within the region and to
 	// others: several exchanges, as one may be lost.
 	nearNews = 4 * nearPeriod
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -46,6 +46,7 @@
 	mu       sync.Mutex // held while changes are applied
 	revision uint64     // the changes after it are to be read
 	heard    time.Time  // when a relay told changes last, zero if it can't be relied on
+	refused  time.Time  // when a relay that reads the store could not tell its changes
 
 	alone chan struct{} // the relay can't be relied on any more
 }
@@ -67,7 +68,7 @@
 			f.rest(epoch, d)
 			continue
 		}
-		err := f.step(epoch)
+		seen, err := f.step(epoch)
 		if ctx.Err() != nil {
 			return
 		}
@@ -76,7 +77,7 @@
 		}
 		now := time.Now()
 		if err == nil {
-			g.viewed.Store(int64(now.Sub(g.begun)))
+			g.viewed.Store(int64(seen.Sub(g.begun)))
 			if !f.lost.IsZero() {
 				g.Log.Info("store regained", "after", now.Sub(f.lost).String())
 				f.lost = time.Time{}
@@ -133,45 +134,55 @@
 	f.g.recent.Forget()
 }
 
-func (f *follower) step(ctx context.Context) error {
+// step reads once, and tells of when what was read is.
+func (f *follower) step(ctx context.Context) (seen time.Time, err error) {
 	from := f.at()
 	if from == 0 {
-		return f.readAll(ctx)
+		return time.Now(), f.readAll(ctx)
 	}
 	reads := f.g.reads(time.Now())
 	wait := followWait
 	if reads {
 		wait = relayWait
 	}
+	if reads {
+		if c, ok := f.askUpstream(ctx, from); ok {
+			return f.passOn(time.Now(), c, from), nil
+		}
+	}
 	events, revision, err := f.g.Feed.Watch(ctx, "", from, wait)
 	now := f.answered(ctx, err)
 	if err != nil {
-		return err
+		return now, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.take(now, events, revision)
+	changed := f.take(now, events, revision)
 	if reads {
-		f.g.recent.Add(events, from, revision)
+		f.g.recent.Add(changed, from, revision)
 	} else {
 		f.g.recent.Forget()
 	}
-	return nil
+	return now, nil
 }
 
 // take brings changes into the tables that follow what was read before, up to a
-// revision; f.mu is held.
-func (f *follower) take(now time.Time, events []jwstore.Event, revision uint64) {
+// revision, and returns those that changed something; f.mu is held.
+func (f *follower) take(now time.Time, events []jwstore.Event, revision uint64) []jwstore.Event {
+	changed := events[:0:0]
 	for i, e := range events {
 		// Each configuration is whole, so that only the last one counts; in quick
 		// succession, decoding all of them would hold up requests.
 		if e.Revision <= f.revision || f.g.Records.IsConfig(e.Key) && changedAgain(events[i+1:], e.Key) {
 			continue
 		}
-		f.apply(now, e)
+		if f.apply(now, e) {
+			changed = append(changed, e)
+		}
 	}
 	f.revision = max(f.revision, revision)
 	f.g.store.revision.Store(f.revision)
+	return changed
 }
 
 // answered notes how a call of the store ended, before what it brought is taken:
@@ -188,95 +199,55 @@
 	return slices.ContainsFunc(later, func(e jwstore.Event) bool { return e.Key == key && !e.Deleted })
 }
 
-// readAll reads everything; what is not there any more is gone.
-func (f *follower) readAll(ctx context.Context) error {
-	items, revision, err := f.g.Feed.Range(ctx, "")
-	now := f.answered(ctx, err)
-	if err != nil {
-		return err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	targets, nodes, evacuated := map[string]bool{}, map[string]bool{}, map[string]bool{}
-	// The configuration comes last: requests that wait for the first one find targets then.
-	slices.SortStableFunc(items, func(a, b jwstore.Item) int { return f.order(a.Key) - f.order(b.Key) })
-	for _, i := range items {
-		f.apply(now, jwstore.Event{Key: i.Key, Value: i.Value, Revision: i.Version})
-		if id, ok := f.g.Records.TargetID(i.Key); ok {
-			targets[id] = true
-		}
-		if name, ok := strings.CutPrefix(i.Key, nodePrefix); ok {
-			nodes[name] = true
-		}
-		if dc, ok := f.g.Records.Evacuation(i.Key); ok {
-			evacuated[dc] = true
-		}
-	}
-	f.g.targets.Keep(now, targets, revision)
-	f.g.members.Keep(now, nodes)
-	f.g.keepEvacuated(now, evacuated)
-	f.revision = revision
-	f.g.store.revision.Store(revision)
-	f.g.synced.Store(true)
-	f.g.pulse.Begin()
-	return nil
-}
-
-// order returns the place of a key among those that are read together.
-func (f *follower) order(key string) int {
-	switch {
-	case f.g.Records.IsConfig(key):
-		return 2
-	case key == fleetKey:
-		return 1 // after the nodes, which it is compared with
-	}
-	return 0
-}
-
-// apply brings one change into the tables.
-func (f *follower) apply(now time.Time, e jwstore.Event) {
+// apply brings one change into the tables and tells whether it changes anything: targets
+// register about once a second, and most of it says what they said before.
+func (f *follower) apply(now time.Time, e jwstore.Event) bool {
 	g := f.g
 	if g.Records.IsConfig(e.Key) {
 		if !e.Deleted {
 			g.takeConfig(e.Value, "store")
 		}
-		return
+		return true
 	}
 	if dc, ok := g.Records.Evacuation(e.Key); ok {
 		g.evacuate(now, dc, !e.Deleted)
-		return
+		return true
 	}
 	if id, ok := g.Records.TargetID(e.Key); ok {
-		g.takeTarget(now, id, e)
-		return
+		return g.takeTarget(now, id, e)
 	}
 	if e.Key == fleetKey && !e.Deleted {
 		g.takeFleet(now, e.Value)
-		return
+		return true
 	}
 	if name, ok := strings.CutPrefix(e.Key, nodePrefix); ok {
 		g.takeNode(now, name, e)
+		return true
 	}
+	return false
 }
 
-func (g *Gateway) takeTarget(now time.Time, id string, e jwstore.Event) {
+func (g *Gateway) takeTarget(now time.Time, id string, e jwstore.Event) (changed bool) {
 	if e.Deleted {
 		g.Log.Info("target registration gone", "target", id)
 		g.targets.Remove(now, id, e.Revision)
-		return
+		return true
 	}
 	in, err := g.Records.Target(id, e.Value)
 	if err != nil {
 		// Another writer may have left it; it names no target to use.
 		g.Log.Info("target not readable", "target", id, "error", err.Error())
 		g.targets.Remove(now, id, e.Revision)
-		return
+		return true
 	}
 	in.Revision = e.Revision
-	if change := g.targets.Put(now, in); change != jwinstance.Same {
-		g.Log.Info("target", "target", id, "change", change, "service", in.Service, "dataCentre", in.DataCentre,
-			"draining", in.Draining, "coldMs", in.Cold.Milliseconds(), "goneInMs", in.Left.Milliseconds())
+	change := g.targets.Put(now, in)
+	if change == jwinstance.Same {
+		return false
 	}
+	g.Log.Info("target", "target", id, "change", change, "service", in.Service, "dataCentre", in.DataCentre,
+		"draining", in.Draining, "coldMs", in.Cold.Milliseconds(), "goneInMs", in.Left.Milliseconds())
+	return true
 }
 
 func (g *Gateway) takeNode(now time.Time, name string, e jwstore.Event) {
--- a/io/jwgateway/follow_test.go
+++ b/io/jwgateway/follow_test.go
@@ -40,11 +40,13 @@
 	g := &Gateway{Feed: &feed, Records: r, Log: logr.Discard(), changed: make(chan struct{}, 1)}
 	f := &follower{g: g}
 	feed.Write("op/config", []byte("1"))
-	assert.NilError(t, f.step(context.Background()))
+	_, err := f.step(context.Background())
+	assert.NilError(t, err)
 	for v := 2; v <= 25; v++ {
 		feed.Write("op/config", fmt.Append(nil, v))
 	}
-	assert.NilError(t, f.step(context.Background()))
+	_, err = f.step(context.Background())
+	assert.NilError(t, err)
 	assert.Equal(t, g.entries.Version(), uint64(25))
 	assert.Equal(t, r.decoded, 2)
 }
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -298,6 +298,8 @@
 		g.sharing.ServeHTTP(w, r)
 	case r.URL.Path == statePath:
 		g.serveState(w, r)
+	case r.URL.Path == changesPath:
+		g.serveChanges(w, r)
 	case r.URL.Path == beliefPath:
 		g.serveBelief(w, r)
 	default:
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -138,7 +138,7 @@
 		Start: time.Now().UnixNano(), Serving: false, Bears: o.Bears(),
 	}
 	g.members.Crowd = g.Crowd
-	g.targets.Region = s.Region
+	g.targets.Node, g.targets.Region = s.Node, s.Region
 	g.suspects.Node, g.suspects.Region = s.Node, s.Region
 	g.targets.Warmup = g.warmup
 	g.targets.Share = g.coldShare
--- a/io/jwgateway/register.go
+++ b/io/jwgateway/register.go
@@ -43,9 +43,11 @@
 		var err error
 		switch {
 		case lease == 0:
+			begun := time.Now()
 			lease, ttl, err = g.Feed.Grant(ctx, max(leaseTTL, g.Settings.Gateway.Store.LeaseMin))
 			written = false
 			if err == nil {
+				g.members.Reached(time.Since(begun))
 				continue
 			}
 			lease = 0
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -503,9 +503,9 @@
 	jwstore.Feed
 }
 
-func (l lateReading) Range(ctx context.Context, prefix string) ([]jwstore.Item, uint64, error) {
+func (l lateReading) Range(ctx context.Context, prefix, after string) (jwstore.Page, error) {
 	jwclock.Sleep(ctx, 100*time.Millisecond)
-	return l.Feed.Range(ctx, prefix)
+	return l.Feed.Range(ctx, prefix, after)
 }
 
 // A stream that runs when the node is told to stop goes on to its end, and the
@@ -753,11 +753,11 @@
 	off atomic.Bool
 }
 
-func (c *cutFeed) Range(ctx context.Context, prefix string) ([]jwstore.Item, uint64, error) {
+func (c *cutFeed) Range(ctx context.Context, prefix, after string) (jwstore.Page, error) {
 	if c.off.Load() {
-		return nil, 0, jwstore.ErrUnavailable
+		return jwstore.Page{}, jwstore.ErrUnavailable
 	}
-	return c.Feed.Range(ctx, prefix)
+	return c.Feed.Range(ctx, prefix, after)
 }
 
 func (c *cutFeed) Watch(ctx context.Context, prefix string, after uint64, most time.Duration) ([]jwstore.Event, uint64, error) {
--- a/io/jwgateway/through.go
+++ b/io/jwgateway/through.go
@@ -115,10 +115,10 @@
 	switch {
 	case t.Hearing != nil:
 		s.Loads = jwinstance.Columns(g.targets.TellBut(now, to))
-		s.Placed = jwinstance.PlaceColumns(g.targets.Retell(now, news, false))
+		s.Placed = jwinstance.PlaceColumns(g.targets.Retell(now, news, to, false))
 	case t.Relay:
 		s.Loads = jwinstance.Columns(g.targets.TellRelay(now))
-		s.Placed = jwinstance.PlaceColumns(g.targets.Retell(now, news, true))
+		s.Placed = jwinstance.PlaceColumns(g.targets.Retell(now, news, to, true))
 		s.Near = g.members.Near(now)
 	default:
 		loads, placed := g.targets.TellNews(now, news)
@@ -146,8 +146,13 @@
 	if !t.Asks {
 		return nil
 	}
+	return g.changesAfter(now, t.After)
+}
+
+// changesAfter returns the changes after a revision, as far as they are kept.
+func (g *Gateway) changesAfter(now time.Time, after uint64) *changes {
 	age := now.Sub(g.begun) - time.Duration(g.viewed.Load())
-	events, to, ok := g.recent.After(t.After)
+	events, to, ok := g.recent.After(after)
 	if !ok || !g.pulse.Alive() {
 		return &changes{Lost: true}
 	}
@@ -211,12 +216,17 @@
 		return
 	}
 	f.heard = now
+	f.take(now, c.events(), c.To)
+	f.g.viewed.Store(int64(now.Sub(f.g.begun) - age))
+}
+
+// events returns the changes as a reading of the store brings them.
+func (c *changes) events() []jwstore.Event {
 	events := make([]jwstore.Event, 0, len(c.Events))
 	for _, e := range c.Events {
 		events = append(events, jwstore.Event{Key: e.Key, Value: e.Value, Deleted: e.Deleted, Revision: e.Revision})
 	}
-	f.take(now, events, c.To)
-	f.g.viewed.Store(int64(now.Sub(f.g.begun) - age))
+	return events
 }
 
 // relies returns for how long a relay is still relied on to read the store for this
--- a/io/jwgateway/through_test.go
+++ b/io/jwgateway/through_test.go
@@ -36,8 +36,8 @@
 	return events, revision, err
 }
 
-func (h *hangingFeed) Range(ctx context.Context, prefix string) ([]jwstore.Item, uint64, error) {
-	return h.Feed.Range(ctx, prefix)
+func (h *hangingFeed) Range(ctx context.Context, prefix, after string) (jwstore.Page, error) {
+	return h.Feed.Range(ctx, prefix, after)
 }
 
 // crowd starts nodes of one data centre that speak through a relay, the first by name.
@@ -142,9 +142,9 @@
 	ranges atomic.Int64
 }
 
-func (c *countingFeed) Range(ctx context.Context, prefix string) ([]jwstore.Item, uint64, error) {
+func (c *countingFeed) Range(ctx context.Context, prefix, after string) (jwstore.Page, error) {
 	c.ranges.Add(1)
-	return c.Feed.Range(ctx, prefix)
+	return c.Feed.Range(ctx, prefix, after)
 }
 
 // A node that hears of the store through its relay was suspended, and by its steady
