jwgateway: few lines at a start in a large fleet

At 295 nodes and 320 targets each node that starts wrote a line for each target and each other node; of 590 starts the line of the first configuration was lost 32 times to the bound on lines. Targets that a node doesn't choose among, and nodes that it had no connection to, are no longer told of.

--- a/core/jwinstance/subset.go
+++ b/core/jwinstance/subset.go
@@ -67,6 +67,14 @@
 	return list
 }
 
+// Knows tells whether this node chooses among others and a target, by its name.
+func (t *Table) Knows(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := t.targets[id]
+	return x != nil && t.knows(x)
+}
+
 // knows tells whether this node chooses among others and a target.
 func (t *Table) knows(x *Target) bool {
 	t.index()
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -245,6 +245,9 @@
 	if change == jwinstance.Same {
 		return false
 	}
+	if !g.targets.Knows(id) {
+		return true // thousands of lines at the start of each node, of targets that it never uses
+	}
 	g.Log.Info("target", "target", id, "change", change, "service", in.Service, "dataCentre", in.DataCentre,
 		"draining", in.Draining, "coldMs", in.Cold.Milliseconds(), "goneInMs", in.Left.Milliseconds())
 	return true
@@ -275,7 +278,9 @@
 // beganAnew drops the connections to the process before: where its host lost
 // power, nothing has closed them, and the next request on one would be lost.
 func (g *Gateway) beganAnew(m jwmember.Member) {
-	g.Log.Info("node began anew", "peer", m.Name)
+	if g.Nodes.Kept(m.Nodes) > 0 {
+		g.Log.Info("node began anew", "peer", m.Name)
+	}
 	g.Nodes.Drop(m.Nodes)
 }
 
