--- a/core/jwadmission/admission.go
+++ b/core/jwadmission/admission.go
@@ -4,14 +4,14 @@
 
 const (
 	// QueueShare is the part of the goal that a request may wait behind others. A
-	// queue longer than that makes every answer late; turning some away keeps the
+	// queue longer than that makes every answer late; rejecting some keeps the
 	// others in time. The time that a prompt takes to read by itself doesn't count: a
-	// long one is late for its length, not for a queue, and coming back is in vain.
+	// long one is late for its length, not for a queue, and retrying is in vain.
 	QueueShare = 1.2
-	// LeastAgain is the soonest that a caller which was turned away is to come back.
-	LeastAgain = 300 * time.Millisecond
-	// MostAgain is the latest: callers honour a third of the time that they have left.
-	MostAgain = 2 * time.Second
+	// MinRetryAfter is the soonest that a caller which was rejected is to retry.
+	MinRetryAfter = 300 * time.Millisecond
+	// MaxRetryAfter is the latest: callers honour a third of the time that they have left.
+	MaxRetryAfter = 2 * time.Second
 )
 
 // Request is what the decision needs to know. All times are from now on.
@@ -20,11 +20,11 @@
 	Left     time.Duration // until the deadline
 	Expected time.Duration // until the first event, where it would be served
 	Own      time.Duration // of that, what reading its own prompt takes
-	Engine   bool          // it has a prompt; plain calls are never turned away
+	Engine   bool          // it has a prompt; plain calls are never rejected
 	Begun    bool          // it was sent already, or another node has taken it
 }
 
-// Reason tells why a request was turned away.
+// Reason tells why a request was rejected.
 type Reason string
 
 // The reasons.
@@ -36,14 +36,14 @@
 
 // Decision is the outcome; its zero value takes the request.
 type Decision struct {
-	Reason Reason
-	Again  time.Duration // when to come back
+	Reason     Reason
+	RetryAfter time.Duration // when to retry
 }
 
 // Taken tells whether the request is served.
 func (d Decision) Taken() bool { return d.Reason == None }
 
-// Policy decides. The zero value turns away by both reasons; a field that is set
+// Policy decides. The zero value rejects by both reasons; a field that is set
 // leaves one out, for tests and for measuring what it is worth.
 type Policy struct {
 	AnyQueue    bool
@@ -57,16 +57,16 @@
 		return Decision{}
 	}
 	if !p.AnyDeadline && r.Expected > r.Left {
-		return Decision{Deadline, again(r)}
+		return Decision{Deadline, retryAfter(r)}
 	}
 	if !p.AnyQueue && r.Goal > 0 && r.Expected-r.Own > time.Duration(QueueShare*float64(r.Goal)) {
-		return Decision{Queue, again(r)}
+		return Decision{Queue, retryAfter(r)}
 	}
 	return Decision{}
 }
 
-// again is when the queue will be short enough for the goal: those who come back
+// retryAfter is when the queue will be short enough for the goal: those who retry
 // then find what those who stayed have left.
-func again(r Request) time.Duration {
-	return min(max(r.Expected-r.Own-r.Goal/2, LeastAgain), MostAgain)
+func retryAfter(r Request) time.Duration {
+	return min(max(r.Expected-r.Own-r.Goal/2, MinRetryAfter), MaxRetryAfter)
 }
--- a/core/jwadmission/admission_test.go
+++ b/core/jwadmission/admission_test.go
@@ -11,7 +11,7 @@
 const ms = time.Millisecond
 
 // A draft has a goal of one second and a deadline of twelve, and reading its 50,000
-// tokens takes 1.3 s. It was turned away as late, came back and was turned away
+// tokens takes 1.3 s. It was rejected as late, came back and was rejected
 // again: of the longest tenth of the drafts a quarter was served.
 func TestDecide(t *testing.T) {
 	draft := Request{Goal: 1000 * ms, Left: 12_000 * ms, Engine: true}
@@ -36,14 +36,14 @@
 		"long, with a queue":             {with(2400*ms, 1300*ms), Policy{}, Decision{}},
 		"short, with a long queue":       {with(1500*ms, 100*ms), Policy{}, Decision{Queue, 900 * ms}},
 		"long, with a long queue":        {with(2700*ms, 1300*ms), Policy{}, Decision{Queue, 900 * ms}},
-		"can't meet its deadline":        {short, Policy{}, Decision{Deadline, LeastAgain}},
-		"a very long queue":              {with(11_000*ms, 100*ms), Policy{}, Decision{Queue, MostAgain}},
+		"can't meet its deadline":        {short, Policy{}, Decision{Deadline, MinRetryAfter}},
+		"a very long queue":              {with(11_000*ms, 100*ms), Policy{}, Decision{Queue, MaxRetryAfter}},
 		"sent before":                    {begun, Policy{}, Decision{}},
 		"plain":                          {plain, Policy{}, Decision{}},
 		"the queue is left out":          {with(1500*ms, 100*ms), Policy{AnyQueue: true}, Decision{}},
 		"the deadline is left out":       {short, Policy{AnyDeadline: true}, Decision{}},
 		"no goal, and time is left":      {Request{Left: time.Minute, Expected: 50 * time.Second, Engine: true}, Policy{}, Decision{}},
-		"no goal, and no time is left":   {Request{Left: time.Second, Expected: 50 * time.Second, Engine: true}, Policy{}, Decision{Deadline, MostAgain}},
+		"no goal, and no time is left":   {Request{Left: time.Second, Expected: 50 * time.Second, Engine: true}, Policy{}, Decision{Deadline, MaxRetryAfter}},
 		"exactly the share of the queue": {with(1200*ms, 0), Policy{}, Decision{}},
 	}
 	for name, c := range cases {
@@ -53,7 +53,7 @@
 	}
 }
 
-// No size of prompt is turned away while its deadline can be met and the queue is
+// No size of prompt is rejected while its deadline can be met and the queue is
 // one that a short prompt would be taken in.
 func TestNoSizeIsTurnedAway(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -66,12 +66,12 @@
 		short := r
 		short.Own, short.Expected = 0, queue
 		if (Policy{}).Decide(short).Taken() && !(Policy{}).Decide(r).Taken() {
-			t.Fatalf("%+v is turned away, without its own length it is taken", r)
+			t.Fatalf("%+v is rejected, without its own length it is taken", r)
 		}
-		// What can't be answered in time is told so at once, and when to come back.
+		// What can't be answered in time is told so at once, and when to retry.
 		r.Left = r.Expected - 1
 		got := (Policy{}).Decide(r)
-		if r.Left >= 0 && (got.Taken() || got.Again < LeastAgain || got.Again > MostAgain) {
+		if r.Left >= 0 && (got.Taken() || got.RetryAfter < MinRetryAfter || got.RetryAfter > MaxRetryAfter) {
 			t.Fatalf("%+v", got)
 		}
 	})
--- a/core/jwinstance/cache.go
+++ b/core/jwinstance/cache.go
@@ -2,14 +2,14 @@
 
 import "container/list"
 
-// freeShare is the part of an engine's memory that is believed to keep prompts;
+// freeShare is the part of an engine's memory that is taken to keep prompts;
 // the rest is taken by the answers of what runs.
 const freeShare = 0.9
 
 // firstCapacity is the memory of an engine, in tokens, until it is known.
 const firstCapacity = 100_000
 
-// cache is the belief which parts of prompts a target keeps in memory: those
+// cache estimates which parts of prompts a target keeps in memory: those
 // sent there last, as far as its memory goes. The zero value keeps nothing.
 type cache struct {
 	parts  map[uint64]*list.Element // of held
--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -18,13 +18,13 @@
 	// the first event: a caller who reads along does not wait for the last one,
 	// but an answer that outlasts its deadline is lost whole.
 	PaceWeight = 0.05
-	// HarmWeight is what a millisecond that a running request is delayed by
+	// InterferenceWeight is what a millisecond that a running request is delayed by
 	// counts.
-	HarmWeight = 0.05
+	InterferenceWeight = 0.05
 	// firstGap is the time between two events until calls have shown it, and
-	// what the belief in an older one fades to.
+	// what an older one fades to.
 	firstGap = 40 * time.Millisecond
-	// gapFade is how long a measured gap is believed.
+	// gapFade is how long a measured gap counts.
 	gapFade = 1500 * time.Millisecond
 	// fullShare is the part of an engine's memory above which it preempts.
 	fullShare = 0.85
@@ -92,14 +92,14 @@
 		return c, false
 	}
 	if !c.Fetch.IsValid() {
-		// It may have dropped what it is believed to hold, and would read that
-		// again; what it still has isn't fetched.
+		// It may have dropped what it is taken to keep, and would read that
+		// once more; what it still has isn't fetched.
 		if other, held := t.holder(now, n, c.Target); held >= leastFetch {
 			c.Fetch = other.Address
 		}
 	}
 	x := c.Target
-	c.Calls, c.Age = x.calls, now.Sub(x.heard)
+	c.Calls, c.Age = x.calls, now.Sub(x.seenAt)
 	x.calls++
 	c.sent = now
 	c.Rank = rank(n.Priority)
@@ -209,7 +209,7 @@
 
 // sampleSize is how many of the targets are compared, where so many nodes choose
 // among them. All nodes see the same idle target, and were all compared, each would
-// send there before it hears of the others: the more is told of loads, and the sooner,
+// send there before it learns of the others: the more is reported of loads, and the sooner,
 // the worse it gets. With this an idle target is among those of two nodes in the mean.
 // Two at least are compared, as two are far better than one.
 func sampleSize(targets, nodes int) int {
@@ -294,7 +294,7 @@
 	return holder, most
 }
 
-// load is what a target has to do, by the word of all nodes of the region.
+// load is what a target has to do, by the report of all nodes of the region.
 type load struct {
 	calls int // in flight
 	work  int // prompt tokens to be read before a request
@@ -382,18 +382,18 @@
 		return 0
 	}
 	d := PaceWeight * float64(n.Events) * float64(x.gapNow(now))
-	d += HarmWeight * float64(b.calls) * float64(p.curve.read(0, miss))
+	d += InterferenceWeight * float64(b.calls) * float64(p.curve.read(0, miss))
 	if n.Capacity > 0 && float64(b.held+n.Prompt.held()) > fullShare*float64(n.Capacity) {
 		d += float64(fullDelay)
 	}
 	return time.Duration(d)
 }
 
-// gapNow returns the believed time between two events.
+// gapNow returns the estimated time between two events.
 func (x *Target) gapNow(now time.Time) time.Duration {
 	gap, at := x.gap, x.gapAt
-	if x.toldGapAt.After(at) {
-		gap, at = x.toldGap, x.toldGapAt
+	if x.reportedGapAt.After(at) {
+		gap, at = x.reportedGap, x.reportedGapAt
 	}
 	if at.IsZero() {
 		return firstGap
--- a/core/jwinstance/doc.go
+++ b/core/jwinstance/doc.go
@@ -1,4 +1,4 @@
-// Package jwinstance holds what a node believes of the targets, one record an
+// Package jwinstance holds what a node knows of the targets, one record an
 // incarnation: what the platform's store says of it, what the target said
 // itself and what calls to it showed. It chooses the target that will probably
 // send its first event soonest.
--- a/core/jwinstance/relay.go
+++ b/core/jwinstance/relay.go
@@ -2,18 +2,18 @@
 
 import "time"
 
-// mostRetold bounds how many placements a relay retells in one word.
-const mostRetold = 512
+// maxRelayed bounds how many placements a relay passes on in one report.
+const maxRelayed = 512
 
-// TellRelay returns what the relay of another data centre should know: the loads of
+// ReportToRelay returns what the relay of another data centre should know: the loads of
 // this node and of those that speak through it.
-func (t *Table) TellRelay(now time.Time) []NodeLoad {
+func (t *Table) ReportToRelay(now time.Time) []NodeLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	t.expireWords(now)
+	t.expireReports(now)
 	sums := make(map[*Target]sum, len(t.targets))
-	for _, w := range t.words {
+	for _, w := range t.reports {
 		if w.relay {
 			continue
 		}
@@ -37,16 +37,16 @@
 	return loads
 }
 
-// TellBut returns what a node that speaks through this one should know: the loads of
+// ReportTo returns what a node that speaks through this one should know: the loads of
 // all others at the targets that it chooses among.
-func (t *Table) TellBut(now time.Time, node string) []NodeLoad {
+func (t *Table) ReportTo(now time.Time, node string) []NodeLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	t.expireWords(now)
+	t.expireReports(now)
 	t.index()
 	own := make(map[*Target]NodeLoad)
-	for _, l := range t.words[node].loads {
+	for _, l := range t.reports[node].loads {
 		own[l.Target] = l.NodeLoad
 	}
 	var loads []NodeLoad
@@ -72,19 +72,19 @@
 	return l
 }
 
-// lastGap returns the time between two events that was seen or told last.
+// lastGap returns the time between two events that was seen or reported last.
 func (x *Target) lastGap() (time.Duration, time.Time) {
-	if x.toldGapAt.After(x.gapAt) {
-		return x.toldGap, x.toldGapAt
+	if x.reportedGapAt.After(x.gapAt) {
+		return x.reportedGap, x.reportedGapAt
 	}
 	return x.gap, x.gapAt
 }
 
-// Retell returns the placements of shared parts within an age, this node's and those
-// it heard of, the latest first: a part that belongs to one caller is of use to few.
-// A node that is no relay is told of the targets that it knows. Another relay isn't told
-// what relays told, or it would go round between them.
-func (t *Table) Retell(now time.Time, age time.Duration, node string, toRelay bool) []Placement {
+// Relayed returns the placements of shared parts within an age, this node's and those
+// that were reported to it, the latest first: a part that belongs to one caller is of use to few.
+// A node that is no relay is reported of the targets that it knows. Another relay isn't reported
+// what relays reported, or it would go round between them.
+func (t *Table) Relayed(now time.Time, age time.Duration, node string, toRelay bool) []Placement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	knows := t.knownTo(node, toRelay)
@@ -92,28 +92,28 @@
 		target string
 		part   uint64
 	}
-	told := make(map[place]bool)
+	sent := make(map[place]bool)
 	var placed []Placement
-	for i := len(t.placed) - 1; i >= 0 && len(placed) < mostRetold; i-- {
+	for i := len(t.placed) - 1; i >= 0 && len(placed) < maxRelayed; i-- {
 		p := t.placed[i]
 		if now.Sub(p.at) > age {
 			break
 		}
-		if len(p.Parts) == 0 || toRelay && (p.retold || p.away) || knows != nil && !p.away && !knows[p.Target] {
+		if len(p.Parts) == 0 || toRelay && (p.relayed || p.away) || knows != nil && !p.away && !knows[p.Target] {
 			continue
 		}
 		shared := p.Parts
-		if !p.away { // of another region only the shared parts are told
+		if !p.away { // of another region only the shared parts are reported
 			shared = p.Parts[:len(p.Parts)-1]
 		}
 		if len(shared) == 0 {
 			continue
 		}
 		at := place{p.Target, shared[len(shared)-1].ID}
-		if told[at] {
+		if sent[at] {
 			continue
 		}
-		told[at] = true
+		sent[at] = true
 		placed = append(placed, Placement{Target: p.Target, Parts: shared})
 	}
 	return placed
--- a/core/jwinstance/relay_test.go
+++ b/core/jwinstance/relay_test.go
@@ -40,13 +40,13 @@
 			for d := range centres {
 				relay := tables[d][0]
 				for n := 1; n < nodes; n++ {
-					loads, _ := tables[d][n].Tell(now)
-					relay.Hear(now, name(d, n), loads, nil)
-					tables[d][n].HearRelay(now, name(d, 0), relay.TellBut(now, name(d, n)), nil)
+					loads, _ := tables[d][n].Report(now)
+					relay.Merge(now, name(d, n), loads, nil)
+					tables[d][n].MergeRelay(now, name(d, 0), relay.ReportTo(now, name(d, n)), nil)
 				}
 			}
-			tables[0][0].HearRelay(now, name(1, 0), tables[1][0].TellRelay(now), nil)
-			tables[1][0].HearRelay(now, name(0, 0), tables[0][0].TellRelay(now), nil)
+			tables[0][0].MergeRelay(now, name(1, 0), tables[1][0].ReportToRelay(now), nil)
+			tables[1][0].MergeRelay(now, name(0, 0), tables[0][0].ReportToRelay(now), nil)
 		}
 		for d := range centres {
 			for n := range nodes {
@@ -59,7 +59,7 @@
 		for d := range centres { // the next exchange brings the rest to the others
 			for n := 1; n < nodes; n++ {
 				x := tables[d][n]
-				x.HearRelay(now, name(d, 0), tables[d][0].TellBut(now, name(d, n)), nil)
+				x.MergeRelay(now, name(d, 0), tables[d][0].ReportTo(now, name(d, n)), nil)
 				if got := x.targets["t"].others.calls; got != total-own[x] {
 					t.Fatalf("node %s counts %d calls of others, there are %d", name(d, n), got, total-own[x])
 				}
@@ -81,8 +81,8 @@
 		parts[0].ID = first
 		return Placement{Target: target, Parts: parts}
 	}
-	one.Hear(now, "node", nil, []Placement{placement("t-r", 10)})
-	one.HearRelay(now, "relay", nil, []Placement{placement("t-r", 20), placement("t-far", 30)})
+	one.Merge(now, "node", nil, []Placement{placement("t-r", 10)})
+	one.MergeRelay(now, "relay", nil, []Placement{placement("t-r", 20), placement("t-far", 30)})
 	firsts := func(list []Placement) string {
 		var ids []string
 		for _, p := range list {
@@ -92,9 +92,9 @@
 		return strings.Join(ids, " ")
 	}
 	one.placed[1].Parts[1].ID = 4 // not the same part as the first
-	assert.Equal(t, firsts(one.Retell(now, time.Second, "2", true)), "10")
-	assert.Equal(t, firsts(one.Retell(now, time.Second, "2", false)), "10 20 30")
-	assert.Equal(t, len(one.Retell(now.Add(2*time.Second), time.Second, "2", false)), 0)
+	assert.Equal(t, firsts(one.Relayed(now, time.Second, "2", true)), "10")
+	assert.Equal(t, firsts(one.Relayed(now, time.Second, "2", false)), "10 20 30")
+	assert.Equal(t, len(one.Relayed(now.Add(2*time.Second), time.Second, "2", false)), 0)
 }
 
 // Columns must bring back what they were made of, and never fail on what a node of
@@ -130,8 +130,8 @@
 	})
 }
 
-// What a relay tells one node at full size: 75 nodes of a region, half of them in its
-// data centre, 250 targets, three hundred placements since the last word.
+// What a relay reports to one node at full size: 75 nodes of a region, half of them in its
+// data centre, 250 targets, three hundred placements since the last report.
 func BenchmarkRelayWord(b *testing.B) {
 	now := time.Unix(1000, 0)
 	x := &Table{Region: "r"}
@@ -151,7 +151,7 @@
 				Parts:  []Part{{uint64(i), 500}, {uint64(n*100 + i), 5000}, {uint64(n*1000 + i), 2000}},
 			})
 		}
-		x.Hear(now, fmt.Sprint(n), loads, placed)
+		x.Merge(now, fmt.Sprint(n), loads, placed)
 	}
 	b.ReportAllocs()
 	bytes := 0
@@ -159,11 +159,11 @@
 		raw, err := json.Marshal(struct {
 			Loads  *Loads
 			Placed *Places
-		}{Columns(x.TellBut(now, "1")), PlaceColumns(x.Retell(now, time.Second, "2", false))})
+		}{Columns(x.ReportTo(now, "1")), PlaceColumns(x.Relayed(now, time.Second, "2", false))})
 		if err != nil {
 			b.Fatal(err)
 		}
 		bytes = len(raw)
 	}
-	b.ReportMetric(float64(bytes), "B/word")
+	b.ReportMetric(float64(bytes), "B/report")
 }
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -3,16 +3,16 @@
 import "time"
 
 const (
-	// othersAge is how long the load that another node told counts.
+	// othersAge is how long the load that another node reported counts.
 	othersAge = time.Second
-	// placedAge is how long a placement is told to the others: several
+	// placedAge is how long a placement is reported to the others: several
 	// exchanges, as one may be lost.
 	placedAge = 400 * time.Millisecond
 	// farAge is the same for nodes of other regions, which speak once a second.
 	farAge = 1300 * time.Millisecond
 )
 
-// ranks is how many ranks of urgency are told apart; all beyond are the last.
+// ranks is how many ranks of urgency are reported apart; all beyond are the last.
 const ranks = 3
 
 // work is prompt tokens by the rank of their requests.
@@ -39,10 +39,10 @@
 	Gap    int64  `json:"gap,omitempty"`  // milliseconds between two events
 }
 
-// nodeWord is what another node of the region told last.
-type nodeWord struct {
+// nodeReport is what another node of the region reported last.
+type nodeReport struct {
 	at    time.Time
-	relay bool // it is the word of a relay, with what it heard of others
+	relay bool // it is the report of a relay, with what others reported to it
 	loads []targetLoad
 }
 
@@ -53,12 +53,12 @@
 
 // Placement tells which parts of a prompt were sent to a target.
 type Placement struct {
-	Target string `json:"target"`
-	Parts  []Part `json:"parts"`
-	at     time.Time
-	heard  bool // from another node of the region
-	retold bool // from a relay, which has told others of it
-	away   bool // at a target of another region
+	Target  string `json:"target"`
+	Parts   []Part `json:"parts"`
+	at      time.Time
+	seenAt  bool // from another node of the region
+	relayed bool // from a relay, which passes it on to others itself
+	away    bool // at a target of another region
 }
 
 // place notes that a prompt was sent to a target.
@@ -70,7 +70,7 @@
 	t.keep(now, Placement{Target: x.ID, Parts: p.Parts, at: now})
 }
 
-// keep holds a placement as long as it is told to others.
+// keep holds a placement as long as it is reported to others.
 func (t *Table) keep(now time.Time, p Placement) {
 	t.placed = append(t.placed, p)
 	old := 0
@@ -80,16 +80,16 @@
 	t.placed = append(t.placed[:0], t.placed[old:]...)
 }
 
-// Tell returns what the other nodes of the region should know: this node's
+// Report returns what goes to the other nodes of the region: this node's
 // load at each target, and where it sent which prompts a moment ago.
-func (t *Table) Tell(now time.Time) ([]NodeLoad, []Placement) { return t.TellNews(now, placedAge) }
+func (t *Table) Report(now time.Time) ([]NodeLoad, []Placement) { return t.ReportSince(now, placedAge) }
 
-// TellNews returns the same with the placements of an age.
-func (t *Table) TellNews(now time.Time, age time.Duration) ([]NodeLoad, []Placement) {
+// ReportSince returns the same with the placements of an age.
+func (t *Table) ReportSince(now time.Time, age time.Duration) ([]NodeLoad, []Placement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sweep(now)
-	t.expireWords(now)
+	t.expireReports(now)
 	var loads []NodeLoad
 	for _, x := range t.targets {
 		if x.calls > 0 {
@@ -102,21 +102,21 @@
 	}
 	var placed []Placement
 	for _, p := range t.placed {
-		if !p.heard && now.Sub(p.at) <= age {
+		if !p.seenAt && now.Sub(p.at) <= age {
 			placed = append(placed, p)
 		}
 	}
 	return loads, placed
 }
 
-// TellFar returns what nodes of other regions should know: where the large
+// ReportRemote returns what nodes of other regions should know: where the large
 // parts that many prompts share were sent a moment ago. A target there can
 // fetch them instead of reading them.
-func (t *Table) TellFar(now time.Time) []Placement {
+func (t *Table) ReportRemote(now time.Time) []Placement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var placed []Placement
-	told := make(map[uint64]bool)
+	sent := make(map[uint64]bool)
 	for i := len(t.placed) - 1; i >= 0; i-- {
 		p := t.placed[i]
 		if now.Sub(p.at) > farAge || len(p.Parts) < 2 || p.away {
@@ -124,32 +124,32 @@
 		}
 		shared := p.Parts[:len(p.Parts)-1] // the last one belongs to one caller
 		last := shared[len(shared)-1]
-		if told[last.ID] || last.Tokens < leastFetch {
+		if sent[last.ID] || last.Tokens < leastFetch {
 			continue
 		}
-		told[last.ID] = true
+		sent[last.ID] = true
 		placed = append(placed, Placement{Target: p.Target, Parts: shared})
 	}
 	return placed
 }
 
-// Hear takes what another node of the region told.
-func (t *Table) Hear(now time.Time, node string, loads []NodeLoad, placed []Placement) {
-	t.hear(now, node, false, loads, placed)
+// Merge merges what another node of the region reported.
+func (t *Table) Merge(now time.Time, node string, loads []NodeLoad, placed []Placement) {
+	t.merge(now, node, false, loads, placed)
 }
 
-// HearRelay takes what a relay of the region told: its own loads and those of the
+// MergeRelay merges what a relay of the region reported: its own loads and those of the
 // nodes that speak through it.
-func (t *Table) HearRelay(now time.Time, node string, loads []NodeLoad, placed []Placement) {
-	t.hear(now, node, true, loads, placed)
+func (t *Table) MergeRelay(now time.Time, node string, loads []NodeLoad, placed []Placement) {
+	t.merge(now, node, true, loads, placed)
 }
 
-func (t *Table) hear(now time.Time, node string, relay bool, loads []NodeLoad, placed []Placement) {
+func (t *Table) merge(now time.Time, node string, relay bool, loads []NodeLoad, placed []Placement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.forgetWord(node)
-	t.expireWords(now)
-	word := nodeWord{at: now, relay: relay}
+	t.dropReport(node)
+	t.expireReports(now)
+	report := nodeReport{at: now, relay: relay}
 	for _, l := range loads {
 		x := t.targets[l.Target]
 		if x == nil {
@@ -157,14 +157,14 @@
 		}
 		x.others.add(l, 1)
 		if l.Gap > 0 {
-			x.toldGap, x.toldGapAt = time.Duration(l.Gap)*time.Millisecond, now
+			x.reportedGap, x.reportedGapAt = time.Duration(l.Gap)*time.Millisecond, now
 		}
-		word.loads = append(word.loads, targetLoad{x, l})
+		report.loads = append(report.loads, targetLoad{x, l})
 	}
-	if t.words == nil {
-		t.words = make(map[string]nodeWord)
+	if t.reports == nil {
+		t.reports = make(map[string]nodeReport)
 	}
-	t.words[node] = word
+	t.reports[node] = report
 	for _, p := range placed {
 		x := t.targets[p.Target]
 		if x == nil {
@@ -173,19 +173,19 @@
 		if t.knows(x) {
 			x.cache.use(p.Parts, x.capacity)
 		}
-		p.at, p.heard, p.retold, p.away = now, true, relay, x.Region != t.Region
+		p.at, p.seenAt, p.relayed, p.away = now, true, relay, x.Region != t.Region
 		t.keep(now, p)
 	}
 }
 
-// coldDrift is by how much a target must be colder by the word of another node
+// coldDrift is by how much a target must be colder by the report of another node
 // than by this one's: less is the way between them, and nodes that took each
-// other's word would keep it cold for ever.
+// other's report would keep it cold for ever.
 const coldDrift = 50 * time.Millisecond
 
-// TellCold returns how many milliseconds each cold target of the region stays
+// ReportCold returns how many milliseconds each cold target of the region stays
 // so: one that goes cold without a registration is noticed by one node only.
-func (t *Table) TellCold(now time.Time) map[string]int64 {
+func (t *Table) ReportCold(now time.Time) map[string]int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var cold map[string]int64
@@ -200,8 +200,8 @@
 	return cold
 }
 
-// HearCold takes what another node of the region tells of cold targets.
-func (t *Table) HearCold(now time.Time, cold map[string]int64) {
+// MergeCold merges what another node of the region reports of cold targets.
+func (t *Table) MergeCold(now time.Time, cold map[string]int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, ms := range cold {
@@ -226,28 +226,28 @@
 	return list
 }
 
-// Woke forgets the loads that other nodes told: the node itself stood still.
-func (t *Table) Woke() {
+// Resumed forgets the loads that other nodes reported: the node itself stood still.
+func (t *Table) Resumed() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for node := range t.words {
-		t.forgetWord(node)
+	for node := range t.reports {
+		t.dropReport(node)
 	}
 }
 
-// forgetWord takes a node's loads out of the sums.
-func (t *Table) forgetWord(node string) {
-	for _, l := range t.words[node].loads {
+// dropReport takes a node's loads out of the sums.
+func (t *Table) dropReport(node string) {
+	for _, l := range t.reports[node].loads {
 		l.Target.others.add(l.NodeLoad, -1)
 	}
-	delete(t.words, node)
+	delete(t.reports, node)
 }
 
-// expireWords forgets the nodes that have told nothing for othersAge.
-func (t *Table) expireWords(now time.Time) {
-	for node, word := range t.words {
-		if now.Sub(word.at) >= othersAge {
-			t.forgetWord(node)
+// expireReports forgets the nodes that have reported nothing for othersAge.
+func (t *Table) expireReports(now time.Time) {
+	for node, report := range t.reports {
+		if now.Sub(report.at) >= othersAge {
+			t.dropReport(node)
 		}
 	}
 }
--- a/core/jwinstance/subset.go
+++ b/core/jwinstance/subset.go
@@ -9,7 +9,7 @@
 
 const (
 	// localSubset is how many targets of a service in its own region a node chooses
-	// among, and is told the loads of. Were it all, what relays report would grow with
+	// among, and is reported the loads of. Were it all, what relays report would grow with
 	// targets times nodes.
 	localSubset = 64
 	// remoteSubset is the same for each other region, whose targets are only asked what
--- a/core/jwinstance/subset_test.go
+++ b/core/jwinstance/subset_test.go
@@ -37,15 +37,15 @@
 
 	relay := table("relay", targets)
 	for _, x := range relay.targets {
-		relay.words = map[string]nodeWord{"other": {at: now}}
+		relay.reports = map[string]nodeReport{"other": {at: now}}
 		x.others.add(NodeLoad{Calls: 1}, 1)
 	}
-	assert.Equal(t, len(relay.TellBut(now, "n7")), localSubset)
+	assert.Equal(t, len(relay.ReportTo(now, "n7")), localSubset)
 	seven := make(map[string]bool)
 	for _, x := range table("n7", targets).of("s") {
 		seven[x.ID] = true
 	}
-	for _, l := range relay.TellBut(now, "n7") {
+	for _, l := range relay.ReportTo(now, "n7") {
 		assert.Assert(t, seven[l.Target], "the node doesn't know %s", l.Target)
 	}
 }
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -39,39 +39,39 @@
 	evacuated map[string]bool           // data centres
 	paces     map[string]*pace          // by service
 	placed    []Placement               // of this node, the latest last
-	words     map[string]nodeWord       // of the other nodes of the region, by name
+	reports   map[string]nodeReport     // of the other nodes of the region, by name
 	drawn     []int                     // scratch of draw
 	missing   []int                     // scratch of best: tokens that each target lacks
 }
 
-// Target is one incarnation with all that is believed of it. Its fields belong
+// Target is one incarnation with all that is known of it. Its fields belong
 // to the Table, but for its name, service and address, which never change;
 // callers keep it to give it back.
 type Target struct {
 	Instance
-	key       uint64    // hash of its name
-	heard     time.Time // last registration
-	said      time.Time // when its registration last changed
-	gone      time.Time // when its registration vanished, zero if it stands
-	coldUntil time.Time
-	sends     []time.Time   // of the last second
-	rest      time.Time     // not used before
-	failures  int           // in a row
-	unreached int           // connections not taken, in a row
-	calls     int           // in flight from this node
-	work      work          // prompt tokens of this node's calls without a first event
-	tokens    int           // memory held by this node's calls
-	gap       time.Duration // between two events, as this node saw it last
-	gapAt     time.Time
-	others    sum           // of the other nodes of the region
-	toldGap   time.Duration // between two events, as another node told last
-	toldGapAt time.Time
-	slow      float64 // its pace against the service's, 1 is usual
-	cache     cache
-	capacity  int // tokens of its memory, 0 if not known
+	key           uint64    // hash of its name
+	seenAt        time.Time // last registration
+	changed       time.Time // when its registration last changed
+	gone          time.Time // when its registration vanished, zero if it stands
+	coldUntil     time.Time
+	sends         []time.Time   // of the last second
+	rest          time.Time     // not used before
+	failures      int           // in a row
+	unreached     int           // connections not taken, in a row
+	calls         int           // in flight from this node
+	work          work          // prompt tokens of this node's calls without a first event
+	tokens        int           // memory held by this node's calls
+	gap           time.Duration // between two events, as this node saw it last
+	gapAt         time.Time
+	others        sum           // of the other nodes of the region
+	reportedGap   time.Duration // between two events, as another node reported last
+	reportedGapAt time.Time
+	slow          float64 // its pace against the service's, 1 is usual
+	cache         cache
+	capacity      int // tokens of its memory, 0 if not known
 }
 
-// Change is what a registration changed in the belief about a target.
+// Change is what a registration changed of a target.
 type Change string
 
 // The changes by a registration.
@@ -100,7 +100,7 @@
 		return Same // by another node that lags behind
 	}
 	if old == nil || old.Born != in.Born || old.Address != in.Address || old.Service != in.Service {
-		fresh := &Target{Instance: in, key: jwtarget.NameKey(in.ID), heard: now, said: now, slow: 1}
+		fresh := &Target{Instance: in, key: jwtarget.NameKey(in.ID), seenAt: now, changed: now, slow: 1}
 		if old != nil || in.Cold > 0 {
 			fresh.coldUntil = now.Add(max(in.Cold, t.coldAfterReturn(old, in)))
 		}
@@ -114,11 +114,11 @@
 	change := old.compare(now, in)
 	if change != Same {
 		old.renew(in)
-		old.said = now
+		old.changed = now
 		t.reindex()
 	}
 	old.Revision = in.Revision
-	old.heard, old.gone = now, time.Time{}
+	old.seenAt, old.gone = now, time.Time{}
 	if in.Cold > 0 {
 		old.coldUntil = now.Add(in.Cold)
 	}
@@ -127,7 +127,7 @@
 
 // compare tells what another registration of the same incarnation changes.
 func (x *Target) compare(now time.Time, in Instance) Change {
-	passed := now.Sub(x.said)
+	passed := now.Sub(x.changed)
 	switch {
 	case in.Draining && !x.Draining:
 		return Leaving
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -106,9 +106,9 @@
 	table.Remove(after(0), "a", 1)
 	assert.Equal(t, chosen(table, after(1500), Need{}), "a")
 	assert.Equal(t, chosen(table, after(2500), Need{}), "", "it is gone by then")
-	again := instance("a")
-	again.Revision = 2
-	table.Put(after(2600), again)
+	newer := instance("a")
+	newer.Revision = 2
+	table.Put(after(2600), newer)
 	assert.Equal(t, chosen(table, after(2600), Need{}), "a")
 }
 
@@ -227,12 +227,12 @@
 			t.targets["b"].cache.use(prompt(1, 2).Parts, 0)
 			t.targets["b"].work = work{20_000}
 		}, Need{Prompt: prompt(1, 2, 3)}, "a", "b"},
-		"the holder is busy, as another node told": {func(t *Table) {
+		"the holder is busy, as another node reported": {func(t *Table) {
 			t.targets["b"].cache.use(prompt(1, 2).Parts, 0)
-			t.Hear(t0, "n2", []NodeLoad{{Target: "b", Calls: 3, Work: work{20_000}}}, nil)
+			t.Merge(t0, "n2", []NodeLoad{{Target: "b", Calls: 3, Work: work{20_000}}}, nil)
 		}, Need{Prompt: prompt(1, 2, 3)}, "a", "b"},
 		"another node sent it there": {func(t *Table) {
-			t.Hear(t0, "n2", nil, []Placement{{Target: "b", Parts: prompt(1, 2).Parts}})
+			t.Merge(t0, "n2", nil, []Placement{{Target: "b", Parts: prompt(1, 2).Parts}})
 		}, Need{Prompt: prompt(1, 2, 3)}, "b", ""},
 		// A calm hour: half of the prompts were moved between targets, for a
 		// twentieth of their worth, to save some ten milliseconds.
@@ -359,7 +359,7 @@
 				for i := range 250 {
 					loads = append(loads, NodeLoad{Target: fmt.Sprintf("t%03d", i), Calls: 1, Held: 100})
 				}
-				table.Hear(t0, fmt.Sprint(node), loads, nil)
+				table.Merge(t0, fmt.Sprint(node), loads, nil)
 			}
 			n := Need{Service: "s", Prompt: prompt(1, 2, 3), Events: 10, Capacity: 250_000}
 			b.ReportAllocs()
@@ -392,7 +392,7 @@
 		id := fmt.Sprintf("t%d", i)
 		table.Put(after(i*1000), instance(id))
 		table.Remove(after(i*1000+500), id, 1)
-		table.Tell(after(i*1000 + 600))
+		table.Report(after(i*1000 + 600))
 	}
 	assert.Assert(t, len(table.targets) < 40, "%d records", len(table.targets))
 }
@@ -411,7 +411,7 @@
 	}
 	tables[0].Cold(after(100), tables[0].targets["a"], 2*time.Second)
 	assert.Equal(t, len(tables[0].Warm(after(100))), 0)
-	tables[1].HearCold(after(150), tables[0].TellCold(after(150)))
+	tables[1].MergeCold(after(150), tables[0].ReportCold(after(150)))
 	assert.Equal(t, chosen(tables[1], after(160), Need{}), "")
 	assert.Equal(t, chosen(tables[0], after(160), Need{}), "a")
 	assert.Equal(t, chosen(tables[0], after(170), Need{}), "a")
@@ -419,7 +419,7 @@
 	assert.Equal(t, chosen(tables[0], after(1100), Need{}), "a")
 }
 
-// Two nodes tell each other again and again how long a target stays cold; the
+// Two nodes keep reporting to each other how long a target stays cold; the
 // way between them must not add up.
 func TestColdEndsThoughItIsTold(t *testing.T) {
 	a, b := &Table{Region: "r"}, &Table{Region: "r"}
@@ -428,11 +428,11 @@
 	a.Cold(t0, a.targets["a"], time.Second)
 	const way = 10
 	for ms := 0; ms < 1200; ms += 2 * way {
-		b.HearCold(after(ms+way), a.TellCold(after(ms)))
-		a.HearCold(after(ms+2*way), b.TellCold(after(ms+way)))
+		b.MergeCold(after(ms+way), a.ReportCold(after(ms)))
+		a.MergeCold(after(ms+2*way), b.ReportCold(after(ms+way)))
 	}
-	assert.Equal(t, len(a.TellCold(after(1001))), 0)
-	assert.Equal(t, len(b.TellCold(after(1011))), 0)
+	assert.Equal(t, len(a.ReportCold(after(1001))), 0)
+	assert.Equal(t, len(b.ReportCold(after(1011))), 0)
 }
 
 // A prompt costs a region what its best holder lacks, and a part of what others
@@ -452,25 +452,25 @@
 	assert.Equal(t, targets, 2)
 }
 
-// A node of the region dies without a word. What it had in flight must not count
-// for ever, and not be taken away twice when it speaks again.
+// A node of the region dies without a report. What it had in flight must not count
+// for ever, and not be taken away twice when it reports once more.
 func TestLoadsOfOthers(t *testing.T) {
 	table := &Table{Region: "r"}
 	table.Put(t0, instance("a"))
 	x := table.targets["a"]
-	told := []NodeLoad{{Target: "a", Calls: 3, Work: work{10, 20}, Held: 7}}
-	table.Hear(after(0), "n2", told, nil)
-	table.Hear(after(100), "n3", told, nil)
+	sent := []NodeLoad{{Target: "a", Calls: 3, Work: work{10, 20}, Held: 7}}
+	table.Merge(after(0), "n2", sent, nil)
+	table.Merge(after(100), "n3", sent, nil)
 	assert.Equal(t, x.busy(1), load{6, 60, 14})
 	assert.Equal(t, x.busy(0), load{6, 20, 14})
-	table.Hear(after(200), "n2", nil, nil)
+	table.Merge(after(200), "n2", nil, nil)
 	assert.Equal(t, x.busy(1), load{3, 30, 7})
-	table.Tell(after(1050))
+	table.Report(after(1050))
 	assert.Equal(t, x.busy(1), load{3, 30, 7})
-	table.Tell(after(1100))
+	table.Report(after(1100))
 	assert.Equal(t, x.busy(1), load{})
-	table.Hear(after(1200), "n3", told, nil)
-	table.Woke()
+	table.Merge(after(1200), "n3", sent, nil)
+	table.Resumed()
 	assert.Equal(t, x.busy(1), load{})
 }
 
--- a/core/jwmember/relay.go
+++ b/core/jwmember/relay.go
@@ -10,27 +10,27 @@
 )
 
 const (
-	// DefaultCrowd is the number of nodes in a region from which on they speak through
-	// relays: each to each, their words grow with the square of it, and a node of
+	// DefaultRelayThreshold is the number of nodes in a region from which on they report through
+	// relays: each to each, their reports grow with the square of it, and a node of
 	// a hundred does little else.
-	DefaultCrowd = 12
-	// silentTo is how long a node of the own data centre may stay unheard before its
-	// relay tells others that it is silent: it speaks twice a second there.
-	silentTo = 2 * time.Second
+	DefaultRelayThreshold = 12
+	// relaySuspectAfter is how long a node of the own data centre may stay unseen before its
+	// relay tells others that it is unresponsive: it reports twice a second there.
+	relaySuspectAfter = 2 * time.Second
 )
 
-// Crowded tells whether the nodes of a region are so many that they speak through
+// Large tells whether the nodes of a region are so many that they report through
 // relays.
-func (t *Table) Crowded(now time.Time, region string) bool {
-	crowd := t.Crowd
-	if crowd == 0 {
-		crowd = DefaultCrowd
+func (t *Table) Large(now time.Time, region string) bool {
+	threshold := t.RelayThreshold
+	if threshold == 0 {
+		threshold = DefaultRelayThreshold
 	}
-	return t.Count(now, region) >= crowd
+	return t.Count(now, region) >= threshold
 }
 
-// Relay returns the node that the others of its data centre speak through: of the
-// live the one that bears most, and by name where several bear as much; false if
+// Relay returns the node that the others of its data centre report through: of the
+// live the one of most capacity, the first by name of equals; false if
 // none is believed to live. It may be the node itself.
 func (t *Table) Relay(now time.Time, dataCentre string) (Member, bool) {
 	t.mu.Lock()
@@ -54,8 +54,8 @@
 
 // before tells whether a relays rather than b.
 func before(a, b Member) bool {
-	if a.Bears != b.Bears {
-		return a.Bears > b.Bears
+	if a.Capacity != b.Capacity {
+		return a.Capacity > b.Capacity
 	}
 	return a.Name < b.Name
 }
@@ -76,7 +76,7 @@
 	return list
 }
 
-// tripStep is how finely the ways of nodes to the store are told apart.
+// tripStep is how finely the round trips of nodes to the store are told apart.
 const tripStep = 25 * time.Millisecond
 
 // Reached notes how long a call of the store took.
@@ -97,7 +97,7 @@
 	return list[:min(len(list), most)]
 }
 
-// trip orders members by their way to the store, those that don't know it last.
+// trip orders members by their round trip to the store, those that don't know it last.
 func (m *Member) trip() int64 {
 	if m.Trip == 0 {
 		return math.MaxInt64
@@ -161,54 +161,54 @@
 	return list
 }
 
-// Hearing is what a relay tells of who is heard: all registered nodes but the silent,
-// and those that aren't registered but heard all the same, as while the store is away.
-type Hearing struct {
-	Silent   []string `json:"silent,omitempty"`
-	Unlisted []string `json:"unlisted,omitempty"`
+// Liveness is what a relay reports of who lives: all registered nodes but the unresponsive,
+// and those that aren't registered but seen all the same, as while the store is away.
+type Liveness struct {
+	Unresponsive []string `json:"unresponsive,omitempty"`
+	Unlisted     []string `json:"unlisted,omitempty"`
 }
 
-// Hearing returns who is heard and who isn't, for Told elsewhere.
-func (t *Table) Hearing(now time.Time) Hearing {
+// Liveness returns who is seen and who isn't, for MergeLiveness elsewhere.
+func (t *Table) Liveness(now time.Time) Liveness {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var h Hearing
+	var h Liveness
 	for name, r := range t.members {
-		quiet := r.DataCentre == t.Self.DataCentre && now.Sub(r.heard) > silentTo
+		quiet := r.DataCentre == t.Self.DataCentre && now.Sub(r.seen) > relaySuspectAfter
 		lives := t.live(now, r) && !quiet
 		switch {
 		case r.registered && !lives && now.Sub(r.since) >= trust:
-			h.Silent = append(h.Silent, name)
+			h.Unresponsive = append(h.Unresponsive, name)
 		case !r.registered && lives:
 			h.Unlisted = append(h.Unlisted, name)
 		}
 	}
-	slices.Sort(h.Silent)
+	slices.Sort(h.Unresponsive)
 	slices.Sort(h.Unlisted)
 	return h
 }
 
-// Told takes the word of a relay of who is heard. Where all speak to each other
-// HeardOf does this, by names; the silent are fewer.
-func (t *Table) Told(now time.Time, h Hearing) {
+// MergeLiveness merges the report of a relay of who lives. Where all exchange state with each other
+// SeenByOther does this, by names; the unresponsive are fewer.
+func (t *Table) MergeLiveness(now time.Time, h Liveness) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	at := now.Add(-saidAge)
+	at := now.Add(-indirectAge)
 	t.changed()
 	for name, r := range t.members {
-		_, silent := slices.BinarySearch(h.Silent, name)
+		_, unresponsive := slices.BinarySearch(h.Unresponsive, name)
 		_, unlisted := slices.BinarySearch(h.Unlisted, name)
 		switch {
-		case silent && at.After(r.heard):
+		case unresponsive && at.After(r.seen):
 			r.failed = now
-		case !silent && (r.registered || unlisted) && at.After(r.heard):
-			r.heard = at
+		case !unresponsive && (r.registered || unlisted) && at.After(r.seen):
+			r.seen = at
 		}
 	}
 }
 
 // Stopping returns the nodes that stop by plan and began so within an age, by name, for
-// Learn elsewhere.
+// MergeStopping elsewhere.
 func (t *Table) Stopping(now time.Time, age time.Duration) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -222,8 +222,8 @@
 	return list
 }
 
-// Learn takes what another node says of a third; it doesn't count as heard.
-func (t *Table) Learn(now time.Time, m Member) {
+// MergeStopping takes what another node says of a third; it doesn't count as seen.
+func (t *Table) MergeStopping(now time.Time, m Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.members[m.Name]; r != nil {
--- a/core/jwmember/relay_test.go
+++ b/core/jwmember/relay_test.go
@@ -10,24 +10,24 @@
 	"pgregory.net/rapid"
 )
 
-func centre(name, dc string, bears int) Member {
-	return Member{Name: name, Region: "r", DataCentre: dc, Serving: true, Change: 1, Start: 1, Bears: bears}
+func centre(name, dc string, capacity int) Member {
+	return Member{Name: name, Region: "r", DataCentre: dc, Serving: true, Change: 1, Start: 1, Capacity: capacity}
 }
 
 // All nodes of a data centre must take the same one for their relay, and another as soon
-// as that one dies: without a relay they hear of nobody.
+// as that one dies: without a relay they learn of nobody.
 func TestRelay(t *testing.T) {
 	now := time.Unix(100, 0)
 	table := Table{Self: centre("b", "d1", 2)}
 	for _, m := range []Member{centre("a", "d1", 1), centre("c", "d1", 8), centre("d", "d1", 8), centre("z", "d2", 9)} {
 		table.Put(now, m)
-		table.Heard(now, m)
+		table.Seen(now, m)
 	}
 	relay := func(dc string) string {
 		m, _ := table.Relay(now, dc)
 		return m.Name
 	}
-	assert.Equal(t, relay("d1"), "c", "it bears most, and comes first by name")
+	assert.Equal(t, relay("d1"), "c", "it has most capacity, and comes first by name")
 	assert.Equal(t, relay("d2"), "z")
 	assert.Equal(t, relay("d3"), "")
 	table.Failed(now.Add(1), "c")
@@ -35,7 +35,7 @@
 	assert.Equal(t, relay("d1"), "d")
 	stops := centre("d", "d1", 8)
 	stops.Serving, stops.Change = false, 2
-	table.Heard(now, stops)
+	table.Seen(now, stops)
 	assert.Equal(t, relay("d1"), "b")
 	assert.Assert(t, table.IsRelay(now))
 	assert.DeepEqual(t, namesOf(table.Relays(now, "r")), []string{"z"})
@@ -52,20 +52,20 @@
 func TestCrowded(t *testing.T) {
 	now := time.Unix(100, 0)
 	table := Table{Self: centre("a", "d1", 1)}
-	for i := range DefaultCrowd - 1 {
-		assert.Assert(t, !table.Crowded(now, "r"))
+	for i := range DefaultRelayThreshold - 1 {
+		assert.Assert(t, !table.Large(now, "r"))
 		table.Put(now, centre(fmt.Sprint(i), "d1", 1))
 	}
-	assert.Assert(t, table.Crowded(now, "r"))
-	assert.Assert(t, !table.Crowded(now, "other"))
-	table.Crowd = 100
-	assert.Assert(t, !table.Crowded(now, "r"))
+	assert.Assert(t, table.Large(now, "r"))
+	assert.Assert(t, !table.Large(now, "other"))
+	table.RelayThreshold = 100
+	assert.Assert(t, !table.Large(now, "r"))
 }
 
-// Nodes hear of each other through their relay only. One that dies must not be named to
+// Nodes learn of each other through their relay only. One that dies must not be named to
 // callers for long, and one that lives must not be forgotten, also while the store is
 // away and no registration stands.
-func TestHearingThroughRelay(t *testing.T) {
+func TestLivenessThroughRelay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		relay := Table{Self: centre("relay", "d", 9)}
@@ -97,14 +97,14 @@
 			}
 			for _, other := range names {
 				if dead[other].IsZero() {
-					relay.Heard(now, centre(other, "d", 1))
+					relay.Seen(now, centre(other, "d", 1))
 				}
 			}
-			node.Told(now, relay.Hearing(now))
+			node.MergeLiveness(now, relay.Liveness(now))
 			live := namesOf(node.Live(now, "r"))
 			for _, other := range names {
 				named := slices.Contains(live, other)
-				if at := dead[other]; !at.IsZero() && named && now.Sub(at) > silentTo+saidAge+2*period {
+				if at := dead[other]; !at.IsZero() && named && now.Sub(at) > relaySuspectAfter+indirectAge+2*period {
 					t.Fatalf("%s is named %s after its death", other, now.Sub(at))
 				}
 				if dead[other].IsZero() && !named {
@@ -115,21 +115,21 @@
 	})
 }
 
-// A node that stops by plan must not be named to callers until its relay finds it silent.
+// A node that stops by plan must not be named to callers until its relay finds it unresponsive.
 func TestStoppingIsTold(t *testing.T) {
 	now := time.Unix(100, 0)
 	relay, node := Table{Self: centre("relay", "d", 9)}, Table{Self: centre("node", "d", 1)}
 	for _, x := range []*Table{&relay, &node} {
 		x.Put(now, centre("a", "d", 1))
 	}
-	relay.Heard(now, centre("a", "d", 1))
+	relay.Seen(now, centre("a", "d", 1))
 	stops := centre("a", "d", 1)
 	stops.Serving, stops.Change = false, 2
-	relay.Heard(now, stops)
-	told := relay.Stopping(now.Add(time.Second), 5*time.Second)
-	assert.DeepEqual(t, namesOf(told), []string{"a"})
-	for _, m := range told {
-		node.Learn(now, m)
+	relay.Seen(now, stops)
+	stopping := relay.Stopping(now.Add(time.Second), 5*time.Second)
+	assert.DeepEqual(t, namesOf(stopping), []string{"a"})
+	for _, m := range stopping {
+		node.MergeStopping(now, m)
 	}
 	assert.DeepEqual(t, namesOf(node.Live(now, "r")), []string{"node"})
 	assert.Equal(t, len(relay.Stopping(now.Add(time.Minute), 5*time.Second)), 0)
@@ -146,13 +146,13 @@
 			m := centre(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), "d", 1)
 			m.Start, m.Change = int64(rapid.IntRange(1, 2).Draw(t, "start")), rapid.IntRange(1, 3).Draw(t, "change")
 			m.Serving = m.Change == 1
-			switch rapid.IntRange(0, 8).Draw(t, "news") {
+			switch rapid.IntRange(0, 8).Draw(t, "event") {
 			case 0:
 				table.Put(now, m)
 			case 1:
-				table.Heard(now, m)
+				table.Seen(now, m)
 			case 2:
-				table.HeardOf(now, []string{m.Name})
+				table.SeenByOther(now, []string{m.Name})
 			case 3:
 				table.Failed(now, m.Name)
 			case 4:
@@ -160,17 +160,17 @@
 			case 5:
 				table.Keep(now, map[string]bool{m.Name: true})
 			case 6:
-				table.Woke(now)
+				table.Resumed(now)
 			case 7:
-				table.Learn(now, m)
+				table.MergeStopping(now, m)
 			default:
-				table.Told(now, Hearing{Silent: []string{m.Name}})
+				table.MergeLiveness(now, Liveness{Unresponsive: []string{m.Name}})
 			}
 			got := namesOf(table.Live(now, "r"))
 			count := table.Count(now, "r")
 			table.changed()
 			if want := namesOf(table.Live(now, "r")); !slices.Equal(got, want) {
-				t.Fatalf("%v is told, %v live", got, want)
+				t.Fatalf("%v is reported, %v live", got, want)
 			}
 			if want := table.Count(now, "r"); count != want {
 				t.Fatalf("%d are counted of %d", count, want)
@@ -185,7 +185,7 @@
 	for i := range 300 {
 		m := centre(fmt.Sprint(i), "d", 1)
 		table.Put(now, m)
-		table.Heard(now, m)
+		table.Seen(now, m)
 	}
 	b.ReportAllocs()
 	for i := range b.N {
--- a/core/jwmember/start_test.go
+++ b/core/jwmember/start_test.go
@@ -28,23 +28,23 @@
 			n.reads = []time.Time{begin.Add(ms(500, "read")), begin.Add(ms(6000, "again")), begin.Add(ms(6000, "more"))}
 			nodes = append(nodes, n)
 		}
-		speak := ms(2000, "speak") + time.Millisecond
+		period := ms(2000, "period") + time.Millisecond
 		var sent []time.Time
 		for now := begin; now.Before(begin.Add(9 * time.Second)); now = now.Add(10 * time.Millisecond) {
 			for i, n := range nodes {
 				n.follow(now, nodes)
 				for _, m := range nodes[:i] {
-					// Two nodes speak once one of them knows the other.
-					if now.Sub(begin)%speak < 10*time.Millisecond && (n.knows(m) || m.knows(n)) {
-						n.table.Heard(now, m.table.Self)
-						m.table.Heard(now, n.table.Self)
+					// Two nodes exchange state once one of them knows the other.
+					if now.Sub(begin)%period < 10*time.Millisecond && (n.knows(m) || m.knows(n)) {
+						n.table.Seen(now, m.table.Self)
+						m.table.Seen(now, n.table.Self)
 					}
 				}
 			}
 			sent = after(sent, now.Add(-time.Second))
 			for _, n := range nodes {
 				n.sent = after(n.sent, now.Add(-time.Second))
-				if !n.table.KnownToAll(now) {
+				if !n.table.CountedByAll(now) {
 					continue
 				}
 				l := jwbudget.ColdLimits{Rate: rate, Ratio: 1.5, Slack: bound - 1.5*rate}
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -10,18 +10,18 @@
 )
 
 const (
-	// silentAfter is how long a registered node may stay unheard before it is
-	// taken for dead. Nodes of a region speak every second.
-	silentAfter = 3 * time.Second
-	// trust is how long a new registration is believed before the node is heard.
+	// suspectAfter is how long a registered node may stay unseen before it is
+	// taken for dead. Nodes of a region exchange state every second.
+	suspectAfter = 3 * time.Second
+	// trust is how long a new registration is believed before the node is seen.
 	trust = 2 * time.Second
-	// saidAge is how old the news may be that another node was heard.
-	saidAge = time.Second
-	// forget is how long an unregistered, silent node is remembered; it still
+	// indirectAge is how old the report may be that another node was seen.
+	indirectAge = time.Second
+	// forget is how long an unregistered, unresponsive node is remembered; it still
 	// counts where shares have to be cautious.
 	forget = time.Minute
 	// knownFor is how long a node relies on being counted by another that it
-	// heard: less than that one remembers it, by more than any way between them.
+	// seen: less than that one remembers it, by more than any way between them.
 	knownFor = 50 * time.Second
 	// window is what sums are kept within, with some room.
 	window = 1100 * time.Millisecond
@@ -34,21 +34,21 @@
 	DataCentre string         `json:"dataCentre"`
 	Callers    netip.AddrPort `json:"callers"`
 	Nodes      netip.AddrPort `json:"nodes"`
-	Start      int64          `json:"start"`           // Unix nanoseconds; a later one is a new process
-	Change     int            `json:"change"`          // rises when Serving changes
-	Serving    bool           `json:"serving"`         // false before a configuration is known and from a planned stop on
-	Trip       int64          `json:"trip,omitempty"`  // milliseconds to the store and back, in steps of tripStep, 0 if not known
-	Bears      int            `json:"bears,omitempty"` // what its host bears, in hundredths of a core or as its link allows, for the choice of relays
+	Start      int64          `json:"start"`              // Unix nanoseconds; a later one is a new process
+	Change     int            `json:"change"`             // rises when Serving changes
+	Serving    bool           `json:"serving"`            // false before a configuration is known and from a planned stop on
+	Trip       int64          `json:"trip,omitempty"`     // milliseconds to the store and back, in steps of tripStep, 0 if not known
+	Capacity   int            `json:"capacity,omitempty"` // what its host can do, in hundredths of a core or as its link allows, for the choice of relays
 }
 
 // Table holds the other nodes; set its fields before use.
 type Table struct {
-	Self  Member
-	Crowd int // nodes of a region from which on they speak through relays, 0 for DefaultCrowd
+	Self           Member
+	RelayThreshold int // nodes of a region from which on they report through relays, 0 for DefaultRelayThreshold
 
 	mu      sync.Mutex
 	members map[string]*record
-	woke    time.Time // from the last pause of the process, zero before one
+	resumed time.Time // from the last pause of the process, zero before one
 	stopped time.Time // when the node itself ceased to serve
 	listed  time.Time // when this process read its own registration in the store, zero while it has not
 	views   map[string]view
@@ -56,7 +56,7 @@
 	counted time.Time // from when on all others count this node, zero if that isn't known
 }
 
-// viewAge is how long a view of a region serves while no news comes: many requests ask
+// viewAge is how long a view of a region serves while nothing changes: many requests ask
 // for the same, and with hundreds of nodes to go over they would do little else.
 const viewAge = 50 * time.Millisecond
 
@@ -87,16 +87,16 @@
 	Member
 	registered bool
 	since      time.Time // of the registration
-	heard      time.Time
-	met        time.Time // first heard by this process
+	seen       time.Time
+	met        time.Time // first seen by this process
 	failed     time.Time // last attempt to reach it that failed
-	stopped    time.Time // when it was first heard that this process stops by plan, zero before
+	stopped    time.Time // when it was first seen that this process stops by plan, zero before
 }
 
 // Leaver is a node that stops by plan.
 type Leaver struct {
 	Member
-	Since time.Duration // since its stop was heard of
+	Since time.Duration // since its stop was seen of
 }
 
 // Put takes the registration of a node; it tells whether it is of a process
@@ -116,9 +116,9 @@
 	return r.take(now, m)
 }
 
-// Heard notes that a node spoke itself; it tells whether that is a process that
+// Seen notes that a node reported itself; it tells whether that is a process that
 // began anew.
-func (t *Table) Heard(now time.Time, m Member) (anew bool) {
+func (t *Table) Seen(now time.Time, m Member) (anew bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(m)
@@ -131,34 +131,34 @@
 	if !t.live(now, r) || r.Start != m.Start || r.Change != m.Change {
 		t.changed()
 	}
-	r.heard = now
+	r.seen = now
 	return r.take(now, m)
 }
 
-// HeardOf notes that another node says that it heard these lately. Nodes of
-// other regions are too many to speak to each.
-func (t *Table) HeardOf(now time.Time, names []string) {
+// SeenByOther notes that another node says that it seen these lately. Nodes of
+// other regions are too many to exchange state with each.
+func (t *Table) SeenByOther(now time.Time, names []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, name := range names {
 		r := t.members[name]
-		if at := now.Add(-saidAge); r != nil && at.After(r.heard) {
+		if at := now.Add(-indirectAge); r != nil && at.After(r.seen) {
 			if !t.live(now, r) {
 				t.changed()
 			}
-			r.heard = at
+			r.seen = at
 		}
 	}
 }
 
-// Near returns the names of the serving nodes of the own region that were
-// heard lately, for HeardOf elsewhere.
-func (t *Table) Near(now time.Time) []string {
+// LocalSeen returns the names of the serving nodes of the own region that were
+// seen lately, for SeenByOther elsewhere.
+func (t *Table) LocalSeen(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var names []string
 	for name, r := range t.members {
-		if r.Serving && r.Region == t.Self.Region && now.Sub(r.heard) < saidAge && !r.failed.After(r.heard) {
+		if r.Serving && r.Region == t.Self.Region && now.Sub(r.seen) < indirectAge && !r.failed.After(r.seen) {
 			names = append(names, name)
 		}
 	}
@@ -166,10 +166,10 @@
 	return names
 }
 
-// Speaker returns the node of another region that this one speaks to: by
+// Contact returns the node of another region that this one exchanges state with: by
 // rendezvous among the live, so that each has about as many, or among all that
 // are known where none is believed to live.
-func (t *Table) Speaker(now time.Time, region string) (Member, bool) {
+func (t *Table) Contact(now time.Time, region string) (Member, bool) {
 	list := t.Live(now, region)
 	if len(list) == 0 {
 		for _, m := range t.Peers(now) {
@@ -205,13 +205,13 @@
 	}
 }
 
-// Woke forgets who was heard: the node itself stood still, and by its clock
-// that may look fresh. Those that live are heard within moments.
+// Resumed forgets who was seen: the node itself stood still, and by its clock
+// that may look fresh. Those that live are seen within moments.
 // They still count where shares have to be cautious.
-func (t *Table) Woke(now time.Time) {
+func (t *Table) Resumed(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.woke = now
+	t.resumed = now
 	t.changed()
 }
 
@@ -250,7 +250,7 @@
 		if !names[name] {
 			r.registered = false
 		}
-		if !r.registered && now.Sub(r.heard) > forget {
+		if !r.registered && now.Sub(r.seen) > forget {
 			delete(t.members, name)
 		}
 	}
@@ -291,23 +291,23 @@
 // stops tells whether a node has served and does not any more.
 func (m *Member) stops() bool { return !m.Serving && m.Change > 0 }
 
-// live tells whether a node is believed to run.
+// live tells whether a node is taken to run.
 func (t *Table) live(now time.Time, r *record) bool {
-	if !r.heard.After(t.woke) && !t.woke.IsZero() {
+	if !r.seen.After(t.resumed) && !t.resumed.IsZero() {
 		return false
 	}
-	if now.Sub(r.heard) < silentAfter && !r.failed.After(r.heard) {
+	if now.Sub(r.seen) < suspectAfter && !r.failed.After(r.seen) {
 		return true
 	}
 	return r.registered && now.Sub(r.since) < trust && !r.failed.After(r.since)
 }
 
-// Speaks tells whether a node was heard lately.
-func (t *Table) Speaks(now time.Time, name string) bool {
+// RecentlySeen tells whether a node was seen lately.
+func (t *Table) RecentlySeen(now time.Time, name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.members[name]
-	return r != nil && now.Sub(r.heard) < silentAfter/2
+	return r != nil && now.Sub(r.seen) < suspectAfter/2
 }
 
 // Live returns the nodes believed to run and to serve, by name; region "" is
@@ -338,7 +338,7 @@
 	return list
 }
 
-// Leaving returns the nodes of a region that stop by plan and were heard, or heard
+// Leaving returns the nodes of a region that stop by plan and were seen, or seen
 // of, since their stop, by name, the node itself among them.
 func (t *Table) Leaving(now time.Time, region string) []Leaver {
 	t.mu.Lock()
@@ -348,7 +348,7 @@
 		list = append(list, Leaver{t.Self, now.Sub(t.stopped)})
 	}
 	for _, r := range t.members {
-		if r.Region == region && r.stops() && !r.stopped.IsZero() && now.Sub(r.stopped) < forget && !r.failed.After(r.heard) {
+		if r.Region == region && r.stops() && !r.stopped.IsZero() && now.Sub(r.stopped) < forget && !r.failed.After(r.seen) {
 			list = append(list, Leaver{r.Member, now.Sub(r.stopped)})
 		}
 	}
@@ -356,14 +356,14 @@
 	return list
 }
 
-// Peers returns the nodes to talk to: all that are registered or were heard
+// Peers returns the nodes to talk to: all that are registered or were seen
 // lately, serving or not.
 func (t *Table) Peers(now time.Time) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Member
 	for _, r := range t.members {
-		if r.registered || now.Sub(r.heard) < forget {
+		if r.registered || now.Sub(r.seen) < forget {
 			list = append(list, r.Member)
 		}
 	}
@@ -402,7 +402,7 @@
 }
 
 // Count returns how many nodes of a region there may be, the node itself
-// included: the live, the registered and those heard within the last minute.
+// included: the live, the registered and those seen within the last minute.
 // Shares of a sum that must not be exceeded are made from it.
 func (t *Table) Count(now time.Time, region string) int {
 	t.mu.Lock()
@@ -421,21 +421,21 @@
 		n++
 	}
 	for _, r := range t.members {
-		if (region == "" || r.Region == region) && (r.registered || now.Sub(r.heard) < forget) {
+		if (region == "" || r.Region == region) && (r.registered || now.Sub(r.seen) < forget) {
 			n++
 		}
 	}
 	return n
 }
 
-// KnownToAll tells whether every node that may share a sum with this one counts
+// CountedByAll tells whether every node that may share a sum with this one counts
 // it. Otherwise the others may use the whole sum without it; see spec/share. It
 // takes two things. The node has read its own registration in the store: of two
 // that start at once, the one that registered last then knows of the other,
-// however slow the store is. And it has spoken with every registered node of its
+// however slow the store is. And it has exchanged state with every registered node of its
 // region, lately, and so long ago that what was used among fewer, also by a
 // process before this one, has left the window.
-func (t *Table) KnownToAll(now time.Time) bool {
+func (t *Table) CountedByAll(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.listed.IsZero() || now.Sub(t.listed) < window {
@@ -445,7 +445,7 @@
 		if !r.registered || r.Region != t.Self.Region {
 			continue
 		}
-		if now.Sub(r.heard) > knownFor || now.Sub(r.met) < window {
+		if now.Sub(r.seen) > knownFor || now.Sub(r.met) < window {
 			return false
 		}
 	}
--- a/core/jwmember/table_test.go
+++ b/core/jwmember/table_test.go
@@ -33,33 +33,33 @@
 		"a new registration is believed for a while": {func(t *Table) { t.Put(at(0), b) }, 1000, []string{"a", "b"}},
 		// A host lost power right after it registered. Its lease has not ended,
 		// and callers sent there would wait in vain.
-		"registered but never heard":         {func(t *Table) { t.Put(at(0), b) }, 2500, []string{"a"}},
-		"heard":                              {func(t *Table) { t.Put(at(0), b); t.Heard(at(2000), b) }, 4000, []string{"a", "b"}},
-		"heard too long ago":                 {func(t *Table) { t.Put(at(0), b); t.Heard(at(0), b) }, 4000, []string{"a"}},
-		"heard, then it took no connection":  {func(t *Table) { t.Heard(at(0), b); t.Failed(at(100), "b") }, 200, []string{"a"}},
-		"it took none, then was heard again": {func(t *Table) { t.Heard(at(0), b); t.Failed(at(100), "b"); t.Heard(at(150), b) }, 200, []string{"a", "b"}},
-		"its key is gone, but it speaks":     {func(t *Table) { t.Put(at(0), b); t.Heard(at(3000), b); t.Remove("b") }, 3500, []string{"a", "b"}},
-		"its key is gone and it is silent":   {func(t *Table) { t.Put(at(0), b); t.Remove("b") }, 1000, []string{"a"}},
-		"it says that it stops":              {func(t *Table) { t.Heard(at(0), b); t.Heard(at(10), member("b", "r", 2)) }, 20, []string{"a"}},
-		// The clock stood still with the process; what was heard looks fresh.
-		"heard before this process was paused": {func(t *Table) { t.Put(at(0), b); t.Heard(at(10), b); t.Woke(at(20)) }, 30, []string{"a"}},
-		"heard after this process was paused":  {func(t *Table) { t.Heard(at(10), b); t.Woke(at(20)); t.Heard(at(25), b) }, 30, []string{"a", "b"}},
-		"of another region":                    {func(t *Table) { t.Heard(at(0), member("c", "q", 1)) }, 20, []string{"a"}},
-		"another node heard it":                {func(t *Table) { t.Put(at(0), b); t.HeardOf(at(2900), []string{"b"}) }, 4000, []string{"a", "b"}},
-		"another node heard it, long ago":      {func(t *Table) { t.Put(at(0), b); t.HeardOf(at(2900), []string{"b"}) }, 5000, []string{"a"}},
-		"another node heard it, this one can't reach it": {func(t *Table) {
-			t.Heard(at(0), b)
+		"registered but never seen":              {func(t *Table) { t.Put(at(0), b) }, 2500, []string{"a"}},
+		"seen":                                   {func(t *Table) { t.Put(at(0), b); t.Seen(at(2000), b) }, 4000, []string{"a", "b"}},
+		"seen too long ago":                      {func(t *Table) { t.Put(at(0), b); t.Seen(at(0), b) }, 4000, []string{"a"}},
+		"seen, then it took no connection":       {func(t *Table) { t.Seen(at(0), b); t.Failed(at(100), "b") }, 200, []string{"a"}},
+		"it took none, then was seen again":      {func(t *Table) { t.Seen(at(0), b); t.Failed(at(100), "b"); t.Seen(at(150), b) }, 200, []string{"a", "b"}},
+		"its key is gone, but it reports":        {func(t *Table) { t.Put(at(0), b); t.Seen(at(3000), b); t.Remove("b") }, 3500, []string{"a", "b"}},
+		"its key is gone and it is unresponsive": {func(t *Table) { t.Put(at(0), b); t.Remove("b") }, 1000, []string{"a"}},
+		"it says that it stops":                  {func(t *Table) { t.Seen(at(0), b); t.Seen(at(10), member("b", "r", 2)) }, 20, []string{"a"}},
+		// The clock stood still with the process; what was seen looks fresh.
+		"seen before this process was paused": {func(t *Table) { t.Put(at(0), b); t.Seen(at(10), b); t.Resumed(at(20)) }, 30, []string{"a"}},
+		"seen after this process was paused":  {func(t *Table) { t.Seen(at(10), b); t.Resumed(at(20)); t.Seen(at(25), b) }, 30, []string{"a", "b"}},
+		"of another region":                   {func(t *Table) { t.Seen(at(0), member("c", "q", 1)) }, 20, []string{"a"}},
+		"another node seen it":                {func(t *Table) { t.Put(at(0), b); t.SeenByOther(at(2900), []string{"b"}) }, 4000, []string{"a", "b"}},
+		"another node seen it, long ago":      {func(t *Table) { t.Put(at(0), b); t.SeenByOther(at(2900), []string{"b"}) }, 5000, []string{"a"}},
+		"another node seen it, this one can't reach it": {func(t *Table) {
+			t.Seen(at(0), b)
 			t.Failed(at(2500), "b")
-			t.HeardOf(at(2900), []string{"b"})
+			t.SeenByOther(at(2900), []string{"b"})
 		}, 3000, []string{"a"}},
 		// The store still has what a stopping node wrote before; it was read
 		// anew and callers were sent to a node that was about to end.
-		"the store tells an older word of it": {func(t *Table) { t.Heard(at(10), member("b", "r", 2)); t.Put(at(20), b) }, 30, []string{"a"}},
+		"the store has an older registration": {func(t *Table) { t.Seen(at(10), member("b", "r", 2)); t.Put(at(20), b) }, 30, []string{"a"}},
 		"a new process of the same name": {func(t *Table) {
-			t.Heard(at(10), member("b", "r", 2))
+			t.Seen(at(10), member("b", "r", 2))
 			again := b
 			again.Start = 2
-			t.Heard(at(20), again)
+			t.Seen(at(20), again)
 		}, 30, []string{"a", "b"}},
 	}
 	for name, c := range cases {
@@ -77,13 +77,13 @@
 	now := time.Unix(1000, 0)
 	table := &Table{Self: member("a", "r", 1)}
 	table.Put(now, member("b", "r", 1))
-	table.Heard(now, member("c", "r", 1))
-	table.Heard(now, member("d", "q", 1))
+	table.Seen(now, member("c", "r", 1))
+	table.Seen(now, member("d", "q", 1))
 	table.Remove("b")
 	assert.Equal(t, table.Count(now, "r"), 2)
 	assert.Equal(t, table.Count(now, ""), 3)
 	assert.Equal(t, table.Count(now.Add(30*time.Second), "r"), 2)
-	table.Woke(now.Add(time.Second))
+	table.Resumed(now.Add(time.Second))
 	assert.Equal(t, table.Count(now.Add(30*time.Second), "r"), 2)
 	assert.Equal(t, table.Count(now.Add(2*time.Minute), "r"), 1)
 }
@@ -96,7 +96,7 @@
 		for _, self := range all {
 			table := &Table{Self: self}
 			for _, m := range all {
-				table.Heard(now, m)
+				table.Seen(now, m)
 			}
 			if table.Owns(now, name) {
 				owners++
@@ -115,9 +115,9 @@
 	again := first
 	again.Start = 2
 	assert.Assert(t, !table.Put(now, first), "it is new")
-	assert.Assert(t, !table.Heard(now, first))
-	assert.Assert(t, table.Heard(now, again))
-	assert.Assert(t, !table.Heard(now, again))
+	assert.Assert(t, !table.Seen(now, first))
+	assert.Assert(t, table.Seen(now, again))
+	assert.Assert(t, !table.Seen(now, again))
 	assert.Assert(t, !table.Put(now, first), "the store lags behind")
 }
 
@@ -134,29 +134,29 @@
 		do   func(*Table)
 		want bool
 	}{
-		"alone and not listed":        {func(*Table) {}, false},
-		"alone":                       {func(t *Table) { t.Listed(t0.Add(-2*time.Second), self) }, true},
-		"listed a moment ago":         {func(t *Table) { t.Listed(t0, self) }, false},
-		"a process before it listed":  {func(t *Table) { t.Listed(t0.Add(-2*time.Second), earlier) }, false},
-		"no longer listed":            {func(t *Table) { t.Listed(t0.Add(-2*time.Second), self); t.Remove("a") }, false},
-		"not in the whole store":      {func(t *Table) { t.Listed(t0.Add(-2*time.Second), self); t.Keep(t0, map[string]bool{"b": true}) }, false},
-		"one registered, never heard": {func(t *Table) { list(t, t0); t.Put(t0, member("b", "r", 1)) }, false},
-		"all heard": {func(t *Table) {
+		"alone and not listed":       {func(*Table) {}, false},
+		"alone":                      {func(t *Table) { t.Listed(t0.Add(-2*time.Second), self) }, true},
+		"listed a moment ago":        {func(t *Table) { t.Listed(t0, self) }, false},
+		"a process before it listed": {func(t *Table) { t.Listed(t0.Add(-2*time.Second), earlier) }, false},
+		"no longer listed":           {func(t *Table) { t.Listed(t0.Add(-2*time.Second), self); t.Remove("a") }, false},
+		"not in the whole store":     {func(t *Table) { t.Listed(t0.Add(-2*time.Second), self); t.Keep(t0, map[string]bool{"b": true}) }, false},
+		"one registered, never seen": {func(t *Table) { list(t, t0); t.Put(t0, member("b", "r", 1)) }, false},
+		"all seen": {func(t *Table) {
 			list(t, t0)
 			t.Put(t0, member("b", "r", 1))
-			t.Heard(t0.Add(-2*time.Second), member("b", "r", 1))
+			t.Seen(t0.Add(-2*time.Second), member("b", "r", 1))
 		}, true},
-		"heard a moment ago":       {func(t *Table) { list(t, t0); t.Put(t0, member("b", "r", 1)); t.Heard(t0, member("b", "r", 1)) }, false},
+		"seen a moment ago":        {func(t *Table) { list(t, t0); t.Put(t0, member("b", "r", 1)); t.Seen(t0, member("b", "r", 1)) }, false},
 		"of another region":        {func(t *Table) { list(t, t0); t.Put(t0, member("b", "q", 1)) }, true},
 		"its registration is gone": {func(t *Table) { list(t, t0); t.Put(t0, member("b", "r", 1)); t.Remove("b") }, true},
-		"heard, but nearly forgotten": {func(t *Table) {
+		"seen, but nearly forgotten": {func(t *Table) {
 			list(t, t0)
 			t.Put(t0, member("b", "r", 1))
-			t.Heard(t0.Add(-55*time.Second), member("b", "r", 1))
+			t.Seen(t0.Add(-55*time.Second), member("b", "r", 1))
 		}, false},
-		"heard before its key was read": {func(t *Table) {
+		"seen before its key was read": {func(t *Table) {
 			list(t, t0)
-			t.Heard(t0.Add(-2*time.Second), member("b", "r", 1))
+			t.Seen(t0.Add(-2*time.Second), member("b", "r", 1))
 			t.Put(t0, member("b", "r", 1))
 		}, true},
 	}
@@ -164,7 +164,7 @@
 		t.Run(name, func(t *testing.T) {
 			table := &Table{Self: self}
 			c.do(table)
-			assert.Equal(t, table.KnownToAll(t0), c.want)
+			assert.Equal(t, table.CountedByAll(t0), c.want)
 		})
 	}
 }
@@ -186,14 +186,14 @@
 		do   func(*Table)
 		want []Leaver
 	}{
-		"serves":                 {func(t *Table) { t.Heard(at(0), serving) }, nil},
-		"starts":                 {func(t *Table) { t.Heard(at(0), starting) }, nil},
-		"stops":                  {func(t *Table) { t.Heard(at(0), serving); t.Heard(at(time.Second), stopped) }, []Leaver{{stopped, 2 * time.Second}}},
-		"is heard again":         {func(t *Table) { t.Heard(at(time.Second), stopped); t.Heard(at(2*time.Second), stopped) }, []Leaver{{stopped, 2 * time.Second}}},
-		"can't be reached since": {func(t *Table) { t.Heard(at(time.Second), stopped); t.Failed(at(2*time.Second), "b") }, nil},
-		"starts anew":            {func(t *Table) { t.Heard(at(time.Second), stopped); t.Heard(at(2*time.Second), starting) }, nil},
-		"the store lags behind":  {func(t *Table) { t.Heard(at(time.Second), stopped); t.Put(at(2*time.Second), serving) }, []Leaver{{stopped, 2 * time.Second}}},
-		"is of another region":   {func(t *Table) { m := stopped; m.Region = "q"; t.Heard(at(0), m) }, nil},
+		"serves":                 {func(t *Table) { t.Seen(at(0), serving) }, nil},
+		"starts":                 {func(t *Table) { t.Seen(at(0), starting) }, nil},
+		"stops":                  {func(t *Table) { t.Seen(at(0), serving); t.Seen(at(time.Second), stopped) }, []Leaver{{stopped, 2 * time.Second}}},
+		"is seen again":          {func(t *Table) { t.Seen(at(time.Second), stopped); t.Seen(at(2*time.Second), stopped) }, []Leaver{{stopped, 2 * time.Second}}},
+		"can't be reached since": {func(t *Table) { t.Seen(at(time.Second), stopped); t.Failed(at(2*time.Second), "b") }, nil},
+		"starts anew":            {func(t *Table) { t.Seen(at(time.Second), stopped); t.Seen(at(2*time.Second), starting) }, nil},
+		"the store lags behind":  {func(t *Table) { t.Seen(at(time.Second), stopped); t.Put(at(2*time.Second), serving) }, []Leaver{{stopped, 2 * time.Second}}},
+		"is of another region":   {func(t *Table) { m := stopped; m.Region = "q"; t.Seen(at(0), m) }, nil},
 		"the node itself":        {func(t *Table) { t.Serve(at(0), true); t.Serve(at(2*time.Second), false) }, []Leaver{{Member{Name: "a", Region: "r", Start: 1, Change: 2}, time.Second}}},
 		"the node itself, once more": {func(t *Table) {
 			t.Serve(at(0), true)
--- a/core/jwplacement/placement.go
+++ b/core/jwplacement/placement.go
@@ -6,15 +6,15 @@
 	"jujubewheel/core/jwmember"
 )
 
-// Farther is by how much cheaper another region must be than this one before a
+// RemotePenalty is by how much cheaper another region must be than this one before a
 // request is sent there: its bytes are dear and estimates are rough.
-const Farther = 100 * time.Millisecond
+const RemotePenalty = 100 * time.Millisecond
 
 // Option is a region that may serve a request and can be reached.
 type Option struct {
 	Region   string
-	Known    bool          // it has told lately how long requests wait
-	Expected time.Duration // until the first event, with the way there and back
+	Known    bool          // it has reported lately how long requests wait
+	Expected time.Duration // until the first event, with the round trip
 	Own      time.Duration // of that, what reading the request's own prompt takes
 	Later    time.Duration // what counts beside the first event
 	Miss     int           // prompt tokens that have to be read there
@@ -40,13 +40,13 @@
 	Reason Reason
 }
 
-// Policy chooses. The zero value sends away what is cheaper by Farther.
+// Policy chooses. The zero value sends away what is cheaper by RemotePenalty.
 type Policy struct {
 	Stay bool // only what can't be served here is sent away, for tests and for measuring
 }
 
 // Choose returns the region of the node itself unless another is clearly cheaper. A
-// region that has told nothing lately is used only where nothing else is left. here
+// region that has reported nothing lately is used only where nothing else is left. here
 // is nil if no target here can take the request; others come in a fixed order, of
 // which the first of equals is taken.
 func (p Policy) Choose(here *Option, others []Option) Choice {
@@ -59,7 +59,7 @@
 		case best.Reason == Nowhere:
 			best = Choice{o, Only}
 		case !o.Known || here != nil && p.Stay:
-		case here != nil && here.Cost() <= o.Cost()+Farther:
+		case here != nil && here.Cost() <= o.Cost()+RemotePenalty:
 		case best.Reason == Here:
 			best = Choice{o, Cheaper}
 		case !best.Known || o.Cost() < best.Cost():
--- a/io/jwgateway/body.go
+++ b/io/jwgateway/body.go
@@ -70,7 +70,7 @@
 	return b, nil
 }
 
-// once tells whether the body can't be sent again.
+// once reports whether the body can't be sent again.
 func (b *body) once() bool {
 	if b.rest == nil {
 		return false
@@ -105,7 +105,7 @@
 	}
 }
 
-// tooLarge tells whether a body of unknown length turned out too long.
+// tooLarge reports whether a body of unknown length turned out too long.
 func (b *body) tooLarge() bool {
 	if b.rest == nil {
 		return false
--- a/io/jwgateway/callers.go
+++ b/io/jwgateway/callers.go
@@ -15,12 +15,12 @@
 	quotaPatience = 400 * time.Millisecond
 	// quotaShare is the part of its time that a request may wait so.
 	quotaShare = 0.15
-	// keyWait is the Retry-After for a key that a node without a fresh view of the
+	// keyRetryAfter is the Retry-After for a key that a node without a fresh view of the
 	// configuration doesn't know.
-	keyWait = 300 * time.Millisecond
-	// sureFor is how long a node that is cut off from the store takes its configuration
-	// for the newest after one that reaches the store told nothing newer.
-	sureFor = 3 * sureAge
+	keyRetryAfter = 300 * time.Millisecond
+	// syncedPeerFor is how long a node that is cut off from the store takes its configuration
+	// for the newest after one that reaches the store reported nothing newer.
+	syncedPeerFor = 3 * syncedPeerAge
 )
 
 // Why callers are refused.
@@ -36,8 +36,8 @@
 	q.homes, q.priority = q.entry.Homes, q.entry.Priority
 	if !known {
 		// A node that lags behind must not turn away a key that was added meanwhile.
-		if g.store.doubt(q.arrived) && q.arrived.Sub(time.Unix(0, g.store.sure.Load())) > sureFor {
-			g.refuseRequest(q, http.StatusServiceUnavailable, keyWait, unsureKey, nil)
+		if g.store.stale(q.arrived) && q.arrived.Sub(time.Unix(0, g.store.syncedPeer.Load())) > syncedPeerFor {
+			g.refuseRequest(q, http.StatusServiceUnavailable, keyRetryAfter, unsureKey, nil)
 			return false
 		}
 		g.refuseRequest(q, http.StatusUnauthorized, 0, unknownKey, nil)
@@ -104,7 +104,7 @@
 	g.refuse(q.w, q.ID, status, again, why)
 }
 
-// limited tells whether any workspace of the configuration in force has a quota.
+// limited reports whether any workspace of the configuration in force has a quota.
 func (g *Gateway) limited() bool {
 	c := g.entries.Current()
 	return c != nil && c.Workspaces.Limited()
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -7,12 +7,12 @@
 	"jujubewheel/io/jwlog"
 )
 
-// The steps of a request that the log tells.
+// The steps of a request in the log.
 const (
 	stepSend    = "send"    // to a target
 	stepForward = "forward" // to a node of another region
-	stepBegun   = "begun"   // a stream began; its end may never be told if the node is killed
-	stepAnswer  = "answer"  // what the caller was told
+	stepBegun   = "begun"   // a stream began; its end may never be logged if the node is killed
+	stepAnswer  = "answer"  // what the caller was answered
 )
 
 // decision begins a line about a request.
@@ -31,7 +31,7 @@
 // outcomeBegun is the outcome of stepBegun.
 const outcomeBegun = "begun"
 
-// outcomeOf tells how a request ended that a target answered.
+// outcomeOf returns how a request ended that a target answered.
 func outcomeOf(status int) string {
 	if status >= 500 {
 		return "failedByTarget"
@@ -39,8 +39,8 @@
 	return outcomeServed
 }
 
-// toldSend logs a send to a target.
-func (g *Gateway) toldSend(q *request, c jwinstance.Choice, v Verdict, status int, p progress) {
+// logSend logs a send to a target.
+func (g *Gateway) logSend(q *request, c jwinstance.Choice, v Verdict, status int, p progress) {
 	g.meters.sent(stepSend, string(q.entry.Kind), v)
 	if p.first > 0 {
 		g.meters.begun(placeHere, p.first)
@@ -61,16 +61,16 @@
 	g.Decisions.Write(&d)
 }
 
-// toldBegun logs that the first event of a stream is there. Streams last for
+// logBegun logs that the first event of a stream is there. Streams last for
 // seconds; of one whose node is killed nothing else would be known.
-func (g *Gateway) toldBegun(q *request) {
+func (g *Gateway) logBegun(q *request) {
 	d := q.decision(stepBegun)
 	d.Peer, d.Outcome, d.Minor = q.sentTo, outcomeBegun, true
 	g.Decisions.Write(&d)
 }
 
-// toldForward logs a request passed on to another node.
-func (g *Gateway) toldForward(q *request, peer string, v Verdict, status int, p progress) {
+// logForward logs a request passed on to another node.
+func (g *Gateway) logForward(q *request, peer string, v Verdict, status int, p progress) {
 	g.meters.sent(stepForward, string(q.entry.Kind), v)
 	if v == finished {
 		g.meters.ended(string(q.entry.Kind), outcomeOf(status), placeAway, time.Since(q.arrived))
@@ -85,8 +85,8 @@
 	g.Decisions.Write(&d)
 }
 
-// toldAnswer logs an answer of the gateway's own, or that there is none.
-func (g *Gateway) toldAnswer(q *request, outcome, reason string, status int) {
+// logAnswer logs an answer of the gateway's own, or that there is none.
+func (g *Gateway) logAnswer(q *request, outcome, reason string, status int) {
 	if !q.forward {
 		g.meters.ended(string(q.entry.Kind), outcome, placeNone, time.Since(q.arrived))
 	}
--- a/io/jwgateway/dialect.go
+++ b/io/jwgateway/dialect.go
@@ -19,7 +19,7 @@
 	Prompt    jwinstance.Prompt
 }
 
-// Send is what a target is told with a request.
+// Send is what a target receives with a request.
 type Send struct {
 	Target    string // the incarnation that may run it
 	Left      time.Duration
@@ -30,8 +30,8 @@
 	Fetch     netip.AddrPort // a target that holds parts of the prompt, if valid
 }
 
-// Told is what an answer says in its headers.
-type Told struct {
+// Reply is what an answer says in its headers.
+type Reply struct {
 	ID     string        // of the request that it answers
 	NotRun bool          // the target has not run the request and will not
 	Signed bool          // a target made it
@@ -42,15 +42,15 @@
 // Dialect translates the headers of callers and targets.
 type Dialect interface {
 	Call(h http.Header) Call
-	// Strip removes what only the gateway may tell a target.
+	// Strip removes what only the gateway may set for a target.
 	Strip(h http.Header)
 	// StripKey removes the key of a caller.
 	StripKey(h http.Header)
-	// Send adds what the target is told.
+	// Send adds what the target receives.
 	Send(h http.Header, s Send)
 	// Left replaces the time left.
 	Left(h http.Header, left time.Duration)
-	Answer(h http.Header) Told
+	Answer(h http.Header) Reply
 	// ID returns the identifier of the request that an answer belongs to.
 	ID(h http.Header) string
 	// Refuse adds to a refusal which request it answers.
--- a/io/jwgateway/directory.go
+++ b/io/jwgateway/directory.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// resolverView is what the node believes of a region whose caller asks about a host.
+// resolverView is the local view of a region whose caller asks about a host.
 func (g *Gateway) resolverView(now time.Time, host, region string) jwresolver.View {
 	v := jwresolver.View{Own: g.members.Live(now, region)}
 	if len(v.Own) > 0 {
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -45,8 +45,8 @@
 
 	mu       sync.Mutex // held while changes are applied
 	revision uint64     // the changes after it are to be read
-	heard    time.Time  // when a relay told changes last, zero if it can't be relied on
-	refused  time.Time  // when a relay that reads the store could not tell its changes
+	relayAt  time.Time  // when a relay passed changes on last, zero if it can't be relied on
+	refused  time.Time  // when a relay that reads the store could not pass its changes on
 
 	alone chan struct{} // the relay can't be relied on any more
 }
@@ -98,9 +98,9 @@
 	}
 }
 
-// reads tells whether the node reads the store for others.
+// reads reports whether the node reads the store for others.
 func (g *Gateway) reads(now time.Time) bool {
-	return g.members.IsRelay(now) && g.members.Crowded(now, g.members.Me().Region)
+	return g.members.IsRelay(now) && g.members.Large(now, g.members.Me().Region)
 }
 
 // followPause returns the wait between two readings of changes.
@@ -130,11 +130,11 @@
 func (f *follower) restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision, f.heard = 0, time.Time{}
+	f.revision, f.relayAt = 0, time.Time{}
 	f.g.recent.Forget()
 }
 
-// step reads once, and tells of when what was read is.
+// step reads once, and returns as of when the store was read.
 func (f *follower) step(ctx context.Context) (seen time.Time, err error) {
 	from := f.at()
 	if from == 0 {
@@ -257,7 +257,7 @@
 	if e.Deleted {
 		g.members.Remove(name)
 		if name == g.Settings.Node {
-			g.again()
+			g.reregister()
 		}
 		return
 	}
@@ -312,6 +312,6 @@
 	g.Log.Info("configuration in force", "version", c.Version, "before", old, "entries", len(c.Entries), "from", from)
 	if old == 0 {
 		g.members.Serve(time.Now(), !g.stopping.Load())
-		g.again()
+		g.reregister()
 	}
 }
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -85,7 +85,7 @@
 	now := time.Now()
 	nodes := g.untried(q, g.members.Live(now, region))
 	if len(nodes) == 0 {
-		return q.turnAway(noTarget, jwadmission.LeastAgain)
+		return q.reject(noTarget, jwadmission.MinRetryAfter)
 	}
 	g.regions.send(now, region, q.service, miss)
 	return g.forward(ctx, q, g.near(nodes, point(q.ID)))
@@ -96,7 +96,7 @@
 	return jwplacement.Node(nodes, func(m jwmember.Member) bool { return g.Nodes.Kept(m.Nodes) > 0 }, point)
 }
 
-// anyUntried tells whether the request was not sent to one of the nodes yet.
+// anyUntried reports whether the request was not sent to one of the nodes yet.
 func (g *Gateway) anyUntried(q *request, nodes []jwmember.Member) bool {
 	return slices.ContainsFunc(nodes, func(m jwmember.Member) bool { return !q.tried[m.Name] })
 }
@@ -151,7 +151,7 @@
 			}
 		})
 	}()
-	g.toldForward(q, m.Name, verdict, status, p)
+	g.logForward(q, m.Name, verdict, status, p)
 	return verdict
 }
 
@@ -193,7 +193,7 @@
 	return failed
 }
 
-// The outcomes that a node tells another one.
+// The outcomes that a node reports to another one.
 const (
 	outcomeServed = "served" // the answer is a target's
 	outcomeNotRun = "notRun" // no target ran the request or will
@@ -218,11 +218,11 @@
 	}
 	q.deadline = q.arrived.Add(max(q.Deadline, time.Millisecond))
 	if !g.pulse.Alive() {
-		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, wakeWait, "the node was paused")
+		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, wakeRetryAfter, "the node was paused")
 		return
 	}
 	if g.leaving() {
-		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, stopWait, "the node is stopping")
+		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, stopRetryAfter, "the node is stopping")
 		return
 	}
 	if !g.takeBody(q, r) {
@@ -300,8 +300,8 @@
 		g.serveState(w, r)
 	case r.URL.Path == changesPath:
 		g.serveChanges(w, r)
-	case r.URL.Path == beliefPath:
-		g.serveBelief(w, r)
+	case r.URL.Path == viewPath:
+		g.serveView(w, r)
 	default:
 		http.NotFound(w, r)
 	}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -33,51 +33,51 @@
 
 // Gateway is one node; set its fields, then call Run.
 type Gateway struct {
-	Settings  *jwsettings.Settings
-	Feed      jwstore.Feed
-	Records   Records
-	Dialect   Dialect
-	Targets   *jwconn.Pool                                   // connections to targets
-	Nodes     *jwconn.Pool                                   // connections to other nodes
-	Meter     *jwmeter.Meter                                 // counters and histograms; nil for none
-	LostLines func() int64                                   // lines of the log that were dropped so far, if set
-	Listening func(callers, directory, nodes netip.AddrPort) // called once the ports are open, if set
-	Log       logr.Logger
-	Decisions *jwlog.Decisions            // a line for each decision about a request; nil for none
-	Reload    <-chan *jwsettings.Settings // settings that changed while the node runs
-	Admission jwadmission.Policy          // which requests are turned away
-	Placement jwplacement.Policy          // which region serves a request
-	Crowd     int                         // nodes of a region from which on they speak through relays, 0 for the usual number
-	Boot      func() time.Duration        // time since the host started, suspended or not; nil for the host's own
+	Settings       *jwsettings.Settings
+	Feed           jwstore.Feed
+	Records        Records
+	Dialect        Dialect
+	Targets        *jwconn.Pool                                   // connections to targets
+	Nodes          *jwconn.Pool                                   // connections to other nodes
+	Meter          *jwmeter.Meter                                 // counters and histograms; nil for none
+	LostLines      func() int64                                   // lines of the log that were dropped so far, if set
+	Listening      func(callers, directory, nodes netip.AddrPort) // called once the ports are open, if set
+	Log            logr.Logger
+	Decisions      *jwlog.Decisions            // a line for each decision about a request; nil for none
+	Reload         <-chan *jwsettings.Settings // settings that changed while the node runs
+	Admission      jwadmission.Policy          // which requests are rejected
+	Placement      jwplacement.Policy          // which region serves a request
+	RelayThreshold int                         // nodes of a region from which on they sendStateTo through relays, 0 for the usual number
+	Boot           func() time.Duration        // time since the host started, suspended or not; nil for the host's own
 
-	pulse    jwclock.Pulse
-	epoch    atomic.Pointer[epoch]
-	meters   *meters
-	store    storeState
-	follower *follower
-	recent   jwstore.Recent // changes of the store, kept by a relay for others
-	learned  atomic.Uint64  // revision of the store up to which another node told
-	learning atomic.Bool    // another node is asked
-	viewed   atomic.Int64   // when the store was read last, nanoseconds since begun
-	bounds   atomic.Pointer[jwsettings.Bounds]
-	entries  jwentry.Table
-	targets  jwinstance.Table
-	members  jwmember.Table
-	retries  jwbudget.Retry
-	quotas   jwquota.Ledger
-	sharing  jwquotaexchange.Exchange // of the quotas' units with other nodes
-	regions  regionTable
-	speaking sync.Map // names of the peers that an exchange waits for
-	demand   jwentry.Demand
-	suspects jwsuspect.Table
-	crashes  singleflight.Group // questions whether targets have crashed
-	synced   atomic.Bool        // the store was read once
-	stopping atomic.Bool
-	ending   atomic.Bool // the grace period is over: what still runs is cut off
-	begun    time.Time
-	stopFrom atomic.Int64  // when the planned stop began, nanoseconds since begun
-	changed  chan struct{} // the registration has to be written anew
-	inFlight atomic.Int64
+	pulse      jwclock.Pulse
+	epoch      atomic.Pointer[epoch]
+	meters     *meters
+	store      storeState
+	follower   *follower
+	recent     jwstore.Recent // changes of the store, kept by a relay for others
+	pulledTo   atomic.Uint64  // revision of the store up to which a view was pulled
+	pulling    atomic.Bool    // another node is asked
+	viewed     atomic.Int64   // when the store was read last, nanoseconds since begun
+	bounds     atomic.Pointer[jwsettings.Bounds]
+	entries    jwentry.Table
+	targets    jwinstance.Table
+	members    jwmember.Table
+	retries    jwbudget.Retry
+	quotas     jwquota.Ledger
+	sharing    jwquotaexchange.Exchange // of the quotas' units with other nodes
+	regions    regionTable
+	exchanging sync.Map // names of the peers that an exchange waits for
+	demand     jwentry.Demand
+	suspects   jwsuspect.Table
+	crashes    singleflight.Group // questions whether targets have crashed
+	synced     atomic.Bool        // the store was read once
+	stopping   atomic.Bool
+	ending     atomic.Bool // the grace period is over: what still runs is cut off
+	begun      time.Time
+	stopFrom   atomic.Int64  // when the planned stop began, nanoseconds since begun
+	changed    chan struct{} // the registration has to be written anew
+	inFlight   atomic.Int64
 }
 
 // Run serves until ctx ends and the requests in flight are done or the grace
@@ -135,9 +135,9 @@
 	g.members.Self = jwmember.Member{
 		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
 		Callers: o.Listen.Callers, Nodes: o.Listen.Nodes,
-		Start: time.Now().UnixNano(), Serving: false, Bears: o.Bears(),
+		Start: time.Now().UnixNano(), Serving: false, Capacity: o.Capacity(),
 	}
-	g.members.Crowd = g.Crowd
+	g.members.RelayThreshold = g.RelayThreshold
 	g.targets.Node, g.targets.Region = s.Node, s.Region
 	g.suspects.Node, g.suspects.Region = s.Node, s.Region
 	g.targets.Warmup = g.warmup
@@ -163,7 +163,7 @@
 // The places of some listeners in what servers returns.
 const (
 	callersServer = iota
-	_             // that tells whether the node serves
+	_             // that reports whether the node serves
 	directoryServer
 	nodesServer
 )
@@ -186,7 +186,7 @@
 	return &jwrest.Server{Name: name, Address: a, Handler: h, Log: g.Log, DrainLimit: 50 * time.Millisecond}
 }
 
-// warmup tells how long a target of a service is cold and what all nodes
+// warmup returns how long a target of a service is cold and what all nodes
 // together may send to it in a second meanwhile.
 func (g *Gateway) warmup(service string) (time.Duration, float64) {
 	c := g.entries.Current()
@@ -220,7 +220,7 @@
 // coldShare is how many requests a second this node may send to a cold target.
 func (g *Gateway) coldShare(service, target string) float64 {
 	now := time.Now()
-	if !g.members.KnownToAll(now) {
+	if !g.members.CountedByAll(now) {
 		return 0
 	}
 	_, rate := g.warmup(service)
@@ -229,19 +229,19 @@
 	return jwbudget.ColdShare(l, g.members.Owns(now, target), g.members.Count(now, g.Settings.Region))
 }
 
-// leaving tells whether the node has been stopping for so long that a new
+// leaving reports whether the node has been stopping for so long that a new
 // request might outlast it.
 func (g *Gateway) leaving() bool {
 	return g.stopping.Load() && time.Since(g.begun) > time.Duration(g.stopFrom.Load())+g.linger()
 }
 
-// ready tells whether the node serves callers.
+// ready reports whether the node serves callers.
 func (g *Gateway) ready() bool {
 	return g.entries.Current() != nil && !g.stopping.Load() && g.pulse.Alive()
 }
 
 // reload takes settings that changed; what can change while the node runs are
-// its bounds, and an address that differs is only told.
+// its bounds, and an address that differs is only logged.
 func (g *Gateway) reload(ctx context.Context) {
 	for {
 		select {
--- a/io/jwgateway/probe.go
+++ b/io/jwgateway/probe.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// doubtAfter is how long a node without an answer of the store takes it to
+	// staleAfter is how long a node without an answer of the store takes it to
 	// be away: its lease is renewed more often.
-	doubtAfter = leaseTTL/renewals + 800*time.Millisecond
-	// sureAge is how long the word of a peer counts that it reaches the store.
-	sureAge = 500 * time.Millisecond
+	staleAfter = leaseTTL/renewals + 800*time.Millisecond
+	// syncedPeerAge is how long a peer's report counts that it reaches the store.
+	syncedPeerAge = 500 * time.Millisecond
 	// probePeriod is the time between two questions to a target. At seven
 	// requests a second, one that goes cold has taken three by the time that all
 	// nodes of the region know, half of what it bears.
@@ -28,12 +28,12 @@
 	idleProbe = 2 * probePeriod
 )
 
-// storeState tells how the node stands with the store.
+// storeState holds how the node stands with the store.
 type storeState struct {
-	revision atomic.Uint64 // up to which changes were read
-	answered atomic.Int64  // last answer, Unix nanoseconds
-	failed   atomic.Bool   // the last call had none
-	sure     atomic.Int64  // when a peer said last that it reaches the store
+	revision   atomic.Uint64 // up to which changes were read
+	answered   atomic.Int64  // last answer, Unix nanoseconds
+	failed     atomic.Bool   // the last call had none
+	syncedPeer atomic.Int64  // when a peer said last that it reaches the store
 }
 
 // called notes how a call ended.
@@ -45,21 +45,21 @@
 	}
 }
 
-// doubt tells whether the store may know what the node does not.
-func (s *storeState) doubt(now time.Time) bool {
-	return s.failed.Load() || now.Sub(time.Unix(0, s.answered.Load())) > doubtAfter
+// stale reports whether the store may know what the node does not.
+func (s *storeState) stale(now time.Time) bool {
+	return s.failed.Load() || now.Sub(time.Unix(0, s.answered.Load())) > staleAfter
 }
 
 // probe asks targets how long they stay cold while no node of the region
-// reaches the store, until ctx ends. A target may go cold at any moment; told by
+// reaches the store, until ctx ends. A target may go cold at any moment; informed by
 // nobody, all nodes would go on sending what a warm one bears.
 func (g *Gateway) probe(ctx context.Context) {
 	for ctx.Err() == nil {
 		now, wait := time.Now(), idleProbe
-		if g.store.doubt(now) {
+		if g.store.stale(now) {
 			wait = probePeriod
 		}
-		if wait == probePeriod && now.Sub(time.Unix(0, g.store.sure.Load())) > sureAge {
+		if wait == probePeriod && now.Sub(time.Unix(0, g.store.syncedPeer.Load())) > syncedPeerAge {
 			for _, x := range g.targets.Warm(now) {
 				if path := g.healthPath(x.Service); path != "" && g.members.Owns(now, x.ID) {
 					go g.probeOne(ctx, x, path)
@@ -70,7 +70,7 @@
 	}
 }
 
-// healthPath returns where targets of a service tell how they are, "" if its
+// healthPath returns where targets of a service report their health, "" if its
 // targets are never cold.
 func (g *Gateway) healthPath(service string) string {
 	c := g.entries.Current()
@@ -90,8 +90,8 @@
 	}
 	defer a.Close()
 	drain(a)
-	if told := g.Dialect.Answer(a.Header); told.Target == x.ID && told.Cold > 0 {
-		g.Log.Info("target cold by its own word", "target", x.ID, "coldMs", told.Cold.Milliseconds())
-		g.targets.Cold(time.Now(), x, told.Cold)
+	if reply := g.Dialect.Answer(a.Header); reply.Target == x.ID && reply.Cold > 0 {
+		g.Log.Info("target reports that it is cold", "target", x.ID, "coldMs", reply.Cold.Milliseconds())
+		g.targets.Cold(time.Now(), x, reply.Cold)
 	}
 }
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -25,7 +25,7 @@
 	evacuate map[string]bool
 	config   *jwstore.Item
 	fleet    *jwstore.Item
-	learned  bool // the targets came from the relay
+	pulledTo bool // the targets came from the relay
 }
 
 // readAll reads everything, page by page; what is not there any more is gone. In a
@@ -48,7 +48,7 @@
 		}
 		last = p.Items[len(p.Items)-1].Key
 		// The registrations of targets come after all others.
-		if _, ok := f.g.Records.TargetID(last); ok && f.learnTargets(ctx, r) {
+		if _, ok := f.g.Records.TargetID(last); ok && f.pullTargets(ctx, r) {
 			break
 		}
 	}
@@ -93,7 +93,7 @@
 func (f *follower) finish(now time.Time, r *reading) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !r.learned {
+	if !r.pulledTo {
 		f.g.targets.Keep(now, r.targets, r.revision)
 	}
 	f.g.members.Keep(now, r.nodes)
@@ -106,24 +106,24 @@
 	f.g.pulse.Begin()
 }
 
-// learnTargets takes the targets from the relay of the data centre, if there is one that
-// this node speaks through; all nodes that start at once would fill the store's link and
+// pullTargets takes the targets from the relay of the data centre, if there is one that
+// this node reports through; all nodes that start at once would fill the store's link and
 // the smallest of their own with them.
-func (f *follower) learnTargets(ctx context.Context, r *reading) bool {
+func (f *follower) pullTargets(ctx context.Context, r *reading) bool {
 	g := f.g
 	begun := time.Now()
 	for now := begun; now.Sub(begun) < relayPatience && ctx.Err() == nil; now = time.Now() {
-		if !g.members.Crowded(now, g.Settings.Region) || g.members.Leads(now) {
+		if !g.members.Large(now, g.Settings.Region) || g.members.Leads(now) {
 			return false
 		}
 		if m, ok := g.members.Relay(now, g.Settings.DataCentre); ok {
-			b, err := g.askBelief(ctx, m.Nodes, g.entries.Version(), 0)
+			b, err := g.askView(ctx, m.Nodes, g.entries.Version(), 0)
 			if err == nil && b.Revision >= r.revision {
 				g.take(time.Now(), b, m.Nodes)
 				if len(b.Config) > 0 {
 					g.takeConfig(b.Config, m.Name)
 				}
-				r.learned, r.revision = true, b.Revision
+				r.pulledTo, r.revision = true, b.Revision
 				return true
 			}
 		}
--- a/io/jwgateway/region.go
+++ b/io/jwgateway/region.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// waitAge is how long a region's wait is believed.
+	// waitAge is how long a report of a region's wait counts.
 	waitAge = 3 * time.Second
 	// firstTrip is the time to another region and back until it was measured.
 	firstTrip = 200 * time.Millisecond
@@ -19,7 +19,7 @@
 	mu    sync.Mutex
 	waits map[string]map[string]regionWait // by region and service
 	trips map[string]time.Duration
-	sent  map[string][]sentWork // by region, what the waits don't tell yet
+	sent  map[string][]sentWork // by region, what the waits don't include yet
 }
 
 // sentWork is a request passed on to another region.
@@ -35,9 +35,9 @@
 	at   time.Time
 }
 
-// heard takes the waits that a node of a region sees; the nodes of a region
+// merge takes the waits that a node of a region reports; the nodes of a region
 // see nearly the same, so the last one counts.
-func (t *regionTable) heard(now time.Time, s state) {
+func (t *regionTable) merge(now time.Time, s state) {
 	if len(s.Waits) == 0 {
 		return
 	}
@@ -46,13 +46,13 @@
 	t.take(s.Member.Region, now, s.Waits, s.Gaps)
 }
 
-// take keeps what a region told at a time.
+// take keeps what a region reported at a time.
 func (t *regionTable) take(region string, at time.Time, waits, gaps map[string]int64) {
 	if t.waits == nil {
 		t.waits = make(map[string]map[string]regionWait)
 		t.sent = make(map[string][]sentWork)
 	}
-	// What was on its way when the node spoke is not in its word.
+	// What was on its way when the node reported is not in its report.
 	seen := at.Add(-t.tripTo(region))
 	t.sent[region] = slices.DeleteFunc(t.sent[region], func(w sentWork) bool { return w.at.Before(seen) })
 	services := t.waits[region]
@@ -78,8 +78,8 @@
 	return w, true
 }
 
-// tripped notes how long an exchange with a region took.
-func (t *regionTable) tripped(region string, d time.Duration) {
+// noteTrip notes how long an exchange with a region took.
+func (t *regionTable) noteTrip(region string, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.trips == nil {
@@ -117,7 +117,7 @@
 }
 
 // unseen returns the prompt tokens passed on to a region that its wait does
-// not tell yet. Without them all requests of a second go to the region that
+// not include yet. Without them all requests of a second go to the region that
 // was free at its beginning, and wait there.
 func (t *regionTable) unseen(region, service string) int {
 	t.mu.Lock()
@@ -131,14 +131,14 @@
 	return tokens
 }
 
-// tell returns what was heard of the other regions, for nodes that speak through this
+// report returns what is known of the other regions, for nodes that sendStateTo through this
 // one.
-func (t *regionTable) tell(now time.Time) []farWord {
+func (t *regionTable) report(now time.Time) []regionReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []farWord
+	var list []regionReport
 	for region, services := range t.waits {
-		f := farWord{Region: region, Trip: t.tripTo(region).Milliseconds(), Waits: map[string]int64{}, Gaps: map[string]int64{}}
+		f := regionReport{Region: region, Trip: t.tripTo(region).Milliseconds(), Waits: map[string]int64{}, Gaps: map[string]int64{}}
 		for name, w := range services {
 			if age := now.Sub(w.at); age <= waitAge {
 				f.Age = max(f.Age, age.Milliseconds())
@@ -152,8 +152,8 @@
 	return list
 }
 
-// told takes what a relay heard of the other regions.
-func (t *regionTable) told(now time.Time, list []farWord) {
+// mergeRelayed takes what a relay knows of the other regions.
+func (t *regionTable) mergeRelayed(now time.Time, list []regionReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, f := range list {
--- a/io/jwgateway/region_test.go
+++ b/io/jwgateway/region_test.go
@@ -28,19 +28,19 @@
 		return state{Member: jwmember.Member{Region: region}, Waits: map[string]int64{"s": 10}}
 	}
 	var table regionTable
-	table.tripped("q", 200*time.Millisecond)
-	table.heard(t0, word("q"))
+	table.noteTrip("q", 200*time.Millisecond)
+	table.merge(t0, word("q"))
 	assert.Equal(t, table.unseen("q", "s"), 0)
 	table.send(at(100), "q", "s", 1000)
 	table.send(at(900), "q", "s", 2000)
 	table.send(at(900), "q", "other", 4000)
 	assert.Equal(t, table.unseen("q", "s"), 3000)
 	assert.Equal(t, table.unseen("p", "s"), 0)
-	table.heard(at(1000), word("p"))
+	table.merge(at(1000), word("p"))
 	assert.Equal(t, table.unseen("q", "s"), 3000, "another region spoke")
-	table.heard(at(1000), word("q"))
+	table.merge(at(1000), word("q"))
 	assert.Equal(t, table.unseen("q", "s"), 2000, "sent while the word was on its way")
-	table.heard(at(2000), word("q"))
+	table.merge(at(2000), word("q"))
 	assert.Equal(t, table.unseen("q", "s"), 0)
 }
 
@@ -54,7 +54,7 @@
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80),
 		}
 		g.targets.Put(now, in)
-		g.regions.heard(now, state{Member: jwmember.Member{Region: region}, Waits: map[string]int64{"s": 10}})
+		g.regions.merge(now, state{Member: jwmember.Member{Region: region}, Waits: map[string]int64{"s": 10}})
 	}
 	n := jwinstance.Need{Service: "s", Prompt: jwinstance.Prompt{Tokens: 5000}}
 	sent := map[string]int{}
--- a/io/jwgateway/register.go
+++ b/io/jwgateway/register.go
@@ -19,8 +19,8 @@
 	registerRetry = 400 * time.Millisecond
 )
 
-// again makes the node write its registration anew.
-func (g *Gateway) again() {
+// reregister makes the node write its registration anew.
+func (g *Gateway) reregister() {
 	select {
 	case g.changed <- struct{}{}:
 	default:
@@ -124,7 +124,7 @@
 	g.members.SetFleet(now, f.Nodes, !g.synced.Load())
 }
 
-// pause waits and tells whether the registration is to be written anew.
+// pause waits and reports whether the registration is to be written anew.
 func (g *Gateway) pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/io/jwgateway/relay.go
+++ b/io/jwgateway/relay.go
@@ -12,7 +12,7 @@
 
 const (
 	// heldBody is the size up to which an answer that is no stream is held
-	// until it is whole, so that one that breaks off can be told from it.
+	// until it is whole, so that one that breaks off can be told apart.
 	heldBody = 256 << 10
 	// maxEvent bounds one event of a stream.
 	maxEvent = 1 << 20
@@ -94,7 +94,7 @@
 			came(bytes.Count(events, []byte("\n\n")))
 			if first {
 				first = false
-				g.toldBegun(q)
+				g.logBegun(q)
 				if wanted != "" && firstID(events) != wanted {
 					q.refused = "the stream was resumed at another event"
 					return failed
@@ -178,7 +178,7 @@
 	return string(bytes.TrimSpace(line))
 }
 
-// next returns the identifier after one, "" if that can't be told.
+// next returns the identifier after one, "" if there is no telling.
 func next(id string) string {
 	n, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -23,14 +23,14 @@
 const (
 	// startHold is how long after its start a node lets a request wait for the first
 	// configuration: three trips to a store in another region and back. Most callers
-	// come back once, and one that is sent away in that moment has used that up.
+	// retry once, and one that is rejected in that moment has used that up.
 	startHold = 600 * time.Millisecond
 	// holdShare is the part of its time that a request may wait so.
 	holdShare = 0.25
-	// firstWait is the Retry-After of a node that knows no configuration yet.
-	firstWait = 500 * time.Millisecond
-	// stopWait is the Retry-After of a node that is stopping: others serve.
-	stopWait = 20 * time.Millisecond
+	// firstRetryAfter is the Retry-After of a node that knows no configuration yet.
+	firstRetryAfter = 500 * time.Millisecond
+	// stopRetryAfter is the Retry-After of a node that is stopping: others serve.
+	stopRetryAfter = 20 * time.Millisecond
 	// defaultDeadline bounds a request that names none.
 	defaultDeadline = 30 * time.Second
 )
@@ -56,18 +56,18 @@
 	deadline time.Time
 	forward  bool // came from another node, and is not passed on again
 
-	w        http.ResponseWriter
-	started  bool // the head of an answer went to the caller
-	tried    map[string]bool
-	attempts int         // sends that a target may have run
-	sends    int         // sends that reached a target
-	paid     atomic.Bool // the next send was taken from the retry budget already
-	lastID   string
-	mark     jwsuspect.Fingerprint
-	sentTo   string          // the target or node that answers
-	again    time.Duration   // when to come back after a refusal
-	full     map[string]bool // regions that had no room for it
-	refused  string          // why the last send or choice did not run
+	w          http.ResponseWriter
+	started    bool // the head of an answer went to the caller
+	tried      map[string]bool
+	attempts   int         // sends that a target may have run
+	sends      int         // sends that reached a target
+	paid       atomic.Bool // the next send was taken from the retry budget already
+	lastID     string
+	mark       jwsuspect.Fingerprint
+	sentTo     string          // the target or node that answers
+	retryAfter time.Duration   // after a refusal
+	full       map[string]bool // regions that had no room for it
+	refused    string          // why the last send or choice did not run
 }
 
 // need describes the request to those who look for a target.
@@ -109,16 +109,16 @@
 	cfg := g.startConfig(r.Context(), call.Deadline)
 	if cfg == nil {
 		// The longer it lasts, the longer it will: the store is away then.
-		again := min(max(time.Since(g.begun), firstWait), jwadmission.MostAgain)
+		again := min(max(time.Since(g.begun), firstRetryAfter), jwadmission.MaxRetryAfter)
 		g.refuse(w, call.ID, http.StatusServiceUnavailable, again, "no configuration yet")
 		return
 	}
 	if !g.pulse.Alive() {
-		g.refuse(w, call.ID, http.StatusServiceUnavailable, wakeWait, "the node was paused")
+		g.refuse(w, call.ID, http.StatusServiceUnavailable, wakeRetryAfter, "the node was paused")
 		return
 	}
 	if g.leaving() {
-		g.refuse(w, call.ID, http.StatusServiceUnavailable, stopWait, "the node is stopping")
+		g.refuse(w, call.ID, http.StatusServiceUnavailable, stopRetryAfter, "the node is stopping")
 		return
 	}
 	target, path := r.RequestURI, r.RequestURI
@@ -192,7 +192,7 @@
 	return g.entries.Current()
 }
 
-// takeBody reads what is held of the body, or tells the caller why not.
+// takeBody reads what is held of the body, or answers the caller why not.
 func (g *Gateway) takeBody(q *request, r *http.Request) bool {
 	most := int64(bodyLimit)
 	if c := g.entries.Current(); c != nil && c.MaxBody > 0 {
@@ -219,7 +219,7 @@
 }
 
 // refuse answers a request that has not run and never will, or that can't be
-// answered; again is when to come back, 0 if that would not help.
+// answered; again is its Retry-After, 0 if retrying would not help.
 func (g *Gateway) refuse(w http.ResponseWriter, id string, status int, again time.Duration, why string) {
 	h := w.Header()
 	g.Dialect.Refuse(h, id)
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -62,7 +62,7 @@
 	if verdict == broken && ctx.Err() == nil {
 		g.targets.Failed(x)
 	}
-	g.toldSend(q, c, verdict, status, p)
+	g.logSend(q, c, verdict, status, p)
 	return verdict
 }
 
@@ -153,11 +153,11 @@
 // judge looks at the head of an answer; ok tells whether it goes to the
 // caller, and otherwise the verdict on the send is returned.
 func (g *Gateway) judge(q *request, x *jwinstance.Target, a *jwconn.Answer) (v Verdict, ok bool) {
-	told := g.Dialect.Answer(a.Header)
-	g.heard(x, told)
+	reply := g.Dialect.Answer(a.Header)
+	g.noteCold(x, reply)
 	now := time.Now()
 	switch {
-	case told.NotRun || a.Status == http.StatusMisdirectedRequest:
+	case reply.NotRun || a.Status == http.StatusMisdirectedRequest:
 		q.refused = "refused by the target"
 		if a.Status == http.StatusMisdirectedRequest {
 			g.targets.Replaced(now, x)
@@ -166,7 +166,7 @@
 		}
 		drain(a)
 		return notRun, false
-	case !told.Signed || a.Header.Get("Content-Encoding") != "":
+	case !reply.Signed || a.Header.Get("Content-Encoding") != "":
 		q.attempts++
 		q.refused = "the answer is not the target's"
 		g.targets.Failed(x)
@@ -232,9 +232,9 @@
 	return failed
 }
 
-// heard keeps what a target said of itself in an answer.
-func (g *Gateway) heard(x *jwinstance.Target, told Told) {
-	if told.Cold > 0 {
-		g.targets.Cold(time.Now(), x, told.Cold)
+// noteCold keeps how long a target reports in a reply that it stays cold.
+func (g *Gateway) noteCold(x *jwinstance.Target, reply Reply) {
+	if reply.Cold > 0 {
+		g.targets.Cold(time.Now(), x, reply.Cold)
 	}
 }
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -15,16 +15,16 @@
 
 // The verdicts on a send.
 const (
-	finished   Verdict = "finished"   // the caller has its final answer
-	notRun     Verdict = "notRun"     // no target ran it or will
-	turnedAway Verdict = "turnedAway" // the same, and no target was asked
-	failed     Verdict = "failed"     // a target ran it and told a failure, or may have run it
-	broken     Verdict = "broken"     // a stream broke off; what came of it went to the caller
+	finished Verdict = "finished" // the caller has its final answer
+	notRun   Verdict = "notRun"   // no target ran it or will
+	rejected Verdict = "rejected" // the same, and no target was asked
+	failed   Verdict = "failed"   // a target ran it and reported a failure, or may have run it
+	broken   Verdict = "broken"   // a stream broke off; what came of it went to the caller
 )
 
 const (
-	// mostSends bounds how often one request is sent, whatever became of it.
-	mostSends = 4
+	// maxSends bounds how often one request is sent, whatever became of it.
+	maxSends = 4
 )
 
 // serve sends a request until it is answered, may not be sent again, or its
@@ -35,7 +35,7 @@
 	q.tried = make(map[string]bool, 2)
 	verdict := notRun
 	ran := false // some target may have run it
-	for range mostSends {
+	for range maxSends {
 		verdict = g.send(ctx, q)
 		if verdict == finished {
 			return
@@ -51,38 +51,38 @@
 	g.giveUp(ctx, parent, q, ran)
 }
 
-// giveUp tells the caller that its request was not served.
+// giveUp answers the caller that its request was not served.
 func (g *Gateway) giveUp(ctx, parent context.Context, q *request, ran bool) {
 	switch {
 	case parent.Err() != nil && g.ending.Load():
-		g.toldAnswer(q, "cut", "the node stopped and its grace period was over", 0)
+		g.logAnswer(q, "cut", "the node stopped and its grace period was over", 0)
 		panic(http.ErrAbortHandler)
 	case parent.Err() != nil:
-		g.toldAnswer(q, "callerGone", q.refused, 0)
+		g.logAnswer(q, "callerGone", q.refused, 0)
 		panic(http.ErrAbortHandler)
 	case q.started:
 		// An answer that ends early must not look whole.
-		g.toldAnswer(q, "cut", q.refused, 0)
+		g.logAnswer(q, "cut", q.refused, 0)
 		panic(http.ErrAbortHandler)
 	case q.body.tooLarge():
-		g.toldAnswer(q, outcomeRefused, errBodyTooLarge.Error(), http.StatusRequestEntityTooLarge)
+		g.logAnswer(q, outcomeRefused, errBodyTooLarge.Error(), http.StatusRequestEntityTooLarge)
 		g.refuse(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, errBodyTooLarge.Error())
 	case !ran:
-		g.toldAnswer(q, "notRun", q.refused, http.StatusServiceUnavailable)
-		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, max(q.again, jwadmission.LeastAgain), q.refused)
+		g.logAnswer(q, "notRun", q.refused, http.StatusServiceUnavailable)
+		g.refuse(q.w, q.ID, http.StatusServiceUnavailable, max(q.retryAfter, jwadmission.MinRetryAfter), q.refused)
 	case ctx.Err() != nil:
-		g.toldAnswer(q, "unknown", q.refused, http.StatusGatewayTimeout)
+		g.logAnswer(q, "unknown", q.refused, http.StatusGatewayTimeout)
 		g.refuse(q.w, q.ID, http.StatusGatewayTimeout, 0, "not answered in time")
 	default:
-		g.toldAnswer(q, "unknown", q.refused, http.StatusBadGateway)
+		g.logAnswer(q, "unknown", q.refused, http.StatusBadGateway)
 		g.refuse(q.w, q.ID, http.StatusBadGateway, 0, q.refused)
 	}
 }
 
-// mayRepeat tells whether a request may be sent once more after a verdict.
+// mayRepeat reports whether a request may be sent once more after a verdict.
 func (g *Gateway) mayRepeat(q *request, v Verdict) bool {
 	reason := jwrepeat.Decide(jwrepeat.Request{
-		Final: v == turnedAway, Streamed: q.body.once(), NotRun: v == notRun || v == turnedAway, Repeatable: q.entry.Repeatable(),
+		Final: v == rejected, Streamed: q.body.once(), NotRun: v == notRun || v == rejected, Repeatable: q.entry.Repeatable(),
 		Attempts: q.attempts, Most: q.entry.Attempts(), Sends: q.sends, Paid: q.paid.Load(),
 	}, func() bool { return g.retries.Take(time.Now(), q.service) })
 	switch reason {
@@ -104,7 +104,7 @@
 func (g *Gateway) send(ctx context.Context, q *request) Verdict {
 	now := time.Now()
 	if !g.mayRun(now, q) {
-		return q.turnAway(barred, barredWait)
+		return q.reject(barred, barredRetryAfter)
 	}
 	p := g.place(now, q)
 	if p.Reason == jwplacement.Nowhere && len(q.tried) > 0 && q.entry.Repeatable() {
@@ -114,16 +114,16 @@
 	}
 	if p.Reason == jwplacement.Nowhere {
 		if len(g.targets.Regions(q.service)) == 0 {
-			return q.turnAway(noTarget, jwadmission.MostAgain) // not one is left; coming back at once is in vain
+			return q.reject(noTarget, jwadmission.MaxRetryAfter) // not one is left; coming back at once is in vain
 		}
-		return q.turnAway(noTarget, jwadmission.LeastAgain)
+		return q.reject(noTarget, jwadmission.MinRetryAfter)
 	}
 	d := g.Admission.Decide(jwadmission.Request{
 		Goal: q.entry.Goal, Left: q.deadline.Sub(now), Expected: p.Expected, Own: p.Own,
 		Engine: q.Prompt.Tokens > 0, Begun: q.forward || q.started || q.sends > 0,
 	})
 	if !d.Taken() {
-		return q.turnAway(string(d.Reason), d.Again)
+		return q.reject(string(d.Reason), d.RetryAfter)
 	}
 	if p.Region != g.Settings.Region {
 		return g.sendNode(ctx, q, p.Region, p.Miss)
@@ -132,13 +132,13 @@
 	g.keepApart(now, q, &need)
 	c, ok := g.targets.Best(now, need)
 	if !ok {
-		return q.turnAway(noTarget, jwadmission.LeastAgain)
+		return q.reject(noTarget, jwadmission.MinRetryAfter)
 	}
 	return g.sendTarget(ctx, q, c)
 }
 
-// turnAway notes why no target is asked to run the request, and when to come back.
-func (q *request) turnAway(why string, again time.Duration) Verdict {
-	q.refused, q.again = why, again
-	return turnedAway
+// reject notes why no target is asked to run the request, and its Retry-After.
+func (q *request) reject(why string, again time.Duration) Verdict {
+	q.refused, q.retryAfter = why, again
+	return rejected
 }
--- a/io/jwgateway/stop.go
+++ b/io/jwgateway/stop.go
@@ -30,9 +30,9 @@
 	g.stopFrom.Store(int64(begun.Sub(g.begun)))
 	g.stopping.Store(true)
 	g.members.Serve(begun, false)
-	g.again()
+	g.reregister()
 	g.Log.Info("stopping", "inFlight", g.inFlight.Load())
-	g.tellAll(begun)
+	g.announceStop(begun)
 	for _, s := range servers {
 		s.Drain()
 	}
@@ -48,10 +48,10 @@
 	g.Log.Info("stop complete", "inFlight", g.inFlight.Load(), "after", time.Since(begun).String())
 }
 
-// toTell returns the nodes that are told at once that this one stops: all, or the relays,
-// which tell the rest.
-func (g *Gateway) toTell(now time.Time) []jwmember.Member {
-	if !g.members.Crowded(now, g.Settings.Region) {
+// stopPeers returns the nodes that learn at once that this one stops: all, or the relays,
+// which pass it on to the rest.
+func (g *Gateway) stopPeers(now time.Time) []jwmember.Member {
+	if !g.members.Large(now, g.Settings.Region) {
 		return g.members.Peers(now)
 	}
 	list := g.members.Relays(now, g.Settings.Region)
@@ -61,18 +61,18 @@
 	return list
 }
 
-// tellAll tells every node at once that this one stops. An exchange that waits
-// for an answer already has told the old word, so nobody is left out for it.
-func (g *Gateway) tellAll(now time.Time) {
+// announceStop reports to every node at once that this one stops. An exchange that waits
+// for an answer already has sent the old state, so nobody is left out for it.
+func (g *Gateway) announceStop(now time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	var all sync.WaitGroup
-	for _, m := range g.toTell(now) {
+	for _, m := range g.stopPeers(now) {
 		body, err := json.Marshal(g.state(now, m.Region))
 		if err != nil {
 			g.Log.Error(err, "state not encoded")
 			continue
 		}
-		all.Go(func() { g.exchangeOne(ctx, m, body) })
+		all.Go(func() { g.exchangeState(ctx, m, body) })
 	}
 	go func() {
 		all.Wait()
--- a/io/jwgateway/suspect.go
+++ b/io/jwgateway/suspect.go
@@ -16,8 +16,8 @@
 	// crashCheck bounds the question whether a target that broke off has
 	// crashed; a crashed one refuses connections at once.
 	crashCheck = 50 * time.Millisecond
-	// barredWait is the Retry-After of a request that crashes its targets.
-	barredWait = 30 * time.Second
+	// barredRetryAfter is the Retry-After of a request that crashes its targets.
+	barredRetryAfter = 30 * time.Second
 )
 
 // barred is why a request was refused that has crashed targets.
@@ -38,7 +38,7 @@
 	return remote
 }
 
-// mayRun tells whether a request may be sent to a target at all.
+// mayRun reports whether a request may be sent to a target at all.
 func (g *Gateway) mayRun(now time.Time, q *request) bool {
 	state, _ := g.suspects.Check(q.mark, now)
 	return state != jwsuspect.Quarantined
@@ -74,7 +74,7 @@
 	}
 }
 
-// notices returns what was learned of suspects within an age, to be told.
+// notices returns what was learned of suspects within an age, to be reported.
 func (g *Gateway) notices(now time.Time, region string, age time.Duration) []jwsuspect.Notice {
 	var young []jwsuspect.Notice
 	for _, n := range g.suspects.Notices(region, now) {
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -198,7 +198,7 @@
 	return func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, s) }
 }
 
-// The store is away when the first node starts. Told 404, callers would take
+// The store is away when the first node starts. Reply 404, callers would take
 // their entry for gone.
 func TestWithoutConfiguration(t *testing.T) {
 	t.Parallel()
@@ -459,7 +459,7 @@
 	north := start(t, &feed, "n1", "north")
 	south := start(t, &feed, "n2", "south")
 	// Each has to know the other: a node that stops within its first second,
-	// before it read who else there is, is named until the store tells its end.
+	// before it read who else there is, is named until the store has its end.
 	names(t, north, "south", south)
 	names(t, south, "north", north)
 	assert.DeepEqual(t, directory(t, north, "north"), []string{north.callers.String()})
--- a/io/jwgateway/through.go
+++ b/io/jwgateway/through.go
@@ -9,46 +9,46 @@
 	"jujubewheel/core/jwstore"
 )
 
-// In a region of many nodes each speaks to the relay of its data centre only, and the
-// relays to each other. A relay tells what it heard of all, and the changes of the
+// In a region of many nodes each exchanges state with the relay of its data centre only, and the
+// relays to each other. A relay passes on what all reported, and the changes of the
 // store, which it alone of its data centre reads. When it dies, is cut off or lags, the
 // nodes read the store themselves and the next one becomes the relay.
 
 const (
 	// relayPeriod is the time between two exchanges through a relay, mostRelayPeriod that
-	// in the largest regions; from relayNodes on it grows, as a relay speaks to more.
+	// in the largest regions; from relayNodes on it grows, as a relay serves more.
 	relayPeriod     = 250 * time.Millisecond
 	mostRelayPeriod = 500 * time.Millisecond
 	relayNodes      = 40
-	// relayNews is how long a placement is told through relays, in periods: until the
+	// relayNewsPeriods is how long a placement is reported through relays, in periods: until the
 	// next exchange has ended.
-	relayNews = 1.5
+	relayNewsPeriods = 1.5
 	// relayWait and relayPause are how long a relay waits for a change of the store and
-	// between two readings: those who hear of it there rely on it.
+	// between two readings: those who learn of it there rely on it.
 	relayWait  = time.Second
 	relayPause = 300 * time.Millisecond
 	// relayAge is how old a relay's last reading may be for others to rely on it, and
-	// relayHeard how old its word. Both together, with a reading of one's own, stay below
+	// relaySeenFor how old its report. Both together, with a reading of one's own, stay below
 	// the time that a change has to be in force.
-	relayAge   = 2 * time.Second
-	relayHeard = 1300 * time.Millisecond
-	// stopNews is how long a relay tells that a node stops.
-	stopNews = 5 * time.Second
+	relayAge     = 2 * time.Second
+	relaySeenFor = 1300 * time.Millisecond
+	// stopNewsAge is how long a relay reports that a node stops.
+	stopNewsAge = 5 * time.Second
 )
 
-// through is what nodes tell each other where they speak through relays.
+// through is what nodes report where they exchange state through relays.
 type through struct {
-	Relay    bool              `json:"relay,omitempty"`    // the speaker is a relay and tells for others too
-	Asks     bool              `json:"asks,omitempty"`     // for the changes of the store
-	After    uint64            `json:"after,omitempty"`    // the revision which these are to follow
-	Hearing  *jwmember.Hearing `json:"hearing,omitempty"`  // told by a relay to those who speak through it
-	Stopping []jwmember.Member `json:"stopping,omitempty"` // nodes that stop by plan
-	Far      []farWord         `json:"far,omitempty"`      // of other regions
-	Changes  *changes          `json:"changes,omitempty"`
+	Relay    bool               `json:"relay,omitempty"`    // the sender is a relay and reports for others too
+	Asks     bool               `json:"asks,omitempty"`     // for the changes of the store
+	After    uint64             `json:"after,omitempty"`    // the revision which these are to follow
+	Liveness *jwmember.Liveness `json:"liveness,omitempty"` // from a relay to those who report through it
+	Stopping []jwmember.Member  `json:"stopping,omitempty"` // nodes that stop by plan
+	Remote   []regionReport     `json:"remote,omitempty"`   // of other regions
+	Changes  *changes           `json:"changes,omitempty"`
 }
 
-// farWord is what a relay heard of another region.
-type farWord struct {
+// regionReport is what a relay knows of another region.
+type regionReport struct {
 	Region string           `json:"region"`
 	Age    int64            `json:"age"`  // milliseconds
 	Trip   int64            `json:"trip"` // milliseconds there and back
@@ -58,7 +58,7 @@
 
 // changes are changes of the store as a relay read them.
 type changes struct {
-	Lost   bool     `json:"lost,omitempty"` // it can't tell them
+	Lost   bool     `json:"lost,omitempty"` // it doesn't have them
 	To     uint64   `json:"to"`             // the revision that they lead up to
 	Age    int64    `json:"age"`            // milliseconds since it read the store
 	Events []change `json:"events,omitempty"`
@@ -77,7 +77,7 @@
 	return min(relayPeriod*time.Duration(max(nodes, relayNodes))/relayNodes, mostRelayPeriod)
 }
 
-// exchangeThrough speaks to the relay of the own data centre or, as the relay, to the
+// exchangeThrough exchanges state with the relay of the own data centre or, as the relay, to the
 // others of the region.
 func (g *Gateway) exchangeThrough(ctx context.Context, now time.Time) {
 	relay, ok := g.members.Relay(now, g.Settings.DataCentre)
@@ -86,48 +86,48 @@
 	}
 	me := g.members.Me()
 	if relay.Name != me.Name {
-		g.speakThrough(ctx, now, relay, through{Asks: true, After: g.follower.at()})
+		g.exchangeWithRelay(ctx, now, relay, through{Asks: true, After: g.follower.at()})
 		return
 	}
 	for _, m := range g.members.Relays(now, g.Settings.Region) {
-		if m.Name < me.Name && g.members.Speaks(now, m.Name) {
+		if m.Name < me.Name && g.members.RecentlySeen(now, m.Name) {
 			continue // of two one begins
 		}
-		g.speakThrough(ctx, now, m, through{Relay: true})
+		g.exchangeWithRelay(ctx, now, m, through{Relay: true})
 	}
 }
 
-func (g *Gateway) speakThrough(ctx context.Context, now time.Time, m jwmember.Member, t through) {
-	if _, busy := g.speaking.LoadOrStore(m.Name, true); busy {
+func (g *Gateway) exchangeWithRelay(ctx context.Context, now time.Time, m jwmember.Member, t through) {
+	if _, busy := g.exchanging.LoadOrStore(m.Name, true); busy {
 		return
 	}
-	g.speakOf(ctx, m, g.throughState(now, m.Name, t))
+	g.sendState(ctx, m, g.throughState(now, m.Name, t))
 }
 
-// throughState is the state as it is told through relays.
+// throughState is the state as it is reported through relays.
 func (g *Gateway) throughState(now time.Time, to string, t through) state {
-	news := time.Duration(relayNews * float64(g.throughPeriod(now)))
+	age := time.Duration(relayNewsPeriods * float64(g.throughPeriod(now)))
 	s := state{
-		Member: g.members.Me(), Version: g.entries.Version(), Sure: !g.store.doubt(now),
-		Revision: g.store.revision.Load(), Cold: g.targets.TellCold(now),
-		Suspects: g.notices(now, g.Settings.Region, nearNews), Through: &t,
+		Member: g.members.Me(), Version: g.entries.Version(), InSync: !g.store.stale(now),
+		Revision: g.store.revision.Load(), Cold: g.targets.ReportCold(now),
+		Suspects: g.notices(now, g.Settings.Region, localNewsAge), Through: &t,
 	}
 	switch {
-	case t.Hearing != nil:
-		s.Loads = jwinstance.Columns(g.targets.TellBut(now, to))
-		s.Placed = jwinstance.PlaceColumns(g.targets.Retell(now, news, to, false))
+	case t.Liveness != nil:
+		s.Loads = jwinstance.Columns(g.targets.ReportTo(now, to))
+		s.Placed = jwinstance.PlaceColumns(g.targets.Relayed(now, age, to, false))
 	case t.Relay:
-		s.Loads = jwinstance.Columns(g.targets.TellRelay(now))
-		s.Placed = jwinstance.PlaceColumns(g.targets.Retell(now, news, to, true))
-		s.Near = g.members.Near(now)
+		s.Loads = jwinstance.Columns(g.targets.ReportToRelay(now))
+		s.Placed = jwinstance.PlaceColumns(g.targets.Relayed(now, age, to, true))
+		s.LocalSeen = g.members.LocalSeen(now)
 	default:
-		loads, placed := g.targets.TellNews(now, news)
+		loads, placed := g.targets.ReportSince(now, age)
 		s.Loads, s.Placed = jwinstance.Columns(loads), jwinstance.PlaceColumns(placed)
 	}
 	return s
 }
 
-// answer returns what a node that told its state is told.
+// answer returns the state for a node that sent its own.
 func (g *Gateway) answer(now time.Time, s state) state {
 	switch {
 	case s.Through == nil || s.Member.Region != g.Settings.Region:
@@ -135,14 +135,14 @@
 	case s.Through.Relay:
 		return g.throughState(now, s.Member.Name, through{Relay: true})
 	}
-	h := g.members.Hearing(now)
+	h := g.members.Liveness(now)
 	return g.throughState(now, s.Member.Name, through{
-		Relay: true, Hearing: &h, Stopping: g.members.Stopping(now, stopNews), Far: g.regions.tell(now), Changes: g.tellChanges(now, s.Through),
+		Relay: true, Liveness: &h, Stopping: g.members.Stopping(now, stopNewsAge), Remote: g.regions.report(now), Changes: g.changesFor(now, s.Through),
 	})
 }
 
-// tellChanges returns the changes of the store that a node asks for.
-func (g *Gateway) tellChanges(now time.Time, t *through) *changes {
+// changesFor returns the changes of the store that a node asks for.
+func (g *Gateway) changesFor(now time.Time, t *through) *changes {
 	if !t.Asks {
 		return nil
 	}
@@ -163,32 +163,32 @@
 	return c
 }
 
-// heardThrough takes what a node told that speaks through relays.
-func (g *Gateway) heardThrough(now time.Time, s state) {
+// mergeThrough merges what came through a relay.
+func (g *Gateway) mergeThrough(now time.Time, s state) {
 	t := s.Through
 	if t == nil || s.Member.Region != g.Settings.Region {
 		return
 	}
-	if t.Hearing != nil {
-		g.members.Told(now, *t.Hearing)
+	if t.Liveness != nil {
+		g.members.MergeLiveness(now, *t.Liveness)
 	}
 	for _, m := range t.Stopping {
-		g.members.Learn(now, m)
+		g.members.MergeStopping(now, m)
 	}
-	g.regions.told(now, t.Far)
+	g.regions.mergeRelayed(now, t.Remote)
 	if t.Changes != nil {
 		g.follower.relayed(now, t.Changes)
 	}
 }
 
-// farNodes returns the nodes of another region to speak to.
-func (g *Gateway) farNodes(now time.Time, region string) []jwmember.Member {
-	if g.members.Crowded(now, region) {
+// remotePeers returns the nodes of another region to sendStateTo to.
+func (g *Gateway) remotePeers(now time.Time, region string) []jwmember.Member {
+	if g.members.Large(now, region) {
 		if relays := g.members.Relays(now, region); len(relays) > 0 {
 			return relays
 		}
 	}
-	if m, ok := g.members.Speaker(now, region); ok {
+	if m, ok := g.members.Contact(now, region); ok {
 		return []jwmember.Member{m}
 	}
 	return nil
@@ -201,21 +201,21 @@
 	return f.revision
 }
 
-// relayed takes changes that a relay read. What it can't tell, or is late with, the node
+// relayed takes changes that a relay read. What it doesn't have, or is late with, the node
 // reads itself.
 func (f *follower) relayed(now time.Time, c *changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := time.Duration(c.Age) * time.Millisecond
 	if c.Lost || f.revision == 0 || c.To < f.revision || age > relayAge {
-		f.heard = time.Time{}
+		f.relayAt = time.Time{}
 		select {
 		case f.alone <- struct{}{}:
 		default:
 		}
 		return
 	}
-	f.heard = now
+	f.relayAt = now
 	f.take(now, c.events(), c.To)
 	f.g.viewed.Store(int64(now.Sub(f.g.begun) - age))
 }
@@ -234,10 +234,10 @@
 func (f *follower) relies(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.revision == 0 || f.heard.IsZero() {
+	if f.revision == 0 || f.relayAt.IsZero() {
 		return 0
 	}
-	return max(relayHeard-now.Sub(f.heard), 0)
+	return max(relaySeenFor-now.Sub(f.relayAt), 0)
 }
 
 // rest waits until a relay may not be relied on any more.
--- a/io/jwgateway/through_test.go
+++ b/io/jwgateway/through_test.go
@@ -40,12 +40,12 @@
 	return h.Feed.Range(ctx, prefix, after)
 }
 
-// crowd starts nodes of one data centre that speak through a relay, the first by name.
+// crowd starts nodes of one data centre that sendStateTo through a relay, the first by name.
 func crowd(t *testing.T, feeds ...jwstore.Feed) []node {
 	t.Helper()
 	nodes := make([]node, 0, len(feeds))
 	for i, feed := range feeds {
-		nodes = append(nodes, startWith(t, feed, fmt.Sprintf("n%d", i+1), "north", func(g *jwgateway.Gateway) { g.Crowd = 2 }))
+		nodes = append(nodes, startWith(t, feed, fmt.Sprintf("n%d", i+1), "north", func(g *jwgateway.Gateway) { g.RelayThreshold = 2 }))
 	}
 	for _, n := range nodes {
 		until(t, n, "/a/x", served)
@@ -157,7 +157,7 @@
 	configure(&feed, 1, route("/a/", "idempotent", ""))
 	counting := &countingFeed{Feed: &feed}
 	var boot atomic.Int64
-	crowded := func(g *jwgateway.Gateway) { g.Crowd = 2 }
+	crowded := func(g *jwgateway.Gateway) { g.RelayThreshold = 2 }
 	first := startWith(t, &feed, "n1", "north", crowded)
 	second := startWith(t, counting, "n2", "north", func(g *jwgateway.Gateway) {
 		crowded(g)
--- a/io/jwgateway/upstream.go
+++ b/io/jwgateway/upstream.go
@@ -66,7 +66,7 @@
 	return nil, false
 }
 
-// passOn takes changes that another relay read, keeps them for those that speak through
+// passOn takes changes that another relay read, keeps them for those that sendStateTo through
 // this one, and returns of when they are.
 func (f *follower) passOn(now time.Time, c *changes, from uint64) time.Time {
 	f.mu.Lock()
@@ -75,7 +75,7 @@
 	return now.Add(-time.Duration(c.Age) * time.Millisecond)
 }
 
-// serveChanges tells another relay the changes of the store as soon as there are any.
+// serveChanges answers another relay with the changes of the store as soon as there are any.
 func (g *Gateway) serveChanges(w http.ResponseWriter, r *http.Request) {
 	after := numberOf(r, "after")
 	if g.reads(time.Now()) {
@@ -86,6 +86,6 @@
 		c = g.changesAfter(time.Now(), after)
 	}
 	if err := json.NewEncoder(w).Encode(c); err != nil {
-		g.Log.V(1).Info("changes not told", "error", err.Error())
+		g.Log.V(1).Info("changes not sent", "error", err.Error())
 	}
 }
--- a/io/jwgateway/upstream_test.go
+++ b/io/jwgateway/upstream_test.go
@@ -40,7 +40,7 @@
 		register(&feed, fmt.Sprint("u", i), "other", "127.0.0.1:9", "north-a", "ready")
 	}
 	configure(&feed, 1, route("/a/", "idempotent", ""))
-	crowded := func(g *jwgateway.Gateway) { g.Crowd = 2 }
+	crowded := func(g *jwgateway.Gateway) { g.RelayThreshold = 2 }
 	first := startWith(t, &feed, "n1", "north", crowded)
 	until(t, first, "/a/x", served)
 	for i := range 1000 {
@@ -69,7 +69,7 @@
 	}
 	feed.Write("jujubewheel/nodes/n1", []byte(`{"name":"n1","region":"north","dataCentre":"north-a","callers":"127.0.0.1:9","nodes":"127.0.0.1:9","start":1,"change":1,"serving":true}`))
 	configure(&feed, 1, route("/a/", "idempotent", ""))
-	n := startWith(t, &feed, "n2", "north", func(g *jwgateway.Gateway) { g.Crowd = 2 })
+	n := startWith(t, &feed, "n2", "north", func(g *jwgateway.Gateway) { g.RelayThreshold = 2 })
 	until(t, n, "/a/x", served)
 }
 
@@ -80,7 +80,7 @@
 	var feed jwstore.MemoryFeed
 	x := startTarget(t, &feed, "t1", "s", "east-a", text("first"))
 	configure(&feed, 1, route("/a/", "idempotent", ""))
-	crowded := func(g *jwgateway.Gateway) { g.Crowd = 1 }
+	crowded := func(g *jwgateway.Gateway) { g.RelayThreshold = 1 }
 	north, south := &hangingFeed{Feed: &feed}, &hangingFeed{Feed: &feed}
 	counting := &pagesFeed{Feed: &feed}
 	nodes := []node{startWith(t, north, "n1", "north", crowded)}
--- a/io/jwgateway/belief.go
+++ b/io/jwgateway/view.go
@@ -19,12 +19,12 @@
 	"jujubewheel/core/jwmember"
 )
 
-// beliefRetry is the wait between two rounds of questions.
-const beliefRetry = 400 * time.Millisecond
+// viewRetry is the wait between two rounds of questions.
+const viewRetry = 400 * time.Millisecond
 
-// belief is what a node needs to serve while it can't reach the store: what
+// view is what a node needs to serve while it can't reach the store: what
 // another one has that it lacks.
-type belief struct {
+type view struct {
 	Config    []byte                `json:"config,omitempty"` // as the store holds it
 	Revision  uint64                `json:"revision"`         // of the store, 0 if the rest is left out
 	Targets   []jwinstance.Instance `json:"targets,omitempty"`
@@ -33,16 +33,16 @@
 	Fleet     int                   `json:"fleet,omitempty"` // nodes of all regions as the store keeps it
 }
 
-// serveBelief tells what is newer than the version and the revision that the
+// serveView answers with what is newer than the version and the revision that the
 // asking node has.
-func (g *Gateway) serveBelief(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request) {
 	c := g.entries.Current()
 	if c == nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	now := time.Now()
-	var b belief
+	var b view
 	if c.Version > numberOf(r, "version") {
 		b.Config = c.Raw
 	}
@@ -51,14 +51,14 @@
 		b.Targets, b.Evacuated = g.targets.Instances(now), g.targets.Evacuated()
 		b.Members, b.Fleet = g.members.Live(now, ""), g.members.FleetSize()
 	}
-	// Thousands of targets are told to all nodes of a data centre that start at once.
+	// Thousands of targets go to all nodes of a data centre that start at once.
 	out := gzip.NewWriter(w)
 	err := json.NewEncoder(out).Encode(b)
 	if err == nil {
 		err = out.Close()
 	}
 	if err != nil {
-		g.Log.V(1).Info("belief not told", "error", err.Error())
+		g.Log.V(1).Info("view not sent", "error", err.Error())
 	}
 }
 
@@ -71,39 +71,39 @@
 	return n
 }
 
-// start asks other nodes for what they believe until the store was read: the
+// start asks other nodes for their views until the store was read: the
 // store may be away when a node starts, and callers wait.
 func (g *Gateway) start(ctx context.Context) {
 	for !g.synced.Load() && g.entries.Current() == nil && ctx.Err() == nil {
 		for _, a := range g.Settings.Gateway.Seeds {
 			if a != g.Settings.Gateway.Listen.Nodes {
-				g.learn(a)
+				g.pull(a)
 			}
 		}
-		jwclock.Sleep(ctx, beliefRetry)
+		jwclock.Sleep(ctx, viewRetry)
 	}
 }
 
-// behind tells whether a peer has read more of the store while it is out of
+// behind reports whether a peer has read more of the store while it is out of
 // this node's reach.
 func (g *Gateway) behind(now time.Time, revision uint64) bool {
-	return revision > max(g.store.revision.Load(), g.learned.Load()) && g.store.doubt(now)
+	return revision > max(g.store.revision.Load(), g.pulledTo.Load()) && g.store.stale(now)
 }
 
-// learn takes what another node has read that this one has not: the store may
+// pull takes what another node has read that this one has not: the store may
 // be out of this node's reach. One question is asked at a time.
-func (g *Gateway) learn(a netip.AddrPort) {
-	if !g.learning.CompareAndSwap(false, true) {
+func (g *Gateway) pull(a netip.AddrPort) {
+	if !g.pulling.CompareAndSwap(false, true) {
 		return
 	}
-	defer g.learning.Store(false)
-	revision := max(g.store.revision.Load(), g.learned.Load())
-	if !g.store.doubt(time.Now()) {
-		revision = math.MaxUint64 // the store tells it
+	defer g.pulling.Store(false)
+	revision := max(g.store.revision.Load(), g.pulledTo.Load())
+	if !g.store.stale(time.Now()) {
+		revision = math.MaxUint64 // the store has it
 	}
-	b, err := g.askBelief(context.Background(), a, g.entries.Version(), revision)
+	b, err := g.askView(context.Background(), a, g.entries.Version(), revision)
 	if err != nil {
-		g.Log.V(1).Info("belief not heard", "peer", a.String(), "error", err.Error())
+		g.Log.V(1).Info("view not pulled", "peer", a.String(), "error", err.Error())
 		return
 	}
 	if now := time.Now(); g.behind(now, b.Revision) {
@@ -114,29 +114,29 @@
 	}
 }
 
-// askBelief asks a node for what it believes beyond a version of the configuration and
+// askView asks a node for what its view has beyond a version of the configuration and
 // a revision of the store.
-func (g *Gateway) askBelief(ctx context.Context, a netip.AddrPort, version, revision uint64) (b belief, err error) {
+func (g *Gateway) askView(ctx context.Context, a netip.AddrPort, version, revision uint64) (b view, err error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	q := url.Values{
 		"version":  {strconv.FormatUint(version, 10)},
 		"revision": {strconv.FormatUint(revision, 10)},
 	}
-	raw, err := g.nodeCall(ctx, jwmember.Member{Nodes: a}, http.MethodGet, beliefPath+"?"+q.Encode(), nil)
+	raw, err := g.nodeCall(ctx, jwmember.Member{Nodes: a}, http.MethodGet, viewPath+"?"+q.Encode(), nil)
 	if err != nil {
 		return b, err
 	}
 	in, err := gzip.NewReader(bytes.NewReader(raw))
 	if err != nil {
-		return b, errors.Wrap(err, "belief")
+		return b, errors.Wrap(err, "view")
 	}
-	return b, errors.Wrap(json.NewDecoder(in).Decode(&b), "belief")
+	return b, errors.Wrap(json.NewDecoder(in).Decode(&b), "view")
 }
 
-// take takes targets, evacuations and nodes. What the store tells this node
+// take takes targets, evacuations and nodes. What the store has for this node
 // itself meanwhile is newer and stays, by its revisions.
-func (g *Gateway) take(now time.Time, b belief, from netip.AddrPort) {
+func (g *Gateway) take(now time.Time, b view, from netip.AddrPort) {
 	targets, evacuated := map[string]bool{}, map[string]bool{}
 	for _, in := range b.Targets {
 		g.targets.Put(now, in)
@@ -154,6 +154,6 @@
 	if b.Fleet > 0 {
 		g.members.SetFleet(now, b.Fleet, !g.synced.Load())
 	}
-	g.learned.Store(b.Revision)
-	g.Log.Info("learned from another node", "peer", from.String(), "revision", b.Revision, "targets", len(b.Targets))
+	g.pulledTo.Store(b.Revision)
+	g.Log.Info("pulledTo from another node", "peer", from.String(), "revision", b.Revision, "targets", len(b.Targets))
 }
--- a/io/jwgateway/wake.go
+++ b/io/jwgateway/wake.go
@@ -12,12 +12,12 @@
 	// knew: the store is read about as often.
 	pauseLimit = time.Second
 	// wakeLimit is how long a node that woke waits for the store; without it, it
-	// serves by what it knew and what other nodes told since, or a region cut off
+	// serves by what it knew and what other nodes reported since, or a region cut off
 	// would not serve after a pause.
 	wakeLimit = 2 * time.Second
-	// wakeWait is the Retry-After of a node that woke and has not read the
+	// wakeRetryAfter is the Retry-After of a node that woke and has not read the
 	// store yet: a way there and back.
-	wakeWait = 100 * time.Millisecond
+	wakeRetryAfter = 100 * time.Millisecond
 )
 
 // epoch is the time between two pauses. Its context ends with the next one, so
@@ -49,8 +49,8 @@
 func (g *Gateway) wake(ctx context.Context) {
 	begun := time.Now()
 	g.Log.Info("woke from a pause", "version", g.entries.Version())
-	g.members.Woke(begun)
-	g.targets.Woke()
+	g.members.Resumed(begun)
+	g.targets.Resumed()
 	g.newEpoch(ctx)
 	const step = 10 * time.Millisecond
 	for !g.pulse.Alive() && time.Since(begun) < wakeLimit && ctx.Err() == nil {
--- a/io/jwsettings/gateway.go
+++ b/io/jwsettings/gateway.go
@@ -19,10 +19,10 @@
 	LinkMbps    float64 // of the host's link, 0 if not known
 }
 
-// Bears returns what the host bears of the work that a node does for others, in
+// Capacity returns what the host can do of the work that a node does for others, in
 // hundredths of a core: what it needs of its link goes along with that. It is 0 where
 // neither is known.
-func (g *Gateway) Bears() int {
+func (g *Gateway) Capacity() int {
 	const coreShare, linkShare = 100, 0.5
 	return int(min(coreShare*g.Cores, linkShare*g.LinkMbps))
 }
--- a/io/jwtell/day.go
+++ b/io/jwtell/day.go
@@ -17,7 +17,7 @@
 type Day struct {
 	Start     time.Time
 	Outcomes  []Series // requests by how they ended, at the node that the caller spoke to
-	Refusals  []Series // of these, what was turned away by reason
+	Refusals  []Series // of these, what was rejected by reason
 	StoreLost []Series // 1 by node while the store does not answer
 	Away      []Series // 1 by node while it does not run
 	StoreAge  Series   // longest time, in seconds, for which a running node has had no answer
@@ -74,13 +74,13 @@
 }
 
 // ending returns how the request of a line ended for its caller, "" if it did
-// not end there, and why it was turned away.
+// not end there, and why it was rejected.
 func (e *Event) ending() (outcome, reason string) {
 	switch {
 	case e.Entry == "":
 		return "", ""
 	case e.Message == "answer" && e.Outcome == "notRun":
-		return "turned away", e.Reason
+		return "rejected", e.Reason
 	case e.Message == "answer":
 		return e.outcomeOnly(), ""
 	case e.Outcome != "finished" || e.Message != "send" && e.Message != "forward":
--- a/io/jwtell/day_test.go
+++ b/io/jwtell/day_test.go
@@ -21,7 +21,7 @@
 	assert.DeepEqual(t, d.Outcomes, []Series{
 		{"outcome unknown", []float64{0, 0, 0, 1, 0, 0}},
 		{"served", []float64{0, 2, 0, 0, 0, 0}},
-		{"turned away", []float64{0, 0, 0, 1, 0, 0}},
+		{"rejected", []float64{0, 0, 0, 1, 0, 0}},
 	})
 	assert.DeepEqual(t, d.Refusals, []Series{{"no target has room", []float64{0, 0, 0, 1, 0, 0}}})
 	assert.DeepEqual(t, d.StoreLost[0], Series{"n1", []float64{0, 0, 1, 1, 0, 0}})
