--- a/core/jwquota/account.go
+++ b/core/jwquota/account.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"jujubewheel/core/jwworkspace"
@@ -36,7 +38,7 @@
 	income   rate      // what they were given
 	largest  float64   // request seen, fading
 	waiting  []*Waiter
-	children map[string]child
+	children []child   // by name
 	root     bool      // units of the workspace are gathered at this node
 	asked    time.Time // when a request or another node asked last
 	wanted   time.Time // until when others want what this node doesn't need
@@ -52,6 +54,7 @@
 
 // child is what a node that asks this one claimed last.
 type child struct {
+	name   string
 	at     time.Time
 	demand float64
 	first  float64   // that its first waiting request lacks
@@ -82,18 +85,25 @@
 func (a *account) mint(now time.Time, q jwworkspace.Quota, b Bounds, p Place) {
 	d := now.Sub(a.minted)
 	a.minted = now
-	most := a.most(now, q, b, p)
-	if a.level > most {
-		a.level = most
-		return
-	}
+	added := 0.0
 	if p.Counted && d > 0 {
-		a.level = min(a.level+q.Rate/float64(max(p.Fleet, 1))*d.Seconds(), most)
+		added = q.Rate / float64(max(p.Fleet, 1)) * d.Seconds()
 	}
+	if a.level+added <= a.static(q, b, p) {
+		a.level += added
+		return
+	}
+	most := a.most(now, q, b, p)
+	a.level = min(a.level+added, most)
 }
 
 // most returns the units that the node may keep.
 func (a *account) most(now time.Time, q jwworkspace.Quota, b Bounds, p Place) float64 {
+	return a.static(q, b, p) + a.target(now, q, b, p) + a.lacking(now)
+}
+
+// static returns the units that the node may keep whatever is asked for.
+func (a *account) static(q jwworkspace.Quota, b Bounds, p Place) float64 {
 	part := leafPart
 	if p.Group > 0 {
 		part += poolPart * float64(p.Group)
@@ -101,7 +111,7 @@
 	if a.root {
 		part += rootPart * float64(max(p.Live, 1))
 	}
-	return b.still(q)*part/float64(max(p.Fleet, 1)) + a.target(now, q, b, p) + a.lacking(now)
+	return b.still(q) * part / float64(max(p.Fleet, 1))
 }
 
 // target returns the units that the node wants to have ahead. Together all want what is
@@ -175,8 +185,12 @@
 // or for the first of them, after those that have waited longer; and what it wants
 // ahead from what nobody waits for.
 func (a *account) share(now time.Time, node string, c Claim) float64 {
-	old := a.children[node]
-	fresh := child{at: now, demand: c.Demand, since: now}
+	at, known := slices.BinarySearchFunc(a.children, node, func(c child, name string) int { return strings.Compare(c.name, name) })
+	if !known {
+		a.children = slices.Insert(a.children, at, child{name: node})
+	}
+	old := a.children[at]
+	fresh := child{name: node, at: now, demand: c.Demand, since: now}
 	if old.need > 0 && now.Sub(old.at) < needFor {
 		fresh.since = old.since
 	}
@@ -187,8 +201,8 @@
 			free -= w.cost
 		}
 	}
-	for name, x := range a.children {
-		if name == node || x.need <= 0 || now.Sub(x.at) >= needFor {
+	for _, x := range a.children {
+		if x.name == node || x.need <= 0 || now.Sub(x.at) >= needFor {
 			continue
 		}
 		rest -= x.need
@@ -205,21 +219,15 @@
 	}
 	fresh.need, fresh.first = max(c.Need-units, 0), c.First
 	units += max(min(c.Ahead, rest-c.Need), 0)
-	if a.children == nil {
-		a.children = make(map[string]child)
-	}
-	a.children[node] = fresh
+	a.children[at] = fresh
 	return units
 }
 
 // asksTotal returns what all nodes ask for that claim here, and this one.
 func (a *account) asksTotal(now time.Time) float64 {
 	units := a.demand.now(now)
-	for name, c := range a.children {
-		if now.Sub(c.at) >= childFor {
-			delete(a.children, name)
-			continue
-		}
+	a.children = slices.DeleteFunc(a.children, func(c child) bool { return now.Sub(c.at) >= childFor })
+	for _, c := range a.children {
 		units += c.demand
 	}
 	return units
