--- a/spec/verify.sh
+++ b/spec/verify.sh
@@ -15,7 +15,7 @@
 	name=$1
 	shift
 	spin "$@" -a "$src" >/dev/null
-	gcc -O2 -DSAFETY -DCOLLAPSE -o pan pan.c
+	gcc -O2 -w -DSAFETY -DCOLLAPSE -o pan pan.c
 	./pan -m1000000 >"$name.out" || true
 	states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$name.out")
 	errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$name.out")
