jwresolver: of very many nodes each caller is named others

The first 64 by name were named to all: at 296 hosts a third of the nodes of each region got no requests. Now those that rank highest for the caller, so that it is named the same ones each time.

--- a/core/jwresolver/resolver.go
+++ b/core/jwresolver/resolver.go
@@ -1,10 +1,12 @@
 package jwresolver
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwtarget"
 )
 
 const (
@@ -41,6 +43,7 @@
 
 // View is what the asked node believes; Members come by name.
 type View struct {
+	Caller  string                                   // who asks, so that it is always named the same nodes of many
 	Own     []jwmember.Member                        // nodes of the caller's region that serve
 	Leaving []jwmember.Leaver                        // those that stop by plan
 	Linger  time.Duration                            // how long these take requests from their stop on
@@ -63,16 +66,16 @@
 // View.Ready.
 func Resolve(v View) Answer {
 	if len(v.Own) > 0 {
-		return answer(Own, v.Own, TTL)
+		return v.answer(Own, v.Own, TTL)
 	}
 	if nodes, ttl := leaving(v.Leaving, v.Linger); len(nodes) > 0 {
-		return answer(Stopping, nodes, ttl)
+		return v.answer(Stopping, nodes, ttl)
 	}
 	if !v.Ready {
 		return Answer{Kind: Nobody}
 	}
 	if nodes := standIns(v); len(nodes) > 0 {
-		return answer(StandIns, nodes, standInTTL)
+		return v.answer(StandIns, nodes, standInTTL)
 	}
 	return Answer{Kind: Nobody}
 }
@@ -112,6 +115,17 @@
 	return nodes
 }
 
-func answer(k Kind, nodes []jwmember.Member, ttl time.Duration) Answer {
-	return Answer{Kind: k, Nodes: nodes[:min(len(nodes), mostNamed)], TTL: ttl}
+// answer names the nodes, or of very many those that rank highest for the caller by
+// rendezvous hashing: named to all alike, the others would get no callers, and named at
+// random, callers would give up their connections with each answer.
+func (v View) answer(k Kind, nodes []jwmember.Member, ttl time.Duration) Answer {
+	if len(nodes) > mostNamed {
+		caller := jwtarget.NameKey(v.Caller)
+		nodes = slices.Clone(nodes)
+		slices.SortFunc(nodes, func(a, b jwmember.Member) int {
+			return cmp.Compare(jwtarget.Mix(caller, jwtarget.NameKey(b.Name)), jwtarget.Mix(caller, jwtarget.NameKey(a.Name)))
+		})
+		nodes = nodes[:mostNamed]
+	}
+	return Answer{Kind: k, Nodes: nodes, TTL: ttl}
 }
--- a/core/jwresolver/resolver_test.go
+++ b/core/jwresolver/resolver_test.go
@@ -121,3 +121,37 @@
 		})
 	}
 }
+
+// Of a hundred nodes the first sixty-four by name were named to all callers, and the others
+// got no requests.
+func TestManyNodes(t *testing.T) {
+	nodes := make([]jwmember.Member, 100)
+	for i := range nodes {
+		nodes[i] = member(fmt.Sprintf("n%03d", i), "big")
+	}
+	named := make(map[string]int)
+	for i := range 200 {
+		v := View{Caller: fmt.Sprintf("10.0.0.%d", i), Own: nodes}
+		before := Resolve(v)
+		assert.Equal(t, len(before.Nodes), mostNamed)
+		for i, m := range Resolve(v).Nodes {
+			assert.Equal(t, m.Name, before.Nodes[i].Name, "asked once more, a caller is named others")
+		}
+		kept := make(map[string]bool)
+		for _, m := range before.Nodes {
+			named[m.Name]++
+			kept[m.Name] = true
+		}
+		v.Own = nodes[1:] // one is gone
+		others := 0
+		for _, m := range Resolve(v).Nodes {
+			if !kept[m.Name] {
+				others++
+			}
+		}
+		assert.Assert(t, others <= 1, "%d others are named", others)
+	}
+	for _, m := range nodes {
+		assert.Assert(t, named[m.Name] > 80, "%s is named to %d of 200 callers", m.Name, named[m.Name])
+	}
+}
--- a/io/jwgateway/directory.go
+++ b/io/jwgateway/directory.go
@@ -26,7 +26,9 @@
 // serveDirectory names the nodes that a caller should use.
 func (g *Gateway) serveDirectory(w http.ResponseWriter, r *http.Request) {
 	host, region := g.Dialect.Question(r.URL.Query())
-	a := jwresolver.Resolve(g.resolverView(time.Now(), host, region))
+	v := g.resolverView(time.Now(), host, region)
+	v.Caller = callerOf(r.RemoteAddr)
+	a := jwresolver.Resolve(v)
 	g.meters.named(a.Kind)
 	if a.Kind == jwresolver.Nobody {
 		w.WriteHeader(http.StatusServiceUnavailable)
