jwquota: units to start with, less asked ahead, shortage after 0.8 s

A node now starts with 0.12 of its part of what may be kept, unless a process before it started within a window; nodes ask 250 ms ahead for 500; a quota counts as used up after 0.8 s for 0.3.

--- a/core/jwmember/fleet.go
+++ b/core/jwmember/fleet.go
@@ -44,3 +44,21 @@
 	live := t.Live(now, "")
 	return len(live) > 0 && live[0].Name == t.Me().Name
 }
+
+// Predecessor notes when a process of the node before this one started, by its
+// registration.
+func (t *Table) Predecessor(m Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m.Start < t.Self.Start {
+		t.before = max(t.before, m.Start)
+	}
+}
+
+// Fresh reports whether no process of the node is known to have started within a time
+// before this one.
+func (t *Table) Fresh(within time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.before == 0 || time.Duration(t.Self.Start-t.before) >= within
+}
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -53,6 +53,7 @@
 	listed  time.Time // when this process read its own registration in the store, zero while it has not
 	views   map[string]view
 	fleet   int       // nodes of all regions as the store keeps it, 0 if that isn't known
+	before  int64     // when the process before this one started, Unix nanoseconds, 0 if not known
 	counted time.Time // from when on all others count this node, zero if that isn't known
 }
 
--- a/core/jwquota/account.go
+++ b/core/jwquota/account.go
@@ -27,7 +27,7 @@
 	aloneShare = 2
 	// shortAfter is how long the root lacks units before a quota counts as used up;
 	// what others give back may still be on its way.
-	shortAfter = 300 * time.Millisecond
+	shortAfter = 800 * time.Millisecond
 )
 
 // account is what a node holds of one workspace's quota.
--- a/core/jwquota/bounds.go
+++ b/core/jwquota/bounds.go
@@ -28,12 +28,15 @@
 
 const (
 	// aheadFor is how long the units last that a node asks for before it needs them.
-	aheadFor = 500 * time.Millisecond
+	aheadFor = 250 * time.Millisecond
 	// aheadShare bounds them by the part of what may be kept that they take in a second.
 	aheadShare = 0.25
 	// transitFor and transitShare bound the units on their way between two nodes.
 	transitFor   = 250 * time.Millisecond
 	transitShare = 0.15
+	// startShare is what a node has of its part of what may be kept when it starts: after
+	// a start of all at once their callers come back before anything is minted.
+	startShare = 0.12
 )
 
 // kept returns the units that all nodes together may keep unspent. In a window these
@@ -42,12 +45,12 @@
 	return max(b.Most(q)-q.Rate*b.Window.Seconds(), 0)
 }
 
-// still returns the part of kept that is left beside what nodes ask for ahead and what
-// is on its way.
+// still returns the part of kept that is left beside what nodes ask for ahead, what is on
+// its way, and what nodes start with.
 func (b Bounds) still(q jwworkspace.Quota) float64 {
 	kept := b.kept(q)
 	ahead := 2 * b.ahead(q).Seconds() * q.Rate
-	return kept - ahead - min(transitShare*kept, transitFor.Seconds()*q.Rate)
+	return kept - ahead - min(transitShare*kept, transitFor.Seconds()*q.Rate) - startShare*kept
 }
 
 // largest returns the most units that one request may take: they have to be gathered at
--- a/core/jwquota/fleet_test.go
+++ b/core/jwquota/fleet_test.go
@@ -58,6 +58,8 @@
 	side       int // of a cut; nodes of different sides don't reach each other
 	ledger     *Ledger
 	epoch      int // rises when the node starts anew
+	began      time.Time
+	fresh      bool
 	kicked     bool
 	next       time.Time
 	polled     time.Time
@@ -102,6 +104,8 @@
 // restart starts a node anew with nothing.
 func (f *fleet) restart(n *simNode) {
 	n.epoch++
+	n.fresh = n.began.IsZero() || f.now.Sub(n.began) >= f.bounds.Window
+	n.began = f.now
 	n.waiters, n.kicked, n.next = nil, false, f.now
 	n.asking = map[int]time.Time{}
 	n.ledger = &Ledger{
@@ -148,7 +152,7 @@
 			}
 		}
 	}
-	p := Place{Fleet: len(f.nodes), Counted: true, Live: live}
+	p := Place{Fleet: len(f.nodes), Counted: true, Fresh: n.fresh, Live: live}
 	if f.nodes[max(f.relay(n, n.dc), 0)] == n && !f.even {
 		p.Group = group
 		p.Root = func(w string) bool { return f.nodes[f.rootOf(n, w)] == n }
--- a/core/jwquota/ledger.go
+++ b/core/jwquota/ledger.go
@@ -37,6 +37,7 @@
 type Place struct {
 	Fleet   int                         // nodes that there may be
 	Counted bool                        // the others count this one in theirs
+	Fresh   bool                        // no process of the node started within a window before this one
 	Live    int                         // nodes that are believed to live
 	Group   int                         // of these, those that claim through this one, 0 if it is no relay
 	Root    func(workspace string) bool // whether the node gathers a workspace's units; nil for none
@@ -173,6 +174,10 @@
 		if l.place.Counted {
 			// Nobody has spent what was minted since; an account that is idle is dropped.
 			a.minted = later(l.since, now.Add(-idleFor))
+			if l.place.Fresh && now.Sub(l.since) < idleFor {
+				q, b := l.Quota(workspace), l.Bounds()
+				a.level = startShare * b.kept(q) / float64(max(l.place.Fleet, 1))
+			}
 		}
 		if l.accounts == nil {
 			l.accounts = make(map[string]*account)
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -268,6 +268,7 @@
 	}
 	if name == g.Settings.Node {
 		g.members.Listed(now, m)
+		g.members.Predecessor(m)
 		return
 	}
 	if g.members.Put(now, m) {
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -156,6 +156,7 @@
 	}
 	g.quotas.Lacks = g.sharing.Kick
 	g.sharing.Ledger, g.sharing.Members, g.sharing.Limited = &g.quotas, &g.members, g.limited
+	g.sharing.Window = func() time.Duration { return g.bounds.Load().QuotaWindow }
 	g.sharing.Call, g.sharing.Log = g.nodeCall, g.Log
 	g.retries.Nodes = func() int { return g.members.Count(time.Now(), "") }
 }
--- a/io/jwquotaexchange/exchange.go
+++ b/io/jwquotaexchange/exchange.go
@@ -40,7 +40,8 @@
 type Exchange struct {
 	Ledger  *jwquota.Ledger
 	Members *jwmember.Table
-	Limited func() bool // whether any workspace has a quota
+	Limited func() bool          // whether any workspace has a quota
+	Window  func() time.Duration // that quotas hold for
 	// Call makes a call to another node and returns the body of its answer.
 	Call func(ctx context.Context, m jwmember.Member, method, path string, body []byte) ([]byte, error)
 	Log  logr.Logger
@@ -107,7 +108,7 @@
 func (x *Exchange) place(now time.Time, relays []jwmember.Member) {
 	me := x.Members.Me()
 	live := x.Members.Live(now, "")
-	p := jwquota.Place{Live: len(live)}
+	p := jwquota.Place{Live: len(live), Fresh: x.Members.Fresh(x.Window())}
 	p.Fleet, p.Counted = x.Members.Fleet(now)
 	for _, m := range relays {
 		if m.Name != me.Name {
