--- a/io/jwgateway/callers.go
+++ b/io/jwgateway/callers.go
@@ -66,6 +66,7 @@
 	if d.Outcome == jwquota.Waits {
 		d = g.awaitUnits(ctx, q, d)
 	}
+	g.meters.charged(q.workspace, string(d.Outcome), units)
 	if d.Outcome == jwquota.Taken {
 		return true
 	}
--- a/io/jwgateway/meters.go
+++ b/io/jwgateway/meters.go
@@ -27,6 +27,7 @@
 	ends  map[[2]string]tally.Counter   // by kind and outcome
 	whole map[[3]string]tally.Histogram // by kind, outcome and place
 	left  map[string]tally.Gauge        // by service
+	units map[[2]string]tally.Counter   // by workspace and outcome
 
 	first    map[string]tally.Histogram // by place
 	pauses   tally.Histogram
@@ -47,6 +48,7 @@
 		meter: m,
 		sends: make(map[[3]string]tally.Counter), ends: make(map[[2]string]tally.Counter),
 		whole: make(map[[3]string]tally.Histogram), left: make(map[string]tally.Gauge),
+		units: make(map[[2]string]tally.Counter),
 		first: map[string]tally.Histogram{
 			placeHere: m.Durations("first_event_seconds", jwmeter.Tags{"place": placeHere}),
 			placeAway: m.Durations("first_event_seconds", jwmeter.Tags{"place": placeAway}),
@@ -118,5 +120,30 @@
 	}
 }
 
+// maxWorkspaces bounds the workspaces that have series of their own; those that ask first
+// on a node have them, the others share one.
+const (
+	maxWorkspaces   = 50
+	otherWorkspaces = "other"
+)
+
+// charged counts the units that a workspace asked for, by what became of them.
+func (m *meters) charged(workspace, outcome string, units float64) {
+	m.mu.Lock()
+	key := [2]string{workspace, outcome}
+	c := m.units[key]
+	if c == nil {
+		if len(m.units) >= maxWorkspaces {
+			key[0] = otherWorkspaces
+		}
+		if c = m.units[key]; c == nil {
+			c = m.meter.Counter("quota_units_total", jwmeter.Tags{"workspace": key[0], "outcome": outcome})
+			m.units[key] = c
+		}
+	}
+	m.mu.Unlock()
+	c.Inc(int64(units))
+}
+
 // begun records the wait for a first event.
 func (m *meters) begun(place string, d time.Duration) { m.first[place].RecordDuration(d) }
