--- /dev/null
+++ b/core/jwmember/share.go
@@ -0,0 +1,49 @@
+package jwmember
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+// rank orders names for rendezvous hashing.
+func rank(name, key string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name + "\x00" + key))
+	return h.Sum64()
+}
+
+// CountedByAll tells whether every node that may share a sum with this one counts
+// it. Otherwise the others may use the whole sum without it; see spec/share. It
+// takes two things. The node has read its own registration in the store: of two
+// that start at once, the one that registered last then knows of the other,
+// however slow the store is. And it has exchanged state with every registered node of its
+// region, lately, and so long ago that what was used among fewer, also by a
+// process before this one, has left the window.
+func (t *Table) CountedByAll(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.listed.IsZero() || now.Sub(t.listed) < window {
+		return false
+	}
+	for _, r := range t.members {
+		if !r.registered || r.Region != t.Self.Region {
+			continue
+		}
+		if now.Sub(r.seen) > knownFor || now.Sub(r.met) < window {
+			return false
+		}
+	}
+	return true
+}
+
+// Owns tells whether the node itself is the one of its region that a name
+// falls to, by rendezvous hashing over the live nodes.
+func (t *Table) Owns(now time.Time, name string) bool {
+	best, most := "", uint64(0)
+	for _, m := range t.Live(now, t.Self.Region) {
+		if s := rank(m.Name, name); best == "" || s > most {
+			best, most = m.Name, s
+		}
+	}
+	return best == "" || best == t.Self.Name
+}
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -1,7 +1,6 @@
 package jwmember
 
 import (
-	"hash/fnv"
 	"net/netip"
 	"slices"
 	"sort"
@@ -57,33 +56,6 @@
 	counted time.Time // from when on all others count this node, zero if that isn't known
 }
 
-// viewAge is how long a view of a region serves while nothing changes: many requests ask
-// for the same, and with hundreds of nodes to go over they would do little else.
-const viewAge = 50 * time.Millisecond
-
-// view is what Live and Count said of a region last.
-type view struct {
-	liveAt, countAt time.Time // zero before they were asked
-	live            []Member
-	count           int
-}
-
-// fresh tells whether a view made at a time still serves.
-func fresh(now, at time.Time) bool {
-	age := now.Sub(at)
-	return !at.IsZero() && age >= 0 && age < viewAge
-}
-
-// changed forgets the views: what they rest on has changed.
-func (t *Table) changed() { clear(t.views) }
-
-func (t *Table) keepView(region string, v view) {
-	if t.views == nil {
-		t.views = make(map[string]view)
-	}
-	t.views[region] = v
-}
-
 type record struct {
 	Member
 	registered bool
@@ -189,13 +161,6 @@
 	return best, best.Name != ""
 }
 
-// rank orders names for rendezvous hashing.
-func rank(name, key string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(name + "\x00" + key))
-	return h.Sum64()
-}
-
 // Failed notes that a node could not be reached.
 func (t *Table) Failed(now time.Time, name string) {
 	t.mu.Lock()
@@ -311,34 +276,6 @@
 	return r != nil && now.Sub(r.seen) < suspectAfter/2
 }
 
-// Live returns the nodes believed to run and to serve, by name; region "" is
-// all regions. It includes the node itself if it serves. Several callers may get the
-// same list, which must not be changed.
-func (t *Table) Live(now time.Time, region string) []Member {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	v := t.views[region]
-	if !fresh(now, v.liveAt) {
-		v.live, v.liveAt = t.listLive(now, region), now
-		t.keepView(region, v)
-	}
-	return v.live
-}
-
-func (t *Table) listLive(now time.Time, region string) []Member {
-	var list []Member
-	if t.Self.Serving && (region == "" || t.Self.Region == region) {
-		list = append(list, t.Self)
-	}
-	for _, r := range t.members {
-		if r.Serving && (region == "" || r.Region == region) && t.live(now, r) {
-			list = append(list, r.Member)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
-	return list
-}
-
 // Leaving returns the nodes of a region that stop by plan and were seen, or seen
 // of, since their stop, by name, the node itself among them.
 func (t *Table) Leaving(now time.Time, region string) []Leaver {
@@ -401,66 +338,3 @@
 	defer t.mu.Unlock()
 	return t.Self
 }
-
-// Count returns how many nodes of a region there may be, the node itself
-// included: the live, the registered and those seen within the last minute.
-// Shares of a sum that must not be exceeded are made from it.
-func (t *Table) Count(now time.Time, region string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	v := t.views[region]
-	if !fresh(now, v.countAt) {
-		v.count, v.countAt = t.countAll(now, region), now
-		t.keepView(region, v)
-	}
-	return v.count
-}
-
-func (t *Table) countAll(now time.Time, region string) int {
-	n := 0
-	if region == "" || t.Self.Region == region {
-		n++
-	}
-	for _, r := range t.members {
-		if (region == "" || r.Region == region) && (r.registered || now.Sub(r.seen) < forget) {
-			n++
-		}
-	}
-	return n
-}
-
-// CountedByAll tells whether every node that may share a sum with this one counts
-// it. Otherwise the others may use the whole sum without it; see spec/share. It
-// takes two things. The node has read its own registration in the store: of two
-// that start at once, the one that registered last then knows of the other,
-// however slow the store is. And it has exchanged state with every registered node of its
-// region, lately, and so long ago that what was used among fewer, also by a
-// process before this one, has left the window.
-func (t *Table) CountedByAll(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.listed.IsZero() || now.Sub(t.listed) < window {
-		return false
-	}
-	for _, r := range t.members {
-		if !r.registered || r.Region != t.Self.Region {
-			continue
-		}
-		if now.Sub(r.seen) > knownFor || now.Sub(r.met) < window {
-			return false
-		}
-	}
-	return true
-}
-
-// Owns tells whether the node itself is the one of its region that a name
-// falls to, by rendezvous hashing over the live nodes.
-func (t *Table) Owns(now time.Time, name string) bool {
-	best, most := "", uint64(0)
-	for _, m := range t.Live(now, t.Self.Region) {
-		if s := rank(m.Name, name); best == "" || s > most {
-			best, most = m.Name, s
-		}
-	}
-	return best == "" || best == t.Self.Name
-}
