--- a/core/jwinstance/subset_test.go
+++ b/core/jwinstance/subset_test.go
@@ -96,7 +96,7 @@
 		want Change
 	}{
 		"the same":              {with(func(*Instance) {}), Same},
-		"a little later":        {with(func(in *Instance) { in.Cold -= 100 * time.Millisecond }), Same},
+		"a little later":        {with(func(in *Instance) { in.Cold -= 400 * time.Millisecond }), Same},
 		"cold anew":             {with(func(in *Instance) { in.Cold = 3 * time.Second }), Renewed},
 		"warm at once":          {with(func(in *Instance) { in.Cold = 0 }), Renewed},
 		"other slots":           {with(func(in *Instance) { in.Slots = 8 }), Renewed},
@@ -113,6 +113,26 @@
 	}
 }
 
+// BenchmarkRenewals takes what a thousand cold targets register, whose time to stay so
+// jitters, and looks each up for a line of the log: the order of all targets was made anew
+// for each, and nodes of a fleet of 300 spent a percent of a core on it.
+func BenchmarkRenewals(b *testing.B) {
+	now := time.Unix(1000, 0)
+	x := &Table{Node: "n", Region: "r"}
+	in := make([]Instance, 1000)
+	for i := range in {
+		in[i] = Instance{ID: fmt.Sprint("t", i), Service: "s", Region: "r", Slots: 4, Cold: 3 * time.Second}
+		x.Put(now, in[i])
+	}
+	for i := 0; b.Loop(); i++ {
+		n := in[i%len(in)]
+		n.Cold = time.Duration(1+i%3) * time.Second
+		if x.Put(now, n) != Same {
+			x.Knows(n.ID)
+		}
+	}
+}
+
 // BenchmarkStart registers three thousand targets as a node that starts does; looked up
 // one by one meanwhile, they took seconds of a small host's processor.
 func BenchmarkStart(b *testing.B) {
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -86,7 +86,7 @@
 
 // drift is by how much the end of a time that targets count down in each registration
 // may differ between two before that is a change.
-const drift = 200 * time.Millisecond
+const drift = 500 * time.Millisecond
 
 // Put takes a registration as it stands in the store and tells what it changed.
 func (t *Table) Put(now time.Time, in Instance) Change {
@@ -113,9 +113,13 @@
 	}
 	change := old.compare(now, in)
 	if change != Same {
+		moved := old.Region != in.Region
 		old.renew(in)
 		old.changed = now
-		t.reindex()
+		t.slots = nil
+		if moved {
+			t.reindex()
+		}
 	}
 	old.Revision = in.Revision
 	old.seenAt, old.gone = now, time.Time{}
