--- a/core/jwmember/table_test.go
+++ b/core/jwmember/table_test.go
@@ -125,7 +125,7 @@
 // Each of the old ones uses its half of a sum; with a third more from the new
 // one the sum would be exceeded. Users would see targets that come back cold
 // crash again under what all send to them.
-func TestKnownToAll(t *testing.T) {
+func TestCountedByAll(t *testing.T) {
 	t0 := time.Unix(1000, 0)
 	self := member("a", "r", 1)
 	earlier := self
