--- a/core/jwinstance/subset.go
+++ b/core/jwinstance/subset.go
@@ -1,6 +1,7 @@
 package jwinstance
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -21,6 +22,12 @@
 // subsetKey names the targets that a node knows of a service in a region.
 type subsetKey struct{ service, region, node string }
 
+// subset is the targets that a node knows, those that rank highest first.
+type subset struct {
+	ranks []uint64 // nil where it has all targets of the region
+	list  []*Target
+}
+
 // of returns the targets of a service that this node knows: its subsets of all regions,
 // by name.
 func (t *Table) of(service string) []*Target {
@@ -41,31 +48,121 @@
 // when a target comes or goes.
 func (t *Table) subset(k subsetKey) []*Target {
 	t.index()
-	list, ok := t.subsets[k]
-	if ok {
-		return list
-	}
-	list = t.places[k.service][k.region]
-	most := localSubset
-	if k.region != t.Region {
-		most = remoteSubset
-	}
-	if len(list) > localSubset {
-		list = slices.Clone(list)
-		node := jwtarget.NameKey(k.node)
-		slices.SortFunc(list, func(a, b *Target) int {
-			switch x, y := jwtarget.Mix(a.key, node), jwtarget.Mix(b.key, node); {
-			case x > y:
-				return -1
-			case x < y:
-				return 1
-			}
-			return strings.Compare(a.ID, b.ID)
-		})
-		list = list[:most]
+	all := t.places[k.service][k.region]
+	if len(all) <= localSubset {
+		return all
+	}
+	s, ok := t.subsets[k]
+	if !ok {
+		s = t.rankAll(k, all)
+		t.subsets[k] = s
+	}
+	return s.list
+}
+
+// subsetSize returns how many targets of a region with many a node knows.
+func (t *Table) subsetSize(region string) int {
+	if region == t.Region {
+		return localSubset
+	}
+	return remoteSubset
+}
+
+func (t *Table) rankAll(k subsetKey, all []*Target) *subset {
+	type ranked struct {
+		rank uint64
+		x    *Target
+	}
+	node := jwtarget.NameKey(k.node)
+	order := make([]ranked, len(all))
+	for i, x := range all {
+		order[i] = ranked{jwtarget.Mix(x.key, node), x}
+	}
+	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	most := t.subsetSize(k.region)
+	s := &subset{ranks: make([]uint64, most), list: make([]*Target, most)}
+	for i := range most {
+		s.ranks[i], s.list[i] = order[i].rank, order[i].x
+	}
+	return s
+}
+
+// insert brings a new target into the order, and into the subsets that it ranks high for.
+func (t *Table) insert(x *Target) {
+	t.slots = nil
+	if t.places == nil {
+		return
+	}
+	regions := t.places[x.Service]
+	if regions == nil {
+		regions = make(map[string][]*Target)
+		t.places[x.Service] = regions
+	}
+	list := regions[x.Region]
+	i, _ := slices.BinarySearchFunc(list, x, byID)
+	regions[x.Region] = slices.Insert(list, i, x)
+	if len(list) < localSubset {
+		delete(t.known, x.Service)
+		return
+	}
+	for k, s := range t.subsets {
+		if k.service == x.Service && k.region == x.Region && s.add(jwtarget.Mix(x.key, jwtarget.NameKey(k.node)), x) && k.node == t.Node {
+			delete(t.known, x.Service)
+		}
+	}
+	if len(list) == localSubset {
+		delete(t.known, x.Service) // it had all of them until now
+	}
+}
+
+// add takes a target in place of the last one, if it ranks higher.
+func (s *subset) add(rank uint64, x *Target) bool {
+	last := len(s.ranks) - 1
+	if rank <= s.ranks[last] {
+		return false
+	}
+	i, _ := slices.BinarySearchFunc(s.ranks, rank, func(a, b uint64) int { return cmp.Compare(b, a) })
+	s.ranks = slices.Insert(s.ranks[:last], i, rank)
+	s.list = slices.Insert(s.list[:last], i, x)
+	return true
+}
+
+// replace puts a target that began anew in the place of the one before.
+func (t *Table) replace(old, x *Target) {
+	if old.Service != x.Service || old.Region != x.Region {
+		t.reindex()
+		return
+	}
+	t.slots = nil
+	put := func(list []*Target) {
+		if i := slices.Index(list, old); i >= 0 {
+			list[i] = x
+		}
+	}
+	put(t.places[x.Service][x.Region])
+	put(t.known[x.Service])
+	for k, s := range t.subsets {
+		if k.service == x.Service && k.region == x.Region {
+			put(s.list)
+		}
+	}
+}
+
+// remove takes a target out of the order.
+func (t *Table) remove(x *Target) {
+	t.slots = nil
+	list := t.places[x.Service][x.Region]
+	i := slices.Index(list, x)
+	if i < 0 {
+		return
+	}
+	t.places[x.Service][x.Region] = slices.Delete(list, i, i+1)
+	delete(t.known, x.Service)
+	for k, s := range t.subsets {
+		if k.service == x.Service && k.region == x.Region && (len(list)-1 <= localSubset || slices.Contains(s.list, x)) {
+			delete(t.subsets, k)
+		}
 	}
-	t.subsets[k] = list
-	return list
 }
 
 // Knows tells whether this node chooses among others and a target, by its name.
@@ -106,7 +203,7 @@
 	}
 	t.places = make(map[string]map[string][]*Target)
 	t.known = make(map[string][]*Target)
-	t.subsets = make(map[subsetKey][]*Target)
+	t.subsets = make(map[subsetKey]*subset)
 	for _, x := range t.targets {
 		regions := t.places[x.Service]
 		if regions == nil {
@@ -122,7 +219,7 @@
 	}
 }
 
-// reindex forgets the order of targets after one came or went.
+// reindex forgets the order of targets.
 func (t *Table) reindex() { t.places, t.slots = nil, nil }
 
 // Regions returns how many usable slots a service has in each region. It must not be
@@ -149,6 +246,6 @@
 	return slots
 }
 
-func sortByID(list []*Target) {
-	slices.SortFunc(list, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
-}
+func sortByID(list []*Target) { slices.SortFunc(list, byID) }
+
+func byID(a, b *Target) int { return strings.Compare(a.ID, b.ID) }
--- a/core/jwinstance/subset_test.go
+++ b/core/jwinstance/subset_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // A region of a thousand targets and a hundred nodes: what a relay reports to each node
@@ -80,6 +82,44 @@
 	assert.Assert(t, changed <= 1, "%d targets are new", changed)
 }
 
+// The order of targets that is kept as they come, begin anew and go must be the one that
+// is made from all of them.
+func TestOrderIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		x := &Table{Node: "n", Region: "r0"}
+		for i := range rapid.IntRange(0, 80).Draw(t, "targets") {
+			x.Put(now, Instance{ID: fmt.Sprint("t", i), Service: "s", Region: "r0"})
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := fmt.Sprint("t", rapid.IntRange(0, 150).Draw(t, "target"))
+			in := Instance{ID: id, Service: rapid.SampledFrom([]string{"s", "s", "s", "z"}).Draw(t, "service"), Region: fmt.Sprint("r", rapid.IntRange(0, 1).Draw(t, "region")), Revision: 1}
+			in.Born = int64(rapid.IntRange(0, 2).Draw(t, "born"))
+			if rapid.IntRange(0, 2).Draw(t, "goes") == 0 {
+				x.Remove(now, id, 9)
+				now = now.Add(2 * forget)
+				x.Report(now) // which forgets what is gone
+			} else {
+				x.Put(now, in)
+			}
+			x.of("s")
+			x.subset(subsetKey{"s", "r0", "other"})
+			whole := &Table{Node: "n", Region: "r0", targets: x.targets}
+			for _, k := range []subsetKey{{"s", "r0", "n"}, {"s", "r1", "n"}, {"s", "r0", "other"}, {"z", "r0", "n"}} {
+				got, want := slices.Clone(x.subset(k)), slices.Clone(whole.subset(k))
+				sortByID(got)
+				sortByID(want)
+				if !slices.Equal(got, want) {
+					t.Fatalf("%v: %d targets, want %d", k, len(got), len(want))
+				}
+			}
+			if !slices.Equal(x.of("s"), whole.of("s")) {
+				t.Fatalf("known: %d targets, want %d", len(x.of("s")), len(whole.of("s")))
+			}
+		}
+	})
+}
+
 // A registration that says what the one before said is no change: relays pass on the
 // others only.
 func TestRegistrationsThatChangeNothing(t *testing.T) {
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -34,7 +34,7 @@
 	targets   map[string]*Target
 	places    map[string]map[string][]*Target // targets by service and region, nil after a change
 	known     map[string][]*Target            // those that this node knows, by service
-	subsets   map[subsetKey][]*Target
+	subsets   map[subsetKey]*subset
 	slots     map[string]map[string]int // usable slots by service and region, nil after a change
 	evacuated map[string]bool           // data centres
 	paces     map[string]*pace          // by service
@@ -105,7 +105,11 @@
 			fresh.coldUntil = now.Add(max(in.Cold, t.coldAfterReturn(old, in)))
 		}
 		t.targets[in.ID] = fresh
-		t.reindex()
+		if old != nil {
+			t.replace(old, fresh)
+		} else {
+			t.insert(fresh)
+		}
 		if old != nil {
 			return Began
 		}
@@ -200,7 +204,7 @@
 	for id, x := range t.targets {
 		if !x.gone.IsZero() && now.Sub(x.gone) > forget && x.calls == 0 {
 			delete(t.targets, id)
-			t.reindex()
+			t.remove(x)
 		}
 	}
 }
