--- a/core/jwboard/reporter.go
+++ b/core/jwboard/reporter.go
@@ -31,10 +31,10 @@
 	Learn(jwclaim.Move)
 }
 
-// Tell returns what to tell a partner that has had what it was told before.
+// Report returns what to send to a partner that has had what it was sent before.
 // Within the region that is what all its nodes need; to another region go the
 // load here and the suspects whose data isn't bound.
-func (r *Reporter) Tell(to jwpeer.Peer) jwpeer.News {
+func (r *Reporter) Report(to jwpeer.Peer) jwpeer.News {
 	now := r.Now()
 	self := r.Board.Peers.Self()
 	every := wordsEvery(r.Board.Peers.Len())
@@ -174,8 +174,8 @@
 	}
 }
 
-// Hear writes what a partner told to the board.
-func (r *Reporter) Hear(from jwpeer.Peer, n jwpeer.News) {
+// Merge writes what a partner sent to the board.
+func (r *Reporter) Merge(from jwpeer.Peer, n jwpeer.News) {
 	now := r.Now()
 	self := r.Board.Peers.Self()
 	if from.Region == self.Region {
@@ -187,7 +187,7 @@
 		if l.Region == self.Region {
 			continue
 		}
-		r.Board.Regions.Tell(jwrouter.Load{
+		r.Board.Regions.Merge(jwrouter.Load{
 			Region: l.Region, Service: l.Service, Wait: l.Wait, Work: l.Work,
 			Free: l.Free, Slots: l.Slots, Targets: l.Targets, Taken: now.Add(-l.Age),
 		})
@@ -213,7 +213,7 @@
 		byNode[u.Node] = append(byNode[u.Node], jwlimit.Usage{Name: u.Name, Rate: u.Rate, Running: u.Running})
 	}
 	for node, list := range byNode {
-		r.Board.Limiter.Tell(node, list, now)
+		r.Board.Limiter.Merge(node, list, now)
 	}
 }
 
--- a/core/jwboard/reporter_test.go
+++ b/core/jwboard/reporter_test.go
@@ -36,24 +36,24 @@
 	r.Board.Targets.Set([]jwtarget.Target{{Address: leaving, Service: "writer", Region: "north", State: jwtarget.Live}}, now)
 	r.Board.Targets.MarkLeaving(leaving, now, now)
 	to := jwpeer.Peer{Name: "n1", Region: "north"}
-	assert.Equal(t, len(r.Tell(to).Leaving), 1)
-	assert.Equal(t, len(r.Tell(to).Leaving), 0)
+	assert.Equal(t, len(r.Report(to).Leaving), 1)
+	assert.Equal(t, len(r.Report(to).Leaving), 0)
 	r.Forget("n1")
-	assert.Equal(t, len(r.Tell(to).Leaving), 1)
+	assert.Equal(t, len(r.Report(to).Leaving), 1)
 	now = now.Add(tellAgain)
-	assert.Equal(t, len(r.Tell(to).Leaving), 1)
+	assert.Equal(t, len(r.Report(to).Leaving), 1)
 }
 
 func TestTellNearestRegions(t *testing.T) {
 	now := time.Now()
 	r := newReporter(t, &now)
 	for i := range 12 {
-		r.Board.Regions.Tell(jwrouter.Load{
+		r.Board.Regions.Merge(jwrouter.Load{
 			Region: fmt.Sprintf("region-%02d", i), Service: "writer", Wait: time.Duration(12-i) * time.Second, Taken: now,
 		})
 	}
-	loads := r.Tell(jwpeer.Peer{Name: "n1", Region: "north"}).Loads
+	loads := r.Report(jwpeer.Peer{Name: "n1", Region: "north"}).Loads
 	assert.Equal(t, len(loads), toldRegions)
 	assert.Equal(t, loads[0].Region, "region-11")
-	assert.Equal(t, len(r.Tell(jwpeer.Peer{Name: "n1", Region: "north"}).Loads), 0, "told a moment ago")
+	assert.Equal(t, len(r.Report(jwpeer.Peer{Name: "n1", Region: "north"}).Loads), 0, "told a moment ago")
 }
--- a/core/jwlimit/rapid_test.go
+++ b/core/jwlimit/rapid_test.go
@@ -55,7 +55,7 @@
 	for _, from := range r.nodes {
 		for _, to := range r.nodes {
 			if from != to {
-				to.Tell(from.Node, from.Usages(r.now), r.now)
+				to.Merge(from.Node, from.Usages(r.now), r.now)
 			}
 		}
 	}
--- a/core/jwlimit/share.go
+++ b/core/jwlimit/share.go
@@ -24,8 +24,8 @@
 	Running int
 }
 
-// told is another node's word about an entry.
-type told struct {
+// told is another node's report about an entry.
+type usageReport struct {
 	rate    float64
 	running int
 	at      time.Time
@@ -39,8 +39,8 @@
 	tokens   float64
 	refilled time.Time
 	book     book
-	told     map[string]told // by node
-	own      float64         // rate that this node last told
+	reported map[string]usageReport // by node
+	own      float64                // rate that this node last told
 	share    share
 	shared   time.Time // when share was computed
 }
@@ -90,22 +90,22 @@
 	slices.Sort(l.members)
 	for _, m := range l.entries {
 		m.shared = time.Time{}
-		maps.DeleteFunc(m.told, func(node string, _ told) bool {
+		maps.DeleteFunc(m.reported, func(node string, _ usageReport) bool {
 			return !slices.Contains(l.members, node)
 		})
 	}
 }
 
-// Tell takes over what another node of the region uses.
-func (l *Limiter) Tell(node string, usages []Usage, now time.Time) {
+// Merge takes over what another node of the region uses.
+func (l *Limiter) Merge(node string, usages []Usage, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, u := range usages {
 		m := l.entry(u.Name)
-		if m.told == nil {
-			m.told = make(map[string]told)
+		if m.reported == nil {
+			m.reported = make(map[string]usageReport)
 		}
-		m.told[node] = told{rate: u.Rate, running: u.Running, at: now}
+		m.reported[node] = usageReport{rate: u.Rate, running: u.Running, at: now}
 	}
 }
 
@@ -165,7 +165,7 @@
 // whose part shrank has finished what it had above.
 func (l *Limiter) elsewhere(m *meter, now time.Time) int {
 	n := 0
-	for node, w := range m.told {
+	for node, w := range m.reported {
 		if node != l.Node && now.Sub(w.at) <= toldFor {
 			n += w.running
 		}
@@ -181,7 +181,7 @@
 	if node == l.Node {
 		return m.own
 	}
-	w, known := m.told[node]
+	w, known := m.reported[node]
 	if !known || now.Sub(w.at) > toldFor {
 		return 0
 	}
--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -13,22 +13,22 @@
 // silentTries is the number of periods of which one goes to a silent node.
 const silentTries = 8
 
-// Told is what one node tells another in one exchange.
-type Told struct {
+// Digest is what one node sends another in one exchange.
+type Digest struct {
 	From  string
 	Peers []Peer
 	Marks []Mark
 	News  News
-	Again bool // the sender lacks something and is to be told everything
+	Again bool // the sender lacks something and is to be sent everything
 	Whole bool // this is everything that the receiver needs
 }
 
 // empty tells whether there is nothing to tell.
-func (t *Told) empty() bool { return len(t.Peers) == 0 && len(t.Marks) == 0 && t.News.empty() }
+func (t *Digest) empty() bool { return len(t.Peers) == 0 && len(t.Marks) == 0 && t.News.empty() }
 
 // Partner carries an exchange to another node and brings back its answer.
 type Partner interface {
-	Exchange(ctx context.Context, to Peer, told Told) (Told, error)
+	Exchange(ctx context.Context, to Peer, digest Digest) (Digest, error)
 }
 
 // Exchange keeps the table level with the other nodes: every period with one
@@ -36,8 +36,8 @@
 //
 // A node of many talks to the relays of its data centre only; relays talk to
 // all nodes of their data centre, to the relays of their region and to one
-// data centre's relays of each other region. A partner is told what it has not
-// been told yet, and most of that as marks. So the messages of a node don't
+// data centre's relays of each other region. A partner is sent what it has not
+// been sent yet, and most of that as marks. So the messages of a node don't
 // grow with the fleet, and those of a relay grow with its data centre.
 type Exchange struct {
 	Table   *Table
@@ -65,8 +65,8 @@
 type partner struct {
 	since    uint64    // version of the table that the other has
 	wide     uint64    // the same for marks of other regions
-	widely   time.Time // when those were last told
-	level    bool      // this node has what the other has told
+	widely   time.Time // when those were last sent
+	level    bool      // this node has what the other has sent
 	failed   time.Time // when the other could not be reached, zero if it can be
 	finished time.Time // end of the last exchange
 }
@@ -210,41 +210,41 @@
 	return []Peer{*longest}
 }
 
-// silent returns the nodes that are known and not heard of. Those of other
+// silent returns the nodes that are known and not seen. Those of other
 // regions are left to the relays, unless there is nobody else to ask.
 func (x *Exchange) silent(v view) []Peer {
 	self := x.Table.Self()
 	since := x.Now().Add(-x.Silence)
 	alone := len(v.periodic) == 0
-	heard := make(map[string]bool)
+	seen := make(map[string]bool)
 	if !alone {
 		for _, p := range x.Table.Fresh(since) {
-			heard[p.Name] = true
+			seen[p.Name] = true
 		}
 	}
 	return x.Table.Select(func(p Peer) bool {
-		return p.Name != self.Name && takesPart(p) && !heard[p.Name] && (alone || v.relay || p.Region == self.Region)
+		return p.Name != self.Name && takesPart(p) && !seen[p.Name] && (alone || v.relay || p.Region == self.Region)
 	})
 }
 
-// round exchanges with the partners at the same time; those that would be told
+// round exchanges with the partners at the same time; those that would be sent
 // nothing are left out unless all is set.
 func (x *Exchange) round(ctx context.Context, partners []Peer, all bool) {
 	var wg sync.WaitGroup
 	for _, p := range partners {
-		told, version := x.tell(p)
-		if told.empty() && !all {
+		digest, version := x.digestFor(p)
+		if digest.empty() && !all {
 			continue
 		}
-		wg.Go(func() { x.exchange(ctx, p, told, version) })
+		wg.Go(func() { x.exchange(ctx, p, digest, version) })
 	}
 	wg.Wait()
 }
 
-func (x *Exchange) exchange(ctx context.Context, p Peer, told Told, version uint64) {
+func (x *Exchange) exchange(ctx context.Context, p Peer, digest Digest, version uint64) {
 	ctx, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
-	answer, err := x.Partner.Exchange(ctx, p, told)
+	answer, err := x.Partner.Exchange(ctx, p, digest)
 	if err != nil {
 		x.lost(p)
 		if x.Failed != nil && ctx.Err() != context.Canceled {
@@ -252,10 +252,10 @@
 		}
 		return
 	}
-	x.told(p.Name, told, version)
+	x.noteSent(p.Name, digest, version)
 	x.take(answer)
 	if x.News != nil {
-		x.News.Hear(p, answer.News)
+		x.News.Merge(p, answer.News)
 	}
 }
 
@@ -276,32 +276,32 @@
 	}
 }
 
-// told books what a partner has got.
-func (x *Exchange) told(name string, told Told, version uint64) {
+// noteSent books what a partner has got.
+func (x *Exchange) noteSent(name string, digest Digest, version uint64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	w := x.partner(name)
 	w.since = max(w.since, version)
-	if w.wide == 0 || told.Whole {
+	if w.wide == 0 || digest.Whole {
 		w.wide = version
 	}
 	w.failed = time.Time{}
 	w.finished = x.Now()
 }
 
-// take writes to the table what a partner told.
-func (x *Exchange) take(told Told) {
-	all := x.Table.take(told.From, told.Peers, told.Marks, x.Now())
+// take writes to the table what a partner digest.
+func (x *Exchange) take(digest Digest) {
+	all := x.Table.take(digest.From, digest.Peers, digest.Marks, x.Now())
 	x.mu.Lock()
-	w := x.partner(told.From)
-	w.level = all && (w.level || told.Whole)
-	if told.Again {
+	w := x.partner(digest.From)
+	w.level = all && (w.level || digest.Whole)
+	if digest.Again {
 		w.since, w.wide = 0, 0
 	}
 	w.failed = time.Time{}
 	x.mu.Unlock()
-	if told.Again && x.News != nil {
-		x.News.Forget(told.From)
+	if digest.Again && x.News != nil {
+		x.News.Forget(digest.From)
 	}
 }
 
@@ -318,18 +318,18 @@
 	return w
 }
 
-// Answer takes what another node told and returns what it lacks.
-func (x *Exchange) Answer(told Told) Told {
-	x.take(told)
-	from, known := x.Table.Get(told.From)
+// Answer merges what another node sent and returns what it lacks.
+func (x *Exchange) Answer(digest Digest) Digest {
+	x.take(digest)
+	from, known := x.Table.Get(digest.From)
 	if !known {
-		return Told{From: x.Table.Self().Name, Again: true}
+		return Digest{From: x.Table.Self().Name, Again: true}
 	}
 	if x.News != nil {
-		x.News.Hear(from, told.News)
+		x.News.Merge(from, digest.News)
 	}
-	answer, version := x.tell(from)
-	x.told(from.Name, answer, version)
+	answer, version := x.digestFor(from)
+	x.noteSent(from.Name, answer, version)
 	return answer
 }
 
@@ -338,9 +338,9 @@
 // to each other now and then.
 const fewNodes = 30
 
-// tell returns what the partner has not had from this node, and the version of
+// digestFor returns what the partner has not had from this node, and the version of
 // the table that it then has.
-func (x *Exchange) tell(p Peer) (Told, uint64) {
+func (x *Exchange) digestFor(p Peer) (Digest, uint64) {
 	v := x.current()
 	now := x.Now()
 	x.mu.Lock()
@@ -353,7 +353,7 @@
 		name: p.Name, region: p.Region, gatherer: x.Gatherer == nil || v.gatherer == p.Name,
 		since: w.since, wide: w.wide, widely: v.fleet <= fewNodes || now.Sub(w.widely) >= Pace(x.Beat, v.fleet),
 	}
-	out := Told{From: x.Table.Self().Name, Again: !w.level, Whole: w.since == 0}
+	out := Digest{From: x.Table.Self().Name, Again: !w.level, Whole: w.since == 0}
 	x.mu.Unlock()
 	lacks := x.Table.lacks(a, now)
 	if a.widely {
@@ -363,7 +363,7 @@
 	}
 	out.Peers, out.Marks = lacks.peers, lacks.marks
 	if x.News != nil {
-		out.News = x.News.Tell(p)
+		out.News = x.News.Report(p)
 	}
 	return out, lacks.version
 }
--- a/core/jwpeer/exchange_test.go
+++ b/core/jwpeer/exchange_test.go
@@ -24,21 +24,21 @@
 	marks int
 }
 
-func (n *net) Exchange(_ context.Context, to Peer, told Told) (Told, error) {
+func (n *net) Exchange(_ context.Context, to Peer, digest Digest) (Digest, error) {
 	n.mu.Lock()
-	x, down := n.nodes[to.Name], n.down[to.Name] || n.down[told.From]
-	n.words += len(told.Peers)
-	n.marks += len(told.Marks)
+	x, down := n.nodes[to.Name], n.down[to.Name] || n.down[digest.From]
+	n.words += len(digest.Peers)
+	n.marks += len(digest.Marks)
 	n.mu.Unlock()
 	if x == nil || down {
-		return Told{}, errors.New("no connection")
+		return Digest{}, errors.New("no connection")
 	}
-	answer := x.Answer(told)
+	answer := x.Answer(digest)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.lose[to.Name] > 0 {
 		n.lose[to.Name]--
-		return Told{}, errors.New("connection broke")
+		return Digest{}, errors.New("connection broke")
 	}
 	return answer, nil
 }
@@ -142,8 +142,8 @@
 	b := n.add("n1", "north", "north-a", "1", listed("n0", "north", "north-a"))
 	to, _ := a.Table.Get("n1")
 	meet := func() {
-		told, version := a.tell(to)
-		a.exchange(t.Context(), to, told, version)
+		digest, version := a.digestFor(to)
+		a.exchange(t.Context(), to, digest, version)
 	}
 	meet()
 	b.Table.Merge([]Peer{{Name: "n2", Region: "north", Incarnation: "1", State: Leaving, Sequence: 1}}, time.Now())
--- a/core/jwpeer/mark.go
+++ b/core/jwpeer/mark.go
@@ -31,7 +31,7 @@
 // wordPaceFrom is the size of a group up to which the pace stays the same.
 const wordPaceFrom = 10
 
-// audience is one partner as far as it decides what it is told.
+// audience is one partner as far as it decides what it is digest.
 type audience struct {
 	name     string
 	region   string
@@ -49,9 +49,9 @@
 	version uint64
 }
 
-// lacks returns what the audience has not been told.
+// lacks returns what the audience has not been digest.
 //
-// Another region is told of the nodes here, at the pace of the fleet, and hears
+// Another region is sent the nodes here, at the pace of the fleet, and hears
 // of the rest from themselves. Within the region a new start, state or address
 // goes to all; that a node lives goes to all at the pace of the region, and of
 // other regions at the pace of the fleet; the revision in force at a node goes to the gatherer
@@ -69,11 +69,11 @@
 		case k.from == a.name && a.since > 0:
 		case k.full > a.since:
 			p := k.Peer
-			p.Age = max(now.Sub(k.heard), 0)
+			p.Age = max(now.Sub(k.seen), 0)
 			out.peers = append(out.peers, p)
 		case k.due(a, name == t.self, away):
 			out.marks = append(out.marks, Mark{
-				ID: k.id, Sequence: k.Sequence, Revision: k.Revision, Base: k.Base, Age: max(now.Sub(k.heard), 0),
+				ID: k.id, Sequence: k.Sequence, Revision: k.Revision, Base: k.Base, Age: max(now.Sub(k.seen), 0),
 			})
 		}
 	}
@@ -90,7 +90,7 @@
 	return k.beat > a.since
 }
 
-// take merges what a partner told; false means that a mark names a peer that is
+// take merges what a partner sent; false means that a mark names a peer that is
 // not known here, so that the partner must tell all again.
 func (t *Table) take(from string, peers []Peer, marks []Mark, now time.Time) bool {
 	t.mu.Lock()
--- a/core/jwpeer/news.go
+++ b/core/jwpeer/news.go
@@ -30,7 +30,7 @@
 	Fingerprint []byte
 	Target      netip.AddrPort
 	Age         time.Duration
-	Region      string // set for bound data, told only within this region
+	Region      string // set for bound data, sent only within this region
 	State       string // of the fingerprint, as the table of suspects words it
 }
 
@@ -64,10 +64,10 @@
 
 // Reporter gives and takes news.
 type Reporter interface {
-	// Tell returns what to tell a partner that has had what was told before.
-	Tell(to Peer) News
-	// Forget says that a partner may lack what it was told.
+	// Report returns what to send to a partner that has had what was sent before.
+	Report(to Peer) News
+	// Forget says that a partner may lack what it was digest.
 	Forget(partner string)
-	// Hear takes what a partner told.
-	Hear(from Peer, n News)
+	// Merge merges what a partner sent.
+	Merge(from Peer, n News)
 }
--- a/core/jwpeer/region_test.go
+++ b/core/jwpeer/region_test.go
@@ -43,17 +43,17 @@
 
 const testDelay = 40 * time.Millisecond
 
-func (w *wire) Exchange(ctx context.Context, to Peer, told Told) (Told, error) {
+func (w *wire) Exchange(ctx context.Context, to Peer, digest Digest) (Digest, error) {
 	there, cut := w.network.way(w.from, to)
 	if cut {
 		<-ctx.Done()
-		return Told{}, ctx.Err()
+		return Digest{}, ctx.Err()
 	}
 	time.Sleep(testDelay)
 	if there == nil {
-		return Told{}, errors.New("nobody there")
+		return Digest{}, errors.New("nobody there")
 	}
-	return there.Answer(told), nil
+	return there.Answer(digest), nil
 }
 
 // newNetwork makes nodes in regions of two data centres, each knowing all
@@ -231,8 +231,8 @@
 		forgetful.Forget(time.Now().Add(-30 * time.Second))
 		time.Sleep(5 * time.Minute)
 		for _, x := range n.nodes {
-			heard := x.Table.Heard("r0-c0-n0")
-			assert.Assert(t, heard.IsZero() || heard.Sub(died) < 2*time.Second, "%s", heard.Sub(died))
+			seen := x.Table.Heard("r0-c0-n0")
+			assert.Assert(t, seen.IsZero() || seen.Sub(died) < 2*time.Second, "%s", seen.Sub(died))
 		}
 		cancel()
 		time.Sleep(2 * time.Second)
--- a/core/jwpeer/table.go
+++ b/core/jwpeer/table.go
@@ -26,12 +26,12 @@
 // the table at its last words of each kind.
 type known struct {
 	Peer
-	id    uint64
-	heard time.Time
-	from  string // partner that brought the newest word
-	any   uint64 // a word of any kind
-	full  uint64 // one that a mark can't tell: a new start, state or address
-	beat  uint64 // one that says no more than that the peer lives
+	id   uint64
+	seen time.Time
+	from string // partner that brought the newest word
+	any  uint64 // a word of any kind
+	full uint64 // one that a mark can't tell: a new start, state or address
+	beat uint64 // one that says no more than that the peer lives
 }
 
 // SetSelf names the node this table belongs to and what it says of itself.
@@ -123,7 +123,7 @@
 	default:
 		k.beat = t.version
 	}
-	k.heard = now.Add(-max(p.Age, 0))
+	k.seen = now.Add(-max(p.Age, 0))
 	k.from = ""
 	k.Peer = p
 	k.Age = 0
@@ -159,7 +159,7 @@
 	defer t.mu.Unlock()
 	var gone []string
 	for name, k := range t.peers {
-		if name != t.self && k.heard.Before(before) {
+		if name != t.self && k.seen.Before(before) {
 			delete(t.peers, name)
 			delete(t.ids, k.id)
 			gone = append(gone, name)
@@ -196,7 +196,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if k := t.peers[name]; k != nil {
-		return k.heard
+		return k.seen
 	}
 	return time.Time{}
 }
@@ -227,7 +227,7 @@
 	return out
 }
 
-// Fresh returns the nodes heard of since the given time, sorted by name; this
+// Fresh returns the nodes seen of since the given time, sorted by name; this
 // node itself is always fresh. Where there are many nodes their words come at a
 // slower pace, so that they may be older by as much.
 func (t *Table) Fresh(since time.Time) []Peer {
@@ -235,7 +235,7 @@
 	allowed := t.allowed(since)
 	out := make([]Peer, 0, len(t.peers))
 	for name, k := range t.peers {
-		if name == t.self || !k.heard.Before(allowed(k)) {
+		if name == t.self || !k.seen.Before(allowed(k)) {
 			out = append(out, k.Peer)
 		}
 	}
@@ -244,13 +244,13 @@
 	return out
 }
 
-// Silent tells whether a node has not been heard of since the given time, which
+// Silent tells whether a node has not been seen of since the given time, which
 // is put off for many nodes as by Fresh; an unknown one is silent.
 func (t *Table) Silent(name string, since time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k := t.peers[name]
-	return k == nil || name != t.self && k.heard.Before(t.allowed(since)(k))
+	return k == nil || name != t.self && k.seen.Before(t.allowed(since)(k))
 }
 
 // allowed returns the time before which the newest word of a peer is too old.
--- a/core/jwrouter/bench_test.go
+++ b/core/jwrouter/bench_test.go
@@ -33,7 +33,7 @@
 		b.Run(fmt.Sprintf("targets=%d/regions=13", n), func(b *testing.B) {
 			r := router(n, jwtarget.DefaultSubset, busy)
 			for i := range 13 {
-				r.Regions.Tell(Load{Region: fmt.Sprintf("o%d", i), Service: "s", Slots: 64, Targets: 8, Taken: start})
+				r.Regions.Merge(Load{Region: fmt.Sprintf("o%d", i), Service: "s", Slots: 64, Targets: 8, Taken: start})
 			}
 			q := query()
 			b.ReportAllocs()
--- a/core/jwrouter/rapid_test.go
+++ b/core/jwrouter/rapid_test.go
@@ -78,7 +78,7 @@
 	r.Region = name
 	r.Regions = &Regions{}
 	for _, other := range regions {
-		r.Regions.Tell(Load{
+		r.Regions.Merge(Load{
 			Region: other, Service: "s", Taken: start, Slots: 16, Targets: rapid.IntRange(0, 2).Draw(t, "told"),
 			Wait: time.Duration(rapid.IntRange(0, 5000).Draw(t, "wait")) * time.Millisecond,
 		})
--- a/core/jwrouter/regions.go
+++ b/core/jwrouter/regions.go
@@ -52,8 +52,8 @@
 	told  map[string][]Load // by service
 }
 
-// Tell takes over a region's word unless a newer one is known.
-func (t *Regions) Tell(load Load) {
+// Merge takes over a region's report unless a newer one is known.
+func (t *Regions) Merge(load Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.told == nil {
--- a/core/jwrouter/router_test.go
+++ b/core/jwrouter/router_test.go
@@ -189,7 +189,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			q := query()
-			test.router.Regions.Tell(other)
+			test.router.Regions.Merge(other)
 			if test.change != nil {
 				test.change(q, test.router)
 			}
@@ -205,7 +205,7 @@
 // own callers would queue behind it.
 func TestSentAwayCountsUntilNextReport(t *testing.T) {
 	r := router(2, -1, busy)
-	r.Regions.Tell(Load{Region: "o", Service: "s", Free: 0.5, Slots: 16, Targets: 2, Work: time.Second, Taken: start})
+	r.Regions.Merge(Load{Region: "o", Service: "s", Free: 0.5, Slots: 16, Targets: 2, Work: time.Second, Taken: start})
 	sent := 0
 	for range 1000 {
 		if r.Place(query()).Reason == Away {
--- a/io/jwbench/world.go
+++ b/io/jwbench/world.go
@@ -228,7 +228,7 @@
 			n.w.after(delay, func() {
 				other.suspects.Merge(notices, n.w.now)
 				if other.region == n.region {
-					other.limiter.Tell(n.name, usages, n.w.now)
+					other.limiter.Merge(n.name, usages, n.w.now)
 				}
 			})
 			if other.region != n.region {
@@ -248,7 +248,7 @@
 		}
 		n.w.after(delay, func() {
 			load.Taken = n.w.now
-			other.router.Regions.Tell(load)
+			other.router.Regions.Merge(load)
 		})
 	}
 }
--- a/io/jwforward/exchange.go
+++ b/io/jwforward/exchange.go
@@ -16,21 +16,21 @@
 
 // Exchanger takes what another node told and returns what that one lacks.
 type Exchanger interface {
-	Answer(jwpeer.Told) jwpeer.Told
+	Answer(jwpeer.Digest) jwpeer.Digest
 }
 
 // Exchange swaps what this node and another know.
-func (p *Pool) Exchange(ctx context.Context, to jwpeer.Peer, told jwpeer.Told) (jwpeer.Told, error) {
+func (p *Pool) Exchange(ctx context.Context, to jwpeer.Peer, told jwpeer.Digest) (jwpeer.Digest, error) {
 	client, conn, err := p.client(to.Nodes)
 	if err != nil {
-		return jwpeer.Told{}, err
+		return jwpeer.Digest{}, err
 	}
 	answer, err := client.Exchange(ctx, digestToWire(told))
 	if err != nil {
 		if code := status.Code(err); code == codes.DeadlineExceeded && ctx.Err() == context.DeadlineExceeded {
 			go p.check(to.Nodes, conn)
 		}
-		return jwpeer.Told{}, errors.Wrapf(err, "exchange with %s", to.Name)
+		return jwpeer.Digest{}, errors.Wrapf(err, "exchange with %s", to.Name)
 	}
 	return digestFromWire(answer), nil
 }
@@ -43,7 +43,7 @@
 	return digestToWire(s.Exchanger.Answer(digestFromWire(d))), nil
 }
 
-func digestToWire(t jwpeer.Told) *jwwire.Digest {
+func digestToWire(t jwpeer.Digest) *jwwire.Digest {
 	out := &jwwire.Digest{Node: t.From, Again: t.Again, Whole: t.Whole}
 	newsToWire(t.News, out)
 	for _, p := range t.Peers {
@@ -66,8 +66,8 @@
 
 // digestFromWire leaves out peers whose addresses can't be read, as those of a
 // later version might be.
-func digestFromWire(d *jwwire.Digest) jwpeer.Told {
-	out := jwpeer.Told{From: d.GetNode(), News: newsFromWire(d), Again: d.GetAgain(), Whole: d.GetWhole()}
+func digestFromWire(d *jwwire.Digest) jwpeer.Digest {
+	out := jwpeer.Digest{From: d.GetNode(), News: newsFromWire(d), Again: d.GetAgain(), Whole: d.GetWhole()}
 	for _, m := range d.GetMarks() {
 		out.Marks = append(out.Marks, jwpeer.Mark{
 			ID: m.GetId(), Sequence: m.GetSequence(), Revision: m.GetRevision(), Base: m.GetBaseRevision(),
@@ -96,13 +96,13 @@
 
 // EncodeTold returns what goes over the wire in one exchange, for measuring
 // what exchanges cost.
-func EncodeTold(t jwpeer.Told) ([]byte, error) { return proto.Marshal(digestToWire(t)) }
+func EncodeTold(t jwpeer.Digest) ([]byte, error) { return proto.Marshal(digestToWire(t)) }
 
 // DecodeTold reads what EncodeTold returned.
-func DecodeTold(data []byte) (jwpeer.Told, error) {
+func DecodeTold(data []byte) (jwpeer.Digest, error) {
 	var d jwwire.Digest
 	if err := proto.Unmarshal(data, &d); err != nil {
-		return jwpeer.Told{}, errors.Wrap(err, "decode exchange")
+		return jwpeer.Digest{}, errors.Wrap(err, "decode exchange")
 	}
 	return digestFromWire(&d), nil
 }
--- a/io/jwforward/wire_test.go
+++ b/io/jwforward/wire_test.go
@@ -27,7 +27,7 @@
 	}
 	for name, s := range tests {
 		t.Run(name, func(t *testing.T) {
-			told := jwpeer.Told{From: "n1", News: jwpeer.News{Suspects: []jwpeer.Suspect{s}}}
+			told := jwpeer.Digest{From: "n1", News: jwpeer.News{Suspects: []jwpeer.Suspect{s}}}
 			got := digestFromWire(digestToWire(told))
 			assert.Assert(t, reflect.DeepEqual(got.News.Suspects, told.News.Suspects), "%+v", got.News.Suspects)
 		})
--- a/io/jwlogtrace/trace.go
+++ b/io/jwlogtrace/trace.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// Tell writes the story, the node that the caller spoke to first, and ends
+// Write writes the trace, the node that the caller spoke to first, and ends
 // with the cause of a failure.
 func (s *Trace) Write(w io.Writer) {
 	if len(s.Lines) == 0 {
--- a/io/jwlogtrace/view.go
+++ b/io/jwlogtrace/view.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// Tell writes a view in plain words; it rests on the lines that could be read.
+// Write writes a view in plain words; it rests on the lines that could be read.
 func (b *View) Write(w io.Writer, at time.Time) {
 	if b.Last.IsZero() {
 		fmt.Fprintf(w, "%s: no line before then\n", b.Node)
