jwquota, jwquotaexchange: answers carry what is scarce, all only for a poll

Each answer listed every active workspace, and relays asked those of other regions up to a hundred times a second while requests waited; 16 now.

--- a/core/jwquota/claim.go
+++ b/core/jwquota/claim.go
@@ -99,15 +99,16 @@
 // even returns the node's even part of a second of the quota.
 func (a *account) even(rate float64, p Place) float64 { return rate / float64(max(p.Fleet, 1)) }
 
-// Answer takes the claims of a node and returns what it is given.
-func (l *Ledger) Answer(now time.Time, node string, claims []Claim) []Grant {
+// Answer takes the claims of a node and returns what it is given. A node that polls also
+// learns of the other workspaces that units are wanted of.
+func (l *Ledger) Answer(now time.Time, node string, claims []Claim, poll bool) []Grant {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	grants := make([]Grant, 0, len(claims))
 	for _, c := range claims {
 		grants = append(grants, l.grant(now, node, c))
 	}
-	return l.wanted(now, grants)
+	return l.wanted(now, grants, poll)
 }
 
 // grant answers one claim.
@@ -139,8 +140,9 @@
 	return g
 }
 
-// wanted adds the workspaces to an answer that others want units of.
-func (l *Ledger) wanted(now time.Time, grants []Grant) []Grant {
+// wanted adds the workspaces to an answer that others want units of: all for a node that
+// polls, for the others those of which units are lacking.
+func (l *Ledger) wanted(now time.Time, grants []Grant, poll bool) []Grant {
 	named := make(map[string]bool, len(grants))
 	for _, g := range grants {
 		named[g.Workspace] = true
@@ -149,7 +151,7 @@
 		if len(grants) >= mostClaims {
 			break
 		}
-		if !named[name] && (a.active(now) || now.Before(a.wanted)) {
+		if !named[name] && (a.active(now) || now.Before(a.wanted)) && (poll || a.isScarce(now)) {
 			grants = append(grants, Grant{Workspace: name, Wanted: true, Scarce: a.isScarce(now), Total: a.allAsk(now)})
 		}
 	}
--- a/core/jwquota/fleet_test.go
+++ b/core/jwquota/fleet_test.go
@@ -208,7 +208,7 @@
 		if n.side != m.side {
 			return
 		}
-		grants := m.ledger.Answer(f.now, n.name, claims)
+		grants := m.ledger.Answer(f.now, n.name, claims, poll)
 		f.units += len(grants)
 		f.send(back, func() {
 			if n.epoch != epoch || n.side != m.side {
--- a/io/jwquotaexchange/exchange.go
+++ b/io/jwquotaexchange/exchange.go
@@ -22,10 +22,11 @@
 	period = 250 * time.Millisecond
 	// waitPeriod is the same while requests wait for units.
 	waitPeriod = 25 * time.Millisecond
-	// spacing is the least time between two calls of one node.
-	spacing = 10 * time.Millisecond
-	// pollPeriod is the time after which a node calls without a claim, to learn which
-	// workspaces others want units of.
+	// spacing is the least time between two calls of one node, and remoteSpacing that of
+	// one in another region, where bytes are dear and an answer takes longer anyway.
+	spacing       = 10 * time.Millisecond
+	remoteSpacing = 60 * time.Millisecond
+	// pollPeriod is the time between two questions which workspaces others want units of.
 	pollPeriod = time.Second
 	// callTimeout bounds a call; units on their way longer than that are lost.
 	callTimeout = 600 * time.Millisecond
@@ -55,11 +56,13 @@
 // peer is a node that this one claims from.
 type peer struct {
 	called time.Time
+	polled time.Time
 	calls  int // without an answer yet
 }
 
 type question struct {
 	Node   string          `json:"node"`
+	Poll   bool            `json:"poll,omitempty"` // it asks which workspaces units are wanted of
 	Claims []jwquota.Claim `json:"claims,omitempty"`
 }
 
@@ -159,14 +162,23 @@
 		p = &peer{}
 		x.peers[m.Name] = p
 	}
-	if p.calls >= mostCalls || now.Sub(p.called) < spacing {
+	me := x.Members.Me()
+	least := spacing
+	if m.Region != me.Region {
+		least = remoteSpacing
+	}
+	if p.calls >= mostCalls || now.Sub(p.called) < least {
 		return
 	}
 	claims := x.Ledger.Claims(now, fits)
-	if len(claims) == 0 && now.Sub(p.called) < pollPeriod {
+	poll := now.Sub(p.polled) >= pollPeriod
+	if len(claims) == 0 && !poll {
 		return
 	}
-	body, err := json.Marshal(question{x.Members.Me().Name, claims})
+	if poll {
+		p.polled = now
+	}
+	body, err := json.Marshal(question{me.Name, poll, claims})
 	if err != nil {
 		x.Log.Error(err, "claim not encoded")
 		return
@@ -204,7 +216,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	grants := x.Ledger.Answer(time.Now(), q.Node, q.Claims)
+	grants := x.Ledger.Answer(time.Now(), q.Node, q.Claims, q.Poll)
 	w.Header()["Content-Type"] = []string{"application/json"}
 	if err := json.NewEncoder(w).Encode(answer{grants}); err != nil {
 		x.Log.V(1).Info("grant of quota units not sent", "peer", q.Node, "error", err.Error())
