--- a/core/jwadmission/admission.go
+++ b/core/jwadmission/admission.go
@@ -40,7 +40,7 @@
 	RetryAfter time.Duration // when to retry
 }
 
-// Taken tells whether the request is served.
+// Taken reports whether the request is served.
 func (d Decision) Taken() bool { return d.Reason == None }
 
 // Policy decides. The zero value rejects by both reasons; a field that is set
--- a/core/jwboard/told.go
+++ b/core/jwboard/told.go
@@ -40,7 +40,7 @@
 	return t
 }
 
-// first tells whether the partner is to be told of a thing, and books it.
+// first reports whether the partner is to be told of a thing, and books it.
 func (t *told) first(key string, now time.Time) bool {
 	if _, known := t.at[key]; known {
 		return false
@@ -49,7 +49,7 @@
 	return true
 }
 
-// due tells whether it is time for loads and use, and books it.
+// due reports whether it is time for loads and use, and books it.
 func (t *told) due(now time.Time, every time.Duration) bool {
 	if now.Sub(t.words) < every {
 		return false
--- a/core/jwbudget/retry.go
+++ b/core/jwbudget/retry.go
@@ -52,7 +52,7 @@
 	w.requests = append(since(w.requests, now.Add(-r.Limits().Window)), now)
 }
 
-// Take tells whether a request may be sent once more, and counts it.
+// Take reports whether a request may be sent once more, and counts it.
 func (r *Retry) Take(now time.Time, service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/core/jwcatalogue/acceptance.go
+++ b/core/jwcatalogue/acceptance.go
@@ -18,7 +18,7 @@
 // AcceptedKey holds the highest revision that was found in force everywhere.
 const AcceptedKey = "catalogue/accepted"
 
-// Status tells whether a revision is in force at every node that may serve.
+// Status reports whether a revision is in force at every node that may serve.
 type Status struct {
 	Revision uint64
 	Accepted bool
--- a/core/jwcatalogue/adoption.go
+++ b/core/jwcatalogue/adoption.go
@@ -82,7 +82,7 @@
 	return lowest
 }
 
-// Open tells whether this node answers for another.
+// Open reports whether this node answers for another.
 func (a *Adoptions) Open() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -101,7 +101,7 @@
 	}
 }
 
-// over tells whether an adopted process has ended. Its silence does not tell:
+// over reports whether an adopted process has ended. Its silence does not tell:
 // it may serve behind a cut.
 func (a *Adoptions) over(ad adoption, peers []jwpeer.Peer) bool {
 	if a.Departures != nil && a.Departures.Gone(ad.member) {
--- a/core/jwcatalogue/departure.go
+++ b/core/jwcatalogue/departure.go
@@ -32,7 +32,7 @@
 	since, asked time.Time
 }
 
-// Gone tells whether the list has dropped a node for longer than its lag. The
+// Gone reports whether the list has dropped a node for longer than its lag. The
 // clock begins when the process is first asked about: a node that has just
 // started under an old name may be missing from a list that is behind.
 //
--- a/core/jwcatalogue/editor.go
+++ b/core/jwcatalogue/editor.go
@@ -140,7 +140,7 @@
 // trustFor is how long a table counts as near the head after the log was read.
 const trustFor = 2 * time.Minute
 
-// trusted tells whether the first try may be made from what this node has,
+// trusted reports whether the first try may be made from what this node has,
 // which saves two calls over a slow link. It is right whenever the number is
 // free; a node that is far behind would only create a trimmed one anew.
 func (d *Editor) trusted() bool {
@@ -165,7 +165,7 @@
 	return c, false, fits(now, c)
 }
 
-// same tells whether a change is of this edit. An edit id used for another
+// same reports whether a change is of this edit. An edit id used for another
 // edit is a fault of the sender, not a success.
 func same(c Change, e Edit) error {
 	if c.Entry == e.Entry && sameEntry(c.After, e.After) {
@@ -244,7 +244,7 @@
 	return nil
 }
 
-// create writes the change as the next one and tells whether it is the one
+// create writes the change as the next one and reports whether it is the one
 // that the log has under its number. When the reply of the write is lost, the
 // log itself tells whose change it is.
 func (d *Editor) create(ctx context.Context, c Change) (won bool, err error) {
--- a/core/jwcatalogue/member.go
+++ b/core/jwcatalogue/member.go
@@ -85,7 +85,7 @@
 	sponsors   map[string]bool // peers that may answer for this node
 }
 
-// Registered tells whether the service has the record of this process.
+// Registered reports whether the service has the record of this process.
 func (m *Membership) Registered() bool { return m.registered.Load() }
 
 // Join returns when this node may serve: its record stands in the service and
--- a/core/jwcatalogue/system_test.go
+++ b/core/jwcatalogue/system_test.go
@@ -281,7 +281,7 @@
 
 func serving(n *node) bool { return !n.frozen && n.peer.State == jwpeer.Serving }
 
-// needed tells whether an unregistered node that cannot act now relies on this
+// needed reports whether an unregistered node that cannot act now relies on this
 // one. What is open then is written in the design page: a node that froze
 // right after it joined behind a cut while its sponsor ended.
 func (s *system) needed(n *node) bool {
--- a/core/jwclaim/call.go
+++ b/core/jwclaim/call.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// settled tells whether the call has ended; k.mu is held.
+// settled reports whether the call has ended; k.mu is held.
 func (c *Call) settled() bool {
 	return c.state == finished || c.state == released || c.state == lost
 }
--- a/core/jwclaim/handover.go
+++ b/core/jwclaim/handover.go
@@ -135,7 +135,7 @@
 	return k.records(), nil
 }
 
-// mayRun tells whether a call is running here or may still start; k.mu is
+// mayRun reports whether a call is running here or may still start; k.mu is
 // held. A claim in doubt does not count: once the keeper is closed it is never
 // run, and the successor is given its release.
 func (k *Keeper) mayRun() bool {
--- a/core/jwclaim/slot.go
+++ b/core/jwclaim/slot.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// again books the end of a cycle and tells whether there is more to do.
+// again books the end of a cycle and reports whether there is more to do.
 func (s *slot) again(err error) bool {
 	s.k.mu.Lock()
 	defer s.k.mu.Unlock()
@@ -150,7 +150,7 @@
 	return unread
 }
 
-// down tells whether own keys are to be turned away at once; k.mu is held.
+// down reports whether own keys are to be turned away at once; k.mu is held.
 func (s *slot) down(now time.Time) bool {
 	return s.fails > 1 && now.Before(s.retryAt)
 }
@@ -253,7 +253,7 @@
 	return swapped, errors.Wrapf(err, "write claims: %s", s.prefix)
 }
 
-// reply books the store's reply to a write and tells whether its rows count.
+// reply books the store's reply to a write and reports whether its rows count.
 func (s *slot) reply(p plan, at position, swapped bool, err error) (bool, error) {
 	s.k.mu.Lock()
 	defer s.k.mu.Unlock()
--- a/core/jwclaim/ticket.go
+++ b/core/jwclaim/ticket.go
@@ -27,7 +27,7 @@
 	Serial uint64
 }
 
-// IsTicket tells whether a key claims to be a ticket; it may still be forged.
+// IsTicket reports whether a key claims to be a ticket; it may still be forged.
 func IsTicket(key string) bool {
 	return strings.HasPrefix(key, ticketPrefix)
 }
@@ -169,7 +169,7 @@
 type serials struct {
 	minted uint64
 	used   []uint64
-	// runnable tells whether tickets that were not used yet may run here.
+	// runnable reports whether tickets that were not used yet may run here.
 	runnable bool
 }
 
--- a/core/jwclaim/view.go
+++ b/core/jwclaim/view.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// joins tells whether d, which was just read in the place of the last segment
+// joins reports whether d, which was just read in the place of the last segment
 // or found missing there, is what follows the view. After a long time the
 // number may have been used up and deleted by others, and what stands there, if
 // anything, be a stray; a view that took it up would miss every claim between.
@@ -193,7 +193,7 @@
 	}
 }
 
-// holds tells whether a claim is live.
+// holds reports whether a claim is live.
 func (v *view) holds(key keyHash, id claimID) bool {
 	c, ok := v.live[key]
 	return ok && c.id == id
--- a/core/jwclock/pulse.go
+++ b/core/jwclock/pulse.go
@@ -61,7 +61,7 @@
 	return beat{time.Now(), p.Boot()}
 }
 
-// Alive tells whether the process has run since Begin without a long pause.
+// Alive reports whether the process has run since Begin without a long pause.
 func (p *Pulse) Alive() bool {
 	last := p.last.Load()
 	if last == nil {
--- a/core/jwdispatch/callerror.go
+++ b/core/jwdispatch/callerror.go
@@ -35,5 +35,5 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Err }
 
-// NotRun tells whether the request certainly was not run.
+// NotRun reports whether the request certainly was not run.
 func (e *CallError) NotRun() bool { return e.Fate == Unsent || e.Fate == Refused }
--- a/core/jwdispatch/dispatcher.go
+++ b/core/jwdispatch/dispatcher.go
@@ -30,7 +30,7 @@
 	Targets Targets
 	Peers   Peers
 	Claims  Claims
-	// Departed tells whether the platform has given a host up; may be nil.
+	// Departed reports whether the platform has given a host up; may be nil.
 	Departed func(jwpeer.Peer) bool
 	// Crashed is told of a target that crashed and of the fingerprints that this
 	// put in quarantine; may be nil.
--- a/core/jwdispatch/events.go
+++ b/core/jwdispatch/events.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// resumed tells whether this try goes on after the last event sent, and not
+// resumed reports whether this try goes on after the last event sent, and not
 // from the beginning. A stream whose events have ids begins with one, so an end
 // mark in its place is all that was left of it.
 func (e *events) resumed() bool {
--- a/core/jwdispatch/idempotent.go
+++ b/core/jwdispatch/idempotent.go
@@ -194,7 +194,7 @@
 	return to, a, err
 }
 
-// again tells whether the request may be tried once more.
+// again reports whether the request may be tried once more.
 func (j *job) again(ctx context.Context, err error) bool {
 	var failed *CallError
 	if ctx.Err() != nil || !errors.As(err, &failed) {
--- a/core/jwdispatch/once.go
+++ b/core/jwdispatch/once.go
@@ -173,7 +173,7 @@
 	return a.Head, body, err
 }
 
-// notRun tells whether an error says that nothing ran.
+// notRun reports whether an error says that nothing ran.
 func notRun(err error) bool {
 	var failed *CallError
 	if errors.As(err, &failed) {
--- a/core/jwentry/config.go
+++ b/core/jwentry/config.go
@@ -78,7 +78,7 @@
 	return t.first
 }
 
-// Put brings a configuration into force and tells whether it was newer than
+// Put brings a configuration into force and reports whether it was newer than
 // the one before. An older one is ignored: a source that lags behind, such as
 // a peer or a stale read, must not undo a change.
 func (t *Table) Put(c *Config) bool {
--- a/core/jwentry/entry.go
+++ b/core/jwentry/entry.go
@@ -39,7 +39,7 @@
 	Weight  float64
 }
 
-// Repeatable tells whether a request may run a second time.
+// Repeatable reports whether a request may run a second time.
 func (e *Entry) Repeatable() bool {
 	return e.Kind == Idempotent || e.Kind == Stream && e.Resumable
 }
--- a/core/jwhost/watcher.go
+++ b/core/jwhost/watcher.go
@@ -75,7 +75,7 @@
 	w.Apply(hosts, w.Now())
 }
 
-// same tells whether two lists are one, as the lister gives again when the
+// same reports whether two lists are one, as the lister gives again when the
 // platform says that nothing has changed. To apply thousands of hosts anew each
 // period would cost a node more than all its other control work.
 func same(a, b []Host) bool {
--- a/core/jwinstance/relay.go
+++ b/core/jwinstance/relay.go
@@ -37,7 +37,7 @@
 	return loads
 }
 
-// ReportTo returns what a node that speaks through this one should know: the loads of
+// ReportTo returns what a node that reports through this one should know: the loads of
 // all others at the targets that it chooses among.
 func (t *Table) ReportTo(now time.Time, node string) []NodeLoad {
 	t.mu.Lock()
--- a/core/jwinstance/sample.go
+++ b/core/jwinstance/sample.go
@@ -90,7 +90,7 @@
 	return last && now.Sub(x.gone) < goneUse
 }
 
-// coldRoom tells whether this node may send one more request to a cold target
+// coldRoom reports whether this node may send one more request to a cold target
 // within a second.
 func (t *Table) coldRoom(now time.Time, x *Target) bool {
 	if t.Warmup == nil || t.Share == nil {
--- a/core/jwinstance/subset.go
+++ b/core/jwinstance/subset.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// Knows tells whether this node chooses among others and a target, by its name.
+// Knows reports whether this node chooses among others and a target, by its name.
 func (t *Table) Knows(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -190,7 +190,7 @@
 	return list
 }
 
-// knows tells whether this node chooses among others and a target.
+// knows reports whether this node chooses among others and a target.
 func (t *Table) knows(x *Target) bool {
 	t.index()
 	return len(t.places[x.Service][x.Region]) <= localSubset || slices.Contains(t.subset(subsetKey{x.Service, x.Region, t.Node}), x)
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -148,7 +148,7 @@
 	return Same
 }
 
-// counted tells whether a time that was counted down differs from what is left of it.
+// counted reports whether a time that was counted down differs from what is left of it.
 func counted(before, now, passed time.Duration) bool {
 	return (max(before-passed, 0) - now).Abs() > drift
 }
--- a/core/jwlimit/admission.go
+++ b/core/jwlimit/admission.go
@@ -83,7 +83,7 @@
 	return a.later(EntryRate, &a.entry.book, gap), true
 }
 
-// turn tells whether a request may take one of the free places: a caller that
+// turn reports whether a request may take one of the free places: a caller that
 // comes back at the time it was told does if there is one, others only what is
 // not kept for such callers. Without this, new callers take the places first,
 // and one who did as it was told is refused time and again.
@@ -165,7 +165,7 @@
 	return a.ceiling().queue
 }
 
-// overOwner tells whether an owner holds more than its share of a service. Its
+// overOwner reports whether an owner holds more than its share of a service. Its
 // share is what this node may hope to run and queue, divided by the owners
 // that ask.
 func (a *admission) overOwner() bool {
--- a/core/jwlimit/budget.go
+++ b/core/jwlimit/budget.go
@@ -43,7 +43,7 @@
 	b.set(entry, min(b.get(entry)+b.share(), b.most()))
 }
 
-// Retry tells whether an entry may retry once more, and counts it if so.
+// Retry reports whether an entry may retry once more, and counts it if so.
 func (b *Budget) Retry(entry string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/core/jwlimit/limiter.go
+++ b/core/jwlimit/limiter.go
@@ -22,7 +22,7 @@
 	NoTarget        Reason = "noTarget"        // no target may get it
 )
 
-// Room tells whether a refusal is for want of room in this region, so that
+// Room reports whether a refusal is for want of room in this region, so that
 // another region may yet take the request.
 func (r Reason) Room() bool {
 	return r == OwnerShare || r == TooLate || r == Large || r == NoTarget
--- a/core/jwlimit/share.go
+++ b/core/jwlimit/share.go
@@ -24,7 +24,7 @@
 	Running int
 }
 
-// told is another node's report about an entry.
+// usageReport is another node's report about an entry.
 type usageReport struct {
 	rate    float64
 	running int
@@ -40,7 +40,7 @@
 	refilled time.Time
 	book     book
 	reported map[string]usageReport // by node
-	own      float64                // rate that this node last told
+	own      float64                // rate that this node last reported
 	share    share
 	shared   time.Time // when share was computed
 }
--- a/core/jwmember/fleet.go
+++ b/core/jwmember/fleet.go
@@ -38,7 +38,7 @@
 	return max(n, t.fleet), !t.counted.IsZero() && !now.Before(t.counted)
 }
 
-// KeepsFleet tells whether the node itself writes the size of the fleet: the first of
+// KeepsFleet reports whether the node itself writes the size of the fleet: the first of
 // the live by name does.
 func (t *Table) KeepsFleet(now time.Time) bool {
 	live := t.Live(now, "")
--- a/core/jwmember/relay.go
+++ b/core/jwmember/relay.go
@@ -15,11 +15,11 @@
 	// a hundred does little else.
 	DefaultRelayThreshold = 12
 	// relaySuspectAfter is how long a node of the own data centre may stay unseen before its
-	// relay tells others that it is unresponsive: it reports twice a second there.
+	// relay reports to others that it is unresponsive: it reports twice a second there.
 	relaySuspectAfter = 2 * time.Second
 )
 
-// Large tells whether the nodes of a region are so many that they report through
+// Large reports whether the nodes of a region are so many that they report through
 // relays.
 func (t *Table) Large(now time.Time, region string) bool {
 	threshold := t.RelayThreshold
@@ -52,7 +52,7 @@
 	return best, ok
 }
 
-// before tells whether a relays rather than b.
+// before reports whether a relays rather than b.
 func before(a, b Member) bool {
 	if a.Capacity != b.Capacity {
 		return a.Capacity > b.Capacity
@@ -76,7 +76,7 @@
 	return list
 }
 
-// tripStep is how finely the round trips of nodes to the store are told apart.
+// tripStep is how finely the round trips of nodes to the store are distinguished.
 const tripStep = 25 * time.Millisecond
 
 // Reached notes how long a call of the store took.
@@ -105,7 +105,7 @@
 	return m.Trip
 }
 
-// Leads tells whether the node itself is the relay of its data centre, or will be as soon
+// Leads reports whether the node itself is the relay of its data centre, or will be as soon
 // as it serves.
 func (t *Table) Leads(now time.Time) bool {
 	t.mu.Lock()
@@ -131,7 +131,7 @@
 	return root, root.Name != ""
 }
 
-// IsRelay tells whether the node itself is the relay of its data centre.
+// IsRelay reports whether the node itself is the relay of its data centre.
 func (t *Table) IsRelay(now time.Time) bool {
 	m, ok := t.Relay(now, t.Self.DataCentre)
 	return ok && m.Name == t.Self.Name
--- a/core/jwmember/share.go
+++ b/core/jwmember/share.go
@@ -12,7 +12,7 @@
 	return h.Sum64()
 }
 
-// CountedByAll tells whether every node that may share a sum with this one counts
+// CountedByAll reports whether every node that may share a sum with this one counts
 // it. Otherwise the others may use the whole sum without it; see spec/share. It
 // takes two things. The node has read its own registration in the store: of two
 // that start at once, the one that registered last then knows of the other,
@@ -36,7 +36,7 @@
 	return true
 }
 
-// Owns tells whether the node itself is the one of its region that a name
+// Owns reports whether the node itself is the one of its region that a name
 // falls to, by rendezvous hashing over the live nodes.
 func (t *Table) Owns(now time.Time, name string) bool {
 	best, most := "", uint64(0)
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -12,7 +12,7 @@
 	// suspectAfter is how long a registered node may stay unseen before it is
 	// taken for dead. Nodes of a region exchange state every second.
 	suspectAfter = 3 * time.Second
-	// trust is how long a new registration is believed before the node is seen.
+	// trust is how long a new registration counts before the node is seen.
 	trust = 2 * time.Second
 	// indirectAge is how old the report may be that another node was seen.
 	indirectAge = time.Second
@@ -72,7 +72,7 @@
 	Since time.Duration // since its stop was seen of
 }
 
-// Put takes the registration of a node; it tells whether it is of a process
+// Put takes the registration of a node; it reports whether it is of a process
 // that began anew.
 func (t *Table) Put(now time.Time, m Member) (anew bool) {
 	t.mu.Lock()
@@ -89,7 +89,7 @@
 	return r.take(now, m)
 }
 
-// Seen notes that a node reported itself; it tells whether that is a process that
+// Seen notes that a node reported itself; it reports whether that is a process that
 // began anew.
 func (t *Table) Seen(now time.Time, m Member) (anew bool) {
 	t.mu.Lock()
@@ -254,10 +254,10 @@
 	return anew
 }
 
-// stops tells whether a node has served and does not any more.
+// stops reports whether a node has served and does not any more.
 func (m *Member) stops() bool { return !m.Serving && m.Change > 0 }
 
-// live tells whether a node is taken to run.
+// live reports whether a node is taken to run.
 func (t *Table) live(now time.Time, r *record) bool {
 	if !r.seen.After(t.resumed) && !t.resumed.IsZero() {
 		return false
@@ -268,7 +268,7 @@
 	return r.registered && now.Sub(r.since) < trust && !r.failed.After(r.since)
 }
 
-// RecentlySeen tells whether a node was seen lately.
+// RecentlySeen reports whether a node was seen lately.
 func (t *Table) RecentlySeen(now time.Time, name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/jwmember/view.go
+++ b/core/jwmember/view.go
@@ -16,7 +16,7 @@
 	count           int
 }
 
-// fresh tells whether a view made at a time still serves.
+// fresh reports whether a view made at a time still serves.
 func fresh(now, at time.Time) bool {
 	age := now.Sub(at)
 	return !at.IsZero() && age >= 0 && age < viewAge
@@ -32,7 +32,7 @@
 	t.views[region] = v
 }
 
-// Live returns the nodes believed to run and to serve, by name; region "" is
+// Live returns the nodes taken to run and to serve, by name; region "" is
 // all regions. It includes the node itself if it serves. Several callers may get the
 // same list, which must not be changed.
 func (t *Table) Live(now time.Time, region string) []Member {
--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -23,7 +23,7 @@
 	Whole bool // this is everything that the receiver needs
 }
 
-// empty tells whether there is nothing to tell.
+// empty reports whether there is nothing to tell.
 func (t *Digest) empty() bool { return len(t.Peers) == 0 && len(t.Marks) == 0 && t.News.empty() }
 
 // Partner carries an exchange to another node and brings back its answer.
--- a/core/jwpeer/relay.go
+++ b/core/jwpeer/relay.go
@@ -42,7 +42,7 @@
 	return out
 }
 
-// IsRelay tells whether the node of this name is among the relays of its data
+// IsRelay reports whether the node of this name is among the relays of its data
 // centre.
 func IsRelay(peers []Peer, self Peer) bool {
 	for _, p := range Relays(peers, self.DataCentre) {
--- a/core/jwpeer/table.go
+++ b/core/jwpeer/table.go
@@ -28,8 +28,8 @@
 	Peer
 	id   uint64
 	seen time.Time
-	from string // partner that brought the newest word
-	any  uint64 // a word of any kind
+	from string // partner that brought the newest report
+	any  uint64 // a report of any kind
 	full uint64 // one that a mark can't tell: a new start, state or address
 	beat uint64 // one that says no more than that the peer lives
 }
@@ -68,7 +68,7 @@
 	return Peer{}
 }
 
-// Merge takes the newer words of the list and tells whether any was news that
+// Merge takes the newer words of the list and reports whether any was news that
 // others should hear without waiting for the next period.
 func (t *Table) Merge(peers []Peer, now time.Time) (urgent bool) {
 	t.mu.Lock()
@@ -92,7 +92,7 @@
 	}
 }
 
-// newer tells whether a is a later word of a peer than b. Incarnations sort by
+// newer reports whether a is a later word of a peer than b. Incarnations sort by
 // the time of their start, so a restarted node wins over its former self.
 func newer(a, b Peer) bool {
 	if a.Incarnation != b.Incarnation {
@@ -129,7 +129,7 @@
 	k.Age = 0
 }
 
-// sameButWords tells whether two words of a peer differ in nothing that a mark
+// sameButWords reports whether two words of a peer differ in nothing that a mark
 // leaves out.
 func sameButWords(a, b Peer) bool {
 	a.Revision, a.Base, a.Sequence, a.Age = b.Revision, b.Base, b.Sequence, b.Age
@@ -244,7 +244,7 @@
 	return out
 }
 
-// Silent tells whether a node has not been seen of since the given time, which
+// Silent reports whether a node has not been seen since the given time, which
 // is put off for many nodes as by Fresh; an unknown one is silent.
 func (t *Table) Silent(name string, since time.Time) bool {
 	t.mu.Lock()
--- a/core/jwpeer/view.go
+++ b/core/jwpeer/view.go
@@ -133,7 +133,7 @@
 	return out
 }
 
-// IsRelay tells whether this node carries news for its data centre now.
+// IsRelay reports whether this node carries news for its data centre now.
 func (x *Exchange) IsRelay() bool { return x.current().relay }
 
 // Partners returns the nodes that self tells of changes, out of the fresh
--- a/core/jwquota/account.go
+++ b/core/jwquota/account.go
@@ -21,7 +21,7 @@
 	wantedFor = 10 * time.Second
 	// shortFor is how long the report counts that a quota is used up.
 	shortFor = 400 * time.Millisecond
-	// totalFor is how long the total demand counts that the root told, and aloneShare is
+	// totalFor is how long the total demand counts that the root reported, and aloneShare is
 	// how many times its even part a node has ahead that doesn't know it.
 	totalFor   = 3 * time.Second
 	aloneShare = 2
@@ -43,13 +43,13 @@
 	asked    time.Time // when a request or another node asked last
 	wanted   time.Time // until when others want what this node doesn't need
 	total    float64   // units a second that are asked for at all nodes which the root reaches
-	totalAt  time.Time // when that was told
+	totalAt  time.Time // when that was reported
 	short    time.Time // until when the quota is known to be used up
 	scarce   time.Time // until when others are known to lack units
 	lackFrom time.Time // since when the root has lacked units
 	lackAt   time.Time // when it did so last
 	claimed  time.Time // when the node claimed last
-	booked   time.Time // up to which refused callers are told to come back
+	booked   time.Time // up to which refused callers are told to retry
 }
 
 // child is what a node that asks this one claimed last.
@@ -159,7 +159,7 @@
 	return a.total
 }
 
-// isScarce tells whether requests wait for units here or are known to elsewhere.
+// isScarce reports whether requests wait for units here or are known to elsewhere.
 func (a *account) isScarce(now time.Time) bool {
 	if a.root {
 		return a.lacking(now) > a.level
@@ -247,10 +247,10 @@
 	a.waiting = append(a.waiting[:0], a.waiting[n:]...)
 }
 
-// active tells whether the workspace asked for something lately.
+// active reports whether the workspace asked for something lately.
 func (a *account) active(now time.Time) bool { return now.Sub(a.asked) < wantedFor }
 
-// lacks notes that the root lacks units and tells whether it has for long.
+// lacks notes that the root lacks units and reports whether it has for long.
 func (a *account) lacks(now time.Time) bool {
 	if now.Sub(a.lackAt) > needFor {
 		a.lackFrom = now
--- a/core/jwquota/bounds.go
+++ b/core/jwquota/bounds.go
@@ -35,7 +35,7 @@
 	transitFor   = 250 * time.Millisecond
 	transitShare = 0.15
 	// startShare is what a node has of its part of what may be kept when it starts: after
-	// a start of all at once their callers come back before anything is minted.
+	// a start of all at once their callers retry before anything is minted.
 	startShare = 0.12
 )
 
--- a/core/jwquota/claim.go
+++ b/core/jwquota/claim.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// mostClaims bounds the workspaces that two nodes speak of at once.
+	// mostClaims bounds the workspaces in one message between two nodes.
 	mostClaims = 64
 	// claimPeriod is the time between two claims for a workspace that lacks nothing.
 	claimPeriod = time.Second
@@ -17,7 +17,7 @@
 	scarceShare = 0.25
 )
 
-// Claim is what a node says of a workspace to the one that it claims units from.
+// Claim is what a node reports of a workspace to the one that it claims units from.
 type Claim struct {
 	Workspace string  `json:"workspace"`
 	Give      float64 `json:"give,omitempty"`   // units that it doesn't need; they are no longer its own
--- a/core/jwquota/doc.go
+++ b/core/jwquota/doc.go
@@ -3,6 +3,6 @@
 // mints its even part of a quota. Units that it doesn't need go up a tree, to the
 // relay of its data centre and from there to the relay at which the workspace's units
 // are gathered, its root; units that it lacks come down the same way. Whatever is lost, cut off
-// or believed by one side only, no unit is spent twice, since it is taken off on one
+// or known to one side only, no unit is spent twice, since it is taken off on one
 // side before it is added on the other.
 package jwquota
--- a/core/jwquota/ledger.go
+++ b/core/jwquota/ledger.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// leastRetry and mostRetry bound when a refused caller is told to come back.
+	// leastRetry and mostRetry bound the Retry-After of a refused caller.
 	leastRetry = 200 * time.Millisecond
 	mostRetry  = 5 * time.Second
 	// idleFor is how long the account of a workspace that nobody asks for is kept.
@@ -38,7 +38,7 @@
 	Fleet   int                         // nodes that there may be
 	Counted bool                        // the others count this one in theirs
 	Fresh   bool                        // no process of the node started within a window before this one
-	Live    int                         // nodes that are believed to live
+	Live    int                         // live nodes
 	Group   int                         // of these, those that claim through this one, 0 if it is no relay
 	Root    func(workspace string) bool // whether the node gathers a workspace's units; nil for none
 }
@@ -55,7 +55,7 @@
 // Ready returns a channel that is closed once the request has its units.
 func (w *Waiter) Ready() <-chan struct{} { return w.ready }
 
-// Outcome tells what became of a request that asked for units.
+// Outcome is what became of a request that asked for units.
 type Outcome string
 
 // The outcomes.
@@ -114,8 +114,8 @@
 	return d
 }
 
-// Leave ends the wait of a request; it tells whether that has got its units after all,
-// and otherwise when it is to come back.
+// Leave ends the wait of a request; it reports whether that has got its units after all,
+// and otherwise its Retry-After.
 func (l *Ledger) Leave(now time.Time, w *Waiter) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -138,7 +138,7 @@
 	a.level = min(a.level, a.most(now, q, l.Bounds(), l.place)+cost)
 }
 
-// book returns when a refused caller is to come back: after those refused before it.
+// book returns the Retry-After of a refused caller: after those refused before it.
 func (a *account) book(now time.Time, q jwworkspace.Quota, p Place, cost float64) time.Duration {
 	share := max(a.income.now(now), q.Rate/float64(max(p.Fleet, 1)))
 	if a.booked.Before(now) {
@@ -154,7 +154,7 @@
 	return min(max(a.booked.Sub(now), leastRetry), mostRetry)
 }
 
-// Waiting tells whether requests wait for units.
+// Waiting reports whether requests wait for units.
 func (l *Ledger) Waiting() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/jwrepeat/repeat.go
+++ b/core/jwrepeat/repeat.go
@@ -27,7 +27,7 @@
 	NoBudget Reason = "no repeat is left"
 )
 
-// May tells whether the request may be sent.
+// May reports whether the request may be sent.
 func (r Reason) May() bool { return r == Again || r == First || r == Paid }
 
 // Decide judges a request after a try; take draws one repeat from the budget and is
--- a/core/jwrequest/hops.go
+++ b/core/jwrequest/hops.go
@@ -21,7 +21,7 @@
 	return n
 }
 
-// Returns tells whether the request has come back to a data centre that it had
+// Returns reports whether the request has come back to a data centre that it had
 // left.
 func (h Hops) Returns() bool {
 	left := make(map[string]bool)
@@ -37,7 +37,7 @@
 	return false
 }
 
-// Visited tells whether the request has passed the node.
+// Visited reports whether the request has passed the node.
 func (h Hops) Visited(node string) bool {
 	for _, hop := range h {
 		if hop.Node == node {
--- a/core/jwrouter/place.go
+++ b/core/jwrouter/place.go
@@ -52,7 +52,7 @@
 	return r.cheapest(q, here)
 }
 
-// stays tells whether a request must not be sent to another region.
+// stays reports whether a request must not be sent to another region.
 func (r *Router) stays(q *Query) (PlaceReason, bool) {
 	switch {
 	case q.bound():
@@ -99,7 +99,7 @@
 // usualRegions is how many regions are weighed without allocating.
 const usualRegions = 16
 
-// allowed tells whether the entry lets a request run in a region; the home of
+// allowed reports whether the entry lets a request run in a region; the home of
 // its workspace is always allowed.
 func allowed(q *Query, region string) bool {
 	if region == q.Home {
--- a/core/jwrouter/router.go
+++ b/core/jwrouter/router.go
@@ -39,10 +39,10 @@
 	Random    uint64 // evenly spread
 }
 
-// bound tells whether the request must stay in its home region.
+// bound reports whether the request must stay in its home region.
 func (q *Query) bound() bool { return q.Bound || q.Entry.Bound }
 
-// late tells whether the request cannot end in time after a wait.
+// late reports whether the request cannot end in time after a wait.
 func (q *Query) late(wait time.Duration) bool {
 	return !q.Deadline.IsZero() && q.Now.Add(wait+q.Work).After(q.Deadline)
 }
--- a/core/jwstore/memoryfeed.go
+++ b/core/jwstore/memoryfeed.go
@@ -61,7 +61,7 @@
 	m.remove(key)
 }
 
-// Has tells whether a key exists.
+// Has reports whether a key exists.
 func (m *MemoryFeed) Has(key string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/core/jwsuspect/apart.go
+++ b/core/jwsuspect/apart.go
@@ -48,7 +48,7 @@
 	return out
 }
 
-// occupied tells whether another suspect is in flight on a target.
+// occupied reports whether another suspect is in flight on a target.
 func (t *Table) occupied(f Fingerprint, target netip.AddrPort, now time.Time) bool {
 	for other := range t.flights[target] {
 		if state, _ := t.check(other, now); other != f && state != Clear {
@@ -58,7 +58,7 @@
 	return false
 }
 
-// crashedWith tells whether a target went down with the fingerprint in flight.
+// crashedWith reports whether a target went down with the fingerprint in flight.
 func (t *Table) crashedWith(f Fingerprint, target netip.AddrPort) bool {
 	s := t.suspects[f]
 	return s != nil && slices.ContainsFunc(s.crashes, func(c crash) bool { return c.target == target })
--- a/core/jwsuspect/model_test.go
+++ b/core/jwsuspect/model_test.go
@@ -156,7 +156,7 @@
 	return -1
 }
 
-// sendPoison runs the poison request and tells whether it took a target down.
+// sendPoison runs the poison request and reports whether it took a target down.
 func (m *model) sendPoison(node int) bool {
 	f := printOf(poison)
 	i := m.place(node, f)
--- a/core/jwsuspect/table.go
+++ b/core/jwsuspect/table.go
@@ -144,7 +144,7 @@
 	return barred
 }
 
-// accuse holds one crash against a fingerprint and tells whether that put it
+// accuse holds one crash against a fingerprint and reports whether that put it
 // in quarantine.
 func (t *Table) accuse(f Fingerprint, c crash, bound bool, now time.Time) bool {
 	s := t.suspect(f, now)
@@ -188,7 +188,7 @@
 	return s
 }
 
-// same tells whether two words are about the same crash. Nodes notice a crash
+// same reports whether two words are about the same crash. Nodes notice a crash
 // at slightly different times; a target that has come back and goes down again
 // is another crash, or a service with one target would never be safe.
 func (c crash) same(other crash) bool {
@@ -197,7 +197,7 @@
 
 func (s *suspect) barred(now time.Time) bool { return now.Before(s.until) }
 
-// probation tells whether a quarantine has ended not long ago, so that one
+// probation reports whether a quarantine has ended not long ago, so that one
 // more crash renews it.
 func (s *suspect) probation(now time.Time, remember time.Duration) bool {
 	return s.bars > 0 && now.Sub(s.until) <= remember
@@ -224,7 +224,7 @@
 	return Clear, 0
 }
 
-// current tells whether anything held against the fingerprint still counts.
+// current reports whether anything held against the fingerprint still counts.
 func (s *suspect) current(now time.Time, remember time.Duration) bool {
 	if s.probation(now, remember) {
 		return true
--- a/core/jwtarget/candidate.go
+++ b/core/jwtarget/candidate.go
@@ -47,7 +47,7 @@
 	return out
 }
 
-// spare tells whether a resting target may be tried when there is no other: one
+// spare reports whether a resting target may be tried when there is no other: one
 // call at a time, until it fails again.
 func (t *Table) spare(e *entry) bool {
 	return e.failures == 1 && !e.probing && !t.leaves(e.target.Address)
--- a/core/jwtarget/departure.go
+++ b/core/jwtarget/departure.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// leaves tells whether a target is known to leave and has not come back.
+// leaves reports whether a target is known to leave and has not come back.
 func (t *Table) leaves(addr netip.AddrPort) bool {
 	d, told := t.leaving[addr]
 	return told && d.gone.IsZero()
--- a/core/jwtarget/target.go
+++ b/core/jwtarget/target.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// State tells whether a target may get new work.
+// State reports whether a target may get new work.
 type State string
 
 // The states of a target.
--- a/core/jwworkspace/directory.go
+++ b/core/jwworkspace/directory.go
@@ -48,7 +48,7 @@
 	return d.byName[name]
 }
 
-// Limited tells whether any workspace has a quota.
+// Limited reports whether any workspace has a quota.
 func (d *Directory) Limited() bool { return d != nil && d.bound > 0 }
 
 // Len returns the number of workspaces.
--- a/core/jwworkspace/regions.go
+++ b/core/jwworkspace/regions.go
@@ -8,7 +8,7 @@
 // nowhere stands for no region at all: an empty list allows all.
 const nowhere = ""
 
-// Allows tells whether a region may serve.
+// Allows reports whether a region may serve.
 func (r Regions) Allows(region string) bool { return len(r) == 0 || slices.Contains(r, region) }
 
 // Both returns the regions that two lists allow.
--- a/core/jwworkspace/workspace.go
+++ b/core/jwworkspace/workspace.go
@@ -27,7 +27,7 @@
 	Plain float64 // units of a request that names no tokens, where Unit is Tokens
 }
 
-// Limited tells whether the quota bounds anything.
+// Limited reports whether the quota bounds anything.
 func (q Quota) Limited() bool { return q.Rate > 0 }
 
 // Cost returns the units that a request takes; tokens is the sum of those read and
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -199,7 +199,7 @@
 	return slices.ContainsFunc(later, func(e jwstore.Event) bool { return e.Key == key && !e.Deleted })
 }
 
-// apply brings one change into the tables and tells whether it changes anything: targets
+// apply brings one change into the tables and reports whether it changes anything: targets
 // register about once a second, and most of it says what they said before.
 func (f *follower) apply(now time.Time, e jwstore.Event) bool {
 	g := f.g
