--- a/core/jwlimit/admission.go
+++ b/core/jwlimit/admission.go
@@ -48,7 +48,7 @@
 		return Refusal{}, false
 	}
 	if a.Foreign && float64(a.Room.Outstanding) >= foreignFill*float64(a.Room.Slots) {
-		return Refusal{Reason: Large, RetryAfter: a.spread(a.gap())}, true
+		return Refusal{Reason: Crowded, RetryAfter: a.spread(a.gap())}, true
 	}
 	return a.overRoom()
 }
@@ -105,7 +105,7 @@
 	most := a.mostQueue()
 	switch queue := a.queue(); {
 	case queue >= most:
-		return Refusal{Reason: Large, RetryAfter: a.inTurn(a.service, a.Room.Wait)}, true
+		return Refusal{Reason: Crowded, RetryAfter: a.inTurn(a.service, a.Room.Wait)}, true
 	case queue >= ownerPart*most && a.overOwner():
 		return Refusal{Reason: OwnerShare, RetryAfter: a.inTurn(a.owner, a.Room.Wait)}, true
 	}
--- a/core/jwlimit/limiter.go
+++ b/core/jwlimit/limiter.go
@@ -17,7 +17,7 @@
 	EntryConcurrent Reason = "entryConcurrent" // the entry's requests running
 	OwnerShare      Reason = "ownerShare"      // the owner runs more than its share while others wait
 	TooLate         Reason = "tooLate"         // it cannot end before its deadline
-	Large           Reason = "crowded"         // the class gives way to more urgent ones
+	Crowded         Reason = "crowded"         // the class gives way to more urgent ones
 	NodeFull        Reason = "nodeFull"        // this node runs all that it can
 	NoTarget        Reason = "noTarget"        // no target may get it
 )
@@ -25,7 +25,7 @@
 // Room reports whether a refusal is for want of room in this region, so that
 // another region may yet take the request.
 func (r Reason) Room() bool {
-	return r == OwnerShare || r == TooLate || r == Large || r == NoTarget
+	return r == OwnerShare || r == TooLate || r == Crowded || r == NoTarget
 }
 
 // Refusal says that a request was not taken on and when to come back.
--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -289,7 +289,7 @@
 	w.finished = x.Now()
 }
 
-// take writes to the table what a partner digest.
+// take writes to the table what a partner sent.
 func (x *Exchange) take(digest Digest) {
 	all := x.Table.take(digest.From, digest.Peers, digest.Marks, x.Now())
 	x.mu.Lock()
--- a/core/jwpeer/mark.go
+++ b/core/jwpeer/mark.go
@@ -31,7 +31,7 @@
 // wordPaceFrom is the size of a group up to which the pace stays the same.
 const wordPaceFrom = 10
 
-// audience is one partner as far as it decides what it is digest.
+// audience is one partner as far as it decides what it is sent.
 type audience struct {
 	name     string
 	region   string
@@ -51,7 +51,7 @@
 
 // lacks returns what the audience has not been digest.
 //
-// Another region is sent the nodes here, at the pace of the fleet, and hears
+// Another region is sent the nodes here, at the pace of the fleet, and receives
 // of the rest from themselves. Within the region a new start, state or address
 // goes to all; that a node lives goes to all at the pace of the region, and of
 // other regions at the pace of the fleet; the revision in force at a node goes to the gatherer
--- a/core/jwworkspace/directory.go
+++ b/core/jwworkspace/directory.go
@@ -51,14 +51,6 @@
 // Limited reports whether any workspace has a quota.
 func (d *Directory) Limited() bool { return d != nil && d.bound > 0 }
 
-// Len returns the number of workspaces.
-func (d *Directory) Len() int {
-	if d == nil {
-		return 0
-	}
-	return len(d.byName)
-}
-
 // usualKey is the length up to which a key is hashed without an allocation.
 const usualKey = 128
 
