--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -69,6 +69,7 @@
 	slow          float64 // its pace against the service's, 1 is usual
 	cache         cache
 	capacity      int // tokens of its memory, 0 if not known
+	limit         Limit
 }
 
 // Change is what a registration changed of a target.
--- a/io/jwgateway/dialect.go
+++ b/io/jwgateway/dialect.go
@@ -37,6 +37,7 @@
 	Signed bool          // a target made it
 	Target string        // that answered, if it says so
 	Cold   time.Duration // how long the target stays cold
+	Limit  jwinstance.Limit
 }
 
 // Dialect translates the headers of callers and targets.
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -270,6 +270,7 @@
 		g.meters.version.Update(float64(g.entries.Version()))
 		g.meters.nodes.Update(float64(len(g.members.Live(now, ""))))
 		g.meters.inFlight.Update(float64(g.inFlight.Load()))
+		g.meters.limited.Update(float64(g.targets.LimitedTargets()))
 		g.meters.budget(g.retries.Left(now))
 		g.meters.storeAge.Update((now.Sub(g.begun) - time.Duration(g.viewed.Load())).Seconds())
 		if g.LostLines != nil {
--- a/io/jwgateway/meters.go
+++ b/io/jwgateway/meters.go
@@ -41,6 +41,7 @@
 	inFlight tally.Gauge
 	lost     tally.Gauge
 	storeAge tally.Gauge
+	limited  tally.Gauge
 }
 
 func newMeters(m *jwmeter.Meter) *meters {
@@ -64,6 +65,7 @@
 		inFlight: m.Gauge("requests_in_flight", nil),
 		lost:     m.Gauge("log_lines_lost", nil),
 		storeAge: m.Gauge("store_view_age_seconds", nil),
+		limited:  m.Gauge("limited_targets", nil),
 	}
 	for _, k := range []jwresolver.Kind{jwresolver.Own, jwresolver.Stopping, jwresolver.StandIns, jwresolver.Nobody} {
 		x.names[k] = m.Counter("directory_answers_total", jwmeter.Tags{"names": string(k)})
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -155,6 +155,7 @@
 func (g *Gateway) judge(q *request, x *jwinstance.Target, a *jwconn.Answer) (v Verdict, ok bool) {
 	reply := g.Dialect.Answer(a.Header)
 	g.noteCold(x, reply)
+	g.noteLimit(x, a.Status, reply)
 	now := time.Now()
 	switch {
 	case reply.NotRun || a.Status == http.StatusMisdirectedRequest:
@@ -238,3 +239,13 @@
 		g.targets.Cold(time.Now(), x, reply.Cold)
 	}
 }
+
+// noteLimit keeps the limit that a target names in a reply, or that it names none any more.
+func (g *Gateway) noteLimit(x *jwinstance.Target, status int, reply Reply) {
+	if status == http.StatusMisdirectedRequest || !reply.Signed && !reply.NotRun {
+		return // not known to be the target's
+	}
+	if g.targets.Limited(time.Now(), x, reply.Limit) {
+		g.Log.Info("target limit", "target", x.ID, "named", reply.Limit.Named, "rate", reply.Limit.Rate)
+	}
+}
