--- /dev/null
+++ b/io/jwgateway/limit_test.go
@@ -0,0 +1,37 @@
+package jwgateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwstore"
+)
+
+// A target names in its answers how much it takes, and goes on to get all requests.
+func TestTargetThatNamesALimit(t *testing.T) {
+	t.Parallel()
+	const limit, most = 1.0, 60
+	var feed jwstore.MemoryFeed
+	x := startTarget(t, &feed, "t1", "s", "north-a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Server-Limit", fmt.Sprint(limit))
+	})
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/a/x", served)
+	begun, before := time.Now(), len(x.requests())
+	var last reply
+	for i := range most {
+		r, err := send(t, n, http.MethodGet, "/a/x", fmt.Sprint("r", i), nil, "")
+		assert.NilError(t, err)
+		last = r
+	}
+	allowed := 1.5*limit*max(time.Since(begun).Seconds(), 4) + 5
+	got := len(x.requests()) - before
+	assert.Assert(t, float64(got) <= allowed, "%d requests reached it, %.1f are allowed", got, allowed)
+	assert.Equal(t, last.status, http.StatusServiceUnavailable)
+	assert.Assert(t, last.header.Get("Retry-After") != "")
+}
