jwinstance, jwbudget: the limit that a target names holds over all nodes

Callers saw nothing yet; two targets in need got 41 and 40 requests in 4 s where 12 and 15 were allowed, as many as those that had named no limit.

Cause: no code read the limit, so sends followed load alone. The class is a sum over all nodes that no node accounts for; a limit kept by each node for itself would exceed it by the number of nodes.

Now the latest answer counts, is reported to the nodes of the region and passed on by relays, and each node has a part: an even one where one request of each node fits the slack, otherwise the owner alone. Parts are safe while views differ: a node that starts, or becomes the owner, waits for the span that the others need to learn of it. Questions whether a target is cold count too. Requests without another target are refused at once, with when there is room again.

--- /dev/null
+++ b/core/jwbudget/limit_test.go
@@ -0,0 +1,52 @@
+package jwbudget
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestPartOf(t *testing.T) {
+	cases := map[string]struct {
+		rate  float64
+		owner bool
+		nodes int
+		want  LimitPart
+	}{
+		"the only node":                 {2, true, 1, LimitPart{Rate: 2, Burst: 4}},
+		"few nodes have even parts":     {2, false, 4, LimitPart{Rate: 0.5, Burst: 1}},
+		"the owner's is no larger":      {2, true, 4, LimitPart{Rate: 0.5, Burst: 1}},
+		"a large limit is for many":     {20, false, 22, LimitPart{Rate: 20.0 / 22, Burst: 1}},
+		"of many nodes the owner sends": {2, true, 9, LimitPart{Rate: 2, Burst: 4, Sole: true}},
+		"the others don't":              {2, false, 9, LimitPart{}},
+		"a limit of nothing":            {0, true, 1, LimitPart{Rate: leastLimit, Burst: 2.1}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, PartOf(c.rate, c.owner, c.nodes), c.want)
+		})
+	}
+}
+
+// A node that becomes the owner of a target, or has not looked for some time whether it is,
+// waits until the one before has surely ceased.
+func TestNewOwnerWaits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := LimitBucket{Begun: now}
+	part := PartOf(2, true, 9)
+	assert.Assert(t, !b.Room(now.Add(time.Minute), LimitPart{}))
+	for range 2 {
+		now = now.Add(time.Hour)
+		assert.Assert(t, !b.Room(now, part))
+		assert.Equal(t, b.Wait(now, part), LimitSettle+500*time.Millisecond)
+		for range int(LimitSettle / time.Second) {
+			now = now.Add(time.Second)
+			assert.Assert(t, !b.Room(now, part))
+		}
+		now = now.Add(500 * time.Millisecond)
+		assert.Assert(t, b.Room(now, part))
+		b.Take()
+		assert.Assert(t, !b.Room(now.Add(100*time.Millisecond), part))
+	}
+}
--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -107,6 +107,9 @@
 	x.capacity = n.Capacity
 	t.place(now, x, n.Prompt)
 	x.sent(now)
+	if x.limit.Named {
+		x.limit.bucket.Take()
+	}
 	return c, true
 }
 
--- a/core/jwinstance/limit_test.go
+++ b/core/jwinstance/limit_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"jujubewheel/core/jwbudget"
 )
 
 // What a target that names a limit may get of all nodes together within any span: half
@@ -19,9 +22,12 @@
 func TestLimitOfATargetHoldsOverAllNodes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.Float64Range(0.2, 20).Draw(t, "rate")
-		tables := make([]*Table, rapid.IntRange(1, 4).Draw(t, "nodes"))
+		tables := make([]*Table, rapid.IntRange(1, 100).Draw(t, "nodes"))
+		counted := len(tables) + rapid.IntRange(0, 2).Draw(t, "more")
 		for i := range tables {
-			tables[i] = &Table{Region: "r"}
+			tables[i] = &Table{Region: "r", LimitPart: func(rate float64, _ string, _ func(string) bool) jwbudget.LimitPart {
+				return jwbudget.PartOf(rate, i == 0, counted)
+			}}
 			tables[i].Put(t0, instance("a"))
 			tables[i].Limited(t0, tables[i].targets["a"], Limit{Named: true, Rate: rate})
 		}
@@ -49,3 +55,137 @@
 		t.Fatalf("%d sends within %s at a limit of %.2f a second, the bound is %.1f", n, limitSpan, rate, bound)
 	}
 }
+
+// limitNode is a node of TestLimitWhileNodesComeAndGo.
+type limitNode struct {
+	*Table
+	live    bool
+	settled time.Time // from when on it sends to a target that names a limit
+	learns  time.Time // when it learns of the last change
+	errs    time.Time // until when it takes the owner for dead and itself for the owner
+	nodes   int       // as it believes
+	owner   int
+}
+
+func (n *limitNode) part(rate float64, self int, now time.Time) jwbudget.LimitPart {
+	if now.Before(n.settled) {
+		return jwbudget.LimitPart{}
+	}
+	return jwbudget.PartOf(rate, n.owner == self, n.nodes)
+}
+
+// While nodes come and go they differ for some seconds in how many there are, and in which
+// of them owns the target; two owners, or an owner and even parts, would exceed the limit.
+func TestLimitWhileNodesComeAndGo(t *testing.T) {
+	const lag, settle = 3300 * time.Millisecond, 4 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.2, 8).Draw(t, "rate")
+		nodes := make([]limitNode, rapid.IntRange(2, 30).Draw(t, "nodes"))
+		now := t0
+		counted := make(map[int]bool) // those that left are counted for longer than this test lasts
+		owner := 0
+		change := func() {
+			owner = len(nodes)
+			before := len(counted)
+			for i := range nodes {
+				n := &nodes[i]
+				live := rapid.IntRange(0, 3).Draw(t, "live") > 0
+				if live && !n.live {
+					*n = limitNode{Table: &Table{Region: "r"}, settled: now.Add(settle), nodes: before + 1, owner: i}
+					n.LimitPart = func(rate float64, _ string, _ func(string) bool) jwbudget.LimitPart { return n.part(rate, i, now) }
+					n.Put(now, instance("a"))
+					n.Limited(now, n.targets["a"], Limit{Named: true, Rate: rate})
+				}
+				n.live = live
+				n.learns = now.Add(time.Duration(rapid.IntRange(0, int(lag/time.Millisecond)).Draw(t, "lag")) * time.Millisecond)
+				if rapid.IntRange(0, 5).Draw(t, "errs") == 0 {
+					n.errs = now.Add(lag)
+				}
+				if live {
+					counted[i] = true
+					owner = min(owner, i)
+				}
+			}
+		}
+		change()
+		report := func() {
+			for i := range nodes {
+				n := &nodes[i]
+				if !now.Before(n.learns) {
+					n.nodes, n.owner = len(counted), owner
+				}
+				if now.Before(n.errs) {
+					n.owner = i
+				}
+				if n.live {
+					n.ReportLimits(now, false)
+				}
+			}
+		}
+		var sends []time.Time
+		next := now.Add(5 * time.Second)
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 40).Draw(t, "pause") == 0 {
+				for range 5 {
+					now = now.Add(time.Second)
+					report()
+				}
+			}
+			if now.After(next) {
+				next = now.Add(lag + time.Duration(rapid.IntRange(1, 8).Draw(t, "seconds"))*time.Second)
+				change()
+			}
+			report()
+			one := rapid.IntRange(-len(nodes), len(nodes)-1).Draw(t, "one") // none: all at once, as the target looks idle to each
+			for i := range nodes {
+				n := &nodes[i]
+				if n.live && (one < 0 || one == i) && chosen(n.Table, now, Need{}) != "" {
+					sends = append(sends, now)
+				}
+			}
+			checkLimit(t, sends, now, rate)
+		}
+	})
+}
+
+// The nodes of a region learn of a limit, and of its end, from the one that had the answer.
+func TestLimitIsReported(t *testing.T) {
+	a, b, c := &Table{Region: "r"}, &Table{Region: "r"}, &Table{Region: "r"}
+	for _, table := range []*Table{a, b, c} {
+		table.Put(t0, instance("x"))
+	}
+	limited := func(table *Table) Limit { return table.targets["x"].limit.Limit }
+	named := Limit{Named: true, Rate: 2}
+	assert.Assert(t, a.Limited(after(0), a.targets["x"], named))
+	assert.Assert(t, !a.Limited(after(10), a.targets["x"], named))
+	b.MergeLimits(after(120), a.ReportLimits(after(110), false))
+	assert.Equal(t, limited(b), named)
+	assert.Equal(t, len(b.ReportLimits(after(130), false)), 0, "only who had the answer reports it")
+	c.MergeLimits(after(250), b.ReportLimits(after(240), true))
+	assert.Equal(t, limited(c), named, "a relay reports for others")
+	assert.Assert(t, a.Limited(after(1000), a.targets["x"], Limit{}))
+	a.MergeLimits(after(1050), c.ReportLimits(after(1040), true))
+	assert.Equal(t, limited(a), Limit{}, "an older answer changes nothing")
+	c.MergeLimits(after(1110), a.ReportLimits(after(1100), false))
+	assert.Equal(t, limited(c), Limit{})
+	assert.Equal(t, len(a.ReportLimits(after(7000), true)), 0, "all have learned of the end")
+	assert.Equal(t, c.LimitedTargets(), 0)
+}
+
+// An incarnation knows nothing of the limit that the one before named.
+func TestLimitEndsWithTheIncarnation(t *testing.T) {
+	table := &Table{Region: "r"}
+	in := instance("a")
+	table.Put(t0, in)
+	table.Limited(t0, table.targets["a"], Limit{Named: true, Rate: 1})
+	assert.Equal(t, chosen(table, after(0), Need{}), "")
+	d, ok := table.LimitWait(after(0), "s")
+	assert.Assert(t, ok)
+	assert.Equal(t, d, time.Second)
+	assert.Equal(t, chosen(table, after(1000), Need{}), "a")
+	in.Born++
+	table.Put(after(1001), in)
+	assert.Equal(t, chosen(table, after(1002), Need{}), "a")
+	assert.Equal(t, chosen(table, after(1002), Need{}), "a")
+}
--- a/core/jwinstance/sample.go
+++ b/core/jwinstance/sample.go
@@ -27,6 +27,9 @@
 		if now.Before(x.coldUntil) && (n.WarmOnly || !t.coldRoom(now, x)) {
 			continue
 		}
+		if x.limit.Named && (n.WarmOnly || !t.limitRoom(now, x)) {
+			continue
+		}
 		t.drawn = append(t.drawn, i)
 	}
 	if t.Nodes == nil || n.WarmOnly || len(t.drawn) == 0 {
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -212,16 +212,24 @@
 	}
 }
 
-// Warm returns the targets of the region that may be used and are not known to
-// be cold.
-func (t *Table) Warm(now time.Time) []*Target {
+// Probes returns the targets of the region that may be used and are not known to
+// be cold, to be asked whether they are. A question counts as a request to a target that
+// names a limit.
+func (t *Table) Probes(now time.Time) []*Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []*Target
 	for _, x := range t.targets {
-		if x.Region == t.Region && t.usable(now, x, false) && !now.Before(x.coldUntil) {
-			list = append(list, x)
+		if x.Region != t.Region || !t.usable(now, x, false) || now.Before(x.coldUntil) {
+			continue
+		}
+		if x.limit.Named {
+			if !t.limitRoom(now, x) {
+				continue
+			}
+			x.limit.bucket.Take()
 		}
+		list = append(list, x)
 	}
 	return list
 }
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"jujubewheel/core/jwbudget"
 	"jujubewheel/core/jwtarget"
 )
 
@@ -29,6 +30,9 @@
 	Nodes func() int
 	Rand  func(n int) int
 	Share func(service, target string) float64 // requests a second that this node may send to a cold target
+	// LimitPart tells this node's part in the limit that a target names, knows which nodes
+	// choose among others and it; where it isn't set the node is taken to be the only one.
+	LimitPart func(rate float64, target string, knows func(node string) bool) jwbudget.LimitPart
 
 	mu        sync.Mutex
 	targets   map[string]*Target
@@ -69,7 +73,7 @@
 	slow          float64 // its pace against the service's, 1 is usual
 	cache         cache
 	capacity      int // tokens of its memory, 0 if not known
-	limit         Limit
+	limit         targetLimit
 }
 
 // Change is what a registration changed of a target.
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -410,7 +410,7 @@
 		assert.Equal(t, chosen(table, after(0), Need{}), "a")
 	}
 	tables[0].Cold(after(100), tables[0].targets["a"], 2*time.Second)
-	assert.Equal(t, len(tables[0].Warm(after(100))), 0)
+	assert.Equal(t, len(tables[0].Probes(after(100))), 0)
 	tables[1].MergeCold(after(150), tables[0].ReportCold(after(150)))
 	assert.Equal(t, chosen(tables[1], after(160), Need{}), "")
 	assert.Equal(t, chosen(tables[0], after(160), Need{}), "a")
--- a/core/jwmember/share.go
+++ b/core/jwmember/share.go
@@ -36,11 +36,30 @@
 	return true
 }
 
+// ListedFor returns how long ago this process read its own registration in the store, 0 if
+// it has not or the registration is gone: the others learn of it at about that time.
+func (t *Table) ListedFor(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.listed.IsZero() {
+		return 0
+	}
+	return now.Sub(t.listed)
+}
+
 // Owns reports whether the node itself is the one of its region that a name
 // falls to, by rendezvous hashing over the live nodes.
 func (t *Table) Owns(now time.Time, name string) bool {
+	return t.OwnsAmong(now, name, func(string) bool { return true })
+}
+
+// OwnsAmong reports the same of the live nodes that may own the name.
+func (t *Table) OwnsAmong(now time.Time, name string, may func(node string) bool) bool {
 	best, most := "", uint64(0)
 	for _, m := range t.Live(now, t.Self.Region) {
+		if !may(m.Name) {
+			continue
+		}
 		if s := rank(m.Name, name); best == "" || s > most {
 			best, most = m.Name, s
 		}
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -40,18 +40,19 @@
 
 // state is what a node reports of itself to another one.
 type state struct {
-	Member    jwmember.Member    `json:"member"`
-	Version   uint64             `json:"version"`            // of the configuration in force
-	Waits     map[string]int64   `json:"waits,omitempty"`    // milliseconds until a first event, by service, for other regions
-	Gaps      map[string]int64   `json:"gaps,omitempty"`     // milliseconds between two events, by service, for other regions
-	InSync    bool               `json:"inSync"`             // it reaches the store
-	Revision  uint64             `json:"revision"`           // of the store, up to which it was read
-	Cold      map[string]int64   `json:"cold,omitempty"`     // milliseconds for which targets stay cold, within the region only
-	Suspects  []jwsuspect.Notice `json:"suspects,omitempty"` // requests that were in flight as targets crashed
-	Placed    *jwinstance.Places `json:"placed,omitempty"`
-	LocalSeen []string           `json:"localSeen,omitempty"` // nodes of the region seen lately, for other regions
-	Loads     *jwinstance.Loads  `json:"loads,omitempty"`     // within the region only
-	Through   *through           `json:"through,omitempty"`   // where nodes report through relays
+	Member    jwmember.Member                   `json:"member"`
+	Version   uint64                            `json:"version"`            // of the configuration in force
+	Waits     map[string]int64                  `json:"waits,omitempty"`    // milliseconds until a first event, by service, for other regions
+	Gaps      map[string]int64                  `json:"gaps,omitempty"`     // milliseconds between two events, by service, for other regions
+	InSync    bool                              `json:"inSync"`             // it reaches the store
+	Revision  uint64                            `json:"revision"`           // of the store, up to which it was read
+	Cold      map[string]int64                  `json:"cold,omitempty"`     // milliseconds for which targets stay cold, within the region only
+	Limits    map[string]jwinstance.LimitReport `json:"limits,omitempty"`   // that targets name, within the region only
+	Suspects  []jwsuspect.Notice                `json:"suspects,omitempty"` // requests that were in flight as targets crashed
+	Placed    *jwinstance.Places                `json:"placed,omitempty"`
+	LocalSeen []string                          `json:"localSeen,omitempty"` // nodes of the region seen lately, for other regions
+	Loads     *jwinstance.Loads                 `json:"loads,omitempty"`     // within the region only
+	Through   *through                          `json:"through,omitempty"`   // where nodes report through relays
 }
 
 // state returns what is reported to a node of a region.
@@ -72,6 +73,7 @@
 		loads, placed := g.targets.Report(now)
 		s.Loads, s.Placed = jwinstance.Columns(loads), jwinstance.PlaceColumns(placed)
 		s.Cold = g.targets.ReportCold(now)
+		s.Limits = g.targets.ReportLimits(now, false)
 		s.Suspects = g.notices(now, region, localNewsAge)
 	} else {
 		s.Placed = jwinstance.PlaceColumns(g.targets.ReportRemote(now))
@@ -207,6 +209,7 @@
 	}
 	g.mergeThrough(now, s)
 	g.targets.MergeCold(now, s.Cold)
+	g.targets.MergeLimits(now, s.Limits)
 	g.suspects.Merge(s.Suspects, now)
 	if s.InSync && s.Member.Region == g.Settings.Region {
 		g.store.syncedPeer.Store(now.UnixNano())
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -143,6 +143,7 @@
 	g.suspects.Node, g.suspects.Region = s.Node, s.Region
 	g.targets.Warmup = g.warmup
 	g.targets.Share = g.coldShare
+	g.targets.LimitPart = g.limitPart
 	g.targets.Rand = rand.IntN
 	g.targets.Nodes = func() int { return g.members.Count(time.Now(), s.Region) }
 	g.bounds.Store(&o.Bounds)
@@ -231,6 +232,20 @@
 	return jwbudget.ColdShare(l, g.members.Owns(now, target), g.members.Count(now, g.Settings.Region))
 }
 
+// limitPart is this node's part in the limit that a target names.
+func (g *Gateway) limitPart(rate float64, target string, knows func(node string) bool) jwbudget.LimitPart {
+	now := time.Now()
+	if g.members.ListedFor(now) < jwbudget.LimitSettle {
+		return jwbudget.LimitPart{}
+	}
+	nodes := g.members.Count(now, g.Settings.Region)
+	part := jwbudget.PartOf(rate, false, nodes)
+	if part.Rate == 0 && g.members.OwnsAmong(now, target, knows) {
+		part = jwbudget.PartOf(rate, true, nodes)
+	}
+	return part
+}
+
 // leaving reports whether the node has been stopping for so long that a new
 // request might outlast it.
 func (g *Gateway) leaving() bool {
--- a/io/jwgateway/limit_test.go
+++ b/io/jwgateway/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,8 +17,11 @@
 	t.Parallel()
 	const limit, most = 1.0, 60
 	var feed jwstore.MemoryFeed
+	var over atomic.Bool
 	x := startTarget(t, &feed, "t1", "s", "north-a", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Server-Limit", fmt.Sprint(limit))
+		if !over.Load() {
+			w.Header().Set("Server-Limit", fmt.Sprint(limit))
+		}
 	})
 	configure(&feed, 1, route("/a/", "idempotent", ""))
 	n := start(t, &feed, "n1", "north")
@@ -34,4 +38,11 @@
 	assert.Assert(t, float64(got) <= allowed, "%d requests reached it, %.1f are allowed", got, allowed)
 	assert.Equal(t, last.status, http.StatusServiceUnavailable)
 	assert.Assert(t, last.header.Get("Retry-After") != "")
+	over.Store(true)
+	until(t, n, "/a/x", served)
+	for i := range most {
+		r, err := send(t, n, http.MethodGet, "/a/x", fmt.Sprint("s", i), nil, "")
+		assert.NilError(t, err)
+		assert.Equal(t, r.status, http.StatusOK)
+	}
 }
--- a/io/jwgateway/probe.go
+++ b/io/jwgateway/probe.go
@@ -60,7 +60,7 @@
 			wait = probePeriod
 		}
 		if wait == probePeriod && now.Sub(time.Unix(0, g.store.syncedPeer.Load())) > syncedPeerAge {
-			for _, x := range g.targets.Warm(now) {
+			for _, x := range g.targets.Probes(now) {
 				if path := g.healthPath(x.Service); path != "" && g.members.Owns(now, x.ID) {
 					go g.probeOne(ctx, x, path)
 				}
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -100,6 +100,9 @@
 // noTarget is why a request was refused that found no target.
 const noTarget = "no target has room"
 
+// atLimit is why a request was refused whose targets take no more than they get.
+const atLimit = "the targets are at their limits"
+
 // send makes one try: here or at a node of another region.
 func (g *Gateway) send(ctx context.Context, q *request) Verdict {
 	now := time.Now()
@@ -113,10 +116,7 @@
 		p = g.place(now, q)
 	}
 	if p.Reason == jwplacement.Nowhere {
-		if len(g.targets.Regions(q.service)) == 0 {
-			return q.reject(noTarget, jwadmission.MaxRetryAfter) // not one is left; coming back at once is in vain
-		}
-		return q.reject(noTarget, jwadmission.MinRetryAfter)
+		return g.rejectNowhere(now, q)
 	}
 	d := g.Admission.Decide(jwadmission.Request{
 		Goal: q.entry.Goal, Left: q.deadline.Sub(now), Expected: p.Expected, Own: p.Own,
@@ -132,11 +132,22 @@
 	g.keepApart(now, q, &need)
 	c, ok := g.targets.Best(now, need)
 	if !ok {
-		return q.reject(noTarget, jwadmission.MinRetryAfter)
+		return g.rejectNowhere(now, q)
 	}
 	return g.sendTarget(ctx, q, c)
 }
 
+// rejectNowhere rejects a request for which there is no target.
+func (g *Gateway) rejectNowhere(now time.Time, q *request) Verdict {
+	if len(g.targets.Regions(q.service)) == 0 {
+		return q.reject(noTarget, jwadmission.MaxRetryAfter) // not one is left; coming back at once is in vain
+	}
+	if d, ok := g.targets.LimitWait(now, q.service); ok {
+		return q.reject(atLimit, min(max(d, jwadmission.MinRetryAfter), jwadmission.MaxRetryAfter))
+	}
+	return q.reject(noTarget, jwadmission.MinRetryAfter)
+}
+
 // reject notes why no target is asked to run the request, and its Retry-After.
 func (q *request) reject(why string, again time.Duration) Verdict {
 	q.refused, q.retryAfter = why, again
