--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -155,7 +155,10 @@
 func (g *Gateway) judge(q *request, x *jwinstance.Target, a *jwconn.Answer) (v Verdict, ok bool) {
 	reply := g.Dialect.Answer(a.Header)
 	g.noteCold(x, reply)
-	g.noteLimit(x, a.Status, reply)
+	if a.Status != http.StatusMisdirectedRequest && (reply.Signed || reply.NotRun) { // otherwise it isn't known to be the target's
+		g.noteLimit(x, reply)
+		g.noteLeaving(x, reply)
+	}
 	now := time.Now()
 	switch {
 	case reply.NotRun || a.Status == http.StatusMisdirectedRequest:
@@ -241,11 +244,15 @@
 }
 
 // noteLimit keeps the limit that a target names in a reply, or that it names none any more.
-func (g *Gateway) noteLimit(x *jwinstance.Target, status int, reply Reply) {
-	if status == http.StatusMisdirectedRequest || !reply.Signed && !reply.NotRun {
-		return // not known to be the target's
-	}
+func (g *Gateway) noteLimit(x *jwinstance.Target, reply Reply) {
 	if g.targets.Limited(time.Now(), x, reply.Limit) {
 		g.Log.Info("target limit", "target", x.ID, "named", reply.Limit.Named, "rate", reply.Limit.Rate)
 	}
 }
+
+// noteLeaving keeps that a target says in a reply that it leaves.
+func (g *Gateway) noteLeaving(x *jwinstance.Target, reply Reply) {
+	if reply.Leaving && g.targets.Leave(x) {
+		g.Log.Info("target leaves", "target", x.ID, "from", "its answer")
+	}
+}
