jwinstance, jwgateway: what a target says in an answer that it leaves stands

Callers saw nothing, as the targets of second1 stayed for long; of one that leaves on time they would have lost what was sent after its notice.

Cause: that a target leaves was taken from its registration alone, so it was known only once the store answered, 13 s later. The class is a fact that is at hand and waits for another source; the target's limit was another case.

Now an answer counts at once, stands against every registration of the same incarnation, is reported to the nodes of the region and stands in the view that a node takes which starts while the store is away.

--- a/core/jwinstance/instance.go
+++ b/core/jwinstance/instance.go
@@ -14,10 +14,11 @@
 	Region     string         `json:"region"`
 	Slots      int            `json:"slots"`
 	Draining   bool           `json:"draining"`
-	Cold       time.Duration  `json:"cold"`     // how long it stays cold, as of the registration
-	Left       time.Duration  `json:"left"`     // until it is taken away, 0 if not known
-	Born       int64          `json:"born"`     // Unix milliseconds of its start, 0 if not said
-	Revision   uint64         `json:"revision"` // of the store at this registration
+	Leaving    bool           `json:"leaving,omitempty"` // it said so in an answer, which no registration takes back
+	Cold       time.Duration  `json:"cold"`              // how long it stays cold, as of the registration
+	Left       time.Duration  `json:"left"`              // until it is taken away, 0 if not known
+	Born       int64          `json:"born"`              // Unix milliseconds of its start, 0 if not said
+	Revision   uint64         `json:"revision"`          // of the store at this registration
 }
 
 // Part is one part of a prompt.
--- a/core/jwinstance/leaving_test.go
+++ b/core/jwinstance/leaving_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // A target says that it leaves, and what the store holds of it is older or late: the node
@@ -24,3 +26,77 @@
 	table.Put(after(5), later)
 	assert.Equal(t, chosen(table, after(6), Need{}), "a", "the next incarnation hasn't said so")
 }
+
+// Whatever registrations, views and reports of other nodes come, and in which order: an
+// incarnation that has said to a node that it leaves gets nothing more of that node.
+func TestLeavingIsNeverTakenBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*Table{{Region: "r"}, {Region: "r"}, {Region: "r"}}
+		left := make([]map[int64]bool, len(tables)) // by node, the incarnations known to leave
+		for i := range tables {
+			left[i] = make(map[int64]bool)
+		}
+		var seen []Instance // of the store, by revision
+		now := t0
+		node := func() int { return rapid.IntRange(0, len(tables)-1).Draw(t, "node") }
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			i := node()
+			x := tables[i].targets["a"]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0: // the target writes
+				in := instance("a")
+				in.Revision, in.Born = uint64(len(seen)+1), int64(len(seen)/8)
+				seen = append(seen, in)
+			case 1: // a node reads, maybe late
+				if len(seen) > 0 {
+					tables[i].Put(now, rapid.SampledFrom(seen).Draw(t, "registration"))
+				}
+			case 2:
+				tables[i].Remove(now, "a", uint64(rapid.IntRange(0, len(seen)+1).Draw(t, "revision")))
+			case 3:
+				if x != nil {
+					tables[i].Leave(x)
+					left[i][x.Born] = true
+				}
+			case 4: // a report
+				from := tables[node()].ReportLeaving()
+				for _, id := range tables[i].MergeLeaving(from) {
+					left[i][tables[i].targets[id].Born] = true
+				}
+			case 5: // a view
+				for _, in := range tables[node()].Instances(now) {
+					tables[i].Put(now, in)
+					if x := tables[i].targets["a"]; x.Leaving {
+						left[i][x.Born] = true
+					}
+				}
+			}
+			for k, table := range tables {
+				if x := table.targets["a"]; x != nil && left[k][x.Born] && chosen(table, now, Need{}) == "a" {
+					t.Fatalf("node %d sends to the incarnation of %d", k, x.Born)
+				}
+			}
+		}
+	})
+}
+
+// A node that starts learns from another one's view what no registration says.
+func TestLeavingIsReported(t *testing.T) {
+	a, b, c := &Table{Region: "r"}, &Table{Region: "r"}, &Table{Region: "r"}
+	a.Put(t0, instance("x"))
+	b.Put(t0, instance("x"))
+	assert.Assert(t, a.Leave(a.targets["x"]))
+	assert.Assert(t, !a.Leave(a.targets["x"]))
+	assert.DeepEqual(t, b.MergeLeaving(a.ReportLeaving()), []string{"x"})
+	assert.Equal(t, len(b.MergeLeaving(a.ReportLeaving())), 0)
+	for _, in := range b.Instances(after(1)) {
+		c.Put(after(2), in)
+	}
+	assert.Equal(t, chosen(c, after(3), Need{}), "")
+	next := instance("x")
+	next.Born, next.Revision = 5, 2
+	b.Put(after(4), next)
+	assert.Equal(t, len(b.MergeLeaving(a.ReportLeaving())), 0, "it was another incarnation that left")
+	assert.Equal(t, chosen(b, after(5), Need{}), "x")
+}
--- a/core/jwinstance/subset.go
+++ b/core/jwinstance/subset.go
@@ -234,7 +234,7 @@
 	slots := make(map[string]int)
 	for region, list := range t.places[service] {
 		for _, x := range list {
-			if x.gone.IsZero() && !x.Draining && !t.evacuated[x.DataCentre] {
+			if x.gone.IsZero() && !x.Draining && !x.Leaving && !t.evacuated[x.DataCentre] {
 				slots[region] += max(x.Slots, 1)
 			}
 		}
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -74,7 +74,6 @@
 	cache         cache
 	capacity      int // tokens of its memory, 0 if not known
 	limit         targetLimit
-	leaving       bool // it has said so in an answer
 }
 
 // Change is what a registration changed of a target.
@@ -102,6 +101,9 @@
 		t.targets = make(map[string]*Target)
 	}
 	old := t.targets[in.ID]
+	if old != nil && in.Leaving && in.Born == old.Born {
+		t.leave(old)
+	}
 	if old != nil && in.Revision < old.Revision {
 		return Same // by another node that lags behind
 	}
@@ -176,17 +178,6 @@
 	return d
 }
 
-// Leave notes that a target said in an answer that it leaves, and reports whether that is new.
-func (t *Table) Leave(x *Target) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if x.leaving {
-		return false
-	}
-	x.leaving = true
-	return true
-}
-
 // Remove notes that a registration is gone from the store at a revision.
 func (t *Table) Remove(now time.Time, id string, revision uint64) {
 	t.mu.Lock()
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -48,6 +48,7 @@
 	Revision  uint64                            `json:"revision"`           // of the store, up to which it was read
 	Cold      map[string]int64                  `json:"cold,omitempty"`     // milliseconds for which targets stay cold, within the region only
 	Limits    map[string]jwinstance.LimitReport `json:"limits,omitempty"`   // that targets name, within the region only
+	Leaving   map[string]int64                  `json:"leaving,omitempty"`  // targets that said so, by their start, within the region only
 	Suspects  []jwsuspect.Notice                `json:"suspects,omitempty"` // requests that were in flight as targets crashed
 	Placed    *jwinstance.Places                `json:"placed,omitempty"`
 	LocalSeen []string                          `json:"localSeen,omitempty"` // nodes of the region seen lately, for other regions
@@ -74,6 +75,7 @@
 		s.Loads, s.Placed = jwinstance.Columns(loads), jwinstance.PlaceColumns(placed)
 		s.Cold = g.targets.ReportCold(now)
 		s.Limits = g.targets.ReportLimits(now, false)
+		s.Leaving = g.targets.ReportLeaving()
 		s.Suspects = g.notices(now, region, localNewsAge)
 	} else {
 		s.Placed = jwinstance.PlaceColumns(g.targets.ReportRemote(now))
@@ -210,6 +212,9 @@
 	g.mergeThrough(now, s)
 	g.targets.MergeCold(now, s.Cold)
 	g.targets.MergeLimits(now, s.Limits)
+	for _, id := range g.targets.MergeLeaving(s.Leaving) {
+		g.Log.Info("target leaves", "target", id, "from", s.Member.Name)
+	}
 	g.suspects.Merge(s.Suspects, now)
 	if s.InSync && s.Member.Region == g.Settings.Region {
 		g.store.syncedPeer.Store(now.UnixNano())
--- a/io/jwgateway/leaving_test.go
+++ b/io/jwgateway/leaving_test.go
@@ -31,6 +31,7 @@
 	n2 := start(t, &feed, "n2", "north")
 	for _, n := range []node{n1, n2} {
 		until(t, n, "/a/x", func(r reply) bool { return r.body == "t1" })
+		names(t, n, "north", n1, n2)
 	}
 	feed.Down(jwstore.ErrUnavailable)
 	r, err := send(t, n1, http.MethodGet, "/a/last", "last", nil, "")
--- a/io/jwgateway/through.go
+++ b/io/jwgateway/through.go
@@ -111,7 +111,7 @@
 		Member: g.members.Me(), Version: g.entries.Version(), InSync: !g.store.stale(now),
 		Revision: g.store.revision.Load(), Cold: g.targets.ReportCold(now),
 		Suspects: g.notices(now, g.Settings.Region, localNewsAge), Through: &t,
-		Limits: g.targets.ReportLimits(now, t.Relay),
+		Limits: g.targets.ReportLimits(now, t.Relay), Leaving: g.targets.ReportLeaving(),
 	}
 	switch {
 	case t.Liveness != nil:
--- a/io/jwlogtrace/view.go
+++ b/io/jwlogtrace/view.go
@@ -75,7 +75,7 @@
 
 // Target is what a node believed of a target.
 type Target struct {
-	State      string // appeared, beganAnew, returned, draining or gone
+	State      string // appeared, beganAnew, returned, draining, leaving or gone
 	DataCentre string
 	Service    string
 	Since      time.Time
@@ -114,10 +114,17 @@
 		}
 	case "target":
 		state := e.Change
-		if e.Draining {
+		switch {
+		case b.Targets[e.Target].State == leaving && state != beganAnew:
+			state = leaving
+		case e.Draining:
 			state = "draining"
 		}
 		b.Targets[e.Target] = Target{State: state, DataCentre: e.DataCentre, Service: e.Service, Since: e.Time}
+	case "target leaves":
+		t := b.Targets[e.Target]
+		t.State, t.Since = leaving, e.Time
+		b.Targets[e.Target] = t
 	case "target registration gone":
 		t := b.Targets[e.Target]
 		t.State, t.Since = "gone", e.Time
@@ -125,6 +132,12 @@
 	}
 }
 
+// The states of a target that outlast, or end, what its registrations say.
+const (
+	leaving   = "leaving" // it said so in an answer
+	beganAnew = "beganAnew"
+)
+
 // Write writes a view in plain words; it rests on the lines that could be read.
 func (b *View) Write(w io.Writer, at time.Time) {
 	if b.Last.IsZero() {
--- a/io/jwlogtrace/view_test.go
+++ b/io/jwlogtrace/view_test.go
@@ -22,6 +22,13 @@
 {"time":"2026-01-02T03:00:02Z","message":"started","node":"n2"}
 `
 
+const leavingLog = `{"time":"2026-01-02T03:00:00Z","message":"started","node":"n1"}
+{"time":"2026-01-02T03:00:01Z","message":"target","node":"n1","target":"t1","change":"appeared","service":"s","dataCentre":"a"}
+{"time":"2026-01-02T03:00:02Z","message":"target leaves","node":"n1","target":"t1","from":"its answer"}
+{"time":"2026-01-02T03:00:03Z","message":"target","node":"n1","target":"t1","change":"renewed","service":"s","dataCentre":"a"}
+{"time":"2026-01-02T03:00:05Z","message":"target","node":"n1","target":"t1","change":"beganAnew","service":"s","dataCentre":"a"}
+`
+
 func at(text string) time.Time {
 	t, err := time.Parse(time.TimeOnly, text)
 	if err != nil {
@@ -58,6 +65,14 @@
 	assert.Equal(t, b.String(), "n3: no line before then\n")
 }
 
+// A registration that is renewed says nothing of what the target said in an answer.
+func TestViewOfATargetThatLeaves(t *testing.T) {
+	l := readLog(t, leavingLog)
+	for moment, want := range map[string]string{"03:00:01": "appeared", "03:00:02": leaving, "03:00:04": leaving, "03:00:06": beganAnew} {
+		assert.Equal(t, l.ViewAt("n1", at(moment)).Targets["t1"].State, want, moment)
+	}
+}
+
 func TestIdle(t *testing.T) {
 	l := readLog(t, viewLog)
 	cases := map[string]struct{ target, from, to, want string }{
