jwgateway, jwinstance: a target's Retry-After is kept

Callers waited for answers of targets that turn requests away and had said for how long they would.

Cause: the header of a target's 503 wasn't read; every refusal rested the target for 100 ms, and the next answer to a request sent before ended even that. The class is the one of limits and of leaving: what a target says of itself in an answer was not taken.

Now such a target gets nothing of this node until its time is over, and callers without another target are told when that is. Answers to questions whether a target is cold count for all three matters too. A Retry-After on 429 is left as it was: those speak of one request.

--- a/core/jwinstance/limit.go
+++ b/core/jwinstance/limit.go
@@ -114,21 +114,26 @@
 	return n
 }
 
-// LimitWait returns how long it takes until a target of the region that names a limit has
-// room for a request of this node; false if that isn't what a request waits for.
-func (t *Table) LimitWait(now time.Time, service string) (time.Duration, bool) {
+// RoomWait returns how long it takes until a target of the region takes a request of this
+// node that takes none now, as it has said in its answers; false if a request doesn't wait for
+// that.
+func (t *Table) RoomWait(now time.Time, service string) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	least, found := time.Duration(0), false
+	least := time.Duration(0)
 	for _, x := range t.of(service) {
-		if !x.limit.Named || x.Region != t.Region || !t.usable(now, x, false) || t.limitRoom(now, x) {
+		if x.Region != t.Region || !x.gone.IsZero() || x.Draining || x.Leaving || t.evacuated[x.DataCentre] {
 			continue
 		}
-		if d := x.limit.bucket.Wait(now, t.limitPart(now, x)); !found || d < least {
-			least, found = d, true
+		wait := max(x.closed.Sub(now), 0)
+		if x.limit.Named && !t.limitRoom(now, x) {
+			wait = max(wait, x.limit.bucket.Wait(now, t.limitPart(now, x)))
+		}
+		if wait > 0 && (least == 0 || wait < least) {
+			least = wait
 		}
 	}
-	return least, found
+	return least, least > 0
 }
 
 // limitRoom reports whether this node may send one more request to a target that names a
--- a/core/jwinstance/limit_test.go
+++ b/core/jwinstance/limit_test.go
@@ -180,7 +180,7 @@
 	table.Put(t0, in)
 	table.Limited(t0, table.targets["a"], Limit{Named: true, Rate: 1})
 	assert.Equal(t, chosen(table, after(0), Need{}), "")
-	d, ok := table.LimitWait(after(0), "s")
+	d, ok := table.RoomWait(after(0), "s")
 	assert.Assert(t, ok)
 	assert.Equal(t, d, time.Second)
 	assert.Equal(t, chosen(table, after(1000), Need{}), "a")
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -8,6 +8,8 @@
 	// once, and a silent one costs a request the dial's time-out.
 	unreachedRest = 300 * time.Millisecond
 	mostRest      = 2 * time.Second
+	// mostClosed bounds how long a target is left alone at its own request.
+	mostClosed = time.Hour
 	// refusedRest is the rest of a target that had no room.
 	refusedRest = 100 * time.Millisecond
 	// failurePenalty is what each failure in a row adds to the expected wait:
@@ -116,6 +118,14 @@
 	x.rest = later(x.rest, now.Add(refusedRest))
 }
 
+// Closed notes for how long a target wants nothing more of this node. An answer to a
+// request that was sent before doesn't end that.
+func (t *Table) Closed(now time.Time, x *Target, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x.closed = later(x.closed, now.Add(min(d, mostClosed)))
+}
+
 // Replaced notes that another incarnation answered at a target's address.
 func (t *Table) Replaced(now time.Time, x *Target) {
 	t.mu.Lock()
--- a/core/jwinstance/sample.go
+++ b/core/jwinstance/sample.go
@@ -84,7 +84,7 @@
 }
 
 func (t *Table) usable(now time.Time, x *Target, last bool) bool {
-	if x.Draining || x.Leaving || t.evacuated[x.DataCentre] || now.Before(x.rest) {
+	if x.Draining || x.Leaving || t.evacuated[x.DataCentre] || now.Before(x.rest) || now.Before(x.closed) {
 		return false
 	}
 	if x.gone.IsZero() {
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -60,6 +60,7 @@
 	coldUntil     time.Time
 	sends         []time.Time   // of the last second
 	rest          time.Time     // not used before
+	closed        time.Time     // until when it wants nothing of this node
 	failures      int           // in a row
 	unreached     int           // connections not taken, in a row
 	calls         int           // in flight from this node
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -62,9 +62,15 @@
 		"it took no connection":            {func(t *Table) { t.Unreached(after(0), t.targets["a"]) }, 100, "b"},
 		"it took none a while ago":         {func(t *Table) { t.Unreached(after(0), t.targets["a"]) }, 400, "a"},
 		"it had no room":                   {func(t *Table) { t.Refused(after(0), t.targets["a"]) }, 50, "b"},
-		"another one has its address":      {func(t *Table) { t.Replaced(after(0), t.targets["a"]) }, 100, "b"},
-		"it fails":                         {func(t *Table) { t.Failed(t.targets["a"]) }, 0, "b"},
-		"it failed and then served":        {func(t *Table) { t.Failed(t.targets["a"]); t.Served(t.targets["a"]) }, 0, "a"},
+		"it wants nothing for a while":     {func(t *Table) { t.Closed(after(0), t.targets["a"], time.Second) }, 900, "b"},
+		"and an answer of before comes": {func(t *Table) {
+			t.Closed(after(0), t.targets["a"], time.Second)
+			t.Served(t.targets["a"])
+		}, 900, "b"},
+		"that while is over":          {func(t *Table) { t.Closed(after(0), t.targets["a"], time.Second) }, 1000, "a"},
+		"another one has its address": {func(t *Table) { t.Replaced(after(0), t.targets["a"]) }, 100, "b"},
+		"it fails":                    {func(t *Table) { t.Failed(t.targets["a"]) }, 0, "b"},
+		"it failed and then served":   {func(t *Table) { t.Failed(t.targets["a"]); t.Served(t.targets["a"]) }, 0, "a"},
 		"it drains, and a node that lags behind says otherwise": {func(t *Table) {
 			a := instance("a")
 			a.Draining, a.Revision = true, 2
--- a/io/jwgateway/dialect.go
+++ b/io/jwgateway/dialect.go
@@ -32,13 +32,14 @@
 
 // Reply is what an answer says in its headers.
 type Reply struct {
-	ID      string        // of the request that it answers
-	NotRun  bool          // the target has not run the request and will not
-	Signed  bool          // a target made it
-	Target  string        // that answered, if it says so
-	Cold    time.Duration // how long the target stays cold
-	Limit   jwinstance.Limit
-	Leaving bool // the target leaves, whatever its registration says
+	ID         string        // of the request that it answers
+	NotRun     bool          // the target has not run the request and will not
+	Signed     bool          // a target made it
+	Target     string        // that answered, if it says so
+	Cold       time.Duration // how long the target stays cold
+	Limit      jwinstance.Limit
+	RetryAfter time.Duration // for how long the target wants nothing of this node, where it turned a request away
+	Leaving    bool          // the target leaves, whatever its registration says
 }
 
 // Dialect translates the headers of callers and targets.
--- a/io/jwgateway/probe.go
+++ b/io/jwgateway/probe.go
@@ -90,8 +90,17 @@
 	}
 	defer a.Close()
 	drain(a)
-	if reply := g.Dialect.Answer(a.Header); reply.Target == x.ID && reply.Cold > 0 {
+	reply := g.Dialect.Answer(a.Header)
+	if reply.Target != x.ID {
+		return
+	}
+	if reply.Cold > 0 {
 		g.Log.Info("target reports that it is cold", "target", x.ID, "coldMs", reply.Cold.Milliseconds())
 		g.targets.Cold(time.Now(), x, reply.Cold)
 	}
+	if reply.Limit.Named {
+		g.noteLimit(x, reply)
+	}
+	g.noteLeaving(x, reply)
+	g.noteRetryAfter(x, a.Status, reply)
 }
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -158,6 +158,7 @@
 	if a.Status != http.StatusMisdirectedRequest && (reply.Signed || reply.NotRun) { // otherwise it isn't known to be the target's
 		g.noteLimit(x, reply)
 		g.noteLeaving(x, reply)
+		g.noteRetryAfter(x, a.Status, reply)
 	}
 	now := time.Now()
 	switch {
@@ -250,6 +251,14 @@
 	}
 }
 
+// noteRetryAfter keeps for how long a target that turned a request away wants nothing.
+func (g *Gateway) noteRetryAfter(x *jwinstance.Target, status int, reply Reply) {
+	if status == http.StatusServiceUnavailable && reply.RetryAfter > 0 {
+		g.targets.Closed(time.Now(), x, reply.RetryAfter)
+		g.Log.Info("target closed", "target", x.ID, "forMs", reply.RetryAfter.Milliseconds())
+	}
+}
+
 // noteLeaving keeps that a target says in a reply that it leaves.
 func (g *Gateway) noteLeaving(x *jwinstance.Target, reply Reply) {
 	if reply.Leaving && g.targets.Leave(x) {
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -100,8 +100,8 @@
 // noTarget is why a request was refused that found no target.
 const noTarget = "no target has room"
 
-// atLimit is why a request was refused whose targets take no more than they get.
-const atLimit = "the targets are at their limits"
+// atLimit is why a request was refused whose targets said that they take no more.
+const atLimit = "the targets take no more for now"
 
 // send makes one try: here or at a node of another region.
 func (g *Gateway) send(ctx context.Context, q *request) Verdict {
@@ -142,7 +142,7 @@
 	if len(g.targets.Regions(q.service)) == 0 {
 		return q.reject(noTarget, jwadmission.MaxRetryAfter) // not one is left; coming back at once is in vain
 	}
-	if d, ok := g.targets.LimitWait(now, q.service); ok {
+	if d, ok := g.targets.RoomWait(now, q.service); ok {
 		return q.reject(atLimit, min(max(d, jwadmission.MinRetryAfter), jwadmission.MaxRetryAfter))
 	}
 	return q.reject(noTarget, jwadmission.MinRetryAfter)
