jwinstance: targets that name a limit get the large prompts

Cause: a limited target looks idle, so whoever came first used up its room. A limit counts requests, not tokens. Now prompts of the mean length or more have it, others only where no other target is left.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -105,6 +105,8 @@
 	c.Held = n.Prompt.held()
 	x.tokens += c.Held
 	x.capacity = n.Capacity
+	p := t.pace(n.Service)
+	p.prompt += promptShare * (float64(n.Prompt.Tokens) - p.prompt)
 	t.place(now, x, n.Prompt)
 	x.sent(now)
 	if x.limit.Named {
--- a/core/jwinstance/limit_test.go
+++ b/core/jwinstance/limit_test.go
@@ -189,3 +189,35 @@
 	assert.Equal(t, chosen(table, after(1002), Need{}), "a")
 	assert.Equal(t, chosen(table, after(1002), Need{}), "a")
 }
+
+// Two of three targets name a limit. Small prompts that come first would use it up, and the
+// large ones would all be read by the third.
+func TestLargePromptsGetTheRoomOfLimitedTargets(t *testing.T) {
+	table := &Table{Region: "r"}
+	for _, id := range []string{"a", "b", "c"} {
+		table.Put(t0, instance(id))
+	}
+	small, large := Need{Prompt: Prompt{Tokens: 500}}, Need{Prompt: Prompt{Tokens: 8000}}
+	for range 100 {
+		chosen(table, t0, small)
+		chosen(table, t0, large)
+	}
+	for _, id := range []string{"a", "b"} {
+		table.Limited(t0, table.targets[id], Limit{Named: true, Rate: 1})
+	}
+	sent := map[string]int{}
+	for ms := 0; ms < 20_000; ms += 50 {
+		sent[chosen(table, after(ms), small)]++
+	}
+	assert.DeepEqual(t, sent, map[string]int{"c": 400})
+	clear(sent)
+	now := after(20_000)
+	for range 3 {
+		c, ok := table.Best(now, Need{Service: "s", Prompt: large.Prompt})
+		assert.Assert(t, ok)
+		sent[c.Target.ID]++
+	}
+	assert.DeepEqual(t, sent, map[string]int{"a": 1, "b": 1, "c": 1})
+	table.Remove(after(20_001), "c", 1)
+	assert.Assert(t, chosen(table, after(23_000), small) != "", "no other target is left")
+}
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -24,11 +24,14 @@
 	curve  curve
 	plain  time.Duration
 	hold   time.Duration // of a slot of an engine, by one call
+	prompt float64       // mean of the prompts sent, in tokens
 }
 
 const (
 	// paceShare is the weight of a new sample in the time of plain calls.
 	paceShare = 0.05
+	// promptShare is the weight of one more request in the mean of the prompts.
+	promptShare = 0.02
 	// slowShare is the weight of a call in a target's own pace, and slowMost
 	// bounds a single sample, as one stall is not a slow target.
 	slowShare = 0.15
--- a/core/jwinstance/sample.go
+++ b/core/jwinstance/sample.go
@@ -19,7 +19,7 @@
 // may take the request sampleSize at random, and the one that keeps most of the
 // prompt.
 func (t *Table) draw(now time.Time, n Need, list []*Target, last bool) []int {
-	t.drawn = t.drawn[:0]
+	t.drawn, t.limited = t.drawn[:0], t.limited[:0]
 	for i, x := range list {
 		if x.Region != t.Region || !t.usable(now, x, last) || n.Exclude[x.ID] || slices.Contains(n.Apart, x.Address) {
 			continue
@@ -27,11 +27,19 @@
 		if now.Before(x.coldUntil) && (n.WarmOnly || !t.coldRoom(now, x)) {
 			continue
 		}
-		if x.limit.Named && (n.WarmOnly || !t.limitRoom(now, x)) {
+		if x.limit.Named {
+			if !n.WarmOnly && t.limitRoom(now, x) {
+				t.limited = append(t.limited, i)
+			}
 			continue
 		}
 		t.drawn = append(t.drawn, i)
 	}
+	// A limit counts requests, whatever their size, so that a large prompt there takes most
+	// off the other targets.
+	if len(t.drawn) == 0 || n.Prompt.Tokens >= int(t.pace(n.Service).prompt) {
+		t.drawn = append(t.drawn, t.limited...)
+	}
 	if t.Nodes == nil || n.WarmOnly || len(t.drawn) == 0 {
 		return t.drawn
 	}
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -45,6 +45,7 @@
 	placed    []Placement               // of this node, the latest last
 	reports   map[string]nodeReport     // of the other nodes of the region, by name
 	drawn     []int                     // scratch of draw
+	limited   []int                     // the same, the targets that name a limit
 	missing   []int                     // scratch of best: tokens that each target lacks
 }
 
