jwstore, platform: revisions order by the store's era first

The store may come back from a copy some seconds old. Its revisions go back and are given out again; a node that goes by their numbers drops what is new or keeps what is old, for good, and its relays' history joins two that don't belong together.

A Revision carries the era above the store's own number, made in one place from the header that the store sends, so that relays, views, pulls, history and marks of targets order rightly as they are. An answer of an earlier era that comes late is refused; a watch across a rise ends as compacted, after which everything is read anew. A node that doesn't find its registration there writes it at once. One log line and a counter at each rise.

TestStoreComesBackOlder fails where the stand-in gives out numbers again in the same era, as before.

--- a/core/jwstore/memoryfeed.go
+++ b/core/jwstore/memoryfeed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -14,10 +15,10 @@
 	PageSize int // items of a page, 0 for all
 
 	mu       sync.Mutex
-	revision uint64
+	revision Revision
 	items    map[string]memoryItem
 	events   []Event
-	dropped  uint64 // history up to this revision is gone
+	dropped  Revision // history up to this revision is gone
 	leases   Lease
 	live     map[Lease]bool
 	changed  chan struct{}
@@ -47,6 +48,38 @@
 	m.wake()
 }
 
+// Copy is what a MemoryFeed held at a moment.
+type Copy struct {
+	revision Revision
+	items    map[string]memoryItem
+}
+
+// Copy returns what the store holds now.
+func (m *MemoryFeed) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Copy{m.revision, maps.Clone(m.items)}
+}
+
+// Return makes the store come back from a copy: all since is lost, leases too, and the
+// numbers of its revisions are given out again in the next era.
+func (m *MemoryFeed) Return(c Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	era := Era(m.revision) + 1
+	at := func(r Revision) Revision { return era<<numberBits | Number(r) }
+	m.items = make(map[string]memoryItem, len(c.items))
+	for key, i := range c.items {
+		if i.lease == 0 {
+			i.Version = at(i.Version)
+			m.items[key] = i
+		}
+	}
+	m.revision = at(c.revision)
+	m.events, m.dropped, m.live = nil, m.revision, nil
+	m.wake()
+}
+
 // Write sets a key without a lease.
 func (m *MemoryFeed) Write(key string, value []byte) {
 	m.mu.Lock()
@@ -114,7 +147,7 @@
 }
 
 // Watch implements Feed.
-func (m *MemoryFeed) Watch(ctx context.Context, prefix string, after uint64, most time.Duration) ([]Event, uint64, error) {
+func (m *MemoryFeed) Watch(ctx context.Context, prefix string, after Revision, most time.Duration) ([]Event, Revision, error) {
 	timer := time.NewTimer(most)
 	defer timer.Stop()
 	for {
--- a/core/jwstore/watch.go
+++ b/core/jwstore/watch.go
@@ -9,8 +9,8 @@
 
 // The errors of a Feed beside those of a Store.
 var (
-	// ErrCompacted says that the history asked for is no longer kept: the keys
-	// have to be read anew.
+	// ErrCompacted says that the history asked for is no longer kept, or is of an earlier
+	// era: the keys have to be read anew.
 	ErrCompacted = errors.New("store history compacted")
 	// ErrNoLease says that a lease has ended.
 	ErrNoLease = errors.New("store lease ended")
@@ -22,14 +22,14 @@
 	Value   []byte
 	Deleted bool
 	// Revision is the store's at this change.
-	Revision uint64
+	Revision Revision
 }
 
 // Page is a part of the items of a Feed.
 type Page struct {
 	Items    []Item
-	Revision uint64 // of the store
-	More     bool   // other items follow
+	Revision Revision // of the store
+	More     bool     // other items follow
 }
 
 // Lease is a lease of the store; keys written under it vanish with it.
@@ -43,7 +43,7 @@
 	Range(ctx context.Context, prefix, after string) (Page, error)
 	// Watch returns the changes after a revision as soon as there are any, or
 	// none when most has passed, and the revision to go on from.
-	Watch(ctx context.Context, prefix string, after uint64, most time.Duration) ([]Event, uint64, error)
+	Watch(ctx context.Context, prefix string, after Revision, most time.Duration) ([]Event, Revision, error)
 	// Grant makes a lease and returns how long it lasts without Renew.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, time.Duration, error)
 	// Renew makes a lease last from now on anew.
--- /dev/null
+++ b/io/jwgateway/era_test.go
@@ -0,0 +1,70 @@
+package jwgateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwstore"
+	"jujubewheel/io/jwgateway"
+)
+
+// The store comes back from an older copy and gives out revisions again: a node that goes
+// by their numbers drops what is new, and stays unregistered.
+func TestStoreComesBackOlder(t *testing.T) {
+	for name, relays := range map[string]bool{"each node reads": false, "through a relay": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var feed jwstore.MemoryFeed
+			startTarget(t, &feed, "t1", "s", "north-a", text("t1"))
+			configure(&feed, 1, route("/a/", "idempotent", ""))
+			old := feed.Copy()
+			var nodes []node
+			for _, name := range []string{"n1", "n2"} {
+				nodes = append(nodes, startWith(t, &feed, name, "north", func(g *jwgateway.Gateway) {
+					if relays {
+						g.RelayThreshold = 2
+					}
+				}))
+			}
+			for i := 2; i < 5; i++ {
+				configure(&feed, i, route("/a/", "idempotent", ""), route("/b/", "idempotent", ""))
+			}
+			for _, n := range nodes {
+				until(t, n, "/b/x", served)
+				names(t, n, "north", nodes...)
+			}
+			feed.Return(old)
+			for _, n := range nodes { // the copy's configuration is no newer
+				r, err := send(t, n, http.MethodGet, "/b/x", "one", nil, "")
+				assert.NilError(t, err)
+				assert.Equal(t, r.status, http.StatusOK)
+			}
+			configure(&feed, 5, route("/c/", "idempotent", ""))
+			for _, n := range nodes {
+				until(t, n, "/c/x", served)
+				r, err := send(t, n, http.MethodGet, "/b/x", "two", nil, "")
+				assert.NilError(t, err)
+				assert.Equal(t, r.status, http.StatusNotFound)
+				names(t, n, "north", nodes...)
+			}
+			for _, name := range []string{"n1", "n2"} {
+				eventually(t, func() bool { return feed.Has("jujubewheel/nodes/" + name) })
+			}
+		})
+	}
+}
+
+// eventually waits until something holds.
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for range 1000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("it does not come about")
+}
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -43,10 +43,11 @@
 	g    *Gateway
 	lost time.Time // when the store stopped answering, zero while it answers
 
-	mu       sync.Mutex // held while changes are applied
-	revision uint64     // the changes after it are to be read
-	relayAt  time.Time  // when a relay passed changes on last, zero if it can't be relied on
-	refused  time.Time  // when a relay that reads the store could not pass its changes on
+	mu       sync.Mutex       // held while changes are applied
+	revision jwstore.Revision // the changes after it are to be read
+	known    jwstore.Revision // the last one, also while everything is to be read anew
+	relayAt  time.Time        // when a relay passed changes on last, zero if it can't be relied on
+	refused  time.Time        // when a relay that reads the store could not pass its changes on
 
 	alone chan struct{} // the relay can't be relied on any more
 }
@@ -181,6 +182,7 @@
 		}
 	}
 	f.revision = max(f.revision, revision)
+	f.known = f.revision
 	f.g.store.revision.Store(f.revision)
 	return changed
 }
--- a/io/jwgateway/meters.go
+++ b/io/jwgateway/meters.go
@@ -42,6 +42,7 @@
 	lost     tally.Gauge
 	storeAge tally.Gauge
 	limited  tally.Gauge
+	returns  tally.Counter
 }
 
 func newMeters(m *jwmeter.Meter) *meters {
@@ -66,6 +67,7 @@
 		lost:     m.Gauge("log_lines_lost", nil),
 		storeAge: m.Gauge("store_view_age_seconds", nil),
 		limited:  m.Gauge("limited_targets", nil),
+		returns:  m.Counter("store_returns_total", nil),
 	}
 	for _, k := range []jwresolver.Kind{jwresolver.Own, jwresolver.Stopping, jwresolver.StandIns, jwresolver.Nobody} {
 		x.names[k] = m.Counter("directory_answers_total", jwmeter.Tags{"names": string(k)})
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -20,7 +20,7 @@
 
 // reading is what a reading of everything has brought so far.
 type reading struct {
-	revision uint64 // of the first page
+	revision jwstore.Revision // of the first page
 	targets  map[string]bool
 	nodes    map[string]bool
 	evacuate map[string]bool
@@ -98,10 +98,14 @@
 		f.g.targets.Keep(now, r.targets, r.revision)
 	}
 	f.g.members.Keep(now, r.nodes)
+	if !r.nodes[f.g.Settings.Node] {
+		f.g.reregister()
+	}
+	f.noteEra(r)
 	f.g.keepEvacuated(now, r.evacuate)
 	f.applyItem(now, r.fleet)
 	f.applyItem(now, r.config)
-	f.revision = r.revision
+	f.revision, f.known = r.revision, r.revision
 	f.g.store.revision.Store(r.revision)
 	if f.g.synced.CompareAndSwap(false, true) {
 		for _, in := range f.g.targets.Known(now) {
