jwinstance: an older copy of the store brings back no target that left

A store that comes back from a copy holds targets as ready that drain, left or began anew since. With revisions ordered by era the copy counts as later, and callers' requests went there until the target wrote again.

What is known of the incarnation stands until the target has written after the reading in which the node saw the copy.

--- /dev/null
+++ b/core/jwinstance/era_test.go
@@ -0,0 +1,110 @@
+package jwinstance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"jujubewheel/core/jwstore"
+)
+
+// rev is the position of a number in an era.
+func rev(era, number uint64) jwstore.Revision {
+	r, err := jwstore.RevisionAt(era, number)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// The store came back from a copy in which a target that has left since looks ready.
+func TestOlderCopyTakesNothingBack(t *testing.T) {
+	at := func(era, number uint64, change func(*Instance)) Instance {
+		in := instance("a")
+		in.Revision, in.Born = rev(era, number), 10
+		if change != nil {
+			change(&in)
+		}
+		return in
+	}
+	draining := func(in *Instance) { in.Draining = true }
+	cases := map[string]struct {
+		known func(*Table)
+		copy  Instance
+	}{
+		"it drains": {func(t *Table) { t.Put(after(0), at(1, 9, draining)) }, at(2, 5, nil)},
+		"it left":   {func(t *Table) { t.Remove(after(-3000), "a", rev(1, 9)) }, at(2, 5, nil)},
+		"it began anew and drains": {func(t *Table) {
+			t.Put(after(0), at(1, 9, func(in *Instance) { in.Born, in.Draining = 11, true }))
+		}, at(2, 5, nil)},
+		"it said so in an answer": {func(t *Table) { t.Leave(t.targets["a"]) }, at(2, 5, nil)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Region: "r"}
+			table.Put(after(0), at(1, 4, nil))
+			c.known(table)
+			for ms := 1; ms < 5000; ms += 1000 { // read more than once, by other nodes too
+				table.Put(after(ms), c.copy)
+				assert.Equal(t, chosen(table, after(ms+1), Need{}), "")
+			}
+			again := at(2, 7, func(in *Instance) { in.Born = 12 })
+			table.Put(after(6000), again)
+			assert.Equal(t, chosen(table, after(6001), Need{}), "a", "what it writes then counts")
+		})
+	}
+	table := &Table{Region: "r"}
+	table.Put(after(0), at(1, 4, nil))
+	table.Put(after(0), at(1, 9, draining))
+	table.Put(after(1), at(2, 5, nil))
+	table.Put(after(2), at(2, 6, nil))
+	assert.Equal(t, chosen(table, after(3), Need{}), "a", "it wrote after the copy that it doesn't drain")
+}
+
+// Copies, readings and views come in any order: an incarnation that is known to drain gets
+// nothing unless it has written since, in that era or after the copy of a later one.
+func TestCopiesOutOfOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*Table{{Region: "r"}, {Region: "r"}}
+		era, number := uint64(1), uint64(1)
+		ready, drains := instance("a"), instance("a")
+		ready.Revision, ready.Born = rev(era, number), 1
+		for _, table := range tables {
+			table.Put(t0, ready)
+		}
+		number = uint64(rapid.IntRange(2, 50).Draw(t, "lost"))
+		drains.Revision, drains.Born, drains.Draining = rev(era, number), 1, true
+		knows := rapid.IntRange(1, 2).Draw(t, "knows")
+		for _, table := range tables[:knows] {
+			table.Put(t0, drains)
+		}
+		now := t0
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, 1).Draw(t, "node")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				era++
+			case 1: // the copy
+				in := ready
+				in.Revision = rev(era, 1)
+				tables[i].Put(now, in)
+			case 2: // an answer of an earlier era
+				in := ready
+				in.Revision = rev(uint64(rapid.IntRange(1, int(era)).Draw(t, "era")), 1)
+				tables[i].Put(now, in)
+			case 3:
+				for _, in := range tables[1-i].Instances(now) {
+					tables[i].Put(now, in)
+				}
+			}
+			for k := range tables[:knows] {
+				if chosen(tables[k], now, Need{}) != "" {
+					t.Fatalf("node %d sends to a target that drains", k)
+				}
+			}
+		}
+	})
+}
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jujubewheel/core/jwbudget"
+	"jujubewheel/core/jwstore"
 	"jujubewheel/core/jwtarget"
 )
 
@@ -54,10 +55,11 @@
 // callers keep it to give it back.
 type Target struct {
 	Instance
-	key           uint64    // hash of its name
-	seenAt        time.Time // last registration
-	changed       time.Time // when its registration last changed
-	gone          time.Time // when its registration vanished, zero if it stands
+	key           uint64           // hash of its name
+	seenAt        time.Time        // last registration
+	changed       time.Time        // when its registration last changed
+	gone          time.Time        // when its registration vanished, zero if it stands
+	copied        jwstore.Revision // of the last registration that a store which came back held of before
 	coldUntil     time.Time
 	sends         []time.Time   // of the last second
 	rest          time.Time     // not used before
@@ -109,6 +111,10 @@
 	if old != nil && in.Revision < old.Revision {
 		return Same // by another node that lags behind
 	}
+	if old != nil && old.outdates(&in) {
+		old.Revision, old.seenAt = in.Revision, now
+		return Same
+	}
 	if old == nil || old.Born != in.Born || old.Address != in.Address || old.Service != in.Service {
 		fresh := &Target{Instance: in, key: jwtarget.NameKey(in.ID), seenAt: now, changed: now, slow: 1}
 		if old != nil || in.Cold > 0 {
@@ -143,6 +149,21 @@
 	return change
 }
 
+// outdates reports whether nothing of a registration counts against what is known of the
+// target, as a store that came back from an older copy still holds it; that a target drains
+// is put into it. What the target writes after the copy counts again.
+func (x *Target) outdates(in *Instance) bool {
+	older := in.Born < x.Born
+	if jwstore.Era(in.Revision) > jwstore.Era(x.Revision) && (x.Draining || !x.gone.IsZero() || older) {
+		x.copied = in.Revision
+	}
+	if x.copied == 0 || in.Revision > x.copied {
+		return false
+	}
+	in.Draining = in.Draining || x.Draining
+	return older || !x.gone.IsZero()
+}
+
 // compare tells what another registration of the same incarnation changes.
 func (x *Target) compare(now time.Time, in Instance) Change {
 	passed := now.Sub(x.changed)
