jwgateway: an older copy of the store ends no evacuation, and is read spread

An evacuation written in the seconds that the copy lacks ended at once, until operators wrote it again.

TestOlderCopyEndsNoEvacuation fails without the hold and without what the table of targets holds.

--- a/io/jwgateway/era_test.go
+++ b/io/jwgateway/era_test.go
@@ -1,6 +1,7 @@
 package jwgateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -59,6 +60,43 @@
 	}
 }
 
+// The copy is older than an evacuation and than the notice of a target that leaves; both are
+// written again a moment later, and until then callers must not be sent there.
+func TestOlderCopyEndsNoEvacuation(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	evacuated := startTarget(t, &feed, "t1", "s", "north-b", text("t1"))
+	leaver := startTarget(t, &feed, "t2", "s", "north-a", text("t2"))
+	startTarget(t, &feed, "t3", "s", "north-a", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(30 * time.Millisecond) // the others would be preferred
+		text("t3")(w, r)
+	})
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	old := feed.Copy()
+	n := start(t, &feed, "n1", "north")
+	until(t, n, "/a/x", served)
+	feed.Write("op/evacuate/north-b", nil)
+	register(&feed, "t2", "s", leaver.addr, "north-a", "draining")
+	configure(&feed, 2, route("/a/", "idempotent", ""), route("/b/", "idempotent", ""))
+	until(t, n, "/b/x", served)
+	before := len(evacuated.requests()) + len(leaver.requests())
+	feed.Return(old)
+	configure(&feed, 3, route("/a/", "idempotent", ""), route("/c/", "idempotent", ""))
+	until(t, n, "/c/x", served)
+	for i := range 20 {
+		r, err := send(t, n, http.MethodGet, "/a/x", fmt.Sprint("r", i), nil, "")
+		assert.NilError(t, err)
+		assert.Equal(t, r.body, "t3")
+	}
+	assert.Equal(t, len(evacuated.requests())+len(leaver.requests()), before)
+
+	// What is written again, and ended then, counts.
+	feed.Write("op/evacuate/north-b", nil)
+	feed.Remove("op/evacuate/north-b")
+	register(&feed, "t3", "s", "127.0.0.1:1", "north-a", "draining")
+	until(t, n, "/a/x", func(r reply) bool { return r.body == "t1" })
+}
+
 // eventually waits until something holds.
 func eventually(t *testing.T, ok func() bool) {
 	t.Helper()
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -49,17 +49,21 @@
 	relayAt  time.Time        // when a relay passed changes on last, zero if it can't be relied on
 	refused  time.Time        // when a relay that reads the store could not pass its changes on
 
-	alone chan struct{} // the relay can't be relied on any more
+	evacuated map[string]time.Time // data centres whose evacuation is held, and until when
+	alone     chan struct{}        // the relay can't be relied on any more
 }
 
 // newFollower returns a follower of a node.
-func newFollower(g *Gateway) *follower { return &follower{g: g, alone: make(chan struct{}, 1)} }
+func newFollower(g *Gateway) *follower {
+	return &follower{g: g, evacuated: make(map[string]time.Time), alone: make(chan struct{}, 1)}
+}
 
 // follow reads all keys once and then their changes, until ctx ends.
 func (g *Gateway) follow(ctx context.Context) {
 	f := g.follower
 	known := g.epoch.Load()
 	for ctx.Err() == nil {
+		f.endHeld(time.Now())
 		epoch := g.epoch.Load()
 		if epoch != known {
 			f.restart() // the node was paused, and its history may be gone
@@ -89,6 +93,7 @@
 		if errors.Is(err, jwstore.ErrCompacted) {
 			g.Log.Info("store history gone, reading anew", "revision", f.at())
 			f.restart()
+			g.spreadReading(epoch)
 			continue
 		}
 		if f.lost.IsZero() {
@@ -212,6 +217,7 @@
 		return true
 	}
 	if dc, ok := g.Records.Evacuation(e.Key); ok {
+		delete(f.evacuated, dc)
 		g.evacuate(now, dc, !e.Deleted)
 		return true
 	}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -77,6 +77,7 @@
 	ending     atomic.Bool // the grace period is over: what still runs is cut off
 	begun      time.Time
 	stopFrom   atomic.Int64  // when the planned stop began, nanoseconds since begun
+	fleetLost  atomic.Bool   // the store came back without the size of the fleet
 	changed    chan struct{} // the registration has to be written anew
 	inFlight   atomic.Int64
 }
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -98,10 +98,13 @@
 		f.g.targets.Keep(now, r.targets, r.revision)
 	}
 	f.g.members.Keep(now, r.nodes)
-	if !r.nodes[f.g.Settings.Node] {
+	if !r.nodes[f.g.members.Me().Name] {
 		f.g.reregister()
 	}
-	f.noteEra(r)
+	f.noteEra(now, r)
+	for dc := range f.evacuated {
+		r.evacuate[dc] = true
+	}
 	f.g.keepEvacuated(now, r.evacuate)
 	f.applyItem(now, r.fleet)
 	f.applyItem(now, r.config)
--- a/io/jwgateway/register.go
+++ b/io/jwgateway/register.go
@@ -102,7 +102,7 @@
 		return
 	}
 	nodes := g.members.Count(now, "") // which forgets a node after a minute
-	if nodes == g.members.FleetSize() {
+	if nodes == g.members.FleetSize() && !g.fleetLost.Load() {
 		return
 	}
 	value, err := json.Marshal(fleet{nodes})
@@ -111,7 +111,9 @@
 	}
 	if err != nil {
 		g.Log.Info("size of the fleet not written", "nodes", nodes, "error", err.Error())
+		return
 	}
+	g.fleetLost.Store(false)
 }
 
 // takeFleet takes the size of the fleet from the store.
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -28,7 +28,7 @@
 	"jujubewheel/platform"
 )
 
-var regions = map[string]string{"north-a": "north", "south-a": "south", "east-a": "east"}
+var regions = map[string]string{"north-a": "north", "north-b": "north", "south-a": "south", "east-a": "east"}
 
 // node is a running gateway.
 type node struct {
