jwinstance: only targets that said something of themselves are gone over

A relay of a large region reports to each of its nodes some times a second, and went over all targets twice more each time to find the few that name a limit or leave. Their names are kept apart now.

--- a/core/jwinstance/leaving.go
+++ b/core/jwinstance/leaving.go
@@ -1,5 +1,7 @@
 package jwinstance
 
+import "iter"
+
 // Leave notes that a target said in an answer that it leaves, and reports whether that is
 // new. It stands until another incarnation registers: the store may be away, or hold what
 // the target wrote before.
@@ -14,17 +16,44 @@
 		return false
 	}
 	x.Leaving = true
+	t.declare(x)
 	t.slots = nil
 	return true
 }
 
+// declare keeps that a target said something of itself that is to be reported: in a region
+// of thousands of targets only few do.
+func (t *Table) declare(x *Target) {
+	if t.declared == nil {
+		t.declared = make(map[string]bool)
+	}
+	t.declared[x.ID] = true
+}
+
+// declarers returns the targets that said something of themselves, and forgets those that
+// are gone or began anew.
+func (t *Table) declarers() iter.Seq[*Target] {
+	return func(yield func(*Target) bool) {
+		for id := range t.declared {
+			x := t.targets[id]
+			if x == nil || !x.Leaving && x.limit.at.IsZero() {
+				delete(t.declared, id)
+				continue
+			}
+			if !yield(x) {
+				return
+			}
+		}
+	}
+}
+
 // ReportLeaving returns the targets of the region that said they leave, each with the start
 // of the incarnation that said so.
 func (t *Table) ReportLeaving() map[string]int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var leaving map[string]int64
-	for _, x := range t.targets {
+	for x := range t.declarers() {
 		if !x.Leaving || x.Region != t.Region {
 			continue
 		}
--- a/core/jwinstance/limit.go
+++ b/core/jwinstance/limit.go
@@ -50,6 +50,7 @@
 	if !l.Named && x.limit.at.IsZero() {
 		return false
 	}
+	t.declare(x)
 	return x.limit.take(now, now, l, true)
 }
 
@@ -72,7 +73,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var reports map[string]LimitReport
-	for _, x := range t.targets {
+	for x := range t.declarers() {
 		k := &x.limit
 		if k.Named {
 			t.limitRoom(now, x) // so that it is noticed in time whether this node owns it
@@ -96,6 +97,7 @@
 	for id, r := range reports {
 		at := now.Add(-time.Duration(r.Age) * time.Millisecond)
 		if x := t.targets[id]; x != nil && at.Sub(x.limit.at) > limitDrift {
+			t.declare(x)
 			x.limit.take(now, at, Limit{r.Named, r.Rate}, false)
 		}
 	}
@@ -106,7 +108,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
-	for _, x := range t.targets {
+	for x := range t.declarers() {
 		if x.limit.Named && x.gone.IsZero() && x.Region == t.Region {
 			n++
 		}
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -42,6 +42,7 @@
 	subsets   map[subsetKey]*subset
 	slots     map[string]map[string]int // usable slots by service and region, nil after a change
 	evacuated map[string]bool           // data centres
+	declared  map[string]bool           // names of targets that said in an answer that they leave, or a limit
 	paces     map[string]*pace          // by service
 	placed    []Placement               // of this node, the latest last
 	reports   map[string]nodeReport     // of the other nodes of the region, by name
@@ -121,6 +122,9 @@
 			fresh.coldUntil = now.Add(max(in.Cold, t.coldAfterReturn(old, in)))
 		}
 		t.targets[in.ID] = fresh
+		if in.Leaving {
+			t.declare(fresh)
+		}
 		if old != nil {
 			t.replace(old, fresh)
 		} else {
