jwboard: what was sent to a partner, reports and resends

Names and comments only: told, tellAgain, words and toldRegions were the dialect's for what a reporter has sent, when it sends it again, and how much.

--- a/core/jwboard/reporter.go
+++ b/core/jwboard/reporter.go
@@ -13,16 +13,16 @@
 	"jujubewheel/core/jwsuspect"
 )
 
-// Reporter tells other nodes what the board knows and writes what they tell to
+// Reporter reports to other nodes what the board knows and writes what they report to
 // it.
 type Reporter struct {
 	Board *Board
 	Moves Moves // may be nil
 	Now   func() time.Time
-	Nudge func() // called when something was heard that others should hear at once
+	Nudge func() // called when something was merged that others should receive at once
 
 	mu   sync.Mutex
-	told map[string]*told // by partner
+	sent map[string]*sent // by partner
 }
 
 // Moves knows which processes answer for the tickets of stopped ones.
@@ -37,7 +37,7 @@
 func (r *Reporter) Report(to jwpeer.Peer) jwpeer.News {
 	now := r.Now()
 	self := r.Board.Peers.Self()
-	every := wordsEvery(r.Board.Peers.Len())
+	every := reportEvery(r.Board.Peers.Len())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.partner(to.Name, now)
@@ -62,11 +62,11 @@
 	return n
 }
 
-// Forget says that a partner may lack what it was told.
+// Forget says that a partner may lack what was reported to it.
 func (r *Reporter) Forget(partner string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.told, partner)
+	delete(r.sent, partner)
 }
 
 func (r *Reporter) usages(self string, now time.Time) []jwpeer.Usage {
@@ -77,7 +77,7 @@
 	return out
 }
 
-func (r *Reporter) suspects(region string, now time.Time, t *told) []jwpeer.Suspect {
+func (r *Reporter) suspects(region string, now time.Time, t *sent) []jwpeer.Suspect {
 	var out []jwpeer.Suspect
 	for _, s := range r.Board.Suspects.Notices(region, now) {
 		key := "suspect " + string(s.Fingerprint[:]) + s.Target.String() + string(s.State)
@@ -105,10 +105,10 @@
 	return out
 }
 
-// toldRegions is how many other regions a node tells of for each service. A
+// reportedRegions is how many other regions a node reports of for each service. A
 // request goes to one region, so that words about all of many would be mostly
 // wasted on the nodes that don't talk to those regions.
-const toldRegions = 5
+const reportedRegions = 5
 
 // others are the loads of the other regions that would serve a service
 // soonest, for the nodes of this one that don't talk to them.
@@ -119,7 +119,7 @@
 		slices.SortStableFunc(loads, func(a, b jwrouter.Load) int {
 			return cmp.Or(cmp.Compare(r.soonest(a), r.soonest(b)), cmp.Compare(b.Free*float64(b.Slots), a.Free*float64(a.Slots)))
 		})
-		for _, l := range loads[:min(len(loads), toldRegions)] {
+		for _, l := range loads[:min(len(loads), reportedRegions)] {
 			out = append(out, jwpeer.RegionLoad{
 				Region: l.Region, Service: l.Service, Wait: l.Wait, Work: l.Work,
 				Free: l.Free, Slots: l.Slots, Targets: l.Targets, Age: now.Sub(l.Taken),
@@ -147,8 +147,8 @@
 	return out
 }
 
-// moves are told within the region, where tickets are run.
-func (r *Reporter) moves(t *told, now time.Time) []jwpeer.Move {
+// moves are reported within the region, where tickets are run.
+func (r *Reporter) moves(t *sent, now time.Time) []jwpeer.Move {
 	if r.Moves == nil {
 		return nil
 	}
--- a/core/jwboard/reporter_test.go
+++ b/core/jwboard/reporter_test.go
@@ -27,8 +27,8 @@
 	return &Reporter{Board: b, Now: func() time.Time { return *now }}
 }
 
-// A partner was told that a target leaves, and the answer was lost on the way.
-// Unless it is told again it goes on sending work there.
+// It was reported to a partner that a target leaves, and the answer was lost on the way.
+// Unless that is sent again it goes on sending work there.
 func TestTellOnceAndAgain(t *testing.T) {
 	now := time.Now()
 	r := newReporter(t, &now)
@@ -40,7 +40,7 @@
 	assert.Equal(t, len(r.Report(to).Leaving), 0)
 	r.Forget("n1")
 	assert.Equal(t, len(r.Report(to).Leaving), 1)
-	now = now.Add(tellAgain)
+	now = now.Add(resendAfter)
 	assert.Equal(t, len(r.Report(to).Leaving), 1)
 }
 
@@ -53,7 +53,7 @@
 		})
 	}
 	loads := r.Report(jwpeer.Peer{Name: "n1", Region: "north"}).Loads
-	assert.Equal(t, len(loads), toldRegions)
+	assert.Equal(t, len(loads), reportedRegions)
 	assert.Equal(t, loads[0].Region, "region-11")
-	assert.Equal(t, len(r.Report(jwpeer.Peer{Name: "n1", Region: "north"}).Loads), 0, "told a moment ago")
+	assert.Equal(t, len(r.Report(jwpeer.Peer{Name: "n1", Region: "north"}).Loads), 0, "reported a moment ago")
 }
