--- a/core/jwpeer/exchange.go
+++ b/core/jwpeer/exchange.go
@@ -23,7 +23,7 @@
 	Whole bool // this is everything that the receiver needs
 }
 
-// empty reports whether there is nothing to tell.
+// empty reports whether there is nothing to report.
 func (t *Digest) empty() bool { return len(t.Peers) == 0 && len(t.Marks) == 0 && t.News.empty() }
 
 // Partner carries an exchange to another node and brings back its answer.
@@ -71,7 +71,7 @@
 	finished time.Time // end of the last exchange
 }
 
-// Nudge makes the node tell its partners at once, for news that can't wait for
+// Nudge makes the node report to its partners at once, for news that can't wait for
 // the next period.
 func (x *Exchange) Nudge() {
 	x.once.Do(x.start)
@@ -88,7 +88,7 @@
 	x.once.Do(x.start)
 	period := time.NewTimer(0)
 	defer period.Stop()
-	// Nodes that start together would speak together ever after.
+	// Nodes that start together would exchange state at the same moments ever after.
 	beat := x.Now().Add(-x.part(x.Beat))
 	for {
 		changed := x.Table.Changed()
@@ -165,7 +165,7 @@
 const otherRelay = 8
 
 // own is the relay that a plain node asks as a rule. Asking all of them in turn
-// would have each tell it the same.
+// would have each report the same to it.
 func (x *Exchange) own(relays []Peer) []Peer {
 	if len(relays) == 0 {
 		return nil
@@ -183,7 +183,7 @@
 
 // one picks the partner of this period: the one whose last exchange is the
 // longest ago, for a plain node mostly its own relay. Now and then it is a node that fell silent: after a cut nobody
-// else would try it, and two halves that each work would never hear of each
+// else would try it, and two halves that each work would never learn of each
 // other again.
 func (x *Exchange) one(v view) []Peer {
 	if len(v.periodic) == 0 || x.draw(silentTries) == 0 {
@@ -260,7 +260,7 @@
 }
 
 // lost books an exchange that failed. The partner may have answered, and then
-// believes that this node has the answer: it must tell all again.
+// takes it that this node has the answer: it must report all again.
 func (x *Exchange) lost(p Peer) {
 	x.mu.Lock()
 	w := x.partner(p.Name)
--- a/core/jwpeer/mark.go
+++ b/core/jwpeer/mark.go
@@ -6,9 +6,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Mark is a later word of a peer that the receiver knows, as far as it differs.
+// Mark is a later state of a peer that the receiver knows, as far as it differs.
 // Most words say only that a node lives or has a change in force; a mark is a
-// tenth of a whole word.
+// tenth of a whole state.
 type Mark struct {
 	ID       uint64 // hash of name and incarnation
 	Sequence uint64
@@ -91,7 +91,7 @@
 }
 
 // take merges what a partner sent; false means that a mark names a peer that is
-// not known here, so that the partner must tell all again.
+// not known here, so that the partner must report all again.
 func (t *Table) take(from string, peers []Peer, marks []Mark, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/jwpeer/news.go
+++ b/core/jwpeer/news.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// News is what nodes tell each other besides their own states. Times travel as
+// News is what nodes report to each other besides their own states. Times travel as
 // ages, so that clocks need not agree.
 type News struct {
 	Leaving  []LeavingTarget
@@ -62,7 +62,7 @@
 	ToIncarnation string
 }
 
-// Reporter gives and takes news.
+// Reporter makes and merges news.
 type Reporter interface {
 	// Report returns what to send to a partner that has had what was sent before.
 	Report(to Peer) News
--- a/core/jwpeer/peer.go
+++ b/core/jwpeer/peer.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// State tells how far a node is in its life.
+// State says how far a node is in its life.
 type State string
 
 // The states of a node.
@@ -27,9 +27,9 @@
 	State       State
 	Revision    uint64 // catalogue revision in force there
 	Base        uint64 // oldest change it can still give to others
-	Sequence    uint64 // rises with every word of the peer about itself
-	// Age is the time since the peer said this, where one node tells another.
-	// Without it a dead peer would look fresh to whoever hears of it late, and
+	Sequence    uint64 // rises with every state that the peer reports of itself
+	// Age is the time since the peer said this, where one node reports it to another.
+	// Without it a dead peer would look fresh to whoever learns of it late, and
 	// nodes would keep it alive by telling each other.
 	Age time.Duration
 }
--- a/core/jwpeer/region_test.go
+++ b/core/jwpeer/region_test.go
@@ -231,7 +231,7 @@
 		forgetful.Forget(time.Now().Add(-30 * time.Second))
 		time.Sleep(5 * time.Minute)
 		for _, x := range n.nodes {
-			seen := x.Table.Heard("r0-c0-n0")
+			seen := x.Table.LastSeen("r0-c0-n0")
 			assert.Assert(t, seen.IsZero() || seen.Sub(died) < 2*time.Second, "%s", seen.Sub(died))
 		}
 		cancel()
--- a/core/jwpeer/table.go
+++ b/core/jwpeer/table.go
@@ -14,15 +14,15 @@
 	self    string
 	peers   map[string]*known
 	ids     map[uint64]*known
-	version uint64 // rises with every word
-	urgent  uint64 // version of the last word that others should hear soon
+	version uint64 // rises with every state
+	urgent  uint64 // version of the last state that others should get soon
 	changed chan struct{}
 }
 
-// MostAge is how old the word of a silent peer may be before it is forgotten.
+// MostAge is how old the state of an unresponsive peer may be before it is forgotten.
 const MostAge = time.Hour
 
-// known is one peer with the moment its newest word came and the versions of
+// known is one peer with the moment its newest state came and the versions of
 // the table at its last words of each kind.
 type known struct {
 	Peer
@@ -30,7 +30,7 @@
 	seen time.Time
 	from string // partner that brought the newest report
 	any  uint64 // a report of any kind
-	full uint64 // one that a mark can't tell: a new start, state or address
+	full uint64 // one that a mark can't carry: a new start, state or address
 	beat uint64 // one that says no more than that the peer lives
 }
 
@@ -43,7 +43,7 @@
 }
 
 // Update changes what this node says of itself and returns it; the sequence
-// rises so that the word goes out to others.
+// rises so that the state goes out to others.
 func (t *Table) Update(now time.Time, change func(*Peer)) Peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -68,8 +68,8 @@
 	return Peer{}
 }
 
-// Merge takes the newer words of the list and reports whether any was news that
-// others should hear without waiting for the next period.
+// Merge takes the newer states of the list and reports whether any was news that
+// others should get without waiting for the next period.
 func (t *Table) Merge(peers []Peer, now time.Time) (urgent bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -92,7 +92,7 @@
 	}
 }
 
-// newer reports whether a is a later word of a peer than b. Incarnations sort by
+// newer reports whether a is a later state of a peer than b. Incarnations sort by
 // the time of their start, so a restarted node wins over its former self.
 func newer(a, b Peer) bool {
 	if a.Incarnation != b.Incarnation {
@@ -191,8 +191,8 @@
 	return k.Peer, true
 }
 
-// Heard returns when the newest word of a peer came, the zero time for none.
-func (t *Table) Heard(name string) time.Time {
+// LastSeen returns when the newest state of a peer came, the zero time for none.
+func (t *Table) LastSeen(name string) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if k := t.peers[name]; k != nil {
@@ -253,7 +253,7 @@
 	return k == nil || name != t.self && k.seen.Before(t.allowed(since)(k))
 }
 
-// allowed returns the time before which the newest word of a peer is too old.
+// allowed returns the time before which the newest state of a peer is too old.
 func (t *Table) allowed(since time.Time) func(*known) time.Time {
 	region := t.region()
 	home := since.Add(-lateness(t.inRegion(region)))
--- a/core/jwpeer/view.go
+++ b/core/jwpeer/view.go
@@ -11,8 +11,8 @@
 type view struct {
 	taken    time.Time
 	relay    bool
-	partners []Peer // told of changes at once
-	periodic []Peer // told each period in turn
+	partners []Peer // that get changes at once
+	periodic []Peer // that get them each period in turn
 	gatherer string
 	centre   int // nodes of the data centre
 	region   int // nodes of the region
@@ -83,7 +83,7 @@
 	}
 }
 
-// withGatherer makes a relay tell the gatherer of its region what its own nodes
+// withGatherer makes a relay report to the gatherer of its region what its own nodes
 // have in force.
 func (x *Exchange) withGatherer(v view, self Peer) []Peer {
 	p, known := x.Table.Get(v.gatherer)
@@ -119,7 +119,7 @@
 
 // reachable leaves out nodes that could not be reached a short while ago. Their
 // words may look fresh for long after they died where words are rare, and a
-// data centre whose relays are dead would hear nothing.
+// data centre whose relays are dead would learn nothing.
 func (x *Exchange) reachable(peers []Peer, now time.Time) []Peer {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -136,7 +136,7 @@
 // IsRelay reports whether this node carries news for its data centre now.
 func (x *Exchange) IsRelay() bool { return x.current().relay }
 
-// Partners returns the nodes that self tells of changes, out of the fresh
+// Partners returns the nodes that self reports changes to, out of the fresh
 // ones.
 func Partners(fresh []Peer, self Peer) []Peer {
 	relay := IsRelay(fresh, self)
--- a/io/jwoperate/operators.go
+++ b/io/jwoperate/operators.go
@@ -47,7 +47,7 @@
 // Peers lists the nodes that this node knows.
 type Peers interface {
 	Peers() []jwpeer.Peer
-	Heard(name string) time.Time
+	LastSeen(name string) time.Time
 }
 
 // Targets lists the targets that this node uses.
@@ -151,7 +151,7 @@
 	for _, p := range o.Peers.Peers() {
 		list.Peers = append(list.Peers, Peer{
 			Name: p.Name, Region: p.Region, DataCentre: p.DataCentre, Callers: p.Callers, Nodes: p.Nodes,
-			Incarnation: p.Incarnation, State: p.State, Revision: p.Revision, Heard: o.Peers.Heard(p.Name),
+			Incarnation: p.Incarnation, State: p.State, Revision: p.Revision, Heard: o.Peers.LastSeen(p.Name),
 		})
 	}
 	answer(w, http.StatusOK, list)
