jwgateway, jwinstance: comments that a rename had caught, batchDelay

Names, comments and one log message only: sendStateTo and pulledTo had replaced plain words in comments and in the line that a view was taken from another node; crowd was the dialect's for what the calls at an engine add.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -124,7 +124,7 @@
 
 // Wait returns how long a request without a prompt would wait at the best
 // target of the region. Cold ones don't count: they look idle, and other
-// regions would send far more than they bear.
+// regions would send far more than they take.
 func (t *Table) Wait(now time.Time, service string) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/jwinstance/curve.go
+++ b/core/jwinstance/curve.go
@@ -21,7 +21,7 @@
 	leastBase     = time.Millisecond
 	leastThousand = time.Millisecond
 	// mostSample bounds a sample, in multiples of what was expected, as one stall
-	// doesn't tell how an engine reads.
+	// doesn't show how an engine reads.
 	mostSample = 4.0
 )
 
@@ -86,7 +86,7 @@
 	}
 }
 
-// hold is how firmly each term stays where it was while the samples don't tell it, as
+// hold is how firmly each term stays where it was while the samples don't show it, as
 // when all prompts are of one length: as many samples in which only that term is one,
 // few against the two hundred that count.
 var hold = [terms]float64{0.1, 1, 20}
--- a/core/jwinstance/estimate.go
+++ b/core/jwinstance/estimate.go
@@ -25,14 +25,14 @@
 		d := float64(p.plain) * max(1, float64(b.calls+1)/float64(slots))
 		return time.Duration(d * x.slow)
 	}
-	d := p.curve.expect(b.work, miss) + p.crowd(slots, b.calls)
+	d := p.curve.expect(b.work, miss) + p.batchDelay(slots, b.calls)
 	return time.Duration(float64(d) * x.slow)
 }
 
-// crowd returns what the calls at an engine add to the wait for a first event: each
+// batchDelay returns what the calls at an engine add to the wait for a first event: each
 // that runs slows the steps of the batch, and of those beyond its slots each waits
 // until one ends.
-func (p *pace) crowd(slots, calls int) time.Duration {
+func (p *pace) batchDelay(slots, calls int) time.Duration {
 	waiting := max(calls-slots+1, 0)
 	return time.Duration(calls)*slotDelay + time.Duration(waiting)*p.hold/time.Duration(slots)
 }
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -52,7 +52,7 @@
 	} else {
 		s.engine = true
 		if !c.Cold {
-			s.curve.learn(c.Ahead, c.Miss, max(d-s.crowd(max(x.Slots, 1), c.Busy), 0))
+			s.curve.learn(c.Ahead, c.Miss, max(d-s.batchDelay(max(x.Slots, 1), c.Busy), 0))
 		}
 	}
 	ratio := min(float64(d)*x.slow/float64(max(c.Expected, time.Millisecond)), slowMost)
--- a/core/jwinstance/relay.go
+++ b/core/jwinstance/relay.go
@@ -6,7 +6,7 @@
 const maxRelayed = 512
 
 // ReportToRelay returns what the relay of another data centre should know: the loads of
-// this node and of those that speak through it.
+// this node and of those that report through it.
 func (t *Table) ReportToRelay(now time.Time) []NodeLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -138,7 +138,7 @@
 	return known
 }
 
-// Loads is a list of NodeLoad by columns, as nodes tell each other: a name of a column
+// Loads is a list of NodeLoad by columns, as nodes report it: a name of a column
 // is written once and not for each target.
 type Loads struct {
 	Targets []string `json:"targets"`
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -8,7 +8,7 @@
 	// placedAge is how long a placement is reported to the others: several
 	// exchanges, as one may be lost.
 	placedAge = 400 * time.Millisecond
-	// farAge is the same for nodes of other regions, which speak once a second.
+	// farAge is the same for nodes of other regions, which exchange state once a second.
 	farAge = 1300 * time.Millisecond
 )
 
@@ -51,7 +51,7 @@
 	NodeLoad
 }
 
-// Placement tells which parts of a prompt were sent to a target.
+// Placement says which parts of a prompt were sent to a target.
 type Placement struct {
 	Target  string `json:"target"`
 	Parts   []Part `json:"parts"`
@@ -139,7 +139,7 @@
 }
 
 // MergeRelay merges what a relay of the region reported: its own loads and those of the
-// nodes that speak through it.
+// nodes that report through it.
 func (t *Table) MergeRelay(now time.Time, node string, loads []NodeLoad, placed []Placement) {
 	t.merge(now, node, true, loads, placed)
 }
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -26,12 +26,12 @@
 	Node   string                                        // name of the node itself, by which its subsets of many targets differ from others'
 	Region string                                        // targets of other regions can't be reached and are only counted
 	Warmup func(service string) (time.Duration, float64) // how long and how slowly a target starts
-	// Nodes tells how many nodes of the region choose among its targets, and Rand draws
+	// Nodes returns how many nodes of the region choose among its targets, and Rand draws
 	// a number below n. Where they are set not all targets are compared; see draw.
 	Nodes func() int
 	Rand  func(n int) int
 	Share func(service, target string) float64 // requests a second that this node may send to a cold target
-	// LimitPart tells this node's part in the limit that a target names, knows which nodes
+	// LimitPart returns this node's part in the limit that a target names, knows which nodes
 	// choose among others and it; where it isn't set the node is taken to be the only one.
 	LimitPart func(rate float64, target string, knows func(node string) bool) jwbudget.LimitPart
 
@@ -98,7 +98,7 @@
 // may differ between two before that is a change.
 const drift = 500 * time.Millisecond
 
-// Put takes a registration as it stands in the store and tells what it changed.
+// Put takes a registration as it stands in the store and returns what it changed.
 func (t *Table) Put(now time.Time, in Instance) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -168,7 +168,7 @@
 	return older || !x.gone.IsZero()
 }
 
-// compare tells what another registration of the same incarnation changes.
+// compare returns what another registration of the same incarnation changes.
 func (x *Target) compare(now time.Time, in Instance) Change {
 	passed := now.Sub(x.changed)
 	switch {
--- a/io/jwgateway/directory.go
+++ b/io/jwgateway/directory.go
@@ -14,7 +14,7 @@
 // answers by what it has.
 const firstRead = 3 * time.Second
 
-// serveReady tells the platform whether the node serves.
+// serveReady reports to the platform whether the node serves.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -47,7 +47,7 @@
 	Reload         <-chan *jwsettings.Settings // settings that changed while the node runs
 	Admission      jwadmission.Policy          // which requests are rejected
 	Placement      jwplacement.Policy          // which region serves a request
-	RelayThreshold int                         // nodes of a region from which on they sendStateTo through relays, 0 for the usual number
+	RelayThreshold int                         // nodes of a region from which on they exchange state through relays, 0 for the usual number
 	Boot           func() time.Duration        // time since the host started, suspended or not; nil for the host's own
 
 	views      encodedViews
@@ -57,7 +57,7 @@
 	store      storeState
 	follower   *follower
 	recent     jwstore.Recent // changes of the store, kept by a relay for others
-	pulledTo   atomic.Uint64  // revision of the store up to which a view was pulled
+	pulledTo   atomic.Uint64  // revision of the store up to which another node's view was taken
 	pulling    atomic.Bool    // another node is asked
 	viewed     atomic.Int64   // when the store was read last, nanoseconds since begun
 	bounds     atomic.Pointer[jwsettings.Bounds]
--- a/io/jwgateway/probe.go
+++ b/io/jwgateway/probe.go
@@ -21,7 +21,7 @@
 	syncedPeerAge = 500 * time.Millisecond
 	// probePeriod is the time between two questions to a target. At seven
 	// requests a second, one that goes cold has taken three by the time that all
-	// nodes of the region know, half of what it bears.
+	// nodes of the region know, half of its capacity.
 	probePeriod  = 250 * time.Millisecond
 	probeTimeout = 300 * time.Millisecond
 	// idleProbe is the time between two looks whether that has begun.
@@ -52,7 +52,7 @@
 
 // probe asks targets how long they stay cold while no node of the region
 // reaches the store, until ctx ends. A target may go cold at any moment; informed by
-// nobody, all nodes would go on sending what a warm one bears.
+// nobody, all nodes would go on sending what a warm one takes.
 func (g *Gateway) probe(ctx context.Context) {
 	for ctx.Err() == nil {
 		now, wait := time.Now(), idleProbe
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -26,7 +26,7 @@
 	evacuate map[string]bool
 	config   *jwstore.Item
 	fleet    *jwstore.Item
-	pulledTo bool // the targets came from the relay
+	pulled   bool // the targets came from the relay
 }
 
 // readAll reads everything, page by page; what is not there any more is gone. In a
@@ -94,7 +94,7 @@
 func (f *follower) finish(now time.Time, r *reading) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !r.pulledTo {
+	if !r.pulled {
 		f.g.targets.Keep(now, r.targets, r.revision)
 	}
 	f.g.members.Keep(now, r.nodes)
@@ -135,7 +135,7 @@
 				if len(b.Config) > 0 {
 					g.takeConfig(b.Config, m.Name)
 				}
-				r.pulledTo, r.revision = true, b.Revision
+				r.pulled, r.revision = true, b.Revision
 				return true
 			}
 		}
--- a/io/jwgateway/region.go
+++ b/io/jwgateway/region.go
@@ -131,7 +131,7 @@
 	return tokens
 }
 
-// report returns what is known of the other regions, for nodes that sendStateTo through this
+// report returns what is known of the other regions, for nodes that report through this
 // one.
 func (t *regionTable) report(now time.Time) []regionReport {
 	t.mu.Lock()
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -150,7 +150,7 @@
 	}
 }
 
-// judge looks at the head of an answer; ok tells whether it goes to the
+// judge looks at the head of an answer; ok reports whether it goes to the
 // caller, and otherwise the verdict on the send is returned.
 func (g *Gateway) judge(q *request, x *jwinstance.Target, a *jwconn.Answer) (v Verdict, ok bool) {
 	reply := g.Dialect.Answer(a.Header)
--- a/io/jwgateway/through.go
+++ b/io/jwgateway/through.go
@@ -182,7 +182,7 @@
 	}
 }
 
-// remotePeers returns the nodes of another region to sendStateTo to.
+// remotePeers returns the nodes of another region to exchange state with.
 func (g *Gateway) remotePeers(now time.Time, region string) []jwmember.Member {
 	if g.members.Large(now, region) {
 		if relays := g.members.Relays(now, region); len(relays) > 0 {
--- a/io/jwgateway/through_test.go
+++ b/io/jwgateway/through_test.go
@@ -40,7 +40,7 @@
 	return h.Feed.Range(ctx, prefix, after)
 }
 
-// crowd starts nodes of one data centre that sendStateTo through a relay, the first by name.
+// crowd starts nodes of one data centre that exchange state through a relay, the first by name.
 func crowd(t *testing.T, feeds ...jwstore.Feed) []node {
 	t.Helper()
 	nodes := make([]node, 0, len(feeds))
--- a/io/jwgateway/upstream.go
+++ b/io/jwgateway/upstream.go
@@ -66,7 +66,7 @@
 	return nil, false
 }
 
-// passOn takes changes that another relay read, keeps them for those that sendStateTo through
+// passOn takes changes that another relay read, keeps them for those that report through
 // this one, and returns of when they are.
 func (f *follower) passOn(now time.Time, c *changes, from uint64) time.Time {
 	f.mu.Lock()
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -198,5 +198,5 @@
 		g.members.SetFleet(now, b.Fleet, !g.synced.Load())
 	}
 	g.pulledTo.Store(b.Revision)
-	g.Log.Info("pulledTo from another node", "peer", from.String(), "revision", b.Revision, "targets", len(b.Targets))
+	g.Log.Info("view taken from another node", "peer", from.String(), "revision", b.Revision, "targets", len(b.Targets))
 }
