jwinstance, jwmember: the owner of a limited target is found by rank first

Where all targets of a large region name a limit, each request compared all nodes for each target, and looked for the target in each node's list.

--- a/core/jwinstance/limit.go
+++ b/core/jwinstance/limit.go
@@ -1,10 +1,10 @@
 package jwinstance
 
 import (
-	"slices"
 	"time"
 
 	"jujubewheel/core/jwbudget"
+	"jujubewheel/core/jwtarget"
 )
 
 const (
@@ -159,5 +159,10 @@
 
 // knownBy reports whether a node of the region chooses among others and a target.
 func (t *Table) knownBy(x *Target, node string) bool {
-	return slices.Contains(t.subset(subsetKey{x.Service, x.Region, node}), x)
+	k := subsetKey{x.Service, x.Region, node}
+	if list := t.subset(k); len(list) == len(t.places[k.service][k.region]) {
+		return true
+	}
+	ranks := t.subsets[k].ranks
+	return jwtarget.Mix(x.key, jwtarget.NameKey(node)) >= ranks[len(ranks)-1]
 }
--- a/core/jwinstance/limit_test.go
+++ b/core/jwinstance/limit_test.go
@@ -1,6 +1,7 @@
 package jwinstance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"jujubewheel/core/jwbudget"
+	"jujubewheel/core/jwmember"
 )
 
 // What a target that names a limit may get of all nodes together within any span: half
@@ -221,3 +223,31 @@
 	table.Remove(after(20_001), "c", 1)
 	assert.Assert(t, chosen(table, after(23_000), small) != "", "no other target is left")
 }
+
+// All targets of a large region name a limit: each request asks for each of them whether
+// this node owns it and has room.
+func BenchmarkBestOfLimitedTargets(b *testing.B) {
+	const targets, nodes = 250, 75
+	members := &jwmember.Table{Self: jwmember.Member{Name: "n00", Region: "r", Serving: true}}
+	for i := 1; i < nodes; i++ {
+		members.Put(t0, jwmember.Member{Name: fmt.Sprintf("n%02d", i), Region: "r", Serving: true})
+	}
+	table := &Table{Region: "r", Node: "n00", LimitPart: func(rate float64, target string, knows func(string) bool) jwbudget.LimitPart {
+		return jwbudget.PartOf(rate, members.OwnsAmong(t0, target, knows), nodes)
+	}}
+	for i := range targets {
+		in := instance(fmt.Sprintf("t%03d", i))
+		table.Put(t0, in)
+		table.Limited(t0, table.targets[in.ID], Limit{Named: true, Rate: 2})
+	}
+	n := Need{Service: "s", Prompt: prompt(1, 2, 3), Events: 10, Capacity: 250_000}
+	now := t0
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(50 * time.Millisecond) // 21 requests a second at each node
+		if c, ok := table.Best(now, n); ok {
+			table.Done(now, c.Target, c, 0)
+		}
+		table.placed = table.placed[:0]
+	}
+}
--- a/core/jwinstance/subset.go
+++ b/core/jwinstance/subset.go
@@ -193,7 +193,7 @@
 // knows reports whether this node chooses among others and a target.
 func (t *Table) knows(x *Target) bool {
 	t.index()
-	return len(t.places[x.Service][x.Region]) <= localSubset || t.knownBy(x, t.Node)
+	return t.knownBy(x, t.Node)
 }
 
 // index sorts the targets by service and region, if any came or went since.
--- a/core/jwinstance/subset_test.go
+++ b/core/jwinstance/subset_test.go
@@ -191,3 +191,18 @@
 		}
 	}
 }
+
+// Whether a node knows a target is asked by rank; it must say the same as the list.
+func TestKnownByAgreesWithTheSubsets(t *testing.T) {
+	table := &Table{Region: "r", Node: "n0"}
+	for i := range 200 {
+		table.Put(t0, instance(fmt.Sprintf("t%03d", i)))
+	}
+	for _, node := range []string{"n0", "n1", "n2"} {
+		list := table.subset(subsetKey{"s", "r", node})
+		assert.Equal(t, len(list), localSubset)
+		for _, x := range table.targets {
+			assert.Equal(t, table.knownBy(x, node), slices.Contains(list, x))
+		}
+	}
+}
--- a/core/jwmember/share.go
+++ b/core/jwmember/share.go
@@ -57,10 +57,7 @@
 func (t *Table) OwnsAmong(now time.Time, name string, may func(node string) bool) bool {
 	best, most := "", uint64(0)
 	for _, m := range t.Live(now, t.Self.Region) {
-		if !may(m.Name) {
-			continue
-		}
-		if s := rank(m.Name, name); best == "" || s > most {
+		if s := rank(m.Name, name); (best == "" || s > most) && may(m.Name) {
 			best, most = m.Name, s
 		}
 	}
