--- a/core/jwlimit/admission.go
+++ b/core/jwlimit/admission.go
@@ -33,7 +33,7 @@
 const foreignFill = 0.9
 
 // refuse goes through the tests in turn, the cheapest for the caller last: a
-// limit of the entry is told as such even when the service is full as well.
+// limit of the entry is named as such even when the service is full as well.
 func (a *admission) refuse() (Refusal, bool) {
 	if a.Room.Targets == 0 && !a.Away {
 		return Refusal{Reason: NoTarget, RetryAfter: a.spread(noTargetPause)}, true
@@ -84,9 +84,9 @@
 }
 
 // turn reports whether a request may take one of the free places: a caller that
-// comes back at the time it was told does if there is one, others only what is
+// retries at the time it was given does if there is one, others only what is
 // not kept for such callers. Without this, new callers take the places first,
-// and one who did as it was told is refused time and again.
+// and one who did so is refused time and again.
 func (a *admission) turn(b *book, free float64, gap time.Duration) bool {
 	if a.limiter.Policy.NoBooking {
 		return free >= 1
@@ -224,7 +224,7 @@
 	return Refusal{Reason: reason, RetryAfter: at.Sub(a.Now)}
 }
 
-// Bounds of what a caller is told to wait.
+// Bounds of the Retry-After that a caller gets.
 const (
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
@@ -234,9 +234,9 @@
 // come back.
 const backShare = 0.25
 
-// inTurn tells a caller who is refused for want of room when to come back: after
-// the others who were told so, at a pace that leaves most of the room to those
-// who come for the first time. Were all told to come back soon, they would come
+// inTurn returns when a caller who is refused for want of room is to retry: after
+// the others who were given a time, at a pace that leaves most of the room to those
+// who come for the first time. Were all to retry soon, they would come
 // in the midst of an overload again and again, new callers would be refused in
 // their favour, and everyone would be served only after several tries: late.
 func (a *admission) inTurn(p *pool, least time.Duration) time.Duration {
--- a/core/jwlimit/book.go
+++ b/core/jwlimit/book.go
@@ -5,7 +5,7 @@
 // Limits of a book of turns.
 const (
 	maxTurns  = 4096                   // callers that a turn is kept for
-	turnGrace = 2 * time.Second        // how long a turn is kept; callers are told whole seconds, rounded up
+	turnGrace = 2 * time.Second        // how long a turn is kept; callers get whole seconds, rounded up
 	turnEarly = 100 * time.Millisecond // how much too early a caller may come
 )
 
--- a/core/jwlimit/limiter.go
+++ b/core/jwlimit/limiter.go
@@ -8,7 +8,7 @@
 	"jujubewheel/core/jwtarget"
 )
 
-// Reason tells why a request was refused.
+// Reason is why a request was refused.
 type Reason string
 
 // The reasons for a refusal.
@@ -76,7 +76,7 @@
 type Policy struct {
 	NoDeadline bool // what cannot be in time is taken on all the same
 	NoClasses  bool // all classes are treated alike
-	NoOwners   bool // owners may crowd each other out
+	NoOwners   bool // owners may displace each other
 	NoBooking  bool // refused callers get no turn kept
 }
 
--- a/core/jwlimit/share.go
+++ b/core/jwlimit/share.go
@@ -12,12 +12,12 @@
 // How the nodes of a region share an entry's limits.
 const (
 	evenPart  = 0.5                    // part of a limit split evenly; the rest goes by demand
-	toldFor   = 5 * time.Second        // how long a node's word about its demand counts
+	reportAge = 5 * time.Second        // how long a node's report of its demand counts
 	shareFor  = 200 * time.Millisecond // how long a computed share stands
 	rateAfter = time.Second            // time over which demand is averaged
 )
 
-// Usage is what a node tells the others of one entry.
+// Usage is what a node reports to the others of one entry.
 type Usage struct {
 	Name    string  // of the entry
 	Rate    float64 // requests that asked, a second
@@ -131,8 +131,8 @@
 }
 
 // share returns this node's part of an entry's limits. Every node computes the
-// parts of all from the same words, so where they have heard the same, the
-// parts add up to the limit and no request needs a word or a write of its own.
+// parts of all from the same reports, so where they have merged the same, the
+// parts add up to the limit and no request needs a call or a write of its own.
 // Where they have not, the even part bounds what a node can take too much.
 func (l *Limiter) share(name string, m *meter, concurrent int, now time.Time) share {
 	if !m.shared.IsZero() && now.Sub(m.shared) < shareFor {
@@ -161,20 +161,20 @@
 }
 
 // elsewhere counts the requests of an entry that other nodes run, as far as
-// they told. A part that has just grown is thus not filled before the node
+// they reported. A part that has just grown is thus not filled before the node
 // whose part shrank has finished what it had above.
 func (l *Limiter) elsewhere(m *meter, now time.Time) int {
 	n := 0
 	for node, w := range m.reported {
-		if node != l.Node && now.Sub(w.at) <= toldFor {
+		if node != l.Node && now.Sub(w.at) <= reportAge {
 			n += w.running
 		}
 	}
 	return n
 }
 
-// demand returns what a node asks of an entry, by the last word. This node's
-// own demand counts as it was told as well: were it counted at once, each of
+// demand returns what a node asks of an entry, by the last report. This node's
+// own demand counts as it was reported as well: were it counted at once, each of
 // many nodes hit by the same burst would take itself for the only one that
 // asks, and together they would run several times the limit.
 func (l *Limiter) demand(node string, m *meter, now time.Time) float64 {
@@ -182,7 +182,7 @@
 		return m.own
 	}
 	w, known := m.reported[node]
-	if !known || now.Sub(w.at) > toldFor {
+	if !known || now.Sub(w.at) > reportAge {
 		return 0
 	}
 	return w.rate
