--- a/core/jwclaim/adopt.go
+++ b/core/jwclaim/adopt.go
@@ -14,7 +14,7 @@
 	until  time.Time
 }
 
-// move tells where the keys of a process are now.
+// move says where the keys of a process are now.
 type move struct {
 	to    Holder
 	until time.Time
@@ -77,7 +77,7 @@
 // readAgain makes all who wait for a slot wait for a read that begins now. A
 // claim that the stopping node released just before its handover may still be
 // in a view of this node; taken for one of those handed over, it would have no
-// record, and its key be told unknown. k.mu is held.
+// record, and its key be answered as unknown. k.mu is held.
 func (k *Keeper) readAgain() {
 	for _, s := range k.slots {
 		for _, it := range s.queue {
@@ -141,7 +141,7 @@
 	k.keep(c)
 }
 
-// Learn takes another node's word that it answers for a process that stopped.
+// Learn takes another node's report that it answers for a process that stopped.
 func (k *Keeper) Learn(m Move) {
 	k.once.Do(k.prepare)
 	k.mu.Lock()
@@ -153,7 +153,7 @@
 }
 
 // Moves returns who answers for the processes that this node took over, and,
-// once it has handed its keys on, for itself; to be told to all others.
+// once it has handed its keys on, for itself; to be reported to all others.
 func (k *Keeper) Moves() []Move {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -171,7 +171,7 @@
 
 // elsewhere names the process that answers for a holder now; k.mu is held.
 func (k *Keeper) elsewhere(h Holder) Decision {
-	// Bounded, for two nodes' words could name each other.
+	// Bounded, for two nodes' reports could name each other.
 	for range 8 {
 		m, ok := k.moved[h.Incarnation]
 		if !ok {
--- a/core/jwclaim/call.go
+++ b/core/jwclaim/call.go
@@ -28,7 +28,7 @@
 	Region      string            `json:"region,omitempty"` // where it ran
 }
 
-// callState tells how far a call is.
+// callState is how far a call is.
 type callState string
 
 const (
@@ -134,7 +134,7 @@
 }
 
 // Wait returns the answer of the call once it is settled, whatever node code
-// runs it; the outcome tells whether it ran.
+// runs it; the outcome says whether it ran.
 func (c *Call) Wait(ctx context.Context) (Answer, error) {
 	select {
 	case <-c.done:
--- a/core/jwclaim/decision.go
+++ b/core/jwclaim/decision.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Verdict tells what to do with a call that has a key.
+// Verdict is what to do with a call that has a key.
 type Verdict string
 
 // The verdicts on a call.
--- a/core/jwclaim/handover.go
+++ b/core/jwclaim/handover.go
@@ -18,7 +18,7 @@
 	ErrRecord = errors.New("unreadable handover record")
 )
 
-// Receipt is a successor's word that it answers for what it was handed.
+// Receipt is a successor's statement that it answers for what it was handed.
 type Receipt struct {
 	Kept        uint64 // records taken over, the end record left out
 	Incarnation string // of the successor
@@ -32,10 +32,10 @@
 	Handover(ctx context.Context, records iter.Seq[Record]) (Receipt, error)
 }
 
-// handing tells how far this node's own handover is.
+// handing is how far this node's own handover is.
 type handing struct {
 	offer  chan struct{} // open while a successor may be taking over
-	doubt  bool          // a successor may have taken over without a word
+	doubt  bool          // a successor may have taken over without a receipt
 	to     Holder
 	handed bool
 }
@@ -105,8 +105,8 @@
 // Handover gives tickets, answers and unwritten releases to a successor. It
 // may be called again with another successor after an error. The order keeps
 // a key from running twice: the keeper is closed and nothing is in flight
-// before the first record leaves; until the successor's word is in, unused
-// tickets wait here; and once a successor may have taken over without a word,
+// before the first record leaves; until the successor's receipt is in, unused
+// tickets wait here; and once a successor may have taken over without a receipt,
 // no other one gets the right to run unused tickets, and here they are unknown.
 func (k *Keeper) Handover(ctx context.Context, s Successor) error {
 	records, err := k.offer(s)
--- a/core/jwclaim/keeper.go
+++ b/core/jwclaim/keeper.go
@@ -45,7 +45,7 @@
 	Tickets           uint64 // tickets run
 	Releases          uint64 // calls given back as not run
 	Unknowns          uint64 // verdicts and calls that ended unknown
-	Unreads           uint64 // own keys turned away unread
+	Unreads           uint64 // own keys rejected unread
 	Evicted           uint64 // answers forgotten for want of memory
 	Writes            uint64 // writes of the store
 	LostSwaps         uint64 // of these, lost to another node
@@ -75,7 +75,7 @@
 	StoreTimeout time.Duration // longest wait for one call of the store
 	Skew         time.Duration // most by which the clocks of two nodes differ
 	Sweep        time.Duration // between two searches for what has expired
-	RetryAfter   time.Duration // advice to callers turned away
+	RetryAfter   time.Duration // advice to rejected callers
 	Slots        int           // logs a region; the same on all nodes, fixed for good
 	SegmentRows  int           // rows after which a segment is sealed
 	AnswerBytes  int           // most bytes of kept answers
--- a/core/jwclaim/preferred.go
+++ b/core/jwclaim/preferred.go
@@ -2,7 +2,7 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// Peers tells which nodes of a region serve.
+// Peers returns which nodes of a region serve.
 type Peers interface {
 	Serving(region string) []string
 }
--- a/core/jwclaim/record.go
+++ b/core/jwclaim/record.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 )
 
-// RecordKind tells what a handover record holds.
+// RecordKind is what a handover record holds.
 type RecordKind string
 
 // The kinds of handover records, in the order in which they are sent.
--- a/core/jwclaim/slot.go
+++ b/core/jwclaim/slot.go
@@ -36,7 +36,7 @@
 	ended   time.Time // of the last cycle
 	used    time.Time // last item
 	fails   int       // cycles in a row that failed
-	retryAt time.Time // own keys are turned away until then
+	retryAt time.Time // own keys are rejected until then
 }
 
 // position is a state of the log, as a write names the one it extends.
@@ -150,7 +150,7 @@
 	return unread
 }
 
-// down reports whether own keys are to be turned away at once; k.mu is held.
+// down reports whether own keys are to be rejected at once; k.mu is held.
 func (s *slot) down(now time.Time) bool {
 	return s.fails > 1 && now.Before(s.retryAt)
 }
--- a/core/jwsuspect/fingerprint.go
+++ b/core/jwsuspect/fingerprint.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 )
 
-// Fingerprint stands for a request's entry and body. Nodes tell each other
+// Fingerprint stands for a request's entry and body. Nodes report to each other
 // fingerprints only, from which the body cannot be had back.
 type Fingerprint [16]byte
 
--- a/core/jwsuspect/notice.go
+++ b/core/jwsuspect/notice.go
@@ -7,17 +7,17 @@
 	"time"
 )
 
-// Notice is one word about a fingerprint, as told to peers: a crash held
+// Notice is one report about a fingerprint, as peers get it: a crash held
 // against it, or that it has been served and is clear.
 type Notice struct {
 	Fingerprint Fingerprint
 	State       State          // Suspected for a crash, Clear
 	Target      netip.AddrPort // that crashed
 	Age         time.Duration
-	Region      string // set for bound data: told only within this region
+	Region      string // set for bound data: reported only within this region
 }
 
-// Notices returns what to tell a peer of a region, sorted; what is bound to
+// Notices returns what to report to a peer of a region, sorted; what is bound to
 // another region is left out.
 func (t *Table) Notices(region string, now time.Time) []Notice {
 	t.mu.Lock()
@@ -50,7 +50,7 @@
 	return a.Target.Compare(b.Target)
 }
 
-// Merge takes over what a peer told. A notice bound to another region is
+// Merge takes over what a peer reported. A notice bound to another region is
 // dropped. So is one that is nearly too old to count: this node may have
 // forgotten the same crash a moment ago, and would take it for a new one. It
 // returns the fingerprints that this has put in quarantine here.
--- a/core/jwsuspect/table.go
+++ b/core/jwsuspect/table.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// State tells how far a fingerprint is suspected.
+// State is how far a fingerprint is suspected.
 type State string
 
 // The states of a fingerprint.
@@ -46,7 +46,7 @@
 // it. Fields are set before use; the zero value uses the defaults.
 type Table struct {
 	Node       string        // name of this node
-	Region     string        // told to peers with what is bound to it
+	Region     string        // reported to peers with what is bound to it
 	Remember   time.Duration // how long one crash counts
 	Quarantine time.Duration // how long the first quarantine of a fingerprint lasts
 	Most       int           // fingerprints remembered at most
@@ -78,7 +78,7 @@
 	at     time.Time
 }
 
-// Begin notes a call in flight; bound tells that its data must not leave the
+// Begin notes a call in flight; bound says that its data must not leave the
 // region. Every Begin needs its End.
 func (t *Table) Begin(f Fingerprint, target netip.AddrPort, bound bool) {
 	t.mu.Lock()
@@ -188,7 +188,7 @@
 	return s
 }
 
-// same reports whether two words are about the same crash. Nodes notice a crash
+// same reports whether two notices are about the same crash. Nodes notice a crash
 // at slightly different times; a target that has come back and goes down again
 // is another crash, or a service with one target would never be safe.
 func (c crash) same(other crash) bool {
@@ -203,7 +203,7 @@
 	return s.bars > 0 && now.Sub(s.until) <= remember
 }
 
-// Check tells how far a fingerprint is suspected; for a quarantined one it
+// Check returns how far a fingerprint is suspected; for a quarantined one it
 // returns how long that still lasts.
 func (t *Table) Check(f Fingerprint, now time.Time) (State, time.Duration) {
 	t.mu.Lock()
