--- a/io/jwnode/assemble.go
+++ b/io/jwnode/assemble.go
@@ -40,7 +40,7 @@
 	n.meetSeeds(time.Now())
 }
 
-// assembleBoard tells the tables which node they belong to.
+// assembleBoard sets which node the tables belong to.
 func (n *Node) assembleBoard() {
 	s := n.Settings
 	n.board.Targets.Node = s.Node
@@ -109,13 +109,13 @@
 		Sponsors: &sponsors{peers: &n.board.Peers, pool: n.pool}, Adoptions: n.adoptions,
 	}
 	n.gatherer = &jwcatalogue.Gatherer{
-		Name: s.Node, Region: s.Region, Store: n.store, Table: &n.board.Catalogue, Peers: heardPeers{&n.board.Peers},
+		Name: s.Node, Region: s.Region, Store: n.store, Table: &n.board.Catalogue, Peers: freshPeers{&n.board.Peers},
 		Departures: n.departures, Registered: n.membership.Registered,
 	}
 	n.acceptance = &jwcatalogue.Acceptance{Store: n.store}
 }
 
-// assembleExchange makes what tells other nodes and hears from them.
+// assembleExchange makes what exchanges state with other nodes.
 func (n *Node) assembleExchange() {
 	s := n.Settings
 	reporter := &jwboard.Reporter{Board: &n.board, Moves: n.keeper, Now: time.Now}
--- a/io/jwnode/audit.go
+++ b/io/jwnode/audit.go
@@ -13,29 +13,29 @@
 	"jujubewheel/io/jwaudit"
 )
 
-// accepted words acceptance for the operators' port and records each revision
+// accepted adapts acceptance to the operators' port and records each revision
 // that is found accepted for the first time.
 type accepted struct {
 	*jwcatalogue.Acceptance
 
-	audit *jwaudit.Trail
-	told  atomic.Uint64
+	audit  *jwaudit.Trail
+	latest atomic.Uint64 // revision that was recorded
 }
 
-// Status tells whether a revision is in force everywhere, or which nodes are
+// Status reports whether a revision is in force everywhere, or which nodes are
 // missing.
 func (a *accepted) Status(ctx context.Context, revision uint64) (done bool, missing []string, err error) {
 	s, err := a.Check(ctx, revision)
 	for _, m := range s.Missing {
 		missing = append(missing, m.Names...)
 	}
-	if before := a.told.Load(); s.Accepted && revision > before && a.told.CompareAndSwap(before, revision) {
+	if before := a.latest.Load(); s.Accepted && revision > before && a.latest.CompareAndSwap(before, revision) {
 		a.audit.Add(jwaudit.Record{Kind: jwaudit.Accepted, Subject: "catalogue", Revision: revision})
 	}
 	return s.Accepted, missing, err
 }
 
-// crashed tells the other nodes of a crash at once, since the next try of the
+// crashed reports a crash to the other nodes at once, since the next try of the
 // same request may come to any of them. The record names no fingerprint: logs
 // may be collected outside the region, and a hash of a short body bound to it
 // could be guessed.
--- a/io/jwnode/keys.go
+++ b/io/jwnode/keys.go
@@ -62,7 +62,7 @@
 }
 
 // nodeCredentials secures connections between nodes, nil for plain ones. Who
-// should answer at an address is what the peers' own words and the platform's
+// should answer at an address is what the peers' own states and the platform's
 // list say.
 func (n *Node) nodeCredentials() credentials.TransportCredentials {
 	if n.keys.nodes == nil {
--- a/io/jwnode/life.go
+++ b/io/jwnode/life.go
@@ -41,7 +41,7 @@
 
 // join gets the directory and the catalogue, begins to serve, and keeps the
 // membership until ctx ends. An error says that another process has this
-// node's name, so that its word would count for this one's.
+// node's name, so that its state would count for this one's.
 func (n *Node) join(ctx context.Context) error {
 	for n.board.Directory.Current() == nil {
 		select {
@@ -75,7 +75,7 @@
 	return g.Wait()
 }
 
-// ready tells whether the node may serve.
+// ready reports whether the node may serve.
 func (n *Node) ready() bool { return n.serving.Load() && n.pulse.Alive() }
 
 // ignoreEnd drops an error that is only the end of ctx.
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	if err := n.membership.Leave(ctx); err != nil {
-		// The gatherer of the region counts this node out by its last word.
+		// The gatherer of the region counts this node out by its last state.
 		n.Log.Error(err, "member record left behind")
 	}
 }
@@ -108,7 +108,7 @@
 // leaveTimeout bounds the wait for the platform at the very end of a stop.
 const leaveTimeout = 3 * time.Second
 
-// drainChanged tells the others how far the stop is.
+// drainChanged reports to the others how far the stop is.
 func (n *Node) drainChanged(s jwdrain.State) {
 	switch s {
 	case jwdrain.Leaving:
@@ -118,14 +118,14 @@
 		n.Audit.Add(jwaudit.Record{Kind: jwaudit.Handover, Subject: n.self.Node, To: "handedOver"})
 	case jwdrain.Gone:
 		n.setState(jwpeer.Gone)
-		// The exchanges need a moment to carry the last word.
-		time.Sleep(lastWord)
+		// The exchanges need a moment to carry the last state.
+		time.Sleep(lastExchange)
 	}
 }
 
-// lastWord is how long the exchanges have to tell the others that this node is
+// lastExchange is how long the exchanges have to report to the others that this node is
 // gone.
-const lastWord = 500 * time.Millisecond
+const lastExchange = 500 * time.Millisecond
 
 // successors are the serving nodes of the region, in random order.
 func (n *Node) successors() []jwclaim.Successor {
--- a/io/jwnode/membership.go
+++ b/io/jwnode/membership.go
@@ -12,12 +12,12 @@
 	"jujubewheel/io/jwforward"
 )
 
-// heardPeers are the nodes that were heard of lately. A dead node must not stay
+// freshPeers are the nodes that were seen lately. A dead node must not stay
 // the gatherer of its region: no change would be accepted until it is forgotten.
-type heardPeers struct{ table *jwpeer.Table }
+type freshPeers struct{ table *jwpeer.Table }
 
-// Peers returns the nodes heard of lately, this one among them.
-func (h heardPeers) Peers() []jwpeer.Peer { return h.table.Fresh(time.Now().Add(-silence)) }
+// Peers returns the nodes seen lately, this one among them.
+func (h freshPeers) Peers() []jwpeer.Peer { return h.table.Fresh(time.Now().Add(-silence)) }
 
 // servingBeside returns the nodes of a region that serve, but for one.
 func servingBeside(table *jwpeer.Table, region, name string) []jwpeer.Peer {
@@ -50,7 +50,7 @@
 	return of.Name, changes, cp, err
 }
 
-// Release tells a peer that it need not answer for this node any more. A peer
+// Release reports to a peer that it need not answer for this node any more. A peer
 // that is gone answers for nobody.
 func (s *sponsors) Release(ctx context.Context, sponsor string, m jwcatalogue.Member) error {
 	of, known := s.peers.Get(sponsor)
--- a/io/jwnode/node.go
+++ b/io/jwnode/node.go
@@ -36,7 +36,7 @@
 
 // The paces that are no settings, since nobody had to change them so far.
 const (
-	beat            = 5 * time.Second // a node's word about itself when nothing changes
+	beat            = 5 * time.Second // between two states that a node reports of itself when nothing changes
 	exchangeTimeout = time.Second
 	silence         = 15 * time.Second // after which a peer is no relay
 	loadTimeout     = time.Second
@@ -195,16 +195,16 @@
 		Busy: n.carriesMuch,
 	}
 	for _, run := range []func(context.Context) error{
-		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.wakeFollower, n.gatherer.Run, n.keeper.Run, n.tellRevision, n.tend,
+		hosts.Run, directory.Run, poller.Run, n.exchange.Run, n.follower.Run, n.wakeFollower, n.gatherer.Run, n.keeper.Run, n.reportRevision, n.tend,
 		n.observer().Run, n.keys.run,
 	} {
 		g.Go(func() error { return run(ctx) })
 	}
 }
 
-// tellRevision tells the others which catalogue revision is in force here and
+// reportRevision reports to the others which catalogue revision is in force here and
 // at the nodes that this one answers for.
-func (n *Node) tellRevision(ctx context.Context) error {
+func (n *Node) reportRevision(ctx context.Context) error {
 	for {
 		changed := n.board.Catalogue.Changed()
 		revision := n.adoptions.Confirmed()
@@ -223,7 +223,7 @@
 	}
 }
 
-// wakeFollower has peers asked for changes as soon as one is heard to have more
+// wakeFollower has peers asked for changes as soon as one is known to have more
 // than this node.
 func (n *Node) wakeFollower(ctx context.Context) error {
 	for {
@@ -241,7 +241,7 @@
 	}
 }
 
-// tend does what is due now and then: it forgets peers long silent and tells
+// tend does what is due now and then: it forgets peers long unresponsive and reports
 // the limiter which nodes share the region's limits.
 func (n *Node) tend(ctx context.Context) error {
 	for {
@@ -265,7 +265,7 @@
 	}
 }
 
-// carriesMuch tells that this node is a relay of many others. With two nodes a
+// carriesMuch reports that this node is a relay of many others. With two nodes a
 // data centre each is a relay, and none has much to carry.
 func (n *Node) carriesMuch() bool {
 	return n.exchange.IsRelay() && n.board.Peers.Len() > manyPeers
@@ -274,12 +274,12 @@
 // manyPeers is the number of nodes from which a relay's messages count.
 const manyPeers = 100
 
-// watches tells whether this node waits on the platform for catalogue changes.
+// watches reports whether this node waits on the platform for catalogue changes.
 func (n *Node) watches() bool {
 	return n.exchange.IsRelay()
 }
 
-// setState tells the others how far this node is.
+// setState reports to the others how far this node is.
 func (n *Node) setState(state jwpeer.State) {
 	n.board.Peers.Update(time.Now(), func(p *jwpeer.Peer) { p.State = state })
 	n.Audit.Add(jwaudit.Record{Kind: jwaudit.NodeState, Subject: n.self.Node, To: string(state)})
--- a/io/jwnode/sources.go
+++ b/io/jwnode/sources.go
@@ -18,7 +18,7 @@
 // mostChanges bounds one answer of a peer.
 const mostChanges = 256
 
-// servingPeers tells the claims which nodes of a region serve and were heard of
+// servingPeers returns to the claims which nodes of a region serve and were seen
 // lately.
 type servingPeers struct{ table *jwpeer.Table }
 
