--- a/core/jwinstance/limit_test.go
+++ b/core/jwinstance/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -251,3 +252,33 @@
 		table.placed = table.placed[:0]
 	}
 }
+
+// In a region of many nodes each compares few targets of many. The owner of one that names
+// a limit is the only node that may use it, and hardly ever drew it.
+func TestOwnerUsesTheLimit(t *testing.T) {
+	const rate, seconds = 2, 20
+	random := rand.New(rand.NewPCG(1, 2))
+	table := &Table{
+		Region: "r", Nodes: func() int { return 75 }, Rand: random.IntN,
+		LimitPart: func(rate float64, _ string, _ func(string) bool) jwbudget.LimitPart {
+			return jwbudget.PartOf(rate, true, 75)
+		},
+	}
+	var loads []NodeLoad
+	for i := range 60 {
+		id := fmt.Sprintf("t%02d", i)
+		table.Put(t0, instance(id))
+		if id != "t07" {
+			loads = append(loads, NodeLoad{Target: id, Calls: 2, Held: 8000})
+		}
+	}
+	table.Limited(t0, table.targets["t07"], Limit{Named: true, Rate: rate})
+	sent := 0
+	for ms := 0; ms < 1000*(seconds+4); ms += 100 {
+		table.Merge(after(ms), "other", loads, nil)
+		if chosen(table, after(ms), Need{Prompt: Prompt{Tokens: 8000}}) == "t07" {
+			sent++
+		}
+	}
+	assert.Assert(t, sent >= rate*seconds*8/10, "%d of %d requests that it takes", sent, rate*seconds)
+}
--- a/core/jwinstance/sample.go
+++ b/core/jwinstance/sample.go
@@ -16,9 +16,23 @@
 }
 
 // draw returns the places in a list of the targets that are compared: of those that
-// may take the request sampleSize at random, and the one that keeps most of the
-// prompt.
+// may take the request sampleSize at random, the one that keeps most of the prompt, and
+// those that name a limit and have room for this node.
 func (t *Table) draw(now time.Time, n Need, list []*Target, last bool) []int {
+	t.candidates(now, n, list, last)
+	limited := t.limited
+	// A limit counts requests, whatever their size, so that a large prompt there takes most
+	// off the other targets.
+	if len(t.drawn) > 0 && n.Prompt.Tokens < int(t.pace(n.Service).prompt) {
+		limited = nil
+	}
+	t.drawn = append(t.sample(n), limited...)
+	return t.drawn
+}
+
+// candidates puts the places of the targets that may take the request into t.drawn, and of
+// those that name a limit into t.limited.
+func (t *Table) candidates(now time.Time, n Need, list []*Target, last bool) {
 	t.drawn, t.limited = t.drawn[:0], t.limited[:0]
 	for i, x := range list {
 		if x.Region != t.Region || !t.usable(now, x, last) || n.Exclude[x.ID] || slices.Contains(n.Apart, x.Address) {
@@ -35,11 +49,10 @@
 		}
 		t.drawn = append(t.drawn, i)
 	}
-	// A limit counts requests, whatever their size, so that a large prompt there takes most
-	// off the other targets.
-	if len(t.drawn) == 0 || n.Prompt.Tokens >= int(t.pace(n.Service).prompt) {
-		t.drawn = append(t.drawn, t.limited...)
-	}
+}
+
+// sample returns those of the candidates that are compared.
+func (t *Table) sample(n Need) []int {
 	if t.Nodes == nil || n.WarmOnly || len(t.drawn) == 0 {
 		return t.drawn
 	}
