jwgateway, jwmember: a node that sees no relay calls those that may be one

A node of a large region that was paused stayed alone for good: callers were led to the others only, and it led its own to itself.

Cause: who has seen nobody takes itself for the relay, and a relay calls nobody in its data centre. The same between two data centres of a region. Ruled out: the drill itself, as a pause alone does it.

A relay now calls, once a second, one node that would relay before it and one of each data centre in which it sees none, of those that were registered or seen within a minute; the answer tells who lives.

TestPausedNodeFindsItsRelay failed before in two plays of two, after 10 s.

--- a/core/jwmember/relay.go
+++ b/core/jwmember/relay.go
@@ -148,6 +148,47 @@
 	return list
 }
 
+// Unseen returns nodes of the own region that may run though this one has not seen them
+// lately, for a relay to call: of each other data centre without a live node one, and of the
+// own one that would be the relay. Rising turns return others.
+func (t *Table) Unseen(now time.Time, turn int) []Member {
+	var list []Member
+	for _, dc := range t.dataCentres(t.Self.Region) {
+		if _, ok := t.Relay(now, dc); ok && dc != t.Self.DataCentre {
+			continue
+		}
+		if unseen := t.unseen(now, dc); len(unseen) > 0 {
+			list = append(list, unseen[turn%len(unseen)])
+		}
+	}
+	return list
+}
+
+// unseen returns the nodes of a data centre that were registered or seen within a minute and
+// aren't taken to run, those first that would be its relay; of the own one only those that
+// would be it before this node.
+func (t *Table) unseen(now time.Time, dataCentre string) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Member
+	for _, r := range t.members {
+		known := r.registered || now.Sub(r.seen) < forget
+		if !known || r.Region != t.Self.Region || r.DataCentre != dataCentre || t.live(now, r) {
+			continue
+		}
+		if dataCentre != t.Self.DataCentre || before(r.Member, t.Self) {
+			list = append(list, r.Member)
+		}
+	}
+	slices.SortFunc(list, func(a, b Member) int {
+		if before(a, b) {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
 func (t *Table) dataCentres(region string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/jwmember/relay_test.go
+++ b/core/jwmember/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -192,3 +193,36 @@
 		table.Live(now.Add(time.Duration(i)*time.Microsecond), "r")
 	}
 }
+
+// Nodes that this one hasn't seen lately are called by turns: those that would be the relay of
+// the own data centre, and any of a data centre where none is known to run.
+func TestUnseen(t *testing.T) {
+	t0 := time.Unix(100, 0)
+	table := &Table{Self: Member{Name: "b1", Region: "r", DataCentre: "b", Serving: true, Capacity: 5}}
+	for name, m := range map[string]Member{
+		"b0": {DataCentre: "b", Capacity: 9}, "b2": {DataCentre: "b", Capacity: 7}, "b3": {DataCentre: "b", Capacity: 1},
+		"c0": {DataCentre: "c"}, "c1": {DataCentre: "c"}, "d0": {DataCentre: "d"}, "d1": {DataCentre: "d"},
+	} {
+		m.Name, m.Region, m.Serving, m.Start = name, "r", true, 1
+		table.Put(t0, m)
+	}
+	table.Put(t0, Member{Name: "x0", Region: "s", DataCentre: "x", Serving: true})
+	unseen := func(now time.Time, turn int) string {
+		var names []string
+		for _, m := range table.Unseen(now, turn) {
+			names = append(names, m.Name)
+		}
+		return strings.Join(names, " ")
+	}
+	assert.Equal(t, unseen(t0, 0), "", "new registrations are believed")
+	now := t0.Add(10 * time.Second)
+	table.Seen(now, Member{Name: "d1", Region: "r", DataCentre: "d", Serving: true, Start: 1})
+	assert.Equal(t, unseen(now, 0), "b0 c0")
+	assert.Equal(t, unseen(now, 1), "b2 c1")
+	table.Seen(now, Member{Name: "b0", Region: "r", DataCentre: "b", Serving: true, Start: 1, Capacity: 9})
+	assert.Equal(t, unseen(now, 0), "b2 c0")
+	for _, name := range []string{"b2", "c0", "c1"} {
+		table.Remove(name)
+	}
+	assert.Equal(t, unseen(now.Add(2*time.Second), 0), "", "nobody is registered or was seen within a minute")
+}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -68,6 +68,8 @@
 	quotas     jwquota.Ledger
 	sharing    jwquotaexchange.Exchange // of the quotas' units with other nodes
 	regions    regionTable
+	unseenAt   time.Time // when nodes that were not seen were called last; of exchange only, as unseenTurn
+	unseenTurn int
 	exchanging sync.Map // names of the peers that an exchange waits for
 	demand     jwentry.Demand
 	suspects   jwsuspect.Table
--- a/io/jwgateway/through.go
+++ b/io/jwgateway/through.go
@@ -95,6 +95,21 @@
 		}
 		g.exchangeWithRelay(ctx, now, m, through{Relay: true})
 	}
+	g.callUnseen(ctx, now)
+}
+
+// callUnseen exchanges state, once a second, with nodes that this relay has not seen lately.
+// Two that don't see each other, as after a pause of one, may each take itself for the relay,
+// and would call nobody in their data centre.
+func (g *Gateway) callUnseen(ctx context.Context, now time.Time) {
+	if now.Sub(g.unseenAt) < exchangePeriod {
+		return
+	}
+	g.unseenAt = now
+	g.unseenTurn++
+	for _, m := range g.members.Unseen(now, g.unseenTurn) {
+		g.exchangeWithRelay(ctx, now, m, through{})
+	}
 }
 
 func (g *Gateway) exchangeWithRelay(ctx context.Context, now time.Time, m jwmember.Member, t through) {
--- a/io/jwgateway/through_test.go
+++ b/io/jwgateway/through_test.go
@@ -171,3 +171,28 @@
 	boot.Add(int64(time.Hour))
 	until(t, second, "/a/x", func(r reply) bool { return served(r) && counting.ranges.Load() > before })
 }
+
+// A node that reports through a relay was paused and has seen nobody since, so that it takes
+// itself for the relay. If neither calls the other, it stays alone for good.
+func TestPausedNodeFindsItsRelay(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	var boot atomic.Int64
+	crowded := func(g *jwgateway.Gateway) { g.RelayThreshold = 2 }
+	first := startWith(t, &feed, "n1", "north", crowded)
+	second := startWith(t, &feed, "n2", "north", func(g *jwgateway.Gateway) {
+		crowded(g)
+		g.Boot = func() time.Duration { return time.Duration(boot.Load()) }
+	})
+	for _, n := range []node{first, second} {
+		until(t, n, "/a/x", served)
+		names(t, n, "north", first, second)
+	}
+	boot.Add(int64(time.Hour))
+	eventually(t, func() bool { return len(directory(t, second, "north")) < 2 })
+	eventually(t, func() bool {
+		return len(directory(t, first, "north")) == 2 && len(directory(t, second, "north")) == 2
+	})
+}
