--- a/io/jwgateway/era_test.go
+++ b/io/jwgateway/era_test.go
@@ -96,15 +96,3 @@
 	register(&feed, "t3", "s", "127.0.0.1:1", "north-a", "draining")
 	until(t, n, "/a/x", func(r reply) bool { return r.body == "t1" })
 }
-
-// eventually waits until something holds.
-func eventually(t *testing.T, ok func() bool) {
-	t.Helper()
-	for range 1000 {
-		if ok() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Fatal("it does not come about")
-}
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -433,6 +433,18 @@
 	return doc.Addrs
 }
 
+// eventually waits until something holds.
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for range 3000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("it does not come about")
+}
+
 // names waits until a node names just these to callers of a region.
 func names(t *testing.T, at node, region string, all ...node) {
 	t.Helper()
@@ -440,16 +452,13 @@
 	for _, n := range all {
 		want[n.callers.String()] = true
 	}
-	for {
+	eventually(t, func() bool {
 		got := map[string]bool{}
 		for _, a := range directory(t, at, region) {
 			got[a] = true
 		}
-		if maps.Equal(got, want) {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+		return maps.Equal(got, want)
+	})
 }
 
 func TestDirectory(t *testing.T) {
