jwgateway: only a relay reports who is unresponsive

Cause: whoever was asked through a relay answered as one, with whom it takes for unresponsive. An ordinary node has exchanged state with its relay only, so that it named nearly all others of its data centre. It had been so wherever two nodes differ for a moment in who relays, as when all start; the new calls made it common.

A node that isn't the relay now says who runs, not who doesn't, and nodes that weren't seen are called with the plain exchange of small regions.

TestOnlyTheRelayReportsWhoIsUnresponsive failed before.

--- a/io/jwgateway/through.go
+++ b/io/jwgateway/through.go
@@ -108,7 +108,7 @@
 	g.unseenAt = now
 	g.unseenTurn++
 	for _, m := range g.members.Unseen(now, g.unseenTurn) {
-		g.exchangeWithRelay(ctx, now, m, through{})
+		g.sendStateTo(ctx, now, m)
 	}
 }
 
@@ -151,6 +151,13 @@
 	case s.Through.Relay:
 		return g.throughState(now, s.Member.Name, through{Relay: true})
 	}
+	if !g.members.IsRelay(now) {
+		// The sender is wrong about who relays. This node sees few others, and may only say
+		// who runs, not who doesn't.
+		own := g.throughState(now, s.Member.Name, through{})
+		own.LocalSeen = g.members.LocalSeen(now)
+		return own
+	}
 	h := g.members.Liveness(now)
 	return g.throughState(now, s.Member.Name, through{
 		Relay: true, Liveness: &h, Stopping: g.members.Stopping(now, stopNewsAge), Remote: g.regions.report(now), Changes: g.changesFor(now, s.Through),
--- a/io/jwgateway/through_test.go
+++ b/io/jwgateway/through_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -196,3 +199,33 @@
 		return len(directory(t, first, "north")) == 2 && len(directory(t, second, "north")) == 2
 	})
 }
+
+// A node that is no relay is taken for one. It has exchanged state with its relay only, and the
+// others that it hasn't seen would be taken for unresponsive.
+func TestOnlyTheRelayReportsWhoIsUnresponsive(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	nodes := crowd(t, &feed, &feed, &feed)
+	ask := func(n node) (out struct {
+		LocalSeen []string `json:"localSeen"`
+		Through   struct {
+			Relay    bool            `json:"relay"`
+			Liveness json.RawMessage `json:"liveness"`
+		} `json:"through"`
+	},
+	) {
+		res, err := http.Post("http://"+n.nodes.String()+"/state", "application/json", strings.NewReader(
+			`{"member":{"name":"n9","region":"north","dataCentre":"north-a","callers":"127.0.0.1:1","nodes":"127.0.0.1:1","start":1},"through":{"asks":true}}`))
+		assert.NilError(t, err)
+		defer res.Body.Close()
+		assert.NilError(t, json.NewDecoder(res.Body).Decode(&out))
+		return out
+	}
+	relay := ask(nodes[0])
+	assert.Assert(t, relay.Through.Relay && len(relay.Through.Liveness) > 0)
+	other := ask(nodes[1])
+	assert.Assert(t, !other.Through.Relay && len(other.Through.Liveness) == 0)
+	assert.Assert(t, slices.Contains(other.LocalSeen, "n1"), "%v", other.LocalSeen)
+}
