--- a/io/jwgateway/through_test.go
+++ b/io/jwgateway/through_test.go
@@ -182,10 +182,11 @@
 	var feed jwstore.MemoryFeed
 	startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
 	configure(&feed, 1, route("/a/", "idempotent", ""))
+	counting := &countingFeed{Feed: &feed}
 	var boot atomic.Int64
 	crowded := func(g *jwgateway.Gateway) { g.RelayThreshold = 2 }
 	first := startWith(t, &feed, "n1", "north", crowded)
-	second := startWith(t, &feed, "n2", "north", func(g *jwgateway.Gateway) {
+	second := startWith(t, counting, "n2", "north", func(g *jwgateway.Gateway) {
 		crowded(g)
 		g.Boot = func() time.Duration { return time.Duration(boot.Load()) }
 	})
@@ -193,8 +194,9 @@
 		until(t, n, "/a/x", served)
 		names(t, n, "north", first, second)
 	}
+	before := counting.ranges.Load()
 	boot.Add(int64(time.Hour))
-	eventually(t, func() bool { return len(directory(t, second, "north")) < 2 })
+	eventually(t, func() bool { return counting.ranges.Load() > before }) // it has noticed the pause
 	eventually(t, func() bool {
 		return len(directory(t, first, "north")) == 2 && len(directory(t, second, "north")) == 2
 	})
