jwinstance, jwmember, jwgateway: a predicate that only answers, one order of relays

Found on reading the change again; behaviour stays. outdates changed the registration that it was asked about, and is fromCopy now; the order of relays stands once, as a comparison; a node's part in a limit is asked for once.

--- a/core/jwinstance/limit_test.go
+++ b/core/jwinstance/limit_test.go
@@ -66,7 +66,7 @@
 	settled time.Time // from when on it sends to a target that names a limit
 	learns  time.Time // when it learns of the last change
 	errs    time.Time // until when it takes the owner for dead and itself for the owner
-	nodes   int       // as it believes
+	nodes   int       // in its view
 	owner   int
 }
 
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -112,9 +112,12 @@
 	if old != nil && in.Revision < old.Revision {
 		return Same // by another node that lags behind
 	}
-	if old != nil && old.outdates(&in) {
-		old.Revision, old.seenAt = in.Revision, now
-		return Same
+	if old != nil && old.fromCopy(in) {
+		if in.Born < old.Born || !old.gone.IsZero() {
+			old.Revision, old.seenAt = in.Revision, now
+			return Same
+		}
+		in.Draining = in.Draining || old.Draining
 	}
 	if old == nil || old.Born != in.Born || old.Address != in.Address || old.Service != in.Service {
 		fresh := &Target{Instance: in, key: jwtarget.NameKey(in.ID), seenAt: now, changed: now, slow: 1}
@@ -153,19 +156,15 @@
 	return change
 }
 
-// outdates reports whether nothing of a registration counts against what is known of the
-// target, as a store that came back from an older copy still holds it; that a target drains
-// is put into it. What the target writes after the copy counts again.
-func (x *Target) outdates(in *Instance) bool {
-	older := in.Born < x.Born
-	if jwstore.Era(in.Revision) > jwstore.Era(x.Revision) && (x.Draining || !x.gone.IsZero() || older) {
+// fromCopy reports whether a registration may be one that a store which came back from an
+// older copy still holds, though the target has left, drains or began anew since. What the
+// target writes after the copy counts again.
+func (x *Target) fromCopy(in Instance) bool {
+	risen := jwstore.Era(in.Revision) > jwstore.Era(x.Revision)
+	if risen && (x.Draining || !x.gone.IsZero() || in.Born < x.Born) {
 		x.copied = in.Revision
 	}
-	if x.copied == 0 || in.Revision > x.copied {
-		return false
-	}
-	in.Draining = in.Draining || x.Draining
-	return older || !x.gone.IsZero()
+	return x.copied != 0 && in.Revision <= x.copied
 }
 
 // compare returns what another registration of the same incarnation changes.
--- a/core/jwmember/relay.go
+++ b/core/jwmember/relay.go
@@ -53,11 +53,11 @@
 }
 
 // before reports whether a relays rather than b.
-func before(a, b Member) bool {
-	if a.Capacity != b.Capacity {
-		return a.Capacity > b.Capacity
-	}
-	return a.Name < b.Name
+func before(a, b Member) bool { return compare(a, b) < 0 }
+
+// compare orders members by who of them relays.
+func compare(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), strings.Compare(a.Name, b.Name))
 }
 
 // AllRelays returns the relays of all data centres, by data centre, the node itself if
@@ -180,12 +180,7 @@
 			list = append(list, r.Member)
 		}
 	}
-	slices.SortFunc(list, func(a, b Member) int {
-		if before(a, b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, compare)
 	return list
 }
 
--- a/core/jwmember/relay_test.go
+++ b/core/jwmember/relay_test.go
@@ -214,7 +214,7 @@
 		}
 		return strings.Join(names, " ")
 	}
-	assert.Equal(t, unseen(t0, 0), "", "new registrations are believed")
+	assert.Equal(t, unseen(t0, 0), "", "new registrations count as live")
 	now := t0.Add(10 * time.Second)
 	table.Seen(now, Member{Name: "d1", Region: "r", DataCentre: "d", Serving: true, Start: 1})
 	assert.Equal(t, unseen(now, 0), "b0 c0")
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -241,12 +241,7 @@
 	if g.members.ListedFor(now) < jwbudget.LimitSettle {
 		return jwbudget.LimitPart{}
 	}
-	nodes := g.members.Count(now, g.Settings.Region)
-	part := jwbudget.PartOf(rate, false, nodes)
-	if part.Rate == 0 && g.members.OwnsAmong(now, target, knows) {
-		part = jwbudget.PartOf(rate, true, nodes)
-	}
-	return part
+	return jwbudget.PartOf(rate, g.members.OwnsAmong(now, target, knows), g.members.Count(now, g.Settings.Region))
 }
 
 // leaving reports whether the node has been stopping for so long that a new
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -155,7 +155,8 @@
 func (g *Gateway) judge(q *request, x *jwinstance.Target, a *jwconn.Answer) (v Verdict, ok bool) {
 	reply := g.Dialect.Answer(a.Header)
 	g.noteCold(x, reply)
-	if a.Status != http.StatusMisdirectedRequest && (reply.Signed || reply.NotRun) { // otherwise it isn't known to be the target's
+	// Otherwise the answer isn't known to be the target's.
+	if a.Status != http.StatusMisdirectedRequest && (reply.Signed || reply.NotRun) {
 		g.noteLimit(x, reply)
 		g.noteLeaving(x, reply)
 		g.noteRetryAfter(x, a.Status, reply)
