--- a/io/jwgateway/through_test.go
+++ b/io/jwgateway/through_test.go
@@ -43,12 +43,17 @@
 	return h.Feed.Range(ctx, prefix, after)
 }
 
-// crowd starts nodes of one data centre that exchange state through a relay, the first by name.
-func crowd(t *testing.T, feeds ...jwstore.Feed) []node {
+// relayed sets from how many nodes of a region on they exchange state through relays.
+func relayed(nodes int) func(*jwgateway.Gateway) {
+	return func(g *jwgateway.Gateway) { g.RelayThreshold = nodes }
+}
+
+// startRelayed starts nodes of one data centre that exchange state through a relay, the first by name.
+func startRelayed(t *testing.T, feeds ...jwstore.Feed) []node {
 	t.Helper()
 	nodes := make([]node, 0, len(feeds))
 	for i, feed := range feeds {
-		nodes = append(nodes, startWith(t, feed, fmt.Sprintf("n%d", i+1), "north", func(g *jwgateway.Gateway) { g.RelayThreshold = 2 }))
+		nodes = append(nodes, startWith(t, feed, fmt.Sprintf("n%d", i+1), "north", relayed(2)))
 	}
 	for _, n := range nodes {
 		until(t, n, "/a/x", served)
@@ -65,7 +70,7 @@
 	x := startTarget(t, &feed, "t1", "s", "north-a", text("first"))
 	configure(&feed, 1, route("/a/", "idempotent", ""))
 	second, third := &hangingFeed{Feed: &feed}, &hangingFeed{Feed: &feed}
-	nodes := crowd(t, &feed, second, third)
+	nodes := startRelayed(t, &feed, second, third)
 	second.hang.Store(true)
 	third.hang.Store(true)
 	startTarget(t, &feed, "t2", "s", "north-a", text("second"))
@@ -83,7 +88,7 @@
 	x := startTarget(t, &feed, "t1", "s", "north-a", text("first"))
 	configure(&feed, 1, route("/a/", "idempotent", ""))
 	third := &hangingFeed{Feed: &feed}
-	nodes := crowd(t, &feed, &feed, third)
+	nodes := startRelayed(t, &feed, &feed, third)
 	third.hang.Store(true)
 	nodes[0].stop()
 	startTarget(t, &feed, "t2", "s", "north-a", text("second"))
@@ -109,7 +114,7 @@
 			configure(&feed, 1, route("/a/", "idempotent", ""))
 			cut := &cutFeed{Feed: &feed}
 			first := &hangingFeed{Feed: cut}
-			nodes := crowd(t, first, &feed, &feed)
+			nodes := startRelayed(t, first, &feed, &feed)
 			fail(first, cut)
 			startTarget(t, &feed, "t2", "s", "north-a", text("second"))
 			register(&feed, "t1", "s", x.addr, "north-a", "draining")
@@ -127,7 +132,7 @@
 	var feed jwstore.MemoryFeed
 	startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
 	configure(&feed, 1, route("/a/", "idempotent", ""))
-	nodes := crowd(t, &feed, &feed, &feed)
+	nodes := startRelayed(t, &feed, &feed, &feed)
 	for version := 2; version < 8; version++ {
 		configure(&feed, version, route("/a/", "idempotent", ""), route(fmt.Sprintf("/v%d/", version), "idempotent", ""))
 	}
@@ -150,53 +155,46 @@
 	return c.Feed.Range(ctx, prefix, after)
 }
 
-// A node that hears of the store through its relay was suspended, and by its steady
-// clock the relay's word is young. It must read everything anew at once; going on by the
-// word, it would refuse callers for two seconds and then serve by what it knew before.
-func TestPausedNodeDoesNotRelyOnItsRelay(t *testing.T) {
-	t.Parallel()
+// pausable starts two nodes of one data centre that exchange state through a relay, the first;
+// pause suspends the second one, and reports later whether that has read everything anew.
+func pausable(t *testing.T) (first, second node, pause func() (reread func() bool)) {
+	t.Helper()
 	var feed jwstore.MemoryFeed
 	startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
 	configure(&feed, 1, route("/a/", "idempotent", ""))
 	counting := &countingFeed{Feed: &feed}
 	var boot atomic.Int64
-	crowded := func(g *jwgateway.Gateway) { g.RelayThreshold = 2 }
-	first := startWith(t, &feed, "n1", "north", crowded)
-	second := startWith(t, counting, "n2", "north", func(g *jwgateway.Gateway) {
-		crowded(g)
+	first = startWith(t, &feed, "n1", "north", relayed(2))
+	second = startWith(t, counting, "n2", "north", func(g *jwgateway.Gateway) {
+		relayed(2)(g)
 		g.Boot = func() time.Duration { return time.Duration(boot.Load()) }
 	})
 	for _, n := range []node{first, second} {
 		until(t, n, "/a/x", served)
 		names(t, n, "north", first, second)
 	}
-	before := counting.ranges.Load()
-	boot.Add(int64(time.Hour))
-	until(t, second, "/a/x", func(r reply) bool { return served(r) && counting.ranges.Load() > before })
+	return first, second, func() func() bool {
+		before := counting.ranges.Load()
+		boot.Add(int64(time.Hour))
+		return func() bool { return counting.ranges.Load() > before }
+	}
+}
+
+// A node that learns of the store through its relay was suspended, and by its steady clock
+// the relay's report is young. Going on by that, it would serve by what it knew before.
+func TestPausedNodeDoesNotRelyOnItsRelay(t *testing.T) {
+	t.Parallel()
+	_, second, pause := pausable(t)
+	reread := pause()
+	until(t, second, "/a/x", func(r reply) bool { return served(r) && reread() })
 }
 
 // A node that reports through a relay was paused and has seen nobody since, so that it takes
 // itself for the relay. If neither calls the other, it stays alone for good.
 func TestPausedNodeFindsItsRelay(t *testing.T) {
 	t.Parallel()
-	var feed jwstore.MemoryFeed
-	startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
-	configure(&feed, 1, route("/a/", "idempotent", ""))
-	counting := &countingFeed{Feed: &feed}
-	var boot atomic.Int64
-	crowded := func(g *jwgateway.Gateway) { g.RelayThreshold = 2 }
-	first := startWith(t, &feed, "n1", "north", crowded)
-	second := startWith(t, counting, "n2", "north", func(g *jwgateway.Gateway) {
-		crowded(g)
-		g.Boot = func() time.Duration { return time.Duration(boot.Load()) }
-	})
-	for _, n := range []node{first, second} {
-		until(t, n, "/a/x", served)
-		names(t, n, "north", first, second)
-	}
-	before := counting.ranges.Load()
-	boot.Add(int64(time.Hour))
-	eventually(t, func() bool { return counting.ranges.Load() > before }) // it has noticed the pause
+	first, second, pause := pausable(t)
+	eventually(t, pause())
 	eventually(t, func() bool {
 		return len(directory(t, first, "north")) == 2 && len(directory(t, second, "north")) == 2
 	})
@@ -209,7 +207,7 @@
 	var feed jwstore.MemoryFeed
 	startTarget(t, &feed, "t1", "s", "north-a", text("fine"))
 	configure(&feed, 1, route("/a/", "idempotent", ""))
-	nodes := crowd(t, &feed, &feed, &feed)
+	nodes := startRelayed(t, &feed, &feed, &feed)
 	ask := func(n node) (out struct {
 		LocalSeen []string `json:"localSeen"`
 		Through   struct {
--- a/io/jwgateway/upstream_test.go
+++ b/io/jwgateway/upstream_test.go
@@ -40,8 +40,8 @@
 		register(&feed, fmt.Sprint("u", i), "other", "127.0.0.1:9", "north-a", "ready")
 	}
 	configure(&feed, 1, route("/a/", "idempotent", ""))
-	crowded := func(g *jwgateway.Gateway) { g.RelayThreshold = 2 }
-	first := startWith(t, &feed, "n1", "north", crowded)
+	through := relayed(2)
+	first := startWith(t, &feed, "n1", "north", through)
 	until(t, first, "/a/x", served)
 	for i := range 1000 {
 		if feed.Has("jujubewheel/nodes/n1") {
@@ -51,7 +51,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	counting := &pagesFeed{Feed: &feed}
-	second := startWith(t, counting, "n2", "north", crowded)
+	second := startWith(t, counting, "n2", "north", through)
 	until(t, second, "/a/x", served)
 	assert.Equal(t, counting.pages.Load(), int64(1))
 	register(&feed, "t1", "s", "127.0.0.1:9", "north-a", "draining")
@@ -80,12 +80,12 @@
 	var feed jwstore.MemoryFeed
 	x := startTarget(t, &feed, "t1", "s", "east-a", text("first"))
 	configure(&feed, 1, route("/a/", "idempotent", ""))
-	crowded := func(g *jwgateway.Gateway) { g.RelayThreshold = 1 }
+	through := relayed(1)
 	north, south := &hangingFeed{Feed: &feed}, &hangingFeed{Feed: &feed}
 	counting := &pagesFeed{Feed: &feed}
-	nodes := []node{startWith(t, north, "n1", "north", crowded)}
-	nodes = append(nodes, startWith(t, south, "n2", "south", crowded, nodes[0].nodes))
-	nodes = append(nodes, startWith(t, counting, "n3", "east", crowded, nodes[0].nodes))
+	nodes := []node{startWith(t, north, "n1", "north", through)}
+	nodes = append(nodes, startWith(t, south, "n2", "south", through, nodes[0].nodes))
+	nodes = append(nodes, startWith(t, counting, "n3", "east", through, nodes[0].nodes))
 	for _, n := range nodes {
 		until(t, n, "/a/x", served)
 	}
