--- a/core/jwinstance/instance.go
+++ b/core/jwinstance/instance.go
@@ -3,22 +3,24 @@
 import (
 	"net/netip"
 	"time"
+
+	"jujubewheel/core/jwstore"
 )
 
 // Instance is one incarnation of a target as it registered itself.
 type Instance struct {
-	ID         string         `json:"id"`
-	Service    string         `json:"service"`
-	Address    netip.AddrPort `json:"address"`
-	DataCentre string         `json:"dataCentre"`
-	Region     string         `json:"region"`
-	Slots      int            `json:"slots"`
-	Draining   bool           `json:"draining"`
-	Leaving    bool           `json:"leaving,omitempty"` // it said so in an answer, which no registration takes back
-	Cold       time.Duration  `json:"cold"`              // how long it stays cold, as of the registration
-	Left       time.Duration  `json:"left"`              // until it is taken away, 0 if not known
-	Born       int64          `json:"born"`              // Unix milliseconds of its start, 0 if not said
-	Revision   uint64         `json:"revision"`          // of the store at this registration
+	ID         string           `json:"id"`
+	Service    string           `json:"service"`
+	Address    netip.AddrPort   `json:"address"`
+	DataCentre string           `json:"dataCentre"`
+	Region     string           `json:"region"`
+	Slots      int              `json:"slots"`
+	Draining   bool             `json:"draining"`
+	Leaving    bool             `json:"leaving,omitempty"` // it said so in an answer, which no registration takes back
+	Cold       time.Duration    `json:"cold"`              // how long it stays cold, as of the registration
+	Left       time.Duration    `json:"left"`              // until it is taken away, 0 if not known
+	Born       int64            `json:"born"`              // Unix milliseconds of its start, 0 if not said
+	Revision   jwstore.Revision `json:"revision"`          // of the store at this registration
 }
 
 // Part is one part of a prompt.
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -205,7 +205,7 @@
 }
 
 // Remove notes that a registration is gone from the store at a revision.
-func (t *Table) Remove(now time.Time, id string, revision uint64) {
+func (t *Table) Remove(now time.Time, id string, revision jwstore.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if x := t.targets[id]; x != nil {
@@ -216,7 +216,7 @@
 
 // Keep removes all targets but those named: this is the whole store at a
 // revision, and what vanished before is gone too.
-func (t *Table) Keep(now time.Time, ids map[string]bool, revision uint64) {
+func (t *Table) Keep(now time.Time, ids map[string]bool, revision jwstore.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.slots = nil
@@ -227,7 +227,7 @@
 	}
 }
 
-func (x *Target) remove(now time.Time, revision uint64) {
+func (x *Target) remove(now time.Time, revision jwstore.Revision) {
 	if x.gone.IsZero() && revision >= x.Revision {
 		x.gone, x.Revision = now, revision
 	}
--- a/core/jwstore/memoryfeed.go
+++ b/core/jwstore/memoryfeed.go
@@ -67,7 +67,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	era := Era(m.revision) + 1
-	at := func(r Revision) Revision { return era<<numberBits | Number(r) }
+	at := func(r Revision) Revision { return position(era, Number(r)) }
 	m.items = make(map[string]memoryItem, len(c.items))
 	for key, i := range c.items {
 		if i.lease == 0 {
--- a/core/jwstore/recent.go
+++ b/core/jwstore/recent.go
@@ -21,8 +21,8 @@
 // them from it. The zero value is empty; it may be used by several goroutines.
 type Recent struct {
 	mu     sync.Mutex
-	from   uint64 // it has all changes after this revision
-	to     uint64 // up to this one
+	from   Revision // it has all changes after this revision
+	to     Revision // up to this one
 	events []Event
 	bytes  int
 	added  chan struct{} // closed at the next change, nil while nobody waits
@@ -30,7 +30,7 @@
 
 // Add keeps the changes that a reading from one revision up to another brought. Where
 // it doesn't follow the last one, what was kept is forgotten.
-func (r *Recent) Add(events []Event, from, to uint64) {
+func (r *Recent) Add(events []Event, from, to Revision) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if from != r.to || r.to == 0 {
@@ -57,7 +57,7 @@
 // After returns the changes after a revision and the revision that they lead up to; ok
 // is false if some of them are not kept, or if nothing was read so far as that. Of large
 // values only the last of each key is returned.
-func (r *Recent) After(revision uint64) (events []Event, to uint64, ok bool) {
+func (r *Recent) After(revision Revision) (events []Event, to Revision, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.to == 0 || revision < r.from || revision > r.to {
@@ -77,7 +77,7 @@
 }
 
 // Wait waits until a change after a revision is kept, at most for some time.
-func (r *Recent) Wait(ctx context.Context, after uint64, most time.Duration) {
+func (r *Recent) Wait(ctx context.Context, after Revision, most time.Duration) {
 	t := time.NewTimer(most)
 	defer t.Stop()
 	r.mu.Lock()
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -10,6 +10,7 @@
 	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwstore"
 	"jujubewheel/core/jwsuspect"
 	"jujubewheel/io/jwconn"
 )
@@ -45,7 +46,7 @@
 	Waits     map[string]int64                  `json:"waits,omitempty"`    // milliseconds until a first event, by service, for other regions
 	Gaps      map[string]int64                  `json:"gaps,omitempty"`     // milliseconds between two events, by service, for other regions
 	InSync    bool                              `json:"inSync"`             // it reaches the store
-	Revision  uint64                            `json:"revision"`           // of the store, up to which it was read
+	Revision  jwstore.Revision                  `json:"revision"`           // of the store, up to which it was read
 	Cold      map[string]int64                  `json:"cold,omitempty"`     // milliseconds for which targets stay cold, within the region only
 	Limits    map[string]jwinstance.LimitReport `json:"limits,omitempty"`   // that targets name, within the region only
 	Leaving   map[string]int64                  `json:"leaving,omitempty"`  // targets that said so, by their start, within the region only
--- a/io/jwgateway/follow.go
+++ b/io/jwgateway/follow.go
@@ -174,7 +174,7 @@
 
 // take brings changes into the tables that follow what was read before, up to a
 // revision, and returns those that changed something; f.mu is held.
-func (f *follower) take(now time.Time, events []jwstore.Event, revision uint64) []jwstore.Event {
+func (f *follower) take(now time.Time, events []jwstore.Event, revision jwstore.Revision) []jwstore.Event {
 	changed := events[:0:0]
 	for i, e := range events {
 		// Each configuration is whole, so that only the last one counts; in quick
--- a/io/jwgateway/through.go
+++ b/io/jwgateway/through.go
@@ -40,7 +40,7 @@
 type through struct {
 	Relay    bool               `json:"relay,omitempty"`    // the sender is a relay and reports for others too
 	Asks     bool               `json:"asks,omitempty"`     // for the changes of the store
-	After    uint64             `json:"after,omitempty"`    // the revision which these are to follow
+	After    jwstore.Revision   `json:"after,omitempty"`    // the revision which these are to follow
 	Liveness *jwmember.Liveness `json:"liveness,omitempty"` // from a relay to those who report through it
 	Stopping []jwmember.Member  `json:"stopping,omitempty"` // nodes that stop by plan
 	Remote   []regionReport     `json:"remote,omitempty"`   // of other regions
@@ -58,17 +58,17 @@
 
 // changes are changes of the store as a relay read them.
 type changes struct {
-	Lost   bool     `json:"lost,omitempty"` // it doesn't have them
-	To     uint64   `json:"to"`             // the revision that they lead up to
-	Age    int64    `json:"age"`            // milliseconds since it read the store
-	Events []change `json:"events,omitempty"`
+	Lost   bool             `json:"lost,omitempty"` // it doesn't have them
+	To     jwstore.Revision `json:"to"`             // the revision that they lead up to
+	Age    int64            `json:"age"`            // milliseconds since it read the store
+	Events []change         `json:"events,omitempty"`
 }
 
 type change struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value,omitempty"`
-	Deleted  bool   `json:"deleted,omitempty"`
-	Revision uint64 `json:"revision"`
+	Key      string           `json:"key"`
+	Value    []byte           `json:"value,omitempty"`
+	Deleted  bool             `json:"deleted,omitempty"`
+	Revision jwstore.Revision `json:"revision"`
 }
 
 // throughPeriod returns the time between two exchanges through a relay.
@@ -173,7 +173,7 @@
 }
 
 // changesAfter returns the changes after a revision, as far as they are kept.
-func (g *Gateway) changesAfter(now time.Time, after uint64) *changes {
+func (g *Gateway) changesAfter(now time.Time, after jwstore.Revision) *changes {
 	age := now.Sub(g.begun) - time.Duration(g.viewed.Load())
 	events, to, ok := g.recent.After(after)
 	if !ok || !g.pulse.Alive() {
@@ -218,7 +218,7 @@
 }
 
 // at returns the revision up to which the store was read, by itself or through a relay.
-func (f *follower) at() uint64 {
+func (f *follower) at() jwstore.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.revision
--- a/io/jwgateway/upstream.go
+++ b/io/jwgateway/upstream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwstore"
 )
 
 const (
@@ -45,7 +46,7 @@
 
 // askUpstream asks another relay for the changes after a revision; ok is false if there
 // is none or it can't be relied on.
-func (f *follower) askUpstream(ctx context.Context, after uint64) (c *changes, ok bool) {
+func (f *follower) askUpstream(ctx context.Context, after jwstore.Revision) (c *changes, ok bool) {
 	m, ok := f.upstream(time.Now())
 	if !ok {
 		return nil, false
@@ -68,7 +69,7 @@
 
 // passOn takes changes that another relay read, keeps them for those that report through
 // this one, and returns of when they are.
-func (f *follower) passOn(now time.Time, c *changes, from uint64) time.Time {
+func (f *follower) passOn(now time.Time, c *changes, from jwstore.Revision) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.g.recent.Add(f.take(now, c.events(), c.To), from, c.To)
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -18,6 +18,7 @@
 	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwstore"
 )
 
 // viewRetry is the wait between two rounds of questions.
@@ -27,7 +28,7 @@
 // another one has that it lacks.
 type view struct {
 	Config    []byte                `json:"config,omitempty"` // as the store holds it
-	Revision  uint64                `json:"revision"`         // of the store, 0 if the rest is left out
+	Revision  jwstore.Revision      `json:"revision"`         // of the store, 0 if the rest is left out
 	Targets   []jwinstance.Instance `json:"targets,omitempty"`
 	Evacuated []string              `json:"evacuated,omitempty"`
 	Members   []jwmember.Member     `json:"members,omitempty"`
@@ -129,7 +130,7 @@
 
 // behind reports whether a peer has read more of the store while it is out of
 // this node's reach.
-func (g *Gateway) behind(now time.Time, revision uint64) bool {
+func (g *Gateway) behind(now time.Time, revision jwstore.Revision) bool {
 	return revision > max(g.store.revision.Load(), g.pulledTo.Load()) && g.store.stale(now)
 }
 
