--- a/core/jwadmission/admission.go
+++ b/core/jwadmission/admission.go
@@ -24,7 +24,7 @@
 	Begun    bool          // it was sent already, or another node has taken it
 }
 
-// Reason tells why a request was rejected.
+// Reason is why a request was rejected.
 type Reason string
 
 // The reasons.
--- a/core/jwadmission/admission_test.go
+++ b/core/jwadmission/admission_test.go
@@ -68,7 +68,7 @@
 		if (Policy{}).Decide(short).Taken() && !(Policy{}).Decide(r).Taken() {
 			t.Fatalf("%+v is rejected, without its own length it is taken", r)
 		}
-		// What can't be answered in time is told so at once, and when to retry.
+		// What can't be answered in time is rejected at once, with when to retry.
 		r.Left = r.Expected - 1
 		got := (Policy{}).Decide(r)
 		if r.Left >= 0 && (got.Taken() || got.RetryAfter < MinRetryAfter || got.RetryAfter > MaxRetryAfter) {
--- a/core/jwmember/fleet.go
+++ b/core/jwmember/fleet.go
@@ -7,7 +7,7 @@
 const settle = 4 * time.Second
 
 // SetFleet takes the size of the fleet as the store keeps it, which outlives all nodes:
-// after a start of all at once the registrations of most are missing. known tells that
+// after a start of all at once the registrations of most are missing. known says that
 // the size was there before this process.
 func (t *Table) SetFleet(now time.Time, nodes int, known bool) {
 	t.mu.Lock()
--- a/core/jwquota/account.go
+++ b/core/jwquota/account.go
@@ -49,7 +49,7 @@
 	lackFrom time.Time // since when the root has lacked units
 	lackAt   time.Time // when it did so last
 	claimed  time.Time // when the node claimed last
-	booked   time.Time // up to which refused callers are told to retry
+	booked   time.Time // up to which refused callers are given a Retry-After
 }
 
 // child is what a node that asks this one claimed last.
--- a/core/jwquota/claim.go
+++ b/core/jwquota/claim.go
@@ -91,7 +91,7 @@
 		c.Need = max(lacking-a.level, 0)
 		c.First, c.Ahead = min(c.Need, first), -spare-c.Need
 	}
-	// Few units, which the node mints itself within moments, need not be spoken of at once.
+	// Few units, which the node mints itself within moments, need not be claimed at once.
 	due := c.Need > 0 || c.Ahead > target/2+someUnits || c.Give > a.even(q.Rate, l.place)/8
 	return c, due || now.Sub(a.claimed) >= claimPeriod
 }
--- a/io/jwforward/exchange.go
+++ b/io/jwforward/exchange.go
@@ -14,18 +14,18 @@
 	"jujubewheel/io/jwwire"
 )
 
-// Exchanger takes what another node told and returns what that one lacks.
+// Exchanger takes the digest of another node and returns what that one lacks.
 type Exchanger interface {
 	Answer(jwpeer.Digest) jwpeer.Digest
 }
 
 // Exchange swaps what this node and another know.
-func (p *Pool) Exchange(ctx context.Context, to jwpeer.Peer, told jwpeer.Digest) (jwpeer.Digest, error) {
+func (p *Pool) Exchange(ctx context.Context, to jwpeer.Peer, digest jwpeer.Digest) (jwpeer.Digest, error) {
 	client, conn, err := p.client(to.Nodes)
 	if err != nil {
 		return jwpeer.Digest{}, err
 	}
-	answer, err := client.Exchange(ctx, digestToWire(told))
+	answer, err := client.Exchange(ctx, digestToWire(digest))
 	if err != nil {
 		if code := status.Code(err); code == codes.DeadlineExceeded && ctx.Err() == context.DeadlineExceeded {
 			go p.check(to.Nodes, conn)
--- a/io/jwgateway/callers_test.go
+++ b/io/jwgateway/callers_test.go
@@ -23,7 +23,7 @@
 
 func key(k string) http.Header { return http.Header{"Authorization": {"Token " + k}} }
 
-// A caller is who its key says: no name that it gives itself is believed, and no target
+// A caller is who its key says: no name that it gives itself counts, and no target
 // sees the key.
 func TestKeys(t *testing.T) {
 	t.Parallel()
@@ -37,7 +37,7 @@
 		path      string
 		header    http.Header
 		status    int
-		workspace string // that the target is told
+		workspace string // that the target gets
 		priority  string
 	}{
 		"first key":               {"/a/x", key("k1"), 200, "w1", "3"},
@@ -141,7 +141,7 @@
 	}
 }
 
-// A node that nobody tells of the store's changes doesn't call a key wrong that may have
+// A node that doesn't learn of the store's changes doesn't call a key wrong that may have
 // been added meanwhile.
 func TestUnknownKeyWhileCutOff(t *testing.T) {
 	t.Parallel()
@@ -186,7 +186,7 @@
 	assert.Equal(t, len(here.requests()), before)
 }
 
-// A workspace that sends more than its quota is told so at once; another one isn't.
+// A workspace that sends more than its quota is rejected at once; another one isn't.
 func TestOverQuota(t *testing.T) {
 	t.Parallel()
 	var feed jwstore.MemoryFeed
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -733,7 +733,7 @@
 	return s.Records.Target(id, value)
 }
 
-// One node can't reach the store, another can. The first must hear of a target
+// One node can't reach the store, another can. The first must learn of a target
 // that leaves, although the configuration has not changed.
 func TestNodeOutOfReachOfTheStore(t *testing.T) {
 	t.Parallel()
--- a/io/jwgateway/through_test.go
+++ b/io/jwgateway/through_test.go
@@ -63,7 +63,7 @@
 }
 
 // In a region of many nodes one of a data centre reads the store for the others. They
-// must hear of a target that leaves, and of one that comes, though they read nothing.
+// must learn of a target that leaves, and of one that comes, though they read nothing.
 func TestRelayReadsTheStore(t *testing.T) {
 	t.Parallel()
 	var feed jwstore.MemoryFeed
@@ -126,7 +126,7 @@
 }
 
 // A configuration is in force at all nodes of a data centre, and stays so, though most
-// hear of it through a relay.
+// learn of it through a relay.
 func TestConfigurationThroughRelay(t *testing.T) {
 	t.Parallel()
 	var feed jwstore.MemoryFeed
--- a/io/jwgateway/upstream_test.go
+++ b/io/jwgateway/upstream_test.go
@@ -73,7 +73,7 @@
 	until(t, n, "/a/x", served)
 }
 
-// In a fleet of many nodes two relays read the store, and those of other regions hear of
+// In a fleet of many nodes two relays read the store, and those of other regions learn of
 // its changes from them; when these fall silent, the others read it themselves.
 func TestRelayOfAnotherRegion(t *testing.T) {
 	t.Parallel()
--- a/io/jwlogtrace/view.go
+++ b/io/jwlogtrace/view.go
@@ -62,7 +62,7 @@
 	return errors.Wrap(in.Err(), "read log")
 }
 
-// View is what a node believed at a moment.
+// View is what a node knew at a moment.
 type View struct {
 	Node      string
 	Running   bool
@@ -73,7 +73,7 @@
 	Last      time.Time         // of the last line before the moment
 }
 
-// Target is what a node believed of a target.
+// Target is what a node knew of a target.
 type Target struct {
 	State      string // appeared, beganAnew, returned, draining, leaving or gone
 	DataCentre string
@@ -81,7 +81,7 @@
 	Since      time.Time
 }
 
-// ViewAt returns what a node believed at a moment of its own clock.
+// ViewAt returns what a node knew at a moment of its own clock.
 func (l *Log) ViewAt(node string, at time.Time) View {
 	b := View{Node: node, Targets: make(map[string]Target)}
 	for i := range l.Nodes[node] {
--- a/io/jwquotaexchange/exchange.go
+++ b/io/jwquotaexchange/exchange.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// place tells the ledger where the node stands.
+// place sets in the ledger where the node stands.
 func (x *Exchange) place(now time.Time, relays []jwmember.Member) {
 	me := x.Members.Me()
 	live := x.Members.Live(now, "")
