jwsettings, jwgateway, platform: switch for overload control, targets' load is read

Overload control is off unless the settings ask for it: always, or where targets report their pace or the platform's rules call for it.

--- a/cmd/jujubewheel/gateway.go
+++ b/cmd/jujubewheel/gateway.go
@@ -68,6 +68,7 @@
 	defer meter.Close()
 	gw := &jwgateway.Gateway{
 		Settings:        n.Settings,
+		ControlOverload: platform.AsksForOverloadControl(options.Contracts),
 		Feed:            &platform.Store{Address: options.Store.Address, Pool: &jwconn.Pool{}, Called: countCalls(meter)},
 		Records:         platform.Records{Regions: options.DataCentres},
 		Dialect:         platform.Headers{},
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -48,6 +48,7 @@
 	evacuated         map[string]bool           // data centres that get no requests
 	selfReported      map[string]bool           // IDs of targets that announced in an answer a limit or that they are leaving
 	stats             map[string]*serviceStats  // by service
+	pacedServices     map[string]bool           // services whose targets report their pace
 	placements        []Placement               // recent ones, of this node and reported by others, the latest last
 	reports           map[string]nodeReport     // last report of each other node of the region, by node name
 	candidates        []int                     // buffer of collectCandidates: indexes of targets
@@ -83,6 +84,8 @@
 	cache         cache
 	capacity      int // memory of the target in tokens, 0 if not known
 	limit         targetLimit
+	load          LoadReport // last load that the target reported to this node
+	loadAt        time.Time
 }
 
 // Change is what a registration changed about a target.
--- a/io/jwgateway/dialect.go
+++ b/io/jwgateway/dialect.go
@@ -40,6 +40,9 @@
 	Limit      jwinstance.Limit // limit that the target announces
 	RetryAfter time.Duration    // for how long the target accepts no requests from this node, if it refused one
 	Leaving    bool             // the target is leaving, whatever its registration says
+
+	Load          jwinstance.LoadReport // load that the target reports
+	LoadMalformed bool                  // the target reports a load that can't be read
 }
 
 // Dialect translates the headers of callers and targets between the platform's names and this
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -47,6 +47,7 @@
 	Reload          <-chan *jwsettings.Settings // receives settings that changed while the node runs
 	Admission       jwadmission.Policy          // which requests are rejected
 	Placement       jwplacement.Policy          // which region serves a request
+	ControlOverload bool                        // the platform's rules ask for overload control of all services
 	RelayThreshold  int                         // number of nodes in a region from which on they exchange state through relays; 0 for the default
 	TimeSinceBoot   func() time.Duration        // returns the time since the host started, including time suspended; nil for the host's clock
 
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -43,6 +43,7 @@
 	storeReadAge      tally.Gauge
 	limitedTargets    tally.Gauge
 	storeRestores     tally.Counter
+	malformedLoads    tally.Counter
 }
 
 func newMetrics(m *jwmeter.Meter) *metrics {
@@ -68,6 +69,7 @@
 		storeReadAge:      m.Gauge("store_view_age_seconds", nil),
 		limitedTargets:    m.Gauge("limited_targets", nil),
 		storeRestores:     m.Counter("store_returns_total", nil),
+		malformedLoads:    m.Counter("malformed_target_loads_total", nil),
 	}
 	for _, k := range []jwresolver.Kind{jwresolver.Own, jwresolver.Stopping, jwresolver.StandIns, jwresolver.NoNodes} {
 		ms.directoryAnswers[k] = m.Counter("directory_answers_total", jwmeter.Tags{"names": string(k)})
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -162,6 +162,7 @@
 		g.noteLimit(x, reply)
 		g.noteLeaving(x, reply)
 		g.noteRetryAfter(x, a.Status, reply)
+		g.noteLoad(x, reply)
 	}
 	now := time.Now()
 	switch {
@@ -265,6 +266,18 @@
 	}
 }
 
+// noteLoad records the load that a target reports in its reply.
+func (g *Gateway) noteLoad(x *jwinstance.Target, reply AnswerHeaders) {
+	if !g.Settings.Gateway.Overload.Enabled() {
+		return
+	}
+	if reply.LoadMalformed {
+		g.metrics.malformedLoads.Inc(1)
+		return
+	}
+	g.targets.SetLoad(time.Now(), x, reply.Load)
+}
+
 // noteLeaving records that a target announces in its reply that it is leaving.
 func (g *Gateway) noteLeaving(x *jwinstance.Target, reply AnswerHeaders) {
 	if reply.Leaving && g.targets.Leave(x) {
--- a/io/jwsettings/gateway.go
+++ b/io/jwsettings/gateway.go
@@ -17,8 +17,24 @@
 	MemoryBytes int64   // bytes that the process may use; 0 means no limit
 	Cores       float64 // processor cores of the host; 0 means unknown
 	LinkMbps    float64 // bandwidth of the host's network link; 0 means unknown
+	Overload    OverloadMode
+	Contracts   []string // names of the parts of the platform's rules that apply
 }
 
+// OverloadMode says to which services overload control applies: shares under shortage, the
+// waiting room, admission by the expected end, and balance between regions.
+type OverloadMode string
+
+// The modes of overload control.
+const (
+	OverloadOff  OverloadMode = "off"  // to none
+	OverloadAuto OverloadMode = "auto" // to services whose targets report their pace, or to all if the platform's rules ask for it
+	OverloadOn   OverloadMode = "on"   // to all
+)
+
+// Enabled reports whether overload control may apply to any service.
+func (m OverloadMode) Enabled() bool { return m == OverloadAuto || m == OverloadOn }
+
 // Capacity returns how much work the node can do for others, in hundredths of a core.
 // The work needs network bandwidth in proportion, so the smaller of the two limits
 // applies. It is 0 if the cores or the bandwidth are unknown.
@@ -67,7 +83,7 @@
 // readGateway reads a file that has the key gateway.
 func (s *Settings) readGateway(o *object) {
 	s.Gateway = &Gateway{
-		DataCentres: map[string]string{},
+		DataCentres: map[string]string{}, Overload: OverloadOff,
 		Bounds: Bounds{
 			Grace: DefaultGrace, RetryRatio: DefaultRetryRatio, RetryWindow: DefaultRetryWindow, ColdRatio: DefaultColdRatio,
 			QuotaWindow: DefaultQuotaWindow,
@@ -120,9 +136,21 @@
 	g.MemoryBytes = megabytes << 20
 	o.number("cores", &g.Cores, 0, 1e6)
 	o.number("linkMbps", &g.LinkMbps, 0, 1e9)
+	g.readOverload(o)
+	g.Contracts = o.textList("contracts")
 	o.child("bounds", g.Bounds.read)
 }
 
+func (g *Gateway) readOverload(o *object) {
+	mode := string(g.Overload)
+	o.text("overload", &mode)
+	switch g.Overload = OverloadMode(mode); g.Overload {
+	case OverloadOff, OverloadAuto, OverloadOn:
+	default:
+		o.fault("overload", "must be off, auto or on, not %q", mode)
+	}
+}
+
 func (b *Bounds) read(o *object) {
 	o.duration("grace", &b.Grace, 0, time.Hour)
 	o.number("retryRatio", &b.RetryRatio, 0, 100)
