jwquota, jwgateway: a quota that is used up goes to a workspace's urgent requests first

Change: where overload control applies, nodes report demand by urgency level with their claims, and while the quota is used up a level gets what the more urgent ones leave of it, at least a twentieth.

--- a/core/jwquota/account.go
+++ b/core/jwquota/account.go
@@ -51,16 +51,18 @@
 	lastShortage       time.Time // when the root last lacked units
 	lastClaim          time.Time // when the node last claimed units
 	retriesBookedUntil time.Time // latest retry time that was given to a rejected caller
+	urgency            urgencyShares
 }
 
 // child is the last claim of a node that claims units from this one.
 type child struct {
 	name      string
 	claimedAt time.Time
-	demand    float64   // units a second that are asked for there
-	firstNeed float64   // units that its first waiting request lacks
-	need      float64   // units that it lacked and was not granted
-	needSince time.Time // when it began to lack units
+	demand    float64    // units a second that are asked for there
+	byLevel   LevelRates // the part of demand that is asked for by urgency level
+	firstNeed float64    // units that its first waiting request lacks
+	need      float64    // units that it lacked and was not granted
+	needSince time.Time  // when it began to lack units
 }
 
 // rate is an exponential average of units a second.
@@ -195,7 +197,7 @@
 		a.children = slices.Insert(a.children, index, child{name: node})
 	}
 	old := a.children[index]
-	fresh := child{name: node, claimedAt: now, demand: c.Demand, needSince: now}
+	fresh := child{name: node, claimedAt: now, demand: c.Demand, byLevel: c.ByLevel, needSince: now}
 	if old.need > 0 && now.Sub(old.claimedAt) < reservationTTL {
 		fresh.needSince = old.needSince
 	}
--- a/core/jwquota/claim.go
+++ b/core/jwquota/claim.go
@@ -19,22 +19,24 @@
 
 // Claim is a node's report on one workspace to the node that it claims units from.
 type Claim struct {
-	Workspace string  `json:"workspace"`
-	Surplus   float64 `json:"give,omitempty"`   // units that it doesn't need and gives away with the claim
-	FirstNeed float64 `json:"first,omitempty"`  // units that the first of its waiting requests lacks
-	Need      float64 `json:"need,omitempty"`   // units that all its waiting requests lack
-	Prefetch  float64 `json:"ahead,omitempty"`  // units that it wants for upcoming requests
-	Demand    float64 `json:"demand,omitempty"` // units a second that are asked for at the node and those that claim from it
+	Workspace string     `json:"workspace"`
+	Surplus   float64    `json:"give,omitempty"`   // units that it doesn't need and gives away with the claim
+	FirstNeed float64    `json:"first,omitempty"`  // units that the first of its waiting requests lacks
+	Need      float64    `json:"need,omitempty"`   // units that all its waiting requests lack
+	Prefetch  float64    `json:"ahead,omitempty"`  // units that it wants for upcoming requests
+	Demand    float64    `json:"demand,omitempty"` // units a second that are asked for at the node and those that claim from it
+	ByLevel   LevelRates `json:"byLevel,omitzero"` // the part of Demand that is asked for by urgency level
 }
 
 // Grant is the answer to a Claim, or a report on a workspace that was not claimed.
 type Grant struct {
-	Workspace     string  `json:"workspace"`
-	Units         float64 `json:"units,omitempty"`
-	Exhausted     bool    `json:"short,omitempty"`  // the quota is used up, so no more units will come for now
-	SurplusWanted bool    `json:"wanted,omitempty"` // other nodes want the units that the claiming node doesn't need
-	Scarce        bool    `json:"scarce,omitempty"` // other nodes lack units now, so the claiming node should prefetch few
-	TotalDemand   float64 `json:"total,omitempty"`  // units a second that are asked for at all nodes together
+	Workspace     string     `json:"workspace"`
+	Units         float64    `json:"units,omitempty"`
+	Exhausted     bool       `json:"short,omitempty"`  // the quota is used up, so no more units will come for now
+	SurplusWanted bool       `json:"wanted,omitempty"` // other nodes want the units that the claiming node doesn't need
+	Scarce        bool       `json:"scarce,omitempty"` // other nodes lack units now, so the claiming node should prefetch few
+	TotalDemand   float64    `json:"total,omitempty"`  // units a second that are asked for at all nodes together
+	ByLevel       LevelRates `json:"byLevel,omitzero"` // the part of TotalDemand that is asked for by urgency level
 }
 
 // Claims returns the claims that are due now, for the workspaces that the filter
@@ -79,7 +81,7 @@
 	case l.topology.GroupSize > 0 && a.active(now):
 		target += min(a.largestRequest, b.baseUnspent(q)*relayShare*float64(l.topology.GroupSize)/float64(max(l.topology.FleetSize, 1)))
 	}
-	c := Claim{Workspace: workspace, Demand: a.subtreeDemand(now)}
+	c := Claim{Workspace: workspace, Demand: a.subtreeDemand(now), ByLevel: a.subtreeByLevel(now)}
 	first, pending := a.firstNeed(now), a.pendingUnits(now)
 	switch spare := a.level - pending - target; {
 	case first > a.level && l.topology.GroupSize == 0:
@@ -127,7 +129,7 @@
 	a.serveWaiting(now)
 	units := a.allocate(now, node, c)
 	a.level = min(a.level-units, a.maxLevel(now, q, l.Bounds(), l.topology))
-	g := Grant{Workspace: c.Workspace, Units: units, SurplusWanted: true, Scarce: a.isScarce(now), TotalDemand: a.knownTotalDemand(now)}
+	g := Grant{Workspace: c.Workspace, Units: units, SurplusWanted: true, Scarce: a.isScarce(now), TotalDemand: a.knownTotalDemand(now), ByLevel: a.knownByLevel(now)}
 	if units+negligibleUnits >= c.Need {
 		return g
 	}
@@ -155,7 +157,7 @@
 			break
 		}
 		if !included[name] && (a.active(now) || now.Before(a.wantedUntil)) && (poll || a.isScarce(now)) {
-			grants = append(grants, Grant{Workspace: name, SurplusWanted: true, Scarce: a.isScarce(now), TotalDemand: a.knownTotalDemand(now)})
+			grants = append(grants, Grant{Workspace: name, SurplusWanted: true, Scarce: a.isScarce(now), TotalDemand: a.knownTotalDemand(now), ByLevel: a.knownByLevel(now)})
 		}
 	}
 	return grants
@@ -175,6 +177,7 @@
 		}
 		if g.TotalDemand > 0 {
 			a.totalDemand, a.totalDemandAt = g.TotalDemand, now
+			a.urgency.total = g.ByLevel
 		}
 		if g.Scarce {
 			a.scarceUntil = now.Add(scarceTTL)
--- a/core/jwquota/fleet_test.go
+++ b/core/jwquota/fleet_test.go
@@ -18,6 +18,7 @@
 	bounds         Bounds
 	quotas         map[string]jwworkspace.Quota
 	nodes          []*simNode
+	byUrgency      bool // requests of less than urgentCost units are urgent, others are not
 	equalShares    bool // each node spends its equal share and claims nothing
 	demandShares   bool // a node's share follows its demand, as last reported to the others
 	reportedAt     time.Time
@@ -27,7 +28,9 @@
 	queue          []message
 	rejectedUnits  map[string]float64 // by workspace
 	requestedUnits map[string]float64
-	ideal          map[string]*bucket // one counter for all nodes, by workspace, for comparison
+	// The parts of them that are urgent, for byUrgency.
+	rejectedUrgent, requestedUrgent map[string]float64
+	ideal                           map[string]*bucket // one counter for all nodes, by workspace, for comparison
 }
 
 // bucket is a token bucket for the requests of one workspace.
@@ -91,7 +94,7 @@
 func newFleet(seed uint64, nodes, dcs, regions int, b Bounds, quotas map[string]jwworkspace.Quota) *fleet {
 	f := &fleet{
 		rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), bounds: b, quotas: quotas,
-		rejectedUnits: map[string]float64{}, requestedUnits: map[string]float64{}, ideal: map[string]*bucket{},
+		rejectedUnits: map[string]float64{}, requestedUnits: map[string]float64{}, rejectedUrgent: map[string]float64{}, requestedUrgent: map[string]float64{}, ideal: map[string]*bucket{},
 	}
 	for i := range nodes {
 		n := &simNode{name: fmt.Sprintf("n%03d", i), dc: i % dcs, region: i % dcs % regions, callTimeouts: map[int]time.Time{}}
@@ -241,7 +244,7 @@
 	if f.demandShares {
 		return
 	}
-	d := n.ledger.Take(f.now, workspace, cost)
+	d := f.take(n, workspace, cost)
 	switch d.Outcome {
 	case Taken:
 		f.spent = append(f.spent, spending{f.now, workspace, cost})
@@ -249,7 +252,25 @@
 		n.waiters = append(n.waiters, simWaiter{d.Waiter, f.now.Add(maxWait)})
 	default:
 		f.rejectedUnits[workspace] += cost
+		if f.byUrgency && cost < urgentCost {
+			f.rejectedUrgent[workspace] += cost
+		}
+	}
+}
+
+// urgentCost is the cost below which a request is urgent.
+const urgentCost = 1500
+
+func (f *fleet) take(n *simNode, workspace string, cost float64) Decision {
+	if !f.byUrgency {
+		return n.ledger.Take(f.now, workspace, cost)
+	}
+	level := 2
+	if cost < urgentCost {
+		f.requestedUrgent[workspace] += cost
+		level = 0
 	}
+	return n.ledger.TakeByUrgency(f.now, workspace, cost, level)
 }
 
 // requestDemandShare requests units at a node whose share of a quota follows its demand:
--- a/core/jwquota/ledger.go
+++ b/core/jwquota/ledger.go
@@ -71,6 +71,7 @@
 	Waiter     *Waiter       // set if the request waits
 	RetryAfter time.Duration // set if the request is rejected
 	Level      float64       // units that the node had for the workspace
+	Yields     bool          // the quota's units are left to more urgent requests
 }
 
 // SetTopology sets the node's position among the nodes. It also removes idle accounts.
@@ -96,6 +97,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a, q := l.account(now, workspace)
+	return l.take(now, a, q, workspace, cost)
+}
+
+// take implements Take. The caller holds l.mu.
+func (l *Ledger) take(now time.Time, a *account, q jwworkspace.Quota, workspace string, cost float64) Decision {
 	a.lastAsked = now
 	a.demand.add(now, cost)
 	a.largestRequest = max(a.largestRequest*largestDecay, cost)
--- a/core/jwquota/ledger_test.go
+++ b/core/jwquota/ledger_test.go
@@ -98,6 +98,7 @@
 		q := jwworkspace.Quota{Unit: jwworkspace.Tokens, Rate: rapid.SampledFrom([]float64{500, 29_000, 400_000}).Draw(t, "rate")}
 		q.Burst = q.Rate * rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "burst")
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), nodes, dcs, min(dcs, 3), b, map[string]jwworkspace.Quota{"w": q})
+		f.byUrgency = rapid.Bool().Draw(t, "byUrgency")
 		f.run(time.Duration(rapid.IntRange(0, 20).Draw(t, "idle"))*time.Second, nil)
 		for range rapid.IntRange(1, 6).Draw(t, "phases") {
 			load := rapid.SampledFrom([]float64{0, 0.5, 1, 4, 12}).Draw(t, "load")
--- a/io/jwgateway/callers.go
+++ b/io/jwgateway/callers.go
@@ -28,6 +28,7 @@
 	unknownKey    = "unknown key"
 	unverifiedKey = "the key is not known at this node, which can't read the configuration now"
 	overQuota     = "the workspace is over its quota"
+	leftToUrgent  = "the workspace is over its quota, what is left of it goes to more urgent requests"
 )
 
 // identify sets the request's workspace, homes and priority by the caller's workspace. If the
@@ -63,7 +64,12 @@
 	}
 	units := quota.Cost(q.Prompt.Tokens + q.Prompt.Output)
 	q.units = units
-	d := g.quotas.Take(q.arrived, q.workspace, units)
+	var d jwquota.Decision
+	if g.controlsOverload(q.service) {
+		d = g.quotas.TakeByUrgency(q.arrived, q.workspace, units, q.entry.Priority)
+	} else {
+		d = g.quotas.Take(q.arrived, q.workspace, units)
+	}
 	if d.Outcome == jwquota.Waits {
 		d = g.awaitUnits(ctx, q, d)
 	}
@@ -71,7 +77,11 @@
 	if d.Outcome == jwquota.Taken {
 		return true
 	}
-	g.rejectRequest(q, http.StatusTooManyRequests, d.RetryAfter, overQuota, &d)
+	reason := overQuota
+	if d.Yields {
+		reason = leftToUrgent
+	}
+	g.rejectRequest(q, http.StatusTooManyRequests, d.RetryAfter, reason, &d)
 	return false
 }
 
