jwgateway: shares admit requests where overload control applies

The first send of a caller's request with a prompt must have room in the share of its workspace and urgency. Nodes exchange the ledger with their state; while nothing is limited, once a second. A rejection is logged with demand, share, room and the age of the reports, counted, and explained in words.

--- a/core/jwworkspace/directory.go
+++ b/core/jwworkspace/directory.go
@@ -10,6 +10,13 @@
 	byKey   map[digest]*Workspace
 	byName  map[string]*Workspace
 	limited int // number of workspaces with a quota
+	quotas  map[Unit]quotaSum
+}
+
+// quotaSum adds up the quotas that count the same unit.
+type quotaSum struct {
+	count int
+	rate  float64
 }
 
 // digest is the SHA-256 hash of a key.
@@ -25,6 +32,11 @@
 	d.byName[w.Name] = w
 	if w.Quota.Limited() {
 		d.limited++
+		if d.quotas == nil {
+			d.quotas = make(map[Unit]quotaSum)
+		}
+		sum := d.quotas[w.Quota.Unit]
+		d.quotas[w.Quota.Unit] = quotaSum{sum.count + 1, sum.rate + w.Quota.Rate}
 	}
 	for _, key := range keys {
 		sum := digestOf(key)
@@ -50,6 +62,22 @@
 	return d.byName[name]
 }
 
+// Len returns the number of workspaces.
+func (d *Directory) Len() int {
+	if d == nil {
+		return 0
+	}
+	return len(d.byName)
+}
+
+// MeanRate returns the mean rate of the quotas that count a unit, 0 if there is none.
+func (d *Directory) MeanRate(unit Unit) float64 {
+	if d == nil || d.quotas[unit].count == 0 {
+		return 0
+	}
+	return d.quotas[unit].rate / float64(d.quotas[unit].count)
+}
+
 // Limited reports whether any workspace has a quota.
 func (d *Directory) Limited() bool { return d != nil && d.limited > 0 }
 
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -22,6 +22,7 @@
 		Step: step, Request: q.ID, Entry: q.entry.Name, Version: q.version, Workspace: q.workspace, Service: q.service,
 		Units: q.units, Attempt: q.attempts, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
 	}
+	q.addShare(&d)
 	return d
 }
 
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -9,6 +9,7 @@
 
 	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwledger"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/core/jwsuspect"
@@ -56,13 +57,14 @@
 	LocalSeen   []string                     `json:"localSeen,omitempty"` // nodes of the region seen recently, sent to other regions only
 	Loads       *jwinstance.LoadColumns      `json:"loads,omitempty"`     // sent within the region only
 	RelayReport *relayReport                 `json:"through,omitempty"`   // set if state is exchanged through relays
+	Ledger      *jwledger.Report             `json:"ledger,omitempty"`    // demand for services with overload control
 }
 
 // state returns the state to be reported to a node of a region.
 func (g *Gateway) state(now time.Time, region string) state {
 	s := state{
 		Member: g.members.Local(), Version: g.entries.Version(), Waits: map[string]int64{}, Gaps: map[string]int64{},
-		InSync: !g.store.stale(now), Revision: g.store.revision.Load(),
+		InSync: !g.store.stale(now), Revision: g.store.revision.Load(), Ledger: g.ledgerFor(now, region),
 	}
 	if c := g.entries.Current(); c != nil && region != g.Settings.Region {
 		for name := range c.Services {
@@ -215,6 +217,7 @@
 		g.targets.Merge(now, s.Member.Name, s.Loads.List(), s.Placed.List())
 	}
 	g.mergeRelayReport(now, s)
+	g.mergeLedger(now, s)
 	g.targets.MergeCold(now, s.Cold)
 	g.targets.MergeLimits(now, s.Limits)
 	for _, id := range g.targets.MergeLeaving(s.Leaving) {
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -165,7 +165,7 @@
 	delete(a.Header, headerOutcome)
 	switch outcome {
 	case outcomeNotRun:
-		q.lastReason = "refused by " + m.Name
+		q.lastReason = refusedByNode + m.Name
 		if q.rejectedRegions == nil {
 			q.rejectedRegions = make(map[string]bool)
 		}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -74,6 +74,7 @@
 	exchangesInFlight   sync.Map // names of the peers with an exchange in flight
 	demand              jwentry.Demand
 	suspects            jwsuspect.Table
+	shares              shareTable
 	crashChecks         singleflight.Group // checks in flight of whether a target has crashed
 	fullReadDone        atomic.Bool        // all keys of the store were read once
 	stopping            atomic.Bool
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -29,6 +29,8 @@
 	retriesLeft   map[string]tally.Gauge        // by service
 	unitCounts    map[[2]string]tally.Counter   // by workspace and outcome
 
+	shareRejections map[[3]string]tally.Counter // by service, level of urgency and workspace
+
 	firstEventTimes   map[string]tally.Histogram // by place
 	eventPauses       tally.Histogram
 	directoryAnswers  map[jwresolver.Kind]tally.Counter
--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -30,6 +30,7 @@
 // passAnswer passes an answer to the caller. onEvents is called with the number of events that have
 // arrived; for an answer that is not a stream it is called once.
 func (g *Gateway) passAnswer(q *request, a *jwconn.Answer, onEvents func(events int)) Verdict {
+	onEvents = g.observeFirstEvent(q, onEvents)
 	if strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") && a.Status == http.StatusOK {
 		return g.passStream(q, a, onEvents)
 	}
--- a/io/jwgateway/relayexchange.go
+++ b/io/jwgateway/relayexchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwledger"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
 )
@@ -48,6 +49,8 @@
 	Stopping     []jwmember.Member  `json:"stopping,omitempty"` // nodes with a planned stop
 	Remote       []regionReport     `json:"remote,omitempty"`   // reports about other regions
 	Changes      *changes           `json:"changes,omitempty"`
+	// Ledgers holds the demand of other regions, sent by a relay to the nodes that report through it.
+	Ledgers map[string]*jwledger.Report `json:"ledgers,omitempty"`
 }
 
 // regionReport is what a relay knows about another region.
@@ -132,6 +135,7 @@
 		Revision: g.store.revision.Load(), Cold: g.targets.ReportCold(now),
 		Suspects: g.suspectNotices(now, g.Settings.Region, localReportAge), RelayReport: &report,
 		Limits: g.targets.ReportLimits(now, report.FromRelay), Leaving: g.targets.ReportLeaving(),
+		Ledger: g.relayedLedger(now, report),
 	}
 	switch {
 	case report.Liveness != nil:
@@ -150,6 +154,14 @@
 
 // replyState returns the state to answer a node with that sent its own.
 func (g *Gateway) replyState(now time.Time, s state) state {
+	r := g.replyStateOf(now, s)
+	if s.Ledger == nil && r.RelayReport != nil {
+		r.Ledger, r.RelayReport.Ledgers = nil, nil // the sender gets the ledger when it sends its own
+	}
+	return r
+}
+
+func (g *Gateway) replyStateOf(now time.Time, s state) state {
 	switch {
 	case s.RelayReport == nil || s.Member.Region != g.Settings.Region:
 		return g.state(now, s.Member.Region)
@@ -166,6 +178,7 @@
 	h := g.members.Liveness(now)
 	return g.relayState(now, s.Member.Name, relayReport{
 		FromRelay: true, Liveness: &h, Stopping: g.members.RecentlyStopping(now, stopReportAge), Remote: g.regions.report(now), Changes: g.changesFor(now, s.RelayReport),
+		Ledgers: g.shares.ledger.Regions(now, exchangeInterval+maxRelayInterval),
 	})
 }
 
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -70,6 +70,7 @@
 	retryAfter      time.Duration   // Retry-After of the last rejection
 	rejectedRegions map[string]bool // regions whose nodes rejected the request
 	lastReason      string          // why the last send or choice of a target failed
+	share           admitted
 }
 
 // targetNeed describes the request for the choice of a target.
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -167,7 +167,7 @@
 	now := time.Now()
 	switch {
 	case reply.NotRun || a.Status == http.StatusMisdirectedRequest:
-		q.lastReason = "refused by the target"
+		q.lastReason = refusedByTarget
 		if a.Status == http.StatusMisdirectedRequest {
 			g.targets.Replaced(now, x)
 		} else {
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -37,6 +37,7 @@
 	for range maxSends {
 		verdict = g.send(ctx, q)
 		if verdict == finished {
+			g.endShare(ctx, q, verdict)
 			return
 		}
 		ran = ran || verdict == failed || verdict == broken
@@ -44,6 +45,7 @@
 			break
 		}
 	}
+	g.endShare(ctx, q, verdict)
 	if !ran {
 		g.refund(q)
 	}
@@ -105,12 +107,21 @@
 // up.
 const atLimit = "the targets take no more for now"
 
+// refusedByTarget and refusedByNode, with the node's name, are the reasons for a send that was refused.
+const (
+	refusedByTarget = "refused by the target"
+	refusedByNode   = "refused by "
+)
+
 // send sends the request once, to a target of this region or to a node of another one.
 func (g *Gateway) send(ctx context.Context, q *request) Verdict {
 	now := time.Now()
 	if !g.maySend(now, q) {
 		return q.reject(quarantined, quarantineRetryAfter)
 	}
+	if !g.admitByShare(now, q) {
+		return g.rejectForShare(q)
+	}
 	p := g.chooseRegion(now, q)
 	if p.Reason == jwplacement.NoTarget && len(q.tried) > 0 && q.entry.Retryable() {
 		// All remaining targets were tried; one of them may answer on a new connection.
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -38,9 +38,22 @@
 	Units       float64       // of the workspace's quota that the request takes
 	Level       float64       // quota units that the node had
 	Cold        bool          // the target is cold
+	Share       *Share        // set if the request was rejected for its share
 	DropFirst   bool          // the line is written to minor, as for served requests
 }
 
+// Share says on what a rejection for a share rests. Work is in thousandths of a target.
+type Share struct {
+	Region  string
+	Level   int           // of urgency, 0 is the most urgent
+	Asked   int64         // by the workspace at that level
+	Granted int64         // to it
+	Total   int64         // asked by all
+	Room    int64         // what the targets can run
+	Waiting int64         // admitted work that waits
+	Age     time.Duration // of the oldest report of demand
+}
+
 // Decisions writes each Decision as a JSON line; the zero value drops them.
 type Decisions struct {
 	major, minor *zap.Logger
@@ -66,7 +79,7 @@
 	if x.DropFirst {
 		log = d.minor
 	}
-	const maxFields = 28
+	const maxFields = 36
 	var buf [maxFields]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
@@ -97,6 +110,10 @@
 	if x.Cold {
 		f = append(f, zap.Bool("cold", true))
 	}
+	if s := x.Share; s != nil {
+		f = append(f, zap.String("region", s.Region), zap.Int("urgency", s.Level), zap.Int64("asked", s.Asked), zap.Int64("granted", s.Granted),
+			zap.Int64("totalAsked", s.Total), zap.Int64("room", s.Room), zap.Int64("waitingWork", s.Waiting), zap.Int64("shareAgeMs", s.Age.Milliseconds()))
+	}
 	log.Info(x.Step, f...)
 }
 
--- a/io/jwlogtrace/trace.go
+++ b/io/jwlogtrace/trace.go
@@ -39,6 +39,15 @@
 	Calls      int    `json:"calls"`
 	ViewAgeMS  int64  `json:"viewAgeMs"`
 	Cold       bool   `json:"cold"`
+
+	Region      string `json:"region"` // set if the request was rejected for its share, like the fields below
+	Urgency     int    `json:"urgency"`
+	Asked       int64  `json:"asked"`
+	Granted     int64  `json:"granted"`
+	TotalAsked  int64  `json:"totalAsked"`
+	Room        int64  `json:"room"`
+	WaitingWork int64  `json:"waitingWork"`
+	ShareAgeMS  int64  `json:"shareAgeMs"`
 }
 
 // Trace holds the log lines about one request.
@@ -193,6 +202,9 @@
 	if l.Reason != "" {
 		fmt.Fprintf(&b, ", %s", l.Reason)
 	}
+	if l.Region != "" {
+		fmt.Fprintf(&b, " (%s)", l.shareSentence())
+	}
 	if l.Workspace != "" && l.Outcome == "refused" {
 		fmt.Fprintf(&b, " (workspace %s, request of %d units, the node had %d)", l.Workspace, l.Units, l.LevelUnits)
 	}
--- a/io/jwlogtrace/trace_test.go
+++ b/io/jwlogtrace/trace_test.go
@@ -122,3 +122,25 @@
 		}
 	})
 }
+
+func TestShareSentence(t *testing.T) {
+	cases := map[string]struct{ log, want string }{
+		"a workspace": {
+			`{"level":"info","message":"answer","node":"n1","request":"r","workspace":"w","outcome":"notRun","reason":"over","region":"north","urgency":1,"asked":6200,"granted":1000,"totalAsked":20000,"room":12500,"waitingWork":3300,"shareAgeMs":420}`,
+			"rejected: workspace w was at 6.2 times its share of region north at urgency 1; all asked for 20.0 targets' work, the region could run 12.5, while 3.3 targets' seconds waited; by reports up to 420 ms old",
+		},
+		"callers without a workspace": {
+			`{"level":"info","message":"answer","node":"n1","request":"r","outcome":"notRun","region":"north","urgency":0,"asked":500}`,
+			"rejected: callers without a workspace were without any share",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			trace := Trace{Request: "r"}
+			assert.NilError(t, trace.Read(strings.NewReader(c.log)))
+			var b strings.Builder
+			trace.Write(&b)
+			assert.Assert(t, strings.Contains(b.String(), c.want), b.String())
+		})
+	}
+}
