jwbalance, jwgateway: shares of requests that go to other regions

Each request compared waits of other regions that were up to a second old, so peaks went back and forth. The nodes now exchange the demand of their own callers, one node of a region exchanges it with other regions four times a second, and each node plans the same shares from the same loads. In force only where overload is controlled.

--- /dev/null
+++ b/core/jwbalance/bench_test.go
@@ -0,0 +1,59 @@
+package jwbalance
+
+import (
+	"fmt"
+	"testing"
+)
+
+// fullSize returns the loads of 13 regions.
+func fullSize() []RegionLoad {
+	list := make([]RegionLoad, 13)
+	for i := range list {
+		list[i] = region(fmt.Sprintf("region-%d", i), float64(20*i), 200)
+		list[i].Demand["region-1|region-2"] = Rate{Work: 20}
+	}
+	return list
+}
+
+func BenchmarkChoose(b *testing.B) {
+	node := Balancer{Region: "region-12"}
+	list := fullSize()
+	for _, r := range list[:12] {
+		node.MergeRegion(t0, r.Region, map[string]Load{"s": r.Load})
+	}
+	for range 1000 {
+		node.Count(t0, "s", "", 1)
+	}
+	room := func() Room { return Room{Capacity: 200} }
+	b.ReportAllocs()
+	for b.Loop() {
+		node.Count(t0, "s", "", 0.05)
+		node.Choose("s", "", 0.05, node.Plan(t0, "s", room), false, everywhere)
+	}
+}
+
+func BenchmarkMake(b *testing.B) {
+	list := fullSize()
+	b.ReportAllocs()
+	for b.Loop() {
+		Policy{}.Make(list[12].Region, list[12].Load, list[:12])
+	}
+}
+
+// BenchmarkRelay measures what a relay of a region with 75 nodes does with the reports of its nodes
+// in one interval.
+func BenchmarkRelay(b *testing.B) {
+	var node, relay Balancer
+	for range 100 {
+		node.Count(t0, "s", "", 0.05)
+		node.Count(t0, "s", "region-1|region-2", 0.05)
+	}
+	d := node.Demand(t0, FromNode)
+	b.ReportAllocs()
+	for b.Loop() {
+		for i := range 75 {
+			relay.MergeDemand(t0, fmt.Sprint(i), FromNode, d)
+		}
+		relay.Demand(t0, FromRegion)
+	}
+}
--- a/core/jwplacement/placement.go
+++ b/core/jwplacement/placement.go
@@ -32,6 +32,7 @@
 	Local         Reason = "here"
 	RemoteCheaper Reason = "clearly cheaper"
 	RemoteOnly    Reason = "none here"
+	ByShare       Reason = "share of the region's load"
 )
 
 // Choice is the region that a request is sent to, and why. Its Reason is NoTarget if there
--- /dev/null
+++ b/io/jwgateway/balance_test.go
@@ -0,0 +1,154 @@
+package jwgateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwbalance"
+	"jujubewheel/core/jwentry"
+	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwplacement"
+	"jujubewheel/io/jwconn"
+	"jujubewheel/io/jwsettings"
+)
+
+// balanceGateway returns a node of region r beside a node of region s, each region with one target of
+// service v.
+func balanceGateway(now time.Time, overload jwsettings.OverloadMode) *Gateway {
+	g := &Gateway{
+		Settings: &jwsettings.Settings{Node: "n", Region: "r", Gateway: &jwsettings.Gateway{
+			Overload: overload, DataCentres: map[string]string{"r-a": "r", "s-a": "s"},
+		}},
+		Nodes: &jwconn.Pool{},
+	}
+	g.balance.Region, g.targets.Region, g.members.Self = "r", "r", jwmember.Member{Name: "n", Region: "r", Serving: true}
+	g.members.Seen(now, jwmember.Member{Name: "m", Region: "s", Serving: true})
+	for i, region := range []string{"r", "s"} {
+		g.targets.Put(now, jwinstance.Instance{
+			ID: region, Service: "v", Region: region, Slots: 8,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80),
+		})
+	}
+	g.entries.Put(&jwentry.Config{Version: 1, Services: map[string]*jwentry.Service{"v": {}}})
+	return g
+}
+
+func promptRequest(homes ...string) *request {
+	q := &request{service: "v", entry: &jwentry.Entry{Goal: time.Second}, tried: map[string]bool{}, homes: homes}
+	q.Prompt = jwinstance.Prompt{Tokens: 5000, Output: 100}
+	return q
+}
+
+func freeRegion() map[string]jwbalance.Load {
+	return map[string]jwbalance.Load{"v": {Capacity: 10}}
+}
+
+// peak lets callers ask this node for several times of what the target of its region can do.
+func peak(g *Gateway, now time.Time) {
+	for i := range 100 {
+		g.balance.Count(now.Add(time.Duration(i-100)*10*time.Millisecond), "v", "", 0.1)
+	}
+}
+
+func chosen(g *Gateway, now time.Time, requests int) map[jwplacement.Reason]int {
+	reasons := map[jwplacement.Reason]int{}
+	for range requests {
+		reasons[g.chooseRegion(now, promptRequest()).Reason]++
+	}
+	return reasons
+}
+
+// Without overload control nothing is counted, nothing is sent to other nodes and the choice of a
+// region is the policy's.
+func TestBalanceOff(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOff)
+	g.balance.MergeRegion(now, "s", freeRegion())
+	assert.DeepEqual(t, chosen(g, now, 50), map[jwplacement.Reason]int{jwplacement.Local: 50})
+	assert.Equal(t, len(g.balance.Demand(now, jwbalance.FromRegion)), 0)
+	g.balance.Discard()
+	encoded, err := json.Marshal(g.state(now, "r"))
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(encoded), "balance"), "%s", encoded)
+	assert.Assert(t, !g.balances())
+	w := httptest.NewRecorder()
+	g.serveNode(w, httptest.NewRequest(http.MethodPost, regionLoadsPath, strings.NewReader("{}")))
+	assert.Equal(t, w.Code, http.StatusNotFound)
+}
+
+// A node that has just started, or is cut off, knows nothing of other regions and decides as without
+// shares.
+func TestBalanceWithoutReports(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	peak(g, now)
+	assert.Equal(t, chosen(g, now, 50)[jwplacement.ByShare], 0)
+	g.balance.MergeRegion(now.Add(-time.Minute), "s", freeRegion())
+	assert.Equal(t, chosen(g, now.Add(time.Second), 50)[jwplacement.ByShare], 0)
+}
+
+func TestBalanceAtPeak(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	peak(g, now)
+	g.balance.MergeRegion(now, "s", freeRegion())
+	got := chosen(g, now, 100)
+	assert.Assert(t, got[jwplacement.ByShare] > 50 && got[jwplacement.Local] > 1, "%v", got)
+	assert.Equal(t, got[jwplacement.ByShare]+got[jwplacement.Local], 100)
+}
+
+// Homes bind, whatever the shares are, and a request that another node forwarded is not forwarded
+// again.
+func TestBalanceKeepsHomes(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	peak(g, now)
+	g.balance.MergeRegion(now, "s", freeRegion())
+	for range 50 {
+		assert.Equal(t, g.chooseRegion(now, promptRequest("r")).Region, "r")
+		assert.Equal(t, g.chooseRegion(now, promptRequest("s")).Region, "s")
+		q := promptRequest()
+		q.forwarded = true
+		assert.Equal(t, g.chooseRegion(now, q).Region, "r")
+	}
+}
+
+// The nodes of a region learn of other regions from the one that exchanges loads with these.
+func TestLoadsReachAllNodes(t *testing.T) {
+	now := time.Now()
+	speaker, other, remote := balanceGateway(now, jwsettings.OverloadOn), balanceGateway(now, jwsettings.OverloadOn), balanceGateway(now, jwsettings.OverloadOn)
+	remote.Settings.Node, remote.Settings.Region, remote.balance.Region, remote.targets.Region = "m", "s", "s", "s"
+	remote.members.Self = jwmember.Member{Name: "m", Region: "s", Serving: true}
+	speaker.mergeLoads(now, remote.loads(now))
+	speaker.members.Self.Name = "a"
+	s := speaker.state(now, "r")
+	encoded, err := json.Marshal(s)
+	assert.NilError(t, err)
+	var received state
+	assert.NilError(t, json.Unmarshal(encoded, &received))
+	other.mergeBalance(now, received)
+	known := other.balance.Regions(now, time.Second)
+	assert.Equal(t, len(known), 1)
+	assert.Equal(t, known[0].Region, "s")
+	assert.Equal(t, known[0].Loads["v"].Capacity, 1.0)
+	assert.Assert(t, len(encoded) < 1000, "%d bytes", len(encoded))
+}
+
+// One node speaks for its region: the first one, and the next one when that is gone.
+func TestSpeaksForRegion(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	assert.Assert(t, g.speaksForRegion(now))
+	g.members.Seen(now, jwmember.Member{Name: "b", Region: "r", Serving: true})
+	assert.Assert(t, !g.speaksForRegion(now))
+	g.members.MarkUnreachable(now.Add(time.Millisecond), "b")
+	assert.Assert(t, g.speaksForRegion(now.Add(time.Millisecond)))
+}
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -78,6 +78,7 @@
 	d := q.newDecision(stepForward)
 	d.Peer, d.Outcome, d.Status = peer, string(v), status
 	d.First, d.Pause = p.first, p.pause
+	d.Region, d.Share, d.ShareAge, d.Expected = q.share.Region, q.share.Part, q.share.Age, q.shareWait
 	d.DropFirst = v == finished && status < 500
 	if !d.DropFirst {
 		d.Reason = q.lastReason
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"jujubewheel/core/jwbalance"
 	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
@@ -56,6 +57,7 @@
 	LocalSeen   []string                     `json:"localSeen,omitempty"` // nodes of the region seen recently, sent to other regions only
 	Loads       *jwinstance.LoadColumns      `json:"loads,omitempty"`     // sent within the region only
 	RelayReport *relayReport                 `json:"through,omitempty"`   // set if state is exchanged through relays
+	Balance     *balanceState                `json:"balance,omitempty"`   // sent within the region only
 }
 
 // state returns the state to be reported to a node of a region.
@@ -76,6 +78,7 @@
 		loads, placed := g.targets.Report(now)
 		s.Loads, s.Placed = jwinstance.NewLoadColumns(loads), jwinstance.NewPlacementColumns(placed)
 		s.Cold = g.targets.ReportCold(now)
+		s.Balance = g.balanceStateFor(now, jwbalance.FromNode)
 		s.Limits = g.targets.ReportLimits(now, false)
 		s.Leaving = g.targets.ReportLeaving()
 		s.Suspects = g.suspectNotices(now, region, localReportAge)
@@ -215,6 +218,7 @@
 		g.targets.Merge(now, s.Member.Name, s.Loads.List(), s.Placed.List())
 	}
 	g.mergeRelayReport(now, s)
+	g.mergeBalance(now, s)
 	g.targets.MergeCold(now, s.Cold)
 	g.targets.MergeLimits(now, s.Limits)
 	for _, id := range g.targets.MergeLeaving(s.Leaving) {
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -40,6 +40,9 @@
 			}
 		}
 	}
+	if c, ok := g.balancedRegion(now, q, n, here); ok {
+		return c
+	}
 	var others []jwplacement.Option
 	if !q.forwarded {
 		for _, region := range g.otherRegions(q) {
@@ -302,6 +305,8 @@
 		g.serveForward(w, r)
 	case r.URL.Path == jwquotaexchange.Path:
 		g.quotaExchange.ServeHTTP(w, r)
+	case r.URL.Path == regionLoadsPath:
+		g.serveRegionLoads(w, r)
 	case r.URL.Path == statePath:
 		g.serveState(w, r)
 	case r.URL.Path == changesPath:
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -69,6 +69,7 @@
 	quotas              jwquota.Ledger
 	quotaExchange       jwquotaexchange.Exchange // exchanges quota units with other nodes
 	regions             regionTable
+	balance             regionBalance
 	unseenCalledAt      time.Time // time of the last exchange with unseen nodes; used by exchangeStates only, like unseenTurn
 	unseenTurn          int
 	exchangesInFlight   sync.Map // names of the peers with an exchange in flight
@@ -112,6 +113,7 @@
 	group.Go(func() error { g.bootstrapFromPeers(work); return nil })
 	group.Go(func() error { g.keepRegistered(work); return nil })
 	group.Go(func() error { g.exchangeStates(work); return nil })
+	group.Go(func() error { g.exchangeRegionLoads(work); return nil })
 	group.Go(func() error { g.quotaExchange.Run(work); return nil })
 	group.Go(func() error { g.probeTargets(work); return nil })
 	group.Go(func() error { g.reload(work); return nil })
@@ -145,6 +147,7 @@
 	}
 	g.members.RelayThreshold = g.RelayThreshold
 	g.targets.Node, g.targets.Region = s.Node, s.Region
+	g.balance.Region = s.Region
 	g.suspects.Node, g.suspects.Region = s.Node, s.Region
 	g.targets.Warmup = g.warmup
 	g.targets.ColdRate = g.coldRate
--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -89,7 +89,9 @@
 		buffered = append(buffered, buf[:n]...)
 		if end := bytes.LastIndex(buffered, []byte("\n\n")); end >= 0 {
 			events := buffered[:end+2]
-			onEvents(bytes.Count(events, []byte("\n\n")))
+			count := bytes.Count(events, []byte("\n\n"))
+			q.events += count
+			onEvents(count)
 			if first {
 				first = false
 				g.logStreamStart(q)
--- a/io/jwgateway/relayexchange.go
+++ b/io/jwgateway/relayexchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"jujubewheel/core/jwbalance"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
@@ -136,13 +137,16 @@
 	switch {
 	case report.Liveness != nil:
 		s.Loads = jwinstance.NewLoadColumns(g.targets.ReportTo(now, to))
+		s.Balance = g.balanceStateFor(now, jwbalance.FromRegion)
 		s.Placed = jwinstance.NewPlacementColumns(g.targets.PlacementsToRelay(now, age, to, false))
 	case report.FromRelay:
 		s.Loads = jwinstance.NewLoadColumns(g.targets.ReportToRelay(now))
+		s.Balance = g.balanceStateFor(now, jwbalance.FromDataCentre)
 		s.Placed = jwinstance.NewPlacementColumns(g.targets.PlacementsToRelay(now, age, to, true))
 		s.LocalSeen = g.members.LocalSeen(now)
 	default:
 		loads, placed := g.targets.ReportSince(now, age)
+		s.Balance = g.balanceStateFor(now, jwbalance.FromNode)
 		s.Loads, s.Placed = jwinstance.NewLoadColumns(loads), jwinstance.NewPlacementColumns(placed)
 	}
 	return s
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"jujubewheel/core/jwadmission"
+	"jujubewheel/core/jwbalance"
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwsuspect"
@@ -70,6 +71,10 @@
 	retryAfter      time.Duration   // Retry-After of the last rejection
 	rejectedRegions map[string]bool // regions whose nodes rejected the request
 	lastReason      string          // why the last send or choice of a target failed
+	counted         bool            // counted as demand of the region
+	events          int             // events of a stream passed to the caller
+	share           jwbalance.Share // the share by which it is forwarded, zero if none
+	shareWait       time.Duration   // expected wait for the first event there
 }
 
 // targetNeed describes the request for the choice of a target.
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -37,6 +37,7 @@
 	for range maxSends {
 		verdict = g.send(ctx, q)
 		if verdict == finished {
+			g.recordLength(q)
 			return
 		}
 		ran = ran || verdict == failed || verdict == broken
--- a/io/jwgateway/wake.go
+++ b/io/jwgateway/wake.go
@@ -52,6 +52,7 @@
 	g.Log.Info("woke from a pause", "version", g.entries.Version())
 	g.members.Resumed(start)
 	g.targets.DiscardReports()
+	g.balance.Discard()
 	g.newEpoch(ctx)
 	const step = 10 * time.Millisecond
 	for !g.pauseDetector.Valid() && time.Since(start) < maxWakeWait && ctx.Err() == nil {
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,6 +38,9 @@
 	LoadAge     time.Duration // age of the target's last load report
 	Units       float64       // of the workspace's quota that the request takes
 	Level       float64       // quota units that the node had
+	Region      string        // the region that the request was forwarded to by its share
+	Share       float64       // part of such requests that goes to that region
+	ShareAge    time.Duration // age of that region's load when the share was used
 	Cold        bool          // the target is cold
 	DropFirst   bool          // the line is written to minor, as for served requests
 }
@@ -66,7 +70,7 @@
 	if x.DropFirst {
 		log = d.minor
 	}
-	const maxFields = 28
+	const maxFields = 31
 	var buf [maxFields]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
@@ -94,6 +98,9 @@
 	f = appendNumber(f, "levelUnits", int64(x.Level))
 	f = appendNumber(f, "viewAgeMs", x.ViewAge.Milliseconds())
 	f = appendNumber(f, "loadAgeMs", x.LoadAge.Milliseconds())
+	f = appendText(f, "region", x.Region)
+	f = appendNumber(f, "sharePercent", int64(math.Round(100*x.Share)))
+	f = appendNumber(f, "shareAgeMs", x.ShareAge.Milliseconds())
 	if x.Cold {
 		f = append(f, zap.Bool("cold", true))
 	}
--- a/io/jwlogtrace/trace.go
+++ b/io/jwlogtrace/trace.go
@@ -39,6 +39,9 @@
 	Calls      int    `json:"calls"`
 	ViewAgeMS  int64  `json:"viewAgeMs"`
 	Cold       bool   `json:"cold"`
+	Region     string `json:"region"`
+	SharePct   int64  `json:"sharePercent"`
+	ShareAgeMS int64  `json:"shareAgeMs"`
 }
 
 // Trace holds the log lines about one request.
@@ -180,6 +183,9 @@
 		}
 	case "forward":
 		fmt.Fprintf(&b, "forwarded to node %s", l.Peer)
+		if l.Region != "" {
+			fmt.Fprintf(&b, " (%d%% of such requests go to region %s, whose load was reported %d ms before, first event expected in %d ms)", l.SharePct, l.Region, l.ShareAgeMS, l.ExpectedMS)
+		}
 	case "begun":
 		fmt.Fprintf(&b, "first event from %s arrived", l.Peer)
 	case "answer":
--- a/io/jwlogtrace/trace_test.go
+++ b/io/jwlogtrace/trace_test.go
@@ -7,6 +7,15 @@
 	"gotest.tools/v3/assert"
 )
 
+func TestWriteShare(t *testing.T) {
+	trace := Trace{Request: "r"}
+	assert.NilError(t, trace.Read(strings.NewReader(`{"message":"forward","node":"n1","request":"r","entry":"e","peer":"n2","outcome":"finished","status":200,"region":"s","sharePercent":40,"shareAgeMs":120,"expectedMs":230}`)))
+	var b strings.Builder
+	trace.Write(&b)
+	want := "forwarded to node n2 (40% of such requests go to region s, whose load was reported 120 ms before, first event expected in 230 ms): "
+	assert.Assert(t, strings.Contains(b.String(), want), b.String())
+}
+
 func TestCause(t *testing.T) {
 	cases := map[string]struct{ log, want string }{
 		"served": {
