--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"jujubewheel/core/jwbalance"
 	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwledger"
@@ -58,6 +59,7 @@
 	Loads       *jwinstance.LoadColumns      `json:"loads,omitempty"`     // sent within the region only
 	RelayReport *relayReport                 `json:"through,omitempty"`   // set if state is exchanged through relays
 	Ledger      *jwledger.Report             `json:"ledger,omitempty"`    // demand for services with overload control
+	Balance     *balanceState                `json:"balance,omitempty"`   // sent within the region only
 }
 
 // state returns the state to be reported to a node of a region.
@@ -78,6 +80,7 @@
 		loads, placed := g.targets.Report(now)
 		s.Loads, s.Placed = jwinstance.NewLoadColumns(loads), jwinstance.NewPlacementColumns(placed)
 		s.Cold = g.targets.ReportCold(now)
+		s.Balance = g.balanceStateFor(now, jwbalance.FromNode)
 		s.Limits = g.targets.ReportLimits(now, false)
 		s.Leaving = g.targets.ReportLeaving()
 		s.Suspects = g.suspectNotices(now, region, localReportAge)
@@ -218,6 +221,7 @@
 	}
 	g.mergeRelayReport(now, s)
 	g.mergeLedger(now, s)
+	g.mergeBalance(now, s)
 	g.targets.MergeCold(now, s.Cold)
 	g.targets.MergeLimits(now, s.Limits)
 	for _, id := range g.targets.MergeLeaving(s.Leaving) {
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -38,6 +38,7 @@
 		verdict = g.send(ctx, q)
 		if verdict == finished {
 			g.endShare(ctx, q, verdict)
+			g.recordLength(q)
 			return
 		}
 		ran = ran || verdict == failed || verdict == broken
--- a/io/jwlogtrace/trace.go
+++ b/io/jwlogtrace/trace.go
@@ -40,7 +40,7 @@
 	ViewAgeMS  int64  `json:"viewAgeMs"`
 	Cold       bool   `json:"cold"`
 
-	Region      string `json:"region"` // set if the request was rejected for its share, like the fields below
+	Region      string `json:"region"` // set if the request was rejected for its share, like the fields below, or forwarded by a share
 	Urgency     int    `json:"urgency"`
 	Asked       int64  `json:"asked"`
 	Granted     int64  `json:"granted"`
@@ -48,6 +48,7 @@
 	Room        int64  `json:"room"`
 	WaitingWork int64  `json:"waitingWork"`
 	ShareAgeMS  int64  `json:"shareAgeMs"`
+	SharePct    int64  `json:"sharePercent"`
 }
 
 // Trace holds the log lines about one request.
@@ -189,6 +190,9 @@
 		}
 	case "forward":
 		fmt.Fprintf(&b, "forwarded to node %s", l.Peer)
+		if l.Region != "" {
+			fmt.Fprintf(&b, " (%d%% of such requests go to region %s, whose load was reported %d ms before, first event expected in %d ms)", l.SharePct, l.Region, l.ShareAgeMS, l.ExpectedMS)
+		}
 	case "begun":
 		fmt.Fprintf(&b, "first event from %s arrived", l.Peer)
 	case "answer":
