jwwaitroom, jwroom, jwgateway: requests wait in the node until a target has room

Under overload control a request went to a target at once, where it could not be reordered or moved. It now waits in the node, ordered by urgency, share and time left, until this node's part of a target's room allows it, and is then placed anew.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -56,6 +56,7 @@
 	WarmOnly       bool             // leave out cold targets, and those that announce a limit
 	Exclude        map[string]bool  // IDs of targets that the request was already sent to
 	AvoidAddresses []netip.AddrPort // addresses of targets that it must not run on now
+	OnlyWithRoom   bool             // leave out targets of whose room this node's part is used up
 }
 
 // Choice is a chosen target, with the estimates on which the choice rests.
@@ -106,6 +107,7 @@
 	x.memoryInUse += c.MemoryTokens
 	x.capacity = n.Capacity
 	stats := t.statsOf(n.Service)
+	stats.calls++
 	stats.meanPrompt += promptWeight * (float64(n.Prompt.Tokens) - stats.meanPrompt)
 	t.recordPlacement(now, x, n.Prompt)
 	x.recordSend(now)
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -24,6 +24,7 @@
 	firstEvent   latencyModel  // wait for the first event of an engine
 	plainLatency time.Duration // of a call to a plain service
 	slotTime     time.Duration // time that a call occupies a slot of an engine
+	calls        int           // of this node in flight
 	meanPrompt   float64       // mean length of the prompts sent, in tokens
 }
 
@@ -86,6 +87,7 @@
 		stats.slotTime += time.Duration(callTimeWeight * float64(held-stats.slotTime))
 	}
 	x.calls--
+	t.statsOf(x.Service).calls--
 	x.memoryInUse -= c.MemoryTokens
 	if first == 0 {
 		x.unread[c.PriorityLevel] -= c.MissTokens
--- /dev/null
+++ b/core/jwinstance/room.go
@@ -0,0 +1,110 @@
+package jwinstance
+
+import (
+	"time"
+
+	"jujubewheel/core/jwroom"
+)
+
+const (
+	// queueShare is how many calls may wait at a target, as a share of its slots. A slot then finds a
+	// call while the nodes learn that another one has ended.
+	queueShare = 0.25
+	// minQueue is the same for a target of few slots.
+	minQueue = 1
+	// directRounds and relayRounds are how many parts a node may compute before the others see what
+	// it took with the first: reports pass directly, or through one or two relays.
+	directRounds = 2
+	relayRounds  = 4
+)
+
+// reportView sums up which reports of other nodes count. It is the same for all targets, so it is
+// computed at most once in viewInterval.
+type reportView struct {
+	at      time.Time
+	oldest  time.Time // arrival of the oldest report that counts
+	missing int
+	nodes   int
+	relayed bool
+}
+
+// viewInterval is how long a reportView is used.
+const viewInterval = 10 * time.Millisecond
+
+// hasRoom reports whether this node's part of a target's room allows the request.
+func (t *Table) hasRoom(now time.Time, x *Target, n Need) bool {
+	own := jwroom.Use{Calls: x.calls, Memory: x.memoryInUse}
+	v := t.reportView(now)
+	rounds := directRounds
+	if v.relayed {
+		rounds = relayRounds
+	}
+	fraction := 0.0
+	if t.Rand != nil {
+		const steps = 1 << 16
+		fraction = float64(t.Rand(steps)) / steps
+	}
+	x.lease.Renew(now, roomOf(x, n), jwroom.View{
+		Own: own, Others: jwroom.Use{Calls: x.othersLoad.calls, Memory: x.othersLoad.memoryTokens},
+		ReportedAt: v.oldest, Nodes: t.sharingNodes(x, v.nodes), Missing: v.missing, Rounds: rounds, Idle: t.idle(n.Service),
+	}, fraction)
+	return x.lease.Allows(own)
+}
+
+// roomOf returns the room of a target.
+func roomOf(x *Target, n Need) jwroom.Room {
+	slots := max(x.Slots, 1)
+	return jwroom.Room{Slots: slots, Queue: max(int(queueShare*float64(slots)), minQueue), Memory: n.Capacity}
+}
+
+// idle reports whether this node has no call of a service in flight.
+func (t *Table) idle(service string) bool { return t.statsOf(service).calls == 0 }
+
+// sharingNodes returns how many of the region's nodes have a target in their subsets.
+func (t *Table) sharingNodes(x *Target, nodes int) int {
+	all := len(t.byRegion[x.Service][x.Region])
+	if all <= localSubset {
+		return nodes
+	}
+	return max((nodes*localSubset+all-1)/all, 1)
+}
+
+// reportView returns which reports count now.
+func (t *Table) reportView(now time.Time) *reportView {
+	v := &t.view
+	if !v.at.IsZero() && now.Sub(v.at) < viewInterval {
+		return v
+	}
+	t.expireReports(now)
+	*v = reportView{at: now, nodes: 1}
+	if t.Nodes != nil {
+		v.nodes = max(t.Nodes(), 1)
+	}
+	counted := 0
+	for _, report := range t.reports {
+		v.relayed = v.relayed || report.fromRelay
+		if now.Sub(report.at) >= jwroom.LeaseTime {
+			continue
+		}
+		counted++
+		if v.oldest.IsZero() || report.at.Before(v.oldest) {
+			v.oldest = report.at
+		}
+	}
+	if !v.relayed || counted == 0 {
+		v.missing = max(v.nodes-1-counted, 0)
+	}
+	return v
+}
+
+// RoomAge returns how old the oldest report is on which the parts of the targets' room rest, and how
+// many nodes of the region have not reported recently.
+func (t *Table) RoomAge(now time.Time) (age time.Duration, missing int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.reportView(now)
+	if v.oldest.IsZero() {
+		return 0, v.missing
+	}
+	return now.Sub(v.oldest), v.missing
+}
--- a/core/jwinstance/sample.go
+++ b/core/jwinstance/sample.go
@@ -41,6 +41,9 @@
 		if now.Before(x.coldUntil) && (n.WarmOnly || !t.coldAllows(now, x)) {
 			continue
 		}
+		if n.OnlyWithRoom && !t.hasRoom(now, x, n) {
+			continue
+		}
 		if x.limit.Announced {
 			if !n.WarmOnly && t.limitAllows(now, x) {
 				t.limitedCandidates = append(t.limitedCandidates, i)
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -1,6 +1,10 @@
 package jwinstance
 
-import "time"
+import (
+	"time"
+
+	"jujubewheel/core/jwroom"
+)
 
 const (
 	// reportMaxAge is how long the load reported by another node counts.
@@ -247,6 +251,9 @@
 	for node := range t.reports {
 		t.dropReport(node)
 	}
+	for _, x := range t.targets {
+		x.lease = jwroom.Lease{}
+	}
 }
 
 // dropReport subtracts a node's loads from the sums and deletes its report.
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jujubewheel/core/jwbudget"
+	"jujubewheel/core/jwroom"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/core/jwtarget"
 )
@@ -48,12 +49,13 @@
 	evacuated         map[string]bool           // data centres that get no requests
 	selfReported      map[string]bool           // IDs of targets that announced in an answer a limit or that they are leaving
 	stats             map[string]*serviceStats  // by service
-	pacedServices     map[string]bool           // services whose targets report their pace
-	placements        []Placement               // recent ones, of this node and reported by others, the latest last
-	reports           map[string]nodeReport     // last report of each other node of the region, by node name
-	candidates        []int                     // buffer of collectCandidates: indexes of targets
-	limitedCandidates []int                     // the same for the targets that announce a limit
-	missingTokens     []int                     // buffer of best: prompt tokens that each known target has not cached
+	view              reportView
+	pacedServices     map[string]bool       // services whose targets report their pace
+	placements        []Placement           // recent ones, of this node and reported by others, the latest last
+	reports           map[string]nodeReport // last report of each other node of the region, by node name
+	candidates        []int                 // buffer of collectCandidates: indexes of targets
+	limitedCandidates []int                 // the same for the targets that announce a limit
+	missingTokens     []int                 // buffer of best: prompt tokens that each known target has not cached
 }
 
 // Target is one incarnation of a target with all that is known about it. Its fields are guarded by
@@ -84,6 +86,7 @@
 	cache         cache
 	capacity      int // memory of the target in tokens, 0 if not known
 	limit         targetLimit
+	lease         jwroom.Lease
 	load          LoadReport // last load that the target reported to this node
 	loadAt        time.Time
 }
--- /dev/null
+++ b/core/jwwaitroom/room.go
@@ -0,0 +1,339 @@
+package jwwaitroom
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Reason says why a request does not wait or no longer waits.
+type Reason string
+
+// The possible reasons.
+const (
+	None      Reason = ""
+	Expired   Reason = "can't be served in time any more"
+	Displaced Reason = "displaced by a more urgent request"
+	Full      Reason = "the waiting room is full"
+	Stopping  Reason = "the node is stopping"
+)
+
+// Request describes a request that waits. Priority orders first, then Share, then LatestStart.
+type Request struct {
+	Service     string
+	Priority    int       // 0 is the most urgent
+	Share       float64   // weight of its workspace; the larger goes first
+	LatestStart time.Time // a start after this time would be too late
+	Bytes       int64     // memory that the request takes while it waits
+}
+
+// Ticket is the place of a request in the room.
+type Ticket struct {
+	Request
+	seq     uint64 // order of arrival
+	offered bool   // has its turn and has not handed it back yet
+	waiting bool
+	signal  chan Reason
+}
+
+// Signal delivers None when it is the request's turn to look for a target, or the reason why the
+// room has dropped it.
+func (t *Ticket) Signal() <-chan Reason { return t.signal }
+
+// Room is a waiting room. The exported fields must be set before use and bound it; 0 admits
+// nothing. It is safe for concurrent use.
+type Room struct {
+	MaxRequests int
+	MaxBytes    int64
+
+	mu       sync.Mutex
+	all      []*Ticket           // ordered by before
+	services map[string]*service // of the services with waiting requests, or with a measured rate
+	bytes    int64
+	seq      uint64
+}
+
+// service holds the waiting requests of one service.
+type service struct {
+	queue     []*Ticket // ordered by before
+	lastStart time.Time // when a request last left the queue for a target, zero if the queue was empty since
+	interval  time.Duration
+}
+
+// intervalWeight is the weight of a new sample in the mean time between two starts.
+const intervalWeight = 0.1
+
+// maxServices limits the number of services with a measured rate.
+const maxServices = 64
+
+// before reports whether a goes before b.
+func before(a, b *Ticket) bool { return compare(a, b) < 0 }
+
+func compare(a, b *Ticket) int {
+	switch {
+	case a.Priority != b.Priority:
+		return a.Priority - b.Priority
+	case a.Share > b.Share:
+		return -1
+	case a.Share < b.Share:
+		return 1
+	}
+	if c := a.LatestStart.Compare(b.LatestStart); c != 0 {
+		return c
+	}
+	if a.seq < b.seq {
+		return -1
+	}
+	if a.seq > b.seq {
+		return 1
+	}
+	return 0
+}
+
+// Enter puts a request into the room. It returns the reason if the request can't wait: because it
+// could no longer be served, or because the room is full of requests that go before it.
+func (r *Room) Enter(now time.Time, q Request) (*Ticket, Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !now.Before(q.LatestStart) {
+		return nil, Expired
+	}
+	r.seq++
+	t := &Ticket{Request: q, seq: r.seq, signal: make(chan Reason, 1)}
+	if !r.fits(t) {
+		r.expire(now)
+	}
+	if !r.makeRoom(t) {
+		return nil, Full
+	}
+	r.add(t)
+	return t, None
+}
+
+// fits reports whether a request fits without dropping another.
+func (r *Room) fits(t *Ticket) bool {
+	return len(r.all) < r.MaxRequests && r.bytes+t.Bytes <= r.MaxBytes
+}
+
+// makeRoom drops requests that go after t until it fits; it reports false, and drops none, if it
+// can't fit.
+func (r *Room) makeRoom(t *Ticket) bool {
+	count, bytes, n := len(r.all)+1, r.bytes+t.Bytes, 0
+	for count > r.MaxRequests || bytes > r.MaxBytes {
+		n++
+		if n > len(r.all) || !before(t, r.all[len(r.all)-n]) {
+			return false
+		}
+		count--
+		bytes -= r.all[len(r.all)-n].Bytes
+	}
+	for ; n > 0; n-- {
+		r.drop(r.all[len(r.all)-1], Displaced)
+	}
+	return true
+}
+
+func (r *Room) add(t *Ticket) {
+	t.waiting = true
+	r.bytes += t.Bytes
+	r.all = insert(r.all, t)
+	s := r.service(t.Service)
+	s.queue = insert(s.queue, t)
+}
+
+func (r *Room) service(name string) *service {
+	if r.services == nil {
+		r.services = make(map[string]*service)
+	}
+	s := r.services[name]
+	if s == nil {
+		if len(r.services) >= maxServices {
+			for other, old := range r.services {
+				if len(old.queue) == 0 {
+					delete(r.services, other)
+				}
+			}
+		}
+		s = &service{}
+		r.services[name] = s
+	}
+	return s
+}
+
+func insert(list []*Ticket, t *Ticket) []*Ticket {
+	i, _ := slices.BinarySearchFunc(list, t, compare)
+	return slices.Insert(list, i, t)
+}
+
+func remove(list []*Ticket, t *Ticket) []*Ticket {
+	if i, ok := slices.BinarySearchFunc(list, t, compare); ok {
+		return slices.Delete(list, i, i+1)
+	}
+	return list
+}
+
+// take removes a ticket that waits.
+func (r *Room) take(t *Ticket) {
+	t.waiting = false
+	r.bytes -= t.Bytes
+	r.all = remove(r.all, t)
+	s := r.services[t.Service]
+	s.queue = remove(s.queue, t)
+}
+
+// drop removes a ticket and delivers the reason, in place of a turn that was not taken up yet.
+func (r *Room) drop(t *Ticket, reason Reason) {
+	r.take(t)
+	select {
+	case <-t.signal:
+	default:
+	}
+	t.signal <- reason
+}
+
+// expire drops the requests that can no longer be served, except those that have their turn and
+// decide for themselves.
+func (r *Room) expire(now time.Time) {
+	for i := len(r.all) - 1; i >= 0; i-- {
+		if t := r.all[i]; !t.offered && !now.Before(t.LatestStart) {
+			r.drop(t, Expired)
+		}
+	}
+}
+
+// Expire drops the requests that can no longer be served.
+func (r *Room) Expire(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(now)
+}
+
+// Offer gives up to n requests of a service their turn, in order. It is called when targets may
+// have got room. Requests that have their turn already are passed over and count.
+func (r *Room) Offer(now time.Time, service string, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.services[service]; s != nil {
+		r.offer(now, s, n)
+	}
+}
+
+func (r *Room) offer(now time.Time, s *service, n int) {
+	for i := 0; i < len(s.queue) && n > 0; {
+		t := s.queue[i]
+		if !t.offered && !now.Before(t.LatestStart) {
+			r.drop(t, Expired)
+			continue
+		}
+		if !t.offered {
+			t.offered = true
+			t.signal <- None
+		}
+		n--
+		i++
+	}
+}
+
+// OfferAll is Offer for each service.
+func (r *Room) OfferAll(now time.Time, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.services {
+		r.offer(now, s, n)
+	}
+}
+
+// Return hands back a turn for which no target was found: the request keeps its place. It returns
+// a reason if the request no longer waits.
+func (r *Room) Return(now time.Time, t *Ticket) Reason {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.offered = false
+	if !t.waiting {
+		return <-t.signal
+	}
+	if !now.Before(t.LatestStart) {
+		r.take(t)
+		return Expired
+	}
+	return None
+}
+
+// Leave removes a request from the room, whether it found a target or was given up. It may be
+// called more than once. If it found a target, the next one gets its turn, as there may be room for
+// it too.
+func (r *Room) Leave(now time.Time, t *Ticket, started bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hadTurn := t.offered
+	t.offered = false
+	if t.waiting {
+		r.take(t)
+	}
+	s := r.services[t.Service]
+	if s == nil {
+		return
+	}
+	if started {
+		s.recordStart(now)
+	}
+	if started || hadTurn {
+		r.offer(now, s, 1)
+	}
+}
+
+// recordStart updates the mean time between two starts while requests wait.
+func (s *service) recordStart(now time.Time) {
+	if !s.lastStart.IsZero() {
+		d := now.Sub(s.lastStart)
+		if s.interval == 0 {
+			s.interval = d
+		}
+		s.interval += time.Duration(intervalWeight * float64(d-s.interval))
+	}
+	s.lastStart = now
+	if len(s.queue) == 0 {
+		s.lastStart = time.Time{}
+	}
+}
+
+// Ahead returns how many waiting requests of a service go before a new one with the given priority
+// and share, and how long they are expected to take to leave.
+func (r *Room) Ahead(service string, priority int, share float64) (n int, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[service]
+	if s == nil || len(s.queue) == 0 {
+		return 0, 0
+	}
+	last := &Ticket{Request: Request{Priority: priority, Share: share, LatestStart: time.Unix(1<<40, 0)}}
+	n, _ = slices.BinarySearchFunc(s.queue, last, compare)
+	return n, time.Duration(n) * s.interval
+}
+
+// Load is what the room holds.
+type Load struct {
+	Requests   int
+	Bytes      int64
+	ByPriority map[int]int
+}
+
+// Load returns what the room holds.
+func (r *Room) Load() Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := Load{Requests: len(r.all), Bytes: r.bytes, ByPriority: make(map[int]int)}
+	for _, t := range r.all {
+		l.ByPriority[t.Priority]++
+	}
+	return l
+}
+
+// DropAll drops all waiting requests for a reason.
+func (r *Room) DropAll(reason Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.all) > 0 {
+		r.drop(r.all[len(r.all)-1], reason)
+	}
+}
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -67,7 +67,7 @@
 	if c := g.entries.Current(); c != nil && region != g.Settings.Region {
 		for name := range c.Services {
 			if d, ok := g.targets.Wait(now, name); ok {
-				s.Waits[name] = d.Milliseconds()
+				s.Waits[name] = (d + g.serviceRoomWait(name)).Milliseconds()
 				s.Gaps[name] = g.targets.Gap(now, name).Milliseconds()
 			}
 		}
@@ -215,6 +215,7 @@
 		g.targets.Merge(now, s.Member.Name, s.Loads.List(), s.Placed.List())
 	}
 	g.mergeRelayReport(now, s)
+	g.offerAll(now)
 	g.targets.MergeCold(now, s.Cold)
 	g.targets.MergeLimits(now, s.Limits)
 	for _, id := range g.targets.MergeLeaving(s.Leaving) {
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -36,7 +36,7 @@
 	if q.forwarded || q.homes.Allows(g.Settings.Region) {
 		if c, ok := g.targets.Peek(now, n); ok {
 			here = &jwplacement.Option{
-				Region: g.Settings.Region, Known: true, Expected: c.Expected, OwnReadTime: c.OwnReadTime, LaterCost: c.Cost - c.Expected, MissTokens: c.MissTokens,
+				Region: g.Settings.Region, Known: true, Expected: c.Expected + g.roomWait(q), OwnReadTime: c.OwnReadTime, LaterCost: c.Cost - c.Expected, MissTokens: c.MissTokens,
 			}
 		}
 	}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -23,6 +23,7 @@
 	"jujubewheel/core/jwquota"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/core/jwsuspect"
+	"jujubewheel/core/jwwaitroom"
 	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwlog"
 	"jujubewheel/io/jwmeter"
@@ -73,6 +74,7 @@
 	unseenTurn          int
 	exchangesInFlight   sync.Map // names of the peers with an exchange in flight
 	demand              jwentry.Demand
+	room                jwwaitroom.Room
 	suspects            jwsuspect.Table
 	crashChecks         singleflight.Group // checks in flight of whether a target has crashed
 	fullReadDone        atomic.Bool        // all keys of the store were read once
@@ -116,6 +118,7 @@
 	group.Go(func() error { g.probeTargets(work); return nil })
 	group.Go(func() error { g.reload(work); return nil })
 	group.Go(func() error { g.updateGauges(work); return nil })
+	group.Go(func() error { g.runRoom(work); return nil })
 	g.Log.Info("started", "bounds", *g.bounds.Load(), "region", g.Settings.Region, "dataCentre", g.Settings.DataCentre)
 	select {
 	case <-ctx.Done():
@@ -134,6 +137,7 @@
 	g.startTime = time.Now()
 	g.pauseDetector.Limit, g.pauseDetector.TimeSinceBoot = pauseLimit, g.TimeSinceBoot
 	g.metrics = newMetrics(g.Meter)
+	g.prepareRoom()
 	g.storeWatcher = newStoreWatcher(g)
 	g.Targets.MaxIdlePerPeer = g.maxIdleConns
 	g.Targets.OnDial = func() { g.metrics.connectionsOpened.Inc(1) }
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -69,6 +69,7 @@
 	sentTo          string          // the target or node that the request was sent to last
 	retryAfter      time.Duration   // Retry-After of the last rejection
 	rejectedRegions map[string]bool // regions whose nodes rejected the request
+	turn            *turn           // while it waits for a target with room
 	lastReason      string          // why the last send or choice of a target failed
 }
 
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -52,6 +52,7 @@
 		})
 	}()
 	g.targets.Done(time.Now(), x, c, p.first)
+	g.offerTurn(x.Service)
 	if (verdict == failed || verdict == broken) && status != http.StatusInternalServerError && sendCtx.Err() == nil {
 		g.checkCrash(ctx, x)
 	}
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -19,6 +19,7 @@
 	notRun   Verdict = "notRun"   // no target has run the request or will run it
 	rejected Verdict = "rejected" // as notRun, and the request was not sent to any target
 	failed   Verdict = "failed"   // a target ran the request and reported a failure, or may have run it
+	waiting  Verdict = "waiting"  // as rejected, but it may wait until a target has room
 	broken   Verdict = "broken"   // a stream ended incomplete; its complete events went to the caller
 )
 
@@ -35,7 +36,7 @@
 	verdict := notRun
 	ran := false // a target may have run the request
 	for range maxSends {
-		verdict = g.send(ctx, q)
+		verdict = g.sendOrWait(ctx, q)
 		if verdict == finished {
 			return
 		}
@@ -128,11 +129,15 @@
 		return q.reject(string(d.Reason), d.RetryAfter)
 	}
 	if p.Region != g.Settings.Region {
+		g.leaveRoom(q, waitForwarded)
 		return g.sendNode(ctx, q, p.Region, p.MissTokens)
 	}
 	need := g.targetNeed(q)
 	g.excludeSuspectTargets(now, q, &need)
-	c, ok := g.targets.Best(now, need)
+	c, ok, wait := g.bestWithRoom(now, q, need)
+	if wait {
+		return waiting
+	}
 	if !ok {
 		return g.rejectWithoutTarget(now, q)
 	}
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -35,6 +35,8 @@
 	AheadTokens int           // prompt tokens that the target has to read first
 	ViewAge     time.Duration // since the target's registration was last read
 	LoadAge     time.Duration // age of the target's last load report
+	Waited      time.Duration // in the waiting room
+	Waiting     int           // requests that went before it in the waiting room
 	Units       float64       // of the workspace's quota that the request takes
 	Level       float64       // quota units that the node had
 	Cold        bool          // the target is cold
@@ -94,6 +96,8 @@
 	f = appendNumber(f, "levelUnits", int64(x.Level))
 	f = appendNumber(f, "viewAgeMs", x.ViewAge.Milliseconds())
 	f = appendNumber(f, "loadAgeMs", x.LoadAge.Milliseconds())
+	f = appendNumber(f, "waitedMs", x.Waited.Milliseconds())
+	f = appendNumber(f, "waiting", int64(x.Waiting))
 	if x.Cold {
 		f = append(f, zap.Bool("cold", true))
 	}
--- a/io/jwsettings/gateway.go
+++ b/io/jwsettings/gateway.go
@@ -18,6 +18,7 @@
 	Cores       float64 // processor cores of the host; 0 means unknown
 	LinkMbps    float64 // bandwidth of the host's network link; 0 means unknown
 	Overload    OverloadMode
+	WaitingRoom WaitingRoomMode
 	Contracts   []string // names of the parts of the platform's rules that apply
 }
 
@@ -32,6 +33,18 @@
 	OverloadOn   OverloadMode = "on"   // to all
 )
 
+// WaitingRoomMode says where requests under overload control wait.
+type WaitingRoomMode string
+
+// The places where requests wait.
+const (
+	WaitAtTarget WaitingRoomMode = "target" // in the queue of the target that was chosen when they arrived
+	WaitAtNode   WaitingRoomMode = "node"   // in the node until a target has room
+)
+
+// DefaultWaitingRoom is the mode unless the settings name one.
+const DefaultWaitingRoom = WaitAtNode
+
 // Enabled reports whether overload control may apply to any service.
 func (m OverloadMode) Enabled() bool { return m == OverloadAuto || m == OverloadOn }
 
@@ -83,7 +96,7 @@
 // readGateway reads a file that has the key gateway.
 func (s *Settings) readGateway(o *object) {
 	s.Gateway = &Gateway{
-		DataCentres: map[string]string{}, Overload: OverloadOff,
+		DataCentres: map[string]string{}, Overload: OverloadOff, WaitingRoom: DefaultWaitingRoom,
 		Bounds: Bounds{
 			Grace: DefaultGrace, RetryRatio: DefaultRetryRatio, RetryWindow: DefaultRetryWindow, ColdRatio: DefaultColdRatio,
 			QuotaWindow: DefaultQuotaWindow,
@@ -137,6 +150,7 @@
 	o.number("cores", &g.Cores, 0, 1e6)
 	o.number("linkMbps", &g.LinkMbps, 0, 1e9)
 	g.readOverload(o)
+	g.readWaitingRoom(o)
 	g.Contracts = o.textList("contracts")
 	o.child("bounds", g.Bounds.read)
 }
@@ -151,6 +165,16 @@
 	}
 }
 
+func (g *Gateway) readWaitingRoom(o *object) {
+	mode := string(g.WaitingRoom)
+	o.text("waitingRoom", &mode)
+	switch g.WaitingRoom = WaitingRoomMode(mode); g.WaitingRoom {
+	case WaitAtTarget, WaitAtNode:
+	default:
+		o.fault("waitingRoom", "must be target or node, not %q", mode)
+	}
+}
+
 func (b *Bounds) read(o *object) {
 	o.duration("grace", &b.Grace, 0, time.Hour)
 	o.number("retryRatio", &b.RetryRatio, 0, 100)
--- a/io/jwsettings/gateway_test.go
+++ b/io/jwsettings/gateway_test.go
@@ -21,6 +21,7 @@
     "seeds": ["10.0.0.2:83"],
     "memoryMB": 284,
     "overload": "auto",
+    "waitingRoom": "target",
     "contracts": ["base", "drain"],
     "bounds": {"grace": "8s", "retryRatio": 0.2, "retrySlack": 58, "retryWindow": "10s", "coldRatio": 1.5, "coldSlack": 3,
       "quotaWindow": "8s", "quotaRatio": 0.1, "quotaSlack": 110000},
@@ -35,7 +36,7 @@
 		Listen: GatewayAddresses{Callers: at("10.0.0.1:80"), Ready: at("10.0.0.1:81"), Directory: at("10.0.0.1:82"), Nodes: at("10.0.0.1:83")},
 		Store:  GatewayStore{Address: at("10.9.0.1:90"), LeaseMin: time.Second}, DataCentres: map[string]string{"north-a": "north"},
 		Seeds: []netip.AddrPort{at("10.0.0.2:83")}, MemoryBytes: 284 << 20,
-		Overload: OverloadAuto, Contracts: []string{"base", "drain"},
+		Overload: OverloadAuto, WaitingRoom: WaitAtTarget, Contracts: []string{"base", "drain"},
 		Bounds: Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, ColdRatio: 1.5, ColdSlack: 3, QuotaWindow: 8 * time.Second, QuotaRatio: 0.1, QuotaSlack: 110_000},
 	}, cmpopts.EquateComparable(netip.AddrPort{}))
 }
@@ -59,6 +60,7 @@
 		"a negative ratio":           {`"quotaRatio": 0.1`, `"quotaRatio": -1`, "gateway.bounds.quotaRatio"},
 		"a duration as number":       {`"quotaWindow": "8s"`, `"quotaWindow": 8`, "gateway.bounds.quotaWindow"},
 		"a mode of overload control": {`"auto"`, `"sometimes"`, "gateway.overload"},
+		"a place to wait":            {`"target"`, `"nowhere"`, "gateway.waitingRoom"},
 		"an unknown key":             {`"memoryMB"`, `"memory"`, "gateway.memory"},
 	}
 	for name, c := range cases {
