--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -36,6 +36,8 @@
 	AheadTokens int           // prompt tokens that the target has to read first
 	ViewAge     time.Duration // since the target's registration was last read
 	LoadAge     time.Duration // age of the target's last load report
+	Waited      time.Duration // in the waiting room
+	Waiting     int           // requests that went before it in the waiting room
 	Units       float64       // of the workspace's quota that the request takes
 	Level       float64       // quota units that the node had
 	Region      string        // the region that the request was forwarded to by its share
@@ -83,7 +85,7 @@
 	if x.DropFirst {
 		log = d.minor
 	}
-	const maxFields = 40
+	const maxFields = 44
 	var buf [maxFields]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
@@ -114,6 +116,8 @@
 	f = appendText(f, "region", x.Region)
 	f = appendNumber(f, "sharePercent", int64(math.Round(100*x.PartSent)))
 	f = appendNumber(f, "shareAgeMs", x.ShareAge.Milliseconds())
+	f = appendNumber(f, "waitedMs", x.Waited.Milliseconds())
+	f = appendNumber(f, "waiting", int64(x.Waiting))
 	if x.Cold {
 		f = append(f, zap.Bool("cold", true))
 	}
