jwinstance, jwgateway: less urgent calls don't delay an urgent request

A target admits by priority, but the wait for a slot counted all calls at it, so that most of the urgent requests were rejected at targets that would have begun them at once. Where overload control applies, calls are now counted by priority level, and nodes exchange the counts in an optional column; calls of unknown priority, as from nodes of an older version, count as ahead. Elsewhere the estimate is as before.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -53,6 +53,7 @@
 	Events         int              // maximum number of events of the answer
 	Capacity       int              // memory of a target in tokens, 0 if not known
 	Homes          []string         // regions that may hold the prompt's data; all if empty
+	ByPriority     bool             // less urgent calls at a target don't delay the request
 	WarmOnly       bool             // leave out cold targets, and those that announce a limit
 	Exclude        map[string]bool  // IDs of targets that the request was already sent to
 	AvoidAddresses []netip.AddrPort // addresses of targets that it must not run on now
@@ -72,6 +73,8 @@
 	MemoryTokens  int            // memory that the request occupies, in tokens
 	Calls         int            // calls of this node in flight at the target, without this one
 	TotalCalls    int            // the same for all nodes
+	CallsAhead    int            // of TotalCalls, those that get a slot before the request
+	ByPriority    bool           // see Need.ByPriority
 	Age           time.Duration  // time since the registration of the target was last read
 	sentAt        time.Time
 }
@@ -102,6 +105,9 @@
 	c.sentAt = now
 	c.PriorityLevel = priorityLevel(n.Priority)
 	x.unread[c.PriorityLevel] += c.MissTokens
+	if c.ByPriority {
+		x.callsByLevel[c.PriorityLevel]++
+	}
 	c.MemoryTokens = n.Prompt.memoryTokens()
 	x.memoryInUse += c.MemoryTokens
 	x.capacity = n.Capacity
@@ -199,8 +205,8 @@
 			}
 			c.MissTokens -= int(float64(maxHeld-held) * (1 - ratio))
 		}
-		l := x.loadFor(n.Priority)
-		c.AheadTokens, c.TotalCalls = l.unreadAhead, l.calls
+		l := x.loadFor(n)
+		c.AheadTokens, c.TotalCalls, c.CallsAhead, c.ByPriority = l.unreadAhead, l.calls, l.callsAhead, n.ByPriority
 		c.Expected = stats.expected(x, n, c.MissTokens, l)
 		c.OwnReadTime = time.Duration(float64(stats.firstEvent.readTime(0, c.MissTokens)) * x.slowdown)
 		c.Cost = fetchCost(n, c) + c.Expected + time.Duration(x.failures)*failurePenalty + stats.streamCost(now, x, n, c.MissTokens, l)
@@ -214,15 +220,21 @@
 // load is the load of a target from all nodes of the region.
 type load struct {
 	calls        int // in flight
+	callsAhead   int // of these, those that get a slot before a given request
 	unreadAhead  int // prompt tokens to be read before a given request
 	memoryTokens int // memory in use, in tokens
 }
 
-// loadFor returns the load of a target as seen by a request with the given priority.
-func (x *Target) loadFor(priority int) load {
-	return load{
-		x.calls + x.othersLoad.calls,
-		x.unread.upTo(priority) + x.othersLoad.unread.upTo(priority),
-		x.memoryInUse + x.othersLoad.memoryTokens,
+// loadFor returns the load of a target as seen by a request.
+func (x *Target) loadFor(n Need) load {
+	l := load{
+		calls:        x.calls + x.othersLoad.calls,
+		unreadAhead:  x.unread.upTo(n.Priority) + x.othersLoad.unread.upTo(n.Priority),
+		memoryTokens: x.memoryInUse + x.othersLoad.memoryTokens,
+	}
+	l.callsAhead = l.calls
+	if n.ByPriority {
+		l.callsAhead -= x.callsByLevel.above(n.Priority) + x.othersLoad.callsByLevel.above(n.Priority)
 	}
+	return l
 }
--- a/core/jwinstance/estimate.go
+++ b/core/jwinstance/estimate.go
@@ -25,15 +25,15 @@
 		d := float64(s.plainLatency) * max(1, float64(l.calls+1)/float64(slots))
 		return time.Duration(d * x.slowdown)
 	}
-	d := s.firstEvent.predict(l.unreadAhead, miss) + s.batchDelay(slots, l.calls)
+	d := s.firstEvent.predict(l.unreadAhead, miss) + s.batchDelay(slots, l.calls, l.callsAhead)
 	return time.Duration(float64(d) * x.slowdown)
 }
 
 // batchDelay returns how much the calls in flight at an engine add to the wait for a first event.
-// Each running call slows the steps of the batch, and each call beyond the slots waits until
+// Each running call slows the steps of the batch, and each call ahead beyond the slots waits until
 // another one ends.
-func (s *serviceStats) batchDelay(slots, calls int) time.Duration {
-	waiting := max(calls-slots+1, 0)
+func (s *serviceStats) batchDelay(slots, calls, ahead int) time.Duration {
+	waiting := max(ahead-slots+1, 0)
 	return time.Duration(calls)*runningCallDelay + time.Duration(waiting)*s.slotTime/time.Duration(slots)
 }
 
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -54,7 +54,7 @@
 	} else {
 		stats.engine = true
 		if !c.Cold {
-			stats.firstEvent.observe(c.AheadTokens, c.MissTokens, max(d-stats.batchDelay(max(x.Slots, 1), c.TotalCalls), 0))
+			stats.firstEvent.observe(c.AheadTokens, c.MissTokens, max(d-stats.batchDelay(max(x.Slots, 1), c.TotalCalls, c.CallsAhead), 0))
 		}
 	}
 	ratio := min(float64(d)*x.slowdown/float64(max(c.Expected, time.Millisecond)), maxSlowdownSample)
@@ -86,6 +86,9 @@
 		stats.slotTime += time.Duration(callTimeWeight * float64(held-stats.slotTime))
 	}
 	x.calls--
+	if c.ByPriority {
+		x.callsByLevel[c.PriorityLevel]--
+	}
 	x.memoryInUse -= c.MemoryTokens
 	if first == 0 {
 		x.unread[c.PriorityLevel] -= c.MissTokens
--- a/core/jwinstance/relay.go
+++ b/core/jwinstance/relay.go
@@ -27,7 +27,7 @@
 	for _, x := range t.targets {
 		if x.calls > 0 {
 			s := sums[x]
-			s.add(NodeLoad{Calls: x.calls, Unread: x.unread, MemoryTokens: x.memoryInUse}, 1)
+			s.add(x.ownLoad(), 1)
 			sums[x] = s
 		}
 	}
@@ -55,7 +55,7 @@
 		for _, x := range t.subset(subsetKey{service, t.Region, node}) {
 			s := x.othersLoad
 			s.add(own[x], -1)
-			s.add(NodeLoad{Calls: x.calls, Unread: x.unread, MemoryTokens: x.memoryInUse}, 1)
+			s.add(x.ownLoad(), 1)
 			if s.calls > 0 {
 				loads = append(loads, x.nodeLoad(now, s))
 			}
@@ -64,9 +64,14 @@
 	return loads
 }
 
+// ownLoad returns what this node has in flight at a target.
+func (x *Target) ownLoad() NodeLoad {
+	return NodeLoad{Calls: x.calls, CallsByLevel: x.callsByLevel, Unread: x.unread, MemoryTokens: x.memoryInUse}
+}
+
 // nodeLoad returns a sum of loads at a target as a NodeLoad for a report.
 func (x *Target) nodeLoad(now time.Time, s loadSum) NodeLoad {
-	l := NodeLoad{Target: x.ID, Calls: s.calls, Unread: s.unread, MemoryTokens: s.memoryTokens}
+	l := NodeLoad{Target: x.ID, Calls: s.calls, CallsByLevel: s.callsByLevel, Unread: s.unread, MemoryTokens: s.memoryTokens}
 	if gap, at := x.latestGap(); now.Sub(at) < reportMaxAge {
 		l.Gap = gap.Milliseconds()
 	}
@@ -145,7 +150,8 @@
 type LoadColumns struct {
 	Targets      []string           `json:"targets"`
 	Calls        []int              `json:"calls"`
-	Unread       []tokensByPriority `json:"work"`
+	CallsByLevel []countsByPriority `json:"levels,omitempty"` // empty if no priorities are known
+	Unread       []countsByPriority `json:"work"`
 	MemoryTokens []int              `json:"held"`
 	Gaps         []int64            `json:"gaps"`
 }
@@ -156,11 +162,17 @@
 		return nil
 	}
 	c := &LoadColumns{
-		Targets: make([]string, len(list)), Calls: make([]int, len(list)), Unread: make([]tokensByPriority, len(list)),
+		Targets: make([]string, len(list)), Calls: make([]int, len(list)), Unread: make([]countsByPriority, len(list)),
 		MemoryTokens: make([]int, len(list)), Gaps: make([]int64, len(list)),
 	}
 	for i, l := range list {
 		c.Targets[i], c.Calls[i], c.Unread[i], c.MemoryTokens[i], c.Gaps[i] = l.Target, l.Calls, l.Unread, l.MemoryTokens, l.Gap
+		if l.CallsByLevel != (countsByPriority{}) {
+			if c.CallsByLevel == nil {
+				c.CallsByLevel = make([]countsByPriority, len(list))
+			}
+			c.CallsByLevel[i] = l.CallsByLevel
+		}
 	}
 	return c
 }
@@ -174,6 +186,9 @@
 	list := make([]NodeLoad, n)
 	for i := range n {
 		list[i] = NodeLoad{Target: c.Targets[i], Calls: c.Calls[i], Unread: c.Unread[i], MemoryTokens: c.MemoryTokens[i], Gap: c.Gaps[i]}
+		if i < len(c.CallsByLevel) {
+			list[i].CallsByLevel = c.CallsByLevel[i]
+		}
 	}
 	return list
 }
--- a/core/jwinstance/relay_test.go
+++ b/core/jwinstance/relay_test.go
@@ -105,7 +105,7 @@
 		var places []Placement
 		for i := range rapid.IntRange(0, 5).Draw(t, "n") {
 			n := rapid.IntRange(0, 9).Draw(t, "figure")
-			loads = append(loads, NodeLoad{Target: fmt.Sprint(i), Calls: n, Unread: tokensByPriority{n, 0, 1}, MemoryTokens: n, Gap: int64(n)})
+			loads = append(loads, NodeLoad{Target: fmt.Sprint(i), Calls: n, CallsByLevel: countsByPriority{0, n, 0}, Unread: countsByPriority{n, 0, 1}, MemoryTokens: n, Gap: int64(n)})
 			p := Placement{Target: fmt.Sprint(n)}
 			for k := range n {
 				p.Parts = append(p.Parts, Part{uint64(k), k})
@@ -141,7 +141,7 @@
 		id := fmt.Sprintf("i-%010x", i)
 		table.Put(now, Instance{ID: id, Service: "s", Region: "r", Slots: 12})
 		if i%4 == 0 {
-			loads = append(loads, NodeLoad{Target: id, Calls: 1, Unread: tokensByPriority{0, 0, 2890}, MemoryTokens: 3000, Gap: 40})
+			loads = append(loads, NodeLoad{Target: id, Calls: 1, Unread: countsByPriority{0, 0, 2890}, MemoryTokens: 3000, Gap: 40})
 		}
 	}
 	for n := range 37 {
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -17,18 +17,27 @@
 // the last level.
 const priorityLevels = 3
 
-// tokensByPriority is a number of prompt tokens for each priority level of their requests.
-type tokensByPriority [priorityLevels]int
+// countsByPriority is a number of calls or prompt tokens for each priority level of their requests.
+type countsByPriority [priorityLevels]int
 
 // priorityLevel returns the level of a priority; 0 is the most urgent.
 func priorityLevel(priority int) int { return min(max(priority, 0), priorityLevels-1) }
 
-// upTo returns the tokens that are read before a request of a priority: those of the same level and
-// of more urgent ones, which an engine takes first.
-func (w tokensByPriority) upTo(priority int) int {
+// upTo returns what a target takes before a request of a priority: what is of the same level and of
+// more urgent ones, which an engine takes first.
+func (w countsByPriority) upTo(priority int) int {
 	n := 0
-	for _, tokens := range w[:priorityLevel(priority)+1] {
-		n += tokens
+	for _, count := range w[:priorityLevel(priority)+1] {
+		n += count
+	}
+	return n
+}
+
+// above returns what a target takes after a request of a priority: what is of less urgent levels.
+func (w countsByPriority) above(priority int) int {
+	n := 0
+	for _, count := range w[priorityLevel(priority)+1:] {
+		n += count
 	}
 	return n
 }
@@ -37,9 +46,10 @@
 type NodeLoad struct {
 	Target       string           `json:"target"` // target ID
 	Calls        int              `json:"calls"`
-	Unread       tokensByPriority `json:"work"`           // prompt tokens of calls without a first event
-	MemoryTokens int              `json:"held,omitempty"` // memory in use, in tokens
-	Gap          int64            `json:"gap,omitempty"`  // milliseconds between two events, 0 if not measured recently
+	CallsByLevel countsByPriority `json:"levels,omitempty"` // of Calls, those of known priority
+	Unread       countsByPriority `json:"work"`             // prompt tokens of calls without a first event
+	MemoryTokens int              `json:"held,omitempty"`   // memory in use, in tokens
+	Gap          int64            `json:"gap,omitempty"`    // milliseconds between two events, 0 if not measured recently
 }
 
 // nodeReport is the last report of another node of the region.
@@ -99,7 +109,8 @@
 	var loads []NodeLoad
 	for _, x := range t.targets {
 		if x.calls > 0 {
-			l := NodeLoad{Target: x.ID, Calls: x.calls, Unread: x.unread, MemoryTokens: x.memoryInUse}
+			l := x.ownLoad()
+			l.Target = x.ID
 			if now.Sub(x.gapAt) < placementMaxAge {
 				l.Gap = x.gap.Milliseconds()
 			}
@@ -270,7 +281,8 @@
 // instead of being summed for each decision, as a region of full size has about 75 nodes.
 type loadSum struct {
 	calls        int
-	unread       tokensByPriority
+	callsByLevel countsByPriority
+	unread       countsByPriority
 	memoryTokens int
 }
 
@@ -278,7 +290,8 @@
 func (s *loadSum) add(l NodeLoad, sign int) {
 	s.calls += sign * l.Calls
 	s.memoryTokens += sign * l.MemoryTokens
-	for i, tokens := range l.Unread {
-		s.unread[i] += sign * tokens
+	for i := range priorityLevels {
+		s.callsByLevel[i] += sign * l.CallsByLevel[i]
+		s.unread[i] += sign * l.Unread[i]
 	}
 }
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -73,7 +73,8 @@
 	failures      int              // consecutive failures
 	dialFailures  int              // consecutive failed dials
 	calls         int              // in flight from this node
-	unread        tokensByPriority // prompt tokens of this node's calls that have no first event yet
+	callsByLevel  countsByPriority // of calls, those whose Choice has ByPriority
+	unread        countsByPriority // prompt tokens of this node's calls that have no first event yet
 	memoryInUse   int              // memory occupied by this node's calls, in tokens
 	gap           time.Duration    // time between two events, as last seen by this node
 	gapAt         time.Time
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -237,11 +237,11 @@
 		"b has parts of another prompt": {func(t *Table) { t.targets["b"].cache.markUsed(prompt(7, 2).Parts, 0) }, Need{Prompt: prompt(1, 2, 3)}, "a", ""},
 		"b has the parts but is busy: they are fetched": {func(t *Table) {
 			t.targets["b"].cache.markUsed(prompt(1, 2).Parts, 0)
-			t.targets["b"].unread = tokensByPriority{20_000}
+			t.targets["b"].unread = countsByPriority{20_000}
 		}, Need{Prompt: prompt(1, 2, 3)}, "a", "b"},
 		"b is busy as another node reported": {func(t *Table) {
 			t.targets["b"].cache.markUsed(prompt(1, 2).Parts, 0)
-			t.Merge(t0, "n2", []NodeLoad{{Target: "b", Calls: 3, Unread: tokensByPriority{20_000}}}, nil)
+			t.Merge(t0, "n2", []NodeLoad{{Target: "b", Calls: 3, Unread: countsByPriority{20_000}}}, nil)
 		}, Need{Prompt: prompt(1, 2, 3)}, "a", "b"},
 		"another node sent the parts to b": {func(t *Table) {
 			t.Merge(t0, "n2", nil, []Placement{{Target: "b", Parts: prompt(1, 2).Parts}})
@@ -250,11 +250,11 @@
 		// ten milliseconds each, at a cost of a twentieth of their value.
 		"b is busy but there is time to wait": {func(t *Table) {
 			t.targets["b"].cache.markUsed(prompt(1, 2).Parts, 0)
-			t.targets["b"].unread = tokensByPriority{2000}
+			t.targets["b"].unread = countsByPriority{2000}
 		}, Need{Prompt: prompt(1, 2, 3), FirstEventGoal: time.Second}, "b", ""},
 		"b is busy and there is no time: parts are fetched": {func(t *Table) {
 			t.targets["b"].cache.markUsed(prompt(1, 2).Parts, 0)
-			t.targets["b"].unread = tokensByPriority{2000}
+			t.targets["b"].unread = countsByPriority{2000}
 		}, Need{Prompt: prompt(1, 2, 3), FirstEventGoal: 100 * time.Millisecond}, "a", "b"},
 		// An engine evicts cached parts when its answers need the memory.
 		"a may have evicted the parts: parts may be fetched from b": {func(t *Table) {
@@ -269,12 +269,12 @@
 			t.targets["far"].cache.markUsed(prompt(1, 2).Parts, 0)
 		}, Need{Prompt: prompt(1, 2, 3), Homes: []string{"r"}}, "a", ""},
 		"less urgent prompts are read later": {func(t *Table) {
-			t.targets["a"].unread = tokensByPriority{0, 0, 50_000}
-			t.targets["b"].unread = tokensByPriority{1000}
+			t.targets["a"].unread = countsByPriority{0, 0, 50_000}
+			t.targets["b"].unread = countsByPriority{1000}
 		}, Need{Prompt: prompt(1)}, "a", ""},
 		"prompts of the same priority are read before": {func(t *Table) {
-			t.targets["a"].unread = tokensByPriority{0, 0, 50_000}
-			t.targets["b"].unread = tokensByPriority{1000}
+			t.targets["a"].unread = countsByPriority{0, 0, 50_000}
+			t.targets["b"].unread = countsByPriority{1000}
 		}, Need{Prompt: prompt(1), Priority: 2}, "b", ""},
 		"a's memory is full":  {func(t *Table) { t.targets["a"].memoryInUse = 90_000 }, Need{Prompt: prompt(1), Capacity: 100_000}, "b", ""},
 		"a's slots are taken": {func(t *Table) { t.targets["a"].calls = 4 }, Need{Prompt: prompt(1)}, "b", ""},
@@ -332,7 +332,7 @@
 			table.RecordFirstEvent(x, c, prompt(1, 2), first)
 		}
 		table.Done(t0, x, c, first)
-		assert.Equal(t, x.unread, tokensByPriority{})
+		assert.Equal(t, x.unread, countsByPriority{})
 		assert.Equal(t, x.calls, 0)
 		assert.Equal(t, x.memoryInUse, 0)
 	}
@@ -473,20 +473,20 @@
 	table := &Table{Region: "r"}
 	table.Put(t0, instance("a"))
 	x := table.targets["a"]
-	sent := []NodeLoad{{Target: "a", Calls: 3, Unread: tokensByPriority{10, 20}, MemoryTokens: 7}}
+	sent := []NodeLoad{{Target: "a", Calls: 3, Unread: countsByPriority{10, 20}, MemoryTokens: 7}}
 	table.Merge(after(0), "n2", sent, nil)
 	table.Merge(after(100), "n3", sent, nil)
-	assert.Equal(t, x.loadFor(1), load{6, 60, 14})
-	assert.Equal(t, x.loadFor(0), load{6, 20, 14})
+	assert.Equal(t, x.loadFor(Need{Priority: 1}), load{6, 6, 60, 14})
+	assert.Equal(t, x.loadFor(Need{}), load{6, 6, 20, 14})
 	table.Merge(after(200), "n2", nil, nil)
-	assert.Equal(t, x.loadFor(1), load{3, 30, 7})
+	assert.Equal(t, x.loadFor(Need{Priority: 1}), load{3, 3, 30, 7})
 	table.Report(after(1050))
-	assert.Equal(t, x.loadFor(1), load{3, 30, 7})
+	assert.Equal(t, x.loadFor(Need{Priority: 1}), load{3, 3, 30, 7})
 	table.Report(after(1100))
-	assert.Equal(t, x.loadFor(1), load{})
+	assert.Equal(t, x.loadFor(Need{Priority: 1}), load{})
 	table.Merge(after(1200), "n3", sent, nil)
 	table.DiscardReports()
-	assert.Equal(t, x.loadFor(1), load{})
+	assert.Equal(t, x.loadFor(Need{Priority: 1}), load{})
 }
 
 // A target may register again while a request to it is in flight. The sender reads the target's ID
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -75,6 +75,7 @@
 // targetNeed describes the request for the choice of a target.
 func (g *Gateway) targetNeed(q *request) jwinstance.Need {
 	n := jwinstance.Need{Service: q.service, Prompt: q.Prompt, Homes: q.homes, Priority: q.priority, FirstEventGoal: q.entry.Goal, Exclude: q.tried}
+	n.ByPriority = g.controlsOverload(q.service)
 	c := g.entries.Current()
 	if c == nil {
 		return n
