--- a/core/jwinstance/capability.go
+++ b/core/jwinstance/capability.go
@@ -42,7 +42,7 @@
 		if gap := x.estimatedGap(now); r.EventGap == 0 || gap < r.EventGap {
 			r.EventGap = gap
 		}
-		l := x.loadFor(priorityLevels)
+		l := x.loadFor(Need{Priority: priorityLevels})
 		queue := max(stats.firstEvent.readTime(l.unreadAhead, 0)-usualQueue, 0)
 		waiting := time.Duration(max(l.calls-slots, 0)) * stats.slotTime / time.Duration(slots)
 		r.Backlog += (queue + waiting).Seconds()
--- a/io/jwgateway/balance.go
+++ b/io/jwgateway/balance.go
@@ -62,7 +62,7 @@
 }
 
 // room returns the room of the targets of a service in this region.
-func (g *Gateway) room(now time.Time, service string) serviceRoom {
+func (g *Gateway) capabilityOf(now time.Time, service string) serviceRoom {
 	b := &g.balance
 	b.mu.Lock()
 	r, ok := b.rooms[service]
@@ -110,7 +110,7 @@
 	if here != nil {
 		miss = here.MissTokens
 	}
-	work := g.room(now, q.service).work(miss, g.balance.expectedEvents(q.service, n.Events))
+	work := g.capabilityOf(now, q.service).work(miss, g.balance.expectedEvents(q.service, n.Events))
 	class := jwbalance.ClassOf(q.homes)
 	if !q.counted {
 		q.counted = true
@@ -180,7 +180,7 @@
 // plan returns the plan for a service.
 func (g *Gateway) plan(now time.Time, service string) jwbalance.Plan {
 	return g.balance.Plan(now, service, func() jwbalance.Room {
-		r := g.room(now, service)
+		r := g.capabilityOf(now, service)
 		return jwbalance.Room{Capacity: r.Capacity, Backlog: r.Backlog}
 	})
 }
@@ -290,7 +290,7 @@
 	if c := g.entries.Current(); c != nil {
 		for name := range c.Services {
 			if g.controlsOverload(name) {
-				room := g.room(now, name)
+				room := g.capabilityOf(now, name)
 				r.Loads[name] = g.balance.Load(now, name, jwbalance.Room{Capacity: room.Capacity, Backlog: room.Backlog})
 			}
 		}
