jwinstance: a replaced target stays out until it registers anew

Cause: when another incarnation answered at a target's address (421), the target was marked as gone, but the next reading of the same registration, as after a gap in the changes of the store, brought it back; each node then sent it up to 50 requests more. Ruled out: full targets (none of them ran anything), cold ones (all answers were 421). Change: only a later registration, or a later incarnation, ends it.

--- a/core/jwinstance/leaving_test.go
+++ b/core/jwinstance/leaving_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"jujubewheel/core/jwstore"
 )
 
 // A target announces in an answer that it is leaving, but the store's registration of it is older
@@ -101,3 +103,31 @@
 	assert.Equal(t, len(b.MergeLeaving(a.ReportLeaving())), 0, "another incarnation leaves")
 	assert.Equal(t, bestTargetID(b, after(5), Need{}), "x")
 }
+
+// A target that another incarnation replaced stays unused when its last registration is read once
+// more, as after a gap in the changes of the store, and is used again once it has registered anew.
+func TestReplacedTargetIsReadAgain(t *testing.T) {
+	registration := func(revision jwstore.Revision, startedAt int64) Instance {
+		in := instance("a")
+		in.Revision, in.StartedAt = revision, startedAt
+		return in
+	}
+	cases := map[string]struct {
+		in   Instance
+		want string
+	}{
+		"the same registration":          {registration(7, 1), ""},
+		"an older one of a lagging node": {registration(6, 1), ""},
+		"a later one":                    {registration(8, 1), "a"},
+		"a later incarnation":            {registration(9, 5), "a"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Region: "r"}
+			table.Put(after(0), registration(7, 1))
+			table.Replaced(after(0), table.targets["a"])
+			table.Put(after(3000), c.in)
+			assert.Equal(t, bestTargetID(table, after(3000), Need{}), c.want)
+		})
+	}
+}
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -136,6 +136,7 @@
 func (t *Table) Replaced(now time.Time, x *Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	x.replacedRevision = x.Revision
 	if x.goneAt.IsZero() {
 		x.goneAt = now.Add(-goneGracePeriod)
 		t.usableSlots = nil
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -66,26 +66,29 @@
 	changedAt     time.Time        // when its registration last changed
 	goneAt        time.Time        // when its registration vanished, zero while it exists
 	staleRevision jwstore.Revision // of the last registration that came from an older copy of the store, 0 if none
-	coldUntil     time.Time        // when it stops being cold
-	recentSends   []time.Time      // times of this node's sends within the last second
-	backoffUntil  time.Time        // not used before, after a failed dial or a refused request
-	closedUntil   time.Time        // not used before, as the target asked for
-	failures      int              // consecutive failures
-	dialFailures  int              // consecutive failed dials
-	calls         int              // in flight from this node
-	unread        tokensByPriority // prompt tokens of this node's calls that have no first event yet
-	memoryInUse   int              // memory occupied by this node's calls, in tokens
-	gap           time.Duration    // time between two events, as last seen by this node
-	gapAt         time.Time
-	othersLoad    loadSum       // load from the other nodes of the region
-	reportedGap   time.Duration // time between two events, as last reported by another node
-	reportedGapAt time.Time
-	slowdown      float64 // latency relative to the mean of the service, 1 is usual
-	cache         cache
-	capacity      int // memory of the target in tokens, 0 if not known
-	limit         targetLimit
-	load          LoadReport // last load that the target reported to this node
-	loadAt        time.Time
+	// replacedRevision is the revision of the last registration that was known when another
+	// incarnation answered at the address, 0 if none did.
+	replacedRevision jwstore.Revision
+	coldUntil        time.Time        // when it stops being cold
+	recentSends      []time.Time      // times of this node's sends within the last second
+	backoffUntil     time.Time        // not used before, after a failed dial or a refused request
+	closedUntil      time.Time        // not used before, as the target asked for
+	failures         int              // consecutive failures
+	dialFailures     int              // consecutive failed dials
+	calls            int              // in flight from this node
+	unread           tokensByPriority // prompt tokens of this node's calls that have no first event yet
+	memoryInUse      int              // memory occupied by this node's calls, in tokens
+	gap              time.Duration    // time between two events, as last seen by this node
+	gapAt            time.Time
+	othersLoad       loadSum       // load from the other nodes of the region
+	reportedGap      time.Duration // time between two events, as last reported by another node
+	reportedGapAt    time.Time
+	slowdown         float64 // latency relative to the mean of the service, 1 is usual
+	cache            cache
+	capacity         int // memory of the target in tokens, 0 if not known
+	limit            targetLimit
+	load             LoadReport // last load that the target reported to this node
+	loadAt           time.Time
 }
 
 // Change is what a registration changed about a target.
@@ -120,6 +123,9 @@
 	if old != nil && in.Revision < old.Revision {
 		return Unchanged // from another node that lags behind
 	}
+	if old != nil && old.replacedRevision > 0 && in.Revision <= old.replacedRevision && in.StartedAt == old.StartedAt {
+		return Unchanged // read once more: a target that runs would have written another one
+	}
 	if old != nil && old.fromStaleStore(in) {
 		if in.StartedAt < old.StartedAt || !old.goneAt.IsZero() {
 			old.Revision, old.seenAt = in.Revision, now
