--- a/core/jwinstance/relay.go
+++ b/core/jwinstance/relay.go
@@ -25,6 +25,7 @@
 		}
 	}
 	for _, x := range t.targets {
+		x.reported()
 		if x.calls > 0 {
 			s := sums[x]
 			s.add(NodeLoad{Calls: x.calls, Unread: x.unread, MemoryTokens: x.memoryInUse}, 1)
@@ -53,6 +54,7 @@
 	var loads []NodeLoad
 	for service := range t.byRegion {
 		for _, x := range t.subset(subsetKey{service, t.Region, node}) {
+			x.reported()
 			s := x.othersLoad
 			s.add(own[x], -1)
 			s.add(NodeLoad{Calls: x.calls, Unread: x.unread, MemoryTokens: x.memoryInUse}, 1)
--- a/core/jwinstance/room.go
+++ b/core/jwinstance/room.go
@@ -33,7 +33,7 @@
 
 // hasRoom reports whether this node's part of a target's room allows the request.
 func (t *Table) hasRoom(now time.Time, x *Target, n Need) bool {
-	own := jwroom.Use{Calls: x.calls, Memory: x.memoryInUse}
+	own := x.ownUse()
 	v := t.reportView(now)
 	rounds := directRounds
 	if v.relayed {
@@ -51,6 +51,11 @@
 	return x.lease.Allows(own)
 }
 
+func (x *Target) ownUse() jwroom.Use { return jwroom.Use{Calls: x.calls, Memory: x.memoryInUse} }
+
+// reported records that this node's use of the target goes into a report.
+func (x *Target) reported() { x.lease.Reported(x.ownUse()) }
+
 // roomOf returns the room of a target.
 func roomOf(x *Target, n Need) jwroom.Room {
 	slots := max(x.Slots, 1)
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -102,6 +102,7 @@
 	t.expireReports(now)
 	var loads []NodeLoad
 	for _, x := range t.targets {
+		x.reported()
 		if x.calls > 0 {
 			l := NodeLoad{Target: x.ID, Calls: x.calls, Unread: x.unread, MemoryTokens: x.memoryInUse}
 			if now.Sub(x.gapAt) < placementMaxAge {
--- a/core/jwroom/lease.go
+++ b/core/jwroom/lease.go
@@ -38,6 +38,7 @@
 // Lease is a node's part of a target's room. The zero value is none yet.
 type Lease struct {
 	part      Use
+	allowance Use  // what the part allowed beyond the calls in flight when it was computed
 	hasMemory bool // whether the memory of the target is known
 	at        time.Time
 }
@@ -50,12 +51,21 @@
 		return
 	}
 	l.at, l.hasMemory = now, r.Memory > 0
-	l.part.Calls = v.Own.Calls + v.allowance(r.Slots+r.Queue, v.Own.Calls, v.Others.Calls, fraction)
-	l.part.Memory = v.Own.Memory + v.allowance(r.Memory, v.Own.Memory, v.Others.Memory, 0)
+	l.allowance.Calls = v.allowance(r.Slots+r.Queue, v.Own.Calls, v.Others.Calls, fraction)
+	l.allowance.Memory = v.allowance(r.Memory, v.Own.Memory, v.Others.Memory, 0)
 	if free := r.Slots + r.Queue - v.Own.Calls - v.Others.Calls; v.Idle && free > 0 {
-		l.part.Calls = max(l.part.Calls, 1)
-		l.part.Memory = max(l.part.Memory, 1)
+		l.allowance.Calls = max(l.allowance.Calls, 1)
+		l.allowance.Memory = max(l.allowance.Memory, 1)
 	}
+	l.part.Calls = v.Own.Calls + l.allowance.Calls
+	l.part.Memory = v.Own.Memory + l.allowance.Memory
+}
+
+// Reported records that the node reports what it uses now. Until then it may use again what its
+// ended calls have left; after that the others may use it.
+func (l *Lease) Reported(own Use) {
+	l.part.Calls = min(l.part.Calls, own.Calls+l.allowance.Calls)
+	l.part.Memory = min(l.part.Memory, own.Memory+l.allowance.Memory)
 }
 
 // allowance returns how much of a room a node may take in addition: an equal part, over the nodes
--- a/core/jwwaitroom/room.go
+++ b/core/jwwaitroom/room.go
@@ -250,7 +250,12 @@
 	defer r.mu.Unlock()
 	t.offered = false
 	if !t.waiting {
-		return <-t.signal
+		select {
+		case reason := <-t.signal:
+			return reason
+		default:
+			return Displaced
+		}
 	}
 	if !now.Before(t.LatestStart) {
 		r.take(t)
--- /dev/null
+++ b/spec/room/room.pml
@@ -0,0 +1,99 @@
+/* The parts of a target's room that two nodes compute from each other's reports.
+ *
+ * Calls start and end at any time. Reports leave and arrive at any time, one on its way in each
+ * direction. A node computes its part anew once a report has arrived since it last
+ * did, or, after LeaseTime, without one: it then takes the other to use its equal part, and drops
+ * the load that it reported if that is too old. A cut is a node that never gets a report.
+ *
+ * The calls in flight and those that the parts still allow stay within the room, a half of it, and
+ * one call of each node.
+ */
+
+#define R 6
+#define ROUNDS 2
+#define N 2
+#define BOUND (R + R / ROUNDS + N)
+
+byte calls[N];
+byte part[N];
+byte allowance[N];
+byte sent[N];     /* load in the report on its way from a node */
+bool onWay[N];
+byte seen[N];     /* load that a node has last got from the other */
+bool newer[N];    /* a report has arrived since the node computed its part */
+
+#define other(i) (1 - (i))
+
+#define spare(i) (part[i] > calls[i] -> part[i] - calls[i] : 0)
+
+#define FREE(i, load, reserved) (R - calls[i] - (load) - (reserved))
+
+#ifdef GREEDY
+#define DIVIDE(free, present) (free)
+#else
+#define DIVIDE(free, present) ((present) == 1 -> (free) : (free) / ((present) * ROUNDS))
+#endif
+
+#define check() assert(calls[0] + calls[1] + spare(0) + spare(1) <= BOUND)
+
+inline renew(i, load, reserved, present) {
+	free = FREE(i, load, reserved);
+	if
+	:: free > 0 ->
+		allowance[i] = DIVIDE(free, present);
+		if
+		:: allowance[i] < free -> allowance[i]++ /* rounded up by chance */
+		:: true
+		fi
+	:: else -> allowance[i] = 0
+	fi;
+	if
+	:: calls[i] == 0 && R - load > 0 && allowance[i] == 0 -> allowance[i] = 1
+	:: else
+	fi;
+	part[i] = calls[i] + allowance[i];
+	newer[i] = false;
+	free = 0;
+	check()
+}
+
+proctype node(byte me) {
+	short free;
+	do
+	:: atomic { calls[me] < part[me] -> calls[me]++ }
+	:: atomic { calls[me] > 0 -> calls[me]-- }
+#ifdef ANY_TIME
+	:: atomic { true -> renew(me, seen[me], 0, N) }
+#else
+	:: atomic { newer[me] -> renew(me, seen[me], 0, N) }
+#endif
+	/* No report for LeaseTime. */
+#ifdef NO_RESERVE
+	:: atomic { true -> seen[me] = 0; renew(me, 0, 0, 1) }
+#else
+	:: atomic { true -> seen[me] = 0; renew(me, 0, R / N, 1) }
+#endif
+	:: atomic {
+		!onWay[me] ->
+		onWay[me] = true;
+		sent[me] = calls[me];
+#ifndef KEEPS_ENDED
+		if
+		:: part[me] > calls[me] + allowance[me] -> part[me] = calls[me] + allowance[me]
+		:: else
+		fi
+#endif
+	}
+	:: atomic {
+		onWay[other(me)] ->
+		onWay[other(me)] = false;
+		seen[me] = sent[other(me)];
+		newer[me] = true;
+		sent[other(me)] = 0
+	}
+	od
+}
+
+init {
+	atomic { run node(0); run node(1) }
+}
