--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -112,6 +112,7 @@
 	t.expireReports(now)
 	var loads []NodeLoad
 	for _, x := range t.targets {
+		x.reported()
 		if x.calls > 0 {
 			l := x.ownLoad()
 			l.Target = x.ID
