jwadmission, jwplacement: less urgent requests yield first, and what can't end in time is rejected

A request was rejected when its queue exceeded 1.2 times its own goal, so that of two kinds in the same queue the one with the shorter goal was rejected first, however urgent. Under overload control the queue that a request may wait in now shrinks with the share of their goal that more urgent requests of the service wait; Pressure keeps that share. A request that would end after its deadline, or whose caller would have left before its first event, is rejected at once. Without overload control nothing changes.

--- a/core/jwadmission/admission.go
+++ b/core/jwadmission/admission.go
@@ -8,6 +8,9 @@
 	// the others in time. The time to read the request's own prompt doesn't count: a long
 	// prompt is late because of its length, not because of a queue, and retrying doesn't help.
 	MaxQueueShare = 1.2
+	// pressureFactor is by how much of MaxQueueShare a request may wait less for each share of their
+	// goal that more urgent ones wait: if these wait half of it, the others must not wait at all.
+	pressureFactor = 2
 	// MinRetryAfter is the minimum Retry-After of a rejected request.
 	MinRetryAfter = 300 * time.Millisecond
 	// MaxRetryAfter is the maximum Retry-After of a rejected request: callers honour a
@@ -23,6 +26,14 @@
 	OwnReadTime     time.Duration // part of Expected that reading its own prompt takes
 	HasPrompt       bool          // it has a prompt; calls without one are never rejected
 	AlreadyAccepted bool          // it was already sent, or another node has accepted it
+	Overload        *Overload     // nil without overload control
+}
+
+// Overload is the input of a decision under overload control.
+type Overload struct {
+	Rest     time.Duration // expected time from the first event to the end of the answer
+	Patience time.Duration // until the caller leaves without a first event; 0 if not known
+	Pressure float64       // see Pressure.Of
 }
 
 // Reason is why a request was rejected.
@@ -58,6 +69,9 @@
 	if !r.HasPrompt || r.AlreadyAccepted {
 		return Decision{}
 	}
+	if r.Overload != nil {
+		return p.decideUnderOverload(r, *r.Overload)
+	}
 	if !p.IgnoreDeadline && r.Expected > r.TimeLeft {
 		return Decision{Deadline, retryAfter(r)}
 	}
@@ -67,6 +81,24 @@
 	return Decision{}
 }
 
+// decideUnderOverload accepts a request that can end before its deadline, whose caller stays until
+// its first event, and that need not wait too long behind others. The longer more urgent requests
+// wait, the shorter it may: less urgent ones yield first, whichever has the shorter goal.
+func (p Policy) decideUnderOverload(r Request, o Overload) Decision {
+	late := r.Expected+o.Rest > r.TimeLeft || o.Patience > 0 && r.Expected > o.Patience
+	if !p.IgnoreDeadline && late {
+		return Decision{Deadline, retryAfter(r)}
+	}
+	if p.IgnoreQueue || r.Goal == 0 {
+		return Decision{}
+	}
+	maxQueue := time.Duration(MaxQueueShare * max(1-pressureFactor*o.Pressure, 0) * float64(r.Goal))
+	if r.Expected-r.OwnReadTime > maxQueue {
+		return Decision{Queue, retryAfter(r)}
+	}
+	return Decision{}
+}
+
 // retryAfter returns when the queue is expected to be down to half of the goal, between
 // MinRetryAfter and MaxRetryAfter: callers who retry then find the capacity that the
 // requests waiting now no longer need.
--- a/core/jwplacement/placement.go
+++ b/core/jwplacement/placement.go
@@ -16,6 +16,7 @@
 	Known       bool          // it has recently reported how long requests wait
 	Expected    time.Duration // until the first event, including the round trip
 	OwnReadTime time.Duration // part of Expected that reading the request's own prompt takes
+	Rest        time.Duration // from the first event to the end of the answer
 	LaterCost   time.Duration // cost beside that of the first event, such as slow later events
 	MissTokens  int           // prompt tokens that are not cached there
 }
