jwinstance: pace of targets, nine levels of priority, expected end and error of the estimate

Under overload control (Need.ByPriority) the wait at a target is multiplied by its expected pace: the last report of any node of the region, which returns to the target's mean as it ages. Priorities are counted in nine levels in place of three, in optional columns of the state of nodes. The rest of an answer after its first event is estimated by the lengths that complete answers had, and the mean error of the first event is kept by the load of the target. The delay of other requests by reading a prompt counts in full, and the share of answers with too long a pause is learned by the time between two events.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -19,6 +19,9 @@
 	// InterferenceWeight is the relative cost of a millisecond by which another running request is
 	// delayed.
 	InterferenceWeight = 0.05
+	// overloadInterferenceWeight is the same under overload control. Reading a prompt takes a step of
+	// every running request, so that a target that reads many of them makes all of its streams late.
+	overloadInterferenceWeight = 1.0
 	// initialGap is the assumed time between two events until it has been measured; the estimate
 	// returns to it as a measurement gets older.
 	initialGap = 40 * time.Millisecond
@@ -50,10 +53,11 @@
 	Prompt         Prompt
 	Priority       int              // 0 is the most urgent
 	FirstEventGoal time.Duration    // desired time to the first event, 0 if there is none
+	GapGoal        time.Duration    // desired longest time between two events, 0 if there is none
 	Events         int              // maximum number of events of the answer
 	Capacity       int              // memory of a target in tokens, 0 if not known
 	Homes          []string         // regions that may hold the prompt's data; all if empty
-	ByPriority     bool             // less urgent calls at a target don't delay the request
+	ByPriority     bool             // overload control applies, and targets admit requests by priority
 	WarmOnly       bool             // leave out cold targets, and those that announce a limit
 	Exclude        map[string]bool  // IDs of targets that the request was already sent to
 	AvoidAddresses []netip.AddrPort // addresses of targets that it must not run on now
@@ -63,13 +67,18 @@
 type Choice struct {
 	Target        *Target
 	Expected      time.Duration  // expected time until the first event
+	Error         time.Duration  // mean absolute error of such estimates
+	Load          LoadBand       // band in which Error was measured
+	LoadAge       time.Duration  // age of the last load report of the target, 0 without one
+	Rest          time.Duration  // expected time from the first event to the end of the answer
+	Gap           time.Duration  // expected time between two events
 	OwnReadTime   time.Duration  // the part of Expected that reading the request's own prompt takes
 	Cost          time.Duration  // Expected plus penalties and the weighted delay of later events, its own and those of others
 	MissTokens    int            // prompt tokens that the target has to read or, weighted, to fetch
 	AheadTokens   int            // prompt tokens of other requests that the target reads before
 	FetchFrom     netip.AddrPort // a target to fetch missing parts from, if valid
 	Cold          bool           // whether the target is cold
-	PriorityLevel int            // see priorityLevel
+	PriorityLevel int            // see Need.level
 	MemoryTokens  int            // memory that the request occupies, in tokens
 	Calls         int            // calls of this node in flight at the target, without this one
 	TotalCalls    int            // the same for all nodes
@@ -101,9 +110,12 @@
 	}
 	x := c.Target
 	c.Calls, c.Age = x.calls, now.Sub(x.seenAt)
+	if !x.paceAt.IsZero() {
+		c.LoadAge = now.Sub(x.paceAt)
+	}
 	x.calls++
 	c.sentAt = now
-	c.PriorityLevel = priorityLevel(n.Priority)
+	c.PriorityLevel = n.level()
 	x.unread[c.PriorityLevel] += c.MissTokens
 	if c.ByPriority {
 		x.callsByLevel[c.PriorityLevel]++
@@ -208,13 +220,23 @@
 		l := x.loadFor(n)
 		c.AheadTokens, c.TotalCalls, c.CallsAhead, c.ByPriority = l.unreadAhead, l.calls, l.callsAhead, n.ByPriority
 		c.Expected = stats.expected(x, n, c.MissTokens, l)
+		if n.ByPriority {
+			c.Expected = time.Duration(float64(c.Expected) * x.expectedPace(now))
+		}
 		c.OwnReadTime = time.Duration(float64(stats.firstEvent.readTime(0, c.MissTokens)) * x.slowdown)
 		c.Cost = fetchCost(n, c) + c.Expected + time.Duration(x.failures)*failurePenalty + stats.streamCost(now, x, n, c.MissTokens, l)
 		if choice.Target == nil || c.Cost < choice.Cost {
 			choice = c
 		}
 	}
-	return choice, choice.Target != nil
+	if choice.Target == nil {
+		return choice, false
+	}
+	choice.Gap = choice.Target.estimatedGap(now)
+	choice.Rest = stats.rest(n.Events, choice.Gap)
+	choice.Load = bandOf(max(choice.Target.Slots, 1), choice.CallsAhead)
+	choice.Error = stats.errorOf(choice.Load)
+	return choice, true
 }
 
 // load is the load of a target from all nodes of the region.
@@ -227,14 +249,15 @@
 
 // loadFor returns the load of a target as seen by a request.
 func (x *Target) loadFor(n Need) load {
+	level := n.level()
 	l := load{
 		calls:        x.calls + x.othersLoad.calls,
-		unreadAhead:  x.unread.upTo(n.Priority) + x.othersLoad.unread.upTo(n.Priority),
+		unreadAhead:  x.unread.upTo(level) + x.othersLoad.unread.upTo(level),
 		memoryTokens: x.memoryInUse + x.othersLoad.memoryTokens,
 	}
 	l.callsAhead = l.calls
-	if n.ByPriority {
-		l.callsAhead -= x.callsByLevel.above(n.Priority) + x.othersLoad.callsByLevel.above(n.Priority)
+	for i := level + 1; n.ByPriority && i < priorityLevels; i++ {
+		l.callsAhead -= x.callsByLevel[i] + x.othersLoad.callsByLevel[i]
 	}
 	return l
 }
--- a/core/jwinstance/estimate.go
+++ b/core/jwinstance/estimate.go
@@ -44,8 +44,14 @@
 	if n.Prompt.Tokens == 0 {
 		return 0
 	}
-	d := LaterEventWeight * float64(n.Events) * float64(x.estimatedGap(now))
-	d += InterferenceWeight * float64(l.calls) * float64(s.firstEvent.readTime(0, miss))
+	gap := x.estimatedGap(now)
+	d := LaterEventWeight * float64(n.Events) * float64(gap)
+	weight := InterferenceWeight
+	if n.ByPriority {
+		d += float64(s.latePauses.cost(gap, n.GapGoal))
+		weight = overloadInterferenceWeight
+	}
+	d += weight * float64(l.calls) * float64(s.firstEvent.readTime(0, miss))
 	if n.Capacity > 0 && float64(l.memoryTokens+n.Prompt.memoryTokens()) > preemptionThreshold*float64(n.Capacity) {
 		d += float64(preemptionDelay)
 	}
@@ -76,7 +82,7 @@
 	}
 	s := t.stats[service]
 	if s == nil {
-		s = &serviceStats{plainLatency: initialPlainLatency, slotTime: initialSlotTime}
+		s = &serviceStats{plainLatency: initialPlainLatency, slotTime: initialSlotTime, restRatio: 1}
 		t.stats[service] = s
 	}
 	return s
--- a/core/jwinstance/relay.go
+++ b/core/jwinstance/relay.go
@@ -72,6 +72,7 @@
 // nodeLoad returns a sum of loads at a target as a NodeLoad for a report.
 func (x *Target) nodeLoad(now time.Time, s loadSum) NodeLoad {
 	l := NodeLoad{Target: x.ID, Calls: s.calls, CallsByLevel: s.callsByLevel, Unread: s.unread, MemoryTokens: s.memoryTokens}
+	l.Pace, l.PaceAge = x.reportedPace(now)
 	if gap, at := x.latestGap(); now.Sub(at) < reportMaxAge {
 		l.Gap = gap.Milliseconds()
 	}
@@ -151,9 +152,12 @@
 	Targets      []string           `json:"targets"`
 	Calls        []int              `json:"calls"`
 	CallsByLevel []countsByPriority `json:"levels,omitempty"` // empty if no priorities are known
-	Unread       []countsByPriority `json:"work"`
+	Unread       []coarseCounts     `json:"work"`
+	UnreadLevels []countsByPriority `json:"workLevels,omitempty"` // empty if Unread says as much
 	MemoryTokens []int              `json:"held"`
 	Gaps         []int64            `json:"gaps"`
+	Paces        []int              `json:"paces,omitempty"` // empty if no target reported one
+	PaceAges     []int64            `json:"paceAges,omitempty"`
 }
 
 // NewLoadColumns converts a list to columns; it returns nil for an empty list.
@@ -162,21 +166,52 @@
 		return nil
 	}
 	c := &LoadColumns{
-		Targets: make([]string, len(list)), Calls: make([]int, len(list)), Unread: make([]countsByPriority, len(list)),
+		Targets: make([]string, len(list)), Calls: make([]int, len(list)), Unread: make([]coarseCounts, len(list)),
 		MemoryTokens: make([]int, len(list)), Gaps: make([]int64, len(list)),
 	}
 	for i, l := range list {
-		c.Targets[i], c.Calls[i], c.Unread[i], c.MemoryTokens[i], c.Gaps[i] = l.Target, l.Calls, l.Unread, l.MemoryTokens, l.Gap
-		if l.CallsByLevel != (countsByPriority{}) {
-			if c.CallsByLevel == nil {
-				c.CallsByLevel = make([]countsByPriority, len(list))
-			}
-			c.CallsByLevel[i] = l.CallsByLevel
-		}
+		c.Targets[i], c.Calls[i], c.Unread[i], c.MemoryTokens[i], c.Gaps[i] = l.Target, l.Calls, l.Unread.coarse(), l.MemoryTokens, l.Gap
+		c.setOptional(i, l)
 	}
 	return c
 }
 
+// setOptional sets what the load has of the optional columns; a column that no load needs stays empty.
+func (c *LoadColumns) setOptional(i int, l NodeLoad) {
+	n := len(c.Targets)
+	if l.Unread != l.Unread.coarse().fine() {
+		setColumn(&c.UnreadLevels, n, i, l.Unread)
+	}
+	if l.CallsByLevel != (countsByPriority{}) {
+		setColumn(&c.CallsByLevel, n, i, l.CallsByLevel)
+	}
+	if l.Pace > 0 {
+		setColumn(&c.Paces, n, i, l.Pace)
+		setColumn(&c.PaceAges, n, i, l.PaceAge)
+	}
+}
+
+// getOptional gets what the optional columns have of a load.
+func (c *LoadColumns) getOptional(i int, l *NodeLoad) {
+	if i < len(c.UnreadLevels) && c.UnreadLevels[i] != (countsByPriority{}) {
+		l.Unread = c.UnreadLevels[i]
+	}
+	if i < len(c.CallsByLevel) {
+		l.CallsByLevel = c.CallsByLevel[i]
+	}
+	if i < min(len(c.Paces), len(c.PaceAges)) {
+		l.Pace, l.PaceAge = c.Paces[i], c.PaceAges[i]
+	}
+}
+
+// setColumn sets an element of a column of n elements.
+func setColumn[T any](column *[]T, n, i int, value T) {
+	if *column == nil {
+		*column = make([]T, n)
+	}
+	(*column)[i] = value
+}
+
 // List converts the columns back to a list. It ends where the shortest column ends.
 func (c *LoadColumns) List() []NodeLoad {
 	if c == nil {
@@ -185,10 +220,8 @@
 	n := min(len(c.Targets), len(c.Calls), len(c.Unread), len(c.MemoryTokens), len(c.Gaps))
 	list := make([]NodeLoad, n)
 	for i := range n {
-		list[i] = NodeLoad{Target: c.Targets[i], Calls: c.Calls[i], Unread: c.Unread[i], MemoryTokens: c.MemoryTokens[i], Gap: c.Gaps[i]}
-		if i < len(c.CallsByLevel) {
-			list[i].CallsByLevel = c.CallsByLevel[i]
-		}
+		list[i] = NodeLoad{Target: c.Targets[i], Calls: c.Calls[i], Unread: c.Unread[i].fine(), MemoryTokens: c.MemoryTokens[i], Gap: c.Gaps[i]}
+		c.getOptional(i, &list[i])
 	}
 	return list
 }
--- a/core/jwinstance/relay_test.go
+++ b/core/jwinstance/relay_test.go
@@ -141,7 +141,7 @@
 		id := fmt.Sprintf("i-%010x", i)
 		table.Put(now, Instance{ID: id, Service: "s", Region: "r", Slots: 12})
 		if i%4 == 0 {
-			loads = append(loads, NodeLoad{Target: id, Calls: 1, Unread: countsByPriority{0, 0, 2890}, MemoryTokens: 3000, Gap: 40})
+			loads = append(loads, NodeLoad{Target: id, Calls: 1, Unread: countsByPriority{priorityLevels - 1: 2890}, MemoryTokens: 3000, Gap: 40})
 		}
 	}
 	for n := range 37 {
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -1,6 +1,9 @@
 package jwinstance
 
-import "time"
+import (
+	"encoding/json"
+	"time"
+)
 
 const (
 	// reportMaxAge is how long the load reported by another node counts.
@@ -13,43 +16,74 @@
 	remotePlacementMaxAge = 1300 * time.Millisecond
 )
 
-// priorityLevels is how many levels of priority are reported separately; lower priorities count as
-// the last level.
-const priorityLevels = 3
+// priorityLevels is how many levels of priority are told apart. Without overload control only three
+// are used: the first two and the last.
+const priorityLevels = 9
 
 // countsByPriority is a number of calls or prompt tokens for each priority level of their requests.
 type countsByPriority [priorityLevels]int
 
-// priorityLevel returns the level of a priority; 0 is the most urgent.
-func priorityLevel(priority int) int { return min(max(priority, 0), priorityLevels-1) }
+// level returns the priority level of a request; 0 is the most urgent. Without overload control the
+// priorities from 2 on are one level.
+func (n Need) level() int {
+	const coarsePriorities = 2
+	if !n.ByPriority && n.Priority >= coarsePriorities {
+		return priorityLevels - 1
+	}
+	return min(max(n.Priority, 0), priorityLevels-1)
+}
 
-// upTo returns what a target takes before a request of a priority: what is of the same level and of
+// upTo returns what a target takes before a request of a level: what is of the same level and of
 // more urgent ones, which an engine takes first.
-func (w countsByPriority) upTo(priority int) int {
+func (w countsByPriority) upTo(level int) int {
 	n := 0
-	for _, count := range w[:priorityLevel(priority)+1] {
+	for _, count := range w[:level+1] {
 		n += count
 	}
 	return n
 }
 
-// above returns what a target takes after a request of a priority: what is of less urgent levels.
-func (w countsByPriority) above(priority int) int {
+// above returns what a target takes after a request of a level: what is of less urgent levels.
+func (w countsByPriority) above(level int) int {
 	n := 0
-	for _, count := range w[priorityLevel(priority)+1:] {
+	for _, count := range w[level+1:] {
 		n += count
 	}
 	return n
 }
 
+// MarshalJSON implements json.Marshaler. It leaves out the zeros at the end.
+func (w countsByPriority) MarshalJSON() ([]byte, error) {
+	n := len(w)
+	for n > 0 && w[n-1] == 0 {
+		n--
+	}
+	return json.Marshal(w[:n])
+}
+
+// coarseCounts is the form of countsByPriority that nodes of all versions understand.
+type coarseCounts [3]int
+
+// coarse returns the counts of the first two levels and of all others together.
+func (w countsByPriority) coarse() coarseCounts {
+	return coarseCounts{w[0], w[1], w.above(1)}
+}
+
+// fine returns counts that were received as coarse ones.
+func (c coarseCounts) fine() countsByPriority {
+	return countsByPriority{0: c[0], 1: c[1], priorityLevels - 1: c[2]}
+}
+
 // NodeLoad is what a node has in flight at one target.
 type NodeLoad struct {
-	Target       string           `json:"target"` // target ID
-	Calls        int              `json:"calls"`
-	CallsByLevel countsByPriority `json:"levels,omitempty"` // of Calls, those of known priority
-	Unread       countsByPriority `json:"work"`             // prompt tokens of calls without a first event
-	MemoryTokens int              `json:"held,omitempty"`   // memory in use, in tokens
-	Gap          int64            `json:"gap,omitempty"`    // milliseconds between two events, 0 if not measured recently
+	Target       string // ID
+	Calls        int
+	CallsByLevel countsByPriority // of Calls, those of known priority
+	Unread       countsByPriority // prompt tokens of calls without a first event
+	MemoryTokens int              // memory in use, in tokens
+	Pace         int              // hundredths, 0 if not reported recently
+	PaceAge      int64            // milliseconds since the target reported Pace
+	Gap          int64            // milliseconds between two events, 0 if not measured recently
 }
 
 // nodeReport is the last report of another node of the region.
@@ -111,6 +145,7 @@
 		if x.calls > 0 {
 			l := x.ownLoad()
 			l.Target = x.ID
+			l.Pace, l.PaceAge = x.reportedPace(now)
 			if now.Sub(x.gapAt) < placementMaxAge {
 				l.Gap = x.gap.Milliseconds()
 			}
@@ -173,6 +208,7 @@
 			continue
 		}
 		x.othersLoad.add(l, 1)
+		x.observePace(now.Add(-time.Duration(l.PaceAge)*time.Millisecond), float64(l.Pace)/100)
 		if l.Gap > 0 {
 			x.reportedGap, x.reportedGapAt = time.Duration(l.Gap)*time.Millisecond, now
 		}
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -87,6 +87,9 @@
 	limit         targetLimit
 	load          LoadReport // last load that the target reported to this node
 	loadAt        time.Time
+	pace          float64 // last reported pace
+	paceAt        time.Time
+	meanPace      float64 // moving average of the reported paces, 0 without any
 }
 
 // Change is what a registration changed about a target.
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -362,20 +362,24 @@
 // BenchmarkBest chooses a target as each request does. In a fleet of 3,200 targets, a region has
 // about 250 of them, and about 75 nodes that report their load to each other.
 func BenchmarkBest(b *testing.B) {
-	for name, nodes := range map[string]int{"alone": 0, "75 nodes": 75} {
+	cases := map[string]struct {
+		nodes    int
+		overload bool
+	}{"alone": {0, false}, "75 nodes": {75, false}, "75 nodes, overload control": {75, true}}
+	for name, c := range cases {
 		b.Run(name, func(b *testing.B) {
 			table := &Table{Region: "r"}
 			for i := range 250 {
 				table.Put(t0, instance(fmt.Sprintf("t%03d", i)))
 			}
-			for node := range nodes {
+			for node := range c.nodes {
 				var loads []NodeLoad
 				for i := range 250 {
-					loads = append(loads, NodeLoad{Target: fmt.Sprintf("t%03d", i), Calls: 1, MemoryTokens: 100})
+					loads = append(loads, NodeLoad{Target: fmt.Sprintf("t%03d", i), Calls: 1, MemoryTokens: 100, Pace: 150})
 				}
 				table.Merge(t0, fmt.Sprint(node), loads, nil)
 			}
-			n := Need{Service: "s", Prompt: prompt(1, 2, 3), Events: 10, Capacity: 250_000}
+			n := Need{Service: "s", Prompt: prompt(1, 2, 3), Events: 10, Capacity: 250_000, ByPriority: c.overload, GapGoal: time.Second}
 			b.ReportAllocs()
 			for b.Loop() {
 				c, _ := table.Best(t0, n)
