jwgateway, jwlog, platform: admission under overload control, rank of requests, calibration

The decision log has the expected rest, the error, the target's load and the age of its pace; first_event_error_seconds has the errors by load. The goal for pauses travels with a forwarded request in a header of its own, which nodes of older versions ignore.

--- /dev/null
+++ b/io/jwgateway/admit.go
@@ -0,0 +1,64 @@
+package jwgateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"jujubewheel/core/jwadmission"
+	"jujubewheel/core/jwplacement"
+)
+
+const (
+	// minPatience is how long callers wait at least for the first event of a stream.
+	minPatience = 2 * time.Second
+	// patienceGoals and patienceGapGoals are how many times the goal for the first event, or for the
+	// pause between two events, callers wait for the first event if that is longer.
+	patienceGoals    = 4
+	patienceGapGoals = 8
+)
+
+// admit decides whether a request is served at the place that was chosen for it.
+func (g *Gateway) admit(now time.Time, q *request, p jwplacement.Choice) jwadmission.Decision {
+	r := jwadmission.Request{
+		Goal: q.entry.Goal, TimeLeft: q.deadline.Sub(now), Expected: p.Expected, OwnReadTime: p.OwnReadTime,
+		HasPrompt: q.Prompt.Tokens > 0, AlreadyAccepted: q.forwarded || q.answerStarted || q.sends > 0,
+	}
+	if r.HasPrompt && g.controlsOverload(q.service) {
+		rank := g.rank(q)
+		g.pressure.Observe(now, q.service, rank, p.Expected-p.OwnReadTime, q.entry.Goal)
+		r.Overload = &jwadmission.Overload{
+			Rest: p.Rest, Patience: q.patience(now), Pressure: g.pressure.Of(now, q.service, rank),
+		}
+	}
+	return g.Admission.Decide(r)
+}
+
+// patience returns how long the caller of a stream still waits for its first event.
+func (q *request) patience(now time.Time) time.Duration {
+	total := max(minPatience, patienceGoals*q.entry.Goal, patienceGapGoals*q.entry.GapGoal)
+	return max(total-now.Sub(q.arrived), 1)
+}
+
+// prioritiesPerLevel is how many priorities of entries are told apart within one of workspaces, and
+// how many of workspaces.
+const prioritiesPerLevel = 3
+
+// rank returns the priority by which targets admit a request. Under overload control requests of
+// workspaces of the same priority are ordered by the priority of their entry; a forwarded request
+// carries the rank that the forwarding node gave it.
+func (g *Gateway) rank(q *request) int {
+	if q.forwarded || q.Prompt.Tokens == 0 || !g.controlsOverload(q.service) {
+		return q.priority
+	}
+	level := func(priority int) int { return min(max(priority, 0), prioritiesPerLevel-1) }
+	return prioritiesPerLevel*level(q.priority) + level(q.entry.Priority)
+}
+
+// setGapGoal sets the header with the entry's goal for pauses, for the node that chooses the target.
+func (g *Gateway) setGapGoal(h http.Header, q *request) {
+	delete(h, headerGapGoal)
+	if q.entry.GapGoal > 0 && g.controlsOverload(q.service) {
+		h[headerGapGoal] = []string{strconv.FormatInt(q.entry.GapGoal.Milliseconds(), 10)}
+	}
+}
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -20,7 +20,7 @@
 	now := time.Now()
 	d := jwlog.Decision{
 		Step: step, Request: q.ID, Entry: q.entry.Name, Version: q.version, Workspace: q.workspace, Service: q.service,
-		Units: q.units, Attempt: q.attempts, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
+		Units: q.units, Priority: q.priority, Attempt: q.attempts, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
 	}
 	return d
 }
@@ -50,6 +50,9 @@
 	}
 	d := q.newDecision(stepSend)
 	d.Target, d.Expected, d.Cold, d.Calls = c.Target.ID, c.Expected, c.Cold, c.Calls
+	if c.ByPriority {
+		d.Rest, d.Error, d.Load, d.LoadAge = c.Rest, c.Error, string(c.Load), c.LoadAge
+	}
 	d.Prompt, d.MissTokens, d.AheadTokens = q.Prompt.Tokens, c.MissTokens, c.AheadTokens
 	d.First, d.Pause = p.first, p.pause
 	d.Silent = p.silence(v, time.Now())
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -27,6 +27,7 @@
 	headerSender      = "Jujube-Caller" // name of the node that forwards the request
 	headerFingerprint = "Jujube-Mark"   // fingerprint of the request, see jwsuspect
 	headerWorkspace   = "Jujube-Workspace"
+	headerGapGoal     = "Jujube-Gap-Goal" // in milliseconds; absent without overload control
 )
 
 // chooseRegion chooses the region that serves a request.
@@ -36,7 +37,7 @@
 	if q.forwarded || q.homes.Allows(g.Settings.Region) {
 		if c, ok := g.targets.Peek(now, n); ok {
 			here = &jwplacement.Option{
-				Region: g.Settings.Region, Known: true, Expected: c.Expected, OwnReadTime: c.OwnReadTime, LaterCost: c.Cost - c.Expected, MissTokens: c.MissTokens,
+				Region: g.Settings.Region, Known: true, Expected: c.Expected, OwnReadTime: c.OwnReadTime, LaterCost: c.Cost - c.Expected, Rest: c.Rest, MissTokens: c.MissTokens,
 			}
 		}
 	}
@@ -64,6 +65,7 @@
 		o.OwnReadTime = g.targets.ReadTime(n.Service, 0, miss)
 		o.Expected += g.targets.ReadTime(n.Service, unreported/max(targets, 1), miss)
 	}
+	o.Rest = time.Duration(n.Events) * w.eventGap
 	o.LaterCost = time.Duration(jwinstance.LaterEventWeight * float64(n.Events) * float64(w.eventGap))
 	return o
 }
@@ -121,11 +123,12 @@
 	h[headerService] = []string{q.service}
 	h[headerKind] = []string{strings.Join([]string{
 		string(e.Kind), strconv.FormatBool(e.Resumable), strconv.Itoa(max(e.Attempts()-q.attempts, 1)),
-		strconv.Itoa(q.priority), strconv.FormatInt(e.Goal.Milliseconds(), 10), strings.Join(q.homes, "|"),
+		strconv.Itoa(g.rank(q)), strconv.FormatInt(e.Goal.Milliseconds(), 10), strings.Join(q.homes, "|"),
 	}, ",")}
 	h[headerSender] = []string{g.Settings.Node}
 	h[headerFingerprint] = []string{q.fingerprint.String()}
 	delete(h, headerWorkspace)
+	g.setGapGoal(h, q)
 	if q.workspace != "" {
 		h[headerWorkspace] = []string{q.workspace}
 	}
@@ -214,11 +217,12 @@
 	}
 	q.w = &outcomeWriter{ResponseWriter: w, signed: func(h http.Header) bool { return g.Dialect.ParseAnswerHeaders(h).Signed }}
 	q.entry = parseKind(r.Header.Get(headerKind))
+	q.entry.GapGoal = time.Duration(max(parseCount(r.Header.Get(headerGapGoal)), 0)) * time.Millisecond
 	q.homes, q.priority, q.workspace = q.entry.Homes, q.entry.Priority, r.Header.Get(headerWorkspace)
 	if fingerprint, err := jwsuspect.ParseFingerprint(r.Header.Get(headerFingerprint)); err == nil {
 		q.fingerprint = fingerprint
 	}
-	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace} {
+	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace, headerGapGoal} {
 		delete(q.header, name)
 	}
 	q.deadline = q.arrived.Add(max(q.Deadline, time.Millisecond))
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -69,6 +69,7 @@
 	quotas              jwquota.Ledger
 	quotaExchange       jwquotaexchange.Exchange // exchanges quota units with other nodes
 	regions             regionTable
+	pressure            jwadmission.Pressure
 	unseenCalledAt      time.Time // time of the last exchange with unseen nodes; used by exchangeStates only, like unseenTurn
 	unseenTurn          int
 	exchangesInFlight   sync.Map // names of the peers with an exchange in flight
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -44,6 +44,7 @@
 	limitedTargets    tally.Gauge
 	storeRestores     tally.Counter
 	malformedLoads    tally.Counter
+	estimateErrors    estimateErrors
 }
 
 func newMetrics(m *jwmeter.Meter) *metrics {
@@ -70,6 +71,7 @@
 		limitedTargets:    m.Gauge("limited_targets", nil),
 		storeRestores:     m.Counter("store_returns_total", nil),
 		malformedLoads:    m.Counter("malformed_target_loads_total", nil),
+		estimateErrors:    newEstimateErrors(m),
 	}
 	for _, k := range []jwresolver.Kind{jwresolver.Own, jwresolver.Stopping, jwresolver.StandIns, jwresolver.NoNodes} {
 		ms.directoryAnswers[k] = m.Counter("directory_answers_total", jwmeter.Tags{"names": string(k)})
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -76,6 +76,7 @@
 func (g *Gateway) targetNeed(q *request) jwinstance.Need {
 	n := jwinstance.Need{Service: q.service, Prompt: q.Prompt, Homes: q.homes, Priority: q.priority, FirstEventGoal: q.entry.Goal, Exclude: q.tried}
 	n.ByPriority = g.controlsOverload(q.service)
+	n.Priority, n.GapGoal = g.rank(q), q.entry.GapGoal
 	c := g.entries.Current()
 	if c == nil {
 		return n
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -44,6 +44,7 @@
 			pause := p.recordEvents(start, now)
 			if pause == 0 {
 				g.targets.RecordFirstEvent(x, c, q.Prompt, p.first)
+				g.metrics.recordEstimate(c, p.first)
 			} else {
 				g.targets.RecordEvents(now, x, events, pause)
 				g.metrics.eventPauses.RecordDuration(pause)
@@ -58,6 +59,9 @@
 	g.suspects.End(q.fingerprint, x.Address, verdict == finished, time.Now())
 	if verdict == finished && status < http.StatusInternalServerError {
 		g.targets.Served(x)
+		if !p.last.IsZero() {
+			g.targets.RecordEnd(x, c, q.entry.GapGoal, p.last.Sub(start)-p.first, p.pause)
+		}
 	}
 	if verdict == broken && ctx.Err() == nil {
 		g.targets.Failed(x)
@@ -201,7 +205,7 @@
 	h := q.header.Clone()
 	g.Dialect.SetTargetHeaders(h, TargetHeaders{
 		Target: x.ID, Left: time.Until(q.deadline), Engine: q.Prompt.Tokens > 0,
-		Priority: q.priority, LastEvent: q.lastEvent(), Workspace: q.workspace, Fetch: c.FetchFrom,
+		Priority: g.rank(q), LastEvent: q.lastEvent(), Workspace: q.workspace, Fetch: c.FetchFrom,
 	})
 	call := &jwconn.Call{
 		Peer: x.Address, Method: q.method, Target: q.target, Host: q.host, Header: h,
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -120,11 +120,7 @@
 	if p.Reason == jwplacement.NoTarget {
 		return g.rejectWithoutTarget(now, q)
 	}
-	d := g.Admission.Decide(jwadmission.Request{
-		Goal: q.entry.Goal, TimeLeft: q.deadline.Sub(now), Expected: p.Expected, OwnReadTime: p.OwnReadTime,
-		HasPrompt: q.Prompt.Tokens > 0, AlreadyAccepted: q.forwarded || q.answerStarted || q.sends > 0,
-	})
-	if !d.Accepted() {
+	if d := g.admit(now, q, p); !d.Accepted() {
 		return q.reject(string(d.Reason), d.RetryAfter)
 	}
 	if p.Region != g.Settings.Region {
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -29,6 +29,10 @@
 	First       time.Duration // actual wait for the first event
 	Pause       time.Duration // longest time between two events
 	Silent      time.Duration // since the last event, for a send that broke off
+	Error       time.Duration // mean absolute error of such estimates
+	Load        string        // band of the target's load, such as "queued"
+	Rest        time.Duration // estimated time from the first event to the end
+	Priority    int           // 0 is the most urgent
 	Calls       int           // in flight from this node at the target
 	Prompt      int           // tokens of the prompt
 	MissTokens  int           // of these, tokens that the target probably has not cached
@@ -66,7 +70,7 @@
 	if x.DropFirst {
 		log = d.minor
 	}
-	const maxFields = 28
+	const maxFields = 32
 	var buf [maxFields]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
@@ -86,6 +90,10 @@
 	f = appendNumber(f, "firstMs", x.First.Milliseconds())
 	f = appendNumber(f, "pauseMs", x.Pause.Milliseconds())
 	f = appendNumber(f, "silentMs", x.Silent.Milliseconds())
+	f = appendNumber(f, "errorMs", x.Error.Milliseconds())
+	f = appendText(f, "load", x.Load)
+	f = appendNumber(f, "restMs", x.Rest.Milliseconds())
+	f = appendNumber(f, "priority", int64(x.Priority))
 	f = appendNumber(f, "calls", int64(x.Calls))
 	f = appendNumber(f, "promptTokens", int64(x.Prompt))
 	f = appendNumber(f, "missTokens", int64(x.MissTokens))
