--- a/core/jwinstance/capability.go
+++ b/core/jwinstance/capability.go
@@ -2,12 +2,8 @@
 
 import "time"
 
-const (
-	// maxPaceAge is how long the pace that a target reported counts.
-	maxPaceAge = 2 * time.Second
-	// usualQueue is the time that prompts may take to be read at a target without being a backlog.
-	usualQueue = 50 * time.Millisecond
-)
+// usualQueue is the time that prompts may take to be read at a target without being a backlog.
+const usualQueue = 50 * time.Millisecond
 
 // readSample is the number of prompt tokens that Capability.ReadTime is for.
 const readSample = 1000
@@ -37,7 +33,7 @@
 		}
 		targets++
 		slots := max(x.Slots, 1)
-		r.Capacity += 1 / x.recentPace(now)
+		r.Capacity += 1 / x.usualPace()
 		r.Slots += slots
 		if gap := x.estimatedGap(now); r.EventGap == 0 || gap < r.EventGap {
 			r.EventGap = gap
@@ -58,10 +54,10 @@
 	return r
 }
 
-// recentPace returns the time that work takes at a target relative to the usual time.
-func (x *Target) recentPace(now time.Time) float64 {
-	if x.load.Pace > 0 && now.Sub(x.loadAt) <= maxPaceAge {
-		return x.load.Pace
+// usualPace returns the mean time that work takes at a target relative to one that does nothing else.
+func (x *Target) usualPace() float64 {
+	if x.meanPace == 0 {
+		return 1
 	}
-	return 1
+	return x.meanPace
 }
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -71,6 +71,7 @@
 	quotaExchange       jwquotaexchange.Exchange // exchanges quota units with other nodes
 	regions             regionTable
 	balance             regionBalance
+	pressure            jwadmission.Pressure
 	unseenCalledAt      time.Time // time of the last exchange with unseen nodes; used by exchangeStates only, like unseenTurn
 	unseenTurn          int
 	exchangesInFlight   sync.Map // names of the peers with an exchange in flight
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -47,6 +47,7 @@
 	storeRestores     tally.Counter
 	malformedLoads    tally.Counter
 	room              roomMetrics
+	estimateErrors    estimateErrors
 }
 
 func newMetrics(m *jwmeter.Meter) *metrics {
@@ -74,6 +75,7 @@
 		storeRestores:     m.Counter("store_returns_total", nil),
 		malformedLoads:    m.Counter("malformed_target_loads_total", nil),
 		room:              newRoomMetrics(m),
+		estimateErrors:    newEstimateErrors(m),
 	}
 	for _, k := range []jwresolver.Kind{jwresolver.Own, jwresolver.Stopping, jwresolver.StandIns, jwresolver.NoNodes} {
 		ms.directoryAnswers[k] = m.Counter("directory_answers_total", jwmeter.Tags{"names": string(k)})
