jwinstance, jwgateway: a target that another incarnation replaced gets nothing more

Cause: while no target had room, the choice fell back to targets whose registration had just vanished, which look idle, and an answer 421 did not take out a target that was already marked as gone. Change: only a node without any usable target falls back, and 421 ends the fallback at once.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -96,7 +96,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c, ok = t.best(now, n, false)
-	if !ok {
+	if !ok && !n.OnlyWithRoom {
 		c, ok = t.best(now, n, true)
 	}
 	if !ok {
--- a/core/jwinstance/leaving_test.go
+++ b/core/jwinstance/leaving_test.go
@@ -131,3 +131,14 @@
 		})
 	}
 }
+
+// A target of which the registration has just vanished may be used while no other is left, but not
+// after another incarnation answered at its address.
+func TestReplacedTargetThatIsGone(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Put(after(0), instance("a"))
+	table.Remove(after(0), "a", 1)
+	assert.Equal(t, bestTargetID(table, after(100), Need{}), "a")
+	table.Replaced(after(100), table.targets["a"])
+	assert.Equal(t, bestTargetID(table, after(200), Need{}), "")
+}
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -147,7 +147,7 @@
 	defer t.mu.Unlock()
 	x.replacedRevision = x.Revision
 	if x.goneAt.IsZero() {
-		x.goneAt = now.Add(-goneGracePeriod)
 		t.usableSlots = nil
 	}
+	x.goneAt = now.Add(-goneGracePeriod)
 }
