--- a/core/jwroom/fleet_test.go
+++ b/core/jwroom/fleet_test.go
@@ -249,3 +249,56 @@
 		t.Errorf("%d calls, want up to 10", got)
 	}
 }
+
+// runGrants is run for the other way to divide a room: the target's owner grants slots. A release
+// and a grant take half a round trip each, and the owner grants nothing while it is down.
+func (f *fleet) runGrants(d time.Duration, holdTicks int, roundTrip, down time.Duration, demand ...int) float64 {
+	free, sum, n := f.room.Slots+f.room.Queue, 0, 0
+	var released []time.Time // when the owner gets to know that a call has ended, plus the way of the grant
+	begin := f.now
+	for at := time.Duration(0); at < d; at += tick {
+		f.now = f.now.Add(tick)
+		for _, x := range f.nodes {
+			for range x.calls {
+				if f.rand.IntN(holdTicks) == 0 {
+					x.calls--
+					released = append(released, f.now.Add(roundTrip))
+				}
+			}
+		}
+		for len(released) > 0 && !f.now.Before(released[0]) {
+			released = released[1:]
+			free++
+		}
+		for ; free > 0 && f.now.Sub(begin) > down; free-- {
+			f.nodes[demand[f.rand.IntN(len(demand))]].calls++
+		}
+		if at >= d/2 {
+			for _, x := range f.nodes {
+				sum += x.calls
+			}
+			n++
+		}
+	}
+	return float64(sum) / float64(n)
+}
+
+// Both ways keep the slots busy while nodes have more demand than the target has slots; the
+// division needs the queue for it, and no round trip before a call.
+func TestDivisionAgainstGrants(t *testing.T) {
+	for _, queue := range []int{0, 4, 8} {
+		for _, demand := range [][]int{{0}, {0, 1, 2, 3, 4, 5}} {
+			division, grants, late := newFleet(6, 32, 20*ms, 1), newFleet(6, 32, 0, 1), newFleet(6, 32, 0, 1)
+			for _, f := range []*fleet{division, grants, late} {
+				f.room.Queue = queue
+			}
+			busy := division.run(20*time.Second, 100, demand...)
+			granted := grants.runGrants(20*time.Second, 100, 10*ms, 0, demand...)
+			down := late.runGrants(2*time.Second, 100, 10*ms, 1500*ms, demand...)
+			t.Logf("queue %d, %d nodes with demand: %.1f calls by division, %.1f by grants, %.1f in a second of which the owner is down for half", queue, len(demand), busy, granted, down)
+			if queue == 8 && busy < 32 {
+				t.Errorf("%.1f calls in flight at 32 slots", busy)
+			}
+		}
+	}
+}
--- a/io/jwlogtrace/trace.go
+++ b/io/jwlogtrace/trace.go
@@ -38,6 +38,9 @@
 	SilentMS   int64  `json:"silentMs"`
 	Calls      int    `json:"calls"`
 	ViewAgeMS  int64  `json:"viewAgeMs"`
+	LoadAgeMS  int64  `json:"loadAgeMs"`
+	WaitedMS   int64  `json:"waitedMs"`
+	Waiting    int    `json:"waiting"`
 	Cold       bool   `json:"cold"`
 }
 
@@ -180,6 +183,8 @@
 		}
 	case "forward":
 		fmt.Fprintf(&b, "forwarded to node %s", l.Peer)
+	case "wait":
+		fmt.Fprintf(&b, "waited %d ms in the node for a target with room (%d requests ahead, other nodes' loads %d ms old)", l.WaitedMS, l.Waiting, l.LoadAgeMS)
 	case "begun":
 		fmt.Fprintf(&b, "first event from %s arrived", l.Peer)
 	case "answer":
@@ -205,6 +210,9 @@
 func (l *Line) outcome() string {
 	text := map[string]string{
 		"finished":   "answered",
+		"placed":     "a target had room",
+		"forwarded":  "another region was better",
+		"dropped":    "given up",
 		"notRun":     "not run",
 		"failed":     "failed, may have run",
 		"broken":     "broke off in the stream",
@@ -274,5 +282,10 @@
 	if last != nil {
 		return fmt.Sprintf("target %s: %s", last.Target, last.Reason)
 	}
+	for i := range t.Lines {
+		if l := &t.Lines[i]; l.Message == "wait" && l.Outcome == "dropped" {
+			return fmt.Sprintf("no target had room for %d ms: %s", l.WaitedMS, l.Reason)
+		}
+	}
 	return t.Lines[len(t.Lines)-1].Reason
 }
--- a/io/jwlogtrace/trace_test.go
+++ b/io/jwlogtrace/trace_test.go
@@ -61,6 +61,16 @@
 {"message":"started","node":"n1","time":"2026-01-02T03:00:00Z"}`,
 			"none, it was served",
 		},
+		"given up in the waiting room": {
+			`{"message":"wait","node":"n1","request":"r","entry":"e","outcome":"dropped","waitedMs":1200,"waiting":7,"loadAgeMs":80,"reason":"can't be served in time any more"}
+{"message":"answer","node":"n1","request":"r","entry":"e","outcome":"notRun","reason":"can't be served in time any more","status":503}`,
+			"no target had room for 1200 ms: can't be served in time any more",
+		},
+		"served after a wait": {
+			`{"message":"wait","node":"n1","request":"r","entry":"e","outcome":"placed","waitedMs":120,"waiting":2,"loadAgeMs":80}
+{"message":"send","node":"n1","request":"r","entry":"e","target":"t","outcome":"finished","status":200}`,
+			"none, it was served",
+		},
 		"unknown key": {
 			`{"message":"answer","node":"n1","request":"r","entry":"e","outcome":"refused","reason":"unknown key","status":401}`,
 			"unknown key",
@@ -122,3 +132,8 @@
 		}
 	})
 }
+
+func TestWaitLine(t *testing.T) {
+	l := Line{Message: "wait", Outcome: "placed", WaitedMS: 120, Waiting: 2, LoadAgeMS: 80}
+	assert.Equal(t, l.sentence(), "waited 120 ms in the node for a target with room (2 requests ahead, other nodes' loads 80 ms old): a target had room")
+}
