--- /dev/null
+++ b/core/jwinstance/room_test.go
@@ -0,0 +1,97 @@
+package jwinstance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func roomTable(node string, nodes, targets, slots int) *Table {
+	t := &Table{Node: node, Region: "r", Nodes: func() int { return nodes }, Rand: func(int) int { return 0 }}
+	for i := range targets {
+		t.Put(time.Unix(1000, 0), Instance{ID: fmt.Sprintf("t%d", i), Service: "s", Region: "r", Slots: slots})
+	}
+	return t
+}
+
+// startAll starts calls until no target has room and returns them.
+func startAll(t *Table, now time.Time, prompt Prompt, capacity int) (calls []Choice) {
+	for {
+		c, ok := t.Best(now, Need{Service: "s", Prompt: prompt, Capacity: capacity, OnlyWithRoom: true})
+		if !ok {
+			return calls
+		}
+		calls = append(calls, c)
+	}
+}
+
+func exchangeLoads(now time.Time, tables ...*Table) {
+	for _, from := range tables {
+		loads, placed := from.Report(now)
+		for _, to := range tables {
+			if from != to {
+				to.Merge(now, from.Node, loads, placed)
+			}
+		}
+	}
+}
+
+// Nodes that all have more demand than room and exchange their loads don't fill the same slots.
+func TestNodesDivideTheRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, targets, slots := rapid.IntRange(1, 5).Draw(t, "nodes"), rapid.IntRange(1, 4).Draw(t, "targets"), rapid.IntRange(1, 32).Draw(t, "slots")
+		var tables []*Table
+		for i := range n {
+			tables = append(tables, roomTable(fmt.Sprint("n", i), n, targets, slots))
+		}
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 12).Draw(t, "rounds") {
+			now = now.Add(110 * time.Millisecond)
+			exchangeLoads(now, tables...)
+			for _, x := range tables {
+				startAll(x, now, Prompt{Tokens: 100}, 0)
+			}
+		}
+		room := slots + max(slots/4, 1)
+		for i := range targets {
+			sum := 0
+			for _, x := range tables {
+				sum += x.targets[fmt.Sprint("t", i)].calls
+			}
+			if sum > room+n {
+				t.Fatalf("%d calls of %d nodes in a room of %d", sum, n, room)
+			}
+		}
+	})
+}
+
+func TestRoomOfMemory(t *testing.T) {
+	x := roomTable("n0", 1, 1, 32)
+	assert.Equal(t, len(startAll(x, time.Unix(1000, 0), Prompt{Tokens: 900, Output: 100}, 10_000)), 10)
+	x = roomTable("n0", 1, 1, 32)
+	assert.Equal(t, len(startAll(x, time.Unix(1000, 0), Prompt{Tokens: 900, Output: 100}, 0)), 40)
+}
+
+// After a pause of the process nothing of what others reported counts: the node keeps to its equal
+// part until they report again.
+func TestPartsAfterAPause(t *testing.T) {
+	a, b := roomTable("n0", 4, 1, 32), roomTable("n1", 4, 1, 32)
+	now := time.Unix(1000, 0)
+	exchangeLoads(now, a, b)
+	a.DiscardReports()
+	assert.Equal(t, len(startAll(a, now.Add(time.Second), Prompt{Tokens: 100}, 0)), 10)
+}
+
+// A relay reports for nodes that this one never hears from; they are not taken to be missing.
+func TestRelayedReportsCoverAllNodes(t *testing.T) {
+	x := roomTable("n0", 4, 1, 32)
+	now := time.Unix(1000, 0)
+	x.MergeRelay(now, "relay", []NodeLoad{{Target: "t0", Calls: 8}}, nil)
+	age, missing := x.RoomAge(now.Add(time.Millisecond))
+	assert.Equal(t, age, time.Millisecond)
+	assert.Equal(t, missing, 0)
+	assert.Equal(t, len(startAll(x, now, Prompt{Tokens: 100}, 0)), 32/(4*relayRounds))
+}
--- a/core/jwroom/lease.go
+++ b/core/jwroom/lease.go
@@ -47,7 +47,7 @@
 // number in [0, 1) by which parts of a call are rounded.
 func (l *Lease) Renew(now time.Time, r Room, v View, fraction float64) {
 	age := now.Sub(l.at)
-	if !l.at.IsZero() && age < LeaseTime && (age < MinInterval || !v.ReportedAt.After(l.at)) {
+	if !l.at.IsZero() && age >= 0 && age < LeaseTime && (age < MinInterval || !v.ReportedAt.After(l.at)) {
 		return
 	}
 	l.at, l.hasMemory = now, r.Memory > 0
--- a/core/jwroom/lease_test.go
+++ b/core/jwroom/lease_test.go
@@ -58,13 +58,15 @@
 		{"a newer report", 210 * ms, 150 * ms, 10 + 30/4},
 		{"no report since", 700 * ms, 150 * ms, 10 + 30/4},
 		{"run out", 711 * ms, 150 * ms, 10 + 30/4},
+		{"the clock was set back", -time.Hour, 150 * ms, 10 + 30/4},
+		{"and runs on", -time.Hour + 100*ms, 150 * ms, 10 + 30/4},
 	}
 	for _, c := range cases {
 		v.ReportedAt = start.Add(c.reported)
 		l.Renew(start.Add(c.at), room, v, 0)
 		assert.Equal(t, l.part.Calls, c.want, c.name)
 	}
-	assert.Equal(t, l.Age(start.Add(712*ms)), ms)
+	assert.Equal(t, l.Age(start.Add(101*ms-time.Hour)), ms)
 }
 
 // A long prompt may be larger than the part, and would never run.
--- a/io/jwgateway/waitroom_test.go
+++ b/io/jwgateway/waitroom_test.go
@@ -121,6 +121,34 @@
 	})
 }
 
+// The fleet shrinks while requests wait. Each of them is served or dropped with a reason by its time,
+// and nothing goes to the targets that are gone.
+func TestShrinkingFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := roomGateway(8, 4, jwsettings.WaitAtNode)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go g.runRoom(ctx)
+		var wg sync.WaitGroup
+		for i := range 200 {
+			q := roomRequest(fmt.Sprint(i), i%3, 1000, time.Second)
+			wg.Go(func() {
+				reason := g.call(q, 300*time.Millisecond)
+				if reason != jwwaitroom.None {
+					assert.Equal(t, reason, jwwaitroom.Expired)
+					assert.Assert(t, !time.Now().After(q.arrived.Add(1200*time.Millisecond+turnInterval)))
+				}
+			})
+			if i == 100 {
+				g.targets.RemoveExcept(time.Now(), map[string]bool{"t000": true, "t001": true}, 1<<40)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		wg.Wait()
+		assert.DeepEqual(t, g.room.Load(), jwwaitroom.Load{ByPriority: map[int]int{}})
+	})
+}
+
 // With room, a request is placed at once: the waiting room adds no wait.
 func TestNoWaitUnderLightLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
