--- a/io/jwgateway/waitroom_test.go
+++ b/io/jwgateway/waitroom_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,21 +18,28 @@
 	"jujubewheel/io/jwsettings"
 )
 
+// testGateway is a gateway whose host can be suspended.
+type testGateway struct {
+	*Gateway
+	suspended *atomic.Int64 // for how long the host was suspended
+}
+
 // roomGateway returns a gateway of one node with targets of one service "s".
-func roomGateway(targets, slots int, mode jwsettings.WaitingRoomMode) *Gateway {
+func roomGateway(targets, slots int, mode jwsettings.WaitingRoomMode) testGateway {
 	g := &Gateway{Settings: &jwsettings.Settings{Node: "n1", Region: "r", Gateway: &jwsettings.Gateway{Overload: jwsettings.OverloadOn, WaitingRoom: mode}}}
+	x := testGateway{g, new(atomic.Int64)}
 	g.metrics = newMetrics(nil)
 	g.startTime = time.Now()
 	g.prepareRoom()
 	g.pauseDetector.Limit = pauseLimit
-	g.pauseDetector.TimeSinceBoot = func() time.Duration { return time.Since(g.startTime) }
+	g.pauseDetector.TimeSinceBoot = func() time.Duration { return time.Since(g.startTime) + time.Duration(x.suspended.Load()) }
 	g.pauseDetector.Reset()
 	g.bounds.Store(&jwsettings.Bounds{Grace: 10 * time.Second})
 	g.targets.Node, g.targets.Region = "n1", "r"
 	for i := range targets {
 		g.targets.Put(time.Now(), jwinstance.Instance{ID: fmt.Sprintf("t%03d", i), Service: "s", Region: "r", Slots: slots})
 	}
-	return g
+	return x
 }
 
 func roomRequest(id string, priority, tokens int, goal time.Duration) *request {
@@ -171,24 +179,27 @@
 // Nothing may stay in the room, whatever ends the wait.
 func TestWaitEnds(t *testing.T) {
 	cases := map[string]struct {
-		event func(g *Gateway, call jwinstance.Choice, cancel func())
+		event func(g testGateway, call jwinstance.Choice, cancel func())
 		want  jwwaitroom.Reason
 		after time.Duration // since the request came
 	}{
-		"the caller leaves":     {func(_ *Gateway, _ jwinstance.Choice, cancel func()) { cancel() }, jwwaitroom.Expired, 100 * time.Millisecond},
-		"too late for its goal": {func(*Gateway, jwinstance.Choice, func()) {}, jwwaitroom.Expired, 600 * time.Millisecond},
-		"a call ends":           {func(g *Gateway, call jwinstance.Choice, _ func()) { g.end(call) }, jwwaitroom.None, 100 * time.Millisecond},
-		"the node stops": {func(g *Gateway, _ jwinstance.Choice, _ func()) {
+		"the caller leaves":     {func(_ testGateway, _ jwinstance.Choice, cancel func()) { cancel() }, jwwaitroom.Expired, 100 * time.Millisecond},
+		"too late for its goal": {func(testGateway, jwinstance.Choice, func()) {}, jwwaitroom.Expired, 600 * time.Millisecond},
+		"a call ends":           {func(g testGateway, call jwinstance.Choice, _ func()) { g.end(call) }, jwwaitroom.None, 100 * time.Millisecond},
+		"the node stops": {func(g testGateway, _ jwinstance.Choice, _ func()) {
 			g.stopping.Store(true)
 			g.bounds.Store(&jwsettings.Bounds{})
 		}, jwwaitroom.Stopping, 100 * time.Millisecond},
-		"a target gets room":     {func(g *Gateway, _ jwinstance.Choice, _ func()) { g.putTarget("new") }, jwwaitroom.None, 100 * time.Millisecond},
-		"all targets deregister": {func(g *Gateway, _ jwinstance.Choice, _ func()) { g.targets.RemoveExcept(time.Now(), nil, 1<<40) }, noTargetLeft, 100 * time.Millisecond},
-		"a pause of the process": {func(g *Gateway, call jwinstance.Choice, _ func()) { g.pauseDetector.Limit = -1; g.end(call) }, jwwaitroom.Expired, 600 * time.Millisecond},
-		"a pause and a read of the store": {func(g *Gateway, call jwinstance.Choice, _ func()) {
-			g.pauseDetector.Limit = -1
+		"a target gets room":     {func(g testGateway, _ jwinstance.Choice, _ func()) { g.putTarget("new") }, jwwaitroom.None, 100 * time.Millisecond},
+		"all targets deregister": {func(g testGateway, _ jwinstance.Choice, _ func()) { g.targets.RemoveExcept(time.Now(), nil, 1<<40) }, noTargetLeft, 100 * time.Millisecond},
+		"a pause of the process": {func(g testGateway, call jwinstance.Choice, _ func()) {
+			g.suspended.Store(int64(time.Hour))
+			g.end(call)
+		}, jwwaitroom.Expired, 600 * time.Millisecond},
+		"a pause and a read of the store": {func(g testGateway, call jwinstance.Choice, _ func()) {
+			g.suspended.Store(int64(time.Hour))
 			g.end(call)
-			time.AfterFunc(200*time.Millisecond, func() { g.pauseDetector.Limit = time.Hour })
+			time.AfterFunc(200*time.Millisecond, g.pauseDetector.Reset)
 		}, jwwaitroom.None, 300 * time.Millisecond},
 	}
 	for name, c := range cases {
