jwreturn, jwgateway: rejected callers return in slots of their own

Retry-After was the same for all who were rejected for their share, and a returner was rejected again like a newcomer. A request now has slots in time that follow from its fingerprint alone, so any node admits it in the slot that another one told it, without state or messages, and an early return gains nothing. Callers that would have to wait for more than a third of their time get a final answer.

--- a/core/jwshare/plan.go
+++ b/core/jwshare/plan.go
@@ -1,6 +1,7 @@
 package jwshare
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 // Decision is the outcome for one request, with what it rests on.
 type Decision struct {
 	Admitted bool
+	Fraction float64       // part of such requests that is admitted
 	Reason   Reason        // set if rejected
 	Asked    float64       // work a second that the workspace, or all unnamed ones together, ask for at this level
 	Granted  float64       // work a second that they get
@@ -55,13 +57,15 @@
 
 type plan struct {
 	limited bool
-	named   map[jwledger.Key]share
-	rest    [jwledger.Levels]share
-	total   jwledger.Sums
-	room    float64
-	age     time.Duration
-	at      time.Time
-	short   [jwledger.Levels]bool // all workspaces of the level get less than half of what they ask for
+	// correction scales the fractions, see Shares.correct.
+	correction float64
+	named      map[jwledger.Key]share
+	rest       [jwledger.Levels]share
+	total      jwledger.Sums
+	room       float64
+	age        time.Duration
+	at         time.Time
+	short      [jwledger.Levels]bool // all workspaces of the level get less than half of what they ask for
 }
 
 type share struct{ asked, granted float64 }
@@ -100,12 +104,34 @@
 	}
 	s.room.update(now, p.total, supply)
 	p.limited, p.room = s.room.limited && s.room.work < p.total.Offered, s.room.work
+	p.correction = 1
 	if p.limited {
+		p.correction = s.correct(now, p)
 		s.fill(&p, v)
 	}
 	s.plan = p
 }
 
+const (
+	// minCorrection is the least part of its share that a workspace is held to while returning callers,
+	// who are all admitted in their slots, take the rest.
+	minCorrection = 0.3
+	// correctionTime is the time constant of the correction.
+	correctionTime = time.Second
+)
+
+// correct returns by how much the fractions are scaled so that the work admitted is the room: callers
+// return at the times at which they are admitted, so more than the fraction of the requests is.
+func (s *Shares) correct(now time.Time, p plan) float64 {
+	old := s.plan
+	if !old.limited || p.total.Admitted <= 0 {
+		return 1
+	}
+	dt := min(max(now.Sub(old.at), 0), correctionTime)
+	c := old.correction * math.Pow(p.room/p.total.Admitted, dt.Seconds()/correctionTime.Seconds())
+	return min(max(c, minCorrection), 1)
+}
+
 // fill divides the room among the named workspaces and the others.
 func (s *Shares) fill(p *plan, v jwledger.View) {
 	keys := make([]jwledger.Key, 0, len(v.Named))
@@ -154,24 +180,29 @@
 	return s.Weight(workspace)
 }
 
-// Decide decides on a request. point, in [0, 1), is a hash of the request; requests are admitted whose
-// point is below the fraction of their workspace and level.
-func (s *Shares) Decide(now time.Time, key jwledger.Key, point float64) Decision {
+// Decide decides on a request. admits reports whether the request is among those admitted if a fraction
+// of the requests like it is.
+func (s *Shares) Decide(now time.Time, key jwledger.Key, admits func(fraction float64) bool) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := &s.plan
 	if !p.limited {
-		return Decision{Admitted: true}
+		return Decision{Admitted: true, Fraction: 1}
 	}
 	own, ok := p.named[key]
 	if !ok {
 		own = p.rest[key.Level]
 	}
-	if point < own.fraction() {
-		return Decision{Admitted: true}
+	fraction := own.fraction()
+	if fraction < 1 {
+		fraction *= p.correction
+	}
+	if admits(fraction) {
+		return Decision{Admitted: true, Fraction: fraction}
 	}
 	d := Decision{
-		Reason: OverShare, Asked: own.asked, Granted: own.granted, Total: p.total.Offered, Room: p.room,
+		Fraction: fraction,
+		Reason:   OverShare, Asked: own.asked, Granted: own.granted, Total: p.total.Offered, Room: p.room,
 		Waiting: p.total.Waiting, Age: p.age + max(now.Sub(p.at), 0),
 	}
 	if p.short[key.Level] {
--- a/core/jwshare/region_test.go
+++ b/core/jwshare/region_test.go
@@ -23,7 +23,7 @@
 type decider interface {
 	Due(now time.Time) bool
 	Update(now time.Time, v jwledger.View, s Supply)
-	Decide(now time.Time, key jwledger.Key, point float64) Decision
+	Decide(now time.Time, key jwledger.Key, admits func(float64) bool) Decision
 }
 
 // demand is what one workspace asks for at one level.
@@ -112,7 +112,8 @@
 	if n.shares.Due(now) {
 		n.shares.Update(now, n.ledger.Region(now, "s"), Supply{Targets: r.targets, Wait: r.wait(jwledger.Levels - 1), Goal: goal})
 	}
-	if !n.shares.Decide(now, x.key, r.random.Float64()).Admitted {
+	point := r.random.Float64()
+	if !n.shares.Decide(now, x.key, func(fraction float64) bool { return point < fraction }).Admitted {
 		return
 	}
 	f := n.ledger.Admit(now, "s", x.key, x.work)
@@ -353,7 +354,7 @@
 		if shares.Due(now) {
 			shares.Update(now, ledger.Region(now, "s"), Supply{Targets: 50, Wait: time.Second, Goal: goal})
 		}
-		if shares.Decide(now, key, float64(i%100)/100).Admitted {
+		if shares.Decide(now, key, func(fraction float64) bool { return float64(i%100)/100 < fraction }).Admitted {
 			ledger.End(now, ledger.Admit(now, "s", key, 0.1), []jwledger.Outcome{jwledger.Useful, jwledger.Lost}[i%2])
 		}
 		i++
--- a/io/jwgateway/callers.go
+++ b/io/jwgateway/callers.go
@@ -71,7 +71,7 @@
 	if d.Outcome == jwquota.Taken {
 		return true
 	}
-	g.rejectRequest(q, http.StatusTooManyRequests, d.RetryAfter, overQuota, &d)
+	g.rejectRequest(q, http.StatusTooManyRequests, g.quotaReturn(q, d.RetryAfter), overQuota, &d)
 	return false
 }
 
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -71,7 +71,7 @@
 		g.answerError(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, errBodyTooLarge.Error())
 	case !ran:
 		g.logAnswer(q, "notRun", q.lastReason, http.StatusServiceUnavailable)
-		g.answerError(q.w, q.ID, http.StatusServiceUnavailable, max(q.retryAfter, jwadmission.MinRetryAfter), q.lastReason)
+		g.answerError(q.w, q.ID, http.StatusServiceUnavailable, q.returnAfter(time.Now()), q.lastReason)
 	case ctx.Err() != nil:
 		g.logAnswer(q, "unknown", q.lastReason, http.StatusGatewayTimeout)
 		g.answerError(q.w, q.ID, http.StatusGatewayTimeout, 0, "not answered in time")
--- a/io/jwgateway/shares.go
+++ b/io/jwgateway/shares.go
@@ -41,6 +41,7 @@
 	counted    bool             // the request was offered to the shares
 	flight     *jwledger.Flight // nil if it was not admitted, or the shares don't apply
 	firstEvent time.Time
+	fraction   float64 // part of the requests like this one that is admitted
 	rejection  jwshare.Decision
 	region     string // whose shares rejected it
 }
@@ -56,7 +57,8 @@
 	key := jwledger.Key{Workspace: q.workspace, Level: jwledger.Level(q.priority)}
 	work := g.expectedWork(s, q)
 	g.shares.ledger.Offer(now, q.service, key, work)
-	d := s.Decide(now, key, hashFraction(q.ID))
+	d := s.Decide(now, key, func(fraction float64) bool { return q.admittedBy(now, fraction) })
+	q.share.fraction = d.Fraction
 	if d.Admitted {
 		q.share.flight = g.shares.ledger.Admit(now, q.service, key, work)
 		return true
@@ -175,7 +177,7 @@
 
 // rejectForShare rejects a request that admitByShare did not admit.
 func (g *Gateway) rejectForShare(q *request) Verdict {
-	return q.reject(string(q.share.rejection.Reason), jwadmission.MinRetryAfter)
+	return q.reject(string(q.share.rejection.Reason), 0)
 }
 
 // observeFirstEvent returns onEvents, preceded by recording the first event in the ledger.
