--- a/io/jwgateway/callers.go
+++ b/io/jwgateway/callers.go
@@ -81,7 +81,7 @@
 	if d.Yields {
 		reason = leftToUrgent
 	}
-	g.rejectRequest(q, http.StatusTooManyRequests, d.RetryAfter, reason, &d)
+	g.rejectRequest(q, http.StatusTooManyRequests, g.quotaReturn(q, d.RetryAfter), reason, &d)
 	return false
 }
 
