jwbalance: requests that fit a region better make up its share

Of two requests the one whose prompt is cached in the other region, or that this region would serve late, is sent.

--- a/core/jwbalance/balancer.go
+++ b/core/jwbalance/balancer.go
@@ -18,6 +18,8 @@
 	// maxCredit limits the work by which a node may be behind its shares, in mean requests, so that
 	// requests that could not be sent away do not leave in a burst later.
 	maxCredit = 4
+	// maxPreference limits the preference of a request for a region, in mean requests.
+	maxPreference = 2
 	// meanWeight is the weight of a new request in the mean work of the requests.
 	meanWeight = 0.05
 	// maxClasses limits the classes of a service that are counted.
@@ -261,32 +263,46 @@
 	return list
 }
 
-// Choose returns the share by which a request of a class is sent to another region, and a zero one
-// if it stays in this region. allowed reports whether it may be sent to a region now; with mustLeave
-// it can't stay. Over time each region gets its share of the work: its credit grows with its share
-// of each request, and the region with the largest credit gets the next request that its credit
-// covers by half.
-func (b *Balancer) Choose(name string, c Class, work float64, p Plan, mustLeave bool, allowed func(region string) bool) Share {
+// Candidate is a request for which a region is chosen.
+type Candidate struct {
+	Service   string
+	Class     Class
+	Work      float64
+	MustLeave bool // this region may not serve it
+	// Preference returns how much better than the mean request this one fits a region, in mean
+	// requests, and false if it can't be sent there now. Values beyond maxPreference are cut.
+	Preference func(region string) (float64, bool)
+}
+
+// Choose returns the share by which a request is sent to another region, and a zero one if it stays
+// in this region. Over time each region gets its share of the work, whatever the preferences are: its
+// credit grows with its share of each request, and the region with the largest credit gets the next
+// request that its credit covers by half. The less a request fits a region, the more credit it needs,
+// so that the preferences select which requests make up the share.
+func (b *Balancer) Choose(r Candidate, p Plan) Share {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.service(name)
-	shares := p.Shares[c]
+	s, work := b.service(r.Service), r.Work
+	shares := p.Shares[r.Class]
 	if len(shares) == 0 {
-		delete(s.credit, c)
+		delete(s.credit, r.Class)
 		return Share{}
 	}
-	credit := s.credit[c]
+	credit := s.credit[r.Class]
 	if credit == nil {
 		credit = make(map[string]float64, len(shares))
-		s.credit[c] = credit
+		s.credit[r.Class] = credit
 	}
 	limit := maxCredit * max(s.meanWork, work)
 	var best Share
+	bestFit := 0.0
 	for _, share := range shares {
 		sum := min(credit[share.Region]+share.Part*work, limit)
 		credit[share.Region] = sum
-		if (mustLeave || sum >= work/2) && (best.Region == "" || sum > credit[best.Region]) && allowed(share.Region) {
-			best = share
+		preference, ok := r.Preference(share.Region)
+		fit := sum + min(max(preference, -maxPreference), maxPreference)*s.meanWork - work/2
+		if ok && (r.MustLeave || fit >= 0) && (best.Region == "" || fit > bestFit) {
+			best, bestFit = share, fit
 		}
 	}
 	if best.Region != "" {
--- a/core/jwbalance/balancer_test.go
+++ b/core/jwbalance/balancer_test.go
@@ -11,7 +11,13 @@
 
 var t0 = time.Unix(1000, 0)
 
-func everywhere(string) bool { return true }
+func everywhere(string) (float64, bool) { return 0, true }
+
+func nowhere(string) (float64, bool) { return 0, false }
+
+func candidate(c Class, to func(string) (float64, bool)) Candidate {
+	return Candidate{Service: "s", Class: c, Work: 1, Preference: to}
+}
 
 func TestMeterFollowsRamp(t *testing.T) {
 	var m meter
@@ -41,7 +47,7 @@
 	for range 20 {
 		var node Balancer
 		for range 50 {
-			sent[node.Choose("s", "", 1, p, false, everywhere).Region]++
+			sent[node.Choose(candidate("", everywhere), p).Region]++
 		}
 	}
 	assert.DeepEqual(t, sent, map[string]int{"": 600, "b": 300, "c": 100})
@@ -53,17 +59,17 @@
 	p := Plan{Known: true, Shares: map[Class][]Share{"": {{Region: "b", Part: 0.5}}}}
 	var node Balancer
 	for range 1000 {
-		got := node.Choose("s", "", 1, p, false, func(string) bool { return false })
+		got := node.Choose(candidate("", nowhere), p)
 		assert.Equal(t, got.Region, "")
 	}
 	away := 0
 	for range 100 {
-		if node.Choose("s", "", 1, p, false, everywhere).Region == "b" {
+		if node.Choose(candidate("", everywhere), p).Region == "b" {
 			away++
 		}
 	}
 	assert.Assert(t, away <= 50+maxCredit, "%d", away)
-	assert.Equal(t, node.Choose("s", "", 1, Plan{}, false, everywhere).Region, "", "the share ended")
+	assert.Equal(t, node.Choose(candidate("", everywhere), Plan{}).Region, "", "the share ended")
 }
 
 func TestChooseMustLeave(t *testing.T) {
@@ -71,11 +77,30 @@
 	sent := map[string]int{}
 	var node Balancer
 	for range 100 {
-		sent[node.Choose("s", "b|c", 1, p, true, everywhere).Region]++
+		r := candidate("b|c", everywhere)
+		r.MustLeave = true
+		sent[node.Choose(r, p).Region]++
 	}
 	assert.DeepEqual(t, sent, map[string]int{"b": 50, "c": 50})
 }
 
+// Preferences select which requests leave, such as those whose prompts are cached there; they do not
+// change how many.
+func TestChoosePrefers(t *testing.T) {
+	p := Plan{Known: true, Shares: map[Class][]Share{"": {{Region: "b", Part: 0.5}}}}
+	node := Balancer{services: map[string]*service{"s": {meanWork: 1, credit: map[Class]map[string]float64{}}}}
+	cached, other := 0, 0
+	for i := range 1000 {
+		r := candidate("", func(string) (float64, bool) { return float64(1 - 2*(i%2)), true })
+		if node.Choose(r, p).Region == "b" {
+			cached += 1 - i%2
+			other += i % 2
+		}
+	}
+	assert.Assert(t, cached+other >= 500-maxCredit && cached+other <= 500+maxCredit, "%d, %d", cached, other)
+	assert.Assert(t, cached > 490, "%d, %d", cached, other)
+}
+
 // A relay's sum replaces the reports of single nodes, and a node that reports nothing more is not
 // counted for long.
 func TestDemandOfRegion(t *testing.T) {
--- a/core/jwbalance/bench_test.go
+++ b/core/jwbalance/bench_test.go
@@ -28,7 +28,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		node.Count(t0, "s", "", 0.05)
-		node.Choose("s", "", 0.05, node.Plan(t0, "s", room), false, everywhere)
+		node.Choose(candidate("", everywhere), node.Plan(t0, "s", room))
 	}
 }
 
--- a/core/jwbalance/plan.go
+++ b/core/jwbalance/plan.go
@@ -92,8 +92,9 @@
 // Share is the part of a class of a region's requests that goes to another region.
 type Share struct {
 	Region string
-	Part   float64 // 0 to 1
-	Age    time.Duration
+	Part   float64       // 0 to 1
+	Wait   time.Duration // until the region's targets have done what waits there now
+	Age    time.Duration // of the region's load
 }
 
 // Plan is how the work of one region for one service is spread.
@@ -284,6 +285,8 @@
 	minWork = 1e-6
 	// minPart is the part of a flow that is too little to be moved.
 	minPart = 1e-3
+	// maxWait limits Share.Wait.
+	maxWait = time.Minute
 	// roundingError is the part of a flow that a region may keep by rounding.
 	roundingError = 1e-9
 )
@@ -291,6 +294,12 @@
 // level returns the utilization of a region.
 func (w *planner) level(i int) float64 { return w.load[i] / max(w.regions[i].Capacity, minWork) }
 
+// wait returns how long the targets of a region take for its backlog.
+func (w *planner) wait(i int) time.Duration {
+	seconds := w.regions[i].Backlog / max(w.regions[i].Capacity, minWork)
+	return time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second))
+}
+
 // mean returns the mean utilization of all regions.
 func (w *planner) mean() float64 {
 	work, capacity := 0.0, 0.0
@@ -311,7 +320,7 @@
 		list := []Share{}
 		for j, work := range f.at {
 			if j != origin && work > roundingError*f.total {
-				list = append(list, Share{w.regions[j].Region, work / f.total, w.regions[j].Age})
+				list = append(list, Share{w.regions[j].Region, work / f.total, w.wait(j), w.regions[j].Age})
 			}
 		}
 		shares[f.class] = list
--- a/io/jwgateway/balance.go
+++ b/io/jwgateway/balance.go
@@ -120,9 +120,12 @@
 	if here == nil && mayStay || len(q.tried) > 0 {
 		return jwplacement.Choice{}, false
 	}
-	s := g.balance.Choose(q.service, class, work, g.plan(now, q.service), !mayStay, func(region string) bool {
-		return !q.rejectedRegions[region] && len(g.members.Live(now, region)) > 0
-	})
+	s := g.balance.Choose(jwbalance.Candidate{Service: q.service, Class: class, Work: work, MustLeave: !mayStay, Preference: func(region string) (float64, bool) {
+		if q.rejectedRegions[region] || len(g.members.Live(now, region)) == 0 {
+			return 0, false
+		}
+		return g.preference(now, region, n, here), true
+	}}, g.plan(now, q.service))
 	if s.Region == "" {
 		if here == nil || !g.plan(now, q.service).Known {
 			return jwplacement.Choice{}, false
@@ -134,6 +137,21 @@
 	return jwplacement.Choice{Option: o, Reason: jwplacement.ByShare}, true
 }
 
+// preference returns how much better a request fits another region than the mean request does, from
+// about -2 to 2: by the part of its prompt that is cached there and not here, and by whether this
+// region is too slow for its goal.
+func (g *Gateway) preference(now time.Time, region string, n jwinstance.Need, here *jwplacement.Option) float64 {
+	if here == nil {
+		return 0
+	}
+	miss, _ := g.targets.MissIn(now, region, n)
+	p := float64(here.MissTokens-miss) / float64(n.Prompt.Tokens)
+	if n.FirstEventGoal > 0 {
+		p += min(float64(2*here.Expected)/float64(n.FirstEventGoal)-1, 1)
+	}
+	return p
+}
+
 // answerLength holds moving averages of the events of answers and of the maximums that their callers
 // gave.
 type answerLength struct{ events, limit float64 }
@@ -189,7 +207,7 @@
 func (g *Gateway) sharedOption(now time.Time, s jwbalance.Share, n jwinstance.Need) jwplacement.Option {
 	miss, _ := g.targets.MissIn(now, s.Region, n)
 	o := jwplacement.Option{Region: s.Region, Known: true, MissTokens: miss, OwnReadTime: g.targets.ReadTime(n.Service, 0, miss)}
-	o.Expected = g.regions.roundTrip(s.Region) + o.OwnReadTime
+	o.Expected = g.regions.roundTrip(s.Region) + s.Wait + o.OwnReadTime
 	return o
 }
 
