--- a/core/jwbalance/balancer.go
+++ b/core/jwbalance/balancer.go
@@ -12,7 +12,7 @@
 	// flowMaxAge is how long the demand that another node reported counts.
 	flowMaxAge = 1500 * time.Millisecond
 	// planInterval is how long a plan is used.
-	planInterval = 50 * time.Millisecond
+	planInterval = 100 * time.Millisecond
 	// reportRetention is how long the load of a region that reports nothing is kept.
 	reportRetention = 10 * time.Second
 	// maxCredit limits the work by which a node may be behind its shares, in mean requests, so that
@@ -84,8 +84,9 @@
 }
 
 type regionLoads struct {
-	at    time.Time
-	loads map[string]Load
+	at     time.Time
+	direct bool // reported by a node of that region itself
+	loads  map[string]Load
 }
 
 // Count counts a request of this node's own callers.
@@ -193,32 +194,32 @@
 func (b *Balancer) Load(now time.Time, name string, r Room) Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Load{b.regionDemand(now, name), r.Capacity, r.Backlog}
+	return Load{b.regionDemand(now, name), rounded(r.Capacity), rounded(r.Backlog)}
 }
 
 // MergeRegion merges the loads of another region, measured at the given time, unless later ones are
-// known.
-func (b *Balancer) MergeRegion(at time.Time, region string, loads map[string]Load) {
+// known. direct says that a node of that region reported them.
+func (b *Balancer) MergeRegion(at time.Time, region string, direct bool, loads map[string]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.regions == nil {
 		b.regions = make(map[string]regionLoads)
 	}
 	if at.After(b.regions[region].at) {
-		b.regions[region] = regionLoads{at, loads}
+		b.regions[region] = regionLoads{at, direct, loads}
 	}
 }
 
 // Reported is the last report of a region.
 type Reported struct {
 	Region string          `json:"region"`
-	Age    time.Duration   `json:"age"`
+	AgeMS  int64           `json:"age"` // milliseconds
 	Loads  map[string]Load `json:"loads"`
 }
 
 // Regions returns the last reports of the other regions, sorted by region, except those older than
-// maxAge.
-func (b *Balancer) Regions(now time.Time, maxAge time.Duration) []Reported {
+// maxAge; with direct, only those that this node got from a node of that region.
+func (b *Balancer) Regions(now time.Time, maxAge time.Duration, direct bool) []Reported {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []Reported
@@ -226,8 +227,8 @@
 		switch age := now.Sub(r.at); {
 		case age > reportRetention:
 			delete(b.regions, region)
-		case age <= maxAge:
-			list = append(list, Reported{region, age, r.loads})
+		case age <= maxAge && (r.direct || !direct):
+			list = append(list, Reported{region, age.Milliseconds(), r.loads})
 		}
 	}
 	slices.SortFunc(list, func(x, y Reported) int { return strings.Compare(x.Region, y.Region) })
@@ -269,9 +270,9 @@
 	Class     Class
 	Work      float64
 	MustLeave bool // this region may not serve it
-	// Preference returns how much better than the mean request this one fits a region, in mean
-	// requests, and false if it can't be sent there now. Values beyond maxPreference are cut.
-	Preference func(region string) (float64, bool)
+	// Preference returns how much better a region is for the request than this one, in mean requests,
+	// and false if it can't be sent there now. Values beyond maxPreference are cut.
+	Preference func(Share) (float64, bool)
 }
 
 // Choose returns the share by which a request is sent to another region, and a zero one if it stays
@@ -299,7 +300,7 @@
 	for _, share := range shares {
 		sum := min(credit[share.Region]+share.Part*work, limit)
 		credit[share.Region] = sum
-		preference, ok := r.Preference(share.Region)
+		preference, ok := r.Preference(share)
 		fit := sum + min(max(preference, -maxPreference), maxPreference)*s.meanWork - work/2
 		if ok && (r.MustLeave || fit >= 0) && (best.Region == "" || fit > bestFit) {
 			best, bestFit = share, fit
--- a/core/jwbalance/balancer_test.go
+++ b/core/jwbalance/balancer_test.go
@@ -11,11 +11,11 @@
 
 var t0 = time.Unix(1000, 0)
 
-func everywhere(string) (float64, bool) { return 0, true }
+func everywhere(Share) (float64, bool) { return 0, true }
 
-func nowhere(string) (float64, bool) { return 0, false }
+func nowhere(Share) (float64, bool) { return 0, false }
 
-func candidate(c Class, to func(string) (float64, bool)) Candidate {
+func candidate(c Class, to func(Share) (float64, bool)) Candidate {
 	return Candidate{Service: "s", Class: c, Work: 1, Preference: to}
 }
 
@@ -91,7 +91,7 @@
 	node := Balancer{services: map[string]*service{"s": {meanWork: 1, credit: map[Class]map[string]float64{}}}}
 	cached, other := 0, 0
 	for i := range 1000 {
-		r := candidate("", func(string) (float64, bool) { return float64(1 - 2*(i%2)), true })
+		r := candidate("", func(Share) (float64, bool) { return float64(1 - 2*(i%2)), true })
 		if node.Choose(r, p).Region == "b" {
 			cached += 1 - i%2
 			other += i % 2
@@ -131,19 +131,19 @@
 // A report that was delayed on its way must not replace a later one.
 func TestDelayedReport(t *testing.T) {
 	var b Balancer
-	b.MergeRegion(t0.Add(time.Second), "b", map[string]Load{"s": load(1, 10)})
-	b.MergeRegion(t0, "b", map[string]Load{"s": load(9, 10)})
-	got := b.Regions(t0.Add(1100*ms), time.Second)
+	b.MergeRegion(t0.Add(time.Second), "b", true, map[string]Load{"s": load(1, 10)})
+	b.MergeRegion(t0, "b", true, map[string]Load{"s": load(9, 10)})
+	got := b.Regions(t0.Add(1100*ms), time.Second, false)
 	assert.Equal(t, len(got), 1)
 	assert.Equal(t, got[0].Loads["s"].Demand[""].Work, 1.0)
-	assert.Equal(t, len(b.Regions(t0.Add(3*time.Second), time.Second)), 0)
+	assert.Equal(t, len(b.Regions(t0.Add(3*time.Second), time.Second, false)), 0)
 }
 
 // After a pause nothing from before may decide.
 func TestDiscard(t *testing.T) {
 	b := Balancer{Region: "a"}
 	room := func() Room { return Room{Capacity: 1} }
-	b.MergeRegion(t0, "b", map[string]Load{"s": load(0, 10)})
+	b.MergeRegion(t0, "b", true, map[string]Load{"s": load(0, 10)})
 	assert.Assert(t, b.Plan(t0, "s", room).Known)
 	b.Discard()
 	assert.Assert(t, !b.Plan(t0, "s", room).Known)
@@ -194,7 +194,7 @@
 		if !p.due.After(w.now) {
 			for r := range w.balancer {
 				if r != p.region {
-					w.balancer[r].MergeRegion(p.at, w.balancer[p.region].Region, p.loads)
+					w.balancer[r].MergeRegion(p.at, w.balancer[p.region].Region, true, p.loads)
 				}
 			}
 		}
@@ -321,8 +321,8 @@
 		b.Count(t0.Add(time.Duration(i)*50*ms), "s", "", 1)
 	}
 	now := t0.Add(2 * time.Second)
-	b.MergeRegion(now, "b", map[string]Load{"s": load(0, 10)})
-	b.MergeRegion(now.Add(DefaultMaxAge), "c", map[string]Load{"s": load(0, 10)})
+	b.MergeRegion(now, "b", true, map[string]Load{"s": load(0, 10)})
+	b.MergeRegion(now.Add(DefaultMaxAge), "c", true, map[string]Load{"s": load(0, 10)})
 	room := func() Room { return Room{Capacity: 10} }
 	p := b.Plan(now.Add(100*ms), "s", room)
 	assert.Equal(t, len(p.Shares[""]), 2)
--- a/core/jwbalance/bench_test.go
+++ b/core/jwbalance/bench_test.go
@@ -1,6 +1,7 @@
 package jwbalance
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 )
@@ -19,7 +20,7 @@
 	node := Balancer{Region: "region-12"}
 	list := fullSize()
 	for _, r := range list[:12] {
-		node.MergeRegion(t0, r.Region, map[string]Load{"s": r.Load})
+		node.MergeRegion(t0, r.Region, true, map[string]Load{"s": r.Load})
 	}
 	for range 1000 {
 		node.Count(t0, "s", "", 1)
@@ -57,3 +58,25 @@
 		relay.Demand(t0, FromRegion)
 	}
 }
+
+// BenchmarkRelayState measures encoding what a relay passes on to each node of its data centre: the
+// loads of 12 other regions with three services.
+func BenchmarkRelayState(b *testing.B) {
+	var relay Balancer
+	for _, r := range fullSize()[1:] {
+		loads := map[string]Load{}
+		for i := range 3 {
+			loads[fmt.Sprintf("service-%d", i)] = r.Load
+		}
+		relay.MergeRegion(t0, r.Region, true, loads)
+	}
+	size := 0
+	for b.Loop() {
+		encoded, err := json.Marshal(relay.Regions(t0, DefaultMaxAge, false))
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(encoded)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
--- a/core/jwbalance/meter.go
+++ b/core/jwbalance/meter.go
@@ -1,6 +1,7 @@
 package jwbalance
 
 import (
+	"encoding/json"
 	"math"
 	"time"
 )
@@ -13,10 +14,26 @@
 
 // Rate is work per second and its change. A unit of work is one second of one target of usual speed.
 type Rate struct {
-	Work  float64 `json:"work"`            // per second
-	Trend float64 `json:"trend,omitempty"` // change of Work per second
+	Work  float64 // per second
+	Trend float64 // change of Work per second
 }
 
+// MarshalJSON encodes the rate as a list of both numbers, since nodes send many of them.
+func (r Rate) MarshalJSON() ([]byte, error) {
+	return json.Marshal([2]float64{rounded(r.Work), rounded(r.Trend)})
+}
+
+// UnmarshalJSON decodes what MarshalJSON encodes.
+func (r *Rate) UnmarshalJSON(b []byte) error {
+	var list [2]float64
+	err := json.Unmarshal(b, &list)
+	r.Work, r.Trend = list[0], list[1]
+	return err
+}
+
+// rounded returns x with three decimals.
+func rounded(x float64) float64 { return math.Round(1000*x) / 1000 }
+
 // At returns the work per second expected after d, if the trend lasts.
 func (r Rate) At(d time.Duration) float64 { return max(r.Work+r.Trend*d.Seconds(), 0) }
 
--- a/io/jwgateway/balance.go
+++ b/io/jwgateway/balance.go
@@ -38,6 +38,8 @@
 	mu      sync.Mutex
 	rooms   map[string]serviceRoom
 	lengths map[string]answerLength
+
+	exchanges sync.Map // regions with an exchange of loads in flight
 }
 
 type serviceRoom struct {
@@ -120,32 +122,34 @@
 	if here == nil && mayStay || len(q.tried) > 0 {
 		return jwplacement.Choice{}, false
 	}
-	s := g.balance.Choose(jwbalance.Candidate{Service: q.service, Class: class, Work: work, MustLeave: !mayStay, Preference: func(region string) (float64, bool) {
-		if q.rejectedRegions[region] || len(g.members.Live(now, region)) == 0 {
+	options := make(map[string]jwplacement.Option)
+	p := g.plan(now, q.service)
+	s := g.balance.Choose(jwbalance.Candidate{Service: q.service, Class: class, Work: work, MustLeave: !mayStay, Preference: func(s jwbalance.Share) (float64, bool) {
+		if q.rejectedRegions[s.Region] || len(g.members.Live(now, s.Region)) == 0 {
 			return 0, false
 		}
-		return g.preference(now, region, n, here), true
-	}}, g.plan(now, q.service))
+		o := g.sharedOption(now, s, n)
+		options[s.Region] = o
+		return preference(n, here, o), true
+	}}, p)
 	if s.Region == "" {
-		if here == nil || !g.plan(now, q.service).Known {
+		if here == nil || !p.Known {
 			return jwplacement.Choice{}, false
 		}
 		return jwplacement.Choice{Option: *here, Reason: jwplacement.Local}, true
 	}
-	o := g.sharedOption(now, s, n)
+	o := options[s.Region]
 	q.share, q.shareWait = s, o.Expected
 	return jwplacement.Choice{Option: o, Reason: jwplacement.ByShare}, true
 }
 
-// preference returns how much better a request fits another region than the mean request does, from
-// about -2 to 2: by the part of its prompt that is cached there and not here, and by whether this
-// region is too slow for its goal.
-func (g *Gateway) preference(now time.Time, region string, n jwinstance.Need, here *jwplacement.Option) float64 {
+// preference returns how much better another region is for a request than this one, in requests: a
+// request of which more is cached there, or that this region would serve late, goes first.
+func preference(n jwinstance.Need, here *jwplacement.Option, other jwplacement.Option) float64 {
 	if here == nil {
 		return 0
 	}
-	miss, _ := g.targets.MissIn(now, region, n)
-	p := float64(here.MissTokens-miss) / float64(n.Prompt.Tokens)
+	p := float64(here.MissTokens-other.MissTokens) / float64(n.Prompt.Tokens)
 	if n.FirstEventGoal > 0 {
 		p += min(float64(2*here.Expected)/float64(n.FirstEventGoal)-1, 1)
 	}
@@ -203,17 +207,18 @@
 	})
 }
 
-// sharedOption estimates the wait of a request in a region that has room for it.
+// sharedOption estimates the wait of a request in a region that gets a share.
 func (g *Gateway) sharedOption(now time.Time, s jwbalance.Share, n jwinstance.Need) jwplacement.Option {
-	miss, _ := g.targets.MissIn(now, s.Region, n)
-	o := jwplacement.Option{Region: s.Region, Known: true, MissTokens: miss, OwnReadTime: g.targets.ReadTime(n.Service, 0, miss)}
-	o.Expected = g.regions.roundTrip(s.Region) + s.Wait + o.OwnReadTime
+	o := g.regionOption(now, s.Region, n)
+	o.Known, o.Expected = true, g.regions.roundTrip(s.Region)+s.Wait+o.OwnReadTime
 	return o
 }
 
 // balanceStateFor returns what this node reports of the balance within its region.
 func (g *Gateway) balanceStateFor(now time.Time, source jwbalance.Source) *balanceState {
-	b := &balanceState{Source: source, Demand: g.balance.Demand(now, source), Regions: g.balance.Regions(now, maxRegionLoadsAge)}
+	// In a large region only relays pass on what others reported.
+	direct := source != jwbalance.FromRegion && g.members.Large(now, g.Settings.Region)
+	b := &balanceState{Source: source, Demand: g.balance.Demand(now, source), Regions: g.balance.Regions(now, maxRegionLoadsAge, direct)}
 	if len(b.Demand) == 0 && len(b.Regions) == 0 {
 		return nil
 	}
@@ -227,7 +232,7 @@
 	}
 	g.balance.MergeDemand(now, s.Member.Name, s.Balance.Source, s.Balance.Demand)
 	for _, r := range s.Balance.Regions {
-		g.balance.MergeRegion(now.Add(-r.Age), r.Region, r.Loads)
+		g.balance.MergeRegion(now.Add(-time.Duration(r.AgeMS)*time.Millisecond), r.Region, false, r.Loads)
 	}
 }
 
@@ -245,7 +250,7 @@
 		if g.speaksForRegion(now) {
 			for _, region := range g.unheardRegions(now) {
 				if peers := g.remotePeers(now, region); len(peers) > 0 {
-					go g.exchangeLoadsWith(ctx, peers[0])
+					go g.exchangeLoadsWith(ctx, region, peers[0])
 				}
 			}
 		}
@@ -289,7 +294,7 @@
 // both regions call each other, one call is enough for both.
 func (g *Gateway) unheardRegions(now time.Time) []string {
 	heard := map[string]bool{g.Settings.Region: true}
-	for _, r := range g.balance.Regions(now, regionLoadsInterval/2) {
+	for _, r := range g.balance.Regions(now, regionLoadsInterval/2, false) {
 		heard[r.Region] = true
 	}
 	var list []string
@@ -316,8 +321,13 @@
 	return r
 }
 
-// exchangeLoadsWith sends the loads of this region to a node of another one and merges its answer.
-func (g *Gateway) exchangeLoadsWith(ctx context.Context, m jwmember.Member) {
+// exchangeLoadsWith sends the loads of this region to a node of another one and merges its answer,
+// unless an exchange with that region is in flight.
+func (g *Gateway) exchangeLoadsWith(ctx context.Context, region string, m jwmember.Member) {
+	if _, busy := g.balance.exchanges.LoadOrStore(region, true); busy {
+		return
+	}
+	defer g.balance.exchanges.Delete(region)
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	start := time.Now()
@@ -345,7 +355,7 @@
 	if r.Member.Region == "" || r.Member.Region == g.Settings.Region || len(r.Loads) == 0 {
 		return
 	}
-	g.balance.MergeRegion(at, r.Member.Region, r.Loads)
+	g.balance.MergeRegion(at, r.Member.Region, true, r.Loads)
 }
 
 // serveRegionLoads merges the loads of another region and answers with those of this one.
--- a/io/jwgateway/balance_test.go
+++ b/io/jwgateway/balance_test.go
@@ -71,7 +71,7 @@
 func TestBalanceOff(t *testing.T) {
 	now := time.Now()
 	g := balanceGateway(now, jwsettings.OverloadOff)
-	g.balance.MergeRegion(now, "s", freeRegion())
+	g.balance.MergeRegion(now, "s", true, freeRegion())
 	assert.DeepEqual(t, chosen(g, now, 50), map[jwplacement.Reason]int{jwplacement.Local: 50})
 	assert.Equal(t, len(g.balance.Demand(now, jwbalance.FromRegion)), 0)
 	g.balance.Discard()
@@ -91,7 +91,7 @@
 	g := balanceGateway(now, jwsettings.OverloadOn)
 	peak(g, now)
 	assert.Equal(t, chosen(g, now, 50)[jwplacement.ByShare], 0)
-	g.balance.MergeRegion(now.Add(-time.Minute), "s", freeRegion())
+	g.balance.MergeRegion(now.Add(-time.Minute), "s", true, freeRegion())
 	assert.Equal(t, chosen(g, now.Add(time.Second), 50)[jwplacement.ByShare], 0)
 }
 
@@ -99,7 +99,7 @@
 	now := time.Now()
 	g := balanceGateway(now, jwsettings.OverloadOn)
 	peak(g, now)
-	g.balance.MergeRegion(now, "s", freeRegion())
+	g.balance.MergeRegion(now, "s", true, freeRegion())
 	got := chosen(g, now, 100)
 	assert.Assert(t, got[jwplacement.ByShare] > 50 && got[jwplacement.Local] > 1, "%v", got)
 	assert.Equal(t, got[jwplacement.ByShare]+got[jwplacement.Local], 100)
@@ -111,7 +111,7 @@
 	now := time.Now()
 	g := balanceGateway(now, jwsettings.OverloadOn)
 	peak(g, now)
-	g.balance.MergeRegion(now, "s", freeRegion())
+	g.balance.MergeRegion(now, "s", true, freeRegion())
 	for range 50 {
 		assert.Equal(t, g.chooseRegion(now, promptRequest("r")).Region, "r")
 		assert.Equal(t, g.chooseRegion(now, promptRequest("s")).Region, "s")
@@ -135,7 +135,7 @@
 	var received state
 	assert.NilError(t, json.Unmarshal(encoded, &received))
 	other.mergeBalance(now, received)
-	known := other.balance.Regions(now, time.Second)
+	known := other.balance.Regions(now, time.Second, false)
 	assert.Equal(t, len(known), 1)
 	assert.Equal(t, known[0].Region, "s")
 	assert.Equal(t, known[0].Loads["v"].Capacity, 1.0)
@@ -152,3 +152,28 @@
 	g.members.MarkUnreachable(now.Add(time.Millisecond), "b")
 	assert.Assert(t, g.speaksForRegion(now.Add(time.Millisecond)))
 }
+
+// BenchmarkBalancedRegion measures the choice of the region of one request at a peak, with 64 targets
+// in each of two regions.
+func BenchmarkBalancedRegion(b *testing.B) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	for i := range 126 {
+		g.targets.Put(now, jwinstance.Instance{
+			ID: "t" + string(rune('a'+i%26)) + string(rune('a'+i/26)), Service: "v", Region: []string{"r", "s"}[i%2], Slots: 8,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i + 1)}), 80),
+		})
+	}
+	for range 100 {
+		peak(g, now)
+	}
+	g.balance.MergeRegion(now, "s", true, freeRegion())
+	q := promptRequest()
+	n := g.targetNeed(q)
+	here := &jwplacement.Option{Region: "r", Known: true, Expected: time.Second, MissTokens: 5000}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.counted = false
+		g.balancedRegion(now, q, n, here)
+	}
+}
--- a/io/jwgateway/balancereport.go
+++ b/io/jwgateway/balancereport.go
@@ -32,9 +32,9 @@
 // reportShares updates the gauges of the shares and of the ages of what is known of other regions.
 // The node that exchanges loads for the region also logs a share that has changed much.
 func (g *Gateway) reportShares(now time.Time, r *shareReport) {
-	known := g.balance.Regions(now, math.MaxInt64)
+	known := g.balance.Regions(now, math.MaxInt64, false)
 	for _, o := range known {
-		r.age(o.Region).Update(o.Age.Seconds())
+		r.age(o.Region).Update(float64(o.AgeMS) / 1000)
 	}
 	c := g.entries.Current()
 	if c == nil {
