--- a/core/jwbalance/balancer.go
+++ b/core/jwbalance/balancer.go
@@ -12,12 +12,14 @@
 	// flowMaxAge is how long the demand that another node reported counts.
 	flowMaxAge = 1500 * time.Millisecond
 	// planInterval is how long a plan is used.
-	planInterval = 50 * time.Millisecond
+	planInterval = 100 * time.Millisecond
 	// reportRetention is how long the load of a region that reports nothing is kept.
 	reportRetention = 10 * time.Second
 	// maxCredit limits the work by which a node may be behind its shares, in mean requests, so that
 	// requests that could not be sent away do not leave in a burst later.
 	maxCredit = 4
+	// maxPreference limits the preference of a request for a region, in mean requests.
+	maxPreference = 2
 	// meanWeight is the weight of a new request in the mean work of the requests.
 	meanWeight = 0.05
 	// maxClasses limits the classes of a service that are counted.
@@ -82,8 +84,9 @@
 }
 
 type regionLoads struct {
-	at    time.Time
-	loads map[string]Load
+	at     time.Time
+	direct bool // reported by a node of that region itself
+	loads  map[string]Load
 }
 
 // Count counts a request of this node's own callers.
@@ -191,32 +194,32 @@
 func (b *Balancer) Load(now time.Time, name string, r Room) Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Load{b.regionDemand(now, name), r.Capacity, r.Backlog}
+	return Load{b.regionDemand(now, name), rounded(r.Capacity), rounded(r.Backlog)}
 }
 
 // MergeRegion merges the loads of another region, measured at the given time, unless later ones are
-// known.
-func (b *Balancer) MergeRegion(at time.Time, region string, loads map[string]Load) {
+// known. direct says that a node of that region reported them.
+func (b *Balancer) MergeRegion(at time.Time, region string, direct bool, loads map[string]Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.regions == nil {
 		b.regions = make(map[string]regionLoads)
 	}
 	if at.After(b.regions[region].at) {
-		b.regions[region] = regionLoads{at, loads}
+		b.regions[region] = regionLoads{at, direct, loads}
 	}
 }
 
 // Reported is the last report of a region.
 type Reported struct {
 	Region string          `json:"region"`
-	Age    time.Duration   `json:"age"`
+	AgeMS  int64           `json:"age"` // milliseconds
 	Loads  map[string]Load `json:"loads"`
 }
 
 // Regions returns the last reports of the other regions, sorted by region, except those older than
-// maxAge.
-func (b *Balancer) Regions(now time.Time, maxAge time.Duration) []Reported {
+// maxAge; with direct, only those that this node got from a node of that region.
+func (b *Balancer) Regions(now time.Time, maxAge time.Duration, direct bool) []Reported {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []Reported
@@ -224,8 +227,8 @@
 		switch age := now.Sub(r.at); {
 		case age > reportRetention:
 			delete(b.regions, region)
-		case age <= maxAge:
-			list = append(list, Reported{region, age, r.loads})
+		case age <= maxAge && (r.direct || !direct):
+			list = append(list, Reported{region, age.Milliseconds(), r.loads})
 		}
 	}
 	slices.SortFunc(list, func(x, y Reported) int { return strings.Compare(x.Region, y.Region) })
@@ -261,32 +264,46 @@
 	return list
 }
 
-// Choose returns the share by which a request of a class is sent to another region, and a zero one
-// if it stays in this region. allowed reports whether it may be sent to a region now; with mustLeave
-// it can't stay. Over time each region gets its share of the work: its credit grows with its share
-// of each request, and the region with the largest credit gets the next request that its credit
-// covers by half.
-func (b *Balancer) Choose(name string, c Class, work float64, p Plan, mustLeave bool, allowed func(region string) bool) Share {
+// Candidate is a request for which a region is chosen.
+type Candidate struct {
+	Service   string
+	Class     Class
+	Work      float64
+	MustLeave bool // this region may not serve it
+	// Preference returns how much better a region is for the request than this one, in mean requests,
+	// and false if it can't be sent there now. Values beyond maxPreference are cut.
+	Preference func(Share) (float64, bool)
+}
+
+// Choose returns the share by which a request is sent to another region, and a zero one if it stays
+// in this region. Over time each region gets its share of the work, whatever the preferences are: its
+// credit grows with its share of each request, and the region with the largest credit gets the next
+// request that its credit covers by half. The less a request fits a region, the more credit it needs,
+// so that the preferences select which requests make up the share.
+func (b *Balancer) Choose(r Candidate, p Plan) Share {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.service(name)
-	shares := p.Shares[c]
+	s, work := b.service(r.Service), r.Work
+	shares := p.Shares[r.Class]
 	if len(shares) == 0 {
-		delete(s.credit, c)
+		delete(s.credit, r.Class)
 		return Share{}
 	}
-	credit := s.credit[c]
+	credit := s.credit[r.Class]
 	if credit == nil {
 		credit = make(map[string]float64, len(shares))
-		s.credit[c] = credit
+		s.credit[r.Class] = credit
 	}
 	limit := maxCredit * max(s.meanWork, work)
 	var best Share
+	bestFit := 0.0
 	for _, share := range shares {
 		sum := min(credit[share.Region]+share.Part*work, limit)
 		credit[share.Region] = sum
-		if (mustLeave || sum >= work/2) && (best.Region == "" || sum > credit[best.Region]) && allowed(share.Region) {
-			best = share
+		preference, ok := r.Preference(share)
+		fit := sum + min(max(preference, -maxPreference), maxPreference)*s.meanWork - work/2
+		if ok && (r.MustLeave || fit >= 0) && (best.Region == "" || fit > bestFit) {
+			best, bestFit = share, fit
 		}
 	}
 	if best.Region != "" {
