jwgateway: streams are read on while their callers are slow

A node read from a target as fast as the caller reads, so a slow caller held a target's slot until the target cut the stream off. With overload control a write that takes longer than 20 ms starts a goroutine that reads on into a buffer of at most 256 KB, accounted for in the node's budget; it ends once the caller has caught up. Then reading stops; with the budget used up, the resumable stream whose caller has not read for longest is cut off, with a decision line. A caller that reads nothing for 8 s, or until its deadline, is cut off. A request that can't be held is rejected before its body is read. A target that takes longer than 100 ms to read a request gets no second one on that connection. The resumption uses the last event written; the time in which reading waited for the caller does not count as the target's pause.

--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -115,6 +115,9 @@
 	// calls that must not be sent twice: if the peer closes the connection at the
 	// moment of sending, it is unknown whether the call ran.
 	MaxUnused time.Duration
+	// MaxWriteTime, if set, is how long sending the call may take for its connection to be
+	// used again: a peer that reads slowly would hold the next call back too.
+	MaxWriteTime time.Duration
 }
 
 // Answer is the head of an answer and a reader of its body. Close must be called.
@@ -129,6 +132,7 @@
 	peer       netip.AddrPort
 	complete   bool        // the body was read to its end
 	peerCloses bool        // the peer closes the connection after this answer
+	unusable   bool        // the connection must not be used again
 	bodyResult chan error  // receives the result of writing the body; nil if it was written before the answer was read
 	stop       func() bool // ends the watch on the context; false if the connection was closed
 }
@@ -157,16 +161,21 @@
 func (p *Pool) exchange(cn *conn, c *Call) (*Answer, error) {
 	a := &Answer{pool: p, conn: cn, peer: c.Peer}
 	head := appendHead(make([]byte, 0, 1024), c)
+	start := time.Time{}
+	if c.MaxWriteTime > 0 {
+		start = time.Now()
+	}
 	if len(c.Body) <= maxInlineBody && c.Rest == nil {
 		if _, err := cn.Write(append(head, c.Body...)); err != nil {
 			return nil, err
 		}
+		a.unusable = c.MaxWriteTime > 0 && time.Since(start) > c.MaxWriteTime
 	} else {
 		if _, err := cn.Write(head); err != nil {
 			return nil, err
 		}
 		a.bodyResult = make(chan error, 1)
-		go func() { a.bodyResult <- writeBody(cn, c) }()
+		go func() { a.bodyResult <- writeBodyWithin(cn, c, start) }()
 	}
 	res, err := readHead(cn.r, c)
 	if err != nil {
@@ -191,6 +200,19 @@
 // Unwrap returns the cause.
 func (e *BodyReadError) Unwrap() error { return e.Err }
 
+// errSlowPeer is the result of writing a body that took longer than Call.MaxWriteTime.
+var errSlowPeer = errors.New("the peer read the body slowly")
+
+// writeBodyWithin writes the body of a call, and fails if that took too long since start.
+func writeBodyWithin(cn *conn, c *Call, start time.Time) error {
+	err := writeBody(cn, c)
+	// The rest is read as fast as the sender provides it, so its time says nothing of the peer.
+	if err == nil && c.MaxWriteTime > 0 && c.Rest == nil && time.Since(start) > c.MaxWriteTime {
+		return errSlowPeer
+	}
+	return err
+}
+
 // writeBody writes the body of a call. If the body is incomplete, it closes the
 // connection, so that the peer doesn't process it as a complete one.
 func writeBody(cn *conn, c *Call) error {
@@ -446,13 +468,20 @@
 // read completely, and closes it otherwise.
 func (a *Answer) Close() {
 	alive := a.stop == nil || a.stop()
-	if alive && a.complete && !a.peerCloses && a.bodyWritten() {
+	if alive && a.complete && !a.peerCloses && !a.unusable && a.bodyWritten() {
 		a.pool.put(a.peer, a.conn)
 		return
 	}
 	a.conn.Close()
 }
 
+// Abort closes the connection, so that a read of the body in progress fails. Close must still be
+// called, after that read has returned.
+func (a *Answer) Abort() {
+	a.unusable = true
+	a.conn.Close()
+}
+
 // bodyWritten reports whether the complete request has been sent. If the peer
 // answered early, it may not be; the peer would then read the next request on the
 // connection as the remainder of the body.
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -13,6 +13,7 @@
 	stepForward = "forward" // forwarded to a node of another region
 	stepBegun   = "begun"   // the first event of a stream arrived; its end is never logged if the node is killed
 	stepAnswer  = "answer"  // answered by the gateway itself
+	stepShed    = "shed"    // the stream of a slow caller was cut off to free memory
 )
 
 // newDecision returns a log record about the request with the fields common to all steps.
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -233,6 +233,7 @@
 	if !g.bufferBody(q, r) {
 		return
 	}
+	defer g.releaseMemory(q)
 	defer q.body.close()
 	stripHopByHop(q.header)
 	g.serve(r.Context(), q)
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -19,6 +19,7 @@
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwmemory"
 	"jujubewheel/core/jwplacement"
 	"jujubewheel/core/jwquota"
 	"jujubewheel/core/jwstore"
@@ -83,6 +84,8 @@
 	fleetSizeMissing    atomic.Bool   // the store was restored without the size of the fleet
 	registrationChanged chan struct{} // signals that the registration must be written again
 	inFlight            atomic.Int64
+	memory              jwmemory.Account // bytes held for requests of services with overload control
+	slowStreams         slowStreams
 }
 
 // Run serves until ctx ends and then until the requests in flight are done or most of the grace
@@ -134,6 +137,7 @@
 	g.startTime = time.Now()
 	g.pauseDetector.Limit, g.pauseDetector.TimeSinceBoot = pauseLimit, g.TimeSinceBoot
 	g.metrics = newMetrics(g.Meter)
+	g.memory.Budget = jwmemory.Budget(o.MemoryBytes)
 	g.storeWatcher = newStoreWatcher(g)
 	g.Targets.MaxIdlePerPeer = g.maxIdleConns
 	g.Targets.OnDial = func() { g.metrics.connectionsOpened.Inc(1) }
@@ -287,6 +291,7 @@
 		g.metrics.version.Update(float64(g.entries.Version()))
 		g.metrics.nodes.Update(float64(len(g.members.Live(now, ""))))
 		g.metrics.inFlight.Update(float64(g.inFlight.Load()))
+		g.metrics.updateMemory(&g.memory, g.slowStreams.count())
 		g.metrics.limitedTargets.Update(float64(g.targets.LimitedTargets()))
 		g.metrics.setRetriesLeft(g.retryBudget.Left(now))
 		g.metrics.storeReadAge.Update((now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())).Seconds())
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -6,6 +6,7 @@
 
 	tally "github.com/uber-go/tally/v4"
 
+	"jujubewheel/core/jwmemory"
 	"jujubewheel/core/jwresolver"
 	"jujubewheel/io/jwmeter"
 )
@@ -44,6 +45,11 @@
 	limitedTargets    tally.Gauge
 	storeRestores     tally.Counter
 	malformedLoads    tally.Counter
+	heldBytes         map[jwmemory.Kind]tally.Gauge
+	slowStreams       tally.Gauge
+	slowStreamsTotal  tally.Counter
+	cutOffs           map[cutOff]tally.Counter
+	memoryRejections  tally.Counter
 }
 
 func newMetrics(m *jwmeter.Meter) *metrics {
@@ -70,6 +76,17 @@
 		limitedTargets:    m.Gauge("limited_targets", nil),
 		storeRestores:     m.Counter("store_returns_total", nil),
 		malformedLoads:    m.Counter("malformed_target_loads_total", nil),
+		heldBytes:         make(map[jwmemory.Kind]tally.Gauge),
+		slowStreams:       m.Gauge("slow_streams", nil),
+		slowStreamsTotal:  m.Counter("slow_streams_total", nil),
+		cutOffs:           make(map[cutOff]tally.Counter),
+		memoryRejections:  m.Counter("memory_rejections_total", nil),
+	}
+	for _, k := range jwmemory.Kinds() {
+		ms.heldBytes[k] = m.Gauge("held_bytes", jwmeter.Tags{"kind": string(k)})
+	}
+	for _, c := range []cutOff{cutOffStalled, cutOffShed} {
+		ms.cutOffs[c] = m.Counter("slow_streams_cut_off_total", jwmeter.Tags{"reason": string(c)})
 	}
 	for _, k := range []jwresolver.Kind{jwresolver.Own, jwresolver.Stopping, jwresolver.StandIns, jwresolver.NoNodes} {
 		ms.directoryAnswers[k] = m.Counter("directory_answers_total", jwmeter.Tags{"names": string(k)})
@@ -156,3 +173,11 @@
 func (m *metrics) recordFirstEvent(place string, d time.Duration) {
 	m.firstEventTimes[place].RecordDuration(d)
 }
+
+// updateMemory updates the gauges of the memory held for requests.
+func (m *metrics) updateMemory(a *jwmemory.Account, slow int) {
+	for k, g := range m.heldBytes {
+		g.Update(float64(a.Held(k)))
+	}
+	m.slowStreams.Update(float64(slow))
+}
--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"jujubewheel/core/jwmemory"
 	"jujubewheel/io/jwconn"
 )
 
@@ -33,6 +34,11 @@
 	if strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") && a.Status == http.StatusOK {
 		return g.passStream(q, a, onEvents)
 	}
+	held, ok := g.holdAnswer(q, a)
+	if !ok {
+		return g.copyAnswer(q, a, onEvents)
+	}
+	defer g.memory.Release(jwmemory.Answers, held)
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedAnswer))
 	onEvents(1)
 	if err != nil {
@@ -76,48 +82,81 @@
 // passStream passes complete events on as they arrive. If the stream fails within an event, the
 // incomplete event is dropped, so that another target can resume after the last complete one.
 func (g *Gateway) passStream(q *request, a *jwconn.Answer, onEvents func(events int)) Verdict {
-	var buffered []byte
-	resumed := q.answerStarted
-	wantID := ""
-	if resumed {
-		wantID = nextID(q.lastEvent())
-	}
-	buf := make([]byte, readSize)
-	first := true
+	r := &eventReader{
+		body: a.Body, buf: make([]byte, readSize), onEvents: onEvents,
+		onFirst: func() { g.logStreamStart(q) },
+	}
+	if q.answerStarted {
+		r.wantID = nextID(q.lastEvent())
+	}
+	if g.controlsOverload(q.service) {
+		return g.passBuffered(q, a, r)
+	}
 	for {
-		n, err := a.Body.Read(buf)
-		buffered = append(buffered, buf[:n]...)
-		if end := bytes.LastIndex(buffered, []byte("\n\n")); end >= 0 {
-			events := buffered[:end+2]
-			onEvents(bytes.Count(events, []byte("\n\n")))
-			if first {
-				first = false
-				g.logStreamStart(q)
-				if wantID != "" && firstID(events) != wantID {
-					q.lastReason = "the stream was resumed at another event"
-					return failed
-				}
-			}
-			if !g.writeEvents(q, a, events) {
-				return failed
-			}
-			buffered = append(buffered[:0], buffered[end+2:]...)
-		}
-		switch {
-		case err == io.EOF:
-			if len(buffered) > 0 || !q.answerStarted {
-				if !g.writeEvents(q, a, buffered) {
-					return failed
-				}
-			}
-			return finished
-		case err != nil:
-			q.lastReason = err.Error()
-			return broken
-		case len(buffered) > maxEventSize:
-			q.lastReason = "an event is too large"
+		events, end, reason := r.next()
+		if (len(events) > 0 || end == finished && !q.answerStarted) && !g.writeEvents(q, a, events) {
 			return failed
 		}
+		if end != "" {
+			q.setReason(reason)
+			return end
+		}
+	}
+}
+
+// eventReader reads the events of a stream.
+type eventReader struct {
+	body     io.Reader
+	onEvents func(events int) // called with the number of events that have arrived
+	onFirst  func()           // called once, when the first events have arrived
+	wantID   string           // identifier that the first event must have, "" for any
+	buf      []byte
+	buffered []byte // what was read and belongs to events that were not returned, after the returned ones
+	passed   int    // number of bytes of buffered that were returned
+	begun    bool
+}
+
+// next reads once and returns the complete events, none if the read completed none. They are valid
+// until the next call. At the end of the stream it also returns the verdict on it, and the reason
+// for any but finished.
+func (r *eventReader) next() (events []byte, end Verdict, reason string) {
+	r.buffered = append(r.buffered[:0], r.buffered[r.passed:]...)
+	n, err := r.body.Read(r.buf)
+	r.buffered = append(r.buffered, r.buf[:n]...)
+	r.passed = bytes.LastIndex(r.buffered, []byte("\n\n")) + 2
+	if r.passed < 2 {
+		r.passed = 0
+	} else if !r.count(r.buffered[:r.passed]) {
+		return nil, failed, "the stream was resumed at another event"
+	}
+	switch {
+	case err == io.EOF:
+		r.passed = len(r.buffered)
+		return r.buffered, finished, ""
+	case err != nil:
+		return r.buffered[:r.passed], broken, err.Error()
+	case len(r.buffered)-r.passed > maxEventSize:
+		return r.buffered[:r.passed], failed, "an event is too large"
+	}
+	return r.buffered[:r.passed], "", ""
+}
+
+// count reports events to the callbacks. It returns false if the stream does not begin with the
+// event that was asked for.
+func (r *eventReader) count(events []byte) bool {
+	r.onEvents(bytes.Count(events, []byte("\n\n")))
+	if r.begun {
+		return true
+	}
+	r.begun = true
+	r.onFirst()
+	return r.wantID == "" || firstID(events) == r.wantID
+}
+
+// setReason sets the reason of a send that failed, unless it is empty.
+func (q *request) setReason(reason string) {
+	if reason != "" {
+		q.lastReason = reason
 	}
 }
 
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -69,6 +69,9 @@
 	sentTo          string          // the target or node that the request was sent to last
 	retryAfter      time.Duration   // Retry-After of the last rejection
 	rejectedRegions map[string]bool // regions whose nodes rejected the request
+	readResumed     time.Time       // when reading an answer was last resumed after it had waited for the caller
+	heldRequest     int64           // bytes accounted for the request except its body, 0 if they are not counted
+	heldBody        int64           // bytes accounted for its body
 	lastReason      string          // why the last send or choice of a target failed
 }
 
@@ -164,6 +167,7 @@
 		g.refund(q)
 		return
 	}
+	defer g.releaseMemory(q)
 	defer q.body.close()
 	stripHopByHop(q.header)
 	g.Dialect.Strip(q.header)
@@ -204,6 +208,9 @@
 	if c := g.entries.Current(); c != nil && c.MaxBody > 0 {
 		maxSize = c.MaxBody
 	}
+	if !g.admitMemory(q, r.ContentLength) {
+		return false
+	}
 	var err error
 	q.body, err = readBody(q.w, r, maxSize)
 	switch {
@@ -214,6 +221,7 @@
 	default:
 		g.answerError(q.w, q.ID, http.StatusBadRequest, 0, "body broke off")
 	}
+	g.releaseMemory(q)
 	return false
 }
 
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -41,6 +41,7 @@
 		}
 		return g.passAnswer(q, a, func(events int) {
 			now := time.Now()
+			p.skipUntil(q.readResumed)
 			pause := p.recordEvents(start, now)
 			if pause == 0 {
 				g.targets.RecordFirstEvent(x, c, q.Prompt, p.first)
@@ -85,6 +86,14 @@
 	return pause
 }
 
+// skipUntil excludes from the next pause the time in which the answer was not read because the
+// caller was slow.
+func (p *progress) skipUntil(resumed time.Time) {
+	if p.first > 0 && resumed.After(p.last) {
+		p.last = resumed
+	}
+}
+
 // silence returns how long no event had arrived when an unfinished send ended; 0 for a finished
 // one.
 func (p *progress) silence(v Verdict, now time.Time) time.Duration {
@@ -208,6 +217,9 @@
 		Body: q.body.buffered, Rest: q.body.reader(), Length: q.body.length,
 		Match: func(h http.Header) bool { return g.Dialect.ID(h) == q.ID },
 	}
+	if g.controlsOverload(q.service) {
+		call.MaxWriteTime = maxTargetWriteTime
+	}
 	if !q.entry.Retryable() {
 		call.MaxUnused = maxIdleForSingleSend
 	}
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -37,6 +37,10 @@
 	LoadAge     time.Duration // age of the target's last load report
 	Units       float64       // of the workspace's quota that the request takes
 	Level       float64       // quota units that the node had
+	Held        int64         // bytes that the node holds for requests
+	Budget      int64         // bytes that it may hold
+	Buffered    int64         // bytes held for the request
+	Stalled     time.Duration // since the caller last read
 	Cold        bool          // the target is cold
 	DropFirst   bool          // the line is written to minor, as for served requests
 }
@@ -66,7 +70,7 @@
 	if x.DropFirst {
 		log = d.minor
 	}
-	const maxFields = 28
+	const maxFields = 32
 	var buf [maxFields]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
@@ -94,6 +98,10 @@
 	f = appendNumber(f, "levelUnits", int64(x.Level))
 	f = appendNumber(f, "viewAgeMs", x.ViewAge.Milliseconds())
 	f = appendNumber(f, "loadAgeMs", x.LoadAge.Milliseconds())
+	f = appendNumber(f, "heldBytes", x.Held)
+	f = appendNumber(f, "budgetBytes", x.Budget)
+	f = appendNumber(f, "bufferedBytes", x.Buffered)
+	f = appendNumber(f, "stalledMs", x.Stalled.Milliseconds())
 	if x.Cold {
 		f = append(f, zap.Bool("cold", true))
 	}
