jwresolver, jwplacement: nodes are chosen by their capacity

Nodes differ fourfold in processor, link and memory, and the directory and forwards chose them evenly. With overload control the directory leaves a node out for a part of the callers, so that the number of callers with it is in proportion to its capacity; the selection changes each minute, since many callers may share one address, and four nodes at least are returned. A forward goes to the one of two nodes, chosen by capacity, that has fewer requests of this node in flight for its capacity. Without overload control, or where a capacity is unknown, all stays as it was.

24 nodes, half of them with a fourth of the capacity, 1,000 callers: each small node is returned to 20 to 30% of them, each large one to all.

--- a/core/jwresolver/resolver.go
+++ b/core/jwresolver/resolver.go
@@ -27,6 +27,9 @@
 	standInTTL = 300 * time.Millisecond
 	// maxNodes is the maximum number of nodes in an answer.
 	maxNodes = 64
+	// minNamed is the number of nodes up to which none is left out for its capacity: callers
+	// need others when some don't answer.
+	minNamed = 4
 )
 
 // Kind says which nodes an answer contains.
@@ -47,6 +50,8 @@
 	StoppingNodes  []jwmember.StoppingNode                  // nodes of the caller's region in a planned stop
 	Linger         time.Duration                            // how long nodes accept requests after their stop begins
 	All            []jwmember.Member                        // serving nodes of all regions
+	ByCapacity     bool                                     // nodes are returned to callers in proportion to their capacity
+	Turn           uint64                                   // with ByCapacity the selection for a caller changes with it
 	Ready          bool                                     // whether the node knows enough of other regions to return their nodes
 	ChooseStandIns func(regions []string) (chosen []string) // chooses, of the regions with nodes, those that stand in for the caller's
 }
@@ -119,6 +124,9 @@
 // nodes would get no callers, and with a random one callers would drop their connections
 // at each answer.
 func (v View) answer(k Kind, nodes []jwmember.Member, ttl time.Duration) Answer {
+	if v.ByCapacity {
+		return Answer{Kind: k, Nodes: v.byCapacity(nodes), TTL: ttl}
+	}
 	if len(nodes) > maxNodes {
 		caller := jwtarget.NameKey(v.Caller)
 		nodes = slices.Clone(nodes)
@@ -129,3 +137,47 @@
 	}
 	return Answer{Kind: k, Nodes: nodes, TTL: ttl}
 }
+
+// byCapacity leaves nodes out of the answer, each for a part of the callers, so that the
+// number of callers that get a node is in proportion to its capacity: callers choose among the
+// addresses evenly. It returns all nodes if there are few or a capacity is unknown.
+func (v View) byCapacity(nodes []jwmember.Member) []jwmember.Member {
+	largest := 0
+	for _, m := range nodes {
+		if m.Capacity <= 0 {
+			return v.withoutCapacity(nodes)
+		}
+		largest = max(largest, m.Capacity)
+	}
+	if len(nodes) <= minNamed {
+		return nodes
+	}
+	caller := jwtarget.Mix(jwtarget.NameKey(v.Caller), v.Turn)
+	type scored struct {
+		jwmember.Member
+		score float64 // below 1 if the caller gets the node
+	}
+	list := make([]scored, 0, len(nodes))
+	named := 0
+	for _, m := range nodes {
+		fraction := float64(jwtarget.Mix(caller, jwtarget.NameKey(m.Name))>>11) / (1 << 53)
+		s := scored{m, fraction * float64(largest) / float64(m.Capacity)}
+		if s.score < 1 {
+			named++
+		}
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b scored) int { return cmp.Compare(a.score, b.score) })
+	list = list[:min(max(named, minNamed), maxNodes)]
+	out := make([]jwmember.Member, 0, len(list))
+	for _, s := range list {
+		out = append(out, s.Member)
+	}
+	return out
+}
+
+// withoutCapacity returns the nodes of an answer where capacities are unknown.
+func (v View) withoutCapacity(nodes []jwmember.Member) []jwmember.Member {
+	v.ByCapacity = false
+	return v.answer(Own, nodes, TTL).Nodes
+}
--- a/core/jwresolver/resolver_test.go
+++ b/core/jwresolver/resolver_test.go
@@ -155,3 +155,77 @@
 		assert.Assert(t, counts[m.Name] > 80, "%s is returned to %d of 200 callers", m.Name, counts[m.Name])
 	}
 }
+
+// Nodes differ fourfold in capacity and callers choose evenly among those returned. Small nodes must
+// be returned to a fourth of the callers, large ones to almost all, and each caller keeps its nodes.
+func TestNodesByCapacity(t *testing.T) {
+	var nodes []jwmember.Member
+	for i := range 24 {
+		m := member(fmt.Sprintf("n%02d", i), "big")
+		m.Capacity = 100 + 300*(i%2)
+		nodes = append(nodes, m)
+	}
+	const callers = 1000
+	counts := make(map[string]int)
+	for i := range callers {
+		v := View{Caller: fmt.Sprintf("10.0.%d.%d", i/250, i%250), InRegion: nodes, ByCapacity: true}
+		a := Resolve(v)
+		assert.Assert(t, len(a.Nodes) >= minNamed)
+		assert.DeepEqual(t, addressNames(Resolve(v).Nodes), addressNames(a.Nodes))
+		for _, m := range a.Nodes {
+			counts[m.Name]++
+		}
+	}
+	for _, m := range nodes {
+		part := float64(counts[m.Name]) / callers
+		want := float64(m.Capacity) / 400
+		assert.Assert(t, part > 0.8*want && part < 1.2*want+0.001, "%s is returned to %.2f of the callers, want %.2f", m.Name, part, want)
+	}
+}
+
+// All callers share one address. No node may stay without callers.
+func TestNodesByCapacityChangeWithTurn(t *testing.T) {
+	var nodes []jwmember.Member
+	for i := range 12 {
+		m := member(fmt.Sprintf("n%02d", i), "big")
+		m.Capacity = 100 + 300*(i%2)
+		nodes = append(nodes, m)
+	}
+	seen := make(map[string]bool)
+	for turn := range uint64(40) {
+		for _, m := range Resolve(View{Caller: "10.0.0.1", InRegion: nodes, ByCapacity: true, Turn: turn}).Nodes {
+			seen[m.Name] = true
+		}
+	}
+	assert.Equal(t, len(seen), len(nodes))
+}
+
+// Few nodes, or some of unknown capacity, are all returned, and without ByCapacity capacities have
+// no effect.
+func TestNodesThatAreAllReturned(t *testing.T) {
+	list := func(capacities ...int) (nodes []jwmember.Member) {
+		for i, c := range capacities {
+			m := member(fmt.Sprint("n", i), "big")
+			m.Capacity = c
+			nodes = append(nodes, m)
+		}
+		return nodes
+	}
+	cases := map[string]View{
+		"few":                {InRegion: list(1, 400, 400, 400), ByCapacity: true},
+		"a capacity unknown": {InRegion: list(1, 400, 400, 400, 400, 0), ByCapacity: true},
+		"not by capacity":    {InRegion: list(1, 1, 1, 1, 1, 400, 400)},
+	}
+	for name, v := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.DeepEqual(t, addressNames(Resolve(v).Nodes), addressNames(v.InRegion))
+		})
+	}
+}
+
+func addressNames(nodes []jwmember.Member) (names []string) {
+	for _, m := range nodes {
+		names = append(names, m.Name)
+	}
+	return names
+}
--- a/io/jwgateway/directory.go
+++ b/io/jwgateway/directory.go
@@ -14,6 +14,10 @@
 // answers with what the node knows.
 const maxFirstRead = 3 * time.Second
 
+// selectionSeconds is how long a caller gets the same selection of nodes. Many callers may share one
+// address, so a selection for ever would leave some nodes without any.
+const selectionSeconds = 60
+
 // serveReady reports to the platform whether the node serves callers.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.ready() {
@@ -28,6 +32,7 @@
 	host, region := g.Dialect.DirectoryQuery(r.URL.Query())
 	v := g.resolverView(time.Now(), host, region)
 	v.Caller = callerOf(r.RemoteAddr)
+	v.ByCapacity, v.Turn = g.Settings.Gateway.Overload.Enabled(), uint64(time.Now().Unix()/selectionSeconds)
 	a := jwresolver.Resolve(v)
 	g.metrics.countDirectoryAnswer(a.Kind)
 	if a.Kind == jwresolver.NoNodes {
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -88,6 +88,9 @@
 		return q.reject(noTarget, jwadmission.MinRetryAfter)
 	}
 	g.regions.recordSend(now, region, q.service, miss)
+	if g.controlsOverload(q.service) {
+		return g.forward(ctx, q, g.chooseByCapacity(nodes, hashFraction(q.ID)))
+	}
 	return g.forward(ctx, q, g.chooseNode(nodes, hashFraction(q.ID)))
 }
 
@@ -116,6 +119,8 @@
 // forward sends the request to a node of another region and passes its answer to the caller.
 func (g *Gateway) forward(ctx context.Context, q *request, m jwmember.Member) Verdict {
 	q.tried[m.Name], q.sentTo = true, m.Name
+	g.forwards.add(m.Name, 1)
+	defer g.forwards.add(m.Name, -1)
 	h := q.header.Clone()
 	e := q.entry
 	h[headerService] = []string{q.service}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -86,6 +86,7 @@
 	inFlight            atomic.Int64
 	memory              jwmemory.Account // bytes held for requests of services with overload control
 	slowStreams         slowStreams
+	forwards            forwardCounts // requests in flight at other nodes
 }
 
 // Run serves until ctx ends and then until the requests in flight are done or most of the grace
