--- a/io/jwgateway/balance_test.go
+++ b/io/jwgateway/balance_test.go
@@ -168,7 +168,7 @@
 		peak(g, now)
 	}
 	g.balance.MergeRegion(now, "s", true, freeRegion())
-	q := promptRequest()
+	q := balanceRequest()
 	n := g.targetNeed(q)
 	here := &jwplacement.Option{Region: "r", Known: true, Expected: time.Second, MissTokens: 5000}
 	b.ReportAllocs()
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -19,6 +19,7 @@
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwmemory"
 	"jujubewheel/core/jwplacement"
 	"jujubewheel/core/jwquota"
 	"jujubewheel/core/jwstore"
@@ -88,6 +89,9 @@
 	fleetSizeMissing    atomic.Bool   // the store was restored without the size of the fleet
 	registrationChanged chan struct{} // signals that the registration must be written again
 	inFlight            atomic.Int64
+	memory              jwmemory.Account // bytes held for requests of services with overload control
+	slowStreams         slowStreams
+	forwards            forwardCounts // requests in flight at other nodes
 }
 
 // Run serves until ctx ends and then until the requests in flight are done or most of the grace
@@ -142,6 +146,7 @@
 	g.pauseDetector.Limit, g.pauseDetector.TimeSinceBoot = pauseLimit, g.TimeSinceBoot
 	g.metrics = newMetrics(g.Meter)
 	g.prepareRoom()
+	g.memory.Budget = jwmemory.Budget(o.MemoryBytes)
 	g.storeWatcher = newStoreWatcher(g)
 	g.Targets.MaxIdlePerPeer = g.maxIdleConns
 	g.Targets.OnDial = func() { g.metrics.connectionsOpened.Inc(1) }
@@ -296,6 +301,7 @@
 		g.metrics.version.Update(float64(g.entries.Version()))
 		g.metrics.nodes.Update(float64(len(g.members.Live(now, ""))))
 		g.metrics.inFlight.Update(float64(g.inFlight.Load()))
+		g.metrics.updateMemory(&g.memory, g.slowStreams.count())
 		g.metrics.limitedTargets.Update(float64(g.targets.LimitedTargets()))
 		g.metrics.setRetriesLeft(g.retryBudget.Left(now))
 		g.metrics.storeReadAge.Update((now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())).Seconds())
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -47,6 +47,10 @@
 	Region      string        // the region that the request was forwarded to by its share
 	PartSent    float64       // part of such requests that goes to that region
 	ShareAge    time.Duration // age of that region's load when the share was used
+	Held        int64         // bytes that the node holds for requests
+	Budget      int64         // bytes that it may hold
+	Buffered    int64         // bytes held for the request
+	Stalled     time.Duration // since the caller last read
 	Cold        bool          // the target is cold
 	Share       *Share        // set if the request was rejected for its share
 	DropFirst   bool          // the line is written to minor, as for served requests
@@ -126,6 +130,10 @@
 	f = appendNumber(f, "shareAgeMs", x.ShareAge.Milliseconds())
 	f = appendNumber(f, "waitedMs", x.Waited.Milliseconds())
 	f = appendNumber(f, "waiting", int64(x.Waiting))
+	f = appendNumber(f, "heldBytes", x.Held)
+	f = appendNumber(f, "budgetBytes", x.Budget)
+	f = appendNumber(f, "bufferedBytes", x.Buffered)
+	f = appendNumber(f, "stalledMs", x.Stalled.Milliseconds())
 	if x.Cold {
 		f = append(f, zap.Bool("cold", true))
 	}
