--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -96,7 +96,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c, ok = t.best(now, n, false)
-	if !ok && !n.OnlyWithRoom {
+	if !ok && !t.anyUsable(now, n) {
 		c, ok = t.best(now, n, true)
 	}
 	if !ok {
@@ -135,6 +135,16 @@
 	return c, true
 }
 
+// anyUsable reports whether a registered target may take a request once it has room.
+func (t *Table) anyUsable(now time.Time, n Need) bool {
+	if !n.OnlyWithRoom {
+		return false // the request would have got it
+	}
+	n.OnlyWithRoom = false
+	_, ok := t.best(now, n, false)
+	return ok
+}
+
 // Peek returns what Best would return among registered targets, without counting a request.
 func (t *Table) Peek(now time.Time, n Need) (Choice, bool) {
 	t.mu.Lock()
--- a/io/jwgateway/waitroom.go
+++ b/io/jwgateway/waitroom.go
@@ -102,14 +102,8 @@
 		return c, true, false
 	}
 	n.OnlyWithRoom = false
-	if _, usable := g.targets.Peek(now, n); usable {
-		return c, false, true
-	}
-	c, ok = g.targets.Best(now, n)
-	if ok {
-		g.leaveRoom(q, waitPlaced)
-	}
-	return c, ok, false
+	_, usable := g.targets.Peek(now, n)
+	return c, false, usable
 }
 
 // awaitTurn waits until it is the request's turn and returns None, or the reason why it waits no
