--- a/core/jwinstance/room.go
+++ b/core/jwinstance/room.go
@@ -33,8 +33,14 @@
 
 // hasRoom reports whether this node's part of a target's room allows the request.
 func (t *Table) hasRoom(now time.Time, x *Target, n Need) bool {
-	own := x.ownUse()
 	v := t.reportView(now)
+	if x.lease.Due(now, v.oldest) {
+		t.renewLease(now, x, n, v)
+	}
+	return x.lease.Allows(x.ownUse())
+}
+
+func (t *Table) renewLease(now time.Time, x *Target, n Need, v *reportView) {
 	rounds := directRounds
 	if v.relayed {
 		rounds = relayRounds
@@ -45,10 +51,9 @@
 		fraction = float64(t.Rand(steps)) / steps
 	}
 	x.lease.Renew(now, roomOf(x, n), jwroom.View{
-		Own: own, Others: jwroom.Use{Calls: x.othersLoad.calls, Memory: x.othersLoad.memoryTokens},
+		Own: x.ownUse(), Others: jwroom.Use{Calls: x.othersLoad.calls, Memory: x.othersLoad.memoryTokens},
 		ReportedAt: v.oldest, Nodes: t.sharingNodes(x, v.nodes), Missing: v.missing, Rounds: rounds, Idle: t.idle(n.Service),
 	}, fraction)
-	return x.lease.Allows(own)
 }
 
 func (x *Target) ownUse() jwroom.Use { return jwroom.Use{Calls: x.calls, Memory: x.memoryInUse} }
--- a/core/jwroom/lease.go
+++ b/core/jwroom/lease.go
@@ -43,11 +43,17 @@
 	at        time.Time
 }
 
+// Due reports whether the part is to be computed anew, given when the oldest report that counts
+// arrived.
+func (l *Lease) Due(now, reportedAt time.Time) bool {
+	age := now.Sub(l.at)
+	return l.at.IsZero() || age < 0 || age >= LeaseTime || age >= MinInterval && reportedAt.After(l.at)
+}
+
 // Renew computes the part anew if there are newer reports or it has run out. fraction is a random
 // number in [0, 1) by which parts of a call are rounded.
 func (l *Lease) Renew(now time.Time, r Room, v View, fraction float64) {
-	age := now.Sub(l.at)
-	if !l.at.IsZero() && age >= 0 && age < LeaseTime && (age < MinInterval || !v.ReportedAt.After(l.at)) {
+	if !l.Due(now, v.ReportedAt) {
 		return
 	}
 	l.at, l.hasMemory = now, r.Memory > 0
