--- a/io/jwconn/pool_test.go
+++ b/io/jwconn/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
@@ -220,3 +221,40 @@
 		assert.Equal(t, parseKeepAlive(http.Header{"Keep-Alive": {header}}), want, header)
 	}
 }
+
+// A target reads a request slowly. The next request must not wait behind it on the same connection.
+func TestConnectionOfSlowReaderIsNotUsedAgain(t *testing.T) {
+	cases := map[string]struct {
+		body    int
+		limit   time.Duration
+		reading time.Duration // pause before the target reads the body
+		kept    int
+	}{
+		"read at once":      {2 << 20, time.Minute, 0, 1},
+		"read slowly":       {64 << 20, time.Millisecond, 300 * time.Millisecond, 0},
+		"no limit":          {64 << 20, 0, 100 * time.Millisecond, 1},
+		"short, at once":    {100, time.Minute, 0, 1},
+		"within the limits": {64 << 20, time.Minute, 100 * time.Millisecond, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(c.reading)
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(w, "ok")
+			}))
+			defer s.Close()
+			peer := netip.MustParseAddrPort(s.Listener.Addr().String())
+			p := &Pool{}
+			a, err := p.Do(t.Context(), &Call{Peer: peer, Method: http.MethodPost, Target: "/", Host: "h", Body: make([]byte, c.body), MaxWriteTime: c.limit})
+			assert.NilError(t, err)
+			_, err = io.ReadAll(a.Body)
+			assert.NilError(t, err)
+			for len(a.bodyResult) < cap(a.bodyResult) {
+				time.Sleep(time.Millisecond) // the target has read the body, so that its writing ends
+			}
+			a.Close()
+			assert.Equal(t, p.IdleCount(peer), c.kept)
+		})
+	}
+}
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -69,6 +69,8 @@
 	sentTo          string          // the target or node that the request was sent to last
 	retryAfter      time.Duration   // Retry-After of the last rejection
 	rejectedRegions map[string]bool // regions whose nodes rejected the request
+	sendTimer       sendTimer       // of the current send to a target
+	onRead          func()          // called once an answer was read while its caller is slow; nil for none
 	readResumed     time.Time       // when reading an answer was last resumed after it had waited for the caller
 	heldRequest     int64           // bytes accounted for the request except its body, 0 if they are not counted
 	heldBody        int64           // bytes accounted for its body
@@ -213,6 +215,7 @@
 	}
 	var err error
 	q.body, err = readBody(q.w, r, maxSize)
+	g.bodyRead(q)
 	switch {
 	case err == nil:
 		return true
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"jujubewheel/core/jwinstance"
@@ -28,6 +29,8 @@
 	status := 0
 	sendCtx, timer := g.withSendTimeout(ctx, q, c)
 	defer timer.Stop()
+	done := sync.OnceFunc(func() { g.targets.Done(time.Now(), x, c, p.first) })
+	q.sendTimer, q.onRead = timer, done
 	verdict := func() Verdict {
 		a, err := g.Targets.Do(sendCtx, g.targetCall(q, c))
 		if err != nil {
@@ -52,7 +55,8 @@
 			timer.Reset(maxEventPause)
 		})
 	}()
-	g.targets.Done(time.Now(), x, c, p.first)
+	done()
+	q.sendTimer, q.onRead = sendTimer{}, nil
 	if (verdict == failed || verdict == broken) && status != http.StatusInternalServerError && sendCtx.Err() == nil {
 		g.checkCrash(ctx, x)
 	}
@@ -153,6 +157,13 @@
 	}
 }
 
+// Pause stops the timer until the next Reset.
+func (s sendTimer) Pause() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
 // Stop stops the timer and releases the context.
 func (s sendTimer) Stop() {
 	if s.timer != nil {
--- a/io/jwgateway/slowstream.go
+++ b/io/jwgateway/slowstream.go
@@ -204,21 +204,34 @@
 		if s.idle {
 			return true // the request's goroutine can pass it on without the buffer
 		}
+		s.q.sendTimer.Pause() // the target is not silent
 		s.changed.Wait()
 		if s.aborted {
 			return false
 		}
 		s.q.readResumed = time.Now()
+		s.q.sendTimer.Reset(maxEventPause)
 	}
 	s.mu.Unlock()
 	events, end, reason := s.r.next()
 	s.mu.Lock()
 	s.buf = append(s.buf, events...)
 	s.end, s.reason = end, reason
+	if end != "" {
+		s.targetDone()
+	}
 	s.changed.Broadcast()
 	return s.idle
 }
 
+// targetDone ends the request's part at the target, whose answer is read.
+func (s *bufferedStream) targetDone() {
+	s.q.sendTimer.Pause()
+	if s.q.onRead != nil {
+		s.q.onRead()
+	}
+}
+
 // makeRoom enlarges the buffer if it has no room for the next read, and reports whether it has. If
 // the node may hold no more, another stream is shed.
 func (s *bufferedStream) makeRoom() bool {
