docs: the memory that a node holds; the budget is a quarter of the process's memory

The runtime's limit is half of the settings' memory, so that a budget of the same half would leave the collector nothing.

--- a/core/jwmemory/account.go
+++ b/core/jwmemory/account.go
@@ -16,9 +16,10 @@
 func Kinds() []Kind { return []Kind{Requests, Bodies, Answers} }
 
 const (
-	// budgetShare is the share of the process's memory that may be held for requests.
-	// The garbage collector and the rest of the node need as much again.
-	budgetShare = 0.5
+	// budgetShare is the share of the process's memory that may be held for requests: half
+	// of what the runtime is limited to, because the rest of the node and garbage that is
+	// not yet collected need as much again.
+	budgetShare = 0.25
 	// admissionShare is the share of the budget up to which new requests are
 	// admitted; the rest is left for the answers of those in flight.
 	admissionShare = 0.75
