--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"jujubewheel/core/jwinstance"
@@ -28,6 +29,11 @@
 	status := 0
 	sendCtx, timer := g.withSendTimeout(ctx, q, c)
 	defer timer.Stop()
+	done := sync.OnceFunc(func() {
+		g.targets.Done(time.Now(), x, c, p.first)
+		g.offerTurn(x.Service)
+	})
+	q.sendTimer, q.onRead = timer, done
 	verdict := func() Verdict {
 		a, err := g.Targets.Do(sendCtx, g.targetCall(q, c))
 		if err != nil {
@@ -53,8 +59,8 @@
 			timer.Reset(maxEventPause)
 		})
 	}()
-	g.targets.Done(time.Now(), x, c, p.first)
-	g.offerTurn(x.Service)
+	done()
+	q.sendTimer, q.onRead = sendTimer{}, nil
 	if (verdict == failed || verdict == broken) && status != http.StatusInternalServerError && sendCtx.Err() == nil {
 		g.checkCrash(ctx, x)
 	}
@@ -158,6 +164,13 @@
 	}
 }
 
+// Pause stops the timer until the next Reset.
+func (s sendTimer) Pause() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
 // Stop stops the timer and releases the context.
 func (s sendTimer) Stop() {
 	if s.timer != nil {
