jwshare, jwledger, jwgateway: findings of the review of shares

A moment without any target left a room of nothing for good; waits and rejections in the waiting room did not count as lost; an entry with two services and a fraction lost one of them, since both used one hash; the goal was read outside its lock; requests of no work could end the process's connection; a forwarded request's rank was compared with priorities in the waiting room; Retry-After was judged by the time of arrival.

--- a/core/jwledger/meter.go
+++ b/core/jwledger/meter.go
@@ -79,6 +79,7 @@
 func (t *Table) Admit(now time.Time, service string, key Key, work float64) *Flight {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	work = max(work, minWork)
 	m := t.meter(now, service)
 	m.rates.Add(key, Sums{Admitted: rate(work)})
 	if m.inFlight == nil {
--- a/core/jwledger/table_test.go
+++ b/core/jwledger/table_test.go
@@ -230,6 +230,17 @@
 	assert.Equal(t, len(table.meters["s"].inFlight), 0)
 }
 
+// Requests whose expected work rounds to nothing end like others.
+func TestFlightsWithoutWork(t *testing.T) {
+	table := &Table{}
+	key := Key{"w", 1}
+	a, b := table.Admit(start, "s", key, 0), table.Admit(start, "s", key, 0)
+	table.End(start, a, Useful)
+	table.Start(b)
+	table.End(start, b, Useful)
+	assert.Equal(t, len(table.meters["s"].inFlight), 0)
+}
+
 // Totals of other regions are replaced by later ones only, and expire.
 func TestRegions(t *testing.T) {
 	far := &Table{}
--- a/core/jwledger/work.go
+++ b/core/jwledger/work.go
@@ -83,5 +83,8 @@
 	if t.Memory > 0 {
 		work = max(work, occupied*float64(r.Memory)/float64(t.Memory))
 	}
-	return work
+	return max(work, minWork)
 }
+
+// minWork is the least work of a request, in seconds: a request in flight must not count as none.
+const minWork = 1e-6
--- a/core/jwshare/region_test.go
+++ b/core/jwshare/region_test.go
@@ -272,6 +272,18 @@
 	assert.Assert(t, servedShare(got, func(jwledger.Key) bool { return true }) > 0.95, "the room came back")
 }
 
+// All targets are gone for a moment under overload. The room comes back with them.
+func TestNoTargetForAMoment(t *testing.T) {
+	r := newRegion(20, newShares, even(8, 1, 1.3)...)
+	r.run(5 * time.Second)
+	r.targets = 0
+	r.run(time.Second)
+	r.targets = 20
+	r.run(8 * time.Second)
+	got := r.run(5 * time.Second)
+	assert.Assert(t, servedShare(got, urgent) > 0.95, "%v", servedShare(got, urgent))
+}
+
 // A workspace that asked for nothing gets its share within a second of its return.
 func TestLentShareComesBack(t *testing.T) {
 	r := newRegion(10, newShares, even(4, 4, 0)...)
--- a/core/jwshare/room.go
+++ b/core/jwshare/room.go
@@ -30,6 +30,8 @@
 	outputMemory = 30 * time.Second
 	// minTargetRoom is the least room that a target counts for while no output is known.
 	minTargetRoom = 0.1
+	// defaultGoal is the goal that waits are compared with if no request has one.
+	defaultGoal = 2 * time.Second
 )
 
 // Supply is what is known of the targets of a service.
@@ -41,7 +43,11 @@
 
 // pressed reports whether requests wait longer than a part of the goal.
 func (s Supply) pressed(part float64) bool {
-	return s.Goal <= 0 || float64(s.Wait) > part*float64(s.Goal)
+	goal := s.Goal
+	if goal <= 0 {
+		goal = defaultGoal
+	}
+	return float64(s.Wait) > part*float64(goal)
 }
 
 // room estimates the work that a region can run in a second from what becomes of the work admitted. It
@@ -80,16 +86,23 @@
 	}
 	switch {
 	case lost >= lossHigh && s.pressed(waitHigh):
-		r.work = max(passed, max(minTargetRoom, leastOutput*r.output)*s.Targets)
+		r.work = max(passed, r.least(s))
 		r.limited, r.calmFrom = true, time.Time{}
 	case r.limited && !s.pressed(waitHigh/2):
 		r.work *= math.Pow(1+fastGrowth, dt.Seconds())
 	case r.limited && (lost < lossLow || !s.pressed(waitHigh)):
 		r.work *= math.Pow(1+growth, dt.Seconds())
 	}
+	if r.limited {
+		// Without this, a moment without any target would leave a room of nothing, which can't grow.
+		r.work = max(r.work, r.least(s))
+	}
 	r.end(now, total.Offered)
 }
 
+// least returns the room that the targets count for whatever is lost.
+func (r *room) least(s Supply) float64 { return max(minTargetRoom, leastOutput*r.output) * s.Targets }
+
 // end ends the limit once demand has stayed below the room for endPeriod.
 func (r *room) end(now time.Time, offered float64) {
 	if !r.limited || offered > endMargin*r.work {
--- a/io/jwgateway/returnplan.go
+++ b/io/jwgateway/returnplan.go
@@ -1,6 +1,8 @@
 package jwgateway
 
 import (
+	"hash/fnv"
+	"math/bits"
 	"time"
 
 	"jujubewheel/core/jwadmission"
@@ -23,7 +25,15 @@
 	if q.plansReturn() {
 		return q.returnPlan(fraction).Admits(now)
 	}
-	return hashFraction(q.ID) < fraction
+	return float64(q.admissionHash())/(1<<32) < fraction
+}
+
+// admissionHash hashes the request's identifier to a number that doesn't depend on the service chosen by
+// hashFraction.
+func (q *request) admissionHash() uint32 {
+	h := fnv.New32()
+	h.Write([]byte(q.ID))
+	return bits.Reverse32(h.Sum32())
 }
 
 // returnAfter returns the Retry-After of a rejected request, 0 if a return is of no use.
@@ -45,8 +55,9 @@
 	if !g.controlsOverload(q.service) {
 		return wait
 	}
-	r := jwreturn.Return{Plan: jwreturn.Plan{Fraction: 1}, MinWait: wait, TimeLeft: q.deadline.Sub(q.arrived)}
-	if _, ok := r.Wait(q.arrived); !ok {
+	now := time.Now()
+	r := jwreturn.Return{Plan: jwreturn.Plan{Fraction: 1}, MinWait: wait, TimeLeft: q.deadline.Sub(now)}
+	if _, ok := r.Wait(now); !ok {
 		return 0
 	}
 	return wait
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -35,10 +35,10 @@
 	q.tried = make(map[string]bool, 2)
 	verdict := notRun
 	ran := false // a target may have run the request
+	defer func() { g.endShare(ctx, q, verdict) }()
 	for range maxSends {
 		verdict = g.sendOrWait(ctx, q)
 		if verdict == finished {
-			g.endShare(ctx, q, verdict)
 			g.recordLength(q)
 			return
 		}
@@ -47,7 +47,6 @@
 			break
 		}
 	}
-	g.endShare(ctx, q, verdict)
 	if !ran {
 		g.refund(q)
 	}
--- a/io/jwgateway/shares.go
+++ b/io/jwgateway/shares.go
@@ -12,6 +12,7 @@
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwledger"
 	"jujubewheel/core/jwshare"
+	"jujubewheel/core/jwwaitroom"
 )
 
 // sharedPartCost is the part of a prompt's shared parts that is expected to be read again.
@@ -33,7 +34,6 @@
 	target jwledger.Target
 	stride int           // tokens in an event
 	gap    time.Duration // time between two events
-	goal   time.Duration // shortest goal of the entries that the service runs, 0 if there is none
 }
 
 // admitted is a request's entry in the ledger.
@@ -81,29 +81,30 @@
 	}
 	g.shares.mu.Unlock()
 	if s.Due(now) {
-		s.refresh(now, g, service)
+		goal := s.refresh(now, g, service)
 		s.Update(now, g.shares.ledger.Region(now, service), jwshare.Supply{
-			Targets: g.targets.Room(now, service).Targets, Wait: g.shortestWait(now, service), Goal: s.goal,
+			Targets: g.targets.Room(now, service).Targets, Wait: g.shortestWait(now, service), Goal: goal,
 		})
 	}
 	return s
 }
 
-// refresh reads what a request is expected to take of a target of the service.
-func (s *serviceShares) refresh(now time.Time, g *Gateway, service string) {
+// refresh reads what a request is expected to take of a target of the service, and returns the shortest
+// goal of the entries that the service runs, 0 if there is none.
+func (s *serviceShares) refresh(now time.Time, g *Gateway, service string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.gap, s.stride = g.targets.Gap(now, service), 1
 	c := g.entries.Current()
 	if c == nil {
-		return
+		return 0
 	}
-	s.goal = shortestGoal(c, service)
 	if c.Services[service] != nil && c.Services[service].Engine != nil {
 		e := c.Services[service].Engine
 		s.target = jwledger.Target{Slots: e.Slots, Memory: e.Capacity}
 		s.stride = max(e.Stride, 1)
 	}
+	return shortestGoal(c, service)
 }
 
 // shortestGoal returns the shortest goal of the entries that a service runs, 0 if there is none.
@@ -121,6 +122,7 @@
 // shortestWait returns the wait at the best targets that this region's requests may be sent to.
 func (g *Gateway) shortestWait(now time.Time, service string) time.Duration {
 	wait, known := g.targets.Wait(now, service)
+	wait += g.serviceRoomWait(service)
 	for region, slots := range g.targets.Regions(service) {
 		if region == g.Settings.Region || slots == 0 {
 			continue
@@ -206,7 +208,8 @@
 // rejectedForRoom reports whether the request was last rejected because targets had no room for it.
 func (q *request) rejectedForRoom() bool {
 	switch q.lastReason {
-	case string(jwadmission.Queue), string(jwadmission.Deadline), noTarget, atLimit, refusedByTarget:
+	case string(jwadmission.Queue), string(jwadmission.Deadline), noTarget, atLimit, refusedByTarget,
+		string(jwwaitroom.Expired), string(jwwaitroom.Displaced), string(jwwaitroom.Full):
 		return true
 	}
 	return strings.HasPrefix(q.lastReason, refusedByNode)
--- a/io/jwgateway/waitroom.go
+++ b/io/jwgateway/waitroom.go
@@ -92,7 +92,7 @@
 		return c, ok, false
 	}
 	if q.turn == nil {
-		if ahead, _ := g.room.Ahead(q.service, q.priority, 0); ahead > 0 {
+		if ahead, _ := g.room.Ahead(q.service, g.rank(q), 0); ahead > 0 {
 			return c, false, true
 		}
 	}
@@ -111,9 +111,9 @@
 func (g *Gateway) awaitTurn(ctx context.Context, q *request) jwwaitroom.Reason {
 	now := time.Now()
 	if q.turn == nil {
-		ahead, _ := g.room.Ahead(q.service, q.priority, 0)
+		ahead, _ := g.room.Ahead(q.service, g.rank(q), 0)
 		ticket, reason := g.room.Enter(now, jwwaitroom.Request{
-			Service: q.service, Priority: q.priority, LatestStart: g.latestStart(q), Bytes: int64(len(q.body.buffered)) + waitingOverhead,
+			Service: q.service, Priority: g.rank(q), LatestStart: g.latestStart(q), Bytes: int64(len(q.body.buffered)) + waitingOverhead,
 		})
 		if reason != jwwaitroom.None {
 			g.metrics.room.drop(reason)
@@ -167,7 +167,7 @@
 	now := time.Now()
 	g.room.Leave(now, t.ticket, outcome == waitPlaced)
 	waited := now.Sub(t.since)
-	g.metrics.room.recordWait(q.priority, waited)
+	g.metrics.room.recordWait(g.rank(q), waited)
 	d := q.newDecision(stepWait)
 	d.Outcome, d.Waited, d.Waiting, d.Prompt = outcome, waited, t.ahead, q.Prompt.Tokens
 	d.LoadAge, _ = g.targets.RoomAge(now)
@@ -186,7 +186,7 @@
 	if reason == jwwaitroom.Stopping {
 		return stopRetryAfter
 	}
-	_, wait := g.room.Ahead(q.service, q.priority, 0)
+	_, wait := g.room.Ahead(q.service, g.rank(q), 0)
 	return min(max(wait-q.entry.Goal/2, jwadmission.MinRetryAfter), jwadmission.MaxRetryAfter)
 }
 
@@ -195,7 +195,7 @@
 	if q.turn != nil || !g.waitsForRoom(q) {
 		return 0
 	}
-	_, wait := g.room.Ahead(q.service, q.priority, 0)
+	_, wait := g.room.Ahead(q.service, g.rank(q), 0)
 	return wait
 }
 
