jwpeer: an update is of one state of a node only

TestLinksBetweenNodes failed once beside load: nodes waited 20 s for each other to serve. The cause is in the product. An update carries a node's sequence and revision and named the node and its incarnation only. If the digest with a new state was lost and a later heartbeat came first, the receiver gave the old state (joining) the new sequence, asked for everything again, and then ignored the complete state as not newer: it took a serving node for joining for ever. The ID of an update now covers all that it does not carry, so such an update is of an unknown state and changes nothing.

Ruled out: the catalogue (all nodes had the revision), the nodes' own state (all served).

While nodes of both versions run, they don't know each other's updates and send complete states instead.

--- a/core/jwpeer/stateupdate.go
+++ b/core/jwpeer/stateupdate.go
@@ -1,6 +1,7 @@
 package jwpeer
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,15 +11,21 @@
 // peer. Most updates only report that a node is alive or has a change in force, and a
 // StateUpdate is a tenth of the size of a complete Peer.
 type StateUpdate struct {
-	ID           uint64 // hash of the name and the incarnation of the peer
+	ID           uint64 // hash of the part of the peer's state that the update doesn't carry
 	Sequence     uint64
 	Revision     uint64
 	OldestChange uint64
 	Age          time.Duration
 }
 
-// hashUpdateID returns the ID of the updates of a peer.
-func hashUpdateID(p Peer) uint64 { return xxhash.Sum64String(p.Name + "\x00" + p.Incarnation) }
+// hashUpdateID returns the ID of the updates of a peer. It covers all that equalExceptUpdate
+// compares: a receiver that missed the last complete state must not combine an older one with
+// the sequence of the update, or it would ignore the complete state when it is sent again.
+func hashUpdateID(p Peer) uint64 {
+	return xxhash.Sum64String(strings.Join([]string{
+		p.Name, p.Incarnation, string(p.State), p.Region, p.DataCentre, p.CallerAddress.String(), p.NodeAddress.String(),
+	}, "\x00"))
+}
 
 // heartbeatIntervalPerNode is the time that each node of a group adds to the
 // heartbeat interval, so that all heartbeats together stay within a node's budget
