jwadmission: pressure does not depend on how many requests a node gets

A moving average by request that also fades with time stays lower the fewer requests a node gets: at 7 a second it showed a third of the wait. The waits and their number are now summed with the same fading, with one request without any wait. The share counts once in place of twice.

--- a/core/jwadmission/admission.go
+++ b/core/jwadmission/admission.go
@@ -8,9 +8,6 @@
 	// the others in time. The time to read the request's own prompt doesn't count: a long
 	// prompt is late because of its length, not because of a queue, and retrying doesn't help.
 	MaxQueueShare = 1.2
-	// pressureFactor is by how much of MaxQueueShare a request may wait less for each share of their
-	// goal that more urgent ones wait: if these wait half of it, the others must not wait at all.
-	pressureFactor = 2
 	// MinRetryAfter is the minimum Retry-After of a rejected request.
 	MinRetryAfter = 300 * time.Millisecond
 	// MaxRetryAfter is the maximum Retry-After of a rejected request: callers honour a
@@ -83,7 +80,8 @@
 
 // decideUnderOverload accepts a request that can end before its deadline, whose caller stays until
 // its first event, and that need not wait too long behind others. The longer more urgent requests
-// wait, the shorter it may: less urgent ones yield first, whichever has the shorter goal.
+// wait, the shorter it may, and not at all if these wait for as long as their goal: less urgent ones
+// yield first, whichever has the shorter goal.
 func (p Policy) decideUnderOverload(r Request, o Overload) Decision {
 	late := r.Expected+o.Rest > r.TimeLeft || o.Patience > 0 && r.Expected > o.Patience
 	if !p.IgnoreDeadline && late {
@@ -92,7 +90,7 @@
 	if p.IgnoreQueue || r.Goal == 0 {
 		return Decision{}
 	}
-	maxQueue := time.Duration(MaxQueueShare * max(1-pressureFactor*o.Pressure, 0) * float64(r.Goal))
+	maxQueue := time.Duration(MaxQueueShare * max(1-o.Pressure, 0) * float64(r.Goal))
 	if r.Expected-r.OwnReadTime > maxQueue {
 		return Decision{Queue, retryAfter(r)}
 	}
--- a/core/jwadmission/pressure.go
+++ b/core/jwadmission/pressure.go
@@ -9,8 +9,9 @@
 const (
 	// pressureDecay is the time constant with which the wait of a request loses its weight.
 	pressureDecay = 500 * time.Millisecond
-	// pressureWeight is the weight of a request in the moving average.
-	pressureWeight = 0.1
+	// noPressureWeight is the number of requests without any wait that count in each average, so that
+	// a single one does not make others wait.
+	noPressureWeight = 1.0
 	// maxPressureSample bounds the share of its goal that one request counts with.
 	maxPressureSample = 2.0
 	// ranks is the number of ranks that are told apart; higher ones count as the last.
@@ -24,10 +25,11 @@
 	services map[string]*[ranks]pressure
 }
 
-// pressure is the moving average of the waits as shares of the goals.
+// pressure is the moving average of the waits as shares of the goals. It does not depend on how many
+// requests a node gets.
 type pressure struct {
-	share float64
-	at    time.Time
+	sum, count float64
+	at         time.Time
 }
 
 // Observe records that a request is expected to wait for d behind others. Rank 0 is the most urgent.
@@ -47,8 +49,8 @@
 	}
 	sample := min(float64(max(d, 0))/float64(goal), maxPressureSample)
 	x := &list[clampRank(rank)]
-	share := x.decayed(now)
-	*x = pressure{share + pressureWeight*(sample-share), now}
+	fade := x.fade(now)
+	*x = pressure{x.sum*fade + sample, x.count*fade + 1, now}
 }
 
 // Of returns the longest wait, as a share of the goal, of the requests of a service that are more
@@ -62,17 +64,17 @@
 	}
 	share := 0.0
 	for _, x := range list[:clampRank(rank)] {
-		share = max(share, x.decayed(now))
+		share = max(share, x.fade(now)*x.sum/(x.count+noPressureWeight))
 	}
 	return share
 }
 
-// decayed returns the average at a later time.
-func (p pressure) decayed(now time.Time) float64 {
-	if p.share == 0 {
+// fade returns the weight that the requests so far still have.
+func (p pressure) fade(now time.Time) float64 {
+	if p.count == 0 {
 		return 0
 	}
-	return p.share * math.Exp(-float64(max(now.Sub(p.at), 0))/float64(pressureDecay))
+	return math.Exp(-float64(max(now.Sub(p.at), 0)) / float64(pressureDecay))
 }
 
 func clampRank(rank int) int { return min(max(rank, 0), ranks-1) }
