--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -71,6 +71,7 @@
 	Load          LoadBand       // band in which Error was measured
 	LoadAge       time.Duration  // age of the last load report of the target, 0 without one
 	Rest          time.Duration  // expected time from the first event to the end of the answer
+	Events        int            // maximum number of events of the answer
 	Gap           time.Duration  // expected time between two events
 	OwnReadTime   time.Duration  // the part of Expected that reading the request's own prompt takes
 	Cost          time.Duration  // Expected plus penalties and the weighted delay of later events, its own and those of others
@@ -232,6 +233,7 @@
 	if choice.Target == nil {
 		return choice, false
 	}
+	choice.Events = n.Events
 	choice.Gap = choice.Target.estimatedGap(now)
 	choice.Rest = stats.rest(n.Events, choice.Gap)
 	choice.Load = bandOf(max(choice.Target.Slots, 1), choice.CallsAhead)
--- a/core/jwinstance/estimate.go
+++ b/core/jwinstance/estimate.go
@@ -82,7 +82,7 @@
 	}
 	s := t.stats[service]
 	if s == nil {
-		s = &serviceStats{plainLatency: initialPlainLatency, slotTime: initialSlotTime, restRatio: 1}
+		s = &serviceStats{plainLatency: initialPlainLatency, slotTime: initialSlotTime}
 		t.stats[service] = s
 	}
 	return s
--- a/core/jwinstance/loadreport_test.go
+++ b/core/jwinstance/loadreport_test.go
@@ -139,6 +139,8 @@
 	assert.Equal(t, c.Load, LoadLow)
 	assert.Assert(t, c.Error > 18*time.Millisecond && c.Error < 22*time.Millisecond, "%s", c.Error)
 	assert.Assert(t, c.Rest > 900*time.Millisecond && c.Rest < 1100*time.Millisecond, "%s", c.Rest)
+	c, _ = table.Peek(at, Need{Service: "s", Prompt: n.Prompt, Events: 10, ByPriority: true})
+	assert.Equal(t, c.Rest, 10*c.Gap, "shorter answers have not been measured")
 	assert.Equal(t, table.statsOf("s").errorOf(LoadQueued), initialError)
 	assert.Equal(t, bandOf(4, 2), LoadHigh)
 	assert.Equal(t, bandOf(4, 4), LoadQueued)
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -20,11 +20,11 @@
 
 // serviceStats holds the measurements of the calls to a service.
 type serviceStats struct {
-	engine       bool                       // whether its requests have prompts
-	firstEvent   latencyModel               // wait for the first event of an engine
-	plainLatency time.Duration              // of a call to a plain service
-	slotTime     time.Duration              // time that a call occupies a slot of an engine
-	restRatio    float64                    // time from the first event to the end, relative to the maximum number of events
+	engine       bool          // whether its requests have prompts
+	firstEvent   latencyModel  // wait for the first event of an engine
+	plainLatency time.Duration // of a call to a plain service
+	slotTime     time.Duration // time that a call occupies a slot of an engine
+	restRatios   restRatios
 	errors       map[LoadBand]time.Duration // mean absolute errors of the expected first event
 	latePauses   latePauses
 	meanPrompt   float64 // mean length of the prompts sent, in tokens
