jwwaitroom: one turn at a time

Now the next one gets its turn when the first has found no target; events meanwhile start again from the first. The Retry-After of a request that was given up is at least its goal.

--- a/core/jwwaitroom/room.go
+++ b/core/jwwaitroom/room.go
@@ -56,6 +56,9 @@
 // service holds the waiting requests of one service.
 type service struct {
 	queue     []*Ticket // ordered by before
+	current   *Ticket   // has its turn, nil if none
+	turns     int       // how many requests may still get a turn, one after another, if none finds a target
+	again     int       // the same from the first on, after current has handed back its turn
 	lastStart time.Time // when a request last left the queue for a target, zero if the queue was empty since
 	interval  time.Duration
 }
@@ -208,8 +211,8 @@
 	r.expire(now)
 }
 
-// Offer gives up to n requests of a service their turn, in order. It is called when targets may
-// have got room. Requests that have their turn already are passed over and count.
+// Offer gives requests of a service their turn, one after another and in order, until one finds no
+// target for n times. It is called when targets may have got room.
 func (r *Room) Offer(now time.Time, service string, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -219,19 +222,39 @@
 }
 
 func (r *Room) offer(now time.Time, s *service, n int) {
-	for i := 0; i < len(s.queue) && n > 0; {
+	if s.current != nil {
+		s.again = max(s.again, n) // it may have looked for a target before there was room
+		return
+	}
+	s.turns = n
+	r.offerFrom(now, s, 0)
+}
+
+// offerFrom gives the next request its turn, from an index of the queue on.
+func (r *Room) offerFrom(now time.Time, s *service, i int) {
+	for i < len(s.queue) {
 		t := s.queue[i]
-		if !t.offered && !now.Before(t.LatestStart) {
-			r.drop(t, Expired)
-			continue
-		}
-		if !t.offered {
-			t.offered = true
+		if now.Before(t.LatestStart) {
+			s.current, t.offered = t, true
 			t.signal <- None
+			return
 		}
-		n--
-		i++
+		r.drop(t, Expired)
+	}
+}
+
+// endTurn ends the turn of a ticket, if it has it, and starts those that were asked for meanwhile.
+func (r *Room) endTurn(now time.Time, s *service, t *Ticket) (ended bool) {
+	t.offered = false
+	if s == nil || s.current != t {
+		return false
+	}
+	s.current = nil
+	if n := s.again; n > 0 {
+		s.again = 0
+		r.offer(now, s, n)
 	}
+	return true
 }
 
 // OfferAll is Offer for each service.
@@ -243,35 +266,46 @@
 	}
 }
 
-// Return hands back a turn for which no target was found: the request keeps its place. It returns
-// a reason if the request no longer waits.
+// Return hands back a turn for which no target was found: the request keeps its place, and the next
+// one may get its turn. It returns a reason if the request no longer waits.
 func (r *Room) Return(now time.Time, t *Ticket) Reason {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.offered = false
-	if !t.waiting {
-		select {
-		case reason := <-t.signal:
-			return reason
-		default:
-			return Displaced
-		}
+	s := r.services[t.Service]
+	next := 0
+	if t.waiting && now.Before(t.LatestStart) {
+		i, _ := slices.BinarySearchFunc(s.queue, t, compare)
+		next = i + 1
 	}
-	if !now.Before(t.LatestStart) {
+	waiting := t.waiting
+	if waiting && next == 0 {
 		r.take(t)
+	}
+	if r.endTurn(now, s, t) && s.current == nil {
+		if s.turns--; s.turns > 0 {
+			r.offerFrom(now, s, next)
+		}
+	}
+	switch {
+	case waiting && next > 0:
+		return None
+	case waiting:
 		return Expired
 	}
-	return None
+	select {
+	case reason := <-t.signal:
+		return reason
+	default:
+		return Displaced
+	}
 }
 
 // Leave removes a request from the room, whether it found a target or was given up. It may be
-// called more than once. If it found a target, the next one gets its turn, as there may be room for
-// it too.
+// called more than once. The next one gets its turn if this one had it: if it found a target, there
+// may be room for more.
 func (r *Room) Leave(now time.Time, t *Ticket, started bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	hadTurn := t.offered
-	t.offered = false
 	if t.waiting {
 		r.take(t)
 	}
@@ -282,8 +316,8 @@
 	if started {
 		s.recordStart(now)
 	}
-	if started || hadTurn {
-		r.offer(now, s, 1)
+	if r.endTurn(now, s, t) && s.current == nil {
+		r.offer(now, s, max(s.turns, 1))
 	}
 }
 
--- a/core/jwwaitroom/room_test.go
+++ b/core/jwwaitroom/room_test.go
@@ -133,6 +133,26 @@
 	assert.Equal(t, r.Load().Requests, 0)
 }
 
+// A turn for a request that finds no target passes on to the next ones, but never before that one
+// has looked: a less urgent request would take the last slot.
+func TestTurnsGoOneByOne(t *testing.T) {
+	r := &Room{MaxRequests: 9, MaxBytes: 9}
+	var tickets []*Ticket
+	for i := range 4 {
+		ticket, _ := r.Enter(start, Request{Priority: i, LatestStart: at(99)})
+		tickets = append(tickets, ticket)
+	}
+	r.Offer(start, "", 2)
+	r.Offer(start, "", 2) // while the first has its turn
+	assert.DeepEqual(t, turns(tickets), []int{0})
+	r.Return(start, tickets[0])
+	assert.DeepEqual(t, turns(tickets), []int{0}) // there may be room since it looked
+	r.Return(start, tickets[0])
+	assert.DeepEqual(t, turns(tickets), []int{1})
+	r.Return(start, tickets[1])
+	assert.Assert(t, turns(tickets) == nil)
+}
+
 // A request that is dropped while it has its turn must learn of it when it hands the turn back.
 func TestDroppedDuringItsTurn(t *testing.T) {
 	r := &Room{MaxRequests: 9, MaxBytes: 9}
@@ -280,6 +300,10 @@
 				r.Offer(start, "", 1)
 				<-x.Signal()
 				r.Leave(start, x, false)
+				if next := r.services[""].current; next != nil {
+					<-next.Signal()
+					r.Return(start, next)
+				}
 				r.Ahead("", 0, 0)
 			}
 		})
--- a/io/jwgateway/waitroom.go
+++ b/io/jwgateway/waitroom.go
@@ -178,7 +178,8 @@
 	g.Decisions.Write(&d)
 }
 
-// roomRetryAfter returns the Retry-After of a request that the room has not taken or has dropped.
+// roomRetryAfter returns the Retry-After of a request that the room has not taken or has dropped: the
+// expected wait, and at least the goal, as the queue it could not outwait is not gone before.
 func (g *Gateway) roomRetryAfter(q *request, reason jwwaitroom.Reason) time.Duration {
 	if q.turn != nil {
 		g.metrics.room.drop(reason)
@@ -187,7 +188,7 @@
 		return stopRetryAfter
 	}
 	_, wait := g.room.Ahead(q.service, q.priority, 0)
-	return min(max(wait-q.entry.Goal/2, jwadmission.MinRetryAfter), jwadmission.MaxRetryAfter)
+	return min(max(wait, q.entry.Goal, jwadmission.MinRetryAfter), jwadmission.MaxRetryAfter)
 }
 
 // roomWait returns how long a request is expected to wait in the room.
