jwinstance: the length of answers is estimated from measurements only

Cause: the time between two events returned to 40 ms without traffic, and the ratio of actual to maximum lengths kept its last value, so requests that fit were rejected, and as none was accepted neither estimate was corrected. Change: each service has a mean gap that stays; the ratio returns to 1 with a time constant of 30 s and is unknown after 60 s; Rest is 0 while the gap or the ratio is unknown. TestErrorAndLengthAreLearned records the gap of 40 ms that it had taken from the initial value. Result: with a gap of 10 ms and 1000 events Rest stays 10 s after 2 s idle, and it is 0 at a node that has measured nothing.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -71,7 +71,7 @@
 	Error         time.Duration  // mean absolute error of such estimates
 	Load          LoadBand       // band in which Error was measured
 	LoadAge       time.Duration  // age of the last load report of the target, 0 without one
-	Rest          time.Duration  // expected time from the first event to the end of the answer
+	Rest          time.Duration  // expected time from the first event to the end of the answer, 0 while not known
 	Gap           time.Duration  // expected time between two events
 	OwnReadTime   time.Duration  // the part of Expected that reading the request's own prompt takes
 	Cost          time.Duration  // Expected plus penalties and the weighted delay of later events, its own and those of others
@@ -86,6 +86,7 @@
 	CallsAhead    int            // of TotalCalls, those that get a slot before the request
 	ByPriority    bool           // see Need.ByPriority
 	Age           time.Duration  // time since the registration of the target was last read
+	maxRest       time.Duration  // the same for the maximum number of events
 	sentAt        time.Time
 }
 
@@ -245,7 +246,10 @@
 		return choice, false
 	}
 	choice.Gap = choice.Target.estimatedGap(now)
-	choice.Rest = stats.rest(n.Events, choice.Gap)
+	if stats.gap > 0 {
+		choice.maxRest = time.Duration(n.Events) * choice.Target.gapOr(now, stats.gap)
+	}
+	choice.Rest = time.Duration(stats.restRatioAt(now) * float64(choice.maxRest))
 	choice.Load = bandOf(max(choice.Target.Slots, 1), choice.CallsAhead)
 	choice.Error = stats.errorOf(choice.Load)
 	return choice, true
--- a/core/jwinstance/estimate.go
+++ b/core/jwinstance/estimate.go
@@ -60,19 +60,22 @@
 
 // estimatedGap returns the estimated time between two events: the latest measurement, which returns
 // to initialGap as it gets older.
-func (x *Target) estimatedGap(now time.Time) time.Duration {
+func (x *Target) estimatedGap(now time.Time) time.Duration { return x.gapOr(now, initialGap) }
+
+// gapOr is like estimatedGap for another time to which the estimate returns.
+func (x *Target) gapOr(now time.Time, usual time.Duration) time.Duration {
 	gap, at := x.gap, x.gapAt
 	if x.reportedGapAt.After(at) {
 		gap, at = x.reportedGap, x.reportedGapAt
 	}
 	if at.IsZero() {
-		return initialGap
+		return usual
 	}
 	if now.Sub(at) > 8*gapDecay {
-		return initialGap
+		return usual
 	}
 	fade := math.Exp(-float64(now.Sub(at)) / float64(gapDecay))
-	return initialGap + time.Duration(fade*float64(gap-initialGap))
+	return usual + time.Duration(fade*float64(gap-usual))
 }
 
 // statsOf returns the measurements of a service, with initial values if there are none.
@@ -82,7 +85,7 @@
 	}
 	s := t.stats[service]
 	if s == nil {
-		s = &serviceStats{plainLatency: initialPlainLatency, slotTime: initialSlotTime, restRatio: 1}
+		s = &serviceStats{plainLatency: initialPlainLatency, slotTime: initialSlotTime}
 		t.stats[service] = s
 	}
 	return s
--- a/core/jwinstance/estimateerror.go
+++ b/core/jwinstance/estimateerror.go
@@ -1,6 +1,9 @@
 package jwinstance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // LoadBand says how busy a target is, to tell estimates for idle and for full targets apart.
 type LoadBand string
@@ -30,6 +33,14 @@
 	initialError = 50 * time.Millisecond
 	// restWeight is the weight of an answer in the ratio of actual to maximum lengths.
 	restWeight = 0.02
+	// maxRestWeight bounds the weight of an answer after a time without any.
+	maxRestWeight = 0.2
+	// restDecay is the time constant with which the ratio returns to 1 without further answers, and
+	// maxRestAge is how long it counts at all.
+	restDecay  = 30 * time.Second
+	maxRestAge = 2 * restDecay
+	// serviceGapWeight is the weight of a pause between two events in the mean of the service.
+	serviceGapWeight = 0.01
 	// maxRestRatio bounds a sample, as a single stall does not make answers longer.
 	maxRestRatio = 3.0
 )
@@ -51,23 +62,50 @@
 	s.errors[b] = mean + time.Duration(errorWeight*float64(d.Abs()-mean))
 }
 
-// rest returns the expected time from the first event to the end of an answer with at most the
-// given number of events: answers are shorter than their callers allow.
-func (s *serviceStats) rest(events int, gap time.Duration) time.Duration {
-	return time.Duration(s.restRatio * float64(events) * float64(gap))
+// restRatioAt returns the expected ratio of actual to maximum lengths. Without further answers it
+// returns to 1, and it is not known, so 0, once too much time has passed: requests that were rejected
+// because of it could not correct it.
+func (s *serviceStats) restRatioAt(now time.Time) float64 {
+	age := max(now.Sub(s.restAt), 0)
+	if s.restAt.IsZero() || age > maxRestAge {
+		return 0
+	}
+	return 1 + math.Exp(-float64(age)/float64(restDecay))*(s.restRatio-1)
+}
+
+// observeRest records the ratio of an answer's length to its maximum. The longer no answer has been
+// seen, the more it counts.
+func (s *serviceStats) observeRest(now time.Time, ratio float64) {
+	old := 1 - restWeight
+	if s.restAt.IsZero() {
+		old = 0
+	}
+	old *= math.Exp(-float64(max(now.Sub(s.restAt), 0)) / float64(restDecay))
+	weight := min(1-old, maxRestWeight)
+	s.restRatio = old*s.restRatio + weight*min(ratio, maxRestRatio) + (1 - old - weight)
+	s.restAt = now
+}
+
+// observeGap records a time between two events at a target of the service.
+func (s *serviceStats) observeGap(d time.Duration) {
+	if s.gap == 0 {
+		s.gap = d
+	}
+	s.gap += time.Duration(serviceGapWeight * float64(d-s.gap))
 }
 
 // RecordEnd records that an answer was complete, rest after its first event, and its longest pause.
-func (t *Table) RecordEnd(x *Target, c Choice, gapGoal, rest, pause time.Duration) {
+func (t *Table) RecordEnd(now time.Time, x *Target, c Choice, gapGoal, rest, pause time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c.Rest <= 0 || !c.ByPriority {
+	if !c.ByPriority {
 		return
 	}
 	s := t.statsOf(x.Service)
 	if gapGoal > 0 {
 		s.latePauses.observe(c.Gap, gapGoal, pause)
 	}
-	ratio := min(float64(rest)*s.restRatio/float64(c.Rest), maxRestRatio)
-	s.restRatio += restWeight * (ratio - s.restRatio)
+	if c.maxRest > 0 {
+		s.observeRest(now, float64(rest)/float64(c.maxRest))
+	}
 }
--- /dev/null
+++ b/core/jwinstance/estimateerror_test.go
@@ -0,0 +1,58 @@
+package jwinstance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// While the gap or the length of answers is not known, requests must not be rejected because of it,
+// as none would be accepted that could correct the estimate.
+func TestRestIsKnownOnlyIfMeasured(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Put(t0, instance("a"))
+	x := table.targets["a"]
+	n := Need{Service: "s", Prompt: Prompt{Tokens: 100}, Events: 1000, ByPriority: true}
+	peek := func(now time.Time) Choice {
+		c, ok := table.Peek(now, n)
+		assert.Assert(t, ok)
+		return c
+	}
+	assert.Equal(t, peek(t0).Rest, time.Duration(0))
+	table.RecordEvents(t0, x, 1, 10*time.Millisecond)
+	assert.Equal(t, peek(t0).Rest, time.Duration(0), "no answer has ended")
+	table.RecordEnd(t0, x, peek(t0), 0, 10*time.Second, 0)
+	assert.Equal(t, peek(t0).Rest, 10*time.Second)
+	assert.Equal(t, peek(after(2000)).Rest, 10*time.Second, "a gap doesn't grow without traffic")
+	assert.Equal(t, peek(t0.Add(time.Hour)).Rest, time.Duration(0))
+	n.Service = "other"
+	_, ok := table.Peek(t0, n)
+	assert.Assert(t, !ok)
+}
+
+// A stall makes answers longer for a while only.
+func TestRestReturnsToTheMaximum(t *testing.T) {
+	var s serviceStats
+	for i := range 400 {
+		s.observeRest(after(100*i), 9)
+	}
+	last := after(100 * 399)
+	assert.Assert(t, s.restRatioAt(last) > 2.9 && s.restRatioAt(last) <= maxRestRatio)
+	assert.Assert(t, s.restRatioAt(last.Add(restDecay)) < 1.8)
+	assert.Equal(t, s.restRatioAt(last.Add(time.Hour)), 0.0)
+	assert.Assert(t, s.restRatioAt(t0.Add(-time.Hour)) <= maxRestRatio, "the clock was set back")
+	s.observeRest(last.Add(time.Hour), 0.5)
+	assert.Assert(t, s.restRatioAt(last.Add(time.Hour)) < 1)
+}
+
+// A node that has just started takes the gap from the others.
+func TestReportedGapIsTheFirstOne(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Put(t0, instance("a"))
+	table.Merge(t0, "n2", []NodeLoad{{Target: "a", Gap: 12}}, nil)
+	assert.Equal(t, table.statsOf("s").gap, 12*time.Millisecond)
+	table.RecordEvents(t0, table.targets["a"], 1, 12*time.Millisecond)
+	table.Merge(t0, "n2", []NodeLoad{{Target: "a", Gap: 500}}, nil)
+	assert.Equal(t, table.statsOf("s").gap, 12*time.Millisecond)
+}
--- a/core/jwinstance/loadreport_test.go
+++ b/core/jwinstance/loadreport_test.go
@@ -131,7 +131,8 @@
 	for range 400 {
 		c, _ := table.Best(at, n)
 		table.RecordFirstEvent(c.Target, c, n.Prompt, c.Expected+20*time.Millisecond)
-		table.RecordEnd(c.Target, c, 0, time.Second, 0)
+		table.RecordEvents(at, c.Target, 1, 40*time.Millisecond)
+		table.RecordEnd(at, c.Target, c, 0, time.Second, 0)
 		at = at.Add(time.Second)
 		table.Done(at, c.Target, c, 20*time.Millisecond)
 	}
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -25,7 +25,9 @@
 	plainLatency time.Duration              // of a call to a plain service
 	slotTime     time.Duration              // time that a call occupies a slot of an engine
 	calls        int                        // of this node in flight
+	gap          time.Duration              // mean time between two events, 0 until measured
 	restRatio    float64                    // time from the first event to the end, relative to the maximum number of events
+	restAt       time.Time                  // when restRatio was last measured
 	errors       map[LoadBand]time.Duration // mean absolute errors of the expected first event
 	latePauses   latePauses
 	meanPrompt   float64 // mean length of the prompts sent, in tokens
@@ -79,6 +81,7 @@
 	}
 	x.gap += time.Duration(gapWeight * float64(d-x.gap))
 	x.gapAt = now
+	t.statsOf(x.Service).observeGap(d)
 }
 
 // Done records the end of a call. The parameter first is the wait that was given to
--- a/core/jwinstance/pauses_test.go
+++ b/core/jwinstance/pauses_test.go
@@ -27,9 +27,9 @@
 		table.RecordEvents(now, reading, 1, 150*time.Millisecond)
 		table.RecordEvents(now, idle, 1, 20*time.Millisecond)
 		c, _ := table.Peek(now, only("b"))
-		table.RecordEnd(reading, c, n.GapGoal, time.Second, 500*time.Millisecond)
+		table.RecordEnd(now, reading, c, n.GapGoal, time.Second, 500*time.Millisecond)
 		c, _ = table.Peek(now, only("a"))
-		table.RecordEnd(idle, c, n.GapGoal, time.Second, 50*time.Millisecond)
+		table.RecordEnd(now, idle, c, n.GapGoal, time.Second, 50*time.Millisecond)
 	}
 	now := after(1000)
 	table.Merge(now, "n2", []NodeLoad{{Target: "b", Calls: 3, Unread: countsByPriority{10_000}}}, nil)
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -214,6 +214,9 @@
 		x.observePace(now.Add(-time.Duration(l.PaceAge)*time.Millisecond), float64(l.Pace)/100)
 		if l.Gap > 0 {
 			x.reportedGap, x.reportedGapAt = time.Duration(l.Gap)*time.Millisecond, now
+			if s := t.statsOf(x.Service); s.gap == 0 {
+				s.gap = x.reportedGap
+			}
 		}
 		report.loads = append(report.loads, targetLoad{x, l})
 	}
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -68,7 +68,7 @@
 	if verdict == finished && status < http.StatusInternalServerError {
 		g.targets.Served(x)
 		if !p.last.IsZero() {
-			g.targets.RecordEnd(x, c, q.entry.GapGoal, p.last.Sub(start)-p.first, p.pause)
+			g.targets.RecordEnd(p.last, x, c, q.entry.GapGoal, p.last.Sub(start)-p.first, p.pause)
 		}
 	}
 	if verdict == broken && ctx.Err() == nil {
