jwadmission, jwinstance, jwgateway: pressure counts the time behind others only

Cause: the wait that pressure was measured by and that it limits contained the base, what running calls add, and the round trip to another region, so an idle fleet with a base of 40 ms and goals of 100 ms rejected all less urgent requests. Change: choices and options have the time that earlier work takes: tokens ahead, the wait for a slot and the wait in the room. The limit without pressure stays.

--- a/core/jwadmission/admission.go
+++ b/core/jwadmission/admission.go
@@ -31,6 +31,7 @@
 
 // Overload is the input of a decision under overload control.
 type Overload struct {
+	Queue    time.Duration // part of Expected that the work before the request takes
 	Rest     time.Duration // expected time from the first event to the end of the answer
 	Patience time.Duration // until the caller leaves without a first event; 0 if not known
 	Pressure float64       // see Pressure.Of
@@ -83,7 +84,7 @@
 
 // decideUnderOverload accepts a request that can end before its deadline, whose caller stays until
 // its first event, and that need not wait too long behind others. The longer more urgent requests
-// wait, the shorter it may: less urgent ones yield first, whichever has the shorter goal.
+// wait, the shorter it may queue: less urgent ones yield first, whichever has the shorter goal.
 func (p Policy) decideUnderOverload(r Request, o Overload) Decision {
 	late := r.Expected+o.Rest > r.TimeLeft || o.Patience > 0 && r.Expected > o.Patience
 	if !p.IgnoreDeadline && late {
@@ -93,7 +94,7 @@
 		return Decision{}
 	}
 	maxQueue := time.Duration(MaxQueueShare * max(1-pressureFactor*o.Pressure, 0) * float64(r.Goal))
-	if r.Expected-r.OwnReadTime > maxQueue {
+	if r.Expected-r.OwnReadTime > time.Duration(MaxQueueShare*float64(r.Goal)) || o.Queue > maxQueue {
 		return Decision{Queue, retryAfter(r)}
 	}
 	return Decision{}
--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -73,6 +73,7 @@
 	LoadAge       time.Duration  // age of the last load report of the target, 0 without one
 	Rest          time.Duration  // expected time from the first event to the end of the answer, 0 while not known
 	Gap           time.Duration  // expected time between two events
+	Queue         time.Duration  // the part of Expected that the work before the request takes
 	OwnReadTime   time.Duration  // the part of Expected that reading the request's own prompt takes
 	Cost          time.Duration  // Expected plus penalties and the weighted delay of later events, its own and those of others
 	MissTokens    int            // prompt tokens that the target has to read or, weighted, to fetch
@@ -188,6 +189,14 @@
 	return t.statsOf(service).firstEvent.readTime(ahead, own)
 }
 
+// Queue returns the part of a wait for the first event of a request without a prompt that the work
+// before it takes.
+func (t *Table) Queue(service string, wait time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(wait-t.statsOf(service).firstEvent.predict(0, 0), 0)
+}
+
 // MissIn returns an estimate of the prompt tokens that the targets of a region have to read for a
 // request, and the estimated number of usable targets there. Tokens that another target of that
 // region has cached are fetched from it, and count by fetchCostRatio.
@@ -233,10 +242,11 @@
 		l := x.loadFor(n)
 		c.AheadTokens, c.TotalCalls, c.CallsAhead, c.ByPriority = l.unreadAhead, l.calls, l.callsAhead, n.ByPriority
 		c.Expected = stats.expected(x, n, c.MissTokens, l)
+		c.Queue = time.Duration(float64(stats.queue(x, l)) * x.slowdown)
+		c.OwnReadTime = time.Duration(float64(stats.firstEvent.readTime(0, c.MissTokens)) * x.slowdown)
 		if n.ByPriority {
-			c.Expected = time.Duration(float64(c.Expected) * x.expectedPace(now))
+			c.scale(x.expectedPace(now))
 		}
-		c.OwnReadTime = time.Duration(float64(stats.firstEvent.readTime(0, c.MissTokens)) * x.slowdown)
 		c.Cost = fetchCost(n, c) + c.Expected + time.Duration(x.failures)*failurePenalty + stats.streamCost(now, x, n, c.MissTokens, l)
 		if choice.Target == nil || c.Cost < choice.Cost {
 			choice = c
@@ -255,6 +265,13 @@
 	return choice, true
 }
 
+// scale multiplies the times until the first event by a target's pace.
+func (c *Choice) scale(pace float64) {
+	for _, d := range []*time.Duration{&c.Expected, &c.Queue} {
+		*d = time.Duration(float64(*d) * pace)
+	}
+}
+
 // load is the load of a target from all nodes of the region.
 type load struct {
 	calls        int // in flight
--- a/core/jwinstance/estimate.go
+++ b/core/jwinstance/estimate.go
@@ -33,8 +33,18 @@
 // Each running call slows the steps of the batch, and each call ahead beyond the slots waits until
 // another one ends.
 func (s *serviceStats) batchDelay(slots, calls, ahead int) time.Duration {
+	return time.Duration(calls)*runningCallDelay + s.slotWait(slots, ahead)
+}
+
+// slotWait returns the wait for a slot of an engine behind calls ahead.
+func (s *serviceStats) slotWait(slots, ahead int) time.Duration {
 	waiting := max(ahead-slots+1, 0)
-	return time.Duration(calls)*runningCallDelay + time.Duration(waiting)*s.slotTime/time.Duration(slots)
+	return time.Duration(waiting) * s.slotTime / time.Duration(slots)
+}
+
+// queue returns how long an engine works on other calls before it begins with a request.
+func (s *serviceStats) queue(x *Target, l load) time.Duration {
+	return s.firstEvent.readTime(l.unreadAhead, 0) + s.slotWait(max(x.Slots, 1), l.callsAhead)
 }
 
 // streamCost returns the weighted cost besides the wait for the first event: the time between the
--- a/core/jwinstance/estimateerror_test.go
+++ b/core/jwinstance/estimateerror_test.go
@@ -56,3 +56,22 @@
 	table.Merge(t0, "n2", []NodeLoad{{Target: "a", Gap: 500}}, nil)
 	assert.Equal(t, table.statsOf("s").gap, 12*time.Millisecond)
 }
+
+// The queue is what other calls take before a request: not the base, what running calls add to each
+// step, or the request's own prompt.
+func TestQueue(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Put(t0, instance("a"))
+	n := Need{Service: "s", Prompt: Prompt{Tokens: 1000}, Priority: 1, ByPriority: true}
+	peek := func() Choice {
+		c, ok := table.Peek(t0, n)
+		assert.Assert(t, ok)
+		return c
+	}
+	assert.Equal(t, peek().Queue, time.Duration(0))
+	assert.Assert(t, peek().Expected > peek().OwnReadTime)
+	table.Merge(t0, "n2", []NodeLoad{{Target: "a", Calls: 3}}, nil)
+	assert.Equal(t, peek().Queue, time.Duration(0), "there is a free slot")
+	table.Merge(t0, "n2", []NodeLoad{{Target: "a", Calls: 4, Unread: countsByPriority{1000, 0, 1000}}}, nil)
+	assert.Equal(t, peek().Queue, initialPerThousand+initialSlotTime/4)
+}
--- a/core/jwplacement/placement.go
+++ b/core/jwplacement/placement.go
@@ -15,6 +15,7 @@
 	Region      string
 	Known       bool          // it has recently reported how long requests wait
 	Expected    time.Duration // until the first event, including the round trip
+	Queue       time.Duration // part of Expected that the work before the request takes
 	OwnReadTime time.Duration // part of Expected that reading the request's own prompt takes
 	Rest        time.Duration // from the first event to the end of the answer
 	LaterCost   time.Duration // cost beside that of the first event, such as slow later events
--- a/io/jwgateway/admit.go
+++ b/io/jwgateway/admit.go
@@ -26,9 +26,9 @@
 	}
 	if r.HasPrompt && g.controlsOverload(q.service) {
 		rank := g.rank(q)
-		g.pressure.Observe(now, q.service, rank, p.Expected-p.OwnReadTime, q.entry.Goal)
+		g.pressure.Observe(now, q.service, rank, p.Queue, q.entry.Goal)
 		r.Overload = &jwadmission.Overload{
-			Rest: p.Rest, Patience: q.patience(now), Pressure: g.pressure.Of(now, q.service, rank),
+			Queue: p.Queue, Rest: p.Rest, Patience: q.patience(now), Pressure: g.pressure.Of(now, q.service, rank),
 		}
 	}
 	return g.Admission.Decide(r)
--- a/io/jwgateway/balance.go
+++ b/io/jwgateway/balance.go
@@ -210,7 +210,7 @@
 // sharedOption estimates the wait of a request in a region that gets a share.
 func (g *Gateway) sharedOption(now time.Time, s jwbalance.Share, n jwinstance.Need) jwplacement.Option {
 	o := g.regionOption(now, s.Region, n)
-	o.Known, o.Expected = true, g.regions.roundTrip(s.Region)+s.Wait+o.OwnReadTime
+	o.Known, o.Queue, o.Expected = true, s.Wait, g.regions.roundTrip(s.Region)+s.Wait+o.OwnReadTime
 	return o
 }
 
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -36,8 +36,9 @@
 	var here *jwplacement.Option
 	if q.forwarded || q.homes.Allows(g.Settings.Region) {
 		if c, ok := g.targets.Peek(now, n); ok {
+			wait := g.roomWait(q)
 			here = &jwplacement.Option{
-				Region: g.Settings.Region, Known: true, Expected: c.Expected + g.roomWait(q), OwnReadTime: c.OwnReadTime, LaterCost: c.Cost - c.Expected, Rest: c.Rest, MissTokens: c.MissTokens,
+				Region: g.Settings.Region, Known: true, Expected: c.Expected + wait, Queue: c.Queue + wait, OwnReadTime: c.OwnReadTime, LaterCost: c.Cost - c.Expected, Rest: c.Rest, MissTokens: c.MissTokens,
 			}
 		}
 	}
@@ -67,6 +68,7 @@
 		unreported := g.regions.unreportedTokens(region, n.Service) * max(len(g.members.Live(now, g.Settings.Region)), 1)
 		o.OwnReadTime = g.targets.ReadTime(n.Service, 0, miss)
 		o.Expected += g.targets.ReadTime(n.Service, unreported/max(targets, 1), miss)
+		o.Queue = g.targets.Queue(n.Service, w.wait) + g.targets.ReadTime(n.Service, unreported/max(targets, 1), 0)
 	}
 	o.Rest = time.Duration(n.Events) * w.eventGap
 	o.LaterCost = time.Duration(jwinstance.LaterEventWeight * float64(n.Events) * float64(w.eventGap))
