jwinstance: a target's pace scales the time to read the own prompt

Cause: the pace multiplied the expected wait but not the own read time, so at a slow target a long prompt counted as a queue. Change: both are multiplied. Result: at pace 2 both grow by the same factor (test, failed before).

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -267,7 +267,7 @@
 
 // scale multiplies the times until the first event by a target's pace.
 func (c *Choice) scale(pace float64) {
-	for _, d := range []*time.Duration{&c.Expected, &c.Queue} {
+	for _, d := range []*time.Duration{&c.Expected, &c.Queue, &c.OwnReadTime} {
 		*d = time.Duration(float64(*d) * pace)
 	}
 }
--- a/core/jwinstance/estimateerror_test.go
+++ b/core/jwinstance/estimateerror_test.go
@@ -75,3 +75,23 @@
 	table.Merge(t0, "n2", []NodeLoad{{Target: "a", Calls: 4, Unread: countsByPriority{1000, 0, 1000}}}, nil)
 	assert.Equal(t, peek().Queue, initialPerThousand+initialSlotTime/4)
 }
+
+// A slow target reads the request's own prompt more slowly too, which is no queue.
+func TestPaceScalesOwnReadTime(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Put(t0, instance("a"))
+	x := table.targets["a"]
+	n := Need{Service: "s", Prompt: Prompt{Tokens: 50_000}, ByPriority: true}
+	usual, _ := table.Peek(t0, n)
+	for i := range 200 {
+		table.SetLoad(after(i), x, paced(1))
+	}
+	table.SetLoad(after(200), x, paced(2))
+	slow, _ := table.Peek(after(200), n)
+	pace := float64(slow.Expected) / float64(usual.Expected)
+	assert.Assert(t, pace > 1.9, "%f", pace)
+	assert.Assert(t, (slow.OwnReadTime-time.Duration(pace*float64(usual.OwnReadTime))).Abs() < time.Microsecond)
+	n.ByPriority = false
+	same, _ := table.Peek(after(200), n)
+	assert.Equal(t, same.OwnReadTime, usual.OwnReadTime)
+}
