jwinstance, jwgateway: one estimate of the length of answers in other regions

Cause: the end of an answer in another region was estimated as the maximum number of events by the reported gap, without the measured lengths of answers, and with 40 ms while the region reports its initial gap. Change: Table.Rest uses the service's ratio and the region's gap, or the service's mean gap where that is shorter or the region has reported none; both the choice by share and the choice by wait get it from regionOption. Result: 100 events at a reported gap of 10 ms are 1 s in both (test).

--- a/core/jwinstance/estimateerror.go
+++ b/core/jwinstance/estimateerror.go
@@ -73,6 +73,19 @@
 	return 1 + math.Exp(-float64(age)/float64(restDecay))*(s.restRatio-1)
 }
 
+// Rest returns the expected time from the first event to the end of an answer where the time between
+// two events is reported to be gap; 0 while that is not known. Without traffic a region reports
+// an initial value, so the mean that was measured here counts if it is shorter.
+func (t *Table) Rest(now time.Time, n Need, gap time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.statsOf(n.Service)
+	if gap == 0 || s.gap < gap {
+		gap = s.gap
+	}
+	return time.Duration(s.restRatioAt(now) * float64(n.Events) * float64(gap))
+}
+
 // observeRest records the ratio of an answer's length to its maximum. The longer no answer has been
 // seen, the more it counts.
 func (s *serviceStats) observeRest(now time.Time, ratio float64) {
--- a/core/jwinstance/estimateerror_test.go
+++ b/core/jwinstance/estimateerror_test.go
@@ -95,3 +95,23 @@
 	same, _ := table.Peek(after(200), n)
 	assert.Equal(t, same.OwnReadTime, usual.OwnReadTime)
 }
+
+// The end of an answer of another region is estimated by its gap and the lengths of answers seen here.
+func TestRestInAnotherRegion(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Put(t0, instance("a"))
+	n := Need{Service: "s", Prompt: Prompt{Tokens: 100}, Events: 100, ByPriority: true}
+	assert.Equal(t, table.Rest(t0, n, 40*time.Millisecond), time.Duration(0))
+	table.RecordEvents(t0, table.targets["a"], 1, 20*time.Millisecond)
+	c, _ := table.Peek(t0, n)
+	table.RecordEnd(t0, c.Target, c, 0, time.Second, 0)
+	ratio := table.statsOf("s").restRatioAt(t0)
+	assert.Assert(t, ratio > 0.8 && ratio < 1)
+	rest := func(gap float64) time.Duration { return time.Duration(ratio * 100 * gap * float64(time.Millisecond)) }
+	near := func(got, want time.Duration) {
+		assert.Assert(t, (got-want).Abs() < time.Microsecond, "%s, want %s", got, want)
+	}
+	near(table.Rest(t0, n, 10*time.Millisecond), rest(10))
+	near(table.Rest(t0, n, 0), rest(20))
+	near(table.Rest(t0, n, 40*time.Millisecond), rest(20))
+}
--- a/io/jwgateway/admit_test.go
+++ b/io/jwgateway/admit_test.go
@@ -114,6 +114,24 @@
 	assert.Equal(t, g.sharedOption(now, jwbalance.Share{Region: "s", Wait: time.Second}, n).Queue, time.Second)
 }
 
+// A request that can't end in another region is not sent there either, whoever chooses the region.
+func TestRestOfRegions(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	n := g.targetNeed(balanceRequest())
+	n.Events = 100
+	c, ok := g.targets.Peek(now, n)
+	assert.Assert(t, ok)
+	g.targets.RecordEvents(now, c.Target, 1, 30*time.Millisecond)
+	c, _ = g.targets.Peek(now, n)
+	g.targets.RecordEnd(now, c.Target, c, 0, 3*time.Second, 0)
+	share := jwbalance.Share{Region: "s"}
+	assert.Equal(t, g.sharedOption(now, share, n).Rest, 3*time.Second)
+	g.regions.merge(now, state{Member: jwmember.Member{Region: "s"}, Waits: map[string]int64{"v": 15}, Gaps: map[string]int64{"v": 10}})
+	assert.Equal(t, g.regionOption(now, "s", n).Rest, time.Second)
+	assert.Equal(t, g.sharedOption(now, share, n).Rest, time.Second)
+}
+
 // The node of another region chooses the target, so it needs the goal for pauses. Nodes of an older
 // version accept the other header with the properties of the entry only in its known form.
 func TestGapGoalIsForwarded(t *testing.T) {
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -70,7 +70,7 @@
 		o.Expected += g.targets.ReadTime(n.Service, unreported/max(targets, 1), miss)
 		o.Queue = g.targets.Queue(n.Service, w.wait) + g.targets.ReadTime(n.Service, unreported/max(targets, 1), 0)
 	}
-	o.Rest = time.Duration(n.Events) * w.eventGap
+	o.Rest = g.targets.Rest(now, n, w.eventGap)
 	o.LaterCost = time.Duration(jwinstance.LaterEventWeight * float64(n.Events) * float64(w.eventGap))
 	return o
 }
