jwinstance: bounds of a reported pace and of its age

Cause: a pace of hundredths made the mean 6e5, so that the target seemed fast afterwards and got all requests; ages of other nodes were not bounded. Result: after 400 reports of 2e7 or 0.01 the mean is within the bounds (test).

--- a/core/jwinstance/loadreport.go
+++ b/core/jwinstance/loadreport.go
@@ -39,6 +39,9 @@
 	meanPaceWeight = 0.03
 	// maxPaceAge is how long a reported pace counts at all.
 	maxPaceAge = 8 * paceDecay
+	// minPace and maxPace bound a reported pace, as a wrong one must not attract all requests.
+	minPace = 0.25
+	maxPace = 8.0
 )
 
 // observePace records a reported pace, which other nodes may have received.
@@ -46,6 +49,7 @@
 	if pace <= 0 || !at.After(x.paceAt) {
 		return
 	}
+	pace = min(max(pace, minPace), maxPace)
 	if x.meanPace == 0 {
 		x.meanPace = 1
 	}
--- a/core/jwinstance/loadreport_test.go
+++ b/core/jwinstance/loadreport_test.go
@@ -33,6 +33,32 @@
 	assert.Assert(t, x.expectedPace(t0.Add(-time.Hour)) <= fresh+1e-9, "the clock was set back")
 }
 
+// No report makes a target look free of work, or busy, for longer than a report counts.
+func TestPaceIsBounded(t *testing.T) {
+	for name, reported := range map[string]float64{"huge": math.MaxInt32 / 100, "tiny": 0.01} {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Region: "r"}
+			table.Put(t0, instance("a"))
+			x := table.targets["a"]
+			for i := range 400 {
+				table.SetLoad(after(i), x, paced(reported))
+			}
+			assert.Assert(t, x.meanPace >= minPace && x.meanPace <= maxPace, "%f", x.meanPace)
+			table.SetLoad(after(400), x, paced(1))
+			assert.Assert(t, x.expectedPace(after(400)) >= 1/maxPace && x.expectedPace(after(400)) <= 1/minPace)
+		})
+	}
+	for name, age := range map[string]int64{"negative": -math.MaxInt64, "huge": math.MaxInt64} {
+		t.Run("age, "+name, func(t *testing.T) {
+			table := &Table{Region: "r"}
+			table.Put(t0, instance("a"))
+			table.Merge(t0, "n2", []NodeLoad{{Target: "a", Pace: 200, PaceAge: age}}, nil)
+			x := table.targets["a"]
+			assert.Assert(t, !x.paceAt.After(t0) && !x.paceAt.Before(t0.Add(-reportMaxAge)), "%s", x.paceAt)
+		})
+	}
+}
+
 // Each node gets a part of the answers of a target, so the latest report of any node of the region
 // counts, by its age. Without overload control the choice does not use it.
 func TestPaceOfOtherNodesCounts(t *testing.T) {
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -211,7 +211,8 @@
 			continue
 		}
 		x.othersLoad.add(l, 1)
-		x.observePace(now.Add(-time.Duration(l.PaceAge)*time.Millisecond), float64(l.Pace)/100)
+		age := time.Duration(min(max(l.PaceAge, 0), reportMaxAge.Milliseconds())) * time.Millisecond
+		x.observePace(now.Add(-age), float64(l.Pace)/100)
 		if l.Gap > 0 {
 			x.reportedGap, x.reportedGapAt = time.Duration(l.Gap)*time.Millisecond, now
 			if s := t.statsOf(x.Service); s.gap == 0 {
