jwinstance: a reported pace counts once

Cause: the age of a pace was cut to milliseconds and the transmission time was not in it, so what came back from other nodes looked newer, counted in the mean again and the mean followed the last value. Change: the mean is of the answers to this node, and a pace from another node must be 50 ms newer than the known one.

--- a/core/jwinstance/loadreport.go
+++ b/core/jwinstance/loadreport.go
@@ -39,22 +39,35 @@
 	meanPaceWeight = 0.03
 	// maxPaceAge is how long a reported pace counts at all.
 	maxPaceAge = 8 * paceDecay
+	// paceReportTolerance is by how much a pace that another node reports must be newer than the known
+	// one: a smaller difference is due to the transmission time, see coldReportTolerance.
+	paceReportTolerance = 50 * time.Millisecond
 	// minPace and maxPace bound a reported pace, as a wrong one must not attract all requests.
 	minPace = 0.25
 	maxPace = 8.0
 )
 
-// observePace records a reported pace, which other nodes may have received.
-func (x *Target) observePace(at time.Time, pace float64) {
-	if pace <= 0 || !at.After(x.paceAt) {
+// observePace records a pace that the target reported to this node.
+func (x *Target) observePace(now time.Time, pace float64) {
+	if pace <= 0 {
 		return
 	}
-	pace = min(max(pace, minPace), maxPace)
+	x.setPace(now, pace)
+	x.meanPace += meanPaceWeight * (x.pace - x.meanPace)
+}
+
+// mergePace records a pace that the target reported to another node.
+func (x *Target) mergePace(at time.Time, pace float64) {
+	if pace > 0 && at.Sub(x.paceAt) > paceReportTolerance {
+		x.setPace(at, pace)
+	}
+}
+
+func (x *Target) setPace(at time.Time, pace float64) {
 	if x.meanPace == 0 {
 		x.meanPace = 1
 	}
-	x.meanPace += meanPaceWeight * (pace - x.meanPace)
-	x.pace, x.paceAt = pace, at
+	x.pace, x.paceAt = min(max(pace, minPace), maxPace), at
 }
 
 // expectedPace returns the expected time that work takes at a target relative to the target's mean,
--- a/core/jwinstance/loadreport_test.go
+++ b/core/jwinstance/loadreport_test.go
@@ -33,6 +33,38 @@
 	assert.Assert(t, x.expectedPace(t0.Add(-time.Hour)) <= fresh+1e-9, "the clock was set back")
 }
 
+// Nodes report to each other what they learned from each other. That must not make a pace look newer,
+// and the mean is of the answers to this node, whatever is reported in between.
+func TestPaceIsCountedOnce(t *testing.T) {
+	a, b := &Table{Region: "r"}, &Table{Region: "r"}
+	for _, table := range []*Table{a, b} {
+		table.Put(t0, instance("a"))
+		_, ok := table.Best(t0, Need{Service: "s"})
+		assert.Assert(t, ok)
+		for i := range 100 {
+			table.SetLoad(after(i), table.targets["a"], paced(1))
+		}
+	}
+	a.SetLoad(after(200), a.targets["a"], paced(3))
+	mean := a.targets["a"].meanPace
+	const transit = 3 * time.Millisecond
+	now := after(200)
+	for range 50 {
+		now = now.Add(7 * time.Millisecond)
+		loads, _ := a.Report(now)
+		now = now.Add(transit)
+		b.Merge(now, "a", loads, nil)
+		loads, _ = b.Report(now)
+		now = now.Add(transit)
+		a.Merge(now, "b", loads, nil)
+	}
+	assert.Equal(t, a.targets["a"].paceAt, after(200))
+	assert.Equal(t, a.targets["a"].meanPace, mean)
+	assert.Equal(t, b.targets["a"].meanPace, 1.0)
+	assert.Equal(t, b.targets["a"].pace, 3.0)
+	assert.Assert(t, b.targets["a"].expectedPace(after(210)) > 2.9)
+}
+
 // No report makes a target look free of work, or busy, for longer than a report counts.
 func TestPaceIsBounded(t *testing.T) {
 	for name, reported := range map[string]float64{"huge": math.MaxInt32 / 100, "tiny": 0.01} {
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -212,7 +212,7 @@
 		}
 		x.othersLoad.add(l, 1)
 		age := time.Duration(min(max(l.PaceAge, 0), reportMaxAge.Milliseconds())) * time.Millisecond
-		x.observePace(now.Add(-age), float64(l.Pace)/100)
+		x.mergePace(now.Add(-age), float64(l.Pace)/100)
 		if l.Gap > 0 {
 			x.reportedGap, x.reportedGapAt = time.Duration(l.Gap)*time.Millisecond, now
 			if s := t.statsOf(x.Service); s.gap == 0 {
