jwgateway: only callers of streams are assumed to leave

Cause: requests with a prompt whose answer is no stream were rejected when their first byte was expected later than callers of streams wait. Change: the patience is 0, so not known, for other kinds of entries. TestAdmit passed its case of patience by the length of the answer; it has none now. Result: such a request is accepted (test, failed before).

--- a/io/jwgateway/admit.go
+++ b/io/jwgateway/admit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jujubewheel/core/jwadmission"
+	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwplacement"
 )
 
@@ -34,8 +35,12 @@
 	return g.Admission.Decide(r)
 }
 
-// patience returns how long the caller of a stream still waits for its first event.
+// patience returns how long the caller of a stream still waits for its first event. Other callers
+// wait until the deadline, so it returns 0 for these.
 func (q *request) patience(now time.Time) time.Duration {
+	if q.entry.Kind != jwentry.Stream {
+		return 0
+	}
 	total := max(minPatience, patienceGoals*q.entry.Goal, patienceGapGoals*q.entry.GapGoal)
 	return max(total-now.Sub(q.arrived), 1)
 }
--- a/io/jwgateway/admit_test.go
+++ b/io/jwgateway/admit_test.go
@@ -84,9 +84,14 @@
 	assert.Equal(t, on.admit(now, draftOf(1, 0, time.Minute), early).Reason, jwadmission.Queue)
 	assert.Assert(t, on.admit(now, draftOf(0, 0, time.Second), busy).Accepted())
 	slow := choice(1900 * time.Millisecond)
+	slow.Rest = 0
 	q := draftOf(0, 0, time.Minute)
 	q.arrived = now.Add(-239 * time.Second)
 	assert.Equal(t, on.admit(now, q, slow).Reason, jwadmission.Deadline, "the caller has left by then")
+	for _, kind := range []jwentry.Kind{jwentry.Idempotent, jwentry.NonIdempotent} {
+		q.entry.Kind = kind
+		assert.Assert(t, on.admit(now, q, slow).Accepted(), "%s: only callers of streams leave", kind)
+	}
 }
 
 // Nothing waits in an idle fleet, however long a target needs to begin and however far it is.
