jwgateway, jwinstance: the length of answers is learned from whole streams only

Cause: answers that are no streams and rejections by targets, which end with their first byte, moved the ratio of actual to maximum lengths to 0. Change: only streams with status 200 count that one target answered from the first event on; a sample is at least 0.05. Result: the cases of TestWholeAnswer; 4000 empty answers leave the ratio at 0.05.

--- a/core/jwinstance/estimateerror.go
+++ b/core/jwinstance/estimateerror.go
@@ -43,6 +43,8 @@
 	serviceGapWeight = 0.01
 	// maxRestRatio bounds a sample, as a single stall does not make answers longer.
 	maxRestRatio = 3.0
+	// minRestRatio is a lower bound of a sample, as the end of most answers takes some time.
+	minRestRatio = 0.05
 )
 
 // errorOf returns the mean absolute error of the expected first event in a band.
@@ -95,7 +97,7 @@
 	}
 	old *= math.Exp(-float64(max(now.Sub(s.restAt), 0)) / float64(restDecay))
 	weight := min(1-old, maxRestWeight)
-	s.restRatio = old*s.restRatio + weight*min(ratio, maxRestRatio) + (1 - old - weight)
+	s.restRatio = old*s.restRatio + weight*min(max(ratio, minRestRatio), maxRestRatio) + (1 - old - weight)
 	s.restAt = now
 }
 
--- a/core/jwinstance/estimateerror_test.go
+++ b/core/jwinstance/estimateerror_test.go
@@ -43,6 +43,11 @@
 	assert.Equal(t, s.restRatioAt(last.Add(time.Hour)), 0.0)
 	assert.Assert(t, s.restRatioAt(t0.Add(-time.Hour)) <= maxRestRatio, "the clock was set back")
 	s.observeRest(last.Add(time.Hour), 0.5)
+	var short serviceStats
+	for i := range 4000 {
+		short.observeRest(after(i), 0)
+	}
+	assert.Assert(t, short.restRatioAt(after(4000)) >= minRestRatio)
 	assert.Assert(t, s.restRatioAt(last.Add(time.Hour)) < 1)
 }
 
--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -31,7 +31,7 @@
 // passAnswer passes an answer to the caller. onEvents is called with the number of events that have
 // arrived; for an answer that is not a stream it is called once.
 func (g *Gateway) passAnswer(q *request, a *jwconn.Answer, onEvents func(events int)) Verdict {
-	if strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") && a.Status == http.StatusOK {
+	if isStream(a) {
 		return g.passStream(q, a, onEvents)
 	}
 	held, ok := g.holdAnswer(q, a)
@@ -228,3 +228,8 @@
 	}
 	return strconv.FormatInt(n+1, 10)
 }
+
+// isStream reports whether an answer is a stream of events.
+func isStream(a *jwconn.Answer) bool {
+	return strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") && a.Status == http.StatusOK
+}
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -41,7 +41,7 @@
 		}
 		defer a.Close()
 		q.sends++
-		status = a.Status
+		status, p.stream = a.Status, isStream(a)
 		if v, ok := g.checkAnswer(q, x, a); !ok {
 			return v
 		}
@@ -67,7 +67,7 @@
 	g.suspects.End(q.fingerprint, x.Address, verdict == finished, time.Now())
 	if verdict == finished && status < http.StatusInternalServerError {
 		g.targets.Served(x)
-		if !p.last.IsZero() {
+		if p.whole(q) {
 			g.targets.RecordEnd(p.last, x, c, q.entry.GapGoal, p.last.Sub(start)-p.first, p.pause)
 		}
 	}
@@ -83,6 +83,14 @@
 	first time.Duration // time from the send to the first event; 0 before that
 	pause time.Duration // longest pause between two events
 	last  time.Time
+	// stream is whether the answer is a stream of events.
+	stream bool
+}
+
+// whole reports whether a finished answer is a stream from its first event to its end, so that it
+// shows how long answers are.
+func (p *progress) whole(q *request) bool {
+	return p.stream && !p.last.IsZero() && q.sends == 1 && q.LastEvent == ""
 }
 
 // recordEvents records the arrival of events and returns the pause before them, 0 for the first ones.
