jwinstance: the delay of others counts 0.3 under overload control

Cause: with weight 1 a target with many running streams seemed costlier than the slowdown that deployments measure. Change: the weight is 0.3.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -21,7 +21,7 @@
 	InterferenceWeight = 0.05
 	// overloadInterferenceWeight is the same under overload control. Reading a prompt takes a step of
 	// every running request, so that a target that reads many of them makes all of its streams late.
-	overloadInterferenceWeight = 1.0
+	overloadInterferenceWeight = 0.3
 	// initialGap is the assumed time between two events until it has been measured; the estimate
 	// returns to it as a measurement gets older.
 	initialGap = 40 * time.Millisecond
