--- a/core/jwinstance/loadreport_test.go
+++ b/core/jwinstance/loadreport_test.go
@@ -150,6 +150,10 @@
 			d := time.Duration(rapid.IntRange(1, 2000).Draw(t, "first")) * time.Millisecond
 			plain.RecordFirstEvent(want.Target, want, n.Prompt, d)
 			informed.RecordFirstEvent(got.Target, got, n.Prompt, d)
+			if rapid.Bool().Draw(t, "ends") {
+				plain.Done(now.Add(d), want.Target, want, d)
+				informed.Done(now.Add(d), got.Target, got, d)
+			}
 		}
 	})
 }
--- a/core/jwinstance/relay_test.go
+++ b/core/jwinstance/relay_test.go
@@ -168,3 +168,22 @@
 	}
 	b.ReportMetric(float64(bytes), "B/report")
 }
+
+// Relays pass on the levels of calls and the last pace, of their own and of the nodes behind them.
+func TestRelayReportsLevelsAndPaces(t *testing.T) {
+	relay := &Table{Region: "r"}
+	relay.Put(t0, instance("a"))
+	_, ok := relay.Best(t0, Need{Service: "s", Prompt: Prompt{Tokens: 10}, Priority: 4, ByPriority: true})
+	assert.Assert(t, ok)
+	relay.Merge(after(100), "n", []NodeLoad{{
+		Target: "a", Calls: 3, CallsByLevel: countsByPriority{1: 1, 6: 2}, Pace: 130, PaceAge: 30,
+	}}, nil)
+	want := NodeLoad{
+		Target: "a", Calls: 4, CallsByLevel: countsByPriority{1: 1, 4: 1, 6: 2}, Unread: countsByPriority{4: 10},
+		MemoryTokens: 10, Pace: 130, PaceAge: 50,
+	}
+	assert.DeepEqual(t, relay.ReportToRelay(after(120)), []NodeLoad{want})
+	assert.DeepEqual(t, relay.ReportTo(after(120), "other"), []NodeLoad{want})
+	want.Calls, want.CallsByLevel = 1, countsByPriority{4: 1}
+	assert.DeepEqual(t, relay.ReportTo(after(120), "n"), []NodeLoad{want})
+}
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -325,15 +325,19 @@
 	table.Put(t0, instance("a"))
 	x := table.targets["a"]
 	for _, first := range []time.Duration{0, time.Millisecond} {
-		c, ok := table.Best(t0, Need{Service: "s", Prompt: prompt(1, 2), Priority: 1})
+		c, ok := table.Best(t0, Need{Service: "s", Prompt: prompt(1, 2), Priority: 1, ByPriority: true})
 		assert.Assert(t, ok)
 		assert.Assert(t, x.calls == 1 && x.memoryInUse > 0)
+		assert.Equal(t, x.callsByLevel, countsByPriority{1: 1})
+		assert.Equal(t, table.statsOf("s").calls, 1)
 		if first > 0 {
 			table.RecordFirstEvent(x, c, prompt(1, 2), first)
 		}
 		table.Done(t0, x, c, first)
 		assert.Equal(t, x.unread, countsByPriority{})
 		assert.Equal(t, x.calls, 0)
+		assert.Equal(t, x.callsByLevel, countsByPriority{})
+		assert.Equal(t, table.statsOf("s").calls, 0)
 		assert.Equal(t, x.memoryInUse, 0)
 	}
 }
