--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -21,7 +21,7 @@
 	InterferenceWeight = 0.05
 	// overloadInterferenceWeight is the same under overload control. Reading a prompt takes a step of
 	// every running request, so that a target that reads many of them makes all of its streams late.
-	overloadInterferenceWeight = 1.0
+	overloadInterferenceWeight = 0.3
 	// initialGap is the assumed time between two events until it has been measured; the estimate
 	// returns to it as a measurement gets older.
 	initialGap = 40 * time.Millisecond
@@ -71,9 +71,10 @@
 	Error         time.Duration  // mean absolute error of such estimates
 	Load          LoadBand       // band in which Error was measured
 	LoadAge       time.Duration  // age of the last load report of the target, 0 without one
-	Rest          time.Duration  // expected time from the first event to the end of the answer
+	Rest          time.Duration  // expected time from the first event to the end of the answer, 0 while not known
 	Events        int            // maximum number of events of the answer
 	Gap           time.Duration  // expected time between two events
+	Queue         time.Duration  // the part of Expected that the work before the request takes
 	OwnReadTime   time.Duration  // the part of Expected that reading the request's own prompt takes
 	Cost          time.Duration  // Expected plus penalties and the weighted delay of later events, its own and those of others
 	MissTokens    int            // prompt tokens that the target has to read or, weighted, to fetch
@@ -87,6 +88,7 @@
 	CallsAhead    int            // of TotalCalls, those that get a slot before the request
 	ByPriority    bool           // see Need.ByPriority
 	Age           time.Duration  // time since the registration of the target was last read
+	maxRest       time.Duration  // the same for the maximum number of events
 	sentAt        time.Time
 }
 
@@ -188,6 +190,14 @@
 	return t.statsOf(service).firstEvent.readTime(ahead, own)
 }
 
+// Queue returns the part of a wait for the first event of a request without a prompt that the work
+// before it takes.
+func (t *Table) Queue(service string, wait time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(wait-t.statsOf(service).firstEvent.predict(0, 0), 0)
+}
+
 // MissIn returns an estimate of the prompt tokens that the targets of a region have to read for a
 // request, and the estimated number of usable targets there. Tokens that another target of that
 // region has cached are fetched from it, and count by fetchCostRatio.
@@ -233,10 +243,11 @@
 		l := x.loadFor(n)
 		c.AheadTokens, c.TotalCalls, c.CallsAhead, c.ByPriority = l.unreadAhead, l.calls, l.callsAhead, n.ByPriority
 		c.Expected = stats.expected(x, n, c.MissTokens, l)
+		c.Queue = time.Duration(float64(stats.queue(x, l)) * x.slowdown)
+		c.OwnReadTime = time.Duration(float64(stats.firstEvent.readTime(0, c.MissTokens)) * x.slowdown)
 		if n.ByPriority {
-			c.Expected = time.Duration(float64(c.Expected) * x.expectedPace(now))
+			c.scale(x.expectedPace(now))
 		}
-		c.OwnReadTime = time.Duration(float64(stats.firstEvent.readTime(0, c.MissTokens)) * x.slowdown)
 		c.Cost = fetchCost(n, c) + c.Expected + time.Duration(x.failures)*failurePenalty + stats.streamCost(now, x, n, c.MissTokens, l)
 		if choice.Target == nil || c.Cost < choice.Cost {
 			choice = c
@@ -247,12 +258,22 @@
 	}
 	choice.Events = n.Events
 	choice.Gap = choice.Target.estimatedGap(now)
-	choice.Rest = stats.rest(n.Events, choice.Gap)
+	if stats.gap > 0 {
+		choice.maxRest = time.Duration(n.Events) * choice.Target.gapOr(now, stats.gap)
+	}
+	choice.Rest = time.Duration(stats.restRatios.band(n.Events).value(now) * float64(choice.maxRest))
 	choice.Load = bandOf(max(choice.Target.Slots, 1), choice.CallsAhead)
 	choice.Error = stats.errorOf(choice.Load)
 	return choice, true
 }
 
+// scale multiplies the times until the first event by a target's pace.
+func (c *Choice) scale(pace float64) {
+	for _, d := range []*time.Duration{&c.Expected, &c.Queue, &c.OwnReadTime} {
+		*d = time.Duration(float64(*d) * pace)
+	}
+}
+
 // load is the load of a target from all nodes of the region.
 type load struct {
 	calls        int // in flight
--- a/core/jwinstance/estimate.go
+++ b/core/jwinstance/estimate.go
@@ -33,8 +33,18 @@
 // Each running call slows the steps of the batch, and each call ahead beyond the slots waits until
 // another one ends.
 func (s *serviceStats) batchDelay(slots, calls, ahead int) time.Duration {
+	return time.Duration(calls)*runningCallDelay + s.slotWait(slots, ahead)
+}
+
+// slotWait returns the wait for a slot of an engine behind calls ahead.
+func (s *serviceStats) slotWait(slots, ahead int) time.Duration {
 	waiting := max(ahead-slots+1, 0)
-	return time.Duration(calls)*runningCallDelay + time.Duration(waiting)*s.slotTime/time.Duration(slots)
+	return time.Duration(waiting) * s.slotTime / time.Duration(slots)
+}
+
+// queue returns how long an engine works on other calls before it begins with a request.
+func (s *serviceStats) queue(x *Target, l load) time.Duration {
+	return s.firstEvent.readTime(l.unreadAhead, 0) + s.slotWait(max(x.Slots, 1), l.callsAhead)
 }
 
 // streamCost returns the weighted cost besides the wait for the first event: the time between the
@@ -60,19 +70,22 @@
 
 // estimatedGap returns the estimated time between two events: the latest measurement, which returns
 // to initialGap as it gets older.
-func (x *Target) estimatedGap(now time.Time) time.Duration {
+func (x *Target) estimatedGap(now time.Time) time.Duration { return x.gapOr(now, initialGap) }
+
+// gapOr is like estimatedGap for another time to which the estimate returns.
+func (x *Target) gapOr(now time.Time, usual time.Duration) time.Duration {
 	gap, at := x.gap, x.gapAt
 	if x.reportedGapAt.After(at) {
 		gap, at = x.reportedGap, x.reportedGapAt
 	}
 	if at.IsZero() {
-		return initialGap
+		return usual
 	}
 	if now.Sub(at) > 8*gapDecay {
-		return initialGap
+		return usual
 	}
 	fade := math.Exp(-float64(now.Sub(at)) / float64(gapDecay))
-	return initialGap + time.Duration(fade*float64(gap-initialGap))
+	return usual + time.Duration(fade*float64(gap-usual))
 }
 
 // statsOf returns the measurements of a service, with initial values if there are none.
--- a/core/jwinstance/estimateerror.go
+++ b/core/jwinstance/estimateerror.go
@@ -1,6 +1,7 @@
 package jwinstance
 
 import (
+	"math"
 	"math/bits"
 	"time"
 )
@@ -33,10 +34,18 @@
 	initialError = 50 * time.Millisecond
 	// restWeight is the weight of an answer in the ratio of actual to maximum lengths.
 	restWeight = 0.02
+	// maxRestWeight bounds the weight of an answer after a time without any.
+	maxRestWeight = 0.2
+	// restDecay is the time constant with which the ratio returns to 1 without further answers, and
+	// maxRestAge is how long it counts at all.
+	restDecay  = 30 * time.Second
+	maxRestAge = 2 * restDecay
+	// serviceGapWeight is the weight of a pause between two events in the mean of the service.
+	serviceGapWeight = 0.01
 	// maxRestRatio bounds a sample, as a single stall does not make answers longer.
 	maxRestRatio = 3.0
-	// minRestRatio keeps a ratio from vanishing.
-	minRestRatio = 0.01
+	// minRestRatio is a lower bound of a sample, as the end of most answers takes some time.
+	minRestRatio = 0.05
 )
 
 // errorOf returns the mean absolute error of the expected first event in a band.
@@ -56,47 +65,80 @@
 	s.errors[b] = mean + time.Duration(errorWeight*float64(d.Abs()-mean))
 }
 
-// rest returns the expected time from the first event to the end of an answer with at most the
-// given number of events: answers are shorter than their callers allow.
-func (s *serviceStats) rest(events int, gap time.Duration) time.Duration {
-	return time.Duration(s.restRatios.of(events) * float64(events) * float64(gap))
-}
-
 // lengthBands is the number of bands of restRatios.
 const lengthBands = 16
 
 // restRatios has the time from the first event to the end of answers relative to that of one with the
 // maximum number of events, by the magnitude of that number: kinds of answers differ in how much of
-// it they use. 0 is a ratio that has not been measured.
-type restRatios [lengthBands]float64
+// it they use.
+type restRatios [lengthBands]restRatio
+
+// restRatio is the measurement of one band. Without further answers it returns to 1, and it is not
+// known once too much time has passed: requests that were rejected because of it could not correct it.
+type restRatio struct {
+	ratio float64
+	at    time.Time // of the last answer, zero if there was none
+}
 
-// band returns the index of the ratio for a maximum number of events.
-func (r *restRatios) band(events int) int { return min(bits.Len(uint(max(events, 0))), lengthBands-1) }
+// band returns the ratio for a maximum number of events.
+func (r *restRatios) band(events int) *restRatio {
+	return &r[min(bits.Len(uint(max(events, 0))), lengthBands-1)]
+}
 
-// of returns the ratio for a maximum number of events.
-func (r *restRatios) of(events int) float64 {
-	if ratio := r[r.band(events)]; ratio > 0 {
-		return ratio
+// value returns the expected ratio, 0 while it is not known.
+func (r *restRatio) value(now time.Time) float64 {
+	age := max(now.Sub(r.at), 0)
+	if r.at.IsZero() || age > maxRestAge {
+		return 0
 	}
-	return 1
+	return 1 + math.Exp(-float64(age)/float64(restDecay))*(r.ratio-1)
 }
 
-// observe records an answer that took a multiple of the expected time.
-func (r *restRatios) observe(events int, multiple float64) {
-	old := r.of(events)
-	r[r.band(events)] = max(old+restWeight*(min(multiple*old, maxRestRatio)-old), minRestRatio)
+// observe records the ratio of an answer. The longer no answer has been seen, the more it counts.
+func (r *restRatio) observe(now time.Time, ratio float64) {
+	old := 1 - restWeight
+	if r.at.IsZero() {
+		old = 0
+	}
+	old *= math.Exp(-float64(max(now.Sub(r.at), 0)) / float64(restDecay))
+	weight := min(1-old, maxRestWeight)
+	r.ratio = old*r.ratio + weight*min(max(ratio, minRestRatio), maxRestRatio) + (1 - old - weight)
+	r.at = now
+}
+
+// Rest returns the expected time from the first event to the end of an answer where the time between
+// two events is reported to be gap; 0 while that is not known. Without traffic a region reports
+// an initial value, so the mean that was measured here counts if it is shorter.
+func (t *Table) Rest(now time.Time, n Need, gap time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.statsOf(n.Service)
+	if gap == 0 || s.gap < gap {
+		gap = s.gap
+	}
+	return time.Duration(s.restRatios.band(n.Events).value(now) * float64(n.Events) * float64(gap))
+}
+
+// observeGap records a time between two events at a target of the service.
+func (s *serviceStats) observeGap(d time.Duration) {
+	if s.gap == 0 {
+		s.gap = d
+	}
+	s.gap += time.Duration(serviceGapWeight * float64(d-s.gap))
 }
 
 // RecordEnd records that an answer was complete, rest after its first event, and its longest pause.
-func (t *Table) RecordEnd(x *Target, c Choice, gapGoal, rest, pause time.Duration) {
+func (t *Table) RecordEnd(now time.Time, x *Target, c Choice, gapGoal, rest, pause time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if c.Rest <= 0 || !c.ByPriority {
+	if !c.ByPriority {
 		return
 	}
 	s := t.statsOf(x.Service)
 	if gapGoal > 0 {
 		s.latePauses.observe(c.Gap, gapGoal, pause)
 	}
-	s.restRatios.observe(c.Events, float64(rest)/float64(c.Rest))
+	if c.maxRest > 0 {
+		s.restRatios.band(c.Events).observe(now, float64(rest)/float64(c.maxRest))
+	}
 }
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -211,9 +211,13 @@
 			continue
 		}
 		x.othersLoad.add(l, 1)
-		x.observePace(now.Add(-time.Duration(l.PaceAge)*time.Millisecond), float64(l.Pace)/100)
+		age := time.Duration(min(max(l.PaceAge, 0), reportMaxAge.Milliseconds())) * time.Millisecond
+		x.mergePace(now.Add(-age), float64(l.Pace)/100)
 		if l.Gap > 0 {
 			x.reportedGap, x.reportedGapAt = time.Duration(l.Gap)*time.Millisecond, now
+			if s := t.statsOf(x.Service); s.gap == 0 {
+				s.gap = x.reportedGap
+			}
 		}
 		report.loads = append(report.loads, targetLoad{x, l})
 	}
--- a/io/jwgateway/admit.go
+++ b/io/jwgateway/admit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jujubewheel/core/jwadmission"
+	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwplacement"
 )
 
@@ -26,16 +27,20 @@
 	}
 	if r.HasPrompt && g.controlsOverload(q.service) {
 		rank := g.rank(q)
-		g.pressure.Observe(now, q.service, rank, p.Expected-p.OwnReadTime, q.entry.Goal)
+		g.pressure.Observe(now, q.service, rank, p.Queue, q.entry.Goal)
 		r.Overload = &jwadmission.Overload{
-			Rest: p.Rest, Patience: q.patience(now), Pressure: g.pressure.Of(now, q.service, rank),
+			Queue: p.Queue, Rest: p.Rest, Patience: q.patience(now), Pressure: g.pressure.Of(now, q.service, rank),
 		}
 	}
 	return g.Admission.Decide(r)
 }
 
-// patience returns how long the caller of a stream still waits for its first event.
+// patience returns how long the caller of a stream still waits for its first event. Other callers
+// wait until the deadline, so it returns 0 for these.
 func (q *request) patience(now time.Time) time.Duration {
+	if q.entry.Kind != jwentry.Stream {
+		return 0
+	}
 	total := max(minPatience, patienceGoals*q.entry.Goal, patienceGapGoals*q.entry.GapGoal)
 	return max(total-now.Sub(q.arrived), 1)
 }
