--- a/core/jwshare/plan.go
+++ b/core/jwshare/plan.go
@@ -132,9 +132,6 @@
 	return min(max(c, minCorrection), 1)
 }
 
-// unnamedWorkspaces stands for all unnamed workspaces in claims. No workspace has that name.
-const unnamedWorkspaces = "\x00"
-
 // fill divides the room among the named workspaces and the others.
 func (s *Shares) fill(p *plan, v jwledger.View) {
 	keys := make([]jwledger.Key, 0, len(v.Named))
@@ -142,11 +139,11 @@
 	var named [jwledger.Levels]int
 	for key, sums := range v.Named {
 		keys = append(keys, key)
-		claims = append(claims, Claim{key.Level, sums.Offered, s.weight(key.Workspace), key.Workspace})
+		claims = append(claims, Claim{key.Level, sums.Offered, s.weight(key.Workspace)})
 		named[key.Level]++
 	}
 	for level := range jwledger.Levels {
-		claims = append(claims, Claim{level, v.Rest[level].Offered, float64(s.unnamed(v.Size, named[level])), unnamedWorkspaces})
+		claims = append(claims, Claim{level, v.Rest[level].Offered, float64(s.unnamed(v.Size, named[level]))})
 	}
 	granted := Fill(p.room, claims)
 	p.named = make(map[jwledger.Key]share, len(keys))
