--- a/io/jwgateway/balance.go
+++ b/io/jwgateway/balance.go
@@ -239,16 +239,16 @@
 // exchangeRegionLoads exchanges loads with the other regions until ctx ends, if this node does so for
 // its region.
 func (g *Gateway) exchangeRegionLoads(ctx context.Context) {
-	report := &shareReport{meter: g.Meter, logged: make(map[pairKey]float64), gauges: make(map[pairKey]tally.Gauge), ages: make(map[string]tally.Gauge)}
+	report := &shareReport{meter: g.Meter, logged: make(map[pairKey]loggedShare), gauges: make(map[pairKey]tally.Gauge), ages: make(map[string]tally.Gauge)}
 	for ctx.Err() == nil {
 		now := time.Now()
-		if !g.balances() {
+		if len(g.balancedServices()) == 0 {
 			jwclock.Sleep(ctx, regionLoadsInterval)
 			continue
 		}
 		g.reportShares(now, report)
-		if g.speaksForRegion(now) {
-			for _, region := range g.unheardRegions(now) {
+		if g.exchangesLoads(now) {
+			for _, region := range g.staleRegions(now) {
 				if peers := g.remotePeers(now, region); len(peers) > 0 {
 					go g.exchangeLoadsWith(ctx, region, peers[0])
 				}
@@ -258,23 +258,25 @@
 	}
 }
 
-// balances reports whether requests of any service are spread over the regions by shares.
-func (g *Gateway) balances() bool {
+// balancedServices returns the services whose requests are spread over the regions by shares: those
+// with engines, if their overload is controlled.
+func (g *Gateway) balancedServices() []string {
 	c := g.entries.Current()
 	if c == nil {
-		return false
+		return nil
 	}
-	for name := range c.Services {
-		if g.controlsOverload(name) {
-			return true
+	var list []string
+	for name, s := range c.Services {
+		if s.Engine != nil && g.controlsOverload(name) {
+			list = append(list, name)
 		}
 	}
-	return false
+	return list
 }
 
-// speaksForRegion reports whether this node exchanges loads with other regions: of the live nodes,
+// exchangesLoads reports whether this node exchanges loads with other regions: of the live nodes,
 // or of the relays of a large region, the first one by name.
-func (g *Gateway) speaksForRegion(now time.Time) bool {
+func (g *Gateway) exchangesLoads(now time.Time) bool {
 	nodes := g.members.Live(now, g.Settings.Region)
 	if g.members.Large(now, g.Settings.Region) {
 		if !g.members.IsRelay(now) {
@@ -290,17 +292,17 @@
 	return true
 }
 
-// unheardRegions returns the other regions whose last loads are older than half the interval: where
+// staleRegions returns the other regions whose last loads are older than half the interval: where
 // both regions call each other, one call is enough for both.
-func (g *Gateway) unheardRegions(now time.Time) []string {
-	heard := map[string]bool{g.Settings.Region: true}
+func (g *Gateway) staleRegions(now time.Time) []string {
+	recent := map[string]bool{g.Settings.Region: true}
 	for _, r := range g.balance.Regions(now, regionLoadsInterval/2, false) {
-		heard[r.Region] = true
+		recent[r.Region] = true
 	}
 	var list []string
 	for _, region := range g.Settings.Gateway.DataCentres {
-		if !heard[region] {
-			heard[region] = true
+		if !recent[region] {
+			recent[region] = true
 			list = append(list, region)
 		}
 	}
@@ -310,13 +312,9 @@
 // loads returns the loads of this region that it reports to others.
 func (g *Gateway) loads(now time.Time) regionLoads {
 	r := regionLoads{Member: g.members.Local(), Loads: make(map[string]jwbalance.Load)}
-	if c := g.entries.Current(); c != nil {
-		for name := range c.Services {
-			if g.controlsOverload(name) {
-				room := g.room(now, name)
-				r.Loads[name] = g.balance.Load(now, name, jwbalance.Room{Capacity: room.Capacity, Backlog: room.Backlog})
-			}
-		}
+	for _, name := range g.balancedServices() {
+		room := g.room(now, name)
+		r.Loads[name] = g.balance.Load(now, name, jwbalance.Room{Capacity: room.Capacity, Backlog: room.Backlog})
 	}
 	return r
 }
@@ -360,7 +358,7 @@
 
 // serveRegionLoads merges the loads of another region and answers with those of this one.
 func (g *Gateway) serveRegionLoads(w http.ResponseWriter, r *http.Request) {
-	if !g.balances() {
+	if len(g.balancedServices()) == 0 {
 		http.NotFound(w, r)
 		return
 	}
--- a/io/jwgateway/balancereport.go
+++ b/io/jwgateway/balancereport.go
@@ -10,8 +10,12 @@
 	"jujubewheel/io/jwmeter"
 )
 
-// minShareChange is the change of a share from which on it is logged.
-const minShareChange = 0.1
+const (
+	// minShareChange is the change of a share from which on it is logged.
+	minShareChange = 0.1
+	// shareLogInterval is the shortest time between two log lines about the same share.
+	shareLogInterval = time.Second
+)
 
 // pairKey identifies a class of requests of a service and another region.
 type pairKey struct {
@@ -24,11 +28,17 @@
 // exchangeRegionLoads only.
 type shareReport struct {
 	meter  *jwmeter.Meter
-	logged map[pairKey]float64
+	logged map[pairKey]loggedShare
 	gauges map[pairKey]tally.Gauge
 	ages   map[string]tally.Gauge
 }
 
+// loggedShare is a share that was logged last.
+type loggedShare struct {
+	part float64
+	at   time.Time
+}
+
 // reportShares updates the gauges of the shares and of the ages of what is known of other regions.
 // The node that exchanges loads for the region also logs a share that has changed much.
 func (g *Gateway) reportShares(now time.Time, r *shareReport) {
@@ -36,14 +46,7 @@
 	for _, o := range known {
 		r.age(o.Region).Update(float64(o.AgeMS) / 1000)
 	}
-	c := g.entries.Current()
-	if c == nil {
-		return
-	}
-	for service := range c.Services {
-		if !g.controlsOverload(service) {
-			continue
-		}
+	for _, service := range g.balancedServices() {
 		p := g.plan(now, service)
 		for class, shares := range p.Shares {
 			parts := make(map[string]jwbalance.Share)
@@ -54,6 +57,11 @@
 				g.reportShare(now, r, pairKey{service, class, o.Region}, p, parts[o.Region])
 			}
 		}
+		for k := range r.gauges {
+			if _, ok := p.Shares[k.class]; k.service == service && !ok {
+				g.reportShare(now, r, k, p, jwbalance.Share{})
+			}
+		}
 	}
 }
 
@@ -61,12 +69,12 @@
 func (g *Gateway) reportShare(now time.Time, r *shareReport, k pairKey, p jwbalance.Plan, s jwbalance.Share) {
 	r.gauge(k).Update(s.Part)
 	old := r.logged[k]
-	if math.Abs(s.Part-old) < minShareChange && (s.Part == 0) == (old == 0) {
+	if now.Sub(old.at) < shareLogInterval || math.Abs(s.Part-old.part) < minShareChange && (s.Part == 0) == (old.part == 0) {
 		return
 	}
-	r.logged[k] = s.Part
-	if g.speaksForRegion(now) {
-		g.Log.Info("share of another region changed", "service", k.service, "homes", string(k.class), "region", k.region, "share", s.Part, "before", old,
+	r.logged[k] = loggedShare{s.Part, now}
+	if g.exchangesLoads(now) {
+		g.Log.Info("share of another region changed", "service", k.service, "homes", string(k.class), "region", k.region, "share", s.Part, "before", old.part,
 			"utilization", p.Before, "planned", p.After, "mean", p.Level, "ageMs", s.Age.Milliseconds())
 	}
 }
