jwbalance, jwgateway: a request draws its share once

A request that waits in the node is placed again at each turn, and each placement added its work to the credits, so that after ten turns at a share of 0.1 it had left. The shares are now asked once; at a later turn only a request that may not stay is sent by them, without more credit.

--- a/core/jwbalance/balancer.go
+++ b/core/jwbalance/balancer.go
@@ -270,6 +270,7 @@
 	Class     Class
 	Work      float64
 	MustLeave bool // this region may not serve it
+	Drawn     bool // a region was chosen for it before, so that credits have grown by its work
 	// Preference returns how much better a region is for the request than this one, in mean requests,
 	// and false if it can't be sent there now. Values beyond maxPreference are cut.
 	Preference func(Share) (float64, bool)
@@ -295,10 +296,14 @@
 		s.credit[r.Class] = credit
 	}
 	limit := maxCredit * max(s.meanWork, work)
+	grown := work
+	if r.Drawn {
+		grown = 0
+	}
 	var best Share
 	bestFit := 0.0
 	for _, share := range shares {
-		sum := min(credit[share.Region]+share.Part*work, limit)
+		sum := min(credit[share.Region]+share.Part*grown, limit)
 		credit[share.Region] = sum
 		preference, ok := r.Preference(share)
 		fit := sum + min(max(preference, -maxPreference), maxPreference)*s.meanWork - work/2
--- a/io/jwgateway/balance.go
+++ b/io/jwgateway/balance.go
@@ -122,9 +122,12 @@
 	if here == nil && mayStay || len(q.tried) > 0 {
 		return jwplacement.Choice{}, false
 	}
-	options := make(map[string]jwplacement.Option)
 	p := g.plan(now, q.service)
-	s := g.balance.Choose(jwbalance.Candidate{Service: q.service, Class: class, Work: work, MustLeave: !mayStay, Preference: func(s jwbalance.Share) (float64, bool) {
+	if q.drawn && mayStay {
+		return stay(here, p)
+	}
+	options := make(map[string]jwplacement.Option)
+	s := g.balance.Choose(jwbalance.Candidate{Service: q.service, Class: class, Work: work, MustLeave: !mayStay, Drawn: q.drawn, Preference: func(s jwbalance.Share) (float64, bool) {
 		if q.rejectedRegions[s.Region] || len(g.members.Live(now, s.Region)) == 0 {
 			return 0, false
 		}
@@ -132,17 +135,23 @@
 		options[s.Region] = o
 		return preference(n, here, o), true
 	}}, p)
+	q.drawn = true
 	if s.Region == "" {
-		if here == nil || !p.Known {
-			return jwplacement.Choice{}, false
-		}
-		return jwplacement.Choice{Option: *here, Reason: jwplacement.Local}, true
+		return stay(here, p)
 	}
 	o := options[s.Region]
 	q.forwardShare, q.shareWait = s, o.Expected
 	return jwplacement.Choice{Option: o, Reason: jwplacement.ByShare}, true
 }
 
+// stay returns the choice of this region for a request that no share sends away.
+func stay(here *jwplacement.Option, p jwbalance.Plan) (jwplacement.Choice, bool) {
+	if here == nil || !p.Known {
+		return jwplacement.Choice{}, false
+	}
+	return jwplacement.Choice{Option: *here, Reason: jwplacement.Local}, true
+}
+
 // preference returns how much better another region is for a request than this one, in requests: a
 // request of which more is cached there, or that this region would serve late, goes first.
 func preference(n jwinstance.Need, here *jwplacement.Option, other jwplacement.Option) float64 {
--- a/io/jwgateway/balance_test.go
+++ b/io/jwgateway/balance_test.go
@@ -105,6 +105,30 @@
 	assert.Equal(t, got[jwplacement.ByShare]+got[jwplacement.Local], 100)
 }
 
+// A request that waits in the node is placed at each of its turns; it leaves no more often than one
+// that does not wait.
+func TestBalanceAtEachTurn(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	peak(g, now)
+	room := g.capabilityOf(now, "v")
+	g.balance.MergeRegion(now, "s", true, map[string]jwbalance.Load{"v": {Capacity: room.Capacity / 8}})
+	share := g.plan(now, "v").Shares[""][0].Part
+	assert.Assert(t, share > 0 && share < 0.25, "%v", share)
+	left := 0
+	const requests, turns = 100, 10
+	for range requests {
+		q := balanceRequest()
+		for range turns {
+			if g.chooseRegion(now, q).Reason == jwplacement.ByShare {
+				left++
+				break
+			}
+		}
+	}
+	assert.Assert(t, float64(left) < requests*share+10, "%d leave, share %v", left, share)
+}
+
 // Homes bind, whatever the shares are, and a request that another node forwarded is not forwarded
 // again.
 func TestBalanceKeepsHomes(t *testing.T) {
@@ -173,7 +197,7 @@
 	here := &jwplacement.Option{Region: "r", Known: true, Expected: time.Second, MissTokens: 5000}
 	b.ReportAllocs()
 	for b.Loop() {
-		q.counted = false
+		q.counted, q.drawn = false, false
 		g.balancedRegion(now, q, n, here)
 	}
 }
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -79,6 +79,7 @@
 	lastReason      string          // why the last send or choice of a target failed
 	share           admitted
 	counted         bool            // counted as demand of the region
+	drawn           bool            // it was decided by the shares whether it leaves the region
 	events          int             // events of a stream passed to the caller
 	forwardShare    jwbalance.Share // the share by which it is forwarded, zero if none
 	shareWait       time.Duration   // expected wait for the first event there
