jwgateway: work of requests while no target can serve

With all targets cold or backing off their measured times were 0, which replaced the kept minimum. Requests then had no work: demand counted nothing, all stayed although another region was idle, and by an old plan with any share all left. The last times and slots are now kept, a request has at least 1 ms of work, and shares keep no request in a region whose targets can do nothing.

In the test with all targets cold, more than 100 of 200 requests leave for a region with room (the test's limit; no work was counted before).

--- a/io/jwgateway/balance.go
+++ b/io/jwgateway/balance.go
@@ -28,6 +28,8 @@
 	// workMemory is the time within which the assumed time of work doubles while only longer times
 	// are measured.
 	workMemory = time.Minute
+	// minRequestWork is the least work of a request; it also counts while none was measured.
+	minRequestWork = time.Millisecond
 	// maxRegionLoadsAge is the age up to which loads of other regions are passed on.
 	maxRegionLoadsAge = jwbalance.DefaultMaxAge
 )
@@ -83,21 +85,25 @@
 }
 
 // next returns the room after another measurement. A target that does several things takes longer for
-// each, so work is measured by the shortest times; these count for about workMemory.
+// each, so work is measured by the shortest times; these count for about workMemory, and longer while
+// no target is usable.
 func (r serviceRoom) next(room jwinstance.Capability, now time.Time) serviceRoom {
 	grown := 1 + now.Sub(r.at).Seconds()/workMemory.Seconds()
 	shortest := func(old, d time.Duration) time.Duration {
-		if old > 0 {
+		if old > 0 && d > 0 {
 			return min(time.Duration(grown*float64(old)), d)
 		}
-		return d
+		return max(old, d)
+	}
+	if room.Slots == 0 {
+		room.Slots = r.Slots
 	}
 	return serviceRoom{room, shortest(r.eventGap, room.EventGap), shortest(r.readTime, room.ReadTime), now}
 }
 
 // work returns the work of a request with tokens to be read and events to be made.
 func (r serviceRoom) work(tokens, events int) float64 {
-	return (time.Duration(tokens)*r.readTime/1000 + time.Duration(events)*r.eventGap/time.Duration(max(r.Slots, 1))).Seconds()
+	return max(time.Duration(tokens)*r.readTime/1000+time.Duration(events)*r.eventGap/time.Duration(max(r.Slots, 1)), minRequestWork).Seconds()
 }
 
 // balancedRegion chooses the region of a request by the shares that go to other regions. It returns
@@ -112,7 +118,8 @@
 	if here != nil {
 		miss = here.MissTokens
 	}
-	work := g.capabilityOf(now, q.service).work(miss, g.balance.expectedEvents(q.service, n.Events))
+	room := g.capabilityOf(now, q.service)
+	work := room.work(miss, g.balance.expectedEvents(q.service, n.Events))
 	class := jwbalance.ClassOf(q.homes)
 	if !q.counted {
 		q.counted = true
@@ -123,6 +130,9 @@
 		return jwplacement.Choice{}, false
 	}
 	p := g.plan(now, q.service)
+	if room.Capacity <= 0 {
+		p.Known = false // the shares don't keep a request where no target can serve it now
+	}
 	if q.drawn && mayStay {
 		return stay(here, p)
 	}
--- a/io/jwgateway/balance_test.go
+++ b/io/jwgateway/balance_test.go
@@ -129,6 +129,40 @@
 	assert.Assert(t, float64(left) < requests*share+10, "%d leave, share %v", left, share)
 }
 
+// While all targets of a region are cold, requests still count as demand, and those that
+// another region has room for leave.
+func TestBalanceWithoutCapacity(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	before := g.capabilityOf(now, "v")
+	assert.Assert(t, before.work(5000, 0) > 0)
+	now = now.Add(time.Second)
+	g.targets.MergeCold(now, map[string]int64{"r": 60_000})
+	room := g.capabilityOf(now, "v")
+	assert.Equal(t, room.Capacity, 0.0)
+	assert.Equal(t, room.work(5000, 50), before.work(5000, 50))
+	assert.Assert(t, serviceRoom{}.work(5000, 50) > 0, "never measured")
+	g.balance.MergeRegion(now, "s", true, map[string]jwbalance.Load{"v": {Capacity: 100}})
+	chosen(g, now, 100)
+	assert.Assert(t, g.balance.Demand(now, jwbalance.FromNode)["v"][""].Work > 0)
+	now = now.Add(200 * time.Millisecond)
+	g.balance.MergeRegion(now, "s", true, map[string]jwbalance.Load{"v": {Capacity: 100}})
+	assert.Assert(t, chosen(g, now, 200)[jwplacement.Local] < 100)
+}
+
+// An old plan with a small share does not send all requests away once nothing is measured.
+func TestBalanceOldPlanWithoutCapacity(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	peak(g, now)
+	room := g.capabilityOf(now, "v")
+	g.balance.MergeRegion(now, "s", true, map[string]jwbalance.Load{"v": {Capacity: room.Capacity / 8}})
+	g.plan(now, "v")
+	g.targets.MergeCold(now.Add(60*time.Millisecond), map[string]int64{"r": 60_000})
+	away := chosen(g, now.Add(60*time.Millisecond), 100)[jwplacement.ByShare]
+	assert.Assert(t, away < 30, "%d of 100", away)
+}
+
 // Homes bind, whatever the shares are, and a request that another node forwarded is not forwarded
 // again.
 func TestBalanceKeepsHomes(t *testing.T) {
