jwinstance, jwgateway: a forwarded rank has a header of its own

In mode auto a node controlled overload only after a target had reported its pace to this node itself, so nodes of a region differed, and the priority field of a forwarded request held a rank of 0..8 from one node and a priority of 0..2 from another. Paces that other nodes report now count too, the field holds the priority again, as nodes without control and of the version before expect, and the rank is sent in a header of its own. A node that controls overload uses it; without it a request has the rank of its priority.

--- a/core/jwinstance/loadreport.go
+++ b/core/jwinstance/loadreport.go
@@ -22,8 +22,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	x.load, x.loadAt = l, now
-	x.observePace(now, l.Pace)
-	if l.Pace > 0 && !t.pacedServices[x.Service] {
+	t.observePace(now, x, l.Pace)
+}
+
+// observePace records a pace that a target reported to this node or to another one.
+func (t *Table) observePace(at time.Time, x *Target, pace float64) {
+	if pace <= 0 {
+		return
+	}
+	x.observePace(at, pace)
+	if !t.pacedServices[x.Service] {
 		if t.pacedServices == nil {
 			t.pacedServices = make(map[string]bool)
 		}
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -211,7 +211,7 @@
 			continue
 		}
 		x.othersLoad.add(l, 1)
-		x.observePace(now.Add(-time.Duration(l.PaceAge)*time.Millisecond), float64(l.Pace)/100)
+		t.observePace(now.Add(-time.Duration(l.PaceAge)*time.Millisecond), x, float64(l.Pace)/100)
 		if l.Gap > 0 {
 			x.reportedGap, x.reportedGapAt = time.Duration(l.Gap)*time.Millisecond, now
 		}
--- a/io/jwgateway/admit.go
+++ b/io/jwgateway/admit.go
@@ -44,17 +44,32 @@
 // how many of workspaces.
 const prioritiesPerLevel = 3
 
+// maxRank is the least urgent rank.
+const maxRank = prioritiesPerLevel*prioritiesPerLevel - 1
+
 // rank returns the priority by which targets admit a request. Under overload control requests of
 // workspaces of the same priority are ordered by the priority of their entry; a forwarded request
-// carries the rank that the forwarding node gave it.
+// has the rank that the forwarding node gave it, if that controls overload too.
 func (g *Gateway) rank(q *request) int {
-	if q.forwarded || q.Prompt.Tokens == 0 || !g.controlsOverload(q.service) {
+	if q.Prompt.Tokens == 0 || !g.controlsOverload(q.service) {
 		return q.priority
 	}
+	if rank, err := strconv.Atoi(q.givenRank); err == nil && q.forwarded {
+		return min(max(rank, 0), maxRank)
+	}
 	level := func(priority int) int { return min(max(priority, 0), prioritiesPerLevel-1) }
 	return prioritiesPerLevel*level(q.priority) + level(q.entry.Priority)
 }
 
+// setRank sets the header with the rank of a request, for a node that controls overload. Others read
+// the priority, which is on a scale of its own.
+func (g *Gateway) setRank(h http.Header, q *request) {
+	delete(h, headerRank)
+	if q.Prompt.Tokens > 0 && g.controlsOverload(q.service) {
+		h[headerRank] = []string{strconv.Itoa(g.rank(q))}
+	}
+}
+
 // setGapGoal sets the header with the entry's goal for pauses, for the node that chooses the target.
 func (g *Gateway) setGapGoal(h http.Header, q *request) {
 	delete(h, headerGapGoal)
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -28,6 +28,7 @@
 	headerFingerprint = "Jujube-Mark"   // fingerprint of the request, see jwsuspect
 	headerWorkspace   = "Jujube-Workspace"
 	headerGapGoal     = "Jujube-Gap-Goal" // in milliseconds; absent without overload control
+	headerRank        = "Jujube-Rank"     // see Gateway.rank; absent without overload control
 )
 
 // chooseRegion chooses the region that serves a request.
@@ -127,16 +128,13 @@
 	g.forwards.add(m.Name, 1)
 	defer g.forwards.add(m.Name, -1)
 	h := q.header.Clone()
-	e := q.entry
 	h[headerService] = []string{q.service}
-	h[headerKind] = []string{strings.Join([]string{
-		string(e.Kind), strconv.FormatBool(e.Resumable), strconv.Itoa(max(e.Attempts()-q.attempts, 1)),
-		strconv.Itoa(g.rank(q)), strconv.FormatInt(e.Goal.Milliseconds(), 10), strings.Join(q.homes, "|"),
-	}, ",")}
+	h[headerKind] = []string{q.kind()}
 	h[headerSender] = []string{g.Settings.Node}
 	h[headerFingerprint] = []string{q.fingerprint.String()}
 	delete(h, headerWorkspace)
 	g.setGapGoal(h, q)
+	g.setRank(h, q)
 	if q.workspace != "" {
 		h[headerWorkspace] = []string{q.workspace}
 	}
@@ -169,6 +167,15 @@
 	return verdict
 }
 
+// kind returns the header with the properties of the entry, see parseKind.
+func (q *request) kind() string {
+	e := q.entry
+	return strings.Join([]string{
+		string(e.Kind), strconv.FormatBool(e.Resumable), strconv.Itoa(max(e.Attempts()-q.attempts, 1)),
+		strconv.Itoa(q.priority), strconv.FormatInt(e.Goal.Milliseconds(), 10), strings.Join(q.homes, "|"),
+	}, ",")
+}
+
 // passForwardedAnswer passes the answer of another node to the caller if it is a target's, and
 // returns the verdict on the send.
 func (g *Gateway) passForwardedAnswer(q *request, m jwmember.Member, a *jwconn.Answer, onEvents func(int)) Verdict {
@@ -227,10 +234,11 @@
 	q.entry = parseKind(r.Header.Get(headerKind))
 	q.entry.GapGoal = time.Duration(max(parseCount(r.Header.Get(headerGapGoal)), 0)) * time.Millisecond
 	q.homes, q.priority, q.workspace = q.entry.Homes, q.entry.Priority, r.Header.Get(headerWorkspace)
+	q.givenRank = r.Header.Get(headerRank)
 	if fingerprint, err := jwsuspect.ParseFingerprint(r.Header.Get(headerFingerprint)); err == nil {
 		q.fingerprint = fingerprint
 	}
-	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace, headerGapGoal} {
+	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace, headerGapGoal, headerRank} {
 		delete(q.header, name)
 	}
 	q.deadline = q.arrived.Add(max(q.Deadline, time.Millisecond))
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -78,6 +78,7 @@
 	heldBody        int64           // bytes accounted for its body
 	lastReason      string          // why the last send or choice of a target failed
 	share           admitted
+	givenRank       string          // rank given by the node that forwarded it, "" for none
 	counted         bool            // counted as demand of the region
 	drawn           bool            // it was decided by the shares whether it leaves the region
 	events          int             // events of a stream passed to the caller
