--- a/core/jwinstance/loadreport.go
+++ b/core/jwinstance/loadreport.go
@@ -27,7 +27,7 @@
 
 // observePace records a pace that a target reported to this node or to another one.
 func (t *Table) observePace(at time.Time, x *Target, pace float64) {
-	if pace <= 0 {
+	if pace <= 0 || t.IgnorePace {
 		return
 	}
 	x.observePace(at, pace)
--- a/core/jwinstance/pacemerge_test.go
+++ b/core/jwinstance/pacemerge_test.go
@@ -18,3 +18,19 @@
 	assert.Assert(t, table.ReportsPace("s"))
 	assert.Assert(t, !table.ReportsPace("other"))
 }
+
+// Without overload control a node reports to others what it reported before there were paces.
+func TestIgnorePace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	report := func(table *Table, pace float64) *LoadColumns {
+		table.Put(now, Instance{ID: "a", Service: "s", Slots: 4})
+		c, ok := table.Best(now, Need{Service: "s"})
+		assert.Assert(t, ok)
+		table.SetLoad(now, c.Target, LoadReport{Reported: true, Pace: pace})
+		table.Merge(now, "n2", []NodeLoad{{Target: "a", Calls: 1, Pace: int(100 * pace)}}, nil)
+		loads, _ := table.Report(now)
+		return NewLoadColumns(append(loads, table.ReportTo(now, "n3")...))
+	}
+	assert.DeepEqual(t, report(&Table{IgnorePace: true}, 2), report(&Table{}, 0))
+	assert.Assert(t, len(report(&Table{}, 2).Paces) > 0)
+}
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -39,6 +39,7 @@
 	// knows reports whether a node has the target among those that it chooses from. If LimitShare
 	// is nil, this node is assumed to be the only one.
 	LimitShare func(rate float64, target string, knows func(node string) bool) jwbudget.LimitShare
+	IgnorePace bool // paces that targets report are neither used nor reported to other nodes
 
 	mu                sync.Mutex
 	targets           map[string]*Target
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -21,7 +21,10 @@
 	now := time.Now()
 	d := jwlog.Decision{
 		Step: step, Request: q.ID, Entry: q.entry.Name, Version: q.version, Workspace: q.workspace, Service: q.service,
-		Units: q.units, Priority: q.priority, Attempt: q.attempts, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
+		Units: q.units, Attempt: q.attempts, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
+	}
+	if q.controlled {
+		d.Priority = q.priority
 	}
 	q.addShare(&d)
 	return d
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -234,7 +234,7 @@
 	q.entry = parseKind(r.Header.Get(headerKind))
 	q.entry.GapGoal = time.Duration(max(parseCount(r.Header.Get(headerGapGoal)), 0)) * time.Millisecond
 	q.homes, q.priority, q.workspace = q.entry.Homes, q.entry.Priority, r.Header.Get(headerWorkspace)
-	q.givenRank = r.Header.Get(headerRank)
+	q.givenRank, q.controlled = r.Header.Get(headerRank), g.controlsOverload(q.service)
 	if fingerprint, err := jwsuspect.ParseFingerprint(r.Header.Get(headerFingerprint)); err == nil {
 		q.fingerprint = fingerprint
 	}
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -79,6 +79,7 @@
 	lastReason      string          // why the last send or choice of a target failed
 	share           admitted
 	givenRank       string          // rank given by the node that forwarded it, "" for none
+	controlled      bool            // under overload control
 	counted         bool            // counted as demand of the region
 	drawn           bool            // it was decided by the shares whether it leaves the region
 	events          int             // events of a stream passed to the caller
@@ -160,6 +161,7 @@
 		header: r.Header, arrived: time.Now(), w: w,
 	}
 	q.service = e.Choose(hashFraction(call.ID))
+	q.controlled = g.controlsOverload(q.service)
 	limit := defaultDeadline
 	if call.Deadline > 0 {
 		limit = call.Deadline
