--- a/core/jwinstance/loadreport.go
+++ b/core/jwinstance/loadreport.go
@@ -22,13 +22,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	x.load, x.loadAt = l, now
-	x.observePace(now, l.Pace)
-	if l.Pace > 0 && !t.pacedServices[x.Service] {
+	if t.reportsPace(x, l.Pace) {
+		x.observePace(now, l.Pace)
+	}
+}
+
+// reportsPace reports whether a target reported its pace, to this node or to another one, and
+// remembers that targets of the service do.
+func (t *Table) reportsPace(x *Target, pace float64) bool {
+	if pace <= 0 || t.IgnorePace {
+		return false
+	}
+	if !t.pacedServices[x.Service] {
 		if t.pacedServices == nil {
 			t.pacedServices = make(map[string]bool)
 		}
 		t.pacedServices[x.Service] = true
 	}
+	return true
 }
 
 const (
@@ -49,16 +60,13 @@
 
 // observePace records a pace that the target reported to this node.
 func (x *Target) observePace(now time.Time, pace float64) {
-	if pace <= 0 {
-		return
-	}
 	x.setPace(now, pace)
 	x.meanPace += meanPaceWeight * (x.pace - x.meanPace)
 }
 
 // mergePace records a pace that the target reported to another node.
 func (x *Target) mergePace(at time.Time, pace float64) {
-	if pace > 0 && at.Sub(x.paceAt) > paceReportTolerance {
+	if at.Sub(x.paceAt) > paceReportTolerance {
 		x.setPace(at, pace)
 	}
 }
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -211,8 +211,10 @@
 			continue
 		}
 		x.othersLoad.add(l, 1)
-		age := time.Duration(min(max(l.PaceAge, 0), reportMaxAge.Milliseconds())) * time.Millisecond
-		x.mergePace(now.Add(-age), float64(l.Pace)/100)
+		if pace := float64(l.Pace) / 100; t.reportsPace(x, pace) {
+			age := time.Duration(min(max(l.PaceAge, 0), reportMaxAge.Milliseconds())) * time.Millisecond
+			x.mergePace(now.Add(-age), pace)
+		}
 		if l.Gap > 0 {
 			x.reportedGap, x.reportedGapAt = time.Duration(l.Gap)*time.Millisecond, now
 			if s := t.statsOf(x.Service); s.gap == 0 {
--- a/io/jwgateway/balance.go
+++ b/io/jwgateway/balance.go
@@ -28,6 +28,8 @@
 	// workMemory is the time within which the assumed time of work doubles while only longer times
 	// are measured.
 	workMemory = time.Minute
+	// minRequestWork is the least work of a request; it also counts while none was measured.
+	minRequestWork = time.Millisecond
 	// maxRegionLoadsAge is the age up to which loads of other regions are passed on.
 	maxRegionLoadsAge = jwbalance.DefaultMaxAge
 )
@@ -83,21 +85,25 @@
 }
 
 // next returns the room after another measurement. A target that does several things takes longer for
-// each, so work is measured by the shortest times; these count for about workMemory.
+// each, so work is measured by the shortest times; these count for about workMemory, and longer while
+// no target is usable.
 func (r serviceRoom) next(room jwinstance.Capability, now time.Time) serviceRoom {
 	grown := 1 + now.Sub(r.at).Seconds()/workMemory.Seconds()
 	shortest := func(old, d time.Duration) time.Duration {
-		if old > 0 {
+		if old > 0 && d > 0 {
 			return min(time.Duration(grown*float64(old)), d)
 		}
-		return d
+		return max(old, d)
+	}
+	if room.Slots == 0 {
+		room.Slots = r.Slots
 	}
 	return serviceRoom{room, shortest(r.eventGap, room.EventGap), shortest(r.readTime, room.ReadTime), now}
 }
 
 // work returns the work of a request with tokens to be read and events to be made.
 func (r serviceRoom) work(tokens, events int) float64 {
-	return (time.Duration(tokens)*r.readTime/1000 + time.Duration(events)*r.eventGap/time.Duration(max(r.Slots, 1))).Seconds()
+	return max(time.Duration(tokens)*r.readTime/1000+time.Duration(events)*r.eventGap/time.Duration(max(r.Slots, 1)), minRequestWork).Seconds()
 }
 
 // balancedRegion chooses the region of a request by the shares that go to other regions. It returns
@@ -112,7 +118,8 @@
 	if here != nil {
 		miss = here.MissTokens
 	}
-	work := g.capabilityOf(now, q.service).work(miss, g.balance.expectedEvents(q.service, n.Events))
+	room := g.capabilityOf(now, q.service)
+	work := room.work(miss, g.balance.expectedEvents(q.service, n.Events))
 	class := jwbalance.ClassOf(q.homes)
 	if !q.counted {
 		q.counted = true
@@ -122,9 +129,15 @@
 	if here == nil && mayStay || len(q.tried) > 0 {
 		return jwplacement.Choice{}, false
 	}
-	options := make(map[string]jwplacement.Option)
 	p := g.plan(now, q.service)
-	s := g.balance.Choose(jwbalance.Candidate{Service: q.service, Class: class, Work: work, MustLeave: !mayStay, Preference: func(s jwbalance.Share) (float64, bool) {
+	if room.Capacity <= 0 {
+		p.Known = false // the shares don't keep a request where no target can serve it now
+	}
+	if q.drawn && mayStay {
+		return stay(here, p)
+	}
+	options := make(map[string]jwplacement.Option)
+	s := g.balance.Choose(jwbalance.Candidate{Service: q.service, Class: class, Work: work, MustLeave: !mayStay, Drawn: q.drawn, Preference: func(s jwbalance.Share) (float64, bool) {
 		if q.rejectedRegions[s.Region] || len(g.members.Live(now, s.Region)) == 0 {
 			return 0, false
 		}
@@ -132,17 +145,23 @@
 		options[s.Region] = o
 		return preference(n, here, o), true
 	}}, p)
+	q.drawn = true
 	if s.Region == "" {
-		if here == nil || !p.Known {
-			return jwplacement.Choice{}, false
-		}
-		return jwplacement.Choice{Option: *here, Reason: jwplacement.Local}, true
+		return stay(here, p)
 	}
 	o := options[s.Region]
 	q.forwardShare, q.shareWait = s, o.Expected
 	return jwplacement.Choice{Option: o, Reason: jwplacement.ByShare}, true
 }
 
+// stay returns the choice of this region for a request that no share sends away.
+func stay(here *jwplacement.Option, p jwbalance.Plan) (jwplacement.Choice, bool) {
+	if here == nil || !p.Known {
+		return jwplacement.Choice{}, false
+	}
+	return jwplacement.Choice{Option: *here, Reason: jwplacement.Local}, true
+}
+
 // preference returns how much better another region is for a request than this one, in requests: a
 // request of which more is cached there, or that this region would serve late, goes first.
 func preference(n jwinstance.Need, here *jwplacement.Option, other jwplacement.Option) float64 {
@@ -239,16 +258,16 @@
 // exchangeRegionLoads exchanges loads with the other regions until ctx ends, if this node does so for
 // its region.
 func (g *Gateway) exchangeRegionLoads(ctx context.Context) {
-	report := &shareReport{meter: g.Meter, logged: make(map[pairKey]float64), gauges: make(map[pairKey]tally.Gauge), ages: make(map[string]tally.Gauge)}
+	report := &shareReport{meter: g.Meter, logged: make(map[pairKey]loggedShare), gauges: make(map[pairKey]tally.Gauge), ages: make(map[string]tally.Gauge)}
 	for ctx.Err() == nil {
 		now := time.Now()
-		if !g.balances() {
+		if len(g.balancedServices()) == 0 {
 			jwclock.Sleep(ctx, regionLoadsInterval)
 			continue
 		}
 		g.reportShares(now, report)
-		if g.speaksForRegion(now) {
-			for _, region := range g.unheardRegions(now) {
+		if g.exchangesLoads(now) {
+			for _, region := range g.staleRegions(now) {
 				if peers := g.remotePeers(now, region); len(peers) > 0 {
 					go g.exchangeLoadsWith(ctx, region, peers[0])
 				}
@@ -258,23 +277,25 @@
 	}
 }
 
-// balances reports whether requests of any service are spread over the regions by shares.
-func (g *Gateway) balances() bool {
+// balancedServices returns the services whose requests are spread over the regions by shares: those
+// with engines, if their overload is controlled.
+func (g *Gateway) balancedServices() []string {
 	c := g.entries.Current()
 	if c == nil {
-		return false
+		return nil
 	}
-	for name := range c.Services {
-		if g.controlsOverload(name) {
-			return true
+	var list []string
+	for name, s := range c.Services {
+		if s.Engine != nil && g.controlsOverload(name) {
+			list = append(list, name)
 		}
 	}
-	return false
+	return list
 }
 
-// speaksForRegion reports whether this node exchanges loads with other regions: of the live nodes,
+// exchangesLoads reports whether this node exchanges loads with other regions: of the live nodes,
 // or of the relays of a large region, the first one by name.
-func (g *Gateway) speaksForRegion(now time.Time) bool {
+func (g *Gateway) exchangesLoads(now time.Time) bool {
 	nodes := g.members.Live(now, g.Settings.Region)
 	if g.members.Large(now, g.Settings.Region) {
 		if !g.members.IsRelay(now) {
@@ -290,17 +311,17 @@
 	return true
 }
 
-// unheardRegions returns the other regions whose last loads are older than half the interval: where
+// staleRegions returns the other regions whose last loads are older than half the interval: where
 // both regions call each other, one call is enough for both.
-func (g *Gateway) unheardRegions(now time.Time) []string {
-	heard := map[string]bool{g.Settings.Region: true}
+func (g *Gateway) staleRegions(now time.Time) []string {
+	recent := map[string]bool{g.Settings.Region: true}
 	for _, r := range g.balance.Regions(now, regionLoadsInterval/2, false) {
-		heard[r.Region] = true
+		recent[r.Region] = true
 	}
 	var list []string
 	for _, region := range g.Settings.Gateway.DataCentres {
-		if !heard[region] {
-			heard[region] = true
+		if !recent[region] {
+			recent[region] = true
 			list = append(list, region)
 		}
 	}
@@ -310,13 +331,9 @@
 // loads returns the loads of this region that it reports to others.
 func (g *Gateway) loads(now time.Time) regionLoads {
 	r := regionLoads{Member: g.members.Local(), Loads: make(map[string]jwbalance.Load)}
-	if c := g.entries.Current(); c != nil {
-		for name := range c.Services {
-			if g.controlsOverload(name) {
-				room := g.capabilityOf(now, name)
-				r.Loads[name] = g.balance.Load(now, name, jwbalance.Room{Capacity: room.Capacity, Backlog: room.Backlog})
-			}
-		}
+	for _, name := range g.balancedServices() {
+		room := g.capabilityOf(now, name)
+		r.Loads[name] = g.balance.Load(now, name, jwbalance.Room{Capacity: room.Capacity, Backlog: room.Backlog})
 	}
 	return r
 }
@@ -360,7 +377,7 @@
 
 // serveRegionLoads merges the loads of another region and answers with those of this one.
 func (g *Gateway) serveRegionLoads(w http.ResponseWriter, r *http.Request) {
-	if !g.balances() {
+	if len(g.balancedServices()) == 0 {
 		http.NotFound(w, r)
 		return
 	}
--- a/io/jwgateway/balance_test.go
+++ b/io/jwgateway/balance_test.go
@@ -37,7 +37,7 @@
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80),
 		})
 	}
-	g.entries.Put(&jwentry.Config{Version: 1, Services: map[string]*jwentry.Service{"v": {}}})
+	g.entries.Put(&jwentry.Config{Version: 1, Services: map[string]*jwentry.Service{"v": {Engine: &jwentry.Engine{Capacity: 100_000, Stride: 1}}}})
 	return g
 }
 
@@ -78,7 +78,7 @@
 	encoded, err := json.Marshal(g.state(now, "r"))
 	assert.NilError(t, err)
 	assert.Assert(t, !strings.Contains(string(encoded), "balance"), "%s", encoded)
-	assert.Assert(t, !g.balances())
+	assert.Equal(t, len(g.balancedServices()), 0)
 	w := httptest.NewRecorder()
 	g.serveNode(w, httptest.NewRequest(http.MethodPost, regionLoadsPath, strings.NewReader("{}")))
 	assert.Equal(t, w.Code, http.StatusNotFound)
@@ -105,6 +105,64 @@
 	assert.Equal(t, got[jwplacement.ByShare]+got[jwplacement.Local], 100)
 }
 
+// A request that waits in the node is placed at each of its turns; it leaves no more often than one
+// that does not wait.
+func TestBalanceAtEachTurn(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	peak(g, now)
+	room := g.capabilityOf(now, "v")
+	g.balance.MergeRegion(now, "s", true, map[string]jwbalance.Load{"v": {Capacity: room.Capacity / 8}})
+	share := g.plan(now, "v").Shares[""][0].Part
+	assert.Assert(t, share > 0 && share < 0.25, "%v", share)
+	left := 0
+	const requests, turns = 100, 10
+	for range requests {
+		q := balanceRequest()
+		for range turns {
+			if g.chooseRegion(now, q).Reason == jwplacement.ByShare {
+				left++
+				break
+			}
+		}
+	}
+	assert.Assert(t, float64(left) < requests*share+10, "%d leave, share %v", left, share)
+}
+
+// While all targets of a region are cold, requests still count as demand, and those that
+// another region has room for leave.
+func TestBalanceWithoutCapacity(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	before := g.capabilityOf(now, "v")
+	assert.Assert(t, before.work(5000, 0) > 0)
+	now = now.Add(time.Second)
+	g.targets.MergeCold(now, map[string]int64{"r": 60_000})
+	room := g.capabilityOf(now, "v")
+	assert.Equal(t, room.Capacity, 0.0)
+	assert.Equal(t, room.work(5000, 50), before.work(5000, 50))
+	assert.Assert(t, serviceRoom{}.work(5000, 50) > 0, "never measured")
+	g.balance.MergeRegion(now, "s", true, map[string]jwbalance.Load{"v": {Capacity: 100}})
+	chosen(g, now, 100)
+	assert.Assert(t, g.balance.Demand(now, jwbalance.FromNode)["v"][""].Work > 0)
+	now = now.Add(200 * time.Millisecond)
+	g.balance.MergeRegion(now, "s", true, map[string]jwbalance.Load{"v": {Capacity: 100}})
+	assert.Assert(t, chosen(g, now, 200)[jwplacement.Local] < 100)
+}
+
+// An old plan with a small share does not send all requests away once nothing is measured.
+func TestBalanceOldPlanWithoutCapacity(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	peak(g, now)
+	room := g.capabilityOf(now, "v")
+	g.balance.MergeRegion(now, "s", true, map[string]jwbalance.Load{"v": {Capacity: room.Capacity / 8}})
+	g.plan(now, "v")
+	g.targets.MergeCold(now.Add(60*time.Millisecond), map[string]int64{"r": 60_000})
+	away := chosen(g, now.Add(60*time.Millisecond), 100)[jwplacement.ByShare]
+	assert.Assert(t, away < 30, "%d of 100", away)
+}
+
 // Homes bind, whatever the shares are, and a request that another node forwarded is not forwarded
 // again.
 func TestBalanceKeepsHomes(t *testing.T) {
@@ -124,12 +182,12 @@
 // The nodes of a region learn of other regions from the one that exchanges loads with these.
 func TestLoadsReachAllNodes(t *testing.T) {
 	now := time.Now()
-	speaker, other, remote := balanceGateway(now, jwsettings.OverloadOn), balanceGateway(now, jwsettings.OverloadOn), balanceGateway(now, jwsettings.OverloadOn)
+	sender, other, remote := balanceGateway(now, jwsettings.OverloadOn), balanceGateway(now, jwsettings.OverloadOn), balanceGateway(now, jwsettings.OverloadOn)
 	remote.Settings.Node, remote.Settings.Region, remote.balance.Region, remote.targets.Region = "m", "s", "s", "s"
 	remote.members.Self = jwmember.Member{Name: "m", Region: "s", Serving: true}
-	speaker.mergeLoads(now, remote.loads(now))
-	speaker.members.Self.Name = "a"
-	s := speaker.state(now, "r")
+	sender.mergeLoads(now, remote.loads(now))
+	sender.members.Self.Name = "a"
+	s := sender.state(now, "r")
 	encoded, err := json.Marshal(s)
 	assert.NilError(t, err)
 	var received state
@@ -142,15 +200,15 @@
 	assert.Assert(t, len(encoded) < 1000, "%d bytes", len(encoded))
 }
 
-// One node speaks for its region: the first one, and the next one when that is gone.
-func TestSpeaksForRegion(t *testing.T) {
+// One node exchanges loads for its region: the first one, and the next one when that is gone.
+func TestExchangesLoads(t *testing.T) {
 	now := time.Now()
 	g := balanceGateway(now, jwsettings.OverloadOn)
-	assert.Assert(t, g.speaksForRegion(now))
+	assert.Assert(t, g.exchangesLoads(now))
 	g.members.Seen(now, jwmember.Member{Name: "b", Region: "r", Serving: true})
-	assert.Assert(t, !g.speaksForRegion(now))
+	assert.Assert(t, !g.exchangesLoads(now))
 	g.members.MarkUnreachable(now.Add(time.Millisecond), "b")
-	assert.Assert(t, g.speaksForRegion(now.Add(time.Millisecond)))
+	assert.Assert(t, g.exchangesLoads(now.Add(time.Millisecond)))
 }
 
 // BenchmarkBalancedRegion measures the choice of the region of one request at a peak, with 64 targets
@@ -173,7 +231,7 @@
 	here := &jwplacement.Option{Region: "r", Known: true, Expected: time.Second, MissTokens: 5000}
 	b.ReportAllocs()
 	for b.Loop() {
-		q.counted = false
+		q.counted, q.drawn = false, false
 		g.balancedRegion(now, q, n, here)
 	}
 }
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -78,7 +78,10 @@
 	heldBody        int64           // bytes accounted for its body
 	lastReason      string          // why the last send or choice of a target failed
 	share           admitted
+	givenRank       string          // rank given by the node that forwarded it, "" for none
+	controlled      bool            // under overload control
 	counted         bool            // counted as demand of the region
+	drawn           bool            // it was decided by the shares whether it leaves the region
 	events          int             // events of a stream passed to the caller
 	forwardShare    jwbalance.Share // the share by which it is forwarded, zero if none
 	shareWait       time.Duration   // expected wait for the first event there
@@ -158,6 +161,7 @@
 		header: r.Header, arrived: time.Now(), w: w,
 	}
 	q.service = e.Choose(hashFraction(call.ID))
+	q.controlled = g.controlsOverload(q.service)
 	limit := defaultDeadline
 	if call.Deadline > 0 {
 		limit = call.Deadline
