jwwaitroom: one request of a service has its turn at a time

Up to four requests looked for a target at once, so that a less urgent one could take the only free slot, and four that fit nowhere kept all others waiting until they expired. Now one looks after the other, in order; the last turn of a round after a report rotates over the others. Events during a round begin a new one.

TestOneTurnAtATime, TestFirstOnesFitNowhere and the property fail with the old room.

--- a/core/jwwaitroom/room.go
+++ b/core/jwwaitroom/room.go
@@ -31,7 +31,6 @@
 type Ticket struct {
 	Request
 	seq     uint64 // order of arrival
-	offered bool   // has its turn and has not handed it back yet
 	waiting bool
 	signal  chan Reason
 }
@@ -55,7 +54,16 @@
 
 // service holds the waiting requests of one service.
 type service struct {
-	queue     []*Ticket // ordered by before
+	queue []*Ticket // ordered by before
+
+	// At most one request has its turn, so that none takes the room of one that goes before it.
+	holder  *Ticket
+	size    int     // turns of the current round
+	left    int     // of these, those not given yet
+	again   int     // turns of the round after this one: targets may have got room since it began
+	resumed bool    // the current round has cut another one short
+	rotated *Ticket // last request that got a turn beyond the first in order
+
 	lastStart time.Time // when a request last left the queue for a target, zero if the queue was empty since
 	interval  time.Duration
 }
@@ -149,7 +157,7 @@
 	if s == nil {
 		if len(r.services) >= maxServices {
 			for other, old := range r.services {
-				if len(old.queue) == 0 {
+				if len(old.queue) == 0 && old.holder == nil {
 					delete(r.services, other)
 				}
 			}
@@ -195,7 +203,7 @@
 // decide for themselves.
 func (r *Room) expire(now time.Time) {
 	for i := len(r.all) - 1; i >= 0; i-- {
-		if t := r.all[i]; !t.offered && !now.Before(t.LatestStart) {
+		if t := r.all[i]; r.services[t.Service].holder != t && !now.Before(t.LatestStart) {
 			r.drop(t, Expired)
 		}
 	}
@@ -208,8 +216,9 @@
 	r.expire(now)
 }
 
-// Offer gives up to n requests of a service their turn, in order. It is called when targets may
-// have got room. Requests that have their turn already are passed over and count.
+// Offer gives up to n requests of a service their turn, in order and one after another, until none
+// finds room any more. It is called when targets may have got room. While a request has its turn,
+// the next round begins once that turn has ended.
 func (r *Room) Offer(now time.Time, service string, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -219,19 +228,73 @@
 }
 
 func (r *Room) offer(now time.Time, s *service, n int) {
-	for i := 0; i < len(s.queue) && n > 0; {
+	if s.holder != nil {
+		s.again = max(s.again, n)
+		return
+	}
+	s.size, s.left, s.again, s.resumed = n, n, 0, false
+	r.giveTurn(now, s, 0)
+}
+
+// minRotatingRound is the size of a round from which its last turn rotates over the requests after
+// the first ones, so that requests that fit nowhere don't block them.
+const minRotatingRound = 3
+
+// giveTurn gives the next turn of a round to the first request from index i on.
+func (r *Room) giveTurn(now time.Time, s *service, i int) {
+	rotates := s.left == 1 && s.size >= minRotatingRound
+	if rotates && s.rotated != nil {
+		if next := after(s.queue, s.rotated); next > i && next < len(s.queue) {
+			i = next
+		}
+	}
+	for s.left > 0 && i < len(s.queue) {
 		t := s.queue[i]
-		if !t.offered && !now.Before(t.LatestStart) {
+		if !now.Before(t.LatestStart) {
 			r.drop(t, Expired)
 			continue
 		}
-		if !t.offered {
-			t.offered = true
-			t.signal <- None
+		s.holder = t
+		s.left--
+		if rotates {
+			s.rotated = t
 		}
-		n--
+		t.signal <- None
+		return
+	}
+	s.left = 0
+	if n := s.again; n > 0 {
+		r.offer(now, s, n)
+	}
+}
+
+// endTurn ends the turn of a request, if it has it, and gives the next one; one that has left the
+// room does not use up a turn of the round. If targets may have got
+// room since the round began, a new one begins; to reach the later requests, not twice in a row.
+func (r *Room) endTurn(now time.Time, t *Ticket, gone bool) {
+	s := r.services[t.Service]
+	if s == nil || s.holder != t {
+		return
+	}
+	s.holder = nil
+	if gone {
+		s.left = max(s.left, 1)
+	}
+	if s.again > 0 && !s.resumed {
+		r.offer(now, s, s.again)
+		s.resumed = true
+		return
+	}
+	r.giveTurn(now, s, after(s.queue, t))
+}
+
+// after returns the index of the first ticket that goes after t, which may have left the list.
+func after(list []*Ticket, t *Ticket) int {
+	i, ok := slices.BinarySearchFunc(list, t, compare)
+	if ok {
 		i++
 	}
+	return i
 }
 
 // OfferAll is Offer for each service.
@@ -243,12 +306,12 @@
 	}
 }
 
-// Return hands back a turn for which no target was found: the request keeps its place. It returns
-// a reason if the request no longer waits.
+// Return hands back a turn for which no target was found: the request keeps its place, and the next
+// one gets its turn. It returns a reason if the request no longer waits.
 func (r *Room) Return(now time.Time, t *Ticket) Reason {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.offered = false
+	defer r.endTurn(now, t, false)
 	if !t.waiting {
 		select {
 		case reason := <-t.signal:
@@ -270,21 +333,13 @@
 func (r *Room) Leave(now time.Time, t *Ticket, started bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	hadTurn := t.offered
-	t.offered = false
 	if t.waiting {
 		r.take(t)
 	}
-	s := r.services[t.Service]
-	if s == nil {
-		return
-	}
-	if started {
+	if s := r.services[t.Service]; s != nil && started {
 		s.recordStart(now)
 	}
-	if started || hadTurn {
-		r.offer(now, s, 1)
-	}
+	r.endTurn(now, t, true)
 }
 
 // recordStart updates the mean time between two starts while requests wait.
--- a/core/jwwaitroom/room_test.go
+++ b/core/jwwaitroom/room_test.go
@@ -133,6 +133,52 @@
 	assert.Equal(t, r.Load().Requests, 0)
 }
 
+// Of several requests with a turn the less urgent could take the only free slot first.
+func TestOneTurnAtATime(t *testing.T) {
+	r := &Room{MaxRequests: 9, MaxBytes: 9}
+	var tickets []*Ticket
+	for i := range 6 {
+		ticket, _ := r.Enter(start, Request{Priority: i, LatestStart: at(99)})
+		tickets = append(tickets, ticket)
+	}
+	r.Offer(start, "", 2)
+	assert.DeepEqual(t, turns(tickets), []int{0})
+	assert.Equal(t, r.Return(start, tickets[0]), None)
+	assert.DeepEqual(t, turns(tickets), []int{1})
+	r.Offer(start, "", 2) // what has changed may suit the first one
+	assert.Assert(t, turns(tickets) == nil)
+	assert.Equal(t, r.Return(start, tickets[1]), None)
+	assert.DeepEqual(t, turns(tickets), []int{0})
+	assert.Equal(t, r.Return(start, tickets[0]), None)
+	assert.DeepEqual(t, turns(tickets), []int{1})
+	assert.Equal(t, r.Return(start, tickets[1]), None)
+	assert.Assert(t, turns(tickets) == nil)
+}
+
+// Requests that fit nowhere must not keep the others from a target until they expire.
+func TestFirstOnesFitNowhere(t *testing.T) {
+	r := &Room{MaxRequests: 20, MaxBytes: 9}
+	var tickets []*Ticket
+	for i := range 12 {
+		ticket, _ := r.Enter(start, Request{Priority: i, LatestStart: at(99)})
+		tickets = append(tickets, ticket)
+	}
+	seen := map[int]int{}
+	for range 9 {
+		r.Offer(start, "", 4)
+		for {
+			list := turns(tickets)
+			if list == nil {
+				break
+			}
+			assert.Equal(t, len(list), 1)
+			seen[list[0]]++
+			assert.Equal(t, r.Return(start, tickets[list[0]]), None)
+		}
+	}
+	assert.DeepEqual(t, seen, map[int]int{0: 9, 1: 9, 2: 9, 3: 1, 4: 1, 5: 1, 6: 1, 7: 1, 8: 1, 9: 1, 10: 1, 11: 1})
+}
+
 // A request that is dropped while it has its turn must learn of it when it hands the turn back.
 func TestDroppedDuringItsTurn(t *testing.T) {
 	r := &Room{MaxRequests: 9, MaxBytes: 9}
@@ -217,6 +263,17 @@
 				if queued != len(r.all) {
 					t.Fatalf("%d in queues, %d in all", queued, len(r.all))
 				}
+				for _, s := range r.services {
+					if s.holder == nil && s.again > 0 {
+						t.Fatal("a round was forgotten")
+					}
+				}
+				withTurn := map[string]int{}
+				for x := range held {
+					if withTurn[x.Service]++; withTurn[x.Service] > 1 {
+						t.Fatal("two requests have their turn")
+					}
+				}
 				for _, x := range r.all {
 					if !slices.Contains(live, x) {
 						t.Fatal("a request was left behind")
--- a/io/jwgateway/waitroom_test.go
+++ b/io/jwgateway/waitroom_test.go
@@ -72,10 +72,11 @@
 	}
 }
 
-// call places a request and holds its slot for d.
-func (g *Gateway) call(q *request, d time.Duration) jwwaitroom.Reason {
+// call places a request and holds its slot for d. started is called when it has got the slot.
+func (g *Gateway) call(q *request, d time.Duration, started func()) jwwaitroom.Reason {
 	c, reason := g.place(context.Background(), q)
 	if reason == jwwaitroom.None {
+		started()
 		time.Sleep(d)
 		g.targets.Done(time.Now(), c.Target, c, 0)
 		g.offerTurn("s")
@@ -96,13 +97,15 @@
 			for i := range n {
 				q := roomRequest(fmt.Sprintf("%s%d", name, i), priority, tokens, time.Second)
 				wg.Go(func() {
-					reason := g.call(q, 400*time.Millisecond)
+					// The start, as calls that end in the same instant do so in any order.
+					reason := g.call(q, 400*time.Millisecond, func() {
+						mu.Lock()
+						defer mu.Unlock()
+						order = append(order, name)
+					})
 					mu.Lock()
 					defer mu.Unlock()
 					reasons[reason]++
-					if reason == jwwaitroom.None {
-						order = append(order, name)
-					}
 				})
 			}
 		}
@@ -141,7 +144,7 @@
 		for i := range 200 {
 			q := roomRequest(fmt.Sprint(i), i%3, 1000, time.Second)
 			wg.Go(func() {
-				reason := g.call(q, 300*time.Millisecond)
+				reason := g.call(q, 300*time.Millisecond, func() {})
 				if reason != jwwaitroom.None {
 					assert.Equal(t, reason, jwwaitroom.Expired)
 					assert.Assert(t, !time.Now().After(q.arrived.Add(1200*time.Millisecond+turnInterval)))
