jwwaitroom: pauses without waiting requests don't count as time between starts

The time of the last start was forgotten only if a start emptied the queue, so that after the last request had expired, was dropped or had left, the pause until the next one counted as a sample: after ten minutes the expected wait was minutes, and admission rejected. It is now forgotten whenever the queue becomes empty, and a sample counts at most 2 s.

--- a/core/jwwaitroom/room.go
+++ b/core/jwwaitroom/room.go
@@ -71,6 +71,9 @@
 // intervalWeight is the weight of a new sample in the mean time between two starts.
 const intervalWeight = 0.1
 
+// maxInterval limits a sample of the mean time between two starts. Requests rarely wait longer.
+const maxInterval = 2 * time.Second
+
 // maxServices limits the number of services with a measured rate.
 const maxServices = 64
 
@@ -187,6 +190,9 @@
 	r.all = remove(r.all, t)
 	s := r.services[t.Service]
 	s.queue = remove(s.queue, t)
+	if len(s.queue) == 0 {
+		s.lastStart = time.Time{}
+	}
 }
 
 // drop removes a ticket and delivers the reason, in place of a turn that was not taken up yet.
@@ -333,19 +339,19 @@
 func (r *Room) Leave(now time.Time, t *Ticket, started bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t.waiting {
-		r.take(t)
-	}
 	if s := r.services[t.Service]; s != nil && started {
 		s.recordStart(now)
 	}
+	if t.waiting {
+		r.take(t)
+	}
 	r.endTurn(now, t, true)
 }
 
 // recordStart updates the mean time between two starts while requests wait.
 func (s *service) recordStart(now time.Time) {
 	if !s.lastStart.IsZero() {
-		d := now.Sub(s.lastStart)
+		d := min(now.Sub(s.lastStart), maxInterval)
 		if s.interval == 0 {
 			s.interval = d
 		}
--- a/core/jwwaitroom/room_test.go
+++ b/core/jwwaitroom/room_test.go
@@ -323,6 +323,41 @@
 	assert.Equal(t, wait, 200*time.Millisecond)
 }
 
+// The time in which no request waits says nothing of how long the next ones will wait.
+func TestAheadAfterPause(t *testing.T) {
+	cases := map[string]struct {
+		empty func(*Room, *Ticket)
+		want  time.Duration // between two starts
+	}{
+		"the last one expires":        {func(r *Room, _ *Ticket) { r.Expire(at(5000)) }, 100 * time.Millisecond},
+		"the last one is dropped":     {func(r *Room, _ *Ticket) { r.DropAll(Stopping) }, 100 * time.Millisecond},
+		"the last one leaves":         {func(r *Room, x *Ticket) { r.Leave(at(200), x, false) }, 100 * time.Millisecond},
+		"the last one is started":     {func(r *Room, x *Ticket) { r.Leave(at(200), x, true) }, 100 * time.Millisecond},
+		"the last one waits for long": {func(*Room, *Ticket) {}, 290 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := &Room{MaxRequests: 10, MaxBytes: 10}
+			enter := func(ms int) *Ticket {
+				x, reason := r.Enter(at(ms), Request{LatestStart: at(ms + 1e6)})
+				assert.Equal(t, reason, None)
+				return x
+			}
+			first, second := enter(0), enter(0)
+			last, _ := r.Enter(start, Request{Priority: 1, LatestStart: at(5000)})
+			r.Leave(start, first, true)
+			r.Leave(at(100), second, true)
+			c.empty(r, last)
+			const pause = 600_000
+			x := enter(pause)
+			enter(pause)
+			r.Leave(at(pause), x, true)
+			_, wait := r.Ahead("", 0, 0)
+			assert.Equal(t, wait, c.want)
+		})
+	}
+}
+
 // BenchmarkRoom measures one request that comes, gets its turn and leaves, among others that wait.
 func BenchmarkRoom(b *testing.B) {
 	for _, waiting := range []int{0, 100, 4000} {
