jwroom, jwinstance: little used targets aren't divided, parts outlast the reports

Requests waited at targets half in use, as their free room was divided over all nodes once a report. Below 70% of a target's room any node may now take it; the floor of one call for nodes without calls, which overshot at many targets, is gone: the rounding by chance lets them in.

Missing nodes were counted for the whole region at targets that a subset of the nodes uses, and both their equal parts and what they had last reported were reserved: now the count is scaled, and the larger of the two reserved. Parts ran out after 500 ms while relays report every 468 ms, and direct exchanges of 20 nodes every 500 ms: they hold 2.5 intervals, at most the second for which reports count.

Above 70% the bounds are what they were.

--- a/core/jwinstance/lease.go
+++ b/core/jwinstance/lease.go
@@ -21,6 +21,8 @@
 // reportView sums up which reports of other nodes count. It is the same for all targets, so it is
 // computed at most once in viewInterval.
 type reportView struct {
+	holds   time.Duration          // how long parts and reports count without newer ones
+	silent  map[*Target]jwroom.Use // loads from reports that are older
 	at      time.Time
 	oldest  time.Time // arrival of the oldest report that counts
 	missing int
@@ -37,7 +39,7 @@
 	if x.lease.Due(now, v.oldest) {
 		t.renewLease(now, x, n, v)
 	}
-	return x.lease.Allows(x.ownUse())
+	return x.lease.Allows(x.ownUse(), x.othersUse())
 }
 
 func (t *Table) renewLease(now time.Time, x *Target, n Need, v *reportView) {
@@ -50,12 +52,18 @@
 		const steps = 1 << 16
 		fraction = float64(t.Rand(steps)) / steps
 	}
+	nodes := t.sharingNodes(x, v.nodes)
 	x.lease.Renew(now, roomOf(x, n), jwroom.View{
-		Own: x.ownUse(), Others: jwroom.Use{Calls: x.othersLoad.calls, Memory: x.othersLoad.memoryTokens},
-		ReportedAt: v.oldest, Nodes: t.sharingNodes(x, v.nodes), Missing: v.missing, Rounds: rounds, Idle: t.idle(n.Service),
+		Own: x.ownUse(), Others: x.othersUse(), Silent: v.silent[x], ReportedAt: v.oldest, LeaseTime: v.holds,
+		Nodes: nodes, Missing: (v.missing*nodes + v.nodes - 1) / v.nodes, Rounds: rounds,
 	}, fraction)
 }
 
+// othersUse returns what the other nodes use of a target, as last reported.
+func (x *Target) othersUse() jwroom.Use {
+	return jwroom.Use{Calls: x.othersLoad.calls, Memory: x.othersLoad.memoryTokens}
+}
+
 func (x *Target) ownUse() jwroom.Use { return jwroom.Use{Calls: x.calls, Memory: x.memoryInUse} }
 
 // reported records that this node's use of the target goes into a report.
@@ -67,9 +75,6 @@
 	return jwroom.Room{Slots: slots, Queue: max(int(queueShare*float64(slots)), minQueue), Memory: n.Capacity}
 }
 
-// idle reports whether this node has no call of a service in flight.
-func (t *Table) idle(service string) bool { return t.statsOf(service).calls == 0 }
-
 // sharingNodes returns how many of the region's nodes have a target in their subsets.
 func (t *Table) sharingNodes(x *Target, nodes int) int {
 	all := len(t.byRegion[x.Service][x.Region])
@@ -86,14 +91,18 @@
 		return v
 	}
 	t.expireReports(now)
-	*v = reportView{at: now, nodes: 1}
+	*v = reportView{at: now, nodes: 1, holds: jwroom.LeaseTime}
+	if t.ReportInterval != nil {
+		v.holds = jwroom.LeaseTimeFor(t.ReportInterval())
+	}
 	if t.Nodes != nil {
 		v.nodes = max(t.Nodes(), 1)
 	}
 	counted := 0
 	for _, report := range t.reports {
 		v.relayed = v.relayed || report.fromRelay
-		if now.Sub(report.at) >= jwroom.LeaseTime {
+		if now.Sub(report.at) >= v.holds {
+			v.addSilent(report)
 			continue
 		}
 		counted++
@@ -107,6 +116,17 @@
 	return v
 }
 
+// addSilent adds the loads of a report that is too old to count.
+func (v *reportView) addSilent(report nodeReport) {
+	if v.silent == nil {
+		v.silent = make(map[*Target]jwroom.Use)
+	}
+	for _, l := range report.loads {
+		u := v.silent[l.Target]
+		v.silent[l.Target] = jwroom.Use{Calls: u.Calls + l.Calls, Memory: u.Memory + l.MemoryTokens}
+	}
+}
+
 // RoomAge returns how old the oldest report is on which the parts of the targets' room rest, and how
 // many nodes of the region have not reported recently.
 func (t *Table) RoomAge(now time.Time) (age time.Duration, missing int) {
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -32,9 +32,13 @@
 	// Nodes returns how many nodes of the region choose among its targets; Rand returns a random
 	// number from 0 up to but not including n. If Nodes is nil, all usable targets are compared;
 	// see sampleCandidates.
-	Nodes    func() int
-	Rand     func(n int) int
-	ColdRate func(service, target string) float64 // requests a second that this node may send to a cold target
+	Nodes func() int
+
+	// ReportInterval returns the time between two reports of another node of the region. If it is nil,
+	// reports are taken to come often.
+	ReportInterval func() time.Duration
+	Rand           func(n int) int
+	ColdRate       func(service, target string) float64 // requests a second that this node may send to a cold target
 	// LimitShare returns this node's share of the rate limit that a target announces. The function
 	// knows reports whether a node has the target among those that it chooses from. If LimitShare
 	// is nil, this node is assumed to be the only one.
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -92,6 +92,11 @@
 	return s
 }
 
+// exchangeIntervalFor returns the time between two exchanges with so many other nodes of the region.
+func exchangeIntervalFor(nodes int) time.Duration {
+	return min(localInterval*time.Duration(max(nodes, localIntervalNodes))/localIntervalNodes, exchangeInterval)
+}
+
 // exchangeStates sends the node's state to its peers and merges theirs, more often within the
 // region, until ctx ends.
 func (g *Gateway) exchangeStates(ctx context.Context) {
@@ -119,7 +124,7 @@
 			far = now
 			g.exchangeRemote(ctx, now)
 		}
-		jwclock.Sleep(ctx, min(localInterval*time.Duration(max(near, localIntervalNodes))/localIntervalNodes, exchangeInterval))
+		jwclock.Sleep(ctx, exchangeIntervalFor(near))
 	}
 }
 
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -165,6 +165,7 @@
 	g.targets.LimitShare = g.limitShare
 	g.targets.Rand = rand.IntN
 	g.targets.Nodes = func() int { return g.members.Count(time.Now(), s.Region) }
+	g.targets.ReportInterval = g.reportInterval
 	g.bounds.Store(&o.Bounds)
 	g.retryBudget.Limits = func() jwbudget.Limits {
 		b := g.bounds.Load()
--- a/io/jwgateway/waitroom.go
+++ b/io/jwgateway/waitroom.go
@@ -61,6 +61,15 @@
 	}
 }
 
+// reportInterval returns the time between two reports of another node of the region.
+func (g *Gateway) reportInterval() time.Duration {
+	now := time.Now()
+	if g.members.Large(now, g.Settings.Region) {
+		return g.relayExchangeInterval(now)
+	}
+	return exchangeIntervalFor(g.members.Count(now, g.Settings.Region) - 1)
+}
+
 // waitsForRoom reports whether a request waits while no target has room for it.
 func (g *Gateway) waitsForRoom(q *request) bool {
 	return g.waitingRoomOn() && q.Prompt.Tokens > 0 && q.attempts == 0 && !q.answerStarted && g.controlsOverload(q.service)
