jwgateway: a request waits for at most half of its goal, with the time before a forward

A request could wait in the room for 1.2 times its goal and begin late for certain, and its wait began anew at the node that it was forwarded to. It waits for half of its goal; a forward carries how long ago the caller's request came, under overload control only.

The tests of the waiting room have the goals that give them the waits they had, or the shorter limit. TestWaitOfForwardedRequest is new.

--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -28,6 +28,7 @@
 	headerFingerprint = "Jujube-Mark"   // fingerprint of the request, see jwsuspect
 	headerWorkspace   = "Jujube-Workspace"
 	headerGapGoal     = "Jujube-Gap-Goal" // in milliseconds; absent without overload control
+	headerWaited      = "Jujube-Waited"   // time since the caller's request came, in milliseconds; absent without overload control
 )
 
 // chooseRegion chooses the region that serves a request.
@@ -137,6 +138,7 @@
 	h[headerFingerprint] = []string{q.fingerprint.String()}
 	delete(h, headerWorkspace)
 	g.setGapGoal(h, q)
+	g.setWaited(h, q)
 	if q.workspace != "" {
 		h[headerWorkspace] = []string{q.workspace}
 	}
@@ -226,11 +228,12 @@
 	q.w = &outcomeWriter{ResponseWriter: w, signed: func(h http.Header) bool { return g.Dialect.ParseAnswerHeaders(h).Signed }}
 	q.entry = parseKind(r.Header.Get(headerKind))
 	q.entry.GapGoal = time.Duration(max(parseCount(r.Header.Get(headerGapGoal)), 0)) * time.Millisecond
+	q.waitedBefore = time.Duration(max(parseCount(r.Header.Get(headerWaited)), 0)) * time.Millisecond
 	q.homes, q.priority, q.workspace = q.entry.Homes, q.entry.Priority, r.Header.Get(headerWorkspace)
 	if fingerprint, err := jwsuspect.ParseFingerprint(r.Header.Get(headerFingerprint)); err == nil {
 		q.fingerprint = fingerprint
 	}
-	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace, headerGapGoal} {
+	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace, headerGapGoal, headerWaited} {
 		delete(q.header, name)
 	}
 	q.deadline = q.arrived.Add(max(q.Deadline, time.Millisecond))
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -50,14 +50,16 @@
 	priority  int                 // 0 is the most urgent
 	units     float64             // units taken from the workspace's quota
 
-	method    string
-	target    string // path and query as the caller sent them
-	host      string
-	header    http.Header
-	body      body
-	arrived   time.Time
-	deadline  time.Time
-	forwarded bool // received from another node; must not be forwarded again
+	method  string
+	target  string // path and query as the caller sent them
+	host    string
+	header  http.Header
+	body    body
+	arrived time.Time
+	// waitedBefore is how long before that the caller's request came to the node that forwarded it.
+	waitedBefore time.Duration
+	deadline     time.Time
+	forwarded    bool // received from another node; must not be forwarded again
 
 	w               http.ResponseWriter
 	answerStarted   bool // the status and headers were sent to the caller
--- a/io/jwgateway/waitroom.go
+++ b/io/jwgateway/waitroom.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"time"
 
 	"jujubewheel/core/jwadmission"
@@ -26,6 +28,9 @@
 	// waitingOverhead is the memory of a waiting request besides its body: a connection, its
 	// goroutine and the headers.
 	waitingOverhead = 16 << 10
+	// maxWaitShare is the share of its goal that a request waits at most. Later it would begin late,
+	// as its prompt must still be read.
+	maxWaitShare = 0.5
 	// turnInterval is the time between two turns without any other event. It covers targets that
 	// get room by time alone, such as one whose backoff ends.
 	turnInterval = 50 * time.Millisecond
@@ -155,11 +160,11 @@
 }
 
 // latestStart returns until when a request may wait: as long as the answer can begin before the
-// deadline, and no longer than admission lets a request wait behind others.
+// deadline, and no longer than its share of the goal, counted from when the caller's request came.
 func (g *Gateway) latestStart(q *request) time.Time {
 	latest := q.deadline.Add(-g.targets.ReadTime(q.service, 0, q.Prompt.Tokens))
 	if q.entry.Goal > 0 {
-		if byGoal := q.arrived.Add(time.Duration(jwadmission.MaxQueueShare * float64(q.entry.Goal))); byGoal.Before(latest) {
+		if byGoal := q.arrived.Add(time.Duration(maxWaitShare*float64(q.entry.Goal)) - q.waitedBefore); byGoal.Before(latest) {
 			return byGoal
 		}
 	}
@@ -253,3 +258,12 @@
 		jwclock.Sleep(ctx, turnInterval)
 	}
 }
+
+// setWaited sets the header with how long ago the caller's request came, for the node that it is
+// forwarded to.
+func (g *Gateway) setWaited(h http.Header, q *request) {
+	delete(h, headerWaited)
+	if q.entry.Goal > 0 && g.controlsOverload(q.service) {
+		h[headerWaited] = []string{strconv.FormatInt((q.waitedBefore + time.Since(q.arrived)).Milliseconds(), 10)}
+	}
+}
--- a/io/jwgateway/waitroom_test.go
+++ b/io/jwgateway/waitroom_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -95,7 +96,7 @@
 		var wg sync.WaitGroup
 		launch := func(n, priority, tokens int, name string) {
 			for i := range n {
-				q := roomRequest(fmt.Sprintf("%s%d", name, i), priority, tokens, time.Second)
+				q := roomRequest(fmt.Sprintf("%s%d", name, i), priority, tokens, 2400*time.Millisecond)
 				wg.Go(func() {
 					// The start, as calls that end in the same instant do so in any order.
 					reason := g.call(q, 400*time.Millisecond, func() {
@@ -147,7 +148,7 @@
 				reason := g.call(q, 300*time.Millisecond, func() {})
 				if reason != jwwaitroom.None {
 					assert.Equal(t, reason, jwwaitroom.Expired)
-					assert.Assert(t, !time.Now().After(q.arrived.Add(1200*time.Millisecond+turnInterval)))
+					assert.Assert(t, !time.Now().After(q.arrived.Add(500*time.Millisecond+turnInterval)))
 				}
 			})
 			if i == 100 {
@@ -160,6 +161,34 @@
 	})
 }
 
+// A forwarded request has less time left to wait, or it would begin late.
+func TestWaitOfForwardedRequest(t *testing.T) {
+	cases := map[string]struct {
+		mode   jwsettings.OverloadMode
+		header string
+		waited time.Duration
+	}{
+		"overload control":    {jwsettings.OverloadOn, "420", 420 * time.Millisecond},
+		"no overload control": {jwsettings.OverloadOff, "", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := roomGateway(1, 1, jwsettings.WaitAtNode)
+				g.Settings.Gateway.Overload = c.mode
+				q := roomRequest("one", 1, 100, time.Second)
+				q.waitedBefore = 120 * time.Millisecond
+				time.Sleep(300 * time.Millisecond)
+				h := http.Header{headerWaited: {"1"}}
+				g.setWaited(h, q)
+				assert.Equal(t, h.Get(headerWaited), c.header)
+				q.arrived, q.waitedBefore = time.Now(), c.waited
+				assert.Equal(t, g.latestStart(q).Sub(q.arrived), 500*time.Millisecond-c.waited)
+			})
+		})
+	}
+}
+
 // With room, a request is placed at once: the waiting room adds no wait.
 func TestNoWaitUnderLightLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -187,7 +216,7 @@
 		after time.Duration // since the request came
 	}{
 		"the caller leaves":     {func(_ testGateway, _ jwinstance.Choice, cancel func()) { cancel() }, jwwaitroom.Expired, 100 * time.Millisecond},
-		"too late for its goal": {func(testGateway, jwinstance.Choice, func()) {}, jwwaitroom.Expired, 600 * time.Millisecond},
+		"too late for its goal": {func(testGateway, jwinstance.Choice, func()) {}, jwwaitroom.Expired, 500 * time.Millisecond},
 		"a call ends":           {func(g testGateway, call jwinstance.Choice, _ func()) { g.end(call) }, jwwaitroom.None, 100 * time.Millisecond},
 		"the node stops": {func(g testGateway, _ jwinstance.Choice, _ func()) {
 			g.stopping.Store(true)
@@ -198,7 +227,7 @@
 		"a pause of the process": {func(g testGateway, call jwinstance.Choice, _ func()) {
 			g.suspended.Store(int64(time.Hour))
 			g.end(call)
-		}, jwwaitroom.Expired, 600 * time.Millisecond},
+		}, jwwaitroom.Expired, 500 * time.Millisecond},
 		"a pause and a read of the store": {func(g testGateway, call jwinstance.Choice, _ func()) {
 			g.suspended.Store(int64(time.Hour))
 			g.end(call)
@@ -216,7 +245,7 @@
 				waitCtx, leave := context.WithCancel(ctx)
 				time.AfterFunc(100*time.Millisecond, func() { c.event(g, calls[0], leave) })
 				start := time.Now()
-				_, reason := g.place(waitCtx, roomRequest("one", 1, 100, 500*time.Millisecond))
+				_, reason := g.place(waitCtx, roomRequest("one", 1, 100, time.Second))
 				assert.Equal(t, reason, c.want)
 				took := time.Since(start)
 				assert.Assert(t, took >= c.after && took <= c.after+turnInterval, "after %v", took)
