jwinstance, jwgateway: requests wait while targets refuse for a moment

A target that has refused a request is not used for 100 ms. Once all of a service were in such a pause, closed or beyond their cold rate, all waiting requests were rejected at once. They now wait if a target is ready again before their latest start. Targets that can't be reached don't count. The case of a target that refuses others failed before.

--- a/core/jwinstance/lease.go
+++ b/core/jwinstance/lease.go
@@ -1,6 +1,7 @@
 package jwinstance
 
 import (
+	"slices"
 	"time"
 
 	"jujubewheel/core/jwroom"
@@ -42,6 +43,32 @@
 	return x.lease.Allows(x.ownUse(), x.othersUse())
 }
 
+// ReadyAt returns the earliest time at which a target of the region may take a request by time alone:
+// one that backs off after it refused a request, asked for no more, or is cold and has got as many
+// as it can handle. It returns false if there is none.
+func (t *Table) ReadyAt(now time.Time, n Need) (at time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range t.knownTargets(n.Service) {
+		if x.Region != t.Region || x.Draining || x.Leaving || t.evacuated[x.DataCentre] || !x.goneAt.IsZero() || x.dialFailures > 0 ||
+			n.Exclude[x.ID] || slices.Contains(n.AvoidAddresses, x.Address) || x.limit.Announced && !t.limitAllows(now, x) {
+			continue
+		}
+		ready := laterTime(laterTime(now, x.backoffUntil), x.closedUntil)
+		if ready.Before(x.coldUntil) && !t.coldAllows(now, x) {
+			next := x.coldUntil
+			if rate := int(t.ColdRate(x.Service, x.ID)); rate > 0 {
+				next = x.recentSends[len(x.recentSends)-rate].Add(recentSendAge)
+			}
+			ready = laterTime(ready, next)
+		}
+		if !ok || ready.Before(at) {
+			at, ok = ready, true
+		}
+	}
+	return at, ok
+}
+
 func (t *Table) renewLease(now time.Time, x *Target, n Need, v *reportView) {
 	rounds := directRounds
 	if v.relayed {
--- a/core/jwinstance/room_test.go
+++ b/core/jwinstance/room_test.go
@@ -135,3 +135,40 @@
 		})
 	}
 }
+
+// A target that is cold or has refused a request takes others again by time alone; one that drains or
+// can't be reached may not.
+func TestReadyAt(t *testing.T) {
+	const ms = time.Millisecond
+	now := time.Unix(1000, 0)
+	cases := map[string]struct {
+		change func(*Table, *Target)
+		want   time.Duration // from now, negative for never
+	}{
+		"usable":          {func(*Table, *Target) {}, 0},
+		"refused":         {func(t *Table, x *Target) { t.Refused(now, x) }, refusedBackoff},
+		"closed":          {func(t *Table, x *Target) { t.SetClosed(now, x, 300*ms) }, 300 * ms},
+		"refused, closed": {func(t *Table, x *Target) { t.Refused(now, x); t.SetClosed(now, x, 300*ms) }, 300 * ms},
+		"not reached":     {func(t *Table, x *Target) { t.Unreached(now, x) }, -1},
+		"draining":        {func(_ *Table, x *Target) { x.Draining = true }, -1},
+		"cold": {func(t *Table, x *Target) {
+			t.SetCold(now, x, 10*time.Second)
+			for i := range 3 {
+				x.recordSend(now.Add(time.Duration(100*i-500) * ms))
+			}
+		}, recentSendAge - 400*ms},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			x := roomTable("n0", 1, 1, 8)
+			x.Warmup = func(string) (time.Duration, float64) { return time.Minute, 2 }
+			x.ColdRate = func(string, string) float64 { return 2 }
+			c.change(x, x.targets["t0"])
+			at, ok := x.ReadyAt(now, Need{Service: "s"})
+			assert.Equal(t, ok, c.want >= 0)
+			if ok {
+				assert.Equal(t, at.Sub(now), c.want)
+			}
+		})
+	}
+}
--- a/core/jwinstance/sample.go
+++ b/core/jwinstance/sample.go
@@ -147,10 +147,13 @@
 	x.recentSends = append(x.recentSends, now)
 }
 
-// dropOldSends forgets sends older than a second, plus a margin of 50 ms.
+// recentSendAge is how long a send is remembered: a second, plus a margin.
+const recentSendAge = time.Second + 50*time.Millisecond
+
+// dropOldSends forgets sends older than recentSendAge.
 func (x *Target) dropOldSends(now time.Time) {
 	expired := 0
-	for expired < len(x.recentSends) && now.Sub(x.recentSends[expired]) >= time.Second+50*time.Millisecond {
+	for expired < len(x.recentSends) && now.Sub(x.recentSends[expired]) >= recentSendAge {
 		expired++
 	}
 	x.recentSends = append(x.recentSends[:0], x.recentSends[expired:]...)
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -130,6 +130,9 @@
 		p = g.chooseRegion(now, q)
 	}
 	if p.Reason == jwplacement.NoTarget {
+		if g.readyInTime(now, q, g.targetNeed(q)) {
+			return waiting
+		}
 		return g.rejectWithoutTarget(now, q)
 	}
 	if d := g.admit(now, q, p); !d.Accepted() {
--- a/io/jwgateway/waitroom.go
+++ b/io/jwgateway/waitroom.go
@@ -117,7 +117,16 @@
 	}
 	n.OnlyWithRoom = false
 	_, usable := g.targets.Peek(now, n)
-	return c, false, usable
+	return c, false, usable || g.readyInTime(now, q, n)
+}
+
+// readyInTime reports whether a request for which no target is usable may wait until one is again.
+func (g *Gateway) readyInTime(now time.Time, q *request, n jwinstance.Need) bool {
+	if !g.waitsForRoom(q) || !q.forwarded && !q.homes.Allows(g.Settings.Region) {
+		return false
+	}
+	at, ok := g.targets.ReadyAt(now, n)
+	return ok && at.Before(g.latestStart(q))
 }
 
 // awaitTurn waits until it is the request's turn and returns None, or the reason why it waits no
--- a/io/jwgateway/waitroom_test.go
+++ b/io/jwgateway/waitroom_test.go
@@ -222,7 +222,15 @@
 			g.stopping.Store(true)
 			g.bounds.Store(&jwsettings.Bounds{})
 		}, jwwaitroom.Stopping, 100 * time.Millisecond},
-		"a target gets room":     {func(g testGateway, _ jwinstance.Choice, _ func()) { g.putTarget("new") }, jwwaitroom.None, 100 * time.Millisecond},
+		"a target gets room": {func(g testGateway, _ jwinstance.Choice, _ func()) { g.putTarget("new") }, jwwaitroom.None, 100 * time.Millisecond},
+		"the target refuses others": {func(g testGateway, call jwinstance.Choice, _ func()) {
+			g.targets.Refused(time.Now(), call.Target)
+			g.end(call)
+		}, jwwaitroom.None, 200 * time.Millisecond},
+		"the target asks for no more": {func(g testGateway, call jwinstance.Choice, _ func()) {
+			g.targets.SetClosed(time.Now(), call.Target, time.Second)
+			g.end(call)
+		}, noTargetLeft, 100 * time.Millisecond},
 		"all targets deregister": {func(g testGateway, _ jwinstance.Choice, _ func()) { g.targets.RemoveExcept(time.Now(), nil, 1<<40) }, noTargetLeft, 100 * time.Millisecond},
 		"a pause of the process": {func(g testGateway, call jwinstance.Choice, _ func()) {
 			g.suspended.Store(int64(time.Hour))
