jwgateway: series of the waiting room are registered at first use

They appeared on nodes without overload control too, which should look as they did. TestRoomSeriesAppearWithUse failed to find them absent before.

--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -80,7 +80,7 @@
 		limitedTargets:    m.Gauge("limited_targets", nil),
 		storeRestores:     m.Counter("store_returns_total", nil),
 		malformedLoads:    m.Counter("malformed_target_loads_total", nil),
-		room:              newRoomMetrics(m),
+		room:              roomMetrics{meter: m},
 		estimateErrors:    newEstimateErrors(m),
 		heldBytes:         make(map[jwmemory.Kind]tally.Gauge),
 		slowStreams:       m.Gauge("slow_streams", nil),
