jwgateway: the pressure of a waiting request is observed once

Each turn of a request that waits observed the small wait expected at that moment, so that the more requests waited, the lower the pressure seemed. It is now observed when the request is placed or rejected, with the time waited. TestPressureOfWaitingRequest checks it. Requests that can't wait in the node are observed as before.

--- a/io/jwgateway/admit.go
+++ b/io/jwgateway/admit.go
@@ -26,7 +26,10 @@
 	}
 	if r.HasPrompt && g.controlsOverload(q.service) {
 		rank := g.rank(q)
-		g.pressure.Observe(now, q.service, rank, p.Expected-p.OwnReadTime, q.entry.Goal)
+		q.behind, q.observes = p.Expected-p.OwnReadTime, true
+		if !g.waitsForRoom(q) {
+			g.observePressure(now, q)
+		}
 		r.Overload = &jwadmission.Overload{
 			Rest: p.Rest, Patience: q.patience(now), Pressure: g.pressure.Of(now, q.service, rank),
 		}
@@ -34,6 +37,20 @@
 	return g.Admission.Decide(r)
 }
 
+// observePressure records how long a request waits behind others, once it has waited in the node and
+// was placed or rejected.
+func (g *Gateway) observePressure(now time.Time, q *request) {
+	if !q.observes {
+		return
+	}
+	d := q.behind + q.waitedInRoom
+	if q.turn != nil {
+		d = q.behind + now.Sub(q.turn.since)
+	}
+	q.observes, q.waitedInRoom = false, 0
+	g.pressure.Observe(now, q.service, g.rank(q), d, q.entry.Goal)
+}
+
 // patience returns how long the caller of a stream still waits for its first event.
 func (q *request) patience(now time.Time) time.Duration {
 	total := max(minPatience, patienceGoals*q.entry.Goal, patienceGapGoals*q.entry.GapGoal)
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -73,6 +73,9 @@
 	retryAfter      time.Duration   // Retry-After of the last rejection
 	rejectedRegions map[string]bool // regions whose nodes rejected the request
 	turn            *turn           // while it waits for a target with room
+	waitedInRoom    time.Duration   // how long it has waited for that
+	behind          time.Duration   // expected wait behind others at the place chosen last
+	observes        bool            // behind has not been recorded yet
 	sendTimer       sendTimer       // of the current send to a target
 	onRead          func()          // called once an answer was read while its caller is slow; nil for none
 	readResumed     time.Time       // when reading an answer was last resumed after it had waited for the caller
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -136,9 +136,11 @@
 		return g.rejectWithoutTarget(now, q)
 	}
 	if d := g.admit(now, q, p); !d.Accepted() {
+		g.observePressure(now, q)
 		return q.reject(string(d.Reason), d.RetryAfter)
 	}
 	if p.Region != g.Settings.Region {
+		g.observePressure(now, q)
 		g.leaveRoom(q, waitForwarded)
 		return g.sendNode(ctx, q, p.Region, p.MissTokens)
 	}
@@ -148,6 +150,7 @@
 	if wait {
 		return waiting
 	}
+	g.observePressure(now, q)
 	if !ok {
 		return g.rejectWithoutTarget(now, q)
 	}
--- a/io/jwgateway/waitroom.go
+++ b/io/jwgateway/waitroom.go
@@ -93,6 +93,9 @@
 			return v
 		}
 		if reason := g.awaitTurn(ctx, q); reason != jwwaitroom.None {
+			if ctx.Err() == nil {
+				g.observePressure(time.Now(), q)
+			}
 			return q.reject(string(reason), g.roomRetryAfter(q, reason))
 		}
 	}
@@ -190,6 +193,7 @@
 	now := time.Now()
 	g.room.Leave(now, t.ticket, outcome == waitPlaced)
 	waited := now.Sub(t.since)
+	q.waitedInRoom = waited
 	g.metrics.room.recordWait(g.rank(q), waited)
 	d := q.newDecision(stepWait)
 	d.Outcome, d.Waited, d.Waiting, d.Prompt = outcome, waited, t.ahead, q.Prompt.Tokens
--- a/io/jwgateway/waitroom_test.go
+++ b/io/jwgateway/waitroom_test.go
@@ -15,6 +15,7 @@
 
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwplacement"
 	"jujubewheel/core/jwwaitroom"
 	"jujubewheel/io/jwsettings"
 )
@@ -161,6 +162,33 @@
 	})
 }
 
+// The pressure of a request is what it waits, however often it gets its turn.
+func TestPressureOfWaitingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, direct := roomGateway(1, 1, jwsettings.WaitAtNode), roomGateway(1, 1, jwsettings.WaitAtNode)
+		q := roomRequest("one", 0, 100, time.Second)
+		calls := g.fill()
+		choice := jwplacement.Choice{Option: jwplacement.Option{Expected: 50 * time.Millisecond, OwnReadTime: 40 * time.Millisecond}}
+		time.AfterFunc(350*time.Millisecond, func() { g.targets.Done(time.Now(), calls[0].Target, calls[0], 0) })
+		for range 4 {
+			time.AfterFunc(100*time.Millisecond, func() { g.offerTurn("s") })
+			g.admit(time.Now(), q, choice)
+			_, ok, wait := g.bestWithRoom(time.Now(), q, jwinstance.Need{Service: "s", Prompt: q.Prompt})
+			assert.Assert(t, wait && !ok)
+			assert.Equal(t, g.pressure.Of(time.Now(), "s", 1), 0.0)
+			assert.Equal(t, g.awaitTurn(context.Background(), q), jwwaitroom.None)
+		}
+		g.admit(time.Now(), q, choice)
+		_, ok, _ := g.bestWithRoom(time.Now(), q, jwinstance.Need{Service: "s", Prompt: q.Prompt})
+		assert.Assert(t, ok)
+		now := time.Now()
+		g.observePressure(now, q)
+		g.observePressure(now, q)
+		direct.pressure.Observe(now, "s", 0, 410*time.Millisecond, time.Second)
+		assert.Equal(t, g.pressure.Of(now, "s", 1), direct.pressure.Of(now, "s", 1))
+	})
+}
+
 // A forwarded request has less time left to wait, or it would begin late.
 func TestWaitOfForwardedRequest(t *testing.T) {
 	cases := map[string]struct {
