--- a/core/jwwaitroom/room.go
+++ b/core/jwwaitroom/room.go
@@ -31,7 +31,6 @@
 type Ticket struct {
 	Request
 	seq     uint64 // order of arrival
-	offered bool   // has its turn and has not handed it back yet
 	waiting bool
 	signal  chan Reason
 }
@@ -55,10 +54,16 @@
 
 // service holds the waiting requests of one service.
 type service struct {
-	queue     []*Ticket // ordered by before
-	current   *Ticket   // has its turn, nil if none
-	turns     int       // how many requests may still get a turn, one after another, if none finds a target
-	again     int       // the same from the first on, after current has handed back its turn
+	queue []*Ticket // ordered by before
+
+	// At most one request has its turn, so that none takes the room of one that goes before it.
+	holder  *Ticket
+	size    int     // turns of the current round
+	left    int     // of these, those not given yet
+	again   int     // turns of the round after this one: targets may have got room since it began
+	resumed bool    // the current round has cut another one short
+	rotated *Ticket // last request that got a turn beyond the first in order
+
 	lastStart time.Time // when a request last left the queue for a target, zero if the queue was empty since
 	interval  time.Duration
 }
@@ -66,6 +71,9 @@
 // intervalWeight is the weight of a new sample in the mean time between two starts.
 const intervalWeight = 0.1
 
+// maxInterval limits a sample of the mean time between two starts. Requests rarely wait longer.
+const maxInterval = 2 * time.Second
+
 // maxServices limits the number of services with a measured rate.
 const maxServices = 64
 
@@ -152,7 +160,7 @@
 	if s == nil {
 		if len(r.services) >= maxServices {
 			for other, old := range r.services {
-				if len(old.queue) == 0 {
+				if len(old.queue) == 0 && old.holder == nil {
 					delete(r.services, other)
 				}
 			}
@@ -182,6 +190,9 @@
 	r.all = remove(r.all, t)
 	s := r.services[t.Service]
 	s.queue = remove(s.queue, t)
+	if len(s.queue) == 0 {
+		s.lastStart = time.Time{}
+	}
 }
 
 // drop removes a ticket and delivers the reason, in place of a turn that was not taken up yet.
@@ -198,7 +209,7 @@
 // decide for themselves.
 func (r *Room) expire(now time.Time) {
 	for i := len(r.all) - 1; i >= 0; i-- {
-		if t := r.all[i]; !t.offered && !now.Before(t.LatestStart) {
+		if t := r.all[i]; r.services[t.Service].holder != t && !now.Before(t.LatestStart) {
 			r.drop(t, Expired)
 		}
 	}
@@ -211,8 +222,9 @@
 	r.expire(now)
 }
 
-// Offer gives requests of a service their turn, one after another and in order, until one finds no
-// target for n times. It is called when targets may have got room.
+// Offer gives up to n requests of a service their turn, in order and one after another, until none
+// finds room any more. It is called when targets may have got room. While a request has its turn,
+// the next round begins once that turn has ended.
 func (r *Room) Offer(now time.Time, service string, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -222,39 +234,73 @@
 }
 
 func (r *Room) offer(now time.Time, s *service, n int) {
-	if s.current != nil {
-		s.again = max(s.again, n) // it may have looked for a target before there was room
+	if s.holder != nil {
+		s.again = max(s.again, n)
 		return
 	}
-	s.turns = n
-	r.offerFrom(now, s, 0)
+	s.size, s.left, s.again, s.resumed = n, n, 0, false
+	r.giveTurn(now, s, 0)
 }
 
-// offerFrom gives the next request its turn, from an index of the queue on.
-func (r *Room) offerFrom(now time.Time, s *service, i int) {
-	for i < len(s.queue) {
+// minRotatingRound is the size of a round from which its last turn rotates over the requests after
+// the first ones, so that requests that fit nowhere don't block them.
+const minRotatingRound = 3
+
+// giveTurn gives the next turn of a round to the first request from index i on.
+func (r *Room) giveTurn(now time.Time, s *service, i int) {
+	rotates := s.left == 1 && s.size >= minRotatingRound
+	if rotates && s.rotated != nil {
+		if next := after(s.queue, s.rotated); next > i && next < len(s.queue) {
+			i = next
+		}
+	}
+	for s.left > 0 && i < len(s.queue) {
 		t := s.queue[i]
-		if now.Before(t.LatestStart) {
-			s.current, t.offered = t, true
-			t.signal <- None
-			return
+		if !now.Before(t.LatestStart) {
+			r.drop(t, Expired)
+			continue
+		}
+		s.holder = t
+		s.left--
+		if rotates {
+			s.rotated = t
 		}
-		r.drop(t, Expired)
+		t.signal <- None
+		return
+	}
+	s.left = 0
+	if n := s.again; n > 0 {
+		r.offer(now, s, n)
 	}
 }
 
-// endTurn ends the turn of a ticket, if it has it, and starts those that were asked for meanwhile.
-func (r *Room) endTurn(now time.Time, s *service, t *Ticket) (ended bool) {
-	t.offered = false
-	if s == nil || s.current != t {
-		return false
+// endTurn ends the turn of a request, if it has it, and gives the next one; one that has left the
+// room does not use up a turn of the round. If targets may have got
+// room since the round began, a new one begins; to reach the later requests, not twice in a row.
+func (r *Room) endTurn(now time.Time, t *Ticket, gone bool) {
+	s := r.services[t.Service]
+	if s == nil || s.holder != t {
+		return
 	}
-	s.current = nil
-	if n := s.again; n > 0 {
-		s.again = 0
-		r.offer(now, s, n)
+	s.holder = nil
+	if gone {
+		s.left = max(s.left, 1)
 	}
-	return true
+	if s.again > 0 && !s.resumed {
+		r.offer(now, s, s.again)
+		s.resumed = true
+		return
+	}
+	r.giveTurn(now, s, after(s.queue, t))
+}
+
+// after returns the index of the first ticket that goes after t, which may have left the list.
+func after(list []*Ticket, t *Ticket) int {
+	i, ok := slices.BinarySearchFunc(list, t, compare)
+	if ok {
+		i++
+	}
+	return i
 }
 
 // OfferAll is Offer for each service.
@@ -267,64 +313,45 @@
 }
 
 // Return hands back a turn for which no target was found: the request keeps its place, and the next
-// one may get its turn. It returns a reason if the request no longer waits.
+// one gets its turn. It returns a reason if the request no longer waits.
 func (r *Room) Return(now time.Time, t *Ticket) Reason {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.services[t.Service]
-	next := 0
-	if t.waiting && now.Before(t.LatestStart) {
-		i, _ := slices.BinarySearchFunc(s.queue, t, compare)
-		next = i + 1
-	}
-	waiting := t.waiting
-	if waiting && next == 0 {
-		r.take(t)
-	}
-	if r.endTurn(now, s, t) && s.current == nil {
-		if s.turns--; s.turns > 0 {
-			r.offerFrom(now, s, next)
+	defer r.endTurn(now, t, false)
+	if !t.waiting {
+		select {
+		case reason := <-t.signal:
+			return reason
+		default:
+			return Displaced
 		}
 	}
-	switch {
-	case waiting && next > 0:
-		return None
-	case waiting:
+	if !now.Before(t.LatestStart) {
+		r.take(t)
 		return Expired
 	}
-	select {
-	case reason := <-t.signal:
-		return reason
-	default:
-		return Displaced
-	}
+	return None
 }
 
 // Leave removes a request from the room, whether it found a target or was given up. It may be
-// called more than once. The next one gets its turn if this one had it: if it found a target, there
-// may be room for more.
+// called more than once. If it found a target, the next one gets its turn, as there may be room for
+// it too.
 func (r *Room) Leave(now time.Time, t *Ticket, started bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t.waiting {
-		r.take(t)
-	}
-	s := r.services[t.Service]
-	if s == nil {
-		return
-	}
-	if started {
+	if s := r.services[t.Service]; s != nil && started {
 		s.recordStart(now)
 	}
-	if r.endTurn(now, s, t) && s.current == nil {
-		r.offer(now, s, max(s.turns, 1))
+	if t.waiting {
+		r.take(t)
 	}
+	r.endTurn(now, t, true)
 }
 
 // recordStart updates the mean time between two starts while requests wait.
 func (s *service) recordStart(now time.Time) {
 	if !s.lastStart.IsZero() {
-		d := now.Sub(s.lastStart)
+		d := min(now.Sub(s.lastStart), maxInterval)
 		if s.interval == 0 {
 			s.interval = d
 		}
--- a/core/jwwaitroom/room_test.go
+++ b/core/jwwaitroom/room_test.go
@@ -133,26 +133,52 @@
 	assert.Equal(t, r.Load().Requests, 0)
 }
 
-// A turn for a request that finds no target passes on to the next ones, but never before that one
-// has looked: a less urgent request would take the last slot.
-func TestTurnsGoOneByOne(t *testing.T) {
+// Of several requests with a turn the less urgent could take the only free slot first.
+func TestOneTurnAtATime(t *testing.T) {
 	r := &Room{MaxRequests: 9, MaxBytes: 9}
 	var tickets []*Ticket
-	for i := range 4 {
+	for i := range 6 {
 		ticket, _ := r.Enter(start, Request{Priority: i, LatestStart: at(99)})
 		tickets = append(tickets, ticket)
 	}
 	r.Offer(start, "", 2)
-	r.Offer(start, "", 2) // while the first has its turn
 	assert.DeepEqual(t, turns(tickets), []int{0})
-	r.Return(start, tickets[0])
-	assert.DeepEqual(t, turns(tickets), []int{0}) // there may be room since it looked
-	r.Return(start, tickets[0])
+	assert.Equal(t, r.Return(start, tickets[0]), None)
+	assert.DeepEqual(t, turns(tickets), []int{1})
+	r.Offer(start, "", 2) // what has changed may suit the first one
+	assert.Assert(t, turns(tickets) == nil)
+	assert.Equal(t, r.Return(start, tickets[1]), None)
+	assert.DeepEqual(t, turns(tickets), []int{0})
+	assert.Equal(t, r.Return(start, tickets[0]), None)
 	assert.DeepEqual(t, turns(tickets), []int{1})
-	r.Return(start, tickets[1])
+	assert.Equal(t, r.Return(start, tickets[1]), None)
 	assert.Assert(t, turns(tickets) == nil)
 }
 
+// Requests that fit nowhere must not keep the others from a target until they expire.
+func TestFirstOnesFitNowhere(t *testing.T) {
+	r := &Room{MaxRequests: 20, MaxBytes: 9}
+	var tickets []*Ticket
+	for i := range 12 {
+		ticket, _ := r.Enter(start, Request{Priority: i, LatestStart: at(99)})
+		tickets = append(tickets, ticket)
+	}
+	seen := map[int]int{}
+	for range 9 {
+		r.Offer(start, "", 4)
+		for {
+			list := turns(tickets)
+			if list == nil {
+				break
+			}
+			assert.Equal(t, len(list), 1)
+			seen[list[0]]++
+			assert.Equal(t, r.Return(start, tickets[list[0]]), None)
+		}
+	}
+	assert.DeepEqual(t, seen, map[int]int{0: 9, 1: 9, 2: 9, 3: 1, 4: 1, 5: 1, 6: 1, 7: 1, 8: 1, 9: 1, 10: 1, 11: 1})
+}
+
 // A request that is dropped while it has its turn must learn of it when it hands the turn back.
 func TestDroppedDuringItsTurn(t *testing.T) {
 	r := &Room{MaxRequests: 9, MaxBytes: 9}
@@ -237,6 +263,17 @@
 				if queued != len(r.all) {
 					t.Fatalf("%d in queues, %d in all", queued, len(r.all))
 				}
+				for _, s := range r.services {
+					if s.holder == nil && s.again > 0 {
+						t.Fatal("a round was forgotten")
+					}
+				}
+				withTurn := map[string]int{}
+				for x := range held {
+					if withTurn[x.Service]++; withTurn[x.Service] > 1 {
+						t.Fatal("two requests have their turn")
+					}
+				}
 				for _, x := range r.all {
 					if !slices.Contains(live, x) {
 						t.Fatal("a request was left behind")
@@ -286,6 +323,41 @@
 	assert.Equal(t, wait, 200*time.Millisecond)
 }
 
+// The time in which no request waits says nothing of how long the next ones will wait.
+func TestAheadAfterPause(t *testing.T) {
+	cases := map[string]struct {
+		empty func(*Room, *Ticket)
+		want  time.Duration // between two starts
+	}{
+		"the last one expires":        {func(r *Room, _ *Ticket) { r.Expire(at(5000)) }, 100 * time.Millisecond},
+		"the last one is dropped":     {func(r *Room, _ *Ticket) { r.DropAll(Stopping) }, 100 * time.Millisecond},
+		"the last one leaves":         {func(r *Room, x *Ticket) { r.Leave(at(200), x, false) }, 100 * time.Millisecond},
+		"the last one is started":     {func(r *Room, x *Ticket) { r.Leave(at(200), x, true) }, 100 * time.Millisecond},
+		"the last one waits for long": {func(*Room, *Ticket) {}, 290 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := &Room{MaxRequests: 10, MaxBytes: 10}
+			enter := func(ms int) *Ticket {
+				x, reason := r.Enter(at(ms), Request{LatestStart: at(ms + 1e6)})
+				assert.Equal(t, reason, None)
+				return x
+			}
+			first, second := enter(0), enter(0)
+			last, _ := r.Enter(start, Request{Priority: 1, LatestStart: at(5000)})
+			r.Leave(start, first, true)
+			r.Leave(at(100), second, true)
+			c.empty(r, last)
+			const pause = 600_000
+			x := enter(pause)
+			enter(pause)
+			r.Leave(at(pause), x, true)
+			_, wait := r.Ahead("", 0, 0)
+			assert.Equal(t, wait, c.want)
+		})
+	}
+}
+
 // BenchmarkRoom measures one request that comes, gets its turn and leaves, among others that wait.
 func BenchmarkRoom(b *testing.B) {
 	for _, waiting := range []int{0, 100, 4000} {
@@ -300,10 +372,6 @@
 				r.Offer(start, "", 1)
 				<-x.Signal()
 				r.Leave(start, x, false)
-				if next := r.services[""].current; next != nil {
-					<-next.Signal()
-					r.Return(start, next)
-				}
 				r.Ahead("", 0, 0)
 			}
 		})
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -29,6 +29,7 @@
 	headerWorkspace   = "Jujube-Workspace"
 	headerGapGoal     = "Jujube-Gap-Goal" // in milliseconds; absent without overload control
 	headerRank        = "Jujube-Rank"     // see Gateway.rank; absent without overload control
+	headerWaited      = "Jujube-Waited"   // time since the caller's request came, in milliseconds; absent without overload control
 )
 
 // chooseRegion chooses the region that serves a request.
@@ -137,6 +138,7 @@
 	delete(h, headerWorkspace)
 	g.setGapGoal(h, q)
 	g.setRank(h, q)
+	g.setWaited(h, q)
 	if q.workspace != "" {
 		h[headerWorkspace] = []string{q.workspace}
 	}
@@ -235,12 +237,13 @@
 	q.w = &outcomeWriter{ResponseWriter: w, signed: func(h http.Header) bool { return g.Dialect.ParseAnswerHeaders(h).Signed }}
 	q.entry = parseKind(r.Header.Get(headerKind))
 	q.entry.GapGoal = time.Duration(max(parseCount(r.Header.Get(headerGapGoal)), 0)) * time.Millisecond
+	q.waitedBefore = time.Duration(max(parseCount(r.Header.Get(headerWaited)), 0)) * time.Millisecond
 	q.homes, q.priority, q.workspace = q.entry.Homes, q.entry.Priority, r.Header.Get(headerWorkspace)
 	q.givenRank, q.controlled = r.Header.Get(headerRank), g.controlsOverload(q.service)
 	if fingerprint, err := jwsuspect.ParseFingerprint(r.Header.Get(headerFingerprint)); err == nil {
 		q.fingerprint = fingerprint
 	}
-	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace, headerGapGoal, headerRank} {
+	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace, headerGapGoal, headerRank, headerWaited} {
 		delete(q.header, name)
 	}
 	q.deadline = q.arrived.Add(max(q.Deadline, time.Millisecond))
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -50,14 +50,16 @@
 	priority  int                 // 0 is the most urgent
 	units     float64             // units taken from the workspace's quota
 
-	method    string
-	target    string // path and query as the caller sent them
-	host      string
-	header    http.Header
-	body      body
-	arrived   time.Time
-	deadline  time.Time
-	forwarded bool // received from another node; must not be forwarded again
+	method  string
+	target  string // path and query as the caller sent them
+	host    string
+	header  http.Header
+	body    body
+	arrived time.Time
+	// waitedBefore is how long before that the caller's request came to the node that forwarded it.
+	waitedBefore time.Duration
+	deadline     time.Time
+	forwarded    bool // received from another node; must not be forwarded again
 
 	w               http.ResponseWriter
 	answerStarted   bool // the status and headers were sent to the caller
@@ -71,6 +73,9 @@
 	retryAfter      time.Duration   // Retry-After of the last rejection
 	rejectedRegions map[string]bool // regions whose nodes rejected the request
 	turn            *turn           // while it waits for a target with room
+	waitedInRoom    time.Duration   // how long it has waited for that
+	behind          time.Duration   // expected wait behind others at the place chosen last
+	observes        bool            // behind has not been recorded yet
 	sendTimer       sendTimer       // of the current send to a target
 	onRead          func()          // called once an answer was read while its caller is slow; nil for none
 	readResumed     time.Time       // when reading an answer was last resumed after it had waited for the caller
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -130,12 +130,17 @@
 		p = g.chooseRegion(now, q)
 	}
 	if p.Reason == jwplacement.NoTarget {
+		if g.readyInTime(now, q, g.targetNeed(q)) {
+			return waiting
+		}
 		return g.rejectWithoutTarget(now, q)
 	}
 	if d := g.admit(now, q, p); !d.Accepted() {
+		g.observePressure(now, q)
 		return q.reject(string(d.Reason), d.RetryAfter)
 	}
 	if p.Region != g.Settings.Region {
+		g.observePressure(now, q)
 		g.leaveRoom(q, waitForwarded)
 		return g.sendNode(ctx, q, p.Region, p.MissTokens)
 	}
@@ -145,6 +150,7 @@
 	if wait {
 		return waiting
 	}
+	g.observePressure(now, q)
 	if !ok {
 		return g.rejectWithoutTarget(now, q)
 	}
--- a/io/jwgateway/waitroom.go
+++ b/io/jwgateway/waitroom.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strconv"
 	"time"
 
 	"jujubewheel/core/jwadmission"
@@ -26,6 +28,9 @@
 	// waitingOverhead is the memory of a waiting request besides its body: a connection, its
 	// goroutine and the headers.
 	waitingOverhead = 16 << 10
+	// maxWaitShare is the share of its goal that a request waits at most. Later it would begin late,
+	// as its prompt must still be read.
+	maxWaitShare = 0.5
 	// turnInterval is the time between two turns without any other event. It covers targets that
 	// get room by time alone, such as one whose backoff ends.
 	turnInterval = 50 * time.Millisecond
@@ -61,6 +66,15 @@
 	}
 }
 
+// reportInterval returns the time between two reports of another node of the region.
+func (g *Gateway) reportInterval() time.Duration {
+	now := time.Now()
+	if g.members.Large(now, g.Settings.Region) {
+		return g.relayExchangeInterval(now)
+	}
+	return exchangeIntervalFor(g.members.Count(now, g.Settings.Region) - 1)
+}
+
 // waitsForRoom reports whether a request waits while no target has room for it.
 func (g *Gateway) waitsForRoom(q *request) bool {
 	return g.waitingRoomOn() && q.Prompt.Tokens > 0 && q.attempts == 0 && !q.answerStarted && g.controlsOverload(q.service)
@@ -79,6 +93,9 @@
 			return v
 		}
 		if reason := g.awaitTurn(ctx, q); reason != jwwaitroom.None {
+			if ctx.Err() == nil {
+				g.observePressure(time.Now(), q)
+			}
 			return q.reject(string(reason), g.roomRetryAfter(q, reason))
 		}
 	}
@@ -103,7 +120,16 @@
 	}
 	n.OnlyWithRoom = false
 	_, usable := g.targets.Peek(now, n)
-	return c, false, usable
+	return c, false, usable || g.readyInTime(now, q, n)
+}
+
+// readyInTime reports whether a request for which no target is usable may wait until one is again.
+func (g *Gateway) readyInTime(now time.Time, q *request, n jwinstance.Need) bool {
+	if !g.waitsForRoom(q) || !q.forwarded && !q.homes.Allows(g.Settings.Region) {
+		return false
+	}
+	at, ok := g.targets.ReadyAt(now, n)
+	return ok && at.Before(g.latestStart(q))
 }
 
 // awaitTurn waits until it is the request's turn and returns None, or the reason why it waits no
@@ -146,11 +172,11 @@
 }
 
 // latestStart returns until when a request may wait: as long as the answer can begin before the
-// deadline, and no longer than admission lets a request wait behind others.
+// deadline, and no longer than its share of the goal, counted from when the caller's request came.
 func (g *Gateway) latestStart(q *request) time.Time {
 	latest := q.deadline.Add(-g.targets.ReadTime(q.service, 0, q.Prompt.Tokens))
 	if q.entry.Goal > 0 {
-		if byGoal := q.arrived.Add(time.Duration(jwadmission.MaxQueueShare * float64(q.entry.Goal))); byGoal.Before(latest) {
+		if byGoal := q.arrived.Add(time.Duration(maxWaitShare*float64(q.entry.Goal)) - q.waitedBefore); byGoal.Before(latest) {
 			return byGoal
 		}
 	}
@@ -167,6 +193,7 @@
 	now := time.Now()
 	g.room.Leave(now, t.ticket, outcome == waitPlaced)
 	waited := now.Sub(t.since)
+	q.waitedInRoom = waited
 	g.metrics.room.recordWait(g.rank(q), waited)
 	d := q.newDecision(stepWait)
 	d.Outcome, d.Waited, d.Waiting, d.Prompt = outcome, waited, t.ahead, q.Prompt.Tokens
@@ -245,3 +272,12 @@
 		jwclock.Sleep(ctx, turnInterval)
 	}
 }
+
+// setWaited sets the header with how long ago the caller's request came, for the node that it is
+// forwarded to.
+func (g *Gateway) setWaited(h http.Header, q *request) {
+	delete(h, headerWaited)
+	if q.entry.Goal > 0 && g.controlsOverload(q.service) {
+		h[headerWaited] = []string{strconv.FormatInt((q.waitedBefore + time.Since(q.arrived)).Milliseconds(), 10)}
+	}
+}
--- a/io/jwgateway/waitroom_test.go
+++ b/io/jwgateway/waitroom_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwplacement"
 	"jujubewheel/core/jwwaitroom"
 	"jujubewheel/io/jwsettings"
 )
@@ -72,10 +74,11 @@
 	}
 }
 
-// call places a request and holds its slot for d.
-func (g *Gateway) call(q *request, d time.Duration) jwwaitroom.Reason {
+// call places a request and holds its slot for d. started is called when it has got the slot.
+func (g *Gateway) call(q *request, d time.Duration, started func()) jwwaitroom.Reason {
 	c, reason := g.place(context.Background(), q)
 	if reason == jwwaitroom.None {
+		started()
 		time.Sleep(d)
 		g.targets.Done(time.Now(), c.Target, c, 0)
 		g.offerTurn("s")
@@ -94,15 +97,17 @@
 		var wg sync.WaitGroup
 		launch := func(n, priority, tokens int, name string) {
 			for i := range n {
-				q := roomRequest(fmt.Sprintf("%s%d", name, i), priority, tokens, time.Second)
+				q := roomRequest(fmt.Sprintf("%s%d", name, i), priority, tokens, 2400*time.Millisecond)
 				wg.Go(func() {
-					reason := g.call(q, 400*time.Millisecond)
+					// The start, as calls that end in the same instant do so in any order.
+					reason := g.call(q, 400*time.Millisecond, func() {
+						mu.Lock()
+						defer mu.Unlock()
+						order = append(order, name)
+					})
 					mu.Lock()
 					defer mu.Unlock()
 					reasons[reason]++
-					if reason == jwwaitroom.None {
-						order = append(order, name)
-					}
 				})
 			}
 		}
@@ -141,10 +146,10 @@
 		for i := range 200 {
 			q := roomRequest(fmt.Sprint(i), i%3, 1000, time.Second)
 			wg.Go(func() {
-				reason := g.call(q, 300*time.Millisecond)
+				reason := g.call(q, 300*time.Millisecond, func() {})
 				if reason != jwwaitroom.None {
 					assert.Equal(t, reason, jwwaitroom.Expired)
-					assert.Assert(t, !time.Now().After(q.arrived.Add(1200*time.Millisecond+turnInterval)))
+					assert.Assert(t, !time.Now().After(q.arrived.Add(500*time.Millisecond+turnInterval)))
 				}
 			})
 			if i == 100 {
@@ -157,6 +162,61 @@
 	})
 }
 
+// The pressure of a request is what it waits, however often it gets its turn.
+func TestPressureOfWaitingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, direct := roomGateway(1, 1, jwsettings.WaitAtNode), roomGateway(1, 1, jwsettings.WaitAtNode)
+		q := roomRequest("one", 0, 100, time.Second)
+		calls := g.fill()
+		choice := jwplacement.Choice{Option: jwplacement.Option{Expected: 50 * time.Millisecond, OwnReadTime: 40 * time.Millisecond, Queue: 10 * time.Millisecond}}
+		time.AfterFunc(350*time.Millisecond, func() { g.targets.Done(time.Now(), calls[0].Target, calls[0], 0) })
+		for range 4 {
+			time.AfterFunc(100*time.Millisecond, func() { g.offerTurn("s") })
+			g.admit(time.Now(), q, choice)
+			_, ok, wait := g.bestWithRoom(time.Now(), q, jwinstance.Need{Service: "s", Prompt: q.Prompt})
+			assert.Assert(t, wait && !ok)
+			assert.Equal(t, g.pressure.Of(time.Now(), "s", 1), 0.0)
+			assert.Equal(t, g.awaitTurn(context.Background(), q), jwwaitroom.None)
+		}
+		g.admit(time.Now(), q, choice)
+		_, ok, _ := g.bestWithRoom(time.Now(), q, jwinstance.Need{Service: "s", Prompt: q.Prompt})
+		assert.Assert(t, ok)
+		now := time.Now()
+		g.observePressure(now, q)
+		g.observePressure(now, q)
+		direct.pressure.Observe(now, "s", 0, 410*time.Millisecond, time.Second)
+		assert.Equal(t, g.pressure.Of(now, "s", 1), direct.pressure.Of(now, "s", 1))
+	})
+}
+
+// A forwarded request has less time left to wait, or it would begin late.
+func TestWaitOfForwardedRequest(t *testing.T) {
+	cases := map[string]struct {
+		mode   jwsettings.OverloadMode
+		header string
+		waited time.Duration
+	}{
+		"overload control":    {jwsettings.OverloadOn, "420", 420 * time.Millisecond},
+		"no overload control": {jwsettings.OverloadOff, "", 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := roomGateway(1, 1, jwsettings.WaitAtNode)
+				g.Settings.Gateway.Overload = c.mode
+				q := roomRequest("one", 1, 100, time.Second)
+				q.waitedBefore = 120 * time.Millisecond
+				time.Sleep(300 * time.Millisecond)
+				h := http.Header{headerWaited: {"1"}}
+				g.setWaited(h, q)
+				assert.Equal(t, h.Get(headerWaited), c.header)
+				q.arrived, q.waitedBefore = time.Now(), c.waited
+				assert.Equal(t, g.latestStart(q).Sub(q.arrived), 500*time.Millisecond-c.waited)
+			})
+		})
+	}
+}
+
 // With room, a request is placed at once: the waiting room adds no wait.
 func TestNoWaitUnderLightLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -184,18 +244,26 @@
 		after time.Duration // since the request came
 	}{
 		"the caller leaves":     {func(_ testGateway, _ jwinstance.Choice, cancel func()) { cancel() }, jwwaitroom.Expired, 100 * time.Millisecond},
-		"too late for its goal": {func(testGateway, jwinstance.Choice, func()) {}, jwwaitroom.Expired, 600 * time.Millisecond},
+		"too late for its goal": {func(testGateway, jwinstance.Choice, func()) {}, jwwaitroom.Expired, 500 * time.Millisecond},
 		"a call ends":           {func(g testGateway, call jwinstance.Choice, _ func()) { g.end(call) }, jwwaitroom.None, 100 * time.Millisecond},
 		"the node stops": {func(g testGateway, _ jwinstance.Choice, _ func()) {
 			g.stopping.Store(true)
 			g.bounds.Store(&jwsettings.Bounds{})
 		}, jwwaitroom.Stopping, 100 * time.Millisecond},
-		"a target gets room":     {func(g testGateway, _ jwinstance.Choice, _ func()) { g.putTarget("new") }, jwwaitroom.None, 100 * time.Millisecond},
+		"a target gets room": {func(g testGateway, _ jwinstance.Choice, _ func()) { g.putTarget("new") }, jwwaitroom.None, 100 * time.Millisecond},
+		"the target refuses others": {func(g testGateway, call jwinstance.Choice, _ func()) {
+			g.targets.Refused(time.Now(), call.Target)
+			g.end(call)
+		}, jwwaitroom.None, 200 * time.Millisecond},
+		"the target asks for no more": {func(g testGateway, call jwinstance.Choice, _ func()) {
+			g.targets.SetClosed(time.Now(), call.Target, time.Second)
+			g.end(call)
+		}, noTargetLeft, 100 * time.Millisecond},
 		"all targets deregister": {func(g testGateway, _ jwinstance.Choice, _ func()) { g.targets.RemoveExcept(time.Now(), nil, 1<<40) }, noTargetLeft, 100 * time.Millisecond},
 		"a pause of the process": {func(g testGateway, call jwinstance.Choice, _ func()) {
 			g.suspended.Store(int64(time.Hour))
 			g.end(call)
-		}, jwwaitroom.Expired, 600 * time.Millisecond},
+		}, jwwaitroom.Expired, 500 * time.Millisecond},
 		"a pause and a read of the store": {func(g testGateway, call jwinstance.Choice, _ func()) {
 			g.suspended.Store(int64(time.Hour))
 			g.end(call)
@@ -213,7 +281,7 @@
 				waitCtx, leave := context.WithCancel(ctx)
 				time.AfterFunc(100*time.Millisecond, func() { c.event(g, calls[0], leave) })
 				start := time.Now()
-				_, reason := g.place(waitCtx, roomRequest("one", 1, 100, 500*time.Millisecond))
+				_, reason := g.place(waitCtx, roomRequest("one", 1, 100, time.Second))
 				assert.Equal(t, reason, c.want)
 				took := time.Since(start)
 				assert.Assert(t, took >= c.after && took <= c.after+turnInterval, "after %v", took)
