jwbalance: preferences are computed without the lock

Balancer.mu was held while the preference of a request for a region was computed, which takes the lock of the table of targets and looks at the members, so all requests of a node waited for each other. Choose now asks for the preferences first; its choices are as before (its tests pass unchanged).

--- a/core/jwbalance/balancer.go
+++ b/core/jwbalance/balancer.go
@@ -272,20 +272,33 @@
 	MustLeave bool // this region may not serve it
 	Drawn     bool // a region was chosen for it before, so that credits have grown by its work
 	// Preference returns how much better a region is for the request than this one, in mean requests,
-	// and false if it can't be sent there now. Values beyond maxPreference are cut.
+	// and false if it can't be sent there now. Values beyond maxPreference are cut. It is called with
+	// no lock held.
 	Preference func(Share) (float64, bool)
 }
 
+// offer is a share with how well a request fits it.
+type offer struct {
+	Share
+	preference float64
+	ok         bool
+}
+
 // Choose returns the share by which a request is sent to another region, and a zero one if it stays
 // in this region. Over time each region gets its share of the work, whatever the preferences are: its
 // credit grows with its share of each request, and the region with the largest credit gets the next
 // request that its credit covers by half. The less a request fits a region, the more credit it needs,
 // so that the preferences select which requests make up the share.
 func (b *Balancer) Choose(r Candidate, p Plan) Share {
+	shares := p.Shares[r.Class]
+	offers := make([]offer, len(shares))
+	for i, share := range shares {
+		offers[i].Share = share
+		offers[i].preference, offers[i].ok = r.Preference(share)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, work := b.service(r.Service), r.Work
-	shares := p.Shares[r.Class]
 	if len(shares) == 0 {
 		delete(s.credit, r.Class)
 		return Share{}
@@ -302,13 +315,12 @@
 	}
 	var best Share
 	bestFit := 0.0
-	for _, share := range shares {
-		sum := min(credit[share.Region]+share.Part*grown, limit)
-		credit[share.Region] = sum
-		preference, ok := r.Preference(share)
-		fit := sum + min(max(preference, -maxPreference), maxPreference)*s.meanWork - work/2
-		if ok && (r.MustLeave || fit >= 0) && (best.Region == "" || fit > bestFit) {
-			best, bestFit = share, fit
+	for _, o := range offers {
+		sum := min(credit[o.Region]+o.Part*grown, limit)
+		credit[o.Region] = sum
+		fit := sum + min(max(o.preference, -maxPreference), maxPreference)*s.meanWork - work/2
+		if o.ok && (r.MustLeave || fit >= 0) && (best.Region == "" || fit > bestFit) {
+			best, bestFit = o.Share, fit
 		}
 	}
 	if best.Region != "" {
--- a/core/jwbalance/balancer_test.go
+++ b/core/jwbalance/balancer_test.go
@@ -72,6 +72,20 @@
 	assert.Equal(t, node.Choose(candidate("", everywhere), Plan{}).Region, "", "the share ended")
 }
 
+// The preference looks at the targets of other regions, which takes long and has locks of its own.
+func TestPreferenceWithoutLock(t *testing.T) {
+	p := Plan{Known: true, Shares: map[Class][]Share{"": {{Region: "b", Part: 1}}}}
+	var node Balancer
+	free := false
+	node.Choose(candidate("", func(Share) (float64, bool) {
+		if free = node.mu.TryLock(); free {
+			node.mu.Unlock()
+		}
+		return 0, true
+	}), p)
+	assert.Assert(t, free)
+}
+
 func TestChooseMustLeave(t *testing.T) {
 	p := Plan{Known: true, Shares: map[Class][]Share{"b|c": {{Region: "b", Part: 0.5}, {Region: "c", Part: 0.5}}}}
 	sent := map[string]int{}
