jwgateway, jwbalance: in small regions loads are passed on once

In a region of up to 12 nodes each node repeated the loads of all regions to all others, and repeated loads looked younger by the time of each transmission. Only the node that exchanged with a region passes its loads on now, and ages are rounded up.

--- a/core/jwbalance/balancer.go
+++ b/core/jwbalance/balancer.go
@@ -213,7 +213,7 @@
 // Reported is the last report of a region.
 type Reported struct {
 	Region string          `json:"region"`
-	AgeMS  int64           `json:"age"` // milliseconds
+	AgeMS  int64           `json:"age"` // milliseconds, rounded up so that no report looks younger when it is passed on
 	Loads  map[string]Load `json:"loads"`
 }
 
@@ -228,7 +228,7 @@
 		case age > reportRetention:
 			delete(b.regions, region)
 		case age <= maxAge && (r.direct || !direct):
-			list = append(list, Reported{region, age.Milliseconds(), r.loads})
+			list = append(list, Reported{region, (age + time.Millisecond - 1).Milliseconds(), r.loads})
 		}
 	}
 	slices.SortFunc(list, func(x, y Reported) int { return strings.Compare(x.Region, y.Region) })
--- a/io/jwgateway/balance.go
+++ b/io/jwgateway/balance.go
@@ -235,8 +235,9 @@
 
 // balanceStateFor returns what this node reports of the balance within its region.
 func (g *Gateway) balanceStateFor(now time.Time, source jwbalance.Source) *balanceState {
-	// In a large region only relays pass on what others reported.
-	direct := source != jwbalance.FromRegion && g.members.Large(now, g.Settings.Region)
+	// Only the node that exchanged loads with a region passes them on and, in a large region, the relays
+	// to the nodes that report through them.
+	direct := source != jwbalance.FromRegion
 	b := &balanceState{Source: source, Demand: g.balance.Demand(now, source), Regions: g.balance.Regions(now, maxRegionLoadsAge, direct)}
 	if len(b.Demand) == 0 && len(b.Regions) == 0 {
 		return nil
--- a/io/jwgateway/balance_test.go
+++ b/io/jwgateway/balance_test.go
@@ -200,6 +200,44 @@
 	assert.Assert(t, len(encoded) < 1000, "%d bytes", len(encoded))
 }
 
+// In a small region all nodes exchange state with each other, and what one of them has not heard itself
+// from a region it does not repeat, so that loads age.
+func TestLoadsAreNotRepeated(t *testing.T) {
+	now := time.Now()
+	sender, other := balanceGateway(now, jwsettings.OverloadOn), balanceGateway(now, jwsettings.OverloadOn)
+	sender.members.Self.Name, other.members.Self.Name = "a", "b"
+	for i := range 12 {
+		loads := map[string]jwbalance.Load{}
+		for j := range 3 {
+			demand := map[jwbalance.Class]jwbalance.Rate{}
+			for k := range 4 {
+				demand[jwbalance.Class(strings.Repeat("c", k))] = jwbalance.Rate{Work: 12.345, Trend: 1.234}
+			}
+			loads["service"+string(rune('a'+j))] = jwbalance.Load{Demand: demand, Capacity: 64.5, Backlog: 3.25}
+		}
+		sender.balance.MergeRegion(now, "region"+string(rune('a'+i)), true, loads)
+	}
+	const silent = 3 * time.Second
+	for d := time.Duration(0); d <= silent; d += localInterval {
+		at, transit := now.Add(d), 20*time.Millisecond
+		other.mergeBalance(at.Add(transit), sender.state(at, "r"))
+		sender.mergeBalance(at.Add(2*transit), other.state(at.Add(transit), "r"))
+	}
+	size := func(g *Gateway) int {
+		text, err := json.Marshal(g.state(now.Add(localInterval), "r").Balance)
+		assert.NilError(t, err)
+		return len(text)
+	}
+	t.Logf("%d bytes of the balance in a state of the node that exchanges loads", size(sender))
+	assert.Assert(t, size(other) < 100, "%d bytes", size(other))
+	for _, r := range other.balance.Regions(now.Add(silent), 2*silent, false) {
+		assert.Assert(t, r.AgeMS >= (silent-50*time.Millisecond).Milliseconds(), "%s: %d ms", r.Region, r.AgeMS)
+	}
+	for _, r := range sender.balance.Regions(now.Add(silent), 2*silent, false) {
+		assert.Equal(t, r.AgeMS, silent.Milliseconds())
+	}
+}
+
 // One node exchanges loads for its region: the first one, and the next one when that is gone.
 func TestExchangesLoads(t *testing.T) {
 	now := time.Now()
