jwledger, jwgateway: the ledger stays within its region

Each region sent the totals of its ledger to the others, and relays sent those of all regions to their nodes, although nothing read them outside tests.

--- a/core/jwledger/table.go
+++ b/core/jwledger/table.go
@@ -13,8 +13,6 @@
 	// reportExpiry is how much older than the latest report another one may be to count. While no
 	// report arrives, the last ones count whatever their age.
 	reportExpiry = 3 * time.Second
-	// regionExpiry is how long the totals of another region count.
-	regionExpiry = 5 * time.Second
 	// sumInterval is how long the sum of the other nodes' reports is used before it is computed again.
 	sumInterval = 250 * time.Millisecond
 )
@@ -29,10 +27,9 @@
 	others   *sum                // cached sum of reports
 	whole    *Report             // cached result of ForNode
 	wholeAt  time.Time
-	regions  map[string]received // by region, the totals of each
 }
 
-// received is a report of another node or region.
+// received is a report of another node.
 type received struct {
 	at     time.Time // when the oldest part of it was current
 	report *Report
@@ -60,7 +57,7 @@
 	if r == nil {
 		return
 	}
-	x := receive(now, r, ReportKeys)
+	x := receive(now, r)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r.Whole {
@@ -78,11 +75,11 @@
 	}
 }
 
-func receive(now time.Time, r *Report, keys int) received {
+func receive(now time.Time, r *Report) received {
 	at := now.Add(-time.Duration(max(r.Age, 0)) * time.Millisecond)
 	x := received{at: at, report: r, sum: &sum{oldest: at, nodes: r.Nodes, services: make(map[string]*Sketch, len(r.Services))}}
 	for i := range r.Services {
-		x.sum.services[r.Services[i].Service] = r.Services[i].sketch(keys)
+		x.sum.services[r.Services[i].Service] = r.Services[i].sketch(ReportKeys)
 	}
 	return x
 }
@@ -132,21 +129,6 @@
 	return &r
 }
 
-// Totals returns the report for other regions: one sum of all nodes and levels for each service.
-func (t *Table) Totals(now time.Time) *Report {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.region(now)
-	for service, k := range s.services {
-		total := &Sketch{}
-		for level := range Levels {
-			total.Rest[0].Add(k.Total(level))
-		}
-		s.services[service] = total
-	}
-	return s.report(now, 0)
-}
-
 // Region returns the demand for a service in the region.
 func (t *Table) Region(now time.Time, service string) View {
 	t.mu.Lock()
@@ -238,51 +220,3 @@
 	}
 	return r
 }
-
-// MergeRegion records the totals of another region unless later ones are known.
-func (t *Table) MergeRegion(now time.Time, region string, r *Report) {
-	if r == nil {
-		return
-	}
-	x := receive(now, r, 0)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.regions == nil {
-		t.regions = make(map[string]received)
-	}
-	if old, ok := t.regions[region]; !ok || x.at.After(old.at) || old.at.After(now) {
-		t.regions[region] = x
-	}
-}
-
-// Regions returns the totals of other regions that are not older than age, each with its present age, for
-// nodes that report through this one.
-func (t *Table) Regions(now time.Time, maxAge time.Duration) map[string]*Report {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	list := make(map[string]*Report, len(t.regions))
-	for region, x := range t.regions {
-		if age := now.Sub(x.at); age <= maxAge {
-			r := *x.report
-			r.Age = age.Milliseconds()
-			list[region] = &r
-		}
-	}
-	return list
-}
-
-// RegionTotal returns the total for a service in another region and its age; false if none is known.
-func (t *Table) RegionTotal(now time.Time, region, service string) (Sums, time.Duration, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	x, ok := t.regions[region]
-	age := now.Sub(x.at)
-	if !ok || age > regionExpiry || x.sum.services[service] == nil {
-		return Sums{}, 0, false
-	}
-	var total Sums
-	for level := range Levels {
-		total.Add(x.sum.services[service].Total(level))
-	}
-	return total, age, true
-}
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -58,7 +58,7 @@
 	LocalSeen   []string                     `json:"localSeen,omitempty"` // nodes of the region seen recently, sent to other regions only
 	Loads       *jwinstance.LoadColumns      `json:"loads,omitempty"`     // sent within the region only
 	RelayReport *relayReport                 `json:"through,omitempty"`   // set if state is exchanged through relays
-	Ledger      *jwledger.Report             `json:"ledger,omitempty"`    // demand for services with overload control
+	Ledger      *jwledger.Report             `json:"ledger,omitempty"`    // demand for services with overload control, sent within the region only
 	Balance     *balanceState                `json:"balance,omitempty"`   // sent within the region only
 }
 
--- a/io/jwgateway/ledgerexchange.go
+++ b/io/jwgateway/ledgerexchange.go
@@ -12,10 +12,10 @@
 
 // ledgerFor returns the part of the ledger to be reported to a node of a region, nil if there is none.
 func (g *Gateway) ledgerFor(now time.Time, region string) *jwledger.Report {
-	if region == g.Settings.Region {
-		return g.shares.ledger.Local(now)
+	if region != g.Settings.Region {
+		return nil
 	}
-	return g.shares.ledger.Totals(now)
+	return g.shares.ledger.Local(now)
 }
 
 // relayedLedger returns the part of the ledger that is exchanged through relays, nil if there is none or
@@ -35,19 +35,10 @@
 	return g.shares.ledger.Local(now)
 }
 
-// mergeLedger merges what a peer reported about the demand of its region and, if it is this node's relay,
-// of others.
+// mergeLedger merges what a node of this region reported about the demand.
 func (g *Gateway) mergeLedger(now time.Time, s state) {
-	if s.Member.Region != g.Settings.Region {
-		g.shares.ledger.MergeRegion(now, s.Member.Region, s.Ledger)
-		return
-	}
-	g.shares.ledger.Merge(now, s.Member.Name, s.Ledger)
-	if s.RelayReport == nil {
-		return
-	}
-	for region, r := range s.RelayReport.Ledgers {
-		g.shares.ledger.MergeRegion(now, region, r)
+	if s.Member.Region == g.Settings.Region {
+		g.shares.ledger.Merge(now, s.Member.Name, s.Ledger)
 	}
 }
 
--- a/io/jwgateway/relayexchange.go
+++ b/io/jwgateway/relayexchange.go
@@ -6,7 +6,6 @@
 
 	"jujubewheel/core/jwbalance"
 	"jujubewheel/core/jwinstance"
-	"jujubewheel/core/jwledger"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
 )
@@ -50,8 +49,6 @@
 	Stopping     []jwmember.Member  `json:"stopping,omitempty"` // nodes with a planned stop
 	Remote       []regionReport     `json:"remote,omitempty"`   // reports about other regions
 	Changes      *changes           `json:"changes,omitempty"`
-	// Ledgers holds the demand of other regions, sent by a relay to the nodes that report through it.
-	Ledgers map[string]*jwledger.Report `json:"ledgers,omitempty"`
 }
 
 // regionReport is what a relay knows about another region.
@@ -160,7 +157,7 @@
 func (g *Gateway) replyState(now time.Time, s state) state {
 	r := g.replyStateOf(now, s)
 	if s.Ledger == nil && r.RelayReport != nil {
-		r.Ledger, r.RelayReport.Ledgers = nil, nil // the sender gets the ledger when it sends its own
+		r.Ledger = nil // the sender gets the ledger when it sends its own
 	}
 	return r
 }
@@ -182,7 +179,6 @@
 	h := g.members.Liveness(now)
 	return g.relayState(now, s.Member.Name, relayReport{
 		FromRelay: true, Liveness: &h, Stopping: g.members.RecentlyStopping(now, stopReportAge), Remote: g.regions.report(now), Changes: g.changesFor(now, s.RelayReport),
-		Ledgers: g.shares.ledger.Regions(now, exchangeInterval+maxRelayInterval),
 	})
 }
 
