--- a/core/jwinstance/estimateerror.go
+++ b/core/jwinstance/estimateerror.go
@@ -33,6 +33,8 @@
 	initialError = 50 * time.Millisecond
 	// restWeight is the weight of an answer in the ratio of actual to maximum lengths.
 	restWeight = 0.02
+	// minRestSamples is the number of answers from which the ratio is known.
+	minRestSamples = 10
 	// maxRestWeight bounds the weight of an answer after a time without any.
 	maxRestWeight = 0.2
 	// restDecay is the time constant with which the ratio returns to 1 without further answers, and
@@ -69,7 +71,7 @@
 // because of it could not correct it.
 func (s *serviceStats) restRatioAt(now time.Time) float64 {
 	age := max(now.Sub(s.restAt), 0)
-	if s.restAt.IsZero() || age > maxRestAge {
+	if s.restSamples < minRestSamples || age > maxRestAge {
 		return 0
 	}
 	return 1 + math.Exp(-float64(age)/float64(restDecay))*(s.restRatio-1)
@@ -88,16 +90,16 @@
 	return time.Duration(s.restRatioAt(now) * float64(n.Events) * float64(gap))
 }
 
-// observeRest records the ratio of an answer's length to its maximum. The longer no answer has been
-// seen, the more it counts.
+// observeRest records the ratio of an answer's length to its maximum. The first answers, and those
+// after a time without any, count more.
 func (s *serviceStats) observeRest(now time.Time, ratio float64) {
-	old := 1 - restWeight
-	if s.restAt.IsZero() {
-		old = 0
+	age := max(now.Sub(s.restAt), 0)
+	if age > maxRestAge {
+		s.restSamples = 0
 	}
-	old *= math.Exp(-float64(max(now.Sub(s.restAt), 0)) / float64(restDecay))
-	weight := min(1-old, maxRestWeight)
-	s.restRatio = old*s.restRatio + weight*min(max(ratio, minRestRatio), maxRestRatio) + (1 - old - weight)
+	s.restSamples++
+	weight := max(restWeight, 1/float64(s.restSamples), min(1-math.Exp(-float64(age)/float64(restDecay)), maxRestWeight))
+	s.restRatio += weight * (min(max(ratio, minRestRatio), maxRestRatio) - s.restRatio)
 	s.restAt = now
 }
 
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -27,7 +27,8 @@
 	calls        int                        // of this node in flight
 	gap          time.Duration              // mean time between two events, 0 until measured
 	restRatio    float64                    // time from the first event to the end, relative to the maximum number of events
-	restAt       time.Time                  // when restRatio was last measured
+	restSamples  int                        // answers that restRatio was measured by
+	restAt       time.Time                  // of the last of them
 	errors       map[LoadBand]time.Duration // mean absolute errors of the expected first event
 	latePauses   latePauses
 	meanPrompt   float64 // mean length of the prompts sent, in tokens
--- a/io/jwgateway/admit_test.go
+++ b/io/jwgateway/admit_test.go
@@ -129,7 +129,9 @@
 	assert.Assert(t, ok)
 	g.targets.RecordEvents(now, c.Target, 1, 30*time.Millisecond)
 	c, _ = g.targets.Peek(now, n)
-	g.targets.RecordEnd(now, c.Target, c, 0, 3*time.Second, 0)
+	for range 20 {
+		g.targets.RecordEnd(now, c.Target, c, 0, 3*time.Second, 0)
+	}
 	share := jwbalance.Share{Region: "s"}
 	assert.Equal(t, g.sharedOption(now, share, n).Rest, 3*time.Second)
 	g.regions.merge(now, state{Member: jwmember.Member{Region: "s"}, Waits: map[string]int64{"v": 15}, Gaps: map[string]int64{"v": 10}})
