--- a/core/jwinstance/estimateerror.go
+++ b/core/jwinstance/estimateerror.go
@@ -34,6 +34,8 @@
 	initialError = 50 * time.Millisecond
 	// restWeight is the weight of an answer in the ratio of actual to maximum lengths.
 	restWeight = 0.02
+	// minRestSamples is the number of answers from which a ratio is known.
+	minRestSamples = 10
 	// maxRestWeight bounds the weight of an answer after a time without any.
 	maxRestWeight = 0.2
 	// restDecay is the time constant with which the ratio returns to 1 without further answers, and
@@ -76,8 +78,9 @@
 // restRatio is the measurement of one band. Without further answers it returns to 1, and it is not
 // known once too much time has passed: requests that were rejected because of it could not correct it.
 type restRatio struct {
-	ratio float64
-	at    time.Time // of the last answer, zero if there was none
+	ratio   float64
+	samples int       // answers that it was measured by
+	at      time.Time // of the last of them
 }
 
 // band returns the ratio for a maximum number of events.
@@ -88,21 +91,22 @@
 // value returns the expected ratio, 0 while it is not known.
 func (r *restRatio) value(now time.Time) float64 {
 	age := max(now.Sub(r.at), 0)
-	if r.at.IsZero() || age > maxRestAge {
+	if r.samples < minRestSamples || age > maxRestAge {
 		return 0
 	}
 	return 1 + math.Exp(-float64(age)/float64(restDecay))*(r.ratio-1)
 }
 
-// observe records the ratio of an answer. The longer no answer has been seen, the more it counts.
+// observe records the ratio of an answer. The first answers, and those after a time without any, count
+// more.
 func (r *restRatio) observe(now time.Time, ratio float64) {
-	old := 1 - restWeight
-	if r.at.IsZero() {
-		old = 0
+	age := max(now.Sub(r.at), 0)
+	if age > maxRestAge {
+		r.samples = 0
 	}
-	old *= math.Exp(-float64(max(now.Sub(r.at), 0)) / float64(restDecay))
-	weight := min(1-old, maxRestWeight)
-	r.ratio = old*r.ratio + weight*min(max(ratio, minRestRatio), maxRestRatio) + (1 - old - weight)
+	r.samples++
+	weight := max(restWeight, 1/float64(r.samples), min(1-math.Exp(-float64(age)/float64(restDecay)), maxRestWeight))
+	r.ratio += weight * (min(max(ratio, minRestRatio), maxRestRatio) - r.ratio)
 	r.at = now
 }
 
