--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -145,6 +145,9 @@
 	g.startTime = time.Now()
 	g.pauseDetector.Limit, g.pauseDetector.TimeSinceBoot = pauseLimit, g.TimeSinceBoot
 	g.metrics = newMetrics(g.Meter)
+	if o.Overload.Enabled() {
+		g.metrics.registerMemory()
+	}
 	g.prepareRoom()
 	g.memory.Budget = jwmemory.Budget(o.MemoryBytes)
 	g.storeWatcher = newStoreWatcher(g)
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -81,17 +81,6 @@
 		storeRestores:     m.Counter("store_returns_total", nil),
 		malformedLoads:    m.Counter("malformed_target_loads_total", nil),
 		room:              roomMetrics{meter: m},
-		heldBytes:         make(map[jwmemory.Kind]tally.Gauge),
-		slowStreams:       m.Gauge("slow_streams", nil),
-		slowStreamsTotal:  m.Counter("slow_streams_total", nil),
-		cutOffs:           make(map[cutOff]tally.Counter),
-		memoryRejections:  m.Counter("memory_rejections_total", nil),
-	}
-	for _, k := range jwmemory.Kinds() {
-		ms.heldBytes[k] = m.Gauge("held_bytes", jwmeter.Tags{"kind": string(k)})
-	}
-	for _, c := range []cutOff{cutOffStalled, cutOffShed} {
-		ms.cutOffs[c] = m.Counter("slow_streams_cut_off_total", jwmeter.Tags{"reason": string(c)})
 	}
 	for _, k := range []jwresolver.Kind{jwresolver.Own, jwresolver.Stopping, jwresolver.StandIns, jwresolver.NoNodes} {
 		ms.directoryAnswers[k] = m.Counter("directory_answers_total", jwmeter.Tags{"names": string(k)})
@@ -99,6 +88,19 @@
 	return ms
 }
 
+// registerMemory registers the metrics of the memory held for callers, which overload control limits.
+func (m *metrics) registerMemory() {
+	m.heldBytes, m.cutOffs = make(map[jwmemory.Kind]tally.Gauge), make(map[cutOff]tally.Counter)
+	m.slowStreams, m.slowStreamsTotal = m.meter.Gauge("slow_streams", nil), m.meter.Counter("slow_streams_total", nil)
+	m.memoryRejections = m.meter.Counter("memory_rejections_total", nil)
+	for _, k := range jwmemory.Kinds() {
+		m.heldBytes[k] = m.meter.Gauge("held_bytes", jwmeter.Tags{"kind": string(k)})
+	}
+	for _, c := range []cutOff{cutOffStalled, cutOffShed} {
+		m.cutOffs[c] = m.meter.Counter("slow_streams_cut_off_total", jwmeter.Tags{"reason": string(c)})
+	}
+}
+
 // countSend counts a send to a target or a node by its verdict.
 func (m *metrics) countSend(step, kind string, v Verdict) {
 	key := [3]string{step, kind, string(v)}
@@ -181,6 +183,9 @@
 
 // updateMemory updates the gauges of the memory held for requests.
 func (m *metrics) updateMemory(a *jwmemory.Account, slow int) {
+	if m.slowStreams == nil {
+		return
+	}
 	for k, g := range m.heldBytes {
 		g.Update(float64(a.Held(k)))
 	}
--- a/io/jwgateway/overloadoff_test.go
+++ b/io/jwgateway/overloadoff_test.go
@@ -81,8 +81,26 @@
 		m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 		return w.Body.String()
 	}
-	for _, name := range []string{"first_event_error", "waiting_", "share", "region_load", "paces"} {
-		assert.Assert(t, !strings.Contains(series(false), "jujubewheel_"+name), name)
+	var names []string
+	for _, m := range regexp.MustCompile(`(?m)^# TYPE jujubewheel_(\w+)`).FindAllStringSubmatch(series(false), -1) {
+		names = append(names, m[1])
 	}
+	assert.DeepEqual(t, names, []string{
+		"configuration_version",
+		"directory_answers_total",
+		"event_pause_seconds",
+		"first_event_seconds",
+		"limited_targets",
+		"live_nodes",
+		"log_lines_lost",
+		"malformed_target_loads_total",
+		"repeats_refused_total",
+		"repeats_total",
+		"requests_in_flight",
+		"store_returns_total",
+		"store_view_age_seconds",
+		"target_connections_total",
+		"target_probes_total",
+	})
 	assert.Assert(t, strings.Contains(series(true), "jujubewheel_first_event_error_seconds"))
 }
--- a/io/jwgateway/slowstream_test.go
+++ b/io/jwgateway/slowstream_test.go
@@ -41,6 +41,7 @@
 		Settings: &jwsettings.Settings{Gateway: &jwsettings.Gateway{Overload: mode}},
 		Targets:  &jwconn.Pool{}, Log: logr.Discard(), metrics: newMetrics(nil),
 	}
+	g.metrics.registerMemory()
 	g.memory.Budget = budget
 	return g
 }
