jwledger: a dropped name is decayed once

Cause: the decay added what was left of a dropped name to the rest and then decayed the rest, so that amount twice. Change: the rest is decayed first.

--- a/core/jwledger/sketch.go
+++ b/core/jwledger/sketch.go
@@ -133,6 +133,9 @@
 
 // decay scales all rates and drops names that have nothing left.
 func (k *Sketch) decay(factor float64) {
+	for i := range k.Rest {
+		k.Rest[i].decay(factor)
+	}
 	for key, s := range k.Named {
 		s.decay(factor)
 		if s.Offered < minRate {
@@ -140,9 +143,6 @@
 			delete(k.Named, key)
 		}
 	}
-	for i := range k.Rest {
-		k.Rest[i].decay(factor)
-	}
 }
 
 // keys returns the named keys, sorted.
--- a/core/jwledger/sketch_test.go
+++ b/core/jwledger/sketch_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"testing"
 
+	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
 
@@ -80,6 +81,15 @@
 	})
 }
 
+// What a name had is decayed once when the name is dropped.
+func TestDroppedNameIsDecayedOnce(t *testing.T) {
+	k := Sketch{Size: 2}
+	k.Add(Key{"w", 0}, Sums{Offered: minRate})
+	k.decay(0.5)
+	assert.Equal(t, len(k.Named), 0)
+	assert.Equal(t, k.Total(0).Offered, minRate/2)
+}
+
 // A report states amounts in thousandths; everything else survives the way to another node.
 func TestReportKeepsSketch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
