jwbalance, jwgateway: requests without a common home stay out of the shares of regions

Cause: where an entry and a workspace have no home in common, the list of homes holds one empty name; its class was the same as that of requests without homes, which every region may serve. Ruled out: forwarded requests (their homes travel), the choice by waits (it looks at the homes). Change: such requests have a class of their own, and a share is taken only of a region that the request allows. Both tests failed before.

--- a/core/jwbalance/plan.go
+++ b/core/jwbalance/plan.go
@@ -10,7 +10,11 @@
 // joined by classSeparator, or "" if every region may.
 type Class string
 
-const classSeparator = "|"
+const (
+	classSeparator = "|"
+	// noRegion is the class of requests that no region may serve.
+	noRegion Class = classSeparator
+)
 
 // ClassOf returns the class of requests with the given home regions.
 func ClassOf(homes []string) Class {
@@ -18,6 +22,9 @@
 	case 0:
 		return ""
 	case 1:
+		if homes[0] == "" {
+			return noRegion // the homes of an entry and of a workspace have no region in common
+		}
 		return Class(homes[0])
 	}
 	sorted := slices.Clone(homes)
--- a/core/jwbalance/plan_test.go
+++ b/core/jwbalance/plan_test.go
@@ -143,3 +143,26 @@
 		}
 	})
 }
+
+func TestClassOf(t *testing.T) {
+	cases := map[string]struct {
+		homes   []string
+		allowed []string
+	}{
+		"no homes":                     {nil, []string{"a", "b", "c"}},
+		"one home":                     {[]string{"b"}, []string{"b"}},
+		"two homes":                    {[]string{"c", "a"}, []string{"a", "c"}},
+		"homes without common regions": {[]string{""}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var allowed []string
+			for _, region := range []string{"a", "b", "c"} {
+				if ClassOf(c.homes).allows(region) {
+					allowed = append(allowed, region)
+				}
+			}
+			assert.DeepEqual(t, allowed, c.allowed)
+		})
+	}
+}
--- a/io/jwgateway/balance.go
+++ b/io/jwgateway/balance.go
@@ -138,7 +138,7 @@
 	}
 	options := make(map[string]jwplacement.Option)
 	s := g.balance.Choose(jwbalance.Candidate{Service: q.service, Class: class, Work: work, MustLeave: !mayStay, Drawn: q.drawn, Preference: func(s jwbalance.Share) (float64, bool) {
-		if q.rejectedRegions[s.Region] || len(g.members.Live(now, s.Region)) == 0 {
+		if !q.homes.Allows(s.Region) || q.rejectedRegions[s.Region] || len(g.members.Live(now, s.Region)) == 0 {
 			return 0, false
 		}
 		o := g.sharedOption(now, s, n)
--- a/io/jwgateway/balance_test.go
+++ b/io/jwgateway/balance_test.go
@@ -16,6 +16,7 @@
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwplacement"
+	"jujubewheel/core/jwworkspace"
 	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwsettings"
 )
@@ -180,6 +181,20 @@
 }
 
 // The nodes of a region learn of other regions from the one that exchanges loads with these.
+// The homes of an entry and of a workspace have no region in common: no region may serve the request,
+// however much room another one has.
+func TestBalanceWithoutCommonHome(t *testing.T) {
+	now := time.Now()
+	g := balanceGateway(now, jwsettings.OverloadOn)
+	peak(g, now)
+	g.balance.MergeRegion(now, "s", true, freeRegion())
+	homes := jwworkspace.Regions{"s"}.Intersect(jwworkspace.Regions{"elsewhere"})
+	for range 100 {
+		q := balanceRequest(homes...)
+		assert.Equal(t, g.chooseRegion(now, q).Reason, jwplacement.NoTarget)
+	}
+}
+
 func TestLoadsReachAllNodes(t *testing.T) {
 	now := time.Now()
 	sender, other, remote := balanceGateway(now, jwsettings.OverloadOn), balanceGateway(now, jwsettings.OverloadOn), balanceGateway(now, jwsettings.OverloadOn)
