jwgateway, jwinstance: targets that nobody uses aren't probed

A node that reaches neither the store nor a node that does probes the targets of its region four times a second, those that it owns among the nodes it sees. A node that sees no other one owns them all: at the 4,478 targets of the largest region of the whole fleet it starts 18,000 probes a second, most of which end before they are sent. And since a report through a relay of a large region comes each half second and counted for just that long, nodes probed beside a relay that reads the store.

Where a region has more targets than a node chooses from, it now probes those to which it sent a request within the last second, whoever owns them; a target without requests can't get too many. A report that a node reaches the store counts for two exchanges.

--- a/core/jwinstance/sample.go
+++ b/core/jwinstance/sample.go
@@ -150,6 +150,12 @@
 // recentSendAge is how long a send is remembered: a second, plus a margin.
 const recentSendAge = time.Second + 50*time.Millisecond
 
+// sentRecently reports whether this node sent a request to the target within recentSendAge.
+func (x *Target) sentRecently(now time.Time) bool {
+	n := len(x.recentSends)
+	return n > 0 && now.Sub(x.recentSends[n-1]) < recentSendAge
+}
+
 // dropOldSends forgets sends older than recentSendAge.
 func (x *Target) dropOldSends(now time.Time) {
 	expired := 0
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -275,14 +275,25 @@
 	}
 }
 
-// Probes returns the usable targets of the region that are not known to be cold, so that they can
-// be asked whether they are. A probe counts as a request to a target that announces a limit.
-func (t *Table) Probes(now time.Time) []*Target {
+// Probes returns the usable targets of a service in the region that this node has to ask whether
+// they are cold: those that it owns or, where the region has more targets than a node chooses from,
+// those to which it sent a request within the last second. A probe counts as a request to a target
+// that announces a limit.
+func (t *Table) Probes(now time.Time, service string, owns func(target string) bool) []*Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.buildIndex()
+	local := t.byRegion[service][t.Region]
+	shared := len(local) > localSubset
+	if shared {
+		local = t.subset(subsetKey{service, t.Region, t.Node})
+	}
 	var list []*Target
-	for _, x := range t.targets {
-		if x.Region != t.Region || !t.usable(now, x, false) || now.Before(x.coldUntil) {
+	for _, x := range local {
+		if !t.usable(now, x, false) || now.Before(x.coldUntil) {
+			continue
+		}
+		if shared && !x.sentRecently(now) || !shared && !owns(x.ID) {
 			continue
 		}
 		if x.limit.Announced {
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -433,7 +433,7 @@
 		assert.Equal(t, bestTargetID(table, after(0), Need{}), "a")
 	}
 	tables[0].SetCold(after(100), tables[0].targets["a"], 2*time.Second)
-	assert.Equal(t, len(tables[0].Probes(after(100))), 0)
+	assert.Equal(t, len(tables[0].Probes(after(100), "s", owned)), 0)
 	tables[1].MergeCold(after(150), tables[0].ReportCold(after(150)))
 	assert.Equal(t, bestTargetID(tables[1], after(160), Need{}), "")
 	assert.Equal(t, bestTargetID(tables[0], after(160), Need{}), "a")
@@ -442,6 +442,36 @@
 	assert.Equal(t, bestTargetID(tables[0], after(1100), Need{}), "a")
 }
 
+func owned(string) bool { return true }
+
+// A node that sees no other one while the store is unavailable takes itself to own every target. It
+// must not probe the thousands of them that other nodes choose from, nor those that it doesn't use.
+func TestProbesOfManyTargets(t *testing.T) {
+	cases := map[string]struct{ targets, sends, want int }{
+		"all where a node knows all": {targets: localSubset, want: localSubset},
+		"none unused":                {targets: 4478},
+		"those used":                 {targets: 4478, sends: 3, want: 3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := &Table{Region: "r", Node: "n"}
+			for i := range c.targets {
+				table.Put(t0, instance(fmt.Sprintf("t%04d", i)))
+			}
+			used := make(map[string]bool)
+			for range c.sends {
+				choice, ok := table.Best(t0, Need{Service: "s", Exclude: used})
+				assert.Assert(t, ok)
+				used[choice.Target.ID] = true
+			}
+			assert.Equal(t, len(table.Probes(after(500), "s", owned)), c.want)
+			if c.targets > localSubset {
+				assert.Equal(t, len(table.Probes(after(1100), "s", owned)), 0)
+			}
+		})
+	}
+}
+
 // Two nodes keep reporting to each other how long a target stays cold. The delays between them must
 // not add up.
 func TestReportedColdExpires(t *testing.T) {
--- a/io/jwgateway/probe.go
+++ b/io/jwgateway/probe.go
@@ -18,7 +18,7 @@
 	// that the store is unavailable. It is longer than the interval between two renewals of the
 	// node's lease.
 	storeStaleAfter = leaseTTL/renewalsPerLease + 800*time.Millisecond
-	// syncedPeerAge is how long a peer's report counts that the peer reaches the store.
+	// syncedPeerAge is how long a peer's report counts at least that the peer reaches the store.
 	syncedPeerAge = 500 * time.Millisecond
 	// probeInterval is the time between two probes of a target. At seven requests per second, a
 	// target that goes cold has received three by the time that all nodes of the region know, which
@@ -61,25 +61,34 @@
 		if g.store.stale(now) {
 			wait = probeInterval
 		}
-		if wait == probeInterval && now.Sub(time.Unix(0, g.store.syncedPeerSeen.Load())) > syncedPeerAge {
-			for _, x := range g.targets.Probes(now) {
-				if path := g.healthPath(x.Service); path != "" && g.members.Owns(now, x.ID) {
-					go g.probeTarget(ctx, x, path)
-				}
-			}
+		if wait == probeInterval && !g.syncedPeerKnown(now) {
+			g.probeOnce(ctx, now)
 		}
 		jwclock.Sleep(ctx, wait)
 	}
 }
 
-// healthPath returns the path at which targets of a service report their health, "" if its targets
-// are never cold.
-func (g *Gateway) healthPath(service string) string {
+// syncedPeerKnown reports whether a node of the region that reaches the store has reported since the
+// last exchange but one.
+func (g *Gateway) syncedPeerKnown(now time.Time) bool {
+	age := now.Sub(time.Unix(0, g.store.syncedPeerSeen.Load()))
+	return age <= max(syncedPeerAge, 2*g.reportInterval())
+}
+
+// probeOnce starts one probe of each target that this node has to ask.
+func (g *Gateway) probeOnce(ctx context.Context, now time.Time) {
 	c := g.entries.Current()
-	if c == nil || c.Services[service] == nil || c.Services[service].Warmup == 0 {
-		return ""
+	if c == nil {
+		return
+	}
+	for name, s := range c.Services {
+		if s.Warmup == 0 || s.HealthPath == "" {
+			continue
+		}
+		for _, x := range g.targets.Probes(now, name, func(id string) bool { return g.members.Owns(now, id) }) {
+			go g.probeTarget(ctx, x, s.HealthPath)
+		}
 	}
-	return c.Services[service].HealthPath
 }
 
 // probeTarget reads the health of one target and records what its answer says about it.
