jwgateway, jwmember: relays take changes from one that reaches the store

Of all relays the two nearest to the store read it.

A node now reports that its calls of the store fail. Such a relay is no reader unless all are, and takes the changes of one that is. A node that gets whole views of another one, for want of changes that go far enough back, continues with the changes after the view; it fetched a whole view with every exchange before.

--- a/core/jwmember/relay.go
+++ b/core/jwmember/relay.go
@@ -90,9 +90,23 @@
 	}
 }
 
+// SetStoreLost records whether this node's calls of the store fail.
+func (t *Table) SetStoreLost(lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.Self.StoreLost != lost {
+		t.invalidateViews()
+		t.Self.StoreLost = lost
+	}
+}
+
 // RelaysNearStore returns the relays with the shortest round trips to the store, at most limit.
+// Those that don't reach the store are left out unless none does.
 func (t *Table) RelaysNearStore(now time.Time, limit int) []Member {
 	list := t.AllRelays(now)
+	if slices.ContainsFunc(list, func(m Member) bool { return !m.StoreLost }) {
+		list = slices.DeleteFunc(list, func(m Member) bool { return m.StoreLost })
+	}
 	slices.SortStableFunc(list, func(a, b Member) int { return cmp.Compare(a.roundTripOrMax(), b.roundTripOrMax()) })
 	return list[:min(len(list), limit)]
 }
--- a/core/jwmember/relay_test.go
+++ b/core/jwmember/relay_test.go
@@ -228,3 +228,33 @@
 	}
 	assert.Equal(t, unseen(now.Add(2*time.Second), 0), "", "no unseen node is registered or was seen within a minute")
 }
+
+// A relay that can't reach the store must not be the one from which the others take its changes.
+func TestRelaysNearStoreReachIt(t *testing.T) {
+	cases := map[string]struct {
+		lost map[string]bool
+		want []string
+	}{
+		"all reach it":          {want: []string{"a1", "b1"}},
+		"the nearest lost it":   {lost: map[string]bool{"a1": true}, want: []string{"b1", "c1"}},
+		"this one lost it":      {lost: map[string]bool{"b1": true}, want: []string{"a1", "c1"}},
+		"all lost it":           {lost: map[string]bool{"a1": true, "b1": true, "c1": true}, want: []string{"a1", "b1"}},
+		"all but the last lost": {lost: map[string]bool{"a1": true, "b1": true}, want: []string{"c1"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			relay := func(name string, roundTrip int64) Member {
+				return Member{Name: name, DataCentre: name[:1], Serving: true, StoreRoundTrip: roundTrip, StoreLost: c.lost[name]}
+			}
+			table := &Table{Self: relay("b1", 50)}
+			table.Seen(now, relay("a1", 25))
+			table.Seen(now, relay("c1", 75))
+			var got []string
+			for _, m := range table.RelaysNearStore(now, 2) {
+				got = append(got, m.Name)
+			}
+			assert.DeepEqual(t, got, c.want)
+		})
+	}
+}
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -43,6 +43,8 @@
 	// StoreRoundTrip is the shortest round trip to the store in milliseconds, in steps of
 	// roundTripStep; 0 if unknown.
 	StoreRoundTrip int64 `json:"trip,omitempty"`
+	// StoreLost is set while the node's calls of the store fail.
+	StoreLost bool `json:"storeLost,omitempty"`
 	// Capacity is that of its host, from its cores in hundredths of one or from its link, for
 	// choosing relays.
 	Capacity int `json:"capacity,omitempty"`
--- a/io/jwgateway/probe.go
+++ b/io/jwgateway/probe.go
@@ -37,6 +37,12 @@
 	syncedPeerSeen atomic.Int64  // when a peer last reported that it reaches the store, Unix nanoseconds
 }
 
+// recordStoreCall records how a call of the store ended.
+func (g *Gateway) recordStoreCall(now time.Time, err error) {
+	g.store.recordCall(now, err)
+	g.members.SetStoreLost(g.store.lastCallFailed.Load())
+}
+
 // recordCall records how a call of the store ended. An error that the store itself reports counts
 // as an answer.
 func (s *storeState) recordCall(now time.Time, err error) {
--- a/io/jwgateway/register.go
+++ b/io/jwgateway/register.go
@@ -57,7 +57,7 @@
 		default:
 			err = g.Feed.Renew(ctx, lease)
 		}
-		g.store.recordCall(time.Now(), err)
+		g.recordStoreCall(time.Now(), err)
 		switch {
 		case errors.Is(err, jwstore.ErrNoLease):
 			lease = 0
--- a/io/jwgateway/relayexchange.go
+++ b/io/jwgateway/relayexchange.go
@@ -245,6 +245,7 @@
 
 // applyRelayed applies changes that a relay read. If the relay no longer has them or its read
 // is too old, this node reads the store itself.
+
 func (w *storeWatcher) applyRelayed(now time.Time, c *changes) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -282,6 +283,16 @@
 	return max(maxRelayReportAge-now.Sub(w.relayedAt), 0)
 }
 
+// followsRelay reports whether this node recently got all changes of the store from a relay.
+func (w *storeWatcher) followsRelay(now time.Time) bool {
+	if w.relayValidFor(now) > 0 {
+		return true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.upstreamReadAt.IsZero() && now.Sub(w.upstreamReadAt) < maxRelayReadAge
+}
+
 // waitForRelay waits until the relay may no longer be relied on, at most for d.
 func (w *storeWatcher) waitForRelay(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -49,6 +49,7 @@
 	lastRevision     jwstore.Revision // last revision read, kept also while all keys must be read again
 	relayedAt        time.Time        // when a relay last passed changes on; zero if no relay can be relied on
 	upstreamFailedAt time.Time        // when a relay that reads the store last failed to pass its changes on
+	upstreamReadAt   time.Time        // as of when such a relay's changes were last applied
 
 	heldEvacuations map[string]time.Time // by data centre: until when an evacuation missing from a restored store stays in force
 	relayUnusable   chan struct{}        // signals that the relay can no longer be relied on
@@ -200,7 +201,7 @@
 func (w *storeWatcher) noteStoreCall(ctx context.Context, err error) time.Time {
 	now := time.Now()
 	if ctx.Err() == nil {
-		w.g.store.recordCall(now, err)
+		w.g.recordStoreCall(now, err)
 	}
 	return now
 }
--- a/io/jwgateway/upstream.go
+++ b/io/jwgateway/upstream.go
@@ -29,8 +29,9 @@
 )
 
 // upstreamRelay returns the relay from which this one, itself a relay, takes the changes of the
-// store: one of those nearest to the store. Otherwise each relay would read the registrations of
-// all targets over the links between regions.
+// store: one of those nearest to the store that reach it. Otherwise each relay would read the
+// registrations of all targets over the links between regions, and one that can't reach the store
+// would leave the nodes of its data centre without changes.
 func (w *storeWatcher) upstreamRelay(now time.Time) (jwmember.Member, bool) {
 	if !w.upstreamFailedAt.IsZero() && now.Sub(w.upstreamFailedAt) < upstreamRetryPause {
 		return jwmember.Member{}, false
@@ -73,7 +74,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.g.recentChanges.Add(w.applyChanges(now, c.events(), c.To), after, c.To)
-	return now.Add(-time.Duration(c.Age) * time.Millisecond)
+	w.upstreamReadAt = now.Add(-time.Duration(c.Age) * time.Millisecond)
+	return w.upstreamReadAt
 }
 
 // serveChanges answers another relay with the changes of the store as soon as there are any, or
--- a/io/jwgateway/upstream_test.go
+++ b/io/jwgateway/upstream_test.go
@@ -60,6 +60,29 @@
 	sendUntil(t, second, "/a/x", func(r reply) bool { return r.body == "second" })
 }
 
+// The relay that reads the store for the others loses it, and so does a node that reports through it.
+// Both must learn of a target's leaving through a relay of another region that reaches the store.
+func TestReaderLosesTheStore(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	x := startTarget(t, &feed, "t1", "s", "north-a", respondText("first"))
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	through := withRelayThreshold(1)
+	north := &disconnectableFeed{Feed: &feed}
+	first := startWith(t, north, "n1", "north", through)
+	second := startWith(t, north, "n2", "north", through, first.nodes)
+	startWith(t, &feed, "n3", "south", through, first.nodes)
+	sendUntil(t, first, "/a/x", served)
+	sendUntil(t, second, "/a/x", served)
+	waitForDirectory(t, second, "north", first, second)
+	north.disconnected.Store(true)
+	startTarget(t, &feed, "t2", "s", "north-a", respondText("second"))
+	register(&feed, "t1", "s", x.addr, "north-a", "draining")
+	for _, n := range []node{first, second} {
+		sendUntil(t, n, "/a/x", func(r reply) bool { return r.body == "second" })
+	}
+}
+
 // The registered relay does not answer. The node that starts must read all targets from the store
 // itself.
 func TestStartWithUnreachableRelay(t *testing.T) {
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -32,7 +32,9 @@
 	Targets   []jwinstance.Instance `json:"targets,omitempty"`
 	Evacuated []string              `json:"evacuated,omitempty"`
 	Members   []jwmember.Member     `json:"members,omitempty"`
-	Fleet     int                   `json:"fleet,omitempty"` // number of nodes in all regions as stored
+	// Registered holds the names of all registered nodes, also of those that are not live.
+	Registered []string `json:"registered,omitempty"`
+	Fleet      int      `json:"fleet,omitempty"` // number of nodes in all regions as stored
 }
 
 // serveView answers with what is newer than the version and the revision in the query.
@@ -60,7 +62,7 @@
 	if current := g.store.revision.Load(); current > revision {
 		v.Revision = current
 		v.Targets, v.Evacuated = g.targets.Instances(now), g.targets.Evacuated()
-		v.Members, v.Fleet = g.members.Live(now, ""), g.members.FleetSize()
+		v.Members, v.Fleet, v.Registered = g.members.Live(now, ""), g.members.FleetSize(), g.members.Registered()
 	}
 	return v
 }
@@ -133,9 +135,9 @@
 }
 
 // peerIsAhead reports whether a peer has read the store up to a later revision while this node
-// can't reach it.
+// can't reach it and gets no changes from a relay.
 func (g *Gateway) peerIsAhead(now time.Time, revision jwstore.Revision) bool {
-	return revision > max(g.store.revision.Load(), g.pulledRevision.Load()) && g.store.stale(now)
+	return revision > max(g.store.revision.Load(), g.pulledRevision.Load()) && g.store.stale(now) && !g.storeWatcher.followsRelay(now)
 }
 
 // pullView fetches and applies what another node has read and this one has not, because the store
@@ -203,5 +205,24 @@
 		g.members.SetFleet(now, v.Fleet, !g.fullReadDone.Load())
 	}
 	g.pulledRevision.Store(v.Revision)
+	g.storeWatcher.continueFrom(now, v)
 	g.Log.Info("applied a view of another node", "peer", from.String(), "revision", v.Revision, "targets", len(v.Targets))
 }
+
+// continueFrom makes the changes after a view the next ones that this node wants, if it has read the
+// store before. Without this a node that reaches neither the store nor a relay that still has the
+// changes would fetch whole views for as long.
+func (w *storeWatcher) continueFrom(now time.Time, v view) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.revision == 0 || v.Revision <= w.revision || len(v.Registered) == 0 {
+		return
+	}
+	registered := make(map[string]bool, len(v.Registered))
+	for _, name := range v.Registered {
+		registered[name] = true
+	}
+	w.g.members.RemoveExcept(now, registered)
+	w.revision, w.lastRevision = v.Revision, v.Revision
+	w.g.store.revision.Store(v.Revision)
+}
