jwinstance: relays pass on the remote placements that a node can use

A relay passed on all placements at targets of other regions, up to 512 an exchange, to each node of its data centre. A node knows 16 of the targets of a service in each other region, so that with thousands of them nearly all were of no use, and they were most of what a node got from its relay: some 30 KB twice a second. Placements are now filtered by the node's subsets in all regions, as those of its own region were.

--- a/core/jwinstance/relay.go
+++ b/core/jwinstance/relay.go
@@ -106,7 +106,7 @@
 		if now.Sub(p.at) > age {
 			break
 		}
-		if len(p.Parts) == 0 || toRelay && (p.relayed || p.remote) || knows != nil && !p.remote && !knows[p.Target] {
+		if len(p.Parts) == 0 || toRelay && (p.relayed || p.remote) || knows != nil && !knows[p.Target] {
 			continue
 		}
 		shared := p.Parts
@@ -126,20 +126,24 @@
 	return placed
 }
 
-// knownTo returns the IDs of the targets of this region that a node knows, or nil if it knows all.
+// knownTo returns the IDs of the targets of all regions that a node knows, or nil if it knows all.
 func (t *Table) knownTo(node string, relay bool) map[string]bool {
 	t.buildIndex()
 	maxTargets := 0
 	for _, regions := range t.byRegion {
-		maxTargets = max(maxTargets, len(regions[t.Region]))
+		for _, list := range regions {
+			maxTargets = max(maxTargets, len(list))
+		}
 	}
 	if relay || maxTargets <= localSubset {
 		return nil
 	}
 	known := make(map[string]bool)
-	for service := range t.byRegion {
-		for _, x := range t.subset(subsetKey{service, t.Region, node}) {
-			known[x.ID] = true
+	for service, regions := range t.byRegion {
+		for region := range regions {
+			for _, x := range t.subset(subsetKey{service, region, node}) {
+				known[x.ID] = true
+			}
 		}
 	}
 	return known
--- a/core/jwinstance/relay_test.go
+++ b/core/jwinstance/relay_test.go
@@ -97,6 +97,26 @@
 	assert.Equal(t, len(relay.PlacementsToRelay(now.Add(2*time.Second), time.Second, "2", false)), 0)
 }
 
+// Of the thousands of targets of another region a node knows few. If a relay passed on the placements
+// at all of them, each exchange would carry hundreds that the node can't use.
+func TestRemotePlacementsAreRelayedToNodesThatKnowTheTarget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	relay := &Table{Region: "r", Node: "relay"}
+	var placed []Placement
+	for i := range 2000 {
+		id := fmt.Sprint("t", i)
+		relay.Put(now, Instance{ID: id, Service: "s", Region: "far"})
+		placed = append(placed, Placement{Target: id, Parts: []Part{{uint64(i), 500}}})
+	}
+	relay.MergeRelay(now, "far relay", nil, placed)
+	got := relay.PlacementsToRelay(now, time.Second, "n1", false)
+	assert.Equal(t, len(got), remoteSubset)
+	node := &Table{Region: "r", Node: "n1", targets: relay.targets}
+	for _, p := range got {
+		assert.Assert(t, node.Knows(p.Target))
+	}
+}
+
 // Load columns must convert back to the list that they were made of, and converting must not fail on
 // invalid columns, which a faulty node or one of another version may send.
 func TestLoadColumns(t *testing.T) {
