jwgateway: nodes that start leave the seeds alone while the store answers

A node that starts asked the seeds, at most three, for all they know until it had a configuration. With more nodes registered than fit on a page of the store the configuration comes with a later page, so that all nodes that start at once fetch the view of all targets from the same three: some 400 KB each (reckoned), a minute of their links for half of 986 nodes. The seeds are asked only when the store's first answer fails or takes longer than 0.4 s.

--- a/io/jwgateway/probe.go
+++ b/io/jwgateway/probe.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// called reports whether a call of the store has ended.
+func (s *storeState) called() bool { return s.lastAnswer.Load() != 0 || s.lastCallFailed.Load() }
+
 // stale reports whether the store may hold changes that the node does not know.
 func (s *storeState) stale(now time.Time) bool {
 	return s.lastCallFailed.Load() || now.Sub(time.Unix(0, s.lastAnswer.Load())) > storeStaleAfter
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -21,8 +21,12 @@
 	"jujubewheel/core/jwstore"
 )
 
-// viewRetryPause is the pause between two rounds of requests for views.
-const viewRetryPause = 400 * time.Millisecond
+const (
+	// viewRetryPause is the pause between two rounds of requests for views.
+	viewRetryPause = 400 * time.Millisecond
+	// storeCheckStep is the time between two checks whether the store has answered.
+	storeCheckStep = 10 * time.Millisecond
+)
 
 // view is what a node needs to serve while it can't reach the store: the part of another node's
 // state that it doesn't have.
@@ -122,11 +126,14 @@
 
 // bootstrapFromPeers fetches the views of the seed nodes until the store was read or a
 // configuration is in force. The store may be unavailable when a node starts, while callers already
-// wait.
+// wait. While it answers, the seeds are left alone: they are few, and all nodes have the same ones.
 func (g *Gateway) bootstrapFromPeers(ctx context.Context) {
+	for start := time.Now(); time.Since(start) < viewRetryPause && !g.store.called() && ctx.Err() == nil; {
+		jwclock.Sleep(ctx, storeCheckStep)
+	}
 	for !g.fullReadDone.Load() && g.entries.Current() == nil && ctx.Err() == nil {
 		for _, a := range g.Settings.Gateway.Seeds {
-			if a != g.Settings.Gateway.Listen.Nodes {
+			if a != g.Settings.Gateway.Listen.Nodes && g.store.stale(time.Now()) {
 				g.pullView(a)
 			}
 		}
