jwgateway, jwmember: all nodes may start at once in a large region

A node that starts takes the targets from its relay, and read them all itself when it had not got them after 1.5 s. When all nodes are killed, no node serves, so that each took itself for the relay and read the whole store; when most are, the registered relay may be dead, and it was called again each 0.1 s until the time was over; and a relay in another region than the store's takes longer than that for its reading. All that registered 3,000 or 10,000 targets then goes to each of hundreds of nodes over the store's one link.

Nodes that start count as relays for each other; one that doesn't answer is replaced by the next; a relay far from the store takes what it holds from those nearest to it; a node waits while its relay reads, whose answer waits too. If the relay can't reach the store, its nodes spread their reads. A view is no longer cut off after a second while bytes arrive: to all nodes of a data centre it takes the relay's link longer.

--- a/core/jwmember/fleet.go
+++ b/core/jwmember/fleet.go
@@ -52,6 +52,9 @@
 	defer t.mu.Unlock()
 	if m.Start < t.Self.Start {
 		t.previousStart = max(t.previousStart, m.Start)
+		if t.Self.StoreRoundTrip == 0 {
+			t.Self.StoreRoundTrip = m.StoreRoundTrip
+		}
 	}
 }
 
--- a/core/jwmember/relay.go
+++ b/core/jwmember/relay.go
@@ -107,7 +107,7 @@
 	if slices.ContainsFunc(list, func(m Member) bool { return !m.StoreLost }) {
 		list = slices.DeleteFunc(list, func(m Member) bool { return m.StoreLost })
 	}
-	slices.SortStableFunc(list, func(a, b Member) int { return cmp.Compare(a.roundTripOrMax(), b.roundTripOrMax()) })
+	slices.SortStableFunc(list, compareRoundTrips)
 	return list[:min(len(list), limit)]
 }
 
@@ -120,19 +120,49 @@
 	return m.StoreRoundTrip
 }
 
-// WouldBeRelay reports whether this node is the relay of its data centre, or would be if it
-// served.
-func (t *Table) WouldBeRelay(now time.Time) bool {
+// StartSource returns the node from which this one, which starts, takes what the store holds; false
+// if it has to read the store itself. That is the preferred relay of its data centre or, if this node
+// is that, one of the readers relays nearest to the store. Nodes that start too count, since all may
+// have been killed at once.
+func (t *Table) StartSource(now time.Time, readers int) (Member, bool) {
+	relays := t.startRelays(now)
+	self := t.Local()
+	if own := relays[self.DataCentre]; own.Name != self.Name {
+		return own, true
+	}
+	var near []Member
+	for _, dc := range slices.Sorted(maps.Keys(relays)) {
+		if m := relays[dc]; dc != self.DataCentre && !m.StoreLost {
+			near = append(near, m)
+		}
+	}
+	slices.SortStableFunc(near, compareRoundTrips)
+	if len(near) < readers || compareRoundTrips(self, near[readers-1]) <= 0 {
+		return Member{}, false
+	}
+	return Root(near[:readers], self.Name)
+}
+
+// startRelays returns the preferred relay of each data centre, this node included, whether it serves
+// already or not.
+func (t *Table) startRelays(now time.Time) map[string]Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	best := map[string]Member{t.Self.DataCentre: t.Self}
 	for _, r := range t.members {
-		if r.Serving && r.DataCentre == t.Self.DataCentre && t.live(now, r) && ranksBefore(r.Member, t.Self) {
-			return false
+		if !t.live(now, r) || r.isStopping() {
+			continue
+		}
+		if old, ok := best[r.DataCentre]; !ok || ranksBefore(r.Member, old) {
+			best[r.DataCentre] = r.Member
 		}
 	}
-	return true
+	return best
 }
 
+// compareRoundTrips orders members by their round trips to the store.
+func compareRoundTrips(a, b Member) int { return cmp.Compare(a.roundTripOrMax(), b.roundTripOrMax()) }
+
 // Root returns the relay that gathers the data of a name, and false if relays is
 // empty. It uses rendezvous hashing over the data centres, so that the choice stays
 // in its data centre when another node becomes the relay there.
--- a/core/jwmember/relay_test.go
+++ b/core/jwmember/relay_test.go
@@ -258,3 +258,42 @@
 		})
 	}
 }
+
+// A node that starts takes what the store holds from its relay, and a relay from those nearest to the
+// store, so that not all nodes read the store at once.
+func TestStartSource(t *testing.T) {
+	relay := func(name string, roundTrip int64) Member {
+		return Member{Name: name, DataCentre: name[:1], Serving: true, StoreRoundTrip: roundTrip}
+	}
+	cases := map[string]struct {
+		self  Member
+		known []Member
+		want  string
+	}{
+		"from its relay":                    {self: relay("a2", 25), known: []Member{relay("a1", 25), relay("b1", 50)}, want: "a1"},
+		"a relay far from the store":        {self: relay("c1", 175), known: []Member{relay("a1", 25), relay("b1", 25)}, want: "a1"},
+		"a relay whose way isn't known":     {self: relay("c1", 0), known: []Member{relay("a1", 25), relay("b1", 25)}, want: "a1"},
+		"a relay near the store":            {self: relay("a1", 25), known: []Member{relay("b1", 25), relay("c1", 175)}},
+		"while no way is known":             {self: relay("a1", 0), known: []Member{relay("b1", 0), relay("c1", 0)}},
+		"one other relay":                   {self: relay("c1", 175), known: []Member{relay("a1", 25)}},
+		"no other node":                     {self: relay("a1", 25)},
+		"its relay is known to have failed": {self: relay("a2", 25), known: []Member{relay("a1", 25)}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			table := &Table{Self: c.self}
+			for _, m := range c.known {
+				table.Put(now, m)
+			}
+			if name == "its relay is known to have failed" {
+				table.MarkUnreachable(now.Add(time.Millisecond), "a1")
+			}
+			m, ok := table.StartSource(now.Add(2*time.Millisecond), 2)
+			assert.Equal(t, ok, c.want != "")
+			if ok && c.self.DataCentre == "a" {
+				assert.Equal(t, m.Name, c.want)
+			}
+		})
+	}
+}
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -174,6 +174,16 @@
 	return best, best.Name != ""
 }
 
+// Answered records that a node answered a call that says nothing of its state.
+func (t *Table) Answered(now time.Time, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.members[name]; r != nil {
+		r.lastSeen = now
+		t.invalidateViews()
+	}
+}
+
 // MarkUnreachable records that a node could not be reached.
 func (t *Table) MarkUnreachable(now time.Time, name string) {
 	t.mu.Lock()
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -2,18 +2,25 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"strings"
 	"time"
 
 	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
 )
 
 const (
-	// maxRelayPull is how long a node that starts in a large region tries to get the targets from
-	// its relay before it reads them all from the store.
-	maxRelayPull = 1500 * time.Millisecond
+	// maxRelayRead is how long a node that starts in a large region waits for a relay that reads the
+	// store, before it reads all targets itself.
+	maxRelayRead = 10 * time.Second
+	// maxWaitWithoutStore is the same for a relay that can't reach the store. ownReadSpread, for each
+	// node of the region, is the time over which the reads of its nodes are then spread.
+	maxWaitWithoutStore = 1500 * time.Millisecond
+	ownReadSpread       = 30 * time.Millisecond
 	// relayPullPause is the pause between two of these attempts.
 	relayPullPause = 100 * time.Millisecond
 )
@@ -30,7 +37,7 @@
 }
 
 // readAll reads all keys page by page and removes what is no longer in the store. In a large region
-// the targets, which are most of the data, come from the relay.
+// the targets, which are most of the data, come from a relay.
 func (w *storeWatcher) readAll(ctx context.Context) error {
 	r := &fullRead{targets: map[string]bool{}, nodes: map[string]bool{}, evacuated: map[string]bool{}}
 	last := ""
@@ -112,6 +119,7 @@
 	w.revision, w.lastRevision = r.revision, r.revision
 	w.g.store.revision.Store(r.revision)
 	if w.g.fullReadDone.CompareAndSwap(false, true) {
+		close(w.firstRead)
 		for _, in := range w.g.targets.Known(now) {
 			w.g.logTarget(in, jwinstance.Appeared)
 		}
@@ -119,28 +127,48 @@
 	w.g.pauseDetector.Reset()
 }
 
-// pullTargetsFromRelay gets the targets from the relay of the data centre, if this node reports
-// through one. Otherwise all nodes that start at once would saturate the store's link, and the
-// smallest nodes their own.
+// pullTargetsFromRelay gets the targets from a relay, if this node starts in a large region and is
+// not one of those that read the store for the others. Otherwise all nodes that start at once would
+// saturate the store's link, and the smallest nodes their own.
 func (w *storeWatcher) pullTargetsFromRelay(ctx context.Context, r *fullRead) bool {
 	g := w.g
 	start := time.Now()
-	for now := start; now.Sub(start) < maxRelayPull && ctx.Err() == nil; now = time.Now() {
-		if !g.members.Large(now, g.Settings.Region) || g.members.WouldBeRelay(now) {
+	withoutStore := maxWaitWithoutStore + rand.N(time.Duration(g.members.Count(start, g.Settings.Region))*ownReadSpread)
+	for now := start; now.Sub(start) < maxRelayRead && ctx.Err() == nil; now = time.Now() {
+		if !g.members.Large(now, g.Settings.Region) {
 			return false
 		}
-		if m, ok := g.members.Relay(now, g.Settings.DataCentre); ok {
-			v, err := g.fetchView(ctx, m.Nodes, g.entries.Version(), 0)
-			if err == nil && v.Revision >= r.revision {
-				g.applyView(time.Now(), v, m.Nodes)
-				if len(v.Config) > 0 {
-					g.applyConfig(v.Config, m.Name)
-				}
-				r.targetsFromRelay, r.revision = true, v.Revision
-				return true
+		m, ok := g.members.StartSource(now, directReaders)
+		if !ok {
+			return false
+		}
+		v, err := g.fetchView(ctx, m.Nodes, g.entries.Version(), 0, viewWait)
+		if err == nil || errors.Is(err, errWithoutStore) {
+			g.members.Answered(time.Now(), m.Name)
+		}
+		switch {
+		case errors.Is(err, errWithoutStore):
+			if now.Sub(start) >= withoutStore {
+				return false
 			}
+		case err != nil:
+			g.Log.Info("failed to fetch the targets from a relay", "peer", m.Name, "error", err.Error())
+			g.members.MarkUnreachable(time.Now(), m.Name)
+			continue
+		case v.Revision >= r.revision:
+			w.applySourceView(v, m, r)
+			return true
 		}
 		jwclock.Sleep(ctx, relayPullPause)
 	}
 	return false
 }
+
+// applySourceView applies the view of the relay from which a node that starts takes the targets.
+func (w *storeWatcher) applySourceView(v view, from jwmember.Member, r *fullRead) {
+	w.g.applyView(time.Now(), v, from.Nodes)
+	if len(v.Config) > 0 {
+		w.g.applyConfig(v.Config, from.Name)
+	}
+	r.targetsFromRelay, r.revision = true, v.Revision
+}
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -53,11 +53,14 @@
 
 	heldEvacuations map[string]time.Time // by data centre: until when an evacuation missing from a restored store stays in force
 	relayUnusable   chan struct{}        // signals that the relay can no longer be relied on
+	firstRead       chan struct{}        // closed once all keys have been read
 }
 
 // newStoreWatcher returns the storeWatcher of a node.
 func newStoreWatcher(g *Gateway) *storeWatcher {
-	return &storeWatcher{g: g, heldEvacuations: make(map[string]time.Time), relayUnusable: make(chan struct{}, 1)}
+	return &storeWatcher{
+		g: g, heldEvacuations: make(map[string]time.Time), relayUnusable: make(chan struct{}, 1), firstRead: make(chan struct{}),
+	}
 }
 
 // watchStore reads all keys of the store once and then their changes, until ctx ends.
--- a/io/jwgateway/storewatcher_test.go
+++ b/io/jwgateway/storewatcher_test.go
@@ -38,7 +38,7 @@
 	var feed jwstore.MemoryFeed
 	r := &countingRecords{}
 	g := &Gateway{Feed: &feed, Records: r, Log: logr.Discard(), registrationChanged: make(chan struct{}, 1)}
-	w := &storeWatcher{g: g}
+	w := newStoreWatcher(g)
 	feed.Write("op/config", []byte("1"))
 	_, err := w.readOnce(context.Background())
 	assert.NilError(t, err)
--- a/io/jwgateway/upstream_test.go
+++ b/io/jwgateway/upstream_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/io/jwgateway"
 )
@@ -83,6 +84,35 @@
 	}
 }
 
+// All nodes of a region are killed and start again. Their relay takes seconds to read the targets. If
+// the others read them all in the meantime, they would saturate the store's link.
+func TestStartWhileRelayReads(t *testing.T) {
+	t.Parallel()
+	feed := jwstore.MemoryFeed{PageSize: 20}
+	startTarget(t, &feed, "t1", "s", "north-a", respondText("fine"))
+	for i := range 200 {
+		register(&feed, fmt.Sprint("u", i), "other", "127.0.0.1:9", "north-a", "ready")
+	}
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	through := withRelayThreshold(2)
+	relay := startWith(t, slowPages{&feed}, "n1", "north", through)
+	feed.Write("jujubewheel/nodes/n1", fmt.Appendf(nil, `{"name":"n1","region":"north","dataCentre":"north-a","callers":%q,"nodes":%q,"start":1,"change":1,"serving":true}`, relay.callers, relay.nodes))
+	counting := &callCountingFeed{Feed: &feed}
+	n := startWith(t, counting, "n2", "north", through)
+	sendUntil(t, n, "/a/x", served)
+	assert.Equal(t, counting.pages.Load(), int64(1))
+}
+
+// slowPages is a store that takes 250 ms for each page.
+type slowPages struct {
+	jwstore.Feed
+}
+
+func (s slowPages) Range(ctx context.Context, prefix, after string) (jwstore.Page, error) {
+	jwclock.Sleep(ctx, 250*time.Millisecond)
+	return s.Feed.Range(ctx, prefix, after)
+}
+
 // The registered relay does not answer. The node that starts must read all targets from the store
 // itself.
 func TestStartWithUnreachableRelay(t *testing.T) {
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
+	"io"
 	"math"
 	"net/http"
 	"net/netip"
@@ -19,11 +20,17 @@
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
+	"jujubewheel/io/jwconn"
 )
 
 const (
 	// viewRetryPause is the pause between two rounds of requests for views.
 	viewRetryPause = 400 * time.Millisecond
+	// viewWait is how long a node that has not read the store yet lets a request for its view wait.
+	viewWait = 400 * time.Millisecond
+	// viewIdleTimeout is how long a view may arrive without progress. A relay sends its view to all
+	// nodes of its data centre that start at once, which takes its link seconds.
+	viewIdleTimeout = time.Second
 	// storeCheckStep is the time between two checks whether the store has answered.
 	storeCheckStep = 10 * time.Millisecond
 )
@@ -41,8 +48,16 @@
 	Fleet      int      `json:"fleet,omitempty"` // number of nodes in all regions as stored
 }
 
-// serveView answers with what is newer than the version and the revision in the query.
+// serveView answers with what is newer than the version and the revision in the query, if that says
+// so once this node has read the store.
 func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request) {
+	if d := min(time.Duration(queryUint(r, "waitMs"))*time.Millisecond, viewWait); d > 0 {
+		g.awaitFirstRead(r.Context(), d)
+		if !g.fullReadDone.Load() && g.store.stale(time.Now()) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
 	if g.entries.Current() == nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -56,6 +71,17 @@
 	}
 }
 
+// awaitFirstRead waits until this node has read all keys of the store, at most for d.
+func (g *Gateway) awaitFirstRead(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-g.storeWatcher.firstRead:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // viewSince returns what this node has that is newer than a version of the configuration and a
 // revision of the store.
 func (g *Gateway) viewSince(now time.Time, version, revision uint64) view {
@@ -158,7 +184,7 @@
 	if !g.store.stale(time.Now()) {
 		revision = math.MaxUint64 // this node reads the store itself, so only the configuration is wanted
 	}
-	v, err := g.fetchView(context.Background(), a, g.entries.Version(), revision)
+	v, err := g.fetchView(context.Background(), a, g.entries.Version(), revision, 0)
 	if err != nil {
 		g.Log.V(1).Info("failed to fetch a view", "peer", a.String(), "error", err.Error())
 		return
@@ -172,23 +198,61 @@
 }
 
 // fetchView asks a node for what it has beyond a version of the configuration and a revision of the
-// store.
-func (g *Gateway) fetchView(ctx context.Context, a netip.AddrPort, version, revision uint64) (v view, err error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+// store. A node that has not read the store yet answers after wait, or once it has. The view is empty
+// if the node has no configuration.
+func (g *Gateway) fetchView(ctx context.Context, a netip.AddrPort, version, revision uint64, wait time.Duration) (v view, err error) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	idle := time.AfterFunc(wait+viewIdleTimeout, cancel)
+	defer idle.Stop()
 	q := url.Values{
 		"version":  {strconv.FormatUint(version, 10)},
 		"revision": {strconv.FormatUint(revision, 10)},
+		"waitMs":   {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
-	raw, err := g.nodeCall(ctx, jwmember.Member{Nodes: a}, http.MethodGet, viewPath+"?"+q.Encode(), nil)
+	answer, err := g.Nodes.Do(ctx, &jwconn.Call{Peer: a, Method: http.MethodGet, Target: viewPath + "?" + q.Encode(), Host: a.String()})
 	if err != nil {
 		return v, err
 	}
-	zr, err := gzip.NewReader(bytes.NewReader(raw))
+	defer answer.Close()
+	body := &progressReader{r: io.LimitReader(answer.Body, maxViewSize), idle: idle}
+	if answer.Status != http.StatusOK {
+		_, err := io.Copy(io.Discard, body)
+		if err == nil && answer.Status != http.StatusNotFound {
+			err = errWithoutStore
+		}
+		return v, err
+	}
+	zr, err := gzip.NewReader(body)
 	if err != nil {
 		return v, errors.Wrap(err, "decompress view")
 	}
-	return v, errors.Wrap(json.NewDecoder(zr).Decode(&v), "decode view")
+	if err := json.NewDecoder(zr).Decode(&v); err != nil {
+		return v, errors.Wrap(err, "decode view")
+	}
+	_, err = io.Copy(io.Discard, body) // the connection is used again only after the whole answer
+	return v, err
+}
+
+// errWithoutStore is the error if the node that was asked for its view has not read the store, and
+// can't reach it.
+var errWithoutStore = errors.New("the node has not read the store and can't reach it")
+
+// maxViewSize is the maximum size of an encoded view in bytes.
+const maxViewSize = 8 << 20
+
+// progressReader restarts a timer at each read that returns bytes.
+type progressReader struct {
+	r    io.Reader
+	idle *time.Timer
+}
+
+func (p *progressReader) Read(b []byte) (int, error) {
+	n, err := p.r.Read(b)
+	if n > 0 {
+		p.idle.Reset(viewIdleTimeout)
+	}
+	return n, err
 }
 
 // applyView applies the targets, evacuations and nodes of a view. What this node has read from the
