jwgateway: a node whose watch gets nothing takes its relay's view

A node counted as reading the store while any call of it was answered. One whose renewals are answered and whose watch hangs, and whose new relay has not the changes that it lacks, learned of nothing: neither by the watch, nor from the relay, nor by a view, since it wasn't taken to be behind. It now counts as reading the store only if it read it, itself or through a relay, as recently as a view must be.

--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -168,9 +168,16 @@
 }
 
 // peerIsAhead reports whether a peer has read the store up to a later revision while this node
-// can't reach it and gets no changes from a relay.
+// can't read it and gets no changes from a relay.
 func (g *Gateway) peerIsAhead(now time.Time, revision jwstore.Revision) bool {
-	return revision > max(g.store.revision.Load(), g.pulledRevision.Load()) && g.store.stale(now) && !g.storeWatcher.followsRelay(now)
+	return revision > max(g.store.revision.Load(), g.pulledRevision.Load()) && !g.readsStore(now) && !g.storeWatcher.followsRelay(now)
+}
+
+// readsStore reports whether this node reads the store. Its calls may be answered while a watch, on
+// a connection of its own, gets nothing.
+func (g *Gateway) readsStore(now time.Time) bool {
+	age := now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())
+	return !g.store.stale(now) && age <= maxRelayReadAge+maxRelayReportAge
 }
 
 // pullView fetches and applies what another node has read and this one has not, because the store
@@ -181,7 +188,7 @@
 	}
 	defer g.pullingView.Store(false)
 	revision := max(g.store.revision.Load(), g.pulledRevision.Load())
-	if !g.store.stale(time.Now()) {
+	if g.readsStore(time.Now()) {
 		revision = math.MaxUint64 // this node reads the store itself, so only the configuration is wanted
 	}
 	v, err := g.fetchView(context.Background(), a, g.entries.Version(), revision, 0)
--- a/io/jwgateway/view_test.go
+++ b/io/jwgateway/view_test.go
@@ -44,3 +44,39 @@
 	assert.NilError(t, err)
 	assert.Assert(t, string(first) != string(second))
 }
+
+// The store answers a node's renewals while its watch, on another connection, gets nothing, and its
+// relay has no longer the changes that it lacks. It must take the relay's view, or it learns of
+// nothing until it gives up the watch.
+func TestPeerIsAhead(t *testing.T) {
+	now := time.Now()
+	cases := map[string]struct {
+		answered, read, relayed, upstream time.Duration // ages
+		revision                          uint64
+		want                              bool
+	}{
+		"reads the store":                 {answered: time.Second, read: time.Second, revision: 8},
+		"gets no answers":                 {answered: time.Minute, read: time.Minute, revision: 8, want: true},
+		"its watch gets nothing":          {answered: time.Second, read: 5 * time.Second, revision: 8, want: true},
+		"its relay passes changes on":     {answered: time.Minute, read: time.Minute, relayed: time.Second, revision: 8},
+		"another relay passes changes on": {answered: time.Minute, read: time.Minute, upstream: time.Second, revision: 8},
+		"the peer isn't ahead":            {answered: time.Minute, read: time.Minute, revision: 7},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := &Gateway{startTime: now.Add(-time.Hour)}
+			g.storeWatcher = newStoreWatcher(g)
+			g.storeWatcher.revision = 7
+			g.store.revision.Store(7)
+			g.store.lastAnswer.Store(now.Add(-c.answered).UnixNano())
+			g.storeReadAt.Store(int64(time.Hour - c.read))
+			if c.relayed > 0 {
+				g.storeWatcher.relayedAt = now.Add(-c.relayed)
+			}
+			if c.upstream > 0 {
+				g.storeWatcher.upstreamReadAt = now.Add(-c.upstream)
+			}
+			assert.Equal(t, g.peerIsAhead(now, c.revision), c.want)
+		})
+	}
+}
