jwmember: roots and contacts are spread evenly over the nodes

The score of rendezvous hashing was an FNV hash of both names, whose last bytes hardly reach the upper bits. Names of nodes differ in their last digits: of 160 nodes 150 chose the same of four data centres. The score is now jwtarget's, as for subsets of targets. Nodes of an older version choose other owners and roots during a rolling update, as with changed nodes.

--- a/core/jwmember/share.go
+++ b/core/jwmember/share.go
@@ -1,16 +1,15 @@
 package jwmember
 
 import (
-	"hash/fnv"
 	"time"
+
+	"jujubewheel/core/jwtarget"
 )
 
 // rendezvousScore returns the weight of a name for a key in rendezvous hashing; the name
 // with the highest score is chosen.
 func rendezvousScore(name, key string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(name + "\x00" + key))
-	return h.Sum64()
+	return jwtarget.Mix(jwtarget.NameKey(name), jwtarget.NameKey(key))
 }
 
 // CountedByAll reports whether every node that may share a limit with this one counts
