jwgateway: nodes whose relay fails ask other relays, not the store

When a relay is late by 1.3 s or dies, all nodes of its data centre read the store themselves: each gets all that targets have registered since, most of which changes nothing; with 2,000 registrations a second that is some 1.5 MB each (reckoned), for 164 hosts with links of 20 Mbit/s. They now ask the relays of the other data centres, spread evenly, which answer with what changed, and read the store only if that fails.

--- a/core/jwmember/relay.go
+++ b/core/jwmember/relay.go
@@ -120,6 +120,15 @@
 	return m.StoreRoundTrip
 }
 
+// SubstituteRelay returns the relay of another data centre from which this node takes the changes of
+// the store while its own relay fails; false if none reaches the store. The nodes of a data centre are
+// spread over all others.
+func (t *Table) SubstituteRelay(now time.Time) (Member, bool) {
+	self := t.Local()
+	list := slices.DeleteFunc(t.AllRelays(now), func(m Member) bool { return m.DataCentre == self.DataCentre || m.StoreLost })
+	return Root(list, self.Name)
+}
+
 // StartSource returns the node from which this one, which starts, takes what the store holds; false
 // if it has to read the store itself. That is the preferred relay of its data centre or, if this node
 // is that, one of the readers relays nearest to the store. Nodes that start too count, since all may
--- a/core/jwmember/relay_test.go
+++ b/core/jwmember/relay_test.go
@@ -297,3 +297,24 @@
 		})
 	}
 }
+
+// The relay of a data centre fails. Its nodes take the changes of the store from the relays of all
+// other data centres alike, and none from one that can't reach the store.
+func TestSubstituteRelays(t *testing.T) {
+	now := time.Unix(1000, 0)
+	asked := make(map[string]int)
+	for i := range 160 {
+		table := &Table{Self: Member{Name: fmt.Sprint("a", i), DataCentre: "a", Serving: true}}
+		for _, dc := range []string{"a", "b", "c", "d", "e", "f"} {
+			table.Put(now, Member{Name: dc, DataCentre: dc, Serving: true, Capacity: 9, StoreLost: dc == "f"})
+		}
+		m, ok := table.SubstituteRelay(now)
+		assert.Assert(t, ok)
+		asked[m.Name]++
+	}
+	assert.Equal(t, len(asked), 4, "%v", asked)
+	for name, n := range asked {
+		assert.Assert(t, n < 80, "%d of 160 nodes ask %s", n, name)
+		assert.Assert(t, name != "a" && name != "f")
+	}
+}
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -157,9 +157,9 @@
 	if readsForOthers {
 		wait = relayWatchTimeout
 	}
-	if readsForOthers {
+	if w.g.members.Large(time.Now(), w.g.members.Local().Region) {
 		if c, ok := w.askUpstream(ctx, after); ok {
-			return w.applyUpstream(time.Now(), c, after), nil
+			return w.applyUpstream(time.Now(), c, after, readsForOthers), nil
 		}
 	}
 	events, revision, err := w.g.Feed.Watch(ctx, "", after, wait)
@@ -169,13 +169,17 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	changed := w.applyChanges(now, events, revision)
-	if readsForOthers {
-		w.g.recentChanges.Add(changed, after, revision)
-	} else {
+	w.keepChanges(w.applyChanges(now, events, revision), after, revision, readsForOthers)
+	return now, nil
+}
+
+// keepChanges keeps changes between two revisions for other nodes, if this node reads for them.
+func (w *storeWatcher) keepChanges(changed []jwstore.Event, after, to jwstore.Revision, readsForOthers bool) {
+	if !readsForOthers {
 		w.g.recentChanges.Forget()
+		return
 	}
-	return now, nil
+	w.g.recentChanges.Add(changed, after, to)
 }
 
 // applyChanges applies changes up to a revision, which follow those applied before, and returns the
--- a/io/jwgateway/upstream.go
+++ b/io/jwgateway/upstream.go
@@ -31,11 +31,16 @@
 // upstreamRelay returns the relay from which this one, itself a relay, takes the changes of the
 // store: one of those nearest to the store that reach it. Otherwise each relay would read the
 // registrations of all targets over the links between regions, and one that can't reach the store
-// would leave the nodes of its data centre without changes.
+// would leave the nodes of its data centre without changes. A node whose relay fails takes them from a
+// relay of another data centre: the store would send all that targets have registered in the meantime
+// to each node of the data centre.
 func (w *storeWatcher) upstreamRelay(now time.Time) (jwmember.Member, bool) {
 	if !w.upstreamFailedAt.IsZero() && now.Sub(w.upstreamFailedAt) < upstreamRetryPause {
 		return jwmember.Member{}, false
 	}
+	if !w.g.members.IsRelay(now) {
+		return w.g.members.SubstituteRelay(now)
+	}
 	list := w.g.members.RelaysNearStore(now, directReaders)
 	for _, m := range list {
 		if m.Name == w.g.Settings.Node {
@@ -70,10 +75,10 @@
 
 // applyUpstream applies changes that another relay read, keeps them for the nodes that report
 // through this one, and returns the time as of which the store was read.
-func (w *storeWatcher) applyUpstream(now time.Time, c *changes, after jwstore.Revision) time.Time {
+func (w *storeWatcher) applyUpstream(now time.Time, c *changes, after jwstore.Revision, readsForOthers bool) time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.g.recentChanges.Add(w.applyChanges(now, c.events(), c.To), after, c.To)
+	w.keepChanges(w.applyChanges(now, c.events(), c.To), after, c.To, readsForOthers)
 	w.upstreamReadAt = now.Add(-time.Duration(c.Age) * time.Millisecond)
 	return w.upstreamReadAt
 }
