jwgateway: a relay computes what it reports to all nodes once in 50 ms

Who lives, who stops and what other regions report was computed from all nodes of the fleet for each answer.

--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -71,6 +71,7 @@
 	quotas              jwquota.Ledger
 	quotaExchange       jwquotaexchange.Exchange // exchanges quota units with other nodes
 	regions             regionTable
+	sharedReport        sharedReport
 	balance             regionBalance
 	pressure            jwadmission.Pressure
 	unseenCalledAt      time.Time // time of the last exchange with unseen nodes; used by exchangeStates only, like unseenTurn
--- a/io/jwgateway/relayexchange.go
+++ b/io/jwgateway/relayexchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"jujubewheel/core/jwbalance"
@@ -176,10 +177,38 @@
 		own.LocalSeen = g.members.LocalSeen(now)
 		return own
 	}
+	report := g.sharedReport.get(now, g.newSharedReport)
+	report.Changes = g.changesFor(now, s.RelayReport)
+	return g.relayState(now, s.Member.Name, report)
+}
+
+// newSharedReport returns the part of a relay's report that is the same for all its nodes.
+func (g *Gateway) newSharedReport(now time.Time) relayReport {
 	h := g.members.Liveness(now)
-	return g.relayState(now, s.Member.Name, relayReport{
-		FromRelay: true, Liveness: &h, Stopping: g.members.RecentlyStopping(now, stopReportAge), Remote: g.regions.report(now), Changes: g.changesFor(now, s.RelayReport),
-	})
+	return relayReport{
+		FromRelay: true, Liveness: &h, Stopping: g.members.RecentlyStopping(now, stopReportAge), Remote: g.regions.report(now),
+	}
+}
+
+// maxSharedReportAge is how long the shared part of a relay's report is used. It is computed from all
+// nodes of the fleet, and a relay answers hundreds of them a second.
+const maxSharedReportAge = 50 * time.Millisecond
+
+// sharedReport keeps the shared part of a relay's report. The zero value is empty.
+type sharedReport struct {
+	mu     sync.Mutex
+	at     time.Time
+	report relayReport
+}
+
+// get returns the report, computed by compute if the last one is too old.
+func (s *sharedReport) get(now time.Time, compute func(time.Time) relayReport) relayReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if age := now.Sub(s.at); s.at.IsZero() || age < 0 || age >= maxSharedReportAge {
+		s.report, s.at = compute(now), now
+	}
+	return s.report
 }
 
 // changesFor returns the changes of the store that a node asks for, nil if it asks for none.
--- a/io/jwgateway/relayexchange_bench_test.go
+++ b/io/jwgateway/sharedreport_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
 
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
@@ -84,3 +85,23 @@
 		})
 	}
 }
+
+// A relay answers hundreds of nodes a second. What it reports to all of them alike is computed from
+// all nodes of the fleet, and must not be for each.
+func TestSharedReportIsComputedOnce(t *testing.T) {
+	var s sharedReport
+	computed := 0
+	compute := func(time.Time) relayReport {
+		computed++
+		return relayReport{FromRelay: true}
+	}
+	now := time.Unix(1000, 0)
+	for range 100 {
+		assert.Assert(t, s.get(now, compute).FromRelay)
+	}
+	assert.Equal(t, computed, 1)
+	s.get(now.Add(maxSharedReportAge), compute)
+	assert.Equal(t, computed, 2, "an old report must be computed again")
+	s.get(now, compute)
+	assert.Equal(t, computed, 3, "a report from the future must not be used")
+}
