--- a/core/jwbalance/plan.go
+++ b/core/jwbalance/plan.go
@@ -266,7 +266,7 @@
 		if f.at[j] > minPart*f.total && !relieved && (from < 0 || w.level(j) > w.level(from)) {
 			from = j
 		}
-		if f.class.allows(w.regions[j].Region) && w.regions[j].Capacity > 0 && (to < 0 || w.level(j) < w.level(to)) {
+		if f.class.allows(w.regions[j].Region) && w.regions[j].Capacity > minWork && (to < 0 || w.level(j) < w.level(to)) {
 			to = j
 		}
 	}
--- a/core/jwbalance/plan_test.go
+++ b/core/jwbalance/plan_test.go
@@ -91,40 +91,57 @@
 // All regions plan from the same loads. If their plans did not fit together, several regions at their
 // peak would each fill the same room.
 func TestPlansFitTogether(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		list := drawLoads(t)
-		policy := Policy{}.withDefaults()
-		received := make(map[string]float64)
-		own := make(map[string]float64)
-		for i, r := range list {
-			others := append(append([]RegionLoad{}, list[:i]...), list[i+1:]...)
-			p := Policy{}.Make(r.Region, r.Load, others)
-			own[r.Region] += r.Backlog / policy.Drain.Seconds()
-			for class, shares := range p.Shares {
-				work, sum := r.Demand[class].At(policy.Lead), 0.0
-				for _, s := range shares {
-					if !class.allows(s.Region) {
-						t.Fatalf("%q is sent to %s", class, s.Region)
-					}
-					if class.allows(r.Region) {
-						received[s.Region] += s.Part * work
-					} else {
-						own[s.Region] += s.Part * work
-					}
-					sum += s.Part
+	rapid.Check(t, func(t *rapid.T) { checkPlansFit(t, drawLoads(t)) })
+}
+
+// A region with less capacity than minWork must not be taken to have as much: the others would
+// together send it more than it can take.
+func TestPlansFitWithoutCapacity(t *testing.T) {
+	const tiny = 4.76837158203125e-07
+	demand := func(first Rate) map[Class]Rate {
+		return map[Class]Rate{"": first, "a": {1, 1}, "a|b": {1, 1}, "b|c|d": {1, 1}}
+	}
+	var list []RegionLoad
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		list = append(list, RegionLoad{Region: name, Load: Load{Capacity: 1, Backlog: 1, Demand: demand(Rate{1, 1})}})
+	}
+	list = append(list, RegionLoad{Region: "f", Load: Load{Capacity: tiny, Backlog: 8 * tiny, Demand: demand(Rate{0.0625, -1})}})
+	checkPlansFit(t, list)
+}
+
+// checkPlansFit checks that the plans that all regions make of the same loads fit together.
+func checkPlansFit(t interface{ Fatalf(string, ...any) }, list []RegionLoad) {
+	policy := Policy{}.withDefaults()
+	received := make(map[string]float64)
+	own := make(map[string]float64)
+	for i, r := range list {
+		others := append(append([]RegionLoad{}, list[:i]...), list[i+1:]...)
+		p := Policy{}.Make(r.Region, r.Load, others)
+		own[r.Region] += r.Backlog / policy.Drain.Seconds()
+		for class, shares := range p.Shares {
+			work, sum := r.Demand[class].At(policy.Lead), 0.0
+			for _, s := range shares {
+				if !class.allows(s.Region) {
+					t.Fatalf("%q is sent to %s", class, s.Region)
 				}
-				if sum > 1+1e-9 || !class.allows(r.Region) && sum < 1-1e-9 {
-					t.Fatalf("%s sends %v of %q", r.Region, sum, class)
+				if class.allows(r.Region) {
+					received[s.Region] += s.Part * work
+				} else {
+					own[s.Region] += s.Part * work
 				}
-				own[r.Region] += (1 - sum) * work
+				sum += s.Part
 			}
-		}
-		for _, r := range list {
-			if got := received[r.Region]; got > minWork && own[r.Region]+got > policy.MaxLevel*r.Capacity+1e-6 {
-				t.Fatalf("%s with %v of %v gets %v", r.Region, own[r.Region], r.Capacity, got)
+			if sum > 1+1e-9 || !class.allows(r.Region) && sum < 1-1e-9 {
+				t.Fatalf("%s sends %v of %q", r.Region, sum, class)
 			}
+			own[r.Region] += (1 - sum) * work
 		}
-	})
+	}
+	for _, r := range list {
+		if got := received[r.Region]; got > minWork && own[r.Region]+got > policy.MaxLevel*r.Capacity+1e-6 {
+			t.Fatalf("%s with %v of %v gets %v", r.Region, own[r.Region], r.Capacity, got)
+		}
+	}
 }
 
 // No region that is relieved ends below one that takes its work, and none sends and takes the same
