jwstore: a new configuration replaces the one before it among kept changes

Configurations in quick succession, which After doesn't return but for the last, displaced all others, so that nodes which lacked a target's leaving had to read the store, or fetch a view of everything where they can't.

--- a/core/jwstore/recent.go
+++ b/core/jwstore/recent.go
@@ -43,6 +43,9 @@
 		r.added = nil
 	}
 	for _, e := range events {
+		if len(e.Value) > largeValue {
+			r.dropOlderLarge(e.Key)
+		}
 		r.events = append(r.events, e)
 		r.bytes += len(e.Value)
 	}
@@ -55,6 +58,18 @@
 	r.events = slices.Delete(r.events, 0, expired)
 }
 
+// dropOlderLarge drops the large values of a key that a new one replaces. After would not return them,
+// and a quick succession of configurations would displace all other changes.
+func (r *Recent) dropOlderLarge(key string) {
+	r.events = slices.DeleteFunc(r.events, func(e Event) bool {
+		drop := e.Key == key && len(e.Value) > largeValue
+		if drop {
+			r.bytes -= len(e.Value)
+		}
+		return drop
+	})
+}
+
 // After returns the changes after a revision and the revision up to which they are complete.
 // ok is false if some of these changes are not kept, or if the revision is later than what
 // was read so far. A value larger than largeValue is returned only if it is the latest of
--- a/core/jwstore/recent_test.go
+++ b/core/jwstore/recent_test.go
@@ -68,6 +68,22 @@
 	return last
 }
 
+// An operator writes many configurations in quick succession. A node that lacks a few changes from
+// before them must still get these, or hundreds of nodes read the store instead.
+func TestLargeValuesDisplaceNoOtherChanges(t *testing.T) {
+	var r Recent
+	r.Add([]Event{{Key: "target", Value: []byte("leaves"), Revision: 2}}, 1, 2)
+	for i := uint64(2); i < 30; i++ {
+		r.Add([]Event{{Key: "configuration", Value: make([]byte, maxRecentBytes/4), Revision: i + 1}}, i, i+1)
+	}
+	events, to, ok := r.After(1)
+	assert.Assert(t, ok)
+	assert.Equal(t, to, uint64(30))
+	assert.Equal(t, len(events), 2)
+	assert.Equal(t, events[0].Key, "target")
+	assert.Equal(t, events[1].Revision, uint64(30))
+}
+
 func TestRecentIsBounded(t *testing.T) {
 	var r Recent
 	for i := range uint64(3 * maxRecentEvents) {
