jwgateway: a view of everything is encoded once for all that ask

Only the view for nodes that know nothing was kept. A node that the store has turned away, and whose relay has not the changes that it lacks, asks for what is newer than its revision, which is a view of everything too: some 60 ms of a relay's processor for 10,000 targets (reckoned), for each of the nodes of its data centre.

--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -97,33 +97,37 @@
 	return v
 }
 
-// maxEncodedViewAge is how long an encoded view is reused for nodes that know nothing yet. All
-// nodes of a data centre that start at once request the same view. With thousands of targets,
-// encoding it for each of them would take the relay longer than the nodes wait.
+// maxEncodedViewAge is how long an encoded view is reused. All nodes of a data centre that start, or
+// lose the store, at once request a view of all targets. With thousands of targets, encoding it for
+// each of them would take the relay longer than the nodes wait.
 const maxEncodedViewAge = 300 * time.Millisecond
 
-// encodedViewCache keeps the last view that was encoded for a node that knows nothing yet.
+// encodedViewCache keeps the last encoded view of all that a node knows.
 type encodedViewCache struct {
 	mu        sync.Mutex
 	encodedAt time.Time
+	revision  uint64 // of the store
 	body      []byte
 }
 
-// encode returns the encoded view that since returns for a version and a revision. If both are 0,
-// the result is reused for maxEncodedViewAge unless it is empty.
+// encode returns the encoded view that since returns for a version and a revision. A view of all is
+// reused for maxEncodedViewAge by nodes that know less than it has.
 func (e *encodedViewCache) encode(now time.Time, version, revision uint64, since func(time.Time, uint64, uint64) view) ([]byte, error) {
-	if version > 0 || revision > 0 {
-		return encodeView(since(now, version, revision))
-	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.body != nil && now.Sub(e.encodedAt) < maxEncodedViewAge {
+	if e.body != nil && revision < e.revision && now.Sub(e.encodedAt) < maxEncodedViewAge {
 		return e.body, nil
 	}
-	v := since(now, 0, 0)
+	v := since(now, version, revision)
+	if v.Revision == 0 {
+		return encodeView(v) // it has no targets
+	}
+	if version > 0 || revision > 0 {
+		v = since(now, 0, 0)
+	}
 	body, err := encodeView(v)
-	if err == nil && v.Revision > 0 {
-		e.encodedAt, e.body = now, body
+	if err == nil {
+		e.encodedAt, e.revision, e.body = now, v.Revision, body
 	}
 	return body, err
 }
