jwgateway: nodes that start for the first time know each other

At a first start, or after an outage longer than the leases, no node is registered when they read their first page, so that each took itself for the relay. A node that knows no other one to take the targets from now registers before it serves, and reads the registrations before it goes on; those that registered before the best of their data centre still read everything, some ln(N) of N (reckoned).

Test with six nodes: two readers at most; all six read everything before. Not measured at full size.

--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -89,6 +89,8 @@
 	stopStartedAt       atomic.Int64  // when the planned stop began, nanoseconds since startTime
 	fleetSizeMissing    atomic.Bool   // the store was restored without the size of the fleet
 	registrationChanged chan struct{} // signals that the registration must be written again
+	registersEarly      atomic.Bool   // the node registers although it doesn't serve yet
+	registered          atomic.Bool   // the node has written its registration once
 	inFlight            atomic.Int64
 	memory              jwmemory.Account // bytes held for requests of services with overload control
 	slowStreams         slowStreams
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -33,6 +33,7 @@
 	evacuated        map[string]bool
 	config           *jwstore.Item
 	fleet            *jwstore.Item
+	targetsAsked     bool // a relay was asked for the targets
 	targetsFromRelay bool
 }
 
@@ -56,14 +57,42 @@
 		}
 		last = p.Items[len(p.Items)-1].Key
 		// The registrations of targets sort after all other keys.
-		if _, ok := w.g.Records.TargetID(last); ok && w.pullTargetsFromRelay(ctx, r) {
-			break
+		if _, ok := w.g.Records.TargetID(last); ok && !r.targetsAsked {
+			r.targetsAsked = true
+			if err := w.meetNodes(ctx, r); err != nil {
+				return err
+			}
+			if w.pullTargetsFromRelay(ctx, r) {
+				break
+			}
 		}
 	}
 	w.finishRead(time.Now(), r)
 	return nil
 }
 
+// meetNodes registers this node and reads the registrations of the others, if it knows none from
+// which it could take the targets. When all nodes of a fleet start for the first time, or after they
+// were down for longer than their leases, none is registered, and each would read all targets itself.
+func (w *storeWatcher) meetNodes(ctx context.Context, r *fullRead) error {
+	if _, ok := w.g.members.StartSource(time.Now(), directReaders); ok || r.nodes[w.g.members.Local().Name] {
+		return nil
+	}
+	w.g.registerEarly(ctx)
+	for last := ""; ; {
+		p, err := w.g.Feed.Range(ctx, nodePrefix, last)
+		now := w.noteStoreCall(ctx, err)
+		if err != nil {
+			return err
+		}
+		w.applyPage(now, p, r)
+		if !p.More {
+			return nil
+		}
+		last = p.Items[len(p.Items)-1].Key
+	}
+}
+
 // applyPage applies all keys of a page but the configuration, so that requests that wait for the
 // first configuration find targets when it is in force.
 func (w *storeWatcher) applyPage(now time.Time, p jwstore.Page, r *fullRead) {
--- a/io/jwgateway/register.go
+++ b/io/jwgateway/register.go
@@ -17,6 +17,9 @@
 	renewalsPerLease = 3
 	// registerRetry is the wait after a failed call of the store.
 	registerRetry = 400 * time.Millisecond
+	// maxEarlyRegistration is how long a node that starts waits for its registration before it reads
+	// on.
+	maxEarlyRegistration = time.Second
 )
 
 // reregister makes the node write its registration again.
@@ -33,7 +36,7 @@
 	ttl := leaseTTL
 	written := false
 	for ctx.Err() == nil {
-		if !g.members.Local().Serving {
+		if !g.members.Local().Serving && (g.stopping.Load() || !g.registersEarly.Load()) {
 			g.waitForChange(ctx, registerRetry)
 			if g.stopping.Load() {
 				break
@@ -54,6 +57,7 @@
 		case !written:
 			err = g.writeRegistration(ctx, lease)
 			written = err == nil
+			g.registered.Store(g.registered.Load() || written)
 		default:
 			err = g.Feed.Renew(ctx, lease)
 		}
@@ -80,6 +84,15 @@
 	}
 }
 
+// registerEarly registers the node before it serves, and returns once it is registered.
+func (g *Gateway) registerEarly(ctx context.Context) {
+	g.registersEarly.Store(true)
+	g.reregister()
+	for start := time.Now(); !g.registered.Load() && time.Since(start) < maxEarlyRegistration && ctx.Err() == nil; {
+		jwclock.Sleep(ctx, storeCheckStep)
+	}
+}
+
 // writeRegistration writes the node's registration under its lease.
 func (g *Gateway) writeRegistration(ctx context.Context, lease jwstore.Lease) error {
 	me := g.members.Local()
--- a/io/jwgateway/upstream_test.go
+++ b/io/jwgateway/upstream_test.go
@@ -103,6 +103,34 @@
 	assert.Equal(t, counting.pages.Load(), int64(1))
 }
 
+// All nodes of a region start for the first time, and none is registered. Only one of them may read
+// the targets, and the others take them from it.
+func TestFirstStartInLargeRegion(t *testing.T) {
+	t.Parallel()
+	feed := jwstore.MemoryFeed{PageSize: 20}
+	startTarget(t, &feed, "t1", "s", "north-a", respondText("fine"))
+	for i := range 200 {
+		register(&feed, fmt.Sprint("u", i), "other", "127.0.0.1:9", "north-a", "ready")
+	}
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	counting := make([]*callCountingFeed, 6)
+	var nodes []node
+	for i := range counting {
+		counting[i] = &callCountingFeed{Feed: slowPages{&feed}}
+		nodes = append(nodes, startWith(t, counting[i], fmt.Sprint("n", i), "north", withRelayThreshold(2)))
+	}
+	for _, n := range nodes {
+		sendUntil(t, n, "/a/x", served)
+	}
+	readers := 0
+	for _, c := range counting {
+		if c.pages.Load() > 10 {
+			readers++
+		}
+	}
+	assert.Assert(t, readers <= 2, "%d of %d nodes read all targets", readers, len(nodes))
+}
+
 // slowPages is a store that takes 250 ms for each page.
 type slowPages struct {
 	jwstore.Feed
