jwinstance: a replaced target leaves the sets of cold and gone targets

A node that exchanges state with nobody never walked over the sets, and kept each earlier incarnation of a target that restarted while cold.

--- a/core/jwinstance/marked.go
+++ b/core/jwinstance/marked.go
@@ -17,8 +17,8 @@
 }
 
 // markedTargets holds the few of all targets that reports are about, so that a report doesn't walk
-// over the thousands of others. A set may also hold targets that have left it or that restarted
-// since; whoever walks over it removes them.
+// over the thousands of others. A set may also hold targets that have left it since; whoever walks
+// over it removes them.
 type markedTargets struct {
 	inUse     targetSet // with calls of this node in flight
 	cold      targetSet
@@ -26,19 +26,18 @@
 	byAddress map[netip.AddrPort]*Target
 }
 
-// setAddress records the address of a target that is new or, if old isn't nil, has restarted.
-func (m *markedTargets) setAddress(old, x *Target) {
+// setAddress records the address of a new target.
+func (m *markedTargets) setAddress(x *Target) {
 	if m.byAddress == nil {
 		m.byAddress = make(map[netip.AddrPort]*Target)
 	}
-	if old != nil {
-		m.removeAddress(old)
-	}
 	m.byAddress[x.Address] = x
 }
 
-// removeAddress forgets the address of a target unless another one has it now.
-func (m *markedTargets) removeAddress(x *Target) {
+// forget removes a target whose record is deleted or replaced. It stays in use until its calls end.
+func (m *markedTargets) forget(x *Target) {
+	delete(m.cold, x)
+	delete(m.gone, x)
 	if m.byAddress[x.Address] == x {
 		delete(m.byAddress, x.Address)
 	}
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -251,7 +251,7 @@
 	var cold map[string]int64
 	for x := range t.marked.cold {
 		left := x.coldUntil.Sub(now)
-		if left <= 0 || t.targets[x.ID] != x {
+		if left <= 0 || t.targets[x.ID] != x { // an answer may come after the target has restarted
 			delete(t.marked.cold, x)
 			continue
 		}
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -152,7 +152,10 @@
 			t.setColdUntil(fresh, now.Add(max(in.Cold, t.coldAfterRestart(old, in))))
 		}
 		t.targets[in.ID] = fresh
-		t.marked.setAddress(old, fresh)
+		if old != nil {
+			t.marked.forget(old)
+		}
+		t.marked.setAddress(fresh)
 		if in.Leaving {
 			t.markSelfReported(fresh)
 		}
@@ -269,12 +272,11 @@
 func (t *Table) removeExpired(now time.Time) {
 	for x := range t.marked.gone {
 		switch {
-		case x.goneAt.IsZero() || t.targets[x.ID] != x:
-			delete(t.marked.gone, x) // it came back, or restarted under its name
+		case x.goneAt.IsZero():
+			delete(t.marked.gone, x) // it came back
 		case now.Sub(x.goneAt) > recordRetention && x.calls == 0:
 			delete(t.targets, x.ID)
-			delete(t.marked.gone, x)
-			t.marked.removeAddress(x)
+			t.marked.forget(x)
 			t.removeFromIndex(x)
 		}
 	}
