jwgateway: nodes that start fetch no view that they can't use

A node that starts can use no view from before its first page of the store, but asked for any: a relay that was a moment behind sent it all targets each 0.1 s. It now asks for a later one. Its own read after 10 s is spread over the nodes of the region too, a pause of the process no longer makes it take the relay for unreachable, and a relay whose answer can't be read is not asked again at once. A doc comment is attached to its function again.

--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -18,7 +18,7 @@
 	// store, before it reads all targets itself.
 	maxRelayRead = 10 * time.Second
 	// maxWaitWithoutStore is the same for a relay that can't reach the store. ownReadSpread, for each
-	// node of the region, is the time over which the reads of its nodes are then spread.
+	// node of the region, is the time over which its nodes' own reads are spread.
 	maxWaitWithoutStore = 1500 * time.Millisecond
 	ownReadSpread       = 30 * time.Millisecond
 	// relayPullPause is the pause between two of these attempts.
@@ -162,8 +162,8 @@
 func (w *storeWatcher) pullTargetsFromRelay(ctx context.Context, r *fullRead) bool {
 	g := w.g
 	start := time.Now()
-	withoutStore := maxWaitWithoutStore + rand.N(time.Duration(g.members.Count(start, g.Settings.Region))*ownReadSpread)
-	for now := start; now.Sub(start) < maxRelayRead && ctx.Err() == nil; now = time.Now() {
+	spread := rand.N(time.Duration(g.members.Count(start, g.Settings.Region)) * ownReadSpread)
+	for now := start; now.Sub(start) < maxRelayRead+spread && ctx.Err() == nil; now = time.Now() {
 		if !g.members.Large(now, g.Settings.Region) {
 			return false
 		}
@@ -171,18 +171,22 @@
 		if !ok {
 			return false
 		}
-		v, err := g.fetchView(ctx, m.Nodes, g.entries.Version(), 0, viewWait)
+		// A view from before the first page has no use, and is as large.
+		v, err := g.fetchView(ctx, m.Nodes, g.entries.Version(), r.revision-1, viewWait)
 		if err == nil || errors.Is(err, errWithoutStore) {
 			g.members.Answered(time.Now(), m.Name)
 		}
 		switch {
 		case errors.Is(err, errWithoutStore):
-			if now.Sub(start) >= withoutStore {
+			if now.Sub(start) >= maxWaitWithoutStore+spread {
 				return false
 			}
+		case ctx.Err() != nil:
+			return false
 		case err != nil:
 			g.Log.Info("failed to fetch the targets from a relay", "peer", m.Name, "error", err.Error())
 			g.members.MarkUnreachable(time.Now(), m.Name)
+			jwclock.Sleep(ctx, storeCheckStep)
 			continue
 		case v.Revision >= r.revision:
 			w.applySourceView(v, m, r)
--- a/io/jwgateway/relayexchange.go
+++ b/io/jwgateway/relayexchange.go
@@ -274,7 +274,6 @@
 
 // applyRelayed applies changes that a relay read. If the relay no longer has them or its read
 // is too old, this node reads the store itself.
-
 func (w *storeWatcher) applyRelayed(now time.Time, c *changes) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -48,8 +48,8 @@
 	Fleet      int      `json:"fleet,omitempty"` // number of nodes in all regions as stored
 }
 
-// serveView answers with what is newer than the version and the revision in the query, if that says
-// so once this node has read the store.
+// serveView answers with what is newer than the version and the revision in the query. With waitMs in
+// the query a node that has not read the store yet answers later, or with 503 if it can't reach it.
 func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request) {
 	if d := min(time.Duration(queryUint(r, "waitMs"))*time.Millisecond, viewWait); d > 0 {
 		g.awaitFirstRead(r.Context(), d)
