jwgateway, jwlog: the log says why a request was sent again, or not

A send didn't show whether it was taken for the first of its request or from the retry budget, and no line from how many requests and nodes the budget was computed, so that the hypotheses on retries beyond the budget could not be told apart. Lines of requests that weren't served now show sends, retry, retriesLeft, windowRequests, windowRetries and budgetNodes; first_sends_total{forwarded} counts what the budget counts as requests.

--- a/core/jwbudget/retry.go
+++ b/core/jwbudget/retry.go
@@ -65,6 +65,23 @@
 	return true
 }
 
+// RetryState is the state of this node's part of the budget of a service.
+type RetryState struct {
+	Requests int     // requests counted within the window
+	Retries  int     // retries taken within the window
+	Nodes    int     // nodes that share the budget
+	Left     float64 // retries left, may be negative
+}
+
+// State returns the state of a service.
+func (r *RetryBudget) State(now time.Time, service string) RetryState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(service)
+	left := r.left(now, w)
+	return RetryState{Requests: len(w.requests), Retries: len(w.retries), Nodes: max(r.Nodes(), 1), Left: left}
+}
+
 // Left returns how many retries this node may make now, by service.
 func (r *RetryBudget) Left(now time.Time) map[string]float64 {
 	r.mu.Lock()
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -21,7 +21,7 @@
 	now := time.Now()
 	d := jwlog.Decision{
 		Step: step, Request: q.ID, Entry: q.entry.Name, Version: q.version, Workspace: q.workspace, Service: q.service,
-		Units: q.units, Attempt: q.attempts, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
+		Units: q.units, Attempt: q.attempts, Sends: q.sends, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
 	}
 	if q.controlled {
 		d.Priority = q.priority
@@ -65,6 +65,7 @@
 	d.DropFirst = v == finished && status < 500
 	if !d.DropFirst {
 		d.Reason = q.lastReason
+		g.addRetry(&d, q)
 	}
 	if v == failed || v == broken {
 		d.Fingerprint, d.Caller = q.fingerprint.String(), q.caller
@@ -93,10 +94,17 @@
 	d.DropFirst = v == finished && status < 500
 	if !d.DropFirst {
 		d.Reason = q.lastReason
+		g.addRetry(&d, q)
 	}
 	g.Decisions.Write(&d)
 }
 
+// addRetry adds to a log record why the request was sent or not sent again.
+func (g *Gateway) addRetry(d *jwlog.Decision, q *request) {
+	s := g.retryBudget.State(time.Now(), q.service)
+	d.Retry = &jwlog.Retry{Reason: string(q.retryReason), Left: s.Left, Requests: s.Requests, Retries: s.Retries, Nodes: s.Nodes}
+}
+
 // logAnswer logs and counts an answer of the gateway itself, or that the request ended without one.
 func (g *Gateway) logAnswer(q *request, outcome, reason string, status int) {
 	if !q.forwarded {
@@ -104,6 +112,9 @@
 	}
 	d := q.newDecision(stepAnswer)
 	d.Outcome, d.Reason, d.Status = outcome, reason, status
+	if q.sends > 0 {
+		g.addRetry(&d, q)
+	}
 	if reason == quarantined {
 		d.Fingerprint, d.Caller = q.fingerprint.String(), q.caller
 	}
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -36,6 +36,7 @@
 	firstEventTimes   map[string]tally.Histogram // by place
 	eventPauses       tally.Histogram
 	directoryAnswers  map[jwresolver.Kind]tally.Counter
+	firstSends        map[bool]tally.Counter // by whether the request came from another node
 	retries           tally.Counter
 	retriesRejected   tally.Counter
 	connectionsOpened tally.Counter
@@ -84,7 +85,10 @@
 		malformedLoads:    m.Counter("malformed_target_loads_total", nil),
 		room:              roomMetrics{meter: m},
 	}
-	ms.crashChecks = make(map[bool]tally.Counter)
+	ms.crashChecks, ms.firstSends = make(map[bool]tally.Counter), make(map[bool]tally.Counter)
+	for _, forwarded := range []bool{false, true} {
+		ms.firstSends[forwarded] = m.Counter("first_sends_total", jwmeter.Tags{"forwarded": strconv.FormatBool(forwarded)})
+	}
 	for _, crashed := range []bool{false, true} {
 		ms.crashChecks[crashed] = m.Counter("crash_checks_total", jwmeter.Tags{"crashed": strconv.FormatBool(crashed)})
 	}
@@ -120,6 +124,10 @@
 	c.Inc(1)
 }
 
+// countFirstSend counts a request that the retry budget counts. forwarded is whether it came from
+// another node.
+func (m *metrics) countFirstSend(forwarded bool) { m.firstSends[forwarded].Inc(1) }
+
 // countCrashCheck counts a check of whether a target has crashed.
 func (m *metrics) countCrashCheck(crashed bool) { m.crashChecks[crashed].Inc(1) }
 
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -17,6 +17,7 @@
 	"jujubewheel/core/jwbalance"
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwretry"
 	"jujubewheel/core/jwsuspect"
 	"jujubewheel/core/jwworkspace"
 )
@@ -64,9 +65,10 @@
 	w               http.ResponseWriter
 	answerStarted   bool // the status and headers were sent to the caller
 	tried           map[string]bool
-	attempts        int         // number of sends that a target may have run
-	sends           int         // number of sends that reached a target
-	budgetTaken     atomic.Bool // the next send has already been taken from the retry budget
+	attempts        int            // number of sends that a target may have run
+	sends           int            // number of sends that reached a target
+	retryReason     jwretry.Reason // why it is sent, or why it is not sent again
+	budgetTaken     atomic.Bool    // the next send has already been taken from the retry budget
 	lastEventID     string
 	fingerprint     jwsuspect.Fingerprint
 	caller          string          // the caller's address, "" for a forwarded request
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -22,6 +22,7 @@
 	var p progress
 	if q.sends == 0 {
 		g.retryBudget.Request(time.Now(), q.service)
+		g.metrics.countFirstSend(q.forwarded)
 	}
 	g.suspects.Begin(q.fingerprint, x.Address, q.homes)
 	start := time.Now()
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -32,7 +32,7 @@
 func (g *Gateway) serve(parent context.Context, q *request) {
 	ctx, cancel := context.WithDeadline(parent, q.deadline)
 	defer cancel()
-	q.tried = make(map[string]bool, 2)
+	q.tried, q.retryReason = make(map[string]bool, 2), jwretry.FirstSend
 	verdict := notRun
 	ran := false // a target may have run the request
 	defer func() { g.endShare(ctx, q, verdict) }()
@@ -89,6 +89,7 @@
 		Permanent: v == rejected, BodyStreamed: q.body.consumed(), NotRun: v == notRun || v == rejected, Repeatable: q.entry.Retryable(),
 		Attempts: q.attempts, MaxAttempts: q.entry.Attempts(), Sends: q.sends, BudgetTaken: q.budgetTaken.Load(),
 	}, func() bool { return g.retryBudget.Take(time.Now(), q.service) })
+	q.retryReason = reason
 	switch reason {
 	case jwretry.NoBudget:
 		g.metrics.retriesRejected.Inc(1)
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -24,6 +24,8 @@
 	Reason      string        // why the outcome is no success
 	Status      int           // HTTP status of the answer
 	Attempt     int           // counted from 1
+	Sends       int           // sends that reached a target so far
+	Retry       *Retry        // set if the request was not served
 	Left        time.Duration // until the deadline
 	Took        time.Duration // since the request arrived
 	Expected    time.Duration // estimated wait for the first event
@@ -70,6 +72,16 @@
 	Age     time.Duration // of the oldest report of demand
 }
 
+// Retry says why a request was sent, or why it was not sent again, and what this node's part of the
+// retry budget of the service was then.
+type Retry struct {
+	Reason   string
+	Left     float64 // retries left to this node
+	Requests int     // that this node counted in the window
+	Retries  int     // that this node made in the window
+	Nodes    int     // that share the budget
+}
+
 // Decisions writes each Decision as a JSON line; the zero value drops them.
 type Decisions struct {
 	major, minor *zap.Logger
@@ -95,7 +107,7 @@
 	if x.DropFirst {
 		log = d.minor
 	}
-	const maxFields = 50
+	const maxFields = 56
 	var buf [maxFields]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
@@ -111,6 +123,11 @@
 	f = appendNumber(f, "version", int64(x.Version))
 	f = appendNumber(f, "status", int64(x.Status))
 	f = appendNumber(f, "attempt", int64(x.Attempt))
+	f = appendNumber(f, "sends", int64(x.Sends))
+	if r := x.Retry; r != nil {
+		f = append(f, zap.String("retry", r.Reason), zap.Float64("retriesLeft", math.Round(10*r.Left)/10),
+			zap.Int("windowRequests", r.Requests), zap.Int("windowRetries", r.Retries), zap.Int("budgetNodes", r.Nodes))
+	}
 	f = appendNumber(f, "leftMs", x.Left.Milliseconds())
 	f = appendNumber(f, "tookMs", x.Took.Milliseconds())
 	f = appendNumber(f, "expectedMs", x.Expected.Milliseconds())
