jwgateway: a failing test of retries that go from region to region

All targets of a service refuse or break off, nodes of three regions send each other their requests.

--- a/io/jwgateway/retry_test.go
+++ b/io/jwgateway/retry_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 
 	"jujubewheel/core/jwstore"
 	"jujubewheel/io/jwgateway"
@@ -53,3 +57,67 @@
 		return strings.Contains(log.String(), `"sends":2,"retry":"no repeat is left","retriesLeft":0.2,"windowRequests":1,"windowRetries":1,"budgetNodes":1`)
 	})
 }
+
+// All targets of a service refuse or break off, and requests go from region to region: the nodes of
+// all regions together must stay within the retry budget.
+func TestRetriesOfAllRegionsStayWithinBudget(t *testing.T) {
+	t.Parallel()
+	abort := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	cases := map[string]struct {
+		serve   http.HandlerFunc
+		targets map[string]int // by data centre
+	}{
+		"targets refuse":                       {refuse, map[string]int{"north-a": 6, "south-a": 6, "east-a": 6}},
+		"targets break off":                    {abort, map[string]int{"north-a": 2, "south-a": 2, "east-a": 2}},
+		"targets fail":                         {fail, map[string]int{"north-a": 2, "south-a": 2, "east-a": 2}},
+		"targets refuse, a region has none":    {refuse, map[string]int{"south-a": 9, "east-a": 9}},
+		"targets break off, a region has none": {abort, map[string]int{"south-a": 3, "east-a": 3}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const ratio, slack, perNode = 0.2, 3, 60
+			var feed jwstore.MemoryFeed
+			var targets []*target
+			for dataCentre, count := range c.targets {
+				for i := range count {
+					targets = append(targets, startTarget(t, &feed, fmt.Sprint(dataCentre, i), "s", dataCentre, c.serve))
+				}
+			}
+			configure(&feed, 1, route("/a/", "idempotent", ""))
+			var nodes []node
+			for _, region := range []string{"north", "south", "east"} {
+				nodes = append(nodes, startWith(t, &feed, "n-"+region, region, func(g *jwgateway.Gateway) {
+					g.Settings.Gateway.Bounds.RetryRatio, g.Settings.Gateway.Bounds.RetrySlack = ratio, slack
+				}))
+			}
+			for i, region := range []string{"north", "south", "east"} {
+				waitForDirectory(t, nodes[i], region, nodes[i])
+			}
+			var wg sync.WaitGroup
+			for i, n := range nodes {
+				wg.Go(func() {
+					for j := range perNode {
+						_, _ = send(t, n, http.MethodGet, "/a/x", fmt.Sprintf("r%d-%d", i, j), nil, "")
+						time.Sleep(40 * time.Millisecond)
+					}
+				})
+			}
+			wg.Wait()
+			arrivals := make(map[string]int)
+			for _, x := range targets {
+				for _, r := range x.requests() {
+					arrivals[r.header.Get("Jujubewheel-Request-Id")]++
+				}
+			}
+			retries := 0
+			for _, n := range arrivals {
+				retries += n - 1
+			}
+			t.Logf("%d of %d requests arrived, %d retries", len(arrivals), perNode*len(nodes), retries)
+			assert.Assert(t, len(arrivals) > perNode)
+			assert.Assert(t, retries <= int(ratio*perNode*float64(len(nodes))+slack), "%d retries", retries)
+		})
+	}
+}
