jwretry, jwgateway: the sends of a request travel with it between nodes

Cause: how often a request had been sent was known to one node only. A node that received a forwarded request took its first send for the request's first; a node whose forward was refused, broke off or ended unknown went on as if no target had been reached. Each such send needed no retry of the budget, and even counted as a request that earns some.

The sends so far, and whether a budget has counted the request, now go with a forwarded request and come back with its answer; where no answer comes back, one arrival is assumed. Each arrival after the first one is taken from a budget exactly once: a node that forwards a request that has reached a target pays for the other's first send, and a retry that no send has used goes back.

--- a/core/jwbudget/retry.go
+++ b/core/jwbudget/retry.go
@@ -1,6 +1,7 @@
 package jwbudget
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -65,6 +66,16 @@
 	return true
 }
 
+// Return returns a retry that was taken and that no send has used.
+func (r *RetryBudget) Return(service string, takenAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.window(service)
+	if i := slices.IndexFunc(w.retries, takenAt.Equal); i >= 0 {
+		w.retries = slices.Delete(w.retries, i, i+1)
+	}
+}
+
 // RetryState is the state of this node's part of the budget of a service.
 type RetryState struct {
 	Requests int     // requests counted within the window
--- a/core/jwretry/doc.go
+++ b/core/jwretry/doc.go
@@ -1,3 +1,4 @@
-// Package jwretry decides whether a request that was not answered may be sent again. It
-// holds no state; the retry budget is a function that the caller passes.
+// Package jwretry decides whether a request that was not answered may be sent again, and
+// accounts for its sends over all nodes that it passes through. The retry budget is an
+// interface that the caller provides.
 package jwretry
--- a/io/jwgateway/admit.go
+++ b/io/jwgateway/admit.go
@@ -23,7 +23,7 @@
 func (g *Gateway) admit(now time.Time, q *request, p jwplacement.Choice) jwadmission.Decision {
 	r := jwadmission.Request{
 		Goal: q.entry.Goal, TimeLeft: q.deadline.Sub(now), Expected: p.Expected, OwnReadTime: p.OwnReadTime,
-		HasPrompt: q.Prompt.Tokens > 0, AlreadyAccepted: q.forwarded || q.answerStarted || q.sends > 0,
+		HasPrompt: q.Prompt.Tokens > 0, AlreadyAccepted: q.forwarded || q.answerStarted || q.retries.Sends().Reached > 0,
 	}
 	if r.HasPrompt && g.controlsOverload(q.service) {
 		rank := g.rank(q)
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -21,7 +21,7 @@
 	now := time.Now()
 	d := jwlog.Decision{
 		Step: step, Request: q.ID, Entry: q.entry.Name, Version: q.version, Workspace: q.workspace, Service: q.service,
-		Units: q.units, Attempt: q.attempts, Sends: q.sends, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
+		Units: q.units, Attempt: q.attempts, Sends: q.retries.Sends().Reached, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
 	}
 	if q.controlled {
 		d.Priority = q.priority
@@ -112,7 +112,7 @@
 	}
 	d := q.newDecision(stepAnswer)
 	d.Outcome, d.Reason, d.Status = outcome, reason, status
-	if q.sends > 0 {
+	if d.Sends > 0 {
 		g.addRetry(&d, q)
 	}
 	if reason == quarantined {
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -14,6 +14,7 @@
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwplacement"
+	"jujubewheel/core/jwretry"
 	"jujubewheel/core/jwsuspect"
 	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwquotaexchange"
@@ -29,6 +30,7 @@
 	headerWorkspace   = "Jujube-Workspace"
 	headerGapGoal     = "Jujube-Gap-Goal" // in milliseconds; absent without overload control
 	headerRank        = "Jujube-Rank"     // see Gateway.rank; absent without overload control
+	headerSends       = "Jujube-Sends"    // jwretry.Sends, of the request and of its answer
 	headerWaited      = "Jujube-Waited"   // time since the caller's request came, in milliseconds; absent without overload control
 )
 
@@ -135,6 +137,7 @@
 	h[headerKind] = []string{q.kind()}
 	h[headerSender] = []string{g.Settings.Node}
 	h[headerFingerprint] = []string{q.fingerprint.String()}
+	h[headerSends] = []string{q.retries.Sends().String()}
 	delete(h, headerWorkspace)
 	g.setGapGoal(h, q)
 	g.setRank(h, q)
@@ -184,7 +187,13 @@
 // returns the verdict on the send.
 func (g *Gateway) passForwardedAnswer(q *request, m jwmember.Member, a *jwconn.Answer, onEvents func(int)) Verdict {
 	outcome := a.Header.Get(headerOutcome)
+	if sends, ok := jwretry.ParseSends(a.Header.Get(headerSends)); ok {
+		q.retries.Merge(sends)
+	} else {
+		q.retries.Lost()
+	}
 	delete(a.Header, headerOutcome)
+	delete(a.Header, headerSends)
 	switch outcome {
 	case outcomeNotRun:
 		q.lastReason = refusedByNode + m.Name
@@ -216,6 +225,7 @@
 	if errors.As(err, &ce) && ce.Stage == jwconn.StageDial {
 		return notRun
 	}
+	q.retries.Lost()
 	q.attempts++
 	return failed
 }
@@ -234,7 +244,11 @@
 		CallerHeaders: g.Dialect.ParseCallerHeaders(r.Header), method: r.Method, target: r.RequestURI, host: r.Host,
 		header: r.Header, arrived: time.Now(), forwarded: true, service: r.Header.Get(headerService),
 	}
-	q.w = &outcomeWriter{ResponseWriter: w, signed: func(h http.Header) bool { return g.Dialect.ParseAnswerHeaders(h).Signed }}
+	q.retries.Budget, q.retries.Service = &g.retryBudget, q.service
+	if sends, ok := jwretry.ParseSends(r.Header.Get(headerSends)); ok {
+		q.retries.Receive(sends)
+	}
+	q.w = &outcomeWriter{ResponseWriter: w, retries: &q.retries, signed: func(h http.Header) bool { return g.Dialect.ParseAnswerHeaders(h).Signed }}
 	q.entry = parseKind(r.Header.Get(headerKind))
 	q.entry.GapGoal = time.Duration(max(parseCount(r.Header.Get(headerGapGoal)), 0)) * time.Millisecond
 	q.waitedBefore = time.Duration(max(parseCount(r.Header.Get(headerWaited)), 0)) * time.Millisecond
@@ -243,7 +257,7 @@
 	if fingerprint, err := jwsuspect.ParseFingerprint(r.Header.Get(headerFingerprint)); err == nil {
 		q.fingerprint = fingerprint
 	}
-	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace, headerGapGoal, headerRank, headerWaited} {
+	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace, headerGapGoal, headerRank, headerSends, headerWaited} {
 		delete(q.header, name)
 	}
 	q.deadline = q.arrived.Add(max(q.Deadline, time.Millisecond))
@@ -293,10 +307,11 @@
 	return n
 }
 
-// outcomeWriter adds the outcome of the request to the headers of its answer.
+// outcomeWriter adds the outcome and the sends of the request to the headers of its answer.
 type outcomeWriter struct {
 	http.ResponseWriter
-	signed func(http.Header) bool
+	retries *jwretry.Tracker
+	signed  func(http.Header) bool
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -308,6 +323,7 @@
 	case status == http.StatusServiceUnavailable:
 		h[headerOutcome] = []string{outcomeNotRun}
 	}
+	h[headerSends] = []string{o.retries.Sends().String()}
 	o.ResponseWriter.WriteHeader(status)
 }
 
--- a/io/jwgateway/overloadoff_test.go
+++ b/io/jwgateway/overloadoff_test.go
@@ -91,6 +91,7 @@
 		"directory_answers_total",
 		"event_pause_seconds",
 		"first_event_seconds",
+		"first_sends_total",
 		"limited_targets",
 		"live_nodes",
 		"log_lines_lost",
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,10 +64,9 @@
 	w               http.ResponseWriter
 	answerStarted   bool // the status and headers were sent to the caller
 	tried           map[string]bool
-	attempts        int            // number of sends that a target may have run
-	sends           int            // number of sends that reached a target
+	attempts        int // number of sends that a target may have run
+	retries         jwretry.Tracker
 	retryReason     jwretry.Reason // why it is sent, or why it is not sent again
-	budgetTaken     atomic.Bool    // the next send has already been taken from the retry budget
 	lastEventID     string
 	fingerprint     jwsuspect.Fingerprint
 	caller          string          // the caller's address, "" for a forwarded request
@@ -170,6 +168,7 @@
 	}
 	q.service = e.Choose(hashFraction(call.ID))
 	q.controlled = g.controlsOverload(q.service)
+	q.retries.Budget, q.retries.Service = &g.retryBudget, q.service
 	limit := defaultDeadline
 	if call.Deadline > 0 {
 		limit = call.Deadline
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -20,8 +20,7 @@
 	x := c.Target
 	q.tried[x.ID], q.sentTo = true, x.ID
 	var p progress
-	if q.sends == 0 {
-		g.retryBudget.Request(time.Now(), q.service)
+	if q.retries.Begin(time.Now()) {
 		g.metrics.countFirstSend(q.forwarded)
 	}
 	g.suspects.Begin(q.fingerprint, x.Address, q.homes)
@@ -40,7 +39,7 @@
 			return g.classifySendError(ctx, q, x, err)
 		}
 		defer a.Close()
-		q.sends++
+		g.recordReached(q)
 		status, p.stream = a.Status, isStream(a)
 		if v, ok := g.checkAnswer(q, x, a); !ok {
 			return v
@@ -80,6 +79,13 @@
 	return verdict
 }
 
+// recordReached records that a send reached a target.
+func (g *Gateway) recordReached(q *request) {
+	if q.retries.Reached() {
+		g.metrics.retries.Inc(1)
+	}
+}
+
 // progress records when the events of an answer arrived.
 type progress struct {
 	first time.Duration // time from the send to the first event; 0 before that
@@ -92,7 +98,7 @@
 // whole reports whether a finished answer is a stream from its first event to its end, so that it
 // shows how long answers are.
 func (p *progress) whole(q *request) bool {
-	return p.stream && !p.last.IsZero() && q.sends == 1 && q.LastEvent == ""
+	return p.stream && !p.last.IsZero() && q.retries.ReachedHere() == 1 && q.LastEvent == ""
 }
 
 // recordEvents records the arrival of events and returns the pause before them, 0 for the first ones.
@@ -153,8 +159,7 @@
 	d := max(minSendTimeout, time.Duration(goalTimeoutShare*float64(q.entry.Goal)), expectedWaitFactor*c.Expected)
 	expire := func() {
 		// Without budget for a retry, continuing to wait is the better option.
-		if g.retryBudget.Take(time.Now(), q.service) {
-			q.budgetTaken.Store(true)
+		if q.retries.TakeEarly(time.Now()) {
 			cancel(errSendTimeout)
 		}
 	}
@@ -228,7 +233,6 @@
 	}
 	drain(a)
 	q.lastReason = "the target failed"
-	q.budgetTaken.Store(true)
 	return failed, false
 }
 
@@ -278,7 +282,7 @@
 		g.targets.Failed(x)
 		g.Targets.CloseIdle(x.Address)
 	}
-	q.sends++
+	g.recordReached(q)
 	q.attempts++
 	return failed
 }
--- a/io/jwgateway/send_test.go
+++ b/io/jwgateway/send_test.go
@@ -33,7 +33,10 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			q := &request{sends: c.sends, CallerHeaders: CallerHeaders{LastEvent: c.lastEvent}}
+			q := &request{CallerHeaders: CallerHeaders{LastEvent: c.lastEvent}}
+			for range c.sends {
+				q.retries.Reached()
+			}
 			p := progress{stream: isStream(c.answer)}
 			if c.events {
 				p.recordEvents(time.Now(), time.Now())
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -36,6 +36,7 @@
 	verdict := notRun
 	ran := false // a target may have run the request
 	defer func() { g.endShare(ctx, q, verdict) }()
+	defer q.retries.Close()
 	for range maxSends {
 		verdict = g.sendOrWait(ctx, q)
 		if verdict == finished {
@@ -85,21 +86,14 @@
 // mayRetry reports whether a request may be sent again after a verdict, and takes the retry from
 // the budget if it has not been taken yet.
 func (g *Gateway) mayRetry(q *request, v Verdict) bool {
-	reason := jwretry.Decide(jwretry.Request{
+	q.retryReason = q.retries.Decide(time.Now(), jwretry.Request{
 		Permanent: v == rejected, BodyStreamed: q.body.consumed(), NotRun: v == notRun || v == rejected, Repeatable: q.entry.Retryable(),
-		Attempts: q.attempts, MaxAttempts: q.entry.Attempts(), Sends: q.sends, BudgetTaken: q.budgetTaken.Load(),
-	}, func() bool { return g.retryBudget.Take(time.Now(), q.service) })
-	q.retryReason = reason
-	switch reason {
-	case jwretry.NoBudget:
+		Attempts: q.attempts, MaxAttempts: q.entry.Attempts(),
+	})
+	if q.retryReason == jwretry.NoBudget {
 		g.metrics.retriesRejected.Inc(1)
-	case jwretry.BudgetTaken:
-		q.budgetTaken.Store(false)
-		g.metrics.retries.Inc(1)
-	case jwretry.RetryTaken:
-		g.metrics.retries.Inc(1)
 	}
-	return reason.Allowed()
+	return q.retryReason.Allowed()
 }
 
 // noTarget is the reason for rejecting a request that no target can take.
--- a/io/jwgateway/shareoutcome_test.go
+++ b/io/jwgateway/shareoutcome_test.go
@@ -12,6 +12,12 @@
 	"jujubewheel/core/jwwaitroom"
 )
 
+func sentTwice(q *request) *request {
+	q.retries.Reached()
+	q.retries.Reached()
+	return q
+}
+
 func TestShareOutcome(t *testing.T) {
 	arrived := time.Unix(1000, 0)
 	at := func(d time.Duration) time.Time { return arrived.Add(d) }
@@ -24,7 +30,7 @@
 		"in goal":                             {&request{share: admitted{firstEvent: at(time.Second)}}, finished, false, jwledger.Useful},
 		"in goal, then cut":                   {&request{share: admitted{firstEvent: at(time.Second)}}, broken, false, jwledger.Other},
 		"late":                                {&request{share: admitted{firstEvent: at(2 * time.Second)}}, finished, false, jwledger.Lost},
-		"late after a failure elsewhere":      {&request{sends: 2, share: admitted{firstEvent: at(2 * time.Second)}}, finished, false, jwledger.Other},
+		"late after a failure elsewhere":      {sentTwice(&request{share: admitted{firstEvent: at(2 * time.Second)}}), finished, false, jwledger.Other},
 		"rejected for the queue":              {&request{lastReason: string(jwadmission.Queue)}, rejected, false, jwledger.Lost},
 		"expired in the waiting room":         {&request{lastReason: string(jwwaitroom.Expired)}, rejected, false, jwledger.Lost},
 		"displaced in the waiting room":       {&request{lastReason: string(jwwaitroom.Displaced)}, rejected, false, jwledger.Lost},
--- a/io/jwgateway/shares.go
+++ b/io/jwgateway/shares.go
@@ -230,7 +230,7 @@
 			return jwledger.Useful
 		}
 		return jwledger.Other
-	case q.attempts > 1 || q.sends > 1:
+	case q.attempts > 1 || q.retries.Sends().Reached > 1:
 		return jwledger.Other
 	}
 	return jwledger.Lost
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -417,6 +417,7 @@
 	}
 	assert.Equal(t, r.body, "south")
 	assert.Equal(t, r.header.Get("Jujube-Outcome"), "", "must not be passed to callers")
+	assert.Equal(t, r.header.Get("Jujube-Sends"), "", "must not be passed to callers")
 	got := there.requests()[0]
 	assert.Equal(t, got.body, "the body")
 	assert.Equal(t, got.header.Get("Jujubewheel-Expect-Instance"), "t2")
