jwbudget: a node that starts has its part of the slack only as it accrues

A node that restarts has forgotten the retries that its earlier process made, and took its whole part of the slack anew: nodes that restart while targets fail make up to 0.6 of the slack again with each restart.

For the first window of a process the slack now accrues to what others leave of it (1 - 0.6), so that the processes of a node together use that part once in a window, however often it restarts. The age counts from when the process first knew all registered nodes.

TestRestartedNodesStayWithinBudget failed (68 retries, 58 allowed), now 20,000 draws pass.

Tests of retries after a start get them from the ratio, not from the slack, which a node has only later.

--- a/core/jwbudget/retry.go
+++ b/core/jwbudget/retry.go
@@ -1,6 +1,7 @@
 package jwbudget
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,11 @@
 type RetryBudget struct {
 	Limits func() Limits
 	Nodes  func() int // number of nodes that may be running, this one included
+	// Age returns how long this process has known of the other nodes; nil means forever. Before that is
+	// a whole window, an earlier process may have used this node's part of the slack, or the others all
+	// of it. Until then the node uses the remaining fraction of the slack, as it accrues: however often
+	// nodes restart, they use that fraction once in a window.
+	Age func() time.Duration
 
 	mu       sync.Mutex
 	services map[string]*window
@@ -109,10 +115,21 @@
 	l := r.Limits()
 	w.requests = dropBefore(w.requests, now.Add(-l.Window))
 	w.retries = dropBefore(w.retries, now.Add(-l.Window))
-	allowed := usableFraction * (l.Ratio*float64(len(w.requests)) + l.Slack/float64(max(r.Nodes(), 1)))
+	slack := usableFraction
+	if age := r.age(); age < l.Window {
+		slack = (1 - usableFraction) * age.Seconds() / l.Window.Seconds()
+	}
+	allowed := usableFraction*l.Ratio*float64(len(w.requests)) + slack*l.Slack/float64(max(r.Nodes(), 1))
 	return allowed - float64(len(w.retries))
 }
 
+func (r *RetryBudget) age() time.Duration {
+	if r.Age == nil {
+		return math.MaxInt64
+	}
+	return r.Age()
+}
+
 // dropBefore drops the times before bound; times is sorted.
 func dropBefore(times []time.Time, bound time.Time) []time.Time {
 	i := 0
--- a/core/jwbudget/retry_test.go
+++ b/core/jwbudget/retry_test.go
@@ -44,6 +44,51 @@
 	})
 }
 
+// Nodes restart, one after the other or all at once, and forget the retries that they have made.
+// Together with their earlier processes they must stay within the limits.
+func TestRestartedNodesStayWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 12).Draw(t, "nodes")
+		now := time.Unix(0, 0)
+		started := make([]time.Time, nodes)
+		budgets := make([]*RetryBudget, nodes)
+		start := func(i int) {
+			started[i] = now
+			budgets[i] = &RetryBudget{
+				Limits: func() Limits { return limits }, Nodes: func() int { return nodes },
+				Age: func() time.Duration { return now.Sub(started[i]) },
+			}
+		}
+		for i := range nodes {
+			start(i)
+		}
+		now = now.Add(time.Minute)
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				start(i)
+			case 1:
+				for i := range nodes {
+					start(i)
+				}
+			case 2, 3:
+				budgets[i].Request(now, "s")
+				requests = append(requests, now)
+			}
+			for budgets[i].Take(now, "s") {
+				retries = append(retries, now)
+			}
+			from := now.Add(-limits.Window)
+			if allowed := limits.Ratio*float64(count(requests, from)) + limits.Slack; float64(count(retries, from)) > allowed {
+				t.Fatalf("%d retries within %s, at most %.1f are allowed", count(retries, from), limits.Window, allowed)
+			}
+		}
+	})
+}
+
 func count(times []time.Time, from time.Time) int {
 	n := 0
 	for _, at := range times {
--- a/core/jwmember/share.go
+++ b/core/jwmember/share.go
@@ -49,6 +49,17 @@
 	return now.Sub(t.listedAt)
 }
 
+// FirstRegisteredFor is like RegisteredFor, but also counts while the registration is gone. That is
+// how long this process has known of all nodes that may share a limit with it.
+func (t *Table) FirstRegisteredFor(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.firstListedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(t.firstListedAt)
+}
+
 // Owns reports whether this node owns a name in its region, by rendezvous hashing over the
 // live nodes.
 func (t *Table) Owns(now time.Time, name string) bool {
--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -61,6 +61,7 @@
 	resumedAt     time.Time // when the process last resumed after a pause, zero if it never did
 	stoppedAt     time.Time // when this node stopped serving
 	listedAt      time.Time // when this process first read its own registration in the store, zero if there is none
+	firstListedAt time.Time // as listedAt, but kept when the registration is gone
 	views         map[string]view
 	fleetSize     int       // number of nodes in all regions as recorded in the store, 0 if unknown
 	previousStart int64     // start time of this node's previous process in Unix nanoseconds, 0 if unknown
@@ -209,9 +210,15 @@
 func (t *Table) RegistrationRead(now time.Time, m Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m.Start == t.Self.Start && t.listedAt.IsZero() {
+	if m.Start != t.Self.Start {
+		return
+	}
+	if t.listedAt.IsZero() {
 		t.listedAt = now
 	}
+	if t.firstListedAt.IsZero() {
+		t.firstListedAt = now
+	}
 }
 
 // Remove records that the registration of a node is gone.
--- a/core/jwmember/table_test.go
+++ b/core/jwmember/table_test.go
@@ -122,6 +122,19 @@
 	assert.Assert(t, !table.Put(now, first), "the store returns an older registration")
 }
 
+// A registration that lapses while the store is away does not make the process younger.
+func TestFirstRegisteredFor(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	self := member("a", "r", 1)
+	table := &Table{Self: self}
+	assert.Equal(t, table.FirstRegisteredFor(t0), time.Duration(0))
+	table.RegistrationRead(t0, self)
+	table.Remove("a")
+	table.RegistrationRead(t0.Add(2*time.Second), self)
+	assert.Equal(t, table.RegisteredFor(t0.Add(3*time.Second)), time.Second)
+	assert.Equal(t, table.FirstRegisteredFor(t0.Add(3*time.Second)), 3*time.Second)
+}
+
 // A node joins, and a network partition keeps another node of its region from
 // learning of it. If each of two old nodes uses half of a limit and the new one a
 // third, the limit is exceeded, and targets that come back cold crash again from
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -188,6 +188,7 @@
 	g.quotaExchange.Window = func() time.Duration { return g.bounds.Load().QuotaWindow }
 	g.quotaExchange.Call, g.quotaExchange.Log = g.nodeCall, g.Log
 	g.retryBudget.Nodes = func() int { return g.members.Count(time.Now(), "") }
+	g.retryBudget.Age = func() time.Duration { return g.members.FirstRegisteredFor(time.Now()) }
 }
 
 // Indexes of servers in the result of Gateway.servers.
