jwretry, jwgateway: attempts of another node count towards the maximum of the entry

A request whose forward broke off or failed counted as one attempt, however many targets the other node had sent it to, and could run on more targets than its entry allows: the same cause as that of the retries beyond the budget, found in looking for it elsewhere. The answer of a forwarded request now says how many targets may have run it.

A forward whose answer is lost still counts as one attempt: mostly its node died, and a second try is worth more than the bound there.

--- a/core/jwretry/tracker.go
+++ b/core/jwretry/tracker.go
@@ -12,19 +12,32 @@
 type Sends struct {
 	Reached int  // sends that reached a target, also those that it refused
 	Counted bool // a node has counted the request in its retry budget
+	// MayHaveRun is the number of targets that may have run the request since it was forwarded. Only an
+	// answer has it.
+	MayHaveRun int
 }
 
 // String returns the text that ParseSends parses.
-func (s Sends) String() string { return strconv.Itoa(s.Reached) + "," + strconv.FormatBool(s.Counted) }
+func (s Sends) String() string {
+	return strconv.Itoa(s.Reached) + "," + strconv.FormatBool(s.Counted) + "," + strconv.Itoa(s.MayHaveRun)
+}
 
 // ParseSends parses the result of Sends.String. ok is false if the text is malformed.
 func ParseSends(text string) (s Sends, ok bool) {
-	reached, counted, _ := strings.Cut(text, ",")
-	n, err := strconv.Atoi(reached)
-	if err != nil || n < 0 || counted != "true" && counted != "false" {
+	f := strings.Split(text, ",")
+	const fields = 3
+	if len(f) != fields || f[1] != "true" && f[1] != "false" {
+		return Sends{}, false
+	}
+	reached, err := strconv.Atoi(f[0])
+	if err != nil || reached < 0 {
+		return Sends{}, false
+	}
+	mayHaveRun, err := strconv.Atoi(f[2])
+	if err != nil || mayHaveRun < 0 {
 		return Sends{}, false
 	}
-	return Sends{Reached: n, Counted: counted == "true"}, true
+	return Sends{Reached: reached, Counted: f[1] == "true", MayHaveRun: mayHaveRun}, true
 }
 
 // Budget is the retry budget of a node.
--- a/core/jwretry/tracker_test.go
+++ b/core/jwretry/tracker_test.go
@@ -155,12 +155,12 @@
 }
 
 func TestParseSends(t *testing.T) {
-	for _, want := range []Sends{{}, {Reached: 3, Counted: true}, {Counted: true}} {
+	for _, want := range []Sends{{}, {Reached: 3, Counted: true, MayHaveRun: 2}, {Counted: true}} {
 		got, ok := ParseSends(want.String())
 		assert.Assert(t, ok)
 		assert.Equal(t, got, want)
 	}
-	for _, text := range []string{"", "1", "-1,true", "1,yes", "x,true", "1,true,2"} {
+	for _, text := range []string{"", "1", "1,true", "-1,true,0", "1,yes,0", "x,true,0", "1,true,-1", "1,true,x", "1,true,2,3"} {
 		_, ok := ParseSends(text)
 		assert.Assert(t, !ok, text)
 	}
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -187,7 +187,8 @@
 // returns the verdict on the send.
 func (g *Gateway) passForwardedAnswer(q *request, m jwmember.Member, a *jwconn.Answer, onEvents func(int)) Verdict {
 	outcome := a.Header.Get(headerOutcome)
-	if sends, ok := jwretry.ParseSends(a.Header.Get(headerSends)); ok {
+	sends, reported := jwretry.ParseSends(a.Header.Get(headerSends))
+	if reported {
 		q.retries.Merge(sends)
 	} else {
 		q.retries.Lost()
@@ -204,11 +205,11 @@
 		drain(a)
 		return notRun
 	case outcomeServed:
-		q.attempts++
+		q.attempts += max(sends.MayHaveRun, 1)
 		return g.passAnswer(q, a, onEvents)
 	}
 	q.lastReason = "unknown at " + m.Name
-	q.attempts++
+	q.attempts += max(sends.MayHaveRun, 1)
 	drain(a)
 	return failed
 }
@@ -248,7 +249,7 @@
 	if sends, ok := jwretry.ParseSends(r.Header.Get(headerSends)); ok {
 		q.retries.Receive(sends)
 	}
-	q.w = &outcomeWriter{ResponseWriter: w, retries: &q.retries, signed: func(h http.Header) bool { return g.Dialect.ParseAnswerHeaders(h).Signed }}
+	q.w = &outcomeWriter{ResponseWriter: w, sends: q.reportSends, signed: func(h http.Header) bool { return g.Dialect.ParseAnswerHeaders(h).Signed }}
 	q.entry = parseKind(r.Header.Get(headerKind))
 	q.entry.GapGoal = time.Duration(max(parseCount(r.Header.Get(headerGapGoal)), 0)) * time.Millisecond
 	q.waitedBefore = time.Duration(max(parseCount(r.Header.Get(headerWaited)), 0)) * time.Millisecond
@@ -278,6 +279,13 @@
 	g.serve(r.Context(), q)
 }
 
+// reportSends returns what the node that forwarded the request learns from the answer.
+func (q *request) reportSends() jwretry.Sends {
+	s := q.retries.Sends()
+	s.MayHaveRun = q.attempts
+	return s
+}
+
 // parseKind parses the header with the properties of the entry. The entry itself may not be known
 // to this node yet, or no longer. A malformed header gives the strictest kind: one attempt and no
 // retry.
@@ -310,8 +318,8 @@
 // outcomeWriter adds the outcome and the sends of the request to the headers of its answer.
 type outcomeWriter struct {
 	http.ResponseWriter
-	retries *jwretry.Tracker
-	signed  func(http.Header) bool
+	sends  func() jwretry.Sends
+	signed func(http.Header) bool
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -323,7 +331,7 @@
 	case status == http.StatusServiceUnavailable:
 		h[headerOutcome] = []string{outcomeNotRun}
 	}
-	h[headerSends] = []string{o.retries.Sends().String()}
+	h[headerSends] = []string{o.sends().String()}
 	o.ResponseWriter.WriteHeader(status)
 }
 
--- a/io/jwgateway/retry_test.go
+++ b/io/jwgateway/retry_test.go
@@ -111,13 +111,49 @@
 					arrivals[r.header.Get("Jujubewheel-Request-Id")]++
 				}
 			}
-			retries := 0
+			retries, maxArrivals := 0, 0
 			for _, n := range arrivals {
 				retries += n - 1
+				maxArrivals = max(maxArrivals, n)
 			}
-			t.Logf("%d of %d requests arrived, %d retries", len(arrivals), perNode*len(nodes), retries)
+			t.Logf("%d of %d requests arrived, %d retries, one request %d times", len(arrivals), perNode*len(nodes), retries, maxArrivals)
 			assert.Assert(t, len(arrivals) > perNode)
 			assert.Assert(t, retries <= int(ratio*perNode*float64(len(nodes))+slack), "%d retries", retries)
 		})
 	}
 }
+
+// Targets break off, so that each arrival may have run: nodes of several regions together must not
+// send a request to more targets than its entry allows.
+func TestAttemptsOfAllRegionsAreLimited(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	var targets []*target
+	for _, dataCentre := range []string{"south-a", "east-a"} {
+		for i := range 3 {
+			targets = append(targets, startTarget(t, &feed, fmt.Sprint(dataCentre, i), "s", dataCentre,
+				func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+		}
+	}
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	n := start(t, &feed, "n1", "north")
+	start(t, &feed, "n2", "south")
+	start(t, &feed, "n3", "east")
+	sendUntil(t, n, "/a/x", func(r reply) bool { return r.status == http.StatusBadGateway })
+	for i := range 100 {
+		_, err := send(t, n, http.MethodGet, "/a/x", fmt.Sprint("r", i), nil, "")
+		assert.NilError(t, err)
+		time.Sleep(20 * time.Millisecond)
+	}
+	arrivals := make(map[string]int)
+	for _, x := range targets {
+		for _, r := range x.requests() {
+			arrivals[r.header.Get("Jujubewheel-Request-Id")]++
+		}
+	}
+	assert.Assert(t, len(arrivals) > 5)
+	const maxAttempts = 2
+	for id, n := range arrivals {
+		assert.Assert(t, n <= maxAttempts, "%s reached %d targets", id, n)
+	}
+}
