jwsuspect: a full table drops the oldest records, not the new one

After some 260 crashes with 16 requests in flight each within ten minutes, the table of 4,096 fingerprints was full of requests that had been in flight at one crash. A request that crashed targets after that wasn't recognized, and notices of it were confirmed and never came again. An eighth of the records, those changed longest ago, now give way; fingerprints in quarantine or on probation stay. TestFullTable failed before.

--- a/core/jwsuspect/table.go
+++ b/core/jwsuspect/table.go
@@ -225,7 +225,7 @@
 }
 
 // suspectFor returns the record of a fingerprint, which it creates if there is none. It
-// returns nil if the table is full of other records that still count.
+// returns nil if the table is full of fingerprints in quarantine or on probation.
 func (t *Table) suspectFor(f Fingerprint, now time.Time) *suspect {
 	s := t.suspects[f]
 	if s != nil {
@@ -234,6 +234,9 @@
 	if len(t.suspects) >= t.maxFingerprints() {
 		t.prune(now)
 	}
+	if len(t.suspects) >= t.maxFingerprints() {
+		t.evict(now)
+	}
 	if len(t.suspects) >= t.maxFingerprints() {
 		return nil
 	}
@@ -245,6 +248,41 @@
 	return s
 }
 
+// evictShare is the fraction of the records that evict removes, so that it rarely runs.
+const evictShare = 0.125
+
+// evict removes the records that were changed longest ago, except those of fingerprints that are
+// quarantined or were until recently.
+func (t *Table) evict(now time.Time) {
+	var candidates []Fingerprint
+	for f, s := range t.suspects {
+		if !s.isQuarantined(now) && !s.onProbation(now, t.remember()) {
+			candidates = append(candidates, f)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b Fingerprint) int {
+		if d := t.suspects[a].changedAt().Compare(t.suspects[b].changedAt()); d != 0 {
+			return d
+		}
+		return bytes.Compare(a[:], b[:])
+	})
+	n := max(int(evictShare*float64(t.maxFingerprints())), 1)
+	for _, f := range candidates[:min(n, len(candidates))] {
+		delete(t.suspects, f)
+	}
+}
+
+// changedAt returns the time of the last crash or served call.
+func (s *suspect) changedAt() time.Time {
+	at := s.clearedAt
+	for _, c := range s.crashes {
+		if c.at.After(at) {
+			at = c.at
+		}
+	}
+	return at
+}
+
 // isSameCrash reports whether two records describe the same crash. Nodes notice a crash
 // at slightly different times. If a target restarts and crashes again, that is another
 // crash; otherwise a service with only one target would never be protected.
--- a/core/jwsuspect/table_test.go
+++ b/core/jwsuspect/table_test.go
@@ -216,6 +216,23 @@
 	}
 }
 
+// More requests than the table holds were in flight at crashes. One that crashes targets after that
+// must be recognized all the same, and those in quarantine must stay there.
+func TestFullTable(t *testing.T) {
+	table := &Table{MaxFingerprints: 16}
+	crashAt(table, testFingerprint(0), 1, at(0))
+	crashAt(table, testFingerprint(0), 2, at(0))
+	for i := range 40 {
+		crashAt(table, testFingerprint(1+i), 3+i, at(time.Second*time.Duration(1+i)))
+	}
+	poison := testFingerprint(100)
+	crashAt(table, poison, 50, at(50*time.Second))
+	assert.DeepEqual(t, crashAt(table, poison, 51, at(51*time.Second)), []Fingerprint{poison})
+	state, _ := table.Check(testFingerprint(0), at(52*time.Second))
+	assert.Equal(t, state, Quarantined)
+	assert.Assert(t, len(table.suspects) <= 16)
+}
+
 // A node removes an old crash at the moment when a peer still reports it. Counted as a
 // new crash, it would quarantine a harmless request that is on probation.
 func TestMergeNearlyForgotten(t *testing.T) {
@@ -241,3 +258,21 @@
 	state, _ := b.Check(testFingerprint(1), at(time.Second))
 	assert.Equal(t, state, Clear)
 }
+
+// BenchmarkCrashesWithFullTable measures a crash with 16 requests in flight when the table is full.
+func BenchmarkCrashesWithFullTable(b *testing.B) {
+	table := &Table{}
+	n := 0
+	for b.Loop() {
+		x := target(n % 200)
+		for range 16 {
+			n++
+			table.Begin(testFingerprint(n), x, nil)
+		}
+		now := at(time.Duration(n) * time.Millisecond)
+		table.Crashed(x, "", now)
+		for i := range 16 {
+			table.End(testFingerprint(n-i), x, false, now)
+		}
+	}
+}
