jwsuspect: notices of a quarantine in force count however old they are

Notices of crashes older than 9 min 50 s were dropped, also those of a quarantine of eight minutes or more that was still in force: a node that started then let the request crash one more target. Notices of crashes on which a quarantine rests now say so and count whatever their age. TestNoticesOfLongQuarantine failed before (clear instead of quarantined). An older node takes such a notice for one of a single crash, as before.

--- a/core/jwboard/reporter.go
+++ b/core/jwboard/reporter.go
@@ -83,8 +83,8 @@
 func (r *Reporter) suspects(region string, now time.Time, record *sent) []jwpeer.Suspect {
 	var out []jwpeer.Suspect
 	for _, s := range r.Board.Suspects.Notices(region, now) {
-		key := "suspect " + string(s.Fingerprint[:]) + s.Target.String() + string(s.State)
-		if s.State == jwsuspect.Suspected {
+		key := "suspect " + string(s.Fingerprint[:]) + s.Target.String()
+		if s.State != jwsuspect.Clear {
 			key += now.Add(-s.Age).Format(time.RFC3339Nano) // the same target may crash again
 		}
 		if !record.markSent(key, now) {
--- a/core/jwsuspect/notice.go
+++ b/core/jwsuspect/notice.go
@@ -13,7 +13,7 @@
 // flight, or that it was served and is clear.
 type Notice struct {
 	Fingerprint Fingerprint
-	State       State               // Suspected for a crash, Clear for a served call
+	State       State               // Suspected or Quarantined for a crash, Clear for a served call
 	Target      netip.AddrPort      // target that crashed
 	Incarnation string              `json:",omitempty"` // of that target, "" if not known
 	Age         time.Duration       // time since the crash or the served call
@@ -42,8 +42,14 @@
 	return notices
 }
 
+// crashNotice returns the notice of a crash. Its state is Quarantined as long as a quarantine of the
+// fingerprint rests on it, however old the crash is.
 func (s *suspect) crashNotice(f Fingerprint, c crash, now time.Time) Notice {
-	return Notice{Fingerprint: f, State: Suspected, Target: c.target, Incarnation: c.incarnation, Age: now.Sub(c.at), Homes: s.homes}
+	state := Suspected
+	if s.isQuarantined(now) {
+		state = Quarantined
+	}
+	return Notice{Fingerprint: f, State: state, Target: c.target, Incarnation: c.incarnation, Age: now.Sub(c.at), Homes: s.homes}
 }
 
 func (s *suspect) clearNotice(f Fingerprint, now time.Time) Notice {
@@ -59,8 +65,8 @@
 
 // Merge applies the notices of a peer and returns the fingerprints that this puts into
 // quarantine at this node. It drops notices that this region may not hold, and those
-// that are nearly too old to count: this node may just have removed the same crash and
-// would count it as a new one.
+// that are nearly too old to count and on which no quarantine rests: this node may just have
+// removed the same crash and would count it as a new one.
 func (t *Table) Merge(notices []Notice, now time.Time) []Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -70,7 +76,7 @@
 func (t *Table) merge(notices []Notice, now time.Time) []Fingerprint {
 	var quarantined []Fingerprint
 	for _, n := range notices {
-		if n.Age < 0 || n.Age > t.remember()-2*crashWindow || !n.Homes.Allows(t.Region) {
+		if n.Age < 0 || !n.Homes.Allows(t.Region) || n.State != Quarantined && n.Age > t.remember()-2*crashWindow {
 			continue
 		}
 		if n.State == Clear {
@@ -81,7 +87,7 @@
 			continue
 		}
 		c := crash{target: n.Target, incarnation: n.Incarnation, at: now.Add(-n.Age)}
-		if t.recordCrash(n.Fingerprint, c, n.Homes, now) {
+		if t.recordCrash(n.Fingerprint, c, n.Homes, now, n.State == Quarantined) {
 			quarantined = append(quarantined, n.Fingerprint)
 		}
 	}
--- a/core/jwsuspect/table.go
+++ b/core/jwsuspect/table.go
@@ -163,7 +163,7 @@
 	defer t.mu.Unlock()
 	var quarantined []Fingerprint
 	for f, count := range t.inFlight[target] {
-		if t.recordCrash(f, crash{target: target, incarnation: incarnation, at: now}, count.homes, now) {
+		if t.recordCrash(f, crash{target: target, incarnation: incarnation, at: now}, count.homes, now, false) {
 			quarantined = append(quarantined, f)
 		}
 	}
@@ -172,15 +172,15 @@
 }
 
 // recordCrash records one crash of a fingerprint and reports whether that puts it into
-// quarantine.
-func (t *Table) recordCrash(f Fingerprint, c crash, homes jwworkspace.Regions, now time.Time) bool {
+// quarantine. keepOld keeps earlier crashes that no longer count by themselves.
+func (t *Table) recordCrash(f Fingerprint, c crash, homes jwworkspace.Regions, now time.Time, keepOld bool) bool {
 	t.compact(now)
 	s := t.suspectFor(f, now)
 	if s == nil {
 		return false
 	}
 	s.homes = s.homes.Intersect(homes)
-	if !s.isQuarantined(now) && !s.onProbation(now, t.remember()) {
+	if !keepOld && !s.isQuarantined(now) && !s.onProbation(now, t.remember()) {
 		s.crashes = slices.DeleteFunc(s.crashes, func(old crash) bool { return now.Sub(old.at) > t.remember() })
 	}
 	if !c.at.After(s.clearedAt) {
--- a/core/jwsuspect/table_test.go
+++ b/core/jwsuspect/table_test.go
@@ -233,6 +233,29 @@
 	assert.Assert(t, len(table.suspects) <= 16)
 }
 
+// A node starts while a long quarantine is in force, whose first crashes are older than single ones
+// count.
+func TestNoticesOfLongQuarantine(t *testing.T) {
+	poison := testFingerprint(1)
+	a := &Table{Node: "a"}
+	crashAt(a, poison, 1, at(0))
+	crashAt(a, poison, 2, at(time.Second))
+	crashAt(a, poison, 3, at(4*time.Minute))
+	crashAt(a, poison, 4, at(13*time.Minute))
+	now := at(40 * time.Minute)
+	state, left := a.Check(poison, now)
+	assert.Equal(t, state, Quarantined)
+	b := &Table{Node: "b"}
+	exchange(a, b, now, false, false)
+	got, gotLeft := b.Check(poison, now)
+	assert.Equal(t, got, Quarantined)
+	assert.Equal(t, gotLeft, left)
+	c := &Table{Node: "c"}
+	c.Merge(a.Notices("", now), now)
+	got, _ = c.Check(poison, now)
+	assert.Equal(t, got, Quarantined)
+}
+
 // A node removes an old crash at the moment when a peer still reports it. Counted as a
 // new crash, it would quarantine a harmless request that is on probation.
 func TestMergeNearlyForgotten(t *testing.T) {
