--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -8,6 +8,7 @@
 	"jujubewheel/core/jwadmission"
 	"jujubewheel/core/jwplacement"
 	"jujubewheel/core/jwretry"
+	"jujubewheel/core/jwsuspect"
 )
 
 // Verdict is the result of one send of a request.
@@ -112,8 +113,8 @@
 // send sends the request once, to a target of this region or to a node of another one.
 func (g *Gateway) send(ctx context.Context, q *request) Verdict {
 	now := time.Now()
-	if !g.maySend(now, q) {
-		return q.reject(quarantined, quarantineRetryAfter)
+	if state, left := g.suspects.Check(q.fingerprint, now); state == jwsuspect.Quarantined {
+		return q.reject(quarantined, left)
 	}
 	if !g.admitByShare(now, q) {
 		return g.rejectForShare(q)
--- a/io/jwgateway/suspect.go
+++ b/io/jwgateway/suspect.go
@@ -13,13 +13,9 @@
 	"jujubewheel/core/jwsuspect"
 )
 
-const (
-	// crashCheckTimeout limits the check whether a target whose call failed has crashed. A crashed
-	// target on a running host refuses connections at once.
-	crashCheckTimeout = 50 * time.Millisecond
-	// quarantineRetryAfter is the Retry-After of a request that crashes its targets.
-	quarantineRetryAfter = 30 * time.Second
-)
+// crashCheckTimeout limits the check whether a target whose call failed has crashed. A crashed
+// target on a running host refuses connections at once.
+const crashCheckTimeout = 50 * time.Millisecond
 
 // quarantined is the reason for rejecting a request that has crashed targets.
 const quarantined = "it was in flight on two targets as they crashed"
@@ -44,12 +40,6 @@
 	return remote
 }
 
-// maySend reports whether a request may be sent to a target at all.
-func (g *Gateway) maySend(now time.Time, q *request) bool {
-	state, _ := g.suspects.Check(q.fingerprint, now)
-	return state != jwsuspect.Quarantined
-}
-
 // excludeSuspectTargets excludes from the choice the targets that a suspected request must not be
 // sent to. If two suspects were in flight at one target when it crashes, the innocent one would be
 // quarantined too.
--- a/io/jwgateway/suspect_test.go
+++ b/io/jwgateway/suspect_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"jujubewheel/core/jwstore"
+	"jujubewheel/core/jwsuspect"
 	"jujubewheel/io/jwgateway"
 )
 
@@ -140,6 +142,10 @@
 		r, err := send(t, n, http.MethodPost, path, fmt.Sprint("bad", i), nil, "the poison")
 		assert.NilError(t, err)
 		if r.status == http.StatusServiceUnavailable && strings.Contains(r.body, "two targets") {
+			// Before the quarantine ends, a retry would be rejected again.
+			seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, seconds > (jwsuspect.DefaultQuarantine-10*time.Second).Seconds(), seconds)
 			return
 		}
 		assert.Assert(t, i < 20, "not quarantined")
