jwinstance: the slowdown of a target fades while no call confirms it

A target that was slow for a moment got nothing more as long as another one was free: its slowdown changed with its own calls only, and it got none. The slowdown now returns to 1 with a time constant of 10 s; a target that is slow in truth is tried again that often.

TestTargetIsUsedAgainAfterItWasSlow failed (never used in 59 s). BenchmarkBest varies by a factor of two on this machine, by more than the change.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -243,9 +243,10 @@
 		}
 		l := x.loadFor(n)
 		c.AheadTokens, c.TotalCalls, c.CallsAhead, c.ByPriority = l.unreadAhead, l.calls, l.callsAhead, n.ByPriority
-		c.Expected = stats.expected(x, n, c.MissTokens, l)
-		c.Queue = time.Duration(float64(stats.queue(x, l)) * x.slowdown)
-		c.OwnReadTime = time.Duration(float64(stats.firstEvent.readTime(0, c.MissTokens)) * x.slowdown)
+		slowdown := x.slowdownAt(now)
+		c.Expected = stats.expected(x, n, c.MissTokens, l, slowdown)
+		c.Queue = time.Duration(float64(stats.queue(x, l)) * slowdown)
+		c.OwnReadTime = time.Duration(float64(stats.firstEvent.readTime(0, c.MissTokens)) * slowdown)
 		if n.ByPriority {
 			c.scale(x.expectedPace(now))
 		}
--- a/core/jwinstance/estimate.go
+++ b/core/jwinstance/estimate.go
@@ -19,14 +19,23 @@
 
 // expected returns the expected wait for the first event of an engine, or for the answer of a plain
 // service.
-func (s *serviceStats) expected(x *Target, n Need, miss int, l load) time.Duration {
+func (s *serviceStats) expected(x *Target, n Need, miss int, l load, slowdown float64) time.Duration {
 	slots := max(x.Slots, 1)
 	if n.Prompt.Tokens == 0 && !s.engine {
 		d := float64(s.plainLatency) * max(1, float64(l.calls+1)/float64(slots))
-		return time.Duration(d * x.slowdown)
+		return time.Duration(d * slowdown)
 	}
 	d := s.firstEvent.predict(l.unreadAhead, miss) + s.batchDelay(slots, l.calls, l.callsAhead)
-	return time.Duration(float64(d) * x.slowdown)
+	return time.Duration(float64(d) * slowdown)
+}
+
+// slowdownAt returns the slowdown, which returns to 1 while no call confirms it.
+func (x *Target) slowdownAt(now time.Time) float64 {
+	age := now.Sub(x.slowdownTime)
+	if age <= 0 || x.slowdown == 1 {
+		return x.slowdown
+	}
+	return 1 + math.Exp(-age.Seconds()/slowdownDecay.Seconds())*(x.slowdown-1)
 }
 
 // batchDelay returns how much the calls in flight at an engine add to the wait for a first event.
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -42,6 +42,10 @@
 	// maxSlowdownSample bounds each sample, as a single stall does not make a target slow.
 	slowdownWeight    = 0.15
 	maxSlowdownSample = 6
+	// slowdownDecay is the time constant with which a slowdown that no call confirms loses its
+	// weight. A target that was slow for a moment would otherwise not be used again as long as
+	// others are free.
+	slowdownDecay = 10 * time.Second
 )
 
 // RecordFirstEvent records that a call received its first event, or the answer of a plain service,
@@ -63,8 +67,10 @@
 			stats.firstEvent.observe(c.AheadTokens, c.MissTokens, max(d-stats.batchDelay(max(x.Slots, 1), c.TotalCalls, c.CallsAhead), 0))
 		}
 	}
-	ratio := min(float64(d)*x.slowdown/float64(max(c.Expected, time.Millisecond)), maxSlowdownSample)
-	x.slowdown = max(x.slowdown+slowdownWeight*(ratio-x.slowdown), 0.5)
+	now := c.sentAt.Add(d)
+	before := x.slowdownAt(c.sentAt)
+	ratio := min(float64(d)*before/float64(max(c.Expected, time.Millisecond)), maxSlowdownSample)
+	x.slowdown, x.slowdownTime = max(before+slowdownWeight*(ratio-before), 0.5), now
 }
 
 // gapWeight is the weight of a new sample in the moving average of a target's gap.
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -92,7 +92,8 @@
 	othersLoad       loadSum       // load from the other nodes of the region
 	reportedGap      time.Duration // time between two events, as last reported by another node
 	reportedGapAt    time.Time
-	slowdown         float64 // latency relative to the mean of the service, 1 is usual
+	slowdown         float64 // latency relative to the mean of the service at slowdownTime, 1 is usual; see slowdownAt
+	slowdownTime     time.Time
 	cache            cache
 	capacity         int // memory of the target in tokens, 0 if not known
 	limit            targetLimit
--- a/core/jwinstance/table_test.go
+++ b/core/jwinstance/table_test.go
@@ -363,6 +363,30 @@
 	assert.Assert(t, calls["a"] < 60, "%v", calls)
 }
 
+// A target was slow for a moment and is as fast as the others since. It must be used again, though a
+// node that sends one request at a time always has another one that was never slow.
+func TestTargetIsUsedAgainAfterItWasSlow(t *testing.T) {
+	table := &Table{Region: "r"}
+	table.Put(t0, instance("a"))
+	table.Put(t0, instance("b"))
+	again := 0
+	for i := range 600 {
+		now := after(i * 100)
+		c, ok := table.Best(now, Need{Service: "s"})
+		assert.Assert(t, ok)
+		d := time.Duration(45+10*(i%2)) * time.Millisecond
+		if c.Target.ID == "a" && i < 10 {
+			d *= 6
+		}
+		table.RecordFirstEvent(c.Target, c, Prompt{}, d)
+		table.Done(now, c.Target, c, d)
+		if c.Target.ID == "a" && i >= 10 {
+			again++
+		}
+	}
+	assert.Assert(t, again > 0, "was never used again")
+}
+
 // BenchmarkBest chooses a target as each request does. In a fleet of 3,200 targets, a region has
 // about 250 of them, and about 75 nodes that report their load to each other.
 func BenchmarkBest(b *testing.B) {
