jwgateway: nodes of tests have addresses of their own

Traced: TestLargeBodies got a request of 222 to 261 bytes that wasn't its own, a target of the retry test 53 requests without identifier: exchanges of state by nodes of other tests, whose stopped peers' ports had been given out again. Nodes have the same names in all tests, so that one which reaches another test's node merges its peers and targets.

Checks, bounds and waits are unchanged.

--- a/io/jwgateway/body_test.go
+++ b/io/jwgateway/body_test.go
@@ -23,8 +23,8 @@
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Jujubewheel-Request-Id", r.Header.Get("Jujubewheel-Request-Id"))
 		w.Header().Set("Jujubewheel-Server-Seal", "seal-"+id)
-		if r.Method == http.MethodGet {
-			return
+		if r.Method == http.MethodGet || r.Header.Get("Jujubewheel-Request-Id") == "" {
+			return // a node of another test process may call an address that its peer had
 		}
 		first := make([]byte, 1)
 		_, _ = io.ReadFull(r.Body, first)
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,6 +31,16 @@
 
 var regions = map[string]string{"north-a": "north", "north-b": "north", "south-a": "south", "east-a": "east"}
 
+// startedNodes counts the calls of nodeAddress.
+var startedNodes atomic.Uint32
+
+// nodeAddress returns a loopback address that no other node or target of this or another test process
+// has. Nodes go on calling peers that have stopped, and must not meet those of another test there.
+func nodeAddress() netip.Addr {
+	pid, n := os.Getpid(), startedNodes.Add(1)
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid>>8%250), byte(pid), byte(1 + n%250)})
+}
+
 // node is a running gateway.
 type node struct {
 	callers, directory, nodes netip.AddrPort
@@ -44,7 +55,7 @@
 // startWith starts a gateway after change, if it is not nil, has set fields of it.
 func startWith(t *testing.T, feed jwstore.Feed, name, region string, change func(*jwgateway.Gateway), seeds ...netip.AddrPort) node {
 	t.Helper()
-	free := netip.MustParseAddrPort("127.0.0.1:0")
+	free := netip.AddrPortFrom(nodeAddress(), 0)
 	listening := make(chan struct{})
 	var n node
 	g := &jwgateway.Gateway{
