jwgateway, jwlog: the log shows how an answer was framed and where it ended

Callers got a stream that had broken off as a complete answer, and no line told an answer that ends with its connection from one with chunks or a length, nor one that ends inside an event from one that ends after it. Sends and forwards now show framing and partialBytes.

--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -120,12 +120,23 @@
 	MaxWriteTime time.Duration
 }
 
+// Framing is what ends the body of an answer.
+type Framing string
+
+// The framings of an answer.
+const (
+	FramedByLength     Framing = "length" // also an answer without a body
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection" // ends with its connection, also if the peer broke off
+)
+
 // Answer is the head of an answer and a reader of its body. Close must be called.
 type Answer struct {
-	Status int
-	Header http.Header
-	Length int64 // -1 if not known
-	Body   io.Reader
+	Status  int
+	Header  http.Header
+	Length  int64 // -1 if not known
+	Framing Framing
+	Body    io.Reader
 
 	pool       *Pool
 	conn       *conn
@@ -182,6 +193,7 @@
 		return nil, a.requestError(err)
 	}
 	a.Status, a.Header, a.Length = res.StatusCode, res.Header, res.ContentLength
+	a.Framing = framingOf(res)
 	a.peerCloses = res.Close
 	cn.keepAlive = parseKeepAlive(res.Header)
 	a.Body = &bodyReader{a: a, r: res.Body}
@@ -191,6 +203,16 @@
 	return a, nil
 }
 
+func framingOf(res *http.Response) Framing {
+	switch {
+	case len(res.TransferEncoding) > 0:
+		return FramedByChunks
+	case res.ContentLength >= 0 || res.Body == http.NoBody:
+		return FramedByLength
+	}
+	return FramedByConnection
+}
+
 // BodyReadError is the error if Call.Rest failed, so that the body of the call is
 // incomplete.
 type BodyReadError struct{ Err error }
@@ -289,7 +311,7 @@
 		if c.Match == nil || c.Match(res.Header) {
 			return res, nil
 		}
-		if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		if framingOf(res) == FramedByConnection {
 			break
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, 1<<20)); err != nil {
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -129,7 +129,7 @@
 
 // forward sends the request to a node of another region and passes its answer to the caller.
 func (g *Gateway) forward(ctx context.Context, q *request, m jwmember.Member) Verdict {
-	q.tried[m.Name], q.sentTo = true, m.Name
+	q.tried[m.Name], q.sentTo, q.answer = true, m.Name, answerShape{}
 	g.forwards.add(m.Name, 1)
 	defer g.forwards.add(m.Name, -1)
 	h := q.header.Clone()
--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -31,6 +31,7 @@
 // passAnswer passes an answer to the caller. onEvents is called with the number of events that have
 // arrived; for an answer that is not a stream it is called once.
 func (g *Gateway) passAnswer(q *request, a *jwconn.Answer, onEvents func(events int)) Verdict {
+	q.answer.framing = a.Framing
 	if isStream(a) {
 		return g.passStream(q, a, onEvents)
 	}
@@ -89,6 +90,7 @@
 			onEvents(events)
 		},
 		onFirst: func() { g.logStreamStart(q) },
+		onEnd:   func(partial int) { q.answer.partial = partial },
 	}
 	if q.answerStarted {
 		r.wantID = nextID(q.lastEvent())
@@ -111,9 +113,10 @@
 // eventReader reads the events of a stream.
 type eventReader struct {
 	body     io.Reader
-	onEvents func(events int) // called with the number of events that have arrived
-	onFirst  func()           // called once, when the first events have arrived
-	wantID   string           // identifier that the first event must have, "" for any
+	onEvents func(events int)  // called with the number of events that have arrived
+	onFirst  func()            // called once, when the first events have arrived
+	onEnd    func(partial int) // called once, with the number of bytes that arrived after the last complete event
+	wantID   string            // identifier that the first event must have, "" for any
 	buf      []byte
 	buffered []byte // what was read and belongs to events that were not returned, after the returned ones
 	passed   int    // number of bytes of buffered that were returned
@@ -133,6 +136,9 @@
 	} else if !r.count(r.buffered[:r.passed]) {
 		return nil, failed, "the stream was resumed at another event"
 	}
+	if err != nil {
+		r.onEnd(len(r.buffered) - r.passed)
+	}
 	switch {
 	case err == io.EOF:
 		r.passed = len(r.buffered)
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -19,6 +19,7 @@
 	"jujubewheel/core/jwretry"
 	"jujubewheel/core/jwsuspect"
 	"jujubewheel/core/jwworkspace"
+	"jujubewheel/io/jwconn"
 )
 
 const (
@@ -83,6 +84,7 @@
 	heldRequest     int64           // bytes accounted for the request except its body, 0 if they are not counted
 	heldBody        int64           // bytes accounted for its body
 	lastReason      string          // why the last send or choice of a target failed
+	answer          answerShape     // of the last send, zero before its answer
 	share           admitted
 	givenRank       string          // rank given by the node that forwarded it, "" for none
 	controlled      bool            // under overload control
@@ -93,6 +95,12 @@
 	shareWait       time.Duration   // expected wait for the first event there
 }
 
+// answerShape is how an answer was framed and where it ended.
+type answerShape struct {
+	framing jwconn.Framing
+	partial int // bytes after the last complete event of a stream that has ended
+}
+
 // targetNeed describes the request for the choice of a target.
 func (g *Gateway) targetNeed(q *request) jwinstance.Need {
 	n := jwinstance.Need{Service: q.service, Prompt: q.Prompt, Homes: q.homes, Priority: q.priority, FirstEventGoal: q.entry.Goal, Exclude: q.tried}
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -18,7 +18,7 @@
 // sendTarget sends the request to one target and passes the answer to the caller.
 func (g *Gateway) sendTarget(ctx context.Context, q *request, c jwinstance.Choice) Verdict {
 	x := c.Target
-	q.tried[x.ID], q.sentTo = true, x.ID
+	q.tried[x.ID], q.sentTo, q.answer = true, x.ID, answerShape{}
 	var p progress
 	if q.retries.Begin(time.Now()) {
 		g.metrics.countFirstSend(q.forwarded)
--- a/io/jwgateway/slowstream_test.go
+++ b/io/jwgateway/slowstream_test.go
@@ -360,7 +360,7 @@
 		counted := 0
 		r := &eventReader{
 			body: &chunkReader{text: text, lengths: lengths}, buf: make([]byte, 64),
-			onEvents: func(n int) { counted += n }, onFirst: func() {},
+			onEvents: func(n int) { counted += n }, onFirst: func() {}, onEnd: func(int) {},
 		}
 		var got []byte
 		for {
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -23,6 +23,8 @@
 	Outcome     string        // such as "finished" or "notRun"
 	Reason      string        // why the outcome is no success
 	Status      int           // HTTP status of the answer
+	Framing     string        // what ends the answer's body, such as "chunks"
+	Partial     int           // bytes after the last complete event of a stream that has ended
 	Attempt     int           // counted from 1
 	Sends       int           // sends that reached a target so far
 	Retry       *Retry        // set if the request was not served
@@ -122,6 +124,8 @@
 	f = appendText(f, "caller", x.Caller)
 	f = appendNumber(f, "version", int64(x.Version))
 	f = appendNumber(f, "status", int64(x.Status))
+	f = appendText(f, "framing", x.Framing)
+	f = appendNumber(f, "partialBytes", int64(x.Partial))
 	f = appendNumber(f, "attempt", int64(x.Attempt))
 	f = appendNumber(f, "sends", int64(x.Sends))
 	if r := x.Retry; r != nil {
