jwgateway: a stream that ends inside an event has broken off

Callers got the beginning of a stream as a complete answer: at the end of the target's answer the node passed on whatever it had read and ended its own answer properly. For an answer without a length or chunks that end is only the end of the connection, which comes as well when the target breaks off; but an answer with framing was passed on just so. The error of the read was the only sign of a break, and there is none.

Now only whole events are passed on, in any framing, and a stream that ends inside one is broken: it is resumed elsewhere where it may be, and the caller's connection is aborted otherwise. A stream without framing that ends before any event is broken too, since nothing shows that it was complete. Events may end with any of the format's line ends (core/jwevent); identifiers were found after LF only, so that a stream with other line ends couldn't be resumed.

--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -1,12 +1,12 @@
 package jwgateway
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
+	"jujubewheel/core/jwevent"
 	"jujubewheel/core/jwmemory"
 	"jujubewheel/io/jwconn"
 )
@@ -84,7 +84,7 @@
 // incomplete event is dropped, so that another target can resume after the last complete one.
 func (g *Gateway) passStream(q *request, a *jwconn.Answer, onEvents func(events int)) Verdict {
 	r := &eventReader{
-		body: a.Body, buf: make([]byte, readSize),
+		body: a.Body, framing: a.Framing, buf: make([]byte, readSize),
 		onEvents: func(events int) {
 			q.events += events
 			onEvents(events)
@@ -113,11 +113,13 @@
 // eventReader reads the events of a stream.
 type eventReader struct {
 	body     io.Reader
+	framing  jwconn.Framing
 	onEvents func(events int)  // called with the number of events that have arrived
 	onFirst  func()            // called once, when the first events have arrived
 	onEnd    func(partial int) // called once, with the number of bytes that arrived after the last complete event
 	wantID   string            // identifier that the first event must have, "" for any
 	buf      []byte
+	scanner  jwevent.Scanner
 	buffered []byte // what was read and belongs to events that were not returned, after the returned ones
 	passed   int    // number of bytes of buffered that were returned
 	begun    bool
@@ -125,24 +127,29 @@
 
 // next reads once and returns the complete events, none if the read completed none. They are valid
 // until the next call. At the end of the stream it also returns the verdict on it, and the reason
-// for any but finished.
+// for any but finished. A stream that ends inside an event has broken off, whatever its framing.
 func (r *eventReader) next() (events []byte, end Verdict, reason string) {
 	r.buffered = append(r.buffered[:0], r.buffered[r.passed:]...)
+	r.passed = 0
 	n, err := r.body.Read(r.buf)
+	complete, count := r.scanner.Scan(r.buf[:n])
+	if complete > 0 {
+		r.passed = len(r.buffered) + complete
+	}
 	r.buffered = append(r.buffered, r.buf[:n]...)
-	r.passed = bytes.LastIndex(r.buffered, []byte("\n\n")) + 2
-	if r.passed < 2 {
-		r.passed = 0
-	} else if !r.count(r.buffered[:r.passed]) {
+	if count > 0 && !r.count(r.buffered[:r.passed], count) {
 		return nil, failed, "the stream was resumed at another event"
 	}
 	if err != nil {
 		r.onEnd(len(r.buffered) - r.passed)
 	}
 	switch {
+	case err == io.EOF && r.scanner.InEvent():
+		return r.buffered[:r.passed], broken, "the stream ended inside an event"
+	case err == io.EOF && !r.begun && r.framing == jwconn.FramedByConnection:
+		return nil, broken, "the connection ended before the first event"
 	case err == io.EOF:
-		r.passed = len(r.buffered)
-		return r.buffered, finished, ""
+		return r.buffered[:r.passed], finished, ""
 	case err != nil:
 		return r.buffered[:r.passed], broken, err.Error()
 	case len(r.buffered)-r.passed > maxEventSize:
@@ -153,14 +160,14 @@
 
 // count reports events to the callbacks. It returns false if the stream does not begin with the
 // event that was asked for.
-func (r *eventReader) count(events []byte) bool {
-	r.onEvents(bytes.Count(events, []byte("\n\n")))
+func (r *eventReader) count(events []byte, n int) bool {
+	r.onEvents(n)
 	if r.begun {
 		return true
 	}
 	r.begun = true
 	r.onFirst()
-	return r.wantID == "" || firstID(events) == r.wantID
+	return r.wantID == "" || jwevent.FirstID(events) == r.wantID
 }
 
 // setReason sets the reason of a send that failed, unless it is empty.
@@ -185,47 +192,12 @@
 	if f, ok := q.w.(http.Flusher); ok {
 		f.Flush()
 	}
-	if id := lastID(events); id != "" {
+	if id := jwevent.LastID(events); id != "" {
 		q.lastEventID = id
 	}
 	return true
 }
 
-// lastID returns the identifier of the last event that has one, or "".
-func lastID(events []byte) string {
-	i := bytes.LastIndex(events, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		i++
-	case bytes.HasPrefix(events, []byte("id:")):
-		i = 0
-	default:
-		return ""
-	}
-	return parseID(events[i:])
-}
-
-// firstID returns the identifier of the first event that has one, or "".
-func firstID(events []byte) string {
-	if bytes.HasPrefix(events, []byte("id:")) {
-		return parseID(events)
-	}
-	i := bytes.Index(events, []byte("\nid:"))
-	if i < 0 {
-		return ""
-	}
-	return parseID(events[i+1:])
-}
-
-// parseID returns the identifier in a line that starts with "id:".
-func parseID(line []byte) string {
-	line = bytes.TrimPrefix(line, []byte("id:"))
-	if end := bytes.IndexByte(line, '\n'); end >= 0 {
-		line = line[:end]
-	}
-	return string(bytes.TrimSpace(line))
-}
-
 // nextID returns the identifier that follows a numeric one, "" for any other.
 func nextID(id string) string {
 	n, err := strconv.ParseInt(id, 10, 64)
--- a/io/jwgateway/slowstream.go
+++ b/io/jwgateway/slowstream.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"jujubewheel/core/jwevent"
 	"jujubewheel/core/jwmemory"
 	"jujubewheel/io/jwconn"
 )
@@ -152,17 +153,20 @@
 	s.buf = append(s.buf[:0], s.buf[n:]...)
 }
 
-// pieceLength returns how many bytes of a buffer are written next: complete events of at most
-// maxPiece bytes, or one longer event. Only the end of a finished stream has no complete one.
+// pieceLength returns how many bytes of a buffer of complete events are written next: events of at
+// most maxPiece bytes, or one longer event.
 func pieceLength(buf []byte) int {
 	if len(buf) <= maxPiece {
 		return len(buf)
 	}
-	if end := bytes.LastIndex(buf[:maxPiece], []byte("\n\n")); end >= 0 {
-		return end + 2
+	var s jwevent.Scanner
+	if n, _ := s.Scan(buf[:maxPiece]); n > 0 {
+		return n
 	}
-	if end := bytes.Index(buf, []byte("\n\n")); end >= 0 {
-		return end + 2
+	for i := maxPiece; i < len(buf); i++ {
+		if n, _ := s.Scan(buf[i : i+1]); n > 0 {
+			return i + 1
+		}
 	}
 	return len(buf)
 }
