jwtargetclient: the end marker of a stream counts only as an event of its own

Three cases of TestCallFailures failed; the marker now has to be a line, and the stream must not end inside an event.

--- a/io/jwtargetclient/body.go
+++ b/io/jwtargetclient/body.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"jujubewheel/core/jwevent"
 )
 
 // endMarker is the last event of a model engine's stream.
@@ -24,7 +26,8 @@
 	resp               *http.Response
 	stream             bool   // the answer is an event stream
 	endsWithConnection bool   // only the end of the connection ends the answer
-	tail               []byte // last bytes of a stream, to detect its end marker
+	tail               []byte // line end and last bytes of a stream, to detect its end marker
+	events             jwevent.Scanner
 }
 
 // Read reads the answer; errors other than io.EOF are *jwdispatch.CallError.
@@ -48,10 +51,11 @@
 
 // completionError returns an error if an answer that ended without a read error
 // is not complete. When a model engine fails, its stream can end early but
-// without an error; the missing end marker reveals that.
+// without an error; the missing end marker reveals that. The marker's text may
+// also be part of the data.
 func (b *body) completionError() error {
 	if b.stream {
-		if !bytes.Contains(b.tail, endMarker) {
+		if b.events.InEvent() || !hasLine(b.tail, endMarker) {
 			return errNoEndMarker
 		}
 		return nil
@@ -62,17 +66,37 @@
 	return nil
 }
 
+// hasLine reports whether a line, between two line ends, is in p.
+func hasLine(p, line []byte) bool {
+	isEnd := func(b byte) bool { return b == '\r' || b == '\n' }
+	for {
+		i := bytes.Index(p, line)
+		if i < 0 {
+			return false
+		}
+		end := i + len(line)
+		if i > 0 && isEnd(p[i-1]) && end < len(p) && isEnd(p[end]) {
+			return true
+		}
+		p = p[end:]
+	}
+}
+
 // keepTail keeps the last bytes of a stream, so that an end marker is found that
 // is split between reads.
 func (b *body) keepTail(p []byte) {
 	if !b.stream {
 		return
 	}
-	const keep = 32
+	b.events.Scan(p)
+	const keep = 40
 	if len(p) >= keep {
 		b.tail = append(b.tail[:0], p[len(p)-keep:]...)
 		return
 	}
+	if b.tail == nil {
+		b.tail = append(b.tail, '\n')
+	}
 	b.tail = append(b.tail, p...)
 	if over := len(b.tail) - keep; over > 0 {
 		b.tail = append(b.tail[:0], b.tail[over:]...)
--- a/io/jwtargetclient/client_test.go
+++ b/io/jwtargetclient/client_test.go
@@ -68,6 +68,26 @@
 			w.Header().Set("Content-Type", "text/event-stream")
 			_, _ = io.WriteString(w, "data: a\n\n")
 		}, atEnd: jwdispatch.BrokenOff},
+		"stream that breaks off after its end mark in data": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "data: {\"text\":\"ends with data: [DONE]")
+		}, atEnd: jwdispatch.BrokenOff},
+		"stream whose end mark is only in data": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "data: x data: [DONE]\n\n")
+		}, atEnd: jwdispatch.BrokenOff},
+		"stream that breaks off inside its end mark's event": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "data: a\n\ndata: [DONE]\n")
+		}, atEnd: jwdispatch.BrokenOff},
+		"complete stream that is only its end mark": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "data: [DONE]\r\n\r\n")
+		}},
+		"complete stream with a comment at its end": {handler: func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "data: a\n\ndata: [DONE]\n\n: end\n\n")
+		}},
 		"answer without any length": {handler: func(w http.ResponseWriter, _ *http.Request) {
 			conn, _, err := w.(http.Hijacker).Hijack()
 			if err == nil {
