platform, jwinstance, jwgateway: the log shows versions of targets and streams taken up again

Streams went on at another software version than the one that began them, and no line told the version of a target, nor that a request continues a stream and which one. The version is read from registrations and takes part in no choice yet; a registration of another version is another incarnation.

--- a/core/jwinstance/instance.go
+++ b/core/jwinstance/instance.go
@@ -14,7 +14,8 @@
 	Address    netip.AddrPort `json:"address"`
 	DataCentre string         `json:"dataCentre"`
 	Region     string         `json:"region"`
-	Slots      int            `json:"slots"` // number of requests that it runs at once
+	Version    string         `json:"version,omitempty"` // of its software
+	Slots      int            `json:"slots"`             // number of requests that it runs at once
 	Draining   bool           `json:"draining"`
 	// Leaving is set when the target announced in an answer that it is leaving. No
 	// registration resets it.
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -65,7 +65,7 @@
 }
 
 // Target is one incarnation of a target with all that is known about it. Its fields are guarded by
-// the mutex of the Table, except ID, Service and Address, which never change. Callers hold on to a
+// the mutex of the Table, except ID, Service, Address and Version, which never change. Callers hold on to a
 // Target only to pass it back to the Table.
 type Target struct {
 	Instance
@@ -147,7 +147,7 @@
 		}
 		in.Draining = in.Draining || old.Draining
 	}
-	if old == nil || old.StartedAt != in.StartedAt || old.Address != in.Address || old.Service != in.Service {
+	if old == nil || old.StartedAt != in.StartedAt || old.Address != in.Address || old.Service != in.Service || old.Version != in.Version {
 		fresh := &Target{Instance: in, nameHash: jwtarget.NameKey(in.ID), seenAt: now, changedAt: now, slowdown: 1}
 		if old != nil || in.Cold > 0 {
 			t.setColdUntil(fresh, now.Add(max(in.Cold, t.coldAfterRestart(old, in))))
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -23,6 +23,7 @@
 		Step: step, Request: q.ID, Entry: q.entry.Name, Version: q.version, Workspace: q.workspace, Service: q.service,
 		Units: q.units, Attempt: q.attempts, Sends: q.retries.Sends().Reached, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
 	}
+	d.LastEvent, d.Resumes = q.LastEvent, q.Resumes
 	if q.controlled {
 		d.Priority = q.priority
 	}
@@ -54,6 +55,7 @@
 		g.metrics.countRequest(string(q.entry.Kind), outcomeOf(status), placeHere, time.Since(q.arrived))
 	}
 	d := q.newDecision(stepSend)
+	d.TargetVersion = c.Target.Version
 	d.Target, d.Expected, d.Cold, d.Calls = c.Target.ID, c.Expected, c.Cold, c.Calls
 	if c.ByPriority {
 		d.Rest, d.Error, d.Load, d.LoadAge = c.Rest, c.Error, string(c.Load), c.LoadAge
--- a/io/jwgateway/dialect.go
+++ b/io/jwgateway/dialect.go
@@ -15,6 +15,7 @@
 	ID        string        // identifier of the request
 	Deadline  time.Duration // time left until the caller gives up; 0 if not given
 	LastEvent string        // identifier of the event after which to resume a stream
+	Resumes   string        // identifier of the request that brought the first event of that stream; "" if not given
 	Key       string        // key of the caller's workspace; "" if none was given
 	Prompt    jwinstance.Prompt
 }
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -12,54 +12,57 @@
 // Decision is one log line about a request: what was decided, from which inputs,
 // and the outcome. Empty fields are left out.
 type Decision struct {
-	Step        string        // what was decided, such as "send" or "answer"
-	Request     string        // the caller's identifier of the request
-	Entry       string        // name of the catalogue entry
-	Version     uint64        // of the configuration that applies to the request
-	Workspace   string        // workspace of the caller
-	Service     string        // service that runs the request
-	Target      string        // incarnation of the target
-	Peer        string        // the other node
-	Outcome     string        // such as "finished" or "notRun"
-	Reason      string        // why the outcome is no success
-	Status      int           // HTTP status of the answer
-	Framing     string        // what ends the answer's body, such as "chunks"
-	Partial     int           // bytes after the last complete event of a stream that has ended
-	Attempt     int           // counted from 1
-	Sends       int           // sends that reached a target so far
-	Retry       *Retry        // set if the request was not served
-	Left        time.Duration // until the deadline
-	Took        time.Duration // since the request arrived
-	Expected    time.Duration // estimated wait for the first event
-	First       time.Duration // actual wait for the first event
-	Pause       time.Duration // longest time between two events
-	Silent      time.Duration // since the last event, for a send that broke off
-	Error       time.Duration // mean absolute error of such estimates
-	Load        string        // band of the target's load, such as "queued"
-	Rest        time.Duration // estimated time from the first event to the end
-	Priority    int           // 0 is the most urgent
-	Calls       int           // in flight from this node at the target
-	Prompt      int           // tokens of the prompt
-	MissTokens  int           // of these, tokens that the target probably has not cached
-	AheadTokens int           // prompt tokens that the target has to read first
-	ViewAge     time.Duration // since the target's registration was last read
-	LoadAge     time.Duration // age of the target's last load report
-	Waited      time.Duration // in the waiting room
-	Waiting     int           // requests that went before it in the waiting room
-	Units       float64       // of the workspace's quota that the request takes
-	Level       float64       // quota units that the node had
-	Region      string        // the region that the request was forwarded to by its share
-	PartSent    float64       // part of such requests that goes to that region
-	ShareAge    time.Duration // age of that region's load when the share was used
-	Held        int64         // bytes that the node holds for requests
-	Budget      int64         // bytes that it may hold
-	Buffered    int64         // bytes held for the request
-	Stalled     time.Duration // since the caller last read
-	Cold        bool          // the target is cold
-	Share       *Share        // set if the request was rejected for its share
-	Fingerprint string        // by which the request is recognized when it is sent again
-	Caller      string        // the caller's address
-	DropFirst   bool          // the line is written to minor, as for served requests
+	Step          string        // what was decided, such as "send" or "answer"
+	Request       string        // the caller's identifier of the request
+	Entry         string        // name of the catalogue entry
+	Version       uint64        // of the configuration that applies to the request
+	Workspace     string        // workspace of the caller
+	Service       string        // service that runs the request
+	Target        string        // incarnation of the target
+	TargetVersion string        // of the target's software
+	LastEvent     string        // event after which a stream is continued
+	Resumes       string        // request that began the stream that is continued
+	Peer          string        // the other node
+	Outcome       string        // such as "finished" or "notRun"
+	Reason        string        // why the outcome is no success
+	Status        int           // HTTP status of the answer
+	Framing       string        // what ends the answer's body, such as "chunks"
+	Partial       int           // bytes after the last complete event of a stream that has ended
+	Attempt       int           // counted from 1
+	Sends         int           // sends that reached a target so far
+	Retry         *Retry        // set if the request was not served
+	Left          time.Duration // until the deadline
+	Took          time.Duration // since the request arrived
+	Expected      time.Duration // estimated wait for the first event
+	First         time.Duration // actual wait for the first event
+	Pause         time.Duration // longest time between two events
+	Silent        time.Duration // since the last event, for a send that broke off
+	Error         time.Duration // mean absolute error of such estimates
+	Load          string        // band of the target's load, such as "queued"
+	Rest          time.Duration // estimated time from the first event to the end
+	Priority      int           // 0 is the most urgent
+	Calls         int           // in flight from this node at the target
+	Prompt        int           // tokens of the prompt
+	MissTokens    int           // of these, tokens that the target probably has not cached
+	AheadTokens   int           // prompt tokens that the target has to read first
+	ViewAge       time.Duration // since the target's registration was last read
+	LoadAge       time.Duration // age of the target's last load report
+	Waited        time.Duration // in the waiting room
+	Waiting       int           // requests that went before it in the waiting room
+	Units         float64       // of the workspace's quota that the request takes
+	Level         float64       // quota units that the node had
+	Region        string        // the region that the request was forwarded to by its share
+	PartSent      float64       // part of such requests that goes to that region
+	ShareAge      time.Duration // age of that region's load when the share was used
+	Held          int64         // bytes that the node holds for requests
+	Budget        int64         // bytes that it may hold
+	Buffered      int64         // bytes held for the request
+	Stalled       time.Duration // since the caller last read
+	Cold          bool          // the target is cold
+	Share         *Share        // set if the request was rejected for its share
+	Fingerprint   string        // by which the request is recognized when it is sent again
+	Caller        string        // the caller's address
+	DropFirst     bool          // the line is written to minor, as for served requests
 }
 
 // Share says on what a rejection for a share rests. Work is in thousandths of a target.
@@ -109,7 +112,7 @@
 	if x.DropFirst {
 		log = d.minor
 	}
-	const maxFields = 56
+	const maxFields = 64
 	var buf [maxFields]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
@@ -117,7 +120,10 @@
 	f = appendText(f, "workspace", x.Workspace)
 	f = appendText(f, "service", x.Service)
 	f = appendText(f, "target", x.Target)
+	f = appendText(f, "targetVersion", x.TargetVersion)
 	f = appendText(f, "peer", x.Peer)
+	f = appendText(f, "lastEvent", x.LastEvent)
+	f = appendText(f, "resumes", x.Resumes)
 	f = appendText(f, "outcome", x.Outcome)
 	f = appendText(f, "reason", x.Reason)
 	f = appendText(f, "fingerprint", x.Fingerprint)
