jwgateway: failing tests of streams that go on at another software version

Six nodes in three regions, one without targets, three versions with two targets each in the others: 60 of 60 streams that break off after two events and are taken up again hold events of several versions. A stream whose version isn't known, or has no target left, goes on at any.

--- a/io/jwgateway/streamversion_test.go
+++ b/io/jwgateway/streamversion_test.go
@@ -3,10 +3,15 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 
 	"jujubewheel/core/jwstore"
 	"jujubewheel/io/jwgateway"
@@ -59,3 +64,217 @@
 		return strings.Contains(log.String(), `"targetVersion":"v7"`) && strings.Contains(log.String(), `"lastEvent":"2","resumes":"r1"`)
 	})
 }
+
+// heartbeat writes the registrations of targets again and again, so that nodes know that their view of
+// the store is recent.
+func heartbeat(t *testing.T, feed *jwstore.MemoryFeed) {
+	t.Helper()
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-done:
+				return
+			case <-time.After(100 * time.Millisecond):
+				feed.Write("beat", fmt.Append(nil, i))
+			}
+		}
+	})
+	t.Cleanup(func() { close(done); wg.Wait() })
+}
+
+// takenUpStream is a stream at a caller, over all its tries.
+type takenUpStream struct {
+	first    string // request that brought the first event
+	last     int    // last event received
+	versions map[string]bool
+	whole    bool
+}
+
+// try sends a request for the stream to a node. It returns whether it brought events, and the status.
+func (s *takenUpStream) try(t *testing.T, n node, id string) (goesOn bool, status int) {
+	t.Helper()
+	h := http.Header{}
+	if s.last > 0 {
+		h["Last-Event-Id"] = []string{strconv.Itoa(s.last)}
+		h["Resumes"] = []string{s.first}
+	}
+	r, err := send(t, n, http.MethodGet, "/a/x", id, h, "")
+	if err != nil || r.status != http.StatusOK {
+		return false, r.status
+	}
+	for part := range strings.SplitSeq(r.body, "\n\n") {
+		if part == "" {
+			continue
+		}
+		number, version, _ := strings.Cut(strings.TrimPrefix(part, "id: "), "\ndata: ")
+		i, err := strconv.Atoi(number)
+		assert.NilError(t, err)
+		assert.Equal(t, i, s.last+1)
+		if s.first == "" {
+			s.first, s.versions = id, make(map[string]bool)
+		}
+		s.last, goesOn = i, true
+		s.versions[version] = true
+	}
+	s.whole = r.err == nil
+	return goesOn, r.status
+}
+
+// startVersions starts two nodes in each region, and two targets of each version in north and south.
+func startVersions(t *testing.T, versions []string, count int) (nodes []node, targets []*target) {
+	t.Helper()
+	var feed jwstore.MemoryFeed
+	for _, dataCentre := range []string{"north-a", "south-a"} {
+		for _, v := range versions {
+			for i := range 2 {
+				targets = append(targets, startVersion(t, &feed, fmt.Sprint(dataCentre, v, i), dataCentre, v, breaking(v, count)))
+			}
+		}
+	}
+	configure(&feed, 1, route("/a/", "stream", `,"Resumable":true`))
+	heartbeat(t, &feed)
+	byRegion := make(map[string][]node)
+	for _, region := range []string{"north", "south", "east"} {
+		for i := range 2 {
+			n := start(t, &feed, fmt.Sprint("n-", region, i), region)
+			nodes, byRegion[region] = append(nodes, n), append(byRegion[region], n)
+		}
+	}
+	for region, list := range byRegion {
+		for _, n := range list {
+			waitForDirectory(t, n, region, list...)
+		}
+	}
+	return nodes, targets
+}
+
+// Targets of several versions serve a service side by side and streams break off: a stream must go on
+// at the version that began it, within an answer and when its caller takes it up again at any node.
+func TestStreamsGoOnAtTheirVersion(t *testing.T) {
+	t.Parallel()
+	const count, streams, tries = 12, 60, 6
+	nodes, _ := startVersions(t, []string{"v1", "v2", "v3"}, count)
+	r := rand.New(rand.NewPCG(1, 1))
+	begun, mixed, resumed, wentOn := 0, 0, 0, 0
+	play := func(i int, at []node) {
+		var s takenUpStream
+		for try := range tries {
+			taken := s.last > 0
+			goesOn, _ := s.try(t, at[r.IntN(len(at))], fmt.Sprintf("s%d-%d", i, try))
+			if taken {
+				resumed++
+				if goesOn {
+					wentOn++
+				}
+			}
+			if s.whole && s.last == count {
+				break
+			}
+		}
+		if s.last > 0 {
+			begun++
+		}
+		if len(s.versions) > 1 {
+			mixed++
+		}
+	}
+	for i := range streams {
+		play(i, nodes)
+	}
+	t.Logf("%d of %d streams begun, %d hold events of several versions, %d of %d tries went on", begun, streams, mixed, wentOn, resumed)
+	assert.Assert(t, begun > streams/2)
+	assert.Equal(t, mixed, 0)
+	assert.Assert(t, 2*wentOn*streams >= resumed*begun, "%d of %d tries went on", wentOn, resumed)
+}
+
+// Nodes are killed or stopped after they began streams: these go on at their version at other nodes.
+func TestStreamsGoOnAfterTheirNodeIsGone(t *testing.T) {
+	t.Parallel()
+	const count, streams = 12, 30
+	nodes, _ := startVersions(t, []string{"v1", "v2"}, count)
+	var list []*takenUpStream
+	for i := range streams {
+		var s takenUpStream
+		s.try(t, nodes[0], fmt.Sprint("s", i))
+		if s.last > 0 {
+			list = append(list, &s)
+		}
+	}
+	assert.Assert(t, len(list) > streams/2)
+	time.Sleep(100 * time.Millisecond)
+	nodes[0].stop()
+	wentOn := 0
+	for i, s := range list {
+		if goesOn, _ := s.try(t, nodes[1+i%(len(nodes)-1)], fmt.Sprint("t", i)); goesOn {
+			wentOn++
+		}
+		assert.Equal(t, len(s.versions), 1)
+	}
+	assert.Assert(t, 2*wentOn >= len(list), "%d of %d went on", wentOn, len(list))
+}
+
+// The version that began a stream isn't known, or has no target left: the stream is rejected at once as
+// not run, so that its caller can begin anew.
+func TestStreamOfUnknownVersionIsRejected(t *testing.T) {
+	t.Parallel()
+	nodes, targets := startVersions(t, []string{"v1", "v2"}, 4)
+	for name, h := range map[string]http.Header{
+		"unknown request": {"Last-Event-Id": {"2"}, "Resumes": {"nobody"}},
+		"no request":      {"Last-Event-Id": {"2"}},
+	} {
+		for i, n := range nodes {
+			id := fmt.Sprintf("%s %d", name, i)
+			r, err := send(t, n, http.MethodGet, "/a/x", id, h, "")
+			assert.NilError(t, err)
+			assert.Equal(t, r.status, http.StatusServiceUnavailable, r.body)
+			assert.Assert(t, r.header.Get("Retry-After") != "")
+			for _, x := range targets {
+				for _, got := range x.requests() {
+					assert.Assert(t, got.header.Get("Jujubewheel-Request-Id") != id)
+				}
+			}
+		}
+	}
+}
+
+func TestStreamWithoutTargetOfItsVersionIsRejected(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	startVersion(t, &feed, "t1", "north-a", "v1", breaking("v1", 12))
+	configure(&feed, 1, route("/a/", "stream", `,"Resumable":true`))
+	heartbeat(t, &feed)
+	n := start(t, &feed, "n1", "north")
+	var s takenUpStream
+	for i := 0; s.last == 0; i++ {
+		s.try(t, n, fmt.Sprint("s", i))
+		time.Sleep(10 * time.Millisecond)
+	}
+	x := startVersion(t, &feed, "t2", "north-a", "v2", breaking("v2", 12))
+	feed.Remove("servers/t1")
+	eventually(t, func() bool {
+		var other takenUpStream
+		other.try(t, n, fmt.Sprint("o", time.Now().UnixNano()))
+		return other.versions["v2"]
+	})
+	before := len(x.requests())
+	_, status := s.try(t, n, "again")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(x.requests()), before)
+}
+
+// All targets have one version for longer than a stream lasts: a stream goes on although no node knows
+// who began it.
+func TestStreamOfOnlyVersionGoesOn(t *testing.T) {
+	t.Parallel()
+	nodes, _ := startVersions(t, []string{"v1"}, 4)
+	for _, n := range nodes {
+		s := takenUpStream{first: "nobody", last: 2, versions: map[string]bool{}}
+		eventually(t, func() bool {
+			goesOn, _ := s.try(t, n, fmt.Sprint("s", time.Now().UnixNano()))
+			return goesOn
+		})
+		assert.Equal(t, s.last, 4)
+	}
+}
