jwgateway: a stream goes on at the software version that began it

Callers got streams that hold events of several software versions of a service: no node knew of versions, so that a stream that broke off went on at whatever target was best, within an answer and when its caller took it up at another node.

The version is now known to all that choose. The target's version as it was registered when the first event came is the stream's origin; it pins the request within the answer, travels with a forwarded request and back with its answer, and is kept under the request's identifier. While a service has had one version for as long as a stream may last, and the node's view of the store is recent, that is the answer and nothing is exchanged. Otherwise origins are reported to two nodes of the region and one of another, by rendezvous hashing, and asked for there when a caller takes a stream up; as a service gets a second version, what was begun before is reported too. A stream whose version isn't known or has no target left is rejected at once as not run. A target that started again under its name at another version at about the time of the first event leaves the version unknown.

TestMetricsWithoutOverloadControl lists the three new series, which don't belong to overload control.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -62,6 +62,8 @@
 	Exclude        map[string]bool  // IDs of targets that the request was already sent to
 	AvoidAddresses []netip.AddrPort // addresses of targets that it must not run on now
 	OnlyWithRoom   bool             // leave out targets of whose room this node's part is used up
+	Pinned         bool             // only targets of Version may run it
+	Version        string           // see Pinned
 }
 
 // Choice is a chosen target, with the estimates on which the choice rests.
@@ -208,7 +210,7 @@
 	miss = n.Prompt.Tokens
 	list := t.subset(subsetKey{n.Service, region, t.Node})
 	for _, x := range list {
-		if !t.usable(now, x, false) {
+		if !t.usable(now, x, false) || !n.fits(x) {
 			continue
 		}
 		targets++
@@ -224,11 +226,11 @@
 	var choice Choice
 	stats := t.statsOf(n.Service)
 	t.missingTokens = t.missingTokens[:0]
-	for _, x := range t.knownTargets(n.Service) {
+	list := t.listFor(n)
+	for _, x := range list {
 		t.missingTokens = append(t.missingTokens, x.cache.missingTokens(n.Prompt))
 	}
 	holder, maxHeld := t.largestHolder(now, n, nil)
-	list := t.knownTargets(n.Service)
 	for _, i := range t.selectCompared(now, n, list, allowGone) {
 		x := list[i]
 		cold := now.Before(x.coldUntil)
--- a/core/jwinstance/lease.go
+++ b/core/jwinstance/lease.go
@@ -49,7 +49,7 @@
 func (t *Table) ReadyAt(now time.Time, n Need) (at time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, x := range t.knownTargets(n.Service) {
+	for _, x := range t.listFor(n) {
 		if x.Region != t.Region || x.Draining || x.Leaving || t.evacuated[x.DataCentre] || !x.goneAt.IsZero() || x.dialFailures > 0 ||
 			n.Exclude[x.ID] || slices.Contains(n.AvoidAddresses, x.Address) || x.limit.Announced && !t.limitAllows(now, x) {
 			continue
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -158,4 +158,5 @@
 		t.usableSlots = nil
 	}
 	x.goneAt = now.Add(-goneGracePeriod)
+	t.endUse(now, x)
 }
--- a/core/jwinstance/sample.go
+++ b/core/jwinstance/sample.go
@@ -90,7 +90,7 @@
 	if len(n.Prompt.Parts) == 0 {
 		return nil, 0
 	}
-	for i, x := range t.knownTargets(n.Service) {
+	for i, x := range t.listFor(n) {
 		held := n.Prompt.Tokens - t.missingTokens[i]
 		if x == except || held <= maxHeld {
 			continue
--- a/core/jwinstance/subset.go
+++ b/core/jwinstance/subset.go
@@ -234,19 +234,25 @@
 	if slots, ok := t.usableSlots[service]; ok {
 		return slots
 	}
+	slots := t.countSlots(Need{Service: service})
+	if t.usableSlots == nil {
+		t.usableSlots = make(map[string]map[string]int)
+	}
+	t.usableSlots[service] = slots
+	return slots
+}
+
+// countSlots counts the slots of usable targets by region.
+func (t *Table) countSlots(n Need) map[string]int {
 	t.buildIndex()
 	slots := make(map[string]int)
-	for region, list := range t.byRegion[service] {
+	for region, list := range t.byRegion[n.Service] {
 		for _, x := range list {
-			if x.goneAt.IsZero() && !x.Draining && !x.Leaving && !t.evacuated[x.DataCentre] {
+			if x.goneAt.IsZero() && !x.Draining && !x.Leaving && !t.evacuated[x.DataCentre] && n.fits(x) {
 				slots[region] += max(x.Slots, 1)
 			}
 		}
 	}
-	if t.usableSlots == nil {
-		t.usableSlots = make(map[string]map[string]int)
-	}
-	t.usableSlots[service] = slots
 	return slots
 }
 
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -51,10 +51,11 @@
 	byRegion          map[string]map[string][]*Target // targets by service and region, sorted by ID; nil if it must be rebuilt
 	known             map[string][]*Target            // targets in this node's subsets, by service
 	subsets           map[subsetKey]*subset
-	usableSlots       map[string]map[string]int // by service and region, nil after a change
-	evacuated         map[string]bool           // data centres that get no requests
-	selfReported      map[string]bool           // IDs of targets that announced in an answer a limit or that they are leaving
-	stats             map[string]*serviceStats  // by service
+	usableSlots       map[string]map[string]int         // by service and region, nil after a change
+	versions          map[string]map[string]*versionUse // of targets, by service and version
+	evacuated         map[string]bool                   // data centres that get no requests
+	selfReported      map[string]bool                   // IDs of targets that announced in an answer a limit or that they are leaving
+	stats             map[string]*serviceStats          // by service
 	view              reportView
 	pacedServices     map[string]bool       // services whose targets report their pace
 	placements        []Placement           // recent ones, of this node and reported by others, the latest last
@@ -65,16 +66,17 @@
 }
 
 // Target is one incarnation of a target with all that is known about it. Its fields are guarded by
-// the mutex of the Table, except ID, Service, Address and Version, which never change. Callers hold on to a
+// the mutex of the Table, except ID, Service, Address, Version and StartedAt, which never change. Callers hold on to a
 // Target only to pass it back to the Table.
 type Target struct {
 	Instance
-	nameHash      uint64           // hash of its ID, for rendezvous hashing
-	seenAt        time.Time        // time of the last registration
-	changedAt     time.Time        // when its registration last changed
-	goneAt        time.Time        // when its registration vanished, zero while it exists
-	staleRevision jwstore.Revision // of the last registration that came from an older copy of the store, 0 if none
-	coldUntil     time.Time        // when it stops being cold
+	versionCounted bool             // in Table.versions
+	nameHash       uint64           // hash of its ID, for rendezvous hashing
+	seenAt         time.Time        // time of the last registration
+	changedAt      time.Time        // when its registration last changed
+	goneAt         time.Time        // when its registration vanished, zero while it exists
+	staleRevision  jwstore.Revision // of the last registration that came from an older copy of the store, 0 if none
+	coldUntil      time.Time        // when it stops being cold
 	// replacedRevision is the revision of the last registration that was known when another
 	// incarnation answered at the address, 0 if none did.
 	replacedRevision jwstore.Revision
@@ -153,6 +155,10 @@
 			t.setColdUntil(fresh, now.Add(max(in.Cold, t.coldAfterRestart(old, in))))
 		}
 		t.targets[in.ID] = fresh
+		t.beginUse(fresh)
+		if old != nil {
+			t.endUse(now, old)
+		}
 		if old != nil {
 			t.marked.forget(old)
 		}
@@ -181,6 +187,7 @@
 		}
 	}
 	old.Revision = in.Revision
+	t.beginUse(old)
 	old.seenAt, old.goneAt = now, time.Time{}
 	if in.Cold > 0 {
 		t.setColdUntil(old, now.Add(in.Cold))
@@ -264,6 +271,7 @@
 func (t *Table) markGone(now time.Time, x *Target, revision jwstore.Revision) {
 	if x.goneAt.IsZero() && revision >= x.Revision {
 		x.goneAt, x.Revision = now, revision
+		t.endUse(now, x)
 		t.marked.gone.add(x)
 	}
 }
--- /dev/null
+++ b/core/jwinstance/versions.go
@@ -0,0 +1,109 @@
+package jwinstance
+
+import "time"
+
+// versionUse says how long a version of a service has had registered targets.
+type versionUse struct {
+	targets int       // registered now
+	endedAt time.Time // when the last one vanished, if there is none
+}
+
+// SoleVersion returns the version of all targets of a service that were registered at any time within
+// a period before now. It returns false if there were several, or none.
+func (t *Table) SoleVersion(now time.Time, service string, within time.Duration) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sole, count := "", 0
+	for version, u := range t.versions[service] {
+		switch {
+		case u.targets > 0 || now.Sub(u.endedAt) <= within:
+			sole, count = version, count+1
+		case now.Sub(u.endedAt) > recordRetention:
+			delete(t.versions[service], version)
+		}
+	}
+	return sole, count == 1
+}
+
+// Registration returns the registration of a target.
+func (t *Table) Registration(now time.Time, id string) (Instance, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := t.targets[id]
+	if x == nil || !x.goneAt.IsZero() {
+		return Instance{}, false
+	}
+	return x.registration(now), true
+}
+
+// beginUse counts a target that is registered from now on, unless it is counted.
+func (t *Table) beginUse(x *Target) {
+	if x.versionCounted {
+		return
+	}
+	x.versionCounted = true
+	if t.versions == nil {
+		t.versions = make(map[string]map[string]*versionUse)
+	}
+	uses := t.versions[x.Service]
+	if uses == nil {
+		uses = make(map[string]*versionUse)
+		t.versions[x.Service] = uses
+	}
+	u := uses[x.Version]
+	if u == nil {
+		u = &versionUse{}
+		uses[x.Version] = u
+	}
+	u.targets++
+}
+
+// endUse no longer counts a target, if it is counted.
+func (t *Table) endUse(now time.Time, x *Target) {
+	if !x.versionCounted {
+		return
+	}
+	x.versionCounted = false
+	u := t.versions[x.Service][x.Version]
+	u.targets--
+	u.endedAt = now
+}
+
+// listFor returns the targets among which one is chosen: those that this node knows. Of a request that
+// must run at a certain version, these are the targets of the region that have it; if this node knows
+// none of them, all of the region.
+func (t *Table) listFor(n Need) []*Target {
+	known := t.knownTargets(n.Service)
+	if !n.Pinned {
+		return known
+	}
+	if list := t.ofVersion(known, n.Version); len(list) > 0 {
+		return list
+	}
+	return t.ofVersion(t.byRegion[n.Service][t.Region], n.Version)
+}
+
+// ofVersion returns the targets of the region that have a version.
+func (t *Table) ofVersion(targets []*Target, version string) []*Target {
+	var list []*Target
+	for _, x := range targets {
+		if x.Version == version && x.Region == t.Region {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
+// fits reports whether a target has the version that a request must run at.
+func (n Need) fits(x *Target) bool { return !n.Pinned || x.Version == n.Version }
+
+// RegionsFor returns how many usable slots a request has in each region. Callers must not change the
+// map.
+func (t *Table) RegionsFor(n Need) map[string]int {
+	if !n.Pinned {
+		return t.Regions(n.Service)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.countSlots(n)
+}
--- a/core/jwmember/share.go
+++ b/core/jwmember/share.go
@@ -1,6 +1,8 @@
 package jwmember
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"jujubewheel/core/jwtarget"
@@ -77,3 +79,13 @@
 	}
 	return best == "" || best == t.Self.Name
 }
+
+// Owners returns up to n live nodes of a region that own a name, by rendezvous hashing, the first
+// owner first. All nodes that see the same nodes live agree on them.
+func (t *Table) Owners(now time.Time, name, region string, n int) []Member {
+	list := slices.Clone(t.Live(now, region))
+	slices.SortFunc(list, func(a, b Member) int {
+		return cmp.Compare(rendezvousScore(b.Name, name), rendezvousScore(a.Name, name))
+	})
+	return list[:min(n, len(list))]
+}
--- /dev/null
+++ b/core/jwversion/table.go
@@ -0,0 +1,105 @@
+package jwversion
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// MaxAge is how long the origin of a stream is kept.
+	MaxAge = time.Minute
+	// DefaultMaxRecords is the default for Table.MaxRecords.
+	DefaultMaxRecords = 1 << 15
+)
+
+// Record is the origin of one stream.
+type Record struct {
+	Request string `json:"request"` // the request that brought the first event
+	Service string `json:"service"`
+	Origin  Origin `json:"origin"`
+}
+
+// Table holds the origins of recent streams. The zero value is empty. Its methods are safe for
+// concurrent use.
+type Table struct {
+	MaxRecords int // the oldest records are dropped beyond it; 0 means DefaultMaxRecords
+
+	mu      sync.Mutex
+	records map[string]kept
+	order   []string // requests by the time they were added; those before head are dropped
+	head    int
+}
+
+// kept is a record with its age at this node.
+type kept struct {
+	Record
+	addedAt time.Time
+	own     bool // the stream is one of this node's callers
+}
+
+// Add keeps a record. own is whether the stream is one of this node's callers. It does nothing if the
+// request has one, since only one attempt brings a stream's first event.
+func (t *Table) Add(now time.Time, r Record, own bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.dropOld(now)
+	if _, ok := t.records[r.Request]; ok {
+		return
+	}
+	if t.records == nil {
+		t.records = make(map[string]kept)
+	}
+	t.records[r.Request] = kept{r, now, own}
+	t.order = append(t.order, r.Request)
+}
+
+// Find returns the origin of the stream that a request began.
+func (t *Table) Find(now time.Time, request string) (Origin, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k, ok := t.records[request]
+	if !ok || now.Sub(k.addedAt) > MaxAge {
+		return Origin{}, false
+	}
+	return k.Origin, true
+}
+
+// Own returns the records of a service's streams of this node's callers.
+func (t *Table) Own(now time.Time, service string) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Record
+	for _, request := range t.order[t.head:] {
+		if k := t.records[request]; k.own && k.Service == service && now.Sub(k.addedAt) <= MaxAge {
+			list = append(list, k.Record)
+		}
+	}
+	return list
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records)
+}
+
+// dropOld drops the records that are too old, and the oldest one if there would be too many.
+func (t *Table) dropOld(now time.Time) {
+	limit := t.MaxRecords
+	if limit <= 0 {
+		limit = DefaultMaxRecords
+	}
+	for t.head < len(t.order) {
+		oldest := t.order[t.head]
+		if len(t.records) < limit && now.Sub(t.records[oldest].addedAt) <= MaxAge {
+			break
+		}
+		delete(t.records, oldest)
+		t.head++
+	}
+	if t.head > len(t.order)/2 {
+		t.order = append(t.order[:0], t.order[t.head:]...)
+		t.head = 0
+	}
+}
--- /dev/null
+++ b/core/jwversion/table_test.go
@@ -0,0 +1,62 @@
+package jwversion_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"jujubewheel/core/jwversion"
+)
+
+func record(request, service, version string) jwversion.Record {
+	return jwversion.Record{Request: request, Service: service, Origin: jwversion.Origin{Version: version}}
+}
+
+func TestTable(t *testing.T) {
+	var x jwversion.Table
+	now := time.Unix(1000, 0)
+	x.Add(now, record("r1", "s", "v1"), true)
+	x.Add(now, record("r2", "s", "v2"), false)
+	x.Add(now, record("r3", "other", "v1"), true)
+	x.Add(now, record("r1", "s", "v9"), true) // only the first one counts
+	o, ok := x.Find(now, "r1")
+	assert.Assert(t, ok)
+	assert.Equal(t, o.Version, "v1")
+	_, ok = x.Find(now, "r4")
+	assert.Assert(t, !ok)
+	own := x.Own(now, "s")
+	assert.Equal(t, len(own), 1)
+	assert.Equal(t, own[0].Request, "r1")
+	now = now.Add(jwversion.MaxAge + time.Second)
+	_, ok = x.Find(now, "r1")
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(x.Own(now, "s")), 0)
+}
+
+// Streams begin all the time: the table must not grow without bound.
+func TestTableIsBounded(t *testing.T) {
+	x := jwversion.Table{MaxRecords: 100}
+	now := time.Unix(1000, 0)
+	for i := range 1000 {
+		x.Add(now.Add(time.Duration(i)*time.Millisecond), record(fmt.Sprint("r", i), "s", "v1"), true)
+		assert.Assert(t, x.Len() <= 100)
+	}
+	_, ok := x.Find(now.Add(time.Second), "r999")
+	assert.Assert(t, ok)
+	_, ok = x.Find(now.Add(time.Second), "r800")
+	assert.Assert(t, !ok)
+	x.Add(now.Add(2*jwversion.MaxAge), record("last", "s", "v1"), true)
+	assert.Equal(t, x.Len(), 1)
+}
+
+func BenchmarkAdd(b *testing.B) {
+	var x jwversion.Table
+	now := time.Unix(1000, 0)
+	r := record("", "s", "v1")
+	for i := range b.N {
+		r.Request = fmt.Sprint(i)
+		x.Add(now.Add(time.Duration(i)*time.Millisecond), r, true)
+	}
+}
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -16,6 +16,7 @@
 	"jujubewheel/core/jwplacement"
 	"jujubewheel/core/jwretry"
 	"jujubewheel/core/jwsuspect"
+	"jujubewheel/core/jwversion"
 	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwquotaexchange"
 )
@@ -31,6 +32,7 @@
 	headerGapGoal     = "Jujube-Gap-Goal" // in milliseconds; absent without overload control
 	headerRank        = "Jujube-Rank"     // see Gateway.rank; absent without overload control
 	headerSends       = "Jujube-Sends"    // jwretry.Sends, of the request and of its answer
+	headerOrigin      = "Jujube-Origin"   // jwversion.Origin, of a stream that goes on and of the answer to one that begins
 	headerWaited      = "Jujube-Waited"   // time since the caller's request came, in milliseconds; absent without overload control
 )
 
@@ -51,7 +53,7 @@
 	}
 	var others []jwplacement.Option
 	if !q.forwarded {
-		for _, region := range g.otherRegions(q) {
+		for _, region := range g.otherRegions(q, n) {
 			if !q.rejectedRegions[region] && g.anyUntried(q, g.members.Live(now, region)) {
 				others = append(others, g.regionOption(now, region, n))
 			}
@@ -80,9 +82,9 @@
 }
 
 // otherRegions returns the other regions that may serve the request and have usable targets.
-func (g *Gateway) otherRegions(q *request) []string {
+func (g *Gateway) otherRegions(q *request, n jwinstance.Need) []string {
 	var list []string
-	for region, slots := range g.targets.Regions(q.service) {
+	for region, slots := range g.targets.RegionsFor(n) {
 		if region != g.Settings.Region && slots > 0 && q.homes.Allows(region) {
 			list = append(list, region)
 		}
@@ -139,6 +141,10 @@
 	h[headerFingerprint] = []string{q.fingerprint.String()}
 	h[headerSends] = []string{q.retries.Sends().String()}
 	delete(h, headerWorkspace)
+	delete(h, headerOrigin)
+	if q.pinned {
+		h[headerOrigin] = []string{jwversion.Origin{Version: q.pinnedVersion}.String()}
+	}
 	g.setGapGoal(h, q)
 	g.setRank(h, q)
 	g.setWaited(h, q)
@@ -195,6 +201,8 @@
 	}
 	delete(a.Header, headerOutcome)
 	delete(a.Header, headerSends)
+	origin, originErr := jwversion.ParseOrigin(a.Header.Get(headerOrigin))
+	delete(a.Header, headerOrigin)
 	switch outcome {
 	case outcomeNotRun:
 		q.lastReason = refusedByNode + m.Name
@@ -206,7 +214,13 @@
 		return notRun
 	case outcomeServed:
 		q.attempts += max(sends.MayHaveRun, 1)
-		return g.passAnswer(q, a, onEvents)
+		return g.passAnswer(q, a, func(events int) {
+			if originErr == nil && isStream(a) {
+				origin.BegunAt = time.Now()
+				g.streamBegun(q, origin)
+			}
+			onEvents(events)
+		})
 	}
 	q.lastReason = "unknown at " + m.Name
 	q.attempts += max(sends.MayHaveRun, 1)
@@ -249,7 +263,7 @@
 	if sends, ok := jwretry.ParseSends(r.Header.Get(headerSends)); ok {
 		q.retries.Receive(sends)
 	}
-	q.w = &outcomeWriter{ResponseWriter: w, sends: q.reportSends, signed: func(h http.Header) bool { return g.Dialect.ParseAnswerHeaders(h).Signed }}
+	q.w = &outcomeWriter{ResponseWriter: w, sends: q.reportSends, origin: func() *jwversion.Origin { return q.origin }, signed: func(h http.Header) bool { return g.Dialect.ParseAnswerHeaders(h).Signed }}
 	q.entry = parseKind(r.Header.Get(headerKind))
 	q.entry.GapGoal = time.Duration(max(parseCount(r.Header.Get(headerGapGoal)), 0)) * time.Millisecond
 	q.waitedBefore = time.Duration(max(parseCount(r.Header.Get(headerWaited)), 0)) * time.Millisecond
@@ -258,7 +272,10 @@
 	if fingerprint, err := jwsuspect.ParseFingerprint(r.Header.Get(headerFingerprint)); err == nil {
 		q.fingerprint = fingerprint
 	}
-	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace, headerGapGoal, headerRank, headerSends, headerWaited} {
+	if origin, err := jwversion.ParseOrigin(r.Header.Get(headerOrigin)); err == nil {
+		q.origin = &origin
+	}
+	for _, name := range []string{headerService, headerKind, headerSender, headerFingerprint, headerWorkspace, headerGapGoal, headerRank, headerSends, headerWaited, headerOrigin} {
 		delete(q.header, name)
 	}
 	q.deadline = q.arrived.Add(max(q.Deadline, time.Millisecond))
@@ -315,10 +332,11 @@
 	return n
 }
 
-// outcomeWriter adds the outcome and the sends of the request to the headers of its answer.
+// outcomeWriter adds the outcome, the sends and the origin of the request to the headers of its answer.
 type outcomeWriter struct {
 	http.ResponseWriter
 	sends  func() jwretry.Sends
+	origin func() *jwversion.Origin
 	signed func(http.Header) bool
 }
 
@@ -332,6 +350,9 @@
 		h[headerOutcome] = []string{outcomeNotRun}
 	}
 	h[headerSends] = []string{o.sends().String()}
+	if origin := o.origin(); origin != nil {
+		h[headerOrigin] = []string{origin.String()}
+	}
 	o.ResponseWriter.WriteHeader(status)
 }
 
@@ -358,6 +379,10 @@
 		g.serveState(w, r)
 	case r.URL.Path == changesPath:
 		g.serveChanges(w, r)
+	case r.URL.Path == originsPath:
+		g.serveOrigins(w, r)
+	case r.URL.Path == originPath:
+		g.serveOrigin(w, r)
 	case r.URL.Path == viewPath:
 		g.serveView(w, r)
 	default:
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -24,6 +24,7 @@
 	"jujubewheel/core/jwquota"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/core/jwsuspect"
+	"jujubewheel/core/jwversion"
 	"jujubewheel/core/jwwaitroom"
 	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwlog"
@@ -95,6 +96,10 @@
 	memory              jwmemory.Account // bytes held for requests of services with overload control
 	slowStreams         slowStreams
 	forwards            forwardCounts // requests in flight at other nodes
+	origins             jwversion.Table
+	originReports       originReports
+	streamLives         atomic.Pointer[streamLives]
+	versionsSince       atomic.Int64 // since when no registration was missed, nanoseconds since startTime; 0 before the first read
 }
 
 // Run serves until ctx ends and then until the requests in flight are done or most of the grace
@@ -130,6 +135,7 @@
 	group.Go(func() error { g.reload(work); return nil })
 	group.Go(func() error { g.updateGauges(work); return nil })
 	group.Go(func() error { g.runRoom(work); return nil })
+	group.Go(func() error { g.watchVersions(work); return nil })
 	g.Log.Info("started", "bounds", *g.bounds.Load(), "region", g.Settings.Region, "dataCentre", g.Settings.DataCentre)
 	select {
 	case <-ctx.Done():
@@ -311,6 +317,7 @@
 		g.metrics.nodes.Update(float64(len(g.members.Live(now, ""))))
 		g.metrics.inFlight.Update(float64(g.inFlight.Load()))
 		g.metrics.updateMemory(&g.memory, g.slowStreams.count())
+		g.metrics.origins.Update(float64(g.origins.Len()))
 		g.metrics.limitedTargets.Update(float64(g.targets.LimitedTargets()))
 		g.metrics.setRetriesLeft(g.retryBudget.Left(now))
 		g.metrics.storeReadAge.Update((now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())).Seconds())
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -57,6 +57,9 @@
 	slowStreamsTotal  tally.Counter
 	cutOffs           map[cutOff]tally.Counter
 	memoryRejections  tally.Counter
+	takenUp           map[originSource]tally.Counter // streams that callers took up again, by how their version was learned
+	origins           tally.Gauge
+	originsReported   tally.Counter
 }
 
 func newMetrics(m *jwmeter.Meter) *metrics {
@@ -84,6 +87,12 @@
 		storeRestores:     m.Counter("store_returns_total", nil),
 		malformedLoads:    m.Counter("malformed_target_loads_total", nil),
 		room:              roomMetrics{meter: m},
+		origins:           m.Gauge("stream_origins", nil),
+		originsReported:   m.Counter("stream_origins_reported_total", nil),
+		takenUp:           make(map[originSource]tally.Counter),
+	}
+	for _, s := range []originSource{originSole, originOwn, originPeer, originUnknown} {
+		ms.takenUp[s] = m.Counter("streams_taken_up_total", jwmeter.Tags{"origin": string(s)})
 	}
 	ms.crashChecks, ms.firstSends = make(map[bool]tally.Counter), make(map[bool]tally.Counter)
 	for _, forwarded := range []bool{false, true} {
@@ -131,6 +140,9 @@
 // countCrashCheck counts a check of whether a target has crashed.
 func (m *metrics) countCrashCheck(crashed bool) { m.crashChecks[crashed].Inc(1) }
 
+// countTakenUp counts a stream that its caller takes up again.
+func (m *metrics) countTakenUp(s originSource) { m.takenUp[s].Inc(1) }
+
 // countDirectoryAnswer counts an answer of the directory.
 func (m *metrics) countDirectoryAnswer(k jwresolver.Kind) { m.directoryAnswers[k].Inc(1) }
 
--- a/io/jwgateway/overloadoff_test.go
+++ b/io/jwgateway/overloadoff_test.go
@@ -101,6 +101,7 @@
 		"requests_in_flight",
 		"store_returns_total",
 		"store_view_age_seconds",
+		"stream_origins", "stream_origins_reported_total", "streams_taken_up_total",
 		"target_connections_total",
 		"target_probes_total",
 	})
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -145,6 +145,7 @@
 	w.g.endEvacuationsExcept(now, r.evacuated)
 	w.applyItem(now, r.fleet)
 	w.applyItem(now, r.config)
+	w.g.registrationsRead(now)
 	w.revision, w.lastRevision = r.revision, r.revision
 	w.g.store.revision.Store(r.revision)
 	if w.g.fullReadDone.CompareAndSwap(false, true) {
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -18,6 +18,7 @@
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwretry"
 	"jujubewheel/core/jwsuspect"
+	"jujubewheel/core/jwversion"
 	"jujubewheel/core/jwworkspace"
 	"jujubewheel/io/jwconn"
 )
@@ -70,21 +71,25 @@
 	retryReason     jwretry.Reason // why it is sent, or why it is not sent again
 	lastEventID     string
 	fingerprint     jwsuspect.Fingerprint
-	caller          string          // the caller's address, "" for a forwarded request
-	sentTo          string          // the target or node that the request was sent to last
-	retryAfter      time.Duration   // Retry-After of the last rejection
-	rejectedRegions map[string]bool // regions whose nodes rejected the request
-	turn            *turn           // while it waits for a target with room
-	waitedInRoom    time.Duration   // how long it has waited for that
-	behind          time.Duration   // expected wait behind others at the place chosen last
-	observes        bool            // behind has not been recorded yet
-	sendTimer       sendTimer       // of the current send to a target
-	onRead          func()          // called once an answer was read while its caller is slow; nil for none
-	readResumed     time.Time       // when reading an answer was last resumed after it had waited for the caller
-	heldRequest     int64           // bytes accounted for the request except its body, 0 if they are not counted
-	heldBody        int64           // bytes accounted for its body
-	lastReason      string          // why the last send or choice of a target failed
-	answer          answerShape     // of the last send, zero before its answer
+	caller          string            // the caller's address, "" for a forwarded request
+	sentTo          string            // the target or node that the request was sent to last
+	retryAfter      time.Duration     // Retry-After of the last rejection
+	rejectedRegions map[string]bool   // regions whose nodes rejected the request
+	turn            *turn             // while it waits for a target with room
+	waitedInRoom    time.Duration     // how long it has waited for that
+	behind          time.Duration     // expected wait behind others at the place chosen last
+	observes        bool              // behind has not been recorded yet
+	sendTimer       sendTimer         // of the current send to a target
+	onRead          func()            // called once an answer was read while its caller is slow; nil for none
+	readResumed     time.Time         // when reading an answer was last resumed after it had waited for the caller
+	heldRequest     int64             // bytes accounted for the request except its body, 0 if they are not counted
+	heldBody        int64             // bytes accounted for its body
+	lastReason      string            // why the last send or choice of a target failed
+	answer          answerShape       // of the last send, zero before its answer
+	origin          *jwversion.Origin // of the stream, nil if it hasn't begun or isn't known
+	originSource    originSource
+	pinned          bool   // only targets of pinnedVersion may run it
+	pinnedVersion   string // see pinned
 	share           admitted
 	givenRank       string          // rank given by the node that forwarded it, "" for none
 	controlled      bool            // under overload control
@@ -106,6 +111,7 @@
 	n := jwinstance.Need{Service: q.service, Prompt: q.Prompt, Homes: q.homes, Priority: q.priority, FirstEventGoal: q.entry.Goal, Exclude: q.tried}
 	n.ByPriority = g.controlsOverload(q.service)
 	n.Priority, n.GapGoal = g.rank(q), q.entry.GapGoal
+	n.Pinned, n.Version = q.pinned, q.pinnedVersion
 	c := g.entries.Current()
 	if c == nil {
 		return n
@@ -206,6 +212,7 @@
 	}
 	q.caller = callerOf(r.RemoteAddr)
 	q.fingerprint = q.contentFingerprint()
+	g.findOrigin(r.Context(), q)
 	g.serve(r.Context(), q)
 }
 
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwversion"
 	"jujubewheel/io/jwconn"
 )
 
@@ -49,6 +50,9 @@
 			p.skipUntil(q.readResumed)
 			pause := p.recordEvents(start, now)
 			if pause == 0 {
+				if p.stream {
+					g.streamBegun(q, jwversion.Origin{Version: x.Version, Target: x.ID, StartedAt: x.StartedAt, BegunAt: now})
+				}
 				g.targets.RecordFirstEvent(x, c, q.Prompt, p.first)
 				g.metrics.recordEstimate(c, p.first)
 			} else {
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -116,6 +116,9 @@
 	if state, left := g.suspects.Check(q.fingerprint, now); state == jwsuspect.Quarantined {
 		return q.reject(quarantined, left)
 	}
+	if !g.pinVersion(now, q) {
+		return g.rejectUnpinned(q)
+	}
 	if !g.admitByShare(now, q) {
 		return g.rejectForShare(q)
 	}
@@ -155,7 +158,7 @@
 
 // rejectWithoutTarget rejects a request for which no target was found.
 func (g *Gateway) rejectWithoutTarget(now time.Time, q *request) Verdict {
-	if len(g.targets.Regions(q.service)) == 0 {
+	if len(g.targets.RegionsFor(g.targetNeed(q))) == 0 {
 		return q.reject(noTarget, jwadmission.MaxRetryAfter) // no target is registered, so an early retry would be useless
 	}
 	if d, ok := g.targets.LimitWait(now, q.service); ok {
--- /dev/null
+++ b/io/jwgateway/streamversion.go
@@ -0,0 +1,165 @@
+package jwgateway
+
+import (
+	"context"
+	"time"
+
+	"jujubewheel/core/jwadmission"
+	"jujubewheel/core/jwentry"
+	"jujubewheel/core/jwversion"
+)
+
+const (
+	// maxVersionViewAge is how old the view of the store may be for the versions of a service to be known.
+	maxVersionViewAge = 2 * time.Second
+	// minStreamLife and maxStreamLife bound Gateway.streamLife.
+	minStreamLife = 2 * time.Second
+	maxStreamLife = jwversion.MaxAge
+	// versionCheckInterval is the time between two checks of whether services have one version.
+	versionCheckInterval = 100 * time.Millisecond
+)
+
+// unknownVersion is the reason for rejecting a stream that is taken up again.
+const unknownVersion = "the version that began the stream is not known"
+
+// originSource is how the version that began a stream was learned.
+type originSource string
+
+// Sources of a stream's origin.
+const (
+	originSole    originSource = "sole"    // all targets have had one version for as long as a stream lasts
+	originOwn     originSource = "own"     // it was recorded at this node
+	originPeer    originSource = "peer"    // another node answered
+	originUnknown originSource = "unknown" // nobody knows
+)
+
+// goesOn reports whether the request continues a stream of which the caller has events.
+func (q *request) goesOn() bool {
+	return q.entry.Kind == jwentry.Stream && (q.answerStarted || q.LastEvent != "")
+}
+
+// findOrigin finds out which version began the stream that the caller takes up again. The caller may
+// come to any node, and the one that began the stream may be gone.
+func (g *Gateway) findOrigin(ctx context.Context, q *request) {
+	if !q.goesOn() {
+		return
+	}
+	q.origin, q.originSource = g.lookUpOrigin(ctx, q)
+	g.metrics.countTakenUp(q.originSource)
+}
+
+func (g *Gateway) lookUpOrigin(ctx context.Context, q *request) (*jwversion.Origin, originSource) {
+	now := time.Now()
+	if version, ok := g.soleVersion(now, q.service); ok {
+		return &jwversion.Origin{Version: version}, originSole
+	}
+	if q.Resumes != "" {
+		if o, ok := g.origins.Find(now, q.Resumes); ok {
+			return &o, originOwn
+		}
+	}
+	if o, ok := g.askOrigin(ctx, q.Resumes, q.service); ok {
+		return &o, originPeer
+	}
+	return nil, originUnknown
+}
+
+// pinVersion restricts a request that continues a stream to the version that began it. It returns
+// false if that isn't known.
+func (g *Gateway) pinVersion(now time.Time, q *request) bool {
+	if !q.goesOn() {
+		return true
+	}
+	if q.origin == nil {
+		version, ok := g.soleVersion(now, q.service)
+		if !ok {
+			return false
+		}
+		q.origin, q.originSource = &jwversion.Origin{Version: version}, originSole
+	}
+	in, registered := g.targets.Registration(now, q.origin.Target)
+	q.pinnedVersion, q.pinned = q.origin.Resolve(in.Version, in.StartedAt, registered)
+	return q.pinned
+}
+
+// rejectUnpinned rejects a request that continues a stream whose version isn't known.
+func (g *Gateway) rejectUnpinned(q *request) Verdict {
+	return q.reject(unknownVersion, jwadmission.MinRetryAfter)
+}
+
+// streamBegun records which target began the stream, as its first event arrives.
+func (g *Gateway) streamBegun(q *request, o jwversion.Origin) {
+	if q.origin != nil || q.LastEvent != "" {
+		return
+	}
+	q.origin = &o
+	if q.forwarded || !q.entry.Resumable {
+		return // the node that its caller chose records it
+	}
+	r := jwversion.Record{Request: q.ID, Service: q.service, Origin: o}
+	g.origins.Add(o.BegunAt, r, true)
+	if _, ok := g.soleVersion(o.BegunAt, q.service); !ok {
+		g.originReports.add(g, r)
+	}
+}
+
+// soleVersion returns the version that all streams of a service that may go on were begun at. It
+// returns false if there may be several, as far as this node knows.
+func (g *Gateway) soleVersion(now time.Time, service string) (string, bool) {
+	since := g.versionsSince.Load()
+	life := g.streamLife(service)
+	if since == 0 || now.Sub(g.startTime)-time.Duration(since) < life {
+		return "", false
+	}
+	readAge := now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())
+	if readAge > maxVersionViewAge && g.storeWatcher.relayValidFor(now) == 0 {
+		return "", false
+	}
+	return g.targets.SoleVersion(now, service, life)
+}
+
+// registrationsRead records that from now on no registration of a target is missed.
+func (g *Gateway) registrationsRead(now time.Time) {
+	g.versionsSince.Store(max(int64(now.Sub(g.startTime)), 1))
+}
+
+// streamLife returns how long after its first event a stream of a service may still be taken up:
+// twice as long as one request for it may take.
+func (g *Gateway) streamLife(service string) time.Duration {
+	c := g.entries.Current()
+	if c == nil {
+		return maxStreamLife
+	}
+	lives := g.streamLives.Load()
+	if lives == nil || lives.config != c {
+		lives = newStreamLives(c)
+		g.streamLives.Store(lives)
+	}
+	if d, ok := lives.byService[service]; ok {
+		return d
+	}
+	return minStreamLife
+}
+
+// streamLives holds the result of streamLife for a configuration.
+type streamLives struct {
+	config    *jwentry.Config
+	byService map[string]time.Duration
+}
+
+func newStreamLives(c *jwentry.Config) *streamLives {
+	l := &streamLives{c, make(map[string]time.Duration)}
+	for _, e := range c.Entries {
+		if e.Kind != jwentry.Stream || !e.Resumable {
+			continue
+		}
+		d := e.Timeout
+		if d == 0 {
+			d = defaultDeadline
+		}
+		for _, to := range e.Destinations {
+			l.byService[to.Service] = max(l.byService[to.Service], min(max(2*d, minStreamLife), maxStreamLife))
+		}
+	}
+	return l
+}
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -287,6 +287,7 @@
 		g.members.SetFleet(now, v.Fleet, !g.fullReadDone.Load())
 	}
 	g.pulledRevision.Store(v.Revision)
+	g.registrationsRead(now)
 	g.storeWatcher.continueFrom(now, v)
 	g.Log.Info("applied a view of another node", "peer", from.String(), "revision", v.Revision, "targets", len(v.Targets))
 }
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -19,8 +19,10 @@
 	Workspace     string        // workspace of the caller
 	Service       string        // service that runs the request
 	Target        string        // incarnation of the target
+	OriginVersion string        // version that a stream must go on at
 	TargetVersion string        // of the target's software
 	LastEvent     string        // event after which a stream is continued
+	Origin        string        // how the version that began that stream was learned
 	Resumes       string        // request that began the stream that is continued
 	Peer          string        // the other node
 	Outcome       string        // such as "finished" or "notRun"
@@ -124,6 +126,8 @@
 	f = appendText(f, "peer", x.Peer)
 	f = appendText(f, "lastEvent", x.LastEvent)
 	f = appendText(f, "resumes", x.Resumes)
+	f = appendText(f, "origin", x.Origin)
+	f = appendText(f, "originVersion", x.OriginVersion)
 	f = appendText(f, "outcome", x.Outcome)
 	f = appendText(f, "reason", x.Reason)
 	f = appendText(f, "fingerprint", x.Fingerprint)
