--- a/core/jwmember/share.go
+++ b/core/jwmember/share.go
@@ -83,9 +83,23 @@
 // Owners returns up to n live nodes of a region that own a name, by rendezvous hashing, the first
 // owner first. All nodes that see the same nodes live agree on them.
 func (t *Table) Owners(now time.Time, name, region string, n int) []Member {
-	list := slices.Clone(t.Live(now, region))
-	slices.SortFunc(list, func(a, b Member) int {
-		return cmp.Compare(rendezvousScore(b.Name, name), rendezvousScore(a.Name, name))
-	})
-	return list[:min(n, len(list))]
+	key := jwtarget.NameKey(name)
+	scores, owners := make([]uint64, 0, n+1), make([]Member, 0, n+1)
+	for _, m := range t.Live(now, region) {
+		score := jwtarget.Mix(jwtarget.NameKey(m.Name), key)
+		i, _ := slices.BinarySearchFunc(scores, score, func(a, b uint64) int { return cmp.Compare(b, a) })
+		if i >= n {
+			continue
+		}
+		scores, owners = slices.Insert(scores, i, score), slices.Insert(owners, i, m)
+		scores, owners = scores[:min(n, len(scores))], owners[:min(n, len(owners))]
+	}
+	return owners
+}
+
+// RankRegions sorts regions by their scores for a name in rendezvous hashing, the highest first.
+func RankRegions(regions []string, name string) []string {
+	list := slices.Clone(regions)
+	slices.SortFunc(list, func(a, b string) int { return cmp.Compare(rendezvousScore(b, name), rendezvousScore(a, name)) })
+	return list
 }
--- a/core/jwversion/origin.go
+++ b/core/jwversion/origin.go
@@ -15,10 +15,10 @@
 
 // Origin is the target that began a stream, as it was registered when the first event came.
 type Origin struct {
-	Version   string    `json:"version"` // of the target's software
-	Target    string    `json:"target"`
-	StartedAt int64     `json:"startedAt"` // start of the target's incarnation in Unix milliseconds
-	BegunAt   time.Time `json:"begunAt"`   // when the first event came
+	Version   string // of the target's software
+	Target    string
+	StartedAt int64     // start of the target's incarnation in Unix milliseconds
+	BegunAt   time.Time // when the first event came
 }
 
 // Resolve returns the version that began the stream. version and startedAt are those of the
--- a/core/jwversion/table.go
+++ b/core/jwversion/table.go
@@ -1,8 +1,11 @@
 package jwversion
 
 import (
+	"encoding/json"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -14,9 +17,30 @@
 
 // Record is the origin of one stream.
 type Record struct {
-	Request string `json:"request"` // the request that brought the first event
-	Service string `json:"service"`
-	Origin  Origin `json:"origin"`
+	Request string // the request that brought the first event
+	Service string // not encoded, as only the node that began the stream uses it
+	Origin  Origin
+}
+
+// MarshalJSON encodes a record as an array, since many are reported.
+func (r Record) MarshalJSON() ([]byte, error) {
+	o := r.Origin
+	return json.Marshal([]any{r.Request, o.Version, o.Target, o.StartedAt, o.BegunAt.UnixMilli()})
+}
+
+// UnmarshalJSON decodes the result of MarshalJSON.
+func (r *Record) UnmarshalJSON(raw []byte) error {
+	var begunAt int64
+	fields := []any{&r.Request, &r.Origin.Version, &r.Origin.Target, &r.Origin.StartedAt, &begunAt}
+	want := len(fields)
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return errors.Wrap(err, "decode the origin of a stream")
+	}
+	if len(fields) != want {
+		return errors.Errorf("decode the origin of a stream: %d fields", len(fields))
+	}
+	r.Origin.BegunAt = time.UnixMilli(begunAt)
+	return nil
 }
 
 // Table holds the origins of recent streams. The zero value is empty. Its methods are safe for
--- a/core/jwversion/table_test.go
+++ b/core/jwversion/table_test.go
@@ -1,6 +1,7 @@
 package jwversion_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -60,3 +61,17 @@
 		x.Add(now.Add(time.Duration(i)*time.Millisecond), r, true)
 	}
 }
+
+func TestRecordEncoding(t *testing.T) {
+	r := record("9c41d07be2a35f68", "", "v1.2")
+	r.Origin.Target, r.Origin.StartedAt, r.Origin.BegunAt = "i-7f3a91c2", 1700, time.UnixMilli(2500)
+	raw, err := json.Marshal(r)
+	assert.NilError(t, err)
+	assert.Equal(t, string(raw), `["9c41d07be2a35f68","v1.2","i-7f3a91c2",1700,2500]`)
+	var got jwversion.Record
+	assert.NilError(t, json.Unmarshal(raw, &got))
+	assert.Equal(t, got, r)
+	for _, text := range []string{`[]`, `["a","b"]`, `["a","b","c",1,2,3]`, `{}`, `["a","b","c","d",2]`} {
+		assert.Assert(t, json.Unmarshal([]byte(text), &got) != nil, text)
+	}
+}
--- a/io/jwgateway/originexchange.go
+++ b/io/jwgateway/originexchange.go
@@ -43,7 +43,7 @@
 
 // originAnswer is the answer to an originQuestion.
 type originAnswer struct {
-	Origin jwversion.Origin `json:"origin,omitzero"`
+	Record jwversion.Record `json:"record"`
 	Found  bool             `json:"found,omitempty"`
 	Sole   bool             `json:"sole,omitempty"` // not recorded, but all targets have one version, see originSole
 }
@@ -87,12 +87,10 @@
 // originOwners returns the other nodes that keep the origin of a stream that began at this node.
 func (g *Gateway) originOwners(now time.Time, request string) []jwmember.Member {
 	list := g.withoutSelf(g.members.Owners(now, request, g.Settings.Region, localOwners))
-	var remote []jwmember.Member
-	for _, region := range g.remoteRegions() {
-		remote = append(remote, g.members.Owners(now, request, region, remoteOwners)...)
-	}
-	if m, ok := jwmember.Root(remote, request); ok {
-		list = append(list, m)
+	for _, region := range jwmember.RankRegions(g.remoteRegions(), request) {
+		if owners := g.members.Owners(now, request, region, remoteOwners); len(owners) > 0 {
+			return append(list, owners...)
+		}
 	}
 	return list
 }
@@ -153,16 +151,16 @@
 	}
 	now := time.Now()
 	var a originAnswer
-	if a.Origin, a.Found = g.origins.Find(now, q.Request); !a.Found {
-		a.Origin.Version, a.Sole = g.soleVersion(now, q.Service)
+	if a.Record.Origin, a.Found = g.origins.Find(now, q.Request); !a.Found {
+		a.Record.Origin.Version, a.Sole = g.soleVersion(now, q.Service)
 	}
 	if err := json.NewEncoder(w).Encode(a); err != nil {
 		g.Log.V(1).Info("failed to send an origin", "error", err.Error())
 	}
 }
 
-// askOrigin asks other nodes for the origin of a stream: its owners in the region, then those of all
-// other regions. A request "" has no record, so that only a sole version is an answer.
+// askOrigin asks other nodes for the origin of a stream: its owners in the region, then those in the
+// other regions that may keep it. A request "" has no record, so that only a sole version is an answer.
 func (g *Gateway) askOrigin(ctx context.Context, request, service string) (jwversion.Origin, bool) {
 	now := time.Now()
 	near := g.withoutSelf(g.members.Owners(now, request, g.Settings.Region, localOwners+1))
@@ -170,7 +168,10 @@
 		return o, true
 	}
 	var remote []jwmember.Member
-	for _, region := range g.remoteRegions() {
+	// The first region keeps it, or the second one if the stream was begun in the first.
+	const mayKeep = 2
+	regions := jwmember.RankRegions(g.remoteRegions(), request)
+	for _, region := range regions[:min(mayKeep, len(regions))] {
 		remote = append(remote, g.members.Owners(now, request, region, localOwners)...)
 	}
 	return g.askOriginOf(ctx, remote, remoteAskTimeout, originQuestion{request, service})
@@ -187,9 +188,9 @@
 	for range nodes {
 		switch a := <-answers; {
 		case a.Found:
-			return a.Origin, true
+			return a.Record.Origin, true
 		case a.Sole:
-			o, ok = a.Origin, true
+			o, ok = a.Record.Origin, true
 		}
 	}
 	return o, ok
@@ -220,7 +221,7 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		if c := g.entries.Current(); c != nil {
-			for service := range newStreamLives(c).byService {
+			for service := range g.livesOf(c).byService {
 				_, ok := g.soleVersion(now, service)
 				if sole[service] && !ok {
 					g.originReports.add(g, g.origins.Own(now, service)...)
--- a/io/jwgateway/streamversion.go
+++ b/io/jwgateway/streamversion.go
@@ -130,15 +130,20 @@
 	if c == nil {
 		return maxStreamLife
 	}
+	if d, ok := g.livesOf(c).byService[service]; ok {
+		return d
+	}
+	return minStreamLife
+}
+
+// livesOf returns how long streams live by a configuration.
+func (g *Gateway) livesOf(c *jwentry.Config) *streamLives {
 	lives := g.streamLives.Load()
 	if lives == nil || lives.config != c {
 		lives = newStreamLives(c)
 		g.streamLives.Store(lives)
 	}
-	if d, ok := lives.byService[service]; ok {
-		return d
-	}
-	return minStreamLife
+	return lives
 }
 
 // streamLives holds the result of streamLife for a configuration.
