--- a/io/jwgateway/streamversion_test.go
+++ b/io/jwgateway/streamversion_test.go
@@ -122,32 +122,40 @@
 	return goesOn, r.status
 }
 
-// startVersions starts two nodes in each region, and two targets of each version in north and south.
-func startVersions(t *testing.T, versions []string, count int) (nodes []node, targets []*target) {
+// versionedFleet is a fleet before targets of several versions.
+type versionedFleet struct {
+	feed    *jwstore.MemoryFeed
+	nodes   []node
+	regions map[string][]node
+	targets []*target
+}
+
+// startVersions starts nodes in each region, and two targets of each version in north and south, whose
+// streams have count events.
+func startVersions(t *testing.T, nodesPerRegion int, versions []string, count int) *versionedFleet {
 	t.Helper()
-	var feed jwstore.MemoryFeed
+	f := &versionedFleet{feed: new(jwstore.MemoryFeed), regions: make(map[string][]node)}
 	for _, dataCentre := range []string{"north-a", "south-a"} {
 		for _, v := range versions {
 			for i := range 2 {
-				targets = append(targets, startVersion(t, &feed, fmt.Sprint(dataCentre, v, i), dataCentre, v, breaking(v, count)))
+				f.targets = append(f.targets, startVersion(t, f.feed, fmt.Sprint(dataCentre, v, i), dataCentre, v, breaking(v, count)))
 			}
 		}
 	}
-	configure(&feed, 1, route("/a/", "stream", `,"Resumable":true`))
-	heartbeat(t, &feed)
-	byRegion := make(map[string][]node)
+	configure(f.feed, 1, route("/a/", "stream", `,"Resumable":true`))
+	heartbeat(t, f.feed)
 	for _, region := range []string{"north", "south", "east"} {
-		for i := range 2 {
-			n := start(t, &feed, fmt.Sprint("n-", region, i), region)
-			nodes, byRegion[region] = append(nodes, n), append(byRegion[region], n)
+		for i := range nodesPerRegion {
+			n := start(t, f.feed, fmt.Sprint("n-", region, i), region)
+			f.nodes, f.regions[region] = append(f.nodes, n), append(f.regions[region], n)
 		}
 	}
-	for region, list := range byRegion {
+	for region, list := range f.regions {
 		for _, n := range list {
 			waitForDirectory(t, n, region, list...)
 		}
 	}
-	return nodes, targets
+	return f
 }
 
 // Targets of several versions serve a service side by side and streams break off: a stream must go on
@@ -155,7 +163,7 @@
 func TestStreamsGoOnAtTheirVersion(t *testing.T) {
 	t.Parallel()
 	const count, streams, tries = 12, 60, 6
-	nodes, _ := startVersions(t, []string{"v1", "v2", "v3"}, count)
+	nodes := startVersions(t, 2, []string{"v1", "v2", "v3"}, count).nodes
 	r := rand.New(rand.NewPCG(1, 1))
 	begun, mixed, resumed, wentOn := 0, 0, 0, 0
 	play := func(i int, at []node) {
@@ -189,48 +197,85 @@
 	assert.Assert(t, 2*wentOn*streams >= resumed*begun, "%d of %d tries went on", wentOn, resumed)
 }
 
-// Nodes are killed or stopped after they began streams: these go on at their version at other nodes.
-func TestStreamsGoOnAfterTheirNodeIsGone(t *testing.T) {
+// Nodes or the store are gone after streams began: these go on at their version at the nodes that are
+// left, in the same region or in another one.
+func TestStreamsGoOnAfterALoss(t *testing.T) {
 	t.Parallel()
 	const count, streams = 12, 30
-	nodes, _ := startVersions(t, []string{"v1", "v2"}, count)
-	var list []*takenUpStream
-	for i := range streams {
-		var s takenUpStream
-		s.try(t, nodes[0], fmt.Sprint("s", i))
-		if s.last > 0 {
-			list = append(list, &s)
+	stop := func(nodes ...node) {
+		for _, n := range nodes {
+			n.stop()
 		}
 	}
-	assert.Assert(t, len(list) > streams/2)
-	time.Sleep(100 * time.Millisecond)
-	nodes[0].stop()
-	wentOn := 0
-	for i, s := range list {
-		if goesOn, _ := s.try(t, nodes[1+i%(len(nodes)-1)], fmt.Sprint("t", i)); goesOn {
-			wentOn++
-		}
-		assert.Equal(t, len(s.versions), 1)
+	cases := map[string]struct {
+		lose   func(f *versionedFleet)
+		resume func(f *versionedFleet) []node
+	}{
+		"nothing": {
+			func(*versionedFleet) {},
+			func(f *versionedFleet) []node { return f.regions["north"][1:] },
+		},
+		"their node": {
+			func(f *versionedFleet) { stop(f.regions["north"][0]) },
+			func(f *versionedFleet) []node { return f.regions["north"][1:] },
+		},
+		"their node and another one of its region": {
+			func(f *versionedFleet) { stop(f.regions["north"][:2]...) },
+			func(f *versionedFleet) []node { return f.regions["north"][2:] },
+		},
+		"their region": {
+			func(f *versionedFleet) { stop(f.regions["north"]...) },
+			func(f *versionedFleet) []node { return append(f.regions["south"], f.regions["east"]...) },
+		},
+		"the store": {
+			func(f *versionedFleet) { f.feed.SetError(jwstore.ErrUnavailable) },
+			func(f *versionedFleet) []node { return f.regions["north"][1:] },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := startVersions(t, 3, []string{"v1", "v2"}, count)
+			var list []*takenUpStream
+			for i := range streams {
+				var s takenUpStream
+				s.try(t, f.nodes[0], fmt.Sprint("s", i))
+				if s.last > 0 {
+					list = append(list, &s)
+				}
+			}
+			assert.Assert(t, len(list) > streams/2)
+			time.Sleep(100 * time.Millisecond)
+			c.lose(f)
+			wentOn, nodes := 0, c.resume(f)
+			for i, s := range list {
+				if goesOn, _ := s.try(t, nodes[i%len(nodes)], fmt.Sprint("t", i)); goesOn {
+					wentOn++
+				}
+				assert.Equal(t, len(s.versions), 1)
+			}
+			t.Logf("%d of %d went on", wentOn, len(list))
+			assert.Assert(t, 2*wentOn >= len(list), "%d of %d went on", wentOn, len(list))
+		})
 	}
-	assert.Assert(t, 2*wentOn >= len(list), "%d of %d went on", wentOn, len(list))
 }
 
 // The version that began a stream isn't known, or has no target left: the stream is rejected at once as
 // not run, so that its caller can begin anew.
 func TestStreamOfUnknownVersionIsRejected(t *testing.T) {
 	t.Parallel()
-	nodes, targets := startVersions(t, []string{"v1", "v2"}, 4)
+	f := startVersions(t, 2, []string{"v1", "v2"}, 4)
 	for name, h := range map[string]http.Header{
 		"unknown request": {"Last-Event-Id": {"2"}, "Resumes": {"nobody"}},
 		"no request":      {"Last-Event-Id": {"2"}},
 	} {
-		for i, n := range nodes {
+		for i, n := range f.nodes {
 			id := fmt.Sprintf("%s %d", name, i)
 			r, err := send(t, n, http.MethodGet, "/a/x", id, h, "")
 			assert.NilError(t, err)
 			assert.Equal(t, r.status, http.StatusServiceUnavailable, r.body)
 			assert.Assert(t, r.header.Get("Retry-After") != "")
-			for _, x := range targets {
+			for _, x := range f.targets {
 				for _, got := range x.requests() {
 					assert.Assert(t, got.header.Get("Jujubewheel-Request-Id") != id)
 				}
@@ -268,8 +313,7 @@
 // who began it.
 func TestStreamOfOnlyVersionGoesOn(t *testing.T) {
 	t.Parallel()
-	nodes, _ := startVersions(t, []string{"v1"}, 4)
-	for _, n := range nodes {
+	for _, n := range startVersions(t, 2, []string{"v1"}, 4).nodes {
 		s := takenUpStream{first: "nobody", last: 2, versions: map[string]bool{}}
 		eventually(t, func() bool {
 			goesOn, _ := s.try(t, n, fmt.Sprint("s", time.Now().UnixNano()))
