jwgateway: nodes confirm with others which version began a stream

When a stream is taken up, its owners are now asked always; one that knows of several versions overrules those that know of one. Each origin is reported once now, and only while the stream may be taken up.

--- a/core/jwinstance/versions.go
+++ b/core/jwinstance/versions.go
@@ -8,21 +8,20 @@
 	endedAt time.Time // when the last one vanished, if there is none
 }
 
-// SoleVersion returns the version of all targets of a service that were registered at any time within
-// a period before now. It returns false if there were several, or none.
-func (t *Table) SoleVersion(now time.Time, service string, within time.Duration) (string, bool) {
+// Versions returns how many versions the targets of a service have had that were registered at any time
+// within a period before now, and one of them.
+func (t *Table) Versions(now time.Time, service string, within time.Duration) (version string, count int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sole, count := "", 0
-	for version, u := range t.versions[service] {
+	for name, u := range t.versions[service] {
 		switch {
 		case u.targets > 0 || now.Sub(u.endedAt) <= within:
-			sole, count = version, count+1
+			version, count = name, count+1
 		case now.Sub(u.endedAt) > recordRetention:
-			delete(t.versions[service], version)
+			delete(t.versions[service], name)
 		}
 	}
-	return sole, count == 1
+	return version, count
 }
 
 // Registration returns the registration of a target.
--- a/core/jwinstance/versions_test.go
+++ b/core/jwinstance/versions_test.go
@@ -21,35 +21,35 @@
 
 // A version counts as long as one of its streams may go on, also after its last target is gone, by
 // whatever way.
-func TestSoleVersion(t *testing.T) {
+func TestVersions(t *testing.T) {
 	now := time.Unix(1000, 0)
 	const within = 10 * time.Second
-	check := func(x *Table, at time.Time, want string, known bool) {
+	check := func(x *Table, at time.Time, want string, count int) {
 		t.Helper()
-		got, ok := x.SoleVersion(at, "s", within)
-		assert.Equal(t, ok, known)
-		if known {
+		got, n := x.Versions(at, "s", within)
+		assert.Equal(t, n, count)
+		if count == 1 {
 			assert.Equal(t, got, want)
 		}
 	}
 	x := &Table{Region: "north"}
-	check(x, now, "", false)
+	check(x, now, "", 0)
 	x.Put(now, versioned("a", "north", "v1", 1))
 	x.Put(now, versioned("b", "north", "v1", 2))
-	check(x, now, "v1", true)
+	check(x, now, "v1", 1)
 	x.Put(now, versioned("c", "south", "v2", 3))
-	check(x, now, "", false)
+	check(x, now, "", 2)
 	x.Remove(now, "c", 4)
-	check(x, now.Add(within), "", false)
-	check(x, now.Add(within+time.Second), "v1", true)
+	check(x, now.Add(within), "", 2)
+	check(x, now.Add(within+time.Second), "v1", 1)
 	x.Put(now, versioned("a", "north", "v2", 5)) // it starts again at another version
-	check(x, now, "", false)
+	check(x, now, "", 2)
 	x.Remove(now, "b", 6)
-	check(x, now.Add(within+time.Second), "v2", true)
+	check(x, now.Add(within+time.Second), "v2", 1)
 	now = now.Add(within + time.Second)
 	x.Replaced(now, x.targets["a"])
-	check(x, now.Add(within), "v2", true)
-	check(x, now.Add(within+time.Second), "", false)
+	check(x, now.Add(within), "v2", 1)
+	check(x, now.Add(within+time.Second), "", 0)
 }
 
 // The counts of targets by version always equal those of the registered targets.
--- a/core/jwversion/table.go
+++ b/core/jwversion/table.go
@@ -48,17 +48,17 @@
 type Table struct {
 	MaxRecords int // the oldest records are dropped beyond it; 0 means DefaultMaxRecords
 
-	mu      sync.Mutex
-	records map[string]kept
-	order   []string // requests by the time they were added; those before head are dropped
-	head    int
+	mu         sync.Mutex
+	records    map[string]kept
+	order      []string // requests by the time they were added; those before head are dropped
+	head       int
+	unreported map[string][]string // requests of this node's callers by service and time, not taken yet
 }
 
 // kept is a record with its age at this node.
 type kept struct {
 	Record
 	addedAt time.Time
-	own     bool // the stream is one of this node's callers
 }
 
 // Add keeps a record. own is whether the stream is one of this node's callers. It does nothing if the
@@ -73,8 +73,27 @@
 	if t.records == nil {
 		t.records = make(map[string]kept)
 	}
-	t.records[r.Request] = kept{r, now, own}
+	t.records[r.Request] = kept{r, now}
 	t.order = append(t.order, r.Request)
+	if !own {
+		return
+	}
+	if t.unreported == nil {
+		t.unreported = make(map[string][]string)
+	}
+	t.unreported[r.Service] = append(t.recent(now, t.unreported[r.Service], MaxAge), r.Request)
+}
+
+// recent returns requests without those at the beginning whose records are dropped or older than within.
+func (t *Table) recent(now time.Time, requests []string, within time.Duration) []string {
+	for len(requests) > 0 {
+		k, ok := t.records[requests[0]]
+		if ok && now.Sub(k.addedAt) <= within {
+			break
+		}
+		requests = requests[1:]
+	}
+	return requests
 }
 
 // Find returns the origin of the stream that a request began.
@@ -88,16 +107,18 @@
 	return k.Origin, true
 }
 
-// Own returns the records of a service's streams of this node's callers.
-func (t *Table) Own(now time.Time, service string) []Record {
+// TakeUnreported returns the records of a service's streams of this node's callers that were added
+// within a period before now, except those that it returned before.
+func (t *Table) TakeUnreported(now time.Time, service string, within time.Duration) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []Record
-	for _, request := range t.order[t.head:] {
-		if k := t.records[request]; k.own && k.Service == service && now.Sub(k.addedAt) <= MaxAge {
+	for _, request := range t.recent(now, t.unreported[service], within) {
+		if k, ok := t.records[request]; ok {
 			list = append(list, k.Record)
 		}
 	}
+	delete(t.unreported, service)
 	return list
 }
 
--- a/core/jwversion/table_test.go
+++ b/core/jwversion/table_test.go
@@ -27,13 +27,18 @@
 	assert.Equal(t, o.Version, "v1")
 	_, ok = x.Find(now, "r4")
 	assert.Assert(t, !ok)
-	own := x.Own(now, "s")
+	x.Add(now.Add(5*time.Second), record("r5", "s", "v1"), true)
+	now = now.Add(6 * time.Second)
+	own := x.TakeUnreported(now, "s", 2*time.Second)
 	assert.Equal(t, len(own), 1)
-	assert.Equal(t, own[0].Request, "r1")
+	assert.Equal(t, own[0].Request, "r5")
+	assert.Equal(t, len(x.TakeUnreported(now, "s", time.Hour)), 0)
+	x.Add(now, record("r6", "s", "v1"), true)
+	assert.Equal(t, len(x.TakeUnreported(now, "s", time.Hour)), 1)
 	now = now.Add(jwversion.MaxAge + time.Second)
 	_, ok = x.Find(now, "r1")
 	assert.Assert(t, !ok)
-	assert.Equal(t, len(x.Own(now, "s")), 0)
+	assert.Equal(t, len(x.TakeUnreported(now, "other", jwversion.MaxAge)), 0)
 }
 
 // Streams begin all the time: the table must not grow without bound.
--- a/io/jwgateway/originexchange.go
+++ b/io/jwgateway/originexchange.go
@@ -43,9 +43,8 @@
 
 // originAnswer is the answer to an originQuestion.
 type originAnswer struct {
-	Record jwversion.Record `json:"record"`
-	Found  bool             `json:"found,omitempty"`
-	Sole   bool             `json:"sole,omitempty"` // not recorded, but all targets have one version, see originSole
+	Record   *jwversion.Record `json:"record,omitempty"` // nil if it isn't recorded
+	Versions versionsOf        `json:"versions,omitzero"`
 }
 
 // originReports holds the origins that are about to be reported. The zero value is empty.
@@ -64,6 +63,11 @@
 	p.pending = append(p.pending, records...)
 }
 
+// reportUnreported reports the origins of a service's streams that may still be taken up.
+func (g *Gateway) reportUnreported(now time.Time, service string) {
+	g.originReports.add(g, g.origins.TakeUnreported(now, service, g.streamLife(service))...)
+}
+
 // send reports the pending origins to their owners.
 func (p *originReports) send(g *Gateway) {
 	p.mu.Lock()
@@ -150,9 +154,9 @@
 		return
 	}
 	now := time.Now()
-	var a originAnswer
-	if a.Record.Origin, a.Found = g.origins.Find(now, q.Request); !a.Found {
-		a.Record.Origin.Version, a.Sole = g.soleVersion(now, q.Service)
+	a := originAnswer{Versions: g.versionsOf(now, q.Service)}
+	if o, ok := g.origins.Find(now, q.Request); ok {
+		a.Record = &jwversion.Record{Request: q.Request, Origin: o}
 	}
 	if err := json.NewEncoder(w).Encode(a); err != nil {
 		g.Log.V(1).Info("failed to send an origin", "error", err.Error())
@@ -160,12 +164,14 @@
 }
 
 // askOrigin asks other nodes for the origin of a stream: its owners in the region, then those in the
-// other regions that may keep it. A request "" has no record, so that only a sole version is an answer.
-func (g *Gateway) askOrigin(ctx context.Context, request, service string) (jwversion.Origin, bool) {
+// other regions that may keep it. It returns nil if none has it. v is what this node knows of the
+// versions; the result combines it with what the others know. A request "" has no record.
+func (g *Gateway) askOrigin(ctx context.Context, request, service string, v versionsOf) (*jwversion.Origin, versionsOf) {
 	now := time.Now()
 	near := g.withoutSelf(g.members.Owners(now, request, g.Settings.Region, localOwners+1))
-	if o, ok := g.askOriginOf(ctx, near, localAskTimeout, originQuestion{request, service}); ok {
-		return o, true
+	o, v := g.askOriginOf(ctx, near, localAskTimeout, originQuestion{request, service}, v)
+	if o != nil || v.Known == soleVersion {
+		return o, v
 	}
 	var remote []jwmember.Member
 	// The first region keeps it, or the second one if the stream was begun in the first.
@@ -174,11 +180,11 @@
 	for _, region := range regions[:min(mayKeep, len(regions))] {
 		remote = append(remote, g.members.Owners(now, request, region, localOwners)...)
 	}
-	return g.askOriginOf(ctx, remote, remoteAskTimeout, originQuestion{request, service})
+	return g.askOriginOf(ctx, remote, remoteAskTimeout, originQuestion{request, service}, v)
 }
 
-// askOriginOf asks nodes for the origin of a stream. A record of any of them goes before a sole version.
-func (g *Gateway) askOriginOf(ctx context.Context, nodes []jwmember.Member, limit time.Duration, q originQuestion) (o jwversion.Origin, ok bool) {
+// askOriginOf asks nodes for the origin of a stream, as askOrigin does.
+func (g *Gateway) askOriginOf(ctx context.Context, nodes []jwmember.Member, limit time.Duration, q originQuestion, v versionsOf) (*jwversion.Origin, versionsOf) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	answers := make(chan originAnswer, len(nodes))
@@ -186,14 +192,13 @@
 		go func() { answers <- g.askOneOrigin(ctx, m, q) }()
 	}
 	for range nodes {
-		switch a := <-answers; {
-		case a.Found:
-			return a.Record.Origin, true
-		case a.Sole:
-			o, ok = a.Record.Origin, true
+		a := <-answers
+		if a.Record != nil {
+			return &a.Record.Origin, v
 		}
+		v = v.with(a.Versions)
 	}
-	return o, ok
+	return nil, v
 }
 
 // askOneOrigin asks a node for the origin of a stream. An answer that didn't come says nothing.
@@ -222,11 +227,11 @@
 		now := time.Now()
 		if c := g.entries.Current(); c != nil {
 			for service := range g.livesOf(c).byService {
-				_, ok := g.soleVersion(now, service)
-				if sole[service] && !ok {
-					g.originReports.add(g, g.origins.Own(now, service)...)
+				isSole := g.versionsOf(now, service).Known == soleVersion
+				if sole[service] && !isSole {
+					g.reportUnreported(now, service)
 				}
-				sole[service] = ok
+				sole[service] = isSole
 			}
 		}
 		jwclock.Sleep(ctx, versionCheckInterval)
--- a/io/jwgateway/streamversion.go
+++ b/io/jwgateway/streamversion.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// maxVersionViewAge is how old the view of the store may be for the versions of a service to be known.
-	maxVersionViewAge = 2 * time.Second
+	// maxVersionViewAge is how old the view of the store may be for the versions of a service to be known:
+	// a watch that waits to its end, and the pause before it.
+	maxVersionViewAge = watchTimeout + maxWatchPause
 	// minStreamLife and maxStreamLife bound Gateway.streamLife.
 	minStreamLife = 2 * time.Second
 	maxStreamLife = jwversion.MaxAge
@@ -50,16 +51,16 @@
 
 func (g *Gateway) lookUpOrigin(ctx context.Context, q *request) (*jwversion.Origin, originSource) {
 	now := time.Now()
-	if version, ok := g.soleVersion(now, q.service); ok {
-		return &jwversion.Origin{Version: version}, originSole
+	if o, ok := g.origins.Find(now, q.Resumes); ok {
+		return &o, originOwn
 	}
-	if q.Resumes != "" {
-		if o, ok := g.origins.Find(now, q.Resumes); ok {
-			return &o, originOwn
-		}
-	}
-	if o, ok := g.askOrigin(ctx, q.Resumes, q.service); ok {
-		return &o, originPeer
+	// Another node may have learned of a new version, and begun the stream there, before this one.
+	o, v := g.askOrigin(ctx, q.Resumes, q.service, g.versionsOf(now, q.service))
+	switch {
+	case o != nil:
+		return o, originPeer
+	case v.Known == soleVersion:
+		return &jwversion.Origin{Version: v.Sole}, originSole
 	}
 	return nil, originUnknown
 }
@@ -71,11 +72,11 @@
 		return true
 	}
 	if q.origin == nil {
-		version, ok := g.soleVersion(now, q.service)
-		if !ok {
+		v := g.versionsOf(now, q.service)
+		if v.Known != soleVersion {
 			return false
 		}
-		q.origin, q.originSource = &jwversion.Origin{Version: version}, originSole
+		q.origin, q.originSource = &jwversion.Origin{Version: v.Sole}, originSole
 	}
 	in, registered := g.targets.Registration(now, q.origin.Target)
 	q.pinnedVersion, q.pinned = q.origin.Resolve(in.Version, in.StartedAt, registered)
@@ -96,26 +97,59 @@
 	if q.forwarded || !q.entry.Resumable {
 		return // the node that its caller chose records it
 	}
-	r := jwversion.Record{Request: q.ID, Service: q.service, Origin: o}
-	g.origins.Add(o.BegunAt, r, true)
-	if _, ok := g.soleVersion(o.BegunAt, q.service); !ok {
-		g.originReports.add(g, r)
+	g.origins.Add(o.BegunAt, jwversion.Record{Request: q.ID, Service: q.service, Origin: o}, true)
+	if g.versionsOf(o.BegunAt, q.service).Known != soleVersion {
+		g.reportUnreported(o.BegunAt, q.service)
 	}
 }
 
-// soleVersion returns the version that all streams of a service that may go on were begun at. It
-// returns false if there may be several, as far as this node knows.
-func (g *Gateway) soleVersion(now time.Time, service string) (string, bool) {
-	since := g.versionsSince.Load()
+// versionKnowledge is what a node knows of the versions that may have begun the streams of a service.
+type versionKnowledge string
+
+// Possible knowledge of versions.
+const (
+	soleVersion     versionKnowledge = "sole"
+	severalVersions versionKnowledge = "several"
+	unknownVersions versionKnowledge = "" // it started a short time ago, or its view of the store is old
+)
+
+// versionsOf is what a node knows of a service's versions.
+type versionsOf struct {
+	Known versionKnowledge `json:"known,omitempty"`
+	Sole  string           `json:"sole,omitempty"` // set if Known is soleVersion
+}
+
+// with combines the knowledge of two nodes. One that knows of several versions is right.
+func (v versionsOf) with(other versionsOf) versionsOf {
+	switch {
+	case v.Known == unknownVersions || other.Known == severalVersions:
+		return other
+	case other.Known == soleVersion && v.Known == soleVersion && other.Sole != v.Sole:
+		return versionsOf{Known: severalVersions}
+	}
+	return v
+}
+
+// versionsOf returns what this node knows of the versions that may have begun a service's streams.
+func (g *Gateway) versionsOf(now time.Time, service string) versionsOf {
 	life := g.streamLife(service)
-	if since == 0 || now.Sub(g.startTime)-time.Duration(since) < life {
-		return "", false
+	version, count := g.targets.Versions(now, service, life)
+	since := g.versionsSince.Load()
+	switch {
+	case count > 1:
+		return versionsOf{Known: severalVersions}
+	case count == 0 || since == 0 || now.Sub(g.startTime)-time.Duration(since) < life || g.registrationsAge(now) > maxVersionViewAge:
+		return versionsOf{}
 	}
-	readAge := now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())
-	if readAge > maxVersionViewAge && g.storeWatcher.relayValidFor(now) == 0 {
-		return "", false
+	return versionsOf{soleVersion, version}
+}
+
+// registrationsAge returns how old this node's view of the registrations of targets is.
+func (g *Gateway) registrationsAge(now time.Time) time.Duration {
+	if g.storeWatcher.relayValidFor(now) > 0 {
+		return 0
 	}
-	return g.targets.SoleVersion(now, service, life)
+	return now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())
 }
 
 // registrationsRead records that from now on no registration of a target is missed.
--- a/io/jwgateway/streamversion_test.go
+++ b/io/jwgateway/streamversion_test.go
@@ -1,6 +1,7 @@
 package jwgateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -322,3 +324,64 @@
 		assert.Equal(t, s.last, 4)
 	}
 }
+
+// cutFeed is a store that one node may be cut off from.
+type cutFeed struct {
+	*jwstore.MemoryFeed
+	cut atomic.Bool
+}
+
+func (f *cutFeed) Range(ctx context.Context, prefix, after string) (jwstore.Page, error) {
+	if f.cut.Load() {
+		return jwstore.Page{}, jwstore.ErrUnavailable
+	}
+	return f.MemoryFeed.Range(ctx, prefix, after)
+}
+
+func (f *cutFeed) Watch(ctx context.Context, prefix string, after jwstore.Revision, maxWait time.Duration) ([]jwstore.Event, jwstore.Revision, error) {
+	events, revision, err := f.MemoryFeed.Watch(ctx, prefix, after, maxWait)
+	if f.cut.Load() {
+		return nil, 0, jwstore.ErrUnavailable
+	}
+	return events, revision, err
+}
+
+// A node that is cut off from the store doesn't learn of a new version: a stream that another node began
+// there must not go on at the version that this one takes for the only one.
+func TestStreamAtANodeThatIsBehind(t *testing.T) {
+	t.Parallel()
+	const count = 12
+	feed := &jwstore.MemoryFeed{}
+	startVersion(t, feed, "t1", "north-a", "v1", breaking("v1", count))
+	configure(feed, 1, route("/a/", "stream", `,"Resumable":true`))
+	heartbeat(t, feed)
+	behind := &cutFeed{MemoryFeed: feed}
+	n1, n2 := start(t, behind, "n1", "north"), start(t, feed, "n2", "north")
+	waitForDirectory(t, n1, "north", n1, n2)
+	waitForDirectory(t, n2, "north", n1, n2)
+	// Both nodes know that v1 has been the only version for long enough.
+	for _, n := range []node{n1, n2} {
+		eventually(t, func() bool {
+			s := takenUpStream{first: "nobody", last: 2, versions: map[string]bool{}}
+			goesOn, _ := s.try(t, n, fmt.Sprint("s", time.Now().UnixNano()))
+			return goesOn
+		})
+	}
+	behind.cut.Store(true)
+	startVersion(t, feed, "t2", "north-a", "v2", breaking("v2", count))
+	wentOn, taken := 0, 0
+	for i := 0; taken < 10 && i < 200; i++ {
+		var s takenUpStream
+		s.try(t, n2, fmt.Sprint("a", i))
+		if !s.versions["v2"] {
+			continue
+		}
+		taken++
+		if goesOn, _ := s.try(t, n1, fmt.Sprint("b", i)); goesOn {
+			wentOn++
+		}
+		assert.Equal(t, len(s.versions), 1)
+	}
+	assert.Equal(t, taken, 10)
+	t.Logf("%d of %d went on at their version", wentOn, taken)
+}
