jwgateway: the versions of services are stored for nodes that start after all were lost

The node that writes the size of the fleet now also keeps which versions may have begun the streams of each service, one write when a service gets or loses a version. A node that starts reads it with the rest, and takes a version for the only one if the store and the registrations agree.

--- a/core/jwinstance/versions.go
+++ b/core/jwinstance/versions.go
@@ -1,6 +1,9 @@
 package jwinstance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // versionUse says how long a version of a service has had registered targets.
 type versionUse struct {
@@ -8,20 +11,22 @@
 	endedAt time.Time // when the last one vanished, if there is none
 }
 
-// Versions returns how many versions the targets of a service have had that were registered at any time
-// within a period before now, and one of them.
-func (t *Table) Versions(now time.Time, service string, within time.Duration) (version string, count int) {
+// Versions returns the versions of all targets of a service that were registered at any time within a
+// period before now, sorted.
+func (t *Table) Versions(now time.Time, service string, within time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var list []string
 	for name, u := range t.versions[service] {
 		switch {
 		case u.targets > 0 || now.Sub(u.endedAt) <= within:
-			version, count = name, count+1
+			list = append(list, name)
 		case now.Sub(u.endedAt) > recordRetention:
 			delete(t.versions[service], name)
 		}
 	}
-	return version, count
+	slices.Sort(list)
+	return list
 }
 
 // Registration returns the registration of a target.
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -98,6 +98,7 @@
 	forwards            forwardCounts // requests in flight at other nodes
 	origins             jwversion.Table
 	originReports       originReports
+	storedVersions      storedVersions
 	streamLives         atomic.Pointer[streamLives]
 	versionsSince       atomic.Int64 // since when no registration was missed, nanoseconds since startTime; 0 before the first read
 }
@@ -136,6 +137,7 @@
 	group.Go(func() error { g.updateGauges(work); return nil })
 	group.Go(func() error { g.runRoom(work); return nil })
 	group.Go(func() error { g.watchVersions(work); return nil })
+	group.Go(func() error { g.keepVersionsStored(work); return nil })
 	g.Log.Info("started", "bounds", *g.bounds.Load(), "region", g.Settings.Region, "dataCentre", g.Settings.DataCentre)
 	select {
 	case <-ctx.Done():
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -240,6 +240,10 @@
 		g.applyFleetSize(now, e.Value)
 		return true
 	}
+	if e.Key == versionsKey && !e.Deleted {
+		g.applyStoredVersions(e.Value)
+		return true
+	}
 	if name, ok := strings.CutPrefix(e.Key, nodePrefix); ok {
 		g.applyNode(now, name, e)
 		return true
--- a/io/jwgateway/streamversion.go
+++ b/io/jwgateway/streamversion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"jujubewheel/core/jwadmission"
@@ -132,16 +133,23 @@
 
 // versionsOf returns what this node knows of the versions that may have begun a service's streams.
 func (g *Gateway) versionsOf(now time.Time, service string) versionsOf {
-	life := g.streamLife(service)
-	version, count := g.targets.Versions(now, service, life)
-	since := g.versionsSince.Load()
+	list := g.targets.Versions(now, service, g.streamLife(service))
 	switch {
-	case count > 1:
+	case len(list) > 1:
 		return versionsOf{Known: severalVersions}
-	case count == 0 || since == 0 || now.Sub(g.startTime)-time.Duration(since) < life || g.registrationsAge(now) > maxVersionViewAge:
+	case len(list) == 0 || g.registrationsAge(now) > maxVersionViewAge:
 		return versionsOf{}
+	case g.seenForLife(now, service) || slices.Equal(g.storedVersions.of(service), list):
+		return versionsOf{soleVersion, list[0]}
 	}
-	return versionsOf{soleVersion, version}
+	return versionsOf{}
+}
+
+// seenForLife reports whether this node has seen all registrations of targets for as long as a stream
+// of a service may last.
+func (g *Gateway) seenForLife(now time.Time, service string) bool {
+	since := g.versionsSince.Load()
+	return since > 0 && now.Sub(g.startTime)-time.Duration(since) >= g.streamLife(service)
 }
 
 // registrationsAge returns how old this node's view of the registrations of targets is.
