jwgateway: a relay doesn't pass on changes as complete that a view has skipped

A relay that can't read the store applies views of other nodes, which moves its revision on, while its watch is in flight. What the watch then returns up to that revision isn't applied again, and wasn't kept for other nodes either, but what the relay kept was taken for all changes since the watch began. A node that knew less than the view missed them for good: a target's leaving among them.

Relays now keep changes from the revision that they had when they applied them; a node that knows less is told that they are lost, and reads the store. TestRelayKeepsNoGapAfterAView failed: one change after 2 looked complete up to 4.

--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -169,17 +169,21 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.keepChanges(w.applyChanges(now, events, revision), after, revision, readsForOthers)
+	w.applyAndKeep(now, events, after, revision, readsForOthers)
 	return now, nil
 }
 
-// keepChanges keeps changes between two revisions for other nodes, if this node reads for them.
-func (w *storeWatcher) keepChanges(changed []jwstore.Event, after, to jwstore.Revision, readsForOthers bool) {
+// applyAndKeep applies the changes between two revisions, and keeps them for other nodes if this node
+// reads for them. w.mu must be held.
+func (w *storeWatcher) applyAndKeep(now time.Time, events []jwstore.Event, after, to jwstore.Revision, readsForOthers bool) {
+	// What a view that was applied during the read already had is not applied again, so it isn't kept.
+	from := max(after, w.revision)
+	changed := w.applyChanges(now, events, to)
 	if !readsForOthers {
 		w.g.recentChanges.Forget()
 		return
 	}
-	w.g.recentChanges.Add(changed, after, to)
+	w.g.recentChanges.Add(changed, from, w.revision)
 }
 
 // applyChanges applies changes up to a revision, which follow those applied before, and returns the
--- a/io/jwgateway/storewatcher_test.go
+++ b/io/jwgateway/storewatcher_test.go
@@ -11,7 +11,9 @@
 
 	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
+	"jujubewheel/io/jwsettings"
 )
 
 // countingRecords decodes configurations that consist of their version only, and counts them.
@@ -88,3 +90,56 @@
 		})
 	}
 }
+
+// viewFeed is a store during whose watch the node applies the view of another node.
+type viewFeed struct {
+	*jwstore.MemoryFeed
+	applyView func(at jwstore.Revision)
+}
+
+func (f *viewFeed) Watch(ctx context.Context, prefix string, after jwstore.Revision, maxWait time.Duration) ([]jwstore.Event, jwstore.Revision, error) {
+	events, revision, err := f.MemoryFeed.Watch(ctx, prefix, after, maxWait)
+	if f.applyView != nil {
+		f.applyView(revision)
+		f.applyView = nil
+	}
+	return events, revision, err
+}
+
+// A relay applies a view while its watch of the store is in flight. The changes that the view already
+// had are not applied again, so nodes that know less must not take what the relay keeps for all changes.
+func TestRelayKeepsNoGapAfterAView(t *testing.T) {
+	feed := &viewFeed{MemoryFeed: new(jwstore.MemoryFeed)}
+	g := &Gateway{
+		Settings: &jwsettings.Settings{Node: "n1", Region: "north", DataCentre: "north-a"},
+		Feed:     feed, Records: &countingRecords{}, Log: logr.Discard(), registrationChanged: make(chan struct{}, 1),
+	}
+	g.pauseDetector.Limit = pauseLimit
+	g.pauseDetector.Reset()
+	g.members.RelayThreshold = 1
+	g.members.Self = jwmember.Member{Name: "n1", Region: "north", DataCentre: "north-a", Serving: true, Start: 1}
+	w := newStoreWatcher(g)
+	g.storeWatcher = w
+	feed.Write("first", nil)
+	_, err := w.readOnce(context.Background())
+	assert.NilError(t, err)
+	assert.Assert(t, g.readsForOthers(time.Now()))
+	read := func() {
+		t.Helper()
+		_, err := w.readOnce(context.Background())
+		assert.NilError(t, err)
+	}
+	feed.Write("op/config", []byte("1"))
+	read()
+	known := w.currentRevision() // of a node that knows as much as the relay did before the view
+	feed.Write("op/config", []byte("2"))
+	feed.applyView = func(at jwstore.Revision) {
+		w.continueFrom(time.Now(), view{Revision: at, Registered: []string{"n1"}})
+	}
+	read()
+	feed.Write("op/config", []byte("3"))
+	read()
+	c := g.changesAfter(time.Now(), known)
+	assert.Assert(t, c.Lost, "%d changes after %d look complete up to %d", len(c.Events), known, c.To)
+	assert.Assert(t, !g.changesAfter(time.Now(), w.currentRevision()).Lost)
+}
--- a/io/jwgateway/upstream.go
+++ b/io/jwgateway/upstream.go
@@ -78,7 +78,7 @@
 func (w *storeWatcher) applyUpstream(now time.Time, c *changes, after jwstore.Revision, readsForOthers bool) time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.keepChanges(w.applyChanges(now, c.events(), c.To), after, c.To, readsForOthers)
+	w.applyAndKeep(now, c.events(), after, c.To, readsForOthers)
 	w.upstreamReadAt = now.Add(-time.Duration(c.Age) * time.Millisecond)
 	return w.upstreamReadAt
 }
