--- a/io/jwgateway/streamversion.go
+++ b/io/jwgateway/streamversion.go
@@ -46,6 +46,8 @@
 	if !q.goesOn() {
 		return
 	}
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	defer cancel()
 	q.origin, q.originSource = g.lookUpOrigin(ctx, q)
 	g.metrics.countTakenUp(q.originSource)
 }
