jwgateway: with one version, streams that go on wait for room and are balanced as before

Streams that go on kept out of the waiting room and of the balance of regions on every deployment with overload control, though these count targets of all versions and there is one only. TestPinnedRequestWaitsForRoom failed with one version.

--- a/io/jwgateway/balance.go
+++ b/io/jwgateway/balance.go
@@ -111,7 +111,7 @@
 // request, it was sent before, or nothing is known of other regions.
 func (g *Gateway) balancedRegion(now time.Time, q *request, n jwinstance.Need, here *jwplacement.Option) (jwplacement.Choice, bool) {
 	q.forwardShare, q.shareWait = jwbalance.Share{}, 0
-	if q.forwarded || n.Pinned || n.Prompt.Tokens == 0 || !g.controlsOverload(q.service) {
+	if q.forwarded || q.mixed || n.Prompt.Tokens == 0 || !g.controlsOverload(q.service) {
 		return jwplacement.Choice{}, false
 	}
 	miss := n.Prompt.Tokens
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -90,6 +90,7 @@
 	originSource    originSource
 	pinned          bool   // only targets of pinnedVersion may run it
 	pinnedVersion   string // see pinned
+	mixed           bool   // the service may have targets of other versions than pinnedVersion
 	share           admitted
 	givenRank       string          // rank given by the node that forwarded it, "" for none
 	controlled      bool            // under overload control
--- a/io/jwgateway/streamversion.go
+++ b/io/jwgateway/streamversion.go
@@ -74,9 +74,10 @@
 	if !q.goesOn() {
 		return true
 	}
+	v := g.versionsOf(now, q.service)
+	q.mixed = v.Known != soleVersion
 	if q.origin == nil {
-		v := g.versionsOf(now, q.service)
-		if v.Known != soleVersion {
+		if q.mixed {
 			return false
 		}
 		q.origin, q.originSource = &jwversion.Origin{Version: v.Sole}, originSole
--- a/io/jwgateway/versionsof_test.go
+++ b/io/jwgateway/versionsof_test.go
@@ -7,6 +7,9 @@
 	"gotest.tools/v3/assert"
 
 	"jujubewheel/core/jwentry"
+	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwversion"
+	"jujubewheel/io/jwsettings"
 )
 
 // A node that doesn't know of a second version must not overrule one that does.
@@ -53,3 +56,34 @@
 		"a": 10 * time.Second, "b": 16 * time.Second, "short": minStreamLife, "long": maxStreamLife, "none": 2 * defaultDeadline,
 	})
 }
+
+// A stream that goes on waits for room like any other request while its service has one version. With
+// several, the room is that of targets that may not run it.
+func TestPinnedRequestWaitsForRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions []string
+		waits    bool
+	}{
+		"one version":  {[]string{"v1"}, true},
+		"two versions": {[]string{"v1", "v2"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := roomGateway(0, 4, jwsettings.WaitAtNode)
+			g.storeWatcher = newStoreWatcher(g.Gateway)
+			now := time.Now()
+			for i, v := range c.versions {
+				g.targets.Put(now, jwinstance.Instance{ID: v, Service: "s", Region: "r", Version: v, Slots: 4, StartedAt: int64(i + 1)})
+			}
+			g.versionsSince.Store(1)
+			now = now.Add(maxStreamLife)
+			g.storeReadAt.Store(int64(now.Sub(g.startTime)))
+			q := roomRequest("q", 0, 100, time.Second)
+			assert.Assert(t, g.pinVersion(now, q))
+			assert.Assert(t, !q.pinned && g.waitsForRoom(q), "it doesn't go on")
+			q.LastEvent, q.origin = "3", &jwversion.Origin{Version: "v1"}
+			assert.Assert(t, g.pinVersion(now, q))
+			assert.Equal(t, q.pinnedVersion, "v1")
+			assert.Equal(t, g.waitsForRoom(q), c.waits)
+		})
+	}
+}
--- a/io/jwgateway/waitroom.go
+++ b/io/jwgateway/waitroom.go
@@ -77,7 +77,7 @@
 
 // waitsForRoom reports whether a request waits while no target has room for it.
 func (g *Gateway) waitsForRoom(q *request) bool {
-	return g.waitingRoomOn() && q.Prompt.Tokens > 0 && q.attempts == 0 && !q.answerStarted && !q.pinned && g.controlsOverload(q.service)
+	return g.waitingRoomOn() && q.Prompt.Tokens > 0 && q.attempts == 0 && !q.answerStarted && !q.mixed && g.controlsOverload(q.service)
 }
 
 func (g *Gateway) waitingRoomOn() bool {
