--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -23,7 +23,7 @@
 		Step: step, Request: q.ID, Entry: q.entry.Name, Version: q.version, Workspace: q.workspace, Service: q.service,
 		Units: q.units, Attempt: q.attempts, Sends: q.retries.Sends().Reached, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
 	}
-	d.LastEvent, d.Resumes, d.Origin, d.OriginVersion = q.LastEvent, q.Resumes, string(q.originSource), q.pinnedVersion
+	d.LastEvent, d.FirstRequest, d.Origin, d.OriginVersion = q.LastEvent, q.FirstRequest, string(q.originSource), q.pinnedVersion
 	if q.controlled {
 		d.Priority = q.priority
 	}
--- a/io/jwgateway/dialect.go
+++ b/io/jwgateway/dialect.go
@@ -12,12 +12,12 @@
 
 // CallerHeaders is what a caller's headers say about its request.
 type CallerHeaders struct {
-	ID        string        // identifier of the request
-	Deadline  time.Duration // time left until the caller gives up; 0 if not given
-	LastEvent string        // identifier of the event after which to resume a stream
-	Resumes   string        // identifier of the request that brought the first event of that stream; "" if not given
-	Key       string        // key of the caller's workspace; "" if none was given
-	Prompt    jwinstance.Prompt
+	ID           string        // identifier of the request
+	Deadline     time.Duration // time left until the caller gives up; 0 if not given
+	LastEvent    string        // identifier of the event after which to resume a stream
+	FirstRequest string        // identifier of the request that brought the first event of that stream; "" if not given
+	Key          string        // key of the caller's workspace; "" if none was given
+	Prompt       jwinstance.Prompt
 }
 
 // TargetHeaders is what the gateway adds to the headers of a request to a target.
--- a/io/jwgateway/streamversion.go
+++ b/io/jwgateway/streamversion.go
@@ -54,11 +54,11 @@
 
 func (g *Gateway) lookUpOrigin(ctx context.Context, q *request) (*jwversion.Origin, originSource) {
 	now := time.Now()
-	if o, ok := g.origins.Find(now, q.Resumes); ok {
+	if o, ok := g.origins.Find(now, q.FirstRequest); ok {
 		return &o, originOwn
 	}
 	// Another node may have learned of a new version, and begun the stream there, before this one.
-	o, v := g.askOrigin(ctx, q.Resumes, q.service, g.versionsOf(now, q.service))
+	o, v := g.askOrigin(ctx, q.FirstRequest, q.service, g.versionsOf(now, q.service))
 	switch {
 	case o != nil:
 		return o, originPeer
--- a/io/jwgateway/streamversion_test.go
+++ b/io/jwgateway/streamversion_test.go
@@ -63,7 +63,7 @@
 	sendUntil(t, n, "/a/x", served)
 	_, _ = send(t, n, http.MethodGet, "/a/x", "r2", http.Header{"Last-Event-Id": {"2"}, "Resumes": {"r1"}}, "")
 	eventually(t, func() bool {
-		return strings.Contains(log.String(), `"targetVersion":"v7"`) && strings.Contains(log.String(), `"lastEvent":"2","resumes":"r1"`)
+		return strings.Contains(log.String(), `"targetVersion":"v7"`) && strings.Contains(log.String(), `"lastEvent":"2","firstRequest":"r1"`)
 	})
 }
 
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -23,7 +23,7 @@
 	TargetVersion string        // of the target's software
 	LastEvent     string        // event after which a stream is continued
 	Origin        string        // how the version that began that stream was learned
-	Resumes       string        // request that began the stream that is continued
+	FirstRequest  string        // request that began the stream that is continued
 	Peer          string        // the other node
 	Outcome       string        // such as "finished" or "notRun"
 	Reason        string        // why the outcome is no success
@@ -125,7 +125,7 @@
 	f = appendText(f, "targetVersion", x.TargetVersion)
 	f = appendText(f, "peer", x.Peer)
 	f = appendText(f, "lastEvent", x.LastEvent)
-	f = appendText(f, "resumes", x.Resumes)
+	f = appendText(f, "firstRequest", x.FirstRequest)
 	f = appendText(f, "origin", x.Origin)
 	f = appendText(f, "originVersion", x.OriginVersion)
 	f = appendText(f, "outcome", x.Outcome)
