jwinstance: versions that are gone are forgotten without being asked for

Only services with resumable streams were asked for their versions, and only that dropped those without targets: a service without such streams kept each version that it ever had. TestVersionsAreBounded: 1,000 releases left 1,000 versions.

--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -155,7 +155,7 @@
 			t.setColdUntil(fresh, now.Add(max(in.Cold, t.coldAfterRestart(old, in))))
 		}
 		t.targets[in.ID] = fresh
-		t.beginUse(fresh)
+		t.beginUse(now, fresh)
 		if old != nil {
 			t.endUse(now, old)
 		}
@@ -187,7 +187,7 @@
 		}
 	}
 	old.Revision = in.Revision
-	t.beginUse(old)
+	t.beginUse(now, old)
 	old.seenAt, old.goneAt = now, time.Time{}
 	if in.Cold > 0 {
 		t.setColdUntil(old, now.Add(in.Cold))
--- a/core/jwinstance/versions.go
+++ b/core/jwinstance/versions.go
@@ -1,6 +1,7 @@
 package jwinstance
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -11,18 +12,18 @@
 	endedAt time.Time // when the last one vanished, if there is none
 }
 
+// versionRetention is how long a version without targets is remembered.
+const versionRetention = 5 * time.Minute
+
 // Versions returns the versions of all targets of a service that were registered at any time within a
-// period before now, sorted.
+// period before now, at most versionRetention, sorted.
 func (t *Table) Versions(now time.Time, service string, within time.Duration) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []string
 	for name, u := range t.versions[service] {
-		switch {
-		case u.targets > 0 || now.Sub(u.endedAt) <= within:
+		if u.targets > 0 || now.Sub(u.endedAt) <= within {
 			list = append(list, name)
-		case now.Sub(u.endedAt) > recordRetention:
-			delete(t.versions[service], name)
 		}
 	}
 	slices.Sort(list)
@@ -41,7 +42,7 @@
 }
 
 // beginUse counts a target that is registered from now on, unless it is counted.
-func (t *Table) beginUse(x *Target) {
+func (t *Table) beginUse(now time.Time, x *Target) {
 	if x.versionCounted {
 		return
 	}
@@ -56,6 +57,7 @@
 	}
 	u := uses[x.Version]
 	if u == nil {
+		maps.DeleteFunc(uses, func(_ string, u *versionUse) bool { return u.targets == 0 && now.Sub(u.endedAt) > versionRetention })
 		u = &versionUse{}
 		uses[x.Version] = u
 	}
--- a/core/jwinstance/versions_test.go
+++ b/core/jwinstance/versions_test.go
@@ -48,6 +48,20 @@
 	check(x, now.Add(within+time.Second))
 }
 
+// A service whose versions nobody asks for is released again and again: those that are gone must be
+// forgotten.
+func TestVersionsAreBounded(t *testing.T) {
+	x := &Table{Region: "north"}
+	now := time.Unix(1000, 0)
+	for i := range 1000 {
+		now = now.Add(time.Minute)
+		in := versioned("a", "north", fmt.Sprint("v", i), jwstore.Revision(i+1))
+		in.StartedAt = int64(i + 1)
+		x.Put(now, in)
+	}
+	assert.Assert(t, len(x.versions["s"]) < 10, "%d versions", len(x.versions["s"]))
+}
+
 // The counts of targets by version always equal those of the registered targets.
 func TestVersionCounts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
