jwdispatch: the events of a stream are found by jwevent

They were searched for a second time, and with LF and CR LF only: a stream with CR was held back until its end and couldn't be resumed. The row of TestRelayResumesStream failed before.

--- a/core/jwdispatch/events.go
+++ b/core/jwdispatch/events.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"jujubewheel/core/jwevent"
 )
 
 // eventTracker tracks a text/event-stream over several tries. It holds back
@@ -15,10 +17,8 @@
 }
 
 var (
-	eventSeparator     = []byte("\n\n")
-	eventSeparatorCRLF = []byte("\r\n\r\n")
-	idField            = []byte("id:")
-	doneEvent          = []byte("data: [DONE]")
+	eventSeparator = []byte("\n\n")
+	doneEvent      = []byte("data: [DONE]")
 )
 
 // maxHeldBytes is the maximum length of an incomplete event that is held back,
@@ -60,13 +60,9 @@
 // completeLength returns the length of the complete events at the beginning of
 // p.
 func completeLength(p []byte) int {
-	end := 0
-	for _, separator := range [][]byte{eventSeparator, eventSeparatorCRLF} {
-		if i := bytes.LastIndex(p, separator); i >= 0 {
-			end = max(end, i+len(separator))
-		}
-	}
-	return end
+	var s jwevent.Scanner
+	n, _ := s.Scan(p)
+	return n
 }
 
 // recordFirst records the id of the first event of a try.
@@ -104,39 +100,25 @@
 // firstID returns the id of the first event in p, or 0 if that event has no id
 // or one that is not a number.
 func firstID(p []byte) uint64 {
-	event, _, _ := bytes.Cut(p, eventSeparator)
-	return parseID(event)
+	var s jwevent.Scanner
+	for i := range p {
+		if n, events := s.Scan(p[i : i+1]); n > 0 && events > 0 {
+			p = p[:i+1]
+			break
+		}
+	}
+	return numericID(jwevent.FirstID(p))
 }
 
 // lastID returns the id that stands last in p, or 0 if there is none or it is
 // not a number.
-func lastID(p []byte) uint64 {
-	for len(p) > 0 {
-		i := bytes.LastIndex(p, idField)
-		if i < 0 {
-			return 0
-		}
-		if i == 0 || p[i-1] == '\n' {
-			return parseID(p[i:])
-		}
-		p = p[:i]
-	}
-	return 0
-}
+func lastID(p []byte) uint64 { return numericID(jwevent.LastID(p)) }
 
-// parseID returns the number in the first id field of the event, or 0 if there
-// is none.
-func parseID(event []byte) uint64 {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		value, found := bytes.CutPrefix(line, idField)
-		if !found {
-			continue
-		}
-		n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64)
-		if err != nil {
-			return 0
-		}
-		return n
+// numericID returns an id that is a number, or 0 for any other.
+func numericID(id string) uint64 {
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return 0
 	}
-	return 0
+	return n
 }
--- a/core/jwdispatch/relay_test.go
+++ b/core/jwdispatch/relay_test.go
@@ -112,6 +112,10 @@
 			tries: []*Answer{oneByteStream("id: 1\nda", broken), oneByteStream(numberedEvents(1, 2, "a")+done, nil)},
 			want:  numberedEvents(1, 2, "a") + done,
 		},
+		"events that end in CR": {
+			tries: []*Answer{oneByteStream("id: 1\rdata: a\r\rid: 2\rda", broken), oneByteStream("id: 2\rdata: b\r\r"+done, nil)},
+			want:  "id: 1\rdata: a\r\rid: 2\rdata: b\r\r" + done,
+		},
 		"events that end in CRLF": {
 			tries: []*Answer{oneByteStream("id: 1\r\ndata: a\r\n\r\nid: 2\r\nda", broken), oneByteStream("id: 2\r\ndata: b\r\n\r\n"+done, nil)},
 			want:  "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n" + done,
