jwgateway, jwlog: the log shows on what sends to cold targets rest

So that the hypotheses on flooded targets can be told apart: toWriteMs is the time from the choice of a target to the writing of the request; coldRate, coldSends, coldNodes and coldLeftMs are this node's part of the limit; 'target is cold' shows a target that a node took for warm until another one reported it, with what the node had sent it in the last second. No decision changes: BeforeWrite never holds a request back here.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -83,6 +83,9 @@
 	AheadTokens   int            // prompt tokens of other requests that the target reads before
 	FetchFrom     netip.AddrPort // a target to fetch missing parts from, if valid
 	Cold          bool           // whether the target is cold
+	ColdLeft      time.Duration  // for how long it stays cold
+	ColdRate      float64        // requests a second that this node may send to it while it is cold
+	ColdSends     int            // of this node to it within the last second, with this one, while it is cold
 	PriorityLevel int            // see Need.level
 	MemoryTokens  int            // memory that the request occupies, in tokens
 	Calls         int            // calls of this node in flight at the target, without this one
@@ -134,6 +137,12 @@
 	stats.meanPrompt += promptWeight * (float64(n.Prompt.Tokens) - stats.meanPrompt)
 	t.recordPlacement(now, x, n.Prompt)
 	x.recordSend(now)
+	if c.Cold {
+		c.ColdLeft, c.ColdSends = x.coldUntil.Sub(now), len(x.recentSends)
+		if t.ColdRate != nil {
+			c.ColdRate = t.ColdRate(x.Service, x.ID)
+		}
+	}
 	if x.limit.Announced {
 		x.limit.bucket.Take()
 	}
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -265,16 +265,32 @@
 	return cold
 }
 
-// MergeCold merges another node's report of cold targets.
-func (t *Table) MergeCold(now time.Time, cold map[string]int64) {
+// NewlyCold is a target that this node took for warm until it learned otherwise.
+type NewlyCold struct {
+	ID    string
+	Left  time.Duration // for how long it stays cold
+	Sends int           // of this node to it within the last second
+}
+
+// MergeCold merges another node's report of cold targets and returns those that this node took for
+// warm.
+func (t *Table) MergeCold(now time.Time, cold map[string]int64) []NewlyCold {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var news []NewlyCold
 	for id, ms := range cold {
 		left := time.Duration(ms) * time.Millisecond
-		if x := t.targets[id]; x != nil && x.coldUntil.Sub(now) < left-coldReportTolerance {
-			t.setColdUntil(x, now.Add(left))
+		x := t.targets[id]
+		if x == nil || x.coldUntil.Sub(now) >= left-coldReportTolerance {
+			continue
+		}
+		if !now.Before(x.coldUntil) {
+			x.dropOldSends(now)
+			news = append(news, NewlyCold{ID: id, Left: left, Sends: len(x.recentSends)})
 		}
+		t.setColdUntil(x, now.Add(left))
 	}
+	return news
 }
 
 // Probes returns the usable targets of a service in the region that this node has to ask whether
--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -46,12 +46,13 @@
 // The stages at which a call can fail.
 const (
 	StageDial Stage = "dial" // not connected: nothing was sent
+	StageHeld Stage = "held" // connected, but held back by Call.BeforeWrite: nothing was sent
 	StageSent Stage = "sent" // the request was sent, at least in part, and no answer was read
 	StageRead Stage = "read" // the head of the answer was read, but its body is incomplete
 )
 
 // CallError is the error of a failed call. The peer may have acted on the call
-// unless Stage is StageDial.
+// unless Stage is StageDial or StageHeld.
 type CallError struct {
 	Stage Stage
 	Peer  netip.AddrPort
@@ -118,6 +119,9 @@
 	// MaxWriteTime, if set, is how long sending the call may take for its connection to be
 	// used again: a peer that reads slowly would hold the next call back too.
 	MaxWriteTime time.Duration
+	// BeforeWrite, if set, is called once a connection is open, right before the request is
+	// written. If it returns an error, the call ends at StageHeld.
+	BeforeWrite func() error
 }
 
 // Framing is what ends the body of an answer.
@@ -155,6 +159,12 @@
 	if err != nil {
 		return nil, &CallError{StageDial, c.Peer, err}
 	}
+	if c.BeforeWrite != nil {
+		if err := c.BeforeWrite(); err != nil {
+			p.put(c.Peer, cn)
+			return nil, &CallError{StageHeld, c.Peer, err}
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	a, err := p.exchange(cn, c)
 	if err != nil {
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -56,7 +56,10 @@
 	}
 	d := q.newDecision(stepSend)
 	d.TargetVersion = c.Target.Version
-	d.Target, d.Expected, d.Cold, d.Calls = c.Target.ID, c.Expected, c.Cold, c.Calls
+	d.Target, d.Expected, d.Cold, d.Calls, d.ToWrite = c.Target.ID, c.Expected, c.Cold, c.Calls, p.toWrite
+	if c.Cold {
+		d.ColdPart = &jwlog.ColdPart{Rate: c.ColdRate, Sends: c.ColdSends, Nodes: p.coldNodes, Left: c.ColdLeft}
+	}
 	if c.ByPriority {
 		d.Rest, d.Error, d.Load, d.LoadAge = c.Rest, c.Error, string(c.Load), c.LoadAge
 	}
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -223,7 +223,9 @@
 	g.mergeLedger(now, s)
 	g.mergeBalance(now, s)
 	g.offerAll(now)
-	g.targets.MergeCold(now, s.Cold)
+	for _, x := range g.targets.MergeCold(now, s.Cold) {
+		g.Log.Info("target is cold", "target", x.ID, "from", s.Member.Name, "coldMs", x.Left.Milliseconds(), "sends", x.Sends)
+	}
 	g.targets.MergeLimits(now, s.Limits)
 	for _, id := range g.targets.MergeLeaving(s.Leaving) {
 		g.Log.Info("target leaves", "target", id, "from", s.Member.Name)
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -35,7 +35,15 @@
 	})
 	q.sendTimer, q.onRead = timer, done
 	verdict := func() Verdict {
-		a, err := g.Targets.Do(sendCtx, g.targetCall(q, c))
+		call := g.targetCall(q, c)
+		call.BeforeWrite = func() error {
+			p.toWrite = time.Since(start)
+			if c.Cold {
+				p.coldNodes = g.members.Count(time.Now(), g.Settings.Region)
+			}
+			return nil
+		}
+		a, err := g.Targets.Do(sendCtx, call)
 		if err != nil {
 			return g.classifySendError(ctx, q, x, err)
 		}
@@ -96,7 +104,9 @@
 	pause time.Duration // longest pause between two events
 	last  time.Time
 	// stream is whether the answer is a stream of events.
-	stream bool
+	stream    bool
+	toWrite   time.Duration // from the choice of the target to the writing of the request, 0 if it wasn't written
+	coldNodes int           // nodes that shared the limit of a cold target then
 }
 
 // whole reports whether a finished answer is a stream from its first event to its end, so that it
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -61,12 +61,22 @@
 	Buffered      int64         // bytes held for the request
 	Stalled       time.Duration // since the caller last read
 	Cold          bool          // the target is cold
+	ColdPart      *ColdPart     // set if the target is cold
+	ToWrite       time.Duration // from the choice of the target to the writing of the request
 	Share         *Share        // set if the request was rejected for its share
 	Fingerprint   string        // by which the request is recognized when it is sent again
 	Caller        string        // the caller's address
 	DropFirst     bool          // the line is written to minor, as for served requests
 }
 
+// ColdPart is this node's part of what a cold target may get, as it was when the target was chosen.
+type ColdPart struct {
+	Rate  float64       // requests a second that this node may send there
+	Sends int           // by this node within the last second, with this one
+	Nodes int           // that share the limit
+	Left  time.Duration // until the target is warm
+}
+
 // Share says on what a rejection for a share rests. Work is in thousandths of a target.
 type Share struct {
 	Region  string
@@ -169,9 +179,14 @@
 	f = appendNumber(f, "budgetBytes", x.Budget)
 	f = appendNumber(f, "bufferedBytes", x.Buffered)
 	f = appendNumber(f, "stalledMs", x.Stalled.Milliseconds())
+	f = appendNumber(f, "toWriteMs", x.ToWrite.Milliseconds())
 	if x.Cold {
 		f = append(f, zap.Bool("cold", true))
 	}
+	if c := x.ColdPart; c != nil {
+		f = append(f, zap.Float64("coldRate", math.Round(10*c.Rate)/10), zap.Int("coldSends", c.Sends),
+			zap.Int("coldNodes", c.Nodes), zap.Int64("coldLeftMs", c.Left.Milliseconds()))
+	}
 	if s := x.Share; s != nil {
 		f = append(f, zap.String("region", s.Region), zap.Int("urgency", s.Level), zap.Int64("asked", s.Asked), zap.Int64("granted", s.Granted),
 			zap.Int64("totalAsked", s.Total), zap.Int64("room", s.Room), zap.Int64("waitingWork", s.Waiting), zap.Int64("shareAgeMs", s.Age.Milliseconds()))
