--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -81,6 +81,8 @@
 	// At least one is kept.
 	MaxIdlePerPeer func(netip.AddrPort) int
 	OnDial         func() // called before each attempt to open a connection, if set
+	// Dial, if set, opens the connections instead of a net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
@@ -413,7 +415,11 @@
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	c, err := d.DialContext(ctx, "tcp", peer.String())
+	dial := p.Dial
+	if dial == nil {
+		dial = d.DialContext
+	}
+	c, err := dial(ctx, "tcp", peer.String())
 	if err != nil {
 		return nil, err
 	}
