jwinstance, jwgateway: a target that could not be reached counts as cold until it was asked

Callers saw targets crash again as soon as they were back. A target that restarts under its own identifier is known by its registration alone.

A refused connection shows that the process at that address has gone, one that does not respond that it may have. Both make the target count as cold, the first also for the other nodes of the region, which may have noticed nothing; the node then asks it, at most once a second, and believes its answer. One that answers without saying is taken for one that has just started.

--- a/core/jwinstance/capability.go
+++ b/core/jwinstance/capability.go
@@ -28,7 +28,7 @@
 	var r Capability
 	targets := 0
 	for _, x := range list {
-		if !t.usable(now, x, false) || now.Before(x.coldUntil) {
+		if !t.usable(now, x, false) || x.isCold(now) {
 			continue
 		}
 		targets++
--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -138,7 +138,7 @@
 	t.recordPlacement(now, x, n.Prompt)
 	x.recordSend(now)
 	if c.Cold {
-		c.ColdLeft, c.ColdSends = x.coldUntil.Sub(now), len(x.recentSends)
+		c.ColdLeft, c.ColdSends = max(x.coldUntil.Sub(now), 0), len(x.recentSends)
 		if t.ColdRate != nil {
 			c.ColdRate = t.ColdRate(x.Service, x.ID)
 		}
@@ -242,7 +242,7 @@
 	holder, maxHeld := t.largestHolder(now, n, nil)
 	for _, i := range t.selectCompared(now, n, list, allowGone) {
 		x := list[i]
-		cold := now.Before(x.coldUntil)
+		cold := x.isCold(now)
 		c := Choice{Target: x, Cold: cold, MissTokens: t.missingTokens[i]}
 		if held := n.Prompt.Tokens - c.MissTokens; maxHeld-held >= minFetchTokens && holder != x {
 			c.FetchFrom = holder.Address
--- /dev/null
+++ b/core/jwinstance/confirm.go
@@ -0,0 +1,117 @@
+package jwinstance
+
+import "time"
+
+// A target that could not be reached may have restarted under its own ID, in which case it is cold,
+// and its registration may not show that yet. Until it has been asked it counts as cold.
+
+const (
+	// initialAskWait is the wait before a target that could not be reached is first asked whether it is
+	// cold; it doubles with each attempt up to maxAskWait.
+	initialAskWait = 250 * time.Millisecond
+	maxAskWait     = time.Second
+)
+
+// confirmation is what a node knows of a target that may have restarted.
+type confirmation struct {
+	pending       bool      // it may have restarted since it was last reached
+	presumedUntil time.Time // when it stops being cold if it restarted as it last refused a connection
+	answeredAt    time.Time // when it first accepted a connection again, zero before that
+	askAt         time.Time // when to ask it next
+	wait          time.Duration
+}
+
+// MayHaveRestarted records that a target could not be reached: it refused a connection, so that its
+// process is gone, or did not respond. It returns true if that was not known.
+func (t *Table) MayHaveRestarted(now time.Time, x *Target, refused bool) (news bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := t.warmupTime(x.Service)
+	if d == 0 || t.targets[x.ID] != x {
+		return false
+	}
+	c := &x.confirmation
+	if refused {
+		// Whatever accepts connections there later has started after now. Other nodes may have
+		// noticed nothing, so this is reported to them.
+		c.presumedUntil = now.Add(d)
+		t.setColdUntil(x, laterTime(x.coldUntil, c.presumedUntil))
+	}
+	c.answeredAt = time.Time{}
+	if c.pending {
+		return false
+	}
+	c.pending, c.wait, c.askAt = true, initialAskWait, now.Add(initialAskWait)
+	t.marked.unconfirmed.add(x)
+	return true
+}
+
+// warmupTime returns how long a target of a service is cold after its start.
+func (t *Table) warmupTime(service string) time.Duration {
+	if t.Warmup == nil {
+		return 0
+	}
+	d, _ := t.Warmup(service)
+	return d
+}
+
+// isCold reports whether a target is cold or may be.
+func (x *Target) isCold(now time.Time) bool {
+	return x.confirmation.pending || now.Before(x.coldUntil)
+}
+
+// Unconfirmed returns the targets that must be asked now whether they are cold, and whether there are
+// others that must be asked later. Asking counts as a request to a target that announces a limit.
+func (t *Table) Unconfirmed(now time.Time) (ask []*Target, more bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for x := range t.marked.unconfirmed {
+		c := &x.confirmation
+		if !c.pending || t.targets[x.ID] != x || !x.goneAt.IsZero() {
+			c.pending = false
+			delete(t.marked.unconfirmed, x)
+			continue
+		}
+		more = true
+		if now.Before(c.askAt) || x.Draining || x.Leaving || t.evacuated[x.DataCentre] || now.Before(x.closedUntil) {
+			continue
+		}
+		if x.limit.Announced {
+			if !t.limitAllows(now, x) {
+				continue
+			}
+			x.limit.bucket.Take()
+		}
+		c.wait = min(2*c.wait, maxAskWait)
+		c.askAt = now.Add(c.wait)
+		ask = append(ask, x)
+	}
+	return ask, more
+}
+
+// Confirmed records that a target answered how long it stays cold, 0 if it is warm.
+func (t *Table) Confirmed(now time.Time, x *Target, cold time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x.dialFailures, x.backoffUntil, x.confirmation.pending = 0, time.Time{}, false
+	switch until := now.Add(cold); {
+	case cold > 0:
+		t.setColdUntil(x, laterTime(x.coldUntil, until))
+	case !x.coldUntil.After(x.confirmation.presumedUntil):
+		x.coldUntil = now
+	}
+}
+
+// Answers records that a target accepts connections again without saying whether it is cold. It then
+// counts as cold for as long as one that has just started.
+func (t *Table) Answers(now time.Time, x *Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &x.confirmation
+	if c.answeredAt.IsZero() {
+		c.answeredAt, x.dialFailures, x.backoffUntil = now, 0, time.Time{}
+	}
+	if now.Sub(c.answeredAt) >= t.warmupTime(x.Service) {
+		c.pending = false
+	}
+}
--- a/core/jwinstance/marked.go
+++ b/core/jwinstance/marked.go
@@ -20,10 +20,11 @@
 // over the thousands of others. A set may also hold targets that have left it since; whoever walks
 // over it removes them.
 type markedTargets struct {
-	inUse     targetSet // with calls of this node in flight
-	cold      targetSet
-	gone      targetSet // whose registration is gone
-	byAddress map[netip.AddrPort]*Target
+	inUse       targetSet // with calls of this node in flight
+	cold        targetSet
+	gone        targetSet // whose registration is gone
+	unconfirmed targetSet // that may have restarted
+	byAddress   map[netip.AddrPort]*Target
 }
 
 // setAddress records the address of a new target.
@@ -38,6 +39,7 @@
 func (m *markedTargets) forget(x *Target) {
 	delete(m.cold, x)
 	delete(m.gone, x)
+	delete(m.unconfirmed, x)
 	if m.byAddress[x.Address] == x {
 		delete(m.byAddress, x.Address)
 	}
--- a/core/jwinstance/room.go
+++ b/core/jwinstance/room.go
@@ -34,7 +34,7 @@
 		return 0
 	}
 	part := 1 / float64(1+min(x.failures, maxPenalizedFailures))
-	if now.Before(x.coldUntil) {
+	if x.isCold(now) {
 		part *= coldRoom
 	}
 	if x.load.Pace > 1 && now.Sub(x.loadAt) < reportMaxAge {
--- a/core/jwinstance/sample.go
+++ b/core/jwinstance/sample.go
@@ -38,7 +38,7 @@
 		if x.Region != t.Region || !t.usable(now, x, allowGone) || n.Exclude[x.ID] || slices.Contains(n.AvoidAddresses, x.Address) {
 			continue
 		}
-		if now.Before(x.coldUntil) && (n.WarmOnly || !t.coldAllows(now, x)) {
+		if x.isCold(now) && (n.WarmOnly || !t.coldAllows(now, x)) {
 			continue
 		}
 		if n.OnlyWithRoom && !t.hasRoom(now, x, n) {
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -284,6 +284,9 @@
 		if x == nil || x.coldUntil.Sub(now) >= left-coldReportTolerance {
 			continue
 		}
+		if x.confirmation.presumedUntil.Sub(now) >= left-coldReportTolerance {
+			continue // the target has said since that it is warm
+		}
 		if !now.Before(x.coldUntil) {
 			x.dropOldSends(now)
 			news = append(news, NewlyCold{ID: id, Left: left, Sends: len(x.recentSends)})
@@ -308,7 +311,7 @@
 	}
 	var list []*Target
 	for _, x := range local {
-		if !t.usable(now, x, false) || now.Before(x.coldUntil) {
+		if !t.usable(now, x, false) || x.isCold(now) {
 			continue
 		}
 		if shared && !x.sentRecently(now) || !shared && !owns(x.ID) {
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -77,6 +77,7 @@
 	goneAt         time.Time        // when its registration vanished, zero while it exists
 	staleRevision  jwstore.Revision // of the last registration that came from an older copy of the store, 0 if none
 	coldUntil      time.Time        // when it stops being cold
+	confirmation   confirmation
 	// replacedRevision is the revision of the last registration that was known when another
 	// incarnation answered at the address, 0 if none did.
 	replacedRevision jwstore.Revision
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -89,6 +89,7 @@
 	startTime           time.Time
 	stopStartedAt       atomic.Int64  // when the planned stop began, nanoseconds since startTime
 	fleetSizeMissing    atomic.Bool   // the store was restored without the size of the fleet
+	confirmationsDue    chan struct{} // signals that a target must be asked whether it is cold
 	registrationChanged chan struct{} // signals that the registration must be written again
 	registersEarly      atomic.Bool   // the node registers although it doesn't serve yet
 	registered          atomic.Bool   // the node has written its registration once
@@ -133,6 +134,7 @@
 	group.Go(func() error { g.exchangeRegionLoads(work); return nil })
 	group.Go(func() error { g.quotaExchange.Run(work); return nil })
 	group.Go(func() error { g.probeTargets(work); return nil })
+	group.Go(func() error { g.confirmTargets(work); return nil })
 	group.Go(func() error { g.reload(work); return nil })
 	group.Go(func() error { g.updateGauges(work); return nil })
 	group.Go(func() error { g.runRoom(work); return nil })
@@ -165,6 +167,7 @@
 	g.Targets.MaxIdlePerPeer = g.maxIdleConns
 	g.Targets.OnDial = func() { g.metrics.connectionsOpened.Inc(1) }
 	g.registrationChanged = make(chan struct{}, 1)
+	g.confirmationsDue = make(chan struct{}, 1)
 	g.members.Self = jwmember.Member{
 		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
 		Callers: o.Listen.Callers, Nodes: o.Listen.Nodes,
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"jujubewheel/core/jwinstance"
@@ -288,6 +289,7 @@
 	if errors.As(err, &ce) && ce.Stage == jwconn.StageDial {
 		if ctx.Err() == nil {
 			g.targets.Unreached(time.Now(), x)
+			g.confirmLater(x, errors.Is(err, syscall.ECONNREFUSED))
 		}
 		return notRun
 	}
--- a/io/jwgateway/suspect.go
+++ b/io/jwgateway/suspect.go
@@ -68,6 +68,7 @@
 	}
 	now := time.Now()
 	g.targets.Unreached(now, x)
+	g.confirmLater(x, true)
 	for _, f := range g.suspects.Crashed(x.Address, x.ID, now) {
 		g.Log.Info("request barred", "fingerprint", f.String(), "target", x.ID)
 	}
