jwinstance, jwconn, jwgateway: the limit of a cold target holds for the times at which requests are written

Callers saw cold targets crash under more than they may get. A send counted toward the second in which its target was chosen, and was written up to 300 ms later, once a connection was open, or when the process ran again.

Right before the request is written the node checks again whether the target is cold, has restarted, or takes no more now; a request that is held back was sent nowhere and gets another target. It counts while it is being written, and then from the end of the write, so that no pause in between lets more through. spec/share has a variant that writes by the share of the choice, and fails.

TestColdTargetWithSlowConnections failed and passes now, 3 of 3; TestColdLimitHoldsForWrites fails without the check. ReadyAt indexed before the start of the sends if some were being written.

--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -138,7 +138,7 @@
 	t.recordPlacement(now, x, n.Prompt)
 	x.recordSend(now)
 	if c.Cold {
-		c.ColdLeft, c.ColdSends = max(x.coldUntil.Sub(now), 0), len(x.recentSends)
+		c.ColdLeft, c.ColdSends = max(x.coldUntil.Sub(now), 0), x.sendsWithinSecond(now)
 		if t.ColdRate != nil {
 			c.ColdRate = t.ColdRate(x.Service, x.ID)
 		}
--- a/core/jwinstance/lease.go
+++ b/core/jwinstance/lease.go
@@ -56,11 +56,7 @@
 		}
 		ready := laterTime(laterTime(now, x.backoffUntil), x.closedUntil)
 		if ready.Before(x.coldUntil) && !t.coldAllows(now, x) {
-			next := x.coldUntil
-			if rate := int(t.ColdRate(x.Service, x.ID)); rate > 0 {
-				next = x.recentSends[len(x.recentSends)-rate].Add(recentSendAge)
-			}
-			ready = laterTime(ready, next)
+			ready = laterTime(ready, t.coldReadyAt(now, x))
 		}
 		if !ok || ready.Before(at) {
 			at, ok = ready, true
@@ -69,6 +65,19 @@
 	return at, ok
 }
 
+// coldReadyAt returns when this node may send to a cold target again that takes no more now.
+func (t *Table) coldReadyAt(now time.Time, x *Target) time.Time {
+	rate := int(t.ColdRate(x.Service, x.ID))
+	i := len(x.recentSends) + x.writing - rate // the sends up to this one must be a second old
+	switch {
+	case rate <= 0:
+		return x.coldUntil
+	case i >= 0 && i < len(x.recentSends):
+		return x.recentSends[i].Add(recentSendAge)
+	}
+	return now.Add(recentSendAge)
+}
+
 func (t *Table) renewLease(now time.Time, x *Target, n Need, v *reportView) {
 	rounds := directRounds
 	if v.relayed {
--- a/core/jwinstance/sample.go
+++ b/core/jwinstance/sample.go
@@ -130,14 +130,48 @@
 	if d == 0 || rate == 0 {
 		return true
 	}
+	return float64(x.sendsWithinSecond(now)+1) <= t.ColdRate(x.Service, x.ID)
+}
+
+// sendsWithinSecond returns how many requests this node has sent to the target within the last
+// second, including those that are being written.
+func (x *Target) sendsWithinSecond(now time.Time) int {
 	x.dropOldSends(now)
-	return float64(len(x.recentSends)+1) <= t.ColdRate(x.Service, x.ID)
+	return len(x.recentSends) + x.writing
 }
 
 // maxRecentSends limits how many sends are remembered. No node's share of a cold target is that
 // large.
 const maxRecentSends = 64
 
+// BeginWrite reports whether the request of a choice may be written to its target now. The limit of a
+// cold target holds for the times at which requests are written, and opening a connection, or a pause
+// of this node, may have taken a while since the choice. Wrote must be called after a write that
+// BeginWrite has allowed.
+func (t *Table) BeginWrite(now time.Time, x *Target, c Choice) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := slices.IndexFunc(x.recentSends, c.sentAt.Equal); i >= 0 {
+		x.recentSends = slices.Delete(x.recentSends, i, i+1)
+	}
+	if current := t.targets[x.ID]; current != nil && current != x {
+		return false // it has restarted
+	}
+	if x.isCold(now) && !t.coldAllows(now, x) {
+		return false
+	}
+	x.writing++
+	return true
+}
+
+// Wrote records that a request was written, or that writing it failed.
+func (t *Table) Wrote(now time.Time, x *Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x.writing--
+	x.recordSend(now)
+}
+
 // recordSend remembers a send, also to a warm target: one that turns out to have become cold
 // already received the sends of the last second.
 func (x *Target) recordSend(now time.Time) {
--- a/core/jwinstance/share.go
+++ b/core/jwinstance/share.go
@@ -288,8 +288,7 @@
 			continue // the target has said since that it is warm
 		}
 		if !now.Before(x.coldUntil) {
-			x.dropOldSends(now)
-			news = append(news, NewlyCold{ID: id, Left: left, Sends: len(x.recentSends)})
+			news = append(news, NewlyCold{ID: id, Left: left, Sends: x.sendsWithinSecond(now)})
 		}
 		t.setColdUntil(x, now.Add(left))
 	}
--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -81,7 +81,8 @@
 	// replacedRevision is the revision of the last registration that was known when another
 	// incarnation answered at the address, 0 if none did.
 	replacedRevision jwstore.Revision
-	recentSends      []time.Time      // times of this node's sends within the last second
+	recentSends      []time.Time      // times of this node's sends within the last second, of the choice until they are written
+	writing          int              // sends that are being written
 	backoffUntil     time.Time        // not used before, after a failed dial or a refused request
 	closedUntil      time.Time        // not used before, as the target asked for
 	failures         int              // consecutive failures
--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -124,6 +124,9 @@
 	// BeforeWrite, if set, is called once a connection is open, right before the request is
 	// written. If it returns an error, the call ends at StageHeld.
 	BeforeWrite func() error
+	// AfterWrite, if set, is called once the request was written, up to its body if that is long, or
+	// once writing it failed.
+	AfterWrite func()
 }
 
 // Framing is what ends the body of an answer.
@@ -189,12 +192,12 @@
 		start = time.Now()
 	}
 	if len(c.Body) <= maxInlineBody && c.Rest == nil {
-		if _, err := cn.Write(append(head, c.Body...)); err != nil {
+		if err := c.write(cn, append(head, c.Body...)); err != nil {
 			return nil, err
 		}
 		a.unusable = c.MaxWriteTime > 0 && time.Since(start) > c.MaxWriteTime
 	} else {
-		if _, err := cn.Write(head); err != nil {
+		if err := c.write(cn, head); err != nil {
 			return nil, err
 		}
 		a.bodyResult = make(chan error, 1)
@@ -215,6 +218,15 @@
 	return a, nil
 }
 
+// write writes the beginning of the request.
+func (c *Call) write(cn *conn, b []byte) error {
+	_, err := cn.Write(b)
+	if c.AfterWrite != nil {
+		c.AfterWrite()
+	}
+	return err
+}
+
 func framingOf(res *http.Response) Framing {
 	switch {
 	case len(res.TransferEncoding) > 0:
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -42,8 +42,12 @@
 			if c.Cold {
 				p.coldNodes = g.members.Count(time.Now(), g.Settings.Region)
 			}
+			if !g.targets.BeginWrite(time.Now(), x, c) {
+				return errHeldBack
+			}
 			return nil
 		}
+		call.AfterWrite = func() { g.targets.Wrote(time.Now(), x) }
 		a, err := g.Targets.Do(sendCtx, call)
 		if err != nil {
 			return g.classifySendError(ctx, q, x, err)
@@ -163,6 +167,9 @@
 // answer in time.
 var errSendTimeout = errors.New("the target took too long")
 
+// errHeldBack is the reason for not writing a request to a target that was chosen.
+var errHeldBack = errors.New("the target has restarted, or is cold and takes no more now")
+
 // withSendTimeout returns the context and the timer of one send. The context ends early if the
 // request may be sent to another target, so that a target that stopped responding does not use up
 // the caller's time.
@@ -286,6 +293,10 @@
 func (g *Gateway) classifySendError(ctx context.Context, q *request, x *jwinstance.Target, err error) Verdict {
 	q.lastReason = err.Error()
 	var ce *jwconn.CallError
+	if errors.As(err, &ce) && ce.Stage == jwconn.StageHeld {
+		delete(q.tried, x.ID)
+		return notRun
+	}
 	if errors.As(err, &ce) && ce.Stage == jwconn.StageDial {
 		if ctx.Err() == nil {
 			g.targets.Unreached(time.Now(), x)
--- a/spec/share/cold.pml
+++ b/spec/share/cold.pml
@@ -80,8 +80,13 @@
 #endif
 	od;
 use:
+#ifdef WRITE_LATE
+	count(me, c);
+#endif
 	atomic {
+#ifndef WRITE_LATE
 		count(me, c);
+#endif
 		used[me] = BOUND / c;
 		spent = spent | bit(me);
 		assert(used[0] + used[1] + used[2] <= BOUND)
