--- a/core/jwinstance/instance.go
+++ b/core/jwinstance/instance.go
@@ -40,6 +40,10 @@
 	Output int // maximum number of tokens of the answer
 }
 
+// Shared returns the parts that other requests may have too: all but the last, which belongs to the
+// request or its session.
+func (p Prompt) Shared() []Part { return p.Parts[:max(len(p.Parts)-1, 0)] }
+
 // memoryTokens returns the memory that a request occupies while it runs, in tokens. Parts that the
 // target had cached count too, as they can't be evicted while the request uses them.
 func (p Prompt) memoryTokens() int { return p.Tokens + p.Output }
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -66,6 +66,7 @@
 	Share         *Share        // set if the request was rejected for its share
 	Fingerprint   string        // by which the request is recognized when it is sent again
 	Caller        string        // the caller's address
+	Parts         string        // identifiers of the parts of the prompt that other requests may share
 	DropFirst     bool          // the line is written to minor, as for served requests
 }
 
@@ -142,6 +143,7 @@
 	f = appendText(f, "reason", x.Reason)
 	f = appendText(f, "fingerprint", x.Fingerprint)
 	f = appendText(f, "caller", x.Caller)
+	f = appendText(f, "parts", x.Parts)
 	f = appendNumber(f, "version", int64(x.Version))
 	f = appendNumber(f, "status", int64(x.Status))
 	f = appendText(f, "framing", x.Framing)
