jwpart, jwgateway: requests with a part of a prompt that crashes targets are not run

A request was recognized as a whole, so one that is alike in a part only was new each time. Now the parts of all requests that were in flight at a target, and had not been answered for 2 s, are suspects of its crash; a request that is served clears its parts. The part in most crashes, three or more and more than any other, is barred; it explains these crashes, so that what happened to be there with it is suspected no more. Crashes within 250 ms count once, since a rack has another cause. Nodes exchange crashes and clearances, each once, and judge alike. A bar is tried after 30 s, 5 and 30 min by one request in the whole fleet, so that a wrong one ends.

--- /dev/null
+++ b/core/jwpart/table.go
@@ -0,0 +1,357 @@
+package jwpart
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"jujubewheel/core/jwworkspace"
+)
+
+// ID identifies a part of a prompt.
+type ID uint64
+
+const (
+	// crashesToBar is the number of crashes from which on a part is barred if no other part was in
+	// flight at as many.
+	crashesToBar = 3
+	// crashesToBarAll is the number from which on parts are barred that can't be told apart.
+	crashesToBarAll = 5
+	// simultaneous is the time between two crashes within which they count as one: targets that fail
+	// together, such as those of one rack, have another cause than what they run.
+	simultaneous = 250 * time.Millisecond
+	// harmlessAfter is how long a target must have been answering a request for its crash not to be
+	// due to the request.
+	harmlessAfter = 2 * time.Second
+	// remember is how long a crash counts if no bar rests on it, and rememberBarred if one does.
+	remember       = 10 * time.Minute
+	rememberBarred = 24 * time.Hour
+	// maxCrashes and maxSuspects limit the crashes remembered, and the suspects of each.
+	maxCrashes  = 256
+	maxSuspects = 128
+)
+
+// trialWaits are the times from the last crash of a barred part to its trials, each of which runs one
+// request in the whole fleet. A part that has crashed targets in all of them stays barred.
+var trialWaits = [...]time.Duration{30 * time.Second, 5 * time.Minute, 30 * time.Minute}
+
+// Table holds the requests in flight, the crashes of targets, and the bars that follow from them. Its
+// mutex guards it and is held while Owns is called. Set the exported fields before use.
+type Table struct {
+	// Owns reports whether this node is the one of the fleet that runs trials of a part; nil means that
+	// no node is.
+	Owns func(ID) bool
+
+	mu       sync.Mutex
+	inFlight map[netip.AddrPort]map[*Run]struct{}
+	crashes  map[string]*crash // by incarnation of the target
+	cleared  map[ID]clearance  // of suspects of the crashes
+	early    map[ID]time.Time  // clearances that came before the crashes that they may be about
+	suspects map[ID]int        // crashes of which a part is a suspect and has not been cleared since
+	bars     map[ID]*Bar       // derived from the crashes and clearances by judge
+	trials   map[ID]*Run       // in flight at this node
+	changes  uint64            // number of the last change, see Update
+	peers    map[string]*peer
+}
+
+// crash is the crash of one target.
+type crash struct {
+	at       time.Time
+	suspects map[ID]jwworkspace.Regions // with the regions that may hold their data, all if empty
+	number   uint64                     // of its last change
+}
+
+// clearance is when a part was last shown to be harmless.
+type clearance struct {
+	at     time.Time
+	number uint64 // of its last change
+}
+
+// Run is a request in flight at a target.
+type Run struct {
+	table   *Table
+	parts   []ID
+	homes   jwworkspace.Regions // regions that may hold its data, all if empty
+	target  netip.AddrPort
+	begunAt time.Time // of its answer, zero before that
+	trialOf []ID      // barred parts that it tries
+}
+
+// Bar says why requests with a part are not run.
+type Bar struct {
+	Part    ID
+	Crashes int       // of targets with the part
+	Last    time.Time // the last one
+}
+
+// trialAt returns when the part is tried again, and false if it no longer is.
+func (b *Bar) trialAt() (time.Time, bool) {
+	i := b.Crashes - crashesToBar
+	if i >= len(trialWaits) {
+		return time.Time{}, false
+	}
+	return b.Last.Add(trialWaits[i]), true
+}
+
+// Begin records a request in flight at a target, and reports whether it may be sent there. It may not
+// if one of its parts is barred, unless this request is the trial of that part. End must be called for
+// each Run; a nil Run is that of a request without parts.
+func (t *Table) Begin(now time.Time, parts []ID, target netip.AddrPort, homes jwworkspace.Regions) (r *Run, ok bool) {
+	if len(parts) == 0 {
+		return nil, true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r = &Run{table: t, parts: parts, target: target, homes: homes}
+	for _, p := range parts {
+		if t.bars[p] == nil {
+			continue
+		}
+		if !t.mayTry(now, p) {
+			return nil, false
+		}
+		r.trialOf = append(r.trialOf, p)
+	}
+	for _, p := range r.trialOf {
+		if t.trials == nil {
+			t.trials = make(map[ID]*Run)
+		}
+		t.trials[p] = r
+	}
+	if t.inFlight == nil {
+		t.inFlight = make(map[netip.AddrPort]map[*Run]struct{})
+	}
+	runs := t.inFlight[target]
+	if runs == nil {
+		runs = make(map[*Run]struct{})
+		t.inFlight[target] = runs
+	}
+	runs[r] = struct{}{}
+	return r, true
+}
+
+// mayTry reports whether this node may run a trial of a barred part now.
+func (t *Table) mayTry(now time.Time, p ID) bool {
+	at, ok := t.bars[p].trialAt()
+	return ok && !now.Before(at) && t.trials[p] == nil && t.Owns != nil && t.Owns(p)
+}
+
+// Check returns the bar of one of the parts, and how long it lasts at least. It returns nil if a
+// request with these parts may run.
+func (t *Table) Check(now time.Time, parts []ID) (b *Bar, left time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range parts {
+		bar := t.bars[p]
+		if bar == nil || t.mayTry(now, p) {
+			continue
+		}
+		until := bar.Last.Add(rememberBarred)
+		if at, ok := bar.trialAt(); ok {
+			until = at
+		}
+		if b == nil || until.Sub(now) > left {
+			b, left = bar, until.Sub(now)
+		}
+	}
+	if b == nil {
+		return nil, 0
+	}
+	c := *b
+	return &c, max(left, trialWaits[0])
+}
+
+// Bars returns the number of barred parts.
+func (t *Table) Bars() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.bars)
+}
+
+// Begun records that the answer of a request has begun.
+func (r *Run) Begun(now time.Time) {
+	if r == nil {
+		return
+	}
+	r.table.mu.Lock()
+	defer r.table.mu.Unlock()
+	if r.begunAt.IsZero() {
+		r.begunAt = now
+	}
+}
+
+// End removes a request in flight. served means that the target has answered it completely. End returns
+// the parts of which that ended the bar.
+func (r *Run) End(now time.Time, served bool) (released []ID) {
+	if r == nil {
+		return nil
+	}
+	t := r.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.inFlight[r.target], r)
+	if len(t.inFlight[r.target]) == 0 {
+		delete(t.inFlight, r.target)
+	}
+	for _, p := range r.trialOf {
+		if t.trials[p] == r {
+			delete(t.trials, p)
+		}
+	}
+	if !served {
+		return nil
+	}
+	before := t.bars
+	if t.clearAll(now, now, r.parts) {
+		t.judge(now)
+	}
+	return missing(before, t.bars)
+}
+
+// clearAll records that parts were harmless at a time, and reports whether that changed anything. A
+// clearance that ends no suspicion is dropped: nodes date it by when they received it, and would
+// report it to each other forever.
+func (t *Table) clearAll(now, at time.Time, parts []ID) (changed bool) {
+	for _, p := range parts {
+		if t.suspects[p] == 0 || !t.endsSuspicion(p, at) {
+			continue
+		}
+		t.setCleared(now, p, at)
+		changed = true
+	}
+	return changed
+}
+
+// endsSuspicion reports whether a part is a suspect of a crash no later than a time.
+func (t *Table) endsSuspicion(p ID, at time.Time) bool {
+	for _, c := range t.crashes {
+		if t.isSuspect(c, p) && !c.at.After(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// Crashed records that an incarnation of a target crashed, and returns the parts that this bars. It must
+// be called before End is called for the requests that failed.
+func (t *Table) Crashed(now time.Time, target netip.AddrPort, incarnation string) (barred []ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	runs := make([]*Run, 0, len(t.inFlight[target]))
+	var harmless []ID
+	for r := range t.inFlight[target] {
+		if !r.begunAt.IsZero() && now.Sub(r.begunAt) >= harmlessAfter {
+			harmless = append(harmless, r.parts...)
+			continue
+		}
+		runs = append(runs, r)
+	}
+	// Those whose answers have begun last come first, after those that have not begun.
+	slices.SortFunc(runs, func(a, b *Run) int {
+		if a.begunAt.IsZero() != b.begunAt.IsZero() {
+			if a.begunAt.IsZero() {
+				return -1
+			}
+			return 1
+		}
+		return b.begunAt.Compare(a.begunAt)
+	})
+	var suspects []Suspect
+	for _, r := range runs {
+		for _, p := range r.parts {
+			if !slices.Contains(harmless, p) {
+				suspects = append(suspects, Suspect{p, r.homes})
+			}
+		}
+	}
+	if len(suspects) == 0 {
+		return nil
+	}
+	before := t.bars
+	t.addCrash(now, now, incarnation, suspects)
+	t.clearAll(now, now, harmless)
+	t.judge(now)
+	return missing(t.bars, before)
+}
+
+// addCrash adds suspects of a crash and reports whether any of them is new.
+func (t *Table) addCrash(now, at time.Time, incarnation string, suspects []Suspect) (changed bool) {
+	c := t.crashes[incarnation]
+	if c == nil {
+		if len(t.crashes) >= maxCrashes {
+			t.evict()
+		}
+		c = &crash{at: at, suspects: make(map[ID]jwworkspace.Regions, len(suspects))}
+		if t.crashes == nil {
+			t.crashes = make(map[string]*crash)
+		}
+		t.crashes[incarnation] = c
+	}
+	for _, x := range suspects {
+		homes, known := c.suspects[x.Part]
+		switch {
+		case !known && len(c.suspects) < maxSuspects, known && len(homes) > 0 && len(x.Homes) == 0:
+			c.suspects[x.Part] = x.Homes
+			changed = true
+			t.applyEarly(now, x.Part)
+		}
+	}
+	if changed {
+		c.number = t.nextChange(now)
+	}
+	return changed
+}
+
+// applyEarly applies a clearance that came before the crash that it may be about.
+func (t *Table) applyEarly(now time.Time, p ID) {
+	at, ok := t.early[p]
+	if !ok {
+		return
+	}
+	delete(t.early, p)
+	if at.After(t.cleared[p].at) {
+		t.setCleared(now, p, at)
+	}
+}
+
+func (t *Table) setCleared(now time.Time, p ID, at time.Time) {
+	if t.cleared == nil {
+		t.cleared = make(map[ID]clearance)
+	}
+	t.cleared[p] = clearance{at: at, number: t.nextChange(now)}
+}
+
+// evict removes the oldest crash on which no bar rests, or the oldest one.
+func (t *Table) evict() {
+	oldest, resting := "", false
+	for incarnation, c := range t.crashes {
+		rests := t.supportsBar(c)
+		if oldest == "" || resting && !rests || resting == rests && c.at.Before(t.crashes[oldest].at) {
+			oldest, resting = incarnation, rests
+		}
+	}
+	delete(t.crashes, oldest)
+}
+
+// supportsBar reports whether a suspect of a crash is barred.
+func (t *Table) supportsBar(c *crash) bool {
+	for p := range t.bars {
+		if _, ok := c.suspects[p]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+// missing returns the keys of a that b is missing.
+func missing(a, b map[ID]*Bar) []ID {
+	var list []ID
+	for p := range a {
+		if b[p] == nil {
+			list = append(list, p)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
--- /dev/null
+++ b/core/jwpart/table_test.go
@@ -0,0 +1,221 @@
+package jwpart
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func after(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 80)
+}
+
+// history drives a table through crashes and served requests.
+type history struct {
+	*Table
+	targets int
+}
+
+// crash lets a new target crash under requests with the given parts, which have not begun.
+func (h *history) crash(ms int, requests ...[]ID) {
+	h.crashAfter(ms, 0, requests...)
+}
+
+// crashAfter is like crash, for requests whose answers have begun some time before.
+func (h *history) crashAfter(ms, begunBefore int, requests ...[]ID) {
+	h.targets++
+	var runs []*Run
+	for _, parts := range requests {
+		if r, ok := h.Begin(after(ms-begunBefore), parts, address(h.targets), nil); ok {
+			if begunBefore > 0 {
+				r.Begun(after(ms - begunBefore))
+			}
+			runs = append(runs, r)
+		}
+	}
+	h.Crashed(after(ms), address(h.targets), fmt.Sprint("t", h.targets))
+	for _, r := range runs {
+		r.End(after(ms), false)
+	}
+}
+
+func (h *history) serve(ms int, parts ...ID) {
+	h.targets++
+	if r, ok := h.Begin(after(ms), parts, address(h.targets), nil); ok {
+		r.End(after(ms), true)
+	}
+}
+
+// A part that crashes targets must be found whatever else its requests hold, and no other part may be
+// barred, whatever else makes targets crash.
+func TestBars(t *testing.T) {
+	const bad, shared, s1, s2, s3 = 9, 1, 11, 12, 13
+	cases := map[string]struct {
+		do   func(h *history)
+		want []ID // of bad, shared, s1
+	}{
+		"the third crash": {func(h *history) {
+			h.crash(1000, []ID{shared, bad}, []ID{shared, s1})
+			h.serve(1100, shared)
+			h.crash(2000, []ID{shared, bad}, []ID{shared, s2})
+			h.serve(2100, shared)
+			h.crash(3000, []ID{shared, bad})
+		}, []ID{bad}},
+		"two crashes": {func(h *history) {
+			h.crash(1000, []ID{bad})
+			h.crash(2000, []ID{bad})
+		}, nil},
+		"the shared part is served in the meantime": {func(h *history) {
+			for i := range 10 {
+				h.crash(1000*i, []ID{shared, ID(100 + i)})
+				h.serve(1000*i+500, shared)
+			}
+		}, nil},
+		"nothing is served, and both are in each crash": {func(h *history) {
+			for i := range 4 {
+				h.crash(1000*i, []ID{shared, bad})
+			}
+		}, nil},
+		"they can't be told apart": {func(h *history) {
+			for i := range 5 {
+				h.crash(1000*i, []ID{shared, bad})
+			}
+		}, []ID{shared, bad}},
+		"the shared part is served later": {func(h *history) {
+			for i := range 4 {
+				h.crash(1000*i, []ID{shared, bad})
+			}
+			h.serve(3500, shared)
+		}, []ID{bad}},
+		"a session that happens to be there": {func(h *history) {
+			for i := range 3 {
+				h.crash(1000*i, []ID{shared, bad}, []ID{shared, s1})
+			}
+			h.serve(2500, shared)
+			h.crash(3000, []ID{shared, bad}, []ID{shared, s2})
+		}, []ID{bad}},
+		"a session that is barred with it is explained by it": {func(h *history) {
+			for i := range 4 {
+				h.crash(1000*i, []ID{bad, s1})
+			}
+			h.crash(4000, []ID{bad}, []ID{s3})
+		}, []ID{bad}},
+		"two parts crash targets": {func(h *history) {
+			for i := range 4 {
+				h.crash(2000*i, []ID{bad})
+				h.crash(2000*i+1000, []ID{s1})
+			}
+			h.crash(9000, []ID{bad})
+			h.crash(10000, []ID{s1})
+		}, []ID{s1, bad}},
+		"a rack fails": {func(h *history) {
+			for i := range 20 {
+				h.crash(1000+5*i, []ID{shared, s1})
+			}
+		}, nil},
+		"answers that had begun long before": {func(h *history) {
+			for i := range 5 {
+				h.crashAfter(3000*i, 2000, []ID{shared, s1})
+			}
+		}, nil},
+		"answers that had just begun": {func(h *history) {
+			for i := range 3 {
+				h.crashAfter(3000*i, 500, []ID{bad})
+			}
+		}, []ID{bad}},
+		"one target, reported twice": {func(h *history) {
+			h.crash(1000, []ID{bad})
+			for i := range 5 {
+				h.targets--
+				h.crash(2000*i, []ID{bad})
+			}
+		}, nil},
+		"crashes far apart": {func(h *history) {
+			for i := range 5 {
+				h.crash(i*400_000, []ID{bad})
+			}
+		}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := &history{Table: &Table{}}
+			c.do(h)
+			var got []ID
+			for _, p := range []ID{shared, bad, s1, s2, s3} {
+				if h.bars[p] != nil {
+					got = append(got, p)
+				}
+			}
+			assert.Equal(t, fmt.Sprint(sorted(got)), fmt.Sprint(sorted(c.want)))
+		})
+	}
+}
+
+// A bar that is wrong must end, and one that is right may cost three more targets in all.
+func TestTrials(t *testing.T) {
+	const bad = 9
+	barredAfter := func(own bool) *history {
+		h := &history{Table: &Table{Owns: func(ID) bool { return own }}}
+		for i := range 3 {
+			h.crash(1000*i, []ID{bad})
+		}
+		return h
+	}
+	ms := func(d time.Duration) int { return int(d.Milliseconds()) }
+
+	h := barredAfter(false)
+	_, ok := h.Begin(after(ms(time.Hour)), []ID{bad}, address(1), nil)
+	assert.Assert(t, !ok, "only the owner runs trials")
+
+	h = barredAfter(true)
+	bar, left := h.Check(after(2000), []ID{bad})
+	assert.Equal(t, bar.Crashes, 3)
+	assert.Equal(t, left, trialWaits[0])
+	at := 2000
+	for i, wait := range trialWaits {
+		_, ok := h.Begin(after(at+ms(wait)-1), []ID{bad}, address(100), nil)
+		assert.Assert(t, !ok, "trial %d began too early", i)
+		at += ms(wait)
+		r, ok := h.Begin(after(at), []ID{bad}, address(100+i), nil)
+		assert.Assert(t, ok)
+		_, second := h.Begin(after(at), []ID{bad}, address(200), nil)
+		assert.Assert(t, !second, "two requests try at once")
+		h.Crashed(after(at), address(100+i), fmt.Sprint("trial", i))
+		r.End(after(at), false)
+	}
+	_, ok = h.Begin(after(at+ms(10*time.Hour)), []ID{bad}, address(1), nil)
+	assert.Assert(t, !ok)
+
+	h = barredAfter(true)
+	r, ok := h.Begin(after(2000+ms(trialWaits[0])), []ID{bad}, address(100), nil)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, r.End(after(2100+ms(trialWaits[0])), true), []ID{bad})
+	_, ok = h.Begin(after(2200+ms(trialWaits[0])), []ID{bad}, address(100), nil)
+	assert.Assert(t, ok)
+}
+
+// So many targets crash that not all crashes can be remembered. The bar must stay.
+func TestBarOutlastsOtherCrashes(t *testing.T) {
+	h := &history{Table: &Table{}}
+	for i := range 3 {
+		h.crash(1000*i, []ID{9})
+	}
+	for i := range 2 * maxCrashes {
+		h.crash(3000+300*i, []ID{ID(1000 + i)})
+	}
+	assert.Assert(t, h.bars[9] != nil)
+	assert.Assert(t, len(h.crashes) <= maxCrashes)
+}
+
+func sorted(list []ID) []ID {
+	slices.Sort(list)
+	return list
+}
--- /dev/null
+++ b/core/jwpart/update.go
@@ -0,0 +1,165 @@
+package jwpart
+
+import (
+	"time"
+
+	"jujubewheel/core/jwworkspace"
+)
+
+// Suspect is a part that was in flight as a target crashed.
+type Suspect struct {
+	Part  ID                  `json:"part"`
+	Homes jwworkspace.Regions `json:"homes,omitempty"` // regions that may hold its data, all if empty
+}
+
+// Crash is a report of the crash of a target.
+type Crash struct {
+	Incarnation string        `json:"incarnation"`
+	Age         time.Duration `json:"age"`
+	Suspects    []Suspect     `json:"suspects"`
+}
+
+// Cleared is a report that a part was harmless.
+type Cleared struct {
+	Part ID            `json:"part"`
+	Age  time.Duration `json:"age"`
+}
+
+// Update is what two nodes exchange so that each gets every crash and clearance that the other one knows
+// of, also after it was restarted, paused or cut off. The zero value says that the sender knows of none
+// and has received none.
+type Update struct {
+	Crashes []Crash   `json:"crashes,omitempty"`
+	Cleared []Cleared `json:"cleared,omitempty"`
+	After   uint64    `json:"after,omitempty"` // the reports are those of the sender's changes after this number
+	To      uint64    `json:"to,omitempty"`    // up to this number; 0 if there are none
+	Ack     uint64    `json:"ack,omitempty"`   // number up to which the sender has the receiver's changes
+}
+
+// peer is how far the exchange with another node is.
+type peer struct {
+	received uint64 // number up to which this node has the peer's changes
+	acked    uint64 // number up to which the peer has this node's changes
+	seen     time.Time
+}
+
+func (t *Table) peerFor(name string, now time.Time) *peer {
+	p := t.peers[name]
+	if p == nil {
+		for other, old := range t.peers {
+			if now.Sub(old.seen) > remember {
+				delete(t.peers, other)
+			}
+		}
+		if t.peers == nil {
+			t.peers = make(map[string]*peer)
+		}
+		p = &peer{}
+		t.peers[name] = p
+	}
+	p.seen = now
+	return p
+}
+
+// nextChange numbers a change. The numbers begin with the time of the first one, so that a node that
+// restarts doesn't use those of its last run again.
+func (t *Table) nextChange(now time.Time) uint64 {
+	if t.changes == 0 {
+		t.changes = uint64(now.UnixNano())
+	}
+	t.changes++
+	return t.changes
+}
+
+// UpdateFor returns what a peer, of the given region, has not confirmed yet. It omits parts of data that
+// the region may not hold.
+func (t *Table) UpdateFor(name, region string, now time.Time) Update {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peerFor(name, now)
+	u := Update{Ack: p.received}
+	if p.acked == t.changes {
+		return u
+	}
+	u.After, u.To = p.acked, t.changes
+	if u.After > t.changes {
+		u.After = 0 // a number of an earlier run
+	}
+	for incarnation, c := range t.crashes {
+		if c.number <= u.After {
+			continue
+		}
+		report := Crash{Incarnation: incarnation, Age: now.Sub(c.at)}
+		for id, homes := range c.suspects {
+			if homes.Allows(region) {
+				report.Suspects = append(report.Suspects, Suspect{id, homes})
+			}
+		}
+		u.Crashes = append(u.Crashes, report)
+	}
+	for id, c := range t.cleared {
+		if c.number > u.After && t.mayReport(id, region) {
+			u.Cleared = append(u.Cleared, Cleared{Part: id, Age: now.Sub(c.at)})
+		}
+	}
+	return u
+}
+
+// maxEarly limits Table.early. Beyond it the parts stay suspects until they are served again.
+const maxEarly = 1024
+
+// keepEarly keeps a clearance that may be about a crash that this node doesn't know of yet.
+func (t *Table) keepEarly(p ID, at time.Time) {
+	if t.early == nil || len(t.early) >= maxEarly {
+		t.early = make(map[ID]time.Time)
+	}
+	if at.After(t.early[p]) {
+		t.early[p] = at
+	}
+}
+
+// mayReport reports whether a region may hold the data of a suspect.
+func (t *Table) mayReport(id ID, region string) bool {
+	for _, c := range t.crashes {
+		if homes, ok := c.suspects[id]; ok && homes.Allows(region) {
+			return true
+		}
+	}
+	return false
+}
+
+// MergeUpdate applies the update of a peer and returns the parts that it bars, and those of which it
+// ends the bar.
+func (t *Table) MergeUpdate(name string, u Update, now time.Time) (barred, released []ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peerFor(name, now)
+	p.acked = u.Ack
+	// If this node was restarted, the peer may still go by an Ack of its last run.
+	if u.To > 0 && u.After <= p.received {
+		p.received = u.To
+	}
+	before, changed := t.bars, false
+	for _, c := range u.Crashes {
+		if c.Age >= 0 && c.Age <= rememberBarred && t.addCrash(now, now.Add(-c.Age), c.Incarnation, c.Suspects) {
+			changed = true
+		}
+	}
+	if changed {
+		t.judge(now) // so that the clearances find their suspects
+	}
+	for _, c := range u.Cleared {
+		switch {
+		case c.Age < 0:
+		case t.clearAll(now, now.Add(-c.Age), []ID{c.Part}):
+			changed = true
+		case t.suspects[c.Part] == 0:
+			t.keepEarly(c.Part, now.Add(-c.Age))
+		}
+	}
+	if !changed {
+		return nil, nil
+	}
+	t.judge(now)
+	return missing(t.bars, before), missing(before, t.bars)
+}
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -1,8 +1,6 @@
 package jwgateway
 
 import (
-	"strconv"
-	"strings"
 	"time"
 
 	"jujubewheel/core/jwinstance"
@@ -76,20 +74,11 @@
 		g.addRetry(&d, q)
 	}
 	if v == failed || v == broken {
-		d.Fingerprint, d.Caller, d.Parts = q.fingerprint.String(), q.caller, q.sharedParts()
+		d.Fingerprint, d.Caller, d.Parts = q.fingerprint.String(), q.caller, partNames(partIDs(q.Prompt))
 	}
 	g.Decisions.Write(&d)
 }
 
-// sharedParts returns the identifiers of the parts of the prompt that other requests may have too.
-func (q *request) sharedParts() string {
-	var ids []string
-	for _, p := range q.Prompt.Shared() {
-		ids = append(ids, strconv.FormatUint(p.ID, 16))
-	}
-	return strings.Join(ids, ",")
-}
-
 // logStreamStart logs the first event of a stream. Streams last for seconds, and if the node is
 // killed, this is the only record of them.
 func (g *Gateway) logStreamStart(q *request) {
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -12,6 +12,7 @@
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwledger"
 	"jujubewheel/core/jwmember"
+	"jujubewheel/core/jwpart"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/core/jwsuspect"
 	"jujubewheel/io/jwconn"
@@ -50,6 +51,7 @@
 	// within the region only.
 	Leaving     map[string]int64             `json:"leaving,omitempty"`
 	Suspects    jwsuspect.Update             `json:"crashes,omitzero"` // requests that were in flight when targets crashed, and those served since
+	Parts       jwpart.Update                `json:"parts,omitzero"`   // parts of prompts that were in flight when targets crashed, and those served since
 	Placed      *jwinstance.PlacementColumns `json:"placed,omitempty"`
 	LocalSeen   []string                     `json:"localSeen,omitempty"` // nodes of the region seen recently, sent to other regions only
 	Loads       *jwinstance.LoadColumns      `json:"loads,omitempty"`     // sent within the region only
@@ -162,7 +164,8 @@
 // sendState sends a state to a peer and merges the state in its answer. The peer's name must be in
 // g.exchangesInFlight.
 func (g *Gateway) sendState(ctx context.Context, m jwmember.Member, s state) {
-	s.Suspects = g.suspects.UpdateFor(m.Name, m.Region, time.Now())
+	now := time.Now()
+	s.Suspects, s.Parts = g.suspects.UpdateFor(m.Name, m.Region, now), g.parts.UpdateFor(m.Name, m.Region, now)
 	body, err := json.Marshal(s)
 	if err != nil {
 		g.exchangesInFlight.Delete(m.Name)
@@ -231,6 +234,7 @@
 		g.Log.Info("target leaves", "target", id, "from", s.Member.Name)
 	}
 	g.mergeSuspects(now, s.Suspects, s.Member.Name)
+	g.mergeParts(now, s.Parts, s.Member.Name)
 	if s.InSync && s.Member.Region == g.Settings.Region {
 		g.store.syncedPeerSeen.Store(now.UnixNano())
 	}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -20,6 +20,7 @@
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwmemory"
+	"jujubewheel/core/jwpart"
 	"jujubewheel/core/jwplacement"
 	"jujubewheel/core/jwquota"
 	"jujubewheel/core/jwstore"
@@ -81,6 +82,7 @@
 	demand              jwentry.Demand
 	room                jwwaitroom.Room
 	suspects            jwsuspect.Table
+	parts               jwpart.Table
 	shares              shareTable
 	crashChecks         singleflight.Group // checks in flight of whether a target has crashed
 	fullReadDone        atomic.Bool        // all keys of the store were read once
@@ -177,6 +179,7 @@
 	g.targets.Node, g.targets.Region = s.Node, s.Region
 	g.balance.Region = s.Region
 	g.suspects.Node, g.suspects.Region = s.Node, s.Region
+	g.parts.Owns = g.ownsPart
 	g.targets.IgnorePace = !o.Overload.Enabled()
 	g.targets.Warmup = g.warmup
 	g.targets.ColdRate = g.coldRate
@@ -323,6 +326,7 @@
 		g.metrics.inFlight.Update(float64(g.inFlight.Load()))
 		g.metrics.updateMemory(&g.memory, g.slowStreams.count())
 		g.metrics.origins.Update(float64(g.origins.Len()))
+		g.metrics.barredParts.Update(float64(g.parts.Bars()))
 		g.metrics.limitedTargets.Update(float64(g.targets.LimitedTargets()))
 		g.metrics.setRetriesLeft(g.retryBudget.Left(now))
 		g.metrics.storeReadAge.Update((now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())).Seconds())
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -60,6 +60,8 @@
 	takenUp           map[originSource]tally.Counter // streams that callers took up again, by how their version was learned
 	origins           tally.Gauge
 	originsReported   tally.Counter
+	barredParts       tally.Gauge
+	partRejections    tally.Counter
 }
 
 func newMetrics(m *jwmeter.Meter) *metrics {
@@ -89,6 +91,8 @@
 		room:              roomMetrics{meter: m},
 		origins:           m.Gauge("stream_origins", nil),
 		originsReported:   m.Counter("stream_origins_reported_total", nil),
+		barredParts:       m.Gauge("barred_parts", nil),
+		partRejections:    m.Counter("barred_part_rejections_total", nil),
 		takenUp:           make(map[originSource]tally.Counter),
 	}
 	for _, s := range []originSource{originSole, originOwn, originPeer, originUnknown} {
--- a/io/jwgateway/relayexchange.go
+++ b/io/jwgateway/relayexchange.go
@@ -156,7 +156,7 @@
 // replyState returns the state to answer a node with that sent its own.
 func (g *Gateway) replyState(now time.Time, s state) state {
 	r := g.replyStateOf(now, s)
-	r.Suspects = g.suspects.UpdateFor(s.Member.Name, s.Member.Region, now)
+	r.Suspects, r.Parts = g.suspects.UpdateFor(s.Member.Name, s.Member.Region, now), g.parts.UpdateFor(s.Member.Name, s.Member.Region, now)
 	if s.Ledger == nil && r.RelayReport != nil {
 		r.Ledger = nil // the sender gets the ledger when it sends its own
 	}
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"jujubewheel/core/jwadmission"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwversion"
 	"jujubewheel/io/jwconn"
@@ -20,6 +21,11 @@
 // sendTarget sends the request to one target and passes the answer to the caller.
 func (g *Gateway) sendTarget(ctx context.Context, q *request, c jwinstance.Choice) Verdict {
 	x := c.Target
+	run, ok := g.parts.Begin(time.Now(), partIDs(q.Prompt), x.Address, q.homes)
+	if !ok {
+		g.targets.Done(time.Now(), x, c, 0)
+		return q.reject(partBarred, jwadmission.MaxRetryAfter)
+	}
 	q.tried[x.ID], q.sentTo, q.answer = true, x.ID, answerShape{}
 	var p progress
 	if q.retries.Begin(time.Now()) {
@@ -63,6 +69,7 @@
 			p.skipUntil(q.readResumed)
 			pause := p.recordEvents(start, now)
 			if pause == 0 {
+				run.Begun(now)
 				if p.stream {
 					g.streamBegun(q, jwversion.Origin{Version: x.Version, Target: x.ID, StartedAt: x.StartedAt, BegunAt: now})
 				}
@@ -80,6 +87,7 @@
 	if (verdict == failed || verdict == broken) && status != http.StatusInternalServerError && sendCtx.Err() == nil {
 		g.checkCrash(ctx, x)
 	}
+	g.logBars(nil, run.End(time.Now(), verdict == finished && status < http.StatusMultipleChoices && q.answer.partial == 0), "")
 	if g.suspects.End(q.fingerprint, x.Address, verdict == finished, time.Now()) {
 		g.Log.Info("request released", "fingerprint", q.fingerprint.String(), "target", x.ID)
 	}
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -116,6 +116,9 @@
 	if state, left := g.suspects.Check(q.fingerprint, now); state == jwsuspect.Quarantined {
 		return q.reject(quarantined, left)
 	}
+	if v, barred := g.rejectBarredPart(now, q); barred {
+		return v
+	}
 	if !g.pinVersion(now, q) {
 		return g.rejectUnpinned(q)
 	}
--- a/io/jwgateway/suspect.go
+++ b/io/jwgateway/suspect.go
@@ -67,6 +67,7 @@
 		return
 	}
 	now := time.Now()
+	g.logBars(g.parts.Crashed(now, x.Address, incarnationOf(x)), nil, "")
 	g.targets.Unreached(now, x)
 	g.confirmLater(x, true)
 	for _, f := range g.suspects.Crashed(x.Address, x.ID, now) {
@@ -74,6 +75,11 @@
 	}
 }
 
+// incarnationOf identifies a process of a target, which may restart under its ID.
+func incarnationOf(x *jwinstance.Target) string {
+	return x.ID + "@" + strconv.FormatInt(x.StartedAt, 36)
+}
+
 // logCrashCheck logs and counts the result of a crash check, with what was in flight at the target.
 func (g *Gateway) logCrashCheck(x *jwinstance.Target, err error, crashed bool) {
 	g.metrics.countCrashCheck(crashed)
