--- a/core/jwpart/table.go
+++ b/core/jwpart/table.go
@@ -157,9 +157,10 @@
 	return ok && !now.Before(at) && t.Owns != nil && t.Owns(barred[0])
 }
 
-// Check returns the bar of one of the parts, and how long it lasts at least. It returns nil if a
-// request with these parts may run.
-func (t *Table) Check(now time.Time, parts []ID) (b *Bar, left time.Duration) {
+// Check returns the bar of one of the parts, and when a request with them is worth sending again. It
+// returns nil if one may run. The early trial runs one request in the fleet, so that no caller should
+// come back for it.
+func (t *Table) Check(now time.Time, parts []ID) (b *Bar, retryAfter time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	barred := t.barredOf(parts)
@@ -172,12 +173,12 @@
 		if !ok {
 			until = bar.Last.Add(rememberBarred)
 		}
-		if b == nil || until.Sub(now) > left {
-			b, left = bar, until.Sub(now)
+		if b == nil || until.Sub(now) > retryAfter {
+			b, retryAfter = bar, until.Sub(now)
 		}
 	}
 	c := *b
-	return &c, max(left, trialWaits[0])
+	return &c, max(retryAfter, trialWaits[1])
 }
 
 // Bars returns the number of barred parts.
--- a/core/jwpart/table_test.go
+++ b/core/jwpart/table_test.go
@@ -204,9 +204,9 @@
 	assert.Assert(t, !ok, "only the owner runs trials")
 
 	h = barredAfter(true)
-	bar, left := h.Check(after(2000), []ID{bad})
+	bar, retryAfter := h.Check(after(2000), []ID{bad})
 	assert.Equal(t, bar.Crashes, 3)
-	assert.Equal(t, left, trialWaits[0])
+	assert.Equal(t, retryAfter, trialWaits[1])
 	at := 2000
 	for i, wait := range trialWaits {
 		_, ok := h.Begin(after(at+ms(wait)-1), []ID{bad}, address(100), nil)
--- a/io/jwgateway/promptpart.go
+++ b/io/jwgateway/promptpart.go
@@ -23,12 +23,12 @@
 
 // rejectBarredPart rejects a request if a part of its prompt is barred.
 func (g *Gateway) rejectBarredPart(now time.Time, q *request) (v Verdict, barred bool) {
-	bar, left := g.parts.Check(now, partIDs(q.Prompt))
+	bar, retryAfter := g.parts.Check(now, partIDs(q.Prompt))
 	if bar == nil {
-		return "", false
+		return rejected, false
 	}
 	g.metrics.partRejections.Inc(1)
-	return q.reject(partBarred, left), true
+	return q.reject(partBarred, retryAfter), true
 }
 
 // ownsPart reports whether this node is the one of the fleet that runs the trials of a barred part.
@@ -51,9 +51,9 @@
 // what led to that, "" if this node noticed it.
 func (g *Gateway) logBars(barred, released []jwpart.ID, from string) {
 	for _, id := range barred {
-		bar, left := g.parts.Check(time.Now(), []jwpart.ID{id})
+		bar, retryAfter := g.parts.Check(time.Now(), []jwpart.ID{id})
 		if bar != nil {
-			g.Log.Info("part of prompts barred", "part", partName(id), "crashes", bar.Crashes, "forMs", left.Milliseconds(), "from", from)
+			g.Log.Info("part of prompts barred", "part", partName(id), "crashes", bar.Crashes, "retryAfterMs", retryAfter.Milliseconds(), "from", from)
 		}
 	}
 	if len(released) > 0 {
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"jujubewheel/core/jwadmission"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwversion"
 	"jujubewheel/io/jwconn"
@@ -24,7 +23,8 @@
 	run, ok := g.parts.Begin(time.Now(), partIDs(q.Prompt), x.Address, q.homes)
 	if !ok {
 		g.targets.Done(time.Now(), x, c, 0)
-		return q.reject(partBarred, jwadmission.MaxRetryAfter)
+		v, _ := g.rejectBarredPart(time.Now(), q)
+		return v
 	}
 	q.tried[x.ID], q.sentTo, q.answer = true, x.ID, answerShape{}
 	var p progress
