--- a/io/jwgateway/cold_test.go
+++ b/io/jwgateway/cold_test.go
@@ -163,7 +163,7 @@
 	cases := map[string]func(feed *jwstore.MemoryFeed, x *coldTarget){
 		"registered as it starts":     func(feed *jwstore.MemoryFeed, x *coldTarget) { x.register(feed, 2, coldWarmup) },
 		"cut off from the store":      func(*jwstore.MemoryFeed, *coldTarget) {},
-		"the store is away meanwhile": func(feed *jwstore.MemoryFeed, x *coldTarget) { feed.SetError(jwstore.ErrUnavailable) },
+		"the store is away meanwhile": func(feed *jwstore.MemoryFeed, _ *coldTarget) { feed.SetError(jwstore.ErrUnavailable) },
 	}
 	for name, announce := range cases {
 		t.Run(name, func(t *testing.T) {
