jwconn, jwinstance, jwgateway: a target that closes its connections is asked whether it is cold

A target that restarts under its identifier faster than anyone tries to connect refuses nobody: the crash check after a broken call finds it up, or there was no call, and its unused connections are found closed and replaced. Such a target is asked at once and counts as cold until it answers, for a second at most if it says nothing, and not again within a second.

--- a/core/jwinstance/confirm.go
+++ b/core/jwinstance/confirm.go
@@ -1,6 +1,9 @@
 package jwinstance
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // A target that could not be reached may have restarted under its own ID, in which case it is cold,
 // and its registration may not show that yet. Until it has been asked it counts as cold.
@@ -10,14 +13,20 @@
 	// cold; it doubles with each attempt up to maxAskWait.
 	initialAskWait = 250 * time.Millisecond
 	maxAskWait     = time.Second
+	// maxDoubt is how long a target that closed its connections, and answers again without saying
+	// whether it is cold, counts as cold; it is also the minimum time between two such doubts. Targets
+	// close connections for other reasons too.
+	maxDoubt = time.Second
 )
 
 // confirmation is what a node knows of a target that may have restarted.
 type confirmation struct {
-	pending       bool      // it may have restarted since it was last reached
-	presumedUntil time.Time // when it stops being cold if it restarted as it last refused a connection
-	answeredAt    time.Time // when it first accepted a connection again, zero before that
-	askAt         time.Time // when to ask it next
+	pending       bool          // it may have restarted since it was last reached
+	confirmedAt   time.Time     // when it was last found out whether it is cold
+	coldFor       time.Duration // how long it counts as cold if it answers without saying
+	presumedUntil time.Time     // when it stops being cold if it restarted as it last refused a connection
+	answeredAt    time.Time     // when it first accepted a connection again, zero before that
+	askAt         time.Time     // when to ask it next
 	wait          time.Duration
 }
 
@@ -37,15 +46,42 @@
 		c.presumedUntil = now.Add(d)
 		t.setColdUntil(x, laterTime(x.coldUntil, c.presumedUntil))
 	}
-	c.answeredAt = time.Time{}
+	c.answeredAt, c.coldFor = time.Time{}, d
 	if c.pending {
 		return false
 	}
-	c.pending, c.wait, c.askAt = true, initialAskWait, now.Add(initialAskWait)
-	t.marked.unconfirmed.add(x)
+	c.askAt = now.Add(initialAskWait)
+	t.beginConfirmation(x)
+	return true
+}
+
+// Disconnected records that a target that can be reached broke off or closed connections, as one that
+// has restarted does. It returns true if the target must be asked at once whether it is cold.
+func (t *Table) Disconnected(now time.Time, x *Target) (ask bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &x.confirmation
+	if t.warmupTime(x.Service) == 0 || t.targets[x.ID] != x || c.pending || x.isCold(now) || now.Sub(c.confirmedAt) < maxDoubt {
+		return false
+	}
+	c.answeredAt, c.coldFor, c.askAt = time.Time{}, maxDoubt, now
+	t.beginConfirmation(x)
 	return true
 }
 
+// DisconnectedAt is like Disconnected for the target at an address.
+func (t *Table) DisconnectedAt(now time.Time, a netip.AddrPort) (x *Target, ask bool) {
+	t.mu.Lock()
+	x = t.marked.byAddress[a]
+	t.mu.Unlock()
+	return x, x != nil && t.Disconnected(now, x)
+}
+
+func (t *Table) beginConfirmation(x *Target) {
+	x.confirmation.pending, x.confirmation.wait = true, initialAskWait
+	t.marked.unconfirmed.add(x)
+}
+
 // warmupTime returns how long a target of a service is cold after its start.
 func (t *Table) warmupTime(service string) time.Duration {
 	if t.Warmup == nil {
@@ -93,7 +129,8 @@
 func (t *Table) Confirmed(now time.Time, x *Target, cold time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.dialFailures, x.backoffUntil, x.confirmation.pending = 0, time.Time{}, false
+	x.dialFailures, x.backoffUntil = 0, time.Time{}
+	x.confirmation.pending, x.confirmation.confirmedAt = false, now
 	switch until := now.Add(cold); {
 	case cold > 0:
 		t.setColdUntil(x, laterTime(x.coldUntil, until))
@@ -103,7 +140,8 @@
 }
 
 // Answers records that a target accepts connections again without saying whether it is cold. It then
-// counts as cold for as long as one that has just started.
+// counts as cold for as long as one that has just started, or for maxDoubt if it could be reached all
+// the time.
 func (t *Table) Answers(now time.Time, x *Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -111,7 +149,7 @@
 	if c.answeredAt.IsZero() {
 		c.answeredAt, x.dialFailures, x.backoffUntil = now, 0, time.Time{}
 	}
-	if now.Sub(c.answeredAt) >= t.warmupTime(x.Service) {
-		c.pending = false
+	if now.Sub(c.answeredAt) >= c.coldFor {
+		c.pending, c.confirmedAt = false, now
 	}
 }
--- a/core/jwinstance/confirm_test.go
+++ b/core/jwinstance/confirm_test.go
@@ -29,6 +29,29 @@
 			t.Put(after(0), later)
 			t.MayHaveRestarted(after(1), x, true)
 		}, warmup, false, false},
+		"it closed its connections": {func(t *Table, x *Target) { t.Disconnected(after(0), x) }, 0, true, false},
+		"it closed them, and answers without saying": {func(t *Table, x *Target) {
+			t.Disconnected(after(0), x)
+			t.Answers(after(10), x)
+			t.Answers(after(10+1000), x)
+		}, 1010, false, false},
+		"it closed them, is warm, and closes others at once": {func(t *Table, x *Target) {
+			t.Disconnected(after(0), x)
+			t.Confirmed(after(10), x, 0)
+			t.Disconnected(after(10+999), x)
+		}, 1009, false, false},
+		"it closes others later": {func(t *Table, x *Target) {
+			t.Disconnected(after(0), x)
+			t.Confirmed(after(10), x, 0)
+			t.Disconnected(after(10+1000), x)
+		}, 1010, true, false},
+		"it closed them, and refuses a connection then": {func(t *Table, x *Target) {
+			t.Disconnected(after(0), x)
+			t.Answers(after(10), x)
+			t.MayHaveRestarted(after(20), x, true)
+			t.Answers(after(1000), x)
+			t.Answers(after(2100), x)
+		}, 2100, true, true},
 		"it says that it is cold": {func(t *Table, x *Target) {
 			t.MayHaveRestarted(after(0), x, false)
 			t.Confirmed(after(1000), x, 2*time.Second)
--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -81,6 +81,9 @@
 	// At least one is kept.
 	MaxIdlePerPeer func(netip.AddrPort) int
 	OnDial         func() // called before each attempt to open a connection, if set
+	// OnPeerClose, if set, is called when an unused connection to an address turns out to have been
+	// closed by the peer. It must not block.
+	OnPeerClose func(netip.AddrPort)
 	// Dial, if set, opens the connections instead of a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -403,8 +406,13 @@
 			return p.dial(ctx, c.Peer)
 		}
 		unused := time.Since(cn.idleSince)
-		if unused < idle && (cn.keepAlive == 0 || unused < cn.keepAlive/2) && cn.isUsable() {
-			return cn, nil
+		if unused < idle && (cn.keepAlive == 0 || unused < cn.keepAlive/2) {
+			if cn.isUsable() {
+				return cn, nil
+			}
+			if p.OnPeerClose != nil && cn.state() == connClosed {
+				p.OnPeerClose(c.Peer)
+			}
 		}
 		cn.Close()
 	}
@@ -487,28 +495,47 @@
 	}
 }
 
+// connState says whether a kept connection can be used again.
+type connState string
+
+const (
+	connOpen   connState = "open"
+	connClosed connState = "closed" // by the peer
+	connDirty  connState = "dirty"  // bytes have arrived since the last answer
+)
+
 // isUsable reports whether a kept connection is open and no bytes have arrived
 // on it since the last answer.
-func (c *conn) isUsable() bool {
+func (c *conn) isUsable() bool { return c.state() == connOpen }
+
+// state returns the state of a kept connection.
+func (c *conn) state() connState {
 	if c.r.Buffered() > 0 {
-		return false
+		return connDirty
 	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return connOpen
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return connDirty
 	}
-	open := false
+	state := connDirty
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
+		switch n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
+		case err == syscall.EAGAIN:
+			state = connOpen
+		case n <= 0:
+			state = connClosed
+		}
 		return true
 	})
-	return err == nil && open
+	if err != nil {
+		return connDirty
+	}
+	return state
 }
 
 // Complete reports whether the body was read to its end.
--- a/io/jwconn/pool_test.go
+++ b/io/jwconn/pool_test.go
@@ -145,6 +145,49 @@
 	assert.Equal(t, len(p.idle[a]), 0)
 }
 
+// A peer that restarts closes its unused connections. Who keeps them must learn of it, and not of bytes
+// that the peer sent unasked.
+func TestPeerCloseIsReported(t *testing.T) {
+	cases := map[string]struct {
+		after string // what the peer sends after its answer
+		close bool
+		want  int
+	}{
+		"closed":        {"", true, 1},
+		"open":          {"", false, 0},
+		"unasked bytes": {"x", false, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			done := make(chan struct{})
+			defer close(done)
+			a := startPeer(t, func(cn net.Conn, r *bufio.Reader) {
+				id, err := readRequestID(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(cn, responseText(id, "abc")+c.after)
+				if !c.close {
+					<-done
+				}
+			})
+			closed := 0
+			p := &Pool{OnPeerClose: func(peer netip.AddrPort) {
+				assert.Equal(t, peer, a)
+				closed++
+			}}
+			_, err := doAndRead(p, newCall(a, "one"))
+			assert.NilError(t, err)
+			for c.close && p.idle[a][0].isUsable() { // until the peer's FIN has arrived
+				time.Sleep(time.Millisecond)
+			}
+			_, err = p.take(t.Context(), newCall(a, "two"))
+			assert.NilError(t, err)
+			assert.Equal(t, closed, c.want)
+		})
+	}
+}
+
 // The peer closes kept connections after a while. A request sent on one of them
 // would be lost, and one that must not run twice could not be sent again.
 func TestClosedConnectionIsNotUsed(t *testing.T) {
--- a/io/jwgateway/cold_test.go
+++ b/io/jwgateway/cold_test.go
@@ -160,20 +160,25 @@
 // A target restarts under the identifier that it had. Before its registration shows that it is cold,
 // it gets what a warm one gets.
 func TestTargetThatRestartsIsCold(t *testing.T) {
-	cases := map[string]func(feed *jwstore.MemoryFeed, x *coldTarget){
-		"registered as it starts":     func(feed *jwstore.MemoryFeed, x *coldTarget) { x.register(feed, 2, coldWarmup) },
-		"cut off from the store":      func(*jwstore.MemoryFeed, *coldTarget) {},
-		"the store is away meanwhile": func(feed *jwstore.MemoryFeed, _ *coldTarget) { feed.SetError(jwstore.ErrUnavailable) },
+	const restart = 1500 * time.Millisecond
+	cases := map[string]struct {
+		down     time.Duration
+		announce func(feed *jwstore.MemoryFeed, x *coldTarget)
+	}{
+		"registered as it starts":             {restart, func(feed *jwstore.MemoryFeed, x *coldTarget) { x.register(feed, 2, coldWarmup) }},
+		"cut off from the store":              {restart, func(*jwstore.MemoryFeed, *coldTarget) {}},
+		"the store is away meanwhile":         {restart, func(feed *jwstore.MemoryFeed, _ *coldTarget) { feed.SetError(jwstore.ErrUnavailable) }},
+		"back before a connection is refused": {0, func(*jwstore.MemoryFeed, *coldTarget) {}},
 	}
-	for name, announce := range cases {
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var feed jwstore.MemoryFeed
 			x := startColdSystem(t, &feed)
 			x.down()
-			time.Sleep(1500 * time.Millisecond)
+			time.Sleep(c.down)
 			x.up(t, coldWarmup)
-			announce(&feed, x)
+			c.announce(&feed, x)
 			time.Sleep(coldWarmup)
 			assert.Assert(t, x.maxInASecond() <= coldBound, "%d requests in one second", x.maxInASecond())
 		})
--- a/io/jwgateway/confirm.go
+++ b/io/jwgateway/confirm.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/netip"
 	"syscall"
 	"time"
 
-	"jujubewheel/core/jwclock"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/io/jwconn"
 )
@@ -15,10 +15,27 @@
 // confirmLater makes the node ask a target that could not be reached whether it is cold, as soon as it
 // can be reached again.
 func (g *Gateway) confirmLater(x *jwinstance.Target, refused bool) {
-	if !g.targets.MayHaveRestarted(time.Now(), x, refused) {
-		return
+	if g.targets.MayHaveRestarted(time.Now(), x, refused) {
+		g.Log.Info("target may have restarted", "target", x.ID, "refused", refused)
+		g.startConfirming()
+	}
+}
+
+// confirmNow makes the node ask a target that broke off a call whether it is cold.
+func (g *Gateway) confirmNow(x *jwinstance.Target) {
+	if g.targets.Disconnected(time.Now(), x) {
+		g.startConfirming()
+	}
+}
+
+// confirmAt does the same for the target at an address, which closed an unused connection.
+func (g *Gateway) confirmAt(a netip.AddrPort) {
+	if _, ask := g.targets.DisconnectedAt(time.Now(), a); ask {
+		g.startConfirming()
 	}
-	g.Log.Info("target may have restarted", "target", x.ID, "refused", refused)
+}
+
+func (g *Gateway) startConfirming() {
 	select {
 	case g.confirmationsDue <- struct{}{}:
 	default:
@@ -33,7 +50,7 @@
 			go g.askWhetherCold(ctx, x)
 		}
 		if more {
-			jwclock.Sleep(ctx, probeInterval)
+			awaitSignal(ctx, g.confirmationsDue, probeInterval)
 			continue
 		}
 		select {
@@ -43,6 +60,17 @@
 	}
 }
 
+// awaitSignal waits for a signal, ctx to end, or d.
+func awaitSignal(ctx context.Context, signal <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-signal:
+	case <-t.C:
+	}
+}
+
 // askWhetherCold asks a target once whether it is cold, and records what its answer says.
 func (g *Gateway) askWhetherCold(ctx context.Context, x *jwinstance.Target) {
 	path := g.healthPath(x.Service)
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -167,6 +167,7 @@
 	g.memory.Budget = jwmemory.Budget(o.MemoryBytes)
 	g.storeWatcher = newStoreWatcher(g)
 	g.Targets.MaxIdlePerPeer = g.maxIdleConns
+	g.Targets.OnPeerClose = g.confirmAt
 	g.Targets.OnDial = func() { g.metrics.connectionsOpened.Inc(1) }
 	g.registrationChanged = make(chan struct{}, 1)
 	g.confirmationsDue = make(chan struct{}, 1)
--- a/io/jwgateway/suspect.go
+++ b/io/jwgateway/suspect.go
@@ -63,7 +63,11 @@
 		g.logCrashCheck(x, err, refused)
 		return refused, nil
 	})
-	if crashed != true || ctx.Err() != nil {
+	if ctx.Err() != nil {
+		return
+	}
+	if crashed != true {
+		g.confirmNow(x)
 		return
 	}
 	now := time.Now()
