jwpart, jwgateway: the trials of a part run where its requests can run

The owner of a part was a node of any region. In TestWrongBarEnds, five parts through three nodes, two of them without targets, a bar did not end within 30 s; all end now. The owner is a node of a region that can run the request, and does not forward a trial. A request that finds its trial taken by another is no longer rejected without a reason.

--- a/core/jwpart/fleet_test.go
+++ b/core/jwpart/fleet_test.go
@@ -63,15 +63,13 @@
 func newFleet(seed uint64) *fleet {
 	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: t0, bad: 0xbad}
 	f.badAt = f.rng.IntN(3)
-	for i := range 6 {
-		f.nodes, f.started = append(f.nodes, f.newNode(i)), append(f.started, time.Time{})
+	for range 6 {
+		f.nodes, f.started = append(f.nodes, &Table{}), append(f.started, time.Time{})
 	}
 	f.targets = make([]simTarget, 12)
 	return f
 }
 
-func (f *fleet) newNode(i int) *Table { return &Table{Owns: func(ID) bool { return i == 0 }} }
-
 // parts draws the shared parts of a request: a template, often one of a session, and the bad one.
 func (f *fleet) parts(bad bool) []ID {
 	parts := []ID{ID(1 + f.rng.IntN(simTemplates))}
@@ -98,12 +96,12 @@
 		return
 	}
 	q := &simRequest{parts: parts, bad: bad, node: f.rng.IntN(len(f.nodes)), target: up[f.rng.IntN(len(up))], started: f.now, retried: retried}
-	bar, _ := f.nodes[q.node].Check(f.now, parts)
+	bar, trial, _ := f.nodes[q.node].Check(f.now, parts, func(ID) bool { return q.node == 0 })
 	if bar != nil {
 		return
 	}
 	var ok bool
-	if q.run, ok = f.nodes[q.node].Begin(f.now, parts, address(q.target), nil); !ok {
+	if q.run, ok = f.nodes[q.node].Begin(f.now, parts, address(q.target), nil, trial); !ok {
 		return
 	}
 	if bad && f.now.Sub(f.started[q.node]) >= simContact {
@@ -274,7 +272,7 @@
 					if c.restarts && tick%300 == 299 {
 						i := f.rng.IntN(len(f.nodes))
 						f.running = slices.DeleteFunc(f.running, func(q *simRequest) bool { return q.node == i })
-						f.nodes[i], f.started[i] = f.newNode(i), f.now
+						f.nodes[i], f.started[i] = &Table{}, f.now
 					}
 					bad := c.bad
 					if f.now.Sub(t0) < 5*time.Second {
--- a/core/jwpart/table.go
+++ b/core/jwpart/table.go
@@ -40,12 +40,8 @@
 var trialWaits = [...]time.Duration{4 * time.Second, time.Minute, 10 * time.Minute}
 
 // Table holds the requests in flight, the crashes of targets, and the bars that follow from them. Its
-// mutex guards it and is held while Owns is called. Set the exported fields before use.
+// mutex guards it; no other lock is acquired while it is held. The zero value is ready to use.
 type Table struct {
-	// Owns reports whether this node is the one of the fleet that runs trials of a part; nil means that
-	// no node is.
-	Owns func(ID) bool
-
 	mu       sync.Mutex
 	inFlight map[netip.AddrPort]map[*Run]struct{}
 	crashes  map[string]*crash // by incarnation of the target
@@ -106,9 +102,9 @@
 }
 
 // Begin records a request in flight at a target, and reports whether it may be sent there. It may not
-// if one of its parts is barred, unless this request is the trial of that part. End must be called for
-// each Run; a nil Run is that of a request without parts.
-func (t *Table) Begin(now time.Time, parts []ID, target netip.AddrPort, homes jwworkspace.Regions) (r *Run, ok bool) {
+// if one of its parts is barred, unless it is a trial, see Check, and no other one of that part is in
+// flight. End must be called for each Run; a nil Run is that of a request without parts.
+func (t *Table) Begin(now time.Time, parts []ID, target netip.AddrPort, homes jwworkspace.Regions, trial bool) (r *Run, ok bool) {
 	if len(parts) == 0 {
 		return nil, true
 	}
@@ -117,7 +113,7 @@
 	r = &Run{table: t, parts: parts, target: target, homes: homes}
 	barred := t.barredOf(parts)
 	if len(barred) > 0 {
-		if !t.mayTry(now, barred) {
+		if !trial || !t.trialDue(now, barred) {
 			return nil, false
 		}
 		if t.trials == nil {
@@ -147,25 +143,35 @@
 	return barred
 }
 
-// mayTry reports whether this node may run a trial now with a request of which these parts are barred. A
-// request with several would tell nothing of each.
-func (t *Table) mayTry(now time.Time, barred []ID) bool {
+// trialDue reports whether a trial may run now with a request of which these parts are barred. A request
+// with several would tell nothing of each.
+func (t *Table) trialDue(now time.Time, barred []ID) bool {
 	if len(barred) != 1 || t.trials[barred[0]] != nil {
 		return false
 	}
 	at, ok := t.bars[barred[0]].trialAt()
-	return ok && !now.Before(at) && t.Owns != nil && t.Owns(barred[0])
+	return ok && !now.Before(at)
 }
 
 // Check returns the bar of one of the parts, and when a request with them is worth sending again. It
-// returns nil if one may run. The early trial runs one request in the fleet, so that no caller should
-// come back for it.
-func (t *Table) Check(now time.Time, parts []ID) (b *Bar, retryAfter time.Duration) {
+// returns nil if one may run, and then whether that is the trial of a part. owns reports whether this
+// node is the one of the fleet that runs the trials of a part with such a request. The early trial runs
+// one request in the fleet, so that no caller should come back for it.
+func (t *Table) Check(now time.Time, parts []ID, owns func(ID) bool) (b *Bar, trial bool, retryAfter time.Duration) {
+	b, due, retryAfter := t.check(now, parts)
+	if due && owns(b.Part) {
+		return nil, true, 0
+	}
+	return b, false, retryAfter
+}
+
+// check is Check without regard to who runs the trials; due is whether one may run now.
+func (t *Table) check(now time.Time, parts []ID) (b *Bar, due bool, retryAfter time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	barred := t.barredOf(parts)
-	if len(barred) == 0 || t.mayTry(now, barred) {
-		return nil, 0
+	if len(barred) == 0 {
+		return nil, false, 0
 	}
 	for _, p := range barred {
 		bar := t.bars[p]
@@ -178,7 +184,7 @@
 		}
 	}
 	c := *b
-	return &c, max(retryAfter, trialWaits[1])
+	return &c, t.trialDue(now, barred), max(retryAfter, trialWaits[1])
 }
 
 // Bars returns the number of barred parts.
--- a/core/jwpart/table_test.go
+++ b/core/jwpart/table_test.go
@@ -22,6 +22,13 @@
 type history struct {
 	*Table
 	targets int
+	owner   bool // the node runs the trials
+}
+
+// try begins a request with one part, as a trial if one is due.
+func (h *history) try(ms int, part ID, target int) (*Run, bool) {
+	_, trial, _ := h.Check(after(ms), []ID{part}, func(ID) bool { return h.owner })
+	return h.Begin(after(ms), []ID{part}, address(target), nil, trial)
 }
 
 // crash lets a new target crash under requests with the given parts, which have not begun.
@@ -34,7 +41,7 @@
 	h.targets++
 	var runs []*Run
 	for _, parts := range requests {
-		if r, ok := h.Begin(after(ms-begunBefore), parts, address(h.targets), nil); ok {
+		if r, ok := h.Begin(after(ms-begunBefore), parts, address(h.targets), nil, false); ok {
 			if begunBefore > 0 {
 				r.Begun(after(ms - begunBefore))
 			}
@@ -49,7 +56,7 @@
 
 func (h *history) serve(ms int, parts ...ID) {
 	h.targets++
-	if r, ok := h.Begin(after(ms), parts, address(h.targets), nil); ok {
+	if r, ok := h.Begin(after(ms), parts, address(h.targets), nil, false); ok {
 		r.End(after(ms), true)
 	}
 }
@@ -191,7 +198,7 @@
 func TestTrials(t *testing.T) {
 	const bad = 9
 	barredAfter := func(own bool) *history {
-		h := &history{Table: &Table{Owns: func(ID) bool { return own }}}
+		h := &history{Table: &Table{}, owner: own}
 		for i := range 3 {
 			h.crash(1000*i, []ID{bad})
 		}
@@ -200,42 +207,43 @@
 	ms := func(d time.Duration) int { return int(d.Milliseconds()) }
 
 	h := barredAfter(false)
-	_, ok := h.Begin(after(ms(time.Hour)), []ID{bad}, address(1), nil)
+	_, ok := h.try(ms(time.Hour), bad, 1)
 	assert.Assert(t, !ok, "only the owner runs trials")
 
 	h = barredAfter(true)
-	bar, retryAfter := h.Check(after(2000), []ID{bad})
+	bar, trial, retryAfter := h.Check(after(2000), []ID{bad}, func(ID) bool { return true })
+	assert.Assert(t, !trial)
 	assert.Equal(t, bar.Crashes, 3)
 	assert.Equal(t, retryAfter, trialWaits[1])
 	at := 2000
 	for i, wait := range trialWaits {
-		_, ok := h.Begin(after(at+ms(wait)-1), []ID{bad}, address(100), nil)
+		_, ok := h.try(at+ms(wait)-1, bad, 100)
 		assert.Assert(t, !ok, "trial %d began too early", i)
 		at += ms(wait)
-		r, ok := h.Begin(after(at), []ID{bad}, address(100+i), nil)
+		r, ok := h.try(at, bad, 100+i)
 		assert.Assert(t, ok)
-		_, second := h.Begin(after(at), []ID{bad}, address(200), nil)
+		_, second := h.try(at, bad, 200)
 		assert.Assert(t, !second, "two requests try at once")
 		h.Crashed(after(at), address(100+i), fmt.Sprint("trial", i))
 		r.End(after(at), false)
 	}
-	_, ok = h.Begin(after(at+ms(10*time.Hour)), []ID{bad}, address(1), nil)
+	_, ok = h.try(at+ms(10*time.Hour), bad, 1)
 	assert.Assert(t, !ok)
 
 	h = barredAfter(true)
-	r, ok := h.Begin(after(2000+ms(trialWaits[0])), []ID{bad}, address(100), nil)
+	r, ok := h.try(2000+ms(trialWaits[0]), bad, 100)
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, r.End(after(2100+ms(trialWaits[0])), true), []ID{bad})
-	_, ok = h.Begin(after(2200+ms(trialWaits[0])), []ID{bad}, address(100), nil)
+	_, ok = h.try(2200+ms(trialWaits[0]), bad, 100)
 	assert.Assert(t, ok)
 
 	h = barredAfter(true)
 	h.MergeUpdate("other", Update{Crashes: []Crash{
 		{Incarnation: "o1", Age: time.Second, Suspects: []Suspect{{Part: bad}}}, {Incarnation: "o2", Suspects: []Suspect{{Part: bad}}},
 	}}, after(4000))
-	_, ok = h.Begin(after(4000+ms(trialWaits[1])-1), []ID{bad}, address(100), nil)
+	_, ok = h.try(4000+ms(trialWaits[1])-1, bad, 100)
 	assert.Assert(t, !ok, "there is no early trial of a part with much evidence against it")
-	_, ok = h.Begin(after(4000+ms(trialWaits[1])), []ID{bad}, address(100), nil)
+	_, ok = h.try(4000+ms(trialWaits[1]), bad, 100)
 	assert.Assert(t, ok)
 }
 
--- a/core/jwpart/update_test.go
+++ b/core/jwpart/update_test.go
@@ -10,6 +10,8 @@
 	"pgregory.net/rapid"
 )
 
+func nobody(ID) bool { return false }
+
 // exchange exchanges updates between two nodes as they travel.
 func exchange(t assert.TestingT, now time.Time, a, b *Table, nameA, nameB string) {
 	pass := func(u Update) (v Update) {
@@ -52,7 +54,7 @@
 				other := rapid.IntRange(0, n-1).Draw(t, "other")
 				var runs []*Run
 				for node, parts := range map[int][]ID{other: {shared, ID(100 + rapid.IntRange(0, 9).Draw(t, "session"))}, i: {shared, bad}} {
-					if r, ok := tables[node].Begin(now, parts, address(targets), nil); ok {
+					if r, ok := tables[node].Begin(now, parts, address(targets), nil, false); ok {
 						runs = append(runs, r)
 					}
 				}
@@ -65,7 +67,7 @@
 				}
 			case 4, 5, 6:
 				targets++
-				if r, ok := tables[i].Begin(now, []ID{shared, ID(100 + rapid.IntRange(0, 9).Draw(t, "session"))}, address(targets), nil); ok {
+				if r, ok := tables[i].Begin(now, []ID{shared, ID(100 + rapid.IntRange(0, 9).Draw(t, "session"))}, address(targets), nil, false); ok {
 					r.End(now, true)
 				}
 			default:
@@ -82,7 +84,7 @@
 			for _, table := range tables {
 				for p := range table.suspects {
 					if p != bad && table.bars[p] == nil {
-						if r, ok := table.Begin(now, []ID{p}, address(9000+k), nil); ok {
+						if r, ok := table.Begin(now, []ID{p}, address(9000+k), nil, false); ok {
 							r.End(now, true)
 						}
 					}
@@ -108,13 +110,13 @@
 		a.crash(1000*i, []ID{9})
 	}
 	exchange(t, after(4000), a.Table, b, "a", "b")
-	bar, _ := b.Check(after(4000), []ID{9})
+	bar, _, _ := b.Check(after(4000), []ID{9}, nobody)
 	assert.Equal(t, bar.Crashes, 3)
 	b = &Table{}
 	for range 2 { // with the first one it confirms nothing, so that the second one brings all
 		exchange(t, after(5000), a.Table, b, "a", "b")
 	}
-	bar, _ = b.Check(after(5000), []ID{9})
+	bar, _, _ = b.Check(after(5000), []ID{9}, nobody)
 	assert.Equal(t, bar.Crashes, 3)
 }
 
@@ -138,8 +140,8 @@
 // Parts of data that a region may not hold are not reported there.
 func TestPartsOfBoundDataStayInHomes(t *testing.T) {
 	a := &Table{}
-	r, _ := a.Begin(t0, []ID{1, 9}, address(1), []string{"north"})
-	free, _ := a.Begin(t0, []ID{1}, address(1), nil)
+	r, _ := a.Begin(t0, []ID{1, 9}, address(1), []string{"north"}, false)
+	free, _ := a.Begin(t0, []ID{1}, address(1), nil, false)
 	a.Crashed(t0, address(1), "t1")
 	r.End(t0, false)
 	free.End(t0, false)
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -48,6 +48,9 @@
 			}
 		}
 	}
+	if q.trial {
+		return g.Placement.Choose(here, nil)
+	}
 	if c, ok := g.balancedRegion(now, q, n, here); ok {
 		return c
 	}
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -180,7 +180,6 @@
 	g.targets.Node, g.targets.Region = s.Node, s.Region
 	g.balance.Region = s.Region
 	g.suspects.Node, g.suspects.Region = s.Node, s.Region
-	g.parts.Owns = g.ownsPart
 	g.targets.IgnorePace = !o.Overload.Enabled()
 	g.targets.Warmup = g.warmup
 	g.targets.ColdRate = g.coldRate
--- a/io/jwgateway/promptpart.go
+++ b/io/jwgateway/promptpart.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwpart"
 )
 
@@ -21,19 +22,31 @@
 	return ids
 }
 
-// rejectBarredPart rejects a request if a part of its prompt is barred.
+// rejectBarredPart rejects a request if a part of its prompt is barred, and this is not its trial.
 func (g *Gateway) rejectBarredPart(now time.Time, q *request) (v Verdict, barred bool) {
-	bar, retryAfter := g.parts.Check(now, partIDs(q.Prompt))
+	bar, trial, retryAfter := g.parts.Check(now, partIDs(q.Prompt), func(id jwpart.ID) bool { return g.triesPart(now, q, id) })
+	q.trial = trial
 	if bar == nil {
-		return rejected, false
+		return notRun, false
 	}
 	g.metrics.partRejections.Inc(1)
 	return q.reject(partBarred, retryAfter), true
 }
 
-// ownsPart reports whether this node is the one of the fleet that runs the trials of a barred part.
-func (g *Gateway) ownsPart(id jwpart.ID) bool {
-	owners := g.members.Owners(time.Now(), partName(id), "", 1)
+// triesPart reports whether this node is the one of the fleet that runs the trials of a barred part with
+// requests like q. It is in a region that may run them and has targets for them: another one could only
+// forward the request, to a node that rejects it.
+func (g *Gateway) triesPart(now time.Time, q *request, id jwpart.ID) bool {
+	var regions []string
+	for region, slots := range g.targets.RegionsFor(g.targetNeed(q)) {
+		if slots > 0 && q.homes.Allows(region) {
+			regions = append(regions, region)
+		}
+	}
+	if len(regions) == 0 {
+		return false
+	}
+	owners := g.members.Owners(now, partName(id), jwmember.RankRegions(regions, partName(id))[0], 1)
 	return len(owners) > 0 && owners[0].Name == g.Settings.Node
 }
 
@@ -51,7 +64,7 @@
 // what led to that, "" if this node noticed it.
 func (g *Gateway) logBars(barred, released []jwpart.ID, from string) {
 	for _, id := range barred {
-		bar, retryAfter := g.parts.Check(time.Now(), []jwpart.ID{id})
+		bar, _, retryAfter := g.parts.Check(time.Now(), []jwpart.ID{id}, func(jwpart.ID) bool { return false })
 		if bar != nil {
 			g.Log.Info("part of prompts barred", "part", partName(id), "crashes", bar.Crashes, "retryAfterMs", retryAfter.Milliseconds(), "from", from)
 		}
--- a/io/jwgateway/promptpart_test.go
+++ b/io/jwgateway/promptpart_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,7 +31,8 @@
 // crashingTargets are targets that a request with badPart ends, each time that one begins to answer it.
 type crashingTargets struct {
 	feed        *jwstore.MemoryFeed
-	crashAfter  int // events of the answer before the crash
+	crashAfter  int         // events of the answer before the crash
+	mended      atomic.Bool // nothing crashes them any more
 	mu          sync.Mutex
 	arrived     []time.Time // requests with badPart
 	crashed     []time.Time
@@ -80,7 +82,7 @@
 	w.Header().Set("Jujubewheel-Request-Id", r.Header.Get("Jujubewheel-Request-Id"))
 	w.Header().Set("Jujubewheel-Server-Seal", "seal-"+id)
 	w.Header().Set("Content-Type", "text/event-stream")
-	bad := strings.Contains(r.Header.Get("Jujubewheel-Prompt-Prefix"), badPart)
+	bad := strings.Contains(r.Header.Get("Jujubewheel-Prompt-Prefix"), badPart) && !c.mended.Load()
 	if bad {
 		c.mu.Lock()
 		c.arrived = append(c.arrived, time.Now())
@@ -193,3 +195,54 @@
 		})
 	}
 }
+
+// A part is barred though it no longer crashes targets. Whichever node its trials belong to, and whether
+// or not the targets are in that node's region, the bar must end.
+func TestWrongBarEnds(t *testing.T) {
+	t.Parallel()
+	targets := &crashingTargets{feed: new(jwstore.MemoryFeed)}
+	configure(targets.feed, 1, route("/a/", "stream", `,"Sticky":true`))
+	for range 4 {
+		targets.run(t, "north-a", netip.AddrPortFrom(nodeAddress(), 0))
+	}
+	north := start(t, targets.feed, "n1", "north")
+	nodes := []node{north, start(t, targets.feed, "e1", "east", north.nodes), start(t, targets.feed, "e2", "east", north.nodes)}
+	waitForDirectory(t, nodes[0], "north", nodes[0])
+	waitForDirectory(t, nodes[1], "east", nodes[1:]...)
+	requests := 0
+	status := func(n node, part string) int {
+		requests++
+		r, err := send(t, n, http.MethodPost, "/a/x", fmt.Sprint("r", requests), http.Header{
+			"Jujubewheel-Prompt-Prefix": {fmt.Sprintf("%s:200,%x:50", part, 1<<20+requests)}, "Jujubewheel-Token-Count": {"250,30"},
+		}, fmt.Sprint("body", requests))
+		if err != nil {
+			return 0
+		}
+		return r.status
+	}
+	crashes := func() int {
+		targets.mu.Lock()
+		defer targets.mu.Unlock()
+		return len(targets.crashed)
+	}
+	parts := []string{badPart + "1", badPart + "2", badPart + "3", badPart + "4", badPart + "5"}
+	for _, part := range parts {
+		for before := crashes(); crashes() < before+3; {
+			status(north, part)
+			time.Sleep(150 * time.Millisecond)
+		}
+		eventually(t, func() bool { return status(north, part) == http.StatusServiceUnavailable })
+	}
+	targets.mended.Store(true)
+	targets.close()
+	for _, part := range parts {
+		eventually(t, func() bool {
+			for _, n := range nodes {
+				if status(n, part) == http.StatusOK {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -71,6 +71,7 @@
 	retryReason     jwretry.Reason // why it is sent, or why it is not sent again
 	lastEventID     string
 	fingerprint     jwsuspect.Fingerprint
+	trial           bool              // it tries whether a barred part of its prompt is harmless, and is not forwarded
 	caller          string            // the caller's address, "" for a forwarded request
 	sentTo          string            // the target or node that the request was sent to last
 	retryAfter      time.Duration     // Retry-After of the last rejection
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -20,7 +20,7 @@
 // sendTarget sends the request to one target and passes the answer to the caller.
 func (g *Gateway) sendTarget(ctx context.Context, q *request, c jwinstance.Choice) Verdict {
 	x := c.Target
-	run, ok := g.parts.Begin(time.Now(), partIDs(q.Prompt), x.Address, q.homes)
+	run, ok := g.parts.Begin(time.Now(), partIDs(q.Prompt), x.Address, q.homes, q.trial)
 	if !ok {
 		g.targets.Done(time.Now(), x, c, 0)
 		v, _ := g.rejectBarredPart(time.Now(), q)
