jwpart: what nodes exchange about crashes is sent in parts

One update held all that a peer had not confirmed: 2.2 MB for a node that starts while the table is full, beside the rest of the state that is cut off at 4 MB and would then never be decoded. Updates end after 512 parts now, and the next one continues, as those of jwsuspect do.

--- a/core/jwpart/update.go
+++ b/core/jwpart/update.go
@@ -1,6 +1,8 @@
 package jwpart
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"jujubewheel/core/jwworkspace"
@@ -56,6 +58,9 @@
 	Ack     uint64    `json:"ack,omitempty"`   // number up to which the sender has the receiver's changes
 }
 
+// maxReported is the number of parts from which on an update ends; the next one continues.
+const maxReported = 512
+
 // peer is how far the exchange with another node is.
 type peer struct {
 	received uint64 // number up to which this node has the peer's changes
@@ -101,28 +106,64 @@
 	if p.acked == t.changes {
 		return u
 	}
-	u.After, u.To = p.acked, t.changes
+	u.After = p.acked
 	if u.After > t.changes {
 		u.After = 0 // a number of an earlier run
 	}
-	for incarnation, c := range t.crashes {
-		if c.number <= u.After {
-			continue
+	reported := 0
+	for _, c := range t.changedSince(u.After) {
+		if reported >= maxReported {
+			return u
 		}
-		report := Crash{Incarnation: incarnation, Age: now.Sub(c.at)}
-		for _, s := range c.suspects {
-			if s.Homes.Allows(region) {
-				report.Suspects = append(report.Suspects, s)
-			}
+		u.To = c.number
+		reported += t.report(&u, c, region, now)
+	}
+	u.To = t.changes // those without a report no longer count
+	return u
+}
+
+// change is a crash, or a part that was cleared if it has no incarnation.
+type change struct {
+	number      uint64
+	incarnation string
+	part        ID
+}
+
+// changedSince returns what has changed after a number, the earliest change first.
+func (t *Table) changedSince(number uint64) []change {
+	var list []change
+	for incarnation, c := range t.crashes {
+		if c.number > number {
+			list = append(list, change{number: c.number, incarnation: incarnation})
 		}
-		u.Crashes = append(u.Crashes, report)
 	}
 	for id, c := range t.cleared {
-		if c.number > u.After && t.mayReport(id, region) {
-			u.Cleared = append(u.Cleared, Cleared{Part: id, Age: now.Sub(c.at)})
+		if c.number > number {
+			list = append(list, change{number: c.number, part: id})
 		}
 	}
-	return u
+	slices.SortFunc(list, func(a, b change) int { return cmp.Compare(a.number, b.number) })
+	return list
+}
+
+// report adds a change to an update, without what the region may not hold, and returns how many parts
+// that names.
+func (t *Table) report(u *Update, change change, region string, now time.Time) int {
+	if change.incarnation == "" {
+		if t.mayReport(change.part, region) {
+			u.Cleared = append(u.Cleared, Cleared{Part: change.part, Age: now.Sub(t.cleared[change.part].at)})
+		}
+		return 1
+	}
+	c := t.crashes[change.incarnation]
+	r := Crash{Incarnation: change.incarnation, Age: now.Sub(c.at)}
+	for _, s := range c.suspects {
+		if s.Homes.Allows(region) {
+			r.Suspects = append(r.Suspects, s)
+		}
+	}
+	u.Crashes = append(u.Crashes, r)
+	return len(c.suspects)
 }
 
 // maxEarly limits Table.early. Beyond it the parts stay suspects until they are served again.
--- a/core/jwpart/update_test.go
+++ b/core/jwpart/update_test.go
@@ -132,6 +132,7 @@
 	for i := range 4 {
 		exchange(t, after(800+100*i), a.Table, b, "a", "b")
 	}
+	assert.Equal(t, a.peers["b"].acked, a.changes)
 	for _, u := range []Update{a.UpdateFor("b", "north", after(2000)), b.UpdateFor("a", "north", after(2000))} {
 		assert.Equal(t, len(u.Crashes)+len(u.Cleared), 0)
 	}
@@ -156,3 +157,29 @@
 	assert.DeepEqual(t, reported("north"), []ID{1, 9})
 	assert.DeepEqual(t, reported("south"), []ID{1})
 }
+
+// A node that starts after many crashes gets them in parts: one update with all could be too large to be
+// decoded, and would never arrive.
+func TestLargeHistoriesAreSentInParts(t *testing.T) {
+	a, b := &Table{}, &Table{}
+	for i := range maxCrashes {
+		var suspects []Suspect
+		for j := range maxSuspects {
+			suspects = append(suspects, Suspect{Part: ID(1<<60 + i*maxSuspects + j), Homes: []string{"north", "south"}, Weak: true})
+		}
+		a.addCrash(t0, t0.Add(time.Duration(i)*time.Second), fmt.Sprint("t", i), suspects)
+	}
+	now := after(maxCrashes * 1000)
+	for range 3 * maxCrashes {
+		u := a.UpdateFor("b", "north", now)
+		raw, err := json.Marshal(u)
+		assert.NilError(t, err)
+		assert.Assert(t, len(raw) < 64<<10, "%d bytes", len(raw))
+		b.MergeUpdate("a", u, now)
+		a.MergeUpdate("b", b.UpdateFor("a", "north", now), now)
+	}
+	assert.Equal(t, len(b.crashes), maxCrashes)
+	for incarnation, c := range a.crashes {
+		assert.Equal(t, len(b.crashes[incarnation].suspects), len(c.suspects))
+	}
+}
