jwinstance, jwgateway: a target is not asked whether it is cold once another has registered at its address

Each node that a crashed target had refused asked at its address until the registration had lapsed, some 3.6 s, and met the target that had started there since, which is cold: one more request from each node of the region. TestReplacedTargetIsNotAsked failed. A confirmation also ended the time for which a target that refused a request for want of room is left alone (TestConfirmedTargetStaysLeftAlone failed); it now only ends the one after a failed connection.

--- a/core/jwinstance/confirm.go
+++ b/core/jwinstance/confirm.go
@@ -70,11 +70,11 @@
 }
 
 // DisconnectedAt is like Disconnected for the target at an address.
-func (t *Table) DisconnectedAt(now time.Time, a netip.AddrPort) (x *Target, ask bool) {
+func (t *Table) DisconnectedAt(now time.Time, a netip.AddrPort) (ask bool) {
 	t.mu.Lock()
-	x = t.marked.byAddress[a]
+	x := t.marked.byAddress[a]
 	t.mu.Unlock()
-	return x, x != nil && t.Disconnected(now, x)
+	return x != nil && t.Disconnected(now, x)
 }
 
 func (t *Table) beginConfirmation(x *Target) {
@@ -103,6 +103,9 @@
 	defer t.mu.Unlock()
 	for x := range t.marked.unconfirmed {
 		c := &x.confirmation
+		if next := t.marked.byAddress[x.Address]; next != nil && next != x && next.Revision > x.Revision && x.goneAt.IsZero() {
+			t.replaced(now, x)
+		}
 		if !c.pending || t.targets[x.ID] != x || !x.goneAt.IsZero() {
 			c.pending = false
 			delete(t.marked.unconfirmed, x)
@@ -129,7 +132,7 @@
 func (t *Table) Confirmed(now time.Time, x *Target, cold time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	x.dialFailures, x.backoffUntil = 0, time.Time{}
+	x.reached()
 	x.confirmation.pending, x.confirmation.confirmedAt = false, now
 	switch until := now.Add(cold); {
 	case cold > 0:
@@ -147,9 +150,17 @@
 	defer t.mu.Unlock()
 	c := &x.confirmation
 	if c.answeredAt.IsZero() {
-		c.answeredAt, x.dialFailures, x.backoffUntil = now, 0, time.Time{}
+		c.answeredAt = now
+		x.reached()
 	}
 	if now.Sub(c.answeredAt) >= c.coldFor {
 		c.pending, c.confirmedAt = false, now
 	}
 }
+
+// reached ends the time for which a target that could not be reached is not used.
+func (x *Target) reached() {
+	if x.dialFailures > 0 {
+		x.dialFailures, x.backoffUntil = 0, time.Time{}
+	}
+}
--- a/core/jwinstance/confirm_test.go
+++ b/core/jwinstance/confirm_test.go
@@ -118,3 +118,31 @@
 	assert.Equal(t, len(list), 0)
 	assert.Assert(t, !more)
 }
+
+// Another target has registered at the address of one that refused connections. Asking it would only
+// burden the new one, which is cold.
+func TestReplacedTargetIsNotAsked(t *testing.T) {
+	table := &Table{Region: "r", Warmup: func(string) (time.Duration, float64) { return time.Second, 2 }}
+	table.Put(t0, instance("a"))
+	table.MayHaveRestarted(t0, table.targets["a"], true)
+	next := instance("b")
+	next.Address, next.Revision = table.targets["a"].Address, 1
+	table.Put(after(100), next)
+	list, more := table.Unconfirmed(after(300))
+	assert.Equal(t, len(list), 0)
+	assert.Assert(t, !more)
+	assert.Equal(t, bestTargetID(table, after(300), Need{}), "b")
+}
+
+// A target has just refused a request, as it had no capacity left. That it is found to be warm must not
+// bring the next request there at once.
+func TestConfirmedTargetStaysLeftAlone(t *testing.T) {
+	table := &Table{Region: "r", Warmup: func(string) (time.Duration, float64) { return time.Second, 2 }}
+	table.Put(t0, instance("a"))
+	x := table.targets["a"]
+	table.Disconnected(t0, x)
+	table.Refused(after(1), x)
+	table.Confirmed(after(2), x, 0)
+	assert.Equal(t, bestTargetID(table, after(3), Need{}), "")
+	assert.Equal(t, bestTargetID(table, after(200), Need{}), "a")
+}
--- a/core/jwinstance/outcome.go
+++ b/core/jwinstance/outcome.go
@@ -153,6 +153,10 @@
 func (t *Table) Replaced(now time.Time, x *Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.replaced(now, x)
+}
+
+func (t *Table) replaced(now time.Time, x *Target) {
 	x.replacedRevision = x.Revision
 	if x.goneAt.IsZero() {
 		t.usableSlots = nil
--- a/io/jwgateway/confirm.go
+++ b/io/jwgateway/confirm.go
@@ -30,7 +30,7 @@
 
 // confirmAt does the same for the target at an address, which closed an unused connection.
 func (g *Gateway) confirmAt(a netip.AddrPort) {
-	if _, ask := g.targets.DisconnectedAt(time.Now(), a); ask {
+	if g.targets.DisconnectedAt(time.Now(), a) {
 		g.startConfirming()
 	}
 }
