jwpart: crashes of one incarnation seconds apart are several

A target that restarts under its identifier, and crashes again before its registration shows another start, had crashed once: with few targets, or a store that is away, its part would never be barred. Reports within a second are one crash.

--- a/core/jwpart/table.go
+++ b/core/jwpart/table.go
@@ -30,6 +30,9 @@
 	// remember is how long a crash counts if no bar rests on it, and rememberBarred if one does.
 	remember       = 10 * time.Minute
 	rememberBarred = 24 * time.Hour
+	// sameCrash is the time between two reports within which they are about one crash of an incarnation.
+	// A target that has restarted may not have registered yet.
+	sameCrash = time.Second
 	// maxCrashes and maxSuspects limit the crashes remembered, and the suspects of each.
 	maxCrashes  = 256
 	maxSuspects = 128
@@ -44,22 +47,23 @@
 type Table struct {
 	mu       sync.Mutex
 	inFlight map[netip.AddrPort]map[*Run]struct{}
-	crashes  map[string]*crash // by incarnation of the target
-	cleared  map[ID]clearance  // of suspects of the crashes
-	early    map[ID]time.Time  // clearances that came before the crashes that they may be about
-	known    recentParts       // served at this node
-	suspects map[ID]int        // crashes of which a part is a suspect and has not been cleared since
-	bars     map[ID]*Bar       // derived from the crashes and clearances by judge
-	trials   map[ID]*Run       // in flight at this node
-	changes  uint64            // number of the last change, see Update
+	crashes  []*crash
+	cleared  map[ID]clearance // of suspects of the crashes
+	early    map[ID]time.Time // clearances that came before the crashes that they may be about
+	known    recentParts      // served at this node
+	suspects map[ID]int       // crashes of which a part is a suspect and has not been cleared since
+	bars     map[ID]*Bar      // derived from the crashes and clearances by judge
+	trials   map[ID]*Run      // in flight at this node
+	changes  uint64           // number of the last change, see Update
 	peers    map[string]*peer
 }
 
 // crash is the crash of one target.
 type crash struct {
-	at       time.Time
-	suspects map[ID]Suspect
-	number   uint64 // of its last change
+	incarnation string // of the target
+	at          time.Time
+	suspects    map[ID]Suspect
+	number      uint64 // of its last change
 }
 
 // clearance is when a part was last shown to be harmless.
@@ -304,16 +308,13 @@
 
 // addCrash adds suspects of a crash and reports whether any of them is new.
 func (t *Table) addCrash(now, at time.Time, incarnation string, suspects []Suspect) (changed bool) {
-	c := t.crashes[incarnation]
+	c := t.crashOf(incarnation, at)
 	if c == nil {
 		if len(t.crashes) >= maxCrashes {
 			t.evict()
 		}
-		c = &crash{at: at, suspects: make(map[ID]Suspect, len(suspects))}
-		if t.crashes == nil {
-			t.crashes = make(map[string]*crash)
-		}
-		t.crashes[incarnation] = c
+		c = &crash{incarnation: incarnation, at: at, suspects: make(map[ID]Suspect, len(suspects))}
+		t.crashes = append(t.crashes, c)
 	}
 	for _, x := range suspects {
 		old, known := c.suspects[x.Part]
@@ -336,6 +337,16 @@
 	return changed
 }
 
+// crashOf returns the crash of an incarnation at a time, or nil if it is not known.
+func (t *Table) crashOf(incarnation string, at time.Time) *crash {
+	for _, c := range t.crashes {
+		if c.incarnation == incarnation && c.at.Sub(at).Abs() <= sameCrash {
+			return c
+		}
+	}
+	return nil
+}
+
 // applyEarly applies a clearance that came before the crash that it may be about.
 func (t *Table) applyEarly(now time.Time, p ID) {
 	at, ok := t.early[p]
@@ -357,14 +368,14 @@
 
 // evict removes the oldest crash on which no bar rests, or the oldest one.
 func (t *Table) evict() {
-	oldest, resting := "", false
-	for incarnation, c := range t.crashes {
+	oldest, resting := -1, false
+	for i, c := range t.crashes {
 		rests := t.supportsBar(c)
-		if oldest == "" || resting && !rests || resting == rests && c.at.Before(t.crashes[oldest].at) {
-			oldest, resting = incarnation, rests
+		if oldest < 0 || resting && !rests || resting == rests && c.at.Before(t.crashes[oldest].at) {
+			oldest, resting = i, rests
 		}
 	}
-	delete(t.crashes, oldest)
+	t.crashes = slices.Delete(t.crashes, oldest, oldest+1)
 }
 
 // supportsBar reports whether a suspect of a crash is barred.
--- a/core/jwpart/update.go
+++ b/core/jwpart/update.go
@@ -122,19 +122,19 @@
 	return u
 }
 
-// change is a crash, or a part that was cleared if it has no incarnation.
+// change is a crash, or a part that was cleared if it has none.
 type change struct {
-	number      uint64
-	incarnation string
-	part        ID
+	number uint64
+	crash  *crash
+	part   ID
 }
 
 // changedSince returns what has changed after a number, the earliest change first.
 func (t *Table) changedSince(number uint64) []change {
 	var list []change
-	for incarnation, c := range t.crashes {
+	for _, c := range t.crashes {
 		if c.number > number {
-			list = append(list, change{number: c.number, incarnation: incarnation})
+			list = append(list, change{number: c.number, crash: c})
 		}
 	}
 	for id, c := range t.cleared {
@@ -149,14 +149,14 @@
 // report adds a change to an update, without what the region may not hold, and returns how many parts
 // that names.
 func (t *Table) report(u *Update, change change, region string, now time.Time) int {
-	if change.incarnation == "" {
+	c := change.crash
+	if c == nil {
 		if t.mayReport(change.part, region) {
 			u.Cleared = append(u.Cleared, Cleared{Part: change.part, Age: now.Sub(t.cleared[change.part].at)})
 		}
 		return 1
 	}
-	c := t.crashes[change.incarnation]
-	r := Crash{Incarnation: change.incarnation, Age: now.Sub(c.at)}
+	r := Crash{Incarnation: c.incarnation, Age: now.Sub(c.at)}
 	for _, s := range c.suspects {
 		if s.Homes.Allows(region) {
 			r.Suspects = append(r.Suspects, s)
