--- a/core/jwpart/judge.go
+++ b/core/jwpart/judge.go
@@ -42,8 +42,9 @@
 	}
 }
 
-// expire removes the crashes that no longer count.
+// expire removes the crashes that no longer count, and the peers that are gone.
 func (t *Table) expire(now time.Time) {
+	t.peers.Expire(now, remember)
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
 		if t.supportsBar(c) {
 			return now.Sub(c.at) > rememberBarred
--- a/core/jwpart/table.go
+++ b/core/jwpart/table.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"jujubewheel/core/jwdelta"
 	"jujubewheel/core/jwworkspace"
 )
 
@@ -55,7 +56,7 @@
 	bars     map[ID]*Bar      // derived from the crashes and clearances by judge
 	trials   map[ID]*Run      // in flight at this node
 	changes  uint64           // number of the last change, see Update
-	peers    map[string]*peer
+	peers    jwdelta.Peers
 }
 
 // crash is the crash of one target.
--- a/core/jwpart/update.go
+++ b/core/jwpart/update.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"jujubewheel/core/jwdelta"
 	"jujubewheel/core/jwworkspace"
 )
 
@@ -61,38 +62,9 @@
 // maxReported is the number of parts from which on an update ends; the next one continues.
 const maxReported = 512
 
-// peer is how far the exchange with another node is.
-type peer struct {
-	received uint64 // number up to which this node has the peer's changes
-	acked    uint64 // number up to which the peer has this node's changes
-	seen     time.Time
-}
-
-func (t *Table) peerFor(name string, now time.Time) *peer {
-	p := t.peers[name]
-	if p == nil {
-		for other, old := range t.peers {
-			if now.Sub(old.seen) > remember {
-				delete(t.peers, other)
-			}
-		}
-		if t.peers == nil {
-			t.peers = make(map[string]*peer)
-		}
-		p = &peer{}
-		t.peers[name] = p
-	}
-	p.seen = now
-	return p
-}
-
-// nextChange numbers a change. The numbers begin with the time of the first one, so that a node that
-// restarts doesn't use those of its last run again.
+// nextChange numbers a change.
 func (t *Table) nextChange(now time.Time) uint64 {
-	if t.changes == 0 {
-		t.changes = uint64(now.UnixNano())
-	}
-	t.changes++
+	t.changes = jwdelta.Next(t.changes, now)
 	return t.changes
 }
 
@@ -101,12 +73,12 @@
 func (t *Table) UpdateFor(name, region string, now time.Time) Update {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.peerFor(name, now)
-	u := Update{Ack: p.received}
-	if p.acked == t.changes {
+	p := t.peers.Get(name, now)
+	u := Update{Ack: p.Received}
+	if p.Acked == t.changes {
 		return u
 	}
-	u.After = p.acked
+	u.After = p.Acked
 	if u.After > t.changes {
 		u.After = 0 // a number of an earlier run
 	}
@@ -194,12 +166,8 @@
 func (t *Table) MergeUpdate(name string, u Update, now time.Time) (barred, released []ID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.peerFor(name, now)
-	p.acked = u.Ack
-	// If this node was restarted, the peer may still go by an Ack of its last run.
-	if u.To > 0 && u.After <= p.received {
-		p.received = u.To
-	}
+	p := t.peers.Get(name, now)
+	p.Merge(u.After, u.To, u.Ack)
 	before, changed := t.bars, false
 	for _, c := range u.Crashes {
 		if c.Age >= 0 && c.Age <= rememberBarred && t.addCrash(now, now.Add(-c.Age), c.Incarnation, c.Suspects) {
--- a/core/jwpart/update_test.go
+++ b/core/jwpart/update_test.go
@@ -132,7 +132,7 @@
 	for i := range 4 {
 		exchange(t, after(800+100*i), a.Table, b, "a", "b")
 	}
-	assert.Equal(t, a.peers["b"].acked, a.changes)
+	assert.Equal(t, a.peers.Get("b", after(1200)).Acked, a.changes)
 	for _, u := range []Update{a.UpdateFor("b", "north", after(2000)), b.UpdateFor("a", "north", after(2000))} {
 		assert.Equal(t, len(u.Crashes)+len(u.Cleared), 0)
 	}
--- a/core/jwsuspect/table.go
+++ b/core/jwsuspect/table.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"jujubewheel/core/jwdelta"
 	"jujubewheel/core/jwworkspace"
 )
 
@@ -58,7 +59,7 @@
 	inFlight map[netip.AddrPort]map[Fingerprint]callCount
 	suspects map[Fingerprint]*suspect
 	history  history
-	peers    map[string]*peer
+	peers    jwdelta.Peers
 }
 
 // callCount counts the calls of one fingerprint on one target.
@@ -338,11 +339,7 @@
 			delete(t.suspects, f)
 		}
 	}
-	for name, p := range t.peers {
-		if now.Sub(p.seen) > t.remember() {
-			delete(t.peers, name)
-		}
-	}
+	t.peers.Expire(now, t.remember())
 }
 
 func (t *Table) remember() time.Duration   { return orDefault(t.Remember, DefaultRemember) }
--- a/core/jwsuspect/update.go
+++ b/core/jwsuspect/update.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"jujubewheel/core/jwdelta"
 )
 
 // maxNotices is the maximum number of notices in one Update; the next one continues.
@@ -36,13 +38,9 @@
 	crash       crash
 }
 
-// add appends a change and returns its number. The numbers begin with the time of the first
-// one, so that a node that restarts doesn't use those of its last run again.
+// add appends a change and returns its number.
 func (h *history) add(f Fingerprint, c crash, now time.Time) uint64 {
-	if h.last == 0 {
-		h.last = uint64(now.UnixNano())
-	}
-	h.last++
+	h.last = jwdelta.Next(h.last, now)
 	h.changes = append(h.changes, change{h.last, f, c})
 	return h.last
 }
@@ -57,37 +55,17 @@
 	return h.changes[i:], number
 }
 
-// peer is how far the exchange with another node is.
-type peer struct {
-	received uint64 // number up to which this node has the peer's notices
-	acked    uint64 // number up to which the peer has this node's notices
-	seen     time.Time
-}
-
-func (t *Table) peerFor(name string, now time.Time) *peer {
-	p := t.peers[name]
-	if p == nil {
-		if t.peers == nil {
-			t.peers = make(map[string]*peer)
-		}
-		p = &peer{}
-		t.peers[name] = p
-	}
-	p.seen = now
-	return p
-}
-
 // UpdateFor returns what a peer, of the given region, has not confirmed yet. It omits fingerprints of
 // data that the region may not hold.
 func (t *Table) UpdateFor(name, region string, now time.Time) Update {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.peerFor(name, now)
-	u := Update{Ack: p.received}
-	if p.acked == t.history.last {
+	p := t.peers.Get(name, now)
+	u := Update{Ack: p.Received}
+	if p.Acked == t.history.last {
 		return u
 	}
-	changes, after := t.history.after(p.acked)
+	changes, after := t.history.after(p.Acked)
 	u.After, u.To = after, t.history.last
 	for _, c := range changes {
 		if len(u.Notices) == maxNotices {
@@ -113,12 +91,8 @@
 func (t *Table) MergeUpdate(name string, u Update, now time.Time) []Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.peerFor(name, now)
-	p.acked = u.Ack
-	// If this node was restarted, the peer may still go by an Ack of its last run.
-	if u.To > 0 && u.After <= p.received {
-		p.received = u.To
-	}
+	p := t.peers.Get(name, now)
+	p.Merge(u.After, u.To, u.Ack)
 	return t.merge(u.Notices, now)
 }
 
