--- a/core/jwpart/judge.go
+++ b/core/jwpart/judge.go
@@ -15,16 +15,13 @@
 	open := slices.Clone(t.crashes)
 	slices.SortFunc(open, func(a, b *crash) int { return a.at.Compare(b.at) })
 	t.bars = make(map[ID]*Bar)
-	t.suspects = make(map[ID]int)
-	for _, c := range open {
-		for p := range c.suspects {
-			if t.isSuspect(c, p) {
-				t.suspects[p]++
-			}
-		}
+	counts := t.count(open)
+	t.points = make(map[ID]int, len(counts))
+	for p, b := range counts {
+		t.points[p] = b.points
 	}
 	for {
-		culprits := culprits(t.count(open))
+		culprits := culprits(counts)
 		if len(culprits) == 0 {
 			break
 		}
@@ -34,14 +31,30 @@
 		open = slices.DeleteFunc(open, func(c *crash) bool {
 			return slices.ContainsFunc(culprits, func(b *Bar) bool { return t.isSuspect(c, b.Part) })
 		})
+		counts = t.count(open)
+	}
+	t.forgetClearances()
+}
+
+// forgetClearances removes the clearances of parts that are suspects of no crash any more.
+func (t *Table) forgetClearances() {
+	if len(t.cleared) == 0 {
+		return
 	}
-	for p := range t.cleared {
-		if !t.named(p) {
-			delete(t.cleared, p)
+	named := make(map[ID]clearance, len(t.cleared))
+	for _, c := range t.crashes {
+		for p := range c.suspects {
+			if cleared, ok := t.cleared[p]; ok {
+				named[p] = cleared
+			}
 		}
 	}
+	t.cleared = named
 }
 
+// isContested reports whether the bars may depend on a part: others have fewer points than any culprit.
+func (t *Table) isContested(p ID) bool { return t.points[p] >= pointsToBar }
+
 // expire removes the crashes that no longer count, and the peers that are gone.
 func (t *Table) expire(now time.Time) {
 	t.peers.Expire(now, remember)
@@ -59,16 +72,6 @@
 	return ok && c.at.After(t.cleared[p].at)
 }
 
-// named reports whether a part is among the suspects of a crash, cleared or not.
-func (t *Table) named(p ID) bool {
-	for _, c := range t.crashes {
-		if _, ok := c.suspects[p]; ok {
-			return true
-		}
-	}
-	return false
-}
-
 // count counts the crashes of each suspect, which are sorted by time.
 func (t *Table) count(crashes []*crash) map[ID]*Bar {
 	counts := make(map[ID]*Bar)
--- a/core/jwpart/table.go
+++ b/core/jwpart/table.go
@@ -52,7 +52,7 @@
 	cleared  map[ID]clearance // of suspects of the crashes
 	early    map[ID]time.Time // clearances that came before the crashes that they may be about
 	known    recentParts      // served at this node
-	suspects map[ID]int       // crashes of which a part is a suspect and has not been cleared since
+	points   map[ID]int       // of the suspects of the crashes, those that were not cleared since
 	bars     map[ID]*Bar      // derived from the crashes and clearances by judge
 	trials   map[ID]*Run      // in flight at this node
 	changes  uint64           // number of the last change, see Update
@@ -234,24 +234,41 @@
 	}
 	t.known.add(now, r.parts)
 	before := t.bars
-	if t.clearAll(now, now, r.parts) {
+	if _, contested := t.clearAll(now, now, r.parts); contested {
 		t.judge(now)
 	}
 	return missing(before, t.bars)
 }
 
-// clearAll records that parts were harmless at a time, and reports whether that changed anything. A
-// clearance that ends no suspicion is dropped: nodes date it by when they received it, and would
-// report it to each other forever.
-func (t *Table) clearAll(now, at time.Time, parts []ID) (changed bool) {
+// clearAll records that parts were harmless at a time. It reports whether that changed anything, and
+// whether the bars may depend on it. A clearance that ends no suspicion is dropped: nodes date it by
+// when they received it, and would report it to each other forever.
+func (t *Table) clearAll(now, at time.Time, parts []ID) (changed, contested bool) {
 	for _, p := range parts {
-		if t.suspects[p] == 0 || !t.endsSuspicion(p, at) {
+		if t.points[p] == 0 || !t.endsSuspicion(p, at) {
 			continue
 		}
+		contested = contested || t.isContested(p)
 		t.setCleared(now, p, at)
+		t.recount(p)
 		changed = true
 	}
-	return changed
+	return changed, contested
+}
+
+// recount counts the points of one part anew; the order of its crashes matters only for bars.
+func (t *Table) recount(p ID) {
+	points := 0
+	for _, c := range t.crashes {
+		if t.isSuspect(c, p) {
+			points += c.suspects[p].points()
+		}
+	}
+	if points == 0 {
+		delete(t.points, p)
+		return
+	}
+	t.points[p] = points
 }
 
 // endsSuspicion reports whether a part is a suspect of a crash no later than a time.
--- a/core/jwpart/update.go
+++ b/core/jwpart/update.go
@@ -177,18 +177,20 @@
 	if changed {
 		t.judge(now) // so that the clearances find their suspects
 	}
+	rejudge := false
 	for _, c := range u.Cleared {
-		switch {
-		case c.Age < 0:
-		case t.clearAll(now, now.Add(-c.Age), []ID{c.Part}):
-			changed = true
-		case t.suspects[c.Part] == 0:
+		if c.Age < 0 {
+			continue
+		}
+		if t.points[c.Part] == 0 {
 			t.keepEarly(c.Part, now.Add(-c.Age))
+			continue
 		}
+		_, contested := t.clearAll(now, now.Add(-c.Age), []ID{c.Part})
+		rejudge = rejudge || contested
 	}
-	if !changed {
-		return nil, nil
+	if rejudge {
+		t.judge(now)
 	}
-	t.judge(now)
 	return missing(t.bars, before), missing(before, t.bars)
 }
--- a/core/jwpart/update_test.go
+++ b/core/jwpart/update_test.go
@@ -82,7 +82,7 @@
 			exchangeAll()
 			now = now.Add(time.Second)
 			for _, table := range tables {
-				for p := range table.suspects {
+				for p := range table.points {
 					if p != bad && table.bars[p] == nil {
 						if r, ok := table.Begin(now, []ID{p}, address(9000+k), nil, false); ok {
 							r.End(now, true)
@@ -94,6 +94,10 @@
 		exchangeAll()
 		exchangeAll()
 		for i, table := range tables {
+			// Bars must be those that follow from all that is known, though few changes are judged.
+			bars := table.bars
+			table.judge(now)
+			assert.Equal(t, len(table.bars), len(bars))
 			assert.Equal(t, len(table.bars), len(tables[0].bars), "node %d", i)
 			for p, b := range tables[0].bars {
 				assert.Assert(t, table.bars[p] != nil)
