jwgateway, jwlog: the log shows on what an evacuation and a send rest

Of the hypotheses on a lost evacuation none could be excluded by logs: 'evacuation' had neither source nor revision and was written also where nothing changed, a read of all keys left no line, and a send showed the age of the target's registration only. Sends show storeAgeMs and storeRevision.

--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -295,15 +295,15 @@
 
 // Evacuate sets whether a data centre is evacuated, that is, gets no requests. Its targets may come
 // back cold without reporting it at once, so they are assumed to be cold from the time of the
-// change.
-func (t *Table) Evacuate(now time.Time, dataCentre string, on bool) {
+// change. It reports whether that changed anything.
+func (t *Table) Evacuate(now time.Time, dataCentre string, on bool) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.evacuated == nil {
 		t.evacuated = make(map[string]bool)
 	}
 	if t.evacuated[dataCentre] == on {
-		return
+		return false
 	}
 	t.evacuated[dataCentre] = on
 	t.usableSlots = nil
@@ -315,6 +315,7 @@
 			t.setColdUntil(x, laterTime(x.coldUntil, now.Add(d)))
 		}
 	}
+	return true
 }
 
 // Evacuated returns the names of the evacuated data centres, sorted.
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jujubewheel/core/jwinstance"
+	"jujubewheel/core/jwstore"
 	"jujubewheel/io/jwlog"
 )
 
@@ -68,6 +69,7 @@
 	d.Framing, d.Partial = string(q.answer.framing), q.answer.partial
 	d.Silent = p.silence(v, time.Now())
 	d.ViewAge, d.Outcome, d.Status = c.Age, string(v), status
+	d.StoreAge, d.StoreRevision = g.storeReadAge(time.Now()), int64(jwstore.Number(g.store.revision.Load()))
 	d.DropFirst = v == finished && status < 500
 	if !d.DropFirst {
 		d.Reason = q.lastReason
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -329,7 +329,7 @@
 		g.metrics.barredParts.Update(float64(g.parts.Bars()))
 		g.metrics.limitedTargets.Update(float64(g.targets.LimitedTargets()))
 		g.metrics.setRetriesLeft(g.retryBudget.Left(now))
-		g.metrics.storeReadAge.Update((now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())).Seconds())
+		g.metrics.storeReadAge.Update(g.storeReadAge(now).Seconds())
 		if g.DroppedLogLines != nil {
 			g.metrics.logLinesLost.Update(float64(g.DroppedLogLines()))
 		}
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -27,7 +27,8 @@
 
 // fullRead is what a read of all keys has returned so far.
 type fullRead struct {
-	revision         jwstore.Revision // of the first page
+	revision         jwstore.Revision // from which on changes are read: of the first page, or of the relay's view
+	pageRevision     jwstore.Revision // of the first page
 	targets          map[string]bool
 	nodes            map[string]bool
 	evacuated        map[string]bool
@@ -49,7 +50,7 @@
 			return err
 		}
 		if r.revision == 0 {
-			r.revision = p.Revision
+			r.revision, r.pageRevision = p.Revision, p.Revision
 		}
 		w.applyPage(now, p, r)
 		if !p.More {
@@ -142,7 +143,7 @@
 	for dc := range w.heldEvacuations {
 		r.evacuated[dc] = true
 	}
-	w.g.endEvacuationsExcept(now, r.evacuated)
+	w.g.endEvacuationsExcept(now, r.evacuated, "all keys", r.pageRevision)
 	w.applyItem(now, r.fleet)
 	w.applyItem(now, r.config)
 	w.g.registrationsRead(now)
@@ -155,6 +156,8 @@
 		}
 	}
 	w.g.pauseDetector.Reset()
+	w.g.Log.Info("read all keys of the store", "pageRevision", jwstore.Number(r.pageRevision), "revision", jwstore.Number(r.revision),
+		"era", jwstore.Era(r.revision), "targetsFromRelay", r.targetsFromRelay, "nodes", len(r.nodes), "evacuated", w.g.targets.Evacuated())
 }
 
 // pullTargetsFromRelay gets the targets from a relay, if this node starts in a large region and is
--- a/io/jwgateway/relayexchange.go
+++ b/io/jwgateway/relayexchange.go
@@ -221,7 +221,7 @@
 
 // changesAfter returns the changes after a revision, if they are still kept.
 func (g *Gateway) changesAfter(now time.Time, after jwstore.Revision) *changes {
-	age := now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())
+	age := g.storeReadAge(now)
 	events, to, ok := g.recentChanges.After(after)
 	if !ok || !g.pauseDetector.Valid() {
 		return &changes{Lost: true}
--- a/io/jwgateway/restored.go
+++ b/io/jwgateway/restored.go
@@ -40,7 +40,7 @@
 	for dc, until := range w.heldEvacuations {
 		if now.After(until) {
 			delete(w.heldEvacuations, dc)
-			w.g.setEvacuated(now, dc, false)
+			w.g.setEvacuated(now, dc, false, "end of its hold", w.lastRevision)
 		}
 	}
 }
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -234,7 +234,7 @@
 	}
 	if dc, ok := g.Records.Evacuation(e.Key); ok {
 		delete(w.heldEvacuations, dc)
-		g.setEvacuated(now, dc, !e.Deleted)
+		g.setEvacuated(now, dc, !e.Deleted, "store", e.Revision)
 		return true
 	}
 	if id, ok := g.Records.TargetID(e.Key); ok {
@@ -319,19 +319,22 @@
 	g.Nodes.CloseIdle(m.Nodes)
 }
 
-// endEvacuationsExcept ends the evacuations of all data centres but the given ones.
-func (g *Gateway) endEvacuationsExcept(now time.Time, dataCentres map[string]bool) {
+// endEvacuationsExcept ends the evacuations of all data centres but the given ones, which are those that
+// a source had at a revision.
+func (g *Gateway) endEvacuationsExcept(now time.Time, dataCentres map[string]bool, source string, revision jwstore.Revision) {
 	for _, dc := range g.targets.Evacuated() {
 		if !dataCentres[dc] {
-			g.setEvacuated(now, dc, false)
+			g.setEvacuated(now, dc, false, source, revision)
 		}
 	}
 }
 
-// setEvacuated starts or ends the evacuation of a data centre.
-func (g *Gateway) setEvacuated(now time.Time, dataCentre string, active bool) {
-	g.Log.Info("evacuation", "dataCentre", dataCentre, "on", active)
-	g.targets.Evacuate(now, dataCentre, active)
+// setEvacuated starts or ends the evacuation of a data centre, as a source had it at a revision.
+func (g *Gateway) setEvacuated(now time.Time, dataCentre string, active bool, source string, revision jwstore.Revision) {
+	if g.targets.Evacuate(now, dataCentre, active) {
+		g.Log.Info("evacuation", "dataCentre", dataCentre, "on", active, "from", source, "revision", jwstore.Number(revision),
+			"era", jwstore.Era(revision), "ownRevision", jwstore.Number(g.store.revision.Load()))
+	}
 }
 
 // applyConfig puts a configuration into force if it is newer than the current one.
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -180,8 +180,12 @@
 // readsStore reports whether this node reads the store. Its calls may be answered while a watch, on
 // a connection of its own, gets nothing.
 func (g *Gateway) readsStore(now time.Time) bool {
-	age := now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())
-	return !g.store.stale(now) && age <= maxRelayReadAge+maxRelayReportAge
+	return !g.store.stale(now) && g.storeReadAge(now) <= maxRelayReadAge+maxRelayReportAge
+}
+
+// storeReadAge returns how long ago the store was read, by this node or by a relay for it.
+func (g *Gateway) storeReadAge(now time.Time) time.Duration {
+	return now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())
 }
 
 // pullView fetches and applies what another node has read and this one has not, because the store
@@ -276,10 +280,10 @@
 	}
 	g.targets.RemoveExcept(now, targets, v.Revision)
 	for _, dc := range v.Evacuated {
-		g.setEvacuated(now, dc, true)
+		g.setEvacuated(now, dc, true, from.String(), v.Revision)
 		evacuated[dc] = true
 	}
-	g.endEvacuationsExcept(now, evacuated)
+	g.endEvacuationsExcept(now, evacuated, from.String(), v.Revision)
 	for _, m := range v.Members {
 		g.members.Put(now, m)
 	}
@@ -289,7 +293,8 @@
 	g.pulledRevision.Store(v.Revision)
 	g.registrationsRead(now)
 	g.storeWatcher.continueFrom(now, v)
-	g.Log.Info("applied a view of another node", "peer", from.String(), "revision", v.Revision, "targets", len(v.Targets))
+	g.Log.Info("applied a view of another node", "peer", from.String(), "revision", jwstore.Number(v.Revision),
+		"ownRevision", jwstore.Number(g.store.revision.Load()), "targets", len(v.Targets), "evacuated", v.Evacuated)
 }
 
 // continueFrom makes the changes after a view the next ones that this node wants, if it has read the
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -48,6 +48,8 @@
 	MissTokens    int           // of these, tokens that the target probably has not cached
 	AheadTokens   int           // prompt tokens that the target has to read first
 	ViewAge       time.Duration // since the target's registration was last read
+	StoreAge      time.Duration // since the store was read, by this node or by a relay for it
+	StoreRevision int64         // the store's own number up to which it was read
 	LoadAge       time.Duration // age of the target's last load report
 	Waited        time.Duration // in the waiting room
 	Waiting       int           // requests that went before it in the waiting room
@@ -171,6 +173,8 @@
 	f = appendNumber(f, "units", int64(x.Units))
 	f = appendNumber(f, "levelUnits", int64(x.Level))
 	f = appendNumber(f, "viewAgeMs", x.ViewAge.Milliseconds())
+	f = appendNumber(f, "storeAgeMs", x.StoreAge.Milliseconds())
+	f = appendNumber(f, "storeRevision", x.StoreRevision)
 	f = appendNumber(f, "loadAgeMs", x.LoadAge.Milliseconds())
 	f = appendText(f, "region", x.Region)
 	f = appendNumber(f, "sharePercent", int64(math.Round(100*x.PartSent)))
