jwfact, jwgateway: what a node knows of a key has a revision, and no source undoes a later one

Callers saw: requests reached a data centre for as long as it was evacuated, from all nodes of a region.

Cause: a node that reads all keys and takes the targets from a relay's view put the evacuations of the view in force, ended at the end of the read all that its first page, which is older, didn't have, and went on from the view's revision, so that the change never came. Nodes registered meanwhile, versions of services and the size of the fleet were lost in the same way. The class: one revision for all that is known, while it comes from four sources of different revisions.

Change: jwfact.Table keeps evacuations, nodes, versions and the size of the fleet with the revision as of which each is known, and holds what is missing from a restored store. A page or a view removes a key only if it isn't known from a later revision; a view carries all facts, and is applied under the lock or not at all if the node has read on. With that an evacuation that was written again while it was held outlives the hold, also if the node learns of it from a view. These have one mechanism and can't be mended apart. A view of an earlier version, without facts, is ignored.

--- a/core/jwmember/view.go
+++ b/core/jwmember/view.go
@@ -77,24 +77,6 @@
 	return v.count
 }
 
-// Registered returns the names of the registered nodes, sorted. It includes this node if it has read
-// its own registration in the store.
-func (t *Table) Registered() []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var names []string
-	if !t.listedAt.IsZero() {
-		names = append(names, t.Self.Name)
-	}
-	for name, r := range t.members {
-		if r.registered {
-			names = append(names, name)
-		}
-	}
-	sort.Strings(names)
-	return names
-}
-
 // countAll computes the result of Count.
 func (t *Table) countAll(now time.Time, region string) int {
 	n := 0
--- a/io/jwgateway/knowledge_test.go
+++ b/io/jwgateway/knowledge_test.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
+	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwsettings"
 )
 
@@ -38,7 +43,7 @@
 	g := &Gateway{
 		Settings: &jwsettings.Settings{Node: name, Region: "north", DataCentre: "north-a"},
 		Feed:     feed, Records: &evacuationRecords{}, Log: logr.Discard(), registrationChanged: make(chan struct{}, 1),
-		startTime: time.Now(), metrics: newMetrics(nil),
+		startTime: time.Now(), metrics: newMetrics(nil), Nodes: &jwconn.Pool{},
 	}
 	g.pauseDetector.Limit = pauseLimit
 	g.pauseDetector.Reset()
@@ -55,8 +60,6 @@
 	assert.NilError(t, err)
 }
 
-var peerAddress = netip.MustParseAddrPort("127.0.0.1:9")
-
 // The store came back from a copy older than an evacuation, which operators have written again. A node
 // that learns of that from another node's view must not end the evacuation when its hold ends.
 func TestEvacuationWrittenAgainOutlivesItsHold(t *testing.T) {
@@ -74,7 +77,7 @@
 	feed.Write(evacuationPrefix+"north-b", nil)
 	read(t, peer)
 	now := time.Now()
-	g.applyView(now, peer.viewSince(now, 0, 0), peerAddress)
+	g.storeWatcher.applyView(now, peer.viewSince(now, 0, 0), "peer")
 	g.storeWatcher.endHeldEvacuations(now.Add(2 * restoredEvacuationHold))
 	assert.DeepEqual(t, g.targets.Evacuated(), []string{"north-b"})
 }
@@ -106,8 +109,248 @@
 			v := peer.viewSince(time.Now(), 0, 0)
 			c.after(&feed)
 			read(t, g)
-			g.applyView(time.Now(), v, peerAddress)
+			g.storeWatcher.applyView(time.Now(), v, "peer")
 			assert.DeepEqual(t, g.targets.Evacuated(), c.want)
 		})
 	}
 }
+
+// A node of an earlier version sends a view without facts. The view must end no evacuation, and the node
+// must not skip the changes up to the view's revision.
+func TestViewWithoutFactsIsIgnored(t *testing.T) {
+	var feed jwstore.MemoryFeed
+	feed.Write("op/config", []byte("1"))
+	feed.Write(evacuationPrefix+"north-b", nil)
+	g := newReader(&feed, "n1")
+	read(t, g)
+	revision := g.storeWatcher.currentRevision()
+	g.storeWatcher.applyView(time.Now(), view{Revision: revision + 9}, "n2")
+	assert.DeepEqual(t, g.targets.Evacuated(), []string{"north-b"})
+	assert.Equal(t, g.storeWatcher.currentRevision(), revision)
+}
+
+// storeModel is a store that knows the last change of each key, which is what its readers must know.
+type storeModel struct {
+	jwstore.MemoryFeed
+	changes  map[string]jwstore.Event
+	restored bool // it came back from an older copy
+}
+
+func (m *storeModel) revisionNow() jwstore.Revision {
+	p, err := m.MemoryFeed.Range(context.Background(), "none", "")
+	if err != nil {
+		panic(err)
+	}
+	return p.Revision
+}
+
+// change writes a key, or removes it if value is nil.
+func (m *storeModel) change(key string, value []byte) {
+	if value == nil {
+		m.Remove(key)
+	} else {
+		m.Write(key, value)
+	}
+	m.changes[key] = jwstore.Event{Key: key, Value: value, Deleted: value == nil, Revision: m.revisionNow()}
+}
+
+// restore restores the store from a copy and the changes that it had.
+func (m *storeModel) restore(s jwstore.Snapshot, changes map[string]jwstore.Event) {
+	m.Restore(s)
+	m.restored = true
+	for key := range m.changes {
+		e := changes[key]
+		m.changes[key] = jwstore.Event{Key: key, Value: e.Value, Deleted: e.Value == nil, Revision: m.revisionNow()}
+	}
+}
+
+// Watch doesn't wait for changes.
+func (m *storeModel) Watch(ctx context.Context, prefix string, after jwstore.Revision, _ time.Duration) ([]jwstore.Event, jwstore.Revision, error) {
+	return m.MemoryFeed.Watch(ctx, prefix, after, 0)
+}
+
+// checkReader fails the test if a node lacks a change up to the revision that it has read.
+func (m *storeModel) checkReader(t *rapid.T, g *Gateway) {
+	now, revision := time.Now(), g.storeWatcher.currentRevision()
+	if revision == 0 || jwstore.Era(revision) != jwstore.Era(m.revisionNow()) {
+		return
+	}
+	known := make(map[string]string) // values by key
+	held := make(map[string]bool)
+	for _, f := range g.storeWatcher.allFacts(now) {
+		known[f.Key], held[f.Key] = string(f.Value), f.HeldFor > 0
+	}
+	for _, in := range g.targets.Instances(now) {
+		known["servers/"+in.ID] = in.Service
+	}
+	inForce := make(map[string]bool) // of evacuations and nodes
+	for _, dc := range g.targets.Evacuated() {
+		inForce[evacuationPrefix+dc] = true
+	}
+	for _, n := range append(g.members.Peers(now), g.members.Local()) {
+		inForce[nodePrefix+n.Name] = true
+	}
+	for key, e := range m.changes {
+		target := strings.HasPrefix(key, "servers/")
+		if e.Revision > revision || held[key] || target && m.restored {
+			continue
+		}
+		value, ok := known[key]
+		if ok == e.Deleted || ok && value != string(e.Value) {
+			t.Fatalf("%s at %d: known %t, value %q; the store: %+v", key, revision, ok, value, e)
+		}
+		if table := strings.HasPrefix(key, evacuationPrefix) || strings.HasPrefix(key, nodePrefix); table && inForce[key] != ok {
+			t.Fatalf("%s at %d: in force %t, known %t", key, revision, inForce[key], ok)
+		}
+	}
+}
+
+// steppedFeed is a store where other things happen during each call.
+type steppedFeed struct {
+	*storeModel
+	step func()
+}
+
+func (f *steppedFeed) Range(ctx context.Context, prefix, after string) (jwstore.Page, error) {
+	p, err := f.storeModel.Range(ctx, prefix, after)
+	f.step()
+	return p, err
+}
+
+func (f *steppedFeed) Watch(ctx context.Context, prefix string, after jwstore.Revision, maxWait time.Duration) ([]jwstore.Event, jwstore.Revision, error) {
+	events, revision, err := f.storeModel.Watch(ctx, prefix, after, maxWait)
+	f.step()
+	return events, revision, err
+}
+
+// tryRead reads the store or its changes, and makes the next read one of all keys if the history is gone.
+func tryRead(g *Gateway) {
+	if _, err := g.storeWatcher.readOnce(context.Background()); err != nil {
+		g.storeWatcher.resetRevision()
+	}
+}
+
+// readers are a relay and a node that follows it, on a store that changes at random.
+type readers struct {
+	t           *rapid.T
+	store       *storeModel
+	relay, node *Gateway
+	views       []view // of the relay, the last one last
+	after       jwstore.Revision
+	copied      jwstore.Snapshot
+	copyChanges map[string]jwstore.Event
+	busy        bool
+}
+
+var modelKeys = []string{
+	evacuationPrefix + "north-b", evacuationPrefix + "north-c", nodePrefix + "m1", nodePrefix + "m2",
+	versionsKey, fleetSizeKey, "servers/t1", "servers/t2", "servers/t3", "servers/t4",
+}
+
+var relayMember = jwmember.Member{Name: "a", Region: "north", DataCentre: "north-a", Start: 1, Serving: true}
+
+func newReaders(t *rapid.T) *readers {
+	m := &storeModel{changes: make(map[string]jwstore.Event)}
+	m.PageSize = 3
+	r := &readers{t: t, store: m, relay: newReader(m, relayMember.Name)}
+	r.node = newReader(&steppedFeed{m, r.meanwhile}, "n1")
+	r.node.members.RelayThreshold, r.relay.members.RelayThreshold = 2, 1
+	r.node.storeWatcher.fetchView = func(context.Context, netip.AddrPort, uint64, uint64, time.Duration) (view, error) {
+		tryRead(r.relay)
+		r.meanwhile()
+		tryRead(r.relay)
+		return r.relay.viewSince(time.Now(), 0, 0), nil
+	}
+	for _, key := range modelKeys[4:] {
+		m.change(key, valueOf(key, 1))
+	}
+	m.change(nodePrefix+relayMember.Name, valueOf(nodePrefix+relayMember.Name, 1))
+	return r
+}
+
+// valueOf returns a value of a key.
+func valueOf(key string, n int) []byte {
+	switch name, node := strings.CutPrefix(key, nodePrefix); {
+	case node:
+		return fmt.Appendf(nil, `{"name":%q,"region":"north","dataCentre":"north-a","start":%d,"serving":true}`, name, n)
+	case key == versionsKey:
+		return fmt.Appendf(nil, `{"s":["v%d"]}`, n)
+	case key == fleetSizeKey:
+		return fmt.Appendf(nil, `{"nodes":%d}`, n)
+	case strings.HasPrefix(key, "servers/"):
+		return []byte("s")
+	}
+	return fmt.Append(nil, n)
+}
+
+// write writes or removes a key.
+func (r *readers) write() {
+	key := rapid.SampledFrom(modelKeys).Draw(r.t, "key")
+	if key != versionsKey && key != fleetSizeKey && rapid.Bool().Draw(r.t, "remove") {
+		r.store.change(key, nil)
+		return
+	}
+	r.store.change(key, valueOf(key, rapid.IntRange(1, 9).Draw(r.t, "value")))
+}
+
+// others are what may happen during a call of the node.
+var others = map[string]func(*readers){
+	"write":       (*readers).write,
+	"relay reads": func(r *readers) { tryRead(r.relay) },
+	"take a view": func(r *readers) {
+		tryRead(r.relay)
+		r.views = append(r.views, r.relay.viewSince(time.Now(), 0, 0))
+	},
+	"apply a view": func(r *readers) {
+		if n := len(r.views); n > 0 {
+			r.node.storeWatcher.applyView(time.Now(), r.views[rapid.IntRange(0, n-1).Draw(r.t, "view")], relayMember.Name)
+		}
+	},
+	"ask the relay": func(r *readers) { r.after = r.node.storeWatcher.currentRevision() },
+	"relay answers": func(r *readers) {
+		now := time.Now()
+		r.node.storeWatcher.applyRelayed(now, r.relay.changesAfter(now, r.after), relayMember.Name)
+	},
+	"compact": func(r *readers) { r.store.Compact() },
+	"copy":    func(r *readers) { r.copied, r.copyChanges = r.store.Snapshot(), maps.Clone(r.store.changes) },
+	"restore": func(r *readers) {
+		if r.copyChanges != nil {
+			r.store.restore(r.copied, r.copyChanges)
+			r.copyChanges = nil
+		}
+	},
+}
+
+// meanwhile does some of the others.
+func (r *readers) meanwhile() {
+	if r.busy {
+		return
+	}
+	r.busy = true
+	for range rapid.IntRange(0, 4).Draw(r.t, "meanwhile") {
+		others[rapid.SampledFrom(slices.Sorted(maps.Keys(others))).Draw(r.t, "op")](r)
+	}
+	r.busy = false
+}
+
+// A node reads all keys, takes the targets from its relay, follows the store or the relay, and takes
+// views, while the store changes, loses its history and comes back from an older copy. What the node
+// knows must include each change up to the revision that it claims to have read.
+func TestNodeKnowsEachChangeUpToItsRevision(t *testing.T) {
+	ops := maps.Clone(others)
+	ops["read"] = func(r *readers) { tryRead(r.node) }
+	ops["read all"] = func(r *readers) {
+		r.node.storeWatcher.resetRevision()
+		tryRead(r.node)
+	}
+	names := slices.Sorted(maps.Keys(ops))
+	rapid.Check(t, func(t *rapid.T) {
+		r := newReaders(t)
+		for range rapid.IntRange(5, 40).Draw(t, "steps") {
+			r.node.members.Seen(time.Now(), relayMember)
+			ops[rapid.SampledFrom(names).Draw(t, "op")](r)
+			r.store.checkReader(t, r.node)
+			r.store.checkReader(t, r.relay)
+		}
+	})
+}
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"jujubewheel/core/jwclock"
@@ -30,8 +29,7 @@
 	revision         jwstore.Revision // from which on changes are read: of the first page, or of the relay's view
 	pageRevision     jwstore.Revision // of the first page
 	targets          map[string]bool
-	nodes            map[string]bool
-	evacuated        map[string]bool
+	facts            map[string]bool // keys that jwfact.Table keeps
 	config           *jwstore.Item
 	fleet            *jwstore.Item
 	targetsAsked     bool // a relay was asked for the targets
@@ -41,7 +39,7 @@
 // readAll reads all keys page by page and removes what is no longer in the store. In a large region
 // the targets, which are most of the data, come from a relay.
 func (w *storeWatcher) readAll(ctx context.Context) error {
-	r := &fullRead{targets: map[string]bool{}, nodes: map[string]bool{}, evacuated: map[string]bool{}}
+	r := &fullRead{targets: map[string]bool{}, facts: map[string]bool{}}
 	last := ""
 	for {
 		p, err := w.g.Feed.Range(ctx, "", last)
@@ -76,7 +74,7 @@
 // which it could take the targets. When all nodes of a fleet start for the first time, or after they
 // were down for longer than their leases, none is registered, and each would read all targets itself.
 func (w *storeWatcher) meetNodes(ctx context.Context, r *fullRead) error {
-	if _, ok := w.g.members.StartSource(time.Now(), directReaders); ok || r.nodes[w.g.members.Local().Name] {
+	if _, ok := w.g.members.StartSource(time.Now(), directReaders); ok || r.facts[nodePrefix+w.g.members.Local().Name] {
 		return nil
 	}
 	w.g.registerEarly(ctx)
@@ -104,27 +102,23 @@
 			r.config = &i
 			continue
 		}
+		if id, ok := w.g.Records.TargetID(i.Key); ok {
+			r.targets[id] = true
+		} else {
+			r.facts[i.Key] = true
+		}
 		if i.Key == fleetSizeKey {
 			r.fleet = &i // applied after the nodes, which it is compared with
 			continue
 		}
 		w.applyItem(now, &i)
-		if id, ok := w.g.Records.TargetID(i.Key); ok {
-			r.targets[id] = true
-		}
-		if name, ok := strings.CutPrefix(i.Key, nodePrefix); ok {
-			r.nodes[name] = true
-		}
-		if dc, ok := w.g.Records.Evacuation(i.Key); ok {
-			r.evacuated[dc] = true
-		}
 	}
 }
 
 // applyItem applies a stored key, unless it is nil.
 func (w *storeWatcher) applyItem(now time.Time, i *jwstore.Item) {
 	if i != nil {
-		w.applyChange(now, jwstore.Event{Key: i.Key, Value: i.Value, Revision: i.Version})
+		w.applyChange(now, jwstore.Event{Key: i.Key, Value: i.Value, Revision: i.Version}, fromAllKeys)
 	}
 }
 
@@ -135,16 +129,14 @@
 	if !r.targetsFromRelay {
 		w.g.targets.RemoveExcept(now, r.targets, r.revision)
 	}
-	w.g.members.RemoveExcept(now, r.nodes)
-	if !r.nodes[w.g.members.Local().Name] {
+	w.g.applyFacts(now, w.facts.RemoveExcept(now, r.facts, r.pageRevision), fromAllKeys)
+	nodes := w.facts.Names(nodePrefix)
+	w.g.members.RemoveExcept(now, nodes)
+	if !nodes[w.g.members.Local().Name] {
 		w.g.reregister()
 	}
-	w.checkStoreRestored(now, r)
-	for dc := range w.heldEvacuations {
-		r.evacuated[dc] = true
-	}
-	w.g.endEvacuationsExcept(now, r.evacuated, "all keys", r.pageRevision)
 	w.applyItem(now, r.fleet)
+	w.noteStoreRestored(r)
 	w.applyItem(now, r.config)
 	w.g.registrationsRead(now)
 	w.revision, w.lastRevision = r.revision, r.revision
@@ -157,7 +149,7 @@
 	}
 	w.g.pauseDetector.Reset()
 	w.g.Log.Info("read all keys of the store", "pageRevision", jwstore.Number(r.pageRevision), "revision", jwstore.Number(r.revision),
-		"era", jwstore.Era(r.revision), "targetsFromRelay", r.targetsFromRelay, "nodes", len(r.nodes), "evacuated", w.g.targets.Evacuated())
+		"era", jwstore.Era(r.revision), "targetsFromRelay", r.targetsFromRelay, "nodes", len(nodes), "evacuated", w.g.targets.Evacuated())
 }
 
 // pullTargetsFromRelay gets the targets from a relay, if this node starts in a large region and is
@@ -176,7 +168,7 @@
 			return false
 		}
 		// A view from before the first page has no use, and is as large.
-		v, err := g.fetchView(ctx, m.Nodes, g.entries.Version(), r.revision-1, viewWait)
+		v, err := w.fetchView(ctx, m.Nodes, g.entries.Version(), r.revision-1, viewWait)
 		if err == nil || errors.Is(err, errWithoutStore) {
 			g.members.Answered(time.Now(), m.Name)
 		}
@@ -192,6 +184,8 @@
 			g.members.MarkUnreachable(time.Now(), m.Name)
 			jwclock.Sleep(ctx, storeCheckStep)
 			continue
+		case v.Revision >= r.revision && v.Facts == nil:
+			return false // of an earlier version of this program
 		case v.Revision >= r.revision:
 			w.applySourceView(v, m, r)
 			return true
@@ -203,7 +197,7 @@
 
 // applySourceView applies the view of the relay from which a node that starts takes the targets.
 func (w *storeWatcher) applySourceView(v view, from jwmember.Member, r *fullRead) {
-	w.g.applyView(time.Now(), v, from.Nodes)
+	w.applyView(time.Now(), v, from.Name)
 	if len(v.Config) > 0 {
 		w.g.applyConfig(v.Config, from.Name)
 	}
--- a/io/jwgateway/relayexchange.go
+++ b/io/jwgateway/relayexchange.go
@@ -247,7 +247,7 @@
 	}
 	g.regions.mergeRelayed(now, report.Remote)
 	if report.Changes != nil {
-		g.storeWatcher.applyRelayed(now, report.Changes)
+		g.storeWatcher.applyRelayed(now, report.Changes, s.Member.Name)
 	}
 }
 
@@ -274,7 +274,7 @@
 
 // applyRelayed applies changes that a relay read. If the relay no longer has them or its read
 // is too old, this node reads the store itself.
-func (w *storeWatcher) applyRelayed(now time.Time, c *changes) {
+func (w *storeWatcher) applyRelayed(now time.Time, c *changes, from string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	age := time.Duration(c.Age) * time.Millisecond
@@ -287,7 +287,7 @@
 		return
 	}
 	w.relayedAt = now
-	w.applyChanges(now, c.events(), c.To)
+	w.applyChanges(now, c.events(), c.To, from)
 	w.g.storeReadAt.Store(int64(now.Sub(w.g.startTime) - age))
 }
 
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"jujubewheel/core/jwclock"
+	"jujubewheel/core/jwfact"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
@@ -51,16 +53,19 @@
 	upstreamFailedAt time.Time        // when a relay that reads the store last failed to pass its changes on
 	upstreamReadAt   time.Time        // as of when such a relay's changes were last applied
 
-	heldEvacuations map[string]time.Time // by data centre: until when an evacuation missing from a restored store stays in force
-	relayUnusable   chan struct{}        // signals that the relay can no longer be relied on
-	firstRead       chan struct{}        // closed once all keys have been read
+	facts jwfact.Table // the evacuations, the nodes, the versions of services and the size of the fleet
+
+	fetchView func(ctx context.Context, a netip.AddrPort, version, revision uint64, wait time.Duration) (view, error) // Gateway.fetchView
+
+	relayUnusable chan struct{} // signals that the relay can no longer be relied on
+	firstRead     chan struct{} // closed once all keys have been read
 }
 
 // newStoreWatcher returns the storeWatcher of a node.
 func newStoreWatcher(g *Gateway) *storeWatcher {
-	return &storeWatcher{
-		g: g, heldEvacuations: make(map[string]time.Time), relayUnusable: make(chan struct{}, 1), firstRead: make(chan struct{}),
-	}
+	w := &storeWatcher{g: g, fetchView: g.fetchView, relayUnusable: make(chan struct{}, 1), firstRead: make(chan struct{})}
+	w.facts.Hold = w.holdFor
+	return w
 }
 
 // watchStore reads all keys of the store once and then their changes, until ctx ends.
@@ -158,8 +163,8 @@
 		wait = relayWatchTimeout
 	}
 	if w.g.members.Large(time.Now(), w.g.members.Local().Region) {
-		if c, ok := w.askUpstream(ctx, after); ok {
-			return w.applyUpstream(time.Now(), c, after, readsForOthers), nil
+		if c, from, ok := w.askUpstream(ctx, after); ok {
+			return w.applyUpstream(time.Now(), c, after, readsForOthers, from), nil
 		}
 	}
 	events, revision, err := w.g.Feed.Watch(ctx, "", after, wait)
@@ -169,16 +174,16 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.applyAndKeep(now, events, after, revision, readsForOthers)
+	w.applyAndKeep(now, events, after, revision, readsForOthers, fromStore)
 	return now, nil
 }
 
 // applyAndKeep applies the changes between two revisions, and keeps them for other nodes if this node
 // reads for them. w.mu must be held.
-func (w *storeWatcher) applyAndKeep(now time.Time, events []jwstore.Event, after, to jwstore.Revision, readsForOthers bool) {
+func (w *storeWatcher) applyAndKeep(now time.Time, events []jwstore.Event, after, to jwstore.Revision, readsForOthers bool, source string) {
 	// What a view that was applied during the read already had is not applied again, so it isn't kept.
 	from := max(after, w.revision)
-	changed := w.applyChanges(now, events, to)
+	changed := w.applyChanges(now, events, to, source)
 	if !readsForOthers {
 		w.g.recentChanges.Forget()
 		return
@@ -188,7 +193,7 @@
 
 // applyChanges applies changes up to a revision, which follow those applied before, and returns the
 // ones that changed something. w.mu must be held.
-func (w *storeWatcher) applyChanges(now time.Time, events []jwstore.Event, revision jwstore.Revision) []jwstore.Event {
+func (w *storeWatcher) applyChanges(now time.Time, events []jwstore.Event, revision jwstore.Revision, source string) []jwstore.Event {
 	changed := events[:0:0]
 	for i, e := range events {
 		// Each configuration is complete, so only the last one counts. Decoding every one of a
@@ -196,7 +201,7 @@
 		if e.Revision <= w.revision || w.g.Records.IsConfig(e.Key) && hasLaterChange(events[i+1:], e.Key) {
 			continue
 		}
-		if w.applyChange(now, e) {
+		if w.applyChange(now, e, source) {
 			changed = append(changed, e)
 		}
 	}
@@ -222,9 +227,16 @@
 	return slices.ContainsFunc(later, func(e jwstore.Event) bool { return e.Key == key && !e.Deleted })
 }
 
+// Sources of what a node knows of the store, beside other nodes, in the log.
+const (
+	fromStore     = "store"    // its changes
+	fromAllKeys   = "all keys" // a read of all keys
+	fromEndOfHold = "end of its hold"
+)
+
 // applyChange applies one change to the tables and reports whether it changed anything. Targets
 // register about once a second, and most registrations equal the one before.
-func (w *storeWatcher) applyChange(now time.Time, e jwstore.Event) bool {
+func (w *storeWatcher) applyChange(now time.Time, e jwstore.Event, source string) bool {
 	g := w.g
 	if g.Records.IsConfig(e.Key) {
 		if !e.Deleted {
@@ -232,27 +244,51 @@
 		}
 		return true
 	}
-	if dc, ok := g.Records.Evacuation(e.Key); ok {
-		delete(w.heldEvacuations, dc)
-		g.setEvacuated(now, dc, !e.Deleted, "store", e.Revision)
-		return true
-	}
 	if id, ok := g.Records.TargetID(e.Key); ok {
 		return g.applyTarget(now, id, e)
 	}
-	if e.Key == fleetSizeKey && !e.Deleted {
-		g.applyFleetSize(now, e.Value)
-		return true
+	if !g.isFact(e.Key) || !w.facts.Apply(e) {
+		return false
 	}
-	if e.Key == versionsKey && !e.Deleted {
-		g.applyStoredVersions(e.Value)
-		return true
+	g.applyFact(now, e, source)
+	return true
+}
+
+// isFact reports whether a key is one that jwfact.Table keeps.
+func (g *Gateway) isFact(key string) bool {
+	_, evacuation := g.Records.Evacuation(key)
+	return evacuation || key == fleetSizeKey || key == versionsKey || strings.HasPrefix(key, nodePrefix)
+}
+
+// applyFact applies a change of one of these keys to the tables.
+func (g *Gateway) applyFact(now time.Time, e jwstore.Event, source string) {
+	if dc, ok := g.Records.Evacuation(e.Key); ok {
+		g.setEvacuated(now, dc, !e.Deleted, source, e.Revision)
+		return
 	}
 	if name, ok := strings.CutPrefix(e.Key, nodePrefix); ok {
 		g.applyNode(now, name, e)
-		return true
+		return
+	}
+	switch {
+	case e.Deleted: // the last value stays
+	case e.Key == fleetSizeKey:
+		g.applyFleetSize(now, e.Value)
+	case e.Key == versionsKey:
+		g.applyStoredVersions(e.Value)
+	}
+}
+
+// applyFacts applies changes that jwfact.Table returned. The size of the fleet comes last, because it is
+// compared with the nodes.
+func (g *Gateway) applyFacts(now time.Time, changes []jwstore.Event, source string) {
+	for _, fleet := range []bool{false, true} {
+		for _, e := range changes {
+			if (e.Key == fleetSizeKey) == fleet {
+				g.applyFact(now, e, source)
+			}
+		}
 	}
-	return false
 }
 
 // applyTarget applies a change of a target's registration.
@@ -319,16 +355,6 @@
 	g.Nodes.CloseIdle(m.Nodes)
 }
 
-// endEvacuationsExcept ends the evacuations of all data centres but the given ones, which are those that
-// a source had at a revision.
-func (g *Gateway) endEvacuationsExcept(now time.Time, dataCentres map[string]bool, source string, revision jwstore.Revision) {
-	for _, dc := range g.targets.Evacuated() {
-		if !dataCentres[dc] {
-			g.setEvacuated(now, dc, false, source, revision)
-		}
-	}
-}
-
 // setEvacuated starts or ends the evacuation of a data centre, as a source had it at a revision.
 func (g *Gateway) setEvacuated(now time.Time, dataCentre string, active bool, source string, revision jwstore.Revision) {
 	if g.targets.Evacuate(now, dataCentre, active) {
--- a/io/jwgateway/storewatcher_test.go
+++ b/io/jwgateway/storewatcher_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"jujubewheel/core/jwentry"
+	"jujubewheel/core/jwfact"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
@@ -134,7 +135,7 @@
 	known := w.currentRevision() // of a node that knows as much as the relay did before the view
 	feed.Write("op/config", []byte("2"))
 	feed.applyView = func(at jwstore.Revision) {
-		w.continueFrom(time.Now(), view{Revision: at, Registered: []string{"n1"}})
+		w.applyView(time.Now(), view{Revision: at, Facts: []jwfact.Fact{{Key: nodePrefix + "n1", Value: []byte(`{"name":"n1"}`), Revision: 1}}}, "n2")
 	}
 	read()
 	feed.Write("op/config", []byte("3"))
--- a/io/jwgateway/upstream.go
+++ b/io/jwgateway/upstream.go
@@ -52,10 +52,10 @@
 
 // askUpstream asks another relay for the changes after a revision. ok is false if there is no such
 // relay or it can't be relied on.
-func (w *storeWatcher) askUpstream(ctx context.Context, after jwstore.Revision) (c *changes, ok bool) {
+func (w *storeWatcher) askUpstream(ctx context.Context, after jwstore.Revision) (c *changes, from string, ok bool) {
 	m, ok := w.upstreamRelay(time.Now())
 	if !ok {
-		return nil, false
+		return nil, "", false
 	}
 	ctx, cancel := context.WithTimeout(ctx, upstreamWait+exchangeTimeout)
 	defer cancel()
@@ -66,19 +66,19 @@
 		err = json.Unmarshal(raw, c)
 	}
 	if err == nil && !c.Lost && c.To >= after && time.Duration(c.Age)*time.Millisecond <= maxUpstreamReadAge {
-		return c, true
+		return c, m.Name, true
 	}
 	w.upstreamFailedAt = time.Now()
 	w.g.Log.Info("reading the store instead of another relay's changes", "peer", m.Name, "lost", c.Lost, "ageMs", c.Age)
-	return nil, false
+	return nil, "", false
 }
 
 // applyUpstream applies changes that another relay read, keeps them for the nodes that report
 // through this one, and returns the time as of which the store was read.
-func (w *storeWatcher) applyUpstream(now time.Time, c *changes, after jwstore.Revision, readsForOthers bool) time.Time {
+func (w *storeWatcher) applyUpstream(now time.Time, c *changes, after jwstore.Revision, readsForOthers bool, from string) time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.applyAndKeep(now, c.events(), after, c.To, readsForOthers)
+	w.applyAndKeep(now, c.events(), after, c.To, readsForOthers, from)
 	w.upstreamReadAt = now.Add(-time.Duration(c.Age) * time.Millisecond)
 	return w.upstreamReadAt
 }
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"jujubewheel/core/jwclock"
+	"jujubewheel/core/jwfact"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
@@ -41,11 +42,9 @@
 	Config    []byte                `json:"config,omitempty"` // as stored
 	Revision  jwstore.Revision      `json:"revision"`         // store revision of the fields below; 0 if they are omitted
 	Targets   []jwinstance.Instance `json:"targets,omitempty"`
-	Evacuated []string              `json:"evacuated,omitempty"`
-	Members   []jwmember.Member     `json:"members,omitempty"`
-	// Registered holds the names of all registered nodes, also of those that are not live.
-	Registered []string `json:"registered,omitempty"`
-	Fleet      int      `json:"fleet,omitempty"` // number of nodes in all regions as stored
+	Members   []jwmember.Member     `json:"members,omitempty"` // live nodes, registered or not
+	Facts     []jwfact.Fact         `json:"facts"`
+	Evacuated []string              `json:"evacuated,omitempty"` // for nodes of versions that don't know Facts
 }
 
 // serveView answers with what is newer than the version and the revision in the query. With waitMs in
@@ -91,12 +90,19 @@
 	}
 	if current := g.store.revision.Load(); current > revision {
 		v.Revision = current
-		v.Targets, v.Evacuated = g.targets.Instances(now), g.targets.Evacuated()
-		v.Members, v.Fleet, v.Registered = g.members.Live(now, ""), g.members.FleetSize(), g.members.Registered()
+		v.Targets, v.Evacuated, v.Members = g.targets.Instances(now), g.targets.Evacuated(), g.members.Live(now, "")
+		v.Facts = g.storeWatcher.allFacts(now)
 	}
 	return v
 }
 
+// allFacts returns what this node knows of the keys that jwfact.Table keeps.
+func (w *storeWatcher) allFacts(now time.Time) []jwfact.Fact {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.facts.All(now)
+}
+
 // maxEncodedViewAge is how long an encoded view is reused. All nodes of a data centre that start, or
 // lose the store, at once request a view of all targets. With thousands of targets, encoding it for
 // each of them would take the relay longer than the nodes wait.
@@ -205,7 +211,7 @@
 		return
 	}
 	if now := time.Now(); g.peerIsAhead(now, v.Revision) {
-		g.applyView(now, v, a)
+		g.storeWatcher.applyView(now, v, a.String())
 	}
 	if len(v.Config) > 0 {
 		g.applyConfig(v.Config, a.String())
@@ -270,47 +276,34 @@
 	return n, err
 }
 
-// applyView applies the targets, evacuations and nodes of a view. What this node has read from the
-// store in the meantime has later revisions and is kept.
-func (g *Gateway) applyView(now time.Time, v view, from netip.AddrPort) {
-	targets, evacuated := map[string]bool{}, map[string]bool{}
+// applyView applies the targets, nodes and facts of a view, unless this node has read the store up to a
+// later revision. If it has read the store before, the changes after the view become the next ones
+// that it wants: a node that reaches neither the store nor a relay that still has the changes would
+// otherwise fetch whole views for as long.
+func (w *storeWatcher) applyView(now time.Time, v view, from string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	g := w.g
+	if v.Facts == nil || w.revision != 0 && v.Revision <= w.revision {
+		return
+	}
+	targets := make(map[string]bool, len(v.Targets))
 	for _, target := range v.Targets {
 		g.targets.Put(now, target)
 		targets[target.ID] = true
 	}
 	g.targets.RemoveExcept(now, targets, v.Revision)
-	for _, dc := range v.Evacuated {
-		g.setEvacuated(now, dc, true, from.String(), v.Revision)
-		evacuated[dc] = true
-	}
-	g.endEvacuationsExcept(now, evacuated, from.String(), v.Revision)
 	for _, m := range v.Members {
 		g.members.Put(now, m)
 	}
-	if v.Fleet > 0 {
-		g.members.SetFleet(now, v.Fleet, !g.fullReadDone.Load())
-	}
+	g.applyFacts(now, w.facts.Merge(now, v.Facts, v.Revision), from)
+	g.Log.Info("applied a view of another node", "peer", from, "revision", jwstore.Number(v.Revision),
+		"ownRevision", jwstore.Number(w.revision), "targets", len(v.Targets), "evacuated", g.targets.Evacuated())
 	g.pulledRevision.Store(v.Revision)
 	g.registrationsRead(now)
-	g.storeWatcher.continueFrom(now, v)
-	g.Log.Info("applied a view of another node", "peer", from.String(), "revision", jwstore.Number(v.Revision),
-		"ownRevision", jwstore.Number(g.store.revision.Load()), "targets", len(v.Targets), "evacuated", v.Evacuated)
-}
-
-// continueFrom makes the changes after a view the next ones that this node wants, if it has read the
-// store before. Without this a node that reaches neither the store nor a relay that still has the
-// changes would fetch whole views for as long.
-func (w *storeWatcher) continueFrom(now time.Time, v view) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.revision == 0 || v.Revision <= w.revision || len(v.Registered) == 0 {
-		return
-	}
-	registered := make(map[string]bool, len(v.Registered))
-	for _, name := range v.Registered {
-		registered[name] = true
+	if w.revision != 0 {
+		g.members.RemoveExcept(now, w.facts.Names(nodePrefix))
+		w.revision, w.lastRevision = v.Revision, v.Revision
+		g.store.revision.Store(v.Revision)
 	}
-	w.g.members.RemoveExcept(now, registered)
-	w.revision, w.lastRevision = v.Revision, v.Revision
-	w.g.store.revision.Store(v.Revision)
 }
