--- a/io/jwgateway/evacuation_test.go
+++ b/io/jwgateway/evacuation_test.go
@@ -86,3 +86,36 @@
 		})
 	}
 }
+
+// A relay and its data centre lose the store while relays of other regions reach it. They must learn of
+// an evacuation within the time in which it must be in force.
+func TestEvacuationReachesDataCentreWithoutStore(t *testing.T) {
+	t.Parallel()
+	const inForceWithin = 5 * time.Second
+	var feed jwstore.MemoryFeed
+	startTarget(t, &feed, "t1", "s", "north-b", respondText("t1"))
+	startTarget(t, &feed, "t2", "s", "north-a", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(30 * time.Millisecond) // makes the nodes prefer the other target
+		respondText("t2")(w, r)
+	})
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	through := withRelayThreshold(1)
+	north := &disconnectableFeed{Feed: &feed}
+	first := startWith(t, north, "n1", "north", through)
+	second := startWith(t, north, "n2", "north", through, first.nodes)
+	startWith(t, &feed, "n3", "south", through, first.nodes)
+	for _, n := range []node{first, second} {
+		sendUntil(t, n, "/a/x", served)
+	}
+	waitForDirectory(t, second, "north", first, second)
+	north.disconnected.Store(true)
+	feed.Write("op/evacuate/north-b", nil)
+	time.Sleep(inForceWithin)
+	for _, n := range []node{first, second} {
+		for i := range 10 {
+			r, err := send(t, n, http.MethodGet, "/a/x", fmt.Sprint("r", i), nil, "")
+			assert.NilError(t, err)
+			assert.Equal(t, r.body, "t2")
+		}
+	}
+}
