jwgateway: an older view isn't applied while all keys are read again

A node that reads all keys again went on serving its views as of the revision before, but took over older views of others meanwhile: an evacuation that had ended came back, and was passed on as known at that revision. Nodes that took that view kept the data centre empty until the next change of the key.

--- a/io/jwgateway/knowledge_test.go
+++ b/io/jwgateway/knowledge_test.go
@@ -115,6 +115,23 @@
 	}
 }
 
+// A node reads all keys again and applies another node's older view in the meantime. Its own view, which
+// is of the revision that it had read before, must not have what ended up to then.
+func TestOlderViewDuringReadOfAllKeys(t *testing.T) {
+	var feed jwstore.MemoryFeed
+	feed.Write("op/config", []byte("1"))
+	feed.Write(evacuationPrefix+"north-b", nil)
+	g, peer := newReader(&feed, "n1"), newReader(&feed, "peer")
+	read(t, peer)
+	older := peer.viewSince(time.Now(), 0, 0)
+	feed.Remove(evacuationPrefix + "north-b")
+	read(t, g)
+	g.storeWatcher.resetRevision()
+	g.storeWatcher.applyView(time.Now(), older, "peer")
+	peer.storeWatcher.applyView(time.Now(), g.viewSince(time.Now(), 0, 0), "n1")
+	assert.Equal(t, len(peer.targets.Evacuated()), 0)
+}
+
 // A node of an earlier version sends a view without facts. The view must end no evacuation, and the node
 // must not skip the changes up to the view's revision.
 func TestViewWithoutFactsIsIgnored(t *testing.T) {
@@ -240,6 +257,7 @@
 	copied      jwstore.Snapshot
 	copyChanges map[string]jwstore.Event
 	busy        bool
+	relayReads  bool // a node reads the store once at a time
 }
 
 var modelKeys = []string{
@@ -252,13 +270,14 @@
 func newReaders(t *rapid.T) *readers {
 	m := &storeModel{changes: make(map[string]jwstore.Event)}
 	m.PageSize = 3
-	r := &readers{t: t, store: m, relay: newReader(m, relayMember.Name)}
-	r.node = newReader(&steppedFeed{m, r.meanwhile}, "n1")
+	r := &readers{t: t, store: m}
+	feed := &steppedFeed{m, r.meanwhile}
+	r.relay, r.node = newReader(feed, relayMember.Name), newReader(feed, "n1")
 	r.node.members.RelayThreshold, r.relay.members.RelayThreshold = 2, 1
 	r.node.storeWatcher.fetchView = func(context.Context, netip.AddrPort, uint64, uint64, time.Duration) (view, error) {
-		tryRead(r.relay)
+		r.readRelay()
 		r.meanwhile()
-		tryRead(r.relay)
+		r.readRelay()
 		return r.relay.viewSince(time.Now(), 0, 0), nil
 	}
 	for _, key := range modelKeys[4:] {
@@ -283,6 +302,16 @@
 	return fmt.Append(nil, n)
 }
 
+// readRelay lets the relay read.
+func (r *readers) readRelay() {
+	if r.relayReads {
+		return
+	}
+	r.relayReads = true
+	tryRead(r.relay)
+	r.relayReads = false
+}
+
 // write writes or removes a key.
 func (r *readers) write() {
 	key := rapid.SampledFrom(modelKeys).Draw(r.t, "key")
@@ -296,9 +325,9 @@
 // others are what may happen during a call of the node.
 var others = map[string]func(*readers){
 	"write":       (*readers).write,
-	"relay reads": func(r *readers) { tryRead(r.relay) },
+	"relay reads": (*readers).readRelay,
 	"take a view": func(r *readers) {
-		tryRead(r.relay)
+		r.readRelay()
 		r.views = append(r.views, r.relay.viewSince(time.Now(), 0, 0))
 	},
 	"apply a view": func(r *readers) {
@@ -311,6 +340,10 @@
 		now := time.Now()
 		r.node.storeWatcher.applyRelayed(now, r.relay.changesAfter(now, r.after), relayMember.Name)
 	},
+	"relay applies a view": func(r *readers) {
+		now := time.Now()
+		r.relay.storeWatcher.applyView(now, r.node.viewSince(now, 0, 0), "n1")
+	},
 	"compact": func(r *readers) { r.store.Compact() },
 	"copy":    func(r *readers) { r.copied, r.copyChanges = r.store.Snapshot(), maps.Clone(r.store.changes) },
 	"restore": func(r *readers) {
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -277,14 +277,15 @@
 }
 
 // applyView applies the targets, nodes and facts of a view, unless this node has read the store up to a
-// later revision. If it has read the store before, the changes after the view become the next ones
+// later revision. That holds also while it reads all keys again: until then its own views are of the
+// revision before. If it has read the store before, the changes after the view become the next ones
 // that it wants: a node that reaches neither the store nor a relay that still has the changes would
 // otherwise fetch whole views for as long.
 func (w *storeWatcher) applyView(now time.Time, v view, from string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	g := w.g
-	if v.Facts == nil || w.revision != 0 && v.Revision <= w.revision {
+	if v.Facts == nil || v.Revision < w.lastRevision || w.revision != 0 && v.Revision == w.revision {
 		return
 	}
 	targets := make(map[string]bool, len(v.Targets))
