--- a/cmd/jujubestand/main_test.go
+++ b/cmd/jujubestand/main_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -33,9 +34,11 @@
 	})
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// freeAddress returns a loopback address whose port was free a moment ago. Its host belongs to this test
+// process, so that no other process takes the port before it is used.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.200:0", 1+pid>>8%250, pid%250))
 	if err != nil {
 		return "", err
 	}
