jwgateway: a relay passes on what a view brought while it read all keys

A relay that reads all keys and applies another node's newer view in the meantime goes on from its pages. The changes that the view already had changed nothing when the store brought them, and so weren't kept for the nodes behind the relay, which took the rest for complete: a target's leaving was missed for good.

TestRelayKeepsChangesOfAViewDuringReadOfAllKeys failed, 1 of 2 targets known; a change that another source has brought is kept now.

--- a/core/jwinstance/table.go
+++ b/core/jwinstance/table.go
@@ -339,6 +339,16 @@
 	t.setColdUntil(x, laterTime(x.coldUntil, now.Add(d)))
 }
 
+// RevisionOf returns the revision as of which the registration of a target is known, 0 if it isn't.
+func (t *Table) RevisionOf(id string) jwstore.Revision {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x := t.targets[id]; x != nil {
+		return x.Revision
+	}
+	return 0
+}
+
 // ServiceAt returns the service of the target at an address, or "" if there is none.
 func (t *Table) ServiceAt(a netip.AddrPort) string {
 	t.mu.Lock()
--- a/io/jwgateway/knowledge_test.go
+++ b/io/jwgateway/knowledge_test.go
@@ -132,6 +132,35 @@
 	assert.Equal(t, len(peer.targets.Evacuated()), 0)
 }
 
+// A relay reads all keys and applies another node's newer view in the meantime. What the view had must
+// be among the changes that it passes on from the revision of its pages.
+func TestRelayKeepsChangesOfAViewDuringReadOfAllKeys(t *testing.T) {
+	m := &storeModel{changes: make(map[string]jwstore.Event)}
+	m.change("op/config", []byte("1"))
+	m.change(evacuationPrefix+"north-c", []byte("1"))
+	m.change("servers/t1", []byte("s"))
+	feed := &steppedFeed{storeModel: m, step: func() {}}
+	relay, other, node := newReader(feed, relayMember.Name), newReader(m, "n2"), newReader(m, "n1")
+	relay.members.RelayThreshold = 1
+	read(t, node)
+	feed.step = func() {
+		feed.step = func() {}
+		m.change("servers/t2", []byte("s"))
+		m.change(evacuationPrefix+"north-b", []byte("1"))
+		read(t, other)
+		relay.storeWatcher.applyView(time.Now(), other.viewSince(time.Now(), 0, 0), "n2")
+	}
+	read(t, relay)
+	read(t, relay)
+	now := time.Now()
+	node.storeWatcher.applyRelayed(now, relay.changesAfter(now, node.storeWatcher.currentRevision()), relayMember.Name)
+	if node.storeWatcher.currentRevision() != m.revisionNow() {
+		return // the relay passed nothing on, so the node reads the store
+	}
+	assert.DeepEqual(t, node.targets.Evacuated(), []string{"north-b", "north-c"})
+	assert.Equal(t, len(node.targets.Instances(now)), 2)
+}
+
 // A node of an earlier version sends a view without facts. The view must end no evacuation, and the node
 // must not skip the changes up to the view's revision.
 func TestViewWithoutFactsIsIgnored(t *testing.T) {
@@ -252,7 +281,8 @@
 	t           *rapid.T
 	store       *storeModel
 	relay, node *Gateway
-	views       []view // of the relay, the last one last
+	other       *Gateway // a node of another region
+	views       []view   // of the relay, the last one last
 	after       jwstore.Revision
 	copied      jwstore.Snapshot
 	copyChanges map[string]jwstore.Event
@@ -272,7 +302,7 @@
 	m.PageSize = 3
 	r := &readers{t: t, store: m}
 	feed := &steppedFeed{m, r.meanwhile}
-	r.relay, r.node = newReader(feed, relayMember.Name), newReader(feed, "n1")
+	r.relay, r.node, r.other = newReader(feed, relayMember.Name), newReader(feed, "n1"), newReader(m, "n2")
 	r.node.members.RelayThreshold, r.relay.members.RelayThreshold = 2, 1
 	r.node.storeWatcher.fetchView = func(context.Context, netip.AddrPort, uint64, uint64, time.Duration) (view, error) {
 		r.readRelay()
@@ -344,6 +374,17 @@
 		now := time.Now()
 		r.relay.storeWatcher.applyView(now, r.node.viewSince(now, 0, 0), "n1")
 	},
+	"relay applies a newer view": func(r *readers) {
+		tryRead(r.other)
+		now := time.Now()
+		r.relay.storeWatcher.applyView(now, r.other.viewSince(now, 0, 0), "n2")
+	},
+	"relay reads all": func(r *readers) {
+		if !r.relayReads {
+			r.relay.storeWatcher.resetRevision()
+			r.readRelay()
+		}
+	},
 	"compact": func(r *readers) { r.store.Compact() },
 	"copy":    func(r *readers) { r.copied, r.copyChanges = r.store.Snapshot(), maps.Clone(r.store.changes) },
 	"restore": func(r *readers) {
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -291,7 +291,8 @@
 	}
 }
 
-// applyTarget applies a change of a target's registration.
+// applyTarget applies a change of a target's registration. A change that another source brought before
+// counts as one: the nodes that follow this one may lack it.
 func (g *Gateway) applyTarget(now time.Time, id string, e jwstore.Event) (changed bool) {
 	if e.Deleted {
 		g.Log.Info("target registration gone", "target", id)
@@ -306,9 +307,10 @@
 		return true
 	}
 	in.Revision = e.Revision
+	knownBefore := g.targets.RevisionOf(id) >= e.Revision
 	change := g.targets.Put(now, in)
 	if change == jwinstance.Unchanged {
-		return false
+		return knownBefore
 	}
 	if !g.fullReadDone.Load() || !g.targets.Knows(id) {
 		return true // otherwise each node would log thousands of lines at its start, about targets that it never uses
