jwgateway: a view has the configuration of its revision

A view's configuration was read before its revision, and a change between the two let the node that took the view go on from a revision whose configuration it lacked; it then came by the next exchange that named the version only.

--- a/io/jwgateway/knowledge_test.go
+++ b/io/jwgateway/knowledge_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -161,6 +162,37 @@
 	assert.Equal(t, len(node.targets.Instances(now)), 2)
 }
 
+// A configuration comes into force while a view is put together. A view of the configuration's revision
+// without it would let a node skip it.
+func TestViewHasTheConfigurationOfItsRevision(t *testing.T) {
+	var feed jwstore.MemoryFeed
+	feed.Write("op/config", []byte("1"))
+	g := newReader(&feed, "n1")
+	read(t, g)
+	const versions = 3000
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for v := 2; v <= versions; v++ {
+			revision := jwstore.Revision(v)
+			g.storeWatcher.mu.Lock()
+			g.storeWatcher.applyChanges(time.Now(), []jwstore.Event{{Key: "op/config", Value: fmt.Append(nil, v), Revision: revision}}, revision, fromStore)
+			g.storeWatcher.mu.Unlock()
+		}
+	}()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		default:
+		}
+		v := g.viewSince(time.Now(), 0, 0)
+		version, err := strconv.ParseUint(string(v.Config), 10, 64)
+		assert.NilError(t, err)
+		assert.Assert(t, version >= v.Revision, "version %d at revision %d", version, v.Revision)
+	}
+}
+
 // A node of an earlier version sends a view without facts. The view must end no evacuation, and the node
 // must not skip the changes up to the view's revision.
 func TestViewWithoutFactsIsIgnored(t *testing.T) {
--- a/io/jwgateway/storewatcher_test.go
+++ b/io/jwgateway/storewatcher_test.go
@@ -26,7 +26,7 @@
 
 func (r *countingRecords) Config(value []byte) (*jwentry.Config, error) {
 	r.decoded++
-	c := &jwentry.Config{}
+	c := &jwentry.Config{Raw: value}
 	_, err := fmt.Sscan(string(value), &c.Version)
 	return c.Index(), err
 }
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -85,10 +85,11 @@
 // revision of the store.
 func (g *Gateway) viewSince(now time.Time, version, revision uint64) view {
 	var v view
+	current := g.store.revision.Load() // before all else, which may then be newer and never older
 	if c := g.entries.Current(); c != nil && c.Version > version {
 		v.Config = c.Raw
 	}
-	if current := g.store.revision.Load(); current > revision {
+	if current > revision {
 		v.Revision = current
 		v.Targets, v.Evacuated, v.Members = g.targets.Instances(now), g.targets.Evacuated(), g.members.Live(now, "")
 		v.Facts = g.storeWatcher.allFacts(now)
