jwfact: what is known already isn't applied again

A view that another node took at the same revision restarted the hold of an evacuation, so that two nodes could prolong it for each other, and had each registration decoded again. TestSourcesOfDifferentRevisions ('the same hold, seen later at another node') and TestKnownFactsChangeNothing (3 changes, none now) failed before.

--- a/core/jwfact/table.go
+++ b/core/jwfact/table.go
@@ -55,7 +55,7 @@
 	stored := make(map[string]bool, len(facts))
 	for _, f := range facts {
 		stored[f.Key] = f.HeldFor == 0
-		if f.Revision < t.facts[f.Key].Revision {
+		if known, ok := t.facts[f.Key]; ok && f.Revision <= known.Revision {
 			continue
 		}
 		r := record{Fact: f}
--- a/core/jwfact/table_test.go
+++ b/core/jwfact/table_test.go
@@ -112,6 +112,13 @@
 				x.Merge(t0, []Fact{{Key: "a", Revision: newEra, HeldFor: hold}}, newEra+2)
 			}, nil,
 		},
+		"the same hold, seen later at another node": {
+			func(x *Table) {
+				x.Merge(t0, []Fact{{Key: "a", Revision: newEra, HeldFor: hold}}, newEra+1)
+				x.Merge(t0.Add(time.Second), []Fact{{Key: "a", Revision: newEra, HeldFor: hold}}, newEra+2)
+				x.EndHolds(t0.Add(hold))
+			}, nil,
+		},
 		"another copy extends the hold": {
 			func(x *Table) {
 				x.Apply(write("a", 5))
@@ -134,6 +141,12 @@
 	}
 }
 
+// A view that says what is known already changes nothing, so that no registration is decoded again.
+func TestKnownFactsChangeNothing(t *testing.T) {
+	x := fleetTable(3)
+	assert.Equal(t, len(x.Merge(t0, x.All(t0), 9)), 0)
+}
+
 // Keys of which Hold says nothing are removed at once when the store was restored without them.
 func TestKeysThatAreNotHeld(t *testing.T) {
 	var x Table
