--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -12,6 +13,7 @@
 // whether the disruption is made.
 var cases = map[string]func(f *fleet, s *store, rec *record, trouble bool) bool{
 	"earlyanswer": earlyAnswer,
+	"resetanswer": resetAnswer,
 }
 
 func main() {
@@ -33,7 +35,7 @@
 	} else {
 		fmt.Println("logs in", dir)
 	}
-	program, err := filepath.Abs("target/jujubewheel")
+	program, err := filepath.Abs(cmp.Or(os.Getenv("PROGRAM"), "target/jujubewheel"))
 	if err != nil {
 		return 2
 	}
