--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(f *fleet, s *store, rec *record, trouble bool) bool{
 	"earlyanswer": earlyAnswer,
 	"resetanswer": resetAnswer,
+	"refusedbody": refusedBody,
 }
 
 func main() {
--- a/review/stand/node.go
+++ b/review/stand/node.go
@@ -17,6 +17,7 @@
 	name, region, zone                        string
 	callers, ready, directory, nodes, metrics string
 	settings, log                             string
+	store                                     string // address of the store for this node, "" for the fleet's
 	cmd                                       *exec.Cmd
 	exited                                    chan struct{}
 }
@@ -59,11 +60,15 @@
 	for _, m := range f.list[:min(3, len(f.list))] {
 		seeds = append(seeds, m.nodes)
 	}
+	store := f.store
+	if n.store != "" {
+		store = n.store
+	}
 	doc := map[string]any{
 		"node": n.name, "region": n.region, "dataCentre": n.zone,
 		"gateway": map[string]any{
 			"listen":      map[string]string{"callers": n.callers, "ready": n.ready, "directory": n.directory, "nodes": n.nodes, "metrics": n.metrics},
-			"store":       map[string]string{"address": f.store, "leaseMin": "1000ms"},
+			"store":       map[string]string{"address": store, "leaseMin": "1000ms"},
 			"dataCentres": zones, "seeds": seeds, "memoryMB": 284, "cores": 0.4, "linkMbps": 1000.0, "overload": "auto",
 			"contracts": f.contracts, "bounds": f.bounds,
 		},
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -36,15 +36,27 @@
 	}
 }
 
+// loopback is a loopback address that other programs hardly use, so that a port stays free between
+// freeAddr and the start of a node.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8%250, os.Getpid()&255)
+
 func mustListen() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", loopback+":0")
 	must(err)
 	return l
 }
 
-// freeAddr returns a loopback address with a port that was free a moment ago.
+var givenAddrs = map[string]bool{}
+
+// freeAddr returns a loopback address with a port that was free a moment ago, each only once.
 func freeAddr() string {
-	l := mustListen()
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l := mustListen()
+		a := l.Addr().String()
+		l.Close()
+		if !givenAddrs[a] {
+			givenAddrs[a] = true
+			return a
+		}
+	}
 }
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -29,6 +29,8 @@
 	rec                     *record
 	// work answers a request that runs. It returns false if the connection is to be closed.
 	work func(x *runner, c net.Conn, r *http.Request) bool
+	// refuse, if set, may answer that the request isn't run, and then returns true.
+	refuse func(c net.Conn, r *http.Request) bool
 
 	mu    sync.Mutex
 	runs  []run
@@ -98,6 +100,12 @@
 			fmt.Fprintf(c, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nJujubewheel-Not-Run: 1\r\n\r\n")
 			continue
 		}
+		if x.refuse != nil && x.refuse(c, r) {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			continue
+		}
 		x.mu.Lock()
 		x.runs = append(x.runs, run{id, r.Method, r.URL.Path, r.URL.RawQuery, r.Header.Clone(), x.id, time.Now()})
 		x.mu.Unlock()
