--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -24,6 +24,7 @@
 	id, service, zone, addr string
 	version                 string
 	slots                   int
+	born                    int64
 	listener                net.Listener
 	store                   *store
 	rec                     *record
@@ -53,7 +54,8 @@
 			go x.serve(c)
 		}
 	}()
-	born := time.Now().UnixMilli()
+	x.born = time.Now().UnixMilli()
+	born := x.born
 	go func() {
 		for seq := 1; ; seq++ {
 			entry := map[string]any{"Service": service, "Addr": x.addr, "Zone": zone, "Version": x.version, "Slots": x.slots,
