--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -36,7 +35,7 @@
 	} else {
 		fmt.Println("logs in", dir)
 	}
-	program, err := filepath.Abs(cmp.Or(os.Getenv("PROGRAM"), "target/jujubewheel"))
+	program, err := filepath.Abs("target/jujubewheel")
 	if err != nil {
 		return 2
 	}
--- a/review/stand/node.go
+++ b/review/stand/node.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -17,7 +16,6 @@
 	name, region, zone                        string
 	callers, ready, directory, nodes, metrics string
 	settings, log                             string
-	store                                     string // address of the store for this node, "" for the fleet's
 	cmd                                       *exec.Cmd
 	exited                                    chan struct{}
 }
@@ -60,15 +58,11 @@
 	for _, m := range f.list[:min(3, len(f.list))] {
 		seeds = append(seeds, m.nodes)
 	}
-	store := f.store
-	if n.store != "" {
-		store = n.store
-	}
 	doc := map[string]any{
 		"node": n.name, "region": n.region, "dataCentre": n.zone,
 		"gateway": map[string]any{
 			"listen":      map[string]string{"callers": n.callers, "ready": n.ready, "directory": n.directory, "nodes": n.nodes, "metrics": n.metrics},
-			"store":       map[string]string{"address": store, "leaseMin": "1000ms"},
+			"store":       map[string]string{"address": f.store, "leaseMin": "1000ms"},
 			"dataCentres": zones, "seeds": seeds, "memoryMB": 284, "cores": 0.4, "linkMbps": 1000.0, "overload": "auto",
 			"contracts": f.contracts, "bounds": f.bounds,
 		},
@@ -121,18 +115,6 @@
 	return r.StatusCode == 200
 }
 
-func (n *node) signal(s syscall.Signal) { n.cmd.Process.Signal(s) }
-
-// running reports whether the process has not ended.
-func (n *node) running() bool {
-	select {
-	case <-n.exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // end ends all processes that the case started.
 func (f *fleet) end() {
 	for _, n := range f.list {
@@ -142,15 +124,3 @@
 		}
 	}
 }
-
-// logLines returns the lines of a node's log that contain a text.
-func (n *node) logLines(text string) []string {
-	raw, _ := os.ReadFile(n.log)
-	var list []string
-	for _, l := range strings.Split(string(raw), "\n") {
-		if strings.Contains(l, text) {
-			list = append(list, l)
-		}
-	}
-	return list
-}
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -24,7 +24,6 @@
 	id, service, zone, addr string
 	version                 string
 	slots                   int
-	born                    int64
 	listener                net.Listener
 	store                   *store
 	rec                     *record
@@ -33,16 +32,13 @@
 	// refuse, if set, may answer that the request isn't run, and then returns true.
 	refuse func(c net.Conn, r *http.Request) bool
 
-	mu    sync.Mutex
-	runs  []run
-	conns map[net.Conn]bool
-	beat  func() map[string]any // what is added to the registration; nil for nothing
-	stop  chan struct{}
+	mu   sync.Mutex
+	runs []run
+	stop chan struct{}
 }
 
 func startRunner(s *store, rec *record, id, service, zone string, work func(*runner, net.Conn, *http.Request) bool) *runner {
-	x := &runner{id: id, service: service, zone: zone, store: s, rec: rec, work: work, slots: 64, version: "1",
-		conns: map[net.Conn]bool{}, stop: make(chan struct{})}
+	x := &runner{id: id, service: service, zone: zone, store: s, rec: rec, work: work, slots: 64, version: "1", stop: make(chan struct{})}
 	x.listener = mustListen()
 	x.addr = x.listener.Addr().String()
 	go func() {
@@ -54,19 +50,11 @@
 			go x.serve(c)
 		}
 	}()
-	x.born = time.Now().UnixMilli()
-	born := x.born
+	born := time.Now().UnixMilli()
 	go func() {
 		for seq := 1; ; seq++ {
 			entry := map[string]any{"Service": service, "Addr": x.addr, "Zone": zone, "Version": x.version, "Slots": x.slots,
 				"State": "ready", "WarmupLeftMs": 0, "Seq": seq, "born": born}
-			x.mu.Lock()
-			if x.beat != nil {
-				for k, v := range x.beat() {
-					entry[k] = v
-				}
-			}
-			x.mu.Unlock()
 			s.set("servers/"+id, entry)
 			select {
 			case <-time.After(1200 * time.Millisecond):
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -38,7 +38,6 @@
 	history  []item
 	leases   map[uint64]*lease
 	last     uint64
-	down     func(r *http.Request) bool // reports whether a call gets no answer; nil for none
 }
 
 func newStore() *store {
@@ -54,15 +53,7 @@
 	mux.HandleFunc("POST /v1/kv-lease", s.serveLease)
 	mux.HandleFunc("POST /v1/kv-keep/{id}", s.serveKeep)
 	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.serveEnd)
-	go http.Serve(s.listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		down := s.down != nil && s.down(r)
-		s.mu.Unlock()
-		if down {
-			panic(http.ErrAbortHandler)
-		}
-		mux.ServeHTTP(w, r)
-	}))
+	go http.Serve(s.listener, mux)
 	go func() {
 		for {
 			time.Sleep(100 * time.Millisecond)
