--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -224,12 +224,14 @@
 }
 
 func (s *store) serveLease(w http.ResponseWriter, r *http.Request) {
-	var b struct{ TtlMs int64 }
+	var b struct {
+		TTL int64 `json:"TtlMs"`
+	}
 	json.NewDecoder(r.Body).Decode(&b)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.last++
-	ttl := time.Duration(max(b.TtlMs, 1000)) * time.Millisecond
+	ttl := time.Duration(max(b.TTL, 1000)) * time.Millisecond
 	s.leases[s.last] = &lease{ttl, time.Now().Add(ttl)}
 	answer(w, 200, map[string]any{"Lease": s.last, "TtlMs": ttl.Milliseconds()})
 }
