--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -17,14 +17,14 @@
 }
 
 func main() {
-	if len(os.Args) != 3 {
-		fmt.Println("usage: stand CASE FOLDER, in the root of the repository")
+	if len(os.Args) != 4 {
+		fmt.Println("usage: stand CASE FOLDER TROUBLE, in the root of the repository; TROUBLE is 0 for none")
 		os.Exit(2)
 	}
-	os.Exit(play(os.Args[1], os.Args[2]))
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3] != "0"))
 }
 
-func play(name, folder string) (status int) {
+func play(name, folder string, trouble bool) (status int) {
 	rec := newRecord(filepath.Join(folder, "record.txt"))
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
@@ -55,7 +55,7 @@
 	}()
 	s := newStore()
 	f = newFleet(dir, program, s)
-	if cases[name](f, s, rec, os.Getenv("TROUBLE") != "0") {
+	if cases[name](f, s, rec, trouble) {
 		rec.line("the rule held")
 		fmt.Println("the rule held")
 		return 0
