--- a/review/stand/earlyanswer.go
+++ b/review/stand/earlyanswer.go
@@ -15,10 +15,15 @@
 const (
 	batchHost   = "orders.example"
 	pieceBytes  = 4 << 10
-	pieces      = 30 // of an upload; the runner answers after answerAfter bytes
+	pieces      = 26 // of an upload; the runner answers after answerAfter bytes
 	answerAfter = 72 << 10
 	piecePause  = 20 * time.Millisecond
-	uploads     = 20
+	uploadPause = 200 * time.Millisecond // between the beginnings of two uploads
+	// The dose of early answers: share of the answers of two in four runners, in episodes.
+	earlyShare    = 0.02
+	earlyEpisode  = 5 * time.Second
+	earlyGap      = time.Second
+	earlyEpisodes = 7
 	// Each node has the usual traffic besides: so many clients with a small order each usualPause.
 	usualClients = 3
 	usualPause   = 100 * time.Millisecond
@@ -41,12 +46,14 @@
 // of it and reads on. The client sends the rest of its body, then its next request.
 func earlyAnswer(f *fleet, s *store, rec *record, trouble bool) bool {
 	s.set("op/config", orderConfig())
+	early := &dose{length: earlyEpisode, gap: earlyGap, share: earlyShare, runners: map[string]bool{"i-order-1": true, "i-order-2": true}}
 	work := answerWhole
 	if trouble {
 		work = func(x *runner, c net.Conn, r *http.Request) bool {
-			if r.ContentLength <= answerAfter {
+			if !early.answer(x, r.ContentLength > answerAfter) {
 				return answerWhole(x, c, r)
 			}
+			rec.line("runner %s answers %s early", x.id, r.Header.Get("Jujubewheel-Request-Id"))
 			if _, err := io.CopyN(io.Discard, r.Body, answerAfter); err != nil {
 				return false
 			}
@@ -56,7 +63,7 @@
 		}
 	}
 	var runners []*runner
-	for i := range 3 {
+	for i := range 4 {
 		runners = append(runners, startRunner(s, rec, fmt.Sprintf("i-order-%d", i+1), "order-desk", "amman-a", work))
 	}
 	var nodes []*node
@@ -85,7 +92,10 @@
 		}
 	}
 	time.Sleep(time.Second)
-	for i := range uploads {
+	early.start()
+	uploads := 0
+	for end := time.Now().Add(earlyEpisodes * (earlyEpisode + earlyGap)); time.Now().Before(end); uploads++ {
+		i := uploads
 		wg.Go(func() {
 			u := upload{rec: rec, addr: nodes[i%len(nodes)].callers, id: fmt.Sprintf("%016x", 0xa000+i)}
 			mu.Lock()
@@ -97,7 +107,7 @@
 				mu.Unlock()
 			}
 		})
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(uploadPause)
 	}
 	wg.Wait()
 	time.Sleep(500 * time.Millisecond)
@@ -112,8 +122,11 @@
 			}
 		}
 	}
-	rec.line("%d uploads: %d requests run that no client sent, %d answers that belong to no request of the client", uploads, smuggled, foreign)
-	fmt.Printf("%d uploads: %d requests run that no client sent, %d answers that belong to no request of the client\n", uploads, smuggled, foreign)
+	spoiled, made := early.counts()
+	sum := fmt.Sprintf("%d uploads, %d early answers in %d of two runners: %d requests run that no client sent, %d answers that belong to no request of the client",
+		uploads, spoiled, made, smuggled, foreign)
+	rec.line("%s", sum)
+	fmt.Println(sum)
 	return smuggled == 0
 }
 
--- a/review/stand/refused.go
+++ b/review/stand/refused.go
@@ -20,9 +20,10 @@
 	refusedFor     = 75 * time.Second
 	refusedClients = 24
 	refusedPause   = 50 * time.Millisecond // of a client between two requests
-	refusedShare   = 0.45                  // of the requests, in an episode
-	episode        = 4 * time.Second
-	episodeGap     = time.Second
+	// The dose of refusals: share of the requests of all three runners, in episodes.
+	refusedShare   = 0.45
+	refusedEpisode = 4 * time.Second
+	refusedGap     = time.Second
 )
 
 func hashOf(b []byte) string {
@@ -57,12 +58,12 @@
 		io.WriteString(c, x.head(r, len(answer))+answer)
 		return true
 	}
-	begin := time.Now()
+	refused := &dose{length: refusedEpisode, gap: refusedGap, share: refusedShare, runners: map[string]bool{"i-order-1": true, "i-order-2": true, "i-order-3": true}}
 	for i := range 3 {
 		x := startRunner(s, rec, fmt.Sprintf("i-order-%d", i+1), "order-desk", "amman-a", work)
 		if trouble {
 			x.refuse = func(c net.Conn, r *http.Request) bool {
-				if time.Since(begin)%(episode+episodeGap) >= episode || rand.Float64() >= refusedShare {
+				if !refused.answer(x, rand.Float64() < 0.6) {
 					return false
 				}
 				id := r.Header.Get("Jujubewheel-Request-Id")
@@ -83,6 +84,7 @@
 	}
 	f.awaitReady(15 * time.Second)
 	time.Sleep(3 * time.Second)
+	refused.start()
 	end := time.Now().Add(refusedFor)
 	statuses := map[string]int{}
 	var wg sync.WaitGroup
@@ -103,8 +105,10 @@
 		})
 	}
 	wg.Wait()
-	rec.line("answers %v, %d runs with the client's body, %d with another, %d refusals", statuses, whole, changed, refusals)
-	fmt.Printf("answers %v, %d runs with the client's body, %d with another, %d refusals\n", statuses, whole, changed, refusals)
+	_, made := refused.counts()
+	sum := fmt.Sprintf("answers %v, %d runs with the client's body, %d with another, %d refusals of %d requests in the episodes", statuses, whole, changed, refusals, made)
+	rec.line("%s", sum)
+	fmt.Println(sum)
 	return changed == 0
 }
 
--- a/review/stand/resetanswer.go
+++ b/review/stand/resetanswer.go
@@ -17,8 +17,13 @@
 	readBefore  = 64 << 10
 	answerBytes = 60 << 10
 	sentBefore  = 20 << 10 // of the answer, before the runner crashes
-	crashAfter  = 50 * time.Millisecond
-	longUploads = 40
+	breakAfter  = 250 * time.Millisecond
+	longPause   = 300 * time.Millisecond // between the beginnings of two long requests
+	// The dose of answers that break off: share of the answers of two in four runners, in episodes.
+	resetShare    = 0.05
+	resetEpisode  = 5 * time.Second
+	resetGap      = time.Second
+	resetEpisodes = 10
 )
 
 // wholeAnswer returns the body of a runner's answer to a request.
@@ -26,12 +31,26 @@
 	return []byte(strings.Repeat("receipt "+id+"\n", answerBytes/(len(id)+9)))
 }
 
+// answerLong reads the whole request and answers with a length.
+func answerLong(x *runner, c net.Conn, r *http.Request) bool {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return false
+	}
+	body := wholeAnswer(r.Header.Get("Jujubewheel-Request-Id"))
+	c.Write(append([]byte(x.head(r, len(body))), body...))
+	return true
+}
+
 // resetAnswer: a runner answers a long request before it has read all of it, with an answer that has no
-// length and ends with its connection. It crashes in the middle of the answer: its connection is reset.
+// length and ends with its connection. It breaks off in the middle: its connection is reset.
 func resetAnswer(f *fleet, s *store, rec *record, trouble bool) bool {
 	s.set("op/config", orderConfig())
+	reset := &dose{length: resetEpisode, gap: resetGap, share: resetShare, runners: map[string]bool{"i-order-1": true, "i-order-2": true}}
 	work := func(x *runner, c net.Conn, r *http.Request) bool {
 		id := r.Header.Get("Jujubewheel-Request-Id")
+		if !reset.answer(x, r.ContentLength == longBody) {
+			return answerLong(x, c, r)
+		}
 		if _, err := io.CopyN(io.Discard, r.Body, readBefore); err != nil {
 			return false
 		}
@@ -44,16 +63,16 @@
 			return false
 		}
 		c.Write(body[:sentBefore])
-		time.Sleep(crashAfter)
-		x.rec.line("runner %s crashes in its answer to %s: %d of %d bytes sent, connection reset", x.id, id, sentBefore, len(body))
-		c.(*net.TCPConn).SetLinger(0) // the connection of a process that ends with unread bytes is reset
+		time.Sleep(breakAfter)
+		x.rec.line("runner %s breaks off its answer to %s: %d of %d bytes sent, connection reset", x.id, id, sentBefore, len(body))
+		c.(*net.TCPConn).SetLinger(0) // a connection that is closed with unread bytes is reset
 		return false
 	}
-	for i := range 3 {
+	for i := range 4 {
 		startRunner(s, rec, fmt.Sprintf("i-order-%d", i+1), "order-desk", "amman-a", work)
 	}
 	var nodes []*node
-	for range 3 {
+	for range 4 {
 		nodes = append(nodes, f.add("amman-a"))
 	}
 	for _, n := range nodes {
@@ -61,14 +80,23 @@
 	}
 	f.awaitReady(15 * time.Second)
 	time.Sleep(3 * time.Second)
-	var wg sync.WaitGroup
+	var wg, usual sync.WaitGroup
 	var mu sync.Mutex
-	truncated, whole, other := 0, 0, 0
-	for i := range longUploads {
+	done := make(chan struct{})
+	for i, n := range nodes[2:] { // the long requests go to the first two nodes
+		for j := range 2 * usualClients {
+			usual.Go(func() { usualTraffic(n.callers, fmt.Sprintf("%x%x", i+1, j), done, func(string) {}) })
+		}
+	}
+	time.Sleep(time.Second)
+	reset.start()
+	truncated, whole, other, requests := 0, 0, 0, 0
+	for end := time.Now().Add(resetEpisodes * (resetEpisode + resetGap)); time.Now().Before(end); requests++ {
+		i := requests
 		wg.Go(func() {
 			id := fmt.Sprintf("%016x", 0xa000+i)
 			rec.line("client sends %s, %d bytes", id, longBody)
-			status, body, err := sendLong(nodes[i%len(nodes)].callers, id)
+			status, body, err := sendLong(nodes[i%2].callers, id)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
@@ -83,13 +111,18 @@
 				rec.line("client: status %d to %s, %v", status, id, err)
 			}
 		})
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(longPause)
 	}
 	wg.Wait()
-	rec.line("%d requests: %d whole answers, %d truncated ones that look complete, %d failures", longUploads, whole, truncated, other)
-	fmt.Printf("%d requests: %d whole answers, %d truncated ones that look complete, %d failures\n", longUploads, whole, truncated, other)
-	if !trouble && whole < longUploads {
-		panic(cantRun{fmt.Errorf("%d of %d requests were answered", whole, longUploads)})
+	close(done)
+	usual.Wait()
+	spoiled, made := reset.counts()
+	sum := fmt.Sprintf("%d long requests, %d answers without a length in %d of two runners: %d whole answers, %d truncated ones that look complete, %d failures",
+		requests, spoiled, made, whole, truncated, other)
+	rec.line("%s", sum)
+	fmt.Println(sum)
+	if !trouble && whole < requests {
+		panic(cantRun{fmt.Errorf("%d of %d requests were answered", whole, requests)})
 	}
 	return truncated == 0
 }
