--- a/review/stand/resetanswer.go
+++ b/review/stand/resetanswer.go
@@ -16,7 +16,7 @@
 	longBody    = 4_000_000 // the configuration allows 4,194,304
 	readBefore  = 64 << 10
 	answerBytes = 60 << 10
-	sentBefore  = 20 << 10 // of the answer, before the runner crashes
+	sentBefore  = 20 << 10 // of the answer, before the runner breaks off
 	breakAfter  = 250 * time.Millisecond
 	longPause   = 300 * time.Millisecond // between the beginnings of two long requests
 	// The dose of answers that break off: share of the answers of two in four runners, in episodes.
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -53,8 +53,10 @@
 	born := time.Now().UnixMilli()
 	go func() {
 		for seq := 1; ; seq++ {
-			entry := map[string]any{"Service": service, "Addr": x.addr, "Zone": zone, "Version": x.version, "Slots": x.slots,
-				"State": "ready", "WarmupLeftMs": 0, "Seq": seq, "born": born}
+			entry := map[string]any{
+				"Service": service, "Addr": x.addr, "Zone": zone, "Version": x.version, "Slots": x.slots,
+				"State": "ready", "WarmupLeftMs": 0, "Seq": seq, "born": born,
+			}
 			s.set("servers/"+id, entry)
 			select {
 			case <-time.After(1200 * time.Millisecond):
