jwgateway: the log says how the body of an answered request ended

Lines of sends and forwards now have bodyError, why the request's body wasn't sent completely when its answer ended.

--- /dev/null
+++ b/io/jwconn/bodywriter.go
@@ -0,0 +1,104 @@
+package jwconn
+
+import (
+	"io"
+	"net/http/httputil"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const restBufferSize = 16 << 10
+
+// ErrBodyUnfinished is the error of a call whose body is still being written.
+var ErrBodyUnfinished = errors.New("the body has not been sent completely")
+
+// bodyWriter writes the body of a call while its answer is read.
+type bodyWriter struct {
+	conn  *conn
+	call  *Call
+	start time.Time // when sending began, zero without Call.MaxWriteTime
+	done  chan struct{}
+	err   error // set before done is closed
+}
+
+func (w *bodyWriter) run() {
+	defer close(w.done)
+	w.err = w.writeBodyWithin()
+}
+
+// result returns the error of the writing, ErrBodyUnfinished while it goes on.
+func (w *bodyWriter) result() error {
+	select {
+	case <-w.done:
+		return w.err
+	default:
+		return ErrBodyUnfinished
+	}
+}
+
+// BodyReadError is the error if Call.Rest failed, so that the body of the call is
+// incomplete.
+type BodyReadError struct{ Err error }
+
+func (e *BodyReadError) Error() string { return "body: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *BodyReadError) Unwrap() error { return e.Err }
+
+// errSlowPeer is the result of writing a body that took longer than Call.MaxWriteTime.
+var errSlowPeer = errors.New("the peer read the body slowly")
+
+// writeBodyWithin writes the body of a call, and fails if that took too long since start.
+func (w *bodyWriter) writeBodyWithin() error {
+	err := w.writeBody()
+	// The rest is read as fast as the sender provides it, so its time says nothing of the peer.
+	if err == nil && w.call.MaxWriteTime > 0 && w.call.Rest == nil && time.Since(w.start) > w.call.MaxWriteTime {
+		return errSlowPeer
+	}
+	return err
+}
+
+// writeBody writes the body of a call. If the body is incomplete, it closes the
+// connection, so that the peer doesn't process it as a complete one.
+func (w *bodyWriter) writeBody() error {
+	c := w.call
+	if c.Rest == nil {
+		_, err := w.conn.Write(c.Body)
+		return err
+	}
+	var out io.Writer = w.conn
+	var chunkWriter io.WriteCloser
+	if c.Length < 0 {
+		chunkWriter = httputil.NewChunkedWriter(w.conn)
+		out = chunkWriter
+	}
+	rest := &restReader{r: c.Rest}
+	_, err := out.Write(c.Body)
+	if err == nil {
+		_, err = io.CopyBuffer(out, rest, make([]byte, restBufferSize))
+	}
+	if err != nil {
+		w.conn.Close()
+		return err
+	}
+	if chunkWriter == nil {
+		return nil
+	}
+	if err := chunkWriter.Close(); err != nil {
+		return err
+	}
+	_, err = io.WriteString(w.conn, "\r\n") // no trailers
+	return err
+}
+
+// restReader wraps the read errors of Call.Rest in BodyReadError.
+type restReader struct{ r io.Reader }
+
+func (r *restReader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if err != nil && err != io.EOF {
+		err = &BodyReadError{err}
+	}
+	return n, err
+}
--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httputil"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -33,7 +32,6 @@
 	// syscall does not define.
 	tcpUserTimeout = 18
 	readBufferSize = 2 << 10 // small, because hundreds of streams of small events are open at once
-	restBufferSize = 16 << 10
 	// maxInlineBody is the maximum length of a body that is written before the
 	// answer is read. A longer one is written concurrently, because a target may
 	// answer before it has read the body.
@@ -156,7 +154,7 @@
 	complete   bool        // the body was read to its end
 	peerCloses bool        // the peer closes the connection after this answer
 	unusable   bool        // the connection must not be used again
-	bodyResult chan error  // receives the result of writing the body; nil if it was written before the answer was read
+	writer     *bodyWriter // nil if the body of the call was written before the answer was read
 	stop       func() bool // ends the watch on the context; false if the connection was closed
 }
 
@@ -203,8 +201,8 @@
 		if err := c.write(cn, head); err != nil {
 			return nil, err
 		}
-		a.bodyResult = make(chan error, 1)
-		go func() { a.bodyResult <- writeBodyWithin(cn, c, start) }()
+		a.writer = &bodyWriter{conn: cn, call: c, start: start, done: make(chan struct{})}
+		go a.writer.run()
 	}
 	res, err := readHead(cn.r, c)
 	if err != nil {
@@ -240,84 +238,12 @@
 	return FramedByConnection
 }
 
-// BodyReadError is the error if Call.Rest failed, so that the body of the call is
-// incomplete.
-type BodyReadError struct{ Err error }
-
-func (e *BodyReadError) Error() string { return "body: " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *BodyReadError) Unwrap() error { return e.Err }
-
-// errSlowPeer is the result of writing a body that took longer than Call.MaxWriteTime.
-var errSlowPeer = errors.New("the peer read the body slowly")
-
-// writeBodyWithin writes the body of a call, and fails if that took too long since start.
-func writeBodyWithin(cn *conn, c *Call, start time.Time) error {
-	err := writeBody(cn, c)
-	// The rest is read as fast as the sender provides it, so its time says nothing of the peer.
-	if err == nil && c.MaxWriteTime > 0 && c.Rest == nil && time.Since(start) > c.MaxWriteTime {
-		return errSlowPeer
-	}
-	return err
-}
-
-// writeBody writes the body of a call. If the body is incomplete, it closes the
-// connection, so that the peer doesn't process it as a complete one.
-func writeBody(cn *conn, c *Call) error {
-	if c.Rest == nil {
-		_, err := cn.Write(c.Body)
-		return err
-	}
-	var w io.Writer = cn
-	var chunkWriter io.WriteCloser
-	if c.Length < 0 {
-		chunkWriter = httputil.NewChunkedWriter(cn)
-		w = chunkWriter
-	}
-	rest := &restReader{r: c.Rest}
-	_, err := w.Write(c.Body)
-	if err == nil {
-		_, err = io.CopyBuffer(w, rest, make([]byte, restBufferSize))
-	}
-	if err != nil {
-		cn.Close()
-		return err
-	}
-	if chunkWriter == nil {
-		return nil
-	}
-	if err := chunkWriter.Close(); err != nil {
-		return err
-	}
-	_, err = io.WriteString(cn, "\r\n") // no trailers
-	return err
-}
-
-// restReader wraps the read errors of Call.Rest in BodyReadError.
-type restReader struct{ r io.Reader }
-
-func (r *restReader) Read(p []byte) (int, error) {
-	n, err := r.r.Read(p)
-	if err != nil && err != io.EOF {
-		err = &BodyReadError{err}
-	}
-	return n, err
-}
-
 // requestError returns the reason why no answer was read: the BodyReadError if
 // reading the body failed, because that closed the connection, and err otherwise.
 func (a *Answer) requestError(err error) error {
-	if a.bodyResult == nil {
-		return err
-	}
 	var rest *BodyReadError
-	select {
-	case writeErr := <-a.bodyResult:
-		if errors.As(writeErr, &rest) {
-			return rest
-		}
-	default:
+	if errors.As(a.BodyError(), &rest) {
+		return rest
 	}
 	return err
 }
@@ -545,7 +471,9 @@
 // read completely, and closes it otherwise.
 func (a *Answer) Close() {
 	alive := a.stop == nil || a.stop()
-	if alive && a.complete && !a.peerCloses && !a.unusable && a.bodyWritten() {
+	// If the peer answered before it has read the whole body, it would read the next request on the
+	// connection as the remainder of that body.
+	if alive && a.complete && !a.peerCloses && !a.unusable && a.BodyError() == nil {
 		a.pool.put(a.peer, a.conn)
 		return
 	}
@@ -559,19 +487,13 @@
 	a.conn.Close()
 }
 
-// bodyWritten reports whether the complete request has been sent. If the peer
-// answered early, it may not be; the peer would then read the next request on the
-// connection as the remainder of the body.
-func (a *Answer) bodyWritten() bool {
-	if a.bodyResult == nil {
-		return true
-	}
-	select {
-	case err := <-a.bodyResult:
-		return err == nil
-	default:
-		return false
+// BodyError returns why the body of the call was not sent completely, ErrBodyUnfinished while it is
+// still being written.
+func (a *Answer) BodyError() error {
+	if a.writer == nil {
+		return nil
 	}
+	return a.writer.result()
 }
 
 // bodyReader reads the body of an answer and sets Answer.complete at its end. Its
--- a/io/jwconn/pool_test.go
+++ b/io/jwconn/pool_test.go
@@ -293,8 +293,8 @@
 			assert.NilError(t, err)
 			_, err = io.ReadAll(a.Body)
 			assert.NilError(t, err)
-			for len(a.bodyResult) < cap(a.bodyResult) {
-				time.Sleep(time.Millisecond) // the target has read the body, so that its writing ends
+			if a.writer != nil {
+				<-a.writer.done // the target has read the body, so that its writing ends
 			}
 			a.Close()
 			assert.Equal(t, p.IdleCount(peer), c.kept)
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -66,7 +66,7 @@
 	}
 	d.Prompt, d.MissTokens, d.AheadTokens = q.Prompt.Tokens, c.MissTokens, c.AheadTokens
 	d.First, d.Pause = p.first, p.pause
-	d.Framing, d.Partial = string(q.answer.framing), q.answer.partial
+	d.Framing, d.Partial, d.BodyError = string(q.answer.framing), q.answer.partial, q.answer.bodyError
 	d.Silent = p.silence(v, time.Now())
 	d.ViewAge, d.Outcome, d.Status = c.Age, string(v), status
 	d.StoreAge, d.StoreRevision = g.storeReadAge(time.Now()), int64(jwstore.Number(g.store.revision.Load()))
@@ -98,7 +98,7 @@
 	d := q.newDecision(stepForward)
 	d.Peer, d.Outcome, d.Status = peer, string(v), status
 	d.First, d.Pause = p.first, p.pause
-	d.Framing, d.Partial = string(q.answer.framing), q.answer.partial
+	d.Framing, d.Partial, d.BodyError = string(q.answer.framing), q.answer.partial, q.answer.bodyError
 	d.Region, d.PartSent, d.ShareAge, d.Expected = q.forwardShare.Region, q.forwardShare.Part, q.forwardShare.Age, q.shareWait
 	d.DropFirst = v == finished && status < 500
 	if !d.DropFirst {
--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -32,6 +32,11 @@
 // arrived; for an answer that is not a stream it is called once.
 func (g *Gateway) passAnswer(q *request, a *jwconn.Answer, onEvents func(events int)) Verdict {
 	q.answer.framing = a.Framing
+	defer func() {
+		if err := a.BodyError(); err != nil {
+			q.answer.bodyError = err.Error()
+		}
+	}()
 	if isStream(a) {
 		return g.passStream(q, a, onEvents)
 	}
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -104,8 +104,9 @@
 
 // answerShape is how an answer was framed and where it ended.
 type answerShape struct {
-	framing jwconn.Framing
-	partial int // bytes after the last complete event of a stream that has ended
+	framing   jwconn.Framing
+	partial   int    // bytes after the last complete event of a stream that has ended
+	bodyError string // why the request's body wasn't sent completely by then
 }
 
 // targetNeed describes the request for the choice of a target.
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -30,6 +30,7 @@
 	Status        int           // HTTP status of the answer
 	Framing       string        // what ends the answer's body, such as "chunks"
 	Partial       int           // bytes after the last complete event of a stream that has ended
+	BodyError     string        // why the request's body was not sent completely
 	Attempt       int           // counted from 1
 	Sends         int           // sends that reached a target so far
 	Retry         *Retry        // set if the request was not served
@@ -150,6 +151,7 @@
 	f = appendNumber(f, "status", int64(x.Status))
 	f = appendText(f, "framing", x.Framing)
 	f = appendNumber(f, "partialBytes", int64(x.Partial))
+	f = appendText(f, "bodyError", x.BodyError)
 	f = appendNumber(f, "attempt", int64(x.Attempt))
 	f = appendNumber(f, "sends", int64(x.Sends))
 	if r := x.Retry; r != nil {
