jwconn: an answer that is reset while the body is written isn't complete

Cause: a body over 8 KB is written while the answer is read. The system reports the loss of a connection once, to the first call that asks; if that was the waiting write, the read got an end as after a peer that closes, and nobody asked how the write had ended. Ruled out: the node closing the connection itself (another error), an end before the reset (the write would get EPIPE).

At the end of an answer that is framed by its connection the writing is stopped, the write in progress awaited, and the answer is complete only if no write has found the connection lost. That holds for each kind of answer, place and framing, as all are read here. A FIN before the reset still ends an answer.

--- a/io/jwconn/bodywriter.go
+++ b/io/jwconn/bodywriter.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http/httputil"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +22,9 @@
 	start time.Time // when sending began, zero without Call.MaxWriteTime
 	done  chan struct{}
 	err   error // set before done is closed
+
+	mu   sync.Mutex // held during each write
+	lost error      // of a write that found the connection lost
 }
 
 func (w *bodyWriter) run() {
@@ -27,6 +32,34 @@
 	w.err = w.writeBodyWithin()
 }
 
+// Write implements io.Writer.
+func (w *bodyWriter) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, err := w.conn.Write(p)
+	if isConnLost(err) {
+		w.lost = err
+	}
+	return n, err
+}
+
+// isConnLost reports whether a write failed because the connection was lost, and not because the
+// peer had closed it before: after the peer's FIN, a reset gives EPIPE.
+func isConnLost(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
+}
+
+// connError ends the writing and returns the error of a write that found the connection lost. The
+// system reports the loss of a connection once: if a write got the error, a read gets io.EOF, as if
+// the peer had closed the connection.
+func (w *bodyWriter) connError() error {
+	_ = w.conn.SetWriteDeadline(time.Unix(1, 0)) // ends a write in progress
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost
+}
+
 // result returns the error of the writing, ErrBodyUnfinished while it goes on.
 func (w *bodyWriter) result() error {
 	select {
@@ -64,13 +97,13 @@
 func (w *bodyWriter) writeBody() error {
 	c := w.call
 	if c.Rest == nil {
-		_, err := w.conn.Write(c.Body)
+		_, err := w.Write(c.Body)
 		return err
 	}
-	var out io.Writer = w.conn
+	var out io.Writer = w
 	var chunkWriter io.WriteCloser
 	if c.Length < 0 {
-		chunkWriter = httputil.NewChunkedWriter(w.conn)
+		chunkWriter = httputil.NewChunkedWriter(w)
 		out = chunkWriter
 	}
 	rest := &restReader{r: c.Rest}
@@ -88,7 +121,7 @@
 	if err := chunkWriter.Close(); err != nil {
 		return err
 	}
-	_, err = io.WriteString(w.conn, "\r\n") // no trailers
+	_, err = io.WriteString(w, "\r\n") // no trailers
 	return err
 }
 
--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -137,7 +137,7 @@
 const (
 	FramedByLength     Framing = "length" // also an answer without a body
 	FramedByChunks     Framing = "chunks"
-	FramedByConnection Framing = "connection" // ends with its connection, also if the peer broke off
+	FramedByConnection Framing = "connection" // ends when the peer closes its connection, also if it broke off
 )
 
 // Answer is the head of an answer and a reader of its body. Close must be called.
@@ -505,6 +505,11 @@
 
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
+	if err == io.EOF && b.a.Framing == FramedByConnection && b.a.writer != nil {
+		if lost := b.a.writer.connError(); lost != nil {
+			err = lost
+		}
+	}
 	if err == io.EOF {
 		b.a.complete = true
 	} else if err != nil {
