jwgateway: a connection whose body wasn't read to its end carries no other request

Cause: a long body is read while its answer is written, for which net/http is told to leave it alone. Where the answer was complete before the body, a deadline in the past ended the read that waited for the caller; net/http's own skipping of the rest failed by the same deadline, which it doesn't take for an unread body, and the connection went on with the next request, whose bytes are the rest of the body. Evidence: the smuggled requests have the headers that a node adds, and none come without an early answer.

When an answer begins it is now known whether the body has come to its end.

--- a/io/jwgateway/body.go
+++ b/io/jwgateway/body.go
@@ -77,6 +77,9 @@
 	return b.rest.sender()
 }
 
+// ended reports whether the body was read to its end.
+func (b *body) ended() bool { return b.rest == nil || b.rest.readError() == io.EOF }
+
 // close ends the reading of the body: it must not be read after the handler has returned.
 func (b *body) close() {
 	if b.rest != nil {
--- a/io/jwgateway/memory.go
+++ b/io/jwgateway/memory.go
@@ -45,10 +45,6 @@
 		_ = http.NewResponseController(q.w).SetReadDeadline(q.deadline)
 		return true
 	}
-	// By default net/http reads the body before it sends the answer.
-	controller := http.NewResponseController(q.w)
-	_ = controller.EnableFullDuplex()
-	_ = controller.SetReadDeadline(q.deadline)
 	g.metrics.memoryRejections.Inc(1)
 	if !q.forwarded {
 		g.metrics.countRequest(string(q.entry.Kind), "notRun", placeNone, time.Since(q.arrived))
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -64,7 +64,8 @@
 	forwarded    bool // received from another node; must not be forwarded again
 
 	w               http.ResponseWriter
-	answerStarted   bool // the status and headers were sent to the caller
+	answerWriter    *answerWriter // w or what it wraps
+	answerStarted   bool          // the status and headers were sent to the caller
 	tried           map[string]bool
 	attempts        int // number of sends that a target may have run
 	retries         jwretry.Tracker
@@ -149,6 +150,8 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	answer := &answerWriter{ResponseWriter: w, request: r}
+	w = answer
 	call := g.Dialect.ParseCallerHeaders(r.Header)
 	cfg := g.awaitConfig(r.Context(), call.Deadline)
 	if cfg == nil {
@@ -181,7 +184,7 @@
 	}
 	q := &request{
 		CallerHeaders: call, entry: e, version: cfg.Version, method: r.Method, target: target, host: r.Host,
-		header: r.Header, arrived: time.Now(), w: w,
+		header: r.Header, arrived: time.Now(), w: w, answerWriter: answer,
 	}
 	q.service = e.Choose(hashFraction(call.ID))
 	q.controlled = g.controlsOverload(q.service)
@@ -257,6 +260,7 @@
 	g.bodyRead(q)
 	switch {
 	case err == nil:
+		q.answerWriter.body = &q.body
 		return true
 	case errors.Is(err, errBodyTooLarge):
 		g.answerError(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, err.Error())
