jwgateway: a caller that pauses inside its body is answered by its time-out

Cause: whether a body could be sent again was asked under the lock that its reader holds while it waits for the caller (gone with the owner of the body); the first 64 KB were read without a time limit; an early answer waited until the body was skipped. The first 64 KB are read until the request's deadline now, then 408, which says that it wasn't run. The writer of a body that is stopped takes no more of it: its reader is closed before the write in progress is ended.

--- a/io/jwconn/bodywriter.go
+++ b/io/jwconn/bodywriter.go
@@ -46,10 +46,10 @@
 	default:
 	}
 	w.stopped.Store(true)
-	_ = w.conn.SetWriteDeadline(time.Unix(1, 0)) // ends a write in progress
 	if w.call.Rest != nil {
-		_ = w.call.Rest.Close()
+		_ = w.call.Rest.Close() // first, so that no more of it is taken after the write in progress
 	}
+	_ = w.conn.SetWriteDeadline(time.Unix(1, 0)) // ends a write in progress
 	<-w.done
 	_ = w.conn.SetWriteDeadline(time.Time{})
 	return w.err
--- a/io/jwgateway/answerwriter.go
+++ b/io/jwgateway/answerwriter.go
@@ -22,6 +22,7 @@
 	http.ResponseWriter
 	request *http.Request
 	body    *body // nil until it was read
+	broken  bool  // the body could not be read
 	begun   bool
 }
 
@@ -44,6 +45,8 @@
 		return true
 	case w.body != nil:
 		return w.body.ended()
+	case w.broken || w.request.ContentLength > maxSkippedBody:
+		return false
 	case w.request.Header.Get("Expect") != "":
 		return false // reading it would ask the caller to send it
 	}
--- a/io/jwgateway/bodyrest_test.go
+++ b/io/jwgateway/bodyrest_test.go
@@ -24,7 +24,7 @@
 type lateWriter struct {
 	chunked bool
 	mu      sync.Mutex
-	count   int           // long writes so far
+	count   int           // sends of the request so far
 	again   chan struct{} // closed at the second one
 }
 
@@ -42,27 +42,29 @@
 	writer *lateWriter
 	ended  chan struct{}
 	end    sync.Once
-	first  bool // it has the first long write
+	send   int  // which send of the request it carries, 0 for none
+	begun  bool // the body is being written
 }
 
 func (c *lateConn) Write(p []byte) (int, error) {
 	l := c.writer
-	if len(p) >= largePart/2 {
+	if strings.HasPrefix(string(p), "POST ") {
 		l.mu.Lock()
 		l.count++
-		count := l.count
+		c.send = l.count
 		l.mu.Unlock()
-		c.first = count == 1
-		if count == 2 {
+		if c.send == 2 {
 			close(l.again)
 		}
-		if count > 1 {
-			time.Sleep(50 * time.Millisecond)
-		}
+	}
+	long := len(p) >= largePart/2
+	c.begun = c.begun || long
+	if c.send > 1 && long {
+		time.Sleep(50 * time.Millisecond)
 	}
 	n, err := c.Conn.Write(p)
-	if c.first && (len(p) >= largePart/2) != l.chunked {
-		c.first = false
+	if c.send == 1 && c.begun && long != l.chunked {
+		c.send = 0
 		select {
 		case <-l.again:
 		case <-c.ended:
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -350,7 +350,7 @@
 	switch {
 	case o.signed(h):
 		h[headerOutcome] = []string{outcomeServed}
-	case status == http.StatusServiceUnavailable:
+	case status == http.StatusServiceUnavailable || status == http.StatusRequestTimeout:
 		h[headerOutcome] = []string{outcomeNotRun}
 	}
 	h[headerSends] = []string{o.sends().String()}
--- a/io/jwgateway/memory.go
+++ b/io/jwgateway/memory.go
@@ -41,8 +41,6 @@
 	}
 	if g.memory.Admit(requestMemory, body) {
 		q.heldRequest, q.heldBody = requestMemory, body
-		// Without it a caller that never sends its body would hold the memory.
-		_ = http.NewResponseController(q.w).SetReadDeadline(q.deadline)
 		return true
 	}
 	g.metrics.memoryRejections.Inc(1)
@@ -57,13 +55,6 @@
 	return false
 }
 
-// bodyRead ends the limit on the time in which a body is read.
-func (g *Gateway) bodyRead(q *request) {
-	if q.heldRequest > 0 {
-		_ = http.NewResponseController(q.w).SetReadDeadline(time.Time{})
-	}
-}
-
 // releaseMemory returns what admitMemory has accounted for a request.
 func (g *Gateway) releaseMemory(q *request) {
 	if q.heldRequest == 0 {
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -245,6 +246,9 @@
 	return g.entries.Current()
 }
 
+// bodyTooSlow is the reason for rejecting a request whose body did not come in its time.
+const bodyTooSlow = "the body did not come in time"
+
 // bufferBody reads the part of the body that is buffered. On failure it answers the request and
 // returns false.
 func (g *Gateway) bufferBody(q *request, r *http.Request) bool {
@@ -255,16 +259,26 @@
 	if !g.admitMemory(q, r.ContentLength) {
 		return false
 	}
+	controller := http.NewResponseController(q.w)
+	if r.ContentLength != 0 {
+		_ = controller.SetReadDeadline(q.deadline) // a caller may pause in its body
+	}
 	var err error
 	q.body, err = readBody(q.w, r, maxSize)
-	g.bodyRead(q)
-	switch {
-	case err == nil:
+	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
 		q.answerWriter.body = &q.body
 		return true
+	}
+	switch {
 	case errors.Is(err, errBodyTooLarge):
 		g.answerError(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, err.Error())
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.answerWriter.broken = true
+		g.logAnswer(q, "notRun", bodyTooSlow, http.StatusRequestTimeout)
+		g.answerError(q.w, q.ID, http.StatusRequestTimeout, 0, bodyTooSlow)
 	default:
+		q.answerWriter.broken = true
 		g.answerError(q.w, q.ID, http.StatusBadRequest, 0, "body broke off")
 	}
 	g.releaseMemory(q)
