jwconn: heads without end are given up

Cause: net/http's parser holds a head until it ends, and nothing limited it. One limit of 32 KB now holds for all the heads of an answer, informational and skipped ones included; the call then fails as by any broken answer. An event is held up to 256 KB, 1 MB before; the rest of an unwanted answer is read for 100 ms at most, and not at all where its connection can't be kept.

--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -93,6 +94,7 @@
 type conn struct {
 	net.Conn
 	r         *bufio.Reader
+	head      *headLimiter  // what r reads from
 	idleSince time.Time     // when it was last returned to the pool
 	keepAlive time.Duration // how long the peer keeps it unused according to its last answer, 0 if unknown
 }
@@ -154,7 +156,7 @@
 	peer       netip.AddrPort
 	complete   bool        // the body was read to its end
 	peerCloses bool        // the peer closes the connection after this answer
-	unusable   bool        // the connection must not be used again
+	unusable   atomic.Bool // the connection must not be used again
 	writer     *bodyWriter // nil if the body of the call was written before the answer was read
 	stop       func() bool // ends the watch on the context; false if the connection was closed
 }
@@ -197,7 +199,7 @@
 		if err := c.write(cn, append(head, c.Body...)); err != nil {
 			return nil, err
 		}
-		a.unusable = c.MaxWriteTime > 0 && time.Since(start) > c.MaxWriteTime
+		a.unusable.Store(c.MaxWriteTime > 0 && time.Since(start) > c.MaxWriteTime)
 	} else {
 		if err := c.write(cn, head); err != nil {
 			return nil, err
@@ -205,7 +207,7 @@
 		a.writer = &bodyWriter{conn: cn, call: c, start: start, done: make(chan struct{})}
 		go a.writer.run()
 	}
-	res, err := readHead(cn.r, c)
+	res, err := cn.readHead(c)
 	if err != nil {
 		cn.Close()
 		return nil, a.requestError(err)
@@ -253,23 +255,28 @@
 // readHead reads the head of the answer to a call. It skips informational
 // responses (1xx) and answers to earlier requests, but reads maxResponses heads
 // at most.
-func readHead(r *bufio.Reader, c *Call) (*http.Response, error) {
+func (c *conn) readHead(call *Call) (*http.Response, error) {
 	const maxResponses = 3
+	const maxSkipped = 1 << 20 // of the body of an answer to another request
+	c.head.left = maxHeadBytes
+	defer func() { c.head.limited = false }()
 	for range maxResponses {
-		res, err := http.ReadResponse(r, &http.Request{Method: c.Method})
+		c.head.limited = true
+		res, err := http.ReadResponse(c.r, &http.Request{Method: call.Method})
 		if err != nil {
 			return nil, err
 		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
-		if c.Match == nil || c.Match(res.Header) {
+		if call.Match == nil || call.Match(res.Header) {
 			return res, nil
 		}
 		if framingOf(res) == FramedByConnection {
 			break
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, 1<<20)); err != nil {
+		c.head.limited = false
+		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxSkipped)); err != nil {
 			return nil, err
 		}
 	}
@@ -371,7 +378,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBufferSize)}, nil
+	return newConn(c), nil
+}
+
+func newConn(c net.Conn) *conn {
+	head := &headLimiter{r: c}
+	return &conn{Conn: c, r: bufio.NewReaderSize(head, readBufferSize), head: head}
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
@@ -475,7 +487,7 @@
 	alive := a.stop == nil || a.stop()
 	// If the peer answered before it has read the whole body, it would read the next request on the
 	// connection as the remainder of that body.
-	if alive && a.complete && !a.peerCloses && !a.unusable && a.endBody() == nil {
+	if alive && a.complete && !a.peerCloses && !a.unusable.Load() && a.endBody() == nil {
 		a.pool.put(a.peer, a.conn)
 		return
 	}
@@ -494,7 +506,7 @@
 // Abort closes the connection, so that a read of the body in progress fails. Close must still be
 // called, after that read has returned.
 func (a *Answer) Abort() {
-	a.unusable = true
+	a.unusable.Store(true)
 	a.conn.Close()
 }
 
--- a/io/jwconsul/client.go
+++ b/io/jwconsul/client.go
@@ -21,6 +21,8 @@
 	// maxResponseSize is the maximum size of a response body in bytes. It bounds the
 	// memory that one response can take.
 	maxResponseSize = 64 << 20
+	// maxResponseHeader is the maximum size of a response header in bytes.
+	maxResponseHeader = 64 << 10
 )
 
 // Traffic counts the bytes that a client has sent and received, HTTP headers included.
@@ -78,9 +80,10 @@
 		serviceName := "jwconsul " + name + " " + address.String()
 		breaker.NoBreakerFor(serviceName)
 		transport := &http.Transport{
-			DialContext:         c.dial,
-			MaxIdleConnsPerHost: 4,
-			IdleConnTimeout:     idleTimeout,
+			DialContext:            c.dial,
+			MaxIdleConnsPerHost:    4,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: maxResponseHeader,
 		}
 		c.service = httpc.NewServiceWithClient(serviceName, &http.Client{Transport: transport})
 	})
--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"jujubewheel/core/jwevent"
 	"jujubewheel/core/jwmemory"
@@ -16,15 +17,22 @@
 	// completely, so that an incomplete one can be detected before anything is sent to the caller.
 	maxBufferedAnswer = 256 << 10
 	// maxEventSize limits the size of one event of a stream.
-	maxEventSize = 1 << 20
+	maxEventSize = 256 << 10
 	// maxDrain limits how much of an unwanted answer is read to keep its connection usable.
 	maxDrain = 64 << 10
+	// maxDrainTime is how long that may take.
+	maxDrainTime = 100 * time.Millisecond
 	// readSize is the size of one read from a stream; it holds several events.
 	readSize = 1 << 10
 )
 
 // drain reads the rest of an answer, so that its connection can be used again.
 func drain(a *jwconn.Answer) {
+	if a.Framing == jwconn.FramedByConnection || a.Length > maxDrain {
+		return
+	}
+	t := time.AfterFunc(maxDrainTime, a.Abort)
+	defer t.Stop()
 	_, _ = io.CopyN(io.Discard, a.Body, maxDrain)
 }
 
