jwgateway: TestWaitEnds sets its event off a turn of the waiting room

Its two cases of a pause failed 149 times in 6,000 runs: the event came in the same instant as a turn (every 50 ms), and if the turn was first, the request asked for a target after the pause.

--- a/io/jwgateway/waitroom_test.go
+++ b/io/jwgateway/waitroom_test.go
@@ -279,7 +279,8 @@
 				go g.runRoom(ctx)
 				calls := g.fill()
 				waitCtx, leave := context.WithCancel(ctx)
-				time.AfterFunc(100*time.Millisecond, func() { c.event(g, calls[0], leave) })
+				// Not at the instant of a turn: the two would come in any order.
+				time.AfterFunc(101*time.Millisecond, func() { c.event(g, calls[0], leave) })
 				start := time.Now()
 				_, reason := g.place(waitCtx, roomRequest("one", 1, 100, time.Second))
 				assert.Equal(t, reason, c.want)
