--- a/io/jwconn/bodywriter.go
+++ b/io/jwconn/bodywriter.go
@@ -11,8 +11,6 @@
 	"github.com/pkg/errors"
 )
 
-const restBufferSize = 16 << 10
-
 // ErrBodyUnfinished is the error of a call whose body is still being written.
 var ErrBodyUnfinished = errors.New("the body has not been sent completely")
 
@@ -27,7 +25,8 @@
 	done  chan struct{}
 	err   error // set before done is closed
 
-	stopped atomic.Bool // the call has ended
+	stopped  atomic.Bool // the call has ended
+	writeErr error       // of the last write
 
 	mu   sync.Mutex // held during each write
 	lost error      // of a write that found the connection lost
@@ -60,6 +59,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n, err := w.conn.Write(p)
+	w.writeErr = err
 	if isConnLost(err) {
 		w.lost = err
 	}
@@ -129,10 +129,9 @@
 		chunkWriter = httputil.NewChunkedWriter(w)
 		out = chunkWriter
 	}
-	rest := &restReader{w}
 	_, err := out.Write(c.Body)
 	if err == nil {
-		_, err = io.CopyBuffer(out, rest, make([]byte, restBufferSize))
+		err = w.copyRest(out)
 	}
 	if err != nil {
 		w.conn.Close()
@@ -148,16 +147,14 @@
 	return err
 }
 
-// restReader reads Call.Rest and wraps its errors in BodyReadError.
-type restReader struct{ w *bodyWriter }
-
-func (r *restReader) Read(p []byte) (int, error) {
-	n, err := r.w.call.Rest.Read(p)
+// copyRest writes Call.Rest. Its read errors are wrapped in BodyReadError.
+func (w *bodyWriter) copyRest(out io.Writer) error {
+	_, err := io.Copy(out, w.call.Rest)
 	switch {
-	case err == nil || err == io.EOF:
-		return n, err
-	case r.w.stopped.Load():
-		return n, errBodyStopped
+	case err == nil || w.writeErr != nil:
+		return err
+	case w.stopped.Load():
+		return errBodyStopped
 	}
-	return n, &BodyReadError{err}
+	return &BodyReadError{err}
 }
--- a/io/jwgateway/body.go
+++ b/io/jwgateway/body.go
@@ -9,7 +9,10 @@
 
 const (
 	// restBufferSize is how much of the rest of a body is read ahead of its target.
-	restBufferSize = 16 << 10
+	restBufferSize = 32 << 10
+	// maxChunkRead is how much is read at once of a body in chunks: net/http returns only when that
+	// is full or the chunk has ended.
+	maxChunkRead = 16 << 10
 	// maxBufferedBody is how much of a request's body is buffered so that it can be sent again. A
 	// longer body is streamed to the target and sent once only. With this limit a thousand requests
 	// in flight buffer 64 MB at most.
@@ -56,7 +59,7 @@
 	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
 		return b, errors.Wrap(err, "enable reading the body while answering")
 	}
-	b.rest = newBodyRest(w, r.Body, maxSize-int64(len(b.buffered)))
+	b.rest = newBodyRest(w, r, maxSize-int64(len(b.buffered)))
 	return b, nil
 }
 
--- a/io/jwgateway/bodyrest.go
+++ b/io/jwgateway/bodyrest.go
@@ -13,6 +13,7 @@
 type bodyRest struct {
 	w    http.ResponseWriter
 	r    io.Reader
+	size int           // max bytes of a read
 	done chan struct{} // closed once the goroutine has ended
 
 	mu        sync.Mutex
@@ -26,9 +27,12 @@
 	closed    bool        // the request has ended
 }
 
-// newBodyRest begins to read from r, which is the body of a request to be answered by w.
-func newBodyRest(w http.ResponseWriter, r io.Reader, maxSize int64) *bodyRest {
-	b := &bodyRest{w: w, r: r, remaining: maxSize, done: make(chan struct{})}
+// newBodyRest begins to read the rest of the body of r, of at most maxSize bytes, which is to be answered by w.
+func newBodyRest(w http.ResponseWriter, r *http.Request, maxSize int64) *bodyRest {
+	b := &bodyRest{w: w, r: r.Body, size: restBufferSize, remaining: maxSize, done: make(chan struct{})}
+	if r.ContentLength < 0 {
+		b.size = maxChunkRead
+	}
 	b.changed.L = &b.mu
 	go b.run()
 	return b
@@ -37,7 +41,7 @@
 func (b *bodyRest) run() {
 	defer close(b.done)
 	for b.awaitRoom() {
-		n, err := b.r.Read(b.buf[:])
+		n, err := b.r.Read(b.buf[:b.size])
 		b.add(n, err)
 	}
 }
@@ -126,19 +130,59 @@
 	b := s.rest
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if err := s.await(); err != nil {
+		return 0, err
+	}
+	n := copy(p, b.unsent)
+	s.take(n)
+	return n, nil
+}
+
+// WriteTo implements io.WriterTo; it writes from the buffer.
+func (s *restSender) WriteTo(w io.Writer) (total int64, err error) {
+	b := s.rest
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		if err := s.await(); err != nil {
+			if err == io.EOF {
+				err = nil
+			}
+			return total, err
+		}
+		b.taken = true
+		piece := b.unsent
+		b.mu.Unlock()
+		n, err := w.Write(piece)
+		b.mu.Lock()
+		total += int64(n)
+		s.take(len(piece))
+		if err != nil {
+			return total, err
+		}
+	}
+}
+
+// await waits until there is something to send. It returns the error if nothing follows.
+func (s *restSender) await() error {
+	b := s.rest
 	for !s.closed && !b.closed && len(b.unsent) == 0 && b.err == nil {
 		b.changed.Wait()
 	}
 	switch {
 	case s.closed || b.closed:
-		return 0, errBodyClosed
+		return errBodyClosed
 	case len(b.unsent) == 0:
-		return 0, b.err
+		return b.err
 	}
-	n := copy(p, b.unsent)
+	return nil
+}
+
+// take removes what was sent from the buffer.
+func (s *restSender) take(n int) {
+	b := s.rest
 	b.unsent, b.taken = b.unsent[n:], true
 	b.changed.Broadcast()
-	return n, nil
 }
 
 // Close makes a Read that waits, and each later one, fail.
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -266,8 +266,8 @@
 	if sends, ok := jwretry.ParseSends(r.Header.Get(headerSends)); ok {
 		q.retries.Receive(sends)
 	}
-	q.answerWriter = &answerWriter{ResponseWriter: w, request: r}
-	q.w = &outcomeWriter{ResponseWriter: q.answerWriter, sends: q.reportSends, origin: func() *jwversion.Origin { return q.origin }, signed: func(h http.Header) bool { return g.Dialect.ParseAnswerHeaders(h).Signed }}
+	q.answerWriter = answerWriter{ResponseWriter: w, request: r}
+	q.w = &outcomeWriter{ResponseWriter: &q.answerWriter, sends: q.reportSends, origin: func() *jwversion.Origin { return q.origin }, signed: func(h http.Header) bool { return g.Dialect.ParseAnswerHeaders(h).Signed }}
 	q.entry = parseKind(r.Header.Get(headerKind))
 	q.entry.GapGoal = time.Duration(max(parseCount(r.Header.Get(headerGapGoal)), 0)) * time.Millisecond
 	q.waitedBefore = time.Duration(max(parseCount(r.Header.Get(headerWaited)), 0)) * time.Millisecond
--- a/io/jwgateway/memory.go
+++ b/io/jwgateway/memory.go
@@ -13,9 +13,9 @@
 	// requestMemory is what a request in flight takes beside its body: two connections with
 	// their buffers, the headers and the stacks of its goroutines.
 	requestMemory = 32 << 10
-	// streamedBodyMemory is the buffers through which a body that is not buffered completely is
+	// streamedBodyMemory is the buffer from which a body that is not buffered completely is
 	// passed on.
-	streamedBodyMemory = 2 * restBufferSize
+	streamedBodyMemory = restBufferSize
 	// memoryRetryAfter is the Retry-After of a node that can't hold more requests: about as
 	// long as the requests in flight take.
 	memoryRetryAfter = time.Second
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -65,8 +65,8 @@
 	forwarded    bool // received from another node; must not be forwarded again
 
 	w               http.ResponseWriter
-	answerWriter    *answerWriter // w or what it wraps
-	answerStarted   bool          // the status and headers were sent to the caller
+	answerWriter    answerWriter // w or what it wraps
+	answerStarted   bool         // the status and headers were sent to the caller
 	tried           map[string]bool
 	attempts        int // number of sends that a target may have run
 	retries         jwretry.Tracker
@@ -151,9 +151,10 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	answer := &answerWriter{ResponseWriter: w, request: r}
-	w = answer
 	call := g.Dialect.ParseCallerHeaders(r.Header)
+	q := &request{CallerHeaders: call, method: r.Method, host: r.Host, header: r.Header}
+	q.answerWriter = answerWriter{ResponseWriter: w, request: r}
+	w = &q.answerWriter
 	cfg := g.awaitConfig(r.Context(), call.Deadline)
 	if cfg == nil {
 		// The longer the configuration has been missing, the longer the store is likely to stay
@@ -183,10 +184,7 @@
 		g.answerError(w, call.ID, http.StatusNotFound, 0, "no such entry")
 		return
 	}
-	q := &request{
-		CallerHeaders: call, entry: e, version: cfg.Version, method: r.Method, target: target, host: r.Host,
-		header: r.Header, arrived: time.Now(), w: w, answerWriter: answer,
-	}
+	q.entry, q.version, q.target, q.arrived, q.w = e, cfg.Version, target, time.Now(), w
 	q.service = e.Choose(hashFraction(call.ID))
 	q.controlled = g.controlsOverload(q.service)
 	q.retries.Budget, q.retries.Service = &g.retryBudget, q.service
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -47,13 +47,13 @@
 	stop                      func() // stops the gateway as on SIGTERM and waits until it has ended
 }
 
-func start(t *testing.T, feed jwstore.Feed, name, region string, seeds ...netip.AddrPort) node {
+func start(t testing.TB, feed jwstore.Feed, name, region string, seeds ...netip.AddrPort) node {
 	t.Helper()
 	return startWith(t, feed, name, region, nil, seeds...)
 }
 
 // startWith starts a gateway after change, if it is not nil, has set fields of it.
-func startWith(t *testing.T, feed jwstore.Feed, name, region string, change func(*jwgateway.Gateway), seeds ...netip.AddrPort) node {
+func startWith(t testing.TB, feed jwstore.Feed, name, region string, change func(*jwgateway.Gateway), seeds ...netip.AddrPort) node {
 	t.Helper()
 	free := netip.AddrPortFrom(nodeAddress(), 0)
 	listening := make(chan struct{})
@@ -168,13 +168,13 @@
 	err    error // error while reading the body
 }
 
-func send(t *testing.T, n node, method, path, id string, header http.Header, body string) (reply, error) {
+func send(t testing.TB, n node, method, path, id string, header http.Header, body string) (reply, error) {
 	t.Helper()
 	return sendFrom(t, netip.MustParseAddr("127.0.0.1"), n, method, path, id, header, body)
 }
 
 // sendFrom sends a request from a local address.
-func sendFrom(t *testing.T, from netip.Addr, n node, method, path, id string, header http.Header, body string) (reply, error) {
+func sendFrom(t testing.TB, from netip.Addr, n node, method, path, id string, header http.Header, body string) (reply, error) {
 	t.Helper()
 	req, err := http.NewRequest(method, "http://"+n.callers.String()+path, strings.NewReader(body))
 	assert.NilError(t, err)
@@ -198,7 +198,7 @@
 
 // sendUntil sends a request repeatedly until ok accepts the answer, which shows that the node has
 // read recent changes.
-func sendUntil(t *testing.T, n node, path string, ok func(reply) bool) reply {
+func sendUntil(t testing.TB, n node, path string, ok func(reply) bool) reply {
 	t.Helper()
 	for i := range 1000 {
 		r, err := send(t, n, http.MethodGet, path, fmt.Sprintf("w%d", i), nil, "")
