jwgateway: bodyError is read once the send has ended

It said 'not sent completely' of a request whose target had answered before the goroutine that wrote the body reported; a send that has ended has waited for it. The log only.

--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -171,7 +171,7 @@
 		if err != nil {
 			return g.classifyForwardError(ctx, q, m, err)
 		}
-		defer a.Close()
+		defer q.closeAnswer(a)
 		status = a.Status
 		return g.passForwardedAnswer(q, m, a, func(int) {
 			if p.recordEvents(start, time.Now()) == 0 {
--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -36,15 +36,18 @@
 	_, _ = io.CopyN(io.Discard, a.Body, maxDrain)
 }
 
+// closeAnswer closes an answer and records whether the request's body had been sent by then.
+func (q *request) closeAnswer(a *jwconn.Answer) {
+	a.Close()
+	if err := a.BodyError(); err != nil {
+		q.answer.bodyError = err.Error()
+	}
+}
+
 // passAnswer passes an answer to the caller. onEvents is called with the number of events that have
 // arrived; for an answer that is not a stream it is called once.
 func (g *Gateway) passAnswer(q *request, a *jwconn.Answer, onEvents func(events int)) Verdict {
 	q.answer.framing = a.Framing
-	defer func() {
-		if err := a.BodyError(); err != nil {
-			q.answer.bodyError = err.Error()
-		}
-	}()
 	if isStream(a) {
 		return g.passStream(q, a, onEvents)
 	}
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -58,7 +58,7 @@
 		if err != nil {
 			return g.classifySendError(ctx, q, x, err)
 		}
-		defer a.Close()
+		defer q.closeAnswer(a)
 		g.recordReached(q)
 		status, p.stream = a.Status, isStream(a)
 		if v, ok := g.checkAnswer(q, x, a); !ok {
