jwgateway: a 404 says by which version and revision it was decided

Callers got 404 for routes in force. Now the answer, its source and its failures are logged and counted.

--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -1,6 +1,7 @@
 package jwgateway
 
 import (
+	"net/http"
 	"time"
 
 	"jujubewheel/core/jwinstance"
@@ -69,7 +70,7 @@
 	d.Framing, d.Partial, d.BodyError = string(q.answer.framing), q.answer.partial, q.answer.bodyError
 	d.Silent = p.silence(v, time.Now())
 	d.ViewAge, d.Outcome, d.Status = c.Age, string(v), status
-	d.StoreAge, d.StoreRevision = g.storeReadAge(time.Now()), int64(jwstore.Number(g.store.revision.Load()))
+	g.addKnowledge(&d, time.Now())
 	d.DropFirst = v == finished && status < 500
 	if !d.DropFirst {
 		d.Reason = q.lastReason
@@ -108,6 +109,24 @@
 	g.Decisions.Write(&d)
 }
 
+// noEntry is the reason for rejecting a request whose host and path no entry has.
+const noEntry = "no such entry"
+
+// rejectUnknownEntry answers and logs a request whose host and path no entry of a version of the
+// configuration has.
+func (g *Gateway) rejectUnknownEntry(w http.ResponseWriter, id string, version uint64) {
+	g.metrics.unknownEntries.Inc(1)
+	d := jwlog.Decision{Step: stepAnswer, Request: id, Version: version, Outcome: outcomeRefused, Reason: noEntry, Status: http.StatusNotFound}
+	g.addKnowledge(&d, time.Now())
+	g.Decisions.Write(&d)
+	g.answerError(w, id, http.StatusNotFound, 0, noEntry)
+}
+
+// addKnowledge adds to a log record how current the node's knowledge of the store is.
+func (g *Gateway) addKnowledge(d *jwlog.Decision, now time.Time) {
+	d.StoreAge, d.StoreRevision = g.storeReadAge(now), int64(jwstore.Number(g.store.revision.Load()))
+}
+
 // addRetry adds to a log record why the request was sent or not sent again.
 func (g *Gateway) addRetry(d *jwlog.Decision, q *request) {
 	s := g.retryBudget.State(time.Now(), q.service)
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -61,6 +61,8 @@
 	origins           tally.Gauge
 	originsReported   tally.Counter
 	barredParts       tally.Gauge
+	unknownEntries    tally.Counter
+	viewFailures      tally.Counter
 	partRejections    tally.Counter
 }
 
@@ -93,6 +95,8 @@
 		originsReported:   m.Counter("stream_origins_reported_total", nil),
 		barredParts:       m.Gauge("barred_parts", nil),
 		partRejections:    m.Counter("barred_part_rejections_total", nil),
+		unknownEntries:    m.Counter("unknown_entries_total", nil),
+		viewFailures:      m.Counter("failed_views_total", nil),
 		takenUp:           make(map[originSource]tally.Counter),
 	}
 	for _, s := range []originSource{originSole, originOwn, originPeer, originUnknown} {
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -199,7 +199,7 @@
 func (w *storeWatcher) applySourceView(v view, from jwmember.Member, r *fullRead) {
 	w.applyView(time.Now(), v, from.Name)
 	if len(v.Config) > 0 {
-		w.g.applyConfig(v.Config, from.Name)
+		w.g.applyConfig(v.Config, from.Name, v.Revision)
 	}
 	r.targetsFromRelay, r.revision = true, v.Revision
 }
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -181,7 +181,7 @@
 	}
 	e := cfg.Match(host, path)
 	if e == nil {
-		g.answerError(w, call.ID, http.StatusNotFound, 0, "no such entry")
+		g.rejectUnknownEntry(w, call.ID, cfg.Version)
 		return
 	}
 	q.entry, q.version, q.target, q.arrived, q.w = e, cfg.Version, target, time.Now(), w
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -240,7 +240,7 @@
 	g := w.g
 	if g.Records.IsConfig(e.Key) {
 		if !e.Deleted {
-			g.applyConfig(e.Value, "store")
+			g.applyConfig(e.Value, source, e.Revision)
 		}
 		return true
 	}
@@ -365,8 +365,9 @@
 	}
 }
 
-// applyConfig puts a configuration into force if it is newer than the current one.
-func (g *Gateway) applyConfig(raw []byte, source string) {
+// applyConfig puts a configuration into force if it is newer than the current one. revision is the
+// store's at which the source had it.
+func (g *Gateway) applyConfig(raw []byte, source string, revision jwstore.Revision) {
 	c, err := g.Records.Config(raw)
 	if err != nil {
 		g.Log.Error(err, "failed to decode the configuration", "from", source)
@@ -376,7 +377,9 @@
 	if !g.entries.Put(c) {
 		return
 	}
-	g.Log.Info("configuration in force", "version", c.Version, "before", oldVersion, "entries", len(c.Entries), "from", source)
+	g.Log.Info("configuration in force", "version", c.Version, "before", oldVersion, "entries", len(c.Entries), "from", source,
+		"revision", jwstore.Number(revision), "ownRevision", jwstore.Number(g.store.revision.Load()),
+		"storeAgeMs", g.storeReadAge(time.Now()).Milliseconds())
 	if oldVersion == 0 {
 		g.members.Serve(time.Now(), !g.stopping.Load())
 		g.reregister()
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -208,14 +208,17 @@
 	}
 	v, err := g.fetchView(context.Background(), a, g.entries.Version(), revision, 0)
 	if err != nil {
-		g.Log.V(1).Info("failed to fetch a view", "peer", a.String(), "error", err.Error())
+		g.metrics.viewFailures.Inc(1)
+		if version := g.entries.Version(); version > 0 { // seeds may not run yet when a node starts
+			g.Log.Info("failed to fetch a view", "peer", a.String(), "version", version, "error", err.Error())
+		}
 		return
 	}
 	if now := time.Now(); g.peerIsAhead(now, v.Revision) {
 		g.storeWatcher.applyView(now, v, a.String())
 	}
 	if len(v.Config) > 0 {
-		g.applyConfig(v.Config, a.String())
+		g.applyConfig(v.Config, a.String(), v.Revision)
 	}
 }
 
