jwgateway: only a node that is current answers 404 or 401

Callers of entries that were in force got 404, after which they don't come again.

jwentry.Table knows as of when its version was the newest: by the node's own reads, by those of a relay, and by what other nodes report of theirs. Where that is longer ago than the time in which a configuration must be in force, or a later version was named, the answer is 503 with Retry-After. The same holds for unknown keys, whose rule looked at the last call of the store only. A watch ends at least four times within that time, so that a quiet store doesn't look like a lost one.

--- a/core/jwentry/config.go
+++ b/core/jwentry/config.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"jujubewheel/core/jwworkspace"
 )
@@ -54,12 +55,16 @@
 	return w, w != nil || e.Public
 }
 
-// Table holds the newest configuration; the zero value has none. It is safe for
-// concurrent use.
+// Table holds the newest configuration, and as of when that is known to be the newest; the
+// zero value has none. It is safe for concurrent use.
 type Table struct {
 	current   atomic.Pointer[Config]
 	firstOnce sync.Once
 	first     chan struct{} // closed by the first Put
+
+	mu       sync.Mutex
+	reported uint64    // latest version that a source has named, in force here or not
+	knownAt  time.Time // as of when no version was later than the current one, zero if unknown
 }
 
 // Current returns the configuration in force, nil if there is none yet.
@@ -73,6 +78,39 @@
 	return 0
 }
 
+// Confirm records that no version was later than the given one as of a time, as a source says that
+// had read the store by then. A zero time says only that the version exists.
+func (t *Table) Confirm(version uint64, asOf time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reported = max(t.reported, version)
+	if version <= t.Version() && asOf.After(t.knownAt) {
+		t.knownAt = asOf
+	}
+}
+
+// KnownAt returns as of when no version was later than the current one, zero if that is unknown.
+func (t *Table) KnownAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.knownAt
+}
+
+// Doubt forgets as of when the current version was known to be the newest.
+func (t *Table) Doubt() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.knownAt = time.Time{}
+}
+
+// IsCurrent reports whether the current configuration has each change that was made longer than
+// maxAge ago.
+func (t *Table) IsCurrent(now time.Time, maxAge time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reported <= t.Version() && !t.knownAt.IsZero() && now.Sub(t.knownAt) <= maxAge
+}
+
 // First returns a channel that is closed once a configuration is in force.
 func (t *Table) First() <-chan struct{} {
 	t.firstOnce.Do(func() { t.first = make(chan struct{}) })
--- a/core/jwentry/entry_test.go
+++ b/core/jwentry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -153,3 +154,37 @@
 	<-table.First()
 	assert.Equal(t, table.Version(), uint64(8))
 }
+
+// A node may say for certain what its configuration lacks only while it knows that no later version has to
+// be in force.
+func TestIsCurrent(t *testing.T) {
+	now := time.Now()
+	const maxAge = 3 * time.Second
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	cases := map[string]struct {
+		versions []uint64 // put into force
+		confirm  func(*Table)
+		want     bool
+	}{
+		"never confirmed":            {[]uint64{4}, func(*Table) {}, false},
+		"confirmed in time":          {[]uint64{4}, func(t *Table) { t.Confirm(4, ago(maxAge)) }, true},
+		"confirmed too long ago":     {[]uint64{4}, func(t *Table) { t.Confirm(4, ago(maxAge+1)) }, false},
+		"an older confirmation last": {[]uint64{4}, func(t *Table) { t.Confirm(4, now); t.Confirm(4, ago(2*maxAge)) }, true},
+		"by a source that is behind": {[]uint64{4}, func(t *Table) { t.Confirm(3, now) }, true},
+		"a later version exists":     {[]uint64{4}, func(t *Table) { t.Confirm(4, now); t.Confirm(7, now) }, false},
+		"and its age isn't known":    {[]uint64{4}, func(t *Table) { t.Confirm(4, now); t.Confirm(7, time.Time{}) }, false},
+		"the later version came":     {[]uint64{4, 7}, func(t *Table) { t.Confirm(4, now); t.Confirm(7, time.Time{}) }, true},
+		"doubted":                    {[]uint64{4}, func(t *Table) { t.Confirm(4, now); t.Doubt() }, false},
+		"confirmed after a doubt":    {[]uint64{4}, func(t *Table) { t.Doubt(); t.Confirm(4, now) }, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var table Table
+			for _, v := range c.versions {
+				table.Put(config(v))
+			}
+			c.confirm(&table)
+			assert.Equal(t, table.IsCurrent(now, maxAge), c.want)
+		})
+	}
+}
--- a/io/jwgateway/callers.go
+++ b/io/jwgateway/callers.go
@@ -15,12 +15,9 @@
 	maxQuotaWait = 400 * time.Millisecond
 	// quotaWaitShare is the maximum share of a request's time that it waits for quota units.
 	quotaWaitShare = 0.15
-	// keyRetryAfter is the Retry-After for a key that is unknown to a node whose configuration may
-	// be outdated.
-	keyRetryAfter = 300 * time.Millisecond
-	// configTrustPeriod is how long a node that can't reach the store considers its configuration
-	// current after a peer that reaches the store has reported nothing newer.
-	configTrustPeriod = 3 * syncedPeerAge
+	// outdatedRetryAfter is the Retry-After for an entry or a key that is unknown to a node whose
+	// configuration may be outdated. Other nodes may know it.
+	outdatedRetryAfter = 300 * time.Millisecond
 )
 
 // Reasons for rejecting callers.
@@ -38,8 +35,8 @@
 	if !known {
 		// A node with an outdated configuration must not reject a key that was added in the
 		// meantime.
-		if g.store.stale(q.arrived) && q.arrived.Sub(time.Unix(0, g.store.syncedPeerSeen.Load())) > configTrustPeriod {
-			g.rejectRequest(q, http.StatusServiceUnavailable, keyRetryAfter, unverifiedKey, nil)
+		if !g.configIsCurrent(q.arrived) {
+			g.rejectRequest(q, http.StatusServiceUnavailable, outdatedRetryAfter, unverifiedKey, nil)
 			return false
 		}
 		g.rejectRequest(q, http.StatusUnauthorized, 0, unknownKey, nil)
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -109,17 +109,25 @@
 	g.Decisions.Write(&d)
 }
 
-// noEntry is the reason for rejecting a request whose host and path no entry has.
-const noEntry = "no such entry"
+// Reasons for rejecting a request whose host and path no entry has.
+const (
+	noEntry         = "no such entry"
+	unverifiedEntry = "the entry is not known at this node, whose configuration may be outdated"
+)
 
 // rejectUnknownEntry answers and logs a request whose host and path no entry of a version of the
-// configuration has.
+// configuration has. Callers don't send a request again after 404, so that only a node that is current
+// answers so.
 func (g *Gateway) rejectUnknownEntry(w http.ResponseWriter, id string, version uint64) {
 	g.metrics.unknownEntries.Inc(1)
 	d := jwlog.Decision{Step: stepAnswer, Request: id, Version: version, Outcome: outcomeRefused, Reason: noEntry, Status: http.StatusNotFound}
-	g.addKnowledge(&d, time.Now())
+	now, retryAfter := time.Now(), time.Duration(0)
+	if !g.configIsCurrent(now) {
+		d.Reason, d.Status, retryAfter = unverifiedEntry, http.StatusServiceUnavailable, outdatedRetryAfter
+	}
+	g.addKnowledge(&d, now)
 	g.Decisions.Write(&d)
-	g.answerError(w, id, http.StatusNotFound, 0, noEntry)
+	g.answerError(w, id, d.Status, retryAfter, d.Reason)
 }
 
 // addKnowledge adds to a log record how current the node's knowledge of the store is.
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -39,14 +39,16 @@
 
 // state is what a node reports about itself to another one.
 type state struct {
-	Member   jwmember.Member                   `json:"member"`
-	Version  uint64                            `json:"version"`          // of the configuration in force
-	Waits    map[string]int64                  `json:"waits,omitempty"`  // milliseconds until a first event by service, sent to other regions only
-	Gaps     map[string]int64                  `json:"gaps,omitempty"`   // milliseconds between two events by service, sent to other regions only
-	InSync   bool                              `json:"inSync"`           // the node reaches the store
-	Revision jwstore.Revision                  `json:"revision"`         // store revision up to which the node has read
-	Cold     map[string]int64                  `json:"cold,omitempty"`   // milliseconds for which targets stay cold, sent within the region only
-	Limits   map[string]jwinstance.LimitReport `json:"limits,omitempty"` // limits that targets announce, sent within the region only
+	Member  jwmember.Member `json:"member"`
+	Version uint64          `json:"version"` // of the configuration in force
+	// ConfigAge is how long ago, in milliseconds, that version was known to be the newest; nil if unknown.
+	ConfigAge *int64                            `json:"configAge,omitempty"`
+	Waits     map[string]int64                  `json:"waits,omitempty"`  // milliseconds until a first event by service, sent to other regions only
+	Gaps      map[string]int64                  `json:"gaps,omitempty"`   // milliseconds between two events by service, sent to other regions only
+	InSync    bool                              `json:"inSync"`           // the node reaches the store
+	Revision  jwstore.Revision                  `json:"revision"`         // store revision up to which the node has read
+	Cold      map[string]int64                  `json:"cold,omitempty"`   // milliseconds for which targets stay cold, sent within the region only
+	Limits    map[string]jwinstance.LimitReport `json:"limits,omitempty"` // limits that targets announce, sent within the region only
 	// Leaving holds targets that announced leaving, with the start of their incarnation; sent
 	// within the region only.
 	Leaving     map[string]int64             `json:"leaving,omitempty"`
@@ -62,8 +64,9 @@
 
 // state returns the state to be reported to a node of a region.
 func (g *Gateway) state(now time.Time, region string) state {
+	configAge := g.configAge(now) // before the version, which may then be later and never earlier
 	s := state{
-		Member: g.members.Local(), Version: g.entries.Version(), Waits: map[string]int64{}, Gaps: map[string]int64{},
+		Member: g.members.Local(), Version: g.entries.Version(), ConfigAge: configAge, Waits: map[string]int64{}, Gaps: map[string]int64{},
 		InSync: !g.store.stale(now), Revision: g.store.revision.Load(), Ledger: g.ledgerFor(now, region),
 	}
 	if c := g.entries.Current(); c != nil && region != g.Settings.Region {
@@ -194,7 +197,7 @@
 		g.Log.Info("state not readable", "peer", m.Name, "error", err.Error())
 		return
 	}
-	g.mergeState(s, m)
+	g.mergeState(s, m, start)
 	g.regions.recordRoundTrip(s.Member.Region, time.Since(start))
 }
 
@@ -209,8 +212,8 @@
 }
 
 // mergeState merges the state that a peer reported. from is the peer if this node called it, and
-// zero if the peer called.
-func (g *Gateway) mergeState(s state, from jwmember.Member) {
+// zero if the peer called. The state is not from before notBefore.
+func (g *Gateway) mergeState(s state, from jwmember.Member, notBefore time.Time) {
 	now := time.Now()
 	if g.members.Seen(now, s.Member) {
 		g.dropOldConnections(s.Member)
@@ -238,6 +241,7 @@
 	if s.InSync && s.Member.Region == g.Settings.Region {
 		g.store.syncedPeerSeen.Store(now.UnixNano())
 	}
+	g.entries.Confirm(s.Version, s.configKnownAt(notBefore))
 	if s.Version > g.entries.Version() || g.peerIsAhead(now, s.Revision) {
 		if from.Name == "" {
 			from = s.Member
@@ -253,7 +257,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	g.mergeState(s, jwmember.Member{})
+	g.mergeState(s, jwmember.Member{}, time.Now().Add(-exchangeTimeout))
 	w.Header()["Content-Type"] = []string{"application/json"}
 	if err := json.NewEncoder(w).Encode(g.replyState(time.Now(), s)); err != nil {
 		g.Log.V(1).Info("failed to send the state", "peer", s.Member.Name, "error", err.Error())
--- a/io/jwgateway/knowledge_test.go
+++ b/io/jwgateway/knowledge_test.go
@@ -46,6 +46,7 @@
 		Feed:     feed, Records: &evacuationRecords{}, Log: logr.Discard(), registrationChanged: make(chan struct{}, 1),
 		startTime: time.Now(), metrics: newMetrics(nil), Nodes: &jwconn.Pool{},
 	}
+	g.bounds.Store(&jwsettings.Bounds{ConfigInForce: jwsettings.DefaultConfigInForce})
 	g.pauseDetector.Limit = pauseLimit
 	g.pauseDetector.Reset()
 	g.members.Self = jwmember.Member{Name: name, Region: "north", DataCentre: "north-a", Serving: true, Start: 1}
--- a/io/jwgateway/lateroute_test.go
+++ b/io/jwgateway/lateroute_test.go
@@ -4,12 +4,14 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"jujubewheel/core/jwstore"
 	"jujubewheel/io/jwgateway"
 	"jujubewheel/io/jwlog"
+	"jujubewheel/io/jwsettings"
 )
 
 // A request for an entry that the node doesn't know leaves a line with the version by which it decided and
@@ -34,3 +36,52 @@
 		return false
 	})
 }
+
+// A node that learns nothing any more must not answer 404 for an entry that was added meanwhile: callers
+// would give up instead of asking another node.
+func TestUnknownEntryAtOutdatedNode(t *testing.T) {
+	cases := map[string]struct {
+		peer bool // it follows a relay, which fails too
+		fail func(*disconnectableFeed, *silentFeed)
+	}{
+		"the store is away":              {false, func(link *disconnectableFeed, _ *silentFeed) { link.disconnected.Store(true) }},
+		"the store is silent":            {false, func(_ *disconnectableFeed, watches *silentFeed) { watches.silent.Store(true) }},
+		"the store is away for a relay":  {true, func(link *disconnectableFeed, _ *silentFeed) { link.disconnected.Store(true) }},
+		"the store is silent to a relay": {true, func(_ *disconnectableFeed, watches *silentFeed) { watches.silent.Store(true) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var feed jwstore.MemoryFeed
+			startTarget(t, &feed, "t1", "s", "north-a", respondText("fine"))
+			configure(&feed, 1, route("/a/", "idempotent", ""))
+			link := &disconnectableFeed{Feed: &feed}
+			watches := &silentFeed{Feed: link}
+			through := withRelayThreshold(2)
+			nodes := []node{startWith(t, watches, "n1", "north", through)}
+			if c.peer {
+				nodes = append(nodes, startWith(t, watches, "n2", "north", through, nodes[0].nodes))
+			}
+			isUnknown := func(r reply) bool { return r.status == http.StatusNotFound }
+			for _, n := range nodes {
+				sendUntil(t, n, "/a/x", served)
+				sendUntil(t, n, "/b/x", isUnknown)
+			}
+			c.fail(link, watches)
+			configure(&feed, 2, route("/a/", "idempotent", ""), route("/b/", "idempotent", ""))
+			time.Sleep(jwsettings.DefaultConfigInForce)
+			for _, n := range nodes {
+				r, err := send(t, n, http.MethodGet, "/b/x", "late", nil, "")
+				assert.NilError(t, err)
+				assert.Equal(t, r.status, http.StatusServiceUnavailable)
+				assert.Assert(t, r.header.Get("Retry-After") != "")
+			}
+			link.disconnected.Store(false)
+			watches.silent.Store(false)
+			for _, n := range nodes {
+				sendUntil(t, n, "/b/x", served)
+				sendUntil(t, n, "/c/x", isUnknown)
+			}
+		})
+	}
+}
--- a/io/jwgateway/overloadoff_test.go
+++ b/io/jwgateway/overloadoff_test.go
@@ -91,6 +91,7 @@
 		"crash_checks_total",
 		"directory_answers_total",
 		"event_pause_seconds",
+		"failed_views_total",
 		"first_event_seconds",
 		"first_sends_total",
 		"limited_targets",
@@ -105,6 +106,7 @@
 		"stream_origins", "stream_origins_reported_total", "streams_taken_up_total",
 		"target_connections_total",
 		"target_probes_total",
+		"unknown_entries_total",
 	})
 	assert.Assert(t, strings.Contains(series(true), "jujubewheel_first_event_error_seconds"))
 }
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -26,6 +26,7 @@
 
 // fullRead is what a read of all keys has returned so far.
 type fullRead struct {
+	start            time.Time
 	revision         jwstore.Revision // from which on changes are read: of the first page, or of the relay's view
 	pageRevision     jwstore.Revision // of the first page
 	targets          map[string]bool
@@ -39,7 +40,7 @@
 // readAll reads all keys page by page and removes what is no longer in the store. In a large region
 // the targets, which are most of the data, come from a relay.
 func (w *storeWatcher) readAll(ctx context.Context) error {
-	r := &fullRead{targets: map[string]bool{}, facts: map[string]bool{}}
+	r := &fullRead{start: time.Now(), targets: map[string]bool{}, facts: map[string]bool{}}
 	last := ""
 	for {
 		p, err := w.g.Feed.Range(ctx, "", last)
@@ -138,6 +139,7 @@
 	w.applyItem(now, r.fleet)
 	w.noteStoreRestored(r)
 	w.applyItem(now, r.config)
+	w.g.entries.Confirm(w.g.entries.Version(), r.start)
 	w.g.registrationsRead(now)
 	w.revision, w.lastRevision = r.revision, r.revision
 	w.g.store.revision.Store(r.revision)
--- a/io/jwgateway/relayexchange.go
+++ b/io/jwgateway/relayexchange.go
@@ -129,8 +129,9 @@
 // relayState returns the state to be exchanged through relays.
 func (g *Gateway) relayState(now time.Time, to string, report relayReport) state {
 	age := time.Duration(placementReportIntervals * float64(g.relayExchangeInterval(now)))
+	configAge := g.configAge(now) // before the version, which may then be later and never earlier
 	s := state{
-		Member: g.members.Local(), Version: g.entries.Version(), InSync: !g.store.stale(now),
+		Member: g.members.Local(), Version: g.entries.Version(), ConfigAge: configAge, InSync: !g.store.stale(now),
 		Revision: g.store.revision.Load(), Cold: g.targets.ReportCold(now),
 		RelayReport: &report, Limits: g.targets.ReportLimits(now, report.FromRelay), Leaving: g.targets.ReportLeaving(),
 		Ledger: g.relayedLedger(now, report),
--- a/io/jwgateway/sharedreport_test.go
+++ b/io/jwgateway/sharedreport_test.go
@@ -65,7 +65,7 @@
 			s := ask()
 			b.ReportAllocs()
 			for b.Loop() {
-				relay.mergeState(s, jwmember.Member{})
+				relay.mergeState(s, jwmember.Member{}, time.Now())
 				b.ReportMetric(float64(len(reply(s))), "B/reply")
 			}
 		})
@@ -80,7 +80,7 @@
 				if err := json.Unmarshal(raw, &s); err != nil {
 					b.Fatal(err)
 				}
-				node.mergeState(s, relay.members.Local())
+				node.mergeState(s, relay.members.Local(), time.Now())
 			}
 		})
 	}
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -35,6 +35,9 @@
 	// watchTimeout is how long a watch waits for a change. A connection that no longer delivers
 	// anything is detected after this time.
 	watchTimeout = 4 * time.Second
+	// watchesPerBound is the minimum number of watches that end within the time in which a configuration
+	// must be in force. Where nothing changes, a node knows only by their ends that it is current.
+	watchesPerBound = 4
 	// watchRetry is the wait after a store read that failed.
 	watchRetry = 300 * time.Millisecond
 	// maxStoreRetry is the maximum wait after a failed call of the store in a large fleet.
@@ -162,11 +165,14 @@
 	if readsForOthers {
 		wait = relayWatchTimeout
 	}
-	if w.g.members.Large(time.Now(), w.g.members.Local().Region) {
+	wait = min(wait, w.g.bounds.Load().ConfigInForce/watchesPerBound)
+	start := time.Now()
+	if w.g.members.Large(start, w.g.members.Local().Region) {
 		if c, from, ok := w.askUpstream(ctx, after); ok {
-			return w.applyUpstream(time.Now(), c, after, readsForOthers, from), nil
+			return w.applyUpstream(time.Now(), start, c, after, readsForOthers, from), nil
 		}
 	}
+	start = time.Now()
 	events, revision, err := w.g.Feed.Watch(ctx, "", after, wait)
 	now := w.noteStoreCall(ctx, err)
 	if err != nil {
@@ -175,9 +181,22 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.applyAndKeep(now, events, after, revision, readsForOthers, fromStore)
+	w.g.entries.Confirm(w.g.entries.Version(), watchedUntil(start, now, wait, len(events)))
 	return now, nil
 }
 
+// watchedUntil returns as of when the result of a watch has all changes. The store answers at the first
+// change, and the answer may have taken any part of the time until now.
+func watchedUntil(start, now time.Time, wait time.Duration, events int) time.Time {
+	if end := start.Add(wait); events == 0 && end.Before(now) {
+		return end
+	}
+	if events == 0 {
+		return now
+	}
+	return start
+}
+
 // applyAndKeep applies the changes between two revisions, and keeps them for other nodes if this node
 // reads for them. w.mu must be held.
 func (w *storeWatcher) applyAndKeep(now time.Time, events []jwstore.Event, after, to jwstore.Revision, readsForOthers bool, source string) {
--- a/io/jwgateway/storewatcher_test.go
+++ b/io/jwgateway/storewatcher_test.go
@@ -41,6 +41,7 @@
 	var feed jwstore.MemoryFeed
 	r := &countingRecords{}
 	g := &Gateway{Feed: &feed, Records: r, Log: logr.Discard(), registrationChanged: make(chan struct{}, 1)}
+	g.bounds.Store(&jwsettings.Bounds{ConfigInForce: jwsettings.DefaultConfigInForce})
 	w := newStoreWatcher(g)
 	feed.Write("op/config", []byte("1"))
 	_, err := w.readOnce(context.Background())
@@ -115,6 +116,7 @@
 		Settings: &jwsettings.Settings{Node: "n1", Region: "north", DataCentre: "north-a"},
 		Feed:     feed, Records: &countingRecords{}, Log: logr.Discard(), registrationChanged: make(chan struct{}, 1),
 	}
+	g.bounds.Store(&jwsettings.Bounds{ConfigInForce: jwsettings.DefaultConfigInForce})
 	g.pauseDetector.Limit = pauseLimit
 	g.pauseDetector.Reset()
 	g.members.RelayThreshold = 1
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -66,7 +66,7 @@
 				DataCentres: regions, Seeds: seeds,
 				Bounds: jwsettings.Bounds{
 					Grace: 400 * time.Millisecond, RetryRatio: 10, RetrySlack: 100, RetryWindow: 10 * time.Second,
-					ColdRatio: 1.5, ColdSlack: 3,
+					ColdRatio: 1.5, ColdSlack: 3, ConfigInForce: jwsettings.DefaultConfigInForce,
 				},
 			},
 		},
--- a/io/jwgateway/wake.go
+++ b/io/jwgateway/wake.go
@@ -51,6 +51,7 @@
 	start := time.Now()
 	g.Log.Info("woke from a pause", "version", g.entries.Version())
 	g.members.Resumed(start)
+	g.entries.Doubt()
 	g.targets.DiscardReports()
 	g.balance.Discard()
 	g.newEpoch(ctx)
--- a/io/jwsettings/gateway.go
+++ b/io/jwsettings/gateway.go
@@ -73,24 +73,26 @@
 
 // Bounds are the limits that the operators of the platform set for a node.
 type Bounds struct {
-	Grace       time.Duration // time between SIGTERM and SIGKILL
-	RetryRatio  float64       // retries allowed per request to a service
-	RetrySlack  float64       // additional retries allowed per RetryWindow, over all nodes
-	RetryWindow time.Duration
-	ColdRatio   float64       // requests per second sent to a cold target, for each request per second that it can take
-	ColdSlack   float64       // additional requests per second, over all nodes
-	QuotaWindow time.Duration // period that the quotas of workspaces apply to
-	QuotaRatio  float64       // fraction by which a quota may be exceeded per QuotaWindow, over all nodes
-	QuotaSlack  float64       // additional quota units allowed per QuotaWindow, over all nodes
+	Grace         time.Duration // time between SIGTERM and SIGKILL
+	ConfigInForce time.Duration // time within which an accepted configuration must be in force at each node
+	RetryRatio    float64       // retries allowed per request to a service
+	RetrySlack    float64       // additional retries allowed per RetryWindow, over all nodes
+	RetryWindow   time.Duration
+	ColdRatio     float64       // requests per second sent to a cold target, for each request per second that it can take
+	ColdSlack     float64       // additional requests per second, over all nodes
+	QuotaWindow   time.Duration // period that the quotas of workspaces apply to
+	QuotaRatio    float64       // fraction by which a quota may be exceeded per QuotaWindow, over all nodes
+	QuotaSlack    float64       // additional quota units allowed per QuotaWindow, over all nodes
 }
 
 // The defaults of the bounds that a file omits.
 const (
-	DefaultGrace       = 8 * time.Second
-	DefaultRetryRatio  = 0.1
-	DefaultRetryWindow = 10 * time.Second
-	DefaultColdRatio   = 1.0
-	DefaultQuotaWindow = 10 * time.Second
+	DefaultGrace         = 8 * time.Second
+	DefaultConfigInForce = 3 * time.Second
+	DefaultRetryRatio    = 0.1
+	DefaultRetryWindow   = 10 * time.Second
+	DefaultColdRatio     = 1.0
+	DefaultQuotaWindow   = 10 * time.Second
 )
 
 // readGateway reads a file that has the key gateway.
@@ -99,7 +101,7 @@
 		DataCentres: map[string]string{}, Overload: OverloadOff, WaitingRoom: DefaultWaitingRoom,
 		Bounds: Bounds{
 			Grace: DefaultGrace, RetryRatio: DefaultRetryRatio, RetryWindow: DefaultRetryWindow, ColdRatio: DefaultColdRatio,
-			QuotaWindow: DefaultQuotaWindow,
+			QuotaWindow: DefaultQuotaWindow, ConfigInForce: DefaultConfigInForce,
 		},
 	}
 	for key, dst := range map[string]*string{"node": &s.Node, "region": &s.Region, "dataCentre": &s.DataCentre} {
@@ -177,6 +179,7 @@
 
 func (b *Bounds) read(o *object) {
 	o.duration("grace", &b.Grace, 0, time.Hour)
+	o.duration("configInForce", &b.ConfigInForce, time.Millisecond, time.Hour)
 	o.number("retryRatio", &b.RetryRatio, 0, 100)
 	o.number("retrySlack", &b.RetrySlack, 0, 1e9)
 	o.duration("retryWindow", &b.RetryWindow, time.Millisecond, time.Hour)
--- a/io/jwsettings/gateway_test.go
+++ b/io/jwsettings/gateway_test.go
@@ -23,7 +23,7 @@
     "overload": "auto",
     "waitingRoom": "target",
     "contracts": ["base", "drain"],
-    "bounds": {"grace": "8s", "retryRatio": 0.2, "retrySlack": 58, "retryWindow": "10s", "coldRatio": 1.5, "coldSlack": 3,
+    "bounds": {"grace": "8s", "configInForce": "5s", "retryRatio": 0.2, "retrySlack": 58, "retryWindow": "10s", "coldRatio": 1.5, "coldSlack": 3,
       "quotaWindow": "8s", "quotaRatio": 0.1, "quotaSlack": 110000},
   },
 }`
@@ -37,7 +37,7 @@
 		Store:  GatewayStore{Address: at("10.9.0.1:90"), LeaseMin: time.Second}, DataCentres: map[string]string{"north-a": "north"},
 		Seeds: []netip.AddrPort{at("10.0.0.2:83")}, MemoryBytes: 284 << 20,
 		Overload: OverloadAuto, WaitingRoom: WaitAtTarget, Contracts: []string{"base", "drain"},
-		Bounds: Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, ColdRatio: 1.5, ColdSlack: 3, QuotaWindow: 8 * time.Second, QuotaRatio: 0.1, QuotaSlack: 110_000},
+		Bounds: Bounds{Grace: 8 * time.Second, ConfigInForce: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, ColdRatio: 1.5, ColdSlack: 3, QuotaWindow: 8 * time.Second, QuotaRatio: 0.1, QuotaSlack: 110_000},
 	}, cmpopts.EquateComparable(netip.AddrPort{}))
 }
 
