jwgateway: a read of all keys holds back no configuration

After the store had lost its history, callers got 404 or 503 for new entries for up to ten seconds and more. A node reads all keys then, and in a large region it takes the targets from a relay. The configuration is in the first page, but came into force only at the end of the read; a relay that couldn't read the store itself sent its old view, again and again, until the node gave up waiting.

Now a configuration comes into force with its page, unless it is the node's first one.

--- a/io/jwgateway/lateroute_test.go
+++ b/io/jwgateway/lateroute_test.go
@@ -1,6 +1,7 @@
 package jwgateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -85,3 +86,43 @@
 		})
 	}
 }
+
+// The history of the store is gone while the watches of all relays hang. Their nodes read all keys again, and
+// wait for targets from relays that don't have them: the configuration, which they have read, must come into
+// force meanwhile.
+func TestConfigurationDuringReadOfAllKeys(t *testing.T) {
+	t.Parallel()
+	feed := jwstore.MemoryFeed{PageSize: 20}
+	startTarget(t, &feed, "t1", "s", "north-a", respondText("fine"))
+	for i := range 50 {
+		register(&feed, fmt.Sprint("u", i), "other", "127.0.0.1:9", "north-a", "ready")
+	}
+	configure(&feed, 1, route("/a/", "idempotent", ""))
+	through := withRelayThreshold(2)
+	relays := []*silentFeed{{Feed: &feed}, {Feed: &feed}}
+	nodes := []node{startWith(t, relays[0], "n1", "north", through)}
+	nodes = append(nodes, startWith(t, relays[1], "n4", "south", through, nodes[0].nodes))
+	var followers []node
+	for name, region := range map[string]string{"n2": "north", "n3": "north", "n5": "south", "n6": "south"} {
+		followers = append(followers, startWith(t, &feed, name, region, through, nodes[0].nodes))
+	}
+	nodes = append(nodes, followers...)
+	for _, n := range nodes {
+		sendUntil(t, n, "/a/x", served)
+	}
+	for _, n := range nodes {
+		eventually(t, func() bool { return len(directory(t, n, "north"))+len(directory(t, n, "south")) == len(nodes) })
+	}
+	for _, r := range relays {
+		r.silent.Store(true)
+	}
+	feed.Compact()
+	configure(&feed, 2, route("/a/", "idempotent", ""), route("/b/", "idempotent", ""))
+	feed.Compact()
+	time.Sleep(jwsettings.DefaultConfigInForce)
+	for i, n := range followers {
+		r, err := send(t, n, http.MethodGet, "/b/x", fmt.Sprint("r", i), nil, "")
+		assert.NilError(t, err)
+		assert.Equal(t, r.status, http.StatusOK)
+	}
+}
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -31,7 +31,7 @@
 	pageRevision     jwstore.Revision // of the first page
 	targets          map[string]bool
 	facts            map[string]bool // keys that jwfact.Table keeps
-	config           *jwstore.Item
+	config           *jwstore.Item // kept for the end of the read, nil if there is none
 	fleet            *jwstore.Item
 	targetsAsked     bool // a relay was asked for the targets
 	targetsFromRelay bool
@@ -93,14 +93,14 @@
 	}
 }
 
-// applyPage applies all keys of a page but the configuration, so that requests that wait for the
-// first configuration find targets when it is in force.
+// applyPage applies all keys of a page but the first configuration of the node, so that requests that
+// wait for it find targets when it is in force.
 func (w *storeWatcher) applyPage(now time.Time, p jwstore.Page, r *fullRead) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, i := range p.Items {
 		if w.g.Records.IsConfig(i.Key) {
-			r.config = &i
+			w.applyConfigItem(now, &i, r)
 			continue
 		}
 		if id, ok := w.g.Records.TargetID(i.Key); ok {
@@ -116,6 +116,17 @@
 	}
 }
 
+// applyConfigItem puts the configuration of a page into force at once, unless it is the first one: the
+// rest of the read may take seconds.
+func (w *storeWatcher) applyConfigItem(now time.Time, i *jwstore.Item, r *fullRead) {
+	if w.g.entries.Current() == nil {
+		r.config = i
+		return
+	}
+	w.applyItem(now, i)
+	w.g.entries.Confirm(w.g.entries.Version(), r.start)
+}
+
 // applyItem applies a stored key, unless it is nil.
 func (w *storeWatcher) applyItem(now time.Time, i *jwstore.Item) {
 	if i != nil {
@@ -174,6 +185,9 @@
 		if err == nil || errors.Is(err, errWithoutStore) {
 			g.members.Answered(time.Now(), m.Name)
 		}
+		if err == nil && len(v.Config) > 0 && g.entries.Current() != nil {
+			g.applyConfig(v.Config, m.Name, v.Revision)
+		}
 		switch {
 		case errors.Is(err, errWithoutStore):
 			if now.Sub(start) >= maxWaitWithoutStore+spread {
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -48,11 +48,12 @@
 }
 
 // serveView answers with what is newer than the version and the revision in the query. With waitMs in
-// the query a node that has not read the store yet answers later, or with 503 if it can't reach it.
+// the query a node that has not read the store yet answers later, and one that has read nothing newer
+// and can't read on answers with 503.
 func (g *Gateway) serveView(w http.ResponseWriter, r *http.Request) {
 	if d := min(time.Duration(queryUint(r, "waitMs"))*time.Millisecond, viewWait); d > 0 {
 		g.awaitFirstRead(r.Context(), d)
-		if !g.fullReadDone.Load() && g.store.stale(time.Now()) {
+		if g.store.revision.Load() <= queryUint(r, "revision") && !g.readsOn(time.Now()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -190,6 +191,14 @@
 	return !g.store.stale(now) && g.storeReadAge(now) <= maxRelayReadAge+maxRelayReportAge
 }
 
+// readsOn reports whether this node is about to read a later revision of the store.
+func (g *Gateway) readsOn(now time.Time) bool {
+	if g.storeWatcher.currentRevision() == 0 {
+		return !g.store.stale(now) // it reads all keys, which may take seconds
+	}
+	return g.readsStore(now)
+}
+
 // storeReadAge returns how long ago the store was read, by this node or by a relay for it.
 func (g *Gateway) storeReadAge(now time.Time) time.Duration {
 	return now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())
@@ -259,9 +268,9 @@
 	return v, err
 }
 
-// errWithoutStore is the error if the node that was asked for its view has not read the store, and
-// can't reach it.
-var errWithoutStore = errors.New("the node has not read the store and can't reach it")
+// errWithoutStore is the error if the node that was asked for its view has read nothing newer, and can't
+// read on.
+var errWithoutStore = errors.New("the node has read nothing newer and can't read the store")
 
 // maxViewSize is the maximum size of an encoded view in bytes.
 const maxViewSize = 8 << 20
