jwgateway: a view's revision is published after its configuration

A node that applies another node's view said that it had read up to the view's revision before the configuration of that revision was in force. A node that asked it in between took the revision with the older configuration, went on from there and never got that version from the store's changes; only a report that names it brought it.

TestViewIsPublishedWithItsConfiguration failed before: revision 3 was published with the configuration of revision 2. It also fixes the order for nodes that start, which took the configuration after the targets' revision.

--- a/io/jwgateway/knowledge_test.go
+++ b/io/jwgateway/knowledge_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"jujubewheel/core/jwentry"
 	"jujubewheel/core/jwinstance"
 	"jujubewheel/core/jwmember"
 	"jujubewheel/core/jwstore"
@@ -194,6 +195,59 @@
 	}
 }
 
+// viewingRecords calls a function before each configuration is decoded.
+type viewingRecords struct {
+	evacuationRecords
+	beforeConfig func()
+}
+
+func (r *viewingRecords) Config(value []byte) (*jwentry.Config, error) {
+	r.beforeConfig()
+	return r.evacuationRecords.Config(value)
+}
+
+// A node applies a view of another one. As long as it hasn't the configuration of the view's revision in
+// force, it must not say that it has read up to there, or the nodes that ask it skip that configuration.
+func TestViewIsPublishedWithItsConfiguration(t *testing.T) {
+	var feed jwstore.MemoryFeed
+	feed.Write("op/config", []byte("1"))
+	feed.Write(nodePrefix+"peer", []byte(`{"name":"peer"}`))
+	g, peer := newReader(&feed, "n1"), newReader(&feed, "peer")
+	read(t, g)
+	old := g.store.revision.Load()
+	feed.Write("op/config", []byte("2"))
+	read(t, peer)
+	asked := false
+	g.Records = &viewingRecords{beforeConfig: func() {
+		asked = true
+		assert.Check(t, g.store.revision.Load() == old, "published before the configuration")
+	}}
+	g.storeWatcher.fetchView = func(context.Context, netip.AddrPort, uint64, uint64, time.Duration) (view, error) {
+		return peer.viewSince(time.Now(), 0, 0), nil
+	}
+	cases := map[string]func(){
+		"of a peer": func() {
+			g.store.lastCallFailed.Store(true)
+			g.pullView(netip.AddrPort{})
+		},
+		"of the relay at the start": func() {
+			g.storeWatcher.applySourceView(peer.viewSince(time.Now(), 0, 0), peer.members.Local(), &fullRead{})
+		},
+	}
+	for name, apply := range cases {
+		t.Run(name, func(t *testing.T) {
+			g.entries, asked = jwentry.Table{}, false
+			g.storeWatcher.revision, g.storeWatcher.lastRevision = old, old
+			g.store.revision.Store(old)
+			g.pulledRevision.Store(0)
+			apply()
+			assert.Assert(t, asked)
+			assert.Equal(t, g.entries.Version(), uint64(2))
+			assert.Equal(t, g.store.revision.Load(), peer.store.revision.Load())
+		})
+	}
+}
+
 // A node of an earlier version sends a view without facts. The view must end no evacuation, and the node
 // must not skip the changes up to the view's revision.
 func TestViewWithoutFactsIsIgnored(t *testing.T) {
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -31,7 +31,7 @@
 	pageRevision     jwstore.Revision // of the first page
 	targets          map[string]bool
 	facts            map[string]bool // keys that jwfact.Table keeps
-	config           *jwstore.Item // kept for the end of the read, nil if there is none
+	config           *jwstore.Item   // kept for the end of the read, nil if there is none
 	fleet            *jwstore.Item
 	targetsAsked     bool // a relay was asked for the targets
 	targetsFromRelay bool
@@ -185,8 +185,8 @@
 		if err == nil || errors.Is(err, errWithoutStore) {
 			g.members.Answered(time.Now(), m.Name)
 		}
-		if err == nil && len(v.Config) > 0 && g.entries.Current() != nil {
-			g.applyConfig(v.Config, m.Name, v.Revision)
+		if err == nil && g.entries.Current() != nil {
+			g.applyViewConfig(v, m.Name)
 		}
 		switch {
 		case errors.Is(err, errWithoutStore):
@@ -214,8 +214,5 @@
 // applySourceView applies the view of the relay from which a node that starts takes the targets.
 func (w *storeWatcher) applySourceView(v view, from jwmember.Member, r *fullRead) {
 	w.applyView(time.Now(), v, from.Name)
-	if len(v.Config) > 0 {
-		w.g.applyConfig(v.Config, from.Name, v.Revision)
-	}
 	r.targetsFromRelay, r.revision = true, v.Revision
 }
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -215,7 +215,7 @@
 	if g.readsStore(time.Now()) {
 		revision = math.MaxUint64 // this node reads the store itself, so only the configuration is wanted
 	}
-	v, err := g.fetchView(context.Background(), a, g.entries.Version(), revision, 0)
+	v, err := g.storeWatcher.fetchView(context.Background(), a, g.entries.Version(), revision, 0)
 	if err != nil {
 		g.metrics.viewFailures.Inc(1)
 		if version := g.entries.Version(); version > 0 { // seeds may not run yet when a node starts
@@ -225,9 +225,15 @@
 	}
 	if now := time.Now(); g.peerIsAhead(now, v.Revision) {
 		g.storeWatcher.applyView(now, v, a.String())
+		return
 	}
+	g.applyViewConfig(v, a.String())
+}
+
+// applyViewConfig puts the configuration of a view, if it has one, into force.
+func (g *Gateway) applyViewConfig(v view, from string) {
 	if len(v.Config) > 0 {
-		g.applyConfig(v.Config, a.String(), v.Revision)
+		g.applyConfig(v.Config, from, v.Revision)
 	}
 }
 
@@ -289,8 +295,8 @@
 	return n, err
 }
 
-// applyView applies the targets, nodes and facts of a view, unless this node has read the store up to a
-// later revision. That holds also while it reads all keys again: until then its own views are of the
+// applyView applies a view: its configuration, and its targets, nodes and facts unless this node has read
+// the store up to a later revision. That holds also while it reads all keys again: until then its own views are of the
 // revision before. If it has read the store before, the changes after the view become the next ones
 // that it wants: a node that reaches neither the store nor a relay that still has the changes would
 // otherwise fetch whole views for as long.
@@ -299,6 +305,7 @@
 	defer w.mu.Unlock()
 	g := w.g
 	if v.Facts == nil || v.Revision < w.lastRevision || w.revision != 0 && v.Revision == w.revision {
+		g.applyViewConfig(v, from)
 		return
 	}
 	targets := make(map[string]bool, len(v.Targets))
@@ -311,6 +318,9 @@
 		g.members.Put(now, m)
 	}
 	g.applyFacts(now, w.facts.Merge(now, v.Facts, v.Revision), from)
+	// After the targets, which requests that wait for the first configuration need, and before the
+	// revision, which other nodes take to include it.
+	g.applyViewConfig(v, from)
 	g.Log.Info("applied a view of another node", "peer", from, "revision", jwstore.Number(v.Revision),
 		"ownRevision", jwstore.Number(w.revision), "targets", len(v.Targets), "evacuated", g.targets.Evacuated())
 	g.pulledRevision.Store(v.Revision)
