jwgateway: a configuration is fetched beside views, and from more than one peer

A node that had heard of a newer configuration fetched it together with the whole view of the peer that had named it, one fetch at a time. While that arrived, or its peer had just been lost, the reports of all others were passed over: with 10,000 targets a view has megabytes and takes seconds.

Now the configuration is fetched alone, and a fetch without an answer for 300 ms doesn't keep the next report from bringing it.

TestConfigurationIsFetchedBesideAView failed before (version 1 for as long as the view took).

--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"jujubewheel/core/jwbalance"
@@ -242,11 +243,19 @@
 		g.store.syncedPeerSeen.Store(now.UnixNano())
 	}
 	g.entries.Confirm(s.Version, s.configKnownAt(notBefore))
-	if s.Version > g.entries.Version() || g.peerIsAhead(now, s.Revision) {
-		if from.Name == "" {
-			from = s.Member
-		}
-		go g.pullView(from.Nodes)
+	if from.Name == "" {
+		from = s.Member
+	}
+	g.catchUp(now, s, from.Nodes)
+}
+
+// catchUp fetches from a peer what its state shows that this node lacks.
+func (g *Gateway) catchUp(now time.Time, s state, peer netip.AddrPort) {
+	if s.Version > g.entries.Version() {
+		go g.pullConfig(peer)
+	}
+	if g.peerIsAhead(now, s.Revision) {
+		go g.pullView(peer)
 	}
 }
 
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -64,6 +64,7 @@
 	recentChanges       jwstore.Recent // changes of the store that a relay keeps for other nodes
 	pulledRevision      atomic.Uint64  // store revision of the last view taken from another node
 	pullingView         atomic.Bool    // a view is being fetched from another node
+	configPulledAt      atomic.Int64   // when the last fetch of a configuration in flight began, nanoseconds since startTime; 0 for none
 	storeReadAt         atomic.Int64   // time of the last successful store read, nanoseconds since startTime
 	bounds              atomic.Pointer[jwsettings.Bounds]
 	entries             jwentry.Table
--- a/io/jwgateway/knowledge_test.go
+++ b/io/jwgateway/knowledge_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -248,6 +249,37 @@
 	}
 }
 
+// A node hears of a newer version while a view of another node arrives slowly, and the first peer that names
+// the version doesn't answer. The next one's report must bring it all the same.
+func TestConfigurationIsFetchedBesideAView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var feed jwstore.MemoryFeed
+		feed.Write("op/config", []byte("1"))
+		g, peer := newReader(&feed, "n1"), newReader(&feed, "peer")
+		read(t, g)
+		feed.Write("op/config", []byte("2"))
+		read(t, peer)
+		slow, silent, sound := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")
+		g.storeWatcher.fetchView = func(_ context.Context, a netip.AddrPort, version, revision uint64, _ time.Duration) (view, error) {
+			if a != sound {
+				time.Sleep(time.Minute)
+			}
+			return peer.viewSince(time.Now(), version, revision), nil
+		}
+		g.store.lastCallFailed.Store(true)
+		report := func(a netip.AddrPort, version uint64) {
+			g.catchUp(time.Now(), state{Version: version, Revision: 99}, a)
+			synctest.Wait()
+		}
+		report(slow, 1) // ahead by its revision
+		report(silent, 2)
+		time.Sleep(time.Second)
+		report(sound, 2)
+		assert.Equal(t, g.entries.Version(), uint64(2))
+		time.Sleep(2 * time.Minute)
+	})
+}
+
 // A node of an earlier version sends a view without facts. The view must end no evacuation, and the node
 // must not skip the changes up to the view's revision.
 func TestViewWithoutFactsIsIgnored(t *testing.T) {
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -204,6 +204,26 @@
 	return now.Sub(g.startTime) - time.Duration(g.storeReadAt.Load())
 }
 
+// configPullPause is the time between two fetches of a configuration while none has ended. A peer may
+// report and be lost, or have a link that is full, and all others report the same version.
+const configPullPause = 300 * time.Millisecond
+
+// pullConfig fetches another node's configuration alone: a view may take seconds to arrive.
+func (g *Gateway) pullConfig(a netip.AddrPort) {
+	now := time.Since(g.startTime)
+	last := g.configPulledAt.Load()
+	if last != 0 && now-time.Duration(last) < configPullPause || !g.configPulledAt.CompareAndSwap(last, int64(now)) {
+		return
+	}
+	defer g.configPulledAt.CompareAndSwap(int64(now), 0)
+	v, err := g.storeWatcher.fetchView(context.Background(), a, g.entries.Version(), math.MaxUint64, 0)
+	if err != nil {
+		g.noteViewFailure(a, err)
+		return
+	}
+	g.applyViewConfig(v, a.String())
+}
+
 // pullView fetches and applies what another node has read and this one has not, because the store
 // may be out of this node's reach. Only one view is fetched at a time.
 func (g *Gateway) pullView(a netip.AddrPort) {
@@ -212,15 +232,9 @@
 	}
 	defer g.pullingView.Store(false)
 	revision := max(g.store.revision.Load(), g.pulledRevision.Load())
-	if g.readsStore(time.Now()) {
-		revision = math.MaxUint64 // this node reads the store itself, so only the configuration is wanted
-	}
 	v, err := g.storeWatcher.fetchView(context.Background(), a, g.entries.Version(), revision, 0)
 	if err != nil {
-		g.metrics.viewFailures.Inc(1)
-		if version := g.entries.Version(); version > 0 { // seeds may not run yet when a node starts
-			g.Log.Info("failed to fetch a view", "peer", a.String(), "version", version, "error", err.Error())
-		}
+		g.noteViewFailure(a, err)
 		return
 	}
 	if now := time.Now(); g.peerIsAhead(now, v.Revision) {
@@ -230,6 +244,14 @@
 	g.applyViewConfig(v, a.String())
 }
 
+// noteViewFailure logs and counts a view that another node didn't send.
+func (g *Gateway) noteViewFailure(a netip.AddrPort, err error) {
+	g.metrics.viewFailures.Inc(1)
+	if version := g.entries.Version(); version > 0 { // seeds may not run yet when a node starts
+		g.Log.Info("failed to fetch a view", "peer", a.String(), "version", version, "error", err.Error())
+	}
+}
+
 // applyViewConfig puts the configuration of a view, if it has one, into force.
 func (g *Gateway) applyViewConfig(v view, from string) {
 	if len(v.Config) > 0 {
