jwgateway: relays use the changes that other relays pass on

No caller saw it: each relay read the store itself, and one that lost the store left its data centre to views and reports. An answer was decoded into a value whose Lost was set, which a false one, left out of the JSON, didn't reset, so that each good answer counted as lost. With that mended most were too old: a reader's watch waited for up to 1 s and paused for 0.3, where 1 s is allowed.

The age allowed for an answer is derived from the follower's own timing, and a reader's watch and pause stay below it. The log says which error an answer had.

TestOnlyTwoRelaysReadTheStore failed in 3 of 3 cases before.

--- a/io/jwgateway/relayexchange.go
+++ b/io/jwgateway/relayexchange.go
@@ -29,8 +29,10 @@
 	placementReportIntervals = 1.5
 	// relayWatchTimeout is how long a relay's watch of the store waits for a change, and
 	// relayWatchPause is the pause between two watches. They are shorter than those of other nodes
-	// because the nodes of the data centre learn of changes only through the relay.
-	relayWatchTimeout = time.Second
+	// because the nodes of the data centre learn of changes only through the relay. Their sum stays
+	// below maxUpstreamReadAge, or relays that take the changes from this one would reject them where
+	// nothing changes.
+	relayWatchTimeout = 500 * time.Millisecond
 	relayWatchPause   = 300 * time.Millisecond
 	// maxRelayReadAge is the maximum age of a relay's last store read, and maxRelayReportAge that
 	// of its last report, for other nodes to rely on it. Their sum plus the time that a node's own
--- a/io/jwgateway/upstream.go
+++ b/io/jwgateway/upstream.go
@@ -18,9 +18,12 @@
 	// upstreamWait is how long such a request waits for a change. Together with the pause between
 	// two requests and the round trip it stays well below maxRelayReadAge.
 	upstreamWait = 400 * time.Millisecond
+	// maxUpstreamTrip is the longest time that such a request takes besides waiting for which the
+	// changes can be relied on.
+	maxUpstreamTrip = 300 * time.Millisecond
 	// maxUpstreamReadAge is the maximum age of the other relay's store read, so that nodes can
-	// still rely on the changes when they are passed on.
-	maxUpstreamReadAge = maxRelayReadAge / 2
+	// still rely on the changes until this relay passes the next ones on.
+	maxUpstreamReadAge = maxRelayReadAge - relayWatchPause - upstreamWait - maxUpstreamTrip
 	// upstreamRetryPause is how long a relay reads the store itself after it could not rely on
 	// another relay.
 	upstreamRetryPause = 3 * time.Second
@@ -61,7 +64,7 @@
 	defer cancel()
 	q := url.Values{"after": {strconv.FormatUint(after, 10)}}
 	raw, err := w.g.nodeCall(ctx, m, http.MethodGet, changesPath+"?"+q.Encode(), nil)
-	c = &changes{Lost: true}
+	c = new(changes)
 	if err == nil {
 		err = json.Unmarshal(raw, c)
 	}
@@ -69,7 +72,11 @@
 		return c, m.Name, true
 	}
 	w.upstreamFailedAt = time.Now()
-	w.g.Log.Info("reading the store instead of another relay's changes", "peer", m.Name, "lost", c.Lost, "ageMs", c.Age)
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	w.g.Log.Info("reading the store instead of another relay's changes", "peer", m.Name, "lost", c.Lost, "ageMs", c.Age, "error", reason)
 	return nil, "", false
 }
 
--- a/io/jwgateway/upstream_test.go
+++ b/io/jwgateway/upstream_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -191,3 +193,60 @@
 	register(&feed, "t2", "s", "127.0.0.1:9", "east-a", "draining")
 	sendUntil(t, nodes[2], "/a/x", func(r reply) bool { return r.body == "third" })
 }
+
+// In a calm fleet two relays read the store for all others. A relay that rejects what they pass on reads the
+// store itself, so that nobody notices but whoever pays for the calls, until it loses the store.
+func TestOnlyTwoRelaysReadTheStore(t *testing.T) {
+	cases := map[string]time.Duration{"targets report often": 100 * time.Millisecond, "targets report together": 1200 * time.Millisecond, "nothing changes": 0}
+	for name, interval := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var feed jwstore.MemoryFeed
+			x := startTarget(t, &feed, "t1", "s", "north-a", respondText("fine"))
+			configure(&feed, 1, route("/a/", "idempotent", ""))
+			through := withRelayThreshold(1)
+			feeds := make([]*callCountingFeed, 4)
+			var nodes []node
+			for i, dc := range []string{"north-a", "north-b", "south-a", "east-a"} {
+				feeds[i] = &callCountingFeed{Feed: &feed}
+				region, _, _ := strings.Cut(dc, "-")
+				var seeds []netip.AddrPort
+				if i > 0 {
+					seeds = append(seeds, nodes[0].nodes)
+				}
+				nodes = append(nodes, startWith(t, feeds[i], fmt.Sprint("n", i+1), region, func(g *jwgateway.Gateway) {
+					g.Settings.DataCentre = dc
+					through(g)
+				}, seeds...))
+			}
+			for _, n := range nodes {
+				sendUntil(t, n, "/a/x", served)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go func() {
+				for interval > 0 && ctx.Err() == nil {
+					register(&feed, "t1", "s", x.addr, "north-a", "ready")
+					jwclock.Sleep(ctx, interval)
+				}
+			}()
+			for range 10 {
+				readers := 0
+				before := make([]int64, len(feeds))
+				for i, f := range feeds {
+					before[i] = f.watches.Load()
+				}
+				time.Sleep(2 * time.Second)
+				for i, f := range feeds {
+					if f.watches.Load() > before[i] {
+						readers++
+					}
+				}
+				if readers <= 2 {
+					return
+				}
+			}
+			t.Fatal("more than two relays read the store")
+		})
+	}
+}
