jwgateway: a forward that ran out of time is answered 504

The node that a request was forwarded to has the time that was left, in whole milliseconds, so that it runs out up to 1 ms earlier there; its 504 may reach the first node before that one's own deadline, which took it for a failure of the target.

--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -134,7 +134,7 @@
 
 // forward sends the request to a node of another region and passes its answer to the caller.
 func (g *Gateway) forward(ctx context.Context, q *request, m jwmember.Member) Verdict {
-	q.tried[m.Name], q.sentTo, q.answer = true, m.Name, answerShape{}
+	q.tried[m.Name], q.sentTo, q.answer, q.timedOut = true, m.Name, answerShape{}, false
 	g.forwards.add(m.Name, 1)
 	defer g.forwards.add(m.Name, -1)
 	h := q.header.Clone()
@@ -225,7 +225,7 @@
 			onEvents(events)
 		})
 	}
-	q.lastReason = "unknown at " + m.Name
+	q.lastReason, q.timedOut = "unknown at "+m.Name, a.Status == http.StatusGatewayTimeout
 	q.attempts += max(sends.MayHaveRun, 1)
 	drain(a)
 	return failed
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -76,6 +76,7 @@
 	trial           bool              // it tries whether a barred part of its prompt is harmless, and is not forwarded
 	caller          string            // the caller's address, "" for a forwarded request
 	sentTo          string            // the target or node that the request was sent to last
+	timedOut        bool              // the node that it was forwarded to last ran out of its time
 	retryAfter      time.Duration     // Retry-After of the last rejection
 	rejectedRegions map[string]bool   // regions whose nodes rejected the request
 	turn            *turn             // while it waits for a target with room
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -75,7 +75,7 @@
 	case !ran:
 		g.logAnswer(q, "notRun", q.lastReason, http.StatusServiceUnavailable)
 		g.answerError(q.w, q.ID, http.StatusServiceUnavailable, q.returnAfter(time.Now()), q.lastReason)
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || q.timedOut:
 		g.logAnswer(q, "unknown", q.lastReason, http.StatusGatewayTimeout)
 		g.answerError(q.w, q.ID, http.StatusGatewayTimeout, 0, "not answered in time")
 	default:
