jwgateway: a node confirms its configuration only by what is never too young

The age of a relay's last read is counted from the arrival of the store's answer, which may have been on its way for seconds, so that changes of an upstream relay don't confirm a configuration; the relays' reports do, once a second. A test for what a watch confirms; names and comments.

--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -26,7 +26,7 @@
 
 // fullRead is what a read of all keys has returned so far.
 type fullRead struct {
-	start            time.Time
+	start            time.Time        // before the first page
 	revision         jwstore.Revision // from which on changes are read: of the first page, or of the relay's view
 	pageRevision     jwstore.Revision // of the first page
 	targets          map[string]bool
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -166,13 +166,12 @@
 		wait = relayWatchTimeout
 	}
 	wait = min(wait, w.g.bounds.Load().ConfigInForce/watchesPerBound)
-	start := time.Now()
-	if w.g.members.Large(start, w.g.members.Local().Region) {
+	if w.g.members.Large(time.Now(), w.g.members.Local().Region) {
 		if c, from, ok := w.askUpstream(ctx, after); ok {
-			return w.applyUpstream(time.Now(), start, c, after, readsForOthers, from), nil
+			return w.applyUpstream(time.Now(), c, after, readsForOthers, from), nil
 		}
 	}
-	start = time.Now()
+	start := time.Now()
 	events, revision, err := w.g.Feed.Watch(ctx, "", after, wait)
 	now := w.noteStoreCall(ctx, err)
 	if err != nil {
@@ -185,16 +184,16 @@
 	return now, nil
 }
 
-// watchedUntil returns as of when the result of a watch has all changes. The store answers at the first
-// change, and the answer may have taken any part of the time until now.
+// watchedUntil returns as of when the result of a watch is known to have all changes. The store answers at
+// the first one, and the answer may have taken any part of the time until now.
 func watchedUntil(start, now time.Time, wait time.Duration, events int) time.Time {
-	if end := start.Add(wait); events == 0 && end.Before(now) {
-		return end
+	if events > 0 {
+		return start
 	}
-	if events == 0 {
-		return now
+	if end := start.Add(wait); end.Before(now) {
+		return end
 	}
-	return start
+	return now
 }
 
 // applyAndKeep applies the changes between two revisions, and keeps them for other nodes if this node
--- a/io/jwgateway/storewatcher_test.go
+++ b/io/jwgateway/storewatcher_test.go
@@ -146,3 +146,25 @@
 	assert.Assert(t, c.Lost, "%d changes after %d look complete up to %d", len(c.Events), known, c.To)
 	assert.Assert(t, !g.changesAfter(time.Now(), w.currentRevision()).Lost)
 }
+
+// A node must not take its configuration for newer than it is: an answer may have been on its way for long.
+func TestWatchedUntil(t *testing.T) {
+	start := time.Now()
+	const wait = time.Second
+	cases := map[string]struct {
+		took   time.Duration
+		events int
+		want   time.Duration // after the start
+	}{
+		"a change, at once":          {10 * time.Millisecond, 1, 0},
+		"a change, late answer":      {3 * time.Second, 1, 0},
+		"no change":                  {wait, 0, wait},
+		"no change, late answer":     {3 * time.Second, 0, wait},
+		"no change, answered sooner": {wait / 2, 0, wait / 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, watchedUntil(start, start.Add(c.took), wait, c.events).Sub(start), c.want)
+		})
+	}
+}
--- a/io/jwgateway/upstream.go
+++ b/io/jwgateway/upstream.go
@@ -80,13 +80,12 @@
 	return nil, "", false
 }
 
-// applyUpstream applies changes that another relay read and was asked for at a time, keeps them for the
-// nodes that report through this one, and returns the time as of which the store was read.
-func (w *storeWatcher) applyUpstream(now, asked time.Time, c *changes, after jwstore.Revision, readsForOthers bool, from string) time.Time {
+// applyUpstream applies changes that another relay read, keeps them for the nodes that report
+// through this one, and returns the time as of which the store was read.
+func (w *storeWatcher) applyUpstream(now time.Time, c *changes, after jwstore.Revision, readsForOthers bool, from string) time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.applyAndKeep(now, c.events(), after, c.To, readsForOthers, from)
-	w.g.entries.Confirm(w.g.entries.Version(), asked.Add(-time.Duration(c.Age)*time.Millisecond))
 	w.upstreamReadAt = now.Add(-time.Duration(c.Age) * time.Millisecond)
 	return w.upstreamReadAt
 }
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -318,10 +318,10 @@
 }
 
 // applyView applies a view: its configuration, and its targets, nodes and facts unless this node has read
-// the store up to a later revision. That holds also while it reads all keys again: until then its own views are of the
-// revision before. If it has read the store before, the changes after the view become the next ones
-// that it wants: a node that reaches neither the store nor a relay that still has the changes would
-// otherwise fetch whole views for as long.
+// the store up to a later revision. That holds also while it reads all keys again: until then its own
+// views are of the revision before. If it has read the store before, the changes after the view become
+// the next ones that it wants: a node that reaches neither the store nor a relay that still has the
+// changes would otherwise fetch whole views for as long.
 func (w *storeWatcher) applyView(now time.Time, v view, from string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
