--- a/io/jwgateway/storewatcher_test.go
+++ b/io/jwgateway/storewatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,14 +19,14 @@
 )
 
 // countingRecords decodes configurations that consist of their version only, and counts them.
-type countingRecords struct{ decoded int }
+type countingRecords struct{ decoded atomic.Int32 }
 
 func (*countingRecords) IsConfig(key string) bool         { return key == "op/config" }
 func (*countingRecords) Evacuation(string) (string, bool) { return "", false }
 func (*countingRecords) TargetID(string) (string, bool)   { return "", false }
 
 func (r *countingRecords) Config(value []byte) (*jwentry.Config, error) {
-	r.decoded++
+	r.decoded.Add(1)
 	c := &jwentry.Config{Raw: value}
 	_, err := fmt.Sscan(string(value), &c.Version)
 	return c.Index(), err
@@ -52,7 +53,7 @@
 	_, err = w.readOnce(context.Background())
 	assert.NilError(t, err)
 	assert.Equal(t, g.entries.Version(), uint64(25))
-	assert.Equal(t, r.decoded, 2)
+	assert.Equal(t, r.decoded.Load(), int32(2))
 }
 
 // A fleet of eighty nodes calls the store as often as one of forty, because the store charges for
