--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -66,6 +66,7 @@
 	pullingView         atomic.Bool    // a view is being fetched from another node
 	configPulledAt      atomic.Int64   // when the last fetch of a configuration in flight began, nanoseconds since startTime; 0 for none
 	storeReadAt         atomic.Int64   // time of the last successful store read, nanoseconds since startTime
+	storeReadEnded      atomic.Int64   // when that read ended, nanoseconds since startTime
 	bounds              atomic.Pointer[jwsettings.Bounds]
 	entries             jwentry.Table
 	targets             jwinstance.Table
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -152,6 +152,7 @@
 	w.applyItem(now, r.config)
 	w.g.entries.Confirm(w.g.entries.Version(), r.start)
 	w.g.registrationsRead(now)
+	w.g.storeReadEnded.Store(int64(now.Sub(w.g.startTime)))
 	w.revision, w.lastRevision = r.revision, r.revision
 	w.g.store.revision.Store(r.revision)
 	if w.g.fullReadDone.CompareAndSwap(false, true) {
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -96,6 +96,7 @@
 		now := time.Now()
 		if err == nil {
 			g.storeReadAt.Store(int64(readAt.Sub(g.startTime)))
+			g.storeReadEnded.Store(int64(now.Sub(g.startTime)))
 			if !w.lostSince.IsZero() {
 				g.Log.Info("store regained", "after", now.Sub(w.lostSince).String())
 				w.lostSince = time.Time{}
--- a/io/jwgateway/upstream_test.go
+++ b/io/jwgateway/upstream_test.go
@@ -90,19 +90,26 @@
 // the others read them all in the meantime, they would saturate the store's link.
 func TestStartWhileRelayReads(t *testing.T) {
 	t.Parallel()
-	feed := jwstore.MemoryFeed{PageSize: 20}
-	startTarget(t, &feed, "t1", "s", "north-a", respondText("fine"))
-	for i := range 200 {
-		register(&feed, fmt.Sprint("u", i), "other", "127.0.0.1:9", "north-a", "ready")
+	cases := map[string]time.Duration{"seconds": 250 * time.Millisecond, "longer than a relay's reading is relied on": 400 * time.Millisecond}
+	for name, perPage := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			feed := jwstore.MemoryFeed{PageSize: 20}
+			startTarget(t, &feed, "t1", "s", "north-a", respondText("fine"))
+			for i := range 200 {
+				register(&feed, fmt.Sprint("u", i), "other", "127.0.0.1:9", "north-a", "ready")
+			}
+			configure(&feed, 1, route("/a/", "idempotent", ""))
+			through := withRelayThreshold(2)
+			relay := startWith(t, slowPages{&feed, perPage}, "n1", "north", through)
+			time.Sleep(perPage * 3 / 2) // the relay has its first page, of an earlier revision than that of the other node
+			feed.Write("jujubewheel/nodes/n1", fmt.Appendf(nil, `{"name":"n1","region":"north","dataCentre":"north-a","callers":%q,"nodes":%q,"start":1,"change":1,"serving":true}`, relay.callers, relay.nodes))
+			counting := &callCountingFeed{Feed: &feed}
+			n := startWith(t, counting, "n2", "north", through)
+			sendUntil(t, n, "/a/x", served)
+			assert.Equal(t, counting.pages.Load(), int64(1))
+		})
 	}
-	configure(&feed, 1, route("/a/", "idempotent", ""))
-	through := withRelayThreshold(2)
-	relay := startWith(t, slowPages{&feed}, "n1", "north", through)
-	feed.Write("jujubewheel/nodes/n1", fmt.Appendf(nil, `{"name":"n1","region":"north","dataCentre":"north-a","callers":%q,"nodes":%q,"start":1,"change":1,"serving":true}`, relay.callers, relay.nodes))
-	counting := &callCountingFeed{Feed: &feed}
-	n := startWith(t, counting, "n2", "north", through)
-	sendUntil(t, n, "/a/x", served)
-	assert.Equal(t, counting.pages.Load(), int64(1))
 }
 
 // All nodes of a region start for the first time, and none is registered. Only one of them may read
@@ -118,7 +125,7 @@
 	counting := make([]*callCountingFeed, 6)
 	var nodes []node
 	for i := range counting {
-		counting[i] = &callCountingFeed{Feed: slowPages{&feed}}
+		counting[i] = &callCountingFeed{Feed: slowPages{&feed, 250 * time.Millisecond}}
 		nodes = append(nodes, startWith(t, counting[i], fmt.Sprint("n", i), "north", withRelayThreshold(2)))
 	}
 	for _, n := range nodes {
@@ -133,13 +140,14 @@
 	assert.Assert(t, readers <= 2, "%d of %d nodes read all targets", readers, len(nodes))
 }
 
-// slowPages is a store that takes 250 ms for each page.
+// slowPages is a store that takes a while for each page.
 type slowPages struct {
 	jwstore.Feed
+	perPage time.Duration
 }
 
 func (s slowPages) Range(ctx context.Context, prefix, after string) (jwstore.Page, error) {
-	jwclock.Sleep(ctx, 250*time.Millisecond)
+	jwclock.Sleep(ctx, s.perPage)
 	return s.Feed.Range(ctx, prefix, after)
 }
 
--- a/io/jwgateway/view.go
+++ b/io/jwgateway/view.go
@@ -193,10 +193,12 @@
 
 // readsOn reports whether this node is about to read a later revision of the store.
 func (g *Gateway) readsOn(now time.Time) bool {
-	if g.storeWatcher.currentRevision() == 0 {
-		return !g.store.stale(now) // it reads all keys, which may take seconds
+	if g.store.stale(now) {
+		return false
 	}
-	return g.readsStore(now)
+	// A read of all keys may take seconds, and what it read is as old when it ends.
+	readEnded := time.Duration(g.storeReadEnded.Load())
+	return g.storeWatcher.currentRevision() == 0 || now.Sub(g.startTime)-readEnded <= maxRelayReadAge+maxRelayReportAge
 }
 
 // storeReadAge returns how long ago the store was read, by this node or by a relay for it.
