jwgateway: the first configuration is current as soon as it is in force

Requests that wait for the first configuration go on as it comes into force, and that it is current was recorded after that; a 404 in between became a 503. That the two were apart there is inferred: nothing else makes a node doubt its configuration then.

Both are set under one lock now. TestFirstConfigurationIsCurrentAtOnce checks the table.

--- a/core/jwentry/config.go
+++ b/core/jwentry/config.go
@@ -117,6 +117,20 @@
 	return t.first
 }
 
+// PutAsOf is Put for a configuration that was the newest as of a time. A request must not find it in
+// force before that is known.
+func (t *Table) PutAsOf(c *Config, asOf time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.Put(c) {
+		return false
+	}
+	if asOf.After(t.knownAt) {
+		t.knownAt = asOf
+	}
+	return true
+}
+
 // Put puts a configuration into force if it is newer than the current one, and
 // reports whether it is. An older one is ignored: a source that is behind, such as
 // a peer or a stale read, must not undo a change.
--- a/core/jwentry/entry_test.go
+++ b/core/jwentry/entry_test.go
@@ -188,3 +188,16 @@
 		})
 	}
 }
+
+// A node answers the request that has waited for its first configuration as soon as that is in force. It must
+// not take the configuration for outdated in between.
+func TestFirstConfigurationIsCurrentAtOnce(t *testing.T) {
+	for range 1000 {
+		var table Table
+		first := table.First()
+		start := time.Now()
+		go table.PutAsOf(config(1), start)
+		<-first
+		assert.Assert(t, table.IsCurrent(start, time.Second))
+	}
+}
--- a/io/jwgateway/read.go
+++ b/io/jwgateway/read.go
@@ -149,7 +149,9 @@
 	}
 	w.applyItem(now, r.fleet)
 	w.noteStoreRestored(r)
-	w.applyItem(now, r.config)
+	if r.config != nil {
+		w.g.applyConfigAsOf(r.config.Value, fromAllKeys, r.config.Version, r.start)
+	}
 	w.g.entries.Confirm(w.g.entries.Version(), r.start)
 	w.g.registrationsRead(now)
 	w.g.storeReadEnded.Store(int64(now.Sub(w.g.startTime)))
--- a/io/jwgateway/storewatcher.go
+++ b/io/jwgateway/storewatcher.go
@@ -387,13 +387,18 @@
 // applyConfig puts a configuration into force if it is newer than the current one. revision is the
 // store's at which the source had it.
 func (g *Gateway) applyConfig(raw []byte, source string, revision jwstore.Revision) {
+	g.applyConfigAsOf(raw, source, revision, time.Time{})
+}
+
+// applyConfigAsOf is applyConfig for a configuration that was the newest as of a time, zero if unknown.
+func (g *Gateway) applyConfigAsOf(raw []byte, source string, revision jwstore.Revision, asOf time.Time) {
 	c, err := g.Records.Config(raw)
 	if err != nil {
 		g.Log.Error(err, "failed to decode the configuration", "from", source)
 		return
 	}
 	oldVersion := g.entries.Version()
-	if !g.entries.Put(c) {
+	if !g.entries.PutAsOf(c, asOf) {
 		return
 	}
 	g.Log.Info("configuration in force", "version", c.Version, "before", oldVersion, "entries", len(c.Entries), "from", source,
