--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -22,7 +22,7 @@
 func (q *request) newDecision(step string) jwlog.Decision {
 	now := time.Now()
 	d := jwlog.Decision{
-		Step: step, Request: q.ID, Entry: q.entry.Name, Version: q.version, Workspace: q.workspace, Service: q.service,
+		Step: step, Request: q.ID, Entry: q.entry.Name, Kind: string(q.entry.Kind), Sender: q.sender, Version: q.version, Workspace: q.workspace, Service: q.service,
 		Units: q.units, Attempt: q.attempts, Sends: q.retries.Sends().Reached, Left: q.deadline.Sub(now), Took: now.Sub(q.arrived),
 	}
 	d.LastEvent, d.FirstRequest, d.Origin, d.OriginVersion = q.LastEvent, q.FirstRequest, string(q.originSource), q.pinnedVersion
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -260,7 +260,7 @@
 	defer g.inFlight.Add(-1)
 	q := &request{
 		CallerHeaders: g.Dialect.ParseCallerHeaders(r.Header), method: r.Method, target: r.RequestURI, host: r.Host,
-		header: r.Header, arrived: time.Now(), forwarded: true, service: r.Header.Get(headerService),
+		header: r.Header, arrived: time.Now(), forwarded: true, sender: r.Header.Get(headerSender), service: r.Header.Get(headerService),
 	}
 	q.retries.Budget, q.retries.Service = &g.retryBudget, q.service
 	if sends, ok := jwretry.ParseSends(r.Header.Get(headerSends)); ok {
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -62,7 +62,8 @@
 	// waitedBefore is how long before that the caller's request came to the node that forwarded it.
 	waitedBefore time.Duration
 	deadline     time.Time
-	forwarded    bool // received from another node; must not be forwarded again
+	forwarded    bool   // received from another node; must not be forwarded again
+	sender       string // name of that node
 
 	w               http.ResponseWriter
 	answerWriter    answerWriter // w or what it wraps
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -15,6 +15,8 @@
 	Step          string        // what was decided, such as "send" or "answer"
 	Request       string        // the caller's identifier of the request
 	Entry         string        // name of the catalogue entry
+	Kind          string        // kind of the entry by which it was decided what may run more than once
+	Sender        string        // node that forwarded the request to this one
 	Version       uint64        // of the configuration that applies to the request
 	Workspace     string        // workspace of the caller
 	Service       string        // service that runs the request
@@ -128,11 +130,13 @@
 	if x.DropFirst {
 		log = d.minor
 	}
-	const maxFields = 64
+	const maxFields = 72
 	var buf [maxFields]zap.Field
 	f := buf[:0]
 	f = appendText(f, "request", x.Request)
 	f = appendText(f, "entry", x.Entry)
+	f = appendText(f, "kind", x.Kind)
+	f = appendText(f, "sender", x.Sender)
 	f = appendText(f, "workspace", x.Workspace)
 	f = appendText(f, "service", x.Service)
 	f = appendText(f, "target", x.Target)
