--- a/core/jwmember/table.go
+++ b/core/jwmember/table.go
@@ -301,6 +301,17 @@
 	return r.registered && now.Sub(r.registeredAt) < registrationGrace && !r.lastFailed.After(r.registeredAt)
 }
 
+// Known returns what another node reported last, also if it is considered dead.
+func (t *Table) Known(name string) (Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.members[name]
+	if r == nil || !r.Nodes.IsValid() {
+		return Member{}, false
+	}
+	return r.Member, true
+}
+
 // RecentlySeen reports whether a node was seen within half of suspectAfter.
 func (t *Table) RecentlySeen(now time.Time, name string) bool {
 	t.mu.Lock()
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -135,8 +135,7 @@
 // forward sends the request to a node of another region and passes its answer to the caller.
 func (g *Gateway) forward(ctx context.Context, q *request, m jwmember.Member) Verdict {
 	q.tried[m.Name], q.sentTo, q.answer, q.timedOut = true, m.Name, answerShape{}, false
-	g.forwards.add(m.Name, 1)
-	defer g.forwards.add(m.Name, -1)
+	defer g.forwards.begin(m.Name, q.ID)()
 	h := q.header.Clone()
 	h[headerService] = []string{q.service}
 	h[headerKind] = []string{q.kind()}
@@ -297,7 +296,9 @@
 	defer g.releaseMemory(q)
 	defer q.body.close()
 	stripHopByHop(q.header)
-	g.serve(r.Context(), q)
+	ctx, done := g.watchSender(r.Context(), q)
+	defer done()
+	g.serve(ctx, q)
 }
 
 // reportSends returns what the node that forwarded the request learns from the answer.
@@ -385,6 +386,8 @@
 		g.serveChanges(w, r)
 	case r.URL.Path == originsPath:
 		g.serveOrigins(w, r)
+	case r.URL.Path == forwardsPath:
+		g.serveForwardQuestion(w, r)
 	case r.URL.Path == originPath:
 		g.serveOrigin(w, r)
 	case r.URL.Path == viewPath:
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -23,6 +23,7 @@
 	"jujubewheel/core/jwpart"
 	"jujubewheel/core/jwplacement"
 	"jujubewheel/core/jwquota"
+	"jujubewheel/core/jwsender"
 	"jujubewheel/core/jwstore"
 	"jujubewheel/core/jwsuspect"
 	"jujubewheel/core/jwversion"
@@ -100,7 +101,9 @@
 	inFlight            atomic.Int64
 	memory              jwmemory.Account // bytes held for requests of services with overload control
 	slowStreams         slowStreams
-	forwards            forwardCounts // requests in flight at other nodes
+	forwards            forwardTable
+	senders             jwsender.Table
+	senderAdded         chan struct{} // signals that senders is no longer empty
 	origins             jwversion.Table
 	originReports       originReports
 	storedVersions      storedVersions
@@ -144,6 +147,7 @@
 	group.Go(func() error { g.runRoom(work); return nil })
 	group.Go(func() error { g.watchVersions(work); return nil })
 	group.Go(func() error { g.keepVersionsStored(work); return nil })
+	group.Go(func() error { g.watchSenders(work); return nil })
 	g.Log.Info("started", "bounds", *g.bounds.Load(), "region", g.Settings.Region, "dataCentre", g.Settings.DataCentre)
 	select {
 	case <-ctx.Done():
@@ -173,6 +177,8 @@
 	g.Targets.OnDial = func() { g.metrics.connectionsOpened.Inc(1) }
 	g.registrationChanged = make(chan struct{}, 1)
 	g.confirmationsDue = make(chan struct{}, 1)
+	g.senderAdded = make(chan struct{}, 1)
+	g.senders.OnFirst = g.wakeSenderWatch
 	g.members.Self = jwmember.Member{
 		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
 		Callers: o.Listen.Callers, Nodes: o.Listen.Nodes,
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -9,6 +9,7 @@
 
 	"jujubewheel/core/jwmemory"
 	"jujubewheel/core/jwresolver"
+	"jujubewheel/core/jwsender"
 	"jujubewheel/io/jwmeter"
 )
 
@@ -62,6 +63,7 @@
 	originsReported   tally.Counter
 	barredParts       tally.Gauge
 	unknownEntries    tally.Counter
+	abandoned         map[jwsender.Reason]tally.Counter // streams that were ended for their sender, by reason
 	viewFailures      tally.Counter
 	partRejections    tally.Counter
 }
@@ -96,8 +98,12 @@
 		barredParts:       m.Gauge("barred_parts", nil),
 		partRejections:    m.Counter("barred_part_rejections_total", nil),
 		unknownEntries:    m.Counter("unknown_entries_total", nil),
-		viewFailures:      m.Counter("failed_views_total", nil),
-		takenUp:           make(map[originSource]tally.Counter),
+		abandoned: map[jwsender.Reason]tally.Counter{
+			jwsender.Unwanted: m.Counter("abandoned_streams_total", jwmeter.Tags{"reason": string(jwsender.Unwanted)}),
+			jwsender.Silent:   m.Counter("abandoned_streams_total", jwmeter.Tags{"reason": string(jwsender.Silent)}),
+		},
+		viewFailures: m.Counter("failed_views_total", nil),
+		takenUp:      make(map[originSource]tally.Counter),
 	}
 	for _, s := range []originSource{originSole, originOwn, originPeer, originUnknown} {
 		ms.takenUp[s] = m.Counter("streams_taken_up_total", jwmeter.Tags{"origin": string(s)})
--- a/io/jwgateway/overloadoff_test.go
+++ b/io/jwgateway/overloadoff_test.go
@@ -86,7 +86,7 @@
 		names = append(names, m[1])
 	}
 	assert.DeepEqual(t, names, []string{
-		"barred_part_rejections_total", "barred_parts",
+		"abandoned_streams_total", "barred_part_rejections_total", "barred_parts",
 		"configuration_version",
 		"crash_checks_total",
 		"directory_answers_total",
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -63,6 +64,9 @@
 		g.logAnswer(q, "cut", "the node stopped and its grace period was over", 0)
 		panic(http.ErrAbortHandler)
 	case parent.Err() != nil:
+		if cause := context.Cause(parent); errors.Is(cause, errAbandoned) {
+			q.lastReason = cause.Error()
+		}
 		g.logAnswer(q, "callerGone", q.lastReason, 0)
 		panic(http.ErrAbortHandler)
 	case q.answerStarted:
