--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -25,13 +25,6 @@
 )
 
 const (
-	// userTimeout closes a connection whose bytes are not acknowledged, for
-	// example because a device on the path has lost its state. It is long enough
-	// for three consecutive packet losses.
-	userTimeout = 1500 * time.Millisecond
-	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, which package
-	// syscall does not define.
-	tcpUserTimeout = 18
 	readBufferSize = 2 << 10 // small, because hundreds of streams of small events are open at once
 	// maxInlineBody is the maximum length of a body that is written before the
 	// answer is read. A longer one is written concurrently, because a target may
@@ -366,7 +359,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, peer netip.AddrPort) (*conn, error) {
-	d := net.Dialer{Timeout: durationOr(p.DialTimeout, DefaultDialTimeout), KeepAlive: -1, Control: setUserTimeout}
+	d := net.Dialer{Timeout: durationOr(p.DialTimeout, DefaultDialTimeout), KeepAlive: -1, Control: controlUserTimeout}
 	if p.OnDial != nil {
 		p.OnDial()
 	}
@@ -386,14 +379,6 @@
 	return &conn{Conn: c, r: bufio.NewReaderSize(head, readBufferSize), head: head}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		// On a kernel without the option, broken connections are only detected
-		// later.
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-}
-
 // put keeps a connection for later calls. It closes the ones unused longest where
 // there are too many, and those unused for longer than IdleTimeout.
 func (p *Pool) put(peer netip.AddrPort, cn *conn) {
--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -201,6 +201,10 @@
 		g.copyHeaders(q, a)
 		q.w.WriteHeader(a.Status)
 	}
+	if q.link != nil {
+		q.link.beginWrite()
+		defer q.link.endWrite()
+	}
 	if _, err := q.w.Write(events); err != nil {
 		q.lastReason = "the caller is gone"
 		return false
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -67,6 +67,7 @@
 
 	w               http.ResponseWriter
 	answerWriter    answerWriter // w or what it wraps
+	link            *callerLink  // nil for a forwarded request
 	answerStarted   bool         // the status and headers were sent to the caller
 	tried           map[string]bool
 	attempts        int // number of sends that a target may have run
@@ -219,6 +220,8 @@
 	}
 	q.caller = callerOf(r.RemoteAddr)
 	q.fingerprint = q.contentFingerprint()
+	q.link = g.limitUnacknowledged(r.Context(), q)
+	defer q.link.release()
 	g.findOrigin(r.Context(), q)
 	g.serve(r.Context(), q)
 }
--- a/io/jwrest/server.go
+++ b/io/jwrest/server.go
@@ -142,10 +142,20 @@
 		MaxHeaderBytes:    maxHeaderFactor * intOr(s.MaxHeader, DefaultMaxHeader),
 		ReadHeaderTimeout: durationOr(s.HeaderTimeout, DefaultHeaderTimeout),
 		IdleTimeout:       durationOr(s.IdleTimeout, DefaultIdleTimeout),
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ErrorLog:          log.New(logWriter{s.Log.WithValues("server", s.Name)}, "", 0),
 	}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// Conn returns the connection on which a request came, nil if its context isn't that of a Server.
+func Conn(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
+	return c
+}
+
 // closeWhenDraining makes each answer close its connection while the server
 // drains.
 func (s *Server) closeWhenDraining(next http.Handler) http.Handler {
