--- a/core/jwinstance/choose.go
+++ b/core/jwinstance/choose.go
@@ -64,6 +64,7 @@
 	OnlyWithRoom   bool             // leave out targets of whose room this node's part is used up
 	Pinned         bool             // only targets of Version may run it
 	Version        string           // see Pinned
+	Without        []string         // versions whose targets may not run it
 }
 
 // Choice is a chosen target, with the estimates on which the choice rests.
--- a/core/jwinstance/versions.go
+++ b/core/jwinstance/versions.go
@@ -76,37 +76,45 @@
 }
 
 // listFor returns the targets among which one is chosen: those that this node knows. Of a request that
-// must run at a certain version, these are the targets of the region that have it; if this node knows
+// only some versions may run, these are the targets of the region that have one of them; if this node knows
 // none of them, all of the region.
 func (t *Table) listFor(n Need) []*Target {
 	known := t.knownTargets(n.Service)
-	if !n.Pinned {
+	if n.anyVersion() {
 		return known
 	}
-	if list := t.ofVersion(known, n.Version); len(list) > 0 {
+	if list := t.fitting(known, n); len(list) > 0 {
 		return list
 	}
-	return t.ofVersion(t.byRegion[n.Service][t.Region], n.Version)
+	return t.fitting(t.byRegion[n.Service][t.Region], n)
 }
 
-// ofVersion returns the targets of the region that have a version.
-func (t *Table) ofVersion(targets []*Target, version string) []*Target {
+// fitting returns the targets of the region whose version may run the request.
+func (t *Table) fitting(targets []*Target, n Need) []*Target {
 	var list []*Target
 	for _, x := range targets {
-		if x.Version == version && x.Region == t.Region {
+		if n.fits(x) && x.Region == t.Region {
 			list = append(list, x)
 		}
 	}
 	return list
 }
 
-// fits reports whether a target has the version that a request must run at.
-func (n Need) fits(x *Target) bool { return !n.Pinned || x.Version == n.Version }
+// anyVersion reports whether targets of all versions may run the request.
+func (n Need) anyVersion() bool { return !n.Pinned && len(n.Without) == 0 }
+
+// fits reports whether a target has a version that may run the request.
+func (n Need) fits(x *Target) bool {
+	if n.Pinned {
+		return x.Version == n.Version
+	}
+	return !slices.Contains(n.Without, x.Version)
+}
 
 // RegionsFor returns how many usable slots a request has in each region. Callers must not change the
 // map.
 func (t *Table) RegionsFor(n Need) map[string]int {
-	if !n.Pinned {
+	if n.anyVersion() {
 		return t.Regions(n.Service)
 	}
 	t.mu.Lock()
--- a/core/jwinstance/versions_test.go
+++ b/core/jwinstance/versions_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -136,3 +138,35 @@
 	_, targets := x.MissIn(now, "south", Need{Service: "s", Pinned: true, Version: "v1"})
 	assert.Equal(t, targets, 0)
 }
+
+// A request that targets of some versions may not run goes to the others only, and to none if there are no others.
+func TestWithoutVersions(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x := Table{Region: "north", Node: "n"}
+	x.Put(now, versioned("a", "north", "v1", 1))
+	x.Put(now, versioned("b", "north", "v2", 2))
+	x.Put(now, versioned("c", "south", "v2", 3))
+	cases := map[string]struct {
+		without []string
+		targets []string
+		regions int
+	}{
+		"any":        {nil, []string{"a", "b"}, 2},
+		"without v2": {[]string{"v2"}, []string{"a"}, 1},
+		"without v1": {[]string{"v1"}, []string{"b"}, 2},
+		"without":    {[]string{"v1", "v2"}, nil, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := Need{Service: "s", Without: c.without}
+			chosen := map[string]bool{}
+			for range 8 {
+				if choice, ok := x.Best(now, n); ok {
+					chosen[choice.Target.ID] = true
+				}
+			}
+			assert.DeepEqual(t, slices.Sorted(maps.Keys(chosen)), c.targets)
+			assert.Equal(t, len(x.RegionsFor(n)), c.regions)
+		})
+	}
+}
--- a/core/jwmember/fleet.go
+++ b/core/jwmember/fleet.go
@@ -1,6 +1,9 @@
 package jwmember
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // countDelay is how long a new node waits, after the recorded fleet size includes it, before
 // it assumes that all others count it: they read the store at least every three seconds.
@@ -45,6 +48,12 @@
 	return len(live) > 0 && live[0].Name == t.Local().Name
 }
 
+// Rank returns how many live nodes come before this one by name.
+func (t *Table) Rank(now time.Time) int {
+	live := t.Live(now, "")
+	return max(slices.IndexFunc(live, func(m Member) bool { return m.Name == t.Local().Name }), 0)
+}
+
 // Predecessor records when an earlier process of this node started, taken from the
 // registration that it left.
 func (t *Table) Predecessor(m Member) {
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -107,6 +107,7 @@
 	origins             jwversion.Table
 	originReports       originReports
 	storedVersions      storedVersions
+	versionLacking      chan struct{} // signals that storedVersions lacks a registered version
 	streamLives         atomic.Pointer[streamLives]
 	versionsSince       atomic.Int64 // since when no registration was missed, nanoseconds since startTime; 0 before the first read
 }
@@ -177,8 +178,9 @@
 	g.Targets.OnDial = func() { g.metrics.connectionsOpened.Inc(1) }
 	g.registrationChanged = make(chan struct{}, 1)
 	g.confirmationsDue = make(chan struct{}, 1)
+	g.versionLacking = make(chan struct{}, 1)
 	g.senderAdded = make(chan struct{}, 1)
-	g.senders.OnFirst = g.wakeSenderWatch
+	g.senders.OnFirst = func() { wake(g.senderAdded) }
 	g.members.Self = jwmember.Member{
 		Name: s.Node, Region: s.Region, DataCentre: s.DataCentre,
 		Callers: o.Listen.Callers, Nodes: o.Listen.Nodes,
@@ -213,6 +215,14 @@
 	g.retryBudget.Age = func() time.Duration { return g.members.FirstRegisteredFor(time.Now()) }
 }
 
+// wake signals on a channel of capacity one, unless a signal waits there.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // Indexes of servers in the result of Gateway.servers.
 const (
 	callersServer = iota
--- a/io/jwgateway/originexchange.go
+++ b/io/jwgateway/originexchange.go
@@ -233,6 +233,9 @@
 				}
 				sole[service] = isSole
 			}
+			if g.lacksVersions(now) {
+				wake(g.versionLacking)
+			}
 		}
 		jwclock.Sleep(ctx, versionCheckInterval)
 	}
--- a/io/jwgateway/register.go
+++ b/io/jwgateway/register.go
@@ -23,12 +23,7 @@
 )
 
 // reregister makes the node write its registration again.
-func (g *Gateway) reregister() {
-	select {
-	case g.registrationChanged <- struct{}{}:
-	default:
-	}
-}
+func (g *Gateway) reregister() { wake(g.registrationChanged) }
 
 // keepRegistered keeps the node registered under its lease until ctx ends.
 func (g *Gateway) keepRegistered(ctx context.Context) {
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -94,9 +94,10 @@
 	answer          answerShape       // of the last send, zero before its answer
 	origin          *jwversion.Origin // of the stream, nil if it hasn't begun or isn't known
 	originSource    originSource
-	pinned          bool   // only targets of pinnedVersion may run it
-	pinnedVersion   string // see pinned
-	mixed           bool   // the service may have targets of other versions than pinnedVersion
+	pinned          bool     // only targets of pinnedVersion may run it
+	pinnedVersion   string   // see pinned
+	without         []string // versions whose targets may not run it
+	mixed           bool     // the service may have targets of other versions than those that may run it
 	share           admitted
 	givenRank       string          // rank given by the node that forwarded it, "" for none
 	controlled      bool            // under overload control
@@ -119,7 +120,7 @@
 	n := jwinstance.Need{Service: q.service, Prompt: q.Prompt, Homes: q.homes, Priority: q.priority, FirstEventGoal: q.entry.Goal, Exclude: q.tried}
 	n.ByPriority = g.controlsOverload(q.service)
 	n.Priority, n.GapGoal = g.rank(q), q.entry.GapGoal
-	n.Pinned, n.Version = q.pinned, q.pinnedVersion
+	n.Pinned, n.Version, n.Without = q.pinned, q.pinnedVersion, q.without
 	c := g.entries.Current()
 	if c == nil {
 		return n
--- a/io/jwgateway/sender.go
+++ b/io/jwgateway/sender.go
@@ -57,14 +57,6 @@
 	}
 }
 
-// wakeSenderWatch makes watchSenders look at the senders.
-func (g *Gateway) wakeSenderWatch() {
-	select {
-	case g.senderAdded <- struct{}{}:
-	default:
-	}
-}
-
 // watchSenders asks the nodes that have forwarded streams to this one whether they still want them, until ctx
 // ends.
 func (g *Gateway) watchSenders(ctx context.Context) {
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -165,6 +165,9 @@
 
 // rejectWithoutTarget rejects a request for which no target was found.
 func (g *Gateway) rejectWithoutTarget(now time.Time, q *request) Verdict {
+	if len(q.without) > 0 {
+		return q.reject(unstoredVersion, jwadmission.MinRetryAfter)
+	}
 	if len(g.targets.RegionsFor(g.targetNeed(q))) == 0 {
 		return q.reject(noTarget, jwadmission.MaxRetryAfter) // no target is registered, so an early retry would be useless
 	}
--- a/io/jwgateway/streamversion.go
+++ b/io/jwgateway/streamversion.go
@@ -68,10 +68,15 @@
 	return nil, originUnknown
 }
 
-// pinVersion restricts a request that continues a stream to the version that began it. It returns
-// false if that isn't known.
+// pinVersion restricts a request that continues a stream to the version that began it, and one that begins a
+// stream to the stored versions. It returns false if the version that began it isn't known.
 func (g *Gateway) pinVersion(now time.Time, q *request) bool {
+	q.without = nil
 	if !q.goesOn() {
+		if q.entry.Kind == jwentry.Stream && q.entry.Resumable {
+			q.without = g.unstoredVersions(now, q.service)
+			q.mixed = len(q.without) > 0
+		}
 		return true
 	}
 	v := g.versionsOf(now, q.service)
--- a/io/jwgateway/streamversion_test.go
+++ b/io/jwgateway/streamversion_test.go
@@ -439,3 +439,93 @@
 	feed.Remove("servers/t1")
 	stored(`{"s":["v2"]}`)
 }
+
+// versionRefusingFeed is a store that doesn't take the versions of services while refuses is set.
+type versionRefusingFeed struct {
+	*jwstore.MemoryFeed
+	refuses *atomic.Bool
+}
+
+func (f versionRefusingFeed) Set(ctx context.Context, key string, value []byte, lease jwstore.Lease) error {
+	if key == "jujubewheel/versions" && f.refuses.Load() {
+		return jwstore.ErrUnavailable
+	}
+	return f.MemoryFeed.Set(ctx, key, value, lease)
+}
+
+// A release comes, begins streams and is taken back while the store doesn't take the list of versions; then all
+// nodes are lost. A stream must not go on at the version that the nodes which start then take for the only one.
+func TestStreamsOfAVersionThatWasNotStored(t *testing.T) {
+	t.Parallel()
+	for name, oldLeaves := range map[string]bool{"beside the old version": false, "in place of the old version": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const count = 12
+			refuses := new(atomic.Bool)
+			feed := versionRefusingFeed{&jwstore.MemoryFeed{}, refuses}
+			old := startVersion(t, feed.MemoryFeed, "t1", "north-a", "v1", breaking("v1", count))
+			configure(feed.MemoryFeed, 1, route("/a/", "stream", `,"Resumable":true`))
+			heartbeat(t, feed.MemoryFeed)
+			nodes := []node{start(t, feed, "n1", "north"), start(t, feed, "n2", "north")}
+			waitForDirectory(t, nodes[0], "north", nodes...)
+			eventually(t, func() bool { return feed.Has("jujubewheel/versions") })
+			refuses.Store(true)
+			startVersion(t, feed.MemoryFeed, "t2", "north-a", "v2", breaking("v2", count))
+			if oldLeaves {
+				feed.Remove("servers/t1")
+			}
+			var begun []*takenUpStream
+			for i := range 100 {
+				s := &takenUpStream{}
+				s.try(t, nodes[i%2], fmt.Sprint("first", i))
+				if s.last > 0 {
+					begun = append(begun, s)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			feed.Remove("servers/t2")
+			registerVersion(feed.MemoryFeed, "t1", old.addr, "north-a", "v1", "ready", 1)
+			for _, n := range nodes {
+				n.stop()
+			}
+			refuses.Store(false)
+			n := start(t, feed, "n-new", "north")
+			sendUntil(t, n, "/a/x", served)
+			wentOn := 0
+			for i, s := range begun {
+				if goesOn, _ := s.try(t, n, fmt.Sprint("again", i)); goesOn {
+					wentOn++
+				}
+				assert.Equal(t, len(s.versions), 1, "stream %d", i)
+			}
+			t.Logf("%d of %d go on", wentOn, len(begun))
+			if !oldLeaves {
+				assert.Equal(t, wentOn, 100)
+			}
+		})
+	}
+}
+
+// A version whose first target has just been registered is used as soon as the store has it, also if the node that writes
+// the list is turned away.
+func TestAnotherNodeStoresAVersion(t *testing.T) {
+	t.Parallel()
+	const count = 12
+	feed, refuses := &jwstore.MemoryFeed{}, new(atomic.Bool)
+	startVersion(t, feed, "t1", "north-a", "v1", breaking("v1", count))
+	configure(feed, 1, route("/a/", "stream", `,"Resumable":true`))
+	heartbeat(t, feed)
+	n1, n2 := start(t, versionRefusingFeed{feed, refuses}, "n1", "north"), start(t, feed, "n2", "north")
+	waitForDirectory(t, n1, "north", n1, n2)
+	waitForDirectory(t, n2, "north", n1, n2)
+	eventually(t, func() bool { return feed.Has("jujubewheel/versions") })
+	refuses.Store(true)
+	startVersion(t, feed, "t2", "north-a", "v2", breaking("v2", count))
+	i := 0
+	eventually(t, func() bool {
+		i++
+		var s takenUpStream
+		s.try(t, n1, fmt.Sprint("s", i))
+		return s.versions["v2"]
+	})
+}
