--- a/io/jwgateway/answerwriter.go
+++ b/io/jwgateway/answerwriter.go
@@ -2,9 +2,12 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
+
+	"jujubewheel/io/jwrest"
 )
 
 const (
@@ -62,6 +65,15 @@
 	_, _ = exceeded.Read(make([]byte, 1))
 }
 
+// abort ends the request without the end of its answer, and doesn't return. An answer in HTTP/1.0 ends with its
+// connection, so that only a reset shows that it is incomplete.
+func (w *answerWriter) abort() {
+	if c, ok := jwrest.Conn(w.request.Context()).(*net.TCPConn); ok && !w.request.ProtoAtLeast(1, 1) {
+		_ = c.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // Unwrap returns the underlying writer for http.ResponseController.
 func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -62,17 +62,17 @@
 	switch {
 	case parent.Err() != nil && g.graceOver.Load():
 		g.logAnswer(q, "cut", "the node stopped and its grace period was over", 0)
-		panic(http.ErrAbortHandler)
+		q.answerWriter.abort()
 	case parent.Err() != nil:
 		if cause := context.Cause(parent); errors.Is(cause, errAbandoned) {
 			q.lastReason = cause.Error()
 		}
 		g.logAnswer(q, "callerGone", q.lastReason, 0)
-		panic(http.ErrAbortHandler)
+		q.answerWriter.abort()
 	case q.answerStarted:
 		// An incomplete answer must not look complete to the caller.
 		g.logAnswer(q, "cut", q.lastReason, 0)
-		panic(http.ErrAbortHandler)
+		q.answerWriter.abort()
 	case q.body.tooLarge():
 		g.logAnswer(q, outcomeRefused, errBodyTooLarge.Error(), http.StatusRequestEntityTooLarge)
 		g.answerError(q.w, q.ID, http.StatusRequestEntityTooLarge, 0, errBodyTooLarge.Error())
