--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -175,20 +175,12 @@
 		g.answerError(w, call.ID, http.StatusServiceUnavailable, stopRetryAfter, "the node is stopping")
 		return
 	}
-	target, path := r.RequestURI, r.RequestURI
-	if i := strings.IndexByte(path, '?'); i >= 0 {
-		path = path[:i]
-	}
-	host := r.Host
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	e := cfg.Match(host, path)
+	e := cfg.Match(hostOf(r.Host), pathOf(r.RequestURI))
 	if e == nil {
 		g.rejectUnknownEntry(w, call.ID, cfg.Version)
 		return
 	}
-	q.entry, q.version, q.target, q.arrived, q.w = e, cfg.Version, target, time.Now(), w
+	q.entry, q.version, q.target, q.arrived, q.w = e, cfg.Version, r.RequestURI, time.Now(), w
 	q.service = e.Choose(hashFraction(call.ID))
 	q.controlled = g.controlsOverload(q.service)
 	q.retries.Budget, q.retries.Service = &g.retryBudget, q.service
@@ -227,6 +219,20 @@
 	g.serve(r.Context(), q)
 }
 
+// hostOf returns a Host header without its port.
+func hostOf(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
+
+// pathOf returns a request's path without its query.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
 // awaitConfig returns the configuration in force. A node that has just started waits for its first
 // one, up to maxConfigWait after its start; the result is nil if there is none by then.
 func (g *Gateway) awaitConfig(ctx context.Context, deadline time.Duration) *jwentry.Config {
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -182,14 +182,14 @@
 // request may be sent to another target, so that a target that stopped responding does not use up
 // the caller's time.
 func (g *Gateway) withSendTimeout(ctx context.Context, q *request, c jwinstance.Choice) (context.Context, sendTimer) {
-	if !q.entry.Retryable() || q.body.rest != nil || q.attempts+1 >= q.entry.Attempts() {
+	if !g.repeatable(q) || q.body.rest != nil || q.attempts+1 >= q.entry.Attempts() {
 		return ctx, sendTimer{}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	d := max(minSendTimeout, time.Duration(goalTimeoutShare*float64(q.entry.Goal)), expectedWaitFactor*c.Expected)
 	expire := func() {
 		// Without budget for a retry, continuing to wait is the better option.
-		if q.retries.TakeEarly(time.Now()) {
+		if g.repeatable(q) && q.retries.TakeEarly(time.Now()) {
 			cancel(errSendTimeout)
 		}
 	}
@@ -282,7 +282,7 @@
 	if g.controlsOverload(q.service) {
 		call.MaxWriteTime = maxTargetWriteTime
 	}
-	if !q.entry.Retryable() {
+	if !g.repeatable(q) {
 		call.MaxUnused = maxIdleForSingleSend
 	}
 	return call
--- a/io/jwgateway/serve.go
+++ b/io/jwgateway/serve.go
@@ -92,7 +92,7 @@
 // the budget if it has not been taken yet.
 func (g *Gateway) mayRetry(q *request, v Verdict) bool {
 	q.retryReason = q.retries.Decide(time.Now(), jwretry.Request{
-		Permanent: v == rejected, BodyStreamed: q.body.consumed(), NotRun: v == notRun || v == rejected, Repeatable: q.entry.Retryable(),
+		Permanent: v == rejected, BodyStreamed: q.body.consumed(), NotRun: v == notRun || v == rejected, Repeatable: g.repeatable(q),
 		Attempts: q.attempts, MaxAttempts: q.entry.Attempts(),
 	})
 	if q.retryReason == jwretry.NoBudget {
@@ -101,6 +101,17 @@
 	return q.retryReason.Allowed()
 }
 
+// repeatable reports whether a request may run more than once: by the entry that applied when its caller sent it,
+// and by the one that this node knows now.
+func (g *Gateway) repeatable(q *request) bool {
+	c := g.entries.Current()
+	if !q.entry.Retryable() || c == nil || c.Version == q.version {
+		return q.entry.Retryable()
+	}
+	e := c.Match(hostOf(q.host), pathOf(q.target))
+	return e == nil || e.Retryable()
+}
+
 // noTarget is the reason for rejecting a request that no target can take.
 const noTarget = "no target has room"
 
@@ -130,7 +141,7 @@
 		return g.rejectForShare(q)
 	}
 	p := g.chooseRegion(now, q)
-	if p.Reason == jwplacement.NoTarget && len(q.tried) > 0 && q.entry.Retryable() {
+	if p.Reason == jwplacement.NoTarget && len(q.tried) > 0 && g.repeatable(q) {
 		// All remaining targets were tried; one of them may answer on a new connection.
 		clear(q.tried)
 		p = g.chooseRegion(now, q)
