--- a/io/jwgateway/exchange_test.go
+++ b/io/jwgateway/exchange_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strconv"
 	"strings"
@@ -23,7 +24,10 @@
 // What a target of TestRandomExchanges may do with a request.
 var targetActions = []string{"whole", "whole", "unframed", "chunks", "early", "refuse", "refuse late", "fail", "reset", "reset in answer", "cut in answer"}
 
-// What a caller of it may do.
+// What a target of TestRandomFaults may do besides.
+var faultActions = append([]string{"second answer", "second refusal", "plain 503", "cut head", "silent", "slow"}, targetActions...)
+
+// What a caller of them may do.
 var callerActions = []string{"sends all", "sends all", "pauses", "leaves", "reads slowly"}
 
 // exchangeTargets are targets that act as the header X-Actions says, one action for each send of a
@@ -32,16 +36,47 @@
 	mu     sync.Mutex
 	sends  map[string]int // of each request
 	runs   map[string]int // of each request that runs once, with sends that may have run
+	status map[string]int // of the answer to each request
 	faults []string
 	open   atomic.Int64 // connections
 }
 
+func newExchangeTargets() *exchangeTargets {
+	return &exchangeTargets{sends: map[string]int{}, runs: map[string]int{}, status: map[string]int{}}
+}
+
 func (x *exchangeTargets) fault(format string, a ...any) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.faults = append(x.faults, fmt.Sprintf(format, a...))
 }
 
+func (x *exchangeTargets) answered(id string, status int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.status[id] = status
+}
+
+// checkRuns checks that what may run once did, and not at all if the caller was told so.
+func (x *exchangeTargets) checkRuns(exchanges []exchange) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, e := range exchanges {
+		if e.path != "/once/x" {
+			continue
+		}
+		if x.runs[e.id] > 1 {
+			x.faults = append(x.faults, fmt.Sprintf("%+v may have run %d times", e, x.runs[e.id]))
+		}
+		switch x.status[e.id] {
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+			if x.runs[e.id] > 0 {
+				x.faults = append(x.faults, fmt.Sprintf("%+v was answered %d and may have run", e, x.status[e.id]))
+			}
+		}
+	}
+}
+
 func (x *exchangeTargets) listen(t *testing.T, feed *jwstore.MemoryFeed, id string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -123,6 +158,21 @@
 	case "cut in answer":
 		_, _ = io.WriteString(c, whole[:len(whole)-9])
 		return false
+	case "second answer":
+		_, err = io.WriteString(c, whole+whole)
+	case "second refusal":
+		_, err = io.WriteString(c, whole+refusal)
+	case "plain 503":
+		_, err = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.1\r\nContent-Length: 0\r\n\r\n")
+	case "cut head":
+		_, _ = io.WriteString(c, head[:len(head)/2])
+		return false
+	case "silent":
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	case "slow":
+		time.Sleep(50 * time.Millisecond)
+		_, err = io.WriteString(c, whole)
 	default:
 		_, err = io.WriteString(c, whole)
 	}
@@ -155,7 +205,7 @@
 	at      int // byte at which the caller pauses or leaves
 }
 
-func drawExchange(r *rand.Rand, i int) exchange {
+func drawExchange(r *rand.Rand, i int, targetActions []string) exchange {
 	sizes := []int{0, 100, 8 << 10, 20 << 10, 64 << 10, 65<<10 + r.IntN(20<<10), r.IntN(400 << 10)}
 	e := exchange{
 		id: fmt.Sprintf("x%d", i), path: []string{"/once/x", "/w/x"}[r.IntN(2)], size: sizes[r.IntN(len(sizes))],
@@ -217,6 +267,7 @@
 		}
 		return
 	}
+	x.answered(e.id, res.StatusCode)
 	got, err := io.ReadAll(res.Body)
 	if err == nil && res.StatusCode == http.StatusOK && string(got) != exchangeAnswer(e.id) {
 		x.fault("%+v: %d bytes look like the whole answer", e, len(got))
@@ -228,7 +279,7 @@
 // or sees that it broke off, a caller its answer likewise; what may run once does, and nothing is left.
 func TestRandomExchanges(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 1))
-	x := &exchangeTargets{sends: map[string]int{}, runs: map[string]int{}}
+	x := newExchangeTargets()
 	var feed jwstore.MemoryFeed
 	for i := range 4 {
 		x.listen(t, &feed, fmt.Sprintf("t%d", i+1))
@@ -240,7 +291,7 @@
 	}
 	var exchanges []exchange
 	for i := range 200 {
-		exchanges = append(exchanges, drawExchange(r, i))
+		exchanges = append(exchanges, drawExchange(r, i, targetActions))
 	}
 	var wg sync.WaitGroup
 	turn := make(chan struct{}, 20)
@@ -258,13 +309,52 @@
 	eventually(t, func() bool {
 		return !strings.Contains(stacks(), "(*bodyWriter).run") && !strings.Contains(stacks(), "(*bodyRest).run")
 	})
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, e := range exchanges {
-		if e.path == "/once/x" && x.runs[e.id] > 1 {
-			x.faults = append(x.faults, fmt.Sprintf("%+v may have run %d times", e, x.runs[e.id]))
+	x.checkRuns(exchanges)
+	assert.Equal(t, len(x.faults), 0, "%s", strings.Join(x.faults, "\n"))
+}
+
+// Targets answer twice, refuse after they have answered, fall silent and break off in a head, nodes are stopped in the
+// middle: what may run once does, and not at all if its caller was told so.
+func TestRandomFaults(t *testing.T) {
+	t.Parallel()
+	seed, _ := strconv.ParseUint(os.Getenv("JUJUBE_SEED"), 10, 64)
+	r := rand.New(rand.NewPCG(seed, 2))
+	x := newExchangeTargets()
+	var feed jwstore.MemoryFeed
+	for i := range 4 {
+		x.listen(t, &feed, fmt.Sprintf("t%d", i+1))
+	}
+	configureExchanges(&feed)
+	var nodes []node
+	for i, region := range []string{"north", "north", "south", "south"} {
+		nodes = append(nodes, start(t, &feed, fmt.Sprint("n", i), region))
+	}
+	for _, n := range nodes {
+		sendUntil(t, n, "/w/x", served)
+	}
+	var exchanges []exchange
+	for i := range 200 {
+		exchanges = append(exchanges, drawExchange(r, i, faultActions))
+	}
+	stopped := r.IntN(len(nodes))
+	var wg sync.WaitGroup
+	turn := make(chan struct{}, 20)
+	for i, e := range exchanges {
+		turn <- struct{}{}
+		n := nodes[i%len(nodes)]
+		if i == len(exchanges)/2 {
+			wg.Go(nodes[stopped].stop)
+		}
+		if i > len(exchanges)/2 && i%len(nodes) == stopped {
+			n = nodes[(i+1)%len(nodes)]
 		}
+		wg.Go(func() {
+			e.run(t, n, x)
+			<-turn
+		})
 	}
+	wg.Wait()
+	x.checkRuns(exchanges)
 	assert.Equal(t, len(x.faults), 0, "%s", strings.Join(x.faults, "\n"))
 }
 
