--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -11,7 +11,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -338,7 +337,7 @@
 			if cn.isUsable() {
 				return cn, nil
 			}
-			if p.OnPeerClose != nil && cn.state() == connClosed {
+			if p.OnPeerClose != nil && cn.state() == ConnClosed {
 				p.OnPeerClose(c.Peer)
 			}
 		}
@@ -420,47 +419,16 @@
 	}
 }
 
-// connState says whether a kept connection can be used again.
-type connState string
-
-const (
-	connOpen   connState = "open"
-	connClosed connState = "closed" // by the peer
-	connDirty  connState = "dirty"  // bytes have arrived since the last answer
-)
-
 // isUsable reports whether a kept connection is open and no bytes have arrived
 // on it since the last answer.
-func (c *conn) isUsable() bool { return c.state() == connOpen }
+func (c *conn) isUsable() bool { return c.state() == ConnOpen }
 
 // state returns the state of a kept connection.
-func (c *conn) state() connState {
+func (c *conn) state() ConnState {
 	if c.r.Buffered() > 0 {
-		return connDirty
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return connOpen
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return connDirty
-	}
-	state := connDirty
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		switch n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
-		case err == syscall.EAGAIN:
-			state = connOpen
-		case n <= 0:
-			state = connClosed
-		}
-		return true
-	})
-	if err != nil {
-		return connDirty
+		return ConnDirty
 	}
-	return state
+	return StateOf(c.Conn)
 }
 
 // Complete reports whether the body was read to its end.
--- a/io/jwtargetclient/client.go
+++ b/io/jwtargetclient/client.go
@@ -20,6 +20,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"jujubewheel/core/jwdispatch"
+	"jujubewheel/io/jwconn"
 	"jujubewheel/io/jwrest"
 )
 
@@ -59,13 +60,18 @@
 func (c *Client) Call(ctx context.Context, addr netip.AddrPort, call jwdispatch.TargetCall) (*jwdispatch.Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	progress := newProgressTimer(call.ProgressTimeout, func() { cancel(errNoProgress) })
-	var sent atomic.Bool
+	var sent, stale atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			stale.Store(info.Reused && jwconn.StateOf(info.Conn) != jwconn.ConnOpen)
+			sent.Store(true)
+		},
 	})
 	fail := func(err error) error {
 		progress.stop()
 		e := c.callError(ctx, addr, "call target", sent.Load(), err)
+		// The connection had ended before the call, so that the call did not end it.
+		e.Crashed = e.Crashed && !stale.Load()
 		cancel(nil)
 		return e
 	}
