--- a/io/jwgateway/cold_test.go
+++ b/io/jwgateway/cold_test.go
@@ -143,7 +143,7 @@
 // startColdSystem starts two nodes and two targets, of which the first is returned, under load.
 func startColdSystem(t *testing.T, feed *jwstore.MemoryFeed) *coldTarget {
 	t.Helper()
-	x := &coldTarget{id: "t1", addr: netip.AddrPortFrom(nodeAddress(), 0)}
+	x := &coldTarget{id: "t1", addr: netip.AddrPortFrom(ownAddress(), 0)}
 	x.up(t, 0)
 	x.register(feed, 1, 0)
 	startTarget(t, feed, "t2", "s", "north-a", func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
@@ -245,7 +245,7 @@
 	t.Parallel()
 	const nodes, dialDelay = 3, 290 * time.Millisecond
 	var feed jwstore.MemoryFeed
-	x := &coldTarget{id: "t1", addr: netip.AddrPortFrom(nodeAddress(), 0)}
+	x := &coldTarget{id: "t1", addr: netip.AddrPortFrom(ownAddress(), 0)}
 	x.up(t, time.Minute)
 	x.register(&feed, 1, time.Minute)
 	configureService(&feed, 1, coldService, route("/a/", "idempotent", ""))
--- a/io/jwgateway/promptpart_test.go
+++ b/io/jwgateway/promptpart_test.go
@@ -141,7 +141,7 @@
 			targets := &crashingTargets{feed: new(jwstore.MemoryFeed), crashAfter: c.crashAfter}
 			configure(targets.feed, 1, route("/a/", "stream", `,"Resumable":true,"Sticky":true`))
 			for i := range 16 {
-				targets.run(t, []string{"north-a", "south-a"}[i%2], netip.AddrPortFrom(nodeAddress(), 0))
+				targets.run(t, []string{"north-a", "south-a"}[i%2], netip.AddrPortFrom(ownAddress(), 0))
 			}
 			var nodes []node
 			var seeds []netip.AddrPort
@@ -203,7 +203,7 @@
 	targets := &crashingTargets{feed: new(jwstore.MemoryFeed)}
 	configure(targets.feed, 1, route("/a/", "stream", `,"Sticky":true`))
 	for range 4 {
-		targets.run(t, "north-a", netip.AddrPortFrom(nodeAddress(), 0))
+		targets.run(t, "north-a", netip.AddrPortFrom(ownAddress(), 0))
 	}
 	north := start(t, targets.feed, "n1", "north")
 	nodes := []node{north, start(t, targets.feed, "e1", "east", north.nodes), start(t, targets.feed, "e2", "east", north.nodes)}
--- a/io/jwgateway/system_test.go
+++ b/io/jwgateway/system_test.go
@@ -31,14 +31,22 @@
 
 var regions = map[string]string{"north-a": "north", "north-b": "north", "south-a": "south", "east-a": "east"}
 
-// startedNodes counts the calls of nodeAddress.
-var startedNodes atomic.Uint32
+// givenAddresses counts the calls of ownAddress.
+var givenAddresses atomic.Uint32
 
-// nodeAddress returns a loopback address that no other node or target of this or another test process
-// has. Nodes go on calling peers that have stopped, and must not meet those of another test there.
-func nodeAddress() netip.Addr {
-	pid, n := os.Getpid(), startedNodes.Add(1)
-	return netip.AddrFrom4([4]byte{127, byte(1 + pid>>8%250), byte(pid), byte(1 + n%250)})
+// ownAddress returns a loopback address that no other node or target of this or another test process has. Nodes go
+// on calling peers and targets that have stopped, and must not meet those of another test there.
+func ownAddress() netip.Addr {
+	n := givenAddresses.Add(1) - 1
+	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(n / 250 % 250), byte(1 + n%250)})
+}
+
+// listenAlone listens at an ownAddress.
+func listenAlone(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", netip.AddrPortFrom(ownAddress(), 0).String())
+	assert.NilError(t, err)
+	return l
 }
 
 // node is a running gateway.
@@ -55,7 +63,7 @@
 // startWith starts a gateway after change, if it is not nil, has set fields of it.
 func startWith(t testing.TB, feed jwstore.Feed, name, region string, change func(*jwgateway.Gateway), seeds ...netip.AddrPort) node {
 	t.Helper()
-	free := netip.AddrPortFrom(nodeAddress(), 0)
+	free := netip.AddrPortFrom(ownAddress(), 0)
 	listening := make(chan struct{})
 	var n node
 	g := &jwgateway.Gateway{
@@ -123,7 +131,7 @@
 func startTarget(t *testing.T, feed *jwstore.MemoryFeed, id, service, dataCentre string, serve http.HandlerFunc) *target {
 	t.Helper()
 	x := &target{id: id}
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
@@ -135,6 +143,9 @@
 		w.Header().Set("Jujubewheel-Server-Seal", "seal-"+id)
 		serve(w, r)
 	}))
+	_ = s.Listener.Close()
+	s.Listener = listenAlone(t)
+	s.Start()
 	t.Cleanup(s.Close)
 	x.addr = s.Listener.Addr().String()
 	register(feed, id, service, x.addr, dataCentre, "ready")
