--- a/io/jwgateway/callerlink_test.go
+++ b/io/jwgateway/callerlink_test.go
@@ -55,26 +55,31 @@
 	assert.NilError(t, filterErr)
 }
 
-// A caller reads nothing of a stream for longer than bytes may stay unacknowledged: it is slow and not gone, and
-// must get the whole stream.
+// A caller reads nothing of a stream for longer than bytes may stay unacknowledged and than a target may pause: it is
+// slow and not gone, and must get the whole stream.
 func TestSlowCallerIsNotTakenForGone(t *testing.T) {
 	t.Parallel()
-	const count, size = 400, 32 << 10 // more than the connections hold
-	var feed jwstore.MemoryFeed
-	startTarget(t, &feed, "t1", "s", "north-a", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/event-stream")
-		for i := range count {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", size))
-			_ = http.NewResponseController(w).Flush()
-		}
-	})
-	configure(&feed, 1, slowRoute("/a/", "stream", `,"Resumable":true`))
-	n := startWith(t, &feed, "n1", "north", func(g *jwgateway.Gateway) { g.Settings.Gateway.Overload = jwsettings.OverloadOn })
-	sendUntil(t, n, "/none", func(r reply) bool { return r.status == http.StatusNotFound })
-	body := openStream(t, n, "first", "")
-	defer body.Close()
-	time.Sleep(2*jwconn.UserTimeout + time.Second)
-	text, err := io.ReadAll(body)
-	assert.NilError(t, err)
-	assert.Equal(t, strings.Count(string(text), "data: "), count)
+	for _, overload := range []jwsettings.OverloadMode{jwsettings.OverloadOff, jwsettings.OverloadOn} {
+		t.Run("overload control "+string(overload), func(t *testing.T) {
+			t.Parallel()
+			const count, size = 400, 32 << 10 // more than the connections hold
+			var feed jwstore.MemoryFeed
+			startTarget(t, &feed, "t1", "s", "north-a", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				for i := range count {
+					_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", size))
+					_ = http.NewResponseController(w).Flush()
+				}
+			})
+			configure(&feed, 1, slowRoute("/a/", "stream", `,"Resumable":true`))
+			n := startWith(t, &feed, "n1", "north", func(g *jwgateway.Gateway) { g.Settings.Gateway.Overload = overload })
+			sendUntil(t, n, "/none", func(r reply) bool { return r.status == http.StatusNotFound })
+			body := openStream(t, n, "first", "")
+			defer body.Close()
+			time.Sleep(2*jwconn.UserTimeout + time.Second)
+			text, err := io.ReadAll(body)
+			assert.NilError(t, err)
+			assert.Equal(t, strings.Count(string(text), "data: "), count)
+		})
+	}
 }
--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -116,7 +116,7 @@
 	}
 	for {
 		events, end, reason := r.next()
-		if (len(events) > 0 || end == finished && !q.answerStarted) && !g.writeEvents(q, a, events) {
+		if (len(events) > 0 || end == finished && !q.answerStarted) && !g.passEvents(q, a, events) {
 			return failed
 		}
 		if end != "" {
@@ -126,6 +126,18 @@
 	}
 }
 
+// passEvents writes events as writeEvents does. The time that a slow caller takes is not counted as the target's.
+func (g *Gateway) passEvents(q *request, a *jwconn.Answer, events []byte) bool {
+	q.sendTimer.Pause()
+	started := time.Now()
+	ok := g.writeEvents(q, a, events)
+	if now := time.Now(); now.Sub(started) > slowWrite {
+		q.readResumed = now
+	}
+	q.sendTimer.Reset(maxEventPause)
+	return ok
+}
+
 // eventReader reads the events of a stream.
 type eventReader struct {
 	body     io.Reader
