--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -192,11 +192,14 @@
 func (q *request) kind() string {
 	e := q.entry
 	return strings.Join([]string{
-		string(e.Kind), strconv.FormatBool(e.Resumable), strconv.Itoa(max(e.Attempts()-q.attempts, 1)),
+		string(e.Kind), strconv.FormatBool(e.Resumable), strconv.Itoa(q.attemptsLeft()),
 		strconv.Itoa(q.priority), strconv.FormatInt(e.Goal.Milliseconds(), 10), strings.Join(q.homes, "|"),
 	}, ",")
 }
 
+// attemptsLeft returns to how many targets the request may still be sent, at least one.
+func (q *request) attemptsLeft() int { return max(q.entry.Attempts()-q.attempts, 1) }
+
 // passForwardedAnswer passes the answer of another node to the caller if it is a target's, and
 // returns the verdict on the send.
 func (g *Gateway) passForwardedAnswer(q *request, m jwmember.Member, a *jwconn.Answer, onEvents func(int)) Verdict {
@@ -252,7 +255,7 @@
 		return notRun
 	}
 	q.retries.Lost()
-	q.attempts++
+	q.attempts += q.attemptsLeft() // the other node may have used all that it was given
 	return failed
 }
 
--- a/io/jwgateway/retry_test.go
+++ b/io/jwgateway/retry_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,3 +173,77 @@
 	}
 	return text
 }
+
+// The answer to a forwarded request is lost after the other node has sent it to as many targets as its entry allows: it must
+// not reach one more.
+func TestLostForwardUsesUpItsAttempts(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"idempotent", "stream"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			var feed jwstore.MemoryFeed
+			var arrivals atomic.Int32
+			reached := make(chan struct{}, 10)
+			for i := range 4 {
+				startTarget(t, &feed, fmt.Sprint("t", i), "s", "north-a", func(_ http.ResponseWriter, r *http.Request) {
+					if r.URL.Path != "/a/x" {
+						return
+					}
+					if arrivals.Add(1) == 1 {
+						panic(http.ErrAbortHandler)
+					}
+					reached <- struct{}{}
+					<-r.Context().Done()
+				})
+			}
+			configure(&feed, 1, slowRoute("/a/", kind, `,"Resumable":true`))
+			var link requestLink
+			n := startWith(t, &feed, "n1", "south", func(g *jwgateway.Gateway) {
+				g.Nodes.Dial = link.dial
+				manyRetries(g)
+			})
+			others := []node{startWith(t, &feed, "n2", "north", manyRetries), startWith(t, &feed, "n3", "north", manyRetries)}
+			waitForDirectory(t, n, "north", others...)
+			sendUntil(t, n, "/a/w", served)
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_, _ = send(t, n, http.MethodGet, "/a/x", "one", http.Header{"Jujubewheel-Deadline-Ms": {"60000"}}, "")
+			}()
+			<-reached
+			_ = link.carrier.Load().Close()
+			select {
+			case <-ended:
+			case <-reached: // one more than its entry allows
+			}
+			assert.Equal(t, arrivals.Load(), int32(2))
+		})
+	}
+}
+
+// manyRetries gives a node so large a budget that the number of attempts alone limits its retries.
+func manyRetries(g *jwgateway.Gateway) { g.Settings.Gateway.Bounds.RetrySlack = 1e6 }
+
+// requestLink keeps the last connection on which the request "one" was sent.
+type requestLink struct{ carrier atomic.Pointer[requestConn] }
+
+type requestConn struct {
+	net.Conn
+	link *requestLink
+}
+
+func (l *requestLink) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &requestConn{c, l}, nil
+}
+
+func (c *requestConn) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte("Jujubewheel-Request-Id: one\r\n")) {
+		c.link.carrier.Store(c)
+	}
+	return c.Conn.Write(b)
+}
