--- a/core/jwmember/fleet.go
+++ b/core/jwmember/fleet.go
@@ -48,10 +48,14 @@
 	return len(live) > 0 && live[0].Name == t.Local().Name
 }
 
-// Rank returns how many live nodes come before this one by name.
+// Rank returns how many live nodes come before this one by name, all of them if this one isn't live yet.
 func (t *Table) Rank(now time.Time) int {
 	live := t.Live(now, "")
-	return max(slices.IndexFunc(live, func(m Member) bool { return m.Name == t.Local().Name }), 0)
+	i := slices.IndexFunc(live, func(m Member) bool { return m.Name == t.Local().Name })
+	if i < 0 {
+		return len(live)
+	}
+	return i
 }
 
 // Predecessor records when an earlier process of this node started, taken from the
--- a/core/jwmember/fleet_test.go
+++ b/core/jwmember/fleet_test.go
@@ -69,3 +69,27 @@
 	_, ok := Root(nil, "w")
 	assert.Assert(t, !ok)
 }
+
+// Nodes write in turn: a node that isn't live yet must not be among the first, as all that start at once would be.
+func TestRank(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		self    string
+		serving bool
+		rank    int
+	}{
+		"first":         {"a", true, 0},
+		"in the middle": {"c5", true, 2},
+		"last":          {"z", true, 3},
+		"not live yet":  {"a", false, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := &Table{Self: Member{Name: c.self, Region: "north"}}
+			for _, other := range []string{"b", "c", "d"} {
+				x.Seen(now, Member{Name: other, Region: "north", Serving: true})
+			}
+			x.Serve(now, c.serving)
+			assert.Equal(t, x.Rank(now), c.rank)
+		})
+	}
+}
