--- a/core/jwmember/fleet.go
+++ b/core/jwmember/fleet.go
@@ -48,14 +48,22 @@
 	return len(live) > 0 && live[0].Name == t.Local().Name
 }
 
-// Rank returns how many live nodes come before this one by name, all of them if this one isn't live yet.
-func (t *Table) Rank(now time.Time) int {
+// Rank returns how many live nodes come before this one in writing a key that all may write, all of them if this one
+// isn't live yet. The order is that of rendezvous hashing, so that the nodes of a region that has lost the store
+// are not the first ones together.
+func (t *Table) Rank(now time.Time, key string) int {
 	live := t.Live(now, "")
-	i := slices.IndexFunc(live, func(m Member) bool { return m.Name == t.Local().Name })
-	if i < 0 {
+	self := t.Local().Name
+	if !slices.ContainsFunc(live, func(m Member) bool { return m.Name == self }) {
 		return len(live)
 	}
-	return i
+	rank, score := 0, rendezvousScore(self, key)
+	for _, m := range live {
+		if m.Name != self && rendezvousScore(m.Name, key) > score {
+			rank++
+		}
+	}
+	return rank
 }
 
 // Predecessor records when an earlier process of this node started, taken from the
--- a/io/jwgateway/storedversions.go
+++ b/io/jwgateway/storedversions.go
@@ -77,7 +77,7 @@
 		case lackingSince.IsZero():
 			lackingSince = now
 		default:
-			writes = now.Sub(lackingSince) >= time.Duration(g.members.Rank(now))*versionsWriteTurn
+			writes = now.Sub(lackingSince) >= time.Duration(g.members.Rank(now, versionsKey))*versionsWriteTurn
 		}
 		if writes {
 			g.storeVersions(ctx, now)
