jwgateway: log the connection of a send, count answers to other requests

Two sends of one request over the same connection can't be told from two over different ones in the log, nor whether targets send answers too many. The lines of send and forward have conn and connCalls, the counter wrong_answers_total counts the answers that were skipped.

--- a/io/jwconn/headlimit_test.go
+++ b/io/jwconn/headlimit_test.go
@@ -156,7 +156,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		cn := &conn{head: &headLimiter{r: strings.NewReader(string(data))}}
 		cn.r = bufio.NewReaderSize(cn.head, readBufferSize)
-		res, err := cn.readHead(&Call{Method: http.MethodPost, Match: func(h http.Header) bool { return h.Get("Id") == "one" }})
+		res, err := new(Pool).readHead(cn, &Call{Method: http.MethodPost, Match: func(h http.Header) bool { return h.Get("Id") == "one" }})
 		assert.Assert(t, cn.head.left >= 0 && !cn.head.limited)
 		if err != nil {
 			return
--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -77,15 +77,25 @@
 	// OnPeerClose, if set, is called when an unused connection to an address turns out to have been
 	// closed by the peer. It must not block.
 	OnPeerClose func(netip.AddrPort)
+	// OnWrongAnswer, if set, is called when an answer to another call than the one in progress was read.
+	OnWrongAnswer func(netip.AddrPort)
 	// Dial, if set, opens the connections instead of a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Incoming, if set, limits what is held of all answers together. Pools may share it.
 	Incoming *jwmemory.Incoming
 
+	lastSerial atomic.Uint64 // Serial of the connection opened last
+
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
 }
 
+// ConnUse identifies a call among those made over a connection.
+type ConnUse struct {
+	Serial uint64 // of the connection, counted from 1 in its pool
+	Calls  int    // calls that it has carried, with this one
+}
+
 // conn is a connection with its read buffer.
 type conn struct {
 	net.Conn
@@ -93,6 +103,7 @@
 	head      *headLimiter  // what r reads from
 	idleSince time.Time     // when it was last returned to the pool
 	keepAlive time.Duration // how long the peer keeps it unused according to its last answer, 0 if unknown
+	use       ConnUse
 }
 
 // Call is one request to a peer.
@@ -194,6 +205,7 @@
 	a := &Answer{pool: p, conn: cn, peer: c.Peer}
 	a.holding = p.Incoming.Hold(c.Peer, func() { a.giveUp(c) })
 	cn.head.begin(a.holding)
+	cn.use.Calls++
 	head := appendHead(make([]byte, 0, 1024), c)
 	start := time.Time{}
 	if c.MaxWriteTime > 0 {
@@ -211,7 +223,7 @@
 		a.writer = &bodyWriter{conn: cn, call: c, start: start, done: make(chan struct{})}
 		go a.writer.run()
 	}
-	res, err := cn.readHead(c)
+	res, err := p.readHead(cn, c)
 	if err != nil {
 		if !a.holding.Release() {
 			err = ErrNoMemory
@@ -262,7 +274,7 @@
 // readHead reads the head of the answer to a call. It skips informational
 // responses (1xx) and answers to earlier requests, but reads maxResponses heads
 // at most.
-func (c *conn) readHead(call *Call) (*http.Response, error) {
+func (p *Pool) readHead(c *conn, call *Call) (*http.Response, error) {
 	const maxResponses = 3
 	const maxSkipped = 1 << 20 // of the body of an answer to another request
 	defer func() { c.head.limited = false }()
@@ -278,6 +290,9 @@
 		if call.Match == nil || call.Match(res.Header) {
 			return res, nil
 		}
+		if p.OnWrongAnswer != nil {
+			p.OnWrongAnswer(call.Peer)
+		}
 		if framingOf(res) == FramedByConnection {
 			break
 		}
@@ -387,7 +402,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c), nil
+	cn := newConn(c)
+	cn.use.Serial = p.lastSerial.Add(1)
+	return cn, nil
 }
 
 func newConn(c net.Conn) *conn {
@@ -448,6 +465,9 @@
 	return StateOf(c.Conn)
 }
 
+// ConnUse returns which call over which connection of the pool was answered.
+func (a *Answer) ConnUse() ConnUse { return a.conn.use }
+
 // Complete reports whether the body was read to its end.
 func (a *Answer) Complete() bool { return a.complete }
 
--- a/io/jwgateway/decide.go
+++ b/io/jwgateway/decide.go
@@ -68,6 +68,7 @@
 	d.Prompt, d.MissTokens, d.AheadTokens = q.Prompt.Tokens, c.MissTokens, c.AheadTokens
 	d.First, d.Pause = p.first, p.pause
 	d.Framing, d.Partial, d.BodyError = string(q.answer.framing), q.answer.partial, q.answer.bodyError
+	d.Conn, d.ConnCalls = q.answer.conn.Serial, q.answer.conn.Calls
 	d.Silent = p.silence(v, time.Now())
 	d.ViewAge, d.Outcome, d.Status = c.Age, string(v), status
 	g.addKnowledge(&d, time.Now())
@@ -100,6 +101,7 @@
 	d.Peer, d.Outcome, d.Status = peer, string(v), status
 	d.First, d.Pause = p.first, p.pause
 	d.Framing, d.Partial, d.BodyError = string(q.answer.framing), q.answer.partial, q.answer.bodyError
+	d.Conn, d.ConnCalls = q.answer.conn.Serial, q.answer.conn.Calls
 	d.Region, d.PartSent, d.ShareAge, d.Expected = q.forwardShare.Region, q.forwardShare.Part, q.forwardShare.Age, q.shareWait
 	d.DropFirst = v == finished && status < 500
 	if !d.DropFirst {
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -182,6 +182,7 @@
 	g.storeWatcher = newStoreWatcher(g)
 	g.Targets.MaxIdlePerPeer = g.maxIdleConns
 	g.Targets.OnPeerClose = g.confirmAt
+	g.Targets.OnWrongAnswer = func(netip.AddrPort) { g.metrics.wrongAnswers.Inc(1) }
 	g.Targets.OnDial = func() { g.metrics.connectionsOpened.Inc(1) }
 	g.registrationChanged = make(chan struct{}, 1)
 	g.confirmationsDue = make(chan struct{}, 1)
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -61,6 +61,7 @@
 	memoryRejections  tally.Counter
 	incomingBytes     tally.Gauge
 	answersGivenUp    tally.Counter
+	wrongAnswers      tally.Counter                  // answers of targets to other requests than the one in progress
 	takenUp           map[originSource]tally.Counter // streams that callers took up again, by how their version was learned
 	versionsReads     map[bool]tally.Counter         // reads of the stored versions for such streams, by whether the store answered
 	origins           tally.Gauge
@@ -121,6 +122,7 @@
 		},
 		incomingBytes:  m.Gauge("incoming_answer_bytes", nil),
 		answersGivenUp: m.Counter("answers_given_up_total", nil),
+		wrongAnswers:   m.Counter("wrong_answers_total", nil),
 		viewFailures:   m.Counter("failed_views_total", nil),
 		takenUp:        make(map[originSource]tally.Counter),
 		garbledStreams: make(map[jwevent.FaultKind]tally.Counter),
--- a/io/jwgateway/overloadoff_test.go
+++ b/io/jwgateway/overloadoff_test.go
@@ -115,6 +115,7 @@
 		"target_probes_total",
 		"unknown_entries_total",
 		"versions_reads_total",
+		"wrong_answers_total",
 	})
 	assert.Assert(t, strings.Contains(series(true), "jujubewheel_first_event_error_seconds"))
 }
--- a/io/jwgateway/passanswer.go
+++ b/io/jwgateway/passanswer.go
@@ -44,6 +44,7 @@
 // closeAnswer closes an answer and records whether the request's body had been sent by then.
 func (q *request) closeAnswer(a *jwconn.Answer) {
 	q.answer.givenUp = a.GivenUp() && !q.writeCut.Load()
+	q.answer.conn = a.ConnUse()
 	a.Close()
 	if err := a.BodyError(); err != nil {
 		q.answer.bodyError = err.Error()
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -119,6 +119,7 @@
 	partial   int    // bytes after the last complete event of a stream that has ended
 	bodyError string // why the request's body wasn't sent completely by then
 	givenUp   bool   // the node could not hold it
+	conn      jwconn.ConnUse
 }
 
 // targetNeed describes the request for the choice of a target.
--- a/io/jwlog/decision.go
+++ b/io/jwlog/decision.go
@@ -33,6 +33,8 @@
 	Framing       string        // what ends the answer's body, such as "chunks"
 	Partial       int           // bytes after the last complete event of a stream that has ended
 	BodyError     string        // why the request's body was not sent completely
+	Conn          uint64        // connection that brought the answer, counted among those to all targets or to all nodes
+	ConnCalls     int           // requests that it has carried
 	Attempt       int           // counted from 1
 	Sends         int           // sends that reached a target so far
 	Retry         *Retry        // set if the request was not served
@@ -156,6 +158,8 @@
 	f = appendText(f, "framing", x.Framing)
 	f = appendNumber(f, "partialBytes", int64(x.Partial))
 	f = appendText(f, "bodyError", x.BodyError)
+	f = appendNumber(f, "conn", int64(x.Conn))
+	f = appendNumber(f, "connCalls", int64(x.ConnCalls))
 	f = appendNumber(f, "attempt", int64(x.Attempt))
 	f = appendNumber(f, "sends", int64(x.Sends))
 	if r := x.Retry; r != nil {
