jwconn: a connection carries a request once

A target may send its refusal twice, and the copy bears the identifier of the request. Answers were matched to calls by that alone, so that the copy passed for the answer to the same request when it came back over the connection: it counted as not run and went on at another target, or to its caller as 503, while the first target ran it, on a connection that returned to the pool.

Requests come back to a connection when a stream is resumed, when a target has a new incarnation at its address, when a node gets a forward again, and when the only target is tried again. Instead of a rule for each of them, the connection remembers what it carried: a call isn't made over one that has carried its identifier, so that an identifier names one exchange of a connection. After 512 calls a connection is closed, as it remembers no more: 2 KB each at most. A request without an identifier gets a connection of its own.

--- a/io/jwconn/pool.go
+++ b/io/jwconn/pool.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -104,6 +106,26 @@
 	idleSince time.Time     // when it was last returned to the pool
 	keepAlive time.Duration // how long the peer keeps it unused according to its last answer, 0 if unknown
 	use       ConnUse
+	carried   []uint32 // hashes of the IDs that it has carried
+}
+
+// maxCarried is the number of IDs after which a connection is closed, as it remembers no more.
+const maxCarried = 512
+
+var idSeed = maphash.MakeSeed()
+
+func hashID(id string) uint32 { return uint32(maphash.String(idSeed, id)) }
+
+// hasCarried reports whether the connection has carried a call with an ID. It may be wrong if it has not.
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.carried, hashID(id))
+}
+
+func (c *conn) recordCall(id string) {
+	c.use.Calls++
+	if id != "" {
+		c.carried = append(c.carried, hashID(id))
+	}
 }
 
 // Call is one request to a peer.
@@ -121,6 +143,10 @@
 	// used only with Rest.
 	Rest   io.ReadCloser
 	Length int64
+	// ID is the request's identifier if its answer repeats it, "" otherwise. A call with an ID isn't made
+	// over a connection that has carried the ID before: a peer may send an answer twice, and the
+	// copy of an earlier answer to the same request would pass for the one that is due.
+	ID string
 	// Match reports whether a header belongs to the answer to this call, and not
 	// to an earlier call on the connection; nil accepts any.
 	Match func(http.Header) bool
@@ -205,7 +231,7 @@
 	a := &Answer{pool: p, conn: cn, peer: c.Peer}
 	a.holding = p.Incoming.Hold(c.Peer, func() { a.giveUp(c) })
 	cn.head.begin(a.holding)
-	cn.use.Calls++
+	cn.recordCall(c.ID)
 	head := appendHead(make([]byte, 0, 1024), c)
 	start := time.Time{}
 	if c.MaxWriteTime > 0 {
@@ -359,7 +385,7 @@
 	for {
 		var cn *conn
 		if !c.NewConn {
-			cn = p.pop(c.Peer)
+			cn = p.pop(c.Peer, c.ID)
 		}
 		if cn == nil {
 			return p.dial(ctx, c.Peer)
@@ -377,16 +403,18 @@
 	}
 }
 
-func (p *Pool) pop(peer netip.AddrPort) *conn {
+// pop returns the connection used last among those kept that have not carried an ID, nil if there is none.
+func (p *Pool) pop(peer netip.AddrPort, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[peer]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if cn := list[i]; !cn.hasCarried(id) {
+			p.idle[peer] = slices.Delete(list, i, i+1)
+			return cn
+		}
 	}
-	cn := list[len(list)-1]
-	p.idle[peer] = list[:len(list)-1]
-	return cn
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, peer netip.AddrPort) (*conn, error) {
@@ -415,6 +443,10 @@
 // put keeps a connection for later calls. It closes the ones unused longest where
 // there are too many, and those unused for longer than IdleTimeout.
 func (p *Pool) put(peer netip.AddrPort, cn *conn) {
+	if len(cn.carried) >= maxCarried {
+		cn.Close()
+		return
+	}
 	now := time.Now()
 	cn.idleSince = now
 	maxIdle := intOr(p.MaxIdle, DefaultMaxIdle)
--- a/io/jwconn/pool_test.go
+++ b/io/jwconn/pool_test.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -301,3 +303,70 @@
 		})
 	}
 }
+
+// A peer answers a request again while it handles the same request, which came back: the earlier answer must not be
+// taken for the one that is due, as it would be over the same connection.
+func TestConnectionCarriesARequestOnce(t *testing.T) {
+	cases := map[string]struct {
+		ids   []string
+		conns int // that the peer has accepted by the end
+	}{
+		"different requests":             {[]string{"a", "b", "c"}, 1},
+		"the same again":                 {[]string{"a", "a"}, 2},
+		"the same later":                 {[]string{"a", "b", "a"}, 2},
+		"three times":                    {[]string{"a", "a", "a"}, 3},
+		"another, over one that is kept": {[]string{"a", "a", "b", "c"}, 2},
+		"without an ID":                  {[]string{"", "", ""}, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var conns atomic.Int32
+			a := startPeer(t, func(c net.Conn, r *bufio.Reader) {
+				conns.Add(1)
+				for {
+					id, err := readRequestID(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, responseText(id, "x"))
+				}
+			})
+			p := &Pool{}
+			for _, id := range c.ids {
+				callOnce(t, p, a, id)
+			}
+			assert.Equal(t, int(conns.Load()), c.conns)
+		})
+	}
+}
+
+// A connection is closed when it can remember no more of the requests that it carried.
+func TestConnectionRemembersBoundedNumberOfRequests(t *testing.T) {
+	a := startPeer(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			id, err := readRequestID(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, responseText(id, "x"))
+		}
+	})
+	p := &Pool{}
+	for i := range maxCarried {
+		assert.Equal(t, p.IdleCount(a), min(i, 1))
+		callOnce(t, p, a, strconv.Itoa(i))
+	}
+	assert.Equal(t, p.IdleCount(a), 0)
+}
+
+// callOnce makes a call with an ID and reads its answer.
+func callOnce(t *testing.T, p *Pool, a netip.AddrPort, id string) {
+	t.Helper()
+	call := newCall(a, id)
+	call.ID = id
+	answer, err := p.Do(t.Context(), call)
+	assert.NilError(t, err)
+	defer answer.Close()
+	_, err = io.Copy(io.Discard, answer.Body)
+	assert.NilError(t, err)
+}
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -167,6 +167,7 @@
 	call := &jwconn.Call{
 		Peer: m.Nodes, Method: q.method, Target: q.target, Host: q.host, Header: h,
 		Body: q.body.buffered, Rest: q.body.sender(), Length: q.body.length,
+		ID: q.ID, NewConn: q.ID == "", // without an ID, answers can't be told apart
 		Match:    func(h http.Header) bool { return g.Dialect.ID(h) == q.ID },
 		OnGiveUp: q.cutWrite,
 		BeforeWrite: func() error {
--- a/io/jwgateway/send.go
+++ b/io/jwgateway/send.go
@@ -283,6 +283,7 @@
 	call := &jwconn.Call{
 		Peer: x.Address, Method: q.method, Target: q.target, Host: q.host, Header: h,
 		Body: q.body.buffered, Rest: q.body.sender(), Length: q.body.length,
+		ID: q.ID, NewConn: q.ID == "", // without an ID, answers can't be told apart
 		Match:    func(h http.Header) bool { return g.Dialect.ID(h) == q.ID },
 		OnGiveUp: q.cutWrite,
 	}
