jwgateway: a late answer of a sender isn't silence

A stopping node closes each connection after its answer; a question whether it still wants its streams then takes two round trips beside a busy processor, and was given up after 500 ms. Three in a row counted as silence.

The answer to an overdue question now counts when it comes, and so does every call of the sender. When the streams of a silent sender end doesn't change.

--- a/core/jwsender/table.go
+++ b/core/jwsender/table.go
@@ -53,7 +53,7 @@
 type sender struct {
 	streams  map[*stream]bool
 	askedAt  time.Time // when it was last asked
-	aliveAt  time.Time // when the last question that it answered was asked
+	aliveAt  time.Time // when the last question that it answered was asked, or a call of it came
 	failures int       // questions in a row without an answer
 }
 
@@ -154,6 +154,15 @@
 	})
 }
 
+// Alive records that a call of a node came, which shows that it lives where it is too busy to answer questions.
+func (t *Table) Alive(now time.Time, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.senders[name]; s != nil {
+		s.aliveAt = later(s.aliveAt, now)
+	}
+}
+
 // Abandon ends streams that their sender reports as abandoned, and returns their number. One that is added later
 // is ended then.
 func (t *Table) Abandon(now time.Time, name string, forwards []string) int {
@@ -176,7 +185,7 @@
 }
 
 // Failed records that a question was not answered, and ends the sender's streams if it has been silent for
-// MaxSilence. It returns the number of streams ended.
+// MaxSilence. It returns the number of streams ended. The question may still be answered.
 func (t *Table) Failed(now time.Time, name string) int {
 	return t.end(name, Silent, func(s *sender, x *stream) bool {
 		return s.failures >= minFailures && now.Sub(later(s.aliveAt, x.addedAt)) >= MaxSilence
--- a/core/jwsender/table_test.go
+++ b/core/jwsender/table_test.go
@@ -197,3 +197,17 @@
 		}
 	})
 }
+
+// A sender is too busy to answer questions in time, but calls this node: its streams must go on, and end once its calls
+// have ended too.
+func TestCallsOfASenderShowThatItLives(t *testing.T) {
+	f := newFleet()
+	f.add("a", "r1")
+	f.run(5*time.Second, func(q jwsender.Question) ([]string, bool) {
+		f.table.Alive(f.now, q.Sender)
+		return nil, false
+	})
+	assert.Equal(t, len(f.ended), 0)
+	f.run(2*time.Second, silent)
+	assert.Equal(t, f.ended["r1"], jwsender.Silent)
+}
--- a/io/jwgateway/abandon.go
+++ b/io/jwgateway/abandon.go
@@ -128,6 +128,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	g.senders.Alive(time.Now(), report.Node)
 	ended := g.senders.Abandon(time.Now(), report.Node, report.Forwards)
 	g.logAbandoned(report.Node, jwsender.Unwanted, ended)
 	w.WriteHeader(http.StatusNoContent)
--- a/io/jwgateway/exchange.go
+++ b/io/jwgateway/exchange.go
@@ -266,6 +266,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	g.senders.Alive(time.Now(), s.Member.Name)
 	g.mergeState(s, jwmember.Member{}, time.Now().Add(-exchangeTimeout))
 	w.Header()["Content-Type"] = []string{"application/json"}
 	if err := json.NewEncoder(w).Encode(g.replyState(time.Now(), s)); err != nil {
--- a/io/jwgateway/forward.go
+++ b/io/jwgateway/forward.go
@@ -318,6 +318,7 @@
 		delete(q.header, name)
 	}
 	q.deadline = q.arrived.Add(max(q.Deadline, time.Millisecond))
+	g.senders.Alive(q.arrived, q.sender)
 	if !g.pauseDetector.Valid() {
 		g.answerError(q.w, q.ID, http.StatusServiceUnavailable, wakeRetryAfter, nodePaused)
 		return
--- a/io/jwgateway/sender.go
+++ b/io/jwgateway/sender.go
@@ -20,7 +20,8 @@
 const (
 	// senderStep is the time between two looks at which senders are due.
 	senderStep = 100 * time.Millisecond
-	// senderTimeout limits one question to a sender; it holds two round trips to another region.
+	// senderTimeout is how long a sender may take to answer a question before that counts against it; it
+	// holds two round trips to another region. A later answer still counts, as that of a busy node.
 	senderTimeout = 500 * time.Millisecond
 	maxQuestion   = 1 << 20
 )
@@ -96,15 +97,19 @@
 // askSender asks a node which of its streams it still wants, and ends the others.
 func (g *Gateway) askSender(ctx context.Context, m jwmember.Member, q jwsender.Question) {
 	askedAt := time.Now()
-	a, err := g.askForwards(ctx, m, q.Forwards)
-	reason, ended := jwsender.Unwanted, 0
-	if err != nil {
+	fail := func() {
 		g.Nodes.CloseIdle(m.Nodes) // the next question goes over a new connection
-		reason, ended = jwsender.Silent, g.senders.Failed(time.Now(), q.Sender)
-	} else {
-		ended = g.senders.Answered(askedAt, q.Sender, a.Unwanted)
+		g.logAbandoned(q.Sender, jwsender.Silent, g.senders.Failed(time.Now(), q.Sender))
+	}
+	overdue := time.AfterFunc(senderTimeout, fail)
+	a, err := g.askForwards(ctx, m, q.Forwards)
+	waited := !overdue.Stop()
+	switch {
+	case err == nil:
+		g.logAbandoned(q.Sender, jwsender.Unwanted, g.senders.Answered(askedAt, q.Sender, a.Unwanted))
+	case !waited:
+		fail()
 	}
-	g.logAbandoned(q.Sender, reason, ended)
 }
 
 func (g *Gateway) logAbandoned(sender string, reason jwsender.Reason, streams int) {
@@ -120,7 +125,7 @@
 	if err != nil {
 		return a, errors.Wrap(err, "encode the question for forwards")
 	}
-	ctx, cancel := context.WithTimeout(ctx, senderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, jwsender.MaxSilence)
 	defer cancel()
 	raw, err := g.nodeCall(ctx, m, http.MethodPost, forwardsPath, body)
 	if err != nil {
@@ -141,6 +146,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	g.senders.Alive(time.Now(), q.Node)
 	if err := json.NewEncoder(w).Encode(forwardAnswer{g.forwards.without(q.Node, q.Forwards)}); err != nil {
 		g.Log.V(1).Info("failed to answer for forwards", "peer", q.Node, "error", err.Error())
 	}
