jwrest: one account of what the connections of callers hold

Callers that nobody controls ended processes of such systems: crowds of requests that stop short of their end, of very many fields, or with answers that are not read. What a node held grew with the callers that were open, and nothing added it up; only buffered bodies were counted, under overload control.

jwmemory.Callers counts connections, heads as they are read, heads by their fields, bodies as they come. Without room the connection is given up whose request has been incomplete, or whose answer has waited to be read, for longest, then the one idle for longest; a complete request is never given up, a further one gets 503 that it hasn't run. What was given up counts until it has ended. Each answer has a time in which its caller must read it.

--- a/io/jwgateway/answerwriter.go
+++ b/io/jwgateway/answerwriter.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -68,7 +67,7 @@
 // abort ends the request without the end of its answer, and doesn't return. An answer in HTTP/1.0 ends with its
 // connection, so that only a reset shows that it is incomplete.
 func (w *answerWriter) abort() {
-	if c, ok := jwrest.Conn(w.request.Context()).(*net.TCPConn); ok && !w.request.ProtoAtLeast(1, 1) {
+	if c, ok := jwrest.Conn(w.request.Context()).(interface{ SetLinger(sec int) error }); ok && !w.request.ProtoAtLeast(1, 1) {
 		_ = c.SetLinger(0)
 	}
 	panic(http.ErrAbortHandler)
--- a/io/jwgateway/gateway.go
+++ b/io/jwgateway/gateway.go
@@ -102,6 +102,7 @@
 	inFlight            atomic.Int64
 	memory              jwmemory.Account  // bytes held for requests of services with overload control
 	incoming            jwmemory.Incoming // bytes held of answers that can't be passed on yet
+	callers             jwmemory.Callers  // bytes held for the connections of callers
 	slowStreams         slowStreams
 	forwards            forwardTable
 	abandonedForwards   abandonedForwards
@@ -178,6 +179,8 @@
 	g.memory.Budget = jwmemory.Budget(o.MemoryBytes)
 	g.incoming.Budget = jwmemory.IncomingBudget(o.MemoryBytes)
 	g.incoming.OnGiveUp = func() { g.metrics.answersGivenUp.Inc(1) }
+	g.callers.Budget, g.callers.MaxConns = jwmemory.CallersBudget(o.MemoryBytes), o.MaxCallers()
+	g.callers.OnGiveUp = func(p jwmemory.Phase) { g.metrics.callersGivenUp[p].Inc(1) }
 	g.Targets.Incoming, g.Nodes.Incoming = &g.incoming, &g.incoming
 	g.storeWatcher = newStoreWatcher(g)
 	g.Targets.MaxIdlePerPeer = g.maxIdleConns
@@ -251,6 +254,10 @@
 	if l.Metrics.IsValid() && g.Meter != nil {
 		list = append(list, g.server("metrics", l.Metrics, g.Meter.Handler()))
 	}
+	for _, s := range list[:nodesServer] {
+		s.Callers = &g.callers
+	}
+	list[callersServer].Full = http.HandlerFunc(g.rejectForCallers)
 	return list
 }
 
@@ -345,6 +352,9 @@
 		g.metrics.nodes.Update(float64(len(g.members.Live(now, ""))))
 		g.metrics.inFlight.Update(float64(g.inFlight.Load()))
 		g.metrics.updateMemory(&g.memory, g.slowStreams.count())
+		bytes, conns := g.callers.Held()
+		g.metrics.callerBytes.Update(float64(bytes))
+		g.metrics.callerConns.Update(float64(conns))
 		g.metrics.incomingBytes.Update(float64(g.incoming.Held()))
 		g.metrics.origins.Update(float64(g.origins.Len()))
 		g.metrics.barredParts.Update(float64(g.parts.Bars()))
--- a/io/jwgateway/memory.go
+++ b/io/jwgateway/memory.go
@@ -57,6 +57,12 @@
 	return false
 }
 
+// rejectForCallers rejects a request of a caller that the node can't hold beside those of others.
+func (g *Gateway) rejectForCallers(w http.ResponseWriter, r *http.Request) {
+	g.metrics.callerRejections.Inc(1)
+	g.answerError(w, g.Dialect.ID(r.Header), http.StatusServiceUnavailable, memoryRetryAfter, memoryFull)
+}
+
 // releaseMemory returns what admitMemory has accounted for a request.
 func (g *Gateway) releaseMemory(q *request) {
 	if q.heldRequest == 0 {
--- a/io/jwgateway/metrics.go
+++ b/io/jwgateway/metrics.go
@@ -61,6 +61,10 @@
 	memoryRejections  tally.Counter
 	incomingBytes     tally.Gauge
 	answersGivenUp    tally.Counter
+	callersGivenUp    map[jwmemory.Phase]tally.Counter // connections of callers that were closed to free memory or descriptors
+	callerRejections  tally.Counter                    // requests that were rejected as the connections of callers hold too much
+	callerBytes       tally.Gauge
+	callerConns       tally.Gauge
 	wrongAnswers      tally.Counter                  // answers of targets to other requests than the one in progress
 	takenUp           map[originSource]tally.Counter // streams that callers took up again, by how their version was learned
 	versionsReads     map[bool]tally.Counter         // reads of the stored versions for such streams, by whether the store answered
@@ -122,10 +126,18 @@
 		},
 		incomingBytes:  m.Gauge("incoming_answer_bytes", nil),
 		answersGivenUp: m.Counter("answers_given_up_total", nil),
-		wrongAnswers:   m.Counter("wrong_answers_total", nil),
-		viewFailures:   m.Counter("failed_views_total", nil),
-		takenUp:        make(map[originSource]tally.Counter),
-		garbledStreams: make(map[jwevent.FaultKind]tally.Counter),
+		callersGivenUp: map[jwmemory.Phase]tally.Counter{
+			jwmemory.Idle:      m.Counter("callers_given_up_total", jwmeter.Tags{"phase": string(jwmemory.Idle)}),
+			jwmemory.Receiving: m.Counter("callers_given_up_total", jwmeter.Tags{"phase": string(jwmemory.Receiving)}),
+			jwmemory.Writing:   m.Counter("callers_given_up_total", jwmeter.Tags{"phase": string(jwmemory.Writing)}),
+		},
+		callerRejections: m.Counter("caller_rejections_total", nil),
+		callerBytes:      m.Gauge("caller_bytes", nil),
+		callerConns:      m.Gauge("caller_connections", nil),
+		wrongAnswers:     m.Counter("wrong_answers_total", nil),
+		viewFailures:     m.Counter("failed_views_total", nil),
+		takenUp:          make(map[originSource]tally.Counter),
+		garbledStreams:   make(map[jwevent.FaultKind]tally.Counter),
 		abandonedForwards: map[bool]tally.Counter{
 			true:  m.Counter("abandoned_forwards_total", jwmeter.Tags{"reported": "true"}),
 			false: m.Counter("abandoned_forwards_total", jwmeter.Tags{"reported": "false"}),
--- a/io/jwgateway/overloadoff_test.go
+++ b/io/jwgateway/overloadoff_test.go
@@ -90,6 +90,7 @@
 		"abandoned_streams_total",
 		"answers_given_up_total",
 		"barred_part_rejections_total", "barred_parts",
+		"caller_bytes", "caller_connections", "caller_rejections_total", "callers_given_up_total",
 		"configuration_version",
 		"crash_checks_total",
 		"directory_answers_total",
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -200,6 +200,7 @@
 		limit = min(limit, e.Timeout)
 	}
 	q.deadline = q.arrived.Add(limit)
+	_ = http.NewResponseController(w).SetWriteDeadline(q.deadline.Add(deadlineMargin)) // a caller may read nothing
 	workspace, known := cfg.Caller(e, call.Key)
 	if !g.identify(q, workspace, known) {
 		return
--- a/io/jwrest/server.go
+++ b/io/jwrest/server.go
@@ -14,6 +14,8 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	"golang.org/x/net/netutil"
+
+	"jujubewheel/core/jwmemory"
 )
 
 // The defaults for the fields of a Server that are zero, and the factor between
@@ -38,10 +40,14 @@
 	// connect at the same time make a node hold all of their requests, and it
 	// runs out of memory.
 	MaxConnections int
-	HeaderTimeout  time.Duration // longest wait for a request's header
-	IdleTimeout    time.Duration // longest wait for the next request
-	DrainLimit     time.Duration // longest wait for requests in flight when the server stops, 0 for no limit
-	Log            logr.Logger
+	// Callers, if set, accounts for what the connections and requests hold. Servers may share it.
+	Callers *jwmemory.Callers
+	// Full, if set, answers requests that Callers has no room for, in place of an empty 503.
+	Full          http.Handler
+	HeaderTimeout time.Duration // longest wait for a request's header
+	IdleTimeout   time.Duration // longest wait for the next request
+	DrainLimit    time.Duration // longest wait for requests in flight when the server stops, 0 for no limit
+	Log           logr.Logger
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -62,6 +68,9 @@
 	if s.MaxConnections > 0 {
 		l = netutil.LimitListener(l, s.MaxConnections)
 	}
+	if s.Callers != nil {
+		l = &callerListener{l, s.Callers}
+	}
 	s.listener = l
 	return nil
 }
@@ -134,7 +143,7 @@
 
 func (s *Server) httpServer() *http.Server {
 	return &http.Server{
-		Handler:   s.closeWhenDraining(s.Handler),
+		Handler:   s.account(s.closeWhenDraining(s.Handler)),
 		TLSConfig: s.TLS,
 		// The limit of net/http is above MaxHeader, because its answer has no
 		// outcome: handlers reject headers larger than MaxHeader, and net/http
--- a/io/jwsettings/gateway.go
+++ b/io/jwsettings/gateway.go
@@ -15,6 +15,7 @@
 	Seeds       []netip.AddrPort  // addresses of some nodes' ports for nodes; they may be out of date
 	Bounds      Bounds
 	MemoryBytes int64   // bytes that the process may use; 0 means no limit
+	Descriptors int     // file descriptors that the process may have open; 0 means unknown
 	Cores       float64 // processor cores of the host; 0 means unknown
 	LinkMbps    float64 // bandwidth of the host's network link; 0 means unknown
 	Overload    OverloadMode
@@ -56,6 +57,10 @@
 	return int(min(unitsPerCore*g.Cores, unitsPerMbps*g.LinkMbps))
 }
 
+// MaxCallers returns how many connections of callers may be open at once: half of the descriptors. The others are left for
+// targets, nodes and files. It is 0, for no limit, if their number is unknown.
+func (g *Gateway) MaxCallers() int { return g.Descriptors / 2 }
+
 // GatewayAddresses are the addresses that a node with Gateway settings listens on.
 type GatewayAddresses struct {
 	Callers   netip.AddrPort
@@ -146,9 +151,11 @@
 		}
 		g.Seeds = append(g.Seeds, a)
 	}
-	megabytes := int64(0)
+	megabytes, descriptors := int64(0), int64(0)
 	o.integer("memoryMB", &megabytes, 0, 1<<30)
 	g.MemoryBytes = megabytes << 20
+	o.integer("descriptors", &descriptors, 0, 1<<30)
+	g.Descriptors = int(descriptors)
 	o.number("cores", &g.Cores, 0, 1e6)
 	o.number("linkMbps", &g.LinkMbps, 0, 1e9)
 	g.readOverload(o)
