jwrest: a request that finds no room is told so

A connection whose own request was the oldest incomplete one was given up for itself, and reset; it is answered 503 now, and those that are given up are closed without the table waiting for them.

--- a/core/jwmemory/callers.go
+++ b/core/jwmemory/callers.go
@@ -69,7 +69,7 @@
 func (c *Callers) Open(now time.Time, bytes int64, giveUp func()) (x *Caller, r Room, released <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r = c.reserve(bytes, 1)
+	r = c.reserve(nil, bytes, 1)
 	if r != Granted {
 		return nil, r, c.awaitRelease(r)
 	}
@@ -92,7 +92,7 @@
 		x.enter(now, p)
 	}
 	if grows := bytes - x.bytes; grows > 0 && !x.lost && !x.closed {
-		if r := c.reserve(grows, 0); r != Granted && !x.lost {
+		if r := c.reserve(x, grows, 0); r != Granted {
 			return r, c.awaitRelease(r)
 		}
 	}
@@ -146,11 +146,12 @@
 	return c.total, len(c.conns) + c.endConns
 }
 
-// reserve gives up connections until a number of bytes and connections will fit in once they are closed.
-func (c *Callers) reserve(bytes int64, conns int) Room {
+// reserve gives up connections until a number of bytes and connections will fit in once they are closed. If x, which asks
+// for it, is the next one, there is no room.
+func (c *Callers) reserve(x *Caller, bytes int64, conns int) Room {
 	for c.Budget > 0 && c.total-c.ending+bytes > c.Budget || c.MaxConns > 0 && len(c.conns)+conns > c.MaxConns {
 		v := c.victim()
-		if v == nil {
+		if v == nil || v == x {
 			return Full
 		}
 		c.lose(v)
--- a/core/jwmemory/callers_test.go
+++ b/core/jwmemory/callers_test.go
@@ -84,7 +84,7 @@
 				opened, _, _ := callers.Open(now, 0, func() { got = i })
 				opened.phase, opened.since = x.phase, now.Add(-x.age)
 			}
-			callers.reserve(0, min(1, len(c.conns)))
+			callers.reserve(nil, 0, min(1, len(c.conns)))
 			assert.Equal(t, got, c.want)
 		})
 	}
--- a/io/jwrest/callerconn.go
+++ b/io/jwrest/callerconn.go
@@ -92,11 +92,12 @@
 	request  int64          // bytes held for the request, also after its handler if its body has not come completely
 }
 
-// reset closes the connection and discards what it has not sent.
+// reset closes the connection and discards what it has not sent. It doesn't wait for reads and writes in progress, as
+// closing does.
 func (c *callerConn) reset() {
 	c.wasReset.Store(true)
 	_ = c.SetLinger(0)
-	_ = c.TCPConn.Close()
+	go func() { _ = c.TCPConn.Close() }()
 }
 
 // hold sets the phase of the connection and what it holds. It returns false if the process can't hold that.
