jwmemory: ordinary callers make way for nobody

Beside requests that were all complete, an ordinary one was the only one that could be given up, in the moment in which it was read or its answer written: its connection was reset for a newcomer. Nothing is given up in its first 250 ms now; the newcomer is rejected. And complete requests no longer count 32 KB each, so that they are served as before however many there are.

--- a/core/jwmemory/callers.go
+++ b/core/jwmemory/callers.go
@@ -19,6 +19,10 @@
 // callersShare is the share of the process's memory that Callers may hold.
 const callersShare = 0.25
 
+// MinStuck is how long a request must have been incomplete, or an answer have waited to be read, for its connection to
+// be given up. Ordinary callers take less.
+const MinStuck = 250 * time.Millisecond
+
 // CallersBudget returns how many bytes the connections of callers of a process may hold that may use the given
 // number of bytes; 0, for no limit, if that is 0.
 func CallersBudget(process int64) int64 { return int64(callersShare * float64(process)) }
@@ -69,7 +73,7 @@
 func (c *Callers) Open(now time.Time, bytes int64, giveUp func()) (x *Caller, r Room, released <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r = c.reserve(nil, bytes, 1)
+	r = c.reserve(now, nil, bytes, 1)
 	if r != Granted {
 		return nil, r, c.awaitRelease(r)
 	}
@@ -92,7 +96,7 @@
 		x.enter(now, p)
 	}
 	if grows := bytes - x.bytes; grows > 0 && !x.lost && !x.closed {
-		if r := c.reserve(x, grows, 0); r != Granted {
+		if r := c.reserve(now, x, grows, 0); r != Granted {
 			return r, c.awaitRelease(r)
 		}
 	}
@@ -148,9 +152,9 @@
 
 // reserve gives up connections until a number of bytes and connections will fit in once they are closed. If x, which asks
 // for it, is the next one, there is no room.
-func (c *Callers) reserve(x *Caller, bytes int64, conns int) Room {
+func (c *Callers) reserve(now time.Time, x *Caller, bytes int64, conns int) Room {
 	for c.Budget > 0 && c.total-c.ending+bytes > c.Budget || c.MaxConns > 0 && len(c.conns)+conns > c.MaxConns {
-		v := c.victim()
+		v := c.victim(now)
 		if v == nil || v == x {
 			return Full
 		}
@@ -173,7 +177,7 @@
 }
 
 // victim returns the connection to be given up first, nil if there is none.
-func (c *Callers) victim() *Caller {
+func (c *Callers) victim(now time.Time) *Caller {
 	var stuck, idle *Caller
 	for x := range c.conns {
 		switch {
@@ -183,7 +187,7 @@
 			idle = x
 		}
 	}
-	if stuck != nil {
+	if stuck != nil && now.Sub(stuck.since) >= MinStuck {
 		return stuck
 	}
 	return idle
--- a/io/jwrest/callerconn.go
+++ b/io/jwrest/callerconn.go
@@ -14,7 +14,8 @@
 const (
 	// connMemory is what an open connection takes: its goroutine and its buffers.
 	connMemory = 8 << 10
-	// requestMemory is what a request takes beside its head and body: the stacks and buffers of its calls.
+	// requestMemory is what an incomplete request takes beside its head and body: stacks and buffers. One that has come
+	// completely is served, however many there are, unless its head or body is large.
 	requestMemory = 32 << 10
 	// headGrowth is how many bytes a byte of a head that is being read takes at most, in a head of very short fields.
 	headGrowth = 16
@@ -146,12 +147,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling, c.head, c.phase = true, 0, jwmemory.Serving
-	c.request = requestMemory + headMemory(r.Header)
+	c.request = headMemory(r.Header)
 	if r.ContentLength != 0 {
 		b := &callerBody{ReadCloser: r.Body, conn: c, held: min(max(r.ContentLength, 0), maxBodyMemory)}
 		r.Body = b
 		c.phase = jwmemory.Receiving
-		c.request += b.held
+		c.request += requestMemory + b.held
 	}
 	return c.hold(c.phase, connMemory+c.request)
 }
@@ -201,8 +202,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err == io.EOF {
-		c.phase = jwmemory.Serving
-		c.caller.Enter(time.Now(), c.phase)
+		b.end()
 		return n, err
 	}
 	if holds := min(2*b.read, maxBodyMemory); holds > b.held+bodyStep {
@@ -215,6 +215,16 @@
 	return n, err
 }
 
+// end accounts for the end of the body, with conn.mu locked.
+func (b *callerBody) end() {
+	c := b.conn
+	if c.phase == jwmemory.Receiving {
+		c.phase = jwmemory.Serving
+		c.request -= requestMemory
+		c.hold(c.phase, connMemory+c.request)
+	}
+}
+
 // account accounts for what requests hold. It has those rejected that the process can't hold.
 func (s *Server) account(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
