--- a/io/jwsettings/gateway_test.go
+++ b/io/jwsettings/gateway_test.go
@@ -19,7 +19,7 @@
     "store": {"address": "10.9.0.1:90", "leaseMin": "1000ms"},
     "dataCentres": [{"name": "north-a", "region": "north"}],
     "seeds": ["10.0.0.2:83"],
-    "memoryMB": 284,
+    "memoryMB": 284, "descriptors": 4100,
     "overload": "auto",
     "waitingRoom": "target",
     "contracts": ["base", "drain"],
@@ -35,7 +35,7 @@
 	assert.DeepEqual(t, *s.Gateway, Gateway{
 		Listen: GatewayAddresses{Callers: at("10.0.0.1:80"), Ready: at("10.0.0.1:81"), Directory: at("10.0.0.1:82"), Nodes: at("10.0.0.1:83")},
 		Store:  GatewayStore{Address: at("10.9.0.1:90"), LeaseMin: time.Second}, DataCentres: map[string]string{"north-a": "north"},
-		Seeds: []netip.AddrPort{at("10.0.0.2:83")}, MemoryBytes: 284 << 20,
+		Seeds: []netip.AddrPort{at("10.0.0.2:83")}, MemoryBytes: 284 << 20, Descriptors: 4100,
 		Overload: OverloadAuto, WaitingRoom: WaitAtTarget, Contracts: []string{"base", "drain"},
 		Bounds: Bounds{Grace: 8 * time.Second, ConfigInForce: 5 * time.Second, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second, ColdRatio: 1.5, ColdSlack: 3, QuotaWindow: 8 * time.Second, QuotaRatio: 0.1, QuotaSlack: 110_000},
 	}, cmpopts.EquateComparable(netip.AddrPort{}))
@@ -62,6 +62,7 @@
 		"a mode of overload control": {`"auto"`, `"sometimes"`, "gateway.overload"},
 		"a place to wait":            {`"target"`, `"nowhere"`, "gateway.waitingRoom"},
 		"an unknown key":             {`"memoryMB"`, `"memory"`, "gateway.memory"},
+		"negative descriptors":       {`4100`, `-1`, "gateway.descriptors"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
