jwrest: a request that was answered before its body came holds its head only

After a 503 to a request whose body hadn't come, its connection still counted as an incomplete request, and in its first 250 ms nothing made way: the next caller of a small node was reset. It counts as idle, with its head.

--- a/io/jwrest/callerconn.go
+++ b/io/jwrest/callerconn.go
@@ -90,7 +90,8 @@
 	handling bool           // a handler has the request
 	phase    jwmemory.Phase // to return to after a write
 	head     int64          // bytes read of the head, while there is no handler
-	request  int64          // bytes held for the request, also after its handler if its body has not come completely
+	request  int64          // bytes held for the request
+	header   int64          // of these, for its head; also after its handler if the body has not come completely
 }
 
 // reset closes the connection and discards what it has not sent. It doesn't wait for reads and writes in progress, as
@@ -147,7 +148,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling, c.head, c.phase = true, 0, jwmemory.Serving
-	c.request = headMemory(r.Header)
+	c.header = headMemory(r.Header)
+	c.request = c.header
 	if r.ContentLength != 0 {
 		b := &callerBody{ReadCloser: r.Body, conn: c, held: min(max(r.ContentLength, 0), maxBodyMemory)}
 		r.Body = b
@@ -168,10 +170,11 @@
 		c.caller.Close()
 		return
 	}
-	if c.phase != jwmemory.Receiving {
-		c.phase, c.request = jwmemory.Idle, 0
-		c.hold(c.phase, connMemory)
+	if c.request = c.header; c.phase != jwmemory.Receiving {
+		c.request = 0
 	}
+	c.phase = jwmemory.Idle
+	c.hold(c.phase, connMemory+c.request)
 }
 
 // headMemory returns what a head takes.
