jwgateway: a body that the node can't hold isn't a broken one

A caller whose body in chunks outgrew what callers may hold got 400, which callers don't send again, though the request hadn't run and was proper. It gets 503 with a Retry-After, as one that is rejected before its body. Found by reading the change once more; TestBodyInChunksThatCannotBeHeld got 400 before.

--- a/io/jwgateway/memory_test.go
+++ b/io/jwgateway/memory_test.go
@@ -136,3 +136,24 @@
 		assert.Assert(t, err != nil || !strings.HasSuffix(string(text), "\r\n0\r\n\r\n"), "the stream looks complete")
 	}
 }
+
+// A node can't hold the body of a request whose length isn't known: it must reject the request as not run, as callers
+// don't send one again after 400.
+func TestBodyInChunksThatCannotBeHeld(t *testing.T) {
+	t.Parallel()
+	var feed jwstore.MemoryFeed
+	x := startTarget(t, &feed, "t1", "s", "north-a", respondText("fine"))
+	configure(&feed, 1, route("/a/", "non_idempotent", ""))
+	n := startWith(t, &feed, "n1", "north", func(g *jwgateway.Gateway) { g.Settings.Gateway.MemoryBytes = 300 << 10 })
+	sendUntil(t, n, "/a/x", served)
+	before := len(x.requests())
+	c, err := net.Dial("tcp", n.callers.String())
+	assert.NilError(t, err)
+	defer c.Close()
+	fmt.Fprintf(c, "POST /a/x HTTP/1.1\r\nHost: h.example\r\nJujubewheel-Request-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n7000\r\n%s\r\n", strings.Repeat("x", 0x7000))
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, r.Header.Get("Retry-After"), "1.000")
+	assert.Equal(t, len(x.requests()), before)
+}
--- a/io/jwgateway/request.go
+++ b/io/jwgateway/request.go
@@ -23,6 +23,7 @@
 	"jujubewheel/core/jwversion"
 	"jujubewheel/core/jwworkspace"
 	"jujubewheel/io/jwconn"
+	"jujubewheel/io/jwrest"
 )
 
 const (
@@ -303,6 +304,11 @@
 		q.answerWriter.broken = true
 		g.logAnswer(q, "notRun", bodyTooSlow, http.StatusRequestTimeout)
 		g.answerError(q.w, q.ID, http.StatusRequestTimeout, 0, bodyTooSlow)
+	case errors.Is(err, jwrest.ErrNoRoom):
+		q.answerWriter.broken = true
+		g.metrics.callerRejections.Inc(1)
+		g.logAnswer(q, "notRun", memoryFull, http.StatusServiceUnavailable)
+		g.answerError(q.w, q.ID, http.StatusServiceUnavailable, memoryRetryAfter, memoryFull)
 	default:
 		q.answerWriter.broken = true
 		g.answerError(q.w, q.ID, http.StatusBadRequest, 0, "body broke off")
--- a/io/jwrest/callerconn.go
+++ b/io/jwrest/callerconn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"jujubewheel/core/jwmemory"
 )
 
@@ -31,6 +33,9 @@
 	answerTimeout = 30 * time.Second
 )
 
+// ErrNoRoom is the error of reading a body that the process can't hold.
+var ErrNoRoom = errors.New("the process can't hold the body")
+
 // callerListener accounts for the connections that it accepts.
 type callerListener struct {
 	net.Listener
@@ -212,7 +217,7 @@
 		c.request += holds - b.held
 		b.held = holds
 		if !c.hold(c.phase, connMemory+c.request) {
-			return n, net.ErrClosed
+			return n, ErrNoRoom
 		}
 	}
 	return n, err
