--- /dev/null
+++ b/review/_stand2/giveup.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() { cases["giveup"] = giveUp }
+
+// giveUp plays clients of whom some leave before their deadline.
+func giveUp(trouble bool) string {
+	const (
+		slots   = 16
+		callers = 30
+		length  = 40 * time.Second
+		size    = 110000
+	)
+	s := newSystem(map[string]string{"sapporo-a": "sapporo"})
+	defer s.close()
+	n := s.addNode("edge-sapporo-a-1", "sapporo-a")
+	x := s.addRunner("i-1", "draft-model", "sapporo-a", slots, stream(9, 200*time.Millisecond))
+	x.pace = true
+	s.config(map[string]any{
+		"Version": 3,
+		"Services": []any{map[string]any{
+			"Name": "draft-model", "HealthPath": "/healthz", "MaxConns": 570, "WarmupS": 0, "WarmupPerS": 0,
+			"Engine": map[string]any{"Slots": slots, "KvCapacity": 212365, "Stride": 6},
+		}},
+		"Routes": []any{map[string]any{
+			"Name": "reminder-draft", "Host": "h.example", "Prefix": "/draft/", "Kind": "stream", "TimeoutMs": 5000,
+			"GoalMs": 2000, "GapAimMs": 300, "Priority": 1, "Service": "draft-model", "MaxAttempts": 2, "Resumable": true, "Sticky": true,
+		}},
+		"Limits": limits,
+	})
+	n.start()
+	n.mustBeReady()
+	var done atomic.Bool
+	var all sync.WaitGroup
+	var statuses sync.Map
+	body := strings.Repeat("x", size)
+	for i := range callers {
+		c := s.newClient()
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * 60 * time.Millisecond)
+			for k := 0; !done.Load(); k++ {
+				a := c.send(n, fmt.Sprintf("a%03x%08x", i, k), "POST", "/draft/x", 5*time.Second, body, "Jujubewheel-Token-Count", "2000,54")
+				v, _ := statuses.LoadOrStore(a.Status, new(atomic.Int64))
+				v.(*atomic.Int64).Add(1)
+				if a.Status != http.StatusOK {
+					time.Sleep(300 * time.Millisecond)
+				}
+			}
+		})
+	}
+	left := map[string]time.Time{} // when a client closed its connection
+	var mu sync.Mutex
+	if trouble {
+		for i := range 10 {
+			all.Go(func() {
+				time.Sleep(time.Duration(i) * 97 * time.Millisecond)
+				for k := 0; !done.Load(); k++ {
+					id := fmt.Sprintf("b%03x%08x", i, k)
+					c, err := net.Dial("tcp", n.callers)
+					must(err)
+					fmt.Fprintf(c, "POST /draft/x HTTP/1.1\r\nHost: h.example\r\nJujubewheel-Request-Id: %s\r\nJujubewheel-Deadline-Ms: 5000\r\nJujubewheel-Token-Count: 2000,54\r\nContent-Length: %d\r\n\r\n", id, size)
+					_, err = c.Write([]byte(body))
+					must(err)
+					s.log("client has sent %s", id)
+					time.Sleep(150 * time.Millisecond)
+					c.Close()
+					mu.Lock()
+					left[id] = time.Now()
+					mu.Unlock()
+					s.log("client closes the connection of %s", id)
+					time.Sleep(850 * time.Millisecond)
+				}
+			})
+		}
+	}
+	time.Sleep(length)
+	done.Store(true)
+	all.Wait()
+	time.Sleep(2 * time.Second)
+	late := 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.runs {
+		if at, ok := left[r.ID]; ok && r.At.Sub(at) > 500*time.Millisecond {
+			late++
+		}
+	}
+	statuses.Range(func(k, v any) bool { s.log("%v: %d answers", k, v.(*atomic.Int64).Load()); return true })
+	s.log("%d clients left; %d requests reached the runner over 0.5 s later", len(left), late)
+	if late > 3 {
+		return fmt.Sprintf("GONE: %d requests reached a runner over 0.5 s after their client had closed its connection", late)
+	}
+	return ""
+}
