--- a/review/_stand2/burst.go
+++ b/review/_stand2/burst.go
@@ -14,8 +14,9 @@
 // burst plays many users who come at once, with requests that are all in order.
 func burst(trouble bool) string {
 	const (
-		usual   = 320
+		usual   = 320 // clients, each of which sends a request each period
 		factor  = 2.5
+		period  = 2200 * time.Millisecond
 		size    = 100000
 		length  = 20 * time.Second
 		during  = 10 * time.Second // of the burst, which begins after length/4
@@ -25,7 +26,7 @@
 	defer s.close()
 	n := s.addNode("edge-amman-a-1", "amman-a")
 	for i := range runners {
-		s.addRunner(fmt.Sprintf("i-%04d", i), "menu-writer", "amman-a", 64, stream(10, 200*time.Millisecond))
+		s.addRunner(fmt.Sprintf("i-%04d", i), "menu-writer", "amman-a", 64, stream(10, 210*time.Millisecond))
 	}
 	s.config(map[string]any{
 		"Version":  3,
@@ -54,18 +55,15 @@
 			return
 		case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests || a.Status == http.StatusRequestTimeout:
 			promised.Add(1)
-			time.Sleep(time.Second)
 		case a.Status >= 300 && a.Status < 500:
 			denied.Add(1)
 			s.say("%s is ended with status %d: %q", id, a.Status, a.Body)
-			time.Sleep(200 * time.Millisecond)
 		default:
 			other.Add(1)
 			ended.Store(id, a)
 			s.say("%s ends with status %d: %v", id, a.Status, a.Err)
-			time.Sleep(200 * time.Millisecond)
 		}
-		c.http.CloseIdleConnections() // a client tries again over a new connection
+		c.http.CloseIdleConnections() // the next request comes over a new connection
 	}
 	begin := time.Now()
 	var all sync.WaitGroup
@@ -74,9 +72,17 @@
 			all.Go(func() {
 				c := s.newClient()
 				defer c.http.CloseIdleConnections()
-				time.Sleep(time.Duration(i%100) * 10 * time.Millisecond)
-				for k := 0; time.Since(begin) < until; k++ {
+				// The clients' requests are spread evenly over the period, however they end.
+				next := time.Now().Add(time.Duration(i*37%100) * period / 100)
+				for k := 0; ; k++ {
+					time.Sleep(time.Until(next))
+					if time.Since(begin) >= until {
+						return
+					}
 					use(i, k, c)
+					for next = next.Add(period); time.Now().After(next); {
+						next = next.Add(period)
+					}
 				}
 			})
 		}
--- a/review/_stand2/giveup.go
+++ b/review/_stand2/giveup.go
@@ -17,14 +17,16 @@
 	const (
 		slots   = 16
 		callers = 30
-		length  = 40 * time.Second
 		size    = 110000
+		// clients leave for some seconds at a time, as give_up does
+		episodes = 6
+		episode  = 5 * time.Second
+		between  = time.Second
 	)
 	s := newSystem(map[string]string{"sapporo-a": "sapporo"})
 	defer s.close()
 	n := s.addNode("edge-sapporo-a-1", "sapporo-a")
-	x := s.addRunner("i-1", "draft-model", "sapporo-a", slots, stream(9, 200*time.Millisecond))
-	x.pace = true
+	x := s.addNoting("i-1", "draft-model", "sapporo-a", slots, stream(9, 200*time.Millisecond))
 	s.config(map[string]any{
 		"Version": 3,
 		"Services": []any{map[string]any{
@@ -43,6 +45,7 @@
 	var all sync.WaitGroup
 	var statuses sync.Map
 	body := strings.Repeat("x", size)
+	begin := time.Now()
 	for i := range callers {
 		c := s.newClient()
 		all.Go(func() {
@@ -64,6 +67,10 @@
 			all.Go(func() {
 				time.Sleep(time.Duration(i) * 97 * time.Millisecond)
 				for k := 0; !done.Load(); k++ {
+					if time.Since(begin)%(episode+between) >= episode-200*time.Millisecond {
+						time.Sleep(20 * time.Millisecond)
+						continue
+					}
 					id := fmt.Sprintf("b%03x%08x", i, k)
 					c, err := net.Dial("tcp", n.callers)
 					must(err)
@@ -82,15 +89,13 @@
 			})
 		}
 	}
-	time.Sleep(length)
+	time.Sleep(episodes * (episode + between))
 	done.Store(true)
 	all.Wait()
 	time.Sleep(2 * time.Second)
 	late := 0
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, r := range s.runs {
-		if at, ok := left[r.ID]; ok && r.At.Sub(at) > 500*time.Millisecond {
+	for id, at := range left {
+		if reached, ok := x.at(id); ok && reached.Sub(at) > 500*time.Millisecond {
 			late++
 		}
 	}
@@ -101,3 +106,38 @@
 	}
 	return ""
 }
+
+// notingRunner notes when the head of a request reached it.
+type notingRunner struct {
+	*runner
+	mu  sync.Mutex
+	ids map[string]time.Time
+}
+
+func (s *system) addNoting(id, service, zone string, slots int, work work) *notingRunner {
+	x := &notingRunner{
+		runner: &runner{
+			s: s, id: id, service: service, zone: zone, version: "v1", born: time.Now().UnixMilli(), slots: slots, state: "ready",
+			stop: make(chan struct{}), work: work, pace: true,
+		},
+		ids: map[string]time.Time{},
+	}
+	x.addr = serve("127.0.0.1:0", x).String()
+	go x.beat()
+	return x
+}
+
+// ServeHTTP implements http.Handler.
+func (x *notingRunner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x.mu.Lock()
+	x.ids[r.Header.Get("Jujubewheel-Request-Id")] = time.Now()
+	x.mu.Unlock()
+	x.runner.ServeHTTP(w, r)
+}
+
+func (x *notingRunner) at(id string) (time.Time, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	at, ok := x.ids[id]
+	return at, ok
+}
